feat(pipeline): set down the shape, the core types and the design

Cause: the project needs one agreed structure before parts are built side by side. Conclusion: parts can be built against these interfaces.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,114 @@
+import tseslint from "typescript-eslint";
+
+// Folders of filters. They decide; sources and sinks at the ends own sockets, disk, clock and codecs.
+const pureFolders = ["model", "pipeline", "request", "holder", "rates", "health", "control", "report"];
+const ioFolders = ["frontend", "backend", "rpc", "storage", "telemetry", "cli", "wiring"];
+const ioLibraries = ["mysql2", "mysql2/*", "@grpc/*", "@bufbuild/*", "hot-shots", "loglevel", "node:*", "fs", "net"];
+
+// Each folder may import only from itself and from the folders named here.
+const allowedImports = {
+    model: [],
+    pipeline: ["model"],
+    request: ["model", "pipeline"],
+    holder: ["model", "pipeline"],
+    rates: ["model", "pipeline"],
+    health: ["model", "pipeline"],
+    control: ["model", "pipeline"],
+    report: ["model", "pipeline"],
+    settings: ["model"],
+    telemetry: ["model", "pipeline"],
+    frontend: ["model", "pipeline", "telemetry"],
+    backend: ["model", "pipeline", "telemetry"],
+    storage: ["model", "pipeline", "telemetry"],
+    rpc: ["model", "pipeline", "telemetry"],
+    wiring: [
+        "model",
+        "pipeline",
+        "request",
+        "holder",
+        "rates",
+        "health",
+        "control",
+        "report",
+        "settings",
+        "telemetry",
+        "frontend",
+        "backend",
+        "storage",
+        "rpc",
+    ],
+};
+
+const importRules = Object.entries(allowedImports).map(([folder, allowed]) => ({
+    files: [`src/${folder}/**/*.ts`],
+    ignores: ["src/**/__tests__/**"],
+    rules: {
+        "no-restricted-imports": ["error", {
+            patterns: [
+                {
+                    group: [...pureFolders, ...ioFolders, "settings"]
+                        .filter(other => other !== folder && !allowed.includes(other))
+                        .map(other => `**/${other}/*`),
+                    message: "Imports run one way; see docs/design.md, section 2.1.",
+                },
+                {
+                    group: pureFolders.includes(folder) ? ioLibraries : ["index"],
+                    message: "Filters import no socket, disk, clock, random source or codec.",
+                },
+            ],
+        }],
+        ...(pureFolders.includes(folder)
+            ? {
+                "no-restricted-globals": [
+                    "error",
+                    "Date",
+                    "process",
+                    "performance",
+                    "setTimeout",
+                    "setInterval",
+                    "setImmediate",
+                    "fetch",
+                    "crypto",
+                    "Buffer",
+                    "console",
+                ],
+                "no-restricted-properties": ["error", {
+                    object: "Math",
+                    property: "random",
+                    message: "Use the SeededRandom passed in.",
+                }],
+            }
+            : {}),
+    },
+}));
+
+export default tseslint.config(
+    { ignores: ["dist/**", "node_modules/**", "src/rpc/generated/**"] },
+    ...tseslint.configs.recommended,
+    {
+        files: ["**/*.ts"],
+        rules: {
+            curly: ["error", "all"],
+            eqeqeq: "error",
+            "one-var": ["error", "never"],
+            "no-var": "error",
+            "prefer-const": "error",
+            "no-restricted-syntax": [
+                "error",
+                { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
+                {
+                    selector: "Literal[raw='null']",
+                    message:
+                        "Use undefined in the project's own data; a library that needs null is adapted in one place.",
+                },
+            ],
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"], leadingUnderscore: "forbid" },
+                { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+                { selector: "memberLike", modifiers: ["private"], format: ["camelCase"], leadingUnderscore: "forbid" },
+            ],
+        },
+    },
+    ...importRules,
+);
--- /dev/null
+++ b/src/pipeline/deadlineQueue.ts
@@ -0,0 +1,135 @@
+/** Timers as data: the one queue of deadlines. */
+import type { Message } from "./message.ts";
+
+export const DeadlineKind = {
+    Set: "deadline.set",
+    Clear: "deadline.clear",
+} as const;
+
+/** Asks that `message` is posted at `atMs`. A second one with the same key replaces the first. */
+export interface SetDeadline extends Message {
+    readonly kind: typeof DeadlineKind.Set;
+    readonly key: string;
+    readonly atMs: number;
+    readonly message: Message;
+}
+
+export interface ClearDeadline extends Message {
+    readonly kind: typeof DeadlineKind.Clear;
+    readonly key: string;
+}
+
+export type DeadlineMessage = SetDeadline | ClearDeadline;
+
+export function setDeadline(key: string, atMs: number, message: Message): SetDeadline {
+    return { kind: DeadlineKind.Set, key, atMs, message };
+}
+
+export function clearDeadline(key: string): ClearDeadline {
+    return { kind: DeadlineKind.Clear, key };
+}
+
+interface Entry {
+    readonly key: string;
+    readonly atMs: number;
+    /** Keeps entries with equal times in the order in which they were set. */
+    readonly order: number;
+    readonly message: Message;
+}
+
+/** A binary heap with lazy removal: a replaced or cleared entry is skipped when it surfaces. */
+export class DeadlineQueue {
+    private heap: Entry[] = [];
+    private readonly current = new Map<string, Entry>();
+    private nextOrder = 0;
+
+    apply(message: DeadlineMessage): void {
+        if (message.kind === DeadlineKind.Clear) {
+            this.current.delete(message.key);
+        }
+        else {
+            const entry = { key: message.key, atMs: message.atMs, order: this.nextOrder++, message: message.message };
+            this.current.set(message.key, entry);
+            this.insert(entry);
+        }
+        this.compactWhenSparse();
+    }
+
+    /** Time of the earliest deadline, or undefined when none is set. */
+    earliestMs(): number | undefined {
+        this.dropStale();
+        return this.heap[0]?.atMs;
+    }
+
+    /** Removes and returns the message of the earliest deadline at or before `nowMs`. */
+    takeDue(nowMs: number): Message | undefined {
+        this.dropStale();
+        const first = this.heap[0];
+        if (first === undefined || first.atMs > nowMs) {
+            return undefined;
+        }
+        this.removeFirst();
+        this.current.delete(first.key);
+        return first.message;
+    }
+
+    get size(): number {
+        return this.current.size;
+    }
+
+    private dropStale(): void {
+        while (this.heap.length > 0 && this.current.get(this.heap[0]!.key) !== this.heap[0]) {
+            this.removeFirst();
+        }
+    }
+
+    // Without this a key that is set again on every heartbeat would leave one dead entry behind each time.
+    private compactWhenSparse(): void {
+        if (this.heap.length > 64 && this.heap.length > 2 * this.current.size) {
+            this.heap = [...this.current.values()].sort(compareEntries);
+        }
+    }
+
+    private insert(entry: Entry): void {
+        let index = this.heap.push(entry) - 1;
+        while (index > 0) {
+            const parent = (index - 1) >> 1;
+            if (compareEntries(this.heap[parent]!, entry) <= 0) {
+                break;
+            }
+            this.heap[index] = this.heap[parent]!;
+            index = parent;
+        }
+        this.heap[index] = entry;
+    }
+
+    private removeFirst(): void {
+        const last = this.heap.pop()!;
+        if (this.heap.length === 0) {
+            return;
+        }
+        let index = 0;
+        for (;;) {
+            const child = this.smallerChild(index);
+            if (child === undefined || compareEntries(last, this.heap[child]!) <= 0) {
+                break;
+            }
+            this.heap[index] = this.heap[child]!;
+            index = child;
+        }
+        this.heap[index] = last;
+    }
+
+    private smallerChild(index: number): number | undefined {
+        const left = 2 * index + 1;
+        if (left >= this.heap.length) {
+            return undefined;
+        }
+        const right = left + 1;
+        return right < this.heap.length && compareEntries(this.heap[right]!, this.heap[left]!) < 0 ? right : left;
+    }
+}
+
+function compareEntries(left: Entry, right: Entry): number {
+    return left.atMs - right.atMs || left.order - right.order;
+}
--- /dev/null
+++ b/src/pipeline/seededRandom.ts
@@ -0,0 +1,22 @@
+/** Random numbers that a trace can reproduce. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+export class SeededRandom {
+    private readonly generator;
+
+    /** @param seed any integer; equal seeds give equal sequences */
+    constructor(seed: number) {
+        this.generator = xoroshiro128plus(seed);
+    }
+
+    /** Uniform in [0, 1). */
+    nextShare(): number {
+        return uniformFloat64(this.generator);
+    }
+
+    /** Uniform integer in [0, bound). */
+    nextInteger(bound: number): number {
+        return Math.floor(this.nextShare() * bound);
+    }
+}
