--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,7 @@
     report: ["model", "pipeline"],
     settings: ["model"],
     telemetry: ["model", "pipeline"],
-    frontend: ["model", "pipeline", "telemetry"],
+    frontend: ["model", "pipeline", "telemetry", "request"],
     backend: ["model", "pipeline", "telemetry"],
     storage: ["model", "pipeline", "telemetry"],
     rpc: ["model", "pipeline", "telemetry"],
--- /dev/null
+++ b/src/frontend/capabilities.ts
@@ -0,0 +1,31 @@
+/** Flags of the MySQL protocol. */
+
+/** Capabilities that the front end really serves, by their bits in the protocol. */
+const offered = {
+    longPassword: 0x0000_0001,
+    foundRows: 0x0000_0002,
+    longFlag: 0x0000_0004,
+    connectWithDatabase: 0x0000_0008,
+    ignoreSpace: 0x0000_0100,
+    protocol41: 0x0000_0200,
+    transactions: 0x0000_2000,
+    secureConnection: 0x0000_8000,
+    pluginAuthentication: 0x0008_0000,
+    connectAttributes: 0x0010_0000,
+} as const;
+
+/**
+ * Leaves out EOF deprecation, session tracking, TLS, compression and multiple statements: the library's server side
+ * does not serve them, and a client that negotiated one would wait for ever.
+ */
+export const serverCapabilities = Object.values(offered).reduce((flags, flag) => flags | flag, 0);
+
+export const ServerStatus = {
+    InTransaction: 0x0001,
+    Autocommit: 0x0002,
+} as const;
+
+/** Client libraries send COMMIT only when the last OK said that a transaction is open, so the status must be true. */
+export function serverStatus(inTransaction: boolean): number {
+    return ServerStatus.Autocommit | (inTransaction ? ServerStatus.InTransaction : 0);
+}
--- /dev/null
+++ b/src/frontend/proofVerifier.ts
@@ -0,0 +1,31 @@
+/** Checks answers to the MySQL native password challenge. */
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { ProofVerifier } from "../request/authenticate.ts";
+
+/**
+ * The caller proves SHA-1(secret) by sending it XORed with SHA-1(challenge + SHA-1(SHA-1(secret))). Only the double
+ * SHA-1 is stored, so neither the secret nor anything that can be replayed crosses the wire.
+ */
+export class NativePasswordVerifier implements ProofVerifier {
+    verify(challengeHex: string, proofHex: string, doubleSha1Hex: string): boolean {
+        const proof = Buffer.from(proofHex, "hex");
+        const stored = Buffer.from(doubleSha1Hex, "hex");
+        if (proof.length !== sha1Bytes || stored.length !== sha1Bytes) {
+            return false;
+        }
+        const mask = sha1(Buffer.concat([Buffer.from(challengeHex, "hex"), stored]));
+        const singleHash = Buffer.from(proof.map((byte, index) => byte ^ mask[index]!));
+        return timingSafeEqual(sha1(singleHash), stored);
+    }
+}
+
+const sha1Bytes = 20;
+
+function sha1(data: Buffer): Buffer {
+    return createHash("sha1").update(data).digest();
+}
+
+/** The form in which the control state keeps a secret. */
+export function doubleSha1Hex(secret: string): string {
+    return sha1(sha1(Buffer.from(secret, "utf8"))).toString("hex");
+}
--- /dev/null
+++ b/src/frontend/serverConnection.ts
@@ -0,0 +1,69 @@
+/** The part of mysql2's server side that the front end uses; the library ships no types for it. */
+import mysql from "mysql2";
+import type { EventEmitter } from "node:events";
+
+export interface AuthenticationParameters {
+    readonly user?: string;
+    readonly database?: string;
+    readonly authPluginData1: Buffer;
+    readonly authPluginData2: Buffer;
+    readonly authToken: Buffer | undefined;
+}
+
+export interface ServerError {
+    readonly code: number;
+    readonly message: string;
+}
+
+export type AuthenticationCallback = (
+    error: Error | undefined,
+    refusal?: ServerError,
+) => void;
+
+export interface ColumnDefinition {
+    readonly catalog: string;
+    readonly schema: string;
+    readonly table: string;
+    readonly orgTable: string;
+    readonly name: string;
+    readonly orgName: string;
+    readonly characterSet: number;
+    readonly columnLength: number;
+    readonly columnType: number;
+    readonly flags: number;
+    readonly decimals: number;
+}
+
+export interface ServerConnection extends EventEmitter {
+    sequenceId: number;
+    readonly stream: import("node:net").Socket;
+    serverHandshake(options: {
+        readonly protocolVersion: number;
+        readonly serverVersion: string;
+        readonly connectionId: number;
+        readonly statusFlags: number;
+        readonly characterSet: number;
+        readonly capabilityFlags: number;
+        readonly authCallback: (parameters: AuthenticationParameters, done: AuthenticationCallback) => void;
+    }): void;
+    writeOk(options?: {
+        readonly affectedRows?: number;
+        readonly insertId?: number;
+        readonly serverStatus?: number;
+    }): void;
+    writeError(error: ServerError): void;
+    writeColumns(columns: readonly ColumnDefinition[]): void;
+    writeTextRow(row: readonly unknown[]): void;
+    writeEof(warnings?: number, statusFlags?: number): void;
+    close(): void;
+}
+
+export interface MysqlServer extends EventEmitter {
+    listen(port: number, host: string, listening: () => void): void;
+    close(closed: () => void): void;
+}
+
+/** Creates a listener; `accepted` runs for each connection before the handshake. */
+export function createMysqlServer(accepted: (connection: ServerConnection) => void): MysqlServer {
+    return mysql.createServer(accepted as never) as unknown as MysqlServer;
+}
--- /dev/null
+++ b/src/frontend/sessionToken.ts
@@ -0,0 +1,53 @@
+/** Session tokens: floors that a caller carries from one instance to another. */
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { z } from "zod";
+import type { SessionFloors, SessionTokenCodec } from "../request/sessionState.ts";
+
+const count = z.number().int().nonnegative();
+const payloadSchema = z.object({
+    callerId: z.string(),
+    floors: z.array(z.tuple([z.string(), count, count])).max(1_000),
+});
+
+const signatureBytes = 16;
+const purpose = "jasmineline session token 1";
+
+/** `payload.signature`, both base64url; the signature is an HMAC-SHA256 under a key derived from the cluster secret. */
+export class HmacSessionTokenCodec implements SessionTokenCodec {
+    private readonly key: Buffer;
+
+    constructor(clusterSecret: string) {
+        this.key = createHmac("sha256", clusterSecret).update(purpose).digest();
+    }
+
+    encode({ callerId, floors }: SessionFloors): string {
+        const rows = [...floors].map(([groupId, { term, offset }]) => [groupId, term, offset]);
+        const payload = Buffer.from(JSON.stringify({ callerId, floors: rows })).toString("base64url");
+        return `${payload}.${this.sign(payload).toString("base64url")}`;
+    }
+
+    decode(token: string): SessionFloors | undefined {
+        const [payload, signature, ...rest] = token.split(".");
+        if (payload === undefined || signature === undefined || rest.length > 0) {
+            return undefined;
+        }
+        const given = Buffer.from(signature, "base64url");
+        if (given.length !== signatureBytes || !timingSafeEqual(given, this.sign(payload))) {
+            return undefined;
+        }
+        return parsePayload(payload);
+    }
+
+    private sign(payload: string): Buffer {
+        return createHmac("sha256", this.key).update(payload).digest().subarray(0, signatureBytes);
+    }
+}
+
+function parsePayload(payload: string): SessionFloors | undefined {
+    const parsed = payloadSchema.safeParse(JSON.parse(Buffer.from(payload, "base64url").toString("utf8")));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { callerId, floors } = parsed.data;
+    return { callerId, floors: new Map(floors.map(([groupId, term, offset]) => [groupId, { term, offset }])) };
+}
--- /dev/null
+++ b/src/request/__tests__/authenticate.spec.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CallerKind, type CallerLoginResult } from "../../model/callerMessages.ts";
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import { type Configuration, emptyConfiguration } from "../../model/configuration.ts";
+import { RefusalCode } from "../../model/refusal.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { AuthenticateFilter } from "../authenticate.ts";
+import { RequestKind } from "../requestMessages.ts";
+
+const configuration: Configuration = {
+    ...emptyConfiguration,
+    version: 5,
+    workspaces: [{ name: "shop", ratePerSecond: 10, burst: 10, keyValidityMs: 10_000, version: 1 }],
+    keys: [{ id: "key-1", workspace: "shop", doubleSha1Hex: "good", version: 1 }],
+    openRoutes: [{ service: "catalogue", workspace: "shop", version: 1 }],
+};
+
+const withoutKey: Configuration = { ...configuration, version: 6, keys: [] };
+
+function start(): AuthenticateFilter {
+    const filter = new AuthenticateFilter({ verify: (_, proofHex, digest) => proofHex === digest });
+    filter.process({ kind: ClusterKind.ConfigurationApplied, configuration }, 0);
+    filter.process({ kind: ClusterKind.ConfigurationProved, version: 5, provedAtMs: 0 }, 0);
+    return filter;
+}
+
+function login(filter: AuthenticateFilter, keyId: string, proofHex: string, service = "boards"): string | undefined {
+    const [result] = filter.process(
+        { kind: CallerKind.Login, connectionId: 1, keyId, service, challengeHex: "", proofHex },
+        0,
+    );
+    return (result as CallerLoginResult).refusal?.code;
+}
+
+function state(filter: AuthenticateFilter, nowMs: number): string {
+    const [result] = filter.process({ kind: CallerKind.Statement, connectionId: 1, sequence: 0, text: "x" }, nowMs);
+    const message = result as Message & { refusal?: { code: string; }; workspace?: string; };
+    return message.refusal?.code ?? message.workspace ?? "";
+}
+
+describe("authenticate", () => {
+    it("accepts a key only with its proof and binds the connection to the key's workspace", () => {
+        const filter = start();
+        assert.equal(login(filter, "key-1", "bad"), RefusalCode.AccessDenied);
+        assert.equal(login(filter, "key-2", "good"), RefusalCode.AccessDenied);
+        assert.equal(state(filter, 1), RefusalCode.AccessDenied);
+        assert.equal(login(filter, "key-1", "good"), undefined);
+        assert.equal(state(filter, 1), "shop");
+    });
+
+    it("lets callers without a key use open routes only", () => {
+        const filter = start();
+        assert.equal(login(filter, "", "", "boards"), RefusalCode.AccessDenied);
+        assert.equal(login(filter, "", "", "catalogue"), undefined);
+        assert.equal(state(filter, 60_000), "shop");
+    });
+
+    it("ends open connections of a withdrawn key, so that it stops working at once", () => {
+        const filter = start();
+        login(filter, "key-1", "good");
+        const messages = filter.process({ kind: ClusterKind.ConfigurationApplied, configuration: withoutKey }, 1);
+        assert.deepEqual(
+            messages.map(message => message.kind),
+            [CallerKind.Disconnect, RequestKind.SessionEnded, ClusterKind.ConfigurationApplied],
+        );
+        assert.equal(state(filter, 2), RefusalCode.AccessDenied);
+    });
+
+    it("never goes back to an older configuration in which a key was still valid", () => {
+        const filter = start();
+        filter.process({ kind: ClusterKind.ConfigurationApplied, configuration: withoutKey }, 1);
+        filter.process({ kind: ClusterKind.ConfigurationApplied, configuration }, 2);
+        assert.equal(login(filter, "key-1", "good"), RefusalCode.AccessDenied);
+    });
+
+    it("refuses keys when the configuration has not been proved recent within the workspace's validity", () => {
+        const filter = start();
+        login(filter, "key-1", "good");
+        assert.equal(state(filter, 10_000), "shop");
+        assert.equal(state(filter, 10_001), RefusalCode.ConfigurationStale);
+        // A proof of a version that is not applied yet must not count: the withdrawal may be part of it.
+        filter.process({ kind: ClusterKind.ConfigurationProved, version: 6, provedAtMs: 10_000 }, 10_002);
+        assert.equal(state(filter, 10_003), RefusalCode.ConfigurationStale);
+        filter.process(
+            { kind: ClusterKind.ConfigurationApplied, configuration: { ...configuration, version: 6 } },
+            10_004,
+        );
+        assert.equal(state(filter, 10_005), "shop");
+    });
+});
--- /dev/null
+++ b/src/request/attributes.ts
@@ -0,0 +1,89 @@
+/** Reads statement attributes from a sqlcommenter comment. */
+import { z } from "zod";
+import type { StatementAttributes } from "../model/statement.ts";
+
+/** The attributes, or what is wrong with them. */
+export type AttributesResult =
+    | { readonly attributes: StatementAttributes; readonly error: undefined; }
+    | { readonly attributes: undefined; readonly error: string; };
+
+const attributeNames = {
+    workClass: "class",
+    requestId: "request_id",
+    maximumAgeMs: "max_age_ms",
+    sessionToken: "session_token",
+} as const;
+
+const schema = z.object({
+    workClass: z.string().regex(/^[\w.-]{1,64}$/, "1 to 64 letters, digits, '_', '.' or '-'").optional(),
+    requestId: z.string().regex(/^[\x21-\x7e]{1,128}$/, "1 to 128 printable characters without spaces").optional(),
+    maximumAgeMs: z.string().regex(/^\d{1,9}$/, "a whole number of milliseconds").transform(Number).optional(),
+    sessionToken: z.string().regex(/^[\w.~-]{1,4096}$/, "a token as returned by SHOW JASMINELINE SESSION").optional(),
+});
+
+const noAttributes: StatementAttributes = {
+    workClass: undefined,
+    requestId: undefined,
+    maximumAgeMs: undefined,
+    sessionToken: undefined,
+};
+
+/**
+ * Reads the attributes of a statement from the bodies of its comments. A comment that does not consist of
+ * `key='value'` pairs is an ordinary remark and ignored; keys that are not ours belong to other tools.
+ */
+export function readAttributes(comments: readonly string[]): AttributesResult {
+    const pairs = new Map<string, string>();
+    for (const comment of comments) {
+        for (const [key, value] of readPairs(comment)) {
+            if (pairs.has(key) && isOurs(key)) {
+                return { attributes: undefined, error: `${key} is given twice` };
+            }
+            pairs.set(key, value);
+        }
+    }
+    return pairs.size === 0 ? { attributes: noAttributes, error: undefined } : checkPairs(pairs);
+}
+
+function checkPairs(pairs: ReadonlyMap<string, string>): AttributesResult {
+    const raw = Object.fromEntries(
+        Object.entries(attributeNames).flatMap(([field, key]) => pairs.has(key) ? [[field, pairs.get(key)]] : []),
+    );
+    const checked = schema.safeParse(raw);
+    if (checked.success) {
+        return { attributes: { ...noAttributes, ...checked.data } as StatementAttributes, error: undefined };
+    }
+    const issue = checked.error.issues[0]!;
+    const key = attributeNames[issue.path[0] as keyof typeof attributeNames];
+    return { attributes: undefined, error: `${key} must be ${issue.message}` };
+}
+
+function readPairs(comment: string): readonly (readonly [string, string])[] {
+    const body = comment.trim();
+    if (!/^[^=',\s]+='(?:[^'\\]|\\.)*'(?:\s*,\s*[^=',\s]+='(?:[^'\\]|\\.)*')*$/.test(body)) {
+        return mentionsOurs(body) ? [["class", ""]] : [];
+    }
+    return [...body.matchAll(/([^=',\s]+)='((?:[^'\\]|\\.)*)'/g)].map(found => [
+        decode(found[1]!),
+        decode(found[2]!.replaceAll("\\'", "'")),
+    ]);
+}
+
+/** Percent-encoding that cannot be decoded is kept, so that the check of the value reports it. */
+function decode(text: string): string {
+    try {
+        return decodeURIComponent(text);
+    }
+    catch {
+        return text;
+    }
+}
+
+// A comment such as `class=orders` was meant as an attribute; ignoring it would run the statement with wrong targets.
+function mentionsOurs(body: string): boolean {
+    return Object.values(attributeNames).some(name => new RegExp(`(^|,)\\s*${name}\\s*=`).test(body));
+}
+
+function isOurs(key: string): boolean {
+    return (Object.values(attributeNames) as string[]).includes(key);
+}
--- /dev/null
+++ b/src/request/authenticate.ts
@@ -0,0 +1,178 @@
+/** Second step of the request pipe: who the caller is, and whether its key still works. */
+import { match } from "ts-pattern";
+import {
+    type CallerDisconnect,
+    CallerKind,
+    type CallerLogin,
+    type CallerLoginResult,
+    type CallerStatement,
+} from "../model/callerMessages.ts";
+import { ClusterKind, type ConfigurationApplied, type ConfigurationProved } from "../model/clusterMessages.ts";
+import { type Refusal, RefusalCode, refuse } from "../model/refusal.ts";
+import type { CallerKey, OpenRoute, Workspace } from "../model/workspace.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { type AuthenticatedRequest, type RefusedRequest, RequestKind, type SessionEnded } from "./requestMessages.ts";
+
+type Input = CallerLogin | CallerStatement | ConfigurationApplied | ConfigurationProved | SessionEnded;
+
+/** Checks that a caller knows a secret of which only the double SHA-1 is stored. */
+export interface ProofVerifier {
+    /** Compares in constant time. All arguments are hexadecimal. */
+    verify(challengeHex: string, proofHex: string, doubleSha1Hex: string): boolean;
+}
+
+interface Session {
+    readonly callerId: string;
+    readonly workspace: string;
+    readonly service: string;
+}
+
+// Compared against when the key id is unknown, so that the time of the answer does not tell which ids exist.
+const absentKeyDigestHex = "0".repeat(40);
+
+/** Binds a connection to the workspace of its key and refuses statements once the key was withdrawn. */
+export class AuthenticateFilter implements Filter<Input, Message> {
+    readonly step = "authenticate";
+    readonly accepts = [
+        CallerKind.Login,
+        CallerKind.Statement,
+        ClusterKind.ConfigurationApplied,
+        ClusterKind.ConfigurationProved,
+        RequestKind.SessionEnded,
+    ];
+    private readonly verifier: ProofVerifier;
+    private readonly sessions = new Map<number, Session>();
+    private keys = new Map<string, CallerKey>();
+    private workspaces = new Map<string, Workspace>();
+    private openRoutes = new Map<string, OpenRoute>();
+    private version = -1;
+    private provedAtMs = -Infinity;
+    private pendingProof: ConfigurationProved | undefined;
+
+    constructor(verifier: ProofVerifier) {
+        this.verifier = verifier;
+    }
+
+    process(message: Input, nowMs: number): readonly Message[] {
+        return match(message)
+            .with({ kind: CallerKind.Login }, login => [this.login(login, nowMs)])
+            .with({ kind: CallerKind.Statement }, statement => [this.checkStatement(statement, nowMs)])
+            .with({ kind: ClusterKind.ConfigurationApplied }, applied => [...this.apply(applied), applied])
+            .with({ kind: ClusterKind.ConfigurationProved }, proved => this.prove(proved))
+            .with({ kind: RequestKind.SessionEnded }, ended => this.endSession(ended))
+            .exhaustive();
+    }
+
+    private login(login: CallerLogin, nowMs: number): CallerLoginResult {
+        const refusal = this.checkLogin(login, nowMs);
+        return { kind: CallerKind.LoginResult, connectionId: login.connectionId, refusal };
+    }
+
+    private checkLogin(login: CallerLogin, nowMs: number): Refusal | undefined {
+        const session = login.keyId === "" ? this.openSession(login) : this.keySession(login);
+        if (session === undefined) {
+            return refuse(RefusalCode.AccessDenied, this.step);
+        }
+        const stale = this.checkProof(session, nowMs);
+        if (stale === undefined) {
+            this.sessions.set(login.connectionId, session);
+        }
+        return stale;
+    }
+
+    private openSession(login: CallerLogin): Session | undefined {
+        const route = this.openRoutes.get(login.service);
+        return route && { callerId: "", workspace: route.workspace, service: login.service };
+    }
+
+    private keySession(login: CallerLogin): Session | undefined {
+        const key = this.keys.get(login.keyId);
+        const digestHex = key?.doubleSha1Hex ?? absentKeyDigestHex;
+        const proved = this.verifier.verify(login.challengeHex, login.proofHex, digestHex);
+        if (key === undefined || !proved) {
+            return undefined;
+        }
+        return { callerId: key.id, workspace: key.workspace, service: login.service };
+    }
+
+    private checkStatement(statement: CallerStatement, nowMs: number): AuthenticatedRequest | RefusedRequest {
+        const { connectionId, sequence, text } = statement;
+        const session = this.sessions.get(connectionId);
+        const refusal = session === undefined
+            ? refuse(RefusalCode.AccessDenied, this.step)
+            : this.checkProof(session, nowMs);
+        if (session === undefined || refusal !== undefined) {
+            return { kind: RequestKind.Refused, connectionId, sequence, refusal: refusal!, request: undefined };
+        }
+        return { kind: RequestKind.Authenticated, connectionId, sequence, text, ...session, arrivedAtMs: nowMs };
+    }
+
+    /** Open routes carry no key, so they need no proof that no key was withdrawn. */
+    private checkProof(session: Session, nowMs: number): Refusal | undefined {
+        const validityMs = this.workspaces.get(session.workspace)?.keyValidityMs;
+        if (validityMs === undefined) {
+            return refuse(RefusalCode.AccessDenied, this.step, { detail: "the workspace was removed" });
+        }
+        const fresh = session.callerId === "" || nowMs - this.provedAtMs <= validityMs;
+        return fresh ? undefined : refuse(RefusalCode.ConfigurationStale, this.step, { retryAfterMs: 1_000 });
+    }
+
+    private apply({ configuration }: ConfigurationApplied): readonly Message[] {
+        if (configuration.version < this.version) {
+            return [];
+        }
+        this.version = configuration.version;
+        this.countPendingProof();
+        this.keys = new Map(configuration.keys.map(key => [key.id, key]));
+        this.workspaces = new Map(configuration.workspaces.map(workspace => [workspace.name, workspace]));
+        this.openRoutes = new Map(configuration.openRoutes.map(route => [route.service, route]));
+        return [...this.sessions]
+            .filter(([, session]) => !this.isStillAllowed(session))
+            .flatMap(([connectionId]) => this.expel(connectionId));
+    }
+
+    private isStillAllowed(session: Session): boolean {
+        return session.callerId === ""
+            ? this.openRoutes.get(session.service)?.workspace === session.workspace
+            : this.keys.get(session.callerId)?.workspace === session.workspace;
+    }
+
+    private expel(connectionId: number): readonly Message[] {
+        this.sessions.delete(connectionId);
+        const disconnect: CallerDisconnect = {
+            kind: CallerKind.Disconnect,
+            connectionId,
+            refusal: refuse(RefusalCode.KeyWithdrawn, this.step),
+        };
+        const ended: SessionEnded = { kind: RequestKind.SessionEnded, connectionId };
+        return [disconnect, ended];
+    }
+
+    /**
+     * A proof says that the configuration had version `proved.version` at `provedAtMs`. It counts once this instance has
+     * applied that version or a later one.
+     */
+    private prove(proved: ConfigurationProved): readonly Message[] {
+        if (proved.version <= this.version) {
+            this.provedAtMs = Math.max(this.provedAtMs, proved.provedAtMs);
+        }
+        else {
+            this.pendingProof = proved;
+        }
+        return [proved];
+    }
+
+    private countPendingProof(): void {
+        const pending = this.pendingProof;
+        if (pending !== undefined && pending.version <= this.version) {
+            this.provedAtMs = Math.max(this.provedAtMs, pending.provedAtMs);
+            this.pendingProof = undefined;
+        }
+    }
+
+    private endSession(ended: SessionEnded): readonly Message[] {
+        this.sessions.delete(ended.connectionId);
+        return [ended];
+    }
+}
--- /dev/null
+++ b/src/request/databaseChoice.ts
@@ -0,0 +1,97 @@
+/** Which database of a group serves a statement. */
+import type { DatabaseView } from "../model/clusterMessages.ts";
+import { DatabaseRole } from "../model/database.ts";
+import { hasReached, type Position } from "../model/position.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+
+export interface DatabaseChoiceOptions {
+    readonly dataCentre: string;
+    readonly random: SeededRandom;
+}
+
+// A replica in another data centre costs a round trip of several milliseconds, about as much as this many queued reads.
+const distancePenalty = 4;
+
+// A replica that has not announced the floor yet makes the read wait for replication or for a new announcement.
+const unprovedPenalty = 2;
+
+// After a replica did not reach a floor in time, reads avoid it for this long, so that they do not all wait for it.
+const laggingPenaltyMs = 250;
+
+/** Knows the databases and how much work of this instance is under way on each. */
+export class DatabaseChoice {
+    private readonly options: DatabaseChoiceOptions;
+    private databases = new Map<string, DatabaseView>();
+    private byService = new Map<string, DatabaseView[]>();
+    private readonly underWay = new Map<string, number>();
+    private readonly avoidUntilMs = new Map<string, number>();
+
+    constructor(options: DatabaseChoiceOptions) {
+        this.options = options;
+    }
+
+    update(databases: readonly DatabaseView[]): void {
+        this.databases = new Map(databases.map(database => [database.databaseId, database]));
+        this.byService = new Map();
+        for (const database of databases) {
+            this.byService.set(database.service, [...this.byService.get(database.service) ?? [], database]);
+        }
+    }
+
+    get(databaseId: string): DatabaseView | undefined {
+        return this.databases.get(databaseId);
+    }
+
+    isKnownService(service: string): boolean {
+        return this.byService.has(service);
+    }
+
+    groupOf(service: string): string | undefined {
+        return this.byService.get(service)?.[0]?.groupId;
+    }
+
+    primary(service: string): DatabaseView | undefined {
+        return this.byService.get(service)?.find(each =>
+            each.role === DatabaseRole.Primary && each.available && each.holder !== undefined
+        );
+    }
+
+    /** The better of two randomly chosen replicas: load spreads without a herd on the one that looks best. */
+    replica(service: string, floor: Position, nowMs: number): DatabaseView | undefined {
+        const candidates = (this.byService.get(service) ?? []).filter(each =>
+            each.role === DatabaseRole.Replica && each.available && each.holder !== undefined
+            && (this.avoidUntilMs.get(each.databaseId) ?? 0) <= nowMs
+        );
+        const first = this.takeRandom(candidates);
+        const second = this.takeRandom(candidates);
+        if (first === undefined || second === undefined) {
+            return first;
+        }
+        return this.cost(first, floor) <= this.cost(second, floor) ? first : second;
+    }
+
+    started(databaseId: string): void {
+        this.underWay.set(databaseId, (this.underWay.get(databaseId) ?? 0) + 1);
+    }
+
+    ended(databaseId: string): void {
+        this.underWay.set(databaseId, Math.max(0, (this.underWay.get(databaseId) ?? 0) - 1));
+    }
+
+    avoid(databaseId: string, nowMs: number): void {
+        this.avoidUntilMs.set(databaseId, nowMs + laggingPenaltyMs);
+    }
+
+    private cost(database: DatabaseView, floor: Position): number {
+        const load = (this.underWay.get(database.databaseId) ?? 0) / database.slots;
+        const distance = database.dataCentre === this.options.dataCentre ? 0 : distancePenalty;
+        const proof = hasReached(database.position, floor) ? 0 : unprovedPenalty;
+        return load + distance + proof;
+    }
+
+    private takeRandom(candidates: DatabaseView[]): DatabaseView | undefined {
+        return candidates.length === 0
+            ? undefined
+            : candidates.splice(this.options.random.nextInteger(candidates.length), 1)[0];
+    }
+}
--- /dev/null
+++ b/src/request/primarySamples.ts
@@ -0,0 +1,58 @@
+/** History of a group's primary position, which turns an age target into a position. */
+import { laterPosition, type Position } from "../model/position.ts";
+
+interface Sample {
+    /** Local monotonic time at which `position` covered every acknowledged write. */
+    readonly atMs: number;
+    readonly position: Position;
+}
+
+const sampleSpacingMs = 20;
+const maximumSamples = 512;
+
+/**
+ * Positions of one primary over time. A database that reached the position of a sample lacks no write that was
+ * acknowledged before the sample's time, so its data is no older than that.
+ */
+export class PrimarySamples {
+    private samples: Sample[] = [];
+
+    /**
+     * Adds what a floor answer told.
+     * @param askedAtMs local time at which the question was sent, so that delays only make the proof weaker
+     * @param ageMs time for which the holder already knew the position when it answered
+     */
+    add(position: Position, askedAtMs: number, ageMs: number): void {
+        const atMs = askedAtMs - ageMs;
+        const last = this.samples.at(-1);
+        if (last !== undefined && atMs < last.atMs) {
+            return;
+        }
+        if (last !== undefined && this.samples.length > 1 && atMs - this.samples.at(-2)!.atMs < sampleSpacingMs) {
+            this.samples.pop();
+        }
+        this.samples.push({ atMs, position: last === undefined ? position : laterPosition(last.position, position) });
+        if (this.samples.length > maximumSamples) {
+            this.thinOut();
+        }
+    }
+
+    /**
+     * The earliest position whose data is at most `maximumAgeMs` old.
+     * @returns undefined when no sample is recent enough to prove anything
+     */
+    floorForAge(maximumAgeMs: number, nowMs: number): Position | undefined {
+        return this.samples.find(sample => sample.atMs >= nowMs - maximumAgeMs)?.position;
+    }
+
+    /** The latest known position. */
+    latest(): Position | undefined {
+        return this.samples.at(-1)?.position;
+    }
+
+    // Old samples serve generous age targets, for which a coarser spacing costs little.
+    private thinOut(): void {
+        const half = this.samples.length >> 1;
+        this.samples = this.samples.filter((_, index) => index >= half || index % 2 === 0);
+    }
+}
--- /dev/null
+++ b/src/request/sqlText.ts
@@ -0,0 +1,81 @@
+/** A small reader of SQL text: enough to find comments, words and statement ends, with strings left alone. */
+
+export const TokenKind = {
+    /** An identifier, keyword or number, in upper case. */
+    Word: "word",
+    /** A quoted string or quoted identifier. */
+    Quoted: "quoted",
+    /** A user variable (`@name`) or system variable (`@@name`), in upper case. */
+    Variable: "variable",
+    Symbol: "symbol",
+} as const;
+export type TokenKind = typeof TokenKind[keyof typeof TokenKind];
+
+export interface Token {
+    readonly kind: TokenKind;
+    readonly text: string;
+}
+
+export interface SqlText {
+    /** The statement without comments; optimizer hints are dropped too. */
+    readonly statement: string;
+    readonly tokens: readonly Token[];
+    /** Bodies of the block comments, in order. */
+    readonly comments: readonly string[];
+    /** Undefined when the text is well formed as far as this reader looks. */
+    readonly error: string | undefined;
+}
+
+const pattern = new RegExp(
+    [
+        /(?<comment>\/\*[\s\S]*?\*\/)/,
+        /(?<lineComment>--(?=[\s]|$)[^\n]*|#[^\n]*)/,
+        /(?<quoted>'(?:[^'\\]|\\[\s\S]|'')*'|"(?:[^"\\]|\\[\s\S]|"")*"|`(?:[^`]|``)*`)/,
+        /(?<open>\/\*|['"`])/,
+        /(?<variable>@@?(?:[\p{L}\p{N}_$.]+|`[^`]*`|'[^']*')?)/u,
+        /(?<word>[\p{L}\p{N}_$]+)/u,
+        /(?<space>\s+)/,
+        /(?<symbol>[\s\S])/,
+    ].map(part => part.source).join("|"),
+    "guy",
+);
+
+/** Splits a statement into tokens and takes its comments out. */
+export function readSql(text: string): SqlText {
+    const tokens: Token[] = [];
+    const comments: string[] = [];
+    const parts: string[] = [];
+    let error: string | undefined;
+    for (const found of text.matchAll(pattern)) {
+        const groups = found.groups!;
+        const whole = found[0];
+        if (groups["comment"] !== undefined) {
+            comments.push(whole.slice(2, -2));
+            parts.push(" ");
+        }
+        else if (groups["lineComment"] !== undefined) {
+            parts.push(" ");
+        }
+        else {
+            parts.push(whole);
+            error ??= groups["open"] === undefined ? undefined : `unterminated ${whole}`;
+            addToken(tokens, groups, whole);
+        }
+    }
+    return { statement: parts.join("").trim(), tokens, comments, error };
+}
+
+function addToken(tokens: Token[], groups: Record<string, string | undefined>, text: string): void {
+    if (groups["word"] !== undefined) {
+        tokens.push({ kind: TokenKind.Word, text: text.toUpperCase() });
+    }
+    else if (groups["quoted"] !== undefined) {
+        tokens.push({ kind: TokenKind.Quoted, text });
+    }
+    else if (groups["variable"] !== undefined) {
+        tokens.push({ kind: TokenKind.Variable, text: text.toUpperCase() });
+    }
+    else if (groups["symbol"] !== undefined) {
+        tokens.push({ kind: TokenKind.Symbol, text });
+    }
+}
--- /dev/null
+++ b/src/request/statementKind.ts
@@ -0,0 +1,132 @@
+/** Decides what kind of statement a text is. Whatever is not surely a read counts as a write. */
+import { StatementKind } from "../model/statement.ts";
+import { type Token, TokenKind } from "./sqlText.ts";
+
+/** A statement that the proxy refuses, with the reason. */
+export interface Unsupported {
+    readonly unsupported: string;
+}
+
+const readFirstWords = new Set(["SELECT", "SHOW", "DESCRIBE", "DESC", "EXPLAIN"]);
+
+// Functions whose result depends on the arguments and the data alone. A function that is not listed may change state
+// (GET_LOCK, SLEEP, stored functions), so a statement that calls it goes to the primary.
+const pureFunctions = new Set(
+    ("ABS ASCII AVG BIT_AND BIT_OR CAST CEIL CEILING CHAR_LENGTH COALESCE CONCAT CONCAT_WS CONVERT COUNT CURDATE "
+        + "CURRENT_DATE CURRENT_TIMESTAMP DATE DATE_ADD DATE_FORMAT DATE_SUB DATEDIFF DAY DENSE_RANK EXISTS EXTRACT "
+        + "FIELD FIRST_VALUE FLOOR FORMAT FROM_UNIXTIME GREATEST GROUP_CONCAT HEX HOUR IF IFNULL IN INSTR ISNULL "
+        + "JSON_ARRAYAGG JSON_CONTAINS JSON_EXTRACT JSON_OBJECT JSON_OBJECTAGG JSON_UNQUOTE JSON_VALUE LAG LAST_VALUE "
+        + "LEAD LEAST LEFT LENGTH LOCATE LOWER LPAD LTRIM MAX MD5 MIN MINUTE MOD MONTH NOW NULLIF OVER POW POWER RANK "
+        + "REPLACE REVERSE RIGHT ROUND ROW_NUMBER RPAD RTRIM SECOND SHA1 SHA2 SIGN SQRT STDDEV SUBSTR SUBSTRING SUM "
+        + "TIME TIMESTAMPDIFF TRIM TRUNCATE UNIX_TIMESTAMP UPPER VALUES VARIANCE WEEK YEAR").split(" "),
+);
+
+// Words that a parenthesis may follow without a function being called.
+const wordsBeforeParenthesis = new Set(
+    ("ALL AND ANY AS BETWEEN BY CASE DISTINCT ELSE EXCEPT FROM HAVING INTERSECT INTERVAL JOIN LIKE NOT ON OR SELECT SOME "
+        + "THEN UNION USING WHEN WHERE WITH").split(" "),
+);
+
+const sessionFirstWords = new Set(["USE", "LOCK", "UNLOCK", "HANDLER"]);
+const refusedFirstWords = new Set([
+    "PREPARE",
+    "EXECUTE",
+    "DEALLOCATE",
+    "XA",
+    "KILL",
+    "SHUTDOWN",
+    "CHANGE",
+    "RESET",
+    "JASMINE",
+    "SAVEPOINT",
+    "RELEASE",
+    "CALL",
+    "DO",
+    "LOAD",
+    "INSTALL",
+    "UNINSTALL",
+]);
+const stateFunctions = new Set(["GET_LOCK", "RELEASE_LOCK", "RELEASE_ALL_LOCKS", "LAST_INSERT_ID", "FOUND_ROWS"]);
+
+/** Classifies a statement by its tokens. */
+export function findStatementKind(tokens: readonly Token[]): StatementKind | Unsupported {
+    const statement = withoutTrailingSemicolon(tokens);
+    if (statement.length === 0) {
+        return { unsupported: "the statement is empty" };
+    }
+    if (statement.some(token => token.kind === TokenKind.Symbol && token.text === ";")) {
+        return { unsupported: "send one statement at a time" };
+    }
+    return findByFirstWord(statement);
+}
+
+function findByFirstWord(tokens: readonly Token[]): StatementKind | Unsupported {
+    const [first, second] = tokens;
+    const word = first!.text;
+    if (refusedFirstWords.has(word)) {
+        return { unsupported: `${word} is not supported` };
+    }
+    if (word === "BEGIN" || (word === "START" && second?.text === "TRANSACTION")) {
+        return tokens.length > 2 && word === "START" && tokens.some(token => token.text === "ONLY")
+            ? { unsupported: "START TRANSACTION READ ONLY is not supported; use BEGIN" }
+            : StatementKind.Begin;
+    }
+    if (word === "COMMIT" || word === "ROLLBACK") {
+        return findTransactionEnd(tokens, word);
+    }
+    if (word === "SET") {
+        return { unsupported: "SET of this variable is not supported" };
+    }
+    if (word === "CREATE" && second?.text === "TEMPORARY" || sessionFirstWords.has(word)) {
+        return StatementKind.SessionState;
+    }
+    if (keepsSessionState(tokens)) {
+        return StatementKind.SessionState;
+    }
+    return isSurelyRead(tokens) ? StatementKind.Read : StatementKind.Write;
+}
+
+function findTransactionEnd(tokens: readonly Token[], word: string): StatementKind | Unsupported {
+    const plain = tokens.length === 1 || (tokens.length === 2 && tokens[1]!.text === "WORK");
+    if (!plain) {
+        return { unsupported: `only plain ${word} is supported` };
+    }
+    return word === "COMMIT" ? StatementKind.Commit : StatementKind.Rollback;
+}
+
+function keepsSessionState(tokens: readonly Token[]): boolean {
+    return tokens.some((token, index) =>
+        token.kind === TokenKind.Variable && !token.text.startsWith("@@")
+        || token.kind === TokenKind.Word && stateFunctions.has(token.text) && tokens[index + 1]?.text === "("
+    );
+}
+
+function isSurelyRead(tokens: readonly Token[]): boolean {
+    if (!readFirstWords.has(tokens[0]!.text)) {
+        return false;
+    }
+    return tokens.every((token, index) => {
+        if (token.kind !== TokenKind.Word) {
+            return true;
+        }
+        if (token.text === "INTO" || token.text === "LOCK" || token.text === "PROCEDURE") {
+            return false;
+        }
+        if (token.text === "FOR" && /^(UPDATE|SHARE)$/.test(tokens[index + 1]?.text ?? "")) {
+            return false;
+        }
+        return !callsUnknownFunction(token, tokens[index + 1]);
+    });
+}
+
+function callsUnknownFunction(token: Token, next: Token | undefined): boolean {
+    return next?.text === "(" && !pureFunctions.has(token.text) && !wordsBeforeParenthesis.has(token.text);
+}
+
+function withoutTrailingSemicolon(tokens: readonly Token[]): readonly Token[] {
+    let end = tokens.length;
+    while (end > 0 && tokens[end - 1]!.text === ";") {
+        end -= 1;
+    }
+    return tokens.slice(0, end);
+}
--- /dev/null
+++ b/src/settings/settingKinds.ts
@@ -0,0 +1,101 @@
+/** Kinds of setting: how a text becomes a value, and what to say when it does not. */
+
+/** Reads one kind of value. */
+export interface SettingKind<Value> {
+    /** What is allowed, for help and errors. */
+    readonly allowed: string;
+    /** @returns undefined when the text is not allowed */
+    parse(text: string): Value | undefined;
+}
+
+/** An address that a process listens on or connects to. */
+export interface Endpoint {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** A control member with its gRPC address. */
+export interface ControlMember {
+    readonly instanceId: string;
+    /** `host:port` */
+    readonly address: string;
+}
+
+export class NameKind implements SettingKind<string> {
+    readonly allowed = "1 to 64 letters, digits, '_', '.' or '-'";
+
+    parse(text: string): string | undefined {
+        return /^[\w.-]{1,64}$/.test(text) ? text : undefined;
+    }
+}
+
+export class PathKind implements SettingKind<string> {
+    readonly allowed = "a path";
+
+    parse(text: string): string | undefined {
+        return text === "" || text.includes("\0") ? undefined : text;
+    }
+}
+
+export class EndpointKind implements SettingKind<Endpoint> {
+    readonly allowed = "IP:PORT, with a port from 0 to 65535";
+
+    parse(text: string): Endpoint | undefined {
+        const found = /^(?:\[([0-9a-fA-F:]+)\]|([\d.]+)):(\d{1,5})$/.exec(text);
+        const port = Number(found?.[3]);
+        const host = found?.[1] ?? found?.[2];
+        return host === undefined || port > 65_535 ? undefined : { host, port };
+    }
+}
+
+export class ControlMembersKind implements SettingKind<readonly ControlMember[]> {
+    readonly allowed = "1, 3, 5 or 7 of ID=IP:PORT, separated by commas, each id once";
+
+    parse(text: string): readonly ControlMember[] | undefined {
+        const members = text.split(",").map(part => parseMember(part));
+        const complete = members.filter(member => member !== undefined);
+        const ids = new Set(complete.map(member => member.instanceId));
+        const isAllowed = complete.length === members.length && ids.size === members.length
+            && [1, 3, 5, 7].includes(members.length);
+        return isAllowed ? complete : undefined;
+    }
+}
+
+export class IntegerKind implements SettingKind<number> {
+    readonly allowed: string;
+    private readonly minimum: number;
+    private readonly maximum: number;
+
+    constructor(minimum: number, maximum: number) {
+        this.minimum = minimum;
+        this.maximum = maximum;
+        this.allowed = `a whole number from ${minimum} to ${maximum}`;
+    }
+
+    parse(text: string): number | undefined {
+        const value = Number(text);
+        const isAllowed = /^\d+$/.test(text) && value >= this.minimum && value <= this.maximum;
+        return isAllowed ? value : undefined;
+    }
+}
+
+export class ChoiceKind<Choice extends string> implements SettingKind<Choice> {
+    readonly allowed: string;
+    private readonly choices: readonly Choice[];
+
+    constructor(choices: readonly Choice[]) {
+        this.choices = choices;
+        this.allowed = `one of ${choices.join(", ")}`;
+    }
+
+    parse(text: string): Choice | undefined {
+        return this.choices.find(choice => choice === text);
+    }
+}
+
+function parseMember(text: string): ControlMember | undefined {
+    const [instanceId, address, ...rest] = text.split("=");
+    const isId = new NameKind().parse(instanceId ?? "") !== undefined;
+    const isAddress = new EndpointKind().parse(address ?? "") !== undefined;
+    return isId && isAddress && rest.length === 0 ? { instanceId: instanceId!, address: address! } : undefined;
+}
--- /dev/null
+++ b/src/settings/settingsTable.ts
@@ -0,0 +1,116 @@
+/** The mechanism behind settings: one table makes the parser, the help text and the page of settings. */
+import { parseArgs } from "node:util";
+import type { SettingKind } from "./settingKinds.ts";
+
+/** One setting. The flag is `--name`, the environment variable `JASMINELINE_NAME`. */
+export interface SettingRow<Value> {
+    readonly kind: SettingKind<Value>;
+    readonly description: string;
+    /** Text of the default; undefined when there is none. */
+    readonly defaultText?: string;
+    /** The program does not start without it. */
+    readonly required?: boolean;
+    /** Unit of the value, for the page. */
+    readonly unit?: string;
+}
+
+// The value type differs from row to row; `SettingValues` recovers it.
+// eslint-disable-next-line @typescript-eslint/no-explicit-any
+export type SettingsTable = Readonly<Record<string, SettingRow<any>>>;
+
+type ValueOf<Row> = Row extends SettingRow<infer Value> ? Value : never;
+
+/** Values by flag name; optional ones may be undefined. */
+export type SettingValues<Table extends SettingsTable> = {
+    readonly [Name in keyof Table]: Table[Name] extends { readonly defaultText: string; } | { readonly required: true; }
+        ? ValueOf<Table[Name]>
+        : ValueOf<Table[Name]> | undefined;
+};
+
+/** A setting that ends the start of the program. The message names the flag, the value and what is allowed. */
+export class SettingsError extends Error {
+    override readonly name = "SettingsError";
+}
+
+/**
+ * Reads settings from flags and environment; a flag goes before its variable.
+ * @throws SettingsError for an unknown flag, a wrong value or a missing required setting
+ */
+export function readSettings<Table extends SettingsTable>(
+    table: Table,
+    commandLine: readonly string[],
+    environment: Readonly<Record<string, string | undefined>>,
+): SettingValues<Table> {
+    const flags = parseFlags(table, commandLine);
+    const values = Object.entries(table).map(([name, row]) => {
+        const variable = environmentName(name);
+        const fromFlag = flags[name];
+        const text = fromFlag ?? environment[variable] ?? row.defaultText;
+        const source = fromFlag === undefined ? variable : `--${name}`;
+        return [name, readValue(name, row, text, source)];
+    });
+    return Object.fromEntries(values) as SettingValues<Table>;
+}
+
+/** `JASMINELINE_` followed by the flag in upper case. */
+export function environmentName(flag: string): string {
+    return `JASMINELINE_${flag.toUpperCase().replaceAll("-", "_")}`;
+}
+
+/** Lists the settings for `--help`. */
+export function describeSettings(table: SettingsTable): string {
+    return Object.entries(table).map(([name, row]) => {
+        const facts = [
+            row.kind.allowed,
+            row.unit === undefined ? "" : `in ${row.unit}`,
+            row.required === true ? "required" : "",
+            row.defaultText === undefined ? "" : `default ${row.defaultText}`,
+        ];
+        return `  --${name}\n      ${row.description}\n      (${facts.filter(fact => fact !== "").join("; ")})`;
+    }).join("\n");
+}
+
+/** The settings as rows of a Markdown table. */
+export function settingsAsMarkdown(table: SettingsTable): string {
+    const rows = Object.entries(table).map(([name, row]) => {
+        const fallback = row.required === true ? "required" : row.defaultText ?? "none";
+        const unit = row.unit ?? "";
+        return `| \`--${name}\` | \`${
+            environmentName(name)
+        }\` | ${row.kind.allowed} | ${unit} | ${fallback} | ${row.description} |`;
+    });
+    return [
+        "| Flag | Variable | Allowed | Unit | Default | Meaning |",
+        "| --- | --- | --- | --- | --- | --- |",
+        ...rows,
+    ]
+        .join("\n");
+}
+
+function parseFlags(
+    table: SettingsTable,
+    commandLine: readonly string[],
+): Readonly<Record<string, string | undefined>> {
+    const options = Object.fromEntries(Object.keys(table).map(name => [name, { type: "string" as const }]));
+    try {
+        const { values } = parseArgs({ args: [...commandLine], options, strict: true, allowPositionals: false });
+        return values as Record<string, string | undefined>;
+    }
+    catch (error) {
+        throw new SettingsError(`${(error as Error).message}\nSee --help for the flags that exist.`, { cause: error });
+    }
+}
+
+function readValue(name: string, row: SettingRow<unknown>, text: string | undefined, source: string): unknown {
+    if (text === undefined) {
+        if (row.required === true) {
+            throw new SettingsError(`--${name} is missing; give the flag or set ${environmentName(name)}`);
+        }
+        return undefined;
+    }
+    const value = row.kind.parse(text);
+    if (value === undefined) {
+        throw new SettingsError(`${source} has the value "${text}"; allowed is ${row.kind.allowed}`);
+    }
+    return value;
+}
