feat(standins): database with replication, promotion and faults

Change: a process that speaks the MySQL protocol (mysql2) over sql.js, replicates its log over JSON lines, accepts PROMOTE and FOLLOW, announces itself by gRPC and takes faults over HTTP. The replication listener is on 127.0.0.2 with the port of the MySQL listener, so that FOLLOW needs one address only.

--- /dev/null
+++ b/standins/database/__tests__/database.spec.ts
@@ -0,0 +1,145 @@
+import mysql from "mysql2/promise";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { formatAddress } from "../address.ts";
+import { DatabaseProcess } from "../databaseProcess.ts";
+import { EmptyPeerCredentials } from "../peerCredentials.ts";
+import { type DatabaseSettings, readDatabaseSettings } from "../settings.ts";
+
+const password = "test-password";
+
+async function openDatabase(changes: Partial<DatabaseSettings> = {}): Promise<DatabaseProcess> {
+    const flags =
+        "--database-id d1 --group-id g1 --service orders --data-centre flanders --listen 127.0.0.1:0 --lag-ms 0 --connect-delay-ms 0 --service-ms 0";
+    const settings = { ...readDatabaseSettings(flags.split(" ")), password, ...changes };
+    return DatabaseProcess.open(settings, new EmptyPeerCredentials());
+}
+
+function replicaOf(primary: DatabaseProcess): Partial<DatabaseSettings> {
+    return { databaseId: "d2", role: "replica", primary: formatAddress(primary.listener.address) };
+}
+
+async function connectTo(database: DatabaseProcess): Promise<mysql.Connection & AsyncDisposable> {
+    const { host, port } = database.listener.address;
+    const connection = await mysql.createConnection({ host, port, user: "jasmineline", password });
+    return Object.assign(connection, { [Symbol.asyncDispose]: () => connection.end() });
+}
+
+async function reached(database: DatabaseProcess, expected: object): Promise<void> {
+    while (JSON.stringify(database.node.position) !== JSON.stringify(expected)) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
+const createOrders =
+    "CREATE TABLE orders (id BIGINT NOT NULL AUTO_INCREMENT PRIMARY KEY, item VARCHAR(40)) ENGINE=InnoDB";
+
+test("a committed transaction reaches a replica as one record, a rolled-back one not at all", async () => {
+    await using primary = await openDatabase();
+    await using replica = await openDatabase(replicaOf(primary));
+    await using connection = await connectTo(primary);
+    await connection.query(createOrders);
+    await connection.query("BEGIN");
+    await connection.query("INSERT INTO orders (item) VALUES ('lost')");
+    await connection.query("ROLLBACK");
+    await connection.query("BEGIN");
+    await connection.query("INSERT INTO orders (item) VALUES ('board')");
+    const [done] = await connection.query<mysql.ResultSetHeader>("INSERT INTO orders (item) VALUES ('it''s')");
+    assert.equal(done.insertId, 2);
+    await connection.query("COMMIT");
+    await reached(replica, { term: 1, offset: 3 });
+    assert.equal(replica.node.store.contentHash(), primary.node.store.contentHash());
+    await using reader = await connectTo(replica);
+    const [rows] = await reader.query("SELECT id, item FROM orders ORDER BY id");
+    assert.deepEqual(rows, [{ id: 1, item: "board" }, { id: 2, item: "it's" }]);
+});
+
+test("rows of an open transaction are hidden from other connections and seen by their own", async () => {
+    await using primary = await openDatabase();
+    await using writer = await connectTo(primary);
+    await using reader = await connectTo(primary);
+    await writer.query(createOrders);
+    await writer.query("BEGIN");
+    await writer.query("INSERT INTO orders (item) VALUES ('board')");
+    assert.equal((await writer.query<mysql.RowDataPacket[]>("SELECT * FROM orders"))[0].length, 1);
+    assert.equal((await reader.query<mysql.RowDataPacket[]>("SELECT * FROM orders"))[0].length, 0);
+    await writer.query("COMMIT");
+    assert.equal((await reader.query<mysql.RowDataPacket[]>("SELECT * FROM orders"))[0].length, 1);
+});
+
+test("a replica refuses writes with error 1290 and a stale term cannot promote", async () => {
+    await using primary = await openDatabase();
+    await using replica = await openDatabase(replicaOf(primary));
+    await using connection = await connectTo(replica);
+    await assert.rejects(connection.query(createOrders), { errno: 1290 });
+    await assert.rejects(connection.query("JASMINE PROMOTE TERM 1"), { errno: 1105 });
+    await connection.query("JASMINE PROMOTE TERM 2");
+    const [rows] = await connection.query<mysql.RowDataPacket[]>("SHOW JASMINE POSITION");
+    assert.equal(rows[0]!.role, "primary");
+    assert.equal(rows[0]!.term, 2);
+    await connection.query(createOrders);
+});
+
+test("an old primary accepts writes until it is told to follow, and then loses exactly its divergent tail", async () => {
+    await using first = await openDatabase();
+    await using second = await openDatabase(replicaOf(first));
+    await using old = await connectTo(first);
+    await old.query(createOrders);
+    await old.query("INSERT INTO orders (item) VALUES ('kept')");
+    await reached(second, { term: 1, offset: 3 });
+    await using next = await connectTo(second);
+    await next.query("JASMINE PROMOTE TERM 2");
+    await old.query("INSERT INTO orders (item) VALUES ('divergent')");
+    await next.query("INSERT INTO orders (item) VALUES ('new')");
+    await old.query(`JASMINE FOLLOW '${formatAddress(second.listener.address)}' TERM 2`);
+    await reached(first, { term: 2, offset: 5 });
+    assert.equal(first.node.store.contentHash(), second.node.store.contentHash());
+    const [rows] = await old.query<mysql.RowDataPacket[]>("SELECT item FROM orders ORDER BY id");
+    assert.deepEqual(rows.map(row => row.item), ["kept", "new"]);
+});
+
+test("a change of role rolls back the open transaction, whose COMMIT then fails", async () => {
+    await using primary = await openDatabase();
+    await using connection = await connectTo(primary);
+    await using control = await connectTo(primary);
+    await connection.query(createOrders);
+    await connection.query("BEGIN");
+    await connection.query("INSERT INTO orders (item) VALUES ('board')");
+    await control.query("JASMINE FOLLOW '127.0.0.1:9' TERM 2");
+    await assert.rejects(connection.query("COMMIT"), { errno: 1290 });
+    const [rows] = await connection.query<mysql.RowDataPacket[]>("SELECT * FROM orders");
+    assert.equal(rows.length, 0);
+});
+
+test("a connection over the limit is refused with error 1040", async () => {
+    await using primary = await openDatabase({ connectionLimit: 1 });
+    await using held = await connectTo(primary);
+    await assert.rejects(connectTo(primary), { errno: 1040 });
+    await held.query("SELECT 1");
+});
+
+test("a second writer waits for the first and gets error 1205 when it waits too long", async () => {
+    await using primary = await openDatabase({ lockTimeoutMs: 30 });
+    await using first = await connectTo(primary);
+    await using second = await connectTo(primary);
+    await first.query(createOrders);
+    await first.query("BEGIN");
+    await first.query("INSERT INTO orders (item) VALUES ('a')");
+    await assert.rejects(second.query("INSERT INTO orders (item) VALUES ('b')"), { errno: 1205 });
+    await first.query("COMMIT");
+    await second.query("INSERT INTO orders (item) VALUES ('b')");
+});
+
+test("status flags, reset and refusal of prepared statements follow MySQL", async () => {
+    await using primary = await openDatabase();
+    await using connection = await connectTo(primary);
+    const [begun] = await connection.query<mysql.ResultSetHeader & { serverStatus: number; }>("BEGIN");
+    assert.equal(begun.serverStatus & 1, 1);
+    await connection.reset();
+    const [done] = await connection.query<mysql.ResultSetHeader & { serverStatus: number; }>("COMMIT");
+    assert.equal(done.serverStatus & 1, 0);
+    await connection.query("SET NAMES utf8mb4");
+    await assert.rejects(connection.execute("SELECT 1"), { errno: 1295 });
+    await connection.ping();
+    await assert.rejects(connection.query("SELECT * FROM absent"), { errno: 1146 });
+});
--- /dev/null
+++ b/standins/database/adminServer.ts
@@ -0,0 +1,126 @@
+/** Lets a test see a database and break it: JSON over HTTP on loopback. */
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { toDatabaseError } from "./databaseError.ts";
+import type { DatabaseNode } from "./databaseNode.ts";
+import type { FaultRequest, Faults } from "./faults.ts";
+import type { MysqlListener } from "./mysqlListener.ts";
+import { type Counters, Session, type SessionOptions } from "./session.ts";
+
+/** Answer of `GET /state`. */
+export interface DatabaseState extends Counters {
+    readonly databaseId: string;
+    readonly service: string;
+    readonly role: string;
+    /** Highest term the database was told of. */
+    readonly term: number;
+    readonly position: { readonly term: number; readonly offset: number; };
+    readonly contentHash: string;
+    readonly connections: number;
+}
+
+/** Answer of `POST /sql`. */
+export interface SqlAnswer {
+    readonly columns: readonly string[];
+    readonly rows: readonly (readonly unknown[])[];
+    readonly affectedRows: number;
+    readonly error?: string;
+    readonly errno?: number;
+}
+
+export interface AdminServerOptions extends SessionOptions {
+    readonly port: number;
+    readonly databaseId: string;
+    readonly service: string;
+    readonly node: DatabaseNode;
+    readonly faults: Faults;
+    readonly listener: MysqlListener;
+}
+
+export class AdminServer implements AsyncDisposable {
+    private readonly options: AdminServerOptions;
+    private readonly server: Server;
+
+    private constructor(options: AdminServerOptions) {
+        this.options = options;
+        this.server = createServer((request, response) => void this.serve(request, response));
+    }
+
+    static async open(options: AdminServerOptions): Promise<AdminServer> {
+        const admin = new AdminServer(options);
+        admin.server.listen(options.port, "127.0.0.1");
+        await once(admin.server, "listening");
+        return admin;
+    }
+
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.server.closeAllConnections();
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        try {
+            const answer = await this.answer(`${request.method} ${request.url}`, await readBody(request));
+            response.writeHead(answer === undefined ? 404 : 200, { "content-type": "application/json" });
+            response.end(JSON.stringify(answer ?? { error: "not found" }));
+        }
+        catch (error) {
+            response.writeHead(400, { "content-type": "application/json" });
+            response.end(JSON.stringify({ error: String(error) }));
+        }
+    }
+
+    private async answer(route: string, body: string): Promise<object | undefined> {
+        switch (route) {
+            case "GET /state":
+                return this.state();
+            case "POST /sql":
+                return this.runSql((JSON.parse(body) as { sql: string; }).sql);
+            case "POST /fault":
+                this.options.faults.apply(JSON.parse(body) as FaultRequest, this.options.listener);
+                return {};
+            default:
+                return undefined;
+        }
+    }
+
+    private state(): DatabaseState {
+        const { node, counters, databaseId, service, listener } = this.options;
+        return {
+            databaseId,
+            service,
+            role: node.role,
+            term: node.term,
+            position: node.position,
+            contentHash: node.store.contentHash(),
+            connections: listener.connectionCount,
+            ...counters,
+        };
+    }
+
+    // Set-up and checks must not count as reads of the callers.
+    private async runSql(sql: string): Promise<SqlAnswer> {
+        const session = new Session({ ...this.options, counters: { reads: 0, writes: 0 } });
+        try {
+            const { columns, rows, affectedRows } = await session.run(sql);
+            return { columns, rows, affectedRows };
+        }
+        catch (error) {
+            const { message, errno } = toDatabaseError(error);
+            return { columns: [], rows: [], affectedRows: 0, error: message, errno };
+        }
+    }
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+    let body = "";
+    for await (const chunk of request) {
+        body += String(chunk);
+    }
+    return body;
+}
--- /dev/null
+++ b/standins/database/announcer.ts
@@ -0,0 +1,71 @@
+/** Makes a database known to the entry instances. */
+import { credentials } from "@grpc/grpc-js";
+import { announceIntervalMs } from "../../src/model/database.ts";
+import { AnnouncementClient, AnnouncementService, type AnnounceRequest } from "../../src/rpc/generated/announcement.ts";
+import type { DatabaseNode } from "./databaseNode.ts";
+import type { Faults } from "./faults.ts";
+import type { PeerCredentials } from "./peerCredentials.ts";
+
+/** The part of an announcement that does not change. */
+export interface AnnouncedIdentity {
+    readonly cluster: string;
+    readonly databaseId: string;
+    readonly groupId: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly address: string;
+    readonly slots: number;
+    readonly connectionLimit: number;
+    readonly groupSize: number;
+}
+
+export interface AnnouncerOptions {
+    readonly identity: AnnouncedIdentity;
+    readonly node: DatabaseNode;
+    readonly faults: Faults;
+    readonly peerCredentials: PeerCredentials;
+    /** Entry instances, `host:port`; each announcement goes to every one of them. */
+    readonly targets: readonly string[];
+}
+
+export class Announcer implements AsyncDisposable {
+    private readonly options: AnnouncerOptions;
+    private readonly clients: readonly AnnouncementClient[];
+    private readonly timer: NodeJS.Timeout;
+
+    constructor(options: AnnouncerOptions) {
+        this.options = options;
+        this.clients = options.targets.map(target => new AnnouncementClient(target, credentials.createInsecure()));
+        this.timer = setInterval(() => void this.announce(false), announceIntervalMs);
+        void this.announce(false);
+    }
+
+    /** Tells the instances that the database leaves; returns when each has answered or failed. */
+    async depart(): Promise<void> {
+        clearInterval(this.timer);
+        await this.announce(true);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        clearInterval(this.timer);
+        this.clients.forEach(client => client.close());
+    }
+
+    private async announce(departing: boolean): Promise<void> {
+        if (!this.options.faults.announcementsCut) {
+            await Promise.all(this.clients.map(client => this.send(client, this.request(departing))));
+        }
+    }
+
+    private request(departing: boolean): AnnounceRequest {
+        const { identity, node } = this.options;
+        return { ...identity, role: node.role, position: node.position, departing };
+    }
+
+    // A failed announcement needs no handling: the next one follows in half a second.
+    private async send(client: AnnouncementClient, request: AnnounceRequest): Promise<void> {
+        const metadata = this.options.peerCredentials.clientMetadata(AnnouncementService.announce.path);
+        const deadline = Date.now() + announceIntervalMs;
+        await new Promise<void>(resolve => client.announce(request, metadata, { deadline }, () => resolve()));
+    }
+}
--- /dev/null
+++ b/standins/database/databaseError.ts
@@ -0,0 +1,42 @@
+/** Errors that a caller of the stand-in sees, by MySQL error number. */
+
+export const ErrorNumber = {
+    TooManyConnections: 1040,
+    AccessDenied: 1045,
+    UnknownCommand: 1047,
+    DuplicateEntry: 1062,
+    Syntax: 1064,
+    Other: 1105,
+    NoSuchTable: 1146,
+    LockTimeout: 1205,
+    ReadOnly: 1290,
+    PreparedUnsupported: 1295,
+} as const;
+
+export class DatabaseError extends Error {
+    readonly errno: number;
+
+    constructor(errno: number, message: string) {
+        super(message);
+        this.errno = errno;
+    }
+}
+
+/** Gives an error of SQLite the number that MySQL uses for the same cause. */
+export function toDatabaseError(error: unknown): DatabaseError {
+    if (error instanceof DatabaseError) {
+        return error;
+    }
+    const message = error instanceof Error ? error.message : String(error);
+    return new DatabaseError(errnoOf(message), message);
+}
+
+function errnoOf(message: string): number {
+    if (message.includes("UNIQUE constraint failed")) {
+        return ErrorNumber.DuplicateEntry;
+    }
+    if (message.includes("no such table")) {
+        return ErrorNumber.NoSuchTable;
+    }
+    return message.includes("syntax error") ? ErrorNumber.Syntax : ErrorNumber.Other;
+}
--- /dev/null
+++ b/standins/database/databaseNode.ts
@@ -0,0 +1,119 @@
+/** One database of a group: its rows, its log, its role and its term. */
+import { DatabaseRole } from "../../src/model/database.ts";
+import type { Position } from "../../src/model/position.ts";
+import { DatabaseError, ErrorNumber } from "./databaseError.ts";
+import type { RoleDisk, RoleState } from "./fileDisk.ts";
+import type { GroupLog, LogRecord } from "./groupLog.ts";
+import type { SqlStore } from "./sqlStore.ts";
+import { WriteLock } from "./waiting.ts";
+
+export interface DatabaseNodeOptions {
+    readonly store: SqlStore;
+    readonly log: GroupLog;
+    readonly roleDisk: RoleDisk;
+    readonly initial: RoleState;
+    readonly lockTimeoutMs: number;
+}
+
+export class DatabaseNode {
+    readonly store: SqlStore;
+    readonly log: GroupLog;
+    readonly lock: WriteLock;
+    /** Raised with every change of role; a transaction that began under another value cannot commit. */
+    roleChanges = 0;
+    private readonly roleDisk: RoleDisk;
+    private state: RoleState;
+    private appendListeners: (() => void)[] = [];
+
+    constructor(options: DatabaseNodeOptions) {
+        this.store = options.store;
+        this.log = options.log;
+        this.roleDisk = options.roleDisk;
+        this.lock = new WriteLock(options.lockTimeoutMs);
+        this.log.all.forEach(record => this.store.apply(record.statements));
+        this.state = options.roleDisk.load() ?? options.initial;
+        if (this.state.role === DatabaseRole.Primary && this.log.position.term < this.state.term) {
+            this.log.append(this.state.term, []);
+        }
+    }
+
+    get role(): DatabaseRole {
+        return this.state.role;
+    }
+
+    /** Highest term this database was told of. */
+    get term(): number {
+        return this.state.term;
+    }
+
+    get primaryAddress(): string {
+        return this.state.primaryAddress;
+    }
+
+    /** Term and offset of the last record; a replica reaches a term only with the record that opened it. */
+    get position(): Position {
+        return this.log.position;
+    }
+
+    /**
+     * Makes this database the primary of a term. A record without statements opens the term, so that the position of a
+     * replica shows whether it has everything the new primary started with.
+     */
+    promote(term: number): void {
+        if (term <= this.state.term) {
+            throw new DatabaseError(ErrorNumber.Other, `term ${term} is not above term ${this.state.term}`);
+        }
+        this.changeRole({ role: DatabaseRole.Primary, term, primaryAddress: "" });
+        this.log.append(term, []);
+        this.notifyAppended();
+    }
+
+    /** Makes this database a replica. There is no fencing: until this call an old primary accepts writes. */
+    follow(primaryAddress: string, term: number): void {
+        const isOwnTerm = this.state.role === DatabaseRole.Primary && term === this.state.term;
+        if (term < this.state.term || isOwnTerm) {
+            throw new DatabaseError(ErrorNumber.Other, `term ${term} is not above term ${this.state.term}`);
+        }
+        this.changeRole({ role: DatabaseRole.Replica, term, primaryAddress });
+    }
+
+    /** Logs the statements of the finished write transaction and makes them visible. */
+    commit(): void {
+        const statements = this.store.endWrite();
+        if (statements.length > 0) {
+            this.log.append(this.state.term, statements);
+            this.store.apply(statements);
+            this.notifyAppended();
+        }
+    }
+
+    /** Adds records pulled from the primary. */
+    copy(records: readonly LogRecord[]): void {
+        this.log.appendCopied(records);
+        records.forEach(record => this.store.apply(record.statements));
+    }
+
+    /** Drops log and rows; everything is pulled again. */
+    rebuild(): void {
+        this.log.clear();
+        this.store.clear();
+    }
+
+    /** Calls `listener` once, after the next record. */
+    onceAppended(listener: () => void): void {
+        this.appendListeners.push(listener);
+    }
+
+    private changeRole(state: RoleState): void {
+        this.roleDisk.save(state);
+        this.state = state;
+        this.roleChanges += 1;
+        this.store.discardWorking();
+    }
+
+    private notifyAppended(): void {
+        const listeners = this.appendListeners;
+        this.appendListeners = [];
+        listeners.forEach(listener => listener());
+    }
+}
--- /dev/null
+++ b/standins/database/databaseProcess.ts
@@ -0,0 +1,84 @@
+/** Wires the parts of one database stand-in. */
+import "disposablestack/auto";
+import { DatabaseRole } from "../../src/model/database.ts";
+import { formatAddress, replicationAddress } from "./address.ts";
+import { AdminServer } from "./adminServer.ts";
+import { Announcer } from "./announcer.ts";
+import { DatabaseNode } from "./databaseNode.ts";
+import { Faults } from "./faults.ts";
+import { FileLogDisk, FileRoleDisk, NoRoleDisk } from "./fileDisk.ts";
+import { GroupLog, NoDisk } from "./groupLog.ts";
+import { MysqlListener } from "./mysqlListener.ts";
+import type { PeerCredentials } from "./peerCredentials.ts";
+import { ReplicationClient } from "./replicationClient.ts";
+import { ReplicationServer } from "./replicationServer.ts";
+import type { SessionOptions } from "./session.ts";
+import type { DatabaseSettings } from "./settings.ts";
+import { SqlStore } from "./sqlStore.ts";
+import { Slots } from "./waiting.ts";
+
+/** The term of a new group. */
+const firstTerm = 1;
+
+export class DatabaseProcess implements AsyncDisposable {
+    readonly node: DatabaseNode;
+    readonly listener: MysqlListener;
+    readonly admin: AdminServer;
+    readonly announcer: Announcer;
+    private readonly resources: AsyncDisposableStack;
+
+    private constructor(parts: {
+        readonly node: DatabaseNode;
+        readonly listener: MysqlListener;
+        readonly admin: AdminServer;
+        readonly announcer: Announcer;
+        readonly resources: AsyncDisposableStack;
+    }) {
+        this.node = parts.node;
+        this.listener = parts.listener;
+        this.admin = parts.admin;
+        this.announcer = parts.announcer;
+        this.resources = parts.resources;
+    }
+
+    static async open(settings: DatabaseSettings, peerCredentials: PeerCredentials): Promise<DatabaseProcess> {
+        await using opening = new AsyncDisposableStack();
+        const node = openNode(settings, opening, opening.use(await SqlStore.open()));
+        const faults = new Faults(settings);
+        const session: SessionOptions = {
+            node,
+            faults,
+            slots: new Slots(settings.slots),
+            counters: { reads: 0, writes: 0 },
+        };
+        const listener = opening.use(await MysqlListener.open({ ...settings, ...session, address: settings.listen }));
+        const replication = replicationAddress(listener.address);
+        opening.use(await ReplicationServer.open(node, faults, replication));
+        opening.use(new ReplicationClient(node, faults));
+        const admin = opening.use(
+            await AdminServer.open({ ...settings, ...session, port: settings.adminPort, listener }),
+        );
+        const identity = { ...settings, address: formatAddress(listener.address) };
+        const announcer = opening.use(
+            new Announcer({ identity, node, faults, peerCredentials, targets: settings.announce }),
+        );
+        return new DatabaseProcess({ node, listener, admin, announcer, resources: opening.move() });
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.resources.disposeAsync();
+    }
+}
+
+function openNode(settings: DatabaseSettings, resources: AsyncDisposableStack, store: SqlStore): DatabaseNode {
+    const disk = settings.disk === undefined ? new NoDisk() : resources.use(new FileLogDisk(settings.disk));
+    const roleDisk = settings.disk === undefined ? new NoRoleDisk() : new FileRoleDisk(`${settings.disk}.role`);
+    const isPrimary = settings.role === DatabaseRole.Primary;
+    return new DatabaseNode({
+        store,
+        log: new GroupLog(disk),
+        roleDisk,
+        initial: { role: settings.role, term: firstTerm, primaryAddress: isPrimary ? "" : settings.primary },
+        lockTimeoutMs: settings.lockTimeoutMs,
+    });
+}
--- /dev/null
+++ b/standins/database/dialect.ts
@@ -0,0 +1,113 @@
+/** Sorts MySQL statements and rewrites the little syntax that SQLite lacks. */
+
+export const StatementClass = {
+    Read: "read",
+    /** SELECT ... FOR UPDATE: takes the write lock and changes nothing. */
+    LockingRead: "locking_read",
+    Write: "write",
+    Begin: "begin",
+    Commit: "commit",
+    Rollback: "rollback",
+    /** Session settings, answered without effect. */
+    Ignored: "ignored",
+    Position: "position",
+    Promote: "promote",
+    Follow: "follow",
+} as const;
+export type StatementClass = typeof StatementClass[keyof typeof StatementClass];
+
+const firstWordClasses: Readonly<Record<string, StatementClass>> = {
+    SELECT: StatementClass.Read,
+    WITH: StatementClass.Read,
+    BEGIN: StatementClass.Begin,
+    START: StatementClass.Begin,
+    COMMIT: StatementClass.Commit,
+    ROLLBACK: StatementClass.Rollback,
+    SET: StatementClass.Ignored,
+    USE: StatementClass.Ignored,
+};
+
+/** Returns the class of a statement; anything unknown counts as a write. */
+export function classifyStatement(sql: string): StatementClass {
+    const bare = stripComments(sql);
+    if (/^SHOW\s+JASMINE\s+POSITION\b/i.test(bare)) {
+        return StatementClass.Position;
+    }
+    if (/^JASMINE\s+PROMOTE\b/i.test(bare)) {
+        return StatementClass.Promote;
+    }
+    if (/^JASMINE\s+FOLLOW\b/i.test(bare)) {
+        return StatementClass.Follow;
+    }
+    if (/^SELECT\b[^]*\bFOR\s+UPDATE\s*;?$/i.test(bare)) {
+        return StatementClass.LockingRead;
+    }
+    const firstWord = /^[A-Za-z]+/.exec(bare)?.[0].toUpperCase() ?? "";
+    return firstWordClasses[firstWord] ?? StatementClass.Write;
+}
+
+/** Reads the term of `JASMINE PROMOTE TERM n`. */
+export function parsePromote(sql: string): number | undefined {
+    const found = /^JASMINE\s+PROMOTE\s+TERM\s+(\d+)\s*;?$/i.exec(stripComments(sql));
+    return found ? Number(found[1]) : undefined;
+}
+
+/** Reads the primary's address and the term of `JASMINE FOLLOW 'host:port' TERM n`. */
+export function parseFollow(sql: string): { readonly address: string; readonly term: number; } | undefined {
+    const found = /^JASMINE\s+FOLLOW\s+'([^']+)'\s+TERM\s+(\d+)\s*;?$/i.exec(stripComments(sql));
+    return found ? { address: found[1]!, term: Number(found[2]) } : undefined;
+}
+
+/**
+ * Rewrites a statement for SQLite.
+ * @param nowText replaces NOW() and its synonyms, so that a replayed statement gives the same row on every database
+ */
+export function translateStatement(sql: string, nowText: string): string {
+    const parts = splitLiterals(stripComments(sql));
+    return parts.map(part => part.startsWith("'") ? translateLiteral(part) : translateCode(part, nowText)).join("");
+}
+
+/** Drops comments outside literals, and a trailing semicolon. */
+export function stripComments(sql: string): string {
+    return splitLiterals(sql)
+        .map(part => part.startsWith("'") ? part : part.replace(/\/\*[^]*?\*\//g, " ").replace(/(--\s|#)[^\n]*/g, " "))
+        .join("")
+        .trim()
+        .replace(/;$/, "");
+}
+
+// Quotes inside a comment belong to the comment, so comments are matched first and stay with the code around them.
+function splitLiterals(sql: string): string[] {
+    const parts: string[] = [];
+    let code = "";
+    for (const [token] of sql.matchAll(/\/\*[^]*?\*\/|'(?:[^'\\]|\\[^]|'')*'|[^'/]+|[^]/g)) {
+        if (token.startsWith("'")) {
+            parts.push(code, token);
+            code = "";
+        }
+        else {
+            code += token;
+        }
+    }
+    return [...parts, code];
+}
+
+const escapes: Readonly<Record<string, string>> = { n: "\n", r: "\r", t: "\t", "0": "\0", "'": "''" };
+
+function translateLiteral(literal: string): string {
+    return literal.replace(/\\([^])/g, (_whole, escaped: string) => escapes[escaped] ?? escaped);
+}
+
+function translateCode(code: string, nowText: string): string {
+    return code
+        .replace(/\b(?:NOW|CURRENT_TIMESTAMP|SYSDATE|UTC_TIMESTAMP)\s*\(\s*\d*\s*\)/gi, `'${nowText}'`)
+        .replace(/\bUNIX_TIMESTAMP\s*\(\s*\)/gi, `CAST(strftime('%s','${nowText}') AS INTEGER)`)
+        .replace(
+            /\b\w+(?:\s*\(\d+\))?(?:\s+UNSIGNED)?(?:\s+NOT\s+NULL)?\s+(?:PRIMARY\s+KEY\s+)?AUTO_INCREMENT(?:\s+PRIMARY\s+KEY)?/gi,
+            "INTEGER PRIMARY KEY AUTOINCREMENT",
+        )
+        .replace(/\)\s*(?:(?:ENGINE|DEFAULT\s+CHARSET|CHARSET|COLLATE|AUTO_INCREMENT)\s*=\s*\w+\s*,?\s*)+$/i, ")")
+        .replace(/\bINSERT\s+IGNORE\b/gi, "INSERT OR IGNORE")
+        .replace(/\bON\s+DUPLICATE\s+KEY\s+UPDATE\b/gi, "ON CONFLICT DO UPDATE SET")
+        .replace(/\s+FOR\s+UPDATE\s*$/i, "");
+}
--- /dev/null
+++ b/standins/database/replicationProtocol.ts
@@ -0,0 +1,23 @@
+/** Messages of the replication protocol: a replica asks for what follows its log, the primary answers. */
+import type { Position } from "../../src/model/position.ts";
+import type { LogRecord } from "./groupLog.ts";
+
+/** Asks for the records after `after`, which is the last record of the replica. */
+export interface PullRequest {
+    readonly term: number;
+    readonly after: Position;
+}
+
+export const PullAnswerKind = {
+    Records: "records",
+    /** The replica's last record is not in the primary's log. */
+    Diverged: "diverged",
+    /** The database asked is not the primary of the replica's term. */
+    NotPrimary: "not_primary",
+} as const;
+export type PullAnswerKind = typeof PullAnswerKind[keyof typeof PullAnswerKind];
+
+export interface PullAnswer {
+    readonly kind: PullAnswerKind;
+    readonly records: readonly LogRecord[];
+}
--- /dev/null
+++ b/standins/database/serverConnection.ts
@@ -0,0 +1,126 @@
+/** The server side of one MySQL connection, as mysql2 offers it. */
+import mysql from "mysql2";
+import type { EventEmitter } from "node:events";
+import type { Socket } from "node:net";
+import { DatabaseError } from "./databaseError.ts";
+import type { StatementResult } from "./sqlStore.ts";
+
+/** What mysql2 passes to `authCallback`. */
+export interface Login {
+    readonly user: string;
+    readonly authPluginData1: Buffer;
+    readonly authPluginData2: Buffer;
+    readonly authToken: Buffer | undefined;
+}
+
+/** The part of mysql2's connection that its type declarations leave out. */
+export interface ServerConnection extends EventEmitter {
+    sequenceId: number;
+    readonly stream: Socket;
+    writeOk(parts: { affectedRows: number; insertId: number; serverStatus: number; warningCount: number; }): void;
+    writeError(parts: { message: string; code: number; }): void;
+    writeColumns(columns: readonly object[]): void;
+    writeTextRow(cells: readonly unknown[]): void;
+    writeEof(warnings: number, statusFlags: number): void;
+    serverHandshake(parameters: object): void;
+}
+
+/** Wraps an accepted socket. */
+export function toServerConnection(socket: Socket): ServerConnection {
+    return mysql.createConnection({ stream: socket, isServer: true }) as unknown as ServerConnection;
+}
+
+// The capabilities whose packets the server side of mysql2 writes and reads. SSL, compression, multiple statements and
+// results, session tracking, OK packets in place of EOF and query attributes are among those left out.
+const Capability = {
+    LongPassword: 1,
+    FoundRows: 1 << 1,
+    LongFlag: 1 << 2,
+    ConnectWithDatabase: 1 << 3,
+    Protocol41: 1 << 9,
+    Transactions: 1 << 13,
+    SecureConnection: 1 << 15,
+    PluginAuth: 1 << 19,
+    ConnectAttributes: 1 << 20,
+    PluginAuthLenencData: 1 << 21,
+} as const;
+const capabilityFlags = Object.values(Capability).reduce((flags, flag) => flags | flag, 0);
+
+const utf8mb4 = 45;
+const binaryCharacterSet = 63;
+
+const ServerStatus = { InTransaction: 0x0001, Autocommit: 0x0002 } as const;
+const ColumnType = { Double: 5, LongLong: 8, VarString: 253 } as const;
+
+type AuthResult = (error: undefined, refusal?: { message: string; code: number; }) => void;
+
+/** Sends the greeting; `check` returns a refusal or undefined. */
+export function greet(
+    connection: ServerConnection,
+    connectionId: number,
+    check: (login: Login) => DatabaseError | undefined,
+): void {
+    connection.serverHandshake({
+        protocolVersion: 10,
+        serverVersion: "8.0.36-jasmine-standin",
+        connectionId,
+        statusFlags: ServerStatus.Autocommit,
+        characterSet: utf8mb4,
+        capabilityFlags,
+        authCallback: (login: Login, done: AuthResult) => {
+            const refusal = check(login);
+            done(undefined, refusal && { message: refusal.message, code: refusal.errno });
+            connection.sequenceId = 0;
+        },
+    });
+}
+
+/** Answers a statement; the status flags tell the client whether a transaction is open. */
+export function writeResult(connection: ServerConnection, result: StatementResult, inTransaction: boolean): void {
+    const status = statusFlags(inTransaction);
+    if (result.columns.length === 0) {
+        const { affectedRows, insertId } = result;
+        connection.writeOk({ affectedRows, insertId, serverStatus: status, warningCount: 0 });
+    }
+    else {
+        connection.writeColumns(result.columns.map((name, index) => columnDefinition(name, result, index)));
+        result.rows.forEach(row => connection.writeTextRow(row));
+        connection.writeEof(0, status);
+    }
+    connection.sequenceId = 0;
+}
+
+export function writeFailure(connection: ServerConnection, error: DatabaseError): void {
+    connection.writeError({ message: error.message, code: error.errno });
+    connection.sequenceId = 0;
+}
+
+function statusFlags(inTransaction: boolean): number {
+    return ServerStatus.Autocommit | (inTransaction ? ServerStatus.InTransaction : 0);
+}
+
+function columnDefinition(name: string, result: StatementResult, index: number): object {
+    const columnType = columnTypeOf(result, index);
+    return {
+        catalog: "def",
+        schema: "",
+        table: "",
+        orgTable: "",
+        name,
+        orgName: name,
+        characterSet: columnType === ColumnType.VarString ? utf8mb4 : binaryCharacterSet,
+        columnLength: 255,
+        columnType,
+        flags: 0,
+        decimals: 0,
+    };
+}
+
+// SQLite types values, not columns; the first row with a value decides.
+function columnTypeOf(result: StatementResult, index: number): number {
+    const sample = result.rows.map(row => row[index]).find(cell => (cell ?? undefined) !== undefined);
+    if (typeof sample !== "number") {
+        return ColumnType.VarString;
+    }
+    return Number.isInteger(sample) ? ColumnType.LongLong : ColumnType.Double;
+}
--- /dev/null
+++ b/standins/database/settings.ts
@@ -0,0 +1,109 @@
+/** Settings of a database stand-in, read from the command line. */
+import { readFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { DatabaseRole } from "../../src/model/database.ts";
+import { type Address, parseAddress } from "./address.ts";
+
+export interface DatabaseSettings {
+    readonly databaseId: string;
+    readonly groupId: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly listen: Address;
+    /** Entry instances that get the announcements, `host:port`. */
+    readonly announce: readonly string[];
+    readonly groupSize: number;
+    readonly role: DatabaseRole;
+    /** MySQL address of the primary to follow; empty for a primary. */
+    readonly primary: string;
+    readonly slots: number;
+    readonly connectionLimit: number;
+    readonly lagMs: number;
+    readonly connectDelayMs: number;
+    readonly serviceMs: number;
+    readonly lockTimeoutMs: number;
+    readonly cluster: string;
+    readonly clusterSecret: string;
+    readonly password: string;
+    readonly adminPort: number;
+    /** Log file; undefined keeps everything in memory. */
+    readonly disk: string | undefined;
+}
+
+const text = { type: "string" } as const;
+
+export function readDatabaseSettings(commandLine: readonly string[]): DatabaseSettings {
+    const { values } = parseArgs({
+        args: [...commandLine],
+        options: {
+            "database-id": text,
+            "group-id": text,
+            service: text,
+            "data-centre": text,
+            listen: text,
+            announce: { ...text, default: "" },
+            "group-size": { ...text, default: "3" },
+            role: { ...text, default: DatabaseRole.Primary },
+            primary: { ...text, default: "" },
+            slots: { ...text, default: "3" },
+            "connection-limit": { ...text, default: "20" },
+            "lag-ms": { ...text, default: "5" },
+            "connect-delay-ms": { ...text, default: "12" },
+            "service-ms": { ...text, default: "1" },
+            "lock-timeout-ms": { ...text, default: "5000" },
+            cluster: { ...text, default: "" },
+            "cluster-secret-file": { ...text, default: "" },
+            "password-file": { ...text, default: "" },
+            "admin-port": { ...text, default: "0" },
+            disk: text,
+        },
+    });
+    return {
+        databaseId: required("database-id", values["database-id"]),
+        groupId: required("group-id", values["group-id"]),
+        service: required("service", values.service),
+        dataCentre: required("data-centre", values["data-centre"]),
+        listen: parseAddress(required("listen", values.listen)),
+        announce: values.announce.split(",").filter(address => address !== ""),
+        groupSize: readNumber("group-size", values["group-size"]),
+        role: readRole(values.role),
+        primary: values.role === DatabaseRole.Replica ? required("primary", values.primary) : "",
+        slots: readNumber("slots", values.slots),
+        connectionLimit: readNumber("connection-limit", values["connection-limit"]),
+        lagMs: readNumber("lag-ms", values["lag-ms"]),
+        connectDelayMs: readNumber("connect-delay-ms", values["connect-delay-ms"]),
+        serviceMs: readNumber("service-ms", values["service-ms"]),
+        lockTimeoutMs: readNumber("lock-timeout-ms", values["lock-timeout-ms"]),
+        cluster: values.cluster,
+        clusterSecret: readSecret(values["cluster-secret-file"]),
+        password: readSecret(values["password-file"]),
+        adminPort: readNumber("admin-port", values["admin-port"]),
+        disk: values.disk,
+    };
+}
+
+function required(flag: string, value: string | undefined): string {
+    if (value === undefined || value === "") {
+        throw new Error(`--${flag} is missing`);
+    }
+    return value;
+}
+
+function readNumber(flag: string, value: string): number {
+    const number = Number(value);
+    if (!Number.isFinite(number) || number < 0) {
+        throw new Error(`--${flag} takes a number that is not negative, not "${value}"`);
+    }
+    return number;
+}
+
+function readRole(value: string): DatabaseRole {
+    if (value !== DatabaseRole.Primary && value !== DatabaseRole.Replica) {
+        throw new Error(`--role takes "primary" or "replica", not "${value}"`);
+    }
+    return value;
+}
+
+function readSecret(path: string): string {
+    return path === "" ? "" : readFileSync(path, "utf8").trim();
+}
--- /dev/null
+++ b/standins/database/waiting.ts
@@ -0,0 +1,81 @@
+/** Bounded resources for which statements wait in line. */
+import { DatabaseError, ErrorNumber } from "./databaseError.ts";
+
+/** A counter of free places; waiters are served in order of arrival. */
+export class Slots {
+    private free: number;
+    private readonly waiters: (() => void)[] = [];
+
+    constructor(count: number) {
+        this.free = count;
+    }
+
+    async take(): Promise<void> {
+        if (this.free > 0) {
+            this.free -= 1;
+            return;
+        }
+        await new Promise<void>(resolve => this.waiters.push(resolve));
+    }
+
+    give(): void {
+        const next = this.waiters.shift();
+        if (next === undefined) {
+            this.free += 1;
+        }
+        else {
+            next();
+        }
+    }
+}
+
+interface LockWaiter {
+    readonly owner: object;
+    readonly grant: () => void;
+}
+
+/** The right to write: one owner at a time, for the whole of its transaction. */
+export class WriteLock {
+    private readonly timeoutMs: number;
+    private owner: object | undefined;
+    private waiters: LockWaiter[] = [];
+
+    constructor(timeoutMs: number) {
+        this.timeoutMs = timeoutMs;
+    }
+
+    /** @throws DatabaseError 1205 when the lock does not come free within the timeout */
+    async take(owner: object): Promise<void> {
+        if (this.owner === undefined) {
+            this.owner = owner;
+            return;
+        }
+        await new Promise<void>((resolve, reject) => this.enqueue(owner, resolve, reject));
+    }
+
+    release(owner: object): void {
+        if (this.owner !== owner) {
+            return;
+        }
+        const next = this.waiters.shift();
+        this.owner = next?.owner;
+        next?.grant();
+    }
+
+    private enqueue(owner: object, resolve: () => void, reject: (error: Error) => void): void {
+        const waiter: LockWaiter = {
+            owner,
+            grant: () => {
+                clearTimeout(timer);
+                resolve();
+            },
+        };
+        const timer = setTimeout(() => {
+            this.waiters = this.waiters.filter(other => other !== waiter);
+            reject(
+                new DatabaseError(ErrorNumber.LockTimeout, "Lock wait timeout exceeded; try restarting transaction"),
+            );
+        }, this.timeoutMs);
+        this.waiters.push(waiter);
+    }
+}
