--- /dev/null
+++ b/src/rpc/__tests__/peerAuthentication.spec.ts
@@ -0,0 +1,87 @@
+import { credentials, type ServiceError, status } from "@grpc/grpc-js";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { AnnouncementClient, AnnouncementService, type AnnounceRequest } from "../generated/announcement.ts";
+import { PeerAuthentication, protocolVersion } from "../peerAuthentication.ts";
+import { createPeerServer, listen, peerClientOptions } from "../peerChannel.ts";
+
+const secret = "0123456789abcdef";
+const method = "/jasmineline.v1.Log/Vote";
+const local = new PeerAuthentication({ cluster: "c1", instanceId: "a", secret });
+
+function announcement(): AnnounceRequest {
+    return {
+        cluster: "c1",
+        databaseId: "d",
+        groupId: "g",
+        service: "s",
+        dataCentre: "z",
+        address: "127.0.0.1:1",
+        slots: 1,
+        connectionLimit: 1,
+        role: "replica",
+        position: undefined,
+        groupSize: 1,
+        departing: false,
+    };
+}
+
+describe("peer authentication", () => {
+    it("accepts a call of the same cluster and names the caller", () => {
+        assert.deepEqual(local.check(local.metadata(method), method), { accepted: true, instanceId: "a" });
+    });
+
+    it("refuses another secret, cluster, version, method or instance, and counts each refusal", () => {
+        const server = new PeerAuthentication({ cluster: "c1", instanceId: "b", secret });
+        const otherSecret = new PeerAuthentication({ cluster: "c1", instanceId: "a", secret: "x".repeat(16) });
+        const otherCluster = new PeerAuthentication({ cluster: "c2", instanceId: "a", secret });
+        const otherVersion = local.metadata(method);
+        otherVersion.set("x-jasmineline-protocol", String(protocolVersion + 1));
+        const otherInstance = local.metadata(method);
+        otherInstance.set("x-jasmineline-instance", "admin");
+        const checks = [
+            server.check(otherSecret.metadata(method), method),
+            server.check(otherCluster.metadata(method), method),
+            server.check(otherVersion, method),
+            server.check(local.metadata("/jasmineline.v1.Log/Append"), method),
+            server.check(otherInstance, method),
+        ];
+        assert.deepEqual(checks.map(check => check.accepted ? status.OK : check.code), [
+            status.UNAUTHENTICATED,
+            status.PERMISSION_DENIED,
+            status.FAILED_PRECONDITION,
+            status.UNAUTHENTICATED,
+            status.UNAUTHENTICATED,
+        ]);
+        assert.equal(server.refusedCalls, 5);
+    });
+
+    it("guards a real server: a wrong secret never reaches the handler", async () => {
+        let handled = 0;
+        const server = createPeerServer(local);
+        server.addService(
+            AnnouncementService,
+            {
+                announce: (_call, answer) => {
+                    handled += 1;
+                    answer(null, {}); // eslint-disable-line no-restricted-syntax -- the gRPC callback takes null
+                },
+            } as import("../generated/announcement.ts").AnnouncementServer,
+        );
+        const address = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
+        const codes = [];
+        for (const peerSecret of [secret, "x".repeat(16)]) {
+            const peer = new PeerAuthentication({ cluster: "c1", instanceId: "b", secret: peerSecret });
+            const client = new AnnouncementClient(address, credentials.createInsecure(), peerClientOptions(peer));
+            codes.push(
+                await new Promise(resolve =>
+                    client.announce(announcement(), (error: ServiceError | null) => resolve(error?.code ?? status.OK))
+                ),
+            );
+            client.close();
+        }
+        server.forceShutdown();
+        assert.deepEqual(codes, [status.OK, status.UNAUTHENTICATED]);
+        assert.equal(handled, 1);
+    });
+});
