--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,50 @@
+/**
+ * Builds the one binary `dist/jasmineline`: bundles the program and puts it into a copy of the Node.js executable
+ * (single executable application).
+ */
+import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, rmSync, statSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+
+const outputFolder = "dist";
+const bundle = join(outputFolder, "jasmineline.cjs");
+const blob = join(outputFolder, "jasmineline.blob");
+const configuration = join(outputFolder, "sea.json");
+const binary = join(outputFolder, "jasmineline");
+
+// Marks the place in the Node.js executable where the application is put.
+const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+mkdirSync(outputFolder, { recursive: true });
+await bundleProgram();
+writeFileSync(configuration, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }));
+run(process.execPath, ["--experimental-sea-config", configuration]);
+rmSync(binary, { force: true });
+copyFileSync(process.execPath, binary);
+chmodSync(binary, 0o755);
+run("npx", ["--no-install", "postject", binary, "NODE_SEA_BLOB", blob, "--sentinel-fuse", fuse]);
+console.log(`${binary}: ${(statSync(binary).size / 1e6).toFixed(1)} MB`);
+
+async function bundleProgram(): Promise<void> {
+    await build({
+        entryPoints: ["src/cli/main.ts"],
+        outfile: bundle,
+        bundle: true,
+        platform: "node",
+        format: "cjs",
+        target: "node20",
+        // Optional part of the metrics library for Unix sockets; it is native code and not used.
+        external: ["unix-dgram"],
+        logLevel: "warning",
+    });
+}
+
+function run(command: string, commandArguments: readonly string[]): void {
+    const result = spawnSync(command, commandArguments, { encoding: "utf8" });
+    if (result.status !== 0) {
+        console.error(result.stdout, result.stderr);
+        console.error(`${command} ${commandArguments.join(" ")} failed with ${result.status ?? result.signal}`);
+        process.exit(1);
+    }
+}
--- /dev/null
+++ b/src/cli/ctlChanges.ts
@@ -0,0 +1,217 @@
+/** The ctl commands that change something. */
+import { createHmac, randomUUID } from "node:crypto";
+import { doubleSha1Hex } from "../frontend/proofVerifier.ts";
+import { CommandKind, ProposalStatus } from "../model/controlMessages.ts";
+import { defaultWorkClass, type WorkClass } from "../model/workClass.ts";
+import type { Workspace } from "../model/workspace.ts";
+import type { ChangeResponse, ShowResponse } from "../rpc/generated/operator.ts";
+import type { OperatorCommand } from "../rpc/operatorCommands.ts";
+import {
+    changeSettingsTable,
+    classTargetsTable,
+    keyIdTable,
+    routeTable,
+    workspaceLimitsTable,
+} from "../settings/ctlSettings.ts";
+import { SettingsError, type SettingsTable, type SettingValues } from "../settings/settingsTable.ts";
+import { type CtlContext, openContext } from "./ctlContext.ts";
+import { ExitCode } from "./exitCode.ts";
+
+type ChangeSettings = SettingValues<typeof changeSettingsTable>;
+
+const classTable = { ...classTargetsTable, ...changeSettingsTable };
+const workspaceTable = { ...workspaceLimitsTable, ...changeSettingsTable };
+
+/** Sends a change and prints its result, with a new key's secret if there is one. */
+async function sendChange<Table extends SettingsTable>(
+    context: CtlContext<Table>,
+    command: OperatorCommand,
+    operationId = (context.values as unknown as ChangeSettings)["operation-id"] ?? randomUUID(),
+    secret?: Readonly<Record<string, string>>,
+): Promise<ExitCode> {
+    const response = await context.client.change(operationId, command);
+    printChange(response, operationId, context.json, secret);
+    return exitCodeOf(response);
+}
+
+export async function createClass(name: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext(classTable, commandLine);
+    const workClass = readTargets(name, context.values, defaultWorkClass);
+    return sendChange(context, { kind: CommandKind.SetWorkClass, expectedVersion: 0, workClass });
+}
+
+export async function changeClass(name: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext(classTable, commandLine);
+    const { workClasses } = await context.client.show();
+    const current = workClasses.find(each => each.body?.name === name);
+    if (current?.body === undefined) {
+        return reportMissing("work class", name);
+    }
+    const workClass = readTargets(name, context.values, current.body as Omit<WorkClass, "version">);
+    const expectedVersion = context.values["expected-version"] ?? current.version;
+    return sendChange(context, { kind: CommandKind.SetWorkClass, expectedVersion, workClass });
+}
+
+export async function removeClass(name: string, commandLine: readonly string[]): Promise<ExitCode> {
+    return removeObject("work class", name, commandLine, (shown, expectedVersion) => {
+        const found = shown.workClasses.find(each => each.body?.name === name);
+        return found && {
+            kind: CommandKind.RemoveWorkClass,
+            name,
+            expectedVersion: expectedVersion ?? found.version,
+        };
+    });
+}
+
+export async function createWorkspace(name: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext(workspaceTable, commandLine);
+    const { rate, burst } = context.values;
+    if (rate === undefined || burst === undefined) {
+        throw new SettingsError("a new workspace needs --rate and --burst");
+    }
+    const workspace = readLimits(name, context.values, { ratePerSecond: rate, burst, keyValidityMs: 10_000 });
+    return sendChange(context, { kind: CommandKind.SetWorkspace, expectedVersion: 0, workspace });
+}
+
+export async function changeWorkspace(name: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext(workspaceTable, commandLine);
+    const { workspaces } = await context.client.show();
+    const current = workspaces.find(each => each.body?.name === name);
+    if (current?.body === undefined) {
+        return reportMissing("workspace", name);
+    }
+    const workspace = readLimits(name, context.values, current.body);
+    const expectedVersion = context.values["expected-version"] ?? current.version;
+    return sendChange(context, { kind: CommandKind.SetWorkspace, expectedVersion, workspace });
+}
+
+export async function removeWorkspace(name: string, commandLine: readonly string[]): Promise<ExitCode> {
+    return removeObject("workspace", name, commandLine, (shown, expectedVersion) => {
+        const found = shown.workspaces.find(each => each.body?.name === name);
+        return found && {
+            kind: CommandKind.RemoveWorkspace,
+            name,
+            expectedVersion: expectedVersion ?? found.version,
+        };
+    });
+}
+
+/**
+ * The secret never leaves this process; only its digest is sent. It is derived from the cluster secret and the operation
+ * id, so that repeating an issue whose answer was lost shows the secret that is really in force.
+ */
+export async function issueKey(workspace: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext({ ...keyIdTable, ...changeSettingsTable }, commandLine);
+    const operationId = context.values["operation-id"] ?? randomUUID();
+    const id = context.values.id ?? `key-${derive(context.clusterSecret, "id", operationId).slice(0, 12)}`;
+    const secret = derive(context.clusterSecret, "secret", `${operationId}|${id}`);
+    const key = { id, workspace, doubleSha1Hex: doubleSha1Hex(secret) };
+    return sendChange(context, { kind: CommandKind.IssueKey, expectedVersion: 0, key }, operationId, { id, secret });
+}
+
+function derive(clusterSecret: string, purpose: string, text: string): string {
+    return createHmac("sha256", clusterSecret).update(`issue key|${purpose}|${text}`).digest("hex").slice(0, 40);
+}
+
+export async function withdrawKey(id: string, commandLine: readonly string[]): Promise<ExitCode> {
+    return removeObject("key", id, commandLine, (shown, expectedVersion) => {
+        const found = shown.keys.find(each => each.id === id);
+        return found && { kind: CommandKind.WithdrawKey, id, expectedVersion: expectedVersion ?? found.version };
+    });
+}
+
+export async function openRoute(service: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext({ ...routeTable, ...changeSettingsTable }, commandLine);
+    const { workspace } = context.values;
+    const { openRoutes } = await context.client.show();
+    const current = openRoutes.find(each => each.body?.service === service)?.version ?? 0;
+    const expectedVersion = context.values["expected-version"] ?? current;
+    const command = { kind: CommandKind.SetOpenRoute, expectedVersion, openRoute: { service, workspace } };
+    return sendChange(context, command);
+}
+
+export async function closeRoute(service: string, commandLine: readonly string[]): Promise<ExitCode> {
+    return removeObject("open route", service, commandLine, (shown, expectedVersion) => {
+        const found = shown.openRoutes.find(each => each.body?.service === service);
+        return found && {
+            kind: CommandKind.RemoveOpenRoute,
+            service,
+            expectedVersion: expectedVersion ?? found.version,
+        };
+    });
+}
+
+async function removeObject(
+    what: string,
+    name: string,
+    commandLine: readonly string[],
+    build: (shown: ShowResponse, expectedVersion: number | undefined) => OperatorCommand | undefined,
+): Promise<ExitCode> {
+    await using context = openContext(changeSettingsTable, commandLine);
+    const command = build(await context.client.show(), context.values["expected-version"]);
+    return command === undefined ? reportMissing(what, name) : sendChange(context, command);
+}
+
+function readTargets(
+    name: string,
+    values: SettingValues<typeof classTargetsTable>,
+    current: Omit<WorkClass, "version">,
+): Omit<WorkClass, "version"> {
+    return {
+        name,
+        maximumAgeMs: values["max-age-ms"] ?? current.maximumAgeMs,
+        waitingMs: values["waiting-ms"] ?? current.waitingMs,
+        repeat: values.repeat ?? current.repeat,
+        objectiveShare: values.objective ?? current.objectiveShare,
+    };
+}
+
+function readLimits(
+    name: string,
+    values: SettingValues<typeof workspaceLimitsTable>,
+    current: Omit<Workspace, "name" | "version">,
+): Omit<Workspace, "version"> {
+    return {
+        name,
+        ratePerSecond: values.rate ?? current.ratePerSecond,
+        burst: values.burst ?? current.burst,
+        keyValidityMs: values["key-validity-ms"] ?? current.keyValidityMs,
+    };
+}
+
+function printChange(
+    response: ChangeResponse,
+    operationId: string,
+    json: boolean,
+    secret: Readonly<Record<string, string>> | undefined,
+): void {
+    const applied = response.status === ProposalStatus.Applied;
+    const { status, version, configurationVersion, detail } = response;
+    if (json) {
+        const shown = applied ? secret : undefined;
+        console.log(JSON.stringify({ status, version, configurationVersion, detail, operationId, ...shown }));
+        return;
+    }
+    if (!applied) {
+        console.error(`${status}: ${detail} (current version ${version}, operation ${operationId})`);
+        return;
+    }
+    console.log(`applied: version ${version}, configuration ${configurationVersion}, operation ${operationId}`);
+    Object.entries(secret ?? {}).forEach(([name, value]) => console.log(`${name}: ${value}`));
+}
+
+function exitCodeOf({ status }: ChangeResponse): ExitCode {
+    switch (status) {
+        case ProposalStatus.Applied:
+            return ExitCode.Success;
+        case ProposalStatus.Conflict:
+            return ExitCode.Conflict;
+        default:
+            return ExitCode.Invalid;
+    }
+}
+
+function reportMissing(what: string, name: string): ExitCode {
+    console.error(`There is no ${what} "${name}".`);
+    return ExitCode.Invalid;
+}
--- /dev/null
+++ b/src/cli/ctlCommand.ts
@@ -0,0 +1,164 @@
+/** `jasmineline ctl`: the operators' client. */
+import { RefusedError, UnreachableError } from "../rpc/operatorClient.ts";
+import {
+    changeSettingsTable,
+    classTargetsTable,
+    ctlSettingsTable,
+    keyIdTable,
+    reportTable,
+    routeTable,
+    workspaceLimitsTable,
+} from "../settings/ctlSettings.ts";
+import { describeSettings, SettingsError, type SettingsTable } from "../settings/settingsTable.ts";
+import {
+    changeClass,
+    changeWorkspace,
+    closeRoute,
+    createClass,
+    createWorkspace,
+    issueKey,
+    openRoute,
+    removeClass,
+    removeWorkspace,
+    withdrawKey,
+} from "./ctlChanges.ts";
+import { changePrimary, drainInstance, reportBurn, showPart, showStatus } from "./ctlShow.ts";
+import { ExitCode } from "./exitCode.ts";
+
+/** One command, for example `class create NAME`. */
+interface CtlCommand {
+    readonly words: readonly string[];
+    /** Name of the argument that follows the words; undefined when there is none. */
+    readonly argument?: string;
+    readonly summary: string;
+    readonly table: SettingsTable;
+    run(argument: string, commandLine: readonly string[]): Promise<ExitCode>;
+}
+
+const changeOnly = changeSettingsTable;
+const classTable = { ...classTargetsTable, ...changeSettingsTable };
+const workspaceTable = { ...workspaceLimitsTable, ...changeSettingsTable };
+
+const commands: readonly CtlCommand[] = [
+    {
+        words: ["class", "create"],
+        argument: "NAME",
+        summary: "create a work class",
+        table: classTable,
+        run: createClass,
+    },
+    { words: ["class", "change"], argument: "NAME", summary: "change targets", table: classTable, run: changeClass },
+    {
+        words: ["class", "remove"],
+        argument: "NAME",
+        summary: "remove a work class",
+        table: changeOnly,
+        run: removeClass,
+    },
+    { words: ["class", "show"], summary: "list the work classes", table: {}, run: showPart("class") },
+    {
+        words: ["workspace", "create"],
+        argument: "NAME",
+        summary: "create a workspace",
+        table: workspaceTable,
+        run: createWorkspace,
+    },
+    {
+        words: ["workspace", "change"],
+        argument: "NAME",
+        summary: "change its limits",
+        table: workspaceTable,
+        run: changeWorkspace,
+    },
+    {
+        words: ["workspace", "remove"],
+        argument: "NAME",
+        summary: "remove a workspace without keys and routes",
+        table: changeOnly,
+        run: removeWorkspace,
+    },
+    { words: ["workspace", "show"], summary: "list the workspaces", table: {}, run: showPart("workspace") },
+    {
+        words: ["key", "issue"],
+        argument: "WORKSPACE",
+        summary: "issue a key; its secret is shown this once",
+        table: { ...keyIdTable, ...changeSettingsTable },
+        run: issueKey,
+    },
+    { words: ["key", "withdraw"], argument: "ID", summary: "withdraw a key", table: changeOnly, run: withdrawKey },
+    { words: ["key", "show"], summary: "list the keys", table: {}, run: showPart("key") },
+    {
+        words: ["route", "open"],
+        argument: "SERVICE",
+        summary: "open a service to callers without a key",
+        table: { ...routeTable, ...changeSettingsTable },
+        run: openRoute,
+    },
+    { words: ["route", "close"], argument: "SERVICE", summary: "close it again", table: changeOnly, run: closeRoute },
+    { words: ["route", "show"], summary: "list the open routes", table: {}, run: showPart("route") },
+    { words: ["status"], summary: "show instance, databases and groups", table: {}, run: showStatus },
+    { words: ["drain"], summary: "stop the instance gracefully", table: {}, run: drainInstance },
+    {
+        words: ["primary", "change"],
+        argument: "GROUP",
+        summary: "start a planned change of primary",
+        table: {},
+        run: changePrimary,
+    },
+    { words: ["report", "burn"], summary: "report on service-level burn", table: reportTable, run: reportBurn },
+];
+
+/** Runs one ctl command. */
+export async function runCtl(commandLine: readonly string[]): Promise<ExitCode> {
+    const command = commands.find(each => each.words.every((word, index) => commandLine[index] === word));
+    if (command === undefined) {
+        return explainCommands(commandLine);
+    }
+    const rest = commandLine.slice(command.words.length);
+    if (rest.includes("--help")) {
+        console.log(helpOf(command));
+        return ExitCode.Success;
+    }
+    if (command.argument === undefined) {
+        return reportFailure(() => command.run("", rest));
+    }
+    const [argument, ...flags] = rest;
+    if (argument === undefined || argument.startsWith("--")) {
+        throw new SettingsError(`"${command.words.join(" ")}" needs ${command.argument} before its flags`);
+    }
+    return reportFailure(() => command.run(argument, flags));
+}
+
+async function reportFailure(run: () => Promise<ExitCode>): Promise<ExitCode> {
+    try {
+        return await run();
+    }
+    catch (error) {
+        if (error instanceof UnreachableError || error instanceof RefusedError) {
+            console.error(error.message);
+            return error instanceof UnreachableError ? ExitCode.Unreachable : ExitCode.Refused;
+        }
+        throw error;
+    }
+}
+
+function explainCommands(commandLine: readonly string[]): ExitCode {
+    const list = commands.map(command => `  ${usageOf(command).padEnd(28)} ${command.summary}`).join("\n");
+    const text = `Usage: jasmineline ctl COMMAND [FLAGS]\n\n${list}\n\nCOMMAND --help lists its flags.`;
+    if (commandLine[0] === "--help") {
+        console.log(text);
+        return ExitCode.Success;
+    }
+    const given = commandLine.filter(word => !word.startsWith("--")).join(" ");
+    console.error(given === "" ? text : `There is no ctl command "${given}".\n\n${text}`);
+    return ExitCode.Usage;
+}
+
+function usageOf({ words, argument }: CtlCommand): string {
+    return [...words, ...argument === undefined ? [] : [argument]].join(" ");
+}
+
+function helpOf(command: CtlCommand): string {
+    const settings = describeSettings({ ...command.table, ...ctlSettingsTable });
+    return `Usage: jasmineline ctl ${usageOf(command)} [FLAGS]\n\n${command.summary}\n\n${settings}`;
+}
--- /dev/null
+++ b/src/cli/ctlContext.ts
@@ -0,0 +1,50 @@
+/** What every ctl command works with. */
+import { readFileSync } from "node:fs";
+import { OperatorClient } from "../rpc/operatorClient.ts";
+import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
+import { ctlSettingsTable, OutputFormat } from "../settings/ctlSettings.ts";
+import { readSettings, SettingsError, type SettingsTable, type SettingValues } from "../settings/settingsTable.ts";
+
+export interface CtlContext<Table extends SettingsTable> extends AsyncDisposable {
+    readonly client: OperatorClient;
+    readonly values: SettingValues<Table>;
+    readonly json: boolean;
+    readonly clusterSecret: string;
+}
+
+/**
+ * Reads the common settings together with a command's own, and prepares the client.
+ * @throws SettingsError for wrong settings, also for a secret that cannot be read
+ */
+export function openContext<Table extends SettingsTable>(
+    table: Table,
+    commandLine: readonly string[],
+): CtlContext<Table> {
+    const values = readSettings({ ...ctlSettingsTable, ...table }, commandLine, process.env) as
+        & SettingValues<Table>
+        & SettingValues<typeof ctlSettingsTable>;
+    const clusterSecret = readSecretFile("cluster-secret-file", values["cluster-secret-file"]);
+    const authentication = new PeerAuthentication({
+        cluster: values["cluster-name"],
+        instanceId: "operator",
+        secret: clusterSecret,
+    });
+    const client = new OperatorClient({ servers: values.server, authentication, timeoutMs: values["timeout-ms"] });
+    return {
+        client,
+        values,
+        json: values.output === OutputFormat.Json,
+        clusterSecret,
+        [Symbol.asyncDispose]: () => client[Symbol.asyncDispose](),
+    };
+}
+
+/** Reads a secret and drops the line end that editors add. */
+export function readSecretFile(flag: string, path: string): string {
+    try {
+        return readFileSync(path, "utf8").trimEnd();
+    }
+    catch (error) {
+        throw new SettingsError(`--${flag} is "${path}", which cannot be read: ${(error as Error).message}`);
+    }
+}
--- /dev/null
+++ b/src/cli/ctlShow.ts
@@ -0,0 +1,118 @@
+/** The ctl commands that show something or act on one instance. */
+import type { ShowResponse, StatusResponse } from "../rpc/generated/operator.ts";
+import { openContext } from "./ctlContext.ts";
+import { ExitCode } from "./exitCode.ts";
+import { renderTable } from "./textTable.ts";
+
+/** Parts of the configuration that `show` lists. */
+type Part = "class" | "workspace" | "key" | "route";
+
+interface Listing {
+    readonly headings: readonly string[];
+    readonly rows: readonly (readonly (string | number)[])[];
+}
+
+/** Builds the `show` command of one part. */
+export function showPart(part: Part): (argument: string, commandLine: readonly string[]) => Promise<ExitCode> {
+    return async (_, commandLine) => {
+        await using context = openContext({}, commandLine);
+        const shown = await context.client.show();
+        if (context.json) {
+            console.log(JSON.stringify(shown));
+            return ExitCode.Success;
+        }
+        const { headings, rows } = listPart(part, shown);
+        console.log(renderTable(headings, rows));
+        console.log(`configuration ${shown.configurationVersion}`);
+        return ExitCode.Success;
+    };
+}
+
+/** Shows the instance and the databases as it knows them. */
+export async function showStatus(_: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext({}, commandLine);
+    const status = await context.client.status();
+    console.log(context.json ? JSON.stringify(status) : renderStatus(status));
+    return ExitCode.Success;
+}
+
+/** Stops the instance gracefully; returns as soon as it has begun. */
+export async function drainInstance(_: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext({}, commandLine);
+    await context.client.drain();
+    console.log(context.json ? JSON.stringify({ draining: true }) : "draining");
+    return ExitCode.Success;
+}
+
+/** Starts a planned change of primary; `status` shows when it is over. */
+export async function changePrimary(group: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext({}, commandLine);
+    const { refusal } = await context.client.changePrimary(group);
+    if (refusal !== "") {
+        console.error(refusal);
+        return ExitCode.Invalid;
+    }
+    console.log(context.json ? JSON.stringify({ started: group }) : `started the change of primary of ${group}`);
+    return ExitCode.Success;
+}
+
+function listPart(part: Part, shown: ShowResponse): Listing {
+    switch (part) {
+        case "class":
+            return {
+                headings: ["CLASS", "MAX_AGE_MS", "WAITING_MS", "REPEAT", "OBJECTIVE", "VERSION"],
+                rows: shown.workClasses.map(({ body, version }) => [
+                    body!.name,
+                    body!.maximumAgeMs,
+                    body!.waitingMs,
+                    body!.repeat,
+                    body!.objectiveShare,
+                    version,
+                ]),
+            };
+        case "workspace":
+            return {
+                headings: ["WORKSPACE", "RATE_PER_S", "BURST", "KEY_VALIDITY_MS", "VERSION"],
+                rows: shown.workspaces.map(({ body, version }) => [
+                    body!.name,
+                    body!.ratePerSecond,
+                    body!.burst,
+                    body!.keyValidityMs,
+                    version,
+                ]),
+            };
+        case "key":
+            return {
+                headings: ["KEY", "WORKSPACE", "VERSION"],
+                rows: shown.keys.map(({ id, workspace, version }) => [id, workspace, version]),
+            };
+        case "route":
+            return {
+                headings: ["SERVICE", "WORKSPACE", "VERSION"],
+                rows: shown.openRoutes.map(({ body, version }) => [body!.service, body!.workspace, version]),
+            };
+    }
+}
+
+function renderStatus({ instance, databases }: StatusResponse): string {
+    const provedAgeMs = instance!.provedAgeMs < 0 ? "never" : `${Math.round(instance!.provedAgeMs)} ms ago`;
+    const head = [
+        `instance ${instance!.instanceId} in ${instance!.dataCentre}${instance!.draining ? ", draining" : ""}`,
+        `configuration ${instance!.configurationVersion}, proved ${provedAgeMs}`,
+        `${instance!.connections} client connections, ${instance!.leasesHeld} leases`,
+    ];
+    const table = renderTable(
+        ["GROUP", "DATABASE", "SERVICE", "DATA_CENTRE", "ROLE", "AVAILABLE", "POSITION", "HOLDER"],
+        databases.map(each => [
+            each.groupId,
+            each.databaseId,
+            each.service,
+            each.dataCentre,
+            each.role,
+            each.available ? "yes" : "no",
+            `${each.term}:${each.offset}`,
+            each.holder === "" ? "none" : each.holder,
+        ]),
+    );
+    return [...head, "", table].join("\n");
+}
--- /dev/null
+++ b/src/pipeline/trace.ts
@@ -0,0 +1,114 @@
+/** Recording of a run, and its replay through the same filters. */
+import type { LoopObserver } from "./eventLoop.ts";
+import type { Message } from "./message.ts";
+import type { Pipe } from "./pipe.ts";
+import { decodeMessage, encodeMessage } from "./traceCodec.ts";
+
+export const TraceLineKind = {
+    Header: "header",
+    Event: "event",
+    Output: "output",
+} as const;
+
+/** One line of a trace file; `message` is the JSON text of a message. */
+export type TraceLine =
+    | { readonly line: typeof TraceLineKind.Header; readonly options: unknown; }
+    | { readonly line: typeof TraceLineKind.Event; readonly atMs: number; readonly message: string; }
+    | { readonly line: typeof TraceLineKind.Output; readonly pipe: string; readonly message: string; };
+
+/** Writes every event, and every message that leaves a pipe, as a line. */
+export class TraceRecorder implements LoopObserver {
+    private readonly write: (line: TraceLine) => void;
+
+    /** @param options what the pipes were built with, so that a replay can build the same */
+    constructor(options: unknown, write: (line: TraceLine) => void) {
+        this.write = write;
+        write({ line: TraceLineKind.Header, options });
+    }
+
+    event(message: Message, nowMs: number): void {
+        this.write({ line: TraceLineKind.Event, atMs: nowMs, message: encodeMessage(message) });
+    }
+
+    output(message: Message, pipe: string): void {
+        this.write({ line: TraceLineKind.Output, pipe, message: encodeMessage(message) });
+    }
+}
+
+/** The first place at which a replay decided differently. */
+export interface TraceDifference {
+    /** Number of the line in the trace, from 1. */
+    readonly lineNumber: number;
+    readonly event: string;
+    readonly recorded: string;
+    readonly replayed: string;
+}
+
+export interface ReplayResult {
+    readonly events: number;
+    readonly outputs: number;
+    readonly difference: TraceDifference | undefined;
+}
+
+/** Sees each recorded event with its recorded outputs, before it is replayed. */
+export type BeforeEvent = (event: Message, recordedOutputs: readonly string[]) => void;
+
+/** Feeds recorded events to freshly built pipes and compares what leaves them with the record. */
+export function replayTrace(
+    lines: Iterable<TraceLine>,
+    pipes: readonly Pipe[],
+    beforeEvent: BeforeEvent = () => undefined,
+): ReplayResult {
+    const steps = groupByEvent(lines);
+    let outputs = 0;
+    for (const { event, atMs, lineNumber, recorded } of steps) {
+        const message = decodeMessage(event);
+        beforeEvent(message, recorded);
+        const replayed = pipes.filter(pipe => pipe.accepts.has(message.kind))
+            .flatMap(pipe => pipe.push(message, atMs).map(output => encodeMessage(output)));
+        const at = firstDifference(recorded, replayed);
+        if (at !== undefined) {
+            const difference = {
+                lineNumber: lineNumber + 1 + at,
+                event,
+                recorded: recorded[at] ?? "nothing",
+                replayed: replayed[at] ?? "nothing",
+            };
+            return { events: steps.length, outputs, difference };
+        }
+        outputs += recorded.length;
+    }
+    return { events: steps.length, outputs, difference: undefined };
+}
+
+interface Step {
+    readonly event: string;
+    readonly atMs: number;
+    readonly lineNumber: number;
+    readonly recorded: string[];
+}
+
+function groupByEvent(lines: Iterable<TraceLine>): readonly Step[] {
+    const steps: Step[] = [];
+    let lineNumber = 0;
+    for (const line of lines) {
+        lineNumber += 1;
+        if (line.line === TraceLineKind.Event) {
+            steps.push({ event: line.message, atMs: line.atMs, lineNumber, recorded: [] });
+        }
+        else if (line.line === TraceLineKind.Output) {
+            steps.at(-1)?.recorded.push(line.message);
+        }
+    }
+    return steps;
+}
+
+function firstDifference(recorded: readonly string[], replayed: readonly string[]): number | undefined {
+    const length = Math.max(recorded.length, replayed.length);
+    for (let index = 0; index < length; index++) {
+        if (recorded[index] !== replayed[index]) {
+            return index;
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/src/storage/traceFile.ts
@@ -0,0 +1,48 @@
+/** Trace files: one JSON object per line. */
+import { createWriteStream, readFileSync, type WriteStream } from "node:fs";
+import { type TraceLine, TraceLineKind } from "../pipeline/trace.ts";
+
+/** Appends lines to a new file; disposal waits until they are written. */
+export class TraceFileWriter implements AsyncDisposable {
+    private readonly stream: WriteStream;
+
+    /** Fails on the stream's `error` event when the file exists or cannot be made. */
+    constructor(path: string) {
+        // A trace holds statement texts, so only its owner may read it.
+        this.stream = createWriteStream(path, { flags: "wx", mode: 0o600 });
+    }
+
+    write(line: TraceLine): void {
+        this.stream.write(`${JSON.stringify(line)}\n`);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await new Promise<void>(resolve => this.stream.end(() => resolve()));
+    }
+}
+
+/**
+ * Reads a trace. A last line that was cut off by the end of the process is dropped.
+ * @throws Error that names the file and the line
+ */
+export function readTraceFile(path: string): readonly TraceLine[] {
+    const texts = readFileSync(path, "utf8").split("\n");
+    const lastIsCut = texts.at(-1) !== "";
+    const whole = texts.slice(0, lastIsCut ? -1 : undefined).filter(text => text !== "");
+    const lines = whole.map((text, index) => parseLine(path, text, index + 1));
+    if (lines[0]?.line !== TraceLineKind.Header) {
+        throw new Error(`${path} does not begin with a trace header; give a file written by --record-trace`);
+    }
+    return lines;
+}
+
+function parseLine(path: string, text: string, lineNumber: number): TraceLine {
+    try {
+        return JSON.parse(text) as TraceLine;
+    }
+    catch (error) {
+        throw new Error(`${path}, line ${lineNumber} is not a trace line: ${(error as Error).message}`, {
+            cause: error,
+        });
+    }
+}
