feat(holder): first path from request to answer on a held database

Cause: the request pipe needs something behind holder.request that runs statements and answers. Change: filters monitor, orders, freshness, acquire, execute, floors and confirm; a sink for backend.* effects over mysql2; message kinds between the filters and for the health pipe; an optional field `pinned` on holder requests, so that a statement of a transaction never runs alone on the connection of a new holder. Conclusion: one spec runs a read and a confirmed write through the whole pipe against fake databases; the mysql2 adapter has not run against a server yet.

--- /dev/null
+++ b/src/backend/mysqlAdapter.ts
@@ -0,0 +1,150 @@
+/** Connections over the MySQL protocol with mysql2, one at a time and without its pools. */
+import { type Connection, createConnection, type FieldPacket, type QueryError } from "mysql2";
+import { type Column, type Outcome, OutcomeKind } from "../model/outcome.ts";
+import { RefusalCode, refuse } from "../model/refusal.ts";
+import type { DatabaseAdapter, DatabaseConnection } from "./databaseAdapter.ts";
+
+export interface MysqlAdapterOptions {
+    /** Credentials of jasmineline itself; a caller's key never reaches a database. */
+    readonly user: string;
+    readonly password: string;
+}
+
+const transactionStatusBit = 1;
+const binaryCharacterSet = 63;
+const deadlockErrno = 1213;
+
+export class MysqlAdapter implements DatabaseAdapter {
+    private readonly options: MysqlAdapterOptions;
+
+    constructor(options: MysqlAdapterOptions) {
+        this.options = options;
+    }
+
+    open(address: string, timeoutMs: number, onEnd: (reason: string) => void): Promise<DatabaseConnection> {
+        const colon = address.lastIndexOf(":");
+        const connection = createConnection({
+            host: address.slice(0, colon),
+            port: Number(address.slice(colon + 1)),
+            user: this.options.user,
+            password: this.options.password,
+            connectTimeout: timeoutMs,
+            charset: "utf8mb4_general_ci",
+            multipleStatements: false,
+            enableKeepAlive: true,
+        });
+        return new Promise((resolve, reject) => {
+            const fail = (error: Error): void => {
+                connection.destroy();
+                reject(error);
+            };
+            connection.once("error", fail);
+            connection.once("connect", () => {
+                connection.removeListener("error", fail);
+                resolve(new MysqlConnection(connection, onEnd));
+            });
+        });
+    }
+}
+
+/** Part of mysql2's connection that its types omit: the status flags of the last OK or EOF packet. */
+interface WithServerStatus {
+    readonly serverStatus?: number;
+}
+
+class MysqlConnection implements DatabaseConnection {
+    private readonly connection: Connection;
+    private readonly onEnd: (reason: string) => void;
+    private ended = false;
+    private transactionOpen = false;
+
+    constructor(connection: Connection, onEnd: (reason: string) => void) {
+        this.connection = connection;
+        this.onEnd = onEnd;
+        connection.on("error", error => this.end(error.message));
+        connection.on("end", () => this.end("closed by the database"));
+    }
+
+    get inTransaction(): boolean {
+        return this.transactionOpen;
+    }
+
+    execute(text: string): Promise<Outcome> {
+        return new Promise((resolve, reject) => {
+            const query = { sql: text, rowsAsArray: true, typeCast: false };
+            this.connection.query(query, (error, result, fields) => {
+                const failure = error ?? undefined;
+                if (failure !== undefined && isConnectionError(failure)) {
+                    this.end(failure.message);
+                    reject(failure);
+                    return;
+                }
+                this.noteTransaction(failure);
+                resolve(failure === undefined ? readOutcome(result, fields) : readFailure(failure));
+            });
+        });
+    }
+
+    destroy(): void {
+        this.connection.destroy();
+        this.end("closed by the holder");
+    }
+
+    private noteTransaction(error: QueryError | undefined): void {
+        if (error === undefined) {
+            const status = (this.connection as unknown as WithServerStatus).serverStatus ?? 0;
+            this.transactionOpen = (status & transactionStatusBit) !== 0;
+        }
+        else if (error.errno === deadlockErrno) {
+            // An error packet carries no status flags; a deadlock is the error that ends the whole transaction.
+            this.transactionOpen = false;
+        }
+    }
+
+    private end(reason: string): void {
+        if (!this.ended) {
+            this.ended = true;
+            this.connection.destroy();
+            this.onEnd(reason);
+        }
+    }
+}
+
+// Errors without an SQL state come from the driver or the socket, not from the database.
+function isConnectionError(error: QueryError): boolean {
+    return error.fatal || error.sqlState === undefined;
+}
+
+function readFailure(error: QueryError): Outcome {
+    const parts = { detail: error.message, databaseErrno: error.errno };
+    return { kind: OutcomeKind.Refused, refusal: refuse(RefusalCode.DatabaseFailed, "execute", parts) };
+}
+
+function readOutcome(result: unknown, fields: FieldPacket[] | undefined): Outcome {
+    if (fields === undefined || !Array.isArray(result)) {
+        const header = result as { affectedRows: number | string; insertId: number | string; };
+        return {
+            kind: OutcomeKind.Done,
+            affectedRows: Number(header.affectedRows),
+            insertId: Number(header.insertId),
+        };
+    }
+    const columns = fields.map(readColumn);
+    const rows = (result as (Buffer | undefined)[][]).map(row =>
+        row.map((cell, index) => readCell(cell ?? undefined, columns[index]!))
+    );
+    return { kind: OutcomeKind.Rows, columns, rows };
+}
+
+function readColumn(field: FieldPacket): Column {
+    return {
+        name: field.name,
+        type: field.columnType ?? 0,
+        characterSet: field.characterSet ?? binaryCharacterSet,
+        flags: typeof field.flags === "number" ? field.flags : 0,
+    };
+}
+
+function readCell(cell: Buffer | undefined, column: Column): string | undefined {
+    return cell?.toString(column.characterSet === binaryCharacterSet ? "latin1" : "utf8");
+}
--- /dev/null
+++ b/src/holder/__tests__/holderFixture.ts
@@ -0,0 +1,246 @@
+/** A holder pipe with fake databases under virtual time, for the specs of this folder. */
+import { ClusterKind, type DatabaseView } from "../../model/clusterMessages.ts";
+import { DatabaseRole } from "../../model/database.ts";
+import { HealthKind } from "../../model/healthMessages.ts";
+import { type HolderAnswer, HolderKind, type HolderReply, type HolderRequest } from "../../model/holderMessages.ts";
+import { type LeaseAssignment, ResourceKind } from "../../model/lease.ts";
+import { OutcomeKind } from "../../model/outcome.ts";
+import { type Execution, refusalTable } from "../../model/refusal.ts";
+import { StatementKind } from "../../model/statement.ts";
+import { setDeadline } from "../../pipeline/deadlineQueue.ts";
+import { EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Filter } from "../../pipeline/filter.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import type { Sink } from "../../pipeline/sink.ts";
+import { VirtualClock } from "../../pipeline/virtualClock.ts";
+import { Acquire } from "../acquire.ts";
+import { Confirm } from "../confirm.ts";
+import { Execute } from "../execute.ts";
+import { Floors } from "../floors.ts";
+import { Freshness } from "../freshness.ts";
+import { defaultHolderSettings, type HolderSettings } from "../holderSettings.ts";
+import { Monitor } from "../monitor.ts";
+import { Orders } from "../orders.ts";
+import { FakeDatabases } from "./fakeDatabases.ts";
+
+interface Later extends Message {
+    readonly atMs: number;
+    readonly message: Message;
+}
+
+/** Delays messages of the fake, and turns due statements into their answers. */
+class FakeNetwork implements Filter<Later, Message> {
+    readonly step = "fake network";
+    readonly accepts = ["fake.later", "fake.answer"];
+    databases: FakeDatabases | undefined;
+    private nextNumber = 0;
+
+    process(later: Later): readonly Message[] {
+        if (later.kind === "fake.later") {
+            return [setDeadline(`fake:${this.nextNumber++}`, later.atMs, later.message)];
+        }
+        const answer = this.databases!.answer(later.message as Parameters<FakeDatabases["answer"]>[0]);
+        return answer === undefined ? [] : [answer];
+    }
+}
+
+class Collector implements Sink<Message> {
+    readonly accepts = [
+        HolderKind.Answer,
+        HolderKind.Reply,
+        HolderKind.FloorAnswer,
+        HolderKind.FloorReply,
+        HealthKind.DatabaseHealth,
+        HealthKind.OrderDone,
+        HealthKind.LeaseIdle,
+    ];
+    readonly seen: { readonly message: Message; readonly atMs: number; }[] = [];
+    onMessage: (message: Message, nowMs: number) => void = () => undefined;
+
+    deliver(message: Message, nowMs: number): void {
+        this.seen.push({ message, atMs: nowMs });
+        this.onMessage(message, nowMs);
+    }
+}
+
+export interface FixtureOptions {
+    readonly settings?: Partial<HolderSettings>;
+    readonly slots?: number;
+    readonly connectionLimit?: number;
+    readonly groupSize?: number;
+    readonly serviceMs?: number;
+    /** Databases this instance holds; the primary alone by default. */
+    readonly held?: readonly string[];
+}
+
+/** One group of databases `p`, `r1`, `r2` with primary `p`. */
+export class HolderFixture {
+    readonly clock = new VirtualClock();
+    readonly collector = new Collector();
+    readonly databases: FakeDatabases;
+    readonly loop: EventLoop;
+    private readonly options: FixtureOptions;
+    private nextRequest = 0;
+
+    constructor(options: FixtureOptions = {}) {
+        this.options = options;
+        const settings = { ...defaultHolderSettings, ...options.settings };
+        const random = new SeededRandom(1);
+        const network = new FakeNetwork();
+        this.databases = new FakeDatabases({
+            nowMs: () => this.clock.nowMs(),
+            postAt: (atMs, message) => this.loop.post({ kind: "fake.later", atMs, message } as Later),
+        });
+        network.databases = this.databases;
+        const holder = new Pipe("holder", [
+            new Monitor({ settings }),
+            new Orders({ settings }),
+            new Freshness({ settings }),
+            new Acquire({ settings, random }),
+            new Execute({ settings, random }),
+            new Floors({ settings }),
+            new Confirm({ settings }),
+        ]);
+        this.loop = new EventLoop({
+            clock: this.clock,
+            pipes: [holder, new Pipe("network", [network])],
+            sinks: [this.databases, this.collector],
+        });
+        this.addDatabases();
+    }
+
+    /** Announces the databases, renews the lease for a long time and lets connections open. */
+    start(): this {
+        this.announce();
+        this.renew(1_000_000);
+        this.run(50);
+        return this;
+    }
+
+    run(durationMs: number): void {
+        this.clock.advanceTo(this.clock.nowMs() + durationMs);
+    }
+
+    post(message: Message): void {
+        this.loop.post(message);
+    }
+
+    announce(change: Partial<DatabaseView> = {}): void {
+        const databases = [...this.databases.databases.keys()].map(id => ({ ...this.view(id), ...change }));
+        this.post({ kind: ClusterKind.DatabasesChanged, databases } as Message);
+    }
+
+    renew(validUntilMs: number, epoch = 1, held: readonly string[] = this.options.held ?? ["p"]): void {
+        const leases: LeaseAssignment[] = held.map(resourceId => ({
+            resource: ResourceKind.Database,
+            resourceId,
+            instanceId: "i1",
+            instanceAddress: "127.0.0.1:1",
+            epoch,
+        }));
+        this.post({ kind: ClusterKind.LeasesRenewed, leases, validUntilMs } as Message);
+    }
+
+    /** Posts a statement and returns its request id. */
+    send(text: string, parts: Partial<HolderRequest> = {}): string {
+        const request: HolderRequest = {
+            kind: HolderKind.Request,
+            origin: "",
+            requestId: `q${this.nextRequest++}`,
+            sessionId: "s1",
+            databaseId: "p",
+            callerId: "k1",
+            workspace: "w1",
+            workClass: "default",
+            statementKind: kindOf(text),
+            text,
+            floor: undefined,
+            deadlineMs: this.clock.nowMs() + 1_000,
+            idempotencyId: undefined,
+            repeatable: false,
+            pinned: false,
+            ...parts,
+        };
+        this.post(request);
+        return request.requestId;
+    }
+
+    /** Lets the replicas follow the primary every `intervalMs`. */
+    replicateUntil(untilMs: number, intervalMs = 1): void {
+        while (this.clock.nowMs() < untilMs) {
+            this.databases.replicate("p", "r1");
+            this.databases.replicate("p", "r2");
+            this.run(intervalMs);
+        }
+    }
+
+    answers(requestId: string): readonly (HolderAnswer | HolderReply)[] {
+        return this.collector.seen
+            .map(({ message }) => message as HolderAnswer)
+            .filter(({ kind }) => kind === HolderKind.Answer || (kind as string) === HolderKind.Reply)
+            .filter(answer => answer.requestId === requestId);
+    }
+
+    answer(requestId: string): HolderAnswer | HolderReply | undefined {
+        return this.answers(requestId)[0];
+    }
+
+    /** `done`, `rows`, or the code of the refusal; undefined without an answer. */
+    result(requestId: string): string | undefined {
+        const outcome = this.answer(requestId)?.outcome;
+        return outcome?.kind === OutcomeKind.Refused ? outcome.refusal.code : outcome?.kind;
+    }
+
+    /** What a refusal says of the statement; undefined for a success. */
+    execution(requestId: string): Execution | undefined {
+        const outcome = this.answer(requestId)?.outcome;
+        return outcome?.kind === OutcomeKind.Refused ? refusalTable[outcome.refusal.code].execution : undefined;
+    }
+
+    /** Messages of one kind that left the pipe. */
+    seen<Kind extends Message>(kind: Kind["kind"]): readonly Kind[] {
+        return this.collector.seen.map(({ message }) => message).filter(message => message.kind === kind) as Kind[];
+    }
+
+    private addDatabases(): void {
+        const { serviceMs = 1, groupSize = 3 } = this.options;
+        this.databases.add("p", DatabaseRole.Primary, serviceMs);
+        ["r1", "r2"].slice(0, groupSize - 1).forEach(id => this.databases.add(id, DatabaseRole.Replica, serviceMs));
+    }
+
+    private view(databaseId: string): DatabaseView {
+        const { slots = 3, connectionLimit = 20, groupSize = 3 } = this.options;
+        return {
+            databaseId,
+            groupId: "g",
+            service: "shop",
+            dataCentre: "dc1",
+            address: `${databaseId}:3306`,
+            slots,
+            connectionLimit,
+            role: this.databases.get(databaseId).role,
+            position: { term: 1, offset: 0 },
+            groupSize,
+            available: true,
+            holder: undefined,
+        };
+    }
+}
+
+function kindOf(text: string): StatementKind {
+    const kinds: Record<string, StatementKind> = {
+        SELECT: StatementKind.Read,
+        BEGIN: StatementKind.Begin,
+        COMMIT: StatementKind.Commit,
+        ROLLBACK: StatementKind.Rollback,
+        SET: StatementKind.SessionState,
+    };
+    return kinds[text.split(" ")[0]!.toUpperCase()] ?? StatementKind.Write;
+}
+
+/** Connections of the work pool, by their id. */
+export function isWorkLink(linkId: string): boolean {
+    return linkId.startsWith("work:");
+}
--- /dev/null
+++ b/src/holder/freshness.ts
@@ -0,0 +1,129 @@
+/** Filter that lets a read through once the database has reached the read's floor. */
+import { match } from "ts-pattern";
+import { ClusterKind, type DatabasesChanged, type DatabaseView } from "../model/clusterMessages.ts";
+import { DatabaseRole } from "../model/database.ts";
+import { HolderKind, type HolderRequest } from "../model/holderMessages.ts";
+import {
+    HolderPipeKind,
+    type HolderPositionKnown,
+    type HolderTimer,
+    type HolderWatchPosition,
+} from "../model/holderPipeMessages.ts";
+import { hasReached, type Position } from "../model/position.ts";
+import { RefusalCode } from "../model/refusal.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { answerRequest, refused, requestKey } from "./answers.ts";
+import type { HolderSettings } from "./holderSettings.ts";
+
+export interface FreshnessOptions {
+    readonly settings: HolderSettings;
+}
+
+type FreshnessInput =
+    | HolderRequest
+    | HolderPositionKnown
+    | HolderTimer<typeof HolderPipeKind.FreshnessDue>
+    | DatabasesChanged;
+
+export class Freshness implements Filter<FreshnessInput, Message> {
+    readonly step = "freshness";
+    readonly accepts = [
+        HolderKind.Request,
+        HolderPipeKind.PositionKnown,
+        HolderPipeKind.FreshnessDue,
+        ClusterKind.DatabasesChanged,
+    ];
+    private readonly settings: HolderSettings;
+    private readonly views = new Map<string, DatabaseView>();
+    private readonly positions = new Map<string, Position>();
+    private readonly waiting = new Map<string, Map<string, HolderRequest>>();
+
+    constructor(options: FreshnessOptions) {
+        this.settings = options.settings;
+    }
+
+    process(message: FreshnessInput, nowMs: number): readonly Message[] {
+        return match(message)
+            .with({ kind: HolderKind.Request }, request => this.check(request, nowMs))
+            .with({ kind: HolderPipeKind.PositionKnown }, known => [known, ...this.positionKnown(known)])
+            .with({ kind: HolderPipeKind.FreshnessDue }, timer => this.giveUp(timer.subject))
+            .with({ kind: ClusterKind.DatabasesChanged }, changed => {
+                this.updateViews(changed);
+                return [changed];
+            })
+            .exhaustive();
+    }
+
+    private check(request: HolderRequest, nowMs: number): readonly Message[] {
+        const { databaseId, floor } = request;
+        if (floor === undefined || this.isReached(databaseId, floor)) {
+            return [request];
+        }
+        const key = requestKey(request);
+        const waiting = this.waiting.get(databaseId) ?? new Map<string, HolderRequest>();
+        this.waiting.set(databaseId, waiting.set(key, request));
+        const waitMs = Math.max(0, request.deadlineMs - nowMs) * this.settings.freshnessWaitShare;
+        const due: HolderTimer = { kind: HolderPipeKind.FreshnessDue, subject: `${databaseId} ${key}` };
+        return [
+            setDeadline(`holder.freshness:${key}`, nowMs + waitMs, due),
+            ...(waiting.size === 1 ? [this.watch(databaseId, true)] : []),
+        ];
+    }
+
+    // All writes of a group pass the primary, so it has every floor of its own and of earlier terms.
+    private isReached(databaseId: string, floor: Position): boolean {
+        const position = this.positions.get(databaseId);
+        if (position === undefined) {
+            return false;
+        }
+        const isPrimary = this.views.get(databaseId)?.role === DatabaseRole.Primary;
+        return hasReached(position, floor) || (isPrimary && floor.term <= position.term);
+    }
+
+    private positionKnown({ databaseId, position }: HolderPositionKnown): readonly Message[] {
+        this.positions.set(databaseId, position);
+        const waiting = this.waiting.get(databaseId);
+        if (waiting === undefined) {
+            return [];
+        }
+        const ready = [...waiting].filter(([, request]) => this.isReached(databaseId, request.floor!));
+        return ready.flatMap(([key, request]) => [...this.leave(databaseId, key), request]);
+    }
+
+    private giveUp(subject: string): readonly Message[] {
+        const databaseId = subject.slice(0, subject.indexOf(" "));
+        const key = subject.slice(databaseId.length + 1);
+        const request = this.waiting.get(databaseId)?.get(key);
+        if (request === undefined) {
+            return [];
+        }
+        const outcome = refused(RefusalCode.NoFreshReplica, this.step, { peer: databaseId });
+        return [...this.leave(databaseId, key), answerRequest(request, outcome)];
+    }
+
+    private leave(databaseId: string, key: string): readonly Message[] {
+        const waiting = this.waiting.get(databaseId)!;
+        waiting.delete(key);
+        const isLast = waiting.size === 0;
+        if (isLast) {
+            this.waiting.delete(databaseId);
+        }
+        return [clearDeadline(`holder.freshness:${key}`), ...(isLast ? [this.watch(databaseId, false)] : [])];
+    }
+
+    private watch(databaseId: string, active: boolean): HolderWatchPosition {
+        return { kind: HolderPipeKind.WatchPosition, watcher: this.step, databaseId, active };
+    }
+
+    private updateViews(changed: DatabasesChanged): void {
+        this.views.clear();
+        changed.databases.forEach(view => this.views.set(view.databaseId, view));
+        for (const databaseId of this.positions.keys()) {
+            if (!this.views.has(databaseId)) {
+                this.positions.delete(databaseId);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/holder/linkKeeper.ts
@@ -0,0 +1,147 @@
+/** Opens, probes and closes the work connections of one database. */
+import {
+    type BackendClose,
+    BackendKind,
+    type BackendOpen,
+    type BackendReadPosition,
+} from "../model/backendMessages.ts";
+import type { DatabaseView } from "../model/clusterMessages.ts";
+import { DatabaseRole } from "../model/database.ts";
+import { HolderPipeKind } from "../model/holderPipeMessages.ts";
+import { setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import type { HolderSettings } from "./holderSettings.ts";
+import { type Link, LinkSet, LinkState } from "./linkSet.ts";
+
+/**
+ * Connections kept free for a position query and an order. A replica also serves the position queries of the instance
+ * that holds its primary.
+ */
+const reservedConnections = { [DatabaseRole.Primary]: 2, [DatabaseRole.Replica]: 3 };
+
+/** One connection more than slots is kept ready, so that a slot does not wait while a broken one is replaced. */
+const spareConnections = 1;
+
+/** Two failures in a row, the second on a fresh attempt, before waiting work is refused. */
+const failuresUntilUnreachable = 2;
+
+const firstBackoffMs = 50;
+const longestBackoffMs = 1_000;
+const checkIntervalMs = 1_000;
+
+export class LinkKeeper {
+    readonly links = new LinkSet();
+    private readonly settings: HolderSettings;
+    private readonly random: SeededRandom;
+    private readonly nextId: (prefix: string) => string;
+    private readonly probes = new Map<string, string>();
+    private view: DatabaseView;
+    private failures = 0;
+    private nextOpenMs = 0;
+
+    constructor(
+        view: DatabaseView,
+        settings: HolderSettings,
+        random: SeededRandom,
+        nextId: (prefix: string) => string,
+    ) {
+        this.view = view;
+        this.settings = settings;
+        this.random = random;
+        this.nextId = nextId;
+    }
+
+    update(view: DatabaseView): void {
+        this.view = view;
+    }
+
+    /** No connection is open and the last attempts failed. */
+    get unreachable(): boolean {
+        return this.failures >= failuresUntilUnreachable && !this.links.anyOpen;
+    }
+
+    /** Opens connections ahead of need, up to the limit. */
+    openAhead(nowMs: number): readonly Message[] {
+        const limit = Math.max(1, this.view.connectionLimit - reservedConnections[this.view.role]);
+        const wanted = this.view.slots + spareConnections;
+        const missing = Math.min(wanted - this.links.unowned, limit - this.links.size);
+        if (missing <= 0 || nowMs < this.nextOpenMs) {
+            return [];
+        }
+        // After a failure one attempt is enough to see whether the database is back.
+        return Array.from({ length: this.failures > 0 ? 1 : missing }, () => this.open(nowMs));
+    }
+
+    opened(link: Link, nowMs: number): void {
+        this.failures = 0;
+        this.nextOpenMs = 0;
+        this.links.setState(link, LinkState.Idle, nowMs);
+    }
+
+    openFailed(link: Link, nowMs: number): readonly Message[] {
+        this.links.remove(link);
+        this.failures++;
+        const backoffMs = Math.min(longestBackoffMs, firstBackoffMs * 2 ** (this.failures - 1));
+        this.nextOpenMs = nowMs + backoffMs * (0.5 + 0.5 * this.random.nextShare());
+        return [this.timer(this.nextOpenMs)];
+    }
+
+    close(link: Link, nowMs: number): readonly BackendClose[] {
+        if (link.state === LinkState.Closing) {
+            return [];
+        }
+        this.links.setState(link, LinkState.Closing, nowMs);
+        this.probes.delete(link.linkId);
+        return [{ kind: BackendKind.Close, linkId: link.linkId }];
+    }
+
+    probed(link: Link, executionId: string, nowMs: number): void {
+        if (link.state === LinkState.Probing && this.probes.get(link.linkId) === executionId) {
+            this.probes.delete(link.linkId);
+            this.links.setState(link, LinkState.Idle, nowMs);
+        }
+    }
+
+    /** Probes idle connections and closes silent ones. */
+    check(nowMs: number): readonly Message[] {
+        const effects = this.links.all.flatMap(link => this.checkLink(link, nowMs));
+        return [...effects, this.timer(nowMs + checkIntervalMs)];
+    }
+
+    private checkLink(link: Link, nowMs: number): readonly Message[] {
+        const ageMs = nowMs - link.sinceMs;
+        if (link.state === LinkState.Probing && ageMs >= this.settings.probeTimeoutMs) {
+            return this.close(link, nowMs);
+        }
+        if (link.state !== LinkState.Idle) {
+            return [];
+        }
+        if (link.owner !== undefined) {
+            return ageMs >= this.settings.idleTransactionLimitMs && link.inTransaction ? this.close(link, nowMs) : [];
+        }
+        return ageMs >= this.settings.probeIdleMs ? [this.probe(link, nowMs)] : [];
+    }
+
+    private probe(link: Link, nowMs: number): BackendReadPosition {
+        this.links.setState(link, LinkState.Probing, nowMs);
+        const executionId = this.nextId("probe");
+        this.probes.set(link.linkId, executionId);
+        return { kind: BackendKind.ReadPosition, linkId: link.linkId, executionId };
+    }
+
+    private open(nowMs: number): BackendOpen {
+        const linkId = this.nextId("work");
+        this.links.add(linkId, nowMs);
+        const { databaseId, address } = this.view;
+        return { kind: BackendKind.Open, linkId, databaseId, address, timeoutMs: this.settings.openTimeoutMs };
+    }
+
+    private timer(atMs: number): Message {
+        const { databaseId } = this.view;
+        return setDeadline(`holder.links:${databaseId}`, atMs, {
+            kind: HolderPipeKind.LinksDue,
+            subject: databaseId,
+        } as Message);
+    }
+}
--- /dev/null
+++ b/src/holder/linkSet.ts
@@ -0,0 +1,129 @@
+/** The work connections of one database. */
+import type { HolderRequest } from "../model/holderMessages.ts";
+
+export const LinkState = {
+    Opening: "opening",
+    Idle: "idle",
+    Running: "running",
+    Probing: "probing",
+    /** Asked to close; counts until the database side has ended. */
+    Closing: "closing",
+} as const;
+export type LinkState = typeof LinkState[keyof typeof LinkState];
+
+/** One work connection. */
+export interface Link {
+    readonly linkId: string;
+    state: LinkState;
+    /** Session whose state the connection keeps; nobody else may use it. */
+    owner: string | undefined;
+    inTransaction: boolean;
+    sessionState: boolean;
+    /** What runs on it. */
+    running: HolderRequest | undefined;
+    /** The session of the running statement ended meanwhile. */
+    sessionEnded: boolean;
+    /** Time of the last change of state. */
+    sinceMs: number;
+}
+
+export class LinkSet {
+    private readonly links = new Map<string, Link>();
+    /** The connection used last is used next, so that surplus ones stay idle and are probed. */
+    private readonly free: Link[] = [];
+    private readonly byOwner = new Map<string, Link>();
+    private runningCount = 0;
+
+    add(linkId: string, nowMs: number): void {
+        this.links.set(linkId, {
+            linkId,
+            state: LinkState.Opening,
+            owner: undefined,
+            inTransaction: false,
+            sessionState: false,
+            running: undefined,
+            sessionEnded: false,
+            sinceMs: nowMs,
+        });
+    }
+
+    get(linkId: string): Link | undefined {
+        return this.links.get(linkId);
+    }
+
+    ownedBy(session: string): Link | undefined {
+        return this.byOwner.get(session);
+    }
+
+    setState(link: Link, state: LinkState, nowMs: number): void {
+        this.leaveState(link);
+        link.state = state;
+        link.sinceMs = nowMs;
+        if (state === LinkState.Running) {
+            this.runningCount++;
+        }
+        else if (state === LinkState.Idle && link.owner === undefined) {
+            this.free.push(link);
+        }
+    }
+
+    /** Gives the connection to a session, or to nobody; only while it is not idle. */
+    setOwner(link: Link, owner: string | undefined): void {
+        if (link.owner !== undefined) {
+            this.byOwner.delete(link.owner);
+        }
+        link.owner = owner;
+        if (owner !== undefined) {
+            this.byOwner.set(owner, link);
+        }
+    }
+
+    remove(link: Link): void {
+        this.leaveState(link);
+        this.setOwner(link, undefined);
+        this.links.delete(link.linkId);
+    }
+
+    /** An idle connection without an owner. */
+    get firstFree(): Link | undefined {
+        return this.free.at(-1);
+    }
+
+    get size(): number {
+        return this.links.size;
+    }
+
+    get running(): number {
+        return this.runningCount;
+    }
+
+    get owned(): number {
+        return this.byOwner.size;
+    }
+
+    /** Connections that are open or opening and that keep nobody's state. */
+    get unowned(): number {
+        return [...this.links.values()]
+            .filter(link => link.owner === undefined && link.state !== LinkState.Closing)
+            .length;
+    }
+
+    /** Whether any connection is open and not about to close. */
+    get anyOpen(): boolean {
+        return [...this.links.values()]
+            .some(link => link.state !== LinkState.Opening && link.state !== LinkState.Closing);
+    }
+
+    get all(): readonly Link[] {
+        return [...this.links.values()];
+    }
+
+    private leaveState(link: Link): void {
+        if (link.state === LinkState.Running) {
+            this.runningCount--;
+        }
+        else if (link.state === LinkState.Idle && link.owner === undefined) {
+            this.free.splice(this.free.lastIndexOf(link), 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/holder/waitingWork.ts
@@ -0,0 +1,75 @@
+/** Statements that wait on one database, with their wait timers. */
+import type { HolderRequest } from "../model/holderMessages.ts";
+import { HolderPipeKind, type HolderTimer } from "../model/holderPipeMessages.ts";
+import { type ClearDeadline, clearDeadline, type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import { requestKey, sessionOf } from "./answers.ts";
+import { WorkQueue } from "./workQueue.ts";
+
+export class WaitingWork {
+    private readonly queue = new WorkQueue();
+    /** Statements of sessions that keep a connection; they run first because they block it. */
+    private readonly pinned: HolderRequest[] = [];
+    private readonly byKey = new Map<string, HolderRequest>();
+
+    add(request: HolderRequest, costMs: number): SetDeadline {
+        this.queue.add(request, costMs);
+        return this.remember(request);
+    }
+
+    /** Adds a statement whose session keeps a connection. */
+    addPinned(request: HolderRequest): SetDeadline {
+        this.pinned.push(request);
+        return this.remember(request);
+    }
+
+    /** The first statement of a session with a connection for which `canRun` holds; it stays in the queue. */
+    findPinned(canRun: (request: HolderRequest) => boolean): HolderRequest | undefined {
+        return this.pinned.find(canRun);
+    }
+
+    /** Removes and returns the statement that runs next on a connection without an owner. */
+    take(): HolderRequest | undefined {
+        return this.queue.take();
+    }
+
+    /** Removes a statement and its timer. */
+    leave(request: HolderRequest): ClearDeadline {
+        const key = requestKey(request);
+        const index = this.pinned.indexOf(request);
+        if (index >= 0) {
+            this.pinned.splice(index, 1);
+        }
+        else {
+            this.queue.remove(request);
+        }
+        this.byKey.delete(key);
+        return clearDeadline(`holder.wait:${key}`);
+    }
+
+    get(key: string): HolderRequest | undefined {
+        return this.byKey.get(key);
+    }
+
+    ofSession(session: string): readonly HolderRequest[] {
+        return this.all.filter(request => sessionOf(request) === session);
+    }
+
+    costAheadMs(request: HolderRequest): number {
+        return this.queue.costAheadMs(request);
+    }
+
+    get all(): readonly HolderRequest[] {
+        return [...this.byKey.values()];
+    }
+
+    get isEmpty(): boolean {
+        return this.byKey.size === 0;
+    }
+
+    private remember(request: HolderRequest): SetDeadline {
+        const key = requestKey(request);
+        this.byKey.set(key, request);
+        const due: HolderTimer = { kind: HolderPipeKind.WaitDue, subject: key };
+        return setDeadline(`holder.wait:${key}`, request.deadlineMs, due);
+    }
+}
--- /dev/null
+++ b/src/holder/workQueue.ts
@@ -0,0 +1,68 @@
+/** Statements that wait for a slot of one database: earliest deadline first across classes, fair inside a class. */
+import type { HolderRequest } from "../model/holderMessages.ts";
+import { FairQueue } from "./fairQueue.ts";
+
+export class WorkQueue {
+    private readonly classes = new Map<string, FairQueue<HolderRequest>>();
+
+    add(request: HolderRequest, costMs: number): void {
+        let queue = this.classes.get(request.workClass);
+        if (queue === undefined) {
+            queue = new FairQueue();
+            this.classes.set(request.workClass, queue);
+        }
+        queue.add(request.workspace, request, costMs);
+    }
+
+    /** Removes and returns the statement that runs next. */
+    take(): HolderRequest | undefined {
+        let first: FairQueue<HolderRequest> | undefined;
+        let firstDeadlineMs = Infinity;
+        for (const queue of this.classes.values()) {
+            const deadlineMs = queue.peek()?.deadlineMs ?? Infinity;
+            if (deadlineMs < firstDeadlineMs) {
+                first = queue;
+                firstDeadlineMs = deadlineMs;
+            }
+        }
+        const request = first?.take();
+        this.dropEmpty(request);
+        return request;
+    }
+
+    remove(request: HolderRequest): void {
+        this.classes.get(request.workClass)?.remove(request.workspace, request);
+        this.dropEmpty(request);
+    }
+
+    /** Expected service time of what runs before `request` if it is added now. */
+    costAheadMs(request: HolderRequest): number {
+        let sumMs = 0;
+        for (const [workClass, queue] of this.classes) {
+            if (workClass === request.workClass) {
+                sumMs += queue.costAheadMs(request.workspace);
+            }
+            else if ((queue.peek()?.deadlineMs ?? Infinity) <= request.deadlineMs) {
+                sumMs += queue.totalCostMs;
+            }
+        }
+        return sumMs;
+    }
+
+    /** Removes and returns everything. */
+    takeAll(): readonly HolderRequest[] {
+        const requests = [...this.classes.values()].flatMap(queue => queue.items);
+        this.classes.clear();
+        return requests;
+    }
+
+    get isEmpty(): boolean {
+        return this.classes.size === 0;
+    }
+
+    private dropEmpty(request: HolderRequest | undefined): void {
+        if (request !== undefined && this.classes.get(request.workClass)?.peek() === undefined) {
+            this.classes.delete(request.workClass);
+        }
+    }
+}
--- a/src/model/holderMessages.ts
+++ b/src/model/holderMessages.ts
@@ -50,6 +50,11 @@
     readonly idempotencyId: string | undefined;
     /** The statement may be sent again when its outcome is unknown. */
     readonly repeatable: boolean;
+    /**
+     * The session's last answer said `pinned` or `inTransaction`. The holder then never runs the statement on another
+     * connection, for example after the database changed its holder. Undefined when the sender does not know.
+     */
+    readonly pinned?: boolean;
 }
 
 /** A statement for a database that another instance holds. */
