feat(frontend): exact cells, binary columns and refusals of unserved commands

Cause: mysql2's server side writes all cells in one encoding, needs null for SQL NULL, raises stmt_prepare for text that begins with SET, and leaves unknown commands unanswered. Change: cells are written one byte per character after UTF-8 encoding; commands that are not served get an error. Conclusion: two makes of client work, and a NULL or a binary cell arrives unchanged.

--- /dev/null
+++ b/src/frontend/__tests__/mysqlFrontend.spec.ts
@@ -0,0 +1,196 @@
+import "disposablestack/auto";
+import mariadb, { type SqlError } from "mariadb";
+import mysql from "mysql2/promise";
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { describe, it } from "node:test";
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import { emptyConfiguration } from "../../model/configuration.ts";
+import { OutcomeKind } from "../../model/outcome.ts";
+import { RefusalCode, refuse } from "../../model/refusal.ts";
+import { StatementKind } from "../../model/statement.ts";
+import { EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Filter } from "../../pipeline/filter.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { AcceptFilter } from "../../request/accept.ts";
+import { AnswerFilter } from "../../request/answer.ts";
+import { AuthenticateFilter } from "../../request/authenticate.ts";
+import { ClassifyFilter } from "../../request/classify.ts";
+import { type AnsweredRequest, type ClassifiedRequest, RequestKind } from "../../request/requestMessages.ts";
+import { SystemClock } from "../../wiring/systemClock.ts";
+import { MysqlFrontend } from "../mysqlFrontend.ts";
+import { doubleSha1Hex, NativePasswordVerifier } from "../proofVerifier.ts";
+
+const keyId = "key-1";
+const secret = "a secret of the caller";
+
+/** Stands in for everything behind classification. */
+class FakeDatabase implements Filter<ClassifiedRequest, AnsweredRequest> {
+    readonly step = "fake";
+    readonly accepts = [RequestKind.Classified];
+    private inTransaction = false;
+
+    process(request: ClassifiedRequest): readonly AnsweredRequest[] {
+        if (request.statementKind === StatementKind.Begin || request.statementKind === StatementKind.Commit) {
+            this.inTransaction = request.statementKind === StatementKind.Begin;
+        }
+        const { connectionId, sequence } = request;
+        const { inTransaction } = this;
+        const outcome = this.outcomeOf(request);
+        return [{
+            kind: RequestKind.Answered,
+            connectionId,
+            sequence,
+            outcome,
+            inTransaction,
+            request,
+            startedAtMs: 0,
+        }];
+    }
+
+    private outcomeOf({ statementKind, text }: ClassifiedRequest): AnsweredRequest["outcome"] {
+        if (text.includes("missing")) {
+            const refusal = refuse(RefusalCode.DatabaseFailed, "execute", {
+                detail: "no table größe",
+                databaseErrno: 1_146,
+            });
+            return { kind: OutcomeKind.Refused, refusal };
+        }
+        if (statementKind === StatementKind.Read) {
+            const columns = [
+                { name: "id", type: 3, characterSet: 63, flags: 0 },
+                { name: "größe", type: 253, characterSet: 45, flags: 0 },
+                { name: "photo", type: 252, characterSet: 63, flags: 0 },
+            ];
+            return { kind: OutcomeKind.Rows, columns, rows: [["1", "grün 🌿", "\xff\x00\x80"], ["2", undefined, ""]] };
+        }
+        return { kind: OutcomeKind.Done, affectedRows: 3, insertId: 7 };
+    }
+}
+
+async function withFrontend(run: (port: number) => Promise<void>): Promise<void> {
+    const verifier = new NativePasswordVerifier();
+    const filters = [
+        new AcceptFilter({ maximumConnections: 100, maximumStatementBytes: 10_000 }),
+        new AuthenticateFilter(verifier),
+        new ClassifyFilter(),
+        new FakeDatabase(),
+        new AnswerFilter(),
+    ];
+    const frontend = new MysqlFrontend({
+        host: "127.0.0.1",
+        port: 0,
+        serverVersion: "8.0.0-test",
+        post: message => loop.post(message),
+    });
+    const ignored = { accepts: [RequestKind.SessionEnded], deliver: () => undefined };
+    const loop = new EventLoop({
+        clock: new SystemClock(),
+        pipes: [new Pipe("request", filters)],
+        sinks: [frontend, ignored],
+    });
+    const configuration = {
+        ...emptyConfiguration,
+        workspaces: [{ name: "shop", ratePerSecond: 1, burst: 1, keyValidityMs: 1e9, version: 1 }],
+        keys: [{ id: keyId, workspace: "shop", doubleSha1Hex: doubleSha1Hex(secret), version: 1 }],
+    };
+    loop.post({ kind: ClusterKind.ConfigurationApplied, configuration } as never);
+    loop.post({ kind: ClusterKind.ConfigurationProved, version: 0, provedAtMs: performance.now() } as never);
+    await using stack = new AsyncDisposableStack();
+    stack.use(loop);
+    stack.use(frontend);
+    await frontend.listen();
+    await run(frontend.port);
+}
+
+describe("MySQL front end", () => {
+    it("serves a client of another make, with rows, errors and a true transaction status", async () => {
+        await withFrontend(async port => {
+            const caller = await mariadb.createConnection({
+                host: "127.0.0.1",
+                port,
+                user: keyId,
+                password: secret,
+                database: "boards",
+            });
+            const rows = await caller.query("SELECT * FROM boards");
+            assert.deepEqual([...rows], [
+                { id: 1, größe: "grün 🌿", photo: Buffer.from([0xff, 0, 0x80]) },
+                // eslint-disable-next-line no-restricted-syntax
+                { id: 2, größe: null, photo: Buffer.alloc(0) },
+            ]);
+            const done = await caller.query("INSERT INTO boards VALUES (1)");
+            assert.equal(done.affectedRows, 3);
+            await caller.beginTransaction();
+            await caller.ping();
+            await caller.commit();
+            await assert.rejects(caller.query("SELECT * FROM missing /* größe */"), (error: SqlError) => {
+                assert.match(error.message, /ran and failed: .*no table größe.*step=execute/);
+                return error.errno === 1_146;
+            });
+            await assert.rejects(
+                caller.query("SELECT 1 /*class='unheard'*/"),
+                (error: SqlError) => error.errno === 9_002 && /not run/.test(error.message),
+            );
+            await caller.end();
+        });
+    });
+
+    it("refuses a wrong secret and an unknown key with the same error", async () => {
+        await withFrontend(async port => {
+            for (const [user, password] of [[keyId, "wrong"], ["key-2", secret], [keyId, ""]] as const) {
+                const options = { host: "127.0.0.1", port, user, password, database: "boards" };
+                await assert.rejects(
+                    mariadb.createConnection(options),
+                    (error: SqlError) => error.errno === 1_045,
+                );
+            }
+        });
+    });
+
+    it("answers what it does not serve, so that no client waits for ever, without sequence warnings", async t => {
+        const warnings = t.mock.method(console, "warn");
+        await withFrontend(async port => {
+            const caller = await mysql.createConnection({
+                host: "127.0.0.1",
+                port,
+                user: keyId,
+                password: secret,
+                database: "boards",
+            });
+            await assert.rejects(caller.execute("SELECT 1"), { errno: 1_295 });
+            await assert.rejects(caller.changeUser({ user: "x" }));
+            caller.destroy();
+            const second = await mysql.createConnection({ host: "127.0.0.1", port, user: keyId, password: secret });
+            await second.query("SELECT 1");
+            await second.ping();
+            await assert.rejects(second.query(`SELECT '${"x".repeat(10_000)}'`), { errno: 1_153 });
+            await assert.rejects((second as unknown as { reset(): Promise<void>; }).reset());
+            second.destroy();
+        });
+        assert.deepEqual(warnings.mock.calls.map(call => call.arguments[0]), []);
+    });
+
+    it("survives garbage instead of a handshake", async () => {
+        await withFrontend(async port => {
+            for (let seed = 1; seed <= 40; seed++) {
+                const bytes = Buffer.from(
+                    Array.from({ length: 64 }, (_, index) => (seed * 31 + index * seed * 7) % 256),
+                );
+                await sendGarbage(port, bytes);
+            }
+            const caller = await mariadb.createConnection({ host: "127.0.0.1", port, user: keyId, password: secret });
+            await caller.query("SELECT 1");
+            await caller.end();
+        });
+    });
+});
+
+function sendGarbage(port: number, bytes: Buffer): Promise<void> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1", () => socket.end(bytes));
+        socket.on("data", () => undefined);
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve());
+    });
+}
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -1,4 +1,6 @@
 /** The MySQL front end: sockets and protocol on the callers' side. Decides nothing. */
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { match } from "ts-pattern";
 import {
     type CallerAnswer,
@@ -15,11 +17,11 @@
 import {
     type AuthenticationCallback,
     type AuthenticationParameters,
-    createMysqlServer,
-    type MysqlServer,
     type ServerConnection,
     type ServerError,
+    toServerConnection,
 } from "./serverConnection.ts";
+import { rowEncoding } from "./wireText.ts";
 import { writeOutcome } from "./writeOutcome.ts";
 
 export interface MysqlFrontendOptions {
@@ -52,7 +54,7 @@
     readonly accepts = [CallerKind.LoginResult, CallerKind.Answer, CallerKind.Disconnect];
     private readonly options: MysqlFrontendOptions;
     private readonly callers = new Map<number, Caller>();
-    private server: MysqlServer | undefined;
+    private server: Server | undefined;
     private nextConnectionId = 1;
 
     constructor(options: MysqlFrontendOptions) {
@@ -61,12 +63,15 @@
 
     /** Starts listening. Fails when the address is in use. */
     async listen(): Promise<void> {
-        const server = createMysqlServer(connection => this.accept(connection));
+        const server = createServer(socket => this.accept(socket));
+        server.listen(this.options.port, this.options.host);
+        await once(server, "listening");
         this.server = server;
-        await new Promise<void>((resolve, reject) => {
-            server.on("error", reject);
-            server.listen(this.options.port, this.options.host, resolve);
-        });
+    }
+
+    /** Port that was bound; 0 before `listen`. */
+    get port(): number {
+        return (this.server?.address() as AddressInfo | undefined)?.port ?? 0;
     }
 
     get connectionCount(): number {
@@ -87,7 +92,7 @@
 
     /** Stops listening for new connections; open ones go on. */
     stopListening(): void {
-        this.server?.close(() => undefined);
+        this.server?.close();
         this.server = undefined;
     }
 
@@ -97,7 +102,8 @@
         this.callers.clear();
     }
 
-    private accept(connection: ServerConnection): void {
+    private accept(socket: Socket): void {
+        const connection = toServerConnection(socket);
         const connectionId = this.nextConnectionId++;
         const caller: Caller = {
             connection,
@@ -129,9 +135,13 @@
         connection.on("query", (text: string) => this.receive(connectionId, caller, text));
         connection.on("ping", () => this.writeOk(caller));
         connection.on("init_db", () => this.writeRefusal(caller, unsupported("changing the service; connect anew")));
-        connection.on("stmt_prepare", () => this.writeRefusal(caller, preparedUnsupported));
+        connection.on("stmt_prepare", (text: string) => this.takePrepare(connectionId, caller, text));
         connection.on("field_list", () => this.writeRefusal(caller, unsupported("COM_FIELD_LIST")));
-        connection.on("packet", (packet: { peekByte?(): number; }) => this.takeUnknownCommand(caller, packet));
+        connection.on("packet", (_packet: unknown, known: boolean, command: number) => {
+            if (!known) {
+                this.refuseCommand(caller, command);
+            }
+        });
         connection.on("quit", () => connection.stream.end());
         // A caller that goes away raises an error first; the end of the stream reports it.
         connection.on("error", () => connection.stream.destroy());
@@ -139,9 +149,20 @@
     }
 
     /** mysql2 leaves a command that it does not know without an answer, and the client would wait for ever. */
-    private takeUnknownCommand(caller: Caller, packet: { peekByte?(): number; }): void {
-        if (packet.peekByte?.() === resetConnectionCommand) {
-            this.writeRefusal(caller, unsupported("COM_RESET_CONNECTION; open a new connection"));
+    private refuseCommand(caller: Caller, command: number): void {
+        const name = command === resetConnectionCommand
+            ? "COM_RESET_CONNECTION; open a new connection"
+            : `command ${command}`;
+        this.writeRefusal(caller, unsupported(name));
+    }
+
+    /** mysql2 raises this event for text statements that begin with SET or PREPARE as well. */
+    private takePrepare(connectionId: number, caller: Caller, text: string): void {
+        if (/^\s*SET\s/i.test(text)) {
+            this.receive(connectionId, caller, text);
+        }
+        else {
+            this.writeRefusal(caller, preparedUnsupported);
         }
     }
 
@@ -172,6 +193,8 @@
         }
         done(undefined, refusal && toServerError(refusal));
         caller.connection.sequenceId = 0;
+        // The library takes the encoding of rows from the caller's handshake, which has just been read.
+        caller.connection.serverConfig.encoding = rowEncoding;
         if (refusal === undefined) {
             caller.connection.stream.setTimeout(0);
         }
--- a/src/frontend/serverConnection.ts
+++ b/src/frontend/serverConnection.ts
@@ -1,6 +1,7 @@
 /** The part of mysql2's server side that the front end uses; the library ships no types for it. */
 import mysql from "mysql2";
 import type { EventEmitter } from "node:events";
+import type { Socket } from "node:net";
 
 export interface AuthenticationParameters {
     readonly user?: string;
@@ -36,7 +37,9 @@
 
 export interface ServerConnection extends EventEmitter {
     sequenceId: number;
-    readonly stream: import("node:net").Socket;
+    /** Exists from the handshake on; `encoding` is that of the cells that are written. */
+    readonly serverConfig: { encoding: string; };
+    readonly stream: Socket;
     serverHandshake(options: {
         readonly protocolVersion: number;
         readonly serverVersion: string;
@@ -55,15 +58,9 @@
     writeColumns(columns: readonly ColumnDefinition[]): void;
     writeTextRow(row: readonly unknown[]): void;
     writeEof(warnings?: number, statusFlags?: number): void;
-    close(): void;
 }
 
-export interface MysqlServer extends EventEmitter {
-    listen(port: number, host: string, listening: () => void): void;
-    close(closed: () => void): void;
-}
-
-/** Creates a listener; `accepted` runs for each connection before the handshake. */
-export function createMysqlServer(accepted: (connection: ServerConnection) => void): MysqlServer {
-    return mysql.createServer(accepted as never) as unknown as MysqlServer;
+/** Wraps an accepted socket. */
+export function toServerConnection(socket: Socket): ServerConnection {
+    return mysql.createConnection({ stream: socket, isServer: true } as object) as unknown as ServerConnection;
 }
--- a/src/frontend/writeOutcome.ts
+++ b/src/frontend/writeOutcome.ts
@@ -2,8 +2,10 @@
 import { type DoneOutcome, OutcomeKind, type RowsOutcome } from "../model/outcome.ts";
 import { serverStatus } from "./capabilities.ts";
 import type { ColumnDefinition, ServerConnection } from "./serverConnection.ts";
+import { toWireText } from "./wireText.ts";
 
 const maximumColumnLength = 0xffff;
+const binaryCharacterSet = 63;
 
 /** Writes a result set or an OK with the session's true status. */
 export function writeOutcome(
@@ -17,11 +19,20 @@
         return;
     }
     connection.writeColumns(outcome.columns.map(toDefinition));
-    // The library writes undefined as SQL NULL.
-    outcome.rows.forEach(row => connection.writeTextRow(row));
+    const isBinary = outcome.columns.map(column => column.characterSet === binaryCharacterSet);
+    outcome.rows.forEach(row => connection.writeTextRow(row.map((cell, index) => toCell(cell, isBinary[index]!))));
     connection.writeEof(0, status);
 }
 
+/** The library marks SQL NULL with null. Binary cells hold one character per byte already. */
+function toCell(cell: string | undefined, isBinary: boolean): string | null {
+    if (cell === undefined) {
+        // eslint-disable-next-line no-restricted-syntax
+        return null;
+    }
+    return isBinary ? cell : toWireText(cell);
+}
+
 function toDefinition(column: RowsOutcome["columns"][number]): ColumnDefinition {
     return {
         catalog: "def",
