feat(rates): permit home, shares between data centres, and admission by permits

Cause: a workspace's rate and burst hold over all instances together, while statements arrive at every instance.

Change: GrantPermits holds the token bucket of a share by lease, DivideRate moves shares at the control leader, and AdmitRequests lets statements wait for permits within their deadline. A question for permits also tells the home what is still held of earlier grants, because unexpired permits count against the burst and would otherwise limit a workspace to its burst per 220 ms. A model in virtual time runs the real filters with faults.

--- /dev/null
+++ b/bench/clusterInstance.ts
@@ -0,0 +1,110 @@
+/** One instance of the rate model: the product's filters in the product's event loop, on a clock of its own. */
+import { ClusterKind, type ConfigurationApplied } from "../src/model/clusterMessages.ts";
+import type { Configuration } from "../src/model/configuration.ts";
+import { clockDriftShare, leaseMs } from "../src/model/lease.ts";
+import { type PermitForward, PermitKind, type PermitReply } from "../src/model/permitMessages.ts";
+import { RateKind, type RatesDemandMeasured } from "../src/model/rateMessages.ts";
+import { EventLoop } from "../src/pipeline/eventLoop.ts";
+import type { Message } from "../src/pipeline/message.ts";
+import { Pipe } from "../src/pipeline/pipe.ts";
+import type { Sink } from "../src/pipeline/sink.ts";
+import { GrantPermits } from "../src/rates/grantPermits.ts";
+import { AdmitKind, AdmitRequests } from "../src/request/admit.ts";
+import { InstanceClock, type Simulation } from "./simulation.ts";
+
+/** Where the effects of an instance go. */
+export interface InstanceEffects {
+    admitted(arrivalId: number): void;
+    refused(arrivalId: number): void;
+    forward(from: ClusterInstance, message: PermitForward): void;
+    reply(from: ClusterInstance, message: PermitReply): void;
+    demand(from: ClusterInstance, message: RatesDemandMeasured): void;
+}
+
+export interface ClusterInstanceOptions {
+    readonly simulation: Simulation;
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly life: number;
+    readonly clockSpeed: number;
+    readonly refillShare: number | undefined;
+    readonly effects: InstanceEffects;
+}
+
+export class ClusterInstance {
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly clock: InstanceClock;
+    alive = true;
+    private version = 0;
+    private readonly loop: EventLoop;
+
+    constructor(options: ClusterInstanceOptions) {
+        this.id = options.id;
+        this.dataCentre = options.dataCentre;
+        this.clock = new InstanceClock(options.simulation, options.clockSpeed, 1_000 * options.life);
+        const { id: instanceId, dataCentre, effects, refillShare } = options;
+        const grant = new GrantPermits({ dataCentre, ...(refillShare === undefined ? {} : { refillShare }) });
+        this.loop = new EventLoop({
+            clock: this.clock,
+            pipes: [
+                new Pipe("request", [
+                    new AdmitRequests({ instanceId, dataCentre, incarnation: `${instanceId}.${options.life}` }),
+                ]),
+                new Pipe("rate", [grant]),
+            ],
+            sinks: this.sinks(effects),
+        });
+    }
+
+    post(message: Message): void {
+        if (this.alive) {
+            this.loop.post(message);
+        }
+    }
+
+    /** Ends the instance without any notice. */
+    kill(): void {
+        this.alive = false;
+        void this.loop[Symbol.asyncDispose]();
+    }
+
+    applyConfiguration(configuration: Configuration): void {
+        if (configuration.version > this.version) {
+            this.version = configuration.version;
+            const applied: ConfigurationApplied = { kind: ClusterKind.ConfigurationApplied, configuration };
+            this.post(applied);
+        }
+    }
+
+    /** Takes the leader's answer to a heartbeat that was sent at `sentMs` of the simulation. */
+    renewLeases(configuration: Configuration, sentMs: number): void {
+        const sentLocalMs = this.clock.localMs(sentMs);
+        if (configuration.version <= this.version) {
+            this.post({
+                kind: ClusterKind.ConfigurationProved,
+                version: configuration.version,
+                provedAtMs: sentLocalMs,
+            } as Message);
+        }
+        this.post({
+            kind: ClusterKind.LeasesRenewed,
+            leases: configuration.leases.filter(lease => lease.instanceId === this.id),
+            validUntilMs: sentLocalMs + leaseMs * (1 - clockDriftShare),
+        } as Message);
+    }
+
+    private sinks(effects: InstanceEffects): readonly Sink[] {
+        return [
+            sink(AdmitKind.Admitted, message => effects.admitted(message.connectionId as number)),
+            sink(AdmitKind.Refused, message => effects.refused(message.connectionId as number)),
+            sink(PermitKind.Forward, message => effects.forward(this, message as unknown as PermitForward)),
+            sink(PermitKind.Reply, message => effects.reply(this, message as unknown as PermitReply)),
+            sink(RateKind.DemandMeasured, message => effects.demand(this, message as unknown as RatesDemandMeasured)),
+        ];
+    }
+}
+
+function sink(kind: string, deliver: (message: Record<string, unknown>) => void): Sink {
+    return { accepts: [kind], deliver: message => deliver(message as unknown as Record<string, unknown>) };
+}
--- /dev/null
+++ b/bench/simulation.ts
@@ -0,0 +1,79 @@
+/** Virtual time shared by several event loops, each with its own clock. */
+import { DeadlineQueue, setDeadline } from "../src/pipeline/deadlineQueue.ts";
+import type { Clock } from "../src/pipeline/eventLoop.ts";
+import type { Message } from "../src/pipeline/message.ts";
+
+interface Action extends Message {
+    readonly run: () => void;
+}
+
+/** Runs actions in the order of their times; equal times in the order in which they were added. */
+export class Simulation {
+    private readonly queue = new DeadlineQueue();
+    private timeMs = 0;
+    private nextKey = 0;
+
+    get nowMs(): number {
+        return this.timeMs;
+    }
+
+    at(timeMs: number, run: () => void): void {
+        const action: Action = { kind: "action", run };
+        this.queue.apply(setDeadline(`${this.nextKey++}`, Math.max(timeMs, this.timeMs), action));
+    }
+
+    after(delayMs: number, run: () => void): void {
+        this.at(this.timeMs + delayMs, run);
+    }
+
+    runUntil(untilMs: number): void {
+        for (let dueMs = this.queue.earliestMs(); dueMs !== undefined && dueMs <= untilMs;) {
+            this.timeMs = dueMs;
+            (this.queue.takeDue(dueMs) as Action).run();
+            dueMs = this.queue.earliestMs();
+        }
+        this.timeMs = untilMs;
+    }
+}
+
+/** Clock of one instance; `speed` 1.1 gains 10%. */
+export class InstanceClock implements Clock {
+    private readonly simulation: Simulation;
+    private readonly speed: number;
+    private readonly offsetMs: number;
+    private wakeNumber = 0;
+
+    constructor(simulation: Simulation, speed: number, offsetMs: number) {
+        this.simulation = simulation;
+        this.speed = speed;
+        this.offsetMs = offsetMs;
+    }
+
+    nowMs(): number {
+        return this.offsetMs + this.simulation.nowMs * this.speed;
+    }
+
+    /** Local time at `simulationMs`. */
+    localMs(simulationMs: number): number {
+        return this.offsetMs + simulationMs * this.speed;
+    }
+
+    soon(run: () => void): void {
+        this.simulation.after(0, run);
+    }
+
+    wakeAt(atMs: number, run: () => void): void {
+        const number = ++this.wakeNumber;
+        // Rounded up, because a wake-up that comes early by the error of floating point would repeat without end.
+        const atSimulationMs = Math.ceil((atMs - this.offsetMs) / this.speed * 1_000 + 0.001) / 1_000;
+        this.simulation.at(atSimulationMs, () => {
+            if (number === this.wakeNumber) {
+                run();
+            }
+        });
+    }
+
+    cancelWake(): void {
+        this.wakeNumber++;
+    }
+}
--- a/src/model/permitMessages.ts
+++ b/src/model/permitMessages.ts
@@ -22,10 +22,14 @@
     readonly requestId: string;
     readonly instanceId: string;
     readonly workspace: string;
-    /** Statements that wait now. */
+    /** Permits asked for: statements that wait now, and those expected until the next question. */
     readonly wanted: number;
     /** Permits of earlier grants that expired unused since the last request. */
     readonly returned: number;
+    /** Request id of the last grant that reached this instance; empty before the first. */
+    readonly settledRequestId: string;
+    /** Permits of all earlier grants that are still unused and valid. */
+    readonly held: number;
 }
 
 export interface PermitForward extends Omit<PermitRequest, "kind" | "origin"> {
@@ -39,12 +43,12 @@
     readonly granted: number;
     /** Earliest time, from now, at which asking again can bring more; 0 when all that was wanted was granted. */
     readonly retryAfterMs: number;
+    /** False when the home could not be reached or does not hold its lease. */
+    readonly answered: boolean;
 }
 
 export interface PermitGranted extends GrantBody {
     readonly kind: typeof PermitKind.Granted;
-    /** False when the home could not be reached or does not hold its lease. */
-    readonly answered: boolean;
 }
 
 export interface PermitReply extends GrantBody {
--- /dev/null
+++ b/src/rates/divideRate.ts
@@ -0,0 +1,174 @@
+/** Moves shares of workspaces' rates between data centres with demand; active at the control leader only. */
+import { match } from "ts-pattern";
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlLeaderChanged,
+    type ControlProposalEnded,
+    type ControlPropose,
+    ProposalStatus,
+} from "../model/controlMessages.ts";
+import { ResourceKind } from "../model/lease.ts";
+import { parsePermitResourceId } from "../model/permitResource.ts";
+import { demandIntervalMs, RateKind, type RatesDemand, type RatesTimer } from "../model/rateMessages.ts";
+import type { Workspace } from "../model/workspace.ts";
+import { type ClearDeadline, clearDeadline, type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import { planShares } from "./planShares.ts";
+import { ShareLedger } from "./shareLedger.ts";
+import { noShare } from "./shareTable.ts";
+
+type Input = RatesDemand | RatesTimer | ConfigurationApplied | ControlLeaderChanged | ControlProposalEnded;
+type Output = Input | ControlPropose | SetDeadline | ClearDeadline;
+
+/** Time without a report after which a data centre counts as cut off; three missed reports. */
+const reportLifeMs = 3 * demandIntervalMs;
+
+interface Proposed {
+    readonly workspace: string;
+    /** Configuration version that holds the result; Infinity while the result is not known. */
+    readonly doneAtVersion: number;
+}
+
+export class DivideRate implements Filter<Input, Output> {
+    readonly step = "divideRate";
+    readonly accepts = [
+        RateKind.Demand,
+        RateKind.DivideDue,
+        ClusterKind.ConfigurationApplied,
+        ControlKind.LeaderChanged,
+        ControlKind.ProposalEnded,
+    ];
+    private readonly ledgers = new Map<string, ShareLedger>();
+    /** Proposals on their way or not yet part of the applied configuration, by id. */
+    private readonly proposed = new Map<string, Proposed>();
+    private configuration: Configuration = emptyConfiguration;
+    private term = 0;
+    private leading = false;
+    private nextProposal = 0;
+
+    process(message: Input, nowMs: number): readonly Output[] {
+        return match(message)
+            .with({ kind: RateKind.Demand }, demand => this.report(demand, nowMs))
+            .with({ kind: RateKind.DivideDue }, () => this.divide(nowMs))
+            .with({ kind: RateKind.MeasureDue }, other => [other])
+            .with({ kind: ClusterKind.ConfigurationApplied }, applied => this.configure(applied))
+            .with({ kind: ControlKind.LeaderChanged }, changed => this.changeLeader(changed, nowMs))
+            .with({ kind: ControlKind.ProposalEnded }, ended => this.endProposal(ended))
+            .exhaustive();
+    }
+
+    private changeLeader(changed: ControlLeaderChanged, nowMs: number): readonly Output[] {
+        if (changed.leading && this.leading && changed.term === this.term) {
+            return [changed];
+        }
+        this.leading = changed.leading;
+        this.term = changed.term;
+        this.ledgers.clear();
+        this.proposed.clear();
+        this.recordShares();
+        return [changed, changed.leading ? this.divideLater(nowMs) : clearDeadline(RateKind.DivideDue)];
+    }
+
+    private configure(applied: ConfigurationApplied): readonly Output[] {
+        this.configuration = applied.configuration;
+        this.recordShares();
+        for (const [proposalId, { doneAtVersion }] of this.proposed) {
+            if (doneAtVersion <= applied.configuration.version) {
+                this.proposed.delete(proposalId);
+            }
+        }
+        return [applied];
+    }
+
+    private report(demand: RatesDemand, nowMs: number): readonly Output[] {
+        const { dataCentre, wantedPerSecond, versionInForce } = demand;
+        this.ledgers.get(demand.workspace)?.report(dataCentre, wantedPerSecond, versionInForce, nowMs);
+        return [];
+    }
+
+    /** Takes the shares of the applied configuration into the ledgers. */
+    private recordShares(): void {
+        if (!this.leading) {
+            return;
+        }
+        const { version, leases, rateShares, workspaces } = this.configuration;
+        for (const workspace of workspaces) {
+            if (!this.ledgers.has(workspace.name)) {
+                this.ledgers.set(workspace.name, new ShareLedger(version));
+            }
+        }
+        for (const share of rateShares) {
+            this.ledgers.get(share.workspace)?.record(share.dataCentre, version, {
+                ratePerSecond: share.ratePerSecond,
+                burst: share.burst,
+            });
+        }
+        for (const lease of leases.filter(candidate => candidate.resource === ResourceKind.Permits)) {
+            const { workspace, dataCentre } = parsePermitResourceId(lease.resourceId);
+            const ledger = this.ledgers.get(workspace);
+            if (ledger !== undefined && !ledger.dataCentres.includes(dataCentre)) {
+                ledger.record(dataCentre, version, noShare);
+            }
+        }
+    }
+
+    private divide(nowMs: number): readonly Output[] {
+        if (!this.leading) {
+            return [];
+        }
+        const inFlight = new Set([...this.proposed.values()].map(({ workspace }) => workspace));
+        const proposals = this.configuration.workspaces
+            .filter(workspace => !inFlight.has(workspace.name))
+            .flatMap(workspace => this.propose(workspace, nowMs));
+        return [...proposals, this.divideLater(nowMs)];
+    }
+
+    private propose(workspace: Workspace, nowMs: number): readonly ControlPropose[] {
+        const ledger = this.ledgers.get(workspace.name);
+        if (ledger === undefined || ledger.dataCentres.length === 0) {
+            return [];
+        }
+        const shares = planShares(workspace, ledger, nowMs - reportLifeMs);
+        if (shares === undefined) {
+            return [];
+        }
+        const proposalId = `rates-${this.term}-${this.nextProposal++}`;
+        this.proposed.set(proposalId, { workspace: workspace.name, doneAtVersion: Infinity });
+        return [{
+            kind: ControlKind.Propose,
+            proposalId,
+            operationId: "",
+            command: {
+                kind: CommandKind.SetRateShares,
+                workspace: workspace.name,
+                workspaceVersion: workspace.version,
+                shares,
+            },
+        }];
+    }
+
+    // After an unknown end the proposal may still be applied. The workspace then rests until the next change of
+    // leader, which ends every doubt; a new plan made now could give the same part of the rate out twice.
+    private endProposal(ended: ControlProposalEnded): readonly Output[] {
+        const proposal = this.proposed.get(ended.proposalId);
+        if (proposal === undefined) {
+            return [ended];
+        }
+        const isPending = ended.status === ProposalStatus.Applied
+            && ended.configurationVersion > this.configuration.version;
+        if (isPending) {
+            this.proposed.set(ended.proposalId, { ...proposal, doneAtVersion: ended.configurationVersion });
+        }
+        else if (ended.status !== ProposalStatus.Unknown) {
+            this.proposed.delete(ended.proposalId);
+        }
+        return [];
+    }
+
+    private divideLater(nowMs: number): SetDeadline {
+        return setDeadline(RateKind.DivideDue, nowMs + demandIntervalMs, { kind: RateKind.DivideDue });
+    }
+}
--- /dev/null
+++ b/src/rates/grantPermits.ts
@@ -0,0 +1,148 @@
+/** Permit home: grants permits for the workspaces whose permit lease this instance holds. */
+import { match } from "ts-pattern";
+import {
+    ClusterKind,
+    type ConfigurationApplied,
+    type ConfigurationProved,
+    type LeasesRenewed,
+} from "../model/clusterMessages.ts";
+import { emptyConfiguration } from "../model/configuration.ts";
+import { clockDriftShare, type LeaseAssignment, ResourceKind } from "../model/lease.ts";
+import { type PermitGranted, PermitKind, type PermitReply, type PermitRequest } from "../model/permitMessages.ts";
+import { parsePermitResourceId, permitResourceId } from "../model/permitResource.ts";
+import { demandIntervalMs, RateKind, type RatesDemandMeasured, type RatesTimer } from "../model/rateMessages.ts";
+import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import { PermitHome } from "./permitHome.ts";
+import { ShareTable } from "./shareTable.ts";
+
+export interface GrantPermitsOptions {
+    readonly dataCentre: string;
+    /**
+     * Part of the rate at which tokens arrive. The default keeps the rate when this instance's clock runs fast by
+     * the drift that leases allow for; the workspace then gets at most 91% of its rate by an exact clock.
+     */
+    readonly refillShare?: number;
+}
+
+type Input = PermitRequest | ConfigurationApplied | ConfigurationProved | LeasesRenewed | RatesTimer;
+type Output = PermitGranted | PermitReply | RatesDemandMeasured | SetDeadline | Input;
+
+/** Advice to an entry instance that asked an instance without the lease or a proved configuration. */
+const notHomeRetryMs = 50;
+
+export class GrantPermits implements Filter<Input, Output> {
+    readonly step = "grantPermits";
+    readonly accepts = [
+        PermitKind.Request,
+        ClusterKind.ConfigurationApplied,
+        ClusterKind.ConfigurationProved,
+        ClusterKind.LeasesRenewed,
+        RateKind.MeasureDue,
+    ];
+    private readonly dataCentre: string;
+    private readonly refillShare: number;
+    private readonly homes = new Map<string, PermitHome>();
+    private leases: readonly LeaseAssignment[] = [];
+    private validUntilMs = -Infinity;
+    private table = new ShareTable(emptyConfiguration);
+    private proved = false;
+    private measuring = false;
+
+    constructor(options: GrantPermitsOptions) {
+        this.dataCentre = options.dataCentre;
+        this.refillShare = options.refillShare ?? 1 / (1 + clockDriftShare);
+    }
+
+    process(message: Input, nowMs: number): readonly Output[] {
+        return match(message)
+            .with({ kind: PermitKind.Request }, request => [this.answer(request, nowMs)])
+            .with({ kind: ClusterKind.LeasesRenewed }, renewed => [renewed, ...this.renew(renewed, nowMs)])
+            .with({ kind: ClusterKind.ConfigurationApplied }, applied => [applied, ...this.configure(applied, nowMs)])
+            .with({ kind: ClusterKind.ConfigurationProved }, provedNow => this.prove(provedNow, nowMs))
+            .with({ kind: RateKind.MeasureDue }, () => this.measure(nowMs))
+            .with({ kind: RateKind.DivideDue }, other => [other])
+            .exhaustive();
+    }
+
+    private answer(request: PermitRequest, nowMs: number): PermitGranted | PermitReply {
+        const home = this.homes.get(permitResourceId(request.workspace, this.dataCentre));
+        const answered = home !== undefined && nowMs < this.validUntilMs;
+        const body = {
+            requestId: request.requestId,
+            workspace: request.workspace,
+            answered,
+            ...(answered ? home.answer(request, nowMs) : { granted: 0, retryAfterMs: notHomeRetryMs }),
+        };
+        return request.origin === ""
+            ? { kind: PermitKind.Granted, ...body }
+            : { kind: PermitKind.Reply, origin: request.origin, ...body };
+    }
+
+    private renew(renewed: LeasesRenewed, nowMs: number): readonly SetDeadline[] {
+        this.leases = renewed.leases.filter(lease => lease.resource === ResourceKind.Permits);
+        this.validUntilMs = renewed.validUntilMs;
+        return this.adopt(nowMs);
+    }
+
+    private configure(applied: ConfigurationApplied, nowMs: number): readonly SetDeadline[] {
+        this.table = new ShareTable(applied.configuration);
+        for (const [resourceId, home] of this.homes) {
+            this.applyShare(resourceId, home, nowMs);
+        }
+        return this.adopt(nowMs);
+    }
+
+    // After a restart the first configuration may come from a control member that lags; the share in it may since
+    // have been reduced and given to another data centre.
+    private prove(message: ConfigurationProved, nowMs: number): readonly Output[] {
+        this.proved ||= message.version <= this.table.version;
+        return [message, ...this.adopt(nowMs)];
+    }
+
+    /** Starts a home for each lease that is new, and ends those whose lease is gone. */
+    private adopt(nowMs: number): readonly SetDeadline[] {
+        const wanted = new Map(
+            this.leases.filter(lease => this.isAgreed(lease)).map(lease => [lease.resourceId, lease]),
+        );
+        for (const [resourceId, home] of this.homes) {
+            if (wanted.get(resourceId)?.epoch !== home.epoch) {
+                this.homes.delete(resourceId);
+            }
+        }
+        for (const [resourceId, lease] of wanted) {
+            if (!this.homes.has(resourceId)) {
+                const home = new PermitHome({ epoch: lease.epoch, startMs: nowMs, refillShare: this.refillShare });
+                this.homes.set(resourceId, home);
+                this.applyShare(resourceId, home, nowMs);
+            }
+        }
+        return this.homes.size > 0 && !this.measuring ? [this.measureLater(nowMs)] : [];
+    }
+
+    // A lease may arrive before the configuration that assigns it. That configuration holds every reduction of the
+    // share which an earlier home has reported as in force.
+    private isAgreed(lease: LeaseAssignment): boolean {
+        return this.proved && this.table.epochOf(lease.resourceId) === lease.epoch;
+    }
+
+    private applyShare(resourceId: string, home: PermitHome, nowMs: number): void {
+        home.applyShare(this.table.shareOf(resourceId), this.table.version, nowMs);
+    }
+
+    private measure(nowMs: number): readonly Output[] {
+        this.measuring = false;
+        if (this.homes.size === 0) {
+            return [];
+        }
+        const demands = nowMs >= this.validUntilMs
+            ? []
+            : [...this.homes].map(([id, home]) => ({ ...parsePermitResourceId(id), ...home.measure(nowMs) }));
+        return [{ kind: RateKind.DemandMeasured, demands }, this.measureLater(nowMs)];
+    }
+
+    private measureLater(nowMs: number): SetDeadline {
+        this.measuring = true;
+        return setDeadline(RateKind.MeasureDue, nowMs + demandIntervalMs, { kind: RateKind.MeasureDue });
+    }
+}
--- /dev/null
+++ b/src/rates/permitHome.ts
@@ -0,0 +1,95 @@
+/** Permits of one workspace in one data centre, from the takeover of its lease to the end of it. */
+import { clockDriftShare } from "../model/lease.ts";
+import { permitValidityMs } from "../model/permitMessages.ts";
+import { AskerQueue } from "./askerQueue.ts";
+import { noShare, type Share } from "./shareTable.ts";
+import { TokenBucket } from "./tokenBucket.ts";
+
+export interface PermitQuestion {
+    readonly instanceId: string;
+    readonly requestId: string;
+    readonly wanted: number;
+    readonly returned: number;
+    readonly settledRequestId: string;
+    readonly held: number;
+}
+
+export interface PermitHomeOptions {
+    readonly epoch: number;
+    readonly startMs: number;
+    readonly refillShare: number;
+}
+
+/** Bounds of the advised pause between two questions: enough to batch, short against the validity of a permit. */
+const shortestRetryMs = 5;
+const longestRetryMs = 250;
+
+/** Work that an instance brings together before it asks again while permits are scarce. */
+const batchMs = 20;
+
+/** Weight of the latest interval in the smoothed demand. */
+const demandWeight = 0.5;
+
+export class PermitHome {
+    readonly epoch: number;
+    private readonly bucket: TokenBucket;
+    private readonly askers = new AskerQueue();
+    private share: Share = noShare;
+    private latestVersion = 0;
+    private versionInForce = 0;
+    private granted = 0;
+    private measuredMs: number;
+    private smoothedDemand = 0;
+
+    constructor(options: PermitHomeOptions) {
+        this.epoch = options.epoch;
+        this.measuredMs = options.startMs;
+        this.bucket = new TokenBucket({
+            startMs: options.startMs,
+            outstandingMs: permitValidityMs * (1 + clockDriftShare),
+            refillShare: options.refillShare,
+        });
+    }
+
+    applyShare(share: Share, version: number, nowMs: number): void {
+        this.share = share;
+        this.bucket.setShare(share.ratePerSecond, share.burst, nowMs);
+        this.latestVersion = version;
+    }
+
+    /** Grants what the share and the turns of other instances allow. */
+    answer(question: PermitQuestion, nowMs: number): { readonly granted: number; readonly retryAfterMs: number; } {
+        const { instanceId, requestId, wanted } = question;
+        this.bucket.settle(instanceId, question.settledRequestId, question.held, nowMs);
+        const granted = this.askers.allot(instanceId, wanted, this.bucket.available(nowMs), nowMs);
+        if (granted > 0) {
+            this.bucket.grant(instanceId, requestId, granted, nowMs);
+        }
+        this.askers.record(instanceId, wanted, granted, nowMs);
+        this.granted += granted - Math.min(question.returned, this.granted + granted);
+        return {
+            granted,
+            retryAfterMs: granted === wanted ? 0 : this.retryAfterMs(instanceId, wanted - granted, nowMs),
+        };
+    }
+
+    /** Demand since the last call, and the version in force. */
+    measure(nowMs: number): { readonly wantedPerSecond: number; readonly versionInForce: number; } {
+        const seconds = Math.max(0.001, (nowMs - this.measuredMs) / 1_000);
+        // What was refused for lack of permits is not seen here; what waits now stands for one second of it.
+        const latest = this.granted / seconds + this.askers.unmet(nowMs);
+        this.smoothedDemand += demandWeight * (latest - this.smoothedDemand);
+        this.granted = 0;
+        this.measuredMs = nowMs;
+        if (this.bucket.shareInForce(nowMs)) {
+            this.versionInForce = this.latestVersion;
+        }
+        return { wantedPerSecond: Math.max(latest, this.smoothedDemand), versionInForce: this.versionInForce };
+    }
+
+    private retryAfterMs(instanceId: string, unmet: number, nowMs: number): number {
+        const batch = Math.max(1, Math.min(unmet, Math.floor(this.share.ratePerSecond * batchMs / 1_000)));
+        const needed = this.askers.reservedAhead(instanceId, batch) + batch;
+        return Math.min(longestRetryMs, Math.max(shortestRetryMs, Math.ceil(this.bucket.delayMs(needed, nowMs))));
+    }
+}
--- /dev/null
+++ b/src/rates/shareTable.ts
@@ -0,0 +1,61 @@
+/** Lookup of what a permit home needs from one configuration. */
+import type { Configuration } from "../model/configuration.ts";
+import { ResourceKind } from "../model/lease.ts";
+import { permitResourceId } from "../model/permitResource.ts";
+
+export interface Share {
+    readonly ratePerSecond: number;
+    readonly burst: number;
+}
+
+export const noShare: Share = { ratePerSecond: 0, burst: 0 };
+
+/** Built once per configuration, because homes look up every lease of theirs at each heartbeat. */
+export class ShareTable {
+    readonly version: number;
+    private readonly shares = new Map<string, Share>();
+    private readonly epochs = new Map<string, number>();
+
+    constructor(configuration: Configuration) {
+        this.version = configuration.version;
+        for (const lease of configuration.leases) {
+            if (lease.resource === ResourceKind.Permits) {
+                this.epochs.set(lease.resourceId, lease.epoch);
+            }
+        }
+        this.addShares(configuration);
+    }
+
+    /** Agreed epoch of the lease of a permit home. */
+    epochOf(resourceId: string): number | undefined {
+        return this.epochs.get(resourceId);
+    }
+
+    /** Share of the permit home with this resource id. */
+    shareOf(resourceId: string): Share {
+        return this.shares.get(resourceId) ?? noShare;
+    }
+
+    // After a reduction of the workspace's rate the recorded shares exceed it until the leader has divided it again;
+    // every home then scales its share down by the same factor.
+    private addShares(configuration: Configuration): void {
+        const sums = new Map<string, Share>();
+        for (const { workspace, ratePerSecond, burst } of configuration.rateShares) {
+            const sum = sums.get(workspace) ?? noShare;
+            sums.set(workspace, { ratePerSecond: sum.ratePerSecond + ratePerSecond, burst: sum.burst + burst });
+        }
+        const totals = new Map(configuration.workspaces.map(workspace => [workspace.name, workspace]));
+        for (const { workspace, dataCentre, ratePerSecond, burst } of configuration.rateShares) {
+            const total = totals.get(workspace) ?? noShare;
+            const sum = sums.get(workspace)!;
+            this.shares.set(permitResourceId(workspace, dataCentre), {
+                ratePerSecond: scaledDown(ratePerSecond, sum.ratePerSecond, total.ratePerSecond),
+                burst: scaledDown(burst, sum.burst, total.burst),
+            });
+        }
+    }
+}
+
+function scaledDown(part: number, sum: number, limit: number): number {
+    return sum <= limit ? part : part * limit / sum;
+}
--- /dev/null
+++ b/src/request/admit.ts
@@ -0,0 +1,381 @@
+/** Admits statements against permits of their workspace; statements without one wait within their deadline. */
+import { match } from "ts-pattern";
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import { clockDriftShare, type LeaseAssignment, ResourceKind } from "../model/lease.ts";
+import {
+    type PermitForward,
+    type PermitGranted,
+    PermitKind,
+    type PermitRequest,
+    permitValidityMs,
+} from "../model/permitMessages.ts";
+import { parsePermitResourceId } from "../model/permitResource.ts";
+import { type Refusal, RefusalCode, refuse } from "../model/refusal.ts";
+import { StatementKind } from "../model/statement.ts";
+import { clearDeadline, type DeadlineMessage, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+
+export const AdmitKind = {
+    Classified: "request.classified",
+    SessionEnded: "request.session_ended",
+    Admitted: "request.admitted",
+    Refused: "request.refused",
+    /** Timer: the deadline of a waiting statement. */
+    DeadlinePassed: "admit.deadline_passed",
+    /** Timer: the time to ask again for permits. */
+    AskDue: "admit.ask_due",
+} as const;
+
+/** What this filter reads of a classified statement; every other field passes through unchanged. */
+export interface ClassifiedStatement extends Message {
+    readonly kind: typeof AdmitKind.Classified;
+    readonly connectionId: number;
+    readonly sequence: number;
+    readonly workspace: string;
+    /** Local monotonic time by which the statement must have been sent to a database. */
+    readonly deadlineMs: number;
+    readonly statementKind: StatementKind;
+    readonly inTransaction: boolean;
+}
+
+export type AdmittedStatement<Statement extends ClassifiedStatement> = Omit<Statement, "kind"> & {
+    readonly kind: typeof AdmitKind.Admitted;
+};
+
+export interface AdmitRefused extends Message {
+    readonly kind: typeof AdmitKind.Refused;
+    readonly connectionId: number;
+    readonly sequence: number;
+    readonly refusal: Refusal;
+}
+
+export interface SessionEnded extends Message {
+    readonly kind: typeof AdmitKind.SessionEnded;
+    readonly connectionId: number;
+}
+
+interface DeadlinePassed extends Message {
+    readonly kind: typeof AdmitKind.DeadlinePassed;
+    readonly connectionId: number;
+    readonly sequence: number;
+}
+
+interface AskDue extends Message {
+    readonly kind: typeof AdmitKind.AskDue;
+    readonly workspace: string;
+}
+
+type Input =
+    | ClassifiedStatement
+    | SessionEnded
+    | PermitGranted
+    | ConfigurationApplied
+    | DeadlinePassed
+    | AskDue;
+
+export interface AdmitOptions {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    /** Differs between lives of a process, so that an answer to a former life is not taken for a new one. */
+    readonly incarnation: string;
+}
+
+/** Use of a permit ends early enough that a slow local clock does not extend it beyond its validity. */
+const usableMs = permitValidityMs * (1 - clockDriftShare);
+
+/** Pause after a question that the home did not answer. */
+const unansweredRetryMs = 25;
+
+/** Permits are asked for the work of this time ahead, well within their validity. */
+const aheadMs = 60;
+
+/** Time constant of the measured rate of arrivals. */
+const rateMemoryMs = 500;
+
+interface Lot {
+    count: number;
+    readonly validUntilMs: number;
+}
+
+interface Question {
+    readonly requestId: string;
+    readonly sentMs: number;
+}
+
+/** State of one workspace. It exists while statements wait, permits are held or arrivals were recent. */
+class WorkspaceLine<Statement extends ClassifiedStatement> {
+    /** Statements of open transactions go first: they hold a slot and locks. */
+    readonly inTransaction = new Map<number, Statement>();
+    readonly others = new Map<number, Statement>();
+    lots: Lot[] = [];
+    question: Question | undefined;
+    nextAskMs = 0;
+    /** Time of the timer that asks again. */
+    askDueMs = 0;
+    settledRequestId = "";
+    expired = 0;
+    /** The home's advice while it grants less than is asked; 0 while the workspace is not known to be short. */
+    shortRetryMs = 0;
+    private arrivals = 0;
+    private arrivalsMs = 0;
+
+    get waiting(): number {
+        return this.inTransaction.size + this.others.size;
+    }
+
+    add(statement: Statement): void {
+        (statement.inTransaction ? this.inTransaction : this.others).set(statement.connectionId, statement);
+    }
+
+    remove(connectionId: number): void {
+        this.inTransaction.delete(connectionId);
+        this.others.delete(connectionId);
+    }
+
+    countArrival(nowMs: number): void {
+        this.arrivals = this.recentArrivals(nowMs) + 1;
+        this.arrivalsMs = nowMs;
+    }
+
+    /** Statements expected within `aheadMs`. */
+    expected(nowMs: number): number {
+        return Math.floor(this.recentArrivals(nowMs) * aheadMs / rateMemoryMs);
+    }
+
+    held(nowMs: number): number {
+        const valid = this.lots.filter(lot => lot.validUntilMs > nowMs);
+        this.expired += sumCounts(this.lots) - sumCounts(valid);
+        this.lots = valid;
+        return sumCounts(valid);
+    }
+
+    /** Takes the statements that can be admitted now. */
+    takeReady(nowMs: number): readonly Statement[] {
+        const count = Math.min(this.held(nowMs), this.waiting);
+        const ready: Statement[] = [];
+        for (const queue of [this.inTransaction, this.others]) {
+            for (const [connectionId, statement] of queue) {
+                if (ready.length === count) {
+                    break;
+                }
+                queue.delete(connectionId);
+                ready.push(statement);
+            }
+        }
+        this.use(count);
+        return ready;
+    }
+
+    private use(count: number): void {
+        let left = count;
+        for (const lot of this.lots) {
+            const used = Math.min(lot.count, left);
+            lot.count -= used;
+            left -= used;
+        }
+        this.lots = this.lots.filter(lot => lot.count > 0);
+    }
+
+    private recentArrivals(nowMs: number): number {
+        return this.arrivals * Math.exp((this.arrivalsMs - nowMs) / rateMemoryMs);
+    }
+}
+
+export class AdmitRequests<Statement extends ClassifiedStatement = ClassifiedStatement>
+    implements Filter<Input, Message> {
+    readonly step = "admit";
+    readonly accepts = [
+        AdmitKind.Classified,
+        AdmitKind.SessionEnded,
+        PermitKind.Granted,
+        ClusterKind.ConfigurationApplied,
+        AdmitKind.DeadlinePassed,
+        AdmitKind.AskDue,
+    ];
+    private readonly options: AdmitOptions;
+    private readonly lines = new Map<string, WorkspaceLine<Statement>>();
+    /** Workspace of each connection whose statement waits. */
+    private readonly workspaceOf = new Map<number, string>();
+    private homes = new Map<string, LeaseAssignment>();
+    private nextRequest = 0;
+
+    constructor(options: AdmitOptions) {
+        this.options = options;
+    }
+
+    process(message: Input, nowMs: number): readonly Message[] {
+        return match(message)
+            .with({ kind: AdmitKind.Classified }, statement => this.arrive(statement as Statement, nowMs))
+            .with({ kind: PermitKind.Granted }, granted => this.receive(granted, nowMs))
+            .with({ kind: AdmitKind.AskDue }, due => this.serve(due.workspace, nowMs))
+            .with({ kind: AdmitKind.DeadlinePassed }, passed => this.expire(passed))
+            .with({ kind: AdmitKind.SessionEnded }, ended => [ended, ...this.drop(ended.connectionId)])
+            .with({ kind: ClusterKind.ConfigurationApplied }, applied => this.configure(applied, nowMs))
+            .exhaustive();
+    }
+
+    private arrive(statement: Statement, nowMs: number): readonly Message[] {
+        const line = this.lineOf(statement.workspace);
+        line.countArrival(nowMs);
+        line.add(statement);
+        this.workspaceOf.set(statement.connectionId, statement.workspace);
+        const outputs = this.serve(statement.workspace, nowMs);
+        return this.workspaceOf.has(statement.connectionId) ? [...outputs, ...this.limitWait(statement)] : outputs;
+    }
+
+    // COMMIT and ROLLBACK end the use of a slot and of locks: refusing one would keep both longer than its wait does.
+    private limitWait(statement: Statement): readonly DeadlineMessage[] {
+        const { connectionId, sequence, statementKind } = statement;
+        if (statementKind === StatementKind.Commit || statementKind === StatementKind.Rollback) {
+            return [];
+        }
+        const passed: DeadlinePassed = { kind: AdmitKind.DeadlinePassed, connectionId, sequence };
+        return [setDeadline(deadlineKey(connectionId), statement.deadlineMs, passed)];
+    }
+
+    private receive(granted: PermitGranted, nowMs: number): readonly Message[] {
+        const line = this.lines.get(granted.workspace);
+        if (line?.question?.requestId !== granted.requestId) {
+            return [];
+        }
+        const { sentMs } = line.question;
+        line.question = undefined;
+        line.shortRetryMs = granted.answered ? granted.retryAfterMs : 0;
+        if (granted.granted > 0) {
+            line.settledRequestId = granted.requestId;
+            line.lots.push({ count: granted.granted, validUntilMs: sentMs + usableMs });
+        }
+        line.nextAskMs = nowMs + (granted.answered ? granted.retryAfterMs : unansweredRetryMs);
+        return this.serve(granted.workspace, nowMs);
+    }
+
+    /** Admits what it can, and asks for more permits when they run low. */
+    private serve(workspace: string, nowMs: number): readonly Message[] {
+        const line = this.lines.get(workspace);
+        if (line === undefined) {
+            return [];
+        }
+        const admitted = line.takeReady(nowMs).flatMap(statement => this.admit(statement));
+        return [...admitted, ...this.ask(workspace, line, nowMs)];
+    }
+
+    private admit(statement: Statement): readonly Message[] {
+        this.workspaceOf.delete(statement.connectionId);
+        const admitted: AdmittedStatement<Statement> = { ...statement, kind: AdmitKind.Admitted };
+        return [clearDeadline(deadlineKey(statement.connectionId)), admitted];
+    }
+
+    private ask(workspace: string, line: WorkspaceLine<Statement>, nowMs: number): readonly Message[] {
+        const held = line.held(nowMs);
+        const expected = line.expected(nowMs);
+        const needsMore = line.waiting > 0 || held < expected / 2;
+        const home = this.homes.get(workspace);
+        if (!needsMore || home === undefined) {
+            return [];
+        }
+        const blockedUntilMs = line.question === undefined ? line.nextAskMs : line.question.sentMs + permitValidityMs;
+        if (nowMs < blockedUntilMs) {
+            return line.waiting > 0 && line.askDueMs !== blockedUntilMs
+                ? [askLater(workspace, line, blockedUntilMs)]
+                : [];
+        }
+        if (line.question !== undefined) {
+            line.shortRetryMs = 0;
+        }
+        const requestId = `${this.options.incarnation}-${this.nextRequest++}`;
+        line.question = { requestId, sentMs: nowMs };
+        const wanted = line.waiting + Math.max(0, expected - held);
+        const body = {
+            requestId,
+            instanceId: this.options.instanceId,
+            workspace,
+            wanted,
+            returned: line.expired,
+            settledRequestId: line.settledRequestId,
+            held,
+        };
+        line.expired = 0;
+        return [toHome(body, home, this.options.instanceId), askLater(workspace, line, nowMs + permitValidityMs)];
+    }
+
+    private expire(passed: DeadlinePassed): readonly Message[] {
+        const workspace = this.workspaceOf.get(passed.connectionId);
+        const line = workspace === undefined ? undefined : this.lines.get(workspace);
+        if (line === undefined) {
+            return [];
+        }
+        this.drop(passed.connectionId);
+        const isShort = line.shortRetryMs > 0;
+        const refusal = isShort
+            ? refuse(RefusalCode.RateExceeded, this.step, { retryAfterMs: line.shortRetryMs })
+            : refuse(RefusalCode.WaitExceeded, this.step, { detail: "no answer from the permit home" });
+        const { connectionId, sequence } = passed;
+        const refused: AdmitRefused = { kind: AdmitKind.Refused, connectionId, sequence, refusal };
+        return [refused];
+    }
+
+    private drop(connectionId: number): readonly DeadlineMessage[] {
+        const workspace = this.workspaceOf.get(connectionId);
+        if (workspace === undefined) {
+            return [];
+        }
+        this.workspaceOf.delete(connectionId);
+        this.lines.get(workspace)?.remove(connectionId);
+        return [clearDeadline(deadlineKey(connectionId))];
+    }
+
+    private configure(applied: ConfigurationApplied, nowMs: number): readonly Message[] {
+        const { leases, workspaces } = applied.configuration;
+        this.homes = new Map(
+            leases.filter(lease => lease.resource === ResourceKind.Permits)
+                .map(lease => ({ lease, ...parsePermitResourceId(lease.resourceId) }))
+                .filter(({ dataCentre }) => dataCentre === this.options.dataCentre)
+                .map(({ lease, workspace }) => [workspace, lease]),
+        );
+        const known = new Set(workspaces.map(workspace => workspace.name));
+        const outputs: Message[] = [applied];
+        for (const [workspace, line] of this.lines) {
+            if (line.waiting > 0) {
+                outputs.push(...this.serve(workspace, nowMs));
+            }
+            else if (!known.has(workspace)) {
+                this.lines.delete(workspace);
+            }
+        }
+        return outputs;
+    }
+
+    private lineOf(workspace: string): WorkspaceLine<Statement> {
+        let line = this.lines.get(workspace);
+        if (line === undefined) {
+            line = new WorkspaceLine();
+            this.lines.set(workspace, line);
+        }
+        return line;
+    }
+}
+
+function toHome(
+    body: Omit<PermitRequest, "kind" | "origin">,
+    home: LeaseAssignment,
+    instanceId: string,
+): PermitRequest | PermitForward {
+    return home.instanceId === instanceId
+        ? { kind: PermitKind.Request, origin: "", ...body }
+        : { kind: PermitKind.Forward, homeAddress: home.instanceAddress, ...body };
+}
+
+function askLater(workspace: string, line: { askDueMs: number; }, atMs: number): DeadlineMessage {
+    line.askDueMs = atMs;
+    const due: AskDue = { kind: AdmitKind.AskDue, workspace };
+    return setDeadline(`admit.ask/${workspace}`, atMs, due);
+}
+
+function deadlineKey(connectionId: number): string {
+    return `admit/${connectionId}`;
+}
+
+function sumCounts(lots: readonly Lot[]): number {
+    return lots.reduce((sum, lot) => sum + lot.count, 0);
+}
