feat(bench): rate policies side by side in virtual time

Cause: rate policies need figures before they are changed.

Change: npm run bench runs the real admit, permit home and share filters under six seeded shapes at both users' sizes, against an equal split and against no waiting. Admissions above the rate are counted from their times alone.

--- /dev/null
+++ b/bench/describe.ts
@@ -0,0 +1,56 @@
+/** Output of the benchmark: a table for people, one JSON object for programs. */
+import type { Figures } from "./figures.ts";
+import type { RateRun } from "./runRates.ts";
+
+const notMeasured =
+    "replica_read_share, failover_gap_ms and stale_reads need the holder's filters and are not measured";
+
+/** One line of JSON. Figures that were not measured are null. */
+export function describeJson(runs: readonly RateRun[], seed: number, slopes?: unknown): string {
+    const results = runs.map(({ user, shape, policy, figures }) => ({ user, shape, policy, ...named(figures) }));
+    // JSON has no undefined; a left-out key would look like a figure that was forgotten.
+    return JSON.stringify(
+        { seed, note: notMeasured, results, ...(slopes === undefined ? {} : { slopes }) },
+        (_, value: unknown) => value === undefined ? JSON.parse("null") as unknown : value,
+    );
+}
+
+function named(figures: Figures): Record<string, number | undefined> {
+    return {
+        replica_read_share: figures.replicaReadShare,
+        failover_gap_ms: figures.failoverGapMs,
+        worst_workspace_served_share: figures.worstWorkspaceServedShare,
+        wrongful_refusals: figures.wrongfulRefusals,
+        wrongful_share: figures.wrongfulShare,
+        over_rate_admissions: figures.overRateAdmissions,
+        stale_reads: figures.staleReads,
+        waiting_p50_ms: rounded(figures.waitingP50Ms),
+        waiting_p99_ms: rounded(figures.waitingP99Ms),
+        configuration_changes: figures.configurationChanges,
+    };
+}
+
+export function describeTable(runs: readonly RateRun[], seed: number): string {
+    const header = ["user", "shape", "policy", "worst served", "wrongful", "over rate", "p50 ms", "p99 ms", "changes"];
+    const rows = runs.map(({ user, shape, policy, figures }) => [
+        user,
+        shape,
+        policy,
+        figures.worstWorkspaceServedShare.toFixed(4),
+        `${figures.wrongfulRefusals} (${(100 * figures.wrongfulShare).toFixed(2)}%)`,
+        `${figures.overRateAdmissions}`,
+        figures.waitingP50Ms.toFixed(1),
+        figures.waitingP99Ms.toFixed(1),
+        `${figures.configurationChanges}`,
+    ]);
+    return [`seed ${seed}; ${notMeasured}`, ...alignColumns([header, ...rows])].join("\n");
+}
+
+function alignColumns(rows: readonly (readonly string[])[]): readonly string[] {
+    const widths = rows[0]!.map((_, column) => Math.max(...rows.map(row => row[column]!.length)));
+    return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join("  ").trimEnd());
+}
+
+function rounded(value: number): number {
+    return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/bench/loadShapes.ts
@@ -0,0 +1,106 @@
+/** Seeded load and faults, the same for every policy. */
+import type { SeededRandom } from "../src/pipeline/seededRandom.ts";
+import type { User } from "./users.ts";
+
+export const runMs = 20_000;
+
+/** Arrivals before this time are offered and not counted: the shares are divided for the first time. */
+export const warmUpMs = 5_000;
+
+export interface Arrival {
+    readonly atMs: number;
+    readonly workspaceIndex: number;
+    readonly instanceIndex: number;
+}
+
+export interface ScheduledFault {
+    readonly atMs: number;
+    readonly kind: "cut_off" | "heal";
+    readonly dataCentreIndex: number;
+}
+
+export interface LoadShape {
+    readonly name: string;
+    readonly arrivals: (user: User, random: SeededRandom) => readonly Arrival[];
+    readonly faults: readonly ScheduledFault[];
+}
+
+/** Part of its rate that a workspace sends on average in ordinary load. */
+const usualPart = 0.7;
+
+export const ShapeName = {
+    Steady: "steady",
+    Rush: "rush after a trickle",
+    Noisy: "one workspace at 5 times its rate",
+    Lagging: "replicas lagging",
+    PrimaryLost: "a primary lost",
+    CutOff: "a data centre cut off",
+} as const;
+
+export const loadShapes: readonly LoadShape[] = [
+    { name: ShapeName.Steady, arrivals: (user, random) => offer(user, random, () => usualPart), faults: [] },
+    { name: ShapeName.Rush, arrivals: rush, faults: [] },
+    {
+        name: ShapeName.Noisy,
+        arrivals: (user, random) => offer(user, random, workspaceIndex => workspaceIndex === 0 ? 5 : usualPart),
+        faults: [],
+    },
+    { name: ShapeName.Lagging, arrivals: (user, random) => offer(user, random, () => usualPart), faults: [] },
+    { name: ShapeName.PrimaryLost, arrivals: (user, random) => offer(user, random, () => usualPart), faults: [] },
+    {
+        name: ShapeName.CutOff,
+        arrivals: (user, random) => offer(user, random, () => usualPart),
+        faults: [
+            { atMs: 8_000, kind: "cut_off", dataCentreIndex: 2 },
+            { atMs: 16_000, kind: "heal", dataCentreIndex: 2 },
+        ],
+    },
+];
+
+/** Independent arrivals; each workspace has a home region with most of its callers. */
+function offer(
+    user: User,
+    random: SeededRandom,
+    partOfRate: (workspaceIndex: number) => number,
+    fromMs = 0,
+    untilMs = runMs,
+): readonly Arrival[] {
+    return user.workspaces.flatMap((workspace, workspaceIndex) => {
+        const perMs = workspace.ratePerSecond * partOfRate(workspaceIndex) / 1_000;
+        const arrivals: Arrival[] = [];
+        for (let atMs = fromMs + pause(random, perMs); atMs < untilMs; atMs += pause(random, perMs)) {
+            const dataCentreIndex = (workspaceIndex + skewedDataCentre(random)) % user.dataCentres.length;
+            arrivals.push({ atMs, workspaceIndex, instanceIndex: instanceIn(user, random, dataCentreIndex) });
+        }
+        return arrivals;
+    });
+}
+
+/** A trickle everywhere, then the whole burst at one data centre within 200 ms, followed by most of the rate there. */
+function rush(user: User, random: SeededRandom): readonly Arrival[] {
+    const rushMs = 11_000;
+    const trickle = offer(user, random, () => 0.05, 0, rushMs);
+    const peak = user.workspaces.flatMap((workspace, workspaceIndex) => {
+        const burst = Array.from({ length: workspace.burst }, () => rushMs + random.nextShare() * 200);
+        const perMs = workspace.ratePerSecond * usualPart / 1_000;
+        const rest: number[] = [];
+        for (let atMs = rushMs + 200; atMs < runMs; atMs += pause(random, perMs)) {
+            rest.push(atMs);
+        }
+        return [...burst, ...rest].map(atMs => ({ atMs, workspaceIndex, instanceIndex: instanceIn(user, random, 0) }));
+    });
+    return [...trickle, ...peak];
+}
+
+function pause(random: SeededRandom, perMs: number): number {
+    return -Math.log(1 - random.nextShare()) / perMs;
+}
+
+function skewedDataCentre(random: SeededRandom): number {
+    const share = random.nextShare();
+    return share < 0.6 ? 0 : share < 0.85 ? 1 : 2;
+}
+
+function instanceIn(user: User, random: SeededRandom, dataCentreIndex: number): number {
+    return dataCentreIndex * user.instancesPerDataCentre + random.nextInteger(user.instancesPerDataCentre);
+}
--- /dev/null
+++ b/bench/runRates.ts
@@ -0,0 +1,57 @@
+/** Runs one load shape under one policy in virtual time. */
+import { StatementKind } from "../src/model/statement.ts";
+import { SeededRandom } from "../src/pipeline/seededRandom.ts";
+import { type Figures, measureRates } from "./figures.ts";
+import { type LoadShape, runMs } from "./loadShapes.ts";
+import { RateCluster } from "./rateCluster.ts";
+import type { RatePolicy } from "./ratePolicies.ts";
+import type { User } from "./users.ts";
+
+/** Waiting target of the default work class. */
+const waitingTargetMs = 2_000;
+
+export interface RateRun {
+    readonly user: string;
+    readonly shape: string;
+    readonly policy: string;
+    readonly figures: Figures;
+}
+
+export function runRates(user: User, shape: LoadShape, policy: RatePolicy, seed: number): RateRun {
+    const arrivals = [...shape.arrivals(user, new SeededRandom(seed))].sort((left, right) => left.atMs - right.atMs);
+    const cluster = new RateCluster({
+        random: new SeededRandom(seed + 1),
+        workspaces: user.workspaces,
+        dataCentres: user.dataCentres,
+        instancesPerDataCentre: user.instancesPerDataCentre,
+        network: {
+            localMs: 0.3,
+            betweenMs: user.betweenMs,
+            jitterMs: 0.5,
+            lostShare: 0,
+            duplicateShare: 0,
+            lateShare: 0,
+        },
+        movesShares: policy.movesShares,
+    });
+    arrivals.forEach(({ atMs, workspaceIndex, instanceIndex }, arrivalId) =>
+        cluster.simulation.at(atMs, () =>
+            cluster.offer({
+                arrivalId,
+                workspace: user.workspaces[workspaceIndex]!.name,
+                instanceIndex,
+                statementKind: StatementKind.Read,
+                inTransaction: false,
+                waitingMs: policy.admissionWaitMs(waitingTargetMs),
+            }))
+    );
+    for (const { atMs, kind, dataCentreIndex } of shape.faults) {
+        const apply = kind === "cut_off"
+            ? () => cluster.cutOff(dataCentreIndex)
+            : () => cluster.heal(dataCentreIndex);
+        cluster.simulation.at(atMs, apply);
+    }
+    // Statements that arrive at the end still have their whole waiting time.
+    cluster.simulation.runUntil(runMs + waitingTargetMs);
+    return { user: user.name, shape: shape.name, policy: policy.name, figures: measureRates(cluster, user, arrivals) };
+}
--- /dev/null
+++ b/bench/users.ts
@@ -0,0 +1,40 @@
+/** Today's sizes of the users, from section 1.5 of docs/design.md. */
+import type { Workspace } from "../src/model/workspace.ts";
+
+export interface User {
+    readonly name: string;
+    readonly dataCentres: readonly string[];
+    readonly betweenMs: number;
+    readonly instancesPerDataCentre: number;
+    readonly workspaces: readonly Workspace[];
+}
+
+// The page states 8 workspaces, a few of them large, and no rates. These are assumptions of the benchmark.
+const largeRate = { ratePerSecond: 150, burst: 60 };
+const smallRate = { ratePerSecond: 20, burst: 20 };
+
+function workspaces(prefix: string): readonly Workspace[] {
+    return Array.from({ length: 8 }, (_, index) => ({
+        name: `${prefix}${index}`,
+        ...(index < 3 ? largeRate : smallRate),
+        keyValidityMs: 10_000,
+        version: 1,
+    }));
+}
+
+export const users: readonly User[] = [
+    {
+        name: "duinplank",
+        dataCentres: ["flanders", "wallonia", "brussels"],
+        betweenMs: 4,
+        instancesPerDataCentre: 3,
+        workspaces: workspaces("dealer"),
+    },
+    {
+        name: "trust",
+        dataCentres: ["north", "central", "south"],
+        betweenMs: 3,
+        instancesPerDataCentre: 3,
+        workspaces: workspaces("school"),
+    },
+];
