feat(standins): load tool with an account of every answer

Cause: the guarantees need callers that notice a lost, doubled, stale or mixed answer. Change: seeded or recorded callers over mysql2, operations with checks, comparison with the final content of the primaries, and one JSON object as last line. Conclusion: demo and fault runs can judge the system.

--- a/standins/database/adminServer.ts
+++ b/standins/database/adminServer.ts
@@ -8,11 +8,15 @@
 import type { MysqlListener } from "./mysqlListener.ts";
 import { type Counters, Session, type SessionOptions } from "./session.ts";
 
-/** Answer of `GET /state`. */
-export interface DatabaseState extends Counters {
+/** Answer of `GET /counters`. */
+export interface DatabaseCounters extends Counters {
     readonly databaseId: string;
     readonly service: string;
     readonly role: string;
+}
+
+/** Answer of `GET /state`. */
+export interface DatabaseState extends DatabaseCounters {
     /** Highest term the database was told of. */
     readonly term: number;
     readonly position: { readonly term: number; readonly offset: number; };
@@ -79,6 +83,8 @@
         switch (route) {
             case "GET /state":
                 return this.state();
+            case "GET /counters":
+                return this.counters();
             case "POST /sql":
                 return this.runSql((JSON.parse(body) as { sql: string; }).sql);
             case "POST /fault":
@@ -89,17 +95,19 @@
         }
     }
 
+    private counters(): DatabaseCounters {
+        const { node, counters, databaseId, service } = this.options;
+        return { databaseId, service, role: node.role, ...counters };
+    }
+
     private state(): DatabaseState {
-        const { node, counters, databaseId, service, listener } = this.options;
+        const { node, listener } = this.options;
         return {
-            databaseId,
-            service,
-            role: node.role,
+            ...this.counters(),
             term: node.term,
             position: node.position,
             contentHash: node.store.contentHash(),
             connections: listener.connectionCount,
-            ...counters,
         };
     }
 
--- a/standins/database/session.ts
+++ b/standins/database/session.ts
@@ -177,9 +177,12 @@
     }
 
     private read(sql: string): StatementResult {
-        this.options.counters.reads += 1;
         const translated = translateStatement(sql, nowText());
         const transaction = this.transaction ?? this.implicit;
+        // Reads inside transactions belong to the primary, and probes name no table; neither says who serves reads.
+        if (transaction === undefined && /\bFROM\b/i.test(translated)) {
+            this.options.counters.reads += 1;
+        }
         const ownRows = transaction?.writing === true && transaction.roleChanges === this.node.roleChanges;
         return ownRows ? this.node.store.readOwn(translated) : this.node.store.read(translated);
     }
--- /dev/null
+++ b/standins/load/attributes.ts
@@ -0,0 +1,19 @@
+/** Attributes that ride in a comment at the end of a statement. */
+
+export interface Attributes {
+    readonly workClass?: string;
+    readonly requestId?: string;
+    readonly maximumAgeMs?: number;
+    readonly sessionToken?: string;
+}
+
+/** Appends a comment in the form of sqlcommenter: names with quoted, percent-encoded values. */
+export function withAttributes(sql: string, attributes: Attributes): string {
+    const pairs = [
+        ["class", attributes.workClass],
+        ["request_id", attributes.requestId],
+        ["max_age_ms", attributes.maximumAgeMs],
+        ["session_token", attributes.sessionToken],
+    ].flatMap(([name, value]) => value === undefined ? [] : [`${name}='${encodeURIComponent(value)}'`]);
+    return pairs.length === 0 ? sql : `${sql} /*${pairs.join(",")}*/`;
+}
--- /dev/null
+++ b/standins/load/main.ts
@@ -0,0 +1,53 @@
+/** Runs the load and prints its figures; the last line is one JSON object. */
+import { setTimeout as delay } from "node:timers/promises";
+import "disposablestack/auto";
+import { MysqlConnector } from "./connector.ts";
+import { DatabaseAdmin, findPrimary } from "./databaseAdmin.ts";
+import { checkContent } from "./finalCheck.ts";
+import { runLoad } from "./loadRun.ts";
+import { type Plan, RecordedPlan, RecordingPlan, SeededPlan } from "./plan.ts";
+import { awaitReady } from "./readiness.ts";
+import { ReadShareSampler } from "./readShare.ts";
+import { type LoadSettings, readLoadSettings } from "./settings.ts";
+import { summarize, violationsOf } from "./summary.ts";
+
+/** Time for statements whose callers gave up to end in the databases before the content is read. */
+const settleMs = 500;
+
+const settings = readLoadSettings(process.argv.slice(2));
+process.exitCode = await run(settings);
+
+async function run(settings: LoadSettings): Promise<number> {
+    const databases = settings.adminPorts.map(port => new DatabaseAdmin(port));
+    const connector = new MysqlConnector(settings.entries, settings.answerTimeoutMs);
+    const entryCount = settings.entries.length;
+    const { services, callers: { keys, workspaces } } = settings;
+    await awaitReady({ connector, entryCount, services, identity: keys[0]!, timeoutMs: settings.readyTimeoutMs });
+    console.log(JSON.stringify({ event: "load_started" }));
+    await using sampler = new ReadShareSampler(databases);
+    const state = await runLoad({
+        ...settings,
+        connector,
+        entryCount,
+        identities: keys,
+        rates: workspaces,
+        plan: choosePlan(settings),
+        nowMs: () => performance.now(),
+    });
+    await delay(settleMs);
+    await sampler.sample();
+    for (const service of services) {
+        const primary = await findPrimary(databases, service);
+        await checkContent(service, { rows: async sql => (await primary.sql(sql)).rows }, state);
+    }
+    const summary = summarize(state, sampler.replicaShare);
+    console.log(JSON.stringify(summary));
+    return violationsOf(summary).length === 0 ? 0 : 1;
+}
+
+function choosePlan(settings: LoadSettings): Plan {
+    const plan = settings.replay === undefined
+        ? new SeededPlan(settings.seed, settings.pauseMs)
+        : new RecordedPlan(settings.replay);
+    return settings.record === undefined ? plan : new RecordingPlan(plan, settings.record);
+}
--- /dev/null
+++ b/standins/load/operations.ts
@@ -0,0 +1,184 @@
+/** The operations of callers, each with the checks of its answers. */
+import { setTimeout as delay } from "node:timers/promises";
+import type { Caller } from "./caller.ts";
+import { CallKind, type CallOutcome } from "./callOutcome.ts";
+import { OperationKind, type PlanStep } from "./plan.ts";
+import { pairCount, registerCount, tokenCount } from "./schema.ts";
+
+export interface Operation {
+    run(caller: Caller, step: PlanStep): Promise<void>;
+}
+
+const WorkClassName = { Orders: "orders", Redemptions: "redemptions", Lookups: "lookups" } as const;
+
+const resendLimit = 4;
+const resendPauseMs = 300;
+const lookUpAgesMs = [500, 1_000, 5_000];
+
+/** An insert that must not be repeated, resent with its request id after an unknown outcome. */
+class PlaceOrder implements Operation {
+    async run(caller: Caller, step: PlanStep): Promise<void> {
+        const requestId = caller.newRequestId();
+        const sql = "INSERT INTO orders (request_id, workspace, item, amount) "
+            + `VALUES ('${requestId}', '${caller.identity.workspace}', ${step.target}, ${1 + step.variant % 5})`;
+        for (let attempt = 0; attempt < resendLimit; attempt++) {
+            caller.noteTry();
+            const { kind } = await caller.call(sql, { workClass: WorkClassName.Orders, requestId });
+            caller.ledger.note(requestId, kind);
+            caller.noteWrite(kind);
+            if (kind !== CallKind.Unknown || !step.resend) {
+                return;
+            }
+            await delay(resendPauseMs);
+        }
+    }
+}
+
+/** Takes one from a balance and notes it, in one transaction. */
+class RedeemToken implements Operation {
+    async run(caller: Caller, step: PlanStep): Promise<void> {
+        const requestId = caller.newRequestId();
+        const token = step.target % tokenCount;
+        caller.noteTry();
+        const kind = await caller.transact([
+            `UPDATE tokens SET balance = balance - 1 WHERE id = ${token} AND balance > 0`,
+            `INSERT INTO redemptions (request_id, token_id) VALUES ('${requestId}', ${token})`,
+        ], { workClass: WorkClassName.Redemptions });
+        caller.ledger.note(requestId, kind);
+        caller.noteWrite(kind);
+    }
+}
+
+/** Reads a register of any caller with a maximum age. */
+class LookUp implements Operation {
+    async run(caller: Caller, step: PlanStep): Promise<void> {
+        const maximumAgeMs = lookUpAgesMs[step.variant % lookUpAgesMs.length]!;
+        const register = step.target % registerCount;
+        await readRegister(
+            caller,
+            register,
+            maximumAgeMs,
+            sql => caller.call(sql, { workClass: WorkClassName.Lookups, maximumAgeMs }),
+        );
+    }
+}
+
+/** Writes the caller's register, then reads it on the same session, another connection or another instance. */
+class ReadYourWrites implements Operation {
+    async run(caller: Caller, step: PlanStep): Promise<void> {
+        if (!await writeRegister(caller)) {
+            return;
+        }
+        const attributes = { workClass: WorkClassName.Lookups, maximumAgeMs: 60_000 };
+        const variants: readonly ((sql: string) => Promise<CallOutcome>)[] = [
+            sql => caller.call(sql, attributes),
+            sql => caller.callElsewhere(0, sql, attributes),
+            sql => caller.callElsewhere(1, sql, attributes),
+            async sql => caller.callElsewhere(1, sql, { ...attributes, ...await fetchToken(caller) }),
+        ];
+        await readRegister(caller, caller.index, 60_000, variants[step.variant % variants.length]!);
+    }
+}
+
+/** Gives both rows of a pair one stamp, in one transaction that reads its own rows. */
+class WritePair implements Operation {
+    async run(caller: Caller, step: PlanStep): Promise<void> {
+        const stamp = caller.newRequestId();
+        const pair = step.target % pairCount;
+        const update = (half: string) =>
+            `UPDATE pairs SET stamp = '${stamp}' WHERE pair_id = ${pair} AND half = '${half}'`;
+        const read = `SELECT stamp FROM pairs WHERE pair_id = ${pair}`;
+        caller.noteTry();
+        const kind = await caller.transact(
+            [update("a"), update("b"), read],
+            { workClass: WorkClassName.Orders },
+            (index, outcome) => {
+                if (index === 2 && !outcome.rows.every(row => row.stamp === stamp)) {
+                    caller.state.account.violations.mixedTransactions += 1;
+                }
+            },
+        );
+        caller.noteWrite(kind);
+    }
+}
+
+/** Reads a pair with one statement; its two stamps must match. */
+class ReadPair implements Operation {
+    async run(caller: Caller, step: PlanStep): Promise<void> {
+        const sql = `SELECT stamp FROM pairs WHERE pair_id = ${step.target % pairCount}`;
+        const outcome = await caller.call(sql, { workClass: WorkClassName.Lookups, maximumAgeMs: 5_000 });
+        if (outcome.kind !== CallKind.Done) {
+            return;
+        }
+        if (outcome.rows.length !== 2 || outcome.rows[0]!.stamp !== outcome.rows[1]!.stamp) {
+            caller.state.account.violations.mixedTransactions += 1;
+        }
+    }
+}
+
+const operations: Readonly<Record<OperationKind, Operation>> = {
+    [OperationKind.PlaceOrder]: new PlaceOrder(),
+    [OperationKind.RedeemToken]: new RedeemToken(),
+    [OperationKind.LookUp]: new LookUp(),
+    [OperationKind.ReadYourWrites]: new ReadYourWrites(),
+    [OperationKind.WritePair]: new WritePair(),
+    [OperationKind.ReadPair]: new ReadPair(),
+};
+
+export function operationFor(kind: OperationKind): Operation {
+    return operations[kind];
+}
+
+/** Name of a register in the history; every service has its own registers. */
+export function registerName(service: string, register: number): string {
+    return `${service}/${register}`;
+}
+
+async function writeRegister(caller: Caller): Promise<boolean> {
+    const value = caller.takeNumber();
+    caller.noteTry();
+    // The condition keeps a write of unknown outcome, which may run late, from undoing a later one.
+    const sql = `UPDATE registers SET value = ${value} WHERE id = ${caller.index} AND value < ${value}`;
+    const { kind } = await caller.call(sql, { workClass: WorkClassName.Orders });
+    caller.noteWrite(kind);
+    if (kind !== CallKind.Done) {
+        return false;
+    }
+    const { registers, nowMs } = caller.state;
+    registers.acknowledge(registerName(caller.service, caller.index), {
+        value,
+        acknowledgedMs: nowMs(),
+        keyId: caller.identity.keyId,
+    });
+    return true;
+}
+
+async function readRegister(
+    caller: Caller,
+    register: number,
+    maximumAgeMs: number,
+    read: (sql: string) => Promise<CallOutcome>,
+): Promise<void> {
+    const { account, registers, nowMs } = caller.state;
+    const nonce = caller.newRequestId();
+    const startMs = nowMs();
+    const name = registerName(caller.service, register);
+    const floor = registers.floor(name, caller.identity.keyId, startMs, maximumAgeMs);
+    const outcome = await read(`SELECT '${nonce}' AS nonce, value FROM registers WHERE id = ${register}`);
+    if (outcome.kind !== CallKind.Done) {
+        return;
+    }
+    const row = outcome.rows[0];
+    if (row?.nonce !== nonce) {
+        account.violations.wrongAnswers += 1;
+    }
+    else if (Number(row.value) < floor) {
+        account.violations.staleReads += 1;
+    }
+}
+
+async function fetchToken(caller: Caller): Promise<{ readonly sessionToken?: string; }> {
+    const outcome = await caller.call("SHOW JASMINELINE SESSION", {});
+    const token = outcome.rows[0]?.session_token;
+    return typeof token === "string" ? { sessionToken: token } : {};
+}
--- /dev/null
+++ b/standins/load/plan.ts
@@ -0,0 +1,109 @@
+/** What each caller does next: drawn from a seed or read from a recording. */
+import { appendFileSync, readFileSync, writeFileSync } from "node:fs";
+import { SeededRandom } from "../../src/pipeline/seededRandom.ts";
+
+export const OperationKind = {
+    PlaceOrder: "place_order",
+    RedeemToken: "redeem_token",
+    LookUp: "look_up",
+    ReadYourWrites: "read_your_writes",
+    WritePair: "write_pair",
+    ReadPair: "read_pair",
+} as const;
+export type OperationKind = typeof OperationKind[keyof typeof OperationKind];
+
+export interface PlanStep {
+    readonly caller: number;
+    /** Pause before the operation. */
+    readonly pauseMs: number;
+    readonly operation: OperationKind;
+    /** Chooses the row; operations take it modulo their count of rows. */
+    readonly target: number;
+    /** Chooses among the variants of an operation. */
+    readonly variant: number;
+    /** Resend after an unknown outcome. */
+    readonly resend: boolean;
+}
+
+export interface Plan {
+    next(caller: number): PlanStep | undefined;
+}
+
+const shares: readonly (readonly [OperationKind, number])[] = [
+    [OperationKind.LookUp, 0.5],
+    [OperationKind.PlaceOrder, 0.18],
+    [OperationKind.RedeemToken, 0.08],
+    [OperationKind.ReadYourWrites, 0.12],
+    [OperationKind.WritePair, 0.04],
+    [OperationKind.ReadPair, 0.08],
+];
+
+const resendShare = 0.7;
+
+/** Draws steps without end; equal seeds give equal steps per caller. */
+export class SeededPlan implements Plan {
+    private readonly randoms = new Map<number, SeededRandom>();
+    private readonly seed: number;
+    private readonly pauseMs: number;
+
+    /** @param pauseMs mean pause between the operations of one caller */
+    constructor(seed: number, pauseMs: number) {
+        this.seed = seed;
+        this.pauseMs = pauseMs;
+    }
+
+    next(caller: number): PlanStep {
+        const random = this.randoms.get(caller) ?? new SeededRandom(this.seed * 10_007 + caller);
+        this.randoms.set(caller, random);
+        return {
+            caller,
+            pauseMs: Math.round(random.nextShare() * 2 * this.pauseMs),
+            operation: drawOperation(random.nextShare()),
+            target: random.nextInteger(1_000_000),
+            variant: random.nextInteger(1_000),
+            resend: random.nextShare() < resendShare,
+        };
+    }
+}
+
+/** Writes each step of another plan to a file, one JSON object per line. */
+export class RecordingPlan implements Plan {
+    private readonly plan: Plan;
+    private readonly path: string;
+
+    constructor(plan: Plan, path: string) {
+        this.plan = plan;
+        this.path = path;
+        writeFileSync(path, "");
+    }
+
+    next(caller: number): PlanStep | undefined {
+        const step = this.plan.next(caller);
+        if (step !== undefined) {
+            appendFileSync(this.path, `${JSON.stringify(step)}\n`);
+        }
+        return step;
+    }
+}
+
+/** Repeats a recording; a caller ends after its last step. */
+export class RecordedPlan implements Plan {
+    private readonly steps = new Map<number, PlanStep[]>();
+
+    constructor(path: string) {
+        for (const line of readFileSync(path, "utf8").split("\n").filter(text => text !== "")) {
+            const step = JSON.parse(line) as PlanStep;
+            this.steps.set(step.caller, [...this.steps.get(step.caller) ?? [], step]);
+        }
+    }
+
+    next(caller: number): PlanStep | undefined {
+        return this.steps.get(caller)?.shift();
+    }
+}
+
+function drawOperation(share: number): OperationKind {
+    let sum = 0;
+    const found = shares.find(([, weight]) => share < (sum += weight));
+    return found?.[0] ?? OperationKind.LookUp;
+}
--- /dev/null
+++ b/standins/load/readiness.ts
@@ -0,0 +1,50 @@
+/** Waits until the system under load answers. */
+import { setTimeout as delay } from "node:timers/promises";
+import { CallKind } from "./callOutcome.ts";
+import { type CallerIdentity, type Connector, isConnection } from "./connector.ts";
+
+const retryMs = 100;
+
+export interface ReadinessOptions {
+    readonly connector: Connector;
+    readonly entryCount: number;
+    readonly services: readonly string[];
+    readonly identity: CallerIdentity;
+    readonly timeoutMs: number;
+}
+
+/**
+ * Returns when each service has taken a write through each entry instance.
+ * @throws Error that names what did not answer in time
+ */
+export async function awaitReady(options: ReadinessOptions): Promise<void> {
+    const endMs = performance.now() + options.timeoutMs;
+    for (let entry = 0; entry < options.entryCount; entry++) {
+        for (const service of options.services) {
+            await awaitWrite(options, entry, service, endMs);
+        }
+    }
+}
+
+async function awaitWrite(options: ReadinessOptions, entry: number, service: string, endMs: number): Promise<void> {
+    let last = "";
+    while (performance.now() < endMs) {
+        last = await tryWrite(options, entry, service);
+        if (last === "") {
+            return;
+        }
+        await delay(retryMs);
+    }
+    throw new Error(`service "${service}" through entry ${entry} took no write in time; last answer: ${last}`);
+}
+
+/** Runs a write that changes nothing; returns the code of the refusal, or an empty text. */
+async function tryWrite(options: ReadinessOptions, entry: number, service: string): Promise<string> {
+    const connection = await options.connector.connect(entry, options.identity, service);
+    if (!isConnection(connection)) {
+        return connection.code;
+    }
+    const outcome = await connection.query("UPDATE registers SET value = value WHERE id = 0");
+    connection.close();
+    return outcome.kind === CallKind.Done ? "" : outcome.code;
+}
--- /dev/null
+++ b/standins/load/schema.ts
@@ -0,0 +1,29 @@
+/** Tables that the load works on; every service has all of them. */
+
+export const tokenCount = 40;
+export const tokenBalance = 1_000;
+export const pairCount = 4;
+/** One register per caller. */
+export const registerCount = 64;
+
+/** Statements that set up an empty database. */
+export function schemaStatements(): readonly string[] {
+    return [
+        "CREATE TABLE orders (id BIGINT NOT NULL AUTO_INCREMENT PRIMARY KEY, request_id VARCHAR(64), "
+        + "workspace VARCHAR(64), item INT, amount INT) ENGINE=InnoDB",
+        "CREATE TABLE tokens (id INT PRIMARY KEY, balance INT) ENGINE=InnoDB",
+        "CREATE TABLE redemptions (id BIGINT NOT NULL AUTO_INCREMENT PRIMARY KEY, request_id VARCHAR(64), "
+        + "token_id INT) ENGINE=InnoDB",
+        "CREATE TABLE registers (id INT PRIMARY KEY, value INT) ENGINE=InnoDB",
+        "CREATE TABLE pairs (pair_id INT, half VARCHAR(1), stamp VARCHAR(64)) ENGINE=InnoDB",
+        `INSERT INTO tokens (id, balance) VALUES ${listRows(tokenCount, id => `(${id}, ${tokenBalance})`)}`,
+        `INSERT INTO registers (id, value) VALUES ${listRows(registerCount, id => `(${id}, 0)`)}`,
+        `INSERT INTO pairs (pair_id, half, stamp) VALUES ${
+            listRows(pairCount, id => `(${id}, 'a', ''), (${id}, 'b', '')`)
+        }`,
+    ];
+}
+
+function listRows(count: number, row: (id: number) => string): string {
+    return Array.from({ length: count }, (_unused, id) => row(id)).join(", ");
+}
--- /dev/null
+++ b/standins/load/summary.ts
@@ -0,0 +1,56 @@
+/** The figures of a load run as they are printed. */
+import type { LoadState } from "./caller.ts";
+
+export interface LoadSummary {
+    readonly statements: number;
+    readonly acknowledged: number;
+    readonly refused: Readonly<Record<string, number>>;
+    readonly unknown: number;
+    readonly lost: number;
+    readonly doubled: number;
+    readonly not_run_but_ran: number;
+    readonly stale_reads: number;
+    readonly mixed_transactions: number;
+    readonly wrong_answers: number;
+    readonly wrongful_refusals: number;
+    /** Longest over all services. */
+    readonly failover_gap_ms: number;
+    readonly failover_gap_ms_by_service: Readonly<Record<string, number>>;
+    /** -1 when no read was counted. */
+    readonly replica_read_share: number;
+}
+
+export function summarize(state: LoadState, replicaShare: number | undefined): LoadSummary {
+    const { account } = state;
+    const gaps = [...state.gaps.longestMs()].map(([service, ms]) => [service, Math.round(ms)] as const);
+    return {
+        statements: account.statements,
+        acknowledged: account.acknowledged,
+        refused: Object.fromEntries(account.refusedByCode),
+        unknown: account.unknown,
+        lost: account.violations.lost,
+        doubled: account.violations.doubled,
+        not_run_but_ran: account.violations.notRunButRan,
+        stale_reads: account.violations.staleReads,
+        mixed_transactions: account.violations.mixedTransactions,
+        wrong_answers: account.violations.wrongAnswers,
+        wrongful_refusals: account.wrongfulRefusals,
+        failover_gap_ms: Math.max(0, ...gaps.map(([, ms]) => ms)),
+        failover_gap_ms_by_service: Object.fromEntries(gaps),
+        replica_read_share: replicaShare === undefined ? -1 : Math.round(replicaShare * 1_000) / 1_000,
+    };
+}
+
+/** Names the violations of a run; a run in which nothing was acknowledged shows nothing and counts as one. */
+export function violationsOf(summary: LoadSummary): readonly string[] {
+    const names = [
+        "lost",
+        "doubled",
+        "not_run_but_ran",
+        "stale_reads",
+        "mixed_transactions",
+        "wrong_answers",
+    ] as const;
+    const found: string[] = names.filter(name => summary[name] > 0);
+    return summary.acknowledged === 0 ? [...found, "nothing_acknowledged"] : found;
+}
