feat(standins): demo, process group, test cluster and relays

Cause: the whole system has to run in real processes, with lines between data centres that can be cut. Change: scripts/demo.ts on a shared test cluster; child processes end in every way out of the script; relays hold bytes back while they are cut. Conclusion: the demo ends with a clear error until the entry process exists; it has not run to its end yet.

--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,61 @@
+/**
+ * Shows the system at work: two services with three databases each, three entry instances, orders and redemptions, and
+ * a primary that is killed while they flow. The last line is one JSON object; a violation gives a non-zero exit code.
+ */
+import { setTimeout as delay } from "node:timers/promises";
+import { type LoadSummary, violationsOf } from "../standins/load/summary.ts";
+import { TestCluster } from "./testCluster.ts";
+
+const loadMs = 15_000;
+const killAfterMs = 4_000;
+/** The demo promises to end within 40 s. */
+const limitMs = 38_000;
+
+const watchdog = setTimeout(() => {
+    console.error(`the demo did not end within ${limitMs} ms`);
+    process.exit(1);
+}, limitMs);
+
+try {
+    report(await runDemo());
+}
+catch (error) {
+    console.error(error instanceof Error ? error.message : error);
+    process.exitCode = 1;
+}
+clearTimeout(watchdog);
+
+async function runDemo(): Promise<LoadSummary> {
+    console.log("starting 6 databases and 3 entry instances");
+    await using cluster = await TestCluster.open();
+    const load = cluster.startLoad({ seed: 1, durationMs: loadMs });
+    await load.started;
+    console.log("orders and redemptions flow");
+    await delay(killAfterMs);
+    const primary = await cluster.primaryOf("orders");
+    console.log(`killing ${primary.id}, the primary of "orders"`);
+    primary.process.signal("SIGKILL");
+    return load.result;
+}
+
+function report(summary: LoadSummary): void {
+    const figures = {
+        statements: summary.statements,
+        acknowledged: summary.acknowledged,
+        lost: summary.lost,
+        doubled: summary.doubled,
+        stale_reads: summary.stale_reads,
+        mixed_transactions: summary.mixed_transactions,
+        replica_read_share: summary.replica_read_share,
+        failover_gap_ms: summary.failover_gap_ms,
+        wrongful_refusals: summary.wrongful_refusals,
+    };
+    Object.entries(figures).forEach(([name, value]) => console.log(`${name.padEnd(24)}${value}`));
+    console.log(`${"refused".padEnd(24)}${JSON.stringify(summary.refused)}`);
+    const violations = violationsOf(summary);
+    if (violations.length > 0) {
+        console.log(`violations: ${violations.join(", ")}`);
+        process.exitCode = 1;
+    }
+    console.log(JSON.stringify(figures));
+}
--- /dev/null
+++ b/scripts/processGroup.ts
@@ -0,0 +1,148 @@
+/** Child processes of a script, all of which end with it. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import { createInterface } from "node:readline";
+import { setTimeout as delay } from "node:timers/promises";
+
+/** Time between SIGTERM and SIGKILL when a group ends. */
+const stopGraceMs = 3_000;
+/** Lines of output kept per process for messages about failures. */
+const keptLines = 40;
+
+export interface Command {
+    readonly name: string;
+    readonly program: string;
+    readonly commandLine: readonly string[];
+}
+
+/** Runs a TypeScript file of the repository. */
+export function scriptCommand(name: string, file: string, flags: Readonly<Record<string, string | number>>): Command {
+    return { name, program: process.execPath, commandLine: ["--import", "tsx", file, ...toFlags(flags)] };
+}
+
+export function toFlags(flags: Readonly<Record<string, string | number>>): readonly string[] {
+    return Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)]);
+}
+
+export class ManagedProcess {
+    readonly name: string;
+    /** Last lines of standard output and standard error. */
+    readonly lines: string[] = [];
+    /** Settles with the exit code, or the name of the signal that ended the process. */
+    readonly ended: Promise<number | string>;
+    private readonly child: ChildProcess;
+    private hasEnded = false;
+    private listeners: ((line: string) => void)[] = [];
+
+    constructor(command: Command) {
+        this.name = command.name;
+        this.child = spawn(command.program, [...command.commandLine], { stdio: ["ignore", "pipe", "pipe"] });
+        this.ended = once(this.child, "close").then(([code, signal]) => {
+            this.hasEnded = true;
+            return (code ?? signal) as number | string;
+        });
+        for (const stream of [this.child.stdout!, this.child.stderr!]) {
+            createInterface({ input: stream }).on("line", line => this.receive(line));
+        }
+    }
+
+    get pid(): number {
+        return this.child.pid!;
+    }
+
+    get running(): boolean {
+        return !this.hasEnded;
+    }
+
+    signal(name: NodeJS.Signals): void {
+        if (!this.hasEnded) {
+            this.child.kill(name);
+        }
+    }
+
+    /**
+     * Waits for a line of output.
+     * @throws Error with the last output when the process ends first or `timeoutMs` passes
+     */
+    async waitForLine(text: string, timeoutMs: number): Promise<string> {
+        const known = this.lines.find(line => line.includes(text));
+        if (known !== undefined) {
+            return known;
+        }
+        const stopWaiting = new AbortController();
+        const seen = new Promise<string>(resolve =>
+            this.listeners.push(line => line.includes(text) ? resolve(line) : undefined)
+        );
+        const timeout = delay(timeoutMs, "timeout", { signal: stopWaiting.signal, ref: false });
+        const failed = Promise.race([this.ended, timeout]).then(reason => {
+            throw new Error(`${this.name} wrote no "${text}" (${reason}):\n${this.lines.join("\n")}`);
+        });
+        try {
+            return await Promise.race([seen, failed]);
+        }
+        finally {
+            failed.catch(() => undefined);
+            stopWaiting.abort();
+        }
+    }
+
+    /** Ends the process: SIGTERM, then SIGKILL after the grace time. */
+    async stop(): Promise<void> {
+        this.signal("SIGCONT");
+        this.signal("SIGTERM");
+        const timer = setTimeout(() => this.signal("SIGKILL"), stopGraceMs);
+        await this.ended;
+        clearTimeout(timer);
+    }
+
+    private receive(line: string): void {
+        this.lines.push(line);
+        if (this.lines.length > keptLines) {
+            this.lines.shift();
+        }
+        this.listeners.forEach(listener => listener(line));
+    }
+}
+
+/** Ends its processes on disposal, on SIGINT and SIGTERM, and when the script exits in any other way. */
+export class ProcessGroup implements AsyncDisposable {
+    private readonly processes = new Set<ManagedProcess>();
+    private readonly killAll = () => this.processes.forEach(member => member.signal("SIGKILL"));
+    private readonly interrupt = () => {
+        this.killAll();
+        process.exit(130);
+    };
+
+    constructor() {
+        process.on("exit", this.killAll);
+        process.on("SIGINT", this.interrupt);
+        process.on("SIGTERM", this.interrupt);
+    }
+
+    start(command: Command): ManagedProcess {
+        const member = new ManagedProcess(command);
+        this.processes.add(member);
+        void member.ended.then(() => this.processes.delete(member));
+        return member;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await Promise.all([...this.processes].map(member => member.stop()));
+        process.off("exit", this.killAll);
+        process.off("SIGINT", this.interrupt);
+        process.off("SIGTERM", this.interrupt);
+    }
+}
+
+/** Finds ports of loopback that are free now; all are held at once, so that no two are equal. */
+export async function findFreePorts(count: number): Promise<readonly number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+        const server = createServer().listen(0, "127.0.0.1");
+        await once(server, "listening");
+        return server;
+    }));
+    const ports = servers.map(server => (server.address() as { port: number; }).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
--- /dev/null
+++ b/scripts/testCluster.ts
@@ -0,0 +1,296 @@
+/** A whole system in real processes: databases, entry instances and load. */
+import "disposablestack/auto";
+import { existsSync, mkdirSync, rmSync } from "node:fs";
+import { connect } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { DatabaseAdmin, findPrimary } from "../standins/load/databaseAdmin.ts";
+import { schemaStatements } from "../standins/load/schema.ts";
+import type { LoadSummary } from "../standins/load/summary.ts";
+import { RelayMatrix } from "../standins/relay/relayMatrix.ts";
+import {
+    type Command,
+    findFreePorts,
+    type ManagedProcess,
+    ProcessGroup,
+    scriptCommand,
+    toFlags,
+} from "./processGroup.ts";
+import { TestClusterFiles } from "./testClusterFiles.ts";
+
+export const clusterName = "demo";
+export const dataCentres = ["flanders", "wallonia", "brussels"] as const;
+export const services = ["orders", "tokens"] as const;
+
+const startTimeoutMs = 12_000;
+const databasesPerService = dataCentres.length;
+
+export interface DatabaseHandle {
+    readonly id: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly address: string;
+    readonly admin: DatabaseAdmin;
+    process: ManagedProcess;
+}
+
+export interface EntryHandle {
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly mysqlPort: number;
+    readonly rpcPort: number;
+    process: ManagedProcess | undefined;
+}
+
+export interface LoadHandle {
+    readonly process: ManagedProcess;
+    /** Settles when the load has found the system ready and sends its statements. */
+    readonly started: Promise<void>;
+    /** The figures, or an error with the last output. */
+    readonly result: Promise<LoadSummary>;
+}
+
+/** The entry process as it was built, or else from source; undefined when there is neither. */
+export function findEntryProgram(): Pick<Command, "program" | "commandLine"> | undefined {
+    if (existsSync("dist/jasmineline")) {
+        return { program: "dist/jasmineline", commandLine: [] };
+    }
+    const source = "src/cli/main.ts";
+    return existsSync(source)
+        ? { program: process.execPath, commandLine: ["--import", "tsx", source] }
+        : undefined;
+}
+
+export class TestCluster implements AsyncDisposable {
+    readonly files: TestClusterFiles;
+    readonly databases: DatabaseHandle[] = [];
+    readonly entries: readonly EntryHandle[];
+    readonly relays: RelayMatrix;
+    private readonly group: ProcessGroup;
+    private readonly resources: AsyncDisposableStack;
+
+    private constructor(parts: {
+        readonly files: TestClusterFiles;
+        readonly entries: readonly EntryHandle[];
+        readonly relays: RelayMatrix;
+        readonly group: ProcessGroup;
+        readonly resources: AsyncDisposableStack;
+    }) {
+        this.files = parts.files;
+        this.entries = parts.entries;
+        this.relays = parts.relays;
+        this.group = parts.group;
+        this.resources = parts.resources;
+    }
+
+    /** Starts databases and entry instances, one of each per data centre (databases: per service too). */
+    static async open(): Promise<TestCluster> {
+        const resources = new AsyncDisposableStack();
+        try {
+            const files = resources.use(new TestClusterFiles());
+            const entries = await reserveEntries();
+            const relays = resources.use(await RelayMatrix.open(dataCentres, entries));
+            const group = resources.use(new ProcessGroup());
+            const cluster = new TestCluster({ files, entries, relays, group, resources });
+            await cluster.startDatabases();
+            entries.forEach(entry => cluster.startEntry(entry));
+            await Promise.all(entries.map(entry => awaitListening(entry)));
+            return cluster;
+        }
+        catch (error) {
+            await resources.disposeAsync();
+            throw error;
+        }
+    }
+
+    get entryAddresses(): readonly string[] {
+        return this.entries.map(entry => `127.0.0.1:${entry.mysqlPort}`);
+    }
+
+    /** Finds the handle of the present primary of a service. */
+    async primaryOf(service: string): Promise<DatabaseHandle> {
+        const members = this.databases.filter(database => database.service === service);
+        const admin = await findPrimary(members.map(database => database.admin), service);
+        return members.find(database => database.admin === admin)!;
+    }
+
+    startEntry(entry: EntryHandle): void {
+        const folder = this.files.dataFolder(entry.id);
+        mkdirSync(folder, { recursive: true });
+        const flags = {
+            "instance-id": entry.id,
+            "data-centre": entry.dataCentre,
+            "mysql-listen": `127.0.0.1:${entry.mysqlPort}`,
+            "rpc-listen": `127.0.0.1:${entry.rpcPort}`,
+            "cluster-name": clusterName,
+            "cluster-secret-file": this.files.clusterSecretFile,
+            "database-password-file": this.files.databasePasswordFile,
+            "control-members": this.membersSeenFrom(entry.dataCentre),
+            "data-folder": folder,
+            "initial-configuration": this.files.initialConfigurationFile,
+            "log-format": "json",
+        };
+        const { program, commandLine } = requireEntryProgram();
+        entry.process = this.group.start({
+            name: entry.id,
+            program,
+            commandLine: [...commandLine, "entry", ...toFlags(flags)],
+        });
+    }
+
+    /** Removes the data folder of an instance that does not run. */
+    wipeDisk(entry: EntryHandle): void {
+        rmSync(this.files.dataFolder(entry.id), { recursive: true, force: true });
+    }
+
+    startLoad(options: { readonly seed: number; readonly durationMs: number; }): LoadHandle {
+        const load = this.group.start(scriptCommand("load", "standins/load/main.ts", {
+            entries: this.entryAddresses.join(","),
+            services: services.join(","),
+            "callers-file": this.files.callersFile,
+            "duration-ms": options.durationMs,
+            seed: options.seed,
+            "admin-ports": this.databases.map(database => database.admin.port).join(","),
+        }));
+        const started = load.waitForLine("load_started", startTimeoutMs).then(() => undefined);
+        started.catch(() => undefined);
+        const result = load.ended.then(() => readSummary(load));
+        result.catch(() => undefined);
+        return { process: load, started, result };
+    }
+
+    /** Cuts a data centre off: the lines of its instances, and replication of its databases. */
+    async disconnect(dataCentre: string): Promise<void> {
+        this.relays.disconnect(dataCentre);
+        await this.faultIn(dataCentre, { fault: "cut", announcements: false });
+    }
+
+    async reconnect(dataCentre: string): Promise<void> {
+        this.relays.reconnect(dataCentre);
+        await this.faultIn(dataCentre, { fault: "restore" });
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.resources.disposeAsync();
+    }
+
+    private async faultIn(dataCentre: string, request: Parameters<DatabaseAdmin["fault"]>[0]): Promise<void> {
+        const members = this.databases.filter(database => database.dataCentre === dataCentre);
+        await Promise.all(members.map(database => database.admin.fault(request)));
+    }
+
+    private membersSeenFrom(dataCentre: string): string {
+        return this.entries.map(entry => `${entry.id}=127.0.0.1:${this.rpcPortSeenFrom(dataCentre, entry)}`).join(",");
+    }
+
+    private rpcPortSeenFrom(dataCentre: string, entry: EntryHandle): number {
+        return this.relays.portFor(dataCentre, entry.dataCentre, entry.rpcPort);
+    }
+
+    private async startDatabases(): Promise<void> {
+        const ports = [...await findFreePorts(2 * services.length * databasesPerService)];
+        for (const [serviceIndex, service] of services.entries()) {
+            const listenPorts = ports.splice(0, databasesPerService);
+            for (const [index, dataCentre] of dataCentres.entries()) {
+                // Services have their first primaries in different data centres.
+                const primaryIndex = serviceIndex % databasesPerService;
+                this.databases.push(this.startDatabase({
+                    service,
+                    dataCentre,
+                    index,
+                    listenPort: listenPorts[index]!,
+                    primaryPort: listenPorts[primaryIndex]!,
+                    adminPort: ports.shift()!,
+                }));
+            }
+        }
+        await Promise.all(this.databases.map(database => database.process.waitForLine("ready", startTimeoutMs)));
+        for (const service of services) {
+            const primary = await this.primaryOf(service);
+            for (const statement of schemaStatements()) {
+                await primary.admin.sql(statement);
+            }
+        }
+    }
+
+    private startDatabase(place: {
+        readonly service: string;
+        readonly dataCentre: string;
+        readonly index: number;
+        readonly listenPort: number;
+        readonly primaryPort: number;
+        readonly adminPort: number;
+    }): DatabaseHandle {
+        const id = `${place.service}-${place.index + 1}`;
+        const address = `127.0.0.1:${place.listenPort}`;
+        const announce = this.entries.map(entry => `127.0.0.1:${this.rpcPortSeenFrom(place.dataCentre, entry)}`);
+        const command = scriptCommand(id, "standins/database/main.ts", {
+            "database-id": id,
+            "group-id": place.service,
+            service: place.service,
+            "data-centre": place.dataCentre,
+            listen: address,
+            announce: announce.join(","),
+            "group-size": databasesPerService,
+            role: place.listenPort === place.primaryPort ? "primary" : "replica",
+            primary: `127.0.0.1:${place.primaryPort}`,
+            cluster: clusterName,
+            "cluster-secret-file": this.files.clusterSecretFile,
+            "password-file": this.files.databasePasswordFile,
+            "admin-port": place.adminPort,
+        });
+        const admin = new DatabaseAdmin(place.adminPort);
+        const { service, dataCentre } = place;
+        return { id, service, dataCentre, address, admin, process: this.group.start(command) };
+    }
+}
+
+async function reserveEntries(): Promise<readonly EntryHandle[]> {
+    const ports = await findFreePorts(2 * dataCentres.length);
+    return dataCentres.map((dataCentre, index) => ({
+        id: `e${index + 1}`,
+        dataCentre,
+        mysqlPort: ports[2 * index]!,
+        rpcPort: ports[2 * index + 1]!,
+        process: undefined,
+    }));
+}
+
+function requireEntryProgram(): Pick<Command, "program" | "commandLine"> {
+    const program = findEntryProgram();
+    if (program === undefined) {
+        throw new Error("no entry program: neither dist/jasmineline nor src/cli/main.ts exists; run npm run build");
+    }
+    return program;
+}
+
+/** @throws Error with the last output when the instance ends or does not listen in time */
+export async function awaitListening(entry: EntryHandle): Promise<void> {
+    const endMs = performance.now() + startTimeoutMs;
+    while (performance.now() < endMs && entry.process?.running === true) {
+        if (await canConnect(entry.mysqlPort)) {
+            return;
+        }
+        await delay(50);
+    }
+    throw new Error(`${entry.id} does not listen:\n${entry.process?.lines.join("\n") ?? "not started"}`);
+}
+
+async function canConnect(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        const settle = (connected: boolean) => {
+            socket.destroy();
+            resolve(connected);
+        };
+        socket.on("connect", () => settle(true));
+        socket.on("error", () => settle(false));
+    });
+}
+
+function readSummary(load: ManagedProcess): LoadSummary {
+    const last = load.lines.at(-1) ?? "";
+    if (!last.startsWith("{") || !last.includes("acknowledged")) {
+        throw new Error(`the load ended without figures:\n${load.lines.join("\n")}`);
+    }
+    return JSON.parse(last) as LoadSummary;
+}
--- /dev/null
+++ b/standins/relay/relay.ts
@@ -0,0 +1,62 @@
+/** A TCP relay between processes, which a script can cut. */
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+
+/** Forwards connections to one port. A cut keeps connections open and passes nothing, as a partition does. */
+export class Relay implements AsyncDisposable {
+    private readonly targetPort: number;
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private cut = false;
+
+    private constructor(targetPort: number) {
+        this.targetPort = targetPort;
+        this.server = createServer(socket => this.accept(socket));
+    }
+
+    static async open(targetPort: number): Promise<Relay> {
+        const relay = new Relay(targetPort);
+        relay.server.listen(0, "127.0.0.1");
+        await once(relay.server, "listening");
+        return relay;
+    }
+
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    disconnect(): void {
+        this.cut = true;
+        this.sockets.forEach(socket => socket.pause());
+    }
+
+    reconnect(): void {
+        this.cut = false;
+        this.sockets.forEach(socket => socket.resume());
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.sockets.forEach(socket => socket.destroy());
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
+    private accept(near: Socket): void {
+        const far = connect(this.targetPort, "127.0.0.1");
+        this.join(near, far);
+        this.join(far, near);
+    }
+
+    private join(from: Socket, to: Socket): void {
+        this.sockets.add(from);
+        from.on("data", chunk => to.write(chunk));
+        from.on("end", () => to.end());
+        from.on("error", () => to.destroy());
+        from.on("close", () => {
+            this.sockets.delete(from);
+            to.destroy();
+        });
+        if (this.cut) {
+            from.pause();
+        }
+    }
+}
--- /dev/null
+++ b/standins/relay/relayMatrix.ts
@@ -0,0 +1,48 @@
+/** The lines between data centres, so that a script can cut one off. */
+import { Relay } from "./relay.ts";
+
+/** Relays from each data centre to each instance in another data centre. */
+export class RelayMatrix implements AsyncDisposable {
+    private readonly relays = new Map<string, Relay>();
+
+    static async open(
+        dataCentres: readonly string[],
+        instances: readonly { readonly dataCentre: string; readonly rpcPort: number; }[],
+    ): Promise<RelayMatrix> {
+        const matrix = new RelayMatrix();
+        for (const from of dataCentres) {
+            for (const { dataCentre: to, rpcPort } of instances.filter(instance => instance.dataCentre !== from)) {
+                matrix.relays.set(keyOf(from, to, rpcPort), await Relay.open(rpcPort));
+            }
+        }
+        return matrix;
+    }
+
+    /** Port under which processes in `from` reach an instance. */
+    portFor(from: string, to: string, rpcPort: number): number {
+        return this.relays.get(keyOf(from, to, rpcPort))?.port ?? rpcPort;
+    }
+
+    /** Cuts every line into and out of a data centre. */
+    disconnect(dataCentre: string): void {
+        this.linesOf(dataCentre).forEach(relay => relay.disconnect());
+    }
+
+    reconnect(dataCentre: string): void {
+        this.linesOf(dataCentre).forEach(relay => relay.reconnect());
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await Promise.all([...this.relays.values()].map(relay => relay[Symbol.asyncDispose]()));
+    }
+
+    private linesOf(dataCentre: string): readonly Relay[] {
+        return [...this.relays]
+            .filter(([key]) => key.split(">").slice(0, 2).includes(dataCentre))
+            .map(([, relay]) => relay);
+    }
+}
+
+function keyOf(from: string, to: string, rpcPort: number): string {
+    return `${from}>${to}>${rpcPort}`;
+}
