--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -21,7 +21,7 @@
     type ServerError,
     toServerConnection,
 } from "./serverConnection.ts";
-import { rowEncoding } from "./wireText.ts";
+import { rowEncoding, toWireText } from "./wireText.ts";
 import { writeOutcome } from "./writeOutcome.ts";
 
 export interface MysqlFrontendOptions {
@@ -250,7 +250,8 @@
     }
 
     private writeRefusal(caller: Caller, refusal: Refusal): void {
-        caller.connection.writeError(toServerError(refusal));
+        const { code, message } = toServerError(refusal);
+        caller.connection.writeError({ code, message: toWireText(message) });
         caller.connection.sequenceId = 0;
     }
 }
--- a/src/frontend/wireText.ts
+++ b/src/frontend/wireText.ts
@@ -1,7 +1,7 @@
 /** Text on the wire. */
 
 /**
- * Encoding in which the library writes cells; column names are always UTF-8. It encodes a whole row alike, so rows are written one byte per
+ * Encoding in which the library writes cells and errors; column names are always UTF-8. It encodes a whole row alike, so rows are written one byte per
  * character, which keeps binary cells intact, and text is turned into its UTF-8 bytes before.
  */
 export const rowEncoding = "latin1";
