--- a/src/cli/ctlContext.ts
+++ b/src/cli/ctlContext.ts
@@ -1,9 +1,9 @@
 /** What every ctl command works with. */
-import { readFileSync } from "node:fs";
 import { OperatorClient } from "../rpc/operatorClient.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
 import { ctlSettingsTable, OutputFormat } from "../settings/ctlSettings.ts";
-import { readSettings, SettingsError, type SettingsTable, type SettingValues } from "../settings/settingsTable.ts";
+import { readSettings, type SettingsTable, type SettingValues } from "../settings/settingsTable.ts";
+import { readSecretFile } from "./secretFile.ts";
 
 export interface CtlContext<Table extends SettingsTable> extends AsyncDisposable {
     readonly client: OperatorClient;
@@ -38,13 +38,3 @@
         [Symbol.asyncDispose]: () => client[Symbol.asyncDispose](),
     };
 }
-
-/** Reads a secret and drops the line end that editors add. */
-export function readSecretFile(flag: string, path: string): string {
-    try {
-        return readFileSync(path, "utf8").trimEnd();
-    }
-    catch (error) {
-        throw new SettingsError(`--${flag} is "${path}", which cannot be read: ${(error as Error).message}`);
-    }
-}
--- a/src/cli/ctlShow.ts
+++ b/src/cli/ctlShow.ts
@@ -1,5 +1,6 @@
 /** The ctl commands that show something or act on one instance. */
 import type { ShowResponse, StatusResponse } from "../rpc/generated/operator.ts";
+import { reportTable } from "../settings/ctlSettings.ts";
 import { openContext } from "./ctlContext.ts";
 import { ExitCode } from "./exitCode.ts";
 import { renderTable } from "./textTable.ts";
@@ -56,6 +57,14 @@
     return ExitCode.Success;
 }
 
+/** Merges the burn snapshots of all instances that answer. */
+export async function reportBurn(_: string, commandLine: readonly string[]): Promise<ExitCode> {
+    await using context = openContext(reportTable, commandLine);
+    const { snapshot } = await context.client.burn();
+    console.log(snapshot);
+    return ExitCode.Success;
+}
+
 function listPart(part: Part, shown: ShowResponse): Listing {
     switch (part) {
         case "class":
--- a/standins/database/main.ts
+++ b/standins/database/main.ts
@@ -1,11 +1,11 @@
 /** Runs one database stand-in until SIGTERM or SIGINT. */
 import { formatAddress } from "./address.ts";
 import { DatabaseProcess } from "./databaseProcess.ts";
-import { EmptyPeerCredentials } from "./peerCredentials.ts";
+import { ClusterPeerCredentials } from "./peerCredentials.ts";
 import { readDatabaseSettings } from "./settings.ts";
 
 const settings = readDatabaseSettings(process.argv.slice(2));
-const database = await DatabaseProcess.open(settings, new EmptyPeerCredentials());
+const database = await DatabaseProcess.open(settings, new ClusterPeerCredentials(settings));
 const ready = {
     event: "ready",
     databaseId: settings.databaseId,
--- a/standins/database/peerCredentials.ts
+++ b/standins/database/peerCredentials.ts
@@ -1,14 +1,22 @@
 /** How a database proves to an instance that it belongs to the cluster. */
-import { Metadata } from "@grpc/grpc-js";
+import type { Metadata } from "@grpc/grpc-js";
+import { PeerAuthentication } from "../../src/rpc/peerAuthentication.ts";
 
 export interface PeerCredentials {
     /** Metadata for one call of a gRPC method, named by its path. */
     clientMetadata(method: string): Metadata;
 }
 
-/** Sends nothing; for instances that do not check peers. */
-export class EmptyPeerCredentials implements PeerCredentials {
-    clientMetadata(): Metadata {
-        return new Metadata();
+/** Signs with the cluster secret. */
+export class ClusterPeerCredentials implements PeerCredentials {
+    private readonly authentication: PeerAuthentication;
+
+    constructor(settings: { readonly cluster: string; readonly databaseId: string; readonly clusterSecret: string; }) {
+        const { cluster, databaseId, clusterSecret } = settings;
+        this.authentication = new PeerAuthentication({ cluster, instanceId: databaseId, secret: clusterSecret });
+    }
+
+    clientMetadata(method: string): Metadata {
+        return this.authentication.metadata(method);
     }
 }
