feat(standins): fault scenarios, and a replica that survives the loss of its primary

Cause: events.once rejects on the error that precedes the close of a refused connection, which ended every replica whose primary was killed; found by the demo on a scratch proxy. Conclusion: demo and faults wait for the entry process; neither has run against the real one.

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -35,7 +35,8 @@
     const primary = await cluster.primaryOf("orders");
     console.log(`killing ${primary.id}, the primary of "orders"`);
     primary.process.signal("SIGKILL");
-    return load.result;
+    // Awaited here, because the return ends the cluster.
+    return await load.result;
 }
 
 function report(summary: LoadSummary): void {
--- /dev/null
+++ b/scripts/faults.ts
@@ -0,0 +1,71 @@
+/**
+ * Runs real processes through failures: `npm run faults -- [--only NAME] [--seed N]`. The last line is one JSON object;
+ * a violation gives a non-zero exit code, and so does a run in which no scenario ran.
+ */
+import { parseArgs } from "node:util";
+import { type LoadSummary, violationsOf } from "../standins/load/summary.ts";
+import { findEntryProgram, TestCluster } from "./testCluster.ts";
+import { type Scenario, scenarios } from "./testClusterScenarios.ts";
+
+const ScenarioStatus = { Passed: "passed", Violated: "violated", NotRun: "not_run", Error: "error" } as const;
+type ScenarioStatus = typeof ScenarioStatus[keyof typeof ScenarioStatus];
+
+interface ScenarioReport {
+    readonly name: string;
+    readonly status: ScenarioStatus;
+    readonly violations: readonly string[];
+    /** Why the scenario did not run or broke off; empty otherwise. */
+    readonly reason: string;
+    readonly figures?: LoadSummary;
+}
+
+/** Worst case of the failover gap; section 1.5 of the design. */
+const failoverGapLimitMs = 13_000;
+
+const { values } = parseArgs({ options: { only: { type: "string" }, seed: { type: "string", default: "1" } } });
+const chosen = scenarios.filter(scenario => values.only === undefined || scenario.name === values.only);
+if (chosen.length === 0) {
+    console.error(`no scenario "${values.only}"; there are ${scenarios.map(scenario => scenario.name).join(", ")}`);
+    process.exit(2);
+}
+
+const reports: ScenarioReport[] = [];
+for (const scenario of chosen) {
+    const report = await runScenario(scenario, Number(values.seed));
+    reports.push(report);
+    console.log([report.name.padEnd(30), report.status, ...report.violations, report.reason].join(" ").trimEnd());
+}
+summarizeReports(reports);
+
+async function runScenario(scenario: Scenario, seed: number): Promise<ScenarioReport> {
+    const { name } = scenario;
+    const blockedBy = findEntryProgram() === undefined ? "the entry program does not exist" : scenario.blockedBy;
+    if (blockedBy !== "") {
+        return { name, status: ScenarioStatus.NotRun, violations: [], reason: blockedBy };
+    }
+    try {
+        await using cluster = await TestCluster.open();
+        const { summary, extraViolations } = await scenario.run(cluster, seed);
+        const violations = [...violationsOf(summary), ...extraViolations, ...gapViolations(summary)];
+        const status = violations.length === 0 ? ScenarioStatus.Passed : ScenarioStatus.Violated;
+        return { name, status, violations, reason: "", figures: summary };
+    }
+    catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        return { name, status: ScenarioStatus.Error, violations: [], reason };
+    }
+}
+
+function gapViolations(summary: LoadSummary): readonly string[] {
+    return summary.failover_gap_ms > failoverGapLimitMs ? ["failover_gap"] : [];
+}
+
+function summarizeReports(all: readonly ScenarioReport[]): void {
+    const count = (status: ScenarioStatus) => all.filter(report => report.status === status).length;
+    const violations = all.reduce((sum, report) => sum + report.violations.length, 0);
+    const passed = count(ScenarioStatus.Passed);
+    const errors = count(ScenarioStatus.Error);
+    const notRun = count(ScenarioStatus.NotRun);
+    console.log(JSON.stringify({ scenarios: all.length, passed, not_run: notRun, errors, violations, results: all }));
+    process.exitCode = violations > 0 || errors > 0 || notRun === all.length ? 1 : 0;
+}
--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -38,13 +38,16 @@
     constructor(command: Command) {
         this.name = command.name;
         this.child = spawn(command.program, [...command.commandLine], { stdio: ["ignore", "pipe", "pipe"] });
-        this.ended = once(this.child, "close").then(([code, signal]) => {
+        const outputEnds = [this.child.stdout!, this.child.stderr!].map(stream => {
+            const lines = createInterface({ input: stream });
+            lines.on("line", line => this.receive(line));
+            return once(lines, "close");
+        });
+        this.ended = once(this.child, "close").then(async ([code, signal]) => {
             this.hasEnded = true;
+            await Promise.all(outputEnds);
             return (code ?? signal) as number | string;
         });
-        for (const stream of [this.child.stdout!, this.child.stderr!]) {
-            createInterface({ input: stream }).on("line", line => this.receive(line));
-        }
     }
 
     get pid(): number {
--- a/scripts/testCluster.ts
+++ b/scripts/testCluster.ts
@@ -153,7 +153,7 @@
         }));
         const started = load.waitForLine("load_started", startTimeoutMs).then(() => undefined);
         started.catch(() => undefined);
-        const result = load.ended.then(() => readSummary(load));
+        const result = load.ended.then(reason => readSummary(load, reason));
         result.catch(() => undefined);
         return { process: load, started, result };
     }
@@ -287,10 +287,10 @@
     });
 }
 
-function readSummary(load: ManagedProcess): LoadSummary {
+function readSummary(load: ManagedProcess, reason: number | string): LoadSummary {
     const last = load.lines.at(-1) ?? "";
     if (!last.startsWith("{") || !last.includes("acknowledged")) {
-        throw new Error(`the load ended without figures:\n${load.lines.join("\n")}`);
+        throw new Error(`the load ended without figures (${reason}):\n${load.lines.join("\n")}`);
     }
     return JSON.parse(last) as LoadSummary;
 }
--- a/standins/database/__tests__/database.spec.ts
+++ b/standins/database/__tests__/database.spec.ts
@@ -98,6 +98,22 @@
     assert.deepEqual(rows.map(row => row.item), ["kept", "new"]);
 });
 
+test("a replica survives the loss of its primary and catches up with the next one", async () => {
+    await using first = await openDatabase();
+    await using second = await openDatabase(replicaOf(first));
+    await using third = await openDatabase(replicaOf(first));
+    await reached(third, { term: 1, offset: 1 });
+    await reached(second, { term: 1, offset: 1 });
+    await first[Symbol.asyncDispose]();
+    await using connection = await connectTo(third);
+    // Long enough for several attempts to reach the lost primary.
+    await new Promise(resolve => setTimeout(resolve, 200));
+    await using next = await connectTo(second);
+    await next.query("JASMINE PROMOTE TERM 2");
+    await connection.query(`JASMINE FOLLOW '${formatAddress(second.listener.address)}' TERM 2`);
+    await reached(third, { term: 2, offset: 2 });
+});
+
 test("a change of role rolls back the open transaction, whose COMMIT then fails", async () => {
     await using primary = await openDatabase();
     await using connection = await connectTo(primary);
--- a/standins/database/replicationClient.ts
+++ b/standins/database/replicationClient.ts
@@ -1,5 +1,4 @@
 /** Pulls the log from the primary while this database is a replica. */
-import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { DatabaseRole } from "../../src/model/database.ts";
@@ -51,7 +50,8 @@
         socket.on("connect", () => this.request(socket));
         readJsonLines(socket, answer => void this.receive(socket, answer as PullAnswer, roleChanges));
         try {
-            await once(socket, "close");
+            // Not events.once, which rejects on the "error" that precedes "close" when the primary is away.
+            await new Promise<void>(resolve => socket.on("close", () => resolve()));
         }
         finally {
             clearInterval(watch);
--- a/standins/load/__tests__/load.spec.ts
+++ b/standins/load/__tests__/load.spec.ts
@@ -168,7 +168,7 @@
     assert.deepEqual(await runWith([RedeemToken], tear), { ...none, mixedTransactions: 1 });
 });
 
-test("a refusal for rate is wrongful only within the rate, and a run without an acknowledgement fails", async () => {
+test("a refusal for rate is wrongful only within the rate, and a run that shows nothing fails", async () => {
     const refuse: Defect = async () => refused(CallKind.NotRun, "rate_exceeded", { step: "admit" });
     const state = await runLoad({
         connector: new FakeConnector(await openDatabase(), refuse),
@@ -183,7 +183,8 @@
         nowMs: () => 0,
     });
     assert.equal(state.account.wrongfulRefusals, 2);
-    assert.deepEqual(violationsOf(summarize(state, undefined)), ["nothing_acknowledged"]);
+    const found = violationsOf(summarize(state, undefined, ["orders"]));
+    assert.deepEqual(found, ["unverified_orders", "nothing_acknowledged"]);
 });
 
 test("the gap covers tried writes only, and a service that never recovers shows", () => {
--- a/standins/load/main.ts
+++ b/standins/load/main.ts
@@ -1,6 +1,7 @@
 /** Runs the load and prints its figures; the last line is one JSON object. */
 import { setTimeout as delay } from "node:timers/promises";
 import "disposablestack/auto";
+import type { LoadState } from "./caller.ts";
 import { MysqlConnector } from "./connector.ts";
 import { DatabaseAdmin, findPrimary } from "./databaseAdmin.ts";
 import { checkContent } from "./finalCheck.ts";
@@ -36,15 +37,32 @@
     });
     await delay(settleMs);
     await sampler.sample();
-    for (const service of services) {
-        const primary = await findPrimary(databases, service);
-        await checkContent(service, { rows: async sql => (await primary.sql(sql)).rows }, state);
-    }
-    const summary = summarize(state, sampler.replicaShare);
+    const unverified = await checkServices(services, databases, state);
+    const summary = summarize(state, sampler.replicaShare, unverified);
     console.log(JSON.stringify(summary));
     return violationsOf(summary).length === 0 ? 0 : 1;
 }
 
+/** Returns the services whose final content could not be read. */
+async function checkServices(
+    services: readonly string[],
+    databases: readonly DatabaseAdmin[],
+    state: LoadState,
+): Promise<readonly string[]> {
+    const unverified: string[] = [];
+    for (const service of services) {
+        try {
+            const primary = await findPrimary(databases, service);
+            await checkContent(service, { rows: async sql => (await primary.sql(sql)).rows }, state);
+        }
+        catch (error) {
+            console.error(`final content of "${service}" not checked: ${(error as Error).message}`);
+            unverified.push(service);
+        }
+    }
+    return unverified;
+}
+
 function choosePlan(settings: LoadSettings): Plan {
     const plan = settings.replay === undefined
         ? new SeededPlan(settings.seed, settings.pauseMs)
--- a/standins/load/summary.ts
+++ b/standins/load/summary.ts
@@ -13,6 +13,8 @@
     readonly mixed_transactions: number;
     readonly wrong_answers: number;
     readonly wrongful_refusals: number;
+    /** Services whose final content could not be read, so that nothing is known of lost or doubled writes. */
+    readonly unverified: readonly string[];
     /** Longest over all services. */
     readonly failover_gap_ms: number;
     readonly failover_gap_ms_by_service: Readonly<Record<string, number>>;
@@ -20,7 +22,15 @@
     readonly replica_read_share: number;
 }
 
-export function summarize(state: LoadState, replicaShare: number | undefined): LoadSummary {
+/**
+ * @param replicaShare undefined when no read was counted
+ * @param unverified services whose final content could not be read
+ */
+export function summarize(
+    state: LoadState,
+    replicaShare: number | undefined,
+    unverified: readonly string[],
+): LoadSummary {
     const { account } = state;
     const gaps = [...state.gaps.longestMs()].map(([service, ms]) => [service, Math.round(ms)] as const);
     return {
@@ -35,22 +45,27 @@
         mixed_transactions: account.violations.mixedTransactions,
         wrong_answers: account.violations.wrongAnswers,
         wrongful_refusals: account.wrongfulRefusals,
+        unverified,
         failover_gap_ms: Math.max(0, ...gaps.map(([, ms]) => ms)),
         failover_gap_ms_by_service: Object.fromEntries(gaps),
         replica_read_share: replicaShare === undefined ? -1 : Math.round(replicaShare * 1_000) / 1_000,
     };
 }
 
-/** Names the violations of a run; a run in which nothing was acknowledged shows nothing and counts as one. */
+const violationNames = [
+    "lost",
+    "doubled",
+    "not_run_but_ran",
+    "stale_reads",
+    "mixed_transactions",
+    "wrong_answers",
+] as const;
+
+/** Names the violations of a run; a run in which nothing was acknowledged or verified shows nothing and counts as one. */
 export function violationsOf(summary: LoadSummary): readonly string[] {
-    const names = [
-        "lost",
-        "doubled",
-        "not_run_but_ran",
-        "stale_reads",
-        "mixed_transactions",
-        "wrong_answers",
-    ] as const;
-    const found: string[] = names.filter(name => summary[name] > 0);
-    return summary.acknowledged === 0 ? [...found, "nothing_acknowledged"] : found;
+    return [
+        ...violationNames.filter(name => summary[name] > 0),
+        ...summary.unverified.map(service => `unverified_${service}`),
+        ...summary.acknowledged === 0 ? ["nothing_acknowledged"] : [],
+    ];
 }
