--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -21,6 +21,8 @@
 import { buildPipes, type PipeOptions } from "./buildPipes.ts";
 import { SystemClock } from "./systemClock.ts";
 
+const unused = ["rates.demand_measured", "holder.database_health", "holder.lease_idle", "holder.order_done"];
+
 /** Contents of the files that the settings name. */
 export interface EntrySecrets {
     readonly clusterSecret: string;
@@ -51,7 +53,7 @@
     const loop = new EventLoop({
         clock: new SystemClock(),
         pipes,
-        sinks: [frontend, backend],
+        sinks: [frontend, backend, { accepts: unused, deliver: () => undefined }],
         observers: openTrace(settings, options, stack),
     });
     stack.use(loop);
--- a/standins/database/__tests__/database.spec.ts
+++ b/standins/database/__tests__/database.spec.ts
@@ -12,7 +12,10 @@
     const flags =
         "--database-id d1 --group-id g1 --service orders --data-centre flanders --listen 127.0.0.1:0 --lag-ms 0 --connect-delay-ms 0 --service-ms 0";
     const settings = { ...readDatabaseSettings(flags.split(" ")), password, ...changes };
-    return DatabaseProcess.open(settings, new ClusterPeerCredentials({ cluster: "test", databaseId: "d1", clusterSecret: "a secret of the tests" }));
+    return DatabaseProcess.open(
+        settings,
+        new ClusterPeerCredentials({ cluster: "test", databaseId: "d1", clusterSecret: "a secret of the tests" }),
+    );
 }
 
 function replicaOf(primary: DatabaseProcess): Partial<DatabaseSettings> {
