feat(cli): replay with session tokens

Cause: a replay decided differently where a session token was made, since its signature needs the cluster secret.

--- a/src/cli/replayCommand.ts
+++ b/src/cli/replayCommand.ts
@@ -1,28 +1,41 @@
 /** `jasmineline replay FILE`: runs a recorded trace again. */
 import { TraceLineKind } from "../pipeline/trace.ts";
-import { SettingsError } from "../settings/settingsTable.ts";
+import { PathKind } from "../settings/settingKinds.ts";
+import { describeSettings, readSettings, SettingsError, type SettingsTable } from "../settings/settingsTable.ts";
 import { readTraceFile } from "../storage/traceFile.ts";
 import { replayRecordedRun } from "../wiring/replayRun.ts";
 import { ExitCode } from "./exitCode.ts";
+import { readSecretFile } from "./secretFile.ts";
+
+const replaySettingsTable = {
+    "cluster-secret-file": {
+        kind: new PathKind(),
+        description: "Secret of the recorded cluster; needed when its callers used session tokens.",
+    },
+} as const satisfies SettingsTable;
 
 export function replayHelp(): string {
     return [
-        "Usage: jasmineline replay FILE",
+        "Usage: jasmineline replay FILE [FLAGS]",
         "",
         "Feeds the events of a trace written by `entry --record-trace FILE` to the same filters and compares the",
         `decisions with the recorded ones. Exits with ${ExitCode.Different} at the first difference.`,
+        "",
+        describeSettings(replaySettingsTable),
     ].join("\n");
 }
 
 export async function runReplay(commandLine: readonly string[]): Promise<ExitCode> {
-    const [path, ...rest] = commandLine;
-    if (path === undefined || rest.length > 0) {
-        throw new SettingsError("replay needs exactly one file; see --help");
+    const [path, ...flags] = commandLine;
+    if (path === undefined || path.startsWith("--")) {
+        throw new SettingsError("replay needs a file before its flags; see --help");
     }
+    const secretFile = readSettings(replaySettingsTable, flags, process.env)["cluster-secret-file"];
+    const clusterSecret = secretFile === undefined ? "" : readSecretFile("cluster-secret-file", secretFile);
     const lines = readTraceFile(path);
     const header = lines[0]!;
     const options = header.line === TraceLineKind.Header ? header.options : undefined;
-    const { events, outputs, difference } = replayRecordedRun(options, lines);
+    const { events, outputs, difference } = replayRecordedRun(options, lines, clusterSecret);
     if (difference === undefined) {
         console.log(JSON.stringify({ events, outputs, same: true }));
         return ExitCode.Success;
--- a/src/wiring/replayRun.ts
+++ b/src/wiring/replayRun.ts
@@ -1,16 +1,23 @@
 /** Builds the pipes of a recorded run and replays it. */
+import { HmacSessionTokenCodec } from "../frontend/sessionToken.ts";
 import { CallerKind } from "../model/callerMessages.ts";
 import { RefusalCode } from "../model/refusal.ts";
 import { type ReplayResult, replayTrace, type TraceLine } from "../pipeline/trace.ts";
 import { decodeMessage } from "../pipeline/traceCodec.ts";
 import type { ProofVerifier } from "../request/authenticate.ts";
-import type { SessionTokenCodec } from "../request/sessionState.ts";
 import { buildPipes, type PipeOptions } from "./buildPipes.ts";
 
-/** Replays lines whose header holds `options`. */
-export function replayRecordedRun(options: unknown, lines: readonly TraceLine[]): ReplayResult {
+/**
+ * Replays lines whose header holds `options`.
+ * @param clusterSecret signs session tokens as in the recorded run; with another one, statements about tokens differ
+ */
+export function replayRecordedRun(
+    options: unknown,
+    lines: readonly TraceLine[],
+    clusterSecret: string,
+): ReplayResult {
     const verifier = new RecordedVerifier();
-    const pipes = buildPipes(options as PipeOptions, { verifier, tokens: new PlainTokenCodec() });
+    const pipes = buildPipes(options as PipeOptions, { verifier, tokens: new HmacSessionTokenCodec(clusterSecret) });
     return replayTrace(lines, pipes, (event, recordedOutputs) => {
         if (event.kind === CallerKind.Login) {
             verifier.result = !recordedOutputs.some(output => isAccessDenied(output));
@@ -27,17 +34,6 @@
     }
 }
 
-/** Tokens of a replay carry no signature, since the cluster secret is not part of a trace. */
-class PlainTokenCodec implements SessionTokenCodec {
-    encode(): string {
-        return "recorded";
-    }
-
-    decode(): undefined {
-        return undefined;
-    }
-}
-
 function isAccessDenied(output: string): boolean {
     const message = decodeMessage(output) as { readonly refusal?: { readonly code: string; }; };
     return message.refusal?.code === RefusalCode.AccessDenied;
