feat(control): replicated log and configuration as filters of one pipe

Cause: operators and the health pipe need agreed state that survives lost instances, wiped disks and partitions.

--- /dev/null
+++ b/src/control/__tests__/fakeCluster.ts
@@ -0,0 +1,323 @@
+/** Control members in virtual time, on a network and on disks that fail as a test tells them to. */
+import assert from "node:assert/strict";
+import { ClusterKind, type ConfigurationApplied } from "../../model/clusterMessages.ts";
+import type { Configuration } from "../../model/configuration.ts";
+import {
+    type Command,
+    ControlKind,
+    type ControlLeaderChanged,
+    type ControlProposalEnded,
+} from "../../model/controlMessages.ts";
+import { FeedKind } from "../../model/feedMessages.ts";
+import { LogKind, type LogSend, type PeerMessage } from "../../model/logMessages.ts";
+import { EntryKind, type LogEntry, type Member, type Snapshot } from "../../model/replicatedLog.ts";
+import { type StorageAppend, StorageKind, type StorageWrite, WriteKind } from "../../model/storageMessages.ts";
+import { EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Filter } from "../../pipeline/filter.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import type { Sink } from "../../pipeline/sink.ts";
+import { VirtualClock } from "../../pipeline/virtualClock.ts";
+import { ApplyFilter } from "../applyFilter.ts";
+import { controlFilters } from "../controlPipe.ts";
+import { type Committed, memberKey, MemberKind, MemberRole, type TermChanged } from "../memberMessages.ts";
+
+const stepMs = 10;
+
+interface Disk {
+    incarnation: string;
+    term: number;
+    votedFor: string | undefined;
+    snapshot: Snapshot | undefined;
+    entries: readonly LogEntry[];
+    unsynced: { readonly writeId: number; readonly write: StorageWrite; readonly atMs: number; }[];
+}
+
+interface Node {
+    readonly memberId: string;
+    disk: Disk;
+    clock: VirtualClock;
+    loop: EventLoop | undefined;
+    view: ControlLeaderChanged | undefined;
+    configuration: Configuration | undefined;
+}
+
+export interface Faults {
+    readonly dropShare: number;
+    readonly duplicateShare: number;
+    readonly maximumDelayMs: number;
+    readonly diskDelayMs: number;
+}
+
+export const calm: Faults = { dropShare: 0, duplicateShare: 0, maximumDelayMs: 20, diskDelayMs: 5 };
+
+export class FakeCluster {
+    readonly nodes = new Map<string, Node>();
+    readonly results = new Map<string, ControlProposalEnded[]>();
+    readonly committed = new Map<number, string>();
+    members: readonly Member[] = [];
+    faults: Faults = calm;
+    nowMs = 0;
+    private readonly random: SeededRandom;
+    private readonly initial: readonly { readonly memberId: string; readonly address: string; }[];
+    private readonly leaders = new Map<number, string>();
+    private readonly votes = new Map<string, string>();
+    private readonly requested = new Map<string, string>();
+    private readonly cut = new Set<string>();
+    private network: { readonly atMs: number; readonly body: PeerMessage; }[] = [];
+    private nextId = 0;
+    private readonly snapshotEntries: number;
+
+    constructor(size: number, seed: number, snapshotEntries = 16) {
+        this.random = new SeededRandom(seed);
+        this.snapshotEntries = snapshotEntries;
+        const ids = Array.from({ length: size }, (_, index) => `m${index}`);
+        this.initial = ids.map(memberId => ({ memberId, address: `${memberId}:1` }));
+        ids.forEach(memberId => this.addNode(memberId));
+    }
+
+    addNode(memberId: string): void {
+        const node = {
+            memberId,
+            disk: this.emptyDisk(),
+            clock: new VirtualClock(),
+            loop: undefined,
+            view: undefined,
+            configuration: undefined,
+        };
+        this.nodes.set(memberId, node);
+        this.start(memberId);
+    }
+
+    start(memberId: string): void {
+        const node = this.nodes.get(memberId)!;
+        if (node.loop !== undefined) {
+            return;
+        }
+        const self = { memberId, incarnation: node.disk.incarnation, address: `${memberId}:1` };
+        const filters = [...controlFilters({
+            self,
+            initialMembers: this.initial,
+            random: new SeededRandom(this.random.nextInteger(1 << 30)),
+            snapshotEntries: this.snapshotEntries,
+        })];
+        filters.splice(filters.findIndex(filter => filter instanceof ApplyFilter), 0, new Recorder(this, self));
+        node.clock = new VirtualClock();
+        node.clock.advanceTo(this.nowMs);
+        node.configuration = undefined;
+        const sinks = this.sinksOf(node);
+        node.loop = new EventLoop({ clock: node.clock, pipes: [new Pipe("control", filters)], sinks });
+        const { incarnation, term, votedFor, snapshot, entries } = node.disk;
+        this.post(memberId, { kind: StorageKind.Recovered, incarnation, term, votedFor, snapshot, entries } as Message);
+    }
+
+    /** Stops a member. Of the writes that are not synced, a random number of the first ones survives. */
+    kill(memberId: string): void {
+        const node = this.nodes.get(memberId)!;
+        node.loop = undefined;
+        node.view = undefined;
+        const survivors = this.random.nextInteger(node.disk.unsynced.length + 1);
+        node.disk.unsynced.splice(survivors);
+        node.disk.unsynced.forEach(({ write }) => applyWrite(node.disk, write));
+        node.disk.unsynced = [];
+    }
+
+    wipe(memberId: string): void {
+        this.kill(memberId);
+        this.nodes.get(memberId)!.disk = this.emptyDisk();
+        this.start(memberId);
+    }
+
+    /** Cuts a member off from all others, or connects it again. */
+    setCut(memberId: string, cut: boolean): void {
+        if (cut) {
+            this.cut.add(memberId);
+        }
+        else {
+            this.cut.delete(memberId);
+        }
+    }
+
+    propose(memberId: string, proposalId: string, operationId: string, command: Command): void {
+        this.post(memberId, { kind: ControlKind.Propose, proposalId, operationId, command } as Message);
+    }
+
+    post(memberId: string, message: Message): void {
+        this.nodes.get(memberId)!.loop?.post(message);
+    }
+
+    leader(): Node | undefined {
+        const leaders = [...this.nodes.values()].filter(node => node.view?.leading);
+        return leaders.sort((left, right) => right.view!.term - left.view!.term)[0];
+    }
+
+    run(durationMs: number): void {
+        for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
+            this.nowMs += stepMs;
+            this.deliverNetwork();
+            this.nodes.forEach(node => this.syncDisk(node));
+            this.nodes.forEach(node => node.loop !== undefined && node.clock.advanceTo(this.nowMs));
+        }
+    }
+
+    /** Runs until `done`, and fails after `limitMs`. */
+    runUntil(what: string, done: () => boolean, limitMs = 30_000): void {
+        for (const endMs = this.nowMs + limitMs; !done();) {
+            assert.ok(this.nowMs < endMs, `not reached: ${what}`);
+            this.run(100);
+        }
+    }
+
+    heal(): void {
+        this.faults = calm;
+        this.cut.clear();
+        this.nodes.forEach(node => this.start(node.memberId));
+    }
+
+    /** Every member runs with the incarnation that the committed list of members names. */
+    isWhole(): boolean {
+        const listed = new Set(this.members.map(memberKey));
+        return [...this.nodes.values()].every(node => listed.has(`${node.memberId}/${node.disk.incarnation}`));
+    }
+
+    noteTerm(self: Member, change: TermChanged): void {
+        if (change.role === MemberRole.Leader) {
+            const known = this.leaders.get(change.term);
+            assert.ok(known === undefined || known === memberKey(self), `two leaders in term ${change.term}`);
+            this.leaders.set(change.term, memberKey(self));
+        }
+    }
+
+    noteCommitted(entries: readonly LogEntry[]): void {
+        for (const entry of entries) {
+            const text = JSON.stringify(entry);
+            assert.equal(this.committed.get(entry.index) ?? text, text, `committed entry ${entry.index} changed`);
+            const isNew = !this.committed.has(entry.index);
+            this.committed.set(entry.index, text);
+            if (isNew && entry.body.kind === EntryKind.Members) {
+                this.members = entry.body.members;
+            }
+        }
+    }
+
+    private sinksOf(node: Node): readonly Sink[] {
+        return [
+            sink(StorageKind.Append, (message: StorageAppend) => {
+                const { writeId, write } = message;
+                const delayMs = this.random.nextInteger(this.faults.diskDelayMs + 1);
+                const earliestMs = node.disk.unsynced.at(-1)?.atMs ?? 0;
+                node.disk.unsynced.push({ writeId, write, atMs: Math.max(earliestMs, this.nowMs + delayMs) });
+            }),
+            sink(LogKind.Send, (message: LogSend) => this.send(message.body)),
+            sink(ControlKind.LeaderChanged, (message: ControlLeaderChanged) => this.noteView(node, message)),
+            sink(ControlKind.ProposalEnded, (message: ControlProposalEnded) => {
+                this.results.set(message.proposalId, [...this.results.get(message.proposalId) ?? [], message]);
+            }),
+            sink(ClusterKind.ConfigurationApplied, ({ configuration }: ConfigurationApplied) => {
+                assert.ok(configuration.version >= (node.configuration?.version ?? 0), "version fell");
+                node.configuration = configuration;
+            }),
+            sink(FeedKind.Send, () => undefined),
+        ];
+    }
+
+    private noteView(node: Node, view: ControlLeaderChanged): void {
+        node.view = view;
+        const acknowledged = [...this.results.values()].flat().map(result => result.configurationVersion);
+        const version = node.configuration?.version ?? 0;
+        assert.ok(!view.leading || version >= Math.max(0, ...acknowledged), "a leader lacks an acknowledged change");
+    }
+
+    private send(body: PeerMessage): void {
+        this.checkVote(body);
+        const copies = this.random.nextShare() < this.faults.duplicateShare ? 2 : 1;
+        for (let copy = 0; copy < copies; copy++) {
+            if (this.random.nextShare() >= this.faults.dropShare) {
+                const delayMs = this.random.nextInteger(this.faults.maximumDelayMs + 1);
+                this.network.push({ atMs: this.nowMs + delayMs, body });
+            }
+        }
+    }
+
+    private checkVote(body: PeerMessage): void {
+        if (body.kind !== LogKind.VoteAnswer || body.preVote || !body.granted) {
+            return;
+        }
+        assert.equal(memberKey(body.from), this.requested.get(body.callId), "vote for another incarnation");
+        const vote = `${memberKey(body.from)} in ${body.term}`;
+        assert.equal(this.votes.get(vote) ?? memberKey(body.to), memberKey(body.to), `second vote of ${vote}`);
+        this.votes.set(vote, memberKey(body.to));
+    }
+
+    private deliverNetwork(): void {
+        const due = this.network.filter(({ atMs }) => atMs <= this.nowMs);
+        this.network = this.network.filter(({ atMs }) => atMs > this.nowMs);
+        for (const { body } of due) {
+            if (
+                !this.cut.has(body.from.memberId) && !this.cut.has(body.to.memberId) && this.nodes.has(body.to.memberId)
+            ) {
+                const callId = body.callId === "" ? `call${this.nextId++}` : body.callId;
+                this.requested.set(callId, memberKey(body.to));
+                // A copy, as the network makes one: members must not share state.
+                this.post(body.to.memberId, structuredClone({ ...body, callId }));
+            }
+        }
+    }
+
+    private syncDisk(node: Node): void {
+        while (node.disk.unsynced[0] !== undefined && node.disk.unsynced[0].atMs <= this.nowMs) {
+            const { writeId, write } = node.disk.unsynced.shift()!;
+            applyWrite(node.disk, write);
+            this.post(node.memberId, { kind: StorageKind.AppendDone, writeId } as Message);
+        }
+    }
+
+    private emptyDisk(): Disk {
+        const incarnation = `i${this.nextId++}`;
+        return { incarnation, term: 0, votedFor: undefined, snapshot: undefined, entries: [], unsynced: [] };
+    }
+}
+
+/** Sees what is committed and who takes office, inside the pipe. */
+class Recorder implements Filter<TermChanged | Committed, Message> {
+    readonly step = "recorder";
+    readonly accepts = [MemberKind.TermChanged, MemberKind.Committed];
+    private readonly cluster: FakeCluster;
+    private readonly self: Member;
+
+    constructor(cluster: FakeCluster, self: Member) {
+        this.cluster = cluster;
+        this.self = self;
+    }
+
+    process(message: TermChanged | Committed): readonly Message[] {
+        if (message.kind === MemberKind.TermChanged) {
+            this.cluster.noteTerm(this.self, message);
+        }
+        else {
+            this.cluster.noteCommitted(message.entries);
+        }
+        return [message];
+    }
+}
+
+function applyWrite(disk: Disk, write: StorageWrite): void {
+    if (write.kind === WriteKind.Term) {
+        disk.term = write.term;
+        disk.votedFor = write.votedFor;
+    }
+    else if (write.kind === WriteKind.Entries) {
+        disk.entries = [...disk.entries.filter(entry => entry.index < write.fromIndex), ...write.entries];
+    }
+    else {
+        disk.snapshot = write.snapshot;
+        disk.entries = write.discardLog
+            ? []
+            : disk.entries.filter(entry => entry.index > write.snapshot.lastIndex);
+    }
+}
+
+function sink<Input extends Message>(kind: Input["kind"], deliver: (message: Input) => void): Sink {
+    return { accepts: [kind], deliver: deliver as (message: Message) => void };
+}
--- /dev/null
+++ b/src/control/applyFilter.ts
@@ -0,0 +1,83 @@
+/** Applies committed entries to the control state and takes snapshots of it. */
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import { ProposalStatus } from "../model/controlMessages.ts";
+import { EntryKind, type LogEntry, type OperationResult, type Snapshot } from "../model/replicatedLog.ts";
+import { StorageKind, type StorageRecovered } from "../model/storageMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { applyCommand } from "./applyCommand.ts";
+import { type ControlState, emptyControlState, fromRecords, toRecords } from "./controlState.ts";
+import { type Committed, MemberKind, type SnapshotInstalled } from "./memberMessages.ts";
+
+/** Entries between two snapshots; half a day of changes, and a short replay at start. */
+export const snapshotEntries = 1_024;
+
+export interface ApplyFilterOptions {
+    readonly snapshotEntries: number;
+}
+
+type ApplyInput = StorageRecovered | Committed | SnapshotInstalled;
+
+export class ApplyFilter implements Filter<ApplyInput, Message> {
+    readonly step = "apply";
+    readonly accepts = [StorageKind.Recovered, MemberKind.Committed, MemberKind.SnapshotInstalled];
+    private readonly options: ApplyFilterOptions;
+    private state: ControlState = emptyControlState;
+    private entriesSinceSnapshot = 0;
+
+    constructor(options: ApplyFilterOptions) {
+        this.options = options;
+    }
+
+    process(message: ApplyInput): readonly Message[] {
+        switch (message.kind) {
+            case StorageKind.Recovered:
+                return message.snapshot === undefined ? [] : this.restore(message.snapshot);
+            case MemberKind.SnapshotInstalled:
+                return this.restore(message.snapshot);
+            case MemberKind.Committed:
+                return this.applyAll(message.entries);
+        }
+    }
+
+    private restore(snapshot: Snapshot): readonly Message[] {
+        this.state = fromRecords(snapshot.records, snapshot.version);
+        this.entriesSinceSnapshot = 0;
+        return [this.configurationApplied()];
+    }
+
+    private applyAll(entries: readonly LogEntry[]): readonly Message[] {
+        const version = this.state.configuration.version;
+        const results = entries.map(entry => {
+            const { index, term } = entry;
+            return { kind: MemberKind.EntryApplied, index, term, result: this.apply(entry) } as Message;
+        });
+        this.entriesSinceSnapshot += entries.length;
+        return [
+            ...this.state.configuration.version > version ? [this.configurationApplied()] : [],
+            ...results,
+            ...this.entriesSinceSnapshot >= this.options.snapshotEntries ? [this.takeSnapshot(entries.at(-1)!)] : [],
+        ];
+    }
+
+    private apply({ index, body }: LogEntry): OperationResult {
+        if (body.kind === EntryKind.Command) {
+            const { state, result } = applyCommand(this.state, index, body.operationId, body.command);
+            this.state = state;
+            return result;
+        }
+        const configurationVersion = this.state.configuration.version;
+        return { status: ProposalStatus.Applied, version: index, configurationVersion, detail: "" };
+    }
+
+    private takeSnapshot({ index, term }: LogEntry): Message {
+        this.entriesSinceSnapshot = 0;
+        const { version } = this.state.configuration;
+        const head = { kind: MemberKind.SnapshotDue, lastIndex: index, lastTerm: term };
+        return { ...head, version, records: toRecords(this.state) } as Message;
+    }
+
+    private configurationApplied(): ConfigurationApplied {
+        return { kind: ClusterKind.ConfigurationApplied, configuration: this.state.configuration };
+    }
+}
--- /dev/null
+++ b/src/control/commandChange.ts
@@ -0,0 +1,91 @@
+/** Results of single commands on the control state, and what the commands on versioned objects have in common. */
+import { ProposalStatus } from "../model/controlMessages.ts";
+import { type ConfigurationObject, ObjectList } from "../model/replicatedLog.ts";
+import { configurationObjectId, findObject, withObjects, withoutObjects } from "./configurationObjects.ts";
+import { type ControlState, retiredId } from "./controlState.ts";
+import { checkWhole, type Fault } from "./validation.ts";
+
+/** What became of a command; `state` is the new state, or the unchanged one after a refusal. */
+export interface CommandChange {
+    readonly state: ControlState;
+    readonly status: typeof ProposalStatus.Applied | typeof ProposalStatus.Conflict | typeof ProposalStatus.Invalid;
+    /** New version of the object, or its current one after a refusal; 0 if there is none. */
+    readonly version: number;
+    readonly detail: string;
+}
+
+type VersionedList =
+    | typeof ObjectList.WorkClasses
+    | typeof ObjectList.Workspaces
+    | typeof ObjectList.Keys
+    | typeof ObjectList.OpenRoutes;
+
+export function applied(state: ControlState, version: number): CommandChange {
+    return { state, status: ProposalStatus.Applied, version, detail: "" };
+}
+
+export function conflict(state: ControlState, version: number, detail: string): CommandChange {
+    return { state, status: ProposalStatus.Conflict, version, detail };
+}
+
+export function invalid(state: ControlState, version: number, detail: string): CommandChange {
+    return { state, status: ProposalStatus.Invalid, version, detail };
+}
+
+/** Current version of a versioned object; 0 if it does not exist. */
+export function currentVersion(state: ControlState, list: VersionedList, objectId: string): number {
+    return findObject(state.configuration, list, objectId)?.version ?? 0;
+}
+
+/** Refuses a command that is faulty or was made for another version; undefined when it may go on. */
+export function refuseVersion(
+    state: ControlState,
+    list: VersionedList,
+    objectId: string,
+    expectedVersion: number,
+    fault: Fault,
+): CommandChange | undefined {
+    const version = currentVersion(state, list, objectId);
+    const anyFault = fault ?? checkWhole("expected version", expectedVersion);
+    if (anyFault !== undefined) {
+        return invalid(state, version, anyFault);
+    }
+    if (version !== expectedVersion) {
+        const detail = `${list} "${objectId}" has version ${version}, expected was ${expectedVersion}; read it again`;
+        return conflict(state, version, detail);
+    }
+    return undefined;
+}
+
+/** Adds or replaces a versioned object with its next version. */
+export function putVersioned(
+    state: ControlState,
+    list: VersionedList,
+    build: (version: number) => ConfigurationObject["value"],
+): CommandChange {
+    const objectId = configurationObjectId({ list, value: build(0) } as ConfigurationObject);
+    const retired = state.retired.get(retiredId(list, objectId)) ?? 0;
+    const version = Math.max(currentVersion(state, list, objectId), retired) + 1;
+    const object = { list, value: build(version) } as ConfigurationObject;
+    return applied({ ...state, configuration: withObjects(state.configuration, [object]) }, version);
+}
+
+/** Removes a versioned object and keeps its last version. */
+export function removeVersioned(
+    state: ControlState,
+    list: VersionedList,
+    objectId: string,
+    expectedVersion: number,
+): CommandChange {
+    const version = currentVersion(state, list, objectId);
+    if (version === 0) {
+        return conflict(state, 0, `${list} "${objectId}" does not exist`);
+    }
+    const refusal = refuseVersion(state, list, objectId, expectedVersion, undefined);
+    if (refusal !== undefined) {
+        return refusal;
+    }
+    const retired = new Map(state.retired).set(retiredId(list, objectId), version);
+    const configuration = withoutObjects(state.configuration, [{ list, objectId }]);
+    return applied({ ...state, configuration, retired }, version);
+}
--- /dev/null
+++ b/src/control/configurationDelta.ts
@@ -0,0 +1,39 @@
+/** Differences between two configurations, and their application on the receiving side. */
+import type { Configuration } from "../model/configuration.ts";
+import { type ConfigurationDelta, UpdateKind } from "../model/feedMessages.ts";
+import { type ConfigurationObject, ObjectList } from "../model/replicatedLog.ts";
+import { configurationEntries, withObjects, withoutObjects } from "./configurationObjects.ts";
+
+/**
+ * Changes from `before` to `after`. An unchanged object must be the same reference in both, which holds for
+ * configurations that commands produced one from the other.
+ */
+export function diffConfigurations(before: Configuration, after: Configuration): ConfigurationDelta {
+    const upserts: ConfigurationObject[] = [];
+    const removals: { readonly list: ObjectList; readonly objectId: string; }[] = [];
+    for (const list of Object.values(ObjectList)) {
+        if (before[list] !== after[list]) {
+            const old = new Map(configurationEntries(before, list));
+            const current = new Map(configurationEntries(after, list));
+            for (const [objectId, value] of current) {
+                if (old.get(objectId) !== value) {
+                    upserts.push({ list, value } as ConfigurationObject);
+                }
+            }
+            removals.push(...[...old.keys()].filter(id => !current.has(id)).map(objectId => ({ list, objectId })));
+        }
+    }
+    return { kind: UpdateKind.Delta, fromVersion: before.version, toVersion: after.version, upserts, removals };
+}
+
+/**
+ * The configuration after a delta, or undefined when the delta does not start at the version of `configuration`; then
+ * an update is missing and a snapshot must be asked for.
+ */
+export function applyDelta(configuration: Configuration, delta: ConfigurationDelta): Configuration | undefined {
+    if (delta.fromVersion !== configuration.version || delta.toVersion <= delta.fromVersion) {
+        return undefined;
+    }
+    const changed = withObjects(withoutObjects(configuration, delta.removals), delta.upserts);
+    return { ...changed, version: delta.toVersion };
+}
--- /dev/null
+++ b/src/control/configurationObjects.ts
@@ -0,0 +1,77 @@
+/** A configuration seen as a set of objects with ids. */
+import type { Configuration } from "../model/configuration.ts";
+import { type ConfigurationObject, ObjectList } from "../model/replicatedLog.ts";
+
+type Identify<List extends ObjectList> = (value: Configuration[List][number]) => string;
+
+// Parts of a compound id are separated by "/", which no name may contain.
+const identify: { readonly [List in ObjectList]: Identify<List>; } = {
+    workClasses: workClass => workClass.name,
+    workspaces: workspace => workspace.name,
+    keys: key => key.id,
+    openRoutes: route => route.service,
+    groups: group => group.groupId,
+    leases: lease => `${lease.resource}/${lease.resourceId}`,
+    rateShares: share => `${share.workspace}/${share.dataCentre}`,
+};
+
+const lists = Object.values(ObjectList);
+
+/** Id of an object, unique within its list. */
+export function configurationObjectId(object: ConfigurationObject): string {
+    return (identify[object.list] as (value: ConfigurationObject["value"]) => string)(object.value);
+}
+
+/** All objects of a configuration, list by list. */
+export function configurationObjects(configuration: Configuration): readonly ConfigurationObject[] {
+    return lists.flatMap(list => configuration[list].map(value => ({ list, value }) as ConfigurationObject));
+}
+
+/** Finds an object by its id. */
+export function findObject<List extends ObjectList>(
+    configuration: Configuration,
+    list: List,
+    objectId: string,
+): Configuration[List][number] | undefined {
+    const values: readonly Configuration[List][number][] = configuration[list];
+    return values.find(value => identify[list](value) === objectId);
+}
+
+/** Adds or replaces objects; a replaced object keeps its place. */
+export function withObjects(configuration: Configuration, objects: readonly ConfigurationObject[]): Configuration {
+    let result = configuration;
+    for (const list of lists) {
+        const upserts = objects.filter(object => object.list === list);
+        if (upserts.length > 0) {
+            const values = new Map(configurationEntries(configuration, list));
+            upserts.forEach(object => values.set(configurationObjectId(object), object.value));
+            result = { ...result, [list]: [...values.values()] };
+        }
+    }
+    return result;
+}
+
+/** Removes objects by id; an unknown id is ignored. */
+export function withoutObjects(
+    configuration: Configuration,
+    removals: readonly { readonly list: ObjectList; readonly objectId: string; }[],
+): Configuration {
+    let result = configuration;
+    for (const list of lists) {
+        const removed = new Set(removals.filter(removal => removal.list === list).map(removal => removal.objectId));
+        if (removed.size > 0) {
+            const kept = configurationEntries(configuration, list).filter(([objectId]) => !removed.has(objectId));
+            result = { ...result, [list]: kept.map(([, value]) => value) };
+        }
+    }
+    return result;
+}
+
+/** Ids and values of one list, in order. */
+export function configurationEntries(
+    configuration: Configuration,
+    list: ObjectList,
+): readonly (readonly [string, ConfigurationObject["value"]])[] {
+    const values: readonly ConfigurationObject["value"][] = configuration[list];
+    return values.map(value => [configurationObjectId({ list, value } as ConfigurationObject), value] as const);
+}
--- /dev/null
+++ b/src/control/leadership.ts
@@ -0,0 +1,200 @@
+/** What a leader knows of its peers during one term. */
+import { type AppendAnswer, LogKind, send } from "../model/logMessages.ts";
+import type { LogEntry, Member } from "../model/replicatedLog.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { MemberLog } from "./memberLog.ts";
+import { majority, memberKey, MemberKind } from "./memberMessages.ts";
+
+/** Silence of a majority after which a leader steps down; not above the shortest election timeout. */
+export const quorumTimeoutMs = 1_000;
+
+/** Time after which an unanswered batch is sent again. */
+const resendAfterMs = 500;
+
+/** Bounds the work for instances that ask to join; members are at most 7. */
+const maximumLearners = 3;
+
+interface Peer {
+    readonly member: Member;
+    next: number;
+    match: number;
+    lastAnswerMs: number;
+    /** Time of the unanswered batch; undefined when there is none. */
+    sentMs: number | undefined;
+    snapshotSentMs: number | undefined;
+}
+
+export interface LeadershipOptions {
+    readonly self: Member;
+    readonly term: number;
+    readonly log: MemberLog;
+    readonly nowMs: number;
+}
+
+export class Leadership {
+    readonly term: number;
+    private readonly self: Member;
+    private readonly log: MemberLog;
+    private readonly startedMs: number;
+    private readonly peers = new Map<string, Peer>();
+    private readonly learners = new Map<string, Member>();
+    private ownMatch = 0;
+
+    constructor(options: LeadershipOptions) {
+        this.self = options.self;
+        this.term = options.term;
+        this.log = options.log;
+        this.startedMs = options.nowMs;
+        this.syncPeers(options.nowMs);
+    }
+
+    /** Adjusts the list of peers to the members in force and the learners. */
+    syncPeers(nowMs: number): void {
+        this.log.members.forEach(member => this.learners.delete(memberKey(member)));
+        const wanted = [...this.log.members, ...this.learners.values()]
+            .filter(member => memberKey(member) !== memberKey(this.self));
+        const keys = new Set(wanted.map(memberKey));
+        [...this.peers.keys()].filter(key => !keys.has(key)).forEach(key => this.peers.delete(key));
+        for (const member of wanted) {
+            if (!this.peers.has(memberKey(member))) {
+                this.peers.set(memberKey(member), {
+                    member,
+                    // A learner is taken to have nothing; for a member, the no-op of a new leader starts the search.
+                    next: this.learners.has(memberKey(member)) ? 1 : this.log.lastIndex + 1,
+                    match: 0,
+                    lastAnswerMs: nowMs,
+                    sentMs: undefined,
+                    snapshotSentMs: undefined,
+                });
+            }
+        }
+    }
+
+    trackLearner(member: Member, nowMs: number): void {
+        if (this.learners.size < maximumLearners) {
+            this.learners.set(memberKey(member), member);
+            this.syncPeers(nowMs);
+        }
+    }
+
+    tracks(member: Member): boolean {
+        return this.peers.has(memberKey(member));
+    }
+
+    /** Highest index known to be synced by a peer. */
+    matchOf(member: Member): number {
+        return this.peers.get(memberKey(member))?.match ?? 0;
+    }
+
+    /** Messages for every peer; a heartbeat where there is nothing to send. */
+    heartbeat(commitIndex: number, nowMs: number): readonly Message[] {
+        return [...this.peers.values()].flatMap(peer => {
+            const due = this.sendNext(peer, commitIndex, nowMs);
+            return due.some(message => message.kind === LogKind.Outgoing)
+                ? due
+                : [...due, this.emptyAppend(peer, commitIndex)];
+        });
+    }
+
+    /** Messages for the peers that lack entries and have no unanswered batch. */
+    replicate(commitIndex: number, nowMs: number): readonly Message[] {
+        return [...this.peers.values()].flatMap(peer => this.sendNext(peer, commitIndex, nowMs));
+    }
+
+    /** Notes an answer to entries or a heartbeat; the leader's own answer says that its disk has synced. */
+    noteAnswer(answer: AppendAnswer, nowMs: number): void {
+        if (memberKey(answer.from) === memberKey(this.self)) {
+            this.ownMatch = Math.max(this.ownMatch, answer.index);
+            return;
+        }
+        const peer = this.peers.get(memberKey(answer.from));
+        if (peer === undefined) {
+            return;
+        }
+        peer.lastAnswerMs = nowMs;
+        if (!answer.accepted) {
+            peer.next = Math.max(peer.match + 1, Math.min(answer.index, this.log.lastIndex + 1));
+            peer.sentMs = undefined;
+        }
+        else if (answer.index > peer.match) {
+            this.advance(peer, answer.index);
+        }
+    }
+
+    /** Notes that a peer received a chunk of a snapshot, or installed the snapshot up to `lastIndex`. */
+    noteSnapshot(member: Member, lastIndex: number, installed: boolean, nowMs: number): void {
+        const peer = this.peers.get(memberKey(member));
+        if (peer === undefined) {
+            return;
+        }
+        peer.lastAnswerMs = nowMs;
+        peer.snapshotSentMs = installed ? undefined : nowMs;
+        if (installed && lastIndex > peer.match) {
+            this.advance(peer, lastIndex);
+        }
+    }
+
+    hasQuorum(nowMs: number): boolean {
+        const heard = [...this.log.members].filter(member =>
+            memberKey(member) === memberKey(this.self)
+            || nowMs - (this.peers.get(memberKey(member))?.lastAnswerMs ?? this.startedMs) < quorumTimeoutMs
+        );
+        return heard.length >= majority(this.log.members);
+    }
+
+    /** Highest index that a majority of the members has synced. */
+    quorumIndex(): number {
+        const matches = this.log.members
+            .map(member => memberKey(member) === memberKey(this.self) ? this.ownMatch : this.matchOf(member))
+            .sort((left, right) => right - left);
+        return matches[majority(this.log.members) - 1] ?? 0;
+    }
+
+    private advance(peer: Peer, match: number): void {
+        peer.match = match;
+        peer.next = Math.max(peer.next, match + 1);
+        peer.sentMs = undefined;
+    }
+
+    private sendNext(peer: Peer, commitIndex: number, nowMs: number): readonly Message[] {
+        if (peer.next > this.log.lastIndex || isRecent(peer.sentMs, nowMs)) {
+            return [];
+        }
+        if (peer.next <= this.log.snapshotIndex) {
+            return this.requestSnapshot(peer, nowMs);
+        }
+        peer.sentMs = nowMs;
+        return [this.appendTo(peer, peer.next - 1, this.log.batch(peer.next), commitIndex)];
+    }
+
+    private requestSnapshot(peer: Peer, nowMs: number): readonly Message[] {
+        if (isRecent(peer.snapshotSentMs, nowMs)) {
+            return [];
+        }
+        peer.snapshotSentMs = nowMs;
+        return [{ kind: MemberKind.SnapshotWanted, term: this.term, peer: peer.member } as Message];
+    }
+
+    // Builds on the last index known to be equal, so it is accepted whatever else the peer's log holds.
+    private emptyAppend(peer: Peer, commitIndex: number): Message {
+        return this.appendTo(peer, peer.match >= this.log.snapshotIndex ? peer.match : 0, [], commitIndex);
+    }
+
+    private appendTo(peer: Peer, previousIndex: number, entries: readonly LogEntry[], commitIndex: number): Message {
+        return send({
+            kind: LogKind.AppendRequest,
+            from: this.self,
+            to: peer.member,
+            term: this.term,
+            callId: "",
+            previousIndex,
+            previousTerm: this.log.termAt(previousIndex) ?? 0,
+            entries,
+            commitIndex,
+        });
+    }
+}
+
+function isRecent(sentMs: number | undefined, nowMs: number): boolean {
+    return sentMs !== undefined && nowMs - sentMs < resendAfterMs;
+}
--- /dev/null
+++ b/src/control/membershipFilter.ts
@@ -0,0 +1,122 @@
+/** Changes of the control members, one at a time. */
+import { ProposalStatus } from "../model/controlMessages.ts";
+import type { Member } from "../model/replicatedLog.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import {
+    type ChangeAsked,
+    isMember,
+    type JoinAsked,
+    MemberKind,
+    MemberRole,
+    type MembershipFacts,
+    type TermChanged,
+} from "./memberMessages.ts";
+import { proposalEnded } from "./proposalEnded.ts";
+
+/** At most 7 instances are set aside for control. */
+export const maximumMembers = 7;
+
+export interface MembershipFilterOptions {
+    /** Ids of the control members by the settings; these join without an operator's order. */
+    readonly settledIds: readonly string[];
+}
+
+type MembershipInput = TermChanged | JoinAsked | ChangeAsked;
+
+/**
+ * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. The
+ * new incarnation of a wiped member takes the place of the old one in two changes, first out, then in, because a
+ * majority before and a majority after a single change must have a member in common.
+ */
+export class MembershipFilter implements Filter<MembershipInput, Message> {
+    readonly step = "membership";
+    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked];
+    private readonly options: MembershipFilterOptions;
+    /** Orders to add an instance that have not been carried out: proposal id by member id. */
+    private readonly ordered = new Map<string, string>();
+
+    constructor(options: MembershipFilterOptions) {
+        this.options = options;
+    }
+
+    process(message: MembershipInput): readonly Message[] {
+        switch (message.kind) {
+            case MemberKind.TermChanged:
+                return message.role === MemberRole.Leader ? [message] : [message, ...this.dropOrders()];
+            case MemberKind.JoinAsked:
+                return this.considerJoin(message);
+            case MemberKind.ChangeAsked:
+                return message.action === "add" ? this.order(message) : this.remove(message);
+        }
+    }
+
+    private considerJoin(asked: JoinAsked): readonly Message[] {
+        const joiner = asked.request.from;
+        const { members, term } = asked;
+        if (isMember(members, joiner) || !this.isAllowed(joiner, members)) {
+            return [];
+        }
+        if (!asked.tracked) {
+            return [{ kind: MemberKind.TrackLearner, term, member: joiner } as Message];
+        }
+        if (!asked.caughtUp || !asked.changeable) {
+            return [];
+        }
+        if (members.some(member => member.memberId === joiner.memberId)) {
+            return [appendMembers(asked, members.filter(member => member.memberId !== joiner.memberId), undefined)];
+        }
+        if (members.length >= maximumMembers) {
+            return [];
+        }
+        const proposalId = this.ordered.get(joiner.memberId);
+        this.ordered.delete(joiner.memberId);
+        return [appendMembers(asked, [...members, joiner], proposalId)];
+    }
+
+    private isAllowed(joiner: Member, members: readonly Member[]): boolean {
+        return this.options.settledIds.includes(joiner.memberId)
+            || this.ordered.has(joiner.memberId)
+            || members.some(member => member.memberId === joiner.memberId);
+    }
+
+    private order({ memberId, members, proposalId }: ChangeAsked): readonly Message[] {
+        if (members.some(member => member.memberId === memberId)) {
+            return [
+                proposalEnded(proposalId, ProposalStatus.Conflict, { detail: `"${memberId}" is a member already` }),
+            ];
+        }
+        if (members.length >= maximumMembers) {
+            const detail = `there are ${maximumMembers} members already; remove one first`;
+            return [proposalEnded(proposalId, ProposalStatus.Invalid, { detail })];
+        }
+        const earlier = this.ordered.get(memberId);
+        this.ordered.set(memberId, proposalId);
+        const detail = "a later order for the same member replaced this one";
+        return earlier === undefined ? [] : [proposalEnded(earlier, ProposalStatus.Conflict, { detail })];
+    }
+
+    private remove(asked: ChangeAsked): readonly Message[] {
+        const { memberId, members, proposalId } = asked;
+        const rest = members.filter(member => member.memberId !== memberId);
+        if (rest.length === members.length) {
+            return [proposalEnded(proposalId, ProposalStatus.Invalid, { detail: `"${memberId}" is not a member` })];
+        }
+        if (rest.length === 0) {
+            return [proposalEnded(proposalId, ProposalStatus.Invalid, { detail: "the last member cannot be removed" })];
+        }
+        return [appendMembers(asked, rest, proposalId)];
+    }
+
+    private dropOrders(): readonly Message[] {
+        const dropped = [...this.ordered.values()];
+        this.ordered.clear();
+        const detail = "leadership was lost; ask the new leader";
+        return dropped.map(proposalId => proposalEnded(proposalId, ProposalStatus.Unknown, { detail }));
+    }
+}
+
+function appendMembers(facts: MembershipFacts, members: readonly Member[], proposalId: string | undefined): Message {
+    const { term, membersIndex } = facts;
+    return { kind: MemberKind.AppendMembers, term, membersIndex, members, proposalId } as Message;
+}
--- /dev/null
+++ b/src/control/promiseFilter.ts
@@ -0,0 +1,84 @@
+/** Last step of the control pipe: no promise leaves before the disk has synced what it rests on. */
+import { LogKind, type LogOutgoing, type LogSend, type PeerMessage } from "../model/logMessages.ts";
+import type { Member } from "../model/replicatedLog.ts";
+import { type StorageAppend, type StorageAppendDone, StorageKind } from "../model/storageMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { memberKey, MemberKind, type Write } from "./memberMessages.ts";
+
+/** Answers held back while the disk is slow; peers repeat what is dropped above this. */
+const maximumHeld = 1_024;
+
+interface Held {
+    readonly afterWriteId: number;
+    readonly body: PeerMessage;
+}
+
+type PromiseInput = Write | LogOutgoing | StorageAppendDone;
+
+/**
+ * Numbers the writes and holds back votes, vote requests and acknowledgements until every write before them is synced.
+ * A message to this member itself, by which it counts its own vote or its own copy of an entry, waits in the same way
+ * and is then posted as an event.
+ */
+export class PromiseFilter implements Filter<PromiseInput, Message> {
+    readonly step = "promise";
+    readonly accepts = [MemberKind.Write, LogKind.Outgoing, StorageKind.AppendDone];
+    private readonly self: Member;
+    private lastWriteId = 0;
+    private syncedWriteId = 0;
+    private held: Held[] = [];
+
+    constructor(self: Member) {
+        this.self = self;
+    }
+
+    process(message: PromiseInput): readonly Message[] {
+        switch (message.kind) {
+            case MemberKind.Write: {
+                this.lastWriteId += 1;
+                const append = { kind: StorageKind.Append, writeId: this.lastWriteId, write: message.write };
+                return [append as StorageAppend];
+            }
+            case LogKind.Outgoing:
+                return this.pass(message);
+            case StorageKind.AppendDone:
+                this.syncedWriteId = Math.max(this.syncedWriteId, message.writeId);
+                return this.release();
+        }
+    }
+
+    private pass(message: LogOutgoing): readonly Message[] {
+        if (this.syncedWriteId >= this.lastWriteId || !isPromise(message.body)) {
+            return [this.onward(message.body)];
+        }
+        this.held.push({ afterWriteId: this.lastWriteId, body: message.body });
+        if (this.held.length > maximumHeld) {
+            this.held.shift();
+        }
+        return [];
+    }
+
+    private release(): readonly Message[] {
+        const ready = this.held.filter(held => held.afterWriteId <= this.syncedWriteId);
+        this.held = this.held.slice(ready.length);
+        return ready.map(held => this.onward(held.body));
+    }
+
+    private onward(body: PeerMessage): Message {
+        return memberKey(body.to) === memberKey(this.self) ? body : { kind: LogKind.Send, body } as LogSend;
+    }
+}
+
+function isPromise(body: PeerMessage): boolean {
+    switch (body.kind) {
+        case LogKind.VoteRequest:
+            return !body.preVote;
+        case LogKind.VoteAnswer:
+        case LogKind.AppendAnswer:
+        case LogKind.SnapshotAnswer:
+            return true;
+        default:
+            return false;
+    }
+}
--- /dev/null
+++ b/src/control/publicationFilter.ts
@@ -0,0 +1,63 @@
+/** Publishes the configuration from a control member to the instances that subscribed to it. */
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
+import {
+    type ConfigurationUpdate,
+    FeedKind,
+    type FeedSend,
+    type FeedSubscribe,
+    type FeedUnsubscribe,
+    UpdateKind,
+} from "../model/feedMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { diffConfigurations } from "./configurationDelta.ts";
+
+type PublicationInput = ConfigurationApplied | FeedSubscribe | FeedUnsubscribe;
+
+/** A subscriber gets a snapshot unless it has the current version, and then a delta for each change. */
+export class PublicationFilter implements Filter<PublicationInput, Message> {
+    readonly step = "publish";
+    readonly accepts = [ClusterKind.ConfigurationApplied, FeedKind.Subscribe, FeedKind.Unsubscribe];
+    private current: Configuration = emptyConfiguration;
+    /** Version that each stream has been brought to. */
+    private readonly versions = new Map<string, number>();
+
+    process(message: PublicationInput): readonly Message[] {
+        switch (message.kind) {
+            case FeedKind.Subscribe:
+                return this.subscribe(message);
+            case FeedKind.Unsubscribe:
+                this.versions.delete(message.streamId);
+                return [];
+            case ClusterKind.ConfigurationApplied:
+                return [message, ...this.publish(message.configuration)];
+        }
+    }
+
+    private subscribe({ streamId, version }: FeedSubscribe): readonly Message[] {
+        this.versions.set(streamId, version);
+        // A subscriber ahead of this member waits; an older configuration would revert it.
+        return version < this.current.version ? [this.sendSnapshot(streamId)] : [];
+    }
+
+    private publish(configuration: Configuration): readonly Message[] {
+        if (configuration.version <= this.current.version) {
+            return [];
+        }
+        const delta = diffConfigurations(this.current, configuration);
+        this.current = configuration;
+        return [...this.versions].filter(([, version]) => version < configuration.version).map(([streamId, version]) =>
+            version === delta.fromVersion ? this.sendTo(streamId, delta) : this.sendSnapshot(streamId)
+        );
+    }
+
+    private sendSnapshot(streamId: string): FeedSend {
+        return this.sendTo(streamId, { kind: UpdateKind.Snapshot, configuration: this.current });
+    }
+
+    private sendTo(streamId: string, update: ConfigurationUpdate): FeedSend {
+        this.versions.set(streamId, this.current.version);
+        return { kind: FeedKind.Send, streamId, update };
+    }
+}
--- /dev/null
+++ b/src/control/voteFilter.ts
@@ -0,0 +1,222 @@
+/** Elections: timer, pre-vote, votes given and votes received. */
+import { LogKind, send, type VoteAnswer } from "../model/logMessages.ts";
+import type { Member } from "../model/replicatedLog.ts";
+import { StorageKind, type StorageRecovered, WriteKind } from "../model/storageMessages.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import {
+    type Candidacy,
+    type ElectionReady,
+    isMember,
+    type LeaderHeard,
+    type LogFacts,
+    majority,
+    memberKey,
+    MemberKind,
+    MemberRole,
+    type TermChanged,
+    termEvent,
+    type VoteAsked,
+    writeOf,
+} from "./memberMessages.ts";
+
+/** Silence of the leader after which an election starts: this, plus up to the jitter. */
+export const electionTimeoutMs = 1_000;
+export const electionJitterMs = 1_000;
+
+const electionKey = "control.election";
+
+type VoteInput =
+    | StorageRecovered
+    | TermChanged
+    | LeaderHeard
+    | ElectionReady
+    | Candidacy
+    | VoteAsked
+    | VoteAnswer;
+
+interface Tally {
+    readonly preVote: boolean;
+    readonly term: number;
+    readonly members: readonly Member[];
+    readonly granted: Set<string>;
+    /** A majority was reached and acted upon. */
+    won: boolean;
+}
+
+export interface VoteFilterOptions {
+    readonly self: Member;
+    readonly random: SeededRandom;
+}
+
+export class VoteFilter implements Filter<VoteInput, Message> {
+    readonly step = "vote";
+    readonly accepts = [
+        StorageKind.Recovered,
+        MemberKind.TermChanged,
+        MemberKind.LeaderHeard,
+        MemberKind.ElectionReady,
+        MemberKind.Candidacy,
+        MemberKind.VoteAsked,
+        LogKind.VoteAnswer,
+    ];
+    private readonly options: VoteFilterOptions;
+    private term = 0;
+    private role: MemberRole = MemberRole.Follower;
+    private votedFor: string | undefined;
+    private tally: Tally | undefined;
+    private leaderHeardMs = -Infinity;
+    private electionAtMs = Infinity;
+
+    constructor(options: VoteFilterOptions) {
+        this.options = options;
+    }
+
+    process(message: VoteInput, nowMs: number): readonly Message[] {
+        switch (message.kind) {
+            case StorageKind.Recovered:
+                this.term = message.term;
+                this.votedFor = message.votedFor;
+                return [message, this.restartTimer(nowMs)];
+            case MemberKind.TermChanged:
+                return [message, ...this.changeTerm(message, nowMs)];
+            case MemberKind.LeaderHeard:
+                this.leaderHeardMs = nowMs;
+                return [this.restartTimer(nowMs)];
+            case MemberKind.ElectionReady:
+                return this.startPreVote(message, nowMs);
+            case MemberKind.Candidacy:
+                return this.startVote(message);
+            case MemberKind.VoteAsked:
+                return this.answer(message, nowMs);
+            case LogKind.VoteAnswer:
+                return this.count(message);
+        }
+    }
+
+    private changeTerm(change: TermChanged, nowMs: number): readonly Message[] {
+        if (change.term !== this.term) {
+            this.term = change.term;
+            this.votedFor = undefined;
+        }
+        this.role = change.role;
+        this.tally = undefined;
+        if (change.role === MemberRole.Leader) {
+            this.electionAtMs = Infinity;
+            return [clearDeadline(electionKey)];
+        }
+        return [this.restartTimer(nowMs)];
+    }
+
+    private startPreVote(ready: ElectionReady, nowMs: number): readonly Message[] {
+        // The timer may have been restarted after its message was queued.
+        if (this.role === MemberRole.Leader || nowMs < this.electionAtMs) {
+            return [];
+        }
+        const timer = this.restartTimer(nowMs);
+        if (!isMember(ready.members, this.options.self)) {
+            return [timer];
+        }
+        this.openTally(true, this.term + 1, ready);
+        return [timer, ...this.ask(ready), ...this.countOne(this.options.self)];
+    }
+
+    private startVote(candidacy: Candidacy): readonly Message[] {
+        const { self } = this.options;
+        this.votedFor = memberKey(self);
+        this.openTally(false, candidacy.term, candidacy);
+        const own: VoteAnswer = {
+            kind: LogKind.VoteAnswer,
+            from: self,
+            to: self,
+            term: candidacy.term,
+            callId: "",
+            preVote: false,
+            granted: true,
+            requestTerm: candidacy.term,
+        };
+        return [
+            writeOf({ kind: WriteKind.Term, term: candidacy.term, votedFor: this.votedFor }),
+            ...this.ask(candidacy),
+            send(own),
+        ];
+    }
+
+    private openTally(preVote: boolean, term: number, facts: LogFacts): void {
+        this.tally = { preVote, term, members: facts.members, granted: new Set(), won: false };
+    }
+
+    private ask(facts: LogFacts): readonly Message[] {
+        const { self } = this.options;
+        const { preVote, term, members } = this.tally!;
+        return members.filter(member => memberKey(member) !== memberKey(self)).map(to =>
+            send({
+                kind: LogKind.VoteRequest,
+                from: self,
+                to,
+                term,
+                callId: "",
+                preVote,
+                lastIndex: facts.lastIndex,
+                lastTerm: facts.lastTerm,
+            })
+        );
+    }
+
+    private answer({ request, logIsRecent }: VoteAsked, nowMs: number): readonly Message[] {
+        const granted = logIsRecent
+            && (request.preVote ? this.wouldVote(request.term, nowMs) : this.mayVote(memberKey(request.from)));
+        const answer = send({
+            kind: LogKind.VoteAnswer,
+            from: this.options.self,
+            to: request.from,
+            term: this.term,
+            callId: request.callId,
+            preVote: request.preVote,
+            granted,
+            requestTerm: request.term,
+        });
+        if (request.preVote || !granted) {
+            return [answer];
+        }
+        this.votedFor = memberKey(request.from);
+        const write = writeOf({ kind: WriteKind.Term, term: this.term, votedFor: this.votedFor });
+        return [write, this.restartTimer(nowMs), answer];
+    }
+
+    // A member that hears its leader refuses, so that an instance that alone lost contact cannot end a working term.
+    private wouldVote(term: number, nowMs: number): boolean {
+        return term > this.term
+            && this.role !== MemberRole.Leader
+            && nowMs - this.leaderHeardMs >= electionTimeoutMs;
+    }
+
+    private mayVote(candidate: string): boolean {
+        return this.votedFor === undefined || this.votedFor === candidate;
+    }
+
+    private count(answer: VoteAnswer): readonly Message[] {
+        const tally = this.tally;
+        const fits = tally !== undefined && answer.preVote === tally.preVote && answer.requestTerm === tally.term;
+        return fits && answer.granted ? this.countOne(answer.from) : [];
+    }
+
+    private countOne(voter: Member): readonly Message[] {
+        const tally = this.tally!;
+        if (isMember(tally.members, voter)) {
+            tally.granted.add(memberKey(voter));
+        }
+        if (tally.won || tally.granted.size < majority(tally.members)) {
+            return [];
+        }
+        tally.won = true;
+        return [termEvent(tally.preVote ? MemberKind.Campaign : MemberKind.Elected, tally.term)];
+    }
+
+    private restartTimer(nowMs: number): Message {
+        this.electionAtMs = nowMs + electionTimeoutMs + this.options.random.nextInteger(electionJitterMs);
+        return setDeadline(electionKey, this.electionAtMs, { kind: MemberKind.ElectionDue });
+    }
+}
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -9,6 +9,8 @@
 export const ControlKind = {
     /** Any pipe or source asks for a change of the control state. */
     Propose: "control.propose",
+    /** An operator asks for a change of the control members. */
+    ChangeMember: "control.change_member",
     /** What became of a proposal. */
     ProposalEnded: "control.proposal_ended",
     /** This member's view of who leads changed. */
@@ -120,6 +122,14 @@
     readonly command: Command;
 }
 
+/** Adds an instance that asked to join, or removes a member. Answered by `control.proposal_ended`. */
+export interface ControlChangeMember extends Message {
+    readonly kind: typeof ControlKind.ChangeMember;
+    readonly proposalId: string;
+    readonly action: "add" | "remove";
+    readonly memberId: string;
+}
+
 export const ProposalStatus = {
     Applied: "applied",
     /** The expected version, term or epoch was not the current one. Nothing changed. */
--- /dev/null
+++ b/src/model/feedMessages.ts
@@ -0,0 +1,67 @@
+/** Messages that carry the configuration from control members to other instances. */
+import type { Message } from "../pipeline/message.ts";
+import type { Configuration } from "./configuration.ts";
+import type { ConfigurationObject, ObjectList } from "./replicatedLog.ts";
+
+export const FeedKind = {
+    /** An instance asked this member for the configuration. */
+    Subscribe: "feed.subscribe",
+    Unsubscribe: "feed.unsubscribe",
+    /** An update for one subscriber; taken by the gRPC sink. */
+    Send: "feed.send",
+    /** An update that arrived from a control member. */
+    Received: "feed.received",
+    /** The follower missed an update; the source must subscribe again with `version`. */
+    Resubscribe: "feed.resubscribe",
+} as const;
+
+export const UpdateKind = {
+    Snapshot: "snapshot",
+    Delta: "delta",
+} as const;
+
+/** Changes from one version to a later one. */
+export interface ConfigurationDelta {
+    readonly kind: typeof UpdateKind.Delta;
+    readonly fromVersion: number;
+    readonly toVersion: number;
+    readonly upserts: readonly ConfigurationObject[];
+    /** Object ids as `configurationObjectId` gives them. */
+    readonly removals: readonly { readonly list: ObjectList; readonly objectId: string; }[];
+}
+
+export interface ConfigurationSnapshot {
+    readonly kind: typeof UpdateKind.Snapshot;
+    readonly configuration: Configuration;
+}
+
+export type ConfigurationUpdate = ConfigurationSnapshot | ConfigurationDelta;
+
+export interface FeedSubscribe extends Message {
+    readonly kind: typeof FeedKind.Subscribe;
+    /** Chosen by the gRPC source, unique in this process. */
+    readonly streamId: string;
+    /** Version that the subscriber has applied; 0 for none. */
+    readonly version: number;
+}
+
+export interface FeedUnsubscribe extends Message {
+    readonly kind: typeof FeedKind.Unsubscribe;
+    readonly streamId: string;
+}
+
+export interface FeedSend extends Message {
+    readonly kind: typeof FeedKind.Send;
+    readonly streamId: string;
+    readonly update: ConfigurationUpdate;
+}
+
+export interface FeedReceived extends Message {
+    readonly kind: typeof FeedKind.Received;
+    readonly update: ConfigurationUpdate;
+}
+
+export interface FeedResubscribe extends Message {
+    readonly kind: typeof FeedKind.Resubscribe;
+    readonly version: number;
+}
