fix(control): announce each configuration once and in order

Cause: a run of 4000 generated histories failed with a version that fell. The publication accepted the public cluster.configuration_applied, which the loop posts again, so a sink saw an older version after a newer one. Change: an internal control.configuration_changed between application and publication; the histories gain crashes of one and of all members, stalled disks and members that hear nothing. Conclusion: a version reaches sinks and pipes once, in rising order.

--- a/src/control/__tests__/cluster.spec.ts
+++ b/src/control/__tests__/cluster.spec.ts
@@ -6,6 +6,11 @@
 
 const seed = 20_261_204;
 
+const kinds = [
+    ...["propose", "propose", "propose", "resend", "cut", "join", "deaf", "hear", "kill", "start", "start"],
+    ...["crash", "crash", "crashAll", "stall", "sync", "wipe", "run", "faults", "faults"],
+];
+
 function setWorkspace(name: string, expectedVersion: number, ratePerSecond = 10): Command {
     const workspace = { name, ratePerSecond, burst: 20, keyValidityMs: 10_000 };
     return { kind: CommandKind.SetWorkspace, expectedVersion, workspace };
@@ -82,6 +87,15 @@
         assert.deepEqual([leader.view?.leading, leader.view?.term], [true, term]);
     });
 
+    it("keeps its leader while a member hears nothing and asks for votes", () => {
+        const cluster = formed(3);
+        const leader = cluster.leader()!;
+        const term = leader.view!.term;
+        cluster.setDeaf([...cluster.nodes.keys()].find(memberId => memberId !== leader.memberId)!, true);
+        cluster.run(20_000);
+        assert.deepEqual([leader.view?.leading, leader.view?.term], [true, term]);
+    });
+
     it("brings a member back after hundreds of changes, by snapshot and log", () => {
         const cluster = formed(3);
         const leader = cluster.leader()!.memberId;
@@ -121,7 +135,11 @@
                 cluster.leader()!.memberId,
                 { kind: ControlKind.ChangeMember, proposalId, action, memberId } as never,
             );
+        cluster.nodes.get("m9")!.disk.stalled = true;
         change("add", "add", "m9");
+        cluster.run(5_000);
+        assert.equal(cluster.isWhole(), false, "m9 must not be a member before it has synced");
+        cluster.nodes.get("m9")!.disk.stalled = false;
         cluster.runUntil("m9 is a member", () => cluster.isWhole());
         cluster.runUntil("the answer", () => statusesOf(cluster, "add").length > 0);
         change("remove", "remove", "m9");
@@ -134,18 +152,7 @@
     // for a resend, one vote per term and incarnation, versions that never fall, no leader without acknowledged changes.
     it("holds its invariants in generated orders of faults and racing operators", () => {
         const event = fc.record({
-            kind: fc.constantFrom(
-                "propose",
-                "propose",
-                "resend",
-                "cut",
-                "join",
-                "kill",
-                "start",
-                "wipe",
-                "run",
-                "faults",
-            ),
+            kind: fc.constantFrom(...kinds),
             member: fc.nat(4),
             pick: fc.nat(3),
             durationMs: fc.integer({ min: 10, max: 1_500 }),
@@ -157,6 +164,7 @@
         });
         fc.assert(fc.property(run, ({ size, clusterSeed, events }) => runHistory(size, clusterSeed, events)), {
             seed,
+            includeErrorInReport: true,
             numRuns: Number(process.env["CONTROL_RUNS"] ?? 400),
         });
     });
@@ -204,6 +212,18 @@
             return cluster.setCut(memberId, true);
         case "join":
             return cluster.setCut(memberId, false);
+        case "deaf":
+        case "hear":
+            return cluster.setDeaf(memberId, event.kind === "deaf");
+        case "stall":
+        case "sync":
+            cluster.nodes.get(memberId)!.disk.stalled = event.kind === "stall";
+            return;
+        case "crash":
+            cluster.kill(memberId);
+            return cluster.start(memberId);
+        case "crashAll":
+            return cluster.crashAll();
         case "kill":
             return cluster.kill(memberId);
         case "start":
@@ -216,7 +236,7 @@
                 dropShare: event.pick * 0.1,
                 duplicateShare: event.pick * 0.1,
                 maximumDelayMs: 20 + event.pick * 300,
-                diskDelayMs: 5 + event.pick * 100,
+                diskDelayMs: 5 + event.pick * 300,
             };
     }
 }
--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -31,6 +31,8 @@
     votedFor: string | undefined;
     snapshot: Snapshot | undefined;
     entries: readonly LogEntry[];
+    /** Writes stay unsynced as long as it is set. */
+    stalled: boolean;
     unsynced: { readonly writeId: number; readonly write: StorageWrite; readonly atMs: number; }[];
 }
 
@@ -65,6 +67,7 @@
     private readonly votes = new Map<string, string>();
     private readonly requested = new Map<string, string>();
     private readonly cut = new Set<string>();
+    private readonly deaf = new Set<string>();
     private network: { readonly atMs: number; readonly body: PeerMessage; }[] = [];
     private nextId = 0;
     private readonly snapshotEntries: number;
@@ -139,6 +142,23 @@
         }
     }
 
+    /** Stops delivery to a member while what it sends still arrives. */
+    setDeaf(memberId: string, deaf: boolean): void {
+        if (deaf) {
+            this.deaf.add(memberId);
+        }
+        else {
+            this.deaf.delete(memberId);
+        }
+    }
+
+    /** Stops all members at one moment, as a loss of power does, and starts them again. */
+    crashAll(): void {
+        const running = [...this.nodes.values()].filter(node => node.loop !== undefined);
+        running.forEach(node => this.kill(node.memberId));
+        running.forEach(node => this.start(node.memberId));
+    }
+
     propose(memberId: string, proposalId: string, operationId: string, command: Command): void {
         this.post(memberId, { kind: ControlKind.Propose, proposalId, operationId, command } as Message);
     }
@@ -172,6 +192,8 @@
     heal(): void {
         this.faults = calm;
         this.cut.clear();
+        this.deaf.clear();
+        this.nodes.forEach(node => node.disk.stalled = false);
         this.nodes.forEach(node => this.start(node.memberId));
     }
 
@@ -196,11 +218,19 @@
             const isNew = !this.committed.has(entry.index);
             this.committed.set(entry.index, text);
             if (isNew && entry.body.kind === EntryKind.Members) {
-                this.members = entry.body.members;
+                this.noteMembers(entry.body.members);
             }
         }
     }
 
+    private noteMembers(members: readonly Member[]): void {
+        const before = new Set(this.members.map(memberKey));
+        const after = new Set(members.map(memberKey));
+        const changes = [...before, ...after].filter(key => before.has(key) !== after.has(key)).length;
+        assert.ok(before.size === 0 || changes <= 1, "more than one member changed at once");
+        this.members = members;
+    }
+
     private sinksOf(node: Node): readonly Sink[] {
         return [
             sink(StorageKind.Append, (message: StorageAppend) => {
@@ -254,9 +284,7 @@
         const due = this.network.filter(({ atMs }) => atMs <= this.nowMs);
         this.network = this.network.filter(({ atMs }) => atMs > this.nowMs);
         for (const { body } of due) {
-            if (
-                !this.cut.has(body.from.memberId) && !this.cut.has(body.to.memberId) && this.nodes.has(body.to.memberId)
-            ) {
+            if (this.isConnected(body)) {
                 const callId = body.callId === "" ? `call${this.nextId++}` : body.callId;
                 this.requested.set(callId, memberKey(body.to));
                 // A copy, as the network makes one: members must not share state.
@@ -265,8 +293,13 @@
         }
     }
 
+    private isConnected({ from, to }: PeerMessage): boolean {
+        return this.nodes.has(to.memberId) && !this.deaf.has(to.memberId)
+            && !this.cut.has(from.memberId) && !this.cut.has(to.memberId);
+    }
+
     private syncDisk(node: Node): void {
-        while (node.disk.unsynced[0] !== undefined && node.disk.unsynced[0].atMs <= this.nowMs) {
+        while (!node.disk.stalled && node.disk.unsynced[0] !== undefined && node.disk.unsynced[0].atMs <= this.nowMs) {
             const { writeId, write } = node.disk.unsynced.shift()!;
             applyWrite(node.disk, write);
             this.post(node.memberId, { kind: StorageKind.AppendDone, writeId } as Message);
@@ -275,7 +308,15 @@
 
     private emptyDisk(): Disk {
         const incarnation = `i${this.nextId++}`;
-        return { incarnation, term: 0, votedFor: undefined, snapshot: undefined, entries: [], unsynced: [] };
+        return {
+            incarnation,
+            term: 0,
+            votedFor: undefined,
+            snapshot: undefined,
+            entries: [],
+            stalled: false,
+            unsynced: [],
+        };
     }
 }
 
--- a/src/control/applyFilter.ts
+++ b/src/control/applyFilter.ts
@@ -1,5 +1,4 @@
 /** Applies committed entries to the control state and takes snapshots of it. */
-import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ProposalStatus } from "../model/controlMessages.ts";
 import { EntryKind, type LogEntry, type OperationResult, type Snapshot } from "../model/replicatedLog.ts";
 import { StorageKind, type StorageRecovered } from "../model/storageMessages.ts";
@@ -7,7 +6,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { applyCommand } from "./applyCommand.ts";
 import { type ControlState, emptyControlState, fromRecords, toRecords } from "./controlState.ts";
-import { type Committed, MemberKind, type SnapshotInstalled } from "./memberMessages.ts";
+import { type Committed, type ConfigurationChanged, MemberKind, type SnapshotInstalled } from "./memberMessages.ts";
 
 /** Entries between two snapshots; half a day of changes, and a short replay at start. */
 export const snapshotEntries = 1_024;
@@ -43,7 +42,7 @@
     private restore(snapshot: Snapshot): readonly Message[] {
         this.state = fromRecords(snapshot.records, snapshot.version);
         this.entriesSinceSnapshot = 0;
-        return [this.configurationApplied()];
+        return [this.configurationChanged()];
     }
 
     private applyAll(entries: readonly LogEntry[]): readonly Message[] {
@@ -54,7 +53,7 @@
         });
         this.entriesSinceSnapshot += entries.length;
         return [
-            ...this.state.configuration.version > version ? [this.configurationApplied()] : [],
+            ...this.state.configuration.version > version ? [this.configurationChanged()] : [],
             ...results,
             ...this.entriesSinceSnapshot >= this.options.snapshotEntries ? [this.takeSnapshot(entries.at(-1)!)] : [],
         ];
@@ -77,7 +76,7 @@
         return { ...head, version, records: toRecords(this.state) } as Message;
     }
 
-    private configurationApplied(): ConfigurationApplied {
-        return { kind: ClusterKind.ConfigurationApplied, configuration: this.state.configuration };
+    private configurationChanged(): ConfigurationChanged {
+        return { kind: MemberKind.ConfigurationChanged, configuration: this.state.configuration };
     }
 }
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -1,4 +1,5 @@
 /** Messages between the filters of the control pipe. */
+import type { Configuration } from "../model/configuration.ts";
 import type { JoinRequest, SnapshotRequest, VoteRequest } from "../model/logMessages.ts";
 import type { LogEntry, Member, OperationResult, Snapshot, SnapshotRecord } from "../model/replicatedLog.ts";
 import type { StorageWrite } from "../model/storageMessages.ts";
@@ -34,6 +35,7 @@
     EntryAppended: "control.entry_appended",
     Committed: "control.committed",
     EntryApplied: "control.entry_applied",
+    ConfigurationChanged: "control.configuration_changed",
     SnapshotDue: "control.snapshot_due",
     SnapshotReady: "control.snapshot_ready",
     SnapshotWanted: "control.snapshot_wanted",
@@ -173,6 +175,12 @@
     readonly result: OperationResult;
 }
 
+/** The state machine has a new configuration; the publication announces it. */
+export interface ConfigurationChanged extends Message {
+    readonly kind: typeof MemberKind.ConfigurationChanged;
+    readonly configuration: Configuration;
+}
+
 /** The state machine has a snapshot of its state; the log adds the members. */
 export interface SnapshotDue extends Message {
     readonly kind: typeof MemberKind.SnapshotDue;
--- a/src/control/publicationFilter.ts
+++ b/src/control/publicationFilter.ts
@@ -2,6 +2,7 @@
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
+    type ConfigurationDelta,
     type ConfigurationUpdate,
     FeedKind,
     type FeedSend,
@@ -12,13 +13,14 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { diffConfigurations } from "./configurationDelta.ts";
+import { type ConfigurationChanged, MemberKind } from "./memberMessages.ts";
 
-type PublicationInput = ConfigurationApplied | FeedSubscribe | FeedUnsubscribe;
+type PublicationInput = ConfigurationChanged | FeedSubscribe | FeedUnsubscribe;
 
 /** A subscriber gets a snapshot unless it has the current version, and then a delta for each change. */
 export class PublicationFilter implements Filter<PublicationInput, Message> {
     readonly step = "publish";
-    readonly accepts = [ClusterKind.ConfigurationApplied, FeedKind.Subscribe, FeedKind.Unsubscribe];
+    readonly accepts = [MemberKind.ConfigurationChanged, FeedKind.Subscribe, FeedKind.Unsubscribe];
     private current: Configuration = emptyConfiguration;
     /** Version that each stream has been brought to. */
     private readonly versions = new Map<string, number>();
@@ -30,8 +32,8 @@
             case FeedKind.Unsubscribe:
                 this.versions.delete(message.streamId);
                 return [];
-            case ClusterKind.ConfigurationApplied:
-                return [message, ...this.publish(message.configuration)];
+            case MemberKind.ConfigurationChanged:
+                return this.publish(message.configuration);
         }
     }
 
@@ -47,7 +49,12 @@
         }
         const delta = diffConfigurations(this.current, configuration);
         this.current = configuration;
-        return [...this.versions].filter(([, version]) => version < configuration.version).map(([streamId, version]) =>
+        const applied: ConfigurationApplied = { kind: ClusterKind.ConfigurationApplied, configuration };
+        return [applied, ...this.updates(delta)];
+    }
+
+    private updates(delta: ConfigurationDelta): readonly FeedSend[] {
+        return [...this.versions].filter(([, version]) => version < delta.toVersion).map(([streamId, version]) =>
             version === delta.fromVersion ? this.sendTo(streamId, delta) : this.sendSnapshot(streamId)
         );
     }
