feat(rates): move shares within a second of a shortage

Cause: demand was measured and shares were divided once a second each, so that a rush at one data centre waited up to four seconds for the shares of the others.

Change: a home that is short, and one whose share was reduced, reports within 200 ms, and the leader then divides within 200 ms. Demand is smoothed over 4 s, and a share is short only beyond chance, because shares otherwise follow noise.

Changes of shares are still the largest part of the configuration traffic under load near the rate.

--- a/src/model/rateMessages.ts
+++ b/src/model/rateMessages.ts
@@ -15,6 +15,9 @@
 /** Interval at which permit homes report demand and the leader reconsiders shares. */
 export const demandIntervalMs = 1_000;
 
+/** Shortest interval of both while a data centre is short or a reduction is to be confirmed. */
+export const urgentDemandIntervalMs = 200;
+
 export interface DemandBody {
     readonly workspace: string;
     readonly dataCentre: string;
--- a/src/rates/divideRate.ts
+++ b/src/rates/divideRate.ts
@@ -12,11 +12,17 @@
 } from "../model/controlMessages.ts";
 import { ResourceKind } from "../model/lease.ts";
 import { parsePermitResourceId } from "../model/permitResource.ts";
-import { demandIntervalMs, RateKind, type RatesDemand, type RatesTimer } from "../model/rateMessages.ts";
+import {
+    demandIntervalMs,
+    RateKind,
+    type RatesDemand,
+    type RatesTimer,
+    urgentDemandIntervalMs,
+} from "../model/rateMessages.ts";
 import type { Workspace } from "../model/workspace.ts";
 import { type ClearDeadline, clearDeadline, type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { planShares } from "./planShares.ts";
+import { isShort, planShares } from "./planShares.ts";
 import { ShareLedger } from "./shareLedger.ts";
 import { noShare } from "./shareTable.ts";
 
@@ -48,6 +54,8 @@
     private term = 0;
     private leading = false;
     private nextProposal = 0;
+    private dividedMs = 0;
+    private divideDueMs = Infinity;
 
     process(message: Input, nowMs: number): readonly Output[] {
         return match(message)
@@ -69,7 +77,10 @@
         this.ledgers.clear();
         this.proposed.clear();
         this.recordShares();
-        return [changed, changed.leading ? this.divideLater(nowMs) : clearDeadline(RateKind.DivideDue)];
+        this.divideDueMs = Infinity;
+        return changed.leading
+            ? [changed, ...this.divideBy(nowMs + demandIntervalMs)]
+            : [changed, clearDeadline(RateKind.DivideDue)];
     }
 
     private configure(applied: ConfigurationApplied): readonly Output[] {
@@ -85,8 +96,14 @@
 
     private report(demand: RatesDemand, nowMs: number): readonly Output[] {
         const { dataCentre, wantedPerSecond, versionInForce } = demand;
-        this.ledgers.get(demand.workspace)?.report(dataCentre, wantedPerSecond, versionInForce, nowMs);
-        return [];
+        const ledger = this.ledgers.get(demand.workspace);
+        if (ledger === undefined) {
+            return [];
+        }
+        const wasUnsettled = ledger.isUnsettled;
+        ledger.report(dataCentre, wantedPerSecond, versionInForce, nowMs);
+        const isUrgent = wasUnsettled || isShort(wantedPerSecond, ledger.current(dataCentre));
+        return isUrgent ? this.divideBy(Math.max(nowMs, this.dividedMs + urgentDemandIntervalMs)) : [];
     }
 
     /** Takes the shares of the applied configuration into the ledgers. */
@@ -119,11 +136,13 @@
         if (!this.leading) {
             return [];
         }
+        this.dividedMs = nowMs;
+        this.divideDueMs = Infinity;
         const inFlight = new Set([...this.proposed.values()].map(({ workspace }) => workspace));
         const proposals = this.configuration.workspaces
             .filter(workspace => !inFlight.has(workspace.name))
             .flatMap(workspace => this.propose(workspace, nowMs));
-        return [...proposals, this.divideLater(nowMs)];
+        return [...proposals, ...this.divideBy(nowMs + demandIntervalMs)];
     }
 
     private propose(workspace: Workspace, nowMs: number): readonly ControlPropose[] {
@@ -168,7 +187,11 @@
         return [];
     }
 
-    private divideLater(nowMs: number): SetDeadline {
-        return setDeadline(RateKind.DivideDue, nowMs + demandIntervalMs, { kind: RateKind.DivideDue });
+    private divideBy(atMs: number): readonly SetDeadline[] {
+        if (atMs >= this.divideDueMs) {
+            return [];
+        }
+        this.divideDueMs = atMs;
+        return [setDeadline(RateKind.DivideDue, atMs, { kind: RateKind.DivideDue })];
     }
 }
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -10,7 +10,13 @@
 import { clockDriftShare, type LeaseAssignment, ResourceKind } from "../model/lease.ts";
 import { type PermitGranted, PermitKind, type PermitReply, type PermitRequest } from "../model/permitMessages.ts";
 import { parsePermitResourceId, permitResourceId } from "../model/permitResource.ts";
-import { demandIntervalMs, RateKind, type RatesDemandMeasured, type RatesTimer } from "../model/rateMessages.ts";
+import {
+    demandIntervalMs,
+    RateKind,
+    type RatesDemandMeasured,
+    type RatesTimer,
+    urgentDemandIntervalMs,
+} from "../model/rateMessages.ts";
 import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import { PermitHome } from "./permitHome.ts";
@@ -47,7 +53,8 @@
     private validUntilMs = -Infinity;
     private table = new ShareTable(emptyConfiguration);
     private proved = false;
-    private measuring = false;
+    private measuredMs = -Infinity;
+    private measureDueMs = Infinity;
 
     constructor(options: GrantPermitsOptions) {
         this.dataCentre = options.dataCentre;
@@ -56,7 +63,7 @@
 
     process(message: Input, nowMs: number): readonly Output[] {
         return match(message)
-            .with({ kind: PermitKind.Request }, request => [this.answer(request, nowMs)])
+            .with({ kind: PermitKind.Request }, request => this.answer(request, nowMs))
             .with({ kind: ClusterKind.LeasesRenewed }, renewed => [renewed, ...this.renew(renewed, nowMs)])
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => [applied, ...this.configure(applied, nowMs)])
             .with({ kind: ClusterKind.ConfigurationProved }, provedNow => this.prove(provedNow, nowMs))
@@ -65,7 +72,7 @@
             .exhaustive();
     }
 
-    private answer(request: PermitRequest, nowMs: number): PermitGranted | PermitReply {
+    private answer(request: PermitRequest, nowMs: number): readonly Output[] {
         const home = this.homes.get(permitResourceId(request.workspace, this.dataCentre));
         const answered = home !== undefined && nowMs < this.validUntilMs;
         const body = {
@@ -74,9 +81,10 @@
             answered,
             ...(answered ? home.answer(request, nowMs) : { granted: 0, retryAfterMs: notHomeRetryMs }),
         };
-        return request.origin === ""
+        const answer: PermitGranted | PermitReply = request.origin === ""
             ? { kind: PermitKind.Granted, ...body }
             : { kind: PermitKind.Reply, origin: request.origin, ...body };
+        return answered && body.granted < request.wanted ? [answer, ...this.measureSoon(nowMs)] : [answer];
     }
 
     private renew(renewed: LeasesRenewed, nowMs: number): readonly SetDeadline[] {
@@ -90,7 +98,8 @@
         for (const [resourceId, home] of this.homes) {
             this.applyShare(resourceId, home, nowMs);
         }
-        return this.adopt(nowMs);
+        // The leader gives away what this home lost once it reports that the reduction is in force.
+        return [...this.adopt(nowMs), ...this.measureSoon(nowMs)];
     }
 
     // After a restart the first configuration may come from a control member that lags; the share in it may since
@@ -117,7 +126,7 @@
                 this.applyShare(resourceId, home, nowMs);
             }
         }
-        return this.homes.size > 0 && !this.measuring ? [this.measureLater(nowMs)] : [];
+        return this.homes.size > 0 ? this.measureBy(nowMs + demandIntervalMs) : [];
     }
 
     // A lease may arrive before the configuration that assigns it. That configuration holds every reduction of the
@@ -131,18 +140,26 @@
     }
 
     private measure(nowMs: number): readonly Output[] {
-        this.measuring = false;
+        this.measuredMs = nowMs;
+        this.measureDueMs = Infinity;
         if (this.homes.size === 0) {
             return [];
         }
         const demands = nowMs >= this.validUntilMs
             ? []
             : [...this.homes].map(([id, home]) => ({ ...parsePermitResourceId(id), ...home.measure(nowMs) }));
-        return [{ kind: RateKind.DemandMeasured, demands }, this.measureLater(nowMs)];
+        return [{ kind: RateKind.DemandMeasured, demands }, ...this.measureBy(nowMs + demandIntervalMs)];
+    }
+
+    private measureSoon(nowMs: number): readonly SetDeadline[] {
+        return this.homes.size > 0 ? this.measureBy(Math.max(nowMs, this.measuredMs + urgentDemandIntervalMs)) : [];
     }
 
-    private measureLater(nowMs: number): SetDeadline {
-        this.measuring = true;
-        return setDeadline(RateKind.MeasureDue, nowMs + demandIntervalMs, { kind: RateKind.MeasureDue });
+    private measureBy(atMs: number): readonly SetDeadline[] {
+        if (atMs >= this.measureDueMs) {
+            return [];
+        }
+        this.measureDueMs = atMs;
+        return [setDeadline(RateKind.MeasureDue, atMs, { kind: RateKind.MeasureDue })];
     }
 }
--- a/src/rates/permitHome.ts
+++ b/src/rates/permitHome.ts
@@ -27,8 +27,8 @@
 /** Work that an instance brings together before it asks again while permits are scarce. */
 const batchMs = 20;
 
-/** Weight of the latest interval in the smoothed demand. */
-const demandWeight = 0.5;
+/** Time constant of the smoothed demand: short intervals see the chance of a few arrivals. */
+export const demandMemoryMs = 4000;
 
 export class PermitHome {
     readonly epoch: number;
@@ -39,7 +39,7 @@
     private versionInForce = 0;
     private granted = 0;
     private measuredMs: number;
-    private smoothedDemand = 0;
+    private grantedPerSecond = 0;
 
     constructor(options: PermitHomeOptions) {
         this.epoch = options.epoch;
@@ -75,16 +75,17 @@
 
     /** Demand since the last call, and the version in force. */
     measure(nowMs: number): { readonly wantedPerSecond: number; readonly versionInForce: number; } {
-        const seconds = Math.max(0.001, (nowMs - this.measuredMs) / 1_000);
-        // What was refused for lack of permits is not seen here; what waits now stands for one second of it.
-        const latest = this.granted / seconds + this.askers.unmet(nowMs);
-        this.smoothedDemand += demandWeight * (latest - this.smoothedDemand);
+        const elapsedMs = Math.max(1, nowMs - this.measuredMs);
+        const weight = 1 - Math.exp(-elapsedMs / demandMemoryMs);
+        this.grantedPerSecond += weight * (1_000 * this.granted / elapsedMs - this.grantedPerSecond);
         this.granted = 0;
         this.measuredMs = nowMs;
         if (this.bucket.shareInForce(nowMs)) {
             this.versionInForce = this.latestVersion;
         }
-        return { wantedPerSecond: Math.max(latest, this.smoothedDemand), versionInForce: this.versionInForce };
+        // What was refused for lack of permits is not seen here; what waits now stands for one second of it.
+        const wantedPerSecond = this.grantedPerSecond + this.askers.unmet(nowMs);
+        return { wantedPerSecond, versionInForce: this.versionInForce };
     }
 
     private retryAfterMs(unmet: number, nowMs: number): number {
--- a/src/rates/planShares.ts
+++ b/src/rates/planShares.ts
@@ -5,8 +5,11 @@
 import { noShare, type Share } from "./shareTable.ts";
 import { targetShares } from "./targetShares.ts";
 
-/** A data centre that uses more than this part of its share is short. */
-const shortPart = 0.8;
+/** A data centre is short when its demand is above this part of its share, which its home's refill hardly reaches. */
+const shortPart = 0.9;
+
+/** Demand per second that chance alone adds to a small share; following it would change the configuration for nothing. */
+const chanceSlackPerSecond = 1;
 
 /** Smallest part of the workspace's rate that is worth a log entry when it is given out. */
 const smallestRestPart = 0.02;
@@ -70,6 +73,11 @@
     });
 }
 
+/** Tells whether a data centre could use more than its share. */
+export function isShort(wantedPerSecond: number, share: Share): boolean {
+    return wantedPerSecond > shortPart * share.ratePerSecond + chanceSlackPerSecond;
+}
+
 /** Some data centre is short, or the shares are not the whole rate. */
 function needsMove(
     workspace: Workspace,
@@ -78,9 +86,7 @@
     movable: readonly string[],
 ): boolean {
     return hasRest(workspace, present.map(({ current }) => current))
-        || movable.some(dataCentre =>
-            ledger.wantedPerSecond(dataCentre) > shortPart * ledger.current(dataCentre).ratePerSecond
-        );
+        || movable.some(dataCentre => isShort(ledger.wantedPerSecond(dataCentre), ledger.current(dataCentre)));
 }
 
 /** The shares are not the whole of the workspace's rate and burst, or more than that. */
--- a/src/rates/shareLedger.ts
+++ b/src/rates/shareLedger.ts
@@ -79,6 +79,11 @@
         return [...this.holdings.values()].every(holding => holding.confirmedVersion >= this.startVersion);
     }
 
+    /** A reduction waits for its confirmation. */
+    get isUnsettled(): boolean {
+        return [...this.holdings.values()].some(holding => holding.history.length > 1);
+    }
+
     private holding(dataCentre: string): Holding {
         let holding = this.holdings.get(dataCentre);
         if (holding === undefined) {
