feat(rates): refill at full speed where other clocks agree

Cause: a home's clock may run 10% fast by the assumption that leases make, so tokens arrived at 91% of the rate. A workspace at its full rate lost 9% of it.

Change: questions for permits carry the asking instance's monotonic time. The home compares elapsed times and refills at 99.8% of the slowest speed that two or more other clocks show, and at 91% while fewer were heard.

Over rate: 0 throughout, also with every home's clock 10% fast (clockComparison.spec).

Limit: a clock whose speed jumps by 10% is noticed after 1 to 2 s; up to then the rate may be exceeded by 10%.

Checked that the spec fails without the comparison and with one peer.

--- a/bench/clusterInstance.ts
+++ b/bench/clusterInstance.ts
@@ -1,7 +1,7 @@
 /** One instance of the rate model: the product's filters in the product's event loop, on a clock of its own. */
 import { ClusterKind, type ConfigurationApplied } from "../src/model/clusterMessages.ts";
 import type { Configuration } from "../src/model/configuration.ts";
-import { clockDriftShare, leaseMs } from "../src/model/lease.ts";
+import { clockDriftShare } from "../src/model/lease.ts";
 import { type PermitForward, PermitKind, type PermitReply } from "../src/model/permitMessages.ts";
 import { RateKind, type RatesDemandMeasured } from "../src/model/rateMessages.ts";
 import { EventLoop } from "../src/pipeline/eventLoop.ts";
@@ -78,7 +78,7 @@
     }
 
     /** Takes the leader's answer to a heartbeat that was sent at `sentMs` of the simulation. */
-    renewLeases(configuration: Configuration, sentMs: number): void {
+    renewLeases(configuration: Configuration, sentMs: number, permitLeaseMs: number): void {
         const sentLocalMs = this.clock.localMs(sentMs);
         if (configuration.version <= this.version) {
             this.post({
@@ -90,7 +90,7 @@
         this.post({
             kind: ClusterKind.LeasesRenewed,
             leases: configuration.leases.filter(lease => lease.instanceId === this.id),
-            validUntilMs: sentLocalMs + leaseMs * (1 - clockDriftShare),
+            validUntilMs: sentLocalMs + permitLeaseMs * (1 - clockDriftShare),
         } as Message);
     }
 
--- a/bench/loadShapes.ts
+++ b/bench/loadShapes.ts
@@ -13,10 +13,18 @@
     readonly instanceIndex: number;
 }
 
+export const FaultKind = {
+    CutOff: "cut_off",
+    Heal: "heal",
+    Kill: "kill",
+} as const;
+export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
+
 export interface ScheduledFault {
     readonly atMs: number;
-    readonly kind: "cut_off" | "heal";
-    readonly dataCentreIndex: number;
+    readonly kind: FaultKind;
+    /** Data centre that is cut off or healed, or instance that is killed. */
+    readonly index: number;
 }
 
 export interface LoadShape {
@@ -35,6 +43,7 @@
     Lagging: "replicas lagging",
     PrimaryLost: "a primary lost",
     CutOff: "a data centre cut off",
+    InstanceLost: "an instance lost",
 } as const;
 
 export const loadShapes: readonly LoadShape[] = [
@@ -51,10 +60,15 @@
         name: ShapeName.CutOff,
         arrivals: (user, random) => offer(user, random, () => usualPart),
         faults: [
-            { atMs: 8_000, kind: "cut_off", dataCentreIndex: 2 },
-            { atMs: 16_000, kind: "heal", dataCentreIndex: 2 },
+            { atMs: 8_000, kind: FaultKind.CutOff, index: 2 },
+            { atMs: 16_000, kind: FaultKind.Heal, index: 2 },
         ],
     },
+    {
+        name: ShapeName.InstanceLost,
+        arrivals: (user, random) => offer(user, random, () => usualPart),
+        faults: [{ atMs: 8_000, kind: FaultKind.Kill, index: 0 }],
+    },
 ];
 
 /** Independent arrivals; each workspace has a home region with most of its callers. */
--- a/bench/rateCluster.ts
+++ b/bench/rateCluster.ts
@@ -9,7 +9,13 @@
     ProposalStatus,
     type SetRateShares,
 } from "../src/model/controlMessages.ts";
-import { heartbeatIntervalMs, type LeaseAssignment, reassignAfterMs, ResourceKind } from "../src/model/lease.ts";
+import {
+    heartbeatIntervalMs,
+    type LeaseAssignment,
+    leaseMs,
+    reassignAfterMs,
+    ResourceKind,
+} from "../src/model/lease.ts";
 import { type PermitForward, PermitKind, type PermitReply } from "../src/model/permitMessages.ts";
 import { permitResourceId } from "../src/model/permitResource.ts";
 import { RateKind, type RatesDemandMeasured } from "../src/model/rateMessages.ts";
@@ -45,6 +51,8 @@
     readonly movesShares: boolean;
     readonly clockSpeed?: (instanceIndex: number) => number;
     readonly refillShare?: number;
+    /** Lease time of permit homes, for trials; the agreed one by default. */
+    readonly permitLeaseMs?: number;
 }
 
 export interface Offered {
@@ -266,7 +274,10 @@
             this.simulation.after(this.delayToLeader(instance), () => {
                 this.answeredMs.set(instance.id, this.simulation.nowMs);
                 const answer = this.configuration;
-                this.simulation.after(this.delayToLeader(instance), () => instance.renewLeases(answer, sentMs));
+                this.simulation.after(
+                    this.delayToLeader(instance),
+                    () => instance.renewLeases(answer, sentMs, this.permitLeaseMs),
+                );
             });
         }
         this.simulation.after(heartbeatIntervalMs, () => this.heartbeat(instance));
@@ -274,7 +285,8 @@
 
     /** Gives leases of silent instances to another instance of their data centre that answers. */
     private reassignSilent(): void {
-        const isSilent = (id: string) => this.answeredMs.get(id)! + reassignAfterMs <= this.simulation.nowMs;
+        const reassignMs = reassignAfterMs * this.permitLeaseMs / leaseMs;
+        const isSilent = (id: string) => this.answeredMs.get(id)! + reassignMs <= this.simulation.nowMs;
         let changed = false;
         const leases = this.configuration.leases.map(lease => {
             const heir = isSilent(lease.instanceId) ? this.heirOf(lease, isSilent) : undefined;
@@ -349,6 +361,10 @@
             : this.instances.find(instance => instance.alive && instance.dataCentre === wanted.dataCentre) ?? wanted;
     }
 
+    private get permitLeaseMs(): number {
+        return this.options.permitLeaseMs ?? leaseMs;
+    }
+
     private leaderReaches(instance: ClusterInstance): boolean {
         return !this.cut.has(instance.dataCentre) && !this.cut.has(instance.id);
     }
--- a/bench/runRates.ts
+++ b/bench/runRates.ts
@@ -2,7 +2,7 @@
 import { StatementKind } from "../src/model/statement.ts";
 import { SeededRandom } from "../src/pipeline/seededRandom.ts";
 import { type Figures, measureRates } from "./figures.ts";
-import { type LoadShape, runMs } from "./loadShapes.ts";
+import { FaultKind, type LoadShape, runMs } from "./loadShapes.ts";
 import { RateCluster } from "./rateCluster.ts";
 import type { RatePolicy } from "./ratePolicies.ts";
 import type { User } from "./users.ts";
@@ -17,7 +17,14 @@
     readonly figures: Figures;
 }
 
-export function runRates(user: User, shape: LoadShape, policy: RatePolicy, seed: number): RateRun {
+/** @param permitLeaseMs lease time of permit homes in a trial; the agreed one when undefined */
+export function runRates(
+    user: User,
+    shape: LoadShape,
+    policy: RatePolicy,
+    seed: number,
+    permitLeaseMs?: number,
+): RateRun {
     const arrivals = [...shape.arrivals(user, new SeededRandom(seed))].sort((left, right) => left.atMs - right.atMs);
     const cluster = new RateCluster({
         random: new SeededRandom(seed + 1),
@@ -33,6 +40,7 @@
             lateShare: 0,
         },
         movesShares: policy.movesShares,
+        ...(permitLeaseMs === undefined ? {} : { permitLeaseMs }),
     });
     arrivals.forEach(({ atMs, workspaceIndex, instanceIndex }, arrivalId) =>
         cluster.simulation.at(atMs, () =>
@@ -45,11 +53,13 @@
                 waitingMs: policy.admissionWaitMs(waitingTargetMs),
             }))
     );
-    for (const { atMs, kind, dataCentreIndex } of shape.faults) {
-        const apply = kind === "cut_off"
-            ? () => cluster.cutOff(dataCentreIndex)
-            : () => cluster.heal(dataCentreIndex);
-        cluster.simulation.at(atMs, apply);
+    for (const { atMs, kind, index } of shape.faults) {
+        const actions = {
+            [FaultKind.CutOff]: () => cluster.cutOff(index),
+            [FaultKind.Heal]: () => cluster.heal(index),
+            [FaultKind.Kill]: () => cluster.kill(index),
+        };
+        cluster.simulation.at(atMs, actions[kind]);
     }
     // Statements that arrive at the end still have their whole waiting time.
     cluster.simulation.runUntil(runMs + waitingTargetMs);
--- a/src/model/permitMessages.ts
+++ b/src/model/permitMessages.ts
@@ -30,6 +30,8 @@
     readonly settledRequestId: string;
     /** Permits of all earlier grants that are still unused and valid. */
     readonly held: number;
+    /** Monotonic time of the asking instance at the sending; only differences mean anything to another instance. */
+    readonly sentMs: number;
 }
 
 export interface PermitForward extends Omit<PermitRequest, "kind" | "origin"> {
--- /dev/null
+++ b/src/rates/__tests__/clockComparison.spec.ts
@@ -0,0 +1,82 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { countOverRate } from "../../../bench/admissionCheck.ts";
+import { RateCluster } from "../../../bench/rateCluster.ts";
+import { StatementKind } from "../../model/statement.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import { ClockComparison } from "../clockComparison.ts";
+
+/** Samples every 20 ms for `untilMs` of true time, each delayed by up to 3 ms. */
+function listen(peerSpeeds: readonly number[], ownSpeed: number, untilMs = 10_000): number | undefined {
+    const comparison = new ClockComparison();
+    const random = new SeededRandom(4);
+    for (let atMs = 0; atMs < untilMs; atMs += 20) {
+        peerSpeeds.forEach((speed, index) =>
+            comparison.record(`peer${index}`, 77_000 + atMs * speed, (atMs + random.nextShare() * 3) * ownSpeed)
+        );
+    }
+    return comparison.agreedSpeed(untilMs * ownSpeed);
+}
+
+describe("comparison of clocks", () => {
+    it("notices that this clock is fast as long as one peer's clock is right", () => {
+        for (const peerSpeeds of [[1, 1], [1, 1.1], [1.1, 1, 1.1]]) {
+            const speed = listen(peerSpeeds, 1.1);
+            assert.ok(speed !== undefined && Math.abs(speed - 1 / 1.1) < 0.004, `${peerSpeeds} gave ${speed}`);
+        }
+    });
+
+    it("never speeds up, whatever the peers' clocks say, and costs almost nothing when all are right", () => {
+        assert.ok(listen([1.1, 1.1], 1)! <= 1);
+        assert.ok(listen([1, 1], 1)! > 0.996);
+    });
+
+    it("draws no conclusion from one peer, from silence or from a peer that restarted with a new clock", () => {
+        assert.equal(listen([1], 1), undefined);
+        const comparison = new ClockComparison();
+        for (let atMs = 0; atMs <= 5_000; atMs += 100) {
+            comparison.record("a", atMs, atMs);
+            comparison.record("b", atMs < 4_500 ? atMs : atMs + 1_000_000, atMs);
+        }
+        assert.equal(comparison.agreedSpeed(5_000), undefined);
+        assert.equal(comparison.agreedSpeed(60_000), undefined);
+    });
+
+    it("keeps the rate where one of three clocks is fast, and serves almost all of it where none is", () => {
+        const fast = runSaturated(index => index % 3 === 0 ? 1.1 : 1);
+        assert.equal(countOverRate(fast, [limit]), 0);
+        const right = runSaturated(() => 1);
+        assert.equal(countOverRate(right, [limit]), 0);
+        const served = right.filter(atMs => atMs > 6_000).length;
+        assert.ok(served > 0.98 * 6 * limit.ratePerSecond, `served ${served} in 6 s`);
+    });
+});
+
+const limit = { fromMs: 0, ratePerSecond: 150, burst: 30 };
+
+/** Times of admission in 12 s of twice the rate. Every permit home is the first instance of its data centre. */
+function runSaturated(clockSpeed: (index: number) => number): readonly number[] {
+    const random = new SeededRandom(9);
+    const cluster = new RateCluster({
+        random,
+        workspaces: [{ name: "shop", ...limit, keyValidityMs: 10_000, version: 1 }],
+        dataCentres: ["north", "south", "west"],
+        instancesPerDataCentre: 3,
+        network: { localMs: 0.3, betweenMs: 4, jitterMs: 1, lostShare: 0, duplicateShare: 0, lateShare: 0 },
+        movesShares: true,
+        clockSpeed,
+    });
+    for (let arrivalId = 0; arrivalId < 2 * limit.ratePerSecond * 12; arrivalId++) {
+        const offered = {
+            arrivalId,
+            workspace: "shop",
+            instanceIndex: random.nextInteger(9),
+            statementKind: StatementKind.Read,
+            inTransaction: false,
+            waitingMs: 1_000,
+        };
+        cluster.simulation.at(random.nextShare() * 12_000, () => cluster.offer(offered));
+    }
+    cluster.simulation.runUntil(12_000);
+    return [...cluster.admittedMs.values()].sort((left, right) => left - right);
+}
--- a/src/rates/__tests__/grantPermits.spec.ts
+++ b/src/rates/__tests__/grantPermits.spec.ts
@@ -49,7 +49,16 @@
     ask(nowMs: number, wanted: number, instanceId = "a", origin = ""): PermitGranted | PermitReply {
         const requestId = `${this.nextId++}`;
         const settledRequestId = this.settled.get(instanceId) ?? "";
-        const body = { requestId, instanceId, workspace: "shop", wanted, returned: 0, settledRequestId, held: 0 };
+        const body = {
+            requestId,
+            instanceId,
+            workspace: "shop",
+            wanted,
+            returned: 0,
+            settledRequestId,
+            held: 0,
+            sentMs: nowMs,
+        };
         const [answer] = this.push(nowMs, { kind: PermitKind.Request, origin, ...body });
         const { granted } = answer as PermitGranted | PermitReply;
         this.settled.set(instanceId, granted > 0 ? requestId : settledRequestId);
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -19,21 +19,25 @@
 } from "../model/rateMessages.ts";
 import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
+import { ClockComparison } from "./clockComparison.ts";
 import { PermitHome } from "./permitHome.ts";
 import { ShareTable } from "./shareTable.ts";
 
 export interface GrantPermitsOptions {
     readonly dataCentre: string;
-    /**
-     * Part of the rate at which tokens arrive. The default keeps the rate when this instance's clock runs fast by
-     * the drift that leases allow for; the workspace then gets at most 91% of its rate by an exact clock.
-     */
+    /** Part of the rate at which tokens arrive; by default it follows the comparison of clocks. */
     readonly refillShare?: number;
 }
 
 type Input = PermitRequest | ConfigurationApplied | ConfigurationProved | LeasesRenewed | RatesTimer;
 type Output = PermitGranted | PermitReply | RatesDemandMeasured | SetDeadline | Input;
 
+/** Refill while too few clocks were heard: this one may run fast by the drift that leases allow for. */
+const unknownSpeedShare = 1 / (1 + clockDriftShare);
+
+/** Leaves room for the jitter of the messages by which clocks are compared, about 2 ms in a second. */
+const comparisonAccuracy = 0.998;
+
 /** Advice to an entry instance that asked an instance without the lease or a proved configuration. */
 const notHomeRetryMs = 50;
 
@@ -47,7 +51,8 @@
         RateKind.MeasureDue,
     ];
     private readonly dataCentre: string;
-    private readonly refillShare: number;
+    private readonly fixedRefillShare: number | undefined;
+    private readonly clocks = new ClockComparison();
     private readonly homes = new Map<string, PermitHome>();
     private leases: readonly LeaseAssignment[] = [];
     private validUntilMs = -Infinity;
@@ -58,7 +63,7 @@
 
     constructor(options: GrantPermitsOptions) {
         this.dataCentre = options.dataCentre;
-        this.refillShare = options.refillShare ?? 1 / (1 + clockDriftShare);
+        this.fixedRefillShare = options.refillShare;
     }
 
     process(message: Input, nowMs: number): readonly Output[] {
@@ -75,6 +80,10 @@
     private answer(request: PermitRequest, nowMs: number): readonly Output[] {
         const home = this.homes.get(permitResourceId(request.workspace, this.dataCentre));
         const answered = home !== undefined && nowMs < this.validUntilMs;
+        if (request.origin !== "") {
+            this.clocks.record(request.instanceId, request.sentMs, nowMs);
+        }
+        home?.setRefillShare(this.refillShare(nowMs), nowMs);
         const body = {
             requestId: request.requestId,
             workspace: request.workspace,
@@ -121,7 +130,7 @@
         }
         for (const [resourceId, lease] of wanted) {
             if (!this.homes.has(resourceId)) {
-                const home = new PermitHome({ epoch: lease.epoch, startMs: nowMs, refillShare: this.refillShare });
+                const home = new PermitHome({ epoch: lease.epoch, startMs: nowMs, refillShare: unknownSpeedShare });
                 this.homes.set(resourceId, home);
                 this.applyShare(resourceId, home, nowMs);
             }
@@ -139,6 +148,11 @@
         home.applyShare(this.table.shareOf(resourceId), this.table.version, nowMs);
     }
 
+    private refillShare(nowMs: number): number {
+        const speed = this.clocks.agreedSpeed(nowMs);
+        return this.fixedRefillShare ?? (speed === undefined ? unknownSpeedShare : speed * comparisonAccuracy);
+    }
+
     private measure(nowMs: number): readonly Output[] {
         this.measuredMs = nowMs;
         this.measureDueMs = Infinity;
--- a/src/rates/permitHome.ts
+++ b/src/rates/permitHome.ts
@@ -57,6 +57,10 @@
         this.latestVersion = version;
     }
 
+    setRefillShare(refillShare: number, nowMs: number): void {
+        this.bucket.setRefillShare(refillShare, nowMs);
+    }
+
     /** Grants what the share and the turns of other instances allow. */
     answer(question: PermitQuestion, nowMs: number): { readonly granted: number; readonly retryAfterMs: number; } {
         const { instanceId, requestId, wanted } = question;
--- a/src/rates/tokenBucket.ts
+++ b/src/rates/tokenBucket.ts
@@ -24,7 +24,7 @@
  */
 export class TokenBucket {
     private readonly outstandingMs: number;
-    private readonly refillShare: number;
+    private refillShare: number;
     private readonly grants: OutstandingGrant[] = [];
     private outstanding = 0;
     private level = 0;
@@ -46,6 +46,13 @@
         this.level = Math.min(this.level, this.room());
     }
 
+    /** Changes the part of the rate that arrives; the time since the last call counts with the smaller of the two. */
+    setRefillShare(refillShare: number, nowMs: number): void {
+        this.refillShare = Math.min(this.refillShare, refillShare);
+        this.refill(nowMs);
+        this.refillShare = refillShare;
+    }
+
     /** Whole permits that can be granted now. */
     available(nowMs: number): number {
         this.refill(nowMs);
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -294,6 +294,7 @@
             returned: line.expired,
             settledRequestId: line.settledRequestId,
             held,
+            sentMs: nowMs,
         };
         line.expired = 0;
         return [toHome(body, home, this.options.instanceId), askLater(workspace, line, nowMs + permitValidityMs)];
