--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -10,24 +10,34 @@
 import { clockDriftShare, type LeaseAssignment, ResourceKind } from "../model/lease.ts";
 import { type PermitGranted, PermitKind, type PermitReply, type PermitRequest } from "../model/permitMessages.ts";
 import { parsePermitResourceId, permitResourceId } from "../model/permitResource.ts";
-import { demandIntervalMs, RateKind, type RatesDemandMeasured, type RatesTimer } from "../model/rateMessages.ts";
+import {
+    demandIntervalMs,
+    RateKind,
+    type RatesDemandMeasured,
+    type RatesTimer,
+    urgentDemandIntervalMs,
+} from "../model/rateMessages.ts";
 import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
+import { ClockComparison } from "./clockComparison.ts";
 import { PermitHome } from "./permitHome.ts";
 import { ShareTable } from "./shareTable.ts";
 
 export interface GrantPermitsOptions {
     readonly dataCentre: string;
-    /**
-     * Part of the rate at which tokens arrive. The default keeps the rate when this instance's clock runs fast by
-     * the drift that leases allow for; the workspace then gets at most 91% of its rate by an exact clock.
-     */
+    /** Part of the rate at which tokens arrive; by default it follows the comparison of clocks. */
     readonly refillShare?: number;
 }
 
 type Input = PermitRequest | ConfigurationApplied | ConfigurationProved | LeasesRenewed | RatesTimer;
 type Output = PermitGranted | PermitReply | RatesDemandMeasured | SetDeadline | Input;
 
+/** Refill while too few clocks were heard: this one may run fast by the drift that leases allow for. */
+const unknownSpeedShare = 1 / (1 + clockDriftShare);
+
+/** Leaves room for the jitter of the messages by which clocks are compared, about 2 ms in a second. */
+const comparisonAccuracy = 0.998;
+
 /** Advice to an entry instance that asked an instance without the lease or a proved configuration. */
 const notHomeRetryMs = 50;
 
@@ -41,22 +51,24 @@
         RateKind.MeasureDue,
     ];
     private readonly dataCentre: string;
-    private readonly refillShare: number;
+    private readonly fixedRefillShare: number | undefined;
+    private readonly clocks = new ClockComparison();
     private readonly homes = new Map<string, PermitHome>();
     private leases: readonly LeaseAssignment[] = [];
     private validUntilMs = -Infinity;
     private table = new ShareTable(emptyConfiguration);
     private proved = false;
-    private measuring = false;
+    private measuredMs = -Infinity;
+    private measureDueMs = Infinity;
 
     constructor(options: GrantPermitsOptions) {
         this.dataCentre = options.dataCentre;
-        this.refillShare = options.refillShare ?? 1 / (1 + clockDriftShare);
+        this.fixedRefillShare = options.refillShare;
     }
 
     process(message: Input, nowMs: number): readonly Output[] {
         return match(message)
-            .with({ kind: PermitKind.Request }, request => [this.answer(request, nowMs)])
+            .with({ kind: PermitKind.Request }, request => this.answer(request, nowMs))
             .with({ kind: ClusterKind.LeasesRenewed }, renewed => [renewed, ...this.renew(renewed, nowMs)])
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => [applied, ...this.configure(applied, nowMs)])
             .with({ kind: ClusterKind.ConfigurationProved }, provedNow => this.prove(provedNow, nowMs))
@@ -65,18 +77,23 @@
             .exhaustive();
     }
 
-    private answer(request: PermitRequest, nowMs: number): PermitGranted | PermitReply {
+    private answer(request: PermitRequest, nowMs: number): readonly Output[] {
         const home = this.homes.get(permitResourceId(request.workspace, this.dataCentre));
         const answered = home !== undefined && nowMs < this.validUntilMs;
+        if (request.origin !== "") {
+            this.clocks.record(request.instanceId, request.sentMs, nowMs);
+        }
+        home?.setRefillShare(this.refillShare(nowMs), nowMs);
         const body = {
             requestId: request.requestId,
             workspace: request.workspace,
             answered,
             ...(answered ? home.answer(request, nowMs) : { granted: 0, retryAfterMs: notHomeRetryMs }),
         };
-        return request.origin === ""
+        const answer: PermitGranted | PermitReply = request.origin === ""
             ? { kind: PermitKind.Granted, ...body }
             : { kind: PermitKind.Reply, origin: request.origin, ...body };
+        return answered && body.granted < request.wanted ? [answer, ...this.measureSoon(nowMs)] : [answer];
     }
 
     private renew(renewed: LeasesRenewed, nowMs: number): readonly SetDeadline[] {
@@ -90,7 +107,8 @@
         for (const [resourceId, home] of this.homes) {
             this.applyShare(resourceId, home, nowMs);
         }
-        return this.adopt(nowMs);
+        // The leader gives away what this home lost once it reports that the reduction is in force.
+        return [...this.adopt(nowMs), ...this.measureSoon(nowMs)];
     }
 
     // After a restart the first configuration may come from a control member that lags; the share in it may since
@@ -112,12 +130,12 @@
         }
         for (const [resourceId, lease] of wanted) {
             if (!this.homes.has(resourceId)) {
-                const home = new PermitHome({ epoch: lease.epoch, startMs: nowMs, refillShare: this.refillShare });
+                const home = new PermitHome({ epoch: lease.epoch, startMs: nowMs, refillShare: unknownSpeedShare });
                 this.homes.set(resourceId, home);
                 this.applyShare(resourceId, home, nowMs);
             }
         }
-        return this.homes.size > 0 && !this.measuring ? [this.measureLater(nowMs)] : [];
+        return this.homes.size > 0 ? this.measureBy(nowMs + demandIntervalMs) : [];
     }
 
     // A lease may arrive before the configuration that assigns it. That configuration holds every reduction of the
@@ -130,19 +148,32 @@
         home.applyShare(this.table.shareOf(resourceId), this.table.version, nowMs);
     }
 
+    private refillShare(nowMs: number): number {
+        const speed = this.clocks.agreedSpeed(nowMs);
+        return this.fixedRefillShare ?? (speed === undefined ? unknownSpeedShare : speed * comparisonAccuracy);
+    }
+
     private measure(nowMs: number): readonly Output[] {
-        this.measuring = false;
+        this.measuredMs = nowMs;
+        this.measureDueMs = Infinity;
         if (this.homes.size === 0) {
             return [];
         }
         const demands = nowMs >= this.validUntilMs
             ? []
             : [...this.homes].map(([id, home]) => ({ ...parsePermitResourceId(id), ...home.measure(nowMs) }));
-        return [{ kind: RateKind.DemandMeasured, demands }, this.measureLater(nowMs)];
+        return [{ kind: RateKind.DemandMeasured, demands }, ...this.measureBy(nowMs + demandIntervalMs)];
+    }
+
+    private measureSoon(nowMs: number): readonly SetDeadline[] {
+        return this.homes.size > 0 ? this.measureBy(Math.max(nowMs, this.measuredMs + urgentDemandIntervalMs)) : [];
     }
 
-    private measureLater(nowMs: number): SetDeadline {
-        this.measuring = true;
-        return setDeadline(RateKind.MeasureDue, nowMs + demandIntervalMs, { kind: RateKind.MeasureDue });
+    private measureBy(atMs: number): readonly SetDeadline[] {
+        if (atMs >= this.measureDueMs) {
+            return [];
+        }
+        this.measureDueMs = atMs;
+        return [setDeadline(RateKind.MeasureDue, atMs, { kind: RateKind.MeasureDue })];
     }
 }
