feat(settings): page of settings made from the tables

Cause: the page must not drift from the parser. Change: scripts/generate.ts writes docs/settings.md; the test command checks it.

--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -3,14 +3,19 @@
  * With `--check`, fails when a committed file differs from what would be generated.
  */
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { ctlSettingsTable } from "../src/settings/ctlSettings.ts";
+import { entrySettingsTable } from "../src/settings/entrySettings.ts";
+import { settingsAsMarkdown } from "../src/settings/settingsTable.ts";
 
+const settingsPage = "docs/settings.md";
 const generatedFolder = "src/rpc/generated";
 const check = process.argv.includes("--check");
 
 generateProtocol();
+generateSettingsPage();
 
 function generateProtocol(): void {
     const target = check ? mkdtempSync(join(tmpdir(), "jasmineline-generated-")) : generatedFolder;
@@ -44,6 +49,33 @@
     }
 }
 
+function generateSettingsPage(): void {
+    const page = [
+        "# Settings",
+        "",
+        "Made from the tables in `src/settings/` by `npm run generate`. A flag goes before its variable. Secrets come from",
+        "files, never from flags or variables.",
+        "",
+        "## jasmineline entry",
+        "",
+        settingsAsMarkdown(entrySettingsTable),
+        "",
+        "## jasmineline ctl",
+        "",
+        "Every command takes these; `COMMAND --help` lists its own flags too.",
+        "",
+        settingsAsMarkdown(ctlSettingsTable),
+        "",
+    ].join("\n");
+    if (!check) {
+        writeFileSync(settingsPage, page);
+    }
+    else if (readOrEmpty(settingsPage) !== page) {
+        console.error(`${settingsPage} is out of date; run "npm run generate"`);
+        process.exit(1);
+    }
+}
+
 function compareFolders(fresh: string, committed: string): void {
     const different = readdirSync(fresh, { recursive: true, encoding: "utf8" })
         .filter(path => path.endsWith(".ts"))
