feat(health): announcements, heartbeats, leases and failover

Cause: nothing told the request and holder pipes which databases exist, who holds them and which is the primary. Change: filters of the health pipe for the instance (database table, heartbeat sender) and for the leader (office, directory, lease assigner, failover), their messages, and the Heartbeat service.

--- /dev/null
+++ b/src/health/heartbeatReplier.ts
@@ -0,0 +1,23 @@
+/** The end of the leader's part of the pipe: sends the answer that the filters before it have filled. */
+import { HealthKind, type HeartbeatChecked, type HeartbeatReply } from "../model/healthMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+
+export class HeartbeatReplier implements Filter {
+    readonly step = "heartbeat_replier";
+    readonly accepts = [
+        HealthKind.DirectoryChanged,
+        HealthKind.HeartbeatChecked,
+        HealthKind.LeaderTicked,
+        HealthKind.OfficeStarted,
+    ];
+
+    process(message: Message): readonly Message[] {
+        if (message.kind !== HealthKind.HeartbeatChecked) {
+            return [];
+        }
+        const { callId, answer } = message as HeartbeatChecked;
+        const reply: HeartbeatReply = { kind: HealthKind.HeartbeatReply, callId, answer };
+        return [reply];
+    }
+}
--- /dev/null
+++ b/src/health/instanceTable.ts
@@ -0,0 +1,51 @@
+/** The instances of which the leader has heard since it took office. */
+import type { Heartbeat } from "../model/healthMessages.ts";
+
+export interface Instance {
+    readonly instanceId: string;
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly incarnation: string;
+    readonly draining: boolean;
+    readonly heardAtMs: number;
+}
+
+/** Silence after which an instance gets no new lease: three heartbeats. */
+const suspectAfterMs = 1_500;
+
+/** Silence after which an instance is forgotten; its leases have ended long before. */
+const forgetAfterMs = 60_000;
+
+export class InstanceTable {
+    private readonly instances = new Map<string, Instance>();
+
+    clear(): void {
+        this.instances.clear();
+    }
+
+    take({ instanceId, address, dataCentre, incarnation, draining }: Heartbeat, nowMs: number): void {
+        this.instances.set(instanceId, { instanceId, address, dataCentre, incarnation, draining, heardAtMs: nowMs });
+    }
+
+    /** Heard of within `suspectAfterMs`; a draining instance is alive but takes nothing new. */
+    isAlive(instanceId: string, nowMs: number): boolean {
+        const instance = this.instances.get(instanceId);
+        return instance !== undefined && nowMs - instance.heardAtMs < suspectAfterMs;
+    }
+
+    /** Instances that can take leases, by data centre. */
+    candidates(nowMs: number): Map<string, Instance[]> {
+        const byDataCentre = new Map<string, Instance[]>();
+        for (const instance of this.instances.values()) {
+            if (nowMs - instance.heardAtMs >= forgetAfterMs) {
+                this.instances.delete(instance.instanceId);
+            }
+            else if (this.isAlive(instance.instanceId, nowMs) && !instance.draining) {
+                const others = byDataCentre.get(instance.dataCentre) ?? [];
+                others.push(instance);
+                byDataCentre.set(instance.dataCentre, others);
+            }
+        }
+        return byDataCentre;
+    }
+}
--- /dev/null
+++ b/src/health/ownLeases.ts
@@ -0,0 +1,53 @@
+/** The leases of this instance, by its own clock. */
+import type { LeaseReference } from "../model/healthMessages.ts";
+import { clockDriftShare, type LeaseAssignment, leaseMs, ResourceKind } from "../model/lease.ts";
+
+/** Leases are valid until the sending of the heartbeat that renewed them plus this, by the clock of the holder. */
+export const leaseValidityMs = leaseMs * (1 - clockDriftShare);
+
+/** A lease that was given back stays so until its resource has a later epoch. */
+export class OwnLeases {
+    private renewed: readonly LeaseReference[] = [];
+    private readonly given = new Map<string, LeaseReference>();
+    validUntilMs = 0;
+
+    /** Takes the leases of the answer to a heartbeat that was sent at `sentAtMs`. */
+    renew(renewed: readonly LeaseReference[], sentAtMs: number): void {
+        this.renewed = renewed.filter(lease => (this.given.get(keyOf(lease))?.epoch ?? 0) < lease.epoch);
+        this.validUntilMs = sentAtMs + leaseValidityMs;
+    }
+
+    /** Leases still valid at `nowMs`. */
+    valid(nowMs: number): readonly LeaseReference[] {
+        return nowMs < this.validUntilMs ? this.renewed : [];
+    }
+
+    /** Ends the matching leases on this side. Returns whether there was one. */
+    giveBack(matches: (lease: LeaseReference) => boolean): boolean {
+        const ended = this.renewed.filter(matches);
+        ended.forEach(lease => this.given.set(keyOf(lease), lease));
+        this.renewed = this.renewed.filter(lease => !matches(lease));
+        return ended.length > 0;
+    }
+
+    get givenBack(): readonly LeaseReference[] {
+        return [...this.given.values()];
+    }
+
+    /** Drops given-back leases that the agreed configuration has replaced. */
+    forgetReplaced(assignments: readonly LeaseAssignment[]): void {
+        if (this.given.size === 0) {
+            return;
+        }
+        for (const assignment of assignments) {
+            if ((this.given.get(keyOf(assignment))?.epoch ?? Infinity) < assignment.epoch) {
+                this.given.delete(keyOf(assignment));
+            }
+        }
+    }
+}
+
+/** Identifies a resource across kinds. */
+export function keyOf(lease: { readonly resource: ResourceKind; readonly resourceId: string; }): string {
+    return `${lease.resource}/${lease.resourceId}`;
+}
