--- a/src/holder/__tests__/holderFixture.ts
+++ b/src/holder/__tests__/holderFixture.ts
@@ -1,7 +1,7 @@
 /** A holder pipe with fake databases under virtual time, for the specs of this folder. */
 import { ClusterKind, type DatabaseView } from "../../model/clusterMessages.ts";
 import { DatabaseRole } from "../../model/database.ts";
-import { HealthKind } from "../../model/healthMessages.ts";
+import { HolderHealthKind } from "../../model/healthMessages.ts";
 import { type HolderAnswer, HolderKind, type HolderReply, type HolderRequest } from "../../model/holderMessages.ts";
 import { type LeaseAssignment, ResourceKind } from "../../model/lease.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
@@ -52,9 +52,9 @@
         HolderKind.Reply,
         HolderKind.FloorAnswer,
         HolderKind.FloorReply,
-        HealthKind.DatabaseHealth,
-        HealthKind.OrderDone,
-        HealthKind.LeaseIdle,
+        HolderHealthKind.DatabaseHealth,
+        HolderHealthKind.OrderDone,
+        HolderHealthKind.LeaseIdle,
     ];
     readonly seen: { readonly message: Message; readonly atMs: number; }[] = [];
     onMessage: (message: Message, nowMs: number) => void = () => undefined;
--- a/src/holder/confirm.ts
+++ b/src/holder/confirm.ts
@@ -2,7 +2,7 @@
 import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
-import { HealthKind, type HolderLeaseIdle } from "../model/healthMessages.ts";
+import { HolderHealthKind, type HolderLeaseIdle } from "../model/healthMessages.ts";
 import {
     type HolderConfirmationLag,
     type HolderExecuted,
@@ -218,7 +218,7 @@
 
     private reportIdle(databaseId: string): readonly HolderLeaseIdle[] {
         const isIdle = this.ending.has(databaseId) && (this.pending.get(databaseId)?.size ?? 0) === 0;
-        return isIdle ? [{ kind: HealthKind.LeaseIdle, databaseId }] : [];
+        return isIdle ? [{ kind: HolderHealthKind.LeaseIdle, databaseId }] : [];
     }
 
     private updateViews(changed: DatabasesChanged, nowMs: number): readonly Message[] {
--- a/src/holder/monitor.ts
+++ b/src/holder/monitor.ts
@@ -9,7 +9,7 @@
 } from "../model/backendMessages.ts";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
-import { HealthKind, type HolderDatabaseHealth } from "../model/healthMessages.ts";
+import { type DatabaseHealth, HolderHealthKind } from "../model/healthMessages.ts";
 import {
     HolderPipeKind,
     type HolderPositionKnown,
@@ -181,12 +181,12 @@
         return setDeadline("holder.health", nowMs + this.settings.healthIntervalMs, due);
     }
 
-    private report(databaseId: string, target: MonitorTarget): readonly HolderDatabaseHealth[] {
+    private report(databaseId: string, target: MonitorTarget): readonly DatabaseHealth[] {
         if (this.leases.epoch(databaseId) === undefined) {
             return [];
         }
         return [{
-            kind: HealthKind.DatabaseHealth,
+            kind: HolderHealthKind.DatabaseHealth,
             databaseId,
             reachable: target.failures === 0,
             consecutiveFailures: target.failures,
--- a/src/holder/orders.ts
+++ b/src/holder/orders.ts
@@ -10,7 +10,7 @@
     type BackendPromote,
 } from "../model/backendMessages.ts";
 import { ClusterKind, type DatabasesChanged, type LeasesRenewed } from "../model/clusterMessages.ts";
-import { HealthKind, type HolderOrder, type HolderOrderDone, OrderKind } from "../model/healthMessages.ts";
+import { HolderHealthKind, type HolderOrder, type HolderOrderDone, OrderKind } from "../model/healthMessages.ts";
 import { HolderPipeKind, type HolderTimer } from "../model/holderPipeMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -33,7 +33,7 @@
 export class Orders implements Filter<OrdersInput, Message> {
     readonly step = "orders";
     readonly accepts = [
-        HealthKind.Order,
+        HolderHealthKind.Order,
         BackendKind.Opened,
         BackendKind.OpenFailed,
         BackendKind.Closed,
@@ -54,7 +54,7 @@
 
     process(message: OrdersInput, nowMs: number): readonly Message[] {
         return match(message)
-            .with({ kind: HealthKind.Order }, order => this.start(order, nowMs))
+            .with({ kind: HolderHealthKind.Order }, order => this.start(order, nowMs))
             .with(
                 { kind: P.union(BackendKind.Opened, BackendKind.OpenFailed, BackendKind.Closed, BackendKind.Ordered) },
                 event => this.linkEvent(event, nowMs),
@@ -121,7 +121,7 @@
 }
 
 function done({ orderId, databaseId }: HolderOrder, failure: string | undefined): HolderOrderDone {
-    return { kind: HealthKind.OrderDone, orderId, databaseId, failure };
+    return { kind: HolderHealthKind.OrderDone, orderId, databaseId, failure };
 }
 
 function sendOrder(linkId: string, { orderId, order }: HolderOrder): BackendPromote | BackendFollow {
