feat(holder): specs of the pipe, of its invariants and of the mysql2 adapter

Cause: the guarantees of the holder need proofs that can fail. Change: generated histories (losses of connections at any point, late and crossed results, lapses of the lease, a frozen process, lag, resends, ends of sessions) under virtual time with a fixed seed; one spec for each behaviour of the filters; the mysql2 adapter against a fake server on loopback.

--- /dev/null
+++ b/src/backend/__tests__/fakeMysqlServer.ts
@@ -0,0 +1,131 @@
+/** A MySQL server on loopback that answers a few fixed statements, for the specs of this folder. */
+import { createServer } from "mysql2";
+import type { AddressInfo, Server as NetServer, Socket } from "node:net";
+
+/** Parts of mysql2's server side that its types omit. */
+interface ServerConnection {
+    readonly stream: Socket;
+    /** Number of the next packet; each command starts at 0. */
+    sequenceId: number;
+    serverConfig: { encoding: string; };
+    serverHandshake(options: object): void;
+    writeOk(options: object): void;
+    writeError(options: object): void;
+    writeColumns(columns: readonly object[]): void;
+    writeTextRow(cells: readonly unknown[]): void;
+    writeEof(warnings: number, status: number): void;
+    on(event: string, listener: (text: string) => void): void;
+}
+
+interface Listening {
+    readonly _server: NetServer;
+    listen(port: number, host: string): void;
+}
+
+const transactionStatus = 3;
+const idleStatus = 2;
+// Also without the flag that replaces the EOF packet.
+const withoutTlsAndCompression = 0xfff7df;
+const largeStringType = 253;
+
+export class FakeMysqlServer implements AsyncDisposable {
+    readonly statements: string[] = [];
+    /** Statements without an answer, and connections without a greeting. */
+    silent = false;
+    private readonly server: Listening;
+    private readonly connections: ServerConnection[] = [];
+
+    constructor() {
+        this.server = createServer(connection =>
+            this.accept(connection as unknown as ServerConnection)
+        ) as unknown as Listening;
+    }
+
+    async start(): Promise<this> {
+        this.server.listen(0, "127.0.0.1");
+        await new Promise(resolve => this.server._server.once("listening", resolve));
+        return this;
+    }
+
+    get address(): string {
+        return `127.0.0.1:${(this.server._server.address() as AddressInfo).port}`;
+    }
+
+    cutAll(): void {
+        this.connections.forEach(connection => connection.stream.destroy());
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.cutAll();
+        await new Promise(resolve => this.server._server.close(resolve));
+    }
+
+    private accept(connection: ServerConnection): void {
+        this.connections.push(connection);
+        connection.on("error", () => undefined);
+        if (!this.silent) {
+            connection.serverHandshake({
+                protocolVersion: 10,
+                serverVersion: "8.0.0",
+                connectionId: this.connections.length,
+                statusFlags: idleStatus,
+                characterSet: 45,
+                capabilityFlags: withoutTlsAndCompression,
+            });
+            connection.on("query", text => {
+                connection.sequenceId = 1;
+                this.answer(connection, text);
+                connection.sequenceId = 0;
+            });
+        }
+    }
+
+    private answer(connection: ServerConnection, text: string): void {
+        this.statements.push(text);
+        if (text === "BEGIN") {
+            connection.writeOk({ affectedRows: 0, serverStatus: transactionStatus });
+        }
+        else if (text === "SHOW JASMINE POSITION") {
+            writeRows(connection, [45, 45, 45], [["primary", "3", "41"]], idleStatus);
+        }
+        else if (text === "SELECT bytes") {
+            // The encoding of written text; latin1 writes one byte per character.
+            connection.serverConfig.encoding = "latin1";
+            writeRows(
+                connection,
+                [63, 45],
+                [["\u0000\u00ff\u0080", "\u00c3\u00a9"], [undefined, ""]],
+                transactionStatus,
+            );
+        }
+        else if (text === "FAIL" || text === "DEADLOCK") {
+            connection.writeError({ code: text === "FAIL" ? 1064 : 1213, message: "as asked" });
+        }
+        else if (text !== "HANG") {
+            connection.writeOk({ affectedRows: 2, insertId: 9, serverStatus: idleStatus });
+        }
+    }
+}
+
+function writeRows(
+    connection: ServerConnection,
+    characterSets: readonly number[],
+    rows: readonly (readonly (string | undefined)[])[],
+    status: number,
+): void {
+    connection.writeColumns(characterSets.map((characterSet, index) => ({
+        catalog: "def",
+        schema: "",
+        table: "",
+        orgTable: "",
+        name: `c${index}`,
+        orgName: "",
+        characterSet,
+        columnLength: 255,
+        columnType: largeStringType,
+        flags: 0,
+        decimals: 0,
+    })));
+    rows.forEach(row => connection.writeTextRow(row.map(cell => cell ?? JSON.parse("null"))));
+    connection.writeEof(0, status);
+}
--- a/src/holder/__tests__/fakeDatabases.ts
+++ b/src/holder/__tests__/fakeDatabases.ts
@@ -27,10 +27,11 @@
     readonly databaseId: string;
     /** Texts of the open transaction. */
     transaction: string[] | undefined;
-    /** Everything sent over this connection, for checks on mixing. */
-    readonly sent: string[];
     busy: boolean;
+    /** Gives no answer any more, and runs nothing. */
     silent: boolean;
+    /** Runs the next statement and ends without an answer. */
+    dropsNext: boolean;
 }
 
 type Effect = Message & {
@@ -61,6 +62,10 @@
     readonly links = new Map<string, FakeLink>();
     /** Faults seen while the holder used the connections; each is a broken guarantee. */
     readonly violations: string[] = [];
+    /** Texts in the order in which they ran, and those that were committed alone. */
+    readonly sentTexts: string[] = [];
+    readonly autocommitted: string[] = [];
+    onExecute: (text: string, nowMs: number) => void = () => undefined;
     private readonly options: FakeDatabasesOptions;
 
     constructor(options: FakeDatabasesOptions) {
@@ -128,7 +133,7 @@
             );
             return;
         }
-        this.links.set(linkId, { databaseId, transaction: undefined, sent: [], busy: false, silent: false });
+        this.links.set(linkId, { databaseId, transaction: undefined, busy: false, silent: false, dropsNext: false });
         const open = [...this.links.values()].filter(link => link.databaseId === databaseId).length;
         database.mostLinks = Math.max(database.mostLinks, open);
         this.options.postAt(atMs, { kind: BackendKind.Opened, linkId, databaseId } as Message);
@@ -153,6 +158,9 @@
         }
         const database = this.get(link.databaseId);
         const usesSlot = message.kind === BackendKind.Execute;
+        if (usesSlot) {
+            this.onExecute(message.text, this.options.nowMs());
+        }
         link.busy = usesSlot;
         database.running += usesSlot ? 1 : 0;
         database.mostRunning = Math.max(database.mostRunning, database.running);
@@ -179,8 +187,12 @@
         }
         link.busy = false;
         database.running--;
-        link.sent.push(message.text);
+        this.sentTexts.push(message.text);
         const outcome = this.run(database, link, message.text);
+        if (link.dropsNext) {
+            this.closeLink(linkId, "cut after the statement ran");
+            return undefined;
+        }
         const inTransaction = link.transaction !== undefined;
         return { kind: BackendKind.Result, linkId, executionId, outcome, inTransaction } as Message;
     }
@@ -203,14 +215,18 @@
         else if (word === "FAIL") {
             return failed(1064);
         }
-        else if (text.startsWith("INSERT INTO jasmineline_requests") && this.hasRecord(database, recordIdOf(text))) {
+        else if (isRecord(text) && this.hasRecord(database, recordIdOf(text))) {
             return failed(1062);
         }
+        else if (isRecord(text) && this.isRecordLocked(recordIdOf(text))) {
+            return failed(1205);
+        }
         else if (link.transaction !== undefined) {
             link.transaction.push(text);
         }
         else if (word !== "SET" && word !== "CREATE") {
             database.log.push({ texts: [text] });
+            this.autocommitted.push(text);
         }
         return { kind: OutcomeKind.Done, affectedRows: 1, insertId: 0 };
     }
@@ -230,12 +246,21 @@
     }
 
     private hasRecord(database: FakeDatabase, id: string): boolean {
-        return database.log.some(commit =>
-            commit.texts.some(text => text.startsWith("INSERT INTO jasmineline_requests") && recordIdOf(text) === id)
+        return database.log.some(commit => commit.texts.some(text => isRecord(text) && recordIdOf(text) === id));
+    }
+
+    /** Another open transaction has inserted the record; a database would wait for it and then report this. */
+    private isRecordLocked(id: string): boolean {
+        return [...this.links.values()].some(link =>
+            link.transaction?.some(text => isRecord(text) && recordIdOf(text) === id) ?? false
         );
     }
 }
 
+function isRecord(text: string): boolean {
+    return text.startsWith("INSERT INTO jasmineline_requests");
+}
+
 /** The quoted request id, which is the second quoted value of both statements. */
 function recordIdOf(text: string): string {
     return text.split("'")[3]!;
--- a/src/holder/__tests__/holderFixture.ts
+++ b/src/holder/__tests__/holderFixture.ts
@@ -65,6 +65,28 @@
     }
 }
 
+/** Virtual time that can pass without the process running, as when the machine is suspended. */
+class FreezableClock extends VirtualClock {
+    private frozenMs = 0;
+
+    override nowMs(): number {
+        return super.nowMs() + this.frozenMs;
+    }
+
+    override wakeAt(atMs: number, run: () => void): void {
+        super.wakeAt(atMs - this.frozenMs, run);
+    }
+
+    /** Lets time pass; what became due meanwhile is processed late. */
+    freeze(durationMs: number): void {
+        this.frozenMs += durationMs;
+    }
+
+    run(durationMs: number): void {
+        super.advanceTo(super.nowMs() + durationMs);
+    }
+}
+
 export interface FixtureOptions {
     readonly settings?: Partial<HolderSettings>;
     readonly slots?: number;
@@ -77,7 +99,7 @@
 
 /** One group of databases `p`, `r1`, `r2` with primary `p`. */
 export class HolderFixture {
-    readonly clock = new VirtualClock();
+    readonly clock = new FreezableClock();
     readonly collector = new Collector();
     readonly databases: FakeDatabases;
     readonly loop: EventLoop;
@@ -120,7 +142,7 @@
     }
 
     run(durationMs: number): void {
-        this.clock.advanceTo(this.clock.nowMs() + durationMs);
+        this.clock.run(durationMs);
     }
 
     post(message: Message): void {
