feat(rpc): permits between instances

Cause: an entry instance and the permit home of a workspace are usually two processes.

Change: unary Acquire, batched over the questions of one turn. A call that fails or takes longer than a permit's validity answers each question as unanswered. Peers are checked before a question reaches the filter.

--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -8,13 +8,14 @@
 /** One line of JSON. Figures that were not measured are null. */
 export function describeJson(runs: readonly RateRun[], seed: number, slopes?: unknown): string {
     const results = runs.map(({ user, shape, policy, figures }) => ({ user, shape, policy, ...named(figures) }));
-    // JSON has no undefined; a left-out key would look like a figure that was forgotten.
-    return JSON.stringify(
-        { seed, note: notMeasured, results, ...(slopes === undefined ? {} : { slopes }) },
-        (_, value: unknown) => value === undefined ? JSON.parse("null") as unknown : value,
-    );
+    const report = { seed, note: notMeasured, results, ...(slopes === undefined ? {} : { slopes }) };
+    return JSON.stringify(report, (_, value: unknown) => value === undefined ? notMeasuredInJson : value);
 }
 
+// JSON has no undefined, and a key that is left out would look like a figure that was forgotten.
+// eslint-disable-next-line no-restricted-syntax
+const notMeasuredInJson = null;
+
 function named(figures: Figures): Record<string, number | undefined> {
     return {
         replica_read_share: figures.replicaReadShare,
--- /dev/null
+++ b/src/rpc/__tests__/permitRpc.spec.ts
@@ -0,0 +1,124 @@
+import { Metadata, Server, ServerCredentials } from "@grpc/grpc-js";
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { type PermitForward, type PermitGranted, PermitKind, type PermitRequest } from "../../model/permitMessages.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { PermitsService } from "../generated/permits.ts";
+import { type PeerCredentials, PermitClient } from "../permitClient.ts";
+import { PermitServer } from "../permitServer.ts";
+
+class SharedWord implements PeerCredentials {
+    private readonly word: string;
+
+    constructor(word: string) {
+        this.word = word;
+    }
+
+    clientMetadata(): Metadata {
+        const metadata = new Metadata();
+        metadata.set("word", this.word);
+        return metadata;
+    }
+
+    check(metadata: Metadata): string | undefined {
+        return metadata.get("word")[0] === this.word ? undefined : "not a peer";
+    }
+}
+
+let server: Server;
+let homeAddress: string;
+let asked: PermitRequest[];
+
+describe("permits between instances", () => {
+    beforeEach(async () => {
+        asked = [];
+        server = new Server();
+        const permitServer: PermitServer = new PermitServer({
+            peers: new SharedWord("right"),
+            post: message => {
+                const request = message as PermitRequest;
+                asked.push(request);
+                const { origin, requestId, workspace, wanted } = request;
+                const body = { origin, requestId, workspace, granted: wanted - 1, retryAfterMs: 7, answered: true };
+                permitServer.deliver({ kind: PermitKind.Reply, ...body });
+            },
+        });
+        server.addService(PermitsService, permitServer.handlers);
+        const port = await new Promise<number>((resolve, reject) =>
+            server.bindAsync(
+                "127.0.0.1:0",
+                ServerCredentials.createInsecure(),
+                (error, bound) => error ? reject(error) : resolve(bound),
+            )
+        );
+        homeAddress = `127.0.0.1:${port}`;
+    });
+
+    afterEach(() => server.forceShutdown());
+
+    it("carries the questions of one turn in one call and gives each its own answer", async () => {
+        const granted = await ask("right", ["shop", "desk"]);
+        assert.deepEqual(granted.map(({ workspace, granted: count }) => [workspace, count]), [["shop", 2], [
+            "desk",
+            2,
+        ]]);
+        assert.equal(asked.length, 2);
+        assert.equal(asked[0]!.origin, asked[1]!.origin);
+        assert.equal(asked[0]!.instanceId, "a");
+        assert.equal(asked[0]!.sentMs, 12.5);
+        assert.equal(asked[0]!.settledRequestId, "a.1-4");
+        assert.deepEqual(granted[0], {
+            kind: PermitKind.Granted,
+            requestId: "q0",
+            workspace: "shop",
+            granted: 2,
+            retryAfterMs: 7,
+            answered: true,
+        });
+    });
+
+    it("refuses a caller that is no peer before its question reaches the permit home", async () => {
+        const [granted] = await ask("wrong", ["shop"]);
+        assert.equal(granted!.answered, false);
+        assert.deepEqual(asked, []);
+    });
+
+    it("answers a question to an unreachable home, so that the workspace can ask again", async () => {
+        server.forceShutdown();
+        const [granted] = await ask("right", ["shop"]);
+        assert.equal(granted!.answered, false);
+        assert.equal(granted!.granted, 0);
+    });
+});
+
+async function ask(word: string, workspaces: readonly string[]): Promise<readonly PermitGranted[]> {
+    const received: PermitGranted[] = [];
+    return await new Promise(resolve => {
+        const client = new PermitClient({
+            instanceId: "a",
+            peers: new SharedWord(word),
+            post: (message: Message) => {
+                received.push(message as PermitGranted);
+                if (received.length === workspaces.length) {
+                    void client[Symbol.asyncDispose]().then(() => resolve(received));
+                }
+            },
+        });
+        workspaces.forEach((workspace, index) => client.deliver(question(`q${index}`, workspace)));
+    });
+}
+
+function question(requestId: string, workspace: string): PermitForward {
+    return {
+        kind: PermitKind.Forward,
+        homeAddress,
+        requestId,
+        instanceId: "a",
+        workspace,
+        wanted: 3,
+        returned: 0,
+        settledRequestId: "a.1-4",
+        held: 0,
+        sentMs: 12.5,
+    };
+}
