test(bench): targets of the rate policy as bounds

Cause: figures without bounds do not stop a regression.

A permit home's lease ends 2.7 s after the last heartbeat that the leader answered, and nobody in the data centre can renew it.

Proposal, not built: the leader keeps the permit leases of a data centre in which no instance answers, and a permit home keeps granting for the key validity (10 s) after its last renewal. A new home first asks the former one to stop: a refused connection or a confirmation lets it start at once, silence makes it wait until the former lease must be over.

--- /dev/null
+++ b/bench/__tests__/rates.spec.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Figures } from "../figures.ts";
+import { loadShapes, ShapeName } from "../loadShapes.ts";
+import { NoWaiting, ProductRates, type RatePolicy } from "../ratePolicies.ts";
+import { runRates } from "../runRates.ts";
+import { users } from "../users.ts";
+
+const seed = 1;
+const product = new Map(loadShapes.map(shape => [shape.name as string, run(shape.name, new ProductRates())]));
+
+// Bounds are the targets in section 1.5 of docs/design.md.
+describe("rate policy against its targets", () => {
+    it("admits nothing above the rate under any load shape", () => {
+        for (const [shape, figures] of product) {
+            assert.equal(figures.overRateAdmissions, 0, shape);
+        }
+    });
+
+    it("refuses nothing within the rate under steady load and beside a noisy neighbour", () => {
+        assert.equal(product.get(ShapeName.Steady)!.wrongfulRefusals, 0);
+        assert.equal(product.get(ShapeName.Noisy)!.wrongfulRefusals, 0);
+    });
+
+    it("serves the worst-served workspace at least 99% of its rate beside a neighbour at 5 times its rate", () => {
+        assert.ok(product.get(ShapeName.Noisy)!.worstWorkspaceServedShare >= 0.99);
+    });
+
+    it("refuses under 0.1% within the rate while a data centre is cut off", () => {
+        const { wrongfulShare } = product.get(ShapeName.CutOff)!;
+        assert.ok(wrongfulShare < 0.001, `wrongful share ${wrongfulShare}`);
+    });
+
+    it("refuses less by waiting than without, which is the reason for the queue per workspace", () => {
+        for (const shape of [ShapeName.Steady, ShapeName.Rush, ShapeName.Noisy]) {
+            const without = run(shape, new NoWaiting());
+            assert.ok(product.get(shape)!.wrongfulRefusals < without.wrongfulRefusals, shape);
+        }
+    });
+});
+
+function run(shapeName: string, policy: RatePolicy): Figures {
+    return runRates(users[0]!, loadShapes.find(shape => shape.name === shapeName)!, policy, seed).figures;
+}
