--- a/src/holder/__tests__/holderPipe.spec.ts
+++ b/src/holder/__tests__/holderPipe.spec.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { ClusterKind } from "../../model/clusterMessages.ts";
-import { HealthKind, type HolderDatabaseHealth, type HolderOrderDone, OrderKind } from "../../model/healthMessages.ts";
+import { type DatabaseHealth, HolderHealthKind, type HolderOrderDone, OrderKind } from "../../model/healthMessages.ts";
 import { type HolderFloorAnswer, HolderKind } from "../../model/holderMessages.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
 import { StatementKind } from "../../model/statement.ts";
@@ -122,13 +122,13 @@
         const read = fixture.send("SELECT 1", { sessionId: "s3" });
         fixture.run(20);
         assert.deepEqual([fixture.result(begin), fixture.result(read)], ["shutting_down", "rows"]);
-        assert.deepEqual(fixture.seen(HealthKind.LeaseIdle), []);
+        assert.deepEqual(fixture.seen(HolderHealthKind.LeaseIdle), []);
         const commit = fixture.send("COMMIT", { pinned: true });
         fixture.run(5);
-        assert.deepEqual(fixture.seen(HealthKind.LeaseIdle), [], "the commit is not confirmed yet");
+        assert.deepEqual(fixture.seen(HolderHealthKind.LeaseIdle), [], "the commit is not confirmed yet");
         fixture.replicateUntil(fixture.clock.nowMs() + 30);
         assert.equal(fixture.result(commit), "done");
-        assert.equal(fixture.seen(HealthKind.LeaseIdle).length, 1);
+        assert.equal(fixture.seen(HolderHealthKind.LeaseIdle).length, 1);
     });
 });
 
@@ -303,14 +303,14 @@
 });
 
 describe("monitor and orders", () => {
-    const lastHealth = (fixture: HolderFixture): HolderDatabaseHealth | undefined =>
-        fixture.seen<HolderDatabaseHealth>(HealthKind.DatabaseHealth).at(-1);
+    const lastHealth = (fixture: HolderFixture): DatabaseHealth | undefined =>
+        fixture.seen<DatabaseHealth>(HolderHealthKind.DatabaseHealth).at(-1);
 
     it("reports a database as unreachable only when fresh connections fail, and every 500 ms", () => {
         const fixture = new HolderFixture().start();
         fixture.databases.links.forEach(link => link.silent = true);
         fixture.run(3_000);
-        const health = fixture.seen<HolderDatabaseHealth>(HealthKind.DatabaseHealth);
+        const health = fixture.seen<DatabaseHealth>(HolderHealthKind.DatabaseHealth);
         assert.ok(health.length >= 6 && health.every(({ reachable }) => reachable));
         fixture.databases.get("p").accepts = false;
         fixture.databases.cut(() => true);
@@ -324,10 +324,10 @@
     it("carries out an order on a fresh connection and reports a failure", () => {
         const fixture = new HolderFixture({ held: ["r1"] }).start();
         const order = { kind: OrderKind.Promote, term: 2 };
-        fixture.post({ kind: HealthKind.Order, orderId: "o1", databaseId: "r1", order } as Message);
-        fixture.post({ kind: HealthKind.Order, orderId: "o2", databaseId: "r2", order } as Message);
+        fixture.post({ kind: HolderHealthKind.Order, orderId: "o1", databaseId: "r1", order } as Message);
+        fixture.post({ kind: HolderHealthKind.Order, orderId: "o2", databaseId: "r2", order } as Message);
         fixture.run(30);
-        const done = fixture.seen<HolderOrderDone>(HealthKind.OrderDone);
+        const done = fixture.seen<HolderOrderDone>(HolderHealthKind.OrderDone);
         assert.deepEqual(done.find(({ orderId }) => orderId === "o1")?.failure, undefined);
         assert.match(done.find(({ orderId }) => orderId === "o2")?.failure ?? "", /does not hold/);
         assert.equal(fixture.databases.get("r1").role, "primary");
--- a/src/model/holderMessages.ts
+++ b/src/model/holderMessages.ts
@@ -54,7 +54,7 @@
      * The session's last answer said `pinned` or `inTransaction`. The holder then never runs the statement on another
      * connection, for example after the database changed its holder. Undefined when the sender does not know.
      */
-    readonly pinned?: boolean;
+    readonly pinned: boolean;
 }
 
 /** A statement for a database that another instance holds. */
--- /dev/null
+++ b/src/request/localAnswers.ts
@@ -0,0 +1,38 @@
+/** Answers that the entry instance gives without a database. */
+import { type Outcome, OutcomeKind } from "../model/outcome.ts";
+import { StatementKind } from "../model/statement.ts";
+import { type AdmittedRequest, type AnsweredRequest, LocalAction, RequestKind } from "./requestMessages.ts";
+import type { SessionTable } from "./sessionTable.ts";
+
+const varcharType = 253;
+const utf8mb4 = 45;
+const done: Outcome = { kind: OutcomeKind.Done, affectedRows: 0, insertId: 0 };
+
+/** The answer to a statement that needs no database; undefined for every other one. */
+export function answerLocally(request: AdmittedRequest, sessions: SessionTable): AnsweredRequest | undefined {
+    const session = sessions.of(request.connectionId);
+    if (request.localAction === LocalAction.ShowSession) {
+        const column = { name: "session_token", type: varcharType, characterSet: utf8mb4, flags: 0 };
+        const rows = [[sessions.tokenFor(request)]];
+        return toAnswer(request, { kind: OutcomeKind.Rows, columns: [column], rows }, session.inTransaction);
+    }
+    const isLocal = request.statementKind === StatementKind.Local;
+    // MySQL accepts COMMIT and ROLLBACK outside a transaction.
+    const endsNothing = isTransactionEnd(request) && session.pinnedDatabaseId === undefined;
+    return isLocal || endsNothing ? toAnswer(request, done, session.inTransaction) : undefined;
+}
+
+/** Joins a statement with its outcome. */
+export function toAnswer(
+    request: AdmittedRequest,
+    outcome: Outcome,
+    inTransaction: boolean,
+    startedAtMs?: number,
+): AnsweredRequest {
+    const { connectionId, sequence } = request;
+    return { kind: RequestKind.Answered, connectionId, sequence, outcome, inTransaction, request, startedAtMs };
+}
+
+function isTransactionEnd({ statementKind }: AdmittedRequest): boolean {
+    return statementKind === StatementKind.Commit || statementKind === StatementKind.Rollback;
+}
--- a/src/request/primarySamples.ts
+++ b/src/request/primarySamples.ts
@@ -38,16 +38,11 @@
     }
 
     /**
-     * The earliest position whose data is at most `maximumAgeMs` old.
+     * The earliest position whose data is at most `maximumAgeMs` old at `atMs`.
      * @returns undefined when no sample is recent enough to prove anything
      */
-    floorForAge(maximumAgeMs: number, nowMs: number): Position | undefined {
-        return this.samples.find(sample => sample.atMs >= nowMs - maximumAgeMs)?.position;
-    }
-
-    /** The latest known position. */
-    latest(): Position | undefined {
-        return this.samples.at(-1)?.position;
+    floorForAge(maximumAgeMs: number, atMs: number): Position | undefined {
+        return this.samples.find(sample => sample.atMs >= atMs - maximumAgeMs)?.position;
     }
 
     // Old samples serve generous age targets, for which a coarser spacing costs little.
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -19,18 +19,18 @@
 import { DatabaseChoice } from "./databaseChoice.ts";
 import { FloorQuestions, type FloorResult } from "./floorQuestions.ts";
 import { toHolder, toHolderSessionEnd } from "./holderAddressing.ts";
+import { answerLocally, toAnswer } from "./localAnswers.ts";
 import { type PendingRequest, PendingRequests, PendingStage } from "./pendingRequests.ts";
 import {
     type AdmittedRequest,
-    type AnsweredRequest,
-    LocalAction,
     refuseRequest,
     RequestKind,
     type RetryDue,
     type SessionEnded,
 } from "./requestMessages.ts";
 import { RetryPolicy } from "./retryPolicy.ts";
-import { SessionState, type SessionTokenCodec } from "./sessionState.ts";
+import type { SessionTokenCodec } from "./sessionState.ts";
+import { SessionTable } from "./sessionTable.ts";
 
 type Input =
     | AdmittedRequest
@@ -66,7 +66,7 @@
         RequestKind.SessionEnded,
     ];
     private readonly options: RouteOptions;
-    private readonly sessions = new Map<number, SessionState>();
+    private readonly sessions: SessionTable;
     private readonly databases: DatabaseChoice;
     private readonly questions: FloorQuestions;
     private readonly pending: PendingRequests;
@@ -74,6 +74,7 @@
 
     constructor(options: RouteOptions) {
         this.options = options;
+        this.sessions = new SessionTable(`${options.instanceId}/${options.incarnation}`, options.tokens);
         this.databases = new DatabaseChoice(options);
         this.questions = new FloorQuestions(options.instanceId);
         this.pending = new PendingRequests(`${options.instanceId}/${options.incarnation}`);
@@ -93,41 +94,33 @@
     }
 
     private start(request: AdmittedRequest, nowMs: number): readonly Message[] {
-        const session = this.session(request.connectionId);
-        const tokenRefusal = this.resumeFromAttribute(request, session);
+        const tokenRefusal = this.sessions.resume(request);
         if (tokenRefusal !== undefined) {
             return [refuseRequest(request, tokenRefusal)];
         }
-        if (request.statementKind === StatementKind.Local) {
-            return [this.answerLocally(request, session)];
+        const localAnswer = answerLocally(request, this.sessions);
+        if (localAnswer !== undefined) {
+            return [localAnswer];
         }
         const groupId = this.databases.groupOf(request.service);
         if (groupId === undefined) {
             return [refuseRequest(request, refuse(RefusalCode.UnknownService, this.step, { detail: request.service }))];
         }
-        if (this.isRedundantEnd(request, session)) {
-            return [this.answerDone(request, session)];
-        }
         const pending = this.pending.add(request, groupId);
         this.retries.countFirstAttempt();
-        return this.place(pending, session, nowMs);
-    }
-
-    // MySQL accepts COMMIT and ROLLBACK outside a transaction; they need no database.
-    private isRedundantEnd(request: AdmittedRequest, session: SessionState): boolean {
-        const ends = request.statementKind === StatementKind.Commit || request.statementKind === StatementKind.Rollback;
-        return ends && session.pinnedDatabaseId === undefined;
+        return this.place(pending, nowMs);
     }
 
-    private place(pending: PendingRequest, session: SessionState, nowMs: number): readonly Message[] {
+    private place(pending: PendingRequest, nowMs: number): readonly Message[] {
         const { request, groupId } = pending;
+        const session = this.sessions.of(request.connectionId);
         if (session.pinnedDatabaseId !== undefined) {
             return this.sendToPinned(pending, session.pinnedDatabaseId, nowMs);
         }
         if (request.statementKind !== StatementKind.Read || request.targets.maximumAgeMs === 0) {
             return this.sendToPrimary(pending, nowMs);
         }
-        const ageFloor = this.questions.samples(groupId).floorForAge(request.targets.maximumAgeMs, nowMs);
+        const ageFloor = this.questions.samples(groupId).floorForAge(request.targets.maximumAgeMs, request.arrivedAtMs);
         const ownFloor = session.floor(groupId) ?? originPosition;
         const needsNoAnswer = session.carriesToken || request.callerId === "";
         if (needsNoAnswer && ageFloor !== undefined) {
@@ -161,10 +154,12 @@
 
     private useFloor(pending: PendingRequest, callerFloor: Position, nowMs: number): readonly Message[] {
         const { request, groupId } = pending;
-        const session = this.session(request.connectionId);
-        const samples = this.questions.samples(groupId);
-        // The answer just came, so its own sample is the latest; it proves the age unless the target is very tight.
-        const ageFloor = samples.floorForAge(request.targets.maximumAgeMs, nowMs) ?? samples.latest() ?? callerFloor;
+        const session = this.sessions.of(request.connectionId);
+        // The age counts from the arrival: a change acknowledged later need not be visible.
+        const ageFloor = this.questions.samples(groupId).floorForAge(request.targets.maximumAgeMs, request.arrivedAtMs);
+        if (ageFloor === undefined) {
+            return this.sendToPrimary(pending, nowMs);
+        }
         const ownFloor = session.floor(groupId) ?? originPosition;
         const floor = laterPosition(laterPosition(callerFloor, ageFloor), ownFloor);
         return this.sendToReplica(pending, floor, nowMs);
@@ -208,7 +203,7 @@
         const { request } = pending;
         const body = {
             requestId: pending.requestId,
-            sessionId: this.sessionId(request.connectionId),
+            sessionId: this.sessions.idOf(request.connectionId),
             databaseId: database.databaseId,
             callerId: request.callerId,
             workspace: request.workspace,
@@ -218,7 +213,8 @@
             floor: pending.floor,
             deadlineMs: request.deadlineMs,
             idempotencyId: request.statementKind === StatementKind.Read ? undefined : request.attributes.requestId,
-            repeatable: request.statementKind === StatementKind.Read && request.targets.repeat === RepeatPolicy.Reads,
+            repeatable: isRepeatable(request),
+            pinned: this.sessions.of(request.connectionId).pinnedDatabaseId !== undefined,
         };
         const limitMs = Math.max(nowMs, request.deadlineMs) + answerLimitMs;
         const due: RetryDue = { kind: RequestKind.RetryDue, requestId: pending.requestId };
@@ -235,7 +231,7 @@
         if (outcome.kind === OutcomeKind.Refused && this.mayRetry(pending, outcome.refusal)) {
             return this.backOff(pending, outcome.refusal, nowMs);
         }
-        const session = this.session(pending.request.connectionId);
+        const session = this.sessions.of(pending.request.connectionId);
         session.inTransaction = answer.inTransaction;
         session.pinnedDatabaseId = answer.pinned ? pending.databaseId : undefined;
         if (answer.written !== undefined) {
@@ -245,16 +241,15 @@
     }
 
     private mayRetry(pending: PendingRequest, refusal: Refusal): boolean {
-        const session = this.session(pending.request.connectionId);
+        const session = this.sessions.of(pending.request.connectionId);
         if (session.pinnedDatabaseId !== undefined) {
             return false;
         }
         if (refusalTable[refusal.code].execution === Execution.NotRun) {
             return this.retries.isRetryable(refusal);
         }
-        const { statementKind, targets } = pending.request;
-        const repeatable = statementKind === StatementKind.Read && targets.repeat === RepeatPolicy.Reads;
-        return repeatable && refusal.code === RefusalCode.ConnectionLost && this.retries.takeRepeat();
+        return isRepeatable(pending.request) && refusal.code === RefusalCode.ConnectionLost
+            && this.retries.takeRepeat();
     }
 
     /** Tries again later, or answers with the refusal when the waiting target leaves no time. */
@@ -289,7 +284,7 @@
         if (nowMs >= pending.request.deadlineMs) {
             return this.refusePending(pending, refuse(RefusalCode.NoPrimary, this.step, { retryAfterMs: 500 }));
         }
-        return this.place(pending, this.session(pending.request.connectionId), nowMs);
+        return this.place(pending, nowMs);
     }
 
     private updateDatabases(changed: DatabasesChanged, nowMs: number): readonly Message[] {
@@ -297,9 +292,7 @@
         const moved = this.pending.all(PendingStage.Sent).filter(pending => this.hasMoved(pending));
         return [
             ...moved.flatMap(pending => this.takeLoss(pending, nowMs)),
-            ...this.pending.all(PendingStage.Waiting).flatMap(pending =>
-                this.place(pending, this.session(pending.request.connectionId), nowMs)
-            ),
+            ...this.pending.all(PendingStage.Waiting).flatMap(pending => this.place(pending, nowMs)),
             ...this.pending.all(PendingStage.Floor).flatMap(({ request }) => this.askFloors(request.service, nowMs)),
             changed,
         ];
@@ -331,7 +324,7 @@
 
     /** Without a COMMIT the database rolls back, so only a COMMIT or a write of its own is in doubt. */
     private lostRefusal(pending: PendingRequest): Refusal {
-        const session = this.session(pending.request.connectionId);
+        const session = this.sessions.of(pending.request.connectionId);
         const isRolledBack = session.inTransaction && pending.request.statementKind !== StatementKind.Commit;
         session.inTransaction = false;
         session.pinnedDatabaseId = undefined;
@@ -340,42 +333,12 @@
     }
 
     private loseTransaction(pending: PendingRequest): readonly Message[] {
-        const session = this.session(pending.request.connectionId);
+        const session = this.sessions.of(pending.request.connectionId);
         session.inTransaction = false;
         session.pinnedDatabaseId = undefined;
         return this.refusePending(pending, refuse(RefusalCode.TransactionLost, this.step));
     }
 
-    private resumeFromAttribute(request: AdmittedRequest, session: SessionState): Refusal | undefined {
-        const token = request.localAction === LocalAction.ResumeSession
-            ? request.localArgument
-            : request.attributes.sessionToken;
-        if (token === undefined) {
-            return undefined;
-        }
-        const floors = this.options.tokens.decode(token);
-        if (floors === undefined || floors.callerId !== request.callerId) {
-            return refuse(RefusalCode.MalformedAttribute, this.step, { detail: "the session token is not valid" });
-        }
-        session.resume(floors);
-        return undefined;
-    }
-
-    private answerLocally(request: AdmittedRequest, session: SessionState): AnsweredRequest {
-        if (request.localAction !== LocalAction.ShowSession) {
-            return this.answerDone(request, session);
-        }
-        const token = this.options.tokens.encode(session.toFloors(request.callerId));
-        const column = { name: "session_token", type: varcharType, characterSet: utf8mb4, flags: 0 };
-        const outcome = { kind: OutcomeKind.Rows, columns: [column], rows: [[token]] } as const;
-        return this.toAnswer(request, outcome, session.inTransaction, undefined);
-    }
-
-    private answerDone(request: AdmittedRequest, session: SessionState): AnsweredRequest {
-        const outcome = { kind: OutcomeKind.Done, affectedRows: 0, insertId: 0 } as const;
-        return this.toAnswer(request, outcome, session.inTransaction, undefined);
-    }
-
     private finish(
         pending: PendingRequest,
         outcome: HolderAnswer["outcome"],
@@ -384,25 +347,15 @@
         this.pending.remove(pending);
         return [
             clearDeadline(deadlineKey(pending)),
-            this.toAnswer(pending.request, outcome, inTransaction, pending.startedAtMs),
+            toAnswer(pending.request, outcome, inTransaction, pending.startedAtMs),
         ];
     }
 
     private refusePending(pending: PendingRequest, refusal: Refusal): readonly Message[] {
-        const session = this.session(pending.request.connectionId);
+        const session = this.sessions.of(pending.request.connectionId);
         return this.finish(pending, { kind: OutcomeKind.Refused, refusal }, session.inTransaction);
     }
 
-    private toAnswer(
-        request: AdmittedRequest,
-        outcome: HolderAnswer["outcome"],
-        inTransaction: boolean,
-        startedAtMs: number | undefined,
-    ): AnsweredRequest {
-        const { connectionId, sequence } = request;
-        return { kind: RequestKind.Answered, connectionId, sequence, outcome, inTransaction, request, startedAtMs };
-    }
-
     private waitUntilDeadline(pending: PendingRequest): Message {
         const due: RetryDue = { kind: RequestKind.RetryDue, requestId: pending.requestId };
         return setDeadline(deadlineKey(pending), pending.request.deadlineMs, due);
@@ -410,9 +363,8 @@
 
     /** Rolls back what the session left at a holder, also when the statement that pins it is still under way. */
     private endSession(ended: SessionEnded): readonly Message[] {
-        const session = this.sessions.get(ended.connectionId);
+        const session = this.sessions.take(ended.connectionId);
         const pending = this.pending.ofConnection(ended.connectionId);
-        this.sessions.delete(ended.connectionId);
         const messages: Message[] = [];
         if (pending !== undefined) {
             this.pending.remove(pending);
@@ -422,29 +374,17 @@
         for (const databaseId of new Set(databaseIds)) {
             const holder = databaseId === undefined ? undefined : this.databases.get(databaseId)?.holder;
             if (databaseId !== undefined && holder !== undefined) {
-                const sessionId = this.sessionId(ended.connectionId);
+                const sessionId = this.sessions.idOf(ended.connectionId);
                 messages.push(toHolderSessionEnd(sessionId, databaseId, holder, this.options.instanceId));
             }
         }
         return messages;
     }
-
-    private session(connectionId: number): SessionState {
-        let session = this.sessions.get(connectionId);
-        if (session === undefined) {
-            session = new SessionState();
-            this.sessions.set(connectionId, session);
-        }
-        return session;
-    }
-
-    private sessionId(connectionId: number): string {
-        return `${this.options.instanceId}/${this.options.incarnation}/${connectionId}`;
-    }
 }
 
-const varcharType = 253;
-const utf8mb4 = 45;
+function isRepeatable({ statementKind, targets }: AdmittedRequest): boolean {
+    return statementKind === StatementKind.Read && targets.repeat === RepeatPolicy.Reads;
+}
 
 function deadlineKey(pending: PendingRequest): string {
     return `route:${pending.requestId}`;
--- /dev/null
+++ b/src/request/sessionTable.ts
@@ -0,0 +1,61 @@
+/** The sessions of the callers connected to this instance. */
+import { type Refusal, RefusalCode, refuse } from "../model/refusal.ts";
+import { type AdmittedRequest, LocalAction } from "./requestMessages.ts";
+import { SessionState, type SessionTokenCodec } from "./sessionState.ts";
+
+export class SessionTable {
+    private readonly sessions = new Map<number, SessionState>();
+    private readonly idPrefix: string;
+    private readonly tokens: SessionTokenCodec;
+
+    /** @param idPrefix makes session ids unique over all instances and their restarts */
+    constructor(idPrefix: string, tokens: SessionTokenCodec) {
+        this.idPrefix = idPrefix;
+        this.tokens = tokens;
+    }
+
+    /** The session of a connection; made when it is first asked for. */
+    of(connectionId: number): SessionState {
+        let session = this.sessions.get(connectionId);
+        if (session === undefined) {
+            session = new SessionState();
+            this.sessions.set(connectionId, session);
+        }
+        return session;
+    }
+
+    /** Removes a session; undefined when its connection never sent a statement. */
+    take(connectionId: number): SessionState | undefined {
+        const session = this.sessions.get(connectionId);
+        this.sessions.delete(connectionId);
+        return session;
+    }
+
+    /** Identifies the session to holders. */
+    idOf(connectionId: number): string {
+        return `${this.idPrefix}/${connectionId}`;
+    }
+
+    /**
+     * Resumes from the token that a statement carries, if it carries one.
+     * @returns a refusal when the token is forged, damaged or another caller's
+     */
+    resume(request: AdmittedRequest): Refusal | undefined {
+        const isResume = request.localAction === LocalAction.ResumeSession;
+        const token = isResume ? request.localArgument : request.attributes.sessionToken;
+        if (token === undefined) {
+            return undefined;
+        }
+        const floors = this.tokens.decode(token);
+        if (floors === undefined || floors.callerId !== request.callerId) {
+            return refuse(RefusalCode.MalformedAttribute, "route", { detail: "the session token is not valid" });
+        }
+        this.of(request.connectionId).resume(floors);
+        return undefined;
+    }
+
+    /** The token that lets the caller go on elsewhere. */
+    tokenFor(request: AdmittedRequest): string {
+        return this.tokens.encode(this.of(request.connectionId).toFloors(request.callerId));
+    }
+}
--- a/src/rpc/holderCodec.ts
+++ b/src/rpc/holderCodec.ts
@@ -44,7 +44,7 @@
         deadlineMs: nowMs + body.waitingLeftMs,
         idempotencyId: body.idempotencyId === "" ? undefined : body.idempotencyId,
         repeatable: body.repeatable,
-        ...(body.pinned === undefined ? {} : { pinned: body.pinned }),
+        pinned: body.pinned ?? false,
     };
 }
 
