feat(report): service-level burn of classes and workspaces

Cause: operators set targets per work class and need to see what burns their error budget.

Change: RecordOutcomes counts outcomes in minute and half-hour buckets and keeps mergeable histograms of waiting and total time; reports are merged over instances, name the missing ones, and are rendered as table, JSON and one HTML page.

--- /dev/null
+++ b/scripts/sampleReport.ts
@@ -0,0 +1,46 @@
+/** Renders a burn report from seeded data: `node --import tsx scripts/sampleReport.ts html|table|json > FILE`. */
+import { OutcomeKind } from "../src/model/outcome.ts";
+import { RefusalCode, refuse } from "../src/model/refusal.ts";
+import { SeededRandom } from "../src/pipeline/seededRandom.ts";
+import { buildReport } from "../src/report/burnReport.ts";
+import { type AnsweredStatement, RecordOutcomes, ReportKind } from "../src/report/recordOutcomes.ts";
+import { renderHtml } from "../src/report/renderHtml.ts";
+import { renderJson } from "../src/report/renderJson.ts";
+import { renderTable } from "../src/report/renderTable.ts";
+
+const endMs = 72 * 3_600_000;
+const statementCount = 60_000;
+const random = new SeededRandom(7);
+const recorders = new Map(["instance0", "instance1"].map(id => [id, new RecordOutcomes()]));
+
+for (let index = 0; index < statementCount; index++) {
+    const answeredMs = endMs * index / statementCount;
+    [...recorders.values()][index % 2]!.process(statementAt(answeredMs), answeredMs);
+}
+const snapshots = [...recorders].map(([id, recorder]) => recorder.snapshot(id, endMs));
+const report = buildReport(snapshots, ["instance0", "instance1", "instance2"], "2030-01-01T00:00:00.000Z");
+const renderers = { html: renderHtml, table: renderTable, json: renderJson };
+const format = (process.argv[2] ?? "table") as keyof typeof renderers;
+process.stdout.write(`${renderers[format](report)}\n`);
+
+/** An incident of two hours in the second day refuses counter orders; otherwise little goes wrong. */
+function statementAt(answeredMs: number): AnsweredStatement {
+    const isIncident = answeredMs > 30 * 3_600_000 && answeredMs < 32 * 3_600_000;
+    const workClass = random.nextShare() < 0.5 ? "counter orders" : "fitting lookups";
+    const fails = random.nextShare() < (isIncident && workClass === "counter orders" ? 0.3 : 0.0005);
+    const waitingMs = -40 * Math.log(1 - random.nextShare());
+    const isSlow = random.nextShare() < 0.0008;
+    const arrivedAtMs = answeredMs - waitingMs - 6;
+    return {
+        kind: ReportKind.Answered,
+        workspace: `dealer${random.nextInteger(3)}`,
+        workClass,
+        arrivedAtMs: isSlow ? arrivedAtMs - 2_500 : arrivedAtMs,
+        startedAtMs: fails ? undefined : answeredMs - 6,
+        outcome: fails
+            ? { kind: OutcomeKind.Refused, refusal: refuse(RefusalCode.WaitExceeded, "acquire") }
+            : { kind: OutcomeKind.Done, affectedRows: 1, insertId: 0 },
+        withinRate: true,
+        targets: { objectiveShare: 0.999, waitingMs: 2_000, maximumAgeMs: 1_000 },
+    };
+}
--- /dev/null
+++ b/src/report/burnRates.ts
@@ -0,0 +1,78 @@
+/** Burn rates of the error budget, and the rule that says when somebody must act. */
+import { type AgedCounts, sumYounger } from "./countRing.ts";
+import { badCount, eligibleCount, type OutcomeCounts } from "./outcomeCounts.ts";
+import { coarseBucketMs, fineBucketMs } from "./seriesLog.ts";
+
+export const BurnWindow = {
+    FiveMinutes: "5m",
+    HalfHour: "30m",
+    Hour: "1h",
+    SixHours: "6h",
+    ThreeDays: "3d",
+} as const;
+export type BurnWindow = typeof BurnWindow[keyof typeof BurnWindow];
+
+export const burnWindows: readonly BurnWindow[] = Object.values(BurnWindow);
+
+const windowMs: Readonly<Record<BurnWindow, number>> = {
+    "5m": 5 * 60_000,
+    "30m": 30 * 60_000,
+    "1h": 3_600_000,
+    "6h": 6 * 3_600_000,
+    "3d": 72 * 3_600_000,
+};
+
+export const BurnAlert = {
+    None: "none",
+    Ticket: "ticket",
+    Page: "page",
+} as const;
+export type BurnAlert = typeof BurnAlert[keyof typeof BurnAlert];
+
+interface AlertRule {
+    readonly alert: BurnAlert;
+    readonly long: BurnWindow;
+    /** Ends the alert soon after the burning has ended. */
+    readonly short: BurnWindow;
+    readonly threshold: number;
+}
+
+/**
+ * The usual pairs of windows for a budget of 30 days: 14.4 spends 2% of it in an hour, 6 spends 5% in six hours, and
+ * 1 spends 10% in three days.
+ */
+export const alertRules: readonly AlertRule[] = [
+    { alert: BurnAlert.Page, long: BurnWindow.Hour, short: BurnWindow.FiveMinutes, threshold: 14.4 },
+    { alert: BurnAlert.Page, long: BurnWindow.SixHours, short: BurnWindow.HalfHour, threshold: 6 },
+    { alert: BurnAlert.Ticket, long: BurnWindow.ThreeDays, short: BurnWindow.SixHours, threshold: 1 },
+];
+
+/** Counts of a window, from the finest buckets that reach back far enough. */
+export function countsOf(
+    window: BurnWindow,
+    fine: readonly AgedCounts[],
+    coarse: readonly AgedCounts[],
+): OutcomeCounts {
+    const lengthMs = windowMs[window];
+    return lengthMs <= windowMs[BurnWindow.Hour]
+        ? sumYounger(fine, lengthMs / fineBucketMs)
+        : sumYounger(coarse, lengthMs / coarseBucketMs);
+}
+
+/** Bad share divided by the share that the objective allows; 1 spends the budget exactly in its period. */
+export function burnRate(counts: OutcomeCounts, objectiveShare: number): number {
+    const eligible = eligibleCount(counts);
+    const allowedShare = Math.max(1e-9, 1 - objectiveShare);
+    return eligible === 0 ? 0 : badCount(counts) / eligible / allowedShare;
+}
+
+/** Part of the three days' budget that is not spent; negative when more was spent than the budget holds. */
+export function budgetLeft(threeDays: OutcomeCounts, objectiveShare: number): number {
+    return 1 - burnRate(threeDays, objectiveShare);
+}
+
+/** The most urgent alert whose two windows both burn faster than its threshold. */
+export function alertOf(rates: Readonly<Record<BurnWindow, number>>): BurnAlert {
+    const rule = alertRules.find(({ long, short, threshold }) => rates[long] > threshold && rates[short] > threshold);
+    return rule?.alert ?? BurnAlert.None;
+}
--- /dev/null
+++ b/src/report/latencyHistogram.ts
@@ -0,0 +1,51 @@
+/** Mergeable histogram of milliseconds. */
+import hdr from "hdr-histogram-js";
+
+const buildOptions = {
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 600_000,
+    numberOfSignificantValueDigits: 1 as const,
+    bitBucketSize: 32 as const,
+    autoResize: false,
+    useWebAssembly: false,
+};
+
+/** Counts of values up to 10 minutes with one significant digit; longer ones count as 10 minutes. */
+export class LatencyHistogram {
+    private readonly histogram = hdr.build(buildOptions);
+
+    record(valueMs: number): void {
+        this.histogram.recordValue(Math.min(buildOptions.highestTrackableValue, Math.max(0, Math.round(valueMs))));
+    }
+
+    add(other: LatencyHistogram): void {
+        this.histogram.add(other.histogram);
+    }
+
+    get count(): number {
+        return this.histogram.totalCount;
+    }
+
+    /** Upper bound of the value below which `share` of the recorded values lie; 0 when there are none. */
+    percentileMs(share: number): number {
+        return this.count === 0 ? 0 : this.histogram.getValueAtPercentile(100 * share);
+    }
+
+    /** Base64 of the library's compressed form; empty when nothing was recorded. */
+    encode(): string {
+        return this.count === 0 ? "" : hdr.encodeIntoCompressedBase64(this.histogram);
+    }
+
+    static decode(text: string): LatencyHistogram {
+        const result = new LatencyHistogram();
+        if (text !== "") {
+            result.histogram.add(hdr.decodeFromCompressedBase64(text, 32, false));
+        }
+        return result;
+    }
+
+    /** Size of the counters in bytes, by the library's own high estimate. */
+    get bytes(): number {
+        return this.histogram.estimatedFootprintInBytes;
+    }
+}
--- /dev/null
+++ b/src/report/recordOutcomes.ts
@@ -0,0 +1,122 @@
+/** Records how statements ended; the end of the request pipe. */
+import { type Outcome, OutcomeKind } from "../model/outcome.ts";
+import { Execution, RefusalCode, refusalTable } from "../model/refusal.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { OutcomeClass } from "./outcomeCounts.ts";
+import { SeriesLog, type SeriesSnapshot, type SeriesTargets } from "./seriesLog.ts";
+
+export const ReportKind = {
+    Answered: "request.answered",
+} as const;
+
+/** What this filter reads of an answered statement. */
+export interface AnsweredStatement extends Message {
+    readonly kind: typeof ReportKind.Answered;
+    readonly workspace: string;
+    readonly workClass: string;
+    readonly arrivedAtMs: number;
+    /** Undefined when the statement was not sent to a database. */
+    readonly startedAtMs: number | undefined;
+    readonly outcome: Outcome;
+    /** Known age of the data that a read returned; undefined when it was current. */
+    readonly dataAgeMs?: number | undefined;
+    readonly withinRate: boolean;
+    readonly targets: SeriesTargets & { readonly maximumAgeMs: number; };
+}
+
+/** State of one instance, to be merged with others or restored after a restart. */
+export interface InstanceSnapshot {
+    readonly instanceId: string;
+    readonly series: readonly SeriesSnapshot[];
+}
+
+/** Pairs of class and workspace that are kept apart; later ones share one series. Bounds the memory at 6.9 MB. */
+const seriesLimit = 512;
+const otherName = "other";
+
+/** Refusals that the caller caused. */
+const callerCodes: ReadonlySet<RefusalCode> = new Set([
+    RefusalCode.AccessDenied,
+    RefusalCode.KeyWithdrawn,
+    RefusalCode.UnknownService,
+    RefusalCode.UnknownClass,
+    RefusalCode.MalformedAttribute,
+    RefusalCode.PreparedUnsupported,
+    RefusalCode.StatementUnsupported,
+    RefusalCode.StatementTooLarge,
+]);
+
+interface NamedSeries {
+    readonly workClass: string;
+    readonly workspace: string;
+    readonly log: SeriesLog;
+}
+
+export class RecordOutcomes implements Filter<AnsweredStatement, never> {
+    readonly step = "recordOutcomes";
+    readonly accepts = [ReportKind.Answered];
+    private readonly series = new Map<string, NamedSeries>();
+
+    process(answered: AnsweredStatement, nowMs: number): readonly never[] {
+        const { workClass, workspace, arrivedAtMs, startedAtMs, targets } = answered;
+        const waitingMs = startedAtMs === undefined ? undefined : startedAtMs - arrivedAtMs;
+        this.seriesOf(workClass, workspace, targets, nowMs)
+            .record(classify(answered), waitingMs, nowMs - arrivedAtMs, targets, nowMs);
+        return [];
+    }
+
+    snapshot(instanceId: string, nowMs: number): InstanceSnapshot {
+        const series = [...this.series.values()]
+            .map(({ workClass, workspace, log }) => log.snapshot(workClass, workspace, nowMs));
+        return { instanceId, series };
+    }
+
+    /** @param elapsedMs time since the snapshot was taken, by the wall clock, as the monotonic one starts anew */
+    restore(snapshot: InstanceSnapshot, elapsedMs: number, nowMs: number): void {
+        for (const saved of snapshot.series) {
+            const targets = { objectiveShare: saved.objectiveShare, waitingMs: saved.waitingTargetMs };
+            this.seriesOf(saved.workClass, saved.workspace, targets, nowMs).restore(saved, elapsedMs, nowMs);
+        }
+    }
+
+    private seriesOf(workClass: string, workspace: string, targets: SeriesTargets, nowMs: number): SeriesLog {
+        const key = JSON.stringify([workClass, workspace]);
+        const found = this.series.get(key);
+        if (found !== undefined) {
+            return found.log;
+        }
+        if (this.series.size >= seriesLimit && workClass !== otherName) {
+            return this.seriesOf(otherName, otherName, targets, nowMs);
+        }
+        const log = new SeriesLog(targets, nowMs);
+        this.series.set(key, { workClass, workspace, log });
+        return log;
+    }
+}
+
+function classify(answered: AnsweredStatement): OutcomeClass {
+    const { outcome, startedAtMs, arrivedAtMs, targets, dataAgeMs } = answered;
+    const refusalClass = outcome.kind === OutcomeKind.Refused
+        ? classifyRefusal(outcome.refusal.code, answered.withinRate)
+        : undefined;
+    if (refusalClass !== undefined) {
+        return refusalClass;
+    }
+    if (dataAgeMs !== undefined && dataAgeMs > targets.maximumAgeMs) {
+        return OutcomeClass.Stale;
+    }
+    const isLate = startedAtMs !== undefined && startedAtMs - arrivedAtMs > targets.waitingMs;
+    return isLate ? OutcomeClass.Late : OutcomeClass.Good;
+}
+
+/** Undefined for an error that the database itself reported: the statement was served. */
+function classifyRefusal(code: RefusalCode, withinRate: boolean): OutcomeClass | undefined {
+    if (code === RefusalCode.DatabaseFailed) {
+        return undefined;
+    }
+    if (refusalTable[code].execution === Execution.Unknown) {
+        return OutcomeClass.Unknown;
+    }
+    return !withinRate || callerCodes.has(code) ? OutcomeClass.Excluded : OutcomeClass.Refused;
+}
--- /dev/null
+++ b/src/report/svgPlots.ts
@@ -0,0 +1,79 @@
+/** Plots as inline SVG without any external resource. */
+import type { AgedCounts } from "./countRing.ts";
+import { badClasses, eligibleCount, type OutcomeClass, type OutcomeCounts } from "./outcomeCounts.ts";
+import { coarseBucketMs, coarseBuckets } from "./seriesLog.ts";
+
+const plotWidth = 720;
+const plotHeight = 160;
+const margin = { left: 52, right: 8, top: 8, bottom: 24 };
+const innerWidth = plotWidth - margin.left - margin.right;
+const innerHeight = plotHeight - margin.top - margin.bottom;
+const bucketsPerDay = 86_400_000 / coarseBucketMs;
+
+/** Bad share per half hour over three days, stacked by outcome. The dashed line is the share that the goal allows. */
+export function badShareOverTime(buckets: readonly AgedCounts[], objectiveShare: number): string {
+    const allowed = 1 - objectiveShare;
+    const worst = Math.max(...buckets.map(({ counts }) => badShare(counts)), 0);
+    const top = Math.max(worst, 2 * allowed, 1e-6);
+    const bars = buckets.flatMap(({ age, counts }) => stackedBar(age, counts, top));
+    const allowedY = yOf(allowed, top);
+    const line = `<line class="allowed" x1="${margin.left}" x2="${plotWidth - margin.right}" y1="${allowedY}" `
+        + `y2="${allowedY}"/>`;
+    return svg("Bad share per half hour, last three days", [...axes(top), ...bars, line]);
+}
+
+function stackedBar(age: number, counts: OutcomeCounts, top: number): readonly string[] {
+    const eligible = eligibleCount(counts);
+    const barWidth = innerWidth / coarseBuckets;
+    const x = margin.left + innerWidth - (age + 1) * barWidth;
+    let below = 0;
+    return badClasses.filter(name => counts[name] > 0).map(name => {
+        const share = counts[name] / eligible;
+        const y = yOf(below + share, top);
+        const height = yOf(below, top) - y;
+        below += share;
+        return rectangle(name, x, y, barWidth, height, `${name}: ${counts[name]} of ${eligible}`);
+    });
+}
+
+function rectangle(name: OutcomeClass, x: number, y: number, width: number, height: number, title: string): string {
+    return `<rect class="${name}" x="${round(x)}" y="${round(y)}" width="${round(width)}" height="${round(height)}">`
+        + `<title>${title}</title></rect>`;
+}
+
+function axes(top: number): readonly string[] {
+    const bottom = margin.top + innerHeight;
+    const shares = [0, top / 2, top].map(share => {
+        const y = yOf(share, top);
+        return `<line class="grid" x1="${margin.left}" x2="${plotWidth - margin.right}" y1="${y}" y2="${y}"/>`
+            + `<text x="${margin.left - 4}" y="${round(y + 4)}" text-anchor="end">${percentLabel(share)}</text>`;
+    });
+    const days = [0, 1, 2, 3].map(day => {
+        const x = margin.left + innerWidth * (1 - day * bucketsPerDay / coarseBuckets);
+        const label = day === 0 ? "now" : `-${day} d`;
+        const anchor = day === 0 ? "end" : day === 3 ? "start" : "middle";
+        return `<text x="${round(x)}" y="${bottom + 16}" text-anchor="${anchor}">${label}</text>`;
+    });
+    return [...shares, ...days];
+}
+
+function svg(title: string, parts: readonly string[]): string {
+    return `<svg viewBox="0 0 ${plotWidth} ${plotHeight}" role="img" aria-label="${title}">${parts.join("")}</svg>`;
+}
+
+function yOf(share: number, top: number): number {
+    return round(margin.top + innerHeight * (1 - share / top));
+}
+
+function badShare(counts: OutcomeCounts): number {
+    const eligible = eligibleCount(counts);
+    return eligible === 0 ? 0 : badClasses.reduce((sum, name) => sum + counts[name], 0) / eligible;
+}
+
+function percentLabel(share: number): string {
+    return `${Number((100 * share).toPrecision(2))}%`;
+}
+
+function round(value: number): number {
+    return Math.round(value * 100) / 100;
+}
