--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -1,12 +1,13 @@
 /** Output of the benchmark: a table for people, one JSON object for programs. */
 import type { Figures } from "./figures.ts";
 import type { RateRun } from "./runRates.ts";
+import type { Slopes } from "./slopes.ts";
 
 const notMeasured =
     "replica_read_share, failover_gap_ms and stale_reads need the holder's filters and are not measured";
 
 /** One line of JSON. Figures that were not measured are null. */
-export function describeJson(runs: readonly RateRun[], seed: number, slopes?: unknown): string {
+export function describeJson(runs: readonly RateRun[], seed: number, slopes?: Slopes): string {
     const results = runs.map(({ user, shape, policy, figures }) => ({ user, shape, policy, ...named(figures) }));
     const report = { seed, note: notMeasured, results, ...(slopes === undefined ? {} : { slopes }) };
     return JSON.stringify(report, (_, value: unknown) => value === undefined ? notMeasuredInJson : value);
@@ -31,7 +32,7 @@
     };
 }
 
-export function describeTable(runs: readonly RateRun[], seed: number): string {
+export function describeTable(runs: readonly RateRun[], seed: number, slopes?: Slopes): string {
     const header = ["user", "shape", "policy", "worst served", "wrongful", "over rate", "p50 ms", "p99 ms", "changes"];
     const rows = runs.map(({ user, shape, policy, figures }) => [
         user,
@@ -44,7 +45,24 @@
         figures.waitingP99Ms.toFixed(1),
         `${figures.configurationChanges}`,
     ]);
-    return [`seed ${seed}; ${notMeasured}`, ...alignColumns([header, ...rows])].join("\n");
+    const slopeLines = slopes === undefined ? [] : describeSlopes(slopes);
+    return [`seed ${seed}; ${notMeasured}`, ...alignColumns([header, ...rows]), ...slopeLines].join("\n");
+}
+
+function describeSlopes(slopes: Slopes): readonly string[] {
+    const header = ["workspaces", "instances", "statements/s", "questions/s", "reports/s", "changes/s"];
+    const rows = slopes.messages.map(slope => Object.values(slope).map(value => `${value}`));
+    return [
+        "",
+        `bytes per workspace: home ${slopes.homeBytesPerWorkspace ?? "not measured"}, entry ${
+            slopes.entryBytesPerWorkspace ?? "not measured"
+        }`,
+        `microseconds: admission ${slopes.admissionMicroseconds.toFixed(2)}, question at the home ${
+            slopes.questionMicroseconds.toFixed(2)
+        }`,
+        "questions and reports per instance:",
+        ...alignColumns([header, ...rows]),
+    ];
 }
 
 function alignColumns(rows: readonly (readonly string[])[]): readonly string[] {
--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,200 @@
+/** Costs of rates and admission as functions of workspaces and instances, for docs/CAPACITY.md. */
+import { performance } from "node:perf_hooks";
+import { ClusterKind } from "../src/model/clusterMessages.ts";
+import { type Configuration, emptyConfiguration } from "../src/model/configuration.ts";
+import { type LeaseAssignment, ResourceKind } from "../src/model/lease.ts";
+import { PermitKind } from "../src/model/permitMessages.ts";
+import { StatementKind } from "../src/model/statement.ts";
+import type { Message } from "../src/pipeline/message.ts";
+import { SeededRandom } from "../src/pipeline/seededRandom.ts";
+import { GrantPermits } from "../src/rates/grantPermits.ts";
+import { AdmitKind, AdmitRequests } from "../src/request/admit.ts";
+import { RateCluster } from "./rateCluster.ts";
+
+export interface Slopes {
+    /** Heap bytes; undefined when the garbage collector cannot be called (run node with --expose-gc). */
+    readonly homeBytesPerWorkspace: number | undefined;
+    readonly entryBytesPerWorkspace: number | undefined;
+    readonly admissionMicroseconds: number;
+    readonly questionMicroseconds: number;
+    readonly messages: readonly MessageSlope[];
+}
+
+export interface MessageSlope {
+    readonly workspaces: number;
+    readonly instances: number;
+    readonly statementsPerSecond: number;
+    /** Questions to other instances, per instance and second. */
+    readonly questionsPerSecond: number;
+    readonly demandReportsPerSecond: number;
+    readonly configurationChangesPerSecond: number;
+}
+
+const memoryWorkspaces = 20_000;
+const timedStatements = 200_000;
+const dataCentre = "north";
+
+export function measureSlopes(): Slopes {
+    return {
+        homeBytesPerWorkspace: heapBytes(() => startHome(memoryWorkspaces)),
+        entryBytesPerWorkspace: heapBytes(() => startEntry(memoryWorkspaces)),
+        admissionMicroseconds: timeAdmissions(),
+        questionMicroseconds: timeQuestions(),
+        messages: [[8, 3], [8, 6], [8, 9], [32, 9], [128, 9]].map(([workspaces, instances]) =>
+            countMessages(workspaces!, instances!)
+        ),
+    };
+}
+
+function configurationOf(workspaces: number): Configuration {
+    const names = Array.from({ length: workspaces }, (_, index) => `workspace${index}`);
+    return {
+        ...emptyConfiguration,
+        version: 1,
+        workspaces: names.map(name => ({ name, ratePerSecond: 1e6, burst: 1e6, keyValidityMs: 10_000, version: 1 })),
+        leases: names.map((name): LeaseAssignment => ({
+            resource: ResourceKind.Permits,
+            resourceId: `${name}@${dataCentre}`,
+            instanceId: "a",
+            instanceAddress: "a:1",
+            epoch: 1,
+        })),
+        rateShares: names.map(workspace => ({ workspace, dataCentre, ratePerSecond: 1e6, burst: 1e6 })),
+    };
+}
+
+function startHome(workspaces: number): GrantPermits {
+    const configuration = configurationOf(workspaces);
+    const home = new GrantPermits({ dataCentre });
+    push(home, 0, { kind: ClusterKind.ConfigurationApplied, configuration });
+    push(home, 0, { kind: ClusterKind.LeasesRenewed, leases: configuration.leases, validUntilMs: 1e9 });
+    push(home, 0, { kind: ClusterKind.ConfigurationProved, version: 1, provedAtMs: 0 });
+    return home;
+}
+
+/** An entry instance whose every workspace has had one statement. */
+function startEntry(workspaces: number): AdmitRequests {
+    const entry = new AdmitRequests({ instanceId: "b", dataCentre, incarnation: "b.1" });
+    push(entry, 0, { kind: ClusterKind.ConfigurationApplied, configuration: configurationOf(workspaces) });
+    for (let index = 0; index < workspaces; index++) {
+        admitOne(entry, `workspace${index}`, index, 1);
+    }
+    return entry;
+}
+
+/** Sends a statement, answers the question it may cause, and returns the number of questions. */
+function admitOne(entry: AdmitRequests, workspace: string, connectionId: number, nowMs: number): number {
+    const outputs = push(entry, nowMs, {
+        kind: AdmitKind.Classified,
+        connectionId,
+        sequence: 0,
+        workspace,
+        deadlineMs: nowMs + 2_000,
+        statementKind: StatementKind.Read,
+        inTransaction: false,
+    });
+    const question = outputs.find(output => output.kind === PermitKind.Forward) as
+        | { readonly requestId: string; readonly wanted: number; }
+        | undefined;
+    if (question === undefined) {
+        return 0;
+    }
+    const { requestId, wanted } = question;
+    const body = { requestId, workspace, granted: wanted, retryAfterMs: 0, answered: true };
+    push(entry, nowMs, { kind: PermitKind.Granted, ...body });
+    return 1;
+}
+
+function push(
+    filter: { process(message: never, nowMs: number): readonly Message[]; },
+    nowMs: number,
+    message: Message & Record<string, unknown>,
+): readonly Message[] {
+    return filter.process(message as never, nowMs);
+}
+
+/** One workspace at 1,000 statements a second; includes its questions. */
+function timeAdmissions(): number {
+    const entry = startEntry(8);
+    return timeEach(timedStatements, index => admitOne(entry, "workspace0", index, 1_000 + index));
+}
+
+function timeQuestions(): number {
+    const home = startHome(8);
+    return timeEach(timedStatements, index =>
+        push(home, 1_000 + index, {
+            kind: PermitKind.Request,
+            origin: `call${index}`,
+            requestId: `${index}`,
+            instanceId: `instance${index % 9}`,
+            workspace: `workspace${index % 8}`,
+            wanted: 1,
+            returned: 0,
+            settledRequestId: "",
+            held: 0,
+            sentMs: index,
+        }));
+}
+
+/** Microseconds of each call after a warm-up of a tenth of the calls. */
+function timeEach(count: number, run: (index: number) => void): number {
+    for (let index = 0; index < count / 10; index++) {
+        run(index);
+    }
+    const startMs = performance.now();
+    for (let index = count / 10; index < count; index++) {
+        run(index);
+    }
+    return 1_000 * (performance.now() - startMs) / (0.9 * count);
+}
+
+function heapBytes(create: () => unknown): number | undefined {
+    const { gc } = globalThis;
+    if (gc === undefined) {
+        return undefined;
+    }
+    gc();
+    const before = process.memoryUsage().heapUsed;
+    const kept = create();
+    gc();
+    const bytes = (process.memoryUsage().heapUsed - before) / memoryWorkspaces;
+    return kept === undefined ? undefined : Math.round(bytes);
+}
+
+/** Steady load of 200 statements a second in all, spread over the workspaces, in three data centres. */
+function countMessages(workspaces: number, instances: number): MessageSlope {
+    const runMs = 10_000;
+    const statementsPerSecond = 200;
+    const random = new SeededRandom(3);
+    const names = Array.from({ length: workspaces }, (_, index) => `workspace${index}`);
+    const ratePerSecond = 2 * statementsPerSecond / workspaces;
+    const cluster = new RateCluster({
+        random,
+        workspaces: names.map(name => ({ name, ratePerSecond, burst: 20, keyValidityMs: 10_000, version: 1 })),
+        dataCentres: ["north", "south", "west"],
+        instancesPerDataCentre: instances / 3,
+        network: { localMs: 0.3, betweenMs: 4, jitterMs: 0.5, lostShare: 0, duplicateShare: 0, lateShare: 0 },
+        movesShares: true,
+    });
+    for (let arrivalId = 0; arrivalId < statementsPerSecond * runMs / 1_000; arrivalId++) {
+        const offered = {
+            arrivalId,
+            workspace: names[random.nextInteger(workspaces)]!,
+            instanceIndex: random.nextInteger(instances),
+            statementKind: StatementKind.Read,
+            inTransaction: false,
+            waitingMs: 2_000,
+        };
+        cluster.simulation.at(random.nextShare() * runMs, () => cluster.offer(offered));
+    }
+    cluster.simulation.runUntil(runMs);
+    const perInstanceSecond = (count: number) => Math.round(100 * count / instances / (runMs / 1_000)) / 100;
+    return {
+        workspaces,
+        instances,
+        statementsPerSecond,
+        questionsPerSecond: perInstanceSecond(cluster.counters.questions),
+        demandReportsPerSecond: perInstanceSecond(cluster.counters.demandReports),
+        configurationChangesPerSecond: cluster.counters.configurationChanges / (runMs / 1_000),
+    };
+}
