--- a/src/telemetry/counters.ts
+++ b/src/telemetry/counters.ts
@@ -1,13 +1,11 @@
-/** Counters and timings, sent to a StatsD agent. */
+/** Counters, sent to a StatsD agent. */
 import { StatsD } from "hot-shots";
 
 /** What the rest of the program counts with. */
 export interface Counters extends AsyncDisposable {
-    /** Adds to a counter. Tags are few-valued: no request ids, no statement texts. */
-    count(name: string, amount?: number, tags?: Readonly<Record<string, string>>): void;
+    /** Adds to a counter. Names are few: no request ids, no statement texts. */
+    count(name: string, amount?: number): void;
     gauge(name: string, value: number): void;
-    /** Records a duration in milliseconds. */
-    timing(name: string, durationMs: number, tags?: Readonly<Record<string, string>>): void;
     /** Totals of this process since its start, for `ctl status`. */
     totals(): ReadonlyMap<string, number>;
 }
@@ -18,24 +16,35 @@
     readonly instanceId: string;
 }
 
-/** Sends through hot-shots and keeps totals by name. A lost agent never disturbs the program. */
+// Counting is part of every event, so counts are summed here and sent as differences.
+const flushIntervalMs = 1_000;
+
+/** Sends through hot-shots once a second. A lost agent never disturbs the program. */
 export class StatsdCounters implements Counters {
     private readonly client: StatsD | undefined;
     private readonly sums = new Map<string, number>();
+    private readonly unsent = new Map<string, number>();
+    private readonly timer: NodeJS.Timeout | undefined;
 
     constructor({ agent, instanceId }: StatsdCountersOptions) {
-        this.client = agent && new StatsD({
+        if (agent === undefined) {
+            return;
+        }
+        this.client = new StatsD({
             host: agent.host,
             port: agent.port,
             prefix: "jasmineline.",
             globalTags: { instance: instanceId },
             errorHandler: () => this.add("metrics.send_failed", 1),
         });
+        this.timer = setInterval(() => this.flush(), flushIntervalMs).unref();
     }
 
-    count(name: string, amount = 1, tags: Readonly<Record<string, string>> = {}): void {
+    count(name: string, amount = 1): void {
         this.add(name, amount);
-        this.client?.increment(name, amount, tags);
+        if (this.client !== undefined) {
+            this.unsent.set(name, (this.unsent.get(name) ?? 0) + amount);
+        }
     }
 
     gauge(name: string, value: number): void {
@@ -43,23 +52,22 @@
         this.client?.gauge(name, value);
     }
 
-    timing(name: string, durationMs: number, tags: Readonly<Record<string, string>> = {}): void {
-        this.client?.timing(name, durationMs, tags);
-    }
-
     totals(): ReadonlyMap<string, number> {
         return this.sums;
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        await new Promise<void>(resolve => {
-            if (this.client === undefined) {
-                resolve();
-            }
-            else {
-                this.client.close(() => resolve());
-            }
-        });
+        clearInterval(this.timer);
+        this.flush();
+        const { client } = this;
+        if (client !== undefined) {
+            await new Promise<void>(resolve => client.close(() => resolve()));
+        }
+    }
+
+    private flush(): void {
+        this.unsent.forEach((amount, name) => this.client?.increment(name, amount));
+        this.unsent.clear();
     }
 
     private add(name: string, amount: number): void {
--- /dev/null
+++ b/src/telemetry/stateLog.ts
@@ -0,0 +1,60 @@
+/** Log lines for changes of state. */
+import { match } from "ts-pattern";
+import { ClusterKind, type DatabasesChanged, type DatabaseView, type DrainStarted } from "../model/clusterMessages.ts";
+import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import type { Logger } from "./logger.ts";
+
+type Input = ControlLeaderChanged | DatabasesChanged | DrainStarted;
+
+/** Writes a line when a database, its holder or role, the control leader, or this instance's own state changes. */
+export class StateLog implements Sink<Input> {
+    readonly accepts = [ControlKind.LeaderChanged, ClusterKind.DatabasesChanged, ClusterKind.DrainStarted];
+    private readonly logger: Logger;
+    private databases = new Map<string, DatabaseView>();
+
+    constructor(logger: Logger) {
+        this.logger = logger;
+    }
+
+    deliver(message: Input, nowMs: number): void {
+        match(message)
+            .with(
+                { kind: ControlKind.LeaderChanged },
+                ({ leading, term, leaderId }) =>
+                    this.logger.info("control_leader_changed", { leading, term, leader: leaderId }),
+            )
+            .with({ kind: ClusterKind.DatabasesChanged }, changed => this.logDatabases(changed.databases))
+            .with(
+                { kind: ClusterKind.DrainStarted },
+                ({ deadlineMs }) => this.logger.info("drain_started", { limit_ms: Math.round(deadlineMs - nowMs) }),
+            )
+            .exhaustive();
+    }
+
+    private logDatabases(databases: readonly DatabaseView[]): void {
+        const before = this.databases;
+        this.databases = new Map(databases.map(database => [database.databaseId, database]));
+        for (const database of databases) {
+            const old = before.get(database.databaseId);
+            if (old === undefined || describe(old) !== describe(database)) {
+                this.logger.info("database_changed", {
+                    database: database.databaseId,
+                    group: database.groupId,
+                    role: database.role,
+                    available: database.available,
+                    holder: database.holder?.instanceId,
+                });
+            }
+        }
+        for (const databaseId of before.keys()) {
+            if (!this.databases.has(databaseId)) {
+                this.logger.info("database_removed", { database: databaseId });
+            }
+        }
+    }
+}
+
+function describe({ role, available, holder }: DatabaseView): string {
+    return `${role} ${available} ${holder?.instanceId} ${holder?.epoch}`;
+}
