feat(control): gRPC between members and the configuration feed

Cause: members and followers need transport for the log and the configuration. A delta now replaces a list whose order it could not reproduce, which the delta spec found (an object removed and created again between two versions).

--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -68,6 +68,7 @@
     private readonly requested = new Map<string, string>();
     private readonly cut = new Set<string>();
     private readonly deaf = new Set<string>();
+    private readonly brokenLinks = new Set<string>();
     private network: { readonly atMs: number; readonly body: PeerMessage; }[] = [];
     private nextId = 0;
     private readonly snapshotEntries: number;
@@ -152,6 +153,11 @@
         }
     }
 
+    /** Breaks the link between two members in both directions. */
+    breakLink(left: string, right: string): void {
+        this.brokenLinks.add(`${left}-${right}`).add(`${right}-${left}`);
+    }
+
     /** Stops all members at one moment, as a loss of power does, and starts them again. */
     crashAll(): void {
         const running = [...this.nodes.values()].filter(node => node.loop !== undefined);
@@ -193,6 +199,7 @@
         this.faults = calm;
         this.cut.clear();
         this.deaf.clear();
+        this.brokenLinks.clear();
         this.nodes.forEach(node => node.disk.stalled = false);
         this.nodes.forEach(node => this.start(node.memberId));
     }
@@ -295,6 +302,7 @@
 
     private isConnected({ from, to }: PeerMessage): boolean {
         return this.nodes.has(to.memberId) && !this.deaf.has(to.memberId)
+            && !this.brokenLinks.has(`${from.memberId}-${to.memberId}`)
             && !this.cut.has(from.memberId) && !this.cut.has(to.memberId);
     }
 
--- /dev/null
+++ b/src/control/__tests__/memberPipe.spec.ts
@@ -0,0 +1,124 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import { CommandKind, ControlKind } from "../../model/controlMessages.ts";
+import { FeedKind } from "../../model/feedMessages.ts";
+import { LogKind, type LogSend, type PeerMessage, type VoteRequest } from "../../model/logMessages.ts";
+import { EntryKind, type LogEntry, type Member } from "../../model/replicatedLog.ts";
+import { type StorageAppend, StorageKind, type StorageRecovered } from "../../model/storageMessages.ts";
+import { EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import type { Sink } from "../../pipeline/sink.ts";
+import { VirtualClock } from "../../pipeline/virtualClock.ts";
+import { controlFilters } from "../controlPipe.ts";
+import { memberKey } from "../memberMessages.ts";
+
+const members = ["a", "b", "c"].map(memberId => ({ memberId, incarnation: "1", address: `${memberId}:1` }));
+const [a, b, c] = members as [Member, Member, Member];
+const memberEntry: LogEntry = { index: 1, term: 0, body: { kind: EntryKind.Members, members } };
+const change: LogEntry = {
+    index: 2,
+    term: 2,
+    body: {
+        kind: EntryKind.Command,
+        operationId: "",
+        command: {
+            kind: CommandKind.SetWorkspace,
+            expectedVersion: 0,
+            workspace: { name: "w", ratePerSecond: 1, burst: 1, keyValidityMs: 1 },
+        },
+    },
+};
+
+/** Member "a" with a scripted disk and network. */
+class LoneMember {
+    readonly sent: PeerMessage[] = [];
+    readonly outputs: Message[] = [];
+    readonly clock = new VirtualClock();
+    syncing = true;
+    private readonly loop: EventLoop;
+
+    constructor(recovered: Partial<StorageRecovered>) {
+        const filters = controlFilters({ self: a, initialMembers: members, random: new SeededRandom(1) });
+        const kinds = [
+            ClusterKind.ConfigurationApplied,
+            ControlKind.LeaderChanged,
+            ControlKind.ProposalEnded,
+            FeedKind.Send,
+        ];
+        const sinks: Sink[] = [
+            { accepts: kinds, deliver: message => this.outputs.push(message) },
+            { accepts: [LogKind.Send], deliver: message => this.sent.push((message as LogSend).body) },
+            { accepts: [StorageKind.Append], deliver: message => this.sync(message as StorageAppend) },
+        ];
+        this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("control", filters)], sinks });
+        const empty = { incarnation: "1", term: 0, votedFor: undefined, snapshot: undefined, entries: [] };
+        this.post({ kind: StorageKind.Recovered, ...empty, ...recovered } as Message);
+    }
+
+    post(message: Message): void {
+        this.loop.post(message);
+        this.clock.advanceTo(this.clock.nowMs() + 1);
+    }
+
+    requestVote(parts: Partial<VoteRequest>): readonly boolean[] {
+        const head = { kind: LogKind.VoteRequest, from: b, to: a, term: 5, callId: "x", preVote: false };
+        this.post({ ...head, lastIndex: 9, lastTerm: 9, ...parts } as Message);
+        return this.sent.flatMap(body => body.kind === LogKind.VoteAnswer ? [body.granted] : []);
+    }
+
+    /** Answers the requests of `kind` sent so far on behalf of member "b". */
+    answerAsB(kind: string, parts: object): void {
+        const requests = this.sent.filter(body => body.kind === kind && memberKey(body.to) === memberKey(b));
+        const request = requests.at(-1);
+        assert.ok(request !== undefined, `no ${kind} was sent`);
+        const answerKind = kind.replace("_request", "_answer");
+        const head = { kind: answerKind, from: b, to: a, callId: "", term: request.term, requestTerm: request.term };
+        this.post({ ...head, preVote: "preVote" in request && request.preVote, ...parts } as Message);
+    }
+
+    private sync({ writeId }: StorageAppend): void {
+        if (this.syncing) {
+            this.loop.post({ kind: StorageKind.AppendDone, writeId } as Message);
+        }
+    }
+}
+
+describe("control pipe of one member", () => {
+    it("keeps its vote across a restart, so that a term cannot get two leaders", () => {
+        const recovered = { term: 5, votedFor: memberKey(c), entries: [memberEntry] };
+        assert.deepEqual(new LoneMember(recovered).requestVote({}), [false]);
+        assert.deepEqual(new LoneMember(recovered).requestVote({ from: c }), [true]);
+        assert.deepEqual(new LoneMember(recovered).requestVote({ term: 6 }), [true]);
+    });
+
+    it("sends no vote before the disk has synced it", () => {
+        const member = new LoneMember({ term: 4, entries: [memberEntry] });
+        member.syncing = false;
+        assert.deepEqual(member.requestVote({}), []);
+        member.post({ kind: StorageKind.AppendDone, writeId: 1 } as Message);
+        assert.deepEqual(member.requestVote({ preVote: true }), [], "the vote itself is write 2");
+        member.post({ kind: StorageKind.AppendDone, writeId: 2 } as Message);
+        assert.equal(member.requestVote({ preVote: true })[0], true);
+    });
+
+    it("ignores requests for the incarnation of a disk that was wiped", () => {
+        const member = new LoneMember({ term: 0 });
+        assert.deepEqual(member.requestVote({ to: { ...a, incarnation: "old" } }), []);
+    });
+
+    // Without the rule, an entry that a later leader may still replace would be reported as committed.
+    it("commits an entry of an older term only together with one of its own term", () => {
+        const member = new LoneMember({ term: 3, entries: [memberEntry, change] });
+        member.clock.advanceTo(2_500);
+        member.answerAsB(LogKind.VoteRequest, { granted: true, term: 3 });
+        member.answerAsB(LogKind.VoteRequest, { granted: true });
+        member.answerAsB(LogKind.AppendRequest, { accepted: true, index: 2 });
+        const applied = () => member.outputs.filter(({ kind }) => kind === ClusterKind.ConfigurationApplied).length;
+        assert.equal(applied(), 0);
+        member.answerAsB(LogKind.AppendRequest, { accepted: true, index: 3 });
+        assert.equal(applied(), 1);
+    });
+});
--- /dev/null
+++ b/src/control/__tests__/publication.spec.ts
@@ -0,0 +1,80 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ClusterKind, type ConfigurationApplied } from "../../model/clusterMessages.ts";
+import { CommandKind } from "../../model/controlMessages.ts";
+import { FeedKind, type FeedSend } from "../../model/feedMessages.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { applyCommand } from "../applyCommand.ts";
+import { emptyControlState } from "../controlState.ts";
+import { FollowerFilter } from "../followerFilter.ts";
+import { MemberKind } from "../memberMessages.ts";
+import { PublicationFilter } from "../publicationFilter.ts";
+
+/** States after 0 to 20 changes. */
+const states = [emptyControlState];
+for (let index = 1; index <= 20; index++) {
+    const workspace = { name: `w${index % 5}`, ratePerSecond: index, burst: 1, keyValidityMs: 1 };
+    const expectedVersion = Math.floor((index - 1) / 5);
+    const command = { kind: CommandKind.SetWorkspace, expectedVersion, workspace };
+    states.push(applyCommand(states.at(-1)!, index, "", command).state);
+}
+const configurations = states.map(state => state.configuration);
+
+describe("configuration feed", () => {
+    // A lost update must be noticed, an older member must not revert a follower, and a follower must end equal.
+    it("brings a follower to the published configuration over lost updates and changes of member", () => {
+        const step = fc.constantFrom("publish", "publish", "lag", "lose", "switch");
+        fc.assert(
+            fc.property(fc.array(step, { maxLength: 60 }), steps => {
+                const follower = new FollowerFilter();
+                const members = [new PublicationFilter(), new PublicationFilter()];
+                const published = [0, 0];
+                let attached = 0;
+                let version = 0;
+                const receive = (outputs: readonly Message[], lost: boolean): void => {
+                    for (const { update } of outputs.filter(({ kind }) => kind === FeedKind.Send) as FeedSend[]) {
+                        const results = lost ? [] : follower.process({ kind: FeedKind.Received, update });
+                        for (const result of results) {
+                            if (result.kind === ClusterKind.ConfigurationApplied) {
+                                const { configuration } = result as ConfigurationApplied;
+                                assert.ok(configuration.version > version, "version fell");
+                                assert.deepEqual(configuration, configurations[configuration.version]);
+                                version = configuration.version;
+                            }
+                            else {
+                                subscribe();
+                            }
+                        }
+                    }
+                };
+                const subscribe = () =>
+                    receive(members[attached]!.process({ kind: FeedKind.Subscribe, streamId: "s", version }), false);
+                const publish = (member: number, lost: boolean) => {
+                    published[member] = Math.min(published[member]! + 1, 20);
+                    const configuration = configurations[published[member]!]!;
+                    const outputs = members[member]!.process({ kind: MemberKind.ConfigurationChanged, configuration });
+                    receive(member === attached ? outputs : [], lost);
+                };
+                subscribe();
+                for (const one of steps) {
+                    if (one === "switch") {
+                        members[attached]!.process({ kind: FeedKind.Unsubscribe, streamId: "s" });
+                        attached = 1 - attached;
+                        subscribe();
+                    }
+                    else {
+                        publish(one === "lag" ? 1 : 0, one === "lose");
+                    }
+                }
+                for (let index = 0; index < 20; index++) {
+                    publish(0, false);
+                    publish(1, false);
+                }
+                subscribe();
+                assert.equal(version, 20);
+            }),
+            { seed: 20_261_204, numRuns: 500 },
+        );
+    });
+});
--- a/src/control/applyCommand.ts
+++ b/src/control/applyCommand.ts
@@ -79,12 +79,8 @@
 
 function toResult(outcome: CommandChange, index: number): AppliedCommand {
     const { status, version, detail } = outcome;
-    const changed = status === ProposalStatus.Applied;
-    const configuration = changed
-        ? { ...outcome.state.configuration, version: index }
-        : outcome.state.configuration;
-    return {
-        state: { ...outcome.state, configuration },
-        result: { status, version, configurationVersion: configuration.version, detail },
-    };
+    const state = status === ProposalStatus.Applied
+        ? { ...outcome.state, configuration: { ...outcome.state.configuration, version: index } }
+        : outcome.state;
+    return { state, result: { status, version, configurationVersion: state.configuration.version, detail } };
 }
--- a/src/control/configurationDelta.ts
+++ b/src/control/configurationDelta.ts
@@ -13,14 +13,9 @@
     const removals: { readonly list: ObjectList; readonly objectId: string; }[] = [];
     for (const list of Object.values(ObjectList)) {
         if (before[list] !== after[list]) {
-            const old = new Map(configurationEntries(before, list));
-            const current = new Map(configurationEntries(after, list));
-            for (const [objectId, value] of current) {
-                if (old.get(objectId) !== value) {
-                    upserts.push({ list, value } as ConfigurationObject);
-                }
-            }
-            removals.push(...[...old.keys()].filter(id => !current.has(id)).map(objectId => ({ list, objectId })));
+            const changes = diffList(new Map(configurationEntries(before, list)), configurationEntries(after, list));
+            upserts.push(...changes.upserts.map(value => ({ list, value }) as ConfigurationObject));
+            removals.push(...changes.removals.map(objectId => ({ list, objectId })));
         }
     }
     return { kind: UpdateKind.Delta, fromVersion: before.version, toVersion: after.version, upserts, removals };
@@ -37,3 +32,19 @@
     const changed = withObjects(withoutObjects(configuration, delta.removals), delta.upserts);
     return { ...changed, version: delta.toVersion };
 }
+
+type Value = ConfigurationObject["value"];
+
+function diffList(before: ReadonlyMap<string, Value>, after: readonly (readonly [string, Value])[]) {
+    const current = new Map(after);
+    const kept = [...before.keys()].filter(objectId => current.has(objectId));
+    const added = [...current.keys()].filter(objectId => !before.has(objectId));
+    const sameOrder = [...kept, ...added].every((objectId, position) => objectId === after[position]![0]);
+    // An object that was removed and created again has moved to the end; then the list is replaced as a whole.
+    return sameOrder
+        ? {
+            upserts: after.filter(([objectId, value]) => before.get(objectId) !== value).map(([, value]) => value),
+            removals: [...before.keys()].filter(objectId => !current.has(objectId)),
+        }
+        : { upserts: after.map(([, value]) => value), removals: [...before.keys()] };
+}
--- /dev/null
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -0,0 +1,161 @@
+import type { Server } from "@grpc/grpc-js";
+import assert from "node:assert/strict";
+import { EventEmitter, once } from "node:events";
+import { afterEach, describe, it } from "node:test";
+import { emptyConfiguration } from "../../model/configuration.ts";
+import { FeedKind, type FeedReceived, type FeedSubscribe, UpdateKind } from "../../model/feedMessages.ts";
+import { LogKind, type PeerMessage } from "../../model/logMessages.ts";
+import { EntryKind, ObjectList, RecordKind } from "../../model/replicatedLog.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import { ConfigurationFeed } from "../configurationFeed.ts";
+import { ConfigurationSubscriber } from "../configurationSubscriber.ts";
+import { LogPeers } from "../logPeers.ts";
+import { PeerAuthentication } from "../peerAuthentication.ts";
+import { createPeerServer, listen } from "../peerChannel.ts";
+
+const servers: Server[] = [];
+
+afterEach(() => servers.splice(0).forEach(server => server.forceShutdown()));
+
+function authenticationOf(instanceId: string): PeerAuthentication {
+    return new PeerAuthentication({ cluster: "c", instanceId, secret: "0123456789abcdef" });
+}
+
+/** Collects posted messages; `next` waits for one. */
+class Inbox {
+    private readonly emitter = new EventEmitter();
+    private readonly messages: Message[] = [];
+
+    readonly post = (message: Message): void => {
+        this.messages.push(message);
+        this.emitter.emit("message");
+    };
+
+    async next<Found extends Message>(): Promise<Found> {
+        while (this.messages.length === 0) {
+            await once(this.emitter, "message");
+        }
+        return this.messages.shift() as Found;
+    }
+}
+
+async function serve(instanceId: string, part: { addTo(server: Server): void; }): Promise<string> {
+    const server = createPeerServer(authenticationOf(instanceId));
+    part.addTo(server);
+    servers.push(server);
+    return `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
+}
+
+describe("log peers", () => {
+    it("carries every request and its answer unchanged between two members", async () => {
+        const [inboxA, inboxB] = [new Inbox(), new Inbox()];
+        await using peersA = new LogPeers({ authentication: authenticationOf("a"), post: inboxA.post });
+        await using peersB = new LogPeers({ authentication: authenticationOf("b"), post: inboxB.post });
+        const address = await serve("b", peersB);
+        const a = { memberId: "a", incarnation: "1", address: "127.0.0.1:1" };
+        const b = { memberId: "b", incarnation: "2", address };
+        const head = { from: a, to: b, term: 3, callId: "" };
+        const back = { from: b, to: a, term: 4 };
+        const entries = [{ index: 8, term: 2, body: { kind: EntryKind.Members, members: [a, b] } }];
+        const records = [{ kind: RecordKind.Retired, objectId: "keys/k", version: 1 }];
+        const place = { lastIndex: 9, lastTerm: 2 };
+        const pairs: readonly [PeerMessage, object][] = [
+            [{ ...head, ...place, kind: LogKind.VoteRequest, preVote: true }, {
+                kind: LogKind.VoteAnswer,
+                preVote: true,
+                granted: true,
+                requestTerm: 3,
+            }],
+            [{ ...head, kind: LogKind.AppendRequest, previousIndex: 7, previousTerm: 1, entries, commitIndex: 6 }, {
+                kind: LogKind.AppendAnswer,
+                accepted: true,
+                index: 8,
+            }],
+            [
+                {
+                    ...head,
+                    ...place,
+                    kind: LogKind.SnapshotRequest,
+                    members: [a],
+                    version: 5,
+                    offset: 2,
+                    records,
+                    last: true,
+                },
+                { kind: LogKind.SnapshotAnswer, lastIndex: 9, nextOffset: 3, installed: true },
+            ],
+            [{ ...head, kind: LogKind.JoinRequest }, { kind: LogKind.JoinAnswer, formed: true }],
+        ];
+        for (const [request, answer] of pairs) {
+            peersA.deliver({ kind: LogKind.Send, body: request });
+            const received = await inboxB.next<PeerMessage>();
+            assert.deepEqual({ ...received, callId: "" }, request);
+            peersB.deliver({
+                kind: LogKind.Send,
+                body: { ...back, ...answer, callId: received.callId } as PeerMessage,
+            });
+            assert.deepEqual(await inboxA.next(), { ...back, ...answer, callId: "" });
+        }
+    });
+
+    it("refuses a message whose sender is not the authenticated instance", async () => {
+        const inbox = new Inbox();
+        await using peersB = new LogPeers({ authentication: authenticationOf("b"), post: inbox.post });
+        const address = await serve("b", peersB);
+        await using outsider = new LogPeers({ authentication: authenticationOf("x"), post: () => undefined });
+        const from = { memberId: "a", incarnation: "1", address: "" };
+        const to = { memberId: "b", incarnation: "2", address };
+        outsider.deliver({ kind: LogKind.Send, body: { kind: LogKind.JoinRequest, from, to, term: 0, callId: "" } });
+        while (outsider.failedCalls === 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        const genuine = new LogPeers({ authentication: authenticationOf("a"), post: () => undefined });
+        genuine.deliver({ kind: LogKind.Send, body: { kind: LogKind.JoinRequest, from, to, term: 7, callId: "" } });
+        assert.equal((await inbox.next<PeerMessage>()).term, 7);
+        await genuine[Symbol.asyncDispose]();
+    });
+});
+
+describe("configuration feed over gRPC", () => {
+    it("delivers snapshot and delta, and subscribes again at another member when one is gone", async () => {
+        const memberInboxes = [new Inbox(), new Inbox()];
+        const feeds = memberInboxes.map(({ post }) => new ConfigurationFeed({ post }));
+        const addresses = [await serve("m0", feeds[0]!), await serve("m1", feeds[1]!)];
+        const inbox = new Inbox();
+        const random = new SeededRandom(1);
+        await using subscriber = new ConfigurationSubscriber({
+            authentication: authenticationOf("i"),
+            addresses,
+            post: inbox.post,
+            random,
+        });
+        const first = new SeededRandom(1).nextInteger(2);
+        subscriber.start();
+        const asked = await memberInboxes[first]!.next<FeedSubscribe>();
+        assert.equal(asked.version, 0);
+        const workspace = { name: "w", ratePerSecond: 1.5, burst: 2, keyValidityMs: 3, version: 1 };
+        const configuration = { ...emptyConfiguration, version: 4, workspaces: [workspace] };
+        const updates = [
+            { kind: UpdateKind.Snapshot, configuration },
+            {
+                kind: UpdateKind.Delta,
+                fromVersion: 4,
+                toVersion: 6,
+                upserts: [{ list: ObjectList.Workspaces, value: { ...workspace, version: 2 } }],
+                removals: [{ list: ObjectList.Keys, objectId: "k" }],
+            },
+        ];
+        for (const update of updates) {
+            feeds[first]!.deliver({ kind: FeedKind.Send, streamId: asked.streamId, update });
+            assert.deepEqual((await inbox.next<FeedReceived>()).update, update);
+        }
+        servers[first]!.forceShutdown();
+        assert.equal((await memberInboxes[1 - first]!.next<FeedSubscribe>()).version, 6);
+        subscriber.deliver({ kind: FeedKind.Resubscribe, version: 5 });
+        const kinds = [await memberInboxes[1 - first]!.next(), await memberInboxes[1 - first]!.next<FeedSubscribe>()];
+        assert.deepEqual(kinds.map(({ kind }) => kind), [FeedKind.Unsubscribe, FeedKind.Subscribe]);
+        assert.equal((kinds[1] as FeedSubscribe).version, 5);
+        await feeds[1]![Symbol.asyncDispose]();
+    });
+});
--- /dev/null
+++ b/src/rpc/configurationSubscriber.ts
@@ -0,0 +1,103 @@
+/** The configuration feed on the side of an instance that is no control member. */
+import { type ClientReadableStream, credentials } from "@grpc/grpc-js";
+import { FeedKind, type FeedReceived, type FeedResubscribe, UpdateKind } from "../model/feedMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { decodeUpdate } from "./configurationCodec.ts";
+import { type ConfigurationUpdate, ControlClient } from "./generated/control.ts";
+import type { PeerAuthentication } from "./peerAuthentication.ts";
+import { peerClientOptions } from "./peerChannel.ts";
+
+/** Wait before another member is tried: this, plus up to the jitter. */
+const retryMs = 250;
+const retryJitterMs = 500;
+
+export interface ConfigurationSubscriberOptions {
+    readonly authentication: PeerAuthentication;
+    /** `host:port` of the control members. */
+    readonly addresses: readonly string[];
+    readonly post: (message: Message) => void;
+    /** Spreads the instances over the members. */
+    readonly random: SeededRandom;
+}
+
+/** Keeps one subscription open, to any member. Call `start` once. */
+export class ConfigurationSubscriber implements Sink<FeedResubscribe>, AsyncDisposable {
+    readonly accepts = [FeedKind.Resubscribe];
+    private readonly options: ConfigurationSubscriberOptions;
+    private position: number;
+    private version = 0;
+    private client: ControlClient | undefined;
+    private stream: ClientReadableStream<ConfigurationUpdate> | undefined;
+    private retry: NodeJS.Timeout | undefined;
+    private closed = false;
+
+    constructor(options: ConfigurationSubscriberOptions) {
+        this.options = options;
+        this.position = options.random.nextInteger(options.addresses.length);
+    }
+
+    start(): void {
+        this.open();
+    }
+
+    deliver({ version }: FeedResubscribe): void {
+        this.version = version;
+        this.reopenLater();
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.closed = true;
+        clearTimeout(this.retry);
+        this.drop();
+    }
+
+    private open(): void {
+        const { authentication, addresses } = this.options;
+        const address = addresses[this.position % addresses.length]!;
+        this.client = new ControlClient(address, credentials.createInsecure(), peerClientOptions(authentication));
+        const stream = this.client.subscribe({ version: this.version });
+        this.stream = stream;
+        stream.on("data", (message: ConfigurationUpdate) => this.receive(stream, message));
+        stream.on("error", () => this.lose(stream));
+        stream.on("end", () => this.lose(stream));
+    }
+
+    private receive(stream: ClientReadableStream<ConfigurationUpdate>, message: ConfigurationUpdate): void {
+        if (stream !== this.stream) {
+            return;
+        }
+        try {
+            const update = decodeUpdate(message);
+            this.version = update.kind === UpdateKind.Snapshot ? update.configuration.version : update.toVersion;
+            this.options.post({ kind: FeedKind.Received, update } as FeedReceived);
+        }
+        catch {
+            this.lose(stream);
+        }
+    }
+
+    private lose(stream: ClientReadableStream<ConfigurationUpdate>): void {
+        if (stream === this.stream) {
+            this.position += 1;
+            this.reopenLater();
+        }
+    }
+
+    private reopenLater(): void {
+        this.drop();
+        clearTimeout(this.retry);
+        if (!this.closed) {
+            this.retry = setTimeout(() => this.open(), retryMs + this.options.random.nextInteger(retryJitterMs));
+        }
+    }
+
+    private drop(): void {
+        const { stream, client } = this;
+        this.stream = undefined;
+        this.client = undefined;
+        stream?.cancel();
+        client?.close();
+    }
+}
--- /dev/null
+++ b/src/rpc/logCodec.ts
@@ -0,0 +1,133 @@
+/** Conversion between the messages of control members and their form on the wire. */
+import { match } from "ts-pattern";
+import { LogKind, type PeerMessage } from "../model/logMessages.ts";
+import type { EntryBody, LogEntry, Member, SnapshotRecord } from "../model/replicatedLog.ts";
+import type {
+    AppendCall,
+    AppendResult,
+    EntryMessage,
+    JoinCall,
+    JoinResult,
+    LogHead,
+    SnapshotCall,
+    SnapshotResult,
+    VoteCall,
+    VoteResult,
+} from "./generated/log.ts";
+
+type Of<Kind extends PeerMessage["kind"]> = Extract<PeerMessage, { readonly kind: Kind; }>;
+
+export function encodeVoteCall(message: Of<typeof LogKind.VoteRequest>): VoteCall {
+    const { preVote, lastIndex, lastTerm } = message;
+    return { head: encodeHead(message), preVote, lastIndex, lastTerm };
+}
+
+export function decodeVoteCall(call: VoteCall, callId: string): PeerMessage {
+    const { preVote, lastIndex, lastTerm } = call;
+    return { ...decodeHead(call.head, callId), kind: LogKind.VoteRequest, preVote, lastIndex, lastTerm };
+}
+
+export function decodeVoteResult({ head, preVote, granted, requestTerm }: VoteResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.VoteAnswer, preVote, granted, requestTerm };
+}
+
+export function encodeAppendCall(message: Of<typeof LogKind.AppendRequest>): AppendCall {
+    const { previousIndex, previousTerm, commitIndex } = message;
+    const entries = message.entries.map(encodeEntry);
+    return { head: encodeHead(message), previousIndex, previousTerm, entries, commitIndex };
+}
+
+export function decodeAppendCall(call: AppendCall, callId: string): PeerMessage {
+    const { previousIndex, previousTerm, commitIndex } = call;
+    const entries = call.entries.map(decodeEntry);
+    const head = decodeHead(call.head, callId);
+    return { ...head, kind: LogKind.AppendRequest, previousIndex, previousTerm, entries, commitIndex };
+}
+
+export function decodeAppendResult({ head, accepted, index }: AppendResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.AppendAnswer, accepted, index };
+}
+
+export function encodeSnapshotCall(message: Of<typeof LogKind.SnapshotRequest>): SnapshotCall {
+    const { lastIndex, lastTerm, version, offset, last } = message;
+    const records = message.records.map(encodeJson);
+    const members = [...message.members];
+    return { head: encodeHead(message), lastIndex, lastTerm, members, version, offset, records, last };
+}
+
+export function decodeSnapshotCall(call: SnapshotCall, callId: string): PeerMessage {
+    const { lastIndex, lastTerm, members, version, offset, last } = call;
+    const records = call.records.map(record => decodeJson(record) as SnapshotRecord);
+    const head = decodeHead(call.head, callId);
+    return { ...head, kind: LogKind.SnapshotRequest, lastIndex, lastTerm, members, version, offset, records, last };
+}
+
+export function decodeSnapshotResult({ head, lastIndex, nextOffset, installed }: SnapshotResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.SnapshotAnswer, lastIndex, nextOffset, installed };
+}
+
+export function encodeJoinCall(message: Of<typeof LogKind.JoinRequest>): JoinCall {
+    return { head: encodeHead(message) };
+}
+
+export function decodeJoinCall({ head }: JoinCall, callId: string): PeerMessage {
+    return { ...decodeHead(head, callId), kind: LogKind.JoinRequest };
+}
+
+export function decodeJoinResult({ head, formed }: JoinResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.JoinAnswer, formed };
+}
+
+/** The result of a call; undefined for a message that is no answer. */
+export function encodeAnswer(
+    message: PeerMessage,
+): VoteResult | AppendResult | SnapshotResult | JoinResult | undefined {
+    const head = encodeHead(message);
+    return match(message)
+        .with({ kind: LogKind.VoteAnswer }, ({ preVote, granted, requestTerm }) => ({
+            head,
+            preVote,
+            granted,
+            requestTerm,
+        }))
+        .with({ kind: LogKind.AppendAnswer }, ({ accepted, index }) => ({ head, accepted, index }))
+        .with({ kind: LogKind.SnapshotAnswer }, ({ lastIndex, nextOffset, installed }) => ({
+            head,
+            lastIndex,
+            nextOffset,
+            installed,
+        }))
+        .with({ kind: LogKind.JoinAnswer }, ({ formed }) => ({ head, formed }))
+        .otherwise(() => undefined);
+}
+
+export function encodeJson(value: unknown): Buffer {
+    return Buffer.from(JSON.stringify(value));
+}
+
+export function decodeJson(body: Uint8Array): unknown {
+    return JSON.parse(Buffer.from(body).toString("utf8"));
+}
+
+function encodeHead({ from, to, term }: PeerMessage): LogHead {
+    return { from, to, term };
+}
+
+function decodeHead(head: LogHead | undefined, callId: string) {
+    return { from: requireMember(head?.from), to: requireMember(head?.to), term: head!.term, callId };
+}
+
+function requireMember(member: Member | undefined): Member {
+    if (member === undefined) {
+        throw new TypeError("a message between control members lacks its sender or receiver");
+    }
+    return member;
+}
+
+function encodeEntry({ index, term, body }: LogEntry): EntryMessage {
+    return { index, term, body: encodeJson(body) };
+}
+
+function decodeEntry({ index, term, body }: EntryMessage): LogEntry {
+    return { index, term, body: decodeJson(body) as EntryBody };
+}
