--- /dev/null
+++ b/bench/processes.ts
@@ -0,0 +1,207 @@
+/** What the proxy costs in real processes: a database reached directly against one reached through an instance. */
+import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts, ProcessGroup, scriptCommand } from "../scripts/processGroup.ts";
+import { TestCluster } from "../scripts/testCluster.ts";
+import { TestClusterFiles } from "../scripts/testClusterFiles.ts";
+import {
+    type CallerConnection,
+    type CallerIdentity,
+    type Connector,
+    isConnection,
+    MysqlConnector,
+} from "../standins/load/connector.ts";
+import { DatabaseAdmin } from "../standins/load/databaseAdmin.ts";
+import { awaitReady } from "../standins/load/readiness.ts";
+import { schemaStatements } from "../standins/load/schema.ts";
+import { readCpuMs, readResidentBytes } from "../standins/measure/processUsage.ts";
+
+/** Figures without a value were not measurable and are -1. */
+export interface ProcessFigures {
+    readonly proxy_to_direct_throughput_ratio: number;
+    readonly added_latency_p50_ms: number;
+    readonly added_latency_p99_ms: number;
+    readonly bytes_per_idle_connection: number;
+    readonly idle_connections: number;
+    /** Bytes on the lines between instances, sent and received, per second and instance. */
+    readonly control_bytes_per_second_per_instance: number;
+    /** Processor time of an instance without callers, as a share of one core. */
+    readonly control_cpu_share: number;
+}
+
+export interface ProcessBenchOptions {
+    readonly statements: number;
+    readonly callers: number;
+    readonly idleConnections: number;
+    readonly idleMs: number;
+    /** Longest time of one series of statements. */
+    readonly seriesMs: number;
+}
+
+export const defaultProcessBenchOptions: ProcessBenchOptions = {
+    statements: 4_000,
+    callers: 8,
+    idleConnections: 6_000,
+    idleMs: 5_000,
+    seriesMs: 10_000,
+};
+
+const readyTimeoutMs = 20_000;
+const answerTimeoutMs = 5_000;
+const connectionsAtOnce = 50;
+const statementText = "SELECT id, value FROM registers WHERE id = 1";
+const service = "orders";
+
+interface Series {
+    readonly perSecond: number;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+}
+
+/** Runs the whole measurement; it ends by itself and leaves no process behind. */
+export async function measureProcesses(options = defaultProcessBenchOptions): Promise<ProcessFigures> {
+    const direct = await measureDirect(options);
+    await using cluster = await TestCluster.open();
+    const identity = cluster.files.callers.keys[0]!;
+    const connector = new MysqlConnector(cluster.entryAddresses, answerTimeoutMs);
+    await awaitReady({ connector, entryCount: 1, services: [service], identity, timeoutMs: readyTimeoutMs });
+    const idle = await measureIdle(cluster, options.idleMs);
+    const proxied = await measureSeries(connector, identity, options);
+    const connections = await measureConnections(cluster, connector, options.idleConnections);
+    return {
+        proxy_to_direct_throughput_ratio: proxied.perSecond / direct.perSecond,
+        added_latency_p50_ms: proxied.p50Ms - direct.p50Ms,
+        added_latency_p99_ms: proxied.p99Ms - direct.p99Ms,
+        ...connections,
+        ...idle,
+    };
+}
+
+/** The same series against a database of its own with the settings of the cluster's databases. */
+async function measureDirect(options: ProcessBenchOptions): Promise<Series> {
+    using files = new TestClusterFiles();
+    await using group = new ProcessGroup();
+    const [listenPort, adminPort] = await findFreePorts(2) as [number, number];
+    const database = group.start(scriptCommand("direct", "standins/database/main.ts", {
+        "database-id": "direct",
+        "group-id": service,
+        service,
+        "data-centre": "flanders",
+        listen: `127.0.0.1:${listenPort}`,
+        "password-file": files.databasePasswordFile,
+        "admin-port": adminPort,
+    }));
+    await database.waitForLine("ready", readyTimeoutMs);
+    const admin = new DatabaseAdmin(adminPort);
+    for (const statement of schemaStatements()) {
+        await admin.sql(statement);
+    }
+    const connector = new MysqlConnector([`127.0.0.1:${listenPort}`], answerTimeoutMs);
+    const identity = { keyId: "jasmineline", secret: files.databasePassword, workspace: "" };
+    return await measureSeries(connector, identity, options);
+}
+
+/** Throughput with several callers, then latency with one, so that waiting for slots does not count as latency. */
+async function measureSeries(
+    connector: Connector,
+    identity: CallerIdentity,
+    options: ProcessBenchOptions,
+): Promise<Series> {
+    const connections = await openConnections(connector, identity, options.callers);
+    try {
+        const startMs = performance.now();
+        const share = Math.ceil(options.statements / connections.length);
+        const latencies = await Promise.all(
+            connections.map(connection => timeStatements(connection, share, options.seriesMs)),
+        );
+        const perSecond = latencies.flat().length * 1_000 / (performance.now() - startMs);
+        const single = await timeStatements(connections[0]!, options.statements / 4, options.seriesMs);
+        single.sort((left, right) => left - right);
+        return { perSecond, p50Ms: quantile(single, 0.5), p99Ms: quantile(single, 0.99) };
+    }
+    finally {
+        connections.forEach(connection => connection.close());
+    }
+}
+
+async function timeStatements(connection: CallerConnection, count: number, limitMs: number): Promise<number[]> {
+    const latencies: number[] = [];
+    const endMs = performance.now() + limitMs;
+    while (latencies.length < count && performance.now() < endMs) {
+        const startMs = performance.now();
+        const outcome = await connection.query(statementText);
+        if (outcome.kind !== "done") {
+            throw new Error(`a statement of the measurement was refused: ${outcome.code}`);
+        }
+        latencies.push(performance.now() - startMs);
+    }
+    return latencies;
+}
+
+function quantile(sorted: readonly number[], share: number): number {
+    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? -1;
+}
+
+async function openConnections(
+    connector: Connector,
+    identity: CallerIdentity,
+    count: number,
+): Promise<CallerConnection[]> {
+    const opened: CallerConnection[] = [];
+    while (opened.length < count) {
+        const missing = Math.min(connectionsAtOnce, count - opened.length);
+        const batch = await Promise.all(
+            Array.from({ length: missing }, () => connector.connect(0, identity, service)),
+        );
+        opened.push(...batch.filter(isConnection));
+        const refusal = batch.find(result => !isConnection(result));
+        if (refusal !== undefined) {
+            opened.forEach(connection => connection.close());
+            throw new Error(`connection ${opened.length + 1} was refused: ${JSON.stringify(refusal)}`);
+        }
+    }
+    return opened;
+}
+
+async function measureIdle(
+    cluster: TestCluster,
+    idleMs: number,
+): Promise<Pick<ProcessFigures, "control_bytes_per_second_per_instance" | "control_cpu_share">> {
+    const pids = cluster.entries.map(entry => entry.process!.pid);
+    const startMs = performance.now();
+    const startBytes = cluster.relays.bytes;
+    const startCpuMs = sum(pids.map(readCpuMs));
+    await delay(idleMs);
+    const elapsedMs = performance.now() - startMs;
+    const bytes = cluster.relays.bytes - startBytes;
+    // A byte on a line is sent by one instance and received by another.
+    const perInstance = 2 * bytes * 1_000 / elapsedMs / pids.length;
+    return {
+        control_bytes_per_second_per_instance: bytes === 0 ? -1 : perInstance,
+        control_cpu_share: (sum(pids.map(readCpuMs)) - startCpuMs) / elapsedMs / pids.length,
+    };
+}
+
+/** Memory of an instance per open connection, by its resident set; a garbage collection in between shows as noise. */
+async function measureConnections(
+    cluster: TestCluster,
+    connector: Connector,
+    count: number,
+): Promise<Pick<ProcessFigures, "bytes_per_idle_connection" | "idle_connections">> {
+    const { pid } = cluster.entries[0]!.process!;
+    const before = readResidentBytes(pid);
+    const connections = await openConnections(connector, cluster.files.callers.keys[0]!, count);
+    try {
+        await delay(1_000);
+        return {
+            bytes_per_idle_connection: (readResidentBytes(pid) - before) / count,
+            idle_connections: connections.length,
+        };
+    }
+    finally {
+        connections.forEach(connection => connection.close());
+    }
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -4,7 +4,8 @@
  */
 import { parseArgs } from "node:util";
 import { type LoadSummary, violationsOf } from "../standins/load/summary.ts";
-import { findEntryProgram, TestCluster } from "./testCluster.ts";
+import { TestCluster } from "./testCluster.ts";
+import { findEntryProgram } from "./testClusterEntry.ts";
 import { type Scenario, scenarios } from "./testClusterScenarios.ts";
 
 const ScenarioStatus = { Passed: "passed", Violated: "violated", NotRun: "not_run", Error: "error" } as const;
--- a/scripts/testCluster.ts
+++ b/scripts/testCluster.ts
@@ -1,20 +1,12 @@
 /** A whole system in real processes: databases, entry instances and load. */
 import "disposablestack/auto";
-import { existsSync, mkdirSync, rmSync } from "node:fs";
-import { connect } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
+import { mkdirSync, rmSync } from "node:fs";
 import { DatabaseAdmin, findPrimary } from "../standins/load/databaseAdmin.ts";
 import { schemaStatements } from "../standins/load/schema.ts";
 import type { LoadSummary } from "../standins/load/summary.ts";
 import { RelayMatrix } from "../standins/relay/relayMatrix.ts";
-import {
-    type Command,
-    findFreePorts,
-    type ManagedProcess,
-    ProcessGroup,
-    scriptCommand,
-    toFlags,
-} from "./processGroup.ts";
+import { findFreePorts, type ManagedProcess, ProcessGroup, scriptCommand, toFlags } from "./processGroup.ts";
+import { awaitListening, type EntryHandle, requireEntryProgram } from "./testClusterEntry.ts";
 import { TestClusterFiles } from "./testClusterFiles.ts";
 
 export const clusterName = "demo";
@@ -33,14 +25,6 @@
     process: ManagedProcess;
 }
 
-export interface EntryHandle {
-    readonly id: string;
-    readonly dataCentre: string;
-    readonly mysqlPort: number;
-    readonly rpcPort: number;
-    process: ManagedProcess | undefined;
-}
-
 export interface LoadHandle {
     readonly process: ManagedProcess;
     /** Settles when the load has found the system ready and sends its statements. */
@@ -49,22 +33,13 @@
     readonly result: Promise<LoadSummary>;
 }
 
-/** The entry process as it was built, or else from source; undefined when there is neither. */
-export function findEntryProgram(): Pick<Command, "program" | "commandLine"> | undefined {
-    if (existsSync("dist/jasmineline")) {
-        return { program: "dist/jasmineline", commandLine: [] };
-    }
-    const source = "src/cli/main.ts";
-    return existsSync(source)
-        ? { program: process.execPath, commandLine: ["--import", "tsx", source] }
-        : undefined;
-}
-
 export class TestCluster implements AsyncDisposable {
     readonly files: TestClusterFiles;
     readonly databases: DatabaseHandle[] = [];
     readonly entries: readonly EntryHandle[];
+    /** Lines between instances. */
     readonly relays: RelayMatrix;
+    private readonly announcementRelays: RelayMatrix;
     private readonly group: ProcessGroup;
     private readonly resources: AsyncDisposableStack;
 
@@ -72,12 +47,14 @@
         readonly files: TestClusterFiles;
         readonly entries: readonly EntryHandle[];
         readonly relays: RelayMatrix;
+        readonly announcementRelays: RelayMatrix;
         readonly group: ProcessGroup;
         readonly resources: AsyncDisposableStack;
     }) {
         this.files = parts.files;
         this.entries = parts.entries;
         this.relays = parts.relays;
+        this.announcementRelays = parts.announcementRelays;
         this.group = parts.group;
         this.resources = parts.resources;
     }
@@ -89,8 +66,9 @@
             const files = resources.use(new TestClusterFiles());
             const entries = await reserveEntries();
             const relays = resources.use(await RelayMatrix.open(dataCentres, entries));
+            const announcementRelays = resources.use(await RelayMatrix.open(dataCentres, entries));
             const group = resources.use(new ProcessGroup());
-            const cluster = new TestCluster({ files, entries, relays, group, resources });
+            const cluster = new TestCluster({ files, entries, relays, announcementRelays, group, resources });
             await cluster.startDatabases();
             entries.forEach(entry => cluster.startEntry(entry));
             await Promise.all(entries.map(entry => awaitListening(entry)));
@@ -161,11 +139,13 @@
     /** Cuts a data centre off: the lines of its instances, and replication of its databases. */
     async disconnect(dataCentre: string): Promise<void> {
         this.relays.disconnect(dataCentre);
+        this.announcementRelays.disconnect(dataCentre);
         await this.faultIn(dataCentre, { fault: "cut", announcements: false });
     }
 
     async reconnect(dataCentre: string): Promise<void> {
         this.relays.reconnect(dataCentre);
+        this.announcementRelays.reconnect(dataCentre);
         await this.faultIn(dataCentre, { fault: "restore" });
     }
 
@@ -179,11 +159,9 @@
     }
 
     private membersSeenFrom(dataCentre: string): string {
-        return this.entries.map(entry => `${entry.id}=127.0.0.1:${this.rpcPortSeenFrom(dataCentre, entry)}`).join(",");
-    }
-
-    private rpcPortSeenFrom(dataCentre: string, entry: EntryHandle): number {
-        return this.relays.portFor(dataCentre, entry.dataCentre, entry.rpcPort);
+        return this.entries
+            .map(entry => `${entry.id}=127.0.0.1:${this.relays.portFor(dataCentre, entry.dataCentre, entry.rpcPort)}`)
+            .join(",");
     }
 
     private async startDatabases(): Promise<void> {
@@ -222,7 +200,9 @@
     }): DatabaseHandle {
         const id = `${place.service}-${place.index + 1}`;
         const address = `127.0.0.1:${place.listenPort}`;
-        const announce = this.entries.map(entry => `127.0.0.1:${this.rpcPortSeenFrom(place.dataCentre, entry)}`);
+        const announce = this.entries.map(entry =>
+            `127.0.0.1:${this.announcementRelays.portFor(place.dataCentre, entry.dataCentre, entry.rpcPort)}`
+        );
         const command = scriptCommand(id, "standins/database/main.ts", {
             "database-id": id,
             "group-id": place.service,
@@ -255,38 +235,6 @@
     }));
 }
 
-function requireEntryProgram(): Pick<Command, "program" | "commandLine"> {
-    const program = findEntryProgram();
-    if (program === undefined) {
-        throw new Error("no entry program: neither dist/jasmineline nor src/cli/main.ts exists; run npm run build");
-    }
-    return program;
-}
-
-/** @throws Error with the last output when the instance ends or does not listen in time */
-export async function awaitListening(entry: EntryHandle): Promise<void> {
-    const endMs = performance.now() + startTimeoutMs;
-    while (performance.now() < endMs && entry.process?.running === true) {
-        if (await canConnect(entry.mysqlPort)) {
-            return;
-        }
-        await delay(50);
-    }
-    throw new Error(`${entry.id} does not listen:\n${entry.process?.lines.join("\n") ?? "not started"}`);
-}
-
-async function canConnect(port: number): Promise<boolean> {
-    return new Promise(resolve => {
-        const socket = connect(port, "127.0.0.1");
-        const settle = (connected: boolean) => {
-            socket.destroy();
-            resolve(connected);
-        };
-        socket.on("connect", () => settle(true));
-        socket.on("error", () => settle(false));
-    });
-}
-
 function readSummary(load: ManagedProcess, reason: number | string): LoadSummary {
     const last = load.lines.at(-1) ?? "";
     if (!last.startsWith("{") || !last.includes("acknowledged")) {
--- a/scripts/testClusterFiles.ts
+++ b/scripts/testClusterFiles.ts
@@ -17,9 +17,12 @@
     readonly folder: string;
     readonly callers: CallersFile;
     readonly databasePassword = randomBytes(12).toString("hex");
+    // An interrupted script exits without disposal.
+    private readonly removeFolder = () => rmSync(this.folder, { recursive: true, force: true });
 
     constructor() {
         this.folder = mkdtempSync(join(tmpdir(), "jasmineline-cluster-"));
+        process.on("exit", this.removeFolder);
         this.callers = makeCallers();
         writeFileSync(this.clusterSecretFile, randomBytes(24).toString("hex"));
         writeFileSync(this.databasePasswordFile, this.databasePassword);
@@ -48,7 +51,8 @@
     }
 
     [Symbol.dispose](): void {
-        rmSync(this.folder, { recursive: true, force: true });
+        this.removeFolder();
+        process.off("exit", this.removeFolder);
     }
 }
 
--- a/scripts/testClusterScenarios.ts
+++ b/scripts/testClusterScenarios.ts
@@ -3,7 +3,8 @@
 import { MysqlConnector } from "../standins/load/connector.ts";
 import { awaitReady } from "../standins/load/readiness.ts";
 import type { LoadSummary } from "../standins/load/summary.ts";
-import { awaitListening, type EntryHandle, services, type TestCluster } from "./testCluster.ts";
+import { services, type TestCluster } from "./testCluster.ts";
+import { awaitListening, type EntryHandle } from "./testClusterEntry.ts";
 import { openTransaction, readBalance } from "./testClusterProbe.ts";
 
 export interface ScenarioResult {
--- a/standins/database/replicationClient.ts
+++ b/standins/database/replicationClient.ts
@@ -67,7 +67,7 @@
 
     private async receive(socket: Socket, answer: PullAnswer, roleChanges: number): Promise<void> {
         await this.pause(this.faults.lagMs);
-        if (socket.destroyed || this.node.roleChanges !== roleChanges) {
+        if (socket.destroyed || this.faults.replicationCut || this.node.roleChanges !== roleChanges) {
             return;
         }
         if (!applyAnswer(this.node, answer)) {
--- a/standins/database/replicationServer.ts
+++ b/standins/database/replicationServer.ts
@@ -44,6 +44,8 @@
 
     private answer(socket: Socket, request: PullRequest): void {
         if (this.faults.replicationCut || socket.destroyed) {
+            // The replica asks again on a new connection; a request that was only dropped would wait for ever.
+            socket.destroy();
             return;
         }
         const answer = answerPull(this.node, request);
--- a/standins/database/serverConnection.ts
+++ b/standins/database/serverConnection.ts
@@ -78,6 +78,8 @@
 /** Answers a statement; the status flags tell the client whether a transaction is open. */
 export function writeResult(connection: ServerConnection, result: StatementResult, inTransaction: boolean): void {
     const status = statusFlags(inTransaction);
+    // One segment per answer: mysql2 writes each packet by itself.
+    connection.stream.cork();
     if (result.columns.length === 0) {
         const { affectedRows, insertId } = result;
         connection.writeOk({ affectedRows, insertId, serverStatus: status, warningCount: 0 });
@@ -87,6 +89,7 @@
         result.rows.forEach(row => connection.writeTextRow(row));
         connection.writeEof(0, status);
     }
+    connection.stream.uncork();
     connection.sequenceId = 0;
 }
 
--- a/standins/load/attributes.ts
+++ b/standins/load/attributes.ts
@@ -14,6 +14,11 @@
         ["request_id", attributes.requestId],
         ["max_age_ms", attributes.maximumAgeMs],
         ["session_token", attributes.sessionToken],
-    ].flatMap(([name, value]) => value === undefined ? [] : [`${name}='${encodeURIComponent(value)}'`]);
+    ].flatMap(([name, value]) => value === undefined ? [] : [`${name}='${encodeValue(value)}'`]);
     return pairs.length === 0 ? sql : `${sql} /*${pairs.join(",")}*/`;
 }
+
+// encodeURIComponent leaves the quote as it is.
+function encodeValue(value: string | number): string {
+    return encodeURIComponent(value).replaceAll("'", "%27");
+}
--- a/standins/relay/__tests__/relay.spec.ts
+++ b/standins/relay/__tests__/relay.spec.ts
@@ -29,6 +29,7 @@
     const early = connect(relay.port, "127.0.0.1");
     early.write("one");
     assert.equal(await readText(early, 3), "one");
+    assert.equal(relay.bytes, 6);
     relay.disconnect();
     const late = connect(relay.port, "127.0.0.1");
     await once(late, "connect");
--- a/standins/relay/relay.ts
+++ b/standins/relay/relay.ts
@@ -4,6 +4,8 @@
 
 /** Forwards connections to one port. A cut keeps connections open and passes nothing, as a partition does. */
 export class Relay implements AsyncDisposable {
+    /** Bytes passed in both directions. */
+    bytes = 0;
     private readonly targetPort: number;
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
@@ -48,7 +50,10 @@
 
     private join(from: Socket, to: Socket): void {
         this.sockets.add(from);
-        from.on("data", chunk => to.write(chunk));
+        from.on("data", (chunk: Buffer) => {
+            this.bytes += chunk.length;
+            to.write(chunk);
+        });
         from.on("end", () => to.end());
         from.on("error", () => to.destroy());
         from.on("close", () => {
--- a/standins/relay/relayMatrix.ts
+++ b/standins/relay/relayMatrix.ts
@@ -23,6 +23,11 @@
         return this.relays.get(keyOf(from, to, rpcPort))?.port ?? rpcPort;
     }
 
+    /** Bytes passed on all lines in both directions. */
+    get bytes(): number {
+        return [...this.relays.values()].reduce((sum, relay) => sum + relay.bytes, 0);
+    }
+
     /** Cuts every line into and out of a data centre. */
     disconnect(dataCentre: string): void {
         this.linesOf(dataCentre).forEach(relay => relay.disconnect());
