feat(holder): specs for suspended holders, takeover floors and fairness under overload

Cause: single rules could be broken without a failing spec (lease check before the acknowledgement, base floor older than the takeover, round robin, positions of another term). Change: specs for them; the noisy workspace now asks for more than the database can do. A read for a database that is not held is refused at once instead of waiting for a position.

--- a/src/holder/__tests__/holderPipe.spec.ts
+++ b/src/holder/__tests__/holderPipe.spec.ts
@@ -3,23 +3,25 @@
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { HealthKind, type HolderDatabaseHealth, type HolderOrderDone, OrderKind } from "../../model/healthMessages.ts";
 import { type HolderFloorAnswer, HolderKind } from "../../model/holderMessages.ts";
+import { HolderPipeKind } from "../../model/holderPipeMessages.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
 import { StatementKind } from "../../model/statement.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { Majority } from "../majority.ts";
 import { HolderFixture, isWorkLink } from "./holderFixture.ts";
 
 describe("acquire", () => {
     it("gives quiet workspaces their share beside one at five times its rate", () => {
         const fixture = new HolderFixture({ serviceMs: 5 }).start();
         const quiet: string[] = [];
-        // 7 x 59/s and 294/s on 3 slots of 200/s each: the sum is 1.18 times what the database can do.
+        // 7 x 48/s and 750/s on 3 slots of 200/s each: the noisy one alone asks for more than the database can do.
         for (let tick = 0; tick < 3_000; tick++) {
             const send = (workspace: string): string =>
                 fixture.send(`SELECT ${tick}`, { workspace, sessionId: `${workspace} ${tick}` });
-            if (tick % 17 === 0) {
+            if (tick % 21 === 0) {
                 [1, 2, 3, 4, 5, 6, 7].forEach(number => quiet.push(send(`w${number}`)));
             }
-            if (tick % 17 < 15 && tick % 17 % 3 === 0) {
+            if (tick % 4 !== 0) {
                 send("noisy");
             }
             fixture.run(1);
@@ -28,6 +30,8 @@
         const served = quiet.filter(requestId => fixture.result(requestId) === "rows").length;
         assert.ok(served >= 0.99 * quiet.length, `${served} of ${quiet.length}`);
         assert.equal(fixture.databases.get("p").mostRunning, 3);
+        // 600/s for 3 s, less a start of 12 ms for the first connections: no slot was idle while work waited.
+        assert.ok(fixture.databases.sentTexts.length >= 1_790, `${fixture.databases.sentTexts.length} ran`);
     });
 
     it("refuses at once what cannot meet its deadline, instead of letting it wait in vain", () => {
@@ -89,9 +93,9 @@
         fixture.run(5);
         fixture.databases.cut(isWorkLink);
         fixture.run(50);
-        const write = fixture.send("INSERT a", { pinned: true });
+        const write = fixture.send("INSERT a", { pinned: false });
         fixture.run(5);
-        assert.equal(fixture.result(write), "transaction_lost");
+        assert.equal(fixture.result(write), "transaction_lost", "also for a sender that does not track sessions");
         const other = fixture.send("INSERT b", { pinned: true, sessionId: "of another holder" });
         fixture.run(5);
         assert.equal(fixture.result(other), "transaction_lost");
@@ -229,6 +233,28 @@
         }
     });
 
+    it("acknowledges nothing when the process was suspended past its lease and answers wait in its queue", () => {
+        const fixture = new HolderFixture().start();
+        fixture.renew(fixture.clock.nowMs() + 100);
+        const write = fixture.send("INSERT a");
+        fixture.run(5);
+        fixture.databases.replicate("p", "r1");
+        fixture.clock.freeze(500);
+        fixture.run(50);
+        assert.equal(fixture.databases.timesCommitted("r1", "INSERT a"), 1);
+        assert.equal(fixture.result(write), undefined);
+    });
+
+    it("counts no position of another term, because its log may have taken another course", () => {
+        const majority = new Majority();
+        majority.note("r1", { term: 1, offset: 10 });
+        majority.note("r2", { term: 3, offset: 10 });
+        assert.equal(majority.confirmedOffset(2, ["r1", "r2"], 3), -1);
+        majority.note("r1", { term: 2, offset: 7 });
+        assert.equal(majority.confirmedOffset(2, ["r1", "r2"], 3), 7);
+        assert.equal(majority.confirmedOffset(2, ["r1", "r2"], 5), -1, "of five, two replicas must have it");
+    });
+
     it("refuses new writes early while confirmations take longer than the waiting time left", () => {
         const fixture = new HolderFixture().start();
         fixture.send("INSERT a");
@@ -302,6 +328,29 @@
     });
 });
 
+describe("floors after a takeover", () => {
+    it("takes no position that was asked for before the takeover as the base", () => {
+        const fixture = new HolderFixture({ settings: { positionIntervalMs: 10_000 } });
+        fixture.start();
+        const positionOf = (offset: number, askedAtMs: number): Message => ({
+            kind: HolderPipeKind.PositionKnown,
+            ...{ databaseId: "p", role: "primary", position: { term: 1, offset }, askedAtMs },
+        });
+        fixture.renew(1_000_000, 2);
+        fixture.run(0);
+        fixture.post(positionOf(4, fixture.clock.nowMs() - 1));
+        fixture.post(
+            { kind: HolderKind.FloorRequest, origin: "", requestId: "f", databaseId: "p", callerIds: ["k"] } as Message,
+        );
+        fixture.run(0);
+        assert.deepEqual(fixture.seen(HolderKind.FloorAnswer), []);
+        fixture.post(positionOf(5, fixture.clock.nowMs()));
+        fixture.run(0);
+        const floors = fixture.seen<HolderFloorAnswer>(HolderKind.FloorAnswer)[0]?.floors;
+        assert.deepEqual(floors, [{ term: 1, offset: 5 }]);
+    });
+});
+
 describe("monitor and orders", () => {
     const lastHealth = (fixture: HolderFixture): HolderDatabaseHealth | undefined =>
         fixture.seen<HolderDatabaseHealth>(HealthKind.DatabaseHealth).at(-1);
--- a/src/holder/freshness.ts
+++ b/src/holder/freshness.ts
@@ -1,6 +1,6 @@
 /** Filter that lets a read through once the database has reached the read's floor. */
 import { match } from "ts-pattern";
-import { ClusterKind, type DatabasesChanged, type DatabaseView } from "../model/clusterMessages.ts";
+import { ClusterKind, type DatabasesChanged, type DatabaseView, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
 import { HolderKind, type HolderRequest } from "../model/holderMessages.ts";
 import {
@@ -16,6 +16,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { answerRequest, refused, requestKey } from "./answers.ts";
 import type { HolderSettings } from "./holderSettings.ts";
+import { LeaseTable } from "./leaseTable.ts";
 
 export interface FreshnessOptions {
     readonly settings: HolderSettings;
@@ -25,7 +26,8 @@
     | HolderRequest
     | HolderPositionKnown
     | HolderTimer<typeof HolderPipeKind.FreshnessDue>
-    | DatabasesChanged;
+    | DatabasesChanged
+    | LeasesRenewed;
 
 export class Freshness implements Filter<FreshnessInput, Message> {
     readonly step = "freshness";
@@ -34,8 +36,10 @@
         HolderPipeKind.PositionKnown,
         HolderPipeKind.FreshnessDue,
         ClusterKind.DatabasesChanged,
+        ClusterKind.LeasesRenewed,
     ];
     private readonly settings: HolderSettings;
+    private readonly leases = new LeaseTable();
     private readonly views = new Map<string, DatabaseView>();
     private readonly positions = new Map<string, Position>();
     private readonly waiting = new Map<string, Map<string, HolderRequest>>();
@@ -53,12 +57,18 @@
                 this.updateViews(changed);
                 return [changed];
             })
+            .with({ kind: ClusterKind.LeasesRenewed }, renewed => {
+                this.leases.renew(renewed);
+                return [renewed];
+            })
             .exhaustive();
     }
 
     private check(request: HolderRequest, nowMs: number): readonly Message[] {
         const { databaseId, floor } = request;
-        if (floor === undefined || this.isReached(databaseId, floor)) {
+        // Without a lease there is nothing to wait for; the next filter refuses the request.
+        const held = this.leases.isValid(databaseId, nowMs);
+        if (!held || floor === undefined || this.isReached(databaseId, floor)) {
             return [request];
         }
         const key = requestKey(request);
