fix(build): no warning at the start of the binary

Cause: mysql2 and hot-shots look for optional modules at run time, at which the single executable prints four lines. Change: the bundle requires built-in modules only. Conclusion: output of the binary is its own.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -2,7 +2,7 @@
  * Builds the one binary `dist/jasmineline`: bundles the program and puts it into a copy of the Node.js executable
  * (single executable application).
  */
-import { build } from "esbuild";
+import { build, type Plugin } from "esbuild";
 import { spawnSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, rmSync, statSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
@@ -16,15 +16,28 @@
 // Marks the place in the Node.js executable where the application is put.
 const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-mkdirSync(outputFolder, { recursive: true });
-await bundleProgram();
-writeFileSync(configuration, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }));
-run(process.execPath, ["--experimental-sea-config", configuration]);
-rmSync(binary, { force: true });
-copyFileSync(process.execPath, binary);
-chmodSync(binary, 0o755);
-run("npx", ["--no-install", "postject", binary, "NODE_SEA_BLOB", blob, "--sentinel-fuse", fuse]);
-console.log(`${binary}: ${(statSync(binary).size / 1e6).toFixed(1)} MB`);
+/** Leaves out the native module by which the metrics library reaches Unix sockets; metrics go over UDP. */
+const withoutUnixSockets: Plugin = {
+    name: "without-unix-sockets",
+    setup(builder) {
+        builder.onResolve({ filter: /^unix-dgram$/ }, ({ path }) => ({ path, namespace: "left-out" }));
+        builder.onLoad({ filter: /.*/, namespace: "left-out" }, () => ({
+            contents: "throw new Error(\"Unix sockets are not supported\");",
+        }));
+    },
+};
+
+// mysql2 looks for an optional module at run time; the platform would print a warning each time the binary starts.
+const requireBuiltinsOnly = `{
+    const platformRequire = require;
+    const { isBuiltin } = platformRequire("node:module");
+    require = name => {
+        if (!isBuiltin(name)) {
+            throw new Error(name + " is not part of the binary");
+        }
+        return platformRequire(name);
+    };
+}`;
 
 async function bundleProgram(): Promise<void> {
     await build({
@@ -34,8 +47,8 @@
         platform: "node",
         format: "cjs",
         target: "node20",
-        // Optional part of the metrics library for Unix sockets; it is native code and not used.
-        external: ["unix-dgram"],
+        plugins: [withoutUnixSockets],
+        banner: { js: requireBuiltinsOnly },
         logLevel: "warning",
     });
 }
@@ -48,3 +61,13 @@
         process.exit(1);
     }
 }
+
+mkdirSync(outputFolder, { recursive: true });
+await bundleProgram();
+writeFileSync(configuration, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }));
+run(process.execPath, ["--experimental-sea-config", configuration]);
+rmSync(binary, { force: true });
+copyFileSync(process.execPath, binary);
+chmodSync(binary, 0o755);
+run("npx", ["--no-install", "postject", binary, "NODE_SEA_BLOB", blob, "--sentinel-fuse", fuse]);
+console.log(`${binary}: ${(statSync(binary).size / 1e6).toFixed(1)} MB`);
--- a/standins/database/__tests__/faults.spec.ts
+++ b/standins/database/__tests__/faults.spec.ts
@@ -5,7 +5,7 @@
 import { test } from "node:test";
 import { formatAddress } from "../address.ts";
 import { DatabaseProcess } from "../databaseProcess.ts";
-import { EmptyPeerCredentials } from "../peerCredentials.ts";
+import { ClusterPeerCredentials } from "../peerCredentials.ts";
 import { type DatabaseSettings, readDatabaseSettings } from "../settings.ts";
 
 const password = "test-password";
@@ -15,7 +15,7 @@
     const quick = { lagMs: 0, connectDelayMs: 0, serviceMs: 0, password };
     return DatabaseProcess.open(
         { ...readDatabaseSettings(flags.split(" ")), ...quick, ...changes },
-        new EmptyPeerCredentials(),
+        new ClusterPeerCredentials({ cluster: "test", databaseId: "d1", clusterSecret: "a secret of the tests" }),
     );
 }
 
