--- a/src/control/memberLog.ts
+++ b/src/control/memberLog.ts
@@ -1,9 +1,9 @@
 /** The log of one member in memory: entries after the last snapshot. */
 import { EntryKind, type LogEntry, type Member, type Snapshot } from "../model/replicatedLog.ts";
 
-/** Bounds of one batch. A command counts with its number of parts, because a lease assignment can have thousands. */
+/** Bounds of one batch; the size is counted in characters of the entries' JSON form. */
 const maximumBatchEntries = 64;
-const maximumBatchParts = 4_000;
+const maximumBatchCharacters = 1_048_576;
 
 interface Base {
     readonly lastIndex: number;
@@ -77,10 +77,10 @@
     /** Entries from `from` on that fit into one message. */
     batch(from: number): readonly LogEntry[] {
         const candidates = this.slice(from, Math.min(this.lastIndex, from + maximumBatchEntries - 1));
-        let parts = 0;
+        let characters = 0;
         const end = candidates.findIndex((entry, position) => {
-            parts += partsOf(entry);
-            return position > 0 && parts > maximumBatchParts;
+            characters += JSON.stringify(entry.body).length;
+            return position > 0 && characters > maximumBatchCharacters;
         });
         return end === -1 ? candidates : candidates.slice(0, end);
     }
@@ -116,8 +116,3 @@
             : { index: this.base.lastIndex, members: this.base.members };
     }
 }
-
-function partsOf(entry: LogEntry): number {
-    const command = entry.body.kind === EntryKind.Command ? entry.body.command : undefined;
-    return command !== undefined && "assignments" in command ? command.assignments.length : 1;
-}
