feat(control): follow a member that comes back under another address

Cause: the list of members holds addresses, and a restarted member whose settings name another one was never reached. Change: such a member asks to join until the list holds its address; the leader replaces the address in one change, since the voters stay the same. A new incarnation of a learner takes the place of the old one, so that repeated wipes cannot use up the places of learners. Conclusion: an address may change at a restart, one member at a time.

--- a/src/control/__tests__/cluster.spec.ts
+++ b/src/control/__tests__/cluster.spec.ts
@@ -126,6 +126,18 @@
         converge(cluster);
     });
 
+    it("reaches a member again that came back under another address", () => {
+        const cluster = formed(3);
+        for (const memberId of ["m0", "m1"]) {
+            cluster.move(memberId, `${memberId}:2`);
+            cluster.runUntil(
+                "the new address",
+                () => cluster.members.some(({ address }) => address === `${memberId}:2`),
+            );
+        }
+        converge(cluster);
+    });
+
     it("adds and removes members on an operator's order, one at a time", () => {
         const cluster = formed(3);
         cluster.addNode("m9");
--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -38,6 +38,7 @@
 
 interface Node {
     readonly memberId: string;
+    address: string;
     disk: Disk;
     clock: VirtualClock;
     loop: EventLoop | undefined;
@@ -84,6 +85,7 @@
     addNode(memberId: string): void {
         const node = {
             memberId,
+            address: `${memberId}:1`,
             disk: this.emptyDisk(),
             clock: new VirtualClock(),
             loop: undefined,
@@ -99,7 +101,7 @@
         if (node.loop !== undefined) {
             return;
         }
-        const self = { memberId, incarnation: node.disk.incarnation, address: `${memberId}:1` };
+        const self = { memberId, incarnation: node.disk.incarnation, address: node.address };
         const filters = [...controlFilters({
             self,
             initialMembers: this.initial,
@@ -133,6 +135,13 @@
         this.start(memberId);
     }
 
+    /** Restarts a member under another address. */
+    move(memberId: string, address: string): void {
+        this.kill(memberId);
+        this.nodes.get(memberId)!.address = address;
+        this.start(memberId);
+    }
+
     /** Cuts a member off from all others, or connects it again. */
     setCut(memberId: string, cut: boolean): void {
         if (cut) {
@@ -301,7 +310,7 @@
     }
 
     private isConnected({ from, to }: PeerMessage): boolean {
-        return this.nodes.has(to.memberId) && !this.deaf.has(to.memberId)
+        return this.nodes.get(to.memberId)?.address === to.address && !this.deaf.has(to.memberId)
             && !this.brokenLinks.has(`${from.memberId}-${to.memberId}`)
             && !this.cut.has(from.memberId) && !this.cut.has(to.memberId);
     }
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -5,7 +5,7 @@
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { isMember, memberKey, MemberKind, type MembersChanged, type TimerEvent } from "./memberMessages.ts";
+import { isReachableMember, memberKey, MemberKind, type MembersChanged, type TimerEvent } from "./memberMessages.ts";
 
 /** Interval at which an instance asks to join until it is a member. */
 export const joinIntervalMs = 1_000;
@@ -46,7 +46,7 @@
     private readonly options: FormationFilterOptions;
     /** This instance takes part in a cluster, or may have promised something to one. */
     private formed = false;
-    /** This incarnation was seen in the list of members, so it need not ask to join. */
+    /** This incarnation was seen in the list of members under its present address, so it need not ask to join. */
     private listed = false;
     private readonly emptyPeers = new Map<string, { readonly member: Member; readonly heardMs: number; }>();
 
@@ -61,7 +61,7 @@
             case MemberKind.FormDue:
                 return this.ask(nowMs);
             case MemberKind.MembersChanged:
-                this.listed ||= isMember(message.members, this.options.self);
+                this.listed ||= isReachableMember(message.members, this.options.self);
                 return [];
             case LogKind.JoinRequest:
                 return [this.answer(message), message];
@@ -77,7 +77,7 @@
         const entry = recovered.entries.findLast(found => found.body.kind === EntryKind.Members);
         const members = entry?.body.kind === EntryKind.Members ? entry.body.members : recovered.snapshot?.members ?? [];
         this.formed = recovered.term > 0 || members.length > 0;
-        this.listed = isMember(members, this.options.self);
+        this.listed = isReachableMember(members, this.options.self);
         return this.listed ? [recovered] : [recovered, this.timer(nowMs)];
     }
 
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -15,7 +15,8 @@
 const maximumLearners = 3;
 
 interface Peer {
-    readonly member: Member;
+    /** With its latest address. */
+    member: Member;
     next: number;
     match: number;
     lastAnswerMs: number;
@@ -56,7 +57,11 @@
         const keys = new Set(wanted.map(memberKey));
         [...this.peers.keys()].filter(key => !keys.has(key)).forEach(key => this.peers.delete(key));
         for (const member of wanted) {
-            if (!this.peers.has(memberKey(member))) {
+            const peer = this.peers.get(memberKey(member));
+            if (peer !== undefined) {
+                peer.member = member;
+            }
+            else {
                 this.peers.set(memberKey(member), {
                     member,
                     // A learner is taken to have nothing; for a member, the no-op of a new leader starts the search.
@@ -70,7 +75,10 @@
         }
     }
 
+    /** Replicates to an instance that does not vote; a new incarnation takes the place of its predecessor. */
     trackLearner(member: Member, nowMs: number): void {
+        const sameId = [...this.learners.values()].filter(({ memberId }) => memberId === member.memberId);
+        sameId.forEach(learner => this.learners.delete(memberKey(learner)));
         if (this.learners.size < maximumLearners) {
             this.learners.set(memberKey(member), member);
             this.syncPeers(nowMs);
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -244,6 +244,13 @@
     return members.some(candidate => memberKey(candidate) === memberKey(member));
 }
 
+/** Tells whether a member is listed with its present address. */
+export function isReachableMember(members: readonly Member[], member: Member): boolean {
+    return members.some(candidate =>
+        memberKey(candidate) === memberKey(member) && candidate.address === member.address
+    );
+}
+
 export function termEvent(kind: TermEvent["kind"], term: number): TermEvent {
     return { kind, term };
 }
--- a/src/control/membershipFilter.ts
+++ b/src/control/membershipFilter.ts
@@ -6,7 +6,9 @@
 import {
     type ChangeAsked,
     isMember,
+    isReachableMember,
     type JoinAsked,
+    memberKey,
     MemberKind,
     MemberRole,
     type MembershipFacts,
@@ -54,7 +56,10 @@
     private considerJoin(asked: JoinAsked): readonly Message[] {
         const joiner = asked.request.from;
         const { members, term } = asked;
-        if (isMember(members, joiner) || !this.isAllowed(joiner, members)) {
+        if (isMember(members, joiner)) {
+            return this.updateAddress(asked);
+        }
+        if (!this.isAllowed(joiner, members)) {
             return [];
         }
         if (!asked.tracked) {
@@ -74,6 +79,16 @@
         return [appendMembers(asked, [...members, joiner], proposalId)];
     }
 
+    // The voters stay the same, so this may happen in one change.
+    private updateAddress(asked: JoinAsked): readonly Message[] {
+        const joiner = asked.request.from;
+        if (isReachableMember(asked.members, joiner) || !asked.changeable) {
+            return [];
+        }
+        const members = asked.members.map(member => memberKey(member) === memberKey(joiner) ? joiner : member);
+        return [appendMembers(asked, members, undefined)];
+    }
+
     private isAllowed(joiner: Member, members: readonly Member[]): boolean {
         return this.options.settledIds.includes(joiner.memberId)
             || this.ordered.has(joiner.memberId)
