fix(standins): locks, BEGIN and announcements as callers expect them

Cause: a transaction from before a change of role kept the write lock until its client spoke again; BEGIN rolled an open transaction back, where MySQL commits it; the default reconnect backoff of gRPC grows to two minutes, so that a restarted instance would hear no announcements. Change: a change of role revokes the lock; BEGIN commits; the backoff ends at the announcement interval.

--- a/standins/database/__tests__/database.spec.ts
+++ b/standins/database/__tests__/database.spec.ts
@@ -127,6 +127,32 @@
     assert.equal(rows.length, 0);
 });
 
+test("a transaction from before a change of role does not keep later writers waiting", async () => {
+    await using primary = await openDatabase({ lockTimeoutMs: 50 });
+    await using idle = await connectTo(primary);
+    await using control = await connectTo(primary);
+    await idle.query(createOrders);
+    await idle.query("BEGIN");
+    await idle.query("INSERT INTO orders (item) VALUES ('board')");
+    await control.query("JASMINE FOLLOW '127.0.0.1:9' TERM 2");
+    await control.query("JASMINE PROMOTE TERM 3");
+    await control.query("INSERT INTO orders (item) VALUES ('later')");
+    const [rows] = await control.query<mysql.RowDataPacket[]>("SELECT item FROM orders");
+    assert.deepEqual(rows, [{ item: "later" }]);
+});
+
+test("BEGIN commits the transaction that is still open", async () => {
+    await using primary = await openDatabase();
+    await using connection = await connectTo(primary);
+    await connection.query(createOrders);
+    await connection.query("BEGIN");
+    await connection.query("INSERT INTO orders (item) VALUES ('board')");
+    await connection.query("BEGIN");
+    await connection.query("ROLLBACK");
+    const [rows] = await connection.query<mysql.RowDataPacket[]>("SELECT item FROM orders");
+    assert.equal(rows.length, 1);
+});
+
 test("a connection over the limit is refused with error 1040", async () => {
     await using primary = await openDatabase({ connectionLimit: 1 });
     await using held = await connectTo(primary);
--- a/standins/database/announcer.ts
+++ b/standins/database/announcer.ts
@@ -6,6 +6,12 @@
 import type { Faults } from "./faults.ts";
 import type { PeerCredentials } from "./peerCredentials.ts";
 
+// The default backoff grows to two minutes, during which an instance that restarted would hear nothing.
+const channelOptions = {
+    "grpc.initial_reconnect_backoff_ms": announceIntervalMs / 2,
+    "grpc.max_reconnect_backoff_ms": announceIntervalMs,
+} as const;
+
 /** The part of an announcement that does not change. */
 export interface AnnouncedIdentity {
     readonly cluster: string;
@@ -35,7 +41,9 @@
 
     constructor(options: AnnouncerOptions) {
         this.options = options;
-        this.clients = options.targets.map(target => new AnnouncementClient(target, credentials.createInsecure()));
+        this.clients = options.targets.map(target =>
+            new AnnouncementClient(target, credentials.createInsecure(), channelOptions)
+        );
         this.timer = setInterval(() => void this.announce(false), announceIntervalMs);
         void this.announce(false);
     }
--- a/standins/database/databaseNode.ts
+++ b/standins/database/databaseNode.ts
@@ -109,6 +109,8 @@
         this.state = state;
         this.roleChanges += 1;
         this.store.discardWorking();
+        // An idle client of the old role may hold the lock for as long as it likes.
+        this.lock.revoke();
     }
 
     private notifyAppended(): void {
--- a/standins/database/session.ts
+++ b/standins/database/session.ts
@@ -159,7 +159,8 @@
     private runInSlot(statementClass: StatementClass, sql: string): StatementResult {
         switch (statementClass) {
             case StatementClass.Begin:
-                this.rollback();
+                // As in MySQL, BEGIN commits a transaction that is still open.
+                this.commit();
                 this.transaction = { roleChanges: this.node.roleChanges, writing: false };
                 return emptyResult;
             case StatementClass.Commit:
--- a/standins/database/waiting.ts
+++ b/standins/database/waiting.ts
@@ -54,9 +54,13 @@
     }
 
     release(owner: object): void {
-        if (this.owner !== owner) {
-            return;
+        if (this.owner === owner) {
+            this.revoke();
         }
+    }
+
+    /** Takes the lock from its owner, whoever that is, and gives it to the next in line. */
+    revoke(): void {
         const next = this.waiters.shift();
         this.owner = next?.owner;
         next?.grant();
