fix(standins): tell a missing entry program before databases start

Cause: the demo started six databases before it found that there was no entry program. Change: the check comes first.

--- a/scripts/testCluster.ts
+++ b/scripts/testCluster.ts
@@ -61,6 +61,8 @@
 
     /** Starts databases and entry instances, one of each per data centre (databases: per service too). */
     static async open(): Promise<TestCluster> {
+        // Before anything is started, so that a missing build is told at once.
+        requireEntryProgram();
         const resources = new AsyncDisposableStack();
         try {
             const files = resources.use(new TestClusterFiles());
