feat(rates): bounded changes of shares; try: no new move while one is under way

Cause: with 128 small workspaces the leader changed the configuration 17.75 times a second in steady state.

Try: while a move is under way, no further reduction.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -163,7 +163,9 @@
 
 /** Steady load of 200 statements a second in all, spread over the workspaces, in three data centres. */
 function countMessages(workspaces: number, instances: number): MessageSlope {
-    const runMs = 10_000;
+    const runMs = 30_000;
+    // The first division of a new cluster is over by then.
+    const warmUpMs = 10_000;
     const statementsPerSecond = 200;
     const random = new SeededRandom(3);
     const names = Array.from({ length: workspaces }, (_, index) => `workspace${index}`);
@@ -187,14 +189,17 @@
         };
         cluster.simulation.at(random.nextShare() * runMs, () => cluster.offer(offered));
     }
+    cluster.simulation.runUntil(warmUpMs);
+    const before = { ...cluster.counters };
     cluster.simulation.runUntil(runMs);
-    const perInstanceSecond = (count: number) => Math.round(100 * count / instances / (runMs / 1_000)) / 100;
+    const seconds = (runMs - warmUpMs) / 1_000;
+    const perInstanceSecond = (count: number) => Math.round(100 * count / instances / seconds) / 100;
     return {
         workspaces,
         instances,
         statementsPerSecond,
-        questionsPerSecond: perInstanceSecond(cluster.counters.questions),
-        demandReportsPerSecond: perInstanceSecond(cluster.counters.demandReports),
-        configurationChangesPerSecond: cluster.counters.configurationChanges / (runMs / 1_000),
+        questionsPerSecond: perInstanceSecond(cluster.counters.questions - before.questions),
+        demandReportsPerSecond: perInstanceSecond(cluster.counters.demandReports - before.demandReports),
+        configurationChangesPerSecond: (cluster.counters.configurationChanges - before.configurationChanges) / seconds,
     };
 }
--- a/src/rates/clockComparison.ts
+++ b/src/rates/clockComparison.ts
@@ -20,6 +20,9 @@
 /** Time after which the last sample of an instance says nothing about the present. */
 const staleMs = 3_000;
 
+/** Interval of the comparison, which costs a pass over all peers. */
+const agreementMs = 100;
+
 /** Peers needed, so that one of them with the same fault as this instance does not hide it. */
 const peersNeeded = 2;
 
@@ -32,6 +35,8 @@
  */
 export class ClockComparison {
     private readonly peers = new Map<string, Peer>();
+    private agreed: number | undefined;
+    private agreedMs = -Infinity;
 
     record(instanceId: string, remoteMs: number, localMs: number): void {
         const sample = { remoteMs, localMs };
@@ -56,6 +61,14 @@
      * heard. One clock that is not fast is enough to notice that this one is.
      */
     agreedSpeed(nowMs: number): number | undefined {
+        if (nowMs >= this.agreedMs + agreementMs) {
+            this.agreed = this.compare(nowMs);
+            this.agreedMs = nowMs;
+        }
+        return this.agreed;
+    }
+
+    private compare(nowMs: number): number | undefined {
         const speeds: number[] = [];
         for (const [instanceId, peer] of this.peers) {
             if (peer.latest.localMs + staleMs < nowMs) {
--- a/src/rates/divideRate.ts
+++ b/src/rates/divideRate.ts
@@ -32,6 +32,13 @@
 /** Age of a report up to which a share may be moved by it; after one missed report the data centre may be cut off. */
 const reportLifeMs = 1.5 * demandIntervalMs;
 
+/**
+ * Every change goes to every instance, about 200 bytes each. Shares may thus use a fifth of the 3 KB/s that control may
+ * cost a node, and a rush on many workspaces at once is followed without delay.
+ */
+const changesPerSecond = 3;
+const changeBurst = 100;
+
 interface Proposed {
     readonly workspace: string;
     /** Configuration version that holds the result; Infinity while the result is not known. */
@@ -55,6 +62,7 @@
     private leading = false;
     private nextProposal = 0;
     private dividedMs = 0;
+    private changeBudget = changeBurst;
     private divideDueMs = Infinity;
 
     process(message: Input, nowMs: number): readonly Output[] {
@@ -100,7 +108,7 @@
         if (ledger === undefined) {
             return [];
         }
-        const wasUnsettled = ledger.isUnsettled;
+        const wasUnsettled = ledger.isUnsettled(nowMs - reportLifeMs);
         ledger.report(dataCentre, wantedPerSecond, versionInForce, nowMs);
         const isUrgent = wasUnsettled || isShort(wantedPerSecond, ledger.current(dataCentre));
         return isUrgent ? this.divideBy(Math.max(nowMs, this.dividedMs + urgentDemandIntervalMs)) : [];
@@ -136,24 +144,38 @@
         if (!this.leading) {
             return [];
         }
+        this.refillBudget(nowMs);
         this.dividedMs = nowMs;
         this.divideDueMs = Infinity;
         const inFlight = new Set([...this.proposed.values()].map(({ workspace }) => workspace));
         const proposals = this.configuration.workspaces
             .filter(workspace => !inFlight.has(workspace.name))
-            .flatMap(workspace => this.propose(workspace, nowMs));
+            .map(workspace => ({ workspace, ledger: this.ledgers.get(workspace.name) }))
+            .sort((left, right) => (right.ledger?.shortage ?? 0) - (left.ledger?.shortage ?? 0))
+            .flatMap(({ workspace, ledger }) => this.propose(workspace, ledger, nowMs));
         return [...proposals, ...this.divideBy(nowMs + demandIntervalMs)];
     }
 
-    private propose(workspace: Workspace, nowMs: number): readonly ControlPropose[] {
-        const ledger = this.ledgers.get(workspace.name);
-        if (ledger === undefined || ledger.dataCentres.length === 0) {
+    /** Changes that may be proposed now. */
+    private refillBudget(nowMs: number): void {
+        const arrived = (nowMs - this.dividedMs) * changesPerSecond / 1_000;
+        this.changeBudget = Math.min(changeBurst, this.changeBudget + arrived);
+    }
+
+    private propose(
+        workspace: Workspace,
+        ledger: ShareLedger | undefined,
+        nowMs: number,
+    ): readonly ControlPropose[] {
+        const isNew = ledger?.isUndivided ?? true;
+        if (ledger === undefined || ledger.dataCentres.length === 0 || this.changeBudget < 1 && !isNew) {
             return [];
         }
         const shares = planShares(workspace, ledger, nowMs - reportLifeMs);
         if (shares === undefined) {
             return [];
         }
+        this.changeBudget -= isNew ? 0 : 1;
         const proposalId = `rates-${this.term}-${this.nextProposal++}`;
         this.proposed.set(proposalId, { workspace: workspace.name, doneAtVersion: Infinity });
         return [{
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -36,7 +36,7 @@
 const unknownSpeedShare = 1 / (1 + clockDriftShare);
 
 /** Leaves room for the jitter of the messages by which clocks are compared, about 2 ms in a second. */
-const comparisonAccuracy = 0.998;
+const comparisonAccuracy = 0.9995;
 
 /** Advice to an entry instance that asked an instance without the lease or a proved configuration. */
 const notHomeRetryMs = 50;
--- a/src/rates/planShares.ts
+++ b/src/rates/planShares.ts
@@ -1,9 +1,9 @@
 /** One step from the present shares of a workspace towards its target shares. */
 import type { RateShare } from "../model/configuration.ts";
 import type { Workspace } from "../model/workspace.ts";
-import type { ShareLedger } from "./shareLedger.ts";
+import { largerShare, type ShareLedger } from "./shareLedger.ts";
 import { noShare, type Share } from "./shareTable.ts";
-import { targetShares } from "./targetShares.ts";
+import { targetShares, wholeParts } from "./targetShares.ts";
 
 /** A data centre is short when its demand is above this part of its share, which its home's refill hardly reaches. */
 const shortPart = 0.9;
@@ -17,6 +17,9 @@
 /** Smallest part worth moving; a smaller one would follow the noise of the demand with an entry every second. */
 const smallestMovePart = 0.1;
 
+/** The same while every data centre is short: a move then serves nobody more, and the moved part rests meanwhile. */
+const smallestMovePartWhenAllShort = 0.25;
+
 interface Move {
     readonly dataCentre: string;
     readonly current: Share;
@@ -40,17 +43,14 @@
         ratePerSecond: Math.max(0, move.target.ratePerSecond - move.ceiling.ratePerSecond),
         burst: Math.max(0, move.target.burst - move.ceiling.burst),
     }));
-    const part = fittingPart(room, growth);
+    const granted = fitGrowth(room, growth);
     const planned = moves.map((move, index) => ({
         workspace: workspace.name,
         dataCentre: move.dataCentre,
-        ratePerSecond: Math.min(
-            move.target.ratePerSecond,
-            move.ceiling.ratePerSecond + growth[index]!.ratePerSecond * part.ratePerSecond,
-        ),
-        burst: Math.min(move.target.burst, move.ceiling.burst + Math.floor(growth[index]!.burst * part.burst)),
+        ratePerSecond: Math.min(move.target.ratePerSecond, move.ceiling.ratePerSecond + granted[index]!.ratePerSecond),
+        burst: Math.min(move.target.burst, move.ceiling.burst + granted[index]!.burst),
     }));
-    const threshold = hasRest(workspace, moves.map(move => move.current)) ? smallestRestPart : smallestMovePart;
+    const threshold = smallestPart(workspace, ledger, moves);
     const isWorthwhile = moves.some((move, index) => differs(workspace, move.current, planned[index]!, threshold));
     return isWorthwhile ? planned : undefined;
 }
@@ -61,15 +61,25 @@
         current: ledger.current(dataCentre),
         ceiling: ledger.ceiling(dataCentre),
     }));
-    const first = present.every(({ current }) => current.ratePerSecond === 0);
+    const first = ledger.isUndivided;
     const movable = present.filter(({ dataCentre }) => first || ledger.reportedSince(dataCentre, reportedSinceMs));
     const kept = present.filter(entry => !movable.includes(entry));
     const total = subtract(workspace, sumShares(kept.map(({ ceiling }) => ceiling)));
     const targets = targetShares(total, movable.map(({ dataCentre }) => ledger.wantedPerSecond(dataCentre)));
-    const isNeeded = first || needsMove(workspace, ledger, present, movable.map(({ dataCentre }) => dataCentre));
+    const room = roomToGrow(workspace, ledger, present);
+    const isUnderWay = ledger.isUnsettled(reportedSinceMs) || isRest(workspace, room);
+    const exceeds = first || exceedsRate(workspace, present.map(({ current }) => current));
+    const retargets = exceeds
+        || !isUnderWay
+            && movable.some(({ dataCentre, current }) => isShort(ledger.wantedPerSecond(dataCentre), current));
     return present.map(entry => {
-        const index = movable.indexOf(entry);
-        return { ...entry, target: index >= 0 && isNeeded ? targets[index]! : entry.current };
+        const target = targets[movable.indexOf(entry)];
+        if (target === undefined) {
+            return { ...entry, target: entry.current };
+        }
+        // While a move is under way, what is left to give out goes to whoever would use it. Taking back more at the
+        // same time would follow the noise of the demand, and each reduction would leave a new rest.
+        return { ...entry, target: retargets ? target : largerShare(entry.current, target) };
     });
 }
 
@@ -78,26 +88,18 @@
     return wantedPerSecond > shortPart * share.ratePerSecond + chanceSlackPerSecond;
 }
 
-/** Some data centre is short, or the shares are not the whole rate. */
-function needsMove(
-    workspace: Workspace,
-    ledger: ShareLedger,
-    present: readonly { readonly dataCentre: string; readonly current: Share; }[],
-    movable: readonly string[],
-): boolean {
-    return hasRest(workspace, present.map(({ current }) => current))
-        || movable.some(dataCentre => isShort(ledger.wantedPerSecond(dataCentre), ledger.current(dataCentre)));
+/** The shares exceed a rate or burst that was lowered. */
+function exceedsRate(workspace: Workspace, shares: readonly Share[]): boolean {
+    const sum = sumShares(shares);
+    return sum.ratePerSecond > (1 + smallestRestPart) * workspace.ratePerSecond || sum.burst > workspace.burst;
 }
 
-/** The shares are not the whole of the workspace's rate and burst, or more than that. */
-function hasRest(workspace: Workspace, shares: readonly Share[]): boolean {
-    const sum = sumShares(shares);
-    return Math.abs(workspace.ratePerSecond - sum.ratePerSecond) > smallestRestPart * workspace.ratePerSecond
-        || sum.burst > workspace.burst
-        || sum.burst <= workspace.burst - 1;
+/** A part of the workspace's rate or burst that is worth giving out. */
+function isRest(workspace: Workspace, part: Share): boolean {
+    return part.ratePerSecond > smallestRestPart * workspace.ratePerSecond || part.burst >= 1;
 }
 
-function roomToGrow(workspace: Workspace, ledger: ShareLedger, moves: readonly Move[]): Share {
+function roomToGrow(workspace: Workspace, ledger: ShareLedger, moves: readonly Omit<Move, "target">[]): Share {
     const current = sumShares(moves.map(move => move.current));
     const unknownRest = !ledger.allConfirmed && current.ratePerSecond > 0;
     const limit = unknownRest
@@ -109,12 +111,24 @@
     return subtract(limit, sumShares(moves.map(move => move.ceiling)));
 }
 
-function fittingPart(room: Share, growth: readonly Share[]): Share {
+function smallestPart(workspace: Workspace, ledger: ShareLedger, moves: readonly Move[]): number {
+    if (isRest(workspace, subtract(workspace, sumShares(moves.map(({ current }) => current))))) {
+        return smallestRestPart;
+    }
+    const allShort = moves.every(({ dataCentre, current }) => isShort(ledger.wantedPerSecond(dataCentre), current));
+    return allShort ? smallestMovePartWhenAllShort : smallestMovePart;
+}
+
+/** Cuts growth down to the room, by the same part for everybody; bursts in whole units. */
+function fitGrowth(room: Share, growth: readonly Share[]): readonly Share[] {
     const wanted = sumShares(growth);
-    return {
-        ratePerSecond: wanted.ratePerSecond > 0 ? Math.min(1, room.ratePerSecond / wanted.ratePerSecond) : 0,
-        burst: wanted.burst > 0 ? Math.min(1, room.burst / wanted.burst) : 0,
-    };
+    const ratePart = wanted.ratePerSecond > 0 ? Math.min(1, room.ratePerSecond / wanted.ratePerSecond) : 0;
+    const units = Math.min(room.burst, wanted.burst);
+    const bursts = wholeParts(units, growth.map(({ burst }) => wanted.burst > 0 ? burst / wanted.burst : 0));
+    return growth.map(({ ratePerSecond, burst }, index) => ({
+        ratePerSecond: ratePerSecond * ratePart,
+        burst: Math.min(burst, bursts[index]!),
+    }));
 }
 
 function differs(workspace: Workspace, current: Share, planned: Share, part: number): boolean {
--- a/src/rates/shareLedger.ts
+++ b/src/rates/shareLedger.ts
@@ -79,9 +79,25 @@
         return [...this.holdings.values()].every(holding => holding.confirmedVersion >= this.startVersion);
     }
 
-    /** A reduction waits for its confirmation. */
-    get isUnsettled(): boolean {
-        return [...this.holdings.values()].some(holding => holding.history.length > 1);
+    /** No data centre has a share yet; nothing of the workspace is served. */
+    get isUndivided(): boolean {
+        return this.dataCentres.every(dataCentre => this.current(dataCentre).ratePerSecond === 0);
+    }
+
+    /** Demand per second above the shares, summed over the data centres. */
+    get shortage(): number {
+        return [...this.holdings].reduce(
+            (sum, [dataCentre, holding]) =>
+                sum + Math.max(0, holding.wantedPerSecond - this.current(dataCentre).ratePerSecond),
+            0,
+        );
+    }
+
+    /** A reduction waits for its confirmation in a data centre that has reported since `sinceMs`. */
+    isUnsettled(sinceMs: number): boolean {
+        return [...this.holdings.values()].some(({ history, reportedMs }) =>
+            history.length > 1 && reportedMs >= sinceMs
+        );
     }
 
     private holding(dataCentre: string): Holding {
