--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -1,6 +1,9 @@
 /** `jasmineline entry`: one instance of the proxy. */
+import { readFileSync } from "node:fs";
+import type { Command } from "../model/controlMessages.ts";
 import { entrySettingsTable, readEntrySettings } from "../settings/entrySettings.ts";
-import { describeSettings } from "../settings/settingsTable.ts";
+import { parseInitialConfiguration } from "../settings/initialConfiguration.ts";
+import { describeSettings, SettingsError } from "../settings/settingsTable.ts";
 import { startEntry } from "../wiring/entryProcess.ts";
 import { ExitCode } from "./exitCode.ts";
 import { readSecretFile } from "./secretFile.ts";
@@ -15,10 +18,23 @@
     await using entry = await startEntry(settings, {
         clusterSecret: readSecretFile("cluster-secret-file", settings["cluster-secret-file"]),
         databasePassword: readSecretFile("database-password-file", settings["database-password-file"]),
+        initialCommands: readInitialCommands(settings["initial-configuration"]),
     });
     const onSignal = (): void => entry.drain();
-    process.once("SIGTERM", onSignal);
-    process.once("SIGINT", onSignal);
-    await entry.drained;
+    process.on("SIGTERM", onSignal);
+    process.on("SIGINT", onSignal);
+    await entry.ended;
     return ExitCode.Success;
 }
+
+function readInitialCommands(path: string | undefined): readonly Command[] {
+    if (path === undefined) {
+        return [];
+    }
+    try {
+        return parseInitialConfiguration(readFileSync(path, "utf8"));
+    }
+    catch (error) {
+        throw new SettingsError(`--initial-configuration is "${path}": ${(error as Error).message}`);
+    }
+}
--- /dev/null
+++ b/src/control/initialCommands.ts
@@ -0,0 +1,48 @@
+/** Gives a new cluster its first classes, workspaces and keys. */
+import { match } from "ts-pattern";
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import type { Configuration } from "../model/configuration.ts";
+import { type Command, ControlKind, type ControlLeaderChanged, type ControlPropose } from "../model/controlMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+
+type Input = ControlLeaderChanged | ConfigurationApplied;
+
+/** Proposes the initial commands while this instance leads a cluster that was never configured. */
+export class InitialCommands implements Filter<Input, Message> {
+    readonly step = "initial_commands";
+    readonly accepts = [ControlKind.LeaderChanged, ClusterKind.ConfigurationApplied];
+    private readonly commands: readonly Command[];
+    private configured = false;
+
+    constructor(commands: readonly Command[]) {
+        this.commands = commands;
+    }
+
+    process(message: Input): readonly Message[] {
+        return match(message)
+            .with({ kind: ClusterKind.ConfigurationApplied }, applied => {
+                this.configured = this.configured || isConfigured(applied.configuration);
+                return [applied];
+            })
+            .with({ kind: ControlKind.LeaderChanged }, changed => [changed, ...this.propose(changed)])
+            .exhaustive();
+    }
+
+    // The operation ids are fixed, so that a second leader that proposes them too changes nothing.
+    private propose({ leading }: ControlLeaderChanged): readonly ControlPropose[] {
+        if (!leading || this.configured) {
+            return [];
+        }
+        return this.commands.map((command, index) => ({
+            kind: ControlKind.Propose,
+            proposalId: `initial-${index}`,
+            operationId: `initial-${index}`,
+            command,
+        }));
+    }
+}
+
+function isConfigured({ workClasses, workspaces, keys, openRoutes }: Configuration): boolean {
+    return workClasses.length + workspaces.length + keys.length + openRoutes.length > 0;
+}
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -5,6 +5,7 @@
 import {
     type CallerAnswer,
     type CallerDisconnect,
+    type CallerDisconnectIdle,
     CallerKind,
     type CallerLogin,
     type CallerLoginResult,
@@ -33,6 +34,8 @@
     readonly serverVersion: string;
 }
 
+type Effect = CallerLoginResult | CallerAnswer | CallerDisconnect | CallerDisconnectIdle;
+
 interface Caller {
     readonly connection: ServerConnection;
     login: AuthenticationCallback | undefined;
@@ -50,8 +53,8 @@
 const handshakeLimitMs = 10_000;
 
 /** Source of `caller.*` events and sink of answers. */
-export class MysqlFrontend implements Sink<CallerLoginResult | CallerAnswer | CallerDisconnect>, AsyncDisposable {
-    readonly accepts = [CallerKind.LoginResult, CallerKind.Answer, CallerKind.Disconnect];
+export class MysqlFrontend implements Sink<Effect>, AsyncDisposable {
+    readonly accepts = [CallerKind.LoginResult, CallerKind.Answer, CallerKind.Disconnect, CallerKind.DisconnectIdle];
     private readonly options: MysqlFrontendOptions;
     private readonly callers = new Map<number, Caller>();
     private server: Server | undefined;
@@ -78,7 +81,11 @@
         return this.callers.size;
     }
 
-    deliver(message: CallerLoginResult | CallerAnswer | CallerDisconnect): void {
+    deliver(message: Effect): void {
+        if (message.kind === CallerKind.DisconnectIdle) {
+            this.disconnectIdle();
+            return;
+        }
         const caller = this.callers.get(message.connectionId);
         if (caller === undefined) {
             return;
@@ -239,6 +246,15 @@
         caller.connection.stream.end();
     }
 
+    private disconnectIdle(): void {
+        for (const caller of this.callers.values()) {
+            if (caller.unanswered === undefined && !caller.inTransaction && caller.login === undefined) {
+                caller.closing = true;
+                caller.connection.stream.end();
+            }
+        }
+    }
+
     private close(connectionId: number): void {
         this.callers.delete(connectionId);
         this.options.post({ kind: CallerKind.Closed, connectionId } as Message);
--- a/src/model/callerMessages.ts
+++ b/src/model/callerMessages.ts
@@ -11,6 +11,7 @@
     LoginResult: "caller.login_result",
     Answer: "caller.answer",
     Disconnect: "caller.disconnect",
+    DisconnectIdle: "caller.disconnect_idle",
 } as const;
 
 /** A caller opened a connection. */
@@ -71,3 +72,8 @@
     readonly connectionId: number;
     readonly refusal: Refusal;
 }
+
+/** Closes every connection that has no statement under way and no open transaction. */
+export interface CallerDisconnectIdle extends Message {
+    readonly kind: typeof CallerKind.DisconnectIdle;
+}
--- a/src/model/clusterMessages.ts
+++ b/src/model/clusterMessages.ts
@@ -12,6 +12,7 @@
     ConfigurationProved: "cluster.configuration_proved",
     LeasesRenewed: "cluster.leases_renewed",
     DrainStarted: "cluster.drain_started",
+    DrainEnded: "cluster.drain_ended",
 } as const;
 
 /** A database announced itself to this instance or to a peer. */
@@ -71,3 +72,8 @@
     readonly kind: typeof ClusterKind.DrainStarted;
     readonly deadlineMs: number;
 }
+
+/** The shutdown is complete: the process may exit. */
+export interface DrainEnded extends Message {
+    readonly kind: typeof ClusterKind.DrainEnded;
+}
--- a/src/pipeline/eventLoop.ts
+++ b/src/pipeline/eventLoop.ts
@@ -29,13 +29,19 @@
     readonly observers?: readonly LoopObserver[];
 }
 
+interface QueuedEvent {
+    readonly message: Message;
+    /** The message left a pipe before, and the sinks that accept it have had it. */
+    readonly delivered: boolean;
+}
+
 export class EventLoop implements AsyncDisposable {
     private readonly clock: Clock;
     private readonly deadlines = new DeadlineQueue();
     private readonly pipesByKind = new Map<string, Pipe[]>();
     private readonly sinksByKind = new Map<string, Sink[]>();
     private readonly observers: readonly LoopObserver[];
-    private queue: Message[] = [];
+    private queue: QueuedEvent[] = [];
     private draining = false;
     private drainRequested = false;
     private closed = false;
@@ -57,7 +63,7 @@
         if (this.closed) {
             return;
         }
-        this.queue.push(message);
+        this.queue.push({ message, delivered: false });
         if (!this.draining && !this.drainRequested) {
             this.drainRequested = true;
             this.clock.soon(() => this.drain());
@@ -92,7 +98,7 @@
         while (this.queue.length > 0 && !this.closed) {
             const batch = this.queue;
             this.queue = [];
-            batch.forEach(message => this.dispatch(message));
+            batch.forEach(event => this.dispatch(event));
             this.postDue();
         }
     }
@@ -100,41 +106,53 @@
     private postDue(): void {
         const nowMs = this.currentMs();
         for (let due = this.deadlines.takeDue(nowMs); due !== undefined; due = this.deadlines.takeDue(nowMs)) {
-            this.queue.push(due);
+            this.queue.push({ message: due, delivered: false });
         }
     }
 
-    private dispatch(message: Message): void {
+    private dispatch({ message, delivered }: QueuedEvent): void {
         const nowMs = this.currentMs();
         const pipes = this.pipesByKind.get(message.kind);
         if (pipes === undefined) {
             throw new Error(`no pipe accepts "${message.kind}"; add it to a filter's "accepts" or to a sink`);
         }
         this.observers.forEach(observer => observer.event(message, nowMs));
+        let arrived = delivered;
         for (const pipe of pipes) {
             for (const output of pipe.push(message, nowMs)) {
                 this.observers.forEach(observer => observer.output(output, pipe.name, nowMs));
-                this.leavePipe(message, output, nowMs);
+                if (output !== message) {
+                    this.leavePipe(output, nowMs);
+                }
+                else if (!arrived) {
+                    // An event that several pipes pass on unchanged reaches the sinks once and is not posted again.
+                    arrived = true;
+                    this.deliver(output, nowMs);
+                }
             }
         }
     }
 
-    private leavePipe(event: Message, output: Message, nowMs: number): void {
+    private leavePipe(output: Message, nowMs: number): void {
         if (output.kind === DeadlineKind.Set || output.kind === DeadlineKind.Clear) {
             this.deadlines.apply(output as DeadlineMessage);
             return;
         }
-        const sinks = this.sinksByKind.get(output.kind);
-        sinks?.forEach(sink => sink.deliver(output, nowMs));
-        // An event that passed through a pipe unchanged has arrived; posting it again would never end.
-        if (output !== event && this.pipesByKind.has(output.kind)) {
-            this.queue.push(output);
+        const delivered = this.deliver(output, nowMs);
+        if (this.pipesByKind.has(output.kind)) {
+            this.queue.push({ message: output, delivered });
         }
-        else if (sinks === undefined && output !== event) {
+        else if (!delivered) {
             throw new Error(`nothing takes "${output.kind}"; register a sink or a filter that accepts it`);
         }
     }
 
+    private deliver(message: Message, nowMs: number): boolean {
+        const sinks = this.sinksByKind.get(message.kind);
+        sinks?.forEach(sink => sink.deliver(message, nowMs));
+        return sinks !== undefined;
+    }
+
     private sleepUntilDeadline(): void {
         const earliestMs = this.deadlines.earliestMs();
         if (earliestMs === undefined || this.closed) {
--- a/src/pipeline/trace.ts
+++ b/src/pipeline/trace.ts
@@ -2,7 +2,7 @@
 import type { LoopObserver } from "./eventLoop.ts";
 import type { Message } from "./message.ts";
 import type { Pipe } from "./pipe.ts";
-import { decodeMessage, encodeMessage } from "./traceCodec.ts";
+import { decodeMessage, encodeMessage, encodeValue } from "./traceCodec.ts";
 
 export const TraceLineKind = {
     Header: "header",
@@ -21,9 +21,9 @@
     private readonly write: (line: TraceLine) => void;
 
     /** @param options what the pipes were built with, so that a replay can build the same */
-    constructor(options: unknown, write: (line: TraceLine) => void) {
+    constructor(options: object, write: (line: TraceLine) => void) {
         this.write = write;
-        write({ line: TraceLineKind.Header, options });
+        write({ line: TraceLineKind.Header, options: JSON.parse(encodeValue(options)) });
     }
 
     event(message: Message, nowMs: number): void {
--- a/src/pipeline/traceCodec.ts
+++ b/src/pipeline/traceCodec.ts
@@ -3,7 +3,9 @@
 
 /** Fields whose values never reach a trace: what proves a caller's key. */
 const secretFields: ReadonlySet<string> = new Set(["doubleSha1Hex", "proofHex"]);
-const redacted = "redacted";
+
+/** Has the form of a digest, so that a replay of a command with a digest validates like the original. */
+const redacted = "0".repeat(40);
 
 interface EncodedBytes {
     readonly $bytes: string;
@@ -15,7 +17,12 @@
 
 /** Writes a message as one line of JSON. Undefined fields are left out; secrets are replaced. */
 export function encodeMessage(message: Message): string {
-    return JSON.stringify(message, function(this: Record<string, unknown>, key, value: unknown) {
+    return encodeValue(message);
+}
+
+/** Like `encodeMessage`, for other plain data. */
+export function encodeValue(plain: object): string {
+    return JSON.stringify(plain, function(this: Record<string, unknown>, key, value: unknown) {
         // JSON.stringify has already called toJSON, which turns byte arrays into something else.
         const original = this[key];
         if (secretFields.has(key)) {
@@ -28,7 +35,7 @@
             return { $number: String(value) } satisfies EncodedNumber;
         }
         if (original instanceof Map || original instanceof Set) {
-            throw new Error(`"${message.kind}" carries a Map or Set; messages hold plain data`);
+            throw new Error(`field "${key}" is a Map or Set; messages hold plain data`);
         }
         return value;
     });
--- a/src/request/accept.ts
+++ b/src/request/accept.ts
@@ -4,6 +4,7 @@
     type CallerClosed,
     type CallerConnected,
     type CallerDisconnect,
+    type CallerDisconnectIdle,
     CallerKind,
     type CallerLogin,
     type CallerLoginResult,
@@ -105,7 +106,8 @@
 
     private startDrain(drain: DrainStarted): readonly Message[] {
         this.draining = true;
-        return [drain];
+        const disconnectIdle: CallerDisconnectIdle = { kind: CallerKind.DisconnectIdle };
+        return [disconnectIdle, drain];
     }
 }
 
--- a/src/rpc/announcementService.ts
+++ b/src/rpc/announcementService.ts
@@ -1,17 +1,56 @@
-/** Source of announcements. */
-import type { Server, UntypedServiceImplementation } from "@grpc/grpc-js";
-import { ClusterKind } from "../model/clusterMessages.ts";
+/** Receives the announcements of databases. */
+import { type sendUnaryData, type ServerUnaryCall, status } from "@grpc/grpc-js";
+import { ClusterKind, type DatabaseAnnounced } from "../model/clusterMessages.ts";
 import type { Message } from "../pipeline/message.ts";
-import { AnnouncementService as Definition, type AnnounceRequest } from "./generated/announcement.ts";
-import { respond } from "./unaryResponse.ts";
+import { announcementFault, decodeAnnouncement } from "./announcementCodec.ts";
+import {
+    type AnnouncementServer,
+    AnnouncementService,
+    type AnnounceRequest,
+    type AnnounceResponse,
+} from "./generated/announcement.ts";
+import { noError } from "./noError.ts";
+import type { PeerCredentials } from "./peerCredentials.ts";
 
-export function registerAnnouncements(server: Server, post: (message: Message) => void): void {
-    server.addService(Definition, {
-        announce: (call: { request: AnnounceRequest; }, done: never) => {
-            const { cluster: ignored, ...announcement } = call.request;
-            void ignored;
-            post({ kind: ClusterKind.DatabaseAnnounced, announcement } as unknown as Message);
-            respond(done, {});
-        },
-    } as unknown as UntypedServiceImplementation);
+export interface AnnouncementSourceOptions {
+    /** Name of the cluster; an announcement for another one is refused. */
+    readonly cluster: string;
+    readonly credentials: PeerCredentials;
+    post(message: Message): void;
+}
+
+/** Source: posts `cluster.database_announced`. Register with `server.addService(AnnouncementService, implementation)`. */
+export class AnnouncementSource {
+    readonly service = AnnouncementService;
+    readonly implementation: AnnouncementServer = { announce: (call, done) => this.announce(call, done) };
+    private readonly options: AnnouncementSourceOptions;
+
+    constructor(options: AnnouncementSourceOptions) {
+        this.options = options;
+    }
+
+    private announce(
+        call: ServerUnaryCall<AnnounceRequest, AnnounceResponse>,
+        done: sendUnaryData<AnnounceResponse>,
+    ): void {
+        const refusal = this.options.credentials.check(call.metadata, AnnouncementService.announce.path);
+        if (refusal !== undefined) {
+            done({ code: status.UNAUTHENTICATED, details: refusal });
+            return;
+        }
+        const fault = this.clusterFault(call.request) ?? announcementFault(call.request);
+        if (fault !== undefined) {
+            done({ code: status.INVALID_ARGUMENT, details: fault });
+            return;
+        }
+        const announcement = decodeAnnouncement(call.request);
+        const message: DatabaseAnnounced = { kind: ClusterKind.DatabaseAnnounced, announcement };
+        this.options.post(message);
+        done(noError, {});
+    }
+
+    private clusterFault({ cluster }: AnnounceRequest): string | undefined {
+        const expected = this.options.cluster;
+        return cluster === expected ? undefined : `cluster must be "${expected}", not "${cluster}"`;
+    }
 }
--- a/src/wiring/buildPipes.ts
+++ b/src/wiring/buildPipes.ts
@@ -1,5 +1,16 @@
 /** Builds the pipes of an instance. The same function serves a live process and a replay. */
-import { SoleInstance } from "../health/soleInstance.ts";
+import { controlFilters } from "../control/controlPipe.ts";
+import { FollowerFilter } from "../control/followerFilter.ts";
+import { InitialCommands } from "../control/initialCommands.ts";
+import { RefuseProposals } from "../control/refuseProposals.ts";
+import { DatabaseDirectory } from "../health/databaseDirectory.ts";
+import { DatabaseTable } from "../health/databaseTable.ts";
+import { Drain } from "../health/drain.ts";
+import { Failover } from "../health/failover.ts";
+import { HeartbeatReplier } from "../health/heartbeatReplier.ts";
+import { HeartbeatSender } from "../health/heartbeatSender.ts";
+import { LeaderOffice } from "../health/leaderOffice.ts";
+import { LeaseAssigner } from "../health/leaseAssigner.ts";
 import { Acquire } from "../holder/acquire.ts";
 import { Confirm } from "../holder/confirm.ts";
 import { Execute } from "../holder/execute.ts";
@@ -8,8 +19,10 @@
 import { defaultHolderSettings, type HolderSettings } from "../holder/holderSettings.ts";
 import { Monitor } from "../holder/monitor.ts";
 import { Orders } from "../holder/orders.ts";
+import type { Command } from "../model/controlMessages.ts";
 import { Pipe } from "../pipeline/pipe.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
+import { DivideRate } from "../rates/divideRate.ts";
 import { GrantPermits } from "../rates/grantPermits.ts";
 import { AcceptFilter } from "../request/accept.ts";
 import { AdmitRequests } from "../request/admit.ts";
@@ -19,6 +32,12 @@
 import { RouteFilter } from "../request/route.ts";
 import type { SessionTokenCodec } from "../request/sessionState.ts";
 
+/** A control member as the settings name it. */
+export interface ControlAddress {
+    readonly instanceId: string;
+    readonly address: string;
+}
+
 /** What the filters of an instance depend on, in a form that a trace can hold. */
 export interface PipeOptions {
     readonly instanceId: string;
@@ -27,6 +46,11 @@
     readonly dataCentre: string;
     /** `host:port` of the gRPC listener as other instances reach it. */
     readonly rpcAddress: string;
+    readonly controlMembers: readonly ControlAddress[];
+    /** Incarnation of the data folder; undefined on an instance that keeps no control state. */
+    readonly memberIncarnation: string | undefined;
+    /** Commands for a cluster that was never configured. */
+    readonly initialCommands: readonly Command[];
     readonly seed: number;
     readonly maximumConnections: number;
     readonly maximumStatementBytes: number;
@@ -43,6 +67,7 @@
 /** Builds the pipes, in the order in which each event visits them. */
 export function buildPipes(options: PipeOptions, secrets: PipeSecrets): readonly Pipe[] {
     return [
+        buildControlPipe(options),
         buildHealthPipe(options),
         buildRequestPipe(options, secrets),
         buildRatePipe(options),
@@ -50,8 +75,38 @@
     ];
 }
 
-function buildHealthPipe({ instanceId, rpcAddress, dataCentre }: PipeOptions): Pipe {
-    return new Pipe("health", [new SoleInstance({ instanceId, instanceAddress: rpcAddress, dataCentre })]);
+function buildControlPipe(options: PipeOptions): Pipe {
+    const { instanceId, rpcAddress, controlMembers, memberIncarnation, initialCommands, seed } = options;
+    if (memberIncarnation === undefined) {
+        return new Pipe("control", [new RefuseProposals(), new FollowerFilter()]);
+    }
+    const self = { memberId: instanceId, address: rpcAddress, incarnation: memberIncarnation };
+    const initialMembers = controlMembers.map(member => ({ memberId: member.instanceId, address: member.address }));
+    const random = new SeededRandom(seed + 3);
+    return new Pipe("control", [
+        new InitialCommands(initialCommands),
+        ...controlFilters({ self, initialMembers, random }),
+    ]);
+}
+
+function buildHealthPipe(options: PipeOptions): Pipe {
+    const { instanceId, incarnation, dataCentre, rpcAddress, controlMembers, memberIncarnation } = options;
+    const sender = new HeartbeatSender({
+        instanceId,
+        incarnation,
+        dataCentre,
+        address: rpcAddress,
+        controlAddresses: controlMembers.map(member => member.address),
+    });
+    const ofEveryInstance = [new Drain(), new DatabaseTable(), sender];
+    const ofMembers = [
+        new LeaderOffice(),
+        new DatabaseDirectory(),
+        new LeaseAssigner({ incarnation }),
+        new Failover(),
+        new HeartbeatReplier(),
+    ];
+    return new Pipe("health", memberIncarnation === undefined ? ofEveryInstance : [...ofEveryInstance, ...ofMembers]);
 }
 
 function buildRequestPipe(options: PipeOptions, { verifier, tokens }: PipeSecrets): Pipe {
@@ -65,8 +120,9 @@
     ]);
 }
 
-function buildRatePipe({ dataCentre }: PipeOptions): Pipe {
-    return new Pipe("rates", [new GrantPermits({ dataCentre })]);
+function buildRatePipe({ dataCentre, memberIncarnation }: PipeOptions): Pipe {
+    const grant = new GrantPermits({ dataCentre });
+    return new Pipe("rates", memberIncarnation === undefined ? [grant] : [grant, new DivideRate()]);
 }
 
 function buildHolderPipe({ seed, statementLimitMs, confirmationLimitMs }: PipeOptions): Pipe {
--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -1,109 +1,173 @@
 /** The one module that wires the parts of an entry instance. */
 import "disposablestack/auto";
+import type { Server } from "@grpc/grpc-js";
 import { randomBytes } from "node:crypto";
-import { readFileSync } from "node:fs";
 import { MysqlAdapter } from "../backend/mysqlAdapter.ts";
 import { MysqlBackend } from "../backend/mysqlBackend.ts";
 import { MysqlFrontend } from "../frontend/mysqlFrontend.ts";
 import { NativePasswordVerifier } from "../frontend/proofVerifier.ts";
 import { HmacSessionTokenCodec } from "../frontend/sessionToken.ts";
 import { ClusterKind } from "../model/clusterMessages.ts";
-import { emptyConfiguration } from "../model/configuration.ts";
-import { ResourceKind } from "../model/lease.ts";
+import type { Command } from "../model/controlMessages.ts";
+import { HealthKind } from "../model/healthMessages.ts";
+import { StorageKind } from "../model/storageMessages.ts";
 import { EventLoop, type LoopObserver } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
+import { SeededRandom } from "../pipeline/seededRandom.ts";
+import type { Sink } from "../pipeline/sink.ts";
 import { TraceRecorder } from "../pipeline/trace.ts";
-import { registerAnnouncements } from "../rpc/announcementService.ts";
+import { AnnouncementSource } from "../rpc/announcementService.ts";
+import { ConfigurationFeed } from "../rpc/configurationFeed.ts";
+import { ConfigurationSubscriber } from "../rpc/configurationSubscriber.ts";
+import { PermitsService } from "../rpc/generated/permits.ts";
+import { HeartbeatSink } from "../rpc/heartbeatClient.ts";
+import { HeartbeatSource } from "../rpc/heartbeatService.ts";
+import { HolderService } from "../rpc/holderService.ts";
+import { HolderStream } from "../rpc/holderStream.ts";
+import { LogPeers } from "../rpc/logPeers.ts";
+import { OperatorService } from "../rpc/operatorService.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
 import { createPeerServer, listen } from "../rpc/peerChannel.ts";
+import { PermitClient } from "../rpc/permitClient.ts";
+import { PermitServer } from "../rpc/permitServer.ts";
 import type { EntrySettings } from "../settings/entrySettings.ts";
+import { MemberStorage } from "../storage/memberStorage.ts";
 import { TraceFileWriter } from "../storage/traceFile.ts";
+import { StatsdCounters } from "../telemetry/counters.ts";
+import { FlowCounters } from "../telemetry/flowCounters.ts";
+import { createLogger } from "../telemetry/logger.ts";
+import { StateLog } from "../telemetry/stateLog.ts";
 import { buildPipes, type PipeOptions } from "./buildPipes.ts";
+import { InstanceView } from "./instanceView.ts";
 import { SystemClock } from "./systemClock.ts";
 
-const unused = ["rates.demand_measured", "holder.database_health", "holder.lease_idle", "holder.order_done"];
-
 /** Contents of the files that the settings name. */
-export interface EntrySecrets {
+export interface EntryInputs {
     readonly clusterSecret: string;
     readonly databasePassword: string;
+    readonly initialCommands: readonly Command[];
 }
 
 export interface EntryProcess extends AsyncDisposable {
     /** Starts the graceful shutdown; a second call ends at once. */
     drain(): void;
-    /** Settles when the shutdown has ended. */
-    readonly drained: Promise<void>;
+    /** Settles when the shutdown has ended; fails when the instance cannot go on. */
+    readonly ended: Promise<void>;
+}
+
+type Post = (message: Message) => void;
+
+/** What the parts share. */
+interface Parts {
+    readonly settings: EntrySettings;
+    readonly inputs: EntryInputs;
+    readonly options: PipeOptions;
+    readonly clock: SystemClock;
+    readonly post: Post;
+    readonly authentication: PeerAuthentication;
+    readonly stack: AsyncDisposableStack;
 }
 
 /** Starts an entry instance; its disposal closes everything in reverse order. */
-export async function startEntry(settings: EntrySettings, secrets: EntrySecrets): Promise<EntryProcess> {
-    const stack = new AsyncDisposableStack();
-    const options = toPipeOptions(settings);
-    const pipes = buildPipes(options, {
-        verifier: new NativePasswordVerifier(),
-        tokens: new HmacSessionTokenCodec(secrets.clusterSecret),
-    });
-    const post: EventLoop["post"] = message => loop.post(message);
-    const frontend = stack.use(
-        new MysqlFrontend({ ...settings["mysql-listen"], post, serverVersion: "8.0.36-jasmineline" }),
-    );
-    const adapter = new MysqlAdapter({ user: settings["database-user"], password: secrets.databasePassword });
-    const backend = stack.use(new MysqlBackend({ adapter, post }));
-    const loop = new EventLoop({
-        clock: new SystemClock(),
-        pipes,
-        sinks: [frontend, backend, { accepts: unused, deliver: () => undefined }],
-        observers: openTrace(settings, options, stack),
-    });
-    stack.use(loop);
+export async function startEntry(settings: EntrySettings, inputs: EntryInputs): Promise<EntryProcess> {
+    await using stack = new AsyncDisposableStack();
+    const post: Post = message => loop.post(message);
+    const storage = await openStorage(settings, post, stack);
+    const options = toPipeOptions(settings, inputs, storage);
+    const clock = new SystemClock();
     const authentication = new PeerAuthentication({
         cluster: settings["cluster-name"],
         instanceId: settings["instance-id"],
-        secret: secrets.clusterSecret,
+        secret: inputs.clusterSecret,
+    });
+    const parts = { settings, inputs, options, clock, post, authentication, stack };
+    const logger = createLogger({
+        format: settings["log-format"],
+        level: settings["log-level"],
+        instanceId: settings["instance-id"],
     });
+    const counters = stack.use(
+        new StatsdCounters({ agent: settings.statsd, instanceId: settings["instance-id"] }),
+    );
     const server = createPeerServer(authentication);
-    registerAnnouncements(server, post);
-    await listen(server, options.rpcAddress);
+    const frontend = stack.use(
+        new MysqlFrontend({ ...settings["mysql-listen"], post, serverVersion: "8.0.36-jasmineline" }),
+    );
+    const drain = createDrain(settings, clock, post);
+    const view = new InstanceView({ options, clock, counters, frontend, drain });
+    const end = new ProcessEnd();
+    const sinks = [
+        frontend,
+        new StateLog(logger),
+        view,
+        end,
+        ...storage === undefined ? [] : [storage],
+        ...openDatabaseSide(parts),
+        ...openPeerSide(parts, server),
+        openOperatorSide(parts, server, view),
+    ];
+    const loop = stack.use(
+        new EventLoop({
+            clock,
+            pipes: buildPipes(options, {
+                verifier: new NativePasswordVerifier(),
+                tokens: new HmacSessionTokenCodec(inputs.clusterSecret),
+            }),
+            sinks,
+            observers: [new FlowCounters(counters), view, ...openTrace(parts)],
+        }),
+    );
+    const { host, port } = settings["rpc-listen"];
+    await listen(server, `${host}:${port}`);
     stack.defer(() => server.forceShutdown());
+    if (storage !== undefined) {
+        post(storage.recovered);
+    }
+    post({ kind: HealthKind.HeartbeatDue });
     await frontend.listen();
-    postInitialConfiguration(settings, post);
-    let finish = (): void => undefined;
-    const drained = new Promise<void>(resolve => {
-        finish = resolve;
-    });
-    return { drain: () => finish(), drained, [Symbol.asyncDispose]: () => stack.disposeAsync() };
+    logger.info("started", { incarnation: options.incarnation, rpc: options.rpcAddress });
+    const opened = stack.move();
+    return {
+        drain: () => {
+            frontend.stopListening();
+            drain();
+        },
+        ended: end.promise,
+        [Symbol.asyncDispose]: () => opened.disposeAsync(),
+    };
 }
 
-function postInitialConfiguration(settings: EntrySettings, post: EventLoop["post"]): void {
-    const path = settings["initial-configuration"];
-    const file = path === undefined ? {} : JSON.parse(readFileSync(path, "utf8")) as object;
-    const configuration = { ...emptyConfiguration, version: 1, ...file };
-    const { workspaces } = configuration;
-    const rateShares = workspaces.map(({ name, ratePerSecond, burst }) => ({
-        workspace: name,
-        dataCentre: settings["data-centre"],
-        ratePerSecond,
-        burst,
-    }));
-    const leases = workspaces.map(({ name }) => ({
-        resource: ResourceKind.Permits,
-        resourceId: `${name}@${settings["data-centre"]}`,
-        instanceId: settings["instance-id"],
-        instanceAddress: "",
-        epoch: 1,
-    }));
-    const applied = { kind: ClusterKind.ConfigurationApplied, configuration: { ...configuration, rateShares, leases } };
-    post(applied as Message);
+async function openStorage(
+    settings: EntrySettings,
+    post: Post,
+    stack: AsyncDisposableStack,
+): Promise<MemberStorage | undefined> {
+    const folder = settings["data-folder"];
+    if (folder === undefined) {
+        return undefined;
+    }
+    const cluster = settings["cluster-name"];
+    return stack.use(await MemberStorage.open({ folder, cluster, memberId: settings["instance-id"], post }));
 }
 
-function toPipeOptions(settings: EntrySettings): PipeOptions {
+function toPipeOptions(
+    settings: EntrySettings,
+    inputs: EntryInputs,
+    storage: MemberStorage | undefined,
+): PipeOptions {
     const { host, port } = settings["rpc-listen"];
+    const instanceId = settings["instance-id"];
+    const controlMembers = settings["control-members"];
+    const listed = controlMembers.find(member => member.instanceId === instanceId);
     return {
-        instanceId: settings["instance-id"],
+        instanceId,
         incarnation: randomBytes(6).toString("hex"),
         dataCentre: settings["data-centre"],
-        rpcAddress: `${host}:${port}`,
+        // Peers reach a control member under the address that their settings name.
+        rpcAddress: listed?.address ?? `${host}:${port}`,
+        controlMembers,
+        memberIncarnation: storage?.identity.incarnation,
+        initialCommands: inputs.initialCommands,
         seed: settings.seed ?? randomBytes(4).readUInt32BE() >>> 1,
         maximumConnections: settings["max-connections"],
         maximumStatementBytes: settings["max-statement-bytes"],
@@ -112,11 +176,61 @@
     };
 }
 
-function openTrace(
-    settings: EntrySettings,
-    options: PipeOptions,
-    stack: AsyncDisposableStack,
-): readonly LoopObserver[] {
+function openDatabaseSide({ settings, inputs, post, stack }: Parts): readonly Sink[] {
+    const adapter = new MysqlAdapter({ user: settings["database-user"], password: inputs.databasePassword });
+    return [stack.use(new MysqlBackend({ adapter, post }))];
+}
+
+/** Everything that talks to other instances and to announcing databases. */
+function openPeerSide(parts: Parts, server: Server): readonly Sink[] {
+    const { settings, options, clock, post, authentication, stack } = parts;
+    // The server checks every call before a service sees it, so services need no check of their own.
+    const credentials = {
+        clientMetadata: (method: string) => authentication.metadata(method),
+        check: () => undefined,
+    };
+    const announcements = new AnnouncementSource({ cluster: settings["cluster-name"], credentials, post });
+    const heartbeats = new HeartbeatSource({ credentials, post });
+    const holderService = stack.use(new HolderService({ credentials, post, nowMs: () => clock.nowMs() }));
+    const permitServer = new PermitServer({ post, peers: credentials });
+    server.addService(announcements.service, announcements.implementation);
+    server.addService(heartbeats.service, heartbeats.implementation);
+    server.addService(PermitsService, permitServer.handlers);
+    holderService.register(server);
+    return [
+        heartbeats,
+        holderService,
+        permitServer,
+        stack.use(new HeartbeatSink({ credentials, post })),
+        stack.use(new HolderStream({ credentials, post })),
+        stack.use(new PermitClient({ post, peers: credentials, instanceId: options.instanceId })),
+        ...openControlSide(parts, server),
+    ];
+}
+
+/** Control members talk to each other and feed the others; every other instance subscribes. */
+function openControlSide({ options, post, authentication, stack }: Parts, server: Server): readonly Sink[] {
+    if (options.memberIncarnation === undefined) {
+        const addresses = options.controlMembers.map(member => member.address);
+        const random = new SeededRandom(options.seed + 4);
+        const subscriber = stack.use(new ConfigurationSubscriber({ authentication, addresses, post, random }));
+        subscriber.start();
+        return [subscriber];
+    }
+    const logPeers = stack.use(new LogPeers({ authentication, post }));
+    const feed = stack.use(new ConfigurationFeed({ post }));
+    logPeers.addTo(server);
+    feed.addTo(server);
+    return [logPeers, feed];
+}
+
+function openOperatorSide({ options, post }: Parts, server: Server, view: InstanceView): Sink {
+    const operators = new OperatorService({ instanceId: options.instanceId, post, view });
+    operators.register(server);
+    return operators;
+}
+
+function openTrace({ settings, options, stack }: Parts): readonly LoopObserver[] {
     const path = settings["record-trace"];
     if (path === undefined) {
         return [];
@@ -124,3 +238,35 @@
     const writer = stack.use(new TraceFileWriter(path));
     return [new TraceRecorder(options, line => writer.write(line))];
 }
+
+function createDrain(settings: EntrySettings, clock: SystemClock, post: Post): () => void {
+    return () => {
+        const deadlineMs = clock.nowMs() + settings["drain-limit-ms"];
+        post({ kind: ClusterKind.DrainStarted, deadlineMs } as Message);
+    };
+}
+
+/** Settles when the instance has drained, or when its disk failed. */
+class ProcessEnd implements Sink {
+    readonly accepts = [ClusterKind.DrainEnded, StorageKind.Failed];
+    readonly promise: Promise<void>;
+    private succeed: () => void = () => undefined;
+    private fail: (reason: Error) => void = () => undefined;
+
+    constructor() {
+        this.promise = new Promise((resolve, reject) => {
+            this.succeed = resolve;
+            this.fail = reject;
+        });
+    }
+
+    deliver(message: Message): void {
+        if (message.kind === ClusterKind.DrainEnded) {
+            this.succeed();
+        }
+        else {
+            const { reason } = message as Message & { readonly reason: string; };
+            this.fail(new Error(`the data folder cannot be written: ${reason}`));
+        }
+    }
+}
