--- a/src/health/databaseDirectory.ts
+++ b/src/health/databaseDirectory.ts
@@ -21,8 +21,11 @@
 /** Interval of the heartbeats that fetch further entries; the whole directory takes 11 of them. */
 const nextEntriesMs = 100;
 
+/** Part of the expiry for the tick that notices the silence, and for the network. */
+const tellMarginMs = 200;
+
 /** Silence after which the leader tells everyone; the answer that tells it takes up to one heartbeat more. */
-const silenceMs = announcementExpiryMs - heartbeatIntervalMs - 100;
+const silenceMs = announcementExpiryMs - heartbeatIntervalMs - tellMarginMs;
 
 interface Kept extends DirectoryEntry {
     readonly content: string;
