--- a/src/rates/clockComparison.ts
+++ b/src/rates/clockComparison.ts
@@ -14,6 +14,12 @@
 /** Long against the jitter of a message, short against a change of a clock's speed that should be noticed. */
 const intervalMs = 1_000;
 
+/** Usual difference of the delays of two messages within a data centre. Without it every comparison would err low. */
+const jitterMs = 1;
+
+/** Largest part by which a comparison errs high: the earliest one spans two intervals. */
+export const comparisonError = jitterMs / (2 * intervalMs);
+
 /** Number of intervals that are compared; the longest comparison spans 8 s. */
 const anchorCount = 8;
 
@@ -88,11 +94,12 @@
 function speedOf(peer: Peer): number | undefined {
     const { latest, anchors } = peer;
     const elapsed = anchors.filter(anchor => anchor.localMs + intervalMs <= latest.localMs);
-    return elapsed.length < 2 ? undefined : Math.min(...elapsed.map(anchor => ratio(anchor, latest)));
+    const isLongEnough = anchors[0]!.localMs + 2 * intervalMs <= latest.localMs;
+    return isLongEnough ? Math.min(...elapsed.map(anchor => ratio(anchor, latest))) : undefined;
 }
 
 function ratio(from: Sample, to: Sample): number {
-    return (to.remoteMs - from.remoteMs) / (to.localMs - from.localMs);
+    return (to.remoteMs - from.remoteMs + jitterMs) / (to.localMs - from.localMs);
 }
 
 function advance(sample: Sample): number {
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -19,7 +19,7 @@
 } from "../model/rateMessages.ts";
 import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { ClockComparison } from "./clockComparison.ts";
+import { ClockComparison, comparisonError } from "./clockComparison.ts";
 import { PermitHome } from "./permitHome.ts";
 import { ShareTable } from "./shareTable.ts";
 
@@ -35,9 +35,6 @@
 /** Refill while too few clocks were heard: this one may run fast by the drift that leases allow for. */
 const unknownSpeedShare = 1 / (1 + clockDriftShare);
 
-/** Leaves room for the jitter of the messages by which clocks are compared, about 2 ms in a second. */
-const comparisonAccuracy = 0.9995;
-
 /** Advice to an entry instance that asked an instance without the lease or a proved configuration. */
 const notHomeRetryMs = 50;
 
@@ -150,7 +147,7 @@
 
     private refillShare(nowMs: number): number {
         const speed = this.clocks.agreedSpeed(nowMs);
-        return this.fixedRefillShare ?? (speed === undefined ? unknownSpeedShare : speed * comparisonAccuracy);
+        return this.fixedRefillShare ?? (speed === undefined ? unknownSpeedShare : speed * (1 - comparisonError));
     }
 
     private measure(nowMs: number): readonly Output[] {
--- a/src/rates/planShares.ts
+++ b/src/rates/planShares.ts
@@ -50,7 +50,8 @@
         ratePerSecond: Math.min(move.target.ratePerSecond, move.ceiling.ratePerSecond + granted[index]!.ratePerSecond),
         burst: Math.min(move.target.burst, move.ceiling.burst + granted[index]!.burst),
     }));
-    const threshold = smallestPart(workspace, ledger, moves);
+    const rest = subtract(workspace, sumShares(moves.map(({ current }) => current)));
+    const threshold = isRest(workspace, rest) ? smallestRestPart : smallestMovePart;
     const isWorthwhile = moves.some((move, index) => differs(workspace, move.current, planned[index]!, threshold));
     return isWorthwhile ? planned : undefined;
 }
@@ -66,19 +67,20 @@
     const kept = present.filter(entry => !movable.includes(entry));
     const total = subtract(workspace, sumShares(kept.map(({ ceiling }) => ceiling)));
     const targets = targetShares(total, movable.map(({ dataCentre }) => ledger.wantedPerSecond(dataCentre)));
-    const room = roomToGrow(workspace, ledger, present);
-    const isUnderWay = ledger.isUnsettled(reportedSinceMs) || isRest(workspace, room);
     const exceeds = first || exceedsRate(workspace, present.map(({ current }) => current));
-    const retargets = exceeds
-        || !isUnderWay
-            && movable.some(({ dataCentre, current }) => isShort(ledger.wantedPerSecond(dataCentre), current));
+    const short = present.map(({ dataCentre, current }) => isShort(ledger.wantedPerSecond(dataCentre), current));
+    const isUneven = movable.some(({ current }, index) =>
+        Math.abs(targets[index]!.ratePerSecond - current.ratePerSecond)
+            > smallestMovePartWhenAllShort * workspace.ratePerSecond
+    );
+    const retargets = exceeds || short.includes(true) && (short.includes(false) || isUneven);
     return present.map(entry => {
         const target = targets[movable.indexOf(entry)];
         if (target === undefined) {
             return { ...entry, target: entry.current };
         }
-        // While a move is under way, what is left to give out goes to whoever would use it. Taking back more at the
-        // same time would follow the noise of the demand, and each reduction would leave a new rest.
+        // What is left to give out goes to whoever would use it. Taking back at the same time would follow the noise
+        // of small demands, and each reduction would leave a new rest.
         return { ...entry, target: retargets ? target : largerShare(entry.current, target) };
     });
 }
@@ -99,7 +101,7 @@
     return part.ratePerSecond > smallestRestPart * workspace.ratePerSecond || part.burst >= 1;
 }
 
-function roomToGrow(workspace: Workspace, ledger: ShareLedger, moves: readonly Omit<Move, "target">[]): Share {
+function roomToGrow(workspace: Workspace, ledger: ShareLedger, moves: readonly Move[]): Share {
     const current = sumShares(moves.map(move => move.current));
     const unknownRest = !ledger.allConfirmed && current.ratePerSecond > 0;
     const limit = unknownRest
@@ -111,14 +113,6 @@
     return subtract(limit, sumShares(moves.map(move => move.ceiling)));
 }
 
-function smallestPart(workspace: Workspace, ledger: ShareLedger, moves: readonly Move[]): number {
-    if (isRest(workspace, subtract(workspace, sumShares(moves.map(({ current }) => current))))) {
-        return smallestRestPart;
-    }
-    const allShort = moves.every(({ dataCentre, current }) => isShort(ledger.wantedPerSecond(dataCentre), current));
-    return allShort ? smallestMovePartWhenAllShort : smallestMovePart;
-}
-
 /** Cuts growth down to the room, by the same part for everybody; bursts in whole units. */
 function fitGrowth(room: Share, growth: readonly Share[]): readonly Share[] {
     const wanted = sumShares(growth);
