feat(bench): interface for slot policies with baselines

Change: SlotPolicy and a model of one database group with lag, with two baselines. The holder's filters are not plugged in, so the product's replica share, failover gap and stale reads stay null.

--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -2,14 +2,26 @@
 import type { Figures } from "./figures.ts";
 import type { RateRun } from "./runRates.ts";
 import type { Slopes } from "./slopes.ts";
+import type { SlotFigures } from "./slotModel.ts";
 
 const notMeasured =
     "replica_read_share, failover_gap_ms and stale_reads need the holder's filters and are not measured";
 
 /** One line of JSON. Figures that were not measured are null. */
-export function describeJson(runs: readonly RateRun[], seed: number, slopes?: Slopes): string {
+export function describeJson(
+    runs: readonly RateRun[],
+    slots: readonly SlotRun[],
+    seed: number,
+    slopes?: Slopes,
+): string {
     const results = runs.map(({ user, shape, policy, figures }) => ({ user, shape, policy, ...named(figures) }));
-    const report = { seed, note: notMeasured, results, ...(slopes === undefined ? {} : { slopes }) };
+    const report = {
+        seed,
+        note: notMeasured,
+        results,
+        slot_baselines: slots.map(nameSlots),
+        ...(slopes === undefined ? {} : { slopes }),
+    };
     return JSON.stringify(report, (_, value: unknown) => value === undefined ? notMeasuredInJson : value);
 }
 
@@ -32,7 +44,12 @@
     };
 }
 
-export function describeTable(runs: readonly RateRun[], seed: number, slopes?: Slopes): string {
+export function describeTable(
+    runs: readonly RateRun[],
+    slots: readonly SlotRun[],
+    seed: number,
+    slopes?: Slopes,
+): string {
     const header = ["user", "shape", "policy", "worst served", "wrongful", "over rate", "p50 ms", "p99 ms", "changes"];
     const rows = runs.map(({ user, shape, policy, figures }) => [
         user,
@@ -46,7 +63,28 @@
         `${figures.configurationChanges}`,
     ]);
     const slopeLines = slopes === undefined ? [] : describeSlopes(slopes);
-    return [`seed ${seed}; ${notMeasured}`, ...alignColumns([header, ...rows]), ...slopeLines].join("\n");
+    return [`seed ${seed}; ${notMeasured}`, ...alignColumns([header, ...rows]), ...describeSlots(slots), ...slopeLines]
+        .join("\n");
+}
+
+export interface SlotRun extends SlotFigures {
+    readonly policy: string;
+}
+
+function nameSlots(run: SlotRun): Record<string, string | number> {
+    return {
+        policy: run.policy,
+        replica_read_share: run.replicaReadShare,
+        stale_reads: run.staleReads,
+        missed_deadlines: run.missedDeadlines,
+        waiting_p50_ms: rounded(run.waitingP50Ms),
+        waiting_p99_ms: rounded(run.waitingP99Ms),
+    };
+}
+
+function describeSlots(slots: readonly SlotRun[]): readonly string[] {
+    const named = slots.map(nameSlots);
+    return ["", ...alignColumns([Object.keys(named[0]!), ...named.map(run => Object.values(run).map(String))])];
 }
 
 function describeSlopes(slopes: Slopes): readonly string[] {
--- /dev/null
+++ b/bench/slotModel.ts
@@ -0,0 +1,144 @@
+/** One database group in virtual time: slots, replication lag and the floors of callers. */
+import type { SeededRandom } from "../src/pipeline/seededRandom.ts";
+import { percentile } from "./figures.ts";
+import { Simulation } from "./simulation.ts";
+import type { SlotDatabase, SlotPolicy, SlotRequest } from "./slotPolicy.ts";
+
+export interface SlotLoad {
+    readonly slots: number;
+    readonly replicas: number;
+    readonly lagMs: number;
+    readonly statementsPerSecond: number;
+    readonly readShare: number;
+    readonly callers: number;
+    readonly runMs: number;
+}
+
+/** One of Duinplank's groups with replicas that lag by 1 s; rate, mix and callers are assumptions. */
+export const laggingLoad: SlotLoad = {
+    slots: 3,
+    replicas: 2,
+    lagMs: 1_000,
+    statementsPerSecond: 300,
+    readShare: 0.8,
+    callers: 200,
+    runMs: 20_000,
+};
+
+export interface SlotFigures {
+    readonly replicaReadShare: number;
+    readonly staleReads: number;
+    readonly missedDeadlines: number;
+    readonly waitingP50Ms: number;
+    readonly waitingP99Ms: number;
+}
+
+/** Mean service times, assumptions of the model; a write also waits for a majority. */
+const readMs = 4;
+const writeMs = 8;
+const waitingTargetMs = 2_000;
+const maximumAgeMs = 1_500;
+
+interface ModelDatabase extends SlotDatabase {
+    busySlots: number;
+    readonly queue: SlotRequest[];
+}
+
+export class SlotModel {
+    private readonly simulation = new Simulation();
+    private readonly databases: readonly ModelDatabase[];
+    private readonly lastWriteMs: number[];
+    private readonly waits: number[] = [];
+    private reads = 0;
+    private replicaReads = 0;
+    private staleReads = 0;
+    private missed = 0;
+    private readonly load: SlotLoad;
+    private readonly policy: SlotPolicy;
+    private readonly random: SeededRandom;
+
+    constructor(load: SlotLoad, policy: SlotPolicy, random: SeededRandom) {
+        this.load = load;
+        this.policy = policy;
+        this.random = random;
+        this.lastWriteMs = Array.from({ length: load.callers }, () => -Infinity);
+        this.databases = Array.from({ length: 1 + load.replicas }, (_, index) => {
+            const queue: SlotRequest[] = [];
+            const lagMs = index === 0 ? 0 : load.lagMs;
+            return {
+                isPrimary: index === 0,
+                slots: load.slots,
+                busySlots: 0,
+                lagMs,
+                queue,
+                get waiting() {
+                    return queue.length;
+                },
+            };
+        });
+    }
+
+    run(): SlotFigures {
+        const { statementsPerSecond, runMs } = this.load;
+        for (let id = 0; id < statementsPerSecond * runMs / 1_000; id++) {
+            this.simulation.at(this.random.nextShare() * runMs, () => this.arrive(id));
+        }
+        this.simulation.runUntil(runMs + waitingTargetMs);
+        const waits = this.waits.sort((left, right) => left - right);
+        return {
+            replicaReadShare: this.replicaReads / this.reads,
+            staleReads: this.staleReads,
+            missedDeadlines: this.missed,
+            waitingP50Ms: percentile(waits, 0.5),
+            waitingP99Ms: percentile(waits, 0.99),
+        };
+    }
+
+    private arrive(id: number): void {
+        const nowMs = this.simulation.nowMs;
+        const caller = this.random.nextInteger(this.load.callers);
+        const request: SlotRequest = {
+            id,
+            workspace: `workspace${caller % 8}`,
+            isRead: this.random.nextShare() < this.load.readShare,
+            arrivedMs: nowMs,
+            deadlineMs: nowMs + waitingTargetMs,
+            floorMs: this.lastWriteMs[caller]!,
+            maximumAgeMs,
+        };
+        const database = this.databases[this.policy.chooseDatabase(request, this.databases, nowMs)]!;
+        database.queue.push(request);
+        if (!request.isRead) {
+            // The caller's next statement follows the answer; the model takes the write's end as its position.
+            this.lastWriteMs[caller] = nowMs + writeMs;
+        }
+        this.startNext(database);
+    }
+
+    private startNext(database: ModelDatabase): void {
+        while (database.busySlots < database.slots && database.queue.length > 0) {
+            const nowMs = this.simulation.nowMs;
+            const [request] = database.queue.splice(this.policy.chooseNext(database.queue, nowMs), 1);
+            if (request!.deadlineMs < nowMs) {
+                this.missed++;
+                continue;
+            }
+            this.note(request!, database, nowMs);
+            database.busySlots++;
+            this.simulation.after(-Math.log(1 - this.random.nextShare()) * (request!.isRead ? readMs : writeMs), () => {
+                database.busySlots--;
+                this.startNext(database);
+            });
+        }
+    }
+
+    private note(request: SlotRequest, database: ModelDatabase, nowMs: number): void {
+        this.waits.push(nowMs - request.arrivedMs);
+        if (request.isRead) {
+            this.reads++;
+            this.replicaReads += database.isPrimary ? 0 : 1;
+            const misses = nowMs - database.lagMs < Math.min(request.floorMs, nowMs);
+            this.staleReads += misses || database.lagMs > request.maximumAgeMs ? 1 : 0;
+        }
+    }
+}
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -9,7 +9,10 @@
 import { ratePolicies } from "../bench/ratePolicies.ts";
 import { runRates } from "../bench/runRates.ts";
 import { measureSlopes } from "../bench/slopes.ts";
+import { laggingLoad, SlotModel } from "../bench/slotModel.ts";
+import { slotBaselines } from "../bench/slotPolicy.ts";
 import { users } from "../bench/users.ts";
+import { SeededRandom } from "../src/pipeline/seededRandom.ts";
 
 const { values } = parseArgs({
     options: {
@@ -22,5 +25,9 @@
 const runs = users.flatMap(user =>
     loadShapes.flatMap(shape => ratePolicies.map(policy => runRates(user, shape, policy, seed)))
 );
+const slots = slotBaselines.map(policy => ({
+    policy: policy.name,
+    ...new SlotModel(laggingLoad, policy, new SeededRandom(seed)).run(),
+}));
 const slopes = values.slopes ? measureSlopes() : undefined;
-console.log(values.json ? describeJson(runs, seed, slopes) : describeTable(runs, seed, slopes));
+console.log(values.json ? describeJson(runs, slots, seed, slopes) : describeTable(runs, slots, seed, slopes));
