--- a/bench/rateCluster.ts
+++ b/bench/rateCluster.ts
@@ -1,6 +1,6 @@
 /** A cluster in virtual time: entry instances, permit homes and the control leader's division of rates. */
 import { ClusterKind, type ConfigurationApplied } from "../src/model/clusterMessages.ts";
-import { type Configuration, emptyConfiguration, type RateShare } from "../src/model/configuration.ts";
+import type { Configuration } from "../src/model/configuration.ts";
 import {
     CommandKind,
     ControlKind,
@@ -9,18 +9,9 @@
     ProposalStatus,
     type SetRateShares,
 } from "../src/model/controlMessages.ts";
-import {
-    heartbeatIntervalMs,
-    type LeaseAssignment,
-    leaseMs,
-    reassignAfterMs,
-    ResourceKind,
-} from "../src/model/lease.ts";
-import { type PermitForward, PermitKind, type PermitReply } from "../src/model/permitMessages.ts";
-import { permitResourceId } from "../src/model/permitResource.ts";
+import { heartbeatIntervalMs, type LeaseAssignment, leaseMs, reassignAfterMs } from "../src/model/lease.ts";
 import { RateKind, type RatesDemandMeasured } from "../src/model/rateMessages.ts";
 import type { StatementKind } from "../src/model/statement.ts";
-import type { Workspace } from "../src/model/workspace.ts";
 import { EventLoop } from "../src/pipeline/eventLoop.ts";
 import type { Message } from "../src/pipeline/message.ts";
 import { Pipe } from "../src/pipeline/pipe.ts";
@@ -28,24 +19,12 @@
 import { DivideRate } from "../src/rates/divideRate.ts";
 import { AdmitKind } from "../src/request/admit.ts";
 import { ClusterInstance, type InstanceEffects } from "./clusterInstance.ts";
+import { type ClusterSize, firstConfiguration } from "./firstConfiguration.ts";
+import { type Network, PermitNetwork } from "./permitNetwork.ts";
 import { InstanceClock, Simulation } from "./simulation.ts";
 
-export interface Network {
-    /** One way, within a data centre and between two. */
-    readonly localMs: number;
-    readonly betweenMs: number;
-    readonly jitterMs: number;
-    /** Part of the answers of permit homes that are lost, that come twice, and that come up to 400 ms late. */
-    readonly lostShare: number;
-    readonly duplicateShare: number;
-    readonly lateShare: number;
-}
-
-export interface RateClusterOptions {
+export interface RateClusterOptions extends ClusterSize {
     readonly random: SeededRandom;
-    readonly workspaces: readonly Workspace[];
-    readonly dataCentres: readonly string[];
-    readonly instancesPerDataCentre: number;
     readonly network: Network;
     /** Shares follow demand; otherwise every data centre keeps an equal part. */
     readonly movesShares: boolean;
@@ -72,27 +51,22 @@
     readonly simulation = new Simulation();
     readonly admittedMs = new Map<number, number>();
     readonly refusedMs = new Map<number, number>();
-    readonly counters = { questions: 0, demandReports: 0, configurationChanges: 0 };
+    private demandReports = 0;
+    private configurationChanges = 0;
     configuration: Configuration;
     private readonly options: RateClusterOptions;
+    private readonly network: PermitNetwork;
     private readonly instances: ClusterInstance[] = [];
     private readonly lives: number[] = [];
     private readonly answeredMs = new Map<string, number>();
     private readonly cut = new Set<string>();
-    private readonly calls = new Map<string, { readonly from: ClusterInstance; readonly forward: PermitForward; }>();
     private leader: EventLoop | undefined;
     private leaderTerm = 0;
-    private nextCall = 0;
 
     constructor(options: RateClusterOptions) {
         this.options = options;
-        this.configuration = {
-            ...emptyConfiguration,
-            version: 1,
-            workspaces: options.workspaces,
-            leases: this.firstLeases(),
-            rateShares: options.movesShares ? [] : this.equalShares(),
-        };
+        this.network = new PermitNetwork(options.network, this.simulation, options.random);
+        this.configuration = firstConfiguration(options, !options.movesShares);
         for (let index = 0; index < options.dataCentres.length * options.instancesPerDataCentre; index++) {
             this.lives.push(0);
             this.instances.push(this.startInstance(index));
@@ -101,6 +75,15 @@
         this.simulation.after(heartbeatIntervalMs, () => this.reassignSilent());
     }
 
+    get counters(): {
+        readonly questions: number;
+        readonly demandReports: number;
+        readonly configurationChanges: number;
+    } {
+        const { demandReports, configurationChanges } = this;
+        return { questions: this.network.questions, demandReports, configurationChanges };
+    }
+
     offer(offered: Offered): void {
         const instance = this.reachableInstance(offered.instanceIndex);
         instance.post({
@@ -192,7 +175,7 @@
         });
         this.answeredMs.set(instance.id, this.simulation.nowMs);
         this.sendConfiguration(instance);
-        this.simulation.after(this.localDelay(), () => this.heartbeat(instance));
+        this.simulation.after(this.network.localDelay(), () => this.heartbeat(instance));
         return instance;
     }
 
@@ -200,60 +183,15 @@
         return {
             admitted: id => void this.admittedMs.set(id, this.simulation.nowMs),
             refused: id => void this.refusedMs.set(id, this.simulation.nowMs),
-            forward: (from, message) => this.forward(from, message),
-            reply: (_, message) => this.reply(message),
+            forward: (from, message) =>
+                this.network.forward(from, message, this.instances.find(({ id }) => id === message.homeAddress)),
+            reply: (_, message) => this.network.reply(message),
             demand: (from, message) => this.sendDemand(from, message),
         };
     }
 
-    private forward(from: ClusterInstance, forward: PermitForward): void {
-        this.counters.questions++;
-        const origin = `call${this.nextCall++}`;
-        this.calls.set(origin, { from, forward });
-        const home = this.instances.find(instance => instance.id === forward.homeAddress);
-        this.simulation.after(this.localDelay(), () => {
-            if (home?.alive) {
-                home.post({ ...forward, kind: PermitKind.Request, origin } as Message);
-            }
-            else {
-                this.fail(origin);
-            }
-        });
-    }
-
-    private fail(origin: string): void {
-        const { from, forward: { requestId, workspace } } = this.calls.get(origin)!;
-        this.calls.delete(origin);
-        from.post({
-            kind: PermitKind.Granted,
-            requestId,
-            workspace,
-            granted: 0,
-            retryAfterMs: 0,
-            answered: false,
-        } as Message);
-    }
-
-    private reply(message: PermitReply): void {
-        const { lostShare, duplicateShare, lateShare } = this.options.network;
-        const call = this.calls.get(message.origin);
-        this.calls.delete(message.origin);
-        const copies = this.happens(lostShare) ? 0 : this.happens(duplicateShare) ? 2 : 1;
-        for (let copy = 0; copy < copies; copy++) {
-            const lateMs = this.happens(lateShare) ? this.options.random.nextInteger(400) : 0;
-            this.simulation.after(
-                this.localDelay() + lateMs,
-                () => call?.from.post({ ...message, kind: PermitKind.Granted } as Message),
-            );
-        }
-    }
-
-    private happens(share: number): boolean {
-        return share > 0 && this.options.random.nextShare() < share;
-    }
-
     private sendDemand(from: ClusterInstance, message: RatesDemandMeasured): void {
-        this.counters.demandReports++;
+        this.demandReports++;
         if (this.leaderReaches(from)) {
             this.simulation.after(
                 this.delayToLeader(from),
@@ -334,7 +272,7 @@
     }
 
     private change(changes: Partial<Configuration>): void {
-        this.counters.configurationChanges++;
+        this.configurationChanges++;
         this.configuration = { ...this.configuration, ...changes, version: this.configuration.version + 1 };
         const applied: ConfigurationApplied = {
             kind: ClusterKind.ConfigurationApplied,
@@ -369,42 +307,9 @@
         return !this.cut.has(instance.dataCentre) && !this.cut.has(instance.id);
     }
 
-    private localDelay(): number {
-        const { localMs, jitterMs } = this.options.network;
-        return localMs + this.options.random.nextShare() * jitterMs;
-    }
-
     private delayToLeader(instance: ClusterInstance): number {
         const { betweenMs, jitterMs } = this.options.network;
         const isNear = instance.dataCentre === this.options.dataCentres[leaderDataCentre];
-        return isNear ? this.localDelay() : betweenMs + this.options.random.nextShare() * jitterMs;
-    }
-
-    private firstLeases(): readonly LeaseAssignment[] {
-        const { dataCentres, instancesPerDataCentre, workspaces } = this.options;
-        return dataCentres.flatMap((dataCentre, dataCentreIndex) =>
-            workspaces.map((workspace, index) => {
-                const holder = dataCentreIndex * instancesPerDataCentre + index % instancesPerDataCentre;
-                return {
-                    resource: ResourceKind.Permits,
-                    resourceId: permitResourceId(workspace.name, dataCentre),
-                    instanceId: `instance${holder}`,
-                    instanceAddress: `instance${holder}`,
-                    epoch: 1,
-                };
-            })
-        );
-    }
-
-    private equalShares(): readonly RateShare[] {
-        const { dataCentres, workspaces } = this.options;
-        return workspaces.flatMap(workspace =>
-            dataCentres.map(dataCentre => ({
-                workspace: workspace.name,
-                dataCentre,
-                ratePerSecond: workspace.ratePerSecond / dataCentres.length,
-                burst: Math.floor(workspace.burst / dataCentres.length),
-            }))
-        );
+        return isNear ? this.network.localDelay() : betweenMs + this.options.random.nextShare() * jitterMs;
     }
 }
