feat(wiring): control, health, rates and holder pipes in one process

Cause: the preliminary holder of all databases had to give way to leases, failover and the replicated control state.

--- a/src/health/heartbeatSender.ts
+++ b/src/health/heartbeatSender.ts
@@ -26,6 +26,7 @@
     type ReleaseLease,
 } from "../model/healthMessages.ts";
 import { heartbeatIntervalMs, ResourceKind } from "../model/lease.ts";
+import { type DemandBody, RateKind, type RatesDemandMeasured } from "../model/rateMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -65,7 +66,8 @@
     | HeartbeatAnswered
     | HeartbeatDue
     | HolderLeaseIdle
-    | HolderOrderDone;
+    | HolderOrderDone
+    | RatesDemandMeasured;
 
 const heartbeatDue: HeartbeatDue = { kind: HealthKind.HeartbeatDue };
 
@@ -81,6 +83,7 @@
         HolderHealthKind.DatabaseHealth,
         HolderHealthKind.LeaseIdle,
         HolderHealthKind.OrderDone,
+        RateKind.DemandMeasured,
     ];
     private readonly options: HeartbeatSenderOptions;
     private readonly target: HeartbeatTarget;
@@ -97,6 +100,7 @@
     private appliedVersion = 0;
     private unprovedAnswer: { readonly version: number; readonly sentAtMs: number; } | undefined;
     private draining = false;
+    private demands: readonly DemandBody[] = [];
 
     constructor(options: HeartbeatSenderOptions) {
         this.options = options;
@@ -122,6 +126,10 @@
                 this.orders.done(done);
                 return [heartbeatDue];
             })
+            .with({ kind: RateKind.DemandMeasured }, ({ demands }) => {
+                this.demands = demands;
+                return [];
+            })
             .exhaustive();
     }
 
@@ -149,18 +157,21 @@
     }
 
     private send(nowMs: number): readonly Message[] {
+        // Demands are measured anew every second, so a lost heartbeat loses none for longer.
+        const { demands } = this;
+        this.demands = [];
         const message: HeartbeatSend = {
             kind: HealthKind.HeartbeatSend,
             heartbeatId: this.nextId++,
             peerAddress: this.target.address,
             timeoutMs: answerTimeoutMs,
-            heartbeat: this.heartbeat(nowMs),
+            heartbeat: { ...this.heartbeat(nowMs), demands },
         };
         this.sent = [...this.sent.filter(entry => nowMs - entry.atMs < leaseValidityMs), { message, atMs: nowMs }];
         return [message, this.nextIn(heartbeatIntervalMs, nowMs)];
     }
 
-    private heartbeat(nowMs: number): HeartbeatSend["heartbeat"] {
+    private heartbeat(nowMs: number): Omit<HeartbeatSend["heartbeat"], "demands"> {
         const { instanceId, address, dataCentre, incarnation } = this.options;
         const leases = this.leases.valid(nowMs);
         return {
--- a/src/holder/acquire.ts
+++ b/src/holder/acquire.ts
@@ -14,6 +14,7 @@
     type DrainStarted,
     type LeasesRenewed,
 } from "../model/clusterMessages.ts";
+import { HealthKind, type ReleaseLease } from "../model/healthMessages.ts";
 import {
     HolderKind,
     type HolderRequest,
@@ -57,6 +58,7 @@
     | AcquireTimer
     | DatabasesChanged
     | DrainStarted
+    | ReleaseLease
     | LeasesRenewed
     | HolderRequest
     | HolderRetry
@@ -83,6 +85,7 @@
         HolderKind.StreamLost,
         ClusterKind.DatabasesChanged,
         ClusterKind.DrainStarted,
+        HealthKind.ReleaseLease,
         ClusterKind.LeasesRenewed,
     ];
     private readonly options: AcquireOptions;
@@ -140,6 +143,7 @@
             .with({ kind: ClusterKind.DatabasesChanged }, changed => [changed, ...this.updateViews(changed, nowMs)])
             .with({ kind: ClusterKind.LeasesRenewed }, renewed => [renewed, ...this.renewLeases(renewed, nowMs)])
             .with({ kind: ClusterKind.DrainStarted }, drain => [drain, ...this.startDrain(drain)])
+            .with({ kind: HealthKind.ReleaseLease }, ({ databaseId }) => this.held.get(databaseId)?.drain() ?? [])
             .with({ kind: HolderPipeKind.ConfirmationLag }, ({ databaseId, lagMs }) => {
                 this.held.get(databaseId)?.confirmationLagKnown(lagMs, nowMs);
                 return [];
--- a/src/model/healthMessages.ts
+++ b/src/model/healthMessages.ts
@@ -3,6 +3,7 @@
 import type { DatabaseAnnouncement } from "./database.ts";
 import type { ResourceKind } from "./lease.ts";
 import type { Position } from "./position.ts";
+import type { DemandBody } from "./rateMessages.ts";
 
 export const HolderHealthKind = {
     DatabaseHealth: "holder.database_health",
@@ -152,6 +153,8 @@
     readonly givenBack: readonly LeaseReference[];
     readonly held: readonly HeldReport[];
     readonly orderResults: readonly OrderResult[];
+    /** Demands measured since the last heartbeat by the permit homes that the instance holds. */
+    readonly demands: readonly DemandBody[];
 }
 
 /** One database in the leader's directory. */
--- a/src/pipeline/__tests__/eventLoop.spec.ts
+++ b/src/pipeline/__tests__/eventLoop.spec.ts
@@ -59,7 +59,7 @@
         const clock = new VirtualClock();
         const loop = new EventLoop({ clock, pipes: [], sinks: [] });
         loop.post({ kind: "unheard" });
-        assert.throws(() => clock.advanceTo(1), /no pipe accepts "unheard"/);
+        assert.throws(() => clock.advanceTo(1), /nothing takes "unheard"/);
     });
 });
 
--- a/src/pipeline/eventLoop.ts
+++ b/src/pipeline/eventLoop.ts
@@ -112,11 +112,11 @@
 
     private dispatch({ message, delivered }: QueuedEvent): void {
         const nowMs = this.currentMs();
-        const pipes = this.pipesByKind.get(message.kind);
-        if (pipes === undefined) {
-            throw new Error(`no pipe accepts "${message.kind}"; add it to a filter's "accepts" or to a sink`);
-        }
         this.observers.forEach(observer => observer.event(message, nowMs));
+        const pipes = this.pipesByKind.get(message.kind) ?? [];
+        if (pipes.length === 0 && !this.deliver(message, nowMs)) {
+            throw new Error(`nothing takes "${message.kind}"; register a sink or a filter that accepts it`);
+        }
         let arrived = delivered;
         for (const pipe of pipes) {
             for (const output of pipe.push(message, nowMs)) {
--- a/src/rpc/__tests__/health.spec.ts
+++ b/src/rpc/__tests__/health.spec.ts
@@ -49,6 +49,7 @@
     leases: [lease],
     givenBack: [{ ...lease, resource: ResourceKind.Permits, resourceId: "shop@north" }],
     held: [{ databaseId: "d1", reachable: false, consecutiveFailures: 2, position: announcement.position, askId: "q" }],
+    demands: [{ workspace: "shop", dataCentre: "north", wantedPerSecond: 2.5, versionInForce: 7 }],
     orderResults: [{ orderId: "o1", failure: "refused" }, { orderId: "o2", failure: undefined }],
 };
 
--- a/src/rpc/heartbeatCodec.ts
+++ b/src/rpc/heartbeatCodec.ts
@@ -33,6 +33,7 @@
         givenBack: [...heartbeat.givenBack],
         held: [...heartbeat.held],
         orderResults: [...heartbeat.orderResults],
+        demands: [...heartbeat.demands],
     };
 }
 
@@ -62,6 +63,7 @@
         givenBack: request.givenBack.map(decodeLease),
         held: request.held.map(report => ({ ...report, position: report.position ?? originPosition })),
         orderResults: request.orderResults.map(({ orderId, failure }) => ({ orderId, failure })),
+        demands: request.demands.map(demand => ({ ...demand, dataCentre: request.dataCentre })),
     };
 }
 
--- a/src/wiring/buildPipes.ts
+++ b/src/wiring/buildPipes.ts
@@ -5,6 +5,7 @@
 import { RefuseProposals } from "../control/refuseProposals.ts";
 import { DatabaseDirectory } from "../health/databaseDirectory.ts";
 import { DatabaseTable } from "../health/databaseTable.ts";
+import { DemandReports } from "../health/demandReports.ts";
 import { Drain } from "../health/drain.ts";
 import { Failover } from "../health/failover.ts";
 import { HeartbeatReplier } from "../health/heartbeatReplier.ts";
@@ -104,6 +105,7 @@
         new DatabaseDirectory(),
         new LeaseAssigner({ incarnation }),
         new Failover(),
+        new DemandReports(),
         new HeartbeatReplier(),
     ];
     return new Pipe("health", memberIncarnation === undefined ? ofEveryInstance : [...ofEveryInstance, ...ofMembers]);
