--- a/src/control/__tests__/publication.spec.ts
+++ b/src/control/__tests__/publication.spec.ts
@@ -3,9 +3,10 @@
 import { describe, it } from "node:test";
 import { ClusterKind, type ConfigurationApplied } from "../../model/clusterMessages.ts";
 import { CommandKind } from "../../model/controlMessages.ts";
-import { FeedKind, type FeedSend } from "../../model/feedMessages.ts";
+import { type ConfigurationUpdate, FeedKind, type FeedSend, UpdateKind } from "../../model/feedMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { applyCommand } from "../applyCommand.ts";
+import { diffConfigurations } from "../configurationDelta.ts";
 import { emptyControlState } from "../controlState.ts";
 import { FollowerFilter } from "../followerFilter.ts";
 import { MemberKind } from "../memberMessages.ts";
@@ -22,6 +23,17 @@
 const configurations = states.map(state => state.configuration);
 
 describe("configuration feed", () => {
+    it("keeps a follower at its version when an older member sends a snapshot or a delta", () => {
+        const follower = new FollowerFilter();
+        const snapshotOf = (version: number): ConfigurationUpdate => ({
+            kind: UpdateKind.Snapshot,
+            configuration: configurations[version]!,
+        });
+        const updates = [snapshotOf(9), snapshotOf(8), diffConfigurations(configurations[7]!, configurations[8]!)];
+        const outputs = updates.flatMap(update => follower.process({ kind: FeedKind.Received, update }));
+        assert.deepEqual(outputs, [{ kind: ClusterKind.ConfigurationApplied, configuration: configurations[9] }]);
+    });
+
     // A lost update must be noticed, an older member must not revert a follower, and a follower must end equal.
     it("brings a follower to the published configuration over lost updates and changes of member", () => {
         const step = fc.constantFrom("publish", "publish", "lag", "lose", "switch");
--- a/src/storage/__tests__/memberStorage.spec.ts
+++ b/src/storage/__tests__/memberStorage.spec.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
-import { mkdtemp, readdir, readFile, rm, truncate, writeFile } from "node:fs/promises";
+import { mkdir, mkdtemp, readdir, readFile, rm, truncate, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it } from "node:test";
@@ -100,13 +100,11 @@
         await write({ kind: WriteKind.Snapshot, snapshot: snapshotAt(35), discardLog: false });
         assert.ok((await segments()).length < 10);
         assert.deepEqual((await recover()).positions, ["36@1", "37@1", "38@1", "39@1", "40@1"]);
-        await write(
-            { kind: WriteKind.Snapshot, snapshot: snapshotAt(38), discardLog: true },
-            entries(39, entry(39, 3)),
-        );
-        assert.deepEqual(await recover().then(({ lastSnapshot, positions }) => [lastSnapshot, positions]), [38, [
-            "39@3",
-        ]]);
+        const positions = () => recover().then(found => [found.lastSnapshot, found.positions]);
+        await write({ kind: WriteKind.Snapshot, snapshot: snapshotAt(38), discardLog: true });
+        assert.deepEqual(await positions(), [38, []]);
+        await write(entries(39, entry(39, 3)));
+        assert.deepEqual(await positions(), [38, ["39@3"]]);
     });
 
     it("cuts a torn tail off and counts it, at every length of the tail", async () => {
@@ -172,15 +170,20 @@
 
     it("reports a failed write once and acknowledges nothing after it", async () => {
         const posted: Message[] = [];
-        await using storage = await open(message => posted.push(message));
+        let failed = () => undefined as void;
+        const failure = new Promise<void>(resolve => failed = resolve);
+        await using storage = await open(message => {
+            posted.push(message);
+            failed();
+        });
         await rm(folder, { recursive: true });
         const term: StorageWrite = { kind: WriteKind.Term, term: 1, votedFor: undefined };
-        [1, 2].forEach(writeId => storage.deliver({ kind: StorageKind.Append, writeId, write: term }));
+        storage.deliver({ kind: StorageKind.Append, writeId: 1, write: term });
+        await failure;
+        // The disk works again, but what it lost is unknown.
+        await mkdir(folder);
+        storage.deliver({ kind: StorageKind.Append, writeId: 2, write: term });
         await storage[Symbol.asyncDispose]();
-        storage.deliver({ kind: StorageKind.Append, writeId: 3, write: term });
         assert.deepEqual(posted.map(({ kind }) => kind), [StorageKind.Failed]);
-        await writeFile(folder, "").then(() => rm(folder)).then(() => mkdtemp(folder)).then(created =>
-            folder = created
-        );
     });
 });
