--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -4,8 +4,11 @@
 import type { Slopes } from "./slopes.ts";
 import type { SlotFigures } from "./slotModel.ts";
 
-const notMeasured =
-    "replica_read_share, failover_gap_ms and stale_reads need the holder's filters and are not measured";
+const notMeasured = [
+    "replica_read_share, failover_gap_ms and stale_reads need the holder's filters and are not measured;",
+    "until then the shapes with lagging replicas and a lost primary equal steady load;",
+    "slot_baselines are baselines in a model of one group with 1 s lag, not the product",
+].join(" ");
 
 /** One line of JSON. Figures that were not measured are null. */
 export function describeJson(
