feat(holder): transactions weigh more in the generated histories

Cause: in 150 generated histories only 5 transactions reached a confirmed COMMIT, and what a COMMIT acknowledged was not compared with the replicas.

--- a/src/holder/__tests__/holderInvariants.spec.ts
+++ b/src/holder/__tests__/holderInvariants.spec.ts
@@ -6,69 +6,17 @@
 import { OutcomeKind } from "../../model/outcome.ts";
 import { Execution } from "../../model/refusal.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { type Step, stepArbitrary } from "./historySteps.ts";
 import { HolderFixture, isWorkLink } from "./holderFixture.ts";
 
-/** One step of a generated history. */
-type Step =
-    | { readonly do: "statement"; readonly session: number; readonly choice: number; }
-    | { readonly do: "resend"; readonly pick: number; }
-    | { readonly do: "end session"; readonly session: number; }
-    | { readonly do: "lose stream"; readonly session: number; }
-    | { readonly do: "cut" | "silence" | "drop" | "stale result"; readonly pick: number; }
-    | { readonly do: "refuse connections" | "accept connections" | "replicate all" | "expire lease" | "new epoch"; }
-    | { readonly do: "replicate"; readonly replica: number; readonly count: number; }
-    | { readonly do: "renew lease"; readonly forMs: number; }
-    | { readonly do: "wait" | "freeze"; readonly forMs: number; };
-
-const session = fc.integer({ min: 0, max: 3 });
-const pick = fc.integer({ min: 0, max: 50 });
-const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
-    { weight: 14, arbitrary: fc.record({ do: fc.constant("statement" as const), session, choice: pick }) },
-    { weight: 2, arbitrary: fc.record({ do: fc.constant("resend" as const), pick }) },
-    { weight: 1, arbitrary: fc.record({ do: fc.constant("end session" as const), session }) },
-    { weight: 1, arbitrary: fc.record({ do: fc.constant("lose stream" as const), session }) },
-    {
-        weight: 3,
-        arbitrary: fc.record({ do: fc.constantFrom("cut" as const, "silence", "drop", "stale result"), pick }),
-    },
-    {
-        weight: 4,
-        arbitrary: fc.record({
-            do: fc.constantFrom(
-                "refuse connections" as const,
-                "accept connections",
-                "replicate all",
-                "replicate all",
-                "expire lease",
-                "new epoch",
-            ),
-        }),
-    },
-    {
-        weight: 3,
-        arbitrary: fc.record({
-            do: fc.constant("replicate" as const),
-            replica: fc.integer({ min: 1, max: 2 }),
-            count: fc.integer({ min: 1, max: 4 }),
-        }),
-    },
-    {
-        weight: 4,
-        arbitrary: fc.record({ do: fc.constant("renew lease" as const), forMs: fc.integer({ min: 1, max: 3_000 }) }),
-    },
-    {
-        weight: 1,
-        arbitrary: fc.record({ do: fc.constant("freeze" as const), forMs: fc.integer({ min: 1, max: 2_000 }) }),
-    },
-    { weight: 12, arbitrary: fc.record({ do: fc.constant("wait" as const), forMs: fc.integer({ min: 0, max: 40 }) }) },
-);
-
 interface Session {
     origin: string;
     waiting: string | undefined;
     pinned: boolean;
     inTransaction: boolean;
     transaction: number;
+    /** Writes of the open transaction that were answered with success. */
+    written: string[];
     number: number;
 }
 
@@ -159,13 +107,9 @@
         }
         const id = this.nextText++;
         if (session.inTransaction) {
-            const withId = choice % 2 === 0 ? `c${id}` : undefined;
-            const texts = [
-                `INSERT t${session.transaction} n${id}`,
-                `INSERT t${session.transaction} n${id}`,
-                `SELECT ${id}`,
-            ];
-            const text = [...texts, `COMMIT ${id}`, "ROLLBACK"][choice % 5]!;
+            const withId = choice % 4 < 2 ? `c${id}` : undefined;
+            const insert = `INSERT t${session.transaction} n${id}`;
+            const text = [insert, insert, `COMMIT ${id}`, `COMMIT ${id}`, `SELECT ${id}`, "ROLLBACK"][choice % 6]!;
             return this.send(session, text, text.startsWith("COMMIT") ? withId : undefined);
         }
         const text = [
@@ -218,7 +162,7 @@
 
     private newSession(number: number): Session {
         const origin = `o${this.nextOrigin++}`;
-        return { origin, waiting: undefined, pinned: false, inTransaction: false, transaction: 0, number };
+        return { origin, waiting: undefined, pinned: false, inTransaction: false, transaction: 0, written: [], number };
     }
 
     private breakLink(how: "cut" | "silence" | "drop" | "stale result", pick: number): void {
@@ -262,6 +206,14 @@
         this.answered.add(requestId);
         const { session, text } = sent;
         session.waiting = undefined;
+        const isDone = outcome.kind === OutcomeKind.Done;
+        if (isDone && text.startsWith("COMMIT")) {
+            session.written.forEach(written => this.checkAcknowledged(written, nowMs));
+        }
+        session.written = !inTransaction || sent.transactionStart ? [] : session.written;
+        if (isDone && inTransaction && text.startsWith("INSERT")) {
+            session.written.push(text);
+        }
         session.inTransaction = inTransaction;
         session.pinned = pinned;
         session.transaction = sent.transactionStart && inTransaction ? this.nextText++ : session.transaction;
@@ -269,7 +221,7 @@
             assert.equal(outcome.rows[0]![0], text, "a read got the answer of another one");
             assert.ok(Number(outcome.rows[0]![1]) >= sent.floorOffset, `${text} ran below its floor`);
         }
-        else if (outcome.kind === OutcomeKind.Done && text.startsWith("INSERT") && !inTransaction) {
+        else if (isDone && text.startsWith("INSERT") && !inTransaction) {
             this.checkAcknowledged(text, nowMs);
         }
     }
@@ -322,7 +274,7 @@
 
 describe("holder invariants over generated histories", () => {
     it("guards acknowledgement by a majority under a lease, truth of not run, at most once, and transactions", () => {
-        const runs = Number(process.env.HOLDER_RUNS ?? 150);
+        const runs = Number(process.env.HOLDER_RUNS ?? 300);
         fc.assert(
             fc.property(fc.array(stepArbitrary, { minLength: 20, maxLength: 120 }), steps => new History().play(steps)),
             { seed: 20_261_204, numRuns: runs, includeErrorInReport: true },
