feat(health): less work per tick and heartbeat at the leader

Cause: at 470 instances and 660 databases the leader's decisions took 109 ms of processor time a second, most of it in matching rare kinds first and in visiting groups and instances that had not changed. Change: the heartbeat is matched first, only groups with news are compared with the agreed ones, candidates are listed only when a lease must be assigned. A spec restarted an instance that had died before; it now knows its data centre.

--- a/src/health/__tests__/failover.spec.ts
+++ b/src/health/__tests__/failover.spec.ts
@@ -4,7 +4,7 @@
 import { ClusterKind, type DatabasesChanged } from "../../model/clusterMessages.ts";
 import { announcementExpiryMs } from "../../model/database.ts";
 import { HealthKind } from "../../model/healthMessages.ts";
-import { World, type WorldOptions } from "./world.ts";
+import { dataCentreOf, World, type WorldOptions } from "./world.ts";
 
 const settledMs = 12_000;
 
@@ -231,7 +231,7 @@
     const end = world.time.nowMs + event.lastingMs;
     const restart = (): void => {
         if (world.process(instanceId) === undefined) {
-            world.startProcess(instanceId, process!.dataCentre);
+            world.startProcess(instanceId, dataCentreOf(event.index));
         }
     };
     switch (event.fault) {
--- a/src/health/__tests__/world.ts
+++ b/src/health/__tests__/world.ts
@@ -168,6 +168,11 @@
 
 const dataCentres = ["north", "middle", "south"];
 
+/** Data centre of the instance with this index. */
+export function dataCentreOf(index: number): string {
+    return dataCentres[index % dataCentres.length]!;
+}
+
 export class World {
     readonly time = new Scheduler();
     readonly random: SeededRandom;
@@ -188,7 +193,7 @@
         this.control = new FakeControl(this);
         const ids = Array.from({ length: options.instances }, (_, index) => `i${index}`);
         this.controlIds = ids.slice(0, 3);
-        ids.forEach((id, index) => this.startProcess(id, dataCentres[index % 3]!));
+        ids.forEach((id, index) => this.startProcess(id, dataCentreOf(index)));
         for (let group = 0; group < options.groups; group++) {
             dataCentres.forEach((dataCentre, index) => {
                 this.databases.push(new FakeDatabase(this, `g${group}`, `g${group}d${index}`, dataCentre, index === 0));
--- a/src/health/databaseDirectory.ts
+++ b/src/health/databaseDirectory.ts
@@ -47,7 +47,9 @@
     private term = 0;
 
     process(message: Message, nowMs: number): readonly Message[] {
+        // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
+            .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
             .with({ kind: HealthKind.OfficeStarted }, started => {
                 this.kept.clear();
                 this.log = [];
@@ -55,7 +57,6 @@
                 return [started];
             })
             .with({ kind: HealthKind.LeaderTicked }, ticked => [...this.expire(nowMs), ticked])
-            .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
             .exhaustive();
     }
 
--- a/src/health/failover.ts
+++ b/src/health/failover.ts
@@ -51,19 +51,22 @@
     officeStartMs = 0;
     private officeTerm = 0;
     private readonly instances = new InstanceTable();
-    private dataCentres: ReadonlySet<string> = new Set();
     private readonly entries = new Map<string, DirectoryEntry>();
     private readonly entryIdsByGroup = new Map<string, Set<string>>();
     private readonly reports = new Map<string, ReceivedReport>();
     private readonly changes = new Map<string, GroupChange>();
     private readonly changeByDatabase = new Map<string, GroupChange>();
     private readonly formations = new Map<string, string>();
+    /** Groups whose members may differ from the agreed ones. */
+    private readonly unsettled = new Set<string>();
     private readonly majoritySinceMs = new Map<string, number>();
     private configuration: Configuration = emptyConfiguration;
     private holders: ReadonlyMap<string, string> = new Map();
 
     process(message: Message, nowMs: number): readonly Message[] {
+        // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
+            .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
             .with({ kind: HealthKind.OfficeStarted }, started => this.start(started, nowMs))
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => {
                 this.useConfiguration(applied.configuration);
@@ -81,7 +84,6 @@
             .with({ kind: HealthKind.LeaseEnded }, ({ databaseId, changeId }) => {
                 return this.changeByDatabase.get(databaseId)?.leaseEnded(changeId, nowMs) ?? [];
             })
-            .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
             .with({ kind: HealthKind.LeaderTicked }, ticked => [...this.tick(nowMs), ticked])
             .exhaustive();
     }
@@ -98,8 +100,8 @@
         return this.holders.get(databaseId);
     }
 
-    hasInstances(dataCentre: string): boolean {
-        return this.dataCentres.has(dataCentre);
+    hasInstances(dataCentre: string, nowMs: number): boolean {
+        return this.instances.candidates(nowMs).has(dataCentre);
     }
 
     private start(started: OfficeStarted, nowMs: number): readonly Message[] {
@@ -108,6 +110,7 @@
         [this.entries, this.entryIdsByGroup, this.reports, this.changes, this.changeByDatabase, this.formations]
             .forEach(map => map.clear());
         this.majoritySinceMs.clear();
+        this.unsettled.clear();
         this.instances.clear();
         this.useConfiguration(this.configuration);
         return [started];
@@ -126,6 +129,10 @@
                 change = new GroupChange(group, this, this.officeTerm);
                 this.changes.set(group.groupId, change);
             }
+            if (change.group !== group) {
+                // A change of primary may have overtaken the addition of a member.
+                this.unsettled.add(group.groupId);
+            }
             change.group = group;
             group.memberIds.forEach(memberId => this.changeByDatabase.set(memberId, change));
         }
@@ -134,6 +141,7 @@
     private learn(entry: DirectoryEntry): void {
         const { databaseId, groupId } = entry.announcement;
         this.entries.set(databaseId, entry);
+        this.unsettled.add(groupId);
         const ids = this.entryIdsByGroup.get(groupId);
         this.entryIdsByGroup.set(groupId, (ids ?? new Set()).add(databaseId));
     }
@@ -188,7 +196,6 @@
     }
 
     private tick(nowMs: number): readonly Message[] {
-        this.dataCentres = new Set(this.instances.candidates(nowMs).keys());
         return [...this.formGroups(nowMs), ...this.decideAll(nowMs)];
     }
 
@@ -200,16 +207,21 @@
 
     private formGroups(nowMs: number): readonly ControlPropose[] {
         const proposals: ControlPropose[] = [];
-        for (const [groupId, ids] of this.entryIdsByGroup) {
+        for (const groupId of this.unsettled) {
             const change = this.changes.get(groupId);
             if (this.formations.has(groupId) || !(change?.isSteady ?? true)) {
                 continue;
             }
-            const entries = [...ids].map(databaseId => this.entries.get(databaseId)!);
+            const entries = [...this.entryIdsByGroup.get(groupId) ?? []].map(databaseId =>
+                this.entries.get(databaseId)!
+            );
             const group = formGroup(change?.group, entries, this.waitedMs(groupId, entries, nowMs));
             if (group !== undefined) {
                 proposals.push(this.proposeGroup(group, change?.group.term ?? 0));
             }
+            else if (change !== undefined) {
+                this.unsettled.delete(groupId);
+            }
         }
         return proposals;
     }
--- a/src/health/instanceTable.ts
+++ b/src/health/instanceTable.ts
@@ -19,11 +19,16 @@
 export class InstanceTable {
     private readonly instances = new Map<string, Instance>();
 
+    /** Data centres from which an instance has been heard. */
+    readonly dataCentres = new Set<string>();
+
     clear(): void {
         this.instances.clear();
+        this.dataCentres.clear();
     }
 
     take({ instanceId, address, dataCentre, incarnation, draining }: Heartbeat, nowMs: number): void {
+        this.dataCentres.add(dataCentre);
         this.instances.set(instanceId, { instanceId, address, dataCentre, incarnation, draining, heardAtMs: nowMs });
     }
 
--- a/src/health/leaderOffice.ts
+++ b/src/health/leaderOffice.ts
@@ -53,13 +53,14 @@
     private readonly replaced = new Set<string>();
 
     process(message: Message, nowMs: number): readonly Message[] {
+        // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
+            .with({ kind: HealthKind.HeartbeatReceived }, received => this.received(received, nowMs))
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => {
                 this.configurationVersion = applied.configuration.version;
                 return [applied];
             })
             .with({ kind: ControlKind.LeaderChanged }, changed => [changed, ...this.leaderChanged(changed, nowMs)])
-            .with({ kind: HealthKind.HeartbeatReceived }, received => this.received(received, nowMs))
             .with({ kind: HealthKind.LeaderTickDue }, due => this.tick(due, nowMs))
             .exhaustive();
     }
--- a/src/health/leaseAssigner.ts
+++ b/src/health/leaseAssigner.ts
@@ -103,7 +103,9 @@
     }
 
     process(message: Message, nowMs: number): readonly Message[] {
+        // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
+            .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
             .with({ kind: HealthKind.OfficeStarted }, started => this.start(started, nowMs))
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => this.applied(applied, nowMs))
             .with({ kind: ControlKind.ProposalEnded }, ended => {
@@ -122,7 +124,6 @@
                 this.withheld.delete(databaseId);
                 return [];
             })
-            .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
             .with(
                 { kind: HealthKind.LeaderTicked },
                 ticked => [...this.reportEnded(nowMs), ...this.assign(nowMs), ticked],
@@ -219,8 +220,8 @@
         if (this.proposal !== undefined || nowMs - this.officeStartMs < settleMs) {
             return [];
         }
-        const candidates = this.instances.candidates(nowMs);
-        const assignments = this.chooseAll(candidates, nowMs);
+        const needed = [...this.wanted()].filter(wanted => this.terms.needsAssignment(keyOf(wanted), nowMs));
+        const assignments = needed.length === 0 ? [] : this.chooseAll(needed, this.instances.candidates(nowMs));
         if (assignments.length === 0) {
             return [];
         }
@@ -231,14 +232,17 @@
         return [{ kind: ControlKind.Propose, proposalId, operationId: "", command }];
     }
 
-    private chooseAll(candidates: ReadonlyMap<string, readonly Instance[]>, nowMs: number): LeaseAssignment[] {
+    private chooseAll(
+        needed: readonly Wanted[],
+        candidates: ReadonlyMap<string, readonly Instance[]>,
+    ): LeaseAssignment[] {
         const assignments: LeaseAssignment[] = [];
         const added = new Map<string, number>();
-        for (const wanted of this.wanted([...candidates.keys()])) {
-            const key = keyOf(wanted);
-            if (assignments.length >= assignmentsPerProposal || !this.terms.needsAssignment(key, nowMs)) {
-                continue;
+        for (const wanted of needed) {
+            if (assignments.length >= assignmentsPerProposal) {
+                break;
             }
+            const key = keyOf(wanted);
             const own = candidates.get(wanted.dataCentre) ?? [];
             const possible = own.length === 0 && wanted.anywhere ? [...candidates.values()].flat() : own;
             const loaded = possible.map(({ instanceId, address }) => {
@@ -264,7 +268,7 @@
         };
     }
 
-    private *wanted(dataCentres: readonly string[]): Generator<Wanted> {
+    private *wanted(): Generator<Wanted> {
         for (const database of this.databases.values()) {
             if (!this.withheld.has(database.resourceId)) {
                 // A replica without an instance in its data centre serves nobody; a primary is still needed for writes.
@@ -272,7 +276,7 @@
             }
         }
         for (const workspace of this.configuration.workspaces) {
-            for (const dataCentre of dataCentres) {
+            for (const dataCentre of this.instances.dataCentres) {
                 const resourceId = `${workspace.name}@${dataCentre}`;
                 yield { resource: ResourceKind.Permits, resourceId, dataCentre, anywhere: false };
             }
