fix(health): a promotion is accepted by the control state

Change: no operation id, since the expected term already keeps a second application from changing anything; the fake checks ids like the control state.

--- a/src/health/__tests__/fakeControl.ts
+++ b/src/health/__tests__/fakeControl.ts
@@ -1,4 +1,5 @@
 /** Control state that applies proposals of the current leader after a short time, and elects leaders. */
+import assert from "node:assert/strict";
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../../model/configuration.ts";
 import { type Command, CommandKind, ControlKind, type ControlPropose } from "../../model/controlMessages.ts";
@@ -28,7 +29,9 @@
         this.watch();
     }
 
-    propose(from: FakeProcess, { proposalId, command }: ControlPropose): void {
+    propose(from: FakeProcess, { proposalId, operationId, command }: ControlPropose): void {
+        // The control state refuses any other id; a promotion that it refuses leaves its group without a primary.
+        assert.match(operationId, /^[\w.-]{0,64}$/);
         const term = this.term;
         from.later(commitMs, () => {
             const leads = this.leader === from && this.term === term && !from.cut;
--- a/src/health/proposingPhase.ts
+++ b/src/health/proposingPhase.ts
@@ -20,7 +20,6 @@
     private readonly replacedTerm: number;
     private status: ProposalStatus | undefined;
 
-    /** @param proposalId unique in the cluster, because it is the operation id as well */
     constructor(facts: GroupFacts, proposalId: string, targetId: string) {
         this.facts = facts;
         this.proposalId = proposalId;
@@ -34,7 +33,8 @@
         const propose: ControlPropose = {
             kind: ControlKind.Propose,
             proposalId: this.proposalId,
-            operationId: this.proposalId,
+            // The expected term already keeps a second application from changing anything.
+            operationId: "",
             command: { kind: CommandKind.SetGroup, expectedTerm: this.replacedTerm, group },
         };
         return [propose];
