fix(holder): open transactions keep a slot for their next statement

Cause: in the demo all 3 slots of a primary were held by writes that waited for the locks of an open transaction, whose next statement waited for a slot; nothing went on until the 4 s lock timeout, again and again (54 statements refused after their waiting target, a visible gap of 9.1 s although the promotion took half a second). Change: running changes and open transactions together never exceed the slots; reads may use the slot of a transaction that is idle between two statements. Reads and changes wait in queues of their own. Conclusion: lock waits in the database can no longer block the transaction that holds the lock.

--- a/src/holder/__tests__/acquire.spec.ts
+++ b/src/holder/__tests__/acquire.spec.ts
@@ -45,6 +45,20 @@
         assert.ok(!fixture.databases.sentTexts.includes("SELECT 6"));
     });
 
+    it("keeps a slot for each open transaction, so that statements waiting for its locks cannot block it", () => {
+        const fixture = new HolderFixture({ slots: 2, serviceMs: 100 }).start();
+        fixture.send("BEGIN", { sessionId: "t" });
+        fixture.run(150);
+        ["s1", "s2", "s3"].forEach(sessionId => fixture.send(`UPDATE a SET b = '${sessionId}'`, { sessionId }));
+        fixture.send("SELECT 1", { sessionId: "s4" });
+        fixture.run(110);
+        // The fake records a statement when its service time has passed.
+        assert.deepEqual(fixture.databases.sentTexts, ["BEGIN", "UPDATE a SET b = 's1'", "SELECT 1"]);
+        fixture.send("UPDATE a SET b = 't'", { sessionId: "t", pinned: true });
+        fixture.run(110);
+        assert.ok(fixture.databases.sentTexts.includes("UPDATE a SET b = 't'"));
+    });
+
     it("prefers the class whose deadline is nearest", () => {
         const fixture = new HolderFixture({ slots: 1, serviceMs: 10 }).start();
         const busy = fixture.send("SELECT 0", { sessionId: "s0" });
--- a/src/holder/heldDatabase.ts
+++ b/src/holder/heldDatabase.ts
@@ -185,10 +185,18 @@
             return this.start(pinned, idleLink(pinned)!, nowMs);
         }
         const free = links.firstFree;
-        const request = free === undefined ? undefined : this.waiting.take();
+        const request = free === undefined ? undefined : this.waiting.take({ changes: this.mayStartChange });
         return request === undefined ? [] : this.start(request, free!, nowMs);
     }
 
+    /**
+     * Each open transaction keeps a slot for its next statement, which only reads may use meanwhile. Otherwise
+     * statements that wait for the transaction's locks could fill all slots, and nothing would go on until they time out.
+     */
+    private get mayStartChange(): boolean {
+        return this.keeper.links.owned + this.keeper.links.runningChanges < this.view.slots;
+    }
+
     private start(request: HolderRequest, link: Link, nowMs: number): readonly Message[] {
         const session = sessionOf(request);
         const owned = this.keeper.links.ownedBy(session);
--- a/src/holder/linkSet.ts
+++ b/src/holder/linkSet.ts
@@ -1,5 +1,6 @@
 /** The work connections of one database. */
 import type { HolderRequest } from "../model/holderMessages.ts";
+import { StatementKind } from "../model/statement.ts";
 
 export const LinkState = {
     Opening: "opening",
@@ -97,6 +98,13 @@
         return this.runningCount;
     }
 
+    /** Running statements other than reads, on connections that keep nobody's state. */
+    get runningChanges(): number {
+        return [...this.links.values()]
+            .filter(({ owner, running }) => owner === undefined && running !== undefined && !isRead(running))
+            .length;
+    }
+
     get owned(): number {
         return this.byOwner.size;
     }
@@ -127,3 +135,7 @@
         }
     }
 }
+
+function isRead({ statementKind }: HolderRequest): boolean {
+    return statementKind === StatementKind.Read;
+}
--- a/src/holder/waitingWork.ts
+++ b/src/holder/waitingWork.ts
@@ -1,18 +1,21 @@
 /** Statements that wait on one database, with their wait timers. */
 import type { HolderRequest } from "../model/holderMessages.ts";
 import { HolderPipeKind, type HolderTimer } from "../model/holderPipeMessages.ts";
+import { StatementKind } from "../model/statement.ts";
 import { type ClearDeadline, clearDeadline, type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import { requestKey, sessionOf } from "./answers.ts";
 import { WorkQueue } from "./workQueue.ts";
 
 export class WaitingWork {
-    private readonly queue = new WorkQueue();
+    private readonly reads = new WorkQueue();
+    /** Statements that may wait for a lock of the database while they hold a slot. */
+    private readonly changes = new WorkQueue();
     /** Statements of sessions that keep a connection; they run first because they block it. */
     private readonly pinned: HolderRequest[] = [];
     private readonly byKey = new Map<string, HolderRequest>();
 
     add(request: HolderRequest, costMs: number): SetDeadline {
-        this.queue.add(request, costMs);
+        this.queueOf(request).add(request, costMs);
         return this.remember(request);
     }
 
@@ -28,8 +31,9 @@
     }
 
     /** Removes and returns the statement that runs next on a connection without an owner. */
-    take(): HolderRequest | undefined {
-        return this.queue.take();
+    take(allowed: { readonly changes: boolean; }): HolderRequest | undefined {
+        const changesFirst = allowed.changes && this.changes.nextDeadlineMs <= this.reads.nextDeadlineMs;
+        return changesFirst ? this.changes.take() : this.reads.take();
     }
 
     /** Removes a statement and its timer. */
@@ -40,7 +44,7 @@
             this.pinned.splice(index, 1);
         }
         else {
-            this.queue.remove(request);
+            this.queueOf(request).remove(request);
         }
         this.byKey.delete(key);
         return clearDeadline(`holder.wait:${key}`);
@@ -55,7 +59,7 @@
     }
 
     costAheadMs(request: HolderRequest): number {
-        return this.queue.costAheadMs(request);
+        return this.reads.costAheadMs(request) + this.changes.costAheadMs(request);
     }
 
     get all(): readonly HolderRequest[] {
@@ -66,6 +70,10 @@
         return this.byKey.size === 0;
     }
 
+    private queueOf(request: HolderRequest): WorkQueue {
+        return request.statementKind === StatementKind.Read ? this.reads : this.changes;
+    }
+
     private remember(request: HolderRequest): SetDeadline {
         const key = requestKey(request);
         this.byKey.set(key, request);
--- a/src/holder/workQueue.ts
+++ b/src/holder/workQueue.ts
@@ -30,6 +30,11 @@
         return request;
     }
 
+    /** Deadline of the statement that `take` would return; Infinity when none waits. */
+    get nextDeadlineMs(): number {
+        return Math.min(Infinity, ...[...this.classes.values()].map(queue => queue.peek()?.deadlineMs ?? Infinity));
+    }
+
     remove(request: HolderRequest): void {
         this.classes.get(request.workClass)?.remove(request.workspace, request);
         this.dropEmpty(request);
