fix(holder): spec of a promotion in progress

Change: the spec changes the role behind the view and replicates before it expects the confirmation.

--- a/src/holder/__tests__/acquire.spec.ts
+++ b/src/holder/__tests__/acquire.spec.ts
@@ -61,15 +61,18 @@
     });
 
     it("sends no change to a new primary before the database itself knows of its promotion", () => {
-        const fixture = new HolderFixture();
+        const fixture = new HolderFixture().start();
+        // The view still names it the primary, as it does between the agreed change and the order of promotion.
         fixture.databases.get("p").role = DatabaseRole.Replica;
-        fixture.start();
+        fixture.run(300);
         const write = fixture.send("UPDATE a SET b = 1");
         fixture.run(300);
         assert.equal(fixture.result(write), undefined);
         assert.ok(!fixture.databases.sentTexts.includes("UPDATE a SET b = 1"));
         fixture.databases.get("p").role = DatabaseRole.Primary;
         fixture.run(300);
+        fixture.databases.replicate("p", "r1");
+        fixture.run(100);
         assert.equal(fixture.result(write), "done");
     });
 
