--- a/src/request/databaseChoice.ts
+++ b/src/request/databaseChoice.ts
@@ -1,7 +1,7 @@
 /** Which database of a group serves a statement. */
 import type { DatabaseView } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
-import { hasReached, laterPosition, originPosition, type Position } from "../model/position.ts";
+import { hasReached, type Position } from "../model/position.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 
 export interface DatabaseChoiceOptions {
@@ -25,8 +25,6 @@
     private byService = new Map<string, DatabaseView[]>();
     private readonly underWay = new Map<string, number>();
     private readonly avoidUntilMs = new Map<string, number>();
-    /** Latest floor that each database proved by answering a read. */
-    private readonly reached = new Map<string, Position>();
 
     constructor(options: DatabaseChoiceOptions) {
         this.options = options;
@@ -34,12 +32,6 @@
 
     update(databases: readonly DatabaseView[]): void {
         this.databases = new Map(databases.map(database => [database.databaseId, database]));
-        // A database that left may come back with less data.
-        this.reached.forEach((_, databaseId) => {
-            if (this.databases.get(databaseId)?.available !== true) {
-                this.reached.delete(databaseId);
-            }
-        });
         this.byService = new Map();
         for (const database of databases) {
             this.byService.set(database.service, [...this.byService.get(database.service) ?? [], database]);
@@ -86,11 +78,6 @@
         this.underWay.set(databaseId, Math.max(0, (this.underWay.get(databaseId) ?? 0) - 1));
     }
 
-    /** An answered read shows that the database has its floor, long before an announcement does. */
-    prove(databaseId: string, floor: Position): void {
-        this.reached.set(databaseId, laterPosition(this.reached.get(databaseId) ?? floor, floor));
-    }
-
     avoid(databaseId: string, nowMs: number): void {
         this.avoidUntilMs.set(databaseId, nowMs + laggingPenaltyMs);
     }
@@ -98,8 +85,7 @@
     private cost(database: DatabaseView, floor: Position): number {
         const load = (this.underWay.get(database.databaseId) ?? 0) / database.slots;
         const distance = database.dataCentre === this.options.dataCentre ? 0 : distancePenalty;
-        const known = laterPosition(database.position, this.reached.get(database.databaseId) ?? originPosition);
-        const proof = hasReached(known, floor) ? 0 : unprovedPenalty;
+        const proof = hasReached(database.position, floor) ? 0 : unprovedPenalty;
         return load + distance + proof;
     }
 
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -234,9 +234,6 @@
         const session = this.sessions.of(pending.request.connectionId);
         session.inTransaction = answer.inTransaction;
         session.pinnedDatabaseId = answer.pinned ? pending.databaseId : undefined;
-        if (pending.floor !== undefined && outcome.kind !== OutcomeKind.Refused) {
-            this.databases.prove(pending.databaseId!, pending.floor);
-        }
         if (answer.written !== undefined) {
             session.raise(pending.groupId, answer.written);
         }
