fix(rpc): make every gRPC client of a peer in one place

Cause: five sinks built their clients each in its own way; three attached credentials by hand and checked them again in the service, with two PeerCredentials interfaces and two sets of channel options. Holder streams and heartbeats keep connections of their own. The keepalive answer is awaited 1 s everywhere, as holder streams did. One adapter for the gRPC callback remains.

--- a/src/cli/ctlContext.ts
+++ b/src/cli/ctlContext.ts
@@ -1,6 +1,7 @@
 /** What every ctl command works with. */
 import { OperatorClient } from "../rpc/operatorClient.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
+import { PeerNetwork } from "../rpc/peerNetwork.ts";
 import { ctlSettingsTable, OutputFormat } from "../settings/ctlSettings.ts";
 import { readSettings, type SettingsTable, type SettingValues } from "../settings/settingsTable.ts";
 import { readSecretFile } from "./secretFile.ts";
@@ -29,7 +30,11 @@
         instanceId: "operator",
         secret: clusterSecret,
     });
-    const client = new OperatorClient({ servers: values.server, authentication, timeoutMs: values["timeout-ms"] });
+    const client = new OperatorClient({
+        servers: values.server,
+        network: new PeerNetwork({ authentication }),
+        timeoutMs: values["timeout-ms"],
+    });
     return {
         client,
         values,
--- a/src/rpc/__tests__/controlRpc.spec.ts
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -13,6 +13,7 @@
 import { LogPeers } from "../logPeers.ts";
 import { PeerAuthentication } from "../peerAuthentication.ts";
 import { createPeerServer, listen } from "../peerChannel.ts";
+import { PeerNetwork } from "../peerNetwork.ts";
 
 const servers: Server[] = [];
 
@@ -22,6 +23,10 @@
     return new PeerAuthentication({ cluster: "c", instanceId, secret: "0123456789abcdef" });
 }
 
+function networkOf(instanceId: string): PeerNetwork {
+    return new PeerNetwork({ authentication: authenticationOf(instanceId) });
+}
+
 /** Collects posted messages; `next` waits for one. */
 class Inbox {
     private readonly emitter = new EventEmitter();
@@ -50,8 +55,8 @@
 describe("log peers", () => {
     it("carries every request and its answer unchanged between two members", async () => {
         const [inboxA, inboxB] = [new Inbox(), new Inbox()];
-        await using peersA = new LogPeers({ authentication: authenticationOf("a"), post: inboxA.post });
-        await using peersB = new LogPeers({ authentication: authenticationOf("b"), post: inboxB.post });
+        await using peersA = new LogPeers({ network: networkOf("a"), post: inboxA.post });
+        await using peersB = new LogPeers({ network: networkOf("b"), post: inboxB.post });
         const address = await serve("b", peersB);
         const a = { memberId: "a", incarnation: "1", address: "127.0.0.1:1" };
         const b = { memberId: "b", incarnation: "2", address };
@@ -101,16 +106,16 @@
 
     it("refuses a message whose sender is not the authenticated instance", async () => {
         const inbox = new Inbox();
-        await using peersB = new LogPeers({ authentication: authenticationOf("b"), post: inbox.post });
+        await using peersB = new LogPeers({ network: networkOf("b"), post: inbox.post });
         const address = await serve("b", peersB);
-        await using outsider = new LogPeers({ authentication: authenticationOf("x"), post: () => undefined });
+        await using outsider = new LogPeers({ network: networkOf("x"), post: () => undefined });
         const from = { memberId: "a", incarnation: "1", address: "" };
         const to = { memberId: "b", incarnation: "2", address };
         outsider.deliver({ kind: LogKind.Send, body: { kind: LogKind.JoinRequest, from, to, term: 0, callId: "" } });
         while (outsider.failedCalls === 0) {
             await new Promise(resolve => setImmediate(resolve));
         }
-        const genuine = new LogPeers({ authentication: authenticationOf("a"), post: () => undefined });
+        const genuine = new LogPeers({ network: networkOf("a"), post: () => undefined });
         genuine.deliver({ kind: LogKind.Send, body: { kind: LogKind.JoinRequest, from, to, term: 7, callId: "" } });
         assert.equal((await inbox.next<PeerMessage>()).term, 7);
         await genuine[Symbol.asyncDispose]();
@@ -125,7 +130,7 @@
         const inbox = new Inbox();
         const random = new SeededRandom(1);
         await using subscriber = new ConfigurationSubscriber({
-            authentication: authenticationOf("i"),
+            network: networkOf("i"),
             addresses,
             post: inbox.post,
             random,
--- a/src/rpc/__tests__/health.spec.ts
+++ b/src/rpc/__tests__/health.spec.ts
@@ -1,4 +1,4 @@
-import { credentials, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
+import { type Server, type ServiceError, status } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { DatabaseRole } from "../../model/database.ts";
@@ -17,7 +17,9 @@
 import { AnnouncementClient, type AnnounceRequest } from "../generated/announcement.ts";
 import { HeartbeatSink } from "../heartbeatClient.ts";
 import { HeartbeatSource } from "../heartbeatService.ts";
-import type { PeerCredentials } from "../peerCredentials.ts";
+import { PeerAuthentication } from "../peerAuthentication.ts";
+import { createPeerServer, listen } from "../peerChannel.ts";
+import { PeerNetwork } from "../peerNetwork.ts";
 
 const announcement = {
     databaseId: "d1",
@@ -71,62 +73,37 @@
     nextHeartbeatMs: 50,
 };
 
-class SecretCredentials implements PeerCredentials {
-    private readonly secret: string;
-
-    constructor(secret: string) {
-        this.secret = secret;
-    }
-
-    clientMetadata(): Metadata {
-        const metadata = new Metadata();
-        metadata.set("secret", this.secret);
-        return metadata;
-    }
+function authenticationWith(word: string): PeerAuthentication {
+    return new PeerAuthentication({ cluster: "c", instanceId: "i1", secret: `the ${word} cluster secret` });
+}
 
-    check(metadata: Metadata): string | undefined {
-        return metadata.get("secret")[0] === this.secret ? undefined : "wrong secret";
-    }
+function networkWith(word: string): PeerNetwork {
+    return new PeerNetwork({ authentication: authenticationWith(word) });
 }
 
 /** Serves both sources on loopback; the heartbeat source answers everything with `answer`. */
 async function serve(posted: Message[]): Promise<{ readonly address: string; readonly server: Server; }> {
-    const peer = new SecretCredentials("right");
     const announcements = new AnnouncementSource({
         cluster: "c",
-        credentials: peer,
         post: message => posted.push(message),
     });
     const heartbeats = new HeartbeatSource({
-        credentials: peer,
         post: message => {
             posted.push(message);
             const { callId } = message as HeartbeatReceived;
             heartbeats.deliver({ kind: HealthKind.HeartbeatReply, callId, answer });
         },
     });
-    const server = new Server();
+    const server = createPeerServer(authenticationWith("right"));
     server.addService(announcements.service, announcements.implementation);
     server.addService(heartbeats.service, heartbeats.implementation);
-    const port = await new Promise<number>((resolve, reject) => {
-        server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (error, bound) => {
-            if (error) {
-                reject(error);
-            }
-            resolve(bound);
-        });
-    });
-    return { address: `127.0.0.1:${port}`, server };
+    return { address: `127.0.0.1:${await listen(server, "127.0.0.1:0")}`, server };
 }
 
 async function announce(address: string, secret: string, request: AnnounceRequest): Promise<ServiceError | undefined> {
-    const client = new AnnouncementClient(address, credentials.createInsecure());
+    const client = networkWith(secret).createClient(AnnouncementClient, address);
     const error = await new Promise<ServiceError | undefined>(resolve => {
-        client.announce(
-            request,
-            new SecretCredentials(secret).clientMetadata(),
-            failure => resolve(failure ?? undefined),
-        );
+        client.announce(request, failure => resolve(failure ?? undefined));
     });
     client.close();
     return error;
@@ -136,7 +113,7 @@
     let answered: (message: Message) => void = () => {};
     const result = new Promise<Message>(resolve => answered = resolve);
     await using sink = new HeartbeatSink({
-        credentials: new SecretCredentials(secret),
+        network: networkWith(secret),
         post: message => answered(message),
     });
     sink.deliver({ kind: HealthKind.HeartbeatSend, heartbeatId: 1, peerAddress: address, timeoutMs: 5_000, heartbeat });
--- a/src/rpc/__tests__/holderStream.spec.ts
+++ b/src/rpc/__tests__/holderStream.spec.ts
@@ -1,4 +1,3 @@
-import { Metadata, Server, ServerCredentials } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
@@ -11,22 +10,16 @@
 import { type Outcome, OutcomeKind } from "../../model/outcome.ts";
 import { StatementKind } from "../../model/statement.ts";
 import type { Message } from "../../pipeline/message.ts";
-import { holderChannelOptions } from "../holderChannel.ts";
 import { HolderService } from "../holderService.ts";
 import { HolderStream } from "../holderStream.ts";
-import type { PeerCredentials } from "../peerCredentials.ts";
-
-const secret = "secret";
-
-function credentialsWith(sent: string): PeerCredentials {
-    return {
-        clientMetadata: () => {
-            const metadata = new Metadata();
-            metadata.set("peer", sent);
-            return metadata;
-        },
-        check: metadata => metadata.get("peer")[0] === secret ? undefined : "wrong secret",
-    };
+import { PeerAuthentication } from "../peerAuthentication.ts";
+import { createPeerServer, listen } from "../peerChannel.ts";
+import { PeerNetwork } from "../peerNetwork.ts";
+
+const secret = "the right cluster secret";
+
+function authenticationWith(sent: string): PeerAuthentication {
+    return new PeerAuthentication({ cluster: "c", instanceId: "a", secret: sent });
 }
 
 /** Messages in order, with a way to wait for the next one that fits. */
@@ -57,9 +50,8 @@
 class Pair implements AsyncDisposable {
     readonly entry = new Inbox();
     readonly holder = new Inbox();
-    readonly server = new Server(holderChannelOptions);
+    readonly server = createPeerServer(authenticationWith(secret));
     readonly service = new HolderService({
-        credentials: credentialsWith(secret),
         post: this.holder.post,
         nowMs: () => 5_000,
     });
@@ -67,21 +59,15 @@
     address = "";
 
     constructor(sent = secret) {
-        this.stream = new HolderStream({ credentials: credentialsWith(sent), post: this.entry.post });
+        this.stream = new HolderStream({
+            network: new PeerNetwork({ authentication: authenticationWith(sent) }),
+            post: this.entry.post,
+        });
     }
 
     async start(): Promise<this> {
         this.service.register(this.server);
-        const port = await new Promise<number>((resolve, reject) =>
-            this.server.bindAsync("127.0.0.1:0", ServerCredentials.createInsecure(), (error, bound) => {
-                if (error) {
-                    reject(error);
-                    return;
-                }
-                resolve(bound);
-            })
-        );
-        this.address = `127.0.0.1:${port}`;
+        this.address = `127.0.0.1:${await listen(this.server, "127.0.0.1:0")}`;
         return this;
     }
 
@@ -179,7 +165,7 @@
     });
 
     it("answers as not run what never left, because no holder accepted the stream", async () => {
-        await using pair = await new Pair("wrong").start();
+        await using pair = await new Pair("another cluster secret").start();
         pair.forward("q1");
         const answer = await pair.entry.next<HolderAnswer>(HolderKind.Answer);
         assert.equal(answer.outcome.kind === OutcomeKind.Refused && answer.outcome.refusal.code, "holder_unavailable");
--- a/src/rpc/__tests__/permitRpc.spec.ts
+++ b/src/rpc/__tests__/permitRpc.spec.ts
@@ -1,28 +1,17 @@
-import { Metadata, Server, ServerCredentials } from "@grpc/grpc-js";
+import type { Server } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { type PermitForward, type PermitGranted, PermitKind, type PermitRequest } from "../../model/permitMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { PermitsService } from "../generated/permits.ts";
-import { type PeerCredentials, PermitClient } from "../permitClient.ts";
+import { PeerAuthentication } from "../peerAuthentication.ts";
+import { createPeerServer, listen } from "../peerChannel.ts";
+import { PeerNetwork } from "../peerNetwork.ts";
+import { PermitClient } from "../permitClient.ts";
 import { PermitServer } from "../permitServer.ts";
 
-class SharedWord implements PeerCredentials {
-    private readonly word: string;
-
-    constructor(word: string) {
-        this.word = word;
-    }
-
-    clientMetadata(): Metadata {
-        const metadata = new Metadata();
-        metadata.set("word", this.word);
-        return metadata;
-    }
-
-    check(metadata: Metadata): string | undefined {
-        return metadata.get("word")[0] === this.word ? undefined : "not a peer";
-    }
+function authenticationWith(word: string): PeerAuthentication {
+    return new PeerAuthentication({ cluster: "c", instanceId: "a", secret: `the ${word} cluster secret` });
 }
 
 let server: Server;
@@ -32,9 +21,8 @@
 describe("permits between instances", () => {
     beforeEach(async () => {
         asked = [];
-        server = new Server();
+        server = createPeerServer(authenticationWith("right"));
         const permitServer: PermitServer = new PermitServer({
-            peers: new SharedWord("right"),
             post: message => {
                 const request = message as PermitRequest;
                 asked.push(request);
@@ -44,14 +32,7 @@
             },
         });
         server.addService(PermitsService, permitServer.handlers);
-        const port = await new Promise<number>((resolve, reject) =>
-            server.bindAsync(
-                "127.0.0.1:0",
-                ServerCredentials.createInsecure(),
-                (error, bound) => error ? reject(error) : resolve(bound),
-            )
-        );
-        homeAddress = `127.0.0.1:${port}`;
+        homeAddress = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
     });
 
     afterEach(() => server.forceShutdown());
@@ -96,7 +77,7 @@
     return await new Promise(resolve => {
         const client = new PermitClient({
             instanceId: "a",
-            peers: new SharedWord(word),
+            network: new PeerNetwork({ authentication: authenticationWith(word) }),
             post: (message: Message) => {
                 received.push(message as PermitGranted);
                 if (received.length === workspaces.length) {
--- a/src/rpc/announcementService.ts
+++ b/src/rpc/announcementService.ts
@@ -9,13 +9,11 @@
     type AnnounceRequest,
     type AnnounceResponse,
 } from "./generated/announcement.ts";
-import { noError } from "./noError.ts";
-import type { PeerCredentials } from "./peerCredentials.ts";
+import { respond } from "./unaryResponse.ts";
 
 export interface AnnouncementSourceOptions {
     /** Name of the cluster; an announcement for another one is refused. */
     readonly cluster: string;
-    readonly credentials: PeerCredentials;
     post(message: Message): void;
 }
 
@@ -33,11 +31,6 @@
         call: ServerUnaryCall<AnnounceRequest, AnnounceResponse>,
         done: sendUnaryData<AnnounceResponse>,
     ): void {
-        const refusal = this.options.credentials.check(call.metadata, AnnouncementService.announce.path);
-        if (refusal !== undefined) {
-            done({ code: status.UNAUTHENTICATED, details: refusal });
-            return;
-        }
         const fault = this.clusterFault(call.request) ?? announcementFault(call.request);
         if (fault !== undefined) {
             done({ code: status.INVALID_ARGUMENT, details: fault });
@@ -46,7 +39,7 @@
         const announcement = decodeAnnouncement(call.request);
         const message: DatabaseAnnounced = { kind: ClusterKind.DatabaseAnnounced, announcement };
         this.options.post(message);
-        done(noError, {});
+        respond(done, {});
     }
 
     private clusterFault({ cluster }: AnnounceRequest): string | undefined {
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -1,20 +1,19 @@
 /** The configuration feed on the side of an instance that is no control member. */
-import { type ClientReadableStream, credentials } from "@grpc/grpc-js";
+import type { ClientReadableStream } from "@grpc/grpc-js";
 import { FeedKind, type FeedReceived, type FeedResubscribe, UpdateKind } from "../model/feedMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeUpdate } from "./configurationCodec.ts";
 import { type ConfigurationUpdate, ControlClient } from "./generated/control.ts";
-import type { PeerAuthentication } from "./peerAuthentication.ts";
-import { peerClientOptions } from "./peerChannel.ts";
+import type { PeerNetwork } from "./peerNetwork.ts";
 
 /** Wait before another member is tried: this, plus up to the jitter. */
 const retryMs = 250;
 const retryJitterMs = 500;
 
 export interface ConfigurationSubscriberOptions {
-    readonly authentication: PeerAuthentication;
+    readonly network: PeerNetwork;
     /** `host:port` of the control members. */
     readonly addresses: readonly string[];
     readonly post: (message: Message) => void;
@@ -54,9 +53,9 @@
     }
 
     private open(): void {
-        const { authentication, addresses } = this.options;
+        const { network, addresses } = this.options;
         const address = addresses[this.position % addresses.length]!;
-        this.client = new ControlClient(address, credentials.createInsecure(), peerClientOptions(authentication));
+        this.client = network.createClient(ControlClient, address);
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
         stream.on("data", (message: ConfigurationUpdate) => this.receive(stream, message));
--- a/src/rpc/heartbeatClient.ts
+++ b/src/rpc/heartbeatClient.ts
@@ -1,17 +1,15 @@
 /** Sends heartbeats to control members. */
-import { type ChannelCredentials, credentials as channelCredentials } from "@grpc/grpc-js";
+import { Metadata } from "@grpc/grpc-js";
 import { HealthKind, type HeartbeatAnswered, type HeartbeatSend } from "../model/healthMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { HeartbeatClient, HeartbeatService } from "./generated/health.ts";
+import { HeartbeatClient } from "./generated/health.ts";
 import { decodeAnswer, encodeHeartbeat } from "./heartbeatCodec.ts";
-import type { PeerCredentials } from "./peerCredentials.ts";
+import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 
 export interface HeartbeatSinkOptions {
-    readonly credentials: PeerCredentials;
+    readonly network: PeerNetwork;
     post(message: Message): void;
-    /** Plain TCP when left out; peers are authenticated by metadata. */
-    readonly channel?: ChannelCredentials;
 }
 
 /**
@@ -29,10 +27,9 @@
 
     deliver({ heartbeatId, peerAddress, timeoutMs, heartbeat }: HeartbeatSend): void {
         const client = this.client(peerAddress);
-        const metadata = this.options.credentials.clientMetadata(HeartbeatService.beat.path);
         // The deadline of a gRPC call is a wall-clock time; a clock step at worst fails one heartbeat.
         const deadline = Date.now() + timeoutMs;
-        client.beat(encodeHeartbeat(heartbeat), metadata, { deadline }, (error, response) => {
+        client.beat(encodeHeartbeat(heartbeat), new Metadata(), { deadline }, (error, response) => {
             const answer = error ? undefined : decodeAnswer(response);
             if (error) {
                 this.drop(peerAddress, client);
@@ -50,9 +47,8 @@
     private client(address: string): HeartbeatClient {
         let client = this.clients.get(address);
         if (client === undefined) {
-            // Without a pool of its own a new channel would reuse the silent connection of the closed one.
-            const options = { "grpc.use_local_subchannel_pool": 1 };
-            client = new HeartbeatClient(address, this.options.channel ?? channelCredentials.createInsecure(), options);
+            // On a shared connection a new channel would reuse the silent connection of the closed one.
+            client = this.options.network.createClient(HeartbeatClient, address, ConnectionUse.Own);
             this.clients.set(address, client);
         }
         return client;
--- a/src/rpc/heartbeatService.ts
+++ b/src/rpc/heartbeatService.ts
@@ -10,11 +10,9 @@
     HeartbeatService,
 } from "./generated/health.ts";
 import { decodeHeartbeat, encodeAnswer, heartbeatFault } from "./heartbeatCodec.ts";
-import { noError } from "./noError.ts";
-import type { PeerCredentials } from "./peerCredentials.ts";
+import { respond } from "./unaryResponse.ts";
 
 export interface HeartbeatSourceOptions {
-    readonly credentials: PeerCredentials;
     post(message: Message): void;
 }
 
@@ -32,19 +30,17 @@
     }
 
     deliver({ callId, answer }: HeartbeatReply): void {
-        this.calls.get(callId)?.(noError, encodeAnswer(answer));
-        this.calls.delete(callId);
+        const done = this.calls.get(callId);
+        if (done !== undefined) {
+            this.calls.delete(callId);
+            respond(done, encodeAnswer(answer));
+        }
     }
 
     private beat(
         call: ServerUnaryCall<HeartbeatRequest, HeartbeatResponse>,
         done: sendUnaryData<HeartbeatResponse>,
     ): void {
-        const refusal = this.options.credentials.check(call.metadata, HeartbeatService.beat.path);
-        if (refusal !== undefined) {
-            done({ code: status.UNAUTHENTICATED, details: refusal });
-            return;
-        }
         const fault = heartbeatFault(call.request);
         if (fault !== undefined) {
             done({ code: status.INVALID_ARGUMENT, details: fault });
--- a/src/rpc/holderPeer.ts
+++ b/src/rpc/holderPeer.ts
@@ -1,8 +1,7 @@
 /** One multiplexed stream to the holder at one address. */
-import { type ClientDuplexStream, credentials as channelCredentials } from "@grpc/grpc-js";
+import type { ClientDuplexStream } from "@grpc/grpc-js";
 import { HolderClient, type WorkRequest, type WorkResponse } from "./generated/holder.ts";
-import { holderChannelOptions, workMethod } from "./holderChannel.ts";
-import type { PeerCredentials } from "./peerCredentials.ts";
+import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 
 /** What became of the requests of a stream that ended. */
 export interface LostRequests {
@@ -15,7 +14,7 @@
 
 export interface HolderPeerOptions {
     readonly address: string;
-    readonly credentials: PeerCredentials;
+    readonly network: PeerNetwork;
     /** Longest time until the holder accepts the stream. */
     readonly openTimeoutMs: number;
     readonly onResponse: (request: WorkRequest, response: WorkResponse) => void;
@@ -36,8 +35,8 @@
 
     constructor(options: HolderPeerOptions) {
         this.options = options;
-        this.client = new HolderClient(options.address, channelCredentials.createInsecure(), holderChannelOptions);
-        this.stream = this.client.work(options.credentials.clientMetadata(workMethod));
+        this.client = options.network.createClient(HolderClient, options.address, ConnectionUse.Own);
+        this.stream = this.client.work();
         this.stream.on("metadata", () => this.accept());
         this.stream.on("data", (response: WorkResponse) => this.receive(response));
         this.stream.on("error", error => this.end(error.message));
--- a/src/rpc/holderService.ts
+++ b/src/rpc/holderService.ts
@@ -1,5 +1,5 @@
 /** Server side of `Holder.Work`: takes statements of other instances and sends them the holder's answers. */
-import { Metadata, type Server, type ServerDuplexStream, status } from "@grpc/grpc-js";
+import { Metadata, type Server, type ServerDuplexStream } from "@grpc/grpc-js";
 import {
     type HolderFloorReply,
     type HolderFloorRequest,
@@ -12,12 +12,9 @@
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { HolderService as HolderDefinition, type WorkRequest, type WorkResponse } from "./generated/holder.ts";
-import { workMethod } from "./holderChannel.ts";
 import { decodeStatement, encodeOutcome } from "./holderCodec.ts";
-import type { PeerCredentials } from "./peerCredentials.ts";
 
 export interface HolderServiceOptions {
-    readonly credentials: PeerCredentials;
     /** Gives a message to the event loop. */
     readonly post: (message: Message) => void;
     /** The clock of the event loop; deadlines arrive as time left. */
@@ -36,7 +33,7 @@
         this.options = options;
     }
 
-    /** Adds the service to a server that was created with `holderChannelOptions`. */
+    /** Adds the service to a server that was created by `createPeerServer`. */
     register(server: Server): void {
         server.addService(HolderDefinition, { work: (call: WorkCall) => this.accept(call) });
     }
@@ -51,11 +48,6 @@
     }
 
     private accept(call: WorkCall): void {
-        const refusal = this.options.credentials.check(call.metadata, workMethod);
-        if (refusal !== undefined) {
-            call.emit("error", { code: status.UNAUTHENTICATED, details: refusal });
-            return;
-        }
         const origin = `stream:${this.nextNumber++}`;
         this.calls.set(origin, call);
         call.on("data", (request: WorkRequest) => this.receive(origin, request));
--- a/src/rpc/holderStream.ts
+++ b/src/rpc/holderStream.ts
@@ -17,10 +17,10 @@
 import type { WorkRequest, WorkResponse } from "./generated/holder.ts";
 import { decodeOutcome, encodeFloorRequest, encodeStatement } from "./holderCodec.ts";
 import { HolderPeer, type LostRequests } from "./holderPeer.ts";
-import type { PeerCredentials } from "./peerCredentials.ts";
+import type { PeerNetwork } from "./peerNetwork.ts";
 
 export interface HolderStreamOptions {
-    readonly credentials: PeerCredentials;
+    readonly network: PeerNetwork;
     /** Gives a message to the event loop. */
     readonly post: (message: Message) => void;
     /** Longest time until a holder accepts a stream; 1 s by default. */
@@ -66,7 +66,7 @@
         }
         const peer = new HolderPeer({
             address,
-            credentials: this.options.credentials,
+            network: this.options.network,
             openTimeoutMs: this.options.openTimeoutMs ?? defaultOpenTimeoutMs,
             onResponse: (request, response) => this.options.post(readResponse(request, response)),
             onLost: lost => this.streamLost(address, lost),
--- a/src/rpc/logPeers.ts
+++ b/src/rpc/logPeers.ts
@@ -1,6 +1,5 @@
 /** gRPC between control members: sink of outgoing messages and source of incoming ones. */
 import {
-    credentials,
     type handleUnaryCall,
     Metadata,
     type sendUnaryData,
@@ -28,8 +27,9 @@
     encodeSnapshotCall,
     encodeVoteCall,
 } from "./logCodec.ts";
-import { callerInstanceId, type PeerAuthentication } from "./peerAuthentication.ts";
-import { peerClientOptions } from "./peerChannel.ts";
+import { callerInstanceId } from "./peerAuthentication.ts";
+import type { PeerNetwork } from "./peerNetwork.ts";
+import { respond } from "./unaryResponse.ts";
 
 /** Above the sync of a large snapshot; the leader repeats what is not answered. */
 const callTimeoutMs = 2_000;
@@ -38,7 +38,7 @@
 const maximumPending = 256;
 
 export interface LogPeersOptions {
-    readonly authentication: PeerAuthentication;
+    readonly network: PeerNetwork;
     /** Posts incoming requests and answers to the event loop. */
     readonly post: (message: Message) => void;
 }
@@ -167,8 +167,7 @@
         call.once("cancelled", () => this.pending.delete(callId));
         this.pending.set(callId, message => {
             this.pending.delete(callId);
-            const result = encodeAnswer(message) as Result;
-            answer(null, result); // eslint-disable-line no-restricted-syntax -- the gRPC callback takes null
+            respond(answer, encodeAnswer(message) as Result);
         });
     }
 
@@ -177,8 +176,7 @@
         if (known !== undefined) {
             return known;
         }
-        const { authentication } = this.options;
-        const client = new LogClient(address, credentials.createInsecure(), peerClientOptions(authentication));
+        const client = this.options.network.createClient(LogClient, address);
         this.clients.set(address, client);
         return client;
     }
--- a/src/rpc/operatorClient.ts
+++ b/src/rpc/operatorClient.ts
@@ -1,5 +1,5 @@
 /** Calls the operators' service, following the control leader. */
-import { credentials, Metadata, type requestCallback, type ServiceError, status } from "@grpc/grpc-js";
+import { Metadata, type requestCallback, type ServiceError, status } from "@grpc/grpc-js";
 import { ProposalStatus } from "../model/controlMessages.ts";
 import {
     type BurnResponse,
@@ -10,13 +10,12 @@
     type StatusResponse,
 } from "./generated/operator.ts";
 import { type OperatorCommand, writeChange } from "./operatorCommands.ts";
-import type { PeerAuthentication } from "./peerAuthentication.ts";
-import { peerClientOptions } from "./peerChannel.ts";
+import type { PeerNetwork } from "./peerNetwork.ts";
 
 export interface OperatorClientOptions {
     /** `host:port` of instances, tried in order. */
     readonly servers: readonly string[];
-    readonly authentication: PeerAuthentication;
+    readonly network: PeerNetwork;
     /** Limit of a whole operation, all attempts together. */
     readonly timeoutMs: number;
 }
@@ -155,7 +154,7 @@
     private client(server: string): Client {
         let client = this.clients.get(server);
         if (client === undefined) {
-            client = new Client(server, credentials.createInsecure(), peerClientOptions(this.options.authentication));
+            client = this.options.network.createClient(Client, server);
             this.clients.set(server, client);
         }
         return client;
--- a/src/rpc/peerChannel.ts
+++ b/src/rpc/peerChannel.ts
@@ -11,11 +11,14 @@
 } from "@grpc/grpc-js";
 import type { PeerAuthentication } from "./peerAuthentication.ts";
 
-/** Idle time before a ping, and the wait for its answer: a silent connection is closed after at most 4 s. */
+/**
+ * Idle time before a ping, and the wait for its answer: a silent connection is closed after at most 3 s. The lease of
+ * a silent holder lasts no longer.
+ */
 const keepaliveIntervalMs = 2_000;
-const keepaliveTimeoutMs = 2_000;
+const keepaliveTimeoutMs = 1_000;
 
-/** The gRPC default of 4 MB is below the size of large result sets. */
+/** A result set must fit into one message, and the gRPC default of 4 MB is below the size of large ones. */
 const maximumMessageBytes = 64 * 1024 * 1024;
 
 const channelOptions: ChannelOptions = {
--- a/src/rpc/permitClient.ts
+++ b/src/rpc/permitClient.ts
@@ -1,26 +1,17 @@
 /** Carries questions for permits to permit homes on other instances. */
-import { type ChannelCredentials, credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
+import { Metadata, type ServiceError } from "@grpc/grpc-js";
 import { type PermitForward, type PermitGranted, PermitKind, permitValidityMs } from "../model/permitMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { type AcquireResponse, PermitsClient, PermitsService } from "./generated/permits.ts";
-
-/** Proof of membership in the cluster on calls between instances. */
-export interface PeerCredentials {
-    clientMetadata(method: string): Metadata;
-    /** Text of the refusal, or undefined when the caller is a peer. */
-    check(metadata: Metadata, method: string): string | undefined;
-}
+import { type AcquireResponse, PermitsClient } from "./generated/permits.ts";
+import type { PeerNetwork } from "./peerNetwork.ts";
 
 export interface PermitClientOptions {
     readonly post: (message: Message) => void;
-    readonly peers: PeerCredentials;
+    readonly network: PeerNetwork;
     readonly instanceId: string;
-    readonly channelCredentials?: ChannelCredentials;
 }
 
-const method = PermitsService.acquire.path;
-
 /** Batches the questions of one turn of the event loop per home. A call that fails answers each of its questions. */
 export class PermitClient implements Sink<PermitForward>, AsyncDisposable {
     readonly accepts = [PermitKind.Forward];
@@ -54,10 +45,10 @@
             return;
         }
         this.batches.delete(homeAddress);
-        const { instanceId, peers } = this.options;
+        const { instanceId } = this.options;
         this.clientOf(homeAddress).acquire(
             { instanceId, questions },
-            peers.clientMetadata(method),
+            new Metadata(),
             // A later answer brings no usable permit.
             { deadline: Date.now() + permitValidityMs },
             (error, response) => this.receive(questions, error, response),
@@ -88,7 +79,7 @@
     private clientOf(address: string): PermitsClient {
         let client = this.clients.get(address);
         if (client === undefined) {
-            client = new PermitsClient(address, this.options.channelCredentials ?? credentials.createInsecure());
+            client = this.options.network.createClient(PermitsClient, address);
             this.clients.set(address, client);
         }
         return client;
--- a/src/rpc/permitServer.ts
+++ b/src/rpc/permitServer.ts
@@ -1,20 +1,13 @@
 /** Takes questions for permits from other instances and returns the answers of the permit home. */
-import { type sendUnaryData, type ServerUnaryCall, status } from "@grpc/grpc-js";
+import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
 import { PermitKind, type PermitReply, type PermitRequest } from "../model/permitMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import {
-    type AcquireRequest,
-    type AcquireResponse,
-    type PermitAnswer,
-    type PermitsServer,
-    PermitsService,
-} from "./generated/permits.ts";
-import type { PeerCredentials } from "./permitClient.ts";
+import type { AcquireRequest, AcquireResponse, PermitAnswer, PermitsServer } from "./generated/permits.ts";
+import { respond } from "./unaryResponse.ts";
 
 export interface PermitServerOptions {
     readonly post: (message: Message) => void;
-    readonly peers: PeerCredentials;
 }
 
 interface OpenCall {
@@ -46,7 +39,7 @@
         call.answers.push({ requestId, workspace, granted, retryAfterMs, answered });
         if (call.answers.length === call.expected) {
             this.calls.delete(reply.origin);
-            call.finish(noError, { answers: call.answers });
+            respond(call.finish, { answers: call.answers });
         }
     }
 
@@ -54,14 +47,9 @@
         call: ServerUnaryCall<AcquireRequest, AcquireResponse>,
         finish: sendUnaryData<AcquireResponse>,
     ): void {
-        const refusal = this.options.peers.check(call.metadata, PermitsService.acquire.path);
-        if (refusal !== undefined) {
-            finish({ code: status.UNAUTHENTICATED, details: refusal });
-            return;
-        }
         const { instanceId, questions } = call.request;
         if (questions.length === 0) {
-            finish(noError, { answers: [] });
+            respond(finish, { answers: [] });
             return;
         }
         const origin = `permits-${this.nextCall++}`;
@@ -73,7 +61,3 @@
         }
     }
 }
-
-// grpc-js marks success by null.
-// eslint-disable-next-line no-restricted-syntax
-const noError = null;
--- a/src/rpc/unaryResponse.ts
+++ b/src/rpc/unaryResponse.ts
@@ -1,4 +1,4 @@
-/** Adapts the callback convention of the gRPC library, which marks success with null. */
+/** The one place that adapts the project's `undefined` to the null by which gRPC callbacks mark success. */
 import type { sendUnaryData } from "@grpc/grpc-js";
 
 /** Ends a unary call with its response. */
--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -28,6 +28,7 @@
 import { OperatorService } from "../rpc/operatorService.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
 import { createPeerServer, listen } from "../rpc/peerChannel.ts";
+import { PeerNetwork } from "../rpc/peerNetwork.ts";
 import { PermitClient } from "../rpc/permitClient.ts";
 import { PermitServer } from "../rpc/permitServer.ts";
 import type { EntrySettings } from "../settings/entrySettings.ts";
@@ -64,7 +65,7 @@
     readonly options: PipeOptions;
     readonly clock: SystemClock;
     readonly post: Post;
-    readonly authentication: PeerAuthentication;
+    readonly network: PeerNetwork;
     readonly stack: AsyncDisposableStack;
 }
 
@@ -80,7 +81,8 @@
         instanceId: settings["instance-id"],
         secret: inputs.clusterSecret,
     });
-    const parts = { settings, inputs, options, clock, post, authentication, stack };
+    const network = new PeerNetwork({ authentication });
+    const parts = { settings, inputs, options, clock, post, network, stack };
     const logger = createLogger({
         format: settings["log-format"],
         level: settings["log-level"],
@@ -183,16 +185,12 @@
 
 /** Everything that talks to other instances and to announcing databases. */
 function openPeerSide(parts: Parts, server: Server): readonly Sink[] {
-    const { settings, options, clock, post, authentication, stack } = parts;
+    const { settings, options, clock, post, network, stack } = parts;
     // The server checks every call before a service sees it, so services need no check of their own.
-    const credentials = {
-        clientMetadata: (method: string) => authentication.metadata(method),
-        check: () => undefined,
-    };
-    const announcements = new AnnouncementSource({ cluster: settings["cluster-name"], credentials, post });
-    const heartbeats = new HeartbeatSource({ credentials, post });
-    const holderService = stack.use(new HolderService({ credentials, post, nowMs: () => clock.nowMs() }));
-    const permitServer = new PermitServer({ post, peers: credentials });
+    const announcements = new AnnouncementSource({ cluster: settings["cluster-name"], post });
+    const heartbeats = new HeartbeatSource({ post });
+    const holderService = stack.use(new HolderService({ post, nowMs: () => clock.nowMs() }));
+    const permitServer = new PermitServer({ post });
     server.addService(announcements.service, announcements.implementation);
     server.addService(heartbeats.service, heartbeats.implementation);
     server.addService(PermitsService, permitServer.handlers);
@@ -201,23 +199,23 @@
         heartbeats,
         holderService,
         permitServer,
-        stack.use(new HeartbeatSink({ credentials, post })),
-        stack.use(new HolderStream({ credentials, post })),
-        stack.use(new PermitClient({ post, peers: credentials, instanceId: options.instanceId })),
+        stack.use(new HeartbeatSink({ network, post })),
+        stack.use(new HolderStream({ network, post })),
+        stack.use(new PermitClient({ post, network, instanceId: options.instanceId })),
         ...openControlSide(parts, server),
     ];
 }
 
 /** Control members talk to each other and feed the others; every other instance subscribes. */
-function openControlSide({ options, post, authentication, stack }: Parts, server: Server): readonly Sink[] {
+function openControlSide({ options, post, network, stack }: Parts, server: Server): readonly Sink[] {
     if (options.memberIncarnation === undefined) {
         const addresses = options.controlMembers.map(member => member.address);
         const random = new SeededRandom(options.seed + 4);
-        const subscriber = stack.use(new ConfigurationSubscriber({ authentication, addresses, post, random }));
+        const subscriber = stack.use(new ConfigurationSubscriber({ network, addresses, post, random }));
         subscriber.start();
         return [subscriber];
     }
-    const logPeers = stack.use(new LogPeers({ authentication, post }));
+    const logPeers = stack.use(new LogPeers({ network, post }));
     const feed = stack.use(new ConfigurationFeed({ post }));
     logPeers.addTo(server);
     feed.addTo(server);
