--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -1,8 +1,10 @@
 /**
  * Shows the system at work: two services with three databases each, three entry instances, orders and redemptions, and
- * a primary that is killed while they flow. The last line is one JSON object; a violation gives a non-zero exit code.
+ * a primary that is killed while they flow. `npm run demo -- [--logs DIR]`; `--logs` keeps the output of each process
+ * in DIR. The last line is one JSON object; a violation gives a non-zero exit code.
  */
 import { setTimeout as delay } from "node:timers/promises";
+import { parseArgs } from "node:util";
 import { type LoadSummary, violationsOf } from "../standins/load/summary.ts";
 import { TestCluster } from "./testCluster.ts";
 
@@ -11,6 +13,8 @@
 /** The demo promises to end within 40 s. */
 const limitMs = 38_000;
 
+const { values } = parseArgs({ options: { logs: { type: "string" } } });
+
 const watchdog = setTimeout(() => {
     console.error(`the demo did not end within ${limitMs} ms`);
     process.exit(1);
@@ -27,7 +31,7 @@
 
 async function runDemo(): Promise<LoadSummary> {
     console.log("starting 6 databases and 3 entry instances");
-    await using cluster = await TestCluster.open();
+    await using cluster = await TestCluster.open(values.logs);
     const load = cluster.startLoad({ seed: 1, durationMs: loadMs });
     await load.started;
     console.log("orders and redemptions flow");
--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -1,7 +1,9 @@
 /**
- * Runs real processes through failures: `npm run faults -- [--only NAME] [--seed N]`. The last line is one JSON object;
- * a violation gives a non-zero exit code, and so does a run in which no scenario ran.
+ * Runs real processes through failures: `npm run faults -- [--only NAME] [--seed N] [--logs DIR]`. `--logs` keeps the
+ * output of each process in DIR/SCENARIO. The last line is one JSON object; a violation gives a non-zero exit code, and
+ * so does a run in which no scenario ran.
  */
+import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { type LoadSummary, violationsOf } from "../standins/load/summary.ts";
 import { TestCluster } from "./testCluster.ts";
@@ -23,7 +25,9 @@
 /** Worst case of the failover gap; section 1.5 of the design. */
 const failoverGapLimitMs = 13_000;
 
-const { values } = parseArgs({ options: { only: { type: "string" }, seed: { type: "string", default: "1" } } });
+const { values } = parseArgs({
+    options: { only: { type: "string" }, seed: { type: "string", default: "1" }, logs: { type: "string" } },
+});
 const chosen = scenarios.filter(scenario => values.only === undefined || scenario.name === values.only);
 if (chosen.length === 0) {
     console.error(`no scenario "${values.only}"; there are ${scenarios.map(scenario => scenario.name).join(", ")}`);
@@ -45,7 +49,7 @@
         return { name, status: ScenarioStatus.NotRun, violations: [], reason: blockedBy };
     }
     try {
-        await using cluster = await TestCluster.open();
+        await using cluster = await TestCluster.open(values.logs === undefined ? undefined : join(values.logs, name));
         const { summary, extraViolations } = await scenario.run(cluster, seed);
         const violations = [...violationsOf(summary), ...extraViolations, ...gapViolations(summary)];
         const status = violations.length === 0 ? ScenarioStatus.Passed : ScenarioStatus.Violated;
--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -1,7 +1,9 @@
 /** Child processes of a script, all of which end with it. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
+import { createWriteStream, mkdirSync, type WriteStream } from "node:fs";
 import { createServer } from "node:net";
+import { join } from "node:path";
 import { createInterface } from "node:readline";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -34,9 +36,12 @@
     private readonly child: ChildProcess;
     private hasEnded = false;
     private listeners: ((line: string) => void)[] = [];
+    private readonly log: WriteStream | undefined;
 
-    constructor(command: Command) {
+    /** @param logFile file to which the whole output is appended; a restarted process continues its file */
+    constructor(command: Command, logFile?: string) {
         this.name = command.name;
+        this.log = logFile === undefined ? undefined : createWriteStream(logFile, { flags: "a" });
         this.child = spawn(command.program, [...command.commandLine], { stdio: ["ignore", "pipe", "pipe"] });
         const outputEnds = [this.child.stdout!, this.child.stderr!].map(stream => {
             const lines = createInterface({ input: stream });
@@ -46,6 +51,7 @@
         this.ended = once(this.child, "close").then(async ([code, signal]) => {
             this.hasEnded = true;
             await Promise.all(outputEnds);
+            this.log?.end();
             return (code ?? signal) as number | string;
         });
     }
@@ -100,6 +106,7 @@
     }
 
     private receive(line: string): void {
+        this.log?.write(`${line}\n`);
         this.lines.push(line);
         if (this.lines.length > keptLines) {
             this.lines.shift();
@@ -117,14 +124,22 @@
         process.exit(130);
     };
 
-    constructor() {
+    private readonly logFolder: string | undefined;
+
+    /** @param logFolder folder that gets one file of output per process name; none is kept when left out */
+    constructor(logFolder?: string) {
+        this.logFolder = logFolder;
+        if (logFolder !== undefined) {
+            mkdirSync(logFolder, { recursive: true });
+        }
         process.on("exit", this.killAll);
         process.on("SIGINT", this.interrupt);
         process.on("SIGTERM", this.interrupt);
     }
 
     start(command: Command): ManagedProcess {
-        const member = new ManagedProcess(command);
+        const logFile = this.logFolder === undefined ? undefined : join(this.logFolder, `${command.name}.log`);
+        const member = new ManagedProcess(command, logFile);
         this.processes.add(member);
         void member.ended.then(() => this.processes.delete(member));
         return member;
--- a/scripts/testCluster.ts
+++ b/scripts/testCluster.ts
@@ -59,8 +59,11 @@
         this.resources = parts.resources;
     }
 
-    /** Starts databases and entry instances, one of each per data centre (databases: per service too). */
-    static async open(): Promise<TestCluster> {
+    /**
+     * Starts databases and entry instances, one of each per data centre (databases: per service too).
+     * @param logFolder folder for the output of each process; none is kept when left out
+     */
+    static async open(logFolder?: string): Promise<TestCluster> {
         // Before anything is started, so that a missing build is told at once.
         requireEntryProgram();
         const resources = new AsyncDisposableStack();
@@ -69,7 +72,7 @@
             const entries = await reserveEntries();
             const relays = resources.use(await RelayMatrix.open(dataCentres, entries));
             const announcementRelays = resources.use(await RelayMatrix.open(dataCentres, entries));
-            const group = resources.use(new ProcessGroup());
+            const group = resources.use(new ProcessGroup(logFolder));
             const cluster = new TestCluster({ files, entries, relays, announcementRelays, group, resources });
             await cluster.startDatabases();
             entries.forEach(entry => cluster.startEntry(entry));
@@ -104,7 +107,8 @@
             "cluster-name": clusterName,
             "cluster-secret-file": this.files.clusterSecretFile,
             "database-password-file": this.files.databasePasswordFile,
-            "control-members": this.membersSeenFrom(entry.dataCentre),
+            "control-members": this.entries.map(({ id, rpcPort }) => `${id}=127.0.0.1:${rpcPort}`).join(","),
+            "peer-addresses": this.peerAddressesFrom(entry.dataCentre),
             "data-folder": folder,
             "initial-configuration": this.files.initialConfigurationFile,
             "log-format": "json",
@@ -160,9 +164,14 @@
         await Promise.all(members.map(database => database.admin.fault(request)));
     }
 
-    private membersSeenFrom(dataCentre: string): string {
+    /** Leads all traffic to instances of other data centres through the relays. */
+    private peerAddressesFrom(dataCentre: string): string {
         return this.entries
-            .map(entry => `${entry.id}=127.0.0.1:${this.relays.portFor(dataCentre, entry.dataCentre, entry.rpcPort)}`)
+            .filter(entry => entry.dataCentre !== dataCentre)
+            .map(entry => {
+                const reachedPort = this.relays.portFor(dataCentre, entry.dataCentre, entry.rpcPort);
+                return `127.0.0.1:${entry.rpcPort}=127.0.0.1:${reachedPort}`;
+            })
             .join(",");
     }
 
--- a/src/settings/__tests__/entrySettings.spec.ts
+++ b/src/settings/__tests__/entrySettings.spec.ts
@@ -33,12 +33,25 @@
         assert.deepEqual(settings["mysql-listen"], { host: "127.0.0.1", port: 3_306 });
     });
 
+    it("reads peer addresses, so that a translated peer is not connected to under its announced address", () => {
+        const addresses = "10.0.0.1:4000=127.0.0.1:5000,10.0.0.2:4000=[::1]:5001";
+        const settings = readEntrySettings(flags({ "peer-addresses": addresses }), {});
+        assert.deepEqual([...settings["peer-addresses"]], [
+            ["10.0.0.1:4000", "127.0.0.1:5000"],
+            ["10.0.0.2:4000", "[::1]:5001"],
+        ]);
+        assert.equal(readEntrySettings(flags(), {})["peer-addresses"].size, 0);
+    });
+
     const wrong: readonly (readonly [Record<string, string | undefined>, RegExp])[] = [
         [{ "instance-id": undefined }, /--instance-id is missing; .*JASMINELINE_INSTANCE_ID/],
         [{ "mysql-listen": "localhost" }, /--mysql-listen has the value "localhost"; allowed is IP:PORT/],
         [{ "mysql-listen": "127.0.0.1:99999" }, /allowed is IP:PORT/],
         [{ "max-connections": "0" }, /a whole number from 1 to 100000/],
         [{ "control-members": "e1=127.0.0.1:1,e2=127.0.0.1:2" }, /1, 3, 5 or 7/],
+        [{ "peer-addresses": "127.0.0.1:1" }, /--peer-addresses .*ANNOUNCED=REACHED/],
+        [{ "peer-addresses": "127.0.0.1:1=host:2" }, /--peer-addresses .*ANNOUNCED=REACHED/],
+        [{ "peer-addresses": "127.0.0.1:1=127.0.0.1:2,127.0.0.1:1=127.0.0.1:3" }, /each announced address once/],
         [{ unheard: "x" }, /--unheard/],
         [{ "data-folder": undefined }, /--data-folder is missing; a control member needs one/],
         [{ "instance-id": "e9" }, /does not name "e9"/],
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -8,6 +8,7 @@
     IntegerKind,
     NameKind,
     PathKind,
+    PeerAddressesKind,
 } from "./settingKinds.ts";
 import { readSettings, SettingsError, type SettingsTable, type SettingValues } from "./settingsTable.ts";
 
@@ -45,6 +46,12 @@
         required: true,
         description: "Instances that keep the control state. Each has a disk and --data-folder.",
     },
+    "peer-addresses": {
+        kind: new PeerAddressesKind(),
+        defaultText: "",
+        description:
+            "Addresses under which this instance reaches peers that announce another one (address translation).",
+    },
     "data-folder": { kind: new PathKind(), description: "Folder for the control state; only on control members." },
     "initial-configuration": {
         kind: new PathKind(),
--- a/src/settings/settingKinds.ts
+++ b/src/settings/settingKinds.ts
@@ -61,6 +61,20 @@
     }
 }
 
+/** Reached address by announced address, both `host:port`. */
+export class PeerAddressesKind implements SettingKind<ReadonlyMap<string, string>> {
+    readonly allowed = "ANNOUNCED=REACHED pairs of IP:PORT, separated by commas, each announced address once";
+
+    parse(text: string): ReadonlyMap<string, string> | undefined {
+        const pairs = text === "" ? [] : text.split(",").map(part => part.split("="));
+        const areAddresses = pairs.every(pair =>
+            pair.length === 2 && pair.every(address => new EndpointKind().parse(address) !== undefined)
+        );
+        const reached = new Map(pairs as [string, string][]);
+        return areAddresses && reached.size === pairs.length ? reached : undefined;
+    }
+}
+
 export class IntegerKind implements SettingKind<number> {
     readonly allowed: string;
     private readonly minimum: number;
--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -81,7 +81,7 @@
         instanceId: settings["instance-id"],
         secret: inputs.clusterSecret,
     });
-    const network = new PeerNetwork({ authentication });
+    const network = new PeerNetwork({ authentication, reachedAddresses: settings["peer-addresses"] });
     const parts = { settings, inputs, options, clock, post, network, stack };
     const logger = createLogger({
         format: settings["log-format"],
