fix(health): propose a change of primary without an operation id

Cause: the id "change/1/orders/2" was used as operation id, and the control state machine refuses ids with "/" as invalid. Every failover therefore ended without a promotion and began anew every 2 to 3 s. The control of the specs took any id. Change: the proposal has no operation id, as other proposals of the leader have none; the expected term admits one change per term. The control of the specs refuses what the state machine refuses.

--- a/src/health/__tests__/fakeControl.ts
+++ b/src/health/__tests__/fakeControl.ts
@@ -10,6 +10,8 @@
 /** A leader without a majority steps down after this time by its own clock. */
 const checkQuorumMs = 1_000;
 const electionMs = 1_500;
+/** As the control state machine demands of an operation id that is not empty. */
+const operationIdPattern = /^[a-zA-Z0-9_.-]{0,64}$/;
 
 export class FakeControl {
     configuration: Configuration = {
@@ -28,11 +30,11 @@
         this.watch();
     }
 
-    propose(from: FakeProcess, { proposalId, command }: ControlPropose): void {
+    propose(from: FakeProcess, { proposalId, operationId, command }: ControlPropose): void {
         const term = this.term;
         from.later(commitMs, () => {
             const leads = this.leader === from && this.term === term && !from.cut;
-            const status = !leads ? "not_leader" : this.apply(command) ? "applied" : "conflict";
+            const status = leads ? this.decide(operationId, command) : "not_leader";
             if (status === "applied") {
                 this.world.processes.forEach(process => this.publishTo(process, process === from ? 0 : undefined));
             }
@@ -71,6 +73,13 @@
         });
     }
 
+    private decide(operationId: string, command: Command): string {
+        if (!operationIdPattern.test(operationId)) {
+            return "invalid";
+        }
+        return this.apply(command) ? "applied" : "conflict";
+    }
+
     private announceLeader(): void {
         const leaderAddress = this.leader!.instanceId;
         for (const id of this.world.controlIds) {
--- a/src/health/proposingPhase.ts
+++ b/src/health/proposingPhase.ts
@@ -20,7 +20,7 @@
     private readonly replacedTerm: number;
     private status: ProposalStatus | undefined;
 
-    /** @param proposalId unique in the cluster, because it is the operation id as well */
+    /** @param proposalId by which the answer is recognized */
     constructor(facts: GroupFacts, proposalId: string, targetId: string) {
         this.facts = facts;
         this.proposalId = proposalId;
@@ -34,7 +34,8 @@
         const propose: ControlPropose = {
             kind: ControlKind.Propose,
             proposalId: this.proposalId,
-            operationId: this.proposalId,
+            // The expected term already admits one change per term, so no result need be remembered.
+            operationId: "",
             command: { kind: CommandKind.SetGroup, expectedTerm: this.replacedTerm, group },
         };
         return [propose];
