--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -52,7 +52,7 @@
         this.ended = once(this.child, "close").then(async ([code, signal]) => {
             this.hasEnded = true;
             await Promise.all(outputEnds);
-            this.log?.end();
+            await this.endLog();
             return (code ?? signal) as number | string;
         });
     }
@@ -106,6 +106,13 @@
         clearTimeout(timer);
     }
 
+    private async endLog(): Promise<void> {
+        if (this.log !== undefined) {
+            this.log.end();
+            await once(this.log, "finish");
+        }
+    }
+
     private receive(line: string): void {
         this.log?.write(`${line}\n`);
         this.lines.push(line);
