--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -1,7 +1,10 @@
 /** Child processes of a script, all of which end with it. */
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { once } from "node:events";
-import { createServer } from "node:net";
+import { createWriteStream, mkdirSync, type WriteStream } from "node:fs";
+import { type AddressInfo, createServer, type Server } from "node:net";
+import { join } from "node:path";
 import { createInterface } from "node:readline";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -34,9 +37,12 @@
     private readonly child: ChildProcess;
     private hasEnded = false;
     private listeners: ((line: string) => void)[] = [];
+    private readonly log: WriteStream | undefined;
 
-    constructor(command: Command) {
+    /** @param logFile file to which the whole output is appended; a restarted process continues its file */
+    constructor(command: Command, logFile?: string) {
         this.name = command.name;
+        this.log = logFile === undefined ? undefined : createWriteStream(logFile, { flags: "a" });
         this.child = spawn(command.program, [...command.commandLine], { stdio: ["ignore", "pipe", "pipe"] });
         const outputEnds = [this.child.stdout!, this.child.stderr!].map(stream => {
             const lines = createInterface({ input: stream });
@@ -46,6 +52,7 @@
         this.ended = once(this.child, "close").then(async ([code, signal]) => {
             this.hasEnded = true;
             await Promise.all(outputEnds);
+            await this.endLog();
             return (code ?? signal) as number | string;
         });
     }
@@ -99,7 +106,15 @@
         clearTimeout(timer);
     }
 
+    private async endLog(): Promise<void> {
+        if (this.log !== undefined) {
+            this.log.end();
+            await once(this.log, "finish");
+        }
+    }
+
     private receive(line: string): void {
+        this.log?.write(`${line}\n`);
         this.lines.push(line);
         if (this.lines.length > keptLines) {
             this.lines.shift();
@@ -117,14 +132,22 @@
         process.exit(130);
     };
 
-    constructor() {
+    private readonly logFolder: string | undefined;
+
+    /** @param logFolder folder that gets one file of output per process name; none is kept when left out */
+    constructor(logFolder?: string) {
+        this.logFolder = logFolder;
+        if (logFolder !== undefined) {
+            mkdirSync(logFolder, { recursive: true });
+        }
         process.on("exit", this.killAll);
         process.on("SIGINT", this.interrupt);
         process.on("SIGTERM", this.interrupt);
     }
 
     start(command: Command): ManagedProcess {
-        const member = new ManagedProcess(command);
+        const logFile = this.logFolder === undefined ? undefined : join(this.logFolder, `${command.name}.log`);
+        const member = new ManagedProcess(command, logFile);
         this.processes.add(member);
         void member.ended.then(() => this.processes.delete(member));
         return member;
@@ -138,14 +161,43 @@
     }
 }
 
-/** Finds ports of loopback that are free now; all are held at once, so that no two are equal. */
+/**
+ * Ports below the range from which the system takes ports of outgoing connections and of listeners on port 0. A relay
+ * or a connection could otherwise take a port between its choice and the start of its process.
+ */
+const lowestPort = 15_000;
+const highestPort = 32_000;
+const portTries = 1_000;
+
+/**
+ * Finds ports of loopback that are free now; all are held at once, so that no two are equal.
+ * @throws Error when too few are free
+ */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-        const server = createServer().listen(0, "127.0.0.1");
+    const servers: Server[] = [];
+    try {
+        for (let tried = 0; tried < portTries && servers.length < count; tried++) {
+            const server = await listenOn(randomInt(lowestPort, highestPort));
+            servers.push(...server === undefined ? [] : [server]);
+        }
+        if (servers.length < count) {
+            throw new Error(`only ${servers.length} of ${count} ports are free from ${lowestPort} to ${highestPort}`);
+        }
+        return servers.map(server => (server.address() as AddressInfo).port);
+    }
+    finally {
+        await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    }
+}
+
+/** Listens on a port of loopback; undefined when it is taken. */
+async function listenOn(port: number): Promise<Server | undefined> {
+    const server = createServer().listen(port, "127.0.0.1");
+    try {
         await once(server, "listening");
         return server;
-    }));
-    const ports = servers.map(server => (server.address() as { port: number; }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    }
+    catch {
+        return undefined;
+    }
 }
