perf(request): weigh a distant replica by its round trip

Cause: another data centre counted as much as four statements per slot under way, so in a rush at one data centre its replicas queued while distant ones had free slots. Change: the distance counts as half a statement per slot.

--- a/src/request/databaseChoice.ts
+++ b/src/request/databaseChoice.ts
@@ -9,8 +9,8 @@
     readonly random: SeededRandom;
 }
 
-// A replica in another data centre costs a round trip of several milliseconds, about as much as this many queued reads.
-const distancePenalty = 4;
+// A round trip to another data centre costs less than a statement; a higher value left distant replicas idle in a rush.
+const distancePenalty = 0.5;
 
 // A replica that has not announced the floor yet makes the read wait for replication or for a new announcement.
 const unprovedPenalty = 2;
