--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -144,11 +144,26 @@
         `microseconds: admission ${slopes.admissionMicroseconds.toFixed(2)}, question at the home ${
             slopes.questionMicroseconds.toFixed(2)
         }`,
+        `microseconds of a read on the primary: request pipe ${
+            slopes.requestPipeMicroseconds.toFixed(2)
+        }, holder pipe ${slopes.holderPipeMicroseconds.toFixed(2)} (50,000 statements)`,
+        `bytes in the request pipe: session ${
+            slopes.bytesPerSession ?? "not measured"
+        }, pending statement with session ${slopes.bytesPerPendingStatement ?? "not measured"} (20,000 of each)`,
         "questions and reports per instance:",
         ...alignColumns([header, ...rows]),
+        "",
+        ...describeRows(slopes.heartbeats),
+        "",
+        ...describeRows(slopes.deltas),
     ];
 }
 
+function describeRows(slopes: readonly object[]): readonly string[] {
+    const values = slopes.map(slope => Object.values(slope).map(value => `${rounded(value as number)}`));
+    return alignColumns([Object.keys(slopes[0]!), ...values]);
+}
+
 function alignColumns(rows: readonly (readonly string[])[]): readonly string[] {
     const widths = rows[0]!.map((_, column) => Math.max(...rows.map(row => row[column]!.length)));
     return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join("  ").trimEnd());
--- /dev/null
+++ b/bench/pipeSlopes.ts
@@ -0,0 +1,145 @@
+/** Costs of statements, heartbeats and configuration changes, for docs/CAPACITY.md. */
+import { performance } from "node:perf_hooks";
+import { applyDelta, diffConfigurations } from "../src/control/configurationDelta.ts";
+import { type Configuration, emptyConfiguration } from "../src/model/configuration.ts";
+import { type Command, CommandKind } from "../src/model/controlMessages.ts";
+import type { Heartbeat, HeartbeatAnswer } from "../src/model/healthMessages.ts";
+import { heartbeatIntervalMs, ResourceKind } from "../src/model/lease.ts";
+import { type EntryBody, EntryKind } from "../src/model/replicatedLog.ts";
+import { decodeUpdate, encodeUpdate } from "../src/rpc/configurationCodec.ts";
+import { ConfigurationUpdate } from "../src/rpc/generated/control.ts";
+import { HeartbeatRequest, HeartbeatResponse } from "../src/rpc/generated/health.ts";
+import { decodeHeartbeat, encodeAnswer, encodeHeartbeat } from "../src/rpc/heartbeatCodec.ts";
+import { encodeRecord } from "../src/storage/record.ts";
+
+export interface HeartbeatSlope {
+    readonly instances: number;
+    readonly databases: number;
+    /** Payload without gRPC frames, of one instance that holds its part of the databases; sent and received. */
+    readonly bytesPerSecondPerInstance: number;
+    readonly bytesPerSecondAtLeader: number;
+    /** Time for decoding one heartbeat and encoding its answer; the leader's filters are not part of it. */
+    readonly codecMicrosecondsPerHeartbeat: number;
+}
+
+export interface DeltaSlope {
+    readonly objects: number;
+    /** One changed key. */
+    readonly deltaBytes: number;
+    readonly decodeAndApplyMicroseconds: number;
+    readonly logBytesPerChange: number;
+}
+
+const repeats = 2_000;
+
+export function measureHeartbeats(): readonly HeartbeatSlope[] {
+    return [[9, 9], [9, 90], [100, 90], [470, 660]].map(([instances, databases]) =>
+        measureHeartbeat(instances!, databases!)
+    );
+}
+
+function measureHeartbeat(instances: number, databases: number): HeartbeatSlope {
+    const held = Array.from({ length: Math.ceil(databases / instances) }, (_, index) => `group${index}-database0`);
+    const request = HeartbeatRequest.encode(encodeHeartbeat(heartbeatOf(held))).finish();
+    const answer = answerOf(held);
+    const responseBytes = HeartbeatResponse.encode(encodeAnswer(answer)).finish().length;
+    const perSecond = (request.length + responseBytes) * 1_000 / heartbeatIntervalMs;
+    return {
+        instances,
+        databases,
+        bytesPerSecondPerInstance: perSecond,
+        bytesPerSecondAtLeader: perSecond * instances,
+        codecMicrosecondsPerHeartbeat: timeEach(() => {
+            decodeHeartbeat(HeartbeatRequest.decode(request));
+            HeartbeatResponse.encode(encodeAnswer(answer)).finish();
+        }),
+    };
+}
+
+function heartbeatOf(held: readonly string[]): Heartbeat {
+    return {
+        instanceId: "instance-100",
+        address: "10.1.2.3:7000",
+        dataCentre: "flanders",
+        incarnation: "0123456789abcdef",
+        configurationVersion: 100_000,
+        directoryTerm: 10,
+        directoryRevision: 1_000,
+        draining: false,
+        heard: [],
+        heardUnchanged: held.map(databaseId => ({ databaseId, ageMs: 100 })),
+        leases: held.map(resourceId => ({ resource: ResourceKind.Database, resourceId, epoch: 5 })),
+        givenBack: [],
+        held: held.map(databaseId => ({
+            databaseId,
+            reachable: true,
+            consecutiveFailures: 0,
+            position: { term: 3, offset: 1_000_000 },
+            askId: "",
+        })),
+        orderResults: [],
+        demands: [],
+    };
+}
+
+function answerOf(held: readonly string[]): HeartbeatAnswer {
+    return {
+        leading: true,
+        leaderAddress: undefined,
+        leaderTerm: 10,
+        configurationVersion: 100_000,
+        renewed: held.map(resourceId => ({ resource: ResourceKind.Database, resourceId, epoch: 5 })),
+        directoryRevision: 1_000,
+        directory: [],
+        asks: [],
+        releases: [],
+        orders: [],
+        resend: [],
+        nextHeartbeatMs: heartbeatIntervalMs,
+    };
+}
+
+export function measureDeltas(): readonly DeltaSlope[] {
+    return [10, 100, 1_000].map(objects => {
+        const before = configurationWith(objects);
+        const [first, ...others] = before.keys;
+        const changed = { ...first!, version: 2 };
+        const after = { ...before, version: 2, keys: [changed, ...others] };
+        const wire = ConfigurationUpdate.encode(encodeUpdate(diffConfigurations(before, after))).finish();
+        const { version, ...key } = changed;
+        const command: Command = { kind: CommandKind.IssueKey, expectedVersion: version - 1, key };
+        const body: EntryBody = { kind: EntryKind.Command, operationId: "0123456789abcdef", command };
+        // The form of a record in src/storage/logSegments.ts.
+        const record = { fromIndex: 100_000, entries: [{ index: 100_000, term: 10, body }] };
+        return {
+            objects,
+            deltaBytes: wire.length,
+            decodeAndApplyMicroseconds: timeEach(() => {
+                applyDelta(before, decodeUpdate(ConfigurationUpdate.decode(wire)) as never);
+            }),
+            logBytesPerChange: encodeRecord(Buffer.from(JSON.stringify(record))).length,
+        };
+    });
+}
+
+function configurationWith(objects: number): Configuration {
+    const keys = Array.from({ length: objects }, (_, index) => ({
+        id: `key${index}`,
+        workspace: `workspace${index % 8}`,
+        doubleSha1Hex: "0123456789".repeat(4),
+        version: 1,
+    }));
+    return { ...emptyConfiguration, version: 1, keys };
+}
+
+/** Microseconds of each call after a warm-up of a tenth of the calls. */
+function timeEach(run: () => void): number {
+    for (let index = 0; index < repeats / 10; index++) {
+        run();
+    }
+    const startMs = performance.now();
+    for (let index = 0; index < repeats; index++) {
+        run();
+    }
+    return 1_000 * (performance.now() - startMs) / repeats;
+}
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -1,7 +1,7 @@
 /** What the proxy costs in real processes: a database reached directly against one reached through an instance. */
 import { setTimeout as delay } from "node:timers/promises";
 import { findFreePorts, ProcessGroup, scriptCommand } from "../scripts/processGroup.ts";
-import { TestCluster } from "../scripts/testCluster.ts";
+import { clusterName, TestCluster } from "../scripts/testCluster.ts";
 import { TestClusterFiles } from "../scripts/testClusterFiles.ts";
 import {
     type CallerConnection,
@@ -88,6 +88,8 @@
         "data-centre": "flanders",
         listen: `127.0.0.1:${listenPort}`,
         "password-file": files.databasePasswordFile,
+        cluster: clusterName,
+        "cluster-secret-file": files.clusterSecretFile,
         "admin-port": adminPort,
     }));
     await database.waitForLine("ready", readyTimeoutMs);
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -9,7 +9,9 @@
 import { SeededRandom } from "../src/pipeline/seededRandom.ts";
 import { GrantPermits } from "../src/rates/grantPermits.ts";
 import { AdmitKind, AdmitRequests } from "../src/request/admit.ts";
+import { type DeltaSlope, type HeartbeatSlope, measureDeltas, measureHeartbeats } from "./pipeSlopes.ts";
 import { RateCluster } from "./rateCluster.ts";
+import { openSessions, pendingStatements, timeHolderPipe, timeRequestPipe } from "./statementSlopes.ts";
 
 export interface Slopes {
     /** Heap bytes; undefined when the garbage collector cannot be called (run node with --expose-gc). */
@@ -17,7 +19,15 @@
     readonly entryBytesPerWorkspace: number | undefined;
     readonly admissionMicroseconds: number;
     readonly questionMicroseconds: number;
+    /** Classify, route and answer; without admission, codecs and sockets. */
+    readonly requestPipeMicroseconds: number;
+    /** Heap of the request pipe, over `memoryWorkspaces` sessions. */
+    readonly bytesPerSession: number | undefined;
+    readonly bytesPerPendingStatement: number | undefined;
+    readonly holderPipeMicroseconds: number;
     readonly messages: readonly MessageSlope[];
+    readonly heartbeats: readonly HeartbeatSlope[];
+    readonly deltas: readonly DeltaSlope[];
 }
 
 export interface MessageSlope {
@@ -40,9 +50,15 @@
         entryBytesPerWorkspace: heapBytes(() => startEntry(memoryWorkspaces)),
         admissionMicroseconds: timeAdmissions(),
         questionMicroseconds: timeQuestions(),
+        requestPipeMicroseconds: timeRequestPipe(),
+        bytesPerSession: heapBytes(() => openSessions(memoryWorkspaces)),
+        bytesPerPendingStatement: heapBytes(() => pendingStatements(memoryWorkspaces)),
+        holderPipeMicroseconds: timeHolderPipe(),
         messages: [[8, 3], [8, 6], [8, 9], [32, 9], [128, 9]].map(([workspaces, instances]) =>
             countMessages(workspaces!, instances!)
         ),
+        heartbeats: measureHeartbeats(),
+        deltas: measureDeltas(),
     };
 }
 
