perf(holder): read idle positions every 250 ms

Cause: an idle instance that held 3 databases used 7.4% of a core, most of it for position queries every 100 ms. Change: the interval without waiting work is 250 ms; waiting work still polls in short intervals.

--- a/src/holder/holderSettings.ts
+++ b/src/holder/holderSettings.ts
@@ -36,7 +36,7 @@
     confirmationLimitMs: 2_000,
     freshnessWaitShare: 0.5,
     retryShare: 0.1,
-    positionIntervalMs: 100,
+    positionIntervalMs: 250,
     healthIntervalMs: 500,
     orderLimitMs: 2_000,
     floorEntries: 100_000,
