refactor(request): smaller files for admission and routing

Change: the line of a workspace and the body of a statement for its holder stand in files of their own; bench flags choose users, policies and slopes. Conclusion: behaviour unchanged.

--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,7 +1,9 @@
 /**
  * Benchmark: policies side by side under the same seeded load, in virtual time.
  * `--json` prints one JSON object on the last line. `--slopes` measures costs per unit of size as well; bytes need
- * `NODE_OPTIONS=--expose-gc`. `--processes` also measures real processes.
+ * `NODE_OPTIONS=--expose-gc`. `--processes` also measures real processes. A full run takes several minutes; `--user NAME`
+ * takes one user's sizes only, `--product-only` leaves the baselines out, `--no-policies` everything but slopes and
+ * processes.
  */
 import { parseArgs } from "node:util";
 import { describeJson, describeTable } from "../bench/describe.ts";
@@ -24,16 +26,27 @@
         seed: { type: "string", default: "1" },
         processes: { type: "boolean", default: false },
         slopes: { type: "boolean", default: false },
+        user: { type: "string" },
+        "product-only": { type: "boolean", default: false },
+        "no-policies": { type: "boolean", default: false },
     },
 });
 const seed = Number(values.seed);
-const rateRuns = users.flatMap(user =>
+const chosenUsers = values["no-policies"]
+    ? []
+    : users.filter(user => values.user === undefined || user.name === values.user);
+if (chosenUsers.length === 0 && !values["no-policies"]) {
+    console.error(`--user is "${values.user}"; allowed are ${users.map(user => user.name).join(" and ")}`);
+    process.exit(2);
+}
+const rateRuns = chosenUsers.flatMap(user =>
     loadShapes.flatMap(shape => ratePolicies.map(policy => runRates(user, shape, policy, seed)))
 );
-const proxyRuns = users.flatMap(user =>
-    proxyLoads(user, rateRuns, seed).flatMap(load => proxyPolicies.map(policy => runProxy(user, load, policy)))
+const chosenPolicies = values["product-only"] ? proxyPolicies.slice(0, 1) : proxyPolicies;
+const proxyRuns = chosenUsers.flatMap(user =>
+    proxyLoads(user, rateRuns, seed).flatMap(load => chosenPolicies.map(policy => runProxy(user, load, policy)))
 );
-const slots = slotBaselines.map(policy => ({
+const slots = values["no-policies"] ? [] : slotBaselines.map(policy => ({
     policy: policy.name,
     ...new SlotModel(laggingLoad, policy, new SeededRandom(seed)).run(),
 }));
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -15,6 +15,7 @@
 import { clearDeadline, type DeadlineMessage, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { WorkspaceLine } from "./workspaceLine.ts";
 
 export const AdmitKind = {
     Classified: "request.classified",
@@ -88,9 +89,6 @@
 /** Pause after a question that the home did not answer. */
 const unansweredRetryMs = 25;
 
-/** Permits are asked for the work of this time ahead, well within their validity. */
-const aheadMs = 60;
-
 /**
  * Part of its waiting time that a statement may spend on a permit. A permit granted later is lost, because the
  * statement no longer gets a slot in time: without this reserve a workspace at 5 times its rate had 41% of its
@@ -98,102 +96,6 @@
  */
 const permitWaitShare = 0.9;
 
-/** Time constant of the measured rate of arrivals. */
-const rateMemoryMs = 500;
-
-interface Lot {
-    count: number;
-    readonly validUntilMs: number;
-}
-
-interface Question {
-    readonly requestId: string;
-    readonly sentMs: number;
-}
-
-/** State of one workspace. It exists while statements wait, permits are held or arrivals were recent. */
-class WorkspaceLine<Statement extends ClassifiedStatement> {
-    /** Statements of open transactions go first: they hold a slot and locks. */
-    readonly inTransaction = new Map<number, Statement>();
-    readonly others = new Map<number, Statement>();
-    lots: Lot[] = [];
-    question: Question | undefined;
-    nextAskMs = 0;
-    /** Time of the timer that asks again. */
-    askDueMs = 0;
-    settledRequestId = "";
-    expired = 0;
-    /** The home's advice while it grants less than is asked; 0 while the workspace is not known to be short. */
-    shortRetryMs = 0;
-    private arrivals = 0;
-    private arrivalsMs = 0;
-
-    get waiting(): number {
-        return this.inTransaction.size + this.others.size;
-    }
-
-    add(statement: Statement): void {
-        (statement.inTransaction ? this.inTransaction : this.others).set(statement.connectionId, statement);
-    }
-
-    get(connectionId: number): Statement | undefined {
-        return this.inTransaction.get(connectionId) ?? this.others.get(connectionId);
-    }
-
-    remove(connectionId: number): void {
-        this.inTransaction.delete(connectionId);
-        this.others.delete(connectionId);
-    }
-
-    countArrival(nowMs: number): void {
-        this.arrivals = this.recentArrivals(nowMs) + 1;
-        this.arrivalsMs = nowMs;
-    }
-
-    /** Statements expected within `aheadMs`. */
-    expected(nowMs: number): number {
-        return Math.floor(this.recentArrivals(nowMs) * aheadMs / rateMemoryMs);
-    }
-
-    held(nowMs: number): number {
-        const valid = this.lots.filter(lot => lot.validUntilMs > nowMs);
-        this.expired += sumCounts(this.lots) - sumCounts(valid);
-        this.lots = valid;
-        return sumCounts(valid);
-    }
-
-    /** Takes the statements that can be admitted now. */
-    takeReady(nowMs: number): readonly Statement[] {
-        const count = Math.min(this.held(nowMs), this.waiting);
-        const ready: Statement[] = [];
-        for (const queue of [this.inTransaction, this.others]) {
-            for (const [connectionId, statement] of queue) {
-                if (ready.length === count) {
-                    break;
-                }
-                queue.delete(connectionId);
-                ready.push(statement);
-            }
-        }
-        this.use(count);
-        return ready;
-    }
-
-    private use(count: number): void {
-        let left = count;
-        for (const lot of this.lots) {
-            const used = Math.min(lot.count, left);
-            lot.count -= used;
-            left -= used;
-        }
-        this.lots = this.lots.filter(lot => lot.count > 0);
-    }
-
-    private recentArrivals(nowMs: number): number {
-        return this.arrivals * Math.exp((this.arrivalsMs - nowMs) / rateMemoryMs);
-    }
-}
-
 export class AdmitRequests<Statement extends ClassifiedStatement = ClassifiedStatement>
     implements Filter<Input, Message> {
     readonly step = "admit";
@@ -396,7 +298,3 @@
 function deadlineKey(connectionId: number): string {
     return `admit/${connectionId}`;
 }
-
-function sumCounts(lots: readonly Lot[]): number {
-    return lots.reduce((sum, lot) => sum + lot.count, 0);
-}
--- a/src/request/holderAddressing.ts
+++ b/src/request/holderAddressing.ts
@@ -7,6 +7,41 @@
     type HolderSessionEnd,
 } from "../model/holderMessages.ts";
 import type { LeaseAssignment } from "../model/lease.ts";
+import { StatementKind } from "../model/statement.ts";
+import { RepeatPolicy } from "../model/workClass.ts";
+import type { PendingRequest } from "./pendingRequests.ts";
+import type { AdmittedRequest } from "./requestMessages.ts";
+import type { SessionState } from "./sessionState.ts";
+
+/** The statement of one attempt, as its holder gets it. */
+export function toHolderBody(
+    { request, requestId, floor }: PendingRequest,
+    databaseId: string,
+    session: SessionState,
+    sessionId: string,
+): Omit<HolderRequest, "kind" | "origin"> {
+    const { callerId, workspace, workClass, statementKind, text, deadlineMs, attributes } = request;
+    return {
+        requestId,
+        sessionId,
+        databaseId,
+        callerId,
+        workspace,
+        workClass,
+        statementKind,
+        text,
+        floor,
+        deadlineMs,
+        idempotencyId: statementKind === StatementKind.Read ? undefined : attributes.requestId,
+        repeatable: isRepeatable(request),
+        pinned: session.pinnedDatabaseId !== undefined,
+    };
+}
+
+/** Tells whether a statement may be sent again after its outcome became unknown. */
+export function isRepeatable({ statementKind, targets }: AdmittedRequest): boolean {
+    return statementKind === StatementKind.Read && targets.repeat === RepeatPolicy.Reads;
+}
 
 export function toHolder(
     body: Omit<HolderRequest, "kind" | "origin">,
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -11,14 +11,13 @@
 import { laterPosition, originPosition, type Position } from "../model/position.ts";
 import { Execution, type Refusal, RefusalCode, refusalTable, refuse } from "../model/refusal.ts";
 import { StatementKind } from "../model/statement.ts";
-import { RepeatPolicy } from "../model/workClass.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { DatabaseChoice } from "./databaseChoice.ts";
 import { FloorQuestions, type FloorResult } from "./floorQuestions.ts";
-import { toHolder, toHolderSessionEnd } from "./holderAddressing.ts";
+import { isRepeatable, toHolder, toHolderBody, toHolderSessionEnd } from "./holderAddressing.ts";
 import { answerLocally, toAnswer } from "./localAnswers.ts";
 import { type PendingRequest, PendingRequests, PendingStage } from "./pendingRequests.ts";
 import {
@@ -201,21 +200,8 @@
         pending.attempts += 1;
         this.databases.started(database.databaseId);
         const { request } = pending;
-        const body = {
-            requestId: pending.requestId,
-            sessionId: this.sessions.idOf(request.connectionId),
-            databaseId: database.databaseId,
-            callerId: request.callerId,
-            workspace: request.workspace,
-            workClass: request.workClass,
-            statementKind: request.statementKind,
-            text: request.text,
-            floor: pending.floor,
-            deadlineMs: request.deadlineMs,
-            idempotencyId: request.statementKind === StatementKind.Read ? undefined : request.attributes.requestId,
-            repeatable: isRepeatable(request),
-            pinned: this.sessions.of(request.connectionId).pinnedDatabaseId !== undefined,
-        };
+        const session = this.sessions.of(request.connectionId);
+        const body = toHolderBody(pending, database.databaseId, session, this.sessions.idOf(request.connectionId));
         const limitMs = Math.max(nowMs, request.deadlineMs) + answerLimitMs;
         const due: RetryDue = { kind: RequestKind.RetryDue, requestId: pending.requestId };
         return [toHolder(body, holder, this.options.instanceId), setDeadline(deadlineKey(pending), limitMs, due)];
@@ -382,10 +368,6 @@
     }
 }
 
-function isRepeatable({ statementKind, targets }: AdmittedRequest): boolean {
-    return statementKind === StatementKind.Read && targets.repeat === RepeatPolicy.Reads;
-}
-
 function deadlineKey(pending: PendingRequest): string {
     return `route:${pending.requestId}`;
 }
