--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -81,6 +81,9 @@
 }
 
 function describeProxy(runs: readonly ProxyRun[]): readonly string[] {
+    if (runs.length === 0) {
+        return [];
+    }
     const named = runs.map(({ user, shape, policy, figures }) => ({ user, shape, policy, ...nameProxy(figures) }));
     return alignColumns([
         Object.keys(named[0]!),
