refactor: names of the field for queues and leadership

Cause: the read-through met names that a reader of databases would not expect (line, lot, office). Conclusion: behaviour unchanged.

--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -337,7 +337,7 @@
     }
 }
 
-/** Sees what is committed and who takes office, inside the pipe. */
+/** Sees what is committed and who is elected, inside the pipe. */
 class Recorder implements Filter<TermChanged | Committed, Message> {
     readonly step = "recorder";
     readonly accepts = [MemberKind.TermChanged, MemberKind.Committed];
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -13,7 +13,7 @@
     readonly log = new MemberLog();
     term = 0;
     private committed = 0;
-    private office: Leadership | undefined;
+    private currentLeadership: Leadership | undefined;
     /** Index of this leader's first entry; its commit confirms the leadership. */
     private confirmIndex = Infinity;
 
@@ -27,7 +27,7 @@
 
     /** Undefined unless this member leads. */
     get leadership(): Leadership | undefined {
-        return this.office;
+        return this.currentLeadership;
     }
 
     /** Loads what the disk held. */
@@ -40,14 +40,14 @@
     /** Stops leading, if it did. */
     follow(term: number): void {
         this.term = term;
-        this.office = undefined;
+        this.currentLeadership = undefined;
         this.confirmIndex = Infinity;
     }
 
     /** Starts to lead `term` with a no-op, whose commit confirms the leadership. */
-    takeOffice(term: number, nowMs: number): readonly Message[] {
+    startLeading(term: number, nowMs: number): readonly Message[] {
         this.term = term;
-        this.office = new Leadership({ self: this.self, term, log: this.log, nowMs });
+        this.currentLeadership = new Leadership({ self: this.self, term, log: this.log, nowMs });
         this.confirmIndex = this.log.lastIndex + 1;
         return this.lead({ kind: EntryKind.NoOp }, undefined, nowMs);
     }
@@ -66,13 +66,13 @@
     lead(body: EntryBody, proposalId: string | undefined, nowMs: number): readonly Message[] {
         const index = this.log.lastIndex + 1;
         const writes = this.write([{ index, term: this.term, body }]);
-        this.office!.syncPeers(nowMs);
+        this.currentLeadership!.syncPeers(nowMs);
         const appended = { kind: MemberKind.EntryAppended, proposalId, index, term: this.term } as Message;
         return [
             ...proposalId === undefined ? [] : [appended],
             ...writes,
             send({ ...this.answerTo(this.self, ""), kind: LogKind.AppendAnswer, accepted: true, index }),
-            ...this.office!.replicate(this.committed, nowMs),
+            ...this.currentLeadership!.replicate(this.committed, nowMs),
         ];
     }
 
@@ -84,12 +84,12 @@
 
     /** Commits what a majority has synced. An entry of an older term is committed only through one of this term. */
     advance(nowMs: number): readonly Message[] {
-        if (this.office === undefined) {
+        if (this.currentLeadership === undefined) {
             return [];
         }
-        const index = this.office.quorumIndex();
+        const index = this.currentLeadership.quorumIndex();
         const committed = this.log.termAt(index) === this.term ? this.commit(index) : [];
-        return [...committed, ...this.office.replicate(this.committed, nowMs)];
+        return [...committed, ...this.currentLeadership.replicate(this.committed, nowMs)];
     }
 
     /** Raises the commit index; an index that is committed already changes nothing. */
@@ -130,7 +130,7 @@
 
     /** The leadership, if it is of `term`. */
     leadershipOf(term: number): Leadership | undefined {
-        return this.office?.term === term ? this.office : undefined;
+        return this.currentLeadership?.term === term ? this.currentLeadership : undefined;
     }
 
     /** Head of an answer. */
@@ -144,7 +144,7 @@
     }
 
     private membersChanged(members: readonly Member[]): readonly Message[] {
-        const removed = this.office !== undefined && !isMember(members, this.self);
+        const removed = this.currentLeadership !== undefined && !isMember(members, this.self);
         return [
             { kind: MemberKind.MembersChanged, members } as Message,
             ...removed ? [termEvent(MemberKind.QuorumLost, this.term)] : [],
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -176,7 +176,7 @@
             this.replica.follow(change.term);
             return [change, clearDeadline(heartbeatKey)];
         }
-        return [change, ...this.replica.takeOffice(change.term, nowMs), this.heartbeatTimer(nowMs)];
+        return [change, ...this.replica.startLeading(change.term, nowMs), this.heartbeatTimer(nowMs)];
     }
 
     private propose({ operationId, command, proposalId }: ControlPropose, nowMs: number): readonly Message[] {
--- a/src/control/termFilter.ts
+++ b/src/control/termFilter.ts
@@ -61,7 +61,7 @@
             case MemberKind.Campaign:
                 return this.campaign(message.term);
             case MemberKind.Elected:
-                return this.takeOffice(message.term);
+                return this.startLeading(message.term);
             case MemberKind.QuorumLost:
                 return this.stepDown(message.term);
             case ControlKind.Propose:
@@ -125,7 +125,7 @@
         return [this.changed(), termEvent(MemberKind.CandidacyOpened, term)];
     }
 
-    private takeOffice(term: number): readonly Message[] {
+    private startLeading(term: number): readonly Message[] {
         if (term !== this.term || this.role !== MemberRole.Candidate) {
             return [];
         }
--- a/src/health/__tests__/heartbeat.spec.ts
+++ b/src/health/__tests__/heartbeat.spec.ts
@@ -7,7 +7,7 @@
 import { ResourceKind } from "../../model/lease.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { HeartbeatSender } from "../heartbeatSender.ts";
-import { LeaderOffice } from "../leaderOffice.ts";
+import { Leadership } from "../leadership.ts";
 
 const lease = { resource: ResourceKind.Database, resourceId: "d1", epoch: 1 };
 
@@ -124,7 +124,7 @@
 
 describe("leader office", () => {
     const heartbeat = { instanceId: "i1", incarnation: "a" } as Heartbeat;
-    const beat = (office: LeaderOffice, nowMs: number, incarnation = "a"): string => {
+    const beat = (office: Leadership, nowMs: number, incarnation = "a"): string => {
         const received = { kind: HealthKind.HeartbeatReceived, callId: "c", heartbeat: { ...heartbeat, incarnation } };
         return office.process(received as Message, nowMs)[0]!.kind;
     };
@@ -133,7 +133,7 @@
 
     // A leader that was stopped may have been replaced, and must not renew leases that its successor reassigns.
     it("answers nothing for 1.1 s after its process stood still", () => {
-        const office = new LeaderOffice();
+        const office = new Leadership();
         office.process(leading, 0);
         assert.equal(beat(office, 100), HealthKind.HeartbeatChecked);
         assert.equal(beat(office, 5_000), HealthKind.HeartbeatReply);
@@ -146,7 +146,7 @@
     });
 
     it("renews nothing for a process whose successor has been heard", () => {
-        const office = new LeaderOffice();
+        const office = new Leadership();
         office.process(leading, 0);
         assert.equal(beat(office, 10, "a"), HealthKind.HeartbeatChecked);
         assert.equal(beat(office, 20, "b"), HealthKind.HeartbeatChecked);
--- a/src/health/__tests__/traffic.spec.ts
+++ b/src/health/__tests__/traffic.spec.ts
@@ -16,7 +16,7 @@
 import { Failover } from "../failover.ts";
 import { HeartbeatReplier } from "../heartbeatReplier.ts";
 import { HeartbeatSender } from "../heartbeatSender.ts";
-import { LeaderOffice } from "../leaderOffice.ts";
+import { Leadership } from "../leadership.ts";
 import { LeaseAssigner } from "../leaseAssigner.ts";
 
 const instanceCount = 470;
@@ -50,7 +50,7 @@
     readonly sentBytes = new Map<string, number>();
     private configuration = emptyConfiguration;
     private readonly leader = new Pipe("health", [
-        new LeaderOffice(),
+        new Leadership(),
         new DatabaseDirectory(),
         new LeaseAssigner({ incarnation: "leader" }),
         new Failover(),
--- a/src/health/__tests__/world.ts
+++ b/src/health/__tests__/world.ts
@@ -16,7 +16,7 @@
 import { Failover } from "../failover.ts";
 import { HeartbeatReplier } from "../heartbeatReplier.ts";
 import { HeartbeatSender } from "../heartbeatSender.ts";
-import { LeaderOffice } from "../leaderOffice.ts";
+import { Leadership } from "../leadership.ts";
 import { LeaseAssigner } from "../leaseAssigner.ts";
 import { FakeControl } from "./fakeControl.ts";
 import { FakeDatabase } from "./fakeDatabase.ts";
@@ -73,7 +73,7 @@
         const health = new Pipe("health", [
             new DatabaseTable(),
             new HeartbeatSender(sender),
-            new LeaderOffice(),
+            new Leadership(),
             new DatabaseDirectory(),
             new LeaseAssigner({ incarnation }),
             new Failover(),
--- a/src/health/databaseDirectory.ts
+++ b/src/health/databaseDirectory.ts
@@ -7,8 +7,8 @@
     HealthKind,
     type HeartbeatAnswer,
     type HeartbeatChecked,
+    type LeadershipStarted,
     type LeaderTicked,
-    type OfficeStarted,
 } from "../model/healthMessages.ts";
 import { heartbeatIntervalMs } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -36,11 +36,11 @@
     readonly revision: number;
 }
 
-type Input = HeartbeatChecked | LeaderTicked | OfficeStarted;
+type Input = HeartbeatChecked | LeaderTicked | LeadershipStarted;
 
 export class DatabaseDirectory implements Filter {
     readonly step = "database_directory";
-    readonly accepts = [HealthKind.HeartbeatChecked, HealthKind.LeaderTicked, HealthKind.OfficeStarted];
+    readonly accepts = [HealthKind.HeartbeatChecked, HealthKind.LeaderTicked, HealthKind.LeadershipStarted];
     private readonly kept = new Map<string, Kept>();
     /** Database ids in the order of their changes; an older place of an id is skipped. */
     private log: string[] = [];
@@ -50,7 +50,7 @@
         // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
             .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
-            .with({ kind: HealthKind.OfficeStarted }, started => {
+            .with({ kind: HealthKind.LeadershipStarted }, started => {
                 this.kept.clear();
                 this.log = [];
                 this.term = started.term;
--- a/src/health/failover.ts
+++ b/src/health/failover.ts
@@ -10,9 +10,9 @@
     type DirectoryEntry,
     HealthKind,
     type HeartbeatChecked,
+    type LeadershipStarted,
     type LeaderTicked,
     type LeaseEnded,
-    type OfficeStarted,
 } from "../model/healthMessages.ts";
 import { ResourceKind } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -33,7 +33,7 @@
     | HeartbeatChecked
     | LeaderTicked
     | LeaseEnded
-    | OfficeStarted;
+    | LeadershipStarted;
 
 /** Work per tick is linear in the groups; work per heartbeat is linear in the databases that its sender holds. */
 export class Failover implements Filter, GroupSources {
@@ -46,7 +46,7 @@
         HealthKind.HeartbeatChecked,
         HealthKind.LeaderTicked,
         HealthKind.LeaseEnded,
-        HealthKind.OfficeStarted,
+        HealthKind.LeadershipStarted,
     ];
     officeStartMs = 0;
     private officeTerm = 0;
@@ -67,7 +67,7 @@
         // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
             .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
-            .with({ kind: HealthKind.OfficeStarted }, started => this.start(started, nowMs))
+            .with({ kind: HealthKind.LeadershipStarted }, started => this.start(started, nowMs))
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => {
                 this.useConfiguration(applied.configuration);
                 return [applied];
@@ -104,7 +104,7 @@
         return this.instances.candidates(nowMs).has(dataCentre);
     }
 
-    private start(started: OfficeStarted, nowMs: number): readonly Message[] {
+    private start(started: LeadershipStarted, nowMs: number): readonly Message[] {
         this.officeStartMs = nowMs;
         this.officeTerm = started.term;
         [this.entries, this.entryIdsByGroup, this.reports, this.changes, this.changeByDatabase, this.formations]
--- a/src/health/heartbeatReplier.ts
+++ b/src/health/heartbeatReplier.ts
@@ -9,7 +9,7 @@
         HealthKind.DirectoryChanged,
         HealthKind.HeartbeatChecked,
         HealthKind.LeaderTicked,
-        HealthKind.OfficeStarted,
+        HealthKind.LeadershipStarted,
     ];
 
     process(message: Message): readonly Message[] {
--- a/src/health/leaderOffice.ts
+++ b/src/health/leadership.ts
@@ -7,8 +7,8 @@
     type HeartbeatAnswer,
     type HeartbeatReceived,
     type HeartbeatReply,
+    type LeadershipStarted,
     type LeaderTicked,
-    type OfficeStarted,
 } from "../model/healthMessages.ts";
 import { heartbeatIntervalMs } from "../model/lease.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
@@ -34,8 +34,8 @@
 type Input = ConfigurationApplied | ControlLeaderChanged | HeartbeatReceived | LeaderTickDue;
 
 /** First filter of the leader: what passes it happens in office. */
-export class LeaderOffice implements Filter {
-    readonly step = "leader_office";
+export class Leadership implements Filter {
+    readonly step = "leadership";
     readonly accepts = [
         ClusterKind.ConfigurationApplied,
         ControlKind.LeaderChanged,
@@ -80,7 +80,7 @@
         this.quarantineUntilMs = 0;
         this.incarnations.clear();
         this.replaced.clear();
-        const started: OfficeStarted = { kind: HealthKind.OfficeStarted, term: changed.term };
+        const started: LeadershipStarted = { kind: HealthKind.LeadershipStarted, term: changed.term };
         return [started, this.nextTick(nowMs)];
     }
 
--- a/src/health/leaseAssigner.ts
+++ b/src/health/leaseAssigner.ts
@@ -15,10 +15,10 @@
     type EndLease,
     HealthKind,
     type HeartbeatChecked,
+    type LeadershipStarted,
     type LeaderTicked,
     type LeaseEnded,
     type LeaseRelease,
-    type OfficeStarted,
 } from "../model/healthMessages.ts";
 import { type LeaseAssignment, ResourceKind } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -63,7 +63,7 @@
     | EndLease
     | HeartbeatChecked
     | LeaderTicked
-    | OfficeStarted;
+    | LeadershipStarted;
 
 export interface LeaseAssignerOptions {
     /** Differs between processes; proposal ids begin with it. */
@@ -85,7 +85,7 @@
         HealthKind.EndLease,
         HealthKind.HeartbeatChecked,
         HealthKind.LeaderTicked,
-        HealthKind.OfficeStarted,
+        HealthKind.LeadershipStarted,
     ];
     private readonly incarnation: string;
     private readonly terms = new LeaseTerms();
@@ -106,7 +106,7 @@
         // The most frequent kind first: 940 heartbeats a second with 470 instances.
         return match(message as Input)
             .with({ kind: HealthKind.HeartbeatChecked }, checked => this.checked(checked, nowMs))
-            .with({ kind: HealthKind.OfficeStarted }, started => this.start(started, nowMs))
+            .with({ kind: HealthKind.LeadershipStarted }, started => this.start(started, nowMs))
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => this.applied(applied, nowMs))
             .with({ kind: ControlKind.ProposalEnded }, ended => {
                 this.proposalEnded(ended);
@@ -131,7 +131,7 @@
             .exhaustive();
     }
 
-    private start(started: OfficeStarted, nowMs: number): readonly Message[] {
+    private start(started: LeadershipStarted, nowMs: number): readonly Message[] {
         this.officeStartMs = nowMs;
         this.proposal = undefined;
         this.withheld.clear();
--- a/src/health/memberOrders.ts
+++ b/src/health/memberOrders.ts
@@ -21,13 +21,13 @@
 
 export class MemberOrders {
     private readonly facts: GroupFacts;
-    private readonly officeTerm: number;
+    private readonly leaderTerm: number;
     private readonly members = new Map<string, MemberState>();
 
-    /** @param officeTerm term of the leader; keeps order ids of two leaders apart */
-    constructor(facts: GroupFacts, officeTerm: number) {
+    /** @param leaderTerm term of the leader; keeps order ids of two leaders apart */
+    constructor(facts: GroupFacts, leaderTerm: number) {
         this.facts = facts;
-        this.officeTerm = officeTerm;
+        this.leaderTerm = leaderTerm;
     }
 
     /** After a change of primary every member gets an order. */
@@ -106,6 +106,6 @@
     }
 
     private orderId(databaseId: string, state: MemberState): string {
-        return `${this.officeTerm}/${this.facts.group.term}/${databaseId}/${state.attempt}`;
+        return `${this.leaderTerm}/${this.facts.group.term}/${databaseId}/${state.attempt}`;
     }
 }
--- a/src/model/healthMessages.ts
+++ b/src/model/healthMessages.ts
@@ -80,7 +80,7 @@
     ExpiryDue: "health.expiry_due",
     LeaderTickDue: "health.leader_tick_due",
     DirectoryReceived: "health.directory_received",
-    OfficeStarted: "health.office_started",
+    LeadershipStarted: "health.leadership_started",
     LeaderTicked: "health.leader_ticked",
     HeartbeatChecked: "health.heartbeat_checked",
     DirectoryChanged: "health.directory_changed",
@@ -234,9 +234,9 @@
     readonly directory: readonly DirectoryEntry[];
 }
 
-/** This instance took office as leader. */
-export interface OfficeStarted extends Message {
-    readonly kind: typeof HealthKind.OfficeStarted;
+/** This instance became leader. */
+export interface LeadershipStarted extends Message {
+    readonly kind: typeof HealthKind.LeadershipStarted;
     readonly term: number;
 }
 
--- a/src/rates/shareLedger.ts
+++ b/src/rates/shareLedger.ts
@@ -15,14 +15,14 @@
 }
 
 /**
- * Records shares and reports of one workspace, as a leader sees them since it took office. A share counts until a
+ * Records shares and reports of one workspace, as a leader sees them since its election. A share counts until a
  * home has reported a version that replaces it.
  */
 export class ShareLedger {
     private readonly holdings = new Map<string, Holding>();
     private readonly startVersion: number;
 
-    /** @param startVersion configuration version at which this leader took office; earlier shares are unknown to it */
+    /** @param startVersion configuration version at which this leader was elected; earlier shares are unknown to it */
     constructor(startVersion: number) {
         this.startVersion = startVersion;
     }
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -15,7 +15,7 @@
 import { clearDeadline, type DeadlineMessage, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { WorkspaceLine } from "./workspaceLine.ts";
+import { WorkspaceQueue } from "./workspaceQueue.ts";
 
 export const AdmitKind = {
     Classified: "request.classified",
@@ -108,7 +108,7 @@
         AdmitKind.AskDue,
     ];
     private readonly options: AdmitOptions;
-    private readonly lines = new Map<string, WorkspaceLine<Statement>>();
+    private readonly queues = new Map<string, WorkspaceQueue<Statement>>();
     /** Workspace of each connection whose statement waits. */
     private readonly workspaceOf = new Map<number, string>();
     private homes = new Map<string, LeaseAssignment>();
@@ -134,9 +134,9 @@
             // No database runs it, so the workspace's rate does not count it.
             return this.admit(statement);
         }
-        const line = this.lineOf(statement.workspace);
-        line.countArrival(nowMs);
-        line.add(statement);
+        const queue = this.queueOf(statement.workspace);
+        queue.countArrival(nowMs);
+        queue.add(statement);
         this.workspaceOf.set(statement.connectionId, statement.workspace);
         const outputs = this.serve(statement.workspace, nowMs);
         return this.workspaceOf.has(statement.connectionId)
@@ -156,29 +156,29 @@
     }
 
     private receive(granted: PermitGranted, nowMs: number): readonly Message[] {
-        const line = this.lines.get(granted.workspace);
-        if (line?.question?.requestId !== granted.requestId) {
+        const queue = this.queues.get(granted.workspace);
+        if (queue?.question?.requestId !== granted.requestId) {
             return [];
         }
-        const { sentMs } = line.question;
-        line.question = undefined;
-        line.shortRetryMs = granted.answered ? granted.retryAfterMs : 0;
+        const { sentMs } = queue.question;
+        queue.question = undefined;
+        queue.shortRetryMs = granted.answered ? granted.retryAfterMs : 0;
         if (granted.granted > 0) {
-            line.settledRequestId = granted.requestId;
-            line.lots.push({ count: granted.granted, validUntilMs: sentMs + usableMs });
+            queue.settledRequestId = granted.requestId;
+            queue.batches.push({ count: granted.granted, validUntilMs: sentMs + usableMs });
         }
-        line.nextAskMs = nowMs + (granted.answered ? granted.retryAfterMs : unansweredRetryMs);
+        queue.nextAskMs = nowMs + (granted.answered ? granted.retryAfterMs : unansweredRetryMs);
         return this.serve(granted.workspace, nowMs);
     }
 
     /** Admits what it can, and asks for more permits when they run low. */
     private serve(workspace: string, nowMs: number): readonly Message[] {
-        const line = this.lines.get(workspace);
-        if (line === undefined) {
+        const queue = this.queues.get(workspace);
+        if (queue === undefined) {
             return [];
         }
-        const admitted = line.takeReady(nowMs).flatMap(statement => this.admit(statement));
-        return [...admitted, ...this.ask(workspace, line, nowMs)];
+        const admitted = queue.takeReady(nowMs).flatMap(statement => this.admit(statement));
+        return [...admitted, ...this.ask(workspace, queue, nowMs)];
     }
 
     private admit(statement: Statement): readonly Message[] {
@@ -187,51 +187,53 @@
         return [clearDeadline(deadlineKey(statement.connectionId)), admitted];
     }
 
-    private ask(workspace: string, line: WorkspaceLine<Statement>, nowMs: number): readonly Message[] {
-        const held = line.held(nowMs);
-        const expected = line.expected(nowMs);
-        const needsMore = line.waiting > 0 || held < expected / 2;
+    private ask(workspace: string, queue: WorkspaceQueue<Statement>, nowMs: number): readonly Message[] {
+        const held = queue.held(nowMs);
+        const expected = queue.expected(nowMs);
+        const needsMore = queue.waiting > 0 || held < expected / 2;
         const home = this.homes.get(workspace);
         if (!needsMore || home === undefined) {
             return [];
         }
-        const blockedUntilMs = line.question === undefined ? line.nextAskMs : line.question.sentMs + permitValidityMs;
+        const blockedUntilMs = queue.question === undefined
+            ? queue.nextAskMs
+            : queue.question.sentMs + permitValidityMs;
         if (nowMs < blockedUntilMs) {
-            return line.waiting > 0 && line.askDueMs !== blockedUntilMs
-                ? [askLater(workspace, line, blockedUntilMs)]
+            return queue.waiting > 0 && queue.askDueMs !== blockedUntilMs
+                ? [askLater(workspace, queue, blockedUntilMs)]
                 : [];
         }
-        if (line.question !== undefined) {
-            line.shortRetryMs = 0;
+        if (queue.question !== undefined) {
+            queue.shortRetryMs = 0;
         }
         const requestId = `${this.options.incarnation}-${this.nextRequest++}`;
-        line.question = { requestId, sentMs: nowMs };
-        const wanted = line.waiting + Math.max(0, expected - held);
+        queue.question = { requestId, sentMs: nowMs };
+        const wanted = queue.waiting + Math.max(0, expected - held);
         const body = {
             requestId,
             instanceId: this.options.instanceId,
             workspace,
             wanted,
-            returned: line.expired,
-            settledRequestId: line.settledRequestId,
+            returned: queue.expired,
+            settledRequestId: queue.settledRequestId,
             held,
             sentMs: nowMs,
         };
-        line.expired = 0;
-        return [toHome(body, home, this.options.instanceId), askLater(workspace, line, nowMs + permitValidityMs)];
+        queue.expired = 0;
+        return [toHome(body, home, this.options.instanceId), askLater(workspace, queue, nowMs + permitValidityMs)];
     }
 
     private expire(passed: DeadlinePassed): readonly Message[] {
         const workspace = this.workspaceOf.get(passed.connectionId);
-        const line = workspace === undefined ? undefined : this.lines.get(workspace);
-        const request = line?.get(passed.connectionId);
-        if (line === undefined || request === undefined) {
+        const queue = workspace === undefined ? undefined : this.queues.get(workspace);
+        const request = queue?.get(passed.connectionId);
+        if (queue === undefined || request === undefined) {
             return [];
         }
         this.drop(passed.connectionId);
-        const isShort = line.shortRetryMs > 0;
+        const isShort = queue.shortRetryMs > 0;
         const refusal = isShort
-            ? refuse(RefusalCode.RateExceeded, this.step, { retryAfterMs: line.shortRetryMs })
+            ? refuse(RefusalCode.RateExceeded, this.step, { retryAfterMs: queue.shortRetryMs })
             : refuse(RefusalCode.WaitExceeded, this.step, { detail: "no answer from the permit home" });
         const { connectionId, sequence } = passed;
         const refused: AdmitRefused = { kind: AdmitKind.Refused, connectionId, sequence, refusal, request };
@@ -244,7 +246,7 @@
             return [];
         }
         this.workspaceOf.delete(connectionId);
-        this.lines.get(workspace)?.remove(connectionId);
+        this.queues.get(workspace)?.remove(connectionId);
         return [clearDeadline(deadlineKey(connectionId))];
     }
 
@@ -258,24 +260,24 @@
         );
         const known = new Set(workspaces.map(workspace => workspace.name));
         const outputs: Message[] = [applied];
-        for (const [workspace, line] of this.lines) {
-            if (line.waiting > 0) {
+        for (const [workspace, queue] of this.queues) {
+            if (queue.waiting > 0) {
                 outputs.push(...this.serve(workspace, nowMs));
             }
             else if (!known.has(workspace)) {
-                this.lines.delete(workspace);
+                this.queues.delete(workspace);
             }
         }
         return outputs;
     }
 
-    private lineOf(workspace: string): WorkspaceLine<Statement> {
-        let line = this.lines.get(workspace);
-        if (line === undefined) {
-            line = new WorkspaceLine();
-            this.lines.set(workspace, line);
+    private queueOf(workspace: string): WorkspaceQueue<Statement> {
+        let queue = this.queues.get(workspace);
+        if (queue === undefined) {
+            queue = new WorkspaceQueue();
+            this.queues.set(workspace, queue);
         }
-        return line;
+        return queue;
     }
 }
 
@@ -289,8 +291,8 @@
         : { kind: PermitKind.Forward, homeAddress: home.instanceAddress, ...body };
 }
 
-function askLater(workspace: string, line: { askDueMs: number; }, atMs: number): DeadlineMessage {
-    line.askDueMs = atMs;
+function askLater(workspace: string, queue: { askDueMs: number; }, atMs: number): DeadlineMessage {
+    queue.askDueMs = atMs;
     const due: AskDue = { kind: AdmitKind.AskDue, workspace };
     return setDeadline(`admit.ask/${workspace}`, atMs, due);
 }
--- a/src/request/workspaceLine.ts
+++ b/src/request/workspaceQueue.ts
@@ -6,13 +6,13 @@
 /** Time constant of the measured rate of arrivals. */
 const rateMemoryMs = 500;
 
-/** What the line reads of a statement. */
+/** What the queue reads of a statement. */
 export interface WaitingStatement {
     readonly connectionId: number;
     readonly inTransaction: boolean;
 }
 
-interface Lot {
+interface PermitBatch {
     count: number;
     readonly validUntilMs: number;
 }
@@ -23,11 +23,11 @@
 }
 
 /** State of one workspace. It exists while statements wait, permits are held or arrivals were recent. */
-export class WorkspaceLine<Statement extends WaitingStatement> {
+export class WorkspaceQueue<Statement extends WaitingStatement> {
     /** Statements of open transactions go first: they hold a slot and locks. */
     readonly inTransaction = new Map<number, Statement>();
     readonly others = new Map<number, Statement>();
-    lots: Lot[] = [];
+    batches: PermitBatch[] = [];
     question: Question | undefined;
     nextAskMs = 0;
     /** Time of the timer that asks again. */
@@ -67,9 +67,9 @@
     }
 
     held(nowMs: number): number {
-        const valid = this.lots.filter(lot => lot.validUntilMs > nowMs);
-        this.expired += sumCounts(this.lots) - sumCounts(valid);
-        this.lots = valid;
+        const valid = this.batches.filter(batch => batch.validUntilMs > nowMs);
+        this.expired += sumCounts(this.batches) - sumCounts(valid);
+        this.batches = valid;
         return sumCounts(valid);
     }
 
@@ -92,12 +92,12 @@
 
     private use(count: number): void {
         let left = count;
-        for (const lot of this.lots) {
-            const used = Math.min(lot.count, left);
-            lot.count -= used;
+        for (const batch of this.batches) {
+            const used = Math.min(batch.count, left);
+            batch.count -= used;
             left -= used;
         }
-        this.lots = this.lots.filter(lot => lot.count > 0);
+        this.batches = this.batches.filter(batch => batch.count > 0);
     }
 
     private recentArrivals(nowMs: number): number {
@@ -105,6 +105,6 @@
     }
 }
 
-function sumCounts(lots: readonly Lot[]): number {
-    return lots.reduce((sum, lot) => sum + lot.count, 0);
+function sumCounts(batches: readonly PermitBatch[]): number {
+    return batches.reduce((sum, batch) => sum + batch.count, 0);
 }
--- a/src/wiring/buildPipes.ts
+++ b/src/wiring/buildPipes.ts
@@ -10,7 +10,7 @@
 import { Failover } from "../health/failover.ts";
 import { HeartbeatReplier } from "../health/heartbeatReplier.ts";
 import { HeartbeatSender } from "../health/heartbeatSender.ts";
-import { LeaderOffice } from "../health/leaderOffice.ts";
+import { Leadership } from "../health/leadership.ts";
 import { LeaseAssigner } from "../health/leaseAssigner.ts";
 import { Acquire } from "../holder/acquire.ts";
 import { Confirm } from "../holder/confirm.ts";
@@ -111,7 +111,7 @@
     });
     const ofEveryInstance = [new Drain(), new DatabaseTable(), sender];
     const ofMembers = [
-        new LeaderOffice(),
+        new Leadership(),
         new DatabaseDirectory(),
         new LeaseAssigner({ incarnation }),
         new Failover(),
