--- a/src/rpc/operatorClient.ts
+++ b/src/rpc/operatorClient.ts
@@ -1,5 +1,6 @@
 /** Calls the operators' service, following the control leader. */
 import { Metadata, type requestCallback, type ServiceError, status } from "@grpc/grpc-js";
+import { BaseError } from "../model/baseError.ts";
 import { ProposalStatus } from "../model/controlMessages.ts";
 import {
     type BurnResponse,
@@ -21,14 +22,10 @@
 }
 
 /** No server answered. The message names each server and why. */
-export class UnreachableError extends Error {
-    override readonly name = "UnreachableError";
-}
+export const UnreachableError = BaseError.subclass("UnreachableError", { props: { step: "call" } });
 
 /** A server refused the call for good: wrong secret, other cluster, malformed request. */
-export class RefusedError extends Error {
-    override readonly name = "RefusedError";
-}
+export const RefusedError = BaseError.subclass("RefusedError", { props: { step: "call" } });
 
 type Call<Response> = (
     client: Client,
@@ -163,7 +160,7 @@
 
 function describeFailure(server: string, error: ServiceError): string {
     if (finalCodes.includes(error.code)) {
-        throw new RefusedError(`${server} refused the call: ${error.details}`, { cause: error });
+        throw new RefusedError(`${server} refused the call: ${error.details}`, { props: { peer: server } });
     }
     return error.details ?? error.message;
 }
--- a/src/settings/settingsTable.ts
+++ b/src/settings/settingsTable.ts
@@ -1,5 +1,6 @@
 /** The mechanism behind settings: one table makes the parser, the help text and the page of settings. */
 import { parseArgs } from "node:util";
+import { BaseError } from "../model/baseError.ts";
 import type { SettingKind } from "./settingKinds.ts";
 
 /** One setting. The flag is `--name`, the environment variable `JASMINELINE_NAME`. */
@@ -28,9 +29,7 @@
 };
 
 /** A setting that ends the start of the program. The message names the flag, the value and what is allowed. */
-export class SettingsError extends Error {
-    override readonly name = "SettingsError";
-}
+export const SettingsError = BaseError.subclass("SettingsError", { props: { step: "settings" } });
 
 /**
  * Reads settings from flags and environment; a flag goes before its variable.
@@ -97,7 +96,7 @@
         return values as Record<string, string | undefined>;
     }
     catch (error) {
-        throw new SettingsError(`${(error as Error).message}\nSee --help for the flags that exist.`, { cause: error });
+        throw new SettingsError(`${(error as Error).message}\nSee --help for the flags that exist.`);
     }
 }
 
