refactor: one list of holder filters, one digest, one kind for the change of primary

The holder's spec fixture keeps its own list, since its shared seed fixes its histories. Conclusion: behaviour unchanged.

--- a/scripts/testClusterFiles.ts
+++ b/scripts/testClusterFiles.ts
@@ -1,9 +1,9 @@
 /** Files that the processes of a test cluster read. */
-import { createHash, randomBytes } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import type { CallerIdentity } from "../standins/load/connector.ts";
+import { doubleSha1Hex } from "../src/frontend/proofVerifier.ts";
 import type { CallersFile } from "../standins/load/settings.ts";
 
 const workspaceCount = 8;
@@ -76,12 +76,7 @@
             { name: "lookups", maximumAgeMs: 1_000, waitingMs: 1_000, repeat: "reads", objectiveShare: 0.999 },
         ],
         workspaces: workspaces.map(workspace => ({ ...workspace, keyValidityMs })),
-        keys: keys.map(key => ({ id: key.keyId, workspace: key.workspace, doubleSha1Hex: doubleSha1Hex(key) })),
+        keys: keys.map(key => ({ id: key.keyId, workspace: key.workspace, doubleSha1Hex: doubleSha1Hex(key.secret) })),
         openRoutes: [],
     };
 }
-
-function doubleSha1Hex({ secret }: CallerIdentity): string {
-    const once = createHash("sha1").update(secret).digest();
-    return createHash("sha1").update(once).digest("hex");
-}
--- a/src/rpc/operatorService.ts
+++ b/src/rpc/operatorService.ts
@@ -15,6 +15,7 @@
     type ControlPropose,
     ProposalStatus,
 } from "../model/controlMessages.ts";
+import { type ChangePrimary, HealthKind } from "../model/healthMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import {
@@ -166,7 +167,8 @@
         const { view, post } = this.options;
         const known = this.configuration.groups.some(group => group.groupId === groupId);
         if (known) {
-            post({ kind: changePrimaryKind, groupId } as Message);
+            const change: ChangePrimary = { kind: HealthKind.ChangePrimary, groupId };
+            post(change);
         }
         const refusal = known ? "" : `there is no group "${groupId}"; see "ctl status"`;
         return { refusal, leaderAddress: view.leaderAddress() };
@@ -179,8 +181,6 @@
     }
 }
 
-const changePrimaryKind = "health.change_primary";
-
 const unknownResult: ChangeResponse = {
     status: ProposalStatus.Unknown,
     version: 0,
--- a/src/wiring/buildPipes.ts
+++ b/src/wiring/buildPipes.ts
@@ -12,14 +12,8 @@
 import { HeartbeatSender } from "../health/heartbeatSender.ts";
 import { Leadership } from "../health/leadership.ts";
 import { LeaseAssigner } from "../health/leaseAssigner.ts";
-import { Acquire } from "../holder/acquire.ts";
-import { Confirm } from "../holder/confirm.ts";
-import { Execute } from "../holder/execute.ts";
-import { Floors } from "../holder/floors.ts";
-import { Freshness } from "../holder/freshness.ts";
+import { holderFilters } from "../holder/holderFilters.ts";
 import { defaultHolderSettings, type HolderSettings } from "../holder/holderSettings.ts";
-import { Monitor } from "../holder/monitor.ts";
-import { Orders } from "../holder/orders.ts";
 import type { Command } from "../model/controlMessages.ts";
 import { Pipe } from "../pipeline/pipe.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
@@ -140,13 +134,5 @@
 
 function buildHolderPipe({ seed, statementLimitMs, confirmationLimitMs }: PipeOptions): Pipe {
     const settings: HolderSettings = { ...defaultHolderSettings, statementLimitMs, confirmationLimitMs };
-    return new Pipe("holder", [
-        new Monitor({ settings }),
-        new Orders({ settings }),
-        new Freshness({ settings }),
-        new Acquire({ settings, random: new SeededRandom(seed + 1) }),
-        new Execute({ settings, random: new SeededRandom(seed + 2) }),
-        new Floors({ settings }),
-        new Confirm({ settings }),
-    ]);
+    return new Pipe("holder", holderFilters(settings, seed));
 }
