--- /dev/null
+++ b/src/cli/platformMain.ts
@@ -0,0 +1,34 @@
+/** Entry point of the processes on the users' platform. */
+import { randomBytes } from "node:crypto";
+import { join } from "node:path";
+import { readPlatformSettings, settingsVariable } from "../platform/platformSettings.ts";
+import { startPlatformProcess } from "../wiring/platformProcess.ts";
+import { ExitCode } from "./exitCode.ts";
+import { readSecretFile } from "./secretFile.ts";
+
+/** Written by the build, beside the program. */
+const secretFile = "cluster-secret";
+
+void run().then(code => process.exit(code), error => {
+    console.error((error as Error).message);
+    process.exit(ExitCode.Failure);
+});
+
+async function run(): Promise<ExitCode> {
+    const path = process.env[settingsVariable];
+    if (path === undefined) {
+        console.error(`set ${settingsVariable} to the path of the settings file`);
+        return ExitCode.Usage;
+    }
+    const settings = readPlatformSettings(path);
+    const running = await startPlatformProcess({
+        settings,
+        clusterSecret: readSecretFile("cluster-secret-file", join(import.meta.dirname, secretFile)),
+        seed: randomBytes(4).readUInt32BE() >>> 1,
+    });
+    process.on("SIGTERM", () => running.drain());
+    process.on("SIGHUP", () => running.reload(readPlatformSettings(path)));
+    await running.ended;
+    await running[Symbol.asyncDispose]();
+    return ExitCode.Success;
+}
--- a/src/control/applyCommand.ts
+++ b/src/control/applyCommand.ts
@@ -3,8 +3,9 @@
 import { type Command, CommandKind, ProposalStatus } from "../model/controlMessages.ts";
 import { ObjectList, type OperationResult } from "../model/replicatedLog.ts";
 import { assignLeases, setGroup } from "./clusterCommands.ts";
-import { type CommandChange, invalid, removeVersioned } from "./commandChange.ts";
+import { type CommandChange, conflict, invalid, removeVersioned } from "./commandChange.ts";
 import { type ControlState, rememberOperation } from "./controlState.ts";
+import { completePromotion, putDocument, reservePromotion } from "./documentCommands.ts";
 import {
     issueKey,
     removeWorkspace,
@@ -74,6 +75,10 @@
         .with({ kind: CommandKind.SetGroup }, found => setGroup(state, found))
         .with({ kind: CommandKind.AssignLeases }, found => assignLeases(state, found))
         .with({ kind: CommandKind.SetRateShares }, found => setRateShares(state, found))
+        .with({ kind: CommandKind.PutDocument }, found => putDocument(state, found))
+        .with({ kind: CommandKind.ReadBarrier }, () => conflict(state, 0, "a barrier changes nothing"))
+        .with({ kind: CommandKind.ReservePromotion }, found => reservePromotion(state, found))
+        .with({ kind: CommandKind.CompletePromotion }, found => completePromotion(state, found))
         .otherwise(() => invalid(state, 0, "unknown kind of command"));
 }
 
--- a/src/control/configurationObjects.ts
+++ b/src/control/configurationObjects.ts
@@ -13,6 +13,9 @@
     groups: group => group.groupId,
     leases: lease => `${lease.resource}/${lease.resourceId}`,
     rateShares: share => `${share.workspace}/${share.dataCentre}`,
+    documentHeads: () => "head",
+    documentEntries: entry => entry.entryId,
+    promotions: promotion => promotion.service,
 };
 
 const lists = Object.values(ObjectList);
--- a/src/control/controlPipe.ts
+++ b/src/control/controlPipe.ts
@@ -22,19 +22,26 @@
     readonly random: SeededRandom;
     /** Entries between two snapshots. */
     readonly snapshotEntries?: number;
+    /** Whether this instance may found a new cluster; true unless set. */
+    readonly mayFound?: boolean;
+    /** Members come and go without an operator's order, and other pipes are told which ones there are. */
+    readonly openMembership?: boolean;
 }
 
 /** The filters for one `Pipe`. Post `storage.recovered` as its first event. */
 // The element type is erased for the same reason as in Pipe: each filter narrows Message to its own kinds.
 // eslint-disable-next-line @typescript-eslint/no-explicit-any
 export function controlFilters(options: ControlFiltersOptions): readonly Filter<any, any>[] {
-    const { self, initialMembers, random } = options;
+    const { self, initialMembers, random, mayFound = true, openMembership = false } = options;
     return [
-        new FormationFilter({ self, initialMembers }),
+        new FormationFilter({ self, initialMembers, mayFound, announcesMembers: openMembership }),
         new TermFilter(self),
         new ReplicationFilter(self),
         new SnapshotFilter(self),
-        new MembershipFilter({ settledIds: initialMembers.map(member => member.memberId) }),
+        new MembershipFilter({
+            settledIds: initialMembers.map(member => member.memberId),
+            replacesSilent: openMembership,
+        }),
         new VoteFilter({ self, random }),
         new ApplyFilter({ snapshotEntries: options.snapshotEntries ?? snapshotEntries }),
         new ProposalFilter(),
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -1,4 +1,5 @@
 /** How an instance with an empty disk becomes a member, and how a new cluster forms. */
+import { ControlKind, type ControlMembersAgreed, type ControlSeedsChanged } from "../model/controlMessages.ts";
 import { type JoinAnswer, type JoinRequest, LogKind, type PeerMessage, send } from "../model/logMessages.ts";
 import { EntryKind, type Member } from "../model/replicatedLog.ts";
 import { StorageKind, type StorageRecovered } from "../model/storageMessages.ts";
@@ -13,6 +14,9 @@
 /** Age up to which a peer's word that its disk is empty counts: two intervals and some delay. */
 const joinAnswerValidityMs = 2_500;
 
+/** Silence of all other members after which an instance that is listed asks to join; it may have been removed. */
+const silenceMs = 3_000;
+
 /** A control member by its settings; its incarnation is learned from the instance itself. */
 export interface InitialMember {
     readonly memberId: string;
@@ -23,9 +27,13 @@
     readonly self: Member;
     /** Equal on all control members; the first one founds the cluster. */
     readonly initialMembers: readonly InitialMember[];
+    /** False on an instance that may only join an existing cluster. */
+    readonly mayFound?: boolean;
+    /** Tells other pipes which members are agreed on. */
+    readonly announcesMembers?: boolean;
 }
 
-type FormationInput = StorageRecovered | TimerEvent | PeerMessage | MembersChanged;
+type FormationInput = StorageRecovered | TimerEvent | PeerMessage | MembersChanged | ControlSeedsChanged;
 
 /**
  * The first of the initial members founds the cluster once every other one says that its disk is empty too. A founder
@@ -42,8 +50,13 @@
         LogKind.VoteRequest,
         LogKind.AppendRequest,
         LogKind.SnapshotRequest,
+        LogKind.AppendAnswer,
+        ControlKind.SeedsChanged,
     ];
     private readonly options: FormationFilterOptions;
+    /** Instances that are asked; the agreed members are added to those of the settings. */
+    private targets: readonly InitialMember[];
+    private heardMs = -Infinity;
     /** This instance takes part in a cluster, or may have promised something to one. */
     private formed = false;
     /** This incarnation was seen in the list of members under its present address, so it need not ask to join. */
@@ -52,6 +65,7 @@
 
     constructor(options: FormationFilterOptions) {
         this.options = options;
+        this.targets = options.initialMembers;
     }
 
     process(message: FormationInput, nowMs: number): readonly Message[] {
@@ -62,13 +76,19 @@
                 return this.ask(nowMs);
             case MemberKind.MembersChanged:
                 this.listed ||= isReachableMember(message.members, this.options.self);
+                return this.announce(message.members);
+            case ControlKind.SeedsChanged:
+                this.targets = message.seeds;
                 return [];
             case LogKind.JoinRequest:
                 return [this.answer(message), message];
             case LogKind.JoinAnswer:
                 return this.note(message, nowMs);
             default:
-                this.formed ||= memberKey((message as PeerMessage).to) === memberKey(this.options.self);
+                if (memberKey((message as PeerMessage).to) === memberKey(this.options.self)) {
+                    this.formed = true;
+                    this.heardMs = nowMs;
+                }
                 return [message];
         }
     }
@@ -78,30 +98,46 @@
         const members = entry?.body.kind === EntryKind.Members ? entry.body.members : recovered.snapshot?.members ?? [];
         this.formed = recovered.term > 0 || members.length > 0;
         this.listed = isReachableMember(members, this.options.self);
-        return this.listed ? [recovered] : [recovered, this.timer(nowMs)];
+        this.heardMs = nowMs;
+        const asks = !this.listed || this.options.announcesMembers === true;
+        return [recovered, ...asks ? [this.timer(nowMs)] : [], ...this.announce(members)];
+    }
+
+    private announce(members: readonly Member[]): readonly Message[] {
+        if (this.options.announcesMembers !== true || members.length === 0) {
+            return [];
+        }
+        const seeds = this.targets.filter(seed => !members.some(({ address }) => address === seed.address));
+        this.targets = [...members, ...seeds];
+        const addresses = members.map(({ address }) => address);
+        return [{ kind: ControlKind.MembersAgreed, addresses } as ControlMembersAgreed];
     }
 
     private ask(nowMs: number): readonly Message[] {
-        if (this.listed) {
+        if (this.listed && this.options.announcesMembers !== true) {
             return [];
         }
+        if (this.listed && nowMs - this.heardMs < silenceMs) {
+            return [this.timer(nowMs)];
+        }
         const founding = this.foundingMembers(nowMs);
         if (founding !== undefined) {
             this.formed = true;
             this.listed = true;
             return [{ kind: MemberKind.Form, members: founding } as Message];
         }
-        const { self, initialMembers } = this.options;
-        const requests = initialMembers.filter(({ memberId }) => memberId !== self.memberId).map(initial =>
-            send({ kind: LogKind.JoinRequest, from: self, to: { ...initial, incarnation: "" }, term: 0, callId: "" })
-        );
+        const { self } = this.options;
+        const requests = this.targets.filter(({ address }) => address !== self.address).map(({ memberId, address }) => {
+            const to = { memberId, address, incarnation: "" };
+            return send({ kind: LogKind.JoinRequest, from: self, to, term: 0, callId: "" });
+        });
         return [...requests, this.timer(nowMs)];
     }
 
     /** The members of a new cluster, if this instance may found it now. */
     private foundingMembers(nowMs: number): readonly Member[] | undefined {
         const { self, initialMembers } = this.options;
-        if (this.formed || initialMembers[0]?.memberId !== self.memberId) {
+        if (this.formed || this.options.mayFound === false || initialMembers[0]?.memberId !== self.memberId) {
             return undefined;
         }
         const others = initialMembers.slice(1).map(({ memberId }) => this.emptyPeers.get(memberId));
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -11,6 +11,9 @@
 /** Time after which an unanswered batch is sent again. */
 const resendAfterMs = 500;
 
+/** Silence after which a member may give its place to a replacement; above a restart and a long pause. */
+const silentMemberMs = 3_000;
+
 /** Bounds the work for instances that ask to join; members are at most 7. */
 const maximumLearners = 3;
 
@@ -142,6 +145,14 @@
         }
     }
 
+    /** A member that has not answered for long. */
+    silentMember(nowMs: number): Member | undefined {
+        return this.log.members.find(member => {
+            const peer = this.peers.get(memberKey(member));
+            return peer !== undefined && nowMs - peer.lastAnswerMs >= silentMemberMs;
+        });
+    }
+
     hasQuorum(nowMs: number): boolean {
         const heard = [...this.log.members].filter(member =>
             memberKey(member) === memberKey(this.self)
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -29,6 +29,7 @@
     HeartbeatDue: "control.heartbeat_due",
     JoinAsked: "control.join_asked",
     ChangeAsked: "control.change_asked",
+    MemberSilent: "control.member_silent",
     TrackLearner: "control.track_learner",
     AppendMembers: "control.append_members",
     MembersChanged: "control.members_changed",
@@ -133,6 +134,12 @@
     readonly memberId: string;
 }
 
+/** A member has not answered the leader for a while. */
+export interface MemberSilent extends Message, MembershipFacts {
+    readonly kind: typeof MemberKind.MemberSilent;
+    readonly member: Member;
+}
+
 /** Asks the leader to replicate to an instance that does not vote. */
 export interface TrackLearner extends Message {
     readonly kind: typeof MemberKind.TrackLearner;
--- a/src/control/membershipFilter.ts
+++ b/src/control/membershipFilter.ts
@@ -12,6 +12,7 @@
     MemberKind,
     MemberRole,
     type MembershipFacts,
+    type MemberSilent,
     type TermChanged,
 } from "./memberMessages.ts";
 import { proposalEnded } from "./proposalEnded.ts";
@@ -22,9 +23,14 @@
 export interface MembershipFilterOptions {
     /** Ids of the control members by the settings; these join without an operator's order. */
     readonly settledIds: readonly string[];
+    /**
+     * Any authenticated instance with a data folder may join, and takes the place of a member that has gone silent.
+     * For fleets whose machines are replaced at new addresses without an operator's order.
+     */
+    readonly replacesSilent?: boolean;
 }
 
-type MembershipInput = TermChanged | JoinAsked | ChangeAsked;
+type MembershipInput = TermChanged | JoinAsked | ChangeAsked | MemberSilent;
 
 /**
  * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. The
@@ -33,7 +39,7 @@
  */
 export class MembershipFilter implements Filter<MembershipInput, Message> {
     readonly step = "membership";
-    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked];
+    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked, MemberKind.MemberSilent];
     private readonly options: MembershipFilterOptions;
     /** Orders to add an instance that have not been carried out: proposal id by member id. */
     private readonly ordered = new Map<string, string>();
@@ -50,6 +56,8 @@
                 return this.considerJoin(message);
             case MemberKind.ChangeAsked:
                 return message.action === "add" ? this.order(message) : this.remove(message);
+            case MemberKind.MemberSilent:
+                return this.replaceSilent(message);
         }
     }
 
@@ -90,7 +98,8 @@
     }
 
     private isAllowed(joiner: Member, members: readonly Member[]): boolean {
-        return this.options.settledIds.includes(joiner.memberId)
+        return this.options.replacesSilent === true
+            || this.options.settledIds.includes(joiner.memberId)
             || this.ordered.has(joiner.memberId)
             || members.some(member => member.memberId === joiner.memberId);
     }
@@ -123,6 +132,16 @@
         return [appendMembers(asked, rest, proposalId)];
     }
 
+    // An even number of members bears no more losses than one less, so the silent one only costs votes. With an odd
+    // number it stays, because it may come back before a replacement does.
+    private replaceSilent(silent: MemberSilent): readonly Message[] {
+        const { members, member } = silent;
+        if (this.options.replacesSilent !== true || members.length % 2 === 1 || members.length <= 2) {
+            return [];
+        }
+        return [appendMembers(silent, members.filter(other => memberKey(other) !== memberKey(member)), undefined)];
+    }
+
     private dropOrders(): readonly Message[] {
         const dropped = [...this.ordered.values()];
         this.ordered.clear();
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -217,10 +217,22 @@
             return [];
         }
         return this.replica.leadership.hasQuorum(nowMs)
-            ? [...this.replica.leadership.heartbeat(this.replica.commitIndex, nowMs), this.heartbeatTimer(nowMs)]
+            ? [
+                ...this.replica.leadership.heartbeat(this.replica.commitIndex, nowMs),
+                this.heartbeatTimer(nowMs),
+                ...this.noteSilence(nowMs),
+            ]
             : [termEvent(MemberKind.QuorumLost, this.replica.term)];
     }
 
+    private noteSilence(nowMs: number): readonly Message[] {
+        const member = this.replica.leadership?.silentMember(nowMs);
+        const facts = this.replica.membershipFacts();
+        return member === undefined || !facts.changeable
+            ? []
+            : [{ kind: MemberKind.MemberSilent, ...facts, member } as Message];
+    }
+
     private askToJoin(request: JoinRequest): readonly Message[] {
         if (this.replica.leadership === undefined) {
             return [];
--- /dev/null
+++ b/src/fleet/assessment.ts
@@ -0,0 +1,120 @@
+/** Gathers what the leader and the instances see of a suspected primary. */
+import { type DatabaseReport, type FleetFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import { LinkCommandKind, LinkKind, LinkLoss, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+
+type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
+
+/** Time for the answers; a few times the longest way there and back. */
+const collectMs = 250;
+
+/** Time for the leader's own connection, after which the database counts as out of its reach. */
+const probeMs = 500;
+
+/** An answer this recent shows that an instance reaches the database. */
+const recentAnswerMs = 400;
+
+/** Age at which an unanswered request counts against the database. */
+const unansweredMs = 350;
+
+const Probe = {
+    Pending: "pending",
+    Reached: "reached",
+    NoListener: "no_listener",
+    Unreachable: "unreachable",
+} as const;
+type Probe = typeof Probe[keyof typeof Probe];
+
+export class Assessment {
+    /** Least time between two assessments of one service. */
+    static readonly intervalMs = 400;
+
+    private readonly report: DatabaseReport;
+    private readonly linkId: string;
+    private readonly frames = new Map<string, AssessmentFrame>();
+    private probe: Probe = Probe.Pending;
+    private asked = 0;
+
+    constructor(report: DatabaseReport, linkId: string) {
+        this.report = report;
+        this.linkId = linkId;
+    }
+
+    /** Asks all instances and connects to the database. */
+    open(serving: readonly string[]): readonly Message[] {
+        const { databaseId, address, service } = this.report;
+        this.asked = serving.length;
+        return [
+            { kind: LinkKind.Open, linkId: this.linkId, address, service, workspace: "", databaseId } as Message,
+            ...serving.map((attachmentId): SendFrame => ({
+                kind: FleetKind.SendFrame,
+                attachmentId,
+                frame: { kind: "assess", databaseId },
+            })),
+        ];
+    }
+
+    note(attachmentId: string, frame: AssessmentFrame): void {
+        if (frame.databaseId === this.report.databaseId) {
+            this.frames.set(attachmentId, frame);
+        }
+    }
+
+    opened({ linkId }: LinkOpened): readonly Message[] {
+        return linkId === this.linkId
+            ? [{ kind: LinkKind.Send, linkId, commands: [{ kind: LinkCommandKind.Rollback }] } as Message]
+            : [];
+    }
+
+    replied({ linkId }: LinkReplied): readonly Message[] {
+        if (linkId === this.linkId) {
+            this.probe = Probe.Reached;
+        }
+        return [];
+    }
+
+    lost({ linkId, loss }: LinkLost): void {
+        if (linkId !== this.linkId || this.probe !== Probe.Pending) {
+            return;
+        }
+        this.probe = loss === LinkLoss.NoListener
+            ? Probe.NoListener
+            // A database that refuses with a fault is there.
+            : loss === LinkLoss.Refused
+            ? Probe.Reached
+            : Probe.Unreachable;
+    }
+
+    /**
+     * Whether the database is to be replaced; undefined while answers are missing.
+     * @param elapsedMs since the questions were sent
+     */
+    verdict(elapsedMs: number): boolean | undefined {
+        const complete = this.frames.size >= this.asked;
+        if (this.probe === Probe.Pending && elapsedMs < probeMs || !complete && elapsedMs < collectMs) {
+            return undefined;
+        }
+        const good = [...this.frames.values()].filter(isGood).length;
+        const bad = [...this.frames.values()].filter(isBad).length;
+        if (this.probe === Probe.NoListener) {
+            return true;
+        }
+        if (this.probe === Probe.Reached) {
+            // The database lives; only if most instances have lost it, another place serves better.
+            return bad > this.asked / 2;
+        }
+        return bad >= good;
+    }
+
+    close(): readonly Message[] {
+        return [{ kind: LinkKind.Close, linkId: this.linkId } as Message];
+    }
+}
+
+function isGood({ answeredAgeMs, unansweredAgeMs }: AssessmentFrame): boolean {
+    return answeredAgeMs !== undefined && answeredAgeMs < recentAnswerMs && (unansweredAgeMs ?? 0) < unansweredMs;
+}
+
+function isBad({ answeredAgeMs, unansweredAgeMs }: AssessmentFrame): boolean {
+    return (unansweredAgeMs ?? 0) >= unansweredMs && (answeredAgeMs ?? Infinity) >= recentAnswerMs;
+}
--- /dev/null
+++ b/src/fleet/directory.ts
@@ -0,0 +1,96 @@
+/** The databases that have reported, to this instance or to a control member that it is attached to. */
+import { match, P } from "ts-pattern";
+import {
+    type DatabaseHeard,
+    type DatabaseLeft,
+    type DatabaseReport,
+    type DatabaseReported,
+    FleetKind,
+    type FrameReceived,
+} from "../model/fleetMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+
+/** Databases that left and whose late reports are ignored; far above the databases of a fleet in one day. */
+const maximumDeparted = 4_096;
+
+type DirectoryInput = DatabaseReported | DatabaseLeft | FrameReceived;
+
+export class Directory implements Filter<DirectoryInput, Message> {
+    readonly step = "directory";
+    readonly accepts = [FleetKind.DatabaseReported, FleetKind.DatabaseLeft, FleetKind.FrameReceived];
+    private readonly reports = new Map<string, DatabaseReport>();
+    /** Births of databases that left, by id; a report of that life or an earlier one is late. */
+    private readonly departed = new Map<string, number>();
+
+    process(message: DirectoryInput): readonly Message[] {
+        return match<DirectoryInput, readonly Message[]>(message)
+            .with({ kind: FleetKind.DatabaseReported }, found => [...this.apply(found.report), found])
+            .with({ kind: FleetKind.DatabaseLeft }, found => [...this.remove(found.databaseId), found])
+            .with(
+                { kind: FleetKind.FrameReceived, frame: { kind: "database" } },
+                found => [...this.apply(found.frame.report), found],
+            )
+            .with(
+                { kind: FleetKind.FrameReceived, frame: { kind: "database_left" } },
+                found => [...this.remove(found.frame.databaseId), found],
+            )
+            .with({ kind: FleetKind.FrameReceived, frame: P.any }, found => [found])
+            .exhaustive();
+    }
+
+    private apply(report: DatabaseReport): readonly Message[] {
+        const { databaseId } = report;
+        const known = this.reports.get(databaseId);
+        const departedBirth = this.departed.get(databaseId);
+        if (departedBirth !== undefined && report.bornUnixMs <= departedBirth) {
+            return [];
+        }
+        if (known !== undefined && !isNewer(report, known)) {
+            // Several control members pass on one report.
+            return [];
+        }
+        this.departed.delete(databaseId);
+        this.reports.set(databaseId, report);
+        const heard: DatabaseHeard = { kind: FleetKind.DatabaseHeard, databaseId };
+        const changed = known === undefined || hasChanged(report, known);
+        return [
+            heard,
+            ...changed ? [{ kind: FleetKind.DatabaseChanged, report } as Message] : [],
+            ...known === undefined ? this.removePredecessor(report) : [],
+        ];
+    }
+
+    /** A new database at the address of another one of a different id has taken its place. */
+    private removePredecessor({ databaseId, address, bornUnixMs }: DatabaseReport): readonly Message[] {
+        const predecessor = [...this.reports.values()].find(other =>
+            other.address === address && other.databaseId !== databaseId && other.bornUnixMs < bornUnixMs
+        );
+        return predecessor === undefined ? [] : this.remove(predecessor.databaseId);
+    }
+
+    private remove(databaseId: string): readonly Message[] {
+        const known = this.reports.get(databaseId);
+        if (known === undefined) {
+            return [];
+        }
+        this.reports.delete(databaseId);
+        this.departed.set(databaseId, known.bornUnixMs);
+        if (this.departed.size > maximumDeparted) {
+            this.departed.delete(this.departed.keys().next().value!);
+        }
+        return [{ kind: FleetKind.DatabaseRemoved, databaseId } as Message];
+    }
+}
+
+function isNewer(report: DatabaseReport, known: DatabaseReport): boolean {
+    return report.bornUnixMs === known.bornUnixMs
+        ? report.sequence > known.sequence
+        : report.bornUnixMs > known.bornUnixMs;
+}
+
+/** Tells whether anything but the sequence differs. */
+function hasChanged(report: DatabaseReport, known: DatabaseReport): boolean {
+    return report.address !== known.address || report.state !== known.state || report.leads !== known.leads
+        || report.slots !== known.slots || report.bornUnixMs !== known.bornUnixMs || report.service !== known.service;
+}
--- /dev/null
+++ b/src/fleet/documents.ts
@@ -0,0 +1,192 @@
+/** Operators' documents: one change at a time on the leader, and reads that are sure to be the newest. */
+import { match } from "ts-pattern";
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlLeaderChanged,
+    type ControlProposalEnded,
+    type ControlPropose,
+    ProposalStatus,
+} from "../model/controlMessages.ts";
+import {
+    type ConfigurationDocument,
+    type DocumentAnswered,
+    DocumentKind,
+    type DocumentLimitDue,
+    type DocumentPut,
+    type DocumentRead,
+    DocumentResult,
+    emptyDocument,
+} from "../model/document.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { diffDocuments } from "./documentDifference.ts";
+
+/** Time after which a request without a majority is answered as unavailable; operators wait 2 s for a read. */
+const answerLimitMs = 1_500;
+
+type DocumentsInput =
+    | DocumentPut
+    | DocumentRead
+    | DocumentLimitDue
+    | ControlProposalEnded
+    | ControlLeaderChanged
+    | ConfigurationApplied;
+
+interface RunningChange {
+    readonly proposalId: string;
+    /** The requests that this change answers. */
+    readonly puts: readonly DocumentPut[];
+}
+
+export class Documents implements Filter<DocumentsInput, Message> {
+    readonly step = "documents";
+    readonly accepts = [
+        DocumentKind.Put,
+        DocumentKind.Read,
+        DocumentKind.LimitDue,
+        ControlKind.ProposalEnded,
+        ControlKind.LeaderChanged,
+        ClusterKind.ConfigurationApplied,
+    ];
+    private leading = false;
+    private leaderAddress: string | undefined;
+    private document: ConfigurationDocument = emptyDocument;
+    private waiting: DocumentPut[] = [];
+    private running: RunningChange | undefined;
+    /** Request of each read whose barrier is under way, by proposal id. */
+    private readonly reads = new Map<string, string>();
+    /** Requests without an answer. */
+    private readonly open = new Set<string>();
+    private nextProposal = 0;
+
+    process(message: DocumentsInput, nowMs: number): readonly Message[] {
+        return match<DocumentsInput, readonly Message[]>(message)
+            .with({ kind: DocumentKind.Put }, found => this.put(found, nowMs))
+            .with({ kind: DocumentKind.Read }, found => this.read(found, nowMs))
+            .with({ kind: DocumentKind.LimitDue }, found => this.answer(found.requestId, DocumentResult.Unavailable))
+            .with({ kind: ControlKind.ProposalEnded }, found => this.endProposal(found))
+            .with({ kind: ControlKind.LeaderChanged }, found => [found, ...this.changeLeader(found)])
+            .with({ kind: ClusterKind.ConfigurationApplied }, found => {
+                const { documentHeads, documentEntries } = found.configuration;
+                this.document = { ...documentHeads[0] ?? emptyDocument, entries: documentEntries };
+                return [found];
+            })
+            .exhaustive();
+    }
+
+    private put(put: DocumentPut, nowMs: number): readonly Message[] {
+        if (!this.leading) {
+            return [this.elsewhere(put.requestId)];
+        }
+        this.open.add(put.requestId);
+        this.waiting.push(put);
+        return [this.limit(put.requestId, nowMs), ...this.startChange()];
+    }
+
+    private read({ requestId }: DocumentRead, nowMs: number): readonly Message[] {
+        if (!this.leading) {
+            return [this.elsewhere(requestId)];
+        }
+        this.open.add(requestId);
+        const proposalId = this.proposalId();
+        this.reads.set(proposalId, requestId);
+        return [this.limit(requestId, nowMs), propose(proposalId, { kind: CommandKind.ReadBarrier })];
+    }
+
+    /** Stores the highest waiting version; whatever is not above it is acknowledged with it. */
+    private startChange(): readonly Message[] {
+        if (this.running !== undefined || this.waiting.length === 0) {
+            return [];
+        }
+        const puts = this.waiting;
+        this.waiting = [];
+        const highest = puts.reduce((left, right) =>
+            right.document.documentVersion > left.document.documentVersion ? right : left
+        );
+        if (highest.document.documentVersion <= this.document.documentVersion) {
+            return puts.flatMap(({ requestId }) => this.answer(requestId, DocumentResult.Accepted));
+        }
+        const proposalId = this.proposalId();
+        this.running = { proposalId, puts };
+        return [propose(proposalId, diffDocuments(this.document, highest.document))];
+    }
+
+    private endProposal(ended: ControlProposalEnded): readonly Message[] {
+        const requestId = this.reads.get(ended.proposalId);
+        if (requestId !== undefined) {
+            this.reads.delete(ended.proposalId);
+            const decided = ended.status === ProposalStatus.Applied || ended.status === ProposalStatus.Conflict;
+            const found = decided && this.document.documentVersion > 0;
+            return this.answer(requestId, found ? DocumentResult.Found : DocumentResult.Unavailable);
+        }
+        const { running } = this;
+        if (running?.proposalId !== ended.proposalId) {
+            return [ended];
+        }
+        this.running = undefined;
+        if (ended.status === ProposalStatus.Applied) {
+            const answers = running.puts.flatMap(put => this.answer(put.requestId, DocumentResult.Accepted));
+            return [...answers, ...this.startChange()];
+        }
+        if (ended.status === ProposalStatus.Conflict) {
+            // An earlier leader's change came first; try again on top of it.
+            this.waiting = [...running.puts, ...this.waiting];
+            return this.startChange();
+        }
+        const answers = running.puts.flatMap(put => this.answer(put.requestId, DocumentResult.Unavailable));
+        return [...answers, ...this.startChange()];
+    }
+
+    private changeLeader({ leading, leaderAddress }: ControlLeaderChanged): readonly Message[] {
+        this.leading = leading;
+        this.leaderAddress = leaderAddress;
+        if (leading) {
+            return [];
+        }
+        const lost = [...this.open];
+        this.waiting = [];
+        this.running = undefined;
+        this.reads.clear();
+        return lost.flatMap(requestId => this.answer(requestId, DocumentResult.Unavailable));
+    }
+
+    private elsewhere(requestId: string): DocumentAnswered {
+        const result = this.leaderAddress === undefined ? DocumentResult.Unavailable : DocumentResult.Redirect;
+        return { kind: DocumentKind.Answered, requestId, result, document: undefined, leaderAddress: this.leaderAddress };
+    }
+
+    private answer(requestId: string, result: DocumentResult): readonly Message[] {
+        if (!this.open.delete(requestId)) {
+            return [];
+        }
+        const document = result === DocumentResult.Found ? this.document : undefined;
+        const answered: DocumentAnswered = {
+            kind: DocumentKind.Answered,
+            requestId,
+            result,
+            document,
+            leaderAddress: undefined,
+        };
+        return [clearDeadline(limitKey(requestId)), answered];
+    }
+
+    private limit(requestId: string, nowMs: number): Message {
+        const due: DocumentLimitDue = { kind: DocumentKind.LimitDue, requestId };
+        return setDeadline(limitKey(requestId), nowMs + answerLimitMs, due);
+    }
+
+    private proposalId(): string {
+        return `document/${this.nextProposal++}`;
+    }
+}
+
+function propose(proposalId: string, command: ControlPropose["command"]): ControlPropose {
+    return { kind: ControlKind.Propose, proposalId, operationId: "", command };
+}
+
+function limitKey(requestId: string): string {
+    return `document/${requestId}`;
+}
--- /dev/null
+++ b/src/fleet/promotions.ts
@@ -0,0 +1,224 @@
+/** Decides on the leader when a service needs another primary, and carries the change through. */
+import { match } from "ts-pattern";
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import { ControlKind, type ControlLeaderChanged, type ControlProposalEnded } from "../model/controlMessages.ts";
+import {
+    type Attached,
+    type DatabaseChanged,
+    type DatabaseHeard,
+    type DatabaseRemoved,
+    type DatabaseReport,
+    type Detached,
+    FleetKind,
+    type FrameReceived,
+    type PolicyApplied,
+} from "../model/fleetMessages.ts";
+import { LinkKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
+import type { PromotionRecord } from "../model/promotion.ts";
+import { type PromotionDue, PromotionKind, type PromotionOrdered } from "../model/promotionMessages.ts";
+import type { ServicePolicy } from "../model/trafficPolicy.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { ServicePromotion } from "./servicePromotion.ts";
+
+/** How often the services are looked at while all is well. */
+const steadyTickMs = 400;
+
+/** How often they are looked at while a change of primary is under way. */
+const activeTickMs = 50;
+
+type PromotionsInput =
+    | ControlLeaderChanged
+    | ControlProposalEnded
+    | ConfigurationApplied
+    | PolicyApplied
+    | DatabaseHeard
+    | DatabaseChanged
+    | DatabaseRemoved
+    | Attached
+    | Detached
+    | FrameReceived
+    | LinkOpened
+    | LinkReplied
+    | LinkLost
+    | PromotionOrdered
+    | PromotionDue;
+
+/** What is known of a database that may take part in a promotion. */
+export interface PromotionCandidate {
+    report: DatabaseReport;
+    heardMs: number;
+}
+
+/** What the promotion of one service needs to know of the fleet. */
+export interface FleetView {
+    readonly databases: ReadonlyMap<string, PromotionCandidate>;
+    /** Attachments of instances that serve callers. */
+    readonly serving: ReadonlySet<string>;
+    /** Interval at which databases report. */
+    readonly reportIntervalMs: number;
+    /** Time since which this member leads. */
+    readonly leadingSinceMs: number;
+    nextLinkId(): string;
+}
+
+export interface PromotionsOptions {
+    /** Interval at which databases report. */
+    readonly reportIntervalMs: number;
+}
+
+export class Promotions implements Filter<PromotionsInput, Message> {
+    readonly step = "promotions";
+    readonly accepts = [
+        ControlKind.LeaderChanged,
+        ControlKind.ProposalEnded,
+        ClusterKind.ConfigurationApplied,
+        FleetKind.PolicyApplied,
+        FleetKind.DatabaseHeard,
+        FleetKind.DatabaseChanged,
+        FleetKind.DatabaseRemoved,
+        FleetKind.Detached,
+        FleetKind.FrameReceived,
+        LinkKind.Opened,
+        LinkKind.Replied,
+        LinkKind.Lost,
+        PromotionKind.Ordered,
+        PromotionKind.Due,
+    ];
+    private readonly databases = new Map<string, PromotionCandidate>();
+    private readonly serving = new Set<string>();
+    private readonly services = new Map<string, ServicePromotion>();
+    private policies: ReadonlyMap<string, ServicePolicy> = new Map();
+    private records: readonly PromotionRecord[] = [];
+    private leading = false;
+    private leadingSinceMs = 0;
+    private readonly reportIntervalMs: number;
+    private nextLink = 0;
+
+    constructor({ reportIntervalMs }: PromotionsOptions) {
+        this.reportIntervalMs = reportIntervalMs;
+    }
+
+    process(message: PromotionsInput, nowMs: number): readonly Message[] {
+        return match<PromotionsInput, readonly Message[]>(message)
+            .with({ kind: ControlKind.LeaderChanged }, found => [found, ...this.changeLeader(found, nowMs)])
+            .with({ kind: ControlKind.ProposalEnded }, found => this.endProposal(found, nowMs))
+            .with({ kind: ClusterKind.ConfigurationApplied }, found => {
+                this.records = found.configuration.promotions;
+                return [found];
+            })
+            .with({ kind: FleetKind.PolicyApplied }, found => {
+                this.policies = found.policy.services;
+                return [found];
+            })
+            .with({ kind: FleetKind.DatabaseHeard }, ({ databaseId }) => {
+                const known = this.databases.get(databaseId);
+                if (known !== undefined) {
+                    known.heardMs = nowMs;
+                }
+                return [];
+            })
+            .with({ kind: FleetKind.DatabaseChanged }, found => this.applyReport(found, nowMs))
+            .with({ kind: FleetKind.DatabaseRemoved }, found => {
+                this.databases.delete(found.databaseId);
+                return [];
+            })
+            .with({ kind: FleetKind.Detached }, found => {
+                this.serving.delete(found.attachmentId);
+                return [found];
+            })
+            .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
+            .with({ kind: LinkKind.Opened }, found => this.toServices(service => service.opened(found, nowMs)))
+            .with({ kind: LinkKind.Replied }, found => this.toServices(service => service.replied(found, nowMs)))
+            .with({ kind: LinkKind.Lost }, found => this.toServices(service => service.lost(found, nowMs)))
+            .with({ kind: PromotionKind.Ordered }, found =>
+                this.services.get(found.service)?.ordered(found, nowMs) ?? [])
+            .otherwise(() => this.tick(nowMs));
+    }
+
+    private changeLeader({ leading }: ControlLeaderChanged, nowMs: number): readonly Message[] {
+        this.leading = leading;
+        this.leadingSinceMs = nowMs;
+        const given = [...this.services.values()].flatMap(service => service.dispose());
+        this.services.clear();
+        return leading ? [...given, this.timer(nowMs, steadyTickMs)] : [...given, clearDeadline("promotion")];
+    }
+
+    private tick(nowMs: number): readonly Message[] {
+        if (!this.leading) {
+            return [];
+        }
+        const names = new Set([...this.databases.values()].map(({ report }) => report.service));
+        const messages = [...names].filter(name => this.policies.has(name))
+            .flatMap(name => this.serviceOf(name).tick(this.recordOf(name), nowMs));
+        const active = [...this.services.values()].some(service => service.active);
+        return [...messages, this.timer(nowMs, active ? activeTickMs : steadyTickMs)];
+    }
+
+    private applyReport({ report }: DatabaseChanged, nowMs: number): readonly Message[] {
+        this.databases.set(report.databaseId, { report, heardMs: nowMs });
+        // A primary that reports its departure is replaced at once.
+        return this.leading && this.policies.has(report.service)
+            ? this.withTimer(this.serviceOf(report.service).tick(this.recordOf(report.service), nowMs), nowMs)
+            : [];
+    }
+
+    private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
+        if (frame.kind === "hello" && frame.serves) {
+            this.serving.add(attachmentId);
+            return [];
+        }
+        if (!this.leading || (frame.kind !== "suspect" && frame.kind !== "assessment")) {
+            return [];
+        }
+        const service = this.databases.get(frame.databaseId)?.report.service;
+        if (service === undefined || !this.policies.has(service)) {
+            return [];
+        }
+        const promotion = this.serviceOf(service);
+        const messages = frame.kind === "suspect"
+            ? promotion.suspect(frame.databaseId, this.recordOf(service), nowMs)
+            : promotion.assessed(attachmentId, frame, nowMs);
+        return this.withTimer(messages, nowMs);
+    }
+
+    private endProposal(ended: ControlProposalEnded, nowMs: number): readonly Message[] {
+        const owner = [...this.services.values()].find(service => service.owns(ended.proposalId));
+        return owner === undefined ? [ended] : this.withTimer(owner.proposalEnded(ended, nowMs), nowMs);
+    }
+
+    private toServices(act: (service: ServicePromotion) => readonly Message[]): readonly Message[] {
+        return [...this.services.values()].flatMap(act);
+    }
+
+    private serviceOf(name: string): ServicePromotion {
+        const known = this.services.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const view: FleetView = {
+            databases: this.databases,
+            serving: this.serving,
+            reportIntervalMs: this.reportIntervalMs,
+            leadingSinceMs: this.leadingSinceMs,
+            nextLinkId: () => `m${this.nextLink++}`,
+        };
+        const synchronousReplicas = (): number => this.policies.get(name)?.synchronousReplicas ?? 0;
+        const service = new ServicePromotion({ service: name, view, synchronousReplicas });
+        this.services.set(name, service);
+        return service;
+    }
+
+    private recordOf(service: string): PromotionRecord | undefined {
+        return this.records.find(record => record.service === service);
+    }
+
+    private withTimer(messages: readonly Message[], nowMs: number): readonly Message[] {
+        return messages.length === 0 ? messages : [...messages, this.timer(nowMs, activeTickMs)];
+    }
+
+    private timer(nowMs: number, afterMs: number): Message {
+        return setDeadline("promotion", nowMs + afterMs, { kind: PromotionKind.Due } as PromotionDue);
+    }
+}
--- /dev/null
+++ b/src/fleet/rateGrants.ts
@@ -0,0 +1,193 @@
+/**
+ * The leader's division of all rates among the instances that serve callers, by their demand. The fractions that are
+ * out at any moment, with those that may still be in force at instances that are silent, never add up to more than the
+ * newcomer total, and to one as soon as all have confirmed.
+ */
+import { match } from "ts-pattern";
+import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
+import { type Detached, FleetKind, type FrameReceived, type GrantFrame, type PolicyApplied } from "../model/fleetMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { sendFrame } from "./attachments.ts";
+
+/** Time for which grants hold without renewal: three reports and some delay. */
+export const grantValidMs = 2_700;
+
+/** Part of a grant that an instance keeps after it has ended without renewal. */
+export const expiredShare = 0.5;
+
+/** Time after which an instance that is silent is taken to be gone, with what it kept. */
+const goneAfterMs = 30_000;
+
+/** Demand, in operations per second, that every instance is taken to have, so that a new caller finds a rate. */
+const baseDemand = 0.5;
+
+/**
+ * What all fractions may add up to when an instance without any asks; the part above one lets it begin before the
+ * others have confirmed their smaller shares. Below the tolerance of 10% that a rate over some seconds has.
+ */
+const newcomerTotal = 1.06;
+
+/** A change of a fraction below this is not worth a smaller share elsewhere. */
+export const minimumChange = 0.02;
+
+interface Holder {
+    readonly instanceId: string;
+    attachmentId: string | undefined;
+    usage: Readonly<Record<string, number>>;
+    /** Sent and not yet confirmed, by sequence; the highest of them may be in force. */
+    readonly unconfirmed: { readonly sequence: number; readonly fractions: Readonly<Record<string, number>>; }[];
+    confirmed: Readonly<Record<string, number>>;
+    lastHeardMs: number;
+}
+
+type GrantsInput = ControlLeaderChanged | FrameReceived | Detached | PolicyApplied;
+
+export class RateGrants implements Filter<GrantsInput, Message> {
+    readonly step = "rate_grants";
+    readonly accepts = [
+        ControlKind.LeaderChanged,
+        FleetKind.FrameReceived,
+        FleetKind.Detached,
+        FleetKind.PolicyApplied,
+    ];
+    private term: number | undefined;
+    /** Until then, instances that have not reported may hold grants of an earlier leader. */
+    private unknownUntilMs = 0;
+    private workspaces: readonly string[] = [];
+    private readonly holders = new Map<string, Holder>();
+    private readonly idByAttachment = new Map<string, string>();
+    private sequence = 0;
+
+    process(message: GrantsInput, nowMs: number): readonly Message[] {
+        return match<GrantsInput, readonly Message[]>(message)
+            .with({ kind: ControlKind.LeaderChanged }, found => [found, ...this.changeLeader(found, nowMs)])
+            .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
+            .with({ kind: FleetKind.Detached }, found => {
+                this.detach(found.attachmentId);
+                return [found];
+            })
+            .with({ kind: FleetKind.PolicyApplied }, found => {
+                this.workspaces = [...found.policy.workspaces.keys()];
+                return [found];
+            })
+            .exhaustive();
+    }
+
+    private changeLeader({ leading, term }: ControlLeaderChanged, nowMs: number): readonly Message[] {
+        this.term = leading ? term : undefined;
+        this.unknownUntilMs = nowMs + grantValidMs;
+        this.holders.clear();
+        return [];
+    }
+
+    private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
+        if (frame.kind === "hello" && frame.serves) {
+            this.idByAttachment.set(attachmentId, frame.instanceId);
+            // A process that attaches anew with no grant has ended what it held before.
+            this.holders.delete(frame.instanceId);
+            return [];
+        }
+        const instanceId = this.idByAttachment.get(attachmentId);
+        if (frame.kind !== "usage" || this.term === undefined || instanceId === undefined) {
+            return [];
+        }
+        const holder = this.holderOf(instanceId, nowMs);
+        holder.attachmentId = attachmentId;
+        holder.usage = frame.usage;
+        holder.lastHeardMs = nowMs;
+        this.confirm(holder, frame.grantTerm === this.term ? frame.grantSequence : 0, frame.fractions);
+        return [this.grant(holder, nowMs)];
+    }
+
+    private confirm(holder: Holder, sequence: number, fractions: Readonly<Record<string, number>>): void {
+        if (sequence > 0) {
+            const rest = holder.unconfirmed.filter(sent => sent.sequence > sequence);
+            holder.unconfirmed.splice(0, holder.unconfirmed.length, ...rest);
+        }
+        holder.confirmed = fractions;
+    }
+
+    private grant(holder: Holder, nowMs: number): Message {
+        const fractions: Record<string, number> = {};
+        for (const workspace of this.workspaces) {
+            fractions[workspace] = this.nextFraction(holder, workspace, nowMs);
+        }
+        this.sequence += 1;
+        holder.unconfirmed.push({ sequence: this.sequence, fractions });
+        const frame: GrantFrame = {
+            kind: "grants",
+            term: this.term!,
+            sequence: this.sequence,
+            validMs: grantValidMs,
+            fractions,
+            instances: this.holders.size,
+        };
+        return sendFrame(holder.attachmentId!, frame);
+    }
+
+    private nextFraction(holder: Holder, workspace: string, nowMs: number): number {
+        const others = [...this.holders.values()].filter(other => other !== holder);
+        const held = others.reduce((sum, other) => sum + this.outstanding(other, workspace, nowMs), 0);
+        const unknown = nowMs < this.unknownUntilMs;
+        const current = holder.confirmed[workspace] ?? 0;
+        if (unknown) {
+            // A reported fraction is renewed; what nobody has reported may be in force somewhere.
+            return round(Math.min(current, Math.max(0, 1 - held)));
+        }
+        const free = Math.max(0, (current > 0 ? 1 : newcomerTotal) - held);
+        const target = this.target(holder, workspace, nowMs);
+        const wanted = Math.abs(target - current) < minimumChange && current > 0 ? current : target;
+        return round(Math.min(free, wanted));
+    }
+
+    /** Share by demand among the instances that are heard. */
+    private target(holder: Holder, workspace: string, nowMs: number): number {
+        const heard = [...this.holders.values()].filter(other => nowMs - other.lastHeardMs < grantValidMs);
+        const total = heard.reduce((sum, other) => sum + demand(other, workspace), 0);
+        const silent = [...this.holders.values()].filter(other => !heard.includes(other))
+            .reduce((sum, other) => sum + this.outstanding(other, workspace, nowMs), 0);
+        return Math.max(0, 1 - silent) * demand(holder, workspace) / Math.max(total, demand(holder, workspace));
+    }
+
+    /** The most that an instance may be spending of one workspace. */
+    private outstanding(holder: Holder, workspace: string, nowMs: number): number {
+        const silentMs = nowMs - holder.lastHeardMs;
+        const sent = holder.unconfirmed.map(({ fractions }) => fractions[workspace] ?? 0);
+        const highest = Math.max(holder.confirmed[workspace] ?? 0, ...sent);
+        if (silentMs > goneAfterMs) {
+            return 0;
+        }
+        return silentMs > 2 * grantValidMs ? highest * expiredShare : highest;
+    }
+
+    private holderOf(instanceId: string, nowMs: number): Holder {
+        const known = this.holders.get(instanceId);
+        if (known !== undefined) {
+            return known;
+        }
+        const holder: Holder = {
+            instanceId,
+            attachmentId: undefined,
+            usage: {},
+            unconfirmed: [],
+            confirmed: {},
+            lastHeardMs: nowMs,
+        };
+        this.holders.set(instanceId, holder);
+        return holder;
+    }
+
+    private detach(attachmentId: string): void {
+        this.idByAttachment.delete(attachmentId);
+    }
+}
+
+function demand({ usage }: Holder, workspace: string): number {
+    return baseDemand + (usage[workspace] ?? 0);
+}
+
+/** Fractions travel with four digits, rounded down. */
+function round(fraction: number): number {
+    return Math.floor(fraction * 10_000) / 10_000;
+}
--- /dev/null
+++ b/src/fleet/readiness.ts
@@ -0,0 +1,36 @@
+/** Whether this instance takes new callers: it has a policy, knows databases, and does not stop. */
+import { type DatabaseChanged, type FleetDrainStarted, FleetKind, type PolicyApplied, type ReadinessChanged } from "../model/fleetMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+
+type ReadinessInput = PolicyApplied | DatabaseChanged | FleetDrainStarted;
+
+export class Readiness implements Filter<ReadinessInput, Message> {
+    readonly step = "readiness";
+    readonly accepts = [FleetKind.PolicyApplied, FleetKind.DatabaseChanged, FleetKind.DrainStarted];
+    private hasPolicy = false;
+    private hasDatabase = false;
+    private draining = false;
+    private shown = false;
+
+    process(message: ReadinessInput): readonly Message[] {
+        switch (message.kind) {
+            case FleetKind.PolicyApplied:
+                this.hasPolicy ||= message.policy.version > 0;
+                break;
+            case FleetKind.DatabaseChanged:
+                this.hasDatabase = true;
+                break;
+            case FleetKind.DrainStarted:
+                this.draining = true;
+                break;
+        }
+        const ready = this.hasPolicy && this.hasDatabase && !this.draining;
+        if (ready === this.shown) {
+            return [message];
+        }
+        this.shown = ready;
+        const changed: ReadinessChanged = { kind: FleetKind.Readiness, ready };
+        return [message, changed];
+    }
+}
--- /dev/null
+++ b/src/fleet/servicePromotion.ts
@@ -0,0 +1,283 @@
+/**
+ * One service's changes of primary. Before an order is given, no commit may be acknowledged any more that the chosen
+ * database lacks: either the primary has stepped down and the choice has caught up with it, or every replica that could
+ * acknowledge has stopped receiving and the furthest one is chosen.
+ */
+import { CommandKind, ControlKind, type ControlProposalEnded, type ControlPropose, ProposalStatus } from "../model/controlMessages.ts";
+import { type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
+import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
+import type { PromotionRecord } from "../model/promotion.ts";
+import { OrderResult, PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import { Assessment } from "./assessment.ts";
+import { Fencing } from "./fencing.ts";
+import type { FleetView } from "./promotions.ts";
+
+type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
+
+const Phase = {
+    Steady: "steady",
+    Assessing: "assessing",
+    Reserving: "reserving",
+    Fencing: "fencing",
+    Ordering: "ordering",
+    Completing: "completing",
+    /** The new primary takes over; suspicion waits. */
+    Settling: "settling",
+} as const;
+type Phase = typeof Phase[keyof typeof Phase];
+
+/** Missed reports after which a primary is suspected without a word from any instance. */
+const missedReports = 2.3;
+
+/** Time that a new primary has to take over before it may be suspected; above the time of a promotion. */
+const settleMs = 1_800;
+
+/** Wait before an order without an answer is given again under a higher fence. */
+const orderLimitMs = 1_200;
+
+/** Time that databases have to report after this member began to lead, before a missing primary counts as lost. */
+const learningMs = 3_000;
+
+export interface ServicePromotionOptions {
+    readonly service: string;
+    readonly view: FleetView;
+    synchronousReplicas(): number;
+}
+
+export class ServicePromotion {
+    private readonly options: ServicePromotionOptions;
+    private phase: Phase = Phase.Steady;
+    private phaseSinceMs = 0;
+    private assessment: Assessment | undefined;
+    private fencing: Fencing | undefined;
+    private fence = 0;
+    private chosen = "";
+    /** The primary leaves or has left on its own accord, and is reached. */
+    private planned = false;
+    private proposalId = "";
+    private nextProposal = 0;
+    private lastAssessedMs = -Infinity;
+
+    constructor(options: ServicePromotionOptions) {
+        this.options = options;
+    }
+
+    /** A change of primary, or the question whether one is needed, is under way. */
+    get active(): boolean {
+        return this.phase !== Phase.Steady;
+    }
+
+    owns(proposalId: string): boolean {
+        return proposalId !== "" && proposalId === this.proposalId;
+    }
+
+    /** Closes what is open, when this member stops leading. */
+    dispose(): readonly Message[] {
+        const messages = [...this.assessment?.close() ?? [], ...this.fencing?.close() ?? []];
+        this.assessment = undefined;
+        this.fencing = undefined;
+        this.phase = Phase.Steady;
+        return messages;
+    }
+
+    tick(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+        switch (this.phase) {
+            case Phase.Steady:
+                return this.watch(record, nowMs);
+            case Phase.Assessing:
+                return this.judge(record, nowMs);
+            case Phase.Fencing:
+                return this.choose(nowMs);
+            case Phase.Ordering:
+                return nowMs - this.phaseSinceMs < orderLimitMs ? [] : this.reserve(this.fence, nowMs);
+            case Phase.Settling:
+                return nowMs - this.phaseSinceMs < settleMs ? [] : this.enter(Phase.Steady, nowMs);
+            default:
+                return [];
+        }
+    }
+
+    /** An instance reported that a database does not answer. */
+    suspect(databaseId: string, record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+        return this.phase === Phase.Steady && databaseId === this.primary(record) && this.mayAssess(nowMs)
+            ? this.assess(databaseId, nowMs)
+            : [];
+    }
+
+    assessed(attachmentId: string, frame: AssessmentFrame, nowMs: number): readonly Message[] {
+        this.assessment?.note(attachmentId, frame);
+        this.fencing?.noteAcknowledged(attachmentId, frame.acknowledged);
+        return this.phase === Phase.Fencing ? this.choose(nowMs) : [];
+    }
+
+    opened(message: LinkOpened, nowMs: number): readonly Message[] {
+        return [...this.assessment?.opened(message) ?? [], ...this.fencing?.opened(message, nowMs) ?? []];
+    }
+
+    replied(message: LinkReplied, nowMs: number): readonly Message[] {
+        const sent = [...this.assessment?.replied(message) ?? [], ...this.fencing?.replied(message, nowMs) ?? []];
+        return [...sent, ...this.phase === Phase.Fencing ? this.choose(nowMs) : []];
+    }
+
+    lost(message: LinkLost, nowMs: number): readonly Message[] {
+        this.assessment?.lost(message);
+        const sent = this.fencing?.lost(message, nowMs) ?? [];
+        return [...sent, ...this.phase === Phase.Fencing ? this.choose(nowMs) : []];
+    }
+
+    proposalEnded({ status, version }: ControlProposalEnded, nowMs: number): readonly Message[] {
+        this.proposalId = "";
+        if (this.phase === Phase.Completing) {
+            return this.enter(Phase.Settling, nowMs);
+        }
+        if (this.phase !== Phase.Reserving) {
+            return [];
+        }
+        if (status === ProposalStatus.Conflict) {
+            return this.reserve(version, nowMs);
+        }
+        if (status !== ProposalStatus.Applied) {
+            return this.enter(Phase.Steady, nowMs);
+        }
+        this.fence = version;
+        return this.startFencing(nowMs);
+    }
+
+    ordered({ fence, result, databaseId }: PromotionOrdered, nowMs: number): readonly Message[] {
+        if (this.phase !== Phase.Ordering || fence !== this.fence) {
+            return [];
+        }
+        return result === OrderResult.Accepted ? this.complete(databaseId, nowMs) : this.reserve(this.fence, nowMs);
+    }
+
+    private watch(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+        const { view } = this.options;
+        if (record?.open === true) {
+            // An earlier leader may have stopped replicas or given an order.
+            return this.reserve(record.fence, nowMs);
+        }
+        const primaryId = this.primary(record);
+        const primary = primaryId === undefined ? undefined : view.databases.get(primaryId);
+        if (primary === undefined) {
+            return nowMs - view.leadingSinceMs < learningMs || this.others(undefined).length === 0
+                ? []
+                : this.reserve(record?.fence ?? 0, nowMs);
+        }
+        if (primary.report.state === ReportedState.Draining) {
+            const successors = this.others(primaryId).filter(id => this.isReady(id));
+            this.planned = true;
+            return successors.length === 0 ? [] : this.reserve(record?.fence ?? 0, nowMs);
+        }
+        const silent = nowMs - primary.heardMs > missedReports * view.reportIntervalMs
+            && nowMs - view.leadingSinceMs > learningMs;
+        return silent && this.mayAssess(nowMs) ? this.assess(primaryId!, nowMs) : [];
+    }
+
+    /** The database that reports to lead; of several, the one that the last promotion named, or the youngest word. */
+    private primary(record: PromotionRecord | undefined): string | undefined {
+        const claims = [...this.options.view.databases.values()].filter(({ report }) =>
+            report.service === this.options.service && report.leads
+        );
+        const named = claims.find(({ report }) => report.databaseId === record?.databaseId);
+        const newest = claims.sort((left, right) => right.heardMs - left.heardMs)[0];
+        const known = record !== undefined && this.options.view.databases.has(record.databaseId);
+        return (named ?? newest)?.report.databaseId ?? (known ? record.databaseId : undefined);
+    }
+
+    private mayAssess(nowMs: number): boolean {
+        return nowMs - this.lastAssessedMs >= Assessment.intervalMs;
+    }
+
+    private assess(databaseId: string, nowMs: number): readonly Message[] {
+        const { view } = this.options;
+        this.lastAssessedMs = nowMs;
+        this.planned = false;
+        this.assessment = new Assessment(view.databases.get(databaseId)!.report, view.nextLinkId());
+        return [...this.enter(Phase.Assessing, nowMs), ...this.assessment.open([...view.serving])];
+    }
+
+    private judge(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+        const verdict = this.assessment!.verdict(nowMs - this.phaseSinceMs);
+        if (verdict === undefined) {
+            return [];
+        }
+        const closed = this.assessment!.close();
+        this.assessment = undefined;
+        return verdict
+            ? [...closed, ...this.reserve(record?.fence ?? 0, nowMs)]
+            : [...closed, ...this.enter(Phase.Steady, nowMs)];
+    }
+
+    private reserve(expectedFence: number, nowMs: number): readonly Message[] {
+        const closed = this.fencing?.close() ?? [];
+        this.fencing = undefined;
+        const command = { kind: CommandKind.ReservePromotion, service: this.options.service, expectedFence };
+        return [...closed, ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
+    }
+
+    private startFencing(nowMs: number): readonly Message[] {
+        const { view, service, synchronousReplicas } = this.options;
+        const primaryId = this.primary(undefined);
+        const reports = [...view.databases.values()].map(({ report }) => report)
+            .filter(report => report.service === service);
+        this.fencing = new Fencing({
+            reports,
+            primaryId,
+            planned: this.planned,
+            synchronous: synchronousReplicas() > 0,
+            serving: [...view.serving],
+            nextLinkId: () => view.nextLinkId(),
+            startedMs: nowMs,
+        });
+        this.planned = false;
+        return [...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
+    }
+
+    private choose(nowMs: number): readonly Message[] {
+        const { messages, choice, alreadyLeads } = this.fencing!.decide(nowMs);
+        if (choice === undefined) {
+            return messages;
+        }
+        this.chosen = choice;
+        if (alreadyLeads) {
+            return [...messages, ...this.complete(choice, nowMs)];
+        }
+        const order: PromotionOrder = {
+            kind: PromotionKind.Order,
+            service: this.options.service,
+            databaseId: choice,
+            fence: this.fence,
+        };
+        return [...messages, ...this.enter(Phase.Ordering, nowMs), order];
+    }
+
+    private complete(databaseId: string, nowMs: number): readonly Message[] {
+        const released = this.fencing?.release() ?? [];
+        this.fencing = undefined;
+        const { service } = this.options;
+        const command = { kind: CommandKind.CompletePromotion, service, fence: this.fence, databaseId };
+        return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
+    }
+
+    private propose(command: ControlPropose["command"]): ControlPropose {
+        this.proposalId = `promotion/${this.options.service}/${this.nextProposal++}`;
+        return { kind: ControlKind.Propose, proposalId: this.proposalId, operationId: "", command };
+    }
+
+    private enter(phase: Phase, nowMs: number): readonly Message[] {
+        this.phase = phase;
+        this.phaseSinceMs = nowMs;
+        return [];
+    }
+
+    private others(primaryId: string | undefined): readonly string[] {
+        return [...this.options.view.databases.values()]
+            .filter(({ report }) => report.service === this.options.service && report.databaseId !== primaryId)
+            .map(({ report }) => report.databaseId);
+    }
+
+    private isReady(databaseId: string): boolean {
+        return this.options.view.databases.get(databaseId)?.report.state === ReportedState.Ready;
+    }
+}
--- a/src/model/configuration.ts
+++ b/src/model/configuration.ts
@@ -1,6 +1,8 @@
 /** The agreed configuration, in force on every instance. */
 import type { DatabaseGroup } from "./database.ts";
+import type { DocumentEntry, DocumentHead } from "./document.ts";
 import type { LeaseAssignment } from "./lease.ts";
+import type { PromotionRecord } from "./promotion.ts";
 import type { WorkClass } from "./workClass.ts";
 import type { CallerKey, OpenRoute, Workspace } from "./workspace.ts";
 
@@ -23,6 +25,10 @@
     readonly groups: readonly DatabaseGroup[];
     readonly leases: readonly LeaseAssignment[];
     readonly rateShares: readonly RateShare[];
+    /** At most one. */
+    readonly documentHeads: readonly DocumentHead[];
+    readonly documentEntries: readonly DocumentEntry[];
+    readonly promotions: readonly PromotionRecord[];
 }
 
 /** The configuration of a new cluster. */
@@ -35,4 +41,7 @@
     groups: [],
     leases: [],
     rateShares: [],
+    documentHeads: [],
+    documentEntries: [],
+    promotions: [],
 };
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -2,6 +2,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { RateShare } from "./configuration.ts";
 import type { DatabaseGroup } from "./database.ts";
+import type { DocumentEntry, DocumentHead } from "./document.ts";
 import type { LeaseAssignment } from "./lease.ts";
 import type { WorkClass } from "./workClass.ts";
 import type { CallerKey, OpenRoute, Workspace } from "./workspace.ts";
@@ -15,6 +16,10 @@
     ProposalEnded: "control.proposal_ended",
     /** This member's view of who leads changed. */
     LeaderChanged: "control.leader_changed",
+    /** The list of control members that this member knows of changed. */
+    MembersAgreed: "control.members_agreed",
+    /** The settings name other instances to ask for membership. */
+    SeedsChanged: "control.seeds_changed",
 } as const;
 
 export const CommandKind = {
@@ -29,6 +34,10 @@
     SetGroup: "set_group",
     AssignLeases: "assign_leases",
     SetRateShares: "set_rate_shares",
+    PutDocument: "put_document",
+    ReadBarrier: "read_barrier",
+    ReservePromotion: "reserve_promotion",
+    CompletePromotion: "complete_promotion",
 } as const;
 
 /** Version expected of the object that a command changes; 0 for one that must not exist yet. */
@@ -100,7 +109,40 @@
     readonly shares: readonly RateShare[];
 }
 
+/** Changes the document into a newer version, as differences from the version that the sender had. */
+export interface PutDocument {
+    readonly kind: typeof CommandKind.PutDocument;
+    readonly head: DocumentHead;
+    /** Version on which the differences rest; 0 for none. */
+    readonly baseVersion: number;
+    readonly upserts: readonly DocumentEntry[];
+    readonly removals: readonly string[];
+}
+
+/** Changes nothing; its commit proves that the state read after it is the newest. */
+export interface ReadBarrier {
+    readonly kind: typeof CommandKind.ReadBarrier;
+}
+
+/** Opens a promotion under the next fence of the service; the result's version is the fence. */
+export interface ReservePromotion {
+    readonly kind: typeof CommandKind.ReservePromotion;
+    readonly service: string;
+    readonly expectedFence: number;
+}
+
+export interface CompletePromotion {
+    readonly kind: typeof CommandKind.CompletePromotion;
+    readonly service: string;
+    readonly fence: number;
+    readonly databaseId: string;
+}
+
 export type Command =
+    | PutDocument
+    | ReadBarrier
+    | ReservePromotion
+    | CompletePromotion
     | SetWorkClass
     | RemoveWorkClass
     | SetWorkspace
@@ -166,3 +208,14 @@
     readonly leaderId: string | undefined;
     readonly leaderAddress: string | undefined;
 }
+
+export interface ControlMembersAgreed extends Message {
+    readonly kind: typeof ControlKind.MembersAgreed;
+    /** `host:port` of the members' gRPC listeners. */
+    readonly addresses: readonly string[];
+}
+
+export interface ControlSeedsChanged extends Message {
+    readonly kind: typeof ControlKind.SeedsChanged;
+    readonly seeds: readonly { readonly memberId: string; readonly address: string; }[];
+}
--- /dev/null
+++ b/src/model/fleetMessages.ts
@@ -0,0 +1,240 @@
+/** Messages between instances and control members over their attachments, and about what those carry. */
+import type { Message } from "../pipeline/message.ts";
+import type { Position } from "./position.ts";
+import type { TrafficPolicy } from "./trafficPolicy.ts";
+
+export const FleetKind = {
+    /** A database said what it is. */
+    DatabaseReported: "fleet.database_reported",
+    /** A database left for good. */
+    DatabaseLeft: "fleet.database_left",
+    /** What is known of one database changed. */
+    DatabaseChanged: "fleet.database_changed",
+    DatabaseRemoved: "fleet.database_removed",
+    /** The control members to attach to. */
+    MembersKnown: "fleet.members_known",
+    Attached: "fleet.attached",
+    Detached: "fleet.detached",
+    /** A frame that arrived on an attachment. */
+    FrameReceived: "fleet.frame_received",
+    SendFrame: "fleet.send_frame",
+    PolicyApplied: "fleet.policy_applied",
+    /** Something about the readiness of this instance changed. */
+    Readiness: "fleet.readiness",
+    /** The rates that this instance may spend changed. */
+    GrantsChanged: "fleet.grants_changed",
+    UsageDue: "fleet.usage_due",
+    UsageMeasured: "fleet.usage_measured",
+    UsageCounted: "fleet.usage_counted",
+    GrantLimitDue: "fleet.grant_limit_due",
+    /** A database reported, changed or not. */
+    DatabaseHeard: "fleet.database_heard",
+    DirectoryDue: "fleet.directory_due",
+    /** A link of this instance met a database that does not answer. */
+    DatabaseSuspected: "fleet.database_suspected",
+    AssessmentAsked: "fleet.assessment_asked",
+    DrainStarted: "fleet.drain_started",
+    Drained: "fleet.drained",
+} as const;
+
+export const ReportedState = {
+    Ready: "ready",
+    Draining: "draining",
+} as const;
+export type ReportedState = typeof ReportedState[keyof typeof ReportedState];
+
+/** What a database says of itself. */
+export interface DatabaseReport {
+    readonly databaseId: string;
+    readonly service: string;
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly slots: number;
+    readonly state: ReportedState;
+    /** It considers itself the primary. */
+    readonly leads: boolean;
+    /** Rises with each report of one start of the database. */
+    readonly sequence: number;
+    /** Unix milliseconds of its start; 0 when it does not say. */
+    readonly bornUnixMs: number;
+}
+
+export interface DatabaseReported extends Message {
+    readonly kind: typeof FleetKind.DatabaseReported;
+    readonly report: DatabaseReport;
+}
+
+export interface DatabaseLeft extends Message {
+    readonly kind: typeof FleetKind.DatabaseLeft;
+    readonly databaseId: string;
+}
+
+export interface DatabaseChanged extends Message {
+    readonly kind: typeof FleetKind.DatabaseChanged;
+    readonly report: DatabaseReport;
+}
+
+export interface DatabaseRemoved extends Message {
+    readonly kind: typeof FleetKind.DatabaseRemoved;
+    readonly databaseId: string;
+}
+
+export interface MembersKnown extends Message {
+    readonly kind: typeof FleetKind.MembersKnown;
+    /** `host:port` of gRPC listeners. */
+    readonly addresses: readonly string[];
+}
+
+/** An attachment was opened, by either side. */
+export interface Attached extends Message {
+    readonly kind: typeof FleetKind.Attached;
+    readonly attachmentId: string;
+    /** `host:port` of the control member at the other end; undefined on the accepting side. */
+    readonly address: string | undefined;
+}
+
+export interface Detached extends Message {
+    readonly kind: typeof FleetKind.Detached;
+    readonly attachmentId: string;
+}
+
+/** Rate and burst of one workspace. */
+export interface RateGrant {
+    readonly ratePerSecond: number;
+    /** Operations. */
+    readonly burst: number;
+}
+
+/** Parts of the rates and bursts of all workspaces that one instance may spend. */
+export interface GrantFrame {
+    readonly kind: "grants";
+    /** Control term of the granting leader; a lower one is ignored. */
+    readonly term: number;
+    readonly sequence: number;
+    /** Time from arrival for which the grants hold. */
+    readonly validMs: number;
+    /** Fractions between 0 and 1 by workspace. */
+    readonly fractions: Readonly<Record<string, number>>;
+    /** Instances that serve callers. */
+    readonly instances: number;
+}
+
+/** A frame of an attachment. The attaching side sends hello first, the accepting side answers with status. */
+export type FleetFrame =
+    | { readonly kind: "hello"; readonly instanceId: string; readonly serves: boolean; }
+    | {
+        readonly kind: "status";
+        readonly instanceId: string;
+        readonly leading: boolean;
+        readonly term: number;
+        readonly members: readonly string[];
+        readonly configurationVersion: number;
+    }
+    | { readonly kind: "database"; readonly report: DatabaseReport; readonly ageMs: number; }
+    | { readonly kind: "database_left"; readonly databaseId: string; }
+    | {
+        readonly kind: "usage";
+        /** Operations per second by workspace. */
+        readonly usage: Readonly<Record<string, number>>;
+        /** Sequence of the grants in force here, and the term of the leader that gave them. */
+        readonly grantSequence: number;
+        readonly grantTerm: number;
+        /** The fractions in force here. */
+        readonly fractions: Readonly<Record<string, number>>;
+    }
+    | GrantFrame
+    | { readonly kind: "suspect"; readonly databaseId: string; }
+    | { readonly kind: "assess"; readonly databaseId: string; }
+    | {
+        readonly kind: "assessment";
+        readonly databaseId: string;
+        /** Age of the last answer of the database to this instance; undefined when there was none. */
+        readonly answeredAgeMs: number | undefined;
+        /** Age of the oldest request to it that is unanswered or failed since its last answer. */
+        readonly unansweredAgeMs: number | undefined;
+        /** Highest position of a commit that this instance has seen acknowledged, in its service. */
+        readonly acknowledged: Position | undefined;
+    };
+
+export interface FrameReceived extends Message {
+    readonly kind: typeof FleetKind.FrameReceived;
+    readonly attachmentId: string;
+    readonly frame: FleetFrame;
+}
+
+export interface SendFrame extends Message {
+    readonly kind: typeof FleetKind.SendFrame;
+    readonly attachmentId: string;
+    readonly frame: FleetFrame;
+}
+
+export interface PolicyApplied extends Message {
+    readonly kind: typeof FleetKind.PolicyApplied;
+    readonly policy: TrafficPolicy;
+    /** Database chosen by the last completed promotion, by service. */
+    readonly promoted: ReadonlyMap<string, string>;
+}
+
+export interface ReadinessChanged extends Message {
+    readonly kind: typeof FleetKind.Readiness;
+    readonly ready: boolean;
+}
+
+export interface GrantsChanged extends Message {
+    readonly kind: typeof FleetKind.GrantsChanged;
+    readonly grants: ReadonlyMap<string, RateGrant>;
+    /** Instances that serve callers. */
+    readonly instances: number;
+}
+
+/** Demand at this instance, by workspace, in operations per second. */
+export interface UsageMeasured extends Message {
+    readonly kind: typeof FleetKind.UsageMeasured;
+    readonly usage: Readonly<Record<string, number>>;
+    /** The grants in force here. */
+    readonly grantSequence: number;
+    readonly grantTerm: number;
+    readonly fractions: Readonly<Record<string, number>>;
+}
+
+/** One operation that a caller asked for, admitted or not. */
+export interface UsageCounted extends Message {
+    readonly kind: typeof FleetKind.UsageCounted;
+    readonly workspace: string;
+}
+
+export interface DatabaseHeard extends Message {
+    readonly kind: typeof FleetKind.DatabaseHeard;
+    readonly databaseId: string;
+}
+
+/** A timer of the fleet pipe. */
+export interface FleetTimer extends Message {
+    readonly kind: typeof FleetKind.UsageDue | typeof FleetKind.GrantLimitDue | typeof FleetKind.DirectoryDue;
+}
+
+export interface DatabaseSuspected extends Message {
+    readonly kind: typeof FleetKind.DatabaseSuspected;
+    readonly databaseId: string;
+}
+
+export interface AssessmentAsked extends Message {
+    readonly kind: typeof FleetKind.AssessmentAsked;
+    readonly attachmentId: string;
+    readonly databaseId: string;
+}
+
+/** The instance stops. */
+export interface FleetDrainStarted extends Message {
+    readonly kind: typeof FleetKind.DrainStarted;
+    /** Idle sessions stay open until then, because a caller that reconnects sooner may come back here. */
+    readonly idleSessionsUntilMs: number;
+    /** Open transactions may go on until then. */
+    readonly transactionsUntilMs: number;
+    /** Callers no longer arrive; the instance ends with its last session. */
+    readonly final: boolean;
+}
+
+export interface FleetDrained extends Message {
+    readonly kind: typeof FleetKind.Drained;
+}
--- a/src/model/replicatedLog.ts
+++ b/src/model/replicatedLog.ts
@@ -49,6 +49,9 @@
     Groups: "groups",
     Leases: "leases",
     RateShares: "rateShares",
+    DocumentHeads: "documentHeads",
+    DocumentEntries: "documentEntries",
+    Promotions: "promotions",
 } as const;
 export type ObjectList = typeof ObjectList[keyof typeof ObjectList];
 
--- /dev/null
+++ b/src/model/sessionMessages.ts
@@ -0,0 +1,66 @@
+/** Messages between the sessions of callers and the front end that holds their connections. */
+import type { Message } from "../pipeline/message.ts";
+import type { SessionStatement, StatementAnswer, StatementFault } from "./sessionStatement.ts";
+
+export const SessionKind = {
+    Opened: "session.opened",
+    Requested: "session.requested",
+    Closed: "session.closed",
+    Accept: "session.accept",
+    Refuse: "session.refuse",
+    Answer: "session.answer",
+    Close: "session.close",
+    /** Time limits of one session are due. */
+    LimitDue: "session.limit_due",
+} as const;
+
+/** A caller connected and named a database. */
+export interface SessionOpened extends Message {
+    readonly kind: typeof SessionKind.Opened;
+    /** Unique in this process. */
+    readonly sessionId: string;
+    readonly database: string;
+    readonly key: string;
+}
+
+export interface SessionRequested extends Message {
+    readonly kind: typeof SessionKind.Requested;
+    readonly sessionId: string;
+    /** Undefined when the request cannot be read. */
+    readonly statement: SessionStatement | undefined;
+}
+
+/** The caller closed its connection, or it broke. */
+export interface SessionClosed extends Message {
+    readonly kind: typeof SessionKind.Closed;
+    readonly sessionId: string;
+}
+
+export interface SessionAccept extends Message {
+    readonly kind: typeof SessionKind.Accept;
+    readonly sessionId: string;
+}
+
+/** Answers the opening of a session with a fault and closes the connection. */
+export interface SessionRefuse extends Message {
+    readonly kind: typeof SessionKind.Refuse;
+    readonly sessionId: string;
+    readonly fault: StatementFault;
+    readonly detail: string;
+}
+
+export interface SessionAnswer extends Message {
+    readonly kind: typeof SessionKind.Answer;
+    readonly sessionId: string;
+    readonly answer: StatementAnswer;
+}
+
+export interface SessionClose extends Message {
+    readonly kind: typeof SessionKind.Close;
+    readonly sessionId: string;
+}
+
+export interface SessionLimitDue extends Message {
+    readonly kind: typeof SessionKind.LimitDue;
+    readonly sessionId: string;
+}
--- /dev/null
+++ b/src/platform/documentCodec.ts
@@ -0,0 +1,199 @@
+/** Configuration documents: their JSON, their checks, and the traffic policy that they hold. */
+import { z } from "zod";
+import type { ConfigurationDocument, DocumentDecoder, DocumentEntry } from "../model/document.ts";
+import { emptyTrafficPolicy, RouteConsistency, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
+
+const name = z.string().min(1);
+
+const consistencyByKind = {
+    primary: RouteConsistency.Primary,
+    bounded: RouteConsistency.Bounded,
+    own: RouteConsistency.Session,
+} as const;
+
+const routeSchema = z.object({
+    name,
+    host: name,
+    path_prefix: z.string().default("/"),
+    kind: z.enum(["primary", "bounded", "own"]),
+    timeout_ms: z.number().positive(),
+    target_latency_ms: z.number().nonnegative().optional(),
+    priority: z.number().nonnegative().default(1),
+    service: name,
+    max_staleness_ms: z.number().nonnegative().optional(),
+    public: z.boolean().default(false),
+});
+
+const serviceSchema = z.object({
+    name,
+    max_conns: z.number().int().positive().default(16),
+    sync_replicas: z.number().int().nonnegative().default(0),
+});
+
+const tenantSchema = z.object({
+    name,
+    api_keys: z.array(name).default([]),
+    rate_per_s: z.number().nonnegative(),
+    burst: z.number().nonnegative().default(0),
+});
+
+const documentSchema = z.object({
+    version: z.number().int().nonnegative(),
+    routes: z.array(routeSchema),
+    services: z.array(serviceSchema),
+    limits: z.object({ tx_idle_ms: z.number().nonnegative().optional() }).optional(),
+    tenants: z.array(tenantSchema).optional(),
+});
+
+type RouteBody = z.infer<typeof routeSchema>;
+
+/** Sections whose elements are kept one by one. */
+const listSections = ["routes", "services", "tenants"];
+
+/** Why a document is refused, in words for the operator. */
+export class InvalidDocument extends Error {}
+
+/**
+ * Reads a document from its JSON text.
+ * @throws InvalidDocument when it cannot be read in full or contradicts itself
+ */
+export function decodeDocument(text: string): ConfigurationDocument {
+    const body = parseObject(text);
+    const result = documentSchema.safeParse(body);
+    if (!result.success) {
+        const [issue] = result.error.issues;
+        throw new InvalidDocument(`"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`);
+    }
+    checkReferences(result.data);
+    const sections = Object.entries(body).filter(([section]) => section !== "version");
+    return {
+        documentVersion: result.data.version,
+        sections: sections.map(([section, value]) => ({ name: section, list: isList(section, value) })),
+        entries: sections.flatMap(([section, value]) =>
+            isList(section, value)
+                ? listEntries(section, value as readonly { readonly name?: unknown; }[])
+                : [{ entryId: section, body: JSON.stringify(value) }]
+        ),
+    };
+}
+
+/** The JSON text of a document, with the content under which it was sent. */
+export function encodeDocument({ documentVersion, sections, entries }: ConfigurationDocument): string {
+    const bodies = sections.map(({ name: section, list }) => {
+        const own = entries.filter(({ entryId }) => list ? entryId.startsWith(`${section}/`) : entryId === section);
+        const value = own.map(({ body }) => body).join(",");
+        return `${JSON.stringify(section)}:${list ? `[${value}]` : value}`;
+    });
+    return `{${[`"version":${documentVersion}`, ...bodies].join(",")}}`;
+}
+
+/** Decodes the entries of a document; an entry that was decoded before is not read again. */
+export class TrafficPolicyDecoder implements DocumentDecoder {
+    private readonly decoded = new WeakMap<DocumentEntry, unknown>();
+
+    decode({ documentVersion, entries }: ConfigurationDocument): TrafficPolicy {
+        const section = (prefix: string): readonly unknown[] =>
+            entries.filter(({ entryId }) => entryId.startsWith(`${prefix}/`)).map(entry => this.read(entry));
+        const limits = entries.find(({ entryId }) => entryId === "limits");
+        const routes = section("routes").map(body => toRoute(routeSchema.parse(body)));
+        const tenants = section("tenants").map(body => tenantSchema.parse(body));
+        const services = section("services").map(body => serviceSchema.parse(body));
+        return {
+            ...emptyTrafficPolicy,
+            version: documentVersion,
+            routesByDatabase: new Map(routes.map(route => [route.database, route])),
+            services: new Map(services.map(service => [service.name, {
+                name: service.name,
+                connectionLimit: service.max_conns,
+                synchronousReplicas: service.sync_replicas,
+            }])),
+            workspaces: new Map(tenants.map(tenant => [tenant.name, {
+                name: tenant.name,
+                keys: tenant.api_keys,
+                ratePerSecond: tenant.rate_per_s,
+                burst: tenant.burst,
+            }])),
+            workspaceByKey: new Map(tenants.flatMap(tenant => tenant.api_keys.map(key => [key, tenant.name] as const))),
+            transactionIdleMs: limits === undefined ? 0 : transactionIdleMs(this.read(limits)),
+        };
+    }
+
+    private read(entry: DocumentEntry): unknown {
+        const known = this.decoded.get(entry);
+        if (known !== undefined) {
+            return known;
+        }
+        const value: unknown = JSON.parse(entry.body);
+        this.decoded.set(entry, value);
+        return value;
+    }
+}
+
+function toRoute(body: RouteBody): RoutePolicy {
+    return {
+        name: body.name,
+        database: body.host,
+        service: body.service,
+        consistency: consistencyByKind[body.kind],
+        maximumAgeMs: body.kind === "primary" ? 0 : body.max_staleness_ms ?? 0,
+        statementLimitMs: body.timeout_ms,
+        targetLatencyMs: body.target_latency_ms ?? body.timeout_ms,
+        priority: body.priority,
+        open: body.public,
+    };
+}
+
+function transactionIdleMs(limits: unknown): number {
+    return (limits as { readonly tx_idle_ms?: number; }).tx_idle_ms ?? 0;
+}
+
+function parseObject(text: string): Record<string, unknown> {
+    let value: unknown;
+    try {
+        value = JSON.parse(text);
+    }
+    catch (error) {
+        throw new InvalidDocument(`not JSON: ${(error as Error).message}`);
+    }
+    if (typeof value !== "object" || !value || Array.isArray(value)) {
+        throw new InvalidDocument("a document is a JSON object");
+    }
+    return value as Record<string, unknown>;
+}
+
+function checkReferences({ routes, services, tenants }: z.infer<typeof documentSchema>): void {
+    const serviceNames = new Set(services.map(service => service.name));
+    const unknown = routes.find(route => !serviceNames.has(route.service));
+    if (unknown !== undefined) {
+        throw new InvalidDocument(`route "${unknown.name}" names the unknown service "${unknown.service}"`);
+    }
+    requireDistinct("route place", routes.map(route => `${route.host} ${route.path_prefix}`));
+    requireDistinct("service", services.map(service => service.name));
+    requireDistinct("tenant", (tenants ?? []).map(tenant => tenant.name));
+    requireDistinct("key", (tenants ?? []).flatMap(tenant => [...new Set(tenant.api_keys)]), "two tenants share a key");
+}
+
+function requireDistinct(what: string, values: readonly string[], detail?: string): void {
+    const seen = new Set<string>();
+    for (const value of values) {
+        if (seen.has(value)) {
+            throw new InvalidDocument(detail ?? `the ${what} "${value}" is there twice`);
+        }
+        seen.add(value);
+    }
+}
+
+function isList(section: string, value: unknown): boolean {
+    return listSections.includes(section) && Array.isArray(value);
+}
+
+/** Elements are known by their names; one without a name of its own by its place too. */
+function listEntries(section: string, elements: readonly { readonly name?: unknown; }[]): readonly DocumentEntry[] {
+    const seen = new Set<string>();
+    return elements.map((element, position) => {
+        const plain = `${section}/${String(element.name)}`;
+        const entryId = seen.has(plain) ? `${plain}#${position}` : plain;
+        seen.add(entryId);
+        return { entryId, body: JSON.stringify(element) };
+    });
+}
--- /dev/null
+++ b/src/platform/platformSettings.ts
@@ -0,0 +1,110 @@
+/** The settings file of a process on the platform. */
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+
+/** Variable that holds the path of the settings file. */
+export const settingsVariable = "JASMINELINE_CONFIG";
+
+const address = z.string().regex(/^[0-9.]+:[0-9]+$/, "must be host:port with a numeric host");
+
+// Fields that are not named here are left out; the platform may add some.
+const fileSchema = z.object({
+    node: z.string().min(1),
+    serves: z.array(z.string()),
+    ip: z.string().min(1),
+    zone: z.string().min(1),
+    listen: z.object({ front: address.optional(), ready: address.optional(), control: address.optional() }),
+    port_range: z.tuple([z.number().int(), z.number().int()]),
+    seeds: z.array(address),
+    bootstrap: z.boolean(),
+    data_dir: z.string().nullish(),
+    heartbeat_interval_ms: z.number().positive(),
+    bounds: z.object({ grace_s: z.number().positive() }),
+    cloud_api: z.object({ address }).nullish(),
+});
+
+/** A host and a port. */
+export interface Endpoint {
+    readonly host: string;
+    readonly port: number;
+}
+
+export interface PlatformSettings {
+    /** Name of the machine. */
+    readonly instanceId: string;
+    readonly host: string;
+    readonly dataCentre: string;
+    /** Where callers connect; undefined on machines that serve none. */
+    readonly callers: Endpoint | undefined;
+    /** Where readiness is asked. */
+    readonly readiness: Endpoint | undefined;
+    /** Where operators and databases call; undefined on machines that keep no control state. */
+    readonly control: Endpoint | undefined;
+    /** `host:port` of the gRPC listener. */
+    readonly rpcAddress: string;
+    /** Control members named at the start: their hosts, and `host:port` of their gRPC listeners. */
+    readonly seeds: readonly { readonly memberId: string; readonly address: string; }[];
+    /** The whole system starts for the first time. */
+    readonly firstStart: boolean;
+    readonly dataFolder: string | undefined;
+    /** Interval at which databases report. */
+    readonly reportIntervalMs: number;
+    /** Time between the signal to stop and the kill. */
+    readonly stopLimitMs: number;
+    /** `host:port` that takes promotion orders. */
+    readonly ordersAddress: string | undefined;
+}
+
+/**
+ * Reads the settings file.
+ * @throws Error that names the file and the field
+ */
+export function readPlatformSettings(path: string): PlatformSettings {
+    return decodePlatformSettings(readFileSync(path, "utf8"), path);
+}
+
+/** @param path named in errors */
+export function decodePlatformSettings(text: string, path: string): PlatformSettings {
+    const result = fileSchema.safeParse(parseJson(text, path));
+    if (!result.success) {
+        const [issue] = result.error.issues;
+        throw new Error(`${path}: "${issue?.path.join(".")}" ${issue?.message ?? "is missing"}`);
+    }
+    const file = result.data;
+    const rpcPort = file.port_range[0];
+    return {
+        instanceId: file.node,
+        host: file.ip,
+        dataCentre: file.zone,
+        callers: toEndpoint(file.listen.front),
+        readiness: toEndpoint(file.listen.ready),
+        control: toEndpoint(file.listen.control),
+        rpcAddress: `${file.ip}:${rpcPort}`,
+        // Ports are the same on all machines, so a control member's gRPC listener follows from its host.
+        seeds: file.seeds.map(toEndpoint).map(seed => ({ memberId: seed!.host, address: `${seed!.host}:${rpcPort}` })),
+        firstStart: file.bootstrap,
+        dataFolder: file.data_dir ?? undefined,
+        reportIntervalMs: file.heartbeat_interval_ms,
+        stopLimitMs: file.bounds.grace_s * 1_000,
+        ordersAddress: file.cloud_api?.address,
+    };
+}
+
+function parseJson(text: string, path: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch (error) {
+        throw new Error(`${path}: ${(error as Error).message}`, { cause: error });
+    }
+}
+
+function toEndpoint(text: string): Endpoint;
+function toEndpoint(text: string | undefined): Endpoint | undefined;
+function toEndpoint(text: string | undefined): Endpoint | undefined {
+    if (text === undefined) {
+        return undefined;
+    }
+    const separator = text.lastIndexOf(":");
+    return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
+}
--- /dev/null
+++ b/src/platform/promotionOrders.ts
@@ -0,0 +1,62 @@
+/** Gives promotion orders to the platform. */
+import { request } from "node:http";
+import { OrderResult, PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { Sink } from "../pipeline/sink.ts";
+
+/** The platform may be slow; without an answer the order is given again under a higher fence. */
+const answerLimitMs = 1_000;
+
+export interface PromotionOrdersOptions {
+    /** `host:port` */
+    readonly address: string;
+    /** Name of the machine, told to the platform as the one that acts. */
+    readonly holder: string;
+    readonly post: (message: Message) => void;
+}
+
+export class PromotionOrders implements Sink<PromotionOrder> {
+    readonly accepts = [PromotionKind.Order];
+    private readonly options: PromotionOrdersOptions;
+
+    constructor(options: PromotionOrdersOptions) {
+        this.options = options;
+    }
+
+    deliver({ service, databaseId, fence }: PromotionOrder): void {
+        const { address, holder, post } = this.options;
+        const body = JSON.stringify({ service, id: databaseId });
+        let answered = false;
+        const finish = (result: OrderResult): void => {
+            if (!answered) {
+                answered = true;
+                post({ kind: PromotionKind.Ordered, service, databaseId, fence, result } as PromotionOrdered);
+            }
+        };
+        const call = request(`http://${address}/promotion`, {
+            method: "POST",
+            agent: false,
+            timeout: answerLimitMs,
+            headers: {
+                "Content-Type": "application/json",
+                "Content-Length": Buffer.byteLength(body),
+                "Jasmineline-Duty-Holder": holder,
+                "Jasmineline-Fence-Token": String(fence),
+            },
+        }, response => {
+            response.resume();
+            finish(toResult(response.statusCode ?? 0));
+        });
+        call.on("timeout", () => call.destroy());
+        call.on("error", () => finish(OrderResult.Unknown));
+        call.on("close", () => finish(OrderResult.Unknown));
+        call.end(body);
+    }
+}
+
+function toResult(status: number): OrderResult {
+    if (status >= 200 && status < 300) {
+        return OrderResult.Accepted;
+    }
+    return status >= 400 && status < 500 ? OrderResult.Refused : OrderResult.Unknown;
+}
--- /dev/null
+++ b/src/platform/wireClient.ts
@@ -0,0 +1,178 @@
+/** The side of the wire towards databases: one connection is one link. */
+import { connect, type Socket } from "node:net";
+import {
+    type DatabaseStatus,
+    type LinkClose,
+    LinkKind,
+    LinkLoss,
+    type LinkLost,
+    type LinkOpen,
+    type LinkOpened,
+    type LinkReplied,
+    type LinkReply,
+    type LinkSend,
+} from "../model/linkMessages.ts";
+import type { StatementFault } from "../model/sessionStatement.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
+import { decodeFault, decodePosition, decodeState, encodeCommand, ownId } from "./wireStatements.ts";
+
+/** What has arrived of the reply that is being received. */
+interface PartialReply {
+    rows: string[];
+    signature: string | undefined;
+    fault: StatementFault | undefined;
+    detail: string;
+    complete: boolean;
+}
+
+interface Link {
+    readonly socket: Socket;
+    readonly reader: LineReader;
+    opened: boolean;
+    partial: PartialReply;
+}
+
+export interface WireClientOptions {
+    readonly post: (message: Message) => void;
+}
+
+type Input = LinkOpen | LinkSend | LinkClose;
+
+export class WireClient implements Sink<Input>, AsyncDisposable {
+    readonly accepts = [LinkKind.Open, LinkKind.Send, LinkKind.Close];
+    private readonly post: (message: Message) => void;
+    private readonly links = new Map<string, Link>();
+
+    constructor({ post }: WireClientOptions) {
+        this.post = post;
+    }
+
+    deliver(message: Input): void {
+        switch (message.kind) {
+            case LinkKind.Open:
+                return this.open(message);
+            case LinkKind.Send:
+                this.links.get(message.linkId)?.socket.write(message.commands.map(encodeCommand).join(""), wireEncoding);
+                return;
+            case LinkKind.Close:
+                return this.close(message.linkId);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.links.forEach(({ socket }) => socket.destroy());
+        this.links.clear();
+    }
+
+    private open({ linkId, address, service, workspace, databaseId }: LinkOpen): void {
+        const separator = address.lastIndexOf(":");
+        const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+        socket.setNoDelay(true);
+        const link = { socket, reader: new LineReader(), opened: false, partial: emptyReply() };
+        this.links.set(linkId, link);
+        socket.write(`CONNECT ${service} ${workspace === "" ? ownId : workspace} ${databaseId}\r\n`, wireEncoding);
+        socket.on("data", chunk => this.receive(linkId, link, chunk));
+        socket.on("error", (error: NodeJS.ErrnoException) =>
+            this.lose(linkId, link, error.code === "ECONNREFUSED" ? LinkLoss.NoListener : LinkLoss.Broken)
+        );
+        socket.on("close", () => this.lose(linkId, link, LinkLoss.Broken));
+    }
+
+    /** The link ends without a further message. */
+    private close(linkId: string): void {
+        const link = this.links.get(linkId);
+        this.links.delete(linkId);
+        link?.socket.end("QUIT\r\n");
+        link?.socket.destroySoon();
+    }
+
+    private receive(linkId: string, link: Link, chunk: Buffer): void {
+        let lines: readonly string[];
+        try {
+            lines = link.reader.push(chunk);
+        }
+        catch {
+            // The only error of the reader is a message above the limit; the rest of the stream cannot be told apart.
+            this.lose(linkId, link, LinkLoss.Broken);
+            return;
+        }
+        for (const line of lines) {
+            if (this.links.get(linkId) === link) {
+                this.receiveLine(linkId, link, line);
+            }
+        }
+    }
+
+    private receiveLine(linkId: string, link: Link, line: string): void {
+        const [word, first, rest] = splitWords(line, 2) as [string, string, string];
+        switch (word) {
+            case "ROW":
+                link.partial.rows.push(line.slice("ROW ".length));
+                return;
+            case "COMPLETE":
+                link.partial.signature = first;
+                link.partial.complete = true;
+                return;
+            case "ERROR":
+                link.partial.fault = decodeFault(first);
+                link.partial.detail = rest;
+                link.partial.complete = true;
+                if (!link.opened) {
+                    this.lose(linkId, link, LinkLoss.Refused, link.partial.fault);
+                }
+                return;
+            case "READY":
+                return this.finishReply(linkId, link, first, rest);
+            default:
+                this.lose(linkId, link, LinkLoss.Broken);
+        }
+    }
+
+    private finishReply(linkId: string, link: Link, state: string, positionText: string): void {
+        const position = decodePosition(positionText);
+        if (!link.opened) {
+            link.opened = true;
+            this.post({ kind: LinkKind.Opened, linkId, position } as LinkOpened);
+            return;
+        }
+        const { rows, signature, fault, detail, complete } = link.partial;
+        link.partial = emptyReply();
+        if (!complete) {
+            this.lose(linkId, link, LinkLoss.Broken);
+            return;
+        }
+        const status = signature === ownId && rows.length === 1 ? decodeStatus(rows[0]!) : undefined;
+        const reply: LinkReply = {
+            rows,
+            signature,
+            fault,
+            detail,
+            transaction: decodeState(state),
+            position,
+            status,
+        };
+        this.post({ kind: LinkKind.Replied, linkId, reply } as LinkReplied);
+    }
+
+    private lose(linkId: string, link: Link, loss: LinkLoss, fault?: StatementFault): void {
+        if (this.links.get(linkId) !== link) {
+            return;
+        }
+        this.links.delete(linkId);
+        link.socket.destroy();
+        this.post({ kind: LinkKind.Lost, linkId, loss, fault } as LinkLost);
+    }
+}
+
+function emptyReply(): PartialReply {
+    return { rows: [], signature: undefined, fault: undefined, detail: "", complete: false };
+}
+
+/** Reads the row that answers status, pause, resume and step down; undefined when it is none. */
+function decodeStatus(row: string): DatabaseStatus | undefined {
+    const [role, term, received] = row.split(" ");
+    const position = decodePosition(received ?? "");
+    return position === undefined ? undefined : { leads: role === "primary", term: Number(term), received: position };
+}
--- /dev/null
+++ b/src/platform/wireServer.ts
@@ -0,0 +1,167 @@
+/** The side of the wire towards callers: one connection is one session. */
+import { createServer, type Server, type Socket } from "node:net";
+import {
+    type SessionAccept,
+    type SessionAnswer,
+    type SessionClose,
+    type SessionClosed,
+    SessionKind,
+    type SessionOpened,
+    type SessionRefuse,
+    type SessionRequested,
+} from "../model/sessionMessages.ts";
+import type { StatementAnswer } from "../model/sessionStatement.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
+import { decodeStatement, encodeFault, encodePosition, encodeState, ownId } from "./wireStatements.ts";
+
+/** Time that a new connection has to name its database; callers do so at once. */
+const openingLimitMs = 5_000;
+
+/** Unsent answers above which a caller that does not read is cut off; a few of the largest messages. */
+const maximumUnsentBytes = 4 * 1_048_576;
+
+type Input = SessionAccept | SessionRefuse | SessionAnswer | SessionClose;
+
+export interface WireServerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly post: (message: Message) => void;
+}
+
+interface Connection {
+    readonly socket: Socket;
+    readonly reader: LineReader;
+    opened: boolean;
+}
+
+export class WireServer implements Sink<Input>, AsyncDisposable {
+    readonly accepts = [SessionKind.Accept, SessionKind.Refuse, SessionKind.Answer, SessionKind.Close];
+    private readonly options: WireServerOptions;
+    private readonly server: Server;
+    private readonly connections = new Map<string, Connection>();
+    private nextSession = 0;
+
+    constructor(options: WireServerOptions) {
+        this.options = options;
+        this.server = createServer({ noDelay: true }, socket => this.open(socket));
+    }
+
+    get connectionCount(): number {
+        return this.connections.size;
+    }
+
+    listen(): Promise<void> {
+        const { host, port } = this.options;
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ host, port, backlog: 511 }, resolve);
+        });
+    }
+
+    deliver(message: Input): void {
+        const connection = this.connections.get(message.sessionId);
+        if (connection === undefined) {
+            return;
+        }
+        switch (message.kind) {
+            case SessionKind.Accept:
+                return this.write(connection, `READY I ${ownId}\r\n`);
+            case SessionKind.Answer:
+                return this.write(connection, encodeAnswer(message.answer));
+            case SessionKind.Refuse:
+                connection.socket.end(`ERROR ${encodeFault(message.fault)} ${message.detail}\r\n`, wireEncoding);
+                return this.forget(message.sessionId);
+            case SessionKind.Close:
+                connection.socket.end();
+                return this.forget(message.sessionId);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.server.close();
+        this.connections.forEach(({ socket }) => socket.destroy());
+        this.connections.clear();
+    }
+
+    private open(socket: Socket): void {
+        const sessionId = `s${this.nextSession++}`;
+        const connection = { socket, reader: new LineReader(), opened: false };
+        this.connections.set(sessionId, connection);
+        socket.setTimeout(openingLimitMs, () => this.end(sessionId));
+        socket.on("data", chunk => this.receive(sessionId, connection, chunk));
+        socket.on("error", () => this.end(sessionId));
+        socket.on("close", () => this.end(sessionId));
+    }
+
+    private receive(sessionId: string, connection: Connection, chunk: Buffer): void {
+        let lines: readonly string[];
+        try {
+            lines = connection.reader.push(chunk);
+        }
+        catch {
+            // The only error of the reader is a message above the limit; what follows it cannot be told apart.
+            this.end(sessionId);
+            return;
+        }
+        for (const line of lines) {
+            if (this.connections.get(sessionId) === connection) {
+                this.receiveLine(sessionId, connection, line);
+            }
+        }
+    }
+
+    private receiveLine(sessionId: string, connection: Connection, line: string): void {
+        const [word, first, rest] = splitWords(line, 2) as [string, string, string];
+        if (word === "QUIT") {
+            this.end(sessionId);
+        }
+        else if (word === "CONNECT" && !connection.opened) {
+            connection.opened = true;
+            connection.socket.setTimeout(0);
+            const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database: first, key: rest };
+            this.options.post(message);
+        }
+        else if (connection.opened) {
+            const statement = word === "QUERY" ? decodeStatement(first, rest) : undefined;
+            const message: SessionRequested = { kind: SessionKind.Requested, sessionId, statement };
+            this.options.post(message);
+        }
+        else {
+            this.end(sessionId);
+        }
+    }
+
+    private write({ socket }: Connection, text: string): void {
+        socket.write(text, wireEncoding);
+        if (socket.writableLength > maximumUnsentBytes) {
+            socket.destroy();
+        }
+    }
+
+    private end(sessionId: string): void {
+        const connection = this.connections.get(sessionId);
+        if (connection === undefined) {
+            return;
+        }
+        this.forget(sessionId);
+        connection.socket.destroy();
+        if (connection.opened) {
+            this.options.post({ kind: SessionKind.Closed, sessionId } as SessionClosed);
+        }
+    }
+
+    private forget(sessionId: string): void {
+        this.connections.delete(sessionId);
+    }
+}
+
+function encodeAnswer(answer: StatementAnswer): string {
+    const { rows, signature, fault, detail, transaction, position } = answer;
+    const outcome = fault === undefined
+        ? `COMPLETE ${signature ?? ownId}\r\n`
+        : `ERROR ${encodeFault(fault)} ${detail}\r\n`;
+    const shown = rows.map(row => `ROW ${row}\r\n`).join("");
+    return `${shown}${outcome}READY ${encodeState(transaction)} ${encodePosition(position)}\r\n`;
+}
--- /dev/null
+++ b/src/platform/wireStatements.ts
@@ -0,0 +1,146 @@
+/** Texts of statements, codes of faults and positions, between the wire and the product's types. */
+import type { LinkCommand } from "../model/linkMessages.ts";
+import { LinkCommandKind } from "../model/linkMessages.ts";
+import type { Position } from "../model/position.ts";
+import { type SessionStatement, SessionStatementKind, StatementFault, TransactionState } from "../model/sessionStatement.ts";
+import { splitWords } from "./wireLines.ts";
+
+/** Id of statements that the proxy issues itself, and the signature of answers that it gives itself. */
+export const ownId = "-";
+
+const codeByFault: Readonly<Record<StatementFault, string>> = {
+    [StatementFault.UnknownDatabase]: "NODB",
+    [StatementFault.NotAuthorized]: "NOAUTH",
+    [StatementFault.Busy]: "BUSY",
+    [StatementFault.Aborted]: "ABORTED",
+    [StatementFault.Lagging]: "LAGGING",
+    [StatementFault.ReadOnly]: "READONLY",
+    [StatementFault.Misrouted]: "MISROUTED",
+    [StatementFault.ConnectionLimit]: "CONNLIMIT",
+    [StatementFault.Failed]: "FAILED",
+    [StatementFault.TimedOut]: "TIMEOUT",
+    [StatementFault.InDoubt]: "INDOUBT",
+    [StatementFault.UnknownName]: "UNKNOWN",
+    [StatementFault.Malformed]: "MALFORMED",
+};
+
+const faultByCode = new Map(Object.entries(codeByFault).map(([fault, code]) => [code, fault as StatementFault]));
+
+const stateByLetter: Readonly<Record<string, TransactionState>> = {
+    I: TransactionState.None,
+    T: TransactionState.Open,
+    E: TransactionState.Failed,
+};
+
+const letterByState: Readonly<Record<TransactionState, string>> = {
+    [TransactionState.None]: "I",
+    [TransactionState.Open]: "T",
+    [TransactionState.Failed]: "E",
+};
+
+export function encodeFault(fault: StatementFault): string {
+    return codeByFault[fault];
+}
+
+/** An unknown code promises nothing, as a failure. */
+export function decodeFault(code: string): StatementFault {
+    return faultByCode.get(code) ?? StatementFault.Failed;
+}
+
+export function encodeState(state: TransactionState): string {
+    return letterByState[state];
+}
+
+export function decodeState(letter: string): TransactionState {
+    return stateByLetter[letter] ?? TransactionState.Failed;
+}
+
+export function encodePosition(position: Position | undefined): string {
+    return position === undefined ? "-" : `${position.term}.${position.offset}`;
+}
+
+export function decodePosition(text: string): Position | undefined {
+    const found = /^(\d+)\.(\d+)$/.exec(text);
+    return found === null ? undefined : { term: Number(found[1]), offset: Number(found[2]) };
+}
+
+/** Undefined when the text is none of the protocol's statements. */
+export function decodeStatement(id: string, text: string): SessionStatement | undefined {
+    const [verb, first, rest] = splitWords(text, 2) as [string, string, string];
+    const base = { id, text, name: "", argument: "", prepared: undefined };
+    switch (verb) {
+        case "BEGIN":
+            return first === "" || first === "READ"
+                ? { ...base, kind: first === "" ? SessionStatementKind.Begin : SessionStatementKind.BeginRead }
+                : undefined;
+        case "COMMIT":
+            return { ...base, kind: SessionStatementKind.Commit };
+        case "ROLLBACK":
+            return { ...base, kind: SessionStatementKind.Rollback };
+        case "READ":
+            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Read };
+        case "WRITE":
+            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Write };
+        case "SET":
+            return first === "" ? undefined : { ...base, kind: SessionStatementKind.SetValue, name: first, argument: rest };
+        case "EXECUTE":
+            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Execute, name: first, argument: rest };
+        case "DEALLOC":
+            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Deallocate, name: first };
+        case "PREPARE":
+            return decodePrepare(base, first, rest);
+        default:
+            return undefined;
+    }
+}
+
+function decodePrepare(
+    base: Omit<SessionStatement, "kind">,
+    name: string,
+    rest: string,
+): SessionStatement | undefined {
+    const [access, shape] = splitWords(rest, 1) as [string, string];
+    if (name === "" || shape === "" || (access !== "READ" && access !== "WRITE")) {
+        return undefined;
+    }
+    return { ...base, kind: SessionStatementKind.Prepare, name, prepared: { writes: access === "WRITE", shape } };
+}
+
+/** One line of a request to a database. */
+export function encodeCommand(command: LinkCommand): string {
+    switch (command.kind) {
+        case LinkCommandKind.Begin:
+            return `QUERY ${ownId} BEGIN\r\n`;
+        case LinkCommandKind.BeginRead:
+            return `QUERY ${ownId} ${encodeAfter(command.after)}BEGIN READ\r\n`;
+        case LinkCommandKind.Rollback:
+            return `QUERY ${ownId} ROLLBACK\r\n`;
+        case LinkCommandKind.Reset:
+            return `QUERY ${ownId} RESET\r\n`;
+        case LinkCommandKind.SetValue:
+            return `QUERY ${ownId} SET ${command.name} ${command.value}\r\n`;
+        case LinkCommandKind.Prepare: {
+            const { writes, shape } = command.prepared;
+            return `QUERY ${ownId} PREPARE ${command.name} ${writes ? "WRITE" : "READ"} ${shape}\r\n`;
+        }
+        case LinkCommandKind.Run:
+            return `QUERY ${command.statement.id} ${encodeAfter(command.after)}${command.statement.text}\r\n`;
+        case LinkCommandKind.Execute: {
+            const { id, argument } = command.statement;
+            const operands = argument === "" ? "" : ` ${argument}`;
+            return `QUERY ${id} ${encodeAfter(command.after)}EXECUTE ${command.name}${operands}\r\n`;
+        }
+        case LinkCommandKind.Status:
+            return `QUERY ${ownId} STATUS\r\n`;
+        case LinkCommandKind.Pause:
+            return `QUERY ${ownId} PAUSE ${command.term}\r\n`;
+        case LinkCommandKind.Resume:
+            return `QUERY ${ownId} RESUME\r\n`;
+        case LinkCommandKind.StepDown:
+            return `QUERY ${ownId} STEPDOWN ${command.term}\r\n`;
+    }
+}
+
+function encodeAfter(after: Position | undefined): string {
+    return after === undefined ? "" : `AFTER ${encodePosition(after)} `;
+}
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -1,12 +1,13 @@
 /** The configuration feed on the side of an instance that is no control member. */
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import { FeedKind, type FeedReceived, type FeedResubscribe, UpdateKind } from "../model/feedMessages.ts";
+import { FleetKind, type MembersKnown } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeUpdate } from "./configurationCodec.ts";
 import { type ConfigurationUpdate, ControlClient } from "./generated/control.ts";
-import type { PeerNetwork } from "./peerNetwork.ts";
+import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 
 /** Wait before another member is tried: this, plus up to the jitter. */
 const retryMs = 250;
@@ -22,9 +23,10 @@
 }
 
 /** Keeps one subscription open, to any member. Call `start` once. */
-export class ConfigurationSubscriber implements Sink<FeedResubscribe>, AsyncDisposable {
-    readonly accepts = [FeedKind.Resubscribe];
+export class ConfigurationSubscriber implements Sink<FeedResubscribe | MembersKnown>, AsyncDisposable {
+    readonly accepts = [FeedKind.Resubscribe, FleetKind.MembersKnown];
     private readonly options: ConfigurationSubscriberOptions;
+    private addresses: readonly string[];
     private position: number;
     private version = 0;
     private client: ControlClient | undefined;
@@ -34,6 +36,7 @@
 
     constructor(options: ConfigurationSubscriberOptions) {
         this.options = options;
+        this.addresses = options.addresses;
         this.position = options.random.nextInteger(options.addresses.length);
     }
 
@@ -41,9 +44,23 @@
         this.open();
     }
 
-    deliver({ version }: FeedResubscribe): void {
-        this.version = version;
-        this.reopenLater();
+    deliver(message: FeedResubscribe | MembersKnown): void {
+        if (message.kind === FleetKind.MembersKnown) {
+            this.follow(message.addresses);
+            return;
+        }
+        this.version = message.version;
+        if (message.address === undefined) {
+            this.reopenLater();
+            return;
+        }
+        // The member is known to have what is missing, so there is nothing to wait for.
+        const { address } = message;
+        this.addresses = [...this.addresses.filter(other => other !== address), address];
+        this.position = this.addresses.length - 1;
+        this.drop();
+        clearTimeout(this.retry);
+        this.open();
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -52,10 +69,24 @@
         this.drop();
     }
 
+    /** Keeps the subscription if its member is still one. */
+    private follow(addresses: readonly string[]): void {
+        const current = this.addresses[this.position % this.addresses.length]!;
+        this.addresses = addresses;
+        const position = addresses.indexOf(current);
+        if (position !== -1) {
+            this.position = position;
+        }
+        else {
+            this.reopenLater();
+        }
+    }
+
     private open(): void {
-        const { network, addresses } = this.options;
+        const { network } = this.options;
+        const { addresses } = this;
         const address = addresses[this.position % addresses.length]!;
-        this.client = network.createClient(ControlClient, address);
+        this.client = network.createClient(ControlClient, address, ConnectionUse.Own);
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
         stream.on("data", (message: ConfigurationUpdate) => this.receive(stream, message));
--- /dev/null
+++ b/src/rpc/fleetConnector.ts
@@ -0,0 +1,128 @@
+/** Attachments on the attaching side: one to each control member that is known. */
+import type { ClientDuplexStream } from "@grpc/grpc-js";
+import {
+    type Attached,
+    type Detached,
+    FleetKind,
+    type MembersKnown,
+    type SendFrame,
+} from "../model/fleetMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
+import { FleetClient, type FleetFrameMessage } from "./generated/fleet.ts";
+import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
+
+/** Wait before a lost attachment is opened again: this, plus up to the jitter. */
+const retryMs = 200;
+const retryJitterMs = 200;
+
+/** Time for the first frame of a new attachment, after which another connection is tried. */
+const firstFrameMs = 1_500;
+
+type Stream = ClientDuplexStream<FleetFrameMessage, FleetFrameMessage>;
+
+interface Attachment {
+    readonly attachmentId: string;
+    readonly address: string;
+    readonly client: FleetClient;
+    readonly stream: Stream;
+    readonly firstFrame: NodeJS.Timeout;
+}
+
+export interface FleetConnectorOptions {
+    readonly network: PeerNetwork;
+    readonly post: (message: Message) => void;
+    readonly random: SeededRandom;
+    /** `host:port` of this instance's own listener, to which it does not attach. */
+    readonly ownAddress: string;
+}
+
+export class FleetConnector implements Sink<SendFrame | MembersKnown>, AsyncDisposable {
+    readonly accepts = [FleetKind.SendFrame, FleetKind.MembersKnown];
+    private readonly options: FleetConnectorOptions;
+    private readonly attachments = new Map<string, Attachment>();
+    private readonly retries = new Map<string, NodeJS.Timeout>();
+    private wanted: ReadonlySet<string> = new Set();
+    private nextAttachment = 0;
+    private closed = false;
+
+    constructor(options: FleetConnectorOptions) {
+        this.options = options;
+    }
+
+    deliver(message: SendFrame | MembersKnown): void {
+        if (message.kind === FleetKind.SendFrame) {
+            this.attachments.get(message.attachmentId)?.stream.write(encodeFrame(message.frame));
+            return;
+        }
+        this.wanted = new Set(message.addresses.filter(address => address !== this.options.ownAddress));
+        const open = [...this.attachments.values()];
+        open.filter(({ address }) => !this.wanted.has(address)).forEach(attachment => this.lose(attachment));
+        this.wanted.forEach(address => {
+            if (!open.some(attachment => attachment.address === address) && !this.retries.has(address)) {
+                this.open(address);
+            }
+        });
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.closed = true;
+        this.retries.forEach(timer => clearTimeout(timer));
+        this.attachments.forEach(({ stream, client, firstFrame }) => {
+            clearTimeout(firstFrame);
+            stream.cancel();
+            client.close();
+        });
+        this.attachments.clear();
+    }
+
+    private open(address: string): void {
+        const { network, post } = this.options;
+        const attachmentId = `out${this.nextAttachment++}`;
+        const client = network.createClient(FleetClient, address, ConnectionUse.Own);
+        const stream = client.attach();
+        const firstFrame = setTimeout(() => this.lose(attachment), firstFrameMs);
+        const attachment: Attachment = { attachmentId, address, client, stream, firstFrame };
+        this.attachments.set(attachmentId, attachment);
+        stream.on("data", (message: FleetFrameMessage) => this.receive(attachment, message));
+        stream.on("error", () => this.lose(attachment));
+        stream.on("end", () => this.lose(attachment));
+        post({ kind: FleetKind.Attached, attachmentId, address } as Attached);
+    }
+
+    private receive(attachment: Attachment, message: FleetFrameMessage): void {
+        clearTimeout(attachment.firstFrame);
+        const frame = decodeFrame(message);
+        if (frame === undefined) {
+            this.lose(attachment);
+            return;
+        }
+        this.options.post({ kind: FleetKind.FrameReceived, attachmentId: attachment.attachmentId, frame } as Message);
+    }
+
+    private lose(attachment: Attachment): void {
+        const { attachmentId, address, client, stream, firstFrame } = attachment;
+        if (!this.attachments.delete(attachmentId)) {
+            return;
+        }
+        clearTimeout(firstFrame);
+        stream.cancel();
+        client.close();
+        this.options.post({ kind: FleetKind.Detached, attachmentId } as Detached);
+        if (this.closed || !this.wanted.has(address)) {
+            return;
+        }
+        const delayMs = retryMs + this.options.random.nextInteger(retryJitterMs);
+        this.retries.set(
+            address,
+            setTimeout(() => {
+                this.retries.delete(address);
+                if (this.wanted.has(address)) {
+                    this.open(address);
+                }
+            }, delayMs),
+        );
+    }
+}
--- /dev/null
+++ b/src/rpc/fleetService.ts
@@ -0,0 +1,73 @@
+/** Attachments on the side of a control member. */
+import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
+import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
+import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
+
+/** Frames that wait for a slow peer; above this it is cut off and attaches again. */
+const maximumWaiting = 512;
+
+type Stream = ServerDuplexStream<FleetFrameMessage, FleetFrameMessage>;
+
+export class FleetAcceptor implements Sink<SendFrame>, AsyncDisposable {
+    readonly accepts = [FleetKind.SendFrame];
+    private readonly post: (message: Message) => void;
+    private readonly streams = new Map<string, Stream>();
+    private nextStream = 0;
+
+    constructor({ post }: { readonly post: (message: Message) => void; }) {
+        this.post = post;
+    }
+
+    /** Adds the Fleet service to a server made by `createPeerServer`. */
+    addTo(server: Server): void {
+        const service: FleetServer = { attach: stream => this.open(stream) };
+        server.addService(FleetService, service);
+    }
+
+    deliver({ attachmentId, frame }: SendFrame): void {
+        const stream = this.streams.get(attachmentId);
+        if (stream === undefined) {
+            return;
+        }
+        if (stream.writableLength >= maximumWaiting) {
+            this.close(attachmentId, stream);
+            return;
+        }
+        stream.write(encodeFrame(frame));
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.streams.forEach(stream => stream.end());
+        this.streams.clear();
+    }
+
+    private open(stream: Stream): void {
+        const attachmentId = `in${this.nextStream++}`;
+        this.streams.set(attachmentId, stream);
+        this.post({ kind: FleetKind.Attached, attachmentId, address: undefined } as Attached);
+        stream.on("data", (message: FleetFrameMessage) => this.receive(attachmentId, stream, message));
+        stream.on("error", () => this.close(attachmentId, stream));
+        stream.on("cancelled", () => this.close(attachmentId, stream));
+        stream.on("end", () => this.close(attachmentId, stream));
+    }
+
+    private receive(attachmentId: string, stream: Stream, message: FleetFrameMessage): void {
+        const frame = decodeFrame(message);
+        if (frame === undefined) {
+            this.close(attachmentId, stream);
+            return;
+        }
+        this.post({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
+    }
+
+    private close(attachmentId: string, stream: Stream): void {
+        if (this.streams.get(attachmentId) === stream) {
+            this.streams.delete(attachmentId);
+            stream.end();
+            this.post({ kind: FleetKind.Detached, attachmentId } as Detached);
+        }
+    }
+}
--- /dev/null
+++ b/src/session/admission.ts
@@ -0,0 +1,175 @@
+/** Counts operations against the rate that this instance may spend for each workspace. */
+import { match } from "ts-pattern";
+import {
+    FleetKind,
+    type GrantsChanged,
+    type PolicyApplied,
+    type RateGrant,
+    type UsageCounted,
+} from "../model/fleetMessages.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
+import { setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { RateBucket } from "./rateBucket.ts";
+import {
+    endTask,
+    retryText,
+    type Task,
+    type TaskAbandoned,
+    TaskKind,
+    TaskMode,
+    type TaskSubmitted,
+    taskTimer,
+    type TaskTimer,
+} from "./taskMessages.ts";
+
+/**
+ * Part of a route's target latency that an operation may wait for its rate. Later it would earn little and hold up
+ * those behind it.
+ */
+const waitShare = 0.8;
+
+/** Operations of one workspace that may run before the first grant of this instance arrives. */
+const operationsBeforeGrant = 2;
+
+type AdmissionInput = TaskSubmitted | TaskAbandoned | TaskTimer | GrantsChanged | PolicyApplied;
+
+interface Lane {
+    readonly bucket: RateBucket;
+    /** In order of arrival. */
+    waiting: Task[];
+}
+
+export class Admission implements Filter<AdmissionInput, Message> {
+    readonly step = "admission";
+    readonly accepts = [
+        TaskKind.Submitted,
+        TaskKind.Abandoned,
+        TaskKind.AdmissionDue,
+        FleetKind.GrantsChanged,
+        FleetKind.PolicyApplied,
+    ];
+    private readonly lanes = new Map<string, Lane>();
+    private grants: ReadonlyMap<string, RateGrant> = new Map();
+
+    process(message: AdmissionInput, nowMs: number): readonly Message[] {
+        return match<AdmissionInput, readonly Message[]>(message)
+            .with({ kind: TaskKind.Submitted }, ({ task }) => [
+                ...task.workspace === "" ? [] : [countOf(task)],
+                ...this.submit(task, nowMs),
+            ])
+            .with({ kind: TaskKind.Abandoned }, found => {
+                this.forget(found);
+                return [found];
+            })
+            .with({ kind: FleetKind.GrantsChanged }, ({ grants }) => this.applyGrants(grants, nowMs))
+            .with({ kind: FleetKind.PolicyApplied }, found => {
+                [...this.lanes.keys()].filter(name => !found.policy.workspaces.has(name) && this.isIdle(name))
+                    .forEach(name => this.lanes.delete(name));
+                return [found];
+            })
+            .otherwise(timer => this.release((timer as TaskTimer).id, nowMs));
+    }
+
+    private submit(task: Task, nowMs: number): readonly Message[] {
+        // Callers without a workspace have no rate, and a probe is no operation of a caller.
+        if (task.workspace === "" || task.mode === TaskMode.Probe) {
+            return [admit(task)];
+        }
+        const lane = this.laneOf(task.workspace);
+        if (lane.waiting.length === 0 && lane.bucket.take(nowMs)) {
+            return [admit(task)];
+        }
+        const waitMs = lane.bucket.waitMs(lane.waiting.length + 1, nowMs);
+        // Before the first grant nobody knows how long the wait is.
+        if (this.grants.has(task.workspace) && nowMs + waitMs > latestStartMs(task)) {
+            return [refuse(task, waitMs)];
+        }
+        lane.waiting.push(task);
+        return [this.timer(task.workspace, lane, nowMs)];
+    }
+
+    private release(workspace: string, nowMs: number): readonly Message[] {
+        const lane = this.lanes.get(workspace);
+        if (lane === undefined) {
+            return [];
+        }
+        const messages: Message[] = [];
+        while (lane.waiting.length > 0) {
+            const task = lane.waiting[0]!;
+            if (lane.bucket.take(nowMs)) {
+                messages.push(admit(task));
+            }
+            else if (nowMs >= latestStartMs(task)) {
+                messages.push(refuse(task, lane.bucket.waitMs(lane.waiting.length, nowMs)));
+            }
+            else {
+                return [...messages, this.timer(workspace, lane, nowMs)];
+            }
+            lane.waiting.shift();
+        }
+        return messages;
+    }
+
+    private applyGrants(grants: ReadonlyMap<string, RateGrant>, nowMs: number): readonly Message[] {
+        this.grants = grants;
+        this.lanes.forEach((lane, workspace) => {
+            const grant = grants.get(workspace);
+            if (grant !== undefined) {
+                lane.bucket.change(grant, nowMs);
+            }
+        });
+        return [...this.lanes.keys()].flatMap(workspace => this.release(workspace, nowMs));
+    }
+
+    private laneOf(workspace: string): Lane {
+        const known = this.lanes.get(workspace);
+        if (known !== undefined) {
+            return known;
+        }
+        const grant = this.grants.get(workspace);
+        const lane = {
+            bucket: new RateBucket(grant ?? { ratePerSecond: 0, burst: operationsBeforeGrant }),
+            waiting: [],
+        };
+        this.lanes.set(workspace, lane);
+        return lane;
+    }
+
+    private forget({ taskId }: TaskAbandoned): void {
+        this.lanes.forEach(lane => {
+            if (lane.waiting.some(task => task.taskId === taskId)) {
+                lane.waiting = lane.waiting.filter(task => task.taskId !== taskId);
+            }
+        });
+    }
+
+    private isIdle(workspace: string): boolean {
+        return this.lanes.get(workspace)?.waiting.length === 0;
+    }
+
+    private timer(workspace: string, lane: Lane, nowMs: number): Message {
+        const first = lane.waiting[0]!;
+        const atMs = Math.min(nowMs + lane.bucket.waitMs(1, nowMs), latestStartMs(first));
+        return setDeadline(`admission/${workspace}`, atMs, taskTimer(TaskKind.AdmissionDue, workspace));
+    }
+}
+
+function countOf({ workspace }: Task): UsageCounted {
+    return { kind: FleetKind.UsageCounted, workspace };
+}
+
+function admit(task: Task): Message {
+    return { kind: TaskKind.Admitted, task } as Message;
+}
+
+function refuse(task: Task, waitMs: number): Message {
+    const retryMs = Number.isFinite(waitMs) ? waitMs : 1_000;
+    return endTask(task, StatementFault.Busy, retryText("the rate of the workspace is used up", retryMs));
+}
+
+function latestStartMs({ receivedMs, deadlineMs, route }: Task): number {
+    return Math.min(deadlineMs, receivedMs + waitShare * route.targetLatencyMs);
+}
+
--- /dev/null
+++ b/src/session/authorization.ts
@@ -0,0 +1,30 @@
+/** Which route and workspace a caller has, by the policy in force. */
+import { StatementFault } from "../model/sessionStatement.ts";
+import type { RoutePolicy, TrafficPolicy } from "../model/trafficPolicy.ts";
+
+export interface Access {
+    readonly route: RoutePolicy;
+    /** Empty for callers of open routes without a key. */
+    readonly workspace: string;
+}
+
+export interface AccessFault {
+    readonly fault: StatementFault;
+    readonly detail: string;
+}
+
+export function authorize(policy: TrafficPolicy, database: string, key: string): Access | AccessFault {
+    const route = policy.routesByDatabase.get(database);
+    if (route === undefined) {
+        return { fault: StatementFault.UnknownDatabase, detail: "no database of this name is served" };
+    }
+    const workspace = policy.workspaceByKey.get(key);
+    if (workspace === undefined && !route.open) {
+        return { fault: StatementFault.NotAuthorized, detail: "the key is unknown or withdrawn" };
+    }
+    return { route, workspace: workspace ?? "" };
+}
+
+export function isFault(access: Access | AccessFault): access is AccessFault {
+    return "fault" in access;
+}
--- /dev/null
+++ b/src/session/links.ts
@@ -0,0 +1,602 @@
+/** Runs placed tasks on links: opening, sharing, session state, open transactions, and time limits. */
+import { match } from "ts-pattern";
+import {
+    type AssessmentAsked,
+    type DatabaseChanged,
+    type DatabaseRemoved,
+    FleetKind,
+    type PolicyApplied,
+    type SendFrame,
+} from "../model/fleetMessages.ts";
+import {
+    type LinkCommand,
+    LinkCommandKind,
+    LinkKind,
+    LinkLoss,
+    type LinkLost,
+    type LinkOpen,
+    type LinkOpened,
+    type LinkReplied,
+    type LinkReply,
+    type LinkSend,
+} from "../model/linkMessages.ts";
+import { laterPosition, type Position } from "../model/position.ts";
+import { StatementFault, TransactionState } from "../model/sessionStatement.ts";
+import type { ServicePolicy } from "../model/trafficPolicy.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { Link, LinkState, ReplyRole, statementCommand } from "./link.ts";
+import { keptLinks, LinkPool, maximumLinks } from "./linkPool.ts";
+import {
+    type TaskAbandoned,
+    type TaskAttempted,
+    type TaskContinued,
+    TaskKind,
+    TaskMode,
+    type TaskPlaced,
+    taskTimer,
+    type TaskTimer,
+} from "./taskMessages.ts";
+
+/** Wait for a new link to open; the opening itself takes about 12 ms and a slot. */
+const openLimitMs = 1_000;
+
+/** Wait for the reply to a gate, which needs no slot; above the longest way there and back. */
+const gateLimitMs = 400;
+
+/** Idle time after which a link is closed, unless it is among those that are kept. */
+const idleLimitMs = 400;
+
+/** Idle time after which a kept link is closed too. */
+const keptIdleLimitMs = 8_000;
+
+/** Idle time after which a link proves that it is alive before a write is sent on it. */
+const trustedIdleMs = 1_000;
+
+/** Pause after a database refused a link because its connections are used up. */
+const fullPauseMs = 60;
+
+/** Instances that are assumed to use a database like this one until the fleet is known. */
+const assumedInstances = 8;
+
+/** Connections of a database whose service the policy does not name. */
+const assumedConnectionLimit = 16;
+
+type LinksInput =
+    | TaskPlaced
+    | TaskContinued
+    | TaskAbandoned
+    | TaskTimer
+    | LinkOpened
+    | LinkReplied
+    | LinkLost
+    | DatabaseChanged
+    | DatabaseRemoved
+    | PolicyApplied
+    | AssessmentAsked;
+
+export class Links implements Filter<LinksInput, Message> {
+    readonly step = "links";
+    readonly accepts = [
+        TaskKind.Placed,
+        TaskKind.Continued,
+        TaskKind.Abandoned,
+        TaskKind.AttemptDue,
+        TaskKind.LinkDue,
+        TaskKind.IdleDue,
+        LinkKind.Opened,
+        LinkKind.Replied,
+        LinkKind.Lost,
+        FleetKind.DatabaseChanged,
+        FleetKind.DatabaseRemoved,
+        FleetKind.PolicyApplied,
+        FleetKind.AssessmentAsked,
+    ];
+    private readonly pools = new Map<string, LinkPool>();
+    private readonly links = new Map<string, Link>();
+    private readonly pinned = new Map<string, Link>();
+    private services: ReadonlyMap<string, ServicePolicy> = new Map();
+    /** Highest position of a commit seen here, by service. */
+    private readonly acknowledged = new Map<string, Position>();
+    private nextLink = 0;
+
+    process(message: LinksInput, nowMs: number): readonly Message[] {
+        return match<LinksInput, readonly Message[]>(message)
+            .with({ kind: TaskKind.Placed }, found => this.place(found, nowMs))
+            .with({ kind: TaskKind.Continued }, found => this.continue(found, nowMs))
+            .with({ kind: TaskKind.Abandoned }, found => this.abandon(found))
+            .with({ kind: LinkKind.Opened }, found => this.opened(found, nowMs))
+            .with({ kind: LinkKind.Replied }, found => this.replied(found, nowMs))
+            .with({ kind: LinkKind.Lost }, found => this.lost(found, nowMs))
+            .with({ kind: FleetKind.DatabaseChanged }, found => this.applyReport(found, nowMs))
+            .with({ kind: FleetKind.DatabaseRemoved }, found => this.removePool(found.databaseId, nowMs))
+            .with({ kind: FleetKind.PolicyApplied }, found => {
+                this.services = found.policy.services;
+                return [found];
+            })
+            .with({ kind: FleetKind.AssessmentAsked }, found => [this.assess(found, nowMs)])
+            .with({ kind: TaskKind.LinkDue }, found => this.linkDue(found.id, nowMs))
+            .with({ kind: TaskKind.IdleDue }, found => this.closeIdle(found.id, nowMs))
+            .otherwise(timer => this.attemptDue((timer as TaskTimer).id, nowMs));
+    }
+
+    private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
+        const pool = this.pools.get(placed.databaseId);
+        if (pool === undefined) {
+            return [unsent(placed, StatementFault.Misrouted)];
+        }
+        pool.waiting.push(placed);
+        const timer = taskTimer(TaskKind.AttemptDue, placed.task.taskId);
+        return [setDeadline(attemptKey(placed), placed.untilMs, timer), ...this.serve(pool, nowMs)];
+    }
+
+    /** Gives links to waiting tasks, and opens links for those that find none. */
+    private serve(pool: LinkPool, nowMs: number): readonly Message[] {
+        const messages: Message[] = [];
+        const unserved = new Map<string, number>();
+        for (const placed of [...pool.waiting]) {
+            const { workspace, context, mode } = placed.task;
+            const link = mode === TaskMode.Probe
+                ? pool.anyIdle() ?? pool.idleFor(workspace, context)
+                : pool.idleFor(workspace, context);
+            if (link !== undefined) {
+                pool.waiting = pool.waiting.filter(other => other !== placed);
+                messages.push(...this.start(link, placed, nowMs));
+                continue;
+            }
+            const count = (unserved.get(workspace) ?? 0) + 1;
+            unserved.set(workspace, count);
+            if (pool.openingFor(workspace) < count) {
+                messages.push(...this.open(pool, workspace, nowMs));
+            }
+        }
+        return messages;
+    }
+
+    private open(pool: LinkPool, workspace: string, nowMs: number): readonly Message[] {
+        const closed: Message[] = [];
+        if (pool.links.size >= this.maximum(pool) || nowMs < pool.fullUntilMs) {
+            const oldest = pool.oldestIdle();
+            if (oldest === undefined) {
+                return [];
+            }
+            closed.push(...this.close(oldest));
+        }
+        const { databaseId, address, service } = pool.report;
+        const link = new Link({ linkId: `l${this.nextLink++}`, databaseId, workspace });
+        this.links.set(link.linkId, link);
+        pool.links.add(link);
+        const open: LinkOpen = { kind: LinkKind.Open, linkId: link.linkId, address, service, workspace, databaseId };
+        return [...closed, open, this.linkTimer(link, nowMs + openLimitMs)];
+    }
+
+    private opened({ linkId }: LinkOpened, nowMs: number): readonly Message[] {
+        const link = this.links.get(linkId);
+        if (link === undefined) {
+            return [];
+        }
+        this.poolOf(link).lastReplyMs = nowMs;
+        return [clearDeadline(linkKey(link)), ...this.release(link, nowMs)];
+    }
+
+    /** Starts an attempt on an idle link. */
+    private start(link: Link, placed: TaskPlaced, nowMs: number): readonly Message[] {
+        const { task, after } = placed;
+        link.state = LinkState.Busy;
+        link.attempt = { placed, sentMs: nowMs, sent: false, leads: false };
+        const prelude = link.prelude(task.context, task.statement);
+        const gate = gateOf(placed, nowMs - link.idleSinceMs);
+        if (gate.length > 0) {
+            const roles = [ReplyRole.Gate, ...gate.slice(1).map(() => ReplyRole.Cleanup)];
+            return [...this.send(link, prelude, gate, roles), this.linkTimer(link, nowMs + gateLimitMs)];
+        }
+        link.attempt.sent = true;
+        return this.send(link, prelude, [statementCommand({ task, after })], [ReplyRole.Statement]);
+    }
+
+    private continue({ task }: TaskContinued, nowMs: number): readonly Message[] {
+        const link = this.pinned.get(task.sessionId);
+        if (link === undefined) {
+            // The link broke between two statements, and with it the transaction was rolled back.
+            return [unsent({ task, databaseId: "" }, StatementFault.Aborted)];
+        }
+        const placed: TaskPlaced = {
+            kind: TaskKind.Placed,
+            task,
+            databaseId: link.databaseId,
+            after: undefined,
+            untilMs: task.deadlineMs,
+        };
+        link.state = LinkState.Busy;
+        link.attempt = { placed, sentMs: nowMs, sent: true, leads: false };
+        const prelude = link.prelude(task.context, task.statement);
+        const timer = taskTimer(TaskKind.AttemptDue, task.taskId);
+        return [
+            setDeadline(attemptKey(placed), placed.untilMs, timer),
+            ...this.send(link, prelude, [statementCommand(placed)], [ReplyRole.Statement]),
+        ];
+    }
+
+    private send(
+        link: Link,
+        prelude: readonly LinkCommand[],
+        commands: readonly LinkCommand[],
+        roles: readonly ReplyRole[],
+    ): readonly Message[] {
+        link.awaited.push(...prelude.map(() => ReplyRole.Prelude), ...roles);
+        const message: LinkSend = { kind: LinkKind.Send, linkId: link.linkId, commands: [...prelude, ...commands] };
+        return [message];
+    }
+
+    private replied({ linkId, reply }: LinkReplied, nowMs: number): readonly Message[] {
+        const link = this.links.get(linkId);
+        const role = link?.awaited.shift();
+        if (link === undefined) {
+            return [];
+        }
+        this.poolOf(link).lastReplyMs = nowMs;
+        switch (role) {
+            case ReplyRole.Prelude:
+                return reply.fault === undefined ? [] : this.drop(link, nowMs);
+            case ReplyRole.Gate:
+                return this.passGate(link, reply, nowMs);
+            case ReplyRole.Statement:
+                return this.finish(link, reply, nowMs);
+            case ReplyRole.Cleanup:
+                return this.cleanedUp(link, nowMs);
+            default:
+                // A reply that nothing asked for: the link is out of step.
+                return this.drop(link, nowMs);
+        }
+    }
+
+    private passGate(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
+        const attempt = link.attempt;
+        if (attempt === undefined) {
+            return [];
+        }
+        const { placed } = attempt;
+        const { task, after } = placed;
+        const cleared = clearDeadline(linkKey(link));
+        const checksLink = isLinkCheck(placed);
+        attempt.leads = reply.fault === undefined && task.needsPrimary;
+        if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
+            return [cleared, ...this.report(link, reply, false), ...this.afterGate(link, reply, nowMs)];
+        }
+        if (checksLink) {
+            // The statement follows the clean-up, outside the transaction that checked the link.
+            return [cleared];
+        }
+        attempt.sent = true;
+        const guarded = task.mode === TaskMode.Single;
+        const commands = [statementCommand({ task, after: guarded ? after : undefined })];
+        return guarded
+            ? [
+                cleared,
+                ...this.send(link, [], [...commands, { kind: LinkCommandKind.Rollback }], [
+                    ReplyRole.Statement,
+                    ReplyRole.Cleanup,
+                ]),
+            ]
+            : [cleared, ...this.send(link, [], commands, [ReplyRole.Statement])];
+    }
+
+    /** The gate failed, or it was all there was to do. */
+    private afterGate(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
+        if (link.awaited.length > 0) {
+            return [];
+        }
+        return reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link);
+    }
+
+    private cleanedUp(link: Link, nowMs: number): readonly Message[] {
+        if (link.awaited.length > 0) {
+            return [];
+        }
+        const { attempt } = link;
+        if (attempt === undefined) {
+            return this.release(link, nowMs);
+        }
+        // The link is alive; now the statement that waited for this proof.
+        attempt.sent = true;
+        attempt.leads = false;
+        return this.send(link, [], [statementCommand(attempt.placed)], [ReplyRole.Statement]);
+    }
+
+    private finish(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
+        const { task } = link.attempt!.placed;
+        const inTransaction = task.mode !== TaskMode.Single;
+        const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
+            && !link.abandoned;
+        if (task.writes && reply.fault === undefined && reply.position !== undefined) {
+            this.noteCommit(task.route.service, reply.position);
+            link.attempt!.leads ||= !inTransaction;
+        }
+        const result = this.report(link, reply, pinned);
+        this.unpin(link);
+        if (link.awaited.length > 0) {
+            return result;
+        }
+        if (pinned) {
+            link.state = LinkState.Pinned;
+            link.pinnedBy = task.sessionId;
+            this.pinned.set(task.sessionId, link);
+            return result;
+        }
+        return [
+            ...result,
+            ...reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link),
+        ];
+    }
+
+    /** Reports the attempt of a link and detaches it. */
+    private report(link: Link, reply: LinkReply | undefined, pinned: boolean): readonly Message[] {
+        const { attempt } = link;
+        link.attempt = undefined;
+        if (attempt === undefined) {
+            return [];
+        }
+        const { placed, sent, sentMs, leads } = attempt;
+        const { task, databaseId } = placed;
+        const attempted: TaskAttempted = {
+            kind: TaskKind.Attempted,
+            task,
+            databaseId,
+            reply,
+            fault: undefined,
+            sent,
+            sentMs,
+            leads: leads && reply?.fault === undefined,
+            pinned,
+        };
+        return [clearDeadline(attemptKey(placed)), attempted];
+    }
+
+    private rollBack(link: Link): readonly Message[] {
+        link.state = LinkState.Busy;
+        return this.send(link, [], [{ kind: LinkCommandKind.Rollback }], [ReplyRole.Cleanup]);
+    }
+
+    /** The link is free for the next task. */
+    private release(link: Link, nowMs: number): readonly Message[] {
+        const pool = this.poolOf(link);
+        link.state = LinkState.Idle;
+        link.abandoned = false;
+        link.idleSinceMs = nowMs;
+        return [...this.serve(pool, nowMs), ...link.state === LinkState.Idle ? [this.idleTimer(pool, nowMs)] : []];
+    }
+
+    private abandon({ sessionId, taskId }: TaskAbandoned): readonly Message[] {
+        const link = this.pinned.get(sessionId);
+        if (link !== undefined && link.attempt === undefined) {
+            this.unpin(link);
+            return this.rollBack(link);
+        }
+        for (const pool of this.pools.values()) {
+            const placed = pool.waiting.find(({ task }) => task.taskId === taskId);
+            if (placed !== undefined) {
+                pool.waiting = pool.waiting.filter(other => other !== placed);
+                return [clearDeadline(attemptKey(placed))];
+            }
+        }
+        const running = [...this.links.values()].find(({ attempt }) => attempt?.placed.task.taskId === taskId);
+        if (running !== undefined) {
+            running.abandoned = true;
+        }
+        return [];
+    }
+
+    /** The time of an attempt is up. */
+    private attemptDue(taskId: string, nowMs: number): readonly Message[] {
+        for (const pool of this.pools.values()) {
+            const placed = pool.waiting.find(({ task }) => task.taskId === taskId);
+            if (placed !== undefined) {
+                pool.waiting = pool.waiting.filter(other => other !== placed);
+                return [unsent(placed, StatementFault.Busy)];
+            }
+        }
+        const link = [...this.links.values()].find(({ attempt }) => attempt?.placed.task.taskId === taskId);
+        return link === undefined ? [] : this.drop(link, nowMs);
+    }
+
+    /** A link did not open, or a gate was not answered. */
+    private linkDue(linkId: string, nowMs: number): readonly Message[] {
+        const link = this.links.get(linkId);
+        return link === undefined ? [] : this.dropSilent(link, nowMs);
+    }
+
+    /** Other idle links to a database that has gone silent are probably as dead, and are not tried. */
+    private dropSilent(link: Link, nowMs: number): readonly Message[] {
+        const pool = this.poolOf(link);
+        const idle = [...pool.links].filter(other => other.state === LinkState.Idle);
+        return [
+            ...idle.flatMap(other => this.close(other)),
+            ...link.state === LinkState.Opening ? this.failWaiting(pool, link, undefined) : [],
+            ...this.drop(link, nowMs),
+        ];
+    }
+
+    private lost({ linkId, loss, fault }: LinkLost, nowMs: number): readonly Message[] {
+        const link = this.links.get(linkId);
+        if (link === undefined) {
+            return [];
+        }
+        const pool = this.poolOf(link);
+        const opening = link.state === LinkState.Opening;
+        if (loss === LinkLoss.Refused && fault === StatementFault.ConnectionLimit) {
+            pool.fullUntilMs = nowMs + fullPauseMs;
+        }
+        const failed = opening ? this.failWaiting(pool, link, loss === LinkLoss.Refused ? fault : undefined) : [];
+        return [...failed, ...this.remove(link), ...this.report(link, undefined, false), ...this.serve(pool, nowMs)];
+    }
+
+    /** A link that could not be opened fails the task that it was opened for. */
+    private failWaiting(pool: LinkPool, link: Link, fault: StatementFault | undefined): readonly Message[] {
+        const placed = pool.waiting.find(({ task }) => task.workspace === link.workspace);
+        if (placed === undefined) {
+            return [];
+        }
+        pool.waiting = pool.waiting.filter(other => other !== placed);
+        return [clearDeadline(attemptKey(placed)), unsent(placed, fault)];
+    }
+
+    /** Closes a link whose attempt, if any, stays without an answer. */
+    private drop(link: Link, nowMs: number): readonly Message[] {
+        const pool = this.poolOf(link);
+        return [...this.close(link), ...this.report(link, undefined, false), ...this.serve(pool, nowMs)];
+    }
+
+    private close(link: Link): readonly Message[] {
+        return [...this.remove(link), { kind: LinkKind.Close, linkId: link.linkId } as Message];
+    }
+
+    private remove(link: Link): readonly Message[] {
+        this.links.delete(link.linkId);
+        this.poolOf(link).links.delete(link);
+        this.unpin(link);
+        return [clearDeadline(linkKey(link))];
+    }
+
+    private unpin(link: Link): void {
+        if (link.pinnedBy !== undefined) {
+            this.pinned.delete(link.pinnedBy);
+            link.pinnedBy = undefined;
+        }
+    }
+
+    private applyReport(changed: DatabaseChanged, nowMs: number): readonly Message[] {
+        const { report } = changed;
+        const pool = this.pools.get(report.databaseId);
+        if (pool === undefined) {
+            this.pools.set(report.databaseId, new LinkPool(report));
+            return [changed];
+        }
+        const moved = pool.report.address !== report.address || pool.report.bornUnixMs !== report.bornUnixMs;
+        pool.report = report;
+        const stale = moved ? [...pool.links] : [];
+        return [changed, ...stale.flatMap(link => this.drop(link, nowMs))];
+    }
+
+    private removePool(databaseId: string, nowMs: number): readonly Message[] {
+        const pool = this.pools.get(databaseId);
+        if (pool === undefined) {
+            return [];
+        }
+        const waiting = pool.waiting;
+        pool.waiting = [];
+        const messages = [
+            ...waiting.flatMap(placed => [clearDeadline(attemptKey(placed)), unsent(placed, StatementFault.Misrouted)]),
+            ...[...pool.links].filter(link => link.attempt === undefined).flatMap(link => this.close(link)),
+            ...[...pool.links].flatMap(link => this.drop(link, nowMs)),
+        ];
+        this.pools.delete(databaseId);
+        return messages;
+    }
+
+    private closeIdle(databaseId: string, nowMs: number): readonly Message[] {
+        const pool = this.pools.get(databaseId);
+        if (pool === undefined) {
+            return [];
+        }
+        const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle)
+            .sort((left, right) => right.idleSinceMs - left.idleSinceMs);
+        const limit = this.connectionLimit(pool);
+        const kept = keptLinks(limit, assumedInstances);
+        const old = idle.filter((link, index) =>
+            nowMs - link.idleSinceMs >= (index < kept ? keptIdleLimitMs : idleLimitMs)
+        );
+        const remains = old.length < idle.length;
+        return [...old.flatMap(link => this.close(link)), ...remains ? [this.idleTimer(pool, nowMs)] : []];
+    }
+
+    private idleTimer({ report }: LinkPool, nowMs: number): Message {
+        const timer = taskTimer(TaskKind.IdleDue, report.databaseId);
+        return setDeadline(`idle/${report.databaseId}`, nowMs + idleLimitMs, timer);
+    }
+
+    private linkTimer(link: Link, atMs: number): Message {
+        return setDeadline(linkKey(link), atMs, taskTimer(TaskKind.LinkDue, link.linkId));
+    }
+
+    private assess({ attachmentId, databaseId }: AssessmentAsked, nowMs: number): SendFrame {
+        const pool = this.pools.get(databaseId);
+        const pending = [...pool?.links ?? []].flatMap(({ attempt }) => attempt?.sentMs ?? []);
+        const oldestMs = pending.length === 0 ? undefined : Math.min(...pending);
+        const frame = {
+            kind: "assessment" as const,
+            databaseId,
+            answeredAgeMs: pool?.lastReplyMs === undefined ? undefined : nowMs - pool.lastReplyMs,
+            unansweredAgeMs: oldestMs === undefined ? undefined : nowMs - oldestMs,
+            acknowledged: pool === undefined ? undefined : this.acknowledged.get(pool.report.service),
+        };
+        return { kind: FleetKind.SendFrame, attachmentId, frame };
+    }
+
+    private noteCommit(service: string, position: Position): void {
+        const known = this.acknowledged.get(service);
+        this.acknowledged.set(service, known === undefined ? position : laterPosition(known, position));
+    }
+
+    private maximum(pool: LinkPool): number {
+        return maximumLinks(this.connectionLimit(pool), assumedInstances);
+    }
+
+    private connectionLimit({ report }: LinkPool): number {
+        return this.services.get(report.service)?.connectionLimit ?? assumedConnectionLimit;
+    }
+
+    private poolOf({ databaseId }: Link): LinkPool {
+        return this.pools.get(databaseId)!;
+    }
+}
+
+/** Commands that must succeed before the statement is sent; empty when it may go at once. */
+function gateOf(placed: TaskPlaced, idleMs: number): readonly LinkCommand[] {
+    const { task, after } = placed;
+    const begin: LinkCommand = { kind: LinkCommandKind.Begin };
+    switch (task.mode) {
+        case TaskMode.Probe:
+            return [begin, { kind: LinkCommandKind.Rollback }];
+        case TaskMode.Transaction:
+            return [begin];
+        case TaskMode.ReadTransaction:
+            // On a route that reads the primary, only a plain transaction proves that the database leads.
+            return task.needsPrimary ? [begin] : [{ kind: LinkCommandKind.BeginRead, after }];
+        case TaskMode.Single:
+            if (!task.writes) {
+                return task.needsPrimary ? [begin] : [];
+            }
+            return idleMs > trustedIdleMs ? [begin, { kind: LinkCommandKind.Rollback }] : [];
+    }
+}
+
+/** Whether the gate only proves that the link is alive. */
+function isLinkCheck({ task }: TaskPlaced): boolean {
+    return task.mode === TaskMode.Single && task.writes;
+}
+
+function unsent(
+    { task, databaseId }: Pick<TaskPlaced, "task" | "databaseId">,
+    fault: StatementFault | undefined,
+): TaskAttempted {
+    return {
+        kind: TaskKind.Attempted,
+        task,
+        databaseId,
+        reply: undefined,
+        fault,
+        sent: false,
+        sentMs: undefined,
+        leads: false,
+        pinned: false,
+    };
+}
+
+function attemptKey({ task }: TaskPlaced): string {
+    return `attempt/${task.taskId}`;
+}
+
+function linkKey({ linkId }: Link): string {
+    return `link/${linkId}`;
+}
--- /dev/null
+++ b/src/session/routing.ts
@@ -0,0 +1,328 @@
+/** Chooses the database for each task, with the position that its log must hold, and decides on further attempts. */
+import { match, P } from "ts-pattern";
+import {
+    type DatabaseChanged,
+    type DatabaseRemoved,
+    type DatabaseSuspected,
+    FleetKind,
+    type PolicyApplied,
+} from "../model/fleetMessages.ts";
+import type { Position } from "../model/position.ts";
+import { emptySessionContext, isNotRun, SessionStatementKind, StatementFault } from "../model/sessionStatement.ts";
+import type { RoutePolicy } from "../model/trafficPolicy.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { CopyTable } from "./copyTable.ts";
+import { FloorSamples, laterFloor } from "./floorSamples.ts";
+import {
+    endTask,
+    retryText,
+    type Task,
+    type TaskAbandoned,
+    type TaskAdmitted,
+    type TaskAttempted,
+    type TaskEnded,
+    TaskKind,
+    TaskMode,
+    type TaskPlaced,
+    taskTimer,
+    type TaskTimer,
+} from "./taskMessages.ts";
+
+/** Pause before a task looks for a database again; a few times the way between data centres. */
+const retryDelayMs = 40;
+
+/**
+ * A sample older than this share of a route's age is renewed while it is still good, so that reads do not wait for it.
+ */
+const renewalShare = 0.5;
+
+/** Part of the statement's time that one attempt at a read may take before another copy is tried. */
+const readAttemptShare = 0.5;
+
+/** Time for which a copy that lagged behind a floor gets no reads; replicas apply within tens of milliseconds. */
+const laggingPauseMs = 60;
+
+/** A probe is repeated after this time without an answer. */
+const probeLimitMs = 500;
+
+/** A statement that ran and failed is repeated this often; a second failure is the statement's own. */
+const maximumFailedRuns = 1;
+
+/** Time below which another attempt is not worth starting; below the fastest statement. */
+const minimumAttemptMs = 5;
+
+type RoutingInput =
+    | TaskAdmitted
+    | TaskAttempted
+    | TaskAbandoned
+    | TaskTimer
+    | DatabaseChanged
+    | DatabaseRemoved
+    | PolicyApplied;
+
+interface RoutedTask {
+    readonly task: Task;
+    readonly tried: Set<string>;
+    /** It waits for a primary or a floor; otherwise an attempt is under way. */
+    waiting: boolean;
+    /** The last fault, told to the caller when the time is up. */
+    lastFault: StatementFault | undefined;
+    /** Attempts that ran and failed. */
+    failedRuns: number;
+}
+
+export interface RoutingOptions {
+    readonly dataCentre: string;
+}
+
+export class Routing implements Filter<RoutingInput, Message> {
+    readonly step = "routing";
+    readonly accepts = [
+        TaskKind.Admitted,
+        TaskKind.Attempted,
+        TaskKind.Abandoned,
+        TaskKind.PlacementDue,
+        FleetKind.DatabaseChanged,
+        FleetKind.DatabaseRemoved,
+        FleetKind.PolicyApplied,
+    ];
+    private readonly copies: CopyTable;
+    private readonly samples = new FloorSamples();
+    private readonly tasks = new Map<string, RoutedTask>();
+    /** Time until which a probe of a service is under way. */
+    private readonly probesUntilMs = new Map<string, number>();
+    private promoted: ReadonlyMap<string, string> = new Map();
+    private nextProbe = 0;
+
+    constructor({ dataCentre }: RoutingOptions) {
+        this.copies = new CopyTable(dataCentre);
+    }
+
+    process(message: RoutingInput, nowMs: number): readonly Message[] {
+        return match<RoutingInput, readonly Message[]>(message)
+            .with({ kind: TaskKind.Admitted }, ({ task }) => this.admit(task, nowMs))
+            .with({ kind: TaskKind.Attempted }, found => this.judge(found, nowMs))
+            .with({ kind: TaskKind.Abandoned }, found => [found, ...this.forget(found.taskId)])
+            .with({ kind: FleetKind.DatabaseChanged }, found => {
+                this.copies.apply(found.report);
+                return [found, ...this.placeWaiting(found.report.service, nowMs)];
+            })
+            .with({ kind: FleetKind.DatabaseRemoved }, found => {
+                this.copies.remove(found.databaseId);
+                return [found];
+            })
+            .with({ kind: FleetKind.PolicyApplied }, found => [found, ...this.applyPolicy(found, nowMs)])
+            .otherwise(timer => this.placeAgain((timer as TaskTimer).id, nowMs));
+    }
+
+    private applyPolicy({ promoted }: PolicyApplied, nowMs: number): readonly Message[] {
+        const before = this.promoted;
+        this.promoted = promoted;
+        return [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId)
+            .flatMap(([service, databaseId]) => {
+                this.copies.promote(service, databaseId);
+                return this.placeWaiting(service, nowMs);
+            });
+    }
+
+    private admit(task: Task, nowMs: number): readonly Message[] {
+        const routed = { task, tried: new Set<string>(), waiting: true, lastFault: undefined, failedRuns: 0 };
+        this.tasks.set(task.taskId, routed);
+        return this.place(routed, nowMs);
+    }
+
+    private placeAgain(taskId: string, nowMs: number): readonly Message[] {
+        const routed = this.tasks.get(taskId);
+        return routed?.waiting === true ? this.place(routed, nowMs) : [];
+    }
+
+    private placeWaiting(service: string, nowMs: number): readonly Message[] {
+        return [...this.tasks.values()]
+            .filter(({ task, waiting }) => waiting && task.route.service === service)
+            .flatMap(routed => this.place(routed, nowMs));
+    }
+
+    private place(routed: RoutedTask, nowMs: number): readonly Message[] {
+        const { task } = routed;
+        if (task.deadlineMs - nowMs < minimumAttemptMs) {
+            return this.end(endTask(task, routed.lastFault ?? StatementFault.Busy, giveUpText(routed)));
+        }
+        return task.needsPrimary ? this.placeAtPrimary(routed, nowMs) : this.placeAtCopy(routed, nowMs);
+    }
+
+    private placeAtPrimary(routed: RoutedTask, nowMs: number): readonly Message[] {
+        const databaseId = this.copies.primary(routed.task.route.service, nowMs);
+        return databaseId === undefined ? this.wait(routed, nowMs) : this.send(routed, databaseId, undefined, nowMs);
+    }
+
+    private placeAtCopy(routed: RoutedTask, nowMs: number): readonly Message[] {
+        const { task } = routed;
+        const { service, maximumAgeMs } = task.route;
+        const floor = this.samples.floorAt(service, task.receivedMs - maximumAgeMs);
+        if (floor === undefined) {
+            return [...this.probe(task, nowMs), ...this.wait(routed, nowMs)];
+        }
+        const [databaseId] = this.copies.readable(service, routed.tried, nowMs);
+        const renewal = this.renew(task, nowMs);
+        return databaseId === undefined
+            ? [...renewal, ...this.wait(routed, nowMs)]
+            : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
+    }
+
+    private send(routed: RoutedTask, databaseId: string, after: Position | undefined, nowMs: number): readonly Message[] {
+        const { task } = routed;
+        routed.waiting = false;
+        routed.tried.add(databaseId);
+        this.copies.noteStart(databaseId);
+        const attemptMs = readAttemptShare * task.route.statementLimitMs;
+        const untilMs = task.mode === TaskMode.Single && !task.writes
+            ? Math.min(task.deadlineMs, nowMs + attemptMs)
+            : task.deadlineMs;
+        const placed: TaskPlaced = { kind: TaskKind.Placed, task, databaseId, after, untilMs };
+        return [placed];
+    }
+
+    private wait(routed: RoutedTask, nowMs: number): readonly Message[] {
+        routed.waiting = true;
+        const atMs = Math.min(nowMs + retryDelayMs, routed.task.deadlineMs);
+        const { taskId } = routed.task;
+        return [setDeadline(placementKey(taskId), atMs, taskTimer(TaskKind.PlacementDue, taskId))];
+    }
+
+    /** Renews the sample of a service in the background. */
+    private renew(task: Task, nowMs: number): readonly Message[] {
+        const { service, maximumAgeMs } = task.route;
+        const newestMs = this.samples.newestMs(service);
+        return newestMs !== undefined && nowMs - newestMs < renewalShare * maximumAgeMs ? [] : this.probe(task, nowMs);
+    }
+
+    private probe({ route, workspace }: Task, nowMs: number): readonly Message[] {
+        const databaseId = this.copies.primary(route.service, nowMs);
+        if (databaseId === undefined || nowMs < (this.probesUntilMs.get(route.service) ?? 0)) {
+            return [];
+        }
+        const untilMs = nowMs + probeLimitMs;
+        this.probesUntilMs.set(route.service, untilMs);
+        const task = probeTask(`p${this.nextProbe++}`, route, workspace, nowMs, untilMs);
+        this.copies.noteStart(databaseId);
+        return [{ kind: TaskKind.Placed, task, databaseId, after: undefined, untilMs } as TaskPlaced];
+    }
+
+    private judge(attempt: TaskAttempted, nowMs: number): readonly Message[] {
+        const { task, databaseId, reply } = attempt;
+        const { service } = task.route;
+        this.learn(attempt, nowMs);
+        const suspicion = reply === undefined && attempt.fault === undefined ? [suspect(databaseId)] : [];
+        if (task.mode === TaskMode.Probe) {
+            this.probesUntilMs.delete(service);
+            return [...suspicion, ...this.placeWaiting(service, nowMs)];
+        }
+        const woken = attempt.leads ? this.placeWaiting(service, nowMs) : [];
+        const routed = this.tasks.get(task.taskId);
+        if (routed === undefined) {
+            // Only the first statement of a transaction is routed; the others end as they are, and so does one whose
+            // caller has left.
+            return [...suspicion, this.resultOf(attempt), ...woken];
+        }
+        return [...suspicion, ...this.decide(routed, attempt, nowMs), ...woken];
+    }
+
+    private learn({ databaseId, reply, fault, leads, sentMs, task }: TaskAttempted, nowMs: number): void {
+        const answeredMs = reply !== undefined && reply.fault === undefined && sentMs !== undefined
+            ? nowMs - sentMs
+            : undefined;
+        this.copies.noteAnswer(databaseId, answeredMs);
+        const found = reply?.fault ?? fault;
+        if (reply === undefined && found !== StatementFault.Busy) {
+            this.copies.noteFailure(databaseId, nowMs);
+        }
+        if (found === StatementFault.ReadOnly) {
+            this.copies.denyLead(databaseId, nowMs);
+        }
+        if (found === StatementFault.Lagging) {
+            this.copies.noteLagging(databaseId, nowMs + laggingPauseMs);
+        }
+        if (leads) {
+            this.copies.confirmLead(databaseId);
+            if (reply?.position !== undefined && sentMs !== undefined) {
+                this.samples.note(task.route.service, { position: reply.position, atMs: sentMs });
+            }
+        }
+    }
+
+    private decide(routed: RoutedTask, attempt: TaskAttempted, nowMs: number): readonly Message[] {
+        const { task } = routed;
+        const fault = attempt.reply?.fault ?? attempt.fault;
+        if (attempt.reply !== undefined && fault === undefined) {
+            return this.end(this.resultOf(attempt));
+        }
+        const nothingKept = !attempt.sent || (fault !== undefined && isNotRun(fault))
+            || (task.mode !== TaskMode.Single && task.statement?.kind !== SessionStatementKind.Commit);
+        const mayRepeat = nothingKept || !task.writes;
+        routed.failedRuns += fault !== undefined && !isNotRun(fault) ? 1 : 0;
+        if (!mayRepeat || attempt.pinned || routed.failedRuns > maximumFailedRuns) {
+            return this.end(this.resultOf(attempt));
+        }
+        routed.lastFault = fault !== undefined && isNotRun(fault) ? fault : nothingKept ? StatementFault.Busy : fault;
+        return match(fault)
+            .with(P.union(StatementFault.Lagging, StatementFault.Misrouted, undefined), () => this.place(routed, nowMs))
+            .otherwise(() => this.wait(routed, nowMs));
+    }
+
+    /** The result of an attempt that is not repeated. */
+    private resultOf({ task, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
+        if (reply !== undefined) {
+            return { kind: TaskKind.Ended, task, reply, fault: reply.fault, detail: reply.detail, pinned };
+        }
+        if (!sent) {
+            return endTask(task, fault ?? StatementFault.Busy, "the database could not be reached; not run");
+        }
+        if (task.mode === TaskMode.Single) {
+            return task.writes
+                ? endTask(task, StatementFault.InDoubt, "the database did not answer; the write may have run")
+                : endTask(task, StatementFault.TimedOut, "the database did not answer in time");
+        }
+        return task.statement?.kind === SessionStatementKind.Commit
+            ? endTask(task, StatementFault.InDoubt, "the database did not answer; the commit may have run")
+            : endTask(task, StatementFault.Aborted, "the database did not answer; the transaction is rolled back");
+    }
+
+    private end(ended: TaskEnded | Message): readonly Message[] {
+        return [...this.forget((ended as TaskEnded).task.taskId), ended];
+    }
+
+    private forget(taskId: string | undefined): readonly Message[] {
+        return taskId !== undefined && this.tasks.delete(taskId) ? [clearDeadline(placementKey(taskId))] : [];
+    }
+}
+
+function placementKey(taskId: string): string {
+    return `placement/${taskId}`;
+}
+
+function suspect(databaseId: string): DatabaseSuspected {
+    return { kind: FleetKind.DatabaseSuspected, databaseId };
+}
+
+function giveUpText({ task }: RoutedTask): string {
+    return retryText(task.needsPrimary ? "no primary answers" : "no copy is recent enough or free", retryDelayMs);
+}
+
+function probeTask(taskId: string, route: RoutePolicy, workspace: string, nowMs: number, untilMs: number): Task {
+    return {
+        taskId,
+        sessionId: "",
+        route,
+        workspace,
+        mode: TaskMode.Probe,
+        statement: undefined,
+        writes: false,
+        needsPrimary: true,
+        context: emptySessionContext,
+        sessionFloor: undefined,
+        receivedMs: nowMs,
+        deadlineMs: untilMs,
+    };
+}
--- /dev/null
+++ b/src/session/taskMessages.ts
@@ -0,0 +1,145 @@
+/** Messages between the filters of the session pipe. */
+import type { LinkReply } from "../model/linkMessages.ts";
+import type { Position } from "../model/position.ts";
+import type { SessionContext, SessionStatement, StatementFault } from "../model/sessionStatement.ts";
+import type { RoutePolicy } from "../model/trafficPolicy.ts";
+import type { Message } from "../pipeline/message.ts";
+
+export const TaskKind = {
+    Submitted: "task.submitted",
+    Admitted: "task.admitted",
+    Placed: "task.placed",
+    Continued: "task.continued",
+    /** The session is gone, or its transaction is given up. */
+    Abandoned: "task.abandoned",
+    Attempted: "task.attempted",
+    Ended: "task.ended",
+    AdmissionDue: "task.admission_due",
+    PlacementDue: "task.placement_due",
+    AttemptDue: "task.attempt_due",
+    LinkDue: "task.link_due",
+    IdleDue: "task.idle_due",
+} as const;
+
+export const TaskMode = {
+    /** A statement outside a transaction. */
+    Single: "single",
+    /** The first statement of a transaction that may write. */
+    Transaction: "transaction",
+    /** The first statement of a transaction that only reads. */
+    ReadTransaction: "read_transaction",
+    /** Asks the primary for its position; no caller waits for it alone. */
+    Probe: "probe",
+} as const;
+export type TaskMode = typeof TaskMode[keyof typeof TaskMode];
+
+/** A statement that needs a database, with everything that decides where it may run. */
+export interface Task {
+    /** Unique in this process. */
+    readonly taskId: string;
+    /** Empty for a probe. */
+    readonly sessionId: string;
+    readonly route: RoutePolicy;
+    /** Empty for callers of open routes without a key. */
+    readonly workspace: string;
+    readonly mode: TaskMode;
+    /** Undefined for a probe. */
+    readonly statement: SessionStatement | undefined;
+    /** It writes or ends a transaction that may have written. */
+    readonly writes: boolean;
+    /** Only the database that leads may run it. */
+    readonly needsPrimary: boolean;
+    readonly context: SessionContext;
+    /** Position of the session's last commit in this service. */
+    readonly sessionFloor: Position | undefined;
+    readonly receivedMs: number;
+    /** End of the statement's time. */
+    readonly deadlineMs: number;
+}
+
+export interface TaskSubmitted extends Message {
+    readonly kind: typeof TaskKind.Submitted;
+    readonly task: Task;
+}
+
+/** Counted against the rate of its workspace. */
+export interface TaskAdmitted extends Message {
+    readonly kind: typeof TaskKind.Admitted;
+    readonly task: Task;
+}
+
+/** To be tried at one database. */
+export interface TaskPlaced extends Message {
+    readonly kind: typeof TaskKind.Placed;
+    readonly task: Task;
+    readonly databaseId: string;
+    /** The log must hold this position; undefined for what only the primary runs. */
+    readonly after: Position | undefined;
+    /** End of this attempt. */
+    readonly untilMs: number;
+}
+
+/** A further statement of a transaction; it runs on the link of the session. */
+export interface TaskContinued extends Message {
+    readonly kind: typeof TaskKind.Continued;
+    readonly task: Task;
+}
+
+export interface TaskAbandoned extends Message {
+    readonly kind: typeof TaskKind.Abandoned;
+    readonly sessionId: string;
+    readonly taskId: string | undefined;
+}
+
+export interface TaskAttempted extends Message {
+    readonly kind: typeof TaskKind.Attempted;
+    readonly task: Task;
+    readonly databaseId: string;
+    /** Undefined when the link was lost, or the time of the attempt ran out. */
+    readonly reply: LinkReply | undefined;
+    /** Set without a reply when the database refused to open the link. */
+    readonly fault: StatementFault | undefined;
+    /** The statement was sent. */
+    readonly sent: boolean;
+    /** Time at which the first command of the attempt was sent; undefined when none was. */
+    readonly sentMs: number | undefined;
+    /** The database proved after `sentMs` that it leads. */
+    readonly leads: boolean;
+    /** The transaction goes on, on the same link. */
+    readonly pinned: boolean;
+}
+
+/** The result of a task for its session. */
+export interface TaskEnded extends Message {
+    readonly kind: typeof TaskKind.Ended;
+    readonly task: Task;
+    readonly reply: LinkReply | undefined;
+    /** Undefined after success. */
+    readonly fault: StatementFault | undefined;
+    readonly detail: string;
+    readonly pinned: boolean;
+}
+
+/** A timer for one task, link or workspace. */
+export interface TaskTimer extends Message {
+    readonly kind:
+        | typeof TaskKind.AdmissionDue
+        | typeof TaskKind.PlacementDue
+        | typeof TaskKind.AttemptDue
+        | typeof TaskKind.LinkDue
+        | typeof TaskKind.IdleDue;
+    readonly id: string;
+}
+
+export function taskTimer(kind: TaskTimer["kind"], id: string): TaskTimer {
+    return { kind, id };
+}
+
+export function endTask(task: Task, fault: StatementFault, detail: string): TaskEnded {
+    return { kind: TaskKind.Ended, task, reply: undefined, fault, detail, pinned: false };
+}
+
+/** Names the time after which a caller may come back, in the text of a fault. */
+export function retryText(text: string, afterMs: number): string {
+    return `${text}; not run, retry after ${Math.max(1, Math.ceil(afterMs))} ms`;
+}
--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -60,17 +60,21 @@
         return this.segments.at(-1)!.number;
     }
 
-    /** Removes entries from `fromIndex` on and appends `entries`. Durable after the next `sync`. */
-    async append(fromIndex: number, entries: readonly LogEntry[]): Promise<void> {
+    /**
+     * For each record in order, removes entries from its `fromIndex` on and appends its entries. Durable after the next
+     * `sync`. All go into one checked record: a power loss that keeps a later write and not an earlier one would
+     * otherwise leave valid data behind an invalid record, which cannot be told from damage.
+     */
+    async append(records: readonly LogRecord[]): Promise<void> {
         if (this.segments.at(-1)!.bytes >= this.options.segmentBytes) {
             await this.roll();
         }
-        const record: LogRecord = { fromIndex, entries };
-        const data = encodeRecord(Buffer.from(JSON.stringify(record)));
+        const plain = records.map(({ fromIndex, entries }) => ({ fromIndex, entries }));
+        const data = encodeRecord(Buffer.from(JSON.stringify(plain)));
         await this.handle!.appendFile(data);
         const segment = this.segments.at(-1)!;
         segment.bytes += data.length;
-        segment.lastIndex = Math.max(segment.lastIndex, ...entries.map(entry => entry.index));
+        segment.lastIndex = Math.max(segment.lastIndex, ...records.flatMap(({ entries }) => entries.map(({ index }) => index)));
     }
 
     async sync(): Promise<void> {
@@ -137,8 +141,8 @@
             this.tornTails += 1;
             await truncateDurably(file, scan.validBytes);
         }
-        return scan.payloads.map(payload =>
-            parseJson(file, payload, payload.byteOffset - data.byteOffset) as LogRecord
+        return scan.payloads.flatMap(payload =>
+            parseJson(file, payload, payload.byteOffset - data.byteOffset) as readonly LogRecord[]
         );
     }
 
--- a/src/storage/memberStorage.ts
+++ b/src/storage/memberStorage.ts
@@ -27,6 +27,8 @@
     /** Posts results to the event loop. */
     readonly post: (message: Message) => void;
     readonly segmentBytes?: number;
+    /** False where the platform itself starts at most one process per folder and process ids say nothing. */
+    readonly lockFolder?: boolean;
 }
 
 interface TermRecord {
@@ -43,7 +45,7 @@
     /** Torn tails cut off at start. */
     readonly tornTails: number;
     private readonly options: MemberStorageOptions;
-    private readonly lock: FolderLock;
+    private readonly lock: FolderLock | undefined;
     private readonly log: LogSegments;
     private queue: StorageAppend[] = [];
     private working: Promise<void> | undefined;
@@ -51,7 +53,7 @@
 
     private constructor(parts: {
         readonly options: MemberStorageOptions;
-        readonly lock: FolderLock;
+        readonly lock: FolderLock | undefined;
         readonly log: LogSegments;
         readonly identity: Identity;
         readonly recovered: StorageRecovered;
@@ -67,12 +69,12 @@
     /** Locks the folder, creates what is missing and reads the rest. */
     static async open(options: MemberStorageOptions): Promise<MemberStorage> {
         await mkdir(options.folder, { recursive: true });
-        const lock = await FolderLock.acquire(options.folder);
+        const lock = options.lockFolder === false ? undefined : await FolderLock.acquire(options.folder);
         try {
             return await MemberStorage.read(options, lock);
         }
         catch (error) {
-            await lock[Symbol.asyncDispose]();
+            await lock?.[Symbol.asyncDispose]();
             throw error;
         }
     }
@@ -90,10 +92,10 @@
         this.stopped = true;
         await this.working;
         await this.log[Symbol.asyncDispose]();
-        await this.lock[Symbol.asyncDispose]();
+        await this.lock?.[Symbol.asyncDispose]();
     }
 
-    private static async read(options: MemberStorageOptions, lock: FolderLock): Promise<MemberStorage> {
+    private static async read(options: MemberStorageOptions, lock: FolderLock | undefined): Promise<MemberStorage> {
         const { folder, cluster, memberId } = options;
         const identity = await openIdentity(folder, cluster, memberId);
         const stored = await readSnapshot(folder);
@@ -156,9 +158,7 @@
     }
 
     private async appendAll(writes: readonly Extract<StorageWrite, { kind: typeof WriteKind.Entries; }>[]) {
-        for (const { fromIndex, entries } of writes) {
-            await this.log.append(fromIndex, entries);
-        }
+        await this.log.append(writes);
         await this.log.sync();
     }
 
