--- /dev/null
+++ b/src/wiring/platformProcess.ts
@@ -0,0 +1,295 @@
+/** Wires the processes that run on the users' platform: the proxy for callers, and control members. */
+import "disposablestack/auto";
+import { Attachments } from "../fleet/attachments.ts";
+import { AttachmentHub } from "../fleet/attachmentHub.ts";
+import { Directory } from "../fleet/directory.ts";
+import { Documents } from "../fleet/documents.ts";
+import { GrantHolder } from "../fleet/grantHolder.ts";
+import { PolicyFilter } from "../fleet/policyFilter.ts";
+import { Promotions } from "../fleet/promotions.ts";
+import { RateGrants } from "../fleet/rateGrants.ts";
+import { Readiness } from "../fleet/readiness.ts";
+import { controlFilters } from "../control/controlPipe.ts";
+import { FollowerFilter } from "../control/followerFilter.ts";
+import { ControlKind } from "../model/controlMessages.ts";
+import { FleetKind } from "../model/fleetMessages.ts";
+import { StorageKind } from "../model/storageMessages.ts";
+import { EventLoop } from "../pipeline/eventLoop.ts";
+import type { Message } from "../pipeline/message.ts";
+import { Pipe } from "../pipeline/pipe.ts";
+import { SeededRandom } from "../pipeline/seededRandom.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { ControlServer } from "../platform/controlServer.ts";
+import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
+import type { PlatformSettings } from "../platform/platformSettings.ts";
+import { PromotionOrders } from "../platform/promotionOrders.ts";
+import { ReadinessServer } from "../platform/readinessServer.ts";
+import { WireClient } from "../platform/wireClient.ts";
+import { WireServer } from "../platform/wireServer.ts";
+import { ConfigurationFeed } from "../rpc/configurationFeed.ts";
+import { ConfigurationSubscriber } from "../rpc/configurationSubscriber.ts";
+import { FleetConnector } from "../rpc/fleetConnector.ts";
+import { FleetAcceptor } from "../rpc/fleetService.ts";
+import { LogPeers } from "../rpc/logPeers.ts";
+import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
+import { createPeerServer, listen } from "../rpc/peerChannel.ts";
+import { PeerNetwork } from "../rpc/peerNetwork.ts";
+import { Admission } from "../session/admission.ts";
+import { Links } from "../session/links.ts";
+import { Routing } from "../session/routing.ts";
+import { Sessions } from "../session/sessions.ts";
+import { MemberStorage } from "../storage/memberStorage.ts";
+import { createLogger, type Logger } from "../telemetry/logger.ts";
+import { SuspensionClock } from "./suspensionClock.ts";
+
+const clusterName = "jasmineline";
+
+/** Time after the signal to stop for which the platform still sends new callers here: two of its questions. */
+const newCallersMs = 2_400;
+
+/** Kept between the last answer and the kill. */
+const stopMarginMs = 400;
+
+export interface PlatformProcess extends AsyncDisposable {
+    /** Starts the graceful shutdown. */
+    drain(): void;
+    /** Applies settings that changed while the process runs. */
+    reload(settings: PlatformSettings): void;
+    readonly ended: Promise<void>;
+}
+
+export interface PlatformInputs {
+    readonly settings: PlatformSettings;
+    readonly clusterSecret: string;
+    readonly seed: number;
+}
+
+interface Parts extends PlatformInputs {
+    readonly clock: SuspensionClock;
+    readonly post: (message: Message) => void;
+    readonly network: PeerNetwork;
+    readonly authentication: PeerAuthentication;
+    readonly logger: Logger;
+    readonly stack: AsyncDisposableStack;
+}
+
+/** Starts what the settings of this machine ask for. */
+export async function startPlatformProcess(inputs: PlatformInputs): Promise<PlatformProcess> {
+    await using stack = new AsyncDisposableStack();
+    const { settings, clusterSecret } = inputs;
+    const control = settings.control !== undefined;
+    // Control members are known by their hosts, because the settings name them so.
+    const instanceId = control ? settings.host : settings.instanceId;
+    const authentication = new PeerAuthentication({ cluster: clusterName, instanceId, secret: clusterSecret });
+    const network = new PeerNetwork({ authentication });
+    const logger = createLogger({ format: "json", level: "info", instanceId: settings.instanceId });
+    const clock = new SuspensionClock();
+    const post = (message: Message): void => loop.post(message);
+    const parts: Parts = { ...inputs, clock, post, network, authentication, logger, stack };
+    const end = new ProcessEnd();
+    const { pipes, sinks, started } = control
+        ? await buildControl(parts)
+        : await buildProxy(parts);
+    const loop = stack.use(new EventLoop({ clock, pipes, sinks: [...sinks, end, new IgnoreRest(pipes, sinks)] }));
+    await started();
+    logger.info("started", { control, address: settings.rpcAddress });
+    const opened = stack.move();
+    return {
+        drain: () => startDrain(parts, control, end),
+        reload: changed => {
+            post({ kind: ControlKind.SeedsChanged, seeds: changed.seeds } as Message);
+            logger.info("reloaded", { seeds: changed.seeds.map(({ address }) => address).join(",") });
+        },
+        ended: end.promise,
+        [Symbol.asyncDispose]: () => opened.disposeAsync(),
+    };
+}
+
+interface Built {
+    readonly pipes: readonly Pipe[];
+    readonly sinks: readonly Sink[];
+    /** Opens the listeners and posts the first events. */
+    started(): Promise<void>;
+}
+
+async function buildProxy(parts: Parts): Promise<Built> {
+    const { settings, post, network, seed, stack } = parts;
+    const { instanceId, dataCentre, callers, readiness } = settings;
+    const seeds = settings.seeds.map(({ address }) => address);
+    const decoder = new TrafficPolicyDecoder();
+    const fleet = new Pipe("fleet", [
+        new FollowerFilter(),
+        new PolicyFilter(decoder),
+        new Directory(),
+        new Attachments({ instanceId, serves: true, seeds, follows: true }),
+        new GrantHolder(),
+        new Readiness(),
+    ]);
+    const session = new Pipe("session", [
+        new Sessions(),
+        new Admission(),
+        new Routing({ dataCentre }),
+        new Links(),
+    ]);
+    const server = stack.use(new WireServer({ ...callers!, post }));
+    const readinessServer = stack.use(new ReadinessServer());
+    const random = new SeededRandom(seed);
+    const subscriber = stack.use(new ConfigurationSubscriber({ network, addresses: seeds, post, random }));
+    const connector = stack.use(
+        new FleetConnector({ network, post, random: new SeededRandom(seed + 1), ownAddress: settings.rpcAddress }),
+    );
+    const sinks: readonly Sink[] = [
+        server,
+        stack.use(new WireClient({ post })),
+        readinessServer,
+        subscriber,
+        connector,
+    ];
+    return {
+        pipes: [fleet, session],
+        sinks,
+        started: async () => {
+            await server.listen();
+            if (readiness !== undefined) {
+                await readinessServer.listen(readiness);
+            }
+            subscriber.start();
+            post({ kind: FleetKind.MembersKnown, addresses: seeds } as Message);
+        },
+    };
+}
+
+async function buildControl(parts: Parts): Promise<Built> {
+    const { settings, post, network, authentication, seed, stack } = parts;
+    const { host, rpcAddress, dataFolder, control, ordersAddress, instanceId, reportIntervalMs } = settings;
+    const storage = stack.use(
+        await MemberStorage.open({
+            folder: dataFolder!,
+            cluster: clusterName,
+            memberId: host,
+            post,
+            lockFolder: false,
+        }),
+    );
+    const self = { memberId: host, address: rpcAddress, incarnation: storage.identity.incarnation };
+    const random = new SeededRandom(seed);
+    const seeds = settings.seeds.map(({ address }) => address);
+    const controlPipe = new Pipe(
+        "control",
+        controlFilters({
+            self,
+            initialMembers: settings.seeds,
+            random,
+            mayFound: settings.firstStart,
+            openMembership: true,
+        }),
+    );
+    const fleet = new Pipe("fleet", [
+        new PolicyFilter(new TrafficPolicyDecoder()),
+        new Directory(),
+        new AttachmentHub({ instanceId: host }),
+        new Attachments({ instanceId: host, serves: false, seeds, follows: false }),
+        new Documents(),
+        new RateGrants(),
+        new Promotions({ reportIntervalMs }),
+    ]);
+    const server = createPeerServer(authentication);
+    const acceptor = stack.use(new FleetAcceptor({ post }));
+    const logPeers = stack.use(new LogPeers({ network, post }));
+    const feed = stack.use(new ConfigurationFeed({ post }));
+    acceptor.addTo(server);
+    logPeers.addTo(server);
+    feed.addTo(server);
+    const controlServer = stack.use(new ControlServer({ ...control!, post }));
+    const connector = stack.use(
+        new FleetConnector({ network, post, random: new SeededRandom(seed + 1), ownAddress: rpcAddress }),
+    );
+    const sinks: Sink[] = [
+        storage,
+        acceptor,
+        logPeers,
+        feed,
+        connector,
+        controlServer,
+        stack.use(new WireClient({ post })),
+    ];
+    if (ordersAddress !== undefined) {
+        sinks.push(new PromotionOrders({ address: ordersAddress, holder: instanceId, post }));
+    }
+    return {
+        pipes: [controlPipe, fleet],
+        sinks,
+        started: async () => {
+            await listen(server, rpcAddress);
+            stack.defer(() => server.forceShutdown());
+            await controlServer.listen();
+            post(storage.recovered);
+            post({ kind: FleetKind.MembersKnown, addresses: seeds } as Message);
+        },
+    };
+}
+
+/** A proxy ends with its last session, or before the kill; a control member has nothing to wait for. */
+function startDrain(parts: Parts, control: boolean, end: ProcessEnd): void {
+    const { settings, clock, post, logger } = parts;
+    logger.info("draining");
+    if (control) {
+        end.deliver({ kind: FleetKind.Drained });
+        return;
+    }
+    const startMs = clock.nowMs();
+    const drain = {
+        kind: FleetKind.DrainStarted,
+        idleSessionsUntilMs: startMs + newCallersMs,
+        transactionsUntilMs: startMs + settings.stopLimitMs / 2,
+    };
+    post({ ...drain, final: false } as Message);
+    setTimeout(() => post({ ...drain, final: true } as Message), newCallersMs);
+    setTimeout(() => end.deliver({ kind: FleetKind.Drained }), settings.stopLimitMs - stopMarginMs);
+}
+
+/** Settles when the instance has drained, and fails when its disk did. */
+class ProcessEnd implements Sink {
+    readonly accepts = [FleetKind.Drained, StorageKind.Failed];
+    readonly promise: Promise<void>;
+    private succeed: () => void = () => undefined;
+    private fail: (reason: Error) => void = () => undefined;
+
+    constructor() {
+        this.promise = new Promise((resolve, reject) => {
+            this.succeed = resolve;
+            this.fail = reject;
+        });
+    }
+
+    deliver(message: Message): void {
+        if (message.kind === FleetKind.Drained) {
+            this.succeed();
+        }
+        else {
+            const { reason } = message as Message & { readonly reason: string; };
+            this.fail(new Error(`the data folder cannot be written: ${reason}`));
+        }
+    }
+}
+
+/** Takes the messages that only some processes have a use for. */
+class IgnoreRest implements Sink {
+    readonly accepts: readonly string[];
+
+    constructor(pipes: readonly Pipe[], sinks: readonly Sink[]) {
+        const optional = [
+            ...Object.values(FleetKind),
+            ControlKind.ProposalEnded,
+            ControlKind.LeaderChanged,
+            ControlKind.MembersAgreed,
+            ControlKind.SeedsChanged,
+        ];
+        const taken = new Set([...pipes.flatMap(pipe => [...pipe.accepts]), ...sinks.flatMap(sink => [...sink.accepts])]);
+        this.accepts = optional.filter(kind => !taken.has(kind));
+    }
+
+    deliver(): void {
+        // Nothing here needs the message.
+    }
+}
--- /dev/null
+++ b/src/wiring/suspensionClock.ts
@@ -0,0 +1,28 @@
+/** A clock that counts the time for which the machine was suspended. */
+import { SystemClock } from "./systemClock.ts";
+
+/** Differences below this are the clocks' own unevenness. */
+const minimumGapMs = 20;
+
+/**
+ * The monotonic clock of the platform stands still while the machine is suspended, and the time of day goes on. What the
+ * time of day gains is added; a step forward of the time of day does the same, which only lets things expire early. A
+ * step back is ignored.
+ */
+export class SuspensionClock extends SystemClock {
+    private addedMs = 0;
+    private lastSteadyMs = performance.now();
+    private lastDayMs = Date.now();
+
+    override nowMs(): number {
+        const steadyMs = performance.now();
+        const dayMs = Date.now();
+        const gainedMs = (dayMs - this.lastDayMs) - (steadyMs - this.lastSteadyMs);
+        if (gainedMs > minimumGapMs) {
+            this.addedMs += gainedMs;
+        }
+        this.lastSteadyMs = steadyMs;
+        this.lastDayMs = dayMs;
+        return steadyMs + this.addedMs;
+    }
+}
