--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -12,6 +12,7 @@
     FleetKind,
     type FrameReceived,
 } from "../model/fleetMessages.ts";
+import type { PeerInstance } from "../model/peerMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
@@ -26,6 +27,8 @@
     | ControlMembersAgreed
     | ConfigurationApplied;
 
+type HelloFrame = Extract<FleetFrame, { readonly kind: "hello"; }>;
+
 interface Heard {
     readonly report: DatabaseReport;
     readonly heardMs: number;
@@ -46,6 +49,7 @@
     private readonly instanceId: string;
     /** Whether each attachment serves callers; undefined until its hello. */
     private readonly attachments = new Map<string, boolean | undefined>();
+    private readonly instances = new Map<string, PeerInstance>();
     /** Databases that reported to this instance. */
     private readonly heard = new Map<string, Heard>();
     private members: readonly string[] = [];
@@ -66,11 +70,12 @@
             .with({ kind: FleetKind.Attached }, found => [found])
             .with({ kind: FleetKind.Detached }, found => {
                 this.attachments.delete(found.attachmentId);
-                return [found];
+                const served = this.instances.delete(found.attachmentId);
+                return [found, ...served ? this.broadcast(this.instanceList()) : []];
             })
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "hello" } },
-                found => [found, ...this.greet(found.attachmentId, found.frame.serves, nowMs)],
+                found => [found, ...this.greet(found.attachmentId, found.frame, nowMs)],
             )
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, found => [found])
             .with({ kind: FleetKind.DatabaseReported }, found => this.publish(found.report, nowMs))
@@ -91,7 +96,7 @@
             .exhaustive();
     }
 
-    private greet(attachmentId: string, serves: boolean, nowMs: number): readonly Message[] {
+    private greet(attachmentId: string, { serves, instanceId, address, dataCentre }: HelloFrame, nowMs: number): readonly Message[] {
         if (!this.attachments.has(attachmentId)) {
             return [];
         }
@@ -101,7 +106,17 @@
             report,
             ageMs: nowMs - heardMs,
         }));
-        return [this.status(), ...databases].map(frame => sendFrame(attachmentId, frame));
+        const greeting = [this.status(), ...databases].map(frame => sendFrame(attachmentId, frame));
+        if (!serves) {
+            return greeting;
+        }
+        this.instances.set(attachmentId, { instanceId, address, dataCentre });
+        return [...greeting, ...this.broadcast(this.instanceList())];
+    }
+
+    private instanceList(): FleetFrame {
+        const byId = new Map([...this.instances.values()].map(instance => [instance.instanceId, instance]));
+        return { kind: "instances", instances: [...byId.values()] };
     }
 
     private publish(report: DatabaseReport, nowMs: number): readonly Message[] {
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -13,6 +13,7 @@
     type MembersKnown,
     type UsageMeasured,
 } from "../model/fleetMessages.ts";
+import { type InstancesKnown, type PeerInstance, PeerKind } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -44,14 +45,16 @@
     leading: boolean;
     term: number;
     configurationVersion: number;
+    instances: readonly PeerInstance[];
 }
 
 export interface AttachmentsOptions {
     readonly instanceId: string;
+    readonly dataCentre: string;
+    /** `host:port` of its gRPC listener. */
+    readonly address: string;
     /** It serves callers. */
     readonly serves: boolean;
-    /** `host:port` of gRPC listeners by the settings. */
-    readonly seeds: readonly string[];
     /** It reads the configuration from a control member. */
     readonly follows: boolean;
 }
@@ -71,6 +74,7 @@
     private readonly members = new Map<string, Member>();
     private readonly suspectedMs = new Map<string, number>();
     private knownAddresses: readonly string[] = [];
+    private shownInstances: readonly PeerInstance[] = [];
     private version = 0;
     private behindSinceMs: number | undefined;
 
@@ -113,9 +117,10 @@
             leading: false,
             term: 0,
             configurationVersion: 0,
+            instances: [],
         });
-        const { instanceId, serves } = this.options;
-        return [sendFrame(attachmentId, { kind: "hello", instanceId, serves })];
+        const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
+        return [sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, address: ownAddress })];
     }
 
     private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
@@ -126,13 +131,30 @@
         if (frame.kind === "assess") {
             return [{ kind: FleetKind.AssessmentAsked, attachmentId, databaseId: frame.databaseId } as Message];
         }
+        if (frame.kind === "instances") {
+            member.instances = frame.instances;
+            return this.followInstances();
+        }
         if (frame.kind !== "status") {
             return [];
         }
         member.leading = frame.leading;
         member.term = frame.term;
         member.configurationVersion = frame.configurationVersion;
-        return [...this.followMembers(frame.members), ...this.checkLag(nowMs)];
+        return [...this.followMembers(frame.members), ...this.followInstances(), ...this.checkLag(nowMs)];
+    }
+
+    /** The leader's list counts; without a leader, the longest, because a member that is cut off sees few. */
+    private followInstances(): readonly Message[] {
+        const members = [...this.members.values()];
+        const leader = members.find(({ leading, instances }) => leading && instances.length > 0);
+        const longest = members.sort((left, right) => right.instances.length - left.instances.length)[0];
+        const instances = (leader ?? longest)?.instances ?? [];
+        if (!this.options.serves || instances === this.shownInstances) {
+            return [];
+        }
+        this.shownInstances = instances;
+        return [{ kind: PeerKind.InstancesKnown, instances } as InstancesKnown];
     }
 
     private followMembers(members: readonly string[]): readonly Message[] {
--- a/src/fleet/grantHolder.ts
+++ b/src/fleet/grantHolder.ts
@@ -6,6 +6,7 @@
     type FrameReceived,
     type GrantFrame,
     type GrantsChanged,
+    type GrantShort,
     type PolicyApplied,
     type RateGrant,
     type UsageCounted,
@@ -20,15 +21,22 @@
 /** How often demand is reported. */
 export const usageIntervalMs = 800;
 
+/** Least time between two reports when a grant is used up. */
+const urgentIntervalMs = 120;
+
+/** Shortest interval over which demand is measured. */
+const minimumIntervalMs = 100;
+
 /** Weight of the newest interval in the average demand. */
 const usageWeight = 0.4;
 
-type HolderInput = UsageCounted | FrameReceived | FleetTimer | PolicyApplied;
+type HolderInput = UsageCounted | GrantShort | FrameReceived | FleetTimer | PolicyApplied;
 
 export class GrantHolder implements Filter<HolderInput, Message> {
     readonly step = "grants";
     readonly accepts = [
         FleetKind.UsageCounted,
+        FleetKind.GrantShort,
         FleetKind.FrameReceived,
         FleetKind.UsageDue,
         FleetKind.GrantLimitDue,
@@ -38,6 +46,7 @@
     private grant: GrantFrame | undefined;
     private expired = false;
     private countedMs: number | undefined;
+    private reportedMs = -Infinity;
     private readonly counts = new Map<string, number>();
     private readonly rates = new Map<string, number>();
 
@@ -47,6 +56,8 @@
                 this.counts.set(workspace, (this.counts.get(workspace) ?? 0) + 1);
                 return [];
             })
+            .with({ kind: FleetKind.GrantShort }, () =>
+                nowMs - this.reportedMs < urgentIntervalMs ? [] : this.report(nowMs))
             .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
             .with({ kind: FleetKind.PolicyApplied }, found => {
                 this.policy = found.policy;
@@ -91,7 +102,7 @@
             const fraction = this.fraction(name);
             grants.set(name, { ratePerSecond: ratePerSecond * fraction, burst: Math.max(1, burst * fraction) });
         }
-        return { kind: FleetKind.GrantsChanged, grants, instances: this.grant?.instances ?? 0 };
+        return { kind: FleetKind.GrantsChanged, grants };
     }
 
     private fraction(workspace: string): number {
@@ -101,6 +112,7 @@
 
     private report(nowMs: number): readonly Message[] {
         this.measure(nowMs);
+        this.reportedMs = nowMs;
         const names = [...this.policy.workspaces.keys()];
         const measured: UsageMeasured = {
             kind: FleetKind.UsageMeasured,
@@ -117,17 +129,19 @@
         return [measured, setDeadline("fleet.usage", nowMs + usageIntervalMs, { kind: FleetKind.UsageDue })];
     }
 
+    /** A rise of demand counts at once, a fall little by little. */
     private measure(nowMs: number): void {
         const elapsedMs = nowMs - (this.countedMs ?? nowMs - usageIntervalMs);
-        // A short interval says little; its counts stay for the next one.
-        if (elapsedMs < usageIntervalMs / 2) {
+        // A very short interval says little; its counts stay for the next one.
+        if (elapsedMs < minimumIntervalMs) {
             return;
         }
         this.countedMs = nowMs;
+        const weight = Math.min(1, usageWeight * elapsedMs / usageIntervalMs);
         for (const name of new Set([...this.rates.keys(), ...this.counts.keys()])) {
             const rate = 1_000 * (this.counts.get(name) ?? 0) / elapsedMs;
-            const average = this.rates.get(name);
-            this.rates.set(name, average === undefined ? rate : average + usageWeight * (rate - average));
+            const average = this.rates.get(name) ?? 0;
+            this.rates.set(name, rate > average ? (rate + average) / 2 : average + weight * (rate - average));
         }
         this.counts.clear();
     }
--- a/src/fleet/rateGrants.ts
+++ b/src/fleet/rateGrants.ts
@@ -19,8 +19,14 @@
 /** Time after which an instance that is silent is taken to be gone, with what it kept. */
 const goneAfterMs = 30_000;
 
-/** Demand, in operations per second, that every instance is taken to have, so that a new caller finds a rate. */
-const baseDemand = 0.5;
+/** Part of a rate by which a grant exceeds the demand that it is given for; demand of single callers comes in bursts. */
+const headroom = 1.3;
+
+/** Part of what is left over that all instances get in equal parts, so that a new caller finds a rate at once. */
+const sparePart = 0.6;
+
+/** Least time between two grants to an instance that did not ask for one. */
+const pushIntervalMs = 100;
 
 /**
  * What all fractions may add up to when an instance without any asks; the part above one lets it begin before the
@@ -31,6 +37,9 @@
 /** A change of a fraction below this is not worth a smaller share elsewhere. */
 export const minimumChange = 0.02;
 
+/** A change above this is sent without being asked for. */
+const pushChange = 0.06;
+
 interface Holder {
     readonly instanceId: string;
     attachmentId: string | undefined;
@@ -39,6 +48,7 @@
     readonly unconfirmed: { readonly sequence: number; readonly fractions: Readonly<Record<string, number>>; }[];
     confirmed: Readonly<Record<string, number>>;
     lastHeardMs: number;
+    grantedMs: number;
 }
 
 type GrantsInput = ControlLeaderChanged | FrameReceived | Detached | PolicyApplied;
@@ -54,7 +64,8 @@
     private term: number | undefined;
     /** Until then, instances that have not reported may hold grants of an earlier leader. */
     private unknownUntilMs = 0;
-    private workspaces: readonly string[] = [];
+    /** Rate of each workspace in operations per second. */
+    private rates: ReadonlyMap<string, number> = new Map();
     private readonly holders = new Map<string, Holder>();
     private readonly idByAttachment = new Map<string, string>();
     private sequence = 0;
@@ -68,7 +79,7 @@
                 return [found];
             })
             .with({ kind: FleetKind.PolicyApplied }, found => {
-                this.workspaces = [...found.policy.workspaces.keys()];
+                this.rates = new Map([...found.policy.workspaces.values()].map(({ name, ratePerSecond }) => [name, ratePerSecond]));
                 return [found];
             })
             .exhaustive();
@@ -97,7 +108,25 @@
         holder.usage = frame.usage;
         holder.lastHeardMs = nowMs;
         this.confirm(holder, frame.grantTerm === this.term ? frame.grantSequence : 0, frame.fractions);
-        return [this.grant(holder, nowMs)];
+        return [this.grant(holder, nowMs), ...this.push(holder, nowMs)];
+    }
+
+    /** Grants to the others, where a smaller share frees what this one lacks, or a larger one is free for them now. */
+    private push(asker: Holder, nowMs: number): readonly Message[] {
+        const due = [...this.holders.values()].filter(other =>
+            other !== asker && other.attachmentId !== undefined
+            && this.idByAttachment.get(other.attachmentId) === other.instanceId
+            && nowMs - other.grantedMs >= pushIntervalMs && nowMs - other.lastHeardMs < grantValidMs
+        );
+        return due.filter(other => this.isOff(other, nowMs)).map(other => this.grant(other, nowMs));
+    }
+
+    /** Whether some share of an instance is far from what it should be, and can be changed. */
+    private isOff(holder: Holder, nowMs: number): boolean {
+        return [...this.rates.keys()].some(workspace =>
+            Math.abs(this.nextFraction(holder, workspace, nowMs) - this.outstanding(holder, workspace, nowMs))
+                >= pushChange
+        );
     }
 
     private confirm(holder: Holder, sequence: number, fractions: Readonly<Record<string, number>>): void {
@@ -110,10 +139,11 @@
 
     private grant(holder: Holder, nowMs: number): Message {
         const fractions: Record<string, number> = {};
-        for (const workspace of this.workspaces) {
+        for (const workspace of this.rates.keys()) {
             fractions[workspace] = this.nextFraction(holder, workspace, nowMs);
         }
         this.sequence += 1;
+        holder.grantedMs = nowMs;
         holder.unconfirmed.push({ sequence: this.sequence, fractions });
         const frame: GrantFrame = {
             kind: "grants",
@@ -121,7 +151,6 @@
             sequence: this.sequence,
             validMs: grantValidMs,
             fractions,
-            instances: this.holders.size,
         };
         return sendFrame(holder.attachmentId!, frame);
     }
@@ -141,13 +170,18 @@
         return round(Math.min(free, wanted));
     }
 
-    /** Share by demand among the instances that are heard. */
+    /** Share by demand among the instances that are heard, with part of the rest in equal shares. */
     private target(holder: Holder, workspace: string, nowMs: number): number {
         const heard = [...this.holders.values()].filter(other => nowMs - other.lastHeardMs < grantValidMs);
-        const total = heard.reduce((sum, other) => sum + demand(other, workspace), 0);
         const silent = [...this.holders.values()].filter(other => !heard.includes(other))
             .reduce((sum, other) => sum + this.outstanding(other, workspace, nowMs), 0);
-        return Math.max(0, 1 - silent) * demand(holder, workspace) / Math.max(total, demand(holder, workspace));
+        const available = Math.max(0, 1 - silent);
+        const rate = Math.max(1, this.rates.get(workspace) ?? 1);
+        const needs = heard.map(other => headroom * (other.usage[workspace] ?? 0) / rate);
+        const total = needs.reduce((sum, need) => sum + need, 0);
+        const own = headroom * (holder.usage[workspace] ?? 0) / rate;
+        const spare = sparePart * Math.max(0, available - total) / Math.max(1, heard.length);
+        return total > available ? available * own / total : own + spare;
     }
 
     /** The most that an instance may be spending of one workspace. */
@@ -173,6 +207,7 @@
             unconfirmed: [],
             confirmed: {},
             lastHeardMs: nowMs,
+            grantedMs: -Infinity,
         };
         this.holders.set(instanceId, holder);
         return holder;
@@ -183,10 +218,6 @@
     }
 }
 
-function demand({ usage }: Holder, workspace: string): number {
-    return baseDemand + (usage[workspace] ?? 0);
-}
-
 /** Fractions travel with four digits, rounded down. */
 function round(fraction: number): number {
     return Math.floor(fraction * 10_000) / 10_000;
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between instances and control members over their attachments, and about what those carry. */
 import type { Message } from "../pipeline/message.ts";
+import type { PeerInstance } from "./peerMessages.ts";
 import type { Position } from "./position.ts";
 import type { TrafficPolicy } from "./trafficPolicy.ts";
 
@@ -26,6 +27,8 @@
     UsageDue: "fleet.usage_due",
     UsageMeasured: "fleet.usage_measured",
     UsageCounted: "fleet.usage_counted",
+    /** The grant of a workspace is used up here. */
+    GrantShort: "fleet.grant_short",
     GrantLimitDue: "fleet.grant_limit_due",
     /** A database reported, changed or not. */
     DatabaseHeard: "fleet.database_heard",
@@ -115,13 +118,20 @@
     readonly validMs: number;
     /** Fractions between 0 and 1 by workspace. */
     readonly fractions: Readonly<Record<string, number>>;
-    /** Instances that serve callers. */
-    readonly instances: number;
 }
 
 /** A frame of an attachment. The attaching side sends hello first, the accepting side answers with status. */
 export type FleetFrame =
-    | { readonly kind: "hello"; readonly instanceId: string; readonly serves: boolean; }
+    | {
+        readonly kind: "hello";
+        readonly instanceId: string;
+        /** It serves callers. */
+        readonly serves: boolean;
+        readonly dataCentre: string;
+        /** `host:port` of its gRPC listener. */
+        readonly address: string;
+    }
+    | { readonly kind: "instances"; readonly instances: readonly PeerInstance[]; }
     | {
         readonly kind: "status";
         readonly instanceId: string;
@@ -183,8 +193,6 @@
 export interface GrantsChanged extends Message {
     readonly kind: typeof FleetKind.GrantsChanged;
     readonly grants: ReadonlyMap<string, RateGrant>;
-    /** Instances that serve callers. */
-    readonly instances: number;
 }
 
 /** Demand at this instance, by workspace, in operations per second. */
@@ -197,6 +205,11 @@
     readonly fractions: Readonly<Record<string, number>>;
 }
 
+export interface GrantShort extends Message {
+    readonly kind: typeof FleetKind.GrantShort;
+    readonly workspace: string;
+}
+
 /** One operation that a caller asked for, admitted or not. */
 export interface UsageCounted extends Message {
     readonly kind: typeof FleetKind.UsageCounted;
--- /dev/null
+++ b/src/model/peerMessages.ts
@@ -0,0 +1,103 @@
+/** Messages between instances that pass tasks to each other. */
+import type { Message } from "../pipeline/message.ts";
+import type { LinkReply } from "./linkMessages.ts";
+import type { Position } from "./position.ts";
+import type { PreparedShape, SessionStatement, StatementFault } from "./sessionStatement.ts";
+
+export const PeerKind = {
+    /** The instances that serve callers changed. */
+    InstancesKnown: "peer.instances_known",
+    /** Sends a frame to the instance at an address; opens a stream when there is none. */
+    Send: "peer.send",
+    /** Answers on the stream that a frame came from. */
+    Answer: "peer.answer",
+    /** A frame from an instance that passes tasks here. */
+    Asked: "peer.asked",
+    /** An answer to a frame that was sent. */
+    Answered: "peer.answered",
+    /** A stream that this instance had opened ended; nothing more comes from there. */
+    Lost: "peer.lost",
+    /** A stream that another instance had opened ended. */
+    Gone: "peer.gone",
+} as const;
+
+export interface PeerInstance {
+    readonly instanceId: string;
+    /** `host:port` of its gRPC listener. */
+    readonly address: string;
+    readonly dataCentre: string;
+}
+
+export interface InstancesKnown extends Message {
+    readonly kind: typeof PeerKind.InstancesKnown;
+    readonly instances: readonly PeerInstance[];
+}
+
+/** A task on its way to the instance that holds the links of a database. */
+export interface PassedTask {
+    readonly kind: "task";
+    readonly taskId: string;
+    readonly sessionId: string;
+    readonly service: string;
+    readonly workspace: string;
+    readonly mode: string;
+    readonly statement: SessionStatement | undefined;
+    readonly writes: boolean;
+    readonly needsPrimary: boolean;
+    readonly values: readonly (readonly [string, string])[];
+    /** What the executed name stands for. */
+    readonly prepared: PreparedShape | undefined;
+    /** Empty for a further statement of a transaction. */
+    readonly databaseId: string;
+    readonly after: Position | undefined;
+    /** Time left for the attempt. */
+    readonly limitMs: number;
+}
+
+export type PeerQuestion =
+    | PassedTask
+    | { readonly kind: "abandon"; readonly sessionId: string; readonly taskId: string | undefined; };
+
+export interface PassedResult {
+    readonly taskId: string;
+    readonly reply: LinkReply | undefined;
+    readonly fault: StatementFault | undefined;
+    readonly sent: boolean;
+    readonly leads: boolean;
+    readonly pinned: boolean;
+}
+
+export interface PeerSend extends Message {
+    readonly kind: typeof PeerKind.Send;
+    readonly address: string;
+    readonly question: PeerQuestion;
+}
+
+export interface PeerAsked extends Message {
+    readonly kind: typeof PeerKind.Asked;
+    /** Unique in this process, without "/". */
+    readonly streamId: string;
+    readonly question: PeerQuestion;
+}
+
+export interface PeerAnswer extends Message {
+    readonly kind: typeof PeerKind.Answer;
+    readonly streamId: string;
+    readonly result: PassedResult;
+}
+
+export interface PeerAnswered extends Message {
+    readonly kind: typeof PeerKind.Answered;
+    readonly address: string;
+    readonly result: PassedResult;
+}
+
+export interface PeerLost extends Message {
+    readonly kind: typeof PeerKind.Lost;
+    readonly address: string;
+}
+
+export interface PeerGone extends Message {
+    readonly kind: typeof PeerKind.Gone;
+    readonly streamId: string;
+}
--- /dev/null
+++ b/src/rpc/taskStreams.ts
@@ -0,0 +1,125 @@
+/** Streams on which instances pass tasks to each other. */
+import type { ClientDuplexStream, Server, ServerDuplexStream } from "@grpc/grpc-js";
+import {
+    type PeerAnswer,
+    type PeerAnswered,
+    type PeerAsked,
+    type PeerGone,
+    PeerKind,
+    type PeerLost,
+    type PeerSend,
+} from "../model/peerMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import type { Sink } from "../pipeline/sink.ts";
+import { type TaskFrameMessage, TasksClient, type TasksServer, TasksService } from "./generated/tasks.ts";
+import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
+import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "./taskCodec.ts";
+
+type Incoming = ServerDuplexStream<TaskFrameMessage, TaskFrameMessage>;
+type Outgoing = ClientDuplexStream<TaskFrameMessage, TaskFrameMessage>;
+
+interface Connection {
+    readonly client: TasksClient;
+    readonly stream: Outgoing;
+}
+
+export interface TaskStreamsOptions {
+    readonly network: PeerNetwork;
+    readonly post: (message: Message) => void;
+}
+
+export class TaskStreams implements Sink<PeerSend | PeerAnswer>, AsyncDisposable {
+    readonly accepts = [PeerKind.Send, PeerKind.Answer];
+    private readonly options: TaskStreamsOptions;
+    private readonly outgoing = new Map<string, Connection>();
+    private readonly incoming = new Map<string, Incoming>();
+    private nextStream = 0;
+
+    constructor(options: TaskStreamsOptions) {
+        this.options = options;
+    }
+
+    /** Adds the Tasks service to a server made by `createPeerServer`. */
+    addTo(server: Server): void {
+        const service: TasksServer = { pass: stream => this.accept(stream) };
+        server.addService(TasksService, service);
+    }
+
+    deliver(message: PeerSend | PeerAnswer): void {
+        if (message.kind === PeerKind.Send) {
+            const { stream } = this.outgoing.get(message.address) ?? this.open(message.address);
+            stream.write(encodeQuestion(message.question));
+        }
+        else {
+            this.incoming.get(message.streamId)?.write(encodeResult(message.result));
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.outgoing.forEach(({ client, stream }) => {
+            stream.cancel();
+            client.close();
+        });
+        this.outgoing.clear();
+        this.incoming.forEach(stream => stream.end());
+        this.incoming.clear();
+    }
+
+    private open(address: string): Connection {
+        const client = this.options.network.createClient(TasksClient, address, ConnectionUse.Own);
+        const stream = client.pass();
+        const connection = { client, stream };
+        this.outgoing.set(address, connection);
+        stream.on("data", (message: TaskFrameMessage) => this.answered(address, connection, message));
+        stream.on("error", () => this.lose(address, connection));
+        stream.on("end", () => this.lose(address, connection));
+        return connection;
+    }
+
+    private answered(address: string, connection: Connection, message: TaskFrameMessage): void {
+        try {
+            const result = decodeResult(message);
+            this.options.post({ kind: PeerKind.Answered, address, result } as PeerAnswered);
+        }
+        catch {
+            // The peer runs another release; its tasks fail as if it were gone.
+            this.lose(address, connection);
+        }
+    }
+
+    private lose(address: string, connection: Connection): void {
+        if (this.outgoing.get(address) === connection) {
+            this.outgoing.delete(address);
+            connection.stream.cancel();
+            connection.client.close();
+            this.options.post({ kind: PeerKind.Lost, address } as PeerLost);
+        }
+    }
+
+    private accept(stream: Incoming): void {
+        const streamId = `w${this.nextStream++}`;
+        this.incoming.set(streamId, stream);
+        stream.on("data", (message: TaskFrameMessage) => this.ask(streamId, stream, message));
+        stream.on("error", () => this.drop(streamId));
+        stream.on("cancelled", () => this.drop(streamId));
+        stream.on("end", () => this.drop(streamId));
+    }
+
+    private ask(streamId: string, stream: Incoming, message: TaskFrameMessage): void {
+        try {
+            const question = decodeQuestion(message);
+            this.options.post({ kind: PeerKind.Asked, streamId, question } as PeerAsked);
+        }
+        catch {
+            // The peer runs another release; it sees the end of the stream.
+            stream.end();
+            this.drop(streamId);
+        }
+    }
+
+    private drop(streamId: string): void {
+        if (this.incoming.delete(streamId)) {
+            this.options.post({ kind: PeerKind.Gone, streamId } as PeerGone);
+        }
+    }
+}
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -3,6 +3,7 @@
 import {
     FleetKind,
     type GrantsChanged,
+    type GrantShort,
     type PolicyApplied,
     type RateGrant,
     type UsageCounted,
@@ -25,10 +26,13 @@
 } from "./taskMessages.ts";
 
 /**
- * Part of a route's target latency that an operation may wait for its rate. Later it would earn little and hold up
- * those behind it.
+ * Part of a route's target latency that an operation may wait for its rate. It covers the time in which the leader
+ * shifts a part of the rate here; a caller that is beyond its rate is better told at once.
  */
-const waitShare = 0.8;
+const waitShare = 0.25;
+
+/** Operations of one workspace that may wait for its rate; bounds the memory that a caller beyond its rate takes. */
+const maximumWaiting = 64;
 
 /** Operations of one workspace that may run before the first grant of this instance arrives. */
 const operationsBeforeGrant = 2;
@@ -82,12 +86,12 @@
             return [admit(task)];
         }
         const waitMs = lane.bucket.waitMs(lane.waiting.length + 1, nowMs);
-        // Before the first grant nobody knows how long the wait is.
-        if (this.grants.has(task.workspace) && nowMs + waitMs > latestStartMs(task)) {
-            return [refuse(task, waitMs)];
+        const short: GrantShort = { kind: FleetKind.GrantShort, workspace: task.workspace };
+        if (lane.waiting.length >= maximumWaiting) {
+            return [short, refuse(task, waitMs)];
         }
         lane.waiting.push(task);
-        return [this.timer(task.workspace, lane, nowMs)];
+        return [short, this.timer(task.workspace, lane, nowMs)];
     }
 
     private release(workspace: string, nowMs: number): readonly Message[] {
--- /dev/null
+++ b/src/session/forwarding.ts
@@ -0,0 +1,332 @@
+/** Passes placed tasks to the instance that holds the links of the database, and fails them when it does not answer. */
+import { match } from "ts-pattern";
+import {
+    type DatabaseChanged,
+    type DatabaseRemoved,
+    type DatabaseReport,
+    type DatabaseSuspected,
+    FleetKind,
+} from "../model/fleetMessages.ts";
+import {
+    type InstancesKnown,
+    type PassedResult,
+    type PassedTask,
+    type PeerAnswered,
+    type PeerInstance,
+    PeerKind,
+    type PeerLost,
+    type PeerSend,
+} from "../model/peerMessages.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { chooseHolder } from "./holderChoice.ts";
+import { preparedOf } from "./link.ts";
+import {
+    type LinkTask,
+    type TaskAbandoned,
+    type TaskAttempted,
+    type TaskContinued,
+    TaskKind,
+    TaskMode,
+    type TaskPlaced,
+    taskTimer,
+    type TaskTimer,
+} from "./taskMessages.ts";
+
+/**
+ * Silence of a holder that owes an answer, after which tasks go elsewhere; above the longest work of a statement, its
+ * wait for a slot, and the way there and back.
+ */
+const silenceMs = 400;
+
+/** Time for which a silent or lost holder is passed over. */
+const avoidanceMs = 1_500;
+
+interface Pending {
+    readonly task: LinkTask;
+    readonly databaseId: string;
+    readonly address: string;
+    readonly sentMs: number;
+}
+
+interface Holder {
+    answeredMs: number;
+    avoidedUntilMs: number;
+}
+
+type ForwardingInput =
+    | TaskPlaced
+    | TaskContinued
+    | TaskAbandoned
+    | TaskTimer
+    | PeerAnswered
+    | PeerLost
+    | InstancesKnown
+    | DatabaseChanged
+    | DatabaseRemoved
+    | DatabaseSuspected;
+
+export interface ForwardingOptions {
+    readonly instanceId: string;
+}
+
+export class Forwarding implements Filter<ForwardingInput, Message> {
+    readonly step = "forwarding";
+    readonly accepts = [
+        TaskKind.Placed,
+        TaskKind.Continued,
+        TaskKind.Abandoned,
+        TaskKind.ForwardDue,
+        PeerKind.Answered,
+        PeerKind.Lost,
+        PeerKind.InstancesKnown,
+        FleetKind.DatabaseChanged,
+        FleetKind.DatabaseRemoved,
+        FleetKind.DatabaseSuspected,
+    ];
+    private readonly instanceId: string;
+    private instances: readonly PeerInstance[] = [];
+    private readonly databases = new Map<string, DatabaseReport>();
+    private readonly holders = new Map<string, Holder>();
+    private readonly pending = new Map<string, Pending>();
+    /** Holder chosen last for each database. */
+    private readonly chosen = new Map<string, string>();
+    /** Time until which an instance is not chosen for a database, by both ids. */
+    private readonly avoided = new Map<string, number>();
+    /** Address of the holder that has the open transaction of a session. */
+    private readonly pinned = new Map<string, string>();
+
+    constructor({ instanceId }: ForwardingOptions) {
+        this.instanceId = instanceId;
+    }
+
+    process(message: ForwardingInput, nowMs: number): readonly Message[] {
+        return match<ForwardingInput, readonly Message[]>(message)
+            .with({ kind: TaskKind.Placed }, found => this.place(found, nowMs))
+            .with({ kind: TaskKind.Continued }, found => this.continue(found, nowMs))
+            .with({ kind: TaskKind.Abandoned }, found => this.abandon(found))
+            .with({ kind: PeerKind.Answered }, found => this.answered(found.address, found.result, nowMs))
+            .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
+            .with({ kind: PeerKind.InstancesKnown }, found => {
+                this.instances = found.instances;
+                return [];
+            })
+            .with({ kind: FleetKind.DatabaseChanged }, found => {
+                this.databases.set(found.report.databaseId, found.report);
+                return [found];
+            })
+            .with({ kind: FleetKind.DatabaseRemoved }, found => {
+                this.databases.delete(found.databaseId);
+                return [found];
+            })
+            .with({ kind: FleetKind.DatabaseSuspected }, found => {
+                this.avoid(found.databaseId, nowMs);
+                return [found];
+            })
+            .otherwise(timer => this.due((timer as TaskTimer).id, nowMs));
+    }
+
+    private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
+        const address = this.holderOf(placed.databaseId, nowMs);
+        return address === undefined ? [placed] : this.pass(placed, address, nowMs);
+    }
+
+    private continue(continued: TaskContinued, nowMs: number): readonly Message[] {
+        const { task } = continued;
+        const address = this.pinned.get(task.sessionId);
+        if (address === lostHolder) {
+            this.pinned.delete(task.sessionId);
+            return [this.failedAttempt({ task, databaseId: "", address, sentMs: nowMs })];
+        }
+        return address === undefined
+            ? [continued]
+            : this.pass({ task, databaseId: "", after: undefined, untilMs: task.deadlineMs }, address, nowMs);
+    }
+
+    /** Address of the holder; undefined when this instance itself is to use the database. */
+    private holderOf(databaseId: string, nowMs: number): string | undefined {
+        const report = this.databases.get(databaseId);
+        if (report === undefined) {
+            return undefined;
+        }
+        const usable = this.instances.filter(({ instanceId, address }) =>
+            (this.avoided.get(`${databaseId}/${instanceId}`) ?? 0) <= nowMs
+            && (instanceId === this.instanceId || (this.holders.get(address)?.avoidedUntilMs ?? 0) <= nowMs)
+        );
+        const holder = chooseHolder(usable, databaseId, report.dataCentre);
+        this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
+        return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
+    }
+
+    /** The holder does not reach the database; another one may. */
+    private avoid(databaseId: string, nowMs: number): void {
+        const instanceId = this.chosen.get(databaseId);
+        if (instanceId !== undefined) {
+            this.avoided.set(`${databaseId}/${instanceId}`, nowMs + avoidanceMs);
+        }
+    }
+
+    private pass(
+        placed: Pick<TaskPlaced, "task" | "databaseId" | "after" | "untilMs">,
+        address: string,
+        nowMs: number,
+    ): readonly Message[] {
+        const { task, databaseId, untilMs } = placed;
+        const { taskId } = task;
+        this.pending.set(taskId, { task, databaseId, address, sentMs: nowMs });
+        this.holderAt(address);
+        const send: PeerSend = { kind: PeerKind.Send, address, question: toPassed(placed, untilMs - nowMs) };
+        const checkMs = Math.min(untilMs, nowMs + silenceMs);
+        return [send, setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
+    }
+
+    private answered(address: string, result: PassedResult, nowMs: number): readonly Message[] {
+        this.holderAt(address).answeredMs = nowMs;
+        const pending = this.pending.get(result.taskId);
+        if (pending === undefined) {
+            return [];
+        }
+        this.pending.delete(result.taskId);
+        const { task, databaseId, sentMs } = pending;
+        this.pin(task.sessionId, result.pinned ? address : undefined);
+        const { reply, fault, sent, leads, pinned } = result;
+        const attempted: TaskAttempted = {
+            kind: TaskKind.Attempted,
+            task,
+            databaseId,
+            reply,
+            fault,
+            sent,
+            // The command cannot have been sent before it was passed on.
+            sentMs,
+            leads,
+            pinned,
+        };
+        return [clearDeadline(forwardKey(task.taskId)), attempted];
+    }
+
+    /** A task has no answer yet: its time may be up, or the holder is silent altogether. */
+    private due(taskId: string, nowMs: number): readonly Message[] {
+        const pending = this.pending.get(taskId);
+        if (pending === undefined) {
+            return [];
+        }
+        const { task, address, sentMs } = pending;
+        const holder = this.holderAt(address);
+        const silent = holder.answeredMs < sentMs;
+        if (silent) {
+            holder.avoidedUntilMs = nowMs + avoidanceMs;
+        }
+        if (nowMs < task.deadlineMs && !(silent && mayGoElsewhere(task))) {
+            return [setDeadline(forwardKey(taskId), task.deadlineMs, taskTimer(TaskKind.ForwardDue, taskId))];
+        }
+        return [...this.fail(pending), abandonAt(address, task)];
+    }
+
+    private lost(address: string, nowMs: number): readonly Message[] {
+        this.holderAt(address).avoidedUntilMs = nowMs + avoidanceMs;
+        [...this.pinned].filter(([, holder]) => holder === address)
+            .forEach(([sessionId]) => this.pinned.set(sessionId, lostHolder));
+        return [...this.pending.values()].filter(pending => pending.address === address)
+            .flatMap(pending => this.fail(pending));
+    }
+
+    private fail(pending: Pending): readonly Message[] {
+        const { taskId, sessionId } = pending.task;
+        this.pending.delete(taskId);
+        this.pin(sessionId, undefined);
+        return [clearDeadline(forwardKey(taskId)), this.failedAttempt(pending)];
+    }
+
+    private failedAttempt({ task, databaseId, sentMs, address }: Pending): TaskAttempted {
+        const unreachable = address === lostHolder;
+        return {
+            kind: TaskKind.Attempted,
+            task,
+            databaseId,
+            reply: undefined,
+            // The database is not to blame.
+            fault: unreachable ? StatementFault.Aborted : StatementFault.Busy,
+            sent: !unreachable,
+            sentMs,
+            leads: false,
+            pinned: false,
+        };
+    }
+
+    private abandon(abandoned: TaskAbandoned): readonly Message[] {
+        const { sessionId, taskId } = abandoned;
+        const pending = taskId === undefined ? undefined : this.pending.get(taskId);
+        const address = this.pinned.get(sessionId) ?? pending?.address;
+        this.pinned.delete(sessionId);
+        if (pending !== undefined) {
+            this.pending.delete(pending.task.taskId);
+        }
+        return address === undefined || address === lostHolder
+            ? [abandoned]
+            : [
+                { kind: PeerKind.Send, address, question: { kind: "abandon", sessionId, taskId } } as PeerSend,
+                ...taskId === undefined ? [] : [clearDeadline(forwardKey(taskId))],
+            ];
+    }
+
+    private pin(sessionId: string, address: string | undefined): void {
+        if (address === undefined) {
+            this.pinned.delete(sessionId);
+        }
+        else {
+            this.pinned.set(sessionId, address);
+        }
+    }
+
+    private holderAt(address: string): Holder {
+        const known = this.holders.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const holder = { answeredMs: -Infinity, avoidedUntilMs: 0 };
+        this.holders.set(address, holder);
+        return holder;
+    }
+}
+
+/** Stands for a holder that is gone with the transaction that it had. */
+const lostHolder = "";
+
+/** Whether a task may be run again without a word from the holder that has it. */
+function mayGoElsewhere({ mode, writes }: LinkTask): boolean {
+    return mode === TaskMode.Probe || mode === TaskMode.Single && !writes;
+}
+
+function abandonAt(address: string, { sessionId, taskId }: LinkTask): PeerSend {
+    return { kind: PeerKind.Send, address, question: { kind: "abandon", sessionId, taskId } };
+}
+
+function toPassed(
+    { task, databaseId, after }: Pick<TaskPlaced, "task" | "databaseId" | "after">,
+    limitMs: number,
+): PassedTask {
+    const { taskId, sessionId, service, workspace, mode, statement, writes, needsPrimary, context } = task;
+    return {
+        kind: "task",
+        taskId,
+        sessionId,
+        service,
+        workspace,
+        mode,
+        statement,
+        writes,
+        needsPrimary,
+        values: [...context.values],
+        prepared: preparedOf(context, statement),
+        databaseId,
+        after,
+        limitMs,
+    };
+}
+
+function forwardKey(taskId: string): string {
+    return `forward/${taskId}`;
+}
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -104,7 +104,8 @@
         : { kind: LinkCommandKind.Execute, statement, name: linkName(prepared), after };
 }
 
-function preparedOf(context: SessionContext, statement: SessionStatement | undefined): PreparedShape | undefined {
+/** What an executed name stands for in a session. */
+export function preparedOf(context: SessionContext, statement: SessionStatement | undefined): PreparedShape | undefined {
     return statement?.kind === SessionStatementKind.Execute ? context.prepared.get(statement.name) : undefined;
 }
 
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -4,11 +4,14 @@
 import { type Link, LinkState } from "./link.ts";
 import type { TaskPlaced } from "./taskMessages.ts";
 
-/** Part of the connections of a database that the instances may keep open while idle; the rest is for peaks. */
-const keptShare = 0.5;
+/**
+ * Part of the connections of a database that its holder keeps open. The rest is for other instances that use the
+ * database while they take another one for its holder, and for control members.
+ */
+const heldShare = 0.75;
 
-/** Least number of links that an instance may open to a database whatever the others do. */
-const minimumLinks = 2;
+/** Links of an instance that is not the holder. */
+const guestLinks = 2;
 
 export class LinkPool {
     report: DatabaseReport;
@@ -46,17 +49,12 @@
 }
 
 /**
- * Links that an instance may keep idle to one database.
+ * Links that an instance may have to one database.
  * @param connectionLimit of the database, for all callers together
- * @param instances that use the database like this one
+ * @param near it is in the data centre of this instance, which then may be its holder
  */
-export function keptLinks(connectionLimit: number, instances: number): number {
-    return Math.max(1, Math.floor(keptShare * connectionLimit / Math.max(1, instances)));
-}
-
-/** Links that an instance may have to one database at all. */
-export function maximumLinks(connectionLimit: number, instances: number): number {
-    return Math.max(minimumLinks, Math.floor(connectionLimit / Math.max(1, Math.sqrt(instances))));
+export function maximumLinks(connectionLimit: number, near: boolean): number {
+    return near ? Math.max(guestLinks, Math.floor(heldShare * connectionLimit)) : guestLinks;
 }
 
 function effort(link: Link, context: SessionContext): number {
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -1,5 +1,5 @@
 /** Runs placed tasks on links: opening, sharing, session state, open transactions, and time limits. */
-import { match } from "ts-pattern";
+import { match, P } from "ts-pattern";
 import {
     type AssessmentAsked,
     type DatabaseChanged,
@@ -27,11 +27,12 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { Link, LinkState, ReplyRole, statementCommand } from "./link.ts";
-import { keptLinks, LinkPool, maximumLinks } from "./linkPool.ts";
+import { LinkPool, maximumLinks } from "./linkPool.ts";
 import {
     type TaskAbandoned,
     type TaskAttempted,
     type TaskContinued,
+    type TaskEnded,
     TaskKind,
     TaskMode,
     type TaskPlaced,
@@ -45,11 +46,8 @@
 /** Wait for the reply to a gate, which needs no slot; above the longest way there and back. */
 const gateLimitMs = 400;
 
-/** Idle time after which a link is closed, unless it is among those that are kept. */
-const idleLimitMs = 400;
-
-/** Idle time after which a kept link is closed too. */
-const keptIdleLimitMs = 8_000;
+/** Idle time after which a link is closed; many times the pause between two operations of one workspace. */
+const idleLimitMs = 6_000;
 
 /** Idle time after which a link proves that it is alive before a write is sent on it. */
 const trustedIdleMs = 1_000;
@@ -57,9 +55,6 @@
 /** Pause after a database refused a link because its connections are used up. */
 const fullPauseMs = 60;
 
-/** Instances that are assumed to use a database like this one until the fleet is known. */
-const assumedInstances = 8;
-
 /** Connections of a database whose service the policy does not name. */
 const assumedConnectionLimit = 16;
 
@@ -74,14 +69,22 @@
     | DatabaseChanged
     | DatabaseRemoved
     | PolicyApplied
-    | AssessmentAsked;
+    | AssessmentAsked
+    | TaskEnded;
+
+export interface LinksOptions {
+    readonly dataCentre: string;
+}
 
 export class Links implements Filter<LinksInput, Message> {
     readonly step = "links";
     readonly accepts = [
         TaskKind.Placed,
+        TaskKind.PassedPlaced,
         TaskKind.Continued,
+        TaskKind.PassedContinued,
         TaskKind.Abandoned,
+        TaskKind.PassedAbandoned,
         TaskKind.AttemptDue,
         TaskKind.LinkDue,
         TaskKind.IdleDue,
@@ -92,7 +95,9 @@
         FleetKind.DatabaseRemoved,
         FleetKind.PolicyApplied,
         FleetKind.AssessmentAsked,
+        TaskKind.Ended,
     ];
+    private readonly dataCentre: string;
     private readonly pools = new Map<string, LinkPool>();
     private readonly links = new Map<string, Link>();
     private readonly pinned = new Map<string, Link>();
@@ -101,11 +106,16 @@
     private readonly acknowledged = new Map<string, Position>();
     private nextLink = 0;
 
+    constructor({ dataCentre }: LinksOptions) {
+        this.dataCentre = dataCentre;
+    }
+
     process(message: LinksInput, nowMs: number): readonly Message[] {
         return match<LinksInput, readonly Message[]>(message)
-            .with({ kind: TaskKind.Placed }, found => this.place(found, nowMs))
-            .with({ kind: TaskKind.Continued }, found => this.continue(found, nowMs))
-            .with({ kind: TaskKind.Abandoned }, found => this.abandon(found))
+            .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, found => this.place(found, nowMs))
+            .with({ kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) }, found =>
+                this.continue(found, nowMs))
+            .with({ kind: P.union(TaskKind.Abandoned, TaskKind.PassedAbandoned) }, found => this.abandon(found))
             .with({ kind: LinkKind.Opened }, found => this.opened(found, nowMs))
             .with({ kind: LinkKind.Replied }, found => this.replied(found, nowMs))
             .with({ kind: LinkKind.Lost }, found => this.lost(found, nowMs))
@@ -115,6 +125,10 @@
                 this.services = found.policy.services;
                 return [found];
             })
+            .with({ kind: TaskKind.Ended }, found => {
+                this.noteResult(found);
+                return [found];
+            })
             .with({ kind: FleetKind.AssessmentAsked }, found => [this.assess(found, nowMs)])
             .with({ kind: TaskKind.LinkDue }, found => this.linkDue(found.id, nowMs))
             .with({ kind: TaskKind.IdleDue }, found => this.closeIdle(found.id, nowMs))
@@ -310,7 +324,7 @@
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
             && !link.abandoned;
         if (task.writes && reply.fault === undefined && reply.position !== undefined) {
-            this.noteCommit(task.route.service, reply.position);
+            this.noteCommit(task.service, reply.position);
             link.attempt!.leads ||= !inTransaction;
         }
         const result = this.report(link, reply, pinned);
@@ -424,10 +438,13 @@
         }
         const pool = this.poolOf(link);
         const opening = link.state === LinkState.Opening;
-        if (loss === LinkLoss.Refused && fault === StatementFault.ConnectionLimit) {
+        if (opening && (fault === StatementFault.ConnectionLimit || loss === LinkLoss.Broken)) {
+            // A database at its limit refuses with a fault, or resets the connection.
             pool.fullUntilMs = nowMs + fullPauseMs;
         }
-        const failed = opening ? this.failWaiting(pool, link, loss === LinkLoss.Refused ? fault : undefined) : [];
+        const others = pool.links.size > 1;
+        const fails = opening && (loss !== LinkLoss.Broken || !others);
+        const failed = fails ? this.failWaiting(pool, link, loss === LinkLoss.Refused ? fault : undefined) : [];
         return [...failed, ...this.remove(link), ...this.report(link, undefined, false), ...this.serve(pool, nowMs)];
     }
 
@@ -499,13 +516,8 @@
         if (pool === undefined) {
             return [];
         }
-        const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle)
-            .sort((left, right) => right.idleSinceMs - left.idleSinceMs);
-        const limit = this.connectionLimit(pool);
-        const kept = keptLinks(limit, assumedInstances);
-        const old = idle.filter((link, index) =>
-            nowMs - link.idleSinceMs >= (index < kept ? keptIdleLimitMs : idleLimitMs)
-        );
+        const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle);
+        const old = idle.filter(link => nowMs - link.idleSinceMs >= idleLimitMs);
         const remains = old.length < idle.length;
         return [...old.flatMap(link => this.close(link)), ...remains ? [this.idleTimer(pool, nowMs)] : []];
     }
@@ -533,17 +545,21 @@
         return { kind: FleetKind.SendFrame, attachmentId, frame };
     }
 
+    /** Commits that ran on links of other instances count as well: this one has acknowledged them to its caller. */
+    private noteResult({ task, reply, fault }: TaskEnded): void {
+        if (task.writes && fault === undefined && reply?.position !== undefined) {
+            this.noteCommit(task.service, reply.position);
+        }
+    }
+
     private noteCommit(service: string, position: Position): void {
         const known = this.acknowledged.get(service);
         this.acknowledged.set(service, known === undefined ? position : laterPosition(known, position));
     }
 
-    private maximum(pool: LinkPool): number {
-        return maximumLinks(this.connectionLimit(pool), assumedInstances);
-    }
-
-    private connectionLimit({ report }: LinkPool): number {
-        return this.services.get(report.service)?.connectionLimit ?? assumedConnectionLimit;
+    private maximum({ report }: LinkPool): number {
+        const connectionLimit = this.services.get(report.service)?.connectionLimit ?? assumedConnectionLimit;
+        return maximumLinks(connectionLimit, report.dataCentre === this.dataCentre);
     }
 
     private poolOf({ databaseId }: Link): LinkPool {
--- /dev/null
+++ b/src/session/passedTasks.ts
@@ -0,0 +1,126 @@
+/** Tasks that other instances pass here because this one holds the links of the database. */
+import { match } from "ts-pattern";
+import {
+    type PassedTask,
+    type PeerAnswer,
+    type PeerAsked,
+    type PeerGone,
+    PeerKind,
+} from "../model/peerMessages.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+import { type LinkTask, type TaskAbandoned, type TaskAttempted, TaskKind, type TaskMode } from "./taskMessages.ts";
+
+/** Separates the stream from the asker's own ids; local ids hold none. */
+const separator = "/";
+
+type PassedInput = PeerAsked | PeerGone | TaskAttempted;
+
+/**
+ * Stands before the routing for results, and sends the results of passed tasks back. The tasks themselves go to the
+ * links as `task.placed` and `task.continued` and are not routed again.
+ */
+export class PassedTasks implements Filter<PassedInput, Message> {
+    readonly step = "passed_tasks";
+    readonly accepts = [PeerKind.Asked, PeerKind.Gone, TaskKind.Attempted];
+    /** Sessions with an open transaction here, and the tasks under way, by stream. */
+    private readonly sessions = new Map<string, Set<string>>();
+    private readonly tasks = new Map<string, Map<string, string>>();
+
+    process(message: PassedInput, nowMs: number): readonly Message[] {
+        return match<PassedInput, readonly Message[]>(message)
+            .with({ kind: PeerKind.Asked }, found => this.ask(found, nowMs))
+            .with({ kind: PeerKind.Gone }, found => this.gone(found.streamId))
+            .with({ kind: TaskKind.Attempted }, found => this.finish(found))
+            .exhaustive();
+    }
+
+    private ask({ streamId, question }: PeerAsked, nowMs: number): readonly Message[] {
+        if (question.kind === "abandon") {
+            const sessionId = join(streamId, question.sessionId);
+            const taskId = question.taskId === undefined ? undefined : join(streamId, question.taskId);
+            this.sessions.get(streamId)?.delete(sessionId);
+            return [passedAbandoned(sessionId, taskId)];
+        }
+        const task = toTask(streamId, question, nowMs);
+        const tasks = this.tasks.get(streamId) ?? new Map<string, string>();
+        this.tasks.set(streamId, tasks.set(task.taskId, task.sessionId));
+        return question.databaseId === ""
+            ? [{ kind: TaskKind.PassedContinued, task } as Message]
+            : [{
+                kind: TaskKind.PassedPlaced,
+                task,
+                databaseId: question.databaseId,
+                after: question.after,
+                untilMs: task.deadlineMs,
+            } as Message];
+    }
+
+    private finish(attempted: TaskAttempted): readonly Message[] {
+        const { taskId, sessionId } = attempted.task;
+        const streamId = streamOf(taskId);
+        if (streamId === undefined) {
+            return [attempted];
+        }
+        this.tasks.get(streamId)?.delete(taskId);
+        const { reply, fault, sent, leads, pinned } = attempted;
+        this.notePin(streamId, sessionId, pinned);
+        const result = { taskId: taskId.slice(streamId.length + 1), reply, fault, sent, leads, pinned };
+        return [{ kind: PeerKind.Answer, streamId, result } as PeerAnswer];
+    }
+
+    private notePin(streamId: string, sessionId: string, pinned: boolean): void {
+        const sessions = this.sessions.get(streamId) ?? new Set<string>();
+        this.sessions.set(streamId, sessions);
+        if (pinned) {
+            sessions.add(sessionId);
+        }
+        else {
+            sessions.delete(sessionId);
+        }
+    }
+
+    /** The asker is gone; its open transactions are rolled back. */
+    private gone(streamId: string): readonly Message[] {
+        const sessions = [...this.sessions.get(streamId) ?? []];
+        const tasks = [...this.tasks.get(streamId) ?? []];
+        this.sessions.delete(streamId);
+        this.tasks.delete(streamId);
+        return [
+            ...sessions.map(sessionId => passedAbandoned(sessionId, undefined)),
+            ...tasks.map(([taskId, sessionId]) => passedAbandoned(sessionId, taskId)),
+        ];
+    }
+}
+
+function passedAbandoned(sessionId: string, taskId: string | undefined): TaskAbandoned {
+    return { kind: TaskKind.PassedAbandoned, sessionId, taskId };
+}
+
+function toTask(streamId: string, passed: PassedTask, nowMs: number): LinkTask {
+    const { service, workspace, mode, statement, writes, needsPrimary, values, prepared, limitMs } = passed;
+    return {
+        taskId: join(streamId, passed.taskId),
+        sessionId: join(streamId, passed.sessionId),
+        service,
+        workspace,
+        mode: mode as TaskMode,
+        statement,
+        writes,
+        needsPrimary,
+        context: {
+            values: new Map(values),
+            prepared: prepared === undefined ? new Map() : new Map([[statement!.name, prepared]]),
+        },
+        deadlineMs: nowMs + limitMs,
+    };
+}
+
+function join(streamId: string, id: string): string {
+    return `${streamId}${separator}${id}`;
+}
+
+function streamOf(id: string): string | undefined {
+    const end = id.indexOf(separator);
+    return end === -1 ? undefined : id.slice(0, end);
+}
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -212,7 +212,7 @@
 
     private judge(attempt: TaskAttempted, nowMs: number): readonly Message[] {
         const { task, databaseId, reply } = attempt;
-        const { service } = task.route;
+        const { service } = task;
         this.learn(attempt, nowMs);
         const suspicion = reply === undefined && attempt.fault === undefined ? [suspect(databaseId)] : [];
         if (task.mode === TaskMode.Probe) {
@@ -247,7 +247,7 @@
         if (leads) {
             this.copies.confirmLead(databaseId);
             if (reply?.position !== undefined && sentMs !== undefined) {
-                this.samples.note(task.route.service, { position: reply.position, atMs: sentMs });
+                this.samples.note(task.service, { position: reply.position, atMs: sentMs });
             }
         }
     }
@@ -315,6 +315,7 @@
         taskId,
         sessionId: "",
         route,
+        service: route.service,
         workspace,
         mode: TaskMode.Probe,
         statement: undefined,
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -218,6 +218,7 @@
             taskId: `t${this.nextTask++}`,
             sessionId: session.sessionId,
             route,
+            service: route.service,
             workspace,
             mode,
             statement,
@@ -242,7 +243,7 @@
         session.lastActiveMs = nowMs;
         const answer = this.settle(session, ended);
         if (answer.fault === undefined && task.writes && reply?.position !== undefined) {
-            session.noteCommit(task.route.service, reply.position);
+            session.noteCommit(task.service, reply.position);
         }
         return [
             { kind: SessionKind.Answer, sessionId: session.sessionId, answer } as SessionAnswer,
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -12,6 +12,10 @@
     Continued: "task.continued",
     /** The session is gone, or its transaction is given up. */
     Abandoned: "task.abandoned",
+    /** The same three for tasks of other instances, which are not routed here. */
+    PassedPlaced: "task.passed_placed",
+    PassedContinued: "task.passed_continued",
+    PassedAbandoned: "task.passed_abandoned",
     Attempted: "task.attempted",
     Ended: "task.ended",
     AdmissionDue: "task.admission_due",
@@ -19,6 +23,7 @@
     AttemptDue: "task.attempt_due",
     LinkDue: "task.link_due",
     IdleDue: "task.idle_due",
+    ForwardDue: "task.forward_due",
 } as const;
 
 export const TaskMode = {
@@ -33,13 +38,13 @@
 } as const;
 export type TaskMode = typeof TaskMode[keyof typeof TaskMode];
 
-/** A statement that needs a database, with everything that decides where it may run. */
-export interface Task {
+/** What a link needs to know of a statement. */
+export interface LinkTask {
     /** Unique in this process. */
     readonly taskId: string;
     /** Empty for a probe. */
     readonly sessionId: string;
-    readonly route: RoutePolicy;
+    readonly service: string;
     /** Empty for callers of open routes without a key. */
     readonly workspace: string;
     readonly mode: TaskMode;
@@ -50,11 +55,16 @@
     /** Only the database that leads may run it. */
     readonly needsPrimary: boolean;
     readonly context: SessionContext;
+    /** End of the statement's time. */
+    readonly deadlineMs: number;
+}
+
+/** A statement that needs a database, with everything that decides where it may run. */
+export interface Task extends LinkTask {
+    readonly route: RoutePolicy;
     /** Position of the session's last commit in this service. */
     readonly sessionFloor: Position | undefined;
     readonly receivedMs: number;
-    /** End of the statement's time. */
-    readonly deadlineMs: number;
 }
 
 export interface TaskSubmitted extends Message {
@@ -70,8 +80,8 @@
 
 /** To be tried at one database. */
 export interface TaskPlaced extends Message {
-    readonly kind: typeof TaskKind.Placed;
-    readonly task: Task;
+    readonly kind: typeof TaskKind.Placed | typeof TaskKind.PassedPlaced;
+    readonly task: LinkTask;
     readonly databaseId: string;
     /** The log must hold this position; undefined for what only the primary runs. */
     readonly after: Position | undefined;
@@ -81,19 +91,19 @@
 
 /** A further statement of a transaction; it runs on the link of the session. */
 export interface TaskContinued extends Message {
-    readonly kind: typeof TaskKind.Continued;
-    readonly task: Task;
+    readonly kind: typeof TaskKind.Continued | typeof TaskKind.PassedContinued;
+    readonly task: LinkTask;
 }
 
 export interface TaskAbandoned extends Message {
-    readonly kind: typeof TaskKind.Abandoned;
+    readonly kind: typeof TaskKind.Abandoned | typeof TaskKind.PassedAbandoned;
     readonly sessionId: string;
     readonly taskId: string | undefined;
 }
 
 export interface TaskAttempted extends Message {
     readonly kind: typeof TaskKind.Attempted;
-    readonly task: Task;
+    readonly task: LinkTask;
     readonly databaseId: string;
     /** Undefined when the link was lost, or the time of the attempt ran out. */
     readonly reply: LinkReply | undefined;
@@ -112,7 +122,7 @@
 /** The result of a task for its session. */
 export interface TaskEnded extends Message {
     readonly kind: typeof TaskKind.Ended;
-    readonly task: Task;
+    readonly task: LinkTask;
     readonly reply: LinkReply | undefined;
     /** Undefined after success. */
     readonly fault: StatementFault | undefined;
@@ -127,7 +137,8 @@
         | typeof TaskKind.PlacementDue
         | typeof TaskKind.AttemptDue
         | typeof TaskKind.LinkDue
-        | typeof TaskKind.IdleDue;
+        | typeof TaskKind.IdleDue
+        | typeof TaskKind.ForwardDue;
     readonly id: string;
 }
 
@@ -135,7 +146,7 @@
     return { kind, id };
 }
 
-export function endTask(task: Task, fault: StatementFault, detail: string): TaskEnded {
+export function endTask(task: LinkTask, fault: StatementFault, detail: string): TaskEnded {
     return { kind: TaskKind.Ended, task, reply: undefined, fault, detail, pinned: false };
 }
 
--- /dev/null
+++ b/src/wiring/decisionLines.ts
@@ -0,0 +1,79 @@
+/** What the log of a process on the platform says of each decision. */
+import { ControlKind, type ControlLeaderChanged, type ControlMembersAgreed } from "../model/controlMessages.ts";
+import {
+    type DatabaseChanged,
+    type DatabaseRemoved,
+    type DatabaseSuspected,
+    FleetKind,
+    type PolicyApplied,
+    type ReadinessChanged,
+} from "../model/fleetMessages.ts";
+import { LinkKind, type LinkLost } from "../model/linkMessages.ts";
+import { PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
+import { type SessionAnswer, SessionKind, type SessionRefuse } from "../model/sessionMessages.ts";
+import type { Message } from "../pipeline/message.ts";
+import { type TaskAttempted, type TaskEnded, TaskKind } from "../session/taskMessages.ts";
+import type { LineWriter } from "../telemetry/decisionLog.ts";
+import type { LogFields } from "../telemetry/logger.ts";
+
+function line<Kind extends Message>(kind: Kind["kind"], write: (message: Kind) => LogFields | undefined): readonly [
+    string,
+    LineWriter,
+] {
+    return [kind, write as LineWriter];
+}
+
+/** Writers by message kind. Keys of callers, values and texts of statements appear in none. */
+export const decisionLines: ReadonlyMap<string, LineWriter> = new Map([
+    line<TaskEnded>(TaskKind.Ended, ({ task, fault, detail }) =>
+        fault === undefined ? undefined : {
+            request: task.statement?.id,
+            session: task.sessionId,
+            workspace: task.workspace,
+            service: task.service,
+            mode: task.mode,
+            fault,
+            detail,
+        }),
+    line<TaskAttempted>(TaskKind.Attempted, ({ task, databaseId, reply, fault, sent }) =>
+        reply !== undefined && reply.fault === undefined ? undefined : {
+            request: task.statement?.id,
+            mode: task.mode,
+            database: databaseId,
+            answered: reply !== undefined,
+            fault: reply?.fault ?? fault,
+            sent,
+        }),
+    line<SessionRefuse>(SessionKind.Refuse, ({ sessionId, fault, detail }) => ({ session: sessionId, fault, detail })),
+    line<SessionAnswer>(SessionKind.Answer, ({ sessionId, answer }) =>
+        answer.fault === undefined || answer.position !== undefined
+            ? undefined
+            : { session: sessionId, fault: answer.fault, detail: answer.detail }),
+    line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault }) => ({ link: linkId, loss, fault })),
+    line<DatabaseSuspected>(FleetKind.DatabaseSuspected, ({ databaseId }) => ({ database: databaseId })),
+    line<DatabaseChanged>(FleetKind.DatabaseChanged, ({ report }) => ({
+        database: report.databaseId,
+        service: report.service,
+        address: report.address,
+        state: report.state,
+        leads: report.leads,
+    })),
+    line<DatabaseRemoved>(FleetKind.DatabaseRemoved, ({ databaseId }) => ({ database: databaseId })),
+    line<ReadinessChanged>(FleetKind.Readiness, ({ ready }) => ({ ready })),
+    line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, promoted }) => ({
+        version: policy.version,
+        promoted: [...promoted].map(([service, databaseId]) => `${service}=${databaseId}`).join(","),
+    })),
+    line<ControlLeaderChanged>(ControlKind.LeaderChanged, ({ leading, term, leaderId }) => ({
+        leading,
+        term,
+        leader: leaderId,
+    })),
+    line<ControlMembersAgreed>(ControlKind.MembersAgreed, ({ addresses }) => ({ members: addresses.join(",") })),
+    line<PromotionOrder>(PromotionKind.Order, ({ service, databaseId, fence }) => ({
+        service,
+        database: databaseId,
+        fence,
+    })),
+    line<PromotionOrdered>(PromotionKind.Ordered, ({ service, fence, result }) => ({ service, fence, result })),
+]);
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -13,6 +13,7 @@
 import { FollowerFilter } from "../control/followerFilter.ts";
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
+import { PeerKind } from "../model/peerMessages.ts";
 import { StorageKind } from "../model/storageMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -34,12 +35,17 @@
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
 import { createPeerServer, listen } from "../rpc/peerChannel.ts";
 import { PeerNetwork } from "../rpc/peerNetwork.ts";
+import { TaskStreams } from "../rpc/taskStreams.ts";
 import { Admission } from "../session/admission.ts";
+import { Forwarding } from "../session/forwarding.ts";
 import { Links } from "../session/links.ts";
+import { PassedTasks } from "../session/passedTasks.ts";
 import { Routing } from "../session/routing.ts";
 import { Sessions } from "../session/sessions.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
+import { DecisionLog } from "../telemetry/decisionLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
+import { decisionLines } from "./decisionLines.ts";
 import { SuspensionClock } from "./suspensionClock.ts";
 
 const clusterName = "jasmineline";
@@ -90,7 +96,10 @@
     const { pipes, sinks, started } = control
         ? await buildControl(parts)
         : await buildProxy(parts);
-    const loop = stack.use(new EventLoop({ clock, pipes, sinks: [...sinks, end, new IgnoreRest(pipes, sinks)] }));
+    const log = new DecisionLog({ logger, writers: decisionLines });
+    const loop = stack.use(
+        new EventLoop({ clock, pipes, sinks: [...sinks, end, new IgnoreRest(pipes, sinks)], observers: [log] }),
+    );
     await started();
     logger.info("started", { control, address: settings.rpcAddress });
     const opened = stack.move();
@@ -113,7 +122,7 @@
 }
 
 async function buildProxy(parts: Parts): Promise<Built> {
-    const { settings, post, network, seed, stack } = parts;
+    const { settings, post, network, authentication, seed, stack } = parts;
     const { instanceId, dataCentre, callers, readiness } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
     const decoder = new TrafficPolicyDecoder();
@@ -121,15 +130,17 @@
         new FollowerFilter(),
         new PolicyFilter(decoder),
         new Directory(),
-        new Attachments({ instanceId, serves: true, seeds, follows: true }),
+        new Attachments({ instanceId, dataCentre, address: settings.rpcAddress, serves: true, follows: true }),
         new GrantHolder(),
         new Readiness(),
     ]);
     const session = new Pipe("session", [
         new Sessions(),
         new Admission(),
+        new PassedTasks(),
         new Routing({ dataCentre }),
-        new Links(),
+        new Forwarding({ instanceId }),
+        new Links({ dataCentre }),
     ]);
     const server = stack.use(new WireServer({ ...callers!, post }));
     const readinessServer = stack.use(new ReadinessServer());
@@ -138,8 +149,12 @@
     const connector = stack.use(
         new FleetConnector({ network, post, random: new SeededRandom(seed + 1), ownAddress: settings.rpcAddress }),
     );
+    const peerServer = createPeerServer(authentication);
+    const streams = stack.use(new TaskStreams({ network, post }));
+    streams.addTo(peerServer);
     const sinks: readonly Sink[] = [
         server,
+        streams,
         stack.use(new WireClient({ post })),
         readinessServer,
         subscriber,
@@ -149,6 +164,8 @@
         pipes: [fleet, session],
         sinks,
         started: async () => {
+            await listen(peerServer, settings.rpcAddress);
+            stack.defer(() => peerServer.forceShutdown());
             await server.listen();
             if (readiness !== undefined) {
                 await readinessServer.listen(readiness);
@@ -161,7 +178,7 @@
 
 async function buildControl(parts: Parts): Promise<Built> {
     const { settings, post, network, authentication, seed, stack } = parts;
-    const { host, rpcAddress, dataFolder, control, ordersAddress, instanceId, reportIntervalMs } = settings;
+    const { host, rpcAddress, dataFolder, control, ordersAddress, instanceId, dataCentre, reportIntervalMs } = settings;
     const storage = stack.use(
         await MemberStorage.open({
             folder: dataFolder!,
@@ -188,7 +205,7 @@
         new PolicyFilter(new TrafficPolicyDecoder()),
         new Directory(),
         new AttachmentHub({ instanceId: host }),
-        new Attachments({ instanceId: host, serves: false, seeds, follows: false }),
+        new Attachments({ instanceId: host, dataCentre, address: rpcAddress, serves: false, follows: false }),
         new Documents(),
         new RateGrants(),
         new Promotions({ reportIntervalMs }),
@@ -280,6 +297,7 @@
     constructor(pipes: readonly Pipe[], sinks: readonly Sink[]) {
         const optional = [
             ...Object.values(FleetKind),
+            PeerKind.InstancesKnown,
             ControlKind.ProposalEnded,
             ControlKind.LeaderChanged,
             ControlKind.MembersAgreed,
