fix(session): a transaction that may have begun is not begun again; holders that leave give up their links

Restarting holders kept 16 idle connections beside those of their successors. After a restart of everything a new leader gave no rates for 2.7 s. Change: an unanswered passed task counts as sent; only reads outside transactions and what certainly did not run are repeated; leaving instances say so; a new leader that hears no older grant divides at once; the first election after a start comes sooner.

--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -26,6 +26,13 @@
 export const electionTimeoutMs = 1_000;
 export const electionJitterMs = 1_000;
 
+/**
+ * Wait for the first election of a process, and its jitter. A leader that lives sends within a heartbeat interval; when
+ * all members start together, nobody serves until one is elected.
+ */
+export const firstElectionMs = 350;
+export const firstElectionJitterMs = 350;
+
 const electionKey = "control.election";
 
 type VoteInput =
@@ -69,6 +76,8 @@
     private tally: Tally | undefined;
     private leaderHeardMs = -Infinity;
     private electionAtMs = Infinity;
+    /** The first election since the start has not been due yet, and no leader was heard. */
+    private recovered = false;
 
     constructor(options: VoteFilterOptions) {
         this.options = options;
@@ -79,6 +88,7 @@
             case StorageKind.Recovered:
                 this.term = message.term;
                 this.votedFor = message.votedFor;
+                this.recovered = true;
                 return [message, this.restartTimer(nowMs)];
             case MemberKind.TermChanged:
                 return [message, ...this.changeTerm(message, nowMs)];
@@ -115,6 +125,7 @@
         if (this.role === MemberRole.Leader || nowMs < this.electionAtMs) {
             return [];
         }
+        this.recovered = false;
         const timer = this.restartTimer(nowMs);
         if (!isMember(ready.members, this.options.self)) {
             return [timer];
@@ -216,7 +227,10 @@
     }
 
     private restartTimer(nowMs: number): Message {
-        this.electionAtMs = nowMs + electionTimeoutMs + this.options.random.nextInteger(electionJitterMs);
+        const first = this.recovered && this.leaderHeardMs === -Infinity;
+        const timeoutMs = first ? firstElectionMs : electionTimeoutMs;
+        const jitterMs = first ? firstElectionJitterMs : electionJitterMs;
+        this.electionAtMs = nowMs + timeoutMs + this.options.random.nextInteger(jitterMs);
         return setDeadline(electionKey, this.electionAtMs, { kind: MemberKind.ElectionDue });
     }
 }
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -77,6 +77,10 @@
                 { kind: FleetKind.FrameReceived, frame: { kind: "hello" } },
                 found => [found, ...this.greet(found.attachmentId, found.frame, nowMs)],
             )
+            .with({ kind: FleetKind.FrameReceived, frame: { kind: "leaving" } }, found => {
+                const served = this.instances.delete(found.attachmentId);
+                return served ? this.broadcast(this.instanceList()) : [];
+            })
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, found => [found])
             .with({ kind: FleetKind.DatabaseReported }, found => this.publish(found.report, nowMs))
             .with({ kind: FleetKind.DatabaseLeft }, found => this.publishLeft(found.databaseId))
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -6,6 +6,7 @@
     type Attached,
     type DatabaseSuspected,
     type Detached,
+    type FleetDrainStarted,
     type FleetFrame,
     FleetKind,
     type FleetTimer,
@@ -37,7 +38,8 @@
     | DatabaseSuspected
     | UsageMeasured
     | ConfigurationApplied
-    | FleetTimer;
+    | FleetTimer
+    | FleetDrainStarted;
 
 interface Member {
     readonly attachmentId: string;
@@ -68,6 +70,7 @@
         FleetKind.DatabaseSuspected,
         FleetKind.UsageMeasured,
         FleetKind.DirectoryDue,
+        FleetKind.DrainStarted,
         ClusterKind.ConfigurationApplied,
     ];
     private readonly options: AttachmentsOptions;
@@ -102,6 +105,10 @@
                 }),
             )
             .with({ kind: FleetKind.DirectoryDue }, () => this.checkLag(nowMs))
+            .with({ kind: FleetKind.DrainStarted }, found => [
+                found,
+                ...[...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "leaving" })),
+            ])
             .with({ kind: ClusterKind.ConfigurationApplied }, found => {
                 this.version = found.configuration.version;
                 this.behindSinceMs = undefined;
--- a/src/fleet/rateGrants.ts
+++ b/src/fleet/rateGrants.ts
@@ -13,6 +13,9 @@
 /** Time for which grants hold without renewal: three reports and some delay. */
 export const grantValidMs = 2_700;
 
+/** Time in which the first reports reach a new leader; several times the longest way there and back. */
+const gatherMs = 200;
+
 /** Part of a grant that an instance keeps after it has ended without renewal. */
 export const expiredShare = 0.5;
 
@@ -69,6 +72,8 @@
     private readonly holders = new Map<string, Holder>();
     private readonly idByAttachment = new Map<string, string>();
     private sequence = 0;
+    /** Some instance reported a grant of an earlier leader. */
+    private heardGrants = false;
 
     process(message: GrantsInput, nowMs: number): readonly Message[] {
         return match<GrantsInput, readonly Message[]>(message)
@@ -89,6 +94,7 @@
         this.term = leading ? term : undefined;
         this.unknownUntilMs = nowMs + grantValidMs;
         this.holders.clear();
+        this.heardGrants = false;
         return [];
     }
 
@@ -107,6 +113,7 @@
         holder.attachmentId = attachmentId;
         holder.usage = frame.usage;
         holder.lastHeardMs = nowMs;
+        this.heardGrants ||= frame.grantTerm > 0 && frame.grantTerm < this.term;
         this.confirm(holder, frame.grantTerm === this.term ? frame.grantSequence : 0, frame.fractions);
         return [this.grant(holder, nowMs), ...this.push(holder, nowMs)];
     }
@@ -158,7 +165,7 @@
     private nextFraction(holder: Holder, workspace: string, nowMs: number): number {
         const others = [...this.holders.values()].filter(other => other !== holder);
         const held = others.reduce((sum, other) => sum + this.outstanding(other, workspace, nowMs), 0);
-        const unknown = nowMs < this.unknownUntilMs;
+        const unknown = nowMs < this.unknownUntilMs && !this.startsAfresh(nowMs);
         const current = holder.confirmed[workspace] ?? 0;
         if (unknown) {
             // A reported fraction is renewed; what nobody has reported may be in force somewhere.
@@ -170,6 +177,15 @@
         return round(Math.min(free, wanted));
     }
 
+    /**
+     * Nobody who has reported holds a grant: all instances have started anew together, and none is left that could hold
+     * one of an earlier leader.
+     */
+    private startsAfresh(nowMs: number): boolean {
+        const sinceMs = nowMs - (this.unknownUntilMs - grantValidMs);
+        return sinceMs >= gatherMs && !this.heardGrants;
+    }
+
     /** Share by demand among the instances that are heard, with part of the rest in equal shares. */
     private target(holder: Holder, workspace: string, nowMs: number): number {
         const heard = [...this.holders.values()].filter(other => nowMs - other.lastHeardMs < grantValidMs);
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -131,6 +131,8 @@
         /** `host:port` of its gRPC listener. */
         readonly address: string;
     }
+    /** The instance stops and takes no more tasks of others. */
+    | { readonly kind: "leaving"; }
     | { readonly kind: "instances"; readonly instances: readonly PeerInstance[]; }
     | {
         readonly kind: "status";
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -24,6 +24,7 @@
 import { chooseHolder } from "./holderChoice.ts";
 import { preparedOf } from "./link.ts";
 import {
+    type HolderChanged,
     type LinkTask,
     type TaskAbandoned,
     type TaskAttempted,
@@ -91,6 +92,8 @@
     private readonly databases = new Map<string, DatabaseReport>();
     private readonly holders = new Map<string, Holder>();
     private readonly pending = new Map<string, Pending>();
+    /** Whether this instance is the holder, as the links were told. */
+    private readonly held = new Map<string, boolean>();
     /** Holder chosen last for each database. */
     private readonly chosen = new Map<string, string>();
     /** Time until which an instance is not chosen for a database, by both ids. */
@@ -111,11 +114,11 @@
             .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, found => {
                 this.instances = found.instances;
-                return [];
+                return [...this.databases.keys()].flatMap(databaseId => this.noteHolder(databaseId, nowMs));
             })
             .with({ kind: FleetKind.DatabaseChanged }, found => {
                 this.databases.set(found.report.databaseId, found.report);
-                return [found];
+                return [found, ...this.noteHolder(found.report.databaseId, nowMs)];
             })
             .with({ kind: FleetKind.DatabaseRemoved }, found => {
                 this.databases.delete(found.databaseId);
@@ -123,14 +126,15 @@
             })
             .with({ kind: FleetKind.DatabaseSuspected }, found => {
                 this.avoid(found.databaseId, nowMs);
-                return [found];
+                return [found, ...this.noteHolder(found.databaseId, nowMs)];
             })
             .otherwise(timer => this.due((timer as TaskTimer).id, nowMs));
     }
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
         const address = this.holderOf(placed.databaseId, nowMs);
-        return address === undefined ? [placed] : this.pass(placed, address, nowMs);
+        const changed = this.noteHolder(placed.databaseId, nowMs);
+        return address === undefined ? [...changed, placed] : [...changed, ...this.pass(placed, address, nowMs)];
     }
 
     private continue(continued: TaskContinued, nowMs: number): readonly Message[] {
@@ -160,6 +164,15 @@
         return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
     }
 
+    private noteHolder(databaseId: string, nowMs: number): readonly Message[] {
+        const holds = this.holderOf(databaseId, nowMs) === undefined;
+        if (this.held.get(databaseId) === holds) {
+            return [];
+        }
+        this.held.set(databaseId, holds);
+        return [{ kind: TaskKind.HolderChanged, databaseId, holds } as HolderChanged];
+    }
+
     /** The holder does not reach the database; another one may. */
     private avoid(databaseId: string, nowMs: number): void {
         const instanceId = this.chosen.get(databaseId);
@@ -199,6 +212,7 @@
             reply,
             fault,
             sent,
+            holderSilent: false,
             // The command cannot have been sent before it was passed on.
             sentMs,
             leads,
@@ -247,9 +261,9 @@
             task,
             databaseId,
             reply: undefined,
-            // The database is not to blame.
-            fault: unreachable ? StatementFault.Aborted : StatementFault.Busy,
+            fault: unreachable ? StatementFault.Aborted : undefined,
             sent: !unreachable,
+            holderSilent: true,
             sentMs,
             leads: false,
             pinned: false,
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -21,6 +21,8 @@
     /** No link is opened before this time, because the database takes no more. */
     fullUntilMs = 0;
     lastReplyMs: number | undefined;
+    /** This instance is the one that other instances pass their tasks to. */
+    held = false;
 
     constructor(report: DatabaseReport) {
         this.report = report;
@@ -51,10 +53,10 @@
 /**
  * Links that an instance may have to one database.
  * @param connectionLimit of the database, for all callers together
- * @param near it is in the data centre of this instance, which then may be its holder
+ * @param held this instance is the holder
  */
-export function maximumLinks(connectionLimit: number, near: boolean): number {
-    return near ? Math.max(guestLinks, Math.floor(heldShare * connectionLimit)) : guestLinks;
+export function maximumLinks(connectionLimit: number, held: boolean): number {
+    return held ? Math.max(guestLinks, Math.floor(heldShare * connectionLimit)) : guestLinks;
 }
 
 function effort(link: Link, context: SessionContext): number {
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -29,6 +29,7 @@
 import { Link, LinkState, ReplyRole, statementCommand } from "./link.ts";
 import { LinkPool, maximumLinks } from "./linkPool.ts";
 import {
+    type HolderChanged,
     type TaskAbandoned,
     type TaskAttempted,
     type TaskContinued,
@@ -49,6 +50,9 @@
 /** Idle time after which a link is closed; many times the pause between two operations of one workspace. */
 const idleLimitMs = 6_000;
 
+/** The same on an instance that is not the holder of the database. */
+const guestIdleLimitMs = 150;
+
 /** Idle time after which a link proves that it is alive before a write is sent on it. */
 const trustedIdleMs = 1_000;
 
@@ -70,11 +74,8 @@
     | DatabaseRemoved
     | PolicyApplied
     | AssessmentAsked
-    | TaskEnded;
-
-export interface LinksOptions {
-    readonly dataCentre: string;
-}
+    | TaskEnded
+    | HolderChanged;
 
 export class Links implements Filter<LinksInput, Message> {
     readonly step = "links";
@@ -96,8 +97,8 @@
         FleetKind.PolicyApplied,
         FleetKind.AssessmentAsked,
         TaskKind.Ended,
+        TaskKind.HolderChanged,
     ];
-    private readonly dataCentre: string;
     private readonly pools = new Map<string, LinkPool>();
     private readonly links = new Map<string, Link>();
     private readonly pinned = new Map<string, Link>();
@@ -105,11 +106,6 @@
     /** Highest position of a commit seen here, by service. */
     private readonly acknowledged = new Map<string, Position>();
     private nextLink = 0;
-
-    constructor({ dataCentre }: LinksOptions) {
-        this.dataCentre = dataCentre;
-    }
-
     process(message: LinksInput, nowMs: number): readonly Message[] {
         return match<LinksInput, readonly Message[]>(message)
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, found => this.place(found, nowMs))
@@ -125,6 +121,7 @@
                 this.services = found.policy.services;
                 return [found];
             })
+            .with({ kind: TaskKind.HolderChanged }, found => this.changeHolder(found, nowMs))
             .with({ kind: TaskKind.Ended }, found => {
                 this.noteResult(found);
                 return [found];
@@ -360,6 +357,7 @@
             reply,
             fault: undefined,
             sent,
+            holderSilent: false,
             sentMs,
             leads: leads && reply?.fault === undefined,
             pinned,
@@ -445,7 +443,13 @@
         const others = pool.links.size > 1;
         const fails = opening && (loss !== LinkLoss.Broken || !others);
         const failed = fails ? this.failWaiting(pool, link, loss === LinkLoss.Refused ? fault : undefined) : [];
-        return [...failed, ...this.remove(link), ...this.report(link, undefined, false), ...this.serve(pool, nowMs)];
+        return [
+            ...failed,
+            ...this.remove(link),
+            ...this.report(link, undefined, false),
+            ...this.serve(pool, nowMs),
+            ...pool.waiting.length > 0 ? [this.idleTimer(pool, nowMs)] : [],
+        ];
     }
 
     /** A link that could not be opened fails the task that it was opened for. */
@@ -495,6 +499,16 @@
         return [changed, ...stale.flatMap(link => this.drop(link, nowMs))];
     }
 
+    /** Links that the next holder may open have to be given up first; the database counts them together. */
+    private changeHolder({ databaseId, holds }: HolderChanged, nowMs: number): readonly Message[] {
+        const pool = this.pools.get(databaseId);
+        if (pool === undefined) {
+            return [];
+        }
+        pool.held = holds;
+        return holds ? this.serve(pool, nowMs) : this.closeIdle(databaseId, nowMs);
+    }
+
     private removePool(databaseId: string, nowMs: number): readonly Message[] {
         const pool = this.pools.get(databaseId);
         if (pool === undefined) {
@@ -517,14 +531,20 @@
             return [];
         }
         const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle);
-        const old = idle.filter(link => nowMs - link.idleSinceMs >= idleLimitMs);
+        const limitMs = pool.held ? idleLimitMs : guestIdleLimitMs;
+        const old = idle.filter(link => nowMs - link.idleSinceMs >= limitMs);
         const remains = old.length < idle.length;
-        return [...old.flatMap(link => this.close(link)), ...remains ? [this.idleTimer(pool, nowMs)] : []];
+        return [
+            ...old.flatMap(link => this.close(link)),
+            ...remains ? [this.idleTimer(pool, nowMs)] : [],
+            ...this.serve(pool, nowMs),
+        ];
     }
 
-    private idleTimer({ report }: LinkPool, nowMs: number): Message {
+    private idleTimer({ report, held, waiting }: LinkPool, nowMs: number): Message {
         const timer = taskTimer(TaskKind.IdleDue, report.databaseId);
-        return setDeadline(`idle/${report.databaseId}`, nowMs + idleLimitMs, timer);
+        const afterMs = waiting.length > 0 ? fullPauseMs : held ? idleLimitMs : guestIdleLimitMs;
+        return setDeadline(`idle/${report.databaseId}`, nowMs + afterMs, timer);
     }
 
     private linkTimer(link: Link, atMs: number): Message {
@@ -557,9 +577,9 @@
         this.acknowledged.set(service, known === undefined ? position : laterPosition(known, position));
     }
 
-    private maximum({ report }: LinkPool): number {
+    private maximum({ report, held }: LinkPool): number {
         const connectionLimit = this.services.get(report.service)?.connectionLimit ?? assumedConnectionLimit;
-        return maximumLinks(connectionLimit, report.dataCentre === this.dataCentre);
+        return maximumLinks(connectionLimit, held);
     }
 
     private poolOf({ databaseId }: Link): LinkPool {
@@ -603,6 +623,7 @@
         reply: undefined,
         fault,
         sent: false,
+        holderSilent: false,
         sentMs: undefined,
         leads: false,
         pinned: false,
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -214,7 +214,8 @@
         const { task, databaseId, reply } = attempt;
         const { service } = task;
         this.learn(attempt, nowMs);
-        const suspicion = reply === undefined && attempt.fault === undefined ? [suspect(databaseId)] : [];
+        const silent = reply === undefined && attempt.fault === undefined && !attempt.holderSilent;
+        const suspicion = silent ? [suspect(databaseId)] : [];
         if (task.mode === TaskMode.Probe) {
             this.probesUntilMs.delete(service);
             return [...suspicion, ...this.placeWaiting(service, nowMs)];
@@ -229,13 +230,13 @@
         return [...suspicion, ...this.decide(routed, attempt, nowMs), ...woken];
     }
 
-    private learn({ databaseId, reply, fault, leads, sentMs, task }: TaskAttempted, nowMs: number): void {
+    private learn({ databaseId, reply, fault, leads, sentMs, task, holderSilent }: TaskAttempted, nowMs: number): void {
         const answeredMs = reply !== undefined && reply.fault === undefined && sentMs !== undefined
             ? nowMs - sentMs
             : undefined;
         this.copies.noteAnswer(databaseId, answeredMs);
         const found = reply?.fault ?? fault;
-        if (reply === undefined && found !== StatementFault.Busy) {
+        if (reply === undefined && found !== StatementFault.Busy && !holderSilent) {
             this.copies.noteFailure(databaseId, nowMs);
         }
         if (found === StatementFault.ReadOnly) {
@@ -258,14 +259,14 @@
         if (attempt.reply !== undefined && fault === undefined) {
             return this.end(this.resultOf(attempt));
         }
-        const nothingKept = !attempt.sent || (fault !== undefined && isNotRun(fault))
-            || (task.mode !== TaskMode.Single && task.statement?.kind !== SessionStatementKind.Commit);
-        const mayRepeat = nothingKept || !task.writes;
+        const nothingRan = !attempt.sent || (fault !== undefined && isNotRun(fault));
+        // A transaction that may have begun on one connection cannot begin again on another one.
+        const mayRepeat = nothingRan || task.mode === TaskMode.Single && !task.writes;
         routed.failedRuns += fault !== undefined && !isNotRun(fault) ? 1 : 0;
         if (!mayRepeat || attempt.pinned || routed.failedRuns > maximumFailedRuns) {
             return this.end(this.resultOf(attempt));
         }
-        routed.lastFault = fault !== undefined && isNotRun(fault) ? fault : nothingKept ? StatementFault.Busy : fault;
+        routed.lastFault = fault !== undefined && isNotRun(fault) ? fault : nothingRan ? StatementFault.Busy : fault;
         return match(fault)
             .with(P.union(StatementFault.Lagging, StatementFault.Misrouted, undefined), () => this.place(routed, nowMs))
             .otherwise(() => this.wait(routed, nowMs));
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -18,6 +18,8 @@
     PassedAbandoned: "task.passed_abandoned",
     Attempted: "task.attempted",
     Ended: "task.ended",
+    /** This instance became the holder of the links of a database, or ceased to be. */
+    HolderChanged: "task.holder_changed",
     AdmissionDue: "task.admission_due",
     PlacementDue: "task.placement_due",
     AttemptDue: "task.attempt_due",
@@ -109,8 +111,10 @@
     readonly reply: LinkReply | undefined;
     /** Set without a reply when the database refused to open the link. */
     readonly fault: StatementFault | undefined;
-    /** The statement was sent. */
+    /** The statement was sent, or may have been. */
     readonly sent: boolean;
+    /** The instance that holds the links did not answer, which says nothing about the database. */
+    readonly holderSilent: boolean;
     /** Time at which the first command of the attempt was sent; undefined when none was. */
     readonly sentMs: number | undefined;
     /** The database proved after `sentMs` that it leads. */
@@ -119,6 +123,12 @@
     readonly pinned: boolean;
 }
 
+export interface HolderChanged extends Message {
+    readonly kind: typeof TaskKind.HolderChanged;
+    readonly databaseId: string;
+    readonly holds: boolean;
+}
+
 /** The result of a task for its session. */
 export interface TaskEnded extends Message {
     readonly kind: typeof TaskKind.Ended;
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -140,7 +140,7 @@
         new PassedTasks(),
         new Routing({ dataCentre }),
         new Forwarding({ instanceId }),
-        new Links({ dataCentre }),
+        new Links(),
     ]);
     const server = stack.use(new WireServer({ ...callers!, post }));
     const readinessServer = stack.use(new ReadinessServer());
