fix(control): a member that was removed, or was never added, asks to join again

Cause: an instance took itself for a member once any list had named it, also a list from an entry that was never committed or that a later one replaced; it then never asked again, and the leader sent it entries as a learner for ever. Change: the last committed list decides, and a member that hears nobody for 3 s asks again.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,8 +1,19 @@
 import tseslint from "typescript-eslint";
 
 // Folders of filters. They decide; sources and sinks at the ends own sockets, disk, clock and codecs.
-const pureFolders = ["model", "pipeline", "request", "holder", "rates", "health", "control", "report"];
-const ioFolders = ["frontend", "backend", "rpc", "storage", "telemetry", "cli", "wiring"];
+const pureFolders = [
+    "model",
+    "pipeline",
+    "request",
+    "holder",
+    "rates",
+    "health",
+    "control",
+    "report",
+    "session",
+    "fleet",
+];
+const ioFolders = ["frontend", "backend", "rpc", "storage", "telemetry", "platform", "cli", "wiring"];
 const ioLibraries = ["mysql2", "mysql2/*", "@grpc/*", "@bufbuild/*", "hot-shots", "loglevel", "node:*", "fs", "net"];
 
 // Each folder may import only from itself and from the folders named here.
@@ -15,6 +26,9 @@
     health: ["model", "pipeline"],
     control: ["model", "pipeline"],
     report: ["model", "pipeline"],
+    session: ["model", "pipeline"],
+    fleet: ["model", "pipeline"],
+    platform: ["model", "pipeline"],
     settings: ["model"],
     telemetry: ["model", "pipeline"],
     frontend: ["model", "pipeline", "telemetry", "request"],
@@ -36,6 +50,9 @@
         "backend",
         "storage",
         "rpc",
+        "session",
+        "fleet",
+        "platform",
     ],
 };
 
@@ -83,7 +100,7 @@
 }));
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "src/rpc/generated/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "src/rpc/generated/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/src/control/documentCommands.ts
+++ b/src/control/documentCommands.ts
@@ -41,7 +41,9 @@
         checkName("service", command.service),
         checkWhole("expected fence", command.expectedFence),
     );
-    const current = findObject(state.configuration, ObjectList.Promotions, command.service) as PromotionRecord | undefined;
+    const current = findObject(state.configuration, ObjectList.Promotions, command.service) as
+        | PromotionRecord
+        | undefined;
     const fence = current?.fence ?? 0;
     if (fault !== undefined) {
         return invalid(state, fence, fault);
@@ -54,7 +56,9 @@
 }
 
 export function completePromotion(state: ControlState, command: CompletePromotion): CommandChange {
-    const current = findObject(state.configuration, ObjectList.Promotions, command.service) as PromotionRecord | undefined;
+    const current = findObject(state.configuration, ObjectList.Promotions, command.service) as
+        | PromotionRecord
+        | undefined;
     if (current === undefined || current.fence !== command.fence) {
         return conflict(state, current?.fence ?? 0, "a later promotion was reserved");
     }
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -14,7 +14,10 @@
 /** Age up to which a peer's word that its disk is empty counts: two intervals and some delay. */
 const joinAnswerValidityMs = 2_500;
 
-/** Silence of all other members after which an instance that is listed asks to join; it may have been removed. */
+/**
+ * Silence of all other members after which an instance that is listed asks to join. It may have been removed, or its
+ * list may rest on an entry that was never committed.
+ */
 const silenceMs = 3_000;
 
 /** A control member by its settings; its incarnation is learned from the instance itself. */
@@ -75,7 +78,7 @@
             case MemberKind.FormDue:
                 return this.ask(nowMs);
             case MemberKind.MembersChanged:
-                this.listed ||= isReachableMember(message.members, this.options.self);
+                this.listed = isReachableMember(message.members, this.options.self);
                 return this.announce(message.members);
             case ControlKind.SeedsChanged:
                 this.targets = message.seeds;
@@ -99,8 +102,7 @@
         this.formed = recovered.term > 0 || members.length > 0;
         this.listed = isReachableMember(members, this.options.self);
         this.heardMs = nowMs;
-        const asks = !this.listed || this.options.announcesMembers === true;
-        return [recovered, ...asks ? [this.timer(nowMs)] : [], ...this.announce(members)];
+        return [recovered, this.timer(nowMs), ...this.announce(members)];
     }
 
     private announce(members: readonly Member[]): readonly Message[] {
@@ -114,9 +116,6 @@
     }
 
     private ask(nowMs: number): readonly Message[] {
-        if (this.listed && this.options.announcesMembers !== true) {
-            return [];
-        }
         if (this.listed && nowMs - this.heardMs < silenceMs) {
             return [this.timer(nowMs)];
         }
--- a/src/fleet/assessment.ts
+++ b/src/fleet/assessment.ts
@@ -1,6 +1,13 @@
 /** Gathers what the leader and the instances see of a suspected primary. */
 import { type DatabaseReport, type FleetFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
-import { LinkCommandKind, LinkKind, LinkLoss, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
+import {
+    LinkCommandKind,
+    LinkKind,
+    LinkLoss,
+    type LinkLost,
+    type LinkOpened,
+    type LinkReplied,
+} from "../model/linkMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 
 type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -100,7 +100,11 @@
             .exhaustive();
     }
 
-    private greet(attachmentId: string, { serves, instanceId, address, dataCentre }: HelloFrame, nowMs: number): readonly Message[] {
+    private greet(
+        attachmentId: string,
+        { serves, instanceId, address, dataCentre }: HelloFrame,
+        nowMs: number,
+    ): readonly Message[] {
         if (!this.attachments.has(attachmentId)) {
             return [];
         }
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -96,13 +96,14 @@
             .with({ kind: FleetKind.DatabaseSuspected }, found => this.suspect(found.databaseId, nowMs))
             .with(
                 { kind: FleetKind.UsageMeasured },
-                found => this.toLeaders({
-                    kind: "usage",
-                    usage: found.usage,
-                    grantSequence: found.grantSequence,
-                    grantTerm: found.grantTerm,
-                    fractions: found.fractions,
-                }),
+                found =>
+                    this.toLeaders({
+                        kind: "usage",
+                        usage: found.usage,
+                        grantSequence: found.grantSequence,
+                        grantTerm: found.grantTerm,
+                        fractions: found.fractions,
+                    }),
             )
             .with({ kind: FleetKind.DirectoryDue }, () => this.checkLag(nowMs))
             .with({ kind: FleetKind.DrainStarted }, found => [
--- a/src/fleet/documents.ts
+++ b/src/fleet/documents.ts
@@ -155,7 +155,13 @@
 
     private elsewhere(requestId: string): DocumentAnswered {
         const result = this.leaderAddress === undefined ? DocumentResult.Unavailable : DocumentResult.Redirect;
-        return { kind: DocumentKind.Answered, requestId, result, document: undefined, leaderAddress: this.leaderAddress };
+        return {
+            kind: DocumentKind.Answered,
+            requestId,
+            result,
+            document: undefined,
+            leaderAddress: this.leaderAddress,
+        };
     }
 
     private answer(requestId: string, result: DocumentResult): readonly Message[] {
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -312,7 +312,8 @@
         const later = hasReached(left.status!.received, right.status!.received);
         const earlier = hasReached(right.status!.received, left.status!.received);
         if (later && earlier) {
-            return Number(right.report.state === ReportedState.Ready) - Number(left.report.state === ReportedState.Ready);
+            return Number(right.report.state === ReportedState.Ready)
+                - Number(left.report.state === ReportedState.Ready);
         }
         return later ? -1 : 1;
     })[0];
--- a/src/fleet/grantHolder.ts
+++ b/src/fleet/grantHolder.ts
@@ -12,7 +12,7 @@
     type UsageCounted,
     type UsageMeasured,
 } from "../model/fleetMessages.ts";
-import { type TrafficPolicy, emptyTrafficPolicy } from "../model/trafficPolicy.ts";
+import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -56,15 +56,17 @@
                 this.counts.set(workspace, (this.counts.get(workspace) ?? 0) + 1);
                 return [];
             })
-            .with({ kind: FleetKind.GrantShort }, () =>
-                nowMs - this.reportedMs < urgentIntervalMs ? [] : this.report(nowMs))
+            .with(
+                { kind: FleetKind.GrantShort },
+                () => nowMs - this.reportedMs < urgentIntervalMs ? [] : this.report(nowMs),
+            )
             .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
             .with({ kind: FleetKind.PolicyApplied }, found => {
                 this.policy = found.policy;
                 return [found, ...this.grant === undefined ? [] : [this.changed()]];
             })
             .with({ kind: FleetKind.UsageDue }, () => this.report(nowMs))
-            .otherwise(() => this.expire())
+            .otherwise(() => this.expire());
     }
 
     private receive({ frame }: FrameReceived, nowMs: number): readonly Message[] {
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -132,8 +132,10 @@
             .with({ kind: LinkKind.Opened }, found => this.toServices(service => service.opened(found, nowMs)))
             .with({ kind: LinkKind.Replied }, found => this.toServices(service => service.replied(found, nowMs)))
             .with({ kind: LinkKind.Lost }, found => this.toServices(service => service.lost(found, nowMs)))
-            .with({ kind: PromotionKind.Ordered }, found =>
-                this.services.get(found.service)?.ordered(found, nowMs) ?? [])
+            .with(
+                { kind: PromotionKind.Ordered },
+                found => this.services.get(found.service)?.ordered(found, nowMs) ?? [],
+            )
             .otherwise(() => this.tick(nowMs));
     }
 
--- a/src/fleet/rateGrants.ts
+++ b/src/fleet/rateGrants.ts
@@ -5,7 +5,13 @@
  */
 import { match } from "ts-pattern";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
-import { type Detached, FleetKind, type FrameReceived, type GrantFrame, type PolicyApplied } from "../model/fleetMessages.ts";
+import {
+    type Detached,
+    FleetKind,
+    type FrameReceived,
+    type GrantFrame,
+    type PolicyApplied,
+} from "../model/fleetMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
@@ -84,7 +90,9 @@
                 return [found];
             })
             .with({ kind: FleetKind.PolicyApplied }, found => {
-                this.rates = new Map([...found.policy.workspaces.values()].map(({ name, ratePerSecond }) => [name, ratePerSecond]));
+                this.rates = new Map(
+                    [...found.policy.workspaces.values()].map(({ name, ratePerSecond }) => [name, ratePerSecond]),
+                );
                 return [found];
             })
             .exhaustive();
--- a/src/fleet/readiness.ts
+++ b/src/fleet/readiness.ts
@@ -1,5 +1,11 @@
 /** Whether this instance takes new callers: it has a policy, knows databases, and does not stop. */
-import { type DatabaseChanged, type FleetDrainStarted, FleetKind, type PolicyApplied, type ReadinessChanged } from "../model/fleetMessages.ts";
+import {
+    type DatabaseChanged,
+    type FleetDrainStarted,
+    FleetKind,
+    type PolicyApplied,
+    type ReadinessChanged,
+} from "../model/fleetMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -3,7 +3,13 @@
  * database lacks: either the primary has stepped down and the choice has caught up with it, or every replica that could
  * acknowledge has stopped receiving and the furthest one is chosen.
  */
-import { CommandKind, ControlKind, type ControlProposalEnded, type ControlPropose, ProposalStatus } from "../model/controlMessages.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlProposalEnded,
+    type ControlPropose,
+    ProposalStatus,
+} from "../model/controlMessages.ts";
 import { type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { PromotionRecord } from "../model/promotion.ts";
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -1,6 +1,12 @@
 /** HTTP calls of operators and databases to a control member. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type DocumentAnswered, DocumentKind, type DocumentPut, type DocumentRead, DocumentResult } from "../model/document.ts";
+import {
+    type DocumentAnswered,
+    DocumentKind,
+    type DocumentPut,
+    type DocumentRead,
+    DocumentResult,
+} from "../model/document.ts";
 import { type DatabaseLeft, type DatabaseReported, FleetKind } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
@@ -38,8 +44,9 @@
 
     constructor(options: ControlServerOptions) {
         this.options = options;
-        this.server = createServer({ requestTimeout: bodyLimitMs, keepAliveTimeout: 30_000 }, (request, response) =>
-            this.route(request, response)
+        this.server = createServer(
+            { requestTimeout: bodyLimitMs, keepAliveTimeout: 30_000 },
+            (request, response) => this.route(request, response),
         );
     }
 
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -54,7 +54,10 @@
             case LinkKind.Open:
                 return this.open(message);
             case LinkKind.Send:
-                this.links.get(message.linkId)?.socket.write(message.commands.map(encodeCommand).join(""), wireEncoding);
+                this.links.get(message.linkId)?.socket.write(
+                    message.commands.map(encodeCommand).join(""),
+                    wireEncoding,
+                );
                 return;
             case LinkKind.Close:
                 return this.close(message.linkId);
@@ -74,8 +77,10 @@
         this.links.set(linkId, link);
         socket.write(`CONNECT ${service} ${workspace === "" ? ownId : workspace} ${databaseId}\r\n`, wireEncoding);
         socket.on("data", chunk => this.receive(linkId, link, chunk));
-        socket.on("error", (error: NodeJS.ErrnoException) =>
-            this.lose(linkId, link, error.code === "ECONNREFUSED" ? LinkLoss.NoListener : LinkLoss.Broken)
+        socket.on(
+            "error",
+            (error: NodeJS.ErrnoException) =>
+                this.lose(linkId, link, error.code === "ECONNREFUSED" ? LinkLoss.NoListener : LinkLoss.Broken),
         );
         socket.on("close", () => this.lose(linkId, link, LinkLoss.Broken));
     }
--- a/src/platform/wireStatements.ts
+++ b/src/platform/wireStatements.ts
@@ -2,7 +2,12 @@
 import type { LinkCommand } from "../model/linkMessages.ts";
 import { LinkCommandKind } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
-import { type SessionStatement, SessionStatementKind, StatementFault, TransactionState } from "../model/sessionStatement.ts";
+import {
+    type SessionStatement,
+    SessionStatementKind,
+    StatementFault,
+    TransactionState,
+} from "../model/sessionStatement.ts";
 import { splitWords } from "./wireLines.ts";
 
 /** Id of statements that the proxy issues itself, and the signature of answers that it gives itself. */
@@ -61,7 +66,7 @@
 
 export function decodePosition(text: string): Position | undefined {
     const found = /^(\d+)\.(\d+)$/.exec(text);
-    return found === null ? undefined : { term: Number(found[1]), offset: Number(found[2]) };
+    return found ? { term: Number(found[1]), offset: Number(found[2]) } : undefined;
 }
 
 /** Undefined when the text is none of the protocol's statements. */
@@ -82,9 +87,13 @@
         case "WRITE":
             return first === "" ? undefined : { ...base, kind: SessionStatementKind.Write };
         case "SET":
-            return first === "" ? undefined : { ...base, kind: SessionStatementKind.SetValue, name: first, argument: rest };
+            return first === ""
+                ? undefined
+                : { ...base, kind: SessionStatementKind.SetValue, name: first, argument: rest };
         case "EXECUTE":
-            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Execute, name: first, argument: rest };
+            return first === ""
+                ? undefined
+                : { ...base, kind: SessionStatementKind.Execute, name: first, argument: rest };
         case "DEALLOC":
             return first === "" ? undefined : { ...base, kind: SessionStatementKind.Deallocate, name: first };
         case "PREPARE":
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -1,12 +1,6 @@
 /** Attachments on the attaching side: one to each control member that is known. */
 import type { ClientDuplexStream } from "@grpc/grpc-js";
-import {
-    type Attached,
-    type Detached,
-    FleetKind,
-    type MembersKnown,
-    type SendFrame,
-} from "../model/fleetMessages.ts";
+import { type Attached, type Detached, FleetKind, type MembersKnown, type SendFrame } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -20,7 +20,9 @@
             question.service,
             question.workspace,
             question.mode,
-            statement === undefined ? 0 : [statement.kind, statement.id, statement.text, statement.name, statement.argument],
+            statement === undefined
+                ? 0
+                : [statement.kind, statement.id, statement.text, statement.name, statement.argument],
             Number(question.writes),
             Number(question.needsPrimary),
             question.values,
@@ -50,7 +52,9 @@
         writes: flat[6] === 1,
         needsPrimary: flat[7] === 1,
         values: flat[8] as readonly (readonly [string, string])[],
-        prepared: prepared === 0 ? undefined : { writes: prepared[0] === 1, shape: prepared[1] } satisfies PreparedShape,
+        prepared: prepared === 0
+            ? undefined
+            : { writes: prepared[0] === 1, shape: prepared[1] } satisfies PreparedShape,
         databaseId: String(flat[10]),
         after: decodePosition(flat[11]),
         limitMs: Number(flat[12]),
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -21,8 +21,8 @@
     TaskKind,
     TaskMode,
     type TaskSubmitted,
-    taskTimer,
     type TaskTimer,
+    taskTimer,
 } from "./taskMessages.ts";
 
 /**
@@ -176,4 +176,3 @@
 function latestStartMs({ receivedMs, deadlineMs, route }: Task): number {
     return Math.min(deadlineMs, receivedMs + waitShare * route.targetLatencyMs);
 }
-
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -32,8 +32,8 @@
     TaskKind,
     TaskMode,
     type TaskPlaced,
-    taskTimer,
     type TaskTimer,
+    taskTimer,
 } from "./taskMessages.ts";
 
 /**
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -105,7 +105,10 @@
 }
 
 /** What an executed name stands for in a session. */
-export function preparedOf(context: SessionContext, statement: SessionStatement | undefined): PreparedShape | undefined {
+export function preparedOf(
+    context: SessionContext,
+    statement: SessionStatement | undefined,
+): PreparedShape | undefined {
     return statement?.kind === SessionStatementKind.Execute ? context.prepared.get(statement.name) : undefined;
 }
 
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -37,8 +37,8 @@
     TaskKind,
     TaskMode,
     type TaskPlaced,
-    taskTimer,
     type TaskTimer,
+    taskTimer,
 } from "./taskMessages.ts";
 
 /** Wait for a new link to open; the opening itself takes about 12 ms and a slot. */
@@ -109,8 +109,7 @@
     process(message: LinksInput, nowMs: number): readonly Message[] {
         return match<LinksInput, readonly Message[]>(message)
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, found => this.place(found, nowMs))
-            .with({ kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) }, found =>
-                this.continue(found, nowMs))
+            .with({ kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) }, found => this.continue(found, nowMs))
             .with({ kind: P.union(TaskKind.Abandoned, TaskKind.PassedAbandoned) }, found => this.abandon(found))
             .with({ kind: LinkKind.Opened }, found => this.opened(found, nowMs))
             .with({ kind: LinkKind.Replied }, found => this.replied(found, nowMs))
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -1,12 +1,6 @@
 /** Tasks that other instances pass here because this one holds the links of the database. */
 import { match } from "ts-pattern";
-import {
-    type PassedTask,
-    type PeerAnswer,
-    type PeerAsked,
-    type PeerGone,
-    PeerKind,
-} from "../model/peerMessages.ts";
+import { type PassedTask, type PeerAnswer, type PeerAsked, type PeerGone, PeerKind } from "../model/peerMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type LinkTask, type TaskAbandoned, type TaskAttempted, TaskKind, type TaskMode } from "./taskMessages.ts";
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -26,8 +26,8 @@
     TaskKind,
     TaskMode,
     type TaskPlaced,
-    taskTimer,
     type TaskTimer,
+    taskTimer,
 } from "./taskMessages.ts";
 
 /** Pause before a task looks for a database again; a few times the way between data centres. */
@@ -171,7 +171,12 @@
             : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
     }
 
-    private send(routed: RoutedTask, databaseId: string, after: Position | undefined, nowMs: number): readonly Message[] {
+    private send(
+        routed: RoutedTask,
+        databaseId: string,
+        after: Position | undefined,
+        nowMs: number,
+    ): readonly Message[] {
         const { task } = routed;
         routed.waiting = false;
         routed.tried.add(databaseId);
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -1,7 +1,12 @@
 /** What is known of one caller's connection. */
 import { laterPosition, type Position } from "../model/position.ts";
 import type { SessionOpened } from "../model/sessionMessages.ts";
-import { emptySessionContext, type PreparedShape, type SessionContext, type SessionStatement } from "../model/sessionStatement.ts";
+import {
+    emptySessionContext,
+    type PreparedShape,
+    type SessionContext,
+    type SessionStatement,
+} from "../model/sessionStatement.ts";
 import type { Access } from "./authorization.ts";
 import type { Task } from "./taskMessages.ts";
 
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -1,6 +1,6 @@
 /** The sessions of callers: what they may ask, what is answered here, and what needs a database. */
 import { match } from "ts-pattern";
-import { FleetKind, type FleetDrainStarted, type PolicyApplied } from "../model/fleetMessages.ts";
+import { type FleetDrainStarted, FleetKind, type PolicyApplied } from "../model/fleetMessages.ts";
 import {
     type SessionAnswer,
     type SessionClosed,
@@ -124,8 +124,11 @@
                 session.deallocate(statement.name)
                     ? this.acknowledge(session)
                     : this.refuse(session, StatementFault.UnknownName, `"${statement.name}" is not prepared`))
-            .with(SessionStatementKind.Commit, SessionStatementKind.Rollback, () =>
-                this.finish(session, statement, nowMs))
+            .with(
+                SessionStatementKind.Commit,
+                SessionStatementKind.Rollback,
+                () => this.finish(session, statement, nowMs),
+            )
             .otherwise(() => this.run(session, statement, nowMs));
     }
 
--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -74,7 +74,10 @@
         await this.handle!.appendFile(data);
         const segment = this.segments.at(-1)!;
         segment.bytes += data.length;
-        segment.lastIndex = Math.max(segment.lastIndex, ...records.flatMap(({ entries }) => entries.map(({ index }) => index)));
+        segment.lastIndex = Math.max(
+            segment.lastIndex,
+            ...records.flatMap(({ entries }) => entries.map(({ index }) => index)),
+        );
     }
 
     async sync(): Promise<void> {
--- a/src/wiring/decisionLines.ts
+++ b/src/wiring/decisionLines.ts
@@ -35,20 +35,26 @@
             fault,
             detail,
         }),
-    line<TaskAttempted>(TaskKind.Attempted, ({ task, databaseId, reply, fault, sent }) =>
-        reply !== undefined && reply.fault === undefined ? undefined : {
-            request: task.statement?.id,
-            mode: task.mode,
-            database: databaseId,
-            answered: reply !== undefined,
-            fault: reply?.fault ?? fault,
-            sent,
-        }),
+    line<TaskAttempted>(
+        TaskKind.Attempted,
+        ({ task, databaseId, reply, fault, sent }) =>
+            reply !== undefined && reply.fault === undefined ? undefined : {
+                request: task.statement?.id,
+                mode: task.mode,
+                database: databaseId,
+                answered: reply !== undefined,
+                fault: reply?.fault ?? fault,
+                sent,
+            },
+    ),
     line<SessionRefuse>(SessionKind.Refuse, ({ sessionId, fault, detail }) => ({ session: sessionId, fault, detail })),
-    line<SessionAnswer>(SessionKind.Answer, ({ sessionId, answer }) =>
-        answer.fault === undefined || answer.position !== undefined
-            ? undefined
-            : { session: sessionId, fault: answer.fault, detail: answer.detail }),
+    line<SessionAnswer>(
+        SessionKind.Answer,
+        ({ sessionId, answer }) =>
+            answer.fault === undefined || answer.position !== undefined
+                ? undefined
+                : { session: sessionId, fault: answer.fault, detail: answer.detail },
+    ),
     line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault }) => ({ link: linkId, loss, fault })),
     line<DatabaseSuspected>(FleetKind.DatabaseSuspected, ({ databaseId }) => ({ database: databaseId })),
     line<DatabaseChanged>(FleetKind.DatabaseChanged, ({ report }) => ({
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -1,7 +1,9 @@
 /** Wires the processes that run on the users' platform: the proxy for callers, and control members. */
 import "disposablestack/auto";
-import { Attachments } from "../fleet/attachments.ts";
+import { controlFilters } from "../control/controlPipe.ts";
+import { FollowerFilter } from "../control/followerFilter.ts";
 import { AttachmentHub } from "../fleet/attachmentHub.ts";
+import { Attachments } from "../fleet/attachments.ts";
 import { Directory } from "../fleet/directory.ts";
 import { Documents } from "../fleet/documents.ts";
 import { GrantHolder } from "../fleet/grantHolder.ts";
@@ -9,8 +11,6 @@
 import { Promotions } from "../fleet/promotions.ts";
 import { RateGrants } from "../fleet/rateGrants.ts";
 import { Readiness } from "../fleet/readiness.ts";
-import { controlFilters } from "../control/controlPipe.ts";
-import { FollowerFilter } from "../control/followerFilter.ts";
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
@@ -303,7 +303,10 @@
             ControlKind.MembersAgreed,
             ControlKind.SeedsChanged,
         ];
-        const taken = new Set([...pipes.flatMap(pipe => [...pipe.accepts]), ...sinks.flatMap(sink => [...sink.accepts])]);
+        const taken = new Set([
+            ...pipes.flatMap(pipe => [...pipe.accepts]),
+            ...sinks.flatMap(sink => [...sink.accepts]),
+        ]);
         this.accepts = optional.filter(kind => !taken.has(kind));
     }
 
