--- /dev/null
+++ b/src/session/__tests__/sessionFixture.ts
@@ -0,0 +1,209 @@
+/** The session pipe of one instance in virtual time, before databases that the test answers for. */
+import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
+import { type LinkCommand, LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
+import { PeerKind } from "../../model/peerMessages.ts";
+import type { Position } from "../../model/position.ts";
+import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
+import {
+    type SessionStatement,
+    SessionStatementKind,
+    type StatementFault,
+    TransactionState,
+} from "../../model/sessionStatement.ts";
+import {
+    emptyTrafficPolicy,
+    RouteConsistency,
+    type RoutePolicy,
+    type TrafficPolicy,
+} from "../../model/trafficPolicy.ts";
+import { EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import type { Sink } from "../../pipeline/sink.ts";
+import { VirtualClock } from "../../pipeline/virtualClock.ts";
+import { Admission } from "../admission.ts";
+import { Forwarding } from "../forwarding.ts";
+import { Links } from "../links.ts";
+import { PassedTasks } from "../passedTasks.ts";
+import { Routing } from "../routing.ts";
+import { Sessions } from "../sessions.ts";
+
+export interface SentCommand {
+    readonly linkId: string;
+    readonly databaseId: string;
+    readonly workspace: string;
+    readonly command: LinkCommand;
+}
+
+/** Keeps what leaves the pipe, and answers nothing by itself. */
+export class SessionFixture implements Sink {
+    readonly accepts = [
+        ...Object.values(SessionKind).filter(kind => kind !== SessionKind.Requested && kind !== SessionKind.Opened),
+        LinkKind.Open,
+        LinkKind.Send,
+        LinkKind.Close,
+        FleetKind.UsageCounted,
+        FleetKind.GrantShort,
+        FleetKind.DatabaseSuspected,
+        FleetKind.Drained,
+        PeerKind.Send,
+        PeerKind.Answer,
+    ];
+    readonly clock = new VirtualClock();
+    readonly answers: SessionAnswer[] = [];
+    readonly sent: SentCommand[] = [];
+    readonly opened: LinkOpen[] = [];
+    readonly closed: string[] = [];
+    readonly others: Message[] = [];
+    private readonly loop: EventLoop;
+
+    constructor() {
+        const filters = [
+            new Sessions(),
+            new Admission(),
+            new PassedTasks(),
+            new Routing({ dataCentre: "dc1" }),
+            new Forwarding({ instanceId: "front1" }),
+            new Links(),
+        ];
+        this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("session", filters)], sinks: [this] });
+    }
+
+    deliver(message: Message): void {
+        switch (message.kind) {
+            case SessionKind.Answer:
+                this.answers.push(message as SessionAnswer);
+                return;
+            case LinkKind.Open:
+                this.opened.push(message as LinkOpen);
+                return;
+            case LinkKind.Close:
+                this.closed.push((message as LinkOpen).linkId);
+                return;
+            case LinkKind.Send: {
+                const { linkId, commands } = message as LinkSend;
+                const open = this.opened.find(link => link.linkId === linkId)!;
+                const { databaseId, workspace } = open;
+                commands.forEach(command => this.sent.push({ linkId, databaseId, workspace, command }));
+                return;
+            }
+            default:
+                this.others.push(message);
+        }
+    }
+
+    post(message: Message): void {
+        this.loop.post(message);
+        this.advance(0);
+    }
+
+    advance(durationMs: number): void {
+        this.clock.advanceTo(this.clock.nowMs() + durationMs);
+    }
+
+    /** Applies a policy with one workspace "w" (key "k") and the given routes, and grants it a wide rate. */
+    configure(...routes: readonly RoutePolicy[]): void {
+        const policy: TrafficPolicy = {
+            version: 1,
+            routesByDatabase: new Map(routes.map(route => [route.database, route])),
+            services: new Map([["s", { name: "s", connectionLimit: 22, synchronousReplicas: 1 }]]),
+            workspaces: new Map([
+                ["w", { name: "w", keys: ["k"], ratePerSecond: 100, burst: 100 }],
+                ["v", { name: "v", keys: ["kv"], ratePerSecond: 100, burst: 100 }],
+            ]),
+            workspaceByKey: new Map([["k", "w"], ["kv", "v"]]),
+            transactionIdleMs: 3_000,
+        };
+        this.post({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as PolicyApplied);
+        const grant = { ratePerSecond: 100, burst: 100 };
+        this.post({ kind: FleetKind.GrantsChanged, grants: new Map([["w", grant], ["v", grant]]) } as Message);
+    }
+
+    /** Applies a policy in which every key is withdrawn and the routes stay. */
+    configureWithoutKeys(): void {
+        const orders = route(RouteConsistency.Primary, "orders");
+        const policy: TrafficPolicy = {
+            ...emptyTrafficPolicy,
+            version: 2,
+            routesByDatabase: new Map([["orders", orders]]),
+        };
+        this.post({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as PolicyApplied);
+    }
+
+    announce(databaseId: string, leads: boolean, dataCentre = "dc1"): void {
+        const report: DatabaseReport = {
+            databaseId,
+            service: "s",
+            address: `${databaseId}:1`,
+            dataCentre,
+            slots: 3,
+            state: ReportedState.Ready,
+            leads,
+            sequence: 1,
+            bornUnixMs: 1,
+        };
+        this.post({ kind: FleetKind.DatabaseChanged, report } as Message);
+    }
+
+    connect(sessionId: string, database: string, key = "k"): void {
+        this.post({ kind: SessionKind.Opened, sessionId, database, key } as Message);
+    }
+
+    request(sessionId: string, statement: SessionStatement): void {
+        this.post({ kind: SessionKind.Requested, sessionId, statement } as Message);
+    }
+
+    /** Confirms the opening of every link that is still opening. */
+    openLinks(): void {
+        for (const { linkId } of this.opened.filter(link => !this.known.includes(link.linkId))) {
+            this.known.push(linkId);
+            this.post({ kind: LinkKind.Opened, linkId, position: undefined } as Message);
+        }
+    }
+
+    reply(linkId: string, parts: Partial<LinkReply> = {}): void {
+        const reply: LinkReply = {
+            rows: [],
+            signature: "sig",
+            fault: undefined,
+            detail: "",
+            transaction: TransactionState.None,
+            position: undefined,
+            status: undefined,
+            ...parts,
+        };
+        this.post({ kind: LinkKind.Replied, linkId, reply } as Message);
+    }
+
+    readonly known: string[] = [];
+
+    lastFault(): StatementFault | undefined {
+        return this.answers.at(-1)?.answer.fault;
+    }
+}
+
+export function at(term: number, offset: number): Position {
+    return { term, offset };
+}
+
+export function route(consistency: RouteConsistency, database: string, maximumAgeMs = 0): RoutePolicy {
+    return {
+        name: database,
+        database,
+        service: "s",
+        consistency,
+        maximumAgeMs,
+        statementLimitMs: 1_000,
+        targetLatencyMs: 500,
+        priority: 1,
+        open: false,
+    };
+}
+
+export function statement(
+    kind: SessionStatementKind,
+    id: string,
+    parts: Partial<SessionStatement> = {},
+): SessionStatement {
+    return { kind, id, text: `${kind} ${id}`, name: "", argument: "", prepared: undefined, ...parts };
+}
