--- /dev/null
+++ b/src/fleet/__tests__/documents.spec.ts
@@ -0,0 +1,153 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { emptyControlState } from "../../control/controlState.ts";
+import { putDocument } from "../../control/documentCommands.ts";
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlPropose,
+    ProposalStatus,
+    type PutDocument,
+} from "../../model/controlMessages.ts";
+import {
+    type ConfigurationDocument,
+    type DocumentAnswered,
+    type DocumentEntry,
+    DocumentKind,
+    DocumentResult,
+    emptyDocument,
+} from "../../model/document.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { diffDocuments } from "../documentDifference.ts";
+import { Documents } from "../documents.ts";
+
+function document(documentVersion: number, ...names: readonly string[]): ConfigurationDocument {
+    const entries = names.map((name): DocumentEntry => ({ entryId: `routes/${name}`, body: `"${name}"` }));
+    return { documentVersion, sections: [{ name: "routes", list: true }], entries };
+}
+
+class Leader {
+    readonly documents = new Documents();
+    readonly proposals: ControlPropose[] = [];
+    readonly answers: DocumentAnswered[] = [];
+
+    constructor() {
+        this.feed({ kind: ControlKind.LeaderChanged, leading: true, term: 1, leaderAddress: "a:1" } as Message);
+    }
+
+    feed(message: Message): void {
+        for (const output of this.documents.process(message as never, 0)) {
+            if (output.kind === ControlKind.Propose) {
+                this.proposals.push(output as ControlPropose);
+            }
+            else if (output.kind === DocumentKind.Answered) {
+                this.answers.push(output as DocumentAnswered);
+            }
+        }
+    }
+
+    put(requestId: string, sent: ConfigurationDocument): void {
+        this.feed({ kind: DocumentKind.Put, requestId, document: sent } as Message);
+    }
+
+    apply(applied: ConfigurationDocument): void {
+        const { entries, ...head } = applied;
+        const configuration = { documentHeads: [head], documentEntries: entries };
+        this.feed({ kind: ClusterKind.ConfigurationApplied, configuration } as never);
+    }
+
+    end(status: ProposalStatus): void {
+        const { proposalId } = this.proposals.at(-1)!;
+        this.feed({ kind: ControlKind.ProposalEnded, proposalId, status } as Message);
+    }
+
+    resultOf(requestId: string): string | undefined {
+        return this.answers.find(answer => answer.requestId === requestId)?.result;
+    }
+}
+
+describe("configuration documents on the leader", () => {
+    it("are acknowledged after their commit only", () => {
+        const leader = new Leader();
+        leader.put("1", document(3, "a"));
+        assert.equal(leader.resultOf("1"), undefined);
+        leader.apply(document(3, "a"));
+        leader.end(ProposalStatus.Applied);
+        assert.equal(leader.resultOf("1"), DocumentResult.Accepted);
+    });
+
+    it("go one after the other, the highest waiting one first, and the lower ones are acknowledged with it", () => {
+        const leader = new Leader();
+        leader.put("1", document(3, "a"));
+        leader.put("2", document(4, "a", "b"));
+        leader.put("3", document(6, "a", "c"));
+        assert.equal(leader.proposals.length, 1);
+        leader.apply(document(3, "a"));
+        leader.end(ProposalStatus.Applied);
+        assert.equal((leader.proposals[1]!.command as PutDocument).head.documentVersion, 6);
+        leader.apply(document(6, "a", "c"));
+        leader.end(ProposalStatus.Applied);
+        assert.deepEqual(["2", "3"].map(id => leader.resultOf(id)), [DocumentResult.Accepted, DocumentResult.Accepted]);
+    });
+
+    it("change nothing when they are not newer, and are acknowledged all the same", () => {
+        const leader = new Leader();
+        leader.apply(document(5, "a"));
+        leader.put("1", document(5, "other"));
+        assert.equal(leader.resultOf("1"), DocumentResult.Accepted);
+        assert.equal(leader.proposals.length, 0);
+    });
+
+    it("get no clear answer when the leadership is lost", () => {
+        const leader = new Leader();
+        leader.put("1", document(3, "a"));
+        leader.feed({ kind: ControlKind.LeaderChanged, leading: false, term: 2 } as Message);
+        assert.equal(leader.resultOf("1"), DocumentResult.Unavailable);
+    });
+
+    it("are read only behind a barrier, and elsewhere the leader is named", () => {
+        const leader = new Leader();
+        leader.apply(document(5, "a"));
+        leader.feed({ kind: DocumentKind.Read, requestId: "r" } as Message);
+        assert.equal(leader.proposals[0]!.command.kind, CommandKind.ReadBarrier);
+        assert.equal(leader.resultOf("r"), undefined);
+        leader.end(ProposalStatus.Conflict);
+        assert.equal(leader.resultOf("r"), DocumentResult.Found);
+        leader.feed({ kind: ControlKind.LeaderChanged, leading: false, term: 2, leaderAddress: "b:1" } as Message);
+        leader.feed({ kind: DocumentKind.Read, requestId: "s" } as Message);
+        assert.equal(leader.resultOf("s"), DocumentResult.Redirect);
+    });
+});
+
+describe("differences of documents", () => {
+    it("lead from any document to any other, in order", () => {
+        const steps = [
+            document(1, "a", "b", "c"),
+            document(2, "a", "b", "c", "d"),
+            document(3, "b", "d"),
+            document(4, "d", "b", "a"),
+            document(5),
+        ];
+        let state = emptyControlState;
+        let before = emptyDocument;
+        for (const after of steps) {
+            state = putDocument(state, diffDocuments(before, after)).state;
+            assert.deepEqual(state.configuration.documentEntries, after.entries);
+            before = after;
+        }
+    });
+
+    it("carry only what changed when routes are added", () => {
+        const before = document(1, "a", "b");
+        const change = diffDocuments(before, document(2, "a", "b", "c"));
+        assert.deepEqual(change.upserts.map(({ entryId }) => entryId), ["routes/c"]);
+        assert.deepEqual(change.removals, []);
+    });
+
+    it("are refused on top of another version", () => {
+        const state = putDocument(emptyControlState, diffDocuments(emptyDocument, document(2, "a"))).state;
+        const late = diffDocuments(emptyDocument, document(3, "b"));
+        assert.equal(putDocument(state, late).status, ProposalStatus.Conflict);
+    });
+});
--- /dev/null
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -0,0 +1,176 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { type DatabaseReport, ReportedState } from "../../model/fleetMessages.ts";
+import {
+    type LinkCommand,
+    LinkCommandKind,
+    LinkKind,
+    LinkLoss,
+    type LinkOpen,
+    type LinkSend,
+} from "../../model/linkMessages.ts";
+import { TransactionState } from "../../model/sessionStatement.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Fencing, type FencingOptions } from "../fencing.ts";
+
+class Service {
+    readonly fencing: Fencing;
+    readonly commands = new Map<string, LinkCommand[]>();
+    private readonly links = new Map<string, string>();
+    private nextLink = 0;
+    nowMs = 0;
+
+    constructor(parts: Partial<FencingOptions> = {}) {
+        this.fencing = new Fencing({
+            reports: ["p", "a", "b"].map(report),
+            primaryId: "p",
+            planned: false,
+            synchronous: true,
+            serving: ["f1"],
+            nextLinkId: () => `m${this.nextLink++}`,
+            startedMs: 0,
+            ...parts,
+        });
+        this.take(this.fencing.open());
+    }
+
+    open(databaseId: string, term: number, offset: number): void {
+        const linkId = this.linkOf(databaseId);
+        this.take(
+            this.fencing.opened({ kind: LinkKind.Opened, linkId, position: { term, offset } }, this.nowMs),
+        );
+    }
+
+    /** The database answers its last command. */
+    answer(databaseId: string, leads: boolean, term: number, offset: number, logTerm = term): void {
+        const linkId = this.linkOf(databaseId);
+        const reply = {
+            rows: [],
+            signature: "-",
+            fault: undefined,
+            detail: "",
+            transaction: TransactionState.None,
+            position: undefined,
+            status: { leads, term, received: { term: logTerm, offset } },
+        };
+        this.take(this.fencing.replied({ kind: LinkKind.Replied, linkId, reply }, this.nowMs));
+    }
+
+    lose(databaseId: string, loss: LinkLoss): void {
+        const linkId = this.linkOf(databaseId);
+        this.take(this.fencing.lost({ kind: LinkKind.Lost, linkId, loss, fault: undefined }, this.nowMs));
+    }
+
+    decide(afterMs = 0): string | undefined {
+        this.nowMs += afterMs;
+        const { messages, choice } = this.fencing.decide(this.nowMs);
+        this.take(messages);
+        return choice;
+    }
+
+    lastCommand(databaseId: string): string | undefined {
+        return this.commands.get(databaseId)?.at(-1)?.kind;
+    }
+
+    private take(messages: readonly Message[]): void {
+        for (const message of messages) {
+            if (message.kind === LinkKind.Open) {
+                const { linkId, databaseId } = message as LinkOpen;
+                this.links.set(linkId, databaseId);
+            }
+            else if (message.kind === LinkKind.Send) {
+                const { linkId, commands } = message as LinkSend;
+                const databaseId = this.links.get(linkId)!;
+                this.commands.set(databaseId, [...this.commands.get(databaseId) ?? [], ...commands]);
+            }
+        }
+    }
+
+    private linkOf(databaseId: string): string {
+        return [...this.links].filter(([, owner]) => owner === databaseId).at(-1)![0];
+    }
+}
+
+function report(databaseId: string): DatabaseReport {
+    return {
+        databaseId,
+        service: "s",
+        address: `${databaseId}:1`,
+        dataCentre: "d",
+        slots: 3,
+        state: ReportedState.Ready,
+        leads: databaseId === "p",
+        sequence: 1,
+        bornUnixMs: 1,
+    };
+}
+
+describe("fencing before a promotion", () => {
+    it("chooses the furthest replica after all have stopped receiving", () => {
+        const service = new Service();
+        service.lose("p", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        assert.equal(service.lastCommand("a"), LinkCommandKind.Pause);
+        service.answer("a", false, 3, 10);
+        assert.equal(service.decide(), undefined);
+        service.open("b", 3, 9);
+        service.answer("b", false, 3, 12);
+        assert.equal(service.decide(), "b");
+    });
+
+    it("asks with a term above every known one", () => {
+        const service = new Service();
+        service.open("a", 7, 10);
+        const command = service.commands.get("a")!.at(-1)!;
+        assert.ok(command.kind === LinkCommandKind.Pause && command.term === 8);
+    });
+
+    it("does not choose while a replica that is out of reach may still acknowledge", () => {
+        // Guards against the loss of commits that only the unreachable replica has.
+        const service = new Service();
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        assert.equal(service.decide(5_000), undefined);
+    });
+
+    it("chooses without a replica that is gone once every instance has told what it saw acknowledged", () => {
+        const service = new Service();
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        assert.equal(service.decide(1_300), undefined);
+        service.fencing.noteAcknowledged("f1", { term: 3, offset: 11 });
+        assert.equal(service.decide(), undefined);
+        service.fencing.noteAcknowledged("f1", { term: 3, offset: 10 });
+        assert.equal(service.decide(), "a");
+    });
+
+    it("lets the primary step down on a planned change and waits for a replica that has all of it", () => {
+        const service = new Service({ planned: true });
+        service.open("p", 3, 20);
+        assert.equal(service.lastCommand("p"), LinkCommandKind.StepDown);
+        service.open("a", 3, 19);
+        assert.equal(service.lastCommand("a"), undefined);
+        service.answer("p", false, 4, 20, 3);
+        assert.equal(service.decide(70), undefined);
+        assert.equal(service.lastCommand("a"), LinkCommandKind.Status);
+        service.answer("a", false, 3, 20);
+        assert.equal(service.decide(), "a");
+    });
+
+    it("takes an earlier order that was carried out late for done", () => {
+        const service = new Service();
+        service.open("a", 3, 10);
+        service.answer("a", true, 4, 10);
+        const { choice, alreadyLeads } = service.fencing.decide(10);
+        assert.deepEqual([choice, alreadyLeads], ["a", true]);
+    });
+
+    it("promotes the furthest that answers where nothing waits for replicas", () => {
+        const service = new Service({ synchronous: false });
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        assert.equal(service.decide(100), "a");
+    });
+});
--- /dev/null
+++ b/src/rpc/__tests__/taskCodec.spec.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { PassedResult, PeerQuestion } from "../../model/peerMessages.ts";
+import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
+import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "../taskCodec.ts";
+
+const base = { taskId: "t1", sessionId: "s1", service: "s", workspace: "w", mode: "single", limitMs: 500 } as const;
+
+describe("passed tasks on the wire", () => {
+    it("arrive as they were sent", () => {
+        const read = {
+            kind: SessionStatementKind.Read,
+            id: "5c",
+            text: "READ 1a4",
+            name: "",
+            argument: "",
+            prepared: undefined,
+        };
+        const executed = { ...read, kind: SessionStatementKind.Execute, text: "", name: "n", argument: "i d" };
+        const questions: readonly PeerQuestion[] = [
+            {
+                ...base,
+                kind: "task",
+                statement: read,
+                writes: false,
+                needsPrimary: false,
+                values: [["a", "1 2"]],
+                prepared: undefined,
+                databaseId: "i-1",
+                after: { term: 3, offset: 9 },
+            },
+            {
+                ...base,
+                kind: "task",
+                statement: executed,
+                writes: true,
+                needsPrimary: true,
+                values: [],
+                prepared: { writes: true, shape: "q" },
+                databaseId: "",
+                after: undefined,
+            },
+            { kind: "abandon", sessionId: "s1", taskId: undefined },
+            { kind: "abandon", sessionId: "s1", taskId: "t1" },
+        ];
+        questions.forEach(question => assert.deepEqual(decodeQuestion(encodeQuestion(question)), question));
+    });
+
+    it("bring back every flag and fault of their result", () => {
+        const reply = {
+            rows: ["x y"],
+            signature: "7.1",
+            fault: undefined,
+            detail: "",
+            transaction: TransactionState.Open,
+            position: { term: 1, offset: 2 },
+            status: undefined,
+        };
+        const results: readonly PassedResult[] = [
+            { taskId: "t1", reply, fault: undefined, sent: true, leads: true, pinned: true },
+            { taskId: "t1", reply: undefined, fault: StatementFault.Busy, sent: false, leads: false, pinned: false },
+            { taskId: "t1", reply: undefined, fault: undefined, sent: true, leads: false, pinned: false },
+        ];
+        results.forEach(result => assert.deepEqual(decodeResult(encodeResult(result)), result));
+    });
+});
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -2,7 +2,13 @@
 import type { LinkReply } from "../model/linkMessages.ts";
 import type { PassedResult, PeerQuestion } from "../model/peerMessages.ts";
 import type { Position } from "../model/position.ts";
-import type { PreparedShape, SessionStatement, StatementFault, TransactionState } from "../model/sessionStatement.ts";
+import {
+    type PreparedShape,
+    type SessionStatement,
+    SessionStatementKind,
+    type StatementFault,
+    type TransactionState,
+} from "../model/sessionStatement.ts";
 import type { TaskFrameMessage } from "./generated/tasks.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
 
@@ -20,9 +26,7 @@
             question.service,
             question.workspace,
             question.mode,
-            statement === undefined
-                ? 0
-                : [statement.kind, statement.id, statement.text, statement.name, statement.argument],
+            statement === undefined ? 0 : encodeStatement(statement),
             Number(question.writes),
             Number(question.needsPrimary),
             question.values,
@@ -100,12 +104,18 @@
     };
 }
 
+/** The text of an executed statement is not sent: the name and what follows it say the same. */
+function encodeStatement({ kind, id, text, name, argument }: SessionStatement): readonly string[] {
+    return kind === SessionStatementKind.Execute ? [kind, id, name, argument] : [kind, id, text];
+}
+
 function decodeStatement(flat: 0 | readonly string[]): SessionStatement | undefined {
     if (flat === 0) {
         return undefined;
     }
-    const [kind, id, text, name, argument] = flat as [SessionStatement["kind"], string, string, string, string];
-    return { kind, id, text, name, argument, prepared: undefined };
+    const [kind, id, third, argument = ""] = flat as [SessionStatementKind, string, string, string?];
+    const executed = kind === SessionStatementKind.Execute;
+    return { kind, id, text: executed ? "" : third, name: executed ? third : "", argument, prepared: undefined };
 }
 
 function encodePosition(position: Position | undefined): 0 | readonly [number, number] {
