fix(control): a wiped member is back within a second or two

Change: it asks every 200 ms until it is listed. The new test needs 2 s and fails with the old interval.

--- a/src/control/__tests__/cluster.spec.ts
+++ b/src/control/__tests__/cluster.spec.ts
@@ -117,6 +117,16 @@
         assert.deepEqual(cluster.nodes.get(other)!.configuration, cluster.nodes.get(leader)!.configuration);
     });
 
+    it("has a wiped member back within 2 s, so that a second loss finds a majority", () => {
+        // Guards against a list of two members for seconds, in which the next lost disk ends the cluster.
+        for (let clusterSeed = 1; clusterSeed <= 20; clusterSeed++) {
+            const cluster = formed(3, clusterSeed);
+            const wiped = [...cluster.nodes.keys()].find(memberId => memberId !== cluster.leader()!.memberId)!;
+            cluster.wipe(wiped);
+            cluster.runUntil("the wiped member back", () => cluster.isWhole(), 2_000);
+        }
+    });
+
     it("readmits a wiped member as a newcomer, twice in a row, also when it founded the cluster", () => {
         const cluster = formed(3);
         for (const memberId of ["m0", "m1"]) {
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -8,8 +8,15 @@
 import type { Message } from "../pipeline/message.ts";
 import { isReachableMember, memberKey, MemberKind, type MembersChanged, type TimerEvent } from "./memberMessages.ts";
 
-/** Interval at which an instance asks to join until it is a member. */
-export const joinIntervalMs = 1_000;
+/**
+ * Interval at which an instance asks to join until it is a member. Becoming one takes four questions: to be tracked, to
+ * have caught up, and for each of the two changes of the list. Until then the loss of another disk may be the loss of a
+ * majority, so this has to be well over within the few seconds that a replaced machine is given.
+ */
+export const joinIntervalMs = 200;
+
+/** Interval at which a listed member that hears nobody asks. */
+const silentJoinIntervalMs = 1_000;
 
 /** Age up to which a peer's word that its disk is empty counts: two intervals and some delay. */
 const joinAnswerValidityMs = 2_500;
@@ -79,7 +86,7 @@
                 return this.ask(nowMs);
             case MemberKind.MembersChanged:
                 this.listed = isReachableMember(message.members, this.options.self);
-                return this.announce(message.members);
+                return [...this.announce(message.members), ...this.listed ? [] : [this.timer(nowMs)]];
             case ControlKind.SeedsChanged:
                 this.targets = message.seeds;
                 return [];
@@ -163,6 +170,7 @@
     }
 
     private timer(nowMs: number): Message {
-        return setDeadline("control.form", nowMs + joinIntervalMs, { kind: MemberKind.FormDue });
+        const intervalMs = this.listed ? silentJoinIntervalMs : joinIntervalMs;
+        return setDeadline("control.form", nowMs + intervalMs, { kind: MemberKind.FormDue });
     }
 }
