perf(fleet): a configuration travels as the entries that changed

Cause: operators list routes by name, so each new one stands between others; the difference took that for a change of order and sent all entries. Change: entries carry a place, and an added one gets a place between its neighbours.

--- a/src/fleet/documentDifference.ts
+++ b/src/fleet/documentDifference.ts
@@ -2,23 +2,62 @@
 import { CommandKind, type PutDocument } from "../model/controlMessages.ts";
 import type { ConfigurationDocument, DocumentEntry } from "../model/document.ts";
 
-/** A change of order replaces all entries, because added entries always go to the end. */
+/** Distance of two places below which a section is numbered anew; far above the precision of a number. */
+const minimumDistance = 1e-6;
+
+/** Unchanged entries keep their places, so an element that is added between others is the only change. */
 export function diffDocuments(before: ConfigurationDocument, after: ConfigurationDocument): PutDocument {
     const { documentVersion, sections } = after;
-    const known = new Map(before.entries.map(entry => [entry.entryId, entry.body]));
+    const known = new Map(before.entries.map(entry => [entry.entryId, entry]));
     const wanted = new Set(after.entries.map(({ entryId }) => entryId));
-    const kept = before.entries.filter(({ entryId }) => wanted.has(entryId)).map(({ entryId }) => entryId);
-    const added = after.entries.filter(({ entryId }) => !known.has(entryId)).map(({ entryId }) => entryId);
-    const sameOrder = [...kept, ...added].every((entryId, position) => entryId === after.entries[position]!.entryId);
-    const changed: readonly DocumentEntry[] = sameOrder
-        ? after.entries.filter(({ entryId, body }) => known.get(entryId) !== body)
-        : after.entries;
-    const removals = sameOrder ? [...known.keys()].filter(entryId => !wanted.has(entryId)) : [...known.keys()];
+    const placed = sections.flatMap(({ name }) =>
+        placeSection(after.entries.filter(entry => isIn(entry, name)), known)
+    );
     return {
         kind: CommandKind.PutDocument,
         head: { documentVersion, sections },
         baseVersion: before.documentVersion,
-        upserts: changed,
-        removals,
+        upserts: placed.filter(entry => !isSame(entry, known.get(entry.entryId))),
+        removals: [...known.keys()].filter(entryId => !wanted.has(entryId)),
     };
 }
+
+/** @param entries of one section, in the wanted order */
+function placeSection(
+    entries: readonly DocumentEntry[],
+    known: ReadonlyMap<string, DocumentEntry>,
+): readonly DocumentEntry[] {
+    const sorted = [...entries].sort((left, right) => left.place - right.place);
+    const placed: DocumentEntry[] = [];
+    let last = 0;
+    for (const [position, entry] of sorted.entries()) {
+        const kept = known.get(entry.entryId)?.place;
+        const place = kept !== undefined && kept > last ? kept : (last + nextPlace(sorted, position, known, last)) / 2;
+        if (place - last < minimumDistance) {
+            return sorted.map((other, index) => ({ ...other, place: index + 1 }));
+        }
+        placed.push({ ...entry, place });
+        last = place;
+    }
+    return placed;
+}
+
+/** The place of the next entry that can keep its own; beyond the last one there is room for whole numbers. */
+function nextPlace(
+    sorted: readonly DocumentEntry[],
+    position: number,
+    known: ReadonlyMap<string, DocumentEntry>,
+    last: number,
+): number {
+    const next = sorted.slice(position + 1).map(({ entryId }) => known.get(entryId)?.place)
+        .find(place => place !== undefined && place > last);
+    return next ?? last + 2;
+}
+
+function isIn({ entryId }: DocumentEntry, section: string): boolean {
+    return entryId === section || entryId.startsWith(`${section}/`);
+}
+
+function isSame(entry: DocumentEntry, known: DocumentEntry | undefined): boolean {
+    return known !== undefined && known.body === entry.body && known.place === entry.place;
+}
--- a/src/model/document.ts
+++ b/src/model/document.ts
@@ -8,6 +8,8 @@
     readonly entryId: string;
     /** JSON text. */
     readonly body: string;
+    /** Orders the elements of a section; not always a whole number, so that one can be added between two others. */
+    readonly place: number;
 }
 
 /** What a document consists of besides its entries. */
@@ -19,7 +21,7 @@
 }
 
 export interface ConfigurationDocument extends DocumentHead {
-    /** In order. */
+    /** In any order; `place` tells the order. */
     readonly entries: readonly DocumentEntry[];
 }
 
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -72,7 +72,7 @@
         entries: sections.flatMap(([section, value]) =>
             isList(section, value)
                 ? listEntries(section, value as readonly { readonly name?: unknown; }[])
-                : [{ entryId: section, body: JSON.stringify(value) }]
+                : [{ entryId: section, body: JSON.stringify(value), place: 1 }]
         ),
     };
 }
@@ -81,7 +81,8 @@
 export function encodeDocument({ documentVersion, sections, entries }: ConfigurationDocument): string {
     const bodies = sections.map(({ name: section, list }) => {
         const own = entries.filter(({ entryId }) => list ? entryId.startsWith(`${section}/`) : entryId === section);
-        const value = own.map(({ body }) => body).join(",");
+        const ordered = [...own].sort((left, right) => left.place - right.place);
+        const value = ordered.map(({ body }) => body).join(",");
         return `${JSON.stringify(section)}:${list ? `[${value}]` : value}`;
     });
     return `{${[`"version":${documentVersion}`, ...bodies].join(",")}}`;
@@ -194,6 +195,6 @@
         const plain = `${section}/${String(element.name)}`;
         const entryId = seen.has(plain) ? `${plain}#${position}` : plain;
         seen.add(entryId);
-        return { entryId, body: JSON.stringify(element) };
+        return { entryId, body: JSON.stringify(element), place: position + 1 };
     });
 }
--- a/src/wiring/decisionLines.ts
+++ b/src/wiring/decisionLines.ts
@@ -1,5 +1,11 @@
 /** What the log of a process on the platform says of each decision. */
-import { ControlKind, type ControlLeaderChanged, type ControlMembersAgreed } from "../model/controlMessages.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlLeaderChanged,
+    type ControlMembersAgreed,
+    type ControlPropose,
+} from "../model/controlMessages.ts";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
@@ -70,6 +76,16 @@
         version: policy.version,
         promoted: [...promoted].map(([service, databaseId]) => `${service}=${databaseId}`).join(","),
     })),
+    line<ControlPropose>(ControlKind.Propose, ({ proposalId, command }) =>
+        command.kind === CommandKind.PutDocument
+            ? {
+                proposal: proposalId,
+                version: command.head.documentVersion,
+                base: command.baseVersion,
+                changed: command.upserts.length,
+                removed: command.removals.length,
+            }
+            : { proposal: proposalId, command: command.kind }),
     line<ControlLeaderChanged>(ControlKind.LeaderChanged, ({ leading, term, leaderId }) => ({
         leading,
         term,
