fix(session): a stopping instance refuses new sessions once callers no longer arrive

Idle sessions were closed, new ones still accepted. Change: after the platform has taken the instance out of rotation, a new session is refused as not run.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -253,6 +253,20 @@
         assert.ok(fixture.others.some(({ kind }) => kind === FleetKind.Drained));
     });
 
+    it("takes no new session once callers no longer arrive", () => {
+        // Guards against a request that is read shortly before the process ends and never answered.
+        const fixture = primaryFixture();
+        const drain = { kind: FleetKind.DrainStarted, idleSessionsUntilMs: 0, transactionsUntilMs: 3_000 };
+        fixture.post({ ...drain, final: false } as never);
+        fixture.connect("s2", "orders");
+        assert.ok(fixture.others.some(({ kind }) => kind === SessionKind.Accept));
+        fixture.others.length = 0;
+        fixture.post({ ...drain, final: true } as never);
+        fixture.connect("s3", "orders");
+        assert.deepEqual(fixture.others.filter(({ kind }) => kind === SessionKind.Refuse).length, 1);
+        assert.ok(!fixture.others.some(({ kind }) => kind === SessionKind.Accept));
+    });
+
     it("ends a transaction that is idle too long", () => {
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -71,6 +71,11 @@
 
     private open(opened: SessionOpened, nowMs: number): readonly Message[] {
         const { sessionId } = opened;
+        if (this.drain?.final === true) {
+            // What would be asked on it could be cut off by the end of the process.
+            const detail = "the instance stops; not run, connect again";
+            return [{ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail } as Message];
+        }
         if (this.policy.version === 0) {
             this.early.set(sessionId, opened);
             return [this.limitTimer(sessionId, nowMs + policyWaitMs)];
