fix(control): a member finds the leader where it is now, and a split first vote costs less

Cause: an instance that came back under another address asked at the addresses of its settings only, and a leader that did so had nobody to ask; the specs passed because another member led. Change: the agreed members are asked too, a moved leader asks itself, and up to four elections after a start are quick.

--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -64,8 +64,9 @@
         ControlKind.SeedsChanged,
     ];
     private readonly options: FormationFilterOptions;
-    /** Instances that are asked; the agreed members are added to those of the settings. */
-    private targets: readonly InitialMember[];
+    /** Instances to ask by the settings, and by the last list of members. */
+    private seeds: readonly InitialMember[];
+    private members: readonly InitialMember[] = [];
     private heardMs = -Infinity;
     /** This instance takes part in a cluster, or may have promised something to one. */
     private formed = false;
@@ -75,7 +76,7 @@
 
     constructor(options: FormationFilterOptions) {
         this.options = options;
-        this.targets = options.initialMembers;
+        this.seeds = options.initialMembers;
     }
 
     process(message: FormationInput, nowMs: number): readonly Message[] {
@@ -88,7 +89,7 @@
                 this.listed = isReachableMember(message.members, this.options.self);
                 return [...this.announce(message.members), ...this.listed ? [] : [this.timer(nowMs)]];
             case ControlKind.SeedsChanged:
-                this.targets = message.seeds;
+                this.seeds = message.seeds;
                 return [];
             case LogKind.JoinRequest:
                 return [this.answer(message), message];
@@ -112,14 +113,16 @@
         return [recovered, this.timer(nowMs), ...this.announce(members)];
     }
 
+    /** Follows the members to where they are now, and tells other pipes where that wants it. */
     private announce(members: readonly Member[]): readonly Message[] {
-        if (this.options.announcesMembers !== true || members.length === 0) {
+        if (members.length === 0) {
             return [];
         }
-        const seeds = this.targets.filter(seed => !members.some(({ address }) => address === seed.address));
-        this.targets = [...members, ...seeds];
+        this.members = members;
         const addresses = members.map(({ address }) => address);
-        return [{ kind: ControlKind.MembersAgreed, addresses } as ControlMembersAgreed];
+        return this.options.announcesMembers === true
+            ? [{ kind: ControlKind.MembersAgreed, addresses } as ControlMembersAgreed]
+            : [];
     }
 
     private ask(nowMs: number): readonly Message[] {
@@ -133,11 +136,17 @@
             return [{ kind: MemberKind.Form, members: founding } as Message];
         }
         const { self } = this.options;
-        const requests = this.targets.filter(({ address }) => address !== self.address).map(({ memberId, address }) => {
+        const targets = [
+            ...this.members,
+            ...this.seeds.filter(seed => !this.members.some(({ address }) => address === seed.address)),
+        ];
+        const requests = targets.filter(({ address }) => address !== self.address).map(({ memberId, address }) => {
             const to = { memberId, address, incarnation: "" };
             return send({ kind: LogKind.JoinRequest, from: self, to, term: 0, callId: "" });
         });
-        return [...requests, this.timer(nowMs)];
+        // A leader that came back under another address has nobody else to ask.
+        const own = this.formed ? [send({ kind: LogKind.JoinRequest, from: self, to: self, term: 0, callId: "" })] : [];
+        return [...requests, ...own, this.timer(nowMs)];
     }
 
     /** The members of a new cluster, if this instance may found it now. */
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -33,6 +33,9 @@
 export const firstElectionMs = 350;
 export const firstElectionJitterMs = 350;
 
+/** Votes of members that start together may be split; then the next election comes as soon. */
+const maximumFirstElections = 4;
+
 const electionKey = "control.election";
 
 type VoteInput =
@@ -76,8 +79,8 @@
     private tally: Tally | undefined;
     private leaderHeardMs = -Infinity;
     private electionAtMs = Infinity;
-    /** The first election since the start has not been due yet, and no leader was heard. */
-    private recovered = false;
+    /** Elections that may still come sooner, because no leader was heard since the start. */
+    private firstElections = 0;
 
     constructor(options: VoteFilterOptions) {
         this.options = options;
@@ -88,7 +91,7 @@
             case StorageKind.Recovered:
                 this.term = message.term;
                 this.votedFor = message.votedFor;
-                this.recovered = true;
+                this.firstElections = maximumFirstElections;
                 return [message, this.restartTimer(nowMs)];
             case MemberKind.TermChanged:
                 return [message, ...this.changeTerm(message, nowMs)];
@@ -125,7 +128,7 @@
         if (this.role === MemberRole.Leader || nowMs < this.electionAtMs) {
             return [];
         }
-        this.recovered = false;
+        this.firstElections = Math.max(0, this.firstElections - 1);
         const timer = this.restartTimer(nowMs);
         if (!isMember(ready.members, this.options.self)) {
             return [timer];
@@ -227,7 +230,7 @@
     }
 
     private restartTimer(nowMs: number): Message {
-        const first = this.recovered && this.leaderHeardMs === -Infinity;
+        const first = this.firstElections > 0 && this.leaderHeardMs === -Infinity;
         const timeoutMs = first ? firstElectionMs : electionTimeoutMs;
         const jitterMs = first ? firstElectionJitterMs : electionJitterMs;
         this.electionAtMs = nowMs + timeoutMs + this.options.random.nextInteger(jitterMs);
