--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -62,21 +62,42 @@
 
     /**
      * For each record in order, removes entries from its `fromIndex` on and appends its entries. Durable after the next
-     * `sync`. All go into one checked record: a power loss that keeps a later write and not an earlier one would
-     * otherwise leave valid data behind an invalid record, which cannot be told from damage.
+     * `sync`. What is not synced yet is one checked record: a power loss that keeps a later write and not an earlier one
+     * would otherwise leave valid data behind an invalid record, which cannot be told from damage.
      */
     async append(records: readonly LogRecord[]): Promise<void> {
-        if (this.segments.at(-1)!.bytes >= this.options.segmentBytes) {
-            await this.roll();
+        for (const chunk of this.split(records)) {
+            // A chunk that fills a segment is followed by a new one, and rolling syncs what came before.
+            if (this.segments.at(-1)!.bytes >= this.options.segmentBytes) {
+                await this.roll();
+            }
+            await this.writeChunk(chunk);
         }
-        const plain = records.map(({ fromIndex, entries }) => ({ fromIndex, entries }));
-        const data = encodeRecord(Buffer.from(JSON.stringify(plain)));
+    }
+
+    /** Every chunk but the last one fills a segment. */
+    private split(records: readonly LogRecord[]): readonly (readonly LogRecord[])[] {
+        const chunks: LogRecord[][] = [[]];
+        let bytes = this.segments.at(-1)!.bytes;
+        for (const { fromIndex, entries } of records) {
+            if (bytes >= this.options.segmentBytes && chunks.at(-1)!.length > 0) {
+                chunks.push([]);
+                bytes = 0;
+            }
+            chunks.at(-1)!.push({ fromIndex, entries });
+            bytes += JSON.stringify({ fromIndex, entries }).length;
+        }
+        return chunks.filter(chunk => chunk.length > 0);
+    }
+
+    private async writeChunk(chunk: readonly LogRecord[]): Promise<void> {
+        const data = encodeRecord(Buffer.from(JSON.stringify(chunk)));
         await this.handle!.appendFile(data);
         const segment = this.segments.at(-1)!;
         segment.bytes += data.length;
         segment.lastIndex = Math.max(
             segment.lastIndex,
-            ...records.flatMap(({ entries }) => entries.map(({ index }) => index)),
+            ...chunk.flatMap(({ entries }) => entries.map(({ index }) => index)),
         );
     }
 
