--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -253,6 +253,20 @@
         assert.ok(fixture.others.some(({ kind }) => kind === FleetKind.Drained));
     });
 
+    it("closes a session whose last transaction the stop has ended", () => {
+        // Guards against a session that stays open after an answer of the proxy itself, and is cut off with a request.
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        const drain = { kind: FleetKind.DrainStarted, idleSessionsUntilMs: 0, transactionsUntilMs: 1_000, final: true };
+        fixture.post(drain as never);
+        fixture.advance(1_001);
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        assert.equal(fixture.lastFault(), StatementFault.Aborted);
+        fixture.request("s1", statement(SessionStatementKind.Rollback, "r"));
+        assert.equal(fixture.lastFault(), undefined);
+        assert.ok(fixture.others.some(({ kind }) => kind === SessionKind.Close));
+    });
+
     it("takes no new session once callers no longer arrive", () => {
         // Guards against a request that is read shortly before the process ends and never answered.
         const fixture = primaryFixture();
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -101,7 +101,9 @@
             return [];
         }
         if (session.running === undefined) {
-            return this.start(session, statement, nowMs);
+            const messages = this.start(session, statement, nowMs);
+            // What is answered here at once may have been the last thing that a stopping instance waited for.
+            return session.running === undefined ? [...messages, ...this.proceed(session, nowMs)] : messages;
         }
         session.waiting.push(statement);
         return session.waiting.length > maximumWaiting ? this.cutOff(session) : [];
