refactor(wiring): one end of a process for both kinds

The platform's wiring had a copy of the class that settles when an instance has drained or its disk failed. Behaviour is unchanged. npm test: 328 of 329, the known red one passed over.

--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -3,7 +3,6 @@
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged, type ControlProposalEnded } from "../model/controlMessages.ts";
 import {
-    type Attached,
     type DatabaseChanged,
     type DatabaseHeard,
     type DatabaseRemoved,
@@ -36,7 +35,6 @@
     | DatabaseHeard
     | DatabaseChanged
     | DatabaseRemoved
-    | Attached
     | Detached
     | FrameReceived
     | LinkOpened
--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -10,7 +10,6 @@
 import { ClusterKind } from "../model/clusterMessages.ts";
 import type { Command } from "../model/controlMessages.ts";
 import { HealthKind } from "../model/healthMessages.ts";
-import { StorageKind } from "../model/storageMessages.ts";
 import { EventLoop, type LoopObserver } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
@@ -42,6 +41,7 @@
 import { StateLog } from "../telemetry/stateLog.ts";
 import { buildPipes, type PipeOptions } from "./buildPipes.ts";
 import { InstanceView } from "./instanceView.ts";
+import { ProcessEnd } from "./processEnd.ts";
 import { SystemClock } from "./systemClock.ts";
 
 /** Contents of the files that the settings name. */
@@ -100,7 +100,7 @@
     const drain = createDrain(settings, clock, post);
     const recorder = await openRecorder(parts);
     const view = new InstanceView({ options, clock, counters, frontend, recorder, drain });
-    const end = new ProcessEnd();
+    const end = new ProcessEnd(ClusterKind.DrainEnded);
     const sinks = [
         frontend,
         new StateLog(logger),
@@ -262,28 +262,3 @@
         post({ kind: ClusterKind.DrainStarted, deadlineMs } as Message);
     };
 }
-
-/** Settles when the instance has drained, or when its disk failed. */
-class ProcessEnd implements Sink {
-    readonly accepts = [ClusterKind.DrainEnded, StorageKind.Failed];
-    readonly promise: Promise<void>;
-    private succeed: () => void = () => undefined;
-    private fail: (reason: Error) => void = () => undefined;
-
-    constructor() {
-        this.promise = new Promise((resolve, reject) => {
-            this.succeed = resolve;
-            this.fail = reject;
-        });
-    }
-
-    deliver(message: Message): void {
-        if (message.kind === ClusterKind.DrainEnded) {
-            this.succeed();
-        }
-        else {
-            const { reason } = message as Message & { readonly reason: string; };
-            this.fail(new Error(`the data folder cannot be written: ${reason}`));
-        }
-    }
-}
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -14,7 +14,6 @@
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
-import { StorageKind } from "../model/storageMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import { Pipe } from "../pipeline/pipe.ts";
@@ -46,6 +45,7 @@
 import { DecisionLog } from "../telemetry/decisionLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { decisionLines } from "./decisionLines.ts";
+import { ProcessEnd } from "./processEnd.ts";
 import { SuspensionClock } from "./suspensionClock.ts";
 
 const clusterName = "jasmineline";
@@ -92,7 +92,7 @@
     const clock = new SuspensionClock();
     const post = (message: Message): void => loop.post(message);
     const parts: Parts = { ...inputs, clock, post, network, authentication, logger, stack };
-    const end = new ProcessEnd();
+    const end = new ProcessEnd(FleetKind.Drained);
     const { pipes, sinks, started } = control
         ? await buildControl(parts)
         : await buildProxy(parts);
@@ -265,31 +265,6 @@
     setTimeout(() => end.deliver({ kind: FleetKind.Drained }), settings.stopLimitMs - stopMarginMs);
 }
 
-/** Settles when the instance has drained, and fails when its disk did. */
-class ProcessEnd implements Sink {
-    readonly accepts = [FleetKind.Drained, StorageKind.Failed];
-    readonly promise: Promise<void>;
-    private succeed: () => void = () => undefined;
-    private fail: (reason: Error) => void = () => undefined;
-
-    constructor() {
-        this.promise = new Promise((resolve, reject) => {
-            this.succeed = resolve;
-            this.fail = reject;
-        });
-    }
-
-    deliver(message: Message): void {
-        if (message.kind === FleetKind.Drained) {
-            this.succeed();
-        }
-        else {
-            const { reason } = message as Message & { readonly reason: string; };
-            this.fail(new Error(`the data folder cannot be written: ${reason}`));
-        }
-    }
-}
-
 /** Takes the messages that only some processes have a use for. */
 class IgnoreRest implements Sink {
     readonly accepts: readonly string[];
