fix(rates): a data centre that is cut off goes on admitting for 10 s

Change: permit homes have a lease of 10 s. The leader reassigns one after 3.5 s of silence as before; the new home asks the former one to retire. It begins at once when that one has ended or its process is gone, and after 10 s when nobody answers. A home that itself still waits passes the rest of its wait on to the next one. The leader prefers instances that have seen the homes before, and a new leader renews a permit lease for a new process 7 s later than before.

--- a/bench/clusterInstance.ts
+++ b/bench/clusterInstance.ts
@@ -1,8 +1,14 @@
 /** One instance of the rate model: the product's filters in the product's event loop, on a clock of its own. */
 import { ClusterKind, type ConfigurationApplied } from "../src/model/clusterMessages.ts";
 import type { Configuration } from "../src/model/configuration.ts";
-import { clockDriftShare } from "../src/model/lease.ts";
-import { type PermitForward, PermitKind, type PermitReply } from "../src/model/permitMessages.ts";
+import { clockDriftShare, leaseMs, permitLeaseMs } from "../src/model/lease.ts";
+import {
+    type PermitForward,
+    PermitKind,
+    type PermitReply,
+    type PermitRetire,
+    type PermitRetireReply,
+} from "../src/model/permitMessages.ts";
 import { RateKind, type RatesDemandMeasured } from "../src/model/rateMessages.ts";
 import { EventLoop } from "../src/pipeline/eventLoop.ts";
 import type { Message } from "../src/pipeline/message.ts";
@@ -18,6 +24,8 @@
     refused(arrivalId: number): void;
     forward(from: ClusterInstance, message: PermitForward): void;
     reply(from: ClusterInstance, message: PermitReply): void;
+    retire(from: ClusterInstance, message: PermitRetire): void;
+    retireReply(from: ClusterInstance, message: PermitRetireReply): void;
     demand(from: ClusterInstance, message: RatesDemandMeasured): void;
 }
 
@@ -78,7 +86,7 @@
     }
 
     /** Takes the leader's answer to a heartbeat that was sent at `sentMs` of the simulation. */
-    renewLeases(configuration: Configuration, sentMs: number, permitLeaseMs: number): void {
+    renewLeases(configuration: Configuration, sentMs: number): void {
         const sentLocalMs = this.clock.localMs(sentMs);
         if (configuration.version <= this.version) {
             this.post({
@@ -90,7 +98,8 @@
         this.post({
             kind: ClusterKind.LeasesRenewed,
             leases: configuration.leases.filter(lease => lease.instanceId === this.id),
-            validUntilMs: sentLocalMs + permitLeaseMs * (1 - clockDriftShare),
+            validUntilMs: sentLocalMs + leaseMs * (1 - clockDriftShare),
+            permitsUntilMs: sentLocalMs + permitLeaseMs * (1 - clockDriftShare),
         } as Message);
     }
 
@@ -100,6 +109,8 @@
             sink(AdmitKind.Refused, message => effects.refused(message.connectionId as number)),
             sink(PermitKind.Forward, message => effects.forward(this, message as unknown as PermitForward)),
             sink(PermitKind.Reply, message => effects.reply(this, message as unknown as PermitReply)),
+            sink(PermitKind.Retire, message => effects.retire(this, message as unknown as PermitRetire)),
+            sink(PermitKind.RetireReply, message => effects.retireReply(this, message as unknown as PermitRetireReply)),
             sink(RateKind.DemandMeasured, message => effects.demand(this, message as unknown as RatesDemandMeasured)),
         ];
     }
--- a/bench/permitNetwork.ts
+++ b/bench/permitNetwork.ts
@@ -1,5 +1,12 @@
 /** Calls between entry instances and permit homes of one data centre, with loss, duplication and delay of answers. */
-import { type PermitForward, PermitKind, type PermitReply } from "../src/model/permitMessages.ts";
+import {
+    type PermitForward,
+    PermitKind,
+    type PermitReply,
+    type PermitRetire,
+    type PermitRetireReply,
+    RetireOutcome,
+} from "../src/model/permitMessages.ts";
 import type { Message } from "../src/pipeline/message.ts";
 import type { SeededRandom } from "../src/pipeline/seededRandom.ts";
 import type { ClusterInstance } from "./clusterInstance.ts";
@@ -20,6 +27,10 @@
     private readonly network: Network;
     private readonly simulation: Simulation;
     private readonly random: SeededRandom;
+    private readonly retirements = new Map<
+        string,
+        { readonly from: ClusterInstance; readonly retire: PermitRetire; }
+    >();
     private readonly calls = new Map<string, { readonly from: ClusterInstance; readonly forward: PermitForward; }>();
     private nextCall = 0;
 
@@ -66,6 +77,35 @@
         }
     }
 
+    /** @param former undefined when its address belongs to nobody */
+    retire(from: ClusterInstance, retire: PermitRetire, former: ClusterInstance | undefined): void {
+        const origin = `retire${this.nextCall++}`;
+        this.retirements.set(origin, { from, retire });
+        const { resourceId, epoch } = retire;
+        this.simulation.after(this.localDelay(), () => {
+            if (former?.alive) {
+                former.post({ kind: PermitKind.RetireAsked, origin, resourceId, epoch } as Message);
+            }
+            else {
+                this.answerRetire(origin, RetireOutcome.Gone, 0);
+            }
+        });
+    }
+
+    /** An answer that is lost is never reported; the asker then waits or asks again, as it does after a time limit. */
+    retireReply({ origin, known, waitMs }: PermitRetireReply): void {
+        if (!this.happens(this.network.lostShare)) {
+            this.answerRetire(origin, known ? RetireOutcome.Ended : RetireOutcome.Gone, waitMs);
+        }
+    }
+
+    private answerRetire(origin: string, outcome: RetireOutcome, waitMs: number): void {
+        const { from, retire: { resourceId, epoch } } = this.retirements.get(origin)!;
+        this.retirements.delete(origin);
+        const retired = { kind: PermitKind.Retired, resourceId, epoch, outcome, waitMs } as Message;
+        this.simulation.after(this.localDelay(), () => from.post(retired));
+    }
+
     private fail(origin: string): void {
         const { from, forward: { requestId, workspace } } = this.calls.get(origin)!;
         this.calls.delete(origin);
--- a/bench/proxyCluster.ts
+++ b/bench/proxyCluster.ts
@@ -202,7 +202,7 @@
         this.toEach(dataCentre => !this.network.isCutOff(dataCentre), ({ options }) => {
             const leases = [...this.databases.values()].map(database => this.lease(database))
                 .filter(lease => lease.instanceId === options.instanceId);
-            return { kind: ClusterKind.LeasesRenewed, leases, validUntilMs } as Message;
+            return { kind: ClusterKind.LeasesRenewed, leases, validUntilMs, permitsUntilMs: validUntilMs } as Message;
         });
         this.simulation.after(heartbeatIntervalMs, () => this.renewLeases());
     }
--- a/bench/rateCluster.ts
+++ b/bench/rateCluster.ts
@@ -9,7 +9,7 @@
     ProposalStatus,
     type SetRateShares,
 } from "../src/model/controlMessages.ts";
-import { heartbeatIntervalMs, type LeaseAssignment, leaseMs, reassignAfterMs } from "../src/model/lease.ts";
+import { heartbeatIntervalMs, type LeaseAssignment, reassignAfterMs } from "../src/model/lease.ts";
 import { RateKind, type RatesDemandMeasured } from "../src/model/rateMessages.ts";
 import type { StatementKind } from "../src/model/statement.ts";
 import { EventLoop } from "../src/pipeline/eventLoop.ts";
@@ -30,8 +30,6 @@
     readonly movesShares: boolean;
     readonly clockSpeed?: (instanceIndex: number) => number;
     readonly refillShare?: number;
-    /** Lease time of permit homes, for trials; the agreed one by default. */
-    readonly permitLeaseMs?: number;
 }
 
 export interface Offered {
@@ -186,6 +184,9 @@
             forward: (from, message) =>
                 this.network.forward(from, message, this.instances.find(({ id }) => id === message.homeAddress)),
             reply: (_, message) => this.network.reply(message),
+            retire: (from, message) =>
+                this.network.retire(from, message, this.instances.find(({ id }) => id === message.homeAddress)),
+            retireReply: (_, message) => this.network.retireReply(message),
             demand: (from, message) => this.sendDemand(from, message),
         };
     }
@@ -214,7 +215,7 @@
                 const answer = this.configuration;
                 this.simulation.after(
                     this.delayToLeader(instance),
-                    () => instance.renewLeases(answer, sentMs, this.permitLeaseMs),
+                    () => instance.renewLeases(answer, sentMs),
                 );
             });
         }
@@ -223,8 +224,7 @@
 
     /** Gives leases of silent instances to another instance of their data centre that answers. */
     private reassignSilent(): void {
-        const reassignMs = reassignAfterMs * this.permitLeaseMs / leaseMs;
-        const isSilent = (id: string) => this.answeredMs.get(id)! + reassignMs <= this.simulation.nowMs;
+        const isSilent = (id: string) => this.answeredMs.get(id)! + reassignAfterMs <= this.simulation.nowMs;
         let changed = false;
         const leases = this.configuration.leases.map(lease => {
             const heir = isSilent(lease.instanceId) ? this.heirOf(lease, isSilent) : undefined;
@@ -299,10 +299,6 @@
             : this.instances.find(instance => instance.alive && instance.dataCentre === wanted.dataCentre) ?? wanted;
     }
 
-    private get permitLeaseMs(): number {
-        return this.options.permitLeaseMs ?? leaseMs;
-    }
-
     private leaderReaches(instance: ClusterInstance): boolean {
         return !this.cut.has(instance.dataCentre) && !this.cut.has(instance.id);
     }
--- a/bench/runRates.ts
+++ b/bench/runRates.ts
@@ -21,14 +21,7 @@
     readonly admittedMs: ReadonlyMap<number, number>;
 }
 
-/** @param permitLeaseMs lease time of permit homes in a trial; the agreed one when undefined */
-export function runRates(
-    user: User,
-    shape: LoadShape,
-    policy: RatePolicy,
-    seed: number,
-    permitLeaseMs?: number,
-): RateRun {
+export function runRates(user: User, shape: LoadShape, policy: RatePolicy, seed: number): RateRun {
     const arrivals = [...shape.arrivals(user, new SeededRandom(seed))].sort((left, right) => left.atMs - right.atMs);
     const cluster = new RateCluster({
         random: new SeededRandom(seed + 1),
@@ -44,7 +37,6 @@
             lateShare: 0,
         },
         movesShares: policy.movesShares,
-        ...(permitLeaseMs === undefined ? {} : { permitLeaseMs }),
     });
     arrivals.forEach(({ atMs, workspaceIndex, instanceIndex }, arrivalId) =>
         cluster.simulation.at(atMs, () =>
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -83,7 +83,12 @@
     const configuration = configurationOf(workspaces);
     const home = new GrantPermits({ dataCentre });
     push(home, 0, { kind: ClusterKind.ConfigurationApplied, configuration });
-    push(home, 0, { kind: ClusterKind.LeasesRenewed, leases: configuration.leases, validUntilMs: 1e9 });
+    push(home, 0, {
+        kind: ClusterKind.LeasesRenewed,
+        leases: configuration.leases,
+        validUntilMs: 1e9,
+        permitsUntilMs: 1e9,
+    });
     push(home, 0, { kind: ClusterKind.ConfigurationProved, version: 1, provedAtMs: 0 });
     return home;
 }
--- a/bench/statementSlopes.ts
+++ b/bench/statementSlopes.ts
@@ -139,7 +139,7 @@
         }
     };
     run({ kind: ClusterKind.DatabasesChanged, databases: [view] });
-    run({ kind: ClusterKind.LeasesRenewed, leases: [lease], validUntilMs: 1e9 });
+    run({ kind: ClusterKind.LeasesRenewed, leases: [lease], validUntilMs: 1e9, permitsUntilMs: 1e9 });
     return timeEach(index =>
         run({
             kind: HolderKind.Request,
--- a/src/health/__tests__/heartbeat.spec.ts
+++ b/src/health/__tests__/heartbeat.spec.ts
@@ -67,6 +67,7 @@
             kind: ClusterKind.LeasesRenewed,
             leases,
             validUntilMs: 3_700,
+            permitsUntilMs: 10_000,
         });
         const proved = { kind: ClusterKind.ConfigurationProved, version: 5, provedAtMs: 1_000 };
         assert.deepEqual(find(messages, ClusterKind.ConfigurationProved), proved);
--- a/src/health/heartbeatSender.ts
+++ b/src/health/heartbeatSender.ts
@@ -261,7 +261,8 @@
             instanceId: this.options.instanceId,
             instanceAddress: this.options.address,
         }));
-        return { kind: ClusterKind.LeasesRenewed, leases, validUntilMs: this.leases.validUntilMs };
+        const { validUntilMs, permitsUntilMs } = this.leases;
+        return { kind: ClusterKind.LeasesRenewed, leases, validUntilMs, permitsUntilMs };
     }
 
     private nextIn(intervalMs: number, nowMs: number): Message {
--- a/src/health/instanceTable.ts
+++ b/src/health/instanceTable.ts
@@ -8,6 +8,8 @@
     readonly incarnation: string;
     readonly draining: boolean;
     readonly heardAtMs: number;
+    /** Time of the first heartbeat of this incarnation. */
+    readonly sinceMs: number;
 }
 
 /** Silence after which an instance gets no new lease: three heartbeats. */
@@ -29,7 +31,10 @@
 
     take({ instanceId, address, dataCentre, incarnation, draining }: Heartbeat, nowMs: number): void {
         this.dataCentres.add(dataCentre);
-        this.instances.set(instanceId, { instanceId, address, dataCentre, incarnation, draining, heardAtMs: nowMs });
+        const known = this.instances.get(instanceId);
+        const sinceMs = known?.incarnation === incarnation ? known.sinceMs : nowMs;
+        const instance = { instanceId, address, dataCentre, incarnation, draining, heardAtMs: nowMs, sinceMs };
+        this.instances.set(instanceId, instance);
     }
 
     /** Heard of within `suspectAfterMs`; a draining instance is alive but takes nothing new. */
--- a/src/health/leaseAssigner.ts
+++ b/src/health/leaseAssigner.ts
@@ -20,7 +20,7 @@
     type LeaseEnded,
     type LeaseRelease,
 } from "../model/healthMessages.ts";
-import { type LeaseAssignment, ResourceKind } from "../model/lease.ts";
+import { type LeaseAssignment, permitLeaseMs, ResourceKind } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { chooseHolder } from "./holderChoice.ts";
@@ -221,7 +221,7 @@
             return [];
         }
         const needed = [...this.wanted()].filter(wanted => this.terms.needsAssignment(keyOf(wanted), nowMs));
-        const assignments = needed.length === 0 ? [] : this.chooseAll(needed, this.instances.candidates(nowMs));
+        const assignments = needed.length === 0 ? [] : this.chooseAll(needed, nowMs);
         if (assignments.length === 0) {
             return [];
         }
@@ -232,10 +232,8 @@
         return [{ kind: ControlKind.Propose, proposalId, operationId: "", command }];
     }
 
-    private chooseAll(
-        needed: readonly Wanted[],
-        candidates: ReadonlyMap<string, readonly Instance[]>,
-    ): LeaseAssignment[] {
+    private chooseAll(needed: readonly Wanted[], nowMs: number): LeaseAssignment[] {
+        const candidates = this.instances.candidates(nowMs);
         const assignments: LeaseAssignment[] = [];
         const added = new Map<string, number>();
         for (const wanted of needed) {
@@ -244,7 +242,8 @@
             }
             const key = keyOf(wanted);
             const own = candidates.get(wanted.dataCentre) ?? [];
-            const possible = own.length === 0 && wanted.anywhere ? [...candidates.values()].flat() : own;
+            const alive = own.length === 0 && wanted.anywhere ? [...candidates.values()].flat() : own;
+            const possible = wanted.resource === ResourceKind.Permits ? preferSettled(alive, nowMs) : alive;
             const loaded = possible.map(({ instanceId, address }) => {
                 return { instanceId, address, load: this.terms.loadOf(instanceId) + (added.get(instanceId) ?? 0) };
             });
@@ -287,3 +286,9 @@
 function databaseKey(databaseId: string): string {
     return keyOf({ resource: ResourceKind.Database, resourceId: databaseId });
 }
+
+/** A permit home may begin sooner where the process has seen the homes before it come and go. */
+function preferSettled(instances: readonly Instance[], nowMs: number): readonly Instance[] {
+    const settled = instances.filter(({ sinceMs }) => nowMs - sinceMs >= permitLeaseMs);
+    return settled.length > 0 ? settled : instances;
+}
--- a/src/health/leaseTerms.ts
+++ b/src/health/leaseTerms.ts
@@ -1,7 +1,14 @@
 /** What the leader knows of the running of each lease: which process may use it, and whether it has ended. */
 import type { Configuration } from "../model/configuration.ts";
 import type { Heartbeat, LeaseReference } from "../model/healthMessages.ts";
-import { type LeaseAssignment, newLeaderGraceMs, reassignAfterMs } from "../model/lease.ts";
+import {
+    type LeaseAssignment,
+    leaseMs,
+    newLeaderGraceMs,
+    permitLeaseMs,
+    reassignAfterMs,
+    ResourceKind,
+} from "../model/lease.ts";
 import { keyOf } from "./ownLeases.ts";
 
 interface LeaseTerm {
@@ -146,8 +153,12 @@
 
     // An instance that has not applied the assignment could still see the database in a role that has been replaced.
     private canBind(term: LeaseTerm, heartbeat: Heartbeat, nowMs: number): boolean {
+        // Within one epoch no home asks another to retire, so a new process waits for the whole lease of its predecessor.
+        const predecessorEndMs = term.assignment.resource === ResourceKind.Permits
+            ? this.graceEndMs + permitLeaseMs - leaseMs
+            : this.graceEndMs;
         return term.incarnation === undefined
-            && (term.fresh || nowMs >= this.graceEndMs)
+            && (term.fresh || nowMs >= predecessorEndMs)
             && heartbeat.configurationVersion >= term.sinceVersion;
     }
 }
--- a/src/health/ownLeases.ts
+++ b/src/health/ownLeases.ts
@@ -1,25 +1,34 @@
 /** The leases of this instance, by its own clock. */
 import type { LeaseReference } from "../model/healthMessages.ts";
-import { clockDriftShare, type LeaseAssignment, leaseMs, ResourceKind } from "../model/lease.ts";
+import { clockDriftShare, type LeaseAssignment, leaseMs, permitLeaseMs, ResourceKind } from "../model/lease.ts";
 
 /** Leases are valid until the sending of the heartbeat that renewed them plus this, by the clock of the holder. */
 export const leaseValidityMs = leaseMs * (1 - clockDriftShare);
 
+/** The same for the leases of permit homes. */
+const permitValidityMs = permitLeaseMs * (1 - clockDriftShare);
+
 /** A lease that was given back stays so until its resource has a later epoch. */
 export class OwnLeases {
     private renewed: readonly LeaseReference[] = [];
     private readonly given = new Map<string, LeaseReference>();
+    /** End of the leases of databases. */
     validUntilMs = 0;
+    /** End of the leases of permit homes. */
+    permitsUntilMs = 0;
 
     /** Takes the leases of the answer to a heartbeat that was sent at `sentAtMs`. */
     renew(renewed: readonly LeaseReference[], sentAtMs: number): void {
         this.renewed = renewed.filter(lease => (this.given.get(keyOf(lease))?.epoch ?? 0) < lease.epoch);
         this.validUntilMs = sentAtMs + leaseValidityMs;
+        this.permitsUntilMs = sentAtMs + permitValidityMs;
     }
 
     /** Leases still valid at `nowMs`. */
     valid(nowMs: number): readonly LeaseReference[] {
-        return nowMs < this.validUntilMs ? this.renewed : [];
+        return this.renewed.filter(({ resource }) =>
+            nowMs < (resource === ResourceKind.Permits ? this.permitsUntilMs : this.validUntilMs)
+        );
     }
 
     /** Ends the matching leases on this side. Returns whether there was one. */
--- a/src/model/clusterMessages.ts
+++ b/src/model/clusterMessages.ts
@@ -60,11 +60,14 @@
     readonly provedAtMs: number;
 }
 
-/** The leases that this instance holds, each valid until `validUntilMs`, local monotonic time. Replaces the last list. */
+/** The leases that this instance holds, with the local monotonic times of their ends. Replaces the last list. */
 export interface LeasesRenewed extends Message {
     readonly kind: typeof ClusterKind.LeasesRenewed;
     readonly leases: readonly LeaseAssignment[];
+    /** End of the leases of databases. */
     readonly validUntilMs: number;
+    /** End of the leases of permit homes. */
+    readonly permitsUntilMs: number;
 }
 
 /** This instance stops: no new callers, leases are given back, running work ends until `deadlineMs`. */
--- a/src/model/lease.ts
+++ b/src/model/lease.ts
@@ -26,7 +26,13 @@
 /** Lease time, counted by the holder from the moment it sent the renewing heartbeat. */
 export const leaseMs = 3_000;
 
-/** Part of `leaseMs` that a holder gives up because clocks of two machines may run at different speeds. */
+/**
+ * Lease time of permit homes. A data centre that is cut off goes on admitting for so long; it is the usual validity of
+ * keys, after which its instances admit nobody anyway. A new home therefore asks the former one to retire.
+ */
+export const permitLeaseMs = 10_000;
+
+/** Part of a lease time that a holder gives up because clocks of two machines may run at different speeds. */
 export const clockDriftShare = 0.1;
 
 /** Time after its last answer to a silent instance at which the leader reassigns; `leaseMs` plus a margin. */
--- a/src/model/permitMessages.ts
+++ b/src/model/permitMessages.ts
@@ -10,8 +10,27 @@
     Granted: "permit.granted",
     /** Answer of the permit home to another instance; taken by the gRPC sink. */
     Reply: "permit.reply",
+    /** Asks the former home at `homeAddress` to end; taken by the gRPC sink. */
+    Retire: "permit.retire",
+    /** What became of that question, at the instance that asked. */
+    Retired: "permit.retired",
+    /** The question at the former home. */
+    RetireAsked: "permit.retire_asked",
+    /** Answer of the former home; taken by the gRPC sink. */
+    RetireReply: "permit.retire_reply",
 } as const;
 
+/** What is known of a former permit home that was asked to end. */
+export const RetireOutcome = {
+    /** It has ended, and knows since when the homes before it have. */
+    Ended: "ended",
+    /** Its process is gone, or a new one that knows nothing of the resource has taken its address. */
+    Gone: "gone",
+    /** No answer: it may still grant permits. */
+    Silent: "silent",
+} as const;
+export type RetireOutcome = typeof RetireOutcome[keyof typeof RetireOutcome];
+
 /** Time from the request's sending after which an unused permit must not be used. */
 export const permitValidityMs = 200;
 
@@ -57,3 +76,35 @@
     readonly kind: typeof PermitKind.Reply;
     readonly origin: string;
 }
+
+interface RetireBody extends Message {
+    readonly resourceId: string;
+    /** Epoch of the lease that replaces the one of the former home. */
+    readonly epoch: number;
+}
+
+export interface PermitRetire extends RetireBody {
+    readonly kind: typeof PermitKind.Retire;
+    readonly homeAddress: string;
+}
+
+export interface PermitRetired extends RetireBody {
+    readonly kind: typeof PermitKind.Retired;
+    readonly outcome: RetireOutcome;
+    /** Time from now for which homes before the former one may still grant; meaningful with `Ended` only. */
+    readonly waitMs: number;
+}
+
+export interface PermitRetireAsked extends RetireBody {
+    readonly kind: typeof PermitKind.RetireAsked;
+    /** Id of the gRPC call. */
+    readonly origin: string;
+}
+
+export interface PermitRetireReply extends Message {
+    readonly kind: typeof PermitKind.RetireReply;
+    readonly origin: string;
+    /** False when this process knows nothing of the resource's former home. */
+    readonly known: boolean;
+    readonly waitMs: number;
+}
--- a/src/model/rateMessages.ts
+++ b/src/model/rateMessages.ts
@@ -8,6 +8,8 @@
     DemandMeasured: "rates.demand_measured",
     /** Timer of the permit home. */
     MeasureDue: "rates.measure_due",
+    /** Timer of a permit home that may not begin yet. */
+    TakeoverDue: "rates.takeover_due",
     /** Timer of the control leader. */
     DivideDue: "rates.divide_due",
 } as const;
@@ -37,5 +39,5 @@
 }
 
 export interface RatesTimer extends Message {
-    readonly kind: typeof RateKind.MeasureDue | typeof RateKind.DivideDue;
+    readonly kind: typeof RateKind.MeasureDue | typeof RateKind.TakeoverDue | typeof RateKind.DivideDue;
 }
--- a/src/rates/__tests__/grantPermits.spec.ts
+++ b/src/rates/__tests__/grantPermits.spec.ts
@@ -14,7 +14,7 @@
     resourceId: "shop@north",
     instanceId: "a",
     instanceAddress: "a:1",
-    epoch: 4,
+    epoch: 1,
 };
 const validUntilMs = 100_000;
 
@@ -42,7 +42,12 @@
     }
 
     renew(nowMs: number, version = 9): void {
-        this.push(nowMs, { kind: ClusterKind.LeasesRenewed, leases: [lease], validUntilMs });
+        this.push(nowMs, {
+            kind: ClusterKind.LeasesRenewed,
+            leases: [lease],
+            validUntilMs: 0,
+            permitsUntilMs: validUntilMs,
+        });
         this.push(nowMs, { kind: ClusterKind.ConfigurationProved, version, provedAtMs: nowMs });
     }
 
@@ -82,7 +87,7 @@
         const unproved = new Home();
         unproved.renew(0, 10);
         assert.equal(unproved.ask(5_000, 1).answered, false);
-        const otherEpoch = new Home(3);
+        const otherEpoch = new Home(2);
         otherEpoch.renew(0);
         assert.equal(otherEpoch.ask(5_000, 1).answered, false);
     });
--- a/src/rates/__tests__/rateLimit.spec.ts
+++ b/src/rates/__tests__/rateLimit.spec.ts
@@ -6,7 +6,8 @@
 import { StatementKind } from "../../model/statement.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 
-const runMs = 9_000;
+/** Longer than the lease of a permit home and its reassignment together. */
+const runMs = 16_000;
 const dataCentres = ["north", "south", "west"];
 const instanceCount = 6;
 const before = { ratePerSecond: 120, burst: 24 };
--- a/src/rates/divideRate.ts
+++ b/src/rates/divideRate.ts
@@ -1,5 +1,5 @@
 /** Moves shares of workspaces' rates between data centres with demand; active at the control leader only. */
-import { match } from "ts-pattern";
+import { match, P } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
@@ -69,7 +69,7 @@
         return match(message)
             .with({ kind: RateKind.Demand }, demand => this.report(demand, nowMs))
             .with({ kind: RateKind.DivideDue }, () => this.divide(nowMs))
-            .with({ kind: RateKind.MeasureDue }, other => [other])
+            .with({ kind: P.union(RateKind.MeasureDue, RateKind.TakeoverDue) }, other => [other])
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => this.configure(applied))
             .with({ kind: ControlKind.LeaderChanged }, changed => this.changeLeader(changed, nowMs))
             .with({ kind: ControlKind.ProposalEnded }, ended => this.endProposal(ended))
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -8,7 +8,16 @@
 } from "../model/clusterMessages.ts";
 import { emptyConfiguration } from "../model/configuration.ts";
 import { clockDriftShare, type LeaseAssignment, ResourceKind } from "../model/lease.ts";
-import { type PermitGranted, PermitKind, type PermitReply, type PermitRequest } from "../model/permitMessages.ts";
+import {
+    type PermitGranted,
+    PermitKind,
+    type PermitReply,
+    type PermitRequest,
+    type PermitRetire,
+    type PermitRetireAsked,
+    type PermitRetired,
+    type PermitRetireReply,
+} from "../model/permitMessages.ts";
 import { parsePermitResourceId, permitResourceId } from "../model/permitResource.ts";
 import {
     demandIntervalMs,
@@ -20,6 +29,7 @@
 import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import { ClockComparison, comparisonError } from "./clockComparison.ts";
+import { HomeTakeover } from "./homeTakeover.ts";
 import { PermitHome } from "./permitHome.ts";
 import { ShareTable } from "./shareTable.ts";
 
@@ -29,8 +39,22 @@
     readonly refillShare?: number;
 }
 
-type Input = PermitRequest | ConfigurationApplied | ConfigurationProved | LeasesRenewed | RatesTimer;
-type Output = PermitGranted | PermitReply | RatesDemandMeasured | SetDeadline | Input;
+type Input =
+    | PermitRequest
+    | PermitRetireAsked
+    | PermitRetired
+    | ConfigurationApplied
+    | ConfigurationProved
+    | LeasesRenewed
+    | RatesTimer;
+type Output =
+    | PermitGranted
+    | PermitReply
+    | PermitRetire
+    | PermitRetireReply
+    | RatesDemandMeasured
+    | SetDeadline
+    | Input;
 
 /** Refill while too few clocks were heard: this one may run fast by the drift that leases allow for. */
 const unknownSpeedShare = 1 / (1 + clockDriftShare);
@@ -42,15 +66,19 @@
     readonly step = "grantPermits";
     readonly accepts = [
         PermitKind.Request,
+        PermitKind.RetireAsked,
+        PermitKind.Retired,
         ClusterKind.ConfigurationApplied,
         ClusterKind.ConfigurationProved,
         ClusterKind.LeasesRenewed,
         RateKind.MeasureDue,
+        RateKind.TakeoverDue,
     ];
     private readonly dataCentre: string;
     private readonly fixedRefillShare: number | undefined;
     private readonly clocks = new ClockComparison();
     private readonly homes = new Map<string, PermitHome>();
+    private readonly takeover = new HomeTakeover();
     private leases: readonly LeaseAssignment[] = [];
     private validUntilMs = -Infinity;
     private table = new ShareTable(emptyConfiguration);
@@ -70,6 +98,12 @@
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => [applied, ...this.configure(applied, nowMs)])
             .with({ kind: ClusterKind.ConfigurationProved }, provedNow => this.prove(provedNow, nowMs))
             .with({ kind: RateKind.MeasureDue }, () => this.measure(nowMs))
+            .with({ kind: PermitKind.RetireAsked }, asked => [this.retire(asked, nowMs)])
+            .with({ kind: PermitKind.Retired }, retired => {
+                this.takeover.noteRetired(retired, nowMs);
+                return this.adopt(nowMs);
+            })
+            .with({ kind: RateKind.TakeoverDue }, () => this.adopt(nowMs))
             .with({ kind: RateKind.DivideDue }, other => [other])
             .exhaustive();
     }
@@ -93,14 +127,15 @@
         return answered && body.granted < request.wanted ? [answer, ...this.measureSoon(nowMs)] : [answer];
     }
 
-    private renew(renewed: LeasesRenewed, nowMs: number): readonly SetDeadline[] {
+    private renew(renewed: LeasesRenewed, nowMs: number): readonly Output[] {
         this.leases = renewed.leases.filter(lease => lease.resource === ResourceKind.Permits);
-        this.validUntilMs = renewed.validUntilMs;
+        this.validUntilMs = renewed.permitsUntilMs;
         return this.adopt(nowMs);
     }
 
-    private configure(applied: ConfigurationApplied, nowMs: number): readonly SetDeadline[] {
+    private configure(applied: ConfigurationApplied, nowMs: number): readonly Output[] {
         this.table = new ShareTable(applied.configuration);
+        this.takeover.follow(applied.configuration.leases, nowMs);
         for (const [resourceId, home] of this.homes) {
             this.applyShare(resourceId, home, nowMs);
         }
@@ -115,8 +150,8 @@
         return [message, ...this.adopt(nowMs)];
     }
 
-    /** Starts a home for each lease that is new, and ends those whose lease is gone. */
-    private adopt(nowMs: number): readonly SetDeadline[] {
+    /** Starts a home for each lease that is new, once it may begin, and ends those whose lease is gone. */
+    private adopt(nowMs: number): readonly Output[] {
         const wanted = new Map(
             this.leases.filter(lease => this.isAgreed(lease)).map(lease => [lease.resourceId, lease]),
         );
@@ -125,14 +160,38 @@
                 this.homes.delete(resourceId);
             }
         }
+        const questions: PermitRetire[] = [];
         for (const [resourceId, lease] of wanted) {
-            if (!this.homes.has(resourceId)) {
-                const home = new PermitHome({ epoch: lease.epoch, startMs: nowMs, refillShare: unknownSpeedShare });
-                this.homes.set(resourceId, home);
-                this.applyShare(resourceId, home, nowMs);
+            if (!this.homes.has(resourceId) && nowMs < this.validUntilMs) {
+                const { begins, question } = this.takeover.begin(lease, nowMs);
+                questions.push(...question === undefined ? [] : [question]);
+                if (begins) {
+                    this.start(lease, nowMs);
+                }
             }
         }
-        return this.homes.size > 0 ? this.measureBy(nowMs + demandIntervalMs) : [];
+        const measured = this.homes.size > 0 ? this.measureBy(nowMs + demandIntervalMs) : [];
+        return [...questions, ...measured, ...this.takeoverTimer()];
+    }
+
+    private start({ resourceId, epoch }: LeaseAssignment, nowMs: number): void {
+        const home = new PermitHome({ epoch, startMs: nowMs, refillShare: unknownSpeedShare });
+        this.homes.set(resourceId, home);
+        this.applyShare(resourceId, home, nowMs);
+    }
+
+    private takeoverTimer(): readonly SetDeadline[] {
+        const dueMs = this.takeover.dueMs();
+        return Number.isFinite(dueMs) ? [setDeadline(RateKind.TakeoverDue, dueMs, { kind: RateKind.TakeoverDue })] : [];
+    }
+
+    /** Another instance has the lease now; permits that are out count at its home. */
+    private retire({ origin, resourceId, epoch }: PermitRetireAsked, nowMs: number): PermitRetireReply {
+        const retirement = this.takeover.retire(resourceId, epoch, nowMs);
+        if ((this.homes.get(resourceId)?.epoch ?? Infinity) < epoch) {
+            this.homes.delete(resourceId);
+        }
+        return { kind: PermitKind.RetireReply, origin, ...retirement };
     }
 
     // A lease may arrive before the configuration that assigns it. That configuration holds every reduction of the
--- a/src/rpc/__tests__/permitRpc.spec.ts
+++ b/src/rpc/__tests__/permitRpc.spec.ts
@@ -1,7 +1,15 @@
 import type { Server } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { type PermitForward, type PermitGranted, PermitKind, type PermitRequest } from "../../model/permitMessages.ts";
+import {
+    type PermitForward,
+    type PermitGranted,
+    PermitKind,
+    type PermitRequest,
+    type PermitRetireAsked,
+    type PermitRetired,
+    RetireOutcome,
+} from "../../model/permitMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { PermitsService } from "../generated/permits.ts";
 import { PeerAuthentication } from "../peerAuthentication.ts";
@@ -17,13 +25,21 @@
 let server: Server;
 let homeAddress: string;
 let asked: PermitRequest[];
+let retirements: unknown[];
 
 describe("permits between instances", () => {
     beforeEach(async () => {
         asked = [];
+        retirements = [];
         server = createPeerServer(authenticationWith("right"));
         const permitServer: PermitServer = new PermitServer({
             post: message => {
+                if (message.kind === PermitKind.RetireAsked) {
+                    const { origin, resourceId, epoch } = message as PermitRetireAsked;
+                    retirements.push({ resourceId, epoch });
+                    permitServer.deliver({ kind: PermitKind.RetireReply, origin, known: true, waitMs: 40 });
+                    return;
+                }
                 const request = message as PermitRequest;
                 asked.push(request);
                 const { origin, requestId, workspace, wanted } = request;
@@ -70,8 +86,31 @@
         assert.equal(granted!.answered, false);
         assert.equal(granted!.granted, 0);
     });
+
+    it("tells a former home that ended from a process that is gone", async () => {
+        assert.deepEqual(await retire("right"), { outcome: RetireOutcome.Ended, waitMs: 40 });
+        assert.deepEqual(retirements, [{ resourceId: "shop@north", epoch: 7 }]);
+        server.forceShutdown();
+        assert.equal((await retire("right")).outcome, RetireOutcome.Gone);
+    });
+
+    it("takes a refused call for silence, since the home may still grant permits", async () => {
+        assert.equal((await retire("wrong")).outcome, RetireOutcome.Silent);
+    });
 });
 
+async function retire(word: string): Promise<Pick<PermitRetired, "outcome" | "waitMs">> {
+    const retired = await new Promise<PermitRetired>(resolve => {
+        const client = new PermitClient({
+            instanceId: "a",
+            network: new PeerNetwork({ authentication: authenticationWith(word) }),
+            post: (message: Message) => resolve(message as PermitRetired),
+        });
+        client.deliver({ kind: PermitKind.Retire, homeAddress, resourceId: "shop@north", epoch: 7 });
+    });
+    return { outcome: retired.outcome, waitMs: retired.waitMs };
+}
+
 async function ask(word: string, workspaces: readonly string[]): Promise<readonly PermitGranted[]> {
     const received: PermitGranted[] = [];
     return await new Promise(resolve => {
--- a/src/rpc/permitClient.ts
+++ b/src/rpc/permitClient.ts
@@ -1,10 +1,21 @@
 /** Carries questions for permits to permit homes on other instances. */
-import { Metadata, type ServiceError } from "@grpc/grpc-js";
-import { type PermitForward, type PermitGranted, PermitKind, permitValidityMs } from "../model/permitMessages.ts";
+import { Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import {
+    type PermitForward,
+    type PermitGranted,
+    PermitKind,
+    type PermitRetire,
+    type PermitRetired,
+    permitValidityMs,
+    RetireOutcome,
+} from "../model/permitMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { type AcquireResponse, PermitsClient } from "./generated/permits.ts";
-import type { PeerNetwork } from "./peerNetwork.ts";
+import { type AcquireResponse, PermitsClient, type RetireResponse } from "./generated/permits.ts";
+import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
+
+/** Time for the answer of a former home; above the round trip between regions of 24 ms, several times. */
+const retireLimitMs = 400;
 
 export interface PermitClientOptions {
     readonly post: (message: Message) => void;
@@ -13,8 +24,8 @@
 }
 
 /** Batches the questions of one turn of the event loop per home. A call that fails answers each of its questions. */
-export class PermitClient implements Sink<PermitForward>, AsyncDisposable {
-    readonly accepts = [PermitKind.Forward];
+export class PermitClient implements Sink<PermitForward | PermitRetire>, AsyncDisposable {
+    readonly accepts = [PermitKind.Forward, PermitKind.Retire];
     private readonly options: PermitClientOptions;
     private readonly clients = new Map<string, PermitsClient>();
     private readonly batches = new Map<string, PermitForward[]>();
@@ -23,7 +34,16 @@
         this.options = options;
     }
 
-    deliver(forward: PermitForward): void {
+    deliver(message: PermitForward | PermitRetire): void {
+        if (message.kind === PermitKind.Retire) {
+            this.retire(message);
+        }
+        else {
+            this.forward(message);
+        }
+    }
+
+    private forward(forward: PermitForward): void {
         const batch = this.batches.get(forward.homeAddress);
         if (batch !== undefined) {
             batch.push(forward);
@@ -55,6 +75,27 @@
         );
     }
 
+    /** Asks on a new connection, because a shared one would report a refusal of some time ago. */
+    private retire({ homeAddress, resourceId, epoch }: PermitRetire): void {
+        const client = this.options.network.createClient(PermitsClient, homeAddress, ConnectionUse.Own);
+        client.retire(
+            { resourceId, epoch },
+            new Metadata(),
+            { deadline: Date.now() + retireLimitMs },
+            (error, response) => {
+                client.close();
+                const retired: PermitRetired = {
+                    kind: PermitKind.Retired,
+                    resourceId,
+                    epoch,
+                    outcome: outcomeOf(error ?? undefined, response),
+                    waitMs: response?.waitMs ?? 0,
+                };
+                this.options.post(retired);
+            },
+        );
+    }
+
     private receive(
         questions: readonly PermitForward[],
         error: ServiceError | null,
@@ -85,3 +126,13 @@
         return client;
     }
 }
+
+/** A refused connection shows that the process is gone; any other failure says nothing about it. */
+function outcomeOf(error: ServiceError | undefined, response: RetireResponse | undefined): RetireOutcome {
+    if (error === undefined) {
+        return response?.known === true ? RetireOutcome.Ended : RetireOutcome.Gone;
+    }
+    return error.code === status.UNAVAILABLE && error.details.includes("ECONNREFUSED")
+        ? RetireOutcome.Gone
+        : RetireOutcome.Silent;
+}
--- a/src/rpc/permitServer.ts
+++ b/src/rpc/permitServer.ts
@@ -1,9 +1,22 @@
 /** Takes questions for permits from other instances and returns the answers of the permit home. */
 import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
-import { PermitKind, type PermitReply, type PermitRequest } from "../model/permitMessages.ts";
+import {
+    PermitKind,
+    type PermitReply,
+    type PermitRequest,
+    type PermitRetireAsked,
+    type PermitRetireReply,
+} from "../model/permitMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import type { AcquireRequest, AcquireResponse, PermitAnswer, PermitsServer } from "./generated/permits.ts";
+import type {
+    AcquireRequest,
+    AcquireResponse,
+    PermitAnswer,
+    PermitsServer,
+    RetireRequest,
+    RetireResponse,
+} from "./generated/permits.ts";
 import { respond } from "./unaryResponse.ts";
 
 export interface PermitServerOptions {
@@ -16,21 +29,33 @@
     readonly finish: sendUnaryData<AcquireResponse>;
 }
 
-/** Source of `permit.request` and sink of `permit.reply`; a call ends when all its questions are answered. */
-export class PermitServer implements Sink<PermitReply> {
-    readonly accepts = [PermitKind.Reply];
+/** Source and sink of the calls to permit homes; a call ends when all its questions are answered. */
+export class PermitServer implements Sink<PermitReply | PermitRetireReply> {
+    readonly accepts = [PermitKind.Reply, PermitKind.RetireReply];
     /** For `server.addService(PermitsService, handlers)`. */
     readonly handlers: PermitsServer;
     private readonly options: PermitServerOptions;
     private readonly calls = new Map<string, OpenCall>();
+    private readonly retirements = new Map<string, sendUnaryData<RetireResponse>>();
     private nextCall = 0;
 
     constructor(options: PermitServerOptions) {
         this.options = options;
-        this.handlers = { acquire: (call, finish) => this.acquire(call, finish) };
+        this.handlers = {
+            acquire: (call, finish) => this.acquire(call, finish),
+            retire: (call, finish) => this.retire(call, finish),
+        };
     }
 
-    deliver(reply: PermitReply): void {
+    deliver(reply: PermitReply | PermitRetireReply): void {
+        if (reply.kind === PermitKind.RetireReply) {
+            const finish = this.retirements.get(reply.origin);
+            this.retirements.delete(reply.origin);
+            if (finish !== undefined) {
+                respond(finish, { known: reply.known, waitMs: reply.waitMs });
+            }
+            return;
+        }
         const call = this.calls.get(reply.origin);
         if (call === undefined) {
             return;
@@ -60,4 +85,16 @@
             this.options.post(request);
         }
     }
+
+    private retire(
+        call: ServerUnaryCall<RetireRequest, RetireResponse>,
+        finish: sendUnaryData<RetireResponse>,
+    ): void {
+        const origin = `retire-${this.nextCall++}`;
+        this.retirements.set(origin, finish);
+        call.on("cancelled", () => this.retirements.delete(origin));
+        const { resourceId, epoch } = call.request;
+        const asked: PermitRetireAsked = { kind: PermitKind.RetireAsked, origin, resourceId, epoch };
+        this.options.post(asked);
+    }
 }
