feat(session): the rate of a workspace goes to its most urgent route first

Change: operations that wait for the rate stand in order of the route's priority, then of arrival; when too many wait, the least urgent is refused. Whatever has waited its part of the target latency is refused in any place of the queue.

--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -41,7 +41,7 @@
 
 interface Lane {
     readonly bucket: RateBucket;
-    /** In order of arrival. */
+    /** The most urgent routes first, and in order of arrival among them. */
     waiting: Task[];
 }
 
@@ -87,11 +87,9 @@
         }
         const waitMs = lane.bucket.waitMs(lane.waiting.length + 1, nowMs);
         const short: GrantShort = { kind: FleetKind.GrantShort, workspace: task.workspace };
-        if (lane.waiting.length >= maximumWaiting) {
-            return [short, refuse(task, waitMs)];
-        }
-        lane.waiting.push(task);
-        return [short, this.timer(task.workspace, lane, nowMs)];
+        enqueue(lane, task);
+        const surplus = lane.waiting.length > maximumWaiting ? [refuse(lane.waiting.pop()!, waitMs)] : [];
+        return [short, ...surplus, this.timer(task.workspace, lane, nowMs)];
     }
 
     private release(workspace: string, nowMs: number): readonly Message[] {
@@ -100,20 +98,13 @@
             return [];
         }
         const messages: Message[] = [];
-        while (lane.waiting.length > 0) {
-            const task = lane.waiting[0]!;
-            if (lane.bucket.take(nowMs)) {
-                messages.push(admit(task));
-            }
-            else if (nowMs >= latestStartMs(task)) {
-                messages.push(refuse(task, lane.bucket.waitMs(lane.waiting.length, nowMs)));
-            }
-            else {
-                return [...messages, this.timer(workspace, lane, nowMs)];
-            }
-            lane.waiting.shift();
+        while (lane.waiting.length > 0 && lane.bucket.take(nowMs)) {
+            messages.push(admit(lane.waiting.shift()!));
         }
-        return messages;
+        const late = lane.waiting.filter(task => nowMs >= latestStartMs(task));
+        lane.waiting = lane.waiting.filter(task => !late.includes(task));
+        messages.push(...late.map(task => refuse(task, lane.bucket.waitMs(lane.waiting.length + 1, nowMs))));
+        return lane.waiting.length === 0 ? messages : [...messages, this.timer(workspace, lane, nowMs)];
     }
 
     private applyGrants(grants: ReadonlyMap<string, RateGrant>, nowMs: number): readonly Message[] {
@@ -154,12 +145,16 @@
     }
 
     private timer(workspace: string, lane: Lane, nowMs: number): Message {
-        const first = lane.waiting[0]!;
-        const atMs = Math.min(nowMs + lane.bucket.waitMs(1, nowMs), latestStartMs(first));
+        const atMs = Math.min(nowMs + lane.bucket.waitMs(1, nowMs), ...lane.waiting.map(latestStartMs));
         return setDeadline(`admission/${workspace}`, atMs, taskTimer(TaskKind.AdmissionDue, workspace));
     }
 }
 
+function enqueue(lane: Lane, task: Task): void {
+    const index = lane.waiting.findIndex(({ route }) => route.priority > task.route.priority);
+    lane.waiting.splice(index === -1 ? lane.waiting.length : index, 0, task);
+}
+
 function countOf({ workspace }: Task): UsageCounted {
     return { kind: FleetKind.UsageCounted, workspace };
 }
