fix(session): idle sessions close with the last step of a stop, at whatever time it comes

Cause: the last step of a stop comes by a timer, and idle sessions were closed only at or after a time taken by the process's clock.

Change: the message of the last step decides, without a time. The log tells both steps.

Test: sessionPipe.spec.ts, red before.

--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -242,11 +242,12 @@
 /** The instance stops. */
 export interface FleetDrainStarted extends Message {
     readonly kind: typeof FleetKind.DrainStarted;
-    /** Idle sessions stay open until then, because a caller that reconnects sooner may come back here. */
-    readonly idleSessionsUntilMs: number;
     /** Open transactions may go on until then. */
     readonly transactionsUntilMs: number;
-    /** Callers no longer arrive; the instance ends with its last session. */
+    /**
+     * Callers no longer arrive; idle sessions are closed, and the instance ends with its last session. Before, idle
+     * sessions stay open, because a caller that reconnects may come back here.
+     */
     readonly final: boolean;
 }
 
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -244,7 +244,7 @@
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
         fixture.openLinks();
-        const drain = { kind: FleetKind.DrainStarted, idleSessionsUntilMs: 0, transactionsUntilMs: 3_000, final: true };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, final: true };
         fixture.post(drain as never);
         assert.ok(!fixture.others.some(({ kind }) => kind === FleetKind.Drained));
         fixture.reply("l0", { position: at(1, 1) });
@@ -253,11 +253,23 @@
         assert.ok(fixture.others.some(({ kind }) => kind === FleetKind.Drained));
     });
 
+    it("closes idle sessions with the last step of a stop, at whatever time it comes", () => {
+        // Guards against a timer that fires a fraction of a millisecond early: sessions stayed open and were cut off.
+        const fixture = primaryFixture();
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000 };
+        fixture.post({ ...drain, final: false } as never);
+        fixture.advance(2_399.7);
+        assert.ok(!fixture.others.some(({ kind }) => kind === SessionKind.Close));
+        fixture.post({ ...drain, final: true } as never);
+        assert.ok(fixture.others.some(({ kind }) => kind === SessionKind.Close));
+        assert.ok(fixture.others.some(({ kind }) => kind === FleetKind.Drained));
+    });
+
     it("closes a session whose last transaction the stop has ended", () => {
         // Guards against a session that stays open after an answer of the proxy itself, and is cut off with a request.
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
-        const drain = { kind: FleetKind.DrainStarted, idleSessionsUntilMs: 0, transactionsUntilMs: 1_000, final: true };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 1_000, final: true };
         fixture.post(drain as never);
         fixture.advance(1_001);
         fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
@@ -270,7 +282,7 @@
     it("takes no new session once callers no longer arrive", () => {
         // Guards against a request that is read shortly before the process ends and never answered.
         const fixture = primaryFixture();
-        const drain = { kind: FleetKind.DrainStarted, idleSessionsUntilMs: 0, transactionsUntilMs: 3_000 };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000 };
         fixture.post({ ...drain, final: false } as never);
         fixture.connect("s2", "orders");
         assert.ok(fixture.others.some(({ kind }) => kind === SessionKind.Accept));
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -65,7 +65,7 @@
             .with({ kind: SessionKind.LimitDue }, found => this.checkLimit(found.sessionId, nowMs))
             .with({ kind: TaskKind.Ended }, found => this.endTask(found, nowMs))
             .with({ kind: FleetKind.PolicyApplied }, found => [found, ...this.applyPolicy(found.policy)])
-            .with({ kind: FleetKind.DrainStarted }, found => this.startDrain(found, nowMs))
+            .with({ kind: FleetKind.DrainStarted }, found => this.startDrain(found))
             .exhaustive();
     }
 
@@ -291,7 +291,7 @@
             const messages = this.start(session, session.waiting.shift(), nowMs);
             return session.running === undefined ? [...messages, ...this.proceed(session, nowMs)] : messages;
         }
-        return this.mayClose(session, nowMs) ? this.closeIdle(session) : [];
+        return this.mayClose(session) ? this.closeIdle(session) : [];
     }
 
     private close(sessionId: string): readonly Message[] {
@@ -343,22 +343,20 @@
         return this.refuse(session, StatementFault.Aborted, reason);
     }
 
-    private startDrain(drain: FleetDrainStarted, nowMs: number): readonly Message[] {
+    private startDrain(drain: FleetDrainStarted): readonly Message[] {
         this.drain = drain;
         const open = [...this.sessions.values()];
         return [
             drain,
-            ...open.filter(session => this.mayClose(session, nowMs)).flatMap(session => this.closeIdle(session)),
+            ...open.filter(session => this.mayClose(session)).flatMap(session => this.closeIdle(session)),
             ...open.filter(({ transaction }) => transaction !== undefined)
                 .map(session => this.limitTimer(session.sessionId, this.transactionEndMs(session))),
             ...this.drainedIfEmpty(),
         ];
     }
 
-    private mayClose(session: Session, nowMs: number): boolean {
-        const { drain } = this;
-        return drain !== undefined && nowMs >= drain.idleSessionsUntilMs
-            && session.running === undefined && session.transaction === undefined;
+    private mayClose(session: Session): boolean {
+        return this.drain?.final === true && session.running === undefined && session.transaction === undefined;
     }
 
     private closeIdle(session: Session): readonly Message[] {
--- a/src/wiring/decisionLines.ts
+++ b/src/wiring/decisionLines.ts
@@ -10,6 +10,7 @@
     type DatabaseChanged,
     type DatabaseRemoved,
     type DatabaseSuspected,
+    type FleetDrainStarted,
     FleetKind,
     type PolicyApplied,
     type ReadinessChanged,
@@ -71,6 +72,10 @@
         leads: report.leads,
     })),
     line<DatabaseRemoved>(FleetKind.DatabaseRemoved, ({ databaseId }) => ({ database: databaseId })),
+    line<FleetDrainStarted>(FleetKind.DrainStarted, ({ final, transactionsUntilMs }) => ({
+        final,
+        transactionsUntilMs: Math.round(transactionsUntilMs),
+    })),
     line<ReadinessChanged>(FleetKind.Readiness, ({ ready }) => ({ ready })),
     line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, promoted }) => ({
         version: policy.version,
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -254,11 +254,9 @@
         end.deliver({ kind: FleetKind.Drained });
         return;
     }
-    const startMs = clock.nowMs();
     const drain = {
         kind: FleetKind.DrainStarted,
-        idleSessionsUntilMs: startMs + newCallersMs,
-        transactionsUntilMs: startMs + settings.stopLimitMs / 2,
+        transactionsUntilMs: clock.nowMs() + settings.stopLimitMs / 2,
     };
     post({ ...drain, final: false } as Message);
     setTimeout(() => post({ ...drain, final: true } as Message), newCallersMs);
