fix(session): the end of a session whose link was lost leaves the links of others alone

Cause: a session that ends between two statements is abandoned without a task. When its link had been lost before, the search for the task's link compared undefined with undefined and marked some idle link as given up. The next transaction on that link was rolled back after its first statement while its caller got a success, and its second statement began on another link.

Change: an abandon without a task ends there. Besides, a transaction that is not open after a successful statement fails.

Test: two in sessionPipe.spec.ts, red before.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -293,6 +293,48 @@
         assert.ok(!fixture.others.some(({ kind }) => kind === SessionKind.Accept));
     });
 
+    it("leaves the links of others alone when a session ends whose link was lost", () => {
+        // Guards against a transaction that is rolled back after its first statement and goes on on another link.
+        const fixture = primaryFixture();
+        fixture.connect("s2", "orders");
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b1"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.reply("l0", { transaction: TransactionState.Open });
+        fixture.reply("l0", { transaction: TransactionState.Open });
+        fixture.request("s2", statement(SessionStatementKind.Write, "w2"));
+        fixture.openLinks();
+        fixture.reply("l1", { position: at(1, 1) });
+        fixture.post({ kind: LinkKind.Lost, linkId: "l0", loss: LinkLoss.Broken, fault: undefined } as never);
+        fixture.post({ kind: SessionKind.Closed, sessionId: "s1" } as never);
+        fixture.request("s2", statement(SessionStatementKind.Begin, "b3"));
+        fixture.request("s2", statement(SessionStatementKind.Write, "w3"));
+        fixture.reply("l1", { transaction: TransactionState.Open });
+        fixture.reply("l1", { transaction: TransactionState.Open });
+        fixture.request("s2", statement(SessionStatementKind.Write, "w4"));
+        const last = fixture.sent.at(-1)!;
+        assert.deepEqual([last.linkId, last.command.kind], ["l1", LinkCommandKind.Run]);
+        assert.deepEqual(
+            fixture.sent.filter(({ command }) => command.kind === LinkCommandKind.Rollback),
+            [],
+        );
+    });
+
+    it("fails a transaction that is not open any more after a statement", () => {
+        // Guards against a transaction whose later statements run outside the one that its first began.
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.reply("l0", { transaction: TransactionState.Open });
+        fixture.reply("l0", { transaction: TransactionState.None });
+        assert.equal(fixture.lastFault(), StatementFault.Aborted);
+        assert.equal(fixture.answers.at(-1)!.answer.transaction, TransactionState.Failed);
+        const count = fixture.sent.length;
+        fixture.request("s1", statement(SessionStatementKind.Write, "w2"));
+        assert.equal(fixture.sent.length, count);
+    });
+
     it("ends a transaction that is idle too long", () => {
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -384,6 +384,10 @@
             this.unpin(link);
             return this.rollBack(link);
         }
+        if (taskId === undefined) {
+            // The link of the transaction was lost, and with it the transaction was rolled back.
+            return [];
+        }
         for (const pool of this.pools.values()) {
             const placed = pool.waiting.find(({ task }) => task.taskId === taskId);
             if (placed !== undefined) {
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -263,10 +263,15 @@
     }
 
     /** Adjusts the transaction to the result and words the answer. */
-    private settle(session: Session, { task, reply, fault, detail, pinned }: TaskEnded): StatementAnswer {
+    private settle(session: Session, ended: TaskEnded): StatementAnswer {
         const { transaction } = session;
-        const ends = task.statement?.kind === SessionStatementKind.Commit
-            || task.statement?.kind === SessionStatementKind.Rollback;
+        const ends = ended.task.statement?.kind === SessionStatementKind.Commit
+            || ended.task.statement?.kind === SessionStatementKind.Rollback;
+        const { reply, pinned } = ended;
+        // A further statement would run outside the transaction that the first one began.
+        const lost = transaction !== undefined && !ends && ended.fault === undefined && !pinned;
+        const fault = lost ? StatementFault.Aborted : ended.fault;
+        const detail = lost ? "the transaction is not open any more; nothing was kept" : ended.detail;
         if (transaction !== undefined) {
             transaction.pinned = pinned;
             if (ends) {
