perf(rpc): instances ask for control members again sooner at first, and later less often

Cause: after a loss of power proxies run some 200 ms before the members, were refused once and then waited 250 to 750 ms (subscription) or 200 to 400 ms (attachment) however long the members were up by then.

--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -8,10 +8,7 @@
 import { decodeUpdate } from "./configurationCodec.ts";
 import { type ConfigurationUpdate, ControlClient } from "./generated/control.ts";
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
-
-/** Wait before another member is tried: this, plus up to the jitter. */
-const retryMs = 250;
-const retryJitterMs = 500;
+import { RetryDelay } from "./retryDelay.ts";
 
 export interface ConfigurationSubscriberOptions {
     readonly network: PeerNetwork;
@@ -31,6 +28,7 @@
     private version = 0;
     private client: ControlClient | undefined;
     private stream: ClientReadableStream<ConfigurationUpdate> | undefined;
+    private readonly retryDelay: RetryDelay;
     private retry: NodeJS.Timeout | undefined;
     private closed = false;
 
@@ -38,6 +36,7 @@
         this.options = options;
         this.addresses = options.addresses;
         this.position = options.random.nextInteger(options.addresses.length);
+        this.retryDelay = new RetryDelay(options.random);
     }
 
     start(): void {
@@ -101,6 +100,7 @@
         try {
             const update = decodeUpdate(message);
             this.version = update.kind === UpdateKind.Snapshot ? update.configuration.version : update.toVersion;
+            this.retryDelay.reset();
             this.options.post({ kind: FeedKind.Received, update } as FeedReceived);
         }
         catch {
@@ -119,7 +119,7 @@
         this.drop();
         clearTimeout(this.retry);
         if (!this.closed) {
-            this.retry = setTimeout(() => this.open(), retryMs + this.options.random.nextInteger(retryJitterMs));
+            this.retry = setTimeout(() => this.open(), this.retryDelay.next());
         }
     }
 
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -7,10 +7,7 @@
 import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
 import { FleetClient, type FleetFrameMessage } from "./generated/fleet.ts";
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
-
-/** Wait before a lost attachment is opened again: this, plus up to the jitter. */
-const retryMs = 200;
-const retryJitterMs = 200;
+import { RetryDelay } from "./retryDelay.ts";
 
 /** Time for the first frame of a new attachment, after which another connection is tried. */
 const firstFrameMs = 1_500;
@@ -38,6 +35,7 @@
     private readonly options: FleetConnectorOptions;
     private readonly attachments = new Map<string, Attachment>();
     private readonly retries = new Map<string, NodeJS.Timeout>();
+    private readonly delays = new Map<string, RetryDelay>();
     private wanted: ReadonlySet<string> = new Set();
     private nextAttachment = 0;
     private closed = false;
@@ -54,6 +52,9 @@
         this.wanted = new Set(message.addresses.filter(address => address !== this.options.ownAddress));
         const open = [...this.attachments.values()];
         open.filter(({ address }) => !this.wanted.has(address)).forEach(attachment => this.lose(attachment));
+        [...this.delays.keys()].filter(address => !this.wanted.has(address)).forEach(address =>
+            this.delays.delete(address)
+        );
         this.wanted.forEach(address => {
             if (!open.some(attachment => attachment.address === address) && !this.retries.has(address)) {
                 this.open(address);
@@ -88,6 +89,7 @@
 
     private receive(attachment: Attachment, message: FleetFrameMessage): void {
         clearTimeout(attachment.firstFrame);
+        this.delays.get(attachment.address)?.reset();
         const frame = decodeFrame(message);
         if (frame === undefined) {
             this.lose(attachment);
@@ -108,7 +110,6 @@
         if (this.closed || !this.wanted.has(address)) {
             return;
         }
-        const delayMs = retryMs + this.options.random.nextInteger(retryJitterMs);
         this.retries.set(
             address,
             setTimeout(() => {
@@ -116,7 +117,13 @@
                 if (this.wanted.has(address)) {
                     this.open(address);
                 }
-            }, delayMs),
+            }, this.delayOf(address).next()),
         );
     }
+
+    private delayOf(address: string): RetryDelay {
+        const delay = this.delays.get(address) ?? new RetryDelay(this.options.random);
+        this.delays.set(address, delay);
+        return delay;
+    }
 }
