perf(cli): processes of the platform start from compiled code

Change: the build keeps the code that the start of the program compiles, and a small launcher loads it. V8 refuses it under other flags, so the build takes them from the deploy file; without it the program starts as before, with a line.

--- /dev/null
+++ b/src/cli/platformLauncher.ts
@@ -0,0 +1,11 @@
+/** What the deploy file runs: loads the bundled program with its compiled code. */
+import { resolve } from "node:path";
+import { loadProgram } from "./codeCache.ts";
+
+const program = loadProgram(resolve(import.meta.dirname));
+if (!program.usesCache) {
+    console.error(
+        JSON.stringify({ level: "warn", event: "no_code_cache", detail: "build again with the flags of run" }),
+    );
+}
+program.run();
