perf(rpc): attempts to reach control members end after 350 ms at first

Cause: a machine without power does not answer, and the kernel repeats an opening packet only after a second.

Change: an attempt to subscribe or attach ends after 350 ms without an answer, growing to 1.5 s with the pauses. A member confirms a subscription at once, since a subscriber that is up to date gets no update.

Test: controlRpc.spec.ts, red before.

--- a/src/rpc/__tests__/controlRpc.spec.ts
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -1,6 +1,7 @@
 import type { Server } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
 import { EventEmitter, once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { FeedKind, type FeedReceived, type FeedSubscribe, UpdateKind } from "../../model/feedMessages.ts";
@@ -37,6 +38,10 @@
         this.emitter.emit("message");
     };
 
+    get size(): number {
+        return this.messages.length;
+    }
+
     async next<Found extends Message>(): Promise<Found> {
         while (this.messages.length === 0) {
             await once(this.emitter, "message");
@@ -163,4 +168,30 @@
         assert.equal((kinds[1] as FeedSubscribe).version, 5);
         await feeds[1]![Symbol.asyncDispose]();
     });
+
+    it("leaves a member that does not answer for one that does, and stays there without an update", async () => {
+        // Guards against an instance that waits a second for a machine without power while other members are up.
+        const silent = createServer(() => undefined).listen(0, "127.0.0.1");
+        await once(silent, "listening");
+        const memberInbox = new Inbox();
+        const feed = new ConfigurationFeed({ post: memberInbox.post });
+        const silentAddress = `127.0.0.1:${(silent.address() as AddressInfo).port}`;
+        const seed = [1, 2, 3, 4].find(candidate => new SeededRandom(candidate).nextInteger(2) === 0)!;
+        await using subscriber = new ConfigurationSubscriber({
+            network: networkOf("i"),
+            addresses: [silentAddress, await serve("m0", feed)],
+            post: () => undefined,
+            random: new SeededRandom(seed),
+        });
+        const startMs = performance.now();
+        subscriber.start();
+        assert.equal((await memberInbox.next<FeedSubscribe>()).version, 0);
+        // Keep-alive probes would end the attempt after 3 s.
+        assert.ok(performance.now() - startMs < 2_500, "the attempt at the silent member took too long");
+        await new Promise(resolve => setTimeout(resolve, 700));
+        assert.equal(feed.subscribers, 1);
+        assert.equal(memberInbox.size, 0);
+        await feed[Symbol.asyncDispose]();
+        silent.close();
+    });
 });
--- a/src/rpc/__tests__/retryDelay.spec.ts
+++ b/src/rpc/__tests__/retryDelay.spec.ts
@@ -29,7 +29,9 @@
         const delay = new RetryDelay(new SeededRandom(1));
         const late = Array.from({ length: 20 }, () => delay.next()).slice(10);
         assert.ok(Math.min(...late) >= 750 && Math.max(...late) <= 1_500);
+        assert.equal(delay.attemptMs(), 1_500);
         delay.reset();
+        assert.equal(delay.attemptMs(), 350);
         assert.ok(delay.next() <= 100);
     });
 });
--- a/src/rpc/configurationFeed.ts
+++ b/src/rpc/configurationFeed.ts
@@ -1,5 +1,5 @@
 /** The configuration feed on the side of a control member: source of subscriptions and sink of updates. */
-import { type Server, type ServerWritableStream, status } from "@grpc/grpc-js";
+import { Metadata, type Server, type ServerWritableStream, status } from "@grpc/grpc-js";
 import { FeedKind, type FeedSend, type FeedSubscribe, type FeedUnsubscribe } from "../model/feedMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
@@ -64,6 +64,8 @@
         this.streams.set(streamId, stream);
         stream.once("cancelled", () => this.close(streamId));
         stream.once("close", () => this.close(streamId));
+        // The subscriber may have the current version, and then gets nothing else for long.
+        stream.sendMetadata(new Metadata());
         const { version } = stream.request;
         this.options.post({ kind: FeedKind.Subscribe, streamId, version } as FeedSubscribe);
     }
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -30,6 +30,8 @@
     private stream: ClientReadableStream<ConfigurationUpdate> | undefined;
     private readonly retryDelay: RetryDelay;
     private retry: NodeJS.Timeout | undefined;
+    /** Limit of an attempt; a member confirms a subscription at once. */
+    private opening: NodeJS.Timeout | undefined;
     private closed = false;
 
     constructor(options: ConfigurationSubscriberOptions) {
@@ -88,11 +90,20 @@
         this.client = network.createClient(ControlClient, address, ConnectionUse.Own);
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
+        this.opening = setTimeout(() => this.lose(stream), this.retryDelay.attemptMs());
+        stream.on("metadata", () => this.confirm(stream));
         stream.on("data", (message: ConfigurationUpdate) => this.receive(stream, message));
         stream.on("error", () => this.lose(stream));
         stream.on("end", () => this.lose(stream));
     }
 
+    private confirm(stream: ClientReadableStream<ConfigurationUpdate>): void {
+        if (stream === this.stream) {
+            clearTimeout(this.opening);
+            this.retryDelay.reset();
+        }
+    }
+
     private receive(stream: ClientReadableStream<ConfigurationUpdate>, message: ConfigurationUpdate): void {
         if (stream !== this.stream) {
             return;
@@ -100,7 +111,6 @@
         try {
             const update = decodeUpdate(message);
             this.version = update.kind === UpdateKind.Snapshot ? update.configuration.version : update.toVersion;
-            this.retryDelay.reset();
             this.options.post({ kind: FeedKind.Received, update } as FeedReceived);
         }
         catch {
@@ -125,6 +135,7 @@
 
     private drop(): void {
         const { stream, client } = this;
+        clearTimeout(this.opening);
         this.stream = undefined;
         this.client = undefined;
         stream?.cancel();
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -9,9 +9,6 @@
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 import { RetryDelay } from "./retryDelay.ts";
 
-/** Time for the first frame of a new attachment, after which another connection is tried. */
-const firstFrameMs = 1_500;
-
 type Stream = ClientDuplexStream<FleetFrameMessage, FleetFrameMessage>;
 
 interface Attachment {
@@ -78,7 +75,7 @@
         const attachmentId = `out${this.nextAttachment++}`;
         const client = network.createClient(FleetClient, address, ConnectionUse.Own);
         const stream = client.attach();
-        const firstFrame = setTimeout(() => this.lose(attachment), firstFrameMs);
+        const firstFrame = setTimeout(() => this.lose(attachment), this.delayOf(address).attemptMs());
         const attachment: Attachment = { attachmentId, address, client, stream, firstFrame };
         this.attachments.set(attachmentId, attachment);
         stream.on("data", (message: FleetFrameMessage) => this.receive(attachment, message));
--- a/src/rpc/retryDelay.ts
+++ b/src/rpc/retryDelay.ts
@@ -11,6 +11,14 @@
 /** Longest pause; 470 instances then make about 60 attempts a second at each of 7 members. */
 const longestMs = 750;
 
+/**
+ * Time for the first answer of an attempt, growing like the pauses. A peer whose machine has no power yet does not answer,
+ * and the kernel asks again only a second later; another attempt finds it sooner. Above several ways between regions and
+ * the first work of a process that has just started.
+ */
+const firstAttemptMs = 350;
+const longestAttemptMs = 1_500;
+
 /** Each pause is longer by up to this part of itself, so that instances that start together spread. */
 const jitterShare = 1;
 
@@ -29,6 +37,11 @@
         return Math.round(pauseMs * (1 + jitterShare * this.random.nextShare()));
     }
 
+    /** Time after which an attempt without an answer is given up for another one, in ms. */
+    attemptMs(): number {
+        return Math.min(longestAttemptMs, firstAttemptMs * growth ** this.failures);
+    }
+
     /** A peer has answered. */
     reset(): void {
         this.failures = 0;
