refactor(session): links, their table, the gate before a statement and seen commits in files of their own

Change: LinkTable opens, closes, pins and finds links; linkGate.ts says what goes before a statement; CommitWitness keeps the commits seen and answers the leader's question.

--- /dev/null
+++ b/src/session/linkTable.ts
@@ -0,0 +1,140 @@
+/** The links of this instance to all databases: opening, closing, and whose transaction each one holds. */
+import { LinkKind, type LinkOpen } from "../model/linkMessages.ts";
+import type { ServicePolicy } from "../model/trafficPolicy.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Message } from "../pipeline/message.ts";
+import { Link, LinkState } from "./link.ts";
+import { type LinkPool, maximumLinks } from "./linkPool.ts";
+import { TaskKind, type TaskPlaced, taskTimer } from "./taskMessages.ts";
+
+/** Wait for a new link to open; the opening itself takes about 12 ms and a slot. */
+const openLimitMs = 1_000;
+
+/** Idle time after which a link is closed; many times the pause between two operations of one workspace. */
+const idleLimitMs = 6_000;
+
+/** The same on an instance that is not the holder of the database. */
+const guestIdleLimitMs = 150;
+
+/** Pause after a database refused a link because its connections are used up. */
+export const fullPauseMs = 60;
+
+/** Connections of a database whose service the policy does not name. */
+const assumedConnectionLimit = 16;
+
+export class LinkTable {
+    services: ReadonlyMap<string, ServicePolicy> = new Map();
+    /** By database. */
+    readonly pools = new Map<string, LinkPool>();
+    private readonly links = new Map<string, Link>();
+    /** By the session whose transaction is open. */
+    private readonly pinned = new Map<string, Link>();
+    private nextLink = 0;
+
+    get(linkId: string): Link | undefined {
+        return this.links.get(linkId);
+    }
+
+    poolOf({ databaseId }: Link): LinkPool {
+        return this.pools.get(databaseId)!;
+    }
+
+    /** The link that holds the open transaction of a session. */
+    pinnedBy(sessionId: string): Link | undefined {
+        return this.pinned.get(sessionId);
+    }
+
+    /** The link that runs an attempt of a task. */
+    running(taskId: string): Link | undefined {
+        return [...this.links.values()].find(({ attempt }) => attempt?.placed.task.taskId === taskId);
+    }
+
+    /** Takes a task out of the queue that it waits in. */
+    takeWaiting(taskId: string): TaskPlaced | undefined {
+        for (const pool of this.pools.values()) {
+            const placed = pool.waiting.find(({ task }) => task.taskId === taskId);
+            if (placed !== undefined) {
+                pool.waiting = pool.waiting.filter(other => other !== placed);
+                return placed;
+            }
+        }
+        return undefined;
+    }
+
+    /** Opens a link, in the place of the oldest idle one where the database takes no more. */
+    open(pool: LinkPool, workspace: string, nowMs: number): readonly Message[] {
+        const closed: Message[] = [];
+        if (pool.links.size >= this.maximum(pool) || nowMs < pool.fullUntilMs) {
+            const oldest = pool.oldestIdle();
+            if (oldest === undefined) {
+                return [];
+            }
+            closed.push(...this.close(oldest));
+        }
+        const { databaseId, address, service } = pool.report;
+        const link = new Link({ linkId: `l${this.nextLink++}`, databaseId, workspace });
+        this.links.set(link.linkId, link);
+        pool.links.add(link);
+        const open: LinkOpen = { kind: LinkKind.Open, linkId: link.linkId, address, service, workspace, databaseId };
+        return [...closed, open, this.linkTimer(link, nowMs + openLimitMs)];
+    }
+
+    close(link: Link): readonly Message[] {
+        return [...this.remove(link), { kind: LinkKind.Close, linkId: link.linkId } as Message];
+    }
+
+    /** Forgets a link that is closed or lost. */
+    remove(link: Link): readonly Message[] {
+        this.links.delete(link.linkId);
+        this.poolOf(link).links.delete(link);
+        this.unpin(link);
+        return [this.clearLinkTimer(link)];
+    }
+
+    /** Closes the links that have been idle for too long. */
+    closeOld(pool: LinkPool, nowMs: number): readonly Message[] {
+        const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle);
+        const limitMs = pool.held ? idleLimitMs : guestIdleLimitMs;
+        const old = idle.filter(link => nowMs - link.idleSinceMs >= limitMs);
+        return [
+            ...old.flatMap(link => this.close(link)),
+            ...old.length < idle.length ? [this.idleTimer(pool, nowMs)] : [],
+        ];
+    }
+
+    pin(link: Link, sessionId: string): void {
+        link.state = LinkState.Pinned;
+        link.pinnedBy = sessionId;
+        this.pinned.set(sessionId, link);
+    }
+
+    unpin(link: Link): void {
+        if (link.pinnedBy !== undefined) {
+            this.pinned.delete(link.pinnedBy);
+            link.pinnedBy = undefined;
+        }
+    }
+
+    idleTimer({ report, held, waiting }: LinkPool, nowMs: number): Message {
+        const timer = taskTimer(TaskKind.IdleDue, report.databaseId);
+        const afterMs = waiting.length > 0 ? fullPauseMs : held ? idleLimitMs : guestIdleLimitMs;
+        return setDeadline(`idle/${report.databaseId}`, nowMs + afterMs, timer);
+    }
+
+    linkTimer(link: Link, atMs: number): Message {
+        return setDeadline(linkKey(link), atMs, taskTimer(TaskKind.LinkDue, link.linkId));
+    }
+
+    clearLinkTimer(link: Link): Message {
+        return clearDeadline(linkKey(link));
+    }
+
+    private maximum({ report, held }: LinkPool): number {
+        const connectionLimit = this.services.get(report.service)?.connectionLimit ?? assumedConnectionLimit;
+        return maximumLinks(connectionLimit, held);
+    }
+}
+
+function linkKey({ linkId }: Link): string {
+    return `link/${linkId}`;
+}
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -6,7 +6,6 @@
     type DatabaseRemoved,
     FleetKind,
     type PolicyApplied,
-    type SendFrame,
 } from "../model/fleetMessages.ts";
 import {
     type LinkCommand,
@@ -14,20 +13,20 @@
     LinkKind,
     LinkLoss,
     type LinkLost,
-    type LinkOpen,
     type LinkOpened,
     type LinkReplied,
     type LinkReply,
     type LinkSend,
 } from "../model/linkMessages.ts";
-import { laterPosition, type Position } from "../model/position.ts";
 import { StatementFault, TransactionState } from "../model/sessionStatement.ts";
-import type { ServicePolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { Link, LinkState, ReplyRole, statementCommand } from "./link.ts";
-import { LinkPool, maximumLinks } from "./linkPool.ts";
+import { CommitWitness } from "./commitWitness.ts";
+import { type Link, LinkState, ReplyRole, statementCommand } from "./link.ts";
+import { gateOf, isLinkCheck } from "./linkGate.ts";
+import { LinkPool } from "./linkPool.ts";
+import { fullPauseMs, LinkTable } from "./linkTable.ts";
 import {
     type HolderChanged,
     type TaskAbandoned,
@@ -41,27 +40,9 @@
     taskTimer,
 } from "./taskMessages.ts";
 
-/** Wait for a new link to open; the opening itself takes about 12 ms and a slot. */
-const openLimitMs = 1_000;
-
 /** Wait for the reply to a gate, which needs no slot; above the longest way there and back. */
 const gateLimitMs = 400;
 
-/** Idle time after which a link is closed; many times the pause between two operations of one workspace. */
-const idleLimitMs = 6_000;
-
-/** The same on an instance that is not the holder of the database. */
-const guestIdleLimitMs = 150;
-
-/** Idle time after which a link proves that it is alive before a write is sent on it. */
-const trustedIdleMs = 1_000;
-
-/** Pause after a database refused a link because its connections are used up. */
-const fullPauseMs = 60;
-
-/** Connections of a database whose service the policy does not name. */
-const assumedConnectionLimit = 16;
-
 type LinksInput =
     | TaskPlaced
     | TaskContinued
@@ -99,13 +80,9 @@
         TaskKind.Ended,
         TaskKind.HolderChanged,
     ];
-    private readonly pools = new Map<string, LinkPool>();
-    private readonly links = new Map<string, Link>();
-    private readonly pinned = new Map<string, Link>();
-    private services: ReadonlyMap<string, ServicePolicy> = new Map();
-    /** Highest position of a commit seen here, by service. */
-    private readonly acknowledged = new Map<string, Position>();
-    private nextLink = 0;
+    private readonly table = new LinkTable();
+    private readonly witness = new CommitWitness();
+
     process(message: LinksInput, nowMs: number): readonly Message[] {
         return match<LinksInput, readonly Message[]>(message)
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, found => this.place(found, nowMs))
@@ -117,22 +94,25 @@
             .with({ kind: FleetKind.DatabaseChanged }, found => this.applyReport(found, nowMs))
             .with({ kind: FleetKind.DatabaseRemoved }, found => this.removePool(found.databaseId, nowMs))
             .with({ kind: FleetKind.PolicyApplied }, found => {
-                this.services = found.policy.services;
+                this.table.services = found.policy.services;
                 return [found];
             })
             .with({ kind: TaskKind.HolderChanged }, found => this.changeHolder(found, nowMs))
             .with({ kind: TaskKind.Ended }, found => {
-                this.noteResult(found);
+                this.witness.noteResult(found);
                 return [found];
             })
-            .with({ kind: FleetKind.AssessmentAsked }, found => [this.assess(found, nowMs)])
+            .with(
+                { kind: FleetKind.AssessmentAsked },
+                found => [this.witness.assess(found, this.table.pools.get(found.databaseId), nowMs)],
+            )
             .with({ kind: TaskKind.LinkDue }, found => this.linkDue(found.id, nowMs))
             .with({ kind: TaskKind.IdleDue }, found => this.closeIdle(found.id, nowMs))
             .otherwise(timer => this.attemptDue((timer as TaskTimer).id, nowMs));
     }
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
-        const pool = this.pools.get(placed.databaseId);
+        const pool = this.table.pools.get(placed.databaseId);
         if (pool === undefined) {
             return [unsent(placed, StatementFault.Misrouted)];
         }
@@ -158,36 +138,19 @@
             const count = (unserved.get(workspace) ?? 0) + 1;
             unserved.set(workspace, count);
             if (pool.openingFor(workspace) < count) {
-                messages.push(...this.open(pool, workspace, nowMs));
+                messages.push(...this.table.open(pool, workspace, nowMs));
             }
         }
         return messages;
     }
 
-    private open(pool: LinkPool, workspace: string, nowMs: number): readonly Message[] {
-        const closed: Message[] = [];
-        if (pool.links.size >= this.maximum(pool) || nowMs < pool.fullUntilMs) {
-            const oldest = pool.oldestIdle();
-            if (oldest === undefined) {
-                return [];
-            }
-            closed.push(...this.close(oldest));
-        }
-        const { databaseId, address, service } = pool.report;
-        const link = new Link({ linkId: `l${this.nextLink++}`, databaseId, workspace });
-        this.links.set(link.linkId, link);
-        pool.links.add(link);
-        const open: LinkOpen = { kind: LinkKind.Open, linkId: link.linkId, address, service, workspace, databaseId };
-        return [...closed, open, this.linkTimer(link, nowMs + openLimitMs)];
-    }
-
     private opened({ linkId }: LinkOpened, nowMs: number): readonly Message[] {
-        const link = this.links.get(linkId);
+        const link = this.table.get(linkId);
         if (link === undefined) {
             return [];
         }
-        this.poolOf(link).lastReplyMs = nowMs;
-        return [clearDeadline(linkKey(link)), ...this.release(link, nowMs)];
+        this.table.poolOf(link).lastReplyMs = nowMs;
+        return [this.table.clearLinkTimer(link), ...this.release(link, nowMs)];
     }
 
     /** Starts an attempt on an idle link. */
@@ -199,14 +162,14 @@
         const gate = gateOf(placed, nowMs - link.idleSinceMs);
         if (gate.length > 0) {
             const roles = [ReplyRole.Gate, ...gate.slice(1).map(() => ReplyRole.Cleanup)];
-            return [...this.send(link, prelude, gate, roles), this.linkTimer(link, nowMs + gateLimitMs)];
+            return [...this.send(link, prelude, gate, roles), this.table.linkTimer(link, nowMs + gateLimitMs)];
         }
         link.attempt.sent = true;
         return this.send(link, prelude, [statementCommand({ task, after })], [ReplyRole.Statement]);
     }
 
     private continue({ task }: TaskContinued, nowMs: number): readonly Message[] {
-        const link = this.pinned.get(task.sessionId);
+        const link = this.table.pinnedBy(task.sessionId);
         if (link === undefined) {
             // The link broke between two statements, and with it the transaction was rolled back.
             return [unsent({ task, databaseId: "" }, StatementFault.Aborted)];
@@ -240,12 +203,12 @@
     }
 
     private replied({ linkId, reply }: LinkReplied, nowMs: number): readonly Message[] {
-        const link = this.links.get(linkId);
+        const link = this.table.get(linkId);
         const role = link?.awaited.shift();
         if (link === undefined) {
             return [];
         }
-        this.poolOf(link).lastReplyMs = nowMs;
+        this.table.poolOf(link).lastReplyMs = nowMs;
         switch (role) {
             case ReplyRole.Prelude:
                 return reply.fault === undefined ? [] : this.drop(link, nowMs);
@@ -268,7 +231,7 @@
         }
         const { placed } = attempt;
         const { task, after } = placed;
-        const cleared = clearDeadline(linkKey(link));
+        const cleared = this.table.clearLinkTimer(link);
         const checksLink = isLinkCheck(placed);
         attempt.leads = reply.fault === undefined && task.needsPrimary;
         if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
@@ -320,18 +283,16 @@
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
             && !link.abandoned;
         if (task.writes && reply.fault === undefined && reply.position !== undefined) {
-            this.noteCommit(task.service, reply.position);
+            this.witness.noteCommit(task.service, reply.position);
             link.attempt!.leads ||= !inTransaction;
         }
         const result = this.report(link, reply, pinned);
-        this.unpin(link);
+        this.table.unpin(link);
         if (link.awaited.length > 0) {
             return result;
         }
         if (pinned) {
-            link.state = LinkState.Pinned;
-            link.pinnedBy = task.sessionId;
-            this.pinned.set(task.sessionId, link);
+            this.table.pin(link, task.sessionId);
             return result;
         }
         return [
@@ -371,31 +332,31 @@
 
     /** The link is free for the next task. */
     private release(link: Link, nowMs: number): readonly Message[] {
-        const pool = this.poolOf(link);
+        const pool = this.table.poolOf(link);
         link.state = LinkState.Idle;
         link.abandoned = false;
         link.idleSinceMs = nowMs;
-        return [...this.serve(pool, nowMs), ...link.state === LinkState.Idle ? [this.idleTimer(pool, nowMs)] : []];
+        return [
+            ...this.serve(pool, nowMs),
+            ...link.state === LinkState.Idle ? [this.table.idleTimer(pool, nowMs)] : [],
+        ];
     }
 
     private abandon({ sessionId, taskId }: TaskAbandoned): readonly Message[] {
-        const link = this.pinned.get(sessionId);
+        const link = this.table.pinnedBy(sessionId);
         if (link !== undefined && link.attempt === undefined) {
-            this.unpin(link);
+            this.table.unpin(link);
             return this.rollBack(link);
         }
         if (taskId === undefined) {
             // The link of the transaction was lost, and with it the transaction was rolled back.
             return [];
         }
-        for (const pool of this.pools.values()) {
-            const placed = pool.waiting.find(({ task }) => task.taskId === taskId);
-            if (placed !== undefined) {
-                pool.waiting = pool.waiting.filter(other => other !== placed);
-                return [clearDeadline(attemptKey(placed))];
-            }
+        const placed = this.table.takeWaiting(taskId);
+        if (placed !== undefined) {
+            return [clearDeadline(attemptKey(placed))];
         }
-        const running = [...this.links.values()].find(({ attempt }) => attempt?.placed.task.taskId === taskId);
+        const running = this.table.running(taskId);
         if (running !== undefined) {
             running.abandoned = true;
         }
@@ -404,40 +365,37 @@
 
     /** The time of an attempt is up. */
     private attemptDue(taskId: string, nowMs: number): readonly Message[] {
-        for (const pool of this.pools.values()) {
-            const placed = pool.waiting.find(({ task }) => task.taskId === taskId);
-            if (placed !== undefined) {
-                pool.waiting = pool.waiting.filter(other => other !== placed);
-                return [unsent(placed, StatementFault.Busy)];
-            }
+        const placed = this.table.takeWaiting(taskId);
+        if (placed !== undefined) {
+            return [unsent(placed, StatementFault.Busy)];
         }
-        const link = [...this.links.values()].find(({ attempt }) => attempt?.placed.task.taskId === taskId);
+        const link = this.table.running(taskId);
         return link === undefined ? [] : this.drop(link, nowMs);
     }
 
     /** A link did not open, or a gate was not answered. */
     private linkDue(linkId: string, nowMs: number): readonly Message[] {
-        const link = this.links.get(linkId);
+        const link = this.table.get(linkId);
         return link === undefined ? [] : this.dropSilent(link, nowMs);
     }
 
     /** Other idle links to a database that has gone silent are probably as dead, and are not tried. */
     private dropSilent(link: Link, nowMs: number): readonly Message[] {
-        const pool = this.poolOf(link);
+        const pool = this.table.poolOf(link);
         const idle = [...pool.links].filter(other => other.state === LinkState.Idle);
         return [
-            ...idle.flatMap(other => this.close(other)),
+            ...idle.flatMap(other => this.table.close(other)),
             ...link.state === LinkState.Opening ? this.failWaiting(pool, link, undefined) : [],
             ...this.drop(link, nowMs),
         ];
     }
 
     private lost({ linkId, loss, fault }: LinkLost, nowMs: number): readonly Message[] {
-        const link = this.links.get(linkId);
+        const link = this.table.get(linkId);
         if (link === undefined) {
             return [];
         }
-        const pool = this.poolOf(link);
+        const pool = this.table.poolOf(link);
         const opening = link.state === LinkState.Opening;
         if (opening && (fault === StatementFault.ConnectionLimit || loss === LinkLoss.Broken)) {
             // A database at its limit refuses with a fault, or resets the connection.
@@ -448,10 +406,10 @@
         const failed = fails ? this.failWaiting(pool, link, loss === LinkLoss.Refused ? fault : undefined) : [];
         return [
             ...failed,
-            ...this.remove(link),
+            ...this.table.remove(link),
             ...this.report(link, undefined, false),
             ...this.serve(pool, nowMs),
-            ...pool.waiting.length > 0 ? [this.idleTimer(pool, nowMs)] : [],
+            ...pool.waiting.length > 0 ? [this.table.idleTimer(pool, nowMs)] : [],
         ];
     }
 
@@ -467,33 +425,15 @@
 
     /** Closes a link whose attempt, if any, stays without an answer. */
     private drop(link: Link, nowMs: number): readonly Message[] {
-        const pool = this.poolOf(link);
-        return [...this.close(link), ...this.report(link, undefined, false), ...this.serve(pool, nowMs)];
-    }
-
-    private close(link: Link): readonly Message[] {
-        return [...this.remove(link), { kind: LinkKind.Close, linkId: link.linkId } as Message];
-    }
-
-    private remove(link: Link): readonly Message[] {
-        this.links.delete(link.linkId);
-        this.poolOf(link).links.delete(link);
-        this.unpin(link);
-        return [clearDeadline(linkKey(link))];
-    }
-
-    private unpin(link: Link): void {
-        if (link.pinnedBy !== undefined) {
-            this.pinned.delete(link.pinnedBy);
-            link.pinnedBy = undefined;
-        }
+        const pool = this.table.poolOf(link);
+        return [...this.table.close(link), ...this.report(link, undefined, false), ...this.serve(pool, nowMs)];
     }
 
     private applyReport(changed: DatabaseChanged, nowMs: number): readonly Message[] {
         const { report } = changed;
-        const pool = this.pools.get(report.databaseId);
+        const pool = this.table.pools.get(report.databaseId);
         if (pool === undefined) {
-            this.pools.set(report.databaseId, new LinkPool(report));
+            this.table.pools.set(report.databaseId, new LinkPool(report));
             return [changed];
         }
         const moved = pool.report.address !== report.address || pool.report.bornUnixMs !== report.bornUnixMs;
@@ -504,7 +444,7 @@
 
     /** Links that the next holder may open have to be given up first; the database counts them together. */
     private changeHolder({ databaseId, holds }: HolderChanged, nowMs: number): readonly Message[] {
-        const pool = this.pools.get(databaseId);
+        const pool = this.table.pools.get(databaseId);
         if (pool === undefined) {
             return [];
         }
@@ -513,7 +453,7 @@
     }
 
     private removePool(databaseId: string, nowMs: number): readonly Message[] {
-        const pool = this.pools.get(databaseId);
+        const pool = this.table.pools.get(databaseId);
         if (pool === undefined) {
             return [];
         }
@@ -521,100 +461,19 @@
         pool.waiting = [];
         const messages = [
             ...waiting.flatMap(placed => [clearDeadline(attemptKey(placed)), unsent(placed, StatementFault.Misrouted)]),
-            ...[...pool.links].filter(link => link.attempt === undefined).flatMap(link => this.close(link)),
+            ...[...pool.links].filter(link => link.attempt === undefined).flatMap(link => this.table.close(link)),
             ...[...pool.links].flatMap(link => this.drop(link, nowMs)),
         ];
-        this.pools.delete(databaseId);
+        this.table.pools.delete(databaseId);
         return messages;
     }
 
     private closeIdle(databaseId: string, nowMs: number): readonly Message[] {
-        const pool = this.pools.get(databaseId);
-        if (pool === undefined) {
-            return [];
-        }
-        const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle);
-        const limitMs = pool.held ? idleLimitMs : guestIdleLimitMs;
-        const old = idle.filter(link => nowMs - link.idleSinceMs >= limitMs);
-        const remains = old.length < idle.length;
-        return [
-            ...old.flatMap(link => this.close(link)),
-            ...remains ? [this.idleTimer(pool, nowMs)] : [],
-            ...this.serve(pool, nowMs),
-        ];
-    }
-
-    private idleTimer({ report, held, waiting }: LinkPool, nowMs: number): Message {
-        const timer = taskTimer(TaskKind.IdleDue, report.databaseId);
-        const afterMs = waiting.length > 0 ? fullPauseMs : held ? idleLimitMs : guestIdleLimitMs;
-        return setDeadline(`idle/${report.databaseId}`, nowMs + afterMs, timer);
-    }
-
-    private linkTimer(link: Link, atMs: number): Message {
-        return setDeadline(linkKey(link), atMs, taskTimer(TaskKind.LinkDue, link.linkId));
-    }
-
-    private assess({ attachmentId, databaseId }: AssessmentAsked, nowMs: number): SendFrame {
-        const pool = this.pools.get(databaseId);
-        const pending = [...pool?.links ?? []].flatMap(({ attempt }) => attempt?.sentMs ?? []);
-        const oldestMs = pending.length === 0 ? undefined : Math.min(...pending);
-        const frame = {
-            kind: "assessment" as const,
-            databaseId,
-            answeredAgeMs: pool?.lastReplyMs === undefined ? undefined : nowMs - pool.lastReplyMs,
-            unansweredAgeMs: oldestMs === undefined ? undefined : nowMs - oldestMs,
-            acknowledged: pool === undefined ? undefined : this.acknowledged.get(pool.report.service),
-        };
-        return { kind: FleetKind.SendFrame, attachmentId, frame };
-    }
-
-    /** Commits that ran on links of other instances count as well: this one has acknowledged them to its caller. */
-    private noteResult({ task, reply, fault }: TaskEnded): void {
-        if (task.writes && fault === undefined && reply?.position !== undefined) {
-            this.noteCommit(task.service, reply.position);
-        }
-    }
-
-    private noteCommit(service: string, position: Position): void {
-        const known = this.acknowledged.get(service);
-        this.acknowledged.set(service, known === undefined ? position : laterPosition(known, position));
-    }
-
-    private maximum({ report, held }: LinkPool): number {
-        const connectionLimit = this.services.get(report.service)?.connectionLimit ?? assumedConnectionLimit;
-        return maximumLinks(connectionLimit, held);
-    }
-
-    private poolOf({ databaseId }: Link): LinkPool {
-        return this.pools.get(databaseId)!;
-    }
-}
-
-/** Commands that must succeed before the statement is sent; empty when it may go at once. */
-function gateOf(placed: TaskPlaced, idleMs: number): readonly LinkCommand[] {
-    const { task, after } = placed;
-    const begin: LinkCommand = { kind: LinkCommandKind.Begin };
-    switch (task.mode) {
-        case TaskMode.Probe:
-            return [begin, { kind: LinkCommandKind.Rollback }];
-        case TaskMode.Transaction:
-            return [begin];
-        case TaskMode.ReadTransaction:
-            // On a route that reads the primary, only a plain transaction proves that the database leads.
-            return task.needsPrimary ? [begin] : [{ kind: LinkCommandKind.BeginRead, after }];
-        case TaskMode.Single:
-            if (!task.writes) {
-                return task.needsPrimary ? [begin] : [];
-            }
-            return idleMs > trustedIdleMs ? [begin, { kind: LinkCommandKind.Rollback }] : [];
+        const pool = this.table.pools.get(databaseId);
+        return pool === undefined ? [] : [...this.table.closeOld(pool, nowMs), ...this.serve(pool, nowMs)];
     }
 }
 
-/** Whether the gate only proves that the link is alive. */
-function isLinkCheck({ task }: TaskPlaced): boolean {
-    return task.mode === TaskMode.Single && task.writes;
-}
-
 function unsent(
     { task, databaseId }: Pick<TaskPlaced, "task" | "databaseId">,
     fault: StatementFault | undefined,
@@ -636,7 +495,3 @@
 function attemptKey({ task }: TaskPlaced): string {
     return `attempt/${task.taskId}`;
 }
-
-function linkKey({ linkId }: Link): string {
-    return `link/${linkId}`;
-}
