fix(rates): a permit home that waits sets no timer once its lease has ended

Cause: found by reading the change again. An instance that waited for a former home kept the wait after its lease had lapsed or gone to another one; the deadline of the wait was then in the past, and the timer came again at once, for ever, which would have blocked the process.

Change: waits are kept only for valid leases that this instance has. Test: grantPermits.spec.ts, red before.

--- a/src/rates/__tests__/grantPermits.spec.ts
+++ b/src/rates/__tests__/grantPermits.spec.ts
@@ -92,6 +92,15 @@
         assert.equal(otherEpoch.ask(5_000, 1).answered, false);
     });
 
+    it("sets no timer in the past for a home whose lease ended while it waited to begin", () => {
+        // Guards against a loop that never sleeps: the timer of the wait came again at once, for ever.
+        const home = new Home(4);
+        const later = [{ ...lease, epoch: 4 }];
+        home.push(0, { kind: ClusterKind.LeasesRenewed, leases: later, validUntilMs: 0, permitsUntilMs: 5_000 });
+        home.push(0, { kind: ClusterKind.ConfigurationProved, version: 9, provedAtMs: 0 });
+        assert.deepEqual(home.push(20_000, { kind: RateKind.TakeoverDue }), []);
+    });
+
     it("answers another instance with its origin, and reports demand with the version in force", () => {
         const home = new Home();
         home.renew(0);
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -160,6 +160,7 @@
                 this.homes.delete(resourceId);
             }
         }
+        this.takeover.keepOnly(new Set(nowMs < this.validUntilMs ? wanted.keys() : []));
         const questions: PermitRetire[] = [];
         for (const [resourceId, lease] of wanted) {
             if (!this.homes.has(resourceId) && nowMs < this.validUntilMs) {
--- a/src/rates/homeTakeover.ts
+++ b/src/rates/homeTakeover.ts
@@ -89,6 +89,11 @@
         return Math.min(...[...this.waits.values()].map(({ untilMs, askAtMs }) => Math.min(untilMs, askAtMs)));
     }
 
+    /** Forgets the waits for all other resources, whose leases have ended or were given to others. */
+    keepOnly(resourceIds: ReadonlySet<string>): void {
+        [...this.waits.keys()].filter(id => !resourceIds.has(id)).forEach(id => this.waits.delete(id));
+    }
+
     noteRetired({ resourceId, epoch, outcome, waitMs }: Omit<PermitRetired, "kind">, nowMs: number): void {
         const wait = this.waits.get(resourceId);
         if (wait?.epoch !== epoch || outcome === RetireOutcome.Silent) {
