feat(telemetry): traffic between peers and time of the loop by kind, and a line for each stall

At 95 machines about a gigabyte a minute was sent and leaders were deposed while their loops stood still, and no line could tell which messages these were: neither hypothesis of the incident could be told from the others.

--- a/src/pipeline/eventLoop.ts
+++ b/src/pipeline/eventLoop.ts
@@ -20,6 +20,8 @@
 export interface LoopObserver {
     event(message: Message, nowMs: number): void;
     output(message: Message, pipe: string, nowMs: number): void;
+    /** Called when an event has been processed, with the time that it took. */
+    processed?(message: Message, elapsedMs: number): void;
 }
 
 export interface EventLoopOptions {
@@ -41,6 +43,8 @@
     private readonly pipesByKind = new Map<string, Pipe[]>();
     private readonly sinksByKind = new Map<string, Sink[]>();
     private readonly observers: readonly LoopObserver[];
+    /** Observers that want to know how long events take. */
+    private readonly timing: readonly LoopObserver[];
     private queue: QueuedEvent[] = [];
     private draining = false;
     private drainRequested = false;
@@ -50,6 +54,7 @@
     constructor(options: EventLoopOptions) {
         this.clock = options.clock;
         this.observers = options.observers ?? [];
+        this.timing = this.observers.filter(observer => observer.processed !== undefined);
         for (const pipe of options.pipes) {
             addToEach(this.pipesByKind, [...pipe.accepts], pipe);
         }
@@ -98,7 +103,7 @@
         while (this.queue.length > 0 && !this.closed) {
             const batch = this.queue;
             this.queue = [];
-            batch.forEach(event => this.dispatch(event));
+            batch.forEach(event => this.observe(event));
             this.postDue();
         }
     }
@@ -110,8 +115,16 @@
         }
     }
 
-    private dispatch({ message, delivered }: QueuedEvent): void {
-        const nowMs = this.currentMs();
+    private observe(event: QueuedEvent): void {
+        const startMs = this.currentMs();
+        this.dispatch(event, startMs);
+        if (this.timing.length > 0) {
+            const elapsedMs = this.currentMs() - startMs;
+            this.timing.forEach(observer => observer.processed?.(event.message, elapsedMs));
+        }
+    }
+
+    private dispatch({ message, delivered }: QueuedEvent, nowMs: number): void {
         this.observers.forEach(observer => observer.event(message, nowMs));
         const pipes = this.pipesByKind.get(message.kind) ?? [];
         if (pipes.length === 0 && !this.deliver(message, nowMs)) {
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -4,6 +4,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
+import type { PeerTraffic } from "../telemetry/loadLog.ts";
 import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
 import { FleetClient, type FleetFrameMessage } from "./generated/fleet.ts";
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
@@ -23,6 +24,7 @@
     readonly network: PeerNetwork;
     readonly post: (message: Message) => void;
     readonly random: SeededRandom;
+    readonly traffic: PeerTraffic;
     /** `host:port` of this instance's own listener, to which it does not attach. */
     readonly ownAddress: string;
 }
@@ -43,7 +45,7 @@
 
     deliver(message: SendFrame | MembersKnown): void {
         if (message.kind === FleetKind.SendFrame) {
-            this.attachments.get(message.attachmentId)?.stream.write(encodeFrame(message.frame));
+            this.send(message);
             return;
         }
         this.wanted = new Set(message.addresses.filter(address => address !== this.options.ownAddress));
@@ -70,6 +72,15 @@
         this.attachments.clear();
     }
 
+    private send({ attachmentId, frame }: SendFrame): void {
+        const attachment = this.attachments.get(attachmentId);
+        if (attachment !== undefined) {
+            const encoded = encodeFrame(frame);
+            this.options.traffic.sent(frame.kind, encoded.body.length, attachment.address);
+            attachment.stream.write(encoded);
+        }
+    }
+
     private open(address: string): void {
         const { network, post } = this.options;
         const attachmentId = `out${this.nextAttachment++}`;
@@ -92,6 +103,7 @@
             this.lose(attachment);
             return;
         }
+        this.options.traffic.received(frame.kind, message.body.length, attachment.address);
         this.options.post({ kind: FleetKind.FrameReceived, attachmentId: attachment.attachmentId, frame } as Message);
     }
 
--- a/src/rpc/fleetService.ts
+++ b/src/rpc/fleetService.ts
@@ -3,6 +3,7 @@
 import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
+import type { PeerTraffic } from "../telemetry/loadLog.ts";
 import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
 import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
 
@@ -11,14 +12,21 @@
 
 type Stream = ServerDuplexStream<FleetFrameMessage, FleetFrameMessage>;
 
+export interface FleetAcceptorOptions {
+    readonly post: (message: Message) => void;
+    readonly traffic: PeerTraffic;
+}
+
 export class FleetAcceptor implements Sink<SendFrame>, AsyncDisposable {
     readonly accepts = [FleetKind.SendFrame];
     private readonly post: (message: Message) => void;
+    private readonly traffic: PeerTraffic;
     private readonly streams = new Map<string, Stream>();
     private nextStream = 0;
 
-    constructor({ post }: { readonly post: (message: Message) => void; }) {
+    constructor({ post, traffic }: FleetAcceptorOptions) {
         this.post = post;
+        this.traffic = traffic;
     }
 
     /** Adds the Fleet service to a server made by `createPeerServer`. */
@@ -36,7 +44,9 @@
             this.close(attachmentId, stream);
             return;
         }
-        stream.write(encodeFrame(frame));
+        const encoded = encodeFrame(frame);
+        this.traffic.sent(frame.kind, encoded.body.length, attachmentId);
+        stream.write(encoded);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -60,6 +70,7 @@
             this.close(attachmentId, stream);
             return;
         }
+        this.traffic.received(frame.kind, message.body.length, attachmentId);
         this.post({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
     }
 
--- a/src/rpc/taskStreams.ts
+++ b/src/rpc/taskStreams.ts
@@ -11,6 +11,7 @@
 } from "../model/peerMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
+import type { PeerTraffic } from "../telemetry/loadLog.ts";
 import { type TaskFrameMessage, TasksClient, type TasksServer, TasksService } from "./generated/tasks.ts";
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "./taskCodec.ts";
@@ -26,6 +27,7 @@
 export interface TaskStreamsOptions {
     readonly network: PeerNetwork;
     readonly post: (message: Message) => void;
+    readonly traffic: PeerTraffic;
 }
 
 export class TaskStreams implements Sink<PeerSend | PeerAnswer>, AsyncDisposable {
@@ -48,10 +50,16 @@
     deliver(message: PeerSend | PeerAnswer): void {
         if (message.kind === PeerKind.Send) {
             const { stream } = this.outgoing.get(message.address) ?? this.open(message.address);
-            stream.write(encodeQuestion(message.question));
+            const encoded = encodeQuestion(message.question);
+            this.options.traffic.sent("question", encoded.body.length, message.address);
+            stream.write(encoded);
+            return;
         }
-        else {
-            this.incoming.get(message.streamId)?.write(encodeResult(message.result));
+        const stream = this.incoming.get(message.streamId);
+        if (stream !== undefined) {
+            const encoded = encodeResult(message.result);
+            this.options.traffic.sent("result", encoded.body.length, message.streamId);
+            stream.write(encoded);
         }
     }
 
@@ -79,6 +87,7 @@
     private answered(address: string, connection: Connection, message: TaskFrameMessage): void {
         try {
             const result = decodeResult(message);
+            this.options.traffic.received("result", message.body.length, address);
             this.options.post({ kind: PeerKind.Answered, address, result } as PeerAnswered);
         }
         catch {
@@ -108,6 +117,7 @@
     private ask(streamId: string, stream: Incoming, message: TaskFrameMessage): void {
         try {
             const question = decodeQuestion(message);
+            this.options.traffic.received("question", message.body.length, streamId);
             this.options.post({ kind: PeerKind.Asked, streamId, question } as PeerAsked);
         }
         catch {
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -43,6 +43,7 @@
 import { Sessions } from "../session/sessions.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
 import { DecisionLog } from "../telemetry/decisionLog.ts";
+import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { decisionLines } from "./decisionLines.ts";
 import { ProcessEnd } from "./processEnd.ts";
@@ -76,6 +77,7 @@
     readonly network: PeerNetwork;
     readonly authentication: PeerAuthentication;
     readonly logger: Logger;
+    readonly load: LoadLog;
     readonly stack: AsyncDisposableStack;
 }
 
@@ -89,16 +91,17 @@
     const authentication = new PeerAuthentication({ cluster: clusterName, instanceId, secret: clusterSecret });
     const network = new PeerNetwork({ authentication });
     const logger = createLogger({ format: "json", level: "info", instanceId: settings.instanceId });
+    const load = stack.use(new LoadLog(logger));
     const clock = new SuspensionClock();
     const post = (message: Message): void => loop.post(message);
-    const parts: Parts = { ...inputs, clock, post, network, authentication, logger, stack };
+    const parts: Parts = { ...inputs, clock, post, network, authentication, logger, load, stack };
     const end = new ProcessEnd(FleetKind.Drained);
     const { pipes, sinks, started } = control
         ? await buildControl(parts)
         : await buildProxy(parts);
     const log = new DecisionLog({ logger, writers: decisionLines });
     const loop = stack.use(
-        new EventLoop({ clock, pipes, sinks: [...sinks, end, new IgnoreRest(pipes, sinks)], observers: [log] }),
+        new EventLoop({ clock, pipes, sinks: [...sinks, end, new IgnoreRest(pipes, sinks)], observers: [log, load] }),
     );
     await started();
     logger.info("started", { control, address: settings.rpcAddress });
@@ -122,7 +125,7 @@
 }
 
 async function buildProxy(parts: Parts): Promise<Built> {
-    const { settings, post, network, authentication, seed, stack } = parts;
+    const { settings, post, network, authentication, seed, load, stack } = parts;
     const { instanceId, dataCentre, callers, readiness } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
     const decoder = new TrafficPolicyDecoder();
@@ -147,10 +150,16 @@
     const random = new SeededRandom(seed);
     const subscriber = stack.use(new ConfigurationSubscriber({ network, addresses: seeds, post, random }));
     const connector = stack.use(
-        new FleetConnector({ network, post, random: new SeededRandom(seed + 1), ownAddress: settings.rpcAddress }),
+        new FleetConnector({
+            network,
+            post,
+            random: new SeededRandom(seed + 1),
+            traffic: load,
+            ownAddress: settings.rpcAddress,
+        }),
     );
     const peerServer = createPeerServer(authentication);
-    const streams = stack.use(new TaskStreams({ network, post }));
+    const streams = stack.use(new TaskStreams({ network, post, traffic: load }));
     streams.addTo(peerServer);
     const sinks: readonly Sink[] = [
         server,
@@ -177,7 +186,7 @@
 }
 
 async function buildControl(parts: Parts): Promise<Built> {
-    const { settings, post, network, authentication, seed, stack } = parts;
+    const { settings, post, network, authentication, seed, load, stack } = parts;
     const { host, rpcAddress, dataFolder, control, ordersAddress, instanceId, dataCentre, reportIntervalMs } = settings;
     const storage = stack.use(
         await MemberStorage.open({
@@ -211,7 +220,7 @@
         new Promotions({ reportIntervalMs }),
     ]);
     const server = createPeerServer(authentication);
-    const acceptor = stack.use(new FleetAcceptor({ post }));
+    const acceptor = stack.use(new FleetAcceptor({ post, traffic: load }));
     const logPeers = stack.use(new LogPeers({ network, post }));
     const feed = stack.use(new ConfigurationFeed({ post }));
     acceptor.addTo(server);
@@ -219,7 +228,13 @@
     feed.addTo(server);
     const controlServer = stack.use(new ControlServer({ ...control!, post }));
     const connector = stack.use(
-        new FleetConnector({ network, post, random: new SeededRandom(seed + 1), ownAddress: rpcAddress }),
+        new FleetConnector({
+            network,
+            post,
+            random: new SeededRandom(seed + 1),
+            traffic: load,
+            ownAddress: rpcAddress,
+        }),
     );
     const sinks: Sink[] = [
         storage,
