test(fleet): control bytes of an instance at a start, a restart and in a storm of configurations

Callers of a site with 89 instances were hardly served, and about 1 GB went over the network in a minute. The specs join instances and control members by a network in virtual time and count the bytes that one instance receives.

--- /dev/null
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -0,0 +1,311 @@
+/** Control members and instances with their fleet pipes, joined by a network in virtual time that counts bytes. */
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import { ControlKind } from "../../model/controlMessages.ts";
+import {
+    type DatabaseChanged,
+    type DatabaseRemoved,
+    type DatabaseReport,
+    type FleetFrame,
+    FleetKind,
+    ReportedState,
+    type SendFrame,
+} from "../../model/fleetMessages.ts";
+import { type InstancesKnown, type PeerInstance, PeerKind } from "../../model/peerMessages.ts";
+import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import { encodeFrame } from "../../rpc/fleetCodec.ts";
+import { AttachmentHub } from "../attachmentHub.ts";
+import { Attachments } from "../attachments.ts";
+import { Directory } from "../directory.ts";
+
+/** One way between data centres. */
+const wayMs = 12;
+
+/** Heads of gRPC, of HTTP/2 and of the message around a body. */
+const frameHeadBytes = 20;
+
+const dataCentres = ["ostend", "koksijde", "namur", "liege", "anderlecht", "schaerbeek"];
+
+export interface FleetNode {
+    readonly name: string;
+    readonly pipe: Pipe;
+    readonly control: boolean;
+    /** Raised by each restart; events for an earlier process are dropped. */
+    readonly generation: number;
+    receivedBytes: number;
+    receivedFrames: number;
+    readonly received: FleetFrame[];
+    /** Instances that it may pass tasks to, as last told. */
+    instances: readonly PeerInstance[];
+    /** Fewest instances told since the last `watch`. */
+    fewestInstances: number;
+    /** Ids of the databases that it knows. */
+    readonly databases: Set<string>;
+}
+
+interface Connection {
+    readonly instance: string;
+    readonly member: string;
+    readonly outId: string;
+    readonly inId: string;
+}
+
+interface Timer extends Message {
+    run(): void;
+}
+
+export interface FleetNetworkOptions {
+    readonly instances: number;
+    readonly members: number;
+    /** Time over which the attachments of a start spread, in ms. */
+    readonly spreadMs: number;
+    readonly seed: number;
+}
+
+export class FleetNetwork {
+    nowMs = 0;
+    readonly instanceNames: readonly string[];
+    readonly memberNames: readonly string[];
+    private readonly options: FleetNetworkOptions;
+    private readonly random: SeededRandom;
+    private readonly queue = new DeadlineQueue();
+    private readonly nodes = new Map<string, FleetNode>();
+    private readonly connections = new Map<string, Connection>();
+    private readonly frameBytes = new WeakMap<FleetFrame, number>();
+    private nextEvent = 0;
+    private nextConnection = 0;
+    private nextGeneration = 0;
+
+    constructor(options: FleetNetworkOptions) {
+        this.options = options;
+        this.random = new SeededRandom(options.seed);
+        this.instanceNames = Array.from({ length: options.instances }, (_, index) => `front${index}`);
+        this.memberNames = Array.from({ length: options.members }, (_, index) => `core${index}`);
+        this.memberNames.forEach(name => this.startMember(name));
+        this.instanceNames.forEach(name => this.startInstance(name));
+    }
+
+    /** The process of a node. */
+    node(name: string): FleetNode {
+        return this.nodes.get(name)!;
+    }
+
+    startMember(name: string): void {
+        const options = {
+            instanceId: name,
+            dataCentre: "ostend",
+            address: `${name}:9000`,
+            serves: false,
+            follows: false,
+        };
+        this.add(name, true, [new Directory(), new AttachmentHub({ instanceId: name }), new Attachments(options)]);
+        this.push(name, { kind: ControlKind.MembersAgreed, addresses: this.memberNames.map(toAddress) } as Message);
+        this.memberNames.filter(other => other !== name && this.nodes.has(other)).forEach(other => {
+            this.attachLater(name, other);
+            this.attachLater(other, name);
+        });
+        this.instanceNames.filter(instance => this.nodes.has(instance)).forEach(instance =>
+            this.attachLater(instance, name)
+        );
+    }
+
+    startInstance(name: string): void {
+        const index = this.instanceNames.indexOf(name);
+        const dataCentre = dataCentres[index % dataCentres.length]!;
+        const address = `10.128.${index >> 8}.${index & 255}:9000`;
+        const options = { instanceId: name, dataCentre, address, serves: true, follows: true };
+        this.add(name, false, [new Directory(), new Attachments(options)]);
+        this.memberNames.forEach(member => this.attachLater(name, member));
+    }
+
+    stop(name: string): void {
+        this.nodes.delete(name);
+        [...this.connections.values()].filter(({ instance, member }) => instance === name || member === name)
+            .forEach(connection => this.detach(connection));
+    }
+
+    /** Cuts all attachments of a member but those of some instances; nothing attaches again. */
+    cutOff(member: string, exceptInstances: readonly string[]): void {
+        [...this.connections.values()].filter(connection =>
+            (connection.member === member || connection.instance === member)
+            && !exceptInstances.includes(connection.instance)
+        ).forEach(connection => this.detach(connection));
+    }
+
+    /** The member leads from now on, and the others know. */
+    lead(leader: string, term: number): void {
+        this.memberNames.filter(name => this.nodes.has(name)).forEach(name =>
+            this.push(name, { kind: ControlKind.LeaderChanged, leading: name === leader, term } as Message)
+        );
+    }
+
+    /** All members have applied a version of the configuration. */
+    applyConfiguration(version: number): void {
+        const message = { kind: ClusterKind.ConfigurationApplied, configuration: { version } } as unknown as Message;
+        this.memberNames.forEach(name => this.push(name, message));
+        this.instanceNames.forEach(name => this.push(name, message));
+    }
+
+    reportDatabase(member: string, databaseId: string): void {
+        const report: DatabaseReport = {
+            databaseId,
+            service: "order-core",
+            address: `${databaseId}:8080`,
+            dataCentre: dataCentres[0]!,
+            slots: 5,
+            state: ReportedState.Ready,
+            leads: false,
+            sequence: 1,
+            bornUnixMs: 1,
+        };
+        this.push(member, { kind: FleetKind.DatabaseReported, report } as Message);
+    }
+
+    /** Forgets what was received, and starts to look for the fewest instances anew. */
+    watch(): void {
+        for (const node of this.nodes.values()) {
+            node.receivedBytes = 0;
+            node.receivedFrames = 0;
+            node.received.length = 0;
+            node.fewestInstances = node.instances.length;
+        }
+    }
+
+    advance(durationMs: number): void {
+        const untilMs = this.nowMs + durationMs;
+        for (
+            let atMs = this.queue.earliestMs();
+            atMs !== undefined && atMs <= untilMs;
+            atMs = this.queue.earliestMs()
+        ) {
+            this.nowMs = Math.max(this.nowMs, atMs);
+            (this.queue.takeDue(this.nowMs) as Timer).run();
+        }
+        this.nowMs = untilMs;
+    }
+
+    private add(name: string, control: boolean, filters: ConstructorParameters<typeof Pipe>[1]): void {
+        this.nodes.set(name, {
+            name,
+            pipe: new Pipe("fleet", filters),
+            control,
+            generation: this.nextGeneration++,
+            receivedBytes: 0,
+            receivedFrames: 0,
+            received: [],
+            instances: [],
+            fewestInstances: Infinity,
+            databases: new Set(),
+        });
+    }
+
+    private attachLater(instance: string, member: string): void {
+        this.after(this.random.nextShare() * this.options.spreadMs, instance, () => this.attach(instance, member));
+    }
+
+    private attach(instance: string, member: string): void {
+        const known = [...this.connections.values()].some(other =>
+            other.instance === instance && other.member === member
+        );
+        if (known || !this.nodes.has(member)) {
+            return;
+        }
+        const number = this.nextConnection++;
+        const connection = { instance, member, outId: `out${number}`, inId: `in${number}` };
+        this.connections.set(connection.outId, connection);
+        this.connections.set(connection.inId, connection);
+        this.push(member, { kind: FleetKind.Attached, attachmentId: connection.inId, address: undefined } as Message);
+        const address = toAddress(member);
+        this.push(instance, { kind: FleetKind.Attached, attachmentId: connection.outId, address } as Message);
+    }
+
+    private detach({ instance, member, outId, inId }: Connection): void {
+        if (!this.connections.delete(outId)) {
+            return;
+        }
+        this.connections.delete(inId);
+        this.push(instance, { kind: FleetKind.Detached, attachmentId: outId } as Message);
+        this.push(member, { kind: FleetKind.Detached, attachmentId: inId } as Message);
+    }
+
+    private push(name: string, message: Message): void {
+        const node = this.nodes.get(name);
+        node?.pipe.push(message, this.nowMs).forEach(output => this.take(node, output));
+    }
+
+    private take(node: FleetNode, output: Message): void {
+        if (output.kind === FleetKind.SendFrame) {
+            this.transmit(output as SendFrame);
+        }
+        else if (output.kind === DeadlineKind.Set || output.kind === DeadlineKind.Clear) {
+            this.applyDeadline(node, output as DeadlineMessage);
+        }
+        else if (output.kind === FleetKind.DatabaseChanged) {
+            node.databases.add((output as DatabaseChanged).report.databaseId);
+        }
+        else if (output.kind === FleetKind.DatabaseRemoved) {
+            node.databases.delete((output as DatabaseRemoved).databaseId);
+        }
+        else if (output.kind === PeerKind.InstancesKnown) {
+            node.instances = (output as InstancesKnown).instances;
+            node.fewestInstances = Math.min(node.fewestInstances, node.instances.length);
+        }
+    }
+
+    private transmit({ attachmentId, frame }: SendFrame): void {
+        const connection = this.connections.get(attachmentId);
+        if (connection === undefined) {
+            return;
+        }
+        const { instance, member, outId, inId } = connection;
+        const [receiver, receiverId] = attachmentId === outId ? [member, inId] : [instance, outId];
+        this.after(wayMs, receiver, () => {
+            if (this.connections.get(receiverId) !== connection) {
+                return;
+            }
+            const node = this.node(receiver);
+            node.receivedBytes += this.bytesOf(frame);
+            node.receivedFrames += 1;
+            if (frame.kind !== "hello") {
+                node.received.push(frame);
+            }
+            this.push(receiver, { kind: FleetKind.FrameReceived, attachmentId: receiverId, frame } as Message);
+        });
+    }
+
+    private bytesOf(frame: FleetFrame): number {
+        const known = this.frameBytes.get(frame) ?? frameHeadBytes + encodeFrame(frame).body.length;
+        this.frameBytes.set(frame, known);
+        return known;
+    }
+
+    private applyDeadline(node: FleetNode, deadline: DeadlineMessage): void {
+        const key = `${node.name}/${node.generation}/${deadline.key}`;
+        if (deadline.kind === DeadlineKind.Clear) {
+            this.queue.apply({ ...deadline, key });
+            return;
+        }
+        const { atMs, message } = deadline;
+        this.schedule(key, atMs, node, () => this.push(node.name, message));
+    }
+
+    private after(durationMs: number, name: string, run: () => void): void {
+        this.schedule(`event/${this.nextEvent++}`, this.nowMs + durationMs, this.nodes.get(name), run);
+    }
+
+    /** Runs if the process is still there. */
+    private schedule(key: string, atMs: number, node: FleetNode | undefined, run: () => void): void {
+        const runThere = (): void => {
+            if (node !== undefined && this.nodes.get(node.name) === node) {
+                run();
+            }
+        };
+        this.queue.apply(setDeadline(key, atMs, { kind: "timer", run: runThere } as Timer));
+    }
+}
+
+function toAddress(member: string): string {
+    return `${member}:9000`;
+}
--- a/src/rpc/fleetService.ts
+++ b/src/rpc/fleetService.ts
@@ -7,7 +7,7 @@
 import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
 
 /** Frames that wait for a slow peer; above this it is cut off and attaches again. */
-const maximumWaiting = 512;
+export const maximumWaiting = 512;
 
 type Stream = ServerDuplexStream<FleetFrameMessage, FleetFrameMessage>;
 
