fix(fleet): an instance follows the list of instances at one member and gets differences

Callers of a site with 89 instances on links of 2 Mbit/s were hardly served; databases became known over 16 s, and about 1 GB went over the network in a minute.

Cause: every control member sent the whole list of instances to every attachment at each attach, detach and leave, so that bytes grew with the third power of the instances, times the members. Each applied configuration was announced with the whole status by every member, and a greeting had one frame for each database; above 511 of them at one member, the acceptor cuts the attachment off, at each attempt again.

Now an instance follows one member, the leader or, when there is none for a second, the one with most instances. It gets the whole list once, then differences at most every 250 ms; control members get none. A list that comes from another member takes nothing away for 4 s, in which live peers attach there, and a member that does not lead takes nothing away for as long. Work at a member is linear in the instances for each 250 ms with changes.

--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { maximumWaiting } from "../../rpc/fleetService.ts";
@@ -15,6 +16,9 @@
 /** Time over which instances that start together reach the members. */
 const spreadMs = 2_000;
 
+/** Time in which the users' sites are to have caught up after a loss (`catch_up_s`). */
+const deadPeerLimitMs = 6_000;
+
 const startBytes = budgetBytesPerSecond * startMs / 1_000;
 
 const sizes = [
@@ -84,6 +88,106 @@
     });
 });
 
+describe("the list of instances at an instance", () => {
+    it("keeps all peers when the leader is replaced by a member that has just started", () => {
+        const network = startedNetwork(20, 3);
+        network.watch();
+        network.stop("core0");
+        network.stop("core1");
+        network.startMember("core1");
+        network.lead("core1", 2);
+        network.advance(10_000);
+        assert.deepEqual(fewest(network), network.instanceNames.map(() => 20));
+        assert.equal(countComplete(network), 20);
+    });
+
+    it("keeps all peers while there is no leader and one of the members is cut off from them", () => {
+        const network = startedNetwork(20, 4);
+        network.watch();
+        network.cutOff("core3", ["front0", "front1"]);
+        network.stop("core0");
+        network.advance(30_000);
+        assert.deepEqual(fewest(network), network.instanceNames.map(() => 20));
+    });
+
+    it("keeps all peers when the member that it follows no longer leads and is cut off from them", () => {
+        const network = startedNetwork(20, 4);
+        network.watch();
+        network.lead("nobody", 2);
+        network.advance(100);
+        network.cutOff("core0", ["front0"]);
+        network.advance(10_000);
+        assert.deepEqual(fewest(network), network.instanceNames.map(() => 20));
+    });
+
+    it("drops a peer that dies together with the leader, and no other", () => {
+        const network = startedNetwork(20, 3);
+        network.watch();
+        network.stop("core0");
+        network.stop("front7");
+        network.advance(1_500);
+        network.lead("core1", 2);
+        network.advance(deadPeerLimitMs - 1_500);
+        const alive = network.instanceNames.filter(name => name !== "front7");
+        assert.deepEqual(alive.map(name => network.node(name).instances.length), alive.map(() => 19));
+        assert.deepEqual(alive.map(name => network.node(name).fewestInstances), alive.map(() => 19));
+    });
+
+    it("drops a peer that dies while there is no leader", () => {
+        const network = startedNetwork(20, 3);
+        network.stop("core0");
+        network.advance(4_000);
+        network.stop("front7");
+        network.advance(deadPeerLimitMs);
+        const alive = network.instanceNames.filter(name => name !== "front7");
+        assert.deepEqual(alive.map(name => network.node(name).instances.length), alive.map(() => 19));
+    });
+
+    it("follows the leader of the highest term while an earlier one does not know that it was replaced", () => {
+        const network = startedNetwork(20, 3);
+        network.watch();
+        network.leadOnly("core1", 2);
+        network.advance(1_000);
+        network.cutOff("core0", ["front0"]);
+        network.advance(10_000);
+        assert.deepEqual(fewest(network), network.instanceNames.map(() => 20));
+    });
+
+    it("is the same everywhere after restarts, cuts and changes of leader in any order", () => {
+        // Guards against differences that are lost or applied twice at a change of the followed member.
+        const step = fc.record({
+            kind: fc.constantFrom("restart", "restart", "lead", "restartMember", "leaderless", "wait"),
+            index: fc.nat(11),
+            waitMs: fc.integer({ min: 0, max: 1_500 }),
+        });
+        fc.assert(
+            fc.property(fc.array(step, { maxLength: 25 }), steps => {
+                const network = startedNetwork(12, 3);
+                let term = 1;
+                for (const { kind, index, waitMs } of steps) {
+                    const member = `core${index % 3}`;
+                    if (kind === "restart") {
+                        network.stop(`front${index}`);
+                        network.startInstance(`front${index}`);
+                    }
+                    if (kind === "restartMember") {
+                        network.stop(member);
+                        network.startMember(member);
+                    }
+                    if (kind === "lead" || kind === "leaderless") {
+                        network.lead(kind === "lead" ? member : "nobody", ++term);
+                    }
+                    network.advance(waitMs);
+                }
+                network.lead("core0", ++term);
+                network.advance(deadPeerLimitMs + spreadMs);
+                assert.equal(countComplete(network), 12);
+            }),
+            { seed: 20261204, numRuns: 200 },
+        );
+    });
+});
+
 function startedNetwork(instances: number, members: number): FleetNetwork {
     const network = new FleetNetwork({ instances, members, spreadMs, seed: 20261204 });
     network.advance(300);
@@ -98,6 +202,11 @@
     );
 }
 
+/** Fewest peers that each instance knew of since the last `watch`. */
+function fewest(network: FleetNetwork): readonly number[] {
+    return network.instanceNames.map(name => network.node(name).fewestInstances);
+}
+
 /** Instances that know all others. */
 function countComplete(network: FleetNetwork): number {
     const all = network.instanceNames.length;
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -15,7 +15,7 @@
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
-import { encodeFrame } from "../../rpc/fleetCodec.ts";
+import { decodeFrame, encodeFrame } from "../../rpc/fleetCodec.ts";
 import { AttachmentHub } from "../attachmentHub.ts";
 import { Attachments } from "../attachments.ts";
 import { Directory } from "../directory.ts";
@@ -52,6 +52,12 @@
     readonly inId: string;
 }
 
+/** What a frame costs on the wire, and what arrives. */
+interface Transmitted {
+    readonly bytes: number;
+    readonly received: FleetFrame;
+}
+
 interface Timer extends Message {
     run(): void;
 }
@@ -73,7 +79,7 @@
     private readonly queue = new DeadlineQueue();
     private readonly nodes = new Map<string, FleetNode>();
     private readonly connections = new Map<string, Connection>();
-    private readonly frameBytes = new WeakMap<FleetFrame, number>();
+    private readonly transmitted = new WeakMap<FleetFrame, Transmitted>();
     private nextEvent = 0;
     private nextConnection = 0;
     private nextGeneration = 0;
@@ -141,6 +147,11 @@
         );
     }
 
+    /** The member leads from now on, and no other knows. */
+    leadOnly(leader: string, term: number): void {
+        this.push(leader, { kind: ControlKind.LeaderChanged, leading: true, term } as Message);
+    }
+
     /** All members have applied a version of the configuration. */
     applyConfiguration(version: number): void {
         const message = { kind: ClusterKind.ConfigurationApplied, configuration: { version } } as unknown as Message;
@@ -266,19 +277,24 @@
                 return;
             }
             const node = this.node(receiver);
-            node.receivedBytes += this.bytesOf(frame);
+            const { bytes, received } = this.encoded(frame);
+            node.receivedBytes += bytes;
             node.receivedFrames += 1;
-            if (frame.kind !== "hello") {
-                node.received.push(frame);
-            }
-            this.push(receiver, { kind: FleetKind.FrameReceived, attachmentId: receiverId, frame } as Message);
+            node.received.push(received);
+            const message = { kind: FleetKind.FrameReceived, attachmentId: receiverId, frame: received };
+            this.push(receiver, message as Message);
         });
     }
 
-    private bytesOf(frame: FleetFrame): number {
-        const known = this.frameBytes.get(frame) ?? frameHeadBytes + encodeFrame(frame).body.length;
-        this.frameBytes.set(frame, known);
-        return known;
+    private encoded(frame: FleetFrame): Transmitted {
+        const known = this.transmitted.get(frame);
+        if (known !== undefined) {
+            return known;
+        }
+        const message = encodeFrame(frame);
+        const transmitted = { bytes: frameHeadBytes + message.body.length, received: decodeFrame(message)! };
+        this.transmitted.set(frame, transmitted);
+        return transmitted;
     }
 
     private applyDeadline(node: FleetNode, deadline: DeadlineMessage): void {
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -10,12 +10,20 @@
     type Detached,
     type FleetFrame,
     FleetKind,
+    type FleetTimer,
     type FrameReceived,
 } from "../model/fleetMessages.ts";
-import type { PeerInstance } from "../model/peerMessages.ts";
+import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
+import { ServingInstances } from "./servingInstances.ts";
+
+/**
+ * Least time between two announcements of changes to all instances. Those that start together then make a few long
+ * announcements and not one for each of them.
+ */
+const announcementIntervalMs = 250;
 
 type HubInput =
     | Attached
@@ -25,15 +33,11 @@
     | DatabaseLeft
     | ControlLeaderChanged
     | ControlMembersAgreed
-    | ConfigurationApplied;
+    | ConfigurationApplied
+    | FleetTimer;
 
 type HelloFrame = Extract<FleetFrame, { readonly kind: "hello"; }>;
 
-interface Heard {
-    readonly report: DatabaseReport;
-    readonly heardMs: number;
-}
-
 export class AttachmentHub implements Filter<HubInput, Message> {
     readonly step = "attachment_hub";
     readonly accepts = [
@@ -42,20 +46,29 @@
         FleetKind.FrameReceived,
         FleetKind.DatabaseReported,
         FleetKind.DatabaseLeft,
+        FleetKind.AnnouncementDue,
         ControlKind.LeaderChanged,
         ControlKind.MembersAgreed,
         ClusterKind.ConfigurationApplied,
     ];
     private readonly instanceId: string;
-    /** Whether each attachment serves callers; undefined until its hello. */
-    private readonly attachments = new Map<string, boolean | undefined>();
-    private readonly instances = new Map<string, PeerInstance>();
-    /** Databases that reported to this instance. */
-    private readonly heard = new Map<string, Heard>();
+    /** Attachments without a hello. */
+    private readonly opened = new Set<string>();
+    /** Attachments of instances that serve callers. */
+    private readonly serving = new Set<string>();
+    /** Attachments of control members. */
+    private readonly controlling = new Set<string>();
+    /** Attachments that get the list of instances. */
+    private readonly followers = new Set<string>();
+    private readonly instances = new ServingInstances();
+    /** Latest reports of the databases that report to this instance. */
+    private readonly heard = new Map<string, DatabaseReport>();
     private members: readonly string[] = [];
     private leading = false;
     private term = 0;
     private configurationVersion = 0;
+    private announcedVersion = 0;
+    private announcedMs = -Infinity;
 
     constructor({ instanceId }: { readonly instanceId: string; }) {
         this.instanceId = instanceId;
@@ -64,40 +77,46 @@
     process(message: HubInput, nowMs: number): readonly Message[] {
         return match<HubInput, readonly Message[]>(message)
             .with({ kind: FleetKind.Attached, address: undefined }, found => {
-                this.attachments.set(found.attachmentId, undefined);
+                this.opened.add(found.attachmentId);
                 return [];
             })
             .with({ kind: FleetKind.Attached }, found => [found])
-            .with({ kind: FleetKind.Detached }, found => {
-                this.attachments.delete(found.attachmentId);
-                const served = this.instances.delete(found.attachmentId);
-                return [found, ...served ? this.broadcast(this.instanceList()) : []];
-            })
+            .with({ kind: FleetKind.Detached }, found => [found, ...this.detach(found.attachmentId, nowMs)])
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "hello" } },
                 found => [found, ...this.greet(found.attachmentId, found.frame, nowMs)],
             )
             .with({ kind: FleetKind.FrameReceived, frame: { kind: "leaving" } }, found => {
-                const served = this.instances.delete(found.attachmentId);
-                return served ? this.broadcast(this.instanceList()) : [];
+                this.instances.remove(found.attachmentId);
+                return this.announceLater(nowMs);
             })
+            .with(
+                { kind: FleetKind.FrameReceived, frame: { kind: "follow_instances" } },
+                found => this.follow(found.attachmentId, found.frame.followed),
+            )
+            .with(
+                { kind: FleetKind.FrameReceived, frame: { kind: "status_asked" } },
+                found => [sendFrame(found.attachmentId, this.status())],
+            )
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, found => [found])
-            .with({ kind: FleetKind.DatabaseReported }, found => this.publish(found.report, nowMs))
+            .with({ kind: FleetKind.DatabaseReported }, found => this.publish(found.report))
             .with({ kind: FleetKind.DatabaseLeft }, found => this.publishLeft(found.databaseId))
-            .with({ kind: ControlKind.LeaderChanged }, found => {
-                this.leading = found.leading;
-                this.term = found.term;
-                return [found, ...this.broadcast(this.status())];
-            })
-            .with({ kind: ControlKind.MembersAgreed }, found => {
-                this.members = found.addresses;
-                return [found, ...this.broadcast(this.status())];
-            })
+            .with(
+                { kind: ControlKind.LeaderChanged },
+                found => [found, ...this.setLeader(found.leading, found.term)],
+            )
+            .with({ kind: ControlKind.MembersAgreed }, found => [found, ...this.setMembers(found.addresses)])
             .with({ kind: ClusterKind.ConfigurationApplied }, found => {
                 this.configurationVersion = found.configuration.version;
-                return [found, ...this.broadcast(this.status())];
+                return [found, ...this.announceLater(nowMs)];
             })
-            .exhaustive();
+            .otherwise(() => this.announce(nowMs));
+    }
+
+    private detach(attachmentId: string, nowMs: number): readonly Message[] {
+        [this.opened, this.serving, this.controlling, this.followers].forEach(set => set.delete(attachmentId));
+        this.instances.remove(attachmentId);
+        return this.announceLater(nowMs);
     }
 
     private greet(
@@ -105,37 +124,77 @@
         { serves, instanceId, address, dataCentre }: HelloFrame,
         nowMs: number,
     ): readonly Message[] {
-        if (!this.attachments.has(attachmentId)) {
+        if (!this.opened.delete(attachmentId)) {
             return [];
         }
-        this.attachments.set(attachmentId, serves);
-        const databases = [...this.heard.values()].map(({ report, heardMs }): FleetFrame => ({
-            kind: "database",
-            report,
-            ageMs: nowMs - heardMs,
-        }));
-        const greeting = [this.status(), ...databases].map(frame => sendFrame(attachmentId, frame));
+        (serves ? this.serving : this.controlling).add(attachmentId);
+        const reports = [...this.heard.values()];
+        const greeting = [
+            sendFrame(attachmentId, this.status()),
+            ...reports.length === 0 ? [] : [sendFrame(attachmentId, { kind: "databases", reports })],
+        ];
         if (!serves) {
             return greeting;
         }
-        this.instances.set(attachmentId, { instanceId, address, dataCentre });
-        return [...greeting, ...this.broadcast(this.instanceList())];
+        this.instances.add(attachmentId, { instanceId, address, dataCentre });
+        return [...greeting, ...this.announceLater(nowMs)];
     }
 
-    private instanceList(): FleetFrame {
-        const byId = new Map([...this.instances.values()].map(instance => [instance.instanceId, instance]));
-        return { kind: "instances", instances: [...byId.values()] };
+    private follow(attachmentId: string, followed: boolean): readonly Message[] {
+        if (!followed || !this.serving.has(attachmentId)) {
+            this.followers.delete(attachmentId);
+            return [];
+        }
+        this.followers.add(attachmentId);
+        return [sendFrame(attachmentId, { kind: "instances", instances: this.instances.listAnnounced() })];
     }
 
-    private publish(report: DatabaseReport, nowMs: number): readonly Message[] {
-        const known = this.heard.get(report.databaseId)?.report;
-        this.heard.set(report.databaseId, { report, heardMs: nowMs });
+    private setLeader(leading: boolean, term: number): readonly Message[] {
+        if (leading === this.leading && term === this.term) {
+            return [];
+        }
+        this.leading = leading;
+        this.term = term;
+        return this.broadcastStatus();
+    }
+
+    private setMembers(members: readonly string[]): readonly Message[] {
+        if (members.join() === this.members.join()) {
+            return [];
+        }
+        this.members = members;
+        return this.broadcastStatus();
+    }
+
+    private announceLater(nowMs: number): readonly Message[] {
+        if (!this.instances.hasChanges && this.announcedVersion === this.configurationVersion) {
+            return [];
+        }
+        const dueMs = this.announcedMs + announcementIntervalMs;
+        return nowMs >= dueMs
+            ? this.announce(nowMs)
+            : [setDeadline("fleet.announcement", dueMs, { kind: FleetKind.AnnouncementDue })];
+    }
+
+    private announce(nowMs: number): readonly Message[] {
+        this.announcedMs = nowMs;
+        const changes = this.instances.hasChanges ? send(this.followers, this.instances.takeChanges()) : [];
+        const version = this.configurationVersion;
+        if (version === this.announcedVersion) {
+            return changes;
+        }
+        this.announcedVersion = version;
+        return [...changes, ...send(this.serving, { kind: "configuration", version })];
+    }
+
+    private publish(report: DatabaseReport): readonly Message[] {
+        const known = this.heard.get(report.databaseId);
+        this.heard.set(report.databaseId, report);
         const changed = known === undefined
             || JSON.stringify({ ...known, sequence: 0 }) !== JSON.stringify({ ...report, sequence: 0 });
-        const frame: FleetFrame = { kind: "database", report, ageMs: 0 };
+        const frame: FleetFrame = { kind: "databases", reports: [report] };
         // Control members follow how recently a database reported; instances only need what changed.
-        return [...this.attachments].filter(([, serves]) => changed || serves === false)
-            .map(([attachmentId]) => sendFrame(attachmentId, frame));
+        return [...send(this.controlling, frame), ...changed ? send(this.serving, frame) : []];
     }
 
     private publishLeft(databaseId: string): readonly Message[] {
@@ -143,13 +202,22 @@
         return this.broadcast({ kind: "database_left", databaseId });
     }
 
+    private broadcastStatus(): readonly Message[] {
+        this.announcedVersion = this.configurationVersion;
+        return this.broadcast(this.status());
+    }
+
     private status(): FleetFrame {
-        const { instanceId, leading, term, members, configurationVersion } = this;
-        return { kind: "status", instanceId, leading, term, members, configurationVersion };
+        const { instanceId, leading, term, members, configurationVersion, instances } = this;
+        const instanceCount = instances.count;
+        return { kind: "status", instanceId, leading, term, members, configurationVersion, instanceCount };
     }
 
     private broadcast(frame: FleetFrame): readonly Message[] {
-        return [...this.attachments].filter(([, serves]) => serves !== undefined)
-            .map(([attachmentId]) => sendFrame(attachmentId, frame));
+        return [...send(this.controlling, frame), ...send(this.serving, frame)];
     }
 }
+
+function send(attachmentIds: Iterable<string>, frame: FleetFrame): readonly Message[] {
+    return [...attachmentIds].map(attachmentId => sendFrame(attachmentId, frame));
+}
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -14,10 +14,11 @@
     type MembersKnown,
     type UsageMeasured,
 } from "../model/fleetMessages.ts";
-import { type InstancesKnown, type PeerInstance, PeerKind } from "../model/peerMessages.ts";
+import { type InstancesKnown, PeerKind } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { KnownInstances } from "./knownInstances.ts";
 
 /** Two reports of a suspicion about one database are at least this far apart. */
 const suspicionIntervalMs = 200;
@@ -31,6 +32,21 @@
 /** How often the lag of the configuration is looked at while there is one. */
 const behindCheckMs = 150;
 
+/**
+ * Time without a leader after which the list of instances comes from another member; members wait as long for a leader
+ * that is silent.
+ */
+const leaderWaitMs = 1_000;
+
+/** Time for the answers of members; some ways between regions and the work of a busy member. */
+const statusWaitMs = 300;
+
+/**
+ * Part by which the list of another member has to be longer. A cut hides a data centre or more, of the 7 of the planned
+ * size; attachments that are on their way are fewer.
+ */
+const hysteresisShare = 0.1;
+
 type AttachmentsInput =
     | Attached
     | Detached
@@ -41,13 +57,16 @@
     | FleetTimer
     | FleetDrainStarted;
 
+type InstancesFrame = Extract<FleetFrame, { readonly kind: "instances" | "instances_changed"; }>;
+
 interface Member {
     readonly attachmentId: string;
     readonly address: string;
     leading: boolean;
     term: number;
     configurationVersion: number;
-    instances: readonly PeerInstance[];
+    /** Instances attached there; undefined until its first status. */
+    instanceCount: number | undefined;
 }
 
 export interface AttachmentsOptions {
@@ -70,6 +89,7 @@
         FleetKind.DatabaseSuspected,
         FleetKind.UsageMeasured,
         FleetKind.DirectoryDue,
+        FleetKind.InstancesDue,
         FleetKind.DrainStarted,
         ClusterKind.ConfigurationApplied,
     ];
@@ -77,7 +97,12 @@
     private readonly members = new Map<string, Member>();
     private readonly suspectedMs = new Map<string, number>();
     private knownAddresses: readonly string[] = [];
-    private shownInstances: readonly PeerInstance[] = [];
+    private readonly instances = new KnownInstances();
+    private listed = false;
+    /** Member that the list of instances comes from. */
+    private followed: Member | undefined;
+    /** While no leader is known: when the next step is due, and whether the members were asked for their status. */
+    private leaderless: { readonly untilMs: number; readonly asked: boolean; } | undefined;
     private version = 0;
     private behindSinceMs: number | undefined;
 
@@ -88,10 +113,7 @@
     process(message: AttachmentsInput, nowMs: number): readonly Message[] {
         return match<AttachmentsInput, readonly Message[]>(message)
             .with({ kind: FleetKind.Attached, address: P.string }, found => this.attach(found))
-            .with({ kind: FleetKind.Detached }, found => {
-                this.members.delete(found.attachmentId);
-                return [found];
-            })
+            .with({ kind: FleetKind.Detached }, found => [found, ...this.detach(found.attachmentId, nowMs)])
             .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
             .with({ kind: FleetKind.DatabaseSuspected }, found => this.suspect(found.databaseId, nowMs))
             .with(
@@ -106,6 +128,10 @@
                     }),
             )
             .with({ kind: FleetKind.DirectoryDue }, () => this.checkLag(nowMs))
+            .with(
+                { kind: FleetKind.InstancesDue },
+                () => [...this.showInstances(nowMs), ...this.chooseFollowed(nowMs)],
+            )
             .with({ kind: FleetKind.DrainStarted }, found => [
                 found,
                 ...[...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "leaving" })),
@@ -125,7 +151,7 @@
             leading: false,
             term: 0,
             configurationVersion: 0,
-            instances: [],
+            instanceCount: undefined,
         });
         const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
         return [sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, address: ownAddress })];
@@ -139,9 +165,12 @@
         if (frame.kind === "assess") {
             return [{ kind: FleetKind.AssessmentAsked, attachmentId, databaseId: frame.databaseId } as Message];
         }
-        if (frame.kind === "instances") {
-            member.instances = frame.instances;
-            return this.followInstances();
+        if (frame.kind === "instances" || frame.kind === "instances_changed") {
+            return member === this.followed ? this.noteInstances(member, frame, nowMs) : [];
+        }
+        if (frame.kind === "configuration") {
+            member.configurationVersion = frame.version;
+            return this.checkLag(nowMs);
         }
         if (frame.kind !== "status") {
             return [];
@@ -149,20 +178,93 @@
         member.leading = frame.leading;
         member.term = frame.term;
         member.configurationVersion = frame.configurationVersion;
-        return [...this.followMembers(frame.members), ...this.followInstances(), ...this.checkLag(nowMs)];
+        member.instanceCount = frame.instanceCount;
+        return [...this.followMembers(frame.members), ...this.chooseFollowed(nowMs), ...this.checkLag(nowMs)];
+    }
+
+    private detach(attachmentId: string, nowMs: number): readonly Message[] {
+        const lost = this.members.get(attachmentId);
+        this.members.delete(attachmentId);
+        if (lost === undefined || lost !== this.followed) {
+            return [];
+        }
+        this.followed = undefined;
+        return this.chooseFollowed(nowMs);
     }
 
-    /** The leader's list counts; without a leader, the longest, because a member that is cut off sees few. */
-    private followInstances(): readonly Message[] {
-        const members = [...this.members.values()];
-        const leader = members.find(({ leading, instances }) => leading && instances.length > 0);
-        const longest = members.sort((left, right) => right.instances.length - left.instances.length)[0];
-        const instances = (leader ?? longest)?.instances ?? [];
-        if (!this.options.serves || instances === this.shownInstances) {
+    /** The leader's list counts; without a leader for a while, the longest, because a member that is cut off sees few. */
+    private chooseFollowed(nowMs: number): readonly Message[] {
+        if (!this.options.serves) {
             return [];
         }
-        this.shownInstances = instances;
-        return [{ kind: PeerKind.InstancesKnown, instances } as InstancesKnown];
+        const leader = [...this.members.values()].filter(({ leading }) => leading)
+            .sort((left, right) => right.term - left.term)[0];
+        if (leader !== undefined) {
+            this.leaderless = undefined;
+            return this.follow(leader);
+        }
+        // Without any list, this instance would open its own links to all databases.
+        this.leaderless ??= this.listed
+            ? { untilMs: nowMs + leaderWaitMs, asked: false }
+            : { untilMs: nowMs + statusWaitMs, asked: true };
+        const { untilMs, asked } = this.leaderless;
+        if (nowMs < untilMs) {
+            return [followTimer(untilMs)];
+        }
+        const nextMs = nowMs + (asked ? leaderWaitMs : statusWaitMs);
+        this.leaderless = { untilMs: nextMs, asked: !asked };
+        return [...asked ? this.followFullest() : this.askStatus(), followTimer(nextMs)];
+    }
+
+    private askStatus(): readonly Message[] {
+        return [...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "status_asked" }));
+    }
+
+    private followFullest(): readonly Message[] {
+        const candidates = [...this.members.values()].filter(({ instanceCount }) => instanceCount !== undefined);
+        const fullest = candidates.sort((left, right) => right.instanceCount! - left.instanceCount!)[0];
+        if (fullest === undefined) {
+            return [];
+        }
+        const fuller = this.followed === undefined
+            || fullest.instanceCount! > (this.followed.instanceCount ?? 0) * (1 + hysteresisShare);
+        return fuller ? this.follow(fullest) : [];
+    }
+
+    private follow(member: Member): readonly Message[] {
+        if (member === this.followed) {
+            return [];
+        }
+        const before = this.followed;
+        this.followed = member;
+        return [
+            ...before === undefined
+                ? []
+                : [sendFrame(before.attachmentId, { kind: "follow_instances", followed: false })],
+            sendFrame(member.attachmentId, { kind: "follow_instances", followed: true }),
+        ];
+    }
+
+    private noteInstances(member: Member, frame: InstancesFrame, nowMs: number): readonly Message[] {
+        if (frame.kind === "instances") {
+            this.listed = true;
+            this.instances.replace(frame.instances, nowMs);
+            member.instanceCount = frame.instances.length;
+        }
+        else {
+            this.instances.change(frame, member.leading, nowMs);
+            member.instanceCount = (member.instanceCount ?? 0) + frame.joined.length - frame.left.length;
+        }
+        return [...this.showInstances(nowMs), ...this.chooseFollowed(nowMs)];
+    }
+
+    private showInstances(nowMs: number): readonly Message[] {
+        const dueMs = this.instances.expire(nowMs);
+        const instances = this.instances.takeChanged();
+        return [
+            ...dueMs === undefined ? [] : [setDeadline("fleet.absence", dueMs, { kind: FleetKind.InstancesDue })],
+            ...instances === undefined ? [] : [{ kind: PeerKind.InstancesKnown, instances } as InstancesKnown],
+        ];
     }
 
     private followMembers(members: readonly string[]): readonly Message[] {
@@ -208,6 +310,10 @@
     return { kind: FleetKind.SendFrame, attachmentId, frame } as Message;
 }
 
+function followTimer(atMs: number): Message {
+    return setDeadline("fleet.follow", atMs, { kind: FleetKind.InstancesDue });
+}
+
 function sameSet(left: readonly string[], right: readonly string[]): boolean {
     return left.length === right.length && left.every(element => right.includes(element));
 }
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -28,8 +28,8 @@
             .with({ kind: FleetKind.DatabaseReported }, found => [...this.apply(found.report), found])
             .with({ kind: FleetKind.DatabaseLeft }, found => [...this.remove(found.databaseId), found])
             .with(
-                { kind: FleetKind.FrameReceived, frame: { kind: "database" } },
-                found => [...this.apply(found.frame.report), found],
+                { kind: FleetKind.FrameReceived, frame: { kind: "databases" } },
+                found => [...found.frame.reports.flatMap(report => this.apply(report)), found],
             )
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "database_left" } },
--- /dev/null
+++ b/src/fleet/servingInstances.ts
@@ -0,0 +1,65 @@
+/** The instances that serve callers, as their attachments to a member tell, and what its followers were told of them. */
+import type { InstancesChangedFrame } from "../model/fleetMessages.ts";
+import { type PeerInstance, sameInstance } from "../model/peerMessages.ts";
+
+export class ServingInstances {
+    private readonly instances = new Map<string, PeerInstance>();
+    /** Latest attachment of each instance; the end of an earlier one says nothing. */
+    private readonly attachmentIds = new Map<string, string>();
+    private readonly instanceIds = new Map<string, string>();
+    private readonly announced = new Map<string, PeerInstance>();
+    private readonly changed = new Set<string>();
+
+    get count(): number {
+        return this.instances.size;
+    }
+
+    get hasChanges(): boolean {
+        return this.changed.size > 0;
+    }
+
+    add(attachmentId: string, instance: PeerInstance): void {
+        const { instanceId } = instance;
+        this.instances.set(instanceId, instance);
+        this.attachmentIds.set(instanceId, attachmentId);
+        this.instanceIds.set(attachmentId, instanceId);
+        this.noteChange(instanceId);
+    }
+
+    remove(attachmentId: string): void {
+        const instanceId = this.instanceIds.get(attachmentId);
+        this.instanceIds.delete(attachmentId);
+        if (instanceId === undefined || this.attachmentIds.get(instanceId) !== attachmentId) {
+            return;
+        }
+        this.attachmentIds.delete(instanceId);
+        this.instances.delete(instanceId);
+        this.noteChange(instanceId);
+    }
+
+    /** What followers have been told; a new follower starts from there, and the next differences complete it. */
+    listAnnounced(): readonly PeerInstance[] {
+        return [...this.announced.values()];
+    }
+
+    /** The differences since the last call. */
+    takeChanges(): InstancesChangedFrame {
+        const ids = [...this.changed];
+        this.changed.clear();
+        const joined = ids.flatMap(instanceId => this.instances.get(instanceId) ?? []);
+        const left = ids.filter(instanceId => !this.instances.has(instanceId));
+        joined.forEach(instance => this.announced.set(instance.instanceId, instance));
+        left.forEach(instanceId => this.announced.delete(instanceId));
+        return { kind: "instances_changed", joined, left };
+    }
+
+    /** An instance that left and came back in between has not changed. */
+    private noteChange(instanceId: string): void {
+        if (sameInstance(this.instances.get(instanceId), this.announced.get(instanceId))) {
+            this.changed.delete(instanceId);
+        }
+        else {
+            this.changed.add(instanceId);
+        }
+    }
+}
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -33,6 +33,10 @@
     /** A database reported, changed or not. */
     DatabaseHeard: "fleet.database_heard",
     DirectoryDue: "fleet.directory_due",
+    /** Attached instances are due to hear what changed at a member. */
+    AnnouncementDue: "fleet.announcement_due",
+    /** The list of instances, or the member that it comes from, is due to be looked at. */
+    InstancesDue: "fleet.instances_due",
     /** Instances have had time to report to a new leader. */
     FirstGrantsDue: "fleet.first_grants_due",
     /** A link of this instance met a database that does not answer. */
@@ -122,6 +126,13 @@
     readonly fractions: Readonly<Record<string, number>>;
 }
 
+/** Instances that came, or came back with another address, and ids of those whose attachments ended. */
+export interface InstancesChangedFrame {
+    readonly kind: "instances_changed";
+    readonly joined: readonly PeerInstance[];
+    readonly left: readonly string[];
+}
+
 /** A frame of an attachment. The attaching side sends hello first, the accepting side answers with status. */
 export type FleetFrame =
     | {
@@ -135,7 +146,10 @@
     }
     /** The instance stops and takes no more tasks of others. */
     | { readonly kind: "leaving"; }
+    /** Starts or ends the list of instances: a whole one, then differences. An instance follows one member at a time. */
+    | { readonly kind: "follow_instances"; readonly followed: boolean; }
     | { readonly kind: "instances"; readonly instances: readonly PeerInstance[]; }
+    | InstancesChangedFrame
     | {
         readonly kind: "status";
         readonly instanceId: string;
@@ -143,8 +157,13 @@
         readonly term: number;
         readonly members: readonly string[];
         readonly configurationVersion: number;
+        /** Instances that serve callers and are attached to the member. */
+        readonly instanceCount: number;
     }
-    | { readonly kind: "database"; readonly report: DatabaseReport; readonly ageMs: number; }
+    /** Asks a member for its status as it is now. */
+    | { readonly kind: "status_asked"; }
+    | { readonly kind: "configuration"; readonly version: number; }
+    | { readonly kind: "databases"; readonly reports: readonly DatabaseReport[]; }
     | { readonly kind: "database_left"; readonly databaseId: string; }
     | {
         readonly kind: "usage";
@@ -231,6 +250,8 @@
         | typeof FleetKind.UsageDue
         | typeof FleetKind.GrantLimitDue
         | typeof FleetKind.DirectoryDue
+        | typeof FleetKind.AnnouncementDue
+        | typeof FleetKind.InstancesDue
         | typeof FleetKind.FirstGrantsDue;
 }
 
--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -28,6 +28,11 @@
     readonly dataCentre: string;
 }
 
+export function sameInstance(left: PeerInstance | undefined, right: PeerInstance | undefined): boolean {
+    return left?.instanceId === right?.instanceId && left?.address === right?.address
+        && left?.dataCentre === right?.dataCentre;
+}
+
 export interface InstancesKnown extends Message {
     readonly kind: typeof PeerKind.InstancesKnown;
     readonly instances: readonly PeerInstance[];
--- a/src/rpc/fleetService.ts
+++ b/src/rpc/fleetService.ts
@@ -1,6 +1,6 @@
 /** Attachments on the side of a control member. */
 import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
-import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import { type Attached, type Detached, type FleetFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
@@ -16,6 +16,7 @@
     private readonly post: (message: Message) => void;
     private readonly streams = new Map<string, Stream>();
     private nextStream = 0;
+    private lastEncoded: { readonly frame: FleetFrame; readonly message: FleetFrameMessage; } | undefined;
 
     constructor({ post }: { readonly post: (message: Message) => void; }) {
         this.post = post;
@@ -36,7 +37,7 @@
             this.close(attachmentId, stream);
             return;
         }
-        stream.write(encodeFrame(frame));
+        stream.write(this.encode(frame));
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -44,6 +45,14 @@
         this.streams.clear();
     }
 
+    /** A frame that goes to many is encoded once. */
+    private encode(frame: FleetFrame): FleetFrameMessage {
+        if (this.lastEncoded?.frame !== frame) {
+            this.lastEncoded = { frame, message: encodeFrame(frame) };
+        }
+        return this.lastEncoded.message;
+    }
+
     private open(stream: Stream): void {
         const attachmentId = `in${this.nextStream++}`;
         this.streams.set(attachmentId, stream);
