--- a/src/rpc/fleetService.ts
+++ b/src/rpc/fleetService.ts
@@ -1,6 +1,6 @@
 /** Attachments on the side of a control member. */
 import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
-import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import { type Attached, type Detached, type FleetFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { PeerTraffic } from "../telemetry/loadLog.ts";
@@ -8,7 +8,7 @@
 import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
 
 /** Frames that wait for a slow peer; above this it is cut off and attaches again. */
-const maximumWaiting = 512;
+export const maximumWaiting = 512;
 
 type Stream = ServerDuplexStream<FleetFrameMessage, FleetFrameMessage>;
 
@@ -23,6 +23,7 @@
     private readonly traffic: PeerTraffic;
     private readonly streams = new Map<string, Stream>();
     private nextStream = 0;
+    private lastEncoded: { readonly frame: FleetFrame; readonly message: FleetFrameMessage; } | undefined;
 
     constructor({ post, traffic }: FleetAcceptorOptions) {
         this.post = post;
@@ -44,7 +45,7 @@
             this.close(attachmentId, stream);
             return;
         }
-        const encoded = encodeFrame(frame);
+        const encoded = this.encode(frame);
         this.traffic.sent(frame.kind, encoded.body.length, attachmentId);
         stream.write(encoded);
     }
@@ -54,6 +55,14 @@
         this.streams.clear();
     }
 
+    /** A frame that goes to many is encoded once. */
+    private encode(frame: FleetFrame): FleetFrameMessage {
+        if (this.lastEncoded?.frame !== frame) {
+            this.lastEncoded = { frame, message: encodeFrame(frame) };
+        }
+        return this.lastEncoded.message;
+    }
+
     private open(stream: Stream): void {
         const attachmentId = `in${this.nextStream++}`;
         this.streams.set(attachmentId, stream);
