--- /dev/null
+++ b/src/session/__tests__/sessionFleet.ts
@@ -0,0 +1,513 @@
+/** The session pipes of many instances in virtual time, with the databases, links and processors that they share. */
+import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
+import { LinkKind } from "../../model/linkMessages.ts";
+import {
+    type PeerAnswer,
+    type PeerInstance,
+    PeerKind,
+    type PeerQuestion,
+    type PeerSend,
+} from "../../model/peerMessages.ts";
+import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
+import { SessionStatementKind } from "../../model/sessionStatement.ts";
+import { RouteConsistency, type RoutePolicy, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
+import { type Clock, EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import type { Sink } from "../../pipeline/sink.ts";
+import { encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
+import { Admission } from "../admission.ts";
+import { Forwarding } from "../forwarding.ts";
+import { chooseHolder } from "../holderChoice.ts";
+import { Links } from "../links.ts";
+import { PassedTasks } from "../passedTasks.ts";
+import { Routing } from "../routing.ts";
+import { Sessions } from "../sessions.ts";
+import { TaskMode } from "../taskMessages.ts";
+import { Schedule } from "./schedule.ts";
+import { statement } from "./sessionFixture.ts";
+import { StandInDatabase } from "./standInDatabase.ts";
+
+/** One way between data centres, and inside one. */
+const farMs = 4;
+const nearMs = 0.3;
+
+/** HTTP/2, gRPC and TCP around the body of a passed task or its result. */
+const framingBytes = 90;
+
+/** Ids of probes; tasks of callers have others. */
+const probeIds = /^[pf]\d/;
+
+/** Pauses between operations of one session are up to twice this long. */
+const thinkMs = 3_300;
+
+export interface SessionFleetOptions {
+    readonly instances: number;
+    readonly dataCentres: number;
+    readonly services: number;
+    readonly workspaces: number;
+    /** Callers' sessions of the whole fleet; each asks for an operation every 3.3 s on average. */
+    readonly sessions: number;
+    readonly connectionLimit?: number;
+    readonly seed?: number;
+    /** Share of a core that each instance has; work takes no time without it. */
+    readonly processorShare?: number;
+}
+
+/** Processor time of the plumbing around the pipe, in ms: gRPC and sockets before the code is optimized. */
+const Cost = {
+    peerIn: 0.15,
+    peerOut: 0.15,
+    streamOpened: 1.5,
+    streamAccepted: 0.9,
+    linkIn: 0.06,
+    linkOut: 0.06,
+    callerIn: 0.1,
+    callerOut: 0.1,
+} as const;
+
+/** What one instance has seen. */
+export interface InstanceCount {
+    questions: number;
+    probes: number;
+    bytesIn: number;
+    bytesOut: number;
+    /** Bytes in and out of questions for the position of a primary and their answers. */
+    floorBytes: number;
+    linksOpened: number;
+    /** Streams to other instances that were opened. */
+    streams: number;
+    /** Processor time of the plumbing. */
+    busyMs: number;
+}
+
+export class SessionFleet {
+    readonly schedule = new Schedule();
+    readonly databases = new Map<string, StandInDatabase>();
+    readonly nodes: FleetNode[] = [];
+    readonly random: SeededRandom;
+    readonly options: SessionFleetOptions;
+    /** Answers to operations, by fault; "served" without one. */
+    readonly answers = new Map<string, number>();
+    asked = 0;
+
+    constructor(options: SessionFleetOptions) {
+        this.options = options;
+        this.random = new SeededRandom(options.seed ?? 1);
+        const peers = Array.from({ length: options.instances }, (_, index): PeerInstance => ({
+            instanceId: `front-${index}`,
+            address: `10.0.0.${index}:7000`,
+            dataCentre: `dc${index % options.dataCentres}`,
+        }));
+        peers.forEach(peer => this.nodes.push(new FleetNode(this, peer)));
+        for (let index = 0; index < 3 * options.services; index++) {
+            const database = new StandInDatabase(this.schedule, this.report(index), options.connectionLimit ?? 82);
+            this.databases.set(database.report.databaseId, database);
+        }
+        this.databases.forEach(database => this.linkReplicas(database));
+        this.nodes.forEach(node => this.introduce(node, peers));
+    }
+
+    /** Opens the sessions of callers, who then ask for one operation after the other. */
+    startCallers(): void {
+        for (let index = 0; index < this.options.sessions; index++) {
+            const node = this.nodes[this.random.nextInteger(this.nodes.length)]!;
+            const routes = [...this.policy().routesByDatabase.values()];
+            const share = this.random.nextShare();
+            const kinds = routes.filter(({ name }) =>
+                name.startsWith(share < 0.15 ? "orders" : share < 0.3 ? "lookup" : "status")
+            );
+            const route = kinds[this.random.nextInteger(kinds.length)]!;
+            const caller = new Caller(this, node, `s${index}`, route);
+            this.schedule.at(thinkMs * 2 * this.random.nextShare(), () => caller.start());
+        }
+    }
+
+    advance(durationMs: number): void {
+        this.schedule.advanceTo(this.schedule.nowMs + durationMs);
+    }
+
+    node(address: string): FleetNode | undefined {
+        return this.nodes.find(({ peer }) => peer.address === address);
+    }
+
+    primariesHeldBy({ peer }: FleetNode): number {
+        const peers = this.nodes.map(node => node.peer);
+        return [...this.databases.values()].filter(({ report }) =>
+            report.leads && chooseHolder(peers, report.databaseId, report.dataCentre) === peer
+        ).length;
+    }
+
+    delayMs(from: string, to: string): number {
+        return from === to ? nearMs : farMs;
+    }
+
+    resetCounts(): void {
+        this.nodes.forEach(node => node.count = newCount());
+        this.answers.clear();
+        this.asked = 0;
+    }
+
+    noteAnswer(answer: string): void {
+        this.answers.set(answer, (this.answers.get(answer) ?? 0) + 1);
+    }
+
+    /** A few workspaces have most sessions. */
+    workspace(): string {
+        const { workspaces } = this.options;
+        return `w${Math.min(workspaces - 1, Math.floor(workspaces ** this.random.nextShare() - 1))}`;
+    }
+
+    introduce(node: FleetNode, peers: readonly PeerInstance[]): void {
+        node.post({ kind: FleetKind.PolicyApplied, policy: this.policy(), promoted: new Map() } as PolicyApplied);
+        const grant = { ratePerSecond: 1e4, burst: 1e4 };
+        const names = [...this.policy().workspaces.keys()];
+        node.post({ kind: FleetKind.GrantsChanged, grants: new Map(names.map(name => [name, grant])) } as Message);
+        node.post({ kind: PeerKind.InstancesKnown, instances: peers } as Message);
+        this.databases.forEach(({ report }) => node.post({ kind: FleetKind.DatabaseChanged, report } as Message));
+    }
+
+    private linkReplicas(database: StandInDatabase): void {
+        const { service } = database.report;
+        const group = [...this.databases.values()].filter(({ report }) => report.service === service);
+        database.primary = group.find(({ report }) => report.leads);
+    }
+
+    private report(index: number): DatabaseReport {
+        return {
+            databaseId: `db${index}`,
+            service: `service${Math.floor(index / 3)}`,
+            address: `db${index}:1`,
+            dataCentre: `dc${(Math.floor(index / 3) + index % 3) % this.options.dataCentres}`,
+            slots: 5,
+            state: ReportedState.Ready,
+            leads: index % 3 === 0,
+            sequence: 1,
+            bornUnixMs: 1,
+        };
+    }
+
+    private policy(): PolicyApplied["policy"] {
+        const names = Array.from({ length: this.options.workspaces }, (_, index) => `w${index}`);
+        const workspaces = names.map((name): WorkspacePolicy => ({
+            name,
+            keys: [`k-${name}`],
+            ratePerSecond: 1e4,
+            burst: 1e4,
+        }));
+        const services = Array.from({ length: this.options.services }, (_, index) => `service${index}`);
+        const routes = services.flatMap(service => [
+            routeOf("orders", service, RouteConsistency.Primary, 0),
+            routeOf("lookup", service, RouteConsistency.Bounded, 1_500),
+            routeOf("status", service, RouteConsistency.Session, 2_500),
+        ]);
+        const connectionLimit = this.options.connectionLimit ?? 82;
+        return {
+            version: 1,
+            routesByDatabase: new Map(routes.map(route => [route.database, route])),
+            services: new Map(services.map(name => [name, { name, connectionLimit, synchronousReplicas: 1 }])),
+            workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
+            workspaceByKey: new Map(names.map(name => [`k-${name}`, name])),
+            transactionIdleMs: 3_000,
+        };
+    }
+}
+
+/** One instance: its pipe, and the streams and links that leave it. */
+export class FleetNode implements Sink {
+    readonly accepts = [
+        SessionKind.Accept,
+        SessionKind.Refuse,
+        SessionKind.Answer,
+        SessionKind.Close,
+        LinkKind.Open,
+        LinkKind.Send,
+        LinkKind.Close,
+        FleetKind.UsageCounted,
+        FleetKind.GrantShort,
+        FleetKind.DatabaseSuspected,
+        FleetKind.Drained,
+        PeerKind.Send,
+        PeerKind.Answer,
+    ];
+    readonly peer: PeerInstance;
+    readonly callers = new Map<string, Caller>();
+    count = newCount();
+    /** A frozen instance does nothing and loses nothing; what arrives waits. */
+    frozen = false;
+    /** A killed instance ends its streams. */
+    killed = false;
+    private readonly fleet: SessionFleet;
+    private readonly loop: EventLoop;
+    private inbox: Message[] = [];
+    private freeMs = 0;
+    private readonly streams = new Set<string>();
+
+    constructor(fleet: SessionFleet, peer: PeerInstance) {
+        this.fleet = fleet;
+        this.peer = peer;
+        const { instanceId, dataCentre } = peer;
+        const filters = [
+            new Sessions(),
+            new Admission(),
+            new PassedTasks(),
+            new Routing({ dataCentre }),
+            new Forwarding({ instanceId }),
+            new Links(),
+        ];
+        this.loop = new EventLoop({
+            clock: new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.freeMs),
+            pipes: [new Pipe("session", filters)],
+            sinks: [this],
+        });
+    }
+
+    post(message: Message): void {
+        if (this.killed) {
+            return;
+        }
+        if (this.frozen) {
+            this.inbox.push(message);
+            return;
+        }
+        const costMs = message.kind.startsWith("peer.")
+            ? Cost.peerIn
+            : message.kind.startsWith("link.")
+            ? Cost.linkIn
+            : message.kind.startsWith("session.")
+            ? Cost.callerIn
+            : 0;
+        this.afterWork(costMs, () => this.loop.post(message));
+    }
+
+    /** Runs something after the work that it takes, behind all work before it. */
+    afterWork(costMs: number, run: () => void): void {
+        const share = this.fleet.options.processorShare;
+        if (share === undefined) {
+            run();
+            return;
+        }
+        this.freeMs = Math.max(this.freeMs, this.fleet.schedule.nowMs) + costMs / share;
+        this.count.busyMs += costMs;
+        this.fleet.schedule.at(this.freeMs, run);
+    }
+
+    thaw(): void {
+        this.frozen = false;
+        const waiting = this.inbox;
+        this.inbox = [];
+        waiting.forEach(message => this.post(message));
+    }
+
+    /** Ends the process; every other instance sees its streams end. */
+    kill(): void {
+        this.killed = true;
+        this.fleet.nodes.filter(other => other !== this).forEach(other => {
+            other.post({ kind: PeerKind.Lost, address: this.peer.address } as Message);
+            other.post({ kind: PeerKind.Gone, streamId: this.peer.instanceId } as Message);
+        });
+    }
+
+    deliver(message: Message): void {
+        const costMs = message.kind.startsWith("peer.")
+            ? Cost.peerOut
+            : message.kind.startsWith("link.")
+            ? Cost.linkOut
+            : message.kind === SessionKind.Answer
+            ? Cost.callerOut
+            : 0;
+        this.afterWork(costMs, () => this.emit(message));
+    }
+
+    private emit(message: Message): void {
+        switch (message.kind) {
+            case SessionKind.Answer:
+                this.callers.get((message as SessionAnswer).sessionId)?.answered(message as SessionAnswer);
+                return;
+            case SessionKind.Refuse:
+                this.fleet.noteAnswer("refused");
+                return;
+            case PeerKind.Send:
+                return this.ask(message as PeerSend);
+            case PeerKind.Answer:
+                return this.answer(message as PeerAnswer);
+            case LinkKind.Open:
+                this.count.linksOpened += 1;
+                return this.toDatabase((message as unknown as { databaseId: string; }).databaseId, message);
+            case LinkKind.Send:
+            case LinkKind.Close:
+                return this.fleet.databases.forEach(database => this.toDatabase(database.report.databaseId, message));
+            default:
+        }
+    }
+
+    private ask({ address, question }: PeerSend): void {
+        const other = this.fleet.node(address);
+        if (other === undefined || other.killed) {
+            this.fleet.schedule.after(nearMs, () => this.post({ kind: PeerKind.Lost, address } as Message));
+            return;
+        }
+        const bytes = encodeQuestion(question).body.length + framingBytes;
+        this.count.bytesOut += bytes;
+        const floorBytes = isProbe(question) ? bytes : 0;
+        this.count.floorBytes += floorBytes;
+        if (!this.streams.has(address)) {
+            this.streams.add(address);
+            this.count.streams += 1;
+            this.afterWork(Cost.streamOpened, () => undefined);
+            other.afterWork(Cost.streamAccepted, () => undefined);
+        }
+        this.fleet.schedule.after(this.fleet.delayMs(this.peer.dataCentre, other.peer.dataCentre), () => {
+            other.count.bytesIn += bytes;
+            other.count.floorBytes += floorBytes;
+            other.count.questions += 1;
+            other.count.probes += isProbe(question) ? 1 : 0;
+            other.post({ kind: PeerKind.Asked, streamId: this.peer.instanceId, question } as Message);
+        });
+    }
+
+    private answer({ streamId, result }: PeerAnswer): void {
+        const other = this.fleet.nodes.find(({ peer }) => peer.instanceId === streamId)!;
+        const bytes = encodeResult(result).body.length + framingBytes;
+        const floorBytes = probeIds.test(result.taskId) ? bytes : 0;
+        this.count.bytesOut += bytes;
+        this.count.floorBytes += floorBytes;
+        this.fleet.schedule.after(this.fleet.delayMs(this.peer.dataCentre, other.peer.dataCentre), () => {
+            other.count.bytesIn += bytes;
+            other.count.floorBytes += floorBytes;
+            other.post({ kind: PeerKind.Answered, address: this.peer.address, result } as Message);
+        });
+    }
+
+    private toDatabase(databaseId: string, message: Message): void {
+        const database = this.fleet.databases.get(databaseId)!;
+        const delayMs = this.fleet.delayMs(this.peer.dataCentre, database.report.dataCentre);
+        this.fleet.schedule.after(delayMs, () =>
+            database.take(
+                this.peer.instanceId,
+                message,
+                answer => this.fleet.schedule.after(delayMs, () => this.post(answer)),
+            ));
+    }
+}
+
+/** One caller's session: an operation, a pause, and so on. */
+class Caller {
+    private readonly fleet: SessionFleet;
+    private readonly node: FleetNode;
+    private readonly sessionId: string;
+    private readonly route: RoutePolicy;
+    private plan: SessionStatementKind[] = [];
+    private nextId = 0;
+
+    constructor(fleet: SessionFleet, node: FleetNode, sessionId: string, route: RoutePolicy) {
+        this.fleet = fleet;
+        this.node = node;
+        this.sessionId = sessionId;
+        this.route = route;
+        node.callers.set(sessionId, this);
+    }
+
+    start(): void {
+        const key = `k-${this.fleet.workspace()}`;
+        const { sessionId } = this;
+        this.node.post({ kind: SessionKind.Opened, sessionId, database: this.route.database, key } as Message);
+        this.operate();
+    }
+
+    answered({ answer }: SessionAnswer): void {
+        if (answer.fault === undefined && this.plan.length > 0) {
+            this.request(this.plan.shift()!);
+            return;
+        }
+        const open = answer.fault !== undefined && answer.transaction !== "none";
+        this.fleet.noteAnswer(answer.fault ?? "served");
+        this.plan = [];
+        if (open) {
+            this.node.callers.delete(this.sessionId);
+            this.node.post({ kind: SessionKind.Closed, sessionId: this.sessionId } as Message);
+            return;
+        }
+        this.fleet.schedule.after(2 * thinkMs * this.fleet.random.nextShare(), () => this.operate());
+    }
+
+    private operate(): void {
+        this.fleet.asked += 1;
+        const [transactions, writes] = {
+            [RouteConsistency.Primary]: [0.25, 0.2],
+            [RouteConsistency.Bounded]: [0.1, 0],
+            [RouteConsistency.Session]: [0.12, 0.12],
+        }[this.route.consistency] as [number, number];
+        const share = this.fleet.random.nextShare();
+        const { Begin, BeginRead, Read, Write, Commit } = SessionStatementKind;
+        const begin = writes === 0 ? BeginRead : Begin;
+        this.plan = share < transactions
+            ? [begin, Read, ...writes === 0 ? [Read] : [Write], Commit]
+            : [share < transactions + writes ? Write : Read];
+        this.request(this.plan.shift()!);
+    }
+
+    private request(kind: SessionStatementKind): void {
+        const shown = statement(kind, `${this.sessionId}-${this.nextId++}`);
+        this.node.post({ kind: SessionKind.Requested, sessionId: this.sessionId, statement: shown } as Message);
+    }
+}
+
+/** The time of one instance on the shared schedule. */
+class NodeClock implements Clock {
+    private wakes = 0;
+    private readonly schedule: Schedule;
+    private readonly runs: () => boolean;
+    private readonly freeMs: () => number;
+
+    constructor(schedule: Schedule, runs: () => boolean, freeMs: () => number) {
+        this.schedule = schedule;
+        this.runs = runs;
+        this.freeMs = freeMs;
+    }
+
+    nowMs(): number {
+        return this.schedule.nowMs;
+    }
+
+    soon(run: () => void): void {
+        this.schedule.after(0, run);
+    }
+
+    wakeAt(atMs: number, run: () => void): void {
+        this.wakes += 1;
+        const wake = this.wakes;
+        this.schedule.at(Math.max(atMs, this.freeMs()), () => {
+            if (wake === this.wakes && this.runs()) {
+                run();
+            }
+        });
+    }
+
+    cancelWake(): void {
+        this.wakes += 1;
+    }
+}
+
+function isProbe(question: PeerQuestion): boolean {
+    return question.kind === "task" && question.mode === TaskMode.Probe;
+}
+
+function newCount(): InstanceCount {
+    return { questions: 0, probes: 0, bytesIn: 0, bytesOut: 0, floorBytes: 0, linksOpened: 0, streams: 0, busyMs: 0 };
+}
+
+function routeOf(name: string, service: string, consistency: RouteConsistency, maximumAgeMs: number): RoutePolicy {
+    return {
+        name: `${name}-${service}`,
+        database: `${name}-${service}`,
+        service,
+        consistency,
+        maximumAgeMs,
+        statementLimitMs: 1_000,
+        targetLatencyMs: 500,
+        priority: 1,
+        open: false,
+    };
+}
--- /dev/null
+++ b/src/session/__tests__/standInDatabase.ts
@@ -0,0 +1,211 @@
+/** A database in virtual time: slots, connections, the positions of its log, and one reply for each command. */
+import type { DatabaseReport } from "../../model/fleetMessages.ts";
+import {
+    type LinkCommand,
+    LinkCommandKind,
+    LinkKind,
+    LinkLoss,
+    type LinkOpen,
+    type LinkReply,
+    type LinkSend,
+} from "../../model/linkMessages.ts";
+import type { Position } from "../../model/position.ts";
+import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
+import type { Message } from "../../pipeline/message.ts";
+import type { Schedule } from "./schedule.ts";
+
+/** Time for which a new connection takes a slot. */
+const openMs = 12;
+
+/** Time for which a read, a write or a commit takes one. */
+const workMs = 24;
+
+/** Replicas show a commit this much later than the primary. */
+const lagMs = 60;
+
+type Answer = (message: Message) => void;
+
+interface Connection {
+    transaction: TransactionState;
+    wrote: boolean;
+    /** Commands that have not run, in order. */
+    readonly commands: LinkCommand[];
+    running: boolean;
+    closed: boolean;
+}
+
+export class StandInDatabase {
+    readonly report: DatabaseReport;
+    primary: StandInDatabase | undefined;
+    /** Times of commits at the primary. */
+    readonly commits: number[] = [];
+    opened = 0;
+    refused = 0;
+    /** Transactions that began; a probe begins one. */
+    begun = 0;
+    private readonly schedule: Schedule;
+    private readonly connectionLimit: number;
+    private readonly connections = new Map<string, Connection>();
+    private readonly waiting: (() => void)[] = [];
+    private busy = 0;
+
+    constructor(schedule: Schedule, report: DatabaseReport, connectionLimit: number) {
+        this.schedule = schedule;
+        this.report = report;
+        this.connectionLimit = connectionLimit;
+    }
+
+    get open(): number {
+        return this.connections.size;
+    }
+
+    /** Takes a message of an instance; ones for links of other databases are none of its business. */
+    take(instanceId: string, message: Message, answer: Answer): void {
+        const { linkId } = message as LinkOpen;
+        const key = `${instanceId}/${linkId}`;
+        if (message.kind === LinkKind.Open) {
+            this.accept(key, linkId, answer);
+            return;
+        }
+        const connection = this.connections.get(key);
+        if (connection === undefined) {
+            return;
+        }
+        if (message.kind === LinkKind.Close) {
+            connection.closed = true;
+            this.connections.delete(key);
+            return;
+        }
+        connection.commands.push(...(message as LinkSend).commands);
+        this.proceed(connection, linkId, answer);
+    }
+
+    private accept(key: string, linkId: string, answer: Answer): void {
+        if (this.connections.size >= this.connectionLimit) {
+            this.refused += 1;
+            const fault = StatementFault.ConnectionLimit;
+            answer({ kind: LinkKind.Lost, linkId, loss: LinkLoss.Refused, fault } as Message);
+            return;
+        }
+        this.opened += 1;
+        this.connections.set(key, {
+            transaction: TransactionState.None,
+            wrote: false,
+            commands: [],
+            running: false,
+            closed: false,
+        });
+        this.withSlot(openMs, () => answer({ kind: LinkKind.Opened, linkId, position: undefined } as Message));
+    }
+
+    private proceed(connection: Connection, linkId: string, answer: Answer): void {
+        const command = connection.running ? undefined : connection.commands.shift();
+        if (command === undefined) {
+            return;
+        }
+        connection.running = true;
+        const end = () => {
+            connection.running = false;
+            if (!connection.closed) {
+                answer({ kind: LinkKind.Replied, linkId, reply: this.run(connection, command) } as Message);
+                this.proceed(connection, linkId, answer);
+            }
+        };
+        const works = command.kind === LinkCommandKind.Run && command.statement.kind !== SessionStatementKind.Rollback;
+        if (works) {
+            this.withSlot(workMs, end);
+        }
+        else {
+            end();
+        }
+    }
+
+    private run(connection: Connection, command: LinkCommand): LinkReply {
+        switch (command.kind) {
+            case LinkCommandKind.Begin:
+            case LinkCommandKind.BeginRead: {
+                this.begun += 1;
+                const after = command.kind === LinkCommandKind.BeginRead ? command.after : undefined;
+                if (command.kind === LinkCommandKind.Begin && !this.report.leads) {
+                    return this.reply(connection, StatementFault.ReadOnly);
+                }
+                if (after !== undefined && after.offset > this.position().offset) {
+                    return this.reply(connection, StatementFault.Lagging);
+                }
+                connection.transaction = TransactionState.Open;
+                return this.reply(connection);
+            }
+            case LinkCommandKind.Rollback:
+                connection.transaction = TransactionState.None;
+                return this.reply(connection);
+            case LinkCommandKind.Run:
+                return this.runStatement(connection, command.statement.kind, command.after);
+            default:
+                return this.reply(connection);
+        }
+    }
+
+    private runStatement(
+        connection: Connection,
+        kind: SessionStatementKind,
+        after: Position | undefined,
+    ): LinkReply {
+        if (after !== undefined && after.offset > this.position().offset) {
+            return this.reply(connection, StatementFault.Lagging);
+        }
+        if (kind === SessionStatementKind.Write) {
+            if (!this.report.leads) {
+                return this.reply(connection, StatementFault.ReadOnly);
+            }
+            if (connection.transaction === TransactionState.None) {
+                this.commits.push(this.schedule.nowMs);
+            }
+            connection.wrote = true;
+        }
+        if (kind === SessionStatementKind.Commit || kind === SessionStatementKind.Rollback) {
+            if (kind === SessionStatementKind.Commit && connection.wrote) {
+                this.commits.push(this.schedule.nowMs);
+            }
+            connection.wrote = false;
+            connection.transaction = TransactionState.None;
+        }
+        return this.reply(connection);
+    }
+
+    private reply({ transaction }: Connection, fault?: StatementFault): LinkReply {
+        return {
+            rows: [],
+            signature: fault === undefined ? "signature" : undefined,
+            fault,
+            detail: "",
+            transaction,
+            position: this.position(),
+            status: undefined,
+        };
+    }
+
+    private position(): Position {
+        if (this.report.leads) {
+            return { term: 1, offset: this.commits.length };
+        }
+        const commits = this.primary?.commits ?? [];
+        let offset = commits.length;
+        while (offset > 0 && commits[offset - 1]! > this.schedule.nowMs - lagMs) {
+            offset -= 1;
+        }
+        return { term: 1, offset };
+    }
+
+    private withSlot(durationMs: number, end: () => void): void {
+        if (this.busy >= this.report.slots) {
+            this.waiting.push(() => this.withSlot(durationMs, end));
+            return;
+        }
+        this.busy += 1;
+        this.schedule.after(durationMs, () => {
+            this.busy -= 1;
+            end();
+            this.waiting.shift()?.();
+        });
+    }
+}
