fix(session): one instance of each data centre asks a primary for its position

Callers saw nothing of this by itself; on a fleet of 89 instances the holder of each primary spent 7.6 to 8.8 KB/s and a fifth of the tasks passed to it on questions for its position, nearly all of them from other data centres, and the cost grew with the instances.

Cause: every instance renewed the position of every primary that its reads needed.

Change: a filter that stands first in the session pipe, FloorExchange. Services are divided evenly among the instances of a data centre; one of them asks the primary, and the others ask that one. It answers from the newest position that any attempt of its own proved, or probes once for all who wait. After 250 ms of silence, the end of a stream or a negative answer an instance asks the next one, and after two it asks the primary itself. The answer carries the age that the proof had when the question arrived; the asker counts it back from the time at which it sent the question, so no clock of another machine is read and a slow answer makes a position older, never younger.

Positions are renewed at 0.7 of a route's age (was 0.5) and accepted from another instance up to 0.4 of it.

--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -54,11 +54,24 @@
     readonly limitMs: number;
 }
 
+/** Asks for a position that the primary of a service is proved to have had. */
+export interface FloorQuestion {
+    readonly kind: "floor";
+    readonly questionId: string;
+    readonly service: string;
+    /** Named to the database if a link has to be opened. */
+    readonly workspace: string;
+    /** An older proof is renewed before the answer. */
+    readonly acceptedAgeMs: number;
+}
+
 export type PeerQuestion =
     | PassedTask
+    | FloorQuestion
     | { readonly kind: "abandon"; readonly sessionId: string; readonly taskId: string | undefined; };
 
 export interface PassedResult {
+    readonly kind: "task";
     readonly taskId: string;
     readonly reply: LinkReply | undefined;
     readonly fault: StatementFault | undefined;
@@ -67,6 +80,17 @@
     readonly pinned: boolean;
 }
 
+export interface FloorResult {
+    readonly kind: "floor";
+    readonly questionId: string;
+    /** Undefined when the primary has proved none. */
+    readonly position: Position | undefined;
+    /** Age of the proof when the question arrived; 0 when it is younger than the question. */
+    readonly proofAgeMs: number;
+}
+
+export type PeerResult = PassedResult | FloorResult;
+
 export interface PeerSend extends Message {
     readonly kind: typeof PeerKind.Send;
     readonly address: string;
@@ -83,13 +107,13 @@
 export interface PeerAnswer extends Message {
     readonly kind: typeof PeerKind.Answer;
     readonly streamId: string;
-    readonly result: PassedResult;
+    readonly result: PeerResult;
 }
 
 export interface PeerAnswered extends Message {
     readonly kind: typeof PeerKind.Answered;
     readonly address: string;
-    readonly result: PassedResult;
+    readonly result: PeerResult;
 }
 
 export interface PeerLost extends Message {
--- a/src/rpc/__tests__/taskCodec.spec.ts
+++ b/src/rpc/__tests__/taskCodec.spec.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { PassedResult, PeerQuestion } from "../../model/peerMessages.ts";
+import type { PeerQuestion, PeerResult } from "../../model/peerMessages.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "../taskCodec.ts";
 
@@ -42,6 +42,7 @@
             },
             { kind: "abandon", sessionId: "s1", taskId: undefined },
             { kind: "abandon", sessionId: "s1", taskId: "t1" },
+            { kind: "floor", questionId: "f1", service: "s", workspace: "w", acceptedAgeMs: 750 },
         ];
         questions.forEach(question => assert.deepEqual(decodeQuestion(encodeQuestion(question)), question));
     });
@@ -56,10 +57,20 @@
             position: { term: 1, offset: 2 },
             status: undefined,
         };
-        const results: readonly PassedResult[] = [
-            { taskId: "t1", reply, fault: undefined, sent: true, leads: true, pinned: true },
-            { taskId: "t1", reply: undefined, fault: StatementFault.Busy, sent: false, leads: false, pinned: false },
-            { taskId: "t1", reply: undefined, fault: undefined, sent: true, leads: false, pinned: false },
+        const results: readonly PeerResult[] = [
+            { kind: "task", taskId: "t1", reply, fault: undefined, sent: true, leads: true, pinned: true },
+            {
+                kind: "task",
+                taskId: "t1",
+                reply: undefined,
+                fault: StatementFault.Busy,
+                sent: false,
+                leads: false,
+                pinned: false,
+            },
+            { kind: "task", taskId: "t1", reply: undefined, fault: undefined, sent: true, leads: false, pinned: false },
+            { kind: "floor", questionId: "f1", position: { term: 1, offset: 2 }, proofAgeMs: 40 },
+            { kind: "floor", questionId: "f1", position: undefined, proofAgeMs: 0 },
         ];
         results.forEach(result => assert.deepEqual(decodeResult(encodeResult(result)), result));
     });
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -1,6 +1,6 @@
 /** Passed tasks and their results on the wire, as lists without field names: they are the most frequent messages. */
 import type { LinkReply } from "../model/linkMessages.ts";
-import type { PassedResult, PeerQuestion } from "../model/peerMessages.ts";
+import type { PeerQuestion, PeerResult } from "../model/peerMessages.ts";
 import type { Position } from "../model/position.ts";
 import {
     type PreparedShape,
@@ -18,6 +18,10 @@
     if (question.kind === "abandon") {
         return { body: encodeJson([question.sessionId, question.taskId ?? 0]) };
     }
+    if (question.kind === "floor") {
+        const { questionId, service, workspace, acceptedAgeMs } = question;
+        return { body: encodeJson([questionId, service, workspace, Math.floor(acceptedAgeMs)]) };
+    }
     const { statement, prepared, after } = question;
     return {
         body: encodeJson([
@@ -44,6 +48,16 @@
     if (flat.length === 2) {
         return { kind: "abandon", sessionId: String(flat[0]), taskId: flat[1] === 0 ? undefined : String(flat[1]) };
     }
+    if (flat.length === 4) {
+        const [questionId, service, workspace, acceptedAgeMs] = flat;
+        return {
+            kind: "floor",
+            questionId: String(questionId),
+            service: String(service),
+            workspace: String(workspace),
+            acceptedAgeMs: Number(acceptedAgeMs),
+        };
+    }
     const prepared = flat[9] as 0 | readonly [number, string];
     return {
         kind: "task",
@@ -65,7 +79,13 @@
     };
 }
 
-export function encodeResult({ taskId, reply, fault, sent, leads, pinned }: PassedResult): TaskFrameMessage {
+export function encodeResult(result: PeerResult): TaskFrameMessage {
+    if (result.kind === "floor") {
+        // Rounded up, because a proof must not look younger than it is.
+        const { questionId, position, proofAgeMs } = result;
+        return { body: encodeJson([questionId, encodePosition(position), Math.ceil(proofAgeMs)]) };
+    }
+    const { taskId, reply, fault, sent, leads, pinned } = result;
     const flags = Number(sent) + 2 * Number(leads) + 4 * Number(pinned);
     const shown = reply === undefined ? 0 : [
         reply.rows,
@@ -79,9 +99,20 @@
 }
 
 /** @throws when the body is not what `encodeResult` makes */
-export function decodeResult({ body }: TaskFrameMessage): PassedResult {
-    const [taskId, flags, fault, shown] = decodeJson(body) as [string, number, string | 0, Flat | 0];
+export function decodeResult({ body }: TaskFrameMessage): PeerResult {
+    const flat = decodeJson(body) as Flat;
+    if (flat.length === 3) {
+        const [questionId, position, proofAgeMs] = flat;
+        return {
+            kind: "floor",
+            questionId: String(questionId),
+            position: decodePosition(position),
+            proofAgeMs: Number(proofAgeMs),
+        };
+    }
+    const [taskId, flags, fault, shown] = flat as readonly [string, number, string | 0, Flat | 0];
     return {
+        kind: "task",
         taskId,
         reply: shown === 0 ? undefined : decodeReply(shown),
         fault: fault === 0 ? undefined : fault as StatementFault,
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -22,6 +22,7 @@
 import type { Sink } from "../../pipeline/sink.ts";
 import { VirtualClock } from "../../pipeline/virtualClock.ts";
 import { Admission } from "../admission.ts";
+import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
 import { Links } from "../links.ts";
 import { PassedTasks } from "../passedTasks.ts";
@@ -59,6 +60,7 @@
 
     constructor() {
         const filters = [
+            new FloorExchange({ instanceId: "front1", dataCentre: "dc1" }),
             new Sessions(),
             new Admission(),
             new PassedTasks(),
--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { SessionFleet } from "./sessionFleet.ts";
+import { PeerKind } from "../../model/peerMessages.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { type FleetNode, SessionFleet } from "./sessionFleet.ts";
 
 /** Control traffic that a node may have, of which a holder of a primary spends it all at most once for each primary. */
 const controlBytesPerSecond = 3_000;
@@ -27,4 +29,39 @@
         assert.deepEqual(over, []);
         assert.equal([...fleet.answers.keys()].filter(answer => answer !== "served").length, 0);
     });
+
+    for (const lagMs of [60, 2_000]) {
+        it(`reads nothing too old while instances are frozen, killed and cut, with copies ${lagMs} ms behind`, () => {
+            // Guards against a position that another instance passed on as younger than it was.
+            const fleet = new SessionFleet({
+                instances: 30,
+                dataCentres: 3,
+                services: 6,
+                workspaces: 8,
+                sessions: 1_000,
+                lagMs,
+            });
+            fleet.startCallers();
+            fleet.advance(8_000);
+            assert.deepEqual([...fleet.answers.keys()], ["served"]);
+            const disturbed = ["dc0", "dc1", "dc2"].map(name => fleet.bystanders(name).slice(0, 3));
+            const peers = fleet.nodes.map(({ peer }) => peer);
+            for (const [frozen, killed, cut] of disturbed as [FleetNode, FleetNode, FleetNode][]) {
+                fleet.disturb(frozen, 2_500, () => frozen.frozen = true, () => frozen.thaw());
+                fleet.advance(300);
+                fleet.disturb(killed, 3_500, () => killed.kill(), () =>
+                    fleet.nodes.forEach(node =>
+                        node.post({
+                            kind: PeerKind.InstancesKnown,
+                            instances: peers.filter(peer => peer !== killed.peer),
+                        } as Message)
+                    ));
+                fleet.disturb(cut, 3_000, () => cut.cut = true, () => cut.cut = false);
+                fleet.advance(300);
+            }
+            fleet.advance(6_000);
+            assert.deepEqual(fleet.staleStatements, []);
+            assert.deepEqual([...fleet.answers.keys()], ["served"]);
+        });
+    }
 });
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -18,6 +18,7 @@
 import type { Sink } from "../../pipeline/sink.ts";
 import { encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
 import { Admission } from "../admission.ts";
+import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
 import { chooseHolder } from "../holderChoice.ts";
 import { Links } from "../links.ts";
@@ -50,6 +51,8 @@
     /** Callers' sessions of the whole fleet; each asks for an operation every 3.3 s on average. */
     readonly sessions: number;
     readonly connectionLimit?: number;
+    /** Time after which replicas show a commit. */
+    readonly lagMs?: number;
     readonly seed?: number;
     /** Share of a core that each instance has; work takes no time without it. */
     readonly processorShare?: number;
@@ -91,6 +94,10 @@
     /** Answers to operations, by fault; "served" without one. */
     readonly answers = new Map<string, number>();
     asked = 0;
+    /** Statements that ran on a log without a commit that they had to see. */
+    readonly staleStatements: string[] = [];
+    /** Time before which commits have to be seen, by statement. */
+    private readonly visibleBeforeMs = new Map<string, number>();
 
     constructor(options: SessionFleetOptions) {
         this.options = options;
@@ -102,7 +109,11 @@
         }));
         peers.forEach(peer => this.nodes.push(new FleetNode(this, peer)));
         for (let index = 0; index < 3 * options.services; index++) {
-            const database = new StandInDatabase(this.schedule, this.report(index), options.connectionLimit ?? 82);
+            const database = new StandInDatabase(this.schedule, this.report(index), {
+                connectionLimit: options.connectionLimit ?? 82,
+                lagMs: options.lagMs ?? 60,
+            });
+            database.noteRun = (statementId, commits) => this.checkRead(database, statementId, commits);
             this.databases.set(database.report.databaseId, database);
         }
         this.databases.forEach(database => this.linkReplicas(database));
@@ -132,6 +143,22 @@
         return this.nodes.find(({ peer }) => peer.address === address);
     }
 
+    /** The instances of a data centre that hold no database, in the order of their ids. */
+    bystanders(dataCentre: string): readonly FleetNode[] {
+        const peers = this.nodes.map(node => node.peer);
+        const holders = [...this.databases.values()].map(({ report }) =>
+            chooseHolder(peers, report.databaseId, report.dataCentre)
+        );
+        return this.nodes.filter(({ peer }) => peer.dataCentre === dataCentre && !holders.includes(peer));
+    }
+
+    /** Disturbs an instance; `end` undoes it after `durationMs`. */
+    disturb(node: FleetNode, durationMs: number, start: () => void, end: () => void): void {
+        node.disturbed = true;
+        start();
+        this.schedule.after(durationMs, end);
+    }
+
     primariesHeldBy({ peer }: FleetNode): number {
         const peers = this.nodes.map(node => node.peer);
         return [...this.databases.values()].filter(({ report }) =>
@@ -149,10 +176,25 @@
         this.asked = 0;
     }
 
-    noteAnswer(answer: string): void {
+    /** Answers of instances that were disturbed are not counted. */
+    noteAnswer(node: FleetNode, answer: string): void {
+        if (node.disturbed) {
+            return;
+        }
         this.answers.set(answer, (this.answers.get(answer) ?? 0) + 1);
     }
 
+    expectCommits(statementId: string, beforeMs: number): void {
+        this.visibleBeforeMs.set(statementId, beforeMs);
+    }
+
+    private checkRead(database: StandInDatabase, statementId: string, commits: number): void {
+        const beforeMs = this.visibleBeforeMs.get(statementId) ?? -Infinity;
+        if ((database.primary?.commits[commits] ?? Infinity) < beforeMs) {
+            this.staleStatements.push(statementId);
+        }
+    }
+
     /** A few workspaces have most sessions. */
     workspace(): string {
         const { workspaces } = this.options;
@@ -238,8 +280,13 @@
     frozen = false;
     /** A killed instance ends its streams. */
     killed = false;
+    /** What is on its way to other instances or from them is lost. */
+    cut = false;
+    /** It was frozen, killed or cut. */
+    disturbed = false;
     private readonly fleet: SessionFleet;
     private readonly loop: EventLoop;
+    private readonly clock: NodeClock;
     private inbox: Message[] = [];
     private freeMs = 0;
     private readonly streams = new Set<string>();
@@ -249,6 +296,7 @@
         this.peer = peer;
         const { instanceId, dataCentre } = peer;
         const filters = [
+            new FloorExchange({ instanceId, dataCentre }),
             new Sessions(),
             new Admission(),
             new PassedTasks(),
@@ -256,8 +304,9 @@
             new Forwarding({ instanceId }),
             new Links(),
         ];
+        this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.freeMs);
         this.loop = new EventLoop({
-            clock: new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.freeMs),
+            clock: this.clock,
             pipes: [new Pipe("session", filters)],
             sinks: [this],
         });
@@ -298,6 +347,8 @@
         const waiting = this.inbox;
         this.inbox = [];
         waiting.forEach(message => this.post(message));
+        // Timers that came due meanwhile run now.
+        this.clock.wakeNow();
     }
 
     /** Ends the process; every other instance sees its streams end. */
@@ -326,7 +377,7 @@
                 this.callers.get((message as SessionAnswer).sessionId)?.answered(message as SessionAnswer);
                 return;
             case SessionKind.Refuse:
-                this.fleet.noteAnswer("refused");
+                this.fleet.noteAnswer(this, "refused");
                 return;
             case PeerKind.Send:
                 return this.ask(message as PeerSend);
@@ -359,6 +410,9 @@
             other.afterWork(Cost.streamAccepted, () => undefined);
         }
         this.fleet.schedule.after(this.fleet.delayMs(this.peer.dataCentre, other.peer.dataCentre), () => {
+            if (this.cut || other.cut) {
+                return;
+            }
             other.count.bytesIn += bytes;
             other.count.floorBytes += floorBytes;
             other.count.questions += 1;
@@ -370,10 +424,13 @@
     private answer({ streamId, result }: PeerAnswer): void {
         const other = this.fleet.nodes.find(({ peer }) => peer.instanceId === streamId)!;
         const bytes = encodeResult(result).body.length + framingBytes;
-        const floorBytes = probeIds.test(result.taskId) ? bytes : 0;
+        const floorBytes = probeIds.test(result.kind === "floor" ? result.questionId : result.taskId) ? bytes : 0;
         this.count.bytesOut += bytes;
         this.count.floorBytes += floorBytes;
         this.fleet.schedule.after(this.fleet.delayMs(this.peer.dataCentre, other.peer.dataCentre), () => {
+            if (this.cut || other.cut) {
+                return;
+            }
             other.count.bytesIn += bytes;
             other.count.floorBytes += floorBytes;
             other.post({ kind: PeerKind.Answered, address: this.peer.address, result } as Message);
@@ -400,6 +457,7 @@
     private readonly route: RoutePolicy;
     private plan: SessionStatementKind[] = [];
     private nextId = 0;
+    private operationMs = 0;
 
     constructor(fleet: SessionFleet, node: FleetNode, sessionId: string, route: RoutePolicy) {
         this.fleet = fleet;
@@ -422,7 +480,7 @@
             return;
         }
         const open = answer.fault !== undefined && answer.transaction !== "none";
-        this.fleet.noteAnswer(answer.fault ?? "served");
+        this.fleet.noteAnswer(this.node, answer.fault ?? "served");
         this.plan = [];
         if (open) {
             this.node.callers.delete(this.sessionId);
@@ -434,6 +492,7 @@
 
     private operate(): void {
         this.fleet.asked += 1;
+        this.operationMs = this.fleet.schedule.nowMs;
         const [transactions, writes] = {
             [RouteConsistency.Primary]: [0.25, 0.2],
             [RouteConsistency.Bounded]: [0.1, 0],
@@ -450,6 +509,7 @@
 
     private request(kind: SessionStatementKind): void {
         const shown = statement(kind, `${this.sessionId}-${this.nextId++}`);
+        this.fleet.expectCommits(shown.id, this.operationMs - this.route.maximumAgeMs);
         this.node.post({ kind: SessionKind.Requested, sessionId: this.sessionId, statement: shown } as Message);
     }
 }
@@ -457,6 +517,7 @@
 /** The time of one instance on the shared schedule. */
 class NodeClock implements Clock {
     private wakes = 0;
+    private missed: (() => void) | undefined;
     private readonly schedule: Schedule;
     private readonly runs: () => boolean;
     private readonly freeMs: () => number;
@@ -478,20 +539,32 @@
     wakeAt(atMs: number, run: () => void): void {
         this.wakes += 1;
         const wake = this.wakes;
+        this.missed = undefined;
         this.schedule.at(Math.max(atMs, this.freeMs()), () => {
             if (wake === this.wakes && this.runs()) {
                 run();
             }
+            else if (wake === this.wakes) {
+                this.missed = run;
+            }
         });
     }
 
+    /** Runs what came due while nothing ran. */
+    wakeNow(): void {
+        const run = this.missed;
+        this.missed = undefined;
+        run?.();
+    }
+
     cancelWake(): void {
         this.wakes += 1;
+        this.missed = undefined;
     }
 }
 
 function isProbe(question: PeerQuestion): boolean {
-    return question.kind === "task" && question.mode === TaskMode.Probe;
+    return question.kind === "floor" || question.kind === "task" && question.mode === TaskMode.Probe;
 }
 
 function newCount(): InstanceCount {
--- a/src/session/__tests__/standInDatabase.ts
+++ b/src/session/__tests__/standInDatabase.ts
@@ -20,9 +20,6 @@
 /** Time for which a read, a write or a commit takes one. */
 const workMs = 24;
 
-/** Replicas show a commit this much later than the primary. */
-const lagMs = 60;
-
 type Answer = (message: Message) => void;
 
 interface Connection {
@@ -34,6 +31,12 @@
     closed: boolean;
 }
 
+export interface StandInDatabaseOptions {
+    readonly connectionLimit: number;
+    /** Replicas show a commit this much later than the primary. */
+    readonly lagMs: number;
+}
+
 export class StandInDatabase {
     readonly report: DatabaseReport;
     primary: StandInDatabase | undefined;
@@ -43,16 +46,18 @@
     refused = 0;
     /** Transactions that began; a probe begins one. */
     begun = 0;
+    /** Told of each statement that runs, with the commits that its log holds. */
+    noteRun: (statementId: string, commits: number) => void = () => undefined;
     private readonly schedule: Schedule;
-    private readonly connectionLimit: number;
+    private readonly options: StandInDatabaseOptions;
     private readonly connections = new Map<string, Connection>();
     private readonly waiting: (() => void)[] = [];
     private busy = 0;
 
-    constructor(schedule: Schedule, report: DatabaseReport, connectionLimit: number) {
+    constructor(schedule: Schedule, report: DatabaseReport, options: StandInDatabaseOptions) {
         this.schedule = schedule;
         this.report = report;
-        this.connectionLimit = connectionLimit;
+        this.options = options;
     }
 
     get open(): number {
@@ -81,7 +86,7 @@
     }
 
     private accept(key: string, linkId: string, answer: Answer): void {
-        if (this.connections.size >= this.connectionLimit) {
+        if (this.connections.size >= this.options.connectionLimit) {
             this.refused += 1;
             const fault = StatementFault.ConnectionLimit;
             answer({ kind: LinkKind.Lost, linkId, loss: LinkLoss.Refused, fault } as Message);
@@ -139,7 +144,7 @@
                 connection.transaction = TransactionState.None;
                 return this.reply(connection);
             case LinkCommandKind.Run:
-                return this.runStatement(connection, command.statement.kind, command.after);
+                return this.runStatement(connection, command);
             default:
                 return this.reply(connection);
         }
@@ -147,12 +152,12 @@
 
     private runStatement(
         connection: Connection,
-        kind: SessionStatementKind,
-        after: Position | undefined,
+        { statement: { id, kind }, after }: LinkCommand & { readonly kind: typeof LinkCommandKind.Run; },
     ): LinkReply {
         if (after !== undefined && after.offset > this.position().offset) {
             return this.reply(connection, StatementFault.Lagging);
         }
+        this.noteRun(id, this.position().offset);
         if (kind === SessionStatementKind.Write) {
             if (!this.report.leads) {
                 return this.reply(connection, StatementFault.ReadOnly);
@@ -190,7 +195,7 @@
         }
         const commits = this.primary?.commits ?? [];
         let offset = commits.length;
-        while (offset > 0 && commits[offset - 1]! > this.schedule.nowMs - lagMs) {
+        while (offset > 0 && commits[offset - 1]! > this.schedule.nowMs - this.options.lagMs) {
             offset -= 1;
         }
         return { term: 1, offset };
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -110,7 +110,11 @@
             .with({ kind: TaskKind.Placed }, found => this.place(found, nowMs))
             .with({ kind: TaskKind.Continued }, found => this.continue(found, nowMs))
             .with({ kind: TaskKind.Abandoned }, found => this.abandon(found))
-            .with({ kind: PeerKind.Answered }, found => this.answered(found.address, found.result, nowMs))
+            .with(
+                { kind: PeerKind.Answered, result: { kind: "task" } },
+                ({ address, result }) => this.answered(address, result, nowMs),
+            )
+            .with({ kind: PeerKind.Answered }, found => [found])
             .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, found => {
                 this.instances = found.instances;
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -1,6 +1,14 @@
 /** Tasks that other instances pass here because this one holds the links of the database. */
-import { match } from "ts-pattern";
-import { type PassedTask, type PeerAnswer, type PeerAsked, type PeerGone, PeerKind } from "../model/peerMessages.ts";
+import { match, P } from "ts-pattern";
+import {
+    type FloorQuestion,
+    type PassedTask,
+    type PeerAnswer,
+    type PeerAsked,
+    type PeerGone,
+    PeerKind,
+    type PeerQuestion,
+} from "../model/peerMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type LinkTask, type TaskAbandoned, type TaskAttempted, TaskKind, type TaskMode } from "./taskMessages.ts";
@@ -23,13 +31,21 @@
 
     process(message: PassedInput, nowMs: number): readonly Message[] {
         return match<PassedInput, readonly Message[]>(message)
-            .with({ kind: PeerKind.Asked }, found => this.ask(found, nowMs))
+            .with(
+                { kind: PeerKind.Asked, question: { kind: P.union("task", "abandon") } },
+                ({ streamId, question }) => this.ask(streamId, question, nowMs),
+            )
+            .with({ kind: PeerKind.Asked }, found => [found])
             .with({ kind: PeerKind.Gone }, found => this.gone(found.streamId))
             .with({ kind: TaskKind.Attempted }, found => this.finish(found))
             .exhaustive();
     }
 
-    private ask({ streamId, question }: PeerAsked, nowMs: number): readonly Message[] {
+    private ask(
+        streamId: string,
+        question: Exclude<PeerQuestion, FloorQuestion>,
+        nowMs: number,
+    ): readonly Message[] {
         if (question.kind === "abandon") {
             const sessionId = join(streamId, question.sessionId);
             const taskId = question.taskId === undefined ? undefined : join(streamId, question.taskId);
@@ -59,7 +75,15 @@
         this.tasks.get(streamId)?.delete(taskId);
         const { reply, fault, sent, leads, pinned } = attempted;
         this.notePin(streamId, sessionId, pinned);
-        const result = { taskId: taskId.slice(streamId.length + 1), reply, fault, sent, leads, pinned };
+        const result = {
+            kind: "task" as const,
+            taskId: taskId.slice(streamId.length + 1),
+            reply,
+            fault,
+            sent,
+            leads,
+            pinned,
+        };
         return [{ kind: PeerKind.Answer, streamId, result } as PeerAnswer];
     }
 
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -9,7 +9,6 @@
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
 import { emptySessionContext, isNotRun, SessionStatementKind, StatementFault } from "../model/sessionStatement.ts";
-import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -17,6 +16,10 @@
 import { FloorSamples, laterFloor } from "./floorSamples.ts";
 import {
     endTask,
+    type FloorLearned,
+    type FloorProbeFailed,
+    type FloorWanted,
+    type LinkTask,
     retryText,
     type Task,
     type TaskAbandoned,
@@ -35,8 +38,12 @@
 
 /**
  * A sample older than this share of a route's age is renewed while it is still good, so that reads do not wait for it.
+ * What is left of the shortest usual age, 1.5 s, is above the wait for one instance that does not answer.
  */
-const renewalShare = 0.5;
+const renewalShare = 0.7;
+
+/** Share of a route's age that a sample may have spent at another instance, which asks the primary no more often. */
+const acceptedShare = 0.4;
 
 /** Part of the statement's time that one attempt at a read may take before another copy is tried. */
 const readAttemptShare = 0.5;
@@ -47,6 +54,12 @@
 /** A probe is repeated after this time without an answer. */
 const probeLimitMs = 500;
 
+/** Pause after nobody could prove a position; a promotion takes some hundred milliseconds. */
+const floorPauseMs = 100;
+
+/** A floor that was asked for is asked for again after this time; above what silent instances and a probe take. */
+const floorLimitMs = 1_500;
+
 /** A statement that ran and failed is repeated this often; a second failure is the statement's own. */
 const maximumFailedRuns = 1;
 
@@ -58,6 +71,8 @@
     | TaskAttempted
     | TaskAbandoned
     | TaskTimer
+    | FloorWanted
+    | FloorLearned
     | DatabaseChanged
     | DatabaseRemoved
     | PolicyApplied;
@@ -84,6 +99,8 @@
         TaskKind.Attempted,
         TaskKind.Abandoned,
         TaskKind.PlacementDue,
+        TaskKind.FloorProbeWanted,
+        TaskKind.FloorLearned,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
         FleetKind.PolicyApplied,
@@ -91,8 +108,8 @@
     private readonly copies: CopyTable;
     private readonly samples = new FloorSamples();
     private readonly tasks = new Map<string, RoutedTask>();
-    /** Time until which a probe of a service is under way. */
-    private readonly probesUntilMs = new Map<string, number>();
+    /** Time until which the floor of a service is asked for. */
+    private readonly floorsUntilMs = new Map<string, number>();
     private promoted: ReadonlyMap<string, string> = new Map();
     private nextProbe = 0;
 
@@ -105,6 +122,12 @@
             .with({ kind: TaskKind.Admitted }, ({ task }) => this.admit(task, nowMs))
             .with({ kind: TaskKind.Attempted }, found => this.judge(found, nowMs))
             .with({ kind: TaskKind.Abandoned }, found => [found, ...this.forget(found.taskId)])
+            .with({ kind: TaskKind.FloorProbeWanted }, found => this.probe(found, nowMs))
+            .with({ kind: TaskKind.FloorLearned }, found => {
+                this.samples.note(found.service, found.sample);
+                this.floorsUntilMs.delete(found.service);
+                return this.placeWaiting(found.service, nowMs);
+            })
             .with({ kind: FleetKind.DatabaseChanged }, found => {
                 this.copies.apply(found.report);
                 return [found, ...this.placeWaiting(found.report.service, nowMs)];
@@ -162,7 +185,7 @@
         const { service, maximumAgeMs } = task.route;
         const floor = this.samples.floorAt(service, task.receivedMs - maximumAgeMs);
         if (floor === undefined) {
-            return [...this.probe(task, nowMs), ...this.wait(routed, nowMs)];
+            return [...this.askFloor(task, nowMs), ...this.wait(routed, nowMs)];
         }
         const [databaseId] = this.copies.readable(service, routed.tried, nowMs);
         const renewal = this.renew(task, nowMs);
@@ -200,17 +223,29 @@
     private renew(task: Task, nowMs: number): readonly Message[] {
         const { service, maximumAgeMs } = task.route;
         const newestMs = this.samples.newestMs(service);
-        return newestMs !== undefined && nowMs - newestMs < renewalShare * maximumAgeMs ? [] : this.probe(task, nowMs);
+        return newestMs !== undefined && nowMs - newestMs < renewalShare * maximumAgeMs
+            ? []
+            : this.askFloor(task, nowMs);
     }
 
-    private probe({ route, workspace }: Task, nowMs: number): readonly Message[] {
-        const databaseId = this.copies.primary(route.service, nowMs);
-        if (databaseId === undefined || nowMs < (this.probesUntilMs.get(route.service) ?? 0)) {
+    private askFloor({ route, workspace }: Task, nowMs: number): readonly Message[] {
+        const { service, maximumAgeMs } = route;
+        if (nowMs < (this.floorsUntilMs.get(service) ?? 0)) {
             return [];
         }
+        this.floorsUntilMs.set(service, nowMs + floorLimitMs);
+        const acceptedAgeMs = acceptedShare * maximumAgeMs;
+        return [{ kind: TaskKind.FloorWanted, service, workspace, acceptedAgeMs } as FloorWanted];
+    }
+
+    private probe({ service, workspace }: FloorWanted, nowMs: number): readonly Message[] {
+        const databaseId = this.copies.primary(service, nowMs);
+        if (databaseId === undefined) {
+            this.floorsUntilMs.set(service, nowMs + floorPauseMs);
+            return [{ kind: TaskKind.FloorProbeFailed, service } as FloorProbeFailed];
+        }
         const untilMs = nowMs + probeLimitMs;
-        this.probesUntilMs.set(route.service, untilMs);
-        const task = probeTask(`p${this.nextProbe++}`, route, workspace, nowMs, untilMs);
+        const task = probeTask(`p${this.nextProbe++}`, service, workspace, untilMs);
         this.copies.noteStart(databaseId);
         return [{ kind: TaskKind.Placed, task, databaseId, after: undefined, untilMs } as TaskPlaced];
     }
@@ -222,7 +257,12 @@
         const silent = reply === undefined && attempt.fault === undefined && !attempt.holderSilent;
         const suspicion = silent ? [suspect(databaseId)] : [];
         if (task.mode === TaskMode.Probe) {
-            this.probesUntilMs.delete(service);
+            if (reply === undefined) {
+                this.floorsUntilMs.set(service, nowMs + floorPauseMs);
+            }
+            else {
+                this.floorsUntilMs.delete(service);
+            }
             return [...suspicion, ...this.placeWaiting(service, nowMs)];
         }
         const woken = attempt.leads ? this.placeWaiting(service, nowMs) : [];
@@ -316,20 +356,17 @@
     return retryText(task.needsPrimary ? "no primary answers" : "no copy is recent enough or free", retryDelayMs);
 }
 
-function probeTask(taskId: string, route: RoutePolicy, workspace: string, nowMs: number, untilMs: number): Task {
+function probeTask(taskId: string, service: string, workspace: string, untilMs: number): LinkTask {
     return {
         taskId,
         sessionId: "",
-        route,
-        service: route.service,
+        service,
         workspace,
         mode: TaskMode.Probe,
         statement: undefined,
         writes: false,
         needsPrimary: true,
         context: emptySessionContext,
-        sessionFloor: undefined,
-        receivedMs: nowMs,
         deadlineMs: untilMs,
     };
 }
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -4,6 +4,7 @@
 import type { SessionContext, SessionStatement, StatementFault } from "../model/sessionStatement.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { FloorSample } from "./floorSamples.ts";
 
 export const TaskKind = {
     Submitted: "task.submitted",
@@ -17,6 +18,15 @@
     PassedContinued: "task.passed_continued",
     PassedAbandoned: "task.passed_abandoned",
     Attempted: "task.attempted",
+    /** Reads wait for a position of the primary, or will soon. */
+    FloorWanted: "task.floor_wanted",
+    /** This instance is to ask the primary itself. */
+    FloorProbeWanted: "task.floor_probe_wanted",
+    /** This instance knows no primary to ask. */
+    FloorProbeFailed: "task.floor_probe_failed",
+    /** The answer to a wanted floor. */
+    FloorLearned: "task.floor_learned",
+    FloorDue: "task.floor_due",
     Ended: "task.ended",
     /** This instance became the holder of the links of a database, or ceased to be. */
     HolderChanged: "task.holder_changed",
@@ -123,6 +133,26 @@
     readonly pinned: boolean;
 }
 
+export interface FloorWanted extends Message {
+    readonly kind: typeof TaskKind.FloorWanted | typeof TaskKind.FloorProbeWanted;
+    readonly service: string;
+    /** Of the caller who waits; named to the database if a link has to be opened. */
+    readonly workspace: string;
+    /** An older proof is of no use. */
+    readonly acceptedAgeMs: number;
+}
+
+export interface FloorProbeFailed extends Message {
+    readonly kind: typeof TaskKind.FloorProbeFailed;
+    readonly service: string;
+}
+
+export interface FloorLearned extends Message {
+    readonly kind: typeof TaskKind.FloorLearned;
+    readonly service: string;
+    readonly sample: FloorSample;
+}
+
 export interface HolderChanged extends Message {
     readonly kind: typeof TaskKind.HolderChanged;
     readonly databaseId: string;
@@ -148,7 +178,8 @@
         | typeof TaskKind.AttemptDue
         | typeof TaskKind.LinkDue
         | typeof TaskKind.IdleDue
-        | typeof TaskKind.ForwardDue;
+        | typeof TaskKind.ForwardDue
+        | typeof TaskKind.FloorDue;
     readonly id: string;
 }
 
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -36,6 +36,7 @@
 import { PeerNetwork } from "../rpc/peerNetwork.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
 import { Admission } from "../session/admission.ts";
+import { FloorExchange } from "../session/floorExchange.ts";
 import { Forwarding } from "../session/forwarding.ts";
 import { Links } from "../session/links.ts";
 import { PassedTasks } from "../session/passedTasks.ts";
@@ -135,6 +136,7 @@
         new Readiness(),
     ]);
     const session = new Pipe("session", [
+        new FloorExchange({ instanceId, dataCentre }),
         new Sessions(),
         new Admission(),
         new PassedTasks(),
