fix(session): rank the instances of a data centre once for each change of the list

Cause: the holder of a database was chosen anew for each task, twice, with a key and a hash for every instance of the fleet, and for every database at each change of the list. With the planned 470 instances and 660 databases a change of the list took 68 ms of processor time, on instances that have a third of a core.

Change: HolderRanking keeps the order of each database's instances until the instances of its data centre change; a task takes the first that is not avoided. A change of the list is applied to the databases of the data centres that it touches.

The choice itself is the same.

--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -20,7 +20,7 @@
 import { Admission } from "../admission.ts";
 import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
-import { chooseHolder } from "../holderChoice.ts";
+import { HolderRanking } from "../holderChoice.ts";
 import { Links } from "../links.ts";
 import { PassedTasks } from "../passedTasks.ts";
 import { Routing } from "../routing.ts";
@@ -145,10 +145,7 @@
 
     /** The instances of a data centre that hold no database, in the order of their ids. */
     bystanders(dataCentre: string): readonly FleetNode[] {
-        const peers = this.nodes.map(node => node.peer);
-        const holders = [...this.databases.values()].map(({ report }) =>
-            chooseHolder(peers, report.databaseId, report.dataCentre)
-        );
+        const holders = [...this.databases.values()].map(database => this.holderOf(database));
         return this.nodes.filter(({ peer }) => peer.dataCentre === dataCentre && !holders.includes(peer));
     }
 
@@ -160,12 +157,17 @@
     }
 
     primariesHeldBy({ peer }: FleetNode): number {
-        const peers = this.nodes.map(node => node.peer);
-        return [...this.databases.values()].filter(({ report }) =>
-            report.leads && chooseHolder(peers, report.databaseId, report.dataCentre) === peer
+        return [...this.databases.values()].filter(database =>
+            database.report.leads && this.holderOf(database) === peer
         ).length;
     }
 
+    private holderOf({ report }: StandInDatabase): PeerInstance | undefined {
+        const ranking = new HolderRanking();
+        ranking.setInstances(this.nodes.map(node => node.peer));
+        return ranking.rank(report.databaseId, report.dataCentre)[0];
+    }
+
     delayMs(from: string, to: string): number {
         return from === to ? nearMs : farMs;
     }
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -12,7 +12,6 @@
     type PassedResult,
     type PassedTask,
     type PeerAnswered,
-    type PeerInstance,
     PeerKind,
     type PeerLost,
     type PeerSend,
@@ -21,7 +20,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { chooseHolder } from "./holderChoice.ts";
+import { HolderRanking } from "./holderChoice.ts";
 import { preparedOf } from "./link.ts";
 import {
     type HolderChanged,
@@ -88,7 +87,7 @@
         FleetKind.DatabaseSuspected,
     ];
     private readonly instanceId: string;
-    private instances: readonly PeerInstance[] = [];
+    private readonly ranking = new HolderRanking();
     private readonly databases = new Map<string, DatabaseReport>();
     private readonly holders = new Map<string, Holder>();
     private readonly pending = new Map<string, Pending>();
@@ -117,8 +116,9 @@
             .with({ kind: PeerKind.Answered }, found => [found])
             .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, found => {
-                this.instances = found.instances;
-                return [...this.databases.keys()].flatMap(databaseId => this.noteHolder(databaseId, nowMs));
+                const changed = this.ranking.setInstances(found.instances);
+                return [...this.databases.values()].filter(({ dataCentre }) => changed.has(dataCentre))
+                    .flatMap(({ databaseId }) => this.noteHolder(databaseId, nowMs));
             })
             .with({ kind: FleetKind.DatabaseChanged }, found => {
                 this.databases.set(found.report.databaseId, found.report);
@@ -126,6 +126,7 @@
             })
             .with({ kind: FleetKind.DatabaseRemoved }, found => {
                 this.databases.delete(found.databaseId);
+                this.ranking.forget(found.databaseId);
                 return [found];
             })
             .with({ kind: FleetKind.DatabaseSuspected }, found => {
@@ -137,7 +138,7 @@
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
         const address = this.holderOf(placed.databaseId, nowMs);
-        const changed = this.noteHolder(placed.databaseId, nowMs);
+        const changed = this.noteHolds(placed.databaseId, address === undefined);
         return address === undefined ? [...changed, placed] : [...changed, ...this.pass(placed, address, nowMs)];
     }
 
@@ -159,17 +160,19 @@
         if (report === undefined) {
             return undefined;
         }
-        const usable = this.instances.filter(({ instanceId, address }) =>
-            (this.avoided.get(`${databaseId}/${instanceId}`) ?? 0) <= nowMs
+        const holder = this.ranking.rank(databaseId, report.dataCentre).find(({ instanceId, address }) =>
+            (this.avoided.get(avoidanceKey(databaseId, instanceId)) ?? 0) <= nowMs
             && (instanceId === this.instanceId || (this.holders.get(address)?.avoidedUntilMs ?? 0) <= nowMs)
         );
-        const holder = chooseHolder(usable, databaseId, report.dataCentre);
         this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
         return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
     }
 
     private noteHolder(databaseId: string, nowMs: number): readonly Message[] {
-        const holds = this.holderOf(databaseId, nowMs) === undefined;
+        return this.noteHolds(databaseId, this.holderOf(databaseId, nowMs) === undefined);
+    }
+
+    private noteHolds(databaseId: string, holds: boolean): readonly Message[] {
         if (this.held.get(databaseId) === holds) {
             return [];
         }
@@ -181,7 +184,7 @@
     private avoid(databaseId: string, nowMs: number): void {
         const instanceId = this.chosen.get(databaseId);
         if (instanceId !== undefined) {
-            this.avoided.set(`${databaseId}/${instanceId}`, nowMs + avoidanceMs);
+            this.avoided.set(avoidanceKey(databaseId, instanceId), nowMs + avoidanceMs);
         }
     }
 
@@ -345,6 +348,10 @@
     };
 }
 
+function avoidanceKey(databaseId: string, instanceId: string): string {
+    return `${databaseId}/${instanceId}`;
+}
+
 function forwardKey(taskId: string): string {
     return `forward/${taskId}`;
 }
--- a/src/session/holderChoice.ts
+++ b/src/session/holderChoice.ts
@@ -2,17 +2,70 @@
 import type { PeerInstance } from "../model/peerMessages.ts";
 
 /**
- * One instance of the database's own data centre, the same one for every instance that knows the same others. Several
- * holders at once do no harm but use more connections.
+ * The instances of each database's own data centre in the order in which they would hold its links: the same one for
+ * every instance that knows the same others. Several holders at once do no harm but use more connections.
  */
-export function chooseHolder(
-    instances: readonly PeerInstance[],
-    databaseId: string,
-    dataCentre: string,
-): PeerInstance | undefined {
-    const near = instances.filter(instance => instance.dataCentre === dataCentre);
-    return near.map(instance => ({ instance, weight: hash(`${databaseId}/${instance.instanceId}`) }))
-        .sort((left, right) => right.weight - left.weight)[0]?.instance;
+export class HolderRanking {
+    private near: ReadonlyMap<string, readonly PeerInstance[]> = new Map();
+    /** By database; good for as long as the instances of the data centre are the same list. */
+    private readonly rankings = new Map<string, Ranking>();
+
+    /** Returns the data centres whose instances are not the same as before. */
+    setInstances(instances: readonly PeerInstance[]): ReadonlySet<string> {
+        const near = new Map<string, PeerInstance[]>();
+        for (const instance of instances) {
+            const { dataCentre } = instance;
+            const list = near.get(dataCentre);
+            if (list === undefined) {
+                near.set(dataCentre, [instance]);
+            }
+            else {
+                list.push(instance);
+            }
+        }
+        const before = this.near;
+        this.near = new Map(
+            [...near].map(([dataCentre, list]) => [dataCentre, unchanged(before.get(dataCentre), list) ?? list]),
+        );
+        const all = new Set([...before.keys(), ...this.near.keys()]);
+        return new Set([...all].filter(dataCentre => before.get(dataCentre) !== this.near.get(dataCentre)));
+    }
+
+    /** Best first; empty when no instance of the data centre is known. */
+    rank(databaseId: string, dataCentre: string): readonly PeerInstance[] {
+        const near = this.near.get(dataCentre) ?? [];
+        const known = this.rankings.get(databaseId);
+        if (known !== undefined && known.near === near) {
+            return known.instances;
+        }
+        const instances = near
+            .map(instance => ({ instance, weight: hash(`${databaseId}/${instance.instanceId}`) }))
+            .sort((left, right) => right.weight - left.weight)
+            .map(({ instance }) => instance);
+        this.rankings.set(databaseId, { near, instances });
+        return instances;
+    }
+
+    forget(databaseId: string): void {
+        this.rankings.delete(databaseId);
+    }
+}
+
+interface Ranking {
+    readonly near: readonly PeerInstance[];
+    readonly instances: readonly PeerInstance[];
+}
+
+/** The known list when it has the same instances in any order. */
+function unchanged(
+    known: readonly PeerInstance[] | undefined,
+    list: readonly PeerInstance[],
+): readonly PeerInstance[] | undefined {
+    if (known?.length !== list.length) {
+        return undefined;
+    }
+    const addresses = new Map(known.map(({ instanceId, address }) => [instanceId, address]));
+    return list.every(({ instanceId, address }) => addresses.get(instanceId) === address) ? known : undefined;
 }
 
 /** FNV-1a over UTF-16 units, with a final mix so that names which differ in the last letter spread well. */
