test(session): late messages between instances do not use up connections

Red: with 250 ms added each way between instances for 4 s, 89 instances take the holders for silent one after the other, pass their tasks to the next ones, and those open links of their own: 300 to 440 new connections a second (56 to 120 before), refusals at the connection limit, and a tenth to a quarter of the operations busy, aborted or in doubt, although every holder and every database works.

--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -94,6 +94,8 @@
     /** Answers to operations, by fault; "served" without one. */
     readonly answers = new Map<string, number>();
     asked = 0;
+    /** Added to the way of every message between instances. */
+    congestionMs = 0;
     /** Statements that ran on a log without a commit that they had to see. */
     readonly staleStatements: string[] = [];
     /** Time before which commits have to be seen, by statement. */
@@ -168,7 +170,13 @@
         return ranking.rank(report.databaseId, report.dataCentre)[0];
     }
 
+    /** Time that a message between two instances takes. */
     delayMs(from: string, to: string): number {
+        return this.linkDelayMs(from, to) + this.congestionMs;
+    }
+
+    /** Time that a message between an instance and a database takes. */
+    linkDelayMs(from: string, to: string): number {
         return from === to ? nearMs : farMs;
     }
 
@@ -356,6 +364,7 @@
     /** Ends the process; every other instance sees its streams end. */
     kill(): void {
         this.killed = true;
+        this.fleet.databases.forEach(database => database.drop(this.peer.instanceId));
         this.fleet.nodes.filter(other => other !== this).forEach(other => {
             other.post({ kind: PeerKind.Lost, address: this.peer.address } as Message);
             other.post({ kind: PeerKind.Gone, streamId: this.peer.instanceId } as Message);
@@ -441,7 +450,7 @@
 
     private toDatabase(databaseId: string, message: Message): void {
         const database = this.fleet.databases.get(databaseId)!;
-        const delayMs = this.fleet.delayMs(this.peer.dataCentre, database.report.dataCentre);
+        const delayMs = this.fleet.linkDelayMs(this.peer.dataCentre, database.report.dataCentre);
         this.fleet.schedule.after(delayMs, () =>
             database.take(
                 this.peer.instanceId,
--- a/src/session/__tests__/standInDatabase.ts
+++ b/src/session/__tests__/standInDatabase.ts
@@ -85,6 +85,16 @@
         this.proceed(connection, linkId, answer);
     }
 
+    /** The connections of an instance ended with it. */
+    drop(instanceId: string): void {
+        for (const [key, connection] of this.connections) {
+            if (key.startsWith(`${instanceId}/`)) {
+                connection.closed = true;
+                this.connections.delete(key);
+            }
+        }
+    }
+
     private accept(key: string, linkId: string, answer: Answer): void {
         if (this.connections.size >= this.options.connectionLimit) {
             this.refused += 1;
