fix(session): silence of an instance is judged by how long its answers take

Callers saw "no copy is recent enough or free" and refusals at databases' connection limits while messages between instances were late, although every instance and database worked.

Cause: an instance that had not answered for 400 ms was passed over for 1.5 s, also when its answer came a moment later. Behind a congested link all look silent: tasks went to the next instances, which opened links of their own, to hundreds of new connections a second and the connection limit. Work of this kind added to the congestion that caused it.

Change: Responsiveness, used for holders and for positions. The silence that counts is twice the slowest answer of late, at least 400 ms (250 ms for positions) and at most 1 s; any answer ends the avoidance. Late answers about positions are used, with the age counted from their own question.

--- a/src/session/__tests__/floorExchange.spec.ts
+++ b/src/session/__tests__/floorExchange.spec.ts
@@ -99,7 +99,7 @@
 
     for (
         const [name, fail] of [
-            ["is silent", (fixture: Fixture) => fixture.push(250, { kind: TaskKind.FloorDue, id: "s1" })],
+            ["is silent", (fixture: Fixture) => fixture.push(250, { kind: TaskKind.FloorDue, id: "f0" })],
             ["is gone", (fixture: Fixture) => fixture.push(20, { kind: PeerKind.Lost, address: "b:1" })],
             ["knows none", (fixture: Fixture) => fixture.answer(20, {})],
         ] as const
--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -65,23 +65,27 @@
         });
     }
 
-    it("uses up no database's connections, and serves, while messages between all instances are late", () => {
+    it("uses up no database's connections while messages between all instances are late", () => {
         // Guards against instances that take each other for silent, and open links of their own everywhere.
-        const fleet = new SessionFleet({
-            instances: 89,
-            dataCentres: 6,
-            services: 6,
-            workspaces: 87,
-            sessions: 2_780,
-        });
-        fleet.startCallers();
-        fleet.advance(7_000);
-        fleet.congestionMs = 250;
-        fleet.advance(4_000);
-        fleet.congestionMs = 0;
-        fleet.advance(2_000);
+        const fleet = congestedFleet();
         assert.equal([...fleet.databases.values()].reduce((sum, { refused }) => sum + refused, 0), 0);
-        assert.deepEqual([...fleet.answers.keys()], ["served"]);
         assert.deepEqual(fleet.staleStatements, []);
     });
+
+    it("serves while messages between all instances are late", () => {
+        // Guards against reads that wait for more round trips than their time allows.
+        assert.deepEqual([...congestedFleet().answers.keys()], ["served"]);
+    });
 });
+
+/** Messages between instances take 250 ms more each way for a while. */
+function congestedFleet(): SessionFleet {
+    const fleet = new SessionFleet({ instances: 89, dataCentres: 6, services: 6, workspaces: 87, sessions: 2_780 });
+    fleet.startCallers();
+    fleet.advance(7_000);
+    fleet.congestionMs = 250;
+    fleet.advance(4_000);
+    fleet.congestionMs = 0;
+    fleet.advance(2_000);
+    return fleet;
+}
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -20,6 +20,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { FloorSample } from "./floorSamples.ts";
+import { Responsiveness } from "./responsiveness.ts";
 import {
     type FloorLearned,
     type FloorProbeFailed,
@@ -32,10 +33,13 @@
 } from "./taskMessages.ts";
 
 /** Wait for another instance's answer; above the way between regions and back, twice. */
-const answerLimitMs = 250;
+const minimumAnswerMs = 250;
 
-/** Time for which an instance that did not answer is passed over. */
-const avoidanceMs = 1_500;
+/** The same where answers are slow; what is left of the shortest usual age when a position is renewed is less. */
+const maximumAnswerMs = 1_000;
+
+/** Questions whose late answers are still of use. */
+const maximumQuestions = 256;
 
 /** Instances that are asked before this one asks the primary itself; a fault may take one, seldom two. */
 const maximumAsked = 2;
@@ -46,6 +50,10 @@
     readonly asked: readonly string[];
     readonly questionId: string;
     readonly address: string;
+}
+
+interface Question {
+    readonly service: string;
     readonly sentMs: number;
 }
 
@@ -91,8 +99,9 @@
     private near: readonly PeerInstance[] = [];
     /** Place of each service among all. */
     private serviceOrder: ReadonlyMap<string, number> = new Map();
-    /** Time until which an instance is not asked, by its address. */
-    private readonly avoidedUntilMs = new Map<string, number>();
+    private readonly responsiveness = new Responsiveness({ minimumMs: minimumAnswerMs, maximumMs: maximumAnswerMs });
+    /** Questions without an answer, by id, the oldest first. */
+    private readonly questions = new Map<string, Question>();
     /** By service. */
     private readonly wants = new Map<string, Want>();
     private readonly askers = new Map<string, readonly Asker[]>();
@@ -118,10 +127,11 @@
             )
             .with(
                 { kind: PeerKind.Answered, result: { kind: "floor" } },
-                found => this.answered(found.result, nowMs),
+                found => this.answered(found.address, found.result, nowMs),
             )
             .with({ kind: PeerKind.Lost }, found => [...this.lost(found.address, nowMs), found])
             .with({ kind: PeerKind.InstancesKnown }, found => {
+                this.responsiveness.retain(new Set(found.instances.map(({ address }) => address)));
                 this.near = found.instances.filter(({ dataCentre }) => dataCentre === this.options.dataCentre)
                     .sort((left, right) => left.instanceId < right.instanceId ? -1 : 1);
                 return [found];
@@ -150,15 +160,20 @@
         const chosen = asked.length < maximumAsked ? this.choose(service, asked, nowMs) : undefined;
         if (chosen === undefined) {
             this.wants.delete(service);
-            return this.probe(wanted);
+            return [...asked.length > 0 ? [clearDeadline(floorKey(service))] : [], ...this.probe(wanted)];
         }
         const { address } = chosen;
         const questionId = `f${this.nextQuestion++}`;
-        this.wants.set(service, { wanted, asked: [...asked, address], questionId, address, sentMs: nowMs });
+        this.wants.set(service, { wanted, asked: [...asked, address], questionId, address });
+        this.questions.set(questionId, { service, sentMs: nowMs });
+        if (this.questions.size > maximumQuestions) {
+            this.questions.delete(this.questions.keys().next().value!);
+        }
+        const limitMs = nowMs + this.responsiveness.limitMs(address);
         const question: FloorQuestion = { kind: "floor", questionId, service, workspace, acceptedAgeMs };
         return [
             { kind: PeerKind.Send, address, question } as PeerSend,
-            setDeadline(floorKey(service), nowMs + answerLimitMs, taskTimer(TaskKind.FloorDue, service)),
+            setDeadline(floorKey(service), limitMs, taskTimer(TaskKind.FloorDue, questionId)),
         ];
     }
 
@@ -169,7 +184,7 @@
     private choose(service: string, asked: readonly string[], nowMs: number): PeerInstance | undefined {
         const first = this.serviceOrder.get(service) ?? 0;
         const chosen = this.near.map((_, index) => this.near[(first + index) % this.near.length]!)
-            .find(({ address }) => !asked.includes(address) && (this.avoidedUntilMs.get(address) ?? 0) <= nowMs);
+            .find(({ address }) => !asked.includes(address) && !this.responsiveness.isAvoided(address, nowMs));
         return chosen?.instanceId === this.options.instanceId ? undefined : chosen;
     }
 
@@ -222,32 +237,36 @@
         return askers.map(asker => answer(asker, undefined));
     }
 
-    private answered({ questionId, position, proofAgeMs }: FloorResult, nowMs: number): readonly Message[] {
-        const want = [...this.wants.values()].find(other => other.questionId === questionId);
-        if (want === undefined) {
+    private answered(address: string, result: FloorResult, nowMs: number): readonly Message[] {
+        const { questionId, position, proofAgeMs } = result;
+        const question = this.questions.get(questionId);
+        this.questions.delete(questionId);
+        this.responsiveness.noteAnswer(address, question?.sentMs, nowMs);
+        if (question === undefined) {
             return [];
         }
-        const { wanted, asked, sentMs } = want;
-        const { service } = wanted;
+        const { service, sentMs } = question;
+        const want = this.wants.get(service);
         if (position === undefined) {
-            return [clearDeadline(floorKey(service)), ...this.askNext(wanted, asked, nowMs)];
+            return want?.questionId === questionId ? this.askNext(want.wanted, want.asked, nowMs) : [];
         }
         this.wants.delete(service);
         // The question arrived after it was sent, so the proof is at most this much older by any clock.
         return [clearDeadline(floorKey(service)), learned(service, { position, atMs: sentMs - proofAgeMs })];
     }
 
-    private due(service: string, nowMs: number): readonly Message[] {
-        const want = this.wants.get(service);
-        if (want === undefined) {
+    private due(questionId: string, nowMs: number): readonly Message[] {
+        const want = [...this.wants.values()].find(other => other.questionId === questionId);
+        const question = this.questions.get(questionId);
+        if (want === undefined || question === undefined) {
             return [];
         }
-        this.avoidedUntilMs.set(want.address, nowMs + avoidanceMs);
+        this.responsiveness.noteSilence(want.address, question.sentMs, nowMs);
         return this.askNext(want.wanted, want.asked, nowMs);
     }
 
     private lost(address: string, nowMs: number): readonly Message[] {
-        this.avoidedUntilMs.set(address, nowMs + avoidanceMs);
+        this.responsiveness.noteLoss(address, nowMs);
         return [...this.wants.values()].filter(want => want.address === address)
             .flatMap(({ wanted, asked }) => this.askNext(wanted, asked, nowMs));
     }
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -22,6 +22,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { HolderRanking } from "./holderChoice.ts";
 import { preparedOf } from "./link.ts";
+import { Responsiveness } from "./responsiveness.ts";
 import {
     type HolderChanged,
     type LinkTask,
@@ -39,9 +40,12 @@
  * Silence of a holder that owes an answer, after which tasks go elsewhere; above the longest work of a statement, its
  * wait for a slot, and the way there and back.
  */
-const silenceMs = 400;
+const minimumSilenceMs = 400;
 
-/** Time for which a silent or lost holder is passed over. */
+/** The same where answers are slow; the time of most statements. */
+const maximumSilenceMs = 1_000;
+
+/** Time for which a holder that does not reach a database is passed over for it. */
 const avoidanceMs = 1_500;
 
 interface Pending {
@@ -51,11 +55,6 @@
     readonly sentMs: number;
 }
 
-interface Holder {
-    answeredMs: number;
-    avoidedUntilMs: number;
-}
-
 type ForwardingInput =
     | TaskPlaced
     | TaskContinued
@@ -89,7 +88,12 @@
     private readonly instanceId: string;
     private readonly ranking = new HolderRanking();
     private readonly databases = new Map<string, DatabaseReport>();
-    private readonly holders = new Map<string, Holder>();
+    private readonly responsiveness = new Responsiveness({
+        minimumMs: minimumSilenceMs,
+        maximumMs: maximumSilenceMs,
+    });
+    /** Time of the last answer of a holder, by address. */
+    private readonly answeredMs = new Map<string, number>();
     private readonly pending = new Map<string, Pending>();
     /** Whether this instance is the holder, as the links were told. */
     private readonly held = new Map<string, boolean>();
@@ -116,6 +120,10 @@
             .with({ kind: PeerKind.Answered }, found => [found])
             .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, found => {
+                const addresses = new Set(found.instances.map(({ address }) => address));
+                this.responsiveness.retain(addresses);
+                [...this.answeredMs.keys()].filter(address => !addresses.has(address))
+                    .forEach(address => this.answeredMs.delete(address));
                 const changed = this.ranking.setInstances(found.instances);
                 return [...this.databases.values()].filter(({ dataCentre }) => changed.has(dataCentre))
                     .flatMap(({ databaseId }) => this.noteHolder(databaseId, nowMs));
@@ -162,7 +170,7 @@
         }
         const holder = this.ranking.rank(databaseId, report.dataCentre).find(({ instanceId, address }) =>
             (this.avoided.get(avoidanceKey(databaseId, instanceId)) ?? 0) <= nowMs
-            && (instanceId === this.instanceId || (this.holders.get(address)?.avoidedUntilMs ?? 0) <= nowMs)
+            && (instanceId === this.instanceId || !this.responsiveness.isAvoided(address, nowMs))
         );
         this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
         return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
@@ -196,15 +204,15 @@
         const { task, databaseId, untilMs } = placed;
         const { taskId } = task;
         this.pending.set(taskId, { task, databaseId, address, sentMs: nowMs });
-        this.holderAt(address);
         const send: PeerSend = { kind: PeerKind.Send, address, question: toPassed(placed, untilMs - nowMs) };
-        const checkMs = Math.min(untilMs, nowMs + silenceMs);
+        const checkMs = Math.min(untilMs, nowMs + this.responsiveness.limitMs(address));
         return [send, setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
     }
 
     private answered(address: string, result: PassedResult, nowMs: number): readonly Message[] {
-        this.holderAt(address).answeredMs = nowMs;
         const pending = this.pending.get(result.taskId);
+        this.answeredMs.set(address, nowMs);
+        this.responsiveness.noteAnswer(address, pending?.sentMs, nowMs);
         if (pending === undefined) {
             return [];
         }
@@ -235,19 +243,20 @@
             return [];
         }
         const { task, address, sentMs } = pending;
-        const holder = this.holderAt(address);
-        const silent = holder.answeredMs < sentMs;
+        const limitMs = sentMs + this.responsiveness.limitMs(address);
+        const silent = nowMs >= limitMs && (this.answeredMs.get(address) ?? -Infinity) < sentMs;
         if (silent) {
-            holder.avoidedUntilMs = nowMs + avoidanceMs;
+            this.responsiveness.noteSilence(address, sentMs, nowMs);
         }
         if (nowMs < task.deadlineMs && !(silent && mayGoElsewhere(task))) {
-            return [setDeadline(forwardKey(taskId), task.deadlineMs, taskTimer(TaskKind.ForwardDue, taskId))];
+            const checkMs = nowMs < limitMs ? Math.min(limitMs, task.deadlineMs) : task.deadlineMs;
+            return [setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
         }
         return [...this.fail(pending), abandonAt(address, task)];
     }
 
     private lost(address: string, nowMs: number): readonly Message[] {
-        this.holderAt(address).avoidedUntilMs = nowMs + avoidanceMs;
+        this.responsiveness.noteLoss(address, nowMs);
         [...this.pinned].filter(([, holder]) => holder === address)
             .forEach(([sessionId]) => this.pinned.set(sessionId, lostHolder));
         return [...this.pending.values()].filter(pending => pending.address === address)
@@ -301,16 +310,6 @@
             this.pinned.set(sessionId, address);
         }
     }
-
-    private holderAt(address: string): Holder {
-        const known = this.holders.get(address);
-        if (known !== undefined) {
-            return known;
-        }
-        const holder = { answeredMs: -Infinity, avoidedUntilMs: 0 };
-        this.holders.set(address, holder);
-        return holder;
-    }
 }
 
 /** Stands for a holder that is gone with the transaction that it had. */
--- /dev/null
+++ b/src/session/responsiveness.ts
@@ -0,0 +1,90 @@
+/** How long each instance takes to answer, and which ones are passed over because they do not. */
+
+/**
+ * Time for which an instance that does not answer is passed over, unless it answers after all.
+ */
+const avoidanceMs = 1_500;
+
+/** An answer may take this many times as long as the slowest one before it. */
+const slackFactor = 2;
+
+/** Part of the limit that is left after each answer that came sooner. */
+const decay = 0.9;
+
+export interface ResponsivenessOptions {
+    /** Silence that is borne in any case. */
+    readonly minimumMs: number;
+    /** Silence that is not borne, however slow the answers before it were. */
+    readonly maximumMs: number;
+}
+
+interface Peer {
+    limitMs: number;
+    avoidedUntilMs: number;
+    /** When the oldest question was sent that has met silence so far. */
+    silentSinceMs: number | undefined;
+}
+
+/**
+ * The silence that counts as failure follows the answers: behind a congested link every instance looks silent for as
+ * long as a fixed limit is below the delay, and work that goes elsewhere adds to the congestion.
+ */
+export class Responsiveness {
+    private readonly options: ResponsivenessOptions;
+    /** By address. */
+    private readonly peers = new Map<string, Peer>();
+
+    constructor(options: ResponsivenessOptions) {
+        this.options = options;
+    }
+
+    /** Time from a question within which some answer is expected, in ms. */
+    limitMs(address: string): number {
+        return this.peers.get(address)?.limitMs ?? this.options.minimumMs;
+    }
+
+    isAvoided(address: string, nowMs: number): boolean {
+        return (this.peers.get(address)?.avoidedUntilMs ?? 0) > nowMs;
+    }
+
+    /** @param sentMs when the question was sent; undefined when that is forgotten */
+    noteAnswer(address: string, sentMs: number | undefined, nowMs: number): void {
+        const { minimumMs, maximumMs } = this.options;
+        const peer = this.peerAt(address);
+        const elapsedMs = nowMs - (sentMs ?? peer.silentSinceMs ?? nowMs);
+        peer.limitMs = Math.min(maximumMs, Math.max(minimumMs, slackFactor * elapsedMs, decay * peer.limitMs));
+        peer.avoidedUntilMs = 0;
+        peer.silentSinceMs = undefined;
+    }
+
+    /** A question sent at `sentMs` and everything behind it has no answer. */
+    noteSilence(address: string, sentMs: number, nowMs: number): void {
+        const peer = this.peerAt(address);
+        peer.avoidedUntilMs = nowMs + avoidanceMs;
+        peer.silentSinceMs ??= sentMs;
+    }
+
+    /** The connection to it ended. */
+    noteLoss(address: string, nowMs: number): void {
+        const peer = this.peerAt(address);
+        peer.avoidedUntilMs = nowMs + avoidanceMs;
+        peer.silentSinceMs = undefined;
+    }
+
+    /** Forgets the instances that are not at any of the addresses. */
+    retain(addresses: ReadonlySet<string>): void {
+        [...this.peers.keys()].filter(address => !addresses.has(address)).forEach(address =>
+            this.peers.delete(address)
+        );
+    }
+
+    private peerAt(address: string): Peer {
+        const known = this.peers.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const peer = { limitMs: this.options.minimumMs, avoidedUntilMs: 0, silentSinceMs: undefined };
+        this.peers.set(address, peer);
+        return peer;
+    }
+}
