--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -12,7 +12,6 @@
     type PassedResult,
     type PassedTask,
     type PeerAnswered,
-    type PeerInstance,
     PeerKind,
     type PeerLost,
     type PeerSend,
@@ -21,8 +20,9 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { chooseHolder } from "./holderChoice.ts";
+import { HolderRanking } from "./holderChoice.ts";
 import { preparedOf } from "./link.ts";
+import { Responsiveness } from "./responsiveness.ts";
 import {
     type HolderChanged,
     type LinkTask,
@@ -40,9 +40,12 @@
  * Silence of a holder that owes an answer, after which tasks go elsewhere; above the longest work of a statement, its
  * wait for a slot, and the way there and back.
  */
-const silenceMs = 400;
+const minimumSilenceMs = 400;
 
-/** Time for which a silent or lost holder is passed over. */
+/** The same where answers are slow; the time of most statements. */
+const maximumSilenceMs = 1_000;
+
+/** Time for which a holder that does not reach a database is passed over for it. */
 const avoidanceMs = 1_500;
 
 interface Pending {
@@ -52,11 +55,6 @@
     readonly sentMs: number;
 }
 
-interface Holder {
-    answeredMs: number;
-    avoidedUntilMs: number;
-}
-
 type ForwardingInput =
     | TaskPlaced
     | TaskContinued
@@ -88,9 +86,14 @@
         FleetKind.DatabaseSuspected,
     ];
     private readonly instanceId: string;
-    private instances: readonly PeerInstance[] = [];
+    private readonly ranking = new HolderRanking();
     private readonly databases = new Map<string, DatabaseReport>();
-    private readonly holders = new Map<string, Holder>();
+    private readonly responsiveness = new Responsiveness({
+        minimumMs: minimumSilenceMs,
+        maximumMs: maximumSilenceMs,
+    });
+    /** Time of the last answer of a holder, by address. */
+    private readonly answeredMs = new Map<string, number>();
     private readonly pending = new Map<string, Pending>();
     /** Whether this instance is the holder, as the links were told. */
     private readonly held = new Map<string, boolean>();
@@ -110,11 +113,20 @@
             .with({ kind: TaskKind.Placed }, found => this.place(found, nowMs))
             .with({ kind: TaskKind.Continued }, found => this.continue(found, nowMs))
             .with({ kind: TaskKind.Abandoned }, found => this.abandon(found))
-            .with({ kind: PeerKind.Answered }, found => this.answered(found.address, found.result, nowMs))
+            .with(
+                { kind: PeerKind.Answered, result: { kind: "task" } },
+                ({ address, result }) => this.answered(address, result, nowMs),
+            )
+            .with({ kind: PeerKind.Answered }, found => [found])
             .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, found => {
-                this.instances = found.instances;
-                return [...this.databases.keys()].flatMap(databaseId => this.noteHolder(databaseId, nowMs));
+                const addresses = new Set(found.instances.map(({ address }) => address));
+                this.responsiveness.retain(addresses);
+                [...this.answeredMs.keys()].filter(address => !addresses.has(address))
+                    .forEach(address => this.answeredMs.delete(address));
+                const changed = this.ranking.setInstances(found.instances);
+                return [...this.databases.values()].filter(({ dataCentre }) => changed.has(dataCentre))
+                    .flatMap(({ databaseId }) => this.noteHolder(databaseId, nowMs));
             })
             .with({ kind: FleetKind.DatabaseChanged }, found => {
                 this.databases.set(found.report.databaseId, found.report);
@@ -122,6 +134,7 @@
             })
             .with({ kind: FleetKind.DatabaseRemoved }, found => {
                 this.databases.delete(found.databaseId);
+                this.ranking.forget(found.databaseId);
                 return [found];
             })
             .with({ kind: FleetKind.DatabaseSuspected }, found => {
@@ -133,7 +146,7 @@
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
         const address = this.holderOf(placed.databaseId, nowMs);
-        const changed = this.noteHolder(placed.databaseId, nowMs);
+        const changed = this.noteHolds(placed.databaseId, address === undefined);
         return address === undefined ? [...changed, placed] : [...changed, ...this.pass(placed, address, nowMs)];
     }
 
@@ -155,17 +168,19 @@
         if (report === undefined) {
             return undefined;
         }
-        const usable = this.instances.filter(({ instanceId, address }) =>
-            (this.avoided.get(`${databaseId}/${instanceId}`) ?? 0) <= nowMs
-            && (instanceId === this.instanceId || (this.holders.get(address)?.avoidedUntilMs ?? 0) <= nowMs)
+        const holder = this.ranking.rank(databaseId, report.dataCentre).find(({ instanceId, address }) =>
+            (this.avoided.get(avoidanceKey(databaseId, instanceId)) ?? 0) <= nowMs
+            && (instanceId === this.instanceId || !this.responsiveness.isAvoided(address, nowMs))
         );
-        const holder = chooseHolder(usable, databaseId, report.dataCentre);
         this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
         return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
     }
 
     private noteHolder(databaseId: string, nowMs: number): readonly Message[] {
-        const holds = this.holderOf(databaseId, nowMs) === undefined;
+        return this.noteHolds(databaseId, this.holderOf(databaseId, nowMs) === undefined);
+    }
+
+    private noteHolds(databaseId: string, holds: boolean): readonly Message[] {
         if (this.held.get(databaseId) === holds) {
             return [];
         }
@@ -177,7 +192,7 @@
     private avoid(databaseId: string, nowMs: number): void {
         const instanceId = this.chosen.get(databaseId);
         if (instanceId !== undefined) {
-            this.avoided.set(`${databaseId}/${instanceId}`, nowMs + avoidanceMs);
+            this.avoided.set(avoidanceKey(databaseId, instanceId), nowMs + avoidanceMs);
         }
     }
 
@@ -189,15 +204,15 @@
         const { task, databaseId, untilMs } = placed;
         const { taskId } = task;
         this.pending.set(taskId, { task, databaseId, address, sentMs: nowMs });
-        this.holderAt(address);
         const send: PeerSend = { kind: PeerKind.Send, address, question: toPassed(placed, untilMs - nowMs) };
-        const checkMs = Math.min(untilMs, nowMs + silenceMs);
+        const checkMs = Math.min(untilMs, nowMs + this.responsiveness.limitMs(address));
         return [send, setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
     }
 
     private answered(address: string, result: PassedResult, nowMs: number): readonly Message[] {
-        this.holderAt(address).answeredMs = nowMs;
         const pending = this.pending.get(result.taskId);
+        this.answeredMs.set(address, nowMs);
+        this.responsiveness.noteAnswer(address, pending?.sentMs, nowMs);
         if (pending === undefined) {
             return [];
         }
@@ -228,19 +243,20 @@
             return [];
         }
         const { task, address, sentMs } = pending;
-        const holder = this.holderAt(address);
-        const silent = holder.answeredMs < sentMs;
+        const limitMs = sentMs + this.responsiveness.limitMs(address);
+        const silent = nowMs >= limitMs && (this.answeredMs.get(address) ?? -Infinity) < sentMs;
         if (silent) {
-            holder.avoidedUntilMs = nowMs + avoidanceMs;
+            this.responsiveness.noteSilence(address, sentMs, nowMs);
         }
         if (nowMs < task.deadlineMs && !(silent && mayGoElsewhere(task))) {
-            return [setDeadline(forwardKey(taskId), task.deadlineMs, taskTimer(TaskKind.ForwardDue, taskId))];
+            const checkMs = nowMs < limitMs ? Math.min(limitMs, task.deadlineMs) : task.deadlineMs;
+            return [setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
         }
         return [...this.fail(pending), abandonAt(address, task)];
     }
 
     private lost(address: string, nowMs: number): readonly Message[] {
-        this.holderAt(address).avoidedUntilMs = nowMs + avoidanceMs;
+        this.responsiveness.noteLoss(address, nowMs);
         [...this.pinned].filter(([, holder]) => holder === address)
             .forEach(([sessionId]) => this.pinned.set(sessionId, lostHolder));
         return [...this.pending.values()].filter(pending => pending.address === address)
@@ -294,16 +310,6 @@
             this.pinned.set(sessionId, address);
         }
     }
-
-    private holderAt(address: string): Holder {
-        const known = this.holders.get(address);
-        if (known !== undefined) {
-            return known;
-        }
-        const holder = { answeredMs: -Infinity, avoidedUntilMs: 0 };
-        this.holders.set(address, holder);
-        return holder;
-    }
 }
 
 /** Stands for a holder that is gone with the transaction that it had. */
@@ -341,6 +347,10 @@
     };
 }
 
+function avoidanceKey(databaseId: string, instanceId: string): string {
+    return `${databaseId}/${instanceId}`;
+}
+
 function forwardKey(taskId: string): string {
     return `forward/${taskId}`;
 }
