fix(fleet): an instance takes the list of members from the leader

An instance took the members to attach to from the last status of any member. A member that was behind or cut off could so take others away, and when statuses of two members differed, attachments were closed and opened by turns.

The leader's list counts; without a leader, all that any member named. The two specs fail before this change: one member's list replaced the others.

--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -188,6 +188,29 @@
     });
 });
 
+describe("the members that an instance attaches to", () => {
+    const all = ["core0:9000", "core1:9000", "core2:9000"];
+
+    it("are the leader's, whatever a member names that is behind", () => {
+        const network = startedNetwork(2, 3);
+        network.agreeMembers("core2", ["core2"]);
+        network.advance(1_000);
+        assert.deepEqual(network.node("front0").members, all);
+        network.agreeMembers("core0", ["core0", "core1"]);
+        network.advance(1_000);
+        assert.deepEqual(network.node("front0").members, ["core0:9000", "core1:9000"]);
+    });
+
+    it("are all that any member names while there is no leader", () => {
+        const network = startedNetwork(2, 3);
+        network.lead("nobody", 2);
+        network.advance(1_000);
+        network.agreeMembers("core2", ["core2", "core3"]);
+        network.advance(5_000);
+        assert.deepEqual(network.node("front0").members, [...all, "core3:9000"]);
+    });
+});
+
 function startedNetwork(instances: number, members: number): FleetNetwork {
     const network = new FleetNetwork({ instances, members, spreadMs, seed: 20261204 });
     network.advance(300);
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -7,6 +7,7 @@
     type DatabaseReport,
     type FleetFrame,
     FleetKind,
+    type MembersKnown,
     ReportedState,
     type SendFrame,
 } from "../../model/fleetMessages.ts";
@@ -41,6 +42,8 @@
     instances: readonly PeerInstance[];
     /** Fewest instances told since the last `watch`. */
     fewestInstances: number;
+    /** Addresses of the members that it attaches to, as last told. */
+    members: readonly string[];
     /** Ids of the databases that it knows. */
     readonly databases: Set<string>;
 }
@@ -152,6 +155,11 @@
         this.push(leader, { kind: ControlKind.LeaderChanged, leading: true, term } as Message);
     }
 
+    /** A member takes others for the members of the cluster. */
+    agreeMembers(member: string, names: readonly string[]): void {
+        this.push(member, { kind: ControlKind.MembersAgreed, addresses: names.map(toAddress) } as Message);
+    }
+
     /** All members have applied a version of the configuration. */
     applyConfiguration(version: number): void {
         const message = { kind: ClusterKind.ConfigurationApplied, configuration: { version } } as unknown as Message;
@@ -208,6 +216,7 @@
             received: [],
             instances: [],
             fewestInstances: Infinity,
+            members: [],
             databases: new Set(),
         });
     }
@@ -253,6 +262,9 @@
         else if (output.kind === DeadlineKind.Set || output.kind === DeadlineKind.Clear) {
             this.applyDeadline(node, output as DeadlineMessage);
         }
+        else if (output.kind === FleetKind.MembersKnown) {
+            node.members = (output as MembersKnown).addresses;
+        }
         else if (output.kind === FleetKind.DatabaseChanged) {
             node.databases.add((output as DatabaseChanged).report.databaseId);
         }
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -67,6 +67,8 @@
     configurationVersion: number;
     /** Instances attached there; undefined until its first status. */
     instanceCount: number | undefined;
+    /** Addresses of the members that it names. */
+    members: readonly string[];
 }
 
 export interface AttachmentsOptions {
@@ -152,6 +154,7 @@
             term: 0,
             configurationVersion: 0,
             instanceCount: undefined,
+            members: [],
         });
         const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
         return [sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, address: ownAddress })];
@@ -179,7 +182,8 @@
         member.term = frame.term;
         member.configurationVersion = frame.configurationVersion;
         member.instanceCount = frame.instanceCount;
-        return [...this.followMembers(frame.members), ...this.chooseFollowed(nowMs), ...this.checkLag(nowMs)];
+        member.members = frame.members;
+        return [...this.noteMembers(member), ...this.chooseFollowed(nowMs), ...this.checkLag(nowMs)];
     }
 
     private detach(attachmentId: string, nowMs: number): readonly Message[] {
@@ -197,8 +201,7 @@
         if (!this.options.serves) {
             return [];
         }
-        const leader = [...this.members.values()].filter(({ leading }) => leading)
-            .sort((left, right) => right.term - left.term)[0];
+        const leader = this.leader();
         if (leader !== undefined) {
             this.leaderless = undefined;
             return this.follow(leader);
@@ -267,12 +270,25 @@
         ];
     }
 
-    private followMembers(members: readonly string[]): readonly Message[] {
-        if (members.length === 0 || sameSet(members, this.knownAddresses)) {
+    private leader(): Member | undefined {
+        return [...this.members.values()].filter(({ leading }) => leading)
+            .sort((left, right) => right.term - left.term)[0];
+    }
+
+    /**
+     * The leader's list of members counts. Without a leader, an instance tries all that any member has named, because a
+     * member that is cut off names some that have gone and lacks others.
+     */
+    private noteMembers({ members }: Member): readonly Message[] {
+        const leader = this.leader();
+        const named = !this.options.serves
+            ? members
+            : leader?.members ?? [...new Set([...this.knownAddresses, ...members])];
+        if (named.length === 0 || sameSet(named, this.knownAddresses)) {
             return [];
         }
-        this.knownAddresses = members;
-        return [{ kind: FleetKind.MembersKnown, addresses: members } as MembersKnown];
+        this.knownAddresses = named;
+        return [{ kind: FleetKind.MembersKnown, addresses: named } as MembersKnown];
     }
 
     private checkLag(nowMs: number): readonly Message[] {
