fix(fleet): a member forgets a database that left through another member

A database reports its departure to one member. The others kept its last report and told it to each instance that attached later, which then opened links to a database that was gone. Each member now drops what its directory has removed. The spec fails before this change (db0 known), and passes.

--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -188,6 +188,22 @@
     });
 });
 
+describe("databases at an instance that starts", () => {
+    it("are without those that left, whichever member they had reported to", () => {
+        // Guards against links to a database that is gone, opened by each instance that starts later.
+        const network = startedNetwork(2, 3);
+        network.reportDatabase("core1", "db0");
+        network.reportDatabase("core1", "db1");
+        network.advance(100);
+        network.removeDatabase("core2", "db0");
+        network.advance(1_000);
+        network.stop("front1");
+        network.startInstance("front1");
+        network.advance(5_000);
+        assert.deepEqual([...network.node("front1").databases], ["db1"]);
+    });
+});
+
 describe("the members that an instance attaches to", () => {
     const all = ["core0:9000", "core1:9000", "core2:9000"];
 
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -182,6 +182,10 @@
         this.push(member, { kind: FleetKind.DatabaseReported, report } as Message);
     }
 
+    removeDatabase(member: string, databaseId: string): void {
+        this.push(member, { kind: FleetKind.DatabaseLeft, databaseId } as Message);
+    }
+
     /** Forgets what was received, and starts to look for the fewest instances anew. */
     watch(): void {
         for (const node of this.nodes.values()) {
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -5,6 +5,7 @@
 import {
     type Attached,
     type DatabaseLeft,
+    type DatabaseRemoved,
     type DatabaseReport,
     type DatabaseReported,
     type Detached,
@@ -31,6 +32,7 @@
     | FrameReceived
     | DatabaseReported
     | DatabaseLeft
+    | DatabaseRemoved
     | ControlLeaderChanged
     | ControlMembersAgreed
     | ConfigurationApplied
@@ -46,6 +48,7 @@
         FleetKind.FrameReceived,
         FleetKind.DatabaseReported,
         FleetKind.DatabaseLeft,
+        FleetKind.DatabaseRemoved,
         FleetKind.AnnouncementDue,
         ControlKind.LeaderChanged,
         ControlKind.MembersAgreed,
@@ -101,6 +104,10 @@
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, found => [found])
             .with({ kind: FleetKind.DatabaseReported }, found => this.publish(found.report))
             .with({ kind: FleetKind.DatabaseLeft }, found => this.publishLeft(found.databaseId))
+            .with({ kind: FleetKind.DatabaseRemoved }, found => {
+                this.heard.delete(found.databaseId);
+                return [found];
+            })
             .with(
                 { kind: ControlKind.LeaderChanged },
                 found => [found, ...this.setLeader(found.leading, found.term)],
@@ -198,7 +205,6 @@
     }
 
     private publishLeft(databaseId: string): readonly Message[] {
-        this.heard.delete(databaseId);
         return this.broadcast({ kind: "database_left", databaseId });
     }
 
