fix(fleet): an instance that attaches while it leaves is not listed again

An instance told only the members that it was attached to that it leaves. At one that restarted, or that it reached again, it was listed like any other, and others passed it tasks until it ended. The hello now says so. The spec fails before this change (20 listed for 19).

--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -153,6 +153,18 @@
         assert.deepEqual(fewest(network), network.instanceNames.map(() => 20));
     });
 
+    it("stays without an instance that is leaving, also at a member that it attaches to while it leaves", () => {
+        const network = startedNetwork(20, 3);
+        network.drain("front7");
+        network.advance(100);
+        network.stop("core1");
+        network.startMember("core1");
+        network.lead("core1", 2);
+        network.advance(deadPeerLimitMs);
+        const others = network.instanceNames.filter(name => name !== "front7");
+        assert.deepEqual(others.map(name => network.node(name).instances.length), others.map(() => 19));
+    });
+
     it("is the same everywhere after restarts, cuts and changes of leader in any order", () => {
         // Guards against differences that are lost or applied twice at a change of the followed member.
         const step = fc.record({
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -135,6 +135,10 @@
             .forEach(connection => this.detach(connection));
     }
 
+    drain(instance: string): void {
+        this.push(instance, { kind: FleetKind.DrainStarted, transactionsUntilMs: this.nowMs, final: false } as Message);
+    }
+
     /** Cuts all attachments of a member but those of some instances; nothing attaches again. */
     cutOff(member: string, exceptInstances: readonly string[]): void {
         [...this.connections.values()].filter(connection =>
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -128,7 +128,7 @@
 
     private greet(
         attachmentId: string,
-        { serves, instanceId, address, dataCentre }: HelloFrame,
+        { serves, leaving, instanceId, address, dataCentre }: HelloFrame,
         nowMs: number,
     ): readonly Message[] {
         if (!this.opened.delete(attachmentId)) {
@@ -140,7 +140,7 @@
             sendFrame(attachmentId, this.status()),
             ...reports.length === 0 ? [] : [sendFrame(attachmentId, { kind: "databases", reports })],
         ];
-        if (!serves) {
+        if (!serves || leaving) {
             return greeting;
         }
         this.instances.add(attachmentId, { instanceId, address, dataCentre });
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -101,6 +101,7 @@
     private knownAddresses: readonly string[] = [];
     private readonly instances = new KnownInstances();
     private listed = false;
+    private leaving = false;
     /** Member that the list of instances comes from. */
     private followed: Member | undefined;
     /** While no leader is known: when the next step is due, and whether the members were asked for their status. */
@@ -134,10 +135,13 @@
                 { kind: FleetKind.InstancesDue },
                 () => [...this.showInstances(nowMs), ...this.chooseFollowed(nowMs)],
             )
-            .with({ kind: FleetKind.DrainStarted }, found => [
-                found,
-                ...[...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "leaving" })),
-            ])
+            .with({ kind: FleetKind.DrainStarted }, found => {
+                this.leaving = true;
+                return [
+                    found,
+                    ...[...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "leaving" })),
+                ];
+            })
             .with({ kind: ClusterKind.ConfigurationApplied }, found => {
                 this.version = found.configuration.version;
                 this.behindSinceMs = undefined;
@@ -157,7 +161,10 @@
             members: [],
         });
         const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
-        return [sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, address: ownAddress })];
+        const { leaving } = this;
+        return [
+            sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, leaving, address: ownAddress }),
+        ];
     }
 
     private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -140,6 +140,8 @@
         readonly instanceId: string;
         /** It serves callers. */
         readonly serves: boolean;
+        /** It stops and takes no more tasks of others. */
+        readonly leaving: boolean;
         readonly dataCentre: string;
         /** `host:port` of its gRPC listener. */
         readonly address: string;
