perf(session): the order of holders is computed once for each change of a data centre

Each task, and each list of instances for each database, filtered all instances and hashed and sorted those of the data centre. The order now stays until the instances of that data centre change, and a question takes the first usable one.

--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -12,7 +12,6 @@
     type PassedResult,
     type PassedTask,
     type PeerAnswered,
-    type PeerInstance,
     PeerKind,
     type PeerLost,
     type PeerSend,
@@ -21,7 +20,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { chooseHolder } from "./holderChoice.ts";
+import { HolderChoice } from "./holderChoice.ts";
 import { preparedOf } from "./link.ts";
 import {
     type HolderChanged,
@@ -88,7 +87,7 @@
         FleetKind.DatabaseSuspected,
     ];
     private readonly instanceId: string;
-    private instances: readonly PeerInstance[] = [];
+    private readonly choice = new HolderChoice();
     private readonly databases = new Map<string, DatabaseReport>();
     private readonly holders = new Map<string, Holder>();
     private readonly pending = new Map<string, Pending>();
@@ -113,7 +112,7 @@
             .with({ kind: PeerKind.Answered }, found => this.answered(found.address, found.result, nowMs))
             .with({ kind: PeerKind.Lost }, found => this.lost(found.address, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, found => {
-                this.instances = found.instances;
+                this.choice.setInstances(found.instances);
                 return [...this.databases.keys()].flatMap(databaseId => this.noteHolder(databaseId, nowMs));
             })
             .with({ kind: FleetKind.DatabaseChanged }, found => {
@@ -155,11 +154,10 @@
         if (report === undefined) {
             return undefined;
         }
-        const usable = this.instances.filter(({ instanceId, address }) =>
+        const holder = this.choice.rank(databaseId, report.dataCentre).find(({ instanceId, address }) =>
             (this.avoided.get(`${databaseId}/${instanceId}`) ?? 0) <= nowMs
             && (instanceId === this.instanceId || (this.holders.get(address)?.avoidedUntilMs ?? 0) <= nowMs)
         );
-        const holder = chooseHolder(usable, databaseId, report.dataCentre);
         this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
         return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
     }
