fix(rpc): an instance that is cut off after each greeting returns seldom

The first frame of an attachment set its retry delay back, so that an instance which a member cut off for being slow came back after 50 to 100 ms, with a new connection and greeting, for as long as the member or the link was overloaded. The delay is now set back when an attachment has lasted for 2 s.

--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -9,6 +9,12 @@
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 import { RetryDelay } from "./retryDelay.ts";
 
+/**
+ * Life of an attachment after which its loss counts as a first failure. A member that cuts off a slow instance, or is too
+ * busy to keep it, would otherwise get its hello again after the shortest pause each time.
+ */
+const settledMs = 2_000;
+
 type Stream = ClientDuplexStream<FleetFrameMessage, FleetFrameMessage>;
 
 interface Attachment {
@@ -16,7 +22,9 @@
     readonly address: string;
     readonly client: FleetClient;
     readonly stream: Stream;
+    /** Ends the attempt when no frame arrives in time. */
     readonly firstFrame: NodeJS.Timeout;
+    settled: NodeJS.Timeout | undefined;
 }
 
 export interface FleetConnectorOptions {
@@ -62,8 +70,9 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.closed = true;
         this.retries.forEach(timer => clearTimeout(timer));
-        this.attachments.forEach(({ stream, client, firstFrame }) => {
+        this.attachments.forEach(({ stream, client, firstFrame, settled }) => {
             clearTimeout(firstFrame);
+            clearTimeout(settled);
             stream.cancel();
             client.close();
         });
@@ -76,7 +85,7 @@
         const client = network.createClient(FleetClient, address, ConnectionUse.Own);
         const stream = client.attach();
         const firstFrame = setTimeout(() => this.lose(attachment), this.delayOf(address).attemptMs());
-        const attachment: Attachment = { attachmentId, address, client, stream, firstFrame };
+        const attachment: Attachment = { attachmentId, address, client, stream, firstFrame, settled: undefined };
         this.attachments.set(attachmentId, attachment);
         stream.on("data", (message: FleetFrameMessage) => this.receive(attachment, message));
         stream.on("error", () => this.lose(attachment));
@@ -86,7 +95,7 @@
 
     private receive(attachment: Attachment, message: FleetFrameMessage): void {
         clearTimeout(attachment.firstFrame);
-        this.delays.get(attachment.address)?.reset();
+        attachment.settled ??= setTimeout(() => this.delays.get(attachment.address)?.reset(), settledMs);
         const frame = decodeFrame(message);
         if (frame === undefined) {
             this.lose(attachment);
@@ -96,11 +105,12 @@
     }
 
     private lose(attachment: Attachment): void {
-        const { attachmentId, address, client, stream, firstFrame } = attachment;
+        const { attachmentId, address, client, stream, firstFrame, settled } = attachment;
         if (!this.attachments.delete(attachmentId)) {
             return;
         }
         clearTimeout(firstFrame);
+        clearTimeout(settled);
         stream.cancel();
         client.close();
         this.options.post({ kind: FleetKind.Detached, attachmentId } as Detached);
