--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -153,6 +153,18 @@
         assert.deepEqual(fewest(network), network.instanceNames.map(() => 20));
     });
 
+    it("stays without an instance that is leaving, also at a member that it attaches to while it leaves", () => {
+        const network = startedNetwork(20, 3);
+        network.drain("front7");
+        network.advance(100);
+        network.stop("core1");
+        network.startMember("core1");
+        network.lead("core1", 2);
+        network.advance(deadPeerLimitMs);
+        const others = network.instanceNames.filter(name => name !== "front7");
+        assert.deepEqual(others.map(name => network.node(name).instances.length), others.map(() => 19));
+    });
+
     it("is the same everywhere after restarts, cuts and changes of leader in any order", () => {
         // Guards against differences that are lost or applied twice at a change of the followed member.
         const step = fc.record({
@@ -188,6 +200,45 @@
     });
 });
 
+describe("databases at an instance that starts", () => {
+    it("are without those that left, whichever member they had reported to", () => {
+        // Guards against links to a database that is gone, opened by each instance that starts later.
+        const network = startedNetwork(2, 3);
+        network.reportDatabase("core1", "db0");
+        network.reportDatabase("core1", "db1");
+        network.advance(100);
+        network.removeDatabase("core2", "db0");
+        network.advance(1_000);
+        network.stop("front1");
+        network.startInstance("front1");
+        network.advance(5_000);
+        assert.deepEqual([...network.node("front1").databases], ["db1"]);
+    });
+});
+
+describe("the members that an instance attaches to", () => {
+    const all = ["core0:9000", "core1:9000", "core2:9000"];
+
+    it("are the leader's, whatever a member names that is behind", () => {
+        const network = startedNetwork(2, 3);
+        network.agreeMembers("core2", ["core2"]);
+        network.advance(1_000);
+        assert.deepEqual(network.node("front0").members, all);
+        network.agreeMembers("core0", ["core0", "core1"]);
+        network.advance(1_000);
+        assert.deepEqual(network.node("front0").members, ["core0:9000", "core1:9000"]);
+    });
+
+    it("are all that any member names while there is no leader", () => {
+        const network = startedNetwork(2, 3);
+        network.lead("nobody", 2);
+        network.advance(1_000);
+        network.agreeMembers("core2", ["core2", "core3"]);
+        network.advance(5_000);
+        assert.deepEqual(network.node("front0").members, [...all, "core3:9000"]);
+    });
+});
+
 function startedNetwork(instances: number, members: number): FleetNetwork {
     const network = new FleetNetwork({ instances, members, spreadMs, seed: 20261204 });
     network.advance(300);
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -7,6 +7,7 @@
     type DatabaseReport,
     type FleetFrame,
     FleetKind,
+    type MembersKnown,
     ReportedState,
     type SendFrame,
 } from "../../model/fleetMessages.ts";
@@ -41,6 +42,8 @@
     instances: readonly PeerInstance[];
     /** Fewest instances told since the last `watch`. */
     fewestInstances: number;
+    /** Addresses of the members that it attaches to, as last told. */
+    members: readonly string[];
     /** Ids of the databases that it knows. */
     readonly databases: Set<string>;
 }
@@ -132,6 +135,10 @@
             .forEach(connection => this.detach(connection));
     }
 
+    drain(instance: string): void {
+        this.push(instance, { kind: FleetKind.DrainStarted, transactionsUntilMs: this.nowMs, final: false } as Message);
+    }
+
     /** Cuts all attachments of a member but those of some instances; nothing attaches again. */
     cutOff(member: string, exceptInstances: readonly string[]): void {
         [...this.connections.values()].filter(connection =>
@@ -152,6 +159,11 @@
         this.push(leader, { kind: ControlKind.LeaderChanged, leading: true, term } as Message);
     }
 
+    /** A member takes others for the members of the cluster. */
+    agreeMembers(member: string, names: readonly string[]): void {
+        this.push(member, { kind: ControlKind.MembersAgreed, addresses: names.map(toAddress) } as Message);
+    }
+
     /** All members have applied a version of the configuration. */
     applyConfiguration(version: number): void {
         const message = { kind: ClusterKind.ConfigurationApplied, configuration: { version } } as unknown as Message;
@@ -174,6 +186,10 @@
         this.push(member, { kind: FleetKind.DatabaseReported, report } as Message);
     }
 
+    removeDatabase(member: string, databaseId: string): void {
+        this.push(member, { kind: FleetKind.DatabaseLeft, databaseId } as Message);
+    }
+
     /** Forgets what was received, and starts to look for the fewest instances anew. */
     watch(): void {
         for (const node of this.nodes.values()) {
@@ -208,6 +224,7 @@
             received: [],
             instances: [],
             fewestInstances: Infinity,
+            members: [],
             databases: new Set(),
         });
     }
@@ -253,6 +270,9 @@
         else if (output.kind === DeadlineKind.Set || output.kind === DeadlineKind.Clear) {
             this.applyDeadline(node, output as DeadlineMessage);
         }
+        else if (output.kind === FleetKind.MembersKnown) {
+            node.members = (output as MembersKnown).addresses;
+        }
         else if (output.kind === FleetKind.DatabaseChanged) {
             node.databases.add((output as DatabaseChanged).report.databaseId);
         }
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -67,6 +67,8 @@
     configurationVersion: number;
     /** Instances attached there; undefined until its first status. */
     instanceCount: number | undefined;
+    /** Addresses of the members that it names. */
+    members: readonly string[];
 }
 
 export interface AttachmentsOptions {
@@ -99,6 +101,7 @@
     private knownAddresses: readonly string[] = [];
     private readonly instances = new KnownInstances();
     private listed = false;
+    private leaving = false;
     /** Member that the list of instances comes from. */
     private followed: Member | undefined;
     /** While no leader is known: when the next step is due, and whether the members were asked for their status. */
@@ -132,10 +135,13 @@
                 { kind: FleetKind.InstancesDue },
                 () => [...this.showInstances(nowMs), ...this.chooseFollowed(nowMs)],
             )
-            .with({ kind: FleetKind.DrainStarted }, found => [
-                found,
-                ...[...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "leaving" })),
-            ])
+            .with({ kind: FleetKind.DrainStarted }, found => {
+                this.leaving = true;
+                return [
+                    found,
+                    ...[...this.members.keys()].map(attachmentId => sendFrame(attachmentId, { kind: "leaving" })),
+                ];
+            })
             .with({ kind: ClusterKind.ConfigurationApplied }, found => {
                 this.version = found.configuration.version;
                 this.behindSinceMs = undefined;
@@ -152,9 +158,13 @@
             term: 0,
             configurationVersion: 0,
             instanceCount: undefined,
+            members: [],
         });
         const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
-        return [sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, address: ownAddress })];
+        const { leaving } = this;
+        return [
+            sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, leaving, address: ownAddress }),
+        ];
     }
 
     private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
@@ -179,7 +189,8 @@
         member.term = frame.term;
         member.configurationVersion = frame.configurationVersion;
         member.instanceCount = frame.instanceCount;
-        return [...this.followMembers(frame.members), ...this.chooseFollowed(nowMs), ...this.checkLag(nowMs)];
+        member.members = frame.members;
+        return [...this.noteMembers(member), ...this.chooseFollowed(nowMs), ...this.checkLag(nowMs)];
     }
 
     private detach(attachmentId: string, nowMs: number): readonly Message[] {
@@ -197,8 +208,7 @@
         if (!this.options.serves) {
             return [];
         }
-        const leader = [...this.members.values()].filter(({ leading }) => leading)
-            .sort((left, right) => right.term - left.term)[0];
+        const leader = this.leader();
         if (leader !== undefined) {
             this.leaderless = undefined;
             return this.follow(leader);
@@ -267,12 +277,25 @@
         ];
     }
 
-    private followMembers(members: readonly string[]): readonly Message[] {
-        if (members.length === 0 || sameSet(members, this.knownAddresses)) {
+    private leader(): Member | undefined {
+        return [...this.members.values()].filter(({ leading }) => leading)
+            .sort((left, right) => right.term - left.term)[0];
+    }
+
+    /**
+     * The leader's list of members counts. Without a leader, an instance tries all that any member has named, because a
+     * member that is cut off names some that have gone and lacks others.
+     */
+    private noteMembers({ members }: Member): readonly Message[] {
+        const leader = this.leader();
+        const named = !this.options.serves
+            ? members
+            : leader?.members ?? [...new Set([...this.knownAddresses, ...members])];
+        if (named.length === 0 || sameSet(named, this.knownAddresses)) {
             return [];
         }
-        this.knownAddresses = members;
-        return [{ kind: FleetKind.MembersKnown, addresses: members } as MembersKnown];
+        this.knownAddresses = named;
+        return [{ kind: FleetKind.MembersKnown, addresses: named } as MembersKnown];
     }
 
     private checkLag(nowMs: number): readonly Message[] {
