test(control): acknowledged changes outlive the loss of disks after generated troubles

Callers could see an acknowledged configuration that nobody can read back. Six machines of which two may lose their disks, in virtual time: machines lose power or disks, are cut off or replaced at other addresses, all restart, halves are split; never more losses at once than are to be borne; then the final fault.

--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -53,6 +53,14 @@
     readonly diskDelayMs: number;
 }
 
+export interface FakeClusterOptions {
+    readonly snapshotEntries?: number;
+    /** The first members, which every member knows by its settings; all unless set. */
+    readonly seedCount?: number;
+    /** Disks whose loss at one moment must be borne; sets open membership. */
+    readonly tolerance?: number;
+}
+
 export const calm: Faults = { dropShare: 0, duplicateShare: 0, maximumDelayMs: 20, diskDelayMs: 5 };
 
 export class FakeCluster {
@@ -63,7 +71,7 @@
     faults: Faults = calm;
     nowMs = 0;
     private readonly random: SeededRandom;
-    private readonly initial: readonly { readonly memberId: string; readonly address: string; }[];
+    private initial: readonly { readonly memberId: string; readonly address: string; }[];
     private readonly leaders = new Map<number, string>();
     private readonly votes = new Map<string, string>();
     private readonly requested = new Map<string, string>();
@@ -72,13 +80,14 @@
     private readonly brokenLinks = new Set<string>();
     private network: { readonly atMs: number; readonly body: PeerMessage; }[] = [];
     private nextId = 0;
-    private readonly snapshotEntries: number;
+    private readonly options: FakeClusterOptions;
 
-    constructor(size: number, seed: number, snapshotEntries = 16) {
+    constructor(size: number, seed: number, options: FakeClusterOptions = {}) {
         this.random = new SeededRandom(seed);
-        this.snapshotEntries = snapshotEntries;
+        this.options = options;
         const ids = Array.from({ length: size }, (_, index) => `m${index}`);
-        this.initial = ids.map(memberId => ({ memberId, address: `${memberId}:1` }));
+        this.initial = ids.slice(0, options.seedCount ?? size)
+            .map(memberId => ({ memberId, address: `${memberId}:1` }));
         ids.forEach(memberId => this.addNode(memberId));
     }
 
@@ -97,8 +106,8 @@
     }
 
     start(memberId: string): void {
-        const node = this.nodes.get(memberId)!;
-        if (node.loop !== undefined) {
+        const node = this.nodes.get(memberId);
+        if (node === undefined || node.loop !== undefined) {
             return;
         }
         const self = { memberId, incarnation: node.disk.incarnation, address: node.address };
@@ -106,7 +115,9 @@
             self,
             initialMembers: this.initial,
             random: new SeededRandom(this.random.nextInteger(1 << 30)),
-            snapshotEntries: this.snapshotEntries,
+            snapshotEntries: this.options.snapshotEntries ?? 16,
+            mayFound: this.options.tolerance === undefined || this.nowMs === 0,
+            openMembership: this.options.tolerance !== undefined,
         })];
         filters.splice(filters.findIndex(filter => filter instanceof ApplyFilter), 0, new Recorder(this, self));
         node.clock = new VirtualClock();
@@ -130,9 +141,37 @@
     }
 
     wipe(memberId: string): void {
+        this.losePower(memberId);
+        this.loseDisk(memberId);
+        this.start(memberId);
+    }
+
+    /** Stops a member; what its disk has not synced is gone. */
+    losePower(memberId: string): void {
+        this.nodes.get(memberId)!.disk.unsynced = [];
         this.kill(memberId);
+    }
+
+    /** Empties the disk of a member that does not run. */
+    loseDisk(memberId: string): void {
         this.nodes.get(memberId)!.disk = this.emptyDisk();
-        this.start(memberId);
+    }
+
+    /** Replaces the members that the settings name; running ones are told. */
+    setSeeds(memberIds: readonly string[]): void {
+        this.initial = memberIds.map(memberId => ({ memberId, address: this.nodes.get(memberId)!.address }));
+        const message = { kind: ControlKind.SeedsChanged, seeds: this.initial } as Message;
+        this.nodes.forEach(node => this.post(node.memberId, message));
+    }
+
+    /** Takes a member away for good. */
+    remove(memberId: string): void {
+        this.losePower(memberId);
+        this.nodes.delete(memberId);
+    }
+
+    isRunning(memberId: string): boolean {
+        return this.nodes.get(memberId)?.loop !== undefined;
     }
 
     /** Restarts a member under another address. */
@@ -167,6 +206,10 @@
         this.brokenLinks.add(`${left}-${right}`).add(`${right}-${left}`);
     }
 
+    mendLinks(): void {
+        this.brokenLinks.clear();
+    }
+
     /** Stops all members at one moment, as a loss of power does, and starts them again. */
     crashAll(): void {
         const running = [...this.nodes.values()].filter(node => node.loop !== undefined);
@@ -179,7 +222,7 @@
     }
 
     post(memberId: string, message: Message): void {
-        this.nodes.get(memberId)!.loop?.post(message);
+        this.nodes.get(memberId)?.loop?.post(message);
     }
 
     leader(): Node | undefined {
@@ -265,6 +308,7 @@
                 node.configuration = configuration;
             }),
             sink(FeedKind.Send, () => undefined),
+            ...this.options.tolerance === undefined ? [] : [sink(ControlKind.MembersAgreed, () => undefined)],
         ];
     }
 
