fix(control): the list of members keeps enough disks for the losses that must be borne

What callers saw: an acknowledged configuration that nobody could read back after two of six disks were lost.

Cause: the figure that the deployment names for its losses was read nowhere. A silent member left only while the number of members was even. A successor at another address joins within a second, before its predecessor counts as silent; so a list of six became seven with a dead member, stayed odd, and seven is the maximum: no silent member left any more and no further successor joined (three replacements in turn: m0..m6 listed, m0 to m2 gone). Two more disks and nobody had a majority. Beyond the tolerated losses the same rule went the other way, from four to three members.

The tolerance f is now decoded from the settings and given to the filters: an entry is committed by a majority and by f + 1 synced copies at least; silent members leave, the longest silent first, while the others are still 2 f + 1 and no fewer than the members by the settings; a wiped member's old incarnation leaves first only where 2 f others stay, and otherwise after the new one has joined; a founder puts the instances that asked meanwhile on the first list, and waits up to 3 s for 2 f + 1 of them. f is 0 in the MySQL product, whose rules stay as they were.

--- a/src/control/__tests__/diskLoss.spec.ts
+++ b/src/control/__tests__/diskLoss.spec.ts
@@ -314,6 +314,18 @@
 }
 
 describe("loss of disks", () => {
+    it("founds with more members than the settings name where the losses to be borne ask for them", () => {
+        const cluster = new FakeCluster(6, 1, { seedCount: 3, tolerance: 2 });
+        cluster.runUntil("a first list", () => cluster.members.length > 0, 3_000);
+        assert.equal(cluster.members.length >= 5, true, `${cluster.members.length} members`);
+    });
+
+    it("founds with the members that the settings name when there are no more", () => {
+        const cluster = new FakeCluster(3, 1, { seedCount: 3, tolerance: 2 });
+        cluster.runUntil("a leader", () => cluster.leader() !== undefined, 6_000);
+        assert.equal(cluster.members.length, 3);
+    });
+
     it("drops members that are gone for good when their successors joined before they counted as silent", () => {
         const deployed = new Deployed({ size: 6, seedCount: 3, tolerance: 2 }, 1);
         deployed.run(12_000);
--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -118,6 +118,7 @@
             snapshotEntries: this.options.snapshotEntries ?? 16,
             mayFound: this.options.tolerance === undefined || this.nowMs === 0,
             openMembership: this.options.tolerance !== undefined,
+            tolerance: this.options.tolerance ?? 0,
         })];
         filters.splice(filters.findIndex(filter => filter instanceof ApplyFilter), 0, new Recorder(this, self));
         node.clock = new VirtualClock();
--- a/src/control/controlPipe.ts
+++ b/src/control/controlPipe.ts
@@ -26,21 +26,24 @@
     readonly mayFound?: boolean;
     /** Members come and go without an operator's order, and other pipes are told which ones there are. */
     readonly openMembership?: boolean;
+    /** Disks that may be lost at one moment while nothing acknowledged is; a majority decides unless set. */
+    readonly tolerance?: number;
 }
 
 /** The filters for one `Pipe`. Post `storage.recovered` as its first event. */
 // The element type is erased for the same reason as in Pipe: each filter narrows Message to its own kinds.
 // eslint-disable-next-line @typescript-eslint/no-explicit-any
 export function controlFilters(options: ControlFiltersOptions): readonly Filter<any, any>[] {
-    const { self, initialMembers, random, mayFound = true, openMembership = false } = options;
+    const { self, initialMembers, random, mayFound = true, openMembership = false, tolerance = 0 } = options;
     return [
-        new FormationFilter({ self, initialMembers, mayFound, announcesMembers: openMembership }),
+        new FormationFilter({ self, initialMembers, mayFound, openMembership, tolerance }),
         new TermFilter(self),
-        new ReplicationFilter(self),
+        new ReplicationFilter(self, tolerance),
         new SnapshotFilter(self),
         new MembershipFilter({
             settledIds: initialMembers.map(member => member.memberId),
             replacesSilent: openMembership,
+            tolerance,
         }),
         new VoteFilter({ self, random }),
         new ApplyFilter({ snapshotEntries: options.snapshotEntries ?? snapshotEntries }),
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -14,6 +14,7 @@
     recoveredMembers,
     type TimerEvent,
 } from "./memberMessages.ts";
+import { maximumMembers, tolerantSize } from "./quorums.ts";
 
 /**
  * Interval at which an instance asks to join until it is a member. Becoming one takes four questions: to be tracked, to
@@ -34,6 +35,12 @@
  */
 const silenceMs = 3_000;
 
+/**
+ * Time for which a founder that has heard from all initial members waits for more, where those are too few for the losses
+ * to be borne; above the spread of the machines' start and a few intervals.
+ */
+const moreMembersMs = 3_000;
+
 /** A control member by its settings; its incarnation is learned from the instance itself. */
 export interface InitialMember {
     readonly memberId: string;
@@ -46,15 +53,19 @@
     readonly initialMembers: readonly InitialMember[];
     /** False on an instance that may only join an existing cluster. */
     readonly mayFound?: boolean;
-    /** Tells other pipes which members are agreed on. */
-    readonly announcesMembers?: boolean;
+    /** Any instance may be a member, and other pipes are told which members are agreed on. */
+    readonly openMembership?: boolean;
+    /** Disks that may be lost at one moment; none unless set. */
+    readonly tolerance?: number;
 }
 
 type FormationInput = StorageRecovered | TimerEvent | PeerMessage | MembersChanged | ControlSeedsChanged;
 
 /**
- * The first of the initial members founds the cluster once every other one says that its disk is empty too. A founder
- * whose disk was wiped hears from a peer that the cluster exists, and joins it instead of founding a second one.
+ * The first of the initial members founds the cluster once every other one says that its disk is empty too. With open
+ * membership the instances that asked to join meanwhile are in the first list, so that no early change rests on fewer
+ * disks than later ones. A founder whose disk was wiped hears from a peer that the cluster exists, and joins it instead
+ * of founding a second one.
  */
 export class FormationFilter implements Filter<FormationInput, Message> {
     readonly step = "form";
@@ -79,6 +90,10 @@
     private formed = false;
     /** This incarnation was seen in the list of members under its present address, so it need not ask to join. */
     private listed = false;
+    /** Instances that the settings do not name and that asked this one. */
+    private readonly askers = new Map<string, InitialMember>();
+    /** Time since which all initial members are known to be empty. */
+    private initialReadyMs = Infinity;
     private readonly emptyPeers = new Map<string, { readonly member: Member; readonly heardMs: number; }>();
 
     constructor(options: FormationFilterOptions) {
@@ -99,6 +114,7 @@
                 this.seeds = message.seeds;
                 return [];
             case LogKind.JoinRequest:
+                this.noteAsker(message.from);
                 return [this.answer(message), message];
             case LogKind.JoinAnswer:
                 return this.note(message, nowMs);
@@ -126,7 +142,7 @@
         }
         this.members = members;
         const addresses = members.map(({ address }) => address);
-        return this.options.announcesMembers === true
+        return this.options.openMembership === true
             ? [{ kind: ControlKind.MembersAgreed, addresses } as ControlMembersAgreed]
             : [];
     }
@@ -145,6 +161,7 @@
         const targets = [
             ...this.members,
             ...this.seeds.filter(seed => !this.members.some(({ address }) => address === seed.address)),
+            ...this.formed ? [] : this.askers.values(),
         ];
         const requests = targets.filter(({ address }) => address !== self.address).map(({ memberId, address }) => {
             const to = { memberId, address, incarnation: "" };
@@ -161,10 +178,26 @@
         if (this.formed || this.options.mayFound === false || initialMembers[0]?.memberId !== self.memberId) {
             return undefined;
         }
-        const others = initialMembers.slice(1).map(({ memberId }) => this.emptyPeers.get(memberId));
-        return others.every(other => other !== undefined && nowMs - other.heardMs <= joinAnswerValidityMs)
-            ? [self, ...others.map(other => other!.member)]
-            : undefined;
+        const empty = [...initialMembers.slice(1), ...this.askers.values()]
+            .map(({ memberId }) => this.emptyPeers.get(memberId))
+            .filter(peer => peer !== undefined && nowMs - peer.heardMs <= joinAnswerValidityMs)
+            .map(peer => peer!.member);
+        if (!initialMembers.slice(1).every(({ memberId }) => empty.some(member => member.memberId === memberId))) {
+            this.initialReadyMs = Infinity;
+            return undefined;
+        }
+        this.initialReadyMs = Math.min(this.initialReadyMs, nowMs);
+        const members = [self, ...empty].slice(0, maximumMembers);
+        const enough = members.length >= tolerantSize(this.options.tolerance ?? 0);
+        return enough || nowMs - this.initialReadyMs >= moreMembersMs ? members : undefined;
+    }
+
+    private noteAsker({ memberId, address }: Member): void {
+        const { self, initialMembers, openMembership } = this.options;
+        const named = memberId === self.memberId || initialMembers.some(initial => initial.memberId === memberId);
+        if (openMembership === true && !named && !this.formed) {
+            this.askers.set(memberId, { memberId, address });
+        }
     }
 
     private answer(request: JoinRequest): Message {
@@ -178,7 +211,7 @@
         if (answer.formed) {
             this.emptyPeers.delete(memberId);
         }
-        else if (this.options.initialMembers.some(initial => initial.memberId === memberId)) {
+        else if (this.askers.has(memberId) || this.options.initialMembers.some(found => found.memberId === memberId)) {
             this.emptyPeers.set(memberId, { member: answer.from, heardMs: nowMs });
         }
         return [];
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -4,6 +4,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { MemberLog } from "./memberLog.ts";
 import { majority, memberKey, MemberKind } from "./memberMessages.ts";
+import { commitQuorum } from "./quorums.ts";
 
 /** Silence of a majority after which a leader steps down; not above the shortest election timeout. */
 export const quorumTimeoutMs = 1_000;
@@ -34,6 +35,8 @@
     readonly self: Member;
     readonly term: number;
     readonly log: MemberLog;
+    /** Disks that may be lost at one moment. */
+    readonly tolerance: number;
     readonly nowMs: number;
 }
 
@@ -41,6 +44,7 @@
     readonly term: number;
     private readonly self: Member;
     private readonly log: MemberLog;
+    private readonly tolerance: number;
     private readonly startedMs: number;
     private readonly peers = new Map<string, Peer>();
     private readonly learners = new Map<string, Member>();
@@ -50,6 +54,7 @@
         this.self = options.self;
         this.term = options.term;
         this.log = options.log;
+        this.tolerance = options.tolerance;
         this.startedMs = options.nowMs;
         this.syncPeers(options.nowMs);
     }
@@ -160,12 +165,11 @@
         }
     }
 
-    /** A member that has not answered for long. */
-    silentMember(nowMs: number): Member | undefined {
-        return this.log.members.find(member => {
-            const peer = this.peers.get(memberKey(member));
-            return peer !== undefined && nowMs - peer.lastAnswerMs >= silentMemberMs;
-        });
+    /** Members that have not answered for long; the longest silent first. */
+    silentMembers(nowMs: number): readonly Member[] {
+        const silentSinceMs = (member: Member): number => this.peers.get(memberKey(member))?.lastAnswerMs ?? Infinity;
+        return this.log.members.filter(member => nowMs - silentSinceMs(member) >= silentMemberMs)
+            .sort((left, right) => silentSinceMs(left) - silentSinceMs(right));
     }
 
     hasQuorum(nowMs: number): boolean {
@@ -176,12 +180,12 @@
         return heard.length >= majority(this.log.members);
     }
 
-    /** Highest index that a majority of the members has synced. */
+    /** Highest index that enough members have synced; learners do not count. */
     quorumIndex(): number {
         const matches = this.log.members
             .map(member => memberKey(member) === memberKey(this.self) ? this.ownMatch : this.matchOf(member))
             .sort((left, right) => right - left);
-        return matches[majority(this.log.members) - 1] ?? 0;
+        return matches[commitQuorum(this.log.members, this.tolerance) - 1] ?? 0;
     }
 
     private advance(peer: Peer, match: number): void {
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -36,7 +36,7 @@
     HeartbeatDue: "control.heartbeat_due",
     JoinAsked: "control.join_asked",
     ChangeAsked: "control.change_asked",
-    MemberSilent: "control.member_silent",
+    MembersSilent: "control.members_silent",
     TrackLearner: "control.track_learner",
     AppendMembers: "control.append_members",
     MembersChanged: "control.members_changed",
@@ -141,10 +141,10 @@
     readonly memberId: string;
 }
 
-/** A member has not answered the leader for a while. */
-export interface MemberSilent extends Message, MembershipFacts {
-    readonly kind: typeof MemberKind.MemberSilent;
-    readonly member: Member;
+/** Members have not answered the leader for a while; the longest silent first. */
+export interface MembersSilent extends Message, MembershipFacts {
+    readonly kind: typeof MemberKind.MembersSilent;
+    readonly silent: readonly Member[];
 }
 
 /** Asks the leader to replicate to an instance that does not vote. */
--- a/src/control/membershipFilter.ts
+++ b/src/control/membershipFilter.ts
@@ -12,13 +12,11 @@
     MemberKind,
     MemberRole,
     type MembershipFacts,
-    type MemberSilent,
+    type MembersSilent,
     type TermChanged,
 } from "./memberMessages.ts";
 import { proposalEnded } from "./proposalEnded.ts";
-
-/** At most 7 instances are set aside for control. */
-export const maximumMembers = 7;
+import { maximumMembers, tolerantSize } from "./quorums.ts";
 
 export interface MembershipFilterOptions {
     /** Ids of the control members by the settings; these join without an operator's order. */
@@ -28,24 +26,29 @@
      * For fleets whose machines are replaced at new addresses without an operator's order.
      */
     readonly replacesSilent?: boolean;
+    /** Disks that may be lost at one moment; none unless set. */
+    readonly tolerance?: number;
 }
 
-type MembershipInput = TermChanged | JoinAsked | ChangeAsked | MemberSilent;
+type MembershipInput = TermChanged | JoinAsked | ChangeAsked | MembersSilent;
 
 /**
  * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. The
- * new incarnation of a wiped member takes the place of the old one in two changes, first out, then in, because a
- * majority before and a majority after a single change must have a member in common.
+ * new incarnation of a wiped member takes the place of the old one in two changes, because a majority before and a
+ * majority after a single change must have a member in common: first out, then in, unless too few members would be left
+ * for the losses to be borne.
  */
 export class MembershipFilter implements Filter<MembershipInput, Message> {
     readonly step = "membership";
-    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked, MemberKind.MemberSilent];
+    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked, MemberKind.MembersSilent];
     private readonly options: MembershipFilterOptions;
+    private readonly tolerance: number;
     /** Orders to add an instance that have not been carried out: proposal id by member id. */
     private readonly ordered = new Map<string, string>();
 
     constructor(options: MembershipFilterOptions) {
         this.options = options;
+        this.tolerance = options.tolerance ?? 0;
     }
 
     process(message: MembershipInput): readonly Message[] {
@@ -56,7 +59,7 @@
                 return this.considerJoin(message);
             case MemberKind.ChangeAsked:
                 return message.action === "add" ? this.order(message) : this.remove(message);
-            case MemberKind.MemberSilent:
+            case MemberKind.MembersSilent:
                 return this.replaceSilent(message);
         }
     }
@@ -76,7 +79,8 @@
         if (!asked.caughtUp || !asked.changeable) {
             return [];
         }
-        if (members.some(member => member.memberId === joiner.memberId)) {
+        const wiped = members.some(member => member.memberId === joiner.memberId);
+        if (wiped && this.mayLeaveForSuccessor(members)) {
             return [appendMembers(asked, members.filter(member => member.memberId !== joiner.memberId), undefined)];
         }
         if (members.length >= maximumMembers) {
@@ -132,14 +136,30 @@
         return [appendMembers(asked, rest, proposalId)];
     }
 
-    // An even number of members bears no more losses than one less, so the silent one only costs votes. With an odd
-    // number it stays, because it may come back before a replacement does.
-    private replaceSilent(silent: MemberSilent): readonly Message[] {
-        const { members, member } = silent;
-        if (this.options.replacesSilent !== true || members.length % 2 === 1 || members.length <= 2) {
+    /**
+     * A silent member only costs votes, so it leaves while the others are enough without it. Otherwise it stays, because
+     * it may come back before a replacement does.
+     */
+    private replaceSilent(asked: MembersSilent): readonly Message[] {
+        const { members, silent } = asked;
+        if (this.options.replacesSilent !== true) {
             return [];
         }
-        return [appendMembers(silent, members.filter(other => memberKey(other) !== memberKey(member)), undefined)];
+        const least = Math.max(tolerantSize(this.tolerance), this.options.settledIds.length);
+        const leaving = silent.find(member => this.hasSuccessor(members, member) && this.mayLeaveForSuccessor(members))
+            ?? (members.length > least ? silent[0] : undefined);
+        return leaving === undefined
+            ? []
+            : [appendMembers(asked, members.filter(other => memberKey(other) !== memberKey(leaving)), undefined)];
+    }
+
+    private hasSuccessor(members: readonly Member[], member: Member): boolean {
+        return members.some(other => other.memberId === member.memberId && memberKey(other) !== memberKey(member));
+    }
+
+    /** Its disk counts as lost already, so the others bear one loss less. */
+    private mayLeaveForSuccessor(members: readonly Member[]): boolean {
+        return members.length >= tolerantSize(this.tolerance);
     }
 
     private dropOrders(): readonly Message[] {
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -16,9 +16,12 @@
     private currentLeadership: Leadership | undefined;
     /** Index of this leader's first entry; its commit confirms the leadership. */
     private confirmIndex = Infinity;
+    private readonly tolerance: number;
 
-    constructor(self: Member) {
+    /** @param tolerance disks that may be lost at one moment */
+    constructor(self: Member, tolerance: number) {
         this.self = self;
+        this.tolerance = tolerance;
     }
 
     get commitIndex(): number {
@@ -47,7 +50,8 @@
     /** Starts to lead `term` with a no-op, whose commit confirms the leadership. */
     startLeading(term: number, nowMs: number): readonly Message[] {
         this.term = term;
-        this.currentLeadership = new Leadership({ self: this.self, term, log: this.log, nowMs });
+        const { self, log, tolerance } = this;
+        this.currentLeadership = new Leadership({ self, term, log, tolerance, nowMs });
         this.confirmIndex = this.log.lastIndex + 1;
         return this.lead({ kind: EntryKind.NoOp }, undefined, nowMs);
     }
@@ -82,7 +86,7 @@
         return [writeOf({ kind: WriteKind.Entries, fromIndex: entries[0]!.index, entries })];
     }
 
-    /** Commits what a majority has synced. An entry of an older term is committed only through one of this term. */
+    /** Commits what enough members have synced. An entry of an older term is committed only through one of this term. */
     advance(nowMs: number): readonly Message[] {
         if (this.currentLeadership === undefined) {
             return [];
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -90,8 +90,9 @@
     ];
     private readonly replica: Replica;
 
-    constructor(self: Member) {
-        this.replica = new Replica(self);
+    /** @param tolerance disks that may be lost at one moment */
+    constructor(self: Member, tolerance: number) {
+        this.replica = new Replica(self, tolerance);
     }
 
     process(message: ReplicationInput, nowMs: number): readonly Message[] {
@@ -226,11 +227,11 @@
     }
 
     private noteSilence(nowMs: number): readonly Message[] {
-        const member = this.replica.leadership?.silentMember(nowMs);
+        const silent = this.replica.leadership?.silentMembers(nowMs) ?? [];
         const facts = this.replica.membershipFacts();
-        return member === undefined || !facts.changeable
+        return silent.length === 0 || !facts.changeable
             ? []
-            : [{ kind: MemberKind.MemberSilent, ...facts, member } as Message];
+            : [{ kind: MemberKind.MembersSilent, ...facts, silent } as Message];
     }
 
     private askToJoin(request: JoinRequest): readonly Message[] {
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -190,6 +190,15 @@
         later: "ignored",
     };
 
+    it("give the number of disks that may be lost at one moment", () => {
+        const toleranceOf = (fields: object): number =>
+            decodePlatformSettings(JSON.stringify({ ...file, ...fields }), "f").tolerance;
+        assert.equal(toleranceOf({ fault_tolerance: { machines: 2, zones: 0, regions: 0 } }), 2);
+        assert.equal(toleranceOf({ fault_tolerance: { machines: 0, zones: 1 } }), 1);
+        assert.equal(toleranceOf({ seeds: ["10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"] }), 1);
+        assert.throws(() => toleranceOf({ fault_tolerance: { machines: -1 } }), /f: "fault_tolerance\.machines"/);
+    });
+
     it("give the gRPC addresses of the seeds", () => {
         const settings = decodePlatformSettings(JSON.stringify(file), "f");
         assert.deepEqual(settings.seeds[1], { memberId: "10.2.0.26", address: "10.2.0.26:7560" });
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -20,6 +20,11 @@
     data_dir: z.string().nullish(),
     heartbeat_interval_ms: z.number().positive(),
     bounds: z.object({ grace_s: z.number().positive() }),
+    fault_tolerance: z.object({
+        machines: z.number().int().nonnegative().default(0),
+        zones: z.number().int().nonnegative().default(0),
+        regions: z.number().int().nonnegative().default(0),
+    }).nullish(),
     cloud_api: z.object({ address }).nullish(),
 });
 
@@ -51,6 +56,8 @@
     readonly reportIntervalMs: number;
     /** Time between the signal to stop and the kill. */
     readonly stopLimitMs: number;
+    /** Control members whose disks may be lost at one moment while nothing acknowledged is. */
+    readonly tolerance: number;
     /** `host:port` that takes promotion orders. */
     readonly ordersAddress: string | undefined;
 }
@@ -86,10 +93,17 @@
         dataFolder: file.data_dir ?? undefined,
         reportIntervalMs: file.heartbeat_interval_ms,
         stopLimitMs: file.bounds.grace_s * 1_000,
+        tolerance: toTolerance(file),
         ordersAddress: file.cloud_api?.address,
     };
 }
 
+// The loss of a zone or region is at least that of one member; a platform that names no figure gets a majority's.
+function toTolerance(file: z.infer<typeof fileSchema>): number {
+    const borne = file.fault_tolerance ?? { machines: Math.floor((file.seeds.length - 1) / 2), zones: 0, regions: 0 };
+    return Math.max(borne.machines, borne.zones, borne.regions);
+}
+
 function parseJson(text: string, path: string): unknown {
     try {
         return JSON.parse(text);
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -178,7 +178,17 @@
 
 async function buildControl(parts: Parts): Promise<Built> {
     const { settings, post, network, authentication, seed, stack } = parts;
-    const { host, rpcAddress, dataFolder, control, ordersAddress, instanceId, dataCentre, reportIntervalMs } = settings;
+    const {
+        host,
+        rpcAddress,
+        dataFolder,
+        control,
+        ordersAddress,
+        instanceId,
+        dataCentre,
+        reportIntervalMs,
+        tolerance,
+    } = settings;
     const storage = stack.use(
         await MemberStorage.open({
             folder: dataFolder!,
@@ -199,6 +209,7 @@
             random,
             mayFound: settings.firstStart,
             openMembership: true,
+            tolerance,
         }),
     );
     const fleet = new Pipe("fleet", [
