fix(control): an empty member finds a leader that its settings do not name

What callers saw: an acknowledged configuration that nobody could read back; on the way there, members that stay away.

Cause: an instance that wants to join asks the members that its settings name, and only the leader answers such a question with the log. Where six members have three seeds and a seed does not lead, a wiped member or a successor was never let in: its old incarnation stayed on the list without a disk, and the next loss took the majority away. Clusters whose members are all named by the settings (the standard sites) can't show it.

The answer to a question to join now names the members that the answering instance knows, and the asker asks them too.

--- a/src/control/__tests__/diskLoss.spec.ts
+++ b/src/control/__tests__/diskLoss.spec.ts
@@ -326,6 +326,23 @@
         assert.equal(cluster.members.length, 3);
     });
 
+    it("lets an empty member join in time when the leader is none of the members that it knows by its settings", () => {
+        const late: string[] = [];
+        for (let seed = 1; seed <= 20; seed++) {
+            const deployed = new Deployed({ size: 6, seedCount: 3, tolerance: 2 }, seed);
+            const { cluster } = deployed;
+            deployed.run(12_000);
+            const leader = cluster.leader()!.memberId;
+            deployed.powerOff(leader, 1_000);
+            deployed.run(4_000);
+            const wiped = ["m0", "m1", "m2"].find(id => id !== cluster.leader()!.memberId)!;
+            deployed.wipe(wiped, 500);
+            deployed.run(500 + catchUpMs);
+            late.push(...cluster.isWhole() ? [] : [`seed ${seed}: leader ${cluster.leader()!.memberId}`]);
+        }
+        assert.deepEqual(late, []);
+    });
+
     it("drops members that are gone for good when their successors joined before they counted as silent", () => {
         const deployed = new Deployed({ size: 6, seedCount: 3, tolerance: 2 }, 1);
         deployed.run(12_000);
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -84,7 +84,9 @@
     private readonly options: FormationFilterOptions;
     /** Instances to ask by the settings, and by the last list of members. */
     private seeds: readonly InitialMember[];
-    private members: readonly InitialMember[] = [];
+    private members: readonly Member[] = [];
+    /** Members that others named since this instance was last listed, by address. */
+    private readonly named = new Map<string, Member>();
     private heardMs = -Infinity;
     /** This instance takes part in a cluster, or may have promised something to one. */
     private formed = false;
@@ -108,7 +110,7 @@
             case MemberKind.FormDue:
                 return this.ask(nowMs);
             case MemberKind.MembersChanged:
-                this.listed = isReachableMember(message.members, this.options.self);
+                this.noteListed(message.members);
                 return [...this.announce(message.members), ...this.listed ? [] : [this.timer(nowMs)]];
             case ControlKind.SeedsChanged:
                 this.seeds = message.seeds;
@@ -130,7 +132,7 @@
     private recover(recovered: StorageRecovered, nowMs: number): readonly Message[] {
         const members = recoveredMembers(recovered);
         this.formed = recovered.term > 0 || members.length > 0;
-        this.listed = isReachableMember(members, this.options.self);
+        this.noteListed(members);
         this.heardMs = nowMs;
         return [recovered, this.timer(nowMs), ...this.announce(members)];
     }
@@ -147,6 +149,13 @@
             : [];
     }
 
+    private noteListed(members: readonly Member[]): void {
+        this.listed = isReachableMember(members, this.options.self);
+        if (this.listed) {
+            this.named.clear();
+        }
+    }
+
     private ask(nowMs: number): readonly Message[] {
         if (this.listed && nowMs - this.heardMs < silenceMs) {
             return [this.timer(nowMs)];
@@ -158,12 +167,10 @@
             return [{ kind: MemberKind.Form, members: founding } as Message];
         }
         const { self } = this.options;
-        const targets = [
-            ...this.members,
-            ...this.seeds.filter(seed => !this.members.some(({ address }) => address === seed.address)),
-            ...this.formed ? [] : this.askers.values(),
-        ];
-        const requests = targets.filter(({ address }) => address !== self.address).map(({ memberId, address }) => {
+        const others = [...this.seeds, ...this.formed ? [] : this.askers.values(), ...this.named.values()];
+        const targets = new Map([...others, ...this.members].map(target => [target.address, target]));
+        targets.delete(self.address);
+        const requests = [...targets.values()].map(({ memberId, address }) => {
             const to = { memberId, address, incarnation: "" };
             return send({ kind: LogKind.JoinRequest, from: self, to, term: 0, callId: "" });
         });
@@ -203,11 +210,12 @@
     private answer(request: JoinRequest): Message {
         const { self } = this.options;
         const head = { from: self, to: request.from, term: 0, callId: request.callId };
-        return send({ ...head, kind: LogKind.JoinAnswer, formed: this.formed });
+        return send({ ...head, kind: LogKind.JoinAnswer, formed: this.formed, members: this.members });
     }
 
     private note(answer: JoinAnswer, nowMs: number): readonly Message[] {
         const { memberId } = answer.from;
+        answer.members.forEach(member => this.named.set(member.address, member));
         if (answer.formed) {
             this.emptyPeers.delete(memberId);
         }
--- a/src/model/logMessages.ts
+++ b/src/model/logMessages.ts
@@ -89,6 +89,8 @@
     readonly kind: typeof LogKind.JoinAnswer;
     /** The answering instance already belongs to a formed cluster. */
     readonly formed: boolean;
+    /** The members that it knows; the leader, which alone lets an instance join, is one of them. */
+    readonly members: readonly Member[];
 }
 
 export type PeerMessage =
--- a/src/rpc/__tests__/controlRpc.spec.ts
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -95,7 +95,7 @@
                 },
                 { kind: LogKind.SnapshotAnswer, lastIndex: 9, nextOffset: 3, installed: true },
             ],
-            [{ ...head, kind: LogKind.JoinRequest }, { kind: LogKind.JoinAnswer, formed: true }],
+            [{ ...head, kind: LogKind.JoinRequest }, { kind: LogKind.JoinAnswer, formed: true, members: [a, b] }],
         ];
         for (const [request, answer] of pairs) {
             peersA.deliver({ kind: LogKind.Send, body: request });
--- a/src/rpc/logCodec.ts
+++ b/src/rpc/logCodec.ts
@@ -74,8 +74,8 @@
     return { ...decodeHead(head, callId), kind: LogKind.JoinRequest };
 }
 
-export function decodeJoinResult({ head, formed }: JoinResult): PeerMessage {
-    return { ...decodeHead(head, ""), kind: LogKind.JoinAnswer, formed };
+export function decodeJoinResult({ head, formed, members }: JoinResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.JoinAnswer, formed, members };
 }
 
 /** The result of a call; undefined for a message that is no answer. */
@@ -97,7 +97,7 @@
             nextOffset,
             installed,
         }))
-        .with({ kind: LogKind.JoinAnswer }, ({ formed }) => ({ head, formed }))
+        .with({ kind: LogKind.JoinAnswer }, ({ formed, members }) => ({ head, formed, members: [...members] }))
         .otherwise(() => undefined);
 }
 
