fix(control): a member that is gone leaves soon after its successor has joined

What callers saw: no leader after the loss of one more disk, although only as many were lost as are to be borne.

Cause: a successor joined at once, as a fourth beside a dead member. Four with one dead bear no further loss, and the dead one left only after a leader had missed it for 3 s in a row; every change of the leader began that count anew.

A newcomer that would make the number even waits up to 2 s for the member that it replaces to be out of reach (1 s), joins, and that member leaves with the next heartbeat. Silence without a newcomer still has to last 3 s, so that a restart costs no place. A newcomer that finds the list full has the longest silent member leave in the same way.

--- a/src/control/__tests__/diskLoss.spec.ts
+++ b/src/control/__tests__/diskLoss.spec.ts
@@ -8,6 +8,9 @@
 const recoveryMs = 15_000;
 const catchUpMs = 6_000;
 
+/** The same bound on sites with three members. */
+const threeMemberCatchUpMs = 4_000;
+
 const finalDownMs = 1_500;
 
 /** Changes that may still be without an answer. */
@@ -343,6 +346,27 @@
         assert.deepEqual(late, []);
     });
 
+    it("drops a member that is gone within the time that its successor is given, also when the leader restarts", () => {
+        const late: string[] = [];
+        for (let seed = 1; seed <= 20; seed++) {
+            const deployed = new Deployed({ size: 3, seedCount: 3, tolerance: 1 }, seed);
+            const { cluster } = deployed;
+            deployed.run(12_000);
+            const leader = cluster.leader()!.memberId;
+            deployed.replace(deployed.machines.find(id => id !== leader)!);
+            deployed.run(1_000);
+            cluster.kill(leader);
+            deployed.run(300);
+            cluster.start(leader);
+            deployed.run(threeMemberCatchUpMs);
+            const listed = cluster.members.map(({ memberId }) => memberId).sort();
+            late.push(
+                ...listed.join() === [...deployed.machines].sort().join() ? [] : [`seed ${seed}: ${listed.join()}`],
+            );
+        }
+        assert.deepEqual(late, []);
+    });
+
     it("drops members that are gone for good when their successors joined before they counted as silent", () => {
         const deployed = new Deployed({ size: 6, seedCount: 3, tolerance: 2 }, 1);
         deployed.run(12_000);
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -3,18 +3,18 @@
 import type { LogEntry, Member } from "../model/replicatedLog.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { MemberLog } from "./memberLog.ts";
-import { majority, memberKey, MemberKind } from "./memberMessages.ts";
+import { majority, memberKey, MemberKind, type SilentMember } from "./memberMessages.ts";
 import { commitQuorum } from "./quorums.ts";
 
-/** Silence of a majority after which a leader steps down; not above the shortest election timeout. */
+/**
+ * Silence after which a member counts as out of reach; a leader out of reach of a majority steps down. Not above the
+ * shortest election timeout.
+ */
 export const quorumTimeoutMs = 1_000;
 
 /** Time after which an unanswered batch is sent again. */
 const resendAfterMs = 500;
 
-/** Silence after which a member may give its place to a replacement; above a restart and a long pause. */
-const silentMemberMs = 3_000;
-
 /** Bounds the work for instances that ask to join; members are at most 7. */
 const maximumLearners = 3;
 
@@ -48,6 +48,8 @@
     private readonly startedMs: number;
     private readonly peers = new Map<string, Peer>();
     private readonly learners = new Map<string, Member>();
+    /** Time since which each learner is tracked. */
+    private readonly trackedMs = new Map<string, number>();
     private ownMatch = 0;
 
     constructor(options: LeadershipOptions) {
@@ -92,6 +94,7 @@
         sameId.forEach(learner => this.learners.delete(memberKey(learner)));
         if (this.learners.size < maximumLearners) {
             this.learners.set(memberKey(member), member);
+            this.trackedMs.set(memberKey(member), nowMs);
             this.syncPeers(nowMs);
         }
     }
@@ -100,6 +103,11 @@
         return this.peers.has(memberKey(member));
     }
 
+    /** Time for which an instance has been waiting to join, in milliseconds. */
+    trackedForMs(member: Member, nowMs: number): number {
+        return nowMs - (this.trackedMs.get(memberKey(member)) ?? nowMs);
+    }
+
     /** Highest index known to be synced by a peer. */
     matchOf(member: Member): number {
         return this.peers.get(memberKey(member))?.match ?? 0;
@@ -165,11 +173,12 @@
         }
     }
 
-    /** Members that have not answered for long; the longest silent first. */
-    silentMembers(nowMs: number): readonly Member[] {
-        const silentSinceMs = (member: Member): number => this.peers.get(memberKey(member))?.lastAnswerMs ?? Infinity;
-        return this.log.members.filter(member => nowMs - silentSinceMs(member) >= silentMemberMs)
-            .sort((left, right) => silentSinceMs(left) - silentSinceMs(right));
+    /** Members that have missed several heartbeats; the longest silent first. */
+    silentMembers(nowMs: number): readonly SilentMember[] {
+        return this.log.members.flatMap(member => {
+            const silentForMs = nowMs - (this.peers.get(memberKey(member))?.lastAnswerMs ?? nowMs);
+            return silentForMs >= quorumTimeoutMs ? [{ member, silentForMs }] : [];
+        }).sort((left, right) => right.silentForMs - left.silentForMs);
     }
 
     hasQuorum(nowMs: number): boolean {
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -131,6 +131,10 @@
     readonly tracked: boolean;
     /** It has synced everything that is committed. */
     readonly caughtUp: boolean;
+    /** Time for which it has received the log. */
+    readonly trackedForMs: number;
+    /** Members that do not answer, so that it may take the place of one; the longest silent first. */
+    readonly silent: readonly SilentMember[];
 }
 
 /** An operator's change of members, enriched by the log. */
@@ -141,10 +145,15 @@
     readonly memberId: string;
 }
 
-/** Members have not answered the leader for a while; the longest silent first. */
+export interface SilentMember {
+    readonly member: Member;
+    readonly silentForMs: number;
+}
+
+/** Members do not answer the leader; the longest silent first. */
 export interface MembersSilent extends Message, MembershipFacts {
     readonly kind: typeof MemberKind.MembersSilent;
-    readonly silent: readonly Member[];
+    readonly silent: readonly SilentMember[];
 }
 
 /** Asks the leader to replicate to an instance that does not vote. */
--- a/src/control/membershipFilter.ts
+++ b/src/control/membershipFilter.ts
@@ -18,6 +18,15 @@
 import { proposalEnded } from "./proposalEnded.ts";
 import { maximumMembers, tolerantSize } from "./quorums.ts";
 
+/** Silence after which a member leaves without a replacement; above a restart and a long pause. */
+const silentMemberMs = 3_000;
+
+/**
+ * Time for which a newcomer that would make the number of members even waits for the member that it replaces to be out of
+ * reach; above the time after which a member counts as out of reach and a few questions.
+ */
+const placePatienceMs = 2_000;
+
 export interface MembershipFilterOptions {
     /** Ids of the control members by the settings; these join without an operator's order. */
     readonly settledIds: readonly string[];
@@ -33,16 +42,18 @@
 type MembershipInput = TermChanged | JoinAsked | ChangeAsked | MembersSilent;
 
 /**
- * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. The
- * new incarnation of a wiped member takes the place of the old one in two changes, because a majority before and a
- * majority after a single change must have a member in common: first out, then in, unless too few members would be left
- * for the losses to be borne.
+ * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. It
+ * takes the place of another member in two changes, because a majority before and a majority after a single change must
+ * have a member in common. The old incarnation of a wiped member leaves first, unless too few members would be left for
+ * the losses to be borne. A silent member leaves last: it may live, while another one is lost.
  */
 export class MembershipFilter implements Filter<MembershipInput, Message> {
     readonly step = "membership";
     readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked, MemberKind.MembersSilent];
     private readonly options: MembershipFilterOptions;
     private readonly tolerance: number;
+    /** The silent member whose place the last newcomer takes. */
+    private replaced: string | undefined;
     /** Orders to add an instance that have not been carried out: proposal id by member id. */
     private readonly ordered = new Map<string, string>();
 
@@ -79,11 +90,13 @@
         if (!asked.caughtUp || !asked.changeable) {
             return [];
         }
-        const wiped = members.some(member => member.memberId === joiner.memberId);
-        if (wiped && this.mayLeaveForSuccessor(members)) {
-            return [appendMembers(asked, members.filter(member => member.memberId !== joiner.memberId), undefined)];
+        const wiped = members.find(member => member.memberId === joiner.memberId);
+        if (wiped !== undefined && this.mayLeaveForSuccessor(members)) {
+            return [appendMembers(asked, without(members, wiped), undefined)];
         }
-        if (members.length >= maximumMembers) {
+        const [longest] = asked.silent;
+        this.replaced = longest === undefined ? undefined : memberKey(longest.member);
+        if (members.length >= maximumMembers || wiped === undefined && this.waitsForPlace(asked)) {
             return [];
         }
         const proposalId = this.ordered.get(joiner.memberId);
@@ -91,6 +104,15 @@
         return [appendMembers(asked, [...members, joiner], proposalId)];
     }
 
+    // An even number bears no more losses than one less, and fewer while the member that the newcomer replaces is listed.
+    private waitsForPlace({ members, silent, trackedForMs }: JoinAsked): boolean {
+        return this.options.replacesSilent === true
+            && silent.length === 0
+            && members.length >= tolerantSize(this.tolerance)
+            && members.length % 2 === 1
+            && trackedForMs < placePatienceMs;
+    }
+
     // The voters stay the same, so this may happen in one change.
     private updateAddress(asked: JoinAsked): readonly Message[] {
         const joiner = asked.request.from;
@@ -146,11 +168,14 @@
             return [];
         }
         const least = Math.max(tolerantSize(this.tolerance), this.options.settledIds.length);
-        const leaving = silent.find(member => this.hasSuccessor(members, member) && this.mayLeaveForSuccessor(members))
-            ?? (members.length > least ? silent[0] : undefined);
+        const leaving = silent.find(({ member, silentForMs }) =>
+            this.hasSuccessor(members, member)
+                ? this.mayLeaveForSuccessor(members)
+                : members.length > least && (silentForMs >= silentMemberMs || memberKey(member) === this.replaced)
+        );
         return leaving === undefined
             ? []
-            : [appendMembers(asked, members.filter(other => memberKey(other) !== memberKey(leaving)), undefined)];
+            : [appendMembers(asked, without(members, leaving.member), undefined)];
     }
 
     private hasSuccessor(members: readonly Member[], member: Member): boolean {
@@ -170,6 +195,10 @@
     }
 }
 
+function without(members: readonly Member[], leaving: Member): readonly Member[] {
+    return members.filter(member => memberKey(member) !== memberKey(leaving));
+}
+
 function appendMembers(facts: MembershipFacts, members: readonly Member[], proposalId: string | undefined): Message {
     const { term, membersIndex } = facts;
     return { kind: MemberKind.AppendMembers, term, membersIndex, members, proposalId } as Message;
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -131,7 +131,7 @@
     private processMembership(message: MembershipInput, nowMs: number): readonly Message[] {
         switch (message.kind) {
             case LogKind.JoinRequest:
-                return this.askToJoin(message);
+                return this.askToJoin(message, nowMs);
             case ControlKind.ChangeMember: {
                 const { proposalId, action, memberId } = message;
                 const change = {
@@ -234,15 +234,17 @@
             : [{ kind: MemberKind.MembersSilent, ...facts, silent } as Message];
     }
 
-    private askToJoin(request: JoinRequest): readonly Message[] {
-        if (this.replica.leadership === undefined) {
+    private askToJoin(request: JoinRequest, nowMs: number): readonly Message[] {
+        const { leadership, commitIndex } = this.replica;
+        if (leadership === undefined) {
             return [];
         }
-        const tracked = this.replica.leadership.tracks(request.from);
-        const caughtUp = tracked && this.replica.leadership.matchOf(request.from) >= this.replica.commitIndex;
-        return [
-            { kind: MemberKind.JoinAsked, ...this.replica.membershipFacts(), request, tracked, caughtUp } as Message,
-        ];
+        const tracked = leadership.tracks(request.from);
+        const caughtUp = tracked && leadership.matchOf(request.from) >= commitIndex;
+        const silent = leadership.silentMembers(nowMs);
+        const trackedForMs = leadership.trackedForMs(request.from, nowMs);
+        const facts = { ...this.replica.membershipFacts(), request, tracked, caughtUp, trackedForMs, silent };
+        return [{ kind: MemberKind.JoinAsked, ...facts } as Message];
     }
 
     private appendMembers(change: AppendMembers, nowMs: number): readonly Message[] {
