fix(promotions): only answers given after the last acknowledgement count as evidence

What callers could lose: an acknowledged commit that the promoted database lacks.

Cause, found by reading: where a replica is out of reach, the furthest of the others may be ordered once the instances have told their highest acknowledged commit. Answers to the earlier question, whether the primary is to be replaced, were noted as well; on a full link they arrive after the fence was reserved, and what was acknowledged since is missing in them. And instances were known by their attachments: one that attached anew was never asked again, so that the change waited for ever.

The question of the fencing now names a replica, which tells its answers from earlier ones (the question named the primary before, whose pool an instance may have removed, and then it answered that it knew of no commit); answers count only once nothing more can be acknowledged; instances without an answer are asked again every 500 ms, by whichever attachment they have.

Evidence: two tests in fencing.spec.ts; without either condition the first one orders "a", which lacks a commit.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type DatabaseReport, ReportedState } from "../../model/fleetMessages.ts";
+import { type DatabaseReport, FleetKind, ReportedState, type SendFrame } from "../../model/fleetMessages.ts";
 import {
     type LinkCommand,
     LinkCommandKind,
@@ -16,6 +16,7 @@
 class Service {
     readonly fencing: Fencing;
     readonly commands = new Map<string, LinkCommand[]>();
+    readonly questions: string[] = [];
     private readonly links = new Map<string, string>();
     private nextLink = 0;
     nowMs = 0;
@@ -26,7 +27,7 @@
             primaryId: "p",
             planned: false,
             synchronous: true,
-            serving: ["f1"],
+            serving: new Map([["f1", "i1"]]),
             nextLinkId: () => `m${this.nextLink++}`,
             startedMs: 0,
             ...parts,
@@ -61,6 +62,17 @@
         this.take(this.fencing.lost({ kind: LinkKind.Lost, linkId, loss, fault: undefined }, this.nowMs));
     }
 
+    /** An instance tells the highest commit that it saw acknowledged, asked about a database. */
+    tell(attachmentId: string, offset: number, databaseId = "a"): void {
+        this.fencing.noteAcknowledged(attachmentId, {
+            kind: "assessment",
+            databaseId,
+            answeredAgeMs: undefined,
+            unansweredAgeMs: undefined,
+            acknowledged: { term: 3, offset },
+        });
+    }
+
     decide(afterMs = 0): string | undefined {
         this.nowMs += afterMs;
         const { messages, choice } = this.fencing.decide(this.nowMs);
@@ -78,6 +90,10 @@
                 const { linkId, databaseId } = message as LinkOpen;
                 this.links.set(linkId, databaseId);
             }
+            else if (message.kind === FleetKind.SendFrame) {
+                const { attachmentId, frame } = message as SendFrame;
+                this.questions.push(`${attachmentId} ${frame.kind === "assess" ? frame.databaseId : frame.kind}`);
+            }
             else if (message.kind === LinkKind.Send) {
                 const { linkId, commands } = message as LinkSend;
                 const databaseId = this.links.get(linkId)!;
@@ -140,9 +156,42 @@
         service.open("a", 3, 10);
         service.answer("a", false, 3, 10);
         assert.equal(service.decide(1_300), undefined);
-        service.fencing.noteAcknowledged("f1", { term: 3, offset: 11 });
+        service.tell("f1", 11);
         assert.equal(service.decide(), undefined);
-        service.fencing.noteAcknowledged("f1", { term: 3, offset: 10 });
+        service.tell("f1", 10);
+        assert.equal(service.decide(), "a");
+    });
+
+    it("does not take an instance's answer from before the last acknowledgement for its word", () => {
+        // Guards against the loss of commits acknowledged between the assessment of the primary and its end.
+        const service = new Service();
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        service.tell("f1", 10, "p");
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        assert.equal(service.decide(1_300), undefined);
+        service.tell("f1", 10, "p");
+        assert.equal(service.decide(), undefined);
+        service.tell("f1", 11);
+        assert.equal(service.decide(), undefined);
+    });
+
+    it("asks an instance again that attached anew, and waits for one that is gone", () => {
+        const serving = new Map([["f1", "i1"], ["f2", "i2"]]);
+        const service = new Service({ serving });
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        service.decide(1_300);
+        service.tell("f1", 10);
+        serving.delete("f2");
+        assert.equal(service.decide(600), undefined);
+        serving.set("f3", "i2");
+        service.decide(600);
+        assert.deepEqual(service.questions, ["f1 a", "f2 a", "f3 a"]);
+        service.tell("f3", 10);
         assert.equal(service.decide(), "a");
     });
 
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -1,5 +1,11 @@
 /** Makes sure that no further commit is acknowledged, and finds the database that holds all that were. */
-import { type DatabaseReport, FleetKind, ReportedState, type SendFrame } from "../model/fleetMessages.ts";
+import {
+    type DatabaseReport,
+    type FleetFrame,
+    FleetKind,
+    ReportedState,
+    type SendFrame,
+} from "../model/fleetMessages.ts";
 import {
     type DatabaseStatus,
     type LinkCommand,
@@ -25,6 +31,11 @@
 /** Time after which a connection that does not open is tried again. */
 const openLimitMs = 600;
 
+/** Wait before instances that have not told what they saw acknowledged are asked again; above their way on a full link. */
+const repeatQuestionMs = 500;
+
+type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
+
 interface Party {
     readonly report: DatabaseReport;
     linkId: string | undefined;
@@ -47,8 +58,8 @@
     readonly planned: boolean;
     /** A commit is acknowledged only after a replica has received it. */
     readonly synchronous: boolean;
-    /** Attachments of the instances that have seen acknowledgements. */
-    readonly serving: readonly string[];
+    /** Instances that may have seen acknowledgements, by their attachments; attachments come and go. */
+    readonly serving: ReadonlyMap<string, string>;
     nextLinkId(): string;
     readonly startedMs: number;
 }
@@ -64,11 +75,13 @@
 export class Fencing {
     private readonly options: FencingOptions;
     private readonly parties = new Map<string, Party>();
+    /** Instances whose answers are needed; one whose attachment ends may have seen the last commit. */
+    private readonly witnesses = new Set<string>();
     private readonly acknowledged = new Map<string, Position | undefined>();
     /** Position of the primary when it had stepped down. */
     private target: Position | undefined;
     private steppedDownMs = 0;
-    private askedAcknowledgements = false;
+    private askedAcknowledgementsMs: number | undefined;
 
     constructor(options: FencingOptions) {
         this.options = options;
@@ -134,8 +147,15 @@
         return [];
     }
 
-    noteAcknowledged(attachmentId: string, position: Position | undefined): void {
-        this.acknowledged.set(attachmentId, position);
+    /** Notes an answer of an instance. One that was given before nothing more could be acknowledged says too little. */
+    noteAcknowledged(attachmentId: string, { databaseId, acknowledged }: AssessmentFrame): void {
+        const instanceId = this.options.serving.get(attachmentId);
+        if (
+            instanceId !== undefined && this.askedAcknowledgementsMs !== undefined
+            && databaseId === this.questionDatabaseId()
+        ) {
+            this.acknowledged.set(instanceId, acknowledged);
+        }
     }
 
     decide(nowMs: number): FencingDecision {
@@ -255,8 +275,7 @@
 
     /** Every instance has told its highest acknowledged commit, and the database has them all. */
     private holdsAcknowledged({ status }: Party): boolean {
-        const { serving } = this.options;
-        if (!serving.every(attachmentId => this.acknowledged.has(attachmentId))) {
+        if (![...this.witnesses].every(instanceId => this.acknowledged.has(instanceId))) {
             return false;
         }
         const highest = [...this.acknowledged.values()].reduce<Position>(
@@ -266,19 +285,32 @@
         return hasReached(status!.received, highest);
     }
 
-    /** Asks for acknowledgements once nothing more can be acknowledged. */
+    /** Asks for acknowledgements once nothing more can be acknowledged, and again where the answer stays out. */
     private askAcknowledgements(nowMs: number): readonly Message[] {
-        const { serving, reports, startedMs } = this.options;
-        if (this.askedAcknowledgements || nowMs - startedMs < patienceMs || !this.isSilenced()) {
+        const { serving, startedMs } = this.options;
+        serving.forEach(instanceId => this.witnesses.add(instanceId));
+        const databaseId = this.questionDatabaseId();
+        if (
+            databaseId === undefined || nowMs - startedMs < patienceMs || !this.isSilenced()
+            || nowMs - (this.askedAcknowledgementsMs ?? -Infinity) < repeatQuestionMs
+        ) {
             return [];
         }
-        this.askedAcknowledgements = true;
-        const databaseId = this.options.primaryId ?? reports[0]?.databaseId ?? "";
-        return serving.map((attachmentId): SendFrame => ({
-            kind: FleetKind.SendFrame,
-            attachmentId,
-            frame: { kind: "assess", databaseId },
-        }));
+        this.askedAcknowledgementsMs = nowMs;
+        return [...serving].filter(([, instanceId]) => !this.acknowledged.has(instanceId))
+            .map(([attachmentId]): SendFrame => ({
+                kind: FleetKind.SendFrame,
+                attachmentId,
+                frame: { kind: "assess", databaseId },
+            }));
+    }
+
+    /**
+     * Any database of the service stands for its commits. The question names a replica, which tells its answers from those
+     * to earlier questions about the primary; on a full link these may arrive after this question was sent.
+     */
+    private questionDatabaseId(): string | undefined {
+        return this.replicas()[0]?.report.databaseId;
     }
 
     /** A replica that has all that the primary had; the primary itself if none gets there. */
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -52,8 +52,8 @@
 /** What the promotion of one service needs to know of the fleet. */
 export interface FleetView {
     readonly databases: ReadonlyMap<string, PromotionCandidate>;
-    /** Attachments of instances that serve callers. */
-    readonly serving: ReadonlySet<string>;
+    /** Instances that serve callers, by their attachments. */
+    readonly serving: ReadonlyMap<string, string>;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
     /** Time since which this member leads. */
@@ -85,7 +85,7 @@
         PromotionKind.Due,
     ];
     private readonly databases = new Map<string, PromotionCandidate>();
-    private readonly serving = new Set<string>();
+    private readonly serving = new Map<string, string>();
     private readonly services = new Map<string, ServicePromotion>();
     private policies: ReadonlyMap<string, ServicePolicy> = new Map();
     private records: readonly PromotionRecord[] = [];
@@ -166,7 +166,7 @@
 
     private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
         if (frame.kind === "hello" && frame.serves) {
-            this.serving.add(attachmentId);
+            this.serving.set(attachmentId, frame.instanceId);
             return [];
         }
         if (!this.leading || (frame.kind !== "suspect" && frame.kind !== "assessment")) {
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -113,7 +113,7 @@
 
     assessed(attachmentId: string, frame: AssessmentFrame, nowMs: number): readonly Message[] {
         this.assessment?.note(attachmentId, frame);
-        this.fencing?.noteAcknowledged(attachmentId, frame.acknowledged);
+        this.fencing?.noteAcknowledged(attachmentId, frame);
         return this.phase === Phase.Fencing ? this.choose(nowMs) : [];
     }
 
@@ -200,7 +200,7 @@
         this.lastAssessedMs = nowMs;
         this.planned = false;
         this.assessment = new Assessment(view.databases.get(databaseId)!.report, view.nextLinkId());
-        return [...this.enter(Phase.Assessing, nowMs), ...this.assessment.open([...view.serving])];
+        return [...this.enter(Phase.Assessing, nowMs), ...this.assessment.open([...view.serving.keys()])];
     }
 
     private judge(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
@@ -232,7 +232,7 @@
             primaryId,
             planned: this.planned,
             synchronous: synchronousReplicas() > 0,
-            serving: [...view.serving],
+            serving: view.serving,
             nextLinkId: () => view.nextLinkId(),
             startedMs: nowMs,
         });
