--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -3,17 +3,18 @@
 import type { LogEntry, Member } from "../model/replicatedLog.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { MemberLog } from "./memberLog.ts";
-import { majority, memberKey, MemberKind } from "./memberMessages.ts";
+import { majority, memberKey, MemberKind, type SilentMember } from "./memberMessages.ts";
+import { commitQuorum } from "./quorums.ts";
 
-/** Silence of a majority after which a leader steps down; not above the shortest election timeout. */
+/**
+ * Silence after which a member counts as out of reach; a leader out of reach of a majority steps down. Not above the
+ * shortest election timeout.
+ */
 export const quorumTimeoutMs = 1_000;
 
 /** Time after which an unanswered batch is sent again. */
 const resendAfterMs = 500;
 
-/** Silence after which a member may give its place to a replacement; above a restart and a long pause. */
-const silentMemberMs = 3_000;
-
 /** Bounds the work for instances that ask to join; members are at most 7. */
 const maximumLearners = 3;
 
@@ -34,6 +35,8 @@
     readonly self: Member;
     readonly term: number;
     readonly log: MemberLog;
+    /** Disks that may be lost at one moment. */
+    readonly tolerance: number;
     readonly nowMs: number;
 }
 
@@ -41,15 +44,19 @@
     readonly term: number;
     private readonly self: Member;
     private readonly log: MemberLog;
+    private readonly tolerance: number;
     private readonly startedMs: number;
     private readonly peers = new Map<string, Peer>();
     private readonly learners = new Map<string, Member>();
+    /** Time since which each learner is tracked. */
+    private readonly trackedMs = new Map<string, number>();
     private ownMatch = 0;
 
     constructor(options: LeadershipOptions) {
         this.self = options.self;
         this.term = options.term;
         this.log = options.log;
+        this.tolerance = options.tolerance;
         this.startedMs = options.nowMs;
         this.syncPeers(options.nowMs);
     }
@@ -87,6 +94,7 @@
         sameId.forEach(learner => this.learners.delete(memberKey(learner)));
         if (this.learners.size < maximumLearners) {
             this.learners.set(memberKey(member), member);
+            this.trackedMs.set(memberKey(member), nowMs);
             this.syncPeers(nowMs);
         }
     }
@@ -95,6 +103,11 @@
         return this.peers.has(memberKey(member));
     }
 
+    /** Time for which an instance has been waiting to join, in milliseconds. */
+    trackedForMs(member: Member, nowMs: number): number {
+        return nowMs - (this.trackedMs.get(memberKey(member)) ?? nowMs);
+    }
+
     /** Highest index known to be synced by a peer. */
     matchOf(member: Member): number {
         return this.peers.get(memberKey(member))?.match ?? 0;
@@ -160,12 +173,12 @@
         }
     }
 
-    /** A member that has not answered for long. */
-    silentMember(nowMs: number): Member | undefined {
-        return this.log.members.find(member => {
-            const peer = this.peers.get(memberKey(member));
-            return peer !== undefined && nowMs - peer.lastAnswerMs >= silentMemberMs;
-        });
+    /** Members that have missed several heartbeats; the longest silent first. */
+    silentMembers(nowMs: number): readonly SilentMember[] {
+        return this.log.members.flatMap(member => {
+            const silentForMs = nowMs - (this.peers.get(memberKey(member))?.lastAnswerMs ?? nowMs);
+            return silentForMs >= quorumTimeoutMs ? [{ member, silentForMs }] : [];
+        }).sort((left, right) => right.silentForMs - left.silentForMs);
     }
 
     hasQuorum(nowMs: number): boolean {
@@ -176,12 +189,12 @@
         return heard.length >= majority(this.log.members);
     }
 
-    /** Highest index that a majority of the members has synced. */
+    /** Highest index that enough members have synced; learners do not count. */
     quorumIndex(): number {
         const matches = this.log.members
             .map(member => memberKey(member) === memberKey(this.self) ? this.ownMatch : this.matchOf(member))
             .sort((left, right) => right - left);
-        return matches[majority(this.log.members) - 1] ?? 0;
+        return matches[commitQuorum(this.log.members, this.tolerance) - 1] ?? 0;
     }
 
     private advance(peer: Peer, match: number): void {
--- a/src/control/membershipFilter.ts
+++ b/src/control/membershipFilter.ts
@@ -12,13 +12,20 @@
     MemberKind,
     MemberRole,
     type MembershipFacts,
-    type MemberSilent,
+    type MembersSilent,
     type TermChanged,
 } from "./memberMessages.ts";
 import { proposalEnded } from "./proposalEnded.ts";
+import { maximumMembers, tolerantSize } from "./quorums.ts";
 
-/** At most 7 instances are set aside for control. */
-export const maximumMembers = 7;
+/** Silence after which a member leaves without a replacement; above a restart and a long pause. */
+const silentMemberMs = 3_000;
+
+/**
+ * Time for which a newcomer that would make the number of members even waits for the member that it replaces to be out of
+ * reach; above the time after which a member counts as out of reach and a few questions.
+ */
+const placePatienceMs = 2_000;
 
 export interface MembershipFilterOptions {
     /** Ids of the control members by the settings; these join without an operator's order. */
@@ -28,24 +35,31 @@
      * For fleets whose machines are replaced at new addresses without an operator's order.
      */
     readonly replacesSilent?: boolean;
+    /** Disks that may be lost at one moment; none unless set. */
+    readonly tolerance?: number;
 }
 
-type MembershipInput = TermChanged | JoinAsked | ChangeAsked | MemberSilent;
+type MembershipInput = TermChanged | JoinAsked | ChangeAsked | MembersSilent;
 
 /**
- * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. The
- * new incarnation of a wiped member takes the place of the old one in two changes, first out, then in, because a
- * majority before and a majority after a single change must have a member in common.
+ * A newcomer first receives the log without a vote. It becomes a member after it has synced everything committed. It
+ * takes the place of another member in two changes, because a majority before and a majority after a single change must
+ * have a member in common. The old incarnation of a wiped member leaves first, unless too few members would be left for
+ * the losses to be borne. A silent member leaves last: it may live, while another one is lost.
  */
 export class MembershipFilter implements Filter<MembershipInput, Message> {
     readonly step = "membership";
-    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked, MemberKind.MemberSilent];
+    readonly accepts = [MemberKind.TermChanged, MemberKind.JoinAsked, MemberKind.ChangeAsked, MemberKind.MembersSilent];
     private readonly options: MembershipFilterOptions;
+    private readonly tolerance: number;
+    /** The silent member whose place the last newcomer takes. */
+    private replaced: string | undefined;
     /** Orders to add an instance that have not been carried out: proposal id by member id. */
     private readonly ordered = new Map<string, string>();
 
     constructor(options: MembershipFilterOptions) {
         this.options = options;
+        this.tolerance = options.tolerance ?? 0;
     }
 
     process(message: MembershipInput): readonly Message[] {
@@ -56,7 +70,7 @@
                 return this.considerJoin(message);
             case MemberKind.ChangeAsked:
                 return message.action === "add" ? this.order(message) : this.remove(message);
-            case MemberKind.MemberSilent:
+            case MemberKind.MembersSilent:
                 return this.replaceSilent(message);
         }
     }
@@ -76,10 +90,13 @@
         if (!asked.caughtUp || !asked.changeable) {
             return [];
         }
-        if (members.some(member => member.memberId === joiner.memberId)) {
-            return [appendMembers(asked, members.filter(member => member.memberId !== joiner.memberId), undefined)];
+        const wiped = members.find(member => member.memberId === joiner.memberId);
+        if (wiped !== undefined && this.mayLeaveForSuccessor(members)) {
+            return [appendMembers(asked, without(members, wiped), undefined)];
         }
-        if (members.length >= maximumMembers) {
+        const [longest] = asked.silent;
+        this.replaced = longest === undefined ? undefined : memberKey(longest.member);
+        if (members.length >= maximumMembers || wiped === undefined && this.waitsForPlace(asked)) {
             return [];
         }
         const proposalId = this.ordered.get(joiner.memberId);
@@ -87,6 +104,15 @@
         return [appendMembers(asked, [...members, joiner], proposalId)];
     }
 
+    // An even number bears no more losses than one less, and fewer while the member that the newcomer replaces is listed.
+    private waitsForPlace({ members, silent, trackedForMs }: JoinAsked): boolean {
+        return this.options.replacesSilent === true
+            && silent.length === 0
+            && members.length >= tolerantSize(this.tolerance)
+            && members.length % 2 === 1
+            && trackedForMs < placePatienceMs;
+    }
+
     // The voters stay the same, so this may happen in one change.
     private updateAddress(asked: JoinAsked): readonly Message[] {
         const joiner = asked.request.from;
@@ -132,14 +158,33 @@
         return [appendMembers(asked, rest, proposalId)];
     }
 
-    // An even number of members bears no more losses than one less, so the silent one only costs votes. With an odd
-    // number it stays, because it may come back before a replacement does.
-    private replaceSilent(silent: MemberSilent): readonly Message[] {
-        const { members, member } = silent;
-        if (this.options.replacesSilent !== true || members.length % 2 === 1 || members.length <= 2) {
+    /**
+     * A silent member only costs votes, so it leaves while the others are enough without it. Otherwise it stays, because
+     * it may come back before a replacement does.
+     */
+    private replaceSilent(asked: MembersSilent): readonly Message[] {
+        const { members, silent } = asked;
+        if (this.options.replacesSilent !== true) {
             return [];
         }
-        return [appendMembers(silent, members.filter(other => memberKey(other) !== memberKey(member)), undefined)];
+        const least = Math.max(tolerantSize(this.tolerance), this.options.settledIds.length);
+        const leaving = silent.find(({ member, silentForMs }) =>
+            this.hasSuccessor(members, member)
+                ? this.mayLeaveForSuccessor(members)
+                : members.length > least && (silentForMs >= silentMemberMs || memberKey(member) === this.replaced)
+        );
+        return leaving === undefined
+            ? []
+            : [appendMembers(asked, without(members, leaving.member), undefined)];
+    }
+
+    private hasSuccessor(members: readonly Member[], member: Member): boolean {
+        return members.some(other => other.memberId === member.memberId && memberKey(other) !== memberKey(member));
+    }
+
+    /** Its disk counts as lost already, so the others bear one loss less. */
+    private mayLeaveForSuccessor(members: readonly Member[]): boolean {
+        return members.length >= tolerantSize(this.tolerance);
     }
 
     private dropOrders(): readonly Message[] {
@@ -150,6 +195,10 @@
     }
 }
 
+function without(members: readonly Member[], leaving: Member): readonly Member[] {
+    return members.filter(member => memberKey(member) !== memberKey(leaving));
+}
+
 function appendMembers(facts: MembershipFacts, members: readonly Member[], proposalId: string | undefined): Message {
     const { term, membersIndex } = facts;
     return { kind: MemberKind.AppendMembers, term, membersIndex, members, proposalId } as Message;
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -90,8 +90,9 @@
     ];
     private readonly replica: Replica;
 
-    constructor(self: Member) {
-        this.replica = new Replica(self);
+    /** @param tolerance disks that may be lost at one moment */
+    constructor(self: Member, tolerance: number) {
+        this.replica = new Replica(self, tolerance);
     }
 
     process(message: ReplicationInput, nowMs: number): readonly Message[] {
@@ -130,7 +131,7 @@
     private processMembership(message: MembershipInput, nowMs: number): readonly Message[] {
         switch (message.kind) {
             case LogKind.JoinRequest:
-                return this.askToJoin(message);
+                return this.askToJoin(message, nowMs);
             case ControlKind.ChangeMember: {
                 const { proposalId, action, memberId } = message;
                 const change = {
@@ -226,22 +227,24 @@
     }
 
     private noteSilence(nowMs: number): readonly Message[] {
-        const member = this.replica.leadership?.silentMember(nowMs);
+        const silent = this.replica.leadership?.silentMembers(nowMs) ?? [];
         const facts = this.replica.membershipFacts();
-        return member === undefined || !facts.changeable
+        return silent.length === 0 || !facts.changeable
             ? []
-            : [{ kind: MemberKind.MemberSilent, ...facts, member } as Message];
+            : [{ kind: MemberKind.MembersSilent, ...facts, silent } as Message];
     }
 
-    private askToJoin(request: JoinRequest): readonly Message[] {
-        if (this.replica.leadership === undefined) {
+    private askToJoin(request: JoinRequest, nowMs: number): readonly Message[] {
+        const { leadership, commitIndex } = this.replica;
+        if (leadership === undefined) {
             return [];
         }
-        const tracked = this.replica.leadership.tracks(request.from);
-        const caughtUp = tracked && this.replica.leadership.matchOf(request.from) >= this.replica.commitIndex;
-        return [
-            { kind: MemberKind.JoinAsked, ...this.replica.membershipFacts(), request, tracked, caughtUp } as Message,
-        ];
+        const tracked = leadership.tracks(request.from);
+        const caughtUp = tracked && leadership.matchOf(request.from) >= commitIndex;
+        const silent = leadership.silentMembers(nowMs);
+        const trackedForMs = leadership.trackedForMs(request.from, nowMs);
+        const facts = { ...this.replica.membershipFacts(), request, tracked, caughtUp, trackedForMs, silent };
+        return [{ kind: MemberKind.JoinAsked, ...facts } as Message];
     }
 
     private appendMembers(change: AppendMembers, nowMs: number): readonly Message[] {
