--- a/src/control/__tests__/diskLoss.spec.ts
+++ b/src/control/__tests__/diskLoss.spec.ts
@@ -119,6 +119,13 @@
         this.cluster.setCut(machine, true);
     }
 
+    stallDisk(machine: string, durationMs: number): void {
+        this.lose(machine, durationMs, () => {
+            this.cluster.nodes.get(machine)!.disk.stalled = false;
+        });
+        this.cluster.nodes.get(machine)!.disk.stalled = true;
+    }
+
     /** Takes a machine away and adds an empty one at another address. */
     replace(machine: string): void {
         const successor = `m${this.nextMachine++}`;
@@ -146,6 +153,16 @@
         this.suspend(durationMs);
     }
 
+    /** Messages are lost, which on real links they are not: there they are late. */
+    loseMessages(dropShare: number, durationMs: number): void {
+        this.cluster.faults = { ...calm, dropShare, duplicateShare: 0.1 };
+        const end = (): void => {
+            this.cluster.faults = calm;
+        };
+        this.due.push({ atMs: this.cluster.nowMs + durationMs, act: end });
+        this.suspend(durationMs);
+    }
+
     restartInTurn(gapMs: number): void {
         const { cluster } = this;
         this.machines.forEach((machine, index) => {
@@ -255,6 +272,8 @@
     RestartInTurn: "restart_in_turn",
     Split: "split",
     SlowNetwork: "slow_network",
+    LossyNetwork: "lossy_network",
+    StalledDisk: "stalled_disk",
 } as const;
 type Trouble = typeof Trouble[keyof typeof Trouble];
 
@@ -273,7 +292,10 @@
         case Trouble.SlowNetwork:
             deployed.cluster.faults = { ...calm, maximumDelayMs: 20 + random.nextInteger(80), diskDelayMs: 20 };
             return;
+        case Trouble.LossyNetwork:
+            return deployed.loseMessages(random.nextShare() * 0.2, 500 + random.nextInteger(5_000));
         case Trouble.Calm:
+            deployed.cluster.faults = calm;
             return;
     }
     if (machine === undefined) {
@@ -286,6 +308,8 @@
             return deployed.wipe(machine, 500 + random.nextInteger(3_000));
         case Trouble.Cut:
             return deployed.cutOff(machine, 500 + random.nextInteger(8_000));
+        case Trouble.StalledDisk:
+            return deployed.stallDisk(machine, 500 + random.nextInteger(5_000));
         case Trouble.Replace:
             return deployed.replace(machine);
     }
