--- a/src/control/__tests__/diskLoss.spec.ts
+++ b/src/control/__tests__/diskLoss.spec.ts
@@ -97,6 +97,12 @@
         return this.machines.filter(id => (this.lostUntilMs.get(id) ?? -Infinity) > this.cluster.nowMs);
     }
 
+    /** The machine is on the list with the disk that it has. */
+    isMember(machine: string): boolean {
+        const { incarnation } = this.cluster.nodes.get(machine)!.disk;
+        return this.cluster.members.some(member => member.memberId === machine && member.incarnation === incarnation);
+    }
+
     /** A machine whose loss is still to be borne, if there is one. */
     pick(): string | undefined {
         const lost = this.lostMachines();
@@ -423,6 +429,34 @@
         assert.equal(Math.min(...sizes), 4);
     });
 
+    // Guards against members that stay away after restarts in turn, a wiped disk and seconds without power.
+    it("has all members back before the final fault on a day like trouble-2 of the grown sites", () => {
+        const failures: string[] = [];
+        for (let seed = 1; seed <= 20; seed++) {
+            const deployed = new Deployed({ size: 6, seedCount: 3, tolerance: 2 }, seed);
+            const { cluster } = deployed;
+            deployed.run(17_000);
+            deployed.wipe(deployed.machines.find(id => id !== cluster.leader()?.memberId)!, 1_500);
+            deployed.restartInTurn(2_000);
+            deployed.run(10_500);
+            deployed.powerOff("m0", 7_000);
+            deployed.powerOff("m1", 7_000);
+            deployed.run(16_000);
+            const away = deployed.machines.filter(id => !deployed.isMember(id));
+            deployed.restartInTurn(1_180);
+            deployed.run(7_000);
+            failures.push(...away.length === 0 ? [] : [`seed ${seed}: ${away.join()} away`]);
+            try {
+                deployed.finalFault();
+                failures.push(...deployed.lostChanges().map(name => `seed ${seed}: ${name} lost`));
+            }
+            catch (error) {
+                failures.push(`seed ${seed}: ${(error as Error).message}`);
+            }
+        }
+        assert.deepEqual(failures, []);
+    });
+
     for (const deployment of deployments) {
         const { size, tolerance } = deployment;
         // Guards against an acknowledgement that rests on fewer disks than may be lost, and survivors without a majority.
