--- a/src/control/__tests__/diskLoss.spec.ts
+++ b/src/control/__tests__/diskLoss.spec.ts
@@ -97,6 +97,12 @@
         return this.machines.filter(id => (this.lostUntilMs.get(id) ?? -Infinity) > this.cluster.nowMs);
     }
 
+    /** The machine is on the list with the disk that it has. */
+    isMember(machine: string): boolean {
+        const { incarnation } = this.cluster.nodes.get(machine)!.disk;
+        return this.cluster.members.some(member => member.memberId === machine && member.incarnation === incarnation);
+    }
+
     /** A machine whose loss is still to be borne, if there is one. */
     pick(): string | undefined {
         const lost = this.lostMachines();
@@ -119,6 +125,13 @@
         this.cluster.setCut(machine, true);
     }
 
+    stallDisk(machine: string, durationMs: number): void {
+        this.lose(machine, durationMs, () => {
+            this.cluster.nodes.get(machine)!.disk.stalled = false;
+        });
+        this.cluster.nodes.get(machine)!.disk.stalled = true;
+    }
+
     /** Takes a machine away and adds an empty one at another address. */
     replace(machine: string): void {
         const successor = `m${this.nextMachine++}`;
@@ -146,6 +159,16 @@
         this.suspend(durationMs);
     }
 
+    /** Messages are lost, which on real links they are not: there they are late. */
+    loseMessages(dropShare: number, durationMs: number): void {
+        this.cluster.faults = { ...calm, dropShare, duplicateShare: 0.1 };
+        const end = (): void => {
+            this.cluster.faults = calm;
+        };
+        this.due.push({ atMs: this.cluster.nowMs + durationMs, act: end });
+        this.suspend(durationMs);
+    }
+
     restartInTurn(gapMs: number): void {
         const { cluster } = this;
         this.machines.forEach((machine, index) => {
@@ -255,6 +278,8 @@
     RestartInTurn: "restart_in_turn",
     Split: "split",
     SlowNetwork: "slow_network",
+    LossyNetwork: "lossy_network",
+    StalledDisk: "stalled_disk",
 } as const;
 type Trouble = typeof Trouble[keyof typeof Trouble];
 
@@ -273,7 +298,10 @@
         case Trouble.SlowNetwork:
             deployed.cluster.faults = { ...calm, maximumDelayMs: 20 + random.nextInteger(80), diskDelayMs: 20 };
             return;
+        case Trouble.LossyNetwork:
+            return deployed.loseMessages(random.nextShare() * 0.2, 500 + random.nextInteger(5_000));
         case Trouble.Calm:
+            deployed.cluster.faults = calm;
             return;
     }
     if (machine === undefined) {
@@ -286,6 +314,8 @@
             return deployed.wipe(machine, 500 + random.nextInteger(3_000));
         case Trouble.Cut:
             return deployed.cutOff(machine, 500 + random.nextInteger(8_000));
+        case Trouble.StalledDisk:
+            return deployed.stallDisk(machine, 500 + random.nextInteger(5_000));
         case Trouble.Replace:
             return deployed.replace(machine);
     }
@@ -399,6 +429,34 @@
         assert.equal(Math.min(...sizes), 4);
     });
 
+    // Guards against members that stay away after restarts in turn, a wiped disk and seconds without power.
+    it("has all members back before the final fault on a day like trouble-2 of the grown sites", () => {
+        const failures: string[] = [];
+        for (let seed = 1; seed <= 20; seed++) {
+            const deployed = new Deployed({ size: 6, seedCount: 3, tolerance: 2 }, seed);
+            const { cluster } = deployed;
+            deployed.run(17_000);
+            deployed.wipe(deployed.machines.find(id => id !== cluster.leader()?.memberId)!, 1_500);
+            deployed.restartInTurn(2_000);
+            deployed.run(10_500);
+            deployed.powerOff("m0", 7_000);
+            deployed.powerOff("m1", 7_000);
+            deployed.run(16_000);
+            const away = deployed.machines.filter(id => !deployed.isMember(id));
+            deployed.restartInTurn(1_180);
+            deployed.run(7_000);
+            failures.push(...away.length === 0 ? [] : [`seed ${seed}: ${away.join()} away`]);
+            try {
+                deployed.finalFault();
+                failures.push(...deployed.lostChanges().map(name => `seed ${seed}: ${name} lost`));
+            }
+            catch (error) {
+                failures.push(`seed ${seed}: ${(error as Error).message}`);
+            }
+        }
+        assert.deepEqual(failures, []);
+    });
+
     for (const deployment of deployments) {
         const { size, tolerance } = deployment;
         // Guards against an acknowledgement that rests on fewer disks than may be lost, and survivors without a majority.
