fix(session): begin a lost probe again, and keep time for another attempt at a read

Found by reading the changes again. A probe without an end would have kept its instance from asking that primary for good; it is begun again after 1 s. The longest silence of a holder is 0.8 s (was 1 s), so that a read with a limit of 1 s has time for another attempt. Late answers about positions have a test.

--- a/src/session/__tests__/floorExchange.spec.ts
+++ b/src/session/__tests__/floorExchange.spec.ts
@@ -97,6 +97,23 @@
         assert.equal((answer!["result"] as FloorResult).position, undefined);
     });
 
+    it("begin a probe again that did not end", () => {
+        // Guards against a service that is never asked again.
+        const fixture = new Fixture("b");
+        assert.deepEqual(kindsOf(fixture.want(0)), [TaskKind.FloorProbeWanted]);
+        assert.deepEqual(fixture.want(999), []);
+        assert.deepEqual(kindsOf(fixture.want(1_000)), [TaskKind.FloorProbeWanted]);
+    });
+
+    it("use an answer that comes after the next instance was asked, with the age of its own question", () => {
+        const fixture = new Fixture("a");
+        fixture.want(0);
+        fixture.push(250, { kind: TaskKind.FloorDue, id: "f0" });
+        const messages = fixture.answer(300, { position: at(1, 7), proofAgeMs: 10 });
+        assert.deepEqual(messages.at(-1)!["sample"], { position: at(1, 7), atMs: -10 });
+        assert.deepEqual(fixture.answer(310, { position: at(1, 7), proofAgeMs: 10 }), []);
+    });
+
     for (
         const [name, fail] of [
             ["is silent", (fixture: Fixture) => fixture.push(250, { kind: TaskKind.FloorDue, id: "f0" })],
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -38,6 +38,9 @@
 /** The same where answers are slow; what is left of the shortest usual age when a position is renewed is less. */
 const maximumAnswerMs = 1_000;
 
+/** A probe that has not ended by then is begun again; above its own limit. */
+const probeLimitMs = 1_000;
+
 /** Questions whose late answers are still of use. */
 const maximumQuestions = 256;
 
@@ -107,8 +110,8 @@
     private readonly askers = new Map<string, readonly Asker[]>();
     /** The newest position of each service that was proved to this instance itself. */
     private readonly proofs = new Map<string, FloorSample>();
-    /** Services whose primary this instance is asking. */
-    private readonly probing = new Set<string>();
+    /** Time until which this instance is asking the primary of a service. */
+    private readonly probingUntilMs = new Map<string, number>();
     private nextQuestion = 0;
 
     constructor(options: FloorExchangeOptions) {
@@ -160,7 +163,7 @@
         const chosen = asked.length < maximumAsked ? this.choose(service, asked, nowMs) : undefined;
         if (chosen === undefined) {
             this.wants.delete(service);
-            return [...asked.length > 0 ? [clearDeadline(floorKey(service))] : [], ...this.probe(wanted)];
+            return [...asked.length > 0 ? [clearDeadline(floorKey(service))] : [], ...this.probe(wanted, nowMs)];
         }
         const { address } = chosen;
         const questionId = `f${this.nextQuestion++}`;
@@ -188,11 +191,11 @@
         return chosen?.instanceId === this.options.instanceId ? undefined : chosen;
     }
 
-    private probe({ service, workspace, acceptedAgeMs }: FloorWanted): readonly Message[] {
-        if (this.probing.has(service)) {
+    private probe({ service, workspace, acceptedAgeMs }: FloorWanted, nowMs: number): readonly Message[] {
+        if (nowMs < (this.probingUntilMs.get(service) ?? 0)) {
             return [];
         }
-        this.probing.add(service);
+        this.probingUntilMs.set(service, nowMs + probeLimitMs);
         return [{ kind: TaskKind.FloorProbeWanted, service, workspace, acceptedAgeMs } as FloorWanted];
     }
 
@@ -204,7 +207,7 @@
             return [answer(asker, proof)];
         }
         this.askers.set(service, [...this.askers.get(service) ?? [], asker]);
-        return this.probe({ kind: TaskKind.FloorProbeWanted, service, workspace, acceptedAgeMs });
+        return this.probe({ kind: TaskKind.FloorProbeWanted, service, workspace, acceptedAgeMs }, nowMs);
     }
 
     private noteAttempt({ task, reply, leads, sentMs }: TaskAttempted): readonly Message[] {
@@ -231,7 +234,7 @@
 
     /** The primary was asked, and those who still wait have to ask others. */
     private endProbe(service: string): readonly Message[] {
-        this.probing.delete(service);
+        this.probingUntilMs.delete(service);
         const askers = this.askers.get(service) ?? [];
         this.askers.delete(service);
         return askers.map(asker => answer(asker, undefined));
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -42,8 +42,8 @@
  */
 const minimumSilenceMs = 400;
 
-/** The same where answers are slow; the time of most statements. */
-const maximumSilenceMs = 1_000;
+/** The same where answers are slow; leaves time for another attempt in the shortest usual limit of a statement, 1 s. */
+const maximumSilenceMs = 800;
 
 /** Time for which a holder that does not reach a database is passed over for it. */
 const avoidanceMs = 1_500;
