fix(session): look at a database's links once for all tasks that wait

Cause: at each event of a link every waiting task looked through all links several times. An overloaded holder spent its processor time on its queue: 2.4 ms a task with 500 in the queue.

Change: one pass over the links tells which are idle and how many are opening; tasks are matched with that in order of arrival, and nothing more is opened in a pass once there is neither room nor an idle link to give up.

--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -28,14 +28,19 @@
         this.report = report;
     }
 
-    /** An idle link of the workspace, preferably one that carries the state of the session already. */
-    idleFor(workspace: string, context: SessionContext): Link | undefined {
-        const idle = [...this.links].filter(link => link.state === LinkState.Idle && link.workspace === workspace);
-        return idle.sort((left, right) => effort(left, context) - effort(right, context))[0];
-    }
-
-    anyIdle(): Link | undefined {
-        return [...this.links].find(link => link.state === LinkState.Idle);
+    /** What the links are doing, in one pass over them. */
+    summary(): LinkSummary {
+        const idle = new IdleLinks(this.links);
+        const opening = new Map<string, number>();
+        for (const link of this.links) {
+            if (link.state === LinkState.Opening) {
+                opening.set(link.workspace, (opening.get(link.workspace) ?? 0) + 1);
+            }
+            else if (link.state === LinkState.Idle) {
+                idle.add(link);
+            }
+        }
+        return { idle, opening };
     }
 
     /** The idle link that was used longest ago. */
@@ -43,10 +48,47 @@
         return [...this.links].filter(link => link.state === LinkState.Idle)
             .sort((left, right) => left.idleSinceMs - right.idleSinceMs)[0];
     }
+}
+
+interface LinkSummary {
+    readonly idle: IdleLinks;
+    /** Links being opened, by workspace. */
+    readonly opening: Map<string, number>;
+}
+
+/** The idle links of a pool; ones that were closed or put to use meanwhile are left out. */
+class IdleLinks {
+    private readonly links: ReadonlySet<Link>;
+    private readonly byWorkspace = new Map<string, Link[]>();
+    private readonly all: Link[] = [];
+
+    constructor(links: ReadonlySet<Link>) {
+        this.links = links;
+    }
+
+    add(link: Link): void {
+        this.all.push(link);
+        const known = this.byWorkspace.get(link.workspace);
+        if (known === undefined) {
+            this.byWorkspace.set(link.workspace, [link]);
+        }
+        else {
+            known.push(link);
+        }
+    }
+
+    /** A link of the workspace, preferably one that carries the state of the session already. */
+    find(workspace: string, context: SessionContext): Link | undefined {
+        return this.byWorkspace.get(workspace)?.filter(link => this.isIdle(link))
+            .sort((left, right) => effort(left, context) - effort(right, context))[0];
+    }
+
+    any(): Link | undefined {
+        return this.all.find(link => this.isIdle(link));
+    }
 
-    /** Links being opened for a workspace. */
-    openingFor(workspace: string): number {
-        return [...this.links].filter(link => link.state === LinkState.Opening && link.workspace === workspace).length;
+    private isIdle(link: Link): boolean {
+        return link.state === LinkState.Idle && this.links.has(link);
     }
 }
 
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -121,26 +121,35 @@
         return [setDeadline(attemptKey(placed), placed.untilMs, timer), ...this.serve(pool, nowMs)];
     }
 
-    /** Gives links to waiting tasks, and opens links for those that find none. */
+    /** Gives links to waiting tasks in order of arrival, and opens links for those that find none. */
     private serve(pool: LinkPool, nowMs: number): readonly Message[] {
+        if (pool.waiting.length === 0) {
+            return [];
+        }
         const messages: Message[] = [];
-        const unserved = new Map<string, number>();
-        for (const placed of [...pool.waiting]) {
+        const { idle, opening } = pool.summary();
+        const unserved: TaskPlaced[] = [];
+        const unservedCount = new Map<string, number>();
+        let mayOpen = true;
+        for (const placed of pool.waiting) {
             const { workspace, context, mode } = placed.task;
-            const link = mode === TaskMode.Probe
-                ? pool.anyIdle() ?? pool.idleFor(workspace, context)
-                : pool.idleFor(workspace, context);
+            const link = (mode === TaskMode.Probe ? idle.any() : undefined) ?? idle.find(workspace, context);
             if (link !== undefined) {
-                pool.waiting = pool.waiting.filter(other => other !== placed);
                 messages.push(...this.start(link, placed, nowMs));
                 continue;
             }
-            const count = (unserved.get(workspace) ?? 0) + 1;
-            unserved.set(workspace, count);
-            if (pool.openingFor(workspace) < count) {
-                messages.push(...this.table.open(pool, workspace, nowMs));
+            unserved.push(placed);
+            const count = (unservedCount.get(workspace) ?? 0) + 1;
+            unservedCount.set(workspace, count);
+            if (mayOpen && (opening.get(workspace) ?? 0) < count) {
+                const opened = this.table.open(pool, workspace, nowMs);
+                messages.push(...opened);
+                // Without room or an idle link to give up, there is none for the tasks behind this one either.
+                mayOpen = opened.length > 0;
+                opening.set(workspace, (opening.get(workspace) ?? 0) + (mayOpen ? 1 : 0));
             }
         }
+        pool.waiting = unserved;
         return messages;
     }
 
