fix(session): a late answer counts for the attempt that asked for it

Cause: all attempts at a task were passed under the task's id. A read that met 400 ms of silence was passed to another instance, and the late answer of the first one was then taken for the answer of the second, with the second's time. The position in it was proved before that time, so a floor looked younger than it was.

Change: each attempt is passed under an id of its own. The late success of a read that went elsewhere is still used, for its own database and with its own time; anything else that is late is dropped, and the later attempt goes on.

--- a/src/session/__tests__/forwarding.spec.ts
+++ b/src/session/__tests__/forwarding.spec.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type DatabaseReport, FleetKind, ReportedState } from "../../model/fleetMessages.ts";
-import { type PeerInstance, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
+import type { LinkReply } from "../../model/linkMessages.ts";
+import { type PassedTask, type PeerInstance, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Forwarding } from "../forwarding.ts";
-import { TaskKind, TaskMode } from "../taskMessages.ts";
+import { type TaskAttempted, TaskKind, TaskMode } from "../taskMessages.ts";
 
 const dataCentres = 6;
 
@@ -66,6 +67,11 @@
 
     /** Places a read, and returns the address that it is passed to. */
     place(taskId: string, databaseId: string, nowMs = 0): string | undefined {
+        const messages = this.placeTask(taskId, databaseId, nowMs);
+        return (messages.find(({ kind }) => kind === PeerKind.Send) as PeerSend | undefined)?.address;
+    }
+
+    placeTask(taskId: string, databaseId: string, nowMs: number): readonly Message[] {
         const task = {
             taskId,
             sessionId: "s1",
@@ -78,11 +84,10 @@
             context: { values: new Map(), prepared: new Map() },
             deadlineMs: 10_000,
         };
-        const messages = this.push(
+        return this.push(
             nowMs,
             { kind: TaskKind.Placed, task, databaseId, after: undefined, untilMs: 10_000 } as Message,
         );
-        return (messages.find(({ kind }) => kind === PeerKind.Send) as PeerSend | undefined)?.address;
     }
 }
 
@@ -119,4 +124,41 @@
         assert.equal(Number(/front-(\d+)/.exec(second!)![1]) % dataCentres, 0);
         assert.equal(fixture.place("t3", "db0", 1_600), first);
     });
+
+    it("does not take a late answer for the answer to a later attempt", () => {
+        // Guards against a position that looks younger than it is, and thereby against stale reads.
+        const fixture = new Fixture(24, 1);
+        const [first, firstId] = passed(fixture.placeTask("t1", "db0", 0));
+        const due = fixture.push(400, { kind: TaskKind.ForwardDue, id: "t1" } as Message);
+        assert.equal(due.some(({ kind }) => kind === TaskKind.Attempted), true);
+        const [second, secondId] = passed(fixture.placeTask("t1", "db0", 450));
+        assert.notEqual(second, first);
+        assert.deepEqual(attemptsOf(fixture.push(460, answered(first, firstId))), []);
+        assert.deepEqual(attemptsOf(fixture.push(470, answered(second, secondId))), [450]);
+    });
+
+    it("uses a late success, with the time at which its own attempt was sent", () => {
+        const fixture = new Fixture(24, 1);
+        const [first, firstId] = passed(fixture.placeTask("t1", "db0", 0));
+        fixture.push(400, { kind: TaskKind.ForwardDue, id: "t1" } as Message);
+        fixture.placeTask("t1", "db0", 450);
+        const late = answered(first, firstId, { fault: undefined } as LinkReply);
+        assert.deepEqual(attemptsOf(fixture.push(460, late)), [0]);
+        assert.deepEqual(attemptsOf(fixture.push(461, late)), []);
+    });
 });
+
+function passed(messages: readonly Message[]): readonly [string, string] {
+    const { address, question } = messages.find(({ kind }) => kind === PeerKind.Send) as PeerSend;
+    return [address, (question as PassedTask).taskId];
+}
+
+function answered(address: string, taskId: string, reply?: LinkReply): Message {
+    const parts = { reply, fault: undefined, sent: true, leads: true, pinned: false };
+    return { kind: PeerKind.Answered, address, result: { kind: "task", taskId, ...parts } } as Message;
+}
+
+/** When the attempts that ended were sent. */
+function attemptsOf(messages: readonly Message[]): readonly (number | undefined)[] {
+    return messages.filter(({ kind }) => kind === TaskKind.Attempted).map(message => (message as TaskAttempted).sentMs);
+}
--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { PeerKind } from "../../model/peerMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { type FleetNode, SessionFleet } from "./sessionFleet.ts";
 
 /** Control traffic that a node may have, of which a holder of a primary spends it all at most once for each primary. */
@@ -65,6 +66,30 @@
         });
     }
 
+    for (const seed of [3, 11]) {
+        it(`reads nothing too old while instances are disturbed one after the other (seed ${seed})`, () => {
+            // Guards against a position that a late answer made look younger than it is.
+            const random = new SeededRandom(seed);
+            const fleet = new SessionFleet({
+                instances: 30,
+                dataCentres: 3,
+                services: 6,
+                workspaces: 8,
+                sessions: 1_000,
+                lagMs: 2_000,
+                seed,
+            });
+            fleet.startCallers();
+            fleet.advance(8_000);
+            for (let round = 0; round < 12; round++) {
+                disturbSomething(fleet, random, round);
+                fleet.advance(200 + random.nextInteger(800));
+            }
+            fleet.advance(3_000);
+            assert.deepEqual(fleet.staleStatements, []);
+        });
+    }
+
     it("uses up no database's connections while messages between all instances are late", () => {
         // Guards against instances that take each other for silent, and open links of their own everywhere.
         const fleet = congestedFleet();
@@ -89,3 +114,27 @@
     fleet.advance(2_000);
     return fleet;
 }
+
+/** Freezes, cuts or kills an instance that still runs, or makes all messages between instances late for a while. */
+function disturbSomething(fleet: SessionFleet, random: SeededRandom, round: number): void {
+    const node = fleet.nodes[random.nextInteger(fleet.nodes.length)]!;
+    if (node.killed) {
+        return;
+    }
+    const durationMs = 300 + random.nextInteger(3_000);
+    const choice = random.nextInteger(4);
+    if (choice === 0 && !node.frozen) {
+        fleet.disturb(node, durationMs, () => node.frozen = true, () => node.thaw());
+    }
+    else if (choice === 1) {
+        fleet.disturb(node, durationMs, () => node.cut = true, () => node.cut = false);
+    }
+    else if (choice === 2 && round % 3 === 0) {
+        node.disturbed = true;
+        node.kill();
+    }
+    else {
+        fleet.congestionMs = random.nextInteger(300);
+        fleet.schedule.after(durationMs, () => fleet.congestionMs = 0);
+    }
+}
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -48,7 +48,15 @@
 /** Time for which a holder that does not reach a database is passed over for it. */
 const avoidanceMs = 1_500;
 
+/** Reads that went elsewhere whose late answers are still of use. */
+const maximumLate = 256;
+
+/** Stands between a task's id and the number of the attempt. */
+const passSeparator = ".";
+
 interface Pending {
+    /** Names this attempt to the holder; a later attempt at the task has another one. */
+    readonly passId: string;
     readonly task: LinkTask;
     readonly databaseId: string;
     readonly address: string;
@@ -103,6 +111,9 @@
     private readonly avoided = new Map<string, number>();
     /** Address of the holder that has the open transaction of a session. */
     private readonly pinned = new Map<string, string>();
+    /** Reads that went elsewhere, by the id of the attempt whose answer may still come; the oldest first. */
+    private readonly late = new Map<string, Pending>();
+    private nextPass = 0;
 
     constructor({ instanceId }: ForwardingOptions) {
         this.instanceId = instanceId;
@@ -203,37 +214,30 @@
     ): readonly Message[] {
         const { task, databaseId, untilMs } = placed;
         const { taskId } = task;
-        this.pending.set(taskId, { task, databaseId, address, sentMs: nowMs });
-        const send: PeerSend = { kind: PeerKind.Send, address, question: toPassed(placed, untilMs - nowMs) };
+        const passId = `${taskId}${passSeparator}${this.nextPass++}`;
+        this.pending.set(taskId, { passId, task, databaseId, address, sentMs: nowMs });
+        const send: PeerSend = { kind: PeerKind.Send, address, question: toPassed(placed, passId, untilMs - nowMs) };
         const checkMs = Math.min(untilMs, nowMs + this.responsiveness.limitMs(address));
         return [send, setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
     }
 
     private answered(address: string, result: PassedResult, nowMs: number): readonly Message[] {
-        const pending = this.pending.get(result.taskId);
+        const found = this.pending.get(taskOf(result.taskId));
+        const late = this.late.get(result.taskId);
+        const pending = found?.passId === result.taskId ? found : undefined;
+        this.late.delete(result.taskId);
         this.answeredMs.set(address, nowMs);
-        this.responsiveness.noteAnswer(address, pending?.sentMs, nowMs);
+        this.responsiveness.noteAnswer(address, (pending ?? late)?.sentMs, nowMs);
         if (pending === undefined) {
-            return [];
+            // A later attempt goes on if this one failed as well.
+            return late === undefined || result.reply === undefined || result.reply.fault !== undefined
+                ? []
+                : [attemptedOf(late, result)];
         }
-        this.pending.delete(result.taskId);
-        const { task, databaseId, sentMs } = pending;
+        const { task } = pending;
+        this.pending.delete(task.taskId);
         this.pin(task.sessionId, result.pinned ? address : undefined);
-        const { reply, fault, sent, leads, pinned } = result;
-        const attempted: TaskAttempted = {
-            kind: TaskKind.Attempted,
-            task,
-            databaseId,
-            reply,
-            fault,
-            sent,
-            holderSilent: false,
-            // The command cannot have been sent before it was passed on.
-            sentMs,
-            leads,
-            pinned,
-        };
-        return [clearDeadline(forwardKey(task.taskId)), attempted];
+        return [clearDeadline(forwardKey(task.taskId)), attemptedOf(pending, result)];
     }
 
     /** A task has no answer yet: its time may be up, or the holder is silent altogether. */
@@ -252,7 +256,13 @@
             const checkMs = nowMs < limitMs ? Math.min(limitMs, task.deadlineMs) : task.deadlineMs;
             return [setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
         }
-        return [...this.fail(pending), abandonAt(address, task)];
+        if (mayGoElsewhere(task)) {
+            this.late.set(pending.passId, pending);
+            if (this.late.size > maximumLate) {
+                this.late.delete(this.late.keys().next().value!);
+            }
+        }
+        return [...this.fail(pending), abandonAt(pending)];
     }
 
     private lost(address: string, nowMs: number): readonly Message[] {
@@ -270,7 +280,7 @@
         return [clearDeadline(forwardKey(taskId)), this.failedAttempt(pending)];
     }
 
-    private failedAttempt({ task, databaseId, sentMs, address }: Pending): TaskAttempted {
+    private failedAttempt({ task, databaseId, sentMs, address }: Omit<Pending, "passId">): TaskAttempted {
         const unreachable = address === lostHolder;
         return {
             kind: TaskKind.Attempted,
@@ -297,7 +307,11 @@
         return address === undefined || address === lostHolder
             ? [abandoned]
             : [
-                { kind: PeerKind.Send, address, question: { kind: "abandon", sessionId, taskId } } as PeerSend,
+                {
+                    kind: PeerKind.Send,
+                    address,
+                    question: { kind: "abandon", sessionId, taskId: pending?.passId },
+                } as PeerSend,
                 ...taskId === undefined ? [] : [clearDeadline(forwardKey(taskId))],
             ];
     }
@@ -320,18 +334,36 @@
     return mode === TaskMode.Probe || mode === TaskMode.Single && !writes;
 }
 
-function abandonAt(address: string, { sessionId, taskId }: LinkTask): PeerSend {
-    return { kind: PeerKind.Send, address, question: { kind: "abandon", sessionId, taskId } };
+function attemptedOf({ task, databaseId, sentMs }: Pending, result: PassedResult): TaskAttempted {
+    const { reply, fault, sent, leads, pinned } = result;
+    return {
+        kind: TaskKind.Attempted,
+        task,
+        databaseId,
+        reply,
+        fault,
+        sent,
+        holderSilent: false,
+        // The command cannot have been sent before it was passed on.
+        sentMs,
+        leads,
+        pinned,
+    };
+}
+
+function abandonAt({ passId, address, task: { sessionId } }: Pending): PeerSend {
+    return { kind: PeerKind.Send, address, question: { kind: "abandon", sessionId, taskId: passId } };
 }
 
 function toPassed(
     { task, databaseId, after }: Pick<TaskPlaced, "task" | "databaseId" | "after">,
+    passId: string,
     limitMs: number,
 ): PassedTask {
-    const { taskId, sessionId, service, workspace, mode, statement, writes, needsPrimary, context } = task;
+    const { sessionId, service, workspace, mode, statement, writes, needsPrimary, context } = task;
     return {
         kind: "task",
-        taskId,
+        taskId: passId,
         sessionId,
         service,
         workspace,
@@ -351,6 +383,10 @@
     return `${databaseId}/${instanceId}`;
 }
 
+function taskOf(passId: string): string {
+    return passId.slice(0, passId.lastIndexOf(passSeparator));
+}
+
 function forwardKey(taskId: string): string {
     return `forward/${taskId}`;
 }
