test(fleet): rates over many instances and workspaces, red

Callers of a fleet of 95 machines are refused below their workspaces' rates. The spec runs the leader's division, the instances' grants and admission in virtual time, with 4 to 12 ms one way and Poisson demand at rate / 1.6.

--- /dev/null
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -0,0 +1,354 @@
+/** A fleet in virtual time: instances that admit operations, and control members that lead the rates. */
+import { Attachments } from "../../fleet/attachments.ts";
+import { GrantHolder } from "../../fleet/grantHolder.ts";
+import { RateGrants } from "../../fleet/rateGrants.ts";
+import { ControlKind } from "../../model/controlMessages.ts";
+import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import { emptySessionContext } from "../../model/sessionStatement.ts";
+import { emptyTrafficPolicy, RouteConsistency, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
+import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import { encodeFrame } from "../../rpc/fleetCodec.ts";
+import { route } from "../../session/__tests__/sessionFixture.ts";
+import { Admission } from "../../session/admission.ts";
+import { type Task, type TaskEnded, TaskKind, TaskMode } from "../../session/taskMessages.ts";
+
+/** Least and greatest delay of a frame, one way. */
+const shortestDelayMs = 4;
+const longestDelayMs = 12;
+
+/** Processor time that a control member may lag behind before a run is given up. */
+const overloadMs = 5_000;
+
+/** Timers fire slightly late. */
+const timerDelayMs = 0.1;
+
+/** What a rate exceeds the ordinary demand by. */
+export const rateOverDemand = 1.6;
+
+export interface FleetSize {
+    readonly instances: number;
+    readonly workspaces: number;
+    /** Operations a second of all workspaces together. */
+    readonly demandPerSecond: number;
+    readonly seed: number;
+}
+
+/** Limit on what may run in a window, as the platform counts it. */
+export const quota = { windowMs: 5_000, tolerance: 0.1, slack: 20 };
+
+interface Node {
+    readonly id: string;
+    readonly pipes: readonly Pipe[];
+    bytes: number;
+    frames: number;
+    cpuMs: number;
+}
+
+interface Traffic {
+    readonly workspace: WorkspacePolicy;
+    perSecond: number;
+    /** Tokens of a single bucket for the whole fleet that sees every operation at once. */
+    tokens: number;
+    filledMs: number;
+    readonly admittedMs: number[];
+    asked: number;
+    /** Refused although the single bucket admits them. */
+    refusedBelow: number;
+}
+
+export class RateFleet {
+    nowMs = 0;
+    readonly instances: readonly Node[];
+    readonly members = new Map<string, Node>();
+    readonly traffic = new Map<string, Traffic>();
+    private readonly random: SeededRandom;
+    private readonly deadlines = new DeadlineQueue();
+    private readonly nodes = new Map<string, Node>();
+    private readonly lastArrivalMs = new Map<string, number>();
+    private readonly owed = new Set<string>();
+    private readonly held: { readonly from: Node; readonly to: Node; readonly frame: FleetFrame; }[] = [];
+    private cut: ReadonlySet<string> = new Set();
+    private events = 0;
+    private term = 0;
+
+    constructor({ instances, workspaces, demandPerSecond, seed }: FleetSize) {
+        this.random = new SeededRandom(seed);
+        const weights = Array.from({ length: workspaces }, (_, index) => (index + 1) ** -0.7);
+        const total = weights.reduce((sum, weight) => sum + weight, 0);
+        weights.forEach((weight, index) => {
+            const perSecond = demandPerSecond * weight / total;
+            const ratePerSecond = Math.round(perSecond * rateOverDemand);
+            const workspace = { name: `workspace${index}`, keys: [], ratePerSecond, burst: ratePerSecond };
+            this.traffic.set(workspace.name, {
+                workspace,
+                perSecond,
+                tokens: ratePerSecond,
+                filledMs: 0,
+                admittedMs: [],
+                asked: 0,
+                refusedBelow: 0,
+            });
+        });
+        this.instances = Array.from({ length: instances }, (_, index) => this.addInstance(`i${index}`));
+    }
+
+    /** A control member begins to lead; the others hear of it after a delay. */
+    lead(memberId: string): void {
+        this.term += 1;
+        const member = this.members.get(memberId) ?? this.addMember(memberId);
+        this.run(member, this.policy());
+        this.run(member, { kind: ControlKind.LeaderChanged, leading: true, term: this.term } as Message);
+        this.announce(member, true);
+    }
+
+    /** A control member ceases to lead. */
+    stepDown(memberId: string): void {
+        const member = this.members.get(memberId)!;
+        this.run(member, { kind: ControlKind.LeaderChanged, leading: false, term: this.term } as Message);
+        this.announce(member, false);
+    }
+
+    /** Nothing passes between these nodes and the control members, or between the members and all; kept until `heal`. */
+    isolate(ids: readonly string[]): void {
+        this.cut = new Set(ids);
+    }
+
+    heal(): void {
+        this.cut = new Set();
+        this.held.splice(0).forEach(({ from, to, frame }) => this.transmit(from, to, frame));
+    }
+
+    setRate(name: string, ratePerSecond: number): void {
+        const traffic = this.traffic.get(name)!;
+        Object.assign(traffic.workspace, { ratePerSecond, burst: ratePerSecond });
+        [...this.members.values(), ...this.instances].forEach(node => this.run(node, this.policy()));
+    }
+
+    /** Starts the callers of every workspace, with Poisson arrivals on instances drawn at random. */
+    startCallers(): void {
+        this.traffic.forEach(traffic => this.scheduleArrival(traffic));
+    }
+
+    advance(durationMs: number): void {
+        const untilMs = this.nowMs + durationMs;
+        for (;;) {
+            const atMs = this.deadlines.earliestMs();
+            if (atMs === undefined || atMs > untilMs) {
+                break;
+            }
+            this.nowMs = Math.max(this.nowMs, atMs);
+            (this.deadlines.takeDue(this.nowMs) as unknown as { readonly run: () => void; }).run();
+            this.checkLoad();
+        }
+        this.nowMs = untilMs;
+    }
+
+    resetCounts(): void {
+        [...this.nodes.values()].forEach(node => Object.assign(node, { bytes: 0, frames: 0, cpuMs: 0 }));
+        this.traffic.forEach(traffic => Object.assign(traffic, { asked: 0, refusedBelow: 0 }));
+    }
+
+    /** Part of all operations that were refused although a single bucket for the fleet admits them. */
+    refusedShare(): number {
+        const all = [...this.traffic.values()];
+        const asked = all.reduce((sum, traffic) => sum + traffic.asked, 0);
+        return all.reduce((sum, traffic) => sum + traffic.refusedBelow, 0) / asked;
+    }
+
+    /** Most operations of a workspace that ran in one window beyond what the platform allows; negative below it. */
+    excess(name: string, { ratePerSecond, burst }: { ratePerSecond: number; burst: number; }, sinceMs = 0): number {
+        const limit = (ratePerSecond * quota.windowMs / 1_000 + burst) * (1 + quota.tolerance) + quota.slack;
+        const times = this.traffic.get(name)!.admittedMs.filter(atMs => atMs >= sinceMs);
+        let first = 0;
+        let most = 0;
+        times.forEach((atMs, index) => {
+            while (atMs - times[first]! > quota.windowMs) {
+                first += 1;
+            }
+            most = Math.max(most, index - first + 1);
+        });
+        return most - limit;
+    }
+
+    /** A leader that needs more than a whole core cannot keep up, and the run would take hours. */
+    private checkLoad(): void {
+        for (const { id, cpuMs } of this.members.values()) {
+            if (cpuMs > this.nowMs + overloadMs) {
+                throw new Error(`${id} used ${Math.round(cpuMs)} ms of a core in ${Math.round(this.nowMs)} ms`);
+            }
+        }
+    }
+
+    private addInstance(id: string): Node {
+        const options = { instanceId: id, dataCentre: "d", address: `${id}:1`, serves: true, follows: true };
+        const node: Node = {
+            id,
+            pipes: [
+                new Pipe("fleet", [new Attachments(options), new GrantHolder()]),
+                new Pipe("session", [new Admission()]),
+            ],
+            bytes: 0,
+            frames: 0,
+            cpuMs: 0,
+        };
+        this.nodes.set(id, node);
+        this.run(node, this.policy());
+        return node;
+    }
+
+    private addMember(id: string): Node {
+        const node: Node = { id, pipes: [new Pipe("fleet", [new RateGrants()])], bytes: 0, frames: 0, cpuMs: 0 };
+        this.nodes.set(id, node);
+        this.members.set(id, node);
+        for (const instance of this.instances) {
+            this.run(instance, { kind: FleetKind.Attached, attachmentId: id, address: `${id}:1` } as Message);
+        }
+        return node;
+    }
+
+    private policy(): Message {
+        const workspaces = new Map(
+            [...this.traffic.values()].map(({ workspace }) => [workspace.name, { ...workspace }]),
+        );
+        const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
+        return { kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as Message;
+    }
+
+    private announce(member: Node, leading: boolean): void {
+        const status: FleetFrame = {
+            kind: "status",
+            instanceId: member.id,
+            leading,
+            term: this.term,
+            members: [],
+            configurationVersion: 0,
+        };
+        this.instances.forEach(instance => this.transmit(member, instance, status));
+    }
+
+    private scheduleArrival(traffic: Traffic): void {
+        const waitMs = -Math.log(1 - this.random.nextShare()) * 1_000 / Math.max(0.001, traffic.perSecond);
+        this.at(`arrival/${traffic.workspace.name}`, this.nowMs + waitMs, () => {
+            this.arrive(traffic);
+            this.scheduleArrival(traffic);
+        });
+    }
+
+    private arrive(traffic: Traffic): void {
+        const instance = this.instances[this.random.nextInteger(this.instances.length)]!;
+        const urgent = this.random.nextShare() < 0.15;
+        const taskId = `t${this.events++}`;
+        const task: Task = {
+            taskId,
+            sessionId: taskId,
+            route: {
+                ...route(RouteConsistency.Primary, "orders"),
+                priority: urgent ? 1 : 2,
+                targetLatencyMs: urgent ? 500 : 1_000,
+            },
+            service: "s",
+            workspace: traffic.workspace.name,
+            mode: TaskMode.Single,
+            statement: undefined,
+            writes: false,
+            needsPrimary: true,
+            context: emptySessionContext,
+            sessionFloor: undefined,
+            receivedMs: this.nowMs,
+            deadlineMs: this.nowMs + 5_000,
+        };
+        traffic.asked += 1;
+        const { ratePerSecond, burst } = traffic.workspace;
+        traffic.tokens = Math.min(burst, traffic.tokens + (this.nowMs - traffic.filledMs) / 1_000 * ratePerSecond);
+        traffic.filledMs = this.nowMs;
+        if (traffic.tokens >= 1) {
+            traffic.tokens -= 1;
+            this.owed.add(taskId);
+        }
+        this.run(instance, { kind: TaskKind.Submitted, task } as Message);
+    }
+
+    private run(node: Node, first: Message): void {
+        const queue: Message[] = [first];
+        const startUs = this.members.has(node.id) ? process.cpuUsage() : undefined;
+        for (let message = queue.shift(); message !== undefined; message = queue.shift()) {
+            for (const pipe of node.pipes) {
+                for (const output of pipe.accepts.has(message.kind) ? pipe.push(message, this.nowMs) : []) {
+                    if (output !== message) {
+                        this.take(node, output, queue);
+                    }
+                }
+            }
+        }
+        if (startUs !== undefined) {
+            const used = process.cpuUsage(startUs);
+            node.cpuMs += (used.user + used.system) / 1_000;
+        }
+    }
+
+    private take(node: Node, output: Message, queue: Message[]): void {
+        switch (output.kind) {
+            case DeadlineKind.Set:
+            case DeadlineKind.Clear:
+                this.setTimer(node, output as DeadlineMessage);
+                return;
+            case FleetKind.SendFrame: {
+                const { attachmentId, frame } = output as SendFrame;
+                this.transmit(node, this.nodes.get(attachmentId)!, frame);
+                return;
+            }
+            case TaskKind.Admitted: {
+                const { task } = output as unknown as { readonly task: Task; };
+                this.owed.delete(task.taskId);
+                this.traffic.get(task.workspace)!.admittedMs.push(this.nowMs);
+                return;
+            }
+            case TaskKind.Ended: {
+                const { task } = output as TaskEnded;
+                this.traffic.get(task.workspace)!.refusedBelow += this.owed.delete(task.taskId) ? 1 : 0;
+                return;
+            }
+            default:
+                queue.push(output);
+        }
+    }
+
+    private transmit(from: Node, to: Node, frame: FleetFrame): void {
+        if (this.cut.has(from.id) || this.cut.has(to.id)) {
+            this.held.push({ from, to, frame });
+            return;
+        }
+        const size = encodeFrame(frame).body.length;
+        from.bytes += size;
+        from.frames += 1;
+        to.bytes += size;
+        to.frames += 1;
+        const delayMs = shortestDelayMs + this.random.nextShare() * (longestDelayMs - shortestDelayMs);
+        const pair = `${from.id}/${to.id}`;
+        const atMs = Math.max(this.lastArrivalMs.get(pair) ?? 0, this.nowMs + delayMs);
+        this.lastArrivalMs.set(pair, atMs);
+        this.at(`frame/${this.events++}`, atMs, () => {
+            if (this.cut.has(from.id) || this.cut.has(to.id)) {
+                this.held.push({ from, to, frame });
+                return;
+            }
+            this.run(to, { kind: FleetKind.FrameReceived, attachmentId: from.id, frame } as Message);
+        });
+    }
+
+    private setTimer(node: Node, message: DeadlineMessage): void {
+        const key = `${node.id}/${message.key}`;
+        if (message.kind === DeadlineKind.Clear) {
+            this.deadlines.apply({ ...message, key });
+            return;
+        }
+        this.at(key, Math.max(message.atMs, this.nowMs) + timerDelayMs, () => this.run(node, message.message));
+    }
+
+    private at(key: string, atMs: number, run: () => void): void {
+        this.deadlines.apply(setDeadline(key, atMs, { kind: "run", run } as Message));
+    }
+}
