fix(fleet): permits from one bucket a workspace take the place of fractions of rates

Callers of a fleet of 95 machines were refused below their workspaces' rates, and control members lost their lead.

Cause: for each report of an instance the leader worked out the fractions of all workspaces for all instances, each as a sum over all instances (N x W x N for a report, N^3 W for an interval). Reports and grants named all workspaces, and the thresholds for a change of a fraction (0.02, 0.06) were above the share of one in 89 instances; a share of a small rate was far below one operation.

Change: the leader keeps one token bucket (rates/tokenBucket.ts) for each workspace, and answers questions for permits at constant cost each. An instance sends one question at a time for all workspaces, with what changed since the last one. It asks at once for operations that wait, and ahead of demand where there is some. Permits end 1 s after their question. What is out counts against burst and 0.3 of what a window tolerates, which comes with the settings; an instance that was told when there is more refuses at once what cannot wait that long. Without a leader an instance goes on at its part of the recent demand for 10 s; the leader sets aside the parts of silent instances, and a new leader those of all that it knows and has not heard. Two operations per instance and workspace before the first grant are gone: at 89 instances those were 178 beyond the rate; the first question is answered at once.

Tests: rateGrants.spec.ts was about fractions; permitLeader.spec.ts holds the same guarantees for permits: the whole in any order of events, with the quota's window as bound; most to the instance with the callers; nothing twice at a new leader; room for instances that are not heard; answers at once after a common start. "Renews at a new leader whatever is in force" has no counterpart, because nothing is in force at an instance but permits of a second; rates.spec.ts covers service with a new leader.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -27,7 +27,7 @@
     control: ["model", "pipeline"],
     report: ["model", "pipeline"],
     session: ["model", "pipeline"],
-    fleet: ["model", "pipeline"],
+    fleet: ["model", "pipeline", "rates"],
     platform: ["model", "pipeline"],
     settings: ["model"],
     telemetry: ["model", "pipeline"],
--- /dev/null
+++ b/src/fleet/__tests__/permitAsker.spec.ts
@@ -0,0 +1,168 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+    type FleetFrame,
+    FleetKind,
+    type PermitAnswer,
+    type PermitsGranted,
+    type SendFrame,
+} from "../../model/fleetMessages.ts";
+import { DeadlineKind, type SetDeadline } from "../../pipeline/deadlineQueue.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { PermitAsker } from "../permitAsker.ts";
+
+type WantFrame = Extract<FleetFrame, { readonly kind: "want"; }>;
+
+class Instance {
+    private readonly asker = new PermitAsker();
+    readonly asked: { readonly to: string; readonly frame: WantFrame; }[] = [];
+    readonly granted: PermitsGranted[] = [];
+    silences = 0;
+    nowMs = 0;
+    private dueMs = Infinity;
+
+    status(attachmentId: string, leading: boolean, term: number): void {
+        const frame = { kind: "status", instanceId: attachmentId, leading, term, members: [], configurationVersion: 0 };
+        this.feed({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
+    }
+
+    detach(attachmentId: string): void {
+        this.feed({ kind: FleetKind.Detached, attachmentId } as Message);
+    }
+
+    need(
+        workspace: string,
+        waiting: number,
+        extra: { ahead?: number; held?: number; fallbackUsed?: number; } = {},
+    ): void {
+        const need = { workspace, waiting, ahead: 0, held: 0, fallbackUsed: 0, ...extra };
+        this.feed({ kind: FleetKind.PermitsNeeded, ...need } as Message);
+    }
+
+    answer(attachmentId: string, term: number, sequence: number, ...answers: readonly PermitAnswer[]): void {
+        const frame = { kind: "permits", term, sequence, answers };
+        this.feed({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
+    }
+
+    advance(durationMs: number): void {
+        const untilMs = this.nowMs + durationMs;
+        while (this.dueMs <= untilMs) {
+            this.nowMs = Math.max(this.nowMs, this.dueMs);
+            this.dueMs = Infinity;
+            this.feed({ kind: FleetKind.PermitAskDue } as Message);
+        }
+        this.nowMs = untilMs;
+    }
+
+    private feed(message: Message): void {
+        for (const output of this.asker.process(message as never, this.nowMs)) {
+            if (output.kind === FleetKind.SendFrame) {
+                const { attachmentId, frame } = output as SendFrame;
+                this.asked.push({ to: attachmentId, frame: frame as WantFrame });
+            }
+            else if (output.kind === FleetKind.PermitsGranted) {
+                this.granted.push(output as PermitsGranted);
+            }
+            else if (output.kind === FleetKind.RateLeaderSilent) {
+                this.silences += 1;
+            }
+            else if (output.kind === DeadlineKind.Set) {
+                this.dueMs = (output as SetDeadline).atMs;
+            }
+        }
+    }
+}
+
+/** An instance whose leader "m" has answered its first question. */
+function ledInstance(): Instance {
+    const instance = new Instance();
+    instance.status("m", true, 3);
+    instance.answer("m", 3, 1);
+    return instance;
+}
+
+describe("questions for permits", () => {
+    it("go out one at a time, for all workspaces that lack some", () => {
+        // Guards against a frame for each operation of a workspace beyond its rate.
+        const instance = ledInstance();
+        instance.need("a", 1);
+        instance.need("b", 2);
+        instance.need("c", 1);
+        assert.equal(instance.asked.length, 2);
+        instance.answer("m", 3, 2, ["a", 1]);
+        assert.deepEqual(instance.asked.at(-1)!.frame.wants, [["b", 2, 0, 0, 0], ["c", 1, 0, 0, 0]]);
+        assert.equal(instance.granted.at(-1)!.grants[0]!.count, 1);
+    });
+
+    it("name only workspaces that changed, and go out once a second without need", () => {
+        const instance = ledInstance();
+        instance.need("a", 0, { held: 3 });
+        instance.advance(1_000);
+        assert.deepEqual(instance.asked.at(-1)!.frame.wants, [["a", 0, 0, 3, 0]]);
+        instance.answer("m", 3, 2);
+        instance.advance(999);
+        assert.equal(instance.asked.length, 2);
+        instance.advance(1);
+        assert.equal(instance.asked.length, 3);
+        assert.deepEqual(instance.asked.at(-1)!.frame.wants, []);
+    });
+
+    it("wait a little when no operation waits for them", () => {
+        const instance = ledInstance();
+        instance.advance(10);
+        instance.need("a", 0, { ahead: 2 });
+        instance.need("b", 0, { ahead: 1 });
+        assert.equal(instance.asked.length, 1);
+        instance.advance(90);
+        assert.deepEqual(instance.asked.at(-1)!.frame.wants, [["a", 0, 2, 0, 0], ["b", 0, 1, 0, 0]]);
+    });
+
+    it("are asked again without an answer, and the leader counts as silent sooner", () => {
+        const instance = ledInstance();
+        instance.need("a", 1);
+        instance.advance(100);
+        assert.deepEqual([instance.silences, instance.asked.length], [1, 2]);
+        instance.advance(300);
+        assert.deepEqual([instance.silences, instance.asked.length], [1, 3]);
+        assert.deepEqual(instance.asked.at(-1)!.frame.wants, [["a", 1, 0, 0, 0]]);
+        instance.answer("m", 3, 2, ["a", 1]);
+        assert.equal(instance.granted.at(-1)!.validUntilMs, 1_000);
+    });
+
+    it("bring nothing when their answer is older than the validity of a permit", () => {
+        // Guards against permits of a frame that a partition held up.
+        const instance = ledInstance();
+        instance.need("a", 1);
+        instance.advance(1_500);
+        instance.answer("m", 3, 2, ["a", 1]);
+        assert.equal(instance.granted.length, 1);
+    });
+
+    it("go to the leader of the highest term, and only its answers count", () => {
+        // Guards against permits of a member that lost its majority and does not know yet.
+        const instance = ledInstance();
+        instance.status("n", true, 4);
+        instance.status("m", true, 3);
+        assert.deepEqual(instance.asked.map(({ to }) => to), ["m", "n"]);
+        instance.answer("m", 3, 2, ["a", 5]);
+        assert.equal(instance.granted.length, 1);
+        instance.need("a", 1);
+        instance.detach("n");
+        assert.equal(instance.asked.at(-1)!.to, "m");
+        instance.detach("m");
+        assert.equal(instance.silences, 1);
+    });
+
+    it("tell a leader only what ran at the fallback rate since its first answer", () => {
+        const instance = ledInstance();
+        instance.need("a", 0, { fallbackUsed: 4 });
+        instance.advance(1_000);
+        assert.equal(instance.asked.at(-1)!.frame.wants[0]![4], 4);
+        instance.status("m", false, 3);
+        instance.need("a", 0, { fallbackUsed: 9 });
+        instance.status("n", true, 4);
+        instance.answer("n", 4, instance.asked.at(-1)!.frame.sequence);
+        instance.need("a", 1, { fallbackUsed: 11 });
+        assert.equal(instance.asked.at(-1)!.frame.wants[0]![4], 2);
+    });
+});
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -12,7 +12,6 @@
     type FleetTimer,
     type FrameReceived,
     type MembersKnown,
-    type UsageMeasured,
 } from "../model/fleetMessages.ts";
 import { type InstancesKnown, type PeerInstance, PeerKind } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
@@ -36,7 +35,6 @@
     | Detached
     | FrameReceived
     | DatabaseSuspected
-    | UsageMeasured
     | ConfigurationApplied
     | FleetTimer
     | FleetDrainStarted;
@@ -68,7 +66,6 @@
         FleetKind.Detached,
         FleetKind.FrameReceived,
         FleetKind.DatabaseSuspected,
-        FleetKind.UsageMeasured,
         FleetKind.DirectoryDue,
         FleetKind.DrainStarted,
         ClusterKind.ConfigurationApplied,
@@ -94,17 +91,6 @@
             })
             .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
             .with({ kind: FleetKind.DatabaseSuspected }, found => this.suspect(found.databaseId, nowMs))
-            .with(
-                { kind: FleetKind.UsageMeasured },
-                found =>
-                    this.toLeaders({
-                        kind: "usage",
-                        usage: found.usage,
-                        grantSequence: found.grantSequence,
-                        grantTerm: found.grantTerm,
-                        fractions: found.fractions,
-                    }),
-            )
             .with({ kind: FleetKind.DirectoryDue }, () => this.checkLag(nowMs))
             .with({ kind: FleetKind.DrainStarted }, found => [
                 found,
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -1,6 +1,7 @@
 /** The settings file of a process on the platform. */
 import { readFileSync } from "node:fs";
 import { z } from "zod";
+import type { RateTolerance } from "../model/rateLimits.ts";
 
 /** Variable that holds the path of the settings file. */
 export const settingsVariable = "JASMINELINE_CONFIG";
@@ -19,7 +20,13 @@
     bootstrap: z.boolean(),
     data_dir: z.string().nullish(),
     heartbeat_interval_ms: z.number().positive(),
-    bounds: z.object({ grace_s: z.number().positive() }),
+    bounds: z.object({
+        grace_s: z.number().positive(),
+        // Without a contract on rates nothing is tolerated beyond them.
+        quota_window_s: z.number().positive().default(1),
+        quota_tolerance: z.number().nonnegative().default(0),
+        quota_slack: z.number().nonnegative().default(0),
+    }),
     cloud_api: z.object({ address }).nullish(),
 });
 
@@ -49,6 +56,8 @@
     readonly dataFolder: string | undefined;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
+    /** How operations are counted against the rates of workspaces. */
+    readonly rateTolerance: RateTolerance;
     /** Time between the signal to stop and the kill. */
     readonly stopLimitMs: number;
     /** `host:port` that takes promotion orders. */
@@ -85,6 +94,11 @@
         firstStart: file.bootstrap,
         dataFolder: file.data_dir ?? undefined,
         reportIntervalMs: file.heartbeat_interval_ms,
+        rateTolerance: {
+            windowMs: file.bounds.quota_window_s * 1_000,
+            share: file.bounds.quota_tolerance,
+            operations: file.bounds.quota_slack,
+        },
         stopLimitMs: file.bounds.grace_s * 1_000,
         ordersAddress: file.cloud_api?.address,
     };
--- a/src/rates/__tests__/tokenBucket.spec.ts
+++ b/src/rates/__tests__/tokenBucket.spec.ts
@@ -29,6 +29,20 @@
         );
     });
 
+    it("starts with the given level and fills at once when the caller answers for earlier permits", () => {
+        const bucket = new TokenBucket({ startMs: 0, outstandingMs, refillShare: 1, startLevel: 3 });
+        bucket.setShare(ratePerSecond, burst, 0);
+        assert.equal(bucket.available(0), 3);
+        assert.equal(bucket.available(20), 4);
+    });
+
+    it("owes uses that had no permit", () => {
+        const bucket = startedBucket(0);
+        bucket.charge(burst + 2, 1_000);
+        assert.equal(bucket.available(1_000), -2);
+        assert.equal(bucket.available(1_060), 1);
+    });
+
     it("never fills from a settlement that an earlier question carried", () => {
         const bucket = startedBucket(0);
         bucket.grant("a", "1", 5, 1_000);
--- a/src/rates/tokenBucket.ts
+++ b/src/rates/tokenBucket.ts
@@ -15,12 +15,17 @@
     readonly outstandingMs: number;
     /** Part of the rate at which tokens arrive, so that a clock that runs fast does not exceed the rate. */
     readonly refillShare: number;
+    /**
+     * Tokens to start with. When it is given, the bucket fills from the start, and the caller answers for permits of an
+     * earlier home that are still out.
+     */
+    readonly startLevel?: number;
 }
 
 /**
  * Keeps `level + outstanding <= burst` at all times. The uses in a window that starts at `a` are at most the permits
  * outstanding at `a`, the level at `a` and the tokens that arrive in the window; hence at most burst + rate x time.
- * The bucket starts empty and fills only after `outstandingMs`, when the permits of an earlier home have expired.
+ * Without a start level it starts empty and fills only after `outstandingMs`, when permits of an earlier home expired.
  */
 export class TokenBucket {
     private readonly outstandingMs: number;
@@ -35,7 +40,10 @@
     constructor(options: TokenBucketOptions) {
         this.outstandingMs = options.outstandingMs;
         this.refillShare = options.refillShare;
-        this.refilledMs = options.startMs + options.outstandingMs;
+        this.level = options.startLevel ?? 0;
+        this.refilledMs = options.startLevel === undefined
+            ? options.startMs + options.outstandingMs
+            : options.startMs;
     }
 
     /** Changes rate (per second) and burst. Tokens above a lower burst are lost; a higher burst fills at the rate. */
@@ -53,7 +61,7 @@
         this.refillShare = refillShare;
     }
 
-    /** Whole permits that can be granted now. */
+    /** Whole permits that can be granted now; below zero after uses without a permit. */
     available(nowMs: number): number {
         this.refill(nowMs);
         return Math.floor(this.level + roundingSlack);
@@ -86,6 +94,12 @@
         }
     }
 
+    /** Counts uses without a permit; the level may fall below zero. */
+    charge(count: number, nowMs: number): void {
+        this.refill(nowMs);
+        this.level -= count;
+    }
+
     /** Tells whether the present share alone bounds what permits still allow; false for a time after a reduction. */
     shareInForce(nowMs: number): boolean {
         this.refill(nowMs);
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -19,6 +19,7 @@
 import { EventLoop } from "../../pipeline/eventLoop.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import type { Sink } from "../../pipeline/sink.ts";
 import { VirtualClock } from "../../pipeline/virtualClock.ts";
 import { Admission } from "../admission.ts";
@@ -42,8 +43,7 @@
         LinkKind.Open,
         LinkKind.Send,
         LinkKind.Close,
-        FleetKind.UsageCounted,
-        FleetKind.GrantShort,
+        FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
         PeerKind.Send,
@@ -57,10 +57,14 @@
     readonly others: Message[] = [];
     private readonly loop: EventLoop;
 
-    constructor() {
+    private readonly permits: number;
+
+    /** @param permits for each workspace, with each policy */
+    constructor(permits = 100) {
+        this.permits = permits;
         const filters = [
             new Sessions(),
-            new Admission(),
+            new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
             new Routing({ dataCentre: "dc1" }),
             new Forwarding({ instanceId: "front1" }),
@@ -101,7 +105,7 @@
         this.clock.advanceTo(this.clock.nowMs() + durationMs);
     }
 
-    /** Applies a policy with one workspace "w" (key "k") and the given routes, and grants it a wide rate. */
+    /** Applies a policy with one workspace "w" (key "k") and the given routes, and permits for both. */
     configure(...routes: readonly RoutePolicy[]): void {
         const policy: TrafficPolicy = {
             version: 1,
@@ -115,8 +119,13 @@
             transactionIdleMs: 3_000,
         };
         this.post({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as PolicyApplied);
-        const grant = { ratePerSecond: 100, burst: 100 };
-        this.post({ kind: FleetKind.GrantsChanged, grants: new Map([["w", grant], ["v", grant]]) } as Message);
+        ["w", "v"].forEach(workspace => this.grant(workspace, this.permits));
+    }
+
+    /** An answer of the leader: permits that end with the run, and the time until more may be asked for. */
+    grant(workspace: string, count: number, retryMs = 0): void {
+        const grants = [{ workspace, count, retryMs, fallback: undefined }];
+        this.post({ kind: FleetKind.PermitsGranted, grants, validUntilMs: Infinity } as Message);
     }
 
     /** Applies a policy in which every key is withdrawn and the routes stay. */
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -1,18 +1,20 @@
-/** Counts operations against the rate that this instance may spend for each workspace. */
+/** Counts operations against the permits that this instance has for each workspace. */
 import { match } from "ts-pattern";
 import {
     FleetKind,
-    type GrantsChanged,
-    type GrantShort,
+    type PermitsGranted,
+    type PermitsNeeded,
     type PolicyApplied,
-    type RateGrant,
-    type UsageCounted,
+    type RateLeaderSilent,
 } from "../model/fleetMessages.ts";
+import { fallbackLimitMs } from "../model/rateLimits.ts";
 import { StatementFault } from "../model/sessionStatement.ts";
+import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { RateBucket } from "./rateBucket.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { PermitLane } from "./permitLane.ts";
 import {
     endTask,
     retryText,
@@ -26,57 +28,74 @@
 } from "./taskMessages.ts";
 
 /**
- * Part of a route's target latency that an operation may wait for its rate. It covers the time in which the leader
- * shifts a part of the rate here; a caller that is beyond its rate is better told at once.
+ * Part of a route's target latency that an operation may wait for a permit. It covers a question to the leader; a caller
+ * that is beyond its rate is better told at once.
  */
 const waitShare = 0.25;
 
 /**
- * The same while this instance has no rate at all. After a start the first grant takes a few hundred milliseconds, and a
- * caller that is refused meanwhile comes back later than that.
+ * The same before the first answer of a leader. After a start it takes a few hundred milliseconds, and a caller that is
+ * refused meanwhile comes back later than that.
  */
-const waitShareWithoutRate = 0.6;
+const waitShareBeforeAnswer = 0.6;
 
-/** Operations of one workspace that may wait for its rate; bounds the memory that a caller beyond its rate takes. */
+/** Operations of one workspace that may wait; bounds the memory that a caller beyond its rate takes. */
 const maximumWaiting = 64;
 
-/** Operations of one workspace that may run before the first grant of this instance arrives. */
-const operationsBeforeGrant = 2;
+/** Advice to a caller while nothing tells when its workspace has a permit again. */
+const unknownRetryMs = 1_000;
 
-type AdmissionInput = TaskSubmitted | TaskAbandoned | TaskTimer | GrantsChanged | PolicyApplied;
+type AdmissionInput =
+    | TaskSubmitted
+    | TaskAbandoned
+    | TaskTimer
+    | PermitsGranted
+    | RateLeaderSilent
+    | PolicyApplied;
 
 interface Lane {
-    readonly bucket: RateBucket;
+    readonly workspace: string;
+    readonly permits: PermitLane;
     /** The most urgent routes first, and in order of arrival among them. */
     waiting: Task[];
 }
 
+export interface AdmissionOptions {
+    readonly random: SeededRandom;
+}
+
 export class Admission implements Filter<AdmissionInput, Message> {
     readonly step = "admission";
     readonly accepts = [
         TaskKind.Submitted,
         TaskKind.Abandoned,
         TaskKind.AdmissionDue,
-        FleetKind.GrantsChanged,
+        FleetKind.PermitsGranted,
+        FleetKind.RateLeaderSilent,
         FleetKind.PolicyApplied,
     ];
+    private readonly random: SeededRandom;
     private readonly lanes = new Map<string, Lane>();
-    private grants: ReadonlyMap<string, RateGrant> = new Map();
+    private policy: TrafficPolicy = emptyTrafficPolicy;
+    /** Time of the last answer of a leader. */
+    private answeredMs: number | undefined;
+    private isFallback = false;
+
+    constructor({ random }: AdmissionOptions) {
+        this.random = random;
+    }
 
     process(message: AdmissionInput, nowMs: number): readonly Message[] {
         return match<AdmissionInput, readonly Message[]>(message)
-            .with({ kind: TaskKind.Submitted }, ({ task }) => [
-                ...task.workspace === "" ? [] : [countOf(task)],
-                ...this.submit(task, nowMs),
-            ])
+            .with({ kind: TaskKind.Submitted }, ({ task }) => this.submit(task, nowMs))
             .with({ kind: TaskKind.Abandoned }, found => {
                 this.forget(found);
                 return [found];
             })
-            .with({ kind: FleetKind.GrantsChanged }, ({ grants }) => this.applyGrants(grants, nowMs))
+            .with({ kind: FleetKind.PermitsGranted }, found => this.applyGrants(found, nowMs))
+            .with({ kind: FleetKind.RateLeaderSilent }, () => this.startFallback(nowMs))
             .with({ kind: FleetKind.PolicyApplied }, found => {
-                [...this.lanes.keys()].filter(name => !found.policy.workspaces.has(name) && this.isIdle(name))
-                    .forEach(name => this.lanes.delete(name));
+                this.applyPolicy(found.policy, nowMs);
                 return [found];
             })
             .otherwise(timer => this.release((timer as TaskTimer).id, nowMs));
@@ -87,54 +106,86 @@
         if (task.workspace === "" || task.mode === TaskMode.Probe) {
             return [admit(task)];
         }
-        const lane = this.laneOf(task.workspace);
-        if (lane.waiting.length === 0 && lane.bucket.take(nowMs)) {
-            return [admit(task)];
-        }
-        const waitMs = lane.bucket.waitMs(lane.waiting.length + 1, nowMs);
-        const short: GrantShort = { kind: FleetKind.GrantShort, workspace: task.workspace };
+        const lane = this.laneOf(task.workspace, nowMs);
+        lane.permits.noteDemand(nowMs);
         enqueue(lane, task);
-        const surplus = lane.waiting.length > maximumWaiting ? [refuse(lane.waiting.pop()!, waitMs)] : [];
-        return [short, ...surplus, this.timer(task.workspace, lane, nowMs)];
+        const surplus = lane.waiting.length > maximumWaiting
+            ? [refuse(lane.waiting.pop()!, this.retryMs(lane, nowMs))]
+            : [];
+        return [...surplus, ...this.serve(lane, nowMs)];
     }
 
     private release(workspace: string, nowMs: number): readonly Message[] {
         const lane = this.lanes.get(workspace);
-        if (lane === undefined) {
-            return [];
+        return lane === undefined ? [] : this.serve(lane, nowMs);
+    }
+
+    /** Admits what has a permit, refuses what cannot have one in time, and says what is lacking. */
+    private serve(lane: Lane, nowMs: number): readonly Message[] {
+        if (this.isFallback && nowMs - (this.answeredMs ?? -Infinity) >= fallbackLimitMs) {
+            lane.permits.endFallback(nowMs);
         }
         const messages: Message[] = [];
-        while (lane.waiting.length > 0 && lane.bucket.take(nowMs)) {
+        while (lane.waiting.length > 0 && lane.permits.take(nowMs)) {
             messages.push(admit(lane.waiting.shift()!));
         }
-        const late = lane.waiting.filter(task => nowMs >= latestStartMs(task, lane));
+        const atMs = this.isFallback ? nowMs : Math.max(nowMs, lane.permits.retryAtMs);
+        const late = lane.waiting.filter(task => atMs >= this.latestStartMs(task));
         lane.waiting = lane.waiting.filter(task => !late.includes(task));
-        messages.push(...late.map(task => refuse(task, lane.bucket.waitMs(lane.waiting.length + 1, nowMs))));
-        return lane.waiting.length === 0 ? messages : [...messages, this.timer(workspace, lane, nowMs)];
+        const retryMs = this.retryMs(lane, nowMs);
+        messages.push(...late.map(task => refuse(task, retryMs)), this.need(lane, nowMs));
+        return lane.waiting.length === 0 ? messages : [...messages, this.timer(lane, nowMs)];
+    }
+
+    private applyGrants({ grants, validUntilMs }: PermitsGranted, nowMs: number): readonly Message[] {
+        this.answeredMs = nowMs;
+        if (this.isFallback) {
+            this.isFallback = false;
+            this.lanes.forEach(({ permits }) => permits.endFallback(nowMs));
+        }
+        return grants.filter(({ workspace }) => this.lanes.has(workspace) || this.policy.workspaces.has(workspace))
+            .flatMap(grant => {
+                const lane = this.laneOf(grant.workspace, nowMs);
+                lane.permits.add(grant, validUntilMs, nowMs);
+                return this.serve(lane, nowMs);
+            });
+    }
+
+    private startFallback(nowMs: number): readonly Message[] {
+        this.isFallback = true;
+        this.lanes.forEach(lane => this.startLaneFallback(lane, nowMs));
+        return [...this.lanes.values()].filter(({ waiting }) => waiting.length > 0)
+            .flatMap(lane => this.serve(lane, nowMs));
+    }
+
+    private startLaneFallback({ workspace, permits }: Lane, nowMs: number): void {
+        const ratePerSecond = this.policy.workspaces.get(workspace)?.ratePerSecond ?? 0;
+        permits.startFallback(ratePerSecond, this.random.nextShare(), nowMs);
     }
 
-    private applyGrants(grants: ReadonlyMap<string, RateGrant>, nowMs: number): readonly Message[] {
-        this.grants = grants;
-        this.lanes.forEach((lane, workspace) => {
-            const grant = grants.get(workspace);
-            if (grant !== undefined) {
-                lane.bucket.change(grant, nowMs);
+    private applyPolicy(policy: TrafficPolicy, nowMs: number): void {
+        this.policy = policy;
+        for (const [name, lane] of this.lanes) {
+            if (!policy.workspaces.has(name) && lane.waiting.length === 0) {
+                this.lanes.delete(name);
             }
-        });
-        return [...this.lanes.keys()].flatMap(workspace => this.release(workspace, nowMs));
+            else if (this.isFallback) {
+                lane.permits.endFallback(nowMs);
+                this.startLaneFallback(lane, nowMs);
+            }
+        }
     }
 
-    private laneOf(workspace: string): Lane {
+    private laneOf(workspace: string, nowMs: number): Lane {
         const known = this.lanes.get(workspace);
         if (known !== undefined) {
             return known;
         }
-        const grant = this.grants.get(workspace);
-        const lane = {
-            bucket: new RateBucket(grant ?? { ratePerSecond: 0, burst: operationsBeforeGrant }),
-            waiting: [],
-        };
+        const lane: Lane = { workspace, permits: new PermitLane(), waiting: [] };
         this.lanes.set(workspace, lane);
+        if (this.isFallback) {
+            this.startLaneFallback(lane, nowMs);
+        }
         return lane;
     }
 
@@ -146,16 +197,36 @@
         });
     }
 
-    private isIdle(workspace: string): boolean {
-        return this.lanes.get(workspace)?.waiting.length === 0;
+    private need({ workspace, permits, waiting }: Lane, nowMs: number): PermitsNeeded {
+        return {
+            kind: FleetKind.PermitsNeeded,
+            workspace,
+            waiting: nowMs >= permits.retryAtMs ? waiting.length : 0,
+            ahead: permits.ahead(nowMs),
+            held: permits.held(nowMs),
+            fallbackUsed: permits.fallbackUsed,
+        };
+    }
+
+    private retryMs({ permits }: Lane, nowMs: number): number {
+        const waitMs = permits.waitMs(nowMs);
+        return Number.isFinite(waitMs) && waitMs > 0 ? waitMs : unknownRetryMs;
+    }
+
+    private latestStartMs({ receivedMs, deadlineMs, route }: Task): number {
+        const share = this.answeredMs === undefined ? waitShareBeforeAnswer : waitShare;
+        return Math.min(deadlineMs, receivedMs + share * route.targetLatencyMs);
     }
 
-    private timer(workspace: string, lane: Lane, nowMs: number): Message {
-        const atMs = Math.min(
-            nowMs + lane.bucket.waitMs(1, nowMs),
-            ...lane.waiting.map(task => latestStartMs(task, lane)),
+    private timer(lane: Lane, nowMs: number): Message {
+        const waitMs = lane.permits.waitMs(nowMs);
+        const times = lane.waiting.map(task => this.latestStartMs(task));
+        const atMs = Math.min(...times, ...waitMs > 0 ? [nowMs + waitMs] : []);
+        return setDeadline(
+            `admission/${lane.workspace}`,
+            atMs,
+            taskTimer(TaskKind.AdmissionDue, lane.workspace),
         );
-        return setDeadline(`admission/${workspace}`, atMs, taskTimer(TaskKind.AdmissionDue, workspace));
     }
 }
 
@@ -164,20 +235,10 @@
     lane.waiting.splice(index === -1 ? lane.waiting.length : index, 0, task);
 }
 
-function countOf({ workspace }: Task): UsageCounted {
-    return { kind: FleetKind.UsageCounted, workspace };
-}
-
 function admit(task: Task): Message {
     return { kind: TaskKind.Admitted, task } as Message;
 }
 
-function refuse(task: Task, waitMs: number): Message {
-    const retryMs = Number.isFinite(waitMs) ? waitMs : 1_000;
+function refuse(task: Task, retryMs: number): Message {
     return endTask(task, StatementFault.Busy, retryText("the rate of the workspace is used up", retryMs));
 }
-
-function latestStartMs({ receivedMs, deadlineMs, route }: Task, { bucket }: Lane): number {
-    const share = bucket.hasRate ? waitShare : waitShareWithoutRate;
-    return Math.min(deadlineMs, receivedMs + share * route.targetLatencyMs);
-}
--- a/src/session/rateBucket.ts
+++ b/src/session/rateBucket.ts
@@ -1,52 +1,46 @@
-/** A token bucket whose rate may change while it is used. */
-import type { RateGrant } from "../model/fleetMessages.ts";
+/** A token bucket of one instance. */
+
+export interface RateBucketOptions {
+    readonly ratePerSecond: number;
+    /** Most tokens that are kept. */
+    readonly burst: number;
+    /** Tokens at the start. */
+    readonly tokens: number;
+    readonly startMs: number;
+}
 
 export class RateBucket {
-    private grant: RateGrant;
+    private readonly ratePerSecond: number;
+    private readonly burst: number;
     private tokens: number;
-    private filledMs: number | undefined;
+    private filledMs: number;
 
-    /** Starts full. */
-    constructor(grant: RateGrant) {
-        this.grant = grant;
-        this.tokens = grant.burst;
+    constructor({ ratePerSecond, burst, tokens, startMs }: RateBucketOptions) {
+        this.ratePerSecond = ratePerSecond;
+        this.burst = burst;
+        this.tokens = tokens;
+        this.filledMs = startMs;
     }
 
-    /** Further tokens arrive. */
-    get hasRate(): boolean {
-        return this.grant.ratePerSecond > 0;
+    level(nowMs: number): number {
+        const elapsedMs = nowMs - this.filledMs;
+        this.filledMs = nowMs;
+        this.tokens = Math.min(this.burst, this.tokens + elapsedMs / 1_000 * this.ratePerSecond);
+        return this.tokens;
     }
 
     /** Takes one token if there is one. */
     take(nowMs: number): boolean {
-        this.fill(nowMs);
-        if (this.tokens < 1) {
+        if (this.level(nowMs) < 1) {
             return false;
         }
         this.tokens -= 1;
         return true;
     }
 
-    /** Time until the `count`-th token from now is there; infinite without a rate. */
-    waitMs(count: number, nowMs: number): number {
-        this.fill(nowMs);
-        const missing = count - this.tokens;
-        return missing <= 0 ? 0 : missing / this.grant.ratePerSecond * 1_000;
-    }
-
-    /**
-     * A larger burst adds its difference at once, because another instance has given it up; a smaller one takes the
-     * same away, down to a debt, so that what was spent before the change counts after it.
-     */
-    change(grant: RateGrant, nowMs: number): void {
-        this.fill(nowMs);
-        this.tokens = Math.min(grant.burst, this.tokens + grant.burst - this.grant.burst);
-        this.grant = grant;
-    }
-
-    private fill(nowMs: number): void {
-        const elapsedMs = nowMs - (this.filledMs ?? nowMs);
-        this.filledMs = nowMs;
-        this.tokens = Math.min(this.grant.burst, this.tokens + elapsedMs / 1_000 * this.grant.ratePerSecond);
+    /** Time until the next token is there; infinite without a rate. */
+    waitMs(nowMs: number): number {
+        const missing = 1 - this.level(nowMs);
+        return missing <= 0 ? 0 : missing / this.ratePerSecond * 1_000;
     }
 }
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -1,9 +1,10 @@
 /** A fleet in virtual time: instances that admit operations, and control members that lead the rates. */
 import { Attachments } from "../../fleet/attachments.ts";
-import { GrantHolder } from "../../fleet/grantHolder.ts";
-import { RateGrants } from "../../fleet/rateGrants.ts";
+import { PermitAsker } from "../../fleet/permitAsker.ts";
+import { PermitLeader } from "../../fleet/permitLeader.ts";
 import { ControlKind } from "../../model/controlMessages.ts";
 import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import type { RateTolerance } from "../../model/rateLimits.ts";
 import { emptySessionContext } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy, RouteConsistency, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
 import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
@@ -26,7 +27,7 @@
 const timerDelayMs = 0.1;
 
 /** What a rate exceeds the ordinary demand by. */
-export const rateOverDemand = 1.6;
+const rateOverDemand = 1.6;
 
 export interface FleetSize {
     readonly instances: number;
@@ -37,7 +38,7 @@
 }
 
 /** Limit on what may run in a window, as the platform counts it. */
-export const quota = { windowMs: 5_000, tolerance: 0.1, slack: 20 };
+const quota: RateTolerance = { windowMs: 5_000, share: 0.1, operations: 20 };
 
 interface Node {
     readonly id: string;
@@ -70,7 +71,7 @@
     private readonly lastArrivalMs = new Map<string, number>();
     private readonly owed = new Set<string>();
     private readonly held: { readonly from: Node; readonly to: Node; readonly frame: FleetFrame; }[] = [];
-    private cut: ReadonlySet<string> = new Set();
+    private cut: (from: string, to: string) => boolean = () => false;
     private events = 0;
     private term = 0;
 
@@ -92,14 +93,14 @@
                 refusedBelow: 0,
             });
         });
-        this.instances = Array.from({ length: instances }, (_, index) => this.addInstance(`i${index}`));
+        this.instances = Array.from({ length: instances }, (_, index) => this.addInstance(`i${index}`, seed + index));
+        ["c0", "c1", "c2"].forEach(id => this.addMember(id));
     }
 
     /** A control member begins to lead; the others hear of it after a delay. */
     lead(memberId: string): void {
         this.term += 1;
-        const member = this.members.get(memberId) ?? this.addMember(memberId);
-        this.run(member, this.policy());
+        const member = this.members.get(memberId)!;
         this.run(member, { kind: ControlKind.LeaderChanged, leading: true, term: this.term } as Message);
         this.announce(member, true);
     }
@@ -111,16 +112,32 @@
         this.announce(member, false);
     }
 
-    /** Nothing passes between these nodes and the control members, or between the members and all; kept until `heal`. */
-    isolate(ids: readonly string[]): void {
-        this.cut = new Set(ids);
+    /** The machine of a control member is gone; every attachment to it ends. */
+    kill(memberId: string): void {
+        this.members.delete(memberId);
+        this.nodes.delete(memberId);
+        for (const instance of this.instances) {
+            this.run(instance, { kind: FleetKind.Detached, attachmentId: memberId } as Message);
+        }
+    }
+
+    /** Nothing passes between these nodes; kept on its way until `heal`. */
+    isolate(left: readonly string[], right: readonly string[]): void {
+        this.cut = (from, to) => left.includes(from) && right.includes(to) || left.includes(to) && right.includes(from);
     }
 
     heal(): void {
-        this.cut = new Set();
+        this.cut = () => false;
         this.held.splice(0).forEach(({ from, to, frame }) => this.transmit(from, to, frame));
     }
 
+    /** Callers of a workspace send so many times its rate, or their ordinary demand again. */
+    flood(name: string, timesRate = 1 / rateOverDemand): void {
+        const traffic = this.traffic.get(name)!;
+        traffic.perSecond = timesRate * traffic.workspace.ratePerSecond;
+        this.scheduleArrival(traffic);
+    }
+
     setRate(name: string, ratePerSecond: number): void {
         const traffic = this.traffic.get(name)!;
         Object.assign(traffic.workspace, { ratePerSecond, burst: ratePerSecond });
@@ -151,16 +168,17 @@
         this.traffic.forEach(traffic => Object.assign(traffic, { asked: 0, refusedBelow: 0 }));
     }
 
-    /** Part of all operations that were refused although a single bucket for the fleet admits them. */
-    refusedShare(): number {
-        const all = [...this.traffic.values()];
+    /** Part of the operations of these workspaces that were refused although a single bucket for the fleet admits them. */
+    refusedShare(names: readonly string[] = [...this.traffic.keys()]): number {
+        const all = names.map(name => this.traffic.get(name)!);
         const asked = all.reduce((sum, traffic) => sum + traffic.asked, 0);
         return all.reduce((sum, traffic) => sum + traffic.refusedBelow, 0) / asked;
     }
 
     /** Most operations of a workspace that ran in one window beyond what the platform allows; negative below it. */
-    excess(name: string, { ratePerSecond, burst }: { ratePerSecond: number; burst: number; }, sinceMs = 0): number {
-        const limit = (ratePerSecond * quota.windowMs / 1_000 + burst) * (1 + quota.tolerance) + quota.slack;
+    excess(name: string, sinceMs = 0): number {
+        const { ratePerSecond, burst } = this.traffic.get(name)!.workspace;
+        const limit = (ratePerSecond * quota.windowMs / 1_000 + burst) * (1 + quota.share) + quota.operations;
         const times = this.traffic.get(name)!.admittedMs.filter(atMs => atMs >= sinceMs);
         let first = 0;
         let most = 0;
@@ -182,13 +200,13 @@
         }
     }
 
-    private addInstance(id: string): Node {
+    private addInstance(id: string, instanceSeed: number): Node {
         const options = { instanceId: id, dataCentre: "d", address: `${id}:1`, serves: true, follows: true };
         const node: Node = {
             id,
             pipes: [
-                new Pipe("fleet", [new Attachments(options), new GrantHolder()]),
-                new Pipe("session", [new Admission()]),
+                new Pipe("fleet", [new Attachments(options), new PermitAsker()]),
+                new Pipe("session", [new Admission({ random: new SeededRandom(instanceSeed) })]),
             ],
             bytes: 0,
             frames: 0,
@@ -199,14 +217,20 @@
         return node;
     }
 
-    private addMember(id: string): Node {
-        const node: Node = { id, pipes: [new Pipe("fleet", [new RateGrants()])], bytes: 0, frames: 0, cpuMs: 0 };
+    private addMember(id: string): void {
+        const node: Node = {
+            id,
+            pipes: [new Pipe("fleet", [new PermitLeader({ tolerance: quota })])],
+            bytes: 0,
+            frames: 0,
+            cpuMs: 0,
+        };
         this.nodes.set(id, node);
         this.members.set(id, node);
         for (const instance of this.instances) {
             this.run(instance, { kind: FleetKind.Attached, attachmentId: id, address: `${id}:1` } as Message);
         }
-        return node;
+        this.run(node, this.policy());
     }
 
     private policy(): Message {
@@ -297,7 +321,10 @@
                 return;
             case FleetKind.SendFrame: {
                 const { attachmentId, frame } = output as SendFrame;
-                this.transmit(node, this.nodes.get(attachmentId)!, frame);
+                const peer = this.nodes.get(attachmentId);
+                if (peer !== undefined) {
+                    this.transmit(node, peer, frame);
+                }
                 return;
             }
             case TaskKind.Admitted: {
@@ -317,7 +344,7 @@
     }
 
     private transmit(from: Node, to: Node, frame: FleetFrame): void {
-        if (this.cut.has(from.id) || this.cut.has(to.id)) {
+        if (this.cut(from.id, to.id)) {
             this.held.push({ from, to, frame });
             return;
         }
@@ -331,10 +358,13 @@
         const atMs = Math.max(this.lastArrivalMs.get(pair) ?? 0, this.nowMs + delayMs);
         this.lastArrivalMs.set(pair, atMs);
         this.at(`frame/${this.events++}`, atMs, () => {
-            if (this.cut.has(from.id) || this.cut.has(to.id)) {
+            if (this.cut(from.id, to.id)) {
                 this.held.push({ from, to, frame });
                 return;
             }
+            if (!this.nodes.has(to.id)) {
+                return;
+            }
             this.run(to, { kind: FleetKind.FrameReceived, attachmentId: from.id, frame } as Message);
         });
     }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -6,10 +6,10 @@
 import { Attachments } from "../fleet/attachments.ts";
 import { Directory } from "../fleet/directory.ts";
 import { Documents } from "../fleet/documents.ts";
-import { GrantHolder } from "../fleet/grantHolder.ts";
+import { PermitAsker } from "../fleet/permitAsker.ts";
+import { PermitLeader } from "../fleet/permitLeader.ts";
 import { PolicyFilter } from "../fleet/policyFilter.ts";
 import { Promotions } from "../fleet/promotions.ts";
-import { RateGrants } from "../fleet/rateGrants.ts";
 import { Readiness } from "../fleet/readiness.ts";
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
@@ -131,12 +131,12 @@
         new PolicyFilter(decoder),
         new Directory(),
         new Attachments({ instanceId, dataCentre, address: settings.rpcAddress, serves: true, follows: true }),
-        new GrantHolder(),
+        new PermitAsker(),
         new Readiness(),
     ]);
     const session = new Pipe("session", [
         new Sessions(),
-        new Admission(),
+        new Admission({ random: new SeededRandom(seed + 2) }),
         new PassedTasks(),
         new Routing({ dataCentre }),
         new Forwarding({ instanceId }),
@@ -207,7 +207,7 @@
         new AttachmentHub({ instanceId: host }),
         new Attachments({ instanceId: host, dataCentre, address: rpcAddress, serves: false, follows: false }),
         new Documents(),
-        new RateGrants(),
+        new PermitLeader({ tolerance: settings.rateTolerance }),
         new Promotions({ reportIntervalMs }),
     ]);
     const server = createPeerServer(authentication);
