--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -12,7 +12,6 @@
     type FleetTimer,
     type FrameReceived,
     type MembersKnown,
-    type UsageMeasured,
 } from "../model/fleetMessages.ts";
 import { type InstancesKnown, PeerKind } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
@@ -52,7 +51,6 @@
     | Detached
     | FrameReceived
     | DatabaseSuspected
-    | UsageMeasured
     | ConfigurationApplied
     | FleetTimer
     | FleetDrainStarted;
@@ -89,7 +87,6 @@
         FleetKind.Detached,
         FleetKind.FrameReceived,
         FleetKind.DatabaseSuspected,
-        FleetKind.UsageMeasured,
         FleetKind.DirectoryDue,
         FleetKind.InstancesDue,
         FleetKind.DrainStarted,
@@ -119,17 +116,6 @@
             .with({ kind: FleetKind.Detached }, found => [found, ...this.detach(found.attachmentId, nowMs)])
             .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
             .with({ kind: FleetKind.DatabaseSuspected }, found => this.suspect(found.databaseId, nowMs))
-            .with(
-                { kind: FleetKind.UsageMeasured },
-                found =>
-                    this.toLeaders({
-                        kind: "usage",
-                        usage: found.usage,
-                        grantSequence: found.grantSequence,
-                        grantTerm: found.grantTerm,
-                        fractions: found.fractions,
-                    }),
-            )
             .with({ kind: FleetKind.DirectoryDue }, () => this.checkLag(nowMs))
             .with(
                 { kind: FleetKind.InstancesDue },
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -1,5 +1,11 @@
 /** The session pipes of many instances in virtual time, with the databases, links and processors that they share. */
-import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
+import {
+    type DatabaseReport,
+    FleetKind,
+    type PermitsGranted,
+    type PolicyApplied,
+    ReportedState,
+} from "../../model/fleetMessages.ts";
 import { LinkKind } from "../../model/linkMessages.ts";
 import {
     type PeerAnswer,
@@ -213,9 +219,10 @@
 
     introduce(node: FleetNode, peers: readonly PeerInstance[]): void {
         node.post({ kind: FleetKind.PolicyApplied, policy: this.policy(), promoted: new Map() } as PolicyApplied);
-        const grant = { ratePerSecond: 1e4, burst: 1e4 };
-        const names = [...this.policy().workspaces.keys()];
-        node.post({ kind: FleetKind.GrantsChanged, grants: new Map(names.map(name => [name, grant])) } as Message);
+        const grants = [...this.policy().workspaces.keys()].map(workspace => (
+            { workspace, count: 1e6, retryMs: 0, fallback: undefined }
+        ));
+        node.post({ kind: FleetKind.PermitsGranted, grants, validUntilMs: Infinity } as PermitsGranted);
         node.post({ kind: PeerKind.InstancesKnown, instances: peers } as Message);
         this.databases.forEach(({ report }) => node.post({ kind: FleetKind.DatabaseChanged, report } as Message));
     }
@@ -276,8 +283,7 @@
         LinkKind.Open,
         LinkKind.Send,
         LinkKind.Close,
-        FleetKind.UsageCounted,
-        FleetKind.GrantShort,
+        FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
         PeerKind.Send,
@@ -308,7 +314,7 @@
         const filters = [
             new FloorExchange({ instanceId, dataCentre }),
             new Sessions(),
-            new Admission(),
+            new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
             new Routing({ dataCentre }),
             new Forwarding({ instanceId }),
