perf(fleet): an instance asks for permits at most 25 times a second

A workspace that floods made each instance ask as often as a round trip allows. Questions for operations that wait are at least 40 ms apart now; with a round trip between regions that is below the shortest wait of an operation (125 ms).

Instances of the spec draw their seeds from the fleet's, because near seeds give near first numbers.

--- a/src/fleet/permitAsker.ts
+++ b/src/fleet/permitAsker.ts
@@ -22,6 +22,12 @@
 /** Longest time between two questions; the leader takes an instance that is silent for longer to be cut off. */
 const questionIntervalMs = 1_000;
 
+/**
+ * Least time between two questions for which operations wait. It bounds the leader's work in a flood, and with a round trip
+ * between regions it stays well below the shortest wait of an operation.
+ */
+const waitingIntervalMs = 40;
+
 /** Least time between two questions for which no operation waits. */
 const aheadIntervalMs = 100;
 
@@ -151,7 +157,7 @@
         return [granted, ...this.next(nowMs)];
     }
 
-    /** Asks when something waits and nothing is under way; otherwise sets the timer. */
+    /** Asks when a question is due and none is under way; otherwise sets the timer. */
     private next(nowMs: number): readonly Message[] {
         if (this.leader === undefined) {
             return [];
@@ -159,31 +165,26 @@
         if (this.underWay !== undefined) {
             return this.timer(this.underWay.sentMs + (this.silent ? answerLimitMs : silentAfterMs));
         }
+        const dueMs = this.sentMs + this.intervalMs();
+        return nowMs >= dueMs ? this.ask(nowMs) : this.timer(dueMs);
+    }
+
+    /** Least time between the last question and the next one. */
+    private intervalMs(): number {
         const changed = [...this.changed].map(name => this.needs.get(name)!);
         if (changed.some(({ waiting }) => waiting > 0)) {
-            return this.ask(nowMs);
+            return waitingIntervalMs;
         }
-        const wanted = changed.some(({ ahead }) => ahead > 0);
-        return this.timer(Math.max(nowMs, this.sentMs + (wanted ? aheadIntervalMs : questionIntervalMs)));
+        return changed.some(({ ahead }) => ahead > 0) ? aheadIntervalMs : questionIntervalMs;
     }
 
     private noteTime(nowMs: number): readonly Message[] {
-        const { underWay } = this;
-        if (underWay !== undefined) {
-            const elapsedMs = nowMs - underWay.sentMs;
-            if (elapsedMs >= answerLimitMs) {
-                this.giveUp();
-                return [...this.fallSilent(), ...this.ask(nowMs)];
-            }
-            return [...elapsedMs >= silentAfterMs ? this.fallSilent() : [], ...this.next(nowMs)];
-        }
-        if (this.leader === undefined) {
-            return [];
+        const elapsedMs = nowMs - (this.underWay?.sentMs ?? nowMs);
+        if (elapsedMs >= answerLimitMs) {
+            this.giveUp();
+            return [...this.fallSilent(), ...this.ask(nowMs)];
         }
-        const due = [...this.changed].some(name => this.needs.get(name)!.ahead > 0)
-            ? aheadIntervalMs
-            : questionIntervalMs;
-        return nowMs >= this.sentMs + due ? this.ask(nowMs) : this.next(nowMs);
+        return [...elapsedMs >= silentAfterMs ? this.fallSilent() : [], ...this.next(nowMs)];
     }
 
     private ask(nowMs: number): readonly Message[] {
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -93,7 +93,7 @@
                 refusedBelow: 0,
             });
         });
-        this.instances = Array.from({ length: instances }, (_, index) => this.addInstance(`i${index}`, seed + index));
+        this.instances = Array.from({ length: instances }, (_, index) => this.addInstance(`i${index}`));
         ["c0", "c1", "c2"].forEach(id => this.addMember(id));
     }
 
@@ -200,13 +200,13 @@
         }
     }
 
-    private addInstance(id: string, instanceSeed: number): Node {
+    private addInstance(id: string): Node {
         const options = { instanceId: id, dataCentre: "d", address: `${id}:1`, serves: true, follows: true };
         const node: Node = {
             id,
             pipes: [
                 new Pipe("fleet", [new Attachments(options), new PermitAsker()]),
-                new Pipe("session", [new Admission({ random: new SeededRandom(instanceSeed) })]),
+                new Pipe("session", [new Admission({ random: new SeededRandom(this.random.nextInteger(2 ** 31)) })]),
             ],
             bytes: 0,
             frames: 0,
