fix(fleet): questions for permits go over the latest attachment to a leader

Two attachments to one leader exist for seconds when the first ended without a word; the first one was asked, and nothing but the fallback was left until its end was noticed. Test: permitAsker.spec.ts, red before.

--- a/src/fleet/__tests__/permitAsker.spec.ts
+++ b/src/fleet/__tests__/permitAsker.spec.ts
@@ -158,6 +158,15 @@
         assert.equal(instance.silences, 1);
     });
 
+    it("go over the latest attachment to a leader", () => {
+        // Guards against questions on a connection that ended without a word.
+        const instance = ledInstance();
+        instance.status("m again", true, 3);
+        assert.equal(instance.asked.at(-1)!.to, "m again");
+        instance.detach("m");
+        assert.deepEqual([instance.asked.length, instance.silences], [2, 0]);
+    });
+
     it("tell a leader only what ran at the fallback rate since its first answer", () => {
         const instance = ledInstance();
         instance.need("a", 0, { fallbackUsed: 4 });
--- a/src/fleet/permitAsker.ts
+++ b/src/fleet/permitAsker.ts
@@ -118,9 +118,12 @@
             : [];
     }
 
-    /** A member that lost its majority may not know it yet; the highest term counts. */
+    /**
+     * A member that lost its majority may not know it yet, so the highest term counts; and the latest attachment to it,
+     * because the end of a connection without a word is noticed after seconds.
+     */
     private followLeader(nowMs: number): readonly Message[] {
-        const [best] = [...this.leaderTerms].sort(([, left], [, right]) => right - left);
+        const [best] = [...this.leaderTerms].reverse().sort(([, left], [, right]) => right - left);
         const leader = best === undefined ? undefined : { attachmentId: best[0], term: best[1] };
         if (leader?.attachmentId === this.leader?.attachmentId && leader?.term === this.leader?.term) {
             return [];
