--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -16,10 +16,6 @@
 import { Admission } from "../../session/admission.ts";
 import { type Task, type TaskEnded, TaskKind, TaskMode } from "../../session/taskMessages.ts";
 
-/** Least and greatest delay of a frame, one way. */
-const shortestDelayMs = 4;
-const longestDelayMs = 12;
-
 /** Processor time that a control member may lag behind before a run is given up. */
 const overloadMs = 5_000;
 
@@ -62,6 +58,8 @@
 
 export class RateFleet {
     nowMs = 0;
+    /** Least and greatest delay of a frame, one way. */
+    delaysMs: readonly [number, number] = [4, 12];
     readonly instances: readonly Node[];
     readonly members = new Map<string, Node>();
     readonly traffic = new Map<string, Traffic>();
@@ -353,7 +351,8 @@
         from.frames += 1;
         to.bytes += size;
         to.frames += 1;
-        const delayMs = shortestDelayMs + this.random.nextShare() * (longestDelayMs - shortestDelayMs);
+        const [shortestMs, longestMs] = this.delaysMs;
+        const delayMs = shortestMs + this.random.nextShare() * (longestMs - shortestMs);
         const pair = `${from.id}/${to.id}`;
         const atMs = Math.max(this.lastArrivalMs.get(pair) ?? 0, this.nowMs + delayMs);
         this.lastArrivalMs.set(pair, atMs);
--- a/src/wiring/__tests__/rates.spec.ts
+++ b/src/wiring/__tests__/rates.spec.ts
@@ -142,6 +142,20 @@
             assert.deepEqual(excesses(fleet), []);
         });
 
+        it(`keeps the rates while frames are late, so that answers and fallbacks overlap, seed ${seed + turn}`, () => {
+            for (const delaysMs of [[40, 120], [150, 350], [300, 600]] as const) {
+                const { fleet } = startFlood(turn);
+                fleet.advance(8_000);
+                for (let round = 0; round < 4; round++) {
+                    fleet.delaysMs = delaysMs;
+                    fleet.advance(1_500);
+                    fleet.delaysMs = [4, 12];
+                    fleet.advance(1_000);
+                }
+                assert.deepEqual(excesses(fleet), [], `with delays of ${delaysMs.join(" to ")} ms`);
+            }
+        });
+
         it(`keeps the rates while a third of the instances is cut off from the leader, seed ${seed + turn}`, () => {
             const { fleet, ids } = startFlood(turn);
             fleet.advance(12_000);
