--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -66,7 +66,7 @@
         const filters = [
             new FloorExchange({ instanceId: "front1", dataCentre: "dc1" }),
             new Sessions(),
-            new Admission({ random: new SeededRandom(1) }),
+            new Admission({ random: new SeededRandom(20261204) }),
             new PassedTasks(),
             new Routing({ dataCentre: "dc1" }),
             new Forwarding({ instanceId: "front1" }),
