fix(session): running requests get a final answer before a stopping instance ends

Callers whose statement still ran at the end of a stop (0.4 s before the kill) saw the connection end without an answer. The end of the process destroyed the sockets; no filter knew that the time was up.

`fleet.drain_started` now says until when requests have their answers. Then the sessions let each running task expire: what waits ends as not run, what was sent ends as in doubt, timed out or aborted, and what was sent ahead behind it is refused as not run or aborted. Requests that come after the signal have no more time than that.

Two cases in sessionPipe.spec.ts failed before: with statements of up to 20 s, none of three running requests was answered 6 s after the signal ([] against in_doubt, timed_out and busy); a write and a commit in a transaction had no answer either. The grown sites' statement limits (1 to 3 s) are shorter than a stop, so this is not shown to be what users saw.

--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -136,7 +136,16 @@
     }
 
     drain(instance: string): void {
-        this.push(instance, { kind: FleetKind.DrainStarted, transactionsUntilMs: this.nowMs, final: false } as Message);
+        const untilMs = this.nowMs;
+        this.push(
+            instance,
+            {
+                kind: FleetKind.DrainStarted,
+                transactionsUntilMs: untilMs,
+                answersUntilMs: untilMs,
+                final: false,
+            } as Message,
+        );
     }
 
     /** Cuts all attachments of a member but those of some instances; nothing attaches again. */
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -294,6 +294,8 @@
     readonly kind: typeof FleetKind.DrainStarted;
     /** Open transactions may go on until then. */
     readonly transactionsUntilMs: number;
+    /** Every request has its final answer by then. */
+    readonly answersUntilMs: number;
     /**
      * Callers no longer arrive; idle sessions are closed, and the instance ends with its last session. Before, idle
      * sessions stay open, because a caller that reconnects may come back here.
--- a/src/rpc/__tests__/fleetRpc.spec.ts
+++ b/src/rpc/__tests__/fleetRpc.spec.ts
@@ -156,7 +156,9 @@
             await third.outbox.until(({ instances }) => instances.join() === "front0,front1,front2");
         }
         await first.outbox.until(({ instances }) => instances.join() === "front0,front1");
-        second.post({ kind: FleetKind.DrainStarted, transactionsUntilMs: 0, final: false } as Message);
+        second.post(
+            { kind: FleetKind.DrainStarted, transactionsUntilMs: 0, answersUntilMs: 0, final: false } as Message,
+        );
         await first.outbox.until(({ instances }) => instances.join() === "front0");
     });
 });
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -242,7 +242,7 @@
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
         fixture.openLinks();
-        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, final: true };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400, final: true };
         fixture.post(drain as never);
         assert.ok(!fixture.others.some(({ kind }) => kind === FleetKind.Drained));
         fixture.reply("l0", { position: at(1, 1) });
@@ -254,7 +254,7 @@
     it("closes idle sessions with the last step of a stop, at whatever time it comes", () => {
         // Guards against a timer that fires a fraction of a millisecond early: sessions stayed open and were cut off.
         const fixture = primaryFixture();
-        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000 };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400 };
         fixture.post({ ...drain, final: false } as never);
         fixture.advance(2_399.7);
         assert.ok(!fixture.others.some(({ kind }) => kind === SessionKind.Close));
@@ -267,7 +267,7 @@
         // Guards against a session that stays open after an answer of the proxy itself, and is cut off with a request.
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
-        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 1_000, final: true };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 1_000, answersUntilMs: 5_400, final: true };
         fixture.post(drain as never);
         fixture.advance(1_001);
         fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
@@ -280,7 +280,7 @@
     it("takes no new session once callers no longer arrive", () => {
         // Guards against a request that is read shortly before the process ends and never answered.
         const fixture = primaryFixture();
-        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000 };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400 };
         fixture.post({ ...drain, final: false } as never);
         fixture.connect("s2", "orders");
         assert.ok(fixture.others.some(({ kind }) => kind === SessionKind.Accept));
@@ -291,6 +291,56 @@
         assert.ok(!fixture.others.some(({ kind }) => kind === SessionKind.Accept));
     });
 
+    it("gives every running request its final answer before a stopping instance ends", () => {
+        // Guards against connections that end without an answer because statements may take longer than a stop.
+        const fixture = new SessionFixture();
+        fixture.configure({ ...route(RouteConsistency.Primary, "orders"), statementLimitMs: 20_000 });
+        fixture.announce("p", true);
+        ["sent", "read", "late"].forEach(sessionId => fixture.connect(sessionId, "orders"));
+        fixture.request("sent", statement(SessionStatementKind.Write, "w1"));
+        fixture.request("read", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l1", { transaction: TransactionState.Open });
+        fixture.advance(500);
+        const startMs = fixture.clock.nowMs();
+        const drain = {
+            kind: FleetKind.DrainStarted,
+            transactionsUntilMs: startMs + 3_000,
+            answersUntilMs: startMs + 5_400,
+        };
+        fixture.post({ ...drain, final: false } as never);
+        fixture.advance(2_400);
+        fixture.request("late", statement(SessionStatementKind.Write, "w3"));
+        fixture.post({ ...drain, final: true } as never);
+        fixture.advance(3_100);
+        assert.deepEqual(
+            fixture.answers.map(({ sessionId, answer }) => [sessionId, answer.fault]).sort(),
+            [["late", StatementFault.Busy], ["read", StatementFault.TimedOut], ["sent", StatementFault.InDoubt]],
+        );
+        assert.deepEqual(fixture.others.map(({ kind }) => kind).filter(kind => kind === FleetKind.Drained).length, 1);
+    });
+
+    it("answers what waits behind a running statement when the time of a stop is up", () => {
+        // Guards against statements sent ahead of the answer that are cut off with the connection.
+        const fixture = new SessionFixture();
+        fixture.configure({ ...route(RouteConsistency.Primary, "orders"), statementLimitMs: 20_000 });
+        fixture.announce("p", true);
+        fixture.connect("s1", "orders");
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.request("s1", statement(SessionStatementKind.Commit, "c"));
+        fixture.openLinks();
+        fixture.reply("l0", { transaction: TransactionState.Open });
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400, final: true };
+        fixture.post(drain as never);
+        fixture.advance(5_400);
+        assert.deepEqual(
+            fixture.answers.map(({ answer }) => answer.fault),
+            [undefined, StatementFault.Aborted, StatementFault.Aborted],
+        );
+        assert.equal(fixture.others.at(-1)?.kind, FleetKind.Drained);
+    });
+
     it("leaves the links of others alone when a session ends whose link was lost", () => {
         // Guards against a transaction that is rolled back after its first statement and goes on on another link.
         const fixture = primaryFixture();
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -29,6 +29,7 @@
     type TaskAbandoned,
     type TaskAttempted,
     type TaskContinued,
+    type TaskExpired,
     TaskKind,
     TaskMode,
     type TaskPlaced,
@@ -67,6 +68,7 @@
     | TaskPlaced
     | TaskContinued
     | TaskAbandoned
+    | TaskExpired
     | TaskTimer
     | PeerAnswered
     | PeerLost
@@ -85,6 +87,7 @@
         TaskKind.Placed,
         TaskKind.Continued,
         TaskKind.Abandoned,
+        TaskKind.Expired,
         TaskKind.ForwardDue,
         PeerKind.Answered,
         PeerKind.Lost,
@@ -124,6 +127,10 @@
             .with({ kind: TaskKind.Placed }, found => this.place(found, nowMs))
             .with({ kind: TaskKind.Continued }, found => this.continue(found, nowMs))
             .with({ kind: TaskKind.Abandoned }, found => this.abandon(found))
+            .with({ kind: TaskKind.Expired }, found => {
+                const pending = this.pending.get(found.taskId);
+                return pending === undefined ? [found] : [...this.fail(pending), abandonAt(pending)];
+            })
             .with(
                 { kind: PeerKind.Answered, result: { kind: "task" } },
                 ({ address, result }) => this.answered(address, result, nowMs),
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -33,6 +33,7 @@
     type TaskAttempted,
     type TaskContinued,
     type TaskEnded,
+    type TaskExpired,
     TaskKind,
     TaskMode,
     type TaskPlaced,
@@ -47,6 +48,7 @@
     | TaskPlaced
     | TaskContinued
     | TaskAbandoned
+    | TaskExpired
     | TaskTimer
     | LinkOpened
     | LinkReplied
@@ -67,6 +69,7 @@
         TaskKind.PassedContinued,
         TaskKind.Abandoned,
         TaskKind.PassedAbandoned,
+        TaskKind.Expired,
         TaskKind.AttemptDue,
         TaskKind.LinkDue,
         TaskKind.IdleDue,
@@ -88,6 +91,7 @@
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, found => this.place(found, nowMs))
             .with({ kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) }, found => this.continue(found, nowMs))
             .with({ kind: P.union(TaskKind.Abandoned, TaskKind.PassedAbandoned) }, found => this.abandon(found))
+            .with({ kind: TaskKind.Expired }, found => this.attemptDue(found.taskId, nowMs))
             .with({ kind: LinkKind.Opened }, found => this.opened(found, nowMs))
             .with({ kind: LinkKind.Replied }, found => this.replied(found, nowMs))
             .with({ kind: LinkKind.Lost }, found => this.lost(found, nowMs))
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -21,11 +21,13 @@
     type FloorWanted,
     type LinkTask,
     retryText,
+    stopText,
     type Task,
     type TaskAbandoned,
     type TaskAdmitted,
     type TaskAttempted,
     type TaskEnded,
+    type TaskExpired,
     TaskKind,
     TaskMode,
     type TaskPlaced,
@@ -70,6 +72,7 @@
     | TaskAdmitted
     | TaskAttempted
     | TaskAbandoned
+    | TaskExpired
     | TaskTimer
     | FloorWanted
     | FloorLearned
@@ -82,6 +85,8 @@
     readonly tried: Set<string>;
     /** It waits for a primary or a floor; otherwise an attempt is under way. */
     waiting: boolean;
+    /** No further attempt is made. */
+    expired: boolean;
     /** The last fault, told to the caller when the time is up. */
     lastFault: StatementFault | undefined;
     /** Attempts that ran and failed. */
@@ -98,6 +103,7 @@
         TaskKind.Admitted,
         TaskKind.Attempted,
         TaskKind.Abandoned,
+        TaskKind.Expired,
         TaskKind.PlacementDue,
         TaskKind.FloorProbeWanted,
         TaskKind.FloorLearned,
@@ -122,6 +128,7 @@
             .with({ kind: TaskKind.Admitted }, ({ task }) => this.admit(task, nowMs))
             .with({ kind: TaskKind.Attempted }, found => this.judge(found, nowMs))
             .with({ kind: TaskKind.Abandoned }, found => [found, ...this.forget(found.taskId)])
+            .with({ kind: TaskKind.Expired }, found => this.expire(found))
             .with({ kind: TaskKind.FloorProbeWanted }, found => this.probe(found, nowMs))
             .with({ kind: TaskKind.FloorLearned }, found => {
                 this.samples.note(found.service, found.sample);
@@ -151,11 +158,29 @@
     }
 
     private admit(task: Task, nowMs: number): readonly Message[] {
-        const routed = { task, tried: new Set<string>(), waiting: true, lastFault: undefined, failedRuns: 0 };
+        const routed: RoutedTask = {
+            task,
+            tried: new Set(),
+            waiting: true,
+            expired: false,
+            lastFault: undefined,
+            failedRuns: 0,
+        };
         this.tasks.set(task.taskId, routed);
         return this.place(routed, nowMs);
     }
 
+    private expire(expired: TaskExpired): readonly Message[] {
+        const routed = this.tasks.get(expired.taskId);
+        if (routed?.waiting === true) {
+            return this.end(endTask(routed.task, routed.lastFault ?? StatementFault.Busy, stopText));
+        }
+        if (routed !== undefined) {
+            routed.expired = true;
+        }
+        return [expired];
+    }
+
     private placeAgain(taskId: string, nowMs: number): readonly Message[] {
         const routed = this.tasks.get(taskId);
         return routed?.waiting === true ? this.place(routed, nowMs) : [];
@@ -304,6 +329,9 @@
         if (attempt.reply !== undefined && fault === undefined) {
             return this.end(this.resultOf(attempt));
         }
+        if (routed.expired) {
+            return this.end(this.resultOf(attempt));
+        }
         const nothingRan = !attempt.sent || (fault !== undefined && isNotRun(fault));
         // A transaction that may have begun on one connection cannot begin again on another one.
         const mayRepeat = nothingRan || task.mode === TaskMode.Single && !task.writes;
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -22,7 +22,16 @@
 import type { Message } from "../pipeline/message.ts";
 import { authorize, isFault } from "./authorization.ts";
 import { Session, type Transaction } from "./session.ts";
-import { type Task, type TaskAbandoned, type TaskEnded, TaskKind, TaskMode } from "./taskMessages.ts";
+import {
+    type DrainDue,
+    expireTask,
+    stopText,
+    type Task,
+    type TaskAbandoned,
+    type TaskEnded,
+    TaskKind,
+    TaskMode,
+} from "./taskMessages.ts";
 
 /** Statements of one caller that wait for the one before; callers send the next after an answer. */
 const maximumWaiting = 64;
@@ -36,6 +45,7 @@
     | SessionClosed
     | SessionLimitDue
     | TaskEnded
+    | DrainDue
     | PolicyApplied
     | FleetDrainStarted;
 
@@ -47,6 +57,7 @@
         SessionKind.Closed,
         SessionKind.LimitDue,
         TaskKind.Ended,
+        TaskKind.DrainDue,
         FleetKind.PolicyApplied,
         FleetKind.DrainStarted,
     ];
@@ -55,6 +66,8 @@
     /** Sessions that opened before the first configuration. */
     private readonly early = new Map<string, SessionOpened>();
     private drain: FleetDrainStarted | undefined;
+    /** The time for answers is up; nothing is begun any more. */
+    private drainDue = false;
     private nextTask = 0;
 
     process(message: SessionInput, nowMs: number): readonly Message[] {
@@ -64,6 +77,7 @@
             .with({ kind: SessionKind.Closed }, found => this.close(found.sessionId))
             .with({ kind: SessionKind.LimitDue }, found => this.checkLimit(found.sessionId, nowMs))
             .with({ kind: TaskKind.Ended }, found => this.endTask(found, nowMs))
+            .with({ kind: TaskKind.DrainDue }, found => this.endDrain(found, nowMs))
             .with({ kind: FleetKind.PolicyApplied }, found => [found, ...this.applyPolicy(found.policy)])
             .with({ kind: FleetKind.DrainStarted }, found => this.startDrain(found))
             .exhaustive();
@@ -73,8 +87,7 @@
         const { sessionId } = opened;
         if (this.drain?.final === true) {
             // What would be asked on it could be cut off by the end of the process.
-            const detail = "the instance stops; not run, connect again";
-            return [{ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail } as Message];
+            return [{ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail: stopText } as Message];
         }
         if (this.policy.version === 0) {
             this.early.set(sessionId, opened);
@@ -111,6 +124,9 @@
 
     private start(session: Session, statement: SessionStatement | undefined, nowMs: number): readonly Message[] {
         session.lastActiveMs = nowMs;
+        if (this.drainDue && session.transaction?.failed !== true) {
+            return this.refuseAtEnd(session);
+        }
         if (statement === undefined) {
             return this.refuse(session, StatementFault.Malformed, "the request cannot be read");
         }
@@ -237,7 +253,7 @@
             context: session.context,
             sessionFloor: session.floors.get(route.service),
             receivedMs: nowMs,
-            deadlineMs: nowMs + route.statementLimitMs,
+            deadlineMs: Math.min(nowMs + route.statementLimitMs, this.drain?.answersUntilMs ?? Infinity),
         };
         session.running = task;
         return [{ kind: transaction?.pinned === true ? TaskKind.Continued : TaskKind.Submitted, task } as Message];
@@ -353,6 +369,7 @@
         const open = [...this.sessions.values()];
         return [
             drain,
+            setDeadline("drain", drain.answersUntilMs, { kind: TaskKind.DrainDue }),
             ...open.filter(session => this.mayClose(session)).flatMap(session => this.closeIdle(session)),
             ...open.filter(({ transaction }) => transaction !== undefined)
                 .map(session => this.limitTimer(session.sessionId, this.transactionEndMs(session))),
@@ -360,8 +377,26 @@
         ];
     }
 
+    /** Statements that may take longer than the stop end with what is certain about them; their answers follow. */
+    private endDrain(due: DrainDue, nowMs: number): readonly Message[] {
+        this.drainDue = true;
+        const open = [...this.sessions.values()];
+        return [
+            due,
+            ...open.flatMap(({ running }) => running === undefined ? [] : [expireTask(running.taskId)]),
+            ...open.filter(({ running }) => running === undefined).flatMap(session => this.proceed(session, nowMs)),
+        ];
+    }
+
+    private refuseAtEnd(session: Session): readonly Message[] {
+        return session.transaction === undefined
+            ? this.refuse(session, StatementFault.Busy, stopText)
+            : [this.abandon(session), ...this.fail(session, "the instance stops; nothing was kept")];
+    }
+
     private mayClose(session: Session): boolean {
-        return this.drain?.final === true && session.running === undefined && session.transaction === undefined;
+        return this.drain?.final === true && session.running === undefined
+            && (this.drainDue || session.transaction === undefined);
     }
 
     private closeIdle(session: Session): readonly Message[] {
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -17,6 +17,10 @@
     PassedPlaced: "task.passed_placed",
     PassedContinued: "task.passed_continued",
     PassedAbandoned: "task.passed_abandoned",
+    /** The instance ends before the task's own deadline; the task is to end with what is certain about it. */
+    Expired: "task.expired",
+    /** The time for answers is up, because the instance stops. */
+    DrainDue: "task.drain_due",
     Attempted: "task.attempted",
     /** Reads wait for a position of the primary, or will soon. */
     FloorWanted: "task.floor_wanted",
@@ -113,6 +117,15 @@
     readonly taskId: string | undefined;
 }
 
+export interface TaskExpired extends Message {
+    readonly kind: typeof TaskKind.Expired;
+    readonly taskId: string;
+}
+
+export interface DrainDue extends Message {
+    readonly kind: typeof TaskKind.DrainDue;
+}
+
 export interface TaskAttempted extends Message {
     readonly kind: typeof TaskKind.Attempted;
     readonly task: LinkTask;
@@ -187,10 +200,17 @@
     return { kind, id };
 }
 
+export function expireTask(taskId: string): TaskExpired {
+    return { kind: TaskKind.Expired, taskId };
+}
+
 export function endTask(task: LinkTask, fault: StatementFault, detail: string): TaskEnded {
     return { kind: TaskKind.Ended, task, reply: undefined, fault, detail, pinned: false };
 }
 
+/** Tells a caller of a stopping instance what to do; another instance takes it at once. */
+export const stopText = "the instance stops; not run, connect again";
+
 /** Names the time after which a caller may come back, in the text of a fault. */
 export function retryText(text: string, afterMs: number): string {
     return `${text}; not run, retry after ${Math.max(1, Math.ceil(afterMs))} ms`;
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -55,9 +55,12 @@
 /** Time after the signal to stop for which the platform still sends new callers here: two of its questions. */
 const newCallersMs = 2_400;
 
-/** Kept between the last answer and the kill. */
+/** Kept between the end of the process and the kill. */
 const stopMarginMs = 400;
 
+/** Time for the last answers to reach callers and other instances; slow links take a tenth of a second. */
+const lastAnswersMs = 200;
+
 export interface PlatformProcess extends AsyncDisposable {
     /** Starts the graceful shutdown. */
     drain(): void;
@@ -285,6 +288,7 @@
     const drain = {
         kind: FleetKind.DrainStarted,
         transactionsUntilMs: clock.nowMs() + settings.stopLimitMs / 2,
+        answersUntilMs: clock.nowMs() + settings.stopLimitMs - stopMarginMs - lastAnswersMs,
     };
     post({ ...drain, final: false } as Message);
     setTimeout(() => post({ ...drain, final: true } as Message), newCallersMs);
