fix(session): a holder that stops finishes what others have on its links

Callers of other instances got a commit or write in doubt, or an aborted transaction, when the holder of a database's links was restarted: it ended with its own last session, at 2.4 s where it had none, whatever other instances had on its links.

Now `PassedTasks` decides on the end: after the own sessions it waits for passed tasks, gives open transactions of others the same half of the time as own ones, lets tasks expire when the time for answers is up, and refuses what still arrives behind its end as not run. A task that its asker gave up is no longer counted.

--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -90,6 +90,41 @@
         });
     }
 
+    for (const hasCallers of [true, false]) {
+        it(`loses nothing while four holders stop one after the other, ${hasCallers ? "with" : "without"} callers`, () => {
+            // Guards against holders that end with transactions and tasks of other instances on their links.
+            const fleet = new SessionFleet({
+                instances: 24,
+                dataCentres: 2,
+                services: 6,
+                workspaces: 8,
+                sessions: 1_000,
+                transactionPauseMs: 1_250,
+            });
+            const holders = new Set([...fleet.databases.values()].map(database => fleet.holderOf(database)));
+            const stopped = fleet.nodes.filter(({ peer }) => peer.dataCentre === "dc0" && holders.has(peer)).slice(
+                0,
+                4,
+            );
+            assert.equal(stopped.length, 4);
+            fleet.startCallers(hasCallers ? fleet.nodes : fleet.nodes.filter(node => !stopped.includes(node)));
+            fleet.advance(8_000);
+            assert.deepEqual([...fleet.answers.keys()], ["served"]);
+            for (const node of stopped) {
+                fleet.stop(node);
+                fleet.advance(400);
+            }
+            fleet.advance(7_000);
+            // A transaction that begins after the signal to stop has less than half of the time.
+            assert.deepEqual(
+                [...fleet.answers.keys()].filter(answer => answer !== "aborted while leaving").sort(),
+                hasCallers ? ["served", "served while leaving"] : ["served"],
+            );
+            assert.deepEqual(fleet.cutOff, []);
+            assert.deepEqual(fleet.staleStatements, []);
+        });
+    }
+
     it("uses up no database's connections while messages between all instances are late", () => {
         // Guards against instances that take each other for silent, and open links of their own everywhere.
         const fleet = congestedFleet();
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -62,8 +62,17 @@
     readonly seed?: number;
     /** Share of a core that each instance has; work takes no time without it. */
     readonly processorShare?: number;
+    /** Pause between two statements of a transaction. */
+    readonly transactionPauseMs?: number;
 }
 
+/** Time from SIGTERM to SIGKILL, and steps of the stop in it. */
+const graceMs = 6_000;
+const newCallersMs = 2_400;
+
+/** Time until all instances know that one leaves. */
+const leavingMs = 250;
+
 /** Processor time of the plumbing around the pipe, in ms: gRPC and sockets before the code is optimized. */
 const Cost = {
     peerIn: 0.15,
@@ -102,6 +111,8 @@
     asked = 0;
     /** Added to the way of every message between instances. */
     congestionMs = 0;
+    /** Sessions that were cut off while a request waited for its answer. */
+    readonly cutOff: string[] = [];
     /** Statements that ran on a log without a commit that they had to see. */
     readonly staleStatements: string[] = [];
     /** Time before which commits have to be seen, by statement. */
@@ -129,9 +140,9 @@
     }
 
     /** Opens the sessions of callers, who then ask for one operation after the other. */
-    startCallers(): void {
+    startCallers(nodes: readonly FleetNode[] = this.nodes): void {
         for (let index = 0; index < this.options.sessions; index++) {
-            const node = this.nodes[this.random.nextInteger(this.nodes.length)]!;
+            const node = nodes[this.random.nextInteger(nodes.length)]!;
             const routes = [...this.policy().routesByDatabase.values()];
             const share = this.random.nextShare();
             const kinds = routes.filter(({ name }) =>
@@ -157,6 +168,23 @@
         return this.nodes.filter(({ peer }) => peer.dataCentre === dataCentre && !holders.includes(peer));
     }
 
+    /** Stops an instance as the platform does, until it has drained or is killed. */
+    stop(node: FleetNode): void {
+        const drain = {
+            kind: FleetKind.DrainStarted,
+            transactionsUntilMs: this.schedule.nowMs + graceMs / 2,
+            answersUntilMs: this.schedule.nowMs + graceMs - 600,
+        };
+        node.leaving = true;
+        node.post({ ...drain, final: false } as Message);
+        this.schedule.after(leavingMs, () => {
+            const instances = this.nodes.filter(({ leaving }) => !leaving).map(({ peer }) => peer);
+            this.nodes.forEach(other => other.post({ kind: PeerKind.InstancesKnown, instances } as Message));
+        });
+        this.schedule.after(newCallersMs, () => node.post({ ...drain, final: true } as Message));
+        this.schedule.after(graceMs - 400, () => node.end());
+    }
+
     /** Disturbs an instance; `end` undoes it after `durationMs`. */
     disturb(node: FleetNode, durationMs: number, start: () => void, end: () => void): void {
         node.disturbed = true;
@@ -170,7 +198,7 @@
         ).length;
     }
 
-    private holderOf({ report }: StandInDatabase): PeerInstance | undefined {
+    holderOf({ report }: StandInDatabase): PeerInstance | undefined {
         const ranking = new HolderRanking();
         ranking.setInstances(this.nodes.map(node => node.peer));
         return ranking.rank(report.databaseId, report.dataCentre)[0];
@@ -197,7 +225,8 @@
         if (node.disturbed) {
             return;
         }
-        this.answers.set(answer, (this.answers.get(answer) ?? 0) + 1);
+        const counted = node.leaving ? `${answer} while leaving` : answer;
+        this.answers.set(counted, (this.answers.get(counted) ?? 0) + 1);
     }
 
     expectCommits(statementId: string, beforeMs: number): void {
@@ -298,6 +327,8 @@
     killed = false;
     /** What is on its way to other instances or from them is lost. */
     cut = false;
+    /** It was told to stop. */
+    leaving = false;
     /** It was frozen, killed or cut. */
     disturbed = false;
     private readonly fleet: SessionFleet;
@@ -371,12 +402,30 @@
     kill(): void {
         this.killed = true;
         this.fleet.databases.forEach(database => database.drop(this.peer.instanceId));
+        this.fleet.nodes.filter(other => other !== this).forEach(other => this.loseAt(other));
+    }
+
+    /** Ends the process in order: what it sent arrives before the ends of its streams. */
+    end(): void {
+        if (this.killed) {
+            return;
+        }
+        this.killed = true;
+        this.fleet.cutOff.push(
+            ...[...this.callers.values()].filter(({ asks }) => asks).map(({ sessionId }) => sessionId),
+        );
+        this.fleet.databases.forEach(database => database.drop(this.peer.instanceId));
         this.fleet.nodes.filter(other => other !== this).forEach(other => {
-            other.post({ kind: PeerKind.Lost, address: this.peer.address } as Message);
-            other.post({ kind: PeerKind.Gone, streamId: this.peer.instanceId } as Message);
+            const delayMs = this.fleet.delayMs(this.peer.dataCentre, other.peer.dataCentre);
+            this.fleet.schedule.after(delayMs, () => this.loseAt(other));
         });
     }
 
+    private loseAt(other: FleetNode): void {
+        other.post({ kind: PeerKind.Lost, address: this.peer.address } as Message);
+        other.post({ kind: PeerKind.Gone, streamId: this.peer.instanceId } as Message);
+    }
+
     deliver(message: Message): void {
         const costMs = message.kind.startsWith("peer.")
             ? Cost.peerOut
@@ -393,6 +442,11 @@
             case SessionKind.Answer:
                 this.callers.get((message as SessionAnswer).sessionId)?.answered(message as SessionAnswer);
                 return;
+            case SessionKind.Close:
+                this.callers.get((message as SessionAnswer).sessionId)?.closed();
+                return;
+            case FleetKind.Drained:
+                return this.end();
             case SessionKind.Refuse:
                 this.fleet.noteAnswer(this, "refused");
                 return;
@@ -470,7 +524,10 @@
 class Caller {
     private readonly fleet: SessionFleet;
     private readonly node: FleetNode;
-    private readonly sessionId: string;
+    readonly sessionId: string;
+    /** A request waits for its answer. */
+    asks = false;
+    private isClosed = false;
     private readonly route: RoutePolicy;
     private plan: SessionStatementKind[] = [];
     private nextId = 0;
@@ -491,9 +548,24 @@
         this.operate();
     }
 
+    closed(): void {
+        this.isClosed = true;
+        this.node.callers.delete(this.sessionId);
+        if (this.asks) {
+            this.fleet.cutOff.push(this.sessionId);
+        }
+    }
+
     answered({ answer }: SessionAnswer): void {
+        this.asks = false;
         if (answer.fault === undefined && this.plan.length > 0) {
-            this.request(this.plan.shift()!);
+            const pauseMs = this.fleet.options.transactionPauseMs ?? 0;
+            if (pauseMs === 0) {
+                this.request(this.plan.shift()!);
+            }
+            else {
+                this.fleet.schedule.after(pauseMs, () => this.request(this.plan.shift()!));
+            }
             return;
         }
         const open = answer.fault !== undefined && answer.transaction !== "none";
@@ -508,6 +580,9 @@
     }
 
     private operate(): void {
+        if (this.isClosed) {
+            return;
+        }
         this.fleet.asked += 1;
         this.operationMs = this.fleet.schedule.nowMs;
         const [transactions, writes] = {
@@ -525,6 +600,7 @@
     }
 
     private request(kind: SessionStatementKind): void {
+        this.asks = true;
         const shown = statement(kind, `${this.sessionId}-${this.nextId++}`);
         this.fleet.expectCommits(shown.id, this.operationMs - this.route.maximumAgeMs);
         this.node.post({ kind: SessionKind.Requested, sessionId: this.sessionId, statement: shown } as Message);
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -1,5 +1,6 @@
 /** Tasks that other instances pass here because this one holds the links of the database. */
 import { match, P } from "ts-pattern";
+import { type FleetDrainStarted, FleetKind } from "../model/fleetMessages.ts";
 import {
     type FloorQuestion,
     type PassedTask,
@@ -9,25 +10,48 @@
     PeerKind,
     type PeerQuestion,
 } from "../model/peerMessages.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
+import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { type LinkTask, type TaskAbandoned, type TaskAttempted, TaskKind, type TaskMode } from "./taskMessages.ts";
+import {
+    type DrainDue,
+    type DrainStep,
+    expireTask,
+    type LinkTask,
+    type TaskAbandoned,
+    type TaskAttempted,
+    TaskKind,
+    type TaskMode,
+} from "./taskMessages.ts";
 
 /** Separates the stream from the asker's own ids; local ids hold none. */
 const separator = "/";
 
-type PassedInput = PeerAsked | PeerGone | TaskAttempted;
+type PassedInput = PeerAsked | PeerGone | TaskAttempted | FleetDrainStarted | DrainStep | DrainDue;
 
 /**
  * Stands before the routing for results, and sends the results of passed tasks back. The tasks themselves go to the
- * links as `task.placed` and `task.continued` and are not routed again.
+ * links as `task.placed` and `task.continued` and are not routed again. An instance that stops ends when they have ended
+ * as well as its own sessions.
  */
 export class PassedTasks implements Filter<PassedInput, Message> {
     readonly step = "passed_tasks";
-    readonly accepts = [PeerKind.Asked, PeerKind.Gone, TaskKind.Attempted];
+    readonly accepts = [
+        PeerKind.Asked,
+        PeerKind.Gone,
+        TaskKind.Attempted,
+        FleetKind.DrainStarted,
+        TaskKind.SessionsEnded,
+        TaskKind.PassedLimitDue,
+        TaskKind.DrainDue,
+    ];
     /** Sessions with an open transaction here, and the tasks under way, by stream. */
     private readonly sessions = new Map<string, Set<string>>();
     private readonly tasks = new Map<string, Map<string, string>>();
+    /** Steps of the stop that have come. */
+    private readonly steps = new Set<(DrainStep | DrainDue)["kind"]>();
+    private drained = false;
 
     process(message: PassedInput, nowMs: number): readonly Message[] {
         return match<PassedInput, readonly Message[]>(message)
@@ -36,8 +60,18 @@
                 ({ streamId, question }) => this.ask(streamId, question, nowMs),
             )
             .with({ kind: PeerKind.Asked }, found => [found])
-            .with({ kind: PeerKind.Gone }, found => this.gone(found.streamId))
+            .with({ kind: PeerKind.Gone }, found => [...this.gone(found.streamId), ...this.drainedIfEmpty()])
             .with({ kind: TaskKind.Attempted }, found => this.finish(found))
+            .with({ kind: FleetKind.DrainStarted }, found => [
+                found,
+                setDeadline("drain/passed", found.transactionsUntilMs, { kind: TaskKind.PassedLimitDue }),
+            ])
+            .with(
+                { kind: TaskKind.SessionsEnded },
+                { kind: TaskKind.PassedLimitDue },
+                { kind: TaskKind.DrainDue },
+                step => this.takeStep(step),
+            )
             .exhaustive();
     }
 
@@ -50,7 +84,11 @@
             const sessionId = join(streamId, question.sessionId);
             const taskId = question.taskId === undefined ? undefined : join(streamId, question.taskId);
             this.sessions.get(streamId)?.delete(sessionId);
-            return [passedAbandoned(sessionId, taskId)];
+            this.tasks.get(streamId)?.delete(taskId ?? "");
+            return [passedAbandoned(sessionId, taskId), ...this.drainedIfEmpty()];
+        }
+        if (this.drained || this.steps.has(TaskKind.DrainDue)) {
+            return [refusalOf(streamId, question)];
         }
         const task = toTask(streamId, question, nowMs);
         const tasks = this.tasks.get(streamId) ?? new Map<string, string>();
@@ -84,7 +122,39 @@
             leads,
             pinned,
         };
-        return [{ kind: PeerKind.Answer, streamId, result } as PeerAnswer];
+        return [
+            { kind: PeerKind.Answer, streamId, result } as PeerAnswer,
+            ...this.steps.has(TaskKind.PassedLimitDue) ? this.abandonIdle(streamId) : [],
+            ...this.drainedIfEmpty(),
+        ];
+    }
+
+    private takeStep({ kind }: DrainStep | DrainDue): readonly Message[] {
+        this.steps.add(kind);
+        const streamIds = kind === TaskKind.PassedLimitDue ? [...this.sessions.keys()] : [];
+        const running = kind === TaskKind.DrainDue ? [...this.tasks.values()].flatMap(tasks => [...tasks.keys()]) : [];
+        return [
+            ...streamIds.flatMap(streamId => this.abandonIdle(streamId)),
+            ...running.map(taskId => expireTask(taskId)),
+            ...this.drainedIfEmpty(),
+        ];
+    }
+
+    /** Rolls back the open transactions of a stream that run no statement. */
+    private abandonIdle(streamId: string): readonly Message[] {
+        const busy = new Set(this.tasks.get(streamId)?.values());
+        const idle = [...this.sessions.get(streamId) ?? []].filter(sessionId => !busy.has(sessionId));
+        idle.forEach(sessionId => this.sessions.get(streamId)!.delete(sessionId));
+        return idle.map(sessionId => passedAbandoned(sessionId, undefined));
+    }
+
+    private drainedIfEmpty(): readonly Message[] {
+        const isEmpty = [...this.tasks.values(), ...this.sessions.values()].every(({ size }) => size === 0);
+        if (this.drained || !isEmpty || !this.steps.has(TaskKind.SessionsEnded)) {
+            return [];
+        }
+        this.drained = true;
+        return [{ kind: FleetKind.Drained } as Message];
     }
 
     private notePin(streamId: string, sessionId: string, pinned: boolean): void {
@@ -115,6 +185,20 @@
     return { kind: TaskKind.PassedAbandoned, sessionId, taskId };
 }
 
+/** The next holder takes what begins; a transaction that was open here is rolled back. */
+function refusalOf(streamId: string, { taskId, databaseId }: PassedTask): PeerAnswer {
+    const result = {
+        kind: "task" as const,
+        taskId,
+        reply: undefined,
+        fault: databaseId === "" ? StatementFault.Aborted : StatementFault.Busy,
+        sent: false,
+        leads: false,
+        pinned: false,
+    };
+    return { kind: PeerKind.Answer, streamId, result };
+}
+
 function toTask(streamId: string, passed: PassedTask, nowMs: number): LinkTask {
     const { service, workspace, mode, statement, writes, needsPrimary, values, prepared, limitMs } = passed;
     return {
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -24,6 +24,7 @@
 import { Session, type Transaction } from "./session.ts";
 import {
     type DrainDue,
+    type DrainStep,
     expireTask,
     stopText,
     type Task,
@@ -326,7 +327,7 @@
         return [
             clearDeadline(limitKey(sessionId)),
             ...holdsDatabase ? [abandonOf(sessionId, session.running?.taskId)] : [],
-            ...this.drainedIfEmpty(),
+            ...this.endedIfEmpty(),
         ];
     }
 
@@ -373,7 +374,7 @@
             ...open.filter(session => this.mayClose(session)).flatMap(session => this.closeIdle(session)),
             ...open.filter(({ transaction }) => transaction !== undefined)
                 .map(session => this.limitTimer(session.sessionId, this.transactionEndMs(session))),
-            ...this.drainedIfEmpty(),
+            ...this.endedIfEmpty(),
         ];
     }
 
@@ -404,13 +405,13 @@
         return [
             { kind: SessionKind.Close, sessionId: session.sessionId } as Message,
             clearDeadline(limitKey(session.sessionId)),
-            ...this.drainedIfEmpty(),
+            ...this.endedIfEmpty(),
         ];
     }
 
-    private drainedIfEmpty(): readonly Message[] {
+    private endedIfEmpty(): readonly Message[] {
         return this.drain !== undefined && this.drain.final && this.sessions.size === 0
-            ? [{ kind: FleetKind.Drained } as Message]
+            ? [{ kind: TaskKind.SessionsEnded } as DrainStep]
             : [];
     }
 
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -19,6 +19,10 @@
     PassedAbandoned: "task.passed_abandoned",
     /** The instance ends before the task's own deadline; the task is to end with what is certain about it. */
     Expired: "task.expired",
+    /** An instance that stops has no session of its own left. */
+    SessionsEnded: "task.sessions_ended",
+    /** Open transactions of other instances have had their time, because the instance stops. */
+    PassedLimitDue: "task.passed_limit_due",
     /** The time for answers is up, because the instance stops. */
     DrainDue: "task.drain_due",
     Attempted: "task.attempted",
@@ -126,6 +130,10 @@
     readonly kind: typeof TaskKind.DrainDue;
 }
 
+export interface DrainStep extends Message {
+    readonly kind: typeof TaskKind.SessionsEnded | typeof TaskKind.PassedLimitDue;
+}
+
 export interface TaskAttempted extends Message {
     readonly kind: typeof TaskKind.Attempted;
     readonly task: LinkTask;
