fix(platform): a control member that stops answers the calls under way

Operators and databases whose call was on its way to a control member at SIGTERM got no answer: the process ended at once and closed all connections.

The member now closes its listener, answers what is under way within 2 s (a configuration without a majority has its answer after 1.5 s), refuses calls that begin on open connections with 503, closes each connection behind its last answer, and ends. Without calls it ends at once, as before. A second signal changes nothing.

platformProcess.spec.ts failed before: a call whose body was half sent at the signal was cut off ("" against "HTTP/1.1 200 OK").

A leader that stops still hands nothing over; its followers elect after their timeout.

--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -19,6 +19,9 @@
 /** A body that comes slower than this is given up; large ones take a second. */
 const bodyLimitMs = 10_000;
 
+/** Time that calls under way have when the process stops; above the time of a configuration or a read without a majority. */
+const lastCallsMs = 2_000;
+
 const heartbeatPath = "/-/Instances.Heartbeat/";
 const leavePath = "/-/Instances.Leave/";
 const putPath = "/-/Config.Put";
@@ -40,13 +43,20 @@
     private readonly options: ControlServerOptions;
     private readonly server: Server;
     private readonly pending = new Map<string, PendingRequest>();
+    /** Calls without an answer, those whose body is on its way included. */
+    private readonly open = new Set<ServerResponse>();
+    private stopped: Promise<void> | undefined;
     private nextRequest = 0;
 
     constructor(options: ControlServerOptions) {
         this.options = options;
         this.server = createServer(
             { requestTimeout: bodyLimitMs, keepAliveTimeout: 30_000 },
-            (request, response) => this.route(request, response),
+            (request, response) => {
+                this.open.add(response);
+                response.once("close", () => this.open.delete(response));
+                this.route(request, response);
+            },
         );
     }
 
@@ -78,13 +88,36 @@
         }
     }
 
+    /** Takes no new calls, and resolves when those under way have their answers, or their time is up. */
+    stop(): Promise<void> {
+        this.stopped ??= this.finish();
+        return this.stopped;
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         this.server.close();
         this.server.closeAllConnections();
     }
 
+    private finish(): Promise<void> {
+        // A connection that stays open behind its last answer would hold up the end.
+        this.open.forEach(response => response.shouldKeepAlive = false);
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, lastCallsMs);
+            this.server.close(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+
     private route(request: IncomingMessage, response: ServerResponse): void {
         const { method = "", url = "" } = request;
+        if (this.stopped !== undefined) {
+            response.shouldKeepAlive = false;
+            answer(response, 503, "{\"error\":\"this member stops; send the call to another one\"}");
+            return;
+        }
         if (method === "GET" && url === getPath) {
             const requestId = this.remember(response, url);
             this.options.post({ kind: DocumentKind.Read, requestId } as DocumentRead);
--- /dev/null
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { mkdtemp, rm } from "node:fs/promises";
+import { connect, createServer, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { text } from "node:stream/consumers";
+import { describe, it } from "node:test";
+import type { PlatformSettings } from "../../platform/platformSettings.ts";
+import { startPlatformProcess } from "../platformProcess.ts";
+
+/** A port that is free at the moment. */
+async function freePort(): Promise<number> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as { readonly port: number; };
+    server.close();
+    await once(server, "close");
+    return port;
+}
+
+async function memberSettings(dataFolder: string): Promise<PlatformSettings> {
+    const rpcAddress = `127.0.0.1:${await freePort()}`;
+    return {
+        instanceId: "core1",
+        host: "127.0.0.1",
+        dataCentre: "dc1",
+        callers: undefined,
+        readiness: undefined,
+        control: { host: "127.0.0.1", port: await freePort() },
+        rpcAddress,
+        seeds: [{ memberId: "127.0.0.1", address: rpcAddress }, { memberId: "127.0.0.2", address: "127.0.0.2:1" }],
+        firstStart: true,
+        dataFolder,
+        reportIntervalMs: 500,
+        rateTolerance: { windowMs: 1_000, share: 0, operations: 0 },
+        stopLimitMs: 6_000,
+        tolerance: 0,
+        ordersAddress: undefined,
+    };
+}
+
+async function open(settings: PlatformSettings): Promise<Socket> {
+    const socket = connect(settings.control!);
+    await once(socket, "connect");
+    return socket;
+}
+
+describe("process of a control member", () => {
+    it("answers the calls that are under way before it ends", async () => {
+        // Guards against operators' and databases' calls that are cut off at each restart of a member.
+        const folder = await mkdtemp(join(tmpdir(), "member-"));
+        const settings = await memberSettings(folder);
+        const member = await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 });
+        const begun = await open(settings);
+        begun.write("POST /-/Instances.Leave/db1 HTTP/1.1\r\nHost: m\r\nContent-Length: 2\r\n\r\n{");
+        const kept = await open(settings);
+        kept.write("GET /-/other HTTP/1.1\r\nHost: m\r\n\r\n");
+        await once(kept, "data");
+        const late = await open(settings);
+        // The member has the connection before the signal.
+        await new Promise(resolve => setTimeout(resolve, 50));
+        member.drain();
+        const ended = member.ended.then(() => member[Symbol.asyncDispose]());
+        setTimeout(() => begun.end("}"), 200);
+        member.drain();
+        late.write("GET /-/Config.Get HTTP/1.1\r\nHost: m\r\n\r\n");
+        assert.equal((await text(late)).split("\r\n")[0], "HTTP/1.1 503 Service Unavailable");
+        const answer = await text(begun).catch((error: Error) => error.message);
+        assert.equal(answer.split("\r\n")[0], "HTTP/1.1 200 OK");
+        await ended;
+        kept.destroy();
+        await rm(folder, { recursive: true });
+    });
+});
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -100,7 +100,7 @@
     const post = (message: Message): void => loop.post(message);
     const parts: Parts = { ...inputs, clock, post, network, authentication, logger, load, stack };
     const end = new ProcessEnd(FleetKind.Drained);
-    const { pipes, sinks, started } = control
+    const { pipes, sinks, started, stopped } = control
         ? await buildControl(parts)
         : await buildProxy(parts);
     const log = new DecisionLog({ logger, writers: decisionLines });
@@ -111,7 +111,16 @@
     logger.info("started", { control, address: settings.rpcAddress });
     const opened = stack.move();
     return {
-        drain: () => startDrain(parts, control, end),
+        drain: () => {
+            logger.info("draining");
+            const drained = stopped?.();
+            if (drained === undefined) {
+                startDrain(parts, end);
+            }
+            else {
+                void drained.then(() => end.deliver({ kind: FleetKind.Drained }));
+            }
+        },
         reload: changed => {
             post({ kind: ControlKind.SeedsChanged, seeds: changed.seeds } as Message);
             logger.info("reloaded", { seeds: changed.seeds.map(({ address }) => address).join(",") });
@@ -126,6 +135,8 @@
     readonly sinks: readonly Sink[];
     /** Opens the listeners and posts the first events. */
     started(): Promise<void>;
+    /** Resolves when nothing is under way; undefined where the end of the sessions tells it. */
+    readonly stopped?: () => Promise<void>;
 }
 
 async function buildProxy(parts: Parts): Promise<Built> {
@@ -267,6 +278,7 @@
     return {
         pipes: [controlPipe, fleet],
         sinks,
+        stopped: () => controlServer.stop(),
         started: async () => {
             await listen(server, rpcAddress);
             stack.defer(() => server.forceShutdown());
@@ -277,14 +289,8 @@
     };
 }
 
-/** A proxy ends with its last session, or before the kill; a control member has nothing to wait for. */
-function startDrain(parts: Parts, control: boolean, end: ProcessEnd): void {
-    const { settings, clock, post, logger } = parts;
-    logger.info("draining");
-    if (control) {
-        end.deliver({ kind: FleetKind.Drained });
-        return;
-    }
+/** A proxy ends with its last session and the last task of another instance, or before the kill. */
+function startDrain({ settings, clock, post }: Parts, end: ProcessEnd): void {
     const drain = {
         kind: FleetKind.DrainStarted,
         transactionsUntilMs: clock.nowMs() + settings.stopLimitMs / 2,
