fix(session): a second signal to stop gives no more time

With two SIGTERM, the second one moved the limits of the stop beyond the kill of the first and let a stopping instance take sessions again, whose requests were cut off at its end. The second `fleet.drain_started` replaced the first; sessions now keep the one that ends earlier.

sessionPipe.spec.ts, "stops by the first signal when a second one comes", failed before: a session that came after the second signal was not refused (0 against 1).

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -320,6 +320,26 @@
         assert.deepEqual(fixture.others.map(({ kind }) => kind).filter(kind => kind === FleetKind.Drained).length, 1);
     });
 
+    it("stops by the first signal when a second one comes", () => {
+        // Guards against a second signal that gives requests time beyond the kill, and sessions that open again.
+        const fixture = new SessionFixture();
+        fixture.configure({ ...route(RouteConsistency.Primary, "orders"), statementLimitMs: 20_000 });
+        fixture.announce("p", true);
+        fixture.connect("s1", "orders");
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400 };
+        fixture.post({ ...drain, final: true } as never);
+        fixture.advance(3_500);
+        const second = { kind: FleetKind.DrainStarted, transactionsUntilMs: 6_500, answersUntilMs: 8_900 };
+        fixture.post({ ...second, final: false } as never);
+        fixture.connect("s2", "orders");
+        assert.deepEqual(fixture.others.map(({ kind }) => kind).filter(kind => kind === SessionKind.Refuse).length, 1);
+        fixture.advance(2_000);
+        assert.equal(fixture.lastFault(), StatementFault.InDoubt);
+        assert.equal(fixture.others.at(-1)?.kind, FleetKind.Drained);
+    });
+
     it("answers what waits behind a running statement when the time of a stop is up", () => {
         // Guards against statements sent ahead of the answer that are cut off with the connection.
         const fixture = new SessionFixture();
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -366,6 +366,10 @@
     }
 
     private startDrain(drain: FleetDrainStarted): readonly Message[] {
+        if (this.drain !== undefined && drain.answersUntilMs > this.drain.answersUntilMs) {
+            // The kill follows the first signal; a second one gives no more time.
+            return [];
+        }
         this.drain = drain;
         const open = [...this.sessions.values()];
         return [
