fix(platform): the end of a process waits for the last answers to callers

Callers behind a slow connection got an incomplete answer when the process ended right behind it: sockets were destroyed, or ended and forgotten, and `process.exit` followed at once with the rest of the answer in memory.

--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -1,5 +1,5 @@
 /** The side of the wire towards callers: one connection is one session. */
-import { createServer, type Server, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import {
     type SessionAccept,
     type SessionAnswer,
@@ -22,6 +22,9 @@
 /** Unsent answers above which a caller that does not read is cut off; a few of the largest messages. */
 const maximumUnsentBytes = 4 * 1_048_576;
 
+/** Time for the last answers to reach callers at the end; a part of what is kept before the kill. */
+const closingLimitMs = 150;
+
 type Input = SessionAccept | SessionRefuse | SessionAnswer | SessionClose;
 
 export interface WireServerOptions {
@@ -41,6 +44,8 @@
     private readonly options: WireServerOptions;
     private readonly server: Server;
     private readonly connections = new Map<string, Connection>();
+    /** All that are open, those of closed sessions included. */
+    private readonly sockets = new Set<Socket>();
     private nextSession = 0;
 
     constructor(options: WireServerOptions) {
@@ -52,6 +57,11 @@
         return this.connections.size;
     }
 
+    /** The port that it listens on. */
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     listen(): Promise<void> {
         const { host, port } = this.options;
         return new Promise((resolve, reject) => {
@@ -80,15 +90,20 @@
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        this.server.close();
-        this.connections.forEach(({ socket }) => socket.destroy());
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.connections.forEach(({ socket }) => socket.end());
         this.connections.clear();
+        const timer = setTimeout(() => this.sockets.forEach(socket => socket.destroy()), closingLimitMs);
+        await closed;
+        clearTimeout(timer);
     }
 
     private open(socket: Socket): void {
         const sessionId = `s${this.nextSession++}`;
         const connection = { socket, reader: new LineReader(), opened: false };
         this.connections.set(sessionId, connection);
+        this.sockets.add(socket);
+        socket.once("close", () => this.sockets.delete(socket));
         socket.setTimeout(openingLimitMs, () => this.end(sessionId));
         socket.on("data", chunk => this.receive(sessionId, connection, chunk));
         socket.on("error", () => this.end(sessionId));
