fix(rpc): a holder that ends delivers its last results to other instances

A write or commit that had run and was answered by a holder in its last moment was in doubt at the instance that had passed it: the end of the process shut the gRPC server down by force before the streams were ended, and results that were not out were dropped.

The streams are now ended first, and the server ends behind them, within 100 ms at most.

--- a/src/rpc/peerChannel.ts
+++ b/src/rpc/peerChannel.ts
@@ -21,6 +21,9 @@
 /** A result set must fit into one message, and the gRPC default of 4 MB is below the size of large ones. */
 const maximumMessageBytes = 64 * 1024 * 1024;
 
+/** Time for what was written last to reach peers at the end; a part of what is kept before the kill. */
+const endLimitMs = 100;
+
 const channelOptions: ChannelOptions = {
     "grpc.keepalive_time_ms": keepaliveIntervalMs,
     "grpc.keepalive_timeout_ms": keepaliveTimeoutMs,
@@ -59,6 +62,20 @@
     });
 }
 
+/** Ends a server behind what was written on calls that have ended; calls that go on are cut off after 100 ms. */
+export function endServer(server: Server): Promise<void> {
+    return new Promise(resolve => {
+        const timer = setTimeout(() => {
+            server.forceShutdown();
+            resolve();
+        }, endLimitMs);
+        server.tryShutdown(() => {
+            clearTimeout(timer);
+            resolve();
+        });
+    });
+}
+
 /** Options for the constructor of a generated client; every call is signed. */
 export function peerClientOptions(authentication: PeerAuthentication): Partial<ClientOptions> {
     return { ...clientOptions, interceptors: [signingInterceptor(authentication)] };
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -46,6 +46,27 @@
     return socket;
 }
 
+describe("process of a proxy", () => {
+    it("ends once callers no longer arrive, with a caller who keeps its connection open", async () => {
+        const dataFolder = undefined as never;
+        const control = undefined;
+        const callers = { host: "127.0.0.1", port: await freePort() };
+        const settings = { ...await memberSettings(dataFolder), control, callers, instanceId: "front1" };
+        const proxy = await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 });
+        const caller = connect({ ...callers, allowHalfOpen: true });
+        caller.write("CONNECT orders k\r\n");
+        caller.resume();
+        await once(caller, "connect");
+        proxy.drain();
+        proxy.drain();
+        const limit = AbortSignal.timeout(settings.stopLimitMs);
+        await proxy.ended;
+        await proxy[Symbol.asyncDispose]();
+        assert.equal(limit.aborted, false);
+        caller.destroy();
+    });
+});
+
 describe("process of a control member", () => {
     it("answers the calls that are under way before it ends", async () => {
         // Guards against operators' and databases' calls that are cut off at each restart of a member.
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -32,7 +32,7 @@
 import { FleetAcceptor } from "../rpc/fleetService.ts";
 import { LogPeers } from "../rpc/logPeers.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
-import { createPeerServer, listen } from "../rpc/peerChannel.ts";
+import { createPeerServer, endServer, listen } from "../rpc/peerChannel.ts";
 import { PeerNetwork } from "../rpc/peerNetwork.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
 import { Admission } from "../session/admission.ts";
@@ -175,6 +175,8 @@
         }),
     );
     const peerServer = createPeerServer(authentication);
+    // Comes after the end of the streams, so that their last results are out.
+    stack.defer(() => endServer(peerServer));
     const streams = stack.use(new TaskStreams({ network, post, traffic: load }));
     streams.addTo(peerServer);
     const sinks: readonly Sink[] = [
@@ -190,7 +192,6 @@
         sinks,
         started: async () => {
             await listen(peerServer, settings.rpcAddress);
-            stack.defer(() => peerServer.forceShutdown());
             await server.listen();
             if (readiness !== undefined) {
                 await readinessServer.listen(readiness);
