test(session): requests are answered whose key and workspace are removed meanwhile

Not reproduced: what runs and what waits for a permit was answered before any change as well; the cases keep it so.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -320,6 +320,20 @@
         assert.deepEqual(fixture.others.map(({ kind }) => kind).filter(kind => kind === FleetKind.Drained).length, 1);
     });
 
+    for (const permits of [0, 100]) {
+        it(`answers what runs or waits when its key and workspace are removed (${permits} permits)`, () => {
+            const fixture = primaryFixture(permits);
+            fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+            fixture.openLinks();
+            fixture.configureWithoutKeys();
+            fixture.advance(1_100);
+            assert.deepEqual(
+                fixture.answers.map(({ answer }) => answer.fault),
+                [permits === 0 ? StatementFault.Busy : StatementFault.InDoubt],
+            );
+        });
+    }
+
     it("stops by the first signal when a second one comes", () => {
         // Guards against a second signal that gives requests time beyond the kill, and sessions that open again.
         const fixture = new SessionFixture();
