--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -32,7 +32,7 @@
 import { FleetAcceptor } from "../rpc/fleetService.ts";
 import { LogPeers } from "../rpc/logPeers.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
-import { createPeerServer, listen } from "../rpc/peerChannel.ts";
+import { createPeerServer, endServer, listen } from "../rpc/peerChannel.ts";
 import { PeerNetwork } from "../rpc/peerNetwork.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
 import { Admission } from "../session/admission.ts";
@@ -55,9 +55,12 @@
 /** Time after the signal to stop for which the platform still sends new callers here: two of its questions. */
 const newCallersMs = 2_400;
 
-/** Kept between the last answer and the kill. */
+/** Kept between the end of the process and the kill. */
 const stopMarginMs = 400;
 
+/** Time for the last answers to reach callers and other instances; slow links take a tenth of a second. */
+const lastAnswersMs = 200;
+
 export interface PlatformProcess extends AsyncDisposable {
     /** Starts the graceful shutdown. */
     drain(): void;
@@ -97,7 +100,7 @@
     const post = (message: Message): void => loop.post(message);
     const parts: Parts = { ...inputs, clock, post, network, authentication, logger, load, stack };
     const end = new ProcessEnd(FleetKind.Drained);
-    const { pipes, sinks, started } = control
+    const { pipes, sinks, started, stopped } = control
         ? await buildControl(parts)
         : await buildProxy(parts);
     const log = new DecisionLog({ logger, writers: decisionLines });
@@ -108,7 +111,16 @@
     logger.info("started", { control, address: settings.rpcAddress });
     const opened = stack.move();
     return {
-        drain: () => startDrain(parts, control, end),
+        drain: () => {
+            logger.info("draining");
+            const drained = stopped?.();
+            if (drained === undefined) {
+                startDrain(parts, end);
+            }
+            else {
+                void drained.then(() => end.deliver({ kind: FleetKind.Drained }));
+            }
+        },
         reload: changed => {
             post({ kind: ControlKind.SeedsChanged, seeds: changed.seeds } as Message);
             logger.info("reloaded", { seeds: changed.seeds.map(({ address }) => address).join(",") });
@@ -123,6 +135,8 @@
     readonly sinks: readonly Sink[];
     /** Opens the listeners and posts the first events. */
     started(): Promise<void>;
+    /** Resolves when nothing is under way; undefined where the end of the sessions tells it. */
+    readonly stopped?: () => Promise<void>;
 }
 
 async function buildProxy(parts: Parts): Promise<Built> {
@@ -161,6 +175,8 @@
         }),
     );
     const peerServer = createPeerServer(authentication);
+    // Comes after the end of the streams, so that their last results are out.
+    stack.defer(() => endServer(peerServer));
     const streams = stack.use(new TaskStreams({ network, post, traffic: load }));
     streams.addTo(peerServer);
     const sinks: readonly Sink[] = [
@@ -176,7 +192,6 @@
         sinks,
         started: async () => {
             await listen(peerServer, settings.rpcAddress);
-            stack.defer(() => peerServer.forceShutdown());
             await server.listen();
             if (readiness !== undefined) {
                 await readinessServer.listen(readiness);
@@ -264,6 +279,7 @@
     return {
         pipes: [controlPipe, fleet],
         sinks,
+        stopped: () => controlServer.stop(),
         started: async () => {
             await listen(server, rpcAddress);
             stack.defer(() => server.forceShutdown());
@@ -274,17 +290,12 @@
     };
 }
 
-/** A proxy ends with its last session, or before the kill; a control member has nothing to wait for. */
-function startDrain(parts: Parts, control: boolean, end: ProcessEnd): void {
-    const { settings, clock, post, logger } = parts;
-    logger.info("draining");
-    if (control) {
-        end.deliver({ kind: FleetKind.Drained });
-        return;
-    }
+/** A proxy ends with its last session and the last task of another instance, or before the kill. */
+function startDrain({ settings, clock, post }: Parts, end: ProcessEnd): void {
     const drain = {
         kind: FleetKind.DrainStarted,
         transactionsUntilMs: clock.nowMs() + settings.stopLimitMs / 2,
+        answersUntilMs: clock.nowMs() + settings.stopLimitMs - stopMarginMs - lastAnswersMs,
     };
     post({ ...drain, final: false } as Message);
     setTimeout(() => post({ ...drain, final: true } as Message), newCallersMs);
