fix(promotions): an instance tells of its commits also when it no longer knows the replica that has them

What callers could lose: an acknowledged commit that the promoted database lacks.

Cause, found by a review, a regression of: the question of the fencing named a replica, and an instance without a pool of that replica answered as if it had seen no commit. Where the replica that received a commit had left or its address was taken over, and the primary died, every instance answered so, and a replica that lacked the commit was promoted. An instance that had started again under its id answered in the same way, though its earlier process may have acknowledged.

The question now has frames of its own. It carries the service and an id from the fence of the promotion and a round; answers to earlier questions have another id, and a new round starts when commits can be acknowledged again (the primary and a replica came back), which the earlier code didn't look at. An answer without a commit means unknown. It is covered only by a commit that some instance sent to the primary after this process had started: all that an earlier process acknowledged lies before it. An instance that has seen a commit itself has that proof at hand. Otherwise the fencing waits for the missing replica or the primary, as it does for an instance that is gone. The times are taken on the safe side of the way of an answer.

A commit that ran on a link of another instance is noted by both, so that either of them is enough.

Evidence: commitWitness.spec.ts lets a fencing ask a real Attachments and Links. On the code before, two of its three tests failed: "keeps a commit whose only replica has left from being lost" and "does not vouch for commits that an earlier process of the instance acknowledged", both with the choice r2 where undefined was expected. In fencing.spec.ts the questions have ids in place of the name of a replica; the conditions are as strict as before, and three tests are new.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type DatabaseReport, FleetKind, ReportedState, type SendFrame } from "../../model/fleetMessages.ts";
+import {
+    type CommitsSeenFrame,
+    type DatabaseReport,
+    FleetKind,
+    ReportedState,
+    type SendFrame,
+} from "../../model/fleetMessages.ts";
 import {
     type LinkCommand,
     LinkCommandKind,
@@ -23,6 +29,8 @@
 
     constructor(parts: Partial<FencingOptions> = {}) {
         this.fencing = new Fencing({
+            service: "s",
+            fence: 7,
             reports: ["p", "a", "b"].map(report),
             primaryId: "p",
             planned: false,
@@ -62,15 +70,18 @@
         this.take(this.fencing.lost({ kind: LinkKind.Lost, linkId, loss, fault: undefined }, this.nowMs));
     }
 
-    /** An instance tells the highest commit that it saw acknowledged, asked about a database. */
-    tell(attachmentId: string, offset: number, databaseId = "a"): void {
-        this.fencing.noteAcknowledged(attachmentId, {
-            kind: "assessment",
-            databaseId,
-            answeredAgeMs: undefined,
-            unansweredAgeMs: undefined,
-            acknowledged: { term: 3, offset },
-        });
+    /** An instance tells the highest commit that it saw acknowledged. */
+    tell(attachmentId: string, offset: number | undefined, parts: Partial<CommitsSeenFrame> = {}): void {
+        const frame: CommitsSeenFrame = {
+            kind: "commits_seen",
+            questionId: "7/0",
+            service: "s",
+            highest: offset === undefined ? undefined : { term: 3, offset },
+            sentAgeMs: undefined,
+            watchedMs: 60_000,
+            ...parts,
+        };
+        this.fencing.noteAcknowledged(attachmentId, frame, this.nowMs);
     }
 
     decide(afterMs = 0): string | undefined {
@@ -92,7 +103,9 @@
             }
             else if (message.kind === FleetKind.SendFrame) {
                 const { attachmentId, frame } = message as SendFrame;
-                this.questions.push(`${attachmentId} ${frame.kind === "assess" ? frame.databaseId : frame.kind}`);
+                this.questions.push(
+                    `${attachmentId} ${frame.kind === "commits_asked" ? frame.questionId : frame.kind}`,
+                );
             }
             else if (message.kind === LinkKind.Send) {
                 const { linkId, commands } = message as LinkSend;
@@ -167,11 +180,11 @@
         const service = new Service();
         service.open("a", 3, 10);
         service.answer("a", false, 3, 10);
-        service.tell("f1", 10, "p");
+        service.tell("f1", 10);
         service.lose("p", LinkLoss.NoListener);
         service.lose("b", LinkLoss.NoListener);
         assert.equal(service.decide(1_300), undefined);
-        service.tell("f1", 10, "p");
+        service.tell("f1", 10, { questionId: "6/0" });
         assert.equal(service.decide(), undefined);
         service.tell("f1", 11);
         assert.equal(service.decide(), undefined);
@@ -190,11 +203,64 @@
         assert.equal(service.decide(600), undefined);
         serving.set("f3", "i2");
         service.decide(600);
-        assert.deepEqual(service.questions, ["f1 a", "f2 a", "f3 a"]);
+        assert.deepEqual(service.questions, ["f1 7/0", "f2 7/0", "f3 7/0"]);
         service.tell("f3", 10);
         assert.equal(service.decide(), "a");
     });
 
+    it("asks again after the primary and a replica came back and may have acknowledged more", () => {
+        const service = new Service();
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        service.decide(1_300);
+        service.tell("f1", 11);
+        service.decide(100);
+        service.open("p", 3, 11);
+        service.open("b", 3, 11);
+        service.lose("b", LinkLoss.NoListener);
+        service.lose("p", LinkLoss.NoListener);
+        service.tell("f1", 10);
+        assert.equal(service.decide(100), undefined);
+        assert.deepEqual(service.questions, ["f1 7/0", "f1 7/1"]);
+        service.tell("f1", 10, { questionId: "7/1" });
+        assert.equal(service.decide(), "a");
+    });
+
+    it("waits for the replica that is gone when an instance has seen no commit since it started", () => {
+        // Guards against the loss of commits that the instance acknowledged before it started again.
+        const service = new Service();
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        service.decide(1_300);
+        service.tell("f1", undefined);
+        assert.equal(service.decide(10_000), undefined);
+        service.open("b", 3, 12);
+        service.answer("b", false, 3, 12);
+        assert.equal(service.decide(), "b");
+    });
+
+    it("takes a commit sent after an instance started for proof that its earlier process saw none beyond", () => {
+        const service = new Service({ serving: new Map([["f1", "i1"], ["f2", "i2"]]) });
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        service.decide(1_300);
+        service.nowMs += 200;
+        service.tell("f1", undefined, { watchedMs: 20_000 });
+        service.tell("f2", 10);
+        assert.equal(service.decide(), undefined);
+        // Counted from the question, the commit may be older than the process by the way of the answer.
+        service.tell("f2", 10, { sentAgeMs: 19_900 });
+        assert.equal(service.decide(), undefined);
+        service.tell("f2", 10, { sentAgeMs: 19_800 });
+        assert.equal(service.decide(), "a");
+    });
+
     it("lets the primary step down on a planned change and waits for a replica that has all of it", () => {
         const service = new Service({ planned: true });
         service.open("p", 3, 20);
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -1,7 +1,7 @@
 /** Makes sure that no further commit is acknowledged, and finds the database that holds all that were. */
 import {
+    type CommitsSeenFrame,
     type DatabaseReport,
-    type FleetFrame,
     FleetKind,
     ReportedState,
     type SendFrame,
@@ -16,7 +16,7 @@
     type LinkOpened,
     type LinkReplied,
 } from "../model/linkMessages.ts";
-import { hasReached, laterPosition, originPosition, type Position } from "../model/position.ts";
+import { hasReached, type Position } from "../model/position.ts";
 import type { Message } from "../pipeline/message.ts";
 
 /** Time that a replica which does not answer may still come back before the choice is made without it. */
@@ -34,8 +34,6 @@
 /** Wait before instances that have not told what they saw acknowledged are asked again; above their way on a full link. */
 const repeatQuestionMs = 500;
 
-type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
-
 interface Party {
     readonly report: DatabaseReport;
     linkId: string | undefined;
@@ -51,7 +49,19 @@
     retryAtMs: number;
 }
 
+/** What an instance told, on the clock of this member. */
+interface Testimony {
+    readonly highest: Position | undefined;
+    /** Not after its highest commit was sent; undefined when that isn't known. */
+    readonly sentMs: number | undefined;
+    /** Not before its process began to watch. */
+    readonly watchedFromMs: number;
+}
+
 export interface FencingOptions {
+    readonly service: string;
+    /** Fence of the promotion, which no other fencing of the service has. */
+    readonly fence: number;
     readonly reports: readonly DatabaseReport[];
     readonly primaryId: string | undefined;
     /** The primary is there and leaves; it steps down first, and replicas catch up with it. */
@@ -77,7 +87,11 @@
     private readonly parties = new Map<string, Party>();
     /** Instances whose answers are needed; one whose attachment ends may have seen the last commit. */
     private readonly witnesses = new Set<string>();
-    private readonly acknowledged = new Map<string, Position | undefined>();
+    private readonly testimonies = new Map<string, Testimony>();
+    /** Rises each time that commits can be acknowledged again, which takes the worth from earlier answers. */
+    private round = 0;
+    /** When the first question of the round was sent. */
+    private roundStartedMs = 0;
     /** Position of the primary when it had stepped down. */
     private target: Position | undefined;
     private steppedDownMs = 0;
@@ -111,6 +125,7 @@
         }
         party.opened = true;
         party.absent = false;
+        this.checkSilence();
         if (position !== undefined && party.status === undefined) {
             party.status = { leads: false, term: position.term, received: position };
         }
@@ -143,18 +158,23 @@
             party.absent = loss === LinkLoss.NoListener;
             // A replica that starts again receives again.
             party.stopped = this.isPrimary(party) && party.stopped;
+            this.checkSilence();
         }
         return [];
     }
 
     /** Notes an answer of an instance. One that was given before nothing more could be acknowledged says too little. */
-    noteAcknowledged(attachmentId: string, { databaseId, acknowledged }: AssessmentFrame): void {
+    noteAcknowledged(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): void {
+        const { highest, sentAgeMs, watchedMs, questionId } = frame;
         const instanceId = this.options.serving.get(attachmentId);
         if (
-            instanceId !== undefined && this.askedAcknowledgementsMs !== undefined
-            && databaseId === this.questionDatabaseId()
+            instanceId !== undefined && this.askedAcknowledgementsMs !== undefined && questionId === this.questionId()
         ) {
-            this.acknowledged.set(instanceId, acknowledged);
+            this.testimonies.set(instanceId, {
+                highest,
+                sentMs: sentAgeMs === undefined ? undefined : this.roundStartedMs - sentAgeMs,
+                watchedFromMs: nowMs - watchedMs,
+            });
         }
     }
 
@@ -273,44 +293,48 @@
             || this.replicas().every(party => party.stopped || party.absent);
     }
 
-    /** Every instance has told its highest acknowledged commit, and the database has them all. */
-    private holdsAcknowledged({ status }: Party): boolean {
-        if (![...this.witnesses].every(instanceId => this.acknowledged.has(instanceId))) {
-            return false;
+    /** Answers count only while nothing can be acknowledged after them. */
+    private checkSilence(): void {
+        if (this.askedAcknowledgementsMs !== undefined && !this.isSilenced()) {
+            this.round++;
+            this.testimonies.clear();
+            this.askedAcknowledgementsMs = undefined;
         }
-        const highest = [...this.acknowledged.values()].reduce<Position>(
-            (left, right) => right === undefined ? left : laterPosition(left, right),
-            originPosition,
-        );
-        return hasReached(status!.received, highest);
+    }
+
+    /** Every instance has vouched for its highest acknowledged commit, and the database has them all. */
+    private holdsAcknowledged({ status }: Party): boolean {
+        const given = [...this.testimonies.values()];
+        const complete = [...this.witnesses].every(instanceId => this.testimonies.has(instanceId));
+        return complete && given.every(testimony => vouches(testimony, given))
+            && given.every(({ highest }) => highest === undefined || hasReached(status!.received, highest));
     }
 
     /** Asks for acknowledgements once nothing more can be acknowledged, and again where the answer stays out. */
     private askAcknowledgements(nowMs: number): readonly Message[] {
-        const { serving, startedMs } = this.options;
+        const { service, serving, startedMs } = this.options;
         serving.forEach(instanceId => this.witnesses.add(instanceId));
-        const databaseId = this.questionDatabaseId();
         if (
-            databaseId === undefined || nowMs - startedMs < patienceMs || !this.isSilenced()
+            nowMs - startedMs < patienceMs || !this.isSilenced()
             || nowMs - (this.askedAcknowledgementsMs ?? -Infinity) < repeatQuestionMs
         ) {
             return [];
         }
+        if (this.askedAcknowledgementsMs === undefined) {
+            this.roundStartedMs = nowMs;
+        }
         this.askedAcknowledgementsMs = nowMs;
-        return [...serving].filter(([, instanceId]) => !this.acknowledged.has(instanceId))
+        return [...serving].filter(([, instanceId]) => !this.testimonies.has(instanceId))
             .map(([attachmentId]): SendFrame => ({
                 kind: FleetKind.SendFrame,
                 attachmentId,
-                frame: { kind: "assess", databaseId },
+                frame: { kind: "commits_asked", questionId: this.questionId(), service },
             }));
     }
 
-    /**
-     * Any database of the service stands for its commits. The question names a replica, which tells its answers from those
-     * to earlier questions about the primary; on a full link these may arrive after this question was sent.
-     */
-    private questionDatabaseId(): string | undefined {
-        return this.replicas()[0]?.report.databaseId;
+    /** Tells answers to this question from those to earlier ones, which may arrive late on a full link. */
+    private questionId(): string {
+        return `${this.options.fence}/${this.round}`;
     }
 
     /** A replica that has all that the primary had; the primary itself if none gets there. */
@@ -338,6 +362,14 @@
     }
 }
 
+/**
+ * Whether an answer covers earlier processes under the same id as well, whose acknowledgements their successor doesn't
+ * know. All of those are older than the successor, so that any commit sent since, by whichever instance, is beyond them.
+ */
+function vouches({ highest, watchedFromMs }: Testimony, given: readonly Testimony[]): boolean {
+    return highest !== undefined || given.some(({ sentMs }) => sentMs !== undefined && sentMs >= watchedFromMs);
+}
+
 /** The furthest database; of equal ones, one that stays. */
 function furthestOf(parties: readonly Party[]): Party | undefined {
     return [...parties].sort((left, right) => {
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -169,7 +169,14 @@
             this.serving.set(attachmentId, frame.instanceId);
             return [];
         }
-        if (!this.leading || (frame.kind !== "suspect" && frame.kind !== "assessment")) {
+        if (!this.leading) {
+            return [];
+        }
+        if (frame.kind === "commits_seen") {
+            const asking = this.services.get(frame.service);
+            return asking === undefined ? [] : this.withTimer(asking.commitsSeen(attachmentId, frame, nowMs), nowMs);
+        }
+        if (frame.kind !== "suspect" && frame.kind !== "assessment") {
             return [];
         }
         const service = this.databases.get(frame.databaseId)?.report.service;
@@ -179,7 +186,7 @@
         const promotion = this.serviceOf(service);
         const messages = frame.kind === "suspect"
             ? promotion.suspect(frame.databaseId, this.recordOf(service), nowMs)
-            : promotion.assessed(attachmentId, frame, nowMs);
+            : promotion.assessed(attachmentId, frame);
         return this.withTimer(messages, nowMs);
     }
 
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -10,7 +10,7 @@
     type ControlPropose,
     ProposalStatus,
 } from "../model/controlMessages.ts";
-import { type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
+import { type CommitsSeenFrame, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { PromotionRecord } from "../model/promotion.ts";
 import { OrderResult, PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
@@ -111,9 +111,14 @@
             : [];
     }
 
-    assessed(attachmentId: string, frame: AssessmentFrame, nowMs: number): readonly Message[] {
+    assessed(attachmentId: string, frame: AssessmentFrame): readonly Message[] {
         this.assessment?.note(attachmentId, frame);
-        this.fencing?.noteAcknowledged(attachmentId, frame);
+        return [];
+    }
+
+    /** An instance told which commits it has seen acknowledged. */
+    commitsSeen(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): readonly Message[] {
+        this.fencing?.noteAcknowledged(attachmentId, frame, nowMs);
         return this.phase === Phase.Fencing ? this.choose(nowMs) : [];
     }
 
@@ -228,6 +233,8 @@
         const reports = [...view.databases.values()].map(({ report }) => report)
             .filter(report => report.service === service);
         this.fencing = new Fencing({
+            service,
+            fence: this.fence,
             reports,
             primaryId,
             planned: this.planned,
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -137,6 +137,20 @@
     readonly left: readonly string[];
 }
 
+/** What an instance knows of the commits of a service. It says nothing of earlier processes under its id. */
+export interface CommitsSeenFrame {
+    readonly kind: "commits_seen";
+    /** Of the question, so that answers to earlier ones don't count. */
+    readonly questionId: string;
+    readonly service: string;
+    /** Highest position of a commit that this process has seen acknowledged; undefined when it has seen none. */
+    readonly highest: Position | undefined;
+    /** Time since that commit was sent, or more; undefined when it ran on a link of another instance. */
+    readonly sentAgeMs: number | undefined;
+    /** Time since this process began to watch. */
+    readonly watchedMs: number;
+}
+
 /** A frame of an attachment. The attaching side sends hello first, the accepting side answers with status. */
 export type FleetFrame =
     | {
@@ -199,9 +213,10 @@
         readonly answeredAgeMs: number | undefined;
         /** Age of the oldest request to it that is unanswered or failed since its last answer. */
         readonly unansweredAgeMs: number | undefined;
-        /** Highest position of a commit that this instance has seen acknowledged, in its service. */
-        readonly acknowledged: Position | undefined;
-    };
+    }
+    /** Asks an instance for the commits that it has seen acknowledged. */
+    | { readonly kind: "commits_asked"; readonly questionId: string; readonly service: string; }
+    | CommitsSeenFrame;
 
 export interface FrameReceived extends Message {
     readonly kind: typeof FleetKind.FrameReceived;
--- /dev/null
+++ b/src/session/__tests__/commitWitness.spec.ts
@@ -0,0 +1,145 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Attachments } from "../../fleet/attachments.ts";
+import { Fencing } from "../../fleet/fencing.ts";
+import { type DatabaseReport, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
+import { LinkKind, LinkLoss, type LinkOpen } from "../../model/linkMessages.ts";
+import type { Position } from "../../model/position.ts";
+import { SessionStatementKind, TransactionState } from "../../model/sessionStatement.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { Links } from "../links.ts";
+import { TaskKind } from "../taskMessages.ts";
+import { statement } from "./sessionFixture.ts";
+
+/** One process of an instance, with what it knows of a service and of commits. */
+class Instance {
+    private readonly fleet = new Pipe("fleet", [
+        new Attachments({ instanceId: "i1", dataCentre: "d", address: "i1:1", serves: true, follows: true }),
+    ]);
+    private readonly session = new Pipe("session", [new Links()]);
+
+    constructor(startedMs: number) {
+        this.push({ kind: FleetKind.Attached, attachmentId: "f1", address: "m1:1" } as Message, startedMs);
+        ["p", "r1", "r2"].forEach(databaseId =>
+            this.push({ kind: FleetKind.DatabaseChanged, report: report(databaseId) } as Message, startedMs)
+        );
+    }
+
+    /** A commit that ran on a link of another instance is acknowledged to the caller of this one. */
+    acknowledge(position: Position, nowMs: number): void {
+        const task = {
+            taskId: "t",
+            sessionId: "c",
+            service: "s",
+            writes: true,
+            statement: statement(SessionStatementKind.Write, "t"),
+        };
+        this.push(
+            { kind: TaskKind.Ended, task, reply: { position }, fault: undefined, pinned: false } as unknown as Message,
+            nowMs,
+        );
+    }
+
+    removeDatabase(databaseId: string, nowMs: number): void {
+        this.push({ kind: FleetKind.DatabaseRemoved, databaseId } as Message, nowMs);
+    }
+
+    /** Frames with which it answers one of a member. */
+    answer(frame: SendFrame["frame"], nowMs: number): readonly SendFrame["frame"][] {
+        const received: FrameReceived = { kind: FleetKind.FrameReceived, attachmentId: "f1", frame };
+        return this.push(received, nowMs).filter(({ kind }) => kind === FleetKind.SendFrame)
+            .map(sent => (sent as SendFrame).frame);
+    }
+
+    private push(message: Message, nowMs: number): readonly Message[] {
+        const left = this.fleet.accepts.has(message.kind)
+            ? this.fleet.push(message, nowMs).filter(output => output !== message)
+            : [];
+        return [message, ...left].flatMap(output =>
+            this.session.accepts.has(output.kind) ? this.session.push(output, nowMs) : [output]
+        );
+    }
+}
+
+/** The primary and the first replica are gone; the second one has stopped at an offset. */
+function fencingWithoutFirstReplica(offset: number): Fencing {
+    let nextLink = 0;
+    const fencing = new Fencing({
+        service: "s",
+        fence: 7,
+        reports: ["p", "r1", "r2"].map(report),
+        primaryId: "p",
+        planned: false,
+        synchronous: true,
+        serving: new Map([["f1", "i1"]]),
+        nextLinkId: () => `m${nextLink++}`,
+        startedMs: 10_000,
+    });
+    const links = new Map(
+        fencing.open().map(message => [(message as LinkOpen).databaseId, (message as LinkOpen).linkId]),
+    );
+    for (const databaseId of ["p", "r1"]) {
+        const linkId = links.get(databaseId)!;
+        fencing.lost({ kind: LinkKind.Lost, linkId, loss: LinkLoss.NoListener, fault: undefined }, 10_010);
+    }
+    const linkId = links.get("r2")!;
+    const received = { term: 1, offset };
+    fencing.opened({ kind: LinkKind.Opened, linkId, position: received }, 10_010);
+    const reply = {
+        rows: [],
+        signature: "-",
+        fault: undefined,
+        detail: "",
+        transaction: TransactionState.None,
+        position: undefined,
+        status: { leads: false, term: 1, received },
+    };
+    fencing.replied({ kind: LinkKind.Replied, linkId, reply }, 10_020);
+    return fencing;
+}
+
+/** Lets the instance answer what the fencing asks, and returns the database that is chosen then. */
+function choiceAfterAnswers(fencing: Fencing, instance: Instance): string | undefined {
+    const questions = fencing.decide(11_300).messages.filter(({ kind }) => kind === FleetKind.SendFrame);
+    assert.equal(questions.length, 1);
+    for (const frame of instance.answer((questions[0] as SendFrame).frame, 11_310)) {
+        fencing.noteAcknowledged("f1", frame as Parameters<Fencing["noteAcknowledged"]>[1], 11_320);
+    }
+    return fencing.decide(11_330).choice;
+}
+
+function report(databaseId: string): DatabaseReport {
+    return {
+        databaseId,
+        service: "s",
+        address: `${databaseId}:1`,
+        dataCentre: "d",
+        slots: 3,
+        state: "ready",
+        leads: databaseId === "p",
+        sequence: 1,
+        bornUnixMs: 1,
+    };
+}
+
+describe("commits seen by an instance", () => {
+    it("keeps a commit whose only replica has left from being lost", () => {
+        const instance = new Instance(0);
+        instance.acknowledge({ term: 1, offset: 9 }, 9_000);
+        instance.removeDatabase("r1", 9_500);
+        assert.equal(choiceAfterAnswers(fencingWithoutFirstReplica(5), instance), undefined);
+    });
+
+    it("lets a replica lead that has all commits, also when the other replica has left", () => {
+        const instance = new Instance(0);
+        instance.acknowledge({ term: 1, offset: 9 }, 9_000);
+        instance.removeDatabase("r1", 9_500);
+        assert.equal(choiceAfterAnswers(fencingWithoutFirstReplica(9), instance), "r2");
+    });
+
+    it("does not vouch for commits that an earlier process of the instance acknowledged", () => {
+        const instance = new Instance(9_800);
+        assert.equal(choiceAfterAnswers(fencingWithoutFirstReplica(5), instance), undefined);
+    });
+});
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -5,6 +5,7 @@
     type DatabaseChanged,
     type DatabaseRemoved,
     FleetKind,
+    type FrameReceived,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import {
@@ -55,6 +56,7 @@
     | DatabaseRemoved
     | PolicyApplied
     | AssessmentAsked
+    | FrameReceived
     | TaskEnded
     | HolderChanged;
 
@@ -77,6 +79,7 @@
         FleetKind.DatabaseRemoved,
         FleetKind.PolicyApplied,
         FleetKind.AssessmentAsked,
+        FleetKind.FrameReceived,
         TaskKind.Ended,
         TaskKind.HolderChanged,
     ];
@@ -84,6 +87,7 @@
     private readonly witness = new CommitWitness();
 
     process(message: LinksInput, nowMs: number): readonly Message[] {
+        this.witness.watch(nowMs);
         return match<LinksInput, readonly Message[]>(message)
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, found => this.place(found, nowMs))
             .with({ kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) }, found => this.continue(found, nowMs))
@@ -106,11 +110,20 @@
                 { kind: FleetKind.AssessmentAsked },
                 found => [this.witness.assess(found, this.table.pools.get(found.databaseId), nowMs)],
             )
+            .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.answerMember(found, nowMs)])
             .with({ kind: TaskKind.LinkDue }, found => this.linkDue(found.id, nowMs))
             .with({ kind: TaskKind.IdleDue }, found => this.closeIdle(found.id, nowMs))
             .otherwise(timer => this.attemptDue((timer as TaskTimer).id, nowMs));
     }
 
+    private answerMember({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
+        if (frame.kind !== "commits_asked") {
+            return [];
+        }
+        const seen = this.witness.commitsSeen(frame.service, frame.questionId, nowMs);
+        return [{ kind: FleetKind.SendFrame, attachmentId, frame: seen } as Message];
+    }
+
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
         const pool = this.table.pools.get(placed.databaseId);
         if (pool === undefined) {
@@ -292,7 +305,7 @@
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
             && !link.abandoned;
         if (task.writes && reply.fault === undefined && reply.position !== undefined) {
-            this.witness.noteCommit(task.service, reply.position);
+            this.witness.noteCommit(task.service, reply.position, link.attempt!.sentMs);
             link.attempt!.leads ||= !inTransaction;
         }
         const result = this.report(link, reply, pinned);
