fix(promotions): a primary isn't replaced because answers about it are late

What callers saw: a change of primary, and errors around it, though the primary served.

Cause: where the leader's own connection to the primary was still opening after 500 ms, the verdict was that as many instances had lost it as reached it, which is true for none and none. Late answers thus replaced a primary without evidence.

Now a change needs an instance that has lost the primary, or a lost connection of the leader, or answers of at least half of the instances, no more of which reach it than have lost it. The last case stays because a link drops a request 400 ms after it was sent, 50 ms after it begins to count as unanswered, so that most answers about a primary that is dark say neither; to demand a bad one would let it stay for longer.

--- a/src/fleet/assessment.ts
+++ b/src/fleet/assessment.ts
@@ -110,7 +110,16 @@
             // The database lives; only if most instances have lost it, another place serves better.
             return bad > this.asked / 2;
         }
-        return bad >= good;
+        return bad >= good && this.hasEvidence(bad);
+    }
+
+    /**
+     * A connection that is still opening is no evidence alone, and answers that are late are none. Links drop requests soon
+     * after they count as unanswered, so that instances which have lost the database may also know neither good nor bad.
+     */
+    private hasEvidence(bad: number): boolean {
+        const answered = this.frames.size;
+        return bad > 0 || this.probe === Probe.Unreachable || answered > 0 && answered >= this.asked / 2;
     }
 
     close(): readonly Message[] {
