fix(promotions): an instance's process counts as no older than its attachment

Found by reading.

Cause: the clock of an instance follows forward steps of the time of day, so that a process which has just started may say that it is old; then a commit sent before its start seemed to cover its earlier process. The time of the attachment at the leader is a second bound, which a step of the instance's clock can't reach; the later of both counts. A step of the leader's clock leaves the age that the instance tells. Steps of both in that time aren't covered. An age of a commit that is too large was and is on the safe side.

Evidence: "takes no process for older than its attachment" in fencing.spec.ts; without the bound it failed with the choice a where undefined was expected.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -18,6 +18,7 @@
 import { TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Fencing, type FencingOptions } from "../fencing.ts";
+import type { ServingInstance } from "../promotions.ts";
 
 class Service {
     readonly fencing: Fencing;
@@ -35,7 +36,7 @@
             primaryId: "p",
             planned: false,
             synchronous: true,
-            serving: new Map([["f1", "i1"]]),
+            serving: new Map([["f1", instance("i1")]]),
             nextLinkId: () => `m${this.nextLink++}`,
             startedMs: 0,
             ...parts,
@@ -134,6 +135,10 @@
     };
 }
 
+function instance(instanceId: string, attachedMs = -60_000): ServingInstance {
+    return { instanceId, attachedMs };
+}
+
 describe("fencing before a promotion", () => {
     it("chooses the furthest replica after all have stopped receiving", () => {
         const service = new Service();
@@ -191,7 +196,7 @@
     });
 
     it("asks an instance again that attached anew, and waits for one that is gone", () => {
-        const serving = new Map([["f1", "i1"], ["f2", "i2"]]);
+        const serving = new Map([["f1", instance("i1")], ["f2", instance("i2")]]);
         const service = new Service({ serving });
         service.lose("p", LinkLoss.NoListener);
         service.lose("b", LinkLoss.NoListener);
@@ -201,7 +206,7 @@
         service.tell("f1", 10);
         serving.delete("f2");
         assert.equal(service.decide(600), undefined);
-        serving.set("f3", "i2");
+        serving.set("f3", instance("i2"));
         service.decide(600);
         assert.deepEqual(service.questions, ["f1 7/0", "f2 7/0", "f3 7/0"]);
         service.tell("f3", 10);
@@ -244,7 +249,7 @@
     });
 
     it("takes a commit sent after an instance started for proof that its earlier process saw none beyond", () => {
-        const service = new Service({ serving: new Map([["f1", "i1"], ["f2", "i2"]]) });
+        const service = new Service({ serving: new Map([["f1", instance("i1")], ["f2", instance("i2")]]) });
         service.lose("p", LinkLoss.NoListener);
         service.lose("b", LinkLoss.NoListener);
         service.open("a", 3, 10);
@@ -261,6 +266,21 @@
         assert.equal(service.decide(), "a");
     });
 
+    it("takes no process for older than its attachment", () => {
+        // Guards against the loss of commits where a step of an instance's clock makes its process look old.
+        const service = new Service({ serving: new Map([["f1", instance("i1", -1_000)], ["f2", instance("i2")]]) });
+        service.lose("p", LinkLoss.NoListener);
+        service.lose("b", LinkLoss.NoListener);
+        service.open("a", 3, 10);
+        service.answer("a", false, 3, 10);
+        service.decide(1_300);
+        service.tell("f1", undefined, { watchedMs: 20_000 });
+        service.tell("f2", 10, { sentAgeMs: 5_000 });
+        assert.equal(service.decide(), undefined);
+        service.tell("f2", 10, { sentAgeMs: 2_300 });
+        assert.equal(service.decide(), "a");
+    });
+
     it("lets the primary step down on a planned change and waits for a replica that has all of it", () => {
         const service = new Service({ planned: true });
         service.open("p", 3, 20);
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -18,6 +18,7 @@
 } from "../model/linkMessages.ts";
 import { hasReached, type Position } from "../model/position.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { ServingInstance } from "./promotions.ts";
 
 /** Time that a replica which does not answer may still come back before the choice is made without it. */
 const patienceMs = 1_200;
@@ -69,7 +70,7 @@
     /** A commit is acknowledged only after a replica has received it. */
     readonly synchronous: boolean;
     /** Instances that may have seen acknowledgements, by their attachments; attachments come and go. */
-    readonly serving: ReadonlyMap<string, string>;
+    readonly serving: ReadonlyMap<string, ServingInstance>;
     nextLinkId(): string;
     readonly startedMs: number;
 }
@@ -166,14 +167,15 @@
     /** Notes an answer of an instance. One that was given before nothing more could be acknowledged says too little. */
     noteAcknowledged(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): void {
         const { highest, sentAgeMs, watchedMs, questionId } = frame;
-        const instanceId = this.options.serving.get(attachmentId);
+        const instance = this.options.serving.get(attachmentId);
         if (
-            instanceId !== undefined && this.askedAcknowledgementsMs !== undefined && questionId === this.questionId()
+            instance !== undefined && this.askedAcknowledgementsMs !== undefined && questionId === this.questionId()
         ) {
-            this.testimonies.set(instanceId, {
+            this.testimonies.set(instance.instanceId, {
                 highest,
                 sentMs: sentAgeMs === undefined ? undefined : this.roundStartedMs - sentAgeMs,
-                watchedFromMs: nowMs - watchedMs,
+                // A step of the instance's clock makes the first too early, a step of the clock here the second.
+                watchedFromMs: Math.max(nowMs - watchedMs, instance.attachedMs),
             });
         }
     }
@@ -313,7 +315,7 @@
     /** Asks for acknowledgements once nothing more can be acknowledged, and again where the answer stays out. */
     private askAcknowledgements(nowMs: number): readonly Message[] {
         const { service, serving, startedMs } = this.options;
-        serving.forEach(instanceId => this.witnesses.add(instanceId));
+        serving.forEach(({ instanceId }) => this.witnesses.add(instanceId));
         if (
             nowMs - startedMs < patienceMs || !this.isSilenced()
             || nowMs - (this.askedAcknowledgementsMs ?? -Infinity) < repeatQuestionMs
@@ -324,7 +326,7 @@
             this.roundStartedMs = nowMs;
         }
         this.askedAcknowledgementsMs = nowMs;
-        return [...serving].filter(([, instanceId]) => !this.testimonies.has(instanceId))
+        return [...serving].filter(([, { instanceId }]) => !this.testimonies.has(instanceId))
             .map(([attachmentId]): SendFrame => ({
                 kind: FleetKind.SendFrame,
                 attachmentId,
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -49,11 +49,17 @@
     heardMs: number;
 }
 
+/** An instance that serves callers and is attached. */
+export interface ServingInstance {
+    readonly instanceId: string;
+    readonly attachedMs: number;
+}
+
 /** What the promotion of one service needs to know of the fleet. */
 export interface FleetView {
     readonly databases: ReadonlyMap<string, PromotionCandidate>;
     /** Instances that serve callers, by their attachments. */
-    readonly serving: ReadonlyMap<string, string>;
+    readonly serving: ReadonlyMap<string, ServingInstance>;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
     /** Time since which this member leads. */
@@ -85,7 +91,7 @@
         PromotionKind.Due,
     ];
     private readonly databases = new Map<string, PromotionCandidate>();
-    private readonly serving = new Map<string, string>();
+    private readonly serving = new Map<string, ServingInstance>();
     private readonly services = new Map<string, ServicePromotion>();
     private policies: ReadonlyMap<string, ServicePolicy> = new Map();
     private records: readonly PromotionRecord[] = [];
@@ -166,7 +172,7 @@
 
     private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
         if (frame.kind === "hello" && frame.serves) {
-            this.serving.set(attachmentId, frame.instanceId);
+            this.serving.set(attachmentId, { instanceId: frame.instanceId, attachedMs: nowMs });
             return [];
         }
         if (!this.leading) {
--- a/src/session/__tests__/commitWitness.spec.ts
+++ b/src/session/__tests__/commitWitness.spec.ts
@@ -72,7 +72,7 @@
         primaryId: "p",
         planned: false,
         synchronous: true,
-        serving: new Map([["f1", "i1"]]),
+        serving: new Map([["f1", { instanceId: "i1", attachedMs: 0 }]]),
         nextLinkId: () => `m${nextLink++}`,
         startedMs: 10_000,
     });
