fix(fleet): a step of the clock neither fills the leader's buckets nor silences the fleet

When the time of day of the leader stepped forward during a flood, more of a workspace's operations ran than a window tolerates: the suspension clock adds what the time of day gains, and the buckets filled by it.

A bucket of the leader now fills by 0.3 s of the rate at most between two calls; the leader looks at all of them every 0.15 s. Time beyond 0.3 s between two calls is a step or a pause of the leader and no longer counts as silence of instances. The time for which a silent instance's part stays aside follows from the validity of a permit: it takes an answer for as long.

The clock of permitLeader.spec moves by the interval of the leader's checks, which was 0.5 s written twice.

--- a/src/fleet/__tests__/permitLeader.spec.ts
+++ b/src/fleet/__tests__/permitLeader.spec.ts
@@ -12,7 +12,7 @@
 import { fallbackLimitMs, type RateTolerance, toleratedOperations } from "../../model/rateLimits.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
-import { PermitLeader } from "../permitLeader.ts";
+import { checkIntervalMs, PermitLeader } from "../permitLeader.ts";
 import { fallbackPart } from "../workspacePermits.ts";
 
 const tolerance: RateTolerance = { windowMs: 5_000, share: 0.1, operations: 20 };
@@ -84,7 +84,7 @@
 
     advance(durationMs: number): void {
         for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
-            this.nowMs = Math.min(endMs, this.nowMs + 500);
+            this.nowMs = Math.min(endMs, this.nowMs + checkIntervalMs);
             this.feed({ kind: FleetKind.PermitCheckDue } as Message);
         }
     }
--- a/src/fleet/permitLeader.ts
+++ b/src/fleet/permitLeader.ts
@@ -11,22 +11,25 @@
     type PermitWant,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
-import { fallbackLimitMs, type RateTolerance } from "../model/rateLimits.ts";
+import { fallbackLimitMs, permitValidMs, type RateTolerance } from "../model/rateLimits.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
-import { longestRetryMs, WorkspacePermits } from "./workspacePermits.ts";
+import { accrualLimitMs, longestRetryMs, WorkspacePermits } from "./workspacePermits.ts";
 
 /** Silence after which an instance may be admitting at its fallback rate; it sends at least once a second. */
 const silentAfterMs = 1_500;
 
-/** How often silent instances are looked for. */
-const checkIntervalMs = 500;
+/** How often silent instances are looked for and buckets fill; a timer that is late by as much again costs no refill. */
+export const checkIntervalMs = accrualLimitMs / 2;
 
-/** Time after the silence of an instance for which its share stays set aside; its own limit starts with its last answer. */
-const reservedMs = fallbackLimitMs + checkIntervalMs;
+/**
+ * Time after an instance was last heard for which its share stays set aside. Its own limit starts with its last answer, which
+ * it takes for as long as a permit is valid.
+ */
+const reservedMs = fallbackLimitMs + permitValidMs;
 
 /** Time in which a new leader learns the demand; until then instances keep the shares of the one before. */
 const demandLearnedMs = 5_000;
@@ -56,7 +59,7 @@
 
 /** Parts of rates that are set aside for an instance while it is not heard. */
 interface Reservation {
-    readonly sinceMs: number;
+    sinceMs: number;
     readonly shares: ReadonlyMap<string, number>;
 }
 
@@ -82,12 +85,15 @@
     private policy: TrafficPolicy = emptyTrafficPolicy;
     private term: number | undefined;
     private leadsSinceMs = 0;
+    /** Time of the last call. */
+    private calledMs = 0;
 
     constructor({ tolerance }: PermitLeaderOptions) {
         this.tolerance = tolerance;
     }
 
     process(message: LeaderInput, nowMs: number): readonly Message[] {
+        this.noteTime(nowMs);
         return match<LeaderInput, readonly Message[]>(message)
             .with({ kind: ControlKind.LeaderChanged }, found => [found, ...this.changeLeader(found, nowMs)])
             .with({ kind: FleetKind.FrameReceived }, found => [found, ...this.receive(found, nowMs)])
@@ -103,6 +109,21 @@
             .otherwise(() => this.check(nowMs));
     }
 
+    /** Time beyond what two checks may be apart was a step of the clock or a pause here, and no silence of instances. */
+    private noteTime(nowMs: number): void {
+        const unseenMs = nowMs - this.calledMs - accrualLimitMs;
+        this.calledMs = nowMs;
+        if (unseenMs <= 0) {
+            return;
+        }
+        for (const asker of this.askers.values()) {
+            asker.heardMs += unseenMs;
+            if (asker.reservation !== undefined) {
+                asker.reservation.sinceMs += unseenMs;
+            }
+        }
+    }
+
     private changeLeader({ leading, term }: ControlLeaderChanged, nowMs: number): readonly Message[] {
         this.term = leading ? term : undefined;
         this.leadsSinceMs = nowMs;
@@ -229,6 +250,7 @@
                 this.reserve(asker, new Map(shares), asker.heardMs, nowMs);
             }
         }
+        this.workspaces.forEach(permits => permits.refill(nowMs));
         return [this.checkTimer(nowMs)];
     }
 
--- a/src/fleet/workspacePermits.ts
+++ b/src/fleet/workspacePermits.ts
@@ -46,6 +46,12 @@
 /** Demand that fallback shares count beside what was seen, so that the first askers are not given all; seconds of rate. */
 const priorDemandSeconds = 2;
 
+/**
+ * Longest time between two calls that counts; the rest is a step of the clock or a pause of the process. A step brings this
+ * much of the rate at most: 0.6 of what a window of 5 s tolerates where a workspace has no burst. With what may be out, 0.9.
+ */
+export const accrualLimitMs = 300;
+
 /** Bounds of the time until an instance may ask again; the longest bounds the questions of a workspace beyond its rate. */
 const shortestRetryMs = 5;
 export const longestRetryMs = 400;
@@ -71,6 +77,7 @@
             startMs,
             outstandingMs: permitValidMs,
             refillShare: 1,
+            accrualLimitMs,
             startLevel: startPart * toleratedOperations(tolerance, ratePerSecond, burst),
         });
         this.setRate(ratePerSecond, burst, startMs);
@@ -87,6 +94,11 @@
         this.bucket.setShare(ratePerSecond, this.capacity, nowMs);
     }
 
+    /** Lets the rate arrive; called more often than the limit of accrual. */
+    refill(nowMs: number): void {
+        this.bucket.available(nowMs);
+    }
+
     /** Takes note of the permits that an instance holds of its last grant, and before. */
     settle(instanceId: string, requestId: string, held: number, nowMs: number): void {
         this.bucket.settle(instanceId, requestId, held, nowMs);
--- a/src/rates/tokenBucket.ts
+++ b/src/rates/tokenBucket.ts
@@ -20,6 +20,8 @@
      * earlier home that are still out.
      */
     readonly startLevel?: number;
+    /** Longest time between two calls for which tokens arrive, so that a step of the clock does not fill the bucket. */
+    readonly accrualLimitMs?: number;
 }
 
 /**
@@ -29,6 +31,7 @@
  */
 export class TokenBucket {
     private readonly outstandingMs: number;
+    private readonly accrualLimitMs: number;
     private refillShare: number;
     private readonly grants: OutstandingGrant[] = [];
     private outstanding = 0;
@@ -39,6 +42,7 @@
 
     constructor(options: TokenBucketOptions) {
         this.outstandingMs = options.outstandingMs;
+        this.accrualLimitMs = options.accrualLimitMs ?? Infinity;
         this.refillShare = options.refillShare;
         this.level = options.startLevel ?? 0;
         this.refilledMs = options.startLevel === undefined
@@ -121,6 +125,7 @@
     }
 
     private refill(nowMs: number): void {
+        this.refilledMs = Math.max(this.refilledMs, nowMs - this.accrualLimitMs);
         while (this.grants.length > 0 && this.grants[0]!.expiresMs <= nowMs) {
             const expired = this.grants.shift()!;
             this.refillUntil(expired.expiresMs);
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -39,6 +39,8 @@
 interface Node {
     readonly id: string;
     readonly pipes: readonly Pipe[];
+    /** What the clock of the node is ahead by. */
+    aheadMs: number;
     bytes: number;
     frames: number;
     cpuMs: number;
@@ -150,6 +152,11 @@
         [...this.members.values(), ...this.instances].forEach(node => this.run(node, this.policy()));
     }
 
+    /** The time of day of a machine steps forward. Timers that were set before fire when they were due. */
+    stepClock(id: string, stepMs: number): void {
+        this.nodes.get(id)!.aheadMs += stepMs;
+    }
+
     /** Starts the callers of every workspace, with Poisson arrivals on instances drawn at random. */
     startCallers(): void {
         this.traffic.forEach(traffic => this.scheduleArrival(traffic));
@@ -214,6 +221,7 @@
                 new Pipe("fleet", [new Attachments(options), new PermitAsker()]),
                 new Pipe("session", [new Admission({ random: new SeededRandom(this.random.nextInteger(2 ** 31)) })]),
             ],
+            aheadMs: 0,
             bytes: 0,
             frames: 0,
             cpuMs: 0,
@@ -227,6 +235,7 @@
         const node: Node = {
             id,
             pipes: [new Pipe("fleet", [new PermitLeader({ tolerance: quota })])],
+            aheadMs: 0,
             bytes: 0,
             frames: 0,
             cpuMs: 0,
@@ -304,10 +313,11 @@
 
     private run(node: Node, first: Message): void {
         const queue: Message[] = [first];
+        const nowMs = this.nowMs + node.aheadMs;
         const startUs = this.members.has(node.id) ? process.cpuUsage() : undefined;
         for (let message = queue.shift(); message !== undefined; message = queue.shift()) {
             for (const pipe of node.pipes) {
-                for (const output of pipe.accepts.has(message.kind) ? pipe.push(message, this.nowMs) : []) {
+                for (const output of pipe.accepts.has(message.kind) ? pipe.push(message, nowMs) : []) {
                     if (output !== message) {
                         this.take(node, output, queue);
                     }
@@ -383,7 +393,8 @@
             this.deadlines.apply({ ...message, key });
             return;
         }
-        this.at(key, Math.max(message.atMs, this.nowMs) + timerDelayMs, () => this.run(node, message.message));
+        const atMs = Math.max(message.atMs - node.aheadMs, this.nowMs) + timerDelayMs;
+        this.at(key, atMs, () => this.run(node, message.message));
     }
 
     private at(key: string, atMs: number, run: () => void): void {
--- a/src/wiring/__tests__/rates.spec.ts
+++ b/src/wiring/__tests__/rates.spec.ts
@@ -201,6 +201,37 @@
         });
     }
 
+    for (const stepMs of [300, 2_000, 5_000, 20_000]) {
+        it(`keeps the rates while the time of day of the leader steps forward by ${stepMs} ms`, () => {
+            const { fleet } = startIdle(1);
+            flooding.forEach(name => fleet.flood(name, 10));
+            fleet.advance(2_000);
+            fleet.stepClock("c0", stepMs);
+            fleet.advance(6_000);
+            assert.deepEqual(excesses(fleet), []);
+        });
+    }
+
+    it("keeps the rates while the time of day of instances without a leader steps forward", () => {
+        const { fleet, ids } = startIdle(1);
+        fleet.kill("c0");
+        flooding.forEach(name => fleet.flood(name, 10));
+        for (const id of ids) {
+            fleet.stepClock(id, 5_000);
+            fleet.advance(20);
+        }
+        fleet.advance(3_000);
+        assert.deepEqual(excesses(fleet), []);
+    });
+
+    it("refuses nothing below the rate while the time of day of the leader steps forward", () => {
+        const { fleet } = startIdle(1);
+        fleet.resetCounts();
+        fleet.stepClock("c0", 5_000);
+        fleet.advance(6_000);
+        assert.equal(fleet.refusedShare() < refusedTarget, true, `${fleet.refusedShare()}`);
+    });
+
     it("refuses nothing below the rate beside workspaces that flood", context => {
         const { fleet, others } = startFlood(0);
         fleet.advance(1_000);
--- a/src/wiring/suspensionClock.ts
+++ b/src/wiring/suspensionClock.ts
@@ -6,8 +6,8 @@
 
 /**
  * The monotonic clock of the platform stands still while the machine is suspended, and the time of day goes on. What the
- * time of day gains is added; a step forward of the time of day does the same, which only lets things expire early. A
- * step back is ignored.
+ * time of day gains is added; a step forward of the time of day does the same. Things then expire early, and what arrives
+ * with time, as the leader's buckets do, has to bound what one step brings. A step back is ignored.
  */
 export class SuspensionClock extends SystemClock {
     private addedMs = 0;
