fix(session): a holder is told again that it holds a database which came back

Callers saw tasks of a database wait and connections open and close all the time after the database had been removed and had come back under its id: its holder had the 2 links of a guest, which closed after 150 ms, until the next change of holder.

Forwarding forgot the report of a removed database but not what it had told the links, so that it told the new pool nothing. It also kept, for good, the holder chosen last and who was passed over. All of it goes with the report now, and nothing is noted for a database that has no report, such as for a task that was placed at it just before.

Before, in forwarding.spec.ts: "tells the links again that this instance is the holder when a database comes back under its id" got [] in place of [true]; "forgets with a database who could not reach it" got front-12 in place of front-0.

--- a/src/session/__tests__/forwarding.spec.ts
+++ b/src/session/__tests__/forwarding.spec.ts
@@ -5,7 +5,7 @@
 import { type PassedTask, type PeerInstance, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Forwarding } from "../forwarding.ts";
-import { type TaskAttempted, TaskKind, TaskMode } from "../taskMessages.ts";
+import { type HolderChanged, type TaskAttempted, TaskKind, TaskMode } from "../taskMessages.ts";
 
 const dataCentres = 6;
 
@@ -146,8 +146,33 @@
         assert.deepEqual(attemptsOf(fixture.push(460, late)), [0]);
         assert.deepEqual(attemptsOf(fixture.push(461, late)), []);
     });
+
+    it("tells the links again that this instance is the holder when a database comes back under its id", () => {
+        // Guards against a holder with the links of a guest.
+        const fixture = new Fixture(2, 2);
+        fixture.push(10, { kind: FleetKind.DatabaseRemoved, databaseId: "db1" } as Message);
+        assert.deepEqual(holdsIn(fixture.placeTask("t1", "db1", 15)), []);
+        const back = { kind: FleetKind.DatabaseChanged, report: report(1) } as Message;
+        assert.deepEqual(holdsIn(fixture.push(20, back)), [true]);
+    });
+
+    it("forgets with a database who could not reach it", () => {
+        const fixture = new Fixture(24, 1);
+        const [first, taskId] = passed(fixture.placeTask("t1", "db0", 0));
+        fixture.push(10, unreached(first, taskId));
+        fixture.push(10, { kind: FleetKind.DatabaseSuspected, databaseId: "db0" } as Message);
+        assert.notEqual(fixture.place("t2", "db0", 20), first);
+        fixture.push(30, { kind: FleetKind.DatabaseRemoved, databaseId: "db0" } as Message);
+        fixture.push(40, { kind: FleetKind.DatabaseChanged, report: report(0) } as Message);
+        assert.equal(fixture.place("t3", "db0", 50), first);
+    });
 });
 
+function holdsIn(messages: readonly Message[]): readonly boolean[] {
+    return messages.filter(({ kind }) => kind === TaskKind.HolderChanged)
+        .map(message => (message as HolderChanged).holds);
+}
+
 function passed(messages: readonly Message[]): readonly [string, string] {
     const { address, question } = messages.find(({ kind }) => kind === PeerKind.Send) as PeerSend;
     return [address, (question as PassedTask).taskId];
@@ -158,6 +183,12 @@
     return { kind: PeerKind.Answered, address, result: { kind: "task", taskId, ...parts } } as Message;
 }
 
+/** The holder got no link to the database. */
+function unreached(address: string, taskId: string): Message {
+    const parts = { reply: undefined, fault: undefined, sent: false, leads: false, pinned: false };
+    return { kind: PeerKind.Answered, address, result: { kind: "task", taskId, ...parts } } as Message;
+}
+
 /** When the attempts that ended were sent. */
 function attemptsOf(messages: readonly Message[]): readonly (number | undefined)[] {
     return messages.filter(({ kind }) => kind === TaskKind.Attempted).map(message => (message as TaskAttempted).sentMs);
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -107,8 +107,8 @@
     private readonly held = new Map<string, boolean>();
     /** Holder chosen last for each database. */
     private readonly chosen = new Map<string, string>();
-    /** Time until which an instance is not chosen for a database, by both ids. */
-    private readonly avoided = new Map<string, number>();
+    /** Times until which instances are not chosen for a database, by its id and theirs. */
+    private readonly avoided = new Map<string, Map<string, number>>();
     /** Address of the holder that has the open transaction of a session. */
     private readonly pinned = new Map<string, string>();
     /** Reads that went elsewhere, by the id of the attempt whose answer may still come; the oldest first. */
@@ -144,8 +144,7 @@
                 return [found, ...this.noteHolder(found.report.databaseId, nowMs)];
             })
             .with({ kind: FleetKind.DatabaseRemoved }, found => {
-                this.databases.delete(found.databaseId);
-                this.ranking.forget(found.databaseId);
+                this.forget(found.databaseId);
                 return [found];
             })
             .with({ kind: FleetKind.DatabaseSuspected }, found => {
@@ -180,7 +179,7 @@
             return undefined;
         }
         const holder = this.ranking.rank(databaseId, report.dataCentre).find(({ instanceId, address }) =>
-            (this.avoided.get(avoidanceKey(databaseId, instanceId)) ?? 0) <= nowMs
+            (this.avoided.get(databaseId)?.get(instanceId) ?? 0) <= nowMs
             && (instanceId === this.instanceId || !this.responsiveness.isAvoided(address, nowMs))
         );
         this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
@@ -192,7 +191,7 @@
     }
 
     private noteHolds(databaseId: string, holds: boolean): readonly Message[] {
-        if (this.held.get(databaseId) === holds) {
+        if (!this.databases.has(databaseId) || this.held.get(databaseId) === holds) {
             return [];
         }
         this.held.set(databaseId, holds);
@@ -203,10 +202,20 @@
     private avoid(databaseId: string, nowMs: number): void {
         const instanceId = this.chosen.get(databaseId);
         if (instanceId !== undefined) {
-            this.avoided.set(avoidanceKey(databaseId, instanceId), nowMs + avoidanceMs);
+            const avoided = this.avoided.get(databaseId) ?? new Map<string, number>();
+            this.avoided.set(databaseId, avoided.set(instanceId, nowMs + avoidanceMs));
         }
     }
 
+    /** The links of a removed database are gone; if it comes back, they have to be told anew who holds it. */
+    private forget(databaseId: string): void {
+        this.databases.delete(databaseId);
+        this.ranking.forget(databaseId);
+        this.held.delete(databaseId);
+        this.chosen.delete(databaseId);
+        this.avoided.delete(databaseId);
+    }
+
     private pass(
         placed: Pick<TaskPlaced, "task" | "databaseId" | "after" | "untilMs">,
         address: string,
@@ -379,10 +388,6 @@
     };
 }
 
-function avoidanceKey(databaseId: string, instanceId: string): string {
-    return `${databaseId}/${instanceId}`;
-}
-
 function taskOf(passId: string): string {
     return passId.slice(0, passId.lastIndexOf(passSeparator));
 }
