fix(session): a slow or dark database stays with its holder and two others

Callers of one database that was slow or dark for 3 s made its connections be opened by 8 or 9 of the 15 instances of its data centre, up to the limit of the database; with nobody left to pass over, each instance of the fleet told its links that it was the holder, with 61 of 82 connections.

Attempts that fail together are one suspicion each, and each one passed over the holder chosen now instead of the holder of the attempt. A database that is slow to answer counted as one that the holder does not reach. Silence added to it, because a holder whose tasks wait for a dark database answers nothing.

A suspicion now names the instance whose link it was and whether a statement was sent. Only an instance that got nothing sent is passed over, one for a database in 1.5 s. Silent ones are passed over as before, but at most two at once for a database; then the first that runs is asked again. Instances whose stream ended are passed over without limit. An instance is a holder only by its place in the ranking; without anybody left it uses the database as a guest.

Before, in sessionFleet.spec.ts: "leaves the connections of a database to its holder and two others while it is slow to answer" found 9 openers, "... dark" 8. In forwarding.spec.ts four failed: "passes over one holder for a database that many attempts together do not reach", "keeps the holder of a database that is slow to answer", "does not become the holder of a database that keeps all its holders silent", "uses a database as a guest while every instance near it is lost".

--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -281,6 +281,10 @@
 export interface DatabaseSuspected extends Message {
     readonly kind: typeof FleetKind.DatabaseSuspected;
     readonly databaseId: string;
+    /** The instance whose link it was; undefined for this one. */
+    readonly address: string | undefined;
+    /** A statement reached the database, or may have; otherwise that instance may be the one that is cut off. */
+    readonly sent: boolean;
 }
 
 export interface AssessmentAsked extends Message {
--- a/src/session/__tests__/forwarding.spec.ts
+++ b/src/session/__tests__/forwarding.spec.ts
@@ -160,12 +160,60 @@
         const fixture = new Fixture(24, 1);
         const [first, taskId] = passed(fixture.placeTask("t1", "db0", 0));
         fixture.push(10, unreached(first, taskId));
-        fixture.push(10, { kind: FleetKind.DatabaseSuspected, databaseId: "db0" } as Message);
+        fixture.push(10, suspected(first, false));
         assert.notEqual(fixture.place("t2", "db0", 20), first);
         fixture.push(30, { kind: FleetKind.DatabaseRemoved, databaseId: "db0" } as Message);
         fixture.push(40, { kind: FleetKind.DatabaseChanged, report: report(0) } as Message);
         assert.equal(fixture.place("t3", "db0", 50), first);
     });
+
+    it("passes over one holder for a database that many attempts together do not reach", () => {
+        const fixture = new Fixture(24, 1);
+        const [first, taskId] = passed(fixture.placeTask("t1", "db0", 0));
+        fixture.push(10, unreached(first, taskId));
+        fixture.push(10, suspected(first, false));
+        const second = fixture.place("t2", "db0", 20)!;
+        assert.notEqual(second, first);
+        for (const address of [first, second, first, second, first]) {
+            fixture.push(30, suspected(address, false));
+        }
+        assert.equal(fixture.place("t3", "db0", 40), second);
+        assert.equal(fixture.place("t4", "db0", 1_600), first);
+    });
+
+    it("keeps the holder of a database that is slow to answer", () => {
+        const fixture = new Fixture(24, 1);
+        const first = fixture.place("t1", "db0")!;
+        fixture.push(600, suspected(first, true));
+        assert.equal(fixture.place("t2", "db0", 610), first);
+    });
+
+    it("does not become the holder of a database that keeps all its holders silent", () => {
+        // Guards against every instance of the fleet as a full holder at once.
+        const fixture = new Fixture(24, 1);
+        const addresses: (string | undefined)[] = [];
+        const holds: boolean[] = [];
+        for (let index = 0; index < 4; index++) {
+            const messages = fixture.placeTask(`t${index}`, "db0", index);
+            addresses.push((messages.find(({ kind }) => kind === PeerKind.Send) as PeerSend | undefined)?.address);
+            const due = fixture.push(400 + index, { kind: TaskKind.ForwardDue, id: `t${index}` } as Message);
+            const suspicion = fixture.push(400 + index, suspected(addresses.at(-1)!, false));
+            holds.push(...[messages, due, suspicion].flatMap(holdsIn));
+        }
+        assert.deepEqual(holds, []);
+        assert.equal(new Set(addresses.slice(0, 3)).size, 3);
+        assert.equal(addresses[3], addresses[0]);
+    });
+
+    it("uses a database as a guest while every instance near it is lost", () => {
+        const fixture = new Fixture(24, 1);
+        const messages = Array.from({ length: 4 }, (_, index) => [
+            ...fixture.push(index, { kind: PeerKind.Lost, address: `front-${index * dataCentres}:1` } as Message),
+            ...fixture.placeTask(`t${index}`, "db0", index),
+        ]).flat();
+        assert.deepEqual(holdsIn(messages), []);
+        assert.equal(messages.at(-1)!.kind, TaskKind.Placed);
+    });
 });
 
 function holdsIn(messages: readonly Message[]): readonly boolean[] {
@@ -189,6 +237,10 @@
     return { kind: PeerKind.Answered, address, result: { kind: "task", taskId, ...parts } } as Message;
 }
 
+function suspected(address: string, sent: boolean): Message {
+    return { kind: FleetKind.DatabaseSuspected, databaseId: "db0", address, sent } as Message;
+}
+
 /** When the attempts that ended were sent. */
 function attemptsOf(messages: readonly Message[]): readonly (number | undefined)[] {
     return messages.filter(({ kind }) => kind === TaskKind.Attempted).map(message => (message as TaskAttempted).sentMs);
--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -8,6 +8,12 @@
 /** Control traffic that a node may have, of which a holder of a primary spends it all at most once for each primary. */
 const controlBytesPerSecond = 3_000;
 
+/** The holder of a database, and two others that use it while they cannot tell whether the holder runs. */
+const maximumOpeners = 3;
+
+/** A disturbance of a database. */
+const Disturbance = { Slow: "slow to answer", Dark: "dark" } as const;
+
 describe("session pipes of a fleet", () => {
     it("keeps questions for positions inside the control traffic of a node, however many instances ask", () => {
         // Guards against every instance asking the holder of every primary.
@@ -97,6 +103,33 @@
         assert.deepEqual(fleet.staleStatements, []);
     });
 
+    for (const disturbance of Object.values(Disturbance)) {
+        it(`leaves the connections of a database to its holder and two others while it is ${disturbance}`, () => {
+            // Guards against one holder after the other, and then every instance as a full holder.
+            const fleet = new SessionFleet({
+                instances: 89,
+                dataCentres: 6,
+                services: 6,
+                workspaces: 87,
+                sessions: 2_780,
+            });
+            fleet.startCallers();
+            fleet.advance(7_000);
+            const database = fleet.databases.get("db0")!;
+            if (disturbance === Disturbance.Slow) {
+                database.answerDelayMs = 900;
+            }
+            else {
+                database.darkUntilMs = fleet.schedule.nowMs + 3_000;
+            }
+            fleet.advance(3_000);
+            database.answerDelayMs = 0;
+            fleet.advance(5_000);
+            assert.equal(database.refused, 0);
+            assert.deepEqual([...database.openers].slice(maximumOpeners), []);
+        });
+    }
+
     it("serves while messages between all instances are late", () => {
         // Guards against reads that wait for more round trips than their time allows.
         assert.deepEqual([...congestedFleet().answers.keys()], ["served"]);
--- a/src/session/__tests__/standInDatabase.ts
+++ b/src/session/__tests__/standInDatabase.ts
@@ -44,6 +44,12 @@
     readonly commits: number[] = [];
     opened = 0;
     refused = 0;
+    /** Instances that opened connections, or tried to. */
+    readonly openers = new Set<string>();
+    /** Every answer comes this much later. */
+    answerDelayMs = 0;
+    /** What is sent to it arrives only when this time has come. */
+    darkUntilMs = 0;
     /** Transactions that began; a probe begins one. */
     begun = 0;
     /** Told of each statement that runs, with the commits that its log holds. */
@@ -66,6 +72,22 @@
 
     /** Takes a message of an instance; ones for links of other databases are none of its business. */
     take(instanceId: string, message: Message, answer: Answer): void {
+        if (message.kind === LinkKind.Open) {
+            this.openers.add(instanceId);
+        }
+        if (this.schedule.nowMs < this.darkUntilMs) {
+            this.schedule.at(this.darkUntilMs, () => this.take(instanceId, message, answer));
+            return;
+        }
+        const { answerDelayMs } = this;
+        this.handle(
+            instanceId,
+            message,
+            answerDelayMs === 0 ? answer : late => this.schedule.after(answerDelayMs, () => answer(late)),
+        );
+    }
+
+    private handle(instanceId: string, message: Message, answer: Answer): void {
         const { linkId } = message as LinkOpen;
         const key = `${instanceId}/${linkId}`;
         if (message.kind === LinkKind.Open) {
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -12,6 +12,7 @@
     type PassedResult,
     type PassedTask,
     type PeerAnswered,
+    type PeerInstance,
     PeerKind,
     type PeerLost,
     type PeerSend,
@@ -45,9 +46,15 @@
 /** The same where answers are slow; leaves time for another attempt in the shortest usual limit of a statement, 1 s. */
 const maximumSilenceMs = 800;
 
-/** Time for which a holder that does not reach a database is passed over for it. */
+/** Time for which a holder that does not reach a database is passed over for it, and no other one is. */
 const avoidanceMs = 1_500;
 
+/**
+ * Instances that look silent or do not reach a database and are passed over for it at once; more of them in a row say
+ * more about the database than about them, because tasks at a dark database keep every holder silent.
+ */
+const maximumPassedOver = 2;
+
 /** Reads that went elsewhere whose late answers are still of use. */
 const maximumLate = 256;
 
@@ -63,6 +70,20 @@
     readonly sentMs: number;
 }
 
+interface Avoided {
+    /** Undefined for this instance itself. */
+    readonly address: string | undefined;
+    readonly untilMs: number;
+}
+
+/** Where the tasks of a database go. */
+interface Choice {
+    /** Undefined when this instance itself is to use the database. */
+    readonly address: string | undefined;
+    /** This instance is the holder; otherwise it may use the database as a guest. */
+    readonly holds: boolean;
+}
+
 type ForwardingInput =
     | TaskPlaced
     | TaskContinued
@@ -105,10 +126,8 @@
     private readonly pending = new Map<string, Pending>();
     /** Whether this instance is the holder, as the links were told. */
     private readonly held = new Map<string, boolean>();
-    /** Holder chosen last for each database. */
-    private readonly chosen = new Map<string, string>();
-    /** Times until which instances are not chosen for a database, by its id and theirs. */
-    private readonly avoided = new Map<string, Map<string, number>>();
+    /** The instance that did not reach a database, by the id of the database. */
+    private readonly avoided = new Map<string, Avoided>();
     /** Address of the holder that has the open transaction of a session. */
     private readonly pinned = new Map<string, string>();
     /** Reads that went elsewhere, by the id of the attempt whose answer may still come; the oldest first. */
@@ -148,15 +167,15 @@
                 return [found];
             })
             .with({ kind: FleetKind.DatabaseSuspected }, found => {
-                this.avoid(found.databaseId, nowMs);
+                this.avoid(found, nowMs);
                 return [found, ...this.noteHolder(found.databaseId, nowMs)];
             })
             .otherwise(timer => this.due((timer as TaskTimer).id, nowMs));
     }
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
-        const address = this.holderOf(placed.databaseId, nowMs);
-        const changed = this.noteHolds(placed.databaseId, address === undefined);
+        const { address, holds } = this.holderOf(placed.databaseId, nowMs);
+        const changed = this.noteHolds(placed.databaseId, holds);
         return address === undefined ? [...changed, placed] : [...changed, ...this.pass(placed, address, nowMs)];
     }
 
@@ -172,22 +191,52 @@
             : this.pass({ task, databaseId: "", after: undefined, untilMs: task.deadlineMs }, address, nowMs);
     }
 
-    /** Address of the holder; undefined when this instance itself is to use the database. */
-    private holderOf(databaseId: string, nowMs: number): string | undefined {
+    private holderOf(databaseId: string, nowMs: number): Choice {
         const report = this.databases.get(databaseId);
-        if (report === undefined) {
-            return undefined;
+        const ranked = report === undefined ? [] : this.ranking.rank(databaseId, report.dataCentre);
+        const holder = this.firstUsable(databaseId, ranked, nowMs);
+        const holds = holder !== undefined && this.isOwn(holder);
+        return { address: holds ? undefined : holder?.address, holds };
+    }
+
+    /** The first instance that is not passed over; again the first that runs when too many in a row are. */
+    private firstUsable(
+        databaseId: string,
+        ranked: readonly PeerInstance[],
+        nowMs: number,
+    ): PeerInstance | undefined {
+        let firstRunning: PeerInstance | undefined;
+        let passedOver = 0;
+        for (const instance of ranked) {
+            const own = this.isOwn(instance);
+            if (!own && this.responsiveness.isLost(instance.address, nowMs)) {
+                continue;
+            }
+            if (!this.isPassedOver(databaseId, own ? undefined : instance.address, nowMs)) {
+                return instance;
+            }
+            firstRunning ??= instance;
+            passedOver += 1;
+            if (passedOver > maximumPassedOver) {
+                break;
+            }
         }
-        const holder = this.ranking.rank(databaseId, report.dataCentre).find(({ instanceId, address }) =>
-            (this.avoided.get(databaseId)?.get(instanceId) ?? 0) <= nowMs
-            && (instanceId === this.instanceId || !this.responsiveness.isAvoided(address, nowMs))
-        );
-        this.chosen.set(databaseId, holder?.instanceId ?? this.instanceId);
-        return holder === undefined || holder.instanceId === this.instanceId ? undefined : holder.address;
+        return firstRunning;
+    }
+
+    private isOwn({ instanceId }: PeerInstance): boolean {
+        return instanceId === this.instanceId;
+    }
+
+    /** @param address of the instance; undefined for this one */
+    private isPassedOver(databaseId: string, address: string | undefined, nowMs: number): boolean {
+        const avoided = this.avoided.get(databaseId);
+        const unreached = avoided !== undefined && avoided.untilMs > nowMs && avoided.address === address;
+        return unreached || address !== undefined && this.responsiveness.isAvoided(address, nowMs);
     }
 
     private noteHolder(databaseId: string, nowMs: number): readonly Message[] {
-        return this.noteHolds(databaseId, this.holderOf(databaseId, nowMs) === undefined);
+        return this.noteHolds(databaseId, this.holderOf(databaseId, nowMs).holds);
     }
 
     private noteHolds(databaseId: string, holds: boolean): readonly Message[] {
@@ -198,13 +247,12 @@
         return [{ kind: TaskKind.HolderChanged, databaseId, holds } as HolderChanged];
     }
 
-    /** The holder does not reach the database; another one may. */
-    private avoid(databaseId: string, nowMs: number): void {
-        const instanceId = this.chosen.get(databaseId);
-        if (instanceId !== undefined) {
-            const avoided = this.avoided.get(databaseId) ?? new Map<string, number>();
-            this.avoided.set(databaseId, avoided.set(instanceId, nowMs + avoidanceMs));
+    /** A holder that says that it does not reach the database is passed over; a slow database is as slow for others. */
+    private avoid({ databaseId, address, sent }: DatabaseSuspected, nowMs: number): void {
+        if (sent || !this.databases.has(databaseId) || (this.avoided.get(databaseId)?.untilMs ?? 0) > nowMs) {
+            return;
         }
+        this.avoided.set(databaseId, { address, untilMs: nowMs + avoidanceMs });
     }
 
     /** The links of a removed database are gone; if it comes back, they have to be told anew who holds it. */
@@ -212,7 +260,6 @@
         this.databases.delete(databaseId);
         this.ranking.forget(databaseId);
         this.held.delete(databaseId);
-        this.chosen.delete(databaseId);
         this.avoided.delete(databaseId);
     }
 
@@ -295,6 +342,7 @@
             kind: TaskKind.Attempted,
             task,
             databaseId,
+            address,
             reply: undefined,
             fault: unreachable ? StatementFault.Aborted : undefined,
             sent: !unreachable,
@@ -343,12 +391,13 @@
     return mode === TaskMode.Probe || mode === TaskMode.Single && !writes;
 }
 
-function attemptedOf({ task, databaseId, sentMs }: Pending, result: PassedResult): TaskAttempted {
+function attemptedOf({ task, databaseId, address, sentMs }: Pending, result: PassedResult): TaskAttempted {
     const { reply, fault, sent, leads, pinned } = result;
     return {
         kind: TaskKind.Attempted,
         task,
         databaseId,
+        address,
         reply,
         fault,
         sent,
--- a/src/session/responsiveness.ts
+++ b/src/session/responsiveness.ts
@@ -21,6 +21,8 @@
 interface Peer {
     limitMs: number;
     avoidedUntilMs: number;
+    /** The avoidance is for a connection that ended, not for silence. */
+    lost: boolean;
     /** When the oldest question was sent that has met silence so far. */
     silentSinceMs: number | undefined;
 }
@@ -47,6 +49,11 @@
         return (this.peers.get(address)?.avoidedUntilMs ?? 0) > nowMs;
     }
 
+    /** It is avoided because the connection to it ended. */
+    isLost(address: string, nowMs: number): boolean {
+        return this.isAvoided(address, nowMs) && this.peers.get(address)!.lost;
+    }
+
     /** @param sentMs when the question was sent; undefined when that is forgotten */
     noteAnswer(address: string, sentMs: number | undefined, nowMs: number): void {
         const { minimumMs, maximumMs } = this.options;
@@ -61,6 +68,7 @@
     noteSilence(address: string, sentMs: number, nowMs: number): void {
         const peer = this.peerAt(address);
         peer.avoidedUntilMs = nowMs + avoidanceMs;
+        peer.lost = false;
         peer.silentSinceMs ??= sentMs;
     }
 
@@ -68,6 +76,7 @@
     noteLoss(address: string, nowMs: number): void {
         const peer = this.peerAt(address);
         peer.avoidedUntilMs = nowMs + avoidanceMs;
+        peer.lost = true;
         peer.silentSinceMs = undefined;
     }
 
@@ -83,7 +92,12 @@
         if (known !== undefined) {
             return known;
         }
-        const peer = { limitMs: this.options.minimumMs, avoidedUntilMs: 0, silentSinceMs: undefined };
+        const peer: Peer = {
+            limitMs: this.options.minimumMs,
+            avoidedUntilMs: 0,
+            lost: false,
+            silentSinceMs: undefined,
+        };
         this.peers.set(address, peer);
         return peer;
     }
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -251,11 +251,11 @@
     }
 
     private judge(attempt: TaskAttempted, nowMs: number): readonly Message[] {
-        const { task, databaseId, reply } = attempt;
+        const { task, reply } = attempt;
         const { service } = task;
         this.learn(attempt, nowMs);
         const silent = reply === undefined && attempt.fault === undefined && !attempt.holderSilent;
-        const suspicion = silent ? [suspect(databaseId)] : [];
+        const suspicion = silent ? [suspect(attempt)] : [];
         if (task.mode === TaskMode.Probe) {
             if (reply === undefined) {
                 this.floorsUntilMs.set(service, nowMs + floorPauseMs);
@@ -348,8 +348,8 @@
     return `placement/${taskId}`;
 }
 
-function suspect(databaseId: string): DatabaseSuspected {
-    return { kind: FleetKind.DatabaseSuspected, databaseId };
+function suspect({ databaseId, address, sent }: TaskAttempted): DatabaseSuspected {
+    return { kind: FleetKind.DatabaseSuspected, databaseId, address, sent };
 }
 
 function giveUpText({ task }: RoutedTask): string {
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -117,6 +117,8 @@
     readonly kind: typeof TaskKind.Attempted;
     readonly task: LinkTask;
     readonly databaseId: string;
+    /** The instance whose links the attempt used; undefined for this one. */
+    readonly address: string | undefined;
     /** Undefined when the link was lost, or the time of the attempt ran out. */
     readonly reply: LinkReply | undefined;
     /** Set without a reply when the database refused to open the link. */
