fix(rpc): a large configuration reaches an instance on a slow link

What callers saw: on a link of 2 Mbit/s a change of 1,000 or more routes was never applied.

Cause: members announce a version on other connections before the update has crossed the link.

Evidence: configurationFeed.spec.ts (feed, subscriber and attachments over loopback at 250 KB/s) on the code before: "does not start a large configuration anew while it arrives", "applies the last of many configurations in quick succession" and "leaves a member that is stuck in the middle of a configuration" fail with version 0 after 4 s; "leaves a member that is behind" passed and guards against waiting too long.

Why it works: an update goes in parts of 16 KB (66 ms on such a link), and a member is left only when nothing arrived on the subscription for 300 ms. The limit doubles with each member left, up to 2.4 s, until an update is complete, so a link that is full of other traffic cannot keep the catch-up going. The limit of updates that wait for a slow subscriber still counts whole updates.

--- a/bench/pipeSlopes.ts
+++ b/bench/pipeSlopes.ts
@@ -7,7 +7,6 @@
 import { heartbeatIntervalMs, ResourceKind } from "../src/model/lease.ts";
 import { type EntryBody, EntryKind } from "../src/model/replicatedLog.ts";
 import { decodeUpdate, encodeUpdate } from "../src/rpc/configurationCodec.ts";
-import { ConfigurationUpdate } from "../src/rpc/generated/control.ts";
 import { HeartbeatRequest, HeartbeatResponse } from "../src/rpc/generated/health.ts";
 import { decodeHeartbeat, encodeAnswer, encodeHeartbeat } from "../src/rpc/heartbeatCodec.ts";
 import { encodeRecord } from "../src/storage/record.ts";
@@ -105,7 +104,7 @@
         const [first, ...others] = before.keys;
         const changed = { ...first!, version: 2 };
         const after = { ...before, version: 2, keys: [changed, ...others] };
-        const wire = ConfigurationUpdate.encode(encodeUpdate(diffConfigurations(before, after))).finish();
+        const parts = encodeUpdate(diffConfigurations(before, after));
         const { version, ...key } = changed;
         const command: Command = { kind: CommandKind.IssueKey, expectedVersion: version - 1, key };
         const body: EntryBody = { kind: EntryKind.Command, operationId: "0123456789abcdef", command };
@@ -113,9 +112,9 @@
         const record = { fromIndex: 100_000, entries: [{ index: 100_000, term: 10, body }] };
         return {
             objects,
-            deltaBytes: wire.length,
+            deltaBytes: parts.reduce((sum, { content }) => sum + content.length, 0),
             decodeAndApplyMicroseconds: timeEach(() => {
-                applyDelta(before, decodeUpdate(ConfigurationUpdate.decode(wire)) as never);
+                applyDelta(before, decodeUpdate(parts) as never);
             }),
             logBytesPerChange: encodeRecord(Buffer.from(JSON.stringify(record))).length,
         };
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -23,8 +23,8 @@
 const suspicionIntervalMs = 200;
 
 /**
- * Time for which the configuration may be behind one that a member has announced, before it is asked for there; the
- * feed needs about one way between data centres.
+ * Time for which the configuration may be behind one that a member has announced, before it is asked for there
+ * unless it is arriving; the feed needs about one way between data centres.
  */
 const behindLimitMs = 300;
 
--- /dev/null
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -0,0 +1,292 @@
+/** The configuration feed between members and an instance whose link is slow. */
+import type { Server } from "@grpc/grpc-js";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Server as SocketServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { FollowerFilter } from "../../control/followerFilter.ts";
+import { MemberKind } from "../../control/memberMessages.ts";
+import { PublicationFilter } from "../../control/publicationFilter.ts";
+import { Attachments } from "../../fleet/attachments.ts";
+import { ClusterKind, type ConfigurationApplied } from "../../model/clusterMessages.ts";
+import { type Configuration, emptyConfiguration } from "../../model/configuration.ts";
+import { FeedKind, type FeedResubscribe, type FeedSend } from "../../model/feedMessages.ts";
+import { type FleetFrame, FleetKind } from "../../model/fleetMessages.ts";
+import { DeadlineKind, type DeadlineMessage } from "../../pipeline/deadlineQueue.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
+import { ConfigurationFeed } from "../configurationFeed.ts";
+import { ConfigurationSubscriber } from "../configurationSubscriber.ts";
+import { PeerAuthentication } from "../peerAuthentication.ts";
+import { createPeerServer, listen } from "../peerChannel.ts";
+import { PeerNetwork } from "../peerNetwork.ts";
+
+/** 2 Mbit/s, a slow link of the users' sites. */
+const linkBytesPerSecond = 250_000;
+const linkTickMs = 20;
+
+/** The users' `config_apply_ms`. */
+const applyLimitMs = 4_000;
+
+/** An instance should leave a member that is stuck or behind well within the time for a configuration. */
+const leaveLimitMs = 2_000;
+
+interface Chunk {
+    readonly bytes: Buffer;
+    readonly target: Socket;
+    readonly open: () => boolean;
+}
+
+const closing: (() => void)[] = [];
+
+afterEach(() => closing.splice(0).reverse().forEach(close => close()));
+
+/** Everything that goes to one instance shares its rate. */
+class SlowLink {
+    private queue: Chunk[] = [];
+
+    constructor() {
+        const timer = setInterval(() => this.pass(), linkTickMs);
+        closing.push(() => clearInterval(timer));
+    }
+
+    /** @returns address whose traffic to the connecting side passes this link; while `open` is false its bytes are lost */
+    async to(port: number, open: () => boolean = () => true): Promise<string> {
+        const server: SocketServer = createServer(near => {
+            const far = connect(port, "127.0.0.1");
+            near.on("data", bytes => far.write(bytes));
+            far.on("data", bytes => void this.queue.push({ bytes, target: near, open }));
+            for (const socket of [near, far]) {
+                socket.on("error", () => undefined);
+                socket.on("close", () => [near, far].forEach(other => other.destroy()));
+                closing.push(() => socket.destroy());
+            }
+        }).listen(0, "127.0.0.1");
+        await once(server, "listening");
+        closing.push(() => server.close());
+        return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    }
+
+    private pass(): void {
+        let left = linkBytesPerSecond * linkTickMs / 1_000;
+        while (left > 0 && this.queue.length > 0) {
+            const { bytes, target, open } = this.queue.shift()!;
+            if (!target.destroyed && open()) {
+                target.write(bytes.subarray(0, left));
+                if (bytes.length > left) {
+                    this.queue.unshift({ bytes: bytes.subarray(left), target, open });
+                }
+                left -= Math.min(left, bytes.length);
+            }
+        }
+    }
+}
+
+class Member {
+    readonly feed: ConfigurationFeed;
+    private readonly publication = new PublicationFilter();
+
+    constructor() {
+        this.feed = new ConfigurationFeed({ post: message => this.run(message) });
+    }
+
+    async serve(name: string): Promise<number> {
+        const server: Server = createPeerServer(authenticationOf(name));
+        this.feed.addTo(server);
+        closing.push(() => server.forceShutdown());
+        return await listen(server, "127.0.0.1:0");
+    }
+
+    publish(configuration: Configuration): void {
+        this.run({ kind: MemberKind.ConfigurationChanged, configuration } as Message);
+    }
+
+    private run(message: Message): void {
+        const outputs = this.publication.process(message as Parameters<PublicationFilter["process"]>[0]);
+        outputs.filter(({ kind }) => kind === FeedKind.Send).forEach(send => this.feed.deliver(send as FeedSend));
+    }
+}
+
+class Instance {
+    readonly subscriber: ConfigurationSubscriber;
+    version = 0;
+    resubscriptions = 0;
+    private readonly attachments = new Attachments({
+        instanceId: "i",
+        dataCentre: "z",
+        address: "i:1",
+        serves: true,
+        follows: true,
+    });
+    private readonly follower = new FollowerFilter();
+    private readonly addresses: readonly string[];
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(addresses: readonly string[]) {
+        this.addresses = addresses;
+        let seed = 1;
+        while (new SeededRandom(seed).nextInteger(addresses.length) !== 0) {
+            seed += 1;
+        }
+        this.subscriber = new ConfigurationSubscriber({
+            network: new PeerNetwork({ authentication: authenticationOf("i") }),
+            addresses,
+            random: new SeededRandom(seed),
+            post: message => this.follower.process(message as never).forEach(output => this.take(output)),
+        });
+        this.subscriber.start();
+        closing.push(() => {
+            clearTimeout(this.timer);
+            void this.subscriber[Symbol.asyncDispose]();
+        });
+        addresses.forEach((address, index) =>
+            this.run({ kind: FleetKind.Attached, attachmentId: `o${index}`, address } as Message)
+        );
+    }
+
+    /** The member at this place says which version it has. */
+    announce(place: number, version: number): void {
+        const frame: FleetFrame = {
+            kind: "status",
+            instanceId: `m${place}`,
+            leading: place === 0,
+            term: 1,
+            members: this.addresses,
+            configurationVersion: version,
+            instanceCount: 1,
+        };
+        this.run({ kind: FleetKind.FrameReceived, attachmentId: `o${place}`, frame } as Message);
+    }
+
+    /** @returns ms until the version is applied; `limitMs` when it is not by then */
+    async applied(version: number, limitMs: number): Promise<number> {
+        const startMs = performance.now();
+        while (this.version < version && performance.now() - startMs < limitMs) {
+            await pause(10);
+        }
+        return this.version < version ? limitMs : performance.now() - startMs;
+    }
+
+    private run(message: Message): void {
+        const outputs = this.attachments.process(message as never, performance.now());
+        outputs.forEach(output => this.take(output));
+    }
+
+    private take(output: Message): void {
+        if (output.kind === FeedKind.Resubscribe) {
+            this.resubscriptions += 1;
+            this.subscriber.deliver(output as FeedResubscribe);
+        }
+        else if (output.kind === ClusterKind.ConfigurationApplied) {
+            const { version } = (output as ConfigurationApplied).configuration;
+            if (version > this.version) {
+                this.version = version;
+                this.run(output);
+            }
+        }
+        else if (
+            output.kind === DeadlineKind.Set && (output as DeadlineMessage & { key: string; }).key === "fleet.behind"
+        ) {
+            const { atMs, message } = output as Message & { atMs: number; message: Message; };
+            clearTimeout(this.timer);
+            this.timer = setTimeout(() => this.run(message), Math.max(0, atMs - performance.now()));
+        }
+    }
+}
+
+describe("configuration feed over a slow link", { timeout: 30_000 }, () => {
+    it("does not start a large configuration anew while it arrives", async () => {
+        const { members, instance } = await start(2);
+        members.forEach(member => member.publish(configurationOf(5, 1_400, 5)));
+        members.forEach((_, place) => instance.announce(place, 5));
+        await instance.applied(5, applyLimitMs);
+        assert.equal(instance.version, 5);
+    });
+
+    it("applies the last of many configurations in quick succession", async () => {
+        const { members, instance } = await start(2);
+        for (let version = 5; version <= 24; version++) {
+            members.forEach(member => member.publish(configurationOf(version, 1_000, version)));
+            members.forEach((_, place) => instance.announce(place, version));
+            await pause(50);
+        }
+        await instance.applied(24, applyLimitMs);
+        assert.equal(instance.version, 24);
+    });
+
+    it("leaves a member that is behind", async () => {
+        const { members, instance } = await start(3);
+        members[1]!.publish(configurationOf(5, 100, 5));
+        instance.announce(1, 5);
+        await instance.applied(5, leaveLimitMs);
+        assert.equal(instance.version, 5);
+    });
+
+    it("leaves a member that is stuck in the middle of a configuration", async () => {
+        let stuck = false;
+        const { members, instance } = await start(2, place => place !== 0 || !stuck);
+        members.forEach(member => member.publish(configurationOf(5, 1_000, 5)));
+        members.forEach((_, place) => instance.announce(place, 5));
+        await pause(200);
+        assert.equal(instance.version, 0);
+        stuck = true;
+        await instance.applied(5, applyLimitMs);
+        assert.equal(instance.version, 5);
+    });
+});
+
+async function start(count: number, open: (place: number) => boolean = () => true) {
+    const link = new SlowLink();
+    const members = Array.from({ length: count }, () => new Member());
+    const addresses: string[] = [];
+    for (const [place, member] of members.entries()) {
+        addresses.push(await link.to(await member.serve(`m${place}`), () => open(place)));
+    }
+    const instance = new Instance(addresses);
+    while (members[0]!.feed.subscribers === 0) {
+        await pause(10);
+    }
+    await pause(200);
+    return { members, instance };
+}
+
+/** The first fifty routes differ from one version to the next. */
+function configurationOf(version: number, routes: number, changed: number): Configuration {
+    const documentEntries = Array.from({ length: routes }, (_, index) => routeOf(index, index < 50 ? changed : 0));
+    return {
+        ...emptyConfiguration,
+        version,
+        documentHeads: [{ documentVersion: version, sections: [] }],
+        documentEntries,
+    };
+}
+
+const routes = new Map<string, Configuration["documentEntries"][number]>();
+
+function routeOf(index: number, changed: number): Configuration["documentEntries"][number] {
+    const key = `${index} ${changed}`;
+    const known = routes.get(key);
+    if (known !== undefined) {
+        return known;
+    }
+    const body = JSON.stringify({
+        name: `route-${index}`,
+        path: `/shop/${index}/${changed}`,
+        service: "order-core-1",
+        kind: "bounded",
+        max_staleness_ms: 1_500,
+        timeout_ms: 1_000,
+        priority: 2,
+    });
+    const route = { entryId: `routes/r${index}`, place: index + 1, body };
+    routes.set(key, route);
+    return route;
+}
+
+function authenticationOf(instanceId: string): PeerAuthentication {
+    return new PeerAuthentication({ cluster: "c", instanceId, secret: "0123456789abcdef" });
+}
+
+async function pause(ms: number): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/rpc/configurationCodec.ts
+++ b/src/rpc/configurationCodec.ts
@@ -2,12 +2,33 @@
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import { type ConfigurationUpdate, UpdateKind } from "../model/feedMessages.ts";
 import { type ConfigurationObject, ObjectList } from "../model/replicatedLog.ts";
-import type { ConfigurationUpdate as UpdateMessage, ObjectMessage } from "./generated/control.ts";
+import {
+    type ConfigurationPart,
+    ConfigurationUpdate as UpdateMessage,
+    type ObjectMessage,
+} from "./generated/control.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
 
+/** A link of 2 Mbit/s carries a part in 66 ms, well below the silence after which a subscriber leaves a member. */
+const partBytes = 16_384;
+
 const lists = Object.values(ObjectList);
 
-export function encodeUpdate(update: ConfigurationUpdate): UpdateMessage {
+export function encodeUpdate(update: ConfigurationUpdate): readonly ConfigurationPart[] {
+    const encoded = Buffer.from(UpdateMessage.encode(toMessage(update)).finish());
+    const parts = Array.from({ length: Math.ceil(encoded.length / partBytes) }, (_, index) => index * partBytes);
+    return parts.map(offset => ({
+        content: encoded.subarray(offset, offset + partBytes),
+        last: offset + partBytes >= encoded.length,
+    }));
+}
+
+/** @throws Error when the parts are not an update; TypeError when it is empty or names an unknown list */
+export function decodeUpdate(parts: readonly ConfigurationPart[]): ConfigurationUpdate {
+    return fromMessage(UpdateMessage.decode(Buffer.concat(parts.map(({ content }) => content))));
+}
+
+function toMessage(update: ConfigurationUpdate): UpdateMessage {
     if (update.kind === UpdateKind.Snapshot) {
         const { configuration } = update;
         const objects = lists.flatMap(list => configuration[list].map(value => ({ list, body: encodeJson(value) })));
@@ -18,8 +39,7 @@
     return { delta: { fromVersion, toVersion, upserts, removals: [...removals] } };
 }
 
-/** @throws TypeError when the message is empty or names an unknown list */
-export function decodeUpdate({ snapshot, delta }: UpdateMessage): ConfigurationUpdate {
+function fromMessage({ snapshot, delta }: UpdateMessage): ConfigurationUpdate {
     if (snapshot !== undefined) {
         const configuration = fromObjects(snapshot.version, snapshot.objects.map(decodeObject));
         return { kind: UpdateKind.Snapshot, configuration };
--- a/src/rpc/configurationFeed.ts
+++ b/src/rpc/configurationFeed.ts
@@ -5,7 +5,7 @@
 import type { Sink } from "../pipeline/sink.ts";
 import { encodeUpdate } from "./configurationCodec.ts";
 import {
-    type ConfigurationUpdate,
+    type ConfigurationPart,
     type ControlServer,
     ControlService,
     type SubscribeRequest,
@@ -14,7 +14,13 @@
 /** Updates that wait for a slow subscriber; above this it is cut off and subscribes again. */
 const maximumWaiting = 64;
 
-type FeedStream = ServerWritableStream<SubscribeRequest, ConfigurationUpdate>;
+type FeedStream = ServerWritableStream<SubscribeRequest, ConfigurationPart>;
+
+interface Subscription {
+    readonly stream: FeedStream;
+    /** Updates that are not written as a whole. */
+    waiting: number;
+}
 
 export interface ConfigurationFeedOptions {
     readonly post: (message: Message) => void;
@@ -23,7 +29,7 @@
 export class ConfigurationFeed implements Sink<FeedSend>, AsyncDisposable {
     readonly accepts = [FeedKind.Send];
     private readonly options: ConfigurationFeedOptions;
-    private readonly streams = new Map<string, FeedStream>();
+    private readonly subscriptions = new Map<string, Subscription>();
     private nextStream = 0;
 
     constructor(options: ConfigurationFeedOptions) {
@@ -38,30 +44,36 @@
 
     /** Subscribers at present. */
     get subscribers(): number {
-        return this.streams.size;
+        return this.subscriptions.size;
     }
 
     deliver({ streamId, update }: FeedSend): void {
-        const stream = this.streams.get(streamId);
-        if (stream === undefined) {
+        const subscription = this.subscriptions.get(streamId);
+        if (subscription === undefined) {
             return;
         }
-        if (stream.writableLength >= maximumWaiting) {
+        const { stream } = subscription;
+        if (subscription.waiting >= maximumWaiting) {
             this.close(streamId);
             stream.emit("error", { code: status.RESOURCE_EXHAUSTED, details: "the subscriber is too slow" });
             return;
         }
-        stream.write(encodeUpdate(update));
+        subscription.waiting += 1;
+        for (const part of encodeUpdate(update)) {
+            stream.write(part, () => {
+                subscription.waiting -= part.last ? 1 : 0;
+            });
+        }
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        this.streams.forEach(stream => stream.end());
-        this.streams.clear();
+        this.subscriptions.forEach(({ stream }) => stream.end());
+        this.subscriptions.clear();
     }
 
     private open(stream: FeedStream): void {
         const streamId = `feed${this.nextStream++}`;
-        this.streams.set(streamId, stream);
+        this.subscriptions.set(streamId, { stream, waiting: 0 });
         stream.once("cancelled", () => this.close(streamId));
         stream.once("close", () => this.close(streamId));
         // The subscriber may have the current version, and then gets nothing else for long.
@@ -71,7 +83,7 @@
     }
 
     private close(streamId: string): void {
-        if (this.streams.delete(streamId)) {
+        if (this.subscriptions.delete(streamId)) {
             this.options.post({ kind: FeedKind.Unsubscribe, streamId } as FeedUnsubscribe);
         }
     }
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -6,10 +6,20 @@
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeUpdate } from "./configurationCodec.ts";
-import { type ConfigurationUpdate, ControlClient } from "./generated/control.ts";
+import { type ConfigurationPart, ControlClient } from "./generated/control.ts";
 import { ConnectionUse, type PeerNetwork } from "./peerNetwork.ts";
 import { RetryDelay } from "./retryDelay.ts";
 
+/**
+ * Silence after which a member is left for one that has a later version, and what it grows by with each one left until an
+ * update is complete: a link that is full of other traffic may hold up the first part for longer than the first limit.
+ */
+const firstSilenceMs = 300;
+const silenceGrowth = 2;
+
+/** Longest silence; an instance then still tries another member within the users' time for a configuration. */
+const longestSilenceMs = 2_400;
+
 export interface ConfigurationSubscriberOptions {
     readonly network: PeerNetwork;
     /** `host:port` of the control members. */
@@ -27,12 +37,17 @@
     private position: number;
     private version = 0;
     private client: ControlClient | undefined;
-    private stream: ClientReadableStream<ConfigurationUpdate> | undefined;
+    private stream: ClientReadableStream<ConfigurationPart> | undefined;
     private readonly retryDelay: RetryDelay;
     private retry: NodeJS.Timeout | undefined;
     /** Limit of an attempt; a member confirms a subscription at once. */
     private opening: NodeJS.Timeout | undefined;
     private closed = false;
+    /** Parts of the update that is arriving. */
+    private parts: ConfigurationPart[] = [];
+    private silenceLimitMs = firstSilenceMs;
+    /** When the stream was opened, or anything last arrived on it. */
+    private heardMs = 0;
 
     constructor(options: ConfigurationSubscriberOptions) {
         this.options = options;
@@ -55,7 +70,11 @@
             this.reopenLater();
             return;
         }
-        // The member is known to have what is missing, so there is nothing to wait for.
+        // To leave a member that is sending would start the update anew, again and again on a slow link.
+        if (this.stream !== undefined && performance.now() - this.heardMs < this.silenceLimitMs) {
+            return;
+        }
+        this.silenceLimitMs = Math.min(longestSilenceMs, this.silenceLimitMs * silenceGrowth);
         const { address } = message;
         this.addresses = [...this.addresses.filter(other => other !== address), address];
         this.position = this.addresses.length - 1;
@@ -90,26 +109,36 @@
         this.client = network.createClient(ControlClient, address, ConnectionUse.Own);
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
+        this.heardMs = performance.now();
         this.opening = setTimeout(() => this.lose(stream), this.retryDelay.attemptMs());
         stream.on("metadata", () => this.confirm(stream));
-        stream.on("data", (message: ConfigurationUpdate) => this.receive(stream, message));
+        stream.on("data", (part: ConfigurationPart) => this.receive(stream, part));
         stream.on("error", () => this.lose(stream));
         stream.on("end", () => this.lose(stream));
     }
 
-    private confirm(stream: ClientReadableStream<ConfigurationUpdate>): void {
+    private confirm(stream: ClientReadableStream<ConfigurationPart>): void {
         if (stream === this.stream) {
             clearTimeout(this.opening);
             this.retryDelay.reset();
+            this.heardMs = performance.now();
         }
     }
 
-    private receive(stream: ClientReadableStream<ConfigurationUpdate>, message: ConfigurationUpdate): void {
+    private receive(stream: ClientReadableStream<ConfigurationPart>, part: ConfigurationPart): void {
         if (stream !== this.stream) {
             return;
         }
+        this.heardMs = performance.now();
+        this.parts.push(part);
+        if (!part.last) {
+            return;
+        }
+        const parts = this.parts;
+        this.parts = [];
+        this.silenceLimitMs = firstSilenceMs;
         try {
-            const update = decodeUpdate(message);
+            const update = decodeUpdate(parts);
             this.version = update.kind === UpdateKind.Snapshot ? update.configuration.version : update.toVersion;
             this.options.post({ kind: FeedKind.Received, update } as FeedReceived);
         }
@@ -118,7 +147,7 @@
         }
     }
 
-    private lose(stream: ClientReadableStream<ConfigurationUpdate>): void {
+    private lose(stream: ClientReadableStream<ConfigurationPart>): void {
         if (stream === this.stream) {
             this.position += 1;
             this.reopenLater();
@@ -136,6 +165,7 @@
     private drop(): void {
         const { stream, client } = this;
         clearTimeout(this.opening);
+        this.parts = [];
         this.stream = undefined;
         this.client = undefined;
         stream?.cancel();
