--- a/src/control/publicationFilter.ts
+++ b/src/control/publicationFilter.ts
@@ -3,6 +3,7 @@
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
     type ConfigurationDelta,
+    type ConfigurationSnapshot,
     type ConfigurationUpdate,
     FeedKind,
     type FeedSend,
@@ -22,6 +23,7 @@
     readonly step = "publish";
     readonly accepts = [MemberKind.ConfigurationChanged, FeedKind.Subscribe, FeedKind.Unsubscribe];
     private current: Configuration = emptyConfiguration;
+    private snapshot: ConfigurationSnapshot | undefined;
     /** Version that each stream has been brought to. */
     private readonly versions = new Map<string, number>();
 
@@ -60,7 +62,11 @@
     }
 
     private sendSnapshot(streamId: string): FeedSend {
-        return this.sendTo(streamId, { kind: UpdateKind.Snapshot, configuration: this.current });
+        // The same object for all, so that it is encoded once.
+        if (this.snapshot?.configuration !== this.current) {
+            this.snapshot = { kind: UpdateKind.Snapshot, configuration: this.current };
+        }
+        return this.sendTo(streamId, this.snapshot);
     }
 
     private sendTo(streamId: string, update: ConfigurationUpdate): FeedSend {
--- a/src/rpc/__tests__/configurationFeed.spec.ts
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -233,6 +233,31 @@
         await instance.applied(5, applyLimitMs);
         assert.equal(instance.version, 5);
     });
+
+    it("encodes an update for many subscribers once", async () => {
+        const { members, addresses, instance } = await start(1);
+        const instances = [instance, new Instance(addresses), new Instance(addresses)];
+        while (members[0]!.feed.subscribers < instances.length) {
+            await pause(10);
+        }
+        let encodings = 0;
+        const configuration = configurationOf(5, 1, 5);
+        const entry = { ...configuration.documentEntries[0]! };
+        Object.defineProperty(entry, "toJSON", {
+            value: () => {
+                encodings += 1;
+                return { ...entry };
+            },
+        });
+        members[0]!.publish({ ...configuration, documentEntries: [entry] });
+        await Promise.all(instances.map(one => one.applied(5, applyLimitMs)));
+        assert.deepEqual(instances.map(({ version }) => version), [5, 5, 5]);
+        const late = [new Instance(addresses), new Instance(addresses)];
+        await Promise.all(late.map(one => one.applied(5, applyLimitMs)));
+        assert.deepEqual(late.map(({ version }) => version), [5, 5]);
+        // One delta, one snapshot.
+        assert.equal(encodings, 2);
+    });
 });
 
 async function start(count: number, open: (place: number) => boolean = () => true) {
@@ -247,7 +272,7 @@
         await pause(10);
     }
     await pause(200);
-    return { members, instance };
+    return { members, addresses, instance };
 }
 
 /** The first fifty routes differ from one version to the next. */
--- a/src/rpc/configurationFeed.ts
+++ b/src/rpc/configurationFeed.ts
@@ -1,6 +1,12 @@
 /** The configuration feed on the side of a control member: source of subscriptions and sink of updates. */
 import { Metadata, type Server, type ServerWritableStream, status } from "@grpc/grpc-js";
-import { FeedKind, type FeedSend, type FeedSubscribe, type FeedUnsubscribe } from "../model/feedMessages.ts";
+import {
+    type ConfigurationUpdate,
+    FeedKind,
+    type FeedSend,
+    type FeedSubscribe,
+    type FeedUnsubscribe,
+} from "../model/feedMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { encodeUpdate } from "./configurationCodec.ts";
@@ -30,6 +36,8 @@
     readonly accepts = [FeedKind.Send];
     private readonly options: ConfigurationFeedOptions;
     private readonly subscriptions = new Map<string, Subscription>();
+    /** An update that goes to many is encoded once. */
+    private readonly encoded = new WeakMap<ConfigurationUpdate, readonly ConfigurationPart[]>();
     private nextStream = 0;
 
     constructor(options: ConfigurationFeedOptions) {
@@ -59,7 +67,7 @@
             return;
         }
         subscription.waiting += 1;
-        for (const part of encodeUpdate(update)) {
+        for (const part of this.encode(update)) {
             stream.write(part, () => {
                 subscription.waiting -= part.last ? 1 : 0;
             });
@@ -71,6 +79,12 @@
         this.subscriptions.clear();
     }
 
+    private encode(update: ConfigurationUpdate): readonly ConfigurationPart[] {
+        const parts = this.encoded.get(update) ?? encodeUpdate(update);
+        this.encoded.set(update, parts);
+        return parts;
+    }
+
     private open(stream: FeedStream): void {
         const streamId = `feed${this.nextStream++}`;
         this.subscriptions.set(streamId, { stream, waiting: 0 });
