fix(fleet): instances that leave a member of the feed spread over all that are ahead

Cause: of the members that were ahead the first one was asked for, and the instances know them in the same order.

Why it works: the lag names all members that are ahead, and the subscriber takes one at random, another than the silent one.

--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -296,8 +296,8 @@
             return [timer];
         }
         this.behindSinceMs = nowMs;
-        const { address } = ahead.sort((left, right) => right.configurationVersion - left.configurationVersion)[0]!;
-        const resubscribe: FeedResubscribe = { kind: FeedKind.Resubscribe, version: this.version, address };
+        const addresses = ahead.map(({ address }) => address);
+        const resubscribe: FeedResubscribe = { kind: FeedKind.Resubscribe, version: this.version, addresses };
         return [resubscribe, timer];
     }
 
--- a/src/model/feedMessages.ts
+++ b/src/model/feedMessages.ts
@@ -64,6 +64,6 @@
 export interface FeedResubscribe extends Message {
     readonly kind: typeof FeedKind.Resubscribe;
     readonly version: number;
-    /** `host:port` of a member that has the update; undefined when any will do. */
-    readonly address?: string | undefined;
+    /** `host:port` of the members that have the update; undefined when any member will do. */
+    readonly addresses?: readonly string[] | undefined;
 }
--- a/src/rpc/__tests__/configurationFeed.spec.ts
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -31,6 +31,9 @@
 /** An instance should leave a member that is stuck or behind well within the time for a configuration. */
 const leaveLimitMs = 2_000;
 
+/** Small seeds all give first shares close to 1. */
+const seedStep = 123_456_789;
+
 interface Chunk {
     readonly bytes: Buffer;
     readonly target: Socket;
@@ -122,11 +125,12 @@
     private readonly addresses: readonly string[];
     private timer: NodeJS.Timeout | undefined;
 
-    constructor(addresses: readonly string[]) {
+    /** @param firstSeed the first seed from here on that leads to the first address is used */
+    constructor(addresses: readonly string[], firstSeed = seedStep) {
         this.addresses = addresses;
-        let seed = 1;
+        let seed = firstSeed;
         while (new SeededRandom(seed).nextInteger(addresses.length) !== 0) {
-            seed += 1;
+            seed += seedStep;
         }
         this.subscriber = new ConfigurationSubscriber({
             network: new PeerNetwork({ authentication: authenticationOf("i") }),
@@ -234,6 +238,25 @@
         assert.equal(instance.version, 5);
     });
 
+    it("spreads instances that leave a member over all that are ahead", async () => {
+        const { members, addresses, instance } = await start(4);
+        const instances = [instance];
+        for (let seed = 2; instances.length < 16; seed++) {
+            instances.push(new Instance(addresses, seed * 100 * seedStep));
+            while (members.reduce((sum, { feed }) => sum + feed.subscribers, 0) < instances.length) {
+                await pause(10);
+            }
+        }
+        for (const place of [1, 2, 3]) {
+            members[place]!.publish(configurationOf(5, 1, 5));
+        }
+        instances.forEach(one => [1, 2, 3].forEach(place => one.announce(place, 5)));
+        await Promise.all(instances.map(one => one.applied(5, applyLimitMs)));
+        const counts = members.map(({ feed }) => feed.subscribers);
+        const most = instances.length * 2 / 3;
+        assert.deepEqual(counts.map(count => count > 1 && count < most), [false, true, true, true], counts.join());
+    });
+
     it("encodes an update for many subscribers once", async () => {
         const { members, addresses, instance } = await start(1);
         const instances = [instance, new Instance(addresses), new Instance(addresses)];
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -66,7 +66,7 @@
             return;
         }
         this.version = message.version;
-        if (message.address === undefined) {
+        if (message.addresses === undefined) {
             this.reopenLater();
             return;
         }
@@ -75,9 +75,7 @@
             return;
         }
         this.silenceLimitMs = Math.min(longestSilenceMs, this.silenceLimitMs * silenceGrowth);
-        const { address } = message;
-        this.addresses = [...this.addresses.filter(other => other !== address), address];
-        this.position = this.addresses.length - 1;
+        this.choose(message.addresses);
         this.drop();
         clearTimeout(this.retry);
         this.open();
@@ -89,6 +87,16 @@
         this.drop();
     }
 
+    /** One of the members that have what is missing, at random so that instances spread; the silent one only if alone. */
+    private choose(ahead: readonly string[]): void {
+        const silent = this.addresses[this.position % this.addresses.length];
+        const others = ahead.filter(address => address !== silent);
+        const candidates = others.length > 0 ? others : ahead;
+        const address = candidates[this.options.random.nextInteger(candidates.length)]!;
+        this.addresses = [...this.addresses.filter(other => other !== address), address];
+        this.position = this.addresses.length - 1;
+    }
+
     /** Keeps the subscription if its member is still one. */
     private follow(addresses: readonly string[]): void {
         const current = this.addresses[this.position % this.addresses.length]!;
