--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -23,8 +23,8 @@
 const suspicionIntervalMs = 200;
 
 /**
- * Time for which the configuration may be behind one that a member has announced, before it is asked for there; the
- * feed needs about one way between data centres.
+ * Time for which the configuration may be behind one that a member has announced, before it is asked for there
+ * unless it is arriving; the feed needs about one way between data centres.
  */
 const behindLimitMs = 300;
 
@@ -296,8 +296,8 @@
             return [timer];
         }
         this.behindSinceMs = nowMs;
-        const { address } = ahead.sort((left, right) => right.configurationVersion - left.configurationVersion)[0]!;
-        const resubscribe: FeedResubscribe = { kind: FeedKind.Resubscribe, version: this.version, address };
+        const addresses = ahead.map(({ address }) => address);
+        const resubscribe: FeedResubscribe = { kind: FeedKind.Resubscribe, version: this.version, addresses };
         return [resubscribe, timer];
     }
 
