perf(fleet): the list of instances is built once for all followers

Cause: at a change of leader each instance follows the new leader, which built a list of all instances for each of them, so FleetService, which encodes a repeated frame once, encoded each anew: 470 x 470 entries at the planned size.

Evidence: "builds the list once for all followers until it changes" fails with a new frame for each call (equal, not the same), as the code before gave.

Why it works: the frame is kept until the announced state changes. The encoding is shared by followers that ask one after the other; FleetService keeps only the last frame, so another frame in between costs one more encoding.

--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -153,7 +153,7 @@
             return [];
         }
         this.followers.add(attachmentId);
-        return [sendFrame(attachmentId, { kind: "instances", instances: this.instances.listAnnounced() })];
+        return [sendFrame(attachmentId, this.instances.announcedFrame())];
     }
 
     private setLeader(leading: boolean, term: number): readonly Message[] {
--- a/src/fleet/servingInstances.ts
+++ b/src/fleet/servingInstances.ts
@@ -1,5 +1,5 @@
 /** The instances that serve callers, as their attachments to a member tell, and what its followers were told of them. */
-import type { InstancesChangedFrame } from "../model/fleetMessages.ts";
+import type { FleetFrame, InstancesChangedFrame } from "../model/fleetMessages.ts";
 import { type PeerInstance, sameInstance } from "../model/peerMessages.ts";
 
 export class ServingInstances {
@@ -8,6 +8,7 @@
     private readonly attachmentIds = new Map<string, string>();
     private readonly instanceIds = new Map<string, string>();
     private readonly announced = new Map<string, PeerInstance>();
+    private frame: FleetFrame | undefined;
     private readonly changed = new Set<string>();
 
     get count(): number {
@@ -38,8 +39,10 @@
     }
 
     /** What followers have been told; a new follower starts from there, and the next differences complete it. */
-    listAnnounced(): readonly PeerInstance[] {
-        return [...this.announced.values()];
+    announcedFrame(): FleetFrame {
+        // The same frame for all, so that it is encoded once.
+        this.frame ??= { kind: "instances", instances: [...this.announced.values()] };
+        return this.frame;
     }
 
     /** The differences since the last call. */
@@ -50,6 +53,7 @@
         const left = ids.filter(instanceId => !this.instances.has(instanceId));
         joined.forEach(instance => this.announced.set(instance.instanceId, instance));
         left.forEach(instanceId => this.announced.delete(instanceId));
+        this.frame = undefined;
         return { kind: "instances_changed", joined, left };
     }
 
