--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -8,6 +8,12 @@
 /** Control traffic that a node may have, of which a holder of a primary spends it all at most once for each primary. */
 const controlBytesPerSecond = 3_000;
 
+/** The holder of a database, and two others that use it while they cannot tell whether the holder runs. */
+const maximumOpeners = 3;
+
+/** A disturbance of a database. */
+const Disturbance = { Slow: "slow to answer", Dark: "dark" } as const;
+
 describe("session pipes of a fleet", () => {
     it("keeps questions for positions inside the control traffic of a node, however many instances ask", () => {
         // Guards against every instance asking the holder of every primary.
@@ -90,6 +96,41 @@
         });
     }
 
+    for (const hasCallers of [true, false]) {
+        it(`loses nothing while four holders stop one after the other, ${hasCallers ? "with" : "without"} callers`, () => {
+            // Guards against holders that end with transactions and tasks of other instances on their links.
+            const fleet = new SessionFleet({
+                instances: 24,
+                dataCentres: 2,
+                services: 6,
+                workspaces: 8,
+                sessions: 1_000,
+                transactionPauseMs: 1_250,
+            });
+            const holders = new Set([...fleet.databases.values()].map(database => fleet.holderOf(database)));
+            const stopped = fleet.nodes.filter(({ peer }) => peer.dataCentre === "dc0" && holders.has(peer)).slice(
+                0,
+                4,
+            );
+            assert.equal(stopped.length, 4);
+            fleet.startCallers(hasCallers ? fleet.nodes : fleet.nodes.filter(node => !stopped.includes(node)));
+            fleet.advance(8_000);
+            assert.deepEqual([...fleet.answers.keys()], ["served"]);
+            for (const node of stopped) {
+                fleet.stop(node);
+                fleet.advance(400);
+            }
+            fleet.advance(7_000);
+            // A transaction that begins after the signal to stop has less than half of the time.
+            assert.deepEqual(
+                [...fleet.answers.keys()].filter(answer => answer !== "aborted while leaving").sort(),
+                hasCallers ? ["served", "served while leaving"] : ["served"],
+            );
+            assert.deepEqual(fleet.cutOff, []);
+            assert.deepEqual(fleet.staleStatements, []);
+        });
+    }
+
     it("uses up no database's connections while messages between all instances are late", () => {
         // Guards against instances that take each other for silent, and open links of their own everywhere.
         const fleet = congestedFleet();
@@ -97,6 +138,35 @@
         assert.deepEqual(fleet.staleStatements, []);
     });
 
+    const disturbances = Object.values(Disturbance).flatMap(disturbance => [1, 3].map(seed => ({ disturbance, seed })));
+    for (const { disturbance, seed } of disturbances) {
+        it(`leaves a database to its holder and two others while it is ${disturbance} (seed ${seed})`, () => {
+            // Guards against one holder after the other, and then every instance as a full holder.
+            const fleet = new SessionFleet({
+                instances: 89,
+                dataCentres: 6,
+                services: 6,
+                workspaces: 87,
+                sessions: 2_780,
+                seed,
+            });
+            fleet.startCallers();
+            fleet.advance(7_000);
+            const database = fleet.databases.get("db0")!;
+            if (disturbance === Disturbance.Slow) {
+                database.answerDelayMs = 900;
+            }
+            else {
+                database.darkUntilMs = fleet.schedule.nowMs + 3_000;
+            }
+            fleet.advance(3_000);
+            database.answerDelayMs = 0;
+            fleet.advance(5_000);
+            assert.equal(database.refused, 0);
+            assert.deepEqual([...database.openers].slice(maximumOpeners), []);
+        });
+    }
+
     it("serves while messages between all instances are late", () => {
         // Guards against reads that wait for more round trips than their time allows.
         assert.deepEqual([...congestedFleet().answers.keys()], ["served"]);
