--- a/src/control/__tests__/cluster.spec.ts
+++ b/src/control/__tests__/cluster.spec.ts
@@ -6,7 +6,7 @@
 
 const seed = 20_261_204;
 
-/** Time for which an instance may spend its part of a rate without a word from a leader (`fleet/rateGrants.ts`). */
+/** Time without a leader after which callers of large workspaces notice it; parts of rates once ended then. */
 const grantsHoldMs = 2_700;
 
 const kinds = [
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -44,7 +44,7 @@
 
 /**
  * Time after which a candidate that has not won tries again, and 200 ms more for each later place in the list of members:
- * above the time of a vote, and well below the election timeout, because rates run out 2.7 s after the last leader. It
+ * above the time of a vote, and well below the election timeout, because callers are refused while nobody leads. It
  * doubles with each campaign up to that timeout: a new campaign gives up the votes of a slow one that are under way.
  */
 const candidateRetryMs = 300;
--- a/src/telemetry/__tests__/loadLog.spec.ts
+++ b/src/telemetry/__tests__/loadLog.spec.ts
@@ -20,13 +20,13 @@
     it("sums messages and bytes by kind and peer, and names the largest first", async () => {
         const { logger, lines } = recordingLogger();
         const load = new LoadLog(logger);
-        load.sent("usage", 100, "m1");
+        load.sent("want", 100, "m1");
         load.sent("instances", 4_000, "m1");
         load.sent("instances", 4_000, "m2");
         load.received("grants", 50, "m1");
         await load[Symbol.asyncDispose]();
         assert.equal(lines.length, 1);
-        assert.equal(lines[0]!.fields?.sentBytes, "total=8100/3 instances=8000/2 usage=100/1");
+        assert.equal(lines[0]!.fields?.sentBytes, "total=8100/3 instances=8000/2 want=100/1");
         assert.equal(lines[0]!.fields?.receivedBytes, "total=50/1 grants=50/1");
         assert.equal(lines[0]!.fields?.peerBytes, "total=8150/4 m1=4150/3 m2=4000/1");
     });
@@ -34,13 +34,13 @@
     it("tells the kind of frame that kept the loop busy, and at once when it stalled", async () => {
         const { logger, lines } = recordingLogger();
         const load = new LoadLog(logger);
-        const frame = { kind: FleetKind.FrameReceived, attachmentId: "in1", frame: { kind: "usage" } };
+        const frame = { kind: FleetKind.FrameReceived, attachmentId: "in1", frame: { kind: "want" } };
         load.processed(frame as Message, 99);
         load.processed(frame as Message, 100);
-        load.received("usage", 10, "in1");
+        load.received("want", 10, "in1");
         await load[Symbol.asyncDispose]();
         assert.deepEqual(lines.map(({ event }) => event), ["loop_stalled", "load"]);
-        assert.equal(lines[1]!.fields?.busyMs, "total=199/2 fleet.frame_received/usage=199/2");
+        assert.equal(lines[1]!.fields?.busyMs, "total=199/2 fleet.frame_received/want=199/2");
     });
 
     it("writes nothing when nothing was sent or received", async () => {
