refactor(rpc): one way to encode once what goes to many receivers

The acceptor of attachments kept only its last frame, so a list of instances was encoded again for each follower whenever an answer to somebody else came in between, as at every change of leader; the configuration feed had a map of its own for the same purpose. Both kinds of process make their connector in one place. Behaviour is unchanged.

--- a/src/rpc/configurationFeed.ts
+++ b/src/rpc/configurationFeed.ts
@@ -1,15 +1,10 @@
 /** The configuration feed on the side of a control member: source of subscriptions and sink of updates. */
 import { Metadata, type Server, type ServerWritableStream, status } from "@grpc/grpc-js";
-import {
-    type ConfigurationUpdate,
-    FeedKind,
-    type FeedSend,
-    type FeedSubscribe,
-    type FeedUnsubscribe,
-} from "../model/feedMessages.ts";
+import { FeedKind, type FeedSend, type FeedSubscribe, type FeedUnsubscribe } from "../model/feedMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { encodeUpdate } from "./configurationCodec.ts";
+import { encodeOnce } from "./encodeOnce.ts";
 import {
     type ConfigurationPart,
     type ControlServer,
@@ -36,8 +31,7 @@
     readonly accepts = [FeedKind.Send];
     private readonly options: ConfigurationFeedOptions;
     private readonly subscriptions = new Map<string, Subscription>();
-    /** An update that goes to many is encoded once. */
-    private readonly encoded = new WeakMap<ConfigurationUpdate, readonly ConfigurationPart[]>();
+    private readonly encode = encodeOnce(encodeUpdate);
     private nextStream = 0;
 
     constructor(options: ConfigurationFeedOptions) {
@@ -79,12 +73,6 @@
         this.subscriptions.clear();
     }
 
-    private encode(update: ConfigurationUpdate): readonly ConfigurationPart[] {
-        const parts = this.encoded.get(update) ?? encodeUpdate(update);
-        this.encoded.set(update, parts);
-        return parts;
-    }
-
     private open(stream: FeedStream): void {
         const streamId = `feed${this.nextStream++}`;
         this.subscriptions.set(streamId, { stream, waiting: 0 });
--- a/src/rpc/fleetService.ts
+++ b/src/rpc/fleetService.ts
@@ -1,9 +1,10 @@
 /** Attachments on the side of a control member. */
 import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
-import { type Attached, type Detached, type FleetFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { PeerTraffic } from "../telemetry/loadLog.ts";
+import { encodeOnce } from "./encodeOnce.ts";
 import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
 import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
 
@@ -21,9 +22,9 @@
     readonly accepts = [FleetKind.SendFrame];
     private readonly post: (message: Message) => void;
     private readonly traffic: PeerTraffic;
+    private readonly encode = encodeOnce(encodeFrame);
     private readonly streams = new Map<string, Stream>();
     private nextStream = 0;
-    private lastEncoded: { readonly frame: FleetFrame; readonly message: FleetFrameMessage; } | undefined;
 
     constructor({ post, traffic }: FleetAcceptorOptions) {
         this.post = post;
@@ -55,14 +56,6 @@
         this.streams.clear();
     }
 
-    /** A frame that goes to many is encoded once. */
-    private encode(frame: FleetFrame): FleetFrameMessage {
-        if (this.lastEncoded?.frame !== frame) {
-            this.lastEncoded = { frame, message: encodeFrame(frame) };
-        }
-        return this.lastEncoded.message;
-    }
-
     private open(stream: Stream): void {
         const attachmentId = `in${this.nextStream++}`;
         this.streams.set(attachmentId, stream);
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -165,15 +165,7 @@
     const readinessServer = stack.use(new ReadinessServer());
     const random = new SeededRandom(seed);
     const subscriber = stack.use(new ConfigurationSubscriber({ network, addresses: seeds, post, random }));
-    const connector = stack.use(
-        new FleetConnector({
-            network,
-            post,
-            random: new SeededRandom(seed + 1),
-            traffic: load,
-            ownAddress: settings.rpcAddress,
-        }),
-    );
+    const connector = connect(parts);
     const peerServer = createPeerServer(authentication);
     // Comes after the end of the streams, so that their last results are out.
     stack.defer(() => endServer(peerServer));
@@ -255,15 +247,7 @@
     logPeers.addTo(server);
     feed.addTo(server);
     const controlServer = stack.use(new ControlServer({ ...control!, post }));
-    const connector = stack.use(
-        new FleetConnector({
-            network,
-            post,
-            random: new SeededRandom(seed + 1),
-            traffic: load,
-            ownAddress: rpcAddress,
-        }),
-    );
+    const connector = connect(parts);
     const sinks: Sink[] = [
         storage,
         acceptor,
@@ -290,6 +274,19 @@
     };
 }
 
+/** Attachments to the control members. */
+function connect({ settings, network, post, seed, load, stack }: Parts): FleetConnector {
+    return stack.use(
+        new FleetConnector({
+            network,
+            post,
+            random: new SeededRandom(seed + 1),
+            traffic: load,
+            ownAddress: settings.rpcAddress,
+        }),
+    );
+}
+
 /** A proxy ends with its last session and the last task of another instance, or before the kill. */
 function startDrain({ settings, clock, post }: Parts, end: ProcessEnd): void {
     const drain = {
