--- a/src/control/__tests__/publication.spec.ts
+++ b/src/control/__tests__/publication.spec.ts
@@ -12,6 +12,8 @@
 import { type ConfigurationChanged, MemberKind } from "../memberMessages.ts";
 import { PublicationFilter } from "../publicationFilter.ts";
 
+const address = "m0:1";
+
 /** States after 0 to 20 changes. */
 const states = [emptyControlState];
 for (let index = 1; index <= 20; index++) {
@@ -30,7 +32,7 @@
             configuration: configurations[version]!,
         });
         const updates = [snapshotOf(9), snapshotOf(8), diffConfigurations(configurations[7]!, configurations[8]!)];
-        const outputs = updates.flatMap(update => follower.process({ kind: FeedKind.Received, update }));
+        const outputs = updates.flatMap(update => follower.process({ kind: FeedKind.Received, address, update }));
         assert.deepEqual(outputs, [{ kind: ClusterKind.ConfigurationApplied, configuration: configurations[9] }]);
     });
 
@@ -61,7 +63,7 @@
                 let version = 0;
                 const receive = (outputs: readonly Message[], lost: boolean): void => {
                     for (const { update } of outputs.filter(({ kind }) => kind === FeedKind.Send) as FeedSend[]) {
-                        const results = lost ? [] : follower.process({ kind: FeedKind.Received, update });
+                        const results = lost ? [] : follower.process({ kind: FeedKind.Received, address, update });
                         for (const result of results) {
                             if (result.kind === ClusterKind.ConfigurationApplied) {
                                 const { configuration } = result as ConfigurationApplied;
--- a/src/model/feedMessages.ts
+++ b/src/model/feedMessages.ts
@@ -58,6 +58,8 @@
 
 export interface FeedReceived extends Message {
     readonly kind: typeof FeedKind.Received;
+    /** `host:port` of the member that sent it. */
+    readonly address: string;
     readonly update: ConfigurationUpdate;
 }
 
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -38,6 +38,8 @@
     private version = 0;
     private client: ControlClient | undefined;
     private stream: ClientReadableStream<ConfigurationPart> | undefined;
+    /** Member of the stream. */
+    private address = "";
     private readonly retryDelay: RetryDelay;
     private retry: NodeJS.Timeout | undefined;
     /** Limit of an attempt; a member confirms a subscription at once. */
@@ -113,8 +115,8 @@
     private open(): void {
         const { network } = this.options;
         const { addresses } = this;
-        const address = addresses[this.position % addresses.length]!;
-        this.client = network.createClient(ControlClient, address, ConnectionUse.Own);
+        this.address = addresses[this.position % addresses.length]!;
+        this.client = network.createClient(ControlClient, this.address, ConnectionUse.Own);
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
         this.heardMs = performance.now();
@@ -148,7 +150,7 @@
         try {
             const update = decodeUpdate(parts);
             this.version = update.kind === UpdateKind.Snapshot ? update.configuration.version : update.toVersion;
-            this.options.post({ kind: FeedKind.Received, update } as FeedReceived);
+            this.options.post({ kind: FeedKind.Received, address: this.address, update } as FeedReceived);
         }
         catch {
             this.lose(stream);
--- a/src/session/authorization.ts
+++ b/src/session/authorization.ts
@@ -15,12 +15,13 @@
 
 export function authorize(policy: TrafficPolicy, database: string, key: string): Access | AccessFault {
     const route = policy.routesByDatabase.get(database);
+    const source = `configuration ${policy.version}`;
     if (route === undefined) {
-        return { fault: StatementFault.UnknownDatabase, detail: "no database of this name is served" };
+        return { fault: StatementFault.UnknownDatabase, detail: `no database of this name is served by ${source}` };
     }
     const workspace = policy.workspaceByKey.get(key);
     if (workspace === undefined && !route.open) {
-        return { fault: StatementFault.NotAuthorized, detail: "the key is unknown or withdrawn" };
+        return { fault: StatementFault.NotAuthorized, detail: `the key is unknown or withdrawn in ${source}` };
     }
     return { route, workspace: workspace ?? "" };
 }
--- a/src/wiring/decisionLines.ts
+++ b/src/wiring/decisionLines.ts
@@ -6,6 +6,7 @@
     type ControlMembersAgreed,
     type ControlPropose,
 } from "../model/controlMessages.ts";
+import { type ConfigurationUpdate, FeedKind, type FeedReceived, UpdateKind } from "../model/feedMessages.ts";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
@@ -77,6 +78,7 @@
         transactionsUntilMs: Math.round(transactionsUntilMs),
     })),
     line<ReadinessChanged>(FleetKind.Readiness, ({ ready }) => ({ ready })),
+    line<FeedReceived>(FeedKind.Received, ({ address, update }) => ({ from: address, ...versionsOf(update) })),
     line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, promoted }) => ({
         version: policy.version,
         promoted: [...promoted].map(([service, databaseId]) => `${service}=${databaseId}`).join(","),
@@ -104,3 +106,9 @@
     })),
     line<PromotionOrdered>(PromotionKind.Ordered, ({ service, fence, result }) => ({ service, fence, result })),
 ]);
+
+function versionsOf(update: ConfigurationUpdate): LogFields {
+    return update.kind === UpdateKind.Snapshot
+        ? { update: update.kind, configuration: update.configuration.version }
+        : { update: update.kind, since: update.fromVersion, configuration: update.toVersion };
+}
