refactor(wiring): the pipes of the platform's processes are built in one place

As buildPipes.ts does for the MySQL processes: a live process and a test in virtual time use the same filters in the same order. Behaviour is unchanged.

--- /dev/null
+++ b/src/wiring/platformPipes.ts
@@ -0,0 +1,99 @@
+/** Builds the pipes of the processes on the users' platform, in the order in which each event visits them. */
+import { controlFilters } from "../control/controlPipe.ts";
+import { FollowerFilter } from "../control/followerFilter.ts";
+import type { InitialMember } from "../control/formationFilter.ts";
+import { AttachmentHub } from "../fleet/attachmentHub.ts";
+import { Attachments } from "../fleet/attachments.ts";
+import { Directory } from "../fleet/directory.ts";
+import { Documents } from "../fleet/documents.ts";
+import { PermitAsker } from "../fleet/permitAsker.ts";
+import { PermitLeader } from "../fleet/permitLeader.ts";
+import { PolicyFilter } from "../fleet/policyFilter.ts";
+import { Promotions } from "../fleet/promotions.ts";
+import { Readiness } from "../fleet/readiness.ts";
+import type { RateTolerance } from "../model/rateLimits.ts";
+import type { Member } from "../model/replicatedLog.ts";
+import { Pipe } from "../pipeline/pipe.ts";
+import { SeededRandom } from "../pipeline/seededRandom.ts";
+import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
+import { Admission } from "../session/admission.ts";
+import { FloorExchange } from "../session/floorExchange.ts";
+import { Forwarding } from "../session/forwarding.ts";
+import { Links } from "../session/links.ts";
+import { PassedTasks } from "../session/passedTasks.ts";
+import { Routing } from "../session/routing.ts";
+import { Sessions } from "../session/sessions.ts";
+
+export interface ProxyPipeOptions {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    /** `host:port` of the gRPC listener as other instances reach it. */
+    readonly rpcAddress: string;
+    readonly seed: number;
+}
+
+/** The pipes of a proxy for callers. */
+export function proxyPipes({ instanceId, dataCentre, rpcAddress, seed }: ProxyPipeOptions): readonly Pipe[] {
+    const fleet = new Pipe("fleet", [
+        new FollowerFilter(),
+        new PolicyFilter(new TrafficPolicyDecoder()),
+        new Directory(),
+        new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, follows: true }),
+        new PermitAsker(),
+        new Readiness(),
+    ]);
+    const session = new Pipe("session", [
+        new FloorExchange({ instanceId, dataCentre }),
+        new Sessions(),
+        new Admission({ random: new SeededRandom(seed) }),
+        new PassedTasks(),
+        new Routing({ dataCentre }),
+        new Forwarding({ instanceId }),
+        new Links(),
+    ]);
+    return [fleet, session];
+}
+
+export interface MemberPipeOptions {
+    readonly self: Member;
+    readonly seeds: readonly InitialMember[];
+    readonly dataCentre: string;
+    /** The whole system starts for the first time. */
+    readonly firstStart: boolean;
+    /** Disks that may be lost at one moment. */
+    readonly tolerance: number;
+    readonly rateTolerance: RateTolerance;
+    /** Time between two reports of a database. */
+    readonly reportIntervalMs: number;
+    readonly seed: number;
+    /** Entries between two snapshots. */
+    readonly snapshotEntries?: number;
+}
+
+/** The pipes of a control member. */
+export function memberPipes(options: MemberPipeOptions): readonly Pipe[] {
+    const { self, dataCentre, rateTolerance, reportIntervalMs, snapshotEntries } = options;
+    const control = new Pipe(
+        "control",
+        controlFilters({
+            self,
+            initialMembers: options.seeds,
+            random: new SeededRandom(options.seed),
+            mayFound: options.firstStart,
+            openMembership: true,
+            tolerance: options.tolerance,
+            ...snapshotEntries === undefined ? {} : { snapshotEntries },
+        }),
+    );
+    const { memberId: instanceId, address } = self;
+    const fleet = new Pipe("fleet", [
+        new PolicyFilter(new TrafficPolicyDecoder()),
+        new Directory(),
+        new AttachmentHub({ instanceId }),
+        new Attachments({ instanceId, dataCentre, address, serves: false, follows: false }),
+        new Documents(),
+        new PermitLeader({ tolerance: rateTolerance }),
+        new Promotions({ reportIntervalMs }),
+    ]);
+    return [control, fleet];
+}
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -1,26 +1,14 @@
 /** Wires the processes that run on the users' platform: the proxy for callers, and control members. */
 import "disposablestack/auto";
-import { controlFilters } from "../control/controlPipe.ts";
-import { FollowerFilter } from "../control/followerFilter.ts";
-import { AttachmentHub } from "../fleet/attachmentHub.ts";
-import { Attachments } from "../fleet/attachments.ts";
-import { Directory } from "../fleet/directory.ts";
-import { Documents } from "../fleet/documents.ts";
-import { PermitAsker } from "../fleet/permitAsker.ts";
-import { PermitLeader } from "../fleet/permitLeader.ts";
-import { PolicyFilter } from "../fleet/policyFilter.ts";
-import { Promotions } from "../fleet/promotions.ts";
-import { Readiness } from "../fleet/readiness.ts";
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
-import { Pipe } from "../pipeline/pipe.ts";
+import type { Pipe } from "../pipeline/pipe.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { ControlServer } from "../platform/controlServer.ts";
-import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
 import type { PlatformSettings } from "../platform/platformSettings.ts";
 import { PromotionOrders } from "../platform/promotionOrders.ts";
 import { ReadinessServer } from "../platform/readinessServer.ts";
@@ -35,18 +23,12 @@
 import { createPeerServer, endServer, listen } from "../rpc/peerChannel.ts";
 import { PeerNetwork } from "../rpc/peerNetwork.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
-import { Admission } from "../session/admission.ts";
-import { FloorExchange } from "../session/floorExchange.ts";
-import { Forwarding } from "../session/forwarding.ts";
-import { Links } from "../session/links.ts";
-import { PassedTasks } from "../session/passedTasks.ts";
-import { Routing } from "../session/routing.ts";
-import { Sessions } from "../session/sessions.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
 import { DecisionLog } from "../telemetry/decisionLog.ts";
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { decisionLines } from "./decisionLines.ts";
+import { memberPipes, proxyPipes } from "./platformPipes.ts";
 import { ProcessEnd } from "./processEnd.ts";
 import { SuspensionClock } from "./suspensionClock.ts";
 
@@ -143,24 +125,7 @@
     const { settings, post, network, authentication, seed, load, stack } = parts;
     const { instanceId, dataCentre, callers, readiness } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
-    const decoder = new TrafficPolicyDecoder();
-    const fleet = new Pipe("fleet", [
-        new FollowerFilter(),
-        new PolicyFilter(decoder),
-        new Directory(),
-        new Attachments({ instanceId, dataCentre, address: settings.rpcAddress, serves: true, follows: true }),
-        new PermitAsker(),
-        new Readiness(),
-    ]);
-    const session = new Pipe("session", [
-        new FloorExchange({ instanceId, dataCentre }),
-        new Sessions(),
-        new Admission({ random: new SeededRandom(seed + 2) }),
-        new PassedTasks(),
-        new Routing({ dataCentre }),
-        new Forwarding({ instanceId }),
-        new Links(),
-    ]);
+    const pipes = proxyPipes({ instanceId, dataCentre, rpcAddress: settings.rpcAddress, seed: seed + 2 });
     const server = stack.use(new WireServer({ ...callers!, post }));
     const readinessServer = stack.use(new ReadinessServer());
     const random = new SeededRandom(seed);
@@ -180,7 +145,7 @@
         connector,
     ];
     return {
-        pipes: [fleet, session],
+        pipes,
         sinks,
         started: async () => {
             await listen(peerServer, settings.rpcAddress);
@@ -217,28 +182,16 @@
         }),
     );
     const self = { memberId: host, address: rpcAddress, incarnation: storage.identity.incarnation };
-    const random = new SeededRandom(seed);
-    const seeds = settings.seeds.map(({ address }) => address);
-    const controlPipe = new Pipe(
-        "control",
-        controlFilters({
-            self,
-            initialMembers: settings.seeds,
-            random,
-            mayFound: settings.firstStart,
-            openMembership: true,
-            tolerance,
-        }),
-    );
-    const fleet = new Pipe("fleet", [
-        new PolicyFilter(new TrafficPolicyDecoder()),
-        new Directory(),
-        new AttachmentHub({ instanceId: host }),
-        new Attachments({ instanceId: host, dataCentre, address: rpcAddress, serves: false, follows: false }),
-        new Documents(),
-        new PermitLeader({ tolerance: settings.rateTolerance }),
-        new Promotions({ reportIntervalMs }),
-    ]);
+    const pipes = memberPipes({
+        self,
+        seeds: settings.seeds,
+        dataCentre,
+        firstStart: settings.firstStart,
+        tolerance,
+        rateTolerance: settings.rateTolerance,
+        reportIntervalMs,
+        seed,
+    });
     const server = createPeerServer(authentication);
     const acceptor = stack.use(new FleetAcceptor({ post, traffic: load }));
     const logPeers = stack.use(new LogPeers({ network, post }));
@@ -261,7 +214,7 @@
         sinks.push(new PromotionOrders({ address: ordersAddress, holder: instanceId, post }));
     }
     return {
-        pipes: [controlPipe, fleet],
+        pipes,
         sinks,
         stopped: () => controlServer.stop(),
         started: async () => {
@@ -269,7 +222,8 @@
             stack.defer(() => server.forceShutdown());
             await controlServer.listen();
             post(storage.recovered);
-            post({ kind: FleetKind.MembersKnown, addresses: seeds } as Message);
+            const addresses = settings.seeds.map(({ address }) => address);
+            post({ kind: FleetKind.MembersKnown, addresses } as Message);
         },
     };
 }
