--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -59,6 +59,13 @@
     readonly seedCount?: number;
     /** Disks whose loss at one moment must be borne; sets open membership. */
     readonly tolerance?: number;
+    /** What runs in each process beside the control pipe; called at each start. */
+    readonly partsOf?: (memberId: string) => ProcessParts;
+}
+
+export interface ProcessParts {
+    readonly pipes: readonly Pipe[];
+    readonly sinks: readonly Sink[];
 }
 
 export const calm: Faults = { dropShare: 0, duplicateShare: 0, maximumDelayMs: 20, diskDelayMs: 5 };
@@ -124,8 +131,10 @@
         node.clock = new VirtualClock();
         node.clock.advanceTo(this.nowMs);
         node.configuration = undefined;
-        const sinks = this.sinksOf(node);
-        node.loop = new EventLoop({ clock: node.clock, pipes: [new Pipe("control", filters)], sinks });
+        const parts = this.options.partsOf?.(memberId) ?? { pipes: [], sinks: [] };
+        const pipes = [new Pipe("control", filters), ...parts.pipes];
+        const sinks = [...this.sinksOf(node), ...parts.sinks];
+        node.loop = new EventLoop({ clock: node.clock, pipes, sinks });
         const { incarnation, term, votedFor, snapshot, entries } = node.disk;
         this.post(memberId, { kind: StorageKind.Recovered, incarnation, term, votedFor, snapshot, entries } as Message);
     }
