fix(fleet): the first policy of a proxy waits for the word of a control leader

A decision rested on state that nobody had shown to be current.

Why it works: a leader says that it leads only after an entry of its own term is committed, so it has every acknowledged change. The first policy is used once its version is at least what the leader of the highest known term says; callers wait for it as they wait for any first configuration. Without a leader for 2 s the policy is used, because a data centre that is cut off goes on serving; until it is confirmed, a key or a name that it lacks is answered with "not run, retry after 500 ms" and not refused for good. Sessions that open against the first policy get the present time for their timers, not 0.

--- a/src/fleet/__tests__/permitLeader.spec.ts
+++ b/src/fleet/__tests__/permitLeader.spec.ts
@@ -50,7 +50,7 @@
             ratePerSecond === undefined ? [] : [["w", { name: "w", keys: [], ratePerSecond, burst: ratePerSecond }]],
         );
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
-        this.feed({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as Message);
+        this.feed({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as Message);
     }
 
     attach(id: string): void {
--- /dev/null
+++ b/src/fleet/policyConfirmation.ts
@@ -0,0 +1,126 @@
+/** Holds back the first policy of a process until a control leader confirms that it is current. */
+import { match } from "ts-pattern";
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
+import {
+    type Detached,
+    type FleetFrame,
+    FleetKind,
+    type FleetTimer,
+    type FrameReceived,
+    type PolicyApplied,
+} from "../model/fleetMessages.ts";
+import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import type { Filter } from "../pipeline/filter.ts";
+import type { Message } from "../pipeline/message.ts";
+
+/**
+ * Time after which a policy that no leader has confirmed is used, because a data centre that is cut off goes on serving.
+ * Callers give up after 2 s without an answer, so nobody who waited through a restart meets such a policy.
+ */
+export const confirmationWaitMs = 2_000;
+
+const confirmationKey = "fleet.confirmation";
+
+type ConfirmationInput = ConfigurationApplied | FrameReceived | Detached | PolicyApplied | FleetTimer;
+
+interface Leader {
+    readonly term: number;
+    readonly configurationVersion: number;
+}
+
+/**
+ * A member publishes what it has, also while it catches up or is cut off, and versions only rise; so an old one does harm
+ * only to a process that has none. A leader has every change that was acknowledged before it said that it leads.
+ */
+export class PolicyConfirmation implements Filter<ConfirmationInput, Message> {
+    readonly step = "policy_confirmation";
+    readonly accepts = [
+        ClusterKind.ConfigurationApplied,
+        FleetKind.FrameReceived,
+        FleetKind.Detached,
+        FleetKind.PolicyApplied,
+        FleetKind.ConfirmationDue,
+    ];
+    /** Members that say they lead, by attachment. */
+    private readonly leaders = new Map<string, Leader>();
+    private version = 0;
+    private latest: PolicyApplied | undefined;
+    /** What leaves the pipe comes back to it as an event. */
+    private readonly passed = new WeakSet<PolicyApplied>();
+    private confirmed = false;
+    private waited = false;
+
+    process(message: ConfirmationInput, nowMs: number): readonly Message[] {
+        return match<ConfirmationInput, readonly Message[]>(message)
+            .with({ kind: ClusterKind.ConfigurationApplied }, found => {
+                this.version = found.configuration.version;
+                return [found];
+            })
+            .with({ kind: FleetKind.FrameReceived }, found => {
+                this.noteFrame(found.attachmentId, found.frame);
+                return [found, ...this.confirm()];
+            })
+            .with({ kind: FleetKind.Detached }, found => {
+                this.leaders.delete(found.attachmentId);
+                return [found];
+            })
+            .with({ kind: FleetKind.PolicyApplied }, found => this.apply(found, nowMs))
+            .otherwise(() => this.stopWaiting());
+    }
+
+    private noteFrame(attachmentId: string, frame: FleetFrame): void {
+        const leader = this.leaders.get(attachmentId);
+        if (frame.kind === "status" && !frame.leading) {
+            this.leaders.delete(attachmentId);
+        }
+        else if (frame.kind === "status") {
+            this.leaders.set(attachmentId, { term: frame.term, configurationVersion: frame.configurationVersion });
+        }
+        else if (frame.kind === "configuration" && leader !== undefined) {
+            this.leaders.set(attachmentId, { ...leader, configurationVersion: frame.version });
+        }
+    }
+
+    private apply(policy: PolicyApplied, nowMs: number): readonly Message[] {
+        if (this.passed.has(policy)) {
+            return [policy];
+        }
+        if (this.confirmed) {
+            return [this.pass({ ...policy, confirmed: true })];
+        }
+        const first = this.latest === undefined;
+        this.latest = policy;
+        const confirmed = this.confirm();
+        if (confirmed.length > 0) {
+            return confirmed;
+        }
+        const timer = setDeadline(confirmationKey, nowMs + confirmationWaitMs, { kind: FleetKind.ConfirmationDue });
+        return [...first ? [timer] : [], ...this.waited ? [this.pass(policy)] : []];
+    }
+
+    /** Passes the policy on once it is at least as new as the leader's. */
+    private confirm(): readonly Message[] {
+        const [leader] = [...this.leaders.values()].sort((left, right) =>
+            right.term - left.term || right.configurationVersion - left.configurationVersion
+        );
+        const { latest } = this;
+        if (this.confirmed || latest === undefined || leader === undefined) {
+            return [];
+        }
+        if (this.version < leader.configurationVersion) {
+            return [];
+        }
+        this.confirmed = true;
+        return [clearDeadline(confirmationKey), this.pass({ ...latest, confirmed: true })];
+    }
+
+    private stopWaiting(): readonly Message[] {
+        this.waited = true;
+        return this.latest === undefined ? [] : [this.pass(this.latest)];
+    }
+
+    private pass(policy: PolicyApplied): PolicyApplied {
+        this.passed.add(policy);
+        return policy;
+    }
+}
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -33,6 +33,7 @@
             configuration.promotions.filter(({ databaseId }) => databaseId !== "")
                 .map(({ service, databaseId }) => [service, databaseId]),
         );
-        return [message, { kind: FleetKind.PolicyApplied, policy: this.policy, promoted } as PolicyApplied];
+        const { policy } = this;
+        return [message, { kind: FleetKind.PolicyApplied, policy, confirmed: false, promoted } as PolicyApplied];
     }
 }
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -20,6 +20,8 @@
     FrameReceived: "fleet.frame_received",
     SendFrame: "fleet.send_frame",
     PolicyApplied: "fleet.policy_applied",
+    /** A policy that no leader has confirmed is due to be used. */
+    ConfirmationDue: "fleet.confirmation_due",
     /** Something about the readiness of this instance changed. */
     Readiness: "fleet.readiness",
     /** What an instance holds and lacks of one workspace's permits changed. */
@@ -233,6 +235,11 @@
 export interface PolicyApplied extends Message {
     readonly kind: typeof FleetKind.PolicyApplied;
     readonly policy: TrafficPolicy;
+    /**
+     * Since the start of this process, a control leader has said that nothing newer was in force. Until then nobody is
+     * refused for what the policy lacks.
+     */
+    readonly confirmed: boolean;
     /** Database chosen by the last completed promotion, by service. */
     readonly promoted: ReadonlyMap<string, string>;
 }
@@ -290,7 +297,8 @@
         | typeof FleetKind.PermitCheckDue
         | typeof FleetKind.DirectoryDue
         | typeof FleetKind.AnnouncementDue
-        | typeof FleetKind.InstancesDue;
+        | typeof FleetKind.InstancesDue
+        | typeof FleetKind.ConfirmationDue;
 }
 
 export interface DatabaseSuspected extends Message {
--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -19,7 +19,7 @@
     constructor(permits = 1) {
         const workspaces = new Map([["w", { name: "w", keys: [], ratePerSecond: 10, burst: 1 }]]);
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
-        this.push(0, { kind: FleetKind.PolicyApplied, policy, promoted: new Map() });
+        this.push(0, { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() });
         if (permits > 0) {
             this.grant(0, permits);
             this.submit(0, "first", 1);
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -45,7 +45,7 @@
     constructor(connectionLimit: number) {
         const services = new Map([["s", { name: "s", connectionLimit, synchronousReplicas: 1 }]]);
         const policy = { ...emptyTrafficPolicy, services };
-        this.push({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as PolicyApplied);
+        this.push({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
         this.push({ kind: FleetKind.DatabaseChanged, report } as Message);
         this.push({ kind: TaskKind.HolderChanged, databaseId: "d", holds: true } as Message);
         this.countVisits();
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -120,7 +120,7 @@
             workspaceByKey: new Map([["k", "w"], ["kv", "v"]]),
             transactionIdleMs: 3_000,
         };
-        this.post({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as PolicyApplied);
+        this.post({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
         ["w", "v"].forEach(workspace => this.grant(workspace, this.permits));
     }
 
@@ -138,7 +138,7 @@
             version: 2,
             routesByDatabase: new Map([["orders", orders]]),
         };
-        this.post({ kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as PolicyApplied);
+        this.post({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
     }
 
     announce(databaseId: string, leads: boolean, dataCentre = "dc1"): void {
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -247,7 +247,14 @@
     }
 
     introduce(node: FleetNode, peers: readonly PeerInstance[]): void {
-        node.post({ kind: FleetKind.PolicyApplied, policy: this.policy(), promoted: new Map() } as PolicyApplied);
+        node.post(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy: this.policy(),
+                confirmed: true,
+                promoted: new Map(),
+            } as PolicyApplied,
+        );
         const grants = [...this.policy().workspaces.keys()].map(workspace => (
             { workspace, count: 1e6, retryMs: 0, fallback: undefined }
         ));
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -20,7 +20,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { authorize, isFault } from "./authorization.ts";
+import { type Access, type AccessFault, authorize, isFault } from "./authorization.ts";
 import { Session, type Transaction } from "./session.ts";
 import {
     type DrainDue,
@@ -40,6 +40,9 @@
 /** Time that a caller waits for the first configuration; callers give up after 2 s without an answer. */
 const policyWaitMs = 1_500;
 
+/** For callers that came before a confirmed configuration; an election takes about as long. */
+const retryText = "not run, retry after 500 ms";
+
 type SessionInput =
     | SessionOpened
     | SessionRequested
@@ -63,6 +66,7 @@
         FleetKind.DrainStarted,
     ];
     private policy: TrafficPolicy = emptyTrafficPolicy;
+    private policyConfirmed = false;
     private readonly sessions = new Map<string, Session>();
     /** Sessions that opened before the first configuration. */
     private readonly early = new Map<string, SessionOpened>();
@@ -79,7 +83,7 @@
             .with({ kind: SessionKind.LimitDue }, found => this.checkLimit(found.sessionId, nowMs))
             .with({ kind: TaskKind.Ended }, found => this.endTask(found, nowMs))
             .with({ kind: TaskKind.DrainDue }, found => this.endDrain(found, nowMs))
-            .with({ kind: FleetKind.PolicyApplied }, found => [found, ...this.applyPolicy(found.policy)])
+            .with({ kind: FleetKind.PolicyApplied }, found => [found, ...this.applyPolicy(found, nowMs)])
             .with({ kind: FleetKind.DrainStarted }, found => this.startDrain(found))
             .exhaustive();
     }
@@ -94,7 +98,7 @@
             this.early.set(sessionId, opened);
             return [this.limitTimer(sessionId, nowMs + policyWaitMs)];
         }
-        const access = authorize(this.policy, opened.database, opened.key);
+        const access = this.authorize(opened);
         if (isFault(access)) {
             return [{ kind: SessionKind.Refuse, sessionId, ...access } as Message];
         }
@@ -102,11 +106,19 @@
         return [{ kind: SessionKind.Accept, sessionId } as Message];
     }
 
-    private applyPolicy(policy: TrafficPolicy): readonly Message[] {
+    private applyPolicy({ policy, confirmed }: PolicyApplied, nowMs: number): readonly Message[] {
         this.policy = policy;
+        this.policyConfirmed = confirmed;
         const early = [...this.early.values()];
         this.early.clear();
-        return early.flatMap(opened => [clearDeadline(limitKey(opened.sessionId)), ...this.open(opened, 0)]);
+        return early.flatMap(opened => [clearDeadline(limitKey(opened.sessionId)), ...this.open(opened, nowMs)]);
+    }
+
+    private authorize({ database, key }: Pick<SessionOpened, "database" | "key">): Access | AccessFault {
+        const access = authorize(this.policy, database, key);
+        return isFault(access) && !this.policyConfirmed
+            ? { fault: StatementFault.Busy, detail: `${access.detail}, which is not confirmed; ${retryText}` }
+            : access;
     }
 
     private request({ sessionId, statement }: SessionRequested, nowMs: number): readonly Message[] {
@@ -181,7 +193,7 @@
         if (session.transaction !== undefined) {
             return this.refuse(session, StatementFault.Malformed, "a transaction is open already");
         }
-        const access = authorize(this.policy, session.database, session.key);
+        const access = this.authorize(session);
         if (isFault(access)) {
             return this.refuse(session, access.fault, access.detail);
         }
@@ -227,7 +239,7 @@
         nowMs: number,
     ): readonly Message[] {
         const { transaction } = session;
-        const access = authorize(this.policy, session.database, session.key);
+        const access = this.authorize(session);
         if (isFault(access) && transaction === undefined) {
             return this.refuse(session, access.fault, access.detail);
         }
@@ -339,7 +351,7 @@
         const early = this.early.get(sessionId);
         if (early !== undefined) {
             this.early.delete(sessionId);
-            const detail = "no configuration yet; not run, retry after 500 ms";
+            const detail = `no configuration yet; ${retryText}`;
             return [{ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail } as Message];
         }
         const session = this.sessions.get(sessionId);
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -253,7 +253,7 @@
             [...this.traffic.values()].map(({ workspace }) => [workspace.name, { ...workspace }]),
         );
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
-        return { kind: FleetKind.PolicyApplied, policy, promoted: new Map() } as Message;
+        return { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as Message;
     }
 
     private announce(member: Node, leading: boolean): void {
--- a/src/wiring/decisionLines.ts
+++ b/src/wiring/decisionLines.ts
@@ -79,8 +79,9 @@
     })),
     line<ReadinessChanged>(FleetKind.Readiness, ({ ready }) => ({ ready })),
     line<FeedReceived>(FeedKind.Received, ({ address, update }) => ({ from: address, ...versionsOf(update) })),
-    line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, promoted }) => ({
+    line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, confirmed, promoted }) => ({
         version: policy.version,
+        confirmed,
         promoted: [...promoted].map(([service, databaseId]) => `${service}=${databaseId}`).join(","),
     })),
     line<ControlPropose>(ControlKind.Propose, ({ proposalId, command }) =>
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -8,6 +8,7 @@
 import { Documents } from "../fleet/documents.ts";
 import { PermitAsker } from "../fleet/permitAsker.ts";
 import { PermitLeader } from "../fleet/permitLeader.ts";
+import { PolicyConfirmation } from "../fleet/policyConfirmation.ts";
 import { PolicyFilter } from "../fleet/policyFilter.ts";
 import { Promotions } from "../fleet/promotions.ts";
 import { Readiness } from "../fleet/readiness.ts";
@@ -39,6 +40,7 @@
         new PolicyFilter(new TrafficPolicyDecoder()),
         new Directory(),
         new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, follows: true }),
+        new PolicyConfirmation(),
         new PermitAsker(),
         new Readiness(),
     ]);
