fix(fleet): a report of an unknown service removes no database at its address

What callers would see: one heartbeat of another writer with a later birth, the address of a real database and a service that no configuration names removes that database from the directory of every member and proxy; reports of the real one count as those of a database that left, so its service lacks it until it starts anew.

Cause: a new id at a known address was always taken for the successor. Evidence: by reading; directory.spec.ts holds it. Now only a database of a service that the configuration names replaces another; when a service is added, its databases are compared again.

--- /dev/null
+++ b/src/fleet/__tests__/directory.spec.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
+import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Directory } from "../directory.ts";
+
+const real: DatabaseReport = {
+    databaseId: "i-1",
+    service: "orders",
+    address: "10.0.0.1:80",
+    dataCentre: "dc",
+    slots: 3,
+    state: ReportedState.Ready,
+    leads: true,
+    sequence: 4,
+    bornUnixMs: 1_000,
+};
+
+function start(...services: readonly string[]): Directory {
+    const directory = new Directory();
+    const serviceOf = (name: string) => [name, { name, connectionLimit: 1, synchronousReplicas: 1 }] as const;
+    const policy = { ...emptyTrafficPolicy, services: new Map(services.map(serviceOf)) };
+    directory.process({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
+    report(directory, real);
+    return directory;
+}
+
+function report(directory: Directory, reported: DatabaseReport): readonly Message[] {
+    return directory.process({ kind: FleetKind.DatabaseReported, report: reported });
+}
+
+function removed(messages: readonly Message[]): readonly string[] {
+    return messages.filter(({ kind }) => kind === FleetKind.DatabaseRemoved)
+        .map(message => (message as Message & { readonly databaseId: string; }).databaseId);
+}
+
+describe("directory of databases", () => {
+    it("replaces a database by a later one at its address", () => {
+        const directory = start("orders", "stock");
+        const later = { ...real, databaseId: "i-2", service: "stock", sequence: 1, bornUnixMs: 2_000 };
+        assert.deepEqual(removed(report(directory, later)), ["i-1"]);
+    });
+
+    it("keeps a database whose address another writer names under an unknown service", () => {
+        const directory = start("orders");
+        const odd = { ...real, databaseId: "odd", service: "unknown", sequence: 1, bornUnixMs: 2_000 };
+        assert.deepEqual(removed(report(directory, odd)), []);
+    });
+});
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -7,6 +7,7 @@
     type DatabaseReported,
     FleetKind,
     type FrameReceived,
+    type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -14,11 +15,18 @@
 /** Databases that left and whose late reports are ignored; far above the databases of a fleet in one day. */
 const maximumDeparted = 4_096;
 
-type DirectoryInput = DatabaseReported | DatabaseLeft | FrameReceived;
+type DirectoryInput = DatabaseReported | DatabaseLeft | FrameReceived | PolicyApplied;
 
 export class Directory implements Filter<DirectoryInput, Message> {
     readonly step = "directory";
-    readonly accepts = [FleetKind.DatabaseReported, FleetKind.DatabaseLeft, FleetKind.FrameReceived];
+    readonly accepts = [
+        FleetKind.DatabaseReported,
+        FleetKind.DatabaseLeft,
+        FleetKind.FrameReceived,
+        FleetKind.PolicyApplied,
+    ];
+    /** Services of the configuration. */
+    private services: ReadonlySet<string> = new Set();
     private readonly reports = new Map<string, DatabaseReport>();
     /** Births of databases that left, by id; a report of that life or an earlier one is late. */
     private readonly departed = new Map<string, number>();
@@ -36,6 +44,7 @@
                 found => [...this.remove(found.frame.databaseId), found],
             )
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, found => [found])
+            .with({ kind: FleetKind.PolicyApplied }, found => [...this.setServices(found), found])
             .exhaustive();
     }
 
@@ -61,8 +70,21 @@
         ];
     }
 
-    /** A new database at the address of another one of a different id has taken its place. */
-    private removePredecessor({ databaseId, address, bornUnixMs }: DatabaseReport): readonly Message[] {
+    private setServices({ policy }: PolicyApplied): readonly Message[] {
+        const before = this.services;
+        this.services = new Set(policy.services.keys());
+        return [...this.reports.values()].filter(({ service }) => !before.has(service))
+            .flatMap(report => this.removePredecessor(report));
+    }
+
+    /**
+     * A new database at the address of another one of a different id has taken its place; not one of an unknown service,
+     * whose report may come from another writer.
+     */
+    private removePredecessor({ databaseId, service, address, bornUnixMs }: DatabaseReport): readonly Message[] {
+        if (!this.services.has(service)) {
+            return [];
+        }
         const predecessor = [...this.reports.values()].find(other =>
             other.address === address && other.databaseId !== databaseId && other.bornUnixMs < bornUnixMs
         );
