fix(platform): an odd entry among the databases ends no process

Here too: a heartbeat with port 99999 passed the checks, and `connect` throws ERR_SOCKET_BAD_PORT out of the loop at once, so every proxy and member that opened a link ended, and ended again after its start while a member had the entry. Blanks or line ends in an id or a service would have become words and lines of the first message to a database; a `seq` of 1e308 made all later reports of the real database stale, a `born` far in the future put it above every other one.

Cause: the checks of heartbeats and announcements asked for types, not for ranges, and the reader of the address trusted them. Deep nesting did no harm and is held by a test. Now numbers are whole and in range, addresses are ones that a listener can have, names are single words, a birth is at most a minute ahead of the clock; and a link to an address that cannot be one is lost, like one that nobody listens at. The MySQL announcements and adapter follow the same reader of addresses (parseAddress).

--- a/src/backend/mysqlAdapter.ts
+++ b/src/backend/mysqlAdapter.ts
@@ -2,6 +2,7 @@
 import { type Connection, createConnection, type FieldPacket, type QueryError } from "mysql2";
 import { type Column, type Outcome, OutcomeKind } from "../model/outcome.ts";
 import { RefusalCode, refuse } from "../model/refusal.ts";
+import { parseAddress } from "../model/socketAddress.ts";
 import type { DatabaseAdapter, DatabaseConnection } from "./databaseAdapter.ts";
 
 export interface MysqlAdapterOptions {
@@ -22,10 +23,12 @@
     }
 
     open(address: string, timeoutMs: number, onEnd: (reason: string) => void): Promise<DatabaseConnection> {
-        const colon = address.lastIndexOf(":");
+        const target = parseAddress(address);
+        if (target === undefined) {
+            return Promise.reject(new Error(`peer=${address}: not an address of a database`));
+        }
         const connection = createConnection({
-            host: address.slice(0, colon),
-            port: Number(address.slice(colon + 1)),
+            ...target,
             user: this.options.user,
             password: this.options.password,
             connectTimeout: timeoutMs,
--- a/src/model/database.ts
+++ b/src/model/database.ts
@@ -29,6 +29,9 @@
     readonly departing: boolean;
 }
 
+/** Most statements at once that a database can claim to run; each needs a connection and so a port of the caller. */
+export const maximumSlots = 65_536;
+
 /** Interval at which databases announce themselves. */
 export const announceIntervalMs = 500;
 
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -146,6 +146,7 @@
 });
 
 describe("heartbeats of databases", () => {
+    const nowUnixMs = Date.UTC(2026, 11, 5);
     const beat = {
         service: "s",
         address: "10.0.0.1:80",
@@ -157,8 +158,8 @@
     };
 
     it("are decoded, also without a birth", () => {
-        assert.equal(decodeReport("i", JSON.stringify({ ...beat, born: 12 }))!.bornUnixMs, 12);
-        assert.equal(decodeReport("i", JSON.stringify(beat))!.leads, false);
+        assert.equal(decodeReport("i", JSON.stringify({ ...beat, born: 12 }), nowUnixMs)!.bornUnixMs, 12);
+        assert.equal(decodeReport("i", JSON.stringify(beat), nowUnixMs)!.leads, false);
     });
 
     it("of another writer name no database", () => {
@@ -169,8 +170,43 @@
             JSON.stringify({ ...beat, state: "odd" }),
             JSON.stringify({ ...beat, seq: "4" }),
         ];
-        wrong.forEach(text => assert.equal(decodeReport("i", text), undefined, text));
-        fc.assert(fc.property(fc.json(), text => void decodeReport("i", text)), { seed });
+        wrong.forEach(text => assert.equal(decodeReport("i", text, nowUnixMs), undefined, text));
+        fc.assert(fc.property(fc.json(), text => void decodeReport("i", text, nowUnixMs)), { seed });
+    });
+
+    it("with a value out of range name no database", () => {
+        // Guards against processes that end when they connect to an address that cannot be one.
+        const odd = [
+            ...[
+                "10.0.0.1:99999",
+                "10.0.0.1:65536",
+                "10.0.0.1:0",
+                "999.1.1:80",
+                "10.0.0.256:80",
+                "10.0.0.1:1e3",
+                "::1:80",
+            ]
+                .map(address => ({ address })),
+            ...[0, -1, 1.5, 1e300, 65_537].map(slots => ({ slots })),
+            ...[-1, 0.5, 1e308].map(seq => ({ seq })),
+            ...[-1, 1.5, 1e300, nowUnixMs + 3_600_000].map(born => ({ born })),
+            ...["", "a b", "a\r\nQUERY - STATUS", "s".repeat(300)].flatMap(word => [{ service: word }, { zone: word }]),
+        ];
+        odd.forEach(fields => {
+            const text = JSON.stringify({ ...beat, ...fields });
+            assert.equal(decodeReport("i", text, nowUnixMs), undefined, text.slice(0, 200));
+        });
+        ["", "a b", "a\r\nQUIT", "i".repeat(300)].forEach(databaseId =>
+            assert.equal(decodeReport(databaseId, JSON.stringify(beat), nowUnixMs), undefined, databaseId)
+        );
+    });
+
+    it("nested deeply are refused, and ignored in a field that is unknown", () => {
+        const nested = "[".repeat(1_000_000) + "]".repeat(1_000_000);
+        assert.equal(decodeReport("i", nested, nowUnixMs), undefined);
+        const body = JSON.stringify(beat);
+        assert.equal(decodeReport("i", body.replace("\"s\"", nested), nowUnixMs), undefined);
+        assert.equal(decodeReport("i", body.replace("{", `{"other":${nested},`), nowUnixMs)!.service, "s");
     });
 });
 
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -142,7 +142,7 @@
             this.put(body, response);
         }
         else if (url.startsWith(heartbeatPath)) {
-            const report = decodeReport(decodeId(url.slice(heartbeatPath.length)), body);
+            const report = decodeReport(decodeId(url.slice(heartbeatPath.length)), body, Date.now());
             if (report !== undefined) {
                 this.options.post({ kind: FleetKind.DatabaseReported, report } as DatabaseReported);
             }
--- a/src/platform/databaseReportCodec.ts
+++ b/src/platform/databaseReportCodec.ts
@@ -1,22 +1,37 @@
 /** Heartbeats of databases. */
+import { isIPv4 } from "node:net";
 import { z } from "zod";
+import { maximumSlots } from "../model/database.ts";
 import { type DatabaseReport, ReportedState } from "../model/fleetMessages.ts";
+import { parseAddress } from "../model/socketAddress.ts";
+
+/** Names become words of a line on the connection to the database; the platform's have some ten characters. */
+const word = z.string().regex(/^[!-~]{1,128}$/);
+
+/**
+ * How far the birth of a database may lie in the future, because clocks differ by seconds. Behind a later birth no other
+ * report counts.
+ */
+const maximumClockDifferenceMs = 60_000;
 
 const schema = z.object({
-    service: z.string().min(1),
-    address: z.string().regex(/^[0-9.]+:[0-9]+$/),
-    zone: z.string().min(1),
-    slots: z.number().positive().default(1),
+    service: word,
+    address: z.string().refine(text => isIPv4(parseAddress(text)?.host ?? "")),
+    zone: word,
+    slots: z.int().positive().max(maximumSlots).default(1),
     state: z.enum(["ready", "draining"]),
     db_role: z.enum(["primary", "replica"]),
-    seq: z.number().nonnegative(),
-    born: z.number().nonnegative().default(0),
+    seq: z.int().nonnegative(),
+    born: z.int().nonnegative().default(0),
 });
 
 /** Undefined when the heartbeat names no database that could be used. */
-export function decodeReport(databaseId: string, text: string): DatabaseReport | undefined {
+export function decodeReport(databaseId: string, text: string, nowUnixMs: number): DatabaseReport | undefined {
     const result = schema.safeParse(parse(text));
-    if (!result.success || databaseId === "") {
+    if (!result.success || !word.safeParse(databaseId).success) {
+        return undefined;
+    }
+    if (result.data.born > nowUnixMs + maximumClockDifferenceMs) {
         return undefined;
     }
     const { service, address, zone, slots, state, db_role: role, seq, born } = result.data;
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -13,6 +13,7 @@
     type LinkSend,
 } from "../model/linkMessages.ts";
 import type { StatementFault } from "../model/sessionStatement.ts";
+import { parseAddress } from "../model/socketAddress.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
@@ -70,8 +71,12 @@
     }
 
     private open({ linkId, address, service, workspace, databaseId }: LinkOpen): void {
-        const separator = address.lastIndexOf(":");
-        const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+        const target = parseAddress(address);
+        if (target === undefined) {
+            this.post({ kind: LinkKind.Lost, linkId, loss: LinkLoss.NoListener, fault: undefined } as LinkLost);
+            return;
+        }
+        const socket = connect({ ...target });
         socket.setNoDelay(true);
         const link = { socket, reader: new LineReader(), opened: false, partial: emptyReply() };
         this.links.set(linkId, link);
--- a/src/rpc/__tests__/health.spec.ts
+++ b/src/rpc/__tests__/health.spec.ts
@@ -128,6 +128,9 @@
         const faults: [Partial<AnnounceRequest>, RegExp][] = [
             [{ cluster: "other" }, /cluster/],
             [{ databaseId: "" }, /database_id/],
+            [{ address: "10.0.0.1:99999" }, /address/],
+            [{ address: "10.0.0.1:0" }, /address/],
+            [{ slots: 4_294_967_295 }, /slots/],
             [{ address: "nowhere" }, /address/],
             [{ connectionLimit: 0 }, /connection_limit/],
             [{ role: "leader" }, /role/],
--- a/src/rpc/announcementCodec.ts
+++ b/src/rpc/announcementCodec.ts
@@ -1,6 +1,7 @@
 /** Announcements on the wire. */
-import { type DatabaseAnnouncement, DatabaseRole } from "../model/database.ts";
+import { type DatabaseAnnouncement, DatabaseRole, maximumSlots } from "../model/database.ts";
 import { originPosition } from "../model/position.ts";
+import { parseAddress } from "../model/socketAddress.ts";
 import type { AnnounceRequest } from "./generated/announcement.ts";
 
 /** Names the first field of a request that cannot be right and says what it must be; undefined when all can. */
@@ -10,7 +11,7 @@
     if (empty !== undefined) {
         return `${fieldName(empty)} must not be empty`;
     }
-    if (!/^.+:\d{1,5}$/.test(request.address)) {
+    if (parseAddress(request.address) === undefined) {
         return `address must be host:port, not "${request.address}"`;
     }
     const numbers = ["slots", "connectionLimit", "groupSize"] as const;
@@ -18,6 +19,9 @@
     if (zero !== undefined) {
         return `${fieldName(zero)} must be at least 1`;
     }
+    if (request.slots > maximumSlots) {
+        return `slots must be at most ${maximumSlots}`;
+    }
     if (request.role !== DatabaseRole.Primary && request.role !== DatabaseRole.Replica) {
         return `role must be "${DatabaseRole.Primary}" or "${DatabaseRole.Replica}", not "${request.role}"`;
     }
