fix(platform): a configuration nested too deeply is refused and ends no member

What operators would see: a control member that ends on one call, and on each resend of it. JSON.parse takes any depth, but JSON.stringify of an unknown field that is nested some ten thousand deep throws RangeError, which the call handler passed on as unexpected. Evidence: platformCodecs.spec, red before (RangeError). Now such a document is invalid and answered with 400.

--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -130,6 +130,16 @@
         invalid.forEach(text => assert.throws(() => decodeDocument(text), InvalidDocument, text));
     });
 
+    it("are refused where they are nested too deeply to be kept", () => {
+        const nested = "[".repeat(200_000) + "]".repeat(200_000);
+        const route = `{"name":"r","host":"h","kind":"own","timeout_ms":5,"service":"s","other":${nested}}`;
+        const documents = [
+            `{"version":3,"routes":[],"services":[],"other":${nested}}`,
+            `{"version":3,"routes":[${route}],"services":[{"name":"s"}]}`,
+        ];
+        documents.forEach(text => assert.throws(() => decodeDocument(text), InvalidDocument));
+    });
+
     it("never throw anything but a refusal", () => {
         fc.assert(
             fc.property(fc.json(), text => {
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -72,7 +72,7 @@
         entries: sections.flatMap(([section, value]) =>
             isList(section, value)
                 ? listEntries(section, value as readonly { readonly name?: unknown; }[])
-                : [{ entryId: section, body: JSON.stringify(value), place: 1 }]
+                : [{ entryId: section, body: toText(section, value), place: 1 }]
         ),
     };
 }
@@ -195,6 +195,16 @@
         const plain = `${section}/${String(element.name)}`;
         const entryId = seen.has(plain) ? `${plain}#${position}` : plain;
         seen.add(entryId);
-        return { entryId, body: JSON.stringify(element), place: position + 1 };
+        return { entryId, body: toText(entryId, element), place: position + 1 };
     });
 }
+
+/** @throws InvalidDocument when the value is nested so deeply that the stack does not suffice to write it */
+function toText(entryId: string, value: unknown): string {
+    try {
+        return JSON.stringify(value);
+    }
+    catch (error) {
+        throw new InvalidDocument(`"${entryId}" is nested too deeply: ${(error as Error).message}`);
+    }
+}
