fix(request): before a first proof of the configuration no MySQL caller is refused for good

Keys that it knew were held to a proof by the leader, unknown ones were not. Until the first proof both are now answered with configuration_stale (not run, retry on another instance). Evidence: authenticate.spec.ts, red before.

--- a/src/request/__tests__/authenticate.spec.ts
+++ b/src/request/__tests__/authenticate.spec.ts
@@ -49,6 +49,17 @@
         assert.equal(state(filter, 1), "shop");
     });
 
+    it("refuses no key for good by a configuration that nobody has proved since the start", () => {
+        const filter = new AuthenticateFilter({ verify: (_, proofHex, digest) => proofHex === digest });
+        assert.equal(login(filter, "key-1", "good"), RefusalCode.ConfigurationStale);
+        filter.process({ kind: ClusterKind.ConfigurationApplied, configuration: withoutKey }, 0);
+        assert.equal(login(filter, "key-1", "good"), RefusalCode.ConfigurationStale);
+        assert.equal(login(filter, "", "", "boards"), RefusalCode.ConfigurationStale);
+        filter.process({ kind: ClusterKind.ConfigurationProved, version: 6, provedAtMs: 0 }, 0);
+        assert.equal(login(filter, "key-1", "good"), RefusalCode.AccessDenied);
+        assert.equal(login(filter, "", "", "boards"), RefusalCode.AccessDenied);
+    });
+
     it("lets callers without a key use open routes only", () => {
         const filter = start();
         assert.equal(login(filter, "", "", "boards"), RefusalCode.AccessDenied);
--- a/src/request/authenticate.ts
+++ b/src/request/authenticate.ts
@@ -72,7 +72,8 @@
     private checkLogin(login: CallerLogin, nowMs: number): Refusal | undefined {
         const session = login.keyId === "" ? this.openSession(login) : this.keySession(login);
         if (session === undefined) {
-            return refuse(RefusalCode.AccessDenied, this.step);
+            // The first configuration may be older than the key.
+            return this.provedAtMs === -Infinity ? this.refuseStale() : refuse(RefusalCode.AccessDenied, this.step);
         }
         const stale = this.checkProof(session, nowMs);
         if (stale === undefined) {
@@ -115,7 +116,11 @@
             return refuse(RefusalCode.AccessDenied, this.step, { detail: "the workspace was removed" });
         }
         const fresh = session.callerId === "" || nowMs - this.provedAtMs <= validityMs;
-        return fresh ? undefined : refuse(RefusalCode.ConfigurationStale, this.step, { retryAfterMs: 1_000 });
+        return fresh ? undefined : this.refuseStale();
+    }
+
+    private refuseStale(): Refusal {
+        return refuse(RefusalCode.ConfigurationStale, this.step, { retryAfterMs: 1_000 });
     }
 
     private apply({ configuration }: ConfigurationApplied): readonly Message[] {
