fix(fleet): the first policy does not run after a leader whose version rises

What callers would see: in a storm of configurations a proxy that starts behind a follower waits the whole 2 s, although it has all that was acknowledged before its start, and then says "not confirmed" to keys that are unknown. Cause: each announcement of the leader raised the version to be reached. The version that the leader named first holds every change acknowledged before; a later one is not needed, so announcements are not looked at.

--- a/src/fleet/policyConfirmation.ts
+++ b/src/fleet/policyConfirmation.ts
@@ -17,7 +17,7 @@
  * Time after which a policy that no leader has confirmed is used, because a data centre that is cut off goes on serving.
  * Callers give up after 2 s without an answer, so nobody who waited through a restart meets such a policy.
  */
-export const confirmationWaitMs = 2_000;
+const confirmationWaitMs = 2_000;
 
 const confirmationKey = "fleet.confirmation";
 
@@ -25,6 +25,7 @@
 
 interface Leader {
     readonly term: number;
+    /** The first that it named: all that was acknowledged before this process started. */
     readonly configurationVersion: number;
 }
 
@@ -69,15 +70,15 @@
     }
 
     private noteFrame(attachmentId: string, frame: FleetFrame): void {
-        const leader = this.leaders.get(attachmentId);
-        if (frame.kind === "status" && !frame.leading) {
-            this.leaders.delete(attachmentId);
+        if (frame.kind !== "status") {
+            return;
         }
-        else if (frame.kind === "status") {
-            this.leaders.set(attachmentId, { term: frame.term, configurationVersion: frame.configurationVersion });
+        const { leading, term, configurationVersion } = frame;
+        if (!leading) {
+            this.leaders.delete(attachmentId);
         }
-        else if (frame.kind === "configuration" && leader !== undefined) {
-            this.leaders.set(attachmentId, { ...leader, configurationVersion: frame.version });
+        else if (this.leaders.get(attachmentId)?.term !== term) {
+            this.leaders.set(attachmentId, { term, configurationVersion });
         }
     }
 
@@ -101,7 +102,7 @@
     /** Passes the policy on once it is at least as new as the leader's. */
     private confirm(): readonly Message[] {
         const [leader] = [...this.leaders.values()].sort((left, right) =>
-            right.term - left.term || right.configurationVersion - left.configurationVersion
+            right.term - left.term || left.configurationVersion - right.configurationVersion
         );
         const { latest } = this;
         if (this.confirmed || latest === undefined || leader === undefined) {
