--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -186,17 +186,15 @@
 
     it("with a value out of range name no database", () => {
         // Guards against processes that end when they connect to an address that cannot be one.
+        const addresses = [
+            ...["99999", "65536", "0", "-1", "1e3", ""].map(port => `10.0.0.1:${port}`),
+            "10.0.0.1",
+            "10.0.0.256:80",
+            "999.1.1:80",
+            "::1:80",
+        ];
         const odd = [
-            ...[
-                "10.0.0.1:99999",
-                "10.0.0.1:65536",
-                "10.0.0.1:0",
-                "999.1.1:80",
-                "10.0.0.256:80",
-                "10.0.0.1:1e3",
-                "::1:80",
-            ]
-                .map(address => ({ address })),
+            ...addresses.map(address => ({ address })),
             ...[0, -1, 1.5, 1e300, 65_537].map(slots => ({ slots })),
             ...[-1, 0.5, 1e308].map(seq => ({ seq })),
             ...[-1, 1.5, 1e300, nowUnixMs + 3_600_000].map(born => ({ born })),
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -26,6 +26,7 @@
     type DrainDue,
     type DrainStep,
     expireTask,
+    retryText,
     stopText,
     type Task,
     type TaskAbandoned,
@@ -40,8 +41,8 @@
 /** Time that a caller waits for the first configuration; callers give up after 2 s without an answer. */
 const policyWaitMs = 1_500;
 
-/** For callers that came before a confirmed configuration; an election takes about as long. */
-const retryText = "not run, retry after 500 ms";
+/** When callers that came before a confirmed configuration may come back; an election takes about as long. */
+const unconfirmedRetryMs = 500;
 
 type SessionInput =
     | SessionOpened
@@ -117,7 +118,10 @@
     private authorize({ database, key }: Pick<SessionOpened, "database" | "key">): Access | AccessFault {
         const access = authorize(this.policy, database, key);
         return isFault(access) && !this.policyConfirmed
-            ? { fault: StatementFault.Busy, detail: `${access.detail}, which is not confirmed; ${retryText}` }
+            ? {
+                fault: StatementFault.Busy,
+                detail: retryText(`${access.detail}, which is not confirmed`, unconfirmedRetryMs),
+            }
             : access;
     }
 
@@ -351,7 +355,7 @@
         const early = this.early.get(sessionId);
         if (early !== undefined) {
             this.early.delete(sessionId);
-            const detail = `no configuration yet; ${retryText}`;
+            const detail = retryText("no configuration yet", unconfirmedRetryMs);
             return [{ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail } as Message];
         }
         const session = this.sessions.get(sessionId);
--- a/src/wiring/__tests__/configurationFleet.ts
+++ b/src/wiring/__tests__/configurationFleet.ts
@@ -336,9 +336,9 @@
             }
             const attachmentId = `a${this.nextId++}`;
             this.attachments.set(attachmentId, { proxyId: proxy.proxyId, memberId, attachmentId });
-            const attached_ = { kind: FleetKind.Attached, attachmentId };
-            this.cluster.post(memberId, { ...attached_, address: undefined } as Message);
-            proxy.loop.post({ ...attached_, address: addressOf(memberId) } as Message);
+            const kind = FleetKind.Attached;
+            this.cluster.post(memberId, { kind, attachmentId, address: undefined } as Message);
+            proxy.loop.post({ kind, attachmentId, address: addressOf(memberId) } as Message);
         });
     }
 
