test(wiring): updates that take long in parts, odd entries at a whole member, the line of an update

Schedules of restarts draw how long the parts of an update take (up to 400 ms), and a member that sends is not left. A control member with its sockets refuses odd heartbeats and a configuration nested too deeply, and goes on.

--- a/src/wiring/__tests__/configurationFleet.ts
+++ b/src/wiring/__tests__/configurationFleet.ts
@@ -4,7 +4,7 @@
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { ControlKind } from "../../model/controlMessages.ts";
 import { type DocumentAnswered, DocumentKind, DocumentResult } from "../../model/document.ts";
-import { FeedKind, type FeedResubscribe, type FeedSend } from "../../model/feedMessages.ts";
+import { FeedKind, type FeedResubscribe, type FeedSend, UpdateKind } from "../../model/feedMessages.ts";
 import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkKind } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
@@ -69,10 +69,17 @@
     readonly loop: EventLoop;
     readonly callers: Map<string, Caller>;
     /** Member that it reads the configuration from, and the stream. */
-    feed: { readonly memberId: string; readonly streamId: string; } | undefined;
+    feed: Feed | undefined;
     version: number;
 }
 
+interface Feed {
+    readonly memberId: string;
+    readonly streamId: string;
+    /** Updates of which parts are on their way. */
+    arriving: number;
+}
+
 /** One attachment; ids by side. */
 interface Attachment {
     readonly proxyId: string;
@@ -96,6 +103,8 @@
     private nextId = 0;
     /** Version of the newest document that was acknowledged. */
     acknowledged = 0;
+    /** Time that the parts of an update take beside the way of a message. */
+    partsMs = 0;
 
     constructor(options: ConfigurationFleetOptions) {
         this.options = options;
@@ -255,9 +264,9 @@
             this.carry(attachmentId, frame, ({ memberId }) => this.cluster.nodes.get(memberId)?.loop);
         }
         else if (message.kind === FeedKind.Resubscribe) {
-            const { addresses = this.memberIds.map(addressOf), version } = message as FeedResubscribe;
+            const { addresses, version } = message as FeedResubscribe;
             proxy.version = version;
-            this.subscribeLater(proxy, addresses[this.random.nextInteger(addresses.length)]!.split(":")[0]!);
+            this.resubscribe(proxy, addresses);
         }
         else if (message.kind === SessionKind.Accept) {
             this.settle(proxy, (message as SessionRefuse).sessionId, undefined, "");
@@ -288,15 +297,33 @@
 
     private publish({ streamId, update }: FeedSend): void {
         const proxy = [...this.proxies.values()].find(({ feed }) => feed?.streamId === streamId);
+        const feed = proxy?.feed;
+        if (proxy === undefined || feed === undefined) {
+            return;
+        }
         const parts = encodeUpdate(update);
-        const address = addressOf(proxy?.feed?.memberId ?? "");
-        this.after(streamId, () => {
-            if (proxy !== undefined && proxy.feed?.streamId === streamId) {
-                const copy = decodeUpdate(parts);
-                proxy.version = copy.kind === "snapshot" ? copy.configuration.version : copy.toVersion;
-                proxy.loop.post({ kind: FeedKind.Received, address, update: copy } as Message);
-            }
-        });
+        const address = addressOf(feed.memberId);
+        feed.arriving += 1;
+        this.after(
+            streamId,
+            () => {
+                feed.arriving -= 1;
+                if (proxy.feed === feed) {
+                    const copy = decodeUpdate(parts);
+                    proxy.version = copy.kind === UpdateKind.Snapshot ? copy.configuration.version : copy.toVersion;
+                    proxy.loop.post({ kind: FeedKind.Received, address, update: copy } as Message);
+                }
+            },
+            this.partsMs,
+        );
+    }
+
+    /** A member that is sending is not left for one that is ahead. */
+    private resubscribe(proxy: Proxy, ahead: readonly string[] | undefined): void {
+        if (ahead === undefined || proxy.feed === undefined || proxy.feed.arriving === 0) {
+            const addresses = ahead ?? this.memberIds.map(addressOf);
+            this.subscribeLater(proxy, addresses[this.random.nextInteger(addresses.length)]!.split(":")[0]!);
+        }
     }
 
     private subscribeLater(proxy: Proxy, memberId: string): void {
@@ -317,7 +344,7 @@
             return;
         }
         const streamId = `f${this.nextId++}`;
-        proxy.feed = { memberId, streamId };
+        proxy.feed = { memberId, streamId, arriving: 0 };
         const { version } = proxy;
         this.after(
             streamId,
@@ -377,9 +404,9 @@
     }
 
     /** Messages of one stream keep their order. */
-    private after(stream: string, act: () => void): void {
+    private after(stream: string, act: () => void, extraMs = 0): void {
         const [least, greatest] = delaysMs;
-        const delayMs = least + this.random.nextInteger(greatest - least + 1);
+        const delayMs = least + extraMs + this.random.nextInteger(greatest - least + 1);
         const earliestMs = stream === "" ? 0 : this.lastArrivalMs.get(stream) ?? 0;
         const atMs = Math.max(earliestMs, this.nowMs + delayMs);
         this.lastArrivalMs.set(stream, atMs);
--- a/src/wiring/__tests__/firstConfiguration.spec.ts
+++ b/src/wiring/__tests__/firstConfiguration.spec.ts
@@ -35,6 +35,7 @@
     const random = new SeededRandom(seed);
     const snapshotEntries = random.nextShare() < 0.5 ? 16 : 1_024;
     const fleet = new ConfigurationFleet({ members: 3, tolerance: 1, proxies: 3, seed, snapshotEntries });
+    fleet.partsMs = random.nextInteger(400);
     const { cluster, memberIds, proxyIds } = fleet;
     const draw = <Item>(items: readonly Item[]): Item => items[random.nextInteger(items.length)]!;
     let diskAtMs = 0;
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -93,4 +93,35 @@
         kept.destroy();
         await rm(folder, { recursive: true });
     });
+
+    it("refuses odd entries of other writers, and goes on", async () => {
+        // Guards against one entry or configuration that ends each member that reads it.
+        const folder = await mkdtemp(join(tmpdir(), "member-"));
+        const settings = await memberSettings(folder);
+        const member = await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 });
+        const { host, port } = settings.control!;
+        const post = async (path: string, body: string): Promise<number> =>
+            (await fetch(`http://${host}:${port}${path}`, { method: "POST", body })).status;
+        const nested = "[".repeat(200_000) + "]".repeat(200_000);
+        const entry = {
+            service: "s",
+            address: "10.0.0.1:99999",
+            zone: "z",
+            slots: 1,
+            state: "ready",
+            db_role: "primary",
+            seq: 1,
+        };
+        const statuses = [
+            await post("/-/Instances.Heartbeat/odd", JSON.stringify(entry)),
+            await post("/-/Instances.Heartbeat/odd", `{"service":${nested}}`),
+            await post("/-/Config.Put", `{"version":3,"routes":[],"services":[],"other":${nested}}`),
+            await post("/-/Instances.Heartbeat/db1", JSON.stringify({ ...entry, address: "10.0.0.1:80" })),
+        ];
+        assert.deepEqual(statuses, [400, 400, 400, 200]);
+        member.drain();
+        await member.ended;
+        await member[Symbol.asyncDispose]();
+        await rm(folder, { recursive: true });
+    });
 });
