fix(storage): the last segment of the log is synced when a member reads it

Worse would be possible: entries that a member has acknowledged and loses.

Cause (by reading, and a test): a process that is killed between writing and syncing leaves its tail in the page cache. The next process read it as durable, started a new segment behind it and synced only that one; a loss of power then took the tail of the first. Evidence: logSegments.spec.ts, red before. Every segment but the last is synced when it is left, so syncing the last one when it is read, which also cuts off a torn tail, makes all that was read durable before the member acts on it.

--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -161,8 +161,9 @@
         if (scan.end === ScanEnd.Damaged || scan.end === ScanEnd.Torn && !isLast) {
             throw damaged(file, scan.validBytes, "damaged record");
         }
-        if (scan.end === ScanEnd.Torn) {
-            this.tornTails += 1;
+        if (isLast) {
+            this.tornTails += scan.end === ScanEnd.Torn ? 1 : 0;
+            // A process that was killed may have left it unsynced; what is read here counts as durable from now on.
             await truncateDurably(file, scan.validBytes);
         }
         return scan.payloads.flatMap(payload =>
