--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import { z } from "zod";
 import type { RateTolerance } from "../model/rateLimits.ts";
+import type { SocketAddress } from "../model/socketAddress.ts";
 
 /** Variable that holds the path of the settings file. */
 export const settingsVariable = "JASMINELINE_CONFIG";
@@ -35,23 +36,17 @@
     cloud_api: z.object({ address }).nullish(),
 });
 
-/** A host and a port. */
-export interface Endpoint {
-    readonly host: string;
-    readonly port: number;
-}
-
 export interface PlatformSettings {
     /** Name of the machine. */
     readonly instanceId: string;
     readonly host: string;
     readonly dataCentre: string;
     /** Where callers connect; undefined on machines that serve none. */
-    readonly callers: Endpoint | undefined;
+    readonly callers: SocketAddress | undefined;
     /** Where readiness is asked. */
-    readonly readiness: Endpoint | undefined;
+    readonly readiness: SocketAddress | undefined;
     /** Where operators and databases call; undefined on machines that keep no control state. */
-    readonly control: Endpoint | undefined;
+    readonly control: SocketAddress | undefined;
     /** `host:port` of the gRPC listener. */
     readonly rpcAddress: string;
     /** Control members named at the start: their hosts, and `host:port` of their gRPC listeners. */
@@ -127,9 +122,9 @@
     }
 }
 
-function toEndpoint(text: string): Endpoint;
-function toEndpoint(text: string | undefined): Endpoint | undefined;
-function toEndpoint(text: string | undefined): Endpoint | undefined {
+function toEndpoint(text: string): SocketAddress;
+function toEndpoint(text: string | undefined): SocketAddress | undefined;
+function toEndpoint(text: string | undefined): SocketAddress | undefined {
     if (text === undefined) {
         return undefined;
     }
