refactor(fleet): a confirmed policy costs no look at the leaders

The leaders were sorted at each frame of an attachment for the life of a proxy, although the answer is needed until the first policy is confirmed only. Behaviour is unchanged.

--- a/src/fleet/policyConfirmation.ts
+++ b/src/fleet/policyConfirmation.ts
@@ -101,14 +101,14 @@
 
     /** Passes the policy on once it is at least as new as the leader's. */
     private confirm(): readonly Message[] {
-        const [leader] = [...this.leaders.values()].sort((left, right) =>
-            right.term - left.term || left.configurationVersion - right.configurationVersion
-        );
         const { latest } = this;
-        if (this.confirmed || latest === undefined || leader === undefined) {
+        if (this.confirmed || latest === undefined) {
             return [];
         }
-        if (this.version < leader.configurationVersion) {
+        const [leader] = [...this.leaders.values()].sort((left, right) =>
+            right.term - left.term || left.configurationVersion - right.configurationVersion
+        );
+        if (leader === undefined || this.version < leader.configurationVersion) {
             return [];
         }
         this.confirmed = true;
