fix(storage): a full disk suspends the writes of a member in place of ending its process

Cause: any failed write ended the control member. A disk_full of 9 s ended one process 5 to 13 times, because it was started again on the same full disk. Change: ENOSPC and EDQUOT repeat the write with back-off, at the start too; temporary files and the half-written end of a segment are given back first. After a failed sync the end of the segment is written again, since a second sync proves nothing. Other errors, EIO among them, end the process as before: data that was synced earlier may be lost too, and reading everything at a start shows it. File operations go through an interface, so that tests make each of them fail.

--- a/src/model/storageMessages.ts
+++ b/src/model/storageMessages.ts
@@ -6,6 +6,10 @@
     Append: "storage.append",
     /** The write and all writes before it are synced. */
     AppendDone: "storage.append_done",
+    /** The disk takes no writes at the moment; they are repeated until it does. Nothing delivered since is durable. */
+    Suspended: "storage.suspended",
+    /** The disk takes writes again. */
+    Resumed: "storage.resumed",
     /** A write failed. Later writes are ignored; the process must stop, because the state on disk is unknown. */
     Failed: "storage.failed",
     /** The state found in the data folder at startup; the first event of the control pipe. */
@@ -37,6 +41,15 @@
     readonly writeId: number;
 }
 
+export interface StorageSuspended extends Message {
+    readonly kind: typeof StorageKind.Suspended;
+    readonly reason: string;
+}
+
+export interface StorageResumed extends Message {
+    readonly kind: typeof StorageKind.Resumed;
+}
+
 export interface StorageFailed extends Message {
     readonly kind: typeof StorageKind.Failed;
     readonly reason: string;
--- a/src/storage/__tests__/logSegments.spec.ts
+++ b/src/storage/__tests__/logSegments.spec.ts
@@ -1,16 +1,36 @@
 import assert from "node:assert/strict";
-import { mkdtemp, open, rm, stat } from "node:fs/promises";
+import { mkdtemp, open, readFile, rm, stat } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { describe, it } from "node:test";
 import { EntryKind } from "../../model/replicatedLog.ts";
+import { NodeFileSystem } from "../fileSystem.ts";
 import { LogSegments } from "../logSegments.ts";
+import { scanRecords } from "../recordCodec.ts";
 
 describe("log segments", () => {
+    it("hold one record per sync, also after a full segment", async () => {
+        // Guards against a power loss that keeps the second record without the first, which reads as damage.
+        const folder = await mkdtemp(join(tmpdir(), "segments-"));
+        const options = { fileSystem: new NodeFileSystem(), folder, segmentBytes: 200 };
+        const { log } = await LogSegments.open(options, 1, 0);
+        const records = Array.from({ length: 5 }, (_, index) => ({
+            fromIndex: index + 1,
+            entries: [{ index: index + 1, term: 1, body: { kind: EntryKind.NoOp } }],
+        }));
+        await log.append(records.slice(0, 3));
+        await log.sync();
+        await log.append(records.slice(3, 5));
+        const { payloads } = scanRecords(await readFile(join(folder, "log-00000002")));
+        assert.equal(payloads.length, 1);
+        await log[Symbol.asyncDispose]();
+        await rm(folder, { recursive: true });
+    });
+
     it("are synced on recovery, because a killed process may have left them unsynced", async context => {
         // Guards against entries that a member counts as durable after a kill but that a later power loss removes.
         const folder = await mkdtemp(join(tmpdir(), "segments-"));
-        const options = { folder, segmentBytes: 1_024 };
+        const options = { fileSystem: new NodeFileSystem(), folder, segmentBytes: 1_024 };
         const { log: killedLog } = await LogSegments.open(options, 1, 0);
         const entry = { index: 1, term: 1, body: { kind: EntryKind.NoOp } };
         await killedLog.append([{ fromIndex: 1, entries: [entry] }]);
--- a/src/storage/atomicFile.ts
+++ b/src/storage/atomicFile.ts
@@ -1,27 +1,52 @@
 /** Small files of checksummed records that are replaced atomically: a temporary file is written, synced and renamed. */
-import { open, readFile, rename } from "node:fs/promises";
-import { dirname } from "node:path";
+import { join } from "node:path";
+import { type FileSystem, readIfExists, syncParentFolder, withFile } from "./fileSystem.ts";
 import { encodeRecord, scanRecords, ScanStatus } from "./recordCodec.ts";
 import { damagedFileError } from "./storageError.ts";
 
-/** Replaces the content of `file`. After a crash the file holds either the old or the new content. */
-export async function writeAtomically(file: string, records: readonly unknown[]): Promise<void> {
-    const temporary = `${file}.new`;
-    const handle = await open(temporary, "w");
+const temporarySuffix = ".new";
+
+/**
+ * Replaces the content of `file`. After a crash the file holds either the old or the new content. A call that fails may
+ * be repeated.
+ */
+export async function writeAtomically(
+    fileSystem: FileSystem,
+    file: string,
+    records: readonly unknown[],
+): Promise<void> {
+    const data = Buffer.concat(records.map(record => encodeRecord(Buffer.from(JSON.stringify(record)))));
+    await replaceAtomically(fileSystem, file, data);
+}
+
+/** Replaces the content of `file` by `data`, with the guarantees of `writeAtomically`. */
+export async function replaceAtomically(fileSystem: FileSystem, file: string, data: Buffer): Promise<void> {
+    const temporary = `${file}${temporarySuffix}`;
     try {
-        await handle.writeFile(Buffer.concat(records.map(record => encodeRecord(Buffer.from(JSON.stringify(record))))));
-        await handle.sync();
+        await withFile(fileSystem, temporary, "w", async handle => {
+            await handle.writeFile(data);
+            await handle.sync();
+        });
+        await fileSystem.rename(temporary, file);
+    }
+    catch (error) {
+        await discardTemporary(fileSystem, temporary);
+        throw error;
     }
-    finally {
-        await handle.close();
+    await syncParentFolder(fileSystem, file);
+}
+
+/** Removes the temporary files that a process left behind when it ended during a write. */
+export async function removeTemporaryFiles(fileSystem: FileSystem, folder: string): Promise<void> {
+    const names = await fileSystem.readdir(folder);
+    for (const name of names.filter(name => name.endsWith(temporarySuffix))) {
+        await fileSystem.remove(join(folder, name));
     }
-    await rename(temporary, file);
-    await syncFolder(dirname(file));
 }
 
 /** Reads the records of a file written by `writeAtomically`. Returns undefined if the file does not exist. */
-export async function readRecords(file: string): Promise<readonly unknown[] | undefined> {
-    const data = await readIfExists(file);
+export async function readRecords(fileSystem: FileSystem, file: string): Promise<readonly unknown[] | undefined> {
+    const data = await readIfExists(fileSystem, file);
     if (data === undefined) {
         return undefined;
     }
@@ -43,25 +68,12 @@
     }
 }
 
-export async function readIfExists(file: string): Promise<Buffer | undefined> {
+/** Gives the space of an incomplete temporary file back, because a full disk needs it. */
+async function discardTemporary(fileSystem: FileSystem, temporary: string): Promise<void> {
     try {
-        return await readFile(file);
+        await fileSystem.remove(temporary);
     }
-    catch (error) {
-        if ((error as NodeJS.ErrnoException).code === "ENOENT") {
-            return undefined;
-        }
-        throw error;
-    }
-}
-
-/** Syncs a folder so that files created, renamed or removed in it stay so after a power loss. */
-export async function syncFolder(folder: string): Promise<void> {
-    const handle = await open(folder, "r");
-    try {
-        await handle.sync();
-    }
-    finally {
-        await handle.close();
+    catch {
+        // The caller gets the error of the write. The next write of this file truncates what is left here.
     }
 }
--- a/src/storage/identity.ts
+++ b/src/storage/identity.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from "node:crypto";
 import { join } from "node:path";
 import { readRecords, writeAtomically } from "./atomicFile.ts";
+import type { FileSystem } from "./fileSystem.ts";
 import { StorageError, StorageErrorCode } from "./storageError.ts";
 
 export interface Identity {
@@ -15,12 +16,17 @@
  * Reads the identity stored in a folder, or creates it on first use.
  * @throws StorageError if the folder belongs to another cluster or member
  */
-export async function openIdentity(folder: string, cluster: string, memberId: string): Promise<Identity> {
+export async function openIdentity(
+    fileSystem: FileSystem,
+    folder: string,
+    cluster: string,
+    memberId: string,
+): Promise<Identity> {
     const file = join(folder, "identity");
-    const stored = (await readRecords(file))?.[0] as Identity | undefined;
+    const stored = (await readRecords(fileSystem, file))?.[0] as Identity | undefined;
     if (stored === undefined) {
         const created = { cluster, memberId, incarnation: randomBytes(8).toString("hex") };
-        await writeAtomically(file, [created]);
+        await writeAtomically(fileSystem, file, [created]);
         return created;
     }
     if (stored.cluster !== cluster || stored.memberId !== memberId) {
--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -1,17 +1,23 @@
 /** The replicated log on disk: numbered, append-only segment files of checksummed records. */
-import { type FileHandle, open, readdir, rm } from "node:fs/promises";
 import { join } from "node:path";
 import type { LogEntry } from "../model/replicatedLog.ts";
-import { parseJson, readIfExists, syncFolder } from "./atomicFile.ts";
-import { encodeRecord, scanRecords, ScanStatus } from "./recordCodec.ts";
+import { parseJson, replaceAtomically } from "./atomicFile.ts";
+import { type FileSystem, readIfExists, type StorageFile, syncFolder, withFile } from "./fileSystem.ts";
+import { encodeRecord, scanRecords, type ScanResult, ScanStatus } from "./recordCodec.ts";
 import { damagedFileError } from "./storageError.ts";
 
 const segmentNamePattern = /^log-(\d{8})$/;
 
 export interface LogSegmentsOptions {
+    readonly fileSystem: FileSystem;
     readonly folder: string;
     /** Size from which on the log continues in a new segment. */
     readonly segmentBytes: number;
+    /**
+     * An earlier attempt to open the log has failed. The last segment is then written anew: after a failed sync, a second
+     * one may succeed although the data is not on the disk.
+     */
+    readonly isRetry?: boolean;
 }
 
 /** One append: removes all entries from `fromIndex` on, then adds `entries`. */
@@ -23,16 +29,21 @@
 interface Segment {
     readonly number: number;
     bytes: number;
+    /** Length of the prefix that is durable. */
+    syncedBytes: number;
     /** Highest log index in the segment; 0 if it is empty. */
     lastIndex: number;
 }
 
+/** The methods that write reject with the error of the operating system; a failed `append` or `sync` may be repeated. */
 export class LogSegments implements AsyncDisposable {
     /** Number of incomplete last records (torn writes) that were truncated when the log was opened. */
     tornTailCount = 0;
     private readonly options: LogSegmentsOptions;
     private segments: Segment[] = [];
-    private handle: FileHandle | undefined;
+    private handle: StorageFile | undefined;
+    /** A write or sync of the current segment failed, so the file may contain any part of what follows `syncedBytes`. */
+    private hasDoubtfulTail = false;
 
     private constructor(options: LogSegmentsOptions) {
         this.options = options;
@@ -68,6 +79,7 @@
      * invalid one, which is indistinguishable from damage.
      */
     async append(records: readonly LogRecord[]): Promise<void> {
+        await this.discardDoubtfulTail();
         for (const chunk of this.splitIntoChunks(records)) {
             // `roll` syncs the full segment before it starts a new one.
             if (this.segments.at(-1)!.bytes >= this.options.segmentBytes) {
@@ -80,7 +92,9 @@
     /** Splits records into chunks of one segment each; all but the last chunk fill their segment. */
     private splitIntoChunks(records: readonly LogRecord[]): readonly (readonly LogRecord[])[] {
         const chunks: LogRecord[][] = [[]];
-        let bytes = this.segments.at(-1)!.bytes;
+        // A segment that is full already is followed by a new one before the first chunk.
+        const { bytes: currentBytes } = this.segments.at(-1)!;
+        let bytes = currentBytes >= this.options.segmentBytes ? 0 : currentBytes;
         for (const { fromIndex, entries } of records) {
             if (bytes >= this.options.segmentBytes && chunks.at(-1)!.length > 0) {
                 chunks.push([]);
@@ -94,7 +108,7 @@
 
     private async writeChunk(chunk: readonly LogRecord[]): Promise<void> {
         const data = encodeRecord(Buffer.from(JSON.stringify(chunk)));
-        await this.handle!.appendFile(data);
+        await this.changeCurrentSegment(handle => handle.writeFile(data));
         const segment = this.segments.at(-1)!;
         segment.bytes += data.length;
         segment.lastIndex = Math.max(
@@ -104,11 +118,14 @@
     }
 
     async sync(): Promise<void> {
-        await this.handle!.datasync();
+        await this.changeCurrentSegment(handle => handle.datasync());
+        const segment = this.segments.at(-1)!;
+        segment.syncedBytes = segment.bytes;
     }
 
     /** Syncs the current segment, starts a new one and returns its number. */
     async roll(): Promise<number> {
+        await this.discardDoubtfulTail();
         await this.sync();
         await this.startSegment(this.currentNumber + 1);
         return this.currentNumber;
@@ -120,9 +137,9 @@
     }
 
     async removeSegmentsBefore(firstSegment: number): Promise<void> {
-        const removed = this.segments.filter(segment => segment.number < firstSegment);
-        this.segments = this.segments.filter(segment => segment.number >= firstSegment);
-        await this.removeSegments(removed.map(segment => segment.number));
+        const obsolete = this.segments.filter(({ number }) => number < firstSegment);
+        await this.removeSegments(obsolete.map(({ number }) => number));
+        this.segments = this.segments.filter(({ number }) => number >= firstSegment);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -130,18 +147,51 @@
         this.handle = undefined;
     }
 
+    private async changeCurrentSegment(change: (handle: StorageFile) => Promise<void>): Promise<void> {
+        try {
+            await change(this.handle!);
+        }
+        catch (error) {
+            this.hasDoubtfulTail = true;
+            throw error;
+        }
+    }
+
+    /**
+     * Truncates the current segment to its durable prefix. After a failed sync, the operating system may treat the data
+     * as written although it is not on the disk, so a second sync proves nothing; the caller writes the data again.
+     */
+    private async discardDoubtfulTail(): Promise<void> {
+        if (!this.hasDoubtfulTail) {
+            return;
+        }
+        const segment = this.segments.at(-1)!;
+        await this.handle!.truncate(segment.syncedBytes);
+        await this.handle!.sync();
+        segment.bytes = segment.syncedBytes;
+        this.hasDoubtfulTail = false;
+    }
+
     private async startSegment(number: number): Promise<void> {
+        const { fileSystem, folder } = this.options;
+        const handle = await fileSystem.open(this.segmentPath(number), "a");
+        try {
+            await syncFolder(fileSystem, folder);
+        }
+        catch (error) {
+            await handle.close();
+            throw error;
+        }
         await this.handle?.close();
-        this.handle = await open(this.segmentPath(number), "a");
-        await syncFolder(this.options.folder);
-        this.segments.push({ number, bytes: 0, lastIndex: 0 });
+        this.handle = handle;
+        this.segments.push({ number, bytes: 0, syncedBytes: 0, lastIndex: 0 });
     }
 
     private async readEntries(numbers: readonly number[], snapshotIndex: number): Promise<readonly LogEntry[]> {
         let entries: LogEntry[] = [];
         for (const number of numbers) {
             const isLast = number === numbers.at(-1);
-            const segment = { number, bytes: 0, lastIndex: 0 };
+            const segment = { number, bytes: 0, syncedBytes: 0, lastIndex: 0 };
             for (const record of await this.readSegment(number, isLast)) {
                 if (record.fromIndex <= (entries.at(-1)?.index ?? 0)) {
                     entries = entries.filter(entry => entry.index < record.fromIndex);
@@ -157,7 +207,7 @@
 
     private async readSegment(number: number, isLast: boolean): Promise<readonly LogRecord[]> {
         const file = this.segmentPath(number);
-        const data = await readIfExists(file) ?? Buffer.alloc(0);
+        const data = await readIfExists(this.options.fileSystem, file) ?? Buffer.alloc(0);
         const scan = scanRecords(data);
         if (scan.status === ScanStatus.Damaged || scan.status === ScanStatus.Torn && !isLast) {
             throw damagedFileError(file, scan.validBytes, "damaged record");
@@ -165,13 +215,24 @@
         if (isLast) {
             this.tornTailCount += scan.status === ScanStatus.Torn ? 1 : 0;
             // A killed process may have left the segment unsynced; entries read here count as durable from now on.
-            await truncateDurably(file, scan.validBytes);
+            await this.makeDurable(file, data, scan);
         }
         return scan.payloads.flatMap(payload =>
             parseJson(file, payload, payload.byteOffset - data.byteOffset) as readonly LogRecord[]
         );
     }
 
+    // Without a sync, a torn tail could reappear after a power loss, in a segment that is no longer the last one.
+    private async makeDurable(file: string, data: Buffer, scan: ScanResult): Promise<void> {
+        const { fileSystem, isRetry = false } = this.options;
+        if (scan.status === ScanStatus.Torn || isRetry) {
+            await replaceAtomically(fileSystem, file, data.subarray(0, scan.validBytes));
+        }
+        else {
+            await withFile(fileSystem, file, "r+", handle => handle.sync());
+        }
+    }
+
     private requireContinuity(number: number, entries: readonly LogEntry[], snapshotIndex: number): void {
         const gap = entries.findIndex((entry, index) => entry.index !== snapshotIndex + 1 + index);
         if (gap !== -1) {
@@ -182,12 +243,12 @@
 
     private async removeSegments(numbers: readonly number[]): Promise<void> {
         for (const number of numbers) {
-            await rm(this.segmentPath(number), { force: true });
+            await this.options.fileSystem.remove(this.segmentPath(number));
         }
     }
 
     private async listSegmentNumbers(): Promise<readonly number[]> {
-        const names = await readdir(this.options.folder);
+        const names = await this.options.fileSystem.readdir(this.options.folder);
         return names.flatMap(name => segmentNamePattern.exec(name)?.[1] ?? []).map(Number).sort((left, right) =>
             left - right
         );
@@ -197,15 +258,3 @@
         return join(this.options.folder, `log-${String(number).padStart(8, "0")}`);
     }
 }
-
-// Without the sync, the truncated tail could reappear after a power loss, in a segment that is no longer the last one.
-async function truncateDurably(file: string, length: number): Promise<void> {
-    const handle = await open(file, "r+");
-    try {
-        await handle.truncate(length);
-        await handle.sync();
-    }
-    finally {
-        await handle.close();
-    }
-}
--- a/src/storage/snapshotFile.ts
+++ b/src/storage/snapshotFile.ts
@@ -2,6 +2,7 @@
 import { join } from "node:path";
 import type { Snapshot, SnapshotRecord } from "../model/replicatedLog.ts";
 import { readRecords, writeAtomically } from "./atomicFile.ts";
+import type { FileSystem } from "./fileSystem.ts";
 import { damagedFileError } from "./storageError.ts";
 
 interface SnapshotHeader extends Omit<Snapshot, "records"> {
@@ -16,15 +17,19 @@
     readonly firstSegment: number;
 }
 
-export async function writeSnapshot(folder: string, { snapshot, firstSegment }: StoredSnapshot): Promise<void> {
+export async function writeSnapshot(
+    fileSystem: FileSystem,
+    folder: string,
+    { snapshot, firstSegment }: StoredSnapshot,
+): Promise<void> {
     const { records, ...rest } = snapshot;
     const header: SnapshotHeader = { ...rest, recordCount: records.length, firstSegment };
-    await writeAtomically(snapshotPath(folder), [header, ...records]);
+    await writeAtomically(fileSystem, snapshotPath(folder), [header, ...records]);
 }
 
-export async function readSnapshot(folder: string): Promise<StoredSnapshot | undefined> {
+export async function readSnapshot(fileSystem: FileSystem, folder: string): Promise<StoredSnapshot | undefined> {
     const file = snapshotPath(folder);
-    const stored = await readRecords(file);
+    const stored = await readRecords(fileSystem, file);
     if (stored === undefined) {
         return undefined;
     }
