feat(control): a leader whose disk takes no writes hands the lead over

Cause: a leader on a full or stalled disk went on, or its process ended, and an election by timeout took 1 to 2 s. Change: the leader asks the follower in contact with the most entries to stand at once (Log.Stand, a new call; an older peer answers UNIMPLEMENTED and the leader goes on, as its term is durable and others commit). Meanwhile it goes on leading; a member whose disk takes no writes neither stands nor grants a pre-vote. Votes and acknowledgements still wait for their sync.

--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -25,6 +25,9 @@
 
 const stepMs = 10;
 
+/** Time after which a write without a result is reported, as by the storage of a member. */
+const stallTimeoutMs = 500;
+
 interface Disk {
     incarnation: string;
     term: number;
@@ -33,6 +36,8 @@
     entries: readonly LogEntry[];
     /** While set, no write is synced. */
     stalled: boolean;
+    /** The member was told that its disk takes no writes. */
+    suspended: boolean;
     unsynced: { readonly writeId: number; readonly write: StorageWrite; readonly atMs: number; }[];
 }
 
@@ -131,6 +136,7 @@
         node.clock = new VirtualClock();
         node.clock.advanceTo(this.nowMs);
         node.configuration = undefined;
+        node.disk.suspended = false;
         const parts = this.options.processPartsOf?.(memberId) ?? { pipes: [], sinks: [] };
         const pipes = [new Pipe("control", filters), ...parts.pipes];
         const sinks = [...this.sinksOf(node), ...parts.sinks];
@@ -373,6 +379,13 @@
     }
 
     private syncDisk(node: Node): void {
+        const { disk } = node;
+        const isSuspended = disk.stalled && disk.unsynced.some(({ atMs }) => this.nowMs - atMs >= stallTimeoutMs);
+        if (disk.suspended !== isSuspended) {
+            disk.suspended = isSuspended;
+            const kind = isSuspended ? StorageKind.Suspended : StorageKind.Resumed;
+            this.post(node.memberId, { kind, reason: "stalled" } as Message);
+        }
         while (!node.disk.stalled && node.disk.unsynced[0] !== undefined && node.disk.unsynced[0].atMs <= this.nowMs) {
             const { writeId, write } = node.disk.unsynced.shift()!;
             applyWrite(node.disk, write);
@@ -389,6 +402,7 @@
             snapshot: undefined,
             entries: [],
             stalled: false,
+            suspended: false,
             unsynced: [],
         };
     }
--- /dev/null
+++ b/src/control/__tests__/fullDisk.spec.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { type Command, CommandKind, ProposalStatus } from "../../model/controlMessages.ts";
+import { FakeCluster } from "./fakeCluster.ts";
+
+const seeds = Array.from({ length: 20 }, (_, index) => 7_001 + index);
+
+/** Time for which a disk takes no writes. */
+const faultMs = 9_000;
+
+/** Longest time without a leader while the lead is handed over: two message delays of 20 ms, a vote and a sync. */
+const handOverLimitMs = 250;
+
+/** The users' limit `catch_up_s` of a site with three members. */
+const catchUpLimitMs = 4_000;
+
+function setWorkspace(name: string): Command {
+    return {
+        kind: CommandKind.SetWorkspace,
+        expectedVersion: 0,
+        workspace: { name, ratePerSecond: 10, burst: 20, keyValidityMs: 10_000 },
+    };
+}
+
+function formCluster(seed: number): FakeCluster {
+    const cluster = new FakeCluster(3, seed, { faultTolerance: 1 });
+    cluster.runUntil("a leader", () => cluster.leader() !== undefined && cluster.allNodesAreMembers());
+    cluster.run(1_000);
+    return cluster;
+}
+
+/** Proposes a change every 100 ms to the member that leads. Returns the names, in order. */
+function proposeFor(cluster: FakeCluster, durationMs: number): readonly string[] {
+    return Array.from({ length: durationMs / 100 }, () => {
+        const name = `w${cluster.nowMs}`;
+        const leader = cluster.leader();
+        if (leader !== undefined) {
+            cluster.propose(leader.memberId, name, name, setWorkspace(name));
+        }
+        cluster.run(100);
+        return name;
+    });
+}
+
+function isAcknowledged(cluster: FakeCluster, name: string): boolean {
+    return cluster.results.get(name)?.some(({ status }) => status === ProposalStatus.Applied) === true;
+}
+
+describe("a member whose disk takes no writes", () => {
+    it("hands the lead over within a quarter of a second, and changes go on", () => {
+        for (const seed of seeds) {
+            const cluster = formCluster(seed);
+            const former = cluster.leader()!;
+            former.disk.stalled = true;
+            cluster.propose(former.memberId, "first", "first", setWorkspace("first"));
+            cluster.runUntil("the report of the disk", () => former.disk.suspended);
+            let withoutLeaderMs = 0;
+            for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += 10) {
+                cluster.run(10);
+                withoutLeaderMs += cluster.leader() === undefined ? 10 : 0;
+            }
+            assert.notEqual(cluster.leader()?.memberId, former.memberId, `seed ${seed}`);
+            assert.ok(withoutLeaderMs <= handOverLimitMs, `seed ${seed}: ${withoutLeaderMs} ms without a leader`);
+            const names = proposeFor(cluster, faultMs - 2_500);
+            cluster.run(500);
+            const missing = names.filter(name => !isAcknowledged(cluster, name));
+            assert.deepEqual(missing, [], `seed ${seed}`);
+        }
+    });
+
+    it("neither stands nor lets others stand, and takes part again from what it holds", () => {
+        for (const seed of seeds) {
+            const cluster = formCluster(seed);
+            const leader = cluster.leader()!;
+            const full = [...cluster.nodes.values()].find(node => node !== leader)!;
+            const other = [...cluster.nodes.values()].find(node => node !== leader && node !== full)!;
+            full.disk.stalled = true;
+            const names = proposeFor(cluster, faultMs);
+            assert.equal(cluster.leader()?.memberId, leader.memberId, `seed ${seed}: the leader changed`);
+            assert.equal(cluster.leader()?.leaderView?.term, leader.leaderView?.term, `seed ${seed}`);
+            assert.deepEqual(names.filter(name => !isAcknowledged(cluster, name)), [], `seed ${seed}`);
+            full.disk.stalled = false;
+            cluster.run(catchUpLimitMs);
+            // Two members are a majority only if the one whose disk was full takes part.
+            cluster.losePower(other.memberId);
+            const later = proposeFor(cluster, 1_000);
+            cluster.run(500);
+            assert.deepEqual(later.filter(name => !isAcknowledged(cluster, name)), [], `seed ${seed}: after the fault`);
+        }
+    });
+});
--- a/src/control/__tests__/memberPipe.spec.ts
+++ b/src/control/__tests__/memberPipe.spec.ts
@@ -121,4 +121,32 @@
         member.answerAsB(LogKind.AppendRequest, { accepted: true, index: 3 });
         assert.equal(applied(), 1);
     });
+
+    it("neither asks for votes nor encourages a candidate while its disk takes no writes", () => {
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        const encourage = () => member.requestVote({ preVote: true }).at(-1);
+        const asksForVotes = () => member.sent.some(({ kind }) => kind === LogKind.VoteRequest);
+        member.post({ kind: StorageKind.Suspended, reason: "full" } as Message);
+        member.clock.advanceTo(10_000);
+        assert.ok(!asksForVotes());
+        assert.equal(encourage(), false);
+        member.post({ kind: StorageKind.Resumed });
+        assert.equal(encourage(), true);
+        member.clock.advanceTo(20_000);
+        assert.ok(asksForVotes());
+    });
+
+    it("stands at once when its leader asks it to, and not for another member", () => {
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        const heartbeat = { previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 };
+        const head = { from: b, to: a, term: 5, callId: "x" };
+        member.post({ kind: LogKind.AppendRequest, ...head, ...heartbeat } as Message);
+        member.post({ kind: LogKind.StandRequest, ...head, from: c } as Message);
+        assert.ok(!member.sent.some(({ kind }) => kind === LogKind.VoteRequest));
+        member.post({ kind: LogKind.StandRequest, ...head } as Message);
+        const votes = member.sent.flatMap(body => body.kind === LogKind.VoteRequest ? [body] : []);
+        assert.deepEqual(votes.map(({ preVote, term }) => [preVote, term]), [[false, 6], [false, 6]]);
+        const answers = member.sent.flatMap(body => body.kind === LogKind.StandAnswer ? [body.standing] : []);
+        assert.deepEqual(answers, [false, true]);
+    });
 });
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -51,6 +51,8 @@
     /** Time at which replication to each learner started. */
     private readonly trackedSinceMs = new Map<string, number>();
     private ownMatchIndex = 0;
+    /** Members that were asked to take the lead over, by key. */
+    private readonly askedSuccessors = new Set<string>();
 
     constructor(options: LeadershipOptions) {
         this.self = options.self;
@@ -183,6 +185,25 @@
         }).sort((left, right) => right.silentForMs - left.silentForMs);
     }
 
+    /**
+     * Chooses the member that should take the lead over: of those in contact, the one with the most entries, and another
+     * one on each call until all were chosen. Undefined if no member is in contact.
+     */
+    chooseSuccessor(nowMs: number): Member | undefined {
+        const silent = new Set(this.silentMembers(nowMs).map(({ member }) => memberKey(member)));
+        const candidates = this.log.members
+            .filter(member => memberKey(member) !== memberKey(this.self) && !silent.has(memberKey(member)))
+            .sort((left, right) => this.matchIndexOf(right) - this.matchIndexOf(left));
+        if (candidates.every(member => this.askedSuccessors.has(memberKey(member)))) {
+            this.askedSuccessors.clear();
+        }
+        const successor = candidates.find(member => !this.askedSuccessors.has(memberKey(member)));
+        if (successor !== undefined) {
+            this.askedSuccessors.add(memberKey(successor));
+        }
+        return successor;
+    }
+
     hasQuorum(nowMs: number): boolean {
         const responsive = [...this.log.members].filter(member =>
             memberKey(member) === memberKey(this.self)
--- a/src/control/refuseStaleRequest.ts
+++ b/src/control/refuseStaleRequest.ts
@@ -24,6 +24,8 @@
                 }),
             ];
         }
+        case LogKind.StandRequest:
+            return [outgoingMessage({ ...envelope, kind: LogKind.StandAnswer, standing: false })];
         default:
             return [];
     }
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -11,10 +11,16 @@
     type JoinRequest,
     LogKind,
     outgoingMessage,
+    type StandAnswer,
     type VoteRequest,
 } from "../model/logMessages.ts";
 import { EntryKind, type Member } from "../model/replicatedLog.ts";
-import { StorageKind, type StorageRecovered } from "../model/storageMessages.ts";
+import {
+    StorageKind,
+    type StorageRecovered,
+    type StorageResumed,
+    type StorageSuspended,
+} from "../model/storageMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -50,10 +56,13 @@
 
 type ReplicationInput =
     | StorageRecovered
+    | StorageSuspended
+    | StorageResumed
     | FormCluster
     | TermChanged
     | AppendRequest
     | AppendAnswer
+    | StandAnswer
     | VoteRequest
     | TermEvent
     | TimerEvent
@@ -71,10 +80,13 @@
     readonly step = "replicate";
     readonly accepts = [
         StorageKind.Recovered,
+        StorageKind.Suspended,
+        StorageKind.Resumed,
         MemberKind.FormCluster,
         MemberKind.TermChanged,
         LogKind.AppendRequest,
         LogKind.AppendAnswer,
+        LogKind.StandAnswer,
         LogKind.VoteRequest,
         MemberKind.ElectionDue,
         MemberKind.CandidacyOpened,
@@ -89,6 +101,7 @@
         MemberKind.SnapshotDelivered,
     ];
     private readonly replica: Replica;
+    private isDiskSuspended = false;
 
     /** @param faultTolerance disks that may be lost at the same time */
     constructor(self: Member, faultTolerance: number) {
@@ -99,6 +112,10 @@
         switch (message.kind) {
             case StorageKind.Recovered:
                 return this.recover(message);
+            case StorageKind.Suspended:
+            case StorageKind.Resumed:
+                this.isDiskSuspended = message.kind === StorageKind.Suspended;
+                return [message, ...this.handOverLead(nowMs)];
             case MemberKind.FormCluster:
                 return this.formCluster(message.members);
             case MemberKind.TermChanged:
@@ -107,6 +124,9 @@
                 return this.handleAppendRequest(message);
             case LogKind.AppendAnswer:
                 return this.handleAppendAnswer(message, nowMs);
+            case LogKind.StandAnswer:
+                // With the next heartbeat, a leader that was not replaced asks another member.
+                return [];
             case LogKind.VoteRequest:
                 return [
                     {
@@ -225,10 +245,23 @@
                 ...this.replica.leadership.heartbeatMessages(this.replica.commitIndex, nowMs),
                 this.heartbeatTimer(nowMs),
                 ...this.reportSilentMembers(nowMs),
+                ...this.handOverLead(nowMs),
             ]
             : [termEvent(MemberKind.QuorumLost, this.replica.term)];
     }
 
+    /**
+     * A leader that cannot write to its disk asks another member to stand. Until one is elected it goes on leading, which
+     * needs no disk: entries are committed by the copies of the others, and its own term is durable.
+     */
+    private handOverLead(nowMs: number): readonly Message[] {
+        const { leadership, self } = this.replica;
+        const to = this.isDiskSuspended ? leadership?.chooseSuccessor(nowMs) : undefined;
+        return to === undefined
+            ? []
+            : [outgoingMessage({ kind: LogKind.StandRequest, from: self, to, term: this.replica.term, callId: "" })];
+    }
+
     private reportSilentMembers(nowMs: number): readonly Message[] {
         const silent = this.replica.leadership?.silentMembers(nowMs) ?? [];
         const membership = this.replica.membershipState();
--- a/src/control/termFilter.ts
+++ b/src/control/termFilter.ts
@@ -38,6 +38,8 @@
         LogKind.AppendAnswer,
         LogKind.SnapshotRequest,
         LogKind.SnapshotAnswer,
+        LogKind.StandRequest,
+        LogKind.StandAnswer,
         MemberKind.Campaign,
         MemberKind.Elected,
         MemberKind.QuorumLost,
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -1,7 +1,13 @@
 /** Elections: election timer, pre-vote, and votes granted and received. */
-import { LogKind, outgoingMessage, type VoteAnswer } from "../model/logMessages.ts";
+import { LogKind, outgoingMessage, type StandRequest, type VoteAnswer } from "../model/logMessages.ts";
 import type { Member } from "../model/replicatedLog.ts";
-import { StorageKind, type StorageRecovered, WriteKind } from "../model/storageMessages.ts";
+import {
+    StorageKind,
+    type StorageRecovered,
+    type StorageResumed,
+    type StorageSuspended,
+    WriteKind,
+} from "../model/storageMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -56,12 +62,15 @@
 
 type VoteInput =
     | StorageRecovered
+    | StorageSuspended
+    | StorageResumed
     | TermChanged
     | LeaderHeard
     | ElectionReady
     | Candidacy
     | VoteAsked
-    | VoteAnswer;
+    | VoteAnswer
+    | StandRequest;
 
 interface Tally {
     readonly preVote: boolean;
@@ -81,16 +90,22 @@
     readonly step = "vote";
     readonly accepts = [
         StorageKind.Recovered,
+        StorageKind.Suspended,
+        StorageKind.Resumed,
         MemberKind.TermChanged,
         MemberKind.LeaderHeard,
         MemberKind.ElectionReady,
         MemberKind.Candidacy,
         MemberKind.VoteAsked,
         LogKind.VoteAnswer,
+        LogKind.StandRequest,
     ];
     private readonly options: VoteFilterOptions;
     private term = 0;
     private role: MemberRole = MemberRole.Follower;
+    private leader: Member | undefined;
+    /** The disk takes no writes, so this member can neither vote nor be elected. */
+    private isDiskSuspended = false;
     private votedFor: string | undefined;
     private tally: Tally | undefined;
     private leaderHeardAtMs = -Infinity;
@@ -114,6 +129,10 @@
                 this.remainingInitialElections = maximumInitialElections;
                 this.postRestartElectionAtMs = this.postRestartElectionTime(recoveredMembers(message), nowMs);
                 return [message, this.resetElectionTimer(nowMs)];
+            case StorageKind.Suspended:
+            case StorageKind.Resumed:
+                this.isDiskSuspended = message.kind === StorageKind.Suspended;
+                return [message];
             case MemberKind.TermChanged:
                 return [message, ...this.changeTerm(message, nowMs)];
             case MemberKind.LeaderHeard:
@@ -128,6 +147,8 @@
                 return this.answerVoteRequest(message, nowMs);
             case LogKind.VoteAnswer:
                 return this.countAnswer(message);
+            case LogKind.StandRequest:
+                return this.answerStandRequest(message);
         }
     }
 
@@ -137,6 +158,7 @@
             this.votedFor = undefined;
         }
         this.role = change.role;
+        this.leader = change.leader;
         this.tally = undefined;
         if (change.role === MemberRole.Leader) {
             this.electionAtMs = Infinity;
@@ -153,7 +175,7 @@
         this.remainingInitialElections = Math.max(0, this.remainingInitialElections - 1);
         this.postRestartElectionAtMs = undefined;
         const timer = this.resetElectionTimer(nowMs);
-        if (!isMember(ready.members, this.options.self)) {
+        if (!isMember(ready.members, this.options.self) || this.isDiskSuspended) {
             return [timer];
         }
         this.openTally(true, this.term + 1, ready);
@@ -230,10 +252,28 @@
     // A member in contact with its leader refuses, so that a member that alone lost contact cannot end a working term.
     private canGrantPreVote(term: number, nowMs: number): boolean {
         return term > this.term
+            && !this.isDiskSuspended
             && this.role !== MemberRole.Leader
             && nowMs - this.leaderHeardAtMs >= electionTimeoutMs;
     }
 
+    // No pre-vote: the other members are in contact with the leader, which wants to be replaced.
+    private answerStandRequest({ from, callId }: StandRequest): readonly Message[] {
+        const standing = this.role === MemberRole.Follower
+            && this.leader !== undefined
+            && memberKey(this.leader) === memberKey(from)
+            && !this.isDiskSuspended;
+        const answer = outgoingMessage({
+            kind: LogKind.StandAnswer,
+            from: this.options.self,
+            to: from,
+            term: this.term,
+            callId,
+            standing,
+        });
+        return [answer, ...standing ? [termEvent(MemberKind.Campaign, this.term + 1)] : []];
+    }
+
     private canGrantVote(candidate: string): boolean {
         return this.votedFor === undefined || this.votedFor === candidate;
     }
--- a/src/model/logMessages.ts
+++ b/src/model/logMessages.ts
@@ -15,6 +15,8 @@
     SnapshotAnswer: "log.snapshot_answer",
     JoinRequest: "log.join_request",
     JoinAnswer: "log.join_answer",
+    StandRequest: "log.stand_request",
+    StandAnswer: "log.stand_answer",
 } as const;
 
 interface PeerEnvelope extends Message {
@@ -93,6 +95,16 @@
     readonly members: readonly Member[];
 }
 
+/** The leader asks a follower to start an election at once; without this, the other members would refuse it. */
+export interface StandRequest extends PeerEnvelope {
+    readonly kind: typeof LogKind.StandRequest;
+}
+
+export interface StandAnswer extends PeerEnvelope {
+    readonly kind: typeof LogKind.StandAnswer;
+    readonly standing: boolean;
+}
+
 export type PeerMessage =
     | VoteRequest
     | VoteAnswer
@@ -101,7 +113,9 @@
     | SnapshotRequest
     | SnapshotAnswer
     | JoinRequest
-    | JoinAnswer;
+    | JoinAnswer
+    | StandRequest
+    | StandAnswer;
 
 export interface LogOutgoing extends Message {
     readonly kind: typeof LogKind.Outgoing;
--- a/src/rpc/logCodec.ts
+++ b/src/rpc/logCodec.ts
@@ -11,6 +11,8 @@
     LogHead,
     SnapshotCall,
     SnapshotResult,
+    StandCall,
+    StandResult,
     VoteCall,
     VoteResult,
 } from "./generated/log.ts";
@@ -78,10 +80,22 @@
     return { ...decodeHead(head, ""), kind: LogKind.JoinAnswer, formed, members };
 }
 
+export function encodeStandCall(message: MessageOf<typeof LogKind.StandRequest>): StandCall {
+    return { head: encodeHead(message) };
+}
+
+export function decodeStandCall({ head }: StandCall, callId: string): PeerMessage {
+    return { ...decodeHead(head, callId), kind: LogKind.StandRequest };
+}
+
+export function decodeStandResult({ head, standing }: StandResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.StandAnswer, standing };
+}
+
 /** Encodes an answer as the result of its gRPC call; undefined if the message is not an answer. */
 export function encodeCallResult(
     message: PeerMessage,
-): VoteResult | AppendResult | SnapshotResult | JoinResult | undefined {
+): VoteResult | AppendResult | SnapshotResult | JoinResult | StandResult | undefined {
     const head = encodeHead(message);
     return match(message)
         .with({ kind: LogKind.VoteAnswer }, ({ preVote, granted, requestTerm }) => ({
@@ -97,6 +111,7 @@
             nextOffset,
             installed,
         }))
+        .with({ kind: LogKind.StandAnswer }, ({ standing }) => ({ head, standing }))
         .with({ kind: LogKind.JoinAnswer }, ({ formed, members }) => ({ head, formed, members: [...members] }))
         .otherwise(() => undefined);
 }
--- a/src/rpc/logTransport.ts
+++ b/src/rpc/logTransport.ts
@@ -19,12 +19,15 @@
     decodeJoinResult,
     decodeSnapshotCall,
     decodeSnapshotResult,
+    decodeStandCall,
+    decodeStandResult,
     decodeVoteCall,
     decodeVoteResult,
     encodeAppendCall,
     encodeCallResult,
     encodeJoinCall,
     encodeSnapshotCall,
+    encodeStandCall,
     encodeVoteCall,
 } from "./logCodec.ts";
 import { callerInstanceId } from "./peerAuthentication.ts";
@@ -64,6 +67,7 @@
             append: this.createHandler(decodeAppendCall),
             installSnapshot: this.createHandler(decodeSnapshotCall),
             join: this.createHandler(decodeJoinCall),
+            stand: this.createHandler(decodeStandCall),
         };
         server.addService(LogService, service);
     }
@@ -95,6 +99,12 @@
                     decodeJoinResult,
                     (client, done) => client.join(encodeJoinCall(body), new Metadata(), callOptions(), done),
                 );
+            case LogKind.StandRequest:
+                return this.sendRequest(
+                    body,
+                    decodeStandResult,
+                    (client, done) => client.stand(encodeStandCall(body), new Metadata(), callOptions(), done),
+                );
             default:
                 this.pendingCalls.get(body.callId)?.(body);
         }
