feat(wiring): tell of a disk that takes no writes, and go on when changed settings cannot be read

Cause: the state of the disk was told nowhere; a settings file that could not be read on SIGHUP ended the process by an exception in the signal handler. Change: log lines storage.suspended, storage.resumed and storage.open_delayed (storage_* on entry instances), a line in ctl status; a reload that cannot be read is refused by a line and the old settings stay.

--- a/src/cli/ctlStatusCommands.ts
+++ b/src/cli/ctlStatusCommands.ts
@@ -137,6 +137,7 @@
         `instance ${instance!.instanceId} in ${instance!.dataCentre}${instance!.draining ? ", draining" : ""}`,
         `configuration ${instance!.configurationVersion}, proved ${lastProved}`,
         `${instance!.connections} client connections, ${instance!.leasesHeld} leases`,
+        ...instance!.storageSuspension === "" ? [] : [`the disk takes no writes: ${instance!.storageSuspension}`],
     ];
     const table = renderTable(
         ["GROUP", "DATABASE", "SERVICE", "DATA_CENTRE", "ROLE", "AVAILABLE", "POSITION", "HOLDER"],
--- a/src/cli/platformMain.ts
+++ b/src/cli/platformMain.ts
@@ -27,7 +27,7 @@
         seed: randomBytes(4).readUInt32BE() >>> 1,
     });
     process.on("SIGTERM", () => platformProcess.drain());
-    process.on("SIGHUP", () => platformProcess.reload(readPlatformSettings(path)));
+    process.on("SIGHUP", () => platformProcess.reload(() => readPlatformSettings(path)));
     await platformProcess.ended;
     await platformProcess[Symbol.asyncDispose]();
     return ExitCode.Success;
--- a/src/telemetry/stateChangeLog.ts
+++ b/src/telemetry/stateChangeLog.ts
@@ -2,14 +2,24 @@
 import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type DrainStarted } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
+import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { Logger } from "./logger.ts";
 
-type Input = ControlLeaderChanged | DatabasesChanged | DrainStarted;
+type Input = ControlLeaderChanged | DatabasesChanged | DrainStarted | StorageSuspended | StorageResumed;
 
-/** Logs changes of databases, their holders and roles, of the control leader, and the start of this instance's drain. */
+/**
+ * Logs changes of databases, their holders and roles, of the control leader, the start of this instance's drain, and
+ * whether its disk takes writes.
+ */
 export class StateChangeLog implements Sink<Input> {
-    readonly accepts = [ControlKind.LeaderChanged, ClusterKind.DatabasesChanged, ClusterKind.DrainStarted];
+    readonly accepts = [
+        ControlKind.LeaderChanged,
+        ClusterKind.DatabasesChanged,
+        ClusterKind.DrainStarted,
+        StorageKind.Suspended,
+        StorageKind.Resumed,
+    ];
     private readonly logger: Logger;
     private databases = new Map<string, DatabaseView>();
 
@@ -29,6 +39,11 @@
                 { kind: ClusterKind.DrainStarted },
                 ({ deadlineMs }) => this.logger.info("drain_started", { limit_ms: Math.round(deadlineMs - nowMs) }),
             )
+            .with(
+                { kind: StorageKind.Suspended },
+                ({ reason }) => this.logger.warn("storage_suspended", { reason }),
+            )
+            .with({ kind: StorageKind.Resumed }, () => this.logger.info("storage_resumed"))
             .exhaustive();
     }
 
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import { text } from "node:stream/consumers";
 import { describe, it } from "node:test";
-import type { PlatformSettings } from "../../platform/platformSettings.ts";
+import { decodePlatformSettings, type PlatformSettings } from "../../platform/platformSettings.ts";
 import { startPlatformProcess } from "../platformProcess.ts";
 
 /** Returns a port that is free at present. */
@@ -68,6 +68,18 @@
 });
 
 describe("control member process", () => {
+    it("goes on with its settings when the changed ones cannot be read", async () => {
+        const folder = await mkdtemp(join(tmpdir(), "member-"));
+        const settings = await memberSettings(folder);
+        const member = await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 });
+        member.reload(() => decodePlatformSettings("{ \"node\": ", "settings.json"));
+        const call = await connectTo(settings);
+        call.write("GET /-/other HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n");
+        assert.match(await text(call), /^HTTP\/1.1 \d{3} /);
+        await member[Symbol.asyncDispose]();
+        await rm(folder, { recursive: true });
+    });
+
     it("answers the calls that are in progress before it ends", async () => {
         // Guards against calls of operators and databases that are aborted at each restart of a member.
         const folder = await mkdtemp(join(tmpdir(), "member-"));
--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -37,7 +37,7 @@
 import { TraceFileWriter } from "../storage/traceFile.ts";
 import { StatsdCounters } from "../telemetry/counters.ts";
 import { EventCounters } from "../telemetry/eventCounters.ts";
-import { createLogger } from "../telemetry/logger.ts";
+import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { StateChangeLog } from "../telemetry/stateChangeLog.ts";
 import { buildPipes, type PipeOptions } from "./buildPipes.ts";
 import { InstanceStatusCollector } from "./instanceStatusCollector.ts";
@@ -75,7 +75,12 @@
 export async function startEntry(settings: EntrySettings, inputs: EntryInputs): Promise<EntryProcess> {
     await using stack = new AsyncDisposableStack();
     const post: Post = message => loop.post(message);
-    const storage = await openStorage(settings, post, stack);
+    const logger = createLogger({
+        format: settings["log-format"],
+        level: settings["log-level"],
+        instanceId: settings["instance-id"],
+    });
+    const storage = await openStorage(settings, post, logger, stack);
     const options = toPipeOptions(settings, inputs, storage);
     const clock = new SystemClock();
     const authentication = new PeerAuthentication({
@@ -85,11 +90,6 @@
     });
     const clientFactory = new PeerClientFactory({ authentication, translatedAddresses: settings["peer-addresses"] });
     const context = { settings, inputs, options, clock, post, clientFactory, stack };
-    const logger = createLogger({
-        format: settings["log-format"],
-        level: settings["log-level"],
-        instanceId: settings["instance-id"],
-    });
     const counters = stack.use(
         new StatsdCounters({ agent: settings.statsd, instanceId: settings["instance-id"] }),
     );
@@ -145,6 +145,7 @@
 async function openStorage(
     settings: EntrySettings,
     post: Post,
+    logger: Logger,
     stack: AsyncDisposableStack,
 ): Promise<MemberStorage | undefined> {
     const folder = settings["data-folder"];
@@ -152,7 +153,15 @@
         return undefined;
     }
     const cluster = settings["cluster-name"];
-    return stack.use(await MemberStorage.open({ folder, cluster, memberId: settings["instance-id"], post }));
+    return stack.use(
+        await MemberStorage.open({
+            folder,
+            cluster,
+            memberId: settings["instance-id"],
+            post,
+            onOpenDelayed: reason => logger.warn("storage_open_delayed", { reason }),
+        }),
+    );
 }
 
 function toPipeOptions(
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -19,6 +19,7 @@
 import { LinkKind, type LinkLost } from "../model/linkMessages.ts";
 import { PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
 import { type SessionAnswer, SessionKind, type SessionRefuse } from "../model/sessionMessages.ts";
+import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type TaskAttempted, type TaskEnded, TaskKind } from "../session/taskMessages.ts";
 import type { LineFormatter } from "../telemetry/eventLog.ts";
@@ -100,6 +101,8 @@
         leader: leaderId,
     })),
     line<ControlMembersAgreed>(ControlKind.MembersAgreed, ({ addresses }) => ({ members: addresses.join(",") })),
+    line<StorageSuspended>(StorageKind.Suspended, ({ reason }) => ({ reason })),
+    line<StorageResumed>(StorageKind.Resumed, () => ({})),
     line<PromotionOrder>(PromotionKind.Order, ({ service, databaseId, fence }) => ({
         service,
         database: databaseId,
--- a/src/wiring/instanceStatusCollector.ts
+++ b/src/wiring/instanceStatusCollector.ts
@@ -6,6 +6,7 @@
     type LeasesRenewed,
 } from "../model/clusterMessages.ts";
 import { HealthKind, type HeartbeatAnswered, type HeartbeatReceived } from "../model/healthMessages.ts";
+import { StorageKind, type StorageSuspended } from "../model/storageMessages.ts";
 import type { LoopObserver } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
@@ -36,6 +37,8 @@
     private leasesHeld = 0;
     private isDraining = false;
     private controlLeaderAddress = "";
+    /** Why the disk takes no writes; empty while it does. */
+    private storageSuspension = "";
 
     constructor(dependencies: InstanceStatusCollectorOptions) {
         this.dependencies = dependencies;
@@ -65,6 +68,12 @@
             const { heartbeat } = message as HeartbeatReceived;
             this.addressByInstance.set(heartbeat.instanceId, heartbeat.address);
         }
+        else if (message.kind === StorageKind.Suspended) {
+            this.storageSuspension = (message as StorageSuspended).reason;
+        }
+        else if (message.kind === StorageKind.Resumed) {
+            this.storageSuspension = "";
+        }
     }
 
     onOutput(): void {
@@ -82,6 +91,7 @@
             provedAgeMs: this.provedAtMs === undefined ? -1 : clock.nowMs() - this.provedAtMs,
             leaderAddress: this.controlLeaderAddress,
             leasesHeld: this.leasesHeld,
+            storageSuspension: this.storageSuspension,
         };
     }
 
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -49,8 +49,8 @@
 export interface PlatformProcess extends AsyncDisposable {
     /** Starts a graceful shutdown. */
     drain(): void;
-    /** Applies settings that changed while the process is running. */
-    reload(settings: PlatformSettings): void;
+    /** Applies settings that changed while the process is running; if they cannot be read, the old ones stay in force. */
+    reload(readSettings: () => PlatformSettings): void;
     readonly ended: Promise<void>;
 }
 
@@ -120,9 +120,15 @@
                 void drained.then(() => termination.deliver({ kind: FleetKind.Drained }));
             }
         },
-        reload: changed => {
-            post({ kind: ControlKind.SeedsChanged, seeds: changed.seeds } as Message);
-            logger.info("reloaded", { seeds: changed.seeds.map(({ address }) => address).join(",") });
+        reload: readSettings => {
+            try {
+                const { seeds } = readSettings();
+                post({ kind: ControlKind.SeedsChanged, seeds } as Message);
+                logger.info("reloaded", { seeds: seeds.map(({ address }) => address).join(",") });
+            }
+            catch (error) {
+                logger.error("reload_refused", { reason: (error as Error).message });
+            }
         },
         ended: termination.promise,
         [Symbol.asyncDispose]: () => resources.disposeAsync(),
@@ -179,7 +185,7 @@
 }
 
 async function buildControlMember(context: ProcessContext): Promise<ProcessComponents> {
-    const { settings, post, clientFactory, authentication, seed, loadLog, stack } = context;
+    const { settings, post, clientFactory, authentication, seed, loadLog, logger, stack } = context;
     const {
         host,
         rpcAddress,
@@ -198,6 +204,7 @@
             memberId: host,
             post,
             lockFolder: false,
+            onOpenDelayed: reason => logger.warn("storage.open_delayed", { reason }),
         }),
     );
     const self = { memberId: host, address: rpcAddress, incarnation: storage.identity.incarnation };
