--- a/src/telemetry/__tests__/loadLog.spec.ts
+++ b/src/telemetry/__tests__/loadLog.spec.ts
@@ -43,6 +43,19 @@
         assert.equal(lines[1]!.fields?.busyMs, "total=199/2 fleet.frame_received/want=199/2");
     });
 
+    it("reports the processor time since the last line, work outside the event loop included", async () => {
+        const { logger, lines } = createRecordingLogger();
+        const loadLog = new LoadLog(logger);
+        const before = process.cpuUsage();
+        loadLog.recordSent("want", 1, "m1");
+        await loadLog[Symbol.asyncDispose]();
+        loadLog.recordSent("want", 1, "m1");
+        await loadLog[Symbol.asyncDispose]();
+        const [first, second] = lines.map(({ fields }) => Number(fields?.processorMs));
+        assert.ok(first! >= Math.floor((before.user + before.system) / 1_000), `${first} ms since the start`);
+        assert.ok(second! < first!, `${second} ms since the line before`);
+    });
+
     it("writes no line if nothing was sent or received", async () => {
         const { logger, lines } = createRecordingLogger();
         await new LoadLog(logger)[Symbol.asyncDispose]();
--- a/src/telemetry/loadLog.ts
+++ b/src/telemetry/loadLog.ts
@@ -33,6 +33,8 @@
     private readonly receivedByKind = new Map<string, Total>();
     private readonly bytesByPeer = new Map<string, Total>();
     private readonly busyMsByKind = new Map<string, Total>();
+    /** Processor time of the process at the time of the last line. */
+    private loggedProcessorMs = 0;
 
     constructor(logger: Logger) {
         this.logger = logger;
@@ -72,15 +74,24 @@
 
     private write(): void {
         if (this.sentByKind.size + this.receivedByKind.size > 0) {
+            const processorMs = this.processorTimeMs();
             this.logger.info("load", {
                 intervalMs,
+                processorMs: Math.round(processorMs - this.loggedProcessorMs),
                 sentBytes: formatAndClear(this.sentByKind),
                 receivedBytes: formatAndClear(this.receivedByKind),
                 peerBytes: formatAndClear(this.bytesByPeer),
                 busyMs: formatAndClear(this.busyMsByKind),
             });
+            this.loggedProcessorMs = processorMs;
         }
     }
+
+    /** What the event loop does not account for is spent on streams, garbage collection and the start. */
+    private processorTimeMs(): number {
+        const { user, system } = process.cpuUsage();
+        return (user + system) / 1_000;
+    }
 }
 
 /** Kind of a message, for frames with the kind of the frame, because the costs of frames differ widely. */
