fix(rpc): check every field of the messages between instances

Cause: frames of attachments, questions and results were JSON of internal types, read by a cast. An authenticated peer with another release, or a damaged body, could put a wrong type into a filter, whose exception ends the process. Change: frames are checked against a schema, questions and results field by field. A malformed one closes its stream with a line (fleet.frame_refused, peer.frame_refused) that names kind and field; a frame of an unknown kind is ignored, so that releases run side by side. The bytes on the wire are as before. TaskMode is part of the model, because the codec checks it.

--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -21,6 +21,8 @@
     Detached: "fleet.detached",
     /** A frame that arrived on an attachment. */
     FrameReceived: "fleet.frame_received",
+    /** A malformed frame arrived on an attachment, which is closed. */
+    FrameRefused: "fleet.frame_refused",
     SendFrame: "fleet.send_frame",
     PolicyApplied: "fleet.policy_applied",
     /** The wait for a leader to confirm the first policy timed out; the unconfirmed policy takes effect. */
@@ -240,6 +242,12 @@
     readonly frame: FleetFrame;
 }
 
+export interface FrameRefused extends Message {
+    readonly kind: typeof FleetKind.FrameRefused;
+    readonly attachmentId: string;
+    readonly reason: string;
+}
+
 export interface SendFrame extends Message {
     readonly kind: typeof FleetKind.SendFrame;
     readonly attachmentId: string;
--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -5,7 +5,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { LinkReply } from "./linkMessages.ts";
 import type { Position } from "./position.ts";
-import type { PreparedStatement, SessionStatement, StatementFault } from "./sessionStatement.ts";
+import type { PreparedStatement, SessionStatement, StatementFault, TaskMode } from "./sessionStatement.ts";
 
 export const PeerKind = {
     /** The list of instances that serve callers changed. */
@@ -22,6 +22,8 @@
     Lost: "peer.lost",
     /** A stream that another instance opened has ended. */
     Gone: "peer.gone",
+    /** A malformed question or result arrived on a stream, which is closed. */
+    FrameRefused: "peer.frame_refused",
 } as const;
 
 export interface PeerInstance {
@@ -48,7 +50,7 @@
     readonly sessionId: string;
     readonly service: string;
     readonly workspace: string;
-    readonly mode: string;
+    readonly mode: TaskMode;
     readonly statement: SessionStatement | undefined;
     readonly writes: boolean;
     readonly needsPrimary: boolean;
@@ -133,3 +135,10 @@
     readonly kind: typeof PeerKind.Gone;
     readonly streamId: string;
 }
+
+export interface PeerFrameRefused extends Message {
+    readonly kind: typeof PeerKind.FrameRefused;
+    /** Address of the other end, or the id of a stream that it opened. */
+    readonly peer: string;
+    readonly reason: string;
+}
--- a/src/model/sessionStatement.ts
+++ b/src/model/sessionStatement.ts
@@ -16,6 +16,19 @@
 } as const;
 export type SessionStatementKind = typeof SessionStatementKind[keyof typeof SessionStatementKind];
 
+/** How a statement that needs a database belongs to a transaction. */
+export const TaskMode = {
+    /** A statement outside a transaction. */
+    Single: "single",
+    /** A statement of a read-write transaction. */
+    Transaction: "transaction",
+    /** A statement of a read-only transaction. */
+    ReadTransaction: "read_transaction",
+    /** Reads the log position of the primary; belongs to no caller. */
+    Probe: "probe",
+} as const;
+export type TaskMode = typeof TaskMode[keyof typeof TaskMode];
+
 /** A prepared statement without its name and its parameters. */
 export interface PreparedStatement {
     readonly writes: boolean;
--- a/src/rpc/fleetAcceptor.ts
+++ b/src/rpc/fleetAcceptor.ts
@@ -1,10 +1,9 @@
 /** Server side of attachments: a control member accepts the streams that instances open. */
 import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
 import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
-import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import type { PeerTrafficObserver } from "../telemetry/loadLog.ts";
-import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
+import { encodeFrame } from "./fleetCodec.ts";
+import { type FrameReceiverOptions, receiveFrame } from "./frameReceiver.ts";
 import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
 import { memoizeEncoder } from "./memoizeEncoder.ts";
 
@@ -13,22 +12,15 @@
 
 type Stream = ServerDuplexStream<FleetFrameMessage, FleetFrameMessage>;
 
-export interface FleetAcceptorOptions {
-    readonly post: (message: Message) => void;
-    readonly traffic: PeerTrafficObserver;
-}
-
 export class FleetAcceptor implements Sink<SendFrame>, AsyncDisposable {
     readonly accepts = [FleetKind.SendFrame];
-    private readonly post: (message: Message) => void;
-    private readonly traffic: PeerTrafficObserver;
+    private readonly options: FrameReceiverOptions;
     private readonly encode = memoizeEncoder(encodeFrame);
     private readonly streams = new Map<string, Stream>();
     private nextStreamNumber = 0;
 
-    constructor({ post, traffic }: FleetAcceptorOptions) {
-        this.post = post;
-        this.traffic = traffic;
+    constructor(options: FrameReceiverOptions) {
+        this.options = options;
     }
 
     /** Adds the Fleet service to a server that was created by `createPeerServer`. */
@@ -47,7 +39,7 @@
             return;
         }
         const encoded = this.encode(frame);
-        this.traffic.recordSent(frame.kind, encoded.body.length, attachmentId);
+        this.options.traffic.recordSent(frame.kind, encoded.body.length, attachmentId);
         stream.write(encoded);
     }
 
@@ -59,7 +51,7 @@
     private acceptStream(stream: Stream): void {
         const attachmentId = `in${this.nextStreamNumber++}`;
         this.streams.set(attachmentId, stream);
-        this.post({ kind: FleetKind.Attached, attachmentId, address: undefined } as Attached);
+        this.options.post({ kind: FleetKind.Attached, attachmentId, address: undefined } as Attached);
         stream.on("data", (message: FleetFrameMessage) => this.receive(attachmentId, stream, message));
         stream.on("error", () => this.closeStream(attachmentId, stream));
         stream.on("cancelled", () => this.closeStream(attachmentId, stream));
@@ -67,20 +59,16 @@
     }
 
     private receive(attachmentId: string, stream: Stream, message: FleetFrameMessage): void {
-        const frame = decodeFrame(message);
-        if (frame === undefined) {
+        if (!receiveFrame(message, attachmentId, attachmentId, this.options)) {
             this.closeStream(attachmentId, stream);
-            return;
         }
-        this.traffic.recordReceived(frame.kind, message.body.length, attachmentId);
-        this.post({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
     }
 
     private closeStream(attachmentId: string, stream: Stream): void {
         if (this.streams.get(attachmentId) === stream) {
             this.streams.delete(attachmentId);
             stream.end();
-            this.post({ kind: FleetKind.Detached, attachmentId } as Detached);
+            this.options.post({ kind: FleetKind.Detached, attachmentId } as Detached);
         }
     }
 }
--- a/src/rpc/fleetCodec.ts
+++ b/src/rpc/fleetCodec.ts
@@ -2,6 +2,7 @@
 import { match } from "ts-pattern";
 import type { FleetFrame } from "../model/fleetMessages.ts";
 import type { PeerInstance } from "../model/peerMessages.ts";
+import { type CheckedFrame, checkFrame } from "./fleetFrameSchema.ts";
 import type { FleetFrameMessage } from "./generated/fleet.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
 
@@ -26,22 +27,17 @@
     return { body: encodeJson(encoded) };
 }
 
-/** Undefined if the body is not a frame. Fields are not validated, because the peer is authenticated. */
+/**
+ * Returns undefined if the kind of the frame is unknown: a peer of a later release sent it.
+ * @throws Error that tells what is wrong with a malformed frame
+ */
 export function decodeFrame({ body }: FleetFrameMessage): FleetFrame | undefined {
-    try {
-        const frame = decodeJson(body) as EncodedFrame;
-        if (typeof frame.kind !== "string") {
-            return undefined;
-        }
-        return match<EncodedFrame, FleetFrame>(frame)
-            .with({ kind: "instances" }, matched => ({ ...matched, instances: flattenGroups(matched.instances) }))
-            .with({ kind: "instances_changed" }, matched => ({ ...matched, joined: flattenGroups(matched.joined) }))
-            .otherwise(other => other as FleetFrame);
-    }
-    catch {
-        // The body is not JSON: the peer runs an incompatible release.
-        return undefined;
-    }
+    const frame = checkFrame(decodeJson(body));
+    return match<CheckedFrame | undefined, FleetFrame | undefined>(frame)
+        .with({ kind: "instances" }, matched => ({ ...matched, instances: flattenGroups(matched.instances) }))
+        .with({ kind: "instances_changed" }, matched => ({ ...matched, joined: flattenGroups(matched.joined) }))
+        // The encoding omits fields that are undefined.
+        .otherwise(other => other as FleetFrame | undefined);
 }
 
 function groupByDataCentre(instances: readonly PeerInstance[]): EncodedInstances {
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -1,11 +1,10 @@
 /** Client side of attachments: opens one to each known control member, and reopens those that are lost. */
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import { type Attached, type Detached, FleetKind, type MembersKnown, type SendFrame } from "../model/fleetMessages.ts";
-import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import type { PeerTrafficObserver } from "../telemetry/loadLog.ts";
-import { decodeFrame, encodeFrame } from "./fleetCodec.ts";
+import { encodeFrame } from "./fleetCodec.ts";
+import { type FrameReceiverOptions, receiveFrame } from "./frameReceiver.ts";
 import { FleetClient, type FleetFrameMessage } from "./generated/fleet.ts";
 import { ConnectionMode, type PeerClientFactory } from "./peerClientFactory.ts";
 import { RetryBackoff } from "./retryBackoff.ts";
@@ -29,11 +28,9 @@
     stableTimer: NodeJS.Timeout | undefined;
 }
 
-export interface FleetConnectorOptions {
+export interface FleetConnectorOptions extends FrameReceiverOptions {
     readonly clientFactory: PeerClientFactory;
-    readonly post: (message: Message) => void;
     readonly random: SeededRandom;
-    readonly traffic: PeerTrafficObserver;
     /** `host:port` of the gRPC listener of this process, which does not attach to itself. */
     readonly ownAddress: string;
 }
@@ -120,13 +117,9 @@
     private receive(attachment: Attachment, message: FleetFrameMessage): void {
         clearTimeout(attachment.firstFrameTimer);
         attachment.stableTimer ??= setTimeout(() => this.backoffs.get(attachment.address)?.reset(), stableAfterMs);
-        const frame = decodeFrame(message);
-        if (frame === undefined) {
+        if (!receiveFrame(message, attachment.attachmentId, attachment.address, this.options)) {
             this.closeAttachment(attachment);
-            return;
         }
-        this.options.traffic.recordReceived(frame.kind, message.body.length, attachment.address);
-        this.options.post({ kind: FleetKind.FrameReceived, attachmentId: attachment.attachmentId, frame } as Message);
     }
 
     private closeAttachment(attachment: Attachment): void {
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -9,8 +9,9 @@
     type PreparedStatement,
     type SessionStatement,
     SessionStatementKind,
-    type StatementFault,
-    type TransactionState,
+    StatementFault,
+    TaskMode,
+    TransactionState,
 } from "../model/sessionStatement.ts";
 import type { TaskFrameMessage } from "./generated/tasks.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
@@ -45,44 +46,43 @@
     };
 }
 
-/** @throws if the body was not made by `encodeQuestion` */
+/** @throws Error that names the field if the body was not made by `encodeQuestion` */
 export function decodeQuestion({ body }: TaskFrameMessage): PeerQuestion {
-    const fields = decodeJson(body) as EncodedFields;
+    const fields = requireFields(decodeJson(body), "question", [2, 4, 13]);
     if (fields.length === 2) {
         return {
             kind: "abandon",
-            sessionId: String(fields[0]),
-            taskId: fields[1] === 0 ? undefined : String(fields[1]),
+            sessionId: requireText(fields[0], "sessionId"),
+            taskId: fields[1] === 0 ? undefined : requireText(fields[1], "taskId"),
         };
     }
     if (fields.length === 4) {
-        const [questionId, service, workspace, maximumProofAgeMs] = fields;
         return {
             kind: "floor",
-            questionId: String(questionId),
-            service: String(service),
-            workspace: String(workspace),
-            maximumProofAgeMs: Number(maximumProofAgeMs),
+            questionId: requireText(fields[0], "questionId"),
+            service: requireText(fields[1], "service"),
+            workspace: requireText(fields[2], "workspace"),
+            maximumProofAgeMs: requireDuration(fields[3], "maximumProofAgeMs"),
         };
     }
-    const prepared = fields[9] as 0 | readonly [number, string];
     return {
         kind: "task",
-        taskId: String(fields[0]),
-        sessionId: String(fields[1]),
-        service: String(fields[2]),
-        workspace: String(fields[3]),
-        mode: String(fields[4]),
-        statement: decodeStatement(fields[5] as 0 | readonly string[]),
+        taskId: requireText(fields[0], "taskId"),
+        sessionId: requireText(fields[1], "sessionId"),
+        service: requireText(fields[2], "service"),
+        workspace: requireText(fields[3], "workspace"),
+        mode: requireOneOf(TaskMode, fields[4], "mode"),
+        statement: fields[5] === 0 ? undefined : decodeStatement(fields[5]),
         writes: fields[6] === 1,
         needsPrimary: fields[7] === 1,
-        values: fields[8] as readonly (readonly [string, string])[],
-        prepared: prepared === 0
-            ? undefined
-            : { writes: prepared[0] === 1, shape: prepared[1] } satisfies PreparedStatement,
-        databaseId: String(fields[10]),
+        values: requireArray(fields[8], "values").map(pair => {
+            const [name, value] = requireFields(pair, "value", [2]);
+            return [requireText(name, "value name"), requireText(value, "value")];
+        }),
+        prepared: fields[9] === 0 ? undefined : decodePrepared(fields[9]),
+        databaseId: requireText(fields[10], "databaseId"),
         floor: decodePosition(fields[11]),
-        remainingMs: Number(fields[12]),
+        remainingMs: requireNumber(fields[12], "remainingMs"),
     };
 }
 
@@ -105,38 +105,38 @@
     return { body: encodeJson([taskId, flags, fault ?? 0, encodedReply]) };
 }
 
-/** @throws if the body was not made by `encodeResult` */
+/** @throws Error that names the field if the body was not made by `encodeResult` */
 export function decodeResult({ body }: TaskFrameMessage): PeerResult {
-    const fields = decodeJson(body) as EncodedFields;
+    const fields = requireFields(decodeJson(body), "result", [3, 4]);
     if (fields.length === 3) {
-        const [questionId, position, proofAgeMs] = fields;
         return {
             kind: "floor",
-            questionId: String(questionId),
-            position: decodePosition(position),
-            proofAgeMs: Number(proofAgeMs),
+            questionId: requireText(fields[0], "questionId"),
+            position: decodePosition(fields[1]),
+            proofAgeMs: requireDuration(fields[2], "proofAgeMs"),
         };
     }
-    const [taskId, flags, fault, encodedReply] = fields as readonly [string, number, string | 0, EncodedFields | 0];
+    const [taskId, encodedFlags, fault, reply] = fields;
+    const flags = requireNumber(encodedFlags, "flags");
     return {
         kind: "task",
-        taskId,
-        reply: encodedReply === 0 ? undefined : decodeReply(encodedReply),
-        fault: fault === 0 ? undefined : fault as StatementFault,
+        taskId: requireText(taskId, "taskId"),
+        reply: reply === 0 ? undefined : decodeReply(reply),
+        fault: decodeFault(fault),
         sent: (flags & 1) !== 0,
         leads: (flags & 2) !== 0,
         pinned: (flags & 4) !== 0,
     };
 }
 
-function decodeReply(fields: EncodedFields): LinkReply {
-    const [rows, signature, fault, detail, transaction, position] = fields;
+function decodeReply(value: unknown): LinkReply {
+    const [rows, signature, fault, detail, transaction, position] = requireFields(value, "reply", [6]);
     return {
-        rows: rows as readonly string[],
-        signature: signature === 0 ? undefined : String(signature),
-        fault: fault === 0 ? undefined : fault as StatementFault,
-        detail: String(detail),
-        transaction: transaction as TransactionState,
+        rows: requireArray(rows, "rows").map(row => requireText(row, "row")),
+        signature: signature === 0 ? undefined : requireText(signature, "signature"),
+        fault: decodeFault(fault),
+        detail: requireText(detail, "detail"),
+        transaction: requireOneOf(TransactionState, transaction, "transaction"),
         position: decodePosition(position),
         status: undefined,
     };
@@ -147,30 +147,92 @@
     return kind === SessionStatementKind.Execute ? [kind, id, name, argument] : [kind, id, text];
 }
 
-function decodeStatement(fields: 0 | readonly string[]): SessionStatement | undefined {
-    if (fields === 0) {
-        return undefined;
-    }
-    const [kind, id, textOrName, argument = ""] = fields as [SessionStatementKind, string, string, string?];
+function decodeStatement(value: unknown): SessionStatement {
+    const [kind, id, textOrName, argument = ""] = requireFields(value, "statement", [3, 4]);
     const isExecute = kind === SessionStatementKind.Execute;
+    const text = requireText(textOrName, "statement text");
     return {
-        kind,
-        id,
-        text: isExecute ? "" : textOrName,
-        name: isExecute ? textOrName : "",
-        argument,
+        kind: requireOneOf(SessionStatementKind, kind, "statement kind"),
+        id: requireText(id, "statement id"),
+        text: isExecute ? "" : text,
+        name: isExecute ? text : "",
+        argument: requireText(argument, "statement argument"),
         prepared: undefined,
     };
 }
 
+function decodePrepared(value: unknown): PreparedStatement {
+    const [writes, shape] = requireFields(value, "prepared", [2]);
+    return { writes: writes === 1, shape: requireText(shape, "shape") };
+}
+
+function decodeFault(value: unknown): StatementFault | undefined {
+    return value === 0 ? undefined : requireOneOf(StatementFault, value, "fault");
+}
+
 function encodePosition(position: Position | undefined): 0 | readonly [number, number] {
     return position === undefined ? 0 : [position.term, position.offset];
 }
 
-function decodePosition(fields: unknown): Position | undefined {
-    if (fields === 0) {
+function decodePosition(value: unknown): Position | undefined {
+    if (value === 0) {
         return undefined;
     }
-    const [term, offset] = fields as readonly [number, number];
-    return { term, offset };
+    const [term, offset] = requireFields(value, "position", [2]);
+    return { term: requireCount(term, "position term"), offset: requireCount(offset, "position offset") };
+}
+
+function requireFields(value: unknown, name: string, lengths: readonly number[]): EncodedFields {
+    const fields = requireArray(value, name);
+    if (!lengths.includes(fields.length)) {
+        throw new TypeError(`${name} has ${fields.length} fields; expected ${lengths.join(" or ")}`);
+    }
+    return fields;
+}
+
+function requireArray(value: unknown, name: string): EncodedFields {
+    if (!Array.isArray(value)) {
+        throw new TypeError(`${name} is not an array`);
+    }
+    return value as EncodedFields;
+}
+
+function requireText(value: unknown, name: string): string {
+    if (typeof value !== "string") {
+        throw new TypeError(`${name} is not a text`);
+    }
+    return value;
+}
+
+function requireNumber(value: unknown, name: string): number {
+    if (typeof value !== "number" || !Number.isFinite(value)) {
+        throw new TypeError(`${name} is not a number`);
+    }
+    return value;
+}
+
+function requireDuration(value: unknown, name: string): number {
+    const duration = requireNumber(value, name);
+    if (duration < 0) {
+        throw new RangeError(`${name} is negative`);
+    }
+    return duration;
+}
+
+function requireCount(value: unknown, name: string): number {
+    if (!Number.isSafeInteger(value) || (value as number) < 0) {
+        throw new RangeError(`${name} is not a count`);
+    }
+    return value as number;
+}
+
+function requireOneOf<Value extends string>(
+    values: Readonly<Record<string, Value>>,
+    value: unknown,
+    name: string,
+): Value {
+    if (!Object.values(values).includes(value as Value)) {
+        throw new TypeError(`${name} has an unknown value`);
+    }
+    return value as Value;
 }
--- a/src/rpc/taskStreams.ts
+++ b/src/rpc/taskStreams.ts
@@ -7,6 +7,7 @@
     type PeerAnswer,
     type PeerAnswered,
     type PeerAsked,
+    type PeerFrameRefused,
     type PeerGone,
     PeerKind,
     type PeerLost,
@@ -93,8 +94,9 @@
             this.options.traffic.recordReceived("result", message.body.length, address);
             this.options.post({ kind: PeerKind.Answered, address, result } as PeerAnswered);
         }
-        catch {
+        catch (error) {
             // The peer runs an incompatible release; its pending tasks fail like those of a lost connection.
+            this.reportRefused(address, error);
             this.closeOutgoing(address, connection);
         }
     }
@@ -123,13 +125,19 @@
             this.options.traffic.recordReceived("question", message.body.length, streamId);
             this.options.post({ kind: PeerKind.Asked, streamId, question } as PeerAsked);
         }
-        catch {
+        catch (error) {
             // The peer runs an incompatible release; the end of the stream tells it that its tasks failed.
+            this.reportRefused(streamId, error);
             stream.end();
             this.closeIncoming(streamId);
         }
     }
 
+    private reportRefused(peer: string, error: unknown): void {
+        const refused = { kind: PeerKind.FrameRefused, peer, reason: (error as Error).message };
+        this.options.post(refused as PeerFrameRefused);
+    }
+
     private closeIncoming(streamId: string): void {
         if (this.incoming.delete(streamId)) {
             this.options.post({ kind: PeerKind.Gone, streamId } as PeerGone);
--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FleetKind, type PermitGrant, type PermitsNeeded } from "../../model/fleetMessages.ts";
-import { emptySessionContext, StatementFault } from "../../model/sessionStatement.ts";
+import { emptySessionContext, StatementFault, TaskMode } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy, RouteConsistency } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { Admission } from "../admission.ts";
-import { type Task, type TaskEnded, TaskKind, TaskMode, taskTimer } from "../taskMessages.ts";
+import { type Task, type TaskEnded, TaskKind, taskTimer } from "../taskMessages.ts";
 import { route } from "./sessionFixture.ts";
 
 /** The admission filter of an instance that has used its first permit for workspace "w". */
--- a/src/session/__tests__/floorExchange.spec.ts
+++ b/src/session/__tests__/floorExchange.spec.ts
@@ -2,10 +2,11 @@
 import { describe, it } from "node:test";
 import { FleetKind } from "../../model/fleetMessages.ts";
 import { type FloorQuestion, type FloorResult, type PeerInstance, PeerKind } from "../../model/peerMessages.ts";
+import { TaskMode } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { FloorExchange } from "../floorExchange.ts";
-import { TaskKind, TaskMode } from "../taskMessages.ts";
+import { TaskKind } from "../taskMessages.ts";
 import { position } from "./sessionFixture.ts";
 
 type Fields = Record<string, unknown>;
--- a/src/session/__tests__/forwarding.spec.ts
+++ b/src/session/__tests__/forwarding.spec.ts
@@ -3,9 +3,10 @@
 import { type DatabaseReport, FleetKind, ReportedState } from "../../model/fleetMessages.ts";
 import type { LinkReply } from "../../model/linkMessages.ts";
 import { type PassedTask, type PeerInstance, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
+import { TaskMode } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Forwarding } from "../forwarding.ts";
-import { type HolderChanged, type TaskAttempted, TaskKind, TaskMode } from "../taskMessages.ts";
+import { type HolderChanged, type TaskAttempted, TaskKind } from "../taskMessages.ts";
 
 const dataCentres = 6;
 
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -2,12 +2,12 @@
 import { describe, it } from "node:test";
 import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
-import { emptySessionContext, SessionStatementKind, TransactionState } from "../../model/sessionStatement.ts";
+import { emptySessionContext, SessionStatementKind, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Links } from "../links.ts";
 import type { LinkTable } from "../linkTable.ts";
-import { TaskKind, TaskMode } from "../taskMessages.ts";
+import { TaskKind } from "../taskMessages.ts";
 import { statement } from "./sessionFixture.ts";
 
 const report: DatabaseReport = {
--- a/src/session/__tests__/passedTasks.spec.ts
+++ b/src/session/__tests__/passedTasks.spec.ts
@@ -4,9 +4,8 @@
 import { LinkCommandKind } from "../../model/linkMessages.ts";
 import { type PassedResult, type PeerAnswer, PeerKind, type PeerQuestion } from "../../model/peerMessages.ts";
 import { SessionKind } from "../../model/sessionMessages.ts";
-import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
+import { SessionStatementKind, StatementFault, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
-import { TaskMode } from "../taskMessages.ts";
 import { position, route, SessionFixture, statement } from "./sessionFixture.ts";
 
 /** A holder, and another instance that passes tasks to it. */
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -15,7 +15,7 @@
     type PeerSend,
 } from "../../model/peerMessages.ts";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
-import { SessionStatementKind } from "../../model/sessionStatement.ts";
+import { SessionStatementKind, TaskMode } from "../../model/sessionStatement.ts";
 import { RouteConsistency, type RoutePolicy, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
 import { type Clock, EventLoop } from "../../pipeline/eventLoop.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -31,7 +31,6 @@
 import { PassedTasks } from "../passedTasks.ts";
 import { Routing } from "../routing.ts";
 import { Sessions } from "../sessions.ts";
-import { TaskMode } from "../taskMessages.ts";
 import { Schedule } from "./schedule.ts";
 import { statement } from "./sessionFixture.ts";
 import { StandInDatabase } from "./standInDatabase.ts";
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -8,7 +8,7 @@
     type RateLeaderSilent,
 } from "../model/fleetMessages.ts";
 import { fallbackLimitMs } from "../model/rateLimits.ts";
-import { StatementFault } from "../model/sessionStatement.ts";
+import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -21,7 +21,6 @@
     type Task,
     type TaskAbandoned,
     TaskKind,
-    TaskMode,
     type TaskSubmitted,
     type TaskTimer,
     taskTimer,
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -16,6 +16,7 @@
     type PeerLost,
     type PeerSend,
 } from "../model/peerMessages.ts";
+import { TaskMode } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -27,7 +28,6 @@
     type FloorWanted,
     type TaskAttempted,
     TaskKind,
-    TaskMode,
     type TaskTimer,
     taskTimer,
 } from "./taskMessages.ts";
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -20,7 +20,7 @@
     type PeerLost,
     type PeerSend,
 } from "../model/peerMessages.ts";
-import { StatementFault } from "../model/sessionStatement.ts";
+import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -35,7 +35,6 @@
     type TaskContinued,
     type TaskExpired,
     TaskKind,
-    TaskMode,
     type TaskPlaced,
     type TaskTimer,
     taskTimer,
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -22,7 +22,7 @@
     type LinkReply,
     type LinkSend,
 } from "../model/linkMessages.ts";
-import { StatementFault, TransactionState } from "../model/sessionStatement.ts";
+import { StatementFault, TaskMode, TransactionState } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -39,7 +39,6 @@
     type TaskEnded,
     type TaskExpired,
     TaskKind,
-    TaskMode,
     type TaskPlaced,
     type TaskTimer,
     taskTimer,
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -22,7 +22,6 @@
     type TaskAbandoned,
     type TaskAttempted,
     TaskKind,
-    type TaskMode,
 } from "./taskMessages.ts";
 
 /** Separates the id of the stream from the ids of the passing instance; ids of this instance do not contain it. */
@@ -210,7 +209,7 @@
         sessionId: toLocalId(streamId, passed.sessionId),
         service,
         workspace,
-        mode: mode as TaskMode,
+        mode,
         statement,
         writes,
         needsPrimary,
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -8,7 +8,13 @@
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
-import { emptySessionContext, isNotRun, SessionStatementKind, StatementFault } from "../model/sessionStatement.ts";
+import {
+    emptySessionContext,
+    isNotRun,
+    SessionStatementKind,
+    StatementFault,
+    TaskMode,
+} from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -29,7 +35,6 @@
     type TaskEnded,
     type TaskExpired,
     TaskKind,
-    TaskMode,
     type TaskPlaced,
     type TaskTimer,
     taskTimer,
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -17,6 +17,7 @@
     SessionStatementKind,
     type StatementAnswer,
     StatementFault,
+    TaskMode,
     TransactionState,
 } from "../model/sessionStatement.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
@@ -35,7 +36,6 @@
     type TaskAbandoned,
     type TaskEnded,
     TaskKind,
-    TaskMode,
 } from "./taskMessages.ts";
 
 /** Maximum of queued statements per session; callers normally wait for an answer before the next statement. */
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -4,7 +4,7 @@
  */
 import type { LinkReply } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
-import type { SessionContext, SessionStatement, StatementFault } from "../model/sessionStatement.ts";
+import type { SessionContext, SessionStatement, StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { FloorSample } from "./floorSamples.ts";
@@ -49,18 +49,6 @@
     ForwardDue: "task.forward_due",
 } as const;
 
-export const TaskMode = {
-    /** A statement outside a transaction. */
-    Single: "single",
-    /** A statement of a read-write transaction. */
-    Transaction: "transaction",
-    /** A statement of a read-only transaction. */
-    ReadTransaction: "read_transaction",
-    /** Reads the log position of the primary; belongs to no caller. */
-    Probe: "probe",
-} as const;
-export type TaskMode = typeof TaskMode[keyof typeof TaskMode];
-
 /** The part of a task that links need. */
 export interface LinkTask {
     /** Unique in this process. */
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -5,7 +5,7 @@
 import { ControlKind } from "../../model/controlMessages.ts";
 import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import type { RateTolerance } from "../../model/rateLimits.ts";
-import { emptySessionContext } from "../../model/sessionStatement.ts";
+import { emptySessionContext, TaskMode } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy, RouteConsistency, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
 import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -14,7 +14,7 @@
 import { encodeFrame } from "../../rpc/fleetCodec.ts";
 import { route } from "../../session/__tests__/sessionFixture.ts";
 import { Admission } from "../../session/admission.ts";
-import { type Task, type TaskEnded, TaskKind, TaskMode } from "../../session/taskMessages.ts";
+import { type Task, type TaskEnded, TaskKind } from "../../session/taskMessages.ts";
 
 /** Processor time by which a control member may lag behind the virtual time before the run is aborted. */
 const maximumCpuLagMs = 5_000;
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -13,10 +13,12 @@
     type DatabaseSuspected,
     type FleetDrainStarted,
     FleetKind,
+    type FrameRefused,
     type PolicyApplied,
     type ReadinessChanged,
 } from "../model/fleetMessages.ts";
 import { LinkKind, type LinkLost } from "../model/linkMessages.ts";
+import { type PeerFrameRefused, PeerKind } from "../model/peerMessages.ts";
 import { PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
 import { type SessionAnswer, SessionKind, type SessionRefuse } from "../model/sessionMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
@@ -78,6 +80,8 @@
         final,
         transactionsUntilMs: Math.round(transactionsUntilMs),
     })),
+    line<FrameRefused>(FleetKind.FrameRefused, ({ attachmentId, reason }) => ({ attachment: attachmentId, reason })),
+    line<PeerFrameRefused>(PeerKind.FrameRefused, ({ peer, reason }) => ({ peer, reason })),
     line<ReadinessChanged>(FleetKind.ReadinessChanged, ({ ready }) => ({ ready })),
     line<FeedReceived>(FeedKind.Received, ({ address, update }) => ({ from: address, ...versionsOf(update) })),
     line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, confirmed, promoted }) => ({
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -295,6 +295,7 @@
         const optionalKinds = [
             ...Object.values(FleetKind),
             PeerKind.InstancesKnown,
+            PeerKind.FrameRefused,
             ControlKind.ProposalEnded,
             ControlKind.LeaderChanged,
             ControlKind.MembersAgreed,
