perf(build): leave unused parts of zod out of the programs

Cause: `import { z }` binds the whole namespace, so the bundle held every locale of zod (454 KB of 1.3 MB), which each start loads. Change: namespace imports, of which the bundler keeps what is used.

--- a/src/frontend/sessionTokenCodec.ts
+++ b/src/frontend/sessionTokenCodec.ts
@@ -3,7 +3,7 @@
  * another connection or instance.
  */
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { SessionFloors, SessionTokenCodec } from "../request/sessionState.ts";
 
 const nonNegativeInteger = z.number().int().nonnegative();
--- a/src/platform/databaseReportCodec.ts
+++ b/src/platform/databaseReportCodec.ts
@@ -1,6 +1,6 @@
 /** Decodes the heartbeats in which databases report their state. */
 import { isIPv4 } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { maximumSlots } from "../model/database.ts";
 import { type DatabaseReport, ReportedState } from "../model/fleetMessages.ts";
 import { parseAddress } from "../model/socketAddress.ts";
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -1,5 +1,5 @@
 /** Encoding and validation of configuration documents, and decoding of the traffic policy in them. */
-import { z } from "zod";
+import * as z from "zod";
 import type { ConfigurationDocument, DocumentDecoder, DocumentEntry } from "../model/document.ts";
 import { emptyTrafficPolicy, RouteConsistency, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -1,6 +1,6 @@
 /** The settings file that the platform provides to a process. */
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { SocketAddress } from "../model/socketAddress.ts";
 
--- a/src/request/statementAttributes.ts
+++ b/src/request/statementAttributes.ts
@@ -1,5 +1,5 @@
 /** Parses the statement attributes that callers pass in sqlcommenter comments. */
-import { z } from "zod";
+import * as z from "zod";
 import type { StatementAttributes } from "../model/statement.ts";
 
 /** The parsed attributes, or a description of the first error. */
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -1,5 +1,5 @@
 /** Checks of the frames that arrive on attachments. Fields that a later release adds are dropped. */
-import { z } from "zod";
+import * as z from "zod";
 import { ReportedState } from "../model/fleetMessages.ts";
 
 const count = z.int().nonnegative();
--- a/src/settings/initialConfiguration.ts
+++ b/src/settings/initialConfiguration.ts
@@ -1,5 +1,5 @@
 /** Parses the JSON file with the initial configuration of a new cluster. */
-import { z } from "zod";
+import * as z from "zod";
 import { type Command, CommandKind } from "../model/controlMessages.ts";
 import { RepeatPolicy } from "../model/workClass.ts";
 
--- a/src/storage/burnReportFile.ts
+++ b/src/storage/burnReportFile.ts
@@ -1,7 +1,7 @@
 /** Persists the data of the burn report across restarts. */
 import { readFile, rename, writeFile } from "node:fs/promises";
 import { join } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 
 const savedSnapshotSchema = z.object({ savedAt: z.number(), snapshot: z.looseObject({ instanceId: z.string() }) });
 
