fix(session): refuse no operation for its rate while the leader's answer for it is due

Processes are back at 34.834, a leader leads at 35.159, every proxy has its configuration at 35.252; then 76 operations in 0.6 s (35.3 to 35.9 s) were refused with "the rate of the workspace is used up". The longer wait before the first answer ended with the first answer for any workspace, and the callers were sent away for a second. Change: an operation waits up to 0.6 of its target latency until the leader has answered for its workspace since it arrived, unless the leader is silent or has said when to ask again; a refusal without an answer says 200 ms.

--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -116,6 +116,21 @@
         assert.deepEqual(neverAnswered.refused.map(({ task }) => task.taskId), ["late"]);
     });
 
+    it("lets operations wait longer for the leader's first answer for their workspace, and says when to come back", () => {
+        // Load: after a restart of all instances, the leader's answers for the workspaces arrive one after the other.
+        const fixture = new AdmissionFixture(0);
+        fixture.submit(0, "early", 1);
+        const grants = [{ workspace: "other", count: 1, retryMs: 0, fallback: undefined }];
+        fixture.push(30, { kind: FleetKind.PermitsGranted, grants, validUntilMs: 1_000 });
+        fixture.fireTimer(250);
+        fixture.submit(260, "late", 1);
+        assert.equal(fixture.refused.length, 0);
+        fixture.grantPermits(400, 1);
+        assert.deepEqual(fixture.admitted, ["early"]);
+        fixture.fireTimer(600);
+        assert.match(fixture.refused[0]!.detail, /not run, retry after 200 ms/);
+    });
+
     it("refuses the operation of the lowest priority when the queue is full", () => {
         const fixture = new AdmissionFixture();
         for (let index = 0; index < 64; index++) {
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -33,8 +33,8 @@
 const maximumWaitShare = 0.25;
 
 /**
- * The same before the first answer of a leader. It arrives a few hundred milliseconds after the start of an instance,
- * and a refused caller would retry later than that.
+ * The same until the leader has answered for the workspace since the operation arrived, unless it is silent. After a
+ * start, or when the leader is busy, the answer takes a few hundred milliseconds, and a refused caller would retry later.
  */
 const maximumWaitShareBeforeAnswer = 0.6;
 
@@ -47,6 +47,9 @@
  */
 const maximumRetryMs = 1_000;
 
+/** Retry delay sent to callers while the answer of a leader that is not silent is due: it arrives within this time. */
+const unansweredRetryMs = 200;
+
 type AdmissionInput =
     | TaskSubmitted
     | TaskAbandoned
@@ -55,11 +58,18 @@
     | RateLeaderSilent
     | PolicyApplied;
 
+interface WaitingOperation {
+    readonly task: Task;
+    readonly queuedMs: number;
+}
+
 interface WorkspaceQueue {
     readonly workspace: string;
     readonly permits: LocalPermits;
     /** Sorted by priority of the route, then by arrival. */
-    waiting: Task[];
+    waiting: WaitingOperation[];
+    /** Time of the last answer of a leader for this workspace. */
+    answeredMs: number;
 }
 
 export interface AdmissionOptions {
@@ -110,9 +120,9 @@
         }
         const queue = this.queueOf(task.workspace, nowMs);
         queue.permits.recordDemand(nowMs);
-        enqueue(queue, task);
+        enqueue(queue, { task, queuedMs: nowMs });
         const surplus = queue.waiting.length > maximumQueued
-            ? [refuse(queue.waiting.pop()!, this.retryMs(queue, nowMs))]
+            ? [refuse(queue.waiting.pop()!.task, this.retryMs(queue, nowMs))]
             : [];
         return [...surplus, ...this.serveQueue(queue, nowMs)];
     }
@@ -129,13 +139,13 @@
         }
         const messages: Message[] = [];
         while (queue.waiting.length > 0 && queue.permits.tryAcquire(nowMs)) {
-            messages.push(admit(queue.waiting.shift()!));
+            messages.push(admit(queue.waiting.shift()!.task));
         }
         const atMs = this.isFallbackActive ? nowMs : Math.max(nowMs, queue.permits.earliestRequestMs);
-        const expired = queue.waiting.filter(task => atMs >= this.latestStartMs(task));
-        queue.waiting = queue.waiting.filter(task => !expired.includes(task));
+        const expired = queue.waiting.filter(operation => atMs >= this.latestStartMs(queue, operation, nowMs));
+        queue.waiting = queue.waiting.filter(operation => !expired.includes(operation));
         const retryMs = this.retryMs(queue, nowMs);
-        messages.push(...expired.map(task => refuse(task, retryMs)), this.permitsNeeded(queue, nowMs));
+        messages.push(...expired.map(({ task }) => refuse(task, retryMs)), this.permitsNeeded(queue, nowMs));
         return queue.waiting.length === 0 ? messages : [...messages, this.setTimer(queue, nowMs)];
     }
 
@@ -149,6 +159,7 @@
             .flatMap(grant => {
                 const queue = this.queueOf(grant.workspace, nowMs);
                 queue.permits.addGrant(grant, validUntilMs, nowMs);
+                queue.answeredMs = nowMs;
                 return this.serveQueue(queue, nowMs);
             });
     }
@@ -183,7 +194,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const queue: WorkspaceQueue = { workspace, permits: new LocalPermits(), waiting: [] };
+        const queue: WorkspaceQueue = { workspace, permits: new LocalPermits(), waiting: [], answeredMs: -Infinity };
         this.queues.set(workspace, queue);
         if (this.isFallbackActive) {
             this.startQueueFallback(queue, nowMs);
@@ -193,8 +204,8 @@
 
     private removeTask({ taskId }: TaskAbandoned): void {
         this.queues.forEach(queue => {
-            if (queue.waiting.some(task => task.taskId === taskId)) {
-                queue.waiting = queue.waiting.filter(task => task.taskId !== taskId);
+            if (queue.waiting.some(({ task }) => task.taskId === taskId)) {
+                queue.waiting = queue.waiting.filter(({ task }) => task.taskId !== taskId);
             }
         });
     }
@@ -212,18 +223,26 @@
 
     private retryMs({ permits }: WorkspaceQueue, nowMs: number): number {
         const waitMs = permits.waitMs(nowMs);
-        return waitMs > 0 ? Math.min(waitMs, maximumRetryMs) : maximumRetryMs;
+        if (waitMs > 0) {
+            return Math.min(waitMs, maximumRetryMs);
+        }
+        return this.isFallbackActive || this.leaderAnsweredMs === undefined ? maximumRetryMs : unansweredRetryMs;
     }
 
     /** Time at which an operation that still waits for a permit is refused. */
-    private latestStartMs({ receivedMs, deadlineMs, route }: Task): number {
-        const share = this.leaderAnsweredMs === undefined ? maximumWaitShareBeforeAnswer : maximumWaitShare;
+    private latestStartMs(queue: WorkspaceQueue, { task, queuedMs }: WaitingOperation, nowMs: number): number {
+        const { receivedMs, deadlineMs, route } = task;
+        const isAnswerDue = !this.isFallbackActive && queue.answeredMs < queuedMs
+            && queue.permits.earliestRequestMs <= nowMs;
+        const share = isAnswerDue || this.leaderAnsweredMs === undefined
+            ? maximumWaitShareBeforeAnswer
+            : maximumWaitShare;
         return Math.min(deadlineMs, receivedMs + share * route.targetLatencyMs);
     }
 
     private setTimer(queue: WorkspaceQueue, nowMs: number): Message {
         const waitMs = queue.permits.waitMs(nowMs);
-        const times = queue.waiting.map(task => this.latestStartMs(task));
+        const times = queue.waiting.map(operation => this.latestStartMs(queue, operation, nowMs));
         const atMs = Math.min(...times, ...waitMs > 0 ? [nowMs + waitMs] : []);
         return setDeadline(
             `admission/${queue.workspace}`,
@@ -233,9 +252,10 @@
     }
 }
 
-function enqueue(queue: WorkspaceQueue, task: Task): void {
-    const index = queue.waiting.findIndex(({ route }) => route.priority > task.route.priority);
-    queue.waiting.splice(index === -1 ? queue.waiting.length : index, 0, task);
+function enqueue(queue: WorkspaceQueue, operation: WaitingOperation): void {
+    const { priority } = operation.task.route;
+    const index = queue.waiting.findIndex(({ task }) => task.route.priority > priority);
+    queue.waiting.splice(index === -1 ? queue.waiting.length : index, 0, operation);
 }
 
 function admit(task: Task): Message {
