feat(control): a control member that stops hands the lead over

A member that stops is not elected. The answer of a follower waits for its disk, so that a term that is not durable does not depose the leader. Entry instances do not hand over yet: their drain needs the leader that takes the leases back.

--- a/src/control/__tests__/fullDisk.spec.ts
+++ b/src/control/__tests__/leadHandOver.spec.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type Command, CommandKind, ProposalStatus } from "../../model/controlMessages.ts";
+import { type Command, CommandKind, ControlKind, ProposalStatus } from "../../model/controlMessages.ts";
 import { FakeCluster } from "./fakeCluster.ts";
 
 const seeds = Array.from({ length: 20 }, (_, index) => 7_001 + index);
@@ -46,6 +46,42 @@
     return cluster.results.get(name)?.some(({ status }) => status === ProposalStatus.Applied) === true;
 }
 
+/** Runs the cluster and returns the time for which no member led. */
+function timeWithoutLeaderMs(cluster: FakeCluster, durationMs: number): number {
+    let withoutLeaderMs = 0;
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+        cluster.run(10);
+        withoutLeaderMs += cluster.leader() === undefined ? 10 : 0;
+    }
+    return withoutLeaderMs;
+}
+
+describe("a member that stops", () => {
+    it("hands the lead over within a quarter of a second, and is not elected again", () => {
+        for (const seed of seeds) {
+            const cluster = formCluster(seed);
+            const former = cluster.leader()!;
+            cluster.post(former.memberId, { kind: ControlKind.StopAnnounced });
+            const withoutLeaderMs = timeWithoutLeaderMs(cluster, 1_000);
+            assert.ok(withoutLeaderMs <= handOverLimitMs, `seed ${seed}: ${withoutLeaderMs} ms without a leader`);
+            const successor = cluster.leader()!;
+            assert.notEqual(successor.memberId, former.memberId, `seed ${seed}`);
+            cluster.losePower(successor.memberId);
+            cluster.run(5_000);
+            assert.notEqual(cluster.leader()?.memberId, former.memberId, `seed ${seed}: elected while it stops`);
+        }
+    });
+
+    it("goes on leading while no other member can take over", () => {
+        const cluster = formCluster(seeds[0]!);
+        const leader = cluster.leader()!;
+        [...cluster.nodes.values()].filter(node => node !== leader).forEach(({ disk }) => disk.stalled = true);
+        cluster.post(leader.memberId, { kind: ControlKind.StopAnnounced });
+        assert.equal(timeWithoutLeaderMs(cluster, 500), 0);
+        assert.equal(cluster.leader()?.memberId, leader.memberId);
+    });
+});
+
 describe("a member whose disk takes no writes", () => {
     it("hands the lead over within a quarter of a second, and changes go on", () => {
         for (const seed of seeds) {
@@ -54,11 +90,7 @@
             former.disk.stalled = true;
             cluster.propose(former.memberId, "first", "first", setWorkspace("first"));
             cluster.runUntil("the report of the disk", () => former.disk.suspended);
-            let withoutLeaderMs = 0;
-            for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += 10) {
-                cluster.run(10);
-                withoutLeaderMs += cluster.leader() === undefined ? 10 : 0;
-            }
+            const withoutLeaderMs = timeWithoutLeaderMs(cluster, 2_000);
             assert.notEqual(cluster.leader()?.memberId, former.memberId, `seed ${seed}`);
             assert.ok(withoutLeaderMs <= handOverLimitMs, `seed ${seed}: ${withoutLeaderMs} ms without a leader`);
             const names = proposeFor(cluster, faultMs - 2_500);
--- a/src/control/durabilityFilter.ts
+++ b/src/control/durabilityFilter.ts
@@ -77,6 +77,7 @@
         case LogKind.VoteAnswer:
         case LogKind.AppendAnswer:
         case LogKind.SnapshotAnswer:
+        case LogKind.StandAnswer:
             return true;
         default:
             return false;
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -3,6 +3,7 @@
     type ControlChangeMember,
     ControlKind,
     type ControlPropose,
+    type ControlStopAnnounced,
     ProposalStatus,
 } from "../model/controlMessages.ts";
 import {
@@ -58,6 +59,7 @@
     | StorageRecovered
     | StorageSuspended
     | StorageResumed
+    | ControlStopAnnounced
     | FormCluster
     | TermChanged
     | AppendRequest
@@ -82,6 +84,7 @@
         StorageKind.Recovered,
         StorageKind.Suspended,
         StorageKind.Resumed,
+        ControlKind.StopAnnounced,
         MemberKind.FormCluster,
         MemberKind.TermChanged,
         LogKind.AppendRequest,
@@ -102,6 +105,7 @@
     ];
     private readonly replica: Replica;
     private isDiskSuspended = false;
+    private isStopping = false;
 
     /** @param faultTolerance disks that may be lost at the same time */
     constructor(self: Member, faultTolerance: number) {
@@ -116,6 +120,9 @@
             case StorageKind.Resumed:
                 this.isDiskSuspended = message.kind === StorageKind.Suspended;
                 return [message, ...this.handOverLead(nowMs)];
+            case ControlKind.StopAnnounced:
+                this.isStopping = true;
+                return [message, ...this.handOverLead(nowMs)];
             case MemberKind.FormCluster:
                 return this.formCluster(message.members);
             case MemberKind.TermChanged:
@@ -251,12 +258,12 @@
     }
 
     /**
-     * A leader that cannot write to its disk asks another member to stand. Until one is elected it goes on leading, which
-     * needs no disk: entries are committed by the copies of the others, and its own term is durable.
+     * A leader that stops or cannot write to its disk asks another member to stand. Until one is elected it goes on
+     * leading, which needs no disk: entries are committed by the copies of the others, and its own term is durable.
      */
     private handOverLead(nowMs: number): readonly Message[] {
         const { leadership, self } = this.replica;
-        const to = this.isDiskSuspended ? leadership?.chooseSuccessor(nowMs) : undefined;
+        const to = this.isDiskSuspended || this.isStopping ? leadership?.chooseSuccessor(nowMs) : undefined;
         return to === undefined
             ? []
             : [outgoingMessage({ kind: LogKind.StandRequest, from: self, to, term: this.replica.term, callId: "" })];
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -1,4 +1,5 @@
 /** Elections: election timer, pre-vote, and votes granted and received. */
+import { ControlKind, type ControlStopAnnounced } from "../model/controlMessages.ts";
 import { LogKind, outgoingMessage, type StandRequest, type VoteAnswer } from "../model/logMessages.ts";
 import type { Member } from "../model/replicatedLog.ts";
 import {
@@ -64,6 +65,7 @@
     | StorageRecovered
     | StorageSuspended
     | StorageResumed
+    | ControlStopAnnounced
     | TermChanged
     | LeaderHeard
     | ElectionReady
@@ -92,6 +94,7 @@
         StorageKind.Recovered,
         StorageKind.Suspended,
         StorageKind.Resumed,
+        ControlKind.StopAnnounced,
         MemberKind.TermChanged,
         MemberKind.LeaderHeard,
         MemberKind.ElectionReady,
@@ -106,6 +109,7 @@
     private leader: Member | undefined;
     /** The disk takes no writes, so this member can neither vote nor be elected. */
     private isDiskSuspended = false;
+    private isStopping = false;
     private votedFor: string | undefined;
     private tally: Tally | undefined;
     private leaderHeardAtMs = -Infinity;
@@ -133,6 +137,9 @@
             case StorageKind.Resumed:
                 this.isDiskSuspended = message.kind === StorageKind.Suspended;
                 return [message];
+            case ControlKind.StopAnnounced:
+                this.isStopping = true;
+                return [message];
             case MemberKind.TermChanged:
                 return [message, ...this.changeTerm(message, nowMs)];
             case MemberKind.LeaderHeard:
@@ -175,7 +182,7 @@
         this.remainingInitialElections = Math.max(0, this.remainingInitialElections - 1);
         this.postRestartElectionAtMs = undefined;
         const timer = this.resetElectionTimer(nowMs);
-        if (!isMember(ready.members, this.options.self) || this.isDiskSuspended) {
+        if (!isMember(ready.members, this.options.self) || this.isDiskSuspended || this.isStopping) {
             return [timer];
         }
         this.openTally(true, this.term + 1, ready);
@@ -262,7 +269,8 @@
         const standing = this.role === MemberRole.Follower
             && this.leader !== undefined
             && memberKey(this.leader) === memberKey(from)
-            && !this.isDiskSuspended;
+            && !this.isDiskSuspended
+            && !this.isStopping;
         const answer = outgoingMessage({
             kind: LogKind.StandAnswer,
             from: this.options.self,
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -20,6 +20,8 @@
     MembersAgreed: "control.members_agreed",
     /** The settings name other instances to which join requests are sent. */
     SeedsChanged: "control.seeds_changed",
+    /** This process stops soon: its member hands the lead over if it leads, and is not elected any more. */
+    StopAnnounced: "control.stop_announced",
 } as const;
 
 export const CommandKind = {
@@ -216,6 +218,10 @@
     readonly addresses: readonly string[];
 }
 
+export interface ControlStopAnnounced extends Message {
+    readonly kind: typeof ControlKind.StopAnnounced;
+}
+
 export interface ControlSeedsChanged extends Message {
     readonly kind: typeof ControlKind.SeedsChanged;
     readonly seeds: readonly { readonly memberId: string; readonly address: string; }[];
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -28,6 +28,7 @@
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { eventLogFormatters } from "./eventLogFormatters.ts";
+import { LeadHandOver } from "./leadHandOver.ts";
 import { buildMemberPipes, buildProxyPipes } from "./platformPipes.ts";
 import { ProcessTermination } from "./processTermination.ts";
 import { SuspendAwareClock } from "./suspendAwareClock.ts";
@@ -140,7 +141,10 @@
     readonly sinks: readonly Sink[];
     /** Opens the listeners and posts the initial events. */
     start(): Promise<void>;
-    /** Resolves when no call is in progress; undefined for a proxy, which ends with its last session. */
+    /**
+     * Resolves when no call is in progress and the lead is handed over; undefined for a proxy, which ends with its last
+     * session.
+     */
     readonly finishCalls?: () => Promise<void>;
 }
 
@@ -227,8 +231,10 @@
     feed.register(server);
     const controlServer = stack.use(new ControlServer({ ...controlEndpoint!, post }));
     const connector = createConnector(context);
+    const leadHandOver = new LeadHandOver(post);
     const sinks: Sink[] = [
         storage,
+        leadHandOver,
         acceptor,
         logTransport,
         feed,
@@ -242,7 +248,10 @@
     return {
         pipes,
         sinks,
-        finishCalls: () => controlServer.stop(),
+        finishCalls: async () => {
+            await controlServer.stop();
+            await leadHandOver.complete();
+        },
         start: async () => {
             await listen(server, rpcAddress);
             stack.defer(() => server.forceShutdown());
