fix(rpc): the end of a server waits for its last results as long as the stop allows

Cause: the end of a server cancelled what was not written after 100 ms, also when the process had seconds left until its kill. Change: a second at most, less when the kill of the platform is near, 100 ms at its latest end as before.

--- a/src/rpc/peerChannel.ts
+++ b/src/rpc/peerChannel.ts
@@ -21,11 +21,8 @@
 /** A result set must fit into one message; large result sets exceed the gRPC default of 4 MB. */
 const maximumMessageBytes = 64 * 1024 * 1024;
 
-/**
- * Time for the last messages to reach peers during shutdown; part of the time that is reserved before the process is
- * killed.
- */
-const shutdownGraceMs = 100;
+/** Longest time for the last messages to reach peers in a shutdown; one that is out of reach never receives them. */
+export const longestShutdownMs = 1_000;
 
 const channelOptions: ChannelOptions = {
     "grpc.keepalive_time_ms": keepaliveIntervalMs,
@@ -67,14 +64,15 @@
 }
 
 /**
- * Shuts down a server after the last messages of completed calls are written; other calls are cancelled after 100 ms.
+ * Shuts down a server after the last messages of completed calls are written.
+ * @param limitMs time after which the other calls are cancelled
  */
-export function shutDownServer(server: Server): Promise<void> {
+export function shutDownServer(server: Server, limitMs: number = longestShutdownMs): Promise<void> {
     return new Promise(resolve => {
         const timer = setTimeout(() => {
             server.forceShutdown();
             resolve();
-        }, shutdownGraceMs);
+        }, limitMs);
         server.tryShutdown(() => {
             clearTimeout(timer);
             resolve();
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -20,7 +20,7 @@
 import { FleetConnector } from "../rpc/fleetConnector.ts";
 import { LogTransport } from "../rpc/logTransport.ts";
 import { PeerAuthentication } from "../rpc/peerAuthentication.ts";
-import { createPeerServer, listen, shutDownServer } from "../rpc/peerChannel.ts";
+import { createPeerServer, listen, longestShutdownMs, shutDownServer } from "../rpc/peerChannel.ts";
 import { PeerClientFactory } from "../rpc/peerClientFactory.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
@@ -31,6 +31,7 @@
 import { LeadHandOver } from "./leadHandOver.ts";
 import { buildMemberPipes, buildProxyPipes } from "./platformPipes.ts";
 import { ProcessTermination } from "./processTermination.ts";
+import { StopDeadline } from "./stopDeadline.ts";
 import { SuspendAwareClock } from "./suspendAwareClock.ts";
 
 const clusterName = "jasmineline";
@@ -44,6 +45,9 @@
 /** Time between the planned end of the process and the time at which the platform kills it. */
 const shutdownMarginMs = 400;
 
+/** Time that is left for the connections of callers, and for the exit, after the streams of other instances ended. */
+const callersClosingMs = 300;
+
 /** Time for the last answers to reach callers and other instances; on slow links, this takes a tenth of a second. */
 const lastAnswersTransferMs = 200;
 
@@ -63,6 +67,7 @@
 
 interface ProcessContext extends PlatformInputs {
     readonly clock: SuspendAwareClock;
+    readonly stopDeadline: StopDeadline;
     readonly post: (message: Message) => void;
     readonly clientFactory: PeerClientFactory;
     readonly authentication: PeerAuthentication;
@@ -83,10 +88,12 @@
     const logger = createLogger({ format: "json", level: "info", instanceId: settings.instanceId });
     const loadLog = stack.use(new LoadLog(logger));
     const clock = new SuspendAwareClock();
+    const stopDeadline = new StopDeadline(clock);
     const post = (message: Message): void => loop.post(message);
     const context: ProcessContext = {
         ...inputs,
         clock,
+        stopDeadline,
         post,
         clientFactory,
         authentication,
@@ -113,6 +120,7 @@
     return {
         drain: () => {
             logger.info("draining");
+            stopDeadline.start(settings.terminationGracePeriodMs);
             const drained = finishCalls?.();
             if (drained === undefined) {
                 startProxyDrain(context, termination);
@@ -149,7 +157,7 @@
 }
 
 async function buildProxy(context: ProcessContext): Promise<ProcessComponents> {
-    const { settings, post, clientFactory, authentication, seed, loadLog, stack } = context;
+    const { settings, stopDeadline, post, clientFactory, authentication, seed, loadLog, stack } = context;
     const { instanceId, dataCentre, callerEndpoint, readinessEndpoint } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
     const pipes = buildProxyPipes({ instanceId, dataCentre, rpcAddress: settings.rpcAddress, seed: seed + 2 });
@@ -162,7 +170,7 @@
     const connector = createConnector(context);
     const peerServer = createPeerServer(authentication);
     // Runs after the disposal of the task streams, so that their last results are sent first.
-    stack.defer(() => shutDownServer(peerServer));
+    stack.defer(() => shutDownServer(peerServer, stopDeadline.limitMs(longestShutdownMs, callersClosingMs)));
     const streams = stack.use(new TaskStreams({ clientFactory, post, traffic: loadLog }));
     streams.register(peerServer);
     const sinks: readonly Sink[] = [
