fix(rpc): calls between control members wait for their connection

A call to a member whose connection is being retried failed at once, and the next append followed with the heartbeat. The state of that connection is inferred. Result: controlRpc.spec.ts, the new test red before.

--- a/src/rpc/__tests__/controlRpc.spec.ts
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -58,6 +58,32 @@
 }
 
 describe("log transport", () => {
+    it("delivers a request to a member that listens only after it was sent", async () => {
+        // Guards against a follower that hears of its leader a heartbeat late, because both have just started.
+        const inbox = new Inbox();
+        await using peersA = new LogTransport({ clientFactory: clientFactoryOf("a"), post: () => undefined });
+        await using peersB = new LogTransport({ clientFactory: clientFactoryOf("b"), post: inbox.post });
+        const reservation = createServer().listen(0, "127.0.0.1");
+        await once(reservation, "listening");
+        const { port } = reservation.address() as AddressInfo;
+        reservation.close();
+        await once(reservation, "close");
+        const a = { memberId: "a", incarnation: "1", address: "127.0.0.1:1" };
+        const b = { memberId: "b", incarnation: "2", address: `127.0.0.1:${port}` };
+        peersA.deliver({
+            kind: LogKind.Send,
+            body: { kind: LogKind.JoinRequest, from: a, to: b, term: 0, callId: "" },
+        });
+        await new Promise(resolve => setTimeout(resolve, 150));
+        const server = createPeerServer(authenticationOf("b"));
+        peersB.register(server);
+        servers.push(server);
+        await listen(server, b.address);
+        const received = await inbox.next<PeerMessage>();
+        assert.equal(received.kind, LogKind.JoinRequest);
+        assert.equal(peersA.failedCallCount, 0);
+    });
+
     it("transfers every request and its answer unchanged between two members", async () => {
         const [inboxA, inboxB] = [new Inbox(), new Inbox()];
         await using peersA = new LogTransport({ clientFactory: clientFactoryOf("a"), post: inboxA.post });
--- a/src/rpc/logTransport.ts
+++ b/src/rpc/logTransport.ts
@@ -78,32 +78,32 @@
                 return this.sendRequest(
                     body,
                     decodeVoteResult,
-                    (client, done) => client.vote(encodeVoteCall(body), new Metadata(), callOptions(), done),
+                    (client, done) => client.vote(encodeVoteCall(body), callMetadata(), callOptions(), done),
                 );
             case LogKind.AppendRequest:
                 return this.sendRequest(
                     body,
                     decodeAppendResult,
-                    (client, done) => client.append(encodeAppendCall(body), new Metadata(), callOptions(), done),
+                    (client, done) => client.append(encodeAppendCall(body), callMetadata(), callOptions(), done),
                 );
             case LogKind.SnapshotRequest:
                 return this.sendRequest(
                     body,
                     decodeSnapshotResult,
                     (client, done) =>
-                        client.installSnapshot(encodeSnapshotCall(body), new Metadata(), callOptions(), done),
+                        client.installSnapshot(encodeSnapshotCall(body), callMetadata(), callOptions(), done),
                 );
             case LogKind.JoinRequest:
                 return this.sendRequest(
                     body,
                     decodeJoinResult,
-                    (client, done) => client.join(encodeJoinCall(body), new Metadata(), callOptions(), done),
+                    (client, done) => client.join(encodeJoinCall(body), callMetadata(), callOptions(), done),
                 );
             case LogKind.StandRequest:
                 return this.sendRequest(
                     body,
                     decodeStandResult,
-                    (client, done) => client.stand(encodeStandCall(body), new Metadata(), callOptions(), done),
+                    (client, done) => client.stand(encodeStandCall(body), callMetadata(), callOptions(), done),
                 );
             default:
                 this.pendingCalls.get(body.callId)?.(body);
@@ -195,6 +195,14 @@
     }
 }
 
+/**
+ * A call waits for the connection. If it failed at once while the connection is retried, the next request would follow
+ * only with the next heartbeat, a quarter of a second later; members that start together would miss the first ones.
+ */
+function callMetadata(): Metadata {
+    return new Metadata({ waitForReady: true });
+}
+
 function callOptions(): { readonly deadline: number; } {
     return { deadline: Date.now() + callTimeoutMs };
 }
