test(rates): the rates hold while the lead is handed over from member to member

Cause: operators of similar systems saw two processes act for a moment around a hand-over. Each new leader starts its buckets with a part of what a window tolerates, and a restart of all members in turn now hands the lead over several times within one window.

--- a/src/wiring/__tests__/rates.spec.ts
+++ b/src/wiring/__tests__/rates.spec.ts
@@ -32,6 +32,9 @@
 /** Time with two leaders: a leader checks for its majority at each heartbeat (`control/replicationFilter.ts`). */
 const leaderOverlapMs = 250;
 
+/** Time with two leaders in a hand-over: the former one hears of the new term with the request for its vote. */
+const handOverOverlapMs = 50;
+
 interface FloodedFleet {
     readonly fleet: RateFleet;
     readonly ids: readonly string[];
@@ -150,6 +153,22 @@
             assert.deepEqual(findExcesses(fleet), []);
         });
 
+        it(`enforces the rates while the lead is handed over from member to member, seed ${seed + seedOffset}`, () => {
+            // Load: three workspaces at ten times their rates while all control members are restarted in turn.
+            for (const pauseMs of [500, 1_500]) {
+                const { fleet } = startFloodedFleet(seedOffset);
+                fleet.advance(6_000);
+                for (const [former, next] of [["c0", "c1"], ["c1", "c2"], ["c2", "c0"], ["c0", "c1"]] as const) {
+                    fleet.startLeading(next);
+                    fleet.advance(handOverOverlapMs);
+                    fleet.stepDown(former);
+                    fleet.advance(pauseMs);
+                }
+                fleet.advance(6_000);
+                assert.deepEqual(findExcesses(fleet), [], `with ${pauseMs} ms between the hand-overs`);
+            }
+        });
+
         it(`enforces the rates while late answers overlap with fallback rates, seed ${seed + seedOffset}`, () => {
             for (const delaysMs of [[40, 120], [150, 350], [300, 600]] as const) {
                 const { fleet } = startFloodedFleet(seedOffset);
