--- a/src/session/linkGate.ts
+++ b/src/session/linkGate.ts
@@ -1,7 +1,7 @@
 /** Gates: preconditions of a statement that prove that its database is the primary, or that the link is alive. */
 import { type LinkCommand, LinkCommandKind } from "../model/linkMessages.ts";
 import { TaskMode } from "../model/sessionStatement.ts";
-import { type TaskPlaced } from "./taskMessages.ts";
+import type { TaskPlaced } from "./taskMessages.ts";
 
 /** Idle time after which a link is checked before a write is sent on it. */
 const livenessCheckIdleMs = 1_000;
--- a/src/storage/atomicFile.ts
+++ b/src/storage/atomicFile.ts
@@ -1,6 +1,6 @@
 /** Small files of checksummed records that are replaced atomically: a temporary file is written, synced and renamed. */
-import { join } from "node:path";
-import { type FileSystem, readIfExists, syncParentFolder, withFile } from "./fileSystem.ts";
+import { dirname, join } from "node:path";
+import { type FileSystem, readIfExists, syncFolder, withFile } from "./fileSystem.ts";
 import { encodeRecord, scanRecords, ScanStatus } from "./recordCodec.ts";
 import { damagedFileError } from "./storageError.ts";
 
@@ -33,7 +33,7 @@
         await discardTemporary(fileSystem, temporary);
         throw error;
     }
-    await syncParentFolder(fileSystem, file);
+    await syncFolder(fileSystem, dirname(file));
 }
 
 /** Removes the temporary files that a process left behind when it ended during a write. */
--- a/src/storage/fileSystem.ts
+++ b/src/storage/fileSystem.ts
@@ -1,6 +1,5 @@
 /** Operations on the files of a data folder. */
 import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
-import { dirname } from "node:path";
 
 /** An open file or folder. A method that fails rejects with the error of the operating system, which has a `code`. */
 export interface StorageFile {
@@ -78,11 +77,6 @@
     await withFile(fileSystem, folder, "r", handle => handle.sync());
 }
 
-/** Syncs the folder that contains `path`. */
-export async function syncParentFolder(fileSystem: FileSystem, path: string): Promise<void> {
-    await syncFolder(fileSystem, dirname(path));
-}
-
 /** Opens a file, and closes it when `use` has ended or failed. */
 export async function withFile(
     fileSystem: FileSystem,
--- a/src/storage/memberStorage.ts
+++ b/src/storage/memberStorage.ts
@@ -27,7 +27,7 @@
 const firstRetryDelayMs = 50;
 const maximumRetryDelayMs = 800;
 
-/** Time after which a write without a result counts as stalled; 30 times slower disks need far less. */
+/** Time after which a write without a result counts as stalled; a disk that is only slow answers earlier. */
 const defaultStallTimeoutMs = 500;
 
 export interface MemberStorageOptions {
