--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -11,7 +11,7 @@
     await world.start();
     let departed = false;
     for (const tenant of tenantNames) {
-        world.startClients(tenant, 125, { active: () => !(departed && tenant === "tenant-4") });
+        world.startClients(tenant, 50, { active: () => !(departed && tenant === "tenant-4") });
     }
     await delay(14_000);
     const beforeMs = Date.now();
--- a/review/standins/database.mjs
+++ b/review/standins/database.mjs
@@ -62,12 +62,26 @@
             const address = this.controls[this.nextControl % this.controls.length];
             const status = await post(`http://${address}/-/Instances.Heartbeat/${this.id}`, body);
             if (status === 200) {
+                if (this.state === "draining" && this.drainAckedMs === undefined) {
+                    this.drainAckedMs = Date.now();
+                    this.record(`${this.id} is draining: acknowledged by ${address}`);
+                }
                 return;
             }
             this.nextControl += 1;
         }
     }
 
+    /** Reports a planned shutdown, serves for some time after the acknowledgement, and leaves. */
+    async drain(forMs) {
+        this.state = "draining";
+        await this.beat();
+        await delay(forMs);
+        await post(`http://${this.controls[0]}/-/Instances.Leave/${this.id}`, "");
+        this.stop();
+        this.record(`${this.id} has left`);
+    }
+
     get position() {
         const last = this.log.at(-1);
         return last === undefined ? `${this.term}.0` : `${last.term}.${last.number}`;
@@ -119,6 +133,14 @@
 
     async query(session, line) {
         const [, id, ...words] = line.split(" ");
+        if (id !== "-") {
+            this.lastArrivalMs = Date.now();
+            this.arrivals = (this.arrivals ?? 0) + 1;
+            if (this.drainAckedMs !== undefined && this.lastArrivalMs > this.drainAckedMs + 7_000) {
+                this.lateArrivals = (this.lateArrivals ?? 0) + 1;
+                this.record(`${id} reaches ${this.id} ${this.lastArrivalMs - this.drainAckedMs} ms after the acknowledgement`);
+            }
+        }
         const after = words[0] === "AFTER" ? words.splice(0, 2)[1] : undefined;
         const answer = await this.run(session, id, words, after);
         if (!session.socket.destroyed) {
--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -143,6 +143,9 @@
             const chunks = [];
             request.on("data", chunk => chunks.push(chunk));
             request.on("end", () => setTimeout(() => {
+                if (this.platformIsDown) {
+                    return;
+                }
                 const fence = Number(request.headers["jasmineline-fence-token"]);
                 const { id } = JSON.parse(Buffer.concat(chunks).toString());
                 const isRunning = this.databases.some(database => database.id === id && database.running);
