--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
--- a/review/standins/database.mjs
+++ b/review/standins/database.mjs
@@ -231,7 +231,7 @@
     /** Receives the primary's log up to an entry. Returns whether this replica has it then. */
     receive(primary, entry) {
         const index = primary.log.indexOf(entry);
-        if (!this.running || this.role !== "replica" || this.pausedTerm > 0 || primary.role !== "primary" || index === -1) {
+        if (!this.running || this.isDeaf || this.role !== "replica" || this.pausedTerm > 0 || primary.role !== "primary" || index === -1) {
             return false;
         }
         if (this.log.length <= index) {
@@ -243,6 +243,9 @@
 
     /** Asks the primary for what this replica lacks. */
     catchUp() {
+        if (this.isDeaf) {
+            return;
+        }
         const primary = this.peers.find(other => other.role === "primary" && other.running);
         const last = primary?.log.at(-1);
         if (primary !== undefined && last !== undefined) {
--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -87,9 +87,12 @@
     }
 
     /** Starts the clients of a tenant: one operation each `intervalMs`, as long as `active()`. */
-    startClients(tenant, intervalMs, { active = () => true, write = count => count % 5 === 0 } = {}) {
-        const { front } = this.deployment.ports;
-        const addresses = () => this.readyFronts.map(({ ip }) => ({ host: ip, port: front }));
+    startClients(tenant, intervalMs, { active = () => true, write = count => count % 5 === 0, front = () => true } = {}) {
+        const { ports } = this.deployment;
+        const addresses = () => {
+            const near = this.readyFronts.filter(front);
+            return (near.length > 0 ? near : this.readyFronts).map(({ ip }) => ({ host: ip, port: ports.front }));
+        };
         let count = 0;
         this.timers.push(setInterval(async () => {
             if (!active()) {
