--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -16,8 +16,9 @@
     await delay(14_000);
     const beforeMs = Date.now();
     const before = world.servedShare(beforeMs - 8_000, beforeMs - 1_000);
+    const leader = await world.leader();
+    await world.putConfiguration(2, tenantNames);
     if (trouble) {
-        const leader = await world.leader();
         world.record(`the disk of ${leader.name} is lost`);
         await world.deployment.kill(leader, true);
         await delay(500);
@@ -27,9 +28,9 @@
     const backMs = Date.now();
     await delay(3_000);
     departed = true;
-    await world.putConfiguration(2, tenantNames.slice(0, 3));
+    await world.putConfiguration(3, tenantNames.slice(0, 3));
     await delay(2_000);
-    await world.putConfiguration(3, tenantNames);
+    await world.putConfiguration(4, tenantNames);
     departed = false;
     await delay(backMs + recoveryMs + 34_000 - Date.now());
     const after = world.servedShare(backMs + recoveryMs, backMs + recoveryMs + 30_000);
