--- a/review/standins/database.mjs
+++ b/review/standins/database.mjs
@@ -13,6 +13,8 @@
     constructor({ id, place, service, host, port, zone, role, peers, controls, record }) {
         Object.assign(this, { id, place, service, host, port, zone, role, peers, controls, record });
         this.running = false;
+        /** The last term that this database led; 0 if none. */
+        this.ledTerm = role === "primary" ? 1 : 0;
         this.log = [];
         this.term = 1;
         this.pausedTerm = 0;
@@ -228,28 +230,30 @@
         });
     }
 
-    /** Receives the primary's log up to an entry. Returns whether this replica has it then. */
-    receive(primary, entry) {
-        const index = primary.log.indexOf(entry);
-        if (!this.running || this.isDeaf || this.role !== "replica" || this.pausedTerm > 0 || primary.role !== "primary" || index === -1) {
+    /**
+     * Receives a log up to an entry from the database that led last. That one sends on after it has stepped down, until
+     * another one leads. Returns whether this replica has the entry then.
+     */
+    receive(source, entry) {
+        const index = source.log.indexOf(entry);
+        const isNewest = source.ledTerm === Math.max(...this.peers.map(({ ledTerm }) => ledTerm));
+        if (!this.running || this.isDeaf || this.role !== "replica" || this.pausedTerm > 0 || !isNewest || index === -1) {
             return false;
         }
         if (this.log.length <= index) {
-            this.log = primary.log.slice(0, index + 1);
+            this.log = source.log.slice(0, index + 1);
         }
-        this.term = primary.term;
+        this.term = Math.max(this.term, source.ledTerm);
         return true;
     }
 
-    /** Asks the primary for what this replica lacks. */
+    /** Asks the database that led last for what this replica lacks. */
     catchUp() {
-        if (this.isDeaf) {
-            return;
-        }
-        const primary = this.peers.find(other => other.role === "primary" && other.running);
-        const last = primary?.log.at(-1);
-        if (primary !== undefined && last !== undefined) {
-            setTimeout(() => this.receive(primary, last), 2 * delaysMs[this.place][primary.place]);
+        const newestTerm = Math.max(...this.peers.map(({ ledTerm }) => ledTerm));
+        const source = this.peers.find(({ ledTerm }) => ledTerm === newestTerm);
+        const last = source?.log.at(-1);
+        if (!this.isDeaf && source !== undefined && source !== this && source.running && last !== undefined) {
+            setTimeout(() => this.receive(source, last), 2 * delaysMs[this.place][source.place]);
         }
     }
 
--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -157,8 +157,9 @@
                 this.record(`platform takes up: promote ${id}, fence ${fence} -> ${status}`);
                 response.writeHead(status, { "Content-Length": 0 });
                 response.end();
-                if (status === 200) {
-                    setTimeout(() => this.promote(id), 600);
+                // For the present primary nothing changes. A later order that was taken up meanwhile replaces this one.
+                if (status === 200 && this.primary?.id !== id) {
+                    setTimeout(() => fence === highestFence && this.promote(id), 600);
                 }
             }, this.platformDelayMs ?? 0));
         });
@@ -176,8 +177,7 @@
         const kept = new Set(chosen.log);
         const rolledBack = new Set(this.databases.flatMap(({ log }) => log.filter(entry => !kept.has(entry))));
         rolledBack.forEach(({ writes }) => writes.forEach(write => this.rolledBack.set(write, { id, term })));
-        chosen.role = "primary";
-        chosen.term = term;
+        Object.assign(chosen, { role: "primary", term, ledTerm: term });
         for (const database of this.databases) {
             database.pausedTerm = 0;
             if (database !== chosen) {
@@ -208,10 +208,10 @@
             id: `${database.id}-${number}`, place, host, port, zone, service: name, controls, record, peers: [],
             role: wasPrimary ? "primary" : "replica",
         });
-        Object.assign(next, { log: database.log, term: database.term, peers: this.databases });
+        Object.assign(next, { log: database.log, term: database.term, ledTerm: database.ledTerm, peers: this.databases });
         this.databases.splice(this.databases.indexOf(database), 1, next);
         await next.start();
-        next.catchUp();
+        this.databases.forEach(other => other.catchUp());
         this.record(`${next.id} is back as ${next.role}`);
         return next;
     }
