--- a/src/control/applyCommand.ts
+++ b/src/control/applyCommand.ts
@@ -4,7 +4,7 @@
 import { ObjectList, type OperationResult } from "../model/replicatedLog.ts";
 import { type CommandOutcome, conflict, invalid, removeVersionedObject } from "./commandOutcome.ts";
 import { type ControlState, rememberOperation } from "./controlState.ts";
-import { completePromotion, putDocument, reservePromotion } from "./documentCommands.ts";
+import { putDocument } from "./documentCommands.ts";
 import { assignLeases, setGroup } from "./groupAndLeaseCommands.ts";
 import {
     issueKey,
@@ -14,6 +14,13 @@
     setWorkspace,
     withdrawKey,
 } from "./operatorCommands.ts";
+import {
+    completePromotion,
+    recordCommitWitnesses,
+    recordDatabases,
+    recordPromotionOrder,
+    reservePromotion,
+} from "./promotionCommands.ts";
 import { setRateShares } from "./rateShareCommands.ts";
 import { checkName } from "./validation.ts";
 
@@ -79,6 +86,9 @@
         .with({ kind: CommandKind.ReadBarrier }, () => conflict(state, 0, "a barrier changes nothing"))
         .with({ kind: CommandKind.ReservePromotion }, matched => reservePromotion(state, matched))
         .with({ kind: CommandKind.CompletePromotion }, matched => completePromotion(state, matched))
+        .with({ kind: CommandKind.RecordPromotionOrder }, matched => recordPromotionOrder(state, matched))
+        .with({ kind: CommandKind.RecordDatabases }, matched => recordDatabases(state, matched))
+        .with({ kind: CommandKind.RecordCommitWitnesses }, matched => recordCommitWitnesses(state, matched))
         .otherwise(() => invalid(state, 0, "unknown kind of command"));
 }
 
--- a/src/control/configurationObjects.ts
+++ b/src/control/configurationObjects.ts
@@ -16,6 +16,7 @@
     documentHeads: () => "head",
     documentEntries: entry => entry.entryId,
     promotions: promotion => promotion.service,
+    commitWitnesses: witness => witness.instanceId,
 };
 
 const lists = Object.values(ObjectList);
--- a/src/control/documentCommands.ts
+++ b/src/control/documentCommands.ts
@@ -1,12 +1,11 @@
-/** Commands for the configuration document and for promotions. */
-import type { CompletePromotion, PutDocument, ReservePromotion } from "../model/controlMessages.ts";
+/** Commands for the configuration document. */
+import type { PutDocument } from "../model/controlMessages.ts";
 import { emptyDocument } from "../model/document.ts";
-import type { PromotionRecord } from "../model/promotion.ts";
 import { ObjectList } from "../model/replicatedLog.ts";
 import { applied, type CommandOutcome, conflict, invalid } from "./commandOutcome.ts";
-import { findObject, withObjects, withoutObjects } from "./configurationObjects.ts";
+import { withObjects, withoutObjects } from "./configurationObjects.ts";
 import type { ControlState } from "./controlState.ts";
-import { checkName, checkNonNegativeInteger, firstError } from "./validation.ts";
+import { checkNonNegativeInteger, firstError } from "./validation.ts";
 
 /** Updates the document. An update that is not newer than the stored document is refused: the highest version wins. */
 export function putDocument(state: ControlState, command: PutDocument): CommandOutcome {
@@ -35,37 +34,3 @@
     ]);
     return applied({ ...state, configuration }, head.documentVersion);
 }
-
-export function reservePromotion(state: ControlState, command: ReservePromotion): CommandOutcome {
-    const error = firstError(
-        checkName("service", command.service),
-        checkNonNegativeInteger("expected fence", command.expectedFence),
-    );
-    const current = findObject(state.configuration, ObjectList.Promotions, command.service) as
-        | PromotionRecord
-        | undefined;
-    const fence = current?.fence ?? 0;
-    if (error !== undefined) {
-        return invalid(state, fence, error);
-    }
-    if (fence !== command.expectedFence) {
-        return conflict(state, fence, `the fence is ${fence}, expected was ${command.expectedFence}`);
-    }
-    const databaseId = current?.databaseId ?? "";
-    return putPromotion(state, { service: command.service, fence: fence + 1, open: true, databaseId });
-}
-
-export function completePromotion(state: ControlState, command: CompletePromotion): CommandOutcome {
-    const current = findObject(state.configuration, ObjectList.Promotions, command.service) as
-        | PromotionRecord
-        | undefined;
-    if (current === undefined || current.fence !== command.fence) {
-        return conflict(state, current?.fence ?? 0, "a later promotion was reserved");
-    }
-    return putPromotion(state, { ...current, open: false, databaseId: command.databaseId });
-}
-
-function putPromotion(state: ControlState, value: PromotionRecord): CommandOutcome {
-    const configuration = withObjects(state.configuration, [{ list: ObjectList.Promotions, value }]);
-    return applied({ ...state, configuration }, value.fence);
-}
--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -1,12 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import {
-    type CommitsSeenFrame,
-    type DatabaseReport,
-    FleetKind,
-    ReportedState,
-    type SendFrame,
-} from "../../model/fleetMessages.ts";
+import { type CommitsSeenFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import {
     type LinkCommand,
     LinkCommandKind,
@@ -17,8 +11,9 @@
 } from "../../model/linkMessages.ts";
 import { TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { CommitWitnesses } from "../commitWitnesses.ts";
+import type { ElectorateMember } from "../electorate.ts";
 import { Fencing, type FencingOptions } from "../fencing.ts";
-import type { ServingInstance } from "../promotions.ts";
 
 class FencingFixture {
     readonly fencing: Fencing;
@@ -26,17 +21,22 @@
     readonly questions: string[] = [];
     private readonly links = new Map<string, string>();
     private nextLink = 0;
+    readonly witnesses: CommitWitnesses;
+    members: readonly ElectorateMember[] = ["p", "a", "b"].map(databaseId => member(databaseId));
     nowMs = 0;
 
-    constructor(overrides: Partial<FencingOptions> = {}) {
+    constructor(overrides: Partial<FencingOptions> = {}, witnesses = attachedWitnesses({ f1: "i1" })) {
+        this.witnesses = witnesses;
         this.fencing = new Fencing({
             service: "s",
             fence: 7,
-            reports: ["p", "a", "b"].map(report),
+            members: () => this.members,
             primaryId: "p",
+            preferredDatabaseId: "",
+            primaryKeepsLead: false,
             planned: false,
-            synchronous: true,
-            servingByAttachment: new Map([["f1", instance("i1")]]),
+            synchronousReplicas: 1,
+            witnesses: this.witnesses,
             nextLinkId: () => `m${this.nextLink++}`,
             startedAtMs: 0,
             ...overrides,
@@ -61,7 +61,7 @@
             detail: "",
             transaction: TransactionState.None,
             position: undefined,
-            status: { leads, term, receivedPosition: { term: logTerm, offset } },
+            status: { leads, term, receivedPosition: { term: logTerm, offset }, heldTerm: this.heldTerm(databaseId) },
         };
         this.handleMessages(this.fencing.linkReplied({ kind: LinkKind.Replied, linkId, reply }, this.nowMs));
     }
@@ -116,27 +116,27 @@
         }
     }
 
+    /** Term of the last pause, which the database obeys. */
+    private heldTerm(databaseId: string): number {
+        const command = this.commands.get(databaseId)?.at(-1);
+        return command?.kind === LinkCommandKind.Pause ? command.term : 0;
+    }
+
     private linkOf(databaseId: string): string {
         return [...this.links].filter(([, owner]) => owner === databaseId).at(-1)![0];
     }
 }
 
-function report(databaseId: string): DatabaseReport {
-    return {
-        databaseId,
-        service: "s",
-        address: `${databaseId}:1`,
-        dataCentre: "d",
-        slots: 3,
-        state: ReportedState.Ready,
-        leads: databaseId === "p",
-        sequence: 1,
-        bornUnixMs: 1,
-    };
+function member(databaseId: string, address = `${databaseId}:1`): ElectorateMember {
+    return { databaseId, address, isReady: true };
 }
 
-function instance(instanceId: string, attachedAtMs = -60_000): ServingInstance {
-    return { instanceId, attachedAtMs };
+function attachedWitnesses(instances: Readonly<Record<string, string>>): CommitWitnesses {
+    const witnesses = new CommitWitnesses();
+    Object.entries(instances).forEach(([attachmentId, instanceId]) =>
+        witnesses.attach(attachmentId, instanceId, -60_000)
+    );
+    return witnesses;
 }
 
 describe("fencing before a promotion", () => {
@@ -196,17 +196,17 @@
     });
 
     it("waits for an instance that is gone, and asks again after it has reattached", () => {
-        const serving = new Map([["f1", instance("i1")], ["f2", instance("i2")]]);
-        const fixture = new FencingFixture({ servingByAttachment: serving });
+        const witnesses = attachedWitnesses({ f1: "i1", f2: "i2" });
+        const fixture = new FencingFixture({}, witnesses);
         fixture.loseLink("p", LinkLoss.NoListener);
         fixture.loseLink("b", LinkLoss.NoListener);
         fixture.openLink("a", 3, 10);
         fixture.answer("a", false, 3, 10);
         fixture.decide(1_300);
         fixture.reportCommits("f1", 10);
-        serving.delete("f2");
+        witnesses.detach("f2", fixture.nowMs);
         assert.equal(fixture.decide(600), undefined);
-        serving.set("f3", instance("i2"));
+        witnesses.attach("f3", "i2", fixture.nowMs);
         fixture.decide(600);
         assert.deepEqual(fixture.questions, ["f1 7/0", "f2 7/0", "f3 7/0"]);
         fixture.reportCommits("f3", 10);
@@ -249,9 +249,7 @@
     });
 
     it("accepts a commit sent after an instance started as proof that its earlier process saw no later one", () => {
-        const fixture = new FencingFixture({
-            servingByAttachment: new Map([["f1", instance("i1")], ["f2", instance("i2")]]),
-        });
+        const fixture = new FencingFixture({}, attachedWitnesses({ f1: "i1", f2: "i2" }));
         fixture.loseLink("p", LinkLoss.NoListener);
         fixture.loseLink("b", LinkLoss.NoListener);
         fixture.openLink("a", 3, 10);
@@ -270,9 +268,9 @@
 
     it("never considers a process older than its attachment", () => {
         // Guards against the loss of commits after a clock step on an instance makes its process look old.
-        const fixture = new FencingFixture({
-            servingByAttachment: new Map([["f1", instance("i1", -1_000)], ["f2", instance("i2")]]),
-        });
+        const witnesses = attachedWitnesses({ f2: "i2" });
+        witnesses.attach("f1", "i1", -1_000);
+        const fixture = new FencingFixture({}, witnesses);
         fixture.loseLink("p", LinkLoss.NoListener);
         fixture.loseLink("b", LinkLoss.NoListener);
         fixture.openLink("a", 3, 10);
@@ -307,7 +305,7 @@
     });
 
     it("promotes the most advanced replica that answers if replication is asynchronous", () => {
-        const fixture = new FencingFixture({ synchronous: false });
+        const fixture = new FencingFixture({ synchronousReplicas: 0 });
         fixture.openLink("a", 3, 10);
         fixture.answer("a", false, 3, 10);
         assert.equal(fixture.decide(100), "a");
--- /dev/null
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -0,0 +1,464 @@
+/**
+ * One service in virtual time: databases with a replicated log, the platform that executes promotions, instances that
+ * commit and remember what they saw acknowledged, and the control leader with its replicated state.
+ */
+import { applyCommand } from "../../control/applyCommand.ts";
+import { type ControlState, emptyControlState } from "../../control/controlState.ts";
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import { ControlKind, type ControlPropose } from "../../model/controlMessages.ts";
+import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import {
+    type LinkClose,
+    type LinkCommand,
+    LinkCommandKind,
+    LinkKind,
+    LinkLoss,
+    type LinkOpen,
+    type LinkSend,
+} from "../../model/linkMessages.ts";
+import { OrderResult, PromotionKind, type PromotionOrder } from "../../model/promotionMessages.ts";
+import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
+import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
+import { CommitTracker } from "../../session/commitTracker.ts";
+import { FleetDatabaseDirectory } from "../fleetDatabaseDirectory.ts";
+import { Promotions } from "../promotions.ts";
+import { SimulatedDatabase } from "./simulatedDatabase.ts";
+
+const service = "s";
+const latencyMs = 3;
+const proposalMs = 8;
+const reportIntervalMs = 1_200;
+const platformTimeoutMs = 1_000;
+const promoteMs = 600;
+
+interface SimulatedInstance {
+    readonly instanceId: string;
+    attachmentId: string | undefined;
+    commits: CommitTracker;
+    running: boolean;
+    /** Callers commit by way of this instance. */
+    writes: boolean;
+}
+
+interface Timer extends Message {
+    run(): void;
+}
+
+export class PromotionWorld {
+    nowMs = 0;
+    readonly databases: SimulatedDatabase[] = [];
+    readonly instances: SimulatedInstance[] = [];
+    /** Ids of the databases that were promoted, in order. */
+    readonly promoted: string[] = [];
+    /** Acknowledged commits that a promotion has rolled back. */
+    readonly lost: number[] = [];
+    /** Calls to the platform as `databaseId/fence`. */
+    readonly orders: string[] = [];
+    /** Why the choice of a new primary waits. */
+    readonly waits = new Set<string>();
+    acknowledgedCount = 0;
+    /** Time after which the platform takes a call up, checks its fence and answers. */
+    platformDelayMs = 0;
+    private readonly events = new DeadlineQueue();
+    private readonly acknowledged = new Set<number>();
+    private readonly links = new Map<string, SimulatedDatabase | undefined>();
+    private readonly fences: number[] = [];
+    private readonly suspectedAtMs = new Map<string, number>();
+    private deadlines = new DeadlineQueue();
+    private control: Pipe | undefined;
+    private controlGeneration = 0;
+    private state: ControlState = emptyControlState;
+    private logIndex = 0;
+    private nextEvent = 0;
+    private nextCommit = 1;
+    private nextAttachment = 0;
+
+    constructor(databaseCount = 3, instanceCount = 2) {
+        for (let index = 0; index < databaseCount; index++) {
+            const database = new SimulatedDatabase(`d${index}`, `host${index}:1`, 0);
+            database.leads = index === 0;
+            this.databases.push(database);
+            this.scheduleReports(database);
+        }
+        for (let index = 0; index < instanceCount; index++) {
+            const instance = { instanceId: `i${index}`, attachmentId: undefined, commits: new CommitTracker() };
+            this.instances.push({ ...instance, running: true, writes: true });
+        }
+        this.startControl();
+        this.every(20, () => this.write());
+        this.every(100, () => this.suspectPrimary());
+    }
+
+    get primary(): SimulatedDatabase | undefined {
+        return this.databases.find(({ leads, running }) => leads && running);
+    }
+
+    get hasControl(): boolean {
+        return this.control !== undefined;
+    }
+
+    database(index: number): SimulatedDatabase {
+        return this.databases[index]!;
+    }
+
+    advance(elapsedMs: number): void {
+        const untilMs = this.nowMs + elapsedMs;
+        for (;;) {
+            const eventAtMs = this.events.earliestAtMs() ?? Infinity;
+            const deadlineAtMs = this.control === undefined ? Infinity : this.deadlines.earliestAtMs() ?? Infinity;
+            const nextAtMs = Math.min(eventAtMs, deadlineAtMs);
+            if (nextAtMs > untilMs) {
+                break;
+            }
+            this.nowMs = Math.max(this.nowMs, nextAtMs);
+            if (eventAtMs <= deadlineAtMs) {
+                (this.events.popDue(this.nowMs) as Timer).run();
+            }
+            else {
+                this.push(this.deadlines.popDue(this.nowMs)!);
+            }
+        }
+        this.nowMs = untilMs;
+    }
+
+    /** Ends the process of a database; its links are refused until another one starts at its address. */
+    crash(database: SimulatedDatabase): void {
+        database.running = false;
+        database.leads = false;
+        [...this.links].filter(([, linked]) => linked === database).forEach(([linkId]) => this.loseLink(linkId));
+    }
+
+    /** Starts a database again at its address under another id, with its log; as the primary if none was promoted since. */
+    restart(database: SimulatedDatabase): SimulatedDatabase {
+        const next = new SimulatedDatabase(`${database.id}x`, database.address, this.nowMs);
+        next.log = database.log;
+        next.term = database.term;
+        next.ledTerm = database.ledTerm;
+        const newestTerm = Math.max(...this.databases.map(({ ledTerm }) => ledTerm));
+        next.leads = database.ledTerm === newestTerm && !this.databases.some(({ leads, running }) => leads && running);
+        this.databases.splice(this.databases.indexOf(database), 1, next);
+        this.scheduleReports(next);
+        return next;
+    }
+
+    stopControl(): void {
+        this.control = undefined;
+        this.controlGeneration++;
+        this.links.clear();
+        this.instances.forEach(instance => {
+            instance.attachmentId = undefined;
+        });
+    }
+
+    /** Starts a control leader that knows the replicated state alone. */
+    startControl(): void {
+        this.control = new Pipe("fleet", [new FleetDatabaseDirectory(), new Promotions({ reportIntervalMs })]);
+        this.deadlines = new DeadlineQueue();
+        const policy = {
+            ...emptyTrafficPolicy,
+            services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
+        };
+        this.push({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as Message);
+        this.applyConfiguration();
+        this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
+        this.instances.filter(({ running }) => running).forEach(instance =>
+            this.after(100, this.ofControl(() => this.attach(instance)))
+        );
+        this.databases.forEach(database => this.after(50, () => this.report(database)));
+    }
+
+    killInstance(instance: SimulatedInstance): void {
+        instance.running = false;
+        const { attachmentId } = instance;
+        instance.attachmentId = undefined;
+        if (attachmentId !== undefined) {
+            this.push({ kind: FleetKind.Detached, attachmentId } as Message);
+        }
+    }
+
+    /** Starts an instance again; its new process knows no commit of the earlier one. */
+    startInstance(instance: SimulatedInstance): void {
+        instance.running = true;
+        instance.commits = new CommitTracker();
+        this.after(100, this.ofControl(() => this.attach(instance)));
+    }
+
+    report(database: SimulatedDatabase): void {
+        if (database.running && !database.dark) {
+            this.after(
+                latencyMs,
+                this.ofControl(() =>
+                    this.push({ kind: FleetKind.DatabaseReported, report: database.report(service) } as Message)
+                ),
+            );
+        }
+    }
+
+    private attach(instance: SimulatedInstance): void {
+        instance.commits.startOnce(this.nowMs);
+        instance.attachmentId = `f${this.nextAttachment++}`;
+        const { instanceId, attachmentId } = instance;
+        const hello = { kind: "hello", instanceId, serves: true, leaving: false, dataCentre: "d", address: "" };
+        this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: hello } as Message);
+    }
+
+    /** A caller commits by way of one of the instances, in turn. */
+    private write(): void {
+        const serving = this.instances.filter(({ running, writes }) => running && writes);
+        const { primary } = this;
+        if (serving.length === 0 || primary === undefined || primary.dark) {
+            return;
+        }
+        const instance = serving[this.nextCommit % serving.length]!;
+        const { commits } = instance;
+        const sentMs = this.nowMs;
+        const commit = { term: primary.ledTerm, number: this.nextCommit++ };
+        primary.log = [...primary.log, commit];
+        const position = primary.position;
+        const acknowledge = (): void => {
+            if (primary.leads && primary.running && !this.acknowledged.has(commit.number)) {
+                this.acknowledged.add(commit.number);
+                this.acknowledgedCount++;
+                commits.recordCommit(service, position, sentMs);
+            }
+        };
+        this.databases.filter(database => database !== primary).forEach(replica =>
+            this.after(latencyMs, () => {
+                if (primary.leads && primary.running && replica.receive(primary, position.offset)) {
+                    this.after(latencyMs, acknowledge);
+                }
+            })
+        );
+    }
+
+    private suspectPrimary(): void {
+        const { databaseId } = this.state.configuration.promotions[0] ?? { databaseId: "" };
+        const suspected = this.databases.find(({ id }) => id === databaseId) ?? this.database(0);
+        if (suspected.running && !suspected.dark) {
+            this.suspectedAtMs.delete(suspected.id);
+            return;
+        }
+        this.suspectedAtMs.set(suspected.id, this.suspectedAtMs.get(suspected.id) ?? this.nowMs);
+        this.instances.filter(({ attachmentId }) => attachmentId !== undefined).forEach(({ attachmentId }) =>
+            this.push({
+                kind: FleetKind.FrameReceived,
+                attachmentId,
+                frame: { kind: "suspect", databaseId: suspected.id },
+            } as Message)
+        );
+    }
+
+    private push(message: Message): void {
+        const { control } = this;
+        const outputs = control?.process(message, this.nowMs) ?? [];
+        outputs.filter(output => output !== message).forEach(output => this.handle(output));
+    }
+
+    private handle(message: Message): void {
+        switch (message.kind) {
+            case DeadlineKind.Set:
+            case DeadlineKind.Clear:
+                return this.deadlines.apply(message as DeadlineMessage);
+            case ControlKind.Propose:
+                return this.propose(message as ControlPropose);
+            case LinkKind.Open:
+                return this.openLink(message as LinkOpen);
+            case LinkKind.Send:
+                return this.sendCommands(message as LinkSend);
+            case LinkKind.Close:
+                this.links.delete((message as LinkClose).linkId);
+                return;
+            case FleetKind.SendFrame:
+                return this.answerFrame(message as SendFrame);
+            case PromotionKind.Order:
+                return this.callPlatform(message as PromotionOrder);
+            case PromotionKind.Progressed: {
+                const { wait } = message as Message & { readonly wait: string | undefined; };
+                this.waits.add(wait ?? "");
+                return;
+            }
+        }
+    }
+
+    private propose({ proposalId, operationId, command }: ControlPropose): void {
+        this.after(
+            proposalMs,
+            this.ofControl(() => {
+                const { state, result } = applyCommand(this.state, ++this.logIndex, operationId, command);
+                this.state = state;
+                this.applyConfiguration();
+                const { status, version } = result;
+                this.push({ kind: ControlKind.ProposalEnded, proposalId, status, version } as Message);
+            }),
+        );
+    }
+
+    private applyConfiguration(): void {
+        this.push({ kind: ClusterKind.ConfigurationApplied, configuration: this.state.configuration } as Message);
+    }
+
+    private openLink({ linkId, address, databaseId }: LinkOpen): void {
+        this.links.set(linkId, undefined);
+        this.after(
+            latencyMs,
+            this.ofControl(() => {
+                const database = this.databases.find(candidate => candidate.address === address)!;
+                if (!this.links.has(linkId) || database.dark) {
+                    return;
+                }
+                if (!database.running) {
+                    this.loseLink(linkId);
+                }
+                else if (database.id !== databaseId) {
+                    this.loseLink(linkId, LinkLoss.Refused);
+                }
+                else {
+                    this.links.set(linkId, database);
+                    this.push({ kind: LinkKind.Opened, linkId, position: database.position } as Message);
+                }
+            }),
+        );
+    }
+
+    private loseLink(linkId: string, loss: LinkLoss = LinkLoss.NoListener): void {
+        if (this.links.delete(linkId)) {
+            this.push({ kind: LinkKind.Lost, linkId, loss, fault: undefined } as Message);
+        }
+    }
+
+    private sendCommands({ linkId, commands }: LinkSend): void {
+        const database = this.links.get(linkId);
+        this.after(latencyMs, () => commands.forEach(command => this.execute(database, linkId, command)));
+    }
+
+    private execute(database: SimulatedDatabase | undefined, linkId: string, command: LinkCommand): void {
+        if (database === undefined || !database.running || database.dark) {
+            return;
+        }
+        const newestTerm = Math.max(...this.databases.map(({ term }) => term));
+        const led = database.leads;
+        const status = database.execute(command, newestTerm);
+        if (command.kind === LinkCommandKind.Resume) {
+            this.catchUp(database);
+        }
+        if (led !== database.leads) {
+            this.report(database);
+        }
+        this.after(
+            latencyMs,
+            this.ofControl(() => {
+                if (this.links.get(linkId) === database) {
+                    this.push({ kind: LinkKind.Replied, linkId, reply: { fault: undefined, status } } as Message);
+                }
+            }),
+        );
+    }
+
+    private answerFrame({ attachmentId, frame }: SendFrame): void {
+        const instance = this.instances.find(candidate => candidate.attachmentId === attachmentId);
+        if (instance === undefined) {
+            return;
+        }
+        this.after(
+            latencyMs,
+            this.ofControl(() => {
+                const answer = this.answerOf(instance, frame);
+                if (answer !== undefined && instance.attachmentId === attachmentId) {
+                    this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: answer } as Message);
+                }
+            }),
+        );
+    }
+
+    private answerOf({ commits }: SimulatedInstance, frame: FleetFrame): FleetFrame | undefined {
+        if (frame.kind === "commits_asked") {
+            return commits.commitsSeenFrame(frame.service, frame.questionId, this.nowMs);
+        }
+        if (frame.kind !== "assess") {
+            return undefined;
+        }
+        const sinceMs = this.suspectedAtMs.get(frame.databaseId);
+        const unansweredAgeMs = sinceMs === undefined ? undefined : this.nowMs - sinceMs;
+        const { databaseId } = frame;
+        return { kind: "assessment", databaseId, answeredAgeMs: unansweredAgeMs ?? 10, unansweredAgeMs };
+    }
+
+    private callPlatform({ databaseId, fence }: PromotionOrder): void {
+        this.orders.push(`${databaseId}/${fence}`);
+        const answer = (result: OrderResult): void =>
+            this.push({ kind: PromotionKind.Ordered, service, databaseId, fence, result } as Message);
+        const { platformDelayMs } = this;
+        this.after(platformDelayMs, () => {
+            const chosen = this.databases.find(({ id, running }) => id === databaseId && running);
+            const refused = chosen === undefined || fence < Math.max(0, ...this.fences);
+            this.fences.push(fence);
+            if (platformDelayMs < platformTimeoutMs) {
+                this.after(
+                    latencyMs,
+                    this.ofControl(() => answer(refused ? OrderResult.Refused : OrderResult.Accepted)),
+                );
+            }
+            if (!refused && !chosen.leads) {
+                this.after(promoteMs, () => this.promote(databaseId));
+            }
+        });
+        if (platformDelayMs >= platformTimeoutMs) {
+            this.after(platformTimeoutMs, this.ofControl(() => answer(OrderResult.Unknown)));
+        }
+    }
+
+    /** The database leads the next term with what it has received; the others drop what it lacks and receive again. */
+    private promote(databaseId: string): void {
+        const chosen = this.databases.find(({ id, running }) => id === databaseId && running);
+        if (chosen === undefined || chosen.leads) {
+            return;
+        }
+        const kept = new Set(chosen.log.map(({ number }) => number));
+        this.lost.push(...[...this.acknowledged].filter(number => !kept.has(number)));
+        const term = Math.max(...this.databases.map(database => database.term)) + 1;
+        this.databases.forEach(database => database.follow(kept));
+        Object.assign(chosen, { leads: true, term, ledTerm: term });
+        this.promoted.push(databaseId);
+        this.databases.forEach(database => {
+            this.catchUp(database);
+            this.report(database);
+        });
+    }
+
+    private catchUp(database: SimulatedDatabase): void {
+        const newestTerm = Math.max(...this.databases.map(({ ledTerm }) => ledTerm));
+        const source = this.databases.find(({ ledTerm, running }) => ledTerm === newestTerm && running);
+        if (source !== undefined && source !== database) {
+            this.after(2 * latencyMs, () => database.receive(source, source.log.length));
+        }
+    }
+
+    private scheduleReports(database: SimulatedDatabase): void {
+        this.every(reportIntervalMs, () => this.report(database));
+        this.after(1, () => this.report(database));
+    }
+
+    /** Runs an action unless the control leader was replaced meanwhile. */
+    private ofControl(action: () => void): () => void {
+        const generation = this.controlGeneration;
+        return () => {
+            if (generation === this.controlGeneration) {
+                action();
+            }
+        };
+    }
+
+    private every(intervalMs: number, action: () => void): void {
+        this.after(intervalMs, () => {
+            action();
+            this.every(intervalMs, action);
+        });
+    }
+
+    private after(delayMs: number, action: () => void): void {
+        const timer: Timer = { kind: "timer", run: action };
+        this.events.apply(setDeadline(`e${this.nextEvent++}`, this.nowMs + delayMs, timer));
+    }
+}
--- /dev/null
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { PromotionWait } from "../../model/promotionMessages.ts";
+import { PromotionWorld } from "./promotionWorld.ts";
+
+describe("changes of the primary of a service", () => {
+    it("promotes a replica after a crash, and writes go on", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.crash(world.database(0));
+        world.advance(2_500);
+        assert.equal(world.promoted.length, 1);
+        const before = world.acknowledgedCount;
+        world.advance(1_000);
+        assert.ok(world.acknowledgedCount - before >= 45, `${world.acknowledgedCount - before} commits in 1 s`);
+        assert.deepEqual(world.lost, []);
+    });
+
+    it("does not promote a stale replica after all control members have restarted", () => {
+        // Guards against the loss of commits if the leader takes the databases that have reported to it for all.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.database(2).deaf = true;
+        world.advance(3_000);
+        world.crash(world.database(0));
+        world.crash(world.database(1));
+        world.advance(1_000);
+        world.stopControl();
+        world.advance(500);
+        world.startControl();
+        world.advance(4_000);
+        assert.deepEqual(world.promoted, []);
+        assert.ok(world.waits.has(PromotionWait.DatabaseWithLastCommit));
+        world.database(2).deaf = false;
+        world.restart(world.database(0));
+        world.restart(world.database(1));
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        const before = world.acknowledgedCount;
+        world.advance(1_000);
+        assert.ok(world.acknowledgedCount > before);
+    });
+
+    it("waits for a database if an instance that saw the last commits is gone", () => {
+        // Guards against the loss of commits that only an instance without power has seen acknowledged.
+        const world = new PromotionWorld();
+        const [writer, reader] = world.instances;
+        world.advance(5_000);
+        reader!.writes = false;
+        world.database(2).deaf = true;
+        world.advance(3_000);
+        world.crash(world.database(0));
+        world.crash(world.database(1));
+        world.killInstance(writer!);
+        world.advance(3_500);
+        world.startInstance(writer!);
+        world.database(2).deaf = false;
+        world.advance(1_600);
+        assert.deepEqual(world.promoted, []);
+        world.restart(world.database(0));
+        world.restart(world.database(1));
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assert.ok(world.primary !== undefined);
+    });
+
+    it("knows of an instance that is gone after a restart of the control members", () => {
+        // Guards against the loss of commits if a new leader asks only the instances that attach to it.
+        const world = new PromotionWorld();
+        const [writer, reader] = world.instances;
+        world.advance(5_000);
+        reader!.writes = false;
+        world.database(2).deaf = true;
+        world.advance(3_000);
+        world.crash(world.database(0));
+        world.crash(world.database(1));
+        world.killInstance(writer!);
+        world.stopControl();
+        world.advance(500);
+        world.startControl();
+        world.advance(10_000);
+        assert.deepEqual(world.promoted, []);
+        assert.ok(world.waits.has(PromotionWait.CommitWitnesses));
+    });
+
+    it("orders one database only while the platform takes seconds for a call", () => {
+        // Guards against orders for several databases, of which an earlier one is executed after a later one was chosen.
+        const world = new PromotionWorld();
+        world.platformDelayMs = 2_000;
+        for (let crash = 0; crash < 4; crash++) {
+            world.advance(10_000);
+            const crashed = world.primary!;
+            world.crash(crashed);
+            world.advance(3_000);
+            world.restart(crashed);
+        }
+        world.advance(15_000);
+        assert.deepEqual(world.lost, []);
+        assert.equal(world.promoted.length, 4);
+    });
+
+    it("orders the same database again after a change of the leader", () => {
+        // Guards against a second choice while the order of the previous leader may still be executed.
+        const world = new PromotionWorld();
+        world.platformDelayMs = 4_000;
+        world.advance(5_000);
+        world.crash(world.database(0));
+        world.advance(1_500);
+        world.stopControl();
+        world.advance(200);
+        world.startControl();
+        world.advance(12_000);
+        assert.equal(new Set(world.orders.map(order => order.split("/")[0])).size, 1);
+        assert.equal(world.promoted.length, 1);
+        assert.deepEqual(world.lost, []);
+    });
+
+    it("goes on after the primary and a replica have started again under other ids", () => {
+        // Guards against a promotion that waits for processes that are gone, while no other one can begin.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.database(0).dark = true;
+        world.database(1).dark = true;
+        world.advance(3_270);
+        [0, 1].forEach(index => {
+            const gone = world.database(index);
+            gone.running = false;
+            world.restart(gone);
+        });
+        world.advance(5_000);
+        const before = world.acknowledgedCount;
+        world.advance(1_000);
+        assert.ok(world.acknowledgedCount > before);
+        const leaving = world.primary!;
+        leaving.draining = true;
+        world.report(leaving);
+        world.advance(3_000);
+        assert.notEqual(world.primary?.id, leaving.id);
+        assert.deepEqual(world.lost, []);
+    });
+});
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -2,60 +2,33 @@
  * Fencing before a promotion: makes sure that no further commit of a service can be acknowledged, and chooses a
  * database that holds all acknowledged commits.
  */
+import { type CommitsSeenFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import {
-    type CommitsSeenFrame,
-    type DatabaseReport,
-    FleetKind,
-    ReportedState,
-    type SendFrame,
-} from "../model/fleetMessages.ts";
-import {
-    type DatabaseStatus,
     type LinkCommand,
     LinkCommandKind,
-    LinkKind,
-    LinkLoss,
     type LinkLost,
     type LinkOpened,
     type LinkReplied,
 } from "../model/linkMessages.ts";
-import { hasReached, type Position } from "../model/position.ts";
+import { comparePositions, hasReached, type Position } from "../model/position.ts";
+import { PromotionWait } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
-import type { ServingInstance } from "./promotions.ts";
+import type { CommitWitnesses } from "./commitWitnesses.ts";
+import type { ElectorateMember } from "./electorate.ts";
+import { FencedDatabase, retryDelayMs } from "./fencedDatabase.ts";
 
 /** Time to wait for a replica that does not answer before a database is chosen without it. */
 const replicaWaitMs = 1_200;
 
-/** Delay before a command is sent to a database again, or a connection to it is opened again. */
-const retryDelayMs = 60;
-
 /** Time that replicas have to catch up with a primary that has stepped down. */
 const catchUpTimeoutMs = 1_000;
 
-/** Time after which a connection that is still opening is closed and opened again. */
-const openTimeoutMs = 600;
-
 /**
  * Delay before instances that have not reported their acknowledged commits are asked again; longer than the round trip
  * on a congested network link.
  */
 const questionRetryMs = 500;
 
-interface DatabaseState {
-    readonly report: DatabaseReport;
-    linkId: string | undefined;
-    isOpen: boolean;
-    openStartedAtMs: number;
-    status: DatabaseStatus | undefined;
-    /** A replica has stopped receiving, or the primary has stepped down. */
-    stopped: boolean;
-    /** No process listens at the database's address. */
-    hasNoListener: boolean;
-    /** A command was sent and is not answered yet. */
-    commandPending: boolean;
-    retryAtMs: number;
-}
-
 /** The acknowledged commits that an instance reported, with times on the clock of this member. */
 interface CommitReport {
     readonly highest: Position | undefined;
@@ -69,14 +42,22 @@
     readonly service: string;
     /** Fencing token of the promotion; unique among the promotions of the service. */
     readonly fence: number;
-    readonly reports: readonly DatabaseReport[];
+    /** The databases that may hold acknowledged commits; changes while databases join and start again. */
+    members(): readonly ElectorateMember[];
     readonly primaryId: string | undefined;
+    /** Database named by an earlier order, which may still be executed; preferred among equals. */
+    readonly preferredDatabaseId: string;
+    /**
+     * The primary's last order may still be executed: it must keep the lead until another database takes it, because a
+     * primary that has stepped down would be made to lead again.
+     */
+    readonly primaryKeepsLead: boolean;
     /** The primary is reachable and shutting down: it steps down first, then the replicas catch up with it. */
     readonly planned: boolean;
-    /** Replication is synchronous: a commit is acknowledged only after a replica has received it. */
-    readonly synchronous: boolean;
-    /** Instances that may have seen acknowledgements, by attachment id; updated as attachments open and end. */
-    readonly servingByAttachment: ReadonlyMap<string, ServingInstance>;
+    /** Number of replicas that have received a commit before it is acknowledged; 0 if replication is asynchronous. */
+    readonly synchronousReplicas: number;
+    /** Instances that may have seen acknowledgements. */
+    readonly witnesses: CommitWitnesses;
     nextLinkId(): string;
     readonly startedAtMs: number;
 }
@@ -85,15 +66,17 @@
     readonly messages: readonly Message[];
     /** The database to promote; undefined while none can be chosen safely. */
     readonly chosenDatabaseId: string | undefined;
-    /** The database already leads, because an earlier order was executed; no order is needed. */
+    /** The database already leads, because an order was executed; no further order is needed. */
     readonly alreadyLeads: boolean;
+    /** Why no database is chosen yet. */
+    readonly wait: PromotionWait | undefined;
 }
 
 export class Fencing {
     private readonly options: FencingOptions;
-    private readonly databases = new Map<string, DatabaseState>();
-    /** Instances that must answer; also those whose attachment ended, as they may have seen the last commit. */
-    private readonly requiredInstances = new Set<string>();
+    private readonly databases = new Map<string, FencedDatabase>();
+    /** Address of the primary, which it keeps when it starts again under another id. */
+    private readonly primaryAddress: string | undefined;
     private readonly commitReports = new Map<string, CommitReport>();
     /** Incremented whenever commits can be acknowledged again, which invalidates earlier answers. */
     private round = 0;
@@ -103,82 +86,48 @@
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
     private lastQuestionAtMs: number | undefined;
+    private orderedDatabaseId: string | undefined;
+    private wait: PromotionWait | undefined;
 
     constructor(options: FencingOptions) {
         this.options = options;
-        for (const report of options.reports) {
-            this.databases.set(report.databaseId, {
-                report,
-                linkId: undefined,
-                isOpen: false,
-                openStartedAtMs: 0,
-                status: undefined,
-                stopped: false,
-                hasNoListener: false,
-                commandPending: false,
-                retryAtMs: 0,
-            });
-        }
+        this.primaryAddress = options.members().find(({ databaseId }) => databaseId === options.primaryId)?.address;
+        this.followMembers();
     }
 
     open(): readonly Message[] {
-        return [...this.databases.values()].flatMap(database => this.connect(database, this.options.startedAtMs));
+        return this.advance(this.options.startedAtMs);
     }
 
-    linkOpened({ linkId, position }: LinkOpened, nowMs: number): readonly Message[] {
-        const database = this.databaseOfLink(linkId);
+    linkOpened(message: LinkOpened, nowMs: number): readonly Message[] {
+        const database = this.databaseOfLink(message.linkId);
         if (database === undefined) {
             return [];
         }
-        database.isOpen = true;
-        database.hasNoListener = false;
+        database.linkOpened(message);
         this.discardOutdatedReports();
-        if (position !== undefined && database.status === undefined) {
-            database.status = { leads: false, term: position.term, receivedPosition: position };
-        }
-        return this.sendNextCommand(database, nowMs);
+        return database.advance(this.nextCommand(database, nowMs), nowMs);
     }
 
-    linkReplied({ linkId, reply }: LinkReplied, nowMs: number): readonly Message[] {
-        const database = this.databaseOfLink(linkId);
-        if (database === undefined) {
-            return [];
-        }
-        database.commandPending = false;
-        database.retryAtMs = nowMs + retryDelayMs;
-        if (reply.fault !== undefined || reply.status === undefined) {
-            return [];
-        }
-        database.status = reply.status;
-        database.stopped ||= this.isPrimary(database) ? !reply.status.leads : true;
-        if (this.isPrimary(database) && database.stopped && this.finalPosition === undefined) {
-            this.finalPosition = reply.status.receivedPosition;
-            this.steppedDownAtMs = nowMs;
+    linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
+        const database = this.databaseOfLink(message.linkId);
+        database?.linkReplied(message, nowMs);
+        if (database !== undefined && this.isPrimary(database)) {
+            this.followPrimary(database, nowMs);
         }
         return [];
     }
 
-    linkLost({ linkId, loss }: LinkLost, nowMs: number): readonly Message[] {
-        const database = this.databaseOfLink(linkId);
-        if (database !== undefined) {
-            Object.assign(database, {
-                linkId: undefined,
-                isOpen: false,
-                commandPending: false,
-                retryAtMs: nowMs + retryDelayMs,
-            });
-            database.hasNoListener = loss === LinkLoss.NoListener;
-            // A restarted replica receives again.
-            database.stopped = this.isPrimary(database) && database.stopped;
-            this.discardOutdatedReports();
-        }
+    linkLost(message: LinkLost, nowMs: number): readonly Message[] {
+        this.databaseOfLink(message.linkId)?.linkLost(message, nowMs);
+        this.discardOutdatedReports();
         return [];
     }
 
     /** Records the answer of an instance, unless commits could still be acknowledged after the question. */
     recordCommitsSeen(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): void {
         const { highest, sentAgeMs, watchedMs, questionId } = frame;
-        const instance = this.options.servingByAttachment.get(attachmentId);
+        const instance = this.options.witnesses.serving.get(attachmentId);
         if (
             instance !== undefined && this.lastQuestionAtMs !== undefined && questionId === this.questionId()
         ) {
@@ -192,84 +141,114 @@
         }
     }
 
+    /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
+    orderSent(databaseId: string): void {
+        this.orderedDatabaseId = databaseId;
+    }
+
     decide(nowMs: number): FencingDecision {
-        const messages = [...this.databases.values()].flatMap(database => this.connectOrCommand(database, nowMs));
+        const closed = this.followMembers();
+        const messages = [...closed, ...this.advance(nowMs)];
         const leader = this.newLeader();
         if (leader !== undefined) {
-            return { messages, chosenDatabaseId: leader.report.databaseId, alreadyLeads: true };
+            return { messages, chosenDatabaseId: leader.databaseId, alreadyLeads: true, wait: undefined };
         }
         const questions = this.askForCommits(nowMs);
+        this.wait = undefined;
         const chosenDatabaseId = this.finalPosition === undefined
             ? this.chooseFurthestReplica(nowMs)
             : this.chooseCaughtUpReplica(nowMs);
-        return { messages: [...messages, ...questions], chosenDatabaseId, alreadyLeads: false };
+        return {
+            messages: [...messages, ...questions],
+            chosenDatabaseId,
+            alreadyLeads: false,
+            wait: chosenDatabaseId === undefined ? this.wait : undefined,
+        };
     }
 
     /** Lets the replicas resume receiving and closes the links. */
     resumeAndClose(): readonly Message[] {
-        const resumed = [...this.databases.values()].filter(({ isOpen }) => isOpen).map(({ linkId }) =>
-            sendCommand(linkId!, { kind: LinkCommandKind.Resume })
-        );
-        return [...resumed, ...this.close()];
+        return [...[...this.databases.values()].flatMap(database => database.resume()), ...this.close()];
     }
 
     close(): readonly Message[] {
-        return [...this.databases.values()].flatMap(({ linkId }) =>
-            linkId === undefined ? [] : [{ kind: LinkKind.Close, linkId } as Message]
-        );
+        return [...this.databases.values()].flatMap(database => database.close());
     }
 
-    private connect(database: DatabaseState, nowMs: number): readonly Message[] {
-        const { databaseId, address, service } = database.report;
-        database.linkId = this.options.nextLinkId();
-        database.openStartedAtMs = nowMs;
-        return [
-            { kind: LinkKind.Open, linkId: database.linkId, address, service, workspace: "", databaseId } as Message,
-        ];
+    /** States of the databases for the log, as `id:state@position`. */
+    describeDatabases(): string {
+        return [...this.databases.values()].map(({ databaseId, stopped, hasNoListener, receivedPosition }) => {
+            const state = stopped ? "stopped" : hasNoListener ? "no_listener" : "awaited";
+            const position = receivedPosition === undefined
+                ? "-"
+                : `${receivedPosition.term}.${receivedPosition.offset}`;
+            return `${databaseId}:${state}@${position}`;
+        }).join(",");
     }
 
-    private connectOrCommand(database: DatabaseState, nowMs: number): readonly Message[] {
-        if (nowMs < database.retryAtMs || database.commandPending) {
-            return [];
-        }
-        if (database.linkId === undefined) {
-            return this.connect(database, nowMs);
+    /** Instances whose answer is missing, or that are absent and not covered by an answer of another one. */
+    awaitedWitnesses(): readonly string[] {
+        const { witnesses } = this.options;
+        const attached = [...witnesses.serving.values()].map(({ instanceId }) => instanceId);
+        const unanswered = attached.filter(instanceId => !this.commitReports.has(instanceId));
+        const uncovered = witnesses.absent().filter(witness => !this.isCovered(witness.mayHaveSentUntilMs));
+        return [...new Set([...unanswered, ...uncovered.map(({ instanceId }) => instanceId)])];
+    }
+
+    /** Adds databases that joined, and drops those that another process replaced at their address. */
+    private followMembers(): readonly Message[] {
+        const members = this.options.members();
+        const ids = new Set(members.map(({ databaseId }) => databaseId));
+        const replaced = [...this.databases.values()].filter(({ databaseId }) => !ids.has(databaseId));
+        for (const database of replaced) {
+            this.databases.delete(database.databaseId);
+            if (this.isPrimary(database)) {
+                // Its successor may lead and acknowledge further commits.
+                this.finalPosition = undefined;
+            }
         }
-        if (!database.isOpen) {
-            if (nowMs - database.openStartedAtMs < openTimeoutMs) {
-                return [];
+        for (const member of members) {
+            const known = this.databases.get(member.databaseId);
+            if (known === undefined) {
+                this.databases.set(member.databaseId, new FencedDatabase(member, this.options));
             }
-            const close = { kind: LinkKind.Close, linkId: database.linkId } as Message;
-            return [close, ...this.connect(database, nowMs)];
+            else {
+                known.member = member;
+            }
+        }
+        if (replaced.length > 0) {
+            this.discardOutdatedReports();
         }
-        return this.sendNextCommand(database, nowMs);
+        return replaced.flatMap(database => database.close());
     }
 
-    private sendNextCommand(database: DatabaseState, nowMs: number): readonly Message[] {
-        if (database.commandPending || nowMs < database.retryAtMs) {
-            return [];
-        }
-        const command = this.nextCommand(database, nowMs);
-        if (command === undefined) {
-            return [];
-        }
-        database.commandPending = true;
-        return [sendCommand(database.linkId!, command)];
+    private advance(nowMs: number): readonly Message[] {
+        return [...this.databases.values()].flatMap(database =>
+            database.advance(this.nextCommand(database, nowMs), nowMs)
+        );
     }
 
-    private nextCommand(database: DatabaseState, nowMs: number): LinkCommand | undefined {
-        if (this.isPrimary(database)) {
+    private nextCommand(database: FencedDatabase, nowMs: number): LinkCommand | undefined {
+        if (database.databaseId === this.orderedDatabaseId) {
+            return { kind: LinkCommandKind.Status };
+        }
+        if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
+            return undefined;
+        }
+        if (this.isPrimary(database) || this.leadsBesideOrder(database)) {
             return database.stopped ? undefined : { kind: LinkCommandKind.StepDown, term: this.nextTerm() };
         }
-        if (this.finalPosition !== undefined) {
+        if (this.finalPosition !== undefined && this.orderedDatabaseId === undefined) {
             // The primary has stopped; entries that it has already sent may still arrive.
             return { kind: database.stopped ? LinkCommandKind.Resume : LinkCommandKind.Status };
         }
         // In a planned change the replicas keep receiving, unless the primary is lost before it has stepped down.
-        if (this.options.planned && nowMs - this.options.startedAtMs < replicaWaitMs) {
+        if (this.awaitsStepDown(nowMs)) {
             return undefined;
         }
-        return database.stopped ? undefined : { kind: LinkCommandKind.Pause, term: this.nextTerm() };
+        return database.stopped
+            ? undefined
+            : { kind: LinkCommandKind.Pause, term: this.nextTerm() + database.termMargin };
     }
 
     private nextTerm(): number {
@@ -277,37 +256,108 @@
         return Math.max(0, ...terms) + 1;
     }
 
-    /** A database other than the former primary that already leads. */
-    private newLeader(): DatabaseState | undefined {
-        return this.replicas().find(({ status }) => status?.leads === true);
+    private followPrimary(primary: FencedDatabase, nowMs: number): void {
+        if (!primary.stopped) {
+            this.finalPosition = undefined;
+        }
+        else if (this.finalPosition === undefined) {
+            this.finalPosition = primary.receivedPosition;
+            this.steppedDownAtMs = nowMs;
+        }
+    }
+
+    /**
+     * A database other than the former primary that already leads. While an order may still be executed, only the ordered
+     * database counts: another one that leads is about to lose the lead.
+     */
+    private newLeader(): FencedDatabase | undefined {
+        const newestTerm = this.nextTerm() - 1;
+        const leaders = [...this.databases.values()].filter(({ status }) =>
+            status?.leads === true && status.term === newestTerm
+        );
+        const expectedId = this.expectedLeaderId();
+        return expectedId === ""
+            ? leaders.find(database => !this.isPrimary(database))
+            : leaders.find(({ databaseId }) => databaseId === expectedId);
+    }
+
+    /** A primary that came back although another database may be made to lead; it must not acknowledge commits. */
+    private leadsBesideOrder({ status }: FencedDatabase): boolean {
+        return this.expectedLeaderId() !== "" && status?.leads === true;
     }
 
-    /** The replica with the highest position, if no commit beyond that position can have been acknowledged. */
+    /** The database of the last order, of this member or of an earlier leader; empty if there is none. */
+    private expectedLeaderId(): string {
+        return this.orderedDatabaseId ?? this.options.preferredDatabaseId;
+    }
+
+    /** The database with the highest position, if no commit beyond that position can have been acknowledged. */
     private chooseFurthestReplica(nowMs: number): string | undefined {
-        const replicas = this.replicas();
-        const stopped = replicas.filter(database => database.stopped);
-        const best = mostAdvanced(stopped);
-        if (best === undefined || this.options.planned && nowMs - this.options.startedAtMs < replicaWaitMs) {
-            return undefined;
+        const { startedAtMs, synchronousReplicas } = this.options;
+        const stopped = [...this.databases.values()].filter(database => database.stopped);
+        const missingCount = this.databases.size - stopped.length;
+        const best = this.mostAdvanced(stopped);
+        if (best === undefined || this.awaitsStepDown(nowMs)) {
+            return this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (!this.options.synchronous) {
-            const hasWaited = nowMs - this.options.startedAtMs >= retryDelayMs;
-            return stopped.length === replicas.length || hasWaited ? best.report.databaseId : undefined;
+        if (synchronousReplicas === 0) {
+            const hasWaited = nowMs - startedAtMs >= retryDelayMs;
+            return missingCount <= 1 || hasWaited ? best.databaseId : this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (stopped.length === replicas.length) {
-            return best.report.databaseId;
+        // An acknowledged commit is on the primary and on `synchronousReplicas` others, so on one of those that stopped.
+        if (missingCount <= synchronousReplicas) {
+            return this.chooseOrderedOr(best, stopped, nowMs);
         }
-        const isWaiting = nowMs - this.options.startedAtMs < replicaWaitMs;
-        return isWaiting || !this.commitsAreBlocked() || !this.holdsAcknowledgedCommits(best)
-            ? undefined
-            : best.report.databaseId;
+        if (nowMs - startedAtMs < replicaWaitMs) {
+            return this.waitFor(PromotionWait.DatabasesToStop);
+        }
+        if (!this.commitsAreBlocked()) {
+            return this.waitFor(PromotionWait.CommitsToBeBlocked);
+        }
+        if (this.awaitedWitnesses().length > 0) {
+            return this.waitFor(PromotionWait.CommitWitnesses);
+        }
+        return this.holdsReportedCommits(best) ? best.databaseId : this.waitFor(PromotionWait.DatabaseWithLastCommit);
+    }
+
+    /**
+     * The database of an earlier order that may still be executed, if it holds all acknowledged commits, or else `best`.
+     * Commits that only `best` has were not acknowledged if no instance reports them.
+     */
+    private chooseOrderedOr(
+        best: FencedDatabase,
+        stopped: readonly FencedDatabase[],
+        nowMs: number,
+    ): string | undefined {
+        const ordered = stopped.find(({ databaseId }) => databaseId === this.options.preferredDatabaseId);
+        if (ordered === undefined || ordered === best) {
+            return best.databaseId;
+        }
+        if (this.awaitedWitnesses().length > 0) {
+            const canWait = nowMs - this.options.startedAtMs < 2 * replicaWaitMs;
+            return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : best.databaseId;
+        }
+        return (this.holdsReportedCommits(ordered) ? ordered : best).databaseId;
+    }
+
+    /** In a planned change, whether the primary still has time to step down before the replicas are paused. */
+    private awaitsStepDown(nowMs: number): boolean {
+        const { planned, primaryKeepsLead, startedAtMs } = this.options;
+        return planned && !primaryKeepsLead && this.orderedDatabaseId === undefined
+            && nowMs - startedAtMs < replicaWaitMs;
+    }
+
+    private waitFor(wait: PromotionWait): undefined {
+        this.wait = wait;
+        return undefined;
     }
 
     /** Whether no commit can be acknowledged: the primary is gone, or every replica has stopped or is gone. */
     private commitsAreBlocked(): boolean {
-        const primary = this.databases.get(this.options.primaryId ?? "");
-        return primary === undefined || primary.hasNoListener || primary.stopped
-            || this.replicas().every(database => database.stopped || database.hasNoListener);
+        const databases = [...this.databases.values()];
+        const primary = databases.find(database => this.isPrimary(database));
+        return primary !== undefined && isDown(primary)
+            || databases.filter(database => database !== primary).every(isDown);
     }
 
     /** Discards the answers of instances once commits can be acknowledged again. */
@@ -319,20 +369,26 @@
         }
     }
 
-    /** Whether every instance has reported its highest acknowledged commit, and the database holds all of them. */
-    private holdsAcknowledgedCommits({ status }: DatabaseState): boolean {
+    /** Whether the database holds all commits that instances have seen acknowledged. */
+    private holdsReportedCommits({ receivedPosition }: FencedDatabase): boolean {
         const reports = [...this.commitReports.values()];
-        const allAnswered = [...this.requiredInstances].every(instanceId => this.commitReports.has(instanceId));
-        return allAnswered && reports.every(commitReport => coversEarlierProcesses(commitReport, reports))
-            && reports.every(({ highest }) => highest === undefined || hasReached(status!.receivedPosition, highest));
+        return reports.every(({ highest, watchedFromMs }) => highest !== undefined || this.isCovered(watchedFromMs))
+            && reports.every(({ highest }) => highest === undefined || hasReached(receivedPosition!, highest));
+    }
+
+    /**
+     * Whether an instance has reported a commit that was sent at `sinceMs` or later. Its position is higher than those of
+     * all commits that processes which had ended by then, or had lost their right to send commits, saw acknowledged.
+     */
+    private isCovered(sinceMs: number): boolean {
+        return [...this.commitReports.values()].some(({ sentAtMs }) => sentAtMs !== undefined && sentAtMs >= sinceMs);
     }
 
     /**
      * Asks the instances for their acknowledged commits once commits are blocked; asks again those that do not answer.
      */
     private askForCommits(nowMs: number): readonly Message[] {
-        const { service, servingByAttachment, startedAtMs } = this.options;
-        servingByAttachment.forEach(({ instanceId }) => this.requiredInstances.add(instanceId));
+        const { service, witnesses, startedAtMs } = this.options;
         if (
             nowMs - startedAtMs < replicaWaitMs || !this.commitsAreBlocked()
             || nowMs - (this.lastQuestionAtMs ?? -Infinity) < questionRetryMs
@@ -343,7 +399,7 @@
             this.roundStartedAtMs = nowMs;
         }
         this.lastQuestionAtMs = nowMs;
-        return [...servingByAttachment].filter(([, { instanceId }]) => !this.commitReports.has(instanceId))
+        return [...witnesses.serving].filter(([, { instanceId }]) => !this.commitReports.has(instanceId))
             .map(([attachmentId]): SendFrame => ({
                 kind: FleetKind.SendFrame,
                 attachmentId,
@@ -358,51 +414,50 @@
 
     /** A replica that has caught up with the primary, or the primary itself if none catches up in time. */
     private chooseCaughtUpReplica(nowMs: number): string | undefined {
-        const reached = this.replicas().filter(({ status }) =>
-            status !== undefined && hasReached(status.receivedPosition, this.finalPosition!)
+        const others = [...this.databases.values()].filter(database => !this.isPrimary(database));
+        const ready = this.mostAdvanced(
+            others.filter(({ member, receivedPosition }) =>
+                member.isReady && receivedPosition !== undefined && hasReached(receivedPosition, this.finalPosition!)
+            ),
         );
-        const ready = reached.find(({ report }) => report.state === ReportedState.Ready);
-        if (ready !== undefined) {
-            return ready.report.databaseId;
+        const { preferredDatabaseId } = this.options;
+        const isPreferred = !others.some(({ databaseId }) => databaseId === preferredDatabaseId)
+            || ready?.databaseId === preferredDatabaseId;
+        const hasWaited = nowMs - this.steppedDownAtMs >= catchUpTimeoutMs;
+        if (ready !== undefined && (isPreferred || hasWaited)) {
+            return ready.databaseId;
+        }
+        if (!hasWaited) {
+            return this.waitFor(PromotionWait.CatchUp);
+        }
+        const primary = [...this.databases.values()].find(database => this.isPrimary(database));
+        if (primary?.stopped === true) {
+            return primary.databaseId;
         }
-        return nowMs - this.steppedDownAtMs < catchUpTimeoutMs ? undefined : this.options.primaryId;
+        // The primary was lost before a replica had caught up: the replicas stop, as without a planned change.
+        this.finalPosition = undefined;
+        return this.waitFor(PromotionWait.DatabasesToStop);
     }
 
-    private replicas(): readonly DatabaseState[] {
-        return [...this.databases.values()].filter(database => !this.isPrimary(database));
+    /** The database with the highest position; among equals, the preferred one, or else one that is not draining. */
+    private mostAdvanced(databases: readonly FencedDatabase[]): FencedDatabase | undefined {
+        const preference = ({ member }: FencedDatabase): number =>
+            Number(member.isReady) + 2 * Number(member.databaseId === this.options.preferredDatabaseId);
+        return [...databases].sort((left, right) =>
+            comparePositions(right.receivedPosition!, left.receivedPosition!) || preference(right) - preference(left)
+        )[0];
     }
 
-    private isPrimary({ report }: DatabaseState): boolean {
-        return report.databaseId === this.options.primaryId;
+    private isPrimary({ member }: FencedDatabase): boolean {
+        return member.address === this.primaryAddress;
     }
 
-    private databaseOfLink(linkId: string): DatabaseState | undefined {
-        return [...this.databases.values()].find(database => database.linkId === linkId);
+    private databaseOfLink(linkId: string): FencedDatabase | undefined {
+        return [...this.databases.values()].find(database => database.owns(linkId));
     }
 }
 
-/**
- * Whether a report also covers earlier processes of the same instance, whose acknowledgements the current process does
- * not know. Those processes ended before the current one started, so every commit that any instance sent after its
- * start has a higher position than the commits that they saw.
- */
-function coversEarlierProcesses({ highest, watchedFromMs }: CommitReport, reports: readonly CommitReport[]): boolean {
-    return highest !== undefined || reports.some(({ sentAtMs }) => sentAtMs !== undefined && sentAtMs >= watchedFromMs);
-}
-
-/** The database with the highest position; among equals, preferably one that is not draining. */
-function mostAdvanced(databases: readonly DatabaseState[]): DatabaseState | undefined {
-    return [...databases].sort((left, right) => {
-        const later = hasReached(left.status!.receivedPosition, right.status!.receivedPosition);
-        const earlier = hasReached(right.status!.receivedPosition, left.status!.receivedPosition);
-        if (later && earlier) {
-            return Number(right.report.state === ReportedState.Ready)
-                - Number(left.report.state === ReportedState.Ready);
-        }
-        return later ? -1 : 1;
-    })[0];
-}
-
-function sendCommand(linkId: string, command: LinkCommand): Message {
-    return { kind: LinkKind.Send, linkId, commands: [command] } as Message;
+/** Whether a database neither confirms nor acknowledges commits, as far as its machine answers. */
+function isDown({ stopped, hasNoListener }: FencedDatabase): boolean {
+    return stopped || hasNoListener;
 }
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -26,14 +26,26 @@
             const head = configuration.documentHeads[0] ?? emptyDocument;
             this.policy = this.decoder.decode({ ...head, entries: configuration.documentEntries });
         }
-        else if (configuration.promotions === before.promotions) {
+        else if (
+            configuration.promotions === before.promotions
+            || isEqual(promotedDatabases(configuration), promotedDatabases(before))
+        ) {
             return [message];
         }
-        const promoted = new Map(
-            configuration.promotions.filter(({ databaseId }) => databaseId !== "")
-                .map(({ service, databaseId }) => [service, databaseId]),
-        );
+        const promoted = promotedDatabases(configuration);
         const { policy } = this;
         return [message, { kind: FleetKind.PolicyApplied, policy, confirmed: false, promoted } as PolicyApplied];
     }
 }
+
+/** The database that each service's last order made the primary, or is about to. */
+function promotedDatabases({ promotions }: Configuration): ReadonlyMap<string, string> {
+    const databases = promotions.map(({ service, databaseId, orderedDatabaseId }) =>
+        [service, orderedDatabaseId || databaseId] as const
+    );
+    return new Map(databases.filter(([, databaseId]) => databaseId !== ""));
+}
+
+function isEqual(left: ReadonlyMap<string, string>, right: ReadonlyMap<string, string>): boolean {
+    return left.size === right.size && [...left].every(([key, value]) => right.get(key) === value);
+}
--- /dev/null
+++ b/src/fleet/promotionRecorder.ts
@@ -0,0 +1,72 @@
+/**
+ * Proposes changes of what the replicated state records for promotions: the databases of each service, and the instances
+ * that may have passed on acknowledgements.
+ */
+import { CommandKind, ControlKind, type ControlPropose } from "../model/controlMessages.ts";
+import type { DatabaseReport } from "../model/fleetMessages.ts";
+import { promotionOf, type PromotionRecord } from "../model/promotion.ts";
+import type { CommitWitnesses } from "./commitWitnesses.ts";
+import { isSameElectorate, updateElectorate } from "./electorate.ts";
+
+/** Time after which a proposal without a result is repeated. */
+const proposalTimeoutMs = 5_000;
+
+const witnessesSubject = "witnesses";
+
+interface PendingProposal {
+    readonly subject: string;
+    readonly proposedAtMs: number;
+}
+
+export class PromotionRecorder {
+    /** At most one proposal for each service and one for the instances, by proposal id. */
+    private readonly pending = new Map<string, PendingProposal>();
+    private nextProposal = 0;
+
+    reset(): void {
+        this.pending.clear();
+    }
+
+    /** @returns whether the proposal was one of this object */
+    endProposal(proposalId: string): boolean {
+        return this.pending.delete(proposalId);
+    }
+
+    recordDatabases(
+        records: readonly PromotionRecord[],
+        reports: readonly DatabaseReport[],
+        nowMs: number,
+    ): readonly ControlPropose[] {
+        const services = [...new Set(reports.map(({ service }) => service))];
+        return services.flatMap(service => {
+            const recorded = promotionOf(records, service).databases;
+            const databases = updateElectorate(recorded, reports.filter(report => report.service === service));
+            return isSameElectorate(recorded, databases)
+                ? []
+                : this.propose(
+                    `databases/${service}`,
+                    { kind: CommandKind.RecordDatabases, service, databases },
+                    nowMs,
+                );
+        });
+    }
+
+    recordWitnesses(witnesses: CommitWitnesses, nowMs: number): readonly ControlPropose[] {
+        const added = witnesses.unrecorded();
+        const removed = witnesses.retired(nowMs);
+        return added.length === 0 && removed.length === 0
+            ? []
+            : this.propose(witnessesSubject, { kind: CommandKind.RecordCommitWitnesses, added, removed }, nowMs);
+    }
+
+    private propose(subject: string, command: ControlPropose["command"], nowMs: number): readonly ControlPropose[] {
+        const known = [...this.pending].find(([, pending]) => pending.subject === subject);
+        if (known !== undefined && nowMs - known[1].proposedAtMs < proposalTimeoutMs) {
+            return [];
+        }
+        this.pending.delete(known?.[0] ?? "");
+        const proposalId = `promotion_record/${subject}/${this.nextProposal++}`;
+        this.pending.set(proposalId, { subject, proposedAtMs: nowMs });
+        return [{ kind: ControlKind.Propose, proposalId, operationId: "", command }];
+    }
+}
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -13,12 +13,14 @@
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import { LinkKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
-import type { PromotionRecord } from "../model/promotion.ts";
+import { type CommitWitness, promotionOf, type PromotionRecord } from "../model/promotion.ts";
 import { type PromotionDue, PromotionKind, type PromotionOrdered } from "../model/promotionMessages.ts";
 import type { ServicePolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { CommitWitnesses } from "./commitWitnesses.ts";
+import { PromotionRecorder } from "./promotionRecorder.ts";
 import { ServicePromotion } from "./servicePromotion.ts";
 
 /** Interval at which services are checked while no change of primary is in progress. */
@@ -49,17 +51,12 @@
     lastReportAtMs: number;
 }
 
-/** An attached instance that serves callers. */
-export interface ServingInstance {
-    readonly instanceId: string;
-    readonly attachedAtMs: number;
-}
-
 /** The state of the fleet that the promotion of one service depends on. */
 export interface FleetView {
     readonly databases: ReadonlyMap<string, PromotionCandidate>;
-    /** Instances that serve callers, by attachment id. */
-    readonly servingByAttachment: ReadonlyMap<string, ServingInstance>;
+    /** Databases that were removed from the directory. */
+    readonly departedDatabases: ReadonlySet<string>;
+    readonly witnesses: CommitWitnesses;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
     /** Time at which this member became the leader. */
@@ -91,7 +88,9 @@
         PromotionKind.Due,
     ];
     private readonly databases = new Map<string, PromotionCandidate>();
-    private readonly servingByAttachment = new Map<string, ServingInstance>();
+    private readonly departedDatabases = new Set<string>();
+    private readonly witnesses = new CommitWitnesses();
+    private readonly recorder = new PromotionRecorder();
     private readonly services = new Map<string, ServicePromotion>();
     private policies: ReadonlyMap<string, ServicePolicy> = new Map();
     private records: readonly PromotionRecord[] = [];
@@ -109,8 +108,8 @@
             .with({ kind: ControlKind.LeaderChanged }, matched => [matched, ...this.changeLeader(matched, nowMs)])
             .with({ kind: ControlKind.ProposalEnded }, matched => this.endProposal(matched, nowMs))
             .with({ kind: ClusterKind.ConfigurationApplied }, matched => {
-                this.records = matched.configuration.promotions;
-                return [matched];
+                const { promotions, commitWitnesses } = matched.configuration;
+                return [matched, ...this.applyRecords(promotions, commitWitnesses, nowMs)];
             })
             .with({ kind: FleetKind.PolicyApplied }, matched => {
                 this.policies = matched.policy.services;
@@ -126,10 +125,11 @@
             .with({ kind: FleetKind.DatabaseChanged }, matched => this.applyReport(matched, nowMs))
             .with({ kind: FleetKind.DatabaseRemoved }, matched => {
                 this.databases.delete(matched.databaseId);
+                this.departedDatabases.add(matched.databaseId);
                 return [];
             })
             .with({ kind: FleetKind.Detached }, matched => {
-                this.servingByAttachment.delete(matched.attachmentId);
+                this.witnesses.detach(matched.attachmentId, nowMs);
                 return [matched];
             })
             .with({ kind: FleetKind.FrameReceived }, matched => [matched, ...this.receive(matched, nowMs)])
@@ -152,6 +152,8 @@
     private changeLeader({ leading }: ControlLeaderChanged, nowMs: number): readonly Message[] {
         this.leading = leading;
         this.leadingSinceMs = nowMs;
+        this.recorder.reset();
+        this.witnesses.startLeading(nowMs);
         const closed = [...this.services.values()].flatMap(service => service.dispose());
         this.services.clear();
         return leading ? [...closed, this.timer(nowMs, steadyTickMs)] : [...closed, clearDeadline("promotion")];
@@ -161,25 +163,29 @@
         if (!this.leading) {
             return [];
         }
-        const names = new Set([...this.databases.values()].map(({ report }) => report.service));
-        const messages = [...names].filter(name => this.policies.has(name))
-            .flatMap(name => this.serviceOf(name).tick(this.recordOf(name), nowMs));
+        const reported = [...this.databases.values()].map(({ report }) => report.service);
+        const open = this.records.filter(record => record.open).map(({ service }) => service);
+        const messages = [...new Set([...reported, ...open])].filter(name => this.policies.has(name))
+            .flatMap(name => this.serviceOf(name).tick(nowMs));
         const active = [...this.services.values()].some(service => service.isActive);
-        return [...messages, this.timer(nowMs, active ? activeTickMs : steadyTickMs)];
+        return [...this.record(nowMs), ...messages, this.timer(nowMs, active ? activeTickMs : steadyTickMs)];
     }
 
     private applyReport({ report }: DatabaseChanged, nowMs: number): readonly Message[] {
         this.databases.set(report.databaseId, { report, lastReportAtMs: nowMs });
+        this.departedDatabases.delete(report.databaseId);
+        if (!this.leading || !this.policies.has(report.service)) {
+            return [];
+        }
         // The service is checked at once, because a primary that reports its shutdown is replaced without delay.
-        return this.leading && this.policies.has(report.service)
-            ? this.withTimer(this.serviceOf(report.service).tick(this.recordOf(report.service), nowMs), nowMs)
-            : [];
+        const checked = this.withTimer(this.serviceOf(report.service).tick(nowMs), nowMs);
+        return [...this.record(nowMs), ...checked];
     }
 
     private receive({ attachmentId, frame }: FrameReceived, nowMs: number): readonly Message[] {
         if (frame.kind === "hello" && frame.serves) {
-            this.servingByAttachment.set(attachmentId, { instanceId: frame.instanceId, attachedAtMs: nowMs });
-            return [];
+            this.witnesses.attach(attachmentId, frame.instanceId, nowMs);
+            return this.leading ? this.record(nowMs) : [];
         }
         if (!this.leading) {
             return [];
@@ -199,12 +205,35 @@
         }
         const promotion = this.serviceOf(service);
         const messages = frame.kind === "suspect"
-            ? promotion.suspect(frame.databaseId, this.recordOf(service), nowMs)
+            ? promotion.suspect(frame.databaseId, nowMs)
             : promotion.assessmentReceived(attachmentId, frame);
         return this.withTimer(messages, nowMs);
     }
 
+    private applyRecords(
+        records: readonly PromotionRecord[],
+        commitWitnesses: readonly CommitWitness[],
+        nowMs: number,
+    ): readonly Message[] {
+        this.records = records;
+        this.witnesses.setRecorded(commitWitnesses, nowMs);
+        return this.leading ? this.record(nowMs) : [];
+    }
+
+    /** Records databases and instances that joined. */
+    private record(nowMs: number): readonly Message[] {
+        const reports = [...this.databases.values()].map(({ report }) => report)
+            .filter(({ service }) => this.policies.has(service));
+        return [
+            ...this.recorder.recordDatabases(this.records, reports, nowMs),
+            ...this.recorder.recordWitnesses(this.witnesses, nowMs),
+        ];
+    }
+
     private endProposal(ended: ControlProposalEnded, nowMs: number): readonly Message[] {
+        if (this.recorder.endProposal(ended.proposalId)) {
+            return this.record(nowMs);
+        }
         const owner = [...this.services.values()].find(service => service.ownsProposal(ended.proposalId));
         return owner === undefined ? [ended] : this.withTimer(owner.proposalEnded(ended, nowMs), nowMs);
     }
@@ -220,21 +249,19 @@
         }
         const fleet: FleetView = {
             databases: this.databases,
-            servingByAttachment: this.servingByAttachment,
+            departedDatabases: this.departedDatabases,
+            witnesses: this.witnesses,
             reportIntervalMs: this.reportIntervalMs,
             leadingSinceMs: this.leadingSinceMs,
             nextLinkId: () => `m${this.nextLinkNumber++}`,
         };
         const synchronousReplicas = (): number => this.policies.get(name)?.synchronousReplicas ?? 0;
-        const service = new ServicePromotion({ service: name, fleet, synchronousReplicas });
+        const record = (): PromotionRecord => promotionOf(this.records, name);
+        const service = new ServicePromotion({ service: name, fleet, synchronousReplicas, record });
         this.services.set(name, service);
         return service;
     }
 
-    private recordOf(service: string): PromotionRecord | undefined {
-        return this.records.find(record => record.service === service);
-    }
-
     private withTimer(messages: readonly Message[], nowMs: number): readonly Message[] {
         return messages.length === 0 ? messages : [...messages, this.timer(nowMs, activeTickMs)];
     }
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -1,7 +1,8 @@
 /**
  * Changes the primary of one service. Before a database is promoted, it must be impossible that a commit which the
  * database lacks is acknowledged: either the primary has stepped down and the chosen replica has caught up with it, or
- * every replica that could confirm a commit has stopped receiving and the one with the highest position is chosen.
+ * every replica that could confirm a commit has stopped receiving and the one with the highest position is chosen. The
+ * databases stay stopped until one of them is seen to lead, because an order without an answer may still be executed.
  */
 import {
     CommandKind,
@@ -10,12 +11,20 @@
     type ControlPropose,
     ProposalStatus,
 } from "../model/controlMessages.ts";
-import { type CommitsSeenFrame, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
+import { type CommitsSeenFrame, type DatabaseReport, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { PromotionRecord } from "../model/promotion.ts";
-import { OrderResult, PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
+import {
+    OrderResult,
+    PromotionKind,
+    type PromotionOrder,
+    type PromotionOrdered,
+    type PromotionProgressed,
+    type PromotionWait,
+} from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
+import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
 import type { FleetView } from "./promotions.ts";
 
@@ -26,6 +35,9 @@
     Assessing: "assessing",
     Reserving: "reserving",
     Fencing: "fencing",
+    /** The order is being recorded, so that a new leader knows of it. */
+    Recording: "recording",
+    /** The order was sent, and no database has been seen to lead since. */
     Ordering: "ordering",
     Completing: "completing",
     /** The new primary takes over and is not suspected yet. */
@@ -36,19 +48,29 @@
 /** Number of missed report intervals after which a primary is suspected even if no instance reports a failure. */
 const missedReportLimit = 2.3;
 
-/** Time that a new primary has to take over before it may be suspected; longer than a promotion takes. */
-const settleTimeMs = 1_800;
+/** Time that a new primary has to take over before it may be suspected. */
+const settleTimeMs = 1_200;
+
+/** Time after which an order is repeated to which the platform gave no answer. */
+const orderRetryMs = 1_200;
+
+/** Time after which an accepted order is repeated if the database does not lead yet; longer than a promotion takes. */
+const takeOverLimitMs = 3_000;
 
-/** Time after which an unanswered order is repeated with a higher fence. */
-const orderTimeoutMs = 1_200;
+/** Time after which a command to the replicated state is proposed again. */
+const proposalTimeoutMs = 5_000;
 
 /** Time that databases have to report to a new leader before a primary without reports counts as lost. */
 const newLeaderGraceMs = 3_000;
 
+/** Interval of log lines while a promotion waits. */
+const progressIntervalMs = 1_000;
+
 export interface ServicePromotionOptions {
     readonly service: string;
     readonly fleet: FleetView;
     synchronousReplicas(): number;
+    record(): PromotionRecord;
 }
 
 export class ServicePromotion {
@@ -59,11 +81,20 @@
     private fencing: Fencing | undefined;
     private fence = 0;
     private chosenDatabaseId = "";
+    /** Primary at the start of the fencing. */
+    private replacedDatabaseId: string | undefined;
+    private orderDueMs = 0;
+    /** Calls to the platform with the current fence, and those of them that were answered. */
+    private sentOrders = 0;
+    private answeredOrders = 0;
     /** The primary shuts down by itself and is reachable. */
     private planned = false;
     private proposalId = "";
+    private proposedCommand: ControlPropose["command"] | undefined;
     private nextProposal = 0;
     private lastAssessedAtMs = -Infinity;
+    private lastProgressAtMs = -Infinity;
+    private lastWait: PromotionWait | undefined;
 
     constructor(options: ServicePromotionOptions) {
         this.options = options;
@@ -87,26 +118,27 @@
         return messages;
     }
 
-    tick(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+    tick(nowMs: number): readonly Message[] {
+        const elapsedMs = nowMs - this.phaseSinceMs;
         switch (this.phase) {
             case Phase.Steady:
-                return this.checkPrimary(record, nowMs);
+                return this.checkPrimary(nowMs);
             case Phase.Assessing:
-                return this.concludeAssessment(record, nowMs);
+                return this.concludeAssessment(nowMs);
             case Phase.Fencing:
                 return this.continueFencing(nowMs);
             case Phase.Ordering:
-                return nowMs - this.phaseSinceMs < orderTimeoutMs ? [] : this.reserve(this.fence, nowMs);
+                return this.continueOrdering(nowMs);
             case Phase.Settling:
-                return nowMs - this.phaseSinceMs < settleTimeMs ? [] : this.enter(Phase.Steady, nowMs);
+                return elapsedMs < settleTimeMs ? [] : this.enter(Phase.Steady, nowMs);
             default:
-                return [];
+                return this.continueProposing(nowMs);
         }
     }
 
     /** An instance reported that a database does not answer. */
-    suspect(databaseId: string, record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
-        return this.phase === Phase.Steady && databaseId === this.primary(record) && this.mayAssess(nowMs)
+    suspect(databaseId: string, nowMs: number): readonly Message[] {
+        return this.phase === Phase.Steady && databaseId === this.primary() && this.mayAssess(nowMs)
             ? this.assess(databaseId, nowMs)
             : [];
     }
@@ -119,7 +151,7 @@
     /** An instance reported the commits that it has seen acknowledged. */
     commitsSeenReceived(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): readonly Message[] {
         this.fencing?.recordCommitsSeen(attachmentId, frame, nowMs);
-        return this.phase === Phase.Fencing ? this.continueFencing(nowMs) : [];
+        return this.afterLinkEvent(nowMs);
     }
 
     linkOpened(message: LinkOpened, nowMs: number): readonly Message[] {
@@ -131,13 +163,12 @@
             ...this.assessment?.linkReplied(message) ?? [],
             ...this.fencing?.linkReplied(message, nowMs) ?? [],
         ];
-        return [...sent, ...this.phase === Phase.Fencing ? this.continueFencing(nowMs) : []];
+        return [...sent, ...this.afterLinkEvent(nowMs)];
     }
 
     linkLost(message: LinkLost, nowMs: number): readonly Message[] {
         this.assessment?.linkLost(message);
-        const sent = this.fencing?.linkLost(message, nowMs) ?? [];
-        return [...sent, ...this.phase === Phase.Fencing ? this.continueFencing(nowMs) : []];
+        return [...this.fencing?.linkLost(message, nowMs) ?? [], ...this.afterLinkEvent(nowMs)];
     }
 
     proposalEnded({ status, version }: ControlProposalEnded, nowMs: number): readonly Message[] {
@@ -145,43 +176,51 @@
         if (this.phase === Phase.Completing) {
             return this.enter(Phase.Settling, nowMs);
         }
-        if (this.phase !== Phase.Reserving) {
-            return [];
-        }
         if (status === ProposalStatus.Conflict) {
             return this.reserve(version, nowMs);
         }
         if (status !== ProposalStatus.Applied) {
-            return this.enter(Phase.Steady, nowMs);
+            return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
+        }
+        if (this.phase === Phase.Recording) {
+            return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
         this.fence = version;
         return this.startFencing(nowMs);
     }
 
-    promotionOrdered({ fence, result, databaseId }: PromotionOrdered, nowMs: number): readonly Message[] {
+    promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
         if (this.phase !== Phase.Ordering || fence !== this.fence) {
             return [];
         }
-        return result === OrderResult.Accepted ? this.complete(databaseId, nowMs) : this.reserve(this.fence, nowMs);
+        if (result === OrderResult.Refused) {
+            return this.reserve(this.fence, nowMs);
+        }
+        if (result === OrderResult.Accepted) {
+            this.answeredOrders++;
+            this.orderDueMs = nowMs + takeOverLimitMs;
+        }
+        return [];
     }
 
-    private checkPrimary(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+    private checkPrimary(nowMs: number): readonly Message[] {
         const { fleet } = this.options;
-        if (record?.open === true) {
+        const record = this.options.record();
+        if (record.open) {
             // A previous leader may have stopped replicas or sent an order.
             return this.reserve(record.fence, nowMs);
         }
-        const primaryId = this.primary(record);
+        const primaryId = this.primary();
         const primary = primaryId === undefined ? undefined : fleet.databases.get(primaryId);
         if (primary === undefined) {
             return nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.otherDatabases(undefined).length === 0
                 ? []
-                : this.reserve(record?.fence ?? 0, nowMs);
+                : this.reserve(record.fence, nowMs);
         }
         if (primary.report.state === ReportedState.Draining) {
             const successors = this.otherDatabases(primaryId).filter(id => this.isReady(id));
             this.planned = true;
-            return successors.length === 0 ? [] : this.reserve(record?.fence ?? 0, nowMs);
+            return successors.length === 0 ? [] : this.reserve(record.fence, nowMs);
         }
         const isSilent = nowMs - primary.lastReportAtMs > missedReportLimit * fleet.reportIntervalMs
             && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
@@ -192,14 +231,15 @@
      * The database that claims to be the primary; of several, the last promoted one, or else the one that reported
      * last.
      */
-    private primary(record: PromotionRecord | undefined): string | undefined {
-        const claimants = [...this.options.fleet.databases.values()].filter(({ report }) =>
+    private primary(): string | undefined {
+        const { databaseId } = this.options.record();
+        const { databases } = this.options.fleet;
+        const claimants = [...databases.values()].filter(({ report }) =>
             report.service === this.options.service && report.leads
         );
-        const named = claimants.find(({ report }) => report.databaseId === record?.databaseId);
+        const named = claimants.find(({ report }) => report.databaseId === databaseId);
         const newest = claimants.sort((left, right) => right.lastReportAtMs - left.lastReportAtMs)[0];
-        const known = record !== undefined && this.options.fleet.databases.has(record.databaseId);
-        return (named ?? newest)?.report.databaseId ?? (known ? record.databaseId : undefined);
+        return (named ?? newest)?.report.databaseId ?? (databases.has(databaseId) ? databaseId : undefined);
     }
 
     private mayAssess(nowMs: number): boolean {
@@ -211,10 +251,13 @@
         this.lastAssessedAtMs = nowMs;
         this.planned = false;
         this.assessment = new Assessment(fleet.databases.get(databaseId)!.report, fleet.nextLinkId());
-        return [...this.enter(Phase.Assessing, nowMs), ...this.assessment.open([...fleet.servingByAttachment.keys()])];
+        return [
+            ...this.enter(Phase.Assessing, nowMs),
+            ...this.assessment.open([...fleet.witnesses.serving.keys()]),
+        ];
     }
 
-    private concludeAssessment(record: PromotionRecord | undefined, nowMs: number): readonly Message[] {
+    private concludeAssessment(nowMs: number): readonly Message[] {
         const shouldReplace = this.assessment!.shouldReplace(nowMs - this.phaseSinceMs);
         if (shouldReplace === undefined) {
             return [];
@@ -222,78 +265,193 @@
         const closed = this.assessment!.close();
         this.assessment = undefined;
         return shouldReplace
-            ? [...closed, ...this.reserve(record?.fence ?? 0, nowMs)]
+            ? [...closed, ...this.reserve(this.options.record().fence, nowMs)]
             : [...closed, ...this.enter(Phase.Steady, nowMs)];
     }
 
     private reserve(expectedFence: number, nowMs: number): readonly Message[] {
-        const closed = this.fencing?.close() ?? [];
-        this.fencing = undefined;
         const command = { kind: CommandKind.ReservePromotion, service: this.options.service, expectedFence };
-        return [...closed, ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
+        return [...this.closeFencing(), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
     }
 
     private startFencing(nowMs: number): readonly Message[] {
         const { fleet, service, synchronousReplicas } = this.options;
-        const primaryId = this.primary(undefined);
-        const reports = [...fleet.databases.values()].map(({ report }) => report)
-            .filter(report => report.service === service);
+        const { databaseId, orderedDatabaseId, orderPending } = this.options.record();
+        const primaryId = this.primary();
+        // A database that leads because an earlier order was executed is not replaced.
+        this.replacedDatabaseId = primaryId === orderedDatabaseId ? undefined : primaryId;
         this.fencing = new Fencing({
             service,
             fence: this.fence,
-            reports,
-            primaryId,
+            members: () => this.members(),
+            primaryId: this.replacedDatabaseId,
+            preferredDatabaseId: orderedDatabaseId,
+            primaryKeepsLead: orderPending && primaryId === databaseId && synchronousReplicas() > 0,
             planned: this.planned,
-            synchronous: synchronousReplicas() > 0,
-            servingByAttachment: fleet.servingByAttachment,
+            synchronousReplicas: synchronousReplicas(),
+            witnesses: fleet.witnesses,
             nextLinkId: () => fleet.nextLinkId(),
             startedAtMs: nowMs,
         });
         this.planned = false;
+        this.sentOrders = 0;
+        this.answeredOrders = 0;
         return [...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
     }
 
+    private members(): readonly ElectorateMember[] {
+        return electorateMembers(this.options.record().databases, this.reports());
+    }
+
+    private reports(): readonly DatabaseReport[] {
+        return [...this.options.fleet.databases.values()].map(({ report }) => report)
+            .filter(({ service }) => service === this.options.service);
+    }
+
+    /** A link changed, or an instance answered: a decision may be possible before the next tick. */
+    private afterLinkEvent(nowMs: number): readonly Message[] {
+        switch (this.phase) {
+            case Phase.Fencing:
+                return this.continueFencing(nowMs);
+            case Phase.Ordering:
+                return this.continueOrdering(nowMs);
+            default:
+                return [];
+        }
+    }
+
     private continueFencing(nowMs: number): readonly Message[] {
-        const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
+        const { messages, chosenDatabaseId, alreadyLeads, wait } = this.fencing!.decide(nowMs);
         if (chosenDatabaseId === undefined) {
-            return messages;
+            return [...messages, ...this.reportWait(wait, nowMs)];
         }
         this.chosenDatabaseId = chosenDatabaseId;
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId, nowMs)];
         }
+        this.fencing!.orderSent(chosenDatabaseId);
+        const command = {
+            kind: CommandKind.RecordPromotionOrder,
+            service: this.options.service,
+            fence: this.fence,
+            databaseId: chosenDatabaseId,
+        };
+        return [...messages, ...this.enter(Phase.Recording, nowMs), this.propose(command)];
+    }
+
+    /**
+     * Waits until a database leads. The same order is repeated while that isn't seen: another database must not be
+     * ordered to lead while this order may still be executed.
+     */
+    private continueOrdering(nowMs: number): readonly Message[] {
+        const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
+        if (alreadyLeads) {
+            return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
+        }
+        if (this.reportsLead()) {
+            return [...messages, ...this.complete(this.chosenDatabaseId, nowMs)];
+        }
+        if (!this.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
+            // The process that was ordered to lead is gone, and the platform refuses orders for it.
+            return [...messages, ...this.reserve(this.fence, nowMs)];
+        }
+        return nowMs < this.orderDueMs ? messages : [...messages, ...this.order(nowMs)];
+    }
+
+    private reportsLead(): boolean {
+        return this.chosenDatabaseId !== this.replacedDatabaseId
+            && this.options.fleet.databases.get(this.chosenDatabaseId)?.report.leads === true;
+    }
+
+    private order(nowMs: number): readonly Message[] {
+        this.orderDueMs = nowMs + orderRetryMs;
+        this.sentOrders++;
         const order: PromotionOrder = {
             kind: PromotionKind.Order,
             service: this.options.service,
-            databaseId: chosenDatabaseId,
+            databaseId: this.chosenDatabaseId,
             fence: this.fence,
         };
-        return [...messages, ...this.enter(Phase.Ordering, nowMs), order];
+        return [order];
     }
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
         const released = this.fencing?.resumeAndClose() ?? [];
         this.fencing = undefined;
-        const { service } = this.options;
-        const command = { kind: CommandKind.CompletePromotion, service, fence: this.fence, databaseId };
+        this.chosenDatabaseId = databaseId;
+        const { service, fleet } = this.options;
+        const command = {
+            kind: CommandKind.CompletePromotion,
+            service,
+            fence: this.fence,
+            databaseId,
+            orderPending: this.mayOrderBeExecuted(),
+            departed: [...fleet.departedDatabases],
+        };
         return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
+    /** Whether the platform may still execute an order for the database that leads now. */
+    private mayOrderBeExecuted(): boolean {
+        const { orderPending, orderedDatabaseId } = this.options.record();
+        // The first answer to an order shows that the platform has seen its fence, and refuses those of earlier orders.
+        return this.sentOrders === 0 ? orderPending || orderedDatabaseId !== "" : this.answeredOrders < this.sentOrders;
+    }
+
     private propose(command: ControlPropose["command"]): ControlPropose {
+        this.proposedCommand = command;
         this.proposalId = `promotion/${this.options.service}/${this.nextProposal++}`;
         return { kind: ControlKind.Propose, proposalId: this.proposalId, operationId: "", command };
     }
 
+    /** Proposes a command again whose result was lost. A second reservation conflicts, and the others may be repeated. */
+    private continueProposing(nowMs: number): readonly Message[] {
+        const kept = this.fencing === undefined ? [] : this.fencing.decide(nowMs).messages;
+        if (nowMs - this.phaseSinceMs < proposalTimeoutMs) {
+            return kept;
+        }
+        return [...kept, ...this.enter(this.phase, nowMs), this.propose(this.proposedCommand!)];
+    }
+
+    private closeFencing(): readonly Message[] {
+        const closed = this.fencing?.close() ?? [];
+        this.fencing = undefined;
+        return closed;
+    }
+
     private enter(phase: Phase, nowMs: number): readonly Message[] {
         this.phase = phase;
         this.phaseSinceMs = nowMs;
-        return [];
+        this.lastWait = undefined;
+        const isRoutine = phase === Phase.Steady || phase === Phase.Assessing || phase === Phase.Settling;
+        return isRoutine ? [] : [this.progress(undefined, nowMs)];
+    }
+
+    private reportWait(wait: PromotionWait | undefined, nowMs: number): readonly Message[] {
+        if (wait === this.lastWait && nowMs - this.lastProgressAtMs < progressIntervalMs) {
+            return [];
+        }
+        this.lastWait = wait;
+        return [this.progress(wait, nowMs)];
+    }
+
+    private progress(wait: PromotionWait | undefined, nowMs: number): PromotionProgressed {
+        this.lastProgressAtMs = nowMs;
+        const choosing = this.phase === Phase.Reserving || this.phase === Phase.Fencing;
+        return {
+            kind: PromotionKind.Progressed,
+            service: this.options.service,
+            phase: this.phase,
+            fence: this.fence,
+            databaseId: choosing ? "" : this.chosenDatabaseId,
+            wait,
+            databases: this.fencing?.describeDatabases() ?? "",
+            awaitedInstances: this.fencing?.awaitedWitnesses() ?? [],
+        };
     }
 
     private otherDatabases(primaryId: string | undefined): readonly string[] {
-        return [...this.options.fleet.databases.values()]
-            .filter(({ report }) => report.service === this.options.service && report.databaseId !== primaryId)
-            .map(({ report }) => report.databaseId);
+        return this.reports().map(({ databaseId }) => databaseId).filter(databaseId => databaseId !== primaryId);
     }
 
     private isReady(databaseId: string): boolean {
--- a/src/model/configuration.ts
+++ b/src/model/configuration.ts
@@ -2,7 +2,7 @@
 import type { DatabaseGroup } from "./database.ts";
 import type { DocumentEntry, DocumentHead } from "./document.ts";
 import type { LeaseAssignment } from "./lease.ts";
-import type { PromotionRecord } from "./promotion.ts";
+import type { CommitWitness, PromotionRecord } from "./promotion.ts";
 import type { WorkClass } from "./workClass.ts";
 import type { CallerKey, OpenRoute, Workspace } from "./workspace.ts";
 
@@ -29,6 +29,7 @@
     readonly documentHeads: readonly DocumentHead[];
     readonly documentEntries: readonly DocumentEntry[];
     readonly promotions: readonly PromotionRecord[];
+    readonly commitWitnesses: readonly CommitWitness[];
 }
 
 /** The configuration of a new cluster. */
@@ -44,4 +45,5 @@
     documentHeads: [],
     documentEntries: [],
     promotions: [],
+    commitWitnesses: [],
 };
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -4,6 +4,7 @@
 import type { DatabaseGroup } from "./database.ts";
 import type { DocumentEntry, DocumentHead } from "./document.ts";
 import type { LeaseAssignment } from "./lease.ts";
+import type { RecordedDatabase } from "./promotion.ts";
 import type { WorkClass } from "./workClass.ts";
 import type { CallerKey, OpenRoute, Workspace } from "./workspace.ts";
 
@@ -40,6 +41,9 @@
     ReadBarrier: "read_barrier",
     ReservePromotion: "reserve_promotion",
     CompletePromotion: "complete_promotion",
+    RecordPromotionOrder: "record_promotion_order",
+    RecordDatabases: "record_databases",
+    RecordCommitWitnesses: "record_commit_witnesses",
 } as const;
 
 interface VersionedCommand {
@@ -139,6 +143,32 @@
     readonly service: string;
     readonly fence: number;
     readonly databaseId: string;
+    /** An order for the database had no answer, and may still be executed. */
+    readonly orderPending: boolean;
+    /** Databases that were removed from the directory; they no longer belong to the electorate of the service. */
+    readonly departed: readonly string[];
+}
+
+/** Records an order before it is sent; a conflict if a later promotion of the service has been reserved. */
+export interface RecordPromotionOrder {
+    readonly kind: typeof CommandKind.RecordPromotionOrder;
+    readonly service: string;
+    readonly fence: number;
+    readonly databaseId: string;
+}
+
+/** Replaces the electorate of a service. */
+export interface RecordDatabases {
+    readonly kind: typeof CommandKind.RecordDatabases;
+    readonly service: string;
+    readonly databases: readonly RecordedDatabase[];
+}
+
+/** Adds and removes instances that may have passed on acknowledgements. */
+export interface RecordCommitWitnesses {
+    readonly kind: typeof CommandKind.RecordCommitWitnesses;
+    readonly added: readonly string[];
+    readonly removed: readonly string[];
 }
 
 export type Command =
@@ -146,6 +176,9 @@
     | ReadBarrier
     | ReservePromotion
     | CompletePromotion
+    | RecordPromotionOrder
+    | RecordDatabases
+    | RecordCommitWitnesses
     | SetWorkClass
     | RemoveWorkClass
     | SetWorkspace
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -262,7 +262,7 @@
      * are not refused because the policy lacks an entry.
      */
     readonly confirmed: boolean;
-    /** Database that the last completed promotion made the primary, by service. */
+    /** Database that the last promotion made the primary, or is about to, by service. */
     readonly promoted: ReadonlyMap<string, string>;
 }
 
--- a/src/model/linkMessages.ts
+++ b/src/model/linkMessages.ts
@@ -132,4 +132,6 @@
     readonly term: number;
     /** Log position up to which the database has received the log. */
     readonly receivedPosition: Position;
+    /** Term of the pause in force; 0 if the database receives. */
+    readonly heldTerm: number;
 }
--- a/src/model/promotion.ts
+++ b/src/model/promotion.ts
@@ -1,6 +1,13 @@
 /** Promotions of databases as recorded in the replicated control state. */
 
-/** The last promotion of a service. */
+/** A database that may hold acknowledged commits of its service. */
+export interface RecordedDatabase {
+    readonly databaseId: string;
+    /** `host:port`; a database that starts at the address of an earlier one continues that one's log. */
+    readonly address: string;
+}
+
+/** The databases of a service and its last promotion. */
 export interface PromotionRecord {
     readonly service: string;
     /** Fencing token: incremented by each reservation, so that no two promotion orders carry the same one. */
@@ -9,4 +16,22 @@
     readonly open: boolean;
     /** Database that the last completed promotion made the primary; empty before the first. */
     readonly databaseId: string;
+    /** Database named by the last order of the open promotion, which may still be executed; empty if there is none. */
+    readonly orderedDatabaseId: string;
+    /** An order for `databaseId` had no answer, so that the platform may still execute it and make it lead again. */
+    readonly orderPending: boolean;
+    /** Electorate of a promotion: every acknowledged commit is in the log of at least one of these databases. */
+    readonly databases: readonly RecordedDatabase[];
+}
+
+/** An instance that serves callers, and so may have passed on the acknowledgement of a commit. */
+export interface CommitWitness {
+    readonly instanceId: string;
+}
+
+/** The record of a service; empty fields for a service without a record or with one of an earlier version. */
+export function promotionOf(promotions: readonly PromotionRecord[], service: string): PromotionRecord {
+    const found = promotions.find(promotion => promotion.service === service);
+    const empty = { fence: 0, open: false, databaseId: "", orderedDatabaseId: "", orderPending: false, databases: [] };
+    return { service, ...empty, ...found };
 }
--- a/src/model/promotionMessages.ts
+++ b/src/model/promotionMessages.ts
@@ -5,6 +5,8 @@
     Order: "promotion.order",
     Ordered: "promotion.ordered",
     Due: "promotion.due",
+    /** A promotion entered another phase, or still waits. */
+    Progressed: "promotion.progressed",
 } as const;
 
 /** Asks the platform to make a database the primary of its service. */
@@ -17,7 +19,7 @@
 
 export const OrderResult = {
     Accepted: "accepted",
-    /** The platform has seen a higher fence, or the database is not running. */
+    /** The platform has seen a higher fence, or the database is not running; the order is not executed. */
     Refused: "refused",
     /** No answer arrived; the platform may still execute the order. */
     Unknown: "unknown",
@@ -32,6 +34,36 @@
     readonly result: OrderResult;
 }
 
+/** What the choice of a new primary waits for. */
+export const PromotionWait = {
+    /** More databases must stop, so that one of those that stopped holds every acknowledged commit. */
+    DatabasesToStop: "databases_to_stop",
+    /** A database that doesn't answer may still confirm commits. */
+    CommitsToBeBlocked: "commits_to_be_blocked",
+    /** Instances that may have seen acknowledgements don't answer. */
+    CommitWitnesses: "commit_witnesses",
+    /** The databases that stopped lack commits that were acknowledged. */
+    DatabaseWithLastCommit: "database_with_last_commit",
+    /** A replica must catch up with the primary, which has stepped down. */
+    CatchUp: "catch_up",
+} as const;
+export type PromotionWait = typeof PromotionWait[keyof typeof PromotionWait];
+
+/** Progress of a promotion, for the log. */
+export interface PromotionProgressed extends Message {
+    readonly kind: typeof PromotionKind.Progressed;
+    readonly service: string;
+    readonly phase: string;
+    readonly fence: number;
+    /** Database that was chosen; empty while there is none. */
+    readonly databaseId: string;
+    readonly wait: PromotionWait | undefined;
+    /** States of the databases as `id:state@position`, separated by commas. */
+    readonly databases: string;
+    /** Instances whose reports of acknowledged commits are missing. */
+    readonly awaitedInstances: readonly string[];
+}
+
 /** A timer of the promotion filter. */
 export interface PromotionDue extends Message {
     readonly kind: typeof PromotionKind.Due;
--- a/src/model/replicatedLog.ts
+++ b/src/model/replicatedLog.ts
@@ -52,6 +52,7 @@
     DocumentHeads: "documentHeads",
     DocumentEntries: "documentEntries",
     Promotions: "promotions",
+    CommitWitnesses: "commitWitnesses",
 } as const;
 export type ObjectList = typeof ObjectList[keyof typeof ObjectList];
 
--- a/src/platform/promotionOrderClient.ts
+++ b/src/platform/promotionOrderClient.ts
@@ -4,7 +4,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 
-/** The platform may be slow. After a timeout, the order is sent again with a higher fencing token. */
+/** The platform may be slow. After a timeout, the same order is sent again, which changes nothing once it is executed. */
 const answerTimeoutMs = 1_000;
 
 export interface PromotionOrderClientOptions {
@@ -58,5 +58,10 @@
     if (status >= 200 && status < 300) {
         return OrderResult.Accepted;
     }
-    return status >= 400 && status < 500 ? OrderResult.Refused : OrderResult.Unknown;
+    return status >= 400 && status < 500 && !isRetryable(status) ? OrderResult.Refused : OrderResult.Unknown;
+}
+
+/** Whether the platform dropped the call without a decision: it timed out, or there were too many calls. */
+function isRetryable(status: number): boolean {
+    return status === 408 || status === 429;
 }
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -182,9 +182,9 @@
 
 /** Decodes the row returned for status, pause, resume and step down. Returns undefined if the row is invalid. */
 function decodeStatus(row: string): DatabaseStatus | undefined {
-    const [role, term, received] = row.split(" ");
+    const [role, term, received, held] = row.split(" ");
     const position = decodePosition(received ?? "");
     return position === undefined
         ? undefined
-        : { leads: role === "primary", term: Number(term), receivedPosition: position };
+        : { leads: role === "primary", term: Number(term), receivedPosition: position, heldTerm: Number(held) };
 }
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Attachments } from "../../fleet/attachments.ts";
+import { CommitWitnesses } from "../../fleet/commitWitnesses.ts";
 import { Fencing } from "../../fleet/fencing.ts";
 import { type DatabaseReport, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkKind, LinkLoss, type LinkOpen } from "../../model/linkMessages.ts";
@@ -71,14 +72,19 @@
 /** A fencing in which the primary and the first replica are gone; the second replica has received up to an offset. */
 function fencingWithoutFirstReplica(offset: number): Fencing {
     let nextLink = 0;
+    const members = ["p", "r1", "r2"].map(databaseId => ({ databaseId, address: `${databaseId}:1`, isReady: true }));
+    const witnesses = new CommitWitnesses();
+    witnesses.attach("f1", "i1", 0);
     const fencing = new Fencing({
         service: "s",
         fence: 7,
-        reports: ["p", "r1", "r2"].map(report),
+        members: () => members,
         primaryId: "p",
+        preferredDatabaseId: "",
+        primaryKeepsLead: false,
         planned: false,
-        synchronous: true,
-        servingByAttachment: new Map([["f1", { instanceId: "i1", attachedAtMs: 0 }]]),
+        synchronousReplicas: 1,
+        witnesses,
         nextLinkId: () => `m${nextLink++}`,
         startedAtMs: 10_000,
     });
@@ -99,7 +105,7 @@
         detail: "",
         transaction: TransactionState.None,
         position: undefined,
-        status: { leads: false, term: 1, receivedPosition: received },
+        status: { leads: false, term: 1, receivedPosition: received, heldTerm: 2 },
     };
     fencing.linkReplied({ kind: LinkKind.Replied, linkId, reply }, 10_020);
     return fencing;
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -19,7 +19,12 @@
 } from "../model/fleetMessages.ts";
 import { LinkKind, type LinkLost } from "../model/linkMessages.ts";
 import { type PeerFrameRefused, PeerKind } from "../model/peerMessages.ts";
-import { PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
+import {
+    PromotionKind,
+    type PromotionOrder,
+    type PromotionOrdered,
+    type PromotionProgressed,
+} from "../model/promotionMessages.ts";
 import { type SessionAnswer, SessionKind, type SessionRefuse } from "../model/sessionMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -113,6 +118,15 @@
         fence,
     })),
     line<PromotionOrdered>(PromotionKind.Ordered, ({ service, fence, result }) => ({ service, fence, result })),
+    line<PromotionProgressed>(PromotionKind.Progressed, progress => ({
+        service: progress.service,
+        phase: progress.phase,
+        fence: progress.fence,
+        database: progress.databaseId,
+        wait: progress.wait,
+        databases: progress.databases,
+        instances: progress.awaitedInstances.join(","),
+    })),
 ]);
 
 function versionsOf(update: ConfigurationUpdate): LogFields {
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -3,6 +3,7 @@
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
+import { PromotionKind } from "../model/promotionMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Pipe } from "../pipeline/pipe.ts";
@@ -24,6 +25,7 @@
 import { PeerClientFactory } from "../rpc/peerClientFactory.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
+import { EffectLog } from "../telemetry/effectLog.ts";
 import { EventLog } from "../telemetry/eventLog.ts";
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
@@ -249,6 +251,11 @@
         connector,
         controlServer,
         stack.use(new WireClient({ post })),
+        new EffectLog({
+            logger,
+            formatters: eventLogFormatters,
+            accepts: [PromotionKind.Progressed, PromotionKind.Order],
+        }),
     ];
     if (promotionOrderAddress !== undefined) {
         sinks.push(new PromotionOrderClient({ address: promotionOrderAddress, holder: instanceId, post }));
