fix(rates): a workspace that is removed and added again keeps its counts

Each such return also granted permits beyond the rate.

Cause: counts by workspace were dropped on one side and kept on the other. Admission starts its count of fallback operations anew when a workspace returns, while the requester subtracted the count of before, so "want" had a negative number, which the control member refuses with the whole attachment. The leader in turn forgot the bucket of a removed workspace, so that its return came with a new bucket and the operations of a new leader.

Change: the requester sums what was used since the first answer of the term, whatever happens to the count of admission. The leader keeps the bucket of a removed workspace, without a rate, until all permits and reservations have expired.

--- a/src/fleet/__tests__/permitLeader.spec.ts
+++ b/src/fleet/__tests__/permitLeader.spec.ts
@@ -147,6 +147,21 @@
         );
     });
 
+    it("keep the rate when the workspace is removed and added again", () => {
+        // Guards against a new bucket, with the operations of a new leader, at each return of a workspace.
+        const fixture = new LeaderFixture(["a", "b"]);
+        const limit = 100 * 5 + 100 + toleratedOperations(tolerance, 100, 100);
+        for (let round = 0; round < 60; round++) {
+            fixture.advance(100);
+            fixture.setRate(undefined);
+            fixture.setRate(100);
+            fixture.requestPermits("a", 200);
+            fixture.requestPermits("b", 200);
+        }
+        const maximum = fixture.maximumInWindow();
+        assert.ok(maximum <= limit, `${maximum} in a window, limit ${limit}`);
+    });
+
     it("are granted where the demand is", () => {
         const fixture = new LeaderFixture(["a", "b", "c"]);
         const granted = { a: 0, b: 0, c: 0 };
--- a/src/fleet/__tests__/permitRequester.spec.ts
+++ b/src/fleet/__tests__/permitRequester.spec.ts
@@ -7,6 +7,7 @@
     type PermitsGranted,
     type SendFrame,
 } from "../../model/fleetMessages.ts";
+import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import { DeadlineKind, type SetDeadline } from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { PermitRequester } from "../permitRequester.ts";
@@ -30,6 +31,13 @@
         this.feed({ kind: FleetKind.Detached, attachmentId } as Message);
     }
 
+    applyPolicy(workspaces: readonly string[]): void {
+        const policy = { ...emptyTrafficPolicy, workspaces: new Map(workspaces.map(name => [name, { name }])) };
+        this.feed(
+            { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as unknown as Message,
+        );
+    }
+
     setNeed(
         workspace: string,
         waiting: number,
@@ -180,4 +188,25 @@
         instance.setNeed("a", 1, { fallbackUsed: 11 });
         assert.equal(instance.requests.at(-1)!.frame.wants[0]![4], 2);
     });
+
+    it("count fallback operations over the removal and the return of a workspace", () => {
+        // Guards against negative counts, for which the leader closes the attachment again and again.
+        const instance = instanceWithLeader();
+        instance.setNeed("a", 0, { fallbackUsed: 7 });
+        instance.status("m", true, 4);
+        instance.answer("m", 4, instance.requests.at(-1)!.frame.sequence);
+        instance.advance(1_000);
+        instance.setNeed("a", 1, { fallbackUsed: 9 });
+        instance.advance(1_000);
+        instance.applyPolicy([]);
+        instance.applyPolicy(["a"]);
+        instance.setNeed("a", 1);
+        instance.advance(1_000);
+        instance.setNeed("a", 1, { fallbackUsed: 3 });
+        instance.advance(1_000);
+        const counts = instance.requests.flatMap(({ frame }) => frame.term === 4 ? frame.wants : [])
+            .map(([, , , , fallbackUsed]) => fallbackUsed);
+        assert.ok(counts.length >= 3 && counts.every((count, index) => count >= (counts[index - 1] ?? 0)), `${counts}`);
+        assert.equal(counts.at(-1), 5);
+    });
 });
--- a/src/fleet/permitLeader.ts
+++ b/src/fleet/permitLeader.ts
@@ -84,6 +84,8 @@
     ];
     private readonly tolerance: RateTolerance;
     private readonly workspaces = new Map<string, WorkspacePermits>();
+    /** Times at which workspaces were removed that are kept because instances may still use their permits. */
+    private readonly removedAtMs = new Map<string, number>();
     private readonly instances = new Map<string, InstanceState>();
     private readonly instanceIdByAttachment = new Map<string, string>();
     /** Times at which the last attachment of an instance ended. */
@@ -135,6 +137,7 @@
         this.leadingSinceMs = nowMs;
         this.instances.clear();
         this.workspaces.clear();
+        this.removedAtMs.clear();
         this.applyRates(nowMs);
         this.reserveForKnownInstances(nowMs);
         return leading ? [this.checkTimer(nowMs)] : [clearDeadline(checkKey)];
@@ -160,9 +163,14 @@
         if (this.term === undefined) {
             return;
         }
-        [...this.workspaces.keys()].filter(name => !this.policy.workspaces.has(name))
-            .forEach(name => this.workspaces.delete(name));
+        for (const [name, permits] of this.workspaces) {
+            if (!this.policy.workspaces.has(name) && !this.removedAtMs.has(name)) {
+                permits.setRate(0, 0, nowMs);
+                this.removedAtMs.set(name, nowMs);
+            }
+        }
         for (const { name, ratePerSecond, burst } of this.policy.workspaces.values()) {
+            this.removedAtMs.delete(name);
             const known = this.workspaces.get(name);
             if (known !== undefined) {
                 known.setRate(ratePerSecond, burst, nowMs);
@@ -227,7 +235,7 @@
     ): PermitAnswer {
         const [workspace, waiting, prefetch] = request;
         const permits = this.workspaces.get(workspace);
-        if (permits === undefined) {
+        if (permits === undefined || !this.policy.workspaces.has(workspace)) {
             // The workspace was removed, or this member has not applied the configuration that adds it yet.
             return [workspace, 0, maximumRetryMs];
         }
@@ -265,9 +273,20 @@
             }
         }
         this.workspaces.forEach(permits => permits.refill(nowMs));
+        this.forgetRemoved(nowMs);
         return [this.checkTimer(nowMs)];
     }
 
+    /** Forgets removed workspaces once no reservation and no permit of theirs is left. */
+    private forgetRemoved(nowMs: number): void {
+        for (const [name, removedAtMs] of this.removedAtMs) {
+            if (nowMs - removedAtMs > reservationLimitMs) {
+                this.removedAtMs.delete(name);
+                this.workspaces.delete(name);
+            }
+        }
+    }
+
     /** Also charges the operations that the instance may have run before its silence was detected. */
     private reserve(
         instance: InstanceState,
--- a/src/fleet/permitRequester.ts
+++ b/src/fleet/permitRequester.ts
@@ -79,12 +79,18 @@
     private readonly sentAtMsBySequence = new Map<number, number>();
     private lastAnsweredSequence = 0;
     private lastAnsweredTerm = 0;
-    /** Operations admitted at the fallback rate before the first answer of this term, by workspace. */
-    private fallbackUsedBefore: ReadonlyMap<string, number> = new Map();
+    /**
+     * Operations admitted at the fallback rate since the first answer of this term, by workspace. Survives the removal of
+     * a workspace, because the leader remembers the last count until its term ends.
+     */
+    private readonly fallbackUsedInTerm = new Map<string, number>();
+    /** Last counts that admission reported, by workspace; a lower one is that of a workspace that was added again. */
+    private readonly lastFallbackUsed = new Map<string, number>();
 
     process(message: RequesterInput, nowMs: number): readonly Message[] {
         return match<RequesterInput, readonly Message[]>(message)
             .with({ kind: FleetKind.PermitsNeeded }, matched => {
+                this.countFallback(matched);
                 this.needs.set(matched.workspace, matched);
                 this.changedWorkspaces.add(matched.workspace);
                 return this.sendOrWait(nowMs);
@@ -151,7 +157,7 @@
         }
         if (frame.term !== this.lastAnsweredTerm) {
             this.lastAnsweredTerm = frame.term;
-            this.fallbackUsedBefore = new Map([...this.needs].map(([name, { fallbackUsed }]) => [name, fallbackUsed]));
+            this.fallbackUsedInTerm.clear();
         }
         // The consumer of the grants reports its remaining need anew.
         frame.answers.forEach(([workspace]) => this.changedWorkspaces.delete(workspace));
@@ -217,10 +223,15 @@
         this.changedWorkspaces.delete(workspace);
     }
 
-    private toRequest(
-        { workspace, waiting, prefetch, held, fallbackUsed }: PermitsNeeded,
-    ): WorkspacePermitRequest {
-        return [workspace, waiting, prefetch, held, fallbackUsed - (this.fallbackUsedBefore.get(workspace) ?? 0)];
+    private countFallback({ workspace, fallbackUsed }: PermitsNeeded): void {
+        const before = this.lastFallbackUsed.get(workspace) ?? 0;
+        this.lastFallbackUsed.set(workspace, fallbackUsed);
+        const used = fallbackUsed >= before ? fallbackUsed - before : fallbackUsed;
+        this.fallbackUsedInTerm.set(workspace, (this.fallbackUsedInTerm.get(workspace) ?? 0) + used);
+    }
+
+    private toRequest({ workspace, waiting, prefetch, held }: PermitsNeeded): WorkspacePermitRequest {
+        return [workspace, waiting, prefetch, held, this.fallbackUsedInTerm.get(workspace) ?? 0];
     }
 
     /** Gives up on the pending request; the next one repeats its content. */
