fix(session): no commits at other databases while one is ordered to lead

Cause: between the choice of a new primary and the moment at which it leads, the former primary and a replica may start again together. Neither is stopped then, so they confirm commits to each other until the control leader has reached them; the order drops these commits.

Change: instances hear of an order as soon as it is recorded, which is before it is sent, and until it is completed no other database of the service counts as primary.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -21,7 +21,15 @@
     const directory = new FleetDatabaseDirectory();
     const serviceOf = (name: string) => [name, { name, connectionLimit: 1, synchronousReplicas: 1 }] as const;
     const policy = { ...emptyTrafficPolicy, services: new Map(services.map(serviceOf)) };
-    directory.process({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
+    directory.process(
+        {
+            kind: FleetKind.PolicyApplied,
+            policy,
+            confirmed: true,
+            promoted: new Map(),
+            ordered: new Map(),
+        } as PolicyApplied,
+    );
     report(directory, known);
     return directory;
 }
--- a/src/fleet/__tests__/permitLeader.spec.ts
+++ b/src/fleet/__tests__/permitLeader.spec.ts
@@ -50,7 +50,15 @@
             ratePerSecond === undefined ? [] : [["w", { name: "w", keys: [], ratePerSecond, burst: ratePerSecond }]],
         );
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
-        this.feed({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as Message);
+        this.feed(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as Message,
+        );
     }
 
     attach(id: string): void {
--- a/src/fleet/__tests__/permitRequester.spec.ts
+++ b/src/fleet/__tests__/permitRequester.spec.ts
@@ -34,7 +34,13 @@
     applyPolicy(workspaces: readonly string[]): void {
         const policy = { ...emptyTrafficPolicy, workspaces: new Map(workspaces.map(name => [name, { name }])) };
         this.feed(
-            { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as unknown as Message,
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as unknown as Message,
         );
     }
 
--- a/src/fleet/__tests__/policyConfirmation.spec.ts
+++ b/src/fleet/__tests__/policyConfirmation.spec.ts
@@ -21,7 +21,15 @@
     applyPolicy(version: number): readonly string[] {
         this.push({ kind: ClusterKind.ConfigurationApplied, configuration: { version } } as unknown as Message);
         const policy = { ...emptyTrafficPolicy, version };
-        return this.push({ kind: FleetKind.PolicyApplied, policy, confirmed: false, promoted: new Map() } as Message);
+        return this.push(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: false,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as Message,
+        );
     }
 
     receiveFrame(attachmentId: string, frame: FleetFrame): readonly string[] {
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -29,6 +29,7 @@
 const service = "s";
 const latencyMs = 3;
 const proposalMs = 8;
+const publicationMs = 30;
 const reportIntervalMs = 1_200;
 const platformTimeoutMs = 1_000;
 const promoteMs = 600;
@@ -71,6 +72,8 @@
     private controlGeneration = 0;
     private state: ControlState = emptyControlState;
     private logIndex = 0;
+    /** Database of the order that is under way, as the instances know it; they commit nowhere else. */
+    private orderedDatabaseId = "";
     private nextEvent = 0;
     private nextCommit = 1;
     private nextAttachment = 0;
@@ -160,7 +163,15 @@
             ...emptyTrafficPolicy,
             services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
         };
-        this.push({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as Message);
+        this.push(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as Message,
+        );
         this.applyConfiguration();
         this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
         this.instances.filter(({ running }) => running).forEach(instance =>
@@ -207,7 +218,9 @@
     /** A caller commits by way of one of the instances, in turn. */
     private write(): void {
         const serving = this.instances.filter(({ running, writes }) => running && writes);
-        const { primary } = this;
+        const primary = this.orderedDatabaseId === "" || this.primary?.id === this.orderedDatabaseId
+            ? this.primary
+            : undefined;
         if (serving.length === 0 || primary === undefined || primary.dark) {
             return;
         }
@@ -296,7 +309,11 @@
     }
 
     private applyConfiguration(): void {
-        this.push({ kind: ClusterKind.ConfigurationApplied, configuration: this.state.configuration } as Message);
+        const { configuration } = this.state;
+        this.push({ kind: ClusterKind.ConfigurationApplied, configuration } as Message);
+        this.after(publicationMs, () => {
+            this.orderedDatabaseId = configuration.promotions[0]?.orderedDatabaseId ?? "";
+        });
     }
 
     private openLink({ linkId, address, databaseId }: LinkOpen): void {
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -29,12 +29,17 @@
         else if (
             configuration.promotions === before.promotions
             || isEqual(promotedDatabases(configuration), promotedDatabases(before))
+                && isEqual(orderedDatabases(configuration), orderedDatabases(before))
         ) {
             return [message];
         }
-        const promoted = promotedDatabases(configuration);
         const { policy } = this;
-        return [message, { kind: FleetKind.PolicyApplied, policy, confirmed: false, promoted } as PolicyApplied];
+        const promoted = promotedDatabases(configuration);
+        const ordered = orderedDatabases(configuration);
+        return [
+            message,
+            { kind: FleetKind.PolicyApplied, policy, confirmed: false, promoted, ordered } as PolicyApplied,
+        ];
     }
 }
 
@@ -46,6 +51,14 @@
     return new Map(databases.filter(([, databaseId]) => databaseId !== ""));
 }
 
+/** The database of each order that is under way. */
+function orderedDatabases({ promotions }: Configuration): ReadonlyMap<string, string> {
+    return new Map(
+        promotions.filter(({ open, orderedDatabaseId }) => open && orderedDatabaseId !== "")
+            .map(({ service, orderedDatabaseId }) => [service, orderedDatabaseId]),
+    );
+}
+
 function isEqual(left: ReadonlyMap<string, string>, right: ReadonlyMap<string, string>): boolean {
     return left.size === right.size && [...left].every(([key, value]) => right.get(key) === value);
 }
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -264,6 +264,11 @@
     readonly confirmed: boolean;
     /** Database that the last promotion made the primary, or is about to, by service. */
     readonly promoted: ReadonlyMap<string, string>;
+    /**
+     * Database that was ordered to take the lead and hasn't been seen to, by service. Commits that another database
+     * acknowledges meanwhile are lost when it does.
+     */
+    readonly ordered: ReadonlyMap<string, string>;
 }
 
 export interface ReadinessChanged extends Message {
--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -19,7 +19,13 @@
     constructor(permits = 1) {
         const workspaces = new Map([["w", { name: "w", keys: [], ratePerSecond: 10, burst: 1 }]]);
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
-        this.push(0, { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() });
+        this.push(0, {
+            kind: FleetKind.PolicyApplied,
+            policy,
+            confirmed: true,
+            promoted: new Map(),
+            ordered: new Map(),
+        });
         if (permits > 0) {
             this.grantPermits(0, permits);
             this.submit(0, "first", 1);
--- a/src/session/__tests__/floorExchange.spec.ts
+++ b/src/session/__tests__/floorExchange.spec.ts
@@ -26,7 +26,13 @@
         this.filter = new FloorExchange({ instanceId, dataCentre: "dc1" });
         const services = ["s0", "s1", "s2"].map(name => ({ name, connectionLimit: 9, synchronousReplicas: 1 }));
         const policy = { ...emptyTrafficPolicy, services: new Map(services.map(service => [service.name, service])) };
-        this.push(0, { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() });
+        this.push(0, {
+            kind: FleetKind.PolicyApplied,
+            policy,
+            confirmed: true,
+            promoted: new Map(),
+            ordered: new Map(),
+        });
         this.push(0, { kind: PeerKind.InstancesKnown, instances });
     }
 
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -45,7 +45,15 @@
     constructor(connectionLimit: number) {
         const services = new Map([["s", { name: "s", connectionLimit, synchronousReplicas: 1 }]]);
         const policy = { ...emptyTrafficPolicy, services };
-        this.push({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
+        this.push(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as PolicyApplied,
+        );
         this.push({ kind: FleetKind.DatabaseChanged, report } as Message);
         this.push({ kind: TaskKind.HolderChanged, databaseId: "d", isHolder: true } as Message);
         this.countVisits();
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -120,7 +120,15 @@
             workspaceByKey: new Map([["k", "w"], ["kv", "v"]]),
             transactionIdleMs: 3_000,
         };
-        this.post({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
+        this.post(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as PolicyApplied,
+        );
         ["w", "v"].forEach(workspace => this.grantPermits(workspace, this.permits));
     }
 
@@ -138,7 +146,15 @@
             version: 2,
             routesByDatabase: new Map([["orders", orders]]),
         };
-        this.post({ kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as PolicyApplied);
+        this.post(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+            } as PolicyApplied,
+        );
     }
 
     reportDatabase(databaseId: string, leads: boolean, dataCentre = "dc1"): void {
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -252,6 +252,7 @@
                 policy: this.policy(),
                 confirmed: true,
                 promoted: new Map(),
+                ordered: new Map(),
             } as PolicyApplied,
         );
         const grants = [...this.policy().workspaces.keys()].map(workspace => (
--- a/src/session/databaseTable.ts
+++ b/src/session/databaseTable.ts
@@ -30,6 +30,7 @@
 
 export class DatabaseTable {
     private readonly databases = new Map<string, DatabaseEntry>();
+    private orderedByService: ReadonlyMap<string, string> = new Map();
     private readonly primaryTrackers = new Map<string, PrimaryTracker>();
     private readonly dataCentre: string;
 
@@ -64,6 +65,17 @@
         }
     }
 
+    /**
+     * Applies the orders that are under way. Until the ordered database leads, no other one counts as primary.
+     * @returns the services whose order changed
+     */
+    applyOrders(ordered: ReadonlyMap<string, string>): readonly string[] {
+        const before = this.orderedByService;
+        this.orderedByService = ordered;
+        return [...new Set([...before.keys(), ...ordered.keys()])]
+            .filter(service => before.get(service) !== ordered.get(service));
+    }
+
     recordPromotion(service: string, databaseId: string): void {
         this.trackerOf(service).addClaim(databaseId);
     }
@@ -78,7 +90,11 @@
 
     /** Returns the presumed primary of a service; undefined while it is in backoff after a failure. */
     primary(service: string, nowMs: number): string | undefined {
-        const databaseId = this.trackerOf(service).currentPrimary(candidate => this.databases.has(candidate), nowMs);
+        const ordered = this.orderedByService.get(service);
+        const databaseId = this.trackerOf(service).currentPrimary(
+            candidate => this.databases.has(candidate) && (ordered ?? candidate) === candidate,
+            nowMs,
+        );
         const entry = databaseId === undefined ? undefined : this.databases.get(databaseId);
         return entry !== undefined && entry.pausedUntilMs <= nowMs ? databaseId : undefined;
     }
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -152,14 +152,13 @@
             .otherwise(timer => this.retryPlacement((timer as TaskTimer).id, nowMs));
     }
 
-    private applyPolicy({ promoted }: PolicyApplied, nowMs: number): readonly Message[] {
+    private applyPolicy({ promoted, ordered }: PolicyApplied, nowMs: number): readonly Message[] {
         const before = this.promotedByService;
         this.promotedByService = promoted;
-        return [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId)
-            .flatMap(([service, databaseId]) => {
-                this.databases.recordPromotion(service, databaseId);
-                return this.placeWaiting(service, nowMs);
-            });
+        const chosen = [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId);
+        chosen.forEach(([service, databaseId]) => this.databases.recordPromotion(service, databaseId));
+        const services = new Set([...chosen.map(([service]) => service), ...this.databases.applyOrders(ordered)]);
+        return [...services].flatMap(service => this.placeWaiting(service, nowMs));
     }
 
     private admit(task: Task, nowMs: number): readonly Message[] {
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -261,7 +261,13 @@
             [...this.traffic.values()].map(({ workspace }) => [workspace.name, { ...workspace }]),
         );
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
-        return { kind: FleetKind.PolicyApplied, policy, confirmed: true, promoted: new Map() } as Message;
+        return {
+            kind: FleetKind.PolicyApplied,
+            policy,
+            confirmed: true,
+            promoted: new Map(),
+            ordered: new Map(),
+        } as Message;
     }
 
     private announceLeadership(member: Node, leading: boolean): void {
