fix(telemetry): lines for refused callers, orders, readiness and versions

The users' record of CONFIG and LOST shows changes of the leader and nothing of versions: it cannot tell why a proxy refused.

Cause: the formatters of refused sessions and statements, of promotion orders and of readiness never wrote a line. The event loop shows observers the messages that a pipe accepts; those that only an adapter accepts passed by. Lines about changes of state shared 20 lines a second with failures of single requests and were dropped under load ("lines dropped", 224).

Changes of state have a limit of their own, 60 a second, and members and proxies write the version of each configuration that they apply.

--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -1,4 +1,5 @@
 /** Defines which fields the event log of a process on the users' platform contains for each message. */
+import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import {
     CommandKind,
     ControlKind,
@@ -39,8 +40,11 @@
     return [kind, write as LineFormatter];
 }
 
-/** Formatters by message kind. No line contains a key of a caller, a value or the text of a statement. */
-export const eventLogFormatters: ReadonlyMap<string, LineFormatter> = new Map([
+/**
+ * Formatters by message kind for what happens to single requests, which the load can multiply. No line contains a key of a
+ * caller, a value or the text of a statement.
+ */
+export const requestLogFormatters: ReadonlyMap<string, LineFormatter> = new Map([
     line<TaskEnded>(TaskKind.Ended, ({ task, fault, detail }) =>
         fault === undefined ? undefined : {
             request: task.statement?.id,
@@ -73,6 +77,10 @@
     ),
     line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault }) => ({ link: linkId, loss, fault })),
     line<DatabaseSuspected>(FleetKind.DatabaseSuspected, ({ databaseId }) => ({ database: databaseId })),
+]);
+
+/** Formatters by message kind for changes of state. They have a limit of their own, so that failures don't hide them. */
+export const stateLogFormatters: ReadonlyMap<string, LineFormatter> = new Map([
     line<DatabaseChanged>(FleetKind.DatabaseChanged, ({ report }) => ({
         database: report.databaseId,
         service: report.service,
@@ -89,6 +97,10 @@
     line<PeerFrameRefused>(PeerKind.FrameRefused, ({ peer, reason }) => ({ peer, reason })),
     line<ReadinessChanged>(FleetKind.ReadinessChanged, ({ ready }) => ({ ready })),
     line<FeedReceived>(FeedKind.Received, ({ address, update }) => ({ from: address, ...versionsOf(update) })),
+    line<ConfigurationApplied>(ClusterKind.ConfigurationApplied, ({ configuration }) => ({
+        configuration: configuration.version,
+        version: configuration.documentHeads[0]?.documentVersion,
+    })),
     line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, confirmed, promoted }) => ({
         version: policy.version,
         confirmed,
@@ -129,6 +141,15 @@
     })),
 ]);
 
+/** Kinds that leave the pipes for good; the event loop shows observers only messages that a pipe accepts. */
+export const loggedEffects: readonly string[] = [
+    SessionKind.Refuse,
+    SessionKind.Answer,
+    FleetKind.ReadinessChanged,
+    PromotionKind.Progressed,
+    PromotionKind.Order,
+];
+
 function versionsOf(update: ConfigurationUpdate): LogFields {
     return update.kind === UpdateKind.Snapshot
         ? { update: update.kind, configuration: update.configuration.version }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -3,7 +3,6 @@
 import { ControlKind } from "../model/controlMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
-import { PromotionKind } from "../model/promotionMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Pipe } from "../pipeline/pipe.ts";
@@ -29,7 +28,7 @@
 import { EventLog } from "../telemetry/eventLog.ts";
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
-import { eventLogFormatters } from "./eventLogFormatters.ts";
+import { loggedEffects, requestLogFormatters, stateLogFormatters } from "./eventLogFormatters.ts";
 import { LeadHandOver } from "./leadHandOver.ts";
 import { buildMemberPipes, buildProxyPipes } from "./platformPipes.ts";
 import { ProcessTermination } from "./processTermination.ts";
@@ -38,6 +37,9 @@
 
 const clusterName = "jasmineline";
 
+/** Limit of log lines for changes of state: a configuration makes up to three, and 20 a second may arrive. */
+const stateLinesPerSecond = 60;
+
 /**
  * Time after the stop signal for which the platform still sends new callers to this process: two of its readiness
  * probes.
@@ -107,13 +109,19 @@
     const { pipes, sinks, start, finishCalls } = isControlMember
         ? await buildControlMember(context)
         : await buildProxy(context);
-    const eventLog = new EventLog({ logger, formatters: eventLogFormatters });
+    const effectLogs = [requestLogFormatters, stateLogFormatters].map(formatters =>
+        new EffectLog({ logger, formatters, accepts: loggedEffects.filter(kind => formatters.has(kind)) })
+    );
     const loop = stack.use(
         new EventLoop({
             clock,
             pipes,
-            sinks: [...sinks, termination, new UnusedMessageSink(pipes, sinks)],
-            observers: [eventLog, loadLog],
+            sinks: [...sinks, ...effectLogs, termination, new UnusedMessageSink(pipes, sinks)],
+            observers: [
+                new EventLog({ logger, formatters: requestLogFormatters }),
+                new EventLog({ logger, formatters: stateLogFormatters, linesPerSecond: stateLinesPerSecond }),
+                loadLog,
+            ],
         }),
     );
     await start();
@@ -251,11 +259,6 @@
         connector,
         controlServer,
         stack.use(new WireClient({ post })),
-        new EffectLog({
-            logger,
-            formatters: eventLogFormatters,
-            accepts: [PromotionKind.Progressed, PromotionKind.Order],
-        }),
     ];
     if (promotionOrderAddress !== undefined) {
         sinks.push(new PromotionOrderClient({ address: promotionOrderAddress, holder: instanceId, post }));
