fix(wiring): the last step of a stop waits for requests that have arrived

Cause: after a stall of the process, Node.js calls due timers before it reads the sockets. The timer that closes idle sessions 2.4 s after the signal then ran before a request that had arrived during the stall was read.

Change: that step runs after the sockets have been read.

--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -28,6 +28,7 @@
 import { EventLog } from "../telemetry/eventLog.ts";
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
+import { afterPendingInput } from "./afterPendingInput.ts";
 import { loggedEffects, requestLogFormatters, stateLogFormatters } from "./eventLogFormatters.ts";
 import { LeadHandOver } from "./leadHandOver.ts";
 import { buildMemberPipes, buildProxyPipes } from "./platformPipes.ts";
@@ -307,7 +308,7 @@
         answersUntilMs: clock.nowMs() + settings.terminationGracePeriodMs - shutdownMarginMs - lastAnswersTransferMs,
     };
     post({ ...drain, final: false } as Message);
-    setTimeout(() => post({ ...drain, final: true } as Message), readinessPropagationMs);
+    afterPendingInput(readinessPropagationMs, () => post({ ...drain, final: true } as Message));
     setTimeout(
         () => termination.deliver({ kind: FleetKind.Drained }),
         settings.terminationGracePeriodMs - shutdownMarginMs,
