--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -2,7 +2,7 @@
  * Fencing before a promotion: makes sure that no further commit of a service can be acknowledged, and chooses a
  * database that holds all acknowledged commits.
  */
-import { type CommitsSeenFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import type { CommitsSeenFrame } from "../model/fleetMessages.ts";
 import {
     type LinkCommand,
     LinkCommandKind,
@@ -13,6 +13,7 @@
 import { comparePositions, hasReached, type Position } from "../model/position.ts";
 import { PromotionWait } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
+import { CommitSurvey } from "./commitSurvey.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 import type { ElectorateMember } from "./electorate.ts";
 import { FencedDatabase, retryDelayMs } from "./fencedDatabase.ts";
@@ -23,21 +24,6 @@
 /** Time that replicas have to catch up with a primary that has stepped down. */
 const catchUpTimeoutMs = 1_000;
 
-/**
- * Delay before instances that have not reported their acknowledged commits are asked again; longer than the round trip
- * on a congested network link.
- */
-const questionRetryMs = 500;
-
-/** The acknowledged commits that an instance reported, with times on the clock of this member. */
-interface CommitReport {
-    readonly highest: Position | undefined;
-    /** Lower bound of the time at which the highest commit was sent; undefined if unknown. */
-    readonly sentAtMs: number | undefined;
-    /** Upper bound of the time at which the instance's process began to record commits. */
-    readonly watchedFromMs: number;
-}
-
 export interface FencingOptions {
     readonly service: string;
     /** Fencing token of the promotion; unique among the promotions of the service. */
@@ -77,20 +63,16 @@
     private readonly databases = new Map<string, FencedDatabase>();
     /** Address of the primary, which it keeps when it starts again under another id. */
     private readonly primaryAddress: string | undefined;
-    private readonly commitReports = new Map<string, CommitReport>();
-    /** Incremented whenever commits can be acknowledged again, which invalidates earlier answers. */
-    private round = 0;
-    /** Time at which the first question of the round was sent. */
-    private roundStartedAtMs = 0;
+    private readonly survey: CommitSurvey;
     /** Position of the primary after it stepped down. */
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
-    private lastQuestionAtMs: number | undefined;
     private orderedDatabaseId: string | undefined;
     private wait: PromotionWait | undefined;
 
     constructor(options: FencingOptions) {
         this.options = options;
+        this.survey = new CommitSurvey(options);
         this.primaryAddress = options.members().find(({ databaseId }) => databaseId === options.primaryId)?.address;
         this.followMembers();
     }
@@ -126,19 +108,7 @@
 
     /** Records the answer of an instance, unless commits could still be acknowledged after the question. */
     recordCommitsSeen(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): void {
-        const { highest, sentAgeMs, watchedMs, questionId } = frame;
-        const instance = this.options.witnesses.serving.get(attachmentId);
-        if (
-            instance !== undefined && this.lastQuestionAtMs !== undefined && questionId === this.questionId()
-        ) {
-            this.commitReports.set(instance.instanceId, {
-                highest,
-                sentAtMs: sentAgeMs === undefined ? undefined : this.roundStartedAtMs - sentAgeMs,
-                // The maximum guards against clock steps: one on the instance makes the first value too early, one on
-                // this member the second.
-                watchedFromMs: Math.max(nowMs - watchedMs, instance.attachedAtMs),
-            });
-        }
+        this.survey.record(attachmentId, frame, nowMs);
     }
 
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
@@ -188,11 +158,7 @@
 
     /** Instances whose answer is missing, or that are absent and not covered by an answer of another one. */
     awaitedWitnesses(): readonly string[] {
-        const { witnesses } = this.options;
-        const attached = [...witnesses.serving.values()].map(({ instanceId }) => instanceId);
-        const unanswered = attached.filter(instanceId => !this.commitReports.has(instanceId));
-        const uncovered = witnesses.absent().filter(witness => !this.isCovered(witness.mayHaveSentUntilMs));
-        return [...new Set([...unanswered, ...uncovered.map(({ instanceId }) => instanceId)])];
+        return this.survey.awaitedWitnesses();
     }
 
     /** Adds databases that joined, and drops those that another process replaced at their address. */
@@ -362,54 +328,20 @@
 
     /** Discards the answers of instances once commits can be acknowledged again. */
     private discardOutdatedReports(): void {
-        if (this.lastQuestionAtMs !== undefined && !this.commitsAreBlocked()) {
-            this.round++;
-            this.commitReports.clear();
-            this.lastQuestionAtMs = undefined;
+        if (!this.commitsAreBlocked()) {
+            this.survey.discard();
         }
     }
 
     /** Whether the database holds all commits that instances have seen acknowledged. */
     private holdsReportedCommits({ receivedPosition }: FencedDatabase): boolean {
-        const reports = [...this.commitReports.values()];
-        return reports.every(({ highest, watchedFromMs }) => highest !== undefined || this.isCovered(watchedFromMs))
-            && reports.every(({ highest }) => highest === undefined || hasReached(receivedPosition!, highest));
+        return this.survey.isCoveredBy(receivedPosition!);
     }
 
-    /**
-     * Whether an instance has reported a commit that was sent at `sinceMs` or later. Its position is higher than those of
-     * all commits that processes which had ended by then, or had lost their right to send commits, saw acknowledged.
-     */
-    private isCovered(sinceMs: number): boolean {
-        return [...this.commitReports.values()].some(({ sentAtMs }) => sentAtMs !== undefined && sentAtMs >= sinceMs);
-    }
-
-    /**
-     * Asks the instances for their acknowledged commits once commits are blocked; asks again those that do not answer.
-     */
+    /** Asks the instances for their acknowledged commits once commits are blocked. */
     private askForCommits(nowMs: number): readonly Message[] {
-        const { service, witnesses, startedAtMs } = this.options;
-        if (
-            nowMs - startedAtMs < replicaWaitMs || !this.commitsAreBlocked()
-            || nowMs - (this.lastQuestionAtMs ?? -Infinity) < questionRetryMs
-        ) {
-            return [];
-        }
-        if (this.lastQuestionAtMs === undefined) {
-            this.roundStartedAtMs = nowMs;
-        }
-        this.lastQuestionAtMs = nowMs;
-        return [...witnesses.serving].filter(([, { instanceId }]) => !this.commitReports.has(instanceId))
-            .map(([attachmentId]): SendFrame => ({
-                kind: FleetKind.SendFrame,
-                attachmentId,
-                frame: { kind: "commits_asked", questionId: this.questionId(), service },
-            }));
-    }
-
-    /** Distinguishes answers to the current question from late answers to earlier ones. */
-    private questionId(): string {
-        return `${this.options.fence}/${this.round}`;
+        const hasWaited = nowMs - this.options.startedAtMs >= replicaWaitMs;
+        return hasWaited && this.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
     }
 
     /** A replica that has caught up with the primary, or the primary itself if none catches up in time. */
