fix(fleet): a record for promotions that is refused is not proposed again at once

Cause: a refused proposal was followed by the same one at its end, without a pause; a name that the replicated state does not take would have filled the log of the control members.

Change: what was not applied is proposed again after 5 s.

--- a/src/fleet/promotionRecorder.ts
+++ b/src/fleet/promotionRecorder.ts
@@ -2,13 +2,19 @@
  * Proposes changes of what the replicated state records for promotions: the databases of each service, and the instances
  * that may have passed on acknowledgements.
  */
-import { CommandKind, ControlKind, type ControlPropose } from "../model/controlMessages.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlProposalEnded,
+    type ControlPropose,
+    ProposalStatus,
+} from "../model/controlMessages.ts";
 import type { DatabaseReport } from "../model/fleetMessages.ts";
 import { promotionOf, type PromotionRecord } from "../model/promotion.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 import { isSameElectorate, updateElectorate } from "./electorate.ts";
 
-/** Time after which a proposal without a result is repeated. */
+/** Time after which a proposal that was refused, or has no result, is repeated. */
 const proposalTimeoutMs = 5_000;
 
 const witnessesSubject = "witnesses";
@@ -27,9 +33,15 @@
         this.pending.clear();
     }
 
-    /** @returns whether the proposal was one of this object */
-    endProposal(proposalId: string): boolean {
-        return this.pending.delete(proposalId);
+    owns(proposalId: string): boolean {
+        return this.pending.has(proposalId);
+    }
+
+    /** The subject of a proposal that was not applied stays blocked for a while, because a repetition fails as well. */
+    endProposal({ proposalId, status }: ControlProposalEnded): void {
+        if (status === ProposalStatus.Applied) {
+            this.pending.delete(proposalId);
+        }
     }
 
     recordDatabases(
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -231,7 +231,8 @@
     }
 
     private endProposal(ended: ControlProposalEnded, nowMs: number): readonly Message[] {
-        if (this.recorder.endProposal(ended.proposalId)) {
+        if (this.recorder.owns(ended.proposalId)) {
+            this.recorder.endProposal(ended);
             return this.record(nowMs);
         }
         const owner = [...this.services.values()].find(service => service.ownsProposal(ended.proposalId));
