--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -3,6 +3,22 @@
 import { PromotionWait } from "../../model/promotionMessages.ts";
 import { PromotionWorld } from "./promotionWorld.ts";
 
+/**
+ * Takes away the instance and the two databases that know of the last commits; a stale replica and an instance that has seen
+ * older commits alone are left.
+ */
+function loseLastCommits(world: PromotionWorld): PromotionWorld["instances"][number] {
+    const [writer, reader] = world.instances;
+    world.advance(5_000);
+    reader!.writes = false;
+    world.database(2).deaf = true;
+    world.advance(3_000);
+    world.crash(world.database(0));
+    world.crash(world.database(1));
+    world.killInstance(writer!);
+    return writer!;
+}
+
 describe("changes of the primary of a service", () => {
     it("promotes a replica after a crash, and writes go on", () => {
         const world = new PromotionWorld();
@@ -44,16 +60,9 @@
     it("waits for a database if an instance that saw the last commits is gone", () => {
         // Guards against the loss of commits that only an instance without power has seen acknowledged.
         const world = new PromotionWorld();
-        const [writer, reader] = world.instances;
-        world.advance(5_000);
-        reader!.writes = false;
-        world.database(2).deaf = true;
-        world.advance(3_000);
-        world.crash(world.database(0));
-        world.crash(world.database(1));
-        world.killInstance(writer!);
+        const writer = loseLastCommits(world);
         world.advance(3_500);
-        world.startInstance(writer!);
+        world.startInstance(writer);
         world.database(2).deaf = false;
         world.advance(1_600);
         assert.deepEqual(world.promoted, []);
@@ -67,14 +76,7 @@
     it("knows of an instance that is gone after a restart of the control members", () => {
         // Guards against the loss of commits if a new leader asks only the instances that attach to it.
         const world = new PromotionWorld();
-        const [writer, reader] = world.instances;
-        world.advance(5_000);
-        reader!.writes = false;
-        world.database(2).deaf = true;
-        world.advance(3_000);
-        world.crash(world.database(0));
-        world.crash(world.database(1));
-        world.killInstance(writer!);
+        loseLastCommits(world);
         world.stopControl();
         world.advance(500);
         world.startControl();
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -321,7 +321,7 @@
     /** Whether no commit can be acknowledged: the primary is gone, or every replica has stopped or is gone. */
     private commitsAreBlocked(): boolean {
         const databases = [...this.databases.values()];
-        const primary = databases.find(database => this.isPrimary(database));
+        const primary = this.primary();
         return primary !== undefined && isDown(primary)
             || databases.filter(database => database !== primary).every(isDown);
     }
@@ -362,7 +362,7 @@
         if (!hasWaited) {
             return this.waitFor(PromotionWait.CatchUp);
         }
-        const primary = [...this.databases.values()].find(database => this.isPrimary(database));
+        const primary = this.primary();
         if (primary?.stopped === true) {
             return primary.databaseId;
         }
@@ -380,6 +380,10 @@
         )[0];
     }
 
+    private primary(): FencedDatabase | undefined {
+        return [...this.databases.values()].find(database => this.isPrimary(database));
+    }
+
     private isPrimary({ member }: FencedDatabase): boolean {
         return member.address === this.primaryAddress;
     }
--- a/src/fleet/promotionRecorder.ts
+++ b/src/fleet/promotionRecorder.ts
@@ -49,10 +49,19 @@
         reports: readonly DatabaseReport[],
         nowMs: number,
     ): readonly ControlPropose[] {
-        const services = [...new Set(reports.map(({ service }) => service))];
-        return services.flatMap(service => {
+        const reportsByService = new Map<string, DatabaseReport[]>();
+        for (const report of reports) {
+            const known = reportsByService.get(report.service);
+            if (known === undefined) {
+                reportsByService.set(report.service, [report]);
+            }
+            else {
+                known.push(report);
+            }
+        }
+        return [...reportsByService].flatMap(([service, ownReports]) => {
             const recorded = promotionOf(records, service).databases;
-            const databases = updateElectorate(recorded, reports.filter(report => report.service === service));
+            const databases = updateElectorate(recorded, ownReports);
             return isSameElectorate(recorded, databases)
                 ? []
                 : this.propose(
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -379,14 +379,15 @@
         const released = this.fencing?.resumeAndClose() ?? [];
         this.fencing = undefined;
         this.chosenDatabaseId = databaseId;
-        const { service, fleet } = this.options;
+        const { service, fleet, record } = this.options;
+        const recordedIds = record().databases.map(recorded => recorded.databaseId);
         const command = {
             kind: CommandKind.CompletePromotion,
             service,
             fence: this.fence,
             databaseId,
             orderPending: this.mayOrderBeExecuted(),
-            departed: [...fleet.departedDatabases],
+            departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
         return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
