feat(telemetry): lines for attachments, members and the source of the configuration

No line said which control members a proxy knew, which attachments and feeds it had, or why it lost them. Change: fleet.attached and fleet.detached with the reason, fleet.members_known, feed.opened and feed.lost; the MySQL process logs the feed too.

--- a/src/model/feedMessages.ts
+++ b/src/model/feedMessages.ts
@@ -13,6 +13,10 @@
     Received: "feed.received",
     /** This instance missed an update; the gRPC source must subscribe again from `version`. */
     Resubscribe: "feed.resubscribe",
+    /** A member confirmed the subscription of this instance. */
+    Opened: "feed.opened",
+    /** The subscription of this instance ended, or was not confirmed. */
+    Lost: "feed.lost",
 } as const;
 
 export const UpdateKind = {
@@ -63,6 +67,20 @@
     readonly update: ConfigurationUpdate;
 }
 
+export interface FeedOpened extends Message {
+    readonly kind: typeof FeedKind.Opened;
+    /** `host:port` of the member. */
+    readonly address: string;
+    /** Version after which updates were requested. */
+    readonly version: number;
+}
+
+export interface FeedLost extends Message {
+    readonly kind: typeof FeedKind.Lost;
+    readonly address: string;
+    readonly reason: string;
+}
+
 export interface FeedResubscribe extends Message {
     readonly kind: typeof FeedKind.Resubscribe;
     readonly version: number;
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -109,6 +109,8 @@
 export interface Detached extends Message {
     readonly kind: typeof FleetKind.Detached;
     readonly attachmentId: string;
+    /** Why the attaching side closed the attachment, for the log; undefined on the accepting side. */
+    readonly reason?: string;
 }
 
 /**
--- a/src/rpc/__tests__/configurationFeed.spec.ts
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -14,6 +14,7 @@
 import { type FleetFrame, FleetKind } from "../../model/fleetMessages.ts";
 import { DeadlineKind, type DeadlineMessage } from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { Pipe } from "../../pipeline/pipe.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { ConfigurationFeed } from "../configurationFeed.ts";
 import { ConfigurationSubscriber } from "../configurationSubscriber.ts";
@@ -124,7 +125,7 @@
         serves: true,
         followsConfiguration: true,
     });
-    private readonly subscription = new SubscriptionFilter();
+    private readonly subscription = new Pipe("control", [new SubscriptionFilter()]);
     private readonly addresses: readonly string[];
     private timer: NodeJS.Timeout | undefined;
 
@@ -139,7 +140,7 @@
             clientFactory: new PeerClientFactory({ authentication: authenticationOf("i") }),
             addresses,
             random: new SeededRandom(seed),
-            post: message => this.subscription.process(message as never).forEach(output => this.handleOutput(output)),
+            post: message => this.subscription.process(message, 0).forEach(output => this.handleOutput(output)),
         });
         this.subscriber.start();
         cleanups.push(() => {
--- a/src/rpc/__tests__/controlRpc.spec.ts
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -173,6 +173,7 @@
         subscriber.start();
         const subscription = await memberInboxes[first]!.next<FeedSubscribe>();
         assert.equal(subscription.version, 0);
+        assert.deepEqual(await inbox.next(), { kind: FeedKind.Opened, address: addresses[first], version: 0 });
         const workspace = { name: "w", ratePerSecond: 1.5, burst: 2, keyValidityMs: 3, version: 1 };
         const configuration = { ...emptyConfiguration, version: 4, workspaces: [workspace] };
         const updates = [
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -1,6 +1,13 @@
 /** Client side of the configuration feed, for instances that are not control members. */
 import type { ClientReadableStream } from "@grpc/grpc-js";
-import { FeedKind, type FeedReceived, type FeedResubscribe, UpdateKind } from "../model/feedMessages.ts";
+import {
+    FeedKind,
+    type FeedLost,
+    type FeedOpened,
+    type FeedReceived,
+    type FeedResubscribe,
+    UpdateKind,
+} from "../model/feedMessages.ts";
 import { FleetKind, type MembersKnown } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
@@ -70,7 +77,7 @@
         }
         this.version = message.version;
         if (message.addresses === undefined) {
-            this.scheduleReopen();
+            this.scheduleReopen("an update was missed");
             return;
         }
         // Switching away from a member that is sending would restart the transfer, on a slow link again and again.
@@ -79,7 +86,7 @@
         }
         this.idleTimeoutMs = Math.min(maximumIdleTimeoutMs, this.idleTimeoutMs * idleTimeoutFactor);
         this.selectMember(message.addresses);
-        this.closeStream();
+        this.closeStream("other members have a later version");
         clearTimeout(this.retryTimer);
         this.openStream();
     }
@@ -87,7 +94,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.isClosed = true;
         clearTimeout(this.retryTimer);
-        this.closeStream();
+        this.closeStream(undefined);
     }
 
     /**
@@ -112,7 +119,7 @@
             this.addressIndex = index;
         }
         else {
-            this.scheduleReopen();
+            this.scheduleReopen("the address is no longer that of a member");
         }
     }
 
@@ -124,11 +131,11 @@
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
         this.lastActivityAtMs = performance.now();
-        this.openTimer = setTimeout(() => this.switchMember(stream), this.backoff.attemptTimeoutMs());
+        this.openTimer = setTimeout(() => this.switchMember(stream, "no answer"), this.backoff.attemptTimeoutMs());
         stream.on("metadata", () => this.confirmStream(stream));
         stream.on("data", (part: ConfigurationPart) => this.receivePart(stream, part));
-        stream.on("error", () => this.switchMember(stream));
-        stream.on("end", () => this.switchMember(stream));
+        stream.on("error", error => this.switchMember(stream, error.message));
+        stream.on("end", () => this.switchMember(stream, "the member ended it"));
     }
 
     private confirmStream(stream: ClientReadableStream<ConfigurationPart>): void {
@@ -136,6 +143,8 @@
             clearTimeout(this.openTimer);
             this.backoff.reset();
             this.lastActivityAtMs = performance.now();
+            const { streamAddress: address, version } = this;
+            this.options.post({ kind: FeedKind.Opened, address, version } as FeedOpened);
         }
     }
 
@@ -156,33 +165,37 @@
             this.version = update.kind === UpdateKind.Snapshot ? update.configuration.version : update.toVersion;
             this.options.post({ kind: FeedKind.Received, address: this.streamAddress, update } as FeedReceived);
         }
-        catch {
-            this.switchMember(stream);
+        catch (error) {
+            this.switchMember(stream, `malformed update: ${(error as Error).message}`);
         }
     }
 
-    private switchMember(stream: ClientReadableStream<ConfigurationPart>): void {
+    private switchMember(stream: ClientReadableStream<ConfigurationPart>, reason: string): void {
         if (stream === this.stream) {
             this.addressIndex += 1;
-            this.scheduleReopen();
+            this.scheduleReopen(reason);
         }
     }
 
-    private scheduleReopen(): void {
-        this.closeStream();
+    private scheduleReopen(reason: string): void {
+        this.closeStream(reason);
         clearTimeout(this.retryTimer);
         if (!this.isClosed) {
             this.retryTimer = setTimeout(() => this.openStream(), this.backoff.nextDelayMs());
         }
     }
 
-    private closeStream(): void {
-        const { stream, client } = this;
+    /** @param reason for the log; undefined at the end of the process */
+    private closeStream(reason: string | undefined): void {
+        const { stream, client, streamAddress: address } = this;
         clearTimeout(this.openTimer);
         this.parts = [];
         this.stream = undefined;
         this.client = undefined;
         stream?.cancel();
         client?.close();
+        if (stream !== undefined && reason !== undefined) {
+            this.options.post({ kind: FeedKind.Lost, address, reason } as FeedLost);
+        }
     }
 }
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -57,7 +57,7 @@
         this.memberAddresses = new Set(message.addresses.filter(address => address !== this.options.ownAddress));
         const openAttachments = [...this.attachments.values()];
         openAttachments.filter(({ address }) => !this.memberAddresses.has(address)).forEach(attachment =>
-            this.closeAttachment(attachment)
+            this.closeAttachment(attachment, "the address is no longer that of a member")
         );
         [...this.backoffs.keys()].filter(address => !this.memberAddresses.has(address)).forEach(address =>
             this.backoffs.delete(address)
@@ -96,7 +96,7 @@
         const client = clientFactory.createClient(FleetClient, address, ConnectionMode.Dedicated);
         const stream = client.attach();
         const firstFrameTimer = setTimeout(
-            () => this.closeAttachment(attachment),
+            () => this.closeAttachment(attachment, "no answer"),
             this.getBackoff(address).attemptTimeoutMs(),
         );
         const attachment: Attachment = {
@@ -109,8 +109,8 @@
         };
         this.attachments.set(attachmentId, attachment);
         stream.on("data", (message: FleetFrameMessage) => this.receive(attachment, message));
-        stream.on("error", () => this.closeAttachment(attachment));
-        stream.on("end", () => this.closeAttachment(attachment));
+        stream.on("error", error => this.closeAttachment(attachment, error.message));
+        stream.on("end", () => this.closeAttachment(attachment, "the member ended it"));
         post({ kind: FleetKind.Attached, attachmentId, address } as Attached);
     }
 
@@ -118,11 +118,11 @@
         clearTimeout(attachment.firstFrameTimer);
         attachment.stableTimer ??= setTimeout(() => this.backoffs.get(attachment.address)?.reset(), stableAfterMs);
         if (!receiveFrame(message, attachment.attachmentId, attachment.address, this.options)) {
-            this.closeAttachment(attachment);
+            this.closeAttachment(attachment, "malformed frame");
         }
     }
 
-    private closeAttachment(attachment: Attachment): void {
+    private closeAttachment(attachment: Attachment, reason: string): void {
         const { attachmentId, address, client, stream, firstFrameTimer, stableTimer } = attachment;
         if (!this.attachments.delete(attachmentId)) {
             return;
@@ -131,7 +131,7 @@
         clearTimeout(stableTimer);
         stream.cancel();
         client.close();
-        this.options.post({ kind: FleetKind.Detached, attachmentId } as Detached);
+        this.options.post({ kind: FleetKind.Detached, attachmentId, reason } as Detached);
         if (this.isClosed || !this.memberAddresses.has(address)) {
             return;
         }
--- a/src/telemetry/stateChangeLog.ts
+++ b/src/telemetry/stateChangeLog.ts
@@ -2,21 +2,31 @@
 import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type DrainStarted } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
+import { FeedKind, type FeedLost, type FeedOpened } from "../model/feedMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { Logger } from "./logger.ts";
 
-type Input = ControlLeaderChanged | DatabasesChanged | DrainStarted | StorageSuspended | StorageResumed;
+type Input =
+    | ControlLeaderChanged
+    | DatabasesChanged
+    | DrainStarted
+    | FeedOpened
+    | FeedLost
+    | StorageSuspended
+    | StorageResumed;
 
 /**
- * Logs changes of databases, their holders and roles, of the control leader, the start of this instance's drain, and
- * whether its disk takes writes.
+ * Logs changes of databases, their holders and roles, of the control leader, the source of the configuration, the start
+ * of this instance's drain, and whether its disk takes writes.
  */
 export class StateChangeLog implements Sink<Input> {
     readonly accepts = [
         ControlKind.LeaderChanged,
         ClusterKind.DatabasesChanged,
         ClusterKind.DrainStarted,
+        FeedKind.Opened,
+        FeedKind.Lost,
         StorageKind.Suspended,
         StorageKind.Resumed,
     ];
@@ -39,6 +49,14 @@
                 { kind: ClusterKind.DrainStarted },
                 ({ deadlineMs }) => this.logger.info("drain_started", { limit_ms: Math.round(deadlineMs - nowMs) }),
             )
+            .with(
+                { kind: FeedKind.Opened },
+                ({ address, version }) => this.logger.info("feed_opened", { from: address, version }),
+            )
+            .with(
+                { kind: FeedKind.Lost },
+                ({ address, reason }) => this.logger.info("feed_lost", { from: address, reason }),
+            )
             .with(
                 { kind: StorageKind.Suspended },
                 ({ reason }) => this.logger.warn("storage_suspended", { reason }),
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -43,6 +43,8 @@
             }),
         ];
         const postedByAdapters: readonly string[] = [
+            FeedKind.Opened,
+            FeedKind.Lost,
             FleetKind.FrameReceived,
             FleetKind.FrameRefused,
             PeerKind.FrameRefused,
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -7,14 +7,24 @@
     type ControlMembersAgreed,
     type ControlPropose,
 } from "../model/controlMessages.ts";
-import { type ConfigurationUpdate, FeedKind, type FeedReceived, UpdateKind } from "../model/feedMessages.ts";
 import {
+    type ConfigurationUpdate,
+    FeedKind,
+    type FeedLost,
+    type FeedOpened,
+    type FeedReceived,
+    UpdateKind,
+} from "../model/feedMessages.ts";
+import {
+    type Attached,
     type DatabaseChanged,
     type DatabaseRemoved,
     type DatabaseSuspected,
+    type Detached,
     type FleetDrainStarted,
     FleetKind,
     type FrameRefused,
+    type MembersKnown,
     type PolicyApplied,
     type ReadinessChanged,
 } from "../model/fleetMessages.ts";
@@ -96,6 +106,18 @@
     line<FrameRefused>(FleetKind.FrameRefused, ({ attachmentId, reason }) => ({ attachment: attachmentId, reason })),
     line<PeerFrameRefused>(PeerKind.FrameRefused, ({ peer, reason }) => ({ peer, reason })),
     line<ReadinessChanged>(FleetKind.ReadinessChanged, ({ ready }) => ({ ready })),
+    // Control members accept hundreds of attachments, which the other side logs.
+    line<Attached>(
+        FleetKind.Attached,
+        ({ attachmentId, address }) => address === undefined ? undefined : { attachment: attachmentId, address },
+    ),
+    line<Detached>(
+        FleetKind.Detached,
+        ({ attachmentId, reason }) => reason === undefined ? undefined : { attachment: attachmentId, reason },
+    ),
+    line<MembersKnown>(FleetKind.MembersKnown, ({ addresses }) => ({ members: addresses.join(",") })),
+    line<FeedOpened>(FeedKind.Opened, ({ address, version }) => ({ from: address, version })),
+    line<FeedLost>(FeedKind.Lost, ({ address, reason }) => ({ from: address, reason })),
     line<FeedReceived>(FeedKind.Received, ({ address, update }) => ({ from: address, ...versionsOf(update) })),
     line<ConfigurationApplied>(ClusterKind.ConfigurationApplied, ({ configuration }) => ({
         configuration: configuration.version,
@@ -146,6 +168,7 @@
     SessionKind.Refuse,
     SessionKind.Answer,
     FleetKind.ReadinessChanged,
+    FleetKind.MembersKnown,
     PromotionKind.Progressed,
     PromotionKind.Order,
 ];
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -1,6 +1,7 @@
 /** Creates and connects the parts of the processes that run on the users' platform: proxies and control members. */
 import "disposablestack/auto";
 import { ControlKind } from "../model/controlMessages.ts";
+import { FeedKind } from "../model/feedMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
@@ -324,6 +325,8 @@
             ...Object.values(FleetKind),
             PeerKind.InstancesKnown,
             PeerKind.FrameRefused,
+            FeedKind.Opened,
+            FeedKind.Lost,
             ControlKind.ProposalEnded,
             ControlKind.LeaderChanged,
             ControlKind.MembersAgreed,
