--- a/scripts/buildPlatform.ts
+++ b/scripts/buildPlatform.ts
@@ -1,4 +1,7 @@
-/** Bundles the programs for the users' platform into `target/` and creates the cluster secret that they share. */
+/**
+ * Bundles the programs for the users' platform and creates the cluster secret that they share:
+ * `buildPlatform.ts [FOLDER]`, by default into `target/`.
+ */
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
 import { randomBytes } from "node:crypto";
@@ -7,7 +10,7 @@
 import { removeCodeCache } from "../src/cli/codeCache.ts";
 
 const deployFile = "deploy/system.toml";
-const outputFolder = "target";
+const outputFolder = process.argv[2] ?? "target";
 const secretFile = join(outputFolder, "cluster-secret");
 
 mkdirSync(outputFolder, { recursive: true });
--- /dev/null
+++ b/scripts/platformCluster.ts
@@ -0,0 +1,271 @@
+/**
+ * Control members and proxies of the users' platform as separate processes, each at a loopback address of its own. Faults
+ * come from outside: signals, replaced machines, changed settings files.
+ */
+import { spawnSync } from "node:child_process";
+import { randomInt } from "node:crypto";
+import { once } from "node:events";
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { settingsVariable } from "../src/platform/platformSettings.ts";
+import { findFreePorts, type ManagedProcess, ProcessGroup } from "./processGroup.ts";
+
+/** Interval between two attempts of an operator, and between two looks at a state that a test waits for. */
+const retryIntervalMs = 100;
+
+/** Time for which an operator waits for an answer. */
+const callTimeoutMs = 1_000;
+
+/** Time within which a caller gets an answer to its `CONNECT`. */
+const connectTimeoutMs = 2_500;
+
+/** Time within which a member joins or is removed. */
+const memberChangeLimitMs = 20_000;
+
+const dataCentres = { "zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-b" };
+
+export interface Machine {
+    readonly name: string;
+    readonly host: string;
+    readonly dataCentre: string;
+    readonly isMember: boolean;
+}
+
+export interface PlatformClusterOptions {
+    readonly members: number;
+    readonly proxies: number;
+    /** Folder for the output of each process; without it, the output is dropped. */
+    readonly logFolder?: string;
+}
+
+export class PlatformCluster implements AsyncDisposable {
+    readonly members: Machine[] = [];
+    readonly proxies: Machine[] = [];
+    /** Ends of processes that nobody has ordered. */
+    readonly unexpectedEnds: string[] = [];
+    private readonly folder = mkdtempSync(join(tmpdir(), "jasmineline-platform-"));
+    private readonly group: ProcessGroup;
+    private readonly processes = new Map<string, ManagedProcess>();
+    private readonly orderedEnds = new Set<ManagedProcess>();
+    private readonly network = `127.${randomInt(20, 220)}.${randomInt(1, 250)}`;
+    private readonly ports: { readonly front: number; readonly ready: number; readonly control: number; rpc: number; };
+    private nextHost = 11;
+    // Also runs on exit, because an interrupted script exits without disposal.
+    private readonly removeFolder = () => rmSync(this.folder, { recursive: true, force: true });
+
+    private constructor({ members, proxies, logFolder }: PlatformClusterOptions, ports: readonly number[]) {
+        process.on("exit", this.removeFolder);
+        this.group = new ProcessGroup(logFolder);
+        const [front, ready, control, rpc] = ports as [number, number, number, number];
+        this.ports = { front, ready, control, rpc };
+        const program = spawnSync(
+            process.execPath,
+            ["--import", "tsx", "scripts/buildPlatform.ts", this.programFolder],
+            { stdio: ["ignore", "ignore", "inherit"] },
+        );
+        if (program.status !== 0) {
+            throw new Error(`the build of the programs failed with ${program.status ?? program.signal}`);
+        }
+        Array.from({ length: members }, () => this.addMachine(true));
+        Array.from({ length: proxies }, () => this.addMachine(false));
+    }
+
+    /** Starts the machines, and waits until the members have acknowledged version 1 of the configuration. */
+    static async open(options: PlatformClusterOptions, document: unknown): Promise<PlatformCluster> {
+        const cluster = new PlatformCluster(options, await findFreePorts(4));
+        [...cluster.members, ...cluster.proxies].forEach(machine => cluster.start(machine, { isFirstStart: true }));
+        await cluster.putConfiguration(document);
+        return cluster;
+    }
+
+    /** Adds a machine, which does not run yet. */
+    addMachine(isMember: boolean): Machine {
+        const number = this.nextHost - 10;
+        const zones = Object.keys(dataCentres);
+        const list = isMember ? this.members : this.proxies;
+        const machine: Machine = {
+            name: `${isMember ? "core" : "front"}-${number}`,
+            host: `${this.network}.${this.nextHost++}`,
+            dataCentre: zones[list.length % zones.length]!,
+            isMember,
+        };
+        list.push(machine);
+        return machine;
+    }
+
+    /** @param options.seeds members that the settings name; by default the present ones */
+    start(
+        machine: Machine,
+        options: { readonly isFirstStart?: boolean; readonly seeds?: readonly Machine[]; } = {},
+    ): void {
+        this.writeSettings(machine, options.seeds ?? this.members, options.isFirstStart ?? false);
+        const started = this.group.start({
+            name: machine.name,
+            program: process.execPath,
+            commandArguments: ["--max-old-space-size=156", join(this.programFolder, "jasmineline.cjs")],
+            environment: { [settingsVariable]: this.settingsFile(machine) },
+        });
+        this.processes.set(machine.name, started);
+        void started.ended.then(reason => {
+            if (!this.orderedEnds.has(started)) {
+                this.unexpectedEnds.push(`${machine.name}: ${reason}`);
+            }
+        });
+    }
+
+    /** Writes the settings file of a machine; a running process gets no signal. */
+    writeSettings(machine: Machine, seeds: readonly Machine[], isFirstStart = false): void {
+        const { name, host, dataCentre, isMember } = machine;
+        const { front, ready, control, rpc } = this.ports;
+        const dataFolder = join(this.folder, name);
+        if (isMember) {
+            mkdirSync(dataFolder, { recursive: true });
+        }
+        const settings = {
+            node: name,
+            serves: [isMember ? "control" : "front"],
+            ip: host,
+            zone: dataCentre,
+            region: dataCentres[dataCentre as keyof typeof dataCentres],
+            zones: dataCentres,
+            listen: isMember
+                ? { control: `${host}:${control}` }
+                : { front: `${host}:${front}`, ready: `${host}:${ready}` },
+            port_range: [rpc, rpc],
+            seeds: seeds.slice(-3).map(seed => `${seed.host}:${control}`),
+            bootstrap: isFirstStart,
+            ...isMember ? { data_dir: dataFolder } : {},
+            heartbeat_interval_ms: 1_200,
+            fault_tolerance: { machines: 1, zones: 0, regions: 0 },
+            bounds: { grace_s: 6, quota_window_s: 5, quota_tolerance: 0.1, quota_slack: 20 },
+        };
+        writeFileSync(this.settingsFile(machine), JSON.stringify(settings));
+    }
+
+    signal({ name }: Machine, signal: NodeJS.Signals): void {
+        const target = this.processes.get(name)!;
+        if (signal === "SIGKILL" || signal === "SIGTERM") {
+            this.orderedEnds.add(target);
+        }
+        target.signal(signal);
+    }
+
+    /** Kills a process and waits for its end. */
+    async kill(machine: Machine): Promise<void> {
+        this.signal(machine, "SIGKILL");
+        await this.processes.get(machine.name)!.ended;
+    }
+
+    /**
+     * Adds an empty member at another address, removes the old one for good once the new one belongs to the cluster, and
+     * waits until the others have removed it from their list too.
+     * @param remove ends or silences the old process
+     */
+    async replaceMember(old: Machine, remove: (machine: Machine) => Promise<void> | void): Promise<Machine> {
+        const next = this.addMachine(true);
+        this.members.splice(this.members.indexOf(old), 1);
+        this.start(next);
+        await this.waitForMembers(next, members => members.includes(next.host));
+        await remove(old);
+        await this.waitForMembers(next, members => !members.includes(old.host));
+        return next;
+    }
+
+    /** Waits until a member reports a list of members that meets the condition. */
+    private async waitForMembers(member: Machine, condition: (hosts: readonly string[]) => boolean): Promise<void> {
+        await this.processes.get(member.name)!.waitForLine(line => {
+            const list = /"event":"control\.members_agreed".*"members":"([^"]+)"/.exec(line)?.[1];
+            return list !== undefined && condition(list.split(",").map(address => address.split(":")[0]!));
+        }, memberChangeLimitMs);
+    }
+
+    /**
+     * Sends a configuration to one member after the other until it is acknowledged.
+     * @throws Error if no member acknowledges it within 15 s
+     */
+    async putConfiguration(document: unknown): Promise<void> {
+        const body = JSON.stringify(document);
+        const statuses: string[] = [];
+        for (const startMs = performance.now(); performance.now() - startMs < 15_000;) {
+            for (const { host } of [...this.members]) {
+                const status = await this.putAt(host, body);
+                if (status === 200) {
+                    return;
+                }
+                statuses.push(`${host}: ${status}`);
+            }
+            await delay(retryIntervalMs);
+        }
+        throw new Error(`the configuration was not acknowledged: ${statuses.slice(-6).join(", ")}`);
+    }
+
+    /** Opens a session at a proxy and returns the first word of the answer, with the code of an error. */
+    async connect(proxy: Machine, database: string, key: string): Promise<string> {
+        const socket = connect({ host: proxy.host, port: this.ports.front, timeout: connectTimeoutMs });
+        try {
+            socket.on("timeout", () => socket.destroy(new Error("no answer")));
+            socket.write(`CONNECT ${database} ${key}\r\n`);
+            const [data] = await once(socket, "data") as [Buffer];
+            const [word, code] = data.toString("latin1").split(/\s/);
+            return word === "ERROR" ? code! : word!;
+        }
+        catch (error) {
+            return (error as Error).message;
+        }
+        finally {
+            socket.destroy();
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.processes.forEach(running => {
+            this.orderedEnds.add(running);
+            running.signal("SIGKILL");
+        });
+        await this.group[Symbol.asyncDispose]();
+        this.removeFolder();
+        process.off("exit", this.removeFolder);
+    }
+
+    private get programFolder(): string {
+        return join(this.folder, "program");
+    }
+
+    private settingsFile({ name }: Machine): string {
+        return join(this.folder, `${name}.json`);
+    }
+
+    private async putAt(host: string, body: string): Promise<number> {
+        try {
+            const response = await fetch(`http://${host}:${this.ports.control}/-/Config.Put`, {
+                method: "POST",
+                body,
+                signal: AbortSignal.timeout(callTimeoutMs),
+            });
+            await response.arrayBuffer();
+            return response.status;
+        }
+        catch {
+            // Not listening yet, or silent; the caller goes on to the next member.
+            return 0;
+        }
+    }
+}
+
+/** A configuration with one route and one key for each version up to this one. */
+export function documentWithKeys(version: number): unknown {
+    return {
+        version,
+        routes: [{ name: "orders", host: "orders", kind: "primary", timeout_ms: 1_000, service: "ledger" }],
+        services: [{ name: "ledger" }],
+        tenants: [{
+            name: "tenant",
+            api_keys: Array.from({ length: version }, (_, index) => `key${index + 1}`),
+            rate_per_s: 100,
+            burst: 100,
+        }],
+    };
+}
--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -17,6 +17,8 @@
     readonly name: string;
     readonly program: string;
     readonly commandArguments: readonly string[];
+    /** Variables in addition to those of this process. */
+    readonly environment?: Readonly<Record<string, string>>;
 }
 
 /** Command that runs a TypeScript file of the repository. */
@@ -43,7 +45,10 @@
     constructor(command: Command, logFile?: string) {
         this.name = command.name;
         this.logStream = logFile === undefined ? undefined : createWriteStream(logFile, { flags: "a" });
-        this.child = spawn(command.program, [...command.commandArguments], { stdio: ["ignore", "pipe", "pipe"] });
+        this.child = spawn(command.program, [...command.commandArguments], {
+            stdio: ["ignore", "pipe", "pipe"],
+            env: { ...process.env, ...command.environment },
+        });
         const outputEnds = [this.child.stdout!, this.child.stderr!].map(stream => {
             const lines = createInterface({ input: stream });
             lines.on("line", line => this.receive(line));
@@ -72,21 +77,22 @@
     }
 
     /**
-     * Waits for a line of output that contains `text`, and returns the line.
+     * Waits for a line of output that contains `text` or meets the condition, and returns the line.
      * @throws Error with the last output if the process ends first or `timeoutMs` passes
      */
-    async waitForLine(text: string, timeoutMs: number): Promise<string> {
-        const earlierLine = this.recentLines.find(line => line.includes(text));
+    async waitForLine(text: string | ((line: string) => boolean), timeoutMs: number): Promise<string> {
+        const isMatch = typeof text === "string" ? (line: string): boolean => line.includes(text) : text;
+        const earlierLine = this.recentLines.find(isMatch);
         if (earlierLine !== undefined) {
             return earlierLine;
         }
         const timeoutAbort = new AbortController();
         const matched = new Promise<string>(resolve =>
-            this.listeners.push(line => line.includes(text) ? resolve(line) : undefined)
+            this.listeners.push(line => isMatch(line) ? resolve(line) : undefined)
         );
         const timeout = delay(timeoutMs, "timeout", { signal: timeoutAbort.signal, ref: false });
         const failed = Promise.race([this.ended, timeout]).then(reason => {
-            throw new Error(`${this.name} wrote no "${text}" (${reason}):\n${this.recentLines.join("\n")}`);
+            throw new Error(`${this.name} wrote no line with ${text} (${reason}):\n${this.recentLines.join("\n")}`);
         });
         try {
             return await Promise.race([matched, failed]);
