fix(fleet): the search for the control members never ends

What callers saw: a proxy that stood still, or was added with old seeds, while all members were replaced answered NOAUTH, NODB or BUSY for good. Cause: a process knew the seeds of its start until the first list of a member, and afterwards only what attached members listed. Once all of those were gone, nothing led back. A reload of changed seeds reached control members alone, and a file that changed without a signal was not looked at. By the same cause, a control member left the attachments of its cluster when a removed member listed others. Change: MemberDiscovery takes the list out of Attachments. With a leader, its list; without one, the last list, the lists of members that answer, the seeds as the file has them now and, each second, the leader's list of more and more other instances (a new question between instances), for as long as the process runs. SettingsWatcher looks at the file every 2 s. A line each second tells what is tried. A control member keeps to the replicated list while it has a leader.

--- a/src/cli/platformMain.ts
+++ b/src/cli/platformMain.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { readPlatformSettings, settingsVariable } from "../platform/platformSettings.ts";
 import { startPlatformProcess } from "../wiring/platformProcess.ts";
+import { SettingsWatcher } from "../wiring/settingsWatcher.ts";
 import { ExitCode } from "./exitCode.ts";
 import { readSecretFile } from "./secretFile.ts";
 
@@ -20,6 +21,7 @@
         console.error(`set ${settingsVariable} to the path of the settings file`);
         return ExitCode.Usage;
     }
+    using watcher = new SettingsWatcher(path);
     const settings = readPlatformSettings(path);
     const platformProcess = await startPlatformProcess({
         settings,
@@ -27,7 +29,9 @@
         seed: randomBytes(4).readUInt32BE() >>> 1,
     });
     process.on("SIGTERM", () => platformProcess.drain());
-    process.on("SIGHUP", () => platformProcess.reload(() => readPlatformSettings(path)));
+    const reload = (): void => platformProcess.reload(() => readPlatformSettings(path));
+    process.on("SIGHUP", reload);
+    watcher.start(reload);
     await platformProcess.ended;
     await platformProcess[Symbol.asyncDispose]();
     return ExitCode.Success;
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -23,6 +23,7 @@
 import { AttachmentHub } from "../attachmentHub.ts";
 import { Attachments } from "../attachments.ts";
 import { FleetDatabaseDirectory } from "../fleetDatabaseDirectory.ts";
+import { MemberDiscovery } from "../memberDiscovery.ts";
 
 /** One-way latency between data centres. */
 const oneWayMs = 12;
@@ -115,6 +116,7 @@
             new FleetDatabaseDirectory(),
             new AttachmentHub({ instanceId: name }),
             new Attachments(options),
+            this.discovery(options.address, true),
         ]);
         this.push(name, { kind: ControlKind.MembersAgreed, addresses: this.memberNames.map(toAddress) } as Message);
         this.memberNames.filter(other => other !== name && this.nodes.has(other)).forEach(other => {
@@ -131,7 +133,12 @@
         const dataCentre = dataCentres[index % dataCentres.length]!;
         const address = `10.128.${index >> 8}.${index & 255}:9000`;
         const options = { instanceId: name, dataCentre, address, serves: true, followsConfiguration: true };
-        this.add(name, false, [new FleetDatabaseDirectory(), new Attachments(options)]);
+        this.add(name, false, [
+            new FleetDatabaseDirectory(),
+            new Attachments(options),
+            this.discovery(address, false),
+        ]);
+        this.push(name, seedsOf(this.memberNames));
         this.memberNames.forEach(member => this.attachLater(name, member));
     }
 
@@ -228,6 +235,10 @@
         this.nowMs = untilMs;
     }
 
+    private discovery(address: string, isMember: boolean): MemberDiscovery {
+        return new MemberDiscovery({ address, isMember, random: this.random });
+    }
+
     private add(name: string, control: boolean, filters: ConstructorParameters<typeof Pipe>[1]): void {
         this.nodes.set(name, {
             name,
@@ -360,3 +371,8 @@
 function toAddress(member: string): string {
     return `${member}:9000`;
 }
+
+function seedsOf(memberNames: readonly string[]): Message {
+    const seeds = memberNames.map(name => ({ memberId: name, address: toAddress(name) }));
+    return { kind: ControlKind.SeedsChanged, seeds } as Message;
+}
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -1,5 +1,5 @@
 /**
- * The attaching side of attachments: tracks the control members and their leader, follows one member's list of
+ * The attaching side of attachments: tracks the attached control members and their leader, follows one member's list of
  * instances and requests the configuration again when this instance lags behind.
  */
 import { match, P } from "ts-pattern";
@@ -14,7 +14,6 @@
     FleetKind,
     type FleetTimer,
     type FrameReceived,
-    type MembersKnown,
 } from "../model/fleetMessages.ts";
 import { type InstancesKnown, PeerKind } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
@@ -73,8 +72,6 @@
     configurationVersion: number;
     /** Instances attached to the member; undefined until its first status. */
     instanceCount: number | undefined;
-    /** Addresses of all control members, as listed by this one. */
-    members: readonly string[];
 }
 
 export interface AttachmentsOptions {
@@ -103,7 +100,6 @@
     private readonly options: AttachmentsOptions;
     private readonly members = new Map<string, Member>();
     private readonly suspicionSentAtMs = new Map<string, number>();
-    private memberAddresses: readonly string[] = [];
     private readonly instances = new KnownInstances();
     private hasList = false;
     private leaving = false;
@@ -152,7 +148,6 @@
             term: 0,
             configurationVersion: 0,
             instanceCount: undefined,
-            members: [],
         });
         const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
         const { leaving } = this;
@@ -183,12 +178,7 @@
         member.term = frame.term;
         member.configurationVersion = frame.configurationVersion;
         member.instanceCount = frame.instanceCount;
-        member.members = frame.members;
-        return [
-            ...this.updateMembers(member),
-            ...this.chooseFollowedMember(nowMs),
-            ...this.checkConfigurationLag(nowMs),
-        ];
+        return [...this.chooseFollowedMember(nowMs), ...this.checkConfigurationLag(nowMs)];
     }
 
     private detach(attachmentId: string, nowMs: number): readonly Message[] {
@@ -284,22 +274,6 @@
             .sort((left, right) => right.term - left.term)[0];
     }
 
-    /**
-     * Uses the leader's list of control members. Without a leader, an instance attaches to all members that any member
-     * listed, because the list of a partitioned member may contain removed members and lack new ones.
-     */
-    private updateMembers({ members }: Member): readonly Message[] {
-        const leader = this.leader();
-        const addresses = !this.options.serves
-            ? members
-            : leader?.members ?? [...new Set([...this.memberAddresses, ...members])];
-        if (addresses.length === 0 || sameSet(addresses, this.memberAddresses)) {
-            return [];
-        }
-        this.memberAddresses = addresses;
-        return [{ kind: FleetKind.MembersKnown, addresses } as MembersKnown];
-    }
-
     private checkConfigurationLag(nowMs: number): readonly Message[] {
         const membersAhead = [...this.members.values()].filter(member =>
             member.configurationVersion > this.appliedVersion
@@ -342,7 +316,3 @@
 function leaderlessTimer(atMs: number): Message {
     return setDeadline("fleet.follow", atMs, { kind: FleetKind.InstancesCheckDue });
 }
-
-function sameSet(left: readonly string[], right: readonly string[]): boolean {
-    return left.length === right.length && left.every(element => right.includes(element));
-}
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -17,6 +17,10 @@
     DatabaseRemoved: "fleet.database_removed",
     /** The list of control members to attach to changed. */
     MembersKnown: "fleet.members_known",
+    /** Checks the contact to the leader, and goes on with the search for the control members. */
+    DiscoveryDue: "fleet.discovery_due",
+    /** No leader is known; tells what is tried, for the log. */
+    DiscoveryProgressed: "fleet.discovery_progressed",
     Attached: "fleet.attached",
     Detached: "fleet.detached",
     /** A frame that arrived on an attachment. */
@@ -98,6 +102,17 @@
     readonly addresses: readonly string[];
 }
 
+export interface DiscoveryProgressed extends Message {
+    readonly kind: typeof FleetKind.DiscoveryProgressed;
+    readonly searchedForMs: number;
+    /** `host:port` of the gRPC listeners that are tried. */
+    readonly addresses: readonly string[];
+    /** Number of members that answered on an attachment that is open. */
+    readonly attachedMembers: number;
+    /** `host:port` of the other instances that were asked for the members. */
+    readonly askedInstances: readonly string[];
+}
+
 /** An attachment was opened by this process or accepted from another one. */
 export interface Attached extends Message {
     readonly kind: typeof FleetKind.Attached;
@@ -328,6 +343,7 @@
         | typeof FleetKind.ConfigurationLagCheckDue
         | typeof FleetKind.AnnouncementDue
         | typeof FleetKind.InstancesCheckDue
+        | typeof FleetKind.DiscoveryDue
         | typeof FleetKind.ConfirmationDue;
 }
 
--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -75,9 +75,16 @@
     readonly maximumProofAgeMs: number;
 }
 
+/** Asks another instance for the control members. */
+export interface MembersQuestion {
+    readonly kind: "members";
+    readonly questionId: string;
+}
+
 export type PeerQuestion =
     | PassedTask
     | FloorQuestion
+    | MembersQuestion
     | { readonly kind: "abandon"; readonly sessionId: string; readonly taskId: string | undefined; };
 
 export interface PassedResult {
@@ -99,7 +106,14 @@
     readonly proofAgeMs: number;
 }
 
-export type PeerResult = PassedResult | FloorResult;
+export interface MembersResult {
+    readonly kind: "members";
+    readonly questionId: string;
+    /** `host:port` of the control members in the leader's list; empty if the instance knows no leader. */
+    readonly addresses: readonly string[];
+}
+
+export type PeerResult = PassedResult | FloorResult | MembersResult;
 
 export interface PeerSend extends Message {
     readonly kind: typeof PeerKind.Send;
--- a/src/rpc/__tests__/taskCodec.spec.ts
+++ b/src/rpc/__tests__/taskCodec.spec.ts
@@ -43,6 +43,7 @@
             { kind: "abandon", sessionId: "s1", taskId: undefined },
             { kind: "abandon", sessionId: "s1", taskId: "t1" },
             { kind: "floor", questionId: "f1", service: "s", workspace: "w", maximumProofAgeMs: 750 },
+            { kind: "members", questionId: "m1" },
         ];
         questions.forEach(question => assert.deepEqual(decodeQuestion(encodeQuestion(question)), question));
     });
@@ -71,6 +72,8 @@
             { kind: "task", taskId: "t1", reply: undefined, fault: undefined, sent: true, leads: false, pinned: false },
             { kind: "floor", questionId: "f1", position: { term: 1, offset: 2 }, proofAgeMs: 40 },
             { kind: "floor", questionId: "f1", position: undefined, proofAgeMs: 0 },
+            { kind: "members", questionId: "m1", addresses: [] },
+            { kind: "members", questionId: "m1", addresses: ["10.0.0.1:7560", "10.0.0.2:7560"] },
         ];
         results.forEach(result => assert.deepEqual(decodeResult(encodeResult(result)), result));
     });
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -119,6 +119,8 @@
             this.addressIndex = index;
         }
         else {
+            // Failures at addresses that are gone say nothing about the new ones.
+            this.backoff.reset();
             this.scheduleReopen("the address is no longer that of a member");
         }
     }
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -22,6 +22,9 @@
     if (question.kind === "abandon") {
         return { body: encodeJson([question.sessionId, question.taskId ?? 0]) };
     }
+    if (question.kind === "members") {
+        return { body: encodeJson([question.questionId]) };
+    }
     if (question.kind === "floor") {
         const { questionId, service, workspace, maximumProofAgeMs } = question;
         return { body: encodeJson([questionId, service, workspace, Math.floor(maximumProofAgeMs)]) };
@@ -48,7 +51,10 @@
 
 /** @throws Error that names the field if the body was not made by `encodeQuestion` */
 export function decodeQuestion({ body }: TaskFrameMessage): PeerQuestion {
-    const fields = requireFields(decodeJson(body), "question", [2, 4, 13]);
+    const fields = requireFields(decodeJson(body), "question", [1, 2, 4, 13]);
+    if (fields.length === 1) {
+        return { kind: "members", questionId: requireText(fields[0], "questionId") };
+    }
     if (fields.length === 2) {
         return {
             kind: "abandon",
@@ -87,6 +93,9 @@
 }
 
 export function encodeResult(result: PeerResult): TaskFrameMessage {
+    if (result.kind === "members") {
+        return { body: encodeJson([result.questionId, result.addresses]) };
+    }
     if (result.kind === "floor") {
         // Rounded up, because a proof must not seem more recent than it is.
         const { questionId, position, proofAgeMs } = result;
@@ -107,7 +116,14 @@
 
 /** @throws Error that names the field if the body was not made by `encodeResult` */
 export function decodeResult({ body }: TaskFrameMessage): PeerResult {
-    const fields = requireFields(decodeJson(body), "result", [3, 4]);
+    const fields = requireFields(decodeJson(body), "result", [2, 3, 4]);
+    if (fields.length === 2) {
+        return {
+            kind: "members",
+            questionId: requireText(fields[0], "questionId"),
+            addresses: requireArray(fields[1], "addresses").map(address => requireText(address, "address")),
+        };
+    }
     if (fields.length === 3) {
         return {
             kind: "floor",
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -503,7 +503,7 @@
     private sendAnswer({ streamId, result }: PeerAnswer): void {
         const other = this.fleet.nodes.find(({ peer }) => peer.instanceId === streamId)!;
         const bytes = encodeResult(result).body.length + framingBytes;
-        const floorBytes = probeIdPattern.test(result.kind === "floor" ? result.questionId : result.taskId) ? bytes : 0;
+        const floorBytes = probeIdPattern.test(result.kind === "task" ? result.taskId : result.questionId) ? bytes : 0;
         this.counters.bytesOut += bytes;
         this.counters.floorBytes += floorBytes;
         this.fleet.schedule.after(this.fleet.delayMs(this.peer.dataCentre, other.peer.dataCentre), () => {
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -3,6 +3,7 @@
 import { type FleetDrainStarted, FleetKind } from "../model/fleetMessages.ts";
 import {
     type FloorQuestion,
+    type MembersQuestion,
     type PassedTask,
     type PeerAnswer,
     type PeerAsked,
@@ -77,7 +78,7 @@
 
     private handleQuestion(
         streamId: string,
-        question: Exclude<PeerQuestion, FloorQuestion>,
+        question: Exclude<PeerQuestion, FloorQuestion | MembersQuestion>,
         nowMs: number,
     ): readonly Message[] {
         if (question.kind === "abandon") {
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -21,6 +21,7 @@
     type DatabaseRemoved,
     type DatabaseSuspected,
     type Detached,
+    type DiscoveryProgressed,
     type FleetDrainStarted,
     FleetKind,
     type FrameRefused,
@@ -116,6 +117,12 @@
         ({ attachmentId, reason }) => reason === undefined ? undefined : { attachment: attachmentId, reason },
     ),
     line<MembersKnown>(FleetKind.MembersKnown, ({ addresses }) => ({ members: addresses.join(",") })),
+    line<DiscoveryProgressed>(FleetKind.DiscoveryProgressed, progress => ({
+        searchedForMs: Math.round(progress.searchedForMs),
+        addresses: progress.addresses.join(","),
+        attached: progress.attachedMembers,
+        asked: progress.askedInstances.join(","),
+    })),
     line<FeedOpened>(FeedKind.Opened, ({ address, version }) => ({ from: address, version })),
     line<FeedLost>(FeedKind.Lost, ({ address, reason }) => ({ from: address, reason })),
     line<FeedReceived>(FeedKind.Received, ({ address, update }) => ({ from: address, ...versionsOf(update) })),
@@ -169,6 +176,7 @@
     SessionKind.Answer,
     FleetKind.ReadinessChanged,
     FleetKind.MembersKnown,
+    FleetKind.DiscoveryProgressed,
     PromotionKind.Progressed,
     PromotionKind.Order,
 ];
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -6,6 +6,7 @@
 import { Attachments } from "../fleet/attachments.ts";
 import { ConfigurationDocuments } from "../fleet/configurationDocuments.ts";
 import { FleetDatabaseDirectory } from "../fleet/fleetDatabaseDirectory.ts";
+import { MemberDiscovery } from "../fleet/memberDiscovery.ts";
 import { PermitLeader } from "../fleet/permitLeader.ts";
 import { PermitRequester } from "../fleet/permitRequester.ts";
 import { PolicyConfirmation } from "../fleet/policyConfirmation.ts";
@@ -40,6 +41,7 @@
         new PolicyFilter(new TrafficPolicyDecoder()),
         new FleetDatabaseDirectory(),
         new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, followsConfiguration: true }),
+        new MemberDiscovery({ address: rpcAddress, isMember: false, random: new SeededRandom(seed + 1) }),
         new PolicyConfirmation(),
         new PermitRequester(),
         new Readiness(),
@@ -93,6 +95,7 @@
         new FleetDatabaseDirectory(),
         new AttachmentHub({ instanceId }),
         new Attachments({ instanceId, dataCentre, address, serves: false, followsConfiguration: false }),
+        new MemberDiscovery({ address, isMember: true, random: new SeededRandom(options.seed + 1) }),
         new ConfigurationDocuments(),
         new PermitLeader({ tolerance: rateTolerance }),
         new Promotions({ reportIntervalMs }),
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -203,7 +203,7 @@
                 await readinessServer.listen(readinessEndpoint);
             }
             subscriber.start();
-            post({ kind: FleetKind.MembersKnown, addresses: seeds } as Message);
+            post({ kind: ControlKind.SeedsChanged, seeds: settings.seeds } as Message);
         },
     };
 }
@@ -277,8 +277,7 @@
             stack.defer(() => server.forceShutdown());
             await controlServer.listen();
             post(storage.recovered);
-            const addresses = settings.seeds.map(({ address }) => address);
-            post({ kind: FleetKind.MembersKnown, addresses } as Message);
+            post({ kind: ControlKind.SeedsChanged, seeds: settings.seeds } as Message);
         },
     };
 }
@@ -330,7 +329,6 @@
             ControlKind.ProposalEnded,
             ControlKind.LeaderChanged,
             ControlKind.MembersAgreed,
-            ControlKind.SeedsChanged,
         ];
         const handledKinds = new Set([
             ...pipes.flatMap(pipe => [...pipe.accepts]),
