fix(request): a MySQL login is refused for good on a recent proof only

What callers saw: access denied for a key or route that had been added, at an instance that lost the control members. Cause: the same as that of the proxies: one proof held for the life of the process. Change: an unknown key, route or workspace is refused as stale, to be tried again, when the last proof is older than 10 s.

--- a/src/request/__tests__/authenticate.spec.ts
+++ b/src/request/__tests__/authenticate.spec.ts
@@ -25,10 +25,16 @@
     return filter;
 }
 
-function login(filter: AuthenticateFilter, keyId: string, proofHex: string, service = "boards"): string | undefined {
+function login(
+    filter: AuthenticateFilter,
+    keyId: string,
+    proofHex: string,
+    service = "boards",
+    nowMs = 0,
+): string | undefined {
     const [result] = filter.process(
         { kind: CallerKind.Login, connectionId: 1, keyId, service, challengeHex: "", proofHex },
-        0,
+        nowMs,
     );
     return (result as CallerLoginResult).refusal?.code;
 }
@@ -60,6 +66,14 @@
         assert.equal(login(filter, "", "", "boards"), RefusalCode.AccessDenied);
     });
 
+    it("refuses unknown keys and routes only temporarily once the last proof is older than a new version may wait", () => {
+        // Guards against an instance that was cut off and refuses for good what was added meanwhile.
+        const filter = createFilter();
+        assert.equal(login(filter, "key-2", "good", "boards", 10_000), RefusalCode.AccessDenied);
+        assert.equal(login(filter, "key-2", "good", "boards", 10_001), RefusalCode.ConfigurationStale);
+        assert.equal(login(filter, "", "", "boards", 10_001), RefusalCode.ConfigurationStale);
+    });
+
     it("lets callers without a key use open routes only", () => {
         const filter = createFilter();
         assert.equal(login(filter, "", "", "boards"), RefusalCode.AccessDenied);
--- a/src/request/authenticate.ts
+++ b/src/request/authenticate.ts
@@ -28,6 +28,9 @@
     readonly service: string;
 }
 
+/** Age up to which a proof allows a refusal for good; an accepted configuration is in force within 18 s. */
+const refusalProofMs = 10_000;
+
 // Digest to verify against when the key id is unknown, so that the response time does not reveal which ids exist.
 const unknownKeyDigestHex = "0".repeat(40);
 
@@ -75,8 +78,7 @@
     private checkLogin(login: CallerLogin, nowMs: number): Refusal | undefined {
         const session = login.keyId === "" ? this.createOpenSession(login) : this.createKeySession(login);
         if (session === undefined) {
-            // Before the first proof, the applied configuration may be older than the key.
-            return this.provedAtMs === -Infinity ? this.refuseStale() : refuse(RefusalCode.AccessDenied, this.step);
+            return this.refuseUnknown(nowMs);
         }
         const staleRefusal = this.checkProof(session, nowMs);
         if (staleRefusal === undefined) {
@@ -116,12 +118,19 @@
     private checkProof(session: Session, nowMs: number): Refusal | undefined {
         const validityMs = this.workspaces.get(session.workspace)?.keyValidityMs;
         if (validityMs === undefined) {
-            return refuse(RefusalCode.AccessDenied, this.step, { detail: "the workspace was removed" });
+            return this.refuseUnknown(nowMs, { detail: "the workspace was removed" });
         }
         const isFresh = session.callerId === "" || nowMs - this.provedAtMs <= validityMs;
         return isFresh ? undefined : this.refuseStale();
     }
 
+    /** Without a recent proof, the applied configuration may be older than what it lacks. */
+    private refuseUnknown(nowMs: number, parts: { readonly detail?: string; } = {}): Refusal {
+        return nowMs - this.provedAtMs > refusalProofMs
+            ? this.refuseStale()
+            : refuse(RefusalCode.AccessDenied, this.step, parts);
+    }
+
     private refuseStale(): Refusal {
         return refuse(RefusalCode.ConfigurationStale, this.step, { retryAfterMs: 1_000 });
     }
