fix(control): a member without contact to a leader says so

What callers saw by reading: databases that report to a member which was removed and goes on running; its answer was 200, and nobody else learned of the report. Operators were redirected to a leader of before. Cause: a follower that is cut off or was removed wins no pre-vote, so its term and leader never change; it asserted for good what it had heard once. Members that were removed also kept each other from looking for the others by their vote requests. Change: a follower reports no leader after 2 s without a message of it; heartbeats are taken but answered with 503 after 3 s without a leader; vote requests are no contact that ends the search of a member.

--- a/src/control/__tests__/memberPipe.spec.ts
+++ b/src/control/__tests__/memberPipe.spec.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { ClusterKind } from "../../model/clusterMessages.ts";
-import { CommandKind, ControlKind } from "../../model/controlMessages.ts";
+import { CommandKind, ControlKind, type ControlLeaderChanged } from "../../model/controlMessages.ts";
 import { FeedKind } from "../../model/feedMessages.ts";
 import { LogKind, type LogSend, type PeerMessage, type VoteRequest } from "../../model/logMessages.ts";
 import { EntryKind, type LogEntry, type Member } from "../../model/replicatedLog.ts";
@@ -149,4 +149,37 @@
         const answers = member.sent.flatMap(body => body.kind === LogKind.StandAnswer ? [body.standing] : []);
         assert.deepEqual(answers, [false, true]);
     });
+
+    it("knows no leader once it has heard none for as long as an election takes, and knows it again", () => {
+        // Guards against a member that is cut off or was removed, and sends operators and databases to a leader of before.
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        const leaders = (): readonly unknown[] =>
+            member.outputs.filter(({ kind }) => kind === ControlKind.LeaderChanged)
+                .map(view => (view as ControlLeaderChanged).leaderId);
+        hearLeader(member);
+        assert.equal(leaders().at(-1), "b");
+        member.clock.advanceTo(1_500);
+        hearLeader(member);
+        member.clock.advanceTo(3_400);
+        assert.equal(leaders().at(-1), "b");
+        member.clock.advanceTo(3_600);
+        assert.equal(leaders().at(-1), undefined);
+        hearLeader(member);
+        assert.equal(leaders().at(-1), "b");
+    });
+
+    it("looks for its cluster while it hears nothing but the vote requests of other removed members", () => {
+        // Guards against removed members that keep each other busy and never ask the present ones to join.
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        for (let second = 1; second <= 6; second++) {
+            member.clock.advanceTo(second * 1_000);
+            member.requestVote({ preVote: true, lastIndex: 0, lastTerm: 0 });
+        }
+        assert.ok(member.sent.some(({ kind }) => kind === LogKind.JoinRequest));
+    });
 });
+
+function hearLeader(member: SingleMember): void {
+    const heartbeat = { previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 };
+    member.post({ kind: LogKind.AppendRequest, from: b, to: a, term: 5, callId: "x", ...heartbeat } as Message);
+}
--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -31,8 +31,9 @@
 const joinAnswerValidityMs = 2_500;
 
 /**
- * Time without contact from any other member after which a listed member sends join requests. It may have been removed,
- * or its list of members may come from an entry that was never committed.
+ * Time without a leader's or follower's message after which a listed member sends join requests. It may have been removed,
+ * or its list of members may come from an entry that was never committed. A vote request is no such contact: several
+ * members that were removed would ask each other for ever.
  */
 const silenceTimeoutMs = 3_000;
 
@@ -124,7 +125,7 @@
             default:
                 if (memberKey((message as PeerMessage).to) === memberKey(this.options.self)) {
                     this.formed = true;
-                    this.lastContactAtMs = nowMs;
+                    this.lastContactAtMs = message.kind === LogKind.VoteRequest ? this.lastContactAtMs : nowMs;
                 }
                 return [message];
         }
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -24,6 +24,8 @@
     FormCluster: "control.form",
     TermChanged: "control.term_changed",
     LeaderHeard: "control.leader_heard",
+    /** No message of the leader was received for some time. */
+    LeaderSilent: "control.leader_silent",
     ElectionDue: "control.election_due",
     ElectionReady: "control.election_ready",
     Campaign: "control.campaign",
@@ -85,7 +87,7 @@
 
 /** Timers without content. */
 export interface TimerEvent extends Message {
-    readonly kind: typeof MemberKind.FormDue | typeof MemberKind.ElectionDue;
+    readonly kind: typeof MemberKind.FormDue | typeof MemberKind.ElectionDue | typeof MemberKind.LeaderSilent;
 }
 
 /** State of the log that an election depends on. */
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -145,7 +145,7 @@
             case MemberKind.LeaderHeard:
                 this.leaderHeardAtMs = nowMs;
                 this.campaigns = 0;
-                return [this.resetElectionTimer(nowMs)];
+                return [message, this.resetElectionTimer(nowMs)];
             case MemberKind.ElectionReady:
                 return this.startPreVote(message, nowMs);
             case MemberKind.Candidacy:
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -1,5 +1,6 @@
 /** HTTP API of a control member for operators and databases. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
     type DocumentAnswered,
     DocumentKind,
@@ -22,6 +23,13 @@
 /** Time for in-flight requests at shutdown; longer than a configuration write or read takes without a majority. */
 const stopTimeoutMs = 2_000;
 
+/**
+ * Time without a leader after which heartbeats are answered with 503, so that a database calls another member. This
+ * member may have been removed or cut off, and then nobody learns from its reports. Longer than an election, because
+ * databases call less and less often after a failure.
+ */
+const leaderlessHeartbeatsMs = 3_000;
+
 const heartbeatPath = "/-/Instances.Heartbeat/";
 const leavePath = "/-/Instances.Leave/";
 const putPath = "/-/Config.Put";
@@ -38,14 +46,16 @@
     readonly path: string;
 }
 
-export class ControlServer implements Sink<DocumentAnswered>, AsyncDisposable {
-    readonly accepts = [DocumentKind.Answered];
+export class ControlServer implements Sink<DocumentAnswered | ControlLeaderChanged>, AsyncDisposable {
+    readonly accepts = [DocumentKind.Answered, ControlKind.LeaderChanged];
     private readonly options: ControlServerOptions;
     private readonly server: Server;
     private readonly pendingRequests = new Map<string, PendingRequest>();
     /** Responses of in-flight requests, including those whose body has not been received completely. */
     private readonly openResponses = new Set<ServerResponse>();
     private stopping: Promise<void> | undefined;
+    /** Time since which no leader is known; undefined while there is one. */
+    private leaderlessSinceMs: number | undefined = performance.now();
     private nextRequestNumber = 0;
 
     constructor(options: ControlServerOptions) {
@@ -68,7 +78,16 @@
         });
     }
 
-    deliver({ requestId, result, document, leaderAddress }: DocumentAnswered): void {
+    deliver(message: DocumentAnswered | ControlLeaderChanged): void {
+        if (message.kind === DocumentKind.Answered) {
+            this.answerDocument(message);
+            return;
+        }
+        const hasLeader = message.leading || message.leaderId !== undefined;
+        this.leaderlessSinceMs = hasLeader ? undefined : this.leaderlessSinceMs ?? performance.now();
+    }
+
+    private answerDocument({ requestId, result, document, leaderAddress }: DocumentAnswered): void {
         const request = this.pendingRequests.get(requestId);
         if (request === undefined) {
             return;
@@ -146,7 +165,7 @@
             if (report !== undefined) {
                 this.options.post({ kind: FleetKind.DatabaseReported, report } as DatabaseReported);
             }
-            respond(response, report === undefined ? 400 : 200, "{}");
+            respond(response, report === undefined ? 400 : this.hasLeaderContact() ? 200 : 503, "{}");
         }
         else {
             const databaseId = decodeId(url.slice(leavePath.length));
@@ -155,6 +174,11 @@
         }
     }
 
+    private hasLeaderContact(): boolean {
+        return this.leaderlessSinceMs === undefined
+            || performance.now() - this.leaderlessSinceMs < leaderlessHeartbeatsMs;
+    }
+
     private putDocument(body: string, response: ServerResponse): void {
         try {
             const document = decodeDocument(body);
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -136,4 +136,24 @@
         await member[Symbol.asyncDispose]();
         await rm(folder, { recursive: true });
     });
+
+    it("sends databases to another member once it has known no leader for some time", async () => {
+        // Guards against a removed member that acknowledges heartbeats of which nobody else learns.
+        const folder = await mkdtemp(join(tmpdir(), "member-"));
+        const settings = await memberSettings(folder);
+        await using member = await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 });
+        const { host, port } = settings.controlEndpoint!;
+        const beat = async (seq: number): Promise<number> => {
+            const address = "10.0.0.1:80";
+            const body = { service: "s", address, zone: "z", slots: 1, state: "ready", db_role: "primary", seq };
+            const url = `http://${host}:${port}/-/Instances.Heartbeat/db1`;
+            return (await fetch(url, { method: "POST", body: JSON.stringify(body) })).status;
+        };
+        assert.equal(await beat(1), 200);
+        await new Promise(resolve => setTimeout(resolve, 3_200));
+        assert.equal(await beat(2), 503);
+        member.drain();
+        await member.ended;
+        await rm(folder, { recursive: true });
+    });
 });
