test(scripts): a soak of the processes of the users' platform

Cause: faults that hang on an order of events between processes were found only once somebody guessed it.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -4,7 +4,6 @@
  */
 import { spawnSync } from "node:child_process";
 import { randomInt } from "node:crypto";
-import { once } from "node:events";
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { connect } from "node:net";
 import { tmpdir } from "node:os";
@@ -81,17 +80,21 @@
         return cluster;
     }
 
-    /** Adds a machine, which does not run yet. */
-    addMachine(isMember: boolean): Machine {
+    /**
+     * Adds a machine, which does not run yet.
+     * @param host an address that was used before; by default a new one
+     */
+    addMachine(isMember: boolean, host = `${this.network}.${this.nextHost}`): Machine {
         const number = this.nextHost - 10;
         const zones = Object.keys(dataCentres);
         const list = isMember ? this.members : this.proxies;
         const machine: Machine = {
             name: `${isMember ? "core" : "front"}-${number}`,
-            host: `${this.network}.${this.nextHost++}`,
+            host,
             dataCentre: zones[list.length % zones.length]!,
             isMember,
         };
+        this.nextHost += 1;
         list.push(machine);
         return machine;
     }
@@ -153,6 +156,26 @@
         target.signal(signal);
     }
 
+    /** Stops a process with SIGTERM and waits for its end. */
+    async stop(machine: Machine): Promise<void> {
+        this.signal(machine, "SIGTERM");
+        await this.processes.get(machine.name)!.ended;
+    }
+
+    /** Removes the data of a member that does not run. */
+    eraseDisk({ name }: Machine): void {
+        rmSync(join(this.folder, name), { recursive: true, force: true });
+    }
+
+    isRunning({ name }: Machine): boolean {
+        return this.processes.get(name)?.isRunning ?? false;
+    }
+
+    /** Identifies the present process of a machine. */
+    processOf({ name }: Machine): string {
+        return `${name}/${this.processes.get(name)!.pid}`;
+    }
+
     /** Kills a process and waits for its end. */
     async kill(machine: Machine): Promise<void> {
         this.signal(machine, "SIGKILL");
@@ -202,18 +225,41 @@
         throw new Error(`the configuration was not acknowledged: ${statuses.slice(-6).join(", ")}`);
     }
 
-    /** Opens a session at a proxy and returns the first word of the answer, with the code of an error. */
+    /**
+     * Reads the version of the configuration from one member after the other until one answers.
+     * @returns undefined if none does within 15 s
+     */
+    async readVersion(): Promise<number | undefined> {
+        for (const startMs = performance.now(); performance.now() - startMs < 15_000;) {
+            for (const { host } of [...this.members]) {
+                const body = await this.getAt(host);
+                if (body !== undefined) {
+                    return (JSON.parse(body) as { readonly version: number; }).version;
+                }
+            }
+            await delay(retryIntervalMs);
+        }
+        return undefined;
+    }
+
+    /**
+     * Opens a session at a proxy.
+     * @returns READY, the code of an error, or why there is no answer
+     */
     async connect(proxy: Machine, database: string, key: string): Promise<string> {
         const socket = connect({ host: proxy.host, port: this.ports.front, timeout: connectTimeoutMs });
+        const answer = new Promise<string>(resolve => {
+            socket.on("data", (data: Buffer) => {
+                const [word, code] = data.toString("latin1").split(/\s/);
+                resolve(word === "ERROR" ? code! : word!);
+            });
+            socket.on("error", ({ message }) => resolve(message));
+            socket.on("timeout", () => resolve("no answer"));
+            socket.on("close", () => resolve("closed"));
+        });
+        socket.write(`CONNECT ${database} ${key}\r\n`);
         try {
-            socket.on("timeout", () => socket.destroy(new Error("no answer")));
-            socket.write(`CONNECT ${database} ${key}\r\n`);
-            const [data] = await once(socket, "data") as [Buffer];
-            const [word, code] = data.toString("latin1").split(/\s/);
-            return word === "ERROR" ? code! : word!;
-        }
-        catch (error) {
-            return (error as Error).message;
+            return await answer;
         }
         finally {
             socket.destroy();
@@ -238,6 +284,19 @@
         return join(this.folder, `${name}.json`);
     }
 
+    private async getAt(host: string): Promise<string | undefined> {
+        try {
+            const signal = AbortSignal.timeout(callTimeoutMs);
+            const response = await fetch(`http://${host}:${this.ports.control}/-/Config.Get`, { signal });
+            const body = await response.text();
+            return response.status === 200 ? body : undefined;
+        }
+        catch {
+            // Not listening yet, or silent; the caller goes on to the next member.
+            return undefined;
+        }
+    }
+
     private async putAt(host: string, body: string): Promise<number> {
         try {
             const response = await fetch(`http://${host}:${this.ports.control}/-/Config.Put`, {
