fix(fleet): a proof of a version that is not applied yet proves nothing

What callers saw: nothing yet; found by reading. A caller could be refused for good by a policy that is older than the proof, if a second answer of the leader arrived in the moment before a first one took effect. Cause: the timer that publishes a proof did not look again whether the proof at hand is covered by the applied version. Change: it does. Measured: the new test of policyConfirmation.spec.ts fails before (proved at 1,500 ms with version 9 of 12) and passes now.

--- a/src/fleet/__tests__/policyConfirmation.spec.ts
+++ b/src/fleet/__tests__/policyConfirmation.spec.ts
@@ -159,6 +159,20 @@
         assert.deepEqual(fixture.proofs, [1_000]);
     });
 
+    it("that is not covered yet does not take the place of an earlier one that is about to be published", () => {
+        const fixture = confirmedFixture();
+        fixture.needProof();
+        fixture.receiveFrame("a", { kind: "proof", questionId: fixture.questions[0]!, configurationVersion: 9 });
+        fixture.nowMs = 1_500;
+        fixture.needProof();
+        fixture.receiveFrame("a", { kind: "proof", questionId: fixture.questions[1]!, configurationVersion: 12 });
+        fixture.runTimer();
+        assert.deepEqual(fixture.proofs, []);
+        fixture.applyPolicy(12);
+        fixture.runTimer();
+        assert.deepEqual(fixture.proofs, [1_500]);
+    });
+
     it("does not come from an answer to an earlier question, which may have waited while the process stood still", () => {
         const fixture = confirmedFixture();
         fixture.needProof();
--- a/src/fleet/policyConfirmation.ts
+++ b/src/fleet/policyConfirmation.ts
@@ -201,16 +201,23 @@
 
     /** The policy of an applied configuration leaves the pipe after this message, and must take effect first. */
     private publishProofLater(nowMs: number): readonly Message[] {
-        const isCovered = this.proof !== undefined && this.version >= this.proof.configurationVersion;
-        return isCovered ? [setDeadline("fleet.policy_proof", nowMs, { kind: FleetKind.PolicyProofDue })] : [];
+        return this.coveredProof() === undefined
+            ? []
+            : [setDeadline("fleet.policy_proof", nowMs, { kind: FleetKind.PolicyProofDue })];
     }
 
+    /** A later proof, which is not covered yet, may have arrived since the timer was set. */
     private publishProof(): readonly Message[] {
-        const { proof } = this;
+        const proof = this.coveredProof();
+        if (proof === undefined) {
+            return [];
+        }
         this.proof = undefined;
-        return proof === undefined
-            ? []
-            : [{ kind: FleetKind.PolicyProved, provedAtMs: proof.askedAtMs } as PolicyProved];
+        return [{ kind: FleetKind.PolicyProved, provedAtMs: proof.askedAtMs } as PolicyProved];
+    }
+
+    private coveredProof(): Proof | undefined {
+        return this.proof !== undefined && this.version >= this.proof.configurationVersion ? this.proof : undefined;
     }
 
     private emit(policy: PolicyApplied): PolicyApplied {
