--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -50,7 +50,13 @@
     private readonly processes = new Map<string, ManagedProcess>();
     private readonly orderedEnds = new Set<ManagedProcess>();
     private readonly network = `127.${randomInt(20, 220)}.${randomInt(1, 250)}`;
-    private readonly ports: { readonly front: number; readonly ready: number; readonly control: number; rpc: number; };
+    /** All machines use the same ports, as on the users' platform. */
+    private readonly ports: {
+        readonly front: number;
+        readonly ready: number;
+        readonly control: number;
+        readonly rpc: number;
+    };
     private nextHost = 11;
     // Also runs on exit, because an interrupted script exits without disposal.
     private readonly removeFolder = () => rmSync(this.folder, { recursive: true, force: true });
@@ -156,10 +162,13 @@
         target.signal(signal);
     }
 
-    /** Stops a process with SIGTERM and waits for its end. */
+    /** Stops a process with SIGTERM and waits for its end; one that fails on the way has ended by itself. */
     async stop(machine: Machine): Promise<void> {
         this.signal(machine, "SIGTERM");
-        await this.processes.get(machine.name)!.ended;
+        const reason = await this.processes.get(machine.name)!.ended;
+        if (reason !== 0 && reason !== "SIGKILL") {
+            this.unexpectedEnds.push(`${machine.name}: ${reason} after SIGTERM`);
+        }
     }
 
     /** Removes the data of a member that does not run. */
