docs(model): a stale comment on the step of the search, order of the fields of a refusal

Cause: the comment still named a check of the contact to the leader that MemberDiscovery does not have. Change: the comment, and the optional field of SessionRefuse after the required ones; no behaviour.

--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -17,7 +17,7 @@
     DatabaseRemoved: "fleet.database_removed",
     /** The list of control members to attach to changed. */
     MembersKnown: "fleet.members_known",
-    /** Checks the contact to the leader, and goes on with the search for the control members. */
+    /** Makes the next step of the search for the control members. */
     DiscoveryDue: "fleet.discovery_due",
     /** No leader is known; tells what is tried, for the log. */
     DiscoveryProgressed: "fleet.discovery_progressed",
--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -46,11 +46,11 @@
 /** Rejects a new session: sends the fault to the caller and closes its connection. */
 export interface SessionRefuse extends Message {
     readonly kind: typeof SessionKind.Refuse;
-    /** Time since the policy was proved to be the newest one, for the log; undefined if the policy is not the reason. */
-    readonly proofAgeMs?: number;
     readonly sessionId: string;
     readonly fault: StatementFault;
     readonly detail: string;
+    /** Time since the policy was proved to be the newest one, for the log; undefined if the policy is not the reason. */
+    readonly proofAgeMs?: number;
 }
 
 export interface SessionAnswer extends Message {
