feat(session): a log line for each reply of a database that belongs to no command

A reply that a link did not expect closed the link without a trace, so that no log could tell a database that answers twice from one that drops its connections. Links now report it with link, database, reason and fault. One new test in sessionPipe.spec.ts; it fails without the line.

--- a/src/model/linkMessages.ts
+++ b/src/model/linkMessages.ts
@@ -11,6 +11,8 @@
     Replied: "link.replied",
     /** The link could not be opened, or it ended. */
     Lost: "link.lost",
+    /** A reply was not taken for the answer to a command. */
+    ReplyDiscarded: "link.reply_discarded",
 } as const;
 
 /** Commands that the proxy sends to a database, on its own account or on behalf of a caller. */
@@ -107,6 +109,21 @@
     readonly reply: LinkReply;
 }
 
+export const DiscardReason = {
+    /** The reply belongs to no command. */
+    Unmatched: "unmatched",
+} as const;
+export type DiscardReason = typeof DiscardReason[keyof typeof DiscardReason];
+
+export interface LinkReplyDiscarded extends Message {
+    readonly kind: typeof LinkKind.ReplyDiscarded;
+    readonly linkId: string;
+    readonly databaseId: string;
+    readonly reason: DiscardReason;
+    /** Fault of the reply. */
+    readonly fault: StatementFault | undefined;
+}
+
 export const LinkLoss = {
     /** The database rejected the connection with a fault. */
     Refused: "refused",
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -45,6 +45,7 @@
         LinkKind.Open,
         LinkKind.Send,
         LinkKind.Close,
+        LinkKind.ReplyDiscarded,
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -320,6 +320,7 @@
         LinkKind.Open,
         LinkKind.Send,
         LinkKind.Close,
+        LinkKind.ReplyDiscarded,
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -479,6 +479,16 @@
         assert.equal(fixture.sent.length, count);
     });
 
+    it("reports a reply that belongs to no command", () => {
+        // Guards against a database that replies twice without a trace in the log.
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.reply("l0", { position: position(1, 1) });
+        fixture.reply("l0", { position: position(1, 1) });
+        assert.ok(fixture.otherMessages.some(({ kind }) => kind === LinkKind.ReplyDiscarded));
+    });
+
     it("aborts a transaction that is idle for too long", () => {
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -12,6 +12,7 @@
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import {
+    DiscardReason,
     type LinkCommand,
     LinkCommandKind,
     LinkKind,
@@ -20,6 +21,7 @@
     type LinkOpened,
     type LinkReplied,
     type LinkReply,
+    type LinkReplyDiscarded,
     type LinkSend,
 } from "../model/linkMessages.ts";
 import { StatementFault, TaskMode, TransactionState } from "../model/sessionStatement.ts";
@@ -252,7 +254,7 @@
                 return this.handleCleanupReply(link, nowMs);
             default:
                 // An unexpected reply: commands and replies on this link no longer match.
-                return this.closeLink(link, nowMs);
+                return [replyDiscarded(link, reply, DiscardReason.Unmatched), ...this.closeLink(link, nowMs)];
         }
     }
 
@@ -538,6 +540,14 @@
     };
 }
 
+function replyDiscarded(
+    { linkId, databaseId }: Link,
+    { fault }: LinkReply,
+    reason: DiscardReason,
+): LinkReplyDiscarded {
+    return { kind: LinkKind.ReplyDiscarded, linkId, databaseId, reason, fault };
+}
+
 function attemptKey({ task }: TaskPlaced): string {
     return `attempt/${task.taskId}`;
 }
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -29,7 +29,7 @@
     type PolicyApplied,
     type ReadinessChanged,
 } from "../model/fleetMessages.ts";
-import { LinkKind, type LinkLost } from "../model/linkMessages.ts";
+import { LinkKind, type LinkLost, type LinkReplyDiscarded } from "../model/linkMessages.ts";
 import { type PeerFrameRefused, PeerKind } from "../model/peerMessages.ts";
 import {
     PromotionKind,
@@ -93,6 +93,12 @@
                 : { session: sessionId, fault: answer.fault, detail: answer.detail },
     ),
     line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault }) => ({ link: linkId, loss, fault })),
+    line<LinkReplyDiscarded>(LinkKind.ReplyDiscarded, ({ linkId, databaseId, reason, fault }) => ({
+        link: linkId,
+        database: databaseId,
+        reason,
+        fault,
+    })),
     line<DatabaseSuspected>(FleetKind.DatabaseSuspected, ({ databaseId }) => ({ database: databaseId })),
 ]);
 
@@ -180,6 +186,7 @@
 export const loggedEffects: readonly string[] = [
     SessionKind.Refuse,
     SessionKind.Answer,
+    LinkKind.ReplyDiscarded,
     FleetKind.ReadinessChanged,
     FleetKind.MembersKnown,
     FleetKind.DiscoveryProgressed,
