test(scripts): statements on real processes, with answers that come twice

Clients on primary, bounded and own routes run single statements, prepared ones and transactions at two proxies. Three databases with logs, terms and one synchronous replica stand behind them, sign each answer, and check with the clients that MIXED, PINNED, UNASKED, TWICE, REFUSED, LOST and STALE hold.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -24,7 +24,7 @@
 /** Time within which a member joins or is removed. */
 const memberChangeLimitMs = 20_000;
 
-const dataCentres = { "zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-b" };
+export const dataCentres = { "zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-b" };
 
 export interface Machine {
     readonly name: string;
@@ -51,11 +51,13 @@
     private readonly orderedEnds = new Set<ManagedProcess>();
     private readonly network = `127.${randomInt(20, 220)}.${randomInt(1, 250)}`;
     /** All machines use the same ports, as on the users' platform. */
-    private readonly ports: {
+    readonly ports: {
         readonly front: number;
         readonly ready: number;
         readonly control: number;
         readonly rpc: number;
+        readonly database: number;
+        readonly platform: number;
     };
     private nextHost = 11;
     // Also runs on exit, because an interrupted script exits without disposal.
@@ -64,8 +66,15 @@
     private constructor({ members, proxies, logFolder }: PlatformClusterOptions, ports: readonly number[]) {
         process.on("exit", this.removeFolder);
         this.group = new ProcessGroup(logFolder);
-        const [front, ready, control, rpc] = ports as [number, number, number, number];
-        this.ports = { front, ready, control, rpc };
+        const [front, ready, control, rpc, database, platform] = ports;
+        this.ports = {
+            front: front!,
+            ready: ready!,
+            control: control!,
+            rpc: rpc!,
+            database: database!,
+            platform: platform!,
+        };
         const program = spawnSync(
             process.execPath,
             ["--import", "tsx", "scripts/buildPlatform.ts", this.programFolder],
@@ -80,7 +89,7 @@
 
     /** Starts the machines, and waits until the members have acknowledged version 1 of the configuration. */
     static async open(options: PlatformClusterOptions, document: unknown): Promise<PlatformCluster> {
-        const cluster = new PlatformCluster(options, await findFreePorts(4));
+        const cluster = new PlatformCluster(options, await findFreePorts(6));
         [...cluster.members, ...cluster.proxies].forEach(machine => cluster.start(machine, { isFirstStart: true }));
         await cluster.putConfiguration(document);
         return cluster;
@@ -105,6 +114,21 @@
         return machine;
     }
 
+    /** `host:port` of the present members for operators and databases. */
+    get controlAddresses(): readonly string[] {
+        return this.members.map(({ host }) => `${host}:${this.ports.control}`);
+    }
+
+    /** `host:port` at which the members call the platform. */
+    get platformAddress(): string {
+        return `${this.network}.2:${this.ports.platform}`;
+    }
+
+    /** Address of a database; `index` is from 0 to 7. */
+    databaseHost(index: number): string {
+        return `${this.network}.${3 + index}`;
+    }
+
     /** @param options.seeds members that the settings name; by default the present ones */
     start(
         machine: Machine,
@@ -150,6 +174,7 @@
             heartbeat_interval_ms: 1_200,
             fault_tolerance: { machines: 1, zones: 0, regions: 0 },
             bounds: { grace_s: 6, quota_window_s: 5, quota_tolerance: 0.1, quota_slack: 20 },
+            cloud_api: { address: this.platformAddress },
         };
         writeFileSync(this.settingsFile(machine), JSON.stringify(settings));
     }
--- /dev/null
+++ b/standins/platform/clientLoad.ts
@@ -0,0 +1,189 @@
+/** Clients that ask one operation after the other: single statements, prepared ones and transactions. */
+import { setTimeout as delay } from "node:timers/promises";
+import { SeededRandom } from "../../src/pipeline/seededRandom.ts";
+import type { RouteKind } from "./acknowledgedCommits.ts";
+import { type ClientAnswer, ClientSession } from "./clientSession.ts";
+import type { Operation, RuleChecker } from "./ruleChecker.ts";
+
+/** Upper limits of the pauses between operations and between the statements of a transaction. */
+const maximumPauseMs = 40;
+const maximumStatementPauseMs = 10;
+
+/** Pause after a proxy did not accept a session. */
+const reconnectPauseMs = 100;
+
+/** Operations of all loads of this process, whose ids must differ. */
+let operationCount = 0;
+
+export interface Route {
+    /** Name of the database that clients connect to. */
+    readonly database: string;
+    readonly kind: RouteKind;
+}
+
+export interface ClientLoadOptions {
+    readonly seed: number;
+    readonly sessions: number;
+    readonly routes: readonly Route[];
+    /** Port at which all proxies accept clients. */
+    readonly port: number;
+    /** Addresses of the proxies that take new sessions. */
+    readonly proxies: () => readonly string[];
+    readonly key: string;
+    readonly checker: RuleChecker;
+}
+
+export class ClientLoad {
+    private readonly options: ClientLoadOptions;
+    private readonly clients: readonly Promise<void>[];
+    private isOver = false;
+
+    constructor(options: ClientLoadOptions) {
+        this.options = options;
+        this.clients = Array.from({ length: options.sessions }, (_, index) => this.runClient(index));
+    }
+
+    /** Lets the operations under way end. */
+    async stop(): Promise<void> {
+        this.isOver = true;
+        await Promise.all(this.clients);
+    }
+
+    private async runClient(index: number): Promise<void> {
+        const random = new SeededRandom(this.options.seed * 1_000 + index);
+        const route = this.options.routes[index % this.options.routes.length]!;
+        while (!this.isOver) {
+            const proxies = this.options.proxies();
+            const host = proxies[random.nextInteger(Math.max(1, proxies.length))];
+            using session = host === undefined
+                ? undefined
+                : await ClientSession.open(host, this.options.port, route.database, this.options.key);
+            const client = session === undefined
+                ? undefined
+                : new Client(session, route.kind, random, this.options.checker);
+            // A client keeps its session as long as it is open and in order.
+            while (!this.isOver && await client?.runNext(this.nextId())) {
+                await delay(random.nextFloat() * maximumPauseMs);
+            }
+            if (!this.isOver && session?.isOpen !== true) {
+                await delay(reconnectPauseMs);
+            }
+        }
+    }
+
+    private nextId(): string {
+        operationCount += 1;
+        return operationCount.toString(16).padStart(12, "0");
+    }
+}
+
+class Client {
+    private readonly session: ClientSession;
+    private readonly kind: RouteKind;
+    private readonly random: SeededRandom;
+    private readonly checker: RuleChecker;
+    private statementCount = 0;
+    private operation!: Operation;
+
+    constructor(session: ClientSession, kind: RouteKind, random: SeededRandom, checker: RuleChecker) {
+        this.session = session;
+        this.kind = kind;
+        this.random = random;
+        this.checker = checker;
+    }
+
+    /** Runs an operation; returns whether the session is in order after it. */
+    async runNext(id: string): Promise<boolean> {
+        const draw = this.random.nextInteger(100);
+        const isTransaction = draw >= 62;
+        const startedAtMs = performance.now();
+        this.operation = { id, session: this.session, kind: this.kind, isTransaction, startedAtMs };
+        this.statementCount = 0;
+        if (!this.session.isOpen) {
+            return false;
+        }
+        if (draw < 6) {
+            return this.changeValue();
+        }
+        if (draw < 12) {
+            return this.changeShape();
+        }
+        if (draw < 62) {
+            const { state, error } = await this.readOrWrite(draw % 3 === 0 ? "WRITE" : "READ");
+            return state === "I" && error !== "MALFORMED";
+        }
+        return draw < 72
+            ? this.runTransaction("BEGIN READ", ["READ"])
+            : this.runTransaction("BEGIN", ["READ", "WRITE"]);
+    }
+
+    private async changeValue(): Promise<boolean> {
+        const [name, value] = [`v${this.random.nextInteger(3)}`, String(this.random.nextInteger(1_000))];
+        const { error } = await this.ask(`SET ${name} ${value}`);
+        if (error === undefined) {
+            this.session.values.set(name, value);
+        }
+        return error === undefined;
+    }
+
+    private async changeShape(): Promise<boolean> {
+        const name = `s${this.random.nextInteger(3)}`;
+        const isNew = !this.session.shapes.has(name);
+        const shape = `${this.random.nextInteger(2) === 0 ? "READ" : "WRITE"} q${this.random.nextInteger(1_000)}`;
+        const { error } = await this.ask(isNew ? `PREPARE ${name} ${shape}` : `DEALLOC ${name}`);
+        if (error === undefined && isNew) {
+            this.session.shapes.set(name, shape);
+        }
+        else if (error === undefined) {
+            this.session.shapes.delete(name);
+        }
+        return error === undefined;
+    }
+
+    private async runTransaction(begin: string, verbs: readonly string[]): Promise<boolean> {
+        let answer = await this.ask(begin);
+        const writes: string[] = [];
+        const count = 1 + this.random.nextInteger(5);
+        for (let index = 0; index < count && answer.error === undefined; index++) {
+            await delay(this.random.nextFloat() * maximumStatementPauseMs);
+            answer = await this.readOrWrite(verbs[this.random.nextInteger(verbs.length)]!, writes);
+        }
+        if (answer.error === undefined) {
+            const end = this.random.nextInteger(20);
+            if (end === 0) {
+                return false;
+            }
+            answer = end < 4 ? await this.ask("ROLLBACK") : await this.ask("COMMIT", writes);
+        }
+        else if (answer.state === "E" || answer.state === "T") {
+            answer = await this.ask("ROLLBACK");
+        }
+        return answer.state === "I";
+    }
+
+    /** Sends a read or a write, prepared if the session has prepared one of that kind. */
+    private async readOrWrite(verb: string, transactionWrites?: string[]): Promise<ClientAnswer> {
+        const item = this.random.nextInteger(1_000).toString(16);
+        const data = verb === "WRITE" ? ` ${this.random.nextInteger(1e9).toString(36)}` : "";
+        const prepared = [...this.session.shapes].find(([, shape]) => shape.startsWith(`${verb} `))?.[0];
+        const isPrepared = prepared !== undefined && this.random.nextInteger(2) === 0;
+        const text = isPrepared ? `EXECUTE ${prepared} ${item}${data}` : `${verb} ${item}${data}`;
+        const id = this.nextId();
+        if (verb === "WRITE") {
+            transactionWrites?.push(id);
+        }
+        return this.ask(text, verb === "WRITE" && transactionWrites === undefined ? [id] : [], id);
+    }
+
+    private async ask(text: string, writes: readonly string[] = [], id = this.nextId()): Promise<ClientAnswer> {
+        this.checker.ask(id, this.operation, text);
+        const answer = await this.session.ask(`QUERY ${id} ${text}`);
+        this.checker.answered(id, answer, writes);
+        return answer;
+    }
+
+    private nextId(): string {
+        this.statementCount += 1;
+        return `${this.operation.id}${this.statementCount.toString(16).padStart(4, "0")}`;
+    }
+}
--- /dev/null
+++ b/standins/platform/database.ts
@@ -0,0 +1,336 @@
+/**
+ * A database of the users' platform. It runs in the process of a test, listens at an address of its own, and tells a
+ * checker what it runs.
+ */
+import { randomBytes } from "node:crypto";
+import { once } from "node:events";
+import { createServer, type Server } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { DatabaseRole } from "../../src/model/database.ts";
+import { splitWords } from "../../src/platform/wireLines.ts";
+import type { AnswerFaults } from "./answerFaults.ts";
+import { DatabaseConnection, type ReceivedStatement, type StatementHandler } from "./databaseConnection.ts";
+import type { DatabaseGroup } from "./databaseGroup.ts";
+import { DatabaseReporter } from "./databaseReporter.ts";
+import { type Commit, ReplicatedLog } from "./replicatedLog.ts";
+import type { RuleChecker } from "./ruleChecker.ts";
+
+/** Upper limits of times that are drawn: work on a statement, a message between databases, and a replica's lag. */
+const maximumWorkMs = 4;
+const maximumNetworkDelayMs = 5;
+const maximumApplyDelayMs = 20;
+
+export interface DatabaseOptions {
+    readonly id: string;
+    readonly host: string;
+    readonly port: number;
+    readonly dataCentre: string;
+    readonly role: DatabaseRole;
+    readonly group: DatabaseGroup;
+    /** HOST:PORT of the present control members. */
+    readonly controls: () => readonly string[];
+    readonly faults: AnswerFaults;
+    readonly checker: RuleChecker;
+}
+
+interface WaitingCommit {
+    readonly commit: Commit;
+    readonly resolve: (answer: string) => void;
+}
+
+export class Database implements StatementHandler, AsyncDisposable {
+    readonly id: string;
+    readonly options: DatabaseOptions;
+    readonly log: ReplicatedLog;
+    role: DatabaseRole;
+    term: number;
+    /** The last term that this database led; 0 if it led none. */
+    ledTerm: number;
+    isRunning = false;
+    state: "ready" | "draining" = "ready";
+    /** Term of the promotion for which this replica does not receive; 0 if it receives. */
+    private pausedTerm = 0;
+    private waitingCommits: WaitingCommit[] = [];
+    private signatureCount = 0;
+    private readonly connections = new Set<DatabaseConnection>();
+    private readonly reporter: DatabaseReporter;
+    private readonly server: Server;
+
+    /** @param predecessor a database that does not run any more, whose log this one continues */
+    constructor(options: DatabaseOptions, predecessor?: Database) {
+        const { id, role, controls, group } = options;
+        this.options = options;
+        this.id = id;
+        this.role = role;
+        this.log = predecessor?.log.copy() ?? new ReplicatedLog();
+        this.term = predecessor?.term ?? 1;
+        this.ledTerm = predecessor?.ledTerm ?? (role === DatabaseRole.Primary ? 1 : 0);
+        this.reporter = new DatabaseReporter(id, controls, () => ({
+            service: group.service,
+            address: `${options.host}:${options.port}`,
+            zone: options.dataCentre,
+            state: this.state,
+            db_role: this.role,
+        }));
+        this.server = createServer(socket => {
+            const connection = new DatabaseConnection(socket, this, options.faults);
+            this.connections.add(connection);
+            socket.on("close", () => this.connections.delete(connection));
+        });
+        group.members.push(this);
+    }
+
+    async start(): Promise<void> {
+        this.server.listen(this.options.port, this.options.host);
+        await once(this.server, "listening");
+        this.isRunning = true;
+        this.catchUp();
+        this.reporter.start();
+    }
+
+    /** Ends without a word, as in a crash; the group keeps the database and its log. */
+    async stop(): Promise<void> {
+        if (this.isRunning) {
+            this.isRunning = false;
+            this.reporter.stop();
+            this.waitingCommits = [];
+            this.connections.forEach(connection => connection.close());
+            await new Promise(resolve => this.server.close(resolve));
+        }
+    }
+
+    /** Reports that the database drains, serves on for a time, leaves for good and ends. */
+    async drain(forMs: number): Promise<void> {
+        this.state = "draining";
+        await this.reporter.report();
+        await delay(forMs);
+        await this.reporter.leave();
+        await this.stop();
+        this.options.group.members.splice(this.options.group.members.indexOf(this), 1);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.stop();
+    }
+
+    /** Leads a term with what it has received. */
+    lead(term: number): void {
+        this.role = DatabaseRole.Primary;
+        this.term = term;
+        this.ledTerm = term;
+        this.pausedTerm = 0;
+        this.log.apply(this.log.received);
+        void this.reporter.report();
+    }
+
+    /** Becomes a replica of a new primary; returns the commits that it drops. */
+    followPrimary(primary: Database): readonly Commit[] {
+        this.role = DatabaseRole.Replica;
+        this.pausedTerm = 0;
+        this.endWaitingCommits();
+        const dropped = this.log.rollBackTo(primary.log);
+        if (this.isRunning) {
+            this.catchUp();
+            void this.reporter.report();
+        }
+        return dropped;
+    }
+
+    accept(service: string, expectedId: string | undefined): string | undefined {
+        const isMeant = service === this.options.group.service && (expectedId ?? this.id) === this.id;
+        return isMeant ? undefined : `MISROUTED ${this.id}`;
+    }
+
+    position(): string {
+        return this.log.appliedPosition(this.term);
+    }
+
+    async run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<string> {
+        const [verb, rest] = splitWords(statement.text, 1) as [string, string];
+        const error = this.refusal(connection, statement, verb);
+        if (error !== undefined) {
+            connection.fail();
+            return `ERROR ${error} ${this.id}`;
+        }
+        this.options.checker.ran(this, connection, statement);
+        const [name = "", second = ""] = rest.split(" ");
+        switch (verb) {
+            case "SET":
+                connection.values.set(name, second);
+                return "COMPLETE -";
+            case "RESET":
+                connection.values.clear();
+                connection.shapes.clear();
+                return "COMPLETE -";
+            case "PREPARE":
+                connection.shapes.set(name, rest.slice(name.length + 1));
+                return "COMPLETE -";
+            case "DEALLOC":
+                connection.shapes.delete(name);
+                return "COMPLETE -";
+            case "BEGIN":
+                connection.begin(rest === "READ");
+                connection.transaction!.owner = this.options.checker.operationOf(statement.id);
+                return "COMPLETE -";
+            case "ROLLBACK":
+                connection.end();
+                return "COMPLETE -";
+            case "COMMIT":
+                return this.commit(statement.id, connection.end()!.writes);
+            case "STATUS":
+            case "PAUSE":
+            case "RESUME":
+            case "STEPDOWN":
+                return this.obey(verb, Number(rest));
+            default:
+                return this.readOrWrite(connection, statement, verb, name);
+        }
+    }
+
+    /** Code of the error with which a statement ends without an effect. */
+    private refusal(
+        connection: DatabaseConnection,
+        { after, text }: ReceivedStatement,
+        verb: string,
+    ): string | undefined {
+        const { faults } = this.options;
+        const { transaction, state } = connection;
+        if (state === "E" && verb === "COMMIT") {
+            connection.end();
+            return "ABORTED";
+        }
+        const endsTransaction = verb === "COMMIT" || verb === "ROLLBACK";
+        const fitsState = verb === "BEGIN" ? state === "I" : endsTransaction ? state !== "I" : state !== "E";
+        if (!fitsState) {
+            return "MALFORMED";
+        }
+        if (verb === "STATUS") {
+            return faults.nextError(false) && "BUSY";
+        }
+        if (["ROLLBACK", "RESET", "PAUSE", "RESUME", "STEPDOWN"].includes(verb)) {
+            return undefined;
+        }
+        if (["SET", "PREPARE", "DEALLOC"].includes(verb)) {
+            return faults.nextSetupError();
+        }
+        if (after !== undefined && (!this.log.reaches(after, this.term) || faults.nextLag())) {
+            return "LAGGING";
+        }
+        if (verb === "EXECUTE" && !connection.shapes.has(text.split(" ")[1]!)) {
+            return "UNKNOWN";
+        }
+        const needsLead = transaction === undefined
+            ? text === "BEGIN" || isWrite(connection, verb, text)
+            : !transaction.isReadOnly && !(verb === "COMMIT" && transaction.writes.length === 0);
+        if (needsLead && this.role !== DatabaseRole.Primary) {
+            return "READONLY";
+        }
+        return faults.nextError(needsLead);
+    }
+
+    private async readOrWrite(
+        connection: DatabaseConnection,
+        { id, text }: ReceivedStatement,
+        verb: string,
+        name: string,
+    ): Promise<string> {
+        const { checker, faults } = this.options;
+        const writes = isWrite(connection, verb, text);
+        await delay(faults.nextDelayMs(maximumWorkMs));
+        if (!writes) {
+            checker.read(this, id);
+            const rows = [`ROW ${name}`, `ROW ${randomBytes(8).toString("hex")}`];
+            return `${rows.join("\r\n")}\r\n${this.sign(id, rows)}`;
+        }
+        if (connection.transaction !== undefined) {
+            connection.transaction.writes.push(id);
+            return this.sign(id);
+        }
+        return this.commit(id, [id]);
+    }
+
+    /** Appends a commit and waits until a replica has received it. */
+    private commit(id: string, writes: readonly string[]): Promise<string> | string {
+        if (writes.length === 0) {
+            return this.sign(id);
+        }
+        if (this.role !== DatabaseRole.Primary) {
+            return `ERROR READONLY ${this.id}`;
+        }
+        const commit = this.log.append(this.term, writes);
+        this.log.apply(commit.number);
+        this.options.checker.committed(commit);
+        const answer = new Promise<string>(resolve => this.waitingCommits.push({ commit, resolve }));
+        this.options.group.members.filter(other => other !== this).forEach(replica =>
+            setTimeout(() => replica.receive(this, commit.number), this.networkDelayMs()).unref()
+        );
+        return answer.then(result => result === "" ? this.sign(id) : result);
+    }
+
+    /** Receives the log of the database that led last, which sends on after it has stepped down. */
+    private receive(source: Database, upTo: number): void {
+        const { group, faults } = this.options;
+        const receives = this.isRunning && this.role === DatabaseRole.Replica && this.pausedTerm === 0;
+        if (!receives || !source.isRunning || source !== group.lastLeader) {
+            return;
+        }
+        this.log.follow(source.log, upTo);
+        this.term = Math.max(this.term, source.ledTerm);
+        setTimeout(() => this.log.apply(upTo), faults.nextDelayMs(maximumApplyDelayMs)).unref();
+        setTimeout(() => source.confirm(upTo), this.networkDelayMs()).unref();
+    }
+
+    private confirm(upTo: number): void {
+        const confirmed = this.waitingCommits.filter(({ commit }) => commit.number <= upTo);
+        this.waitingCommits = this.waitingCommits.filter(({ commit }) => commit.number > upTo);
+        confirmed.forEach(({ resolve }) =>
+            resolve(this.role === DatabaseRole.Primary ? "" : `ERROR INDOUBT ${this.id}`)
+        );
+    }
+
+    private endWaitingCommits(): void {
+        this.waitingCommits.forEach(({ resolve }) => resolve(`ERROR INDOUBT ${this.id}`));
+        this.waitingCommits = [];
+    }
+
+    private catchUp(): void {
+        const source = this.options.group.lastLeader;
+        if (source !== undefined && source !== this) {
+            setTimeout(() => this.receive(source, source.log.received), this.networkDelayMs()).unref();
+        }
+    }
+
+    private obey(verb: string, term: number): string {
+        const newestTerm = this.options.group.newestTerm;
+        if (verb === "PAUSE" && this.role === DatabaseRole.Replica && term > newestTerm) {
+            this.pausedTerm = term;
+        }
+        if (verb === "RESUME") {
+            this.pausedTerm = 0;
+            this.catchUp();
+        }
+        if (verb === "STEPDOWN" && this.role === DatabaseRole.Primary && term > this.term) {
+            this.role = DatabaseRole.Replica;
+            void this.reporter.report();
+        }
+        const received = this.log.receivedPosition(this.term);
+        return `ROW ${this.role} ${this.term} ${received} ${this.pausedTerm} 0 0 ${this.connections.size}\r\nCOMPLETE -`;
+    }
+
+    private networkDelayMs(): number {
+        return this.options.faults.nextDelayMs(maximumNetworkDelayMs);
+    }
+
+    private sign(id: string, rows: readonly string[] = []): string {
+        this.signatureCount += 1;
+        const signature = `${this.id}.${this.signatureCount}.${randomBytes(8).toString("hex")}`;
+        this.options.checker.signed(id, signature, rows);
+        return `COMPLETE ${signature}`;
+    }
+}
+
+/** Whether a statement writes; a prepared one does if its shape says so. */
+export function isWrite(connection: DatabaseConnection, verb: string, text: string): boolean {
+    const shape = verb === "EXECUTE" ? connection.shapes.get(text.split(" ")[1]!) : undefined;
+    return verb === "WRITE" || shape?.startsWith("WRITE ") === true;
+}
