fix(session): replies are matched by proof, not by their order

Callers got answers of others, statements ran in transactions of others, and a COMMIT committed what its caller had not written, when a database sent an answer twice. A link took each reply for the answer to its oldest command, so that one reply more than there were commands shifted all later ones.

ReplyMatcher now takes a reply for an answer only if it can be no repeat: a signature that the link has not seen, or, without a signature, a content that it has not seen at this log position, with no doubtful answer overdue. What can't be proved is discarded: a statement that was sent ends in doubt, one that was not is not run, a single read runs again. Transactions, probes and writes use links on which their answers can be proved, and open another one if there is none. A read inside a gate proves the gate, since its signed answer tells an open transaction. The stand-in databases of the tests sign statements only, each with a signature of its own, as the protocol says; the test of a retried write expects the retry on another link, because a second refusal there could be a repeat.

--- a/src/model/linkMessages.ts
+++ b/src/model/linkMessages.ts
@@ -73,7 +73,7 @@
     readonly databaseId: string;
 }
 
-/** Pipelines commands on a link. The database replies once to each, in order. */
+/** Pipelines commands on a link. The database replies to each, in order, and may repeat a reply later. */
 export interface LinkSend extends Message {
     readonly kind: typeof LinkKind.Send;
     readonly linkId: string;
@@ -93,6 +93,7 @@
 
 export interface LinkReply {
     readonly rows: readonly string[];
+    /** Proves that the database ran a caller's statement, and is unique; undefined in replies to other commands. */
     readonly signature: string | undefined;
     readonly fault: StatementFault | undefined;
     /** Error text of the database; empty without a fault. */
@@ -110,7 +111,11 @@
 }
 
 export const DiscardReason = {
-    /** The reply belongs to no command. */
+    /** The reply repeats an earlier one. */
+    Repeated: "repeated",
+    /** The reply may be the answer to a command, or may repeat an earlier one. */
+    Doubtful: "doubtful",
+    /** The reply belongs to no command, or contradicts it. */
     Unmatched: "unmatched",
 } as const;
 export type DiscardReason = typeof DiscardReason[keyof typeof DiscardReason];
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -150,13 +150,17 @@
         const { rows, signature, fault, detail, complete } = link.partial;
         link.partial = emptyReply();
         if (!complete) {
-            this.handleLoss(linkId, link, LinkLoss.Broken);
+            if (rows.length > 0) {
+                this.handleLoss(linkId, link, LinkLoss.Broken);
+            }
+            // Otherwise the database has repeated its reply to CONNECT.
             return;
         }
-        const status = signature === proxyId && rows.length === 1 ? decodeStatus(rows[0]!) : undefined;
+        const isSigned = signature !== undefined && signature !== "" && signature !== proxyId;
+        const status = !isSigned && rows.length === 1 ? decodeStatus(rows[0]!) : undefined;
         const reply: LinkReply = {
             rows,
-            signature,
+            signature: isSigned ? signature : undefined,
             fault,
             detail,
             transaction: decodeState(state),
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -24,7 +24,7 @@
 
 const reply: LinkReply = {
     rows: [],
-    signature: "signature",
+    signature: undefined,
     fault: undefined,
     detail: "",
     transaction: TransactionState.None,
@@ -41,6 +41,7 @@
     private readonly openingLinkIds: string[] = [];
     private readonly busyLinkIds: string[] = [];
     private nextTaskNumber = 0;
+    private nextSignature = 0;
 
     constructor(connectionLimit: number) {
         const services = new Map([["s", { name: "s", connectionLimit, synchronousReplicas: 1 }]]);
@@ -84,9 +85,10 @@
         );
     }
 
-    /** Replies on the link that has been busy for the longest time. */
+    /** Replies to the statement on the link that has been busy for the longest time. */
     replyToOldest(): void {
-        this.push({ kind: LinkKind.Replied, linkId: this.busyLinkIds.shift(), reply } as Message);
+        const signed = { ...reply, signature: `signature${this.nextSignature++}` };
+        this.push({ kind: LinkKind.Replied, linkId: this.busyLinkIds.shift(), reply: signed } as Message);
     }
 
     private push(message: Message): void {
--- /dev/null
+++ b/src/session/__tests__/replyMatcher.spec.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { type LinkCommand, LinkCommandKind, type LinkReply } from "../../model/linkMessages.ts";
+import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
+import { type ReplyMatch, ReplyMatcher, ReplyRole, ReplyVerdict } from "../replyMatcher.ts";
+import { position, statement } from "./sessionFixture.ts";
+
+const begin: LinkCommand = { kind: LinkCommandKind.Begin };
+const rollback: LinkCommand = { kind: LinkCommandKind.Rollback };
+const setValue: LinkCommand = { kind: LinkCommandKind.SetValue, name: "x", value: "1" };
+const write: LinkCommand = {
+    kind: LinkCommandKind.Run,
+    statement: statement(SessionStatementKind.Write, "w"),
+    floor: undefined,
+};
+
+function reply(offset: number, parts: Partial<LinkReply> = {}): LinkReply {
+    return {
+        rows: [],
+        signature: undefined,
+        fault: undefined,
+        detail: "",
+        transaction: TransactionState.None,
+        position: position(1, offset),
+        status: undefined,
+        ...parts,
+    };
+}
+
+const opened = { transaction: TransactionState.Open };
+
+function matcherOf(...commands: readonly LinkCommand[]): ReplyMatcher {
+    const matcher = new ReplyMatcher();
+    commands.forEach(command => matcher.expect(ReplyRole.Statement, command));
+    return matcher;
+}
+
+function verdicts(matcher: ReplyMatcher, ...replies: readonly LinkReply[]): readonly ReplyMatch["verdict"][] {
+    return replies.map(received => matcher.match(received).verdict);
+}
+
+describe("replies of a database", () => {
+    it("with a signature that the link has seen are no answer to the next statement", () => {
+        const matcher = matcherOf(write, write);
+        const [first, second] = ["a", "b"].map(signature => reply(1, { signature })) as [LinkReply, LinkReply];
+        assert.deepEqual(verdicts(matcher, first, first, second, first), [
+            ReplyVerdict.Proved,
+            ReplyVerdict.Repeated,
+            ReplyVerdict.Proved,
+            ReplyVerdict.Repeated,
+        ]);
+    });
+
+    it("without a signature are no answer to a statement", () => {
+        const matcher = matcherOf(setValue, write);
+        assert.deepEqual(verdicts(matcher, reply(1), reply(1), reply(1, { signature: "a" })), [
+            ReplyVerdict.Proved,
+            ReplyVerdict.Repeated,
+            ReplyVerdict.Proved,
+        ]);
+    });
+
+    it("to a beginning are in doubt if an earlier one was answered at the same position", () => {
+        const matcher = matcherOf(begin, rollback, begin);
+        assert.deepEqual(verdicts(matcher, reply(1, opened), reply(1), reply(1, opened)), [
+            ReplyVerdict.Proved,
+            ReplyVerdict.Proved,
+            ReplyVerdict.Doubtful,
+        ]);
+    });
+
+    it("to a beginning are proved by a later position, and repeats of earlier ones by an earlier one", () => {
+        const matcher = matcherOf(begin, rollback, begin);
+        assert.equal(matcher.canProveBegin(position(1, 1)), true);
+        assert.deepEqual(verdicts(matcher, reply(1, opened), reply(1)), [ReplyVerdict.Proved, ReplyVerdict.Proved]);
+        assert.equal(matcher.canProveBegin(position(1, 1)), false);
+        assert.equal(matcher.canProveBegin(position(1, 2)), true);
+        assert.deepEqual(verdicts(matcherWithBeginAt(1, 2), reply(1, opened), reply(3, opened)), [
+            ReplyVerdict.Repeated,
+            ReplyVerdict.Proved,
+        ]);
+    });
+
+    it("that are faults are in doubt while the fault of an earlier command may be overdue", () => {
+        // Guards against a promise that a write has not run, made from the refusal of the command before it.
+        const matcher = matcherOf(setValue, setValue, write);
+        const busy = reply(1, { fault: StatementFault.Busy });
+        assert.deepEqual(verdicts(matcher, reply(1), reply(1), busy), [
+            ReplyVerdict.Proved,
+            ReplyVerdict.Doubtful,
+            ReplyVerdict.Doubtful,
+        ]);
+    });
+
+    it("that are faults are in doubt if the same one was received at the same position", () => {
+        const matcher = matcherOf(write, write, write);
+        const busy = { fault: StatementFault.Busy };
+        assert.deepEqual(verdicts(matcher, reply(1, busy), reply(2, busy), reply(2, busy)), [
+            ReplyVerdict.Proved,
+            ReplyVerdict.Proved,
+            ReplyVerdict.Doubtful,
+        ]);
+        assert.equal(matcher.canProveFaults(position(1, 3)), false);
+    });
+
+    it("with a new signature are unmatched where no statement was sent", () => {
+        assert.deepEqual(verdicts(matcherOf(begin), reply(1, { signature: "a" })), [ReplyVerdict.Unmatched]);
+        assert.deepEqual(verdicts(matcherOf(), reply(1, { signature: "a" })), [ReplyVerdict.Unmatched]);
+    });
+});
+
+/** A matcher that has seen the beginning of a transaction at one position, a statement at a later one, and begins again. */
+function matcherWithBeginAt(beginOffset: number, latestOffset: number): ReplyMatcher {
+    const matcher = matcherOf(begin, write, rollback, begin);
+    matcher.match(reply(beginOffset, opened));
+    matcher.match(reply(latestOffset, { ...opened, signature: "a" }));
+    matcher.match(reply(latestOffset));
+    return matcher;
+}
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -63,6 +63,9 @@
     leaderProves = true;
     proofsNeeded = 0;
     private readonly loop: EventLoop;
+    /** Commands without a reply, by link. */
+    private readonly unanswered = new Map<string, LinkCommand[]>();
+    private nextSignature = 0;
 
     private readonly permits: number;
 
@@ -104,6 +107,7 @@
                 const open = this.opened.find(link => link.linkId === linkId)!;
                 const { databaseId, workspace } = open;
                 commands.forEach(command => this.sent.push({ linkId, databaseId, workspace, command }));
+                this.unanswered.set(linkId, [...this.unanswered.get(linkId) ?? [], ...commands]);
                 return;
             }
             default:
@@ -206,10 +210,18 @@
         }
     }
 
+    /** Replies to the oldest command on a link that has none; successful statements are signed. */
     reply(linkId: string, parts: Partial<LinkReply> = {}): void {
+        const command = this.unanswered.get(linkId)?.shift();
+        const isSigned = parts.fault === undefined && command !== undefined && "statement" in command;
+        this.repeat(linkId, { signature: isSigned ? `signature${this.nextSignature++}` : undefined, ...parts });
+    }
+
+    /** Posts a reply to a command that has been answered already, or to none. */
+    repeat(linkId: string, parts: Partial<LinkReply> = {}): void {
         const reply: LinkReply = {
             rows: [],
-            signature: "sig",
+            signature: undefined,
             fault: undefined,
             detail: "",
             transaction: TransactionState.None,
--- a/src/session/__tests__/sessionFleet.spec.ts
+++ b/src/session/__tests__/sessionFleet.spec.ts
@@ -100,6 +100,27 @@
         });
     }
 
+    for (const seed of [1, 2, 3]) {
+        it(`answers each statement with its own answer when databases reply twice (seed ${seed})`, () => {
+            // Guards against replies that are matched to commands by their order alone.
+            const fleet = new SessionFleet({
+                instances: 6,
+                dataCentres: 3,
+                services: 3,
+                workspaces: 8,
+                sessions: 400,
+                transactionPauseMs: 5,
+                seed,
+            });
+            fleet.databases.forEach(database => Object.assign(database, { repeatedShare: 0.03, busyShare: 0.01 }));
+            fleet.startCallers();
+            fleet.advance(20_000);
+            assert.deepEqual(fleet.checker.violations, []);
+            assert.deepEqual(fleet.staleStatementIds, []);
+            assert.ok(fleet.answers.get("served")! > 0.99 * fleet.operationCount, JSON.stringify([...fleet.answers]));
+        });
+    }
+
     for (const hasCallers of [true, false]) {
         it(`loses no request while four holders drain, ${hasCallers ? "with" : "without"} callers`, () => {
             // Guards against holders that exit with transactions and tasks of other instances on their links.
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -15,7 +15,13 @@
     type PeerSend,
 } from "../../model/peerMessages.ts";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
-import { SessionStatementKind, TaskMode } from "../../model/sessionStatement.ts";
+import {
+    isNotRun,
+    type SessionStatement,
+    SessionStatementKind,
+    type StatementAnswer,
+    TaskMode,
+} from "../../model/sessionStatement.ts";
 import { RouteConsistency, type RoutePolicy, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
 import { type Clock, EventLoop } from "../../pipeline/eventLoop.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -32,6 +38,7 @@
 import { Routing } from "../routing.ts";
 import { SessionAccess } from "../sessionAccess.ts";
 import { Sessions } from "../sessions.ts";
+import { AnswerChecker } from "./answerChecker.ts";
 import { Schedule } from "./schedule.ts";
 import { statement } from "./sessionFixture.ts";
 import { StandInDatabase } from "./standInDatabase.ts";
@@ -115,6 +122,7 @@
     readonly abortedSessionIds: string[] = [];
     /** Statements that ran on a database without a commit that they had to see. */
     readonly staleStatementIds: string[] = [];
+    readonly checker = new AnswerChecker();
     /** Time before which all commits must be visible to a statement, by its id. */
     private readonly visibleBeforeMs = new Map<string, number>();
 
@@ -131,6 +139,8 @@
             const database = new StandInDatabase(this.schedule, this.report(index), {
                 connectionLimit: options.connectionLimit ?? 82,
                 lagMs: options.lagMs ?? 60,
+                random: new SeededRandom((options.seed ?? 1) + index),
+                checker: this.checker,
             });
             database.onStatement = (statementId, commits) => this.checkRead(database, statementId, commits);
             this.databases.set(database.report.databaseId, database);
@@ -542,6 +552,10 @@
     private isClosed = false;
     private readonly route: RoutePolicy;
     private remainingKinds: SessionStatementKind[] = [];
+    private runningStatement: SessionStatement | undefined;
+    private inTransaction = false;
+    /** Writes of the operation that are acknowledged by the success of its last statement. */
+    private writeIds: string[] = [];
     private nextId = 0;
     private operationStartMs = 0;
 
@@ -570,6 +584,7 @@
 
     answered({ answer }: SessionAnswer): void {
         this.awaitsAnswer = false;
+        this.check(answer);
         if (answer.fault === undefined && this.remainingKinds.length > 0) {
             const pauseMs = this.fleet.options.transactionPauseMs ?? 0;
             if (pauseMs === 0) {
@@ -591,6 +606,19 @@
         this.fleet.schedule.after(2 * meanPauseMs * this.fleet.random.nextFloat(), () => this.startOperation());
     }
 
+    private check({ fault, signature }: StatementAnswer): void {
+        const { checker } = this.fleet;
+        const { id, kind } = this.runningStatement!;
+        if (fault !== undefined) {
+            if (isNotRun(fault)) {
+                checker.refused(id, this.writeIds);
+            }
+        }
+        else if (kind !== SessionStatementKind.Begin && kind !== SessionStatementKind.BeginRead) {
+            checker.answerSucceeded(id, signature, this.remainingKinds.length === 0 ? this.writeIds : []);
+        }
+    }
+
     private startOperation(): void {
         if (this.isClosed) {
             return;
@@ -608,12 +636,19 @@
         this.remainingKinds = share < transactions
             ? [begin, Read, ...writes === 0 ? [Read] : [Write], Commit]
             : [share < transactions + writes ? Write : Read];
+        this.inTransaction = share < transactions;
+        this.writeIds = [];
         this.request(this.remainingKinds.shift()!);
     }
 
     private request(kind: SessionStatementKind): void {
         this.awaitsAnswer = true;
         const sessionStatement = statement(kind, `${this.sessionId}-${this.nextId++}`);
+        this.runningStatement = sessionStatement;
+        if (kind === SessionStatementKind.Write) {
+            this.writeIds.push(sessionStatement.id);
+        }
+        this.fleet.checker.ask(sessionStatement.id, this.sessionId, this.inTransaction);
         this.fleet.expectCommits(sessionStatement.id, this.operationStartMs - this.route.maximumAgeMs);
         this.node.post(
             { kind: SessionKind.Requested, sessionId: this.sessionId, statement: sessionStatement } as Message,
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -71,10 +71,12 @@
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
         fixture.openLinks();
-        fixture.reply("l0", { fault: StatementFault.Busy, signature: undefined });
+        fixture.reply("l0", { fault: StatementFault.Busy, position: position(1, 5) });
         fixture.advance(50);
+        fixture.openLinks();
         assert.equal(fixture.sent.length, 2);
-        fixture.reply("l0", { position: position(1, 6) });
+        // On the first link, a second refusal could not be told from a repeated one.
+        fixture.reply("l1", { position: position(1, 6) });
         assert.equal(fixture.lastFault(), undefined);
     });
 
@@ -479,13 +481,60 @@
         assert.equal(fixture.sent.length, count);
     });
 
+    it("does not answer a statement with the repeated answer to the one before", () => {
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.reply("l0", { signature: "first", position: position(1, 1) });
+        fixture.request("s1", statement(SessionStatementKind.Write, "w2"));
+        fixture.repeat("l0", { signature: "first", position: position(1, 1) });
+        assert.equal(fixture.answers.length, 1);
+        fixture.reply("l0", { signature: "second", position: position(1, 2) });
+        assert.deepEqual(fixture.answers.map(({ answer }) => answer.signature), ["first", "second"]);
+    });
+
+    it("begins a transaction on another link if the answer could not be told from an earlier one", () => {
+        // Guards against a statement outside its transaction after the beginning was refused.
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b1"));
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l0", { transaction: TransactionState.Open, position: position(1, 1) });
+        fixture.reply("l0", { transaction: TransactionState.Open, position: position(1, 1) });
+        fixture.request("s1", statement(SessionStatementKind.Commit, "c1"));
+        fixture.reply("l0", { position: position(1, 1) });
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b2"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w2"));
+        fixture.openLinks();
+        assert.deepEqual([fixture.sent.at(-1)!.linkId, fixture.sent.at(-1)!.command.kind], ["l1", "begin"]);
+        fixture.reply("l1", { transaction: TransactionState.Open, position: position(1, 1) });
+        fixture.reply("l1", { transaction: TransactionState.Open, position: position(1, 1) });
+        fixture.request("s1", statement(SessionStatementKind.Commit, "c2"));
+        fixture.reply("l1", { position: position(1, 2) });
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b3"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w3"));
+        assert.equal(fixture.sent.at(-1)!.linkId === "l0" || fixture.sent.at(-1)!.linkId === "l1", true);
+        assert.equal(fixture.opened.length, 2);
+    });
+
+    it("answers a statement as not run when a reply that fits no command comes before it was sent", () => {
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.repeat("l0", { signature: "of nobody" });
+        assert.deepEqual(fixture.closed, ["l0"]);
+        fixture.advance(1_001);
+        assert.equal(fixture.lastFault(), StatementFault.Busy);
+    });
+
     it("reports a reply that belongs to no command", () => {
         // Guards against a database that replies twice without a trace in the log.
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
         fixture.openLinks();
         fixture.reply("l0", { position: position(1, 1) });
-        fixture.reply("l0", { position: position(1, 1) });
+        fixture.repeat("l0", { position: position(1, 1) });
         assert.ok(fixture.otherMessages.some(({ kind }) => kind === LinkKind.ReplyDiscarded));
     });
 
--- a/src/session/__tests__/standInDatabase.ts
+++ b/src/session/__tests__/standInDatabase.ts
@@ -6,12 +6,15 @@
     LinkKind,
     LinkLoss,
     type LinkOpen,
+    type LinkReplied,
     type LinkReply,
     type LinkSend,
 } from "../../model/linkMessages.ts";
 import type { Position } from "../../model/position.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
+import type { SeededRandom } from "../../pipeline/seededRandom.ts";
+import type { AnswerChecker, ConnectionTransaction } from "./answerChecker.ts";
 import type { Schedule } from "./schedule.ts";
 
 /** Time for which opening a connection occupies a slot. */
@@ -20,11 +23,12 @@
 /** Time for which a read, a write or a commit occupies a slot. */
 const workMs = 24;
 
+/** Longest time between a reply and its repetition. */
+const maximumRepeatDelayMs = 400;
+
 type Answer = (message: Message) => void;
 
-interface Connection {
-    transaction: TransactionState;
-    wrote: boolean;
+interface Connection extends ConnectionTransaction {
     /** Commands that have not run yet, in order. */
     readonly commands: LinkCommand[];
     running: boolean;
@@ -35,6 +39,8 @@
     readonly connectionLimit: number;
     /** Replication lag: replicas apply a commit this much later than the primary. */
     readonly lagMs: number;
+    readonly random: SeededRandom;
+    readonly checker: AnswerChecker;
 }
 
 export class StandInDatabase {
@@ -50,6 +56,10 @@
     answerDelayMs = 0;
     /** Messages to the database are delivered only after this time. */
     unreachableUntilMs = 0;
+    /** Share of the replies that are sent twice, the second time late. */
+    repeatedShare = 0;
+    /** Share of the statements and transactions that are refused as busy. */
+    busyShare = 0;
     /** Number of transactions begun, including those of probes. */
     transactionCount = 0;
     /** Called for each statement that runs, with the number of commits that the database has applied. */
@@ -59,6 +69,7 @@
     private readonly connections = new Map<string, Connection>();
     private readonly waiting: (() => void)[] = [];
     private busy = 0;
+    private nextSignature = 0;
 
     constructor(schedule: Schedule, report: DatabaseReport, options: StandInDatabaseOptions) {
         this.schedule = schedule;
@@ -127,7 +138,8 @@
         this.openedCount += 1;
         this.connections.set(key, {
             transaction: TransactionState.None,
-            wrote: false,
+            ownerSessionId: undefined,
+            writeIds: [],
             commands: [],
             running: false,
             closed: false,
@@ -144,7 +156,7 @@
         const complete = () => {
             connection.running = false;
             if (!connection.closed) {
-                answer({ kind: LinkKind.Replied, linkId, reply: this.run(connection, command) } as Message);
+                this.sendReply({ kind: LinkKind.Replied, linkId, reply: this.run(connection, command) }, answer);
                 this.proceed(connection, linkId, answer);
             }
         };
@@ -158,23 +170,36 @@
         }
     }
 
+    private sendReply(replied: LinkReplied, answer: Answer): void {
+        const { random } = this.options;
+        answer(replied);
+        if (random.nextFloat() < this.repeatedShare) {
+            this.schedule.after(1 + maximumRepeatDelayMs * random.nextFloat() ** 2, () => answer(replied));
+        }
+    }
+
     private run(connection: Connection, command: LinkCommand): LinkReply {
+        const isRollback = command.kind === LinkCommandKind.Rollback
+            || command.kind === LinkCommandKind.Run && command.statement.kind === SessionStatementKind.Rollback;
+        if (!isRollback && this.options.random.nextFloat() < this.busyShare) {
+            return this.refuse(connection, StatementFault.Busy);
+        }
         switch (command.kind) {
             case LinkCommandKind.Begin:
             case LinkCommandKind.BeginRead: {
                 this.transactionCount += 1;
                 const floor = command.kind === LinkCommandKind.BeginRead ? command.floor : undefined;
                 if (command.kind === LinkCommandKind.Begin && !this.report.leads) {
-                    return this.reply(connection, StatementFault.ReadOnly);
+                    return this.refuse(connection, StatementFault.ReadOnly);
                 }
                 if (floor !== undefined && floor.offset > this.position().offset) {
-                    return this.reply(connection, StatementFault.Lagging);
+                    return this.refuse(connection, StatementFault.Lagging);
                 }
-                connection.transaction = TransactionState.Open;
+                Object.assign(connection, { transaction: TransactionState.Open, ownerSessionId: undefined });
                 return this.reply(connection);
             }
             case LinkCommandKind.Rollback:
-                connection.transaction = TransactionState.None;
+                Object.assign(connection, { transaction: TransactionState.None, writeIds: [] });
                 return this.reply(connection);
             case LinkCommandKind.Run:
                 return this.runStatement(connection, command);
@@ -188,33 +213,53 @@
         { statement: { id, kind }, floor }: LinkCommand & { readonly kind: typeof LinkCommandKind.Run; },
     ): LinkReply {
         if (floor !== undefined && floor.offset > this.position().offset) {
-            return this.reply(connection, StatementFault.Lagging);
+            return this.refuse(connection, StatementFault.Lagging);
+        }
+        if (connection.transaction === TransactionState.Failed && kind !== SessionStatementKind.Rollback) {
+            return this.refuse(connection, StatementFault.Malformed);
         }
         this.onStatement(id, this.position().offset);
+        this.options.checker.run(id, kind, connection);
         if (kind === SessionStatementKind.Write) {
             if (!this.report.leads) {
-                return this.reply(connection, StatementFault.ReadOnly);
+                return this.refuse(connection, StatementFault.ReadOnly);
             }
+            connection.writeIds.push(id);
             if (connection.transaction === TransactionState.None) {
-                this.commits.push(this.schedule.nowMs);
+                this.commit(connection);
             }
-            connection.wrote = true;
         }
         if (kind === SessionStatementKind.Commit || kind === SessionStatementKind.Rollback) {
-            if (kind === SessionStatementKind.Commit && connection.wrote) {
-                this.commits.push(this.schedule.nowMs);
+            if (kind === SessionStatementKind.Commit) {
+                this.commit(connection);
             }
-            connection.wrote = false;
-            connection.transaction = TransactionState.None;
+            Object.assign(connection, { transaction: TransactionState.None, writeIds: [] });
+        }
+        return kind === SessionStatementKind.Rollback
+            ? this.reply(connection)
+            : { ...this.reply(connection), signature: `${id}/${this.nextSignature++}` };
+    }
+
+    private commit(connection: Connection): void {
+        if (connection.writeIds.length > 0) {
+            this.commits.push(this.schedule.nowMs);
+            this.options.checker.commit(connection.writeIds);
+            connection.writeIds = [];
+        }
+    }
+
+    private refuse(connection: Connection, fault: StatementFault): LinkReply {
+        if (connection.transaction === TransactionState.Open) {
+            connection.transaction = TransactionState.Failed;
         }
-        return this.reply(connection);
+        return { ...this.reply(connection), fault };
     }
 
-    private reply({ transaction }: Connection, fault?: StatementFault): LinkReply {
+    private reply({ transaction }: Connection): LinkReply {
         return {
             rows: [],
-            signature: fault === undefined ? "signature" : undefined,
-            fault,
+            signature: undefined,
+            fault: undefined,
             detail: "",
             transaction,
             position: this.position(),
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -2,6 +2,7 @@
 import { type LinkCommand, LinkCommandKind } from "../model/linkMessages.ts";
 import type { PreparedStatement, SessionContext, SessionStatement } from "../model/sessionStatement.ts";
 import { SessionStatementKind } from "../model/sessionStatement.ts";
+import { ReplyMatcher } from "./replyMatcher.ts";
 import type { TaskPlaced } from "./taskMessages.ts";
 
 export const LinkState = {
@@ -14,19 +15,6 @@
 } as const;
 export type LinkState = typeof LinkState[keyof typeof LinkState];
 
-/** Kind of command that an expected reply belongs to. */
-export const ReplyRole = {
-    /** Sets session state before the statement. */
-    Prelude: "prelude",
-    /** A precondition: must succeed before the statement is sent. */
-    Gate: "gate",
-    /** The caller's statement. */
-    Statement: "statement",
-    /** Rolls back the transaction that the gate began. */
-    Cleanup: "cleanup",
-} as const;
-export type ReplyRole = typeof ReplyRole[keyof typeof ReplyRole];
-
 /** Maximum of prepared statements on one link; a link with more is reset. */
 const maximumPreparedStatements = 256;
 
@@ -35,8 +23,7 @@
     readonly databaseId: string;
     readonly workspace: string;
     state: LinkState = LinkState.Opening;
-    /** Roles of the outstanding replies, in the order of their commands. */
-    readonly expectedReplies: ReplyRole[] = [];
+    readonly replies = new ReplyMatcher();
     attempt: LinkAttempt | undefined;
     /** Session whose transaction is open on this link. */
     pinnedSessionId: string | undefined;
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -1,8 +1,9 @@
 /** The connection pool of this instance for one database. */
 import type { DatabaseReport } from "../model/fleetMessages.ts";
-import type { SessionContext } from "../model/sessionStatement.ts";
+import { laterPosition, type Position } from "../model/position.ts";
+import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
 import { type Link, LinkState } from "./link.ts";
-import type { TaskPlaced } from "./taskMessages.ts";
+import type { LinkTask, TaskPlaced } from "./taskMessages.ts";
 
 /**
  * Share of a database's connection limit that its holder may use. The rest is left to control members and to instances
@@ -21,6 +22,8 @@
     /** No link is opened before this time, because the database has reached its connection limit. */
     openPausedUntilMs = 0;
     lastReplyAtMs: number | undefined;
+    /** Highest log position of the database in replies that were proved. */
+    latestPosition: Position | undefined;
     /** This instance is the holder: other instances pass their tasks for the database to it. */
     isHolder = false;
 
@@ -28,9 +31,15 @@
         this.report = report;
     }
 
+    recordPosition(position: Position | undefined): void {
+        if (position !== undefined) {
+            this.latestPosition = laterPosition(this.latestPosition ?? position, position);
+        }
+    }
+
     /** Collects the idle and the opening links in one pass. */
     summary(): LinkSummary {
-        const idle = new IdleLinks(this.links);
+        const idle = new IdleLinks(this.links, this.latestPosition);
         const opening = new Map<string, number>();
         for (const link of this.links) {
             if (link.state === LinkState.Opening) {
@@ -59,11 +68,13 @@
 /** Links of a pool that were idle when added; links that have been closed or used since then are not returned. */
 class IdleLinks {
     private readonly links: ReadonlySet<Link>;
+    private readonly latestPosition: Position | undefined;
     private readonly byWorkspace = new Map<string, Link[]>();
     private readonly all: Link[] = [];
 
-    constructor(links: ReadonlySet<Link>) {
+    constructor(links: ReadonlySet<Link>, latestPosition: Position | undefined) {
         this.links = links;
+        this.latestPosition = latestPosition;
     }
 
     add(link: Link): void {
@@ -77,14 +88,31 @@
         }
     }
 
-    /** Returns an idle link of the workspace, preferably one on which the state of the session is set already. */
-    findForSession(workspace: string, context: SessionContext): Link | undefined {
-        return this.byWorkspace.get(workspace)?.filter(link => this.isIdle(link))
-            .sort((left, right) => setupCost(left, context) - setupCost(right, context))[0];
+    /**
+     * Returns an idle link on which the replies to a task can be proved, as far as the task needs that; for a probe one
+     * of any workspace, or else one of the task's workspace, preferably with the state of the session set already.
+     */
+    find({ mode, writes, workspace, context }: LinkTask): Link | undefined {
+        const isUsable = (link: Link): boolean => this.isIdle(link) && this.canProve(link, mode, writes);
+        return mode === TaskMode.Probe
+            ? this.all.find(isUsable)
+            : this.byWorkspace.get(workspace)?.filter(isUsable)
+                .sort((left, right) =>
+                    Number(this.canProveFaults(right)) - Number(this.canProveFaults(left))
+                    || setupCost(left, context) - setupCost(right, context)
+                )[0];
+    }
+
+    private canProve(link: Link, mode: TaskMode, writes: boolean): boolean {
+        if (mode !== TaskMode.Single) {
+            return link.replies.canProveBegin(this.latestPosition);
+        }
+        // A single read whose answer is in doubt may run again.
+        return !writes || this.canProveFaults(link);
     }
 
-    findAny(): Link | undefined {
-        return this.all.find(link => this.isIdle(link));
+    private canProveFaults({ replies }: Link): boolean {
+        return replies.canProveFaults(this.latestPosition);
     }
 
     private isIdle(link: Link): boolean {
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -29,10 +29,11 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitTracker } from "./commitTracker.ts";
-import { type Link, LinkState, ReplyRole, statementCommand } from "./link.ts";
+import { type Link, LinkState, statementCommand } from "./link.ts";
 import { gateCommands, isLivenessCheck } from "./linkGate.ts";
 import { LinkPool } from "./linkPool.ts";
 import { connectionLimitPauseMs, LinkTable } from "./linkTable.ts";
+import { ReplyRole, ReplyVerdict } from "./replyMatcher.ts";
 import {
     type HolderChanged,
     type TaskAbandoned,
@@ -156,9 +157,8 @@
         const unservedCount = new Map<string, number>();
         let mayOpen = true;
         for (const placed of pool.waitingTasks) {
-            const { workspace, context, mode } = placed.task;
-            const link = (mode === TaskMode.Probe ? idle.findAny() : undefined)
-                ?? idle.findForSession(workspace, context);
+            const { workspace } = placed.task;
+            const link = idle.find(placed.task);
             if (link !== undefined) {
                 messages.push(...this.startAttempt(link, placed, nowMs));
                 continue;
@@ -178,12 +178,14 @@
         return messages;
     }
 
-    private handleOpened({ linkId }: LinkOpened, nowMs: number): readonly Message[] {
+    private handleOpened({ linkId, position }: LinkOpened, nowMs: number): readonly Message[] {
         const link = this.table.get(linkId);
         if (link === undefined) {
             return [];
         }
-        this.table.poolOf(link).lastReplyAtMs = nowMs;
+        const pool = this.table.poolOf(link);
+        pool.lastReplyAtMs = nowMs;
+        pool.recordPosition(position);
         return [this.table.clearLinkTimer(link), ...this.release(link, nowMs)];
     }
 
@@ -231,43 +233,60 @@
         commands: readonly LinkCommand[],
         roles: readonly ReplyRole[],
     ): readonly Message[] {
-        link.expectedReplies.push(...prelude.map(() => ReplyRole.Prelude), ...roles);
+        prelude.forEach(command => link.replies.expect(ReplyRole.Prelude, command));
+        commands.forEach((command, index) => link.replies.expect(roles[index]!, command));
         const message: LinkSend = { kind: LinkKind.Send, linkId: link.linkId, commands: [...prelude, ...commands] };
         return [message];
     }
 
     private handleReplied({ linkId, reply }: LinkReplied, nowMs: number): readonly Message[] {
         const link = this.table.get(linkId);
-        const role = link?.expectedReplies.shift();
         if (link === undefined) {
             return [];
         }
-        this.table.poolOf(link).lastReplyAtMs = nowMs;
-        switch (role) {
+        const match = link.replies.match(reply);
+        switch (match.verdict) {
+            case ReplyVerdict.Repeated:
+                return [replyDiscarded(link, reply, DiscardReason.Repeated)];
+            case ReplyVerdict.Unmatched:
+                return this.discard(link, reply, DiscardReason.Unmatched, nowMs);
+        }
+        const pool = this.table.poolOf(link);
+        const isProved = match.verdict === ReplyVerdict.Proved;
+        if (isProved) {
+            pool.lastReplyAtMs = nowMs;
+            pool.recordPosition(reply.position);
+        }
+        switch (match.role) {
             case ReplyRole.Prelude:
-                return reply.fault === undefined ? [] : this.closeLink(link, nowMs);
+                return reply.fault === undefined ? [] : this.closeLink(link, nowMs, faultWithoutReply(link));
             case ReplyRole.Gate:
-                return this.handleGateReply(link, reply, nowMs);
+                return this.handleGateReply(link, reply, isProved, nowMs);
             case ReplyRole.Statement:
-                return this.handleStatementReply(link, reply, nowMs);
+                return this.handleStatementReply(link, reply, isProved, nowMs);
             case ReplyRole.Cleanup:
                 return this.handleCleanupReply(link, nowMs);
-            default:
-                // An unexpected reply: commands and replies on this link no longer match.
-                return [replyDiscarded(link, reply, DiscardReason.Unmatched), ...this.closeLink(link, nowMs)];
         }
     }
 
-    private handleGateReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
+    private handleGateReply(link: Link, reply: LinkReply, isProved: boolean, nowMs: number): readonly Message[] {
         const attempt = link.attempt;
         if (attempt === undefined) {
             return [];
         }
         const { placed } = attempt;
         const { task, floor } = placed;
+        const isSingleRead = task.mode === TaskMode.Single && !task.writes;
+        if (!isProved && reply.fault !== undefined) {
+            // The statement has not been sent, so that it is not run is true in any case.
+            return this.closeAfterReply(link, reply, nowMs);
+        }
+        if (!isProved && !isSingleRead) {
+            return this.discard(link, reply, DiscardReason.Doubtful, nowMs);
+        }
         const cleared = this.table.clearLinkTimer(link);
         const isLivenessGate = isLivenessCheck(placed);
-        attempt.leads = reply.fault === undefined && task.needsPrimary;
+        attempt.leads = reply.fault === undefined && task.needsPrimary && isProved;
         if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
             return [cleared, ...this.reportAttempt(link, reply, false), ...this.finishGate(link, reply, nowMs)];
         }
@@ -276,9 +295,8 @@
             return [cleared];
         }
         attempt.sent = true;
-        const rollsBack = task.mode === TaskMode.Single;
-        const commands = [statementCommand({ task, floor: rollsBack ? floor : undefined })];
-        return rollsBack
+        const commands = [statementCommand({ task, floor: isSingleRead ? floor : undefined })];
+        return isSingleRead
             ? [
                 cleared,
                 ...this.send(link, [], [...commands, { kind: LinkCommandKind.Rollback }], [
@@ -291,14 +309,14 @@
 
     /** Frees a link after a gate that failed or that belonged to a probe. */
     private finishGate(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
-        if (link.expectedReplies.length > 0) {
+        if (link.replies.expectedCount > 0) {
             return [];
         }
         return reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link);
     }
 
     private handleCleanupReply(link: Link, nowMs: number): readonly Message[] {
-        if (link.expectedReplies.length > 0) {
+        if (link.replies.expectedCount > 0) {
             return [];
         }
         const { attempt } = link;
@@ -311,18 +329,37 @@
         return this.send(link, [], [statementCommand(attempt.placed)], [ReplyRole.Statement]);
     }
 
-    private handleStatementReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
-        const { task } = link.attempt!.placed;
+    private handleStatementReply(
+        link: Link,
+        reply: LinkReply,
+        isProved: boolean,
+        nowMs: number,
+    ): readonly Message[] {
+        const attempt = link.attempt!;
+        const { task } = attempt.placed;
         const inTransaction = task.mode !== TaskMode.Single;
+        if (!isProved && reply.fault !== undefined) {
+            // A read may run again, whatever became of this one.
+            return inTransaction || task.writes
+                ? this.discard(link, reply, DiscardReason.Doubtful, nowMs)
+                : this.closeAfterReply(link, reply, nowMs);
+        }
+        if (!inTransaction && !task.writes && task.needsPrimary && reply.fault === undefined) {
+            if (reply.transaction !== TransactionState.Open) {
+                // The gate has not begun a transaction, so nothing proves that the database is the primary.
+                return this.discard(link, reply, DiscardReason.Unmatched, nowMs);
+            }
+            attempt.leads = true;
+        }
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
             && !link.isAbandoned;
         if (task.writes && reply.fault === undefined && reply.position !== undefined) {
-            this.commitTracker.recordCommit(task.service, reply.position, link.attempt!.sentMs);
-            link.attempt!.leads ||= !inTransaction;
+            this.commitTracker.recordCommit(task.service, reply.position, attempt.sentMs);
+            attempt.leads ||= !inTransaction;
         }
         const result = this.reportAttempt(link, reply, pinned);
         this.table.unpin(link);
-        if (link.expectedReplies.length > 0) {
+        if (link.replies.expectedCount > 0) {
             return result;
         }
         if (pinned) {
@@ -335,8 +372,30 @@
         ];
     }
 
-    /** Reports the result of the attempt on a link and removes it from the link. */
-    private reportAttempt(link: Link, reply: LinkReply | undefined, pinned: boolean): readonly Message[] {
+    /** Reports a reply that may belong to an earlier command, and closes its link, on which the answer may follow. */
+    private closeAfterReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
+        return [
+            replyDiscarded(link, reply, DiscardReason.Doubtful),
+            ...this.reportAttempt(link, reply, false),
+            ...this.closeLink(link, nowMs),
+        ];
+    }
+
+    /** Closes a link whose replies can no longer be matched to its commands, and reports its attempt accordingly. */
+    private discard(link: Link, reply: LinkReply, reason: DiscardReason, nowMs: number): readonly Message[] {
+        return [replyDiscarded(link, reply, reason), ...this.closeLink(link, nowMs, faultWithoutReply(link))];
+    }
+
+    /**
+     * Reports the result of the attempt on a link and removes it from the link.
+     * @param fault set if there is no reply, but the database has not failed to reply either
+     */
+    private reportAttempt(
+        link: Link,
+        reply: LinkReply | undefined,
+        pinned: boolean,
+        fault?: StatementFault,
+    ): readonly Message[] {
         const { attempt } = link;
         link.attempt = undefined;
         if (attempt === undefined) {
@@ -350,7 +409,7 @@
             databaseId,
             address: undefined,
             reply,
-            fault: undefined,
+            fault,
             sent,
             holderUnavailable: false,
             sentMs,
@@ -368,6 +427,9 @@
     /** Makes a link idle and assigns it to the next waiting task. */
     private release(link: Link, nowMs: number): readonly Message[] {
         const pool = this.table.poolOf(link);
+        if (link.replies.isExhausted) {
+            return this.closeLink(link, nowMs);
+        }
         link.state = LinkState.Idle;
         link.isAbandoned = false;
         link.idleSinceMs = nowMs;
@@ -460,12 +522,12 @@
         return [clearDeadline(attemptKey(placed)), unsentAttempt(placed, fault)];
     }
 
-    /** Closes a link and reports its attempt, if there is one, as unanswered. */
-    private closeLink(link: Link, nowMs: number): readonly Message[] {
+    /** Closes a link and reports its attempt, if there is one, without a reply. */
+    private closeLink(link: Link, nowMs: number, fault?: StatementFault): readonly Message[] {
         const pool = this.table.poolOf(link);
         return [
             ...this.table.close(link),
-            ...this.reportAttempt(link, undefined, false),
+            ...this.reportAttempt(link, undefined, false, fault),
             ...this.assignLinks(pool, nowMs),
         ];
     }
@@ -479,6 +541,9 @@
         }
         const movedOrRestarted = pool.report.address !== report.address
             || pool.report.bornUnixMs !== report.bornUnixMs;
+        if (movedOrRestarted) {
+            pool.latestPosition = undefined;
+        }
         pool.report = report;
         const outdated = movedOrRestarted ? [...pool.links] : [];
         return [changed, ...outdated.flatMap(link => this.closeLink(link, nowMs))];
@@ -540,6 +605,11 @@
     };
 }
 
+/** Returns what is known about an attempt whose link is closed although the database answers. */
+function faultWithoutReply({ attempt }: Link): StatementFault {
+    return attempt?.sent === true ? StatementFault.InDoubt : StatementFault.Busy;
+}
+
 function replyDiscarded(
     { linkId, databaseId }: Link,
     { fault }: LinkReply,
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -368,14 +368,17 @@
         if (!sent) {
             return endTask(task, fault ?? StatementFault.Busy, "the database could not be reached; not run");
         }
+        const reason = fault === StatementFault.InDoubt
+            ? "the database's answer cannot be told from an earlier one"
+            : "the database did not answer in time";
         if (task.mode === TaskMode.Single) {
             return task.writes
-                ? endTask(task, StatementFault.InDoubt, "the database did not answer; the write may have run")
-                : endTask(task, StatementFault.TimedOut, "the database did not answer in time");
+                ? endTask(task, StatementFault.InDoubt, `${reason}; the write may have run`)
+                : endTask(task, StatementFault.TimedOut, reason);
         }
         return task.statement?.kind === SessionStatementKind.Commit
-            ? endTask(task, StatementFault.InDoubt, "the database did not answer; the commit may have run")
-            : endTask(task, StatementFault.Aborted, "the database did not answer; the transaction is rolled back");
+            ? endTask(task, StatementFault.InDoubt, `${reason}; the commit may have run`)
+            : endTask(task, StatementFault.Aborted, `${reason}; the transaction is rolled back`);
     }
 
     private endRouted(ended: TaskEnded | Message): readonly Message[] {
