fix(session): a statement does not follow a command that sets session state without its answer

A single statement on a link whose session state has to be set now waits for a gate behind these commands; its proved answer proves that they succeeded. A later statement of a transaction waits for their answers. The test of the session state expects the gate between the state and the statement. What remains: inside an open transaction, a repeated answer may hide that such a command was refused, if the database goes on with the transaction then.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -168,17 +168,29 @@
         fixture.request("s1", statement(SessionStatementKind.Prepare, "b", { name: "n", prepared }));
         fixture.request("s1", statement(SessionStatementKind.Execute, "e", { name: "n", argument: "i d" }));
         fixture.openLinks();
-        assert.deepEqual(kindsOf(fixture), [
-            LinkCommandKind.SetValue,
-            LinkCommandKind.Prepare,
-            LinkCommandKind.Execute,
-        ]);
+        const setup = [LinkCommandKind.SetValue, LinkCommandKind.Prepare];
+        const gate = [LinkCommandKind.Begin, LinkCommandKind.Rollback];
+        assert.deepEqual(kindsOf(fixture), [...setup, ...gate]);
         fixture.reply("l0");
         fixture.reply("l0");
+        fixture.reply("l0", { transaction: TransactionState.Open, position: position(1, 0) });
+        fixture.reply("l0", { position: position(1, 0) });
+        assert.deepEqual(kindsOf(fixture).slice(4), [LinkCommandKind.Execute]);
         fixture.reply("l0", { position: position(1, 1) });
         fixture.connect("s2", "orders");
         fixture.request("s2", statement(SessionStatementKind.Write, "w"));
-        assert.deepEqual(kindsOf(fixture).slice(3), [LinkCommandKind.Reset, LinkCommandKind.Run]);
+        assert.deepEqual(kindsOf(fixture).slice(5), [LinkCommandKind.Reset, ...gate]);
+    });
+
+    it("does not run a statement behind a refused command that sets its session state", () => {
+        // Guards against statements with the values of another session.
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.SetValue, "a", { name: "x", argument: "1" }));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w"));
+        fixture.openLinks();
+        fixture.reply("l0", { fault: StatementFault.Busy });
+        assert.deepEqual(fixture.closed, ["l0"]);
+        assert.ok(!kindsOf(fixture).includes(LinkCommandKind.Run));
     });
 
     it("does not use links of other workspaces", () => {
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -2,6 +2,7 @@
 import { type LinkCommand, LinkCommandKind } from "../model/linkMessages.ts";
 import type { PreparedStatement, SessionContext, SessionStatement } from "../model/sessionStatement.ts";
 import { SessionStatementKind } from "../model/sessionStatement.ts";
+import type { Gate } from "./linkGate.ts";
 import { ReplyMatcher } from "./replyMatcher.ts";
 import type { TaskPlaced } from "./taskMessages.ts";
 
@@ -45,6 +46,13 @@
             || this.prepared.size > maximumPreparedStatements;
     }
 
+    /** Returns whether session state has to be set on the link before a statement. */
+    needsSetup(context: SessionContext, statement: SessionStatement | undefined): boolean {
+        const prepared = preparedStatementOf(context, statement);
+        return this.needsReset(context) || this.countMissingValues(context) > 0
+            || prepared !== undefined && !this.prepared.has(sharedName(prepared));
+    }
+
     /** Number of session variables that have to be set on the link before a statement of this session. */
     countMissingValues({ values }: SessionContext): number {
         return [...values].filter(([name, value]) => this.values.get(name) !== value).length;
@@ -78,6 +86,7 @@
 /** An attempt at running a task that is in progress on a link. */
 export interface LinkAttempt {
     readonly placed: TaskPlaced;
+    readonly gate: Gate;
     sentMs: number | undefined;
     /** The statement itself was sent, not only the commands before it. */
     sent: boolean;
--- a/src/session/linkGate.ts
+++ b/src/session/linkGate.ts
@@ -1,4 +1,7 @@
-/** Gates: preconditions of a statement that prove that its database is the primary, or that the link is alive. */
+/**
+ * Gates: commands that must succeed before a statement is sent. They prove that the database is the primary, that the link
+ * is alive, or that the session state which was set on the link just before is in effect.
+ */
 import { type LinkCommand, LinkCommandKind } from "../model/linkMessages.ts";
 import { TaskMode } from "../model/sessionStatement.ts";
 import type { TaskPlaced } from "./taskMessages.ts";
@@ -6,27 +9,46 @@
 /** Idle time after which a link is checked before a write is sent on it. */
 const livenessCheckIdleMs = 1_000;
 
-/** Returns the commands that must succeed before the statement is sent; none when it can be sent at once. */
-export function gateCommands(placed: TaskPlaced, idleMs: number): readonly LinkCommand[] {
-    const { task, floor } = placed;
-    const begin: LinkCommand = { kind: LinkCommandKind.Begin };
+export interface Gate {
+    /** Empty when the statement can be sent at once. */
+    readonly commands: readonly LinkCommand[];
+    /** The statement runs in the transaction that the gate begins; otherwise the gate ends it first. */
+    readonly containsStatement: boolean;
+    /** An answer that may repeat an earlier one does not open the gate. */
+    readonly needsProof: boolean;
+}
+
+export const openGate: Gate = { commands: [], containsStatement: false, needsProof: false };
+
+const begin: LinkCommand = { kind: LinkCommandKind.Begin };
+const rollback: LinkCommand = { kind: LinkCommandKind.Rollback };
+
+/** @param setsState session state is set on the link before the gate; the proof that it opens proves that this succeeded */
+export function gateOf({ task, floor }: TaskPlaced, idleMs: number, setsState: boolean): Gate {
     switch (task.mode) {
         case TaskMode.Probe:
-            return [begin, { kind: LinkCommandKind.Rollback }];
+            return { commands: [begin, rollback], containsStatement: false, needsProof: true };
         case TaskMode.Transaction:
-            return [begin];
-        case TaskMode.ReadTransaction:
+            return { commands: [begin], containsStatement: true, needsProof: true };
+        case TaskMode.ReadTransaction: {
             // Any replica accepts a read-only transaction; only a plain BEGIN proves that the database is the primary.
-            return task.needsPrimary ? [begin] : [{ kind: LinkCommandKind.BeginRead, floor }];
-        case TaskMode.Single:
-            if (!task.writes) {
-                return task.needsPrimary ? [begin] : [];
+            const beginRead: LinkCommand = { kind: LinkCommandKind.BeginRead, floor };
+            return { commands: [task.needsPrimary ? begin : beginRead], containsStatement: true, needsProof: true };
+        }
+        case TaskMode.Single: {
+            if (task.writes) {
+                return setsState || idleMs > livenessCheckIdleMs
+                    ? { commands: [begin, rollback], containsStatement: false, needsProof: true }
+                    : openGate;
             }
-            return idleMs > livenessCheckIdleMs ? [begin, { kind: LinkCommandKind.Rollback }] : [];
+            if (task.needsPrimary) {
+                // The signed answer to the read tells whether it ran in a transaction, which proves the gate.
+                return { commands: [begin], containsStatement: true, needsProof: setsState };
+            }
+            const beginRead: LinkCommand = { kind: LinkCommandKind.BeginRead, floor: undefined };
+            return setsState
+                ? { commands: [beginRead, rollback], containsStatement: false, needsProof: true }
+                : openGate;
+        }
     }
 }
-
-/** Returns whether the gate of an attempt only checks that the link is alive. */
-export function isLivenessCheck({ task }: TaskPlaced): boolean {
-    return task.mode === TaskMode.Single && task.writes;
-}
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -92,19 +92,19 @@
      * Returns an idle link on which the replies to a task can be proved, as far as the task needs that; for a probe one
      * of any workspace, or else one of the task's workspace, preferably with the state of the session set already.
      */
-    find({ mode, writes, workspace, context }: LinkTask): Link | undefined {
-        const isUsable = (link: Link): boolean => this.isIdle(link) && this.canProve(link, mode, writes);
-        return mode === TaskMode.Probe
+    find(task: LinkTask): Link | undefined {
+        const isUsable = (link: Link): boolean => this.isIdle(link) && this.canProve(link, task);
+        return task.mode === TaskMode.Probe
             ? this.all.find(isUsable)
-            : this.byWorkspace.get(workspace)?.filter(isUsable)
+            : this.byWorkspace.get(task.workspace)?.filter(isUsable)
                 .sort((left, right) =>
                     Number(this.canProveFaults(right)) - Number(this.canProveFaults(left))
-                    || setupCost(left, context) - setupCost(right, context)
+                    || setupCost(left, task.context) - setupCost(right, task.context)
                 )[0];
     }
 
-    private canProve(link: Link, mode: TaskMode, writes: boolean): boolean {
-        if (mode !== TaskMode.Single) {
+    private canProve(link: Link, { mode, writes, context, statement }: LinkTask): boolean {
+        if (mode !== TaskMode.Single || link.needsSetup(context, statement)) {
             return link.replies.canProveBegin(this.latestPosition);
         }
         // A single read whose answer is in doubt may run again.
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -24,13 +24,14 @@
     type LinkReplyDiscarded,
     type LinkSend,
 } from "../model/linkMessages.ts";
+import type { Position } from "../model/position.ts";
 import { StatementFault, TaskMode, TransactionState } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitTracker } from "./commitTracker.ts";
 import { type Link, LinkState, statementCommand } from "./link.ts";
-import { gateCommands, isLivenessCheck } from "./linkGate.ts";
+import { gateOf, openGate } from "./linkGate.ts";
 import { LinkPool } from "./linkPool.ts";
 import { connectionLimitPauseMs, LinkTable } from "./linkTable.ts";
 import { ReplyRole, ReplyVerdict } from "./replyMatcher.ts";
@@ -193,15 +194,23 @@
     private startAttempt(link: Link, placed: TaskPlaced, nowMs: number): readonly Message[] {
         const { task, floor } = placed;
         link.state = LinkState.Busy;
-        link.attempt = { placed, sentMs: nowMs, sent: false, leads: false };
         const prelude = link.preludeCommands(task.context, task.statement);
-        const gate = gateCommands(placed, nowMs - link.idleSinceMs);
-        if (gate.length > 0) {
-            const roles = [ReplyRole.Gate, ...gate.slice(1).map(() => ReplyRole.Cleanup)];
-            return [...this.send(link, prelude, gate, roles), this.table.setLinkTimer(link, nowMs + gateTimeoutMs)];
+        const gate = gateOf(placed, nowMs - link.idleSinceMs, prelude.length > 0);
+        link.attempt = { placed, gate, sentMs: nowMs, sent: false, leads: false };
+        if (gate.commands.length === 0) {
+            return this.sendStatement(link, floor);
         }
-        link.attempt.sent = true;
-        return this.send(link, prelude, [statementCommand({ task, floor })], [ReplyRole.Statement]);
+        const roles = [ReplyRole.Gate, ...gate.commands.slice(1).map(() => ReplyRole.Cleanup)];
+        return [
+            ...this.send(link, prelude, gate.commands, roles),
+            this.table.setLinkTimer(link, nowMs + gateTimeoutMs),
+        ];
+    }
+
+    private sendStatement(link: Link, floor: Position | undefined): readonly Message[] {
+        const attempt = link.attempt!;
+        attempt.sent = true;
+        return this.send(link, [], [statementCommand({ task: attempt.placed.task, floor })], [ReplyRole.Statement]);
     }
 
     private continueTransaction({ task }: TaskContinued, nowMs: number): readonly Message[] {
@@ -218,12 +227,12 @@
             attemptDeadlineMs: task.deadlineMs,
         };
         link.state = LinkState.Busy;
-        link.attempt = { placed, sentMs: nowMs, sent: true, leads: false };
+        link.attempt = { placed, gate: openGate, sentMs: nowMs, sent: false, leads: false };
         const prelude = link.preludeCommands(task.context, task.statement);
         const timer = taskTimer(TaskKind.AttemptDue, task.taskId);
         return [
             setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer),
-            ...this.send(link, prelude, [statementCommand(placed)], [ReplyRole.Statement]),
+            ...prelude.length > 0 ? this.send(link, prelude, [], []) : this.sendStatement(link, undefined),
         ];
     }
 
@@ -259,7 +268,7 @@
         }
         switch (match.role) {
             case ReplyRole.Prelude:
-                return reply.fault === undefined ? [] : this.closeLink(link, nowMs, faultWithoutReply(link));
+                return this.handlePreludeReply(link, reply, nowMs);
             case ReplyRole.Gate:
                 return this.handleGateReply(link, reply, isProved, nowMs);
             case ReplyRole.Statement:
@@ -269,42 +278,42 @@
         }
     }
 
+    /** Statements never follow commands that set session state without their answer: they would run without that state. */
+    private handlePreludeReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
+        if (reply.fault !== undefined) {
+            return this.closeLink(link, nowMs, faultWithoutReply(link));
+        }
+        return link.replies.expectedCount > 0 || link.attempt === undefined ? [] : this.sendStatement(link, undefined);
+    }
+
     private handleGateReply(link: Link, reply: LinkReply, isProved: boolean, nowMs: number): readonly Message[] {
         const attempt = link.attempt;
         if (attempt === undefined) {
             return [];
         }
-        const { placed } = attempt;
-        const { task, floor } = placed;
-        const isSingleRead = task.mode === TaskMode.Single && !task.writes;
+        const { placed: { task, floor }, gate } = attempt;
         if (!isProved && reply.fault !== undefined) {
             // The statement has not been sent, so that it is not run is true in any case.
             return this.closeAfterReply(link, reply, nowMs);
         }
-        if (!isProved && !isSingleRead) {
+        if (!isProved && gate.needsProof) {
             return this.discard(link, reply, DiscardReason.Doubtful, nowMs);
         }
         const cleared = this.table.clearLinkTimer(link);
-        const isLivenessGate = isLivenessCheck(placed);
         attempt.leads = reply.fault === undefined && task.needsPrimary && isProved;
         if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
             return [cleared, ...this.reportAttempt(link, reply, false), ...this.finishGate(link, reply, nowMs)];
         }
-        if (isLivenessGate) {
-            // The statement is sent after the cleanup, outside the transaction that checked the link.
+        if (!gate.containsStatement) {
+            // The statement is sent after the cleanup.
             return [cleared];
         }
+        if (task.mode !== TaskMode.Single) {
+            return [cleared, ...this.sendStatement(link, undefined)];
+        }
         attempt.sent = true;
-        const commands = [statementCommand({ task, floor: isSingleRead ? floor : undefined })];
-        return isSingleRead
-            ? [
-                cleared,
-                ...this.send(link, [], [...commands, { kind: LinkCommandKind.Rollback }], [
-                    ReplyRole.Statement,
-                    ReplyRole.Cleanup,
-                ]),
-            ]
-            : [cleared, ...this.send(link, [], commands, [ReplyRole.Statement])];
+        const commands = [statementCommand({ task, floor }), { kind: LinkCommandKind.Rollback }];
+        return [cleared, ...this.send(link, [], commands, [ReplyRole.Statement, ReplyRole.Cleanup])];
     }
 
     /** Frees a link after a gate that failed or that belonged to a probe. */
@@ -323,10 +332,9 @@
         if (attempt === undefined) {
             return this.release(link, nowMs);
         }
-        // The check has shown that the link is alive; the statement can be sent.
-        attempt.sent = true;
+        // The gate has shown that the link is alive and its session state set; the statement can be sent.
         attempt.leads = false;
-        return this.send(link, [], [statementCommand(attempt.placed)], [ReplyRole.Statement]);
+        return this.sendStatement(link, attempt.placed.floor);
     }
 
     private handleStatementReply(
