fix(fleet): a late heartbeat does not bring a database back to instances that attach later

Cause: the directory refused a report that was older than the known one, or of a database that had left, but passed the message on. The hub kept it as the latest report of that database and sent it to each instance that attached later, which knows neither the newer report nor the departure: a draining database was ready again there, and one that had left was in use until the process ended. Change: only accepted reports leave the directory. Measured: the new test in fleetDatabaseDirectory.spec.ts failed before (the late report was passed on) and passes now; the specs of fleet/ and fleetRpc.spec.ts: 160 pass, 0 fail.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -55,4 +55,11 @@
         const spoofed = { ...known, databaseId: "odd", service: "unknown", sequence: 1, bornUnixMs: 2_000 };
         assert.deepEqual(removed(report(directory, spoofed)), []);
     });
+
+    it("passes on no report that arrives late", () => {
+        const directory = directoryWith("orders");
+        assert.deepEqual(report(directory, { ...known, sequence: 3 }), []);
+        directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId });
+        assert.deepEqual(report(directory, { ...known, sequence: 5 }), []);
+    });
 });
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -35,7 +35,10 @@
 
     process(message: DirectoryInput): readonly Message[] {
         return match<DirectoryInput, readonly Message[]>(message)
-            .with({ kind: FleetKind.DatabaseReported }, matched => [...this.apply(matched.report), matched])
+            .with({ kind: FleetKind.DatabaseReported }, matched => {
+                const outputs = this.apply(matched.report);
+                return outputs.length === 0 ? [] : [...outputs, matched];
+            })
             .with({ kind: FleetKind.DatabaseLeft }, matched => [...this.remove(matched.databaseId), matched])
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "databases" } },
