fix(fleet): the departure of a former process does not remove a database that started again

Cause: the call with which a database leaves was matched to the database by its id alone, which a database keeps when it starts again. A departure that arrived late or twice, also as a frame of another member, removed the new process, and the start time of the new process was recorded as departed, so that all its later heartbeats were ignored. Change: a departure names the start time of the process that left: from the call (`born`), otherwise from the last report that the member has. One of an earlier process than the known one is ignored, also by the instances that get it in a frame; one of an unknown database is remembered, so that a late heartbeat of it is ignored.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
+import {
+    type DatabaseReport,
+    FleetKind,
+    type FrameReceived,
+    type PolicyApplied,
+    ReportedState,
+} from "../../model/fleetMessages.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { FleetDatabaseDirectory } from "../fleetDatabaseDirectory.ts";
@@ -38,6 +44,14 @@
     return directory.process({ kind: FleetKind.DatabaseReported, report: reported });
 }
 
+function leave(directory: FleetDatabaseDirectory, bornUnixMs: number | undefined): readonly Message[] {
+    return directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId, bornUnixMs });
+}
+
+function kindsOf(messages: readonly Message[]): readonly string[] {
+    return messages.map(({ kind }) => kind);
+}
+
 function removed(messages: readonly Message[]): readonly string[] {
     return messages.filter(({ kind }) => kind === FleetKind.DatabaseRemoved)
         .map(message => (message as Message & { readonly databaseId: string; }).databaseId);
@@ -56,10 +70,38 @@
         assert.deepEqual(removed(report(directory, spoofed)), []);
     });
 
+    it("keeps a database that started again under its id when the departure of its former process arrives late", () => {
+        const directory = directoryWith("orders");
+        report(directory, { ...known, sequence: 1, bornUnixMs: 2_000 });
+        assert.deepEqual(leave(directory, 1_000), []);
+        const frame = { kind: "database_left", databaseId: known.databaseId, bornUnixMs: 1_000 } as const;
+        const received = directory.process(
+            { kind: FleetKind.FrameReceived, attachmentId: "a", frame } as FrameReceived,
+        );
+        assert.deepEqual(removed(received), []);
+        const heard = report(directory, { ...known, sequence: 2, bornUnixMs: 2_000 });
+        assert.ok(kindsOf(heard).includes(FleetKind.DatabaseReportAccepted));
+    });
+
+    it("tells others which process of a database left", () => {
+        const directory = directoryWith("orders");
+        assert.deepEqual(leave(directory, undefined).at(-1), {
+            kind: FleetKind.DatabaseLeft,
+            databaseId: known.databaseId,
+            bornUnixMs: known.bornUnixMs,
+        });
+    });
+
+    it("remembers a departure of a database that it does not know, so that a late report does not bring it back", () => {
+        const directory = new FleetDatabaseDirectory();
+        leave(directory, known.bornUnixMs);
+        assert.deepEqual(report(directory, known), []);
+    });
+
     it("passes on no report that arrives late", () => {
         const directory = directoryWith("orders");
         assert.deepEqual(report(directory, { ...known, sequence: 3 }), []);
-        directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId });
+        leave(directory, known.bornUnixMs);
         assert.deepEqual(report(directory, { ...known, sequence: 5 }), []);
     });
 });
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -209,7 +209,7 @@
     }
 
     removeDatabase(member: string, databaseId: string): void {
-        this.push(member, { kind: FleetKind.DatabaseLeft, databaseId } as Message);
+        this.push(member, { kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs: undefined } as Message);
     }
 
     /** Resets the counters of received traffic and the minimum of known instances. */
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -106,7 +106,7 @@
             )
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, matched => [matched])
             .with({ kind: FleetKind.DatabaseReported }, matched => this.publishReport(matched.report))
-            .with({ kind: FleetKind.DatabaseLeft }, matched => this.publishDeparture(matched.databaseId))
+            .with({ kind: FleetKind.DatabaseLeft }, matched => this.publishDeparture(matched))
             .with({ kind: FleetKind.DatabaseRemoved }, matched => {
                 this.reportsByDatabase.delete(matched.databaseId);
                 return [matched];
@@ -209,8 +209,8 @@
         return [...send(this.memberAttachments, frame), ...changed ? send(this.servingAttachments, frame) : []];
     }
 
-    private publishDeparture(databaseId: string): readonly Message[] {
-        return this.broadcast({ kind: "database_left", databaseId });
+    private publishDeparture({ databaseId, bornUnixMs }: DatabaseLeft): readonly Message[] {
+        return this.broadcast({ kind: "database_left", databaseId, bornUnixMs });
     }
 
     private broadcastStatus(): readonly Message[] {
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -39,14 +39,14 @@
                 const outputs = this.apply(matched.report);
                 return outputs.length === 0 ? [] : [...outputs, matched];
             })
-            .with({ kind: FleetKind.DatabaseLeft }, matched => [...this.remove(matched.databaseId), matched])
+            .with({ kind: FleetKind.DatabaseLeft }, matched => this.leave(matched))
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "databases" } },
                 matched => [...matched.frame.reports.flatMap(report => this.apply(report)), matched],
             )
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "database_left" } },
-                matched => [...this.remove(matched.frame.databaseId), matched],
+                matched => [...this.removeDeparted(matched.frame.databaseId, matched.frame.bornUnixMs), matched],
             )
             .with({ kind: FleetKind.FrameReceived, frame: P.any }, matched => [matched])
             .with({ kind: FleetKind.PolicyApplied }, matched => [...this.setServices(matched), matched])
@@ -75,6 +75,28 @@
         ];
     }
 
+    /** Names the process that left, so that another one under the same id stays, whatever arrives first. */
+    private leave(left: DatabaseLeft): readonly Message[] {
+        const { databaseId } = left;
+        const knownStart = this.reports.get(databaseId)?.bornUnixMs;
+        const bornUnixMs = left.bornUnixMs ?? knownStart;
+        return isOutdated(left.bornUnixMs, knownStart)
+            ? []
+            : [...this.removeDeparted(databaseId, bornUnixMs), { ...left, bornUnixMs } as DatabaseLeft];
+    }
+
+    private removeDeparted(databaseId: string, bornUnixMs: number | undefined): readonly Message[] {
+        const knownStart = this.reports.get(databaseId)?.bornUnixMs;
+        if (isOutdated(bornUnixMs, knownStart)) {
+            return [];
+        }
+        const removed = this.remove(databaseId);
+        if (bornUnixMs !== undefined) {
+            this.recordDeparture(databaseId, bornUnixMs);
+        }
+        return removed;
+    }
+
     private setServices({ policy }: PolicyApplied): readonly Message[] {
         const before = this.services;
         this.services = new Set(policy.services.keys());
@@ -102,14 +124,25 @@
             return [];
         }
         this.reports.delete(databaseId);
-        this.departedStartUnixMs.set(databaseId, known.bornUnixMs);
+        this.recordDeparture(databaseId, known.bornUnixMs);
+        return [{ kind: FleetKind.DatabaseRemoved, databaseId } as Message];
+    }
+
+    private recordDeparture(databaseId: string, bornUnixMs: number): void {
+        const recordedStart = this.departedStartUnixMs.get(databaseId) ?? 0;
+        this.departedStartUnixMs.set(databaseId, Math.max(recordedStart, bornUnixMs));
         if (this.departedStartUnixMs.size > maximumDeparted) {
             this.departedStartUnixMs.delete(this.departedStartUnixMs.keys().next().value!);
         }
-        return [{ kind: FleetKind.DatabaseRemoved, databaseId } as Message];
     }
 }
 
+/** Whether a departure is that of an earlier process than the known one. */
+function isOutdated(departedStartUnixMs: number | undefined, knownStartUnixMs: number | undefined): boolean {
+    return departedStartUnixMs !== undefined && knownStartUnixMs !== undefined
+        && departedStartUnixMs < knownStartUnixMs;
+}
+
 function isNewer(report: DatabaseReport, previous: DatabaseReport): boolean {
     return report.bornUnixMs === previous.bornUnixMs
         ? report.sequence > previous.sequence
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -93,6 +93,8 @@
 export interface DatabaseLeft extends Message {
     readonly kind: typeof FleetKind.DatabaseLeft;
     readonly databaseId: string;
+    /** Start time of the process that left, in Unix milliseconds; undefined if it is unknown. */
+    readonly bornUnixMs: number | undefined;
 }
 
 export interface DatabaseChanged extends Message {
@@ -224,7 +226,12 @@
     | { readonly kind: "status_asked"; }
     | { readonly kind: "configuration"; readonly version: number; }
     | { readonly kind: "databases"; readonly reports: readonly DatabaseReport[]; }
-    | { readonly kind: "database_left"; readonly databaseId: string; }
+    | {
+        readonly kind: "database_left";
+        readonly databaseId: string;
+        /** Start time of the process that left, in Unix milliseconds; undefined if it is unknown. */
+        readonly bornUnixMs: number | undefined;
+    }
     /** Permit request of an instance to the control leader. */
     | {
         readonly kind: "want";
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -5,7 +5,7 @@
 import { describe, it } from "node:test";
 import { LinkCommandKind } from "../../model/linkMessages.ts";
 import { SessionStatementKind, StatementFault } from "../../model/sessionStatement.ts";
-import { decodeDatabaseReport } from "../databaseReportCodec.ts";
+import { decodeDatabaseReport, decodeDepartedStart } from "../databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError, TrafficPolicyDecoder } from "../documentCodec.ts";
 import { decodePlatformSettings } from "../platformSettings.ts";
 import { decodeFault, decodePosition, decodeStatement, encodeCommand, encodeFault } from "../wireCodec.ts";
@@ -172,6 +172,12 @@
         assert.equal(decodeDatabaseReport("i", JSON.stringify(heartbeat), nowUnixMs)!.leads, false);
     });
 
+    it("name the process that leaves only by a start time that can be one", () => {
+        assert.equal(decodeDepartedStart("{\"born\":12,\"other\":1}", nowUnixMs), 12);
+        const others = ["", "{", "null", "[]", "{}", "{\"born\":\"12\"}", "{\"born\":-1}", "{\"born\":9e15}"];
+        others.forEach(text => assert.equal(decodeDepartedStart(text, nowUnixMs), undefined, text));
+    });
+
     it("are rejected if they do not match the schema", () => {
         const invalidBodies = [
             "",
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -11,7 +11,7 @@
 import { type DatabaseLeft, type DatabaseReported, FleetKind } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeDatabaseReport } from "./databaseReportCodec.ts";
+import { decodeDatabaseReport, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
 
 /** Larger than a configuration with thousands of routes. */
@@ -169,7 +169,8 @@
         }
         else {
             const databaseId = decodeId(url.slice(leavePath.length));
-            this.options.post({ kind: FleetKind.DatabaseLeft, databaseId } as DatabaseLeft);
+            const bornUnixMs = decodeDepartedStart(body, Date.now());
+            this.options.post({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as DatabaseLeft);
             respond(response, 200, "{}");
         }
     }
--- a/src/platform/databaseReportCodec.ts
+++ b/src/platform/databaseReportCodec.ts
@@ -1,4 +1,4 @@
-/** Decodes the heartbeats in which databases report their state. */
+/** Decodes the heartbeats in which databases report their state, and the calls with which they leave. */
 import { isIPv4 } from "node:net";
 import * as z from "zod";
 import { maximumSlots } from "../model/database.ts";
@@ -25,6 +25,8 @@
     born: z.int().nonnegative().default(0),
 });
 
+const departureSchema = z.object({ born: z.int().nonnegative() });
+
 /** Decodes a heartbeat. Returns undefined if it is invalid or describes a database that cannot be used. */
 export function decodeDatabaseReport(databaseId: string, text: string, nowUnixMs: number): DatabaseReport | undefined {
     const result = reportSchema.safeParse(parseJson(text));
@@ -48,6 +50,15 @@
     };
 }
 
+/**
+ * Decodes the start time of a database process, in Unix milliseconds, from the call with which it leaves. Returns
+ * undefined if the call names none that can be valid.
+ */
+export function decodeDepartedStart(text: string, nowUnixMs: number): number | undefined {
+    const result = departureSchema.safeParse(parseJson(text));
+    return result.success && result.data.born <= nowUnixMs + maximumClockSkewMs ? result.data.born : undefined;
+}
+
 function parseJson(text: string): unknown {
     try {
         return JSON.parse(text);
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -56,7 +56,11 @@
     status_asked: z.object({ kind: z.literal("status_asked") }),
     configuration: z.object({ kind: z.literal("configuration"), version: count }),
     databases: z.object({ kind: z.literal("databases"), reports: z.array(databaseReport) }),
-    database_left: z.object({ kind: z.literal("database_left"), databaseId: z.string() }),
+    database_left: z.object({
+        kind: z.literal("database_left"),
+        databaseId: z.string(),
+        bornUnixMs: z.number().nonnegative().optional(),
+    }),
     want: z.object({
         kind: z.literal("want"),
         sequence: count,
