fix(backend): an answer that cannot be that of the statement ends the MySQL connection

Cause: mysql2 gives each answer to the oldest command. An answer that comes again while no command runs ends the connection, but one that comes while the next command waits is taken for its answer, and a packet out of sequence is only warned of. A repeated end of the handshake counted as a promotion that was carried out, and the repeated answer to BEGIN as a COMMIT that was acknowledged without being confirmed, with the transaction open. Change: a packet out of sequence, and an answer to BEGIN, COMMIT or ROLLBACK that shows a transaction in the wrong state or holds rows, end the connection; the outcome is unknown.

--- a/src/backend/__tests__/fakeMysqlServer.ts
+++ b/src/backend/__tests__/fakeMysqlServer.ts
@@ -32,8 +32,12 @@
     readonly statements: string[] = [];
     /** If set, new connections receive no handshake. */
     unresponsive = false;
+    /** If set, the answer to a statement comes after a repetition of what the connection sent last. */
+    repeatsBeforeAnswer = false;
     private readonly server: ListeningServer;
     private readonly connections: ServerConnection[] = [];
+    /** Packets that were sent since the last ones arrived. */
+    private readonly answers = new Map<ServerConnection, Buffer[]>();
 
     constructor() {
         this.server = createServer(connection =>
@@ -51,6 +55,11 @@
         return `127.0.0.1:${(this.server._server.address() as AddressInfo).port}`;
     }
 
+    /** Sends the last answer of each connection once more. */
+    repeatAnswers(): void {
+        this.connections.forEach(connection => connection.stream.write(Buffer.concat(this.answers.get(connection)!)));
+    }
+
     closeConnections(): void {
         this.connections.forEach(connection => connection.stream.destroy());
     }
@@ -63,6 +72,7 @@
     private accept(connection: ServerConnection): void {
         this.connections.push(connection);
         connection.on("error", () => undefined);
+        this.recordAnswers(connection);
         if (!this.unresponsive) {
             connection.serverHandshake({
                 protocolVersion: 10,
@@ -80,6 +90,22 @@
         }
     }
 
+    private recordAnswers(connection: ServerConnection): void {
+        const { stream } = connection;
+        const write = stream.write.bind(stream);
+        this.answers.set(connection, []);
+        stream.write = (packet: Buffer, ...rest: never[]): boolean => {
+            this.answers.get(connection)!.push(Buffer.from(packet));
+            return write(packet, ...rest);
+        };
+        stream.prependListener("data", () => {
+            if (this.repeatsBeforeAnswer) {
+                write(Buffer.concat(this.answers.get(connection)!));
+            }
+            this.answers.set(connection, []);
+        });
+    }
+
     private answer(connection: ServerConnection, text: string): void {
         this.statements.push(text);
         if (text === "BEGIN") {
--- a/src/backend/__tests__/mysqlBackend.spec.ts
+++ b/src/backend/__tests__/mysqlBackend.spec.ts
@@ -39,7 +39,7 @@
 
     /** Delivers an effect and waits for the first message of `kind` that is posted after it. */
     async deliverAndWait<Kind extends Message>(effect: object, kind: Kind["kind"]): Promise<Kind> {
-        const firstIndex = this.posted.length;
+        const posted = this.waitFor<Kind>(kind);
         const completeEffect = {
             linkId: "a",
             executionId: "e",
@@ -48,6 +48,12 @@
             ...effect,
         };
         this.backend.deliver(completeEffect as unknown as Parameters<MysqlBackend["deliver"]>[0]);
+        return posted;
+    }
+
+    /** Waits for the first message of `kind` that is posted after the call. */
+    async waitFor<Kind extends Message>(kind: Kind["kind"]): Promise<Kind> {
+        const firstIndex = this.posted.length;
         for (;;) {
             const found = this.posted.slice(firstIndex).find(message => message.kind === kind);
             if (found !== undefined) {
@@ -127,4 +133,42 @@
         const failed = await fixture.deliverAndWait<BackendOpenFailed>(open, BackendKind.OpenFailed);
         assert.match(failed.reason, /ETIMEDOUT/);
     });
+
+    it("closes a connection on which an answer comes again while no statement runs", async () => {
+        await using fixture = await new BackendFixture().start();
+        await fixture.execute("INSERT x");
+        const closed = fixture.waitFor<BackendClosed>(BackendKind.Closed);
+        fixture.server.repeatAnswers();
+        assert.equal((await closed).linkId, "a");
+    });
+
+    it("does not take a repeated end of the handshake for the answer to an order", async () => {
+        // Guards against an instance that reports a promotion that no database has carried out.
+        await using fixture = await new BackendFixture().start();
+        fixture.server.repeatsBeforeAnswer = true;
+        await fixture.deliverAndWait<BackendClosed>({ kind: BackendKind.Promote, term: 5 }, BackendKind.Closed);
+        assert.deepEqual(fixture.posted.filter(({ kind }) => kind === BackendKind.Ordered), []);
+    });
+
+    for (
+        const { first, second } of [
+            { first: "BEGIN", second: "COMMIT" },
+            { first: "BEGIN", second: "rollback;" },
+            { first: "INSERT x", second: "BEGIN" },
+            { first: "SELECT bytes", second: "START TRANSACTION" },
+            { first: "SELECT bytes", second: "COMMIT" },
+        ]
+    ) {
+        it(`does not take a repeated answer to ${first} for the answer to ${second}`, async () => {
+            // Guards against a commit that is acknowledged although its transaction is still open.
+            await using fixture = await new BackendFixture().start();
+            await fixture.execute(first);
+            fixture.server.repeatsBeforeAnswer = true;
+            await fixture.deliverAndWait<BackendClosed>(
+                { kind: BackendKind.Execute, text: second },
+                BackendKind.Closed,
+            );
+            assert.equal(fixture.posted.filter(({ kind }) => kind === BackendKind.Result).length, 1);
+        });
+    }
 });
--- a/src/backend/mysqlAdapter.ts
+++ b/src/backend/mysqlAdapter.ts
@@ -11,6 +11,10 @@
     readonly password: string;
 }
 
+/** Statements after which a transaction is open or none is, with the default `completion_type`. */
+const beginPattern = /^\s*(BEGIN(\s+WORK)?|START\s+TRANSACTION)\s*;?\s*$/i;
+const endPattern = /^\s*(COMMIT|ROLLBACK)(\s+WORK)?\s*;?\s*$/i;
+
 const transactionStatusBit = 1;
 const binaryCharacterSet = 63;
 const deadlockErrno = 1213;
@@ -66,6 +70,8 @@
         this.onEnd = onEnd;
         connection.on("error", error => this.handleEnd(error.message));
         connection.on("end", () => this.handleEnd("closed by the database"));
+        // A packet out of sequence belongs to an earlier command or is a repetition; mysql2 only warns of it.
+        connection.on("warn", error => this.handleEnd(error.message));
     }
 
     get inTransaction(): boolean {
@@ -83,7 +89,14 @@
                     return;
                 }
                 this.updateTransactionState(failure);
-                resolve(failure === undefined ? decodeResult(result, fields) : decodeError(failure));
+                const outcome = failure === undefined ? decodeResult(result, fields) : decodeError(failure);
+                if (isForeignAnswer(text, outcome, this.transactionOpen)) {
+                    const reason = "the answer belongs to another statement; the outcome is unknown";
+                    this.handleEnd(reason);
+                    reject(new Error(reason));
+                    return;
+                }
+                resolve(outcome);
             });
         });
     }
@@ -113,6 +126,18 @@
     }
 }
 
+/**
+ * Whether a result cannot be that of the statement. Answers are matched to statements by their order, so a repeated
+ * answer would be taken for that of the next statement; here it would show a transaction in the wrong state.
+ */
+function isForeignAnswer(text: string, outcome: Outcome, transactionOpen: boolean): boolean {
+    const begins = beginPattern.test(text);
+    if (outcome.kind === OutcomeKind.Refused || !begins && !endPattern.test(text)) {
+        return false;
+    }
+    return outcome.kind !== OutcomeKind.Done || transactionOpen !== begins;
+}
+
 // An error without an SQL state originates in the driver or the socket, not in the database.
 function isConnectionError(error: QueryError): boolean {
     return error.fatal || error.sqlState === undefined;
