fix(health): a late heartbeat of a former process does not shut out its successor

Cause: the leader takes the incarnation of the heartbeat that arrives last for the running process, and refuses the one before until its term ends. When a new leader heard the restarted process first and a heartbeat of its predecessor after it, the running process got no lease for the rest of the term. Change: a process that was taken for replaced is heard again once the other one has been silent for as long as its leases may last.

--- a/src/health/__tests__/heartbeat.spec.ts
+++ b/src/health/__tests__/heartbeat.spec.ts
@@ -4,7 +4,7 @@
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { ControlKind } from "../../model/controlMessages.ts";
 import { HealthKind, type Heartbeat, type HeartbeatAnswer, type HeartbeatSend } from "../../model/healthMessages.ts";
-import { ResourceKind } from "../../model/lease.ts";
+import { reassignAfterMs, ResourceKind } from "../../model/lease.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { HeartbeatSender } from "../heartbeatSender.ts";
 import { Leadership } from "../leadership.ts";
@@ -159,4 +159,19 @@
         assert.equal(processHeartbeat(leadership, 20, "b"), HealthKind.HeartbeatChecked);
         assert.equal(processHeartbeat(leadership, 30, "a"), HealthKind.HeartbeatReply);
     });
+
+    // Guards against a process that gets no lease for the rest of a term, because it was taken for its predecessor.
+    it("hears a process again that a late heartbeat of its predecessor seemed to replace", () => {
+        const leadership = new Leadership();
+        leadership.process(leading, 0);
+        assert.equal(processHeartbeat(leadership, 10, "b"), HealthKind.HeartbeatChecked);
+        assert.equal(processHeartbeat(leadership, 20, "a"), HealthKind.HeartbeatChecked);
+        for (let nowMs = 100; nowMs < 4_000; nowMs += 100) {
+            leadership.process(tick, nowMs);
+            // The leases of the predecessor end first.
+            const expected = nowMs < 20 + reassignAfterMs ? HealthKind.HeartbeatReply : HealthKind.HeartbeatChecked;
+            assert.equal(processHeartbeat(leadership, nowMs, "b"), expected);
+        }
+        assert.equal(processHeartbeat(leadership, 4_000, "a"), HealthKind.HeartbeatReply);
+    });
 });
--- a/src/health/leadership.ts
+++ b/src/health/leadership.ts
@@ -10,7 +10,7 @@
     type LeadershipStarted,
     type LeaderTicked,
 } from "../model/healthMessages.ts";
-import { heartbeatIntervalMs } from "../model/lease.ts";
+import { heartbeatIntervalMs, reassignAfterMs } from "../model/lease.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -48,8 +48,8 @@
     private configurationVersion = 0;
     private lastTickMs = 0;
     private quarantineUntilMs = 0;
-    /** Latest incarnation of each instance that sent a heartbeat. */
-    private readonly incarnations = new Map<string, string>();
+    /** Latest incarnation of each instance that sent a heartbeat, and the time of its last one. */
+    private readonly incarnations = new Map<string, { readonly incarnation: string; readonly heardAtMs: number; }>();
     private readonly replacedIncarnations = new Set<string>();
 
     process(message: Message, nowMs: number): readonly Message[] {
@@ -113,14 +113,18 @@
             return [reply(callId, { ...this.emptyAnswer(), leading: false, leaderAddress: hint })];
         }
         const { instanceId, incarnation } = heartbeat;
-        if (this.replacedIncarnations.has(`${instanceId}/${incarnation}`)) {
+        const before = this.incarnations.get(instanceId);
+        const isReplaced = this.replacedIncarnations.has(`${instanceId}/${incarnation}`);
+        // The heartbeat that seemed to replace this process may have been a late one of its predecessor, whose leases
+        // have ended after this time.
+        if (isReplaced && before !== undefined && nowMs - before.heardAtMs < reassignAfterMs) {
             return [reply(callId, this.emptyAnswer())];
         }
-        const before = this.incarnations.get(instanceId);
-        if (before !== undefined && before !== incarnation) {
-            this.replacedIncarnations.add(`${instanceId}/${before}`);
+        this.replacedIncarnations.delete(`${instanceId}/${incarnation}`);
+        if (before !== undefined && before.incarnation !== incarnation) {
+            this.replacedIncarnations.add(`${instanceId}/${before.incarnation}`);
         }
-        this.incarnations.set(instanceId, incarnation);
+        this.incarnations.set(instanceId, { incarnation, heardAtMs: nowMs });
         return [{ kind: HealthKind.HeartbeatChecked, callId, heartbeat, answer: this.emptyAnswer() } as Message];
     }
 
