fix(request): a session whose answer did not come in time ends at its holder

Cause: after 35 s without an answer the entry instance told its caller that the transaction was rolled back and forgot it, but the holder kept the connection of the session with the open transaction. An answer that was only late was ignored, and the next statement of the session ran inside the old transaction; a BEGIN committed it. Change: the entry instance ends the session at the holder before it answers; messages to a holder keep their order.

--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -8,6 +8,7 @@
     type HolderFloorRequest,
     HolderKind,
     type HolderRequest,
+    type HolderSessionEnd,
 } from "../../model/holderMessages.ts";
 import { ResourceKind } from "../../model/lease.ts";
 import { type Outcome, OutcomeKind } from "../../model/outcome.ts";
@@ -57,6 +58,7 @@
 class RouteFixture {
     readonly clock = new VirtualClock();
     readonly requests: HolderRequest[] = [];
+    readonly sessionEnds: HolderSessionEnd[] = [];
     readonly floorRequests: HolderFloorRequest[] = [];
     readonly answers: AnsweredRequest[] = [];
     /** First answer of the fake holder to each attempt, by request id. */
@@ -73,7 +75,13 @@
             tokenCodec: { encode: () => "token", decode: token => this.decode(token) },
         });
         const sink = {
-            accepts: [HolderKind.Request, HolderKind.FloorRequest, RequestKind.Answered, RequestKind.Refused],
+            accepts: [
+                HolderKind.Request,
+                HolderKind.SessionEnd,
+                HolderKind.FloorRequest,
+                RequestKind.Answered,
+                RequestKind.Refused,
+            ],
             deliver: (message: Message) => this.recordMessage(message),
         };
         this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("request", [route])], sinks: [sink] });
@@ -146,6 +154,9 @@
         if (message.kind === HolderKind.Request) {
             this.requests.push(message as HolderRequest);
         }
+        else if (message.kind === HolderKind.SessionEnd) {
+            this.sessionEnds.push(message as HolderSessionEnd);
+        }
         else if (message.kind === HolderKind.FloorRequest) {
             this.floorRequests.push(message as HolderFloorRequest);
         }
@@ -230,6 +241,18 @@
         }
     });
 
+    it("ends the session at a holder that did not answer in time, before its next statement", () => {
+        // Guards against a statement that runs inside a transaction which its caller was told to be rolled back.
+        const fixture = new RouteFixture();
+        fixture.sendStatement(StatementKind.Begin);
+        fixture.answer(fixture.requests[0]!, { inTransaction: true, pinned: true });
+        fixture.sendStatement(StatementKind.Write, { text: "UPDATE t SET a = 1" });
+        fixture.clock.advanceTo(fixture.clock.nowMs() + 100_000);
+        assert.equal(fixture.lastOutcome(), RefusalCode.TransactionLost);
+        const { sessionId, databaseId } = fixture.requests[1]!;
+        assert.deepEqual(fixture.sessionEnds, [{ kind: HolderKind.SessionEnd, origin: "", sessionId, databaseId }]);
+    });
+
     it("sends the statements of a pinned session to its database", () => {
         const fixture = new RouteFixture();
         fixture.sendStatement(StatementKind.Begin);
--- a/src/request/holderRequests.ts
+++ b/src/request/holderRequests.ts
@@ -56,7 +56,7 @@
 export function buildHolderSessionEnd(
     sessionId: string,
     databaseId: string,
-    holder: LeaseAssignment,
+    holder: Pick<LeaseAssignment, "instanceId" | "instanceAddress">,
     instanceId: string,
 ): HolderSessionEnd | HolderForwardSessionEnd {
     return holder.instanceId === instanceId
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -287,7 +287,10 @@
         }
         if (pending.stage === PendingStage.Sent) {
             this.databaseSelector.recordEnd(pending.databaseId!);
-            return this.refusePending(pending, this.resetSessionAfterLoss(pending));
+            return [
+                this.endSessionAtHolder(pending),
+                ...this.refusePending(pending, this.resetSessionAfterLoss(pending)),
+            ];
         }
         if (nowMs >= pending.request.deadlineMs) {
             return this.refusePending(pending, refuse(RefusalCode.NoPrimary, this.step, { retryAfterMs: 500 }));
@@ -295,6 +298,17 @@
         return this.routeStatement(pending, nowMs);
     }
 
+    /** Makes the holder of an attempt without an answer roll back the transaction that the session may have there. */
+    private endSessionAtHolder({ request, databaseId, holder }: PendingRequest): Message {
+        const { instanceId, address } = holder!;
+        return buildHolderSessionEnd(
+            this.sessions.sessionIdOf(request.connectionId),
+            databaseId!,
+            { instanceId, instanceAddress: address },
+            this.options.instanceId,
+        );
+    }
+
     private updateDatabases(changed: DatabasesChanged, nowMs: number): readonly Message[] {
         this.databaseSelector.update(changed.databases);
         const reassigned = this.pendingRequests.getByStage(PendingStage.Sent).filter(pending =>
