fix(request): a statement that may have committed is not reported as rolled back

Cause: when an attempt inside a transaction got no answer, the caller was told that the transaction was rolled back unless the statement was COMMIT. A second BEGIN, CREATE TABLE, LOCK TABLES and others commit the open transaction. Change: the transaction counts as rolled back only after statements that certainly do not commit; otherwise the outcome is unknown, as the holder already says.

--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -225,19 +225,27 @@
     });
 
     it("reports a rollback when the connection ends before COMMIT, and an unknown outcome afterwards", () => {
+        // Guards against a commit that the caller is told to be rolled back; DDL and BEGIN commit an open transaction.
         for (
-            const [kind, code] of [
-                [StatementKind.Write, RefusalCode.TransactionLost],
-                [StatementKind.Commit, RefusalCode.ConnectionLost],
+            const [kind, text, code] of [
+                [StatementKind.Read, "SELECT a FROM t", RefusalCode.TransactionLost],
+                [StatementKind.Write, "UPDATE t SET a = 1", RefusalCode.TransactionLost],
+                [StatementKind.Write, "(SELECT a FROM t FOR UPDATE)", RefusalCode.TransactionLost],
+                [StatementKind.SessionState, "INSERT INTO t VALUES (LAST_INSERT_ID())", RefusalCode.TransactionLost],
+                [StatementKind.Rollback, "ROLLBACK", RefusalCode.TransactionLost],
+                [StatementKind.Commit, "COMMIT", RefusalCode.ConnectionLost],
+                [StatementKind.Begin, "BEGIN", RefusalCode.ConnectionLost],
+                [StatementKind.Write, "create table u (a INT)", RefusalCode.ConnectionLost],
+                [StatementKind.SessionState, "LOCK TABLES t WRITE", RefusalCode.ConnectionLost],
             ] as const
         ) {
             const fixture = new RouteFixture();
             fixture.sendStatement(StatementKind.Begin);
             fixture.answer(fixture.requests[0]!, { inTransaction: true, pinned: true });
-            fixture.sendStatement(kind);
+            fixture.sendStatement(kind, { text });
             const requestIds = [fixture.requests[1]!.requestId];
             fixture.postEvent({ kind: HolderKind.StreamLost, holderAddress: "", origin: undefined, requestIds });
-            assert.equal(fixture.lastOutcome(), code);
+            assert.equal(fixture.lastOutcome(), code, text);
         }
     });
 
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -30,6 +30,7 @@
 import { RetryPolicy } from "./retryPolicy.ts";
 import type { SessionTokenCodec } from "./sessionState.ts";
 import { SessionTable } from "./sessionTable.ts";
+import { mayCommit } from "./statementKind.ts";
 
 type Input =
     | AdmittedRequest
@@ -351,12 +352,12 @@
     }
 
     /**
-     * Resets the session after an attempt without an answer, and returns the refusal. The database rolls back a
-     * transaction without COMMIT, so the outcome is unknown only for a COMMIT or a statement outside a transaction.
+     * Resets the session after an attempt without an answer, and returns the refusal. The database rolls back an open
+     * transaction, so the outcome is unknown only for a statement that may have committed it or ran outside of one.
      */
     private resetSessionAfterLoss(pending: PendingRequest): Refusal {
         const session = this.sessions.getOrCreate(pending.request.connectionId);
-        const isRolledBack = session.inTransaction && pending.request.statementKind !== StatementKind.Commit;
+        const isRolledBack = session.inTransaction && !mayCommit(pending.request.text);
         session.inTransaction = false;
         session.pinnedDatabaseId = undefined;
         const code = isRolledBack ? RefusalCode.TransactionLost : RefusalCode.ConnectionLost;
--- a/src/request/statementKind.ts
+++ b/src/request/statementKind.ts
@@ -27,6 +27,18 @@
         + "THEN UNION USING WHEN WHERE WITH").split(" "),
 );
 
+/** First words of the statements that certainly leave an open transaction open, or roll it back. */
+const transactionalFirstWords = new Set([
+    ...readFirstWords,
+    "INSERT",
+    "UPDATE",
+    "DELETE",
+    "REPLACE",
+    "WITH",
+    "USE",
+    "ROLLBACK",
+]);
+
 const sessionStateFirstWords = new Set(["USE", "LOCK", "UNLOCK", "HANDLER"]);
 const unsupportedFirstWords = new Set([
     "PREPARE",
@@ -66,6 +78,12 @@
     return classifyByFirstWord(statement);
 }
 
+/** Returns whether a statement may commit the open transaction: COMMIT, BEGIN, and others such as CREATE TABLE. */
+export function mayCommit(text: string): boolean {
+    const firstWord = /^[\s(]*(\w+)/.exec(text)?.[1] ?? "";
+    return !transactionalFirstWords.has(firstWord.toUpperCase());
+}
+
 function classifyByFirstWord(tokens: readonly Token[]): StatementKind | UnsupportedStatement {
     const [first, second] = tokens;
     const firstWord = first!.text;
