test(rpc): an instance whose first attempt times out does not hang the spec of the feed

Cause: the setup waits without a limit until the first member has a subscriber. On a machine with a load of 35 the attempt there timed out, the instance went to the next member and stayed, and all six tests failed at the limit of 30 s; the process did not end. Change: until the first member has its subscriber, the links to the others carry nothing, so the instance returns to it. What the tests check is unchanged.

--- a/src/rpc/__tests__/configurationFeed.spec.ts
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -288,17 +288,21 @@
 
 async function start(count: number, isForwarding: (memberIndex: number) => boolean = () => true) {
     const link = new SlowLink();
+    // An instance whose first attempt times out on a busy machine returns to the first member.
+    let isStarted = false;
     const members = Array.from({ length: count }, () => new Member());
     const addresses: string[] = [];
     for (const [memberIndex, member] of members.entries()) {
+        const port = await member.serve(`m${memberIndex}`);
         addresses.push(
-            await link.createProxyTo(await member.serve(`m${memberIndex}`), () => isForwarding(memberIndex)),
+            await link.createProxyTo(port, () => (memberIndex === 0 || isStarted) && isForwarding(memberIndex)),
         );
     }
     const instance = new Instance(addresses);
     while (members[0]!.feed.subscriberCount === 0) {
         await pause(10);
     }
+    isStarted = true;
     await pause(200);
     return { members, addresses, instance };
 }
