--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -8,6 +8,7 @@
     type HolderFloorRequest,
     HolderKind,
     type HolderRequest,
+    type HolderSessionEnd,
 } from "../../model/holderMessages.ts";
 import { ResourceKind } from "../../model/lease.ts";
 import { type Outcome, OutcomeKind } from "../../model/outcome.ts";
@@ -57,6 +58,7 @@
 class RouteFixture {
     readonly clock = new VirtualClock();
     readonly requests: HolderRequest[] = [];
+    readonly sessionEnds: HolderSessionEnd[] = [];
     readonly floorRequests: HolderFloorRequest[] = [];
     readonly answers: AnsweredRequest[] = [];
     /** First answer of the fake holder to each attempt, by request id. */
@@ -73,7 +75,13 @@
             tokenCodec: { encode: () => "token", decode: token => this.decode(token) },
         });
         const sink = {
-            accepts: [HolderKind.Request, HolderKind.FloorRequest, RequestKind.Answered, RequestKind.Refused],
+            accepts: [
+                HolderKind.Request,
+                HolderKind.SessionEnd,
+                HolderKind.FloorRequest,
+                RequestKind.Answered,
+                RequestKind.Refused,
+            ],
             deliver: (message: Message) => this.recordMessage(message),
         };
         this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("request", [route])], sinks: [sink] });
@@ -146,6 +154,9 @@
         if (message.kind === HolderKind.Request) {
             this.requests.push(message as HolderRequest);
         }
+        else if (message.kind === HolderKind.SessionEnd) {
+            this.sessionEnds.push(message as HolderSessionEnd);
+        }
         else if (message.kind === HolderKind.FloorRequest) {
             this.floorRequests.push(message as HolderFloorRequest);
         }
@@ -214,22 +225,42 @@
     });
 
     it("reports a rollback when the connection ends before COMMIT, and an unknown outcome afterwards", () => {
+        // Guards against a commit that the caller is told to be rolled back; DDL and BEGIN commit an open transaction.
         for (
-            const [kind, code] of [
-                [StatementKind.Write, RefusalCode.TransactionLost],
-                [StatementKind.Commit, RefusalCode.ConnectionLost],
+            const [kind, text, code] of [
+                [StatementKind.Read, "SELECT a FROM t", RefusalCode.TransactionLost],
+                [StatementKind.Write, "UPDATE t SET a = 1", RefusalCode.TransactionLost],
+                [StatementKind.Write, "(SELECT a FROM t FOR UPDATE)", RefusalCode.TransactionLost],
+                [StatementKind.SessionState, "INSERT INTO t VALUES (LAST_INSERT_ID())", RefusalCode.TransactionLost],
+                [StatementKind.Rollback, "ROLLBACK", RefusalCode.TransactionLost],
+                [StatementKind.Commit, "COMMIT", RefusalCode.ConnectionLost],
+                [StatementKind.Begin, "BEGIN", RefusalCode.ConnectionLost],
+                [StatementKind.Write, "create table u (a INT)", RefusalCode.ConnectionLost],
+                [StatementKind.SessionState, "LOCK TABLES t WRITE", RefusalCode.ConnectionLost],
             ] as const
         ) {
             const fixture = new RouteFixture();
             fixture.sendStatement(StatementKind.Begin);
             fixture.answer(fixture.requests[0]!, { inTransaction: true, pinned: true });
-            fixture.sendStatement(kind);
+            fixture.sendStatement(kind, { text });
             const requestIds = [fixture.requests[1]!.requestId];
             fixture.postEvent({ kind: HolderKind.StreamLost, holderAddress: "", origin: undefined, requestIds });
-            assert.equal(fixture.lastOutcome(), code);
+            assert.equal(fixture.lastOutcome(), code, text);
         }
     });
 
+    it("ends the session at a holder that did not answer in time, before its next statement", () => {
+        // Guards against a statement that runs inside a transaction which its caller was told to be rolled back.
+        const fixture = new RouteFixture();
+        fixture.sendStatement(StatementKind.Begin);
+        fixture.answer(fixture.requests[0]!, { inTransaction: true, pinned: true });
+        fixture.sendStatement(StatementKind.Write, { text: "UPDATE t SET a = 1" });
+        fixture.clock.advanceTo(fixture.clock.nowMs() + 100_000);
+        assert.equal(fixture.lastOutcome(), RefusalCode.TransactionLost);
+        const { sessionId, databaseId } = fixture.requests[1]!;
+        assert.deepEqual(fixture.sessionEnds, [{ kind: HolderKind.SessionEnd, origin: "", sessionId, databaseId }]);
+    });
+
     it("sends the statements of a pinned session to its database", () => {
         const fixture = new RouteFixture();
         fixture.sendStatement(StatementKind.Begin);
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -30,6 +30,7 @@
 import { RetryPolicy } from "./retryPolicy.ts";
 import type { SessionTokenCodec } from "./sessionState.ts";
 import { SessionTable } from "./sessionTable.ts";
+import { mayCommit } from "./statementKind.ts";
 
 type Input =
     | AdmittedRequest
@@ -287,7 +288,10 @@
         }
         if (pending.stage === PendingStage.Sent) {
             this.databaseSelector.recordEnd(pending.databaseId!);
-            return this.refusePending(pending, this.resetSessionAfterLoss(pending));
+            return [
+                this.endSessionAtHolder(pending),
+                ...this.refusePending(pending, this.resetSessionAfterLoss(pending)),
+            ];
         }
         if (nowMs >= pending.request.deadlineMs) {
             return this.refusePending(pending, refuse(RefusalCode.NoPrimary, this.step, { retryAfterMs: 500 }));
@@ -295,6 +299,17 @@
         return this.routeStatement(pending, nowMs);
     }
 
+    /** Makes the holder of an attempt without an answer roll back the transaction that the session may have there. */
+    private endSessionAtHolder({ request, databaseId, holder }: PendingRequest): Message {
+        const { instanceId, address } = holder!;
+        return buildHolderSessionEnd(
+            this.sessions.sessionIdOf(request.connectionId),
+            databaseId!,
+            { instanceId, instanceAddress: address },
+            this.options.instanceId,
+        );
+    }
+
     private updateDatabases(changed: DatabasesChanged, nowMs: number): readonly Message[] {
         this.databaseSelector.update(changed.databases);
         const reassigned = this.pendingRequests.getByStage(PendingStage.Sent).filter(pending =>
@@ -337,12 +352,12 @@
     }
 
     /**
-     * Resets the session after an attempt without an answer, and returns the refusal. The database rolls back a
-     * transaction without COMMIT, so the outcome is unknown only for a COMMIT or a statement outside a transaction.
+     * Resets the session after an attempt without an answer, and returns the refusal. The database rolls back an open
+     * transaction, so the outcome is unknown only for a statement that may have committed it or ran outside of one.
      */
     private resetSessionAfterLoss(pending: PendingRequest): Refusal {
         const session = this.sessions.getOrCreate(pending.request.connectionId);
-        const isRolledBack = session.inTransaction && pending.request.statementKind !== StatementKind.Commit;
+        const isRolledBack = session.inTransaction && !mayCommit(pending.request.text);
         session.inTransaction = false;
         session.pinnedDatabaseId = undefined;
         const code = isRolledBack ? RefusalCode.TransactionLost : RefusalCode.ConnectionLost;
