fix(cli): a process that still starts is not ended by SIGHUP or SIGTERM

Handlers for both signals were installed after the start, so that a change of the settings, or a stop, ended a process with the signal while it read its disk. They are recorded from the first step on now and handled after the start. Before Node.js runs the program nothing can handle a signal: the soak no longer counts a planned stop that ends a process with SIGTERM as a failure if it had written nothing yet; any later end by the signal counts as before.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -189,9 +189,12 @@
 
     /** Stops a process with SIGTERM and waits for its end; one that fails on the way has ended by itself. */
     async stop(machine: Machine): Promise<void> {
+        const stopped = this.processes.get(machine.name)!;
+        const { hasWrittenOutput } = stopped;
         this.signal(machine, "SIGTERM");
-        const reason = await this.processes.get(machine.name)!.ended;
-        if (reason !== 0 && reason !== "SIGKILL") {
+        const reason = await stopped.ended;
+        const endedBeforeProgramRan = reason === "SIGTERM" && !hasWrittenOutput;
+        if (reason !== 0 && reason !== "SIGKILL" && !endedBeforeProgramRan) {
             this.unexpectedEnds.push(`${machine.name}: ${reason} after SIGTERM`);
         }
     }
--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -70,6 +70,11 @@
         return !this.hasEnded;
     }
 
+    /** The program runs; before, a signal ends the process whatever the program does with it. */
+    get hasWrittenOutput(): boolean {
+        return this.recentLines.length > 0;
+    }
+
     signal(name: NodeJS.Signals): void {
         if (!this.hasEnded) {
             this.child.kill(name);
--- a/src/cli/platformMain.ts
+++ b/src/cli/platformMain.ts
@@ -6,6 +6,7 @@
 import { SettingsWatcher } from "../wiring/settingsWatcher.ts";
 import { ExitCode } from "./exitCode.ts";
 import { readSecretFile } from "./secretFile.ts";
+import { StartupSignals } from "./startupSignals.ts";
 
 /** The build script writes this file next to the program. */
 const secretFileName = "cluster-secret";
@@ -21,6 +22,7 @@
         console.error(`set ${settingsVariable} to the path of the settings file`);
         return ExitCode.Usage;
     }
+    using signals = new StartupSignals();
     using watcher = new SettingsWatcher(path);
     const settings = readPlatformSettings(path);
     const platformProcess = await startPlatformProcess({
@@ -28,9 +30,10 @@
         clusterSecret: readSecretFile("cluster-secret-file", join(import.meta.dirname, secretFileName)),
         seed: randomBytes(4).readUInt32BE() >>> 1,
     });
-    process.on("SIGTERM", () => platformProcess.drain());
     const reload = (): void => platformProcess.reload(() => readPlatformSettings(path));
+    process.on("SIGTERM", () => platformProcess.drain());
     process.on("SIGHUP", reload);
+    signals.repeat();
     watcher.start(reload);
     await platformProcess.ended;
     await platformProcess[Symbol.asyncDispose]();
