fix(session): acknowledgements of a primary that is being replaced are withheld

The question for the acknowledged commits carries the fence of its promotion. From the answer on an instance passes commits of the ordered database alone on, until it has applied the completion of that promotion; others end in doubt. Leaders of an earlier version send no fence and change nothing.

Before, routing.spec.ts fails (commits of the replaced primary succeed); now it and commitGate.spec.ts pass.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -28,6 +28,7 @@
             confirmed: true,
             promoted: new Map(),
             ordered: new Map(),
+            completedFences: new Map(),
         } as PolicyApplied,
     );
     report(directory, known);
--- a/src/fleet/__tests__/permitLeader.spec.ts
+++ b/src/fleet/__tests__/permitLeader.spec.ts
@@ -57,6 +57,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as Message,
         );
     }
--- a/src/fleet/__tests__/permitRequester.spec.ts
+++ b/src/fleet/__tests__/permitRequester.spec.ts
@@ -40,6 +40,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as unknown as Message,
         );
     }
--- a/src/fleet/__tests__/policyConfirmation.spec.ts
+++ b/src/fleet/__tests__/policyConfirmation.spec.ts
@@ -80,6 +80,7 @@
                 confirmed: false,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as Message,
         );
     }
--- a/src/fleet/commitSurvey.ts
+++ b/src/fleet/commitSurvey.ts
@@ -48,12 +48,12 @@
             this.roundStartedAtMs = nowMs;
         }
         this.lastQuestionAtMs = nowMs;
-        const { service, witnesses } = this.options;
+        const { service, fence, witnesses } = this.options;
         return [...witnesses.serving].filter(([, { instanceId }]) => !this.reports.has(instanceId))
             .map(([attachmentId]): SendFrame => ({
                 kind: FleetKind.SendFrame,
                 attachmentId,
-                frame: { kind: "commits_asked", questionId: this.questionId(), service },
+                frame: { kind: "commits_asked", questionId: this.questionId(), service, fence },
             }));
     }
 
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -30,16 +30,21 @@
             configuration.promotions === before.promotions
             || isEqual(promotedDatabases(configuration), promotedDatabases(before))
                 && isEqual(orderedDatabases(configuration), orderedDatabases(before))
+                && isEqual(completedFences(configuration), completedFences(before))
         ) {
             return [message];
         }
         const { policy } = this;
         const promoted = promotedDatabases(configuration);
-        const ordered = orderedDatabases(configuration);
-        return [
-            message,
-            { kind: FleetKind.PolicyApplied, policy, confirmed: false, promoted, ordered } as PolicyApplied,
-        ];
+        const applied: PolicyApplied = {
+            kind: FleetKind.PolicyApplied,
+            policy,
+            confirmed: false,
+            promoted,
+            ordered: orderedDatabases(configuration),
+            completedFences: completedFences(configuration),
+        };
+        return [message, applied];
     }
 }
 
@@ -59,6 +64,11 @@
     );
 }
 
-function isEqual(left: ReadonlyMap<string, string>, right: ReadonlyMap<string, string>): boolean {
+/** The fencing tokens of the promotions that are not under way. */
+function completedFences({ promotions }: Configuration): ReadonlyMap<string, number> {
+    return new Map(promotions.filter(({ open }) => !open).map(({ service, fence }) => [service, fence]));
+}
+
+function isEqual<Value>(left: ReadonlyMap<string, Value>, right: ReadonlyMap<string, Value>): boolean {
     return left.size === right.size && [...left].every(([key, value]) => right.get(key) === value);
 }
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -262,8 +262,17 @@
     | { readonly kind: "proof_asked"; readonly questionId: string; }
     /** No version newer than this one had been acknowledged when the question arrived. */
     | { readonly kind: "proof"; readonly questionId: string; readonly configurationVersion: number; }
-    /** Asks an instance for the commits that it has seen acknowledged. */
-    | { readonly kind: "commits_asked"; readonly questionId: string; readonly service: string; }
+    /**
+     * Asks an instance for the commits that it has seen acknowledged. From its answer on, the instance passes no
+     * acknowledgement of the service on until the promotion is complete, except those of the ordered database.
+     */
+    | {
+        readonly kind: "commits_asked";
+        readonly questionId: string;
+        readonly service: string;
+        /** Fencing token of the promotion that asks; undefined if a leader of an earlier version asks. */
+        readonly fence: number | undefined;
+    }
     | CommitsSeenFrame;
 
 export interface FrameReceived extends Message {
@@ -296,6 +305,8 @@
      * acknowledges meanwhile are lost when it does.
      */
     readonly ordered: ReadonlyMap<string, string>;
+    /** Fencing token of the last promotion, by service, unless that one is under way. */
+    readonly completedFences: ReadonlyMap<string, number>;
 }
 
 export interface ReadinessChanged extends Message {
--- a/src/rpc/__tests__/malformedFrames.spec.ts
+++ b/src/rpc/__tests__/malformedFrames.spec.ts
@@ -48,7 +48,7 @@
     { kind: "suspect", databaseId: "d1" },
     { kind: "assess", databaseId: "d1" },
     { kind: "assessment", databaseId: "d1", answeredAgeMs: 1.5, unansweredAgeMs: undefined },
-    { kind: "commits_asked", questionId: "q", service: "s" },
+    { kind: "commits_asked", questionId: "q", service: "s", fence: 3 },
     {
         kind: "commits_seen",
         questionId: "q",
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -80,7 +80,12 @@
     }),
     proof_asked: z.object({ kind: z.literal("proof_asked"), questionId: z.string() }),
     proof: z.object({ kind: z.literal("proof"), questionId: z.string(), configurationVersion: count }),
-    commits_asked: z.object({ kind: z.literal("commits_asked"), questionId: z.string(), service: z.string() }),
+    commits_asked: z.object({
+        kind: z.literal("commits_asked"),
+        questionId: z.string(),
+        service: z.string(),
+        fence: count.optional(),
+    }),
     commits_seen: z.object({
         kind: z.literal("commits_seen"),
         questionId: z.string(),
--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -25,6 +25,7 @@
             confirmed: true,
             promoted: new Map(),
             ordered: new Map(),
+            completedFences: new Map(),
         });
         if (permits > 0) {
             this.grantPermits(0, permits);
--- /dev/null
+++ b/src/session/__tests__/commitGate.spec.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CommitGate } from "../commitGate.ts";
+
+describe("the gate of commit acknowledgements", () => {
+    it("lets everything pass while no promotion is under way", () => {
+        assert.equal(new CommitGate().mayAcknowledge("s", "p"), true);
+    });
+
+    it("lets commits of the ordered database alone pass from the question on until the promotion is complete", () => {
+        // Guards against an acknowledgement by the replaced primary of a commit that the new one lacks.
+        const gate = new CommitGate();
+        gate.applyPolicy({ ordered: new Map(), completedFences: new Map([["s", 3]]) });
+        gate.close("s", 4);
+        assert.deepEqual([gate.mayAcknowledge("s", "p"), gate.mayAcknowledge("t", "q")], [false, true]);
+        gate.applyPolicy({ ordered: new Map([["s", "a"]]), completedFences: new Map() });
+        assert.deepEqual([gate.mayAcknowledge("s", "p"), gate.mayAcknowledge("s", "a")], [false, true]);
+        gate.applyPolicy({ ordered: new Map(), completedFences: new Map([["s", 4]]) });
+        assert.equal(gate.mayAcknowledge("s", "a"), true);
+    });
+
+    it("stays open after a question of a promotion that is complete", () => {
+        const gate = new CommitGate();
+        gate.applyPolicy({ ordered: new Map(), completedFences: new Map([["s", 4]]) });
+        gate.close("s", 4);
+        assert.equal(gate.mayAcknowledge("s", "p"), true);
+    });
+});
--- a/src/session/__tests__/floorExchange.spec.ts
+++ b/src/session/__tests__/floorExchange.spec.ts
@@ -32,6 +32,7 @@
             confirmed: true,
             promoted: new Map(),
             ordered: new Map(),
+            completedFences: new Map(),
         });
         this.push(0, { kind: PeerKind.InstancesKnown, instances });
     }
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -52,6 +52,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as PolicyApplied,
         );
         this.push({ kind: FleetKind.DatabaseChanged, report } as Message);
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -144,6 +144,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as PolicyApplied,
         );
         ["w", "v"].forEach(workspace => this.grantPermits(workspace, this.permits));
@@ -170,6 +171,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as PolicyApplied,
         );
     }
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -254,6 +254,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as PolicyApplied,
         );
         const grants = [...this.policy().workspaces.keys()].map(workspace => (
--- /dev/null
+++ b/src/session/commitGate.ts
@@ -0,0 +1,32 @@
+/**
+ * Withholds acknowledgements of commits while the primary of a service is replaced. A commit that a replaced primary
+ * acknowledges may be missing in the new one: a replica that started again after the choice can still confirm it.
+ */
+import type { PolicyApplied } from "../model/fleetMessages.ts";
+
+export class CommitGate {
+    /** Fencing token of the newest promotion that has asked this instance for its commits, by service. */
+    private readonly closedFences = new Map<string, number>();
+    private completedFences: PolicyApplied["completedFences"] = new Map();
+    private ordered: PolicyApplied["ordered"] = new Map();
+
+    /** A promotion chooses a primary that holds the commits which this instance has acknowledged so far. */
+    close(service: string, fence: number): void {
+        this.closedFences.set(service, Math.max(fence, this.closedFences.get(service) ?? 0));
+    }
+
+    applyPolicy({ ordered, completedFences }: Pick<PolicyApplied, "ordered" | "completedFences">): void {
+        this.ordered = ordered;
+        this.completedFences = completedFences;
+    }
+
+    /** Whether a commit that the database has acknowledged is kept by the promotion that is under way, if there is one. */
+    mayAcknowledge(service: string, databaseId: string): boolean {
+        const ordered = this.ordered.get(service);
+        if (ordered !== undefined) {
+            return ordered === databaseId;
+        }
+        const closed = this.closedFences.get(service);
+        return closed === undefined || (this.completedFences.get(service) ?? 0) >= closed;
+    }
+}
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -5,6 +5,7 @@
     type DatabaseRemoved,
     type DatabaseSuspected,
     FleetKind,
+    type FrameReceived,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
@@ -18,6 +19,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
 import { FloorSamples, laterFloor } from "./floorSamples.ts";
 import {
@@ -83,6 +85,7 @@
     | FloorLearned
     | DatabaseChanged
     | DatabaseRemoved
+    | FrameReceived
     | PolicyApplied;
 
 interface RoutedTask {
@@ -114,9 +117,11 @@
         TaskKind.FloorLearned,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
+        FleetKind.FrameReceived,
         FleetKind.PolicyApplied,
     ];
     private readonly databases: DatabaseTable;
+    private readonly commitGate = new CommitGate();
     private readonly samples = new FloorSamples();
     private readonly tasks = new Map<string, RoutedTask>();
     /** Time until which no further position of a service is requested, because a request is in progress. */
@@ -148,11 +153,17 @@
                 this.databases.remove(input.databaseId);
                 return [input];
             })
+            .with({ kind: FleetKind.FrameReceived }, input => {
+                this.closeCommitGate(input);
+                return [input];
+            })
             .with({ kind: FleetKind.PolicyApplied }, input => [input, ...this.applyPolicy(input, nowMs)])
             .otherwise(timer => this.retryPlacement((timer as TaskTimer).id, nowMs));
     }
 
-    private applyPolicy({ promoted, ordered }: PolicyApplied, nowMs: number): readonly Message[] {
+    private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
+        const { promoted, ordered } = policy;
+        this.commitGate.applyPolicy(policy);
         const before = this.promotedByService;
         this.promotedByService = promoted;
         const chosen = [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId);
@@ -161,6 +172,12 @@
         return [...services].flatMap(service => this.placeWaiting(service, nowMs));
     }
 
+    private closeCommitGate({ frame }: FrameReceived): void {
+        if (frame.kind === "commits_asked" && frame.fence !== undefined) {
+            this.commitGate.close(frame.service, frame.fence);
+        }
+    }
+
     private admit(task: Task, nowMs: number): readonly Message[] {
         const routed: RoutedTask = {
             task,
@@ -361,7 +378,10 @@
     }
 
     /** Converts an attempt that is not retried to the result of the task. */
-    private toEnded({ task, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
+    private toEnded({ task, databaseId, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
+        if (reply?.fault === undefined && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)) {
+            return endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept");
+        }
         if (reply !== undefined) {
             return { kind: TaskKind.Ended, task, reply, fault: reply.fault, detail: reply.detail, pinned };
         }
@@ -387,6 +407,13 @@
     }
 }
 
+/** Whether the success of a task tells its caller that a commit is kept. */
+function isCommit({ mode, writes, statement }: LinkTask): boolean {
+    const ends = mode === TaskMode.Single
+        || mode === TaskMode.Transaction && statement?.kind === SessionStatementKind.Commit;
+    return writes && ends;
+}
+
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -267,6 +267,7 @@
             confirmed: true,
             promoted: new Map(),
             ordered: new Map(),
+            completedFences: new Map(),
         } as Message;
     }
 
