--- a/src/control/promotionCommands.ts
+++ b/src/control/promotionCommands.ts
@@ -35,14 +35,17 @@
 }
 
 export function completePromotion(state: ControlState, command: CompletePromotion): CommandOutcome {
-    const { databaseId, orderPending, departed } = command;
+    const { databaseId, orderPending, departed, basePosition } = command;
     return changePromotion(state, command, current => ({
         ...current,
         open: false,
         databaseId,
+        primaryAddress: current.databases.find(database => database.databaseId === databaseId)?.address ?? "",
         orderedDatabaseId: "",
         orderPending,
-        databases: current.databases.filter(database => !departed.includes(database.databaseId)),
+        // The new primary holds all commits that lost and departed databases confirmed.
+        databases: current.databases.filter(database => !database.isLost && !departed.includes(database.databaseId)),
+        basePosition,
     }));
 }
 
--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -19,6 +19,9 @@
     readonly fencing: Fencing;
     readonly commands = new Map<string, LinkCommand[]>();
     readonly questions: string[] = [];
+    /** Requests to acknowledge no further commits. */
+    readonly closings: string[] = [];
+    connections = 0;
     private readonly links = new Map<string, string>();
     private nextLink = 0;
     readonly witnesses: CommitWitnesses;
@@ -32,10 +35,12 @@
             fence: 7,
             members: () => this.members,
             primaryId: "p",
+            primaryLogAddress: undefined,
             preferredDatabaseId: "",
             primaryKeepsLead: false,
             planned: false,
             synchronousReplicas: 1,
+            basePosition: undefined,
             witnesses: this.witnesses,
             nextLinkId: () => `m${this.nextLink++}`,
             startedAtMs: 0,
@@ -52,7 +57,14 @@
     }
 
     /** The database answers its last command. */
-    answer(databaseId: string, leads: boolean, term: number, offset: number, logTerm = term): void {
+    answer(
+        databaseId: string,
+        leads: boolean,
+        term: number,
+        offset: number,
+        logTerm = term,
+        heldTerm = this.heldTerm(databaseId),
+    ): void {
         const linkId = this.linkOf(databaseId);
         const reply = {
             rows: [],
@@ -61,7 +73,7 @@
             detail: "",
             transaction: TransactionState.None,
             position: undefined,
-            status: { leads, term, receivedPosition: { term: logTerm, offset }, heldTerm: this.heldTerm(databaseId) },
+            status: { leads, term, receivedPosition: { term: logTerm, offset }, heldTerm },
         };
         this.handleMessages(this.fencing.linkReplied({ kind: LinkKind.Replied, linkId, reply }, this.nowMs));
     }
@@ -101,10 +113,12 @@
             if (message.kind === LinkKind.Open) {
                 const { linkId, databaseId } = message as LinkOpen;
                 this.links.set(linkId, databaseId);
+                this.connections++;
             }
             else if (message.kind === FleetKind.SendFrame) {
                 const { attachmentId, frame } = message as SendFrame;
-                this.questions.push(
+                const isClosing = frame.kind === "commits_asked" && frame.questionId === "7/close";
+                (isClosing ? this.closings : this.questions).push(
                     `${attachmentId} ${frame.kind === "commits_asked" ? frame.questionId : frame.kind}`,
                 );
             }
@@ -116,9 +130,9 @@
         }
     }
 
-    /** Term of the last pause, which the database obeys. */
+    /** Term of the last pause, which the database obeys until it is told to resume. */
     private heldTerm(databaseId: string): number {
-        const command = this.commands.get(databaseId)?.at(-1);
+        const command = this.commands.get(databaseId)?.findLast(({ kind }) => kind !== LinkCommandKind.Status);
         return command?.kind === LinkCommandKind.Pause ? command.term : 0;
     }
 
@@ -128,7 +142,7 @@
 }
 
 function member(databaseId: string, address = `${databaseId}:1`): ElectorateMember {
-    return { databaseId, address, isReady: true };
+    return { databaseId, address, bornUnixMs: 1, isLost: false, isReady: true };
 }
 
 function attachedWitnesses(instances: Readonly<Record<string, string>>): CommitWitnesses {
@@ -209,6 +223,8 @@
         witnesses.attach("f3", "i2", fixture.nowMs);
         fixture.decide(600);
         assert.deepEqual(fixture.questions, ["f1 7/0", "f2 7/0", "f3 7/0"]);
+        fixture.openLink("a", 3, 10);
+        fixture.answer("a", false, 3, 10);
         fixture.reportCommits("f3", 10);
         assert.equal(fixture.decide(), "a");
     });
@@ -243,6 +259,8 @@
         fixture.decide(1_300);
         fixture.reportCommits("f1", undefined);
         assert.equal(fixture.decide(10_000), undefined);
+        fixture.openLink("a", 3, 10);
+        fixture.answer("a", false, 3, 10);
         fixture.openLink("b", 3, 12);
         fixture.answer("b", false, 3, 12);
         assert.equal(fixture.decide(), "b");
@@ -283,6 +301,81 @@
         assert.equal(fixture.decide(), "a");
     });
 
+    it("takes no repetition of an earlier answer for the answer to a pause or a step down", () => {
+        // Guards against a replica that goes on receiving because a status that was sent twice counted as its stop.
+        const fixture = new FencingFixture({ planned: true });
+        fixture.openLink("p", 3, 20);
+        fixture.answer("p", false, 4, 20, 3);
+        fixture.openLink("a", 3, 19);
+        assert.equal(fixture.lastCommand("a"), LinkCommandKind.Status);
+        fixture.answer("a", false, 3, 19);
+        fixture.answer("a", true, 9, 19);
+        assert.equal(fixture.decide(), undefined);
+        fixture.loseLink("p", LinkLoss.Broken);
+        fixture.decide(1_300);
+        const { connections } = fixture;
+        fixture.decide(1_300);
+        fixture.answer("a", false, 3, 19, 3, 9);
+        assert.notEqual(fixture.lastCommand("a"), LinkCommandKind.Pause);
+        assert.ok(fixture.connections > connections);
+        fixture.openLink("a", 3, 19);
+        assert.equal(fixture.lastCommand("a"), LinkCommandKind.Pause);
+        assert.match(fixture.fencing.describeDatabases(), /a:awaited/);
+    });
+
+    it("notices that a paused replica has started again behind a silent cut", () => {
+        // Guards against a replica that confirms commits although its earlier process was paused.
+        const fixture = new FencingFixture();
+        fixture.openLink("a", 3, 10);
+        fixture.answer("a", false, 3, 10);
+        fixture.decide(400);
+        fixture.openLink("a", 3, 10);
+        fixture.answer("a", false, 3, 12, 3, 0);
+        assert.match(fixture.fencing.describeDatabases(), /a:awaited@3.12/);
+        fixture.decide(100);
+        fixture.openLink("a", 3, 12);
+        assert.equal(fixture.lastCommand("a"), LinkCommandKind.Pause);
+    });
+
+    it("does not count a replica that lost its log among those that hold what they confirmed", () => {
+        // Guards against the loss of commits that the replica's earlier process alone had confirmed.
+        const fixture = new FencingFixture();
+        fixture.loseLink("p", LinkLoss.NoListener);
+        fixture.openLink("a", 3, 12);
+        fixture.answer("a", false, 3, 12);
+        fixture.loseLink("a", LinkLoss.Broken);
+        fixture.decide(100);
+        fixture.openLink("a", 0, 0);
+        fixture.answer("a", false, 3, 0, 0);
+        fixture.openLink("b", 3, 9);
+        fixture.answer("b", false, 3, 9);
+        assert.equal(fixture.decide(), undefined);
+    });
+
+    it("does not choose a replica that lacks a commit which an instance had acknowledged when it stopped to", () => {
+        // Guards against the loss of a commit that a database outside the list confirmed.
+        const fixture = new FencingFixture();
+        assert.deepEqual(fixture.closings, ["f1 7/close"]);
+        fixture.reportCommits("f1", 13, { questionId: "7/close" });
+        fixture.loseLink("p", LinkLoss.NoListener);
+        ["a", "b"].forEach(databaseId => {
+            fixture.openLink(databaseId, 3, 12);
+            fixture.answer(databaseId, false, 3, 12);
+        });
+        assert.equal(fixture.decide(), undefined);
+    });
+
+    it("waits for a replica that holds what the last promotion kept", () => {
+        // Guards against the loss of commits that databases confirmed which have left since.
+        const fixture = new FencingFixture({ basePosition: { term: 2, offset: 11 } });
+        fixture.loseLink("p", LinkLoss.NoListener);
+        ["a", "b"].forEach(databaseId => {
+            fixture.openLink(databaseId, 2, 9);
+            fixture.answer(databaseId, false, 3, 9, 2);
+        });
+        assert.equal(fixture.decide(), undefined);
+    });
+
     it("lets the primary step down in a planned change and waits until a replica has caught up", () => {
         const fixture = new FencingFixture({ planned: true });
         fixture.openLink("p", 3, 20);
@@ -296,6 +389,15 @@
         assert.equal(fixture.decide(), "a");
     });
 
+    it("pauses the replicas of a primary that stepped down while an order for another database is open", () => {
+        // Guards against commits that the other database acknowledges before the next choice takes effect.
+        const fixture = new FencingFixture({ preferredDatabaseId: "b" });
+        fixture.openLink("p", 3, 20);
+        fixture.answer("p", false, 4, 20, 3);
+        fixture.openLink("a", 3, 20);
+        assert.equal(fixture.lastCommand("a"), LinkCommandKind.Pause);
+    });
+
     it("recognises that an earlier order was executed late", () => {
         const fixture = new FencingFixture();
         fixture.openLink("a", 3, 10);
--- a/src/fleet/__tests__/promotionSoak.spec.ts
+++ b/src/fleet/__tests__/promotionSoak.spec.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PromotionWait } from "../../model/promotionMessages.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { PromotionWorld } from "./promotionWorld.ts";
 import type { SimulatedDatabase } from "./simulatedDatabase.ts";
@@ -11,8 +12,8 @@
 
 /** Faults of a service that come in series and overlap. At most two databases of three are down at once. */
 class Faults {
-    private readonly world: PromotionWorld;
-    private readonly random: SeededRandom;
+    protected readonly world: PromotionWorld;
+    protected readonly random: SeededRandom;
     /** What ends the faults that last, with the times at which that is due. */
     private repairs: { readonly atMs: number; repair(): void; }[] = [];
     private readonly history: string[] = [];
@@ -37,7 +38,7 @@
         this.repairDue(Infinity);
     }
 
-    private start(): void {
+    protected start(): void {
         const { world } = this;
         const database = world.database(this.random.nextInteger(world.databases.length));
         const instance = world.instances[this.random.nextInteger(world.instances.length)]!;
@@ -68,7 +69,7 @@
         }
     }
 
-    private crash(database: SimulatedDatabase): void {
+    protected crash(database: SimulatedDatabase): void {
         if (this.canTakeDown(database)) {
             this.note(`crash ${database.id}`);
             this.world.crash(database);
@@ -77,7 +78,7 @@
     }
 
     /** The machine of a database loses its power and starts again. */
-    private goDark(database: SimulatedDatabase): void {
+    protected goDark(database: SimulatedDatabase): void {
         if (this.canTakeDown(database)) {
             this.note(`dark ${database.id}`);
             database.dark = true;
@@ -88,7 +89,7 @@
         }
     }
 
-    private goDeaf(database: SimulatedDatabase): void {
+    protected goDeaf(database: SimulatedDatabase): void {
         if (!database.leads && database.running && !database.deaf) {
             this.note(`deaf ${database.id}`);
             database.deaf = true;
@@ -98,7 +99,7 @@
         }
     }
 
-    private restartControl(): void {
+    protected restartControl(): void {
         if (this.world.hasControl) {
             this.note("control members restart");
             this.world.stopControl();
@@ -106,7 +107,7 @@
         }
     }
 
-    private replacePrimary(): void {
+    protected replacePrimary(): void {
         const { primary } = this.world;
         if (primary !== undefined && !primary.dark && !primary.draining) {
             this.note(`replace ${primary.id}`);
@@ -121,12 +122,12 @@
         }
     }
 
-    private canTakeDown(database: SimulatedDatabase): boolean {
+    protected canTakeDown(database: SimulatedDatabase): boolean {
         const down = this.world.databases.filter(({ running, dark }) => !running || dark).length;
         return database.running && !database.dark && down < 2;
     }
 
-    private later(repair: () => void): void {
+    protected later(repair: () => void): void {
         this.repairs.push({ atMs: this.world.nowMs + this.between(300, 7_000), repair });
     }
 
@@ -136,19 +137,130 @@
         due.forEach(({ repair }) => repair());
     }
 
-    private note(text: string): void {
+    protected note(text: string): void {
         this.history.push(`${(this.world.nowMs / 1_000).toFixed(2)} s ${text}`);
     }
 
-    private between(minimum: number, maximum: number): number {
+    protected between(minimum: number, maximum: number): number {
         return minimum + this.random.nextInteger(maximum - minimum);
     }
 
-    private pick<Value>(values: readonly Value[]): Value {
+    protected pick<Value>(values: readonly Value[]): Value {
         return values[this.random.nextInteger(values.length)]!;
     }
 }
 
+/**
+ * Besides the faults above: replicas that start again without their logs, databases that join and leave, primaries and
+ * instances that are cut off, answers that come twice, and calls to the platform that overtake each other.
+ */
+class WiderFaults extends Faults {
+    constructor(world: PromotionWorld, seed: number) {
+        super(world, seed);
+        world.nextPlatformDelayMs = () => this.random.nextInteger(3) > 0 ? 0 : this.between(100, 12_000);
+        world.nextRepetitionDelayMs = () => this.random.nextInteger(10) > 0 ? undefined : this.between(1, 1_000);
+    }
+
+    override run(): void {
+        super.run();
+        this.world.nextPlatformDelayMs = () => 0;
+        this.world.nextRepetitionDelayMs = () => undefined;
+    }
+
+    protected override start(): void {
+        switch (this.random.nextInteger(7)) {
+            case 0:
+                return super.start();
+            case 1:
+                return this.cutPrimary();
+            case 2:
+                return this.restartEmpty();
+            case 3:
+                return this.join();
+            case 4:
+                return this.leave();
+            case 5:
+                return this.cutInstance();
+            case 6:
+                // A replica loses its log while a primary is replaced.
+                if (this.random.nextInteger(2) === 0) {
+                    this.cutPrimary();
+                }
+                else {
+                    this.crash(this.world.primary ?? this.world.database(0));
+                }
+                this.world.advance(this.between(0, 1_500));
+                return this.random.nextInteger(3) === 0 ? this.join() : this.restartEmpty();
+        }
+    }
+
+    /** The primary goes on serving some instances, with the replicas that it reaches. */
+    private cutPrimary(): void {
+        const { primary, databases } = this.world;
+        if (primary === undefined || primary.dark || primary.cutFromControl) {
+            return;
+        }
+        primary.cutFromControl = true;
+        databases.filter(database => database !== primary && this.random.nextInteger(2) === 0)
+            .forEach(({ address }) => primary.cutFrom.add(address));
+        this.note(`cut ${primary.id} from control, ${[...primary.cutFrom].join(", ")}`);
+        this.later(() => this.world.rejoin(primary.address));
+    }
+
+    private restartEmpty(): void {
+        const replicas = this.world.databases.filter(({ leads, running, dark }) => !leads && running && !dark);
+        if (replicas.length === 0) {
+            return;
+        }
+        const replica = this.pick(replicas);
+        const silent = this.random.nextInteger(3) === 0;
+        this.note(`restart ${replica.id} without its log${silent ? ", links not reset" : ""}`);
+        this.world.restartEmpty(replica, silent);
+    }
+
+    private join(): void {
+        if (this.world.databases.length < 5) {
+            this.note(`join ${this.world.join().id}`);
+        }
+    }
+
+    /** A replica leaves, and a database with its log takes its address or none does. */
+    private leave(): void {
+        const { world } = this;
+        const replicas = world.databases.filter(({ leads, running, dark, draining }) =>
+            !leads && running && !dark && !draining
+        );
+        if (replicas.length < 2) {
+            return;
+        }
+        const replica = this.pick(replicas);
+        const hasSuccessor = world.databases.length <= 3 || this.random.nextInteger(2) === 0;
+        this.note(`${hasSuccessor ? "replace" : "leave"} ${replica.id}`);
+        replica.draining = true;
+        world.report(replica);
+        this.later(() => {
+            if (replica.running && !replica.leads && world.databases.includes(replica)) {
+                if (hasSuccessor) {
+                    world.crash(replica);
+                    world.restart(replica);
+                }
+                else {
+                    world.leave(replica);
+                }
+            }
+        });
+    }
+
+    private cutInstance(): void {
+        const instance = this.pick(this.world.instances);
+        if (!instance.cutFromControl) {
+            this.note(`cut ${instance.instanceId} from control`);
+            this.world.cutInstance(instance);
+            this.later(() => this.world.joinInstance(instance));
+        }
+    }
+}
+
 describe("changes of primary under faults that overlap", () => {
     for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
         it(`lose no acknowledged commit and end, seed ${seed}`, () => {
@@ -165,3 +277,28 @@
         });
     }
 });
+
+describe("changes of primary while databases restart empty, join, leave and are cut off", () => {
+    for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
+        it(`lose no acknowledged commit that a database still has, seed ${seed}`, () => {
+            const world = new PromotionWorld();
+            const faults = new WiderFaults(world, seed);
+            world.advance(4_000);
+            faults.run();
+            world.advance(recoveryMs);
+            // What no choice could have kept.
+            const excepted = new Set([...world.lostWithAllCopies, ...world.lostAfterAcceptance]);
+            assert.deepEqual(world.lost.filter(number => !excepted.has(number)), [], faults.description);
+            const before = world.acknowledgedCount;
+            world.advance(2_000);
+            const { acknowledgedCount, destroyedCount } = world;
+            // Without the databases that are gone, no choice may be safe; it waits then until an operator decides.
+            const { wait, databases } = world.progress ?? { wait: undefined, databases: "" };
+            const waitsForGone = wait === PromotionWait.DatabaseWithLastCommit && /:lost@|:no_listener/.test(databases);
+            assert.ok(
+                destroyedCount > 0 || waitsForGone || acknowledgedCount - before >= 80,
+                `${acknowledgedCount - before} commits; ${JSON.stringify(world.progress)}; ${faults.description}`,
+            );
+        });
+    }
+});
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -5,6 +5,7 @@
 import { applyCommand } from "../../control/applyCommand.ts";
 import { type ControlState, emptyControlState } from "../../control/controlState.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
+import type { Configuration } from "../../model/configuration.ts";
 import { ControlKind, type ControlPropose } from "../../model/controlMessages.ts";
 import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import {
@@ -16,11 +17,17 @@
     type LinkOpen,
     type LinkSend,
 } from "../../model/linkMessages.ts";
-import { OrderResult, PromotionKind, type PromotionOrder } from "../../model/promotionMessages.ts";
+import {
+    OrderResult,
+    PromotionKind,
+    type PromotionOrder,
+    type PromotionProgressed,
+} from "../../model/promotionMessages.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
+import { CommitGate } from "../../session/commitGate.ts";
 import { CommitTracker } from "../../session/commitTracker.ts";
 import { FleetDatabaseDirectory } from "../fleetDatabaseDirectory.ts";
 import { Promotions } from "../promotions.ts";
@@ -33,6 +40,7 @@
 const reportIntervalMs = 1_200;
 const platformTimeoutMs = 1_000;
 const promoteMs = 600;
+const detachmentMs = 1_500;
 
 interface SimulatedInstance {
     readonly instanceId: string;
@@ -41,6 +49,11 @@
     running: boolean;
     /** Callers commit by way of this instance. */
     writes: boolean;
+    /** Nothing passes between the instance and the control members. */
+    cutFromControl: boolean;
+    /** Database of the order that is under way, as the instance knows it; it commits nowhere else. */
+    orderedDatabaseId: string;
+    gate: CommitGate;
 }
 
 interface Timer extends Message {
@@ -55,13 +68,23 @@
     readonly promoted: string[] = [];
     /** Acknowledged commits that a promotion has rolled back. */
     readonly lost: number[] = [];
+    /** Those of them that were lost because the database lost its log after the platform had accepted the order for it. */
+    readonly lostAfterAcceptance: number[] = [];
+    /** Those of them that no database had any more at the promotion, on its machine or on its disk. */
+    readonly lostWithAllCopies: number[] = [];
     /** Calls to the platform as `databaseId/fence`. */
     readonly orders: string[] = [];
     /** Why the choice of a new primary waits. */
     readonly waits = new Set<string>();
+    /** The last line of the log about a promotion. */
+    progress: PromotionProgressed | undefined;
     acknowledgedCount = 0;
     /** Time after which the platform takes a call up, checks its fence and answers. */
     platformDelayMs = 0;
+    /** Takes the place of `platformDelayMs` for each call. */
+    nextPlatformDelayMs = (): number => this.platformDelayMs;
+    /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
+    nextRepetitionDelayMs = (): number | undefined => undefined;
     private readonly events = new DeadlineQueue();
     private readonly acknowledged = new Set<number>();
     private readonly links = new Map<string, SimulatedDatabase | undefined>();
@@ -72,13 +95,19 @@
     private controlGeneration = 0;
     private state: ControlState = emptyControlState;
     private logIndex = 0;
-    /** Database of the order that is under way, as the instances know it; they commit nowhere else. */
-    private orderedDatabaseId = "";
+    /** Commits that a promotion has dropped. */
+    private readonly rolledBack = new Set<number>();
+    /** Configuration that instances in contact with the control members have applied. */
+    private published: Configuration | undefined;
+    /** Term that a database led last, also if its log is gone. */
+    private newestLedTerm = 1;
     private nextEvent = 0;
     private nextCommit = 1;
     private nextAttachment = 0;
+    private nextDatabase: number;
 
     constructor(databaseCount = 3, instanceCount = 2) {
+        this.nextDatabase = databaseCount;
         for (let index = 0; index < databaseCount; index++) {
             const database = new SimulatedDatabase(`d${index}`, `host${index}:1`, 0);
             database.leads = index === 0;
@@ -87,7 +116,14 @@
         }
         for (let index = 0; index < instanceCount; index++) {
             const instance = { instanceId: `i${index}`, attachmentId: undefined, commits: new CommitTracker() };
-            this.instances.push({ ...instance, running: true, writes: true });
+            this.instances.push({
+                ...instance,
+                running: true,
+                writes: true,
+                cutFromControl: false,
+                orderedDatabaseId: "",
+                gate: new CommitGate(),
+            });
         }
         this.startControl();
         this.every(20, () => this.write());
@@ -98,6 +134,12 @@
         return this.databases.find(({ leads, running }) => leads && running);
     }
 
+    /** Number of acknowledged commits that no database has any more, on its machine or on its disk. */
+    get destroyedCount(): number {
+        const kept = new Set(this.databases.flatMap(({ log }) => log.map(({ number }) => number)));
+        return [...this.acknowledged].filter(number => !kept.has(number)).length;
+    }
+
     get hasControl(): boolean {
         return this.control !== undefined;
     }
@@ -135,17 +177,95 @@
 
     /** Starts a database again at its address under another id, with its log; as the primary if none was promoted since. */
     restart(database: SimulatedDatabase): SimulatedDatabase {
+        if (!this.databases.includes(database)) {
+            // Another process has taken its place.
+            return database;
+        }
         const next = new SimulatedDatabase(`${database.id}x`, database.address, this.nowMs);
         next.log = database.log;
         next.term = database.term;
         next.ledTerm = database.ledTerm;
-        const newestTerm = Math.max(...this.databases.map(({ ledTerm }) => ledTerm));
-        next.leads = database.ledTerm === newestTerm && !this.databases.some(({ leads, running }) => leads && running);
+        takeOverCuts(database, next);
+        next.leads = database.ledTerm === this.newestLedTerm
+            && !this.databases.some(({ leads, running }) => leads && running);
         this.databases.splice(this.databases.indexOf(database), 1, next);
         this.scheduleReports(next);
         return next;
     }
 
+    /**
+     * Starts a database again under its id, without its log.
+     * @param silent its links are not reset, as behind a cut that drops packets
+     */
+    restartEmpty(database: SimulatedDatabase, silent: boolean): SimulatedDatabase {
+        if (silent) {
+            database.running = false;
+        }
+        else {
+            this.crash(database);
+        }
+        const next = new SimulatedDatabase(database.id, database.address, this.nowMs);
+        takeOverCuts(database, next);
+        this.databases.splice(this.databases.indexOf(database), 1, next);
+        this.scheduleReports(next);
+        this.after(2 * latencyMs, () => this.catchUp(next));
+        return next;
+    }
+
+    /** Starts a database with an empty log at an address of its own. */
+    join(): SimulatedDatabase {
+        const number = this.nextDatabase++;
+        const database = new SimulatedDatabase(`d${number}`, `host${number}:1`, this.nowMs);
+        this.databases.push(database);
+        this.scheduleReports(database);
+        this.after(2 * latencyMs, () => this.catchUp(database));
+        return database;
+    }
+
+    /** Ends a database for good; its log is gone with it. */
+    leave(database: SimulatedDatabase): void {
+        this.crash(database);
+        this.databases.splice(this.databases.indexOf(database), 1);
+        if (!database.cutFromControl) {
+            this.after(
+                latencyMs,
+                this.ofControl(() => this.push({ kind: FleetKind.DatabaseLeft, databaseId: database.id } as Message)),
+            );
+        }
+    }
+
+    /** Ends the cuts of a machine. */
+    rejoin(address: string): void {
+        this.databases.filter(database => database.address === address).forEach(database => {
+            database.cutFromControl = false;
+            database.cutFrom.clear();
+            this.report(database);
+        });
+        this.databases.forEach(database => this.catchUp(database));
+    }
+
+    /** Cuts an instance from the control members; they notice after a while that its stream has ended. */
+    cutInstance(instance: SimulatedInstance): void {
+        instance.cutFromControl = true;
+        const { attachmentId } = instance;
+        this.after(detachmentMs, () => {
+            if (instance.cutFromControl && attachmentId !== undefined && instance.attachmentId === attachmentId) {
+                instance.attachmentId = undefined;
+                this.push({ kind: FleetKind.Detached, attachmentId } as Message);
+            }
+        });
+    }
+
+    joinInstance(instance: SimulatedInstance): void {
+        instance.cutFromControl = false;
+        if (this.published !== undefined) {
+            this.publish(instance, this.published);
+        }
+        if (instance.running && instance.attachmentId === undefined) {
+            this.after(100, this.ofControl(() => this.attach(instance)));
+        }
+    }
+
     stopControl(): void {
         this.control = undefined;
         this.controlGeneration++;
@@ -170,6 +290,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as Message,
         );
         this.applyConfiguration();
@@ -193,11 +314,12 @@
     startInstance(instance: SimulatedInstance): void {
         instance.running = true;
         instance.commits = new CommitTracker();
+        instance.gate = new CommitGate();
         this.after(100, this.ofControl(() => this.attach(instance)));
     }
 
     report(database: SimulatedDatabase): void {
-        if (database.running && !database.dark) {
+        if (database.running && !database.dark && !database.cutFromControl) {
             this.after(
                 latencyMs,
                 this.ofControl(() =>
@@ -208,6 +330,9 @@
     }
 
     private attach(instance: SimulatedInstance): void {
+        if (this.control === undefined || instance.cutFromControl || instance.attachmentId !== undefined) {
+            return;
+        }
         instance.commits.startOnce(this.nowMs);
         instance.attachmentId = `f${this.nextAttachment++}`;
         const { instanceId, attachmentId } = instance;
@@ -218,43 +343,74 @@
     /** A caller commits by way of one of the instances, in turn. */
     private write(): void {
         const serving = this.instances.filter(({ running, writes }) => running && writes);
-        const primary = this.orderedDatabaseId === "" || this.primary?.id === this.orderedDatabaseId
-            ? this.primary
-            : undefined;
-        if (serving.length === 0 || primary === undefined || primary.dark) {
+        const instance = serving[this.nextCommit % Math.max(1, serving.length)];
+        const { primary } = this;
+        if (instance === undefined || primary === undefined || primary.dark) {
+            return;
+        }
+        const { commits, orderedDatabaseId } = instance;
+        if (orderedDatabaseId !== "" && orderedDatabaseId !== primary.id) {
             return;
         }
-        const instance = serving[this.nextCommit % serving.length]!;
-        const { commits } = instance;
         const sentMs = this.nowMs;
         const commit = { term: primary.ledTerm, number: this.nextCommit++ };
         primary.log = [...primary.log, commit];
-        const position = primary.position;
+        const { position } = primary;
         const acknowledge = (): void => {
-            if (primary.leads && primary.running && !this.acknowledged.has(commit.number)) {
-                this.acknowledged.add(commit.number);
-                this.acknowledgedCount++;
-                commits.recordCommit(service, position, sentMs);
+            if (!instance.gate.mayAcknowledge(service, primary.id)) {
+                return;
+            }
+            this.acknowledged.add(commit.number);
+            this.acknowledgedCount++;
+            commits.recordCommit(service, position, sentMs);
+            if (this.rolledBack.has(commit.number)) {
+                // The database acknowledged the commit before it lost the lead, and the caller heard of it after that.
+                this.recordLoss(commit.number);
             }
         };
+        const confirm = (): void => {
+            // The caller of a process that has ended hears of no commit.
+            if (instance.running && instance.commits === commits) {
+                this.after(latencyMs, acknowledge);
+            }
+        };
+        primary.unconfirmed = [...primary.unconfirmed, { offset: position.offset, confirm }];
         this.databases.filter(database => database !== primary).forEach(replica =>
+            this.after(latencyMs, () => this.replicate(primary, replica, position.offset))
+        );
+    }
+
+    private replicate(primary: SimulatedDatabase, replica: SimulatedDatabase, offset: number): void {
+        const reaches = primary.leads && primary.running && !primary.dark && !primary.isCutFrom(replica);
+        if (reaches && replica.receive(primary, offset)) {
             this.after(latencyMs, () => {
-                if (primary.leads && primary.running && replica.receive(primary, position.offset)) {
-                    this.after(latencyMs, acknowledge);
+                if (primary.leads && primary.running && !primary.dark && !primary.isCutFrom(replica)) {
+                    primary.confirm(offset);
                 }
-            })
-        );
+            });
+        }
+    }
+
+    /** Whether a copy of a commit was lost in a promotion although a database still has it, or with all copies. */
+    private recordLoss(number: number): void {
+        this.lost.push(number);
+        if (!this.databases.some(({ log }) => log.some(commit => commit.number === number))) {
+            this.lostWithAllCopies.push(number);
+        }
     }
 
     private suspectPrimary(): void {
         const { databaseId } = this.state.configuration.promotions[0] ?? { databaseId: "" };
         const suspected = this.databases.find(({ id }) => id === databaseId) ?? this.database(0);
-        if (suspected.running && !suspected.dark) {
+        if (suspected.running && !suspected.dark && !suspected.cutFromControl) {
             this.suspectedAtMs.delete(suspected.id);
             return;
         }
         this.suspectedAtMs.set(suspected.id, this.suspectedAtMs.get(suspected.id) ?? this.nowMs);
-        this.instances.filter(({ attachmentId }) => attachmentId !== undefined).forEach(({ attachmentId }) =>
+        const attached = this.instances.filter(({ attachmentId, cutFromControl }) =>
+            attachmentId !== undefined && !cutFromControl
+        );
+        attached.forEach(({ attachmentId }) =>
             this.push({
                 kind: FleetKind.FrameReceived,
                 attachmentId,
@@ -288,8 +444,8 @@
             case PromotionKind.Order:
                 return this.callPlatform(message as PromotionOrder);
             case PromotionKind.Progressed: {
-                const { wait } = message as Message & { readonly wait: string | undefined; };
-                this.waits.add(wait ?? "");
+                this.progress = message as PromotionProgressed;
+                this.waits.add(this.progress.wait ?? "");
                 return;
             }
         }
@@ -312,7 +468,19 @@
         const { configuration } = this.state;
         this.push({ kind: ClusterKind.ConfigurationApplied, configuration } as Message);
         this.after(publicationMs, () => {
-            this.orderedDatabaseId = configuration.promotions[0]?.orderedDatabaseId ?? "";
+            this.published = configuration;
+            this.instances.filter(({ cutFromControl }) => !cutFromControl)
+                .forEach(instance => this.publish(instance, configuration));
+        });
+    }
+
+    private publish(instance: SimulatedInstance, { promotions }: Configuration): void {
+        const promotion = promotions[0];
+        const orderedDatabaseId = promotion?.orderedDatabaseId ?? "";
+        instance.orderedDatabaseId = orderedDatabaseId;
+        instance.gate.applyPolicy({
+            ordered: new Map(orderedDatabaseId === "" ? [] : [[service, orderedDatabaseId]]),
+            completedFences: new Map(promotion?.open === false ? [[service, promotion.fence]] : []),
         });
     }
 
@@ -321,11 +489,11 @@
         this.after(
             latencyMs,
             this.ofControl(() => {
-                const database = this.databases.find(candidate => candidate.address === address)!;
-                if (!this.links.has(linkId) || database.dark) {
+                const database = this.databases.find(candidate => candidate.address === address);
+                if (!this.links.has(linkId) || database?.dark === true || database?.cutFromControl === true) {
                     return;
                 }
-                if (!database.running) {
+                if (database?.running !== true) {
                     this.loseLink(linkId);
                 }
                 else if (database.id !== databaseId) {
@@ -351,7 +519,7 @@
     }
 
     private execute(database: SimulatedDatabase | undefined, linkId: string, command: LinkCommand): void {
-        if (database === undefined || !database.running || database.dark) {
+        if (database === undefined || !database.running || database.dark || database.cutFromControl) {
             return;
         }
         const newestTerm = Math.max(...this.databases.map(({ term }) => term));
@@ -363,19 +531,22 @@
         if (led !== database.leads) {
             this.report(database);
         }
-        this.after(
-            latencyMs,
-            this.ofControl(() => {
-                if (this.links.get(linkId) === database) {
-                    this.push({ kind: LinkKind.Replied, linkId, reply: { fault: undefined, status } } as Message);
-                }
-            }),
+        const repeatedAfterMs = this.nextRepetitionDelayMs();
+        [0, ...repeatedAfterMs === undefined ? [] : [repeatedAfterMs]].forEach(delayMs =>
+            this.after(
+                latencyMs + delayMs,
+                this.ofControl(() => {
+                    if (this.links.get(linkId) === database && !database.cutFromControl) {
+                        this.push({ kind: LinkKind.Replied, linkId, reply: { fault: undefined, status } } as Message);
+                    }
+                }),
+            )
         );
     }
 
     private answerFrame({ attachmentId, frame }: SendFrame): void {
         const instance = this.instances.find(candidate => candidate.attachmentId === attachmentId);
-        if (instance === undefined) {
+        if (instance === undefined || instance.cutFromControl) {
             return;
         }
         this.after(
@@ -389,8 +560,11 @@
         );
     }
 
-    private answerOf({ commits }: SimulatedInstance, frame: FleetFrame): FleetFrame | undefined {
+    private answerOf({ commits, gate }: SimulatedInstance, frame: FleetFrame): FleetFrame | undefined {
         if (frame.kind === "commits_asked") {
+            if (frame.fence !== undefined) {
+                gate.close(frame.service, frame.fence);
+            }
             return commits.commitsSeenFrame(frame.service, frame.questionId, this.nowMs);
         }
         if (frame.kind !== "assess") {
@@ -406,7 +580,7 @@
         this.orders.push(`${databaseId}/${fence}`);
         const answer = (result: OrderResult): void =>
             this.push({ kind: PromotionKind.Ordered, service, databaseId, fence, result } as Message);
-        const { platformDelayMs } = this;
+        const platformDelayMs = this.nextPlatformDelayMs();
         this.after(platformDelayMs, () => {
             const chosen = this.databases.find(({ id, running }) => id === databaseId && running);
             const refused = chosen === undefined || fence < Math.max(0, ...this.fences);
@@ -418,7 +592,13 @@
                 );
             }
             if (!refused && !chosen.leads) {
-                this.after(promoteMs, () => this.promote(databaseId));
+                this.after(promoteMs, () => {
+                    const lostBefore = this.lost.length;
+                    this.promote(databaseId);
+                    if (!this.databases.includes(chosen)) {
+                        this.lostAfterAcceptance.push(...this.lost.slice(lostBefore));
+                    }
+                });
             }
         });
         if (platformDelayMs >= platformTimeoutMs) {
@@ -433,10 +613,15 @@
             return;
         }
         const kept = new Set(chosen.log.map(({ number }) => number));
-        this.lost.push(...[...this.acknowledged].filter(number => !kept.has(number)));
+        const dropped = [...this.acknowledged].filter(number => !kept.has(number) && !this.rolledBack.has(number));
+        dropped.forEach(number => this.recordLoss(number));
+        this.databases.flatMap(({ log }) => log).filter(({ number }) => !kept.has(number))
+            .forEach(({ number }) => this.rolledBack.add(number));
+        dropped.forEach(number => this.rolledBack.add(number));
         const term = Math.max(...this.databases.map(database => database.term)) + 1;
         this.databases.forEach(database => database.follow(kept));
         Object.assign(chosen, { leads: true, term, ledTerm: term });
+        this.newestLedTerm = term;
         this.promoted.push(databaseId);
         this.databases.forEach(database => {
             this.catchUp(database);
@@ -445,11 +630,18 @@
     }
 
     private catchUp(database: SimulatedDatabase): void {
-        const newestTerm = Math.max(...this.databases.map(({ ledTerm }) => ledTerm));
-        const source = this.databases.find(({ ledTerm, running }) => ledTerm === newestTerm && running);
-        if (source !== undefined && source !== database) {
-            this.after(2 * latencyMs, () => database.receive(source, source.log.length));
+        const source = this.databases.find(({ ledTerm, running }) => ledTerm === this.newestLedTerm && running);
+        if (source === undefined || source === database || source.isCutFrom(database)) {
+            return;
         }
+        this.after(2 * latencyMs, () => {
+            if (source.leads) {
+                this.replicate(source, database, source.log.length);
+            }
+            else {
+                database.receive(source, source.log.length);
+            }
+        });
     }
 
     private scheduleReports(database: SimulatedDatabase): void {
@@ -479,3 +671,9 @@
         this.events.apply(setDeadline(`e${this.nextEvent++}`, this.nowMs + delayMs, timer));
     }
 }
+
+/** A process that starts on the machine of another one is cut off as that one was. */
+function takeOverCuts(database: SimulatedDatabase, next: SimulatedDatabase): void {
+    next.cutFromControl = database.cutFromControl;
+    database.cutFrom.forEach(address => next.cutFrom.add(address));
+}
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -140,4 +140,167 @@
         assert.notEqual(world.primary?.id, leaving.id);
         assert.deepEqual(world.lost, []);
     });
+
+    it("does not promote a stale replica after the other one has started again without its log", () => {
+        // Guards against a database that counts for commits which its earlier process confirmed.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.database(2).deaf = true;
+        world.advance(2_000);
+        const primary = world.database(0);
+        world.crash(primary);
+        world.restartEmpty(world.database(1), false);
+        world.database(2).deaf = false;
+        world.advance(6_000);
+        assert.deepEqual(world.promoted, []);
+        world.restart(primary);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("does not wait for the earlier process of a replica once that one has caught up", () => {
+        // Guards against choices that take seconds because a replica started again some time ago.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.restartEmpty(world.database(1), false);
+        world.advance(3_000);
+        world.killInstance(world.instances[0]!);
+        world.advance(1_000);
+        world.crash(world.database(0));
+        world.advance(1_500);
+        assert.equal(world.promoted.length, 1);
+        assert.deepEqual(world.lost, []);
+    });
+
+    it("keeps what is acknowledged while a replica that was paused starts again behind a silent cut", () => {
+        // Guards against commits that waited at the old primary and are confirmed after the choice.
+        const world = cutOffPrimary(2_000);
+        // The control members hear of it late.
+        const restarted = world.restartEmpty(world.database(2), true);
+        restarted.cutFromControl = true;
+        world.advance(500);
+        world.rejoin(restarted.address);
+        world.advance(8_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("keeps what is acknowledged while a replica joins after the choice", () => {
+        // Guards against a replica that nobody has paused and that confirms commits of the old primary.
+        const world = cutOffPrimary(2_000);
+        world.join().cutFromControl = true;
+        world.advance(8_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("does not promote a stale replica after the database that had confirmed the commits has left", () => {
+        // Guards against the loss of commits that the last promotion kept and the remaining replica never received.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.database(2).deaf = true;
+        world.advance(2_000);
+        world.crash(world.database(0));
+        world.advance(100);
+        world.leave(world.database(0));
+        world.advance(4_000);
+        const primary = world.primary!;
+        assert.equal(primary.id, "d1");
+        world.crash(primary);
+        world.database(1).deaf = false;
+        world.advance(6_000);
+        assert.deepEqual(world.lost, []);
+        world.restart(primary);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("makes the platform refuse a late order for a database that has lost its log", () => {
+        // Guards against an order that is executed seconds late, when the database is empty.
+        const world = new PromotionWorld();
+        const delaysMs = [4_000];
+        world.nextPlatformDelayMs = () => delaysMs.shift() ?? 0;
+        world.advance(5_000);
+        world.database(0).cutFromControl = true;
+        world.advance(1_400);
+        const [ordered] = world.orders[0]!.split("/");
+        const chosen = world.databases.find(({ id }) => id === ordered)!;
+        chosen.cutFrom.add(world.database(0).address);
+        const restarted = world.restartEmpty(chosen, false);
+        restarted.cutFrom.add(world.database(0).address);
+        world.advance(8_000);
+        assert.deepEqual(world.lost, []);
+        assert.ok(world.primary !== undefined && world.primary.id !== ordered);
+    });
+
+    it("replaces a primary that has started again under its id without its log", () => {
+        // Guards against a service without a primary, because the recorded one answers and reports.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const crashed = world.database(0);
+        world.crash(crashed);
+        world.advance(3_000);
+        world.restart(crashed);
+        world.advance(1_000);
+        world.restartEmpty(world.primary!, false);
+        world.advance(4_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("does not promote a primary that stepped down and lost its log", () => {
+        // Guards against the way back of a planned change to a database that is empty.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const leaving = world.database(0);
+        [1, 2].forEach(index => {
+            world.database(index).deaf = true;
+        });
+        world.advance(40);
+        leaving.draining = true;
+        world.report(leaving);
+        world.advance(300);
+        world.restartEmpty(leaving, false);
+        world.advance(3_000);
+        assert.deepEqual(world.lost, []);
+    });
+
+    it("keeps what an instance without contact to the control members is told after the choice", () => {
+        // Guards against the loss of commits that a replica confirms which started again while the order was under way.
+        const world = cutOffPrimary(2_000, world => world.cutInstance(world.instances[0]!));
+        // The control members hear of it late.
+        const restarted = world.restartEmpty(world.database(2), true);
+        restarted.cutFromControl = true;
+        world.advance(500);
+        world.rejoin(restarted.address);
+        world.advance(8_000);
+        assert.deepEqual(world.lost, []);
+    });
 });
+
+/**
+ * The control members lose contact to the primary, which goes on with the instances and replicas; another one is chosen,
+ * and the order for it is under way.
+ * @param platformDelayMs time after which the platform executes the order
+ */
+function cutOffPrimary(platformDelayMs: number, prepare: (world: PromotionWorld) => void = () => {}): PromotionWorld {
+    const world = new PromotionWorld();
+    world.platformDelayMs = platformDelayMs;
+    world.advance(5_000);
+    prepare(world);
+    world.database(0).cutFromControl = true;
+    for (let waitedMs = 0; world.orders.length === 0 && waitedMs < 5_000; waitedMs += 10) {
+        world.advance(10);
+    }
+    world.advance(100);
+    assert.equal(world.primary?.id, "d0");
+    return world;
+}
+
+function assertCommits(world: PromotionWorld): void {
+    const before = world.acknowledgedCount;
+    world.advance(1_000);
+    assert.ok(world.acknowledgedCount - before >= 40, `${world.acknowledgedCount - before} commits in 1 s`);
+}
--- a/src/fleet/__tests__/simulatedDatabase.ts
+++ b/src/fleet/__tests__/simulatedDatabase.ts
@@ -8,6 +8,13 @@
     readonly number: number;
 }
 
+/** A commit of a primary that no replica has confirmed yet. */
+interface UnconfirmedCommit {
+    readonly offset: number;
+    /** The database acknowledges the commit. */
+    readonly confirm: () => void;
+}
+
 export class SimulatedDatabase {
     readonly id: string;
     readonly address: string;
@@ -17,12 +24,18 @@
     dark = false;
     /** A replica that receives nothing, but answers. */
     deaf = false;
+    /** Neither reports nor links pass between the machine and the control members. */
+    cutFromControl = false;
+    /** Machines with which no commits and confirmations are exchanged, by address. */
+    readonly cutFrom = new Set<string>();
     draining = false;
     leads = false;
     term = 1;
     /** Term that the database led last; commits are received from the database that led the newest one. */
     ledTerm = 0;
     log: readonly Commit[] = [];
+    /** Commits that wait for a replica's confirmation. */
+    unconfirmed: readonly UnconfirmedCommit[] = [];
     private pausedTerm = 0;
     private sequence = 0;
 
@@ -63,10 +76,22 @@
         return true;
     }
 
+    /** A replica has received the log up to `offset`. */
+    confirm(offset: number): void {
+        const confirmed = this.unconfirmed.filter(commit => commit.offset <= offset);
+        this.unconfirmed = this.unconfirmed.filter(commit => commit.offset > offset);
+        confirmed.forEach(commit => commit.confirm());
+    }
+
+    isCutFrom({ address, cutFrom }: SimulatedDatabase): boolean {
+        return this.cutFrom.has(address) || cutFrom.has(this.address);
+    }
+
     /** Another database was promoted: this one receives again, and drops the commits that the new primary lacks. */
     follow(kept: ReadonlySet<number>): void {
         this.pausedTerm = 0;
         this.leads = false;
+        this.unconfirmed = [];
         this.log = this.log.filter(({ number }) => kept.has(number));
     }
 
--- a/src/fleet/commitSurvey.ts
+++ b/src/fleet/commitSurvey.ts
@@ -1,6 +1,6 @@
 /** Asks the instances, before a promotion, for the commits of a service that they have seen acknowledged. */
 import { type CommitsSeenFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
-import { hasReached, type Position } from "../model/position.ts";
+import { comparePositions, hasReached, type Position } from "../model/position.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 
 /**
@@ -34,11 +34,37 @@
     /** Time at which the first question of the round was sent. */
     private roundStartedAtMs = 0;
     private lastQuestionAtMs: number | undefined;
+    /** Highest commits that instances had acknowledged when they stopped to, by attachment id. */
+    private readonly closedAt = new Map<string, Position | undefined>();
+    /** When each instance was last asked to acknowledge no further commits, by attachment id. */
+    private readonly closingAskedAtMs = new Map<string, number>();
 
     constructor(options: CommitSurveyOptions) {
         this.options = options;
     }
 
+    /**
+     * Asks the instances to acknowledge no further commits until the promotion is complete. Their answers don't depend on
+     * what the databases do meanwhile.
+     */
+    close(nowMs: number): readonly SendFrame[] {
+        const { witnesses } = this.options;
+        // An instance that attaches again is asked again: its process may be another one.
+        const due = [...witnesses.serving.keys()].filter(attachmentId =>
+            !this.closedAt.has(attachmentId)
+            && nowMs - (this.closingAskedAtMs.get(attachmentId) ?? -Infinity) >= questionRetryMs
+        );
+        return due.map(attachmentId => {
+            this.closingAskedAtMs.set(attachmentId, nowMs);
+            return this.question(attachmentId, this.closingId());
+        });
+    }
+
+    /** Highest commit that is known to have been acknowledged; undefined if none is. */
+    highestClosed(): Position | undefined {
+        return [...this.closedAt.values()].filter(position => position !== undefined).sort(comparePositions).at(-1);
+    }
+
     /** Asks the instances that have not answered. To be called only while no commit can be acknowledged. */
     ask(nowMs: number): readonly SendFrame[] {
         if (nowMs - (this.lastQuestionAtMs ?? -Infinity) < questionRetryMs) {
@@ -48,19 +74,18 @@
             this.roundStartedAtMs = nowMs;
         }
         this.lastQuestionAtMs = nowMs;
-        const { service, fence, witnesses } = this.options;
+        const { witnesses } = this.options;
         return [...witnesses.serving].filter(([, { instanceId }]) => !this.reports.has(instanceId))
-            .map(([attachmentId]): SendFrame => ({
-                kind: FleetKind.SendFrame,
-                attachmentId,
-                frame: { kind: "commits_asked", questionId: this.questionId(), service, fence },
-            }));
+            .map(([attachmentId]) => this.question(attachmentId, this.questionId()));
     }
 
     /** Records the answer of an instance to the current question. */
     record(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): void {
         const { highest, sentAgeMs, watchedMs, questionId } = frame;
         const instance = this.options.witnesses.serving.get(attachmentId);
+        if (instance !== undefined && questionId === this.closingId() && !this.closedAt.has(attachmentId)) {
+            this.closedAt.set(attachmentId, highest);
+        }
         if (instance !== undefined && this.lastQuestionAtMs !== undefined && questionId === this.questionId()) {
             this.reports.set(instance.instanceId, {
                 highest,
@@ -107,6 +132,19 @@
         return [...this.reports.values()].some(({ sentAtMs }) => sentAtMs !== undefined && sentAtMs >= sinceMs);
     }
 
+    private question(attachmentId: string, questionId: string): SendFrame {
+        const { service, fence } = this.options;
+        return {
+            kind: FleetKind.SendFrame,
+            attachmentId,
+            frame: { kind: "commits_asked", questionId, service, fence },
+        };
+    }
+
+    private closingId(): string {
+        return `${this.options.fence}/close`;
+    }
+
     /** Distinguishes answers to the current question from late answers to earlier ones. */
     private questionId(): string {
         return `${this.options.fence}/${this.round}`;
--- a/src/fleet/electorate.ts
+++ b/src/fleet/electorate.ts
@@ -10,27 +10,35 @@
 
 /**
  * The recorded databases, updated by the reports to this process. A database is never dropped because it doesn't
- * report: it may be the only one with the last commits. One that starts at the address of another one replaces that
- * one, because it continues its log.
+ * report: it may be the only one with the last commits. One that starts at the address of another one under another id
+ * replaces that one, because it continues its log. One that starts again under its id holds nothing of before: its
+ * earlier process stays as a lost one.
  */
 export function updateElectorate(
     recorded: readonly RecordedDatabase[],
     reports: readonly DatabaseReport[],
 ): readonly RecordedDatabase[] {
-    const reportedIds = new Set(reports.map(({ databaseId }) => databaseId));
+    const reportById = new Map(reports.map(report => [report.databaseId, report]));
     const reportedAddresses = new Set(reports.map(({ address }) => address));
-    const unreported = recorded.filter(({ databaseId, address }) =>
-        !reportedIds.has(databaseId) && !reportedAddresses.has(address)
+    const lostById = new Map(
+        recorded.filter(database => database.isLost || isEarlierProcess(database, reportById))
+            .map(database => [database.databaseId, { ...database, isLost: true }]),
     );
-    return [...unreported, ...reports.map(({ databaseId, address }) => ({ databaseId, address }))];
+    const unreported = recorded.filter(({ databaseId, address, isLost }) =>
+        !isLost && !reportById.has(databaseId) && !reportedAddresses.has(address)
+    );
+    const reported = reports.map(({ databaseId, address, bornUnixMs }) => ({
+        databaseId,
+        address,
+        bornUnixMs,
+        isLost: false,
+    }));
+    return [...lostById.values(), ...unreported, ...reported];
 }
 
 /** Whether `left` and `right` are the same databases, in any order. */
 export function isSameElectorate(left: readonly RecordedDatabase[], right: readonly RecordedDatabase[]): boolean {
-    return left.length === right.length
-        && left.every(database =>
-            right.some(({ databaseId, address }) => databaseId === database.databaseId && address === database.address)
-        );
+    return left.length === right.length && left.every(database => right.some(other => isSame(database, other)));
 }
 
 export function electorateMembers(
@@ -42,6 +50,19 @@
     );
     return updateElectorate(recorded, reports).map(database => ({
         ...database,
-        isReady: ready.has(database.databaseId),
+        isReady: !database.isLost && ready.has(database.databaseId),
     }));
 }
+
+function isEarlierProcess(
+    { databaseId, bornUnixMs }: RecordedDatabase,
+    reports: ReadonlyMap<string, DatabaseReport>,
+): boolean {
+    const report = reports.get(databaseId);
+    return report !== undefined && bornUnixMs !== undefined && bornUnixMs < report.bornUnixMs;
+}
+
+function isSame(left: RecordedDatabase, right: RecordedDatabase): boolean {
+    return left.databaseId === right.databaseId && left.address === right.address
+        && left.bornUnixMs === right.bornUnixMs && left.isLost === right.isLost;
+}
--- a/src/fleet/fencedDatabase.ts
+++ b/src/fleet/fencedDatabase.ts
@@ -9,7 +9,7 @@
     type LinkOpened,
     type LinkReplied,
 } from "../model/linkMessages.ts";
-import type { Position } from "../model/position.ts";
+import { hasReached, type Position } from "../model/position.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { ElectorateMember } from "./electorate.ts";
 
@@ -19,6 +19,9 @@
 /** Time after which a connection that is still opening, or on which a command is unanswered, is opened again. */
 const answerTimeoutMs = 600;
 
+/** Time after which a database that has stopped is asked whether it still is. */
+const recheckIntervalMs = 300;
+
 export interface FencedDatabaseOptions {
     readonly service: string;
     nextLinkId(): string;
@@ -31,9 +34,13 @@
     stopped = false;
     /** No process listens at the database's address. */
     hasNoListener = false;
+    /** How often the database was found to have started again without its log. */
+    logLosses = 0;
     private readonly options: FencedDatabaseOptions;
     private linkId: string | undefined;
     private isOpen = false;
+    /** A command was sent on this connection; a repetition of its answer may arrive at any time. */
+    private isUsed = false;
     /** A command that was sent and is not answered yet. */
     private pending: LinkCommand | undefined;
     /** Time at which the connection was requested or the pending command sent. */
@@ -41,6 +48,10 @@
     private retryAtMs = 0;
     /** Pauses that the database has answered without stopping; it knows a higher term than this process. */
     private refusedPauses = 0;
+    /** Term of the pause that has stopped the database; 0 for a primary that stepped down. */
+    private pausedTerm = 0;
+    /** Time at which the database was last shown to have stopped. */
+    private stoppedAtMs = 0;
 
     constructor(member: ElectorateMember, options: FencedDatabaseOptions) {
         this.member = member;
@@ -60,6 +71,15 @@
         return this.refusedPauses;
     }
 
+    get hasLostLog(): boolean {
+        return this.logLosses > 0;
+    }
+
+    /** The database has been paused, and has not been seen to receive again. */
+    get isHeld(): boolean {
+        return this.pausedTerm > 0 || (this.status?.heldTerm ?? 0) > 0;
+    }
+
     owns(linkId: string): boolean {
         return linkId === this.linkId;
     }
@@ -74,23 +94,29 @@
 
     linkReplied({ reply }: LinkReplied, nowMs: number): void {
         const command = this.pending;
+        if (command === undefined) {
+            // A repetition of an earlier answer.
+            return;
+        }
         this.pending = undefined;
         this.retryAtMs = nowMs + retryDelayMs;
         const { status } = reply;
         if (reply.fault !== undefined || status === undefined) {
             return;
         }
-        this.status = status;
-        if (status.leads) {
-            this.stopped = false;
+        this.applyStatus(status);
+        const stopped = this.isStoppedBy(command, status);
+        if (stopped) {
+            this.stoppedAtMs = nowMs;
+            this.pausedTerm = status.heldTerm;
         }
-        else if (command?.kind === LinkCommandKind.StepDown) {
-            this.stopped = true;
+        else if (command.kind === LinkCommandKind.Pause) {
+            this.refusedPauses++;
         }
-        else if (command?.kind === LinkCommandKind.Pause) {
-            this.stopped = status.heldTerm >= command.term;
-            this.refusedPauses += this.stopped ? 0 : 1;
+        else if (command.kind === LinkCommandKind.Resume) {
+            this.pausedTerm = 0;
         }
+        this.stopped = stopped;
     }
 
     linkLost({ loss }: LinkLost, nowMs: number): void {
@@ -101,7 +127,16 @@
         this.hasNoListener = loss === LinkLoss.NoListener;
         // The database may have started again, and then it receives again, or leads again.
         this.stopped = false;
-        this.status = this.status === undefined ? undefined : { ...this.status, leads: false };
+        this.forgetLead();
+    }
+
+    /** The database reports that it has started again under its id, without its log: nothing of before is true any more. */
+    restarted(nowMs: number): readonly Message[] {
+        this.logLosses++;
+        this.stopped = false;
+        this.status = undefined;
+        this.pausedTerm = 0;
+        return this.reconnect(nowMs);
     }
 
     /** Opens the connection, or sends `command` on it, when that is due. */
@@ -113,41 +148,85 @@
             return this.connect(nowMs);
         }
         if (!this.isOpen || this.pending !== undefined) {
-            return nowMs - this.requestedAtMs < answerTimeoutMs ? [] : this.reconnect(nowMs);
+            if (nowMs - this.requestedAtMs < answerTimeoutMs) {
+                return [];
+            }
+            this.stopped = false;
+            this.forgetLead();
+            return this.reconnect(nowMs);
         }
-        if (command === undefined) {
+        const isRecheck = this.stopped && command === undefined;
+        if (isRecheck && nowMs - this.stoppedAtMs < recheckIntervalMs || command === undefined && !isRecheck) {
             return [];
         }
-        this.pending = command;
-        this.requestedAtMs = nowMs;
-        return [sendCommand(this.linkId, command)];
-    }
-
-    resume(): readonly Message[] {
-        return this.isOpen ? [sendCommand(this.linkId!, { kind: LinkCommandKind.Resume })] : [];
+        if (this.isUsed && (isRecheck || needsProof(command!))) {
+            return this.reconnect(nowMs);
+        }
+        return this.send(command ?? { kind: LinkCommandKind.Status }, nowMs);
     }
 
     close(): readonly Message[] {
         return this.linkId === undefined ? [] : [{ kind: LinkKind.Close, linkId: this.linkId } as Message];
     }
 
+    private forgetLead(): void {
+        this.status = this.status === undefined ? undefined : { ...this.status, leads: false };
+    }
+
+    private applyStatus(status: DatabaseStatus): void {
+        const known = this.status;
+        if (known !== undefined && !hasReached(status.receivedPosition, known.receivedPosition)) {
+            this.logLosses++;
+        }
+        this.status = status;
+    }
+
+    private isStoppedBy(command: LinkCommand, { leads, heldTerm }: DatabaseStatus): boolean {
+        if (leads) {
+            return false;
+        }
+        switch (command.kind) {
+            case LinkCommandKind.StepDown:
+                return true;
+            case LinkCommandKind.Pause:
+                return heldTerm >= command.term;
+            default:
+                // A process that has started again holds no pause.
+                return this.stopped && heldTerm >= this.pausedTerm;
+        }
+    }
+
+    private send(command: LinkCommand, nowMs: number): readonly Message[] {
+        this.pending = command;
+        this.isUsed = true;
+        this.requestedAtMs = nowMs;
+        if (command.kind === LinkCommandKind.Resume) {
+            this.stopped = false;
+        }
+        return [{ kind: LinkKind.Send, linkId: this.linkId!, commands: [command] } as Message];
+    }
+
     private reconnect(nowMs: number): readonly Message[] {
         const closed = this.close();
         this.isOpen = false;
         this.pending = undefined;
-        this.stopped = false;
         return [...closed, ...this.connect(nowMs)];
     }
 
     private connect(nowMs: number): readonly Message[] {
         const { databaseId, address } = this.member;
         this.linkId = this.options.nextLinkId();
+        this.isUsed = false;
         this.requestedAtMs = nowMs;
         const { service } = this.options;
         return [{ kind: LinkKind.Open, linkId: this.linkId, address, service, workspace: "", databaseId } as Message];
     }
 }
 
-function sendCommand(linkId: string, command: LinkCommand): Message {
-    return { kind: LinkKind.Send, linkId, commands: [command] } as Message;
+/**
+ * Whether the answer must be told from repetitions of earlier ones, which only the first answer on a connection can. What
+ * a status tells otherwise is true from then on: a position that was reached, a term that was led.
+ */
+function needsProof({ kind }: LinkCommand): boolean {
+    return kind === LinkCommandKind.Pause || kind === LinkCommandKind.StepDown;
 }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -24,6 +24,9 @@
 /** Time that replicas have to catch up with a primary that has stepped down. */
 const catchUpTimeoutMs = 1_000;
 
+/** Time after which a primary that must keep the lead and answers is not replaced after all. */
+const keptPrimaryWaitMs = 5_000;
+
 export interface FencingOptions {
     readonly service: string;
     /** Fencing token of the promotion; unique among the promotions of the service. */
@@ -31,6 +34,8 @@
     /** The databases that may hold acknowledged commits; changes while databases join and start again. */
     members(): readonly ElectorateMember[];
     readonly primaryId: string | undefined;
+    /** Address of the database whose log holds every acknowledged commit; undefined if that isn't certain. */
+    readonly primaryLogAddress: string | undefined;
     /** Database named by an earlier order, which may still be executed; preferred among equals. */
     readonly preferredDatabaseId: string;
     /**
@@ -42,6 +47,8 @@
     readonly planned: boolean;
     /** Number of replicas that have received a commit before it is acknowledged; 0 if replication is asynchronous. */
     readonly synchronousReplicas: number;
+    /** Position below which a replica lacks commits that other databases confirmed; undefined if there is none. */
+    readonly basePosition: Position | undefined;
     /** Instances that may have seen acknowledgements. */
     readonly witnesses: CommitWitnesses;
     nextLinkId(): string;
@@ -68,17 +75,21 @@
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
     private orderedDatabaseId: string | undefined;
+    private logLossesBeforeOrder = 0;
+    /** A database leads: the others receive again. */
+    private released = false;
     private wait: PromotionWait | undefined;
 
     constructor(options: FencingOptions) {
         this.options = options;
         this.survey = new CommitSurvey(options);
         this.primaryAddress = options.members().find(({ databaseId }) => databaseId === options.primaryId)?.address;
-        this.followMembers();
+        this.followMembers(options.startedAtMs);
     }
 
     open(): readonly Message[] {
-        return this.advance(this.options.startedAtMs);
+        const { startedAtMs } = this.options;
+        return [...this.closeInstances(startedAtMs), ...this.advance(startedAtMs)];
     }
 
     linkOpened(message: LinkOpened, nowMs: number): readonly Message[] {
@@ -114,20 +125,25 @@
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
     orderSent(databaseId: string): void {
         this.orderedDatabaseId = databaseId;
+        this.logLossesBeforeOrder = this.databases.get(databaseId)?.logLosses ?? 0;
     }
 
     decide(nowMs: number): FencingDecision {
-        const closed = this.followMembers();
+        const closed = this.followMembers(nowMs);
         const messages = [...closed, ...this.advance(nowMs)];
         const leader = this.newLeader();
         if (leader !== undefined) {
             return { messages, chosenDatabaseId: leader.databaseId, alreadyLeads: true, wait: undefined };
         }
-        const questions = this.askForCommits(nowMs);
+        const questions = [...this.closeInstances(nowMs), ...this.askForCommits(nowMs)];
         this.wait = undefined;
         const chosenDatabaseId = this.finalPosition === undefined
             ? this.chooseFurthestReplica(nowMs)
             : this.chooseCaughtUpReplica(nowMs);
+        const kept = chosenDatabaseId === undefined ? this.keptPrimary(nowMs) : undefined;
+        if (kept !== undefined) {
+            return { messages, chosenDatabaseId: kept.databaseId, alreadyLeads: true, wait: undefined };
+        }
         return {
             messages: [...messages, ...questions],
             chosenDatabaseId,
@@ -136,9 +152,29 @@
         };
     }
 
-    /** Lets the replicas resume receiving and closes the links. */
-    resumeAndClose(): readonly Message[] {
-        return [...[...this.databases.values()].flatMap(database => database.resume()), ...this.close()];
+    /** Lets the replicas receive again; `keepReleasing` repeats that for those that don't answer. */
+    release(nowMs: number): readonly Message[] {
+        this.released = true;
+        return this.advance(nowMs);
+    }
+
+    keepReleasing(nowMs: number): readonly Message[] {
+        return this.advance(nowMs);
+    }
+
+    /** Whether the database can still be ordered to lead, as far as is known since it was chosen. */
+    mayLead(databaseId: string): boolean {
+        const database = this.databases.get(databaseId);
+        return database !== undefined && !this.hasLostLogSinceChoice() && this.holdsClosedCommits(database);
+    }
+
+    /** Whether the chosen database has started again without its log. */
+    hasLostLogSinceChoice(): boolean {
+        return (this.databases.get(this.orderedDatabaseId ?? "")?.logLosses ?? 0) > this.logLossesBeforeOrder;
+    }
+
+    receivedPosition(databaseId: string): Position | undefined {
+        return this.databases.get(databaseId)?.receivedPosition;
     }
 
     close(): readonly Message[] {
@@ -147,13 +183,19 @@
 
     /** States of the databases for the log, as `id:state@position`. */
     describeDatabases(): string {
-        return [...this.databases.values()].map(({ databaseId, stopped, hasNoListener, receivedPosition }) => {
+        const lost = this.lostMembers().map(({ databaseId }) => `${databaseId}:lost@-`);
+        const present = [...this.databases.values()].map(database => {
+            const { databaseId, stopped, hasNoListener, hasLostLog, receivedPosition } = database;
             const state = stopped ? "stopped" : hasNoListener ? "no_listener" : "awaited";
-            const position = receivedPosition === undefined
-                ? "-"
-                : `${receivedPosition.term}.${receivedPosition.offset}`;
-            return `${databaseId}:${state}@${position}`;
-        }).join(",");
+            const restarted = hasLostLog ? "+restarted" : "";
+            return `${databaseId}:${state}${restarted}@${positionText(receivedPosition)}`;
+        });
+        return [...present, ...lost].join(",");
+    }
+
+    /** Highest commit that is known to have been acknowledged, for the log; `-` if none is. */
+    describeAcknowledged(): string {
+        return positionText(this.survey.highestClosed());
     }
 
     /** Instances whose answer is missing, or that are absent and not covered by an answer of another one. */
@@ -162,8 +204,8 @@
     }
 
     /** Adds databases that joined, and drops those that another process replaced at their address. */
-    private followMembers(): readonly Message[] {
-        const members = this.options.members();
+    private followMembers(nowMs: number): readonly Message[] {
+        const members = this.options.members().filter(({ isLost }) => !isLost);
         const ids = new Set(members.map(({ databaseId }) => databaseId));
         const replaced = [...this.databases.values()].filter(({ databaseId }) => !ids.has(databaseId));
         for (const database of replaced) {
@@ -173,19 +215,23 @@
                 this.finalPosition = undefined;
             }
         }
+        const closed = replaced.flatMap(database => database.close());
         for (const member of members) {
             const known = this.databases.get(member.databaseId);
             if (known === undefined) {
                 this.databases.set(member.databaseId, new FencedDatabase(member, this.options));
             }
             else {
+                if (known.member.bornUnixMs !== undefined && known.member.bornUnixMs !== member.bornUnixMs) {
+                    closed.push(...known.restarted(nowMs));
+                }
                 known.member = member;
             }
         }
         if (replaced.length > 0) {
             this.discardOutdatedReports();
         }
-        return replaced.flatMap(database => database.close());
+        return closed;
     }
 
     private advance(nowMs: number): readonly Message[] {
@@ -195,18 +241,21 @@
     }
 
     private nextCommand(database: FencedDatabase, nowMs: number): LinkCommand | undefined {
+        if (this.released) {
+            return database.isHeld && database.status?.leads !== true ? { kind: LinkCommandKind.Resume } : undefined;
+        }
         if (database.databaseId === this.orderedDatabaseId) {
             return { kind: LinkCommandKind.Status };
         }
         if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
-            return undefined;
+            return { kind: LinkCommandKind.Status };
         }
         if (this.isPrimary(database) || this.leadsBesideOrder(database)) {
             return database.stopped ? undefined : { kind: LinkCommandKind.StepDown, term: this.nextTerm() };
         }
         if (this.finalPosition !== undefined && this.orderedDatabaseId === undefined) {
             // The primary has stopped; entries that it has already sent may still arrive.
-            return { kind: database.stopped ? LinkCommandKind.Resume : LinkCommandKind.Status };
+            return { kind: database.isHeld ? LinkCommandKind.Resume : LinkCommandKind.Status };
         }
         // In a planned change the replicas keep receiving, unless the primary is lost before it has stepped down.
         if (this.awaitsStepDown(nowMs)) {
@@ -223,7 +272,10 @@
     }
 
     private followPrimary(primary: FencedDatabase, nowMs: number): void {
-        if (!primary.stopped) {
+        const expectedId = this.expectedLeaderId();
+        const mayAnotherLead = expectedId !== "" && expectedId !== primary.databaseId;
+        if (!primary.stopped || mayAnotherLead && this.orderedDatabaseId === undefined) {
+            // While an earlier order for another database may be executed, the replicas must not receive.
             this.finalPosition = undefined;
         }
         else if (this.finalPosition === undefined) {
@@ -247,6 +299,15 @@
             : leaders.find(({ databaseId }) => databaseId === expectedId);
     }
 
+    /** The primary that keeps the lead, if it still leads and no other database could be chosen in time. */
+    private keptPrimary(nowMs: number): FencedDatabase | undefined {
+        const { primaryKeepsLead, startedAtMs } = this.options;
+        const primary = this.primary();
+        const leads = primary?.status?.leads === true && primary.status.term === this.nextTerm() - 1;
+        const hasWaited = nowMs - startedAtMs >= keptPrimaryWaitMs;
+        return primaryKeepsLead && leads && hasWaited && this.orderedDatabaseId === undefined ? primary : undefined;
+    }
+
     /** A primary that came back although another database may be made to lead; it must not acknowledge commits. */
     private leadsBesideOrder({ status }: FencedDatabase): boolean {
         return this.expectedLeaderId() !== "" && status?.leads === true;
@@ -261,7 +322,8 @@
     private chooseFurthestReplica(nowMs: number): string | undefined {
         const { startedAtMs, synchronousReplicas } = this.options;
         const stopped = [...this.databases.values()].filter(database => database.stopped);
-        const missingCount = this.databases.size - stopped.length;
+        const missingCount = this.databases.size - stopped.filter(database => hasKeptLog(database)).length
+            + this.lostMembers().filter(({ databaseId }) => this.databases.get(databaseId)?.hasLostLog !== true).length;
         const best = this.mostAdvanced(stopped);
         if (best === undefined || this.awaitsStepDown(nowMs)) {
             return this.waitFor(PromotionWait.DatabasesToStop);
@@ -271,7 +333,9 @@
             return missingCount <= 1 || hasWaited ? best.databaseId : this.waitFor(PromotionWait.DatabasesToStop);
         }
         // An acknowledged commit is on the primary and on `synchronousReplicas` others, so on one of those that stopped.
-        if (missingCount <= synchronousReplicas) {
+        const holdsAll = missingCount <= synchronousReplicas && this.holdsBase(best)
+            || stopped.some(database => this.holdsPrimaryLog(database));
+        if (holdsAll && this.holdsClosedCommits(best)) {
             return this.chooseOrderedOr(best, stopped, nowMs);
         }
         if (nowMs - startedAtMs < replicaWaitMs) {
@@ -283,7 +347,9 @@
         if (this.awaitedWitnesses().length > 0) {
             return this.waitFor(PromotionWait.CommitWitnesses);
         }
-        return this.holdsReportedCommits(best) ? best.databaseId : this.waitFor(PromotionWait.DatabaseWithLastCommit);
+        return this.holdsClosedCommits(best) && this.holdsReportedCommits(best)
+            ? best.databaseId
+            : this.waitFor(PromotionWait.DatabaseWithLastCommit);
     }
 
     /**
@@ -296,14 +362,14 @@
         nowMs: number,
     ): string | undefined {
         const ordered = stopped.find(({ databaseId }) => databaseId === this.options.preferredDatabaseId);
-        if (ordered === undefined || ordered === best) {
+        if (ordered === undefined || ordered === best || this.isLost(ordered.databaseId) || ordered.hasLostLog) {
             return best.databaseId;
         }
         if (this.awaitedWitnesses().length > 0) {
             const canWait = nowMs - this.options.startedAtMs < 2 * replicaWaitMs;
             return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : best.databaseId;
         }
-        return (this.holdsReportedCommits(ordered) ? ordered : best).databaseId;
+        return (this.holdsClosedCommits(ordered) && this.holdsReportedCommits(ordered) ? ordered : best).databaseId;
     }
 
     /** In a planned change, whether the primary still has time to step down before the replicas are paused. */
@@ -313,6 +379,33 @@
             && nowMs - startedAtMs < replicaWaitMs;
     }
 
+    /** Recorded databases that have ended without a successor that has their logs. */
+    private lostMembers(): readonly ElectorateMember[] {
+        return this.options.members().filter(({ isLost }) => isLost);
+    }
+
+    private isLost(databaseId: string): boolean {
+        return this.lostMembers().some(lost => lost.databaseId === databaseId);
+    }
+
+    /** Whether the database is the primary, or a later process with its log. */
+    private holdsPrimaryLog({ member, hasLostLog }: FencedDatabase): boolean {
+        return member.address === this.options.primaryLogAddress && !hasLostLog
+            && !this.lostMembers().some(({ address }) => address === member.address);
+    }
+
+    /** Whether the database holds what the last promotion kept, of which other databases may have lost their copies. */
+    private holdsBase({ receivedPosition }: FencedDatabase): boolean {
+        const { basePosition } = this.options;
+        return basePosition === undefined || hasReached(receivedPosition!, basePosition);
+    }
+
+    /** Whether the database holds the commits that instances had acknowledged when they stopped to. */
+    private holdsClosedCommits({ receivedPosition }: FencedDatabase): boolean {
+        const highest = this.survey.highestClosed();
+        return highest === undefined || receivedPosition !== undefined && hasReached(receivedPosition, highest);
+    }
+
     private waitFor(wait: PromotionWait): undefined {
         this.wait = wait;
         return undefined;
@@ -338,6 +431,12 @@
         return this.survey.isCoveredBy(receivedPosition!);
     }
 
+    /** Unless the primary steps down first, whose last position tells what was acknowledged. */
+    private closeInstances(nowMs: number): readonly Message[] {
+        const stepsDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
+        return this.options.synchronousReplicas === 0 || stepsDown ? [] : this.survey.close(nowMs);
+    }
+
     /** Asks the instances for their acknowledged commits once commits are blocked. */
     private askForCommits(nowMs: number): readonly Message[] {
         const hasWaited = nowMs - this.options.startedAtMs >= replicaWaitMs;
@@ -363,7 +462,7 @@
             return this.waitFor(PromotionWait.CatchUp);
         }
         const primary = this.primary();
-        if (primary?.stopped === true) {
+        if (primary?.stopped === true && !primary.hasLostLog) {
             return primary.databaseId;
         }
         // The primary was lost before a replica had caught up: the replicas stop, as without a planned change.
@@ -393,6 +492,15 @@
     }
 }
 
+function positionText(position: Position | undefined): string {
+    return position === undefined ? "-" : `${position.term}.${position.offset}`;
+}
+
+/** Whether a database holds what it confirmed, as far as is known. One that is empty may have started again just now. */
+function hasKeptLog({ hasLostLog, receivedPosition }: FencedDatabase): boolean {
+    return !hasLostLog && receivedPosition!.offset > 0;
+}
+
 /** Whether a database neither confirms nor acknowledges commits, as far as its machine answers. */
 function isDown({ stopped, hasNoListener }: FencedDatabase): boolean {
     return stopped || hasNoListener;
--- a/src/fleet/promotionRecorder.ts
+++ b/src/fleet/promotionRecorder.ts
@@ -10,7 +10,7 @@
     ProposalStatus,
 } from "../model/controlMessages.ts";
 import type { DatabaseReport } from "../model/fleetMessages.ts";
-import { promotionOf, type PromotionRecord } from "../model/promotion.ts";
+import { promotionOf, type PromotionRecord, type RecordedDatabase } from "../model/promotion.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 import { isSameElectorate, updateElectorate } from "./electorate.ts";
 
@@ -47,6 +47,8 @@
     recordDatabases(
         records: readonly PromotionRecord[],
         reports: readonly DatabaseReport[],
+        /** Recorded databases that are gone, and that no choice depends on any more, by service. */
+        replaceable: ReadonlyMap<string, readonly RecordedDatabase[]>,
         nowMs: number,
     ): readonly ControlPropose[] {
         const reportsByService = new Map<string, DatabaseReport[]>();
@@ -61,7 +63,8 @@
         }
         return [...reportsByService].flatMap(([service, ownReports]) => {
             const recorded = promotionOf(records, service).databases;
-            const databases = updateElectorate(recorded, ownReports);
+            const dropped = replaceable.get(service) ?? [];
+            const databases = updateElectorate(recorded.filter(database => !dropped.includes(database)), ownReports);
             return isSameElectorate(recorded, databases)
                 ? []
                 : this.propose(
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -224,8 +224,11 @@
     private record(nowMs: number): readonly Message[] {
         const reports = [...this.databases.values()].map(({ report }) => report)
             .filter(({ service }) => this.policies.has(service));
+        const replaceable = new Map(
+            [...this.services].map(([name, service]) => [name, service.replaceableDatabases] as const),
+        );
         return [
-            ...this.recorder.recordDatabases(this.records, reports, nowMs),
+            ...this.recorder.recordDatabases(this.records, reports, replaceable, nowMs),
             ...this.recorder.recordWitnesses(this.witnesses, nowMs),
         ];
     }
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -13,7 +13,8 @@
 } from "../model/controlMessages.ts";
 import { type CommitsSeenFrame, type DatabaseReport, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
-import type { PromotionRecord } from "../model/promotion.ts";
+import type { Position } from "../model/position.ts";
+import type { PromotionRecord, RecordedDatabase } from "../model/promotion.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -24,6 +25,7 @@
 } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
+import { CatchUpCheck } from "./catchUpCheck.ts";
 import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
 import type { FleetView } from "./promotions.ts";
@@ -79,14 +81,25 @@
     private phaseSinceMs = 0;
     private assessment: Assessment | undefined;
     private fencing: Fencing | undefined;
+    private catchUpCheck: CatchUpCheck | undefined;
+    /** The databases that the check is about. */
+    private checkedDatabases: readonly RecordedDatabase[] = [];
+    private replaceable: readonly RecordedDatabase[] = [];
     private fence = 0;
     private chosenDatabaseId = "";
     /** Primary at the start of the fencing. */
     private replacedDatabaseId: string | undefined;
+    /** Position of the chosen database; the log up to it is what the promotion keeps. */
+    private chosenPosition: Position | undefined;
     private orderDueMs = 0;
     /** Calls to the platform with the current fence, and those of them that were answered. */
     private sentOrders = 0;
     private answeredOrders = 0;
+    /**
+     * The ordered database has lost its log: an order for the primary that it was to replace, whose log is complete, makes
+     * the platform refuse the earlier one.
+     */
+    private revokes = false;
     /** The primary shuts down by itself and is reachable. */
     private planned = false;
     private proposalId = "";
@@ -105,13 +118,22 @@
         return this.phase !== Phase.Steady;
     }
 
+    /** Recorded databases that are gone, and whose commits a replica has received. */
+    get replaceableDatabases(): readonly RecordedDatabase[] {
+        return this.replaceable;
+    }
+
     ownsProposal(proposalId: string): boolean {
         return proposalId !== "" && proposalId === this.proposalId;
     }
 
     /** Closes all links when this member stops being the leader. */
     dispose(): readonly Message[] {
-        const messages = [...this.assessment?.close() ?? [], ...this.fencing?.close() ?? []];
+        const messages = [
+            ...this.assessment?.close() ?? [],
+            ...this.fencing?.close() ?? [],
+            ...this.closeCatchUpCheck(),
+        ];
         this.assessment = undefined;
         this.fencing = undefined;
         this.phase = Phase.Steady;
@@ -121,8 +143,10 @@
     tick(nowMs: number): readonly Message[] {
         const elapsedMs = nowMs - this.phaseSinceMs;
         switch (this.phase) {
-            case Phase.Steady:
-                return this.checkPrimary(nowMs);
+            case Phase.Steady: {
+                const checked = this.checkPrimary(nowMs);
+                return [...checked, ...this.checkCatchUp(nowMs)];
+            }
             case Phase.Assessing:
                 return this.concludeAssessment(nowMs);
             case Phase.Fencing:
@@ -130,7 +154,9 @@
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             case Phase.Settling:
-                return elapsedMs < settleTimeMs ? [] : this.enter(Phase.Steady, nowMs);
+                return elapsedMs < settleTimeMs
+                    ? this.fencing?.keepReleasing(nowMs) ?? []
+                    : [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
             default:
                 return this.continueProposing(nowMs);
         }
@@ -155,7 +181,11 @@
     }
 
     linkOpened(message: LinkOpened, nowMs: number): readonly Message[] {
-        return [...this.assessment?.linkOpened(message) ?? [], ...this.fencing?.linkOpened(message, nowMs) ?? []];
+        return [
+            ...this.assessment?.linkOpened(message) ?? [],
+            ...this.fencing?.linkOpened(message, nowMs) ?? [],
+            ...this.catchUpCheck?.linkOpened(message, nowMs) ?? [],
+        ];
     }
 
     linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
@@ -163,10 +193,12 @@
             ...this.assessment?.linkReplied(message) ?? [],
             ...this.fencing?.linkReplied(message, nowMs) ?? [],
         ];
+        this.catchUpCheck?.linkReplied(message, nowMs);
         return [...sent, ...this.afterLinkEvent(nowMs)];
     }
 
     linkLost(message: LinkLost, nowMs: number): readonly Message[] {
+        this.catchUpCheck?.linkLost(message, nowMs);
         this.assessment?.linkLost(message);
         return [...this.fencing?.linkLost(message, nowMs) ?? [], ...this.afterLinkEvent(nowMs)];
     }
@@ -180,12 +212,22 @@
             return this.reserve(version, nowMs);
         }
         if (status !== ProposalStatus.Applied) {
+            this.revokes = false;
             return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
+            if (!this.revokes && !this.fencing!.mayLead(this.chosenDatabaseId)) {
+                // It started again meanwhile, or an instance has acknowledged a commit that it lacks.
+                return this.reserve(this.fence, nowMs);
+            }
             return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
         this.fence = version;
+        const databaseId = this.options.record().databaseId || (this.replacedDatabaseId ?? "");
+        if (this.revokes && databaseId !== "" && databaseId !== this.chosenDatabaseId) {
+            return [...this.startFencing(nowMs), ...this.recordOrder(databaseId, nowMs)];
+        }
+        this.revokes = false;
         return this.startFencing(nowMs);
     }
 
@@ -193,7 +235,8 @@
         if (this.phase !== Phase.Ordering || fence !== this.fence) {
             return [];
         }
-        if (result === OrderResult.Refused) {
+        if (result === OrderResult.Refused || result === OrderResult.Accepted && this.revokes) {
+            this.revokes = false;
             return this.reserve(this.fence, nowMs);
         }
         if (result === OrderResult.Accepted) {
@@ -217,6 +260,9 @@
                 ? []
                 : this.reserve(record.fence, nowMs);
         }
+        if (this.hasPrimaryLostLog(primary.report)) {
+            return this.reserve(record.fence, nowMs);
+        }
         if (primary.report.state === ReportedState.Draining) {
             const successors = this.otherDatabases(primaryId).filter(id => this.isReady(id));
             this.planned = true;
@@ -227,6 +273,55 @@
         return isSilent && this.mayAssess(nowMs) ? this.assess(primaryId!, nowMs) : [];
     }
 
+    /** Whether the primary has started again without its log: it follows, and no database leads. */
+    private hasPrimaryLostLog({ databaseId, leads }: DatabaseReport): boolean {
+        const { primaryAddress } = this.options.record();
+        return !leads
+            && this.members().some(member =>
+                member.isLost && member.databaseId === databaseId && member.address === primaryAddress
+            );
+    }
+
+    /** Clears the way for a choice without databases that are gone, as soon as a replica has what they confirmed. */
+    private checkCatchUp(nowMs: number): readonly Message[] {
+        const { record, service, fleet } = this.options;
+        const { open, databases } = record();
+        const gone = this.phase !== Phase.Steady || open ? [] : databases.filter(database => this.isGone(database));
+        const primary = this.members().find(({ databaseId, isLost }) => databaseId === this.primary() && !isLost);
+        if (gone.length === 0 || primary === undefined) {
+            this.replaceable = [];
+            return this.closeCatchUpCheck();
+        }
+        if (this.catchUpCheck?.hasCaughtUp === true) {
+            this.replaceable = this.checkedDatabases;
+            return this.closeCatchUpCheck();
+        }
+        const isSame = gone.length === this.checkedDatabases.length
+            && gone.every(database => this.checkedDatabases.includes(database));
+        if (this.catchUpCheck !== undefined && isSame) {
+            return this.catchUpCheck.advance(nowMs);
+        }
+        const closed = this.closeCatchUpCheck();
+        this.checkedDatabases = gone;
+        this.catchUpCheck = new CatchUpCheck({
+            service,
+            primary,
+            replicas: this.members().filter(({ databaseId, isReady }) => isReady && databaseId !== primary.databaseId),
+            nextLinkId: () => fleet.nextLinkId(),
+        });
+        return [...closed, ...this.catchUpCheck.advance(nowMs)];
+    }
+
+    private isGone({ databaseId, isLost }: RecordedDatabase): boolean {
+        return isLost || this.options.fleet.departedDatabases.has(databaseId);
+    }
+
+    private closeCatchUpCheck(): readonly Message[] {
+        const closed = this.catchUpCheck?.close() ?? [];
+        this.catchUpCheck = undefined;
+        return closed;
+    }
+
     /**
      * The database that claims to be the primary; of several, the last promoted one, or else the one that reported
      * last.
@@ -276,7 +371,8 @@
 
     private startFencing(nowMs: number): readonly Message[] {
         const { fleet, service, synchronousReplicas } = this.options;
-        const { databaseId, orderedDatabaseId, orderPending } = this.options.record();
+        const record = this.options.record();
+        const { databaseId, orderedDatabaseId, orderPending, basePosition } = record;
         const primaryId = this.primary();
         // A database that leads because an earlier order was executed is not replaced.
         this.replacedDatabaseId = primaryId === orderedDatabaseId ? undefined : primaryId;
@@ -289,6 +385,11 @@
             primaryKeepsLead: orderPending && primaryId === databaseId && synchronousReplicas() > 0,
             planned: this.planned,
             synchronousReplicas: synchronousReplicas(),
+            primaryLogAddress:
+                (orderedDatabaseId === "" || orderedDatabaseId === databaseId) && record.primaryAddress !== ""
+                    ? record.primaryAddress
+                    : undefined,
+            basePosition,
             witnesses: fleet.witnesses,
             nextLinkId: () => fleet.nextLinkId(),
             startedAtMs: nowMs,
@@ -326,17 +427,23 @@
             return [...messages, ...this.reportWait(wait, nowMs)];
         }
         this.chosenDatabaseId = chosenDatabaseId;
+        this.chosenPosition = this.fencing!.receivedPosition(chosenDatabaseId);
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId, nowMs)];
         }
-        this.fencing!.orderSent(chosenDatabaseId);
+        return [...messages, ...this.recordOrder(chosenDatabaseId, nowMs)];
+    }
+
+    private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
+        this.chosenDatabaseId = databaseId;
+        this.fencing!.orderSent(databaseId);
         const command = {
             kind: CommandKind.RecordPromotionOrder,
             service: this.options.service,
             fence: this.fence,
-            databaseId: chosenDatabaseId,
+            databaseId,
         };
-        return [...messages, ...this.enter(Phase.Recording, nowMs), this.propose(command)];
+        return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
 
     /**
@@ -355,6 +462,10 @@
             // The process that was ordered to lead is gone, and the platform refuses orders for it.
             return [...messages, ...this.reserve(this.fence, nowMs)];
         }
+        if (this.fencing!.hasLostLogSinceChoice()) {
+            this.revokes = true;
+            return [...messages, ...this.reserve(this.fence, nowMs)];
+        }
         return nowMs < this.orderDueMs ? messages : [...messages, ...this.order(nowMs)];
     }
 
@@ -376,8 +487,8 @@
     }
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
-        const released = this.fencing?.resumeAndClose() ?? [];
-        this.fencing = undefined;
+        this.revokes = false;
+        const released = this.fencing?.release(nowMs) ?? [];
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
         const recordedIds = record().databases.map(recorded => recorded.databaseId);
@@ -387,6 +498,7 @@
             fence: this.fence,
             databaseId,
             orderPending: this.mayOrderBeExecuted(),
+            basePosition: this.chosenPosition,
             departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
         return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
@@ -407,7 +519,9 @@
 
     /** Proposes a command again whose result was lost. A second reservation conflicts, and the others may be repeated. */
     private continueProposing(nowMs: number): readonly Message[] {
-        const kept = this.fencing === undefined ? [] : this.fencing.decide(nowMs).messages;
+        const kept = this.phase === Phase.Completing
+            ? this.fencing?.keepReleasing(nowMs) ?? []
+            : this.fencing?.decide(nowMs).messages ?? [];
         if (nowMs - this.phaseSinceMs < proposalTimeoutMs) {
             return kept;
         }
@@ -424,8 +538,9 @@
         this.phase = phase;
         this.phaseSinceMs = nowMs;
         this.lastWait = undefined;
+        const closed = phase === Phase.Steady ? [] : this.closeCatchUpCheck();
         const isRoutine = phase === Phase.Steady || phase === Phase.Assessing || phase === Phase.Settling;
-        return isRoutine ? [] : [this.progress(undefined, nowMs)];
+        return isRoutine ? closed : [...closed, this.progress(undefined, nowMs)];
     }
 
     private reportWait(wait: PromotionWait | undefined, nowMs: number): readonly Message[] {
@@ -447,6 +562,7 @@
             databaseId: choosing ? "" : this.chosenDatabaseId,
             wait,
             databases: this.fencing?.describeDatabases() ?? "",
+            acknowledged: this.fencing?.describeAcknowledged() ?? "-",
             awaitedInstances: this.fencing?.awaitedWitnesses() ?? [],
         };
     }
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -4,6 +4,7 @@
 import type { DatabaseGroup } from "./database.ts";
 import type { DocumentEntry, DocumentHead } from "./document.ts";
 import type { LeaseAssignment } from "./lease.ts";
+import type { Position } from "./position.ts";
 import type { RecordedDatabase } from "./promotion.ts";
 import type { WorkClass } from "./workClass.ts";
 import type { CallerKey, OpenRoute, Workspace } from "./workspace.ts";
@@ -147,6 +148,8 @@
     readonly orderPending: boolean;
     /** Databases that were removed from the directory; they no longer belong to the electorate of the service. */
     readonly departed: readonly string[];
+    /** Position that the database had reached when it was chosen. */
+    readonly basePosition: Position | undefined;
 }
 
 /** Records an order before it is sent; a conflict if a later promotion of the service has been reserved. */
--- a/src/model/promotionMessages.ts
+++ b/src/model/promotionMessages.ts
@@ -58,8 +58,10 @@
     /** Database that was chosen; empty while there is none. */
     readonly databaseId: string;
     readonly wait: PromotionWait | undefined;
-    /** States of the databases as `id:state@position`, separated by commas. */
+    /** States of the databases as `id:state@position`, separated by commas; lost ones are listed beside their successors. */
     readonly databases: string;
+    /** Highest commit that an instance has acknowledged, as `term.offset`; `-` if none is known. */
+    readonly acknowledged: string;
     /** Instances whose reports of acknowledged commits are missing. */
     readonly awaitedInstances: readonly string[];
 }
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -72,7 +72,13 @@
 /** A fencing in which the primary and the first replica are gone; the second replica has received up to an offset. */
 function fencingWithoutFirstReplica(offset: number): Fencing {
     let nextLink = 0;
-    const members = ["p", "r1", "r2"].map(databaseId => ({ databaseId, address: `${databaseId}:1`, isReady: true }));
+    const members = ["p", "r1", "r2"].map(databaseId => ({
+        databaseId,
+        address: `${databaseId}:1`,
+        bornUnixMs: 1,
+        isLost: false,
+        isReady: true,
+    }));
     const witnesses = new CommitWitnesses();
     witnesses.attach("f1", "i1", 0);
     const fencing = new Fencing({
@@ -80,10 +86,12 @@
         fence: 7,
         members: () => members,
         primaryId: "p",
+        primaryLogAddress: undefined,
         preferredDatabaseId: "",
         primaryKeepsLead: false,
         planned: false,
         synchronousReplicas: 1,
+        basePosition: undefined,
         witnesses,
         nextLinkId: () => `m${nextLink++}`,
         startedAtMs: 10_000,
@@ -113,7 +121,7 @@
 
 /** Lets the instance answer the questions of the fencing, and returns the database that is then chosen. */
 function choiceAfterAnswers(fencing: Fencing, instance: TestInstance): string | undefined {
-    const questions = fencing.decide(11_300).messages.filter(({ kind }) => kind === FleetKind.SendFrame);
+    const questions = fencing.decide(11_300).messages.filter(message => isSurvey(message));
     assert.equal(questions.length, 1);
     for (const frame of instance.answer((questions[0] as SendFrame).frame, 11_310)) {
         fencing.recordCommitsSeen("f1", frame as Parameters<Fencing["recordCommitsSeen"]>[1], 11_320);
@@ -121,6 +129,12 @@
     return fencing.decide(11_330).chosenDatabaseId;
 }
 
+/** Whether a message asks for the acknowledged commits after all commits were blocked. */
+function isSurvey(message: Message): boolean {
+    const { frame } = message as SendFrame;
+    return message.kind === FleetKind.SendFrame && frame.kind === "commits_asked" && frame.questionId === "7/0";
+}
+
 function report(databaseId: string): DatabaseReport {
     return {
         databaseId,
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -172,6 +172,7 @@
         database: progress.databaseId,
         wait: progress.wait,
         databases: progress.databases,
+        acknowledged: progress.acknowledged,
         instances: progress.awaitedInstances.join(","),
     })),
 ]);
