--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -149,6 +149,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as PolicyApplied,
         );
         ["w", "v"].forEach(workspace => this.grantPermits(workspace, this.permits));
@@ -175,6 +176,7 @@
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
+                completedFences: new Map(),
             } as PolicyApplied,
         );
     }
