test(scripts): the soak plays statements, databases and promotions

Sessions with values, prepared statements and transactions run through all faults of the soak. New ones: databases that repeat or refuse answers, crash and come back (with their log or with nothing), join, drain, are replaced, cut off or slow; a platform that answers no order and carries it out 2 to 12 s late; several signals to one process in a row. `--only` takes several kinds.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -49,7 +49,8 @@
     private readonly group: ProcessGroup;
     private readonly processes = new Map<string, ManagedProcess>();
     private readonly orderedEnds = new Set<ManagedProcess>();
-    private readonly network = `127.${randomInt(20, 220)}.${randomInt(1, 250)}`;
+    private readonly network = `127.${randomInt(20, 120)}.${randomInt(1, 250)}`;
+    private readonly databaseNetwork = `127.${randomInt(120, 220)}.${randomInt(1, 250)}`;
     /** All machines use the same ports, as on the users' platform. */
     readonly ports: {
         readonly front: number;
@@ -119,14 +120,14 @@
         return this.members.map(({ host }) => `${host}:${this.ports.control}`);
     }
 
-    /** `host:port` at which the members call the platform. */
-    get platformAddress(): string {
-        return `${this.network}.2:${this.ports.platform}`;
+    /** Address at which the members call the platform. */
+    get platformHost(): string {
+        return `${this.network}.2`;
     }
 
-    /** Address of a database; `index` is from 0 to 7. */
+    /** Address of a database; `index` counts from 0. */
     databaseHost(index: number): string {
-        return `${this.network}.${3 + index}`;
+        return `${this.databaseNetwork}.${1 + index}`;
     }
 
     /** @param options.seeds members that the settings name; by default the present ones */
@@ -174,7 +175,7 @@
             heartbeat_interval_ms: 1_200,
             fault_tolerance: { machines: 1, zones: 0, regions: 0 },
             bounds: { grace_s: 6, quota_window_s: 5, quota_tolerance: 0.1, quota_slack: 20 },
-            cloud_api: { address: this.platformAddress },
+            cloud_api: { address: `${this.platformHost}:${this.ports.platform}` },
         };
         writeFileSync(this.settingsFile(machine), JSON.stringify(settings));
     }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,6 +1,6 @@
 /**
  * Plays seeded faults on the processes of the users' platform:
- * `npm run soak -- [--seed N] [--seeds COUNT] [--scale small|usual|large] [--only KIND] [--logs DIR]`.
+ * `npm run soak -- [--seed N] [--seeds COUNT] [--scale small|usual|large] [--only KIND,KIND] [--logs DIR]`.
  * Prints one JSON line a seed, and ends with 1 if a promise was broken, with 2 if the arguments are wrong.
  */
 import "disposablestack/auto";
@@ -19,9 +19,10 @@
     },
 });
 const scale = scales[values.scale];
-const only = Object.values(FaultKind).find(kind => kind === values.only);
+const chosen = values.only?.split(",") ?? [];
+const only = Object.values(FaultKind).filter(kind => chosen.includes(kind));
 const [firstSeed, count] = [Number(values.seed), Number(values.seeds)];
-if (scale === undefined || (only === undefined) !== (values.only === undefined) || !(firstSeed >= 0 && count > 0)) {
+if (scale === undefined || only.length < chosen.length || !(firstSeed >= 0 && count > 0)) {
     const kinds = Object.values(FaultKind).join(", ");
     console.error(`scales: ${Object.keys(scales).join(", ")}; kinds: ${kinds}; seeds are numbers`);
     process.exit(2);
--- a/scripts/soakRun.ts
+++ b/scripts/soakRun.ts
@@ -1,8 +1,11 @@
 /** Plays a schedule of faults on real processes, and checks what operators and callers were promised. */
 import { setTimeout as delay } from "node:timers/promises";
 import { SeededRandom } from "../src/pipeline/seededRandom.ts";
-import { type Machine, PlatformCluster } from "./platformCluster.ts";
+import type { RuleReport } from "../standins/platform/ruleChecker.ts";
+import type { Machine, PlatformCluster } from "./platformCluster.ts";
+import { DatabaseFaults } from "./soakDatabaseFaults.ts";
 import { type Fault, FaultKind, type Scale } from "./soakSchedule.ts";
+import { type PlatformDocument, statementDocument, StatementWorld } from "./statementWorld.ts";
 
 /** Time after which an acknowledged configuration must be in force (`config_apply_ms`). */
 const applyLimitMs = 3_000;
@@ -13,6 +16,9 @@
 /** Time after which the successor of a lost member makes up for it (`catch_up_s`). */
 const catchUpMs = 4_000;
 
+/** Time within which a session is accepted or refused for good when no fault is active. */
+const decisionLimitMs = 4_000;
+
 /** Interval between two changes of the configuration, and between two sessions at a proxy. */
 const changeIntervalMs = 600;
 const askIntervalMs = 250;
@@ -36,6 +42,11 @@
     readonly sessions: number;
     /** Sessions by answer. */
     readonly answers: Readonly<Record<string, number>>;
+    /** Answers to statements by code, and the number of promotions. */
+    readonly statements: Readonly<Record<string, number>>;
+    readonly promotions: number;
+    /** Times that each rule on statements was broken. */
+    readonly rules: RuleReport["broken"];
     /** What was promised and not kept, with the time since the start. */
     readonly broken: readonly string[];
 }
@@ -49,17 +60,19 @@
 
 /** @throws Error if the processes cannot be started */
 export async function runSoak({ seed, scale, schedule, logFolder }: SoakOptions): Promise<SoakReport> {
-    await using cluster = await PlatformCluster.open(
-        { members: scale.members, proxies: scale.proxies, ...logFolder === undefined ? {} : { logFolder } },
+    const { members, proxies, sessions } = scale;
+    await using world = await StatementWorld.open(
+        { members, proxies, sessions, seed, ...logFolder === undefined ? {} : { logFolder } },
         documentOf(1),
     );
-    const run = new SoakRun(cluster, seed);
-    await run.play(schedule);
-    return run.report();
+    const run = new SoakRun(world, seed);
+    return await run.play(schedule);
 }
 
 class SoakRun {
+    private readonly world: StatementWorld;
     private readonly cluster: PlatformCluster;
+    private readonly databaseFaults: DatabaseFaults;
     private readonly seed: number;
     private readonly random: SeededRandom;
     private readonly startedMs = performance.now();
@@ -78,14 +91,18 @@
     private isRestarted = false;
     private isOver = false;
 
-    constructor(cluster: PlatformCluster, seed: number) {
+    constructor(world: StatementWorld, seed: number) {
+        const { cluster } = world;
+        this.world = world;
         this.cluster = cluster;
+        this.databaseFaults = new DatabaseFaults(world, seed + 2);
         this.seed = seed;
         this.random = new SeededRandom(seed + 1);
         this.formerMembers = [...cluster.members];
     }
 
-    async play(schedule: readonly Fault[]): Promise<void> {
+    async play(schedule: readonly Fault[]): Promise<SoakReport> {
+        this.world.startClients();
         const background = [this.changeConfigurations(), this.askProxies()];
         const running: Promise<void>[] = [];
         for (const fault of schedule) {
@@ -98,12 +115,23 @@
         this.isOver = true;
         await Promise.all(background);
         await this.checkEnd();
+        return this.report(await this.world.finish());
     }
 
-    report(): SoakReport {
-        const { seed, faults, answers, broken, changes } = this;
+    private report(rules: RuleReport): SoakReport {
+        const { seed, faults, answers, broken, changes, world: { platform } } = this;
         const sessions = Object.values(answers).reduce((sum, count) => sum + count, 0);
-        return { seed, faults, versions: changes.length, sessions, answers, broken };
+        return {
+            seed,
+            faults,
+            versions: changes.length,
+            sessions,
+            answers,
+            statements: rules.answers,
+            promotions: platform.promotionCount,
+            rules: rules.broken,
+            broken: [...broken, ...rules.examples],
+        };
     }
 
     private async apply(fault: Fault): Promise<void> {
@@ -114,8 +142,9 @@
     }
 
     /** Returns false if no machine is there that the fault could befall. */
-    private async applyTo({ kind, target, forMs }: Fault): Promise<boolean> {
+    private async applyTo(fault: Fault): Promise<boolean> {
         const { cluster } = this;
+        const { kind, target, forMs } = fault;
         switch (kind) {
             case FaultKind.FreezeProxy:
             case FaultKind.FreezeMember:
@@ -170,6 +199,10 @@
             case FaultKind.RestartAll:
             case FaultKind.RestartAllWithLostDisk:
                 return this.restartAll(target, forMs, kind === FaultKind.RestartAllWithLostDisk);
+            case FaultKind.SignalSeries:
+                return this.disturb(target % 3 > 0, target, machine => this.signalInSeries(machine, target));
+            default:
+                return this.databaseFaults.apply(fault);
         }
     }
 
@@ -192,6 +225,18 @@
         return true;
     }
 
+    /** Sends signals with short pauses; the last one ends the process, which then starts again. */
+    private async signalInSeries(machine: Machine, target: number): Promise<void> {
+        const random = new SeededRandom(target);
+        const signals: readonly NodeJS.Signals[] = ["SIGHUP", "SIGSTOP", "SIGCONT", "SIGTERM"];
+        for (let count = 3 + random.nextInteger(5); count > 0; count--) {
+            this.cluster.signal(machine, signals[random.nextInteger(signals.length)]!);
+            await delay(random.nextInteger(900));
+        }
+        await this.cluster.kill(machine);
+        this.startAgain(machine);
+    }
+
     private async replaceMember(
         target: number,
         remove: (machine: Machine) => Promise<void> | void,
@@ -328,17 +373,33 @@
         ];
         await Promise.all(this.cluster.proxies.flatMap(proxy =>
             expectations.map(async ({ host, key, expected }) => {
-                const answer = await this.cluster.connect(proxy, host, key);
+                const answer = await this.connectUntilDecided(proxy, host, key);
                 if (answer !== expected) {
                     this.breakPromise(`at the end, ${key} of ${host} at ${proxy.name}: ${answer}, not ${expected}`);
                 }
             })
         ));
+        for (const proxy of this.cluster.proxies) {
+            const answer = await this.world.writeAt(proxy);
+            if (answer !== "served") {
+                this.breakPromise(`at the end, a write at ${proxy.name}: ${answer}`);
+            }
+        }
         this.cluster.unexpectedEnds.forEach(end => this.breakPromise(`ended by itself: ${end}`));
         Object.keys(this.answers).filter(answer => !isKnownAnswer(answer))
             .forEach(answer => this.breakPromise(`unknown answer: ${answer}`));
     }
 
+    /** Opens sessions until the answer is not BUSY, which a short stall of the members' disks may cause. */
+    private async connectUntilDecided(proxy: Machine, host: string, key: string): Promise<string> {
+        let answer = "BUSY";
+        for (const startMs = performance.now(); answer === "BUSY" && performance.now() - startMs < decisionLimitMs;) {
+            answer = await this.cluster.connect(proxy, host, key);
+            await delay(askIntervalMs);
+        }
+        return answer;
+    }
+
     private breakPromise(text: string): void {
         this.broken.push(`${this.atMs(performance.now())} ms: ${text}`);
     }
@@ -354,18 +415,14 @@
 }
 
 /** A configuration in which each of the last versions has added a database and a key. */
-function documentOf(version: number): unknown {
+function documentOf(version: number): PlatformDocument {
     const versions = Array.from({ length: Math.min(version, keyLifetimeVersions) }, (_, index) => version - index);
+    const base = statementDocument(version);
     const route = { path_prefix: "/", kind: "primary", timeout_ms: 1_000, service: "ledger" };
+    const apiKeys = versions.map(added => `key${added}`);
     return {
-        version,
-        routes: versions.map(added => ({ ...route, name: `r${added}`, host: `db${added}` })),
-        services: [{ name: "ledger" }],
-        tenants: [{
-            name: "tenant",
-            api_keys: versions.map(added => `key${added}`),
-            rate_per_s: 100,
-            burst: 100,
-        }],
+        ...base,
+        routes: [...base.routes, ...versions.map(added => ({ ...route, name: `r${added}`, host: `db${added}` }))],
+        tenants: [...base.tenants, { name: "tenant", api_keys: apiKeys, rate_per_s: 100, burst: 100 }],
     };
 }
--- a/scripts/soakSchedule.ts
+++ b/scripts/soakSchedule.ts
@@ -17,6 +17,25 @@
     AddProxyWithOldSeeds: "add_proxy_with_old_seeds",
     /** A proxy starts at the address of a member that is gone for good. */
     ReuseAddress: "reuse_address",
+    /** Several signals to one process, in an order that only ends with its end. */
+    SignalSeries: "signal_series",
+    /** Databases send some answers twice, the second time late. */
+    RepeatAnswers: "repeat_answers",
+    RefuseStatements: "refuse_statements",
+    /** A database ends, and comes back under a new id with its log. */
+    CrashDatabase: "crash_database",
+    /** A database ends, and comes back under its id with nothing. */
+    EmptyDatabase: "empty_database",
+    JoinDatabase: "join_database",
+    /** A database drains and leaves for good. */
+    DrainDatabase: "drain_database",
+    /** A database drains and leaves, and one with a new id continues its log at its address. */
+    ReplaceDatabase: "replace_database",
+    /** A database has no network: to its clients in one or both directions, to the others, or to all. */
+    CutDatabase: "cut_database",
+    SlowDatabase: "slow_database",
+    /** The platform answers no order, and carries each out seconds later. */
+    SlowPlatform: "slow_platform",
     RestartAll: "restart_all",
     RestartAllWithLostDisk: "restart_all_with_lost_disk",
 } as const;
@@ -33,25 +52,33 @@
 export interface Scale {
     readonly members: number;
     readonly proxies: number;
+    readonly sessions: number;
     readonly faults: number;
     readonly durationMs: number;
 }
 
 /** One size is named on the command line. */
 export const scales: Readonly<Record<string, Scale>> = {
-    small: { members: 3, proxies: 3, faults: 14, durationMs: 22_000 },
-    usual: { members: 3, proxies: 9, faults: 30, durationMs: 40_000 },
-    large: { members: 5, proxies: 60, faults: 80, durationMs: 60_000 },
+    small: { members: 3, proxies: 3, sessions: 18, faults: 26, durationMs: 18_000 },
+    usual: { members: 3, proxies: 9, sessions: 36, faults: 56, durationMs: 40_000 },
+    large: { members: 5, proxies: 60, sessions: 120, faults: 120, durationMs: 60_000 },
 };
 
-/** Draws overlapping faults in the order of their times; everything starts again at the end of two runs of three. */
-export function drawSchedule(seed: number, { faults, durationMs }: Scale, only?: FaultKind): readonly Fault[] {
+/**
+ * Draws overlapping faults in the order of their times. Everything starts again at the end of two runs of three.
+ * @param only the kinds that are drawn; by default all, with the restart at the end
+ */
+export function drawSchedule(
+    seed: number,
+    { faults, durationMs }: Scale,
+    only: readonly FaultKind[] = [],
+): readonly Fault[] {
     const random = new SeededRandom(seed);
     const lastKinds: readonly FaultKind[] = [FaultKind.RestartAll, FaultKind.RestartAllWithLostDisk];
     // A restart of everything in the middle would hide what the faults before it show later.
-    const kinds = only === undefined
+    const kinds = only.length === 0
         ? Object.values(FaultKind).filter(kind => !lastKinds.includes(kind))
-        : [only];
+        : only;
     const drawn = Array.from({ length: faults }, (): Fault => ({
         atMs: random.nextInteger(durationMs),
         kind: kinds[random.nextInteger(kinds.length)]!,
@@ -59,7 +86,7 @@
         forMs: 200 + Math.round(random.nextFloat() ** 2 * 12_000),
     }));
     const last = random.nextInteger(3);
-    const atEnd: readonly Fault[] = last === 2 || only !== undefined
+    const atEnd: readonly Fault[] = last === 2 || only.length > 0
         ? []
         : [{ atMs: durationMs, kind: lastKinds[last]!, target: random.nextInteger(1_000), forMs: 500 }];
     return [...drawn.sort((left, right) => left.atMs - right.atMs), ...atEnd];
--- a/standins/platform/acknowledgedCommits.ts
+++ b/standins/platform/acknowledgedCommits.ts
@@ -21,23 +21,30 @@
 }
 
 export class AcknowledgedCommits {
+    private readonly received: Acknowledgement[] = [];
     /** In the order of their times, each with the newest commit acknowledged until then. */
     private all: Acknowledgement[] = [];
-    private newestOf = new Map<ClientSession, Acknowledgement[]>();
+    private readonly newestOf = new Map<ClientSession, Acknowledgement[]>();
+
+    get newest(): Commit | undefined {
+        return this.all.at(-1)?.commit;
+    }
 
     add(acknowledgement: Acknowledgement): void {
-        const ofSession = this.newestOf.get(acknowledgement.session) ?? [];
-        this.newestOf.set(acknowledgement.session, ofSession);
-        push(this.all, acknowledgement);
-        push(ofSession, acknowledgement);
+        this.received.push(acknowledgement);
+        this.index(acknowledgement);
     }
 
     /** Forgets commits that a promotion has dropped. */
     drop(commits: readonly Commit[]): void {
         const dropped = new Set(commits);
-        const kept = ({ commit }: Acknowledgement): boolean => !dropped.has(commit);
-        this.all = this.all.filter(kept);
-        this.newestOf.forEach((list, session) => this.newestOf.set(session, list.filter(kept)));
+        const kept = this.received.filter(({ commit }) => !dropped.has(commit));
+        if (kept.length < this.received.length) {
+            this.all = [];
+            this.newestOf.clear();
+            this.received.splice(0, this.received.length, ...kept);
+            kept.forEach(acknowledgement => this.index(acknowledgement));
+        }
     }
 
     /** Returns a commit that a read must see and that a log does not show. */
@@ -47,6 +54,13 @@
         return [lastBefore(this.all, startedAtMs - ageMs), lastBefore(own, startedAtMs)]
             .find(commit => commit !== undefined && !log.shows(commit));
     }
+
+    private index(acknowledgement: Acknowledgement): void {
+        const ofSession = this.newestOf.get(acknowledgement.session) ?? [];
+        this.newestOf.set(acknowledgement.session, ofSession);
+        push(this.all, acknowledgement);
+        push(ofSession, acknowledgement);
+    }
 }
 
 /** Commits are numbered as one chain, so the newest stands for all before it. */
--- a/standins/platform/databaseConnection.ts
+++ b/standins/platform/databaseConnection.ts
@@ -14,6 +14,12 @@
     owner: string | undefined;
 }
 
+/** Directions in which a connection passes nothing, although it is open. */
+export interface ConnectionCut {
+    readonly statements: boolean;
+    readonly answers: boolean;
+}
+
 /** A statement as it arrived. */
 export interface ReceivedStatement {
     /** `-` for statements of the proxy itself. */
@@ -43,6 +49,8 @@
     private readonly faults: AnswerFaults;
     private readonly reader = new LineReader();
     private readonly waiting: string[] = [];
+    private heldAnswers: string[] = [];
+    private holdsAnswers = false;
     private isAccepted = false;
     private isRunning = false;
 
@@ -80,6 +88,22 @@
         this.socket.destroy();
     }
 
+    cut({ statements, answers }: ConnectionCut): void {
+        this.holdsAnswers = answers;
+        if (statements) {
+            this.socket.pause();
+        }
+    }
+
+    /** Passes everything again, also what waited. */
+    heal(): void {
+        this.holdsAnswers = false;
+        this.socket.resume();
+        const held = this.heldAnswers;
+        this.heldAnswers = [];
+        held.forEach(answer => this.write(answer));
+    }
+
     private async runWaiting(): Promise<void> {
         if (this.isRunning) {
             return;
@@ -126,7 +150,10 @@
     }
 
     private write(text: string): void {
-        if (this.socket.writable) {
+        if (this.holdsAnswers) {
+            this.heldAnswers.push(text);
+        }
+        else if (this.socket.writable) {
             this.socket.write(text, wireEncoding);
         }
     }
