--- a/scripts/soakDatabaseFaults.ts
+++ b/scripts/soakDatabaseFaults.ts
@@ -47,9 +47,11 @@
             case FaultKind.ReplaceDatabase:
                 return this.disturb(target, database => this.drain(database, forMs, true));
             case FaultKind.CutDatabase:
-                return this.disturb(target, database => {
+                return this.disturb(target, async database => {
                     const [fromPeers, statements] = [target % 3 !== 0, target % 2 === 0];
-                    return database.cutOff({ statements, answers: statements || !fromPeers }, fromPeers, forMs);
+                    database.cutOff({ statements, answers: statements || !fromPeers }, fromPeers);
+                    await delay(forMs);
+                    database.reconnect();
                 });
             case FaultKind.SlowDatabase:
                 return this.disturb(target, async database => {
--- a/standins/platform/__tests__/database.spec.ts
+++ b/standins/platform/__tests__/database.spec.ts
@@ -95,11 +95,12 @@
 
     it("answer nothing while they are cut off, and then what waited", async () => {
         const session = await connect(primary);
-        const cut = primary.cutOff({ statements: true, answers: true }, false, 3 * settleMs);
+        primary.cutOff({ statements: true, answers: true }, false);
+        const reconnected = delay(3 * settleMs).then(() => primary.reconnect());
         const startedAtMs = performance.now();
         assert.equal((await session.ask("QUERY 1 READ a")).error, undefined);
         assert.ok(performance.now() - startedAtMs > 2 * settleMs);
-        await cut;
+        await reconnected;
     });
 
     it("send an answer twice", async () => {
--- a/standins/platform/database.ts
+++ b/standins/platform/database.ts
@@ -62,6 +62,7 @@
     private signatureCount = 0;
     private connectionCut: ConnectionCut = { statements: false, answers: false };
     private isCutFromPeers = false;
+    private cutAtMs = 0;
     private readonly connections = new Set<DatabaseConnection>();
     private readonly reporter: DatabaseReporter;
     private readonly server: Server;
@@ -133,19 +134,23 @@
     }
 
     /**
-     * Cuts the network of the database for a time.
+     * Cuts the network of the database.
      * @param fromPeers no other database and no control member can be reached
      */
-    async cutOff(connections: ConnectionCut, fromPeers: boolean, forMs: number): Promise<void> {
-        this.record("cut off", { ...connections, fromPeers, forMs });
+    cutOff(connections: ConnectionCut, fromPeers: boolean): void {
+        this.record("cut off", { ...connections, fromPeers });
+        this.cutAtMs = performance.now();
         this.connectionCut = connections;
         this.connections.forEach(connection => connection.cut(connections));
         this.isCutFromPeers = fromPeers;
         this.reporter.isCutOff = fromPeers;
-        await delay(forMs);
-        this.record("connected", {});
+    }
+
+    /** Ends the cut; what waited is passed on, unless it was dark for too long. */
+    reconnect(): void {
+        const isDropped = this.connectionCut.statements && performance.now() - this.cutAtMs > darkLimitMs;
+        this.record("connected", { isDropped });
         this.connectionCut = { statements: false, answers: false };
-        const isDropped = forMs > darkLimitMs && connections.statements;
         this.connections.forEach(connection => isDropped ? connection.close() : connection.heal());
         this.isCutFromPeers = false;
         this.reporter.isCutOff = false;
