--- a/scripts/soakDatabaseFaults.ts
+++ b/scripts/soakDatabaseFaults.ts
@@ -22,6 +22,7 @@
     private readonly world: StatementWorld;
     private readonly random: SeededRandom;
     private readonly disturbed = new Set<Database>();
+    private leavingCount = 0;
 
     constructor(world: StatementWorld, seed: number) {
         this.world = world;
@@ -42,8 +43,7 @@
             case FaultKind.JoinDatabase:
                 return this.join();
             case FaultKind.DrainDatabase:
-                return this.world.group.members.length > minimumDatabases
-                    && this.disturb(target, database => this.drain(database, forMs, false));
+                return this.mayLeave() && this.disturb(target, database => this.drain(database, forMs, false));
             case FaultKind.ReplaceDatabase:
                 return this.disturb(target, database => this.drain(database, forMs, true));
             case FaultKind.CutDatabase:
@@ -109,8 +109,10 @@
             await database.leave();
             await this.world.startSuccessor(database, true);
         }
-        else if (this.isCoveredWithout(database)) {
+        else if (this.mayLeave() && this.isCoveredWithout(database)) {
+            this.leavingCount += 1;
             await database.leave();
+            this.leavingCount -= 1;
             this.world.group.remove(database);
         }
         else {
@@ -118,6 +120,10 @@
         }
     }
 
+    private mayLeave(): boolean {
+        return this.world.group.members.length - this.leavingCount > minimumDatabases;
+    }
+
     /** Whether the logs of the others have every commit that a client saw acknowledged. */
     private isCoveredWithout(database: Database): boolean {
         const others = this.world.group.members.filter(other => other !== database);
