fix(rates): prefetch only after the retry time of a used-up workspace

Cause: the leader's answer to an instance whose workspace is used up says when more permits come. The instance held back its waiting operations until then, but went on asking for permits ahead of need. Change: before the retry time an instance asks for nothing for the workspace. The new test of admission fails before and passes now; the one that floods are served at their rates passes with both.

--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -160,6 +160,19 @@
         assert.equal(fixture.permitReports.at(-1)!.waiting, 1);
     });
 
+    it("does not prefetch before the leader's retry time, whose end the answer would be", () => {
+        const fixture = new AdmissionFixture(0);
+        for (let index = 0; index < 20; index++) {
+            fixture.submit(index, `order${index}`, 1);
+        }
+        fixture.grantPermits(20, 0, { retryMs: 400 });
+        const reports = fixture.permitReports.length;
+        fixture.submit(300, "during", 1);
+        fixture.submit(430, "after", 1);
+        const prefetches = fixture.permitReports.slice(reports - 1).map(({ prefetch }) => prefetch > 0);
+        assert.deepEqual(prefetches, [false, false, true]);
+    });
+
     it("does not use expired permits", () => {
         const fixture = new AdmissionFixture(3);
         fixture.submit(999, "second", 1);
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -211,11 +211,13 @@
     }
 
     private permitsNeeded({ workspace, permits, waiting }: WorkspaceQueue, nowMs: number): PermitsNeeded {
+        const mayRequest = nowMs >= permits.earliestRequestMs;
         return {
             kind: FleetKind.PermitsNeeded,
             workspace,
-            waiting: nowMs >= permits.earliestRequestMs ? waiting.length : 0,
-            prefetch: permits.prefetchCount(nowMs),
+            waiting: mayRequest ? waiting.length : 0,
+            // The answer to a request that only prefetches has no retry time and would end the one of the last answer.
+            prefetch: mayRequest ? permits.prefetchCount(nowMs) : 0,
             held: permits.heldPermits(nowMs),
             fallbackUsed: permits.fallbackUsed,
         };
--- a/src/wiring/__tests__/rates.spec.ts
+++ b/src/wiring/__tests__/rates.spec.ts
@@ -9,6 +9,9 @@
 const refusedShareTarget = 0.001;
 const bytesPerSecondTarget = 3_000;
 
+/** Share of its rate that a workspace which floods must get. */
+const servedRateShare = 0.97;
+
 /** Half of the processor of a control member, which has 0.81 of a core and other work. */
 const leaderCoreShareTarget = 0.4;
 
@@ -270,6 +273,18 @@
         assert.equal(load < leaderCoreShareTarget, true, `${load}`);
     });
 
+    it("serves workspaces that flood at their rates", () => {
+        // Guards against rates that go unused because instances ask too seldom.
+        const { fleet } = startFloodedFleet(0);
+        fleet.advance(4_000);
+        const sinceMs = fleet.nowMs;
+        fleet.advance(12_000);
+        for (const { workspace, admittedMs } of flooding.map(name => fleet.traffic.get(name)!)) {
+            const served = admittedMs.filter(atMs => atMs >= sinceMs).length / 12 / workspace.ratePerSecond;
+            assert.equal(served > servedRateShare, true, `${workspace.name}: ${served} of its rate`);
+        }
+    });
+
     it("admits operations within tens of milliseconds after all machines restarted", () => {
         const fleet = new RateFleet(small);
         fleet.startCallers();
