fix(session): keep tasks with their holder while several holders are silent

Cause: a holder counted as silent 400 ms after a task, judged alone. When the network delays all messages by 250 ms each way, every holder looked silent at its first task, and the tasks of the next 100 ms went to the second holder of their database, which has two links: transactions waited there until their limits. Change: while another instance is silent too and none has answered a later task, silence counts only after the upper bound of the timeout, 0.8 s.

--- a/src/session/__tests__/forwarding.spec.ts
+++ b/src/session/__tests__/forwarding.spec.ts
@@ -142,6 +142,20 @@
         assert.deepEqual(attemptTimesIn(fixture.push(470, resultOf(second, secondId))), [450]);
     });
 
+    it("leaves a task to its holder while the holders of other databases are silent, too", () => {
+        // Guards against second holders with few links in a fleet whose network delays all messages.
+        const fixture = new ForwardingFixture(24, 6);
+        const [first] = passedTask(fixture.placeTask("t1", "db0", 0));
+        const [other, otherId] = passedTask(fixture.placeTask("t2", "db2", 50));
+        assert.notEqual(other, first);
+        const due = { kind: TaskKind.ForwardDue, id: "t1" } as Message;
+        assert.deepEqual(attemptTimesIn(fixture.push(400, due)), []);
+        assert.equal(fixture.place("t3", "db0", 410), first);
+        fixture.push(440, resultOf(other, otherId));
+        assert.deepEqual(attemptTimesIn(fixture.push(450, due)), [0]);
+        assert.notEqual(fixture.place("t4", "db0", 460), first);
+    });
+
     it("uses a late successful result, with the time at which its own attempt was sent", () => {
         const fixture = new ForwardingFixture(24, 1);
         const [first, firstId] = passedTask(fixture.placeTask("t1", "db0", 0));
--- a/src/session/__tests__/responsiveness.spec.ts
+++ b/src/session/__tests__/responsiveness.spec.ts
@@ -35,6 +35,32 @@
         assert.deepEqual(["a", "b", "c"].map(address => peers.isAvoided(address, 1_900)), [false, false, false]);
     });
 
+    it("does not take late answers of all instances for the silence of one", () => {
+        // Guards against tasks that leave their holder, and the pools of its links, because the network is congested.
+        const peers = newResponsiveness();
+        peers.recordQuestion("a", 0);
+        peers.recordQuestion("b", 50);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 400), false);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 1_000), true);
+        peers.recordAnswer("b", 50, 500);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 500), true);
+    });
+
+    it("takes silence for that of the instance unless another one has been silent for a while, too", () => {
+        const peers = newResponsiveness();
+        peers.recordQuestion("a", 0);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 400), true);
+        peers.recordQuestion("b", 350);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 400), true);
+        peers.recordQuestion("c", 200);
+        peers.recordAnswer("c", -10, 250);
+        peers.recordQuestion("c", 260);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 400), false);
+        peers.recordTimeout("b", 350, 400);
+        peers.recordDisconnect("c", 400);
+        assert.equal(peers.isTimeoutConclusive("a", 0, 400), true);
+    });
+
     it("removes instances that left", () => {
         const peers = newResponsiveness();
         peers.recordDisconnect("a", 400);
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -49,6 +49,9 @@
 /** Upper bound of this timeout; leaves time for another attempt within the shortest usual statement limit, 1 s. */
 const maximumTimeoutMs = 800;
 
+/** Interval at which a holder that is silent is compared with other instances. */
+const comparisonIntervalMs = 50;
+
 /** Time for which a holder that cannot reach a database is skipped for it; meanwhile no other one is recorded. */
 const avoidanceMs = 1_500;
 
@@ -295,6 +298,7 @@
         const { taskId } = task;
         const attemptId = `${taskId}${attemptSeparator}${this.nextAttemptNumber++}`;
         this.pending.set(taskId, { attemptId, task, databaseId, address, sentMs: nowMs });
+        this.responsiveness.recordQuestion(address, nowMs);
         const send: PeerSend = {
             kind: PeerKind.Send,
             address,
@@ -331,13 +335,24 @@
         }
         const { task, address, sentMs } = pending;
         const timeoutAtMs = sentMs + this.responsiveness.timeoutMs(address);
-        const timedOut = nowMs >= timeoutAtMs && (this.lastAnswerMs.get(address) ?? -Infinity) < sentMs;
+        const isSilent = nowMs >= timeoutAtMs && (this.lastAnswerMs.get(address) ?? -Infinity) < sentMs;
+        const timedOut = isSilent && this.responsiveness.isTimeoutConclusive(address, sentMs, nowMs);
         if (timedOut) {
             this.responsiveness.recordTimeout(address, sentMs, nowMs);
         }
         if (nowMs < task.deadlineMs && !(timedOut && canRetryElsewhere(task))) {
-            const checkMs = nowMs < timeoutAtMs ? Math.min(timeoutAtMs, task.deadlineMs) : task.deadlineMs;
-            return [setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
+            const checkMs = nowMs < timeoutAtMs
+                ? timeoutAtMs
+                : isSilent && !timedOut
+                ? nowMs + comparisonIntervalMs
+                : task.deadlineMs;
+            return [
+                setDeadline(
+                    forwardKey(taskId),
+                    Math.min(checkMs, task.deadlineMs),
+                    taskTimer(TaskKind.ForwardDue, taskId),
+                ),
+            ];
         }
         if (canRetryElsewhere(task)) {
             this.timedOutReads.set(pending.attemptId, pending);
--- a/src/session/responsiveness.ts
+++ b/src/session/responsiveness.ts
@@ -9,6 +9,9 @@
 /** Factor by which the timeout shrinks with each faster answer. */
 const timeoutDecay = 0.9;
 
+/** Time without an answer after which an instance counts as silent; several round trips between data centres. */
+const silentAfterMs = 100;
+
 export interface ResponsivenessOptions {
     /** Lower bound of the timeout. */
     readonly minimumTimeoutMs: number;
@@ -18,6 +21,10 @@
 
 interface Peer {
     timeoutMs: number;
+    /** Time at which the newest answered question was sent. */
+    answeredSentMs: number;
+    /** Time at which the first question since the last answer was sent; undefined without one. */
+    silentSinceMs: number | undefined;
     avoidedUntilMs: number;
     /** The instance is avoided because its connection ended, not because of a timeout. */
     disconnected: boolean;
@@ -43,6 +50,27 @@
         return this.peers.get(address)?.timeoutMs ?? this.options.minimumTimeoutMs;
     }
 
+    /**
+     * Returns whether the instance itself may be the cause of a question sent at `sentMs` that timed out. The network is
+     * the likelier one while another instance is silent too and none has answered a later question, until the upper
+     * bound of the timeout.
+     */
+    isTimeoutConclusive(address: string, sentMs: number, nowMs: number): boolean {
+        if (nowMs >= sentMs + this.options.maximumTimeoutMs) {
+            return true;
+        }
+        const others = [...this.peers].filter(([other]) => other !== address && !this.isAvoided(other, nowMs))
+            .map(([, peer]) => peer);
+        return others.some(({ answeredSentMs }) => answeredSentMs >= sentMs)
+            || !others.some(({ silentSinceMs }) =>
+                silentSinceMs !== undefined && nowMs - silentSinceMs >= silentAfterMs
+            );
+    }
+
+    recordQuestion(address: string, nowMs: number): void {
+        this.peerOf(address).silentSinceMs ??= nowMs;
+    }
+
     isAvoided(address: string, nowMs: number): boolean {
         return (this.peers.get(address)?.avoidedUntilMs ?? 0) > nowMs;
     }
@@ -61,6 +89,8 @@
             maximumTimeoutMs,
             Math.max(minimumTimeoutMs, timeoutFactor * elapsedMs, timeoutDecay * peer.timeoutMs),
         );
+        peer.answeredSentMs = Math.max(peer.answeredSentMs, sentMs ?? -Infinity);
+        peer.silentSinceMs = undefined;
         peer.avoidedUntilMs = 0;
         peer.unansweredSinceMs = undefined;
     }
@@ -79,6 +109,7 @@
         peer.avoidedUntilMs = nowMs + avoidanceMs;
         peer.disconnected = true;
         peer.unansweredSinceMs = undefined;
+        peer.silentSinceMs = undefined;
     }
 
     /** Removes all instances except those at the given addresses. */
@@ -95,6 +126,8 @@
         }
         const peer: Peer = {
             timeoutMs: this.options.minimumTimeoutMs,
+            answeredSentMs: -Infinity,
+            silentSinceMs: undefined,
             avoidedUntilMs: 0,
             disconnected: false,
             unansweredSinceMs: undefined,
