fix(session): read from the primary while a log position is late

Cause: a read whose service's position had aged waited until another one came: the question to the instance that asks for its data centre, this one's probe through the holder of the primary, and then the read itself. With messages late by 250 ms each way these are two or three round trips of 0.5 s, above the limit of 1 s. Change: a read that has waited 80 ms for a position goes to the primary, in the transaction that proves that it leads, as reads of primary routes do; its answer is a position for the reads that follow. The new test of the session pipe fails before and passes now; sessionFleet.spec.ts passes whole.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -159,6 +159,31 @@
         assert.deepEqual(command.kind === LinkCommandKind.Run && command.floor, position(2, 4));
     });
 
+    it("reads from the primary, which proves that it is the primary, while the log position is late", () => {
+        // Guards against reads that wait for their floor until their deadline.
+        const fixture = new SessionFixture();
+        fixture.configure(route(RouteConsistency.Bounded, "lookup", 1_500));
+        fixture.reportDatabase("p", true, "dc2");
+        fixture.reportDatabase("r", false, "dc1");
+        fixture.connect("s1", "lookup");
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.advance(70);
+        fixture.openLinks();
+        const probe = [LinkCommandKind.Begin, LinkCommandKind.Rollback];
+        assert.deepEqual(kindsOf(fixture), probe);
+        fixture.advance(60);
+        fixture.openLinks();
+        assert.deepEqual(kindsOf(fixture), [...probe, LinkCommandKind.Begin]);
+        fixture.reply("l1", { transaction: TransactionState.Open, position: position(2, 4) });
+        fixture.reply("l1", { rows: ["x"], transaction: TransactionState.Open, position: position(2, 4) });
+        assert.deepEqual(fixture.answers[0]!.answer.rows, ["x"]);
+        assert.deepEqual([...new Set(fixture.sent.map(({ databaseId }) => databaseId))], ["p"]);
+        fixture.request("s1", statement(SessionStatementKind.Read, "r2"));
+        fixture.openLinks();
+        const { databaseId, command } = fixture.sent.at(-1)!;
+        assert.deepEqual([databaseId, command.kind === LinkCommandKind.Run && command.floor], ["r", position(2, 4)]);
+    });
+
     it("sets the session's variables and prepared statements on its link, and resets those of other sessions", () => {
         const fixture = primaryFixture();
         const prepared = { writes: true, shape: "q1" };
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -52,6 +52,12 @@
 /** Maximum age of a position from another instance, as a share of the route's; spares the primary further probes. */
 const maximumProofAgeShare = 0.4;
 
+/**
+ * Time for which a read waits for a position before it goes to the primary, which needs none. Several times the usual
+ * answer time of another instance, so that the primary gets such reads only when positions are late.
+ */
+const floorPatienceMs = 80;
+
 /** Share of the statement limit that one attempt at a read may take before another database is tried. */
 const readAttemptShare = 0.5;
 
@@ -87,6 +93,7 @@
 
 interface RoutedTask {
     readonly task: Task;
+    readonly admittedMs: number;
     readonly triedDatabaseIds: Set<string>;
     /** The task waits for a primary, a replica or a floor; otherwise an attempt is in progress. */
     waiting: boolean;
@@ -164,6 +171,7 @@
     private admit(task: Task, nowMs: number): readonly Message[] {
         const routed: RoutedTask = {
             task,
+            admittedMs: nowMs,
             triedDatabaseIds: new Set(),
             waiting: true,
             expired: false,
@@ -216,7 +224,12 @@
         const { service, maximumAgeMs } = task.route;
         const floor = this.samples.floorFor(service, task.receivedMs - maximumAgeMs);
         if (floor === undefined) {
-            return [...this.requestFloor(task, nowMs), ...this.waitForRetry(routed, nowMs)];
+            return [
+                ...this.requestFloor(task, nowMs),
+                ...nowMs - routed.admittedMs < floorPatienceMs
+                    ? this.waitForRetry(routed, nowMs)
+                    : this.placeAtPrimary(routed, nowMs),
+            ];
         }
         const [databaseId] = this.databases.readCandidates(service, routed.triedDatabaseIds, nowMs);
         const renewal = this.renewFloor(task, nowMs);
@@ -225,6 +238,7 @@
             : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
     }
 
+    /** Places a task at a database; without a floor only the primary may run it. */
     private send(
         routed: RoutedTask,
         databaseId: string,
@@ -239,7 +253,13 @@
         const attemptDeadlineMs = task.mode === TaskMode.Single && !task.writes
             ? Math.min(task.deadlineMs, nowMs + attemptMs)
             : task.deadlineMs;
-        const placed: TaskPlaced = { kind: TaskKind.Placed, task, databaseId, floor, attemptDeadlineMs };
+        const placed: TaskPlaced = {
+            kind: TaskKind.Placed,
+            task: { ...task, needsPrimary: floor === undefined },
+            databaseId,
+            floor,
+            attemptDeadlineMs,
+        };
         return [placed];
     }
 
