fix(rpc): leave the age of permits to admission

Cause: a call for permits ended 200 ms of wall-clock time after the question, its first connection included, and its answer was dropped. A starved process does not get that far in time. The limit was a second count of the validity of permits: admission counts it from its request, uses no permit after it, and asks again when it has passed. Change: questions wait for the connection (3 s at most), of a workspace only the latest, so that a home grants nothing for questions that have expired; the call has 1 s from then on, only to end calls that a home never answers.

--- a/src/rpc/__tests__/permitRpc.spec.ts
+++ b/src/rpc/__tests__/permitRpc.spec.ts
@@ -1,5 +1,7 @@
 import type { Server } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { pipeline } from "node:stream";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
     type PermitForward,
@@ -26,11 +28,16 @@
 let homeAddress: string;
 let receivedRequests: PermitRequest[];
 let retirements: unknown[];
+/** Time that the permit home takes for an answer. */
+let answerDelayMs: number;
+let timers: NodeJS.Timeout[];
 
 describe("permits between instances", () => {
     beforeEach(async () => {
         receivedRequests = [];
         retirements = [];
+        answerDelayMs = 0;
+        timers = [];
         server = createPeerServer(authenticationWith("right"));
         const permitServer: PermitServer = new PermitServer({
             post: message => {
@@ -44,14 +51,23 @@
                 receivedRequests.push(request);
                 const { origin, requestId, workspace, wanted } = request;
                 const body = { origin, requestId, workspace, granted: wanted - 1, retryAfterMs: 7, answered: true };
-                permitServer.deliver({ kind: PermitKind.Reply, ...body });
+                const reply = () => permitServer.deliver({ kind: PermitKind.Reply, ...body });
+                if (answerDelayMs === 0) {
+                    reply();
+                }
+                else {
+                    timers.push(setTimeout(reply, answerDelayMs));
+                }
             },
         });
         server.addService(PermitsService, permitServer.handlers);
         homeAddress = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
     });
 
-    afterEach(() => server.forceShutdown());
+    afterEach(() => {
+        timers.forEach(timer => clearTimeout(timer));
+        server.forceShutdown();
+    });
 
     it("sends the questions of one iteration of the event loop in one call, and answers each of them", async () => {
         const granted = await requestPermits("right", ["shop", "desk"]);
@@ -74,6 +90,42 @@
         });
     });
 
+    it("counts the time limit of a call from its connection, which a starved process establishes late", async () => {
+        await using relay = await startRelay(homeAddress, 250);
+        const granted = await requestPermits("right", ["shop"], relay.address);
+        assert.deepEqual(granted.map(({ answered, granted: count }) => [answered, count]), [[true, 2]]);
+    });
+
+    it("sends only the latest question of a workspace once a late connection is ready", async () => {
+        // Guards against permits for questions that have expired at the instance that asked.
+        await using relay = await startRelay(homeAddress, 250);
+        const granted = await requestPermits("right", ["shop", "shop"], relay.address);
+        assert.deepEqual(granted.map(({ requestId, answered }) => [requestId, answered]), [["q0", false], [
+            "q1",
+            true,
+        ]]);
+        assert.deepEqual(receivedRequests.map(({ requestId }) => requestId), ["q1"]);
+    });
+
+    it("answers a question to a permit home that accepts no connection in time", async () => {
+        await using relay = await startRelay(homeAddress, 60_000);
+        const [granted] = await requestPermits("right", ["shop"], relay.address);
+        assert.equal(granted!.answered, false);
+        assert.deepEqual(receivedRequests, []);
+    });
+
+    it("passes on an answer that a starved process reads late, for admission to judge its age", async () => {
+        answerDelayMs = 250;
+        const granted = await requestPermits("right", ["shop"]);
+        assert.deepEqual(granted.map(({ answered, granted: count }) => [answered, count]), [[true, 2]]);
+    });
+
+    it("answers a question that a permit home never answers", async () => {
+        answerDelayMs = 60_000;
+        const [granted] = await requestPermits("right", ["shop"]);
+        assert.equal(granted!.answered, false);
+    });
+
     it("refuses an unauthenticated caller before its question reaches the permit home", async () => {
         const [granted] = await requestPermits("wrong", ["shop"]);
         assert.equal(granted!.answered, false);
@@ -111,7 +163,38 @@
     return { outcome: retired.outcome, waitMs: retired.waitMs };
 }
 
-async function requestPermits(word: string, workspaces: readonly string[]): Promise<readonly PermitGranted[]> {
+interface Relay extends AsyncDisposable {
+    readonly address: string;
+}
+
+/** Forwards connections to a server on loopback, the first bytes of each after a delay. */
+async function startRelay(targetAddress: string, delayMs: number): Promise<Relay> {
+    const sockets = new Set<Socket>();
+    const timers = new Set<NodeJS.Timeout>();
+    const relay = createServer(incoming => {
+        sockets.add(incoming);
+        timers.add(setTimeout(() => {
+            const outgoing = connect(Number(targetAddress.split(":")[1]), "127.0.0.1");
+            sockets.add(outgoing);
+            pipeline(incoming, outgoing, incoming, () => {});
+        }, delayMs));
+    });
+    await new Promise<void>(resolve => relay.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(relay.address() as AddressInfo).port}`,
+        async [Symbol.asyncDispose]() {
+            timers.forEach(timer => clearTimeout(timer));
+            sockets.forEach(socket => socket.destroy());
+            await new Promise(resolve => relay.close(resolve));
+        },
+    };
+}
+
+async function requestPermits(
+    word: string,
+    workspaces: readonly string[],
+    address: string = homeAddress,
+): Promise<readonly PermitGranted[]> {
     const received: PermitGranted[] = [];
     return await new Promise(resolve => {
         const client = new PermitClient({
@@ -124,14 +207,14 @@
                 }
             },
         });
-        workspaces.forEach((workspace, index) => client.deliver(forwardOf(`q${index}`, workspace)));
+        workspaces.forEach((workspace, index) => client.deliver(forwardOf(`q${index}`, workspace, address)));
     });
 }
 
-function forwardOf(requestId: string, workspace: string): PermitForward {
+function forwardOf(requestId: string, workspace: string, address: string): PermitForward {
     return {
         kind: PermitKind.Forward,
-        homeAddress,
+        homeAddress: address,
         requestId,
         instanceId: "a",
         workspace,
--- a/src/rpc/permitClient.ts
+++ b/src/rpc/permitClient.ts
@@ -1,12 +1,11 @@
 /** Client side of the Permits service: sends permit requests to the permit homes on other instances. */
-import { Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import { connectivityState, Metadata, type ServiceError, status } from "@grpc/grpc-js";
 import {
     type PermitForward,
     type PermitGranted,
     PermitKind,
     type PermitRetire,
     type PermitRetired,
-    permitValidityMs,
     RetireOutcome,
 } from "../model/permitMessages.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -17,6 +16,18 @@
 /** Timeout of a call to a former permit home; several times the round trip time between regions (24 ms). */
 const retireTimeoutMs = 400;
 
+/**
+ * Time limit of a connection to a permit home, as for an unresponsive one (`peerChannel.ts`); requests wait for it apart
+ * from the timeout of their call.
+ */
+const connectTimeoutMs = 3_000;
+
+/**
+ * Timeout of a call, counted from its connection. Only ends calls that a home never answers: admission counts the validity
+ * of permits from its request, and asks again when it has passed.
+ */
+const callTimeoutMs = 1_000;
+
 export interface PermitClientOptions {
     readonly post: (message: Message) => void;
     readonly clientFactory: PeerClientFactory;
@@ -24,14 +35,16 @@
 }
 
 /**
- * Sends the requests that one iteration of the event loop produces for the same permit home in one call. If the call
- * fails, each of its requests is answered with 0 permits and `answered: false`.
+ * Sends the requests that one iteration of the event loop produces for the same permit home in one call. Requests wait
+ * while the connection is established, and only the latest of a workspace is sent then. If the call fails, or another
+ * request took its place, a request is answered with 0 permits and `answered: false`.
  */
 export class PermitClient implements Sink<PermitForward | PermitRetire>, AsyncDisposable {
     readonly accepts = [PermitKind.Forward, PermitKind.Retire];
     private readonly options: PermitClientOptions;
     private readonly clients = new Map<string, PermitsClient>();
-    private readonly batches = new Map<string, PermitForward[]>();
+    /** Requests that are not sent yet, by address of the home and workspace. */
+    private readonly batches = new Map<string, Map<string, PermitForward>>();
 
     constructor(options: PermitClientOptions) {
         this.options = options;
@@ -47,13 +60,18 @@
     }
 
     private forward(forward: PermitForward): void {
-        const batch = this.batches.get(forward.homeAddress);
-        if (batch !== undefined) {
-            batch.push(forward);
+        const { homeAddress, workspace } = forward;
+        const batch = this.batches.get(homeAddress);
+        if (batch === undefined) {
+            this.batches.set(homeAddress, new Map([[workspace, forward]]));
+            setImmediate(() => this.sendWhenConnected(homeAddress));
             return;
         }
-        this.batches.set(forward.homeAddress, [forward]);
-        setImmediate(() => this.sendBatch(forward.homeAddress));
+        const superseded = batch.get(workspace);
+        batch.set(workspace, forward);
+        if (superseded !== undefined) {
+            this.publishFailure([superseded]);
+        }
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -62,22 +80,44 @@
         this.clients.clear();
     }
 
-    private sendBatch(homeAddress: string): void {
-        const questions = this.batches.get(homeAddress);
-        if (questions === undefined) {
+    /** A connection attempt that has failed is not waited for: the call then fails at once. */
+    private sendWhenConnected(homeAddress: string, connectUntilMs: number = Date.now() + connectTimeoutMs): void {
+        if (!this.batches.has(homeAddress)) {
             return;
         }
-        this.batches.delete(homeAddress);
+        const channel = this.getClient(homeAddress).getChannel();
+        const state = channel.getConnectivityState(true);
+        if (state !== connectivityState.IDLE && state !== connectivityState.CONNECTING) {
+            this.sendBatch(homeAddress);
+            return;
+        }
+        channel.watchConnectivityState(state, connectUntilMs, error => {
+            if (error) {
+                this.publishFailure(this.takeBatch(homeAddress));
+            }
+            else {
+                this.sendWhenConnected(homeAddress, connectUntilMs);
+            }
+        });
+    }
+
+    private sendBatch(homeAddress: string): void {
+        const questions = this.takeBatch(homeAddress);
         const { instanceId } = this.options;
         this.getClient(homeAddress).acquire(
             { instanceId, questions },
             new Metadata(),
-            // The permits in a later answer would already have expired.
-            { deadline: Date.now() + permitValidityMs },
-            (error, response) => this.publishAnswers(questions, error, response),
+            { deadline: Date.now() + callTimeoutMs },
+            (error, response) => this.publishAnswers(questions, error ? undefined : response),
         );
     }
 
+    private takeBatch(homeAddress: string): PermitForward[] {
+        const questions = [...this.batches.get(homeAddress)?.values() ?? []];
+        this.batches.delete(homeAddress);
+        return questions;
+    }
+
     /** Uses a new connection: a shared one could report a connection failure that happened some time ago. */
     private retire({ homeAddress, resourceId, epoch }: PermitRetire): void {
         const client = this.options.clientFactory.createClient(PermitsClient, homeAddress, ConnectionMode.Dedicated);
@@ -99,12 +139,12 @@
         );
     }
 
-    private publishAnswers(
-        questions: readonly PermitForward[],
-        error: ServiceError | null,
-        response: AcquireResponse | undefined,
-    ): void {
-        const answers = new Map(error ? [] : response?.answers.map(answer => [answer.requestId, answer]));
+    private publishFailure(questions: readonly PermitForward[]): void {
+        this.publishAnswers(questions, undefined);
+    }
+
+    private publishAnswers(questions: readonly PermitForward[], response: AcquireResponse | undefined): void {
+        const answers = new Map(response?.answers.map(answer => [answer.requestId, answer]));
         for (const { requestId, workspace } of questions) {
             const answer = answers.get(requestId) ?? { granted: 0, retryAfterMs: 0, answered: false };
             const { granted, retryAfterMs, answered } = answer;
