test(session): replies that links match wrongly, keep waiting for or answer wrongly

Dropped replies are not remembered, a fault fits a rollback, an older position counts as a repeat, a rollback has no deadline, and the gate on acknowledgements covers attempts without a reply.

A write that the database refuses at a position that went back and the rollback at such a position are answered on.

--- a/src/session/__tests__/replyMatcher.spec.ts
+++ b/src/session/__tests__/replyMatcher.spec.ts
@@ -107,6 +107,25 @@
         assert.deepEqual(verdicts(matcherOf(begin), reply(1, { signature: "a" })), [ReplyVerdict.Unmatched]);
         assert.deepEqual(verdicts(matcherOf(), reply(1, { signature: "a" })), [ReplyVerdict.Unmatched]);
     });
+
+    it("that are repeated faults are no answer to a rollback, which cannot fail", () => {
+        // Guards against a link that expects a failed transaction and takes no later answer for its own.
+        const matcher = matcherOf(begin, write);
+        const failed = reply(1, { fault: StatementFault.Failed, transaction: TransactionState.Failed });
+        assert.deepEqual(verdicts(matcher, reply(1, opened), failed), [ReplyVerdict.Proved, ReplyVerdict.Proved]);
+        matcher.expect(ReplyRole.Cleanup, rollback);
+        assert.deepEqual(verdicts(matcher, failed, reply(1)), [ReplyVerdict.Repeated, ReplyVerdict.Proved]);
+        matcher.expect(ReplyRole.Prelude, setValue);
+        assert.deepEqual(verdicts(matcher, reply(2)), [ReplyVerdict.Proved]);
+    });
+
+    it("that are new faults are taken although the position of the database went back", () => {
+        // Guards against writes that wait for their limit at a former primary whose log was rolled back.
+        const matcher = matcherOf(write, write);
+        const refused = reply(7, { fault: StatementFault.ReadOnly });
+        assert.equal(matcher.match(reply(9, { signature: "a" })).verdict, ReplyVerdict.Proved);
+        assert.notEqual(matcher.match(refused).verdict, ReplyVerdict.Repeated);
+    });
 });
 
 /** A matcher that has seen the beginning of a transaction at one position, a statement at a later one, and begins again. */
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -38,6 +38,15 @@
         routing.process(question(undefined), 0);
         assert.equal(resultOf(routing, "p", commit), undefined);
     });
+
+    it("are promises that nothing was kept if they were not sent", () => {
+        // Guards against "in doubt" for every commit and write that found no link while a primary is replaced.
+        const routing = new Routing({ dataCentre: "d" });
+        routing.process(question(4), 0);
+        assert.equal(unsentResultOf(routing, "", commit, StatementFault.Aborted), StatementFault.Aborted);
+        const single = { ...commit, mode: TaskMode.Single, statement: write };
+        assert.equal(unsentResultOf(routing, "p", single, StatementFault.Busy), StatementFault.Busy);
+    });
 });
 
 const write = { kind: SessionStatementKind.Write, text: "WRITE 1 x" } as unknown as LinkTask["statement"];
@@ -81,6 +90,28 @@
     return (routing.process(attempted, 0).find(({ kind }) => kind === TaskKind.Ended) as TaskEnded).fault;
 }
 
+function unsentResultOf(
+    routing: Routing,
+    databaseId: string,
+    task: LinkTask,
+    fault: StatementFault,
+): StatementFault | undefined {
+    const attempted: TaskAttempted = {
+        kind: TaskKind.Attempted,
+        task,
+        databaseId,
+        address: undefined,
+        reply: undefined,
+        fault,
+        sent: false,
+        holderUnavailable: false,
+        sentMs: undefined,
+        leads: false,
+        pinned: false,
+    };
+    return (routing.process(attempted, 0).find(({ kind }) => kind === TaskKind.Ended) as TaskEnded).fault;
+}
+
 function question(fence: number | undefined): FrameReceived {
     const frame = { kind: "commits_asked" as const, questionId: "4/close", service: "s", fence };
     return { kind: FleetKind.FrameReceived, attachmentId: "f", frame };
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -575,6 +575,76 @@
         assert.ok(fixture.otherMessages.some(({ kind }) => kind === LinkKind.ReplyDiscarded));
     });
 
+    it("does not take the repeated answer to an earlier setting for that to the beginning of a transaction", () => {
+        // Guards against "not run" for a write that runs alone, behind a beginning that the database has refused.
+        const fixture = primaryFixture();
+        const open = { transaction: TransactionState.Open };
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b1"));
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l0", { ...open, position: position(1, 1) });
+        fixture.reply("l0", { ...open, position: position(1, 1) });
+        fixture.request("s1", statement(SessionStatementKind.SetValue, "a", { name: "x", argument: "1" }));
+        fixture.request("s1", statement(SessionStatementKind.Read, "r2"));
+        fixture.repeat("l0", { ...open, position: position(1, 1) });
+        fixture.reply("l0", { ...open, position: position(1, 2) });
+        fixture.reply("l0", { ...open, position: position(1, 2) });
+        fixture.request("s1", statement(SessionStatementKind.Commit, "c1"));
+        fixture.reply("l0", { position: position(1, 2) });
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b2"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w"));
+        fixture.openLinks();
+        fixture.repeat("l0", { ...open, position: position(1, 2) });
+        const last = fixture.sent.at(-1)!;
+        assert.notDeepEqual([last.linkId, last.command.kind], ["l0", LinkCommandKind.Run]);
+    });
+
+    it("keeps a link until its rollback is answered, although the fault before it is repeated", () => {
+        // Guards against a link that counts as in a failed transaction and answers nothing until its time-out.
+        const fixture = primaryFixture();
+        const failed = {
+            fault: StatementFault.Failed,
+            transaction: TransactionState.Failed,
+            position: position(1, 1),
+        };
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.reply("l0", { transaction: TransactionState.Open, position: position(1, 1) });
+        fixture.reply("l0", failed);
+        fixture.repeat("l0", failed);
+        fixture.connect("s2", "orders");
+        fixture.request("s2", statement(SessionStatementKind.Read, "r"));
+        assert.equal(kindsOf(fixture).at(-1), LinkCommandKind.Rollback);
+    });
+
+    it("does not keep a link for ever whose rollback is answered at a position that went back", () => {
+        // Guards against links that are lost one by one at a database whose log was rolled back.
+        const fixture = primaryFixture();
+        const open = { transaction: TransactionState.Open };
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b1"));
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l0", { ...open, position: position(3, 5) });
+        fixture.reply("l0", { ...open, position: position(3, 9) });
+        fixture.post({ kind: SessionKind.Closed, sessionId: "s1" } as never);
+        fixture.reply("l0", { position: position(3, 7) });
+        fixture.advance(10_000);
+        assert.deepEqual(fixture.closed, ["l0"]);
+    });
+
+    it("does not keep a link for ever whose rollback is not answered", () => {
+        const fixture = primaryFixture();
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b1"));
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l0", { transaction: TransactionState.Open, position: position(3, 5) });
+        fixture.reply("l0", { transaction: TransactionState.Open, position: position(3, 9) });
+        fixture.post({ kind: SessionKind.Closed, sessionId: "s1" } as never);
+        fixture.advance(10_000);
+        assert.deepEqual(fixture.closed, ["l0"]);
+    });
+
     it("aborts a transaction that is idle for too long", () => {
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
