test(fleet): a service without commits, and a repeated status while a replica catches up

Cause: a replica at position 0 counts as one without its log, so that no number of them is enough, and no instance has seen a commit that would cover the choice. A status that arrives twice with the lower position counts as the loss of a log.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -166,6 +166,23 @@
         assert.equal(fixture.decide(), "b");
     });
 
+    it("does not take the repeated status of a replica that catches up for the loss of its log", () => {
+        // Guards against an order for the primary that shuts down, which takes back the one for its successor.
+        const fixture = new FencingFixture({ planned: true });
+        fixture.openLink("p", 3, 12);
+        fixture.openLink("a", 3, 9);
+        fixture.answer("p", false, 3, 12);
+        fixture.decide(61);
+        fixture.answer("a", false, 3, 10);
+        fixture.decide(61);
+        fixture.answer("a", false, 3, 12);
+        assert.equal(fixture.decide(), "a");
+        fixture.fencing.orderSent("a");
+        fixture.decide(61);
+        fixture.answer("a", false, 3, 10);
+        assert.equal(fixture.fencing.hasLostLogSinceChoice(), false);
+    });
+
     it("pauses replicas with a term above every known one", () => {
         const fixture = new FencingFixture();
         fixture.openLink("a", 7, 10);
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -32,6 +32,18 @@
         assert.deepEqual(world.lost, []);
     });
 
+    it("promotes a replica of a service that has no commits yet", () => {
+        // Guards against a choice that waits for ever because an empty log counts as a lost one.
+        const world = new PromotionWorld();
+        world.instances.forEach(instance => {
+            instance.writes = false;
+        });
+        world.advance(5_000);
+        world.crash(world.database(0));
+        world.advance(15_000);
+        assert.equal(world.promoted.length, 1);
+    });
+
     it("does not promote a stale replica after all control members have restarted", () => {
         // Guards against the loss of commits if the leader takes the databases that have reported to it for all.
         const world = new PromotionWorld();
