fix(session): replies that answered nothing may be repeated like any other

A reply that a link dropped was not remembered, so that its own repeat looked new: the repeat of a setting's answer counted as the beginning of a transaction, and the refusal of that beginning as a proved "not run" of a write that had run. A repeated fault counted as the answer to a rollback, which cannot fail, and a reply at an earlier position than another one was dropped even if nothing like it had been seen, as after a change of primary.

--- a/src/session/replyMatcher.ts
+++ b/src/session/replyMatcher.ts
@@ -64,7 +64,7 @@
     private readonly expected: ExpectedReply[] = [];
     private readonly signatures = new Set<string>();
     /** The latest position of each reply without a signature, by its other content. */
-    private readonly unsignedPositions = new Map<string, Position | undefined>();
+    private readonly unsignedPositions = new Map<string, Position>();
     /** The latest positions of unsigned replies: faults, and successes that left a transaction open. */
     private faultPosition: Position | undefined;
     private openedPosition: Position | undefined;
@@ -141,13 +141,17 @@
 
     private matchUnsigned(reply: LinkReply): ReplyMatch {
         const expected = this.expected[0];
-        if (expected === undefined || !fits(reply, expected) || isOlder(reply.position, this.latestPosition)) {
+        const isNew = this.isNew(reply);
+        const isOutdated = !isNew && isOlder(reply.position, this.latestPosition);
+        // A reply that answers nothing is remembered too, because it may be repeated like any other.
+        this.remember(reply);
+        if (expected === undefined || !fits(reply, expected) || isOutdated) {
             return { verdict: ReplyVerdict.Repeated };
         }
-        const isProved = this.isNew(reply)
-            && (reply.fault === undefined ? !this.overdueStates.has(expected.transaction) : !this.mayFaultBeOverdue);
-        this.remember(reply);
-        if (isProved) {
+        const mayBeOverdue = reply.fault === undefined
+            ? this.overdueStates.has(expected.transaction)
+            : this.mayFaultBeOverdue;
+        if (isNew && !mayBeOverdue) {
             return this.prove(expected);
         }
         this.overdueStates.add(expected.transaction);
@@ -162,17 +166,19 @@
     }
 
     private isNew(reply: LinkReply): boolean {
-        const key = contentOf(reply);
-        return !this.unsignedPositions.has(key) || isOlder(this.unsignedPositions.get(key), reply.position);
+        const last = this.unsignedPositions.get(contentOf(reply));
+        return last === undefined || isOlder(last, reply.position);
     }
 
     private remember(reply: LinkReply): void {
-        this.unsignedPositions.set(contentOf(reply), reply.position);
+        const key = contentOf(reply);
+        const position = reply.position ?? unknownPosition;
+        this.unsignedPositions.set(key, later(this.unsignedPositions.get(key), position));
         if (reply.fault !== undefined) {
-            this.faultPosition = reply.position ?? unknownPosition;
+            this.faultPosition = later(this.faultPosition, position);
         }
         else if (reply.transaction === TransactionState.Open) {
-            this.openedPosition = reply.position ?? unknownPosition;
+            this.openedPosition = later(this.openedPosition, position);
         }
     }
 }
@@ -182,7 +188,9 @@
 
 /** Whether a reply without a signature has the form of the expected one. */
 function fits({ fault, transaction }: LinkReply, expected: ExpectedReply): boolean {
-    return fault !== undefined || expected.signing !== Signing.Always && transaction === expected.transaction;
+    return fault === undefined
+        ? expected.signing !== Signing.Always && transaction === expected.transaction
+        : expected.canFail;
 }
 
 function contentOf({ fault, detail, transaction, rows }: LinkReply): string {
@@ -198,7 +206,7 @@
     return last === undefined || isOlder(last, position);
 }
 
-function later(left: Position | undefined, right: Position | undefined): Position | undefined {
+function later<Other extends Position | undefined>(left: Position | undefined, right: Other): Position | Other {
     return left === undefined || isOlder(left, right) ? right : left;
 }
 
