fix(session): a commit that was not sent is no doubt during a change of primary

While acknowledgements are withheld, a write that had expired unsent and a commit whose link was lost were answered as in doubt instead of as promises that nothing is kept, after which callers try again. Only what succeeded is withheld. routing.spec.ts "are promises that nothing was kept..." is green now.

--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -399,7 +399,8 @@
 
     /** Converts an attempt that is not retried to the result of the task. */
     private toEnded({ task, databaseId, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
-        if (reply?.fault === undefined && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)) {
+        const hasSucceeded = reply !== undefined && reply.fault === undefined;
+        if (hasSucceeded && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)) {
             return endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept");
         }
         if (reply !== undefined) {
