fix(fleet): a repeated status is no loss of a log

An old status on a connection that had answered before counted as a replica that had started again without its log, which took a correct order back. A lower position counts in the first answer of a connection only, since a restart ends connections. fencing.spec.ts "does not take the repeated status..." is green now.

--- a/src/fleet/fencedDatabase.ts
+++ b/src/fleet/fencedDatabase.ts
@@ -41,6 +41,8 @@
     private isOpen = false;
     /** A command was sent on this connection; a repetition of its answer may arrive at any time. */
     private isUsed = false;
+    /** The connection has brought an answer. */
+    private isAnswered = false;
     /** A command that was sent and is not answered yet. */
     private pending: LinkCommand | undefined;
     /** Time at which the connection was requested or the pending command sent. */
@@ -101,10 +103,19 @@
         this.pending = undefined;
         this.retryAtMs = nowMs + retryDelayMs;
         const { status } = reply;
+        const isFirst = !this.isAnswered;
+        this.isAnswered = true;
         if (reply.fault !== undefined || status === undefined) {
             return;
         }
-        this.applyStatus(status);
+        const isBehind = this.status !== undefined
+            && !hasReached(status.receivedPosition, this.status.receivedPosition);
+        if (isBehind && !isFirst) {
+            // A repetition of an earlier answer on this connection; a process that starts again ends its connections.
+            return;
+        }
+        this.logLosses += isBehind ? 1 : 0;
+        this.status = status;
         const stopped = this.isStoppedBy(command, status);
         if (stopped) {
             this.stoppedAtMs = nowMs;
@@ -173,14 +184,6 @@
         this.status = this.status === undefined ? undefined : { ...this.status, leads: false };
     }
 
-    private applyStatus(status: DatabaseStatus): void {
-        const known = this.status;
-        if (known !== undefined && !hasReached(status.receivedPosition, known.receivedPosition)) {
-            this.logLosses++;
-        }
-        this.status = status;
-    }
-
     private isStoppedBy(command: LinkCommand, { leads, heldTerm }: DatabaseStatus): boolean {
         if (leads) {
             return false;
@@ -217,6 +220,7 @@
         const { databaseId, address } = this.member;
         this.linkId = this.options.nextLinkId();
         this.isUsed = false;
+        this.isAnswered = false;
         this.requestedAtMs = nowMs;
         const { service } = this.options;
         return [{ kind: LinkKind.Open, linkId: this.linkId, address, service, workspace: "", databaseId } as Message];
