fix(fleet): a service without commits gets a new primary

Replicas at position 0 counted as missing, because they may have started again just now, so a service without any commit never got a primary after a crash. They count if nothing speaks for a commit: no promotion, no lost database, and all instances are there and have seen none. promotions.spec.ts "promotes a replica of a service that has no commits yet" is green now.

--- a/src/fleet/commitSurvey.ts
+++ b/src/fleet/commitSurvey.ts
@@ -65,6 +65,15 @@
         return [...this.closedAt.values()].filter(position => position !== undefined).sort(comparePositions).at(-1);
     }
 
+    /** Whether all instances are there and have stopped to acknowledge commits without having seen one. */
+    hasSeenNoCommit(): boolean {
+        const { witnesses } = this.options;
+        return witnesses.absent().length === 0
+            && [...witnesses.serving.keys()].every(attachmentId =>
+                this.closedAt.has(attachmentId) && this.closedAt.get(attachmentId) === undefined
+            );
+    }
+
     /** Asks the instances that have not answered. To be called only while no commit can be acknowledged. */
     ask(nowMs: number): readonly SendFrame[] {
         if (nowMs - (this.lastQuestionAtMs ?? -Infinity) < questionRetryMs) {
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -322,7 +322,8 @@
     private chooseFurthestReplica(nowMs: number): string | undefined {
         const { startedAtMs, synchronousReplicas } = this.options;
         const stopped = [...this.databases.values()].filter(database => database.stopped);
-        const missingCount = this.databases.size - stopped.filter(database => hasKeptLog(database)).length
+        const hasLog = this.isServiceEmpty(stopped) ? () => true : hasKeptLog;
+        const missingCount = this.databases.size - stopped.filter(hasLog).length
             + this.lostMembers().filter(({ databaseId }) => this.databases.get(databaseId)?.hasLostLog !== true).length;
         const best = this.mostAdvanced(stopped);
         if (best === undefined || this.awaitsStepDown(nowMs)) {
@@ -379,6 +380,13 @@
             && nowMs - startedAtMs < replicaWaitMs;
     }
 
+    /** Whether nothing speaks for a commit of the service: no replica has one, and no instance has seen one. */
+    private isServiceEmpty(stopped: readonly FencedDatabase[]): boolean {
+        return this.options.basePosition === undefined && this.lostMembers().length === 0
+            && stopped.every(({ hasLostLog, receivedPosition }) => !hasLostLog && receivedPosition!.offset === 0)
+            && this.survey.hasSeenNoCommit();
+    }
+
     /** Recorded databases that have ended without a successor that has their logs. */
     private lostMembers(): readonly ElectorateMember[] {
         return this.options.members().filter(({ isLost }) => isLost);
