fix(session): links do not wait for ever for a rollback

A rollback whose answer did not come, or was dropped because the position of the database had gone back, kept its link busy for ever. It has the time limit of a gate now, and a change of primary forgets the position that the pool had seen.

--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -46,13 +46,6 @@
             || this.prepared.size > maximumPreparedStatements;
     }
 
-    /** Returns whether session state has to be set on the link before a statement. */
-    needsSetup(context: SessionContext, statement: SessionStatement | undefined): boolean {
-        const prepared = preparedStatementOf(context, statement);
-        return this.needsReset(context) || this.countMissingValues(context) > 0
-            || prepared !== undefined && !this.prepared.has(sharedName(prepared));
-    }
-
     /** Number of session variables that have to be set on the link before a statement of this session. */
     countMissingValues({ values }: SessionContext): number {
         return [...values].filter(([name, value]) => this.values.get(name) !== value).length;
--- a/src/session/linkGate.ts
+++ b/src/session/linkGate.ts
@@ -23,8 +23,8 @@
 const begin: LinkCommand = { kind: LinkCommandKind.Begin };
 const rollback: LinkCommand = { kind: LinkCommandKind.Rollback };
 
-/** @param setsState session state is set on the link before the gate; the proof that it opens proves that this succeeded */
-export function gateOf({ task, floor }: TaskPlaced, idleMs: number, setsState: boolean): Gate {
+/** @param provesPrelude the gate is to prove that the commands before it, which set session state, have succeeded */
+export function gateOf({ task, floor }: TaskPlaced, idleMs: number, provesPrelude: boolean): Gate {
     switch (task.mode) {
         case TaskMode.Probe:
             return { commands: [begin, rollback], containsStatement: false, needsProof: true };
@@ -37,16 +37,16 @@
         }
         case TaskMode.Single: {
             if (task.writes) {
-                return setsState || idleMs > livenessCheckIdleMs
+                return provesPrelude || idleMs > livenessCheckIdleMs
                     ? { commands: [begin, rollback], containsStatement: false, needsProof: true }
                     : openGate;
             }
             if (task.needsPrimary) {
                 // The signed answer to the read tells whether it ran in a transaction, which proves the gate.
-                return { commands: [begin], containsStatement: true, needsProof: setsState };
+                return { commands: [begin], containsStatement: true, needsProof: provesPrelude };
             }
             const beginRead: LinkCommand = { kind: LinkCommandKind.BeginRead, floor: undefined };
-            return setsState
+            return provesPrelude
                 ? { commands: [beginRead, rollback], containsStatement: false, needsProof: true }
                 : openGate;
         }
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -103,8 +103,8 @@
                 )[0];
     }
 
-    private canProve(link: Link, { mode, writes, context, statement }: LinkTask): boolean {
-        if (mode !== TaskMode.Single || link.needsSetup(context, statement)) {
+    private canProve(link: Link, { mode, writes }: LinkTask): boolean {
+        if (mode !== TaskMode.Single) {
             return link.replies.canProveBegin(this.latestPosition);
         }
         // A single read whose answer is in doubt may run again.
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -48,7 +48,7 @@
     taskTimer,
 } from "./taskMessages.ts";
 
-/** Timeout of the reply to a gate; above the longest round trip, because a gate needs no slot of the database. */
+/** Timeout of the reply to a gate or a rollback; above the longest round trip, because neither needs a slot. */
 const gateTimeoutMs = 400;
 
 type LinksInput =
@@ -103,7 +103,7 @@
                 { kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) },
                 input => this.continueTransaction(input, nowMs),
             )
-            .with({ kind: P.union(TaskKind.Abandoned, TaskKind.PassedAbandoned) }, input => this.abandon(input))
+            .with({ kind: P.union(TaskKind.Abandoned, TaskKind.PassedAbandoned) }, input => this.abandon(input, nowMs))
             .with({ kind: TaskKind.Expired }, input => this.handleAttemptTimeout(input.taskId, nowMs))
             .with({ kind: LinkKind.Opened }, input => this.handleOpened(input, nowMs))
             .with({ kind: LinkKind.Replied }, input => this.handleReplied(input, nowMs))
@@ -195,10 +195,12 @@
         const { task, floor } = placed;
         link.state = LinkState.Busy;
         const prelude = link.preludeCommands(task.context, task.statement);
-        const gate = gateOf(placed, nowMs - link.idleSinceMs, prelude.length > 0);
+        const provesPrelude = prelude.length > 0
+            && link.replies.canProveBegin(this.table.poolOf(link).latestPosition);
+        const gate = gateOf(placed, nowMs - link.idleSinceMs, provesPrelude);
         link.attempt = { placed, gate, sentMs: nowMs, sent: false, leads: false };
         if (gate.commands.length === 0) {
-            return this.sendStatement(link, floor);
+            return prelude.length > 0 ? this.send(link, prelude, [], []) : this.sendStatement(link, floor);
         }
         const roles = [ReplyRole.Gate, ...gate.commands.slice(1).map(() => ReplyRole.Cleanup)];
         return [
@@ -278,12 +280,15 @@
         }
     }
 
-    /** Statements never follow commands that set session state without their answer: they would run without that state. */
+    /** Sends the statement once the commands are answered; behind a refused one it would run without its session state. */
     private handlePreludeReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
         if (reply.fault !== undefined) {
             return this.closeLink(link, nowMs, faultWithoutReply(link));
         }
-        return link.replies.expectedCount > 0 || link.attempt === undefined ? [] : this.sendStatement(link, undefined);
+        const { attempt } = link;
+        return link.replies.expectedCount > 0 || attempt === undefined
+            ? []
+            : this.sendStatement(link, attempt.placed.floor);
     }
 
     private handleGateReply(link: Link, reply: LinkReply, isProved: boolean, nowMs: number): readonly Message[] {
@@ -299,15 +304,15 @@
         if (!isProved && gate.needsProof) {
             return this.discard(link, reply, DiscardReason.Doubtful, nowMs);
         }
-        const cleared = this.table.clearLinkTimer(link);
         attempt.leads = reply.fault === undefined && task.needsPrimary && isProved;
         if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
-            return [cleared, ...this.reportAttempt(link, reply, false), ...this.finishGate(link, reply, nowMs)];
+            return [...this.reportAttempt(link, reply, false), ...this.finishGate(link, reply, nowMs)];
         }
         if (!gate.containsStatement) {
             // The statement is sent after the cleanup.
-            return [cleared];
+            return [];
         }
+        const cleared = this.table.clearLinkTimer(link);
         if (task.mode !== TaskMode.Single) {
             return [cleared, ...this.sendStatement(link, undefined)];
         }
@@ -321,20 +326,23 @@
         if (link.replies.expectedCount > 0) {
             return [];
         }
-        return reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link);
+        return reply.transaction === TransactionState.None
+            ? [this.table.clearLinkTimer(link), ...this.release(link, nowMs)]
+            : this.rollBack(link, nowMs);
     }
 
     private handleCleanupReply(link: Link, nowMs: number): readonly Message[] {
         if (link.replies.expectedCount > 0) {
             return [];
         }
+        const cleared = this.table.clearLinkTimer(link);
         const { attempt } = link;
         if (attempt === undefined) {
-            return this.release(link, nowMs);
+            return [cleared, ...this.release(link, nowMs)];
         }
         // The gate has shown that the link is alive and its session state set; the statement can be sent.
         attempt.leads = false;
-        return this.sendStatement(link, attempt.placed.floor);
+        return [cleared, ...this.sendStatement(link, attempt.placed.floor)];
     }
 
     private handleStatementReply(
@@ -368,7 +376,7 @@
         const result = this.reportAttempt(link, reply, pinned);
         this.table.unpin(link);
         if (link.replies.expectedCount > 0) {
-            return result;
+            return [...result, this.table.setLinkTimer(link, nowMs + gateTimeoutMs)];
         }
         if (pinned) {
             this.table.pin(link, task.sessionId);
@@ -376,7 +384,7 @@
         }
         return [
             ...result,
-            ...reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link),
+            ...reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link, nowMs),
         ];
     }
 
@@ -427,9 +435,12 @@
         return [clearDeadline(attemptKey(placed)), attempted];
     }
 
-    private rollBack(link: Link): readonly Message[] {
+    private rollBack(link: Link, nowMs: number): readonly Message[] {
         link.state = LinkState.Busy;
-        return this.send(link, [], [{ kind: LinkCommandKind.Rollback }], [ReplyRole.Cleanup]);
+        return [
+            ...this.send(link, [], [{ kind: LinkCommandKind.Rollback }], [ReplyRole.Cleanup]),
+            this.table.setLinkTimer(link, nowMs + gateTimeoutMs),
+        ];
     }
 
     /** Makes a link idle and assigns it to the next waiting task. */
@@ -447,11 +458,11 @@
         ];
     }
 
-    private abandon({ sessionId, taskId }: TaskAbandoned): readonly Message[] {
+    private abandon({ sessionId, taskId }: TaskAbandoned, nowMs: number): readonly Message[] {
         const link = this.table.findPinned(sessionId);
         if (link !== undefined && link.attempt === undefined) {
             this.table.unpin(link);
-            return this.rollBack(link);
+            return this.rollBack(link, nowMs);
         }
         if (taskId === undefined) {
             // The link of the transaction was lost; the database has rolled back the transaction.
@@ -478,7 +489,7 @@
         return link === undefined ? [] : this.closeLink(link, nowMs);
     }
 
-    /** Handles a link that did not open in time, or whose gate was not answered in time. */
+    /** Handles a link that did not open in time, or whose gate or rollback was not answered in time. */
     private handleLinkTimeout(linkId: string, nowMs: number): readonly Message[] {
         const link = this.table.get(linkId);
         return link === undefined ? [] : this.dropUnresponsive(link, nowMs);
@@ -549,7 +560,8 @@
         }
         const movedOrRestarted = pool.report.address !== report.address
             || pool.report.bornUnixMs !== report.bornUnixMs;
-        if (movedOrRestarted) {
+        if (movedOrRestarted || pool.report.leads !== report.leads) {
+            // A change of primary or a restart may take the log back.
             pool.latestPosition = undefined;
         }
         pool.report = report;
