fix(fleet): a choice does not wait for commits that nobody acknowledged

Cause: the position of an answer is the end of the database's log. It covers commits of other callers that still wait for a replica. Instances reported it as the highest commit that they had acknowledged, and the choice required a database that has it.

Change: the report is an upper bound. A replica that lacks it is chosen if all databases that count were shown, after the instances had answered, to be still stopped: what was acknowledged before is in one of them. Instances also report a lower bound, the position that a commit must have had because the log was known to have reached the one before when the commit was sent; a choice never goes below that. Answers of instances are kept when a choice begins anew before an order was sent.

Evidence: the new test of the model failed for the first of its 20 crashes before ("no commits, database_with_last_commit") and passes now.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { describe, it } from "node:test";
+import { beforeEach, describe, it } from "node:test";
 import { type CommitsSeenFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import {
     type LinkCommand,
@@ -11,6 +11,7 @@
 } from "../../model/linkMessages.ts";
 import { TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { ClosedInstances } from "../closedInstances.ts";
 import { CommitWitnesses } from "../commitWitnesses.ts";
 import type { ElectorateMember } from "../electorate.ts";
 import { Fencing, type FencingOptions } from "../fencing.ts";
@@ -42,6 +43,7 @@
             synchronousReplicas: 1,
             basePosition: undefined,
             witnesses: this.witnesses,
+            closedInstances: new ClosedInstances(),
             nextLinkId: () => `m${this.nextLink++}`,
             startedAtMs: 0,
             ...overrides,
@@ -382,6 +384,67 @@
         assert.equal(fixture.decide(), undefined);
     });
 
+    describe("if an answer told of commits that no replica has received", () => {
+        let fixture: FencingFixture;
+
+        function stopReplicas(): void {
+            fixture.loseLink("p", LinkLoss.NoListener);
+            ["a", "b"].forEach(databaseId => {
+                fixture.openLink(databaseId, 3, 12);
+                fixture.answer(databaseId, false, 3, 12);
+            });
+        }
+
+        /** The replicas are asked again, on new connections. */
+        function answerAgain(heldTerm?: number): void {
+            assert.equal(fixture.decide(100), undefined);
+            ["a", "b"].forEach(databaseId => {
+                fixture.openLink(databaseId, 3, 12);
+                fixture.answer(databaseId, false, 3, 12, 3, heldTerm);
+            });
+        }
+
+        beforeEach(() => {
+            fixture = new FencingFixture();
+        });
+
+        it("chooses one once both were shown to be still stopped", () => {
+            // Guards against a choice that waits for ever for commits that nobody acknowledged.
+            fixture.reportCommits("f1", 13, { questionId: "7/close" });
+            stopReplicas();
+            assert.equal(fixture.decide(), undefined);
+            answerAgain();
+            assert.equal(fixture.decide(), "a");
+            fixture.fencing.orderSent("a");
+            assert.ok(fixture.fencing.mayLead("a"));
+        });
+
+        it("chooses none if one of them has received again", () => {
+            fixture.reportCommits("f1", 13, { questionId: "7/close" });
+            stopReplicas();
+            assert.equal(fixture.decide(), undefined);
+            answerAgain(0);
+            assert.equal(fixture.decide(), undefined);
+        });
+
+        it("chooses none if a commit beyond them was certainly acknowledged", () => {
+            const reached = { term: 3, offset: 13 };
+            fixture.reportCommits("f1", 13, { questionId: "7/close", reached });
+            stopReplicas();
+            assert.equal(fixture.decide(), undefined);
+            answerAgain();
+            assert.equal(fixture.decide(), undefined);
+        });
+
+        it("orders none if an instance answers so after the choice", () => {
+            stopReplicas();
+            assert.equal(fixture.decide(), "a");
+            fixture.fencing.orderSent("a");
+            fixture.reportCommits("f1", 13, { questionId: "7/close" });
+            assert.ok(!fixture.fencing.mayLead("a"));
+        });
+    });
+
     it("waits for a replica that holds what the last promotion kept", () => {
         // Guards against the loss of commits that databases confirmed which have left since.
         const fixture = new FencingFixture({ basePosition: { term: 2, offset: 11 } });
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -17,6 +17,7 @@
     type LinkOpen,
     type LinkSend,
 } from "../../model/linkMessages.ts";
+import type { Position } from "../../model/position.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -46,6 +47,8 @@
     readonly instanceId: string;
     attachmentId: string | undefined;
     commits: CommitTracker;
+    /** Position of the last answer of a primary. */
+    knownPosition: Position | undefined;
     running: boolean;
     /** Callers commit by way of this instance. */
     writes: boolean;
@@ -79,6 +82,8 @@
     /** The last line of the log about a promotion. */
     progress: PromotionProgressed | undefined;
     acknowledgedCount = 0;
+    /** Interval between two commits of the callers; a commit takes 6 ms. */
+    writeIntervalMs = 20;
     /** Time after which the platform takes a call up, checks its fence and answers. */
     platformDelayMs = 0;
     /** Takes the place of `platformDelayMs` for each call. */
@@ -118,6 +123,7 @@
             const instance = { instanceId: `i${index}`, attachmentId: undefined, commits: new CommitTracker() };
             this.instances.push({
                 ...instance,
+                knownPosition: undefined,
                 running: true,
                 writes: true,
                 cutFromControl: false,
@@ -126,7 +132,7 @@
             });
         }
         this.startControl();
-        this.every(20, () => this.write());
+        this.writeAgain();
         this.every(100, () => this.suspectPrimary());
     }
 
@@ -340,6 +346,13 @@
         this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: hello } as Message);
     }
 
+    private writeAgain(): void {
+        this.after(this.writeIntervalMs, () => {
+            this.write();
+            this.writeAgain();
+        });
+    }
+
     /** A caller commits by way of one of the instances, in turn. */
     private write(): void {
         const serving = this.instances.filter(({ running, writes }) => running && writes);
@@ -355,14 +368,16 @@
         const sentMs = this.nowMs;
         const commit = { term: primary.ledTerm, number: this.nextCommit++ };
         primary.log = [...primary.log, commit];
-        const { position } = primary;
-        const acknowledge = (): void => {
+        const { offset } = primary.position;
+        const { knownPosition } = instance;
+        const acknowledge = (position: Position): void => {
+            instance.knownPosition = position;
             if (!instance.gate.mayAcknowledge(service, primary.id)) {
                 return;
             }
             this.acknowledged.add(commit.number);
             this.acknowledgedCount++;
-            commits.recordCommit(service, position, sentMs);
+            commits.recordCommit(service, position, { sentMs, knownPosition });
             if (this.rolledBack.has(commit.number)) {
                 // The database acknowledged the commit before it lost the lead, and the caller heard of it after that.
                 this.recordLoss(commit.number);
@@ -371,12 +386,14 @@
         const confirm = (): void => {
             // The caller of a process that has ended hears of no commit.
             if (instance.running && instance.commits === commits) {
-                this.after(latencyMs, acknowledge);
+                // The position of an answer covers later commits that wait for a replica.
+                const { position } = primary;
+                this.after(latencyMs, () => acknowledge(position));
             }
         };
-        primary.unconfirmed = [...primary.unconfirmed, { offset: position.offset, confirm }];
+        primary.unconfirmed = [...primary.unconfirmed, { offset, confirm }];
         this.databases.filter(database => database !== primary).forEach(replica =>
-            this.after(latencyMs, () => this.replicate(primary, replica, position.offset))
+            this.after(latencyMs, () => this.replicate(primary, replica, offset))
         );
     }
 
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -32,6 +32,24 @@
         assert.deepEqual(world.lost, []);
     });
 
+    it("promotes a replica although answers told of commits that no replica had received", () => {
+        // Guards against a choice that waits for commits which were under way when the primary crashed.
+        for (let crashAtMs = 5_000; crashAtMs < 5_020; crashAtMs++) {
+            const world = new PromotionWorld();
+            world.writeIntervalMs = 2;
+            world.advance(crashAtMs);
+            world.crash(world.database(0));
+            world.advance(2_000);
+            const before = world.acknowledgedCount;
+            world.advance(1_000);
+            assert.ok(
+                world.acknowledgedCount - before >= 450,
+                `crash at ${crashAtMs} ms: no commits, ${[...world.waits].join()}`,
+            );
+            assert.deepEqual(world.lost, []);
+        }
+    });
+
     it("promotes a replica of a service that has no commits yet", () => {
         // Guards against a choice that waits for ever because an empty log counts as a lost one.
         const world = new PromotionWorld();
--- a/src/fleet/commitSurvey.ts
+++ b/src/fleet/commitSurvey.ts
@@ -1,6 +1,7 @@
 /** Asks the instances, before a promotion, for the commits of a service that they have seen acknowledged. */
 import { type CommitsSeenFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
-import { comparePositions, hasReached, type Position } from "../model/position.ts";
+import { hasReached, type Position } from "../model/position.ts";
+import type { ClosedInstances } from "./closedInstances.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 
 /**
@@ -24,6 +25,7 @@
     readonly fence: number;
     /** Instances that may have seen acknowledgements. */
     readonly witnesses: CommitWitnesses;
+    readonly closedInstances: ClosedInstances;
 }
 
 export class CommitSurvey {
@@ -34,8 +36,6 @@
     /** Time at which the first question of the round was sent. */
     private roundStartedAtMs = 0;
     private lastQuestionAtMs: number | undefined;
-    /** Highest commits that instances had acknowledged when they stopped to, by attachment id. */
-    private readonly closedAt = new Map<string, Position | undefined>();
     /** When each instance was last asked to acknowledge no further commits, by attachment id. */
     private readonly closingAskedAtMs = new Map<string, number>();
 
@@ -48,10 +48,10 @@
      * what the databases do meanwhile.
      */
     close(nowMs: number): readonly SendFrame[] {
-        const { witnesses } = this.options;
+        const { witnesses, closedInstances } = this.options;
         // An instance that attaches again is asked again: its process may be another one.
         const due = [...witnesses.serving.keys()].filter(attachmentId =>
-            !this.closedAt.has(attachmentId)
+            !closedInstances.has(attachmentId)
             && nowMs - (this.closingAskedAtMs.get(attachmentId) ?? -Infinity) >= questionRetryMs
         );
         return due.map(attachmentId => {
@@ -60,18 +60,11 @@
         });
     }
 
-    /** Highest commit that is known to have been acknowledged; undefined if none is. */
-    highestClosed(): Position | undefined {
-        return [...this.closedAt.values()].filter(position => position !== undefined).sort(comparePositions).at(-1);
-    }
-
     /** Whether all instances are there and have stopped to acknowledge commits without having seen one. */
     hasSeenNoCommit(): boolean {
-        const { witnesses } = this.options;
+        const { witnesses, closedInstances } = this.options;
         return witnesses.absent().length === 0
-            && [...witnesses.serving.keys()].every(attachmentId =>
-                this.closedAt.has(attachmentId) && this.closedAt.get(attachmentId) === undefined
-            );
+            && [...witnesses.serving.keys()].every(attachmentId => closedInstances.hasSeenNoCommit(attachmentId));
     }
 
     /** Asks the instances that have not answered. To be called only while no commit can be acknowledged. */
@@ -92,8 +85,8 @@
     record(attachmentId: string, frame: CommitsSeenFrame, nowMs: number): void {
         const { highest, sentAgeMs, watchedMs, questionId } = frame;
         const instance = this.options.witnesses.serving.get(attachmentId);
-        if (instance !== undefined && questionId === this.closingId() && !this.closedAt.has(attachmentId)) {
-            this.closedAt.set(attachmentId, highest);
+        if (instance !== undefined && questionId === this.closingId()) {
+            this.options.closedInstances.add(attachmentId, frame, nowMs);
         }
         if (instance !== undefined && this.lastQuestionAtMs !== undefined && questionId === this.questionId()) {
             this.reports.set(instance.instanceId, {
--- a/src/fleet/fencedDatabase.ts
+++ b/src/fleet/fencedDatabase.ts
@@ -32,6 +32,8 @@
     status: DatabaseStatus | undefined;
     /** The database neither confirms nor acknowledges commits: a paused replica, or a primary that has stepped down. */
     stopped = false;
+    /** Time at which the command was sent whose answer last showed that the database has stopped. */
+    provedStoppedMs = -Infinity;
     /** No process listens at the database's address. */
     hasNoListener = false;
     /** How often the database was found to have started again without its log. */
@@ -119,6 +121,7 @@
         const stopped = this.isStoppedBy(command, status);
         if (stopped) {
             this.stoppedAtMs = nowMs;
+            this.provedStoppedMs = isFirst ? this.requestedAtMs : this.provedStoppedMs;
             this.pausedTerm = status.heldTerm;
         }
         else if (command.kind === LinkCommandKind.Pause) {
@@ -176,6 +179,11 @@
         return this.send(command ?? { kind: LinkCommandKind.Status }, nowMs);
     }
 
+    /** Asks a database that has stopped, at the next opportunity, whether it still is. */
+    proveAgain(): void {
+        this.stoppedAtMs = -Infinity;
+    }
+
     close(): readonly Message[] {
         return this.linkId === undefined ? [] : [{ kind: LinkKind.Close, linkId: this.linkId } as Message];
     }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -13,6 +13,7 @@
 import { comparePositions, hasReached, type Position } from "../model/position.ts";
 import { PromotionWait } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { ClosedInstances } from "./closedInstances.ts";
 import { CommitSurvey } from "./commitSurvey.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 import type { ElectorateMember } from "./electorate.ts";
@@ -51,6 +52,8 @@
     readonly basePosition: Position | undefined;
     /** Instances that may have seen acknowledgements. */
     readonly witnesses: CommitWitnesses;
+    /** Instances that acknowledge no commits until this promotion, or one that it follows, is complete. */
+    readonly closedInstances: ClosedInstances;
     nextLinkId(): string;
     readonly startedAtMs: number;
 }
@@ -165,7 +168,8 @@
     /** Whether the database can still be ordered to lead, as far as is known since it was chosen. */
     mayLead(databaseId: string): boolean {
         const database = this.databases.get(databaseId);
-        return database !== undefined && !this.hasLostLogSinceChoice() && this.holdsClosedCommits(database);
+        return database !== undefined && !this.hasLostLogSinceChoice()
+            && (this.holdsClosedCommits(database) || this.isFurthestSinceClosing(database));
     }
 
     /** Whether the chosen database has started again without its log. */
@@ -195,7 +199,7 @@
 
     /** Highest commit that is known to have been acknowledged, for the log; `-` if none is. */
     describeAcknowledged(): string {
-        return positionText(this.survey.highestClosed());
+        return positionText(this.options.closedInstances.highestLogEnd());
     }
 
     /** Instances whose answer is missing, or that are absent and not covered by an answer of another one. */
@@ -321,23 +325,23 @@
     /** The database with the highest position, if no commit beyond that position can have been acknowledged. */
     private chooseFurthestReplica(nowMs: number): string | undefined {
         const { startedAtMs, synchronousReplicas } = this.options;
-        const stopped = [...this.databases.values()].filter(database => database.stopped);
-        const hasLog = this.isServiceEmpty(stopped) ? () => true : hasKeptLog;
-        const missingCount = this.databases.size - stopped.filter(hasLog).length
-            + this.lostMembers().filter(({ databaseId }) => this.databases.get(databaseId)?.hasLostLog !== true).length;
+        const stopped = this.stoppedDatabases();
         const best = this.mostAdvanced(stopped);
         if (best === undefined || this.awaitsStepDown(nowMs)) {
             return this.waitFor(PromotionWait.DatabasesToStop);
         }
         if (synchronousReplicas === 0) {
             const hasWaited = nowMs - startedAtMs >= retryDelayMs;
-            return missingCount <= 1 || hasWaited ? best.databaseId : this.waitFor(PromotionWait.DatabasesToStop);
+            return this.missingCount(stopped) <= 1 || hasWaited
+                ? best.databaseId
+                : this.waitFor(PromotionWait.DatabasesToStop);
         }
-        // An acknowledged commit is on the primary and on `synchronousReplicas` others, so on one of those that stopped.
-        const holdsAll = missingCount <= synchronousReplicas && this.holdsBase(best)
-            || stopped.some(database => this.holdsPrimaryLog(database));
-        if (holdsAll && this.holdsClosedCommits(best)) {
-            return this.chooseOrderedOr(best, stopped, nowMs);
+        if (this.holdsConfirmedCommits(best, stopped)) {
+            const unproved = this.holdsClosedCommits(best) ? [] : this.unprovedSinceClosing(best, stopped);
+            if (unproved.length === 0 && this.holdsReached(best)) {
+                return this.chooseOrderedOr(best, stopped, nowMs);
+            }
+            unproved.forEach(database => database.proveAgain());
         }
         if (nowMs - startedAtMs < replicaWaitMs) {
             return this.waitFor(PromotionWait.DatabasesToStop);
@@ -353,6 +357,29 @@
             : this.waitFor(PromotionWait.DatabaseWithLastCommit);
     }
 
+    private stoppedDatabases(): readonly FencedDatabase[] {
+        return [...this.databases.values()].filter(database => database.stopped);
+    }
+
+    /** Number of databases that may have confirmed commits and have not stopped with them. */
+    private missingCount(stopped: readonly FencedDatabase[]): number {
+        const lost = this.lostMembers().filter(({ databaseId }) => this.databases.get(databaseId)?.hasLostLog !== true);
+        return this.databases.size - this.withLog(stopped).length + lost.length;
+    }
+
+    private withLog(stopped: readonly FencedDatabase[]): readonly FencedDatabase[] {
+        return this.isServiceEmpty(stopped) ? stopped : stopped.filter(hasKeptLog);
+    }
+
+    /**
+     * Whether `best` holds what replicas had confirmed before they stopped: an acknowledged commit is on the primary and on
+     * `synchronousReplicas` others, so on one of those that stopped.
+     */
+    private holdsConfirmedCommits(best: FencedDatabase, stopped: readonly FencedDatabase[]): boolean {
+        return this.missingCount(stopped) <= this.options.synchronousReplicas && this.holdsBase(best)
+            || stopped.some(database => this.holdsPrimaryLog(database));
+    }
+
     /**
      * The database of an earlier order that may still be executed, if it holds all acknowledged commits, or else `best`.
      * Commits that only `best` has were not acknowledged if no instance reports them.
@@ -408,12 +435,40 @@
         return basePosition === undefined || hasReached(receivedPosition!, basePosition);
     }
 
-    /** Whether the database holds the commits that instances had acknowledged when they stopped to. */
+    /**
+     * Whether the database holds the commits that instances had acknowledged when they stopped to. What they tell is an upper
+     * bound, beyond which the log of a lost primary may have had commits that nobody acknowledged.
+     */
     private holdsClosedCommits({ receivedPosition }: FencedDatabase): boolean {
-        const highest = this.survey.highestClosed();
+        const highest = this.options.closedInstances.highestLogEnd();
         return highest === undefined || receivedPosition !== undefined && hasReached(receivedPosition, highest);
     }
 
+    /** Whether the database holds the commits that were certainly acknowledged, as far as instances have answered. */
+    private holdsReached({ receivedPosition }: FencedDatabase): boolean {
+        const reached = this.options.closedInstances.highestReached();
+        return reached === undefined || hasReached(receivedPosition!, reached);
+    }
+
+    /**
+     * The databases that were not shown to be still stopped after the last instance had answered that may have acknowledged
+     * commits beyond `best`. If there is none, what was acknowledged had been confirmed by a database that has stopped.
+     */
+    private unprovedSinceClosing(
+        best: FencedDatabase,
+        stopped: readonly FencedDatabase[],
+    ): readonly FencedDatabase[] {
+        const answeredMs = this.options.closedInstances.lastAnswerBeyond(best.receivedPosition!) ?? -Infinity;
+        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= answeredMs);
+    }
+
+    private isFurthestSinceClosing(chosen: FencedDatabase): boolean {
+        const stopped = this.stoppedDatabases();
+        return stopped.every(({ receivedPosition }) => hasReached(chosen.receivedPosition!, receivedPosition!))
+            && this.holdsReached(chosen) && this.holdsConfirmedCommits(chosen, stopped)
+            && this.unprovedSinceClosing(chosen, stopped).length === 0;
+    }
+
     private waitFor(wait: PromotionWait): undefined {
         this.wait = wait;
         return undefined;
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -26,6 +26,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
+import { ClosedInstances } from "./closedInstances.ts";
 import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
 import type { FleetView } from "./promotions.ts";
@@ -81,6 +82,7 @@
     private phaseSinceMs = 0;
     private assessment: Assessment | undefined;
     private fencing: Fencing | undefined;
+    private closedInstances = new ClosedInstances();
     private catchUpCheck: CatchUpCheck | undefined;
     /** The databases that the check is about. */
     private checkedDatabases: readonly RecordedDatabase[] = [];
@@ -217,8 +219,12 @@
         }
         if (this.phase === Phase.Recording) {
             if (!this.revokes && !this.fencing!.mayLead(this.chosenDatabaseId)) {
-                // It started again meanwhile, or an instance has acknowledged a commit that it lacks.
-                return this.reserve(this.fence, nowMs);
+                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. No order was sent,
+                // so the instances that have answered still acknowledge nothing.
+                const { closedInstances } = this;
+                const reserved = this.reserve(this.fence, nowMs);
+                this.closedInstances = closedInstances;
+                return reserved;
             }
             return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
@@ -366,6 +372,7 @@
 
     private reserve(expectedFence: number, nowMs: number): readonly Message[] {
         const command = { kind: CommandKind.ReservePromotion, service: this.options.service, expectedFence };
+        this.closedInstances = new ClosedInstances();
         return [...this.closeFencing(), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
     }
 
@@ -391,6 +398,7 @@
                     : undefined,
             basePosition,
             witnesses: fleet.witnesses,
+            closedInstances: this.closedInstances,
             nextLinkId: () => fleet.nextLinkId(),
             startedAtMs: nowMs,
         });
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -182,8 +182,13 @@
     /** Id of the question that this frame answers; answers to earlier questions are ignored. */
     readonly questionId: string;
     readonly service: string;
-    /** Highest position of a commit that the process has seen acknowledged; undefined if it has seen none. */
+    /**
+     * Position with which a database answered the last acknowledged commit; undefined if the process has seen none. The log
+     * may have had later commits by then, which were not acknowledged.
+     */
     readonly highest: Position | undefined;
+    /** Position that the acknowledged commits have certainly reached; undefined if unknown. */
+    readonly reached?: Position | undefined;
     /** Upper bound of the time since that commit was sent; undefined if another instance sent it to the database. */
     readonly sentAgeMs: number | undefined;
     /** Time since the process began to record commits. */
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -95,6 +95,7 @@
         questionId: z.string(),
         service: z.string(),
         highest: position.optional(),
+        reached: position.optional(),
         sentAgeMs: durationMs.optional(),
         watchedMs: durationMs,
     }),
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Attachments } from "../../fleet/attachments.ts";
+import { ClosedInstances } from "../../fleet/closedInstances.ts";
 import { CommitWitnesses } from "../../fleet/commitWitnesses.ts";
 import { Fencing } from "../../fleet/fencing.ts";
 import { type DatabaseReport, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
@@ -9,6 +10,7 @@
 import { SessionStatementKind, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
+import { CommitTracker } from "../commitTracker.ts";
 import { Links } from "../links.ts";
 import { TaskKind } from "../taskMessages.ts";
 import { statement } from "./sessionFixture.ts";
@@ -93,6 +95,7 @@
         synchronousReplicas: 1,
         basePosition: undefined,
         witnesses,
+        closedInstances: new ClosedInstances(),
         nextLinkId: () => `m${nextLink++}`,
         startedAtMs: 10_000,
     });
@@ -168,4 +171,13 @@
         const instance = new TestInstance(9_800);
         assert.equal(choiceAfterAnswers(fencingWithoutFirstReplica(5), instance), undefined);
     });
+
+    it("reach beyond what the log was known to have when they were sent, and at most to where it ended at the answer", () => {
+        const tracker = new CommitTracker();
+        tracker.recordCommit("s", { term: 1, offset: 12 }, { sentMs: 0, knownPosition: { term: 1, offset: 8 } });
+        tracker.recordCommit("s", { term: 1, offset: 13 }, undefined);
+        const { highest, reached } = tracker.commitsSeenFrame("s", "7/close", 10);
+        assert.deepEqual(highest, { term: 1, offset: 13 });
+        assert.deepEqual(reached, { term: 1, offset: 9 });
+    });
 });
--- a/src/session/commitTracker.ts
+++ b/src/session/commitTracker.ts
@@ -3,7 +3,7 @@
  * that prepare a failover: how far the commits of a service reach, and whether a database still answers.
  */
 import { type AssessmentRequested, type CommitsSeenFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
-import { hasReached, type Position } from "../model/position.ts";
+import { hasReached, laterPosition, type Position } from "../model/position.ts";
 import type { LinkPool } from "./linkPool.ts";
 import type { TaskEnded } from "./taskMessages.ts";
 
@@ -13,9 +13,18 @@
     readonly sentMs: number | undefined;
 }
 
+/** What was known of a commit when it was sent. */
+interface SentCommit {
+    readonly sentMs: number | undefined;
+    /** Position that the database's log had reached. */
+    readonly knownPosition: Position | undefined;
+}
+
 export class CommitTracker {
     /** The commit with the highest position, by service. */
     private readonly highest = new Map<string, TrackedCommit>();
+    /** Position that acknowledged commits have certainly reached, by service. */
+    private readonly reached = new Map<string, Position>();
     private trackingSinceMs: number | undefined;
 
     /** Starts to track commits at the first call; later calls have no effect. */
@@ -30,11 +39,20 @@
         }
     }
 
-    /** @param sentMs when the commit was sent to its database, or earlier; undefined if another instance sent it */
-    recordCommit(service: string, position: Position, sentMs: number | undefined): void {
+    /**
+     * @param position end of the database's log when it answered
+     * @param sent undefined if another instance sent the commit to the database
+     */
+    recordCommit(service: string, position: Position, sent: SentCommit | undefined): void {
         const existing = this.highest.get(service);
         if (existing === undefined || !hasReached(existing.position, position)) {
-            this.highest.set(service, { position, sentMs });
+            this.highest.set(service, { position, sentMs: sent?.sentMs });
+        }
+        const known = sent?.knownPosition;
+        if (known !== undefined && known.term === position.term && known.offset < position.offset) {
+            // The commit was given a number after those that the log had when it was sent.
+            const least = { term: known.term, offset: known.offset + 1 };
+            this.reached.set(service, laterPosition(this.reached.get(service) ?? least, least));
         }
     }
 
@@ -46,6 +64,7 @@
             questionId,
             service,
             highest: highestCommit?.position,
+            reached: this.reached.get(service),
             sentAgeMs: highestCommit?.sentMs === undefined ? undefined : nowMs - highestCommit.sentMs,
             watchedMs: nowMs - (this.trackingSinceMs ?? nowMs),
         };
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -1,5 +1,6 @@
 /** One connection to a database, with the session state that is set on it and the replies that it expects. */
 import { type LinkCommand, LinkCommandKind } from "../model/linkMessages.ts";
+import type { Position } from "../model/position.ts";
 import type { PreparedStatement, SessionContext, SessionStatement } from "../model/sessionStatement.ts";
 import { SessionStatementKind } from "../model/sessionStatement.ts";
 import type { Gate } from "./linkGate.ts";
@@ -81,6 +82,8 @@
     readonly placed: TaskPlaced;
     readonly gate: Gate;
     sentMs: number | undefined;
+    /** Position that the database's log was known to have reached before the statement was sent. */
+    readonly knownPosition: Position | undefined;
     /** The statement itself was sent, not only the commands before it. */
     sent: boolean;
     /** The database proved during this attempt that it is the primary. */
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -195,10 +195,10 @@
         const { task, floor } = placed;
         link.state = LinkState.Busy;
         const prelude = link.preludeCommands(task.context, task.statement);
-        const provesPrelude = prelude.length > 0
-            && link.replies.canProveBegin(this.table.poolOf(link).latestPosition);
+        const { latestPosition } = this.table.poolOf(link);
+        const provesPrelude = prelude.length > 0 && link.replies.canProveBegin(latestPosition);
         const gate = gateOf(placed, nowMs - link.idleSinceMs, provesPrelude);
-        link.attempt = { placed, gate, sentMs: nowMs, sent: false, leads: false };
+        link.attempt = { placed, gate, sentMs: nowMs, knownPosition: latestPosition, sent: false, leads: false };
         if (gate.commands.length === 0) {
             return prelude.length > 0 ? this.send(link, prelude, [], []) : this.sendStatement(link, floor);
         }
@@ -229,7 +229,8 @@
             attemptDeadlineMs: task.deadlineMs,
         };
         link.state = LinkState.Busy;
-        link.attempt = { placed, gate: openGate, sentMs: nowMs, sent: false, leads: false };
+        const knownPosition = this.table.poolOf(link).latestPosition;
+        link.attempt = { placed, gate: openGate, sentMs: nowMs, knownPosition, sent: false, leads: false };
         const prelude = link.preludeCommands(task.context, task.statement);
         const timer = taskTimer(TaskKind.AttemptDue, task.taskId);
         return [
@@ -370,7 +371,7 @@
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
             && !link.isAbandoned;
         if (task.writes && reply.fault === undefined && reply.position !== undefined) {
-            this.commitTracker.recordCommit(task.service, reply.position, attempt.sentMs);
+            this.commitTracker.recordCommit(task.service, reply.position, attempt);
             attempt.leads ||= !inTransaction;
         }
         const result = this.reportAttempt(link, reply, pinned);
