fix(session): only commits count as acknowledged commits

Cause: an instance recorded each successful write of an open transaction, and the COMMIT of one that had written nothing, as an acknowledged commit. A COMMIT without writes gets no number in the log, so the lower bound lay above all that was ever acknowledged. While a primary was being replaced, such a COMMIT was also answered as in doubt.

Change: a session knows whether its transaction has written; a task counts as a commit only if it has.

Evidence: both new tests of the session pipe fail on the code before.

--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -7,7 +7,7 @@
 import { type DatabaseReport, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkKind, LinkLoss, type LinkOpen } from "../../model/linkMessages.ts";
 import type { Position } from "../../model/position.ts";
-import { SessionStatementKind, TransactionState } from "../../model/sessionStatement.ts";
+import { SessionStatementKind, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
 import { CommitTracker } from "../commitTracker.ts";
@@ -41,6 +41,7 @@
             taskId: "t",
             sessionId: "c",
             service: "s",
+            mode: TaskMode.Single,
             writes: true,
             statement: statement(SessionStatementKind.Write, "t"),
         };
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -49,6 +49,7 @@
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
+        FleetKind.SendFrame,
         FleetKind.PolicyProofNeeded,
         PeerKind.Send,
         PeerKind.Answer,
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
-import { describe, it } from "node:test";
-import { FleetKind } from "../../model/fleetMessages.ts";
+import { beforeEach, describe, it } from "node:test";
+import { type CommitsSeenFrame, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkCommandKind, LinkKind, LinkLoss } from "../../model/linkMessages.ts";
 import { PeerKind, type PeerSend } from "../../model/peerMessages.ts";
 import { type SessionAccept, SessionKind, type SessionRefuse } from "../../model/sessionMessages.ts";
@@ -106,6 +106,54 @@
         assert.deepEqual(fixture.closed, ["l0"]);
     });
 
+    describe("asked by a promotion for acknowledged commits", () => {
+        const open = { transaction: TransactionState.Open };
+        let fixture: SessionFixture;
+
+        function runInTransaction(kind: SessionStatementKind): void {
+            fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+            fixture.request("s1", statement(kind, "x"));
+            fixture.openLinks();
+            fixture.reply("l0", { ...open, position: position(1, 5) });
+            fixture.reply("l0", { ...open, position: position(1, 7) });
+        }
+
+        function commit(): void {
+            fixture.request("s1", statement(SessionStatementKind.Commit, "c"));
+            fixture.reply("l0", { position: position(1, 9) });
+        }
+
+        function askForCommits(): CommitsSeenFrame {
+            const frame = { kind: "commits_asked", questionId: "q", service: "s", fence: 1 } as const;
+            fixture.post({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame } as FrameReceived);
+            const answer = fixture.otherMessages.findLast(({ kind }) => kind === FleetKind.SendFrame) as SendFrame;
+            return answer.frame as CommitsSeenFrame;
+        }
+
+        beforeEach(() => {
+            fixture = primaryFixture();
+        });
+
+        it("tells of the commit of a transaction that has written, and of none before", () => {
+            // Guards against a choice that waits for writes which were never committed.
+            runInTransaction(SessionStatementKind.Write);
+            assert.equal(askForCommits().highest, undefined);
+            fixture = primaryFixture();
+            runInTransaction(SessionStatementKind.Write);
+            commit();
+            const { highest, reached } = askForCommits();
+            assert.deepEqual([highest, reached], [position(1, 9), position(1, 8)]);
+        });
+
+        it("tells of no commit, and withholds none, where a transaction has written nothing", () => {
+            runInTransaction(SessionStatementKind.Read);
+            assert.equal(askForCommits().highest, undefined);
+            commit();
+            assert.equal(fixture.lastFault(), undefined);
+            assert.equal(askForCommits().highest, undefined);
+        });
+    });
+
     it("reserves a link for its open transaction, which is rolled back when the caller disconnects", () => {
         const fixture = primaryFixture();
         fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
--- a/src/session/commitTracker.ts
+++ b/src/session/commitTracker.ts
@@ -5,7 +5,7 @@
 import { type AssessmentRequested, type CommitsSeenFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import { hasReached, laterPosition, type Position } from "../model/position.ts";
 import type { LinkPool } from "./linkPool.ts";
-import type { TaskEnded } from "./taskMessages.ts";
+import { isCommit, type TaskEnded } from "./taskMessages.ts";
 
 interface TrackedCommit {
     readonly position: Position;
@@ -34,7 +34,7 @@
 
     /** Also records commits that ran on links of other instances, because this one acknowledges them to its callers. */
     recordResult({ task, reply, fault }: TaskEnded): void {
-        if (task.writes && fault === undefined && reply?.position !== undefined) {
+        if (isCommit(task) && fault === undefined && reply?.position !== undefined) {
             this.recordCommit(task.service, reply.position, undefined);
         }
     }
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -37,6 +37,7 @@
 import { ReplyRole, ReplyVerdict } from "./replyMatcher.ts";
 import {
     type HolderChanged,
+    isCommit,
     type TaskAbandoned,
     type TaskAttempted,
     type TaskContinued,
@@ -370,7 +371,7 @@
         }
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
             && !link.isAbandoned;
-        if (task.writes && reply.fault === undefined && reply.position !== undefined) {
+        if (isCommit(task) && reply.fault === undefined && reply.position !== undefined) {
             this.commitTracker.recordCommit(task.service, reply.position, attempt);
             attempt.leads ||= !inTransaction;
         }
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -27,6 +27,7 @@
     type FloorLearned,
     type FloorProbeFailed,
     type FloorWanted,
+    isCommit,
     type LinkTask,
     retryText,
     stoppingText,
@@ -431,13 +432,6 @@
     }
 }
 
-/** Whether the success of a task tells its caller that a commit is kept. */
-function isCommit({ mode, writes, statement }: LinkTask): boolean {
-    const ends = mode === TaskMode.Single
-        || mode === TaskMode.Transaction && statement?.kind === SessionStatementKind.Commit;
-    return writes && ends;
-}
-
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -15,6 +15,8 @@
     readonly access: Access;
     readonly readOnly: boolean;
     readonly startedMs: number;
+    /** A write was sent, whatever became of it. */
+    hasWritten: boolean;
     /** The transaction is open on a link, which is reserved for it. */
     pinned: boolean;
     failed: boolean;
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -189,6 +189,7 @@
             access,
             readOnly,
             startedMs: nowMs,
+            hasWritten: false,
             pinned: false,
             failed: false,
             failureReported: false,
@@ -206,7 +207,8 @@
             session.transaction = undefined;
             return this.acknowledge(session);
         }
-        return this.submitTask(session, statement, statement.kind === SessionStatementKind.Commit, nowMs);
+        const writes = statement.kind === SessionStatementKind.Commit && transaction.hasWritten;
+        return this.submitTask(session, statement, writes, nowMs);
     }
 
     private runStatement(session: Session, statement: SessionStatement, nowMs: number): readonly Message[] {
@@ -235,6 +237,9 @@
             return [this.abandonTask(session), ...this.failTransaction(session, "the key was withdrawn")];
         }
         const { route, workspace } = transaction?.access ?? (access as Exclude<typeof access, { fault: unknown; }>);
+        if (transaction !== undefined) {
+            transaction.hasWritten ||= writes;
+        }
         const mode = transaction === undefined
             ? TaskMode.Single
             : transaction.readOnly
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -4,7 +4,13 @@
  */
 import type { LinkReply } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
-import type { SessionContext, SessionStatement, StatementFault, TaskMode } from "../model/sessionStatement.ts";
+import {
+    type SessionContext,
+    type SessionStatement,
+    SessionStatementKind,
+    type StatementFault,
+    TaskMode,
+} from "../model/sessionStatement.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { FloorSample } from "./floorSamples.ts";
@@ -61,7 +67,7 @@
     readonly mode: TaskMode;
     /** Undefined for a probe. */
     readonly statement: SessionStatement | undefined;
-    /** The statement writes, or commits a transaction that may have written. */
+    /** The statement writes, or commits a transaction that has written. */
     readonly writes: boolean;
     /** Only the primary may run the statement. */
     readonly needsPrimary: boolean;
@@ -216,3 +222,10 @@
 export function retryText(text: string, afterMs: number): string {
     return `${text}; not run, retry after ${Math.max(1, Math.ceil(afterMs))} ms`;
 }
+
+/** Whether the success of a task tells its caller that a commit is kept. */
+export function isCommit({ mode, writes, statement }: LinkTask): boolean {
+    const ends = mode === TaskMode.Single
+        || mode === TaskMode.Transaction && statement?.kind === SessionStatementKind.Commit;
+    return writes && ends;
+}
