--- a/src/session/replyMatcher.ts
+++ b/src/session/replyMatcher.ts
@@ -141,10 +141,11 @@
 
     private matchUnsigned(reply: LinkReply): ReplyMatch {
         const expected = this.expected[0];
-        const isNew = this.isNew(reply);
+        const content = contentOf(reply);
+        const isNew = this.isNew(content, reply.position);
         const isOutdated = !isNew && isOlder(reply.position, this.latestPosition);
         // A reply that answers nothing is remembered too, because it may be repeated like any other.
-        this.remember(reply);
+        this.remember(content, reply);
         if (expected === undefined || !fits(reply, expected) || isOutdated) {
             return { verdict: ReplyVerdict.Repeated };
         }
@@ -165,15 +166,14 @@
         return { verdict: ReplyVerdict.Proved, role };
     }
 
-    private isNew(reply: LinkReply): boolean {
-        const last = this.unsignedPositions.get(contentOf(reply));
-        return last === undefined || isOlder(last, reply.position);
+    private isNew(content: string, position: Position | undefined): boolean {
+        const last = this.unsignedPositions.get(content);
+        return last === undefined || isOlder(last, position);
     }
 
-    private remember(reply: LinkReply): void {
-        const key = contentOf(reply);
+    private remember(content: string, reply: LinkReply): void {
         const position = reply.position ?? unknownPosition;
-        this.unsignedPositions.set(key, later(this.unsignedPositions.get(key), position));
+        this.unsignedPositions.set(content, later(this.unsignedPositions.get(content), position));
         if (reply.fault !== undefined) {
             this.faultPosition = later(this.faultPosition, position);
         }
