fix(fleet): a choice that is dropped goes on with what it knows of the databases

What callers saw: acknowledged commits could be lost, since a choice no longer has to cover the end of the log that instances report. Order of events: a replica with the last commits is chosen; it starts again, receives the start of the log and tells no control member yet; the choice is dropped before an order is sent. The next choice began anew with a new fence, took the replica for one that never had more, and chose a staler one.

Cause: what the answers of the databases showed (positions, lost logs) ended with the reservation, while the answers of the instances were kept.

Change: as no order was sent, the same fencing goes on under its fence. It keeps the positions, the lost logs, the answers of instances and the times of the fencing, and saves a reservation. The record of closed instances belongs to one fencing again.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -11,7 +11,6 @@
 } from "../../model/linkMessages.ts";
 import { TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
-import { ClosedInstances } from "../closedInstances.ts";
 import { CommitWitnesses } from "../commitWitnesses.ts";
 import type { ElectorateMember } from "../electorate.ts";
 import { Fencing, type FencingOptions } from "../fencing.ts";
@@ -43,7 +42,6 @@
             synchronousReplicas: 1,
             basePosition: undefined,
             witnesses: this.witnesses,
-            closedInstances: new ClosedInstances(),
             nextLinkId: () => `m${this.nextLink++}`,
             startedAtMs: 0,
             ...overrides,
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -13,7 +13,7 @@
 import { comparePositions, hasReached, type Position } from "../model/position.ts";
 import { PromotionWait } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
-import type { ClosedInstances } from "./closedInstances.ts";
+import { ClosedInstances } from "./closedInstances.ts";
 import { CommitSurvey } from "./commitSurvey.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
 import type { ElectorateMember } from "./electorate.ts";
@@ -52,8 +52,6 @@
     readonly basePosition: Position | undefined;
     /** Instances that may have seen acknowledgements. */
     readonly witnesses: CommitWitnesses;
-    /** Instances that acknowledge no commits until this promotion, or one that it follows, is complete. */
-    readonly closedInstances: ClosedInstances;
     nextLinkId(): string;
     readonly startedAtMs: number;
 }
@@ -73,6 +71,7 @@
     private readonly databases = new Map<string, FencedDatabase>();
     /** Address of the primary, which it keeps when it starts again under another id. */
     private readonly primaryAddress: string | undefined;
+    private readonly closedInstances = new ClosedInstances();
     private readonly survey: CommitSurvey;
     /** Position of the primary after it stepped down. */
     private finalPosition: Position | undefined;
@@ -85,7 +84,7 @@
 
     constructor(options: FencingOptions) {
         this.options = options;
-        this.survey = new CommitSurvey(options);
+        this.survey = new CommitSurvey({ ...options, closedInstances: this.closedInstances });
         this.primaryAddress = options.members().find(({ databaseId }) => databaseId === options.primaryId)?.address;
         this.followMembers(options.startedAtMs);
     }
@@ -131,6 +130,11 @@
         this.logLossesBeforeOrder = this.databases.get(databaseId)?.logLosses ?? 0;
     }
 
+    /** The order was not sent after all: the choice goes on, with all that is known of the databases. */
+    withdrawOrder(): void {
+        this.orderedDatabaseId = undefined;
+    }
+
     decide(nowMs: number): FencingDecision {
         const closed = this.followMembers(nowMs);
         const messages = [...closed, ...this.advance(nowMs)];
@@ -199,7 +203,7 @@
 
     /** Highest commit that is known to have been acknowledged, for the log; `-` if none is. */
     describeAcknowledged(): string {
-        return positionText(this.options.closedInstances.highestLogEnd());
+        return positionText(this.closedInstances.highestLogEnd());
     }
 
     /** Instances whose answer is missing, or that are absent and not covered by an answer of another one. */
@@ -440,13 +444,13 @@
      * bound, beyond which the log of a lost primary may have had commits that nobody acknowledged.
      */
     private holdsClosedCommits({ receivedPosition }: FencedDatabase): boolean {
-        const highest = this.options.closedInstances.highestLogEnd();
+        const highest = this.closedInstances.highestLogEnd();
         return highest === undefined || receivedPosition !== undefined && hasReached(receivedPosition, highest);
     }
 
     /** Whether the database holds the commits that were certainly acknowledged, as far as instances have answered. */
     private holdsReached({ receivedPosition }: FencedDatabase): boolean {
-        const reached = this.options.closedInstances.highestReached();
+        const reached = this.closedInstances.highestReached();
         return reached === undefined || hasReached(receivedPosition!, reached);
     }
 
@@ -458,7 +462,7 @@
         best: FencedDatabase,
         stopped: readonly FencedDatabase[],
     ): readonly FencedDatabase[] {
-        const answeredMs = this.options.closedInstances.lastAnswerBeyond(best.receivedPosition!) ?? -Infinity;
+        const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!) ?? -Infinity;
         return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= answeredMs);
     }
 
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -26,7 +26,6 @@
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
-import { ClosedInstances } from "./closedInstances.ts";
 import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
 import type { FleetView } from "./promotions.ts";
@@ -82,7 +81,6 @@
     private phaseSinceMs = 0;
     private assessment: Assessment | undefined;
     private fencing: Fencing | undefined;
-    private closedInstances = new ClosedInstances();
     private catchUpCheck: CatchUpCheck | undefined;
     /** The databases that the check is about. */
     private checkedDatabases: readonly RecordedDatabase[] = [];
@@ -219,12 +217,10 @@
         }
         if (this.phase === Phase.Recording) {
             if (!this.revokes && !this.fencing!.mayLead(this.chosenDatabaseId)) {
-                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. No order was sent,
-                // so the instances that have answered still acknowledge nothing.
-                const { closedInstances } = this;
-                const reserved = this.reserve(this.fence, nowMs);
-                this.closedInstances = closedInstances;
-                return reserved;
+                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent, the
+                // choice goes on, with the same fence and all that is known.
+                this.fencing!.withdrawOrder();
+                return [...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
             }
             return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
@@ -372,7 +368,6 @@
 
     private reserve(expectedFence: number, nowMs: number): readonly Message[] {
         const command = { kind: CommandKind.ReservePromotion, service: this.options.service, expectedFence };
-        this.closedInstances = new ClosedInstances();
         return [...this.closeFencing(), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
     }
 
@@ -398,7 +393,6 @@
                     : undefined,
             basePosition,
             witnesses: fleet.witnesses,
-            closedInstances: this.closedInstances,
             nextLinkId: () => fleet.nextLinkId(),
             startedAtMs: nowMs,
         });
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Attachments } from "../../fleet/attachments.ts";
-import { ClosedInstances } from "../../fleet/closedInstances.ts";
 import { CommitWitnesses } from "../../fleet/commitWitnesses.ts";
 import { Fencing } from "../../fleet/fencing.ts";
 import { type DatabaseReport, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
@@ -96,7 +95,6 @@
         synchronousReplicas: 1,
         basePosition: undefined,
         witnesses,
-        closedInstances: new ClosedInstances(),
         nextLinkId: () => `m${nextLink++}`,
         startedAtMs: 10_000,
     });
