fix(session): a floor that covers commits which were not kept ends at the primary

What callers could see: on routes with session consistency, reads were refused (BUSY after their deadline) from a promotion to the first commit of the new primary, if the old one's answer to the session's last commit covered later commits of others that no database kept. Reads after a transaction that was rolled back could wait for commits of others in the same way.

Cause: the position of an answer is the end of the database's log, an upper bound of the commit. As a floor it is safe, but nobody may ever reach it. A session also took the position of each write in an open transaction for a commit's.

Change: if the primary itself lacks a floor, the read runs there without one, after it has proved that it is the primary, as reads do whose floor is late. Only commits raise the floor of a session.

--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -30,6 +30,7 @@
 import { Routing } from "../routing.ts";
 import { SessionAccess } from "../sessionAccess.ts";
 import { Sessions } from "../sessions.ts";
+import { TaskKind } from "../taskMessages.ts";
 
 export interface SentCommand {
     readonly linkId: string;
@@ -197,6 +198,12 @@
         this.post({ kind: FleetKind.DatabaseChanged, report } as Message);
     }
 
+    /** Another instance tells a position that the primary has given it just now. */
+    learnFloor(floor: Position): void {
+        const sample = { position: floor, atMs: this.clock.nowMs() };
+        this.post({ kind: TaskKind.FloorLearned, service: "s", sample } as Message);
+    }
+
     connect(sessionId: string, database: string, key = "k"): void {
         this.post({ kind: SessionKind.Opened, sessionId, database, key } as Message);
     }
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -6,6 +6,7 @@
 import { type SessionAccept, SessionKind, type SessionRefuse } from "../../model/sessionMessages.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
+import type { Message } from "../../pipeline/message.ts";
 import { position, route, SessionFixture, statement } from "./sessionFixture.ts";
 
 function primaryFixture(permits?: number): SessionFixture {
@@ -190,6 +191,48 @@
         assert.deepEqual(command.kind === LinkCommandKind.Run && command.floor, position(1, 9));
     });
 
+    it("reads from a new primary that lacks the position with which the old one answered the session's commit", () => {
+        // Guards against reads that are refused until the next commit, because that position covered commits that were not kept.
+        const fixture = new SessionFixture();
+        fixture.configure(route(RouteConsistency.Session, "status", 2_500));
+        fixture.reportDatabase("p", true);
+        fixture.connect("s1", "status");
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        fixture.reply("l0", { position: position(1, 9) });
+        fixture.reportDatabase("r", true);
+        fixture.post({ kind: FleetKind.DatabaseRemoved, databaseId: "p" } as Message);
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l1", { fault: StatementFault.Lagging, position: position(1, 8) });
+        assert.deepEqual(kindsOf(fixture).slice(-1), [LinkCommandKind.Begin]);
+        fixture.reply("l1", { transaction: TransactionState.Open, position: position(1, 8) });
+        fixture.reply("l1", { rows: ["x"], transaction: TransactionState.Open, position: position(1, 8) });
+        assert.deepEqual(fixture.answers.at(-1)!.answer.rows, ["x"]);
+    });
+
+    it("reads without a floor for writes of a transaction that was rolled back", () => {
+        // Guards against reads that wait for commits of others, which the position of an open transaction's write covers.
+        const fixture = new SessionFixture();
+        fixture.configure(route(RouteConsistency.Session, "status", 2_500));
+        fixture.reportDatabase("p", true, "dc2");
+        fixture.reportDatabase("r", false, "dc1");
+        fixture.connect("s1", "status");
+        fixture.learnFloor(position(1, 5));
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.openLinks();
+        const open = { transaction: TransactionState.Open };
+        fixture.reply("l0", { ...open, position: position(1, 5) });
+        fixture.reply("l0", { ...open, position: position(1, 9) });
+        fixture.request("s1", statement(SessionStatementKind.Rollback, "c"));
+        fixture.reply("l0", { position: position(1, 9) });
+        fixture.request("s1", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        const { databaseId, command } = fixture.sent.at(-1)!;
+        assert.deepEqual([databaseId, command.kind === LinkCommandKind.Run && command.floor], ["r", position(1, 5)]);
+    });
+
     it("probes the log position of the primary before the first bounded read", () => {
         const fixture = new SessionFixture();
         fixture.configure(route(RouteConsistency.Bounded, "lookup", 1_500));
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -393,6 +393,10 @@
             : nothingExecuted
             ? StatementFault.Busy
             : fault;
+        if (fault === StatementFault.Lagging && attempt.databaseId === this.databases.primary(task.service, nowMs)) {
+            // A floor may cover commits that nobody acknowledged and no database kept. The primary holds all others.
+            return this.placeAtPrimary(routed, nowMs);
+        }
         return match(fault)
             .with(P.union(StatementFault.Lagging, StatementFault.Misrouted, undefined), () => this.place(routed, nowMs))
             .otherwise(() => this.waitForRetry(routed, nowMs));
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -36,7 +36,7 @@
     running: Task | undefined;
     /** Statements received while another one is in progress; undefined for one that could not be parsed. */
     readonly queuedStatements: (SessionStatement | undefined)[] = [];
-    /** Log position of the session's last commit, by service; its later reads must see this position. */
+    /** Position that includes the session's last commit, and perhaps later ones of others, by service; a floor of its reads. */
     readonly floors = new Map<string, Position>();
     lastActiveMs = 0;
 
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -30,6 +30,7 @@
     type DrainDue,
     type DrainStep,
     expireTask,
+    isCommit,
     stoppingText,
     type Task,
     type TaskAbandoned,
@@ -273,7 +274,7 @@
         session.running = undefined;
         session.lastActiveMs = nowMs;
         const answer = this.applyResult(session, ended);
-        if (answer.fault === undefined && task.writes && reply?.position !== undefined) {
+        if (answer.fault === undefined && isCommit(task) && reply?.position !== undefined) {
             session.recordCommit(task.service, reply.position);
         }
         return [
