test(fleet): a replica that the control members do not know confirms the last commits

What the model shows: a replica joins without contact to the control members and confirms commits; the known replicas receive nothing for the last 8 ms before the primary crashes, with a commit every 2 ms. The known replicas are shown to be stopped and one is chosen; the last three acknowledged commits are lost, although the unknown replica has them. The lower bound of the instances lies below them, because other commits were under way when they were sent.

Before a choice could lie below the end of the log that instances report, it waited for that replica, and after crashes under load also for commits that nobody had acknowledged.

--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -225,6 +225,25 @@
         assertCommits(world);
     });
 
+    it("keeps what a replica has confirmed of which the control members have not heard", () => {
+        // Guards against a choice that takes the databases that are known for all that can have confirmed a commit.
+        const world = new PromotionWorld();
+        world.writeIntervalMs = 2;
+        world.advance(4_000);
+        const joined = world.join();
+        joined.cutFromControl = true;
+        world.advance(1_000);
+        [1, 2].forEach(index => {
+            world.database(index).deaf = true;
+        });
+        world.advance(8);
+        world.crash(world.database(0));
+        world.advance(4_000);
+        world.rejoin(joined.address);
+        world.advance(4_000);
+        assert.deepEqual(world.lost, []);
+    });
+
     it("does not promote a stale replica after the database that had confirmed the commits has left", () => {
         // Guards against the loss of commits that the last promotion kept and the remaining replica never received.
         const world = new PromotionWorld();
