fix(session): sessions that wait for their admission are answered at a stop

What callers saw: a session whose database or key the policy lacks waits up to 1 s for a proof of the policy. If the instance came to the last step of a stop meanwhile and had no other session, it ended without an answer. A request that was sent before its session was accepted was dropped, and never answered.

Cause: only admitted sessions delay the end of a stop, and the filter that holds new sessions did not know of the stop. It let their requests pass to a filter that did not know the session yet.

Change: with the last step of a stop, waiting sessions are refused as not run before the instance may end, and later ones do not wait. Requests wait with their session, 64 at most.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -434,6 +434,50 @@
         assert.ok(!fixture.otherMessages.some(({ kind }) => kind === SessionKind.Accept));
     });
 
+    it("refuses a new session that waits for a proof before a stopping instance ends", () => {
+        // Guards against a connection that ends without an answer because only admitted sessions delay the end.
+        const fixture = primaryFixture();
+        fixture.leaderProves = false;
+        fixture.connect("s2", "added");
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400 };
+        fixture.post({ ...drain, final: false } as never);
+        assert.deepEqual(refusalsOf(fixture), []);
+        fixture.post({ ...drain, final: true } as never);
+        assert.deepEqual(refusalsOf(fixture), [StatementFault.Busy]);
+        assert.equal(fixture.otherMessages.at(-1)?.kind, FleetKind.Drained);
+        fixture.connect("s3", "added");
+        assert.deepEqual(refusalsOf(fixture), [StatementFault.Busy, StatementFault.Busy]);
+    });
+
+    it("answers a request that came before its session was admitted", () => {
+        // Guards against requests that are dropped while their session waits for a proof of the policy.
+        const fixture = new SessionFixture();
+        fixture.leaderProves = false;
+        fixture.configureWithoutKeys();
+        fixture.connect("s1", "orders");
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Rollback, "r"));
+        assert.equal(fixture.answers.length, 0);
+        fixture.configure(route(RouteConsistency.Primary, "orders"));
+        assert.deepEqual(acceptedSessions(fixture), ["s1"]);
+        assert.deepEqual(fixture.answers.map(({ answer }) => answer.transaction), [
+            TransactionState.Open,
+            TransactionState.None,
+        ]);
+    });
+
+    it("refuses a session that waits with more requests than a session may have", () => {
+        const fixture = new SessionFixture();
+        fixture.leaderProves = false;
+        fixture.configureWithoutKeys();
+        fixture.connect("s1", "orders");
+        for (let index = 0; index < 65; index++) {
+            assert.deepEqual(refusalsOf(fixture), []);
+            fixture.request("s1", statement(SessionStatementKind.Read, `r${index}`));
+        }
+        assert.deepEqual(refusalsOf(fixture), [StatementFault.Busy]);
+    });
+
     it("answers every running request before a draining instance exits", () => {
         // Guards against connections that end without an answer because a statement may take longer than a drain.
         const fixture = new SessionFixture();
--- a/src/session/sessionAccess.ts
+++ b/src/session/sessionAccess.ts
@@ -1,9 +1,10 @@
 /**
  * Admits new sessions. A session that the policy does not admit waits until the policy is proved to be the newest one,
- * because a key or a database may have been added that this instance does not know of yet.
+ * because a key or a database may have been added that this instance does not know of yet. Its requests wait with it.
  */
 import { match } from "ts-pattern";
 import {
+    type FleetDrainStarted,
     FleetKind,
     type PolicyApplied,
     type PolicyProofUnavailable,
@@ -15,12 +16,15 @@
     SessionKind,
     type SessionOpened,
     type SessionRefuse,
+    type SessionRequested,
 } from "../model/sessionMessages.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AccessFault, isFault } from "./authorization.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
+import { stoppingText } from "./taskMessages.ts";
 
 /** Time for which a new session waits for the first configuration; callers time out after 2 s. */
 const policyWaitMs = 1_500;
@@ -28,30 +32,45 @@
 /** Time for which a new session waits for a proof: several round trips between regions and a sync of a slow disk. */
 const proofWaitMs = 1_000;
 
+/** Maximum of requests that wait with a session; callers normally wait until their session is accepted. */
+const maximumWaitingRequests = 64;
+
+interface WaitingSession {
+    readonly opened: SessionOpened;
+    readonly requests: SessionRequested[];
+}
+
 type AccessInput =
     | SessionOpened
+    | SessionRequested
     | SessionClosed
     | SessionAccessDue
     | PolicyApplied
     | PolicyProved
-    | PolicyProofUnavailable;
+    | PolicyProofUnavailable
+    | FleetDrainStarted;
 
 export class SessionAccess implements Filter<AccessInput, Message> {
     readonly step = "access";
     readonly accepts = [
         SessionKind.Opened,
+        SessionKind.Requested,
         SessionKind.Closed,
         SessionKind.AccessDue,
         FleetKind.PolicyApplied,
         FleetKind.PolicyProved,
         FleetKind.PolicyProofUnavailable,
+        FleetKind.DrainStarted,
     ];
     private readonly access = new PolicyAccess();
-    private readonly waiting = new Map<string, SessionOpened>();
+    private readonly waiting = new Map<string, WaitingSession>();
+    /** The last step of a stop has come: the process may end before a proof arrives. */
+    private isStopping = false;
 
     process(message: AccessInput, nowMs: number): readonly Message[] {
         return match<AccessInput, readonly Message[]>(message)
             .with({ kind: SessionKind.Opened }, opened => this.open(opened, nowMs))
+            .with({ kind: SessionKind.Requested }, requested => this.request(requested, nowMs))
             .with({ kind: SessionKind.Closed }, closed =>
                 this.waiting.delete(closed.sessionId)
                     ? [clearDeadline(limitKey(closed.sessionId))]
@@ -64,8 +83,12 @@
             // Nobody can prove anything now, so waiting would be in vain.
             .with(
                 { kind: FleetKind.PolicyProofUnavailable },
-                () => [...this.waiting.values()].flatMap(opened => this.giveUp(opened, nowMs)),
+                () => this.giveUpAll(nowMs),
             )
+            .with({ kind: FleetKind.DrainStarted }, drain => {
+                this.isStopping ||= drain.final;
+                return this.isStopping ? [...this.giveUpAll(nowMs), drain] : [drain];
+            })
             .exhaustive();
     }
 
@@ -75,7 +98,10 @@
             return [decision];
         }
         const { sessionId } = opened;
-        this.waiting.set(sessionId, opened);
+        if (this.isStopping) {
+            return [this.refuse(opened, this.waitFault(opened), nowMs)];
+        }
+        this.waiting.set(sessionId, { opened, requests: [] });
         const { hasPolicy } = this.access;
         const due: SessionAccessDue = { kind: SessionKind.AccessDue, sessionId };
         return [
@@ -84,6 +110,16 @@
         ];
     }
 
+    /** Keeps a request of a session that waits; it follows the session once that is admitted. */
+    private request(requested: SessionRequested, nowMs: number): readonly Message[] {
+        const session = this.waiting.get(requested.sessionId);
+        if (session === undefined) {
+            return [requested];
+        }
+        session.requests.push(requested);
+        return session.requests.length > maximumWaitingRequests ? this.giveUp(session, nowMs) : [];
+    }
+
     /** Passes an admitted session on or refuses it for good; undefined while neither can be decided. */
     private decide(opened: SessionOpened, nowMs: number): Message | undefined {
         const access = this.access.authorize(opened);
@@ -94,28 +130,41 @@
     }
 
     private decideWaiting(nowMs: number): readonly Message[] {
-        const decisions = [...this.waiting.values()].flatMap(opened => {
+        const decisions = [...this.waiting.values()].flatMap(({ opened, requests }) => {
             const decision = this.decide(opened, nowMs);
             if (decision === undefined) {
                 return [];
             }
             this.waiting.delete(opened.sessionId);
-            return [clearDeadline(limitKey(opened.sessionId)), decision];
+            const admitted = decision === opened ? requests : [];
+            return [clearDeadline(limitKey(opened.sessionId)), decision, ...admitted];
         });
         return [...decisions, ...this.waiting.size > 0 && this.access.hasPolicy ? [proofNeeded] : []];
     }
 
-    private giveUp(opened: SessionOpened | undefined, nowMs: number): readonly Message[] {
-        if (opened === undefined) {
+    private giveUpAll(nowMs: number): readonly Message[] {
+        return [...this.waiting.values()].flatMap(session => this.giveUp(session, nowMs));
+    }
+
+    private giveUp(session: WaitingSession | undefined, nowMs: number): readonly Message[] {
+        if (session === undefined) {
             return [];
         }
+        const { opened } = session;
         this.waiting.delete(opened.sessionId);
         return [
             clearDeadline(limitKey(opened.sessionId)),
-            this.refuse(opened, this.access.unprovedFault(opened), nowMs),
+            this.refuse(opened, this.waitFault(opened), nowMs),
         ];
     }
 
+    /** The fault of a session that no proof decides: its caller may come back, here or at another instance. */
+    private waitFault(opened: SessionOpened): AccessFault {
+        return this.isStopping
+            ? { fault: StatementFault.Busy, detail: stoppingText }
+            : this.access.unprovedFault(opened);
+    }
+
     private refuse({ sessionId }: SessionOpened, { fault, detail }: AccessFault, nowMs: number): SessionRefuse {
         return { kind: SessionKind.Refuse, sessionId, fault, detail, proofAgeMs: this.access.proofAgeMs(nowMs) };
     }
