fix(wiring): a stopping proxy stops listening before its event loop ends

What callers saw: connections that were accepted, read, and closed without an answer to CONNECT, up to 0.34 s later, while the streams of other instances ended.

Cause: the event loop was closed first and the listener last. In between, callers were accepted whom nobody could answer any more.

Change: once the last session has ended, the listener closes, and the proxy goes on for up to 0.15 s until the callers that it has accepted are refused; not beyond the planned end.

--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
 import { EventEmitter, once } from "node:events";
 import { connect, type Socket } from "node:net";
+import { text } from "node:stream/consumers";
 import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
-import { TransactionState } from "../../model/sessionStatement.ts";
+import { StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { WireServer } from "../wireServer.ts";
 
@@ -67,4 +69,25 @@
         assert.equal(timeoutSignal.aborted, false);
         socket.destroy();
     });
+
+    it("are refused in full when they connect just before the listener closes", async () => {
+        // Guards against a CONNECT that is read while the process ends, and never answered.
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        const server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        await server.listen();
+        const socket = connect({ host: "127.0.0.1", port: server.port });
+        const answer = text(socket);
+        await once(socket, "connect");
+        // The server accepts the connection in one turn of its loop.
+        await setImmediate();
+        const stopped = server.stopAccepting(5_000);
+        const opened = once(postedMessages, SessionKind.Opened);
+        socket.write("CONNECT orders k\r\n");
+        const [{ sessionId }] = await opened as [{ readonly sessionId: string; }];
+        server.deliver({ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail: "not run" });
+        await stopped;
+        assert.equal(await answer, "ERROR BUSY not run\r\n");
+        await server[Symbol.asyncDispose]();
+    });
 });
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -1,5 +1,6 @@
 /** Server side of the wire protocol, towards callers: one connection is one session. */
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import {
     type SessionAccept,
     type SessionAnswer,
@@ -47,6 +48,8 @@
     /** All open sockets, including those of closed sessions. */
     private readonly sockets = new Set<Socket>();
     private nextSessionNumber = 0;
+    /** Resolves when the listener and all connections are closed; undefined while callers may connect. */
+    private closed: Promise<void> | undefined;
 
     constructor(options: WireServerOptions) {
         this.options = options;
@@ -88,8 +91,17 @@
         }
     }
 
+    /**
+     * Stops listening, and waits until the connections have ended. Meanwhile, the event loop must answer those that have
+     * just been accepted.
+     * @param limitMs maximum of the wait
+     */
+    async stopAccepting(limitMs: number): Promise<void> {
+        await Promise.race([this.closeListener(), delay(limitMs, undefined, { ref: false })]);
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        const closed = this.closeListener();
         this.connections.forEach(({ socket }) => socket.end());
         this.connections.clear();
         const timer = setTimeout(() => this.sockets.forEach(socket => socket.destroy()), closingTimeoutMs);
@@ -97,6 +109,10 @@
         clearTimeout(timer);
     }
 
+    private closeListener(): Promise<void> {
+        return this.closed ??= new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
     private handleConnection(socket: Socket): void {
         const sessionId = `s${this.nextSessionNumber++}`;
         const connection = { socket, reader: new LineReader(), opened: false };
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -6,8 +6,9 @@
 import { join } from "node:path";
 import { text } from "node:stream/consumers";
 import { describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { decodePlatformSettings, type PlatformSettings } from "../../platform/platformSettings.ts";
-import { startPlatformProcess } from "../platformProcess.ts";
+import { type PlatformProcess, startPlatformProcess } from "../platformProcess.ts";
 
 /** Returns a port that is free at present. */
 async function findFreePort(): Promise<number> {
@@ -46,7 +47,36 @@
     return socket;
 }
 
+async function startProxy(): Promise<{ readonly proxy: PlatformProcess; readonly settings: PlatformSettings; }> {
+    const callerEndpoint = { host: "127.0.0.1", port: await findFreePort() };
+    const memberOnly = { controlEndpoint: undefined, dataFolder: undefined };
+    const settings = { ...await memberSettings(""), ...memberOnly, callerEndpoint, instanceId: "front1" };
+    return { proxy: await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 }), settings };
+}
+
 describe("proxy process", () => {
+    it("takes no caller any more once it has ended, and has answered all others", async () => {
+        // Guards against callers whose CONNECT is read and not answered while the streams of other instances end.
+        const { proxy, settings } = await startProxy();
+        const ended = proxy.ended.then(() => "ended");
+        proxy.drain();
+        const notAccepted = "not accepted";
+        const answers: string[] = [];
+        while (await Promise.race([ended, delay(20)]) === undefined) {
+            const caller = connect({ ...settings.callerEndpoint!, allowHalfOpen: true });
+            caller.write("CONNECT orders k\r\n");
+            answers.push(await text(caller).catch(() => notAccepted));
+            caller.end();
+        }
+        const late = connect(settings.callerEndpoint!);
+        const lateOutcome = await once(late, "connect").then(() => "connected", ({ code }) => code as string);
+        late.destroy();
+        await proxy[Symbol.asyncDispose]();
+        assert.equal(lateOutcome, "ECONNREFUSED");
+        const codes = answers.filter(answer => answer !== notAccepted).map(answer => answer.split(" ", 2).join(" "));
+        assert.deepEqual([...new Set(codes)], ["ERROR BUSY"]);
+    });
+
     it("ends once no new callers arrive, even if a caller keeps its connection open", async () => {
         const dataFolder = undefined as never;
         const controlEndpoint = undefined;
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -54,6 +54,9 @@
 /** Time that is left for the connections of callers, and for the exit, after the streams of other instances ended. */
 const callersClosingMs = 300;
 
+/** Longest time for callers that connect at the end of a stop to be refused. */
+const longestRefusalMs = 150;
+
 /** Time for the last answers to reach callers and other instances; on slow links, this takes a tenth of a second. */
 const lastAnswersTransferMs = 200;
 
@@ -108,7 +111,7 @@
         stack,
     };
     const termination = new ProcessTermination(FleetKind.Drained);
-    const { pipes, sinks, start, finishCalls } = isControlMember
+    const { pipes, sinks, start, finishCalls, refuseLastCallers } = isControlMember
         ? await buildControlMember(context)
         : await buildProxy(context);
     const effectLogs = [requestLogFormatters, stateLogFormatters].map(formatters =>
@@ -151,7 +154,7 @@
                 logger.error("reload_refused", { reason: (error as Error).message });
             }
         },
-        ended: termination.promise,
+        ended: termination.promise.then(() => refuseLastCallers?.()),
         [Symbol.asyncDispose]: () => resources.disposeAsync(),
     };
 }
@@ -166,6 +169,8 @@
      * session.
      */
     readonly finishCalls?: () => Promise<void>;
+    /** Closes the listener for callers, and resolves when those that have just connected are refused. */
+    readonly refuseLastCallers?: () => Promise<void>;
 }
 
 async function buildProxy(context: ProcessContext): Promise<ProcessComponents> {
@@ -196,6 +201,7 @@
     return {
         pipes,
         sinks,
+        refuseLastCallers: () => server.stopAccepting(stopDeadline.limitMs(longestRefusalMs, shutdownMarginMs)),
         start: async () => {
             await listen(peerServer, settings.rpcAddress);
             await server.listen();
