fix(session): a stop answers requests that wait for a permit

What callers saw: a request that had waited for a permit since before the stop, on a route with a target latency of 9 s or more, had no answer when the instance ended.

Cause: at the deadline for answers the sessions expire their tasks, and the admission filter, which held this one, did not handle it.

Change: it refuses the task as not run.

Measured: a test of the session pipe, red before.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -510,6 +510,25 @@
         );
     });
 
+    it("answers a request that waits for a permit at the drain deadline", () => {
+        // Guards against a wait, long on routes with a long target latency, that outlives the instance.
+        const fixture = new SessionFixture(0);
+        fixture.configure({
+            ...route(RouteConsistency.Primary, "orders"),
+            statementLimitMs: 20_000,
+            targetLatencyMs: 20_000,
+        });
+        fixture.reportDatabase("p", true);
+        fixture.connect("s1", "orders");
+        fixture.advance(10);
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400, final: true };
+        fixture.post(drain as never);
+        fixture.advance(5_400);
+        assert.equal(fixture.lastFault(), StatementFault.Busy);
+        assert.equal(fixture.otherMessages.at(-1)?.kind, FleetKind.Drained);
+    });
+
     for (const permits of [0, 100]) {
         it(`answers running and waiting statements after the removal of their key (${permits} permits)`, () => {
             const fixture = primaryFixture(permits);
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -18,8 +18,10 @@
 import {
     endTask,
     retryText,
+    stoppingText,
     type Task,
     type TaskAbandoned,
+    type TaskExpired,
     TaskKind,
     type TaskSubmitted,
     type TaskTimer,
@@ -53,6 +55,7 @@
 type AdmissionInput =
     | TaskSubmitted
     | TaskAbandoned
+    | TaskExpired
     | TaskTimer
     | PermitsGranted
     | RateLeaderSilent
@@ -81,6 +84,7 @@
     readonly accepts = [
         TaskKind.Submitted,
         TaskKind.Abandoned,
+        TaskKind.Expired,
         TaskKind.AdmissionDue,
         FleetKind.PermitsGranted,
         FleetKind.RateLeaderSilent,
@@ -101,9 +105,13 @@
         return match<AdmissionInput, readonly Message[]>(message)
             .with({ kind: TaskKind.Submitted }, ({ task }) => this.submit(task, nowMs))
             .with({ kind: TaskKind.Abandoned }, input => {
-                this.removeTask(input);
+                this.removeTask(input.taskId);
                 return [input];
             })
+            .with({ kind: TaskKind.Expired }, input => {
+                const task = this.removeTask(input.taskId);
+                return task === undefined ? [input] : [endTask(task, StatementFault.Busy, stoppingText)];
+            })
             .with({ kind: FleetKind.PermitsGranted }, input => this.applyGrants(input, nowMs))
             .with({ kind: FleetKind.RateLeaderSilent }, () => this.startFallback(nowMs))
             .with({ kind: FleetKind.PolicyApplied }, input => {
@@ -202,12 +210,16 @@
         return queue;
     }
 
-    private removeTask({ taskId }: TaskAbandoned): void {
-        this.queues.forEach(queue => {
-            if (queue.waiting.some(({ task }) => task.taskId === taskId)) {
-                queue.waiting = queue.waiting.filter(({ task }) => task.taskId !== taskId);
+    /** Returns the task if it was waiting for a permit. */
+    private removeTask(taskId: string | undefined): Task | undefined {
+        for (const queue of this.queues.values()) {
+            const removed = queue.waiting.find(({ task }) => task.taskId === taskId);
+            if (removed !== undefined) {
+                queue.waiting = queue.waiting.filter(operation => operation !== removed);
+                return removed.task;
             }
-        });
+        }
+        return undefined;
     }
 
     private permitsNeeded({ workspace, permits, waiting }: WorkspaceQueue, nowMs: number): PermitsNeeded {
