fix(control): slow disks neither end contact to a leader nor discard votes

What callers saw: while the disks of control members stand still for 0.5 to 2.4 s again and again, a configuration is not acknowledged for 15 s and longer, and callers are told BUSY.

Cause: a member held back its answer to a heartbeat until all its writes were synced, so that a leader lost its majority after 1 s of a slow disk, though nobody else could have done better. A leader whose disk stood still handed the lead to members whose disks stood still as well. A candidate stood again before its own vote was on its disk, and the pre-votes for the next term discarded the votes for the present one that came late. Each campaign needs writes of its own.

Change: an answer waits for the writes that could contradict what it says: the term, and entries up to the index that it names. A member that answers and does not sync still counts as silent for the list of members and as a successor. A leader whose disk stands still asks only members that sync promptly. A candidate stands again only after its own vote has left, and votes for a term count for as long as the term lasts.

--- a/src/control/__tests__/leadHandOver.spec.ts
+++ b/src/control/__tests__/leadHandOver.spec.ts
@@ -11,6 +11,15 @@
 /** Longest time without a leader while the lead is handed over: two message delays of 20 ms, a vote and a sync. */
 const handOverLimitMs = 250;
 
+/** Lengths of time for which the disks of all members stand still and then work, in turns. */
+const stalls = [[800, 700], [1_200, 300], [2_400, 600], [2_400, 100]] as const;
+
+/** The longest of these times without a disk, a vote and a round of messages. */
+const stallLimitMs = 3_500;
+
+/** As above, after the loss of the leader: two elections and the writes of one of them fall into other stalls. */
+const electionLimitMs = 8_000;
+
 /** The users' limit `catch_up_s` of a site with three members. */
 const catchUpLimitMs = 4_000;
 
@@ -121,3 +130,77 @@
         }
     });
 });
+
+describe("members whose disks stand still again and again", () => {
+    it("keep their leader, and acknowledge each change after the next stall", () => {
+        // Guards against a configuration that operators cannot get acknowledged for 15 s.
+        for (const [stallMs, pauseMs] of stalls) {
+            for (const seed of seeds) {
+                const cluster = formCluster(seed);
+                const { memberId, leaderView } = cluster.leader()!;
+                const worstMs = longestChangeMs(cluster, { stallMs, pauseMs, durationMs: 20_000 });
+                const run = `seed ${seed}, ${stallMs} of ${stallMs + pauseMs} ms`;
+                assert.ok(worstMs <= stallLimitMs, `${run}: ${worstMs} ms`);
+                assert.equal(cluster.leader()?.memberId, memberId, run);
+                assert.equal(cluster.leader()?.leaderView?.term, leaderView?.term, run);
+            }
+        }
+    });
+
+    it("elect a leader in place of a lost one, and acknowledge changes", () => {
+        // Guards against elections in a row, each of which discards the votes of the one before.
+        for (const [stallMs, pauseMs] of stalls) {
+            for (const seed of seeds) {
+                const cluster = formCluster(seed);
+                cluster.losePower(cluster.leader()!.memberId);
+                const worstMs = longestChangeMs(cluster, { stallMs, pauseMs, durationMs: 20_000 });
+                assert.ok(
+                    worstMs <= electionLimitMs,
+                    `seed ${seed}, ${stallMs} of ${stallMs + pauseMs} ms: ${worstMs} ms`,
+                );
+            }
+        }
+    });
+
+    it("leave the list when they do not sync at all, though they answer", () => {
+        const cluster = new FakeCluster(5, 1, { faultTolerance: 1, seedCount: 3 });
+        cluster.runUntil("five members", () => cluster.leader() !== undefined && cluster.allNodesAreMembers());
+        const stalled = [...cluster.nodes.values()].find(node => node !== cluster.leader())!;
+        stalled.disk.stalled = true;
+        proposeFor(cluster, 100);
+        cluster.run(5_000);
+        assert.ok(!cluster.members.some(({ memberId }) => memberId === stalled.memberId));
+    });
+});
+
+/** Lets the disks of all members stand still in turns. Returns the longest time until a change was acknowledged. */
+function longestChangeMs(
+    cluster: FakeCluster,
+    { stallMs, pauseMs, durationMs }: {
+        readonly stallMs: number;
+        readonly pauseMs: number;
+        readonly durationMs: number;
+    },
+): number {
+    const waiting = new Map<string, number>();
+    let worstMs = 0;
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+        const isStalled = elapsedMs % (stallMs + pauseMs) < stallMs;
+        cluster.nodes.forEach(({ disk }) => disk.stalled = isStalled);
+        if (elapsedMs % 600 === 0) {
+            waiting.set(`w${cluster.nowMs}`, cluster.nowMs);
+        }
+        const leader = elapsedMs % 500 === 0 ? cluster.leader() : undefined;
+        for (const [name, sinceMs] of waiting) {
+            worstMs = Math.max(worstMs, cluster.nowMs - sinceMs);
+            if (isAcknowledged(cluster, name)) {
+                waiting.delete(name);
+            }
+            else if (leader !== undefined) {
+                cluster.propose(leader.memberId, name, name, setWorkspace(name));
+            }
+        }
+        cluster.run(100);
+    }
+    return worstMs;
+}
--- a/src/control/__tests__/memberPipe.spec.ts
+++ b/src/control/__tests__/memberPipe.spec.ts
@@ -168,6 +168,51 @@
         assert.equal(leaders().at(-1), "b");
     });
 
+    it("answers heartbeats while entries wait for its disk, and entries only once they are synced", () => {
+        // Guards against a leader that steps down because the disks of the others are slow.
+        const member = new SingleMember({ term: 5, entries: [memberEntry] });
+        const answers = () => member.sent.flatMap(body => body.kind === LogKind.AppendAnswer ? [body.index] : []);
+        hearLeader(member);
+        member.syncsWrites = false;
+        const batch = { previousIndex: 1, previousTerm: 0, entries: [{ ...change, term: 5 }], commitIndex: 0 };
+        member.post({ kind: LogKind.AppendRequest, from: b, to: a, term: 5, callId: "x", ...batch } as Message);
+        hearLeader(member);
+        assert.deepEqual(answers(), [0, 0]);
+        member.post({ kind: LogKind.AppendRequest, from: b, to: a, term: 5, callId: "x", ...batch } as Message);
+        assert.deepEqual(answers(), [0, 0]);
+        member.post({ kind: StorageKind.AppendDone, writeId: 1 } as Message);
+        assert.deepEqual(answers(), [0, 0, 2, 2]);
+    });
+
+    it("answers no leader of a term that its disk has not synced", () => {
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        const answers = () => member.sent.filter(({ kind }) => kind === LogKind.AppendAnswer).length;
+        member.syncsWrites = false;
+        hearLeader(member);
+        assert.equal(answers(), 0);
+        member.post({ kind: StorageKind.AppendDone, writeId: 1 } as Message);
+        assert.equal(answers(), 1);
+    });
+
+    it("asks nobody again for votes before its disk has synced its own, and counts votes that come late", () => {
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        const asked = () => member.sent.filter(({ kind }) => kind === LogKind.VoteRequest).length;
+        member.clock.advanceTo(2_500);
+        member.syncsWrites = false;
+        member.answerAsB(LogKind.VoteRequest, { granted: true, term: 4 });
+        const before = asked();
+        member.clock.advanceTo(20_000);
+        assert.equal(asked(), before);
+        member.post({ kind: StorageKind.AppendDone, writeId: 1 } as Message);
+        const request = member.sent.findLast(({ kind, to }) =>
+            kind === LogKind.VoteRequest && memberKey(to) === "b/1"
+        )!;
+        member.clock.advanceTo(25_000);
+        const vote = { granted: true, preVote: false, requestTerm: request.term, term: request.term, callId: "" };
+        member.post({ kind: LogKind.VoteAnswer, from: b, to: a, ...vote } as Message);
+        assert.ok(member.sent.some(({ kind, term }) => kind === LogKind.AppendRequest && term === request.term));
+    });
+
     it("looks for its cluster while it hears nothing but the vote requests of other removed members", () => {
         // Guards against removed members that keep each other busy and never ask the present ones to join.
         const member = new SingleMember({ term: 4, entries: [memberEntry] });
--- a/src/control/durabilityFilter.ts
+++ b/src/control/durabilityFilter.ts
@@ -1,7 +1,13 @@
 /** Last filter of the control pipe: sends votes and acknowledgements only after the writes they depend on are synced. */
-import { LogKind, type LogOutgoing, type LogSend, type PeerMessage } from "../model/logMessages.ts";
+import { type AppendAnswer, LogKind, type LogOutgoing, type LogSend, type PeerMessage } from "../model/logMessages.ts";
 import type { Member } from "../model/replicatedLog.ts";
-import { type StorageAppend, type StorageAppendDone, StorageKind } from "../model/storageMessages.ts";
+import {
+    type StorageAppend,
+    type StorageAppendDone,
+    StorageKind,
+    type StorageWrite,
+    WriteKind,
+} from "../model/storageMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { memberKey, MemberKind, type Write } from "./memberMessages.ts";
@@ -9,6 +15,11 @@
 /** Messages held back while the disk is slow. Above this the oldest is dropped; peers send their requests again. */
 const maximumHeldMessages = 1_024;
 
+interface PendingWrite {
+    readonly writeId: number;
+    readonly write: StorageWrite;
+}
+
 interface HeldMessage {
     readonly requiredWriteId: number;
     readonly body: PeerMessage;
@@ -18,7 +29,8 @@
 
 /**
  * Assigns ids to writes, and holds back votes, vote requests and acknowledgements (the promises after which the step is
- * named) until all earlier writes are synced. A message to this member itself, by which it counts its own vote or its
+ * named) until the earlier writes on which they depend are synced. An answer to a heartbeat does not depend on entries
+ * that follow what it names, so that a slow disk does not end the contact to the leader. A message to this member itself, by which it counts its own vote or its
  * own copy of an entry, is held back in the same way and then posted as an event.
  */
 export class DurabilityFilter implements Filter<DurabilityInput, Message> {
@@ -26,7 +38,7 @@
     readonly accepts = [MemberKind.Write, LogKind.Outgoing, StorageKind.AppendDone];
     private readonly self: Member;
     private lastWriteId = 0;
-    private syncedWriteId = 0;
+    private pending: PendingWrite[] = [];
     private held: HeldMessage[] = [];
 
     constructor(self: Member) {
@@ -37,32 +49,34 @@
         switch (message.kind) {
             case MemberKind.Write: {
                 this.lastWriteId += 1;
+                this.pending.push({ writeId: this.lastWriteId, write: message.write });
                 const append = { kind: StorageKind.Append, writeId: this.lastWriteId, write: message.write };
                 return [append as StorageAppend];
             }
             case LogKind.Outgoing:
                 return this.handleOutgoing(message);
             case StorageKind.AppendDone:
-                this.syncedWriteId = Math.max(this.syncedWriteId, message.writeId);
-                return this.releaseSynced();
+                this.pending = this.pending.filter(({ writeId }) => writeId > message.writeId);
+                return this.releaseSynced(message.writeId);
         }
     }
 
-    private handleOutgoing(message: LogOutgoing): readonly Message[] {
-        if (this.syncedWriteId >= this.lastWriteId || !requiresSync(message.body)) {
-            return [this.dispatch(message.body)];
+    private handleOutgoing({ body }: LogOutgoing): readonly Message[] {
+        const required = this.pending.findLast(({ write }) => dependsOn(body, write));
+        if (required === undefined) {
+            return [this.dispatch(body)];
         }
-        this.held.push({ requiredWriteId: this.lastWriteId, body: message.body });
+        this.held.push({ requiredWriteId: required.writeId, body });
         if (this.held.length > maximumHeldMessages) {
             this.held.shift();
         }
         return [];
     }
 
-    private releaseSynced(): readonly Message[] {
-        const ready = this.held.filter(held => held.requiredWriteId <= this.syncedWriteId);
-        this.held = this.held.slice(ready.length);
-        return ready.map(held => this.dispatch(held.body));
+    private releaseSynced(syncedWriteId: number): readonly Message[] {
+        const ready = this.held.filter(({ requiredWriteId }) => requiredWriteId <= syncedWriteId);
+        this.held = this.held.filter(({ requiredWriteId }) => requiredWriteId > syncedWriteId);
+        return ready.map(({ body }) => this.dispatch(body));
     }
 
     private dispatch(body: PeerMessage): Message {
@@ -70,12 +84,13 @@
     }
 }
 
-function requiresSync(body: PeerMessage): boolean {
+function dependsOn(body: PeerMessage, write: StorageWrite): boolean {
     switch (body.kind) {
         case LogKind.VoteRequest:
             return !body.preVote;
-        case LogKind.VoteAnswer:
         case LogKind.AppendAnswer:
+            return isContradictedBy(body, write);
+        case LogKind.VoteAnswer:
         case LogKind.SnapshotAnswer:
         case LogKind.StandAnswer:
             return true;
@@ -83,3 +98,15 @@
             return false;
     }
 }
+
+/** Whether the log or the term that an answer names could be another one if a write were lost. */
+function isContradictedBy({ accepted, index }: AppendAnswer, write: StorageWrite): boolean {
+    switch (write.kind) {
+        case WriteKind.Term:
+            return true;
+        case WriteKind.Entries:
+            return accepted && write.fromIndex <= index;
+        case WriteKind.Snapshot:
+            return write.discardLog;
+    }
+}
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -23,7 +23,10 @@
     member: Member;
     nextIndex: number;
     matchIndex: number;
+    /** Time of the last contact, which says nothing about the disk of the peer. */
     lastAnswerAtMs: number;
+    /** Time since which the peer has not synced a batch that it was sent; undefined if there is none. */
+    unsyncedSinceMs: number | undefined;
     /** Time at which the unanswered batch was sent; undefined if there is none. */
     batchSentAtMs: number | undefined;
     snapshotSentAtMs: number | undefined;
@@ -82,6 +85,7 @@
                     nextIndex: this.learners.has(memberKey(member)) ? 1 : this.log.lastIndex + 1,
                     matchIndex: 0,
                     lastAnswerAtMs: nowMs,
+                    unsyncedSinceMs: undefined,
                     batchSentAtMs: undefined,
                     snapshotSentAtMs: undefined,
                     firstCommitSent: false,
@@ -158,6 +162,7 @@
         if (!answer.accepted) {
             peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(answer.index, this.log.lastIndex + 1));
             peer.batchSentAtMs = undefined;
+            peer.unsyncedSinceMs = undefined;
         }
         else if (answer.index > peer.matchIndex) {
             this.advancePeer(peer, answer.index);
@@ -177,10 +182,11 @@
         }
     }
 
-    /** Members that have missed several heartbeats, the longest silent first. */
+    /** Members that have missed several heartbeats or sync nothing, the longest silent first. */
     silentMembers(nowMs: number): readonly SilentMember[] {
         return this.log.members.flatMap(member => {
-            const silentForMs = nowMs - (this.peers.get(memberKey(member))?.lastAnswerAtMs ?? nowMs);
+            const { lastAnswerAtMs = nowMs, unsyncedSinceMs = nowMs } = this.peers.get(memberKey(member)) ?? {};
+            const silentForMs = nowMs - Math.min(lastAnswerAtMs, unsyncedSinceMs);
             return silentForMs >= quorumTimeoutMs ? [{ member, silentForMs }] : [];
         }).sort((left, right) => right.silentForMs - left.silentForMs);
     }
@@ -188,11 +194,13 @@
     /**
      * Chooses the member that should take the lead over: of those in contact, the one with the most entries, and another
      * one on each call until all were chosen. Undefined if no member is in contact.
+     * @param maximumSyncMs passes over members whose disk takes longer; their vote would wait as long
      */
-    chooseSuccessor(nowMs: number): Member | undefined {
+    chooseSuccessor(nowMs: number, maximumSyncMs: number): Member | undefined {
         const silent = new Set(this.silentMembers(nowMs).map(({ member }) => memberKey(member)));
         const candidates = this.log.members
             .filter(member => memberKey(member) !== memberKey(this.self) && !silent.has(memberKey(member)))
+            .filter(member => nowMs - (this.peers.get(memberKey(member))?.unsyncedSinceMs ?? nowMs) <= maximumSyncMs)
             .sort((left, right) => this.matchIndexOf(right) - this.matchIndexOf(left));
         if (candidates.every(member => this.askedSuccessors.has(memberKey(member)))) {
             this.askedSuccessors.clear();
@@ -224,6 +232,7 @@
         peer.matchIndex = matchIndex;
         peer.nextIndex = Math.max(peer.nextIndex, matchIndex + 1);
         peer.batchSentAtMs = undefined;
+        peer.unsyncedSinceMs = undefined;
     }
 
     private nextMessages(peer: PeerProgress, commitIndex: number, nowMs: number): readonly Message[] {
@@ -234,6 +243,7 @@
             return this.snapshotMessages(peer, nowMs);
         }
         peer.batchSentAtMs = nowMs;
+        peer.unsyncedSinceMs ??= nowMs;
         return [this.appendRequest(peer, peer.nextIndex - 1, this.log.batchFrom(peer.nextIndex), commitIndex)];
     }
 
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -47,6 +47,9 @@
 /** A quarter of the shortest election timeout, so that three lost heartbeats in a row do not start an election. */
 export const heartbeatIntervalMs = 250;
 
+/** Time within which a member must have synced what it was sent, for a leader whose own disk stands still to ask it. */
+const promptSyncMs = heartbeatIntervalMs;
+
 /** Limits the memory of a leader that has lost its majority. */
 const maximumUncommittedEntries = 1_024;
 
@@ -258,12 +261,15 @@
     }
 
     /**
-     * A leader that stops or cannot write to its disk asks another member to stand. Until one is elected it goes on
+     * A leader that stops, or whose disk stands still while others do not, asks another member to stand. Until one is elected it goes on
      * leading, which needs no disk: entries are committed by the copies of the others, and its own term is durable.
      */
     private handOverLead(nowMs: number): readonly Message[] {
         const { leadership, self } = this.replica;
-        const to = this.isDiskSuspended || this.isStopping ? leadership?.chooseSuccessor(nowMs) : undefined;
+        const maximumSyncMs = this.isStopping ? Infinity : promptSyncMs;
+        const to = this.isDiskSuspended || this.isStopping
+            ? leadership?.chooseSuccessor(nowMs, maximumSyncMs)
+            : undefined;
         return to === undefined
             ? []
             : [outgoingMessage({ kind: LogKind.StandRequest, from: self, to, term: this.replica.term, callId: "" })];
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -50,7 +50,7 @@
 const electionStaggerMs = 200;
 
 /**
- * Delay after which a candidate that has not won starts another election; each position in the list of members adds
+ * Delay after which a candidate that has not won starts another election, counted from its own synced vote; each position in the list of members adds
  * 200 ms. Longer than a vote, and well below the election timeout, because callers are refused while there is no leader.
  * Doubles with each campaign up to that timeout, because a new campaign discards the votes in flight of a slow one.
  */
@@ -75,7 +75,6 @@
     | StandRequest;
 
 interface Tally {
-    readonly preVote: boolean;
     readonly term: number;
     readonly members: readonly Member[];
     readonly granted: Set<string>;
@@ -111,7 +110,10 @@
     private isDiskSuspended = false;
     private isStopping = false;
     private votedFor: string | undefined;
-    private tally: Tally | undefined;
+    /** Pre-votes for the next term. */
+    private preVotes: Tally | undefined;
+    /** Votes for the present term, which count for as long as it lasts: a slow disk may answer late. */
+    private votes: Tally | undefined;
     private leaderHeardAtMs = -Infinity;
     private electionAtMs = Infinity;
     /** Elections that still have the initial delay, as long as no leader was heard since the start. */
@@ -149,11 +151,11 @@
             case MemberKind.ElectionReady:
                 return this.startPreVote(message, nowMs);
             case MemberKind.Candidacy:
-                return this.startVote(message, nowMs);
+                return this.startVote(message);
             case MemberKind.VoteAsked:
                 return this.answerVoteRequest(message, nowMs);
             case LogKind.VoteAnswer:
-                return this.countAnswer(message);
+                return this.countAnswer(message, nowMs);
             case LogKind.StandRequest:
                 return this.answerStandRequest(message);
         }
@@ -166,7 +168,8 @@
         }
         this.role = change.role;
         this.leader = change.leader;
-        this.tally = undefined;
+        this.preVotes = undefined;
+        this.votes = undefined;
         if (change.role === MemberRole.Leader) {
             this.electionAtMs = Infinity;
             return [clearDeadline(electionTimerKey)];
@@ -182,17 +185,20 @@
         this.remainingInitialElections = Math.max(0, this.remainingInitialElections - 1);
         this.postRestartElectionAtMs = undefined;
         const timer = this.resetElectionTimer(nowMs);
-        if (!isMember(ready.members, this.options.self) || this.isDiskSuspended || this.isStopping) {
+        if (
+            !isMember(ready.members, this.options.self) || this.isDiskSuspended || this.isStopping
+            || this.ownVoteIsPending()
+        ) {
             return [timer];
         }
-        this.openTally(true, this.term + 1, ready);
-        return [timer, ...this.voteRequests(ready), ...this.countVote(this.options.self)];
+        this.preVotes = openTally(this.term + 1, ready);
+        return [timer, ...this.voteRequests(true, ready), ...this.countPreVote(this.options.self)];
     }
 
-    private startVote(candidacy: Candidacy, nowMs: number): readonly Message[] {
+    private startVote(candidacy: Candidacy): readonly Message[] {
         const { self } = this.options;
         this.votedFor = memberKey(self);
-        this.openTally(false, candidacy.term, candidacy);
+        this.votes = openTally(candidacy.term, candidacy);
         const ownVote: VoteAnswer = {
             kind: LogKind.VoteAnswer,
             from: self,
@@ -205,19 +211,19 @@
         };
         return [
             writeMessage({ kind: WriteKind.Term, term: candidacy.term, votedFor: this.votedFor }),
-            ...this.voteRequests(candidacy),
+            ...this.voteRequests(false, candidacy),
             outgoingMessage(ownVote),
-            this.retryTimer(candidacy.members, nowMs),
         ];
     }
 
-    private openTally(preVote: boolean, term: number, logSummary: LogSummary): void {
-        this.tally = { preVote, term, members: logSummary.members, granted: new Set(), won: false };
+    /** The requests for votes leave when the disk has synced the own vote; until then a new campaign gains nothing. */
+    private ownVoteIsPending(): boolean {
+        return this.votes?.granted.has(memberKey(this.options.self)) === false;
     }
 
-    private voteRequests(logSummary: LogSummary): readonly Message[] {
+    private voteRequests(preVote: boolean, logSummary: LogSummary): readonly Message[] {
         const { self } = this.options;
-        const { preVote, term, members } = this.tally!;
+        const { term, members } = preVote ? this.preVotes! : this.votes!;
         return members.filter(member => memberKey(member) !== memberKey(self)).map(to =>
             outgoingMessage({
                 kind: LogKind.VoteRequest,
@@ -286,23 +292,22 @@
         return this.votedFor === undefined || this.votedFor === candidate;
     }
 
-    private countAnswer(answer: VoteAnswer): readonly Message[] {
-        const tally = this.tally;
-        const isCurrent = tally !== undefined && answer.preVote === tally.preVote
-            && answer.requestTerm === tally.term;
-        return isCurrent && answer.granted ? this.countVote(answer.from) : [];
-    }
-
-    private countVote(voter: Member): readonly Message[] {
-        const tally = this.tally!;
-        if (isMember(tally.members, voter)) {
-            tally.granted.add(memberKey(voter));
-        }
-        if (tally.won || tally.granted.size < majoritySize(tally.members)) {
+    private countAnswer(answer: VoteAnswer, nowMs: number): readonly Message[] {
+        const tally = answer.preVote ? this.preVotes : this.votes;
+        if (tally === undefined || answer.requestTerm !== tally.term || !answer.granted) {
             return [];
         }
-        tally.won = true;
-        return [termEvent(tally.preVote ? MemberKind.Campaign : MemberKind.Elected, tally.term)];
+        if (answer.preVote) {
+            return this.countPreVote(answer.from);
+        }
+        const isOwn = memberKey(answer.from) === memberKey(this.options.self);
+        const retry = isOwn ? [this.retryTimer(tally.members, nowMs)] : [];
+        return [...retry, ...count(tally, answer.from) ? [termEvent(MemberKind.Elected, tally.term)] : []];
+    }
+
+    private countPreVote(voter: Member): readonly Message[] {
+        const { preVotes } = this;
+        return count(preVotes!, voter) ? [termEvent(MemberKind.Campaign, preVotes!.term)] : [];
     }
 
     private postRestartElectionTime(members: readonly Member[], nowMs: number): number | undefined {
@@ -335,3 +340,19 @@
         return setDeadline(electionTimerKey, this.electionAtMs, { kind: MemberKind.ElectionDue });
     }
 }
+
+function openTally(term: number, { members }: LogSummary): Tally {
+    return { term, members, granted: new Set(), won: false };
+}
+
+/** Counts a vote; returns whether it makes the majority. */
+function count(tally: Tally, voter: Member): boolean {
+    if (isMember(tally.members, voter)) {
+        tally.granted.add(memberKey(voter));
+    }
+    if (tally.won || tally.granted.size < majoritySize(tally.members)) {
+        return false;
+    }
+    tally.won = true;
+    return true;
+}
