fix(cli): a signal while the launcher loads the program does not end the process

Cause: handlers were installed by the program, after the launcher had read and compiled it, which takes long where many processes start at once.

Change: the launcher installs them first, and hands over what arrived.

Evidence: the new test fails on the code before.

--- a/scripts/__tests__/startupSignals.spec.ts
+++ b/scripts/__tests__/startupSignals.spec.ts
@@ -37,4 +37,32 @@
             rmSync(folder, { recursive: true });
         }
     });
+
+    it("is not ended by SIGHUP while its launcher loads the program", async () => {
+        // Guards against a signal that ends a process which starts slowly beside others.
+        const folder = mkdtempSync(join(tmpdir(), "jasmineline-launcher-"));
+        const build = ["--import", "tsx", "scripts/buildPlatform.ts", folder];
+        assert.equal(spawnSync(process.execPath, build).status, 0);
+        const programPipe = join(folder, "program.cjs");
+        rmSync(programPipe);
+        assert.equal(spawnSync("mkfifo", [programPipe]).status, 0);
+        const group = new ProcessGroup();
+        try {
+            const started = group.start({
+                name: "front",
+                program: process.execPath,
+                commandArguments: [join(folder, "jasmineline.cjs")],
+            });
+            // The pipe opens when the launcher reads the program, and holds it there until it is closed.
+            const pipe = await open(programPipe, "w");
+            started.signal("SIGHUP");
+            await pipe.write("process.on('SIGHUP', () => process.exit(7)); setTimeout(() => undefined, 5_000);");
+            await pipe.close();
+            assert.equal(await started.ended, 7);
+        }
+        finally {
+            await group[Symbol.asyncDispose]();
+            rmSync(folder, { recursive: true });
+        }
+    });
 });
--- a/src/cli/platformLauncher.ts
+++ b/src/cli/platformLauncher.ts
@@ -1,7 +1,9 @@
 /** Script that the deploy file starts: loads and runs the bundled program with its code cache. */
 import { resolve } from "node:path";
 import { loadProgram } from "./codeCache.ts";
+import { StartupSignals } from "./startupSignals.ts";
 
+const signals = new StartupSignals();
 const program = loadProgram(resolve(import.meta.dirname));
 if (!program.usesCache) {
     console.error(
@@ -9,3 +11,5 @@
     );
 }
 program.run();
+// The program has installed handlers of its own by now.
+signals.repeat();
