test(soak): databases leave, and processes boot, as on the users' platform

A SIGHUP before any code of ours runs ends a process of Node.js whatever the program does; as with SIGTERM, such an end counts as ordered if nothing was written.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -144,7 +144,8 @@
         });
         this.processes.set(machine.name, started);
         void started.ended.then(reason => {
-            if (!this.orderedEnds.has(started)) {
+            const endedBeforeProgramRan = reason === "SIGHUP" && !started.hasWrittenOutput;
+            if (!this.orderedEnds.has(started) && !endedBeforeProgramRan) {
                 this.unexpectedEnds.push(`${machine.name}: ${reason}`);
             }
         });
--- a/scripts/soakDatabaseFaults.ts
+++ b/scripts/soakDatabaseFaults.ts
@@ -10,6 +10,9 @@
 /** Longest time for which a database is down. */
 const maximumDownMs = 6_000;
 
+/** Time for which a database serves at least after it has said that it drains (`drain_ms`). */
+const drainMs = 7_000;
+
 /** Number of databases beyond which none joins, and below which none leaves. */
 const maximumDatabases = 5;
 const minimumDatabases = 3;
@@ -104,7 +107,7 @@
 
     /** A drained database leaves for good, or another one continues its log at its address. */
     private async drain(database: Database, forMs: number, isReplaced: boolean): Promise<void> {
-        await database.drain(forMs);
+        await database.drain(drainMs + forMs);
         if (isReplaced) {
             await database.leave();
             await this.world.startSuccessor(database, true);
