fix(fleet): orders that the platform has not answered are made void

An order without an answer was repeated, the repeated call was accepted and the database led for 7 s. It ended, came back under its id with nothing, and 9 s later the platform executed the first call and made it lead again.

Cause: a call without an answer may be executed at any later time, as long as the platform has seen no higher fence. After the database led, nobody sent one.

Change: while the record says that an order may still be executed, the leader sends one for the present primary, with a fence of its own, once a second until one is answered. It changes nothing at the primary, and from the answer on the platform refuses all earlier calls.

--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -57,6 +57,12 @@
 /** Time after which an order is repeated to which the platform gave no answer. */
 const orderRetryMs = 1_200;
 
+/**
+ * Interval of attempts to get an answer from the platform while it may still execute an earlier order for the present
+ * primary. Between them, the primary can be suspected.
+ */
+const invalidationIntervalMs = 1_000;
+
 /** Time after which an accepted order is repeated if the database does not lead yet; longer than a promotion takes. */
 const takeOverLimitMs = 3_000;
 
@@ -102,6 +108,12 @@
      * the platform refuse the earlier one.
      */
     private revokes = false;
+    /**
+     * The order under way is for the present primary. It changes nothing there, and once it is answered the platform
+     * refuses all earlier ones, which could make the primary lead again after it has lost its log.
+     */
+    private invalidatesOrders = false;
+    private lastInvalidationAtMs = -Infinity;
     /** The primary shuts down by itself and is reachable. */
     private planned = false;
     private proposalId = "";
@@ -138,6 +150,7 @@
         ];
         this.assessment = undefined;
         this.fencing = undefined;
+        this.invalidatesOrders = false;
         this.phase = Phase.Steady;
         return messages;
     }
@@ -147,7 +160,7 @@
         switch (this.phase) {
             case Phase.Steady: {
                 const checked = this.checkPrimary(nowMs);
-                return [...checked, ...this.checkCatchUp(nowMs)];
+                return [...checked, ...this.checkCatchUp(nowMs), ...this.invalidateOrders(nowMs)];
             }
             case Phase.Assessing:
                 return this.concludeAssessment(nowMs);
@@ -208,17 +221,18 @@
     proposalEnded({ status, version }: ControlProposalEnded, nowMs: number): readonly Message[] {
         this.proposalId = "";
         if (this.phase === Phase.Completing) {
-            return this.enter(Phase.Settling, nowMs);
+            return this.enter(this.invalidatesOrders ? this.endInvalidation(nowMs) : Phase.Settling, nowMs);
         }
-        if (status === ProposalStatus.Conflict) {
+        if (status === ProposalStatus.Conflict && !this.invalidatesOrders) {
             return this.reserve(version, nowMs);
         }
         if (status !== ProposalStatus.Applied) {
             this.revokes = false;
+            this.invalidatesOrders = false;
             return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
-            if (!this.revokes && !this.fencing!.mayLead(this.chosenDatabaseId)) {
+            if (!this.revokes && !this.invalidatesOrders && !this.fencing!.mayLead(this.chosenDatabaseId)) {
                 // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. No order was sent,
                 // so the instances that have answered still acknowledge nothing.
                 const { closedInstances } = this;
@@ -229,6 +243,9 @@
             return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
         this.fence = version;
+        if (this.invalidatesOrders) {
+            return this.recordOrder(this.options.record().databaseId, nowMs);
+        }
         const databaseId = this.options.record().databaseId || (this.replacedDatabaseId ?? "");
         if (this.revokes && databaseId !== "" && databaseId !== this.chosenDatabaseId) {
             return [...this.startFencing(nowMs), ...this.recordOrder(databaseId, nowMs)];
@@ -237,10 +254,20 @@
         return this.startFencing(nowMs);
     }
 
+    private endInvalidation(nowMs: number): Phase {
+        this.invalidatesOrders = false;
+        this.lastInvalidationAtMs = nowMs;
+        return Phase.Steady;
+    }
+
     promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
         if (this.phase !== Phase.Ordering || fence !== this.fence) {
             return [];
         }
+        if (this.invalidatesOrders) {
+            this.answeredOrders += Number(result === OrderResult.Accepted);
+            return this.complete(this.chosenDatabaseId, nowMs);
+        }
         if (result === OrderResult.Refused || result === OrderResult.Accepted && this.revokes) {
             this.revokes = false;
             return this.reserve(this.fence, nowMs);
@@ -318,6 +345,24 @@
         return [...closed, ...this.catchUpCheck.advance(nowMs)];
     }
 
+    /**
+     * An order that the platform has not answered may be executed at any later time. While databases are lost or gone, what
+     * they held is still being made up for, and the record of them must not be completed.
+     */
+    private invalidateOrders(nowMs: number): readonly Message[] {
+        const { orderPending, open, databaseId, databases, fence } = this.options.record();
+        const isDue = this.phase === Phase.Steady && orderPending && !open
+            && nowMs - this.lastInvalidationAtMs >= invalidationIntervalMs;
+        const primary = this.options.fleet.databases.get(databaseId);
+        if (!isDue || primary?.report.leads !== true || databases.some(database => this.isGone(database))) {
+            return [];
+        }
+        this.invalidatesOrders = true;
+        this.sentOrders = 0;
+        this.answeredOrders = 0;
+        return this.reserve(fence, nowMs);
+    }
+
     private isGone({ databaseId, isLost }: RecordedDatabase): boolean {
         return isLost || this.options.fleet.departedDatabases.has(databaseId);
     }
@@ -444,7 +489,7 @@
 
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
         this.chosenDatabaseId = databaseId;
-        this.fencing!.orderSent(databaseId);
+        this.fencing?.orderSent(databaseId);
         const command = {
             kind: CommandKind.RecordPromotionOrder,
             service: this.options.service,
@@ -459,6 +504,9 @@
      * ordered to lead while this order may still be executed.
      */
     private continueOrdering(nowMs: number): readonly Message[] {
+        if (this.invalidatesOrders) {
+            return nowMs < this.orderDueMs ? [] : this.complete(this.chosenDatabaseId, nowMs);
+        }
         const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
@@ -500,13 +548,14 @@
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
         const recordedIds = record().databases.map(recorded => recorded.databaseId);
+        const basePosition = this.invalidatesOrders ? record().basePosition : this.chosenPosition;
         const command = {
             kind: CommandKind.CompletePromotion,
             service,
             fence: this.fence,
             databaseId,
             orderPending: this.mayOrderBeExecuted(),
-            basePosition: this.chosenPosition,
+            basePosition,
             departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
         return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
