fix(fleet): the lost process of a database and its empty successor count as one

Cause: the choice bears as many missing logs as replicas confirm a commit. It counted the lost process and the empty one at its place as two.

Change: databases are counted, not their processes; no commit was confirmed by two processes of one database.

Evidence: emptyDatabases.spec.ts, first case, had no commits before and has them now. The second case, a new database that joins empty, is still red.

--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -361,10 +361,15 @@
         return [...this.databases.values()].filter(database => database.stopped);
     }
 
-    /** Number of databases that may have confirmed commits and have not stopped with them. */
+    /**
+     * Number of databases that may have confirmed commits and have not stopped with them. The processes of one database count
+     * once: no commit was confirmed by two of them.
+     */
     private missingCount(stopped: readonly FencedDatabase[]): number {
-        const lost = this.lostMembers().filter(({ databaseId }) => this.databases.get(databaseId)?.hasLostLog !== true);
-        return this.databases.size - this.withLog(stopped).length + lost.length;
+        const withLog = this.withLog(stopped).map(({ databaseId }) => databaseId);
+        const missing = new Set([...this.databases.keys()].filter(databaseId => !withLog.includes(databaseId)));
+        this.lostMembers().forEach(({ databaseId }) => missing.add(databaseId));
+        return missing.size;
     }
 
     private withLog(stopped: readonly FencedDatabase[]): readonly FencedDatabase[] {
