fix(fleet): the position that a promotion kept is not where the log ended later

What callers could see: no database led, with wait=database_with_last_commit, until a crashed primary came back, although all its acknowledged commits were kept. Order of events: the leader of the control members changes while an order is under way; the next one finds that the database leads, and that one crashes before the others, which were stopped, have received its newest commits.

Cause: the position of a database that was found leading was recorded as what the promotion had kept. It is the end of its log, with commits that wait for a replica. Replicas below it count as if they lacked what others had confirmed.

Change: an order is recorded with the position that its database had when it was chosen, and a later leader takes that one. Where databases are dropped with the completion, which may have confirmed commits since, it remains the end of the log.

The new test fails before and passes now.

--- a/src/control/promotionCommands.ts
+++ b/src/control/promotionCommands.ts
@@ -30,8 +30,8 @@
 }
 
 export function recordPromotionOrder(state: ControlState, command: RecordPromotionOrder): CommandOutcome {
-    const { databaseId: orderedDatabaseId } = command;
-    return changePromotion(state, command, current => ({ ...current, orderedDatabaseId }));
+    const { databaseId: orderedDatabaseId, position: orderedPosition } = command;
+    return changePromotion(state, command, current => ({ ...current, orderedDatabaseId, orderedPosition }));
 }
 
 export function completePromotion(state: ControlState, command: CompletePromotion): CommandOutcome {
@@ -42,6 +42,7 @@
         databaseId,
         primaryAddress: current.databases.find(database => database.databaseId === databaseId)?.address ?? "",
         orderedDatabaseId: "",
+        orderedPosition: undefined,
         orderPending,
         // The new primary holds all commits that lost and departed databases confirmed.
         databases: current.databases.filter(database => !database.isLost && !departed.includes(database.databaseId)),
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -131,6 +131,32 @@
         assert.equal(world.promoted.length, 4);
     });
 
+    it("promotes a replica if the primary that a new leader has found crashes as well", () => {
+        // Guards against a choice that waits for ever for commits of the short-lived primary that no replica has received.
+        const world = new PromotionWorld();
+        world.writeIntervalMs = 2;
+        world.platformDelayMs = 300;
+        world.advance(5_000);
+        const crashed = world.database(0);
+        world.crash(crashed);
+        for (let waitedMs = 0; world.orders.length === 0 && waitedMs < 3_000; waitedMs += 5) {
+            world.advance(5);
+        }
+        world.stopControl();
+        world.restart(crashed);
+        world.advance(1_000);
+        assert.equal(world.promoted.length, 1);
+        world.startControl();
+        for (let waitedMs = 0; world.progress?.phase !== "completing" && waitedMs < 3_000; waitedMs++) {
+            world.advance(1);
+        }
+        world.advance(20);
+        world.crash(world.primary!);
+        world.advance(5_000);
+        assert.equal(world.promoted.length, 2);
+        assert.deepEqual(world.lost, []);
+    });
+
     it("orders the same database again after a change of the leader", () => {
         // Guards against a second choice while the order of the previous leader may still be executed.
         const world = new PromotionWorld();
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -429,13 +429,25 @@
             return [...messages, ...this.reportWait(wait, nowMs)];
         }
         this.chosenDatabaseId = chosenDatabaseId;
-        this.chosenPosition = this.fencing!.receivedPosition(chosenDatabaseId);
+        const receivedPosition = this.fencing!.receivedPosition(chosenDatabaseId);
+        this.chosenPosition = alreadyLeads ? this.keptPosition(chosenDatabaseId) ?? receivedPosition : receivedPosition;
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId, nowMs)];
         }
         return [...messages, ...this.recordOrder(chosenDatabaseId, nowMs)];
     }
 
+    /**
+     * Position of a database that leads when an earlier leader chose it, if it is known; since then it has had commits that
+     * perhaps no other one has received. Undefined if databases are dropped that may have confirmed commits after that.
+     */
+    private keptPosition(databaseId: string): Position | undefined {
+        const { orderedDatabaseId, orderedPosition, databases } = this.options.record();
+        const dropsDatabases = this.members().some(({ isLost }) => isLost)
+            || databases.some(recorded => this.options.fleet.departedDatabases.has(recorded.databaseId));
+        return databaseId === orderedDatabaseId && !dropsDatabases ? orderedPosition : undefined;
+    }
+
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
         this.chosenDatabaseId = databaseId;
         this.fencing!.orderSent(databaseId);
@@ -444,6 +456,7 @@
             service: this.options.service,
             fence: this.fence,
             databaseId,
+            position: this.revokes ? undefined : this.chosenPosition,
         };
         return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -158,6 +158,8 @@
     readonly service: string;
     readonly fence: number;
     readonly databaseId: string;
+    /** Position that the database had reached when it was chosen; undefined if unknown, and in a command of an earlier version. */
+    readonly position?: Position | undefined;
 }
 
 /** Replaces the electorate of a service. */
--- a/src/model/promotion.ts
+++ b/src/model/promotion.ts
@@ -30,6 +30,8 @@
     readonly primaryAddress: string;
     /** Database named by the last order of the open promotion, which may still be executed; empty if there is none. */
     readonly orderedDatabaseId: string;
+    /** Position that this database had reached when it was chosen; undefined if unknown. */
+    readonly orderedPosition: Position | undefined;
     /** An order for `databaseId` had no answer, so that the platform may still execute it and make it lead again. */
     readonly orderPending: boolean;
     /** Electorate of a promotion: every acknowledged commit is in the log of at least one of these databases. */
@@ -56,6 +58,7 @@
         databaseId: "",
         primaryAddress: "",
         orderedDatabaseId: "",
+        orderedPosition: undefined,
         orderPending: false,
         databases: [],
         basePosition: undefined,
