--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -496,12 +496,13 @@
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
         this.chosenDatabaseId = databaseId;
         this.fencing?.orderSent(databaseId);
+        const keptPosition = this.invalidatesOrders ? this.options.record().basePosition : this.chosenPosition;
         const command = {
             kind: CommandKind.RecordPromotionOrder,
             service: this.options.service,
             fence: this.fence,
             databaseId,
-            position: this.revokes ? undefined : this.chosenPosition,
+            position: this.revokes ? undefined : keptPosition,
         };
         return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
