fix(fleet): a late order for an empty database is revoked sooner

An order to which the platform had not answered was executed after its database had started again without its log.

Cause: the order that makes the platform refuse the earlier one was itself late, and was repeated after 1,200 ms only. After a revoking order that was refused at once because its process was gone, the next order was not repeated sooner either. It was not sent at all if the lost database was the recorded primary, or if the order before it had named the former primary.

Change: while an earlier order for another database may be executed, an order is repeated every 100 ms until its first answer. It names the former primary or, if nothing listens there or there is none, a database that has received as much as the lost one.

Evidence: the three new tests fail on the code before.

--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { PromotionWait } from "../../model/promotionMessages.ts";
 import { PromotionWorld } from "./promotionWorld.ts";
+import type { SimulatedDatabase } from "./simulatedDatabase.ts";
 
 /**
  * Takes away the instance and the two databases that know of the last commits; a stale replica and an instance that has seen
@@ -284,6 +285,72 @@
         assert.ok(world.primary !== undefined && world.primary.id !== ordered);
     });
 
+    it("repeats at once the order that makes the platform refuse one for a database that has lost its log", () => {
+        // Guards against a late order that is executed because the one that revokes it is late too.
+        const world = new PromotionWorld();
+        const delaysMs = [1_500, 9_000, 9_000];
+        world.nextPlatformDelayMs = () => delaysMs.shift() ?? 0;
+        world.advance(5_000);
+        world.crash(world.database(0));
+        advanceUntilOrdered(world, 1);
+        world.advance(600);
+        world.restartEmpty(orderedDatabase(world), false);
+        world.advance(6_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("revokes a second order whose database has lost its log as well", () => {
+        // Guards against an open order that is not revoked because the last one named the former primary.
+        const world = cutOffPrimary(400, ({ databases }) => {
+            databases[2]!.deaf = true;
+        });
+        const primary = world.database(0);
+        world.platformDelayMs = 0;
+        world.restartEmpty(orderedDatabase(world), false);
+        advanceUntilOrdered(world, 2);
+        world.advance(1_500);
+        world.rejoin(primary.address);
+        world.crash(primary);
+        world.platformDelayMs = 1_500;
+        advanceUntilOrdered(world, 3);
+        world.advance(500);
+        world.platformDelayMs = 0;
+        world.restartEmpty(orderedDatabase(world), false);
+        world.advance(3_000);
+        assert.deepEqual(world.lost, []);
+        world.restart(primary);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("revokes an order for the former primary that has lost its log", () => {
+        // Guards against the way back of a planned change that is taken late, when the primary is empty.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const [leaving, replica] = world.databases;
+        world.crash(world.database(2));
+        [leaving!, replica!].forEach(database => {
+            database.draining = true;
+            world.report(database);
+        });
+        world.platformDelayMs = 2_000;
+        world.advance(500);
+        world.crash(replica!);
+        advanceUntilOrdered(world, 1);
+        assert.equal(orderedDatabase(world), leaving);
+        world.platformDelayMs = 0;
+        world.advance(500);
+        world.restartEmpty(leaving!, false);
+        world.advance(3_000);
+        assert.deepEqual(world.lost, []);
+        world.restart(replica!);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
     it("replaces a primary that has started again under its id without its log", () => {
         // Guards against a service without a primary, because the recorded one answers and reports.
         const world = new PromotionWorld();
@@ -348,6 +415,20 @@
     return world;
 }
 
+/** Until that many calls to the platform were made. */
+function advanceUntilOrdered(world: PromotionWorld, count: number): void {
+    for (let waitedMs = 0; world.orders.length < count && waitedMs < 10_000; waitedMs += 5) {
+        world.advance(5);
+    }
+    assert.ok(world.orders.length >= count, `${world.orders.length} orders`);
+}
+
+/** The database of the last order. */
+function orderedDatabase(world: PromotionWorld): SimulatedDatabase {
+    const [ordered] = world.orders.at(-1)!.split("/");
+    return world.databases.find(({ id }) => id === ordered)!;
+}
+
 function assertCommits(world: PromotionWorld): void {
     const before = world.acknowledgedCount;
     world.advance(1_000);
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -185,6 +185,20 @@
         return this.databases.get(databaseId)?.receivedPosition;
     }
 
+    /** Databases that have received the log up to `position` and have not lost it, those that have stopped first. */
+    holdersOf(position: Position): readonly string[] {
+        return [...this.databases.values()]
+            .filter(({ hasLostLog, receivedPosition }) =>
+                !hasLostLog && receivedPosition !== undefined && hasReached(receivedPosition, position)
+            )
+            .sort((left, right) => Number(right.stopped) - Number(left.stopped))
+            .map(({ databaseId }) => databaseId);
+    }
+
+    hasNoListener(databaseId: string): boolean {
+        return this.databases.get(databaseId)?.hasNoListener === true;
+    }
+
     close(): readonly Message[] {
         return [...this.databases.values()].flatMap(database => database.close());
     }
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -56,6 +56,12 @@
 /** Time after which an order is repeated to which the platform gave no answer. */
 const orderRetryMs = 1_200;
 
+/**
+ * Interval at which an order is repeated until the first answer while an earlier one for another database may still be
+ * executed: only a call that the platform has taken up makes it refuse the earlier one, and any call may be late.
+ */
+const supersedingOrderRetryMs = 100;
+
 /** Time after which an accepted order is repeated if the database does not lead yet; longer than a promotion takes. */
 const takeOverLimitMs = 3_000;
 
@@ -89,17 +95,21 @@
     private chosenDatabaseId = "";
     /** Primary at the start of the fencing. */
     private replacedDatabaseId: string | undefined;
+    /** The same, also if an earlier order names it. */
+    private formerPrimaryId: string | undefined;
     /** Position of the chosen database; the log up to it is what the promotion keeps. */
     private chosenPosition: Position | undefined;
     private orderDueMs = 0;
+    /** An earlier order for another database may be executed until the platform has seen the current fence. */
+    private supersedes = false;
     /** Calls to the platform with the current fence, and those of them that were answered. */
     private sentOrders = 0;
     private answeredOrders = 0;
     /**
-     * The ordered database has lost its log: an order for the primary that it was to replace, whose log is complete, makes
-     * the platform refuse the earlier one.
+     * The ordered database has lost its log: an order for another one whose log is complete makes the platform refuse the
+     * earlier one. Undefined if there is nothing to revoke, or no such database.
      */
-    private revokes = false;
+    private substituteId: string | undefined;
     /** The primary shuts down by itself and is reachable. */
     private planned = false;
     private proposalId = "";
@@ -212,11 +222,11 @@
             return this.reserve(version, nowMs);
         }
         if (status !== ProposalStatus.Applied) {
-            this.revokes = false;
+            this.substituteId = undefined;
             return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
-            if (!this.revokes && !this.fencing!.mayLead(this.chosenDatabaseId)) {
+            if (this.substituteId === undefined && !this.fencing!.mayLead(this.chosenDatabaseId)) {
                 // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent, the
                 // choice goes on, with the same fence and all that is known.
                 this.fencing!.withdrawOrder();
@@ -225,20 +235,19 @@
             return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
         this.fence = version;
-        const databaseId = this.options.record().databaseId || (this.replacedDatabaseId ?? "");
-        if (this.revokes && databaseId !== "" && databaseId !== this.chosenDatabaseId) {
-            return [...this.startFencing(nowMs), ...this.recordOrder(databaseId, nowMs)];
-        }
-        this.revokes = false;
-        return this.startFencing(nowMs);
+        const { substituteId } = this;
+        return substituteId === undefined
+            ? this.startFencing(nowMs)
+            : [...this.startFencing(nowMs), ...this.recordOrder(substituteId, nowMs)];
     }
 
     promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
         if (this.phase !== Phase.Ordering || fence !== this.fence) {
             return [];
         }
-        if (result === OrderResult.Refused || result === OrderResult.Accepted && this.revokes) {
-            this.revokes = false;
+        const keepsFormer = this.substituteId !== undefined && this.isFormerPrimary(this.substituteId);
+        if (result === OrderResult.Refused || result === OrderResult.Accepted && keepsFormer) {
+            this.substituteId = undefined;
             return this.reserve(this.fence, nowMs);
         }
         if (result === OrderResult.Accepted) {
@@ -378,6 +387,7 @@
         const primaryId = this.primary();
         // A database that leads because an earlier order was executed is not replaced.
         this.replacedDatabaseId = primaryId === orderedDatabaseId ? undefined : primaryId;
+        this.formerPrimaryId = primaryId;
         this.fencing = new Fencing({
             service,
             fence: this.fence,
@@ -437,6 +447,9 @@
     }
 
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
+        const { orderedDatabaseId, orderPending, databaseId: recordedId } = this.options.record();
+        this.supersedes = orderedDatabaseId !== "" && orderedDatabaseId !== databaseId
+            || orderPending && recordedId !== databaseId;
         this.chosenDatabaseId = databaseId;
         this.fencing!.orderSent(databaseId);
         const command = {
@@ -462,22 +475,43 @@
         }
         if (!this.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
             // The process that was ordered to lead is gone, and the platform refuses orders for it.
+            this.substituteId = undefined;
             return [...messages, ...this.reserve(this.fence, nowMs)];
         }
         if (this.fencing!.hasLostLogSinceChoice()) {
-            this.revokes = true;
+            this.substituteId = this.substituteId === undefined ? this.findSubstitute() : undefined;
             return [...messages, ...this.reserve(this.fence, nowMs)];
         }
         return nowMs < this.orderDueMs ? messages : [...messages, ...this.order(nowMs)];
     }
 
+    /**
+     * A database that can be ordered to lead in place of the chosen one: the former primary, whose log is complete, or one
+     * that has received as much as the chosen one. While the former one is there, instances without contact to the control
+     * members may be told of further commits, so that it comes first then.
+     */
+    private findSubstitute(): string | undefined {
+        const members = this.members();
+        const lostIds = members.filter(({ isLost }) => isLost).map(({ databaseId }) => databaseId);
+        const holderIds = this.chosenPosition === undefined ? [] : this.fencing!.holdersOf(this.chosenPosition);
+        const formerIds = members.map(({ databaseId }) => databaseId).filter(id => this.isFormerPrimary(id));
+        const isFormerDown = formerIds.every(id => this.fencing!.hasNoListener(id));
+        const preferredIds = isFormerDown ? [...holderIds, ...formerIds] : [...formerIds, ...holderIds];
+        return preferredIds.find(id => id !== this.chosenDatabaseId && !lostIds.includes(id));
+    }
+
+    private isFormerPrimary(databaseId: string): boolean {
+        return databaseId === this.options.record().databaseId || databaseId === this.formerPrimaryId;
+    }
+
     private reportsLead(): boolean {
         return this.chosenDatabaseId !== this.replacedDatabaseId
             && this.options.fleet.databases.get(this.chosenDatabaseId)?.report.leads === true;
     }
 
     private order(nowMs: number): readonly Message[] {
-        this.orderDueMs = nowMs + orderRetryMs;
+        const awaitsFirstAnswer = this.supersedes && this.answeredOrders === 0;
+        this.orderDueMs = nowMs + (awaitsFirstAnswer ? supersedingOrderRetryMs : orderRetryMs);
         this.sentOrders++;
         const order: PromotionOrder = {
             kind: PromotionKind.Order,
@@ -489,7 +523,7 @@
     }
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
-        this.revokes = false;
+        this.substituteId = undefined;
         const released = this.fencing?.release(nowMs) ?? [];
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
