fix(fleet): the position of an empty primary does not count as its last one

Cause: a primary that had stepped down started again without its log. Its next answer, with position 0, was taken for its last position, which replicas must have reached; every replica had.

Change: the position of a primary that has lost its log, in this promotion or as recorded, is not taken for its last one. The replicas stop then, as without a planned change.

Evidence: the new test fails on the code before.

--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -383,6 +383,24 @@
         assert.deepEqual(world.lost, []);
     });
 
+    it("does not take the position of a primary that lost its log for what replicas must have received", () => {
+        // Guards against an empty replica that counts as caught up because the primary that stepped down is empty.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const [leaving, full] = world.databases;
+        const empty = world.restartEmpty(world.database(2), false);
+        empty.deaf = true;
+        [leaving!, full!].forEach(database => {
+            database.draining = true;
+            world.report(database);
+        });
+        world.advance(300);
+        world.restartEmpty(leaving!, false);
+        world.advance(6_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
     it("keeps what an instance without contact to the control members is told after the choice", () => {
         // Guards against the loss of commits that a replica confirms which started again while the order was under way.
         const world = cutOffPrimary(2_000, world => world.cutInstance(world.instances[0]!));
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -296,8 +296,10 @@
     private followPrimary(primary: FencedDatabase, nowMs: number): void {
         const expectedId = this.expectedLeaderId();
         const mayAnotherLead = expectedId !== "" && expectedId !== primary.databaseId;
-        if (!primary.stopped || mayAnotherLead && this.orderedDatabaseId === undefined) {
-            // While an earlier order for another database may be executed, the replicas must not receive.
+        const mayReplicasReceive = !mayAnotherLead || this.orderedDatabaseId !== undefined;
+        if (!primary.stopped || !mayReplicasReceive || !this.keepsLog(primary)) {
+            // While an earlier order for another database may be executed, the replicas must not receive. The position of an
+            // empty primary tells nothing of what was acknowledged.
             this.finalPosition = undefined;
         }
         else if (this.finalPosition === undefined) {
@@ -442,9 +444,13 @@
     }
 
     /** Whether the database is the primary, or a later process with its log. */
-    private holdsPrimaryLog({ member, hasLostLog }: FencedDatabase): boolean {
-        return member.address === this.options.primaryLogAddress && !hasLostLog
-            && !this.lostMembers().some(({ address }) => address === member.address);
+    private holdsPrimaryLog(database: FencedDatabase): boolean {
+        return database.member.address === this.options.primaryLogAddress && this.keepsLog(database);
+    }
+
+    /** Whether no log was lost at the address of the database, neither in this promotion nor, as recorded, before. */
+    private keepsLog({ member, hasLostLog }: FencedDatabase): boolean {
+        return !hasLostLog && !this.lostMembers().some(({ address }) => address === member.address);
     }
 
     /** Whether the database holds what the last promotion kept, of which other databases may have lost their copies. */
