fix(fleet): the former primary's log counts if no ordered database has led

What callers saw (model): a choice waited without end (wait=database_with_last_commit) after a second loss, while the former primary was back with its complete log and an instance had started again.

Cause: while an order for another database is open, that one may have led and acknowledged commits, so the former primary's log was not taken for complete.

Change: it is taken for complete if the logs of all databases that were ordered since the last completed promotion are there, were not lost, and hold no commit of a later term. A leader that doesn't know all of these orders does as before.

Evidence: the new test fails on the code before.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -36,6 +36,7 @@
             members: () => this.members,
             primaryId: "p",
             primaryLogAddress: undefined,
+            otherLogAddresses: [],
             preferredDatabaseId: "",
             primaryKeepsLead: false,
             planned: false,
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -383,6 +383,31 @@
         assert.deepEqual(world.lost, []);
     });
 
+    it("trusts the log of the former primary if the ordered database has not led", () => {
+        // Guards against a wait without end although the logs show that nothing was acknowledged beyond them.
+        const world = new PromotionWorld(5);
+        world.advance(5_000);
+        world.crash(world.database(0));
+        world.advance(2_500);
+        const former = world.primary!;
+        const writer = world.instances[0]!;
+        world.advance(2_000);
+        world.nextPlatformDelayMs = () => 30_000;
+        world.crash(former);
+        advanceUntilOrdered(world, 2);
+        const ordered = orderedDatabase(world);
+        world.crash(ordered);
+        world.killInstance(writer);
+        world.databases.filter(database => database.running).forEach(database => world.restartEmpty(database, false));
+        world.advance(100);
+        world.startInstance(writer);
+        world.nextPlatformDelayMs = () => 0;
+        [former, ordered].forEach(database => world.restart(database).leads = false);
+        world.advance(10_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
     it("does not take the position of a primary that lost its log for what replicas must have received", () => {
         // Guards against an empty replica that counts as caught up because the primary that stepped down is empty.
         const world = new PromotionWorld();
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -35,8 +35,13 @@
     /** The databases that may hold acknowledged commits; changes while databases join and start again. */
     members(): readonly ElectorateMember[];
     readonly primaryId: string | undefined;
-    /** Address of the database whose log holds every acknowledged commit; undefined if that isn't certain. */
+    /**
+     * Address of the primary of the last completed promotion; its log holds every acknowledged commit unless a database that
+     * was ordered since has led. Undefined if unknown.
+     */
     readonly primaryLogAddress: string | undefined;
+    /** Addresses of the databases that were ordered since; undefined if they are not all known. */
+    readonly otherLogAddresses: readonly string[] | undefined;
     /** Database named by an earlier order, which may still be executed; preferred among equals. */
     readonly preferredDatabaseId: string;
     /**
@@ -443,9 +448,21 @@
         return this.lostMembers().some(lost => lost.databaseId === databaseId);
     }
 
-    /** Whether the database is the primary, or a later process with its log. */
+    /** Whether the database is the primary, or a later process with its log, and no other one has acknowledged commits since. */
     private holdsPrimaryLog(database: FencedDatabase): boolean {
-        return database.member.address === this.options.primaryLogAddress && this.keepsLog(database);
+        const { primaryLogAddress, otherLogAddresses } = this.options;
+        return database.member.address === primaryLogAddress && this.keepsLog(database)
+            && otherLogAddresses?.every(address =>
+                    address === primaryLogAddress || this.hasNotCommittedSince(address, database)
+                ) === true;
+    }
+
+    /** Whether the log at an address shows that its database has not led after `primary`, or led without commits. */
+    private hasNotCommittedSince(address: string, primary: FencedDatabase): boolean {
+        return this.stoppedDatabases().some(database =>
+            database.member.address === address && this.keepsLog(database)
+            && database.receivedPosition!.term <= primary.receivedPosition!.term
+        );
     }
 
     /** Whether no log was lost at the address of the database, neither in this promotion nor, as recorded, before. */
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -100,6 +100,8 @@
     /** Position of the chosen database; the log up to it is what the promotion keeps. */
     private chosenPosition: Position | undefined;
     private orderDueMs = 0;
+    /** Addresses of the databases ordered since the last completed promotion; undefined if an earlier leader ordered some. */
+    private orderedAddresses: readonly string[] | undefined;
     /** An earlier order for another database may be executed until the platform has seen the current fence. */
     private supersedes = false;
     /** Calls to the platform with the current fence, and those of them that were answered. */
@@ -388,6 +390,8 @@
         // A database that leads because an earlier order was executed is not replaced.
         this.replacedDatabaseId = primaryId === orderedDatabaseId ? undefined : primaryId;
         this.formerPrimaryId = primaryId;
+        this.orderedAddresses = orderedDatabaseId === "" ? [] : this.orderedAddresses;
+        const isOrderedPrimary = orderedDatabaseId === "" || orderedDatabaseId === databaseId;
         this.fencing = new Fencing({
             service,
             fence: this.fence,
@@ -397,10 +401,8 @@
             primaryKeepsLead: orderPending && primaryId === databaseId && synchronousReplicas() > 0,
             planned: this.planned,
             synchronousReplicas: synchronousReplicas(),
-            primaryLogAddress:
-                (orderedDatabaseId === "" || orderedDatabaseId === databaseId) && record.primaryAddress !== ""
-                    ? record.primaryAddress
-                    : undefined,
+            primaryLogAddress: record.primaryAddress === "" ? undefined : record.primaryAddress,
+            otherLogAddresses: isOrderedPrimary ? [] : this.orderedAddresses,
             basePosition,
             witnesses: fleet.witnesses,
             nextLinkId: () => fleet.nextLinkId(),
@@ -450,6 +452,8 @@
         const { orderedDatabaseId, orderPending, databaseId: recordedId } = this.options.record();
         this.supersedes = orderedDatabaseId !== "" && orderedDatabaseId !== databaseId
             || orderPending && recordedId !== databaseId;
+        const ordered = this.members().filter(member => member.databaseId === databaseId && !member.isLost);
+        this.orderedAddresses = this.orderedAddresses?.concat(ordered.map(({ address }) => address));
         this.chosenDatabaseId = databaseId;
         this.fencing!.orderSent(databaseId);
         const command = {
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -89,6 +89,7 @@
         members: () => members,
         primaryId: "p",
         primaryLogAddress: undefined,
+        otherLogAddresses: [],
         preferredDatabaseId: "",
         primaryKeepsLead: false,
         planned: false,
