--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { PromotionWait } from "../../model/promotionMessages.ts";
 import { PromotionWorld } from "./promotionWorld.ts";
+import type { SimulatedDatabase } from "./simulatedDatabase.ts";
 
 /**
  * Takes away the instance and the two databases that know of the last commits; a stale replica and an instance that has seen
@@ -310,6 +311,72 @@
         assert.ok(world.primary !== undefined && world.primary.id !== ordered);
     });
 
+    it("repeats at once the order that makes the platform refuse one for a database that has lost its log", () => {
+        // Guards against a late order that is executed because the one that revokes it is late too.
+        const world = new PromotionWorld();
+        const delaysMs = [1_500, 9_000, 9_000];
+        world.nextPlatformDelayMs = () => delaysMs.shift() ?? 0;
+        world.advance(5_000);
+        world.crash(world.database(0));
+        advanceUntilOrdered(world, 1);
+        world.advance(600);
+        world.restartEmpty(orderedDatabase(world), false);
+        world.advance(6_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("revokes a second order whose database has lost its log as well", () => {
+        // Guards against an open order that is not revoked because the last one named the former primary.
+        const world = cutOffPrimary(400, ({ databases }) => {
+            databases[2]!.deaf = true;
+        });
+        const primary = world.database(0);
+        world.platformDelayMs = 0;
+        world.restartEmpty(orderedDatabase(world), false);
+        advanceUntilOrdered(world, 2);
+        world.advance(1_500);
+        world.rejoin(primary.address);
+        world.crash(primary);
+        world.platformDelayMs = 1_500;
+        advanceUntilOrdered(world, 3);
+        world.advance(500);
+        world.platformDelayMs = 0;
+        world.restartEmpty(orderedDatabase(world), false);
+        world.advance(3_000);
+        assert.deepEqual(world.lost, []);
+        world.restart(primary);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("revokes an order for the former primary that has lost its log", () => {
+        // Guards against the way back of a planned change that is taken late, when the primary is empty.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const [leaving, replica] = world.databases;
+        world.crash(world.database(2));
+        [leaving!, replica!].forEach(database => {
+            database.draining = true;
+            world.report(database);
+        });
+        world.platformDelayMs = 2_000;
+        world.advance(500);
+        world.crash(replica!);
+        advanceUntilOrdered(world, 1);
+        assert.equal(orderedDatabase(world), leaving);
+        world.platformDelayMs = 0;
+        world.advance(500);
+        world.restartEmpty(leaving!, false);
+        world.advance(3_000);
+        assert.deepEqual(world.lost, []);
+        world.restart(replica!);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
     it("replaces a primary that has started again under its id without its log", () => {
         // Guards against a service without a primary, because the recorded one answers and reports.
         const world = new PromotionWorld();
@@ -342,6 +409,49 @@
         assert.deepEqual(world.lost, []);
     });
 
+    it("trusts the log of the former primary if the ordered database has not led", () => {
+        // Guards against a wait without end although the logs show that nothing was acknowledged beyond them.
+        const world = new PromotionWorld(5);
+        world.advance(5_000);
+        world.crash(world.database(0));
+        world.advance(2_500);
+        const former = world.primary!;
+        const writer = world.instances[0]!;
+        world.advance(2_000);
+        world.nextPlatformDelayMs = () => 30_000;
+        world.crash(former);
+        advanceUntilOrdered(world, 2);
+        const ordered = orderedDatabase(world);
+        world.crash(ordered);
+        world.killInstance(writer);
+        world.databases.filter(database => database.running).forEach(database => world.restartEmpty(database, false));
+        world.advance(100);
+        world.startInstance(writer);
+        world.nextPlatformDelayMs = () => 0;
+        [former, ordered].forEach(database => world.restart(database).leads = false);
+        world.advance(10_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("does not take the position of a primary that lost its log for what replicas must have received", () => {
+        // Guards against an empty replica that counts as caught up because the primary that stepped down is empty.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const [leaving, full] = world.databases;
+        const empty = world.restartEmpty(world.database(2), false);
+        empty.deaf = true;
+        [leaving!, full!].forEach(database => {
+            database.draining = true;
+            world.report(database);
+        });
+        world.advance(300);
+        world.restartEmpty(leaving!, false);
+        world.advance(6_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
     it("keeps what an instance without contact to the control members is told after the choice", () => {
         // Guards against the loss of commits that a replica confirms which started again while the order was under way.
         const world = cutOffPrimary(2_000, world => world.cutInstance(world.instances[0]!));
@@ -374,6 +484,20 @@
     return world;
 }
 
+/** Until that many calls to the platform were made. */
+function advanceUntilOrdered(world: PromotionWorld, count: number): void {
+    for (let waitedMs = 0; world.orders.length < count && waitedMs < 10_000; waitedMs += 5) {
+        world.advance(5);
+    }
+    assert.ok(world.orders.length >= count, `${world.orders.length} orders`);
+}
+
+/** The database of the last order. */
+function orderedDatabase(world: PromotionWorld): SimulatedDatabase {
+    const [ordered] = world.orders.at(-1)!.split("/");
+    return world.databases.find(({ id }) => id === ordered)!;
+}
+
 function assertCommits(world: PromotionWorld): void {
     const before = world.acknowledgedCount;
     world.advance(1_000);
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -35,8 +35,13 @@
     /** The databases that may hold acknowledged commits; changes while databases join and start again. */
     members(): readonly ElectorateMember[];
     readonly primaryId: string | undefined;
-    /** Address of the database whose log holds every acknowledged commit; undefined if that isn't certain. */
+    /**
+     * Address of the primary of the last completed promotion; its log holds every acknowledged commit unless a database that
+     * was ordered since has led. Undefined if unknown.
+     */
     readonly primaryLogAddress: string | undefined;
+    /** Addresses of the databases that were ordered since; undefined if they are not all known. */
+    readonly otherLogAddresses: readonly string[] | undefined;
     /** Database named by an earlier order, which may still be executed; preferred among equals. */
     readonly preferredDatabaseId: string;
     /**
@@ -185,6 +190,20 @@
         return this.databases.get(databaseId)?.receivedPosition;
     }
 
+    /** Databases that have received the log up to `position` and have not lost it, those that have stopped first. */
+    holdersOf(position: Position): readonly string[] {
+        return [...this.databases.values()]
+            .filter(({ hasLostLog, receivedPosition }) =>
+                !hasLostLog && receivedPosition !== undefined && hasReached(receivedPosition, position)
+            )
+            .sort((left, right) => Number(right.stopped) - Number(left.stopped))
+            .map(({ databaseId }) => databaseId);
+    }
+
+    hasNoListener(databaseId: string): boolean {
+        return this.databases.get(databaseId)?.hasNoListener === true;
+    }
+
     close(): readonly Message[] {
         return [...this.databases.values()].flatMap(database => database.close());
     }
@@ -282,8 +301,10 @@
     private followPrimary(primary: FencedDatabase, nowMs: number): void {
         const expectedId = this.expectedLeaderId();
         const mayAnotherLead = expectedId !== "" && expectedId !== primary.databaseId;
-        if (!primary.stopped || mayAnotherLead && this.orderedDatabaseId === undefined) {
-            // While an earlier order for another database may be executed, the replicas must not receive.
+        const mayReplicasReceive = !mayAnotherLead || this.orderedDatabaseId !== undefined;
+        if (!primary.stopped || !mayReplicasReceive || !this.keepsLog(primary)) {
+            // While an earlier order for another database may be executed, the replicas must not receive. The position of an
+            // empty primary tells nothing of what was acknowledged.
             this.finalPosition = undefined;
         }
         else if (this.finalPosition === undefined) {
@@ -432,10 +453,26 @@
         return this.lostMembers().some(lost => lost.databaseId === databaseId);
     }
 
-    /** Whether the database is the primary, or a later process with its log. */
-    private holdsPrimaryLog({ member, hasLostLog }: FencedDatabase): boolean {
-        return member.address === this.options.primaryLogAddress && !hasLostLog
-            && !this.lostMembers().some(({ address }) => address === member.address);
+    /** Whether the database is the primary, or a later process with its log, and no other one has acknowledged commits since. */
+    private holdsPrimaryLog(database: FencedDatabase): boolean {
+        const { primaryLogAddress, otherLogAddresses } = this.options;
+        return database.member.address === primaryLogAddress && this.keepsLog(database)
+            && otherLogAddresses?.every(address =>
+                    address === primaryLogAddress || this.hasNotCommittedSince(address, database)
+                ) === true;
+    }
+
+    /** Whether the log at an address shows that its database has not led after `primary`, or led without commits. */
+    private hasNotCommittedSince(address: string, primary: FencedDatabase): boolean {
+        return this.stoppedDatabases().some(database =>
+            database.member.address === address && this.keepsLog(database)
+            && database.receivedPosition!.term <= primary.receivedPosition!.term
+        );
+    }
+
+    /** Whether no log was lost at the address of the database, neither in this promotion nor, as recorded, before. */
+    private keepsLog({ member, hasLostLog }: FencedDatabase): boolean {
+        return !hasLostLog && !this.lostMembers().some(({ address }) => address === member.address);
     }
 
     /** Whether the database holds what the last promotion kept, of which other databases may have lost their copies. */
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -62,6 +62,12 @@
  */
 const invalidationIntervalMs = 1_000;
 
+/**
+ * Interval at which an order is repeated until the first answer while an earlier one for another database may still be
+ * executed: only a call that the platform has taken up makes it refuse the earlier one, and any call may be late.
+ */
+const supersedingOrderRetryMs = 100;
+
 /** Time after which an accepted order is repeated if the database does not lead yet; longer than a promotion takes. */
 const takeOverLimitMs = 3_000;
 
@@ -95,17 +101,23 @@
     private chosenDatabaseId = "";
     /** Primary at the start of the fencing. */
     private replacedDatabaseId: string | undefined;
+    /** The same, also if an earlier order names it. */
+    private formerPrimaryId: string | undefined;
     /** Position of the chosen database; the log up to it is what the promotion keeps. */
     private chosenPosition: Position | undefined;
     private orderDueMs = 0;
+    /** Addresses of the databases ordered since the last completed promotion; undefined if an earlier leader ordered some. */
+    private orderedAddresses: readonly string[] | undefined;
+    /** An earlier order for another database may be executed until the platform has seen the current fence. */
+    private supersedes = false;
     /** Calls to the platform with the current fence, and those of them that were answered. */
     private sentOrders = 0;
     private answeredOrders = 0;
     /**
-     * The ordered database has lost its log: an order for the primary that it was to replace, whose log is complete, makes
-     * the platform refuse the earlier one.
+     * The ordered database has lost its log: an order for another one whose log is complete makes the platform refuse the
+     * earlier one. Undefined if there is nothing to revoke, or no such database.
      */
-    private revokes = false;
+    private substituteId: string | undefined;
     /**
      * The order under way is for the present primary. It changes nothing there, and once it is answered the platform
      * refuses all earlier ones, which could make the primary lead again after it has lost its log.
@@ -225,12 +237,13 @@
             return this.reserve(version, nowMs);
         }
         if (status !== ProposalStatus.Applied) {
-            this.revokes = false;
+            this.substituteId = undefined;
             this.invalidatesOrders = false;
             return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
-            if (!this.revokes && !this.invalidatesOrders && !this.fencing!.mayLead(this.chosenDatabaseId)) {
+            const isChosen = this.substituteId === undefined && !this.invalidatesOrders;
+            if (isChosen && !this.fencing!.mayLead(this.chosenDatabaseId)) {
                 // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent, the
                 // choice goes on, with the same fence and all that is known.
                 this.fencing!.withdrawOrder();
@@ -242,12 +255,10 @@
         if (this.invalidatesOrders) {
             return this.recordOrder(this.options.record().databaseId, nowMs);
         }
-        const databaseId = this.options.record().databaseId || (this.replacedDatabaseId ?? "");
-        if (this.revokes && databaseId !== "" && databaseId !== this.chosenDatabaseId) {
-            return [...this.startFencing(nowMs), ...this.recordOrder(databaseId, nowMs)];
-        }
-        this.revokes = false;
-        return this.startFencing(nowMs);
+        const { substituteId } = this;
+        return substituteId === undefined
+            ? this.startFencing(nowMs)
+            : [...this.startFencing(nowMs), ...this.recordOrder(substituteId, nowMs)];
     }
 
     private endInvalidation(nowMs: number): Phase {
@@ -264,8 +275,9 @@
             this.answeredOrders += Number(result === OrderResult.Accepted);
             return this.complete(this.chosenDatabaseId, nowMs);
         }
-        if (result === OrderResult.Refused || result === OrderResult.Accepted && this.revokes) {
-            this.revokes = false;
+        const keepsFormer = this.substituteId !== undefined && this.isFormerPrimary(this.substituteId);
+        if (result === OrderResult.Refused || result === OrderResult.Accepted && keepsFormer) {
+            this.substituteId = undefined;
             return this.reserve(this.fence, nowMs);
         }
         if (result === OrderResult.Accepted) {
@@ -423,6 +435,9 @@
         const primaryId = this.primary();
         // A database that leads because an earlier order was executed is not replaced.
         this.replacedDatabaseId = primaryId === orderedDatabaseId ? undefined : primaryId;
+        this.formerPrimaryId = primaryId;
+        this.orderedAddresses = orderedDatabaseId === "" ? [] : this.orderedAddresses;
+        const isOrderedPrimary = orderedDatabaseId === "" || orderedDatabaseId === databaseId;
         this.fencing = new Fencing({
             service,
             fence: this.fence,
@@ -432,10 +447,8 @@
             primaryKeepsLead: orderPending && primaryId === databaseId && synchronousReplicas() > 0,
             planned: this.planned,
             synchronousReplicas: synchronousReplicas(),
-            primaryLogAddress:
-                (orderedDatabaseId === "" || orderedDatabaseId === databaseId) && record.primaryAddress !== ""
-                    ? record.primaryAddress
-                    : undefined,
+            primaryLogAddress: record.primaryAddress === "" ? undefined : record.primaryAddress,
+            otherLogAddresses: isOrderedPrimary ? [] : this.orderedAddresses,
             basePosition,
             witnesses: fleet.witnesses,
             nextLinkId: () => fleet.nextLinkId(),
@@ -494,6 +507,11 @@
     }
 
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
+        const { orderedDatabaseId, orderPending, databaseId: recordedId } = this.options.record();
+        this.supersedes = orderedDatabaseId !== "" && orderedDatabaseId !== databaseId
+            || orderPending && recordedId !== databaseId;
+        const ordered = this.members().filter(member => member.databaseId === databaseId && !member.isLost);
+        this.orderedAddresses = this.orderedAddresses?.concat(ordered.map(({ address }) => address));
         this.chosenDatabaseId = databaseId;
         this.fencing?.orderSent(databaseId);
         const keptPosition = this.invalidatesOrders ? this.options.record().basePosition : this.chosenPosition;
@@ -502,7 +520,7 @@
             service: this.options.service,
             fence: this.fence,
             databaseId,
-            position: this.revokes ? undefined : keptPosition,
+            position: this.substituteId === undefined ? keptPosition : undefined,
         };
         return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
@@ -524,22 +542,43 @@
         }
         if (!this.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
             // The process that was ordered to lead is gone, and the platform refuses orders for it.
+            this.substituteId = undefined;
             return [...messages, ...this.reserve(this.fence, nowMs)];
         }
         if (this.fencing!.hasLostLogSinceChoice()) {
-            this.revokes = true;
+            this.substituteId = this.substituteId === undefined ? this.findSubstitute() : undefined;
             return [...messages, ...this.reserve(this.fence, nowMs)];
         }
         return nowMs < this.orderDueMs ? messages : [...messages, ...this.order(nowMs)];
     }
 
+    /**
+     * A database that can be ordered to lead in place of the chosen one: the former primary, whose log is complete, or one
+     * that has received as much as the chosen one. While the former one is there, instances without contact to the control
+     * members may be told of further commits, so that it comes first then.
+     */
+    private findSubstitute(): string | undefined {
+        const members = this.members();
+        const lostIds = members.filter(({ isLost }) => isLost).map(({ databaseId }) => databaseId);
+        const holderIds = this.chosenPosition === undefined ? [] : this.fencing!.holdersOf(this.chosenPosition);
+        const formerIds = members.map(({ databaseId }) => databaseId).filter(id => this.isFormerPrimary(id));
+        const isFormerDown = formerIds.every(id => this.fencing!.hasNoListener(id));
+        const preferredIds = isFormerDown ? [...holderIds, ...formerIds] : [...formerIds, ...holderIds];
+        return preferredIds.find(id => id !== this.chosenDatabaseId && !lostIds.includes(id));
+    }
+
+    private isFormerPrimary(databaseId: string): boolean {
+        return databaseId === this.options.record().databaseId || databaseId === this.formerPrimaryId;
+    }
+
     private reportsLead(): boolean {
         return this.chosenDatabaseId !== this.replacedDatabaseId
             && this.options.fleet.databases.get(this.chosenDatabaseId)?.report.leads === true;
     }
 
     private order(nowMs: number): readonly Message[] {
-        this.orderDueMs = nowMs + orderRetryMs;
+        const awaitsFirstAnswer = this.supersedes && this.answeredOrders === 0;
+        this.orderDueMs = nowMs + (awaitsFirstAnswer ? supersedingOrderRetryMs : orderRetryMs);
         this.sentOrders++;
         const order: PromotionOrder = {
             kind: PromotionKind.Order,
@@ -551,7 +590,7 @@
     }
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
-        this.revokes = false;
+        this.substituteId = undefined;
         const released = this.fencing?.release(nowMs) ?? [];
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
