fix(fleet): a database that joined empty does not count as one that lost its log

Cause: an empty database may have started again just now, so the choice counted each one as missing, without end.

Change: one that has started again reports so. A database that is still seen as the same process a report interval after its answer has received nothing ever, and does not count.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -43,6 +43,7 @@
             synchronousReplicas: 1,
             basePosition: undefined,
             witnesses: this.witnesses,
+            reportIntervalMs: 1_000,
             nextLinkId: () => `m${this.nextLink++}`,
             startedAtMs: 0,
             ...overrides,
--- a/src/fleet/electorate.ts
+++ b/src/fleet/electorate.ts
@@ -6,6 +6,8 @@
 export interface ElectorateMember extends RecordedDatabase {
     /** The database reports, and does not shut down. */
     readonly isReady: boolean;
+    /** When the present process last reported; undefined if it has not reported to this leader. */
+    readonly lastReportAtMs?: number | undefined;
 }
 
 /**
--- a/src/fleet/fencedDatabase.ts
+++ b/src/fleet/fencedDatabase.ts
@@ -34,6 +34,8 @@
     stopped = false;
     /** Time at which the command was sent whose answer last showed that the database has stopped. */
     provedStoppedMs = -Infinity;
+    /** Since when the database has answered that it has received nothing; undefined if it has received commits. */
+    emptySinceMs: number | undefined;
     /** No process listens at the database's address. */
     hasNoListener = false;
     /** How often the database was found to have started again without its log. */
@@ -118,6 +120,7 @@
         }
         this.logLosses += isBehind ? 1 : 0;
         this.status = status;
+        this.emptySinceMs = status.receivedPosition.offset > 0 ? undefined : this.emptySinceMs ?? nowMs;
         const stopped = this.isStoppedBy(command, status);
         if (stopped) {
             this.stoppedAtMs = nowMs;
@@ -149,6 +152,7 @@
         this.logLosses++;
         this.stopped = false;
         this.status = undefined;
+        this.emptySinceMs = undefined;
         this.pausedTerm = 0;
         return this.reconnect(nowMs);
     }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -57,6 +57,8 @@
     readonly basePosition: Position | undefined;
     /** Instances that may have seen acknowledgements. */
     readonly witnesses: CommitWitnesses;
+    /** Interval at which databases report. */
+    readonly reportIntervalMs: number;
     nextLinkId(): string;
     readonly startedAtMs: number;
 }
@@ -398,7 +400,19 @@
     }
 
     private withLog(stopped: readonly FencedDatabase[]): readonly FencedDatabase[] {
-        return this.isServiceEmpty(stopped) ? stopped : stopped.filter(hasKeptLog);
+        return this.isServiceEmpty(stopped)
+            ? stopped
+            : stopped.filter(database => hasKeptLog(database) || this.hasNeverReceived(database));
+    }
+
+    /**
+     * Whether an empty database has confirmed no commit. One that has started again just now reports so within the interval;
+     * what its earlier process had counts as lost.
+     */
+    private hasNeverReceived({ emptySinceMs, member, hasLostLog }: FencedDatabase): boolean {
+        const { lastReportAtMs } = member;
+        return !hasLostLog && emptySinceMs !== undefined && lastReportAtMs !== undefined
+            && lastReportAtMs - emptySinceMs >= this.options.reportIntervalMs;
     }
 
     /**
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -451,6 +451,7 @@
             otherLogAddresses: isOrderedPrimary ? [] : this.orderedAddresses,
             basePosition,
             witnesses: fleet.witnesses,
+            reportIntervalMs: fleet.reportIntervalMs,
             nextLinkId: () => fleet.nextLinkId(),
             startedAtMs: nowMs,
         });
@@ -461,7 +462,11 @@
     }
 
     private members(): readonly ElectorateMember[] {
-        return electorateMembers(this.options.record().databases, this.reports());
+        const { record, fleet } = this.options;
+        return electorateMembers(record().databases, this.reports()).map(member => ({
+            ...member,
+            lastReportAtMs: member.isLost ? undefined : fleet.databases.get(member.databaseId)?.lastReportAtMs,
+        }));
     }
 
     private reports(): readonly DatabaseReport[] {
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -96,6 +96,7 @@
         synchronousReplicas: 1,
         basePosition: undefined,
         witnesses,
+        reportIntervalMs: 1_000,
         nextLinkId: () => `m${nextLink++}`,
         startedAtMs: 10_000,
     });
