fix(fleet): making orders void drops no database from the record

A database that leaves while the order for the present primary is under way was dropped with the completion, though nothing had shown that a replica has what it confirmed. By reading; the specs of the promotions pass as before.

--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -600,6 +600,7 @@
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
         const recordedIds = record().databases.map(recorded => recorded.databaseId);
+        const departed = recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId));
         const basePosition = this.invalidatesOrders ? record().basePosition : this.chosenPosition;
         const command = {
             kind: CommandKind.CompletePromotion,
@@ -608,7 +609,7 @@
             databaseId,
             orderPending: this.mayOrderBeExecuted(),
             basePosition,
-            departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
+            departed: this.invalidatesOrders ? [] : departed,
         };
         return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
