fix(fleet): a choice that may not be ordered is not recorded again and again

It showed since a choice that is dropped goes on with the same fence.

Cause: a primary that came back without its newest commits stepped down below what instances had acknowledged. A replica that had reached that position was chosen, and the check before the order refused it each time.

Change: the choice makes that check as well, and waits (wait=database_with_last_commit).

Evidence: the new test fails on the code before.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -456,6 +456,20 @@
         assert.equal(fixture.decide(), undefined);
     });
 
+    it("waits if the primary has stepped down below what was acknowledged", () => {
+        // Guards against a choice that is recorded and withdrawn again in each round trip, without an end.
+        const fixture = new FencingFixture();
+        fixture.reportCommits("f1", 12, { questionId: "7/close" });
+        fixture.openLink("p", 3, 10);
+        fixture.openLink("a", 3, 10);
+        fixture.answer("p", false, 3, 10);
+        fixture.answer("a", false, 3, 10);
+        assert.equal(fixture.decide(), undefined);
+        assert.equal(fixture.decide(100), undefined);
+        fixture.answer("a", false, 3, 12);
+        assert.equal(fixture.decide(), "a");
+    });
+
     it("lets the primary step down in a planned change and waits until a replica has caught up", () => {
         const fixture = new FencingFixture({ planned: true });
         fixture.openLink("p", 3, 20);
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -579,14 +579,19 @@
             || ready?.databaseId === preferredDatabaseId;
         const hasWaited = nowMs - this.steppedDownAtMs >= catchUpTimeoutMs;
         if (ready !== undefined && (isPreferred || hasWaited)) {
-            return ready.databaseId;
+            // A primary that came back without its newest commits has stepped down below what was acknowledged.
+            return this.mayLead(ready.databaseId)
+                ? ready.databaseId
+                : this.waitFor(PromotionWait.DatabaseWithLastCommit);
         }
         if (!hasWaited) {
             return this.waitFor(PromotionWait.CatchUp);
         }
         const primary = this.primary();
         if (primary?.stopped === true && !primary.hasLostLog) {
-            return primary.databaseId;
+            return this.mayLead(primary.databaseId)
+                ? primary.databaseId
+                : this.waitFor(PromotionWait.DatabaseWithLastCommit);
         }
         // The primary was lost before a replica had caught up: the replicas stop, as without a planned change.
         this.finalPosition = undefined;
