fix(control): a dropped own vote and an old batch do not outlast a slow disk

What callers could see: a member that never stands for election again in its term, and a member that came back and still counts as silent.

Cause: a candidate waits for its own vote, which was dropped like an answer to a peer once more than 1,024 messages waited for the disk; nobody sends it again.

Change: messages to the member itself are not dropped.

--- a/src/control/__tests__/memberPipe.spec.ts
+++ b/src/control/__tests__/memberPipe.spec.ts
@@ -213,6 +213,22 @@
         assert.ok(member.sent.some(({ kind, term }) => kind === LogKind.AppendRequest && term === request.term));
     });
 
+    it("stands again after its disk stood still for so long that answers were dropped", () => {
+        // Guards against a member that waits for its own vote for ever, and never stands again in that term.
+        const member = new SingleMember({ term: 4, entries: [memberEntry] });
+        const asked = () => member.sent.filter(({ kind }) => kind === LogKind.VoteRequest).length;
+        member.clock.advanceTo(2_500);
+        member.syncsWrites = false;
+        member.answerAsB(LogKind.VoteRequest, { granted: true, term: 4 });
+        for (let count = 0; count < 1_100; count++) {
+            member.requestVote({ preVote: true, lastIndex: 0, lastTerm: 0 });
+        }
+        member.post({ kind: StorageKind.AppendDone, writeId: 1 } as Message);
+        const before = asked();
+        member.clock.advanceTo(member.clock.nowMs() + 10_000);
+        assert.ok(asked() > before);
+    });
+
     it("looks for its cluster while it hears nothing but the vote requests of other removed members", () => {
         // Guards against removed members that keep each other busy and never ask the present ones to join.
         const member = new SingleMember({ term: 4, entries: [memberEntry] });
--- a/src/control/durabilityFilter.ts
+++ b/src/control/durabilityFilter.ts
@@ -68,7 +68,9 @@
         }
         this.held.push({ requiredWriteId: required.writeId, body });
         if (this.held.length > maximumHeldMessages) {
-            this.held.shift();
+            // A message to this member itself is not sent again.
+            const oldest = this.held.findIndex(({ body: { to } }) => memberKey(to) !== memberKey(this.self));
+            this.held.splice(Math.max(0, oldest), 1);
         }
         return [];
     }
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -177,6 +177,8 @@
         }
         peer.lastAnswerAtMs = nowMs;
         peer.snapshotSentAtMs = installed ? undefined : nowMs;
+        // The answer has waited for all writes before it.
+        peer.unsyncedSinceMs = undefined;
         if (installed && lastIndex > peer.matchIndex) {
             this.advancePeer(peer, lastIndex);
         }
