fix(fleet): an order that makes earlier ones void does not open a promotion

Cause: an order for the present primary was reserved, recorded and completed like a promotion. A leader that found it open without an order chose a new primary, and its completion dropped databases that were lost meanwhile, as did a completion that was proposed twice. Orders that supersede another one, and orders after a refusal, had no limit.

Change: such an order only takes a fence, and its completion only records that no order is pending. It is given up if the primary stops leading, and is sent also while other databases are lost. A completion that was applied changes nothing when repeated.

--- a/src/control/promotionCommands.ts
+++ b/src/control/promotionCommands.ts
@@ -26,7 +26,7 @@
     if (fence !== command.expectedFence) {
         return conflict(state, fence, `the fence is ${fence}, expected was ${command.expectedFence}`);
     }
-    return putPromotion(state, { ...current, fence: fence + 1, open: true });
+    return putPromotion(state, { ...current, fence: fence + 1, open: current.open || command.keepsPrimary !== true });
 }
 
 export function recordPromotionOrder(state: ControlState, command: RecordPromotionOrder): CommandOutcome {
@@ -35,19 +35,26 @@
 }
 
 export function completePromotion(state: ControlState, command: CompletePromotion): CommandOutcome {
-    const { databaseId, orderPending, departed, basePosition } = command;
-    return changePromotion(state, command, current => ({
-        ...current,
-        open: false,
-        databaseId,
-        primaryAddress: current.databases.find(database => database.databaseId === databaseId)?.address ?? "",
-        orderedDatabaseId: "",
-        orderedPosition: undefined,
-        orderPending,
-        // The new primary holds all commits that lost and departed databases confirmed.
-        databases: current.databases.filter(database => !database.isLost && !departed.includes(database.databaseId)),
-        basePosition,
-    }));
+    const { databaseId, orderPending, departed, basePosition, keepsPrimary } = command;
+    if (keepsPrimary === true) {
+        return changePromotion(state, command, current => ({ ...current, orderPending }));
+    }
+    // A command that was proposed twice ends the record only of those databases that were lost at the first time.
+    return changePromotion(state, command, current =>
+        !current.open ? current : ({
+            ...current,
+            open: false,
+            databaseId,
+            primaryAddress: current.databases.find(database => database.databaseId === databaseId)?.address ?? "",
+            orderedDatabaseId: "",
+            orderedPosition: undefined,
+            orderPending,
+            // The new primary holds all commits that lost and departed databases confirmed.
+            databases: current.databases.filter(database =>
+                !database.isLost && !departed.includes(database.databaseId)
+            ),
+            basePosition,
+        }));
 }
 
 export function recordDatabases(state: ControlState, { service, databases }: RecordDatabases): CommandOutcome {
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -18,6 +18,7 @@
     type LinkSend,
 } from "../../model/linkMessages.ts";
 import type { Position } from "../../model/position.ts";
+import { promotionOf, type PromotionRecord } from "../../model/promotion.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -88,6 +89,8 @@
     platformDelayMs = 0;
     /** Takes the place of `platformDelayMs` for each call. */
     nextPlatformDelayMs = (): number => this.platformDelayMs;
+    /** The platform refuses each call, whatever its fence. */
+    platformRefuses = false;
     /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
     nextRepetitionDelayMs = (): number | undefined => undefined;
     private readonly events = new DeadlineQueue();
@@ -146,6 +149,10 @@
         return [...this.acknowledged].filter(number => !kept.has(number)).length;
     }
 
+    get record(): PromotionRecord {
+        return promotionOf(this.state.configuration.promotions, service);
+    }
+
     get hasControl(): boolean {
         return this.control !== undefined;
     }
@@ -600,7 +607,7 @@
         const platformDelayMs = this.nextPlatformDelayMs();
         this.after(platformDelayMs, () => {
             const chosen = this.databases.find(({ id, running }) => id === databaseId && running);
-            const refused = chosen === undefined || fence < Math.max(0, ...this.fences);
+            const refused = this.platformRefuses || chosen === undefined || fence < Math.max(0, ...this.fences);
             this.fences.push(fence);
             if (platformDelayMs < platformTimeoutMs) {
                 this.after(
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -68,6 +68,12 @@
  */
 const supersedingOrderRetryMs = 100;
 
+/** Number of calls at that interval. A platform that has not answered them is silent, and each call has a price. */
+const maximumSupersedingOrders = 20;
+
+/** Number of orders in a row that the platform may refuse before further ones are spaced by `orderRetryMs`. */
+const maximumPromptRefusals = 3;
+
 /** Time after which an accepted order is repeated if the database does not lead yet; longer than a promotion takes. */
 const takeOverLimitMs = 3_000;
 
@@ -113,6 +119,9 @@
     /** Calls to the platform with the current fence, and those of them that were answered. */
     private sentOrders = 0;
     private answeredOrders = 0;
+    /** Orders that were refused in a row. */
+    private refusedOrders = 0;
+    private lastOrderAtMs = -Infinity;
     /**
      * The ordered database has lost its log: an order for another one whose log is complete makes the platform refuse the
      * earlier one. Undefined if there is nothing to revoke, or no such database.
@@ -231,7 +240,7 @@
     proposalEnded({ status, version }: ControlProposalEnded, nowMs: number): readonly Message[] {
         this.proposalId = "";
         if (this.phase === Phase.Completing) {
-            return this.enter(this.invalidatesOrders ? this.endInvalidation(nowMs) : Phase.Settling, nowMs);
+            return this.invalidatesOrders ? this.endInvalidation(nowMs) : this.enter(Phase.Settling, nowMs);
         }
         if (status === ProposalStatus.Conflict && !this.invalidatesOrders) {
             return this.reserve(version, nowMs);
@@ -242,8 +251,7 @@
             return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
-            const isChosen = this.substituteId === undefined && !this.invalidatesOrders;
-            if (isChosen && !this.fencing!.mayLead(this.chosenDatabaseId)) {
+            if (this.substituteId === undefined && !this.fencing!.mayLead(this.chosenDatabaseId)) {
                 // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent, the
                 // choice goes on, with the same fence and all that is known.
                 this.fencing!.withdrawOrder();
@@ -253,7 +261,7 @@
         }
         this.fence = version;
         if (this.invalidatesOrders) {
-            return this.recordOrder(this.options.record().databaseId, nowMs);
+            return this.orderPrimary(nowMs);
         }
         const { substituteId } = this;
         return substituteId === undefined
@@ -261,10 +269,35 @@
             : [...this.startFencing(nowMs), ...this.recordOrder(substituteId, nowMs)];
     }
 
-    private endInvalidation(nowMs: number): Phase {
+    /** Sends the order that makes earlier ones void, unless the primary has gone meanwhile. */
+    private orderPrimary(nowMs: number): readonly Message[] {
+        if (!this.mayInvalidateOrders()) {
+            return this.endInvalidation(nowMs);
+        }
+        this.chosenDatabaseId = this.options.record().databaseId;
+        this.supersedes = false;
+        return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+    }
+
+    private endInvalidation(nowMs: number): readonly Message[] {
         this.invalidatesOrders = false;
         this.lastInvalidationAtMs = nowMs;
-        return Phase.Steady;
+        return this.enter(Phase.Steady, nowMs);
+    }
+
+    /** Records that the platform has taken up the order for the present primary. */
+    private recordInvalidation(nowMs: number): readonly Message[] {
+        const command = {
+            kind: CommandKind.CompletePromotion,
+            service: this.options.service,
+            fence: this.fence,
+            databaseId: this.chosenDatabaseId,
+            orderPending: false,
+            basePosition: undefined,
+            departed: [],
+            keepsPrimary: true,
+        };
+        return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
     promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
@@ -272,9 +305,9 @@
             return [];
         }
         if (this.invalidatesOrders) {
-            this.answeredOrders += Number(result === OrderResult.Accepted);
-            return this.complete(this.chosenDatabaseId, nowMs);
+            return result === OrderResult.Accepted ? this.recordInvalidation(nowMs) : this.endInvalidation(nowMs);
         }
+        this.refusedOrders = result === OrderResult.Refused ? this.refusedOrders + 1 : 0;
         const keepsFormer = this.substituteId !== undefined && this.isFormerPrimary(this.substituteId);
         if (result === OrderResult.Refused || result === OrderResult.Accepted && keepsFormer) {
             this.substituteId = undefined;
@@ -354,21 +387,22 @@
     }
 
     /**
-     * An order that the platform has not answered may be executed at any later time. While databases are lost or gone, what
-     * they held is still being made up for, and the record of them must not be completed.
+     * An order that the platform has not answered may be executed at any later time. The reservation leaves the promotion
+     * closed: a leader that finds it open would replace the primary.
      */
     private invalidateOrders(nowMs: number): readonly Message[] {
-        const { orderPending, open, databaseId, databases, fence } = this.options.record();
-        const isDue = this.phase === Phase.Steady && orderPending && !open
-            && nowMs - this.lastInvalidationAtMs >= invalidationIntervalMs;
-        const primary = this.options.fleet.databases.get(databaseId);
-        if (!isDue || primary?.report.leads !== true || databases.some(database => this.isGone(database))) {
+        const isDue = this.phase === Phase.Steady && nowMs - this.lastInvalidationAtMs >= invalidationIntervalMs;
+        if (!isDue || !this.mayInvalidateOrders()) {
             return [];
         }
         this.invalidatesOrders = true;
-        this.sentOrders = 0;
-        this.answeredOrders = 0;
-        return this.reserve(fence, nowMs);
+        return this.reserve(this.options.record().fence, nowMs);
+    }
+
+    private mayInvalidateOrders(): boolean {
+        const { orderPending, open, databaseId } = this.options.record();
+        return orderPending && !open && this.options.fleet.databases.get(databaseId)?.report.leads === true
+            && !this.members().some(member => member.isLost && member.databaseId === databaseId);
     }
 
     private isGone({ databaseId, isLost }: RecordedDatabase): boolean {
@@ -424,7 +458,9 @@
     }
 
     private reserve(expectedFence: number, nowMs: number): readonly Message[] {
-        const command = { kind: CommandKind.ReservePromotion, service: this.options.service, expectedFence };
+        const { service } = this.options;
+        const keepsPrimary = this.invalidatesOrders;
+        const command = { kind: CommandKind.ReservePromotion, service, expectedFence, keepsPrimary };
         return [...this.closeFencing(), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
     }
 
@@ -514,13 +550,12 @@
         this.orderedAddresses = this.orderedAddresses?.concat(ordered.map(({ address }) => address));
         this.chosenDatabaseId = databaseId;
         this.fencing?.orderSent(databaseId);
-        const keptPosition = this.invalidatesOrders ? this.options.record().basePosition : this.chosenPosition;
         const command = {
             kind: CommandKind.RecordPromotionOrder,
             service: this.options.service,
             fence: this.fence,
             databaseId,
-            position: this.substituteId === undefined ? keptPosition : undefined,
+            position: this.substituteId === undefined ? this.chosenPosition : undefined,
         };
         return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
@@ -531,7 +566,7 @@
      */
     private continueOrdering(nowMs: number): readonly Message[] {
         if (this.invalidatesOrders) {
-            return nowMs < this.orderDueMs ? [] : this.complete(this.chosenDatabaseId, nowMs);
+            return nowMs < this.orderDueMs && this.mayInvalidateOrders() ? [] : this.endInvalidation(nowMs);
         }
         const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
         if (alreadyLeads) {
@@ -577,7 +612,14 @@
     }
 
     private order(nowMs: number): readonly Message[] {
-        const awaitsFirstAnswer = this.supersedes && this.answeredOrders === 0;
+        const spacedMs = this.refusedOrders < maximumPromptRefusals ? 0 : orderRetryMs;
+        if (nowMs < this.lastOrderAtMs + spacedMs) {
+            this.orderDueMs = this.lastOrderAtMs + spacedMs;
+            return [];
+        }
+        this.lastOrderAtMs = nowMs;
+        const awaitsFirstAnswer = this.supersedes && this.answeredOrders === 0
+            && this.sentOrders < maximumSupersedingOrders;
         this.orderDueMs = nowMs + (awaitsFirstAnswer ? supersedingOrderRetryMs : orderRetryMs);
         this.sentOrders++;
         const order: PromotionOrder = {
@@ -595,14 +637,13 @@
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
         const recordedIds = record().databases.map(recorded => recorded.databaseId);
-        const basePosition = this.invalidatesOrders ? record().basePosition : this.chosenPosition;
         const command = {
             kind: CommandKind.CompletePromotion,
             service,
             fence: this.fence,
             databaseId,
             orderPending: this.mayOrderBeExecuted(),
-            basePosition,
+            basePosition: this.chosenPosition,
             departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
         return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -136,6 +136,11 @@
     readonly kind: typeof CommandKind.ReservePromotion;
     readonly service: string;
     readonly expectedFence: number;
+    /**
+     * The fence is for an order that names the present primary: nothing is stopped, and a later leader has nothing to
+     * complete. Undefined in a command of an earlier version.
+     */
+    readonly keepsPrimary?: boolean;
 }
 
 /** Records the database that was promoted; a conflict if a later promotion of the service has been reserved. */
@@ -150,6 +155,8 @@
     readonly departed: readonly string[];
     /** Position that the database had reached when it was chosen. */
     readonly basePosition: Position | undefined;
+    /** The fence was reserved with `keepsPrimary`: only `orderPending` is recorded. Undefined in a command of an earlier version. */
+    readonly keepsPrimary?: boolean;
 }
 
 /** Records an order before it is sent; a conflict if a later promotion of the service has been reserved. */
