--- a/src/control/durabilityFilter.ts
+++ b/src/control/durabilityFilter.ts
@@ -30,8 +30,8 @@
 /**
  * Assigns ids to writes, and holds back votes, vote requests and acknowledgements (the promises after which the step is
  * named) until the earlier writes on which they depend are synced. An answer to a heartbeat does not depend on entries
- * that follow what it names, so that a slow disk does not end the contact to the leader. A message to this member itself, by which it counts its own vote or its
- * own copy of an entry, is held back in the same way and then posted as an event.
+ * that follow what it names, so that a slow disk does not end the contact to the leader. A message to this member itself,
+ * by which it counts its own vote or its own copy of an entry, is held back in the same way and then posted as an event.
  */
 export class DurabilityFilter implements Filter<DurabilityInput, Message> {
     readonly step = "promise";
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -261,8 +261,9 @@
     }
 
     /**
-     * A leader that stops, or whose disk stands still while others do not, asks another member to stand. Until one is elected it goes on
-     * leading, which needs no disk: entries are committed by the copies of the others, and its own term is durable.
+     * A leader that stops, or whose disk stands still while others do not, asks another member to stand. Until one is
+     * elected it goes on leading, which needs no disk: entries are committed by the copies of the others, and its own term
+     * is durable.
      */
     private handOverLead(nowMs: number): readonly Message[] {
         const { leadership, self } = this.replica;
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -50,8 +50,9 @@
 const electionStaggerMs = 200;
 
 /**
- * Delay after which a candidate that has not won starts another election, counted from its own synced vote; each position in the list of members adds
- * 200 ms. Longer than a vote, and well below the election timeout, because callers are refused while there is no leader.
+ * Delay after which a candidate that has not won starts another election, counted from its own synced vote; each position
+ * in the list of members adds 200 ms. Longer than a vote, and well below the election timeout, because callers are refused
+ * while there is no leader.
  * Doubles with each campaign up to that timeout, because a new campaign discards the votes in flight of a slow one.
  */
 const candidateRetryDelayMs = 300;
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -467,7 +467,10 @@
         return this.lostMembers().some(lost => lost.databaseId === databaseId);
     }
 
-    /** Whether the database is the primary, or a later process with its log, and no other one has acknowledged commits since. */
+    /**
+     * Whether the database is the primary, or a later process with its log, and no other one has acknowledged commits
+     * since.
+     */
     private holdsPrimaryLog(database: FencedDatabase): boolean {
         const { primaryLogAddress, otherLogAddresses } = this.options;
         return database.member.address === primaryLogAddress && this.keepsLog(database)
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -252,8 +252,8 @@
         }
         if (this.phase === Phase.Recording) {
             if (this.substituteId === undefined && !this.fencing!.mayLead(this.chosenDatabaseId)) {
-                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent, the
-                // choice goes on, with the same fence and all that is known.
+                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was
+                // sent, the choice goes on, with the same fence and all that is known.
                 this.fencing!.withdrawOrder();
                 return [...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
             }
@@ -269,37 +269,6 @@
             : [...this.startFencing(nowMs), ...this.recordOrder(substituteId, nowMs)];
     }
 
-    /** Sends the order that makes earlier ones void, unless the primary has gone meanwhile. */
-    private orderPrimary(nowMs: number): readonly Message[] {
-        if (!this.mayInvalidateOrders()) {
-            return this.endInvalidation(nowMs);
-        }
-        this.chosenDatabaseId = this.options.record().databaseId;
-        this.supersedes = false;
-        return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
-    }
-
-    private endInvalidation(nowMs: number): readonly Message[] {
-        this.invalidatesOrders = false;
-        this.lastInvalidationAtMs = nowMs;
-        return this.enter(Phase.Steady, nowMs);
-    }
-
-    /** Records that the platform has taken up the order for the present primary. */
-    private recordInvalidation(nowMs: number): readonly Message[] {
-        const command = {
-            kind: CommandKind.CompletePromotion,
-            service: this.options.service,
-            fence: this.fence,
-            databaseId: this.chosenDatabaseId,
-            orderPending: false,
-            basePosition: undefined,
-            departed: [],
-            keepsPrimary: true,
-        };
-        return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
-    }
-
     promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
         if (this.phase !== Phase.Ordering || fence !== this.fence) {
             return [];
@@ -405,6 +374,37 @@
             && !this.members().some(member => member.isLost && member.databaseId === databaseId);
     }
 
+    /** Sends the order that makes earlier ones void, unless the primary has gone meanwhile. */
+    private orderPrimary(nowMs: number): readonly Message[] {
+        if (!this.mayInvalidateOrders()) {
+            return this.endInvalidation(nowMs);
+        }
+        this.chosenDatabaseId = this.options.record().databaseId;
+        this.supersedes = false;
+        return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+    }
+
+    private endInvalidation(nowMs: number): readonly Message[] {
+        this.invalidatesOrders = false;
+        this.lastInvalidationAtMs = nowMs;
+        return this.enter(Phase.Steady, nowMs);
+    }
+
+    /** Records that the platform has taken up the order for the present primary. */
+    private recordInvalidation(nowMs: number): readonly Message[] {
+        const command = {
+            kind: CommandKind.CompletePromotion,
+            service: this.options.service,
+            fence: this.fence,
+            databaseId: this.chosenDatabaseId,
+            orderPending: false,
+            basePosition: undefined,
+            departed: [],
+            keepsPrimary: true,
+        };
+        return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
+    }
+
     private isGone({ databaseId, isLost }: RecordedDatabase): boolean {
         return isLost || this.options.fleet.departedDatabases.has(databaseId);
     }
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -155,7 +155,10 @@
     readonly departed: readonly string[];
     /** Position that the database had reached when it was chosen. */
     readonly basePosition: Position | undefined;
-    /** The fence was reserved with `keepsPrimary`: only `orderPending` is recorded. Undefined in a command of an earlier version. */
+    /**
+     * The fence was reserved with `keepsPrimary`: only `orderPending` is recorded. Undefined in a command of an earlier
+     * version.
+     */
     readonly keepsPrimary?: boolean;
 }
 
@@ -165,7 +168,10 @@
     readonly service: string;
     readonly fence: number;
     readonly databaseId: string;
-    /** Position that the database had reached when it was chosen; undefined if unknown, and in a command of an earlier version. */
+    /**
+     * Position that the database had reached when it was chosen; undefined if unknown, and in a command of an earlier
+     * version.
+     */
     readonly position?: Position | undefined;
 }
 
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -36,7 +36,9 @@
     running: Task | undefined;
     /** Statements received while another one is in progress; undefined for one that could not be parsed. */
     readonly queuedStatements: (SessionStatement | undefined)[] = [];
-    /** Position that includes the session's last commit, and perhaps later ones of others, by service; a floor of its reads. */
+    /**
+     * Position that includes the session's last commit, and perhaps later ones of others, by service; a floor of its reads.
+     */
     readonly floors = new Map<string, Position>();
     lastActiveMs = 0;
 
