perf(fleet): a service without lost databases reads no reports for the catch-up check

Cause: on each steady tick (every 400 ms) and for each service, the check looked up the primary once for each member, each time over the reports of all databases, before it saw that no database was gone.

Change: the primary and the members are read only if one is gone, and once. Behaviour is the same; the effect was not measured.

--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -330,8 +330,10 @@
         const { record, service, fleet } = this.options;
         const { open, databases } = record();
         const gone = this.phase !== Phase.Steady || open ? [] : databases.filter(database => this.isGone(database));
-        const primary = this.members().find(({ databaseId, isLost }) => databaseId === this.primary() && !isLost);
-        if (gone.length === 0 || primary === undefined) {
+        const primaryId = gone.length === 0 ? undefined : this.primary();
+        const members = primaryId === undefined ? [] : this.members();
+        const primary = members.find(({ databaseId, isLost }) => databaseId === primaryId && !isLost);
+        if (primary === undefined) {
             this.replaceable = [];
             return this.closeCatchUpCheck();
         }
@@ -349,7 +351,7 @@
         this.catchUpCheck = new CatchUpCheck({
             service,
             primary,
-            replicas: this.members().filter(({ databaseId, isReady }) => isReady && databaseId !== primary.databaseId),
+            replicas: members.filter(({ databaseId, isReady }) => isReady && databaseId !== primary.databaseId),
             nextLinkId: () => fleet.nextLinkId(),
         });
         return [...closed, ...this.catchUpCheck.advance(nowMs)];
