refactor: laterPosition takes an unknown position, and one predicate compares logs

Three predicates of Fencing compared a log with an optional position in the same way, and two maxima of ClosedInstances differed in the field alone.

No change of behaviour.

--- a/src/fleet/closedInstances.ts
+++ b/src/fleet/closedInstances.ts
@@ -33,19 +33,23 @@
 
     /** Upper bound of the commits that were acknowledged, as far as instances have answered. */
     highestLogEnd(): Position | undefined {
-        return [...this.answers.values()].flatMap(({ logEnd }) => logEnd ?? []).sort(comparePositions).at(-1);
+        return this.highest(({ logEnd }) => logEnd);
     }
 
     /** Lower bound of the commits that were acknowledged, as far as instances have answered. */
     highestReached(): Position | undefined {
-        return [...this.answers.values()].flatMap(({ reached }) => reached ?? []).sort(comparePositions).at(-1);
+        return this.highest(({ reached }) => reached);
     }
 
-    /** When the last answer came that tells of commits beyond `position`; undefined if none does. */
-    lastAnswerBeyond(position: Position): number | undefined {
+    /** When the last answer came that tells of commits beyond `position`; -Infinity if none does. */
+    lastAnswerBeyond(position: Position): number {
         const beyond = [...this.answers.values()].filter(({ logEnd }) =>
             logEnd !== undefined && !hasReached(position, logEnd)
         );
-        return beyond.length === 0 ? undefined : Math.max(...beyond.map(({ arrivedMs }) => arrivedMs));
+        return Math.max(...beyond.map(({ arrivedMs }) => arrivedMs));
+    }
+
+    private highest(positionOf: (answer: ClosingAnswer) => Position | undefined): Position | undefined {
+        return [...this.answers.values()].flatMap(answer => positionOf(answer) ?? []).sort(comparePositions).at(-1);
     }
 }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -493,24 +493,21 @@
     }
 
     /** Whether the database holds what the last promotion kept, of which other databases may have lost their copies. */
-    private holdsBase({ receivedPosition }: FencedDatabase): boolean {
-        const { basePosition } = this.options;
-        return basePosition === undefined || hasReached(receivedPosition!, basePosition);
+    private holdsBase(database: FencedDatabase): boolean {
+        return holdsUpTo(database, this.options.basePosition);
     }
 
     /**
      * Whether the database holds the commits that instances had acknowledged when they stopped to. What they tell is an upper
      * bound, beyond which the log of a lost primary may have had commits that nobody acknowledged.
      */
-    private holdsClosedCommits({ receivedPosition }: FencedDatabase): boolean {
-        const highest = this.closedInstances.highestLogEnd();
-        return highest === undefined || receivedPosition !== undefined && hasReached(receivedPosition, highest);
+    private holdsClosedCommits(database: FencedDatabase): boolean {
+        return holdsUpTo(database, this.closedInstances.highestLogEnd());
     }
 
     /** Whether the database holds the commits that were certainly acknowledged, as far as instances have answered. */
-    private holdsReached({ receivedPosition }: FencedDatabase): boolean {
-        const reached = this.closedInstances.highestReached();
-        return reached === undefined || hasReached(receivedPosition!, reached);
+    private holdsReached(database: FencedDatabase): boolean {
+        return holdsUpTo(database, this.closedInstances.highestReached());
     }
 
     /**
@@ -521,7 +518,7 @@
         best: FencedDatabase,
         stopped: readonly FencedDatabase[],
     ): readonly FencedDatabase[] {
-        const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!) ?? -Infinity;
+        const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!);
         return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= answeredMs);
     }
 
@@ -632,6 +629,11 @@
     return !hasLostLog && receivedPosition!.offset > 0;
 }
 
+/** Whether a database has received the log up to a position; true if there is none. */
+function holdsUpTo({ receivedPosition }: FencedDatabase, position: Position | undefined): boolean {
+    return position === undefined || receivedPosition !== undefined && hasReached(receivedPosition, position);
+}
+
 /** Whether a database neither confirms nor acknowledges commits, as far as its machine answers. */
 function isDown({ stopped, hasNoListener }: FencedDatabase): boolean {
     return stopped || hasNoListener;
--- a/src/holder/floorTable.ts
+++ b/src/holder/floorTable.ts
@@ -14,7 +14,7 @@
     }
 
     recordWrite(callerId: string, written: Position): void {
-        const floor = laterPosition(this.floors.get(callerId) ?? written, written);
+        const floor = laterPosition(this.floors.get(callerId), written);
         this.floors.delete(callerId);
         this.floors.set(callerId, floor);
         if (this.floors.size > this.capacity) {
@@ -24,7 +24,7 @@
 
     floorOf(callerId: string): Position {
         const floor = this.floors.get(callerId);
-        return floor === undefined ? this.baseFloor : laterPosition(floor, this.baseFloor);
+        return laterPosition(floor, this.baseFloor);
     }
 
     // An evicted caller falls back to the base floor, so the base floor must cover the caller's writes.
--- a/src/model/position.ts
+++ b/src/model/position.ts
@@ -24,6 +24,7 @@
     return comparePositions(applied, floor) >= 0;
 }
 
-export function laterPosition(left: Position, right: Position): Position {
-    return comparePositions(left, right) >= 0 ? left : right;
+/** Returns the later position; `right` if there is no other one. */
+export function laterPosition(left: Position | undefined, right: Position): Position {
+    return left !== undefined && comparePositions(left, right) >= 0 ? left : right;
 }
--- a/src/request/primaryPositionHistory.ts
+++ b/src/request/primaryPositionHistory.ts
@@ -33,7 +33,7 @@
         ) {
             this.samples.pop();
         }
-        this.samples.push({ atMs, position: last === undefined ? position : laterPosition(last.position, position) });
+        this.samples.push({ atMs, position: laterPosition(last?.position, position) });
         if (this.samples.length > maximumSamples) {
             this.thinOutOlderSamples();
         }
--- a/src/request/sessionState.ts
+++ b/src/request/sessionState.ts
@@ -26,7 +26,7 @@
 
     raiseFloor(groupId: string, position: Position): void {
         const known = this.floors.get(groupId);
-        this.floors.set(groupId, known === undefined ? position : laterPosition(known, position));
+        this.floors.set(groupId, laterPosition(known, position));
     }
 
     getFloor(groupId: string): Position | undefined {
--- a/src/session/commitTracker.ts
+++ b/src/session/commitTracker.ts
@@ -52,7 +52,7 @@
         if (known !== undefined && known.term === position.term && known.offset < position.offset) {
             // The commit was given a number after those that the log had when it was sent.
             const least = { term: known.term, offset: known.offset + 1 };
-            this.reached.set(service, laterPosition(this.reached.get(service) ?? least, least));
+            this.reached.set(service, laterPosition(this.reached.get(service), least));
         }
     }
 
--- a/src/session/floorSamples.ts
+++ b/src/session/floorSamples.ts
@@ -50,5 +50,5 @@
 
 /** Returns the later of two floors, either of which may be undefined. */
 export function laterFloor(left: Position | undefined, right: Position | undefined): Position | undefined {
-    return left === undefined ? right : right === undefined ? left : laterPosition(left, right);
+    return right === undefined ? left : laterPosition(left, right);
 }
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -33,7 +33,7 @@
 
     recordPosition(position: Position | undefined): void {
         if (position !== undefined) {
-            this.latestPosition = laterPosition(this.latestPosition ?? position, position);
+            this.latestPosition = laterPosition(this.latestPosition, position);
         }
     }
 
--- a/src/session/replyMatcher.ts
+++ b/src/session/replyMatcher.ts
@@ -7,7 +7,7 @@
  * Replies come in the order of the commands, so an answer that is proved also proves that all commands before are answered.
  */
 import { type LinkCommand, LinkCommandKind, type LinkReply } from "../model/linkMessages.ts";
-import { comparePositions, type Position } from "../model/position.ts";
+import { comparePositions, laterPosition, type Position } from "../model/position.ts";
 import { SessionStatementKind, TransactionState } from "../model/sessionStatement.ts";
 
 /** Kind of command that an expected reply belongs to. */
@@ -102,7 +102,9 @@
         const match = reply.signature === undefined ? this.matchUnsigned(reply) : this.matchSigned(reply.signature);
         if ("role" in match) {
             this.expected.shift();
-            this.latestPosition = later(this.latestPosition, reply.position);
+            if (reply.position !== undefined) {
+                this.latestPosition = laterPosition(this.latestPosition, reply.position);
+            }
             if (this.expected.length === 0) {
                 this.transaction = reply.transaction;
             }
@@ -173,12 +175,12 @@
 
     private remember(content: string, reply: LinkReply): void {
         const position = reply.position ?? unknownPosition;
-        this.unsignedPositions.set(content, later(this.unsignedPositions.get(content), position));
+        this.unsignedPositions.set(content, laterPosition(this.unsignedPositions.get(content), position));
         if (reply.fault !== undefined) {
-            this.faultPosition = later(this.faultPosition, position);
+            this.faultPosition = laterPosition(this.faultPosition, position);
         }
         else if (reply.transaction === TransactionState.Open) {
-            this.openedPosition = later(this.openedPosition, position);
+            this.openedPosition = laterPosition(this.openedPosition, position);
         }
     }
 }
@@ -206,10 +208,6 @@
     return last === undefined || isOlder(last, position);
 }
 
-function later<Other extends Position | undefined>(left: Position | undefined, right: Other): Position | Other {
-    return left === undefined || isOlder(left, right) ? right : left;
-}
-
 function signingOf(command: LinkCommand): Signing {
     return command.kind !== LinkCommandKind.Run && command.kind !== LinkCommandKind.Execute
         ? Signing.Never
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -66,6 +66,6 @@
 
     recordCommit(service: string, position: Position): void {
         const existing = this.floors.get(service);
-        this.floors.set(service, existing === undefined ? position : laterPosition(existing, position));
+        this.floors.set(service, laterPosition(existing, position));
     }
 }
