feat(telemetry): lines for refused messages, for what ends a link, and for prepared statements

Without them, a log tells neither that a message of a caller was refused or ended its connection, nor which message of a database ended a link, nor that a statement was prepared on one. Sizes and ids only; texts of callers stay out.

--- a/src/model/linkMessages.ts
+++ b/src/model/linkMessages.ts
@@ -146,6 +146,8 @@
     readonly loss: LinkLoss;
     /** Set only for `LinkLoss.Refused`, when the database named a fault. */
     readonly fault: StatementFault | undefined;
+    /** What was wrong with the message of the database that ended the link, for the log; without its text. */
+    readonly defect?: string | undefined;
 }
 
 /** Replication status that a database reports in reply to status, pause, resume and step down. */
--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -10,6 +10,8 @@
     Refuse: "session.refuse",
     Answer: "session.answer",
     Close: "session.close",
+    /** A message of a caller was refused as malformed, or its connection was closed because of it. */
+    MessageRefused: "session.message_refused",
     /** The time limit of a session has expired. */
     LimitDue: "session.limit_due",
     /** The wait of a new session for its admission has ended. */
@@ -64,6 +66,26 @@
     readonly sessionId: string;
 }
 
+export const MessageDefect = {
+    /** Longer than the protocol allows; closes the connection, because the next message cannot be found reliably. */
+    TooLong: "too_long",
+    /** Sent before CONNECT; closes the connection. */
+    NotConnected: "not_connected",
+    /** The kind of the message does not exist, or is not allowed here. */
+    UnknownKind: "unknown_kind",
+    /** No valid statement of the protocol. */
+    InvalidStatement: "invalid_statement",
+} as const;
+export type MessageDefect = typeof MessageDefect[keyof typeof MessageDefect];
+
+export interface SessionMessageRefused extends Message {
+    readonly kind: typeof SessionKind.MessageRefused;
+    readonly sessionId: string;
+    readonly defect: MessageDefect;
+    /** Size of the message without its terminator; of a message that is too long, the part that was received. */
+    readonly bytes: number;
+}
+
 export interface SessionAccessDue extends Message {
     readonly kind: typeof SessionKind.AccessDue;
     readonly sessionId: string;
--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -4,9 +4,15 @@
 import { text } from "node:stream/consumers";
 import { describe, it } from "node:test";
 import { setImmediate } from "node:timers/promises";
-import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
+import {
+    MessageDefect,
+    type SessionAnswer,
+    SessionKind,
+    type SessionMessageRefused,
+} from "../../model/sessionMessages.ts";
 import { StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { maximumLineBytes } from "../wireLines.ts";
 import { WireServer } from "../wireServer.ts";
 
 /** Larger than the socket buffers of the system. */
@@ -57,6 +63,33 @@
         });
     }
 
+    it("leave a trace of each message that is refused, without its text", async () => {
+        const posted: Message[] = [];
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post: message => posted.push(message) });
+        await server.listen();
+        const streams = [
+            "QUERY 1 READ x\r\n",
+            "CONNECT orders k\r\nHELLO x\r\nQUERY 1 READ\r\n",
+            `CONNECT orders k\r\n${"x".repeat(maximumLineBytes + 1)}`,
+        ];
+        for (const sent of streams) {
+            const socket = connect({ host: "127.0.0.1", port: server.port });
+            socket.end(sent);
+            socket.resume();
+            await once(socket, "close");
+        }
+        const refusals = posted.filter(({ kind }) => kind === SessionKind.MessageRefused) as SessionMessageRefused[];
+        assert.deepEqual(
+            refusals.map(({ sessionId, defect, bytes }) => [sessionId, defect, bytes > maximumLineBytes || bytes]),
+            [
+                ["s0", MessageDefect.NotConnected, 14],
+                ["s1", MessageDefect.UnknownKind, 7],
+                ["s1", MessageDefect.InvalidStatement, 12],
+                ["s2", MessageDefect.TooLong, true],
+            ],
+        );
+    });
+
     it("do not delay the shutdown if callers neither read nor close", async () => {
         const postedMessages = new EventEmitter();
         const post = (message: Message): void => void postedMessages.emit(message.kind, message);
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -84,10 +84,12 @@
         socket.on("data", chunk => this.receive(linkId, link, chunk));
         socket.on(
             "error",
-            (error: NodeJS.ErrnoException) =>
-                this.handleLoss(linkId, link, error.code === "ECONNREFUSED" ? LinkLoss.NoListener : LinkLoss.Broken),
+            (error: NodeJS.ErrnoException) => {
+                const loss = error.code === "ECONNREFUSED" ? LinkLoss.NoListener : LinkLoss.Broken;
+                this.handleLoss(linkId, link, { loss, fault: undefined });
+            },
         );
-        socket.on("close", () => this.handleLoss(linkId, link, LinkLoss.Broken));
+        socket.on("close", () => this.handleLoss(linkId, link, { loss: LinkLoss.Broken, fault: undefined }));
     }
 
     /** Closes the link without posting a message. */
@@ -103,9 +105,9 @@
         try {
             lines = link.reader.push(chunk);
         }
-        catch {
+        catch (error) {
             // The reader throws only if a line exceeds the limit; the lines after it cannot be delimited reliably.
-            this.handleLoss(linkId, link, LinkLoss.Broken);
+            this.endMalformed(linkId, link, (error as RangeError).message);
             return;
         }
         for (const line of lines) {
@@ -130,13 +132,13 @@
                 link.partial.detail = rest;
                 link.partial.complete = true;
                 if (!link.opened) {
-                    this.handleLoss(linkId, link, LinkLoss.Refused, link.partial.fault);
+                    this.handleLoss(linkId, link, { loss: LinkLoss.Refused, fault: link.partial.fault });
                 }
                 return;
             case "READY":
                 return this.finishReply(linkId, link, first, rest);
             default:
-                this.handleLoss(linkId, link, LinkLoss.Broken);
+                this.endMalformed(linkId, link, `a message of ${line.length} bytes has an unknown kind`);
         }
     }
 
@@ -151,7 +153,7 @@
         link.partial = emptyReply();
         if (!complete) {
             if (rows.length > 0) {
-                this.handleLoss(linkId, link, LinkLoss.Broken);
+                this.endMalformed(linkId, link, `${rows.length} rows without an outcome`);
             }
             // Otherwise the database has repeated its reply to CONNECT.
             return;
@@ -170,13 +172,18 @@
         this.post({ kind: LinkKind.Replied, linkId, reply } as LinkReplied);
     }
 
-    private handleLoss(linkId: string, link: Link, loss: LinkLoss, fault?: StatementFault): void {
+    /** Ends a link on which a message came that is none of the protocol. */
+    private endMalformed(linkId: string, link: Link, defect: string): void {
+        this.handleLoss(linkId, link, { loss: LinkLoss.Broken, fault: undefined, defect });
+    }
+
+    private handleLoss(linkId: string, link: Link, reason: Pick<LinkLost, "loss" | "fault" | "defect">): void {
         if (this.links.get(linkId) !== link) {
             return;
         }
         this.links.delete(linkId);
         link.socket.destroy();
-        this.post({ kind: LinkKind.Lost, linkId, loss, fault } as LinkLost);
+        this.post({ kind: LinkKind.Lost, linkId, ...reason } as LinkLost);
     }
 }
 
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -2,11 +2,13 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import {
+    MessageDefect,
     type SessionAccept,
     type SessionAnswer,
     type SessionClose,
     type SessionClosed,
     SessionKind,
+    type SessionMessageRefused,
     type SessionOpened,
     type SessionRefuse,
     type SessionRequested,
@@ -127,11 +129,14 @@
 
     private receive(sessionId: string, connection: Connection, chunk: Buffer): void {
         let lines: readonly string[];
+        const { reader } = connection;
+        const receivedBytes = reader.pendingBytes + chunk.length;
         try {
-            lines = connection.reader.push(chunk);
+            lines = reader.push(chunk);
         }
         catch {
             // The reader throws only if a line exceeds the limit; the lines after it cannot be delimited reliably.
+            this.reportRefused(sessionId, MessageDefect.TooLong, receivedBytes);
             this.endConnection(sessionId);
             return;
         }
@@ -154,15 +159,26 @@
             this.options.post(message);
         }
         else if (connection.opened) {
-            const statement = keyword === "QUERY" ? decodeStatement(first, rest) : undefined;
+            const isQuery = keyword === "QUERY";
+            const statement = isQuery ? decodeStatement(first, rest) : undefined;
+            if (statement === undefined) {
+                const defect = isQuery ? MessageDefect.InvalidStatement : MessageDefect.UnknownKind;
+                this.reportRefused(sessionId, defect, line.length);
+            }
             const message: SessionRequested = { kind: SessionKind.Requested, sessionId, statement };
             this.options.post(message);
         }
         else {
+            this.reportRefused(sessionId, MessageDefect.NotConnected, line.length);
             this.endConnection(sessionId);
         }
     }
 
+    private reportRefused(sessionId: string, defect: MessageDefect, bytes: number): void {
+        const refused: SessionMessageRefused = { kind: SessionKind.MessageRefused, sessionId, defect, bytes };
+        this.options.post(refused);
+    }
+
     private write({ socket }: Connection, text: string): void {
         socket.write(text, wireEncoding);
         if (socket.writableLength > maximumUnsentBytes) {
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -3,9 +3,11 @@
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { type ConfigurationUpdate, FeedKind, type FeedReceived, UpdateKind } from "../../model/feedMessages.ts";
 import { FleetKind } from "../../model/fleetMessages.ts";
+import { LinkCommandKind, LinkKind, LinkLoss } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
+import { SessionKind } from "../../model/sessionMessages.ts";
 import { StorageKind } from "../../model/storageMessages.ts";
-import { loggedEffects, requestLogFormatters, stateLogFormatters } from "../eventLogFormatters.ts";
+import { linkLogFormatters, loggedEffects, requestLogFormatters, stateLogFormatters } from "../eventLogFormatters.ts";
 import { buildMemberPipes, buildProxyPipes } from "../platformPipes.ts";
 
 function logFieldsOf(update: ConfigurationUpdate): unknown {
@@ -27,6 +29,26 @@
         );
     });
 
+    it("log what was wrong with a message, and a prepared statement, without any text of callers", () => {
+        const refused = { kind: SessionKind.MessageRefused, sessionId: "s1", defect: "invalid_statement", bytes: 9 };
+        assert.deepEqual(
+            requestLogFormatters.get(refused.kind)!(refused),
+            { session: "s1", defect: "invalid_statement", bytes: 9 },
+        );
+        const lost = { kind: LinkKind.Lost, linkId: "l1", loss: LinkLoss.Broken, fault: undefined, defect: "too long" };
+        assert.deepEqual(
+            requestLogFormatters.get(lost.kind)!(lost),
+            { link: "l1", loss: LinkLoss.Broken, fault: undefined, defect: "too long" },
+        );
+        const prepared = { writes: true, shape: "secret" };
+        const commands = [{ kind: LinkCommandKind.Prepare, name: "w_secret", prepared }];
+        const send = { kind: LinkKind.Send, linkId: "l1", commands };
+        const fields = linkLogFormatters.get(LinkKind.Send)!(send);
+        assert.deepEqual(fields, { link: "l1", prepared: true, writes: true, shapeBytes: 6 });
+        const other = { ...send, commands: [{ kind: LinkCommandKind.Begin }] };
+        assert.equal(linkLogFormatters.get(LinkKind.Send)!(other), undefined);
+    });
+
     it("log each kind, whether a pipe, an adapter or nobody receives it", () => {
         // Guards against refusals, orders and readiness without a line: observers see no message that only a sink accepts.
         const pipes = [
@@ -48,10 +70,12 @@
             FleetKind.FrameReceived,
             FleetKind.FrameRefused,
             PeerKind.FrameRefused,
+            SessionKind.MessageRefused,
             StorageKind.Suspended,
             StorageKind.Resumed,
         ];
-        const silent = [...requestLogFormatters.keys(), ...stateLogFormatters.keys()].filter(kind =>
+        const formatters = [requestLogFormatters, stateLogFormatters, linkLogFormatters];
+        const silent = formatters.flatMap(byKind => [...byKind.keys()]).filter(kind =>
             !pipes.some(pipe => pipe.accepts.has(kind)) && !postedByAdapters.includes(kind)
             && !loggedEffects.includes(kind)
         );
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -29,7 +29,13 @@
     type PolicyApplied,
     type ReadinessChanged,
 } from "../model/fleetMessages.ts";
-import { LinkKind, type LinkLost, type LinkReplyDiscarded } from "../model/linkMessages.ts";
+import {
+    LinkCommandKind,
+    LinkKind,
+    type LinkLost,
+    type LinkReplyDiscarded,
+    type LinkSend,
+} from "../model/linkMessages.ts";
 import { type PeerFrameRefused, PeerKind } from "../model/peerMessages.ts";
 import {
     PromotionKind,
@@ -37,7 +43,12 @@
     type PromotionOrdered,
     type PromotionProgressed,
 } from "../model/promotionMessages.ts";
-import { type SessionAnswer, SessionKind, type SessionRefuse } from "../model/sessionMessages.ts";
+import {
+    type SessionAnswer,
+    SessionKind,
+    type SessionMessageRefused,
+    type SessionRefuse,
+} from "../model/sessionMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type TaskAttempted, type TaskEnded, TaskKind } from "../session/taskMessages.ts";
@@ -92,7 +103,12 @@
                 ? undefined
                 : { session: sessionId, fault: answer.fault, detail: answer.detail },
     ),
-    line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault }) => ({ link: linkId, loss, fault })),
+    line<SessionMessageRefused>(SessionKind.MessageRefused, ({ sessionId, defect, bytes }) => ({
+        session: sessionId,
+        defect,
+        bytes,
+    })),
+    line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault, defect }) => ({ link: linkId, loss, fault, defect })),
     line<LinkReplyDiscarded>(LinkKind.ReplyDiscarded, ({ linkId, databaseId, reason, fault }) => ({
         link: linkId,
         database: databaseId,
@@ -102,6 +118,19 @@
     line<DatabaseSuspected>(FleetKind.DatabaseSuspected, ({ databaseId }) => ({ database: databaseId })),
 ]);
 
+/** Formatters by message kind for what is set up on links, of which a few lines a second are enough. */
+export const linkLogFormatters: ReadonlyMap<string, LineFormatter> = new Map([
+    line<LinkSend>(LinkKind.Send, ({ linkId, commands }) => {
+        const prepare = commands.find(command => command.kind === LinkCommandKind.Prepare);
+        return prepare === undefined ? undefined : {
+            link: linkId,
+            prepared: true,
+            writes: prepare.prepared.writes,
+            shapeBytes: prepare.prepared.shape.length,
+        };
+    }),
+]);
+
 /** Formatters by message kind for changes of state. They have a limit of their own, so that failures don't hide them. */
 export const stateLogFormatters: ReadonlyMap<string, LineFormatter> = new Map([
     line<DatabaseChanged>(FleetKind.DatabaseChanged, ({ report }) => ({
@@ -188,6 +217,7 @@
     SessionKind.Refuse,
     SessionKind.Answer,
     LinkKind.ReplyDiscarded,
+    LinkKind.Send,
     FleetKind.ReadinessChanged,
     FleetKind.MembersKnown,
     FleetKind.DiscoveryProgressed,
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -4,6 +4,7 @@
 import { FeedKind } from "../model/feedMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
+import { SessionKind } from "../model/sessionMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Pipe } from "../pipeline/pipe.ts";
@@ -30,7 +31,7 @@
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { afterPendingInput } from "./afterPendingInput.ts";
-import { loggedEffects, requestLogFormatters, stateLogFormatters } from "./eventLogFormatters.ts";
+import { linkLogFormatters, loggedEffects, requestLogFormatters, stateLogFormatters } from "./eventLogFormatters.ts";
 import { LeadHandOver } from "./leadHandOver.ts";
 import { buildMemberPipes, buildProxyPipes } from "./platformPipes.ts";
 import { ProcessTermination } from "./processTermination.ts";
@@ -42,6 +43,9 @@
 /** Limit of log lines for changes of state: a configuration makes up to three, and 20 a second may arrive. */
 const stateLinesPerSecond = 60;
 
+/** Limit of log lines for statements prepared on links, each of which a caller can cause with one message. */
+const linkLinesPerSecond = 2;
+
 /**
  * Time after the stop signal for which the platform still sends new callers to this process: two of its readiness
  * probes.
@@ -114,8 +118,12 @@
     const { pipes, sinks, start, finishCalls, refuseLastCallers } = isControlMember
         ? await buildControlMember(context)
         : await buildProxy(context);
-    const effectLogs = [requestLogFormatters, stateLogFormatters].map(formatters =>
-        new EffectLog({ logger, formatters, accepts: loggedEffects.filter(kind => formatters.has(kind)) })
+    const effectLogs = [
+        { formatters: requestLogFormatters },
+        { formatters: stateLogFormatters },
+        { formatters: linkLogFormatters, linesPerSecond: linkLinesPerSecond },
+    ].map(options =>
+        new EffectLog({ logger, accepts: loggedEffects.filter(kind => options.formatters.has(kind)), ...options })
     );
     const loop = stack.use(
         new EventLoop({
@@ -330,6 +338,7 @@
             ...Object.values(FleetKind),
             PeerKind.InstancesKnown,
             PeerKind.FrameRefused,
+            SessionKind.MessageRefused,
             FeedKind.Opened,
             FeedKind.Lost,
             ControlKind.ProposalEnded,
