fix(configuration): entries name their section instead of being told apart by prefixes

A Config.Put with a top-level field "routes/x" passed validation. A field "tenants/x" gave its keys to the tenant x. Of three routes named "a#2", "a", "a" two got the same id, and one was lost from Config.Get.

An id joined section and name with "/" and was read back by splitting. An entry now holds its section as a field of its own; the id only identifies it and is never parsed. Ids stay unique: names are escaped so that neither "/" in the name of a section nor "#" in the name of an element can make two elements look the same.

Entries that an earlier release stored have no section; it is derived from the sections of the document, and the first document that is put afterwards stores them with one. During an upgrade, members and proxies of the earlier release ignore the new field and find elements by the prefix as before. What they get wrong is a section whose name holds "/" or "%": as leader they answer Config.Get for it with text that is no JSON.

The tests failed before: a ZodError from TrafficPolicyDecoder ("routes/x", twice), and the route "a#2" missing.

--- a/src/fleet/documentDifference.ts
+++ b/src/fleet/documentDifference.ts
@@ -1,6 +1,6 @@
 /** Computes the command that changes one configuration document into another. */
 import { CommandKind, type PutDocument } from "../model/controlMessages.ts";
-import type { ConfigurationDocument, DocumentEntry } from "../model/document.ts";
+import { type ConfigurationDocument, type DocumentEntry, entriesBySection } from "../model/document.ts";
 
 /** Minimum gap between two places; below it, a section is renumbered. Far above the floating-point precision. */
 const minimumGap = 1e-6;
@@ -10,9 +10,7 @@
     const { documentVersion, sections } = after;
     const previousEntries = new Map(before.entries.map(entry => [entry.entryId, entry]));
     const newIds = new Set(after.entries.map(({ entryId }) => entryId));
-    const placed = sections.flatMap(({ name }) =>
-        placeSection(after.entries.filter(entry => isInSection(entry, name)), previousEntries)
-    );
+    const placed = [...entriesBySection(after).values()].flatMap(entries => placeSection(entries, previousEntries));
     return {
         kind: CommandKind.PutDocument,
         head: { documentVersion, sections },
@@ -22,12 +20,11 @@
     };
 }
 
-/** @param entries entries of one section; their places determine the new order */
+/** @param sorted entries of one section in their new order */
 function placeSection(
-    entries: readonly DocumentEntry[],
+    sorted: readonly DocumentEntry[],
     previousEntries: ReadonlyMap<string, DocumentEntry>,
 ): readonly DocumentEntry[] {
-    const sorted = [...entries].sort((left, right) => left.place - right.place);
     const placed: DocumentEntry[] = [];
     let last = 0;
     for (const [position, entry] of sorted.entries()) {
@@ -56,10 +53,7 @@
     return next ?? last + 2;
 }
 
-function isInSection({ entryId }: DocumentEntry, section: string): boolean {
-    return entryId === section || entryId.startsWith(`${section}/`);
-}
-
 function isUnchanged(entry: DocumentEntry, previous: DocumentEntry | undefined): boolean {
-    return previous !== undefined && previous.body === entry.body && previous.place === entry.place;
+    return previous !== undefined && previous.section === entry.section && previous.body === entry.body
+        && previous.place === entry.place;
 }
--- a/src/model/document.ts
+++ b/src/model/document.ts
@@ -7,8 +7,10 @@
 
 /** One section of a document, or one element of a section that is a list. */
 export interface DocumentEntry {
-    /** Unique in the document; begins with the section. */
+    /** Unique in the document. It identifies the entry and is never parsed. */
     readonly entryId: string;
+    /** Name of the section; earlier releases stored entries without it. */
+    readonly section?: string;
     /** JSON text. */
     readonly body: string;
     /** Sort key within the section; may be fractional, so that an element can be inserted between two others. */
@@ -31,6 +33,24 @@
 /** The document in force before an operator sends the first one. */
 export const emptyDocument: ConfigurationDocument = { documentVersion: 0, sections: [], entries: [] };
 
+/** Entries of each section, in the order of the section's elements. */
+export function entriesBySection(
+    { sections, entries }: ConfigurationDocument,
+): ReadonlyMap<string, readonly DocumentEntry[]> {
+    const bySection = new Map<string, DocumentEntry[]>(sections.map(({ name }) => [name, []]));
+    for (const entry of entries) {
+        const section = entry.section ?? sectionOfEarlierRelease(entry.entryId, bySection);
+        bySection.get(section)?.push(entry);
+    }
+    bySection.forEach(elements => elements.sort((left, right) => left.place - right.place));
+    return bySection;
+}
+
+/** Earlier releases used the name of the section as id, followed by "/" and a name for an element of a list. */
+function sectionOfEarlierRelease(entryId: string, sections: ReadonlyMap<string, unknown>): string {
+    return sections.has(entryId) ? entryId : entryId.split("/", 1)[0]!;
+}
+
 /** Decodes a document into the traffic policy that the filters apply. */
 export interface DocumentDecoder {
     decode(document: ConfigurationDocument): TrafficPolicy;
--- /dev/null
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { emptyControlState } from "../../control/controlState.ts";
+import { putDocument } from "../../control/documentCommands.ts";
+import { diffDocuments } from "../../fleet/documentDifference.ts";
+import { type ConfigurationDocument, type DocumentEntry, emptyDocument } from "../../model/document.ts";
+import { decodeDocument, encodeDocument, TrafficPolicyDecoder } from "../documentCodec.ts";
+
+const documentBody = {
+    version: 7,
+    routes: [{ name: "r", host: "h", kind: "primary", timeout_ms: 1_000, service: "s" }],
+    services: [{ name: "s" }],
+    tenants: [{ name: "t", api_keys: ["k"], rate_per_s: 9 }],
+};
+
+function routesNamed(...names: readonly string[]): readonly object[] {
+    return names.map((name, position) => ({ ...documentBody.routes[0], name, host: `h${position}` }));
+}
+
+/** Stores `after` in place of `before` as the control members do, and returns what they then hold. */
+function store(before: ConfigurationDocument, after: ConfigurationDocument): ConfigurationDocument {
+    const configuration = {
+        ...emptyControlState.configuration,
+        documentHeads: before.documentVersion === 0 ? [] : [before],
+        documentEntries: before.entries,
+    };
+    const { state } = putDocument({ ...emptyControlState, configuration }, diffDocuments(before, after));
+    return { ...state.configuration.documentHeads[0]!, entries: state.configuration.documentEntries };
+}
+
+function storedContent(body: object): unknown {
+    return JSON.parse(encodeDocument(store(emptyDocument, decodeDocument(JSON.stringify(body)))));
+}
+
+describe("sections of a configuration document", () => {
+    it("are not taken for elements of another section, whatever their names", () => {
+        const tenant = { ...documentBody.tenants[0], name: "x" };
+        const body = { ...documentBody, "routes/x": 5, "tenants/x": tenant, "routes/r": 6, "a/b": 7, "a%2Fb": 8 };
+        const document = decodeDocument(JSON.stringify(body));
+        const policy = new TrafficPolicyDecoder().decode(store(emptyDocument, document));
+        assert.deepEqual([...policy.routesByDatabase.keys()], ["h"]);
+        assert.deepEqual([...policy.workspaceByKey], [["k", "t"]]);
+        assert.deepEqual(storedContent(body), body);
+    });
+
+    it("keep all elements of the same name, in any order", () => {
+        const orders = [["a", "a", "a#1"], ["a#2", "a", "a"], ["a#1", "a", "a"], ["a", "a#2", "a"], ["a#", "a", "a#"]];
+        orders.forEach(names => {
+            const body = { ...documentBody, routes: routesNamed(...names) };
+            assert.deepEqual(storedContent(body), body, names.join());
+        });
+    });
+});
+
+describe("configuration documents of earlier releases", () => {
+    const entryOf = (entryId: string, value: unknown, place = 1): DocumentEntry => ({
+        entryId,
+        body: JSON.stringify(value),
+        place,
+    });
+    const stored: ConfigurationDocument = {
+        documentVersion: 7,
+        sections: [
+            { name: "routes", list: true },
+            { name: "services", list: true },
+            { name: "tenants", list: true },
+            { name: "routes/x", list: false },
+            { name: "a/b", list: false },
+        ],
+        entries: [
+            entryOf("routes/r2", { ...documentBody.routes[0], name: "r2", host: "h2" }, 2),
+            entryOf("routes/r", documentBody.routes[0]),
+            entryOf("services/s", documentBody.services[0]),
+            entryOf("tenants/t", documentBody.tenants[0]),
+            entryOf("routes/x", 5),
+            entryOf("a/b", { c: 1 }),
+        ],
+    };
+
+    it("are decoded and encoded", () => {
+        const policy = new TrafficPolicyDecoder().decode(stored);
+        assert.deepEqual([...policy.routesByDatabase.keys()], ["h", "h2"]);
+        assert.equal(policy.workspaceByKey.get("k"), "t");
+        const content = JSON.parse(encodeDocument(stored)) as Record<string, unknown>;
+        assert.deepEqual([content["routes/x"], content["a/b"]], [5, { c: 1 }]);
+    });
+
+    it("are replaced in full by the next document", () => {
+        const body = { ...documentBody, version: 8, "routes/r": 6, "routes/x": 5 };
+        const after = store(stored, decodeDocument(JSON.stringify(body)));
+        assert.deepEqual(JSON.parse(encodeDocument(after)), body);
+        assert.ok(after.entries.every(({ section }) => section !== undefined));
+    });
+});
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -1,6 +1,11 @@
 /** Encoding and validation of configuration documents, and decoding of the traffic policy in them. */
 import * as z from "zod";
-import type { ConfigurationDocument, DocumentDecoder, DocumentEntry } from "../model/document.ts";
+import {
+    type ConfigurationDocument,
+    type DocumentDecoder,
+    type DocumentEntry,
+    entriesBySection,
+} from "../model/document.ts";
 import { emptyTrafficPolicy, RouteConsistency, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 
 const nameSchema = z.string().min(1);
@@ -72,38 +77,36 @@
         entries: sections.flatMap(([section, value]) =>
             isList(section, value)
                 ? encodeListEntries(section, value as readonly { readonly name?: unknown; }[])
-                : [{ entryId: section, body: stringifyEntry(section, value), place: 1 }]
+                : [{ entryId: encodeSectionId(section), section, body: stringifyEntry(section, value), place: 1 }]
         ),
     };
 }
 
 /** Encodes a document as JSON with the content that the operator sent, unknown fields included. */
-export function encodeDocument({ documentVersion, sections, entries }: ConfigurationDocument): string {
-    const bodies = sections.map(({ name: section, list }) => {
-        const sectionEntries = entries.filter(({ entryId }) =>
-            list ? entryId.startsWith(`${section}/`) : entryId === section
-        );
-        const ordered = [...sectionEntries].sort((left, right) => left.place - right.place);
-        const value = ordered.map(({ body }) => body).join(",");
+export function encodeDocument(document: ConfigurationDocument): string {
+    const entries = entriesBySection(document);
+    const bodies = document.sections.map(({ name: section, list }) => {
+        const value = entries.get(section)!.map(({ body }) => body).join(",");
         return `${JSON.stringify(section)}:${list ? `[${value}]` : value}`;
     });
-    return `{${[`"version":${documentVersion}`, ...bodies].join(",")}}`;
+    return `{${[`"version":${document.documentVersion}`, ...bodies].join(",")}}`;
 }
 
 /** Decodes the entries of a document into a traffic policy. Parsed entries are cached. */
 export class TrafficPolicyDecoder implements DocumentDecoder {
     private readonly parsedByEntry = new WeakMap<DocumentEntry, unknown>();
 
-    decode({ documentVersion, entries }: ConfigurationDocument): TrafficPolicy {
-        const section = (prefix: string): readonly unknown[] =>
-            entries.filter(({ entryId }) => entryId.startsWith(`${prefix}/`)).map(entry => this.parseEntry(entry));
-        const limits = entries.find(({ entryId }) => entryId === "limits");
+    decode(document: ConfigurationDocument): TrafficPolicy {
+        const entries = entriesBySection(document);
+        const section = (name: string): readonly unknown[] =>
+            (entries.get(name) ?? []).map(entry => this.parseEntry(entry));
+        const [limits] = section("limits");
         const routes = section("routes").map(body => decodeRoute(routeSchema.parse(body)));
         const tenants = section("tenants").map(body => tenantSchema.parse(body));
         const services = section("services").map(body => serviceSchema.parse(body));
         return {
             ...emptyTrafficPolicy,
-            version: documentVersion,
+            version: document.documentVersion,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
             services: new Map(services.map(service => [service.name, {
                 name: service.name,
@@ -117,7 +120,7 @@
                 burst: tenant.burst,
             }])),
             workspaceByKey: new Map(tenants.flatMap(tenant => tenant.api_keys.map(key => [key, tenant.name] as const))),
-            transactionIdleMs: limits === undefined ? 0 : transactionIdleMs(this.parseEntry(limits)),
+            transactionIdleMs: limits === undefined ? 0 : transactionIdleMs(limits),
         };
     }
 
@@ -190,20 +193,33 @@
     return listSections.includes(section) && Array.isArray(value);
 }
 
-/** Identifies elements by their name; an element whose name is already in use, by name and position. */
 function encodeListEntries(
     section: string,
     elements: readonly { readonly name?: unknown; }[],
 ): readonly DocumentEntry[] {
-    const seenValues = new Set<string>();
+    const countByName = new Map<string, number>();
     return elements.map((element, position) => {
-        const baseId = `${section}/${String(element.name)}`;
-        const entryId = seenValues.has(baseId) ? `${baseId}#${position}` : baseId;
-        seenValues.add(entryId);
-        return { entryId, body: stringifyEntry(entryId, element), place: position + 1 };
+        const name = String(element.name);
+        const occurrence = (countByName.get(name) ?? 0) + 1;
+        countByName.set(name, occurrence);
+        const entryId = encodeElementId(section, name, occurrence);
+        return { entryId, section, body: stringifyEntry(entryId, element), place: position + 1 };
     });
 }
 
+/**
+ * Identifies elements by their name, and elements of the same name by their order. The id of an element contains "/", that
+ * of a section does not; "#" in a name is doubled. Earlier releases recognise elements of a section by "SECTION/".
+ */
+function encodeElementId(section: string, name: string, occurrence: number): string {
+    const baseId = `${section}/${name.replaceAll("#", "##")}`;
+    return occurrence === 1 ? baseId : `${baseId}#${occurrence}`;
+}
+
+function encodeSectionId(section: string): string {
+    return section.replaceAll("%", "%25").replaceAll("/", "%2F");
+}
+
 /** @throws InvalidDocumentError if the value is nested so deeply that encoding it overflows the stack */
 function stringifyEntry(entryId: string, value: unknown): string {
     try {
