fix(configuration): a document is stored as it was sent or refused

The document was decoded to values and encoded again. Its text is now split into the texts of its sections and elements without decoding numbers and strings, so that what is stored is what was sent. What has no one meaning is refused with 400 and the place: a field that is there twice, half of a surrogate pair, bytes that are not UTF-8, a byte order mark, more than 512 levels. The place of a route is compared as a pair instead of two texts joined by a blank.

The tests failed before: no exception for a second "routes", 200 for the body in Latin-1, and null for 1e400.

--- /dev/null
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -0,0 +1,43 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { DocumentKind, type DocumentPut, DocumentResult } from "../../model/document.ts";
+import type { Message } from "../../pipeline/message.ts";
+import { ControlServer } from "../controlServer.ts";
+
+describe("HTTP API of a control member", () => {
+    let server: ControlServer;
+    let posted: Message[];
+
+    beforeEach(async () => {
+        posted = [];
+        server = new ControlServer({ host: "127.0.0.1", port: 0, post: message => receive(message) });
+        await server.listen();
+    });
+
+    afterEach(() => server[Symbol.asyncDispose]());
+
+    /** Accepts every document. */
+    function receive(message: Message): void {
+        posted.push(message);
+        if (message.kind === DocumentKind.Put) {
+            const { requestId } = message as DocumentPut;
+            const answer = { result: DocumentResult.Accepted, document: undefined, leaderAddress: undefined };
+            server.deliver({ kind: DocumentKind.Answered, requestId, ...answer });
+        }
+    }
+
+    async function send(path: string, body: Uint8Array | string): Promise<readonly [status: number, text: string]> {
+        const response = await fetch(`http://127.0.0.1:${server.port}${path}`, { method: "POST", body });
+        return [response.status, await response.text()];
+    }
+
+    const documentText = "{\"version\":3,\"routes\":[],\"services\":[],\"other\":\"\xe9\"}";
+
+    it("refuses a document whose bytes cannot be read in full", async () => {
+        assert.deepEqual(await send("/-/Config.Put", documentText), [200, "{}"]);
+        const [status, text] = await send("/-/Config.Put", Buffer.from(documentText, "latin1"));
+        assert.equal(status, 400);
+        assert.match(text, /UTF-8/);
+        assert.equal(posted.length, 1);
+    });
+});
--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -4,7 +4,7 @@
 import { putDocument } from "../../control/documentCommands.ts";
 import { diffDocuments } from "../../fleet/documentDifference.ts";
 import { type ConfigurationDocument, type DocumentEntry, emptyDocument } from "../../model/document.ts";
-import { decodeDocument, encodeDocument, TrafficPolicyDecoder } from "../documentCodec.ts";
+import { decodeDocument, encodeDocument, InvalidDocumentError, TrafficPolicyDecoder } from "../documentCodec.ts";
 
 const documentBody = {
     version: 7,
@@ -52,6 +52,41 @@
     });
 });
 
+describe("the text of a configuration document", () => {
+    const text = JSON.stringify(documentBody);
+    const withField = (field: string): string => text.replace("{", `{${field},`);
+
+    it("is refused with the place of what cannot be read, or is read differently elsewhere", () => {
+        const refusals: readonly (readonly [string, RegExp])[] = [
+            [withField("\"routes\":[]"), /"routes" is there twice/],
+            [withField("\"r\\u006futes\":[]"), /"routes" is there twice/],
+            [withField("\"version\":8"), /"version" is there twice/],
+            [text.replace("\"name\":\"t\"", "\"name\":\"t\",\"name\":\"u\""), /"tenants\.0\.name" is there twice/],
+            [text.replace("\"name\":\"t\"", "\"name\":\"t\\ud800\""), /"tenants\.0\.name" holds half of/],
+            [withField("\"other\":{\"a\":{\"b\":1,\"b\":1}}"), /"other\.a\.b" is there twice/],
+            [text.replace("\"version\":7", "\"version\":9007199254740993"), /"version"/],
+            [text.replace("\"rate_per_s\":9", "\"rate_per_s\":1e400"), /"tenants\.0\.rate_per_s"/],
+            [`\ufeff${text}`, /byte order mark/],
+        ];
+        refusals.forEach(([refused, reason]) =>
+            assert.throws(() => decodeDocument(refused), error => {
+                assert.ok(error instanceof InvalidDocumentError);
+                assert.match(error.message, reason);
+                return true;
+            })
+        );
+    });
+
+    it("comes back with the numbers and names that were sent", () => {
+        const other =
+            "\"other\":[1e400,9007199254740993,0.10,-0,1E2,\"\\u00e9\\\"\\\\\"],\"__proto__\":{\"__proto__\":1}";
+        assert.equal(
+            encodeDocument(store(emptyDocument, decodeDocument(`{${other},${text.slice(1)}`))),
+            `{"version":7,${other},${text.slice("{\"version\":7,".length)}`,
+        );
+    });
+});
+
 describe("configuration documents of earlier releases", () => {
     const entryOf = (entryId: string, value: unknown, place = 1): DocumentEntry => ({
         entryId,
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -1,5 +1,6 @@
 /** HTTP API of a control member for operators and databases. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
     type DocumentAnswered,
@@ -13,6 +14,7 @@
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeDatabaseReport, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
+import { decodeUtf8 } from "./jsonText.ts";
 
 /** Larger than a configuration with thousands of routes. */
 const maximumBodyBytes = 8 * 1_048_576;
@@ -70,6 +72,10 @@
         );
     }
 
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     listen(): Promise<void> {
         const { host, port } = this.options;
         return new Promise((resolve, reject) => {
@@ -156,12 +162,13 @@
         });
     }
 
-    private handleBody(url: string, body: string, response: ServerResponse): void {
+    private handleBody(url: string, body: Buffer, response: ServerResponse): void {
+        const text = decodeUtf8(body);
         if (url === putPath) {
-            this.putDocument(body, response);
+            this.putDocument(text, response);
         }
         else if (url.startsWith(heartbeatPath)) {
-            const report = decodeDatabaseReport(decodeId(url.slice(heartbeatPath.length)), body, Date.now());
+            const report = decodeDatabaseReport(decodeId(url.slice(heartbeatPath.length)), text ?? "", Date.now());
             if (report !== undefined) {
                 this.options.post({ kind: FleetKind.DatabaseReported, report } as DatabaseReported);
             }
@@ -169,7 +176,7 @@
         }
         else {
             const databaseId = decodeId(url.slice(leavePath.length));
-            const bornUnixMs = decodeDepartedStart(body, Date.now());
+            const bornUnixMs = decodeDepartedStart(text ?? "", Date.now());
             this.options.post({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as DatabaseLeft);
             respond(response, 200, "{}");
         }
@@ -180,9 +187,14 @@
             || performance.now() - this.leaderlessSinceMs < leaderlessHeartbeatsMs;
     }
 
-    private putDocument(body: string, response: ServerResponse): void {
+    /** @param text the body; undefined if it is not valid UTF-8 */
+    private putDocument(text: string | undefined, response: ServerResponse): void {
+        if (text === undefined) {
+            respond(response, 400, "{\"error\":\"the body is not valid UTF-8\"}");
+            return;
+        }
         try {
-            const document = decodeDocument(body);
+            const document = decodeDocument(text);
             const requestId = this.registerRequest(response, putPath);
             this.options.post({ kind: DocumentKind.Put, requestId, document } as DocumentPut);
         }
@@ -223,7 +235,7 @@
 }
 
 /** @param onBody receives the body, or the HTTP status to reject it with */
-function readBody(request: IncomingMessage, onBody: (body: string, errorStatus: number | undefined) => void): void {
+function readBody(request: IncomingMessage, onBody: (body: Buffer, errorStatus: number | undefined) => void): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     let rejected = false;
@@ -231,7 +243,7 @@
         bytes += chunk.length;
         if (bytes > maximumBodyBytes && !rejected) {
             rejected = true;
-            onBody("", 413);
+            onBody(Buffer.alloc(0), 413);
         }
         else if (!rejected) {
             chunks.push(chunk);
@@ -239,7 +251,7 @@
     });
     request.on("end", () => {
         if (!rejected) {
-            onBody(Buffer.concat(chunks).toString("utf8"), undefined);
+            onBody(Buffer.concat(chunks), undefined);
         }
     });
     // The sender closed the connection and no longer waits for a response.
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -7,6 +7,7 @@
     entriesBySection,
 } from "../model/document.ts";
 import { emptyTrafficPolicy, RouteConsistency, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
+import { type JsonField, readJsonObject, UnreadableTextError } from "./jsonText.ts";
 
 const nameSchema = z.string().min(1);
 
@@ -63,21 +64,21 @@
  * @throws InvalidDocumentError if the text is invalid or inconsistent
  */
 export function decodeDocument(text: string): ConfigurationDocument {
-    const body = parseObject(text);
-    const result = documentSchema.safeParse(body);
+    const { fields, value } = readObject(text);
+    const result = documentSchema.safeParse(value);
     if (!result.success) {
         const [issue] = result.error.issues;
         throw new InvalidDocumentError(`"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`);
     }
     checkReferences(result.data);
-    const sections = Object.entries(body).filter(([section]) => section !== "version");
+    const sections = fields.filter(({ name }) => name !== "version");
     return {
         documentVersion: result.data.version,
-        sections: sections.map(([section, value]) => ({ name: section, list: isList(section, value) })),
-        entries: sections.flatMap(([section, value]) =>
-            isList(section, value)
-                ? encodeListEntries(section, value as readonly { readonly name?: unknown; }[])
-                : [{ entryId: encodeSectionId(section), section, body: stringifyEntry(section, value), place: 1 }]
+        sections: sections.map(field => ({ name: field.name, list: isList(field) })),
+        entries: sections.flatMap(field =>
+            isList(field)
+                ? encodeListEntries(field, value[field.name] as readonly { readonly name: string; }[])
+                : [{ entryId: encodeSectionId(field.name), section: field.name, body: field.text, place: 1 }]
         ),
     };
 }
@@ -153,18 +154,16 @@
     return (limits as { readonly tx_idle_ms?: number; }).tx_idle_ms ?? 0;
 }
 
-function parseObject(text: string): Record<string, unknown> {
-    let value: unknown;
+function readObject(text: string): ReturnType<typeof readJsonObject> {
     try {
-        value = JSON.parse(text);
+        return readJsonObject(text);
     }
     catch (error) {
-        throw new InvalidDocumentError(`not JSON: ${(error as Error).message}`);
-    }
-    if (typeof value !== "object" || !value || Array.isArray(value)) {
-        throw new InvalidDocumentError("a document is a JSON object");
+        if (!(error instanceof UnreadableTextError)) {
+            throw error;
+        }
+        throw new InvalidDocumentError(error.message);
     }
-    return value as Record<string, unknown>;
 }
 
 function checkReferences({ routes, services, tenants }: z.infer<typeof documentSchema>): void {
@@ -173,7 +172,7 @@
     if (unknown !== undefined) {
         throw new InvalidDocumentError(`route "${unknown.name}" names the unknown service "${unknown.service}"`);
     }
-    requireDistinct("route place", routes.map(route => `${route.host} ${route.path_prefix}`));
+    requireDistinct("route place", routes.map(route => JSON.stringify([route.host, route.path_prefix])));
     requireDistinct("service", services.map(service => service.name));
     requireDistinct("tenant", (tenants ?? []).map(tenant => tenant.name));
     requireDistinct("key", (tenants ?? []).flatMap(tenant => [...new Set(tenant.api_keys)]), "two tenants share a key");
@@ -183,27 +182,26 @@
     const seenValues = new Set<string>();
     for (const value of values) {
         if (seenValues.has(value)) {
-            throw new InvalidDocumentError(detail ?? `the ${description} "${value}" is there twice`);
+            throw new InvalidDocumentError(detail ?? `the ${description} ${value} is there twice`);
         }
         seenValues.add(value);
     }
 }
 
-function isList(section: string, value: unknown): boolean {
-    return listSections.includes(section) && Array.isArray(value);
+function isList({ name, elements }: JsonField): boolean {
+    return listSections.includes(name) && elements !== undefined;
 }
 
 function encodeListEntries(
-    section: string,
-    elements: readonly { readonly name?: unknown; }[],
+    { name: section, elements }: JsonField,
+    values: readonly { readonly name: string; }[],
 ): readonly DocumentEntry[] {
     const countByName = new Map<string, number>();
-    return elements.map((element, position) => {
-        const name = String(element.name);
+    return elements!.map((body, position) => {
+        const { name } = values[position]!;
         const occurrence = (countByName.get(name) ?? 0) + 1;
         countByName.set(name, occurrence);
-        const entryId = encodeElementId(section, name, occurrence);
-        return { entryId, section, body: stringifyEntry(entryId, element), place: position + 1 };
+        return { entryId: encodeElementId(section, name, occurrence), section, body, place: position + 1 };
     });
 }
 
@@ -219,13 +217,3 @@
 function encodeSectionId(section: string): string {
     return section.replaceAll("%", "%25").replaceAll("/", "%2F");
 }
-
-/** @throws InvalidDocumentError if the value is nested so deeply that encoding it overflows the stack */
-function stringifyEntry(entryId: string, value: unknown): string {
-    try {
-        return JSON.stringify(value);
-    }
-    catch (error) {
-        throw new InvalidDocumentError(`"${entryId}" is nested too deeply: ${(error as Error).message}`);
-    }
-}
--- /dev/null
+++ b/src/platform/jsonText.ts
@@ -0,0 +1,187 @@
+/** Reads JSON text without changing it: numbers and strings stay as they were written, blanks between them are dropped. */
+
+/** Objects and arrays within each other; encoders and decoders of other programs recurse. */
+const maximumDepth = 512;
+
+const loneSurrogate = /\p{Surrogate}/u;
+
+/** Text that cannot be read in full, or that readers understand differently. The message names the place. */
+export class UnreadableTextError extends Error {}
+
+/** One field of an object. */
+export interface JsonField {
+    readonly name: string;
+    /** Value as JSON text. */
+    readonly text: string;
+    /** Texts of the elements if the value is an array. */
+    readonly elements: readonly string[] | undefined;
+}
+
+/** Decodes UTF-8. Returns undefined if the bytes are not valid. */
+export function decodeUtf8(bytes: Uint8Array): string | undefined {
+    try {
+        return new TextDecoder("utf-8", { fatal: true, ignoreBOM: true }).decode(bytes);
+    }
+    catch {
+        // Replacing the invalid bytes would change what the sender wrote.
+        return undefined;
+    }
+}
+
+/**
+ * Reads an object.
+ * @returns its fields as text, and the decoded value
+ * @throws UnreadableTextError if the text is not a JSON object, names a field of an object twice, holds half of a
+ * surrogate pair, or is nested too deeply
+ */
+export function readJsonObject(
+    text: string,
+): { readonly fields: readonly JsonField[]; readonly value: Readonly<Record<string, unknown>>; } {
+    if (text.startsWith("\ufeff")) {
+        throw new UnreadableTextError("the text begins with a byte order mark");
+    }
+    let value: unknown;
+    try {
+        value = JSON.parse(text);
+    }
+    catch (error) {
+        throw new UnreadableTextError(`not JSON: ${(error as Error).message}`);
+    }
+    if (typeof value !== "object" || !value || Array.isArray(value)) {
+        throw new UnreadableTextError("not a JSON object");
+    }
+    return { fields: new JsonReader(text).readTopLevel(), value: value as Readonly<Record<string, unknown>> };
+}
+
+/** Reads text that is known to be JSON. */
+class JsonReader {
+    private readonly text: string;
+    private offset = 0;
+    /** Names and positions that lead to the value that is read. */
+    private readonly path: (string | number)[] = [];
+
+    constructor(text: string) {
+        this.text = text;
+    }
+
+    readTopLevel(): readonly JsonField[] {
+        return this.readFields((name, isArray) => {
+            if (!isArray) {
+                return { name, text: this.readValue(), elements: undefined };
+            }
+            const elements = this.readElements();
+            return { name, text: `[${elements.join(",")}]`, elements };
+        });
+    }
+
+    private readValue(): string {
+        switch (this.nextCharacter()) {
+            case "{": {
+                const fields = this.readFields(name => `${JSON.stringify(name)}:${this.readValue()}`);
+                return `{${fields.join(",")}}`;
+            }
+            case "[":
+                return `[${this.readElements().join(",")}]`;
+            case "\"":
+                return this.readString();
+            default:
+                return this.readLiteral();
+        }
+    }
+
+    private readFields<Field>(readField: (name: string, isArray: boolean) => Field): readonly Field[] {
+        const fields: Field[] = [];
+        const names = new Set<string>();
+        this.offset += 1;
+        while (this.nextCharacter() !== "}") {
+            const name = JSON.parse(this.readString()) as string;
+            this.enter(name);
+            if (names.has(name)) {
+                throw this.error("is there twice");
+            }
+            names.add(name);
+            this.nextCharacter();
+            this.offset += 1;
+            fields.push(readField(name, this.nextCharacter() === "["));
+            this.path.pop();
+            this.skipComma();
+        }
+        this.offset += 1;
+        return fields;
+    }
+
+    private readElements(): readonly string[] {
+        const elements: string[] = [];
+        this.offset += 1;
+        while (this.nextCharacter() !== "]") {
+            this.enter(elements.length);
+            elements.push(this.readValue());
+            this.path.pop();
+            this.skipComma();
+        }
+        this.offset += 1;
+        return elements;
+    }
+
+    private enter(step: string | number): void {
+        this.path.push(step);
+        if (this.path.length > maximumDepth) {
+            throw this.error(`is nested more than ${maximumDepth} deep`);
+        }
+    }
+
+    private readString(): string {
+        const start = this.offset;
+        let end = this.text.indexOf("\"", start + 1);
+        while (this.isEscaped(end)) {
+            end = this.text.indexOf("\"", end + 1);
+        }
+        this.offset = end + 1;
+        const token = this.text.slice(start, this.offset);
+        if (token.includes("\\u") && loneSurrogate.test(JSON.parse(token) as string)) {
+            throw this.error("holds half of a surrogate pair");
+        }
+        return token;
+    }
+
+    /** Whether an odd number of backslashes stands before the offset. */
+    private isEscaped(offset: number): boolean {
+        let first = offset;
+        while (this.text[first - 1] === "\\") {
+            first -= 1;
+        }
+        return (offset - first) % 2 === 1;
+    }
+
+    private readLiteral(): string {
+        const start = this.offset;
+        while (this.offset < this.text.length && !" \t\r\n,]}".includes(this.text[this.offset]!)) {
+            this.offset += 1;
+        }
+        return this.text.slice(start, this.offset);
+    }
+
+    private skipComma(): void {
+        if (this.nextCharacter() === ",") {
+            this.offset += 1;
+        }
+    }
+
+    /** Skips blanks. */
+    private nextCharacter(): string {
+        while (" \t\r\n".includes(this.text[this.offset]!)) {
+            this.offset += 1;
+        }
+        return this.text[this.offset]!;
+    }
+
+    private error(reason: string): UnreadableTextError {
+        return new UnreadableTextError(`"${describePath(this.path)}" ${reason}`);
+    }
+}
+
+/** The ends of a long path tell enough. */
+function describePath(path: readonly (string | number)[]): string {
+    const shown = path.length > 8 ? [...path.slice(0, 4), "...", ...path.slice(-3)] : path;
+    return shown.map(step => String(step).slice(0, 100)).join(".");
+}
