--- a/src/platform/jsonText.ts
+++ b/src/platform/jsonText.ts
@@ -3,6 +3,9 @@
 /** Objects and arrays within each other; encoders and decoders of other programs recurse. */
 const maximumDepth = 512;
 
+/** A number, true, false or null. */
+const literal = /[^ \t\r\n,\]}]*/y;
+
 const loneSurrogate = /\p{Surrogate}/u;
 
 /** Text that cannot be read in full, or that readers understand differently. The message names the place. */
@@ -65,8 +68,8 @@
     }
 
     readTopLevel(): readonly JsonField[] {
-        return this.readFields((name, isArray) => {
-            if (!isArray) {
+        return this.readFields((_, name) => {
+            if (this.nextCharacter() !== "[") {
                 return { name, text: this.readValue(), elements: undefined };
             }
             const elements = this.readElements();
@@ -77,7 +80,7 @@
     private readValue(): string {
         switch (this.nextCharacter()) {
             case "{": {
-                const fields = this.readFields(name => `${JSON.stringify(name)}:${this.readValue()}`);
+                const fields = this.readFields(token => `${token}:${this.readValue()}`);
                 return `{${fields.join(",")}}`;
             }
             case "[":
@@ -89,12 +92,13 @@
         }
     }
 
-    private readFields<Field>(readField: (name: string, isArray: boolean) => Field): readonly Field[] {
+    private readFields<Field>(readField: (token: string, name: string) => Field): readonly Field[] {
         const fields: Field[] = [];
         const names = new Set<string>();
         this.offset += 1;
         while (this.nextCharacter() !== "}") {
-            const name = JSON.parse(this.readString()) as string;
+            const token = this.readString();
+            const name = token.includes("\\") ? JSON.parse(token) as string : token.slice(1, -1);
             this.enter(name);
             if (names.has(name)) {
                 throw this.error("is there twice");
@@ -102,7 +106,7 @@
             names.add(name);
             this.nextCharacter();
             this.offset += 1;
-            fields.push(readField(name, this.nextCharacter() === "["));
+            fields.push(readField(token, name));
             this.path.pop();
             this.skipComma();
         }
@@ -154,11 +158,10 @@
     }
 
     private readLiteral(): string {
-        const start = this.offset;
-        while (this.offset < this.text.length && !" \t\r\n,]}".includes(this.text[this.offset]!)) {
-            this.offset += 1;
-        }
-        return this.text.slice(start, this.offset);
+        literal.lastIndex = this.offset;
+        const [token] = literal.exec(this.text)!;
+        this.offset += token.length;
+        return token;
     }
 
     private skipComma(): void {
@@ -169,10 +172,12 @@
 
     /** Skips blanks. */
     private nextCharacter(): string {
-        while (" \t\r\n".includes(this.text[this.offset]!)) {
+        let character = this.text[this.offset]!;
+        while (character === " " || character === "\n" || character === "\r" || character === "\t") {
             this.offset += 1;
+            character = this.text[this.offset]!;
         }
-        return this.text[this.offset]!;
+        return character;
     }
 
     private error(reason: string): UnreadableTextError {
