fix(configuration): names that a line carries as one word must be one

A tenant named "t i-db1 CR LF QUERY - STEPDOWN 99" was acknowledged. When its key connected, proxies sent the name within CONNECT; the databases got STEPDOWN twice, and the primary stepped down (measured with real processes). Names outside of Latin-1 had the same effect: of U+010A the wire's encoding left a line feed. A key or database name with "é" could not be used: callers send its UTF-8 bytes, and these were compared with the character.

Heartbeats checked their words, configurations did not, and both took the characters of JSON for the bytes of the wire. There is now one definition (wireNames): the wire carries the UTF-8 bytes of a name; a host, a service and a tenant must be one word (no blank or control character, 1 to 65,536 bytes, no tenant "-", which stands for the proxy), and a key must be possible as the last field of its line (1 to 65,536 bytes, no CR LF). Otherwise Config.Put gets 400 with the place. Heartbeats keep their limit of 128 bytes and may now name services and ids outside of ASCII; promotion orders name them as the platform does. The names of routes enter no line and stay any text.

A document that an earlier release stored is still decoded: what nobody can ask for or send, a route, service, tenant or key whose name is more than a word, is left out of the policy.

The tests failed before: no exception for the host "a b", no route for the bytes of "é", the route to the service "a b" in the policy, and the order for "s€" with the service "sâ\x82¬".

--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -4,6 +4,7 @@
 import { putDocument } from "../../control/documentCommands.ts";
 import { diffDocuments } from "../../fleet/documentDifference.ts";
 import { type ConfigurationDocument, type DocumentEntry, emptyDocument } from "../../model/document.ts";
+import { decodeDatabaseReport, decodeDepartedId } from "../databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError, TrafficPolicyDecoder } from "../documentCodec.ts";
 
 const documentBody = {
@@ -87,6 +88,89 @@
     });
 });
 
+/** The document with names and keys of its elements replaced. */
+function documentNamed(names: { host?: string; service?: string; tenant?: string; key?: string; }): string {
+    const { host = "h", service = "s", tenant = "t", key = "k" } = names;
+    return JSON.stringify({
+        ...documentBody,
+        routes: [{ ...documentBody.routes[0], name: "any\r\n text", host, service }],
+        services: [{ name: service }],
+        tenants: [{ name: tenant, api_keys: ["other", key], rate_per_s: 9 }],
+    });
+}
+
+describe("names of a configuration document", () => {
+    const notWords = [
+        "a b",
+        " a",
+        "a ",
+        "a\r\nQUERY - STEPDOWN 99",
+        "a\n",
+        "a\r",
+        "a\t",
+        "a\0",
+        "a\x7f",
+        "",
+        "x".repeat(65_537),
+    ];
+
+    it("are refused with their place if they are more than one word of a line", () => {
+        // Guards against a tenant whose name, sent within CONNECT, is taken for a statement of the proxy.
+        const refusals: readonly (readonly [string, RegExp])[] = [
+            ...notWords.flatMap(text =>
+                [
+                    [documentNamed({ host: text }), /"routes\.0\.host"/],
+                    [documentNamed({ service: text }), /"routes\.0\.service"/],
+                    [documentNamed({ tenant: text }), /"tenants\.0\.name"/],
+                ] as const
+            ),
+            [documentNamed({ tenant: "-" }), /"tenants\.0\.name"/],
+            ...["", "a\r\nb", "x".repeat(65_537)].map(key =>
+                [documentNamed({ key }), /"tenants\.0\.api_keys\.1"/] as const
+            ),
+        ];
+        refusals.forEach(([text, place]) => assert.throws(() => decodeDocument(text), place, text.slice(0, 400)));
+    });
+
+    it("may be any other text, and are compared with the bytes that callers send", () => {
+        const names = { host: "h\u00e9", service: "s-\u20ac.1", tenant: "t\u010d\u010a", key: "k \u20ac/\n" };
+        const policy = new TrafficPolicyDecoder().decode(decodeDocument(documentNamed(names)));
+        const wireName = (text: string): string => Buffer.from(text, "utf8").toString("latin1");
+        assert.equal(policy.routesByDatabase.get(wireName(names.host))!.service, wireName(names.service));
+        assert.equal(policy.workspaceByKey.get(wireName(names.key)), wireName(names.tenant));
+        const heartbeat = {
+            service: names.service,
+            address: "10.0.0.1:80",
+            zone: "z",
+            state: "ready",
+            db_role: "replica",
+        };
+        const report = decodeDatabaseReport("i\u00e9", JSON.stringify({ ...heartbeat, seq: 1 }), 0)!;
+        assert.ok(policy.services.has(report.service));
+        assert.equal(report.databaseId, decodeDepartedId("i\u00e9"));
+    });
+
+    it("that an earlier release stored reach no line if they are more than one word", () => {
+        const stored = decodeDocument(JSON.stringify(documentBody));
+        const extra = (section: string, value: object): DocumentEntry => ({
+            entryId: `${section}/extra`,
+            body: JSON.stringify(value),
+            place: 9,
+        });
+        const policy = new TrafficPolicyDecoder().decode({
+            ...stored,
+            entries: [
+                ...stored.entries,
+                extra("routes", { ...documentBody.routes[0], host: "other", service: "a b" }),
+                extra("services", { name: "a b" }),
+                extra("tenants", { name: "a\r\nQUERY - STEPDOWN 99", api_keys: ["key"], rate_per_s: 1 }),
+            ],
+        });
+        assert.deepEqual([...policy.routesByDatabase.keys()], ["h"]);
+        assert.deepEqual([[...policy.services.keys()], [...policy.workspaceByKey]], [["s"], [["k", "t"]]]);
+    });
+});
+
 describe("configuration documents of earlier releases", () => {
     const entryOf = (entryId: string, value: unknown, place = 1): DocumentEntry => ({
         entryId,
--- a/src/platform/__tests__/promotionOrderClient.spec.ts
+++ b/src/platform/__tests__/promotionOrderClient.spec.ts
@@ -11,8 +11,17 @@
 } from "../../model/promotionMessages.ts";
 import { PromotionOrderClient } from "../promotionOrderClient.ts";
 
-async function resultOf(status: number): Promise<OrderResult> {
-    const server = createServer((_, response) => response.writeHead(status).end()).listen(0, "127.0.0.1");
+interface SentOrder {
+    readonly result: OrderResult;
+    readonly body: string;
+}
+
+async function send(status: number, service = "s", databaseId = "d"): Promise<SentOrder> {
+    let body = "";
+    const server = createServer((request, response) => {
+        request.setEncoding("utf8").on("data", chunk => body += chunk);
+        request.on("end", () => response.writeHead(status).end());
+    }).listen(0, "127.0.0.1");
     await once(server, "listening");
     try {
         const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -22,10 +31,10 @@
                 holder: "m",
                 post: message => resolve(message as PromotionOrdered),
             });
-            const order: PromotionOrder = { kind: PromotionKind.Order, service: "s", databaseId: "d", fence: 1 };
+            const order: PromotionOrder = { kind: PromotionKind.Order, service, databaseId, fence: 1 };
             client.deliver(order);
         });
-        return ordered.result;
+        return { result: ordered.result, body };
     }
     finally {
         server.close();
@@ -35,8 +44,8 @@
 describe("promotion orders", () => {
     it("count as refused only if the platform has decided on them", async () => {
         // Guards against another choice while the platform limits calls.
-        const results = await Promise.all([200, 409, 408, 429, 503].map(resultOf));
-        assert.deepEqual(results, [
+        const results = await Promise.all([200, 409, 408, 429, 503].map(status => send(status)));
+        assert.deepEqual(results.map(({ result }) => result), [
             OrderResult.Accepted,
             OrderResult.Refused,
             OrderResult.Unknown,
@@ -44,4 +53,10 @@
             OrderResult.Unknown,
         ]);
     });
+
+    it("name service and database as the platform does", async () => {
+        const wireName = (text: string): string => Buffer.from(text, "utf8").toString("latin1");
+        const { body } = await send(200, wireName("s\u20ac"), wireName("d\u00e9"));
+        assert.deepEqual(JSON.parse(body), { service: "s\u20ac", id: "d\u00e9" });
+    });
 });
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -12,7 +12,7 @@
 import { type DatabaseLeft, type DatabaseReported, FleetKind } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeDatabaseReport, decodeDepartedStart } from "./databaseReportCodec.ts";
+import { decodeDatabaseReport, decodeDepartedId, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
 import { decodeUtf8 } from "./jsonText.ts";
 
@@ -175,9 +175,11 @@
             respond(response, report === undefined ? 400 : this.hasLeaderContact() ? 200 : 503, "{}");
         }
         else {
-            const databaseId = decodeId(url.slice(leavePath.length));
+            const databaseId = decodeDepartedId(decodeId(url.slice(leavePath.length)));
             const bornUnixMs = decodeDepartedStart(text ?? "", Date.now());
-            this.options.post({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as DatabaseLeft);
+            if (databaseId !== undefined) {
+                this.options.post({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as DatabaseLeft);
+            }
             respond(response, 200, "{}");
         }
     }
--- a/src/platform/databaseReportCodec.ts
+++ b/src/platform/databaseReportCodec.ts
@@ -4,9 +4,12 @@
 import { maximumSlots } from "../model/database.ts";
 import { type DatabaseReport, ReportedState } from "../model/fleetMessages.ts";
 import { parseAddress } from "../model/socketAddress.ts";
+import { isWireWord, toWireName } from "./wireNames.ts";
 
-/** Names are sent as words of a line of the wire protocol. The names of the platform have about ten characters. */
-const wordSchema = z.string().regex(/^[!-~]{1,128}$/);
+/** The names of the platform have about ten characters. */
+const maximumWordBytes = 128;
+
+const wordSchema = z.string().refine(isWord);
 
 /**
  * A start time (`born`) further in the future than this is invalid; clocks differ by seconds. Reports with an earlier
@@ -30,7 +33,7 @@
 /** Decodes a heartbeat. Returns undefined if it is invalid or describes a database that cannot be used. */
 export function decodeDatabaseReport(databaseId: string, text: string, nowUnixMs: number): DatabaseReport | undefined {
     const result = reportSchema.safeParse(parseJson(text));
-    if (!result.success || !wordSchema.safeParse(databaseId).success) {
+    if (!result.success || !isWord(databaseId)) {
         return undefined;
     }
     if (result.data.born > nowUnixMs + maximumClockSkewMs) {
@@ -38,8 +41,8 @@
     }
     const { service, address, zone, slots, state, db_role: role, seq, born } = result.data;
     return {
-        databaseId,
-        service,
+        databaseId: toWireName(databaseId),
+        service: toWireName(service),
         address,
         dataCentre: zone,
         slots,
@@ -50,6 +53,11 @@
     };
 }
 
+/** Decodes the id of a database that leaves. Returns undefined if no database can have it. */
+export function decodeDepartedId(databaseId: string): string | undefined {
+    return isWord(databaseId) ? toWireName(databaseId) : undefined;
+}
+
 /**
  * Decodes the start time of a database process, in Unix milliseconds, from the call with which it leaves. Returns
  * undefined if the call names none that can be valid.
@@ -59,6 +67,10 @@
     return result.success && result.data.born <= nowUnixMs + maximumClockSkewMs ? result.data.born : undefined;
 }
 
+function isWord(text: string): boolean {
+    return isWireWord(toWireName(text), maximumWordBytes);
+}
+
 function parseJson(text: string): unknown {
     try {
         return JSON.parse(text);
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -6,8 +6,17 @@
     type DocumentEntry,
     entriesBySection,
 } from "../model/document.ts";
-import { emptyTrafficPolicy, RouteConsistency, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
+import {
+    emptyTrafficPolicy,
+    RouteConsistency,
+    type RoutePolicy,
+    type ServicePolicy,
+    type TrafficPolicy,
+    type WorkspacePolicy,
+} from "../model/trafficPolicy.ts";
 import { type JsonField, readJsonObject, UnreadableTextError } from "./jsonText.ts";
+import { proxyId } from "./wireCodec.ts";
+import { isWireKey, isWireWord, keyRule, toWireName, wordRule } from "./wireNames.ts";
 
 const nameSchema = z.string().min(1);
 
@@ -51,8 +60,6 @@
     tenants: z.array(tenantSchema).optional(),
 });
 
-type RouteBody = z.infer<typeof routeSchema>;
-
 /** Sections whose elements are separate entries, if their value is an array. */
 const listSections = ["routes", "services", "tenants"];
 
@@ -70,6 +77,7 @@
         const [issue] = result.error.issues;
         throw new InvalidDocumentError(`"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`);
     }
+    checkNames(result.data);
     checkReferences(result.data);
     const sections = fields.filter(({ name }) => name !== "version");
     return {
@@ -102,25 +110,20 @@
         const section = (name: string): readonly unknown[] =>
             (entries.get(name) ?? []).map(entry => this.parseEntry(entry));
         const [limits] = section("limits");
-        const routes = section("routes").map(body => decodeRoute(routeSchema.parse(body)));
-        const tenants = section("tenants").map(body => tenantSchema.parse(body));
-        const services = section("services").map(body => serviceSchema.parse(body));
+        // Earlier releases stored names that no line can carry; nobody can ask for such a route or send such a key.
+        const routes = section("routes").map(body => routeSchema.parse(body))
+            .filter(({ host, service }) => isName(host) && isName(service)).map(decodeRoute);
+        const services = section("services").map(body => serviceSchema.parse(body))
+            .filter(({ name }) => isName(name)).map(decodeService);
+        const workspaces = section("tenants").map(body => tenantSchema.parse(body))
+            .filter(({ name }) => isTenantName(name)).map(decodeTenant);
         return {
             ...emptyTrafficPolicy,
             version: document.documentVersion,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
-            services: new Map(services.map(service => [service.name, {
-                name: service.name,
-                connectionLimit: service.max_conns,
-                synchronousReplicas: service.sync_replicas,
-            }])),
-            workspaces: new Map(tenants.map(tenant => [tenant.name, {
-                name: tenant.name,
-                keys: tenant.api_keys,
-                ratePerSecond: tenant.rate_per_s,
-                burst: tenant.burst,
-            }])),
-            workspaceByKey: new Map(tenants.flatMap(tenant => tenant.api_keys.map(key => [key, tenant.name] as const))),
+            services: new Map(services.map(service => [service.name, service])),
+            workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
+            workspaceByKey: new Map(workspaces.flatMap(({ name, keys }) => keys.map(key => [key, name] as const))),
             transactionIdleMs: limits === undefined ? 0 : transactionIdleMs(limits),
         };
     }
@@ -136,11 +139,11 @@
     }
 }
 
-function decodeRoute(body: RouteBody): RoutePolicy {
+function decodeRoute(body: z.infer<typeof routeSchema>): RoutePolicy {
     return {
         name: body.name,
-        database: body.host,
-        service: body.service,
+        database: toWireName(body.host),
+        service: toWireName(body.service),
         consistency: consistencyByKind[body.kind],
         maximumAgeMs: body.kind === "primary" ? 0 : body.max_staleness_ms ?? 0,
         statementLimitMs: body.timeout_ms,
@@ -150,6 +153,23 @@
     };
 }
 
+function decodeService(body: z.infer<typeof serviceSchema>): ServicePolicy {
+    return {
+        name: toWireName(body.name),
+        connectionLimit: body.max_conns,
+        synchronousReplicas: body.sync_replicas,
+    };
+}
+
+function decodeTenant(body: z.infer<typeof tenantSchema>): WorkspacePolicy {
+    return {
+        name: toWireName(body.name),
+        keys: body.api_keys.map(toWireName).filter(isWireKey),
+        ratePerSecond: body.rate_per_s,
+        burst: body.burst,
+    };
+}
+
 function transactionIdleMs(limits: unknown): number {
     return (limits as { readonly tx_idle_ms?: number; }).tx_idle_ms ?? 0;
 }
@@ -166,6 +186,36 @@
     }
 }
 
+/** The names of routes stay within the process and may be any text. */
+function checkNames({ routes, services, tenants = [] }: z.infer<typeof documentSchema>): void {
+    routes.forEach(({ host, service }, index) => {
+        require(isName(host), `routes.${index}.host`, wordRule);
+        require(isName(service), `routes.${index}.service`, wordRule);
+    });
+    services.forEach(({ name }, index) => require(isName(name), `services.${index}.name`, wordRule));
+    tenants.forEach(({ name, api_keys: keys }, index) => {
+        require(isTenantName(name), `tenants.${index}.name`, `${wordRule}, and not "${proxyId}"`);
+        keys.forEach((key, position) =>
+            require(isWireKey(toWireName(key)), `tenants.${index}.api_keys.${position}`, keyRule)
+        );
+    });
+}
+
+function isName(text: string): boolean {
+    return isWireWord(toWireName(text));
+}
+
+/** A database that gets "-" for the tenant takes the caller for the proxy itself. */
+function isTenantName(text: string): boolean {
+    return text !== proxyId && isName(text);
+}
+
+function require(isValid: boolean, path: string, rule: string): void {
+    if (!isValid) {
+        throw new InvalidDocumentError(`"${path}" ${rule}`);
+    }
+}
+
 function checkReferences({ routes, services, tenants }: z.infer<typeof documentSchema>): void {
     const serviceNames = new Set(services.map(service => service.name));
     const unknown = routes.find(route => !serviceNames.has(route.service));
--- a/src/platform/promotionOrderClient.ts
+++ b/src/platform/promotionOrderClient.ts
@@ -3,6 +3,7 @@
 import { OrderResult, PromotionKind, type PromotionOrder, type PromotionOrdered } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
+import { fromWireName } from "./wireNames.ts";
 
 /** The platform may be slow. After a timeout, the same order is sent again, which changes nothing once it is executed. */
 const answerTimeoutMs = 1_000;
@@ -25,7 +26,7 @@
 
     deliver({ service, databaseId, fence }: PromotionOrder): void {
         const { address, holder, post } = this.options;
-        const body = JSON.stringify({ service, id: databaseId });
+        const body = JSON.stringify({ service: fromWireName(service), id: fromWireName(databaseId) });
         let answered = false;
         const complete = (result: OrderResult): void => {
             if (!answered) {
