fix(configuration): a stored document that cannot be decoded ends no process

What a member had stored, another release or a fault of ours may have let in. PolicyFilter decoded it without a guard: the exception ended every member and proxy that applied the version, again after each start, and only a wiped disk helped.

The last document that could be decoded now stays in force; a process that has decoded none since its start has none, and tells callers to come back. While the newest one is unknown, nothing that the policy lacks is refused for good: proofs are unavailable, because the key or the database may be in it. A member that cannot encode a stored document answers Config.Get with 500 and the reason. The next valid document replaces all.

--- a/src/fleet/policyConfirmation.ts
+++ b/src/fleet/policyConfirmation.ts
@@ -83,6 +83,8 @@
     private latest: PolicyApplied | undefined;
     /** Policies that this filter emitted; each message that leaves the pipe comes back to it as an event. */
     private readonly emitted = new WeakSet<PolicyApplied>();
+    /** The newest document cannot be decoded; what the policy lacks may be in it, and no proof tells otherwise. */
+    private isOutdated = false;
     private confirmed = false;
     private waitEnded = false;
     private question: ProofQuestion | undefined;
@@ -131,6 +133,7 @@
         if (this.emitted.has(policy)) {
             return [policy];
         }
+        this.isOutdated = policy.outdated === true;
         if (this.confirmed) {
             return [this.emit({ ...policy, confirmed: true })];
         }
@@ -167,7 +170,7 @@
 
     /** Asks all members that claim to lead; only one that still does can answer. */
     private askForProof(nowMs: number): readonly Message[] {
-        if (this.leaders.size === 0) {
+        if (this.leaders.size === 0 || this.isOutdated) {
             return [proofUnavailable];
         }
         if (this.question !== undefined && nowMs - this.question.askedAtMs < proofTimeoutMs) {
@@ -217,7 +220,8 @@
     }
 
     private coveredProof(): Proof | undefined {
-        return this.proof !== undefined && this.version >= this.proof.configurationVersion ? this.proof : undefined;
+        const isCovered = this.proof !== undefined && this.version >= this.proof.configurationVersion;
+        return isCovered && !this.isOutdated ? this.proof : undefined;
     }
 
     private emit(policy: PolicyApplied): PolicyApplied {
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -1,18 +1,23 @@
 /** Derives the traffic policy of this instance from the replicated configuration. */
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
-import { type DocumentDecoder, emptyDocument } from "../model/document.ts";
-import { FleetKind, type PolicyApplied } from "../model/fleetMessages.ts";
+import { type DocumentDecoder, emptyDocument, type OmittedEntry, UndecodableEntryError } from "../model/document.ts";
+import { FleetKind, type PolicyApplied, type PolicyIncomplete } from "../model/fleetMessages.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 
+/**
+ * A document that cannot be decoded changes nothing: the last one that could be stays in force, until a later one replaces
+ * both. Other releases, and faults, can store what this process does not understand.
+ */
 export class PolicyFilter implements Filter<ConfigurationApplied, Message> {
     readonly step = "policy";
     readonly accepts = [ClusterKind.ConfigurationApplied];
     private readonly decoder: DocumentDecoder;
     private configuration: Configuration = emptyConfiguration;
     private policy: TrafficPolicy = emptyTrafficPolicy;
+    private isOutdated = false;
 
     constructor(decoder: DocumentDecoder) {
         this.decoder = decoder;
@@ -22,9 +27,9 @@
         const before = this.configuration;
         const { configuration } = message;
         this.configuration = configuration;
+        let omittedEntries: readonly OmittedEntry[] = [];
         if (configuration.documentHeads !== before.documentHeads) {
-            const head = configuration.documentHeads[0] ?? emptyDocument;
-            this.policy = this.decoder.decode({ ...head, entries: configuration.documentEntries });
+            omittedEntries = this.decode(configuration);
         }
         else if (
             configuration.promotions === before.promotions
@@ -39,12 +44,37 @@
         const applied: PolicyApplied = {
             kind: FleetKind.PolicyApplied,
             policy,
+            outdated: this.isOutdated,
             confirmed: false,
             promoted,
             ordered: orderedDatabases(configuration),
             completedFences: completedFences(configuration),
         };
-        return [message, applied];
+        return [message, ...this.describeOmissions(omittedEntries), applied];
+    }
+
+    /** Returns the entries that the policy in force does not contain. */
+    private decode({ documentHeads, documentEntries }: Configuration): readonly OmittedEntry[] {
+        try {
+            const document = { ...documentHeads[0] ?? emptyDocument, entries: documentEntries };
+            const { policy, omittedEntries } = this.decoder.decode(document);
+            this.policy = policy;
+            this.isOutdated = false;
+            return omittedEntries;
+        }
+        catch (error) {
+            this.isOutdated = true;
+            const entryId = error instanceof UndecodableEntryError ? error.entryId : "";
+            return [{ entryId, reason: error instanceof Error ? error.message : String(error) }];
+        }
+    }
+
+    private describeOmissions(omittedEntries: readonly OmittedEntry[]): readonly PolicyIncomplete[] {
+        const documentVersion = this.configuration.documentHeads[0]?.documentVersion ?? 0;
+        const versionInForce = this.policy.version;
+        return omittedEntries.length === 0
+            ? []
+            : [{ kind: FleetKind.PolicyIncomplete, documentVersion, versionInForce, omittedEntries }];
     }
 }
 
--- a/src/model/document.ts
+++ b/src/model/document.ts
@@ -51,9 +51,34 @@
     return sections.has(entryId) ? entryId : entryId.split("/", 1)[0]!;
 }
 
+/** An entry of a stored document that another release, or a fault, let in and that this process cannot decode. */
+export class UndecodableEntryError extends Error {
+    readonly entryId: string;
+
+    constructor(entryId: string, reason: string) {
+        super(reason);
+        this.name = "UndecodableEntryError";
+        this.entryId = entryId;
+    }
+}
+
+/** An entry that is not part of the policy, and why. */
+export interface OmittedEntry {
+    /** Empty if the fault is not that of one entry. */
+    readonly entryId: string;
+    readonly reason: string;
+}
+
+export interface DecodedDocument {
+    readonly policy: TrafficPolicy;
+    /** Elements that the policy leaves out, because no line of the protocol can carry their names. */
+    readonly omittedEntries: readonly OmittedEntry[];
+}
+
 /** Decodes a document into the traffic policy that the filters apply. */
 export interface DocumentDecoder {
-    decode(document: ConfigurationDocument): TrafficPolicy;
+    /** @throws UndecodableEntryError, or another error if the document is malformed beyond its entries */
+    decode(document: ConfigurationDocument): DecodedDocument;
 }
 
 export const DocumentKind = {
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -3,6 +3,7 @@
  * gRPC stream that an instance or a control member opens to a control member.
  */
 import type { Message } from "../pipeline/message.ts";
+import type { OmittedEntry } from "./document.ts";
 import type { PeerInstance } from "./peerMessages.ts";
 import type { Position } from "./position.ts";
 import type { TrafficPolicy } from "./trafficPolicy.ts";
@@ -29,6 +30,8 @@
     FrameRefused: "fleet.frame_refused",
     SendFrame: "fleet.send_frame",
     PolicyApplied: "fleet.policy_applied",
+    /** The policy lacks entries of the newest document, or all of it, because they cannot be decoded. */
+    PolicyIncomplete: "fleet.policy_incomplete",
     /** The wait for a leader to confirm the first policy timed out; the unconfirmed policy takes effect. */
     ConfirmationDue: "fleet.confirmation_due",
     /** A caller would be refused because the policy lacks an entry, which needs a recent proof that it is the newest. */
@@ -308,6 +311,8 @@
 export interface PolicyApplied extends Message {
     readonly kind: typeof FleetKind.PolicyApplied;
     readonly policy: TrafficPolicy;
+    /** The newest document cannot be decoded, so the policy is that of an earlier one, or the empty one. */
+    readonly outdated?: boolean;
     /** Since this process started, a control leader has confirmed that the policy was up to date. For the log. */
     readonly confirmed: boolean;
     /** Database that the last promotion made the primary, or is about to, by service. */
@@ -363,6 +368,14 @@
     readonly kind: typeof FleetKind.RateLeaderSilent;
 }
 
+export interface PolicyIncomplete extends Message {
+    readonly kind: typeof FleetKind.PolicyIncomplete;
+    readonly documentVersion: number;
+    /** Version of the document in force; 0 if this process has not decoded one yet. */
+    readonly versionInForce: number;
+    readonly omittedEntries: readonly OmittedEntry[];
+}
+
 export interface PolicyProofNeeded extends Message {
     readonly kind: typeof FleetKind.PolicyProofNeeded;
 }
--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -38,7 +38,7 @@
         const tenant = { ...documentBody.tenants[0], name: "x" };
         const body = { ...documentBody, "routes/x": 5, "tenants/x": tenant, "routes/r": 6, "a/b": 7, "a%2Fb": 8 };
         const document = decodeDocument(JSON.stringify(body));
-        const policy = new TrafficPolicyDecoder().decode(store(emptyDocument, document));
+        const { policy } = new TrafficPolicyDecoder().decode(store(emptyDocument, document));
         assert.deepEqual([...policy.routesByDatabase.keys()], ["h"]);
         assert.deepEqual([...policy.workspaceByKey], [["k", "t"]]);
         assert.deepEqual(storedContent(body), body);
@@ -134,7 +134,7 @@
 
     it("may be any other text, and are compared with the bytes that callers send", () => {
         const names = { host: "h\u00e9", service: "s-\u20ac.1", tenant: "t\u010d\u010a", key: "k \u20ac/\n" };
-        const policy = new TrafficPolicyDecoder().decode(decodeDocument(documentNamed(names)));
+        const { policy } = new TrafficPolicyDecoder().decode(decodeDocument(documentNamed(names)));
         const wireName = (text: string): string => Buffer.from(text, "utf8").toString("latin1");
         assert.equal(policy.routesByDatabase.get(wireName(names.host))!.service, wireName(names.service));
         assert.equal(policy.workspaceByKey.get(wireName(names.key)), wireName(names.tenant));
@@ -157,7 +157,7 @@
             body: JSON.stringify(value),
             place: 9,
         });
-        const policy = new TrafficPolicyDecoder().decode({
+        const { policy, omittedEntries } = new TrafficPolicyDecoder().decode({
             ...stored,
             entries: [
                 ...stored.entries,
@@ -168,6 +168,11 @@
         });
         assert.deepEqual([...policy.routesByDatabase.keys()], ["h"]);
         assert.deepEqual([[...policy.services.keys()], [...policy.workspaceByKey]], [["s"], [["k", "t"]]]);
+        assert.deepEqual(omittedEntries.map(({ entryId }) => entryId), [
+            "routes/extra",
+            "services/extra",
+            "tenants/extra",
+        ]);
     });
 });
 
@@ -197,7 +202,7 @@
     };
 
     it("are decoded and encoded", () => {
-        const policy = new TrafficPolicyDecoder().decode(stored);
+        const { policy } = new TrafficPolicyDecoder().decode(stored);
         assert.deepEqual([...policy.routesByDatabase.keys()], ["h", "h2"]);
         assert.equal(policy.workspaceByKey.get("k"), "t");
         const content = JSON.parse(encodeDocument(stored)) as Record<string, unknown>;
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -108,7 +108,7 @@
     });
 
     it("are decoded into a traffic policy", () => {
-        const policy = new TrafficPolicyDecoder().decode(decodeDocument(JSON.stringify(documentBody)));
+        const { policy } = new TrafficPolicyDecoder().decode(decodeDocument(JSON.stringify(documentBody)));
         assert.equal(policy.routesByDatabase.get("a")!.maximumAgeMs, 1500);
         assert.equal(policy.routesByDatabase.get("b")!.maximumAgeMs, 0);
         assert.equal(policy.routesByDatabase.get("b")!.open, true);
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
+    type ConfigurationDocument,
     type DocumentAnswered,
     DocumentKind,
     type DocumentPut,
@@ -104,7 +105,7 @@
             case DocumentResult.Accepted:
                 return respond(response, 200, "{}");
             case DocumentResult.Found:
-                return respond(response, 200, encodeDocument(document!));
+                return respondWithDocument(response, document!);
             case DocumentResult.Redirect:
                 response.setHeader("Location", `http://${this.controlAddress(leaderAddress!)}${path}`);
                 return respond(response, 307, "{}");
@@ -231,6 +232,20 @@
     }
 }
 
+/** What another release stored may lack what the encoding needs; a later document replaces it. */
+function respondWithDocument(response: ServerResponse, document: ConfigurationDocument): void {
+    let text: string;
+    try {
+        text = encodeDocument(document);
+    }
+    catch (error) {
+        const reason = `version ${document.documentVersion} cannot be encoded: ${(error as Error).message}`;
+        respond(response, 500, JSON.stringify({ error: reason }));
+        return;
+    }
+    respond(response, 200, text);
+}
+
 function respond(response: ServerResponse, status: number, body: string): void {
     response.writeHead(status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
     response.end(body);
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -2,16 +2,18 @@
 import * as z from "zod";
 import {
     type ConfigurationDocument,
+    type DecodedDocument,
     type DocumentDecoder,
     type DocumentEntry,
     entriesBySection,
+    type OmittedEntry,
+    UndecodableEntryError,
 } from "../model/document.ts";
 import {
     emptyTrafficPolicy,
     RouteConsistency,
     type RoutePolicy,
     type ServicePolicy,
-    type TrafficPolicy,
     type WorkspacePolicy,
 } from "../model/trafficPolicy.ts";
 import { type JsonField, readJsonObject, UnreadableTextError } from "./jsonText.ts";
@@ -52,11 +54,13 @@
     burst: z.number().nonnegative().default(0),
 });
 
+const limitsSchema = z.object({ tx_idle_ms: z.number().nonnegative().optional() });
+
 const documentSchema = z.object({
     version: z.number().int().nonnegative(),
     routes: z.array(routeSchema),
     services: z.array(serviceSchema),
-    limits: z.object({ tx_idle_ms: z.number().nonnegative().optional() }).optional(),
+    limits: limitsSchema.optional(),
     tenants: z.array(tenantSchema).optional(),
 });
 
@@ -74,8 +78,7 @@
     const { fields, value } = readObject(text);
     const result = documentSchema.safeParse(value);
     if (!result.success) {
-        const [issue] = result.error.issues;
-        throw new InvalidDocumentError(`"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`);
+        throw new InvalidDocumentError(describeIssue(result.error));
     }
     checkNames(result.data);
     checkReferences(result.data);
@@ -105,40 +108,72 @@
 export class TrafficPolicyDecoder implements DocumentDecoder {
     private readonly parsedByEntry = new WeakMap<DocumentEntry, unknown>();
 
-    decode(document: ConfigurationDocument): TrafficPolicy {
+    decode(document: ConfigurationDocument): DecodedDocument {
         const entries = entriesBySection(document);
-        const section = (name: string): readonly unknown[] =>
-            (entries.get(name) ?? []).map(entry => this.parseEntry(entry));
-        const [limits] = section("limits");
-        // Earlier releases stored names that no line can carry; nobody can ask for such a route or send such a key.
-        const routes = section("routes").map(body => routeSchema.parse(body))
-            .filter(({ host, service }) => isName(host) && isName(service)).map(decodeRoute);
-        const services = section("services").map(body => serviceSchema.parse(body))
-            .filter(({ name }) => isName(name)).map(decodeService);
-        const workspaces = section("tenants").map(body => tenantSchema.parse(body))
-            .filter(({ name }) => isTenantName(name)).map(decodeTenant);
-        return {
+        const omittedEntries: OmittedEntry[] = [];
+        const decodeSection = <Body, Item>(
+            section: string,
+            schema: z.ZodType<Body>,
+            decodeItem: (body: Body) => Item,
+            isUsable: (body: Body) => boolean,
+        ): readonly Item[] =>
+            (entries.get(section) ?? []).flatMap(entry => {
+                const body = parseEntry(schema, entry, this.parseJson(entry));
+                if (!isUsable(body)) {
+                    omittedEntries.push({ entryId: entry.entryId, reason: `a name ${wordRule}` });
+                }
+                return isUsable(body) ? [decodeItem(body)] : [];
+            });
+        // Earlier releases stored names that no line can carry. Nobody can ask for such a route or send such a key.
+        const routes = decodeSection("routes", routeSchema, decodeRoute, isUsableRoute);
+        const services = decodeSection("services", serviceSchema, decodeService, ({ name }) => isName(name));
+        const workspaces = decodeSection("tenants", tenantSchema, decodeTenant, ({ name }) => isTenantName(name));
+        const [transactionIdleMs = 0] = decodeSection("limits", limitsSchema, decodeIdleLimit, () => true);
+        const policy = {
             ...emptyTrafficPolicy,
             version: document.documentVersion,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
             services: new Map(services.map(service => [service.name, service])),
             workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
             workspaceByKey: new Map(workspaces.flatMap(({ name, keys }) => keys.map(key => [key, name] as const))),
-            transactionIdleMs: limits === undefined ? 0 : transactionIdleMs(limits),
+            transactionIdleMs,
         };
+        return { policy, omittedEntries };
     }
 
-    private parseEntry(entry: DocumentEntry): unknown {
+    private parseJson(entry: DocumentEntry): unknown {
         const cached = this.parsedByEntry.get(entry);
         if (cached !== undefined) {
             return cached;
         }
-        const value: unknown = JSON.parse(entry.body);
+        const value = parseBody(entry);
         this.parsedByEntry.set(entry, value);
         return value;
     }
 }
 
+function parseBody({ entryId, body }: DocumentEntry): unknown {
+    try {
+        return JSON.parse(body);
+    }
+    catch {
+        // The error quotes the text, which may hold keys, and the reason is logged.
+        throw new UndecodableEntryError(entryId, "the body is not JSON");
+    }
+}
+
+function parseEntry<Body>(schema: z.ZodType<Body>, { entryId }: DocumentEntry, value: unknown): Body {
+    const result = schema.safeParse(value);
+    if (!result.success) {
+        throw new UndecodableEntryError(entryId, describeIssue(result.error));
+    }
+    return result.data;
+}
+
+function describeIssue({ issues: [issue] }: z.ZodError): string {
+    return `"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`;
+}
+
 function decodeRoute(body: z.infer<typeof routeSchema>): RoutePolicy {
     return {
         name: body.name,
@@ -170,8 +205,8 @@
     };
 }
 
-function transactionIdleMs(limits: unknown): number {
-    return (limits as { readonly tx_idle_ms?: number; }).tx_idle_ms ?? 0;
+function decodeIdleLimit({ tx_idle_ms: idleMs = 0 }: z.infer<typeof limitsSchema>): number {
+    return idleMs;
 }
 
 function readObject(text: string): ReturnType<typeof readJsonObject> {
@@ -201,6 +236,10 @@
     });
 }
 
+function isUsableRoute({ host, service }: z.infer<typeof routeSchema>): boolean {
+    return isName(host) && isName(service);
+}
+
 function isName(text: string): boolean {
     return isWireWord(toWireName(text));
 }
--- a/src/wiring/__tests__/configurationFleet.ts
+++ b/src/wiring/__tests__/configurationFleet.ts
@@ -6,9 +6,14 @@
 import { FakeCluster, type ProcessParts } from "../../control/__tests__/fakeCluster.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { ControlKind } from "../../model/controlMessages.ts";
-import { type DocumentAnswered, DocumentKind, DocumentResult } from "../../model/document.ts";
+import {
+    type ConfigurationDocument,
+    type DocumentAnswered,
+    DocumentKind,
+    DocumentResult,
+} from "../../model/document.ts";
 import { FeedKind, type FeedResubscribe, type FeedSend, UpdateKind } from "../../model/feedMessages.ts";
-import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import { type FleetFrame, FleetKind, type PolicyIncomplete, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkKind } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
 import { PromotionKind } from "../../model/promotionMessages.ts";
@@ -99,6 +104,8 @@
     private readonly proxies = new Map<string, Proxy>();
     private readonly attachments = new Map<string, Attachment>();
     private readonly answers = new Map<string, DocumentAnswered>();
+    /** What the processes reported about documents that they could not decode. */
+    readonly incompletePolicies: PolicyIncomplete[] = [];
     private scheduledEvents: { readonly atMs: number; readonly run: () => void; }[] = [];
     private readonly lastArrivalMs = new Map<string, number>();
     private readonly keys: string[] = [];
@@ -135,6 +142,16 @@
     putKey(): string {
         const version = this.acknowledgedVersion + 1;
         this.keys.push(keyOf(version));
+        this.putDocument(decodeDocument(this.documentText(version)));
+        return keyOf(version);
+    }
+
+    /** Stores a version whose change has passed a check that the processes here do not have. */
+    putUnchecked(change: (document: ConfigurationDocument) => ConfigurationDocument): void {
+        this.putDocument(change(decodeDocument(this.documentText(this.acknowledgedVersion + 1))));
+    }
+
+    private putDocument(document: ConfigurationDocument): void {
         let requestId = "";
         this.runUntil("an acknowledgement", () => {
             const result = this.answers.get(requestId)?.result;
@@ -144,13 +161,11 @@
             const leader = this.cluster.leader();
             if (leader !== undefined && (requestId === "" || result !== undefined)) {
                 requestId = `r${this.nextId++}`;
-                const document = decodeDocument(this.documentText(version));
                 this.cluster.post(leader.memberId, { kind: DocumentKind.Put, requestId, document } as Message);
             }
             return false;
         });
-        this.acknowledgedVersion = version;
-        return keyOf(version);
+        this.acknowledgedVersion = document.documentVersion;
     }
 
     /** Connects a caller, which connects again each time that it is refused as busy. */
@@ -260,6 +275,7 @@
 
     private sinkOf(deliver: (message: Message) => void): Sink {
         const accepts = [
+            FleetKind.PolicyIncomplete,
             FleetKind.SendFrame,
             FeedKind.Send,
             FeedKind.Resubscribe,
@@ -267,7 +283,13 @@
             SessionKind.Accept,
             SessionKind.Refuse,
         ];
-        return { accepts, deliver };
+        return {
+            accepts,
+            deliver: message =>
+                message.kind === FleetKind.PolicyIncomplete
+                    ? void this.incompletePolicies.push(message as PolicyIncomplete)
+                    : deliver(message),
+        };
     }
 
     private ignoreUnhandled(pipes: readonly Pipe[]): Sink {
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -29,6 +29,7 @@
 import { EventLog } from "../telemetry/eventLog.ts";
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
+import { PolicyIncompleteLog } from "../telemetry/policyIncompleteLog.ts";
 import { afterPendingInput } from "./afterPendingInput.ts";
 import { loggedEffects, requestLogFormatters, stateLogFormatters } from "./eventLogFormatters.ts";
 import { LeadHandOver } from "./leadHandOver.ts";
@@ -117,11 +118,12 @@
     const effectLogs = [requestLogFormatters, stateLogFormatters].map(formatters =>
         new EffectLog({ logger, formatters, accepts: loggedEffects.filter(kind => formatters.has(kind)) })
     );
+    const incompleteLog = new PolicyIncompleteLog(logger);
     const loop = stack.use(
         new EventLoop({
             clock,
             pipes,
-            sinks: [...sinks, ...effectLogs, termination, new UnusedMessageSink(pipes, sinks)],
+            sinks: [...sinks, ...effectLogs, incompleteLog, termination, new UnusedMessageSink(pipes, sinks)],
             observers: [
                 new EventLog({ logger, formatters: requestLogFormatters }),
                 new EventLog({ logger, formatters: stateLogFormatters, linesPerSecond: stateLinesPerSecond }),
