--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -1,7 +1,9 @@
 /** HTTP API of a control member for operators and databases. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
+    type ConfigurationDocument,
     type DocumentAnswered,
     DocumentKind,
     type DocumentPut,
@@ -11,8 +13,9 @@
 import { type DatabaseLeft, type DatabaseReported, FleetKind } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeDatabaseReport, decodeDepartedStart } from "./databaseReportCodec.ts";
+import { decodeDatabaseReport, decodeDepartedId, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
+import { decodeUtf8 } from "./jsonText.ts";
 
 /** Larger than a configuration with thousands of routes. */
 const maximumBodyBytes = 8 * 1_048_576;
@@ -70,6 +73,10 @@
         );
     }
 
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     listen(): Promise<void> {
         const { host, port } = this.options;
         return new Promise((resolve, reject) => {
@@ -98,7 +105,7 @@
             case DocumentResult.Accepted:
                 return respond(response, 200, "{}");
             case DocumentResult.Found:
-                return respond(response, 200, encodeDocument(document!));
+                return respondWithDocument(response, document!);
             case DocumentResult.Redirect:
                 response.setHeader("Location", `http://${this.controlAddress(leaderAddress!)}${path}`);
                 return respond(response, 307, "{}");
@@ -156,21 +163,24 @@
         });
     }
 
-    private handleBody(url: string, body: string, response: ServerResponse): void {
+    private handleBody(url: string, body: Buffer, response: ServerResponse): void {
+        const text = decodeUtf8(body);
         if (url === putPath) {
-            this.putDocument(body, response);
+            this.putDocument(text, response);
         }
         else if (url.startsWith(heartbeatPath)) {
-            const report = decodeDatabaseReport(decodeId(url.slice(heartbeatPath.length)), body, Date.now());
+            const report = decodeDatabaseReport(decodeId(url.slice(heartbeatPath.length)), text ?? "", Date.now());
             if (report !== undefined) {
                 this.options.post({ kind: FleetKind.DatabaseReported, report } as DatabaseReported);
             }
             respond(response, report === undefined ? 400 : this.hasLeaderContact() ? 200 : 503, "{}");
         }
         else {
-            const databaseId = decodeId(url.slice(leavePath.length));
-            const bornUnixMs = decodeDepartedStart(body, Date.now());
-            this.options.post({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as DatabaseLeft);
+            const databaseId = decodeDepartedId(decodeId(url.slice(leavePath.length)));
+            const bornUnixMs = decodeDepartedStart(text ?? "", Date.now());
+            if (databaseId !== undefined) {
+                this.options.post({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as DatabaseLeft);
+            }
             respond(response, 200, "{}");
         }
     }
@@ -180,9 +190,14 @@
             || performance.now() - this.leaderlessSinceMs < leaderlessHeartbeatsMs;
     }
 
-    private putDocument(body: string, response: ServerResponse): void {
+    /** @param text the body; undefined if it is not valid UTF-8 */
+    private putDocument(text: string | undefined, response: ServerResponse): void {
+        if (text === undefined) {
+            respond(response, 400, "{\"error\":\"the body is not valid UTF-8\"}");
+            return;
+        }
         try {
-            const document = decodeDocument(body);
+            const document = decodeDocument(text);
             const requestId = this.registerRequest(response, putPath);
             this.options.post({ kind: DocumentKind.Put, requestId, document } as DocumentPut);
         }
@@ -217,13 +232,27 @@
     }
 }
 
+/** What another release stored may lack what the encoding needs; a later document replaces it. */
+function respondWithDocument(response: ServerResponse, document: ConfigurationDocument): void {
+    let text: string;
+    try {
+        text = encodeDocument(document);
+    }
+    catch (error) {
+        const reason = `version ${document.documentVersion} cannot be encoded: ${(error as Error).message}`;
+        respond(response, 500, JSON.stringify({ error: reason }));
+        return;
+    }
+    respond(response, 200, text);
+}
+
 function respond(response: ServerResponse, status: number, body: string): void {
     response.writeHead(status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
     response.end(body);
 }
 
 /** @param onBody receives the body, or the HTTP status to reject it with */
-function readBody(request: IncomingMessage, onBody: (body: string, errorStatus: number | undefined) => void): void {
+function readBody(request: IncomingMessage, onBody: (body: Buffer, errorStatus: number | undefined) => void): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     let rejected = false;
@@ -231,7 +260,7 @@
         bytes += chunk.length;
         if (bytes > maximumBodyBytes && !rejected) {
             rejected = true;
-            onBody("", 413);
+            onBody(Buffer.alloc(0), 413);
         }
         else if (!rejected) {
             chunks.push(chunk);
@@ -239,7 +268,7 @@
     });
     request.on("end", () => {
         if (!rejected) {
-            onBody(Buffer.concat(chunks).toString("utf8"), undefined);
+            onBody(Buffer.concat(chunks), undefined);
         }
     });
     // The sender closed the connection and no longer waits for a response.
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -1,7 +1,24 @@
 /** Encoding and validation of configuration documents, and decoding of the traffic policy in them. */
 import * as z from "zod";
-import type { ConfigurationDocument, DocumentDecoder, DocumentEntry } from "../model/document.ts";
-import { emptyTrafficPolicy, RouteConsistency, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
+import {
+    type ConfigurationDocument,
+    type DecodedDocument,
+    type DocumentDecoder,
+    type DocumentEntry,
+    entriesBySection,
+    type OmittedEntry,
+    UndecodableEntryError,
+} from "../model/document.ts";
+import {
+    emptyTrafficPolicy,
+    RouteConsistency,
+    type RoutePolicy,
+    type ServicePolicy,
+    type WorkspacePolicy,
+} from "../model/trafficPolicy.ts";
+import { type JsonField, readJsonObject, UnreadableTextError } from "./jsonText.ts";
+import { proxyId } from "./wireCodec.ts";
+import { isWireKey, isWireWord, keyRule, toWireName, wordRule } from "./wireNames.ts";
 
 const nameSchema = z.string().min(1);
 
@@ -37,16 +54,16 @@
     burst: z.number().nonnegative().default(0),
 });
 
+const limitsSchema = z.object({ tx_idle_ms: z.number().nonnegative().optional() });
+
 const documentSchema = z.object({
     version: z.number().int().nonnegative(),
     routes: z.array(routeSchema),
     services: z.array(serviceSchema),
-    limits: z.object({ tx_idle_ms: z.number().nonnegative().optional() }).optional(),
+    limits: limitsSchema.optional(),
     tenants: z.array(tenantSchema).optional(),
 });
 
-type RouteBody = z.infer<typeof routeSchema>;
-
 /** Sections whose elements are separate entries, if their value is an array. */
 const listSections = ["routes", "services", "tenants"];
 
@@ -58,85 +75,110 @@
  * @throws InvalidDocumentError if the text is invalid or inconsistent
  */
 export function decodeDocument(text: string): ConfigurationDocument {
-    const body = parseObject(text);
-    const result = documentSchema.safeParse(body);
+    const { fields, value } = readObject(text);
+    const result = documentSchema.safeParse(value);
     if (!result.success) {
-        const [issue] = result.error.issues;
-        throw new InvalidDocumentError(`"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`);
+        throw new InvalidDocumentError(describeIssue(result.error));
     }
+    checkNames(result.data);
     checkReferences(result.data);
-    const sections = Object.entries(body).filter(([section]) => section !== "version");
+    const sections = fields.filter(({ name }) => name !== "version");
     return {
         documentVersion: result.data.version,
-        sections: sections.map(([section, value]) => ({ name: section, list: isList(section, value) })),
-        entries: sections.flatMap(([section, value]) =>
-            isList(section, value)
-                ? encodeListEntries(section, value as readonly { readonly name?: unknown; }[])
-                : [{ entryId: section, body: stringifyEntry(section, value), place: 1 }]
+        sections: sections.map(field => ({ name: field.name, list: isList(field) })),
+        entries: sections.flatMap(field =>
+            isList(field)
+                ? encodeListEntries(field, value[field.name] as readonly { readonly name: string; }[])
+                : [{ entryId: encodeSectionId(field.name), section: field.name, body: field.text, place: 1 }]
         ),
     };
 }
 
 /** Encodes a document as JSON with the content that the operator sent, unknown fields included. */
-export function encodeDocument({ documentVersion, sections, entries }: ConfigurationDocument): string {
-    const bodies = sections.map(({ name: section, list }) => {
-        const sectionEntries = entries.filter(({ entryId }) =>
-            list ? entryId.startsWith(`${section}/`) : entryId === section
-        );
-        const ordered = [...sectionEntries].sort((left, right) => left.place - right.place);
-        const value = ordered.map(({ body }) => body).join(",");
+export function encodeDocument(document: ConfigurationDocument): string {
+    const entries = entriesBySection(document);
+    const bodies = document.sections.map(({ name: section, list }) => {
+        const value = entries.get(section)!.map(({ body }) => body).join(",");
         return `${JSON.stringify(section)}:${list ? `[${value}]` : value}`;
     });
-    return `{${[`"version":${documentVersion}`, ...bodies].join(",")}}`;
+    return `{${[`"version":${document.documentVersion}`, ...bodies].join(",")}}`;
 }
 
 /** Decodes the entries of a document into a traffic policy. Parsed entries are cached. */
 export class TrafficPolicyDecoder implements DocumentDecoder {
     private readonly parsedByEntry = new WeakMap<DocumentEntry, unknown>();
 
-    decode({ documentVersion, entries }: ConfigurationDocument): TrafficPolicy {
-        const section = (prefix: string): readonly unknown[] =>
-            entries.filter(({ entryId }) => entryId.startsWith(`${prefix}/`)).map(entry => this.parseEntry(entry));
-        const limits = entries.find(({ entryId }) => entryId === "limits");
-        const routes = section("routes").map(body => decodeRoute(routeSchema.parse(body)));
-        const tenants = section("tenants").map(body => tenantSchema.parse(body));
-        const services = section("services").map(body => serviceSchema.parse(body));
-        return {
+    decode(document: ConfigurationDocument): DecodedDocument {
+        const entries = entriesBySection(document);
+        const omittedEntries: OmittedEntry[] = [];
+        const decodeSection = <Body, Item>(
+            section: string,
+            schema: z.ZodType<Body>,
+            decodeItem: (body: Body) => Item,
+            isUsable: (body: Body) => boolean,
+        ): readonly Item[] =>
+            (entries.get(section) ?? []).flatMap(entry => {
+                const body = parseEntry(schema, entry, this.parseJson(entry));
+                if (!isUsable(body)) {
+                    omittedEntries.push({ entryId: entry.entryId, reason: `a name ${wordRule}` });
+                }
+                return isUsable(body) ? [decodeItem(body)] : [];
+            });
+        // Earlier releases stored names that no line can carry. Nobody can ask for such a route or send such a key.
+        const routes = decodeSection("routes", routeSchema, decodeRoute, isUsableRoute);
+        const services = decodeSection("services", serviceSchema, decodeService, ({ name }) => isName(name));
+        const workspaces = decodeSection("tenants", tenantSchema, decodeTenant, ({ name }) => isTenantName(name));
+        const [transactionIdleMs = 0] = decodeSection("limits", limitsSchema, decodeIdleLimit, () => true);
+        const policy = {
             ...emptyTrafficPolicy,
-            version: documentVersion,
+            version: document.documentVersion,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
-            services: new Map(services.map(service => [service.name, {
-                name: service.name,
-                connectionLimit: service.max_conns,
-                synchronousReplicas: service.sync_replicas,
-            }])),
-            workspaces: new Map(tenants.map(tenant => [tenant.name, {
-                name: tenant.name,
-                keys: tenant.api_keys,
-                ratePerSecond: tenant.rate_per_s,
-                burst: tenant.burst,
-            }])),
-            workspaceByKey: new Map(tenants.flatMap(tenant => tenant.api_keys.map(key => [key, tenant.name] as const))),
-            transactionIdleMs: limits === undefined ? 0 : transactionIdleMs(this.parseEntry(limits)),
+            services: new Map(services.map(service => [service.name, service])),
+            workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
+            workspaceByKey: new Map(workspaces.flatMap(({ name, keys }) => keys.map(key => [key, name] as const))),
+            transactionIdleMs,
         };
+        return { policy, omittedEntries };
     }
 
-    private parseEntry(entry: DocumentEntry): unknown {
+    private parseJson(entry: DocumentEntry): unknown {
         const cached = this.parsedByEntry.get(entry);
         if (cached !== undefined) {
             return cached;
         }
-        const value: unknown = JSON.parse(entry.body);
+        const value = parseBody(entry);
         this.parsedByEntry.set(entry, value);
         return value;
     }
 }
 
-function decodeRoute(body: RouteBody): RoutePolicy {
+function parseBody({ entryId, body }: DocumentEntry): unknown {
+    try {
+        return JSON.parse(body);
+    }
+    catch {
+        // The error quotes the text, which may hold keys, and the reason is logged.
+        throw new UndecodableEntryError(entryId, "the body is not JSON");
+    }
+}
+
+function parseEntry<Body>(schema: z.ZodType<Body>, { entryId }: DocumentEntry, value: unknown): Body {
+    const result = schema.safeParse(value);
+    if (!result.success) {
+        throw new UndecodableEntryError(entryId, describeIssue(result.error));
+    }
+    return result.data;
+}
+
+function describeIssue({ issues: [issue] }: z.ZodError): string {
+    return `"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`;
+}
+
+function decodeRoute(body: z.infer<typeof routeSchema>): RoutePolicy {
     return {
         name: body.name,
-        database: body.host,
-        service: body.service,
+        database: toWireName(body.host),
+        service: toWireName(body.service),
         consistency: consistencyByKind[body.kind],
         maximumAgeMs: body.kind === "primary" ? 0 : body.max_staleness_ms ?? 0,
         statementLimitMs: body.timeout_ms,
@@ -146,22 +188,71 @@
     };
 }
 
-function transactionIdleMs(limits: unknown): number {
-    return (limits as { readonly tx_idle_ms?: number; }).tx_idle_ms ?? 0;
+function decodeService(body: z.infer<typeof serviceSchema>): ServicePolicy {
+    return {
+        name: toWireName(body.name),
+        connectionLimit: body.max_conns,
+        synchronousReplicas: body.sync_replicas,
+    };
 }
 
-function parseObject(text: string): Record<string, unknown> {
-    let value: unknown;
+function decodeTenant(body: z.infer<typeof tenantSchema>): WorkspacePolicy {
+    return {
+        name: toWireName(body.name),
+        keys: body.api_keys.map(toWireName).filter(isWireKey),
+        ratePerSecond: body.rate_per_s,
+        burst: body.burst,
+    };
+}
+
+function decodeIdleLimit({ tx_idle_ms: idleMs = 0 }: z.infer<typeof limitsSchema>): number {
+    return idleMs;
+}
+
+function readObject(text: string): ReturnType<typeof readJsonObject> {
     try {
-        value = JSON.parse(text);
+        return readJsonObject(text);
     }
     catch (error) {
-        throw new InvalidDocumentError(`not JSON: ${(error as Error).message}`);
+        if (!(error instanceof UnreadableTextError)) {
+            throw error;
+        }
+        throw new InvalidDocumentError(error.message);
     }
-    if (typeof value !== "object" || !value || Array.isArray(value)) {
-        throw new InvalidDocumentError("a document is a JSON object");
+}
+
+/** The names of routes stay within the process and may be any text. */
+function checkNames({ routes, services, tenants = [] }: z.infer<typeof documentSchema>): void {
+    routes.forEach(({ host, service }, index) => {
+        require(isName(host), `routes.${index}.host`, wordRule);
+        require(isName(service), `routes.${index}.service`, wordRule);
+    });
+    services.forEach(({ name }, index) => require(isName(name), `services.${index}.name`, wordRule));
+    tenants.forEach(({ name, api_keys: keys }, index) => {
+        require(isTenantName(name), `tenants.${index}.name`, `${wordRule}, and not "${proxyId}"`);
+        keys.forEach((key, position) =>
+            require(isWireKey(toWireName(key)), `tenants.${index}.api_keys.${position}`, keyRule)
+        );
+    });
+}
+
+function isUsableRoute({ host, service }: z.infer<typeof routeSchema>): boolean {
+    return isName(host) && isName(service);
+}
+
+function isName(text: string): boolean {
+    return isWireWord(toWireName(text));
+}
+
+/** A database that gets "-" for the tenant takes the caller for the proxy itself. */
+function isTenantName(text: string): boolean {
+    return text !== proxyId && isName(text);
+}
+
+function require(isValid: boolean, path: string, rule: string): void {
+    if (!isValid) {
+        throw new InvalidDocumentError(`"${path}" ${rule}`);
     }
-    return value as Record<string, unknown>;
 }
 
 function checkReferences({ routes, services, tenants }: z.infer<typeof documentSchema>): void {
@@ -170,7 +261,7 @@
     if (unknown !== undefined) {
         throw new InvalidDocumentError(`route "${unknown.name}" names the unknown service "${unknown.service}"`);
     }
-    requireDistinct("route place", routes.map(route => `${route.host} ${route.path_prefix}`));
+    requireDistinct("route place", routes.map(route => JSON.stringify([route.host, route.path_prefix])));
     requireDistinct("service", services.map(service => service.name));
     requireDistinct("tenant", (tenants ?? []).map(tenant => tenant.name));
     requireDistinct("key", (tenants ?? []).flatMap(tenant => [...new Set(tenant.api_keys)]), "two tenants share a key");
@@ -180,36 +271,38 @@
     const seenValues = new Set<string>();
     for (const value of values) {
         if (seenValues.has(value)) {
-            throw new InvalidDocumentError(detail ?? `the ${description} "${value}" is there twice`);
+            throw new InvalidDocumentError(detail ?? `the ${description} ${value} is there twice`);
         }
         seenValues.add(value);
     }
 }
 
-function isList(section: string, value: unknown): boolean {
-    return listSections.includes(section) && Array.isArray(value);
+function isList({ name, elements }: JsonField): boolean {
+    return listSections.includes(name) && elements !== undefined;
 }
 
-/** Identifies elements by their name; an element whose name is already in use, by name and position. */
 function encodeListEntries(
-    section: string,
-    elements: readonly { readonly name?: unknown; }[],
+    { name: section, elements }: JsonField,
+    values: readonly { readonly name: string; }[],
 ): readonly DocumentEntry[] {
-    const seenValues = new Set<string>();
-    return elements.map((element, position) => {
-        const baseId = `${section}/${String(element.name)}`;
-        const entryId = seenValues.has(baseId) ? `${baseId}#${position}` : baseId;
-        seenValues.add(entryId);
-        return { entryId, body: stringifyEntry(entryId, element), place: position + 1 };
+    const countByName = new Map<string, number>();
+    return elements!.map((body, position) => {
+        const { name } = values[position]!;
+        const occurrence = (countByName.get(name) ?? 0) + 1;
+        countByName.set(name, occurrence);
+        return { entryId: encodeElementId(section, name, occurrence), section, body, place: position + 1 };
     });
 }
 
-/** @throws InvalidDocumentError if the value is nested so deeply that encoding it overflows the stack */
-function stringifyEntry(entryId: string, value: unknown): string {
-    try {
-        return JSON.stringify(value);
-    }
-    catch (error) {
-        throw new InvalidDocumentError(`"${entryId}" is nested too deeply: ${(error as Error).message}`);
-    }
+/**
+ * Identifies elements by their name, and elements of the same name by their order. The id of an element contains "/", that
+ * of a section does not; "#" in a name is doubled. Earlier releases recognise elements of a section by "SECTION/".
+ */
+function encodeElementId(section: string, name: string, occurrence: number): string {
+    const baseId = `${section}/${name.replaceAll("#", "##")}`;
+    return occurrence === 1 ? baseId : `${baseId}#${occurrence}`;
+}
+
+function encodeSectionId(section: string): string {
+    return section.replaceAll("%", "%25").replaceAll("/", "%2F");
 }
