--- a/src/rpc/logCodec.ts
+++ b/src/rpc/logCodec.ts
@@ -1,7 +1,8 @@
 /** Encodes and decodes the messages of the replicated log that control members exchange. */
 import { match } from "ts-pattern";
 import { LogKind, type PeerMessage } from "../model/logMessages.ts";
-import type { EntryBody, LogEntry, Member, SnapshotRecord } from "../model/replicatedLog.ts";
+import type { LogEntry, Member } from "../model/replicatedLog.ts";
+import { requireEntryBody, requireSnapshotRecord } from "../model/replicatedLogSchema.ts";
 import type {
     AppendCall,
     AppendResult,
@@ -39,9 +40,14 @@
     return { head: encodeHead(message), previousIndex, previousTerm, entries, commitIndex };
 }
 
+/** @throws Error if an entry is malformed or does not follow the one before it */
 export function decodeAppendCall(call: AppendCall, callId: string): PeerMessage {
     const { previousIndex, previousTerm, commitIndex } = call;
     const entries = call.entries.map(decodeEntry);
+    const gap = entries.findIndex(({ index }, offset) => index !== previousIndex + 1 + offset);
+    if (gap !== -1) {
+        throw new RangeError(`entry ${entries[gap]!.index} cannot follow entry ${previousIndex + gap}`);
+    }
     const head = decodeHead(call.head, callId);
     return { ...head, kind: LogKind.AppendRequest, previousIndex, previousTerm, entries, commitIndex };
 }
@@ -57,9 +63,10 @@
     return { head: encodeHead(message), lastIndex, lastTerm, members, version, offset, records, last };
 }
 
+/** @throws Error if a record is malformed or belongs to a list of a later release */
 export function decodeSnapshotCall(call: SnapshotCall, callId: string): PeerMessage {
     const { lastIndex, lastTerm, members, version, offset, last } = call;
-    const records = call.records.map(record => decodeJson(record) as SnapshotRecord);
+    const records = call.records.map(record => requireSnapshotRecord(decodeJson(record)));
     const head = decodeHead(call.head, callId);
     return { ...head, kind: LogKind.SnapshotRequest, lastIndex, lastTerm, members, version, offset, records, last };
 }
@@ -120,8 +127,14 @@
     return Buffer.from(JSON.stringify(value));
 }
 
+/** @throws Error without a part of the body, which may hold the text of a caller */
 export function decodeJson(body: Uint8Array): unknown {
-    return JSON.parse(Buffer.from(body).toString("utf8"));
+    try {
+        return JSON.parse(Buffer.from(body).toString("utf8"));
+    }
+    catch {
+        throw new SyntaxError(`a body of ${body.length} bytes is not valid JSON`);
+    }
 }
 
 function encodeHead({ from, to, term }: PeerMessage): LogHead {
@@ -144,5 +157,5 @@
 }
 
 function decodeEntry({ index, term, body }: EntryMessage): LogEntry {
-    return { index, term, body: decodeJson(body) as EntryBody };
+    return { index, term, body: requireEntryBody(decodeJson(body)) };
 }
