fix(storage): a member refuses a stored record that it cannot read

A member that takes the rest of a state for the whole votes and applies as if it were complete.

Cause: the storage checked only that a record has its checksum and is JSON.

Nothing in the folder is changed, so the release that wrote it can read it. Fields that are missing in records of earlier releases and fields that are unknown are accepted as before.

--- a/src/storage/atomicFile.ts
+++ b/src/storage/atomicFile.ts
@@ -2,7 +2,7 @@
 import { dirname, join } from "node:path";
 import { type FileSystem, readIfExists, syncFolder, withFile } from "./fileSystem.ts";
 import { encodeRecord, scanRecords, ScanStatus } from "./recordCodec.ts";
-import { damagedFileError } from "./storageError.ts";
+import { damagedFileError, unreadableRecordError } from "./storageError.ts";
 
 const temporarySuffix = ".new";
 
@@ -68,6 +68,19 @@
     }
 }
 
+/**
+ * Checks the content of a record whose checksum is valid.
+ * @param check throws if this release cannot read the record
+ */
+export function requireReadable<Checked>(file: string, check: () => Checked): Checked {
+    try {
+        return check();
+    }
+    catch (error) {
+        throw unreadableRecordError(file, (error as Error).message);
+    }
+}
+
 /** Gives the space of an incomplete temporary file back, because a full disk needs it. */
 async function discardTemporary(fileSystem: FileSystem, temporary: string): Promise<void> {
     try {
--- a/src/storage/identity.ts
+++ b/src/storage/identity.ts
@@ -1,7 +1,9 @@
 /** Identity of the member that owns a data folder. */
 import { randomBytes } from "node:crypto";
 import { join } from "node:path";
-import { readRecords, writeAtomically } from "./atomicFile.ts";
+import * as z from "zod";
+import { requireValid } from "../model/replicatedLogSchema.ts";
+import { readRecords, requireReadable, writeAtomically } from "./atomicFile.ts";
 import type { FileSystem } from "./fileSystem.ts";
 import { StorageError, StorageErrorCode } from "./storageError.ts";
 
@@ -12,9 +14,11 @@
     readonly incarnation: string;
 }
 
+const identitySchema = z.looseObject({ cluster: z.string(), memberId: z.string(), incarnation: z.string().min(1) });
+
 /**
  * Reads the identity stored in a folder, or creates it on first use.
- * @throws StorageError if the folder belongs to another cluster or member
+ * @throws StorageError if the folder belongs to another cluster or member, or its identity cannot be read
  */
 export async function openIdentity(
     fileSystem: FileSystem,
@@ -23,12 +27,14 @@
     memberId: string,
 ): Promise<Identity> {
     const file = join(folder, "identity");
-    const stored = (await readRecords(fileSystem, file))?.[0] as Identity | undefined;
-    if (stored === undefined) {
+    const records = await readRecords(fileSystem, file);
+    if (records === undefined) {
         const created = { cluster, memberId, incarnation: randomBytes(8).toString("hex") };
         await writeAtomically(fileSystem, file, [created]);
         return created;
     }
+    const [stored] = records as readonly [Identity];
+    requireReadable(file, () => requireValid("identity", identitySchema, stored));
     if (stored.cluster !== cluster || stored.memberId !== memberId) {
         const detail = `the folder belongs to member "${stored.memberId}" of cluster "${stored.cluster}"; `
             + "choose another folder or correct the settings";
--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -1,7 +1,9 @@
 /** The replicated log on disk: numbered, append-only segment files of checksummed records. */
 import { join } from "node:path";
+import * as z from "zod";
 import type { LogEntry } from "../model/replicatedLog.ts";
-import { parseJson, replaceAtomically } from "./atomicFile.ts";
+import { requireLogEntry, requireValid } from "../model/replicatedLogSchema.ts";
+import { parseJson, replaceAtomically, requireReadable } from "./atomicFile.ts";
 import { type FileSystem, readIfExists, type StorageFile, syncFolder, withFile } from "./fileSystem.ts";
 import { encodeRecord, scanRecords, type ScanResult, ScanStatus } from "./recordCodec.ts";
 import { damagedFileError } from "./storageError.ts";
@@ -26,6 +28,8 @@
     readonly entries: readonly LogEntry[];
 }
 
+const logRecords = z.array(z.looseObject({ fromIndex: z.int().positive(), entries: z.array(z.unknown()) }));
+
 interface Segment {
     readonly number: number;
     bytes: number;
@@ -52,7 +56,7 @@
     /**
      * Opens the log and reads the entries after the snapshot, in order and without gaps.
      * @param firstSegment segments with a lower number are covered by the snapshot and are removed
-     * @throws StorageError if synced data is damaged
+     * @throws StorageError if synced data is damaged, or was written by a release whose records this one cannot read
      */
     static async open(
         options: LogSegmentsOptions,
@@ -212,14 +216,16 @@
         if (scan.status === ScanStatus.Damaged || scan.status === ScanStatus.Torn && !isLast) {
             throw damagedFileError(file, scan.validBytes, "damaged record");
         }
+        const records = scan.payloads.flatMap(payload => {
+            const value = parseJson(file, payload, payload.byteOffset - data.byteOffset);
+            return requireReadable(file, () => requireLogRecords(value));
+        });
         if (isLast) {
             this.tornTailCount += scan.status === ScanStatus.Torn ? 1 : 0;
             // A killed process may have left the segment unsynced; entries read here count as durable from now on.
             await this.makeDurable(file, data, scan);
         }
-        return scan.payloads.flatMap(payload =>
-            parseJson(file, payload, payload.byteOffset - data.byteOffset) as readonly LogRecord[]
-        );
+        return records;
     }
 
     // Without a sync, a torn tail could reappear after a power loss, in a segment that is no longer the last one.
@@ -258,3 +264,11 @@
         return join(this.options.folder, `log-${String(number).padStart(8, "0")}`);
     }
 }
+
+/** @throws Error that names the invalid field */
+function requireLogRecords(value: unknown): readonly LogRecord[] {
+    requireValid("log", logRecords, value);
+    const records = value as readonly LogRecord[];
+    records.forEach(({ entries }) => entries.forEach(requireLogEntry));
+    return records;
+}
--- a/src/storage/memberStorage.ts
+++ b/src/storage/memberStorage.ts
@@ -1,6 +1,8 @@
 /** Durable state of a control member: term, vote, log and snapshot. */
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import * as z from "zod";
+import { requireValid } from "../model/replicatedLogSchema.ts";
 import {
     type StorageAppend,
     type StorageAppendDone,
@@ -14,7 +16,7 @@
 } from "../model/storageMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { readRecords, removeTemporaryFiles, writeAtomically } from "./atomicFile.ts";
+import { readRecords, removeTemporaryFiles, requireReadable, writeAtomically } from "./atomicFile.ts";
 import { type FileSystem, isOutOfSpaceError, NodeFileSystem } from "./fileSystem.ts";
 import { FolderLock } from "./folderLock.ts";
 import { type Identity, openIdentity } from "./identity.ts";
@@ -53,6 +55,8 @@
     readonly votedFor?: string | undefined;
 }
 
+const termSchema = z.looseObject({ term: z.int().nonnegative(), votedFor: z.string().optional() });
+
 /**
  * Executes `storage.append` messages in order and posts `storage.append_done` after each sync.
  *
@@ -98,7 +102,8 @@
 
     /**
      * Locks the folder, creates missing files and reads the stored state. On a full disk, waits until this is possible.
-     * @throws StorageError if the folder is damaged, locked or belongs to another member
+     * @throws StorageError if the folder is damaged, locked, belongs to another member, or holds a record that this
+     * release cannot read
      */
     static async open(options: MemberStorageOptions): Promise<MemberStorage> {
         const fileSystem = options.fileSystem ?? new NodeFileSystem();
@@ -161,8 +166,7 @@
         await removeTemporaryFiles(fileSystem, folder);
         const identity = await openIdentity(fileSystem, folder, cluster, memberId);
         const stored = await readSnapshot(fileSystem, folder);
-        const termRecord = (await readRecords(fileSystem, termPath(folder)))?.[0] ?? { term: 0 };
-        const { term, votedFor } = termRecord as TermRecord;
+        const { term, votedFor } = await readTerm(fileSystem, termPath(folder));
         const { log, entries } = await LogSegments.open(
             { fileSystem, folder, isRetry, segmentBytes: options.segmentBytes ?? defaultSegmentBytes },
             stored?.firstSegment ?? 1,
@@ -303,6 +307,16 @@
     return delay(durationMs, undefined, signal === undefined ? {} : { signal });
 }
 
+/** @throws StorageError rather than return an earlier term, in which the member could vote a second time */
+async function readTerm(fileSystem: FileSystem, file: string): Promise<TermRecord> {
+    const records = await readRecords(fileSystem, file);
+    if (records === undefined) {
+        return { term: 0 };
+    }
+    requireReadable(file, () => requireValid("term", termSchema, records[0]));
+    return records[0] as TermRecord;
+}
+
 function termPath(folder: string): string {
     return join(folder, "term");
 }
--- a/src/storage/snapshotFile.ts
+++ b/src/storage/snapshotFile.ts
@@ -1,7 +1,9 @@
 /** File with the latest snapshot of the control state. */
 import { join } from "node:path";
-import type { Snapshot, SnapshotRecord } from "../model/replicatedLog.ts";
-import { readRecords, writeAtomically } from "./atomicFile.ts";
+import * as z from "zod";
+import type { Snapshot } from "../model/replicatedLog.ts";
+import { memberList, requireSnapshotRecord, requireValid } from "../model/replicatedLogSchema.ts";
+import { readRecords, requireReadable, writeAtomically } from "./atomicFile.ts";
 import type { FileSystem } from "./fileSystem.ts";
 import { damagedFileError } from "./storageError.ts";
 
@@ -12,6 +14,16 @@
     readonly firstSegment: number;
 }
 
+const count = z.int().nonnegative();
+const headerSchema = z.looseObject({
+    lastIndex: count,
+    lastTerm: count,
+    members: memberList,
+    version: count,
+    recordCount: count,
+    firstSegment: count,
+});
+
 export interface StoredSnapshot {
     readonly snapshot: Snapshot;
     readonly firstSegment: number;
@@ -33,11 +45,13 @@
     if (stored === undefined) {
         return undefined;
     }
+    requireReadable(file, () => requireValid("snapshot", headerSchema, stored[0]));
     const { recordCount, firstSegment, ...rest } = stored[0] as SnapshotHeader;
     if (recordCount !== stored.length - 1) {
         throw damagedFileError(file, 0, `${stored.length - 1} records found, ${recordCount} expected`);
     }
-    return { snapshot: { ...rest, records: stored.slice(1) as readonly SnapshotRecord[] }, firstSegment };
+    const records = requireReadable(file, () => stored.slice(1).map(requireSnapshotRecord));
+    return { snapshot: { ...rest, records }, firstSegment };
 }
 
 function snapshotPath(folder: string): string {
--- a/src/storage/storageError.ts
+++ b/src/storage/storageError.ts
@@ -5,6 +5,8 @@
     Locked: "storage_locked",
     /** Synced data is damaged. After the folder is wiped, the member rejoins the cluster as a new one. */
     Damaged: "storage_damaged",
+    /** A record was written completely, by a release whose records this one cannot read. */
+    Unreadable: "storage_unreadable",
     /** The folder belongs to another cluster or member. */
     ForeignFolder: "storage_foreign_folder",
 } as const;
@@ -22,6 +24,12 @@
     }
 }
 
+/** @param detail which field of which record is not readable */
+export function unreadableRecordError(file: string, detail: string): StorageError {
+    const advice = "start the release that wrote it, or wipe the folder and let the member rejoin";
+    return new StorageError(StorageErrorCode.Unreadable, file, `${detail}; ${advice}`);
+}
+
 /** @param offset position of the damage in the file */
 export function damagedFileError(file: string, offset: number, detail: string): StorageError {
     const advice = "restore the disk, or wipe the folder and let the member rejoin";
