fix(holder): a wait for a position ends in time whatever the name of its database holds

What was seen: on a database whose id holds a blank, a read that waits for its floor, a question for floors and a write that waits for a majority were never answered when their time had ended.

Cause: the timer held the id and the key of the request joined by a blank, and the id was read back up to the first blank, so the request was looked up under another database.

Why it works: the timer holds the two parts apart.

--- a/src/holder/confirm.ts
+++ b/src/holder/confirm.ts
@@ -7,8 +7,8 @@
     type HolderConfirmationLag,
     type HolderExecuted,
     HolderPipeKind,
+    type HolderPositionDue,
     type HolderPositionKnown,
-    type HolderTimer,
     type HolderWatchPosition,
     type HolderWorkEnded,
 } from "../model/holderPipeMessages.ts";
@@ -35,11 +35,13 @@
     readonly executedAtMs: number;
 }
 
+type ConfirmDue = HolderPositionDue<typeof HolderPipeKind.ConfirmDue>;
+
 type ConfirmInput =
     | HolderExecuted
     | HolderPositionKnown
     | HolderWorkEnded
-    | HolderTimer<typeof HolderPipeKind.ConfirmDue>
+    | ConfirmDue
     | DatabasesChanged
     | LeasesRenewed;
 
@@ -74,7 +76,7 @@
         return match(message)
             .with({ kind: HolderPipeKind.Executed }, executed => this.handleExecuted(executed, nowMs))
             .with({ kind: HolderPipeKind.PositionKnown }, known => this.updatePosition(known, nowMs))
-            .with({ kind: HolderPipeKind.ConfirmDue }, timer => this.expireWrite(timer.subject, nowMs))
+            .with({ kind: HolderPipeKind.ConfirmDue }, timer => this.expireWrite(timer, nowMs))
             .with({ kind: HolderPipeKind.WorkEnded }, ({ databaseId }) => {
                 this.endingDatabases.add(databaseId);
                 return this.reportIfIdle(databaseId);
@@ -103,7 +105,7 @@
             return confirmed;
         }
         const limitMs = Math.max(nowMs, request.deadlineMs) + this.settings.confirmationLimitMs;
-        const due: HolderTimer = { kind: HolderPipeKind.ConfirmDue, subject: `${databaseId} ${key}` };
+        const due = { kind: HolderPipeKind.ConfirmDue, databaseId, key } as Message;
         const watches = databaseWrites.size === 1 ? this.watchReplicas(databaseId, true) : [];
         return [...confirmed, setDeadline(`holder.confirm:${key}`, limitMs, due), ...watches];
     }
@@ -158,9 +160,8 @@
         );
     }
 
-    private expireWrite(subject: string, nowMs: number): readonly Message[] {
-        const databaseId = subject.slice(0, subject.indexOf(" "));
-        const write = this.pendingWrites.get(databaseId)?.get(subject.slice(databaseId.length + 1));
+    private expireWrite({ databaseId, key }: ConfirmDue, nowMs: number): readonly Message[] {
+        const write = this.pendingWrites.get(databaseId)?.get(key);
         return write === undefined
             ? []
             : this.resolveWrite(
--- a/src/holder/floors.ts
+++ b/src/holder/floors.ts
@@ -11,8 +11,8 @@
 import {
     type HolderExecuted,
     HolderPipeKind,
+    type HolderPositionDue,
     type HolderPositionKnown,
-    type HolderTimer,
 } from "../model/holderPipeMessages.ts";
 import { laterPosition, originPosition, type Position } from "../model/position.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
@@ -41,11 +41,13 @@
     readonly waitingRequests: Map<string, HolderFloorRequest>;
 }
 
+type FloorDue = HolderPositionDue<typeof HolderPipeKind.FloorDue>;
+
 type FloorsInput =
     | HolderFloorRequest
     | HolderExecuted
     | HolderPositionKnown
-    | HolderTimer<typeof HolderPipeKind.FloorDue>
+    | FloorDue
     | DatabasesChanged
     | LeasesRenewed;
 
@@ -79,7 +81,7 @@
                 return [executed];
             })
             .with({ kind: HolderPipeKind.PositionKnown }, known => [known, ...this.updatePosition(known, nowMs)])
-            .with({ kind: HolderPipeKind.FloorDue }, timer => this.expireRequest(timer.subject))
+            .with({ kind: HolderPipeKind.FloorDue }, timer => this.expireRequest(timer))
             .with({ kind: ClusterKind.LeasesRenewed }, renewed => {
                 const replies = this.leases.renew(renewed).flatMap(databaseId => this.removePrimary(databaseId));
                 this.addHeldPrimaries(nowMs);
@@ -99,7 +101,7 @@
         }
         const key = `${request.origin}/${request.requestId}`;
         primary.waitingRequests.set(key, request);
-        const due: HolderTimer = { kind: HolderPipeKind.FloorDue, subject: `${request.databaseId} ${key}` };
+        const due = { kind: HolderPipeKind.FloorDue, databaseId: request.databaseId, key } as Message;
         return [setDeadline(`holder.floor:${key}`, nowMs + baseFloorWaitMs, due)];
     }
 
@@ -148,10 +150,8 @@
         ]);
     }
 
-    private expireRequest(subject: string): readonly Message[] {
-        const databaseId = subject.slice(0, subject.indexOf(" "));
+    private expireRequest({ databaseId, key }: FloorDue): readonly Message[] {
         const waitingRequests = this.primaries.get(databaseId)?.waitingRequests;
-        const key = subject.slice(databaseId.length + 1);
         const request = waitingRequests?.get(key);
         waitingRequests?.delete(key);
         return request === undefined ? [] : [createReply(request, undefined, originPosition, 0)];
--- a/src/holder/freshness.ts
+++ b/src/holder/freshness.ts
@@ -5,8 +5,8 @@
 import { HolderKind, type HolderRequest } from "../model/holderMessages.ts";
 import {
     HolderPipeKind,
+    type HolderPositionDue,
     type HolderPositionKnown,
-    type HolderTimer,
     type HolderWatchPosition,
 } from "../model/holderPipeMessages.ts";
 import { hasReached, type Position } from "../model/position.ts";
@@ -22,10 +22,12 @@
     readonly settings: HolderSettings;
 }
 
+type FreshnessDue = HolderPositionDue<typeof HolderPipeKind.FreshnessDue>;
+
 type FreshnessInput =
     | HolderRequest
     | HolderPositionKnown
-    | HolderTimer<typeof HolderPipeKind.FreshnessDue>
+    | FreshnessDue
     | DatabasesChanged
     | LeasesRenewed;
 
@@ -52,7 +54,7 @@
         return match(message)
             .with({ kind: HolderKind.Request }, request => this.passOrWait(request, nowMs))
             .with({ kind: HolderPipeKind.PositionKnown }, known => [known, ...this.updatePosition(known)])
-            .with({ kind: HolderPipeKind.FreshnessDue }, timer => this.expireRequest(timer.subject))
+            .with({ kind: HolderPipeKind.FreshnessDue }, timer => this.expireRequest(timer))
             .with({ kind: ClusterKind.DatabasesChanged }, changed => {
                 this.updateViews(changed);
                 return [changed];
@@ -75,7 +77,7 @@
         const waitingRequests = this.waitingRequests.get(databaseId) ?? new Map<string, HolderRequest>();
         this.waitingRequests.set(databaseId, waitingRequests.set(key, request));
         const waitMs = Math.max(0, request.deadlineMs - nowMs) * this.settings.freshnessWaitShare;
-        const due: HolderTimer = { kind: HolderPipeKind.FreshnessDue, subject: `${databaseId} ${key}` };
+        const due = { kind: HolderPipeKind.FreshnessDue, databaseId, key } as Message;
         return [
             setDeadline(`holder.freshness:${key}`, nowMs + waitMs, due),
             ...(waitingRequests.size === 1 ? [this.createWatch(databaseId, true)] : []),
@@ -102,9 +104,7 @@
         return ready.flatMap(([key, request]) => [...this.removeWaiting(databaseId, key), request]);
     }
 
-    private expireRequest(subject: string): readonly Message[] {
-        const databaseId = subject.slice(0, subject.indexOf(" "));
-        const key = subject.slice(databaseId.length + 1);
+    private expireRequest({ databaseId, key }: FreshnessDue): readonly Message[] {
         const request = this.waitingRequests.get(databaseId)?.get(key);
         if (request === undefined) {
             return [];
--- a/src/model/holderPipeMessages.ts
+++ b/src/model/holderPipeMessages.ts
@@ -100,14 +100,11 @@
 export type HolderTimerKind =
     | typeof HolderPipeKind.MonitorTick
     | typeof HolderPipeKind.OrderDue
-    | typeof HolderPipeKind.FloorDue
-    | typeof HolderPipeKind.FreshnessDue
     | typeof HolderPipeKind.WaitDue
     | typeof HolderPipeKind.LinksDue
     | typeof HolderPipeKind.LeaseDue
     | typeof HolderPipeKind.DrainDue
-    | typeof HolderPipeKind.StatementDue
-    | typeof HolderPipeKind.ConfirmDue;
+    | typeof HolderPipeKind.StatementDue;
 
 /** A timer that a filter set for itself has expired. */
 export interface HolderTimer<Kind extends HolderTimerKind = HolderTimerKind> extends Message {
@@ -115,3 +112,16 @@
     /** Id of the database, connection, request or order that the timer belongs to. */
     readonly subject: string;
 }
+
+/** The wait of a request for a position of its database has ended. */
+export interface HolderPositionDue<
+    Kind extends
+        | typeof HolderPipeKind.FloorDue
+        | typeof HolderPipeKind.FreshnessDue
+        | typeof HolderPipeKind.ConfirmDue,
+> extends Message {
+    readonly kind: Kind;
+    readonly databaseId: string;
+    /** Key of the request; see `requestKey`. */
+    readonly key: string;
+}
