fix(backend): databases read statements in the syntax by which the proxy classifies them

A caller's `SELECT 'a\' FOR UPDATE -- '` is one literal for the proxy and counts as a read, but a locking read for a database whose default sql_mode holds NO_BACKSLASH_ESCAPES; it was sent to a replica. ANSI_QUOTES, the modes that include it, and a character set such as GBK or SJIS, in which a backslash can be the second byte of a character, move the end of a literal in the same way. The proxy asked for utf8mb4 in the handshake, which a server may ignore, and never looked at the sql_mode.

A new connection now reads sql_mode and the character sets of its session, takes out the modes that change where a literal ends, sets utf8mb4, and reads them again; a database that reports anything else gets no statement. A connection that has the right settings costs one round trip more.

An answer that comes twice could now be the rows of that read, so rows as the answer to an order or to SET end the connection; the existing test of a repeated handshake failed without this.

The database stand-in knows `--sql-mode` and reads literals accordingly.

--- a/src/backend/__tests__/fakeMysqlServer.ts
+++ b/src/backend/__tests__/fakeMysqlServer.ts
@@ -34,6 +34,10 @@
     unresponsive = false;
     /** If set, the answer to a statement comes after a repetition of what the connection sent last. */
     repeatsBeforeAnswer = false;
+    /** Values that a new connection reports for the variables that the adapter reads, in its order. */
+    sessionSettings = ["STRICT_TRANS_TABLES", "utf8mb4", "utf8mb4", "utf8mb4"];
+    /** If set, SET succeeds without effect. */
+    keepsSettings = false;
     private readonly server: ListeningServer;
     private readonly connections: ServerConnection[] = [];
     /** Packets that were sent since the last ones arrived. */
@@ -82,9 +86,17 @@
                 characterSet: 45,
                 capabilityFlags,
             });
+            const settings = [...this.sessionSettings];
             connection.on("query", text => {
                 connection.sequenceId = 1;
-                this.answer(connection, text);
+                this.answer(connection, text, settings);
+                connection.sequenceId = 0;
+            });
+            // mysql2 raises this event for statements that begin with SET.
+            connection.on("stmt_prepare", text => {
+                connection.sequenceId = 1;
+                this.set(text, settings);
+                connection.writeOk({ affectedRows: 0, serverStatus: idleStatusFlags });
                 connection.sequenceId = 0;
             });
         }
@@ -106,9 +118,26 @@
         });
     }
 
-    private answer(connection: ServerConnection, text: string): void {
+    private set(text: string, settings: string[]): void {
+        this.statements.push(text);
+        const mode = /^SET SESSION sql_mode = '([^']*)'$/.exec(text)?.[1];
+        if (this.keepsSettings) {
+            return;
+        }
+        if (mode !== undefined) {
+            settings[0] = mode;
+        }
+        else if (text === "SET NAMES utf8mb4") {
+            settings.fill("utf8mb4", 1);
+        }
+    }
+
+    private answer(connection: ServerConnection, text: string, settings: readonly string[]): void {
         this.statements.push(text);
-        if (text === "BEGIN") {
+        if (text.startsWith("SELECT @@SESSION.")) {
+            writeRows(connection, [45, 45, 45, 45], [settings], idleStatusFlags);
+        }
+        else if (text === "BEGIN") {
             connection.writeOk({ affectedRows: 0, serverStatus: transactionStatusFlags });
         }
         else if (text === "SHOW JASMINE POSITION") {
--- a/src/backend/mysqlAdapter.ts
+++ b/src/backend/mysqlAdapter.ts
@@ -4,6 +4,7 @@
 import { RefusalCode, refuse } from "../model/refusal.ts";
 import { parseAddress } from "../model/socketAddress.ts";
 import type { DatabaseAdapter, DatabaseConnection } from "./databaseAdapter.ts";
+import { fixSessionSettings } from "./sessionSettings.ts";
 
 export interface MysqlAdapterOptions {
     /** Database user of jasmineline; a caller's key is never sent to a database. */
@@ -15,6 +16,9 @@
 const beginPattern = /^\s*(BEGIN(\s+WORK)?|START\s+TRANSACTION)\s*;?\s*$/i;
 const endPattern = /^\s*(COMMIT|ROLLBACK)(\s+WORK)?\s*;?\s*$/i;
 
+/** Orders to a database and settings of the connection, which return no rows. */
+const orderPattern = /^(JASMINE|SET) /;
+
 const transactionStatusBit = 1;
 const binaryCharacterSet = 63;
 const deadlockErrno = 1213;
@@ -41,14 +45,25 @@
             enableKeepAlive: true,
         });
         return new Promise((resolve, reject) => {
+            let isOpen = false;
             const fail = (error: Error): void => {
+                clearTimeout(timer);
                 connection.destroy();
                 reject(error);
             };
+            const timer = setTimeout(() => fail(new Error("no answer to the settings (ETIMEDOUT)")), timeoutMs);
             connection.once("error", fail);
             connection.once("connect", () => {
                 connection.removeListener("error", fail);
-                resolve(new MysqlConnection(connection, onEnd));
+                const opened = new MysqlConnection(
+                    connection,
+                    reason => isOpen ? onEnd(reason) : fail(new Error(reason)),
+                );
+                fixSessionSettings(opened).then(() => {
+                    clearTimeout(timer);
+                    isOpen = true;
+                    resolve(opened);
+                }, fail);
             });
         });
     }
@@ -128,9 +143,13 @@
 
 /**
  * Whether a result cannot be that of the statement. Answers are matched to statements by their order, so a repeated
- * answer would be taken for that of the next statement; here it would show a transaction in the wrong state.
+ * answer would be taken for that of the next statement; here it would show a transaction in the wrong state, or an
+ * order as carried out.
  */
 function isForeignAnswer(text: string, outcome: Outcome, transactionOpen: boolean): boolean {
+    if (outcome.kind === OutcomeKind.Rows && orderPattern.test(text)) {
+        return true;
+    }
     const begins = beginPattern.test(text);
     if (outcome.kind === OutcomeKind.Refused || !begins && !endPattern.test(text)) {
         return false;
--- a/standins/database/dialect.ts
+++ b/standins/database/dialect.ts
@@ -1,4 +1,5 @@
 /** Classifies MySQL statements and translates MySQL syntax that SQLite lacks. */
+import { defaultLiteralSyntax, type LiteralSyntax } from "./sqlMode.ts";
 
 export const StatementClass = {
     Read: "read",
@@ -28,8 +29,8 @@
 };
 
 /** Returns the class of a statement; unknown statements count as writes. */
-export function classifyStatement(sql: string): StatementClass {
-    const withoutComments = stripComments(sql);
+export function classifyStatement(sql: string, syntax = defaultLiteralSyntax): StatementClass {
+    const withoutComments = stripComments(sql, syntax);
     if (/^SHOW\s+JASMINE\s+POSITION\b/i.test(withoutComments)) {
         return StatementClass.Position;
     }
@@ -62,26 +63,30 @@
  * Translates a statement to SQLite syntax.
  * @param nowText time that replaces NOW() and its synonyms, so that replicas compute the same rows from the log
  */
-export function translateStatement(sql: string, nowText: string): string {
-    const parts = splitLiterals(stripComments(sql));
-    return parts.map(part => part.startsWith("'") ? translateLiteral(part) : translateCode(part, nowText)).join("");
+export function translateStatement(sql: string, nowText: string, syntax = defaultLiteralSyntax): string {
+    const parts = splitLiterals(stripComments(sql, syntax), syntax);
+    return parts.map(part => isQuoted(part) ? translateLiteral(part, syntax) : translateCode(part, nowText)).join("");
 }
 
 /** Removes comments outside string literals, and a trailing semicolon. */
-export function stripComments(sql: string): string {
-    return splitLiterals(sql)
-        .map(part => part.startsWith("'") ? part : part.replace(/\/\*[^]*?\*\//g, " ").replace(/(--\s|#)[^\n]*/g, " "))
+export function stripComments(sql: string, syntax = defaultLiteralSyntax): string {
+    return splitLiterals(sql, syntax)
+        .map(part => isQuoted(part) ? part : part.replace(/\/\*[^]*?\*\//g, " ").replace(/(--\s|#)[^\n]*/g, " "))
         .join("")
         .trim()
         .replace(/;$/, "");
 }
 
 // Comments are matched first, so that a quote inside a comment does not start a literal; they stay in the code parts.
-function splitLiterals(sql: string): string[] {
+const escapedLiteralPattern =
+    /\/\*[^]*?\*\/|--\s[^\n]*|#[^\n]*|'(?:[^'\\]|\\[^]|'')*'|"(?:[^"\\]|\\[^]|"")*"|`[^`]*`|[^'"`/#-]+|[^]/g;
+const plainLiteralPattern = /\/\*[^]*?\*\/|--\s[^\n]*|#[^\n]*|'(?:[^']|'')*'|"(?:[^"]|"")*"|`[^`]*`|[^'"`/#-]+|[^]/g;
+
+function splitLiterals(sql: string, syntax: LiteralSyntax): string[] {
     const parts: string[] = [];
     let code = "";
-    for (const [token] of sql.matchAll(/\/\*[^]*?\*\/|'(?:[^'\\]|\\[^]|'')*'|[^'/]+|[^]/g)) {
-        if (token.startsWith("'")) {
+    for (const [token] of sql.matchAll(syntax.backslashEscapes ? escapedLiteralPattern : plainLiteralPattern)) {
+        if (isQuoted(token)) {
             parts.push(code, token);
             code = "";
         }
@@ -92,10 +97,26 @@
     return [...parts, code];
 }
 
-const escapeReplacements: Readonly<Record<string, string>> = { n: "\n", r: "\r", t: "\t", "0": "\0", "'": "''" };
+function isQuoted(part: string): boolean {
+    return part.length > 1 && /^['"`]/.test(part);
+}
+
+const escapeReplacements: Readonly<Record<string, string>> = { n: "\n", r: "\r", t: "\t", "0": "\0" };
 
-function translateLiteral(literal: string): string {
-    return literal.replace(/\\([^])/g, (_whole, escaped: string) => escapeReplacements[escaped] ?? escaped);
+function translateLiteral(literal: string, syntax: LiteralSyntax): string {
+    if (literal.startsWith("`")) {
+        return literal;
+    }
+    if (literal.startsWith("\"") && syntax.ansiQuotes) {
+        // SQLite takes an unknown identifier in double quotes for a string, but not one in backticks.
+        return `\`${literal.slice(1, -1).replaceAll("\"\"", "\"").replaceAll("`", "``")}\``;
+    }
+    const quote = literal[0]!;
+    const body = literal.slice(1, -1).replaceAll(quote + quote, quote);
+    const text = syntax.backslashEscapes
+        ? body.replace(/\\([^])/g, (_whole, escaped: string) => escapeReplacements[escaped] ?? escaped)
+        : body;
+    return `'${text.replaceAll("'", "''")}'`;
 }
 
 function translateCode(code: string, nowText: string): string {
--- a/standins/database/mysqlListener.ts
+++ b/standins/database/mysqlListener.ts
@@ -128,7 +128,7 @@
         connection.on("stmt_prepare", (sql: string) =>
             void this.respond(openConnection, async () => {
                 if (/^SET\s/i.test(sql)) {
-                    return emptyResult;
+                    return session.run(sql);
                 }
                 throw new DatabaseError(ErrorNumber.PreparedUnsupported, "prepared statements are not supported");
             }));
--- a/standins/database/session.ts
+++ b/standins/database/session.ts
@@ -6,6 +6,7 @@
 import { classifyStatement, parseFollow, parsePromote, StatementClass, translateStatement } from "./dialect.ts";
 import type { Faults } from "./faults.ts";
 import type { Semaphore } from "./locks.ts";
+import { parseVariableNames, SessionVariables } from "./sqlMode.ts";
 import { emptyResult, type StatementResult } from "./sqlStore.ts";
 
 /** Statements that a database ran; the load tool computes the share of replica reads from these counters. */
@@ -19,6 +20,8 @@
     readonly slots: Semaphore;
     readonly faults: Faults;
     readonly counters: StatementCounters;
+    /** sql_mode of a new session. */
+    readonly sqlMode?: string;
 }
 
 interface Transaction {
@@ -30,6 +33,7 @@
 export class Session {
     private readonly options: SessionOptions;
     private readonly node: DatabaseNode;
+    private readonly variables: SessionVariables;
     private transaction: Transaction | undefined;
     /** Transaction of a single write outside BEGIN and COMMIT (autocommit). */
     private implicitTransaction: Transaction | undefined;
@@ -39,6 +43,7 @@
     constructor(options: SessionOptions) {
         this.options = options;
         this.node = options.node;
+        this.variables = new SessionVariables(options.sqlMode ?? "");
     }
 
     get inTransaction(): boolean {
@@ -79,7 +84,7 @@
     }
 
     private async runStatement(sql: string): Promise<StatementResult> {
-        const statementClass = classifyStatement(sql);
+        const statementClass = classifyStatement(sql, this.variables.literalSyntax);
         const control = this.runControlStatement(statementClass, sql);
         if (control !== undefined) {
             return control;
@@ -99,6 +104,11 @@
     }
 
     private runControlStatement(statementClass: StatementClass, sql: string): StatementResult | undefined {
+        const variableNames = parseVariableNames(sql);
+        if (variableNames !== undefined) {
+            const values = variableNames.map(name => this.variables.get(name));
+            return { ...emptyResult, columns: variableNames, rows: [values] };
+        }
         switch (statementClass) {
             case StatementClass.Position:
                 return this.showPosition();
@@ -111,6 +121,7 @@
                 return emptyResult;
             }
             case StatementClass.Ignored:
+                this.variables.applySet(sql);
                 return emptyResult;
             default:
                 return undefined;
@@ -179,7 +190,7 @@
     }
 
     private read(sql: string): StatementResult {
-        const translated = translateStatement(sql, formatNow());
+        const translated = translateStatement(sql, formatNow(), this.variables.literalSyntax);
         const transaction = this.transaction ?? this.implicitTransaction;
         // Reads in transactions always go to the primary, and health probes have no FROM clause; counting either would
         // distort the share of reads that replicas serve.
@@ -200,7 +211,7 @@
             this.rollback();
             throw new DatabaseError(ErrorNumber.ReadOnly, "the transaction was rolled back by a change of role");
         }
-        return this.node.store.executeInTransaction(translateStatement(sql, formatNow()));
+        return this.node.store.executeInTransaction(translateStatement(sql, formatNow(), this.variables.literalSyntax));
     }
 
     private commit(): void {
--- a/standins/database/settings.ts
+++ b/standins/database/settings.ts
@@ -28,6 +28,8 @@
     readonly adminPort: number;
     /** Path of the log file; undefined keeps log and role in memory only. */
     readonly disk: string | undefined;
+    /** sql_mode of new sessions, as modes separated by commas. */
+    readonly sqlMode: string;
 }
 
 const text = { type: "string" } as const;
@@ -56,6 +58,7 @@
             "password-file": { ...text, default: "" },
             "admin-port": { ...text, default: "0" },
             disk: text,
+            "sql-mode": { ...text, default: "STRICT_TRANS_TABLES" },
         },
     });
     return {
@@ -79,6 +82,7 @@
         password: readSecret(values["password-file"]),
         adminPort: readNumber("admin-port", values["admin-port"]),
         disk: values.disk,
+        sqlMode: values["sql-mode"],
     };
 }
 
