test(standins): the stand-ins read the wire with a codec of their own, and can send odd texts

The databases and clients of the users' platform were played with the product's LineReader and splitWords.

The codec and the texts of statements are written from the description of the protocol: a message ends at CR LF alone, the last field extends to its end, each kind has its number of fields, 1 MiB at most. Lint keeps imports of the product out of standins/platform, and of its wire and sessions out of scripts (tried with one such import in each: refused).

The checker compares statements, operands, shapes, values and rows field by field and byte for byte; values and rows were joined with separators before. It also counts, as PROTOCOL, what is no message, what nobody asked for, and a message out of order, and, as UNASKED, reads and writes under the proxy's own id.

Clients and databases can send texts and rows with blanks, line ends, any bytes, whole messages and lengths around 1 MiB, in chunks of any size, from a seed; the share is 0 by default.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -99,6 +99,32 @@
     },
 }));
 
+// Stand-ins judge the product by what is on the wire, and read it with code of their own.
+const standinRules = [
+    {
+        files: ["standins/platform/**/*.ts"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                patterns: [{
+                    regex: "/src/(?!model/database\\.ts$|pipeline/seededRandom\\.ts$)",
+                    message: "Stand-ins of the users' platform share no code with what they check.",
+                }],
+            }],
+        },
+    },
+    {
+        files: ["scripts/**/*.ts"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                patterns: [{
+                    regex: "/src/(platform/wire|session/)",
+                    message: "Scripts read the wire with standins/platform/wireMessages.ts.",
+                }],
+            }],
+        },
+    },
+];
+
 export default tseslint.config(
     { ignores: ["dist/**", "target/**", "node_modules/**", "src/rpc/generated/**"] },
     ...tseslint.configs.recommended,
@@ -128,4 +154,5 @@
         },
     },
     ...importRules,
+    ...standinRules,
 );
--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -10,6 +10,7 @@
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { settingsVariable } from "../src/platform/platformSettings.ts";
+import { encodeMessage, MessageKind, MessageReader } from "../standins/platform/wireMessages.ts";
 import { findFreePorts, type ManagedProcess, ProcessGroup } from "./processGroup.ts";
 
 /** Interval between two attempts of an operator, and between two looks at a state that a test waits for. */
@@ -287,16 +288,23 @@
      */
     async connect(proxy: Machine, database: string, key: string): Promise<string> {
         const socket = connect({ host: proxy.host, port: this.ports.front, timeout: connectTimeoutMs });
-        const answer = new Promise<string>(resolve => {
+        const reader = new MessageReader();
+        const answer = new Promise<string>((resolve, reject) => {
             socket.on("data", (data: Buffer) => {
-                const [word, code] = data.toString("latin1").split(/\s/);
-                resolve(word === "ERROR" ? code! : word!);
+                try {
+                    for (const { kind, fields: [code] } of reader.read(data)) {
+                        resolve(kind === MessageKind.Error ? code! : kind);
+                    }
+                }
+                catch (error) {
+                    reject(error as Error);
+                }
             });
             socket.on("error", ({ message }) => resolve(message));
             socket.on("timeout", () => resolve("no answer"));
             socket.on("close", () => resolve("closed"));
         });
-        socket.write(`CONNECT ${database} ${key}\r\n`);
+        socket.write(encodeMessage(MessageKind.Connect, database, key));
         try {
             return await answer;
         }
--- a/scripts/statementWorld.ts
+++ b/scripts/statementWorld.ts
@@ -7,6 +7,7 @@
 import { Database } from "../standins/platform/database.ts";
 import { DatabaseGroup } from "../standins/platform/databaseGroup.ts";
 import { EventLog } from "../standins/platform/eventLog.ts";
+import { OddTexts } from "../standins/platform/oddTexts.ts";
 import { PromotionServer } from "../standins/platform/promotionServer.ts";
 import { RuleChecker, type RuleReport } from "../standins/platform/ruleChecker.ts";
 import { dataCentres, type Machine, PlatformCluster, type PlatformClusterOptions } from "./platformCluster.ts";
@@ -44,6 +45,8 @@
 export interface StatementWorldOptions extends PlatformClusterOptions {
     readonly sessions: number;
     readonly seed: number;
+    /** Share of the texts and rows that are odd, from 0 to 1; 0 by default. */
+    readonly oddShare?: number;
 }
 
 export class StatementWorld implements AsyncDisposable {
@@ -53,6 +56,8 @@
     readonly platform: PromotionServer;
     readonly faults: AnswerFaults;
     private readonly options: StatementWorldOptions;
+    /** What databases send. */
+    private readonly texts: OddTexts;
     private load: ClientLoad | undefined;
     private databaseCount = 0;
 
@@ -64,6 +69,12 @@
         this.group = new DatabaseGroup(service, new EventLog(eventFile));
         this.platform = new PromotionServer(this.group, this.checker);
         this.faults = new AnswerFaults(options.seed);
+        this.texts = new OddTexts({ seed: options.seed, share: options.oddShare ?? 0 });
+    }
+
+    /** Number of odd texts and rows that clients and databases have sent. */
+    get oddCount(): number {
+        return this.texts.count + (this.load?.oddCount ?? 0);
     }
 
     /** Starts the processes and the databases, and waits until statements are served. */
@@ -97,9 +108,10 @@
     }
 
     startClients(): void {
-        const { cluster, checker, options: { seed, sessions } } = this;
+        const { cluster, checker, options: { seed, sessions, oddShare = 0 } } = this;
         this.load = new ClientLoad({
             seed,
+            oddShare,
             sessions,
             routes,
             port: cluster.ports.front,
@@ -140,6 +152,7 @@
             controls: () => this.cluster.controlAddresses,
             faults: this.faults,
             checker: this.checker,
+            texts: this.texts,
         });
         await database.start();
     }
--- a/standins/platform/__tests__/database.spec.ts
+++ b/standins/platform/__tests__/database.spec.ts
@@ -21,12 +21,14 @@
     let primary: Database;
     let replica: Database;
     let sessions: ClientSession[];
+    let violations: string[];
 
     beforeEach(async () => {
         group = new DatabaseGroup("ledger");
         checker = new RuleChecker();
         faults = new AnswerFaults(1);
         sessions = [];
+        violations = [];
         const [first, second] = await findFreePorts(2);
         primary = await start("i-1", DatabaseRole.Primary, first!);
         replica = await start("i-2", DatabaseRole.Replica, second!);
@@ -45,7 +47,8 @@
     }
 
     async function connect({ options, id }: Database): Promise<ClientSession> {
-        const session = await ClientSession.open(options.host, options.port, "ledger", `tenant ${id}`);
+        const address = { host: options.host, port: options.port, database: "ledger", key: `tenant ${id}` };
+        const session = await ClientSession.open(address, { onViolation: text => violations.push(text) });
         sessions.push(session!);
         return session!;
     }
@@ -54,7 +57,7 @@
         const session = await connect(database);
         const answers: ClientAnswer[] = [];
         for (const text of texts) {
-            answers.push(await session.ask(`QUERY 1 ${text}`));
+            answers.push(await session.query("1", text));
         }
         return answers;
     }
@@ -98,7 +101,7 @@
         primary.cutOff({ statements: true, answers: true }, false);
         const reconnected = delay(3 * settleMs).then(() => primary.reconnect());
         const startedAtMs = performance.now();
-        assert.equal((await session.ask("QUERY 1 READ a")).error, undefined);
+        assert.equal((await session.query("1", "READ a")).error, undefined);
         assert.ok(performance.now() - startedAtMs > 2 * settleMs);
         await reconnected;
     });
@@ -107,7 +110,8 @@
         faults.rates = { ...noAnswerFaults, repeatedShare: 1, maximumRepeatDelayMs: 1 };
         const session = await connect(primary);
         await session.closed();
-        assert.equal(session.unaskedAnswers, 1);
+        assert.equal(session.unaskedCount, 1);
+        assert.deepEqual(violations, [`READY "I 1.0" while nothing was asked`]);
     });
 
     it("lead with what they have received after a promotion, and drop the rest elsewhere", async () => {
--- a/standins/platform/__tests__/ruleChecker.spec.ts
+++ b/standins/platform/__tests__/ruleChecker.spec.ts
@@ -10,6 +10,7 @@
 import { DatabaseGroup } from "../databaseGroup.ts";
 import type { Commit } from "../replicatedLog.ts";
 import { noRuleBroken, type Operation, type Rule, RuleChecker } from "../ruleChecker.ts";
+import { parseReceived } from "../statementText.ts";
 
 const signature = "i-1.1.ab";
 
@@ -33,7 +34,7 @@
     }
 
     run(id: string, text: string, connection = this.connection()): void {
-        this.checker.ran(this.primary, connection, { id, text, after: undefined });
+        this.checker.ran(this.primary, connection, parseReceived(id, text)!);
     }
 
     commit(id: string): Commit {
@@ -64,7 +65,7 @@
 }
 
 function answer(parts: Partial<ClientAnswer>): ClientAnswer {
-    return { lines: [], rows: [], signature: undefined, error: undefined, state: "I", ...parts };
+    return { rows: [], signature: undefined, error: undefined, state: "I", ...parts };
 }
 
 const cases: readonly { readonly what: string; readonly rule?: Rule; readonly play: (scene: Scene) => void; }[] = [
@@ -74,8 +75,17 @@
         rule: "MIXED",
         play: scene => {
             scene.checker.ask("r1", scene.operation("o1"), "READ a");
-            scene.checker.signed("r1", signature, ["ROW 1"]);
-            scene.checker.answered("r1", answer({ signature, rows: ["ROW 2"] }), []);
+            scene.checker.signed("r1", signature, ["1"]);
+            scene.checker.answered("r1", answer({ signature, rows: ["2"] }), []);
+        },
+    },
+    {
+        what: "a row that is cut in two",
+        rule: "MIXED",
+        play: scene => {
+            scene.checker.ask("r1", scene.operation("o1"), "READ a");
+            scene.checker.signed("r1", signature, ["1\n2"]);
+            scene.checker.answered("r1", answer({ signature, rows: ["1", "2"] }), []);
         },
     },
     {
@@ -122,6 +132,18 @@
             scene.run("r1", "READ a");
         },
     },
+    {
+        what: "a session value that holds the names of others",
+        rule: "PINNED",
+        play: scene => {
+            scene.session.values.set("v", "1,w=2");
+            scene.checker.ask("r1", scene.operation("o1"), "READ a");
+            const connection = scene.connection();
+            connection.values.set("v", "1");
+            connection.values.set("w", "2");
+            scene.run("r1", "READ a", connection);
+        },
+    },
     {
         what: "another shape under a prepared name",
         rule: "PINNED",
@@ -142,6 +164,19 @@
             scene.run("r1", "READ b");
         },
     },
+    {
+        what: "operands with a byte more",
+        rule: "UNASKED",
+        play: scene => {
+            scene.session.shapes.set("s1", "READ q1");
+            scene.checker.ask("r1", scene.operation("o1"), "EXECUTE s1 a");
+            const connection = scene.connection();
+            connection.shapes.set("s1", "READ q1");
+            scene.run("r1", "EXECUTE s1 a ", connection);
+        },
+    },
+    { what: "a write under the proxy's own id", rule: "UNASKED", play: scene => scene.run("-", "WRITE a b") },
+    { what: "what is no message", rule: "PROTOCOL", play: scene => scene.checker.violated("not a message") },
     {
         what: "a commit that the client of the transaction has not asked for",
         rule: "UNASKED",
--- a/standins/platform/clientLoad.ts
+++ b/standins/platform/clientLoad.ts
@@ -2,8 +2,10 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { SeededRandom } from "../../src/pipeline/seededRandom.ts";
 import type { RouteKind } from "./acknowledgedCommits.ts";
-import { type ClientAnswer, ClientSession } from "./clientSession.ts";
+import { type ClientAddress, type ClientAnswer, ClientSession } from "./clientSession.ts";
+import { OddTexts } from "./oddTexts.ts";
 import type { Operation, RuleChecker } from "./ruleChecker.ts";
+import { lastFieldRoom, MessageKind } from "./wireMessages.ts";
 
 /** Upper limits of the pauses between operations and between the statements of a transaction. */
 const maximumPauseMs = 40;
@@ -12,6 +14,15 @@
 /** Pause after a proxy did not accept a session. */
 const reconnectPauseMs = 100;
 
+/** Digits of the id of an operation, and of the number behind it that makes the id of a statement. */
+const operationDigits = 12;
+const statementDigits = 4;
+
+const maximumTextBytes = lastFieldRoom(MessageKind.Query, "0".repeat(operationDigits + statementDigits));
+
+/** Values and shapes are few beside the other texts, and more of them are odd. */
+const setupWeight = 4;
+
 /** Operations of all loads of this process, whose ids must differ. */
 let operationCount = 0;
 
@@ -23,6 +34,8 @@
 
 export interface ClientLoadOptions {
     readonly seed: number;
+    /** Share of the texts that are odd, from 0 to 1. */
+    readonly oddShare: number;
     readonly sessions: number;
     readonly routes: readonly Route[];
     /** Port at which all proxies accept clients. */
@@ -33,17 +46,9 @@
     readonly checker: RuleChecker;
 }
 
-export interface ClientAddress {
-    readonly host: string;
-    readonly port: number;
-    readonly database: string;
-    readonly key: string;
-}
-
 /** Writes on a new session; returns `served` or the code of the error. */
 export async function writeOnce(address: ClientAddress, kind: RouteKind, checker: RuleChecker): Promise<string> {
-    const { host, port, database, key } = address;
-    using session = await ClientSession.open(host, port, database, key);
+    using session = await ClientSession.open(address, { onViolation: text => checker.violated(text) });
     if (session === undefined) {
         await delay(reconnectPauseMs);
         return "not connected";
@@ -51,7 +56,7 @@
     const [operationId, id] = [nextOperationId(), nextOperationId()];
     const operation = { id: operationId, session, kind, isTransaction: false, startedAtMs: performance.now() };
     checker.ask(id, operation, "WRITE 1 last");
-    const answer = await session.ask(`QUERY ${id} WRITE 1 last`);
+    const answer = await session.query(id, "WRITE 1 last");
     checker.answered(id, answer, [id]);
     return answer.error ?? "served";
 }
@@ -59,6 +64,7 @@
 export class ClientLoad {
     private readonly options: ClientLoadOptions;
     private readonly clients: readonly Promise<void>[];
+    private readonly texts: OddTexts[] = [];
     private isOver = false;
 
     constructor(options: ClientLoadOptions) {
@@ -66,6 +72,11 @@
         this.clients = Array.from({ length: options.sessions }, (_, index) => this.runClient(index));
     }
 
+    /** Number of odd texts that were asked. */
+    get oddCount(): number {
+        return this.texts.reduce((sum, { count }) => sum + count, 0);
+    }
+
     /** Lets the operations under way end. */
     async stop(): Promise<void> {
         this.isOver = true;
@@ -73,17 +84,21 @@
     }
 
     private async runClient(index: number): Promise<void> {
-        const random = new SeededRandom(this.options.seed * 1_000 + index);
-        const route = this.options.routes[index % this.options.routes.length]!;
+        const { seed, oddShare, routes, port, key, checker } = this.options;
+        const random = new SeededRandom(seed * 1_000 + index);
+        const texts = new OddTexts({ seed: seed * 1_000 + index, share: oddShare });
+        this.texts.push(texts);
+        const { database, kind } = routes[index % routes.length]!;
+        const onViolation = (text: string): void => checker.violated(text);
         while (!this.isOver) {
             const proxies = this.options.proxies();
             const host = proxies[random.nextInteger(Math.max(1, proxies.length))];
             using session = host === undefined
                 ? undefined
-                : await ClientSession.open(host, this.options.port, route.database, this.options.key);
+                : await ClientSession.open({ host, port, database, key }, { onViolation, texts });
             const client = session === undefined
                 ? undefined
-                : new Client(session, route.kind, random, this.options.checker);
+                : new Client(session, { kind, random, texts, checker });
             // A client keeps its session as long as it is open and in order.
             while (!this.isOver && await client?.runNext(nextOperationId())) {
                 await delay(random.nextFloat() * maximumPauseMs);
@@ -95,18 +110,27 @@
     }
 }
 
+interface ClientOptions {
+    readonly kind: RouteKind;
+    readonly random: SeededRandom;
+    readonly texts: OddTexts;
+    readonly checker: RuleChecker;
+}
+
 class Client {
     private readonly session: ClientSession;
     private readonly kind: RouteKind;
     private readonly random: SeededRandom;
+    private readonly texts: OddTexts;
     private readonly checker: RuleChecker;
     private statementCount = 0;
     private operation!: Operation;
 
-    constructor(session: ClientSession, kind: RouteKind, random: SeededRandom, checker: RuleChecker) {
+    constructor(session: ClientSession, { kind, random, texts, checker }: ClientOptions) {
         this.session = session;
         this.kind = kind;
         this.random = random;
+        this.texts = texts;
         this.checker = checker;
     }
 
@@ -136,8 +160,11 @@
     }
 
     private async changeValue(): Promise<boolean> {
-        const [name, value] = [`v${this.random.nextInteger(3)}`, String(this.random.nextInteger(1_000))];
-        const { error } = await this.ask(`SET ${name} ${value}`);
+        const start = `SET v${this.random.nextInteger(3)} `;
+        const usualValue = String(this.random.nextInteger(1_000));
+        const value = this.texts.replace(usualValue, maximumTextBytes - start.length, setupWeight);
+        const name = start.split(" ")[1]!;
+        const { error } = await this.ask(`${start}${value}`);
         if (error === undefined) {
             this.session.values.set(name, value);
         }
@@ -147,13 +174,20 @@
     private async changeShape(): Promise<boolean> {
         const name = `s${this.random.nextInteger(3)}`;
         const isNew = !this.session.shapes.has(name);
-        const shape = `${this.random.nextInteger(2) === 0 ? "READ" : "WRITE"} q${this.random.nextInteger(1_000)}`;
-        const { error } = await this.ask(isNew ? `PREPARE ${name} ${shape}` : `DEALLOC ${name}`);
-        if (error === undefined && isNew) {
-            this.session.shapes.set(name, shape);
+        const access = this.random.nextInteger(2) === 0 ? "READ" : "WRITE";
+        const usualShape = `q${this.random.nextInteger(1_000)}`;
+        if (!isNew) {
+            const { error } = await this.ask(`DEALLOC ${name}`);
+            if (error === undefined) {
+                this.session.shapes.delete(name);
+            }
+            return error === undefined;
         }
-        else if (error === undefined) {
-            this.session.shapes.delete(name);
+        const start = `PREPARE ${name} ${access} `;
+        const shape = this.texts.extend(usualShape, maximumTextBytes - start.length, setupWeight);
+        const { error } = await this.ask(`${start}${shape}`);
+        if (error === undefined) {
+            this.session.shapes.set(name, `${access} ${shape}`);
         }
         return error === undefined;
     }
@@ -182,31 +216,36 @@
     /** Sends a read or a write, prepared if the session has prepared one of that kind. */
     private async readOrWrite(verb: string, transactionWrites?: string[]): Promise<ClientAnswer> {
         const item = this.random.nextInteger(1_000).toString(16);
-        const data = verb === "WRITE" ? ` ${this.random.nextInteger(1e9).toString(36)}` : "";
+        const data = verb === "WRITE" ? this.random.nextInteger(1e9).toString(36) : undefined;
         const prepared = [...this.session.shapes].find(([, shape]) => shape.startsWith(`${verb} `))?.[0];
         const isPrepared = prepared !== undefined && this.random.nextInteger(2) === 0;
-        const text = isPrepared ? `EXECUTE ${prepared} ${item}${data}` : `${verb} ${item}${data}`;
+        const start = isPrepared ? `EXECUTE ${prepared} ` : `${verb} `;
+        const room = maximumTextBytes - start.length;
+        const operands = data === undefined
+            ? this.texts.extend(item, room)
+            : `${item} ${this.texts.replace(data, room - item.length - 1)}`;
         const id = this.nextId();
         if (verb === "WRITE") {
             transactionWrites?.push(id);
         }
-        return this.ask(text, verb === "WRITE" && transactionWrites === undefined ? [id] : [], id);
+        const writes = verb === "WRITE" && transactionWrites === undefined ? [id] : [];
+        return this.ask(`${start}${operands}`, writes, id);
     }
 
     private async ask(text: string, writes: readonly string[] = [], id = this.nextId()): Promise<ClientAnswer> {
         this.checker.ask(id, this.operation, text);
-        const answer = await this.session.ask(`QUERY ${id} ${text}`);
+        const answer = await this.session.query(id, text);
         this.checker.answered(id, answer, writes);
         return answer;
     }
 
     private nextId(): string {
         this.statementCount += 1;
-        return `${this.operation.id}${this.statementCount.toString(16).padStart(4, "0")}`;
+        return `${this.operation.id}${this.statementCount.toString(16).padStart(statementDigits, "0")}`;
     }
 }
 
 function nextOperationId(): string {
     operationCount += 1;
-    return operationCount.toString(16).padStart(12, "0");
+    return operationCount.toString(16).padStart(operationDigits, "0");
 }
--- a/standins/platform/database.ts
+++ b/standins/platform/database.ts
@@ -7,18 +7,20 @@
 import { createServer, type Server } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { DatabaseRole } from "../../src/model/database.ts";
-import { splitWords } from "../../src/platform/wireLines.ts";
 import type { AnswerFaults } from "./answerFaults.ts";
 import {
     type ConnectionCut,
+    type DatabaseAnswer,
     DatabaseConnection,
-    type ReceivedStatement,
     type StatementHandler,
 } from "./databaseConnection.ts";
 import type { DatabaseGroup } from "./databaseGroup.ts";
 import { DatabaseReporter } from "./databaseReporter.ts";
+import type { OddTexts } from "./oddTexts.ts";
 import { type Commit, ReplicatedLog } from "./replicatedLog.ts";
 import type { RuleChecker } from "./ruleChecker.ts";
+import { preparedShape, type ReceivedStatement, type Statement } from "./statementText.ts";
+import { lastFieldRoom, MessageKind } from "./wireMessages.ts";
 
 /** Upper limits of times that are drawn: work on a statement, a message between databases, and a replica's lag. */
 export const usualWorkMs = 4;
@@ -29,6 +31,8 @@
 const shutdownRetryMs = 300;
 const leaveLimitMs = 3_000;
 
+const maximumRowBytes = lastFieldRoom(MessageKind.Row);
+
 /** Time after which a database drops a connection whose other end is dark. */
 const darkLimitMs = 3_000;
 
@@ -43,11 +47,15 @@
     readonly controls: () => readonly string[];
     readonly faults: AnswerFaults;
     readonly checker: RuleChecker;
+    /** Makes rows odd, and cuts answers; without it, neither is done. */
+    readonly texts?: OddTexts;
 }
 
+const unsigned: DatabaseAnswer = { rows: [], signature: "-" };
+
 interface WaitingCommit {
     readonly commit: Commit;
-    readonly resolve: (answer: string) => void;
+    readonly resolve: (error: string | undefined) => void;
 }
 
 export class Database implements StatementHandler, AsyncDisposable {
@@ -91,7 +99,7 @@
             db_role: this.role,
         }));
         this.server = createServer(socket => {
-            const connection = new DatabaseConnection(socket, this, options.faults);
+            const connection = new DatabaseConnection(socket, this, options.faults, options.texts);
             this.connections.add(connection);
             connection.cut(this.connectionCut);
             socket.on("close", () => this.connections.delete(connection));
@@ -195,61 +203,64 @@
 
     accept(service: string, expectedId: string | undefined): string | undefined {
         const isMeant = service === this.options.group.service && (expectedId ?? this.id) === this.id;
-        return isMeant ? undefined : `MISROUTED ${this.id}`;
+        return isMeant ? undefined : "MISROUTED";
     }
 
     position(): string {
         return this.log.appliedPosition;
     }
 
-    async run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<string> {
-        const [verb, rest] = splitWords(statement.text, 1) as [string, string];
-        const error = this.refusal(connection, statement, verb);
+    violated(text: string): void {
+        this.options.checker.violated(`${text} at ${this.id}`);
+    }
+
+    async run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<DatabaseAnswer> {
+        const error = this.refusal(connection, statement);
         if (error !== undefined) {
             connection.fail();
-            return `ERROR ${error} ${this.id}`;
+            return { error };
         }
         this.options.checker.ran(this, connection, statement);
-        const [name = "", second = ""] = rest.split(" ");
+        const { verb, fields: [name = "", second = ""] } = statement;
         switch (verb) {
             case "SET":
                 connection.values.set(name, second);
-                return "COMPLETE -";
+                return unsigned;
             case "RESET":
                 connection.values.clear();
                 connection.shapes.clear();
-                return "COMPLETE -";
+                return unsigned;
             case "PREPARE":
-                connection.shapes.set(name, rest.slice(name.length + 1));
-                return "COMPLETE -";
+                connection.shapes.set(name, preparedShape(statement));
+                return unsigned;
             case "DEALLOC":
                 connection.shapes.delete(name);
-                return "COMPLETE -";
+                return unsigned;
             case "BEGIN":
-                connection.begin(rest === "READ");
+                connection.begin(name === "READ");
                 connection.transaction!.owner = this.options.checker.operationOf(statement.id);
-                return "COMPLETE -";
+                return unsigned;
             case "ROLLBACK":
                 connection.end();
-                return "COMPLETE -";
+                return unsigned;
             case "COMMIT":
                 return this.commit(statement.id, connection.end()!.writes);
             case "STATUS":
             case "PAUSE":
             case "RESUME":
             case "STEPDOWN":
-                return this.obey(verb, Number(rest));
+                return this.obey(verb, Number(name));
             default:
-                return this.readOrWrite(connection, statement, verb, name);
+                return this.readOrWrite(connection, statement);
         }
     }
 
     /** Code of the error with which a statement ends without an effect. */
     private refusal(
         connection: DatabaseConnection,
-        { after, text }: ReceivedStatement,
-        verb: string,
+        statement: ReceivedStatement,
     ): string | undefined {
+        const { after, verb, fields: [name = ""] } = statement;
         const { faults } = this.options;
         const { transaction, state } = connection;
         if (state === "E" && verb === "COMMIT") {
@@ -273,11 +284,11 @@
         if (after !== undefined && (!this.log.reaches(after) || faults.nextLag())) {
             return "LAGGING";
         }
-        if (verb === "EXECUTE" && !connection.shapes.has(text.split(" ")[1]!)) {
+        if (verb === "EXECUTE" && !connection.shapes.has(name)) {
             return "UNKNOWN";
         }
         const needsLead = transaction === undefined
-            ? text === "BEGIN" || isWrite(connection, verb, text)
+            ? verb === "BEGIN" && name === "" || isWrite(connection, statement)
             : !transaction.isReadOnly && !(verb === "COMMIT" && transaction.writes.length === 0);
         if (needsLead && this.role !== DatabaseRole.Primary) {
             return "READONLY";
@@ -287,20 +298,19 @@
 
     private async readOrWrite(
         connection: DatabaseConnection,
-        { id, text }: ReceivedStatement,
-        verb: string,
-        name: string,
-    ): Promise<string> {
-        const { checker, faults } = this.options;
-        const writes = isWrite(connection, verb, text);
+        statement: ReceivedStatement,
+    ): Promise<DatabaseAnswer> {
+        const { checker, faults, texts } = this.options;
+        const { id, fields } = statement;
+        const writes = isWrite(connection, statement);
         await delay(faults.nextDelayMs(this.maximumWorkMs));
         if (!this.isRunning) {
-            return `ERROR FAILED ${this.id}`;
+            return { error: "FAILED" };
         }
         if (!writes) {
             checker.read(this, id);
-            const rows = [`ROW ${name}`, `ROW ${randomBytes(8).toString("hex")}`];
-            return `${rows.join("\r\n")}\r\n${this.sign(id, rows)}`;
+            const value = randomBytes(8).toString("hex");
+            return this.sign(id, [fields.at(-1)!, texts?.replace(value, maximumRowBytes) ?? value]);
         }
         if (connection.transaction !== undefined) {
             connection.transaction.writes.push(id);
@@ -310,21 +320,22 @@
     }
 
     /** Appends a commit and waits until a replica has received it. */
-    private commit(id: string, writes: readonly string[]): Promise<string> | string {
+    private async commit(id: string, writes: readonly string[]): Promise<DatabaseAnswer> {
         if (writes.length === 0) {
             return this.sign(id);
         }
         if (this.role !== DatabaseRole.Primary || !this.isRunning) {
-            return `ERROR READONLY ${this.id}`;
+            return { error: "READONLY" };
         }
         const commit = this.log.append(this.term, writes);
         this.log.apply(commit.number);
         this.options.checker.committed(commit);
-        const answer = new Promise<string>(resolve => this.waitingCommits.push({ commit, resolve }));
+        const confirmed = new Promise<string | undefined>(resolve => this.waitingCommits.push({ commit, resolve }));
         this.options.group.members.filter(other => other !== this).forEach(replica =>
             setTimeout(() => replica.receive(this, commit.number), this.networkDelayMs()).unref()
         );
-        return answer.then(result => result === "" ? this.sign(id) : result);
+        const error = await confirmed;
+        return error === undefined ? this.sign(id) : { error };
     }
 
     /** Receives the log of the database that led last, which sends on after it has stepped down. */
@@ -344,13 +355,11 @@
     private confirm(upTo: number): void {
         const confirmed = this.waitingCommits.filter(({ commit }) => commit.number <= upTo);
         this.waitingCommits = this.waitingCommits.filter(({ commit }) => commit.number > upTo);
-        confirmed.forEach(({ resolve }) =>
-            resolve(this.role === DatabaseRole.Primary ? "" : `ERROR INDOUBT ${this.id}`)
-        );
+        confirmed.forEach(({ resolve }) => resolve(this.role === DatabaseRole.Primary ? undefined : "INDOUBT"));
     }
 
     private endWaitingCommits(): void {
-        this.waitingCommits.forEach(({ resolve }) => resolve(`ERROR INDOUBT ${this.id}`));
+        this.waitingCommits.forEach(({ resolve }) => resolve("INDOUBT"));
         this.waitingCommits = [];
     }
 
@@ -361,7 +370,7 @@
         }
     }
 
-    private obey(verb: string, term: number): string {
+    private obey(verb: string, term: number): DatabaseAnswer {
         const newestTerm = this.options.group.newestTerm;
         if (verb === "PAUSE" && this.role === DatabaseRole.Replica && term > newestTerm) {
             this.pausedTerm = term;
@@ -378,7 +387,8 @@
         if (verb !== "STATUS") {
             this.record(verb.toLowerCase(), { term, role: this.role, position: received });
         }
-        return `ROW ${this.role} ${this.term} ${received} ${this.pausedTerm} 0 0 ${this.connections.size}\r\nCOMPLETE -`;
+        const row = [this.role, this.term, received, this.pausedTerm, 0, 0, this.connections.size].join(" ");
+        return { rows: [row], signature: "-" };
     }
 
     private record(event: string, fields: Readonly<Record<string, string | number | boolean>>): void {
@@ -389,16 +399,15 @@
         return this.options.faults.nextDelayMs(maximumNetworkDelayMs);
     }
 
-    private sign(id: string, rows: readonly string[] = []): string {
+    private sign(id: string, rows: readonly string[] = []): DatabaseAnswer {
         this.signatureCount += 1;
         const signature = `${this.id}.${this.signatureCount}.${randomBytes(8).toString("hex")}`;
         this.options.checker.signed(id, signature, rows);
-        return `COMPLETE ${signature}`;
+        return { rows, signature };
     }
 }
 
 /** Whether a statement writes; a prepared one does if its shape says so. */
-export function isWrite(connection: DatabaseConnection, verb: string, text: string): boolean {
-    const shape = verb === "EXECUTE" ? connection.shapes.get(text.split(" ")[1]!) : undefined;
-    return verb === "WRITE" || shape?.startsWith("WRITE ") === true;
+function isWrite({ shapes }: DatabaseConnection, { verb, fields: [name] }: Statement): boolean {
+    return verb === "WRITE" || verb === "EXECUTE" && shapes.get(name!)?.startsWith("WRITE ") === true;
 }
--- a/standins/platform/databaseConnection.ts
+++ b/standins/platform/databaseConnection.ts
@@ -1,7 +1,10 @@
 /** One connection to a database: the order of its statements, and what they leave behind on it. */
 import type { Socket } from "node:net";
-import { LineReader, splitWords, wireEncoding } from "../../src/platform/wireLines.ts";
 import type { AnswerFaults } from "./answerFaults.ts";
+import { ChunkWriter } from "./chunkWriter.ts";
+import type { OddTexts } from "./oddTexts.ts";
+import { parseReceived, type ReceivedStatement } from "./statementText.ts";
+import { encodeMessage, MessageKind, MessageReader, show, type WireMessage } from "./wireMessages.ts";
 
 /** `I` without a transaction, `T` in one, `E` in one that failed. */
 export type ConnectionState = "I" | "T" | "E";
@@ -20,22 +23,20 @@
     readonly answers: boolean;
 }
 
-/** A statement as it arrived. */
-export interface ReceivedStatement {
-    /** `-` for statements of the proxy itself. */
-    readonly id: string;
-    /** Position that the log must have reached. */
-    readonly after: string | undefined;
-    /** Without the position. */
-    readonly text: string;
-}
+/** What a database answers before READY. */
+export type DatabaseAnswer =
+    | { readonly rows: readonly string[]; readonly signature: string; }
+    /** The code of the error. */
+    | { readonly error: string; };
 
 export interface StatementHandler {
-    /** Returns the error that refuses the connection, or undefined. */
+    readonly id: string;
+    /** Returns the code of the error that refuses the connection, or undefined. */
     accept(service: string, expectedId: string | undefined): string | undefined;
-    /** Returns the lines of the answer before READY, joined. */
-    run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<string>;
+    run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<DatabaseAnswer>;
     position(): string;
+    /** The far end does not keep to the protocol. */
+    violated(text: string): void;
 }
 
 export class DatabaseConnection {
@@ -47,23 +48,23 @@
     private readonly socket: Socket;
     private readonly handler: StatementHandler;
     private readonly faults: AnswerFaults;
-    private readonly reader = new LineReader();
-    private readonly waiting: string[] = [];
-    private heldAnswers: string[] = [];
+    private readonly writer: ChunkWriter;
+    private readonly reader = new MessageReader();
+    private readonly waiting: WireMessage[] = [];
+    private heldAnswers: Buffer[] = [];
     private holdsAnswers = false;
     private isAccepted = false;
     private isRunning = false;
 
-    constructor(socket: Socket, handler: StatementHandler, faults: AnswerFaults) {
+    /** @param texts cuts the answers into chunks */
+    constructor(socket: Socket, handler: StatementHandler, faults: AnswerFaults, texts?: OddTexts) {
         this.socket = socket;
         this.handler = handler;
         this.faults = faults;
+        this.writer = new ChunkWriter(socket, texts);
         // The end of a connection is reported by "close".
         socket.on("error", () => undefined);
-        socket.on("data", (chunk: Buffer) => {
-            this.waiting.push(...this.reader.push(chunk));
-            void this.runWaiting();
-        });
+        socket.on("data", (chunk: Buffer) => this.read(chunk));
     }
 
     begin(isReadOnly: boolean): void {
@@ -104,57 +105,89 @@
         held.forEach(answer => this.write(answer));
     }
 
+    private read(chunk: Buffer): void {
+        try {
+            for (const message of this.reader.read(chunk)) {
+                this.waiting.push(message);
+            }
+        }
+        catch (error) {
+            this.handler.violated((error as Error).message);
+            this.close();
+        }
+        void this.runWaiting();
+    }
+
     private async runWaiting(): Promise<void> {
         if (this.isRunning) {
             return;
         }
         this.isRunning = true;
-        while (this.waiting.length > 0 && !this.socket.destroyed) {
+        while (this.waiting.length > 0 && this.socket.writable) {
             await this.receive(this.waiting.shift()!);
         }
         this.isRunning = false;
     }
 
-    private async receive(line: string): Promise<void> {
-        const [word, first, rest] = splitWords(line, 2) as [string, string, string];
-        if (!this.isAccepted) {
-            const error = word === "CONNECT"
-                ? this.handler.accept(first, rest.split(" ")[1])
-                : "MALFORMED no CONNECT";
-            this.isAccepted = error === undefined;
-            if (error !== undefined) {
-                this.socket.end(`ERROR ${error}\r\n`, wireEncoding);
-                return;
+    private async receive({ kind, fields }: WireMessage): Promise<void> {
+        if (kind === MessageKind.Quit) {
+            this.socket.end();
+        }
+        else if (!this.isAccepted) {
+            this.accept(kind, fields);
+        }
+        else {
+            const [id, text] = fields;
+            const statement = kind === MessageKind.Query && text !== undefined ? parseReceived(id!, text) : undefined;
+            if (statement === undefined) {
+                this.handler.violated(`not a statement: ${kind} ${show(fields.join(" "))}`);
+                this.fail();
             }
-            this.send("");
+            this.send(statement === undefined ? { error: "MALFORMED" } : await this.handler.run(this, statement));
         }
-        else if (word === "QUIT") {
-            this.socket.end();
+    }
+
+    private accept(kind: MessageKind, [service, , expectedId]: readonly string[]): void {
+        if (kind !== MessageKind.Connect || service === undefined) {
+            this.handler.violated(`${kind} before CONNECT`);
+        }
+        const error = kind === MessageKind.Connect && service !== undefined
+            ? this.handler.accept(service, expectedId)
+            : "MALFORMED";
+        this.isAccepted = error === undefined;
+        if (error === undefined) {
+            this.send(undefined);
         }
         else {
-            const [prefix, position, text] = splitWords(rest, 2) as [string, string, string];
-            const isConditional = prefix === "AFTER";
-            const after = isConditional ? position : undefined;
-            this.send(await this.handler.run(this, { id: first, after, text: isConditional ? text : rest }));
+            this.socket.end(encodeMessage(MessageKind.Error, error, this.handler.id));
         }
     }
 
-    private send(lines: string): void {
-        const ready = `READY ${this.state} ${this.handler.position()}\r\n`;
-        const answer = lines === "" ? ready : `${lines}\r\n${ready}`;
-        this.write(answer);
+    private send(answer: DatabaseAnswer | undefined): void {
+        const { id } = this.handler;
+        const position = this.handler.position();
+        const messages = answer === undefined
+            ? []
+            : "error" in answer
+            ? [encodeMessage(MessageKind.Error, answer.error, id)]
+            : [
+                ...answer.rows.map(row => encodeMessage(MessageKind.Row, row)),
+                encodeMessage(MessageKind.Complete, answer.signature),
+            ];
+        const bytes = Buffer.concat([...messages, encodeMessage(MessageKind.Ready, this.state, position)]);
+        this.write(bytes);
         const repeatDelayMs = this.faults.nextRepeatDelayMs();
         if (repeatDelayMs !== undefined) {
-            setTimeout(() => this.write(answer), repeatDelayMs).unref();
+            setTimeout(() => this.write(bytes), repeatDelayMs).unref();
         }
     }
 
-    private write(text: string): void {
+    private write(answer: Buffer): void {
         if (this.holdsAnswers) {
-            this.heldAnswers.push(text);
+            this.heldAnswers.push(answer);
         }
-        else if (this.socket.writable) {
-            this.socket.write(text, wireEncoding);
+        else {
+            this.writer.write(answer);
         }
     }
 }
--- a/standins/platform/ruleChecker.ts
+++ b/standins/platform/ruleChecker.ts
@@ -1,10 +1,12 @@
 /** Checks what clients and databases see against the rules of the users' platform. */
-import { splitWords } from "../../src/platform/wireLines.ts";
+import { isDeepStrictEqual } from "node:util";
 import { AcknowledgedCommits, type RouteKind } from "./acknowledgedCommits.ts";
 import type { ClientAnswer, ClientSession } from "./clientSession.ts";
 import type { Database } from "./database.ts";
-import type { DatabaseConnection, ReceivedStatement } from "./databaseConnection.ts";
+import type { DatabaseConnection } from "./databaseConnection.ts";
 import type { Commit, ReplicatedLog } from "./replicatedLog.ts";
+import { isSameStatement, parseStatement, type ReceivedStatement, type Statement } from "./statementText.ts";
+import { show } from "./wireMessages.ts";
 
 export const Rule = {
     Mixed: "MIXED",
@@ -15,14 +17,16 @@
     Lost: "LOST",
     Stale: "STALE",
     One: "ONE",
+    /** A process sends what is no message of the protocol, or what nobody asked for. */
+    Protocol: "PROTOCOL",
 } as const;
 export type Rule = typeof Rule[keyof typeof Rule];
 
 /** Codes that promise that nothing of the client's attempt is kept. */
 const promiseCodes: readonly string[] = ["BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT"];
 
-/** Number of broken rules that are told in full. */
-const maximumExamples = 20;
+/** Number of times that each broken rule is told in full. */
+const maximumExamples = 5;
 
 /** One attempt of a client: a single statement or a transaction. */
 export interface Operation {
@@ -37,6 +41,7 @@
 interface Asked {
     readonly operation: Operation;
     readonly text: string;
+    readonly statement: Statement;
     /** Values of the session when the client asked. */
     readonly values: string;
     /** VERB SHAPE that the client prepared under the name in the text. */
@@ -62,6 +67,7 @@
     LOST: 0,
     STALE: 0,
     ONE: 0,
+    PROTOCOL: 0,
 };
 
 export class RuleChecker {
@@ -87,26 +93,37 @@
 
     /** A client is about to send a statement. */
     ask(id: string, operation: Operation, text: string): void {
-        const shape = text.startsWith("EXECUTE ") ? operation.session.shapes.get(text.split(" ")[1]!) : undefined;
+        const statement = parseStatement(text);
+        if (statement === undefined) {
+            throw new Error(`a client must not ask ${show(text)}`);
+        }
+        const shape = runShape(statement, operation.session.shapes);
         const values = toText(operation.session.values);
-        this.asked.set(id, { operation, text, values, shape, signatures: new Map() });
+        this.asked.set(id, { operation, text, statement, values, shape, signatures: new Map() });
+    }
+
+    /** A client or a database has got what the protocol does not allow. */
+    violated(text: string): void {
+        this.break(Rule.Protocol, text);
     }
 
     /** A database runs a statement; called before it takes effect on the connection. */
     ran(database: Database, connection: DatabaseConnection, statement: ReceivedStatement): void {
-        const { id, text } = statement;
+        const { id, verb } = statement;
         const { transaction } = connection;
-        const verb = text.split(" ", 1)[0]!;
-        const where = `${id} ${text} at ${database.id}`;
+        const where = `${show(id)} ${show(statement.text)} at ${database.id}`;
         if (id === "-") {
             if (verb === "COMMIT" && transaction!.writes.length > 0) {
                 this.break(Rule.Unasked, `${where}: commits ${transaction!.writes.join()}`);
             }
+            if (["READ", "WRITE", "EXECUTE"].includes(verb)) {
+                this.break(Rule.Unasked, `${where}: of no client`);
+            }
             return;
         }
         const asked = this.asked.get(id);
-        if (asked === undefined || withoutName(asked.text) !== withoutName(text)) {
-            this.break(Rule.Unasked, `${where}: asked was ${asked?.text}`);
+        if (asked === undefined || !isSameStatement(asked.statement, statement)) {
+            this.break(Rule.Unasked, `${where}: asked was ${asked === undefined ? "nothing" : show(asked.text)}`);
             return;
         }
         const { operation } = asked;
@@ -126,7 +143,7 @@
             this.checkConnection(operation, connection, where);
         }
         if (["READ", "WRITE", "EXECUTE", "COMMIT"].includes(verb)) {
-            this.checkPreparation(asked, connection, text, where);
+            this.checkPreparation(asked, connection, statement, where);
         }
     }
 
@@ -161,20 +178,22 @@
      * @param writes statements that a success of this one commits
      */
     answered(id: string, answer: ClientAnswer, writes: readonly string[]): void {
-        const { operation, text, signatures } = this.asked.get(id)!;
-        const { error, signature, rows, lines } = answer;
+        const { operation, text, statement, signatures } = this.asked.get(id)!;
+        const { error, signature, rows } = answer;
         const code = error ?? "served";
         this.answers[code] = (this.answers[code] ?? 0) + 1;
         if (error === undefined) {
-            const isSigned = /^(READ|WRITE|EXECUTE|COMMIT)\b/.test(text);
+            const isSigned = ["READ", "WRITE", "EXECUTE", "COMMIT"].includes(statement.verb);
             const expectedRows = signatures.get(signature ?? "");
-            if (isSigned && expectedRows?.join("\n") !== rows.join("\n")) {
-                this.break(Rule.Mixed, `${id} ${text}: ${lines.join(" | ")}`);
+            if (isSigned && !isDeepStrictEqual(expectedRows, rows)) {
+                const expected = expectedRows === undefined ? "a signature" : expectedRows.map(show).join(" | ");
+                const got = `${signature} with ${rows.map(show).join(" | ")}`;
+                this.break(Rule.Mixed, `${id} ${show(text)}: ${got}, not ${expected}`);
             }
             this.acknowledge(operation, writes);
         }
         else if (error === "UNKNOWN") {
-            this.break(Rule.Pinned, `${id} ${text}: the prepared name is unknown`);
+            this.break(Rule.Pinned, `${id} ${show(text)}: the prepared name is unknown`);
         }
         else if (promiseCodes.includes(error)) {
             writes.forEach(write => this.refusedWrites.set(write, error));
@@ -259,32 +278,35 @@
         }
     }
 
-    private checkPreparation(asked: Asked, connection: DatabaseConnection, text: string, where: string): void {
-        const { values, shape } = asked;
+    private checkPreparation(
+        { values, shape }: Asked,
+        connection: DatabaseConnection,
+        statement: Statement,
+        where: string,
+    ): void {
         const found = toText(connection.values);
         if (values !== found) {
-            this.break(Rule.Pinned, `${where}: values are "${found}", not "${values}"`);
+            this.break(Rule.Pinned, `${where}: values are ${show(found)}, not ${show(values)}`);
         }
-        const runShape = text.startsWith("EXECUTE ") ? connection.shapes.get(text.split(" ")[1]!) : undefined;
-        if (runShape !== shape) {
-            this.break(Rule.Pinned, `${where}: runs ${runShape}, prepared was ${shape}`);
+        const run = runShape(statement, connection.shapes);
+        if (run !== shape) {
+            this.break(Rule.Pinned, `${where}: runs ${show(run ?? "")}, prepared was ${show(shape ?? "")}`);
         }
     }
 
     private break(rule: Rule, text: string): void {
         this.broken[rule] += 1;
-        if (this.examples.length < maximumExamples) {
+        if (this.broken[rule] <= maximumExamples) {
             this.examples.push(`${Math.round(performance.now() - this.startedAtMs)} ms ${rule} ${text}`);
         }
     }
 }
 
-/** Replaces the prepared name, which a proxy may change. */
-function withoutName(text: string): string {
-    const [verb, name, rest] = splitWords(text, 2) as [string, string, string];
-    return ["PREPARE", "EXECUTE", "DEALLOC"].includes(verb) && name !== "" ? `${verb} ? ${rest}` : text;
+/** VERB SHAPE that a statement runs; undefined if it is not a prepared one. */
+function runShape({ verb, fields: [name] }: Statement, shapes: ReadonlyMap<string, string>): string | undefined {
+    return verb === "EXECUTE" ? shapes.get(name!) : undefined;
 }
 
 function toText(values: ReadonlyMap<string, string>): string {
-    return [...values].map(([name, value]) => `${name}=${value}`).sort().join();
+    return JSON.stringify([...values].sort(([left], [right]) => left < right ? -1 : 1));
 }
