--- a/standins/platform/__tests__/database.spec.ts
+++ b/standins/platform/__tests__/database.spec.ts
@@ -81,6 +81,12 @@
         assert.deepEqual(answers.map(({ error }) => error), ["READONLY", "LAGGING", "READONLY"]);
     });
 
+    it("refuse what is no statement, and tell the checker", async () => {
+        const answers = await ask(primary, "COMMIT x", "PREPARE s q26 READ up", "STATUS");
+        assert.deepEqual(answers.map(({ error }) => error), ["MALFORMED", "MALFORMED", undefined]);
+        assert.equal(checker.finish(primary.log).broken.PROTOCOL, 2);
+    });
+
     it("let a transaction that failed only end", async () => {
         const answers = await ask(primary, "BEGIN READ", "EXECUTE s1 a", "READ a", "ROLLBACK");
         assert.deepEqual(answers.map(({ error }) => error), [undefined, "UNKNOWN", "MALFORMED", undefined]);
