--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -55,9 +55,47 @@
         );
     });
 
+    it("end at CR LF only, wherever the stream is split, so that no part of a text becomes a message", () => {
+        const texts = fc.array(
+            fc.string({ unit: fc.constantFrom("\r", "\n", "\r\n", " ", "a", "\xe9"), maxLength: 12 }),
+        );
+        fc.assert(
+            fc.property(texts, fc.array(fc.integer({ min: 1, max: 5 }), { minLength: 1 }), (parts, chunkBytes) => {
+                const stream = `${parts.join("")}\r\n`;
+                const reader = new LineReader();
+                const lines: string[] = [];
+                for (let offset = 0, chunk = 0; offset < stream.length; chunk++) {
+                    const end = offset + chunkBytes[chunk % chunkBytes.length]!;
+                    lines.push(...reader.push(Buffer.from(stream.slice(offset, end), "latin1")));
+                    offset = end;
+                }
+                assert.deepEqual(lines, stream.split("\r\n").slice(0, -1));
+                assert.equal(reader.pendingBytes, 0);
+            }),
+            { seed, numRuns: 500 },
+        );
+    });
+
+    it("of maximum size do not stop the process, however slowly they arrive", () => {
+        const reader = new LineReader();
+        const chunk = Buffer.alloc(64, 65);
+        const startMs = performance.now();
+        for (let offset = 0; offset < maximumLineBytes; offset += chunk.length) {
+            assert.deepEqual(reader.push(chunk), []);
+        }
+        assert.deepEqual(reader.push(Buffer.from("\r")), []);
+        assert.equal(reader.push(Buffer.from("\n"))[0]!.length, maximumLineBytes);
+        const elapsedMs = performance.now() - startMs;
+        assert.ok(elapsedMs < 1_500, `${elapsedMs} ms`);
+    });
+
     it("are rejected above the limit of the protocol", () => {
         const reader = new LineReader();
         assert.throws(() => reader.push(Buffer.alloc(maximumLineBytes + 1, 65)), RangeError);
+        const slowReader = new LineReader();
+        slowReader.push(Buffer.alloc(maximumLineBytes, 65));
+        assert.throws(() => slowReader.push(Buffer.from("A\r\n")), RangeError);
+        assert.throws(() => new LineReader().push(Buffer.from(`${"A".repeat(maximumLineBytes + 1)}\r\nB`)), RangeError);
     });
 });
 
