fix(session): names of prepared statements on links hold no text of callers

Callers got the answer of another statement than the one that they had prepared (PINNED): the name on a shared link was the shape itself, which may hold blanks, so that the database read another name and another shape from the message: "q26 READ up" redefined "q26". A link now numbers its statements; it finds the number by access and text, keeps at most 256 of them and about 1 MiB of text, and is reset above that.

--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -119,8 +119,8 @@
     it("are sent to a database unchanged except for the position and the name of a prepared statement", () => {
         const statement = decodeStatement("5c", "EXECUTE n 1a4 some data")!;
         const after = { term: 3, offset: 1207 };
-        const command = { kind: LinkCommandKind.Execute, statement, name: "w_q", floor: after } as const;
-        assert.equal(encodeCommand(command), "QUERY 5c AFTER 3.1207 EXECUTE w_q 1a4 some data\r\n");
+        const command = { kind: LinkCommandKind.Execute, statement, name: "p1", floor: after } as const;
+        assert.equal(encodeCommand(command), "QUERY 5c AFTER 3.1207 EXECUTE p1 1a4 some data\r\n");
         const read = decodeStatement("5d", "READ 1a4")!;
         assert.equal(
             encodeCommand({ kind: LinkCommandKind.Run, statement: read, floor: undefined }),
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -17,8 +17,9 @@
 } as const;
 export type LinkState = typeof LinkState[keyof typeof LinkState];
 
-/** Maximum of prepared statements on one link; a link with more is reset. */
+/** Maximum of prepared statements on one link, and of the bytes of their texts; a link with more is reset. */
 const maximumPreparedStatements = 256;
+const maximumPreparedBytes = 1_048_576;
 
 export class Link {
     readonly linkId: string;
@@ -33,7 +34,11 @@
     /** The session has abandoned the attempt; its transaction is rolled back after the reply. */
     isAbandoned = false;
     private readonly values = new Map<string, string>();
-    private readonly prepared = new Set<string>();
+    /** Names of the prepared statements on this link, by text, of reads and of writes. */
+    private readonly preparedReads = new Map<string, string>();
+    private readonly preparedWrites = new Map<string, string>();
+    private preparedBytes = 0;
+    private nextPreparedNumber = 1;
 
     constructor(parts: { readonly linkId: string; readonly databaseId: string; readonly workspace: string; }) {
         this.linkId = parts.linkId;
@@ -44,7 +49,8 @@
     /** Returns whether the link has a variable that the session lacks, or too many prepared statements. */
     needsReset({ values }: SessionContext): boolean {
         return [...this.values.keys()].some(name => !values.has(name))
-            || this.prepared.size > maximumPreparedStatements;
+            || this.preparedReads.size + this.preparedWrites.size > maximumPreparedStatements
+            || this.preparedBytes > maximumPreparedBytes;
     }
 
     /** Number of session variables that have to be set on the link before a statement of this session. */
@@ -60,7 +66,9 @@
         if (this.needsReset(context)) {
             commands.push({ kind: LinkCommandKind.Reset });
             this.values.clear();
-            this.prepared.clear();
+            this.preparedReads.clear();
+            this.preparedWrites.clear();
+            this.preparedBytes = 0;
         }
         for (const [name, value] of context.values) {
             if (this.values.get(name) !== value) {
@@ -69,12 +77,40 @@
             }
         }
         const prepared = preparedStatementOf(context, statement);
-        if (prepared !== undefined && !this.prepared.has(sharedName(prepared))) {
-            commands.push({ kind: LinkCommandKind.Prepare, name: sharedName(prepared), prepared });
-            this.prepared.add(sharedName(prepared));
+        if (prepared !== undefined && !this.preparedBy(prepared).has(prepared.shape)) {
+            commands.push({ kind: LinkCommandKind.Prepare, name: this.addPrepared(prepared), prepared });
         }
         return commands;
     }
+
+    /** Returns the command that runs a caller's statement, after the commands of `preludeCommands`. */
+    statementCommand({ task, floor }: Pick<TaskPlaced, "task" | "floor">): LinkCommand {
+        const statement = task.statement!;
+        const prepared = preparedStatementOf(task.context, statement);
+        return prepared === undefined
+            ? { kind: LinkCommandKind.Run, statement, floor }
+            : {
+                kind: LinkCommandKind.Execute,
+                statement,
+                name: this.preparedBy(prepared).get(prepared.shape)!,
+                floor,
+            };
+    }
+
+    private preparedBy({ writes }: PreparedStatement): Map<string, string> {
+        return writes ? this.preparedWrites : this.preparedReads;
+    }
+
+    /**
+     * Gives a prepared statement a name. It holds no text of callers, which could be read as another name and another
+     * text, and no name is given twice, because sessions that share a link use one name for different statements.
+     */
+    private addPrepared(prepared: PreparedStatement): string {
+        const name = `p${this.nextPreparedNumber++}`;
+        this.preparedBy(prepared).set(prepared.shape, name);
+        this.preparedBytes += prepared.shape.length;
+        return name;
+    }
 }
 
 /** An attempt at running a task that is in progress on a link. */
@@ -90,15 +126,6 @@
     leads: boolean;
 }
 
-/** Returns the command that runs a caller's statement. */
-export function statementCommand({ task, floor }: Pick<TaskPlaced, "task" | "floor">): LinkCommand {
-    const statement = task.statement!;
-    const prepared = preparedStatementOf(task.context, statement);
-    return prepared === undefined
-        ? { kind: LinkCommandKind.Run, statement, floor }
-        : { kind: LinkCommandKind.Execute, statement, name: sharedName(prepared), floor };
-}
-
 /** Returns the prepared statement that an `execute` statement refers to. */
 export function preparedStatementOf(
     context: SessionContext,
@@ -106,11 +133,3 @@
 ): PreparedStatement | undefined {
     return statement?.kind === SessionStatementKind.Execute ? context.prepared.get(statement.name) : undefined;
 }
-
-/**
- * Name of a prepared statement on links. It is derived from the statement, because sessions that share a link may use
- * one name for different statements.
- */
-function sharedName({ writes, shape }: PreparedStatement): string {
-    return `${writes ? "w" : "r"}_${shape}`;
-}
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -30,7 +30,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitTracker } from "./commitTracker.ts";
-import { type Link, LinkState, statementCommand } from "./link.ts";
+import { type Link, LinkState } from "./link.ts";
 import { gateOf, openGate } from "./linkGate.ts";
 import { LinkPool } from "./linkPool.ts";
 import { connectionLimitPauseMs, LinkTable } from "./linkTable.ts";
@@ -213,7 +213,9 @@
     private sendStatement(link: Link, floor: Position | undefined): readonly Message[] {
         const attempt = link.attempt!;
         attempt.sent = true;
-        return this.send(link, [], [statementCommand({ task: attempt.placed.task, floor })], [ReplyRole.Statement]);
+        return this.send(link, [], [link.statementCommand({ task: attempt.placed.task, floor })], [
+            ReplyRole.Statement,
+        ]);
     }
 
     private continueTransaction({ task }: TaskContinued, nowMs: number): readonly Message[] {
@@ -319,7 +321,7 @@
             return [cleared, ...this.sendStatement(link, undefined)];
         }
         attempt.sent = true;
-        const commands = [statementCommand({ task, floor }), { kind: LinkCommandKind.Rollback }];
+        const commands = [link.statementCommand({ task, floor }), { kind: LinkCommandKind.Rollback }];
         return [cleared, ...this.send(link, [], commands, [ReplyRole.Statement, ReplyRole.Cleanup])];
     }
 
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -41,10 +41,10 @@
             { link: "l1", loss: LinkLoss.Broken, fault: undefined, defect: "too long" },
         );
         const prepared = { writes: true, shape: "secret" };
-        const commands = [{ kind: LinkCommandKind.Prepare, name: "w_secret", prepared }];
+        const commands = [{ kind: LinkCommandKind.Prepare, name: "p1", prepared }];
         const send = { kind: LinkKind.Send, linkId: "l1", commands };
         const fields = linkLogFormatters.get(LinkKind.Send)!(send);
-        assert.deepEqual(fields, { link: "l1", prepared: true, writes: true, shapeBytes: 6 });
+        assert.deepEqual(fields, { link: "l1", prepared: "p1", writes: true, shapeBytes: 6 });
         const other = { ...send, commands: [{ kind: LinkCommandKind.Begin }] };
         assert.equal(linkLogFormatters.get(LinkKind.Send)!(other), undefined);
     });
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -124,7 +124,7 @@
         const prepare = commands.find(command => command.kind === LinkCommandKind.Prepare);
         return prepare === undefined ? undefined : {
             link: linkId,
-            prepared: true,
+            prepared: prepare.name,
             writes: prepare.prepared.writes,
             shapeBytes: prepare.prepared.shape.length,
         };
