fix(platform): statements that can be read in two ways are refused at entry

`COMMIT x` counted as COMMIT and was sent on as it came, `SET v` as the value of `SET v `, an EXECUTE without an item lost its blank, and the ids "-" (the proxy's own) and "" were passed on, so that a database could run something else than the caller was told. On the code before, the new test fails at "COMMIT x", and the property at a read whose item begins with a blank, which was refused though it can be sent as it came. The codec now takes each statement apart by its own fields; what it accepts goes on byte for byte.

--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -116,6 +116,67 @@
         );
     });
 
+    it("are refused where a database could read another statement than the proxy did", () => {
+        // Guards against a COMMIT that the database does not run, and a value that differs from the acknowledged one.
+        const texts = ["COMMIT x", "COMMIT ", "ROLLBACK x", "BEGIN READ x", "BEGIN ", "SET v", "SET  x", "DEALLOC a b"]
+            .concat(
+                "PREPARE  READ q",
+                "PREPARE n  READ q",
+                "PREPARE n READ ",
+                "PREPARE READ q",
+                "EXECUTE  x",
+                "EXECUTE n",
+            )
+            .concat("EXECUTE n ", "READ ", "WRITE ", " READ x", "AFTER 1.2 READ x", "read x", "COMMIT\r", "\nREAD x");
+        texts.forEach(text => assert.equal(decodeStatement("1", text), undefined, JSON.stringify(text)));
+        ["", "-"].forEach(id => assert.equal(decodeStatement(id, "READ x"), undefined, id));
+    });
+
+    it("are sent to a database as they came, whatever bytes they hold", () => {
+        const bytes = fc.string({
+            unit: fc.constantFrom(" ", "\r", "\n", "a", "\0", "\xff", "-"),
+            minLength: 1,
+            maxLength: 9,
+        });
+        const ids = fc.string({ unit: fc.constantFrom("a", "-", "\n", "\r", "\xe9"), minLength: 2, maxLength: 9 });
+        const verbs = fc.constantFrom("READ ", "WRITE ", "EXECUTE n ", "SET n ", "PREPARE n WRITE ");
+        fc.assert(
+            fc.property(ids, verbs, bytes, (id, verb, rest) => {
+                const text = `${verb}${rest}`;
+                const statement = decodeStatement(id, text)!;
+                switch (statement.kind) {
+                    case SessionStatementKind.Execute: {
+                        const command = {
+                            kind: LinkCommandKind.Execute,
+                            statement,
+                            name: "p1",
+                            floor: undefined,
+                        } as const;
+                        assert.equal(encodeCommand(command), `QUERY ${id} EXECUTE p1 ${rest}\r\n`);
+                        return;
+                    }
+                    case SessionStatementKind.SetValue: {
+                        const { name, argument: value } = statement;
+                        const command = { kind: LinkCommandKind.SetValue, name, value } as const;
+                        assert.equal(encodeCommand(command), `QUERY - ${text}\r\n`);
+                        return;
+                    }
+                    case SessionStatementKind.Prepare: {
+                        const { name, prepared } = statement;
+                        const command = { kind: LinkCommandKind.Prepare, name, prepared: prepared! } as const;
+                        assert.equal(encodeCommand(command), `QUERY - ${text}\r\n`);
+                        return;
+                    }
+                    default: {
+                        const command = { kind: LinkCommandKind.Run, statement, floor: undefined } as const;
+                        assert.equal(encodeCommand(command), `QUERY ${id} ${text}\r\n`);
+                    }
+                }
+            }),
+            { seed },
+        );
+    });
+
     it("are sent to a database unchanged except for the position and the name of a prepared statement", () => {
         const statement = decodeStatement("5c", "EXECUTE n 1a4 some data")!;
         const after = { term: 3, offset: 1207 };
--- a/src/platform/wireCodec.ts
+++ b/src/platform/wireCodec.ts
@@ -69,50 +69,70 @@
     return match ? { term: Number(match[1]), offset: Number(match[2]) } : undefined;
 }
 
-/** Returns undefined if the text is not a valid statement of the protocol. */
+/**
+ * Decodes a statement of a caller. Its text is forwarded as it is, so a text that a database could read in another way is
+ * refused here: words that are empty, and words after the last field of a statement.
+ * @returns undefined if the text is not a valid statement of the protocol
+ */
 export function decodeStatement(id: string, text: string): SessionStatement | undefined {
-    const [verb, first, rest] = splitWords(text, 2) as [string, string, string];
+    if (id === "" || id === proxyId) {
+        // Answers and log lines would not tell such a statement from those of the proxy.
+        return undefined;
+    }
     const base = { id, text, name: "", argument: "", prepared: undefined };
-    switch (verb) {
-        case "BEGIN":
-            return first === "" || first === "READ"
-                ? { ...base, kind: first === "" ? SessionStatementKind.Begin : SessionStatementKind.BeginRead }
-                : undefined;
-        case "COMMIT":
-            return { ...base, kind: SessionStatementKind.Commit };
-        case "ROLLBACK":
-            return { ...base, kind: SessionStatementKind.Rollback };
+    const kind = kindByWholeText.get(text);
+    if (kind !== undefined) {
+        return { ...base, kind };
+    }
+    const verbEnd = text.indexOf(" ");
+    const fields = text.slice(verbEnd + 1);
+    if (verbEnd === -1 || fields === "") {
+        return undefined;
+    }
+    switch (text.slice(0, verbEnd)) {
         case "READ":
-            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Read };
+            return { ...base, kind: SessionStatementKind.Read };
         case "WRITE":
-            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Write };
-        case "SET":
-            return first === ""
-                ? undefined
-                : { ...base, kind: SessionStatementKind.SetValue, name: first, argument: rest };
-        case "EXECUTE":
-            return first === ""
-                ? undefined
-                : { ...base, kind: SessionStatementKind.Execute, name: first, argument: rest };
+            return { ...base, kind: SessionStatementKind.Write };
         case "DEALLOC":
-            return first === "" ? undefined : { ...base, kind: SessionStatementKind.Deallocate, name: first };
+            return fields.includes(" ")
+                ? undefined
+                : { ...base, kind: SessionStatementKind.Deallocate, name: fields };
+        case "SET":
+            return decodeNamed(base, SessionStatementKind.SetValue, fields);
+        case "EXECUTE": {
+            const execute = decodeNamed(base, SessionStatementKind.Execute, fields);
+            return execute?.argument === "" ? undefined : execute;
+        }
         case "PREPARE":
-            return decodePrepare(base, first, rest);
+            return decodePrepare(base, fields);
         default:
             return undefined;
     }
 }
 
-function decodePrepare(
-    base: Omit<SessionStatement, "kind">,
-    name: string,
-    rest: string,
-): SessionStatement | undefined {
-    const [access, shape] = splitWords(rest, 1) as [string, string];
-    if (name === "" || shape === "" || (access !== "READ" && access !== "WRITE")) {
-        return undefined;
-    }
-    return { ...base, kind: SessionStatementKind.Prepare, name, prepared: { writes: access === "WRITE", shape } };
+const kindByWholeText: ReadonlyMap<string, SessionStatementKind> = new Map([
+    ["BEGIN", SessionStatementKind.Begin],
+    ["BEGIN READ", SessionStatementKind.BeginRead],
+    ["COMMIT", SessionStatementKind.Commit],
+    ["ROLLBACK", SessionStatementKind.Rollback],
+]);
+
+type StatementBase = Omit<SessionStatement, "kind">;
+
+/** Decodes a name and the field after it, which extends to the end of the text and may be empty. */
+function decodeNamed(base: StatementBase, kind: SessionStatementKind, fields: string): SessionStatement | undefined {
+    const nameEnd = fields.indexOf(" ");
+    return nameEnd < 1
+        ? undefined
+        : { ...base, kind, name: fields.slice(0, nameEnd), argument: fields.slice(nameEnd + 1) };
+}
+
+function decodePrepare(base: StatementBase, fields: string): SessionStatement | undefined {
+    const [name, access, shape] = splitWords(fields, 2) as [string, string, string];
+    return name === "" || shape === "" || (access !== "READ" && access !== "WRITE")
+        ? undefined
+        : { ...base, kind: SessionStatementKind.Prepare, name, prepared: { writes: access === "WRITE", shape } };
 }
 
 /** Encodes a command to a database as one line. */
@@ -136,8 +156,7 @@
             return `QUERY ${command.statement.id} ${encodeAfter(command.floor)}${command.statement.text}\r\n`;
         case LinkCommandKind.Execute: {
             const { id, argument } = command.statement;
-            const operands = argument === "" ? "" : ` ${argument}`;
-            return `QUERY ${id} ${encodeAfter(command.floor)}EXECUTE ${command.name}${operands}\r\n`;
+            return `QUERY ${id} ${encodeAfter(command.floor)}EXECUTE ${command.name} ${argument}\r\n`;
         }
         case LinkCommandKind.Status:
             return `QUERY ${proxyId} STATUS\r\n`;
