--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -55,9 +55,47 @@
         );
     });
 
+    it("end at CR LF only, wherever the stream is split, so that no part of a text becomes a message", () => {
+        const texts = fc.array(
+            fc.string({ unit: fc.constantFrom("\r", "\n", "\r\n", " ", "a", "\xe9"), maxLength: 12 }),
+        );
+        fc.assert(
+            fc.property(texts, fc.array(fc.integer({ min: 1, max: 5 }), { minLength: 1 }), (parts, chunkBytes) => {
+                const stream = `${parts.join("")}\r\n`;
+                const reader = new LineReader();
+                const lines: string[] = [];
+                for (let offset = 0, chunk = 0; offset < stream.length; chunk++) {
+                    const end = offset + chunkBytes[chunk % chunkBytes.length]!;
+                    lines.push(...reader.push(Buffer.from(stream.slice(offset, end), "latin1")));
+                    offset = end;
+                }
+                assert.deepEqual(lines, stream.split("\r\n").slice(0, -1));
+                assert.equal(reader.pendingBytes, 0);
+            }),
+            { seed, numRuns: 500 },
+        );
+    });
+
+    it("of maximum size do not stop the process, however slowly they arrive", () => {
+        const reader = new LineReader();
+        const chunk = Buffer.alloc(64, 65);
+        const startMs = performance.now();
+        for (let offset = 0; offset < maximumLineBytes; offset += chunk.length) {
+            assert.deepEqual(reader.push(chunk), []);
+        }
+        assert.deepEqual(reader.push(Buffer.from("\r")), []);
+        assert.equal(reader.push(Buffer.from("\n"))[0]!.length, maximumLineBytes);
+        const elapsedMs = performance.now() - startMs;
+        assert.ok(elapsedMs < 1_500, `${elapsedMs} ms`);
+    });
+
     it("are rejected above the limit of the protocol", () => {
         const reader = new LineReader();
         assert.throws(() => reader.push(Buffer.alloc(maximumLineBytes + 1, 65)), RangeError);
+        const slowReader = new LineReader();
+        slowReader.push(Buffer.alloc(maximumLineBytes, 65));
+        assert.throws(() => slowReader.push(Buffer.from("A\r\n")), RangeError);
+        assert.throws(() => new LineReader().push(Buffer.from(`${"A".repeat(maximumLineBytes + 1)}\r\nB`)), RangeError);
     });
 });
 
@@ -78,11 +116,72 @@
         );
     });
 
+    it("are refused where a database could read another statement than the proxy did", () => {
+        // Guards against a COMMIT that the database does not run, and a value that differs from the acknowledged one.
+        const texts = ["COMMIT x", "COMMIT ", "ROLLBACK x", "BEGIN READ x", "BEGIN ", "SET v", "SET  x", "DEALLOC a b"]
+            .concat(
+                "PREPARE  READ q",
+                "PREPARE n  READ q",
+                "PREPARE n READ ",
+                "PREPARE READ q",
+                "EXECUTE  x",
+                "EXECUTE n",
+            )
+            .concat("EXECUTE n ", "READ ", "WRITE ", " READ x", "AFTER 1.2 READ x", "read x", "COMMIT\r", "\nREAD x");
+        texts.forEach(text => assert.equal(decodeStatement("1", text), undefined, JSON.stringify(text)));
+        ["", "-"].forEach(id => assert.equal(decodeStatement(id, "READ x"), undefined, id));
+    });
+
+    it("are sent to a database as they came, whatever bytes they hold", () => {
+        const bytes = fc.string({
+            unit: fc.constantFrom(" ", "\r", "\n", "a", "\0", "\xff", "-"),
+            minLength: 1,
+            maxLength: 9,
+        });
+        const ids = fc.string({ unit: fc.constantFrom("a", "-", "\n", "\r", "\xe9"), minLength: 2, maxLength: 9 });
+        const verbs = fc.constantFrom("READ ", "WRITE ", "EXECUTE n ", "SET n ", "PREPARE n WRITE ");
+        fc.assert(
+            fc.property(ids, verbs, bytes, (id, verb, rest) => {
+                const text = `${verb}${rest}`;
+                const statement = decodeStatement(id, text)!;
+                switch (statement.kind) {
+                    case SessionStatementKind.Execute: {
+                        const command = {
+                            kind: LinkCommandKind.Execute,
+                            statement,
+                            name: "p1",
+                            floor: undefined,
+                        } as const;
+                        assert.equal(encodeCommand(command), `QUERY ${id} EXECUTE p1 ${rest}\r\n`);
+                        return;
+                    }
+                    case SessionStatementKind.SetValue: {
+                        const { name, argument: value } = statement;
+                        const command = { kind: LinkCommandKind.SetValue, name, value } as const;
+                        assert.equal(encodeCommand(command), `QUERY - ${text}\r\n`);
+                        return;
+                    }
+                    case SessionStatementKind.Prepare: {
+                        const { name, prepared } = statement;
+                        const command = { kind: LinkCommandKind.Prepare, name, prepared: prepared! } as const;
+                        assert.equal(encodeCommand(command), `QUERY - ${text}\r\n`);
+                        return;
+                    }
+                    default: {
+                        const command = { kind: LinkCommandKind.Run, statement, floor: undefined } as const;
+                        assert.equal(encodeCommand(command), `QUERY ${id} ${text}\r\n`);
+                    }
+                }
+            }),
+            { seed },
+        );
+    });
+
     it("are sent to a database unchanged except for the position and the name of a prepared statement", () => {
         const statement = decodeStatement("5c", "EXECUTE n 1a4 some data")!;
         const after = { term: 3, offset: 1207 };
-        const command = { kind: LinkCommandKind.Execute, statement, name: "w_q", floor: after } as const;
-        assert.equal(encodeCommand(command), "QUERY 5c AFTER 3.1207 EXECUTE w_q 1a4 some data\r\n");
+        const command = { kind: LinkCommandKind.Execute, statement, name: "p1", floor: after } as const;
+        assert.equal(encodeCommand(command), "QUERY 5c AFTER 3.1207 EXECUTE p1 1a4 some data\r\n");
         const read = decodeStatement("5d", "READ 1a4")!;
         assert.equal(
             encodeCommand({ kind: LinkCommandKind.Run, statement: read, floor: undefined }),
