fix(configuration): documents of thousands of routes are stored, larger ones refused for good

A valid configuration of 5,000 routes (913,608 bytes) got 503 "no majority answers; send it again" every time, from three members as processes; an operator would send it for ever. A change of the log was limited to 1,048,576 characters, which the escaped routes exceed, and the refusal was answered like a missing majority.

The limit is now 3 MiB, counted in bytes as the data folder does: a full segment of 4 MiB and one more entry fit into a record of 8 MiB. What exceeds it gets 413, for its own request only; lower versions that waited with it are proposed afterwards.

--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -53,8 +53,13 @@
 /** Limits the memory of a leader that has lost its majority. */
 const maximumUncommittedEntries = 1_024;
 
-/** Keeps an entry below the maximum record size of the data folder; 4,000 lease assignments need about 800,000. */
-const maximumCommandCharacters = 1_048_576;
+/**
+ * Keeps a full segment of the data folder and a further entry below the maximum record size. A configuration of 10,000
+ * routes has about 3 million bytes.
+ */
+const maximumCommandBytes = 3 * 1_048_576;
+
+const encoder = new TextEncoder();
 
 const heartbeatTimerKey = "control.heartbeat";
 
@@ -219,8 +224,8 @@
             return [proposalEnded(proposalId, ProposalStatus.NotLeader, { detail })];
         }
         const body = { kind: EntryKind.Command, operationId, command };
-        if (JSON.stringify(body).length > maximumCommandCharacters) {
-            const detail = `the change exceeds ${maximumCommandCharacters} characters; split it`;
+        if (encoder.encode(JSON.stringify(body)).length > maximumCommandBytes) {
+            const detail = `the change exceeds ${maximumCommandBytes} bytes; split it`;
             return [proposalEnded(proposalId, ProposalStatus.Invalid, { detail })];
         }
         return this.replica.appendAsLeader(body, proposalId, nowMs);
--- a/src/fleet/__tests__/configurationDocuments.spec.ts
+++ b/src/fleet/__tests__/configurationDocuments.spec.ts
@@ -103,6 +103,18 @@
         assert.equal(leader.proposals.length, 0);
     });
 
+    it("are refused alone if they are too large; lower versions are proposed afterwards", () => {
+        const leader = new LeaderFixture();
+        leader.put("1", document(3, "a"));
+        leader.put("2", document(4, "b"));
+        leader.put("3", document(6, "c"));
+        leader.apply(document(3, "a"));
+        leader.endProposal(ProposalStatus.Applied);
+        leader.endProposal(ProposalStatus.Invalid);
+        assert.deepEqual(["2", "3"].map(id => leader.resultOf(id)), [undefined, DocumentResult.TooLarge]);
+        assert.equal((leader.proposals[2]!.command as PutDocument).head.documentVersion, 4);
+    });
+
     it("are answered as unavailable when the leadership is lost", () => {
         const leader = new LeaderFixture();
         leader.put("1", document(3, "a"));
--- a/src/fleet/configurationDocuments.ts
+++ b/src/fleet/configurationDocuments.ts
@@ -39,7 +39,9 @@
 
 interface RunningChange {
     readonly proposalId: string;
-    /** Requests that are answered when this change ends. */
+    /** The request whose document is proposed. */
+    readonly proposed: DocumentPut;
+    /** Requests that are answered when this change ends, the proposed one included. */
     readonly puts: readonly DocumentPut[];
 }
 
@@ -115,7 +117,7 @@
             return puts.flatMap(({ requestId }) => this.answer(requestId, DocumentResult.Accepted));
         }
         const proposalId = this.proposalId();
-        this.runningChange = { proposalId, puts };
+        this.runningChange = { proposalId, proposed: highest, puts };
         return [propose(proposalId, diffDocuments(this.document, highest.document))];
     }
 
@@ -141,6 +143,11 @@
             this.waitingPuts = [...runningChange.puts, ...this.waitingPuts];
             return this.startChange();
         }
+        if (ended.status === ProposalStatus.Invalid) {
+            const { proposed, puts } = runningChange;
+            this.waitingPuts = [...puts.filter(put => put !== proposed), ...this.waitingPuts];
+            return [...this.answer(proposed.requestId, DocumentResult.TooLarge), ...this.startChange()];
+        }
         const answers = runningChange.puts.flatMap(put => this.answer(put.requestId, DocumentResult.Unavailable));
         return [...answers, ...this.startChange()];
     }
--- a/src/model/document.ts
+++ b/src/model/document.ts
@@ -116,6 +116,8 @@
     Found: "found",
     /** Another member is the leader. */
     Redirect: "redirect",
+    /** The put document is too large to be stored; nothing changed, and sending it again would not help. */
+    TooLarge: "too_large",
     /** There is no document, no leader is known, or no majority answered in time. */
     Unavailable: "unavailable",
 } as const;
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -109,6 +109,8 @@
             case DocumentResult.Redirect:
                 response.setHeader("Location", `http://${this.controlAddress(leaderAddress!)}${path}`);
                 return respond(response, 307, "{}");
+            case DocumentResult.TooLarge:
+                return respond(response, 413, "{\"error\":\"the configuration is too large to be stored\"}");
             case DocumentResult.Unavailable:
                 return respond(response, 503, "{\"error\":\"no majority answers; send it again\"}");
         }
--- a/src/wiring/__tests__/configurationFleet.ts
+++ b/src/wiring/__tests__/configurationFleet.ts
@@ -151,6 +151,15 @@
         this.putDocument(change(decodeDocument(this.documentText(this.acknowledgedVersion + 1))));
     }
 
+    /** Sends a document to the leader once, and returns the answer. */
+    putOnce(document: ConfigurationDocument): DocumentResult {
+        const leader = this.cluster.leader()!;
+        const requestId = `r${this.nextId++}`;
+        this.cluster.post(leader.memberId, { kind: DocumentKind.Put, requestId, document } as Message);
+        this.runUntil("an answer", () => this.answers.has(requestId));
+        return this.answers.get(requestId)!.result;
+    }
+
     private putDocument(document: ConfigurationDocument): void {
         let requestId = "";
         this.runUntil("an acknowledgement", () => {
