fix(storage): records are divided by their bytes, not their characters

The changes that wait for a sync are written as one record up to the size of a segment, counted in characters; the record itself is limited in bytes. Four configurations of a million characters outside of ASCII that wait for a slow disk make a record of 12 MB: "cannot be written; limit 8388608", which ends the writes of the member for good.

The sum now counts bytes. The test failed before with that RangeError.

--- a/src/storage/__tests__/logSegments.spec.ts
+++ b/src/storage/__tests__/logSegments.spec.ts
@@ -27,6 +27,24 @@
         await rm(folder, { recursive: true });
     });
 
+    it("take large records whose bytes are more than their characters", async () => {
+        // Guards against records above their limit, which end the writes of a member for good.
+        const folder = await mkdtemp(join(tmpdir(), "segments-"));
+        const options = { fileSystem: new NodeFileSystem(), folder, segmentBytes: 4 * 1_048_576 };
+        const { log } = await LogSegments.open(options, 1, 0);
+        const member = { memberId: "\u20ac".repeat(1_000_000), incarnation: "", address: "a:1" };
+        const records = Array.from({ length: 4 }, (_, index) => ({
+            fromIndex: index + 1,
+            entries: [{ index: index + 1, term: 1, body: { kind: EntryKind.Members, members: [member] } }],
+        }));
+        await log.append(records);
+        await log.sync();
+        await log[Symbol.asyncDispose]();
+        const { entries } = await LogSegments.open(options, 1, 0);
+        assert.equal(entries.length, records.length);
+        await rm(folder, { recursive: true });
+    });
+
     it("are synced on recovery, because a killed process may have left them unsynced", async context => {
         // Guards against entries that a member counts as durable after a kill but that a later power loss removes.
         const folder = await mkdtemp(join(tmpdir(), "segments-"));
--- a/src/storage/logSegments.ts
+++ b/src/storage/logSegments.ts
@@ -101,7 +101,7 @@
                 bytes = 0;
             }
             chunks.at(-1)!.push({ fromIndex, entries });
-            bytes += JSON.stringify({ fromIndex, entries }).length;
+            bytes += Buffer.byteLength(JSON.stringify({ fromIndex, entries }));
         }
         return chunks.filter(chunk => chunk.length > 0);
     }
