fix(platform): an answer larger than the backlog reaches a caller that reads it

A caller that asked for more than 4 MiB of rows lost its session, whose connection was closed for the answer itself instead of for answers that it had not read. Counted is now what was unsent before the answer.

--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -22,7 +22,7 @@
 /** Time within which a new connection must send CONNECT; callers send it immediately. */
 const openingTimeoutMs = 5_000;
 
-/** The connection of a caller that reads too slowly is closed above this backlog; a few messages of maximum size. */
+/** The connection of a caller that has not read this much of the answers before is closed. */
 const maximumUnsentBytes = 4 * 1_048_576;
 
 /** Time for the last answers to reach callers at shutdown; part of the margin reserved before the process is killed. */
@@ -180,10 +180,11 @@
     }
 
     private write({ socket }: Connection, text: string): void {
-        socket.write(text, wireEncoding);
         if (socket.writableLength > maximumUnsentBytes) {
             socket.destroy();
+            return;
         }
+        socket.write(text, wireEncoding);
     }
 
     private endConnection(sessionId: string): void {
