fix(platform): no text of others can end a message or make one that is too long

The name of a workspace with CR LF made a database step down: it was written into CONNECT as it stood. A shape of 600 KB or a statement near 1 MiB grew above the limit by a name or a position, which ended the link and with it the statement in doubt; the position is now counted when the statement is read, and its caller is told MALFORMED before anything is sent. Names from the configuration were cut to their low bytes, which can be CR LF (U+010D U+010A), and keys beyond ASCII never matched; both are UTF-8 now. All messages are made in encodeLine, which throws for what would be read as another message; error texts are made to fit.

--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -12,6 +12,8 @@
     Close: "session.close",
     /** A message of a caller was refused as malformed, or its connection was closed because of it. */
     MessageRefused: "session.message_refused",
+    /** An answer could not be written to the caller, whose connection was closed. */
+    AnswerRefused: "session.answer_refused",
     /** The time limit of a session has expired. */
     LimitDue: "session.limit_due",
     /** The wait of a new session for its admission has ended. */
@@ -73,7 +75,9 @@
     NotConnected: "not_connected",
     /** The kind of the message does not exist, or is not allowed here. */
     UnknownKind: "unknown_kind",
-    /** No valid statement of the protocol. */
+    /** The database or the key is no text; closes the connection. */
+    InvalidText: "invalid_text",
+    /** No valid statement of the protocol, or one that is too long to be forwarded. */
     InvalidStatement: "invalid_statement",
 } as const;
 export type MessageDefect = typeof MessageDefect[keyof typeof MessageDefect];
@@ -86,6 +90,12 @@
     readonly bytes: number;
 }
 
+export interface SessionAnswerRefused extends Message {
+    readonly kind: typeof SessionKind.AnswerRefused;
+    readonly sessionId: string;
+    readonly reason: string;
+}
+
 export interface SessionAccessDue extends Message {
     readonly kind: typeof SessionKind.AccessDue;
     readonly sessionId: string;
--- a/src/platform/__tests__/wireClient.spec.ts
+++ b/src/platform/__tests__/wireClient.spec.ts
@@ -2,7 +2,7 @@
 import { EventEmitter, once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { describe, it } from "node:test";
-import { LinkKind, LinkLoss, type LinkLost } from "../../model/linkMessages.ts";
+import { LinkCommandKind, LinkKind, LinkLoss, type LinkLost } from "../../model/linkMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { WireClient } from "../wireClient.ts";
 
@@ -71,6 +71,65 @@
         ]);
     });
 
+    it("are refused before anything is sent if a name cannot be one word of a message", async () => {
+        // Guards against the name of a workspace that becomes a command to the database.
+        const posted: Message[] = [];
+        await using client = new WireClient({ post: message => posted.push(message) });
+        const names = ["t \r\nQUERY - STEPDOWN 99", "a b", "a\r\nb"];
+        const open = {
+            kind: LinkKind.Open,
+            address: "127.0.0.1:1",
+            service: "s",
+            workspace: "w",
+            databaseId: "d",
+        } as const;
+        names.forEach(workspace => client.deliver({ ...open, linkId: "l", workspace }));
+        names.concat("").forEach(service => client.deliver({ ...open, linkId: "l", service }));
+        assert.deepEqual(
+            posted.map(message => [(message as LinkLost).loss, (message as LinkLost).defect !== undefined]),
+            Array.from({ length: 7 }, () => [LinkLoss.Refused, true]),
+        );
+    });
+
+    it("end before any command is sent if one of them would be read as another", async () => {
+        const received: Buffer[] = [];
+        const server = createServer(socket => {
+            socket.once("data", chunk => {
+                received.push(chunk);
+                socket.write("READY I -\r\n");
+                socket.on("data", later => received.push(later));
+            });
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const events = new EventEmitter();
+        await using client = new WireClient({ post: message => events.emit(message.kind, message) });
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const values = ["a\r\nQUERY - STEPDOWN 9", "\u010d\u010aQUERY - STEPDOWN 9", "x".repeat(1_048_576)];
+        for (const value of values) {
+            const opened = once(events, LinkKind.Opened);
+            client.deliver({
+                kind: LinkKind.Open,
+                linkId: "l",
+                address,
+                service: "s",
+                workspace: "\u00e9",
+                databaseId: "d",
+            });
+            await opened;
+            const lost = once(events, LinkKind.Lost);
+            const commands = [{ kind: LinkCommandKind.Begin }, {
+                kind: LinkCommandKind.SetValue,
+                name: "x",
+                value,
+            }] as const;
+            client.deliver({ kind: LinkKind.Send, linkId: "l", commands });
+            assert.equal((await lost as [LinkLost])[0].loss, LinkLoss.Broken);
+        }
+        server.close();
+        assert.equal(Buffer.concat(received).toString(), "CONNECT s \u00e9 d\r\n".repeat(values.length));
+    });
+
     it("outlive a reply to CONNECT that the database repeats", async () => {
         const server = createServer(socket =>
             socket.write("READY I 1.1\r\nREADY I 1.1\r\nCOMPLETE -\r\nREADY I 1.1\r\n")
--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -108,6 +108,62 @@
         );
     });
 
+    it("end without an answer that holds a message of its own", async () => {
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        await server.listen();
+        for (const parts of [{ rows: ["x\r\nCOMPLETE forged"] }, { signature: "a\r\nb" }, { rows: ["\u010d\u010a"] }]) {
+            const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+            const { answer } = createLargeAnswer(sessionId);
+            const refused = once(postedMessages, SessionKind.AnswerRefused);
+            server.deliver({ kind: SessionKind.Answer, sessionId, answer: { ...answer, ...parts } } as SessionAnswer);
+            assert.equal(await text(socket), "");
+            await refused;
+        }
+    });
+
+    it("get error texts of others as one message", async () => {
+        // Guards against the name of a route or a text of a database that ends the message in which it is told.
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        await server.listen();
+        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        const { answer } = createLargeAnswer(sessionId);
+        for (const detail of ["a\r\nREADY I -", "\u010d\u010a", "x".repeat(maximumLineBytes)]) {
+            const fault = StatementFault.Failed;
+            server.deliver(
+                {
+                    kind: SessionKind.Answer,
+                    sessionId,
+                    answer: { ...answer, rows: [], fault, detail },
+                } as SessionAnswer,
+            );
+        }
+        server.deliver({ kind: SessionKind.Close, sessionId });
+        const lines = (await text(socket)).split("\r\n");
+        assert.deepEqual(lines.slice(0, 4), ["ERROR FAILED a  READY I -", "READY I -", "ERROR FAILED ??", "READY I -"]);
+        assert.equal(lines[4]!.length, maximumLineBytes);
+        assert.deepEqual(lines.slice(5), ["READY I -", ""]);
+    });
+
+    it("name their database and key in the encoding of the configuration", async () => {
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        await server.listen();
+        const socket = connect({ host: "127.0.0.1", port: server.port });
+        const opened = once(postedMessages, SessionKind.Opened);
+        socket.write("CONNECT b\u00e9 k\u010d 1\r\n");
+        const [message] = await opened as [{ readonly database: string; readonly key: string; }];
+        assert.deepEqual([message.database, message.key], ["b\u00e9", "k\u010d 1"]);
+        socket.destroy();
+        const other = connect({ host: "127.0.0.1", port: server.port });
+        other.write(Buffer.from("CONNECT b\xe9 k\r\n", "latin1"));
+        assert.equal(await text(other), "ERROR MALFORMED the names are no text\r\n");
+    });
+
     it("do not delay the shutdown if callers neither read nor close", async () => {
         const postedMessages = new EventEmitter();
         const post = (message: Message): void => void postedMessages.emit(message.kind, message);
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -12,11 +12,11 @@
     type LinkReply,
     type LinkSend,
 } from "../model/linkMessages.ts";
-import type { StatementFault } from "../model/sessionStatement.ts";
+import { type StatementFault, TransactionState } from "../model/sessionStatement.ts";
 import { parseAddress } from "../model/socketAddress.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeFault, decodePosition, decodeState, encodeCommand, proxyId } from "./wireCodec.ts";
+import { decodeFault, decodePosition, decodeState, encodeCommand, encodeConnect, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
 
 /** The parts of a reply that have been received so far. */
@@ -55,11 +55,7 @@
             case LinkKind.Open:
                 return this.open(message);
             case LinkKind.Send:
-                this.links.get(message.linkId)?.socket.write(
-                    message.commands.map(encodeCommand).join(""),
-                    wireEncoding,
-                );
-                return;
+                return this.send(message);
             case LinkKind.Close:
                 return this.close(message.linkId);
         }
@@ -76,11 +72,20 @@
             this.post({ kind: LinkKind.Lost, linkId, loss: LinkLoss.NoListener, fault: undefined } as LinkLost);
             return;
         }
+        let opening: string;
+        try {
+            opening = encodeConnect(service, workspace, databaseId);
+        }
+        catch (error) {
+            const defect = (error as RangeError).message;
+            this.post({ kind: LinkKind.Lost, linkId, loss: LinkLoss.Refused, fault: undefined, defect } as LinkLost);
+            return;
+        }
         const socket = connect({ ...target });
         socket.setNoDelay(true);
         const link = { socket, reader: new LineReader(), opened: false, partial: emptyReply() };
         this.links.set(linkId, link);
-        socket.write(`CONNECT ${service} ${workspace === "" ? proxyId : workspace} ${databaseId}\r\n`, wireEncoding);
+        socket.write(opening, wireEncoding);
         socket.on("data", chunk => this.receive(linkId, link, chunk));
         socket.on(
             "error",
@@ -92,6 +97,20 @@
         socket.on("close", () => this.handleLoss(linkId, link, { loss: LinkLoss.Broken, fault: undefined }));
     }
 
+    /** Sends commands; if one cannot be written, none is sent, and the link ends. */
+    private send({ linkId, commands }: LinkSend): void {
+        const link = this.links.get(linkId);
+        if (link === undefined) {
+            return;
+        }
+        try {
+            link.socket.write(commands.map(encodeCommand).join(""), wireEncoding);
+        }
+        catch (error) {
+            this.endMalformed(linkId, link, (error as RangeError).message);
+        }
+    }
+
     /** Closes the link without posting a message. */
     private close(linkId: string): void {
         const link = this.links.get(linkId);
@@ -165,7 +184,7 @@
             signature: isSigned ? signature : undefined,
             fault,
             detail,
-            transaction: decodeState(state),
+            transaction: decodeState(state) ?? TransactionState.Failed,
             position,
             status,
         };
--- a/src/platform/wireCodec.ts
+++ b/src/platform/wireCodec.ts
@@ -5,10 +5,11 @@
 import {
     type SessionStatement,
     SessionStatementKind,
+    type StatementAnswer,
     StatementFault,
     TransactionState,
 } from "../model/sessionStatement.ts";
-import { splitWords } from "./wireLines.ts";
+import { lineTerminator, maximumLineBytes, splitWords, wireEncoding } from "./wireLines.ts";
 
 /** Stands for the proxy: the id of statements that it issues itself and the signature of answers that it gives itself. */
 export const proxyId = "-";
@@ -56,25 +57,112 @@
     return letterByState[state];
 }
 
-export function decodeState(letter: string): TransactionState {
-    return stateByLetter[letter] ?? TransactionState.Failed;
+/** @returns undefined if there is no such state */
+export function decodeState(letter: string): TransactionState | undefined {
+    return Object.hasOwn(stateByLetter, letter) ? stateByLetter[letter] : undefined;
 }
 
 export function encodePosition(position: Position | undefined): string {
     return position === undefined ? "-" : `${position.term}.${position.offset}`;
 }
 
+/** @returns undefined if the text is no whole number that can be written again as it is */
+export function decodeCount(text: string | undefined): number | undefined {
+    const count = text !== undefined && /^\d+$/.test(text) ? Number(text) : NaN;
+    return Number.isSafeInteger(count) ? count : undefined;
+}
+
 export function decodePosition(text: string): Position | undefined {
-    const match = /^(\d+)\.(\d+)$/.exec(text);
-    return match ? { term: Number(match[1]), offset: Number(match[2]) } : undefined;
+    const separatorIndex = text.indexOf(".");
+    const term = decodeCount(text.slice(0, Math.max(0, separatorIndex)));
+    const offset = decodeCount(text.slice(separatorIndex + 1));
+    return term === undefined || offset === undefined ? undefined : { term, offset };
+}
+
+/**
+ * Encodes one message. Texts of others end up in messages, so this is where they are kept from becoming a message of their
+ * own, whatever was checked before.
+ * @throws RangeError if the text would be read as another one
+ */
+export function encodeLine(text: string): string {
+    if (text.length > maximumLineBytes) {
+        throw new RangeError(`a message would exceed ${maximumLineBytes} bytes`);
+    }
+    if (text.includes(lineTerminator) || /[^\0-\xff]/.test(text)) {
+        throw new RangeError("a message would hold the end of a line, or what is no byte");
+    }
+    return `${text}${lineTerminator}`;
+}
+
+/**
+ * Encodes the connection to a database.
+ * @param workspace empty for callers without a key
+ * @throws RangeError if a name cannot be one word of a message
+ */
+export function encodeConnect(service: string, workspace: string, databaseId: string): string {
+    const names = [service, workspace === "" ? proxyId : workspace, databaseId];
+    if (names.some(name => name === "" || name.includes(" "))) {
+        throw new RangeError("a name is empty or holds a blank");
+    }
+    return encodeLine(`CONNECT ${names.map(encodeName).join(" ")}`);
+}
+
+/** Returns the bytes of a name of the configuration as they are written into a message. */
+function encodeName(name: string): string {
+    return Buffer.from(name).toString(wireEncoding);
+}
+
+/** Returns the name, as the configuration writes it, that a message holds; undefined if the bytes are no text. */
+export function decodeName(text: string): string | undefined {
+    const name = Buffer.from(text, wireEncoding).toString();
+    return encodeName(name) === text ? name : undefined;
+}
+
+/** @param detail cannot become a message of its own; what does not fit is cut off or replaced */
+export function encodeError(fault: StatementFault, detail: string): string {
+    const text = detail.replaceAll(lineTerminator, "  ").replace(/[^\0-\xff]/g, "?");
+    return encodeLine(`ERROR ${encodeFault(fault)} ${text}`.slice(0, maximumLineBytes));
+}
+
+/** @throws RangeError if a row or the signature cannot be in a message */
+export function encodeAnswer(answer: StatementAnswer): string {
+    const { rows, signature, fault, detail, transaction, position } = answer;
+    const outcome = fault === undefined ? encodeLine(`COMPLETE ${signature ?? proxyId}`) : encodeError(fault, detail);
+    const encodedRows = rows.map(row => encodeLine(`ROW ${row}`)).join("");
+    return `${encodedRows}${outcome}READY ${encodeState(transaction)} ${encodePosition(position)}${lineTerminator}`;
 }
 
+/** Maximum length of a position that precedes a statement, and of the name of a prepared statement on a link. */
+const maximumAfterBytes = "AFTER . ".length + 2 * `${Number.MAX_SAFE_INTEGER}`.length;
+const maximumLinkNameBytes = 8;
+
 /**
  * Decodes a statement of a caller. Its text is forwarded as it is, so a text that a database could read in another way is
- * refused here: words that are empty, and words after the last field of a statement.
+ * refused here: words that are empty, and words after the last field of a statement. So is one that would be too long to
+ * be forwarded.
  * @returns undefined if the text is not a valid statement of the protocol
  */
 export function decodeStatement(id: string, text: string): SessionStatement | undefined {
+    const statement = decodeFields(id, text);
+    const bytes = `QUERY ${id} ${text}`.length;
+    return statement === undefined || bytes + maximumGrowthBytes(statement) > maximumLineBytes ? undefined : statement;
+}
+
+/** Returns how many bytes a statement may gain when it is forwarded. */
+function maximumGrowthBytes({ kind, id, name }: SessionStatement): number {
+    switch (kind) {
+        case SessionStatementKind.Read:
+            return maximumAfterBytes;
+        case SessionStatementKind.Execute:
+            return maximumAfterBytes + maximumLinkNameBytes - name.length;
+        case SessionStatementKind.Prepare:
+            return maximumLinkNameBytes - name.length + proxyId.length - id.length;
+        default:
+            return 0;
+    }
+}
+
+function decodeFields(id: string, text: string): SessionStatement | undefined {
     if (id === "" || id === proxyId) {
         // Answers and log lines would not tell such a statement from those of the proxy.
         return undefined;
@@ -135,37 +223,44 @@
         : { ...base, kind: SessionStatementKind.Prepare, name, prepared: { writes: access === "WRITE", shape } };
 }
 
-/** Encodes a command to a database as one line. */
+/**
+ * Encodes a command to a database as one message.
+ * @throws RangeError if it cannot be one
+ */
 export function encodeCommand(command: LinkCommand): string {
+    return encodeLine(commandText(command));
+}
+
+function commandText(command: LinkCommand): string {
     switch (command.kind) {
         case LinkCommandKind.Begin:
-            return `QUERY ${proxyId} BEGIN\r\n`;
+            return `QUERY ${proxyId} BEGIN`;
         case LinkCommandKind.BeginRead:
-            return `QUERY ${proxyId} ${encodeAfter(command.floor)}BEGIN READ\r\n`;
+            return `QUERY ${proxyId} ${encodeAfter(command.floor)}BEGIN READ`;
         case LinkCommandKind.Rollback:
-            return `QUERY ${proxyId} ROLLBACK\r\n`;
+            return `QUERY ${proxyId} ROLLBACK`;
         case LinkCommandKind.Reset:
-            return `QUERY ${proxyId} RESET\r\n`;
+            return `QUERY ${proxyId} RESET`;
         case LinkCommandKind.SetValue:
-            return `QUERY ${proxyId} SET ${command.name} ${command.value}\r\n`;
+            return `QUERY ${proxyId} SET ${command.name} ${command.value}`;
         case LinkCommandKind.Prepare: {
             const { writes, shape } = command.prepared;
-            return `QUERY ${proxyId} PREPARE ${command.name} ${writes ? "WRITE" : "READ"} ${shape}\r\n`;
+            return `QUERY ${proxyId} PREPARE ${command.name} ${writes ? "WRITE" : "READ"} ${shape}`;
         }
         case LinkCommandKind.Run:
-            return `QUERY ${command.statement.id} ${encodeAfter(command.floor)}${command.statement.text}\r\n`;
+            return `QUERY ${command.statement.id} ${encodeAfter(command.floor)}${command.statement.text}`;
         case LinkCommandKind.Execute: {
             const { id, argument } = command.statement;
-            return `QUERY ${id} ${encodeAfter(command.floor)}EXECUTE ${command.name} ${argument}\r\n`;
+            return `QUERY ${id} ${encodeAfter(command.floor)}EXECUTE ${command.name} ${argument}`;
         }
         case LinkCommandKind.Status:
-            return `QUERY ${proxyId} STATUS\r\n`;
+            return `QUERY ${proxyId} STATUS`;
         case LinkCommandKind.Pause:
-            return `QUERY ${proxyId} PAUSE ${command.term}\r\n`;
+            return `QUERY ${proxyId} PAUSE ${command.term}`;
         case LinkCommandKind.Resume:
-            return `QUERY ${proxyId} RESUME\r\n`;
+            return `QUERY ${proxyId} RESUME`;
         case LinkCommandKind.StepDown:
-            return `QUERY ${proxyId} STEPDOWN ${command.term}\r\n`;
+            return `QUERY ${proxyId} STEPDOWN ${command.term}`;
     }
 }
 
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -5,6 +5,7 @@
     MessageDefect,
     type SessionAccept,
     type SessionAnswer,
+    type SessionAnswerRefused,
     type SessionClose,
     type SessionClosed,
     SessionKind,
@@ -13,10 +14,10 @@
     type SessionRefuse,
     type SessionRequested,
 } from "../model/sessionMessages.ts";
-import type { StatementAnswer } from "../model/sessionStatement.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeStatement, encodeFault, encodePosition, encodeState, proxyId } from "./wireCodec.ts";
+import { decodeName, decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
 
 /** Time within which a new connection must send CONNECT; callers send it immediately. */
@@ -83,9 +84,9 @@
             case SessionKind.Accept:
                 return this.write(connection, `READY I ${proxyId}\r\n`);
             case SessionKind.Answer:
-                return this.write(connection, encodeAnswer(message.answer));
+                return this.answer(connection, message);
             case SessionKind.Refuse:
-                connection.socket.end(`ERROR ${encodeFault(message.fault)} ${message.detail}\r\n`, wireEncoding);
+                connection.socket.end(encodeError(message.fault, message.detail), wireEncoding);
                 return this.removeConnection(message.sessionId);
             case SessionKind.Close:
                 connection.socket.end();
@@ -153,10 +154,7 @@
             this.endConnection(sessionId);
         }
         else if (keyword === "CONNECT" && !connection.opened) {
-            connection.opened = true;
-            connection.socket.setTimeout(0);
-            const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database: first, key: rest };
-            this.options.post(message);
+            this.openSession(sessionId, connection, line);
         }
         else if (connection.opened) {
             const isQuery = keyword === "QUERY";
@@ -174,6 +172,36 @@
         }
     }
 
+    private openSession(sessionId: string, connection: Connection, line: string): void {
+        const [, databaseText, keyText] = splitWords(line, 2) as [string, string, string];
+        const database = decodeName(databaseText);
+        const key = decodeName(keyText);
+        if (database === undefined || key === undefined) {
+            this.reportRefused(sessionId, MessageDefect.InvalidText, line.length);
+            connection.socket.end(encodeError(StatementFault.Malformed, "the names are no text"), wireEncoding);
+            return this.removeConnection(sessionId);
+        }
+        connection.opened = true;
+        connection.socket.setTimeout(0);
+        const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database, key };
+        this.options.post(message);
+    }
+
+    private answer(connection: Connection, { sessionId, answer }: SessionAnswer): void {
+        let text: string;
+        try {
+            text = encodeAnswer(answer);
+        }
+        catch (error) {
+            // The database's answer cannot be told to the caller, and no other answer would be true.
+            const { message } = error as RangeError;
+            this.options.post({ kind: SessionKind.AnswerRefused, sessionId, reason: message } as SessionAnswerRefused);
+            this.endConnection(sessionId);
+            return;
+        }
+        this.write(connection, text);
+    }
+
     private reportRefused(sessionId: string, defect: MessageDefect, bytes: number): void {
         const refused: SessionMessageRefused = { kind: SessionKind.MessageRefused, sessionId, defect, bytes };
         this.options.post(refused);
@@ -203,12 +231,3 @@
         this.connections.delete(sessionId);
     }
 }
-
-function encodeAnswer(answer: StatementAnswer): string {
-    const { rows, signature, fault, detail, transaction, position } = answer;
-    const outcome = fault === undefined
-        ? `COMPLETE ${signature ?? proxyId}\r\n`
-        : `ERROR ${encodeFault(fault)} ${detail}\r\n`;
-    const encodedRows = rows.map(row => `ROW ${row}\r\n`).join("");
-    return `${encodedRows}${outcome}READY ${encodeState(transaction)} ${encodePosition(position)}\r\n`;
-}
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -71,6 +71,7 @@
             FleetKind.FrameRefused,
             PeerKind.FrameRefused,
             SessionKind.MessageRefused,
+            SessionKind.AnswerRefused,
             StorageKind.Suspended,
             StorageKind.Resumed,
         ];
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -45,6 +45,7 @@
 } from "../model/promotionMessages.ts";
 import {
     type SessionAnswer,
+    type SessionAnswerRefused,
     SessionKind,
     type SessionMessageRefused,
     type SessionRefuse,
@@ -108,6 +109,7 @@
         defect,
         bytes,
     })),
+    line<SessionAnswerRefused>(SessionKind.AnswerRefused, ({ sessionId, reason }) => ({ session: sessionId, reason })),
     line<LinkLost>(LinkKind.Lost, ({ linkId, loss, fault, defect }) => ({ link: linkId, loss, fault, defect })),
     line<LinkReplyDiscarded>(LinkKind.ReplyDiscarded, ({ linkId, databaseId, reason, fault }) => ({
         link: linkId,
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -339,6 +339,7 @@
             PeerKind.InstancesKnown,
             PeerKind.FrameRefused,
             SessionKind.MessageRefused,
+            SessionKind.AnswerRefused,
             FeedKind.Opened,
             FeedKind.Lost,
             ControlKind.ProposalEnded,
