fix(platform): a link ends at a reply that cannot be told as it came

Rows that came before the link was open, or after an outcome, were added to the next reply; a signature was cut at a blank, a row without its field and an unknown state were passed on as another reply, and the rows of one reply could fill the memory. Such a link now ends, with a line that tells why, and a reply is limited to 8 MiB, which also fits between instances. On the code before, the new test never sees the link end.

--- a/src/platform/__tests__/wireClient.spec.ts
+++ b/src/platform/__tests__/wireClient.spec.ts
@@ -2,7 +2,7 @@
 import { EventEmitter, once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { describe, it } from "node:test";
-import { LinkCommandKind, LinkKind, LinkLoss, type LinkLost } from "../../model/linkMessages.ts";
+import { LinkCommandKind, LinkKind, LinkLoss, type LinkLost, type LinkReplied } from "../../model/linkMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { WireClient } from "../wireClient.ts";
 
@@ -65,12 +65,53 @@
             defects.push(lost.defect);
         }
         assert.deepEqual(defects, [
-            "a message of 7 bytes has an unknown kind",
+            "a message of 7 bytes is none of the protocol",
             "1 rows without an outcome",
             "a message exceeds 1048576 bytes",
         ]);
     });
 
+    it("end at a reply that cannot be told to a caller as it came", async () => {
+        // Guards against rows of one reply in the next one, forged outcomes, and signatures or positions that are changed.
+        const ready = "READY I 1.1\r\n";
+        const replies = [
+            "ROW x\r\nCOMPLETE a\r\nCOMPLETE b\r\n",
+            "COMPLETE a\r\nROW x\r\n",
+            "ERROR BUSY x\r\nCOMPLETE a\r\n",
+            "ROW\r\n",
+            "COMPLETE a\r\nREADY X 1.1\r\n",
+            "COMPLETE a\r\nREADY toString 1.1\r\n",
+            "COMPLETE a\r\nREADY I\r\n",
+            "COMPLETE a\r\nREADY I 1.1 x\r\n",
+            "COMPLETE a\r\nREADY I 1.99999999999999999999\r\n",
+            "row x\r\n",
+        ].map(reply => ready + reply).concat(`ROW x\r\nCOMPLETE a\r\n${ready}`);
+        for (const sent of replies) {
+            const { lost, posted } = await lastMessage(sent);
+            assert.equal(lost.loss, LinkLoss.Broken);
+            assert.notEqual(lost.defect, undefined, sent);
+            assert.equal(posted.some(({ kind }) => kind === LinkKind.Replied), false, sent);
+        }
+    });
+
+    it("end at a reply of more than the memory that is allowed, however small its rows are", async () => {
+        const row = `ROW ${"x".repeat(1_048_572)}\r\n`;
+        for (const rows of [row.repeat(9), "ROW \r\n".repeat(140_000)]) {
+            const { lost } = await lastMessage(`READY I 1.1\r\n${rows}COMPLETE a\r\nREADY I 1.1\r\n`);
+            assert.equal(lost.defect, "a reply exceeds 8388608 bytes");
+        }
+    });
+
+    it("pass on rows and signatures of any bytes, and the state and position", async () => {
+        const rows = ["", " ", "x\ny", "x\r", "\rCOMPLETE b\nREADY I 1.1", "\0\xff", "y".repeat(1_048_572)];
+        const signature = "a b  c\n";
+        const reply = `${rows.map(row => `ROW ${row}\r\n`).join("")}COMPLETE ${signature}\r\nREADY T 3.7\r\n`;
+        const { posted } = await lastMessage(`READY I -\r\n${reply}END\r\n`);
+        const replied = posted.find(({ kind }) => kind === LinkKind.Replied) as LinkReplied;
+        assert.deepEqual([replied.reply.rows, replied.reply.signature], [rows, signature]);
+        assert.deepEqual([replied.reply.transaction, replied.reply.position], ["open", { term: 3, offset: 7 }]);
+    });
+
     it("are refused before anything is sent if a name cannot be one word of a message", async () => {
         // Guards against the name of a workspace that becomes a command to the database.
         const posted: Message[] = [];
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -12,16 +12,32 @@
     type LinkReply,
     type LinkSend,
 } from "../model/linkMessages.ts";
-import { type StatementFault, TransactionState } from "../model/sessionStatement.ts";
+import type { Position } from "../model/position.ts";
+import type { StatementFault, TransactionState } from "../model/sessionStatement.ts";
 import { parseAddress } from "../model/socketAddress.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeFault, decodePosition, decodeState, encodeCommand, encodeConnect, proxyId } from "./wireCodec.ts";
+import {
+    decodeCount,
+    decodeFault,
+    decodePosition,
+    decodeState,
+    encodeCommand,
+    encodeConnect,
+    proxyId,
+} from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
 
+/** Maximum of a reply; one of bytes that JSON escapes still fits into a message between instances. */
+const maximumReplyBytes = 8 * 1_048_576;
+
+/** Memory that a row occupies besides its text. */
+const rowOverheadBytes = 64;
+
 /** The parts of a reply that have been received so far. */
 interface PartialReply {
     rows: string[];
+    rowsBytes: number;
     signature: string | undefined;
     fault: StatementFault | undefined;
     detail: string;
@@ -137,32 +153,64 @@
     }
 
     private receiveLine(linkId: string, link: Link, line: string): void {
-        const [keyword, first, rest] = splitWords(line, 2) as [string, string, string];
-        switch (keyword) {
-            case "ROW":
-                link.partial.rows.push(line.slice("ROW ".length));
-                return;
-            case "COMPLETE":
-                link.partial.signature = first;
-                link.partial.complete = true;
-                return;
-            case "ERROR":
-                link.partial.fault = decodeFault(first);
-                link.partial.detail = rest;
-                link.partial.complete = true;
-                if (!link.opened) {
-                    this.handleLoss(linkId, link, { loss: LinkLoss.Refused, fault: link.partial.fault });
-                }
-                return;
-            case "READY":
-                return this.finishReply(linkId, link, first, rest);
-            default:
-                this.endMalformed(linkId, link, `a message of ${line.length} bytes has an unknown kind`);
+        const [keyword, fields] = splitWords(line, 1) as [string, string];
+        if (keyword === "READY") {
+            return this.receiveReady(linkId, link, fields);
+        }
+        if (link.partial.complete) {
+            return this.endMalformed(linkId, link, "a reply goes on after its outcome");
+        }
+        if (keyword === "ERROR") {
+            return this.receiveError(linkId, link, fields);
+        }
+        if (!link.opened) {
+            return this.endMalformed(linkId, link, "a reply before the link is open");
+        }
+        if (keyword === "ROW" && line.length > keyword.length) {
+            return this.receiveRow(linkId, link, fields);
+        }
+        if (keyword === "COMPLETE") {
+            link.partial.signature = fields;
+            link.partial.complete = true;
+            return;
         }
+        this.endMalformed(linkId, link, `a message of ${line.length} bytes is none of the protocol`);
     }
 
-    private finishReply(linkId: string, link: Link, state: string, positionText: string): void {
+    private receiveRow(linkId: string, link: Link, row: string): void {
+        const { partial } = link;
+        partial.rows.push(row);
+        partial.rowsBytes += row.length + rowOverheadBytes;
+        if (partial.rowsBytes > maximumReplyBytes) {
+            this.endMalformed(linkId, link, `a reply exceeds ${maximumReplyBytes} bytes`);
+        }
+    }
+
+    private receiveError(linkId: string, link: Link, fields: string): void {
+        const [code, detail] = splitWords(fields, 1) as [string, string];
+        const fault = decodeFault(code);
+        if (!link.opened) {
+            return this.handleLoss(linkId, link, { loss: LinkLoss.Refused, fault });
+        }
+        Object.assign(link.partial, { fault, detail, complete: true });
+    }
+
+    private receiveReady(linkId: string, link: Link, fields: string): void {
+        const [letter, positionText] = splitWords(fields, 1) as [string, string];
+        const state = decodeState(letter);
         const position = decodePosition(positionText);
+        if (state === undefined || position === undefined && positionText !== proxyId) {
+            return this.endMalformed(linkId, link, "an invalid state or position");
+        }
+        this.finishReply(linkId, link, state, position);
+    }
+
+    private finishReply(
+        linkId: string,
+        link: Link,
+        transaction: TransactionState,
+        position: Position | undefined,
+    ): void {
         if (!link.opened) {
             link.opened = true;
             this.post({ kind: LinkKind.Opened, linkId, position } as LinkOpened);
@@ -184,7 +232,7 @@
             signature: isSigned ? signature : undefined,
             fault,
             detail,
-            transaction: decodeState(state) ?? TransactionState.Failed,
+            transaction,
             position,
             status,
         };
@@ -207,14 +255,17 @@
 }
 
 function emptyReply(): PartialReply {
-    return { rows: [], signature: undefined, fault: undefined, detail: "", complete: false };
+    return { rows: [], rowsBytes: 0, signature: undefined, fault: undefined, detail: "", complete: false };
 }
 
 /** Decodes the row returned for status, pause, resume and step down. Returns undefined if the row is invalid. */
 function decodeStatus(row: string): DatabaseStatus | undefined {
-    const [role, term, received, held] = row.split(" ");
-    const position = decodePosition(received ?? "");
-    return position === undefined
+    const [role, term, received, held] = row.split(" ") as (string | undefined)[];
+    const receivedPosition = decodePosition(received ?? "");
+    const termNumber = decodeCount(term);
+    const heldTerm = decodeCount(held);
+    const isKnown = role === "primary" || role === "replica";
+    return receivedPosition === undefined || termNumber === undefined || heldTerm === undefined || !isKnown
         ? undefined
-        : { leads: role === "primary", term: Number(term), receivedPosition: position, heldTerm: Number(held) };
+        : { leads: role === "primary", term: termNumber, receivedPosition, heldTerm };
 }
