fix(session): replies are told apart by their parts, and remembered up to a limit of bytes

The text by which a link recognizes a repeated reply joined its rows with line feeds, which a row may hold: an answer could be taken for the repeat of another one and be thrown away. With the former text, the new test gets "repeated" for the second of two different replies. The limit of 256 remembered replies did not bound their bytes, nor those of a database that sends replies to nothing while a statement runs.

--- a/src/session/__tests__/replyMatcher.spec.ts
+++ b/src/session/__tests__/replyMatcher.spec.ts
@@ -51,6 +51,34 @@
         ]);
     });
 
+    it("are told apart by rows that hold line feeds", () => {
+        // Guards against an answer that is taken for the repeat of another one.
+        const matcher = matcherOf(begin, begin);
+        const [first, second] = [["a\nb"], ["a", "b"]].map(rows => reply(1, { ...opened, rows })) as [
+            LinkReply,
+            LinkReply,
+        ];
+        assert.deepEqual(verdicts(matcher, first, second), [ReplyVerdict.Proved, ReplyVerdict.Proved]);
+        const others = matcherOf(begin, begin);
+        assert.deepEqual(
+            verdicts(others, reply(1, { ...opened, rows: ["a"] }), reply(1, { ...opened, detail: "\na" })),
+            [ReplyVerdict.Proved, ReplyVerdict.Proved],
+        );
+    });
+
+    it("that are long or answer nothing are remembered up to a limit", () => {
+        // Guards against a database that fills the memory of the proxy with signatures or replies.
+        const signed = matcherOf(write);
+        assert.equal(signed.isExhausted, false);
+        signed.match(reply(1, { signature: "s".repeat(1_048_576) }));
+        assert.equal(signed.isExhausted, true);
+        const unasked = matcherOf();
+        for (let index = 0; !unasked.isOverflowing; index++) {
+            assert.ok(index < 8, "not limited");
+            unasked.match(reply(1, { rows: [`${index}`.repeat(1_000_000)] }));
+        }
+    });
+
     it("without a signature are no answer to a statement", () => {
         const matcher = matcherOf(setValue, write);
         assert.deepEqual(verdicts(matcher, reply(1), reply(1), reply(1, { signature: "a" })), [
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -262,7 +262,9 @@
         const match = link.replies.match(reply);
         switch (match.verdict) {
             case ReplyVerdict.Repeated:
-                return [replyDiscarded(link, reply, DiscardReason.Repeated)];
+                return link.replies.isOverflowing
+                    ? this.discard(link, reply, DiscardReason.Repeated, nowMs)
+                    : [replyDiscarded(link, reply, DiscardReason.Repeated)];
             case ReplyVerdict.Unmatched:
                 return this.discard(link, reply, DiscardReason.Unmatched, nowMs);
         }
--- a/src/session/replyMatcher.ts
+++ b/src/session/replyMatcher.ts
@@ -57,14 +57,19 @@
     readonly canFail: boolean;
 }
 
-/** Maximum of signatures and of different other replies that a link remembers; it is replaced then. */
+/** Maximum of signatures and of different other replies that a link remembers, and of their bytes; it is replaced then. */
 const maximumRememberedReplies = 256;
+const maximumRememberedBytes = 1_048_576;
+
+/** Multiple of these maxima at which a link is given up although a statement is in progress on it. */
+const overflowFactor = 4;
 
 export class ReplyMatcher {
     private readonly expected: ExpectedReply[] = [];
     private readonly signatures = new Set<string>();
     /** The latest position of each reply without a signature, by its other content. */
     private readonly unsignedPositions = new Map<string, Position>();
+    private rememberedBytes = 0;
     /** The latest positions of unsigned replies: faults, and successes that left a transaction open. */
     private faultPosition: Position | undefined;
     private openedPosition: Position | undefined;
@@ -83,8 +88,12 @@
 
     /** The link has seen as many replies as it may remember. */
     get isExhausted(): boolean {
-        return this.signatures.size >= maximumRememberedReplies
-            || this.unsignedPositions.size >= maximumRememberedReplies;
+        return this.exceeds(1);
+    }
+
+    /** The database has sent so many replies to nothing that the link cannot wait for the end of its statement. */
+    get isOverflowing(): boolean {
+        return this.exceeds(overflowFactor);
     }
 
     /** Records a command that is sent on the link. */
@@ -138,6 +147,7 @@
             return { verdict: ReplyVerdict.Unmatched };
         }
         this.signatures.add(signature);
+        this.rememberedBytes += signature.length;
         return this.prove(expected);
     }
 
@@ -173,7 +183,14 @@
         return last === undefined || isOlder(last, position);
     }
 
+    private exceeds(factor: number): boolean {
+        return this.signatures.size >= factor * maximumRememberedReplies
+            || this.unsignedPositions.size >= factor * maximumRememberedReplies
+            || this.rememberedBytes >= factor * maximumRememberedBytes;
+    }
+
     private remember(content: string, reply: LinkReply): void {
+        this.rememberedBytes += this.unsignedPositions.has(content) ? 0 : content.length;
         const position = reply.position ?? unknownPosition;
         this.unsignedPositions.set(content, laterPosition(this.unsignedPositions.get(content), position));
         if (reply.fault !== undefined) {
@@ -196,7 +213,7 @@
 }
 
 function contentOf({ fault, detail, transaction, rows }: LinkReply): string {
-    return [transaction, fault ?? "", detail, ...rows].join("\n");
+    return JSON.stringify([transaction, fault ?? "", detail, rows]);
 }
 
 function isOlder(left: Position | undefined, right: Position | undefined): boolean {
