fix(scripts): no rejection of a process that is waited for is dropped

waitForLine and startLoad caught rejections that nobody awaited any more and dropped them, also those with a reason, and a port that could not be listened on for another reason than being in use counted as in use. A wait is now one promise whose listener and timer go with it, the load's start and figures are awaited by whoever asks for them, and any other error of a port is thrown.

--- a/scripts/__tests__/processGroup.spec.ts
+++ b/scripts/__tests__/processGroup.spec.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { describe, it } from "node:test";
-import { findFreePorts, ProcessGroup } from "../processGroup.ts";
+import { findFreePorts, type ManagedProcess, ProcessGroup } from "../processGroup.ts";
 
 describe("process group", () => {
     it("writes the whole output of a process to its log file, also after a restart", async () => {
@@ -25,6 +25,20 @@
         }
     });
 
+    it("waits for a line, and tells the last output if the process ends or a time passes before it", async () => {
+        await using group = new ProcessGroup();
+        const start = (script: string): ManagedProcess =>
+            group.start({ name: "writer", program: process.execPath, commandArguments: ["-e", script] });
+        const running = start(
+            "console.log('first'); setTimeout(() => console.log('second'), 50); setTimeout(() => 0, 1e5)",
+        );
+        assert.equal(await running.waitForLine("second", 10_000), "second");
+        assert.equal(await running.waitForLine(line => line.startsWith("fi"), 10_000), "first");
+        await assert.rejects(running.waitForLine("third", 20), /no line with third \(timeout\):\nfirst\nsecond/);
+        const ended = start("console.log('only'); process.exit(3)");
+        await assert.rejects(ended.waitForLine("third", 10_000), /no line with third \(3\):\nonly/);
+    });
+
     it("finds distinct ports outside the ephemeral range, so that no connection takes a chosen port", async () => {
         const ports = await findFreePorts(20);
         assert.equal(new Set(ports).size, 20);
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -33,14 +33,14 @@
     console.log("starting 6 databases and 3 entry instances");
     await using cluster = await TestCluster.open(values.logs);
     const load = cluster.startLoad({ seed: 1, durationMs: loadDurationMs });
-    await load.started;
+    await load.waitForStart();
     console.log("the load of orders and redemptions has started");
     await delay(killDelayMs);
     const primary = await cluster.findPrimaryOf("orders");
     console.log(`killing ${primary.id}, the primary of "orders"`);
     primary.process.signal("SIGKILL");
     // Awaited here, because leaving the function disposes of the cluster.
-    return await load.result;
+    return await load.waitForResult();
 }
 
 function printReport(summary: LoadSummary): void {
--- a/scripts/loadScenario.ts
+++ b/scripts/loadScenario.ts
@@ -50,10 +50,10 @@
 
     async run(cluster: TestCluster, seed: number): Promise<ScenarioResult> {
         const load = cluster.startLoad({ seed, durationMs: this.loadDurationMs });
-        await load.started;
+        await load.waitForStart();
         await delay(faultDelayMs);
         const { violations, figures } = await this.injectFault(cluster);
-        const summary = await load.result;
+        const summary = await load.waitForResult();
         return { summary, violations: [...violations, ...await this.checkRecovery(cluster)], figures };
     }
 
--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -6,7 +6,6 @@
 import { type AddressInfo, createServer, type Server } from "node:net";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
-import { setTimeout as delay } from "node:timers/promises";
 
 /** Time between SIGTERM and SIGKILL when a process is stopped. */
 const stopTimeoutMs = 3_000;
@@ -38,7 +37,7 @@
     readonly ended: Promise<number | string>;
     private readonly child: ChildProcess;
     private hasEnded = false;
-    private listeners: ((line: string) => void)[] = [];
+    private readonly listeners = new Set<(line: string) => void>();
     private readonly logStream: WriteStream | undefined;
 
     /** @param logFile file to which the whole output is appended, also after a restart of the process */
@@ -91,21 +90,27 @@
         if (earlierLine !== undefined) {
             return earlierLine;
         }
-        const timeoutAbort = new AbortController();
-        const matched = new Promise<string>(resolve =>
-            this.listeners.push(line => isMatch(line) ? resolve(line) : undefined)
-        );
-        const timeout = delay(timeoutMs, "timeout", { signal: timeoutAbort.signal, ref: false });
-        const failed = Promise.race([this.ended, timeout]).then(reason => {
-            throw new Error(`${this.name} wrote no line with ${text} (${reason}):\n${this.recentLines.join("\n")}`);
+        return new Promise<string>((resolve, reject) => {
+            const stopWaiting = (): void => {
+                clearTimeout(timer);
+                this.listeners.delete(listener);
+            };
+            const fail = (reason: number | string): void => {
+                stopWaiting();
+                reject(
+                    new Error(`${this.name} wrote no line with ${text} (${reason}):\n${this.recentLines.join("\n")}`),
+                );
+            };
+            const listener = (line: string): void => {
+                if (isMatch(line)) {
+                    stopWaiting();
+                    resolve(line);
+                }
+            };
+            const timer = setTimeout(fail, timeoutMs, "timeout").unref();
+            this.listeners.add(listener);
+            this.ended.then(fail, reject);
         });
-        try {
-            return await Promise.race([matched, failed]);
-        }
-        finally {
-            failed.catch(() => undefined);
-            timeoutAbort.abort();
-        }
     }
 
     /** Stops the process with SIGTERM, or with SIGKILL if it does not end within `stopTimeoutMs`. */
@@ -201,14 +206,20 @@
     }
 }
 
-/** Listens on a loopback port; returns undefined if the port is in use. */
+/**
+ * Listens on a loopback port; returns undefined if the port is in use.
+ * @throws Error if it cannot listen for another reason
+ */
 async function listenOn(port: number): Promise<Server | undefined> {
     const server = createServer().listen(port, "127.0.0.1");
     try {
         await once(server, "listening");
         return server;
     }
-    catch {
-        return undefined;
+    catch (error) {
+        if ((error as NodeJS.ErrnoException).code === "EADDRINUSE") {
+            return undefined;
+        }
+        throw error;
     }
 }
--- a/scripts/testCluster.ts
+++ b/scripts/testCluster.ts
@@ -29,9 +29,9 @@
 export interface LoadHandle {
     readonly process: ManagedProcess;
     /** Resolves when the load generator has found the system ready and starts to send statements. */
-    readonly started: Promise<void>;
+    readonly waitForStart: () => Promise<void>;
     /** Resolves to the figures, or rejects with an error that has the last output. */
-    readonly result: Promise<LoadSummary>;
+    readonly waitForResult: () => Promise<LoadSummary>;
 }
 
 export class TestCluster implements AsyncDisposable {
@@ -143,11 +143,13 @@
             seed: options.seed,
             "admin-ports": this.databases.map(database => database.admin.port).join(","),
         }));
-        const started = load.waitForLine("load_started", startTimeoutMs).then(() => undefined);
-        started.catch(() => undefined);
-        const result = load.ended.then(reason => readSummary(load, reason));
-        result.catch(() => undefined);
-        return { process: load, started, result };
+        return {
+            process: load,
+            waitForStart: async () => {
+                await load.waitForLine("load_started", startTimeoutMs);
+            },
+            waitForResult: async () => readSummary(load, await load.ended),
+        };
     }
 
     /** Partitions a data centre: cuts the connections of its instances and the replication of its databases. */
