--- a/scripts/soakRun.ts
+++ b/scripts/soakRun.ts
@@ -23,6 +23,9 @@
 const changeIntervalMs = 600;
 const askIntervalMs = 250;
 
+/** Share of the texts of clients and of the rows of databases that hold blanks, line ends and any bytes. */
+const oddShare = 0.03;
+
 /** Number of versions for which a key and its database exist. */
 const keyLifetimeVersions = 12;
 
@@ -44,6 +47,8 @@
     readonly answers: Readonly<Record<string, number>>;
     /** Answers to statements by code, and the number of promotions. */
     readonly statements: Readonly<Record<string, number>>;
+    /** Texts and rows with blanks, line ends and any bytes. */
+    readonly oddTexts: number;
     readonly promotions: number;
     /** Times that each rule on statements was broken. */
     readonly rules: RuleReport["broken"];
@@ -62,7 +67,7 @@
 export async function runSoak({ seed, scale, schedule, logFolder }: SoakOptions): Promise<SoakReport> {
     const { members, proxies, sessions } = scale;
     await using world = await StatementWorld.open(
-        { members, proxies, sessions, seed, ...logFolder === undefined ? {} : { logFolder } },
+        { members, proxies, sessions, seed, oddShare, ...logFolder === undefined ? {} : { logFolder } },
         documentOf(1),
     );
     const run = new SoakRun(world, seed);
@@ -128,6 +133,7 @@
             sessions,
             answers,
             statements: rules.answers,
+            oddTexts: this.world.oddCount,
             promotions: platform.promotionCount,
             rules: rules.broken,
             broken: [...broken, ...rules.examples],
