fix(rpc): names and amounts that the control state refuses are refused where they enter

What was seen: an announcement with the database id "d 1" was accepted. The leader then proposed a group with that member, which the control state refuses as a whole, again and again, so one odd announcement kept a group from being formed. In the same way an odd instance id spoils the assignment of all leases, a wanted rate that is no number the shares of a workspace, and the instance id "i/1" could be taken for another incarnation of "i".

Cause: announcements and heartbeats required only that their texts are not empty, while the commands that are made from them check names.

Why it works: one check of names, isObjectName, is used by the commands, by the peer authentication and at both entries; a name holds none of the separators that join names into ids. An instance of an earlier release may still pass on an announcement that this one refuses: that is left out, and the heartbeat is answered, so that the instance keeps its leases. The servers of the spec now end also after a failed assertion.

--- a/src/control/validation.ts
+++ b/src/control/validation.ts
@@ -1,10 +1,9 @@
 /** Checks of single fields of a command. */
+import { isObjectName, objectNameDescription } from "../model/objectName.ts";
 
 /** Text for the operator that says which field is invalid and what is allowed; undefined if the field is valid. */
 export type ValidationError = string | undefined;
 
-const namePattern = /^[a-zA-Z0-9_.-]{1,64}$/;
-const resourceIdPattern = /^[a-zA-Z0-9_.-]{1,64}(@[a-zA-Z0-9_.-]{1,64})?$/;
 const addressPattern = /^[^\s]{1,255}:[0-9]{1,5}$/;
 const doubleSha1Pattern = /^[0-9a-f]{40}$/;
 
@@ -13,13 +12,14 @@
 }
 
 export function checkName(field: string, value: string): ValidationError {
-    return matches(value, namePattern)
-        ? undefined
-        : `${field} must have 1 to 64 characters of a-z, A-Z, 0-9, "_", "." and "-"`;
+    return isObjectName(value) ? undefined : `${field} must have ${objectNameDescription}`;
 }
 
 export function checkResourceId(field: string, value: string): ValidationError {
-    return matches(value, resourceIdPattern) ? undefined : `${field} must be a name or two names joined by "@"`;
+    const names = typeof value === "string" ? value.split("@") : [];
+    return (names.length === 1 || names.length === 2) && names.every(isObjectName)
+        ? undefined
+        : `${field} must be a name or two names joined by "@"`;
 }
 
 export function checkAddress(field: string, value: string): ValidationError {
--- a/src/rpc/__tests__/healthRpc.spec.ts
+++ b/src/rpc/__tests__/healthRpc.spec.ts
@@ -1,6 +1,6 @@
 import { type Server, type ServiceError, status } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
-import { describe, it } from "node:test";
+import { afterEach, describe, it } from "node:test";
 import { DatabaseRole } from "../../model/database.ts";
 import {
     HealthKind,
@@ -73,6 +73,10 @@
     nextHeartbeatMs: 50,
 };
 
+const servers: Server[] = [];
+
+afterEach(() => servers.splice(0).forEach(server => server.forceShutdown()));
+
 function authenticationWith(word: string): PeerAuthentication {
     return new PeerAuthentication({ cluster: "c", instanceId: "i1", secret: `the ${word} cluster secret` });
 }
@@ -95,6 +99,7 @@
         },
     });
     const server = createPeerServer(authenticationWith("right"));
+    servers.push(server);
     server.addService(announcements.service, announcements.implementation);
     server.addService(heartbeats.service, heartbeats.implementation);
     return { address: `127.0.0.1:${await listen(server, "127.0.0.1:0")}`, server };
@@ -109,25 +114,38 @@
     return error;
 }
 
-async function sendHeartbeat(address: string, secret: string): Promise<HeartbeatAnswered> {
+async function sendHeartbeat(
+    address: string,
+    secret: string,
+    parts: Partial<Heartbeat> = {},
+): Promise<HeartbeatAnswered> {
     let resolveMessage: (message: Message) => void = () => {};
     const result = new Promise<Message>(resolve => resolveMessage = resolve);
     await using sink = new HeartbeatRpcClient({
         clientFactory: clientFactoryWith(secret),
         post: message => resolveMessage(message),
     });
-    sink.deliver({ kind: HealthKind.HeartbeatSend, heartbeatId: 1, peerAddress: address, timeoutMs: 5_000, heartbeat });
+    sink.deliver({
+        kind: HealthKind.HeartbeatSend,
+        heartbeatId: 1,
+        peerAddress: address,
+        timeoutMs: 5_000,
+        heartbeat: { ...heartbeat, ...parts },
+    });
     return await result as HeartbeatAnswered;
 }
 
 describe("health services", () => {
     it("refuses an invalid announcement with a status that names the field", async () => {
         const posted: Message[] = [];
-        const { address, server } = await startServer(posted);
+        const { address } = await startServer(posted);
         const request = { ...encodeAnnouncement(announcement), cluster: "c" };
         const faults: [Partial<AnnounceRequest>, RegExp][] = [
             [{ cluster: "other" }, /cluster/],
             [{ databaseId: "" }, /database_id/],
+            [{ databaseId: "d 1" }, /database_id/],
+            [{ groupId: "g/1" }, /group_id/],
+            [{ service: "orders\n" }, /service/],
             [{ address: "10.0.0.1:99999" }, /address/],
             [{ address: "10.0.0.1:0" }, /address/],
             [{ slots: 4_294_967_295 }, /slots/],
@@ -145,15 +163,39 @@
         assert.deepEqual(posted, []);
         assert.equal(await announce(address, "right", request), undefined);
         assert.deepEqual(posted, [{ kind: "cluster.database_announced", announcement }]);
-        server.forceShutdown();
     });
 
     it("transfers a heartbeat and its answer unchanged", async () => {
         const posted: Message[] = [];
-        const { address, server } = await startServer(posted);
+        const { address } = await startServer(posted);
         assert.deepEqual((await sendHeartbeat(address, "right")).answer, answer);
         assert.deepEqual((posted[0] as HeartbeatReceived).heartbeat, heartbeat);
-        server.forceShutdown();
+    });
+
+    it("refuses a heartbeat with an odd name or amount, which would block the leader's changes for all instances", async () => {
+        const posted: Message[] = [];
+        const { address } = await startServer(posted);
+        const [demand] = heartbeat.demands;
+        const faults: Partial<Heartbeat>[] = [
+            { instanceId: "i/1" },
+            { dataCentre: "north@x" },
+            { incarnation: "a/1" },
+            { demands: [{ ...demand!, wantedPerSecond: NaN }] },
+            { demands: [{ ...demand!, wantedPerSecond: Infinity }] },
+            { demands: [{ ...demand!, wantedPerSecond: -1 }] },
+        ];
+        for (const fault of faults) {
+            assert.equal((await sendHeartbeat(address, "right", fault)).answer, undefined, JSON.stringify(fault));
+        }
+        assert.deepEqual(posted, []);
+    });
+
+    it("takes a heartbeat without the announcement that an earlier release should have refused", async () => {
+        const posted: Message[] = [];
+        const { address } = await startServer(posted);
+        const heard = [{ announcement: { ...announcement, databaseId: "d 1" }, ageMs: 5 }, ...heartbeat.heard];
+        assert.deepEqual((await sendHeartbeat(address, "right", { heard })).answer, answer);
+        assert.deepEqual((posted[0] as HeartbeatReceived).heartbeat.heard, heartbeat.heard);
     });
 
     it("reports a heartbeat without an answer for an unauthenticated or unreachable peer", async () => {
--- a/src/rpc/announcementCodec.ts
+++ b/src/rpc/announcementCodec.ts
@@ -1,5 +1,6 @@
 /** Validates, encodes and decodes the announcements of databases. */
 import { type DatabaseAnnouncement, DatabaseRole, maximumSlots } from "../model/database.ts";
+import { isObjectName, objectNameDescription } from "../model/objectName.ts";
 import { originPosition } from "../model/position.ts";
 import { parseAddress } from "../model/socketAddress.ts";
 import type { AnnounceRequest } from "./generated/announcement.ts";
@@ -11,6 +12,12 @@
     if (emptyField !== undefined) {
         return `${protoFieldName(emptyField)} must not be empty`;
     }
+    // The control state refuses a group in which any of these is not a name.
+    const nameFields = ["databaseId", "groupId", "service"] as const;
+    const unnamedField = nameFields.find(field => !isObjectName(request[field]));
+    if (unnamedField !== undefined) {
+        return `${protoFieldName(unnamedField)} must have ${objectNameDescription}`;
+    }
     if (parseAddress(request.address) === undefined) {
         return `address must be host:port, not "${request.address}"`;
     }
@@ -52,6 +59,6 @@
 }
 
 /** Converts a property name to the field name in the proto file. */
-function protoFieldName(property: string): string {
+export function protoFieldName(property: string): string {
     return property.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
 }
--- a/src/rpc/heartbeatCodec.ts
+++ b/src/rpc/heartbeatCodec.ts
@@ -8,8 +8,9 @@
     OrderKind,
 } from "../model/healthMessages.ts";
 import { ResourceKind } from "../model/lease.ts";
+import { isObjectName, objectNameDescription } from "../model/objectName.ts";
 import { originPosition } from "../model/position.ts";
-import { decodeAnnouncement, encodeAnnouncement, validateAnnouncement } from "./announcementCodec.ts";
+import { decodeAnnouncement, encodeAnnouncement, protoFieldName, validateAnnouncement } from "./announcementCodec.ts";
 import type {
     DatabaseOrder as WireOrder,
     DirectoryEntry as WireEntry,
@@ -39,26 +40,33 @@
 
 /** Describes the first invalid field of a heartbeat; undefined if the heartbeat is valid. */
 export function validateHeartbeat(request: HeartbeatRequest): string | undefined {
-    const textFields = ["instanceId", "address", "dataCentre", "incarnation"] as const;
-    const emptyField = textFields.find(field => request[field] === "");
-    if (emptyField !== undefined) {
-        return `${emptyField.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)} must not be empty`;
+    const nameFields = ["instanceId", "dataCentre", "incarnation"] as const;
+    const unnamedField = nameFields.find(field => !isObjectName(request[field]));
+    if (unnamedField !== undefined) {
+        return `${protoFieldName(unnamedField)} must have ${objectNameDescription}`;
     }
-    const faults = request.heard.map(({ announcement }) =>
-        announcement === undefined ? "announcement must be set" : validateAnnouncement(announcement)
+    if (request.address === "") {
+        return "address must not be empty";
+    }
+    const index = request.demands.findIndex(({ wantedPerSecond }) =>
+        !(wantedPerSecond >= 0 && wantedPerSecond < Infinity)
     );
-    const index = faults.findIndex(fault => fault !== undefined);
-    return index < 0 ? undefined : `heard[${index}]: ${faults[index]}`;
+    return index < 0 ? undefined : `demands[${index}]: wanted_per_second must be a finite number of at least 0`;
 }
 
-/** @param request must be valid according to `validateHeartbeat` */
+/**
+ * Leaves out announcements that are not valid: an instance of an earlier release may pass on what this one refuses, and
+ * without an answer to its heartbeats it would lose its leases.
+ * @param request must be valid according to `validateHeartbeat`
+ */
 export function decodeHeartbeat(request: HeartbeatRequest): Heartbeat {
     return {
         ...request,
-        heard: request.heard.map(({ announcement, ageMs }) => ({
-            announcement: decodeAnnouncement(announcement!),
-            ageMs,
-        })),
+        heard: request.heard.flatMap(({ announcement, ageMs }) =>
+            announcement === undefined || validateAnnouncement(announcement) !== undefined
+                ? []
+                : [{ announcement: decodeAnnouncement(announcement), ageMs }]
+        ),
         leases: request.leases.map(decodeLease),
         givenBack: request.givenBack.map(decodeLease),
         held: request.held.map(report => ({ ...report, position: report.position ?? originPosition })),
--- a/src/rpc/peerAuthentication.ts
+++ b/src/rpc/peerAuthentication.ts
@@ -5,6 +5,7 @@
  */
 import { Metadata, status } from "@grpc/grpc-js";
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import { isObjectName, objectNameDescription } from "../model/objectName.ts";
 
 /** Must be incremented with each change that is incompatible with peers of the previous version. */
 export const protocolVersion = 1;
@@ -17,7 +18,6 @@
     Signature: "x-jasmineline-signature",
 } as const;
 
-const namePattern = /^[a-zA-Z0-9_.-]{1,64}$/;
 const noncePattern = /^[0-9a-f]{32}$/;
 
 /** A shorter secret could be found by brute force from one captured call. */
@@ -95,7 +95,7 @@
         }
         const instanceId = readHeader(metadata, Header.Instance);
         const nonce = readHeader(metadata, Header.Nonce);
-        if (!namePattern.test(instanceId) || !noncePattern.test(nonce)) {
+        if (!isObjectName(instanceId) || !noncePattern.test(nonce)) {
             return refused(status.UNAUTHENTICATED, "malformed peer authentication");
         }
         const expected = this.computeSignature(nonce, instanceId, method);
@@ -132,7 +132,7 @@
 }
 
 function requireValidName(field: string, name: string): void {
-    if (!namePattern.test(name)) {
-        throw new Error(`the ${field} "${name}" must have 1 to 64 characters of a-z, A-Z, 0-9, "_", "." and "-"`);
+    if (!isObjectName(name)) {
+        throw new Error(`the ${field} "${name}" must have ${objectNameDescription}`);
     }
 }
