--- a/src/rpc/__tests__/healthRpc.spec.ts
+++ b/src/rpc/__tests__/healthRpc.spec.ts
@@ -150,6 +150,9 @@
             [{ address: "10.0.0.1:0" }, /address/],
             [{ slots: 4_294_967_295 }, /slots/],
             [{ address: "nowhere" }, /address/],
+            // The address becomes a part of an order to the other databases of the group.
+            [{ address: "10.0.0.1' TERM 99; -- :3306" }, /address/],
+            [{ address: "10.0.0.1\n:3306" }, /address/],
             [{ connectionLimit: 0 }, /connection_limit/],
             [{ role: "leader" }, /role/],
             [{ position: undefined }, /position/],
