fix(request): a statement is classified by the words that the database reads

Reads that lock or change rows went to replicas: `SELECT 1.5FOR UPDATE` (for MySQL a number and FOR), a stored function whose name is quoted, qualified or not ASCII, `NEXT VALUE FOR`, and a literal after `--` and a control character, which MySQL takes for a comment. `/*! ... */` was dropped silently, so a part of the statement did not run. The removal of a comment behind two minus signs made a new one: `UPDATE boards SET price = 5--/**/1 WHERE id = 3` reached the database as an update of all rows. An unterminated literal full of quotes kept the only thread busy for a time that grew with the square of its length (1.4 s at 40 KB).

The tokenizer now follows MySQL's lexer: white space is ASCII, all other characters belong to identifiers, keywords compare by ASCII letters, a number takes the word after it along, and a control character ends `--`. It reads each character once and stops at the first error. Executable comments, control characters and backslashes outside literals, and two minus signs directly before a comment are refused as not run. A function counts as built in only if it is neither quoted nor qualified, and FOR is harmless only before a number or in an index hint.

--- a/src/request/sqlTokenizer.ts
+++ b/src/request/sqlTokenizer.ts
@@ -1,11 +1,14 @@
-/** A minimal SQL tokenizer: recognizes comments, words, quoted strings and symbols, but no grammar. */
+/**
+ * A minimal SQL tokenizer: recognizes comments, words, quoted strings and symbols, but no grammar. It reads a text as a
+ * database does whose session has the settings of `backend/sessionSettings.ts`, in time proportional to its length.
+ */
 
 export const TokenKind = {
-    /** An identifier, keyword or number, in upper case. */
+    /** An identifier, keyword or number, with ASCII letters in upper case. */
     Word: "word",
     /** A quoted string or quoted identifier. */
     Quoted: "quoted",
-    /** A user variable (`@name`) or system variable (`@@name`), in upper case. */
+    /** A user variable (`@name`) or system variable (`@@name`), with ASCII letters in upper case. */
     Variable: "variable",
     Symbol: "symbol",
 } as const;
@@ -14,6 +17,8 @@
 export interface Token {
     readonly kind: TokenKind;
     readonly text: string;
+    /** White space or a comment stands between the previous token and this one. */
+    readonly afterSpace: boolean;
 }
 
 export interface TokenizedSql {
@@ -22,60 +27,170 @@
     readonly tokens: readonly Token[];
     /** Bodies of the block comments, in order. */
     readonly comments: readonly string[];
-    /** Reports an unterminated string or comment; undefined if there is none. */
+    /** Why the text cannot be read reliably, for example an unterminated string; undefined if it can. */
     readonly error: string | undefined;
 }
 
-const tokenPattern = new RegExp(
-    [
-        /(?<comment>\/\*[\s\S]*?\*\/)/,
-        /(?<lineComment>--(?=[\s]|$)[^\n]*|#[^\n]*)/,
-        /(?<quoted>'(?:[^'\\]|\\[\s\S]|'')*'|"(?:[^"\\]|\\[\s\S]|"")*"|`(?:[^`]|``)*`)/,
-        /(?<open>\/\*|['"`])/,
-        /(?<variable>@@?(?:[\p{L}\p{N}_$.]+|`[^`]*`|'[^']*')?)/u,
-        /(?<word>[\p{L}\p{N}_$]+)/u,
-        /(?<space>\s+)/,
-        /(?<symbol>[\s\S])/,
-    ].map(part => part.source).join("|"),
-    "guy",
+/** Splits a statement into tokens and extracts its comments. Stops at the first error. */
+export function tokenizeSql(text: string): TokenizedSql {
+    const tokenizer = new Tokenizer(text);
+    const error = tokenizer.run();
+    const { tokens, comments } = tokenizer;
+    return { statement: trimSpace(tokenizer.statement), tokens, comments, error };
+}
+
+// As in MySQL, white space is ASCII only, and every character outside ASCII belongs to an identifier.
+const identifierCharacters = String.raw`\w$\u0080-\uffff`;
+const wordPattern = new RegExp(`[${identifierCharacters}]+`, "y");
+const variablePattern = new RegExp(`@@?[${identifierCharacters}.]*`, "y");
+// A number may be followed directly by a word, as in `1.5FOR`; both become one token.
+const numberPattern = new RegExp(
+    String.raw`(?:\d+(?:\.\d*)?|\.\d+)(?:[eE][+-]?\d+)?[${identifierCharacters}]*`,
+    "y",
 );
+// In MySQL, a control character ends the two dashes of a comment like white space.
+const lineCommentPattern = /#|--(?:[\x00-\x20\x7f]|$)/y;
+const executableCommentPattern = /\/\*M?!/y;
 
-/** Splits a statement into tokens and extracts its comments. */
-export function tokenizeSql(text: string): TokenizedSql {
-    const tokens: Token[] = [];
-    const comments: string[] = [];
-    const statementParts: string[] = [];
-    let error: string | undefined;
-    for (const found of text.matchAll(tokenPattern)) {
-        const groups = found.groups!;
-        const matchedText = found[0];
-        if (groups["comment"] !== undefined) {
-            comments.push(matchedText.slice(2, -2));
-            statementParts.push(" ");
+class Tokenizer {
+    readonly tokens: Token[] = [];
+    readonly comments: string[] = [];
+    statement = "";
+    private readonly text: string;
+    private offset = 0;
+    /** Start of the text that is not yet part of `statement`. */
+    private partStart = 0;
+    private afterSpace = false;
+
+    constructor(text: string) {
+        this.text = text;
+    }
+
+    /** Reads the whole text; returns the error, if any. */
+    run(): string | undefined {
+        let error: string | undefined;
+        while (this.offset < this.text.length && error === undefined) {
+            error = this.readNext();
+        }
+        this.statement += this.text.slice(this.partStart, this.offset);
+        return error;
+    }
+
+    private readNext(): string | undefined {
+        const character = this.text[this.offset]!;
+        if (isSpace(character.charCodeAt(0))) {
+            this.offset += 1;
+            this.afterSpace = true;
+            return undefined;
+        }
+        if (character === "'" || character === "\"" || character === "`") {
+            return this.readQuoted(character);
+        }
+        if (character === "/" && this.text[this.offset + 1] === "*") {
+            return this.readBlockComment();
         }
-        else if (groups["lineComment"] !== undefined) {
-            statementParts.push(" ");
+        if ((character === "#" || character === "-") && this.matchLength(lineCommentPattern) > 0) {
+            const end = this.text.indexOf("\n", this.offset);
+            return this.skipComment(end < 0 ? this.text.length : end);
+        }
+        return this.readUnquoted(character);
+    }
+
+    private readUnquoted(character: string): string | undefined {
+        if (character < " " || character === "\x7f" || character === "\\") {
+            return "a control character or a backslash outside a literal";
+        }
+        const variableLength = character === "@" ? this.matchLength(variablePattern) : 0;
+        const wordLength = this.matchLength(numberPattern) || this.matchLength(wordPattern);
+        if (variableLength > 0) {
+            this.addToken(TokenKind.Variable, variableLength);
+        }
+        else if (wordLength > 0) {
+            this.addToken(TokenKind.Word, wordLength);
         }
         else {
-            statementParts.push(matchedText);
-            error ??= groups["open"] === undefined ? undefined : `unterminated ${matchedText}`;
-            addToken(tokens, groups, matchedText);
+            this.addToken(TokenKind.Symbol, 1);
         }
+        return undefined;
     }
-    return { statement: statementParts.join("").trim(), tokens, comments, error };
-}
 
-function addToken(tokens: Token[], groups: Record<string, string | undefined>, text: string): void {
-    if (groups["word"] !== undefined) {
-        tokens.push({ kind: TokenKind.Word, text: text.toUpperCase() });
+    private readBlockComment(): string | undefined {
+        if (this.matchLength(executableCommentPattern) > 0) {
+            return "comments that the database executes";
+        }
+        const end = this.text.indexOf("*/", this.offset + 2);
+        if (end < 0) {
+            return "unterminated /*";
+        }
+        this.comments.push(this.text.slice(this.offset + 2, end));
+        return this.skipComment(end + 2);
     }
-    else if (groups["quoted"] !== undefined) {
-        tokens.push({ kind: TokenKind.Quoted, text });
+
+    private readQuoted(quote: string): string | undefined {
+        let end = this.offset + 1;
+        while (end < this.text.length) {
+            const character = this.text[end];
+            if (character === "\\" && quote !== "`") {
+                end += 2;
+            }
+            else if (character !== quote) {
+                end += 1;
+            }
+            else if (this.text[end + 1] === quote) {
+                end += 2;
+            }
+            else {
+                this.addToken(TokenKind.Quoted, end + 1 - this.offset);
+                return undefined;
+            }
+        }
+        return `unterminated ${quote}`;
     }
-    else if (groups["variable"] !== undefined) {
-        tokens.push({ kind: TokenKind.Variable, text: text.toUpperCase() });
+
+    private skipComment(end: number): string | undefined {
+        // The space in place of the comment would make the dashes the start of a comment for the database.
+        if (this.offset - this.partStart >= 2 && this.text.endsWith("--", this.offset)) {
+            return "two minus signs directly before a comment";
+        }
+        this.statement += `${this.text.slice(this.partStart, this.offset)} `;
+        this.partStart = end;
+        this.afterSpace = true;
+        this.offset = end;
+        return undefined;
+    }
+
+    private addToken(kind: TokenKind, length: number): void {
+        const text = this.text.slice(this.offset, this.offset + length);
+        const isNamed = kind === TokenKind.Word || kind === TokenKind.Variable;
+        this.tokens.push({ kind, text: isNamed ? toAsciiUpperCase(text) : text, afterSpace: this.afterSpace });
+        this.afterSpace = false;
+        this.offset += length;
     }
-    else if (groups["symbol"] !== undefined) {
-        tokens.push({ kind: TokenKind.Symbol, text });
+
+    /** Returns the length of the match of a sticky pattern at the current offset; 0 without one. */
+    private matchLength(pattern: RegExp): number {
+        pattern.lastIndex = this.offset;
+        return pattern.exec(this.text)?.[0].length ?? 0;
     }
 }
+
+/** Keywords are ASCII; other letters have upper-case forms within ASCII, for example U+017F. */
+function toAsciiUpperCase(text: string): string {
+    return text.replace(/[a-z]+/g, letters => letters.toUpperCase());
+}
+
+function trimSpace(text: string): string {
+    let start = 0;
+    let end = text.length;
+    while (start < end && isSpace(text.charCodeAt(start))) {
+        start += 1;
+    }
+    while (end > start && isSpace(text.charCodeAt(end - 1))) {
+        end -= 1;
+    }
+    return text.slice(start, end);
+}
+
+function isSpace(code: number): boolean {
+    return code === 0x20 || code >= 0x09 && code <= 0x0d;
+}
--- a/src/request/statementKind.ts
+++ b/src/request/statementKind.ts
@@ -21,6 +21,14 @@
         + "TIME TIMESTAMPDIFF TRIM TRUNCATE UNIX_TIMESTAMP UPPER VALUES VARIANCE WEEK YEAR").split(" "),
 );
 
+// Without white space before the parenthesis, these call the built-in function; with it, a stored function of that name.
+const spaceSensitiveFunctions = new Set(
+    ("BIT_AND BIT_OR CAST COUNT CURDATE DATE_ADD DATE_SUB EXTRACT GROUP_CONCAT MAX MIN NOW STDDEV SUBSTR SUBSTRING SUM "
+        + "TRIM VARIANCE").split(" "),
+);
+
+const numberPattern = /^(0X[0-9A-F]+|0B[01]+|(\d+(\.\d*)?|\.\d+)(E[+-]?\d+)?)$/;
+
 // Words that are not function names when a parenthesis follows them.
 const wordsBeforeParenthesis = new Set(
     ("ALL AND ANY AS BETWEEN BY CASE DISTINCT ELSE EXCEPT FROM HAVING INTERSECT INTERVAL JOIN LIKE NOT ON OR SELECT SOME "
@@ -130,21 +138,37 @@
         return false;
     }
     return tokens.every((token, index) => {
+        const next = tokens[index + 1];
+        if (callsUnknownFunction(tokens[index - 1], token, next)) {
+            return false;
+        }
         if (token.kind !== TokenKind.Word) {
             return true;
         }
         if (token.text === "INTO" || token.text === "LOCK" || token.text === "PROCEDURE") {
             return false;
         }
-        if (token.text === "FOR" && /^(UPDATE|SHARE)$/.test(tokens[index + 1]?.text ?? "")) {
+        if (/^\.?\d/.test(token.text) && !numberPattern.test(token.text)) {
+            // An identifier, or a number and the keyword after it.
             return false;
         }
-        return !callsUnknownFunction(token, tokens[index + 1]);
+        return token.text !== "FOR" || isHarmlessFor(next);
     });
 }
 
-function callsUnknownFunction(token: Token, next: Token | undefined): boolean {
-    return next?.text === "(" && !pureFunctions.has(token.text) && !wordsBeforeParenthesis.has(token.text);
+/** FOR also stands before a length in SUBSTRING and in index hints; elsewhere it may lock rows or advance a sequence. */
+function isHarmlessFor(next: Token | undefined): boolean {
+    return next !== undefined && (/^(JOIN|ORDER|GROUP)$/.test(next.text) || numberPattern.test(next.text));
+}
+
+function callsUnknownFunction(previous: Token | undefined, token: Token, next: Token | undefined): boolean {
+    if (next?.text !== "(" || token.kind === TokenKind.Symbol) {
+        return false;
+    }
+    const isQualified = previous?.text === ".";
+    const isBuiltIn = pureFunctions.has(token.text)
+        && !(next.afterSpace && spaceSensitiveFunctions.has(token.text));
+    return isQualified || token.kind !== TokenKind.Word || !isBuiltIn && !wordsBeforeParenthesis.has(token.text);
 }
 
 function withoutTrailingSemicolon(tokens: readonly Token[]): readonly Token[] {
