--- a/src/platform/wireCodec.ts
+++ b/src/platform/wireCodec.ts
@@ -9,7 +9,7 @@
     StatementFault,
     TransactionState,
 } from "../model/sessionStatement.ts";
-import { lineTerminator, maximumLineBytes, splitWords, wireEncoding } from "./wireLines.ts";
+import { lineTerminator, maximumLineBytes, splitWords } from "./wireLines.ts";
 
 /** Stands for the proxy: the id of statements that it issues itself and the signature of answers that it gives itself. */
 export const proxyId = "-";
@@ -104,18 +104,7 @@
     if (names.some(name => name === "" || name.includes(" "))) {
         throw new RangeError("a name is empty or holds a blank");
     }
-    return encodeLine(`CONNECT ${names.map(encodeName).join(" ")}`);
-}
-
-/** Returns the bytes of a name of the configuration as they are written into a message. */
-function encodeName(name: string): string {
-    return Buffer.from(name).toString(wireEncoding);
-}
-
-/** Returns the name, as the configuration writes it, that a message holds; undefined if the bytes are no text. */
-export function decodeName(text: string): string | undefined {
-    const name = Buffer.from(text, wireEncoding).toString();
-    return encodeName(name) === text ? name : undefined;
+    return encodeLine(`CONNECT ${names.join(" ")}`);
 }
 
 /** @param detail cannot become a message of its own; what does not fit is cut off or replaced */
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -14,10 +14,9 @@
     type SessionRefuse,
     type SessionRequested,
 } from "../model/sessionMessages.ts";
-import { StatementFault } from "../model/sessionStatement.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeName, decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
+import { decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
 
 /** Time within which a new connection must send CONNECT; callers send it immediately. */
@@ -173,14 +172,7 @@
     }
 
     private openSession(sessionId: string, connection: Connection, line: string): void {
-        const [, databaseText, keyText] = splitWords(line, 2) as [string, string, string];
-        const database = decodeName(databaseText);
-        const key = decodeName(keyText);
-        if (database === undefined || key === undefined) {
-            this.reportRefused(sessionId, MessageDefect.InvalidText, line.length);
-            connection.socket.end(encodeError(StatementFault.Malformed, "the names are no text"), wireEncoding);
-            return this.removeConnection(sessionId);
-        }
+        const [, database, key] = splitWords(line, 2) as [string, string, string];
         connection.opened = true;
         connection.socket.setTimeout(0);
         const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database, key };
