fix(rpc): a passed task is refused if the links could not run it

A frame with a prepared statement and no statement, or a task without a statement that is no probe, ended the process of the instance that received it (`statement!`); an EXECUTE without its parts was sent as an empty text. On the code before, the new test sees no refusal. The other new tests show that statements and replies of any bytes and of the maximum size pass between instances as they are.

--- a/src/rpc/__tests__/taskCodec.spec.ts
+++ b/src/rpc/__tests__/taskCodec.spec.ts
@@ -1,9 +1,13 @@
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { PeerQuestion, PeerResult } from "../../model/peerMessages.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "../taskCodec.ts";
 
+/** Limit of a message between instances (`peerChannel.ts`). */
+const maximumFrameBytes = 64 * 1024 * 1024;
+
 const base = { taskId: "t1", sessionId: "s1", service: "s", workspace: "w", mode: "single", remainingMs: 500 } as const;
 
 describe("task codec", () => {
@@ -48,6 +52,107 @@
         questions.forEach(question => assert.deepEqual(decodeQuestion(encodeQuestion(question)), question));
     });
 
+    it("passes any bytes of a statement and of a reply", () => {
+        // Guards against a text that a database gets through two instances in another form than through one.
+        const texts = fc.string({ unit: fc.integer({ min: 0, max: 255 }).map(byte => String.fromCharCode(byte)) });
+        const empty = { name: "", argument: "", prepared: undefined };
+        fc.assert(
+            fc.property(texts, texts, texts, fc.array(texts), (id, first, second, rows) => {
+                const write = { ...empty, kind: SessionStatementKind.Write, id, text: first };
+                const execute = {
+                    ...empty,
+                    kind: SessionStatementKind.Execute,
+                    id,
+                    text: "",
+                    name: first,
+                    argument: second,
+                };
+                const task = {
+                    ...base,
+                    kind: "task",
+                    writes: true,
+                    needsPrimary: true,
+                    values: [[first, second]],
+                    databaseId: "d",
+                    floor: undefined,
+                } as const;
+                const questions: readonly PeerQuestion[] = [
+                    { ...task, statement: write, prepared: undefined },
+                    { ...task, statement: execute, prepared: { writes: true, shape: second } },
+                ];
+                questions.forEach(question => assert.deepEqual(decodeQuestion(encodeQuestion(question)), question));
+                const reply = {
+                    rows,
+                    signature: `${first}x`,
+                    fault: undefined,
+                    detail: second,
+                    transaction: TransactionState.None,
+                    position: undefined,
+                    status: undefined,
+                };
+                const flags = { fault: undefined, sent: true, leads: false, pinned: false };
+                const result = { kind: "task", taskId: "t", reply, ...flags } as const;
+                assert.deepEqual(decodeResult(encodeResult(result)), result);
+            }),
+            { seed: 20261207 },
+        );
+    });
+
+    it("passes a statement and a reply of maximum size, whatever their bytes are", () => {
+        const text = `WRITE x ${"\0".repeat(1_048_576 - 18)}`;
+        const statement = {
+            kind: SessionStatementKind.Write,
+            id: "5c",
+            text,
+            name: "",
+            argument: "",
+            prepared: undefined,
+        };
+        const task = {
+            ...base,
+            kind: "task",
+            statement,
+            prepared: undefined,
+            writes: true,
+            needsPrimary: true,
+        } as const;
+        const question: PeerQuestion = { ...task, values: [], databaseId: "d", floor: undefined };
+        const encoded = encodeQuestion(question);
+        assert.ok(encoded.body.length < maximumFrameBytes);
+        assert.deepEqual(decodeQuestion(encoded), question);
+        const reply = {
+            rows: Array.from({ length: 8 }, () => "\0".repeat(1_048_572 - 64)),
+            signature: "7.1",
+            fault: undefined,
+            detail: "",
+            transaction: TransactionState.None,
+            position: undefined,
+            status: undefined,
+        };
+        const flags = { fault: undefined, sent: true, leads: false, pinned: false };
+        const encodedResult = encodeResult({ kind: "task", taskId: "t", reply, ...flags });
+        assert.ok(encodedResult.body.length < maximumFrameBytes, `${encodedResult.body.length}`);
+    });
+
+    it("refuses a task that the links could not run", () => {
+        // Guards against a frame that ends the process of the instance that receives it.
+        const encode = (...fields: readonly unknown[]): { readonly body: Buffer; } => ({
+            body: Buffer.from(JSON.stringify(fields)),
+        });
+        const rest = [0, 0, [], 0, "d", 0, 500];
+        const prepared = [0, 0, [], [0, "q"], "d", 0, 500];
+        const head = ["t", "s", "s", "w"];
+        const invalid = [
+            [...head, "single", 0, ...rest],
+            [...head, "probe", ["read", "1", "READ x"], ...rest],
+            [...head, "probe", 0, ...prepared],
+            [...head, "single", ["execute", "1", "n", "i"], ...rest],
+            [...head, "single", ["execute", "1", "n"], ...prepared],
+            [...head, "single", ["read", "1", "READ x", "y"], ...rest],
+        ];
+        invalid.forEach(fields => assert.throws(() => decodeQuestion(encode(...fields)), TypeError, `${fields}`));
+    });
+
     it("decodes every flag and fault of a result as it was encoded", () => {
         const reply = {
             rows: ["x y"],
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -71,21 +71,30 @@
             maximumProofAgeMs: requireDuration(fields[3], "maximumProofAgeMs"),
         };
     }
+    const mode = requireOneOf(TaskMode, fields[4], "mode");
+    const statement = fields[5] === 0 ? undefined : decodeStatement(fields[5]);
+    const prepared = fields[9] === 0 ? undefined : decodePrepared(fields[9]);
+    if ((statement === undefined) !== (mode === TaskMode.Probe)) {
+        throw new TypeError("only a probe has no statement");
+    }
+    if ((statement?.kind === SessionStatementKind.Execute) !== (prepared !== undefined)) {
+        throw new TypeError("only an execute has a prepared statement");
+    }
     return {
         kind: "task",
         taskId: requireText(fields[0], "taskId"),
         sessionId: requireText(fields[1], "sessionId"),
         service: requireText(fields[2], "service"),
         workspace: requireText(fields[3], "workspace"),
-        mode: requireOneOf(TaskMode, fields[4], "mode"),
-        statement: fields[5] === 0 ? undefined : decodeStatement(fields[5]),
+        mode,
+        statement,
         writes: fields[6] === 1,
         needsPrimary: fields[7] === 1,
         values: requireArray(fields[8], "values").map(pair => {
             const [name, value] = requireFields(pair, "value", [2]);
             return [requireText(name, "value name"), requireText(value, "value")];
         }),
-        prepared: fields[9] === 0 ? undefined : decodePrepared(fields[9]),
+        prepared,
         databaseId: requireText(fields[10], "databaseId"),
         floor: decodePosition(fields[11]),
         remainingMs: requireNumber(fields[12], "remainingMs"),
@@ -158,21 +167,25 @@
     };
 }
 
-/** The text of an `execute` is not sent, because name and argument contain the same information. */
+/** The text of an `execute` is not sent, because a database gets its parts: the argument behind the name on the link. */
 function encodeStatement({ kind, id, text, name, argument }: SessionStatement): readonly string[] {
     return kind === SessionStatementKind.Execute ? [kind, id, name, argument] : [kind, id, text];
 }
 
 function decodeStatement(value: unknown): SessionStatement {
-    const [kind, id, textOrName, argument = ""] = requireFields(value, "statement", [3, 4]);
+    const [encodedKind, id, textOrName, argument] = requireFields(value, "statement", [3, 4]);
+    const kind = requireOneOf(SessionStatementKind, encodedKind, "statement kind");
     const isExecute = kind === SessionStatementKind.Execute;
+    if (isExecute !== (argument !== undefined)) {
+        throw new TypeError("only an execute has an argument");
+    }
     const text = requireText(textOrName, "statement text");
     return {
-        kind: requireOneOf(SessionStatementKind, kind, "statement kind"),
+        kind,
         id: requireText(id, "statement id"),
         text: isExecute ? "" : text,
         name: isExecute ? text : "",
-        argument: requireText(argument, "statement argument"),
+        argument: isExecute ? requireText(argument, "statement argument") : "",
         prepared: undefined,
     };
 }
