--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -175,6 +175,8 @@
         ...formatRows(slopes.heartbeats),
         "",
         ...formatRows(slopes.deltas),
+        "",
+        ...formatRows(slopes.wire),
     ];
 }
 
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -12,6 +12,7 @@
 import { type DeltaSlope, type HeartbeatSlope, measureDeltas, measureHeartbeats } from "./controlSlopes.ts";
 import { RateCluster } from "./rateCluster.ts";
 import { openSessions, startPendingStatements, timeHolderPipe, timeRequestPipe } from "./statementSlopes.ts";
+import { measureWire, type WireSlope } from "./wireSlopes.ts";
 
 export interface Slopes {
     /** Heap bytes of a permit home and of an admit filter; undefined unless node runs with --expose-gc. */
@@ -29,6 +30,7 @@
     readonly messages: readonly MessageSlope[];
     readonly heartbeats: readonly HeartbeatSlope[];
     readonly deltas: readonly DeltaSlope[];
+    readonly wire: readonly WireSlope[];
 }
 
 export interface MessageSlope {
@@ -60,6 +62,7 @@
         ),
         heartbeats: measureHeartbeats(),
         deltas: measureDeltas(),
+        wire: measureWire(),
     };
 }
 
