fix(control): no body takes the memory of a member

One Config.Put of 8 MiB with "[[[[..." or "[{},{},..." ended it with "heap out of memory" in JSON.parse; heartbeats, which have some hundred bytes, were read up to the same 8 MiB.

Values are now counted before anything is decoded, 250,000 at most (10,000 routes have about 130,000), and bodies of heartbeats and departures end at 64 KiB with 413. The test failed before with 200.

--- a/src/platform/__tests__/controlServer.spec.ts
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -40,4 +40,16 @@
         assert.match(text, /UTF-8/);
         assert.equal(posted.length, 1);
     });
+
+    it("refuses bodies whose decoding would take the memory of the process", async () => {
+        // Guards against a body of 8 MiB that ends a member with "heap out of memory".
+        const values = "{},".repeat(300_000);
+        const [status, text] = await send("/-/Config.Put", documentText.replace("\"\xe9\"", `[${values}1]`));
+        assert.equal(status, 400);
+        assert.match(text, /250000 values/);
+        const heartbeat = "[".repeat(100_000) + "]".repeat(100_000);
+        assert.equal((await send("/-/Instances.Heartbeat/i-1", heartbeat))[0], 413);
+        assert.equal((await send("/-/Instances.Leave/i-1", heartbeat))[0], 413);
+        assert.deepEqual(posted, []);
+    });
 });
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -18,7 +18,10 @@
 import { decodeUtf8 } from "./jsonText.ts";
 
 /** Larger than a configuration with thousands of routes. */
-const maximumBodyBytes = 8 * 1_048_576;
+const maximumDocumentBytes = 8 * 1_048_576;
+
+/** Reports of databases have some hundred bytes. */
+const maximumReportBytes = 65_536;
 
 /** Time within which a request must be received completely; large bodies take a second. */
 const bodyTimeoutMs = 10_000;
@@ -155,7 +158,7 @@
             respond(response, 404, "{\"error\":\"unknown call\"}");
             return;
         }
-        readBody(request, (body, errorStatus) => {
+        readBody(request, url === putPath ? maximumDocumentBytes : maximumReportBytes, (body, errorStatus) => {
             if (errorStatus !== undefined) {
                 respond(response, errorStatus, "{\"error\":\"the body is too large or incomplete\"}");
             }
@@ -254,13 +257,17 @@
 }
 
 /** @param onBody receives the body, or the HTTP status to reject it with */
-function readBody(request: IncomingMessage, onBody: (body: Buffer, errorStatus: number | undefined) => void): void {
+function readBody(
+    request: IncomingMessage,
+    maximumBytes: number,
+    onBody: (body: Buffer, errorStatus: number | undefined) => void,
+): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     let rejected = false;
     request.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
-        if (bytes > maximumBodyBytes && !rejected) {
+        if (bytes > maximumBytes && !rejected) {
             rejected = true;
             onBody(Buffer.alloc(0), 413);
         }
--- a/src/platform/jsonText.ts
+++ b/src/platform/jsonText.ts
@@ -3,6 +3,12 @@
 /** Objects and arrays within each other; encoders and decoders of other programs recurse. */
 const maximumDepth = 512;
 
+/**
+ * Limits the memory that decoding takes: a value of two characters can take fifty bytes and more. A configuration of 10,000
+ * routes has about 130,000 values.
+ */
+const maximumValues = 250_000;
+
 /** A number, true, false or null. */
 const literal = /[^ \t\r\n,\]}]*/y;
 
@@ -35,7 +41,7 @@
  * Reads an object.
  * @returns its fields as text, and the decoded value
  * @throws UnreadableTextError if the text is not a JSON object, names a field of an object twice, holds half of a
- * surrogate pair, or is nested too deeply
+ * surrogate pair, is nested too deeply or has too many values
  */
 export function readJsonObject(
     text: string,
@@ -43,6 +49,9 @@
     if (text.startsWith("\ufeff")) {
         throw new UnreadableTextError("the text begins with a byte order mark");
     }
+    if (countValues(text) > maximumValues) {
+        throw new UnreadableTextError(`the text has more than ${maximumValues} values`);
+    }
     let value: unknown;
     try {
         value = JSON.parse(text);
@@ -56,6 +65,42 @@
     return { fields: new JsonReader(text).readTopLevel(), value: value as Readonly<Record<string, unknown>> };
 }
 
+/** Counts what begins a value or separates two, without decoding anything. */
+function countValues(text: string): number {
+    let count = 0;
+    for (let offset = 0; offset < text.length; offset++) {
+        switch (text[offset]) {
+            case "\"":
+                offset = endOfString(text, offset);
+                break;
+            case ",":
+            case "[":
+            case "{":
+                count += 1;
+                break;
+        }
+    }
+    return count;
+}
+
+/** Offset of the closing quotation mark, or of the end of the text if there is none. */
+function endOfString(text: string, start: number): number {
+    let end = text.indexOf("\"", start + 1);
+    while (end !== -1 && isEscaped(text, end)) {
+        end = text.indexOf("\"", end + 1);
+    }
+    return end === -1 ? text.length : end;
+}
+
+/** Whether an odd number of backslashes stands before the offset. */
+function isEscaped(text: string, offset: number): boolean {
+    let first = offset;
+    while (text[first - 1] === "\\") {
+        first -= 1;
+    }
+    return (offset - first) % 2 === 1;
+}
+
 /** Reads text that is known to be JSON. */
 class JsonReader {
     private readonly text: string;
@@ -136,11 +181,7 @@
 
     private readString(): string {
         const start = this.offset;
-        let end = this.text.indexOf("\"", start + 1);
-        while (this.isEscaped(end)) {
-            end = this.text.indexOf("\"", end + 1);
-        }
-        this.offset = end + 1;
+        this.offset = endOfString(this.text, start) + 1;
         const token = this.text.slice(start, this.offset);
         if (token.includes("\\u") && loneSurrogate.test(JSON.parse(token) as string)) {
             throw this.error("holds half of a surrogate pair");
@@ -148,15 +189,6 @@
         return token;
     }
 
-    /** Whether an odd number of backslashes stands before the offset. */
-    private isEscaped(offset: number): boolean {
-        let first = offset;
-        while (this.text[first - 1] === "\\") {
-            first -= 1;
-        }
-        return (offset - first) % 2 === 1;
-    }
-
     private readLiteral(): string {
         literal.lastIndex = this.offset;
         const [token] = literal.exec(this.text)!;
