fix(configuration): an invalid document is refused at its first fault

A Config.Put of 60 KB with 20,000 empty routes kept a member busy for 2.6 s, longer than an election takes; one of 360 KB with 120,000 ended it with "heap out of memory" (--max-old-space-size=156, as deployed). The schema of the document went on through all elements and made an object for each issue of each, of which the answer names the first.

--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -78,6 +78,21 @@
         );
     });
 
+    it("is refused at its first fault, however many there are", () => {
+        // Guards against a body of 360 KB whose 120,000 empty routes end a member with "heap out of memory".
+        const keys = JSON.stringify({ ...documentBody.tenants[0], api_keys: Array.from({ length: 200_000 }, () => 1) });
+        const texts = [
+            text.replace("\"routes\":[", `"routes":[${"{},".repeat(120_000)}`),
+            text.replace(/"tenants":\[.*\]/, `"tenants":[${keys}]`),
+        ];
+        texts.forEach(refused => {
+            const before = process.cpuUsage();
+            assert.throws(() => decodeDocument(refused), /"(routes\.0\.name|tenants\.0\.api_keys)"/);
+            const processorMs = process.cpuUsage(before).user / 1_000;
+            assert.ok(processorMs < 1_000, `${processorMs} ms`);
+        });
+    });
+
     it("comes back with the numbers and names that were sent", () => {
         const other =
             "\"other\":[1e400,9007199254740993,0.10,-0,1E2,\"\\u00e9\\\"\\\\\"],\"__proto__\":{\"__proto__\":1}";
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -49,21 +49,30 @@
 
 const tenantSchema = z.object({
     name: nameSchema,
-    api_keys: z.array(nameSchema).default([]),
+    api_keys: z.custom<readonly string[]>(isTextList, "must be a list of texts").default([]),
     rate_per_s: z.number().nonnegative(),
     burst: z.number().nonnegative().default(0),
 });
 
 const limitsSchema = z.object({ tx_idle_ms: z.number().nonnegative().optional() });
 
+/** The elements have schemas of their own: a list of thousands that do not match would yield as many issues. */
+const listSchema = z.custom<readonly unknown[]>(value => Array.isArray(value), "must be a list");
+
 const documentSchema = z.object({
     version: z.number().int().nonnegative(),
-    routes: z.array(routeSchema),
-    services: z.array(serviceSchema),
+    routes: listSchema,
+    services: listSchema,
     limits: limitsSchema.optional(),
-    tenants: z.array(tenantSchema).optional(),
+    tenants: listSchema.default([]),
 });
 
+interface DocumentBody {
+    readonly routes: readonly z.infer<typeof routeSchema>[];
+    readonly services: readonly z.infer<typeof serviceSchema>[];
+    readonly tenants: readonly z.infer<typeof tenantSchema>[];
+}
+
 /** Sections whose elements are separate entries, if their value is an array. */
 const listSections = ["routes", "services", "tenants"];
 
@@ -78,10 +87,15 @@
     const { fields, value } = readObject(text);
     const result = documentSchema.safeParse(value);
     if (!result.success) {
-        throw new InvalidDocumentError(describeIssue(result.error));
+        throw new InvalidDocumentError(describeIssue(result.error, []));
     }
-    checkNames(result.data);
-    checkReferences(result.data);
+    const body: DocumentBody = {
+        routes: decodeElements("routes", routeSchema, result.data.routes),
+        services: decodeElements("services", serviceSchema, result.data.services),
+        tenants: decodeElements("tenants", tenantSchema, result.data.tenants),
+    };
+    checkNames(body);
+    checkReferences(body);
     const sections = fields.filter(({ name }) => name !== "version");
     return {
         documentVersion: result.data.version,
@@ -165,13 +179,33 @@
 function parseEntry<Body>(schema: z.ZodType<Body>, { entryId }: DocumentEntry, value: unknown): Body {
     const result = schema.safeParse(value);
     if (!result.success) {
-        throw new UndecodableEntryError(entryId, describeIssue(result.error));
+        throw new UndecodableEntryError(entryId, describeIssue(result.error, []));
     }
     return result.data;
 }
 
-function describeIssue({ issues: [issue] }: z.ZodError): string {
-    return `"${issue?.path.join(".")}": ${issue?.message ?? "invalid"}`;
+/** @throws InvalidDocumentError for the first element that does not match */
+function decodeElements<Body>(
+    section: string,
+    schema: z.ZodType<Body>,
+    values: readonly unknown[],
+): readonly Body[] {
+    return values.map((value, index) => {
+        const result = schema.safeParse(value);
+        if (!result.success) {
+            throw new InvalidDocumentError(describeIssue(result.error, [section, index]));
+        }
+        return result.data;
+    });
+}
+
+/** @param path leads to the value that was checked */
+function describeIssue({ issues: [issue] }: z.ZodError, path: readonly (string | number)[]): string {
+    return `"${[...path, ...issue?.path ?? []].join(".")}": ${issue?.message ?? "invalid"}`;
+}
+
+function isTextList(value: unknown): boolean {
+    return Array.isArray(value) && value.every(text => typeof text === "string");
 }
 
 function decodeRoute(body: z.infer<typeof routeSchema>): RoutePolicy {
@@ -222,7 +256,7 @@
 }
 
 /** The names of routes stay within the process and may be any text. */
-function checkNames({ routes, services, tenants = [] }: z.infer<typeof documentSchema>): void {
+function checkNames({ routes, services, tenants }: DocumentBody): void {
     routes.forEach(({ host, service }, index) => {
         require(isName(host), `routes.${index}.host`, wordRule);
         require(isName(service), `routes.${index}.service`, wordRule);
@@ -255,7 +289,7 @@
     }
 }
 
-function checkReferences({ routes, services, tenants }: z.infer<typeof documentSchema>): void {
+function checkReferences({ routes, services, tenants }: DocumentBody): void {
     const serviceNames = new Set(services.map(service => service.name));
     const unknown = routes.find(route => !serviceNames.has(route.service));
     if (unknown !== undefined) {
@@ -263,8 +297,8 @@
     }
     requireDistinct("route place", routes.map(route => JSON.stringify([route.host, route.path_prefix])));
     requireDistinct("service", services.map(service => service.name));
-    requireDistinct("tenant", (tenants ?? []).map(tenant => tenant.name));
-    requireDistinct("key", (tenants ?? []).flatMap(tenant => [...new Set(tenant.api_keys)]), "two tenants share a key");
+    requireDistinct("tenant", tenants.map(tenant => tenant.name));
+    requireDistinct("key", tenants.flatMap(tenant => [...new Set(tenant.api_keys)]), "two tenants share a key");
 }
 
 function requireDistinct(description: string, values: readonly string[], detail?: string): void {
