fix(settings): names that no header can hold are refused at the start

A member whose settings name a machine with a line end or a character outside of Latin-1 started, and ended at its first promotion order: request() throws ERR_INVALID_CHAR for "Jasmineline-Duty-Holder" (shown by a call of the client). The address of a member has the same effect in the Location of a redirect (by reading).

Both are checked when the settings are read; the error names the file and the field. The test failed before: no exception.

--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -273,6 +273,13 @@
         const text = JSON.stringify({ ...settingsFile, seeds: ["nowhere"] });
         assert.throws(() => decodePlatformSettings(text, "local.json"), /local\.json: "seeds\.0"/);
         assert.throws(() => decodePlatformSettings("{", "local.json"), /local\.json/);
+        // Guards against a member that ends with ERR_INVALID_CHAR when it sends its first promotion order.
+        ["a\r\nb", "a\nb", "\u20ac", "a "].forEach(name => {
+            const odd = JSON.stringify({ ...settingsFile, node: name });
+            assert.throws(() => decodePlatformSettings(odd, "local.json"), /local\.json: "node"/);
+        });
+        const oddHost = JSON.stringify({ ...settingsFile, ip: "10.0.0.1\r\n" });
+        assert.throws(() => decodePlatformSettings(oddHost, "local.json"), /local\.json: "ip"/);
     });
 });
 
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -9,11 +9,16 @@
 
 const addressSchema = z.string().regex(/^[0-9.]+:[0-9]+$/, "must be host:port with a numeric host");
 
+/** The name of a machine is sent in an HTTP header, in which other characters cannot stand. */
+const machineSchema = z.string().regex(/^[!-~]([ -~]*[!-~])?$/, "must be ASCII text without control characters");
+
+const hostSchema = z.string().regex(/^[0-9A-Za-z.-]+$/, "must be a host");
+
 // Unknown fields are ignored, because the platform may add some.
 const fileSchema = z.object({
-    node: z.string().min(1),
+    node: machineSchema,
     serves: z.array(z.string()),
-    ip: z.string().min(1),
+    ip: hostSchema,
     zone: z.string().min(1),
     listen: z.object({
         front: addressSchema.optional(),
