fix(control): a request whose body does not end is ended after ten seconds

It was ended after 24.6 s (measured; by the defaults of Node.js up to 40 s), although the server sets a request timeout of 10 s: Node.js looks at its connections every 30 s. It now looks ten times within the timeout.

--- a/src/platform/__tests__/controlServer.spec.ts
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -1,16 +1,20 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { DocumentKind, type DocumentPut, DocumentResult } from "../../model/document.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { ControlServer } from "../controlServer.ts";
 
+const bodyTimeoutMs = 1_500;
+
 describe("HTTP API of a control member", () => {
     let server: ControlServer;
     let posted: Message[];
 
     beforeEach(async () => {
         posted = [];
-        server = new ControlServer({ host: "127.0.0.1", port: 0, post: message => receive(message) });
+        server = new ControlServer({ host: "127.0.0.1", port: 0, post: message => receive(message), bodyTimeoutMs });
         await server.listen();
     });
 
@@ -52,4 +56,12 @@
         assert.equal((await send("/-/Instances.Leave/i-1", heartbeat))[0], 413);
         assert.deepEqual(posted, []);
     });
+
+    it("ends requests whose body does not end", { timeout: 10_000 }, async () => {
+        const socket = connect(server.port, "127.0.0.1");
+        socket.write("POST /-/Config.Put HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{");
+        const [answer] = await once(socket, "data") as [Buffer];
+        assert.match(answer.toString("latin1"), /^HTTP\/1\.1 408 /);
+        socket.destroy();
+    });
 });
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -24,7 +24,7 @@
 const maximumReportBytes = 65_536;
 
 /** Time within which a request must be received completely; large bodies take a second. */
-const bodyTimeoutMs = 10_000;
+const defaultBodyTimeoutMs = 10_000;
 
 /** Time for in-flight requests at shutdown; longer than a configuration write or read takes without a majority. */
 const stopTimeoutMs = 2_000;
@@ -45,6 +45,7 @@
     readonly host: string;
     readonly port: number;
     readonly post: (message: Message) => void;
+    readonly bodyTimeoutMs?: number;
 }
 
 interface PendingRequest {
@@ -66,8 +67,11 @@
 
     constructor(options: ControlServerOptions) {
         this.options = options;
+        const { bodyTimeoutMs = defaultBodyTimeoutMs } = options;
+        // Node.js checks every 30 s by default.
+        const connectionsCheckingInterval = bodyTimeoutMs / 10;
         this.server = createServer(
-            { requestTimeout: bodyTimeoutMs, keepAliveTimeout: 30_000 },
+            { requestTimeout: bodyTimeoutMs, connectionsCheckingInterval, keepAliveTimeout: 30_000 },
             (request, response) => {
                 this.openResponses.add(response);
                 response.once("close", () => this.openResponses.delete(response));
