fix(telemetry): a value of a log line stays on its line, shows no control character and is cut

What was seen: a detail of 1 MB that a peer sent made a log line of 1,000,105 characters, up to twenty times a second, and the characters U+007F to U+009F, U+2028 and U+2029 were written as they are: a terminal executes U+009B as the start of a command, and some readers end a line at the others.

Cause: values were written as JSON, which escapes only U+0000 to U+001F and limits nothing.

Why it works: one place formats every value, escapes these characters as JSON allows, so that a reader gets the same text, and cuts at 4,096 characters with the length in place of the rest.

--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -19,6 +19,12 @@
 
 type Method = keyof Logger;
 
+/** Longer values are cut: a detail can be the text of a peer, whose length only the size of a message limits. */
+const maximumValueLength = 4_096;
+
+// JSON leaves them as they are, but terminals execute the first ones and some readers of lines end a line at the others.
+const controlCharacters = /[\u007f-\u009f\u2028\u2029]/g;
+
 /** Creates a logger on loglevel that writes one JSON object or text line per event to standard error. */
 export function createLogger(options: LoggerOptions): Logger {
     const log = loglevel.getLogger(`jasmineline:${options.instanceId}`);
@@ -33,9 +39,21 @@
 function formatLine(options: LoggerOptions, level: string, event: string, fields: LogFields): string {
     const time = new Date().toISOString();
     if (options.format === "json") {
-        return JSON.stringify({ time, level, instance: options.instanceId, event, ...fields });
+        return formatValue({ time, level, instance: options.instanceId, event, ...fields });
     }
     const formattedFields = Object.entries(fields).filter(([, value]) => value !== undefined)
-        .map(([key, value]) => `${key}=${JSON.stringify(value)}`);
+        .map(([key, value]) => `${key}=${formatValue(value)}`);
     return [time, level.toUpperCase(), options.instanceId, event, ...formattedFields].join(" ");
 }
+
+/** Formats as JSON that stays on one line and shows every character. */
+function formatValue(value: unknown): string {
+    return JSON.stringify(value, (_, part: unknown) => typeof part === "string" ? cut(part) : part)
+        .replace(controlCharacters, character => `\\u${character.charCodeAt(0).toString(16).padStart(4, "0")}`);
+}
+
+function cut(text: string): string {
+    return text.length <= maximumValueLength
+        ? text
+        : `${text.slice(0, maximumValueLength)}... (${text.length} characters)`;
+}
