fix(report): names in the text report show control characters instead of running them

What was seen: a workspace or work class named with an escape sequence wrote it to the terminal that shows the burn report, and a line feed in a name added lines to the table.

Why it works: names pass through escapeInvisible, which the logger uses as well.

--- a/src/report/renderText.ts
+++ b/src/report/renderText.ts
@@ -1,4 +1,5 @@
 /** Renders the burn report as text for a terminal of 100 columns. */
+import { escapeInvisible } from "../model/visibleText.ts";
 import { type BurnWindow, burnWindows } from "./burnRates.ts";
 import type { BurnReport, WorkClassReport } from "./burnReport.ts";
 
@@ -7,7 +8,7 @@
 const maximumCauses = 3;
 
 export function renderText(report: BurnReport): string {
-    const missing = report.missing.length === 0 ? "none" : report.missing.join(", ");
+    const missing = report.missing.length === 0 ? "none" : report.missing.map(escapeInvisible).join(", ");
     return [
         ...wrap(`burn report ${report.createdAt}; ${report.instances.length} instances; missing: ${missing}`),
         "",
@@ -25,13 +26,13 @@
 
 function renderWorkClass(report: WorkClassReport): readonly string[] {
     const burnColumns = burnWindows.map((window: BurnWindow) => formatRate(report.burn[window]).padStart(9)).join("");
-    const row = `${truncate(report.workClass, classColumnWidth - 1).padEnd(classColumnWidth)}`
+    const row = `${truncate(escapeInvisible(report.workClass), classColumnWidth - 1).padEnd(classColumnWidth)}`
         + `${formatPercent(report.objectiveShare).padStart(8)}${burnColumns}${
             formatPercent(report.budgetLeft, 1).padStart(8)
         }`
         + `${`${report.waiting.p99Ms} ms`.padStart(10)}  ${report.alert}`;
     const causes = report.causes.slice(0, maximumCauses)
-        .map(({ workspace, outcome, count }) => `${workspace} ${outcome} ${count}`);
+        .map(({ workspace, outcome, count }) => `${escapeInvisible(workspace)} ${outcome} ${count}`);
     return [row, ...causes.length === 0 ? [] : wrap(`  burned by: ${causes.join("; ")}`)];
 }
 
--- a/src/telemetry/__tests__/logger.spec.ts
+++ b/src/telemetry/__tests__/logger.spec.ts
@@ -25,7 +25,7 @@
             check(
                 property(oddTexts, detail => {
                     const output = writtenBy(context, { format }, detail);
-                     
+
                     assert.match(output, /^[^\u0000-\u001f\u007f-\u009f\u2028\u2029]+\n$/);
                     if (format === "json") {
                         const { level, detail: read, after } = JSON.parse(output) as Record<string, unknown>;
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -1,5 +1,6 @@
 /** Structured logging, for changes of state only; frequent events are counted instead. */
 import loglevel from "loglevel";
+import { escapeInvisible } from "../model/visibleText.ts";
 
 /** Fields of a log line; values are formatted as JSON. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -22,9 +23,6 @@
 /** Longer values are cut: a detail can be the text of a peer, whose length only the size of a message limits. */
 const maximumValueLength = 4_096;
 
-// JSON leaves them as they are, but terminals execute the first ones and some readers of lines end a line at the others.
-const controlCharacters = /[\u007f-\u009f\u2028\u2029]/g;
-
 /** Creates a logger on loglevel that writes one JSON object or text line per event to standard error. */
 export function createLogger(options: LoggerOptions): Logger {
     const log = loglevel.getLogger(`jasmineline:${options.instanceId}`);
@@ -48,8 +46,7 @@
 
 /** Formats as JSON that stays on one line and shows every character. */
 function formatValue(value: unknown): string {
-    return JSON.stringify(value, (_, part: unknown) => typeof part === "string" ? cut(part) : part)
-        .replace(controlCharacters, character => `\\u${character.charCodeAt(0).toString(16).padStart(4, "0")}`);
+    return escapeInvisible(JSON.stringify(value, (_, part: unknown) => typeof part === "string" ? cut(part) : part));
 }
 
 function cut(text: string): string {
