test: signed texts of peers and metrics stay unambiguous whatever a name holds

The signature of a call covers nonce|instance|cluster|method: names and nonces that hold the separator are refused on both sides, so two different calls never sign the same text. The metrics client replaces the separators of StatsD in names and tags, shown on a UDP socket. Both tests pass without a change of the code; they guard the checks.

--- a/src/report/__tests__/burnReport.spec.ts
+++ b/src/report/__tests__/burnReport.spec.ts
@@ -149,7 +149,7 @@
         const names = { workspace: "w\n\u001b[2J", workClass: "c\u009b2J\r\n" };
         recorder.process(endedStatement({ arrivedAtMs: 0, ...names, ...refusedWith(RefusalCode.NoPrimary) }), 1);
         const table = renderText(buildBurnReport([recorder.snapshot("a", 1)], ["i\u001b\n"], ""));
-         
+
         assert.doesNotMatch(table, /[\u0000-\u0009\u000b-\u001f\u007f-\u009f]/);
         assert.equal(table.split("\n").length, 5);
     });
--- a/src/rpc/__tests__/peerAuthentication.spec.ts
+++ b/src/rpc/__tests__/peerAuthentication.spec.ts
@@ -31,6 +31,23 @@
         assert.deepEqual(local.authenticate(local.createMetadata(method), method), { accepted: true, instanceId: "a" });
     });
 
+    it("takes no name or nonce that holds the separator of the signed text, so that two calls never sign the same text", () => {
+        for (const name of ["a|c1", "a|", "|", "a\n", "a b", ""]) {
+            assert.throws(() => new PeerAuthentication({ cluster: name, instanceId: "a", secret }), /cluster/);
+            assert.throws(() => new PeerAuthentication({ cluster: "c1", instanceId: name, secret }), /instance id/);
+        }
+        for (const name of ["a|c1", "a|", "|", "a b", ""]) {
+            const metadata = local.createMetadata(method);
+            metadata.set("x-jasmineline-instance", name);
+            const result = local.authenticate(metadata, method);
+            assert.match(result.accepted ? "accepted" : result.details, /malformed/, name);
+        }
+        const nonce = local.createMetadata(method);
+        nonce.set("x-jasmineline-nonce", `${"0".repeat(30)}|a`);
+        const result = local.authenticate(nonce, method);
+        assert.match(result.accepted ? "accepted" : result.details, /malformed/);
+    });
+
     it("refuses a call with another secret, cluster, version, method or instance, and counts it", () => {
         const server = new PeerAuthentication({ cluster: "c1", instanceId: "b", secret });
         const otherSecret = new PeerAuthentication({ cluster: "c1", instanceId: "a", secret: "x".repeat(16) });
--- a/src/telemetry/__tests__/counters.spec.ts
+++ b/src/telemetry/__tests__/counters.spec.ts
@@ -27,6 +27,22 @@
         agent.close();
     });
 
+    it("keep one line and their structure on the way to the agent whatever a name or the instance id holds", async () => {
+        const agent = createSocket("udp4");
+        agent.bind(0, "127.0.0.1");
+        await once(agent, "listening");
+        const received = once(agent, "message");
+        const counters = new StatsdCounters({
+            agent: { host: "127.0.0.1", port: agent.address().port },
+            instanceId: "e1,role:admin|g\nforged:1|c|#x",
+        });
+        counters.count("odd:9|g|#tag:x\nforged:1|c");
+        await counters[Symbol.asyncDispose]();
+        const [packet] = await received as [Buffer];
+        assert.match(packet.toString(), /^jasmineline\.[^:|\n]+:1\|c\|#instance:[^|,\n]+\n?$/);
+        agent.close();
+    });
+
     it("count events by kind, and refusals by code and by execution state of the statement", async () => {
         const counters = new StatsdCounters({ agent: undefined, instanceId: "e1" });
         const eventCounters = new EventCounters(counters);
