fix(rpc): a statement from another instance always has an end of its waiting time

What was seen: a statement whose remaining waiting time is Infinity or NaN in the protobuf message got that as its deadline: the first waits for as long as its stream is open, the second is no order for a queue of deadlines.

Why it works: a remaining time that is no finite number counts as used up, so the statement is answered as not run.

--- a/src/rpc/holderCodec.ts
+++ b/src/rpc/holderCodec.ts
@@ -41,7 +41,8 @@
         statementKind: decodeStatementKind(body.statementKind),
         text: body.text,
         floor: body.floor,
-        deadlineMs: nowMs + body.waitingLeftMs,
+        // Without an end, a statement would wait for as long as its stream is open.
+        deadlineMs: nowMs + (Number.isFinite(body.waitingLeftMs) ? body.waitingLeftMs : 0),
         idempotencyId: body.idempotencyId === "" ? undefined : body.idempotencyId,
         repeatable: body.repeatable,
         pinned: body.pinned ?? false,
