fix(session): one caller cannot take up the memory of a proxy

A session accepted values and prepared statements without end, each up to the size of a message, and 64 queued statements of 1 MiB: 208 sessions could ask for some 13 GB of a process whose heap has 156 MB. A short value also held the whole message from which it was cut.

Values beyond the limit of a session are refused as malformed. A statement that isn't kept is refused in its turn, as not run; in a transaction, which then fails, because the fault promises that nothing is kept. What a session keeps is copied out of its message.

--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -56,6 +56,7 @@
         PeerKind.Answer,
     ];
     readonly clock = new VirtualClock();
+    readonly sessions = new Sessions();
     readonly answers: SessionAnswer[] = [];
     readonly sent: SentCommand[] = [];
     readonly opened: LinkOpen[] = [];
@@ -77,7 +78,7 @@
         const filters = [
             new FloorExchange({ instanceId: "front1", dataCentre: "dc1" }),
             new SessionAccess(),
-            new Sessions(),
+            this.sessions,
             new Admission({ random: new SeededRandom(20261204) }),
             new PassedTasks(),
             new Routing({ dataCentre: "dc1" }),
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -8,6 +8,7 @@
     type SessionStatement,
 } from "../model/sessionStatement.ts";
 import type { Access } from "./authorization.ts";
+import { contextEntryBytes, detachText } from "./sessionLimits.ts";
 import type { Task } from "./taskMessages.ts";
 
 export interface Transaction {
@@ -26,6 +27,15 @@
     failureReason: string;
 }
 
+/** A statement that waits for the answer to an earlier one. */
+export interface QueuedStatement {
+    /** Undefined for one that could not be parsed or was not kept. */
+    readonly statement: SessionStatement | undefined;
+    readonly bytes: number;
+    /** Why the statement was not kept and is refused when its turn comes; undefined if it was kept. */
+    readonly refusal: string | undefined;
+}
+
 export class Session {
     readonly sessionId: string;
     readonly database: string;
@@ -34,8 +44,13 @@
     transaction: Transaction | undefined;
     /** Task of the statement that is in progress. */
     running: Task | undefined;
-    /** Statements received while another one is in progress; undefined for one that could not be parsed. */
-    readonly queuedStatements: (SessionStatement | undefined)[] = [];
+    /** Bytes of that statement. */
+    runningBytes = 0;
+    /** Statements received while another one is in progress. */
+    readonly queuedStatements: QueuedStatement[] = [];
+    queuedBytes = 0;
+    /** Bytes of the context. */
+    contextBytes = 0;
     /**
      * Position that includes the session's last commit, and perhaps later ones of others, by service; a floor of its reads.
      */
@@ -48,20 +63,43 @@
         this.key = key;
     }
 
+    /** Bytes by which `setValue` would increase the context. */
+    valueGrowthBytes(name: string, value: string): number {
+        const existing = this.context.values.get(name);
+        return contextEntryBytes(name, value) - (existing === undefined ? 0 : contextEntryBytes(name, existing));
+    }
+
     setValue(name: string, value: string): void {
-        this.context = { ...this.context, values: new Map(this.context.values).set(name, value) };
+        this.contextBytes += this.valueGrowthBytes(name, value);
+        const values = new Map(this.context.values).set(detachText(name), detachText(value));
+        this.context = { ...this.context, values };
     }
 
-    prepare(name: string, prepared: PreparedStatement): void {
-        this.context = { ...this.context, prepared: new Map(this.context.prepared).set(name, prepared) };
+    /** Bytes by which `prepare` would increase the context. */
+    preparedGrowthBytes(name: string, { shape }: PreparedStatement): number {
+        const existing = this.context.prepared.get(name);
+        return contextEntryBytes(name, shape) - (existing === undefined ? 0 : contextEntryBytes(name, existing.shape));
+    }
+
+    prepare(name: string, statement: PreparedStatement): void {
+        this.contextBytes += this.preparedGrowthBytes(name, statement);
+        const detached = { ...statement, shape: detachText(statement.shape) };
+        const prepared = new Map(this.context.prepared).set(detachText(name), detached);
+        this.context = { ...this.context, prepared };
     }
 
-    /** Returns whether a prepared statement of this name existed. */
-    deallocate(name: string): boolean {
+    /** Returns the bytes that this releases; undefined if no prepared statement of this name existed. */
+    deallocate(name: string): number | undefined {
+        const existing = this.context.prepared.get(name);
+        if (existing === undefined) {
+            return undefined;
+        }
         const prepared = new Map(this.context.prepared);
-        const existed = prepared.delete(name);
+        prepared.delete(name);
         this.context = { ...this.context, prepared };
-        return existed;
+        const bytes = contextEntryBytes(name, existing.shape);
+        this.contextBytes -= bytes;
+        return bytes;
     }
 
     recordCommit(service: string, position: Position): void {
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -25,7 +25,8 @@
 import type { Message } from "../pipeline/message.ts";
 import { type AccessFault, isFault } from "./authorization.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
-import { Session, type Transaction } from "./session.ts";
+import { type QueuedStatement, Session, type Transaction } from "./session.ts";
+import { defaultSessionLimits, type SessionLimits, SessionMemory, statementBytes } from "./sessionLimits.ts";
 import {
     type DrainDue,
     type DrainStep,
@@ -38,8 +39,7 @@
     TaskKind,
 } from "./taskMessages.ts";
 
-/** Maximum of queued statements per session; callers normally wait for an answer before the next statement. */
-const maximumQueuedStatements = 64;
+const totalExceededText = "the sessions of this instance keep too much; not run";
 
 type SessionInput =
     | SessionOpened
@@ -71,6 +71,18 @@
     /** The drain deadline for answers has passed; no statement is started any more. */
     private answerDeadlinePassed = false;
     private nextTaskNumber = 0;
+    private readonly limits: SessionLimits;
+    private readonly memory: SessionMemory;
+
+    constructor(limits = defaultSessionLimits) {
+        this.limits = limits;
+        this.memory = new SessionMemory(limits);
+    }
+
+    /** Bytes that the sessions keep, as counted against the limits. */
+    get keptBytes(): number {
+        return this.memory.totalBytes;
+    }
 
     process(message: SessionInput, nowMs: number): readonly Message[] {
         return match<SessionInput, readonly Message[]>(message)
@@ -107,23 +119,39 @@
             return [];
         }
         if (session.running === undefined) {
-            const messages = this.startStatement(session, statement, nowMs);
+            const messages = this.startStatement(session, { statement, bytes: 0, refusal: undefined }, nowMs);
             // A draining instance may have waited only for this answer before it closes the session.
             return session.running === undefined ? [...messages, ...this.runNextOrClose(session, nowMs)] : messages;
         }
-        session.queuedStatements.push(statement);
-        return session.queuedStatements.length > maximumQueuedStatements ? this.disconnect(session) : [];
+        session.queuedStatements.push(this.queue(session, statement));
+        return session.queuedStatements.length > this.limits.queuedStatements ? this.disconnect(session) : [];
+    }
+
+    /** Keeps a statement for its turn, or only the reason why it is refused then, so that answers keep their order. */
+    private queue(session: Session, statement: SessionStatement | undefined): QueuedStatement {
+        const bytes = statementBytes(statement);
+        if (session.queuedBytes + bytes > this.limits.queuedBytes) {
+            return { statement: undefined, bytes: 0, refusal: "the session has too much queued; not run" };
+        }
+        if (!this.memory.tryAdd(session.sessionId, bytes)) {
+            return { statement: undefined, bytes: 0, refusal: totalExceededText };
+        }
+        session.queuedBytes += bytes;
+        return { statement, bytes, refusal: undefined };
     }
 
     private startStatement(
         session: Session,
-        statement: SessionStatement | undefined,
+        { statement, refusal }: QueuedStatement,
         nowMs: number,
     ): readonly Message[] {
         session.lastActiveMs = nowMs;
         if (this.answerDeadlinePassed && session.transaction?.failed !== true) {
             return this.refuseWhileStopping(session);
         }
+        if (refusal !== undefined && session.transaction?.failed !== true) {
+            return this.refuseNotRun(session, refusal, refusal);
+        }
         if (statement === undefined) {
             return this.refuse(session, StatementFault.Malformed, "the request cannot be read");
         }
@@ -132,18 +160,9 @@
         }
         return match(statement.kind)
             .with(SessionStatementKind.Begin, SessionStatementKind.BeginRead, kind => this.begin(session, kind, nowMs))
-            .with(SessionStatementKind.SetValue, () => {
-                session.setValue(statement.name, statement.argument);
-                return this.acknowledge(session);
-            })
-            .with(SessionStatementKind.Prepare, () => {
-                session.prepare(statement.name, statement.prepared!);
-                return this.acknowledge(session);
-            })
-            .with(SessionStatementKind.Deallocate, () =>
-                session.deallocate(statement.name)
-                    ? this.acknowledge(session)
-                    : this.refuse(session, StatementFault.UnknownName, `"${statement.name}" is not prepared`))
+            .with(SessionStatementKind.SetValue, () => this.setValue(session, statement))
+            .with(SessionStatementKind.Prepare, () => this.prepare(session, statement))
+            .with(SessionStatementKind.Deallocate, () => this.deallocate(session, statement.name))
             .with(
                 SessionStatementKind.Commit,
                 SessionStatementKind.Rollback,
@@ -152,6 +171,52 @@
             .otherwise(() => this.runStatement(session, statement, nowMs));
     }
 
+    private setValue(session: Session, { name, argument }: SessionStatement): readonly Message[] {
+        const growthBytes = session.valueGrowthBytes(name, argument);
+        const isNew = !session.context.values.has(name);
+        const refusal = this.refuseContext(session, growthBytes, isNew ? session.context.values.size : 0);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        session.setValue(name, argument);
+        return this.acknowledge(session);
+    }
+
+    private prepare(session: Session, { name, prepared }: SessionStatement): readonly Message[] {
+        const growthBytes = session.preparedGrowthBytes(name, prepared!);
+        const isNew = !session.context.prepared.has(name);
+        const refusal = this.refuseContext(session, growthBytes, isNew ? session.context.prepared.size : 0);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        session.prepare(name, prepared!);
+        return this.acknowledge(session);
+    }
+
+    /** Refuses a value or a prepared statement that exceeds a limit; otherwise adds its bytes and returns undefined. */
+    private refuseContext(session: Session, growthBytes: number, nameCount: number): readonly Message[] | undefined {
+        if (nameCount >= this.limits.maximumNames) {
+            const detail = `a session has at most ${this.limits.maximumNames} values and as many prepared statements`;
+            return this.refuse(session, StatementFault.Malformed, detail);
+        }
+        if (growthBytes > 0 && session.contextBytes + growthBytes > this.limits.contextBytes) {
+            const detail = `the values and prepared statements of a session have ${this.limits.contextBytes} bytes`;
+            return this.refuse(session, StatementFault.Malformed, detail);
+        }
+        return this.memory.tryAdd(session.sessionId, growthBytes)
+            ? undefined
+            : this.refuseNotRun(session, totalExceededText, totalExceededText);
+    }
+
+    private deallocate(session: Session, name: string): readonly Message[] {
+        const releasedBytes = session.deallocate(name);
+        if (releasedBytes === undefined) {
+            return this.refuse(session, StatementFault.UnknownName, `"${name}" is not prepared`);
+        }
+        this.memory.add(session.sessionId, -releasedBytes);
+        return this.acknowledge(session);
+    }
+
     /** Answers a statement in a failed transaction, which only accepts its end. */
     private runInFailedTransaction(
         session: Session,
@@ -237,6 +302,14 @@
             // Other changes of the policy apply from the next transaction on; a withdrawn key ends an open transaction.
             return [this.abandonTask(session), ...this.failTransaction(session, "the key was withdrawn")];
         }
+        const bytes = statementBytes(statement);
+        if (bytes <= this.limits.guaranteedBytes) {
+            this.memory.add(session.sessionId, bytes);
+        }
+        else if (!this.memory.tryAdd(session.sessionId, bytes)) {
+            return this.refuseNotRun(session, totalExceededText, totalExceededText);
+        }
+        session.runningBytes = bytes;
         const { route, workspace } = transaction?.access ?? (access as Exclude<typeof access, { fault: unknown; }>);
         if (transaction !== undefined) {
             transaction.hasWritten ||= writes;
@@ -272,6 +345,8 @@
             return ended.pinned ? [taskAbandoned(task.sessionId, undefined)] : [];
         }
         session.running = undefined;
+        this.memory.add(session.sessionId, -session.runningBytes);
+        session.runningBytes = 0;
         session.lastActiveMs = nowMs;
         const answer = this.applyResult(session, ended);
         if (answer.fault === undefined && isCommit(task) && reply?.position !== undefined) {
@@ -315,7 +390,10 @@
 
     private runNextOrClose(session: Session, nowMs: number): readonly Message[] {
         if (session.queuedStatements.length > 0 && session.running === undefined) {
-            const messages = this.startStatement(session, session.queuedStatements.shift(), nowMs);
+            const next = session.queuedStatements.shift()!;
+            session.queuedBytes -= next.bytes;
+            this.memory.add(session.sessionId, -next.bytes);
+            const messages = this.startStatement(session, next, nowMs);
             return session.running === undefined ? [...messages, ...this.runNextOrClose(session, nowMs)] : messages;
         }
         return this.canClose(session) ? this.closeOnDrain(session) : [];
@@ -327,6 +405,7 @@
             return [];
         }
         this.sessions.delete(sessionId);
+        this.memory.releaseSession(sessionId);
         const usesDatabase = session.running !== undefined || session.transaction?.pinned === true;
         return [
             clearDeadline(limitKey(sessionId)),
@@ -407,9 +486,14 @@
     }
 
     private refuseWhileStopping(session: Session): readonly Message[] {
+        return this.refuseNotRun(session, stoppingText, "the instance stops; nothing was kept");
+    }
+
+    /** Answers a statement that has not run. The fault promises that nothing is kept, so an open transaction fails. */
+    private refuseNotRun(session: Session, detail: string, failureReason: string): readonly Message[] {
         return session.transaction === undefined
-            ? this.refuse(session, StatementFault.Busy, stoppingText)
-            : [this.abandonTask(session), ...this.failTransaction(session, "the instance stops; nothing was kept")];
+            ? this.refuse(session, StatementFault.Busy, detail)
+            : [this.abandonTask(session), ...this.failTransaction(session, failureReason)];
     }
 
     private canClose(session: Session): boolean {
@@ -419,6 +503,7 @@
 
     private closeOnDrain(session: Session): readonly Message[] {
         this.sessions.delete(session.sessionId);
+        this.memory.releaseSession(session.sessionId);
         return [
             { kind: SessionKind.Close, sessionId: session.sessionId } as Message,
             clearDeadline(limitKey(session.sessionId)),
