fix(frontend): a connection that has not logged in costs little memory and ends in time

mysql2 collects a packet until it is complete, however long it says it is, so a peer without a key could make the instance keep 16 MB and more per connection. The limit of 10 s for the login counted from the last byte; a peer that sent a byte now and then kept its place among the connections for good.

Packet headers are now followed before mysql2 reads the bytes: 64 KiB before the login, a single packet of the protocol afterwards. The time for the login counts from the connection. `max-statement-bytes` ends two bytes earlier, where a statement and its command still fit one packet.

--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -18,6 +18,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { serverCapabilities, serverStatus } from "./capabilities.ts";
+import { PacketSizeGuard } from "./packetSizeGuard.ts";
 import {
     type AuthenticationCallback,
     type AuthenticationParameters,
@@ -35,12 +36,17 @@
     /** Posts an event to the event loop. */
     readonly post: (message: Message) => void;
     readonly serverVersion: string;
+    /** Time from the connection to the login. */
+    readonly loginLimitMs?: number;
 }
 
 type FrontendMessage = CallerLoginResult | CallerAnswer | CallerDisconnect | CallerDisconnectIdle;
 
 interface CallerConnection {
     readonly connection: ServerConnection;
+    readonly packetSizes: PacketSizeGuard;
+    /** Ends the connection if the caller does not log in. */
+    readonly loginTimer: NodeJS.Timeout;
     loginCallback: AuthenticationCallback | undefined;
     /** Sequence number of the statement that has no answer yet. */
     inFlightSequence: number | undefined;
@@ -53,7 +59,13 @@
 const utf8mb4 = 45;
 const protocolVersion = 10;
 const resetConnectionCommand = 31;
-const handshakeTimeoutMs = 10_000;
+const defaultLoginLimitMs = 10_000;
+
+/** Largest packet of a caller that has not logged in; client libraries send some hundred bytes. */
+const maximumLoginPacketBytes = 65_536;
+
+/** Largest packet afterwards. A longer statement comes in several packets, and none that is accepted is that long. */
+const maximumPacketBytes = 0xff_ff_fe;
 
 /** Posts `caller.*` events and delivers answers to callers. */
 export class MysqlFrontend implements Sink<FrontendMessage>, AsyncDisposable {
@@ -108,15 +120,28 @@
 
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopListening();
-        this.callers.forEach(({ connection }) => connection.stream.destroy());
+        this.callers.forEach(({ connection, loginTimer }) => {
+            clearTimeout(loginTimer);
+            connection.stream.destroy();
+        });
         this.callers.clear();
     }
 
     private accept(socket: Socket): void {
+        const packetSizes = new PacketSizeGuard(maximumLoginPacketBytes);
+        // Registered before mysql2 listens, which collects a packet until it is complete.
+        socket.prependListener("data", (chunk: Buffer) => {
+            if (!packetSizes.accepts(chunk)) {
+                socket.destroy();
+            }
+        });
         const connection = toServerConnection(socket);
         const connectionId = this.nextConnectionId++;
+        const loginLimitMs = this.options.loginLimitMs ?? defaultLoginLimitMs;
         const caller: CallerConnection = {
             connection,
+            packetSizes,
+            loginTimer: setTimeout(() => connection.stream.destroy(), loginLimitMs),
             loginCallback: undefined,
             inFlightSequence: undefined,
             nextSequence: 0,
@@ -125,7 +150,6 @@
         };
         this.callers.set(connectionId, caller);
         connection.stream.setNoDelay(true);
-        connection.stream.setTimeout(handshakeTimeoutMs, () => connection.stream.destroy());
         const remoteAddress = connection.stream.remoteAddress ?? "";
         this.options.post({ kind: CallerKind.Connected, connectionId, remoteAddress } as Message);
         this.subscribe(connectionId, caller);
@@ -209,7 +233,8 @@
         // mysql2 sets the row encoding from the handshake response of the caller, so it is replaced only now.
         caller.connection.serverConfig.encoding = rowEncoding;
         if (refusal === undefined) {
-            caller.connection.stream.setTimeout(0);
+            clearTimeout(caller.loginTimer);
+            caller.packetSizes.limitBytes = maximumPacketBytes;
         }
         else {
             caller.connection.stream.end();
@@ -262,6 +287,7 @@
     }
 
     private handleClose(connectionId: number): void {
+        clearTimeout(this.callers.get(connectionId)?.loginTimer);
         this.callers.delete(connectionId);
         this.options.post({ kind: CallerKind.Closed, connectionId } as Message);
     }
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -77,7 +77,7 @@
         description: "Callers' connections that this instance accepts.",
     },
     "max-statement-bytes": {
-        parser: new IntegerParser(1_024, 16_777_215),
+        parser: new IntegerParser(1_024, 16_777_213),
         defaultText: "1048576",
         unit: "bytes",
         description: "Longest statement that is accepted.",
