fix(frontend): a caller that sends EXECUTE as text gets an answer

mysql2 emits `stmt_execute` for a text that begins with EXECUTE; nothing listened, so the caller waited without end. It gets the refusal of prepared statements now. On the code before, the test saw no answer within 5 s.

--- a/src/frontend/__tests__/callerPackets.spec.ts
+++ b/src/frontend/__tests__/callerPackets.spec.ts
@@ -66,6 +66,16 @@
 }
 
 describe("packets of callers", () => {
+    it("answers EXECUTE as text, so that no caller waits indefinitely", async () => {
+        await using frontend = await openFrontend();
+        const socket = await logIn(frontend);
+        socket.write(packet(0, Buffer.from("\x03EXECUTE s1", "latin1")));
+        const [answer] = await Promise.race([once(socket, "data"), delay(5_000, [Buffer.alloc(5)])]) as [Buffer];
+        assert.equal(answer[4], 0xff);
+        assert.equal(answer.readUInt16LE(5), 1_295);
+        socket.destroy();
+    });
+
     it("ends a connection that announces a large packet before its login", async () => {
         await using frontend = await openFrontend();
         const socket = await openSocket(frontend);
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -173,6 +173,8 @@
             () => this.writeRefusal(caller, unsupportedRefusal("changing the service; connect anew")),
         );
         connection.on("stmt_prepare", (text: string) => this.receivePrepare(connectionId, caller, text));
+        // mysql2 also emits it for text statements that begin with EXECUTE, which otherwise get no answer.
+        connection.on("stmt_execute", () => this.writeRefusal(caller, preparedStatementRefusal));
         connection.on("field_list", () => this.writeRefusal(caller, unsupportedRefusal("COM_FIELD_LIST")));
         connection.on("packet", (_packet: unknown, known: boolean, command: number) => {
             if (!known) {
