fix(cli): names in the output of ctl cannot start lines or change the terminal

Names of workspaces, keys, services and databases, the detail of a refused change and the words of an unknown command were printed as they came: a line feed made a row of its own in a table, and an escape sequence reached the operator's terminal. They are printed with control characters, line separators and direction marks escaped. JSON output stays as it is, since JSON escapes C0 controls itself.

--- a/src/cli/ctlCommand.ts
+++ b/src/cli/ctlCommand.ts
@@ -24,6 +24,7 @@
 } from "./ctlConfigurationChanges.ts";
 import { changePrimary, drainInstance, showBurnReport, showObjects, showStatus } from "./ctlStatusCommands.ts";
 import { ExitCode } from "./exitCode.ts";
+import { escapeControls } from "./terminalText.ts";
 
 /** A command, for example `class create NAME`. */
 interface CtlCommand {
@@ -149,7 +150,7 @@
     }
     catch (error) {
         if (error instanceof UnreachableError || error instanceof RefusedError) {
-            console.error(error.message);
+            console.error(escapeControls(error.message));
             return error instanceof UnreachableError ? ExitCode.Unreachable : ExitCode.Refused;
         }
         throw error;
@@ -163,7 +164,7 @@
         console.log(text);
         return ExitCode.Success;
     }
-    const givenWords = commandLine.filter(word => !word.startsWith("--")).join(" ");
+    const givenWords = escapeControls(commandLine.filter(word => !word.startsWith("--")).join(" "));
     console.error(givenWords === "" ? text : `There is no ctl command "${givenWords}".\n\n${text}`);
     return ExitCode.Usage;
 }
--- a/src/cli/ctlConfigurationChanges.ts
+++ b/src/cli/ctlConfigurationChanges.ts
@@ -16,6 +16,7 @@
 import { SettingsError, type SettingsTable, type SettingValues } from "../settings/settingsTable.ts";
 import { type CtlContext, openCtlContext } from "./ctlContext.ts";
 import { ExitCode } from "./exitCode.ts";
+import { escapeControls } from "./terminalText.ts";
 
 type ChangeSettings = SettingValues<typeof changeSettingsTable>;
 
@@ -202,7 +203,9 @@
         return;
     }
     if (!applied) {
-        console.error(`${status}: ${detail} (current version ${version}, operation ${operationId})`);
+        console.error(
+            `${escapeControls(`${status}: ${detail}`)} (current version ${version}, operation ${operationId})`,
+        );
         return;
     }
     console.log(`applied: version ${version}, configuration ${configurationVersion}, operation ${operationId}`);
@@ -221,6 +224,6 @@
 }
 
 function reportMissingObject(objectType: string, name: string): ExitCode {
-    console.error(`There is no ${objectType} "${name}".`);
+    console.error(`There is no ${objectType} "${escapeControls(name)}".`);
     return ExitCode.Invalid;
 }
--- a/src/cli/ctlStatusCommands.ts
+++ b/src/cli/ctlStatusCommands.ts
@@ -10,6 +10,7 @@
 import { burnReportSettingsTable } from "../settings/ctlSettings.ts";
 import { openCtlContext } from "./ctlContext.ts";
 import { ExitCode } from "./exitCode.ts";
+import { escapeControls } from "./terminalText.ts";
 import { renderTable } from "./textTable.ts";
 
 /** Types of configuration objects that have a `show` command. */
@@ -59,11 +60,13 @@
     await using context = openCtlContext({}, commandLine);
     const { refusal } = await context.client.changePrimary(group);
     if (refusal !== "") {
-        console.error(refusal);
+        console.error(escapeControls(refusal));
         return ExitCode.Invalid;
     }
     console.log(
-        context.isJsonOutput ? JSON.stringify({ started: group }) : `started the change of primary of ${group}`,
+        context.isJsonOutput
+            ? JSON.stringify({ started: group })
+            : `started the change of primary of ${escapeControls(group)}`,
     );
     return ExitCode.Success;
 }
@@ -134,10 +137,14 @@
 function renderStatus({ instance, databases }: StatusResponse): string {
     const lastProved = instance!.provedAgeMs < 0 ? "never" : `${Math.round(instance!.provedAgeMs)} ms ago`;
     const summaryLines = [
-        `instance ${instance!.instanceId} in ${instance!.dataCentre}${instance!.draining ? ", draining" : ""}`,
+        `instance ${escapeControls(`${instance!.instanceId} in ${instance!.dataCentre}`)}${
+            instance!.draining ? ", draining" : ""
+        }`,
         `configuration ${instance!.configurationVersion}, proved ${lastProved}`,
         `${instance!.connections} client connections, ${instance!.leasesHeld} leases`,
-        ...instance!.storageSuspension === "" ? [] : [`the disk takes no writes: ${instance!.storageSuspension}`],
+        ...instance!.storageSuspension === ""
+            ? []
+            : [`the disk takes no writes: ${escapeControls(instance!.storageSuspension)}`],
     ];
     const table = renderTable(
         ["GROUP", "DATABASE", "SERVICE", "DATA_CENTRE", "ROLE", "AVAILABLE", "POSITION", "HOLDER"],
--- a/src/cli/textTable.ts
+++ b/src/cli/textTable.ts
@@ -1,4 +1,5 @@
 /** Plain-text tables for a terminal. */
+import { escapeControls } from "./terminalText.ts";
 
 const columnGap = "  ";
 
@@ -7,10 +8,11 @@
     if (rows.length === 0) {
         return `${headings.join(columnGap)}\n(none)`;
     }
+    const printedRows = rows.map(row => row.map(cell => typeof cell === "number" ? cell : escapeControls(cell)));
     const widths = headings.map((heading, column) =>
-        Math.max(heading.length, ...rows.map(row => String(row[column] ?? "").length))
+        printedRows.reduce((width, row) => Math.max(width, String(row[column] ?? "").length), heading.length)
     );
-    const lines = [headings, ...rows].map(row =>
+    const lines = [headings, ...printedRows].map(row =>
         row.map((cell, column) => align(cell, widths[column]!)).join(columnGap).trimEnd()
     );
     return lines.join("\n");
