fix(session): a session may keep values of the maximum size of a message

A limit of 256 KiB a session refused a PREPARE or SET that the protocol allows, one message of up to 1 MiB.

--- a/src/session/sessionLimits.ts
+++ b/src/session/sessionLimits.ts
@@ -17,7 +17,8 @@
 
 export const defaultSessionLimits: SessionLimits = {
     maximumNames: 256,
-    contextBytes: 262_144,
+    // Two values of the maximum size of a message.
+    contextBytes: 2 * 1_048_576,
     queuedStatements: 64,
     // Two statements of the maximum size of a message.
     queuedBytes: 2 * 1_048_576,
