fix(control): reports that are too large get 400 like other reports that cannot be read

The limit of 64 KiB answered them with 413, where the test "refuses invalid entries of other writers, and continues to run" expects 400 (it failed with 413 in the second place since that limit). Only a configuration that is too large gets 413.

--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -164,7 +164,11 @@
         }
         readBody(request, url === putPath ? maximumDocumentBytes : maximumReportBytes, (body, errorStatus) => {
             if (errorStatus !== undefined) {
-                respond(response, errorStatus, "{\"error\":\"the body is too large or incomplete\"}");
+                respond(
+                    response,
+                    url === putPath ? errorStatus : 400,
+                    "{\"error\":\"the body is too large or incomplete\"}",
+                );
             }
             else {
                 this.handleBody(url, body, response);
