--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -44,6 +44,12 @@
         assert.deepEqual(storedContent(body), body);
     });
 
+    it("may hold routes whose hosts and prefixes are the same text when joined", () => {
+        const places = [{ host: "a", path_prefix: "b/" }, { host: "ab", path_prefix: "/" }];
+        const routes = places.map(place => ({ ...documentBody.routes[0], ...place }));
+        assert.deepEqual(storedContent({ ...documentBody, routes }), { ...documentBody, routes });
+    });
+
     it("keep all elements of the same name, in any order", () => {
         const orders = [["a", "a", "a#1"], ["a#2", "a", "a"], ["a#1", "a", "a"], ["a", "a#2", "a"], ["a#", "a", "a#"]];
         orders.forEach(names => {
