--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -18,10 +18,13 @@
 import { decodeUtf8 } from "./jsonText.ts";
 
 /** Larger than a configuration with thousands of routes. */
-const maximumBodyBytes = 8 * 1_048_576;
+const maximumDocumentBytes = 8 * 1_048_576;
+
+/** Reports of databases have some hundred bytes. */
+const maximumReportBytes = 65_536;
 
 /** Time within which a request must be received completely; large bodies take a second. */
-const bodyTimeoutMs = 10_000;
+const defaultBodyTimeoutMs = 10_000;
 
 /** Time for in-flight requests at shutdown; longer than a configuration write or read takes without a majority. */
 const stopTimeoutMs = 2_000;
@@ -42,6 +45,7 @@
     readonly host: string;
     readonly port: number;
     readonly post: (message: Message) => void;
+    readonly bodyTimeoutMs?: number;
 }
 
 interface PendingRequest {
@@ -63,8 +67,11 @@
 
     constructor(options: ControlServerOptions) {
         this.options = options;
+        const { bodyTimeoutMs = defaultBodyTimeoutMs } = options;
+        // Node.js checks every 30 s by default.
+        const connectionsCheckingInterval = bodyTimeoutMs / 10;
         this.server = createServer(
-            { requestTimeout: bodyTimeoutMs, keepAliveTimeout: 30_000 },
+            { requestTimeout: bodyTimeoutMs, connectionsCheckingInterval, keepAliveTimeout: 30_000 },
             (request, response) => {
                 this.openResponses.add(response);
                 response.once("close", () => this.openResponses.delete(response));
@@ -155,9 +162,13 @@
             respond(response, 404, "{\"error\":\"unknown call\"}");
             return;
         }
-        readBody(request, (body, errorStatus) => {
+        readBody(request, url === putPath ? maximumDocumentBytes : maximumReportBytes, (body, errorStatus) => {
             if (errorStatus !== undefined) {
-                respond(response, errorStatus, "{\"error\":\"the body is too large or incomplete\"}");
+                respond(
+                    response,
+                    url === putPath ? errorStatus : 400,
+                    "{\"error\":\"the body is too large or incomplete\"}",
+                );
             }
             else {
                 this.handleBody(url, body, response);
@@ -254,13 +265,17 @@
 }
 
 /** @param onBody receives the body, or the HTTP status to reject it with */
-function readBody(request: IncomingMessage, onBody: (body: Buffer, errorStatus: number | undefined) => void): void {
+function readBody(
+    request: IncomingMessage,
+    maximumBytes: number,
+    onBody: (body: Buffer, errorStatus: number | undefined) => void,
+): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     let rejected = false;
     request.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
-        if (bytes > maximumBodyBytes && !rejected) {
+        if (bytes > maximumBytes && !rejected) {
             rejected = true;
             onBody(Buffer.alloc(0), 413);
         }
