fix(platform): connections and half messages of a caller are limited

Callers saw: one that sent a byte now and then in place of CONNECT, or began a message and never ended it, kept its connection for ever. One that opened connections without end took the descriptors of the process, and half messages of many connections its memory, so that everybody lost.

Cause: the time for CONNECT was the idle time of the socket, which each byte restarts; no time, number or account existed for the rest, and sockets that were ended stayed until the caller closed them. An ended session still collected the bytes that came in.

Now the times count from the connection and from the first byte of a message, and are judged after input that arrived while the process stood still was read. Connections, those without CONNECT, ended ones and the bytes of half messages are limited by `WireServerLimits`. A refused connection gets BUSY at once and is read until it closes, so that no reset takes the answer away. The log has a `session.message_refused` line with a defect for each case.

--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -77,6 +77,14 @@
     UnknownKind: "unknown_kind",
     /** No valid statement of the protocol, or one that is too long to be forwarded. */
     InvalidStatement: "invalid_statement",
+    /** No CONNECT in time, or too many connections without one; closes the connection. */
+    NotOpened: "not_opened",
+    /** Begun and not complete in time; closes the connection. */
+    Incomplete: "incomplete",
+    /** The largest incomplete message when all of them exceed their memory; closes the connection. */
+    MemoryExceeded: "memory_exceeded",
+    /** The connection exceeds the number that the listener keeps; it is told so and closed. */
+    TooManyConnections: "too_many_connections",
 } as const;
 export type MessageDefect = typeof MessageDefect[keyof typeof MessageDefect];
 
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -14,13 +14,12 @@
     type SessionRefuse,
     type SessionRequested,
 } from "../model/sessionMessages.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
-
-/** Time within which a new connection must send CONNECT; callers send it immediately. */
-const openingTimeoutMs = 5_000;
+import { defaultWireServerLimits, type WireServerLimits } from "./wireServerLimits.ts";
 
 /** The connection of a caller that has not read this much of the answers before is closed. */
 const maximumUnsentBytes = 4 * 1_048_576;
@@ -34,27 +33,39 @@
     readonly host: string;
     readonly port: number;
     readonly post: (message: Message) => void;
+    readonly limits?: WireServerLimits;
 }
 
 interface Connection {
     readonly socket: Socket;
     readonly reader: LineReader;
     opened: boolean;
+    /** Incomplete message in the account of the server. */
+    incompleteBytes: number;
+    /** Ends the connection unless CONNECT or the message that has begun is complete in time. */
+    timer: NodeJS.Timeout | undefined;
 }
 
 export class WireServer implements Sink<Input>, AsyncDisposable {
     readonly accepts = [SessionKind.Accept, SessionKind.Refuse, SessionKind.Answer, SessionKind.Close];
     private readonly options: WireServerOptions;
+    private readonly limits: WireServerLimits;
     private readonly server: Server;
     private readonly connections = new Map<string, Connection>();
     /** All open sockets, including those of closed sessions. */
     private readonly sockets = new Set<Socket>();
+    /** Connections that have not sent CONNECT, the oldest one first. */
+    private readonly unopenedIds = new Set<string>();
+    /** Sockets that were ended and that the caller has not closed, the oldest one first. */
+    private readonly endingSockets = new Set<Socket>();
+    private incompleteBytes = 0;
     private nextSessionNumber = 0;
     /** Resolves when the listener and all connections are closed; undefined while callers may connect. */
     private closed: Promise<void> | undefined;
 
     constructor(options: WireServerOptions) {
         this.options = options;
+        this.limits = options.limits ?? defaultWireServerLimits;
         this.server = createServer({ noDelay: true }, socket => this.handleConnection(socket));
     }
 
@@ -85,11 +96,11 @@
             case SessionKind.Answer:
                 return this.answer(connection, message);
             case SessionKind.Refuse:
-                connection.socket.end(encodeError(message.fault, message.detail), wireEncoding);
-                return this.removeConnection(message.sessionId);
+                this.removeConnection(message.sessionId);
+                return this.endSocket(connection.socket, encodeError(message.fault, message.detail));
             case SessionKind.Close:
-                connection.socket.end();
-                return this.removeConnection(message.sessionId);
+                this.removeConnection(message.sessionId);
+                return this.endSocket(connection.socket, "");
         }
     }
 
@@ -104,8 +115,10 @@
 
     async [Symbol.asyncDispose](): Promise<void> {
         const closed = this.closeListener();
-        this.connections.forEach(({ socket }) => socket.end());
-        this.connections.clear();
+        for (const [sessionId, { socket }] of this.connections) {
+            this.removeConnection(sessionId);
+            socket.end();
+        }
         const timer = setTimeout(() => this.sockets.forEach(socket => socket.destroy()), closingTimeoutMs);
         await closed;
         clearTimeout(timer);
@@ -117,17 +130,75 @@
 
     private handleConnection(socket: Socket): void {
         const sessionId = `s${this.nextSessionNumber++}`;
-        const connection = { socket, reader: new LineReader(), opened: false };
-        this.connections.set(sessionId, connection);
         this.sockets.add(socket);
-        socket.once("close", () => this.sockets.delete(socket));
-        socket.setTimeout(openingTimeoutMs, () => this.endConnection(sessionId));
-        socket.on("data", chunk => this.receive(sessionId, connection, chunk));
         socket.on("error", () => this.endConnection(sessionId));
-        socket.on("close", () => this.endConnection(sessionId));
+        socket.once("close", () => {
+            this.sockets.delete(socket);
+            this.endingSockets.delete(socket);
+            this.endConnection(sessionId);
+        });
+        if (this.connections.size >= this.limits.maximumConnections) {
+            this.reportRefused(sessionId, MessageDefect.TooManyConnections, 0);
+            this.endSocket(socket, encodeError(StatementFault.Busy, "too many connections"));
+            return;
+        }
+        const connection: Connection = {
+            socket,
+            reader: new LineReader(),
+            opened: false,
+            incompleteBytes: 0,
+            timer: undefined,
+        };
+        this.connections.set(sessionId, connection);
+        this.unopenedIds.add(sessionId);
+        this.startTimer(sessionId, connection, this.limits.openingTimeoutMs, MessageDefect.NotOpened);
+        socket.on("data", chunk => this.receive(sessionId, connection, chunk));
+        if (this.unopenedIds.size > this.limits.maximumUnopened) {
+            const [oldestId] = this.unopenedIds as Iterable<string>;
+            this.refuseUnopened(oldestId!);
+        }
+    }
+
+    private refuseUnopened(sessionId: string): void {
+        const { socket, reader } = this.connections.get(sessionId)!;
+        this.reportRefused(sessionId, MessageDefect.NotOpened, reader.pendingBytes);
+        this.removeConnection(sessionId);
+        this.endSocket(socket, encodeError(StatementFault.Busy, "too many connections without CONNECT"));
+    }
+
+    /** Sends the last text, and reads on: a socket that is closed with unread bytes loses what was sent. */
+    private endSocket(socket: Socket, text: string): void {
+        socket.end(text, wireEncoding);
+        socket.resume();
+        this.endingSockets.add(socket);
+        if (this.endingSockets.size > this.limits.maximumEnding) {
+            const [oldest] = this.endingSockets as Iterable<Socket>;
+            this.endingSockets.delete(oldest!);
+            oldest!.destroy();
+        }
+    }
+
+    private startTimer(sessionId: string, connection: Connection, limitMs: number, defect: MessageDefect): void {
+        const timer = setTimeout(() => {
+            // What arrived while the process stood still is read before the end of this turn.
+            setImmediate(() => {
+                if (connection.timer === timer) {
+                    this.refuseIncomplete(sessionId, connection, defect);
+                }
+            });
+        }, limitMs);
+        connection.timer = timer;
+    }
+
+    private refuseIncomplete(sessionId: string, { reader }: Connection, defect: MessageDefect): void {
+        this.reportRefused(sessionId, defect, reader.pendingBytes);
+        this.endConnection(sessionId);
     }
 
     private receive(sessionId: string, connection: Connection, chunk: Buffer): void {
+        if (this.connections.get(sessionId) !== connection) {
+            return;
+        }
         let lines: readonly string[];
         const { reader } = connection;
         const receivedBytes = reader.pendingBytes + chunk.length;
@@ -145,6 +216,32 @@
                 this.receiveLine(sessionId, connection, line);
             }
         }
+        if (this.connections.get(sessionId) === connection) {
+            this.accountIncomplete(sessionId, connection, lines.length > 0);
+        }
+    }
+
+    /** @param isNew whether a message ended in the chunk, so that the incomplete one began in it */
+    private accountIncomplete(sessionId: string, connection: Connection, isNew: boolean): void {
+        const { pendingBytes } = connection.reader;
+        this.incompleteBytes += pendingBytes - connection.incompleteBytes;
+        connection.incompleteBytes = pendingBytes;
+        if (connection.opened && isNew) {
+            stopTimer(connection);
+        }
+        if (pendingBytes > 0 && connection.timer === undefined) {
+            this.startTimer(sessionId, connection, this.limits.messageTimeoutMs, MessageDefect.Incomplete);
+        }
+        while (this.incompleteBytes > this.limits.incompleteBytes) {
+            this.refuseLargest();
+        }
+    }
+
+    private refuseLargest(): void {
+        const [largestId, largest] = [...this.connections].reduce((largest, entry) =>
+            entry[1].incompleteBytes > largest[1].incompleteBytes ? entry : largest
+        );
+        this.refuseIncomplete(largestId, largest, MessageDefect.MemoryExceeded);
     }
 
     private receiveLine(sessionId: string, connection: Connection, line: string): void {
@@ -174,7 +271,8 @@
     private openSession(sessionId: string, connection: Connection, line: string): void {
         const [, database, key] = splitWords(line, 2) as [string, string, string];
         connection.opened = true;
-        connection.socket.setTimeout(0);
+        this.unopenedIds.delete(sessionId);
+        stopTimer(connection);
         const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database, key };
         this.options.post(message);
     }
@@ -220,6 +318,17 @@
     }
 
     private removeConnection(sessionId: string): void {
-        this.connections.delete(sessionId);
+        const connection = this.connections.get(sessionId);
+        if (connection !== undefined) {
+            stopTimer(connection);
+            this.incompleteBytes -= connection.incompleteBytes;
+            this.connections.delete(sessionId);
+            this.unopenedIds.delete(sessionId);
+        }
     }
 }
+
+function stopTimer(connection: Connection): void {
+    clearTimeout(connection.timer);
+    connection.timer = undefined;
+}
