fix(platform): a half message keeps no more memory than its bytes

Callers saw: a connection whose half message had a few bytes could hold the 64 KiB of the chunk in which it began, so that the limit of bytes of half messages did not bound the memory of the process.

Cause: the incomplete line was a slice of the text of the chunk, which the slice keeps alive.

Evidence: wireLines.spec.ts, 500 readers with 27 bytes each, before: 32,562,968 bytes of heap; the limit of the test is 1,000,000. The incomplete line is now a copy where the chunk also held complete ones.

--- a/src/platform/wireLines.ts
+++ b/src/platform/wireLines.ts
@@ -35,7 +35,8 @@
         if (lines.length > 0) {
             lines[0] = this.complete(lines[0]!);
         }
-        this.append(rest);
+        // A part of a chunk would hold all of the chunk in memory.
+        this.append(lines.length > 0 ? Buffer.from(rest, wireEncoding).toString(wireEncoding) : rest);
         if (chunk.length + this.partsBytes > maximumLineBytes) {
             lines.forEach(line => requireAllowed(line.length));
             requireAllowed(this.partsBytes);
