--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -1,4 +1,5 @@
 /** Formats the results of the benchmark as tables or as one JSON object. */
+import type { AbuseFigures } from "./abusiveCallers.ts";
 import type { ProcessFigures } from "./processes.ts";
 import type { ProxyFigures } from "./proxyFigures.ts";
 import type { RateFigures } from "./rateFigures.ts";
@@ -22,10 +23,11 @@
     readonly seed: number;
     readonly slopes: Slopes | undefined;
     readonly processes: ProcessFigures | undefined;
+    readonly abuse: readonly AbuseFigures[] | undefined;
 }
 
 /** Formats a report as one line of JSON. Figures that were not measured are null. */
-export function formatJson({ proxyRuns, rateRuns, slots, seed, slopes, processes }: BenchReport): string {
+export function formatJson({ proxyRuns, rateRuns, slots, seed, slopes, processes, abuse }: BenchReport): string {
     const report = {
         seed,
         note,
@@ -44,6 +46,7 @@
         slot_baselines: slots.map(slotFiguresByKey),
         ...(slopes === undefined ? {} : { slopes }),
         ...(processes === undefined ? {} : { processes }),
+        ...(abuse === undefined ? {} : { abuse }),
     };
     return JSON.stringify(report, (_, value: unknown) => value === undefined ? notMeasuredInJson : value);
 }
@@ -101,7 +104,7 @@
     ]);
 }
 
-export function formatTable({ proxyRuns, rateRuns, slots, seed, slopes, processes }: BenchReport): string {
+export function formatTable({ proxyRuns, rateRuns, slots, seed, slopes, processes, abuse }: BenchReport): string {
     const header = ["user", "shape", "policy", "worst served", "wrongful", "over rate", "p50 ms", "p99 ms", "changes"];
     const rows = rateRuns.map(({ user, shape, policy, figures }) => [
         user,
@@ -123,6 +126,7 @@
         ...formatSlotRuns(slots),
         ...slopeLines,
         ...(processes === undefined ? [] : ["", JSON.stringify(processes)]),
+        ...(abuse === undefined ? [] : ["", ...formatRows(abuse)]),
     ].join("\n");
 }
 
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -3,11 +3,12 @@
  * - `--json` prints one JSON object on the last line instead of tables.
  * - `--slopes` also measures costs per workspace, instance and statement; byte counts need
  *   `NODE_OPTIONS=--expose-gc`.
- * - `--processes` also measures real processes.
+ * - `--processes` also measures real processes, `--abuse` callers beside 200 abusive ones.
  * - `--user NAME` runs only the load of one user, `--product-only` skips the baselines of the proxy model, and
  *   `--no-policies` runs only slopes and processes.
  */
 import { parseArgs } from "node:util";
+import { measureAbuse } from "../bench/abusiveCallers.ts";
 import { formatJson, formatTable } from "../bench/describe.ts";
 import { loadShapes } from "../bench/loadShapes.ts";
 import { measureProcesses } from "../bench/processes.ts";
@@ -27,6 +28,7 @@
         json: { type: "boolean", default: false },
         seed: { type: "string", default: "1" },
         processes: { type: "boolean", default: false },
+        abuse: { type: "boolean", default: false },
         slopes: { type: "boolean", default: false },
         user: { type: "string" },
         "product-only": { type: "boolean", default: false },
@@ -54,5 +56,6 @@
 }));
 const slopes = values.slopes ? measureSlopes() : undefined;
 const processes = values.processes ? await measureProcesses() : undefined;
-const report = { proxyRuns, rateRuns, slots, seed, slopes, processes };
+const abuse = values.abuse ? await measureAbuse() : undefined;
+const report = { proxyRuns, rateRuns, slots, seed, slopes, processes, abuse };
 console.log(values.json ? formatJson(report) : formatTable(report));
