fix(session): the signatures that a link remembers do not keep whole chunks in memory

A signature is cut from the text of the chunk in which it came, and a link remembers 256 of them, four times as many while a statement runs. Each kept its chunk of up to 64 KiB alive: after replies with long rows, 256 signatures held 16.6 MB per link.

The new test, 200 signatures at the end of 64 KiB each, grew the heap by 13,161,392 bytes before the fix; the limit of the test is 1 MiB. A link now remembers a copy of the signature.

--- a/src/session/__tests__/replyMatcher.spec.ts
+++ b/src/session/__tests__/replyMatcher.spec.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { type LinkCommand, LinkCommandKind, type LinkReply } from "../../model/linkMessages.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { type ReplyMatch, ReplyMatcher, ReplyRole, ReplyVerdict } from "../replyMatcher.ts";
@@ -51,6 +53,26 @@
         ]);
     });
 
+    it("do not stay in memory because a link remembers their signatures", () => {
+        setFlagsFromString("--expose-gc");
+        const collectGarbage = runInNewContext("gc") as () => void;
+        const matcher = matcherOf(...Array.from({ length: 200 }, () => write));
+        collectGarbage();
+        const beforeBytes = process.memoryUsage().heapUsed;
+        for (let index = 0; index < 200; index++) {
+            const received = Buffer.from(`${"x".repeat(65_536)}signature-of-${index + 1_000_000}`).toString("latin1");
+            assert.deepEqual(verdicts(matcher, reply(index, { signature: received.slice(65_536) })), [
+                ReplyVerdict.Proved,
+            ]);
+        }
+        collectGarbage();
+        const growthBytes = process.memoryUsage().heapUsed - beforeBytes;
+        assert.ok(
+            growthBytes < 1_048_576,
+            `${growthBytes} bytes for 200 signatures; ${matcher.expectedCount} expected`,
+        );
+    });
+
     it("are told apart by rows that hold line feeds", () => {
         // Guards against an answer that is taken for the repeat of another one.
         const matcher = matcherOf(begin, begin);
--- a/src/session/replyMatcher.ts
+++ b/src/session/replyMatcher.ts
@@ -9,6 +9,7 @@
 import { type LinkCommand, LinkCommandKind, type LinkReply } from "../model/linkMessages.ts";
 import { comparePositions, laterPosition, type Position } from "../model/position.ts";
 import { SessionStatementKind, TransactionState } from "../model/sessionStatement.ts";
+import { detachText } from "./sessionLimits.ts";
 
 /** Kind of command that an expected reply belongs to. */
 export const ReplyRole = {
@@ -146,7 +147,7 @@
         if (expected === undefined || expected.signing === Signing.Never) {
             return { verdict: ReplyVerdict.Unmatched };
         }
-        this.signatures.add(signature);
+        this.signatures.add(detachText(signature));
         this.rememberedBytes += signature.length;
         return this.prove(expected);
     }
