fix(session): a session may keep two values of the maximum size, as the limit says

The limits of 2 MiB for the values of a session, and for its queue, count 128 bytes for each entry besides the text. The second of two SETs of 1 MiB therefore got MALFORMED, and its caller closes the session.

The new test failed with 'malformed' before. The limits now include those bytes.

--- a/src/session/__tests__/sessionLimits.spec.ts
+++ b/src/session/__tests__/sessionLimits.spec.ts
@@ -83,6 +83,25 @@
         assert.equal(fixture.lastFault(), undefined);
     });
 
+    it("keeps two values and two queued statements of the maximum size of a message", () => {
+        const messageBytes = 1_048_576;
+        const fixture = fixtureWithSessions("s1");
+        for (const name of ["a", "b"]) {
+            const value = "x".repeat(messageBytes - `QUERY i SET ${name} `.length);
+            fixture.request("s1", setValue(name, value));
+            assert.equal(fixture.lastFault(), undefined);
+        }
+        fixture.connect("s2", "orders");
+        for (let index = 0; index < 3; index++) {
+            fixture.request("s2", write(messageBytes - "QUERY w WRITE a ".length));
+        }
+        for (let index = 0; index < 3; index++) {
+            fixture.openLinks();
+            fixture.reply("l0", { position: position(1, index + 1) });
+        }
+        assert.deepEqual(fixture.answers.slice(2).map(({ answer }) => answer.fault), [undefined, undefined, undefined]);
+    });
+
     it("refuses queued statements beyond the bytes in their turn, without running them", () => {
         const fixture = fixtureWithSessions("s1");
         const size = queuedBytes / 4;
--- a/src/session/sessionLimits.ts
+++ b/src/session/sessionLimits.ts
@@ -15,21 +15,24 @@
     readonly guaranteedBytes: number;
 }
 
+/** Memory of an entry of a map or a queue besides its text; an estimate. */
+const entryBytes = 128;
+
+/** An entry with a text of the maximum size of a message. */
+const largestEntryBytes = 1_048_576 + entryBytes;
+
 export const defaultSessionLimits: SessionLimits = {
     maximumNames: 256,
     // Two values of the maximum size of a message.
-    contextBytes: 2 * 1_048_576,
+    contextBytes: 2 * largestEntryBytes,
     queuedStatements: 64,
     // Two statements of the maximum size of a message.
-    queuedBytes: 2 * 1_048_576,
+    queuedBytes: 2 * largestEntryBytes,
     // A third of the heap of a small process; links, buffers of sockets and the policy need the rest.
     totalBytes: 48 * 1_048_576,
     guaranteedBytes: 4_096,
 };
 
-/** Memory of an entry of a map or a queue besides its text; an estimate. */
-const entryBytes = 128;
-
 export function contextEntryBytes(name: string, value: string): number {
     return name.length + value.length + entryBytes;
 }
