fix(session): names, keys and waiting statements of sessions count against the memory of a process

A session kept its key of up to 1 MiB for as long as it was open: 100 callers of a public route with such keys held 100 MB. Sessions that wait for a configuration or its proof, for up to 1.5 s, kept 64 statements of 1 MiB each. Neither was counted, so a few callers could end a proxy.

A key longer than the longest one of a configuration is cut behind that length, which no key in force matches; names and keys count as kept; and waiting sessions have an account of their own with the same limits. What exceeds them is refused with BUSY before the session is accepted.

Before, the new tests printed '0 !== 100' refused sessions that wait, '0 sessions refused' of 2,000 with keys of 64 KiB, and a key of 1,000,000 bytes was posted.

--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -13,7 +13,7 @@
 import { StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { maximumLineBytes } from "../wireLines.ts";
-import { toWireName } from "../wireNames.ts";
+import { maximumNameBytes, toWireName } from "../wireNames.ts";
 import { WireServer } from "../wireServer.ts";
 
 /** Rows of the maximum size of a message; together larger than the socket buffers of the system. */
@@ -65,6 +65,25 @@
         });
     }
 
+    it("keep no more of a key than the longest one of a configuration has, and one byte", async () => {
+        const posted: Message[] = [];
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post: message => posted.push(message) });
+        await server.listen();
+        const key = "k".repeat(1_000_000);
+        const socket = connect({ host: "127.0.0.1", port: server.port });
+        socket.write(`CONNECT orders ${key}\r\n`);
+        while (posted.length === 0) {
+            await setImmediate();
+        }
+        socket.destroy();
+        assert.deepEqual(posted[0], {
+            kind: SessionKind.Opened,
+            sessionId: (posted[0] as SessionAnswer).sessionId,
+            database: "orders",
+            key: key.slice(0, maximumNameBytes + 1),
+        });
+    });
+
     it("leave a trace of each message that is refused, without its text", async () => {
         const posted: Message[] = [];
         await using server = new WireServer({ host: "127.0.0.1", port: 0, post: message => posted.push(message) });
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -2,7 +2,7 @@
 import { wireEncoding } from "./wireLines.ts";
 
 /** With names of this length, a CONNECT stays far below the limit of a message. */
-const maximumNameBytes = 65_536;
+export const maximumNameBytes = 65_536;
 
 /** Bytes of a word: no blank, no control character. */
 const wordPattern = /^[!-~\x80-\xff]+$/;
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -18,6 +18,7 @@
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
+import { maximumNameBytes } from "./wireNames.ts";
 
 /** Time within which a new connection must send CONNECT; callers send it immediately. */
 const openingTimeoutMs = 5_000;
@@ -175,7 +176,12 @@
         const [, database, key] = splitWords(line, 2) as [string, string, string];
         connection.opened = true;
         connection.socket.setTimeout(0);
-        const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database, key };
+        const message: SessionOpened = {
+            kind: SessionKind.Opened,
+            sessionId,
+            database: keptName(database),
+            key: keptName(key),
+        };
         this.options.post(message);
     }
 
@@ -223,3 +229,8 @@
         this.connections.delete(sessionId);
     }
 }
+
+/** Cuts off what exceeds the longest name of a configuration, because a session keeps its names; it stays unknown. */
+function keptName(name: string): string {
+    return name.slice(0, maximumNameBytes + 1);
+}
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -56,6 +56,7 @@
         PeerKind.Answer,
     ];
     readonly clock = new VirtualClock();
+    readonly access = new SessionAccess();
     readonly sessions = new Sessions();
     readonly answers: SessionAnswer[] = [];
     readonly sent: SentCommand[] = [];
@@ -77,7 +78,7 @@
         this.permits = permits;
         const filters = [
             new FloorExchange({ instanceId: "front1", dataCentre: "dc1" }),
-            new SessionAccess(),
+            this.access,
             this.sessions,
             new Admission({ random: new SeededRandom(20261204) }),
             new PassedTasks(),
--- a/src/session/__tests__/sessionLimits.spec.ts
+++ b/src/session/__tests__/sessionLimits.spec.ts
@@ -154,6 +154,39 @@
         assert.ok(fixture.sessions.keptBytes < 10_000, `${fixture.sessions.keptBytes} bytes after the sessions ended`);
     });
 
+    it("limits what sessions keep that wait for a configuration, and serves small ones after it", () => {
+        const fixture = new SessionFixture(1_000);
+        const callers = Array.from({ length: 100 }, (_, index) => `s${index}`);
+        for (const caller of [...callers, "small"]) {
+            fixture.connect(caller, "orders");
+            for (let index = 0; index < (caller === "small" ? 1 : 8); index++) {
+                fixture.request(caller, caller === "small" ? setValue("v", "x") : write(1_000_000));
+            }
+        }
+        const refused = fixture.otherMessages.filter(({ kind }) => kind === SessionKind.Refuse);
+        assert.equal(refused.length, 100);
+        assert.ok(fixture.access.keptBytes <= totalBytes, `${fixture.access.keptBytes} bytes`);
+        fixture.configure(route(RouteConsistency.Primary, "orders"));
+        assert.deepEqual(fixture.answers.map(({ sessionId, answer }) => [sessionId, answer.fault]), [[
+            "small",
+            undefined,
+        ]]);
+        assert.equal(fixture.access.keptBytes, 0);
+    });
+
+    it("limits the names and keys that sessions keep", () => {
+        const fixture = fixtureWithSessions();
+        fixture.configure({ ...route(RouteConsistency.Primary, "orders"), open: true });
+        const callers = Array.from({ length: 2_000 }, (_, index) => `s${index}`);
+        callers.forEach(caller => fixture.connect(caller, "orders", "k".repeat(65_536)));
+        const refused = fixture.otherMessages.filter(({ kind }) => kind === SessionKind.Refuse);
+        assert.ok(refused.length > 1_000, `${refused.length} sessions refused`);
+        assert.ok(fixture.sessions.keptBytes <= totalBytes, `${fixture.sessions.keptBytes} bytes`);
+        fixture.connect("small", "orders");
+        fixture.request("small", setValue("v", "x"));
+        assert.equal(fixture.lastFault(), undefined);
+    });
+
     it("does not keep a message alive of which a session keeps a short value", () => {
         setFlagsFromString("--expose-gc");
         const collectGarbage = runInNewContext("gc") as () => void;
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -59,8 +59,8 @@
 
     constructor({ sessionId, database, key }: SessionOpened) {
         this.sessionId = sessionId;
-        this.database = database;
-        this.key = key;
+        this.database = detachText(database);
+        this.key = detachText(key);
     }
 
     /** Bytes by which `setValue` would increase the context. */
--- a/src/session/sessionAccess.ts
+++ b/src/session/sessionAccess.ts
@@ -24,6 +24,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { type AccessFault, isFault } from "./authorization.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
+import { defaultSessionLimits, openingBytes, SessionMemory, statementBytes } from "./sessionLimits.ts";
 import { stoppingText } from "./taskMessages.ts";
 
 /** Time for which a new session waits for the first configuration; callers time out after 2 s. */
@@ -35,9 +36,13 @@
 /** Maximum of requests that wait with a session; callers normally wait until their session is accepted. */
 const maximumWaitingRequests = 64;
 
+/** Maximum of what a session that waits may keep. */
+const maximumWaitingBytes = defaultSessionLimits.queuedBytes;
+
 interface WaitingSession {
     readonly opened: SessionOpened;
     readonly requests: SessionRequested[];
+    bytes: number;
 }
 
 type AccessInput =
@@ -64,15 +69,21 @@
     ];
     private readonly access = new PolicyAccess();
     private readonly waiting = new Map<string, WaitingSession>();
+    private readonly memory = new SessionMemory(defaultSessionLimits);
     /** The last step of a stop has come: the process may end before a proof arrives. */
     private isStopping = false;
 
+    /** Bytes that the waiting sessions keep, as counted against the limits. */
+    get keptBytes(): number {
+        return this.memory.totalBytes;
+    }
+
     process(message: AccessInput, nowMs: number): readonly Message[] {
         return match<AccessInput, readonly Message[]>(message)
             .with({ kind: SessionKind.Opened }, opened => this.open(opened, nowMs))
             .with({ kind: SessionKind.Requested }, requested => this.request(requested, nowMs))
             .with({ kind: SessionKind.Closed }, closed =>
-                this.waiting.delete(closed.sessionId)
+                this.endWait(closed.sessionId)
                     ? [clearDeadline(limitKey(closed.sessionId))]
                     : [closed])
             .with({ kind: SessionKind.AccessDue }, due => this.giveUp(this.waiting.get(due.sessionId), nowMs))
@@ -101,7 +112,11 @@
         if (this.isStopping) {
             return [this.refuse(opened, this.waitFault(opened), nowMs)];
         }
-        this.waiting.set(sessionId, { opened, requests: [] });
+        const bytes = openingBytes(opened);
+        if (!this.memory.tryAdd(sessionId, bytes)) {
+            return [this.refuse(opened, tooMuchWaiting, nowMs)];
+        }
+        this.waiting.set(sessionId, { opened, requests: [], bytes });
         const { hasPolicy } = this.access;
         const due: SessionAccessDue = { kind: SessionKind.AccessDue, sessionId };
         return [
@@ -116,6 +131,11 @@
         if (session === undefined) {
             return [requested];
         }
+        const bytes = statementBytes(requested.statement);
+        if (session.bytes + bytes > maximumWaitingBytes || !this.memory.tryAdd(requested.sessionId, bytes)) {
+            return this.giveUp(session, nowMs, tooMuchWaiting);
+        }
+        session.bytes += bytes;
         session.requests.push(requested);
         return session.requests.length > maximumWaitingRequests ? this.giveUp(session, nowMs) : [];
     }
@@ -135,7 +155,7 @@
             if (decision === undefined) {
                 return [];
             }
-            this.waiting.delete(opened.sessionId);
+            this.endWait(opened.sessionId);
             const admitted = decision === opened ? requests : [];
             return [clearDeadline(limitKey(opened.sessionId)), decision, ...admitted];
         });
@@ -146,18 +166,28 @@
         return [...this.waiting.values()].flatMap(session => this.giveUp(session, nowMs));
     }
 
-    private giveUp(session: WaitingSession | undefined, nowMs: number): readonly Message[] {
+    private giveUp(
+        session: WaitingSession | undefined,
+        nowMs: number,
+        fault?: AccessFault,
+    ): readonly Message[] {
         if (session === undefined) {
             return [];
         }
         const { opened } = session;
-        this.waiting.delete(opened.sessionId);
+        this.endWait(opened.sessionId);
         return [
             clearDeadline(limitKey(opened.sessionId)),
-            this.refuse(opened, this.waitFault(opened), nowMs),
+            this.refuse(opened, fault ?? this.waitFault(opened), nowMs),
         ];
     }
 
+    /** Returns whether the session was waiting. */
+    private endWait(sessionId: string): boolean {
+        this.memory.releaseSession(sessionId);
+        return this.waiting.delete(sessionId);
+    }
+
     /** The fault of a session that no proof decides: its caller may come back, here or at another instance. */
     private waitFault(opened: SessionOpened): AccessFault {
         return this.isStopping
@@ -170,6 +200,11 @@
     }
 }
 
+const tooMuchWaiting: AccessFault = {
+    fault: StatementFault.Busy,
+    detail: "the sessions of this instance that wait for a configuration keep too much; not run",
+};
+
 function limitKey(sessionId: string): string {
     return `access/${sessionId}`;
 }
--- a/src/session/sessionLimits.ts
+++ b/src/session/sessionLimits.ts
@@ -1,4 +1,5 @@
 /** Limits on the memory that callers can take up, and the account of what their sessions keep. */
+import type { SessionOpened } from "../model/sessionMessages.ts";
 import type { SessionStatement } from "../model/sessionStatement.ts";
 
 export interface SessionLimits {
@@ -33,6 +34,11 @@
     guaranteedBytes: 4_096,
 };
 
+/** Bytes that a session keeps for as long as it is open, its own overhead apart. */
+export function openingBytes({ database, key }: SessionOpened): number {
+    return database.length + key.length;
+}
+
 export function contextEntryBytes(name: string, value: string): number {
     return name.length + value.length + entryBytes;
 }
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -26,7 +26,13 @@
 import { type AccessFault, isFault } from "./authorization.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
 import { type QueuedStatement, Session, type Transaction } from "./session.ts";
-import { defaultSessionLimits, type SessionLimits, SessionMemory, statementBytes } from "./sessionLimits.ts";
+import {
+    defaultSessionLimits,
+    openingBytes,
+    type SessionLimits,
+    SessionMemory,
+    statementBytes,
+} from "./sessionLimits.ts";
 import {
     type DrainDue,
     type DrainStep,
@@ -109,6 +115,16 @@
                 { kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail: stoppingText } as Message,
             ];
         }
+        if (!this.memory.tryAdd(sessionId, openingBytes(opened))) {
+            return [
+                {
+                    kind: SessionKind.Refuse,
+                    sessionId,
+                    fault: StatementFault.Busy,
+                    detail: totalExceededText,
+                } as Message,
+            ];
+        }
         this.sessions.set(sessionId, new Session(opened));
         return [{ kind: SessionKind.Accept, sessionId } as Message];
     }
