fix(control): the id of a database in a path that is not escaped is converted once

The HTTP parser gives one character for each byte of a path. An id with the bytes of UTF-8 that was not percent-encoded was therefore encoded twice, and each link to that database was refused as MISROUTED, because CONNECT named another id.

The new test sends the same id in both forms. Before, the one that is not escaped gave 'i-\xc3\x83\xc2\xa9' instead of 'i-\xc3\xa9'.

--- a/src/platform/__tests__/controlServer.spec.ts
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -3,6 +3,7 @@
 import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { DocumentKind, type DocumentPut, DocumentResult } from "../../model/document.ts";
+import type { DatabaseReported } from "../../model/fleetMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { ControlServer } from "../controlServer.ts";
 
@@ -45,6 +46,26 @@
         assert.equal(posted.length, 1);
     });
 
+    for (const path of ["i-\xe9", "i-%C3%A9"]) {
+        it(`reads the id of a database as UTF-8, whether its path is escaped or not: ${path}`, async () => {
+            const socket = connect({ host: "127.0.0.1", port: server.port });
+            const body = JSON.stringify({
+                service: "s\xe9",
+                address: "10.0.0.1:8080",
+                zone: "z",
+                state: "ready",
+                db_role: "replica",
+                seq: 4,
+            });
+            const head = `POST /-/Instances.Heartbeat/${path} HTTP/1.1\r\nHost: x\r\nContent-Length: `;
+            socket.write(`${head}${Buffer.byteLength(body)}\r\n\r\n${body}`);
+            await once(socket, "data");
+            socket.destroy();
+            const { report } = posted[0] as DatabaseReported;
+            assert.deepEqual([report.databaseId, report.service], ["i-\xc3\xa9", "s\xc3\xa9"]);
+        });
+    }
+
     it("refuses bodies whose decoding would take the memory of the process", async () => {
         // Guards against a body of 8 MiB that ends a member with "heap out of memory".
         const values = "{},".repeat(300_000);
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -16,6 +16,7 @@
 import { decodeDatabaseReport, decodeDepartedId, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
 import { decodeUtf8 } from "./jsonText.ts";
+import { fromWireName } from "./wireNames.ts";
 
 /** Larger than a configuration with thousands of routes. */
 const maximumDocumentBytes = 8 * 1_048_576;
@@ -231,7 +232,9 @@
     }
 }
 
-function decodeId(text: string): string {
+/** @param url part of a URL, in which one character stands for one byte */
+function decodeId(url: string): string {
+    const text = fromWireName(url);
     try {
         return decodeURIComponent(text);
     }
