--- a/src/platform/wireLines.ts
+++ b/src/platform/wireLines.ts
@@ -36,7 +36,8 @@
             lines[0] = this.complete(lines[0]!);
         }
         // A part of a chunk would hold all of the chunk in memory.
-        this.append(lines.length > 0 ? Buffer.from(rest, wireEncoding).toString(wireEncoding) : rest);
+        const isPart = rest !== "" && lines.length > 0;
+        this.append(isPart ? Buffer.from(rest, wireEncoding).toString(wireEncoding) : rest);
         if (chunk.length + this.partsBytes > maximumLineBytes) {
             lines.forEach(line => requireAllowed(line.length));
             requireAllowed(this.partsBytes);
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -19,6 +19,7 @@
 import type { Sink } from "../pipeline/sink.ts";
 import { decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
+import { maximumNameBytes } from "./wireNames.ts";
 import { defaultWireServerLimits, type WireServerLimits } from "./wireServerLimits.ts";
 
 /** The connection of a caller that has not read this much of the answers before is closed. */
@@ -273,7 +274,12 @@
         connection.opened = true;
         this.unopenedIds.delete(sessionId);
         stopTimer(connection);
-        const message: SessionOpened = { kind: SessionKind.Opened, sessionId, database, key };
+        const message: SessionOpened = {
+            kind: SessionKind.Opened,
+            sessionId,
+            database: keptName(database),
+            key: keptName(key),
+        };
         this.options.post(message);
     }
 
@@ -332,3 +338,8 @@
     clearTimeout(connection.timer);
     connection.timer = undefined;
 }
+
+/** Cuts off what exceeds the longest name of a configuration, because a session keeps its names; it stays unknown. */
+function keptName(name: string): string {
+    return name.slice(0, maximumNameBytes + 1);
+}
