fix(control): ids of databases whose bytes are not UTF-8 stay apart

Decoding the path replaced each invalid byte by the same character, so that two such ids became one. They are kept as they are. The new test printed '1 !== 2' before.

--- a/src/platform/__tests__/controlServer.spec.ts
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -3,7 +3,7 @@
 import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { DocumentKind, type DocumentPut, DocumentResult } from "../../model/document.ts";
-import type { DatabaseReported } from "../../model/fleetMessages.ts";
+import type { DatabaseLeft, DatabaseReported } from "../../model/fleetMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { ControlServer } from "../controlServer.ts";
 
@@ -66,6 +66,18 @@
         });
     }
 
+    it("keeps ids apart whose bytes are not UTF-8", async () => {
+        for (const id of ["i-\xe8", "i-\xe9"]) {
+            const socket = connect({ host: "127.0.0.1", port: server.port });
+            const head = `POST /-/Instances.Leave/${id} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}`;
+            socket.write(head, "latin1");
+            await once(socket, "data");
+            socket.destroy();
+        }
+        const ids = posted.map(message => (message as DatabaseLeft).databaseId);
+        assert.equal(new Set(ids).size, 2);
+    });
+
     it("refuses bodies whose decoding would take the memory of the process", async () => {
         // Guards against a body of 8 MiB that ends a member with "heap out of memory".
         const values = "{},".repeat(300_000);
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -16,7 +16,7 @@
 import { decodeDatabaseReport, decodeDepartedId, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
 import { decodeUtf8 } from "./jsonText.ts";
-import { fromWireName } from "./wireNames.ts";
+import { wireEncoding } from "./wireLines.ts";
 
 /** Larger than a configuration with thousands of routes. */
 const maximumDocumentBytes = 8 * 1_048_576;
@@ -234,7 +234,7 @@
 
 /** @param url part of a URL, in which one character stands for one byte */
 function decodeId(url: string): string {
-    const text = fromWireName(url);
+    const text = decodeUtf8(Buffer.from(url, wireEncoding)) ?? url;
     try {
         return decodeURIComponent(text);
     }
