fix(platform): a process that starts while its settings are being written waits for them

The platform may change the file at any time, and a file that is written in place is empty or cut for a moment.

A file that is no JSON yet is read again for a second at the start; a file with a wrong field is refused at once, as before.

--- a/src/cli/platformMain.ts
+++ b/src/cli/platformMain.ts
@@ -1,7 +1,7 @@
 /** Entry point of the bundled program that runs on the users' platform. */
 import { randomBytes } from "node:crypto";
 import { join } from "node:path";
-import { readPlatformSettings, settingsVariable } from "../platform/platformSettings.ts";
+import { readCompleteSettings, readPlatformSettings, settingsVariable } from "../platform/platformSettings.ts";
 import { startPlatformProcess } from "../wiring/platformProcess.ts";
 import { SettingsWatcher } from "../wiring/settingsWatcher.ts";
 import { ExitCode } from "./exitCode.ts";
@@ -24,7 +24,7 @@
     }
     using signals = new StartupSignals();
     using watcher = new SettingsWatcher(path);
-    const settings = readPlatformSettings(path);
+    const settings = await readCompleteSettings(path);
     const platformProcess = await startPlatformProcess({
         settings,
         clusterSecret: readSecretFile("cluster-secret-file", join(import.meta.dirname, secretFileName)),
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -1,13 +1,15 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
-import { readdirSync, readFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { LinkCommandKind } from "../../model/linkMessages.ts";
 import { SessionStatementKind, StatementFault } from "../../model/sessionStatement.ts";
 import { decodeDatabaseReport, decodeDepartedStart } from "../databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError, TrafficPolicyDecoder } from "../documentCodec.ts";
-import { decodePlatformSettings } from "../platformSettings.ts";
+import { decodePlatformSettings, readCompleteSettings } from "../platformSettings.ts";
 import { decodeFault, decodePosition, decodeStatement, encodeCommand, encodeFault } from "../wireCodec.ts";
 import { LineReader, maximumLineBytes } from "../wireLines.ts";
 
@@ -395,6 +397,23 @@
         assert.equal(settings.callerEndpoint, undefined);
     });
 
+    it("are read once the platform has written all of the file, and refused if it does not", async t => {
+        // Guards against a process that ends because it starts while its settings file is being written.
+        const folder = mkdtempSync(join(tmpdir(), "jasmineline-settings-"));
+        t.after(() => rmSync(folder, { recursive: true }));
+        const path = join(folder, "local.json");
+        const text = JSON.stringify(settingsFile);
+        writeFileSync(path, "");
+        const reading = readCompleteSettings(path);
+        await delay(100);
+        writeFileSync(path, text.slice(0, 40));
+        await delay(100);
+        writeFileSync(path, text);
+        assert.equal((await reading).instanceId, "core-1");
+        writeFileSync(path, text.slice(0, 40));
+        await assert.rejects(readCompleteSettings(path), /local\.json/);
+    });
+
     it("contain the rate tolerance, which is 0 by default", () => {
         const settings = decodePlatformSettings(JSON.stringify(settingsFile), "f");
         assert.deepEqual(settings.rateTolerance, { windowMs: 5_000, share: 0.1, operations: 20 });
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -1,5 +1,6 @@
 /** The settings file that the platform provides to a process. */
 import { readFileSync } from "node:fs";
+import { setTimeout as delay } from "node:timers/promises";
 import * as z from "zod";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { SocketAddress } from "../model/socketAddress.ts";
@@ -7,6 +8,10 @@
 /** Environment variable with the path of the settings file. */
 export const settingsVariable = "JASMINELINE_CONFIG";
 
+/** Time for the platform to complete a file that it is writing when a process starts. */
+const completionLimitMs = 1_000;
+const retryIntervalMs = 50;
+
 const addressSchema = z.string().regex(/^[0-9.]+:[0-9]+$/, "must be host:port with a numeric host");
 
 /** The name of a machine is sent in an HTTP header, in which other characters cannot stand. */
@@ -75,6 +80,9 @@
     readonly promotionOrderAddress: string | undefined;
 }
 
+/** The file is no JSON, or only the beginning of it. */
+class IncompleteSettingsError extends Error {}
+
 /**
  * Reads and validates the settings file.
  * @throws Error that names the file and the field
@@ -83,6 +91,25 @@
     return decodePlatformSettings(readFileSync(path, "utf8"), path);
 }
 
+/**
+ * Reads the settings file at the start of a process, when the platform may still be writing it.
+ * @throws Error that names the file and the field; for a file that is no JSON only after `completionLimitMs`
+ */
+export async function readCompleteSettings(path: string): Promise<PlatformSettings> {
+    const endsAtMs = performance.now() + completionLimitMs;
+    for (;;) {
+        try {
+            return readPlatformSettings(path);
+        }
+        catch (error) {
+            if (!(error instanceof IncompleteSettingsError) || performance.now() >= endsAtMs) {
+                throw error;
+            }
+        }
+        await delay(retryIntervalMs);
+    }
+}
+
 /** @param path of the settings file, for error messages */
 export function decodePlatformSettings(text: string, path: string): PlatformSettings {
     const result = fileSchema.safeParse(parseJson(text, path));
@@ -131,7 +158,7 @@
         return JSON.parse(text);
     }
     catch (error) {
-        throw new Error(`${path}: ${(error as Error).message}`, { cause: error });
+        throw new IncompleteSettingsError(`${path}: ${(error as Error).message}`, { cause: error });
     }
 }
 
