--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -15,6 +15,7 @@
 import { maximumLineBytes } from "../wireLines.ts";
 import { maximumNameBytes, toWireName } from "../wireNames.ts";
 import { WireServer } from "../wireServer.ts";
+import { defaultWireServerLimits } from "../wireServerLimits.ts";
 
 /** Rows of the maximum size of a message; together larger than the socket buffers of the system. */
 const rowBytes = maximumLineBytes - "ROW ".length;
@@ -65,6 +66,20 @@
         });
     }
 
+    it("get all of their last answer when more of them end than the listener keeps", async () => {
+        // Guards against the reset of closed sessions, whose answers are still buffered, in a stop of many at once.
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        const limits = { ...defaultWireServerLimits, maximumEnding: 0 };
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post, limits });
+        await server.listen();
+        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        const answers = Array.from({ length: 3 }, () => createLargeAnswer(sessionId));
+        answers.forEach(answer => server.deliver(answer));
+        server.deliver({ kind: SessionKind.Close, sessionId });
+        assert.ok((await text(socket)).length > answers.length * answerBytes);
+    });
+
     it("keep no more of a key than the longest one of a configuration has, and one byte", async () => {
         const posted: Message[] = [];
         await using server = new WireServer({ host: "127.0.0.1", port: 0, post: message => posted.push(message) });
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -173,9 +173,18 @@
         socket.resume();
         this.endingSockets.add(socket);
         if (this.endingSockets.size > this.limits.maximumEnding) {
-            const [oldest] = this.endingSockets as Iterable<Socket>;
-            this.endingSockets.delete(oldest!);
-            oldest!.destroy();
+            this.resetOldestEnding();
+        }
+    }
+
+    /** Spares sockets whose last answer has not been handed to the system. */
+    private resetOldestEnding(): void {
+        for (const socket of this.endingSockets) {
+            if (socket.writableLength === 0) {
+                this.endingSockets.delete(socket);
+                socket.destroy();
+                return;
+            }
         }
     }
 
