fix(platform): ids of databases in a path must be escaped, on each architecture alike

What was seen: on x86-64 two tests of the unchanged code fail. The HTTP parser of Node.js refuses a path with bytes above 0x7f there and passes it on arm64, so a database with such an id reported to members of one architecture only.

Change: such a path gets 400 on both, as RFC 9112 has it; escaped ids are read as before. The tests relied on the arm64 parser.

--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -16,7 +16,6 @@
 import { decodeDatabaseReport, decodeDepartedId, decodeDepartedStart } from "./databaseReportCodec.ts";
 import { decodeDocument, encodeDocument, InvalidDocumentError } from "./documentCodec.ts";
 import { decodeUtf8 } from "./jsonText.ts";
-import { wireEncoding } from "./wireLines.ts";
 
 /** Larger than a configuration with thousands of routes. */
 const maximumDocumentBytes = 8 * 1_048_576;
@@ -154,6 +153,11 @@
             respond(response, 503, "{\"error\":\"this member stops; send the call to another one\"}");
             return;
         }
+        if (!isAscii(url)) {
+            // The HTTP parser of Node.js passes such bytes on arm64 only.
+            respond(response, 400, "{\"error\":\"the path has bytes that are not escaped\"}");
+            return;
+        }
         if (method === "GET" && url === getPath) {
             const requestId = this.registerRequest(response, url);
             this.options.post({ kind: DocumentKind.Read, requestId } as DocumentRead);
@@ -236,15 +240,18 @@
     }
 }
 
-/** @param url part of a URL, in which one character stands for one byte */
-function decodeId(url: string): string {
-    const text = decodeUtf8(Buffer.from(url, wireEncoding)) ?? url;
+function isAscii(text: string): boolean {
+    return Buffer.byteLength(text) === text.length;
+}
+
+/** @param path last segment of a path, in ASCII */
+function decodeId(path: string): string {
     try {
-        return decodeURIComponent(text);
+        return decodeURIComponent(path);
     }
     catch {
         // Not a valid URI encoding; the text itself is the id.
-        return text;
+        return path;
     }
 }
 
