feat(session): rules of placement, urgency of tasks and load of databases between instances

Change: `PlacementRule` is the one place where a rule of the policy keeps a task from a database; what no allowed database can run is refused at once with the time to come back, unless one may get it within the latency objective. Tasks between instances carry priority and objective of their route, results the load of the database. Both are new fields of the frame, so earlier releases read past them; a load that is out of range is dropped, and its result still counts. The folder scheduling/ may be used by both front ends.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,7 @@
     "report",
     "session",
     "fleet",
+    "scheduling",
 ];
 const ioFolders = ["frontend", "backend", "rpc", "storage", "telemetry", "platform", "cli", "wiring"];
 const ioLibraries = ["mysql2", "mysql2/*", "@grpc/*", "@bufbuild/*", "hot-shots", "loglevel", "node:*", "fs", "net"];
@@ -20,13 +21,14 @@
 const allowedImports = {
     pipeline: [],
     model: ["pipeline"],
-    request: ["model", "pipeline"],
-    holder: ["model", "pipeline"],
+    scheduling: ["model", "pipeline"],
+    request: ["model", "pipeline", "scheduling"],
+    holder: ["model", "pipeline", "scheduling"],
     rates: ["model", "pipeline"],
     health: ["model", "pipeline"],
     control: ["model", "pipeline"],
     report: ["model", "pipeline"],
-    session: ["model", "pipeline"],
+    session: ["model", "pipeline", "scheduling"],
     fleet: ["model", "pipeline", "rates"],
     platform: ["model", "pipeline"],
     settings: ["model"],
@@ -52,6 +54,7 @@
         "rpc",
         "session",
         "fleet",
+        "scheduling",
         "platform",
     ],
 };
--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -3,6 +3,7 @@
  * has opened to another one, which sends the results back on the same stream.
  */
 import type { Message } from "../pipeline/message.ts";
+import type { DatabaseLoad } from "./databaseLoad.ts";
 import type { LinkReply } from "./linkMessages.ts";
 import type { Position } from "./position.ts";
 import type { PreparedStatement, SessionStatement, StatementFault, TaskMode } from "./sessionStatement.ts";
@@ -43,6 +44,13 @@
     readonly instances: readonly PeerInstance[];
 }
 
+export interface PassedUrgency {
+    /** Of the route; 0 is the highest. */
+    readonly priority: number;
+    /** Time left until the latency objective; 0 if it has passed. */
+    readonly objectiveMs: number;
+}
+
 /** A task that is sent to the holder of a database: the instance that keeps the connection pool of this database. */
 export interface PassedTask {
     readonly kind: "task";
@@ -62,6 +70,8 @@
     readonly floor: Position | undefined;
     /** Time left until the deadline of the attempt. */
     readonly remainingMs: number;
+    /** Not sent by releases that do not know it. */
+    readonly urgency?: PassedUrgency;
 }
 
 /** Asks another instance for a recent log position of the primary of a service, to be used as the floor of reads. */
@@ -95,6 +105,8 @@
     readonly sent: boolean;
     readonly leads: boolean;
     readonly pinned: boolean;
+    /** Not sent by releases that do not know it, nor with results that tell nothing about the load. */
+    readonly load?: DatabaseLoad;
 }
 
 export interface FloorResult {
--- a/src/rpc/__tests__/taskCodec.spec.ts
+++ b/src/rpc/__tests__/taskCodec.spec.ts
@@ -98,6 +98,48 @@
         );
     });
 
+    it("passes the urgency of a task and the load of a database, and does without a load that is out of range", () => {
+        const task = {
+            ...base,
+            kind: "task",
+            writes: false,
+            needsPrimary: false,
+            values: [],
+            databaseId: "d",
+        } as const;
+        const statement = { kind: SessionStatementKind.Read, id: "5c", text: "READ x", name: "", argument: "" };
+        const question: PeerQuestion = {
+            ...task,
+            statement: { ...statement, prepared: undefined },
+            prepared: undefined,
+            floor: undefined,
+            urgency: { priority: 0, objectiveMs: 399 },
+        };
+        assert.deepEqual(decodeQuestion(encodeQuestion(question)), question);
+        const flags = { fault: undefined, sent: true, leads: false, pinned: false };
+        const load = {
+            expectedWaitsMs: [0, 12, 80],
+            window: 6,
+            inFlight: 4,
+            availableLinks: 17,
+            busyShare: 0.25,
+            position: { term: 3, offset: 1_209 },
+            positionAgeMs: 8,
+        };
+        const withoutLoad = { kind: "task", taskId: "t", reply: undefined, ...flags } as const;
+        const result = { ...withoutLoad, load };
+        const encoded = encodeResult(result);
+        assert.deepEqual(decodeResult(encoded), result);
+        for (
+            const invalid of [{ expectedWaitsMs: [] }, { busyThousandths: 1_001 }, {
+                expectedWaitsMs: Array(17).fill(1),
+            }]
+        ) {
+            const frame = { ...encoded, load: { ...encoded.load!, ...invalid } };
+            assert.deepEqual(decodeResult(frame), withoutLoad);
+        }
+    });
+
     it("passes a statement and a reply of maximum size, whatever their bytes are", () => {
         const text = `WRITE x ${"\0".repeat(1_048_576 - 18)}`;
         const statement = {
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -2,8 +2,9 @@
  * Encodes and decodes the questions and results that instances exchange. They are the most frequent messages, so they
  * are sent as JSON arrays without field names.
  */
+import type { DatabaseLoad } from "../model/databaseLoad.ts";
 import type { LinkReply } from "../model/linkMessages.ts";
-import type { PeerQuestion, PeerResult } from "../model/peerMessages.ts";
+import type { PassedUrgency, PeerQuestion, PeerResult } from "../model/peerMessages.ts";
 import type { Position } from "../model/position.ts";
 import {
     type PreparedStatement,
@@ -13,9 +14,15 @@
     TaskMode,
     TransactionState,
 } from "../model/sessionStatement.ts";
-import type { TaskFrameMessage } from "./generated/tasks.ts";
+import type { DatabaseLoadMessage, TaskFrameMessage, TaskUrgency } from "./generated/tasks.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
 
+/** Largest value of an unsigned 32-bit field. */
+const maximumUnsigned = 0xffff_ffff;
+
+/** Maximum of priorities whose expected waits are told apart. */
+const maximumPriorities = 16;
+
 type EncodedFields = readonly unknown[];
 
 export function encodeQuestion(question: PeerQuestion): TaskFrameMessage {
@@ -29,8 +36,9 @@
         const { questionId, service, workspace, maximumProofAgeMs } = question;
         return { body: encodeJson([questionId, service, workspace, Math.floor(maximumProofAgeMs)]) };
     }
-    const { statement, prepared, floor } = question;
+    const { statement, prepared, floor, urgency } = question;
     return {
+        ...urgency === undefined ? {} : { urgency: encodeUrgency(urgency) },
         body: encodeJson([
             question.taskId,
             question.sessionId,
@@ -50,7 +58,7 @@
 }
 
 /** @throws Error that names the field if the body was not made by `encodeQuestion` */
-export function decodeQuestion({ body }: TaskFrameMessage): PeerQuestion {
+export function decodeQuestion({ body, urgency }: TaskFrameMessage): PeerQuestion {
     const fields = requireFields(decodeJson(body), "question", [1, 2, 4, 13]);
     if (fields.length === 1) {
         return { kind: "members", questionId: requireText(fields[0], "questionId") };
@@ -98,6 +106,7 @@
         databaseId: requireText(fields[10], "databaseId"),
         floor: decodePosition(fields[11]),
         remainingMs: requireNumber(fields[12], "remainingMs"),
+        ...urgency === undefined ? {} : { urgency },
     };
 }
 
@@ -110,7 +119,7 @@
         const { questionId, position, proofAgeMs } = result;
         return { body: encodeJson([questionId, encodePosition(position), Math.ceil(proofAgeMs)]) };
     }
-    const { taskId, reply, fault, sent, leads, pinned } = result;
+    const { taskId, reply, fault, sent, leads, pinned, load } = result;
     const flags = Number(sent) + 2 * Number(leads) + 4 * Number(pinned);
     const encodedReply = reply === undefined ? 0 : [
         reply.rows,
@@ -120,11 +129,14 @@
         reply.transaction,
         encodePosition(reply.position),
     ];
-    return { body: encodeJson([taskId, flags, fault ?? 0, encodedReply]) };
+    return {
+        body: encodeJson([taskId, flags, fault ?? 0, encodedReply]),
+        ...load === undefined ? {} : { load: encodeLoad(load) },
+    };
 }
 
 /** @throws Error that names the field if the body was not made by `encodeResult` */
-export function decodeResult({ body }: TaskFrameMessage): PeerResult {
+export function decodeResult({ body, load: encodedLoad }: TaskFrameMessage): PeerResult {
     const fields = requireFields(decodeJson(body), "result", [2, 3, 4]);
     if (fields.length === 2) {
         return {
@@ -143,6 +155,7 @@
     }
     const [taskId, encodedFlags, fault, reply] = fields;
     const flags = requireNumber(encodedFlags, "flags");
+    const load = encodedLoad === undefined ? undefined : decodeLoad(encodedLoad);
     return {
         kind: "task",
         taskId: requireText(taskId, "taskId"),
@@ -151,9 +164,52 @@
         sent: (flags & 1) !== 0,
         leads: (flags & 2) !== 0,
         pinned: (flags & 4) !== 0,
+        ...load === undefined ? {} : { load },
+    };
+}
+
+function encodeUrgency({ priority, objectiveMs }: PassedUrgency): TaskUrgency {
+    return { priority: toUnsigned(priority), objectiveMs: toUnsigned(objectiveMs) };
+}
+
+function encodeLoad(load: DatabaseLoad): DatabaseLoadMessage {
+    return {
+        expectedWaitsMs: load.expectedWaitsMs.map(toUnsigned),
+        window: toUnsigned(load.window),
+        inFlight: toUnsigned(load.inFlight),
+        availableLinks: toUnsigned(load.availableLinks),
+        busyThousandths: toUnsigned(1_000 * load.busyShare),
+        positionTerm: load.position?.term,
+        positionOffset: load.position?.offset ?? 0,
+        // Rounded up, because a position must not seem more recent than it is.
+        positionAgeMs: toUnsigned(Math.ceil(load.positionAgeMs)),
     };
 }
 
+/** Returns undefined for a load that is out of range: placing does without it, and the result itself still counts. */
+function decodeLoad(encoded: DatabaseLoadMessage): DatabaseLoad | undefined {
+    const { expectedWaitsMs, window, inFlight, availableLinks, busyThousandths, positionTerm, positionAgeMs } = encoded;
+    if (expectedWaitsMs.length === 0 || expectedWaitsMs.length > maximumPriorities || busyThousandths > 1_000) {
+        return undefined;
+    }
+    return {
+        expectedWaitsMs,
+        window,
+        inFlight,
+        availableLinks,
+        busyShare: busyThousandths / 1_000,
+        position: positionTerm === undefined
+            ? undefined
+            : { term: positionTerm, offset: encoded.positionOffset },
+        positionAgeMs,
+    };
+}
+
+/** Converts to the range of an unsigned 32-bit field. */
+function toUnsigned(value: number): number {
+    return Math.min(Math.max(0, Math.round(value)), maximumUnsigned);
+}
+
 function decodeReply(value: unknown): LinkReply {
     const [rows, signature, fault, detail, transaction, position] = requireFields(value, "reply", [6]);
     return {
--- a/src/session/databaseTable.ts
+++ b/src/session/databaseTable.ts
@@ -1,5 +1,6 @@
 /** The known databases of each service, with their latency, load and failures as seen by this instance. */
 import { type DatabaseReport, ReportedState } from "../model/fleetMessages.ts";
+import { type PassedOver, PassOverReason } from "./placementRule.ts";
 import { PrimaryTracker } from "./primaryTracker.ts";
 
 /** Weight of the newest sample in the moving average of the latency. */
@@ -99,16 +100,32 @@
         return entry !== undefined && entry.pausedUntilMs <= nowMs ? databaseId : undefined;
     }
 
-    /** Returns the databases that may serve a read, cheapest first; those in `tried` only when there is no other. */
-    readCandidates(service: string, tried: ReadonlySet<string>, nowMs: number): readonly string[] {
-        const usable = [...this.databases.values()].filter(({ report, pausedUntilMs, laggingUntilMs }) =>
-            report.service === service && report.state === ReportedState.Ready
-            && pausedUntilMs <= nowMs && laggingUntilMs <= nowMs
-        );
-        const untried = usable.filter(({ report }) => !tried.has(report.databaseId));
-        return (untried.length > 0 ? untried : usable)
-            .sort((left, right) => this.cost(left) - this.cost(right))
-            .map(({ report }) => report.databaseId);
+    reportsOf(service: string): readonly DatabaseReport[] {
+        return [...this.databases.values()].map(({ report }) => report).filter(report => report.service === service);
+    }
+
+    /** Returns why a database gets no read now by what is known of its state; undefined if it may. */
+    passOverForRead(databaseId: string, nowMs: number): PassedOver | undefined {
+        const entry = this.databases.get(databaseId);
+        if (entry === undefined || entry.report.state !== ReportedState.Ready) {
+            return { reason: PassOverReason.Draining, retryAfterMs: maximumPauseMs };
+        }
+        const { pausedUntilMs, laggingUntilMs } = entry;
+        if (pausedUntilMs > nowMs) {
+            return { reason: PassOverReason.Unreachable, retryAfterMs: pausedUntilMs - nowMs };
+        }
+        return laggingUntilMs > nowMs
+            ? { reason: PassOverReason.Lagging, retryAfterMs: laggingUntilMs - nowMs }
+            : undefined;
+    }
+
+    /** Sorts databases by cost, cheapest first; those in `tried` are left out unless there are no others. */
+    rankForRead(databaseIds: readonly string[], tried: ReadonlySet<string>): readonly string[] {
+        const untried = databaseIds.filter(databaseId => !tried.has(databaseId));
+        return [...untried.length > 0 ? untried : databaseIds]
+            .map(databaseId => ({ databaseId, cost: this.cost(this.databases.get(databaseId)!) }))
+            .sort((left, right) => left.cost - right.cost)
+            .map(({ databaseId }) => databaseId);
     }
 
     recordStart(databaseId: string): void {
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -434,7 +434,7 @@
 }
 
 function toAttempted({ task, databaseId, address, sentMs }: PendingAttempt, result: PassedResult): TaskAttempted {
-    const { reply, fault, sent, leads, pinned } = result;
+    const { reply, fault, sent, leads, pinned, load } = result;
     return {
         kind: TaskKind.Attempted,
         task,
@@ -448,6 +448,7 @@
         sentMs,
         leads,
         pinned,
+        ...load === undefined ? {} : { load },
     };
 }
 
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -112,7 +112,7 @@
             return [attempted];
         }
         this.tasks.get(streamId)?.delete(taskId);
-        const { reply, fault, sent, leads, pinned } = attempted;
+        const { reply, fault, sent, leads, pinned, load } = attempted;
         this.recordPin(streamId, sessionId, pinned);
         const result = {
             kind: "task" as const,
@@ -122,6 +122,7 @@
             sent,
             leads,
             pinned,
+            ...load === undefined ? {} : { load },
         };
         return [
             { kind: PeerKind.Answer, streamId, result } as PeerAnswer,
--- /dev/null
+++ b/src/session/placementRule.ts
@@ -0,0 +1,56 @@
+/** Rules of the policy that a placement has to keep, whatever the load. */
+import type { DatabaseReport } from "../model/fleetMessages.ts";
+import type { RoutePolicy } from "../model/trafficPolicy.ts";
+
+/** Why a database gets no task. */
+export const PassOverReason = {
+    /** The database departs. */
+    Draining: "draining",
+    /** It could not be reached or did not answer, and is in backoff. */
+    Unreachable: "unreachable",
+    /** It has not applied the log position that the read needs. */
+    Lagging: "lagging",
+    /** An operator has ordered that its data centre gets no more work. */
+    Evacuated: "evacuated",
+    /** It is outside of the home regions of the route or of the workspace. */
+    OutsideHome: "outside_home",
+    /** It was started recently, and gets no more than it can bear. */
+    Cold: "cold",
+} as const;
+export type PassOverReason = typeof PassOverReason[keyof typeof PassOverReason];
+
+export interface PassedOver {
+    readonly reason: PassOverReason;
+    /** Time after which the database may get the task; what callers are told. */
+    readonly retryAfterMs: number;
+}
+
+/** The part of a task on which rules depend. */
+export interface PlacementDemand {
+    readonly route: RoutePolicy;
+    /** Empty for callers of open routes without a key. */
+    readonly workspace: string;
+}
+
+export interface PlacementRule {
+    /** Returns why a database must not get a task; undefined if it may. */
+    check(database: DatabaseReport, demand: PlacementDemand, nowMs: number): PassedOver | undefined;
+    /** Called once for each task that is sent to a database. */
+    recordPlaced(database: DatabaseReport, nowMs: number): void;
+}
+
+/** Returns the first objection of any rule. */
+export function checkRules(
+    rules: readonly PlacementRule[],
+    database: DatabaseReport,
+    demand: PlacementDemand,
+    nowMs: number,
+): PassedOver | undefined {
+    for (const rule of rules) {
+        const passedOver = rule.check(database, demand, nowMs);
+        if (passedOver !== undefined) {
+            return passedOver;
+        }
+    }
+    return undefined;
+}
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -22,6 +22,7 @@
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
 import { FloorSamples, laterFloor } from "./floorSamples.ts";
+import { checkRules, type PassedOver, type PlacementRule } from "./placementRule.ts";
 import {
     endTask,
     type FloorLearned,
@@ -111,6 +112,8 @@
 
 export interface RoutingOptions {
     readonly dataCentre: string;
+    /** None by default. */
+    readonly rules?: readonly PlacementRule[];
 }
 
 export class Routing implements Filter<RoutingInput, Message> {
@@ -129,6 +132,7 @@
         FleetKind.PolicyApplied,
     ];
     private readonly databases: DatabaseTable;
+    private readonly rules: readonly PlacementRule[];
     private readonly commitGate = new CommitGate();
     private readonly samples = new FloorSamples();
     private readonly tasks = new Map<string, RoutedTask>();
@@ -137,8 +141,9 @@
     private promotedByService: ReadonlyMap<string, string> = new Map();
     private nextProbeNumber = 0;
 
-    constructor({ dataCentre }: RoutingOptions) {
+    constructor({ dataCentre, rules = [] }: RoutingOptions) {
         this.databases = new DatabaseTable(dataCentre);
+        this.rules = rules;
     }
 
     process(message: RoutingInput, nowMs: number): readonly Message[] {
@@ -232,9 +237,23 @@
 
     private placeAtPrimary(routed: RoutedTask, nowMs: number): readonly Message[] {
         const databaseId = this.databases.primary(routed.task.route.service, nowMs);
-        return databaseId === undefined
-            ? this.waitForRetry(routed, nowMs)
-            : this.send(routed, databaseId, undefined, nowMs);
+        if (databaseId === undefined) {
+            return this.waitForRetry(routed, nowMs);
+        }
+        const passedOver = checkRules(this.rules, this.databases.report(databaseId)!, routed.task, nowMs);
+        return passedOver === undefined
+            ? this.send(routed, databaseId, undefined, nowMs)
+            : this.waitOrRefuse(routed, passedOver, nowMs);
+    }
+
+    /** Waits if the database may get the task within its latency objective; otherwise refuses it at once. */
+    private waitOrRefuse(routed: RoutedTask, { reason, retryAfterMs }: PassedOver, nowMs: number): readonly Message[] {
+        const { task } = routed;
+        if (nowMs + retryAfterMs < task.receivedMs + task.route.targetLatencyMs) {
+            return this.waitForRetry(routed, nowMs, retryAfterMs);
+        }
+        const text = retryText(`every database that could run it is passed over (${reason})`, retryAfterMs);
+        return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
     private placeForRead(routed: RoutedTask, nowMs: number): readonly Message[] {
@@ -249,8 +268,16 @@
                     : this.placeAtPrimary(routed, nowMs),
             ];
         }
-        const [databaseId] = this.databases.readCandidates(service, routed.triedDatabaseIds, nowMs);
         const renewal = this.renewFloor(task, nowMs);
+        const reports = this.databases.reportsOf(service);
+        const objections = reports.map(report => checkRules(this.rules, report, task, nowMs));
+        const allowed = reports.filter((_, index) => objections[index] === undefined);
+        if (allowed.length === 0 && reports.length > 0) {
+            return [...renewal, ...this.waitOrRefuse(routed, soonest(objections), nowMs)];
+        }
+        const usable = allowed.map(({ databaseId }) => databaseId)
+            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs) === undefined);
+        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds);
         return databaseId === undefined
             ? [...renewal, ...this.waitForRetry(routed, nowMs)]
             : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
@@ -267,6 +294,8 @@
         routed.waiting = false;
         routed.triedDatabaseIds.add(databaseId);
         this.databases.recordStart(databaseId);
+        const report = this.databases.report(databaseId)!;
+        this.rules.forEach(rule => rule.recordPlaced(report, nowMs));
         const attemptMs = readAttemptShare * task.route.statementLimitMs;
         const attemptDeadlineMs = task.mode === TaskMode.Single && !task.writes
             ? Math.min(task.deadlineMs, nowMs + attemptMs)
@@ -281,9 +310,9 @@
         return [placed];
     }
 
-    private waitForRetry(routed: RoutedTask, nowMs: number): readonly Message[] {
+    private waitForRetry(routed: RoutedTask, nowMs: number, delayMs = retryDelayMs): readonly Message[] {
         routed.waiting = true;
-        const atMs = Math.min(nowMs + retryDelayMs, routed.task.deadlineMs);
+        const atMs = Math.min(nowMs + delayMs, routed.task.deadlineMs);
         const { taskId } = routed.task;
         return [setDeadline(placementKey(taskId), atMs, taskTimer(TaskKind.PlacementDue, taskId))];
     }
@@ -436,6 +465,12 @@
     }
 }
 
+/** @param objections one for each database */
+function soonest(objections: readonly (PassedOver | undefined)[]): PassedOver {
+    return objections.map(objection => objection!)
+        .reduce((left, right) => right.retryAfterMs < left.retryAfterMs ? right : left);
+}
+
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -2,6 +2,7 @@
  * Messages between the filters of the session pipe. A task is a statement on its way to a database: it is submitted by
  * its session, admitted within the rate limit, placed at a database, attempted there one or several times, and ended.
  */
+import type { DatabaseLoad } from "../model/databaseLoad.ts";
 import type { LinkReply } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
 import {
@@ -151,6 +152,8 @@
     readonly leads: boolean;
     /** The transaction is still open, and the link is reserved for it. */
     readonly pinned: boolean;
+    /** Load of the database after the attempt, as the instance with the link knows it. */
+    readonly load?: DatabaseLoad;
 }
 
 export interface FloorWanted extends Message {
