feat(rpc,cli): ctl explain asks one instance where a statement would go now

A question passes through the same filters as a statement; each adds what it would decide, and nothing is sent. This commit has the question, its way from ctl to the event loop of a proxy and back, and the first step, the policy.

--- a/src/cli/ctlCommand.ts
+++ b/src/cli/ctlCommand.ts
@@ -4,6 +4,7 @@
     burnReportSettingsTable,
     changeSettingsTable,
     ctlSettingsTable,
+    explainSettingsTable,
     issueKeySettingsTable,
     openRouteSettingsTable,
     workClassSettingsTable,
@@ -22,6 +23,7 @@
     removeWorkspace,
     withdrawKey,
 } from "./ctlConfigurationChanges.ts";
+import { explainStatement } from "./ctlExplain.ts";
 import { changePrimary, drainInstance, showBurnReport, showObjects, showStatus } from "./ctlStatusCommands.ts";
 import { ExitCode } from "./exitCode.ts";
 import { escapeControls } from "./terminalText.ts";
@@ -112,6 +114,13 @@
         table: {},
         run: changePrimary,
     },
+    {
+        words: ["explain"],
+        argument: "DATABASE",
+        summary: "show where a statement would go now, without sending it",
+        table: explainSettingsTable,
+        run: explainStatement,
+    },
     {
         words: ["report", "burn"],
         summary: "report on service-level burn",
--- a/src/cli/ctlContext.ts
+++ b/src/cli/ctlContext.ts
@@ -8,6 +8,10 @@
 
 export interface CtlContext<Table extends SettingsTable> extends AsyncDisposable {
     readonly client: OperatorClient;
+    readonly clientFactory: PeerClientFactory;
+    /** gRPC addresses of the instances to ask, in order of preference. */
+    readonly servers: readonly string[];
+    readonly timeoutMs: number;
     readonly values: SettingValues<Table>;
     readonly isJsonOutput: boolean;
     readonly clusterSecret: string;
@@ -31,13 +35,17 @@
         instanceId: "operator",
         secret: clusterSecret,
     });
+    const clientFactory = new PeerClientFactory({ authentication });
     const client = new OperatorClient({
         servers: values.server,
-        clientFactory: new PeerClientFactory({ authentication }),
+        clientFactory,
         timeoutMs: values["timeout-ms"],
     });
     return {
         client,
+        clientFactory,
+        servers: values.server,
+        timeoutMs: values["timeout-ms"],
         values,
         isJsonOutput: values.output === OutputFormat.Json,
         clusterSecret,
--- /dev/null
+++ b/src/session/explainAccess.ts
@@ -0,0 +1,56 @@
+/** Explains what the policy says of a caller: its route, its workspace, and whether this instance takes new work. */
+import {
+    endExplanation,
+    type ExplanationAsked,
+    type ExplanationEnded,
+    type Finding,
+    Verdict,
+    withFindings,
+} from "../model/explanation.ts";
+import type { TrafficPolicy } from "../model/trafficPolicy.ts";
+
+const step = "sessions";
+
+export function explainAccess(
+    asked: ExplanationAsked,
+    policy: TrafficPolicy,
+    isDraining: boolean,
+): ExplanationAsked | ExplanationEnded {
+    const { database, workspace } = asked.request;
+    const refuse = (subject: string, reason: string): ExplanationEnded =>
+        endExplanation(asked, [{
+            step,
+            subject,
+            verdict: Verdict.Refused,
+            reason,
+            facts: { version: policy.version },
+        }]);
+    if (isDraining) {
+        return refuse(database, "the instance stops and takes no new work");
+    }
+    const route = policy.routesByDatabase.get(database);
+    if (route === undefined) {
+        return refuse(database, "the configuration has no route of this name");
+    }
+    if (workspace === "" ? !route.open : !policy.workspaces.has(workspace)) {
+        return refuse(
+            workspace,
+            workspace === "" ? "the route needs a key" : "the configuration has no such workspace",
+        );
+    }
+    const finding: Finding = {
+        step,
+        subject: database,
+        verdict: Verdict.Passes,
+        reason: `route "${route.name}" to service "${route.service}"`,
+        facts: {
+            version: policy.version,
+            consistency: route.consistency,
+            maximum_age_ms: route.maximumAgeMs,
+            priority: route.priority,
+            target_ms: route.targetLatencyMs,
+            limit_ms: route.statementLimitMs,
+        },
+    };
+    return withFindings(asked, [finding], { route });
+}
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -3,6 +3,7 @@
  * session, answers it directly where no database is needed, and otherwise submits it as a task, one at a time.
  */
 import { match } from "ts-pattern";
+import { type ExplanationAsked, type ExplanationEnded, ExplanationKind } from "../model/explanation.ts";
 import { type FleetDrainStarted, FleetKind, type PolicyApplied, type PolicyProved } from "../model/fleetMessages.ts";
 import {
     type SessionAnswer,
@@ -24,6 +25,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AccessFault, isFault } from "./authorization.ts";
+import { explainAccess } from "./explainAccess.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
 import { type QueuedStatement, Session, type Transaction } from "./session.ts";
 import {
@@ -56,7 +58,8 @@
     | DrainDue
     | PolicyApplied
     | PolicyProved
-    | FleetDrainStarted;
+    | FleetDrainStarted
+    | ExplanationAsked;
 
 export class Sessions implements Filter<SessionInput, Message> {
     readonly step = "sessions";
@@ -70,6 +73,7 @@
         FleetKind.PolicyApplied,
         FleetKind.PolicyProved,
         FleetKind.DrainStarted,
+        ExplanationKind.Asked,
     ];
     private readonly access = new PolicyAccess();
     private readonly sessions = new Map<string, Session>();
@@ -103,9 +107,14 @@
                 return [input];
             })
             .with({ kind: FleetKind.DrainStarted }, input => this.startDrain(input))
+            .with({ kind: ExplanationKind.Asked }, input => [this.explain(input)])
             .exhaustive();
     }
 
+    private explain(asked: ExplanationAsked): ExplanationAsked | ExplanationEnded {
+        return explainAccess(asked, this.access.policy, this.drain !== undefined);
+    }
+
     /** Opens a session that the policy admits. */
     private openSession(opened: SessionOpened): readonly Message[] {
         const { sessionId } = opened;
--- a/src/settings/ctlSettings.ts
+++ b/src/settings/ctlSettings.ts
@@ -106,6 +106,18 @@
     workspace: { parser: new NameParser(), required: true, description: "Workspace whose rate the route uses." },
 } as const satisfies SettingsTable;
 
+export const StatementEffect = { Read: "read", Write: "write" } as const;
+export type StatementEffect = typeof StatementEffect[keyof typeof StatementEffect];
+
+export const explainSettingsTable = {
+    workspace: { parser: new NameParser(), description: "Workspace of the caller; by default a caller without a key." },
+    effect: {
+        parser: new ChoiceParser(Object.values(StatementEffect)),
+        defaultText: StatementEffect.Read,
+        description: "Whether the statement reads or writes.",
+    },
+} as const satisfies SettingsTable;
+
 export const burnReportSettingsTable = {
     html: { parser: new PathParser(), description: "Also write the report to this file as one HTML page." },
 } as const satisfies SettingsTable;
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -18,6 +18,7 @@
 import { WireServer } from "../platform/wireServer.ts";
 import { ConfigurationFeed } from "../rpc/configurationFeed.ts";
 import { ConfigurationSubscriber } from "../rpc/configurationSubscriber.ts";
+import { ExplanationService } from "../rpc/explanationService.ts";
 import { FleetAcceptor } from "../rpc/fleetAcceptor.ts";
 import { FleetConnector } from "../rpc/fleetConnector.ts";
 import { LogTransport } from "../rpc/logTransport.ts";
@@ -200,9 +201,12 @@
     stack.defer(() => shutDownServer(peerServer, stopDeadline.limitMs(longestShutdownMs, callersClosingMs)));
     const streams = stack.use(new TaskStreams({ clientFactory, post, traffic: loadLog }));
     streams.register(peerServer);
+    const explanations = new ExplanationService({ instanceId, post });
+    explanations.register(peerServer);
     const sinks: readonly Sink[] = [
         server,
         streams,
+        explanations,
         stack.use(new WireClient({ post })),
         readinessServer,
         subscriber,
