feat(control): evacuations of data centres in the replicated state

Two idempotent commands and a versioned list. The feed carries the list in fields that earlier releases skip, because they refuse an update with an unknown list.

--- a/src/control/__tests__/storedCommands.spec.ts
+++ b/src/control/__tests__/storedCommands.spec.ts
@@ -62,6 +62,9 @@
         position: { term: 1, offset: 2 },
     },
     { kind: CommandKind.RecordCommitWitnesses, added: ["i"], removed: ["x"] },
+    { kind: CommandKind.BeginEvacuation, evacuation: { dataCentre: "z /\xe9", orderedBy: "o", orderedAtUnixMs: 1 } },
+    { kind: CommandKind.EndEvacuation, dataCentre: "z /\xe9" },
+    { kind: CommandKind.BeginEvacuation, evacuation: { dataCentre: "z", orderedBy: "o", orderedAtUnixMs: 2 } },
 ];
 
 function stored(value: unknown): unknown {
--- a/src/control/applyCommand.ts
+++ b/src/control/applyCommand.ts
@@ -5,6 +5,7 @@
 import { type CommandOutcome, conflict, invalid, removeVersionedObject } from "./commandOutcome.ts";
 import { type ControlState, rememberOperation } from "./controlState.ts";
 import { putDocument } from "./documentCommands.ts";
+import { beginEvacuation, endEvacuation } from "./evacuationCommands.ts";
 import { assignLeases, setGroup } from "./groupAndLeaseCommands.ts";
 import {
     issueKey,
@@ -89,6 +90,8 @@
         .with({ kind: CommandKind.RecordPromotionOrder }, matched => recordPromotionOrder(state, matched))
         .with({ kind: CommandKind.RecordDatabases }, matched => recordDatabases(state, matched))
         .with({ kind: CommandKind.RecordCommitWitnesses }, matched => recordCommitWitnesses(state, matched))
+        .with({ kind: CommandKind.BeginEvacuation }, matched => beginEvacuation(state, matched))
+        .with({ kind: CommandKind.EndEvacuation }, matched => endEvacuation(state, matched))
         .otherwise(() => invalid(state, 0, "unknown kind of command"));
 }
 
--- a/src/control/commandOutcome.ts
+++ b/src/control/commandOutcome.ts
@@ -19,7 +19,8 @@
     | typeof ObjectList.WorkClasses
     | typeof ObjectList.Workspaces
     | typeof ObjectList.Keys
-    | typeof ObjectList.OpenRoutes;
+    | typeof ObjectList.OpenRoutes
+    | typeof ObjectList.Evacuations;
 
 export function applied(state: ControlState, version: number): CommandOutcome {
     return { state, status: ProposalStatus.Applied, version, detail: "" };
--- a/src/control/configurationObjects.ts
+++ b/src/control/configurationObjects.ts
@@ -17,6 +17,7 @@
     documentEntries: entry => entry.entryId,
     promotions: promotion => promotion.service,
     commitWitnesses: witness => witness.instanceId,
+    evacuations: evacuation => evacuation.dataCentre,
 };
 
 const lists = Object.values(ObjectList);
--- a/src/control/validation.ts
+++ b/src/control/validation.ts
@@ -5,6 +5,7 @@
 export type ValidationError = string | undefined;
 
 const addressPattern = /^[^\s]{1,255}:[0-9]{1,5}$/;
+const maximumTextLength = 256;
 const doubleSha1Pattern = /^[0-9a-f]{40}$/;
 
 export function firstError(...errors: readonly ValidationError[]): ValidationError {
@@ -15,6 +16,13 @@
     return isObjectName(value) ? undefined : `${field} must have ${objectNameDescription}`;
 }
 
+/** For names that come from elsewhere, and may hold any character. */
+export function checkText(field: string, value: string): ValidationError {
+    return typeof value === "string" && value.length > 0 && value.length <= maximumTextLength
+        ? undefined
+        : `${field} must have 1 to ${maximumTextLength} characters`;
+}
+
 export function checkResourceId(field: string, value: string): ValidationError {
     const names = typeof value === "string" ? value.split("@") : [];
     return (names.length === 1 || names.length === 2) && names.every(isObjectName)
--- a/src/model/configuration.ts
+++ b/src/model/configuration.ts
@@ -1,6 +1,7 @@
 /** The configuration of the cluster, which control members replicate and every instance applies. */
 import type { DatabaseGroup } from "./database.ts";
 import type { DocumentEntry, DocumentHead } from "./document.ts";
+import type { Evacuation } from "./evacuation.ts";
 import type { LeaseAssignment } from "./lease.ts";
 import type { CommitWitness, PromotionRecord } from "./promotion.ts";
 import type { WorkClass } from "./workClass.ts";
@@ -30,6 +31,7 @@
     readonly documentEntries: readonly DocumentEntry[];
     readonly promotions: readonly PromotionRecord[];
     readonly commitWitnesses: readonly CommitWitness[];
+    readonly evacuations: readonly Evacuation[];
 }
 
 /** The configuration of a new cluster. */
@@ -46,4 +48,5 @@
     documentEntries: [],
     promotions: [],
     commitWitnesses: [],
+    evacuations: [],
 };
--- a/src/model/controlMessages.ts
+++ b/src/model/controlMessages.ts
@@ -3,6 +3,7 @@
 import type { RateShare } from "./configuration.ts";
 import type { DatabaseGroup } from "./database.ts";
 import type { DocumentEntry, DocumentHead } from "./document.ts";
+import type { Evacuation } from "./evacuation.ts";
 import type { LeaseAssignment } from "./lease.ts";
 import type { Position } from "./position.ts";
 import type { RecordedDatabase } from "./promotion.ts";
@@ -45,6 +46,8 @@
     RecordPromotionOrder: "record_promotion_order",
     RecordDatabases: "record_databases",
     RecordCommitWitnesses: "record_commit_witnesses",
+    BeginEvacuation: "begin_evacuation",
+    EndEvacuation: "end_evacuation",
 } as const;
 
 interface VersionedCommand {
@@ -189,7 +192,21 @@
     readonly removed: readonly string[];
 }
 
+/** The databases of a data centre get no more work. A conflict, which changes nothing, if that is so already. */
+export interface BeginEvacuation {
+    readonly kind: typeof CommandKind.BeginEvacuation;
+    readonly evacuation: Omit<Evacuation, "version">;
+}
+
+/** Withdraws an evacuation. A conflict, which changes nothing, if there is none. */
+export interface EndEvacuation {
+    readonly kind: typeof CommandKind.EndEvacuation;
+    readonly dataCentre: string;
+}
+
 export type Command =
+    | BeginEvacuation
+    | EndEvacuation
     | PutDocument
     | ReadBarrier
     | ReservePromotion
--- a/src/model/replicatedLog.ts
+++ b/src/model/replicatedLog.ts
@@ -53,6 +53,7 @@
     DocumentEntries: "documentEntries",
     Promotions: "promotions",
     CommitWitnesses: "commitWitnesses",
+    Evacuations: "evacuations",
 } as const;
 export type ObjectList = typeof ObjectList[keyof typeof ObjectList];
 
--- a/src/model/replicatedLogSchema.ts
+++ b/src/model/replicatedLogSchema.ts
@@ -87,6 +87,12 @@
         basePosition: z.looseObject({}).optional(),
     }),
     [ObjectList.CommitWitnesses]: z.looseObject({ instanceId: name }),
+    [ObjectList.Evacuations]: z.looseObject({
+        dataCentre: name,
+        orderedBy: z.string(),
+        orderedAtUnixMs: amount,
+        version,
+    }),
 };
 
 const configurationObject = z.discriminatedUnion(
--- a/src/rpc/configurationCodec.ts
+++ b/src/rpc/configurationCodec.ts
@@ -16,6 +16,12 @@
 
 const objectLists = Object.values(ObjectList);
 
+/**
+ * Lists that earlier releases do not know. They refuse a whole update with an unknown list, so these travel in fields that
+ * they skip.
+ */
+const laterLists: ReadonlySet<string> = new Set([ObjectList.Evacuations]);
+
 export function encodeUpdate(update: ConfigurationUpdate): readonly ConfigurationPart[] {
     const encoded = Buffer.from(UpdateMessage.encode(toUpdateMessage(update)).finish());
     const parts = Array.from(
@@ -39,27 +45,46 @@
         const objects = objectLists.flatMap(list =>
             configuration[list].map(value => ({ list, body: encodeJson(value) }))
         );
-        return { snapshot: { version: configuration.version, objects } };
+        const [known, laterObjects] = separate(objects);
+        return { snapshot: { version: configuration.version, objects: known, laterObjects } };
     }
-    const { fromVersion, toVersion, removals } = update;
-    const upserts = update.upserts.map(({ list, value }) => ({ list, body: encodeJson(value) }));
-    return { delta: { fromVersion, toVersion, upserts, removals: [...removals] } };
+    const { fromVersion, toVersion } = update;
+    const [upserts, laterUpserts] = separate(
+        update.upserts.map(({ list, value }) => ({ list, body: encodeJson(value) })),
+    );
+    const [removals, laterRemovals] = separate(update.removals);
+    return { delta: { fromVersion, toVersion, upserts, removals, laterUpserts, laterRemovals } };
 }
 
 function fromUpdateMessage({ snapshot, delta }: UpdateMessage): ConfigurationUpdate {
     if (snapshot !== undefined) {
-        const configuration = buildConfiguration(snapshot.version, snapshot.objects.map(decodeObject));
+        const objects = [...snapshot.objects, ...snapshot.laterObjects.filter(isOfKnownList)];
+        const configuration = buildConfiguration(snapshot.version, objects.map(decodeObject));
         return { kind: UpdateKind.Snapshot, configuration };
     }
     if (delta === undefined) {
         throw new TypeError("a configuration update has no content");
     }
     const { fromVersion, toVersion } = delta;
-    const upserts = delta.upserts.map(decodeObject);
-    const removals = delta.removals.map(({ list, objectId }) => ({ list: requireList(list), objectId }));
+    const upserts = [...delta.upserts, ...delta.laterUpserts.filter(isOfKnownList)].map(decodeObject);
+    const removals = [...delta.removals, ...delta.laterRemovals.filter(isOfKnownList)].map(({ list, objectId }) => ({
+        list: requireList(list),
+        objectId,
+    }));
     return { kind: UpdateKind.Delta, fromVersion, toVersion, upserts, removals };
 }
 
+/** Separates what earlier releases understand from the rest. */
+function separate<Item extends { readonly list: ObjectList; }>(
+    items: readonly Item[],
+): readonly [known: Item[], later: Item[]] {
+    return [items.filter(({ list }) => !laterLists.has(list)), items.filter(({ list }) => laterLists.has(list))];
+}
+
+function isOfKnownList({ list }: { readonly list: string; }): boolean {
+    return objectLists.some(known => known === list);
+}
+
 function buildConfiguration(version: number, objects: readonly ConfigurationObject[]): Configuration {
     const values = objectLists.map(
         list => [list, objects.filter(object => object.list === list).map(({ value }) => value)],
