feat(session): no work for the databases of evacuated data centres

Operators' calls Evacuations.Begin and End, answered after the commit; PolicyApplied.evacuated; a rule for placement and probes; holders refuse what instances pass that do not know yet, and end open transactions before the bound.

--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -32,10 +32,11 @@
             omittedEntries = this.decode(configuration);
         }
         else if (
-            configuration.promotions === before.promotions
-            || isEqual(promotedDatabases(configuration), promotedDatabases(before))
-                && isEqual(orderedDatabases(configuration), orderedDatabases(before))
-                && isEqual(completedFences(configuration), completedFences(before))
+            configuration.evacuations === before.evacuations
+            && (configuration.promotions === before.promotions
+                || isEqual(promotedDatabases(configuration), promotedDatabases(before))
+                    && isEqual(orderedDatabases(configuration), orderedDatabases(before))
+                    && isEqual(completedFences(configuration), completedFences(before)))
         ) {
             return [message];
         }
@@ -49,6 +50,7 @@
             promoted,
             ordered: orderedDatabases(configuration),
             completedFences: completedFences(configuration),
+            evacuated: new Set(configuration.evacuations.map(({ dataCentre }) => dataCentre)),
         };
         return [message, ...this.describeOmissions(omittedEntries), applied];
     }
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -324,6 +324,8 @@
     readonly ordered: ReadonlyMap<string, string>;
     /** Fencing token of the last promotion, by service, unless that one is under way. */
     readonly completedFences: ReadonlyMap<string, number>;
+    /** Data centres whose databases get no more work, by order of an operator; undefined if there are none. */
+    readonly evacuated?: ReadonlySet<string>;
 }
 
 export interface ReadinessChanged extends Message {
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -10,6 +10,13 @@
     type DocumentRead,
     DocumentResult,
 } from "../model/document.ts";
+import {
+    EvacuationAction,
+    type EvacuationAnswered,
+    EvacuationKind,
+    type EvacuationOrdered,
+    EvacuationResult,
+} from "../model/evacuation.ts";
 import { type DatabaseLeft, type DatabaseReported, FleetKind } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
@@ -38,6 +45,10 @@
 
 const heartbeatPath = "/-/Instances.Heartbeat/";
 const leavePath = "/-/Instances.Leave/";
+const evacuationPaths: readonly (readonly [path: string, action: EvacuationAction])[] = [
+    ["/-/Evacuations.Begin/", EvacuationAction.Begin],
+    ["/-/Evacuations.End/", EvacuationAction.End],
+];
 const putPath = "/-/Config.Put";
 const getPath = "/-/Config.Get";
 
@@ -53,8 +64,9 @@
     readonly path: string;
 }
 
-export class ControlServer implements Sink<DocumentAnswered | ControlLeaderChanged>, AsyncDisposable {
-    readonly accepts = [DocumentKind.Answered, ControlKind.LeaderChanged];
+export class ControlServer
+    implements Sink<DocumentAnswered | EvacuationAnswered | ControlLeaderChanged>, AsyncDisposable {
+    readonly accepts = [DocumentKind.Answered, EvacuationKind.Answered, ControlKind.LeaderChanged];
     private readonly options: ControlServerOptions;
     private readonly server: Server;
     private readonly pendingRequests = new Map<string, PendingRequest>();
@@ -92,11 +104,15 @@
         });
     }
 
-    deliver(message: DocumentAnswered | ControlLeaderChanged): void {
+    deliver(message: DocumentAnswered | EvacuationAnswered | ControlLeaderChanged): void {
         if (message.kind === DocumentKind.Answered) {
             this.answerDocument(message);
             return;
         }
+        if (message.kind === EvacuationKind.Answered) {
+            this.answerEvacuation(message);
+            return;
+        }
         const hasLeader = message.leading || message.leaderId !== undefined;
         this.leaderlessSinceMs = hasLeader ? undefined : this.leaderlessSinceMs ?? performance.now();
     }
@@ -114,8 +130,7 @@
             case DocumentResult.Found:
                 return respondWithDocument(response, document!);
             case DocumentResult.Redirect:
-                response.setHeader("Location", `http://${this.controlAddress(leaderAddress!)}${path}`);
-                return respond(response, 307, "{}");
+                return this.redirect(response, leaderAddress!, path);
             case DocumentResult.TooLarge:
                 return respond(response, 413, "{\"error\":\"the configuration is too large to be stored\"}");
             case DocumentResult.Unavailable:
@@ -123,6 +138,30 @@
         }
     }
 
+    private answerEvacuation({ requestId, result, detail, leaderAddress }: EvacuationAnswered): void {
+        const request = this.pendingRequests.get(requestId);
+        if (request === undefined) {
+            return;
+        }
+        this.pendingRequests.delete(requestId);
+        const { response, path } = request;
+        switch (result) {
+            case EvacuationResult.Accepted:
+                return respond(response, 200, "{}");
+            case EvacuationResult.Refused:
+                return respond(response, 400, JSON.stringify({ error: detail }));
+            case EvacuationResult.Redirect:
+                return this.redirect(response, leaderAddress!, path);
+            case EvacuationResult.Unavailable:
+                return respond(response, 503, JSON.stringify({ error: `${detail}; send it again` }));
+        }
+    }
+
+    private redirect(response: ServerResponse, leaderAddress: string, path: string): void {
+        response.setHeader("Location", `http://${this.controlAddress(leaderAddress)}${path}`);
+        respond(response, 307, "{}");
+    }
+
     /** Rejects new requests. Resolves when all in-flight requests are answered or after `stopTimeoutMs`. */
     stop(): Promise<void> {
         this.stopping ??= this.closeServer();
@@ -163,6 +202,11 @@
             this.options.post({ kind: DocumentKind.Read, requestId } as DocumentRead);
             return;
         }
+        const evacuation = method === "POST" ? evacuationPaths.find(([path]) => url.startsWith(path)) : undefined;
+        if (evacuation !== undefined) {
+            this.orderEvacuation(request, response, evacuation);
+            return;
+        }
         if (method !== "POST" || !(url === putPath || url.startsWith(heartbeatPath) || url.startsWith(leavePath))) {
             respond(response, 404, "{\"error\":\"unknown call\"}");
             return;
@@ -181,6 +225,25 @@
         });
     }
 
+    /** The order has no body; one that comes is ignored. */
+    private orderEvacuation(
+        request: IncomingMessage,
+        response: ServerResponse,
+        [path, action]: readonly [path: string, action: EvacuationAction],
+    ): void {
+        const { url = "", socket: { remoteAddress = "unknown" } } = request;
+        request.resume();
+        const order: EvacuationOrdered = {
+            kind: EvacuationKind.Ordered,
+            requestId: this.registerRequest(response, url),
+            action,
+            dataCentre: decodeId(url.slice(path.length)),
+            orderedBy: remoteAddress,
+            orderedAtUnixMs: Date.now(),
+        };
+        this.options.post(order);
+    }
+
     private handleBody(url: string, body: Buffer, response: ServerResponse): void {
         const text = decodeUtf8(body);
         if (url === putPath) {
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -25,6 +25,8 @@
     serves: z.array(z.string()),
     ip: hostSchema,
     zone: z.string().min(1),
+    // Regions by zone. Earlier platforms do not send them.
+    zones: z.record(z.string(), z.string()).optional(),
     listen: z.object({
         front: addressSchema.optional(),
         ready: addressSchema.optional(),
@@ -41,6 +43,7 @@
         quota_window_s: z.number().positive().default(1),
         quota_tolerance: z.number().nonnegative().default(0),
         quota_slack: z.number().nonnegative().default(0),
+        evacuate_ms: z.number().positive().default(5_000),
     }),
     fault_tolerance: z.object({
         machines: z.number().int().nonnegative().default(0),
@@ -55,6 +58,8 @@
     readonly instanceId: string;
     readonly host: string;
     readonly dataCentre: string;
+    /** All data centres of the deployment, as far as the file tells; at least the own one. */
+    readonly dataCentres: ReadonlySet<string>;
     /** Listener for callers; undefined on machines that serve none. */
     readonly callerEndpoint: SocketAddress | undefined;
     /** Listener for the readiness checks of the platform. */
@@ -72,6 +77,8 @@
     readonly reportIntervalMs: number;
     /** Tolerance when operations are counted against the rates of workspaces. */
     readonly rateTolerance: RateTolerance;
+    /** Time after the acknowledgement of an evacuation from which no statement may reach a database there. */
+    readonly evacuationBoundMs: number;
     /** Time between the signal to stop and the kill of the process. */
     readonly terminationGracePeriodMs: number;
     /** Number of control members that may lose their disks simultaneously without loss of acknowledged data. */
@@ -123,6 +130,7 @@
         instanceId: file.node,
         host: file.ip,
         dataCentre: file.zone,
+        dataCentres: new Set([file.zone, ...Object.keys(file.zones ?? {})]),
         callerEndpoint: parseEndpoint(file.listen.front),
         readinessEndpoint: parseEndpoint(file.listen.ready),
         controlEndpoint: parseEndpoint(file.listen.control),
@@ -140,6 +148,7 @@
             share: file.bounds.quota_tolerance,
             operations: file.bounds.quota_slack,
         },
+        evacuationBoundMs: file.bounds.evacuate_ms,
         terminationGracePeriodMs: file.bounds.grace_s * 1_000,
         faultTolerance: decodeFaultTolerance(file),
         promotionOrderAddress: file.cloud_api?.address,
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -2,6 +2,7 @@
 import type { DatabaseReport } from "../model/fleetMessages.ts";
 import { laterPosition, type Position } from "../model/position.ts";
 import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
+import { EvacuationStage } from "./evacuations.ts";
 import { type Link, LinkState } from "./link.ts";
 import type { LinkTask, TaskPlaced } from "./taskMessages.ts";
 
@@ -26,6 +27,8 @@
     latestPosition: Position | undefined;
     /** This instance is the holder: other instances pass their tasks for the database to it. */
     isHolder = false;
+    /** What the evacuation of the data centre leaves of the use of the database. */
+    evacuationStage: EvacuationStage = EvacuationStage.Open;
 
     constructor(report: DatabaseReport) {
         this.report = report;
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -30,12 +30,14 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitTracker } from "./commitTracker.ts";
+import { EvacuationStage } from "./evacuations.ts";
 import { type Link, LinkState } from "./link.ts";
 import { gateOf, openGate } from "./linkGate.ts";
 import { LinkPool } from "./linkPool.ts";
 import { connectionLimitPauseMs, LinkTable } from "./linkTable.ts";
 import { ReplyRole, ReplyVerdict } from "./replyMatcher.ts";
 import {
+    type EvacuationStageChanged,
     type HolderChanged,
     isCommit,
     type TaskAbandoned,
@@ -67,7 +69,8 @@
     | AssessmentRequested
     | FrameReceived
     | TaskEnded
-    | HolderChanged;
+    | HolderChanged
+    | EvacuationStageChanged;
 
 export class Links implements Filter<LinksInput, Message> {
     readonly step = "links";
@@ -92,6 +95,7 @@
         FleetKind.FrameReceived,
         TaskKind.Ended,
         TaskKind.HolderChanged,
+        TaskKind.EvacuationStageChanged,
     ];
     private readonly table = new LinkTable();
     private readonly commitTracker = new CommitTracker();
@@ -116,6 +120,7 @@
                 return [input];
             })
             .with({ kind: TaskKind.HolderChanged }, input => this.changeHolder(input, nowMs))
+            .with({ kind: TaskKind.EvacuationStageChanged }, input => this.changeEvacuationStage(input, nowMs))
             .with({ kind: TaskKind.Ended }, input => {
                 this.commitTracker.recordResult(input);
                 return [input];
@@ -143,6 +148,10 @@
         if (pool === undefined) {
             return [unsentAttempt(placed, StatementFault.Misrouted)];
         }
+        if (pool.evacuationStage !== EvacuationStage.Open) {
+            // The instance that passed the task does not know of the evacuation yet.
+            return [unsentAttempt(placed, StatementFault.Busy)];
+        }
         pool.waitingTasks.push(placed);
         const timer = taskTimer(TaskKind.AttemptDue, placed.task.taskId);
         return [setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer), ...this.assignLinks(pool, nowMs)];
@@ -374,7 +383,7 @@
             attempt.leads = true;
         }
         const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
-            && !link.isAbandoned;
+            && !link.isAbandoned && this.table.poolOf(link).evacuationStage !== EvacuationStage.Closed;
         if (isCommit(task) && reply.fault === undefined && reply.position !== undefined) {
             this.commitTracker.recordCommit(task.service, reply.position, attempt);
             attempt.leads ||= !inTransaction;
@@ -442,6 +451,10 @@
     }
 
     private rollBack(link: Link, nowMs: number): readonly Message[] {
+        if (this.table.poolOf(link).evacuationStage !== EvacuationStage.Open) {
+            // Without its link, the database rolls the transaction back by itself.
+            return this.closeLink(link, nowMs);
+        }
         link.state = LinkState.Busy;
         return [
             ...this.send(link, [], [{ kind: LinkCommandKind.Rollback }], [ReplyRole.Cleanup]),
@@ -452,7 +465,7 @@
     /** Makes a link idle and assigns it to the next waiting task. */
     private release(link: Link, nowMs: number): readonly Message[] {
         const pool = this.table.poolOf(link);
-        if (link.replies.isExhausted) {
+        if (link.replies.isExhausted || pool.evacuationStage !== EvacuationStage.Open) {
             return this.closeLink(link, nowMs);
         }
         link.state = LinkState.Idle;
@@ -588,6 +601,29 @@
         return isHolder ? this.assignLinks(pool, nowMs) : this.closeIdleLinks(databaseId, nowMs);
     }
 
+    /** Ends the use of a database in an evacuated data centre: first by new work, then by open transactions too. */
+    private changeEvacuationStage({ databaseId, stage }: EvacuationStageChanged, nowMs: number): readonly Message[] {
+        const pool = this.table.pools.get(databaseId);
+        if (pool === undefined) {
+            return [];
+        }
+        pool.evacuationStage = stage;
+        if (stage === EvacuationStage.Open) {
+            return [];
+        }
+        const waiting = pool.waitingTasks;
+        pool.waitingTasks = [];
+        const unused = [...pool.links].filter(({ attempt, state }) =>
+            attempt === undefined && (stage === EvacuationStage.Closed || state !== LinkState.Pinned)
+        );
+        return [
+            ...waiting.flatMap(
+                placed => [clearDeadline(attemptKey(placed)), unsentAttempt(placed, StatementFault.Busy)],
+            ),
+            ...unused.flatMap(link => this.closeLink(link, nowMs)),
+        ];
+    }
+
     private removePool(databaseId: string, nowMs: number): readonly Message[] {
         const pool = this.table.pools.get(databaseId);
         if (pool === undefined) {
--- a/src/session/placementRule.ts
+++ b/src/session/placementRule.ts
@@ -1,5 +1,5 @@
 /** Rules of the policy that a placement has to keep, whatever the load. */
-import type { DatabaseReport } from "../model/fleetMessages.ts";
+import type { DatabaseReport, PolicyApplied } from "../model/fleetMessages.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 
 /** Why a database gets no task. */
@@ -35,6 +35,10 @@
 export interface PlacementRule {
     /** Returns why a database must not get a task; undefined if it may. */
     check(database: DatabaseReport, demand: PlacementDemand, nowMs: number): PassedOver | undefined;
+    /** Returns why a database must not be asked for its log position. */
+    checkProbe?(database: DatabaseReport, nowMs: number): PassedOver | undefined;
+    /** Called with each policy, before the tasks that it concerns are placed again. */
+    applyPolicy?(policy: PolicyApplied, nowMs: number): void;
     /** Called once for each task that is sent to a database. */
     recordPlaced(database: DatabaseReport, nowMs: number): void;
 }
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -177,6 +177,7 @@
     private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
         const { promoted, ordered } = policy;
         this.commitGate.applyPolicy(policy);
+        this.rules.forEach(rule => rule.applyPolicy?.(policy, nowMs));
         const before = this.promotedByService;
         this.promotedByService = promoted;
         const chosen = [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId);
@@ -338,7 +339,7 @@
 
     private probe({ service, workspace }: FloorWanted, nowMs: number): readonly Message[] {
         const databaseId = this.databases.primary(service, nowMs);
-        if (databaseId === undefined) {
+        if (databaseId === undefined || !this.mayProbe(databaseId, nowMs)) {
             this.floorRequestedUntilMs.set(service, nowMs + floorPauseMs);
             return [{ kind: TaskKind.FloorProbeFailed, service } as FloorProbeFailed];
         }
@@ -350,6 +351,11 @@
         ];
     }
 
+    private mayProbe(databaseId: string, nowMs: number): boolean {
+        const report = this.databases.report(databaseId)!;
+        return this.rules.every(rule => rule.checkProbe?.(report, nowMs) === undefined);
+    }
+
     private handleAttempt(attempt: TaskAttempted, nowMs: number): readonly Message[] {
         const { task, reply } = attempt;
         const { service } = task;
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -14,6 +14,7 @@
 } from "../model/sessionStatement.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { EvacuationStage } from "./evacuations.ts";
 import type { FloorSample } from "./floorSamples.ts";
 
 export const TaskKind = {
@@ -48,6 +49,9 @@
     Ended: "task.ended",
     /** This instance became the holder of a database, or is no longer its holder. */
     HolderChanged: "task.holder_changed",
+    /** The evacuation of its data centre leaves another use of a database. */
+    EvacuationStageChanged: "task.evacuation_stage_changed",
+    EvacuationStageDue: "task.evacuation_stage_due",
     AdmissionDue: "task.admission_due",
     PlacementDue: "task.placement_due",
     AttemptDue: "task.attempt_due",
@@ -182,6 +186,16 @@
     readonly isHolder: boolean;
 }
 
+export interface EvacuationStageChanged extends Message {
+    readonly kind: typeof TaskKind.EvacuationStageChanged;
+    readonly databaseId: string;
+    readonly stage: EvacuationStage;
+}
+
+export interface EvacuationStageDue extends Message {
+    readonly kind: typeof TaskKind.EvacuationStageDue;
+}
+
 /** The final result of a task, for its session. */
 export interface TaskEnded extends Message {
     readonly kind: typeof TaskKind.Ended;
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -26,6 +26,8 @@
         instanceId: "core1",
         host: "127.0.0.1",
         dataCentre: "dc1",
+        dataCentres: new Set(["dc1", "dc2"]),
+        evacuationBoundMs: 5_000,
         callerEndpoint: undefined,
         readinessEndpoint: undefined,
         controlEndpoint: { host: "127.0.0.1", port: await findFreePort() },
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -7,6 +7,7 @@
     type ControlMembersAgreed,
     type ControlPropose,
 } from "../model/controlMessages.ts";
+import { type EvacuationAnswered, EvacuationKind, EvacuationResult } from "../model/evacuation.ts";
 import {
     type ConfigurationUpdate,
     FeedKind,
@@ -56,6 +57,9 @@
 import type { LineFormatter } from "../telemetry/eventLog.ts";
 import type { LogFields } from "../telemetry/logger.ts";
 
+/** Longest name in a line; an operator may send one of any length. */
+const maximumNameLength = 128;
+
 function line<Kind extends Message>(kind: Kind["kind"], write: (message: Kind) => LogFields | undefined): readonly [
     string,
     LineFormatter,
@@ -173,11 +177,17 @@
         configuration: configuration.version,
         version: configuration.documentHeads[0]?.documentVersion,
     })),
-    line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, confirmed, promoted }) => ({
+    line<PolicyApplied>(FleetKind.PolicyApplied, ({ policy, confirmed, promoted, evacuated }) => ({
         version: policy.version,
         confirmed,
         promoted: [...promoted].map(([service, databaseId]) => `${service}=${databaseId}`).join(","),
+        evacuated: evacuated === undefined || evacuated.size === 0 ? undefined : [...evacuated].join(","),
     })),
+    line<EvacuationAnswered>(EvacuationKind.Answered, answered => {
+        const { action, orderedBy, result, detail } = answered;
+        const dataCentre = answered.dataCentre.slice(0, maximumNameLength);
+        return result === EvacuationResult.Redirect ? undefined : { action, dataCentre, orderedBy, result, detail };
+    }),
     line<ControlPropose>(ControlKind.Propose, ({ proposalId, command }) =>
         command.kind === CommandKind.PutDocument
             ? {
@@ -225,6 +235,7 @@
     FleetKind.DiscoveryProgressed,
     PromotionKind.Progressed,
     PromotionKind.Order,
+    EvacuationKind.Answered,
 ];
 
 function versionsOf(update: ConfigurationUpdate): LogFields {
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -6,6 +6,7 @@
 import { Attachments } from "../fleet/attachments.ts";
 import { ConfigurationDocuments } from "../fleet/configurationDocuments.ts";
 import { ConfigurationProofs } from "../fleet/configurationProofs.ts";
+import { EvacuationOrders } from "../fleet/evacuationOrders.ts";
 import { FleetDatabaseDirectory } from "../fleet/fleetDatabaseDirectory.ts";
 import { MemberDiscovery } from "../fleet/memberDiscovery.ts";
 import { PermitLeader } from "../fleet/permitLeader.ts";
@@ -20,6 +21,8 @@
 import { SeededRandom } from "../pipeline/seededRandom.ts";
 import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
 import { Admission } from "../session/admission.ts";
+import { EvacuationRule } from "../session/evacuationRule.ts";
+import { EvacuationStages } from "../session/evacuationStages.ts";
 import { FloorExchange } from "../session/floorExchange.ts";
 import { Forwarding } from "../session/forwarding.ts";
 import { Links } from "../session/links.ts";
@@ -33,11 +36,14 @@
     readonly dataCentre: string;
     /** `host:port` at which other instances reach the gRPC listener. */
     readonly rpcAddress: string;
+    /** Time after the acknowledgement of an evacuation from which no statement may reach a database there; 5 s by default. */
+    readonly evacuationBoundMs?: number;
     readonly seed: number;
 }
 
 /** Builds the pipes of a proxy, which serves callers. */
-export function buildProxyPipes({ instanceId, dataCentre, rpcAddress, seed }: ProxyPipeOptions): readonly Pipe[] {
+export function buildProxyPipes(options: ProxyPipeOptions): readonly Pipe[] {
+    const { instanceId, dataCentre, rpcAddress, seed, evacuationBoundMs = 5_000 } = options;
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
         new PolicyFilter(new TrafficPolicyDecoder()),
@@ -54,8 +60,9 @@
         new Sessions(),
         new Admission({ random: new SeededRandom(seed) }),
         new PassedTasks(),
-        new Routing({ dataCentre }),
+        new Routing({ dataCentre, rules: [new EvacuationRule(evacuationBoundMs)] }),
         new Forwarding({ instanceId }),
+        new EvacuationStages(evacuationBoundMs),
         new Links(),
     ]);
     return [fleet, session];
@@ -65,6 +72,8 @@
     readonly self: Member;
     readonly initialMembers: readonly InitialMember[];
     readonly dataCentre: string;
+    /** All data centres of the deployment; by default only the own one. */
+    readonly dataCentres?: ReadonlySet<string>;
     /** True for the first start of the whole system, in which the members form a new cluster. */
     readonly canFormCluster: boolean;
     /** Number of members whose disks may be lost at the same time without a loss of committed entries. */
@@ -79,7 +88,8 @@
 
 /** Builds the pipes of a control member. */
 export function buildMemberPipes(options: MemberPipeOptions): readonly Pipe[] {
-    const { self, dataCentre, rateTolerance, reportIntervalMs, snapshotEntries } = options;
+    const { self, dataCentre, dataCentres = new Set([dataCentre]), rateTolerance, reportIntervalMs, snapshotEntries } =
+        options;
     const control = new Pipe(
         "control",
         controlFilters({
@@ -101,6 +111,7 @@
         new MemberDiscovery({ address, isMember: true, random: new SeededRandom(options.seed + 1) }),
         new ConfigurationDocuments(),
         new ConfigurationProofs(),
+        new EvacuationOrders({ dataCentres }),
         new PermitLeader({ tolerance: rateTolerance }),
         new Promotions({ reportIntervalMs }),
     ]);
