feat(fleet): primaries leave evacuated data centres

A primary there is replaced as one that shuts down, after a tenth of the bound for open transactions, if a ready replica is elsewhere. Databases there count as not ready, so they are chosen only if no other holds all commits.

--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -93,6 +93,8 @@
     platformRefuses = false;
     /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
     nextRepetitionDelayMs = (): number | undefined => undefined;
+    /** Data centres whose evacuation is in force. */
+    private evacuated: ReadonlySet<string> = new Set();
     private readonly events = new DeadlineQueue();
     private readonly acknowledged = new Set<number>();
     private readonly links = new Map<string, SimulatedDatabase | undefined>();
@@ -292,20 +294,7 @@
     startControl(): void {
         this.control = new Pipe("fleet", [new FleetDatabaseDirectory(), new Promotions({ reportIntervalMs })]);
         this.deadlines = new DeadlineQueue();
-        const policy = {
-            ...emptyTrafficPolicy,
-            services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
-        };
-        this.push(
-            {
-                kind: FleetKind.PolicyApplied,
-                policy,
-                confirmed: true,
-                promoted: new Map(),
-                ordered: new Map(),
-                completedFences: new Map(),
-            } as Message,
-        );
+        this.applyPolicy();
         this.applyConfiguration();
         this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
         this.instances.filter(({ running }) => running).forEach(instance =>
@@ -314,6 +303,12 @@
         this.databases.forEach(database => this.after(50, () => this.report(database)));
     }
 
+    /** An operator has ordered the evacuation of these data centres, and of no others. */
+    evacuate(...dataCentres: readonly string[]): void {
+        this.evacuated = new Set(dataCentres);
+        this.applyPolicy();
+    }
+
     killInstance(instance: SimulatedInstance): void {
         instance.running = false;
         const { attachmentId } = instance;
@@ -342,6 +337,24 @@
         }
     }
 
+    private applyPolicy(): void {
+        const policy = {
+            ...emptyTrafficPolicy,
+            services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
+        };
+        this.push(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+                completedFences: new Map(),
+                evacuated: this.evacuated,
+            } as Message,
+        );
+    }
+
     private attach(instance: SimulatedInstance): void {
         if (this.control === undefined || instance.cutFromControl || instance.attachmentId !== undefined) {
             return;
--- a/src/fleet/__tests__/servicePromotion.spec.ts
+++ b/src/fleet/__tests__/servicePromotion.spec.ts
@@ -8,6 +8,7 @@
 import { TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { CommitWitnesses } from "../commitWitnesses.ts";
+import { KnownEvacuations } from "../knownEvacuations.ts";
 import { ServicePromotion } from "../servicePromotion.ts";
 
 const primaryId = "p";
@@ -63,6 +64,7 @@
                 databases: new Map(candidates.map(candidate => [candidate.report.databaseId, candidate])),
                 departedDatabases: new Set(),
                 witnesses,
+                evacuations: new KnownEvacuations(5_000),
                 reportIntervalMs: 1_000,
                 leadingSinceMs: 0,
                 nextLinkId: () => `m${this.nextLink++}`,
--- a/src/fleet/__tests__/simulatedDatabase.ts
+++ b/src/fleet/__tests__/simulatedDatabase.ts
@@ -18,6 +18,8 @@
 export class SimulatedDatabase {
     readonly id: string;
     readonly address: string;
+    /** The name of its machine. */
+    readonly dataCentre: string;
     readonly bornUnixMs: number;
     running = true;
     /** The machine answers nothing and receives nothing. */
@@ -42,6 +44,7 @@
     constructor(id: string, address: string, bornUnixMs: number) {
         this.id = id;
         this.address = address;
+        this.dataCentre = address.split(":")[0]!;
         this.bornUnixMs = bornUnixMs + 1;
         this.ledTerm = bornUnixMs === 0 && id === "d0" ? 1 : 0;
     }
@@ -55,7 +58,7 @@
             databaseId: this.id,
             service,
             address: this.address,
-            dataCentre: "d",
+            dataCentre: this.dataCentre,
             slots: 3,
             state: this.draining ? ReportedState.Draining : ReportedState.Ready,
             leads: this.leads,
--- a/src/fleet/electorate.ts
+++ b/src/fleet/electorate.ts
@@ -4,7 +4,7 @@
 
 /** A database that takes part in the choice of a new primary. */
 export interface ElectorateMember extends RecordedDatabase {
-    /** The database reports, and does not shut down. */
+    /** The database reports, does not shut down, and its data centre is not evacuated. */
     readonly isReady: boolean;
     /** When the present process last reported; undefined if it has not reported to this leader. */
     readonly lastReportAtMs?: number | undefined;
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -20,6 +20,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitWitnesses } from "./commitWitnesses.ts";
+import { KnownEvacuations } from "./knownEvacuations.ts";
 import { PromotionRecorder } from "./promotionRecorder.ts";
 import { ServicePromotion } from "./servicePromotion.ts";
 
@@ -57,6 +58,7 @@
     /** Databases that were removed from the directory. */
     readonly departedDatabases: ReadonlySet<string>;
     readonly witnesses: CommitWitnesses;
+    readonly evacuations: KnownEvacuations;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
     /** Time at which this member became the leader. */
@@ -67,6 +69,8 @@
 export interface PromotionsOptions {
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
+    /** Time after the acknowledgement of an evacuation from which no statement may reach a database there; 5 s by default. */
+    readonly evacuationBoundMs?: number;
 }
 
 export class Promotions implements Filter<PromotionsInput, Message> {
@@ -97,10 +101,12 @@
     private leading = false;
     private leadingSinceMs = 0;
     private readonly reportIntervalMs: number;
+    private readonly evacuations: KnownEvacuations;
     private nextLinkNumber = 0;
 
-    constructor({ reportIntervalMs }: PromotionsOptions) {
+    constructor({ reportIntervalMs, evacuationBoundMs = 5_000 }: PromotionsOptions) {
         this.reportIntervalMs = reportIntervalMs;
+        this.evacuations = new KnownEvacuations(evacuationBoundMs);
     }
 
     process(message: PromotionsInput, nowMs: number): readonly Message[] {
@@ -113,7 +119,7 @@
             })
             .with({ kind: FleetKind.PolicyApplied }, matched => {
                 this.policies = matched.policy.services;
-                return [matched];
+                return [matched, ...this.applyEvacuations(matched, nowMs)];
             })
             .with({ kind: FleetKind.DatabaseReportAccepted }, ({ databaseId }) => {
                 const known = this.databases.get(databaseId);
@@ -149,6 +155,14 @@
             .otherwise(() => this.tick(nowMs));
     }
 
+    /** Sets a timer for the change of the primaries in a data centre. */
+    private applyEvacuations(policy: PolicyApplied, nowMs: number): readonly Message[] {
+        const hasBegun = this.evacuations.apply(policy, nowMs);
+        const due: PromotionDue = { kind: PromotionKind.Due };
+        const atMs = nowMs + this.evacuations.transactionTimeMs;
+        return hasBegun && this.leading ? [setDeadline("promotion.evacuation", atMs, due)] : [];
+    }
+
     private changeLeader({ leading }: ControlLeaderChanged, nowMs: number): readonly Message[] {
         this.leading = leading;
         this.leadingSinceMs = nowMs;
@@ -255,6 +269,7 @@
             databases: this.databases,
             departedDatabases: this.departedDatabases,
             witnesses: this.witnesses,
+            evacuations: this.evacuations,
             reportIntervalMs: this.reportIntervalMs,
             leadingSinceMs: this.leadingSinceMs,
             nextLinkId: () => `m${this.nextLinkNumber++}`,
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -83,6 +83,15 @@
 /** Time that databases have to report to a new leader before a primary without reports counts as lost. */
 const newLeaderGraceMs = 3_000;
 
+/**
+ * Changes in a row that may leave the primary in an evacuated data centre before further ones are spaced. The first one fails
+ * if the primary has a commit that no replica received before it stepped down; instances send it no more work soon.
+ */
+const maximumPromptEvacuations = 3;
+
+/** Interval of further changes. */
+const evacuationRetryMs = 5_000;
+
 /** Interval of log lines while a promotion waits. */
 const progressIntervalMs = 1_000;
 
@@ -139,6 +148,9 @@
     private proposedCommand: ControlPropose["command"] | undefined;
     private nextProposal = 0;
     private lastAssessedAtMs = -Infinity;
+    private lastEvacuatedAtMs = -Infinity;
+    /** Changes that were begun because the primary is in an evacuated data centre, since it was elsewhere. */
+    private evacuationAttempts = 0;
     private lastProgressAtMs = -Infinity;
     private lastWait: PromotionWait | undefined;
 
@@ -311,11 +323,27 @@
             this.planned = true;
             return successors.length === 0 ? [] : this.reserve(record.fence, nowMs);
         }
-        const isSilent = nowMs - primary.lastReportAtMs > missedReportLimit * fleet.reportIntervalMs
-            && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
+        if (this.mustBeEvacuated(primary.report, nowMs)) {
+            this.planned = true;
+            this.evacuationAttempts++;
+            this.lastEvacuatedAtMs = nowMs;
+            return this.reserve(record.fence, nowMs);
+        }
+        const isSilent = this.isSilent(primaryId!, nowMs) && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
         return isSilent && this.mayAssess(nowMs) ? this.assess(primaryId!, nowMs) : [];
     }
 
+    /** Whether a primary has to leave an evacuated data centre, and a database elsewhere may take its place. */
+    private mustBeEvacuated(primary: DatabaseReport, nowMs: number): boolean {
+        if (!this.options.fleet.evacuations.isDue(primary, nowMs)) {
+            this.evacuationAttempts = 0;
+            return false;
+        }
+        const spacedMs = this.evacuationAttempts < maximumPromptEvacuations ? 0 : evacuationRetryMs;
+        return nowMs - this.lastEvacuatedAtMs >= spacedMs
+            && this.otherDatabases(primary.databaseId).some(id => this.isReady(id) && !this.isSilent(id, nowMs));
+    }
+
     /** Whether the primary has started again without its log: it follows, and no database leads. */
     private hasPrimaryLostLog({ databaseId, leads }: DatabaseReport): boolean {
         const { primaryAddress } = this.options.record();
@@ -503,6 +531,7 @@
         const { record, fleet } = this.options;
         return electorateMembers(record().databases, this.reports()).map(member => ({
             ...member,
+            isReady: member.isReady && this.isReady(member.databaseId),
             lastReportAtMs: member.isLost ? undefined : fleet.databases.get(member.databaseId)?.lastReportAtMs,
         }));
     }
@@ -723,7 +752,14 @@
         return this.reports().map(({ databaseId }) => databaseId).filter(databaseId => databaseId !== primaryId);
     }
 
+    private isSilent(databaseId: string, nowMs: number): boolean {
+        const { databases, reportIntervalMs } = this.options.fleet;
+        return nowMs - databases.get(databaseId)!.lastReportAtMs > missedReportLimit * reportIntervalMs;
+    }
+
     private isReady(databaseId: string): boolean {
-        return this.options.fleet.databases.get(databaseId)?.report.state === ReportedState.Ready;
+        const { databases, evacuations } = this.options.fleet;
+        const report = databases.get(databaseId)?.report;
+        return report?.state === ReportedState.Ready && !evacuations.covers(report);
     }
 }
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -31,6 +31,8 @@
 import { SessionAccess } from "../session/sessionAccess.ts";
 import { Sessions } from "../session/sessions.ts";
 
+const defaultEvacuationBoundMs = 5_000;
+
 export interface ProxyPipeOptions {
     readonly instanceId: string;
     readonly dataCentre: string;
@@ -43,7 +45,7 @@
 
 /** Builds the pipes of a proxy, which serves callers. */
 export function buildProxyPipes(options: ProxyPipeOptions): readonly Pipe[] {
-    const { instanceId, dataCentre, rpcAddress, seed, evacuationBoundMs = 5_000 } = options;
+    const { instanceId, dataCentre, rpcAddress, seed, evacuationBoundMs = defaultEvacuationBoundMs } = options;
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
         new PolicyFilter(new TrafficPolicyDecoder()),
@@ -81,6 +83,8 @@
     readonly rateTolerance: RateTolerance;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
+    /** Time after the acknowledgement of an evacuation from which no statement may reach a database there; 5 s by default. */
+    readonly evacuationBoundMs?: number;
     readonly seed: number;
     /** Number of log entries between two snapshots. */
     readonly snapshotEntries?: number;
@@ -113,7 +117,7 @@
         new ConfigurationProofs(),
         new EvacuationOrders({ dataCentres }),
         new PermitLeader({ tolerance: rateTolerance }),
-        new Promotions({ reportIntervalMs }),
+        new Promotions({ reportIntervalMs, evacuationBoundMs: options.evacuationBoundMs ?? defaultEvacuationBoundMs }),
     ]);
     return [control, fleet];
 }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -258,6 +258,7 @@
         faultTolerance,
         rateTolerance: settings.rateTolerance,
         reportIntervalMs,
+        evacuationBoundMs: settings.evacuationBoundMs,
         seed,
     });
     const server = createPeerServer(authentication);
