--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -6,7 +6,7 @@
     type PolicyApplied,
     ReportedState,
 } from "../../model/fleetMessages.ts";
-import { LinkKind } from "../../model/linkMessages.ts";
+import { LinkKind, type LinkOpen, type LinkSend } from "../../model/linkMessages.ts";
 import {
     type PeerAnswer,
     type PeerInstance,
@@ -30,6 +30,8 @@
 import type { Sink } from "../../pipeline/sink.ts";
 import { encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
 import { Admission } from "../admission.ts";
+import { EvacuationRule } from "../evacuationRule.ts";
+import { EvacuationStages } from "../evacuationStages.ts";
 import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
 import { HolderRanking } from "../holderRanking.ts";
@@ -56,6 +58,9 @@
 /** Mean pause between operations of one session; pauses are uniform up to twice this long. */
 const meanPauseMs = 3_300;
 
+/** Time after an evacuation from which no statement may reach its databases. */
+export const evacuationBoundMs = 5_000;
+
 export interface SessionFleetOptions {
     readonly instances: number;
     readonly dataCentres: number;
@@ -122,6 +127,8 @@
     readonly abortedSessionIds: string[] = [];
     /** Statements that ran on a database without a commit that they had to see. */
     readonly staleStatementIds: string[] = [];
+    /** Called when an instance opens a link or sends commands on one. */
+    onLinkUsed: (node: FleetNode, message: LinkOpen | LinkSend) => void = () => undefined;
     readonly checker = new AnswerChecker();
     /** Time before which all commits must be visible to a statement, by its id. */
     private readonly visibleBeforeMs = new Map<string, number>();
@@ -256,7 +263,8 @@
         return `w${Math.min(workspaces - 1, Math.floor(workspaces ** this.random.nextFloat() - 1))}`;
     }
 
-    sendInitialState(node: FleetNode, peers: readonly PeerInstance[]): void {
+    /** The instance learns that the databases of these data centres get no more work, and those of the others do. */
+    tellEvacuated(node: FleetNode, ...dataCentres: readonly string[]): void {
         node.post(
             {
                 kind: FleetKind.PolicyApplied,
@@ -265,8 +273,13 @@
                 promoted: new Map(),
                 ordered: new Map(),
                 completedFences: new Map(),
+                evacuated: new Set(dataCentres),
             } as PolicyApplied,
         );
+    }
+
+    sendInitialState(node: FleetNode, peers: readonly PeerInstance[]): void {
+        this.tellEvacuated(node);
         const grants = [...this.policy().workspaces.keys()].map(workspace => (
             { workspace, count: 1e6, retryMs: 0, fallback: undefined }
         ));
@@ -368,8 +381,9 @@
             new Sessions(),
             new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
-            new Routing({ dataCentre }),
+            new Routing({ dataCentre, rules: [new EvacuationRule(evacuationBoundMs)] }),
             new Forwarding({ instanceId }),
+            new EvacuationStages(evacuationBoundMs),
             new Links(),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
@@ -477,9 +491,13 @@
                 return this.sendAnswer(message as PeerAnswer);
             case LinkKind.Open:
                 this.counters.linksOpened += 1;
+                this.fleet.onLinkUsed(this, message as LinkOpen);
                 return this.sendToDatabase((message as unknown as { databaseId: string; }).databaseId, message);
             case LinkKind.Send:
             case LinkKind.Close:
+                if (message.kind === LinkKind.Send) {
+                    this.fleet.onLinkUsed(this, message as LinkSend);
+                }
                 return this.fleet.databases.forEach(database =>
                     this.sendToDatabase(database.report.databaseId, message)
                 );
