feat(fleet): no evacuation while a control member of an earlier release is attached

Such a member would apply the order as invalid and publish configurations without it. Members say in their hello frame that they know evacuations; Begin is answered with 503 and the members that must be updated.

--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -152,7 +152,15 @@
         const { instanceId, dataCentre, serves, address: ownAddress } = this.options;
         const { leaving } = this;
         return [
-            sendFrame(attachmentId, { kind: "hello", instanceId, dataCentre, serves, leaving, address: ownAddress }),
+            sendFrame(attachmentId, {
+                kind: "hello",
+                instanceId,
+                dataCentre,
+                serves,
+                leaving,
+                address: ownAddress,
+                knowsEvacuations: true,
+            }),
         ];
     }
 
--- a/src/fleet/evacuationOrders.ts
+++ b/src/fleet/evacuationOrders.ts
@@ -16,6 +16,7 @@
     type EvacuationOrdered,
     EvacuationResult,
 } from "../model/evacuation.ts";
+import { type Detached, FleetKind, type FrameReceived } from "../model/fleetMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -23,7 +24,13 @@
 /** Time after which an order that found no majority is answered as unavailable, as for a configuration document. */
 const answerTimeoutMs = 1_500;
 
-type OrdersInput = EvacuationOrdered | EvacuationLimitDue | ControlProposalEnded | ControlLeaderChanged;
+type OrdersInput =
+    | EvacuationOrdered
+    | EvacuationLimitDue
+    | ControlProposalEnded
+    | ControlLeaderChanged
+    | FrameReceived
+    | Detached;
 
 interface PendingOrder {
     readonly proposalId: string;
@@ -43,10 +50,14 @@
         EvacuationKind.LimitDue,
         ControlKind.ProposalEnded,
         ControlKind.LeaderChanged,
+        FleetKind.FrameReceived,
+        FleetKind.Detached,
     ];
     private readonly dataCentres: ReadonlySet<string>;
     private leading = false;
     private leaderAddress: string | undefined;
+    /** Control members whose release does not know evacuations, by attachment; they would apply an order as invalid. */
+    private readonly earlierMembers = new Map<string, string>();
     /** By request id. */
     private readonly pending = new Map<string, PendingOrder>();
     private nextProposal = 0;
@@ -64,6 +75,14 @@
             )
             .with({ kind: ControlKind.ProposalEnded }, ended => this.endProposal(ended))
             .with({ kind: ControlKind.LeaderChanged }, changed => [changed, ...this.changeLeader(changed)])
+            .with({ kind: FleetKind.FrameReceived }, received => {
+                this.recordRelease(received);
+                return [received];
+            })
+            .with({ kind: FleetKind.Detached }, detached => {
+                this.earlierMembers.delete(detached.attachmentId);
+                return [detached];
+            })
             .exhaustive();
     }
 
@@ -78,6 +97,10 @@
                 ? [answer(order, EvacuationResult.Unavailable, "no leader is known")]
                 : [answer(order, EvacuationResult.Redirect, "", this.leaderAddress)];
         }
+        if (order.action === EvacuationAction.Begin && this.earlierMembers.size > 0) {
+            const members = [...this.earlierMembers.values()].join(", ");
+            return [answer(order, EvacuationResult.Unavailable, `these members must be updated first: ${members}`)];
+        }
         const proposalId = `evacuation/${this.nextProposal++}`;
         this.pending.set(requestId, { proposalId, order });
         const due: EvacuationLimitDue = { kind: EvacuationKind.LimitDue, requestId };
@@ -90,6 +113,12 @@
         return [setDeadline(deadlineKey(requestId), nowMs + answerTimeoutMs, due), proposal];
     }
 
+    private recordRelease({ attachmentId, frame }: FrameReceived): void {
+        if (frame.kind === "hello" && !frame.serves && frame.knowsEvacuations !== true) {
+            this.earlierMembers.set(attachmentId, frame.instanceId);
+        }
+    }
+
     private endProposal(ended: ControlProposalEnded): readonly Message[] {
         const pending = [...this.pending.values()].find(({ proposalId }) => proposalId === ended.proposalId);
         if (pending === undefined) {
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -210,6 +210,8 @@
         readonly dataCentre: string;
         /** `host:port` of the sender's gRPC listener. */
         readonly address: string;
+        /** The release of the sender knows evacuations; undefined in the frames of earlier ones. */
+        readonly knowsEvacuations?: boolean | undefined;
     }
     /** The instance is shutting down and accepts no more tasks from other instances. */
     | { readonly kind: "leaving"; }
--- a/src/platform/__tests__/controlServer.spec.ts
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -3,6 +3,12 @@
 import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { DocumentKind, type DocumentPut, DocumentResult } from "../../model/document.ts";
+import {
+    type EvacuationAnswered,
+    EvacuationKind,
+    type EvacuationOrdered,
+    EvacuationResult,
+} from "../../model/evacuation.ts";
 import type { DatabaseLeft, DatabaseReported } from "../../model/fleetMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { ControlServer } from "../controlServer.ts";
@@ -46,6 +52,70 @@
         assert.equal(posted.length, 1);
     });
 
+    /** Answers each order with `result`, and returns what arrived. */
+    async function sendOrder(
+        path: string,
+        result: EvacuationResult,
+        request: RequestInit = {},
+    ): Promise<readonly [Response, EvacuationOrdered | undefined]> {
+        const answering = fetch(`http://127.0.0.1:${server.port}${path}`, {
+            method: "POST",
+            redirect: "manual",
+            ...request,
+        });
+        while (!posted.some(({ kind }) => kind === EvacuationKind.Ordered)) {
+            const ended = await Promise.race([
+                answering.then(() => true),
+                new Promise(resolve => setTimeout(resolve, 5)),
+            ]);
+            if (ended === true) {
+                return [await answering, undefined];
+            }
+        }
+        const order = posted.pop() as EvacuationOrdered;
+        const { requestId, action, dataCentre, orderedBy } = order;
+        const answered: EvacuationAnswered = {
+            kind: EvacuationKind.Answered,
+            requestId,
+            action,
+            dataCentre,
+            orderedBy,
+            result,
+            detail: "why \"so\"",
+            leaderAddress: result === EvacuationResult.Redirect ? "10.0.0.9:7460" : undefined,
+        };
+        server.deliver(answered);
+        return [await answering, order];
+    }
+
+    it("passes on evacuation orders, with the data centre as it was escaped, and answers when they are decided", async () => {
+        const [begun, order] = await sendOrder("/-/Evacuations.Begin/north%20%C3%A9%2F1", EvacuationResult.Accepted);
+        assert.equal(begun.status, 200);
+        const { action, dataCentre, orderedBy, orderedAtUnixMs } = order!;
+        assert.deepEqual([action, dataCentre, orderedBy], ["begin", "north \xe9/1", "127.0.0.1"]);
+        assert.ok(Math.abs(Date.now() - orderedAtUnixMs) < 10_000);
+        const [ended, end] = await sendOrder("/-/Evacuations.End/a", EvacuationResult.Accepted, { body: "ignored" });
+        assert.deepEqual([ended.status, end!.action, end!.dataCentre], [200, "end", "a"]);
+        const [refused] = await sendOrder("/-/Evacuations.Begin/unknown", EvacuationResult.Refused);
+        assert.deepEqual([refused.status, await refused.json()], [400, { error: "why \"so\"" }]);
+        const [unavailable] = await sendOrder("/-/Evacuations.End/a", EvacuationResult.Unavailable);
+        assert.equal(unavailable.status, 503);
+        const [redirected] = await sendOrder("/-/Evacuations.End/a%2Fb", EvacuationResult.Redirect);
+        assert.equal(redirected.status, 307);
+        assert.match(redirected.headers.get("Location")!, /^http:\/\/10\.0\.0\.9:\d+\/-\/Evacuations\.End\/a%2Fb$/);
+    });
+
+    it("takes no evacuation order by another method, without a data centre in the path, or in bytes", async () => {
+        for (const request of [{ method: "GET" }, { method: "PUT" }]) {
+            const [response, order] = await sendOrder("/-/Evacuations.Begin/a", EvacuationResult.Accepted, request);
+            assert.deepEqual([response.status, order], [404, undefined]);
+        }
+        const [response, order] = await sendOrder("/-/Evacuations.Begin", EvacuationResult.Accepted);
+        assert.deepEqual([response.status, order], [404, undefined]);
+        assert.match(await sendRaw("/-/Evacuations.Begin/\xe9", ""), / 400 /);
+        assert.deepEqual(posted, []);
+    });
+
     /** @returns the status line of the answer to a request that `fetch` would escape */
     async function sendRaw(path: string, body: string): Promise<string> {
         const socket = connect({ host: "127.0.0.1", port: server.port });
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -35,6 +35,7 @@
         leaving: z.boolean(),
         dataCentre: z.string(),
         address: z.string(),
+        knowsEvacuations: z.boolean().optional(),
     }),
     leaving: z.object({ kind: z.literal("leaving") }),
     follow_instances: z.object({ kind: z.literal("follow_instances"), followed: z.boolean() }),
