--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -254,7 +254,7 @@
         const statuses: string[] = [];
         for (const startMs = performance.now(); performance.now() - startMs < 15_000;) {
             for (const { host } of [...this.members]) {
-                const status = await this.putAt(host, body);
+                const status = await this.postAt(host, "/-/Config.Put", body);
                 if (status === 200) {
                     return;
                 }
@@ -265,6 +265,25 @@
         throw new Error(`the configuration was not acknowledged: ${statuses.slice(-6).join(", ")}`);
     }
 
+    /**
+     * Sends an evacuation order to one member after the other until one acknowledges it, or refuses it for good.
+     * @returns the HTTP status of the answer
+     * @throws Error if there is none within 15 s
+     */
+    async orderEvacuation(action: "Begin" | "End", dataCentre: string): Promise<number> {
+        const path = `/-/Evacuations.${action}/${encodeURIComponent(dataCentre)}`;
+        for (const startMs = performance.now(); performance.now() - startMs < 15_000;) {
+            for (const { host } of [...this.members]) {
+                const status = await this.postAt(host, path, "");
+                if (status >= 200 && status < 500) {
+                    return status;
+                }
+            }
+            await delay(retryIntervalMs);
+        }
+        throw new Error(`${action} of the evacuation of ${dataCentre} was not acknowledged`);
+    }
+
     /**
      * Reads the version of the configuration from one member after the other until one answers.
      * @returns undefined if none does within 15 s
@@ -344,9 +363,9 @@
         }
     }
 
-    private async putAt(host: string, body: string): Promise<number> {
+    private async postAt(host: string, path: string, body: string): Promise<number> {
         try {
-            const response = await fetch(`http://${host}:${this.ports.control}/-/Config.Put`, {
+            const response = await fetch(`http://${host}:${this.ports.control}${path}`, {
                 method: "POST",
                 body,
                 signal: AbortSignal.timeout(callTimeoutMs),
--- a/standins/platform/database.ts
+++ b/standins/platform/database.ts
@@ -51,6 +51,9 @@
     readonly texts?: OddTexts;
 }
 
+/** Commands with which control members prepare a promotion. */
+const controlVerbs: readonly string[] = ["STATUS", "PAUSE", "RESUME", "STEPDOWN"];
+
 const unsigned: DatabaseAnswer = { rows: [], signature: "-" };
 
 interface WaitingCommit {
@@ -65,6 +68,8 @@
     role: DatabaseRole;
     term: number;
     isRunning = false;
+    /** `performance.now()` at which the last statement arrived that is no command of the control members. */
+    lastWorkAtMs = 0;
     /** Upper limit of the time that a statement takes. */
     maximumWorkMs = usualWorkMs;
     state: "ready" | "draining" = "ready";
@@ -215,6 +220,9 @@
     }
 
     async run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<DatabaseAnswer> {
+        if (!controlVerbs.includes(statement.verb)) {
+            this.lastWorkAtMs = performance.now();
+        }
         const error = this.refusal(connection, statement);
         if (error !== undefined) {
             connection.fail();
