feat(request,health,cli): evacuations for MySQL callers, and ctl evacuation begin, end, show

No new work for the databases of an evacuated data centre, the primary after two fifths of 5 s; planned changes of primary out of it; an order names the operator and the time.

--- a/scripts/operatorScenarios.ts
+++ b/scripts/operatorScenarios.ts
@@ -1,6 +1,6 @@
 /** Scenarios in which operators make changes under load. */
 import { setTimeout as delay } from "node:timers/promises";
-import type { ChangeResponse } from "../src/rpc/generated/operator.ts";
+import type { ChangeResponse, ShowResponse } from "../src/rpc/generated/operator.ts";
 import {
     type CallerConnection,
     type CallerIdentity,
@@ -14,6 +14,8 @@
 const keyValidityMs = 10_000;
 /** Longer than the validity, so that a key that is accepted too long is detected. */
 const observationMs = keyValidityMs + 3_000;
+/** Time within which the primaries leave an evacuated data centre; two planned changes of one group are 10 s apart. */
+const primariesMoveMs = 8_000;
 const probeIntervalMs = 100;
 const probeTimeoutMs = 2_000;
 const probeSql = "SELECT value FROM registers WHERE id = 0";
@@ -158,3 +160,33 @@
         };
     }
 }
+
+/** The databases of a data centre get no more work, and its primaries move; after the end it is as before. */
+export class DataCentreEvacuated extends LoadScenario {
+    readonly name = "data-centre-evacuated";
+    protected override readonly loadDurationMs = 25_000;
+
+    protected async injectFault(cluster: TestCluster): Promise<Findings> {
+        const { operator } = cluster;
+        const { dataCentre } = await cluster.findPrimaryOf("orders");
+        const first = await operator.run(["evacuation", "begin", dataCentre]);
+        const again = await operator.run(["evacuation", "begin", dataCentre]);
+        const unknown = await operator.run(["evacuation", "begin", "nowhere"]);
+        const { evacuations } = await operator.runAndParse<ShowResponse>(["evacuation", "show"]);
+        await delay(primariesMoveMs);
+        const primaries = await Promise.all(services.map(service => cluster.findPrimaryOf(service)));
+        const end = await operator.run(["evacuation", "end", dataCentre]);
+        const shownAfter = await operator.runAndParse<ShowResponse>(["evacuation", "show"]);
+        const isListed = evacuations.length === 1 && evacuations[0]!.body!.dataCentre === dataCentre
+            && evacuations[0]!.body!.orderedBy !== "";
+        return {
+            violations: [
+                ...[first, again, end].every(({ exitCode }) => exitCode === 0) ? [] : ["order_not_acknowledged"],
+                ...unknown.exitCode === 0 ? ["unknown_data_centre_accepted"] : [],
+                ...isListed && shownAfter.evacuations.length === 0 ? [] : ["evacuation_not_shown"],
+                ...primaries.some(primary => primary.dataCentre === dataCentre) ? ["primary_stayed"] : [],
+            ],
+            figures: {},
+        };
+    }
+}
--- a/scripts/testClusterScenarios.ts
+++ b/scripts/testClusterScenarios.ts
@@ -1,7 +1,7 @@
 /** Failure scenarios of real processes under load. */
 import { setTimeout as delay } from "node:timers/promises";
 import { type Findings, killAndRestart, LoadScenario, noFindings, type Scenario } from "./loadScenario.ts";
-import { KeyWithdrawn, RacingOperators } from "./operatorScenarios.ts";
+import { DataCentreEvacuated, KeyWithdrawn, RacingOperators } from "./operatorScenarios.ts";
 import type { TestCluster } from "./testCluster.ts";
 import { awaitListening, type EntryHandle } from "./testClusterEntry.ts";
 import { openTransaction, readBalance } from "./testClusterProbe.ts";
@@ -152,4 +152,5 @@
     new DataCentreCutOff(),
     new KeyWithdrawn(),
     new RacingOperators(),
+    new DataCentreEvacuated(),
 ];
--- a/src/cli/ctlCommand.ts
+++ b/src/cli/ctlCommand.ts
@@ -6,6 +6,7 @@
     ctlSettingsTable,
     issueKeySettingsTable,
     openRouteSettingsTable,
+    operationSettingsTable,
     workClassSettingsTable,
     workspaceSettingsTable,
 } from "../settings/ctlSettings.ts";
@@ -22,6 +23,7 @@
     removeWorkspace,
     withdrawKey,
 } from "./ctlConfigurationChanges.ts";
+import { beginEvacuation, endEvacuation } from "./ctlEvacuations.ts";
 import { changePrimary, drainInstance, showBurnReport, showObjects, showStatus } from "./ctlStatusCommands.ts";
 import { ExitCode } from "./exitCode.ts";
 import { escapeControls } from "./terminalText.ts";
@@ -103,6 +105,21 @@
     },
     { words: ["route", "close"], argument: "SERVICE", summary: "close it again", table: changeTable, run: closeRoute },
     { words: ["route", "show"], summary: "list the open routes", table: {}, run: showObjects("route") },
+    {
+        words: ["evacuation", "begin"],
+        argument: "DATA_CENTRE",
+        summary: "send no more work to its databases",
+        table: operationSettingsTable,
+        run: beginEvacuation,
+    },
+    {
+        words: ["evacuation", "end"],
+        argument: "DATA_CENTRE",
+        summary: "send them work again",
+        table: operationSettingsTable,
+        run: endEvacuation,
+    },
+    { words: ["evacuation", "show"], summary: "list the evacuations", table: {}, run: showObjects("evacuation") },
     { words: ["status"], summary: "show instance, databases and groups", table: {}, run: showStatus },
     { words: ["drain"], summary: "stop the instance gracefully", table: {}, run: drainInstance },
     {
--- a/src/cli/ctlStatusCommands.ts
+++ b/src/cli/ctlStatusCommands.ts
@@ -14,7 +14,7 @@
 import { renderTable } from "./textTable.ts";
 
 /** Types of configuration objects that have a `show` command. */
-type ObjectType = "class" | "workspace" | "key" | "route";
+type ObjectType = "class" | "workspace" | "key" | "route" | "evacuation";
 
 interface Listing {
     readonly headings: readonly string[];
@@ -131,9 +131,25 @@
                 headings: ["SERVICE", "WORKSPACE", "VERSION"],
                 rows: configuration.openRoutes.map(({ body, version }) => [body!.service, body!.workspace, version]),
             };
+        case "evacuation":
+            return {
+                headings: ["DATA_CENTRE", "ORDERED_BY", "ORDERED_AT", "VERSION"],
+                rows: configuration.evacuations.map(({ body, version }) => [
+                    body!.dataCentre,
+                    body!.orderedBy,
+                    timeText(body!.orderedAtUnixMs),
+                    version,
+                ]),
+            };
     }
 }
 
+/** An operator's machine may have sent a time that is none. */
+function timeText(unixMs: number): string {
+    const time = new Date(unixMs);
+    return Number.isNaN(time.getTime()) ? "unknown" : time.toISOString();
+}
+
 function renderStatus({ instance, databases }: StatusResponse): string {
     const lastProved = instance!.provedAgeMs < 0 ? "never" : `${Math.round(instance!.provedAgeMs)} ms ago`;
     const summaryLines = [
--- a/src/health/__tests__/failover.spec.ts
+++ b/src/health/__tests__/failover.spec.ts
@@ -100,6 +100,40 @@
         assertSafe(cluster);
     });
 
+    itForSeeds(
+        "moves the primary out of an evacuated data centre without the loss of an acknowledged write",
+        cluster => {
+            const dataCentre = cluster.database("g0d0").dataCentre;
+            cluster.control.evacuate(dataCentre);
+            cluster.runUntil(settledAtMs + 30_000);
+            for (const groupId of ["g0", "g1"]) {
+                assert.notEqual(cluster.database(cluster.group(groupId)!.primaryId).dataCentre, dataCentre);
+                assert.ok(primaryChangesOf(cluster, groupId).length <= 2);
+            }
+            assertSafe(cluster);
+            cluster.control.evacuate();
+            cluster.runUntil(settledAtMs + 45_000);
+            assert.ok(primaryChangesOf(cluster, "g0").length <= 2, "nothing moves back");
+            assertSafe(cluster);
+        },
+    );
+
+    it("replaces a failed primary by a database outside of an evacuated data centre, and none if all are evacuated", () => {
+        const cluster = settledCluster();
+        const evacuated = cluster.database("g0d1").dataCentre;
+        cluster.control.evacuate(evacuated);
+        cluster.runUntil(settledAtMs + 1_000);
+        cluster.database("g0d0").alive = false;
+        cluster.runUntil(settledAtMs + 25_000);
+        assert.equal(cluster.group("g0")!.primaryId, "g0d2");
+        assertSafe(cluster);
+        const all = settledCluster();
+        all.control.evacuate(...["g0d0", "g0d1", "g0d2"].map(id => all.database(id).dataCentre));
+        all.runUntil(settledAtMs + 20_000);
+        assert.equal(primaryChangesOf(all, "g0").length, 0);
+        assertSafe(all);
+    });
+
     it("waits 10 s between two planned changes of one group", () => {
         const cluster = settledCluster();
         const change = (): void =>
--- a/src/health/__tests__/fakeControl.ts
+++ b/src/health/__tests__/fakeControl.ts
@@ -45,6 +45,14 @@
         });
     }
 
+    /** An operator orders the evacuation of these data centres, and of no others. */
+    evacuate(...names: readonly string[]): void {
+        const order = { orderedBy: "operator", orderedAtUnixMs: 1, version: 1 };
+        const evacuations = names.map(dataCentre => ({ dataCentre, ...order }));
+        this.configuration = { ...this.configuration, evacuations, version: this.configuration.version + 1 };
+        this.cluster.processes.forEach(process => this.publishTo(process));
+    }
+
     publishTo(process: FakeProcess, delayMs = this.cluster.latencyMs() * 3): void {
         const configuration = this.configuration;
         process.runAfter(delayMs, () => {
--- a/src/health/__tests__/positions.spec.ts
+++ b/src/health/__tests__/positions.spec.ts
@@ -44,6 +44,7 @@
             latestReport: () => undefined,
             holderOf: () => undefined,
             hasAvailableInstances: () => true,
+            isEvacuated: () => false,
             leadershipStartMs: 0,
         });
         const phase = new ReadingPositionsPhase(facts, "q2", false, 0);
--- a/src/health/databaseTable.ts
+++ b/src/health/databaseTable.ts
@@ -41,6 +41,7 @@
     ];
     private readonly knownDatabases = new Map<string, KnownDatabase>();
     private readonly views = new Map<string, DatabaseView>();
+    private evacuated: ReadonlySet<string> = new Set();
     private groups: ReadonlyMap<string, DatabaseGroup> = new Map();
     private assignmentByDatabase: ReadonlyMap<string, LeaseAssignment> = new Map();
 
@@ -64,6 +65,7 @@
     }
 
     private applyConfiguration(configuration: ConfigurationApplied["configuration"]): void {
+        this.evacuated = new Set(configuration.evacuations.map(({ dataCentre }) => dataCentre));
         this.groups = new Map(configuration.groups.map(group => [group.groupId, group]));
         this.assignmentByDatabase = new Map(
             configuration.leases
@@ -116,6 +118,7 @@
             ...rest,
             role: isAgreedPrimary ? DatabaseRole.Primary : DatabaseRole.Replica,
             available: !departing && (isFresh(known, nowMs) || known.availableInDirectory),
+            evacuated: this.evacuated.has(rest.dataCentre),
             holder: this.assignmentByDatabase.get(rest.databaseId),
         };
     }
@@ -133,6 +136,7 @@
     return left.address === right.address
         && left.role === right.role
         && left.available === right.available
+        && left.evacuated === right.evacuated
         && left.slots === right.slots
         && left.connectionLimit === right.connectionLimit
         && left.groupId === right.groupId
--- a/src/health/failover.ts
+++ b/src/health/failover.ts
@@ -104,6 +104,10 @@
         return this.instances.candidatesByDataCentre(nowMs).has(dataCentre);
     }
 
+    isEvacuated(dataCentre: string): boolean {
+        return this.configuration.evacuations.some(evacuation => evacuation.dataCentre === dataCentre);
+    }
+
     private startLeadership(started: LeadershipStarted, nowMs: number): readonly Message[] {
         this.leadershipStartMs = nowMs;
         this.leaderTerm = started.term;
--- a/src/health/groupView.ts
+++ b/src/health/groupView.ts
@@ -23,6 +23,8 @@
     /** Id of the instance to which the lease of the database is assigned. */
     holderOf(databaseId: string): string | undefined;
     hasAvailableInstances(dataCentre: string, nowMs: number): boolean;
+    /** Whether an operator has ordered that the databases of the data centre get no more work. */
+    isEvacuated(dataCentre: string): boolean;
     readonly leadershipStartMs: number;
 }
 
@@ -60,6 +62,21 @@
         return Math.floor(Math.max(this.group.memberIds.length, ...announcedSizes) / 2) + 1;
     }
 
+    /** Whether the data centre of a database is evacuated. */
+    isEvacuated(databaseId: string): boolean {
+        const dataCentre = this.directoryEntry(databaseId)?.announcement.dataCentre;
+        return dataCentre !== undefined && this.source.isEvacuated(dataCentre);
+    }
+
+    /** Whether the primary is in an evacuated data centre, and an available member elsewhere may take its place. */
+    get mustPrimaryLeave(): boolean {
+        const { primaryId } = this.group;
+        return this.isEvacuated(primaryId)
+            && this.membersExcept(primaryId).some(memberId =>
+                this.directoryEntry(memberId)?.available === true && !this.isEvacuated(memberId)
+            );
+    }
+
     /** Whether the last probe of the primary failed or its holder sends no reports. */
     isPrimarySuspected(nowMs: number): boolean {
         const report = this.currentReport(this.group.primaryId, nowMs);
--- a/src/health/readingPositionsPhase.ts
+++ b/src/health/readingPositionsPhase.ts
@@ -52,7 +52,10 @@
         return stayInPhase;
     }
 
-    /** Prefers among equals an available member, then one in the data centre of the old primary, then the lowest id. */
+    /**
+     * Prefers among equals a member outside of evacuated data centres, then an available one, then one in the data centre of
+     * the old primary, then the lowest id.
+     */
     private mostAdvancedMember(): string {
         const ids = [...this.positions.keys()].sort((left, right) =>
             comparePositions(this.positions.get(right)!, this.positions.get(left)!)
@@ -65,6 +68,7 @@
     private preference(databaseId: string): number {
         const entry = this.groupView.directoryEntry(databaseId);
         const oldDataCentre = this.groupView.directoryEntry(this.groupView.group.primaryId)?.announcement.dataCentre;
-        return (entry?.available ? 2 : 0) + (entry?.announcement.dataCentre === oldDataCentre ? 1 : 0);
+        return (this.groupView.isEvacuated(databaseId) ? 0 : 4) + (entry?.available ? 2 : 0)
+            + (entry?.announcement.dataCentre === oldDataCentre ? 1 : 0);
     }
 }
--- a/src/health/steadyPhase.ts
+++ b/src/health/steadyPhase.ts
@@ -29,7 +29,8 @@
         }
         const isDeparting = this.groupView.directoryEntry(primaryId)?.announcement.departing ?? false;
         const isTooSoon = this.lastChangeAtMs !== undefined && nowMs - this.lastChangeAtMs < minimumChangeIntervalMs;
-        return (isDeparting || this.changeRequested) && !isTooSoon && this.hasReachableMajorityOfOthers(nowMs)
+        return (isDeparting || this.changeRequested || this.groupView.mustPrimaryLeave) && !isTooSoon
+                && this.hasReachableMajorityOfOthers(nowMs)
             ? { messages: [], transition: { to: PhaseName.Preparing } }
             : stayInPhase;
     }
--- a/src/model/clusterMessages.ts
+++ b/src/model/clusterMessages.ts
@@ -37,6 +37,8 @@
     readonly groupSize: number;
     /** Whether the database gets new work: it announced itself recently and is not departing. */
     readonly available: boolean;
+    /** By order of an operator, the databases of its data centre get no more work; undefined if there is no such order. */
+    readonly evacuated?: boolean;
     /** Assignment of the database's lease; undefined while the lease is not assigned. */
     readonly holder: LeaseAssignment | undefined;
 }
--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -283,6 +283,51 @@
         assert.equal(expired.lastOutcome(), RefusalCode.NoPrimary);
     });
 
+    const evacuatedDatabases = defaultDatabases.map(database =>
+        database.databaseId === "r1" ? { ...database, dataCentre: "b" } : { ...database, evacuated: true }
+    );
+
+    it("sends no new work to an evacuated data centre, to the primary after some time, and refuses it at once", () => {
+        const fixture = new RouteFixture();
+        fixture.postEvent({ kind: ClusterKind.DatabasesChanged, databases: evacuatedDatabases });
+        for (let connectionId = 10; connectionId < 30; connectionId++) {
+            fixture.sendStatement(StatementKind.Read, { connectionId });
+            fixture.answerFloor(7);
+            assert.equal(fixture.requests.at(-1)!.databaseId, "r1");
+        }
+        const sentCount = fixture.requests.length;
+        fixture.clock.advanceTo(1_900);
+        fixture.sendStatement(StatementKind.Write, { connectionId: 40 });
+        assert.equal(fixture.requests.length, sentCount + 1, "the primary goes on until another one may lead");
+        fixture.clock.advanceTo(2_000);
+        const kinds = [StatementKind.Write, StatementKind.Begin, StatementKind.Read];
+        kinds.forEach((kind, index) => {
+            fixture.sendStatement(kind, { connectionId: 50 + index });
+            assert.equal(fixture.lastOutcome(), RefusalCode.NoPrimary);
+            const outcome = fixture.answers.at(-1)!.outcome;
+            assert.equal(outcome.kind === OutcomeKind.Refused ? outcome.refusal.retryAfterMs : 0, 5_000);
+        });
+        assert.equal(fixture.requests.length, sentCount + 1);
+        fixture.postEvent({ kind: ClusterKind.DatabasesChanged, databases: defaultDatabases });
+        fixture.sendStatement(StatementKind.Write, { connectionId: 60 });
+        assert.equal(fixture.requests.length, sentCount + 2);
+    });
+
+    it("lets a transaction in an evacuated data centre go on for some time, and then rolls it back", () => {
+        const fixture = new RouteFixture();
+        fixture.sendStatement(StatementKind.Begin);
+        fixture.answer(fixture.requests[0]!, { inTransaction: true, pinned: true });
+        fixture.postEvent({ kind: ClusterKind.DatabasesChanged, databases: evacuatedDatabases });
+        fixture.clock.advanceTo(2_900);
+        fixture.sendStatement(StatementKind.Read);
+        fixture.answer(fixture.requests[1]!, { inTransaction: true, pinned: true });
+        fixture.clock.advanceTo(3_000);
+        fixture.sendStatement(StatementKind.Commit);
+        assert.equal(fixture.lastOutcome(), RefusalCode.TransactionLost);
+        assert.equal(fixture.requests.length, 2);
+        assert.deepEqual(fixture.sessionEnds.map(({ databaseId }) => databaseId), ["p"]);
+    });
+
     it("answers each statement once, retries only reads and statements that did not run, and keeps the deadline", () => {
         const event = fc.record({
             action: fc.constantFrom("send", "done", "not run", "unknown", "lost", "moved", "floor", "time"),
--- a/src/request/databaseSelector.ts
+++ b/src/request/databaseSelector.ts
@@ -3,6 +3,7 @@
 import { DatabaseRole } from "../model/database.ts";
 import { hasReached, type Position } from "../model/position.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { Evacuations, EvacuationStage } from "../scheduling/evacuations.ts";
 
 export interface DatabaseSelectorOptions {
     readonly dataCentre: string;
@@ -19,6 +20,9 @@
 // Reads avoid a replica that did not reach a floor in time, so that they do not all wait for it.
 const laggingAvoidanceDurationMs = 250;
 
+/** Time after an evacuation begins from which no statement is sent to the databases of the data centre. */
+const evacuationBoundMs = 5_000;
+
 /** Tracks the databases and the statements that this instance has in flight on each. */
 export class DatabaseSelector {
     private readonly options: DatabaseSelectorOptions;
@@ -26,12 +30,15 @@
     private byService = new Map<string, DatabaseView[]>();
     private readonly inFlightCounts = new Map<string, number>();
     private readonly avoidUntilMs = new Map<string, number>();
+    private readonly evacuations = new Evacuations(evacuationBoundMs);
 
     constructor(options: DatabaseSelectorOptions) {
         this.options = options;
     }
 
-    update(databases: readonly DatabaseView[]): void {
+    update(databases: readonly DatabaseView[], nowMs: number): void {
+        const evacuated = databases.filter(database => database.evacuated === true).map(({ dataCentre }) => dataCentre);
+        this.evacuations.apply({ evacuated: new Set(evacuated) }, nowMs);
         this.databases = new Map(databases.map(database => [database.databaseId, database]));
         this.byService = new Map();
         for (const database of databases) {
@@ -51,17 +58,30 @@
         return this.byService.get(service)?.[0]?.groupId;
     }
 
-    findPrimary(service: string): DatabaseView | undefined {
+    /** A primary in an evacuated data centre is found for some time, while another one may take its place. */
+    findPrimary(service: string, nowMs: number): DatabaseView | undefined {
         return this.byService.get(service)?.find(each =>
             each.role === DatabaseRole.Primary && each.available && each.holder !== undefined
+            && this.evacuationStageOf(each, nowMs) === EvacuationStage.Open
         );
     }
 
+    /** Whether the primary gets no work because its data centre is evacuated. */
+    isPrimaryEvacuated(service: string, nowMs: number): boolean {
+        const primary = this.byService.get(service)?.find(({ role }) => role === DatabaseRole.Primary);
+        return primary !== undefined && this.evacuationStageOf(primary, nowMs) !== EvacuationStage.Open;
+    }
+
+    evacuationStageOf({ dataCentre, role }: DatabaseView, nowMs: number): EvacuationStage {
+        return this.evacuations.stageOf({ dataCentre, leads: role === DatabaseRole.Primary }, nowMs);
+    }
+
     /** Chooses the better of two random replicas, so that instances do not all send to the one that looks best. */
     chooseReplica(service: string, floor: Position, nowMs: number): DatabaseView | undefined {
         const candidates = (this.byService.get(service) ?? []).filter(each =>
             each.role === DatabaseRole.Replica && each.available && each.holder !== undefined
             && (this.avoidUntilMs.get(each.databaseId) ?? 0) <= nowMs
+            && this.evacuationStageOf(each, nowMs) === EvacuationStage.Open
         );
         const first = this.removeRandom(candidates);
         const second = this.removeRandom(candidates);
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -15,6 +15,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { EvacuationStage } from "../scheduling/evacuations.ts";
 import { DatabaseSelector } from "./databaseSelector.ts";
 import { FloorRequestBatcher, type FloorResult } from "./floorRequestBatcher.ts";
 import { buildHolderRequest, buildHolderRequestBody, buildHolderSessionEnd, isRepeatable } from "./holderRequests.ts";
@@ -53,6 +54,9 @@
 // Exceeds the statement limit of the holder, so that only requests to an unresponsive holder time out here.
 const answerTimeoutMs = 35_000;
 
+/** Time after which callers may come back whose statement only a primary in an evacuated data centre could run. */
+const evacuatedRetryMs = 5_000;
+
 /**
  * Sends statements to the holders of databases and receives their answers. Reads go to a replica that has reached the
  * floor (the log position that the read must observe), other statements to the primary. Sessions with state on a
@@ -136,6 +140,9 @@
         if (needsNoCallerFloor && ageFloor !== undefined) {
             return this.sendToReplica(pending, laterPosition(ageFloor, sessionFloor), nowMs);
         }
+        if (this.databaseSelector.isPrimaryEvacuated(request.service, nowMs)) {
+            return this.refuseEvacuated(pending);
+        }
         pending.stage = PendingStage.AwaitingFloor;
         this.floorRequests.add(groupId, pending.requestId, request.callerId);
         return [...this.requestFloors(request.service, nowMs), this.waitUntilDeadline(pending)];
@@ -144,7 +151,7 @@
     private requestFloors(service: string, nowMs: number): readonly Message[] {
         const groupId = this.databaseSelector.groupOf(service);
         const floorRequest = groupId
-            && this.floorRequests.startRequest(groupId, this.databaseSelector.findPrimary(service), nowMs);
+            && this.floorRequests.startRequest(groupId, this.databaseSelector.findPrimary(service, nowMs), nowMs);
         return floorRequest ? [floorRequest] : [];
     }
 
@@ -189,8 +196,12 @@
     }
 
     private sendToPrimary(pending: PendingRequest, nowMs: number): readonly Message[] {
-        const primary = this.databaseSelector.findPrimary(pending.request.service);
+        const { service } = pending.request;
+        const primary = this.databaseSelector.findPrimary(service, nowMs);
         pending.floor = undefined;
+        if (primary === undefined && this.databaseSelector.isPrimaryEvacuated(service, nowMs)) {
+            return this.refuseEvacuated(pending);
+        }
         if (primary === undefined) {
             pending.stage = PendingStage.Waiting;
             return [this.waitUntilDeadline(pending)];
@@ -203,6 +214,11 @@
         if (database?.holder === undefined) {
             return this.refuseLostTransaction(pending);
         }
+        if (this.databaseSelector.evacuationStageOf(database, nowMs) === EvacuationStage.Closed) {
+            const sessionId = this.sessions.sessionIdOf(pending.request.connectionId);
+            const end = buildHolderSessionEnd(sessionId, databaseId, database.holder, this.options.instanceId);
+            return [end, ...this.refuseLostTransaction(pending)];
+        }
         return this.send(pending, database, nowMs);
     }
 
@@ -311,7 +327,7 @@
     }
 
     private updateDatabases(changed: DatabasesChanged, nowMs: number): readonly Message[] {
-        this.databaseSelector.update(changed.databases);
+        this.databaseSelector.update(changed.databases, nowMs);
         const reassigned = this.pendingRequests.getByStage(PendingStage.Sent).filter(pending =>
             this.hasNewHolder(pending)
         );
@@ -364,6 +380,15 @@
         return refuse(code, this.step, { peer: pending.holder?.instanceId ?? "" });
     }
 
+    /** Nobody knows when the primary gets work again: when another one is promoted, or the evacuation ends. */
+    private refuseEvacuated(pending: PendingRequest): readonly Message[] {
+        const detail = "the data centre of the primary is evacuated";
+        return this.refusePending(
+            pending,
+            refuse(RefusalCode.NoPrimary, this.step, { detail, retryAfterMs: evacuatedRetryMs }),
+        );
+    }
+
     private refuseLostTransaction(pending: PendingRequest): readonly Message[] {
         const session = this.sessions.getOrCreate(pending.request.connectionId);
         session.inTransaction = false;
--- a/src/rpc/operatorCommandCodec.ts
+++ b/src/rpc/operatorCommandCodec.ts
@@ -1,10 +1,12 @@
 /** Converts between change requests of operators and commands of the replicated control state. */
-import { type Command, CommandKind } from "../model/controlMessages.ts";
+import { type BeginEvacuation, type Command, CommandKind, type EndEvacuation } from "../model/controlMessages.ts";
 import { RepeatPolicy } from "../model/workClass.ts";
 import type { ChangeRequest } from "./generated/operator.ts";
 
 /** Commands that operators may send. Groups, leases and shares are changed only by the system itself. */
-export type OperatorCommand = Extract<Command, { readonly expectedVersion: number; }>;
+export type OperatorCommand = Extract<Command, { readonly expectedVersion: number; }> | EvacuationCommand;
+
+export type EvacuationCommand = BeginEvacuation | EndEvacuation;
 
 /**
  * Decodes the command of a request.
@@ -45,13 +47,19 @@
     if (request.removeOpenRoute !== undefined) {
         return { kind: CommandKind.RemoveOpenRoute, expectedVersion, service: request.removeOpenRoute };
     }
+    if (request.beginEvacuation !== undefined) {
+        return { kind: CommandKind.BeginEvacuation, evacuation: request.beginEvacuation };
+    }
+    if (request.endEvacuation !== undefined) {
+        return { kind: CommandKind.EndEvacuation, dataCentre: request.endEvacuation };
+    }
     return undefined;
 }
 
 export function encodeChange(operationId: string, command: OperatorCommand): ChangeRequest {
     const empty: ChangeRequest = {
         operationId,
-        expectedVersion: command.expectedVersion,
+        expectedVersion: "expectedVersion" in command ? command.expectedVersion : 0,
         setWorkClass: undefined,
         removeWorkClass: undefined,
         setWorkspace: undefined,
@@ -60,6 +68,8 @@
         withdrawKey: undefined,
         setOpenRoute: undefined,
         removeOpenRoute: undefined,
+        beginEvacuation: undefined,
+        endEvacuation: undefined,
     };
     switch (command.kind) {
         case CommandKind.SetWorkClass:
@@ -78,5 +88,9 @@
             return { ...empty, setOpenRoute: { ...command.openRoute } };
         case CommandKind.RemoveOpenRoute:
             return { ...empty, removeOpenRoute: command.service };
+        case CommandKind.BeginEvacuation:
+            return { ...empty, beginEvacuation: { ...command.evacuation } };
+        case CommandKind.EndEvacuation:
+            return { ...empty, endEvacuation: command.dataCentre };
     }
 }
--- a/src/rpc/operatorService.ts
+++ b/src/rpc/operatorService.ts
@@ -10,6 +10,7 @@
 import { ClusterKind, type ConfigurationApplied, type DatabasesChanged } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
+    CommandKind,
     ControlKind,
     type ControlProposalEnded,
     type ControlPropose,
@@ -29,7 +30,7 @@
     type ShowResponse,
     type StatusResponse,
 } from "./generated/operator.ts";
-import { decodeChange } from "./operatorCommandCodec.ts";
+import { decodeChange, type OperatorCommand } from "./operatorCommandCodec.ts";
 import { respond } from "./unaryResponse.ts";
 
 /** The instance that operators inspect and drain through this service. */
@@ -101,11 +102,13 @@
 
     private change(request: ChangeRequest, callback: sendUnaryData<ChangeResponse>): void {
         const command = decodeChange(request);
-        if (typeof command === "string" || request.operationId === "") {
-            const details = typeof command === "string"
-                ? command
-                : "operation_id is empty; give each change its own id";
-            callback({ code: status.INVALID_ARGUMENT, details });
+        const details = typeof command === "string"
+            ? command
+            : request.operationId === ""
+            ? "operation_id is empty; give each change its own id"
+            : this.describeUnknownDataCentre(command);
+        if (typeof command === "string" || details !== undefined) {
+            callback({ code: status.INVALID_ARGUMENT, details: details! });
             return;
         }
         const proposalId = `operator:${this.nextProposalNumber++}`;
@@ -119,6 +122,20 @@
         this.options.post(propose);
     }
 
+    /** Says what is wrong with an order for a data centre of which no database is known; undefined if nothing is. */
+    private describeUnknownDataCentre(command: OperatorCommand): string | undefined {
+        if (command.kind !== CommandKind.BeginEvacuation && command.kind !== CommandKind.EndEvacuation) {
+            return undefined;
+        }
+        const dataCentre = command.kind === CommandKind.BeginEvacuation
+            ? command.evacuation.dataCentre
+            : command.dataCentre;
+        const known = [...this.databases, ...this.configuration.evacuations].map(each => each.dataCentre);
+        return known.includes(dataCentre)
+            ? undefined
+            : `no database is known in data centre "${dataCentre}", only in: ${[...new Set(known)].join(", ")}`;
+    }
+
     private completeChange(ended: ControlProposalEnded): void {
         this.respondToChange(ended.proposalId, {
             status: ended.status,
@@ -136,13 +153,14 @@
     }
 
     private show(): ShowResponse {
-        const { version, workClasses, workspaces, keys, openRoutes } = this.configuration;
+        const { version, workClasses, workspaces, keys, openRoutes, evacuations } = this.configuration;
         return {
             configurationVersion: version,
             workClasses: workClasses.map(each => ({ body: each, version: each.version })),
             workspaces: workspaces.map(each => ({ body: each, version: each.version })),
             keys: keys.map(each => ({ id: each.id, workspace: each.workspace, version: each.version })),
             openRoutes: openRoutes.map(each => ({ body: each, version: each.version })),
+            evacuations: evacuations.map(each => ({ body: each, version: each.version })),
         };
     }
 
--- a/src/session/__tests__/evacuation.spec.ts
+++ b/src/session/__tests__/evacuation.spec.ts
@@ -4,8 +4,8 @@
 import { type DatabaseReport, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { LinkKind } from "../../model/linkMessages.ts";
 import { StatementFault } from "../../model/sessionStatement.ts";
+import { Evacuations, EvacuationStage } from "../../scheduling/evacuations.ts";
 import { EvacuationRule } from "../evacuationRule.ts";
-import { Evacuations, EvacuationStage } from "../evacuations.ts";
 import { PassOverReason } from "../placementRule.ts";
 import { evacuationBoundMs, type FleetNode, SessionFleet, type SessionFleetOptions } from "./sessionFleet.ts";
 
--- a/src/session/evacuationRule.ts
+++ b/src/session/evacuationRule.ts
@@ -1,6 +1,6 @@
 /** Keeps new work away from the databases of evacuated data centres. */
 import type { DatabaseReport, PolicyApplied } from "../model/fleetMessages.ts";
-import { Evacuations, EvacuationStage } from "./evacuations.ts";
+import { Evacuations, EvacuationStage } from "../scheduling/evacuations.ts";
 import { type PassedOver, PassOverReason, type PlacementDemand, type PlacementRule } from "./placementRule.ts";
 
 /**
--- a/src/session/evacuationStages.ts
+++ b/src/session/evacuationStages.ts
@@ -13,7 +13,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { Evacuations, EvacuationStage } from "./evacuations.ts";
+import { Evacuations, EvacuationStage } from "../scheduling/evacuations.ts";
 import { type EvacuationStageChanged, type EvacuationStageDue, TaskKind } from "./taskMessages.ts";
 
 const timerKey = "evacuation";
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -2,7 +2,7 @@
 import type { DatabaseReport } from "../model/fleetMessages.ts";
 import { laterPosition, type Position } from "../model/position.ts";
 import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
-import { EvacuationStage } from "./evacuations.ts";
+import { EvacuationStage } from "../scheduling/evacuations.ts";
 import { type Link, LinkState } from "./link.ts";
 import type { LinkTask, TaskPlaced } from "./taskMessages.ts";
 
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -29,8 +29,8 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { EvacuationStage } from "../scheduling/evacuations.ts";
 import { CommitTracker } from "./commitTracker.ts";
-import { EvacuationStage } from "./evacuations.ts";
 import { type Link, LinkState } from "./link.ts";
 import { gateOf, openGate } from "./linkGate.ts";
 import { LinkPool } from "./linkPool.ts";
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -14,7 +14,7 @@
 } from "../model/sessionStatement.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
-import type { EvacuationStage } from "./evacuations.ts";
+import type { EvacuationStage } from "../scheduling/evacuations.ts";
 import type { FloorSample } from "./floorSamples.ts";
 
 export const TaskKind = {
--- a/src/settings/ctlSettings.ts
+++ b/src/settings/ctlSettings.ts
@@ -57,16 +57,21 @@
 const nonNegative = new NumberParser("a number of at least 0", value => value >= 0);
 const positive = new NumberParser("a number above 0", value => value > 0);
 
+/** Setting that identifies a change. */
+export const operationSettingsTable = {
+    "operation-id": {
+        parser: new NameParser(),
+        description: "Id of this change; give the same one to repeat a change whose answer was lost.",
+    },
+} as const satisfies SettingsTable;
+
 /** Settings of the commands that change the configuration. */
 export const changeSettingsTable = {
     "expected-version": {
         parser: new IntegerParser(0, Number.MAX_SAFE_INTEGER),
         description: "Version of the object as last seen; by default the one that is current when the command starts.",
     },
-    "operation-id": {
-        parser: new NameParser(),
-        description: "Id of this change; give the same one to repeat a change whose answer was lost.",
-    },
+    ...operationSettingsTable,
 } as const satisfies SettingsTable;
 
 /** Settings that set the targets of a work class. */
