--- a/src/fleet/knownEvacuations.ts
+++ b/src/fleet/knownEvacuations.ts
@@ -1,4 +1,5 @@
 /** The evacuations in force, as this control member learnt of them. */
+import { EvacuationTimes } from "../model/evacuationTimes.ts";
 import type { DatabaseReport, PolicyApplied } from "../model/fleetMessages.ts";
 
 /**
@@ -12,9 +13,7 @@
 export class KnownEvacuations {
     /** Time that transactions at a primary have before it is replaced. */
     readonly transactionTimeMs: number;
-    /** Time at which this member learnt of each evacuation; -Infinity if it was in force before. */
-    private readonly learntMs = new Map<string, number>();
-    private hasPolicy = false;
+    private readonly times = new EvacuationTimes();
 
     /** @param boundMs time after the acknowledgement of an evacuation from which no statement may reach a database */
     constructor(boundMs: number) {
@@ -23,20 +22,15 @@
 
     /** @returns whether an evacuation began */
     apply({ evacuated = none }: Pick<PolicyApplied, "evacuated">, nowMs: number): boolean {
-        [...this.learntMs.keys()].filter(dataCentre => !evacuated.has(dataCentre))
-            .forEach(dataCentre => this.learntMs.delete(dataCentre));
-        const begun = [...evacuated].filter(dataCentre => !this.learntMs.has(dataCentre));
-        begun.forEach(dataCentre => this.learntMs.set(dataCentre, this.hasPolicy ? nowMs : -Infinity));
-        this.hasPolicy = true;
-        return begun.length > 0;
+        return this.times.apply(evacuated, nowMs);
     }
 
     covers({ dataCentre }: Pick<DatabaseReport, "dataCentre">): boolean {
-        return this.learntMs.has(dataCentre);
+        return this.times.learntAtMs(dataCentre) !== undefined;
     }
 
     /** Whether a primary is to be replaced now. */
     isDue({ dataCentre }: Pick<DatabaseReport, "dataCentre">, nowMs: number): boolean {
-        return nowMs >= (this.learntMs.get(dataCentre) ?? Infinity) + this.transactionTimeMs;
+        return nowMs >= (this.times.learntAtMs(dataCentre) ?? Infinity) + this.transactionTimeMs;
     }
 }
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -31,13 +31,7 @@
         if (configuration.documentHeads !== before.documentHeads) {
             omittedEntries = this.decode(configuration);
         }
-        else if (
-            configuration.evacuations === before.evacuations
-            && (configuration.promotions === before.promotions
-                || isEqual(promotedDatabases(configuration), promotedDatabases(before))
-                    && isEqual(orderedDatabases(configuration), orderedDatabases(before))
-                    && isEqual(completedFences(configuration), completedFences(before)))
-        ) {
+        else if (!hasEvacuationsChanged(configuration, before) && !havePromotionsChanged(configuration, before)) {
             return [message];
         }
         const { policy } = this;
@@ -80,6 +74,18 @@
     }
 }
 
+/** Without a document there is no work, and no policy: the first one will have the evacuations. */
+function hasEvacuationsChanged(configuration: Configuration, before: Configuration): boolean {
+    return configuration.evacuations !== before.evacuations && configuration.documentHeads.length > 0;
+}
+
+function havePromotionsChanged(configuration: Configuration, before: Configuration): boolean {
+    return configuration.promotions !== before.promotions
+        && !(isEqual(promotedDatabases(configuration), promotedDatabases(before))
+            && isEqual(orderedDatabases(configuration), orderedDatabases(before))
+            && isEqual(completedFences(configuration), completedFences(before)));
+}
+
 /** The database that each service's last order made the primary, or is about to. */
 function promotedDatabases({ promotions }: Configuration): ReadonlyMap<string, string> {
     const databases = promotions.map(({ service, databaseId, orderedDatabaseId }) =>
--- a/src/scheduling/evacuations.ts
+++ b/src/scheduling/evacuations.ts
@@ -1,9 +1,10 @@
 /** What the evacuations in force allow at a database, as this instance learnt of them. */
+import { EvacuationTimes } from "../model/evacuationTimes.ts";
 import type { DatabaseReport, PolicyApplied } from "../model/fleetMessages.ts";
 
-/** Why a database is used less and less after its evacuation was ordered. */
+/** How a database in an evacuated data centre is used less and less. */
 export const EvacuationStage = {
-    /** Not evacuated, or the primary, of which there is no other one yet. */
+    /** Not evacuated, or a primary for which there may be no other one yet. */
     Open: "open",
     /** No new work, but open transactions go on. */
     TransactionsOnly: "transactions_only",
@@ -23,41 +24,32 @@
 
 export class Evacuations {
     private readonly boundMs: number;
-    /** Time at which this instance learnt of each evacuation in force; -Infinity if it was in force before. */
-    private readonly learntMs = new Map<string, number>();
-    private hasPolicy = false;
+    private readonly times = new EvacuationTimes();
 
     /** @param boundMs time after the acknowledgement of an evacuation from which no statement may reach a database */
     constructor(boundMs: number) {
         this.boundMs = boundMs;
     }
 
-    /** An instance that has just started, or comes back, does not know how long ago its first policy was ordered. */
+    /** An instance that has just started does not know when its evacuations were ordered, and gives them no more time. */
     apply({ evacuated = none }: Pick<PolicyApplied, "evacuated">, nowMs: number): void {
-        [...this.learntMs.keys()].filter(dataCentre => !evacuated.has(dataCentre))
-            .forEach(dataCentre => this.learntMs.delete(dataCentre));
-        for (const dataCentre of evacuated) {
-            if (!this.learntMs.has(dataCentre)) {
-                this.learntMs.set(dataCentre, this.hasPolicy ? nowMs : -Infinity);
-            }
-        }
-        this.hasPolicy = true;
+        this.times.apply(evacuated, nowMs);
     }
 
     stageOf({ dataCentre, leads }: Pick<DatabaseReport, "dataCentre" | "leads">, nowMs: number): EvacuationStage {
-        const learntMs = this.learntMs.get(dataCentre);
-        if (learntMs === undefined || leads && nowMs < learntMs + primaryShare * this.boundMs) {
+        const learntAtMs = this.times.learntAtMs(dataCentre);
+        if (learntAtMs === undefined || leads && nowMs < learntAtMs + primaryShare * this.boundMs) {
             return EvacuationStage.Open;
         }
-        return nowMs < learntMs + transactionShare * this.boundMs
+        return nowMs < learntAtMs + transactionShare * this.boundMs
             ? EvacuationStage.TransactionsOnly
             : EvacuationStage.Closed;
     }
 
     /** Time of the next change of a stage; undefined if there is none without another order. */
     nextChangeMs(nowMs: number): number | undefined {
-        const changes = [...this.learntMs.values()]
-            .flatMap(learntMs => [primaryShare, transactionShare].map(share => learntMs + share * this.boundMs))
+        const changes = this.times.all()
+            .flatMap(learntAtMs => [primaryShare, transactionShare].map(share => learntAtMs + share * this.boundMs))
             .filter(atMs => atMs > nowMs);
         return changes.length === 0 ? undefined : Math.min(...changes);
     }
