feat(fleet): no database of an evacuated data centre is chosen while another one holds all commits

In an unplanned change a database there was chosen if it was ahead by commits that nobody had acknowledged, and replaced once it had settled. The instances are now asked at once, and one elsewhere is chosen if it holds what they tell.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -445,6 +445,43 @@
         });
     });
 
+    describe("beside a replica in an evacuated data centre that is ahead", () => {
+        let fixture: FencingFixture;
+
+        beforeEach(() => {
+            fixture = new FencingFixture();
+            const evacuated = { ...member("a"), isReady: false, isEvacuated: true };
+            fixture.members = [member("p"), evacuated, member("b")];
+            fixture.decide();
+            fixture.reportCommits("f1", 10, { questionId: "7/close" });
+            fixture.loseLink("p", LinkLoss.NoListener);
+            [["a", 12] as const, ["b", 10] as const].forEach(([databaseId, offset]) => {
+                fixture.openLink(databaseId, 3, offset);
+                fixture.answer(databaseId, false, 3, offset);
+            });
+        });
+
+        it("chooses the one elsewhere once every instance has told that it holds all acknowledged commits", () => {
+            assert.equal(fixture.decide(), undefined);
+            assert.ok(fixture.questions.includes("f1 7/0"), "the instances are asked at once");
+            fixture.reportCommits("f1", 10);
+            assert.equal(fixture.decide(), "b");
+            fixture.fencing.orderSent("b");
+            assert.ok(fixture.fencing.mayLead("b"));
+        });
+
+        it("chooses the one that is ahead if the other lacks an acknowledged commit", () => {
+            assert.equal(fixture.decide(), undefined);
+            fixture.reportCommits("f1", 11);
+            assert.equal(fixture.decide(), "a");
+        });
+
+        it("chooses the one that is ahead if an instance does not answer in time", () => {
+            assert.equal(fixture.decide(2_300), undefined);
+            assert.equal(fixture.decide(200), "a");
+        });
+    });
+
     it("waits for a replica that holds what the last promotion kept", () => {
         // Guards against the loss of commits that databases confirmed which have left since.
         const fixture = new FencingFixture({ basePosition: { term: 2, offset: 11 } });
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -44,6 +44,9 @@
 const promoteMs = 600;
 const detachmentMs = 1_500;
 
+/** Time for which instances go on at a primary after its evacuation was ordered. */
+const evacuatedPrimaryMs = 2_000;
+
 interface SimulatedInstance {
     readonly instanceId: string;
     attachmentId: string | undefined;
@@ -95,6 +98,8 @@
     nextRepetitionDelayMs = (): number | undefined => undefined;
     /** Data centres whose evacuation is in force. */
     private evacuated: ReadonlySet<string> = new Set();
+    /** Time from which instances send nothing to primaries there. */
+    private readonly refusedFromMs = new Map<string, number>();
     private readonly events = new DeadlineQueue();
     private readonly acknowledged = new Set<number>();
     private readonly links = new Map<string, SimulatedDatabase | undefined>();
@@ -306,6 +311,10 @@
     /** An operator has ordered the evacuation of these data centres, and of no others. */
     evacuate(...dataCentres: readonly string[]): void {
         this.evacuated = new Set(dataCentres);
+        [...this.refusedFromMs.keys()].filter(name => !this.evacuated.has(name))
+            .forEach(name => this.refusedFromMs.delete(name));
+        dataCentres.filter(name => !this.refusedFromMs.has(name))
+            .forEach(name => this.refusedFromMs.set(name, this.nowMs + evacuatedPrimaryMs));
         this.applyPolicy();
     }
 
@@ -378,7 +387,8 @@
         const serving = this.instances.filter(({ running, writes }) => running && writes);
         const instance = serving[this.nextCommit % Math.max(1, serving.length)];
         const { primary } = this;
-        if (instance === undefined || primary === undefined || primary.dark) {
+        const isRefused = this.nowMs >= (this.refusedFromMs.get(primary?.dataCentre ?? "") ?? Infinity);
+        if (instance === undefined || primary === undefined || primary.dark || isRefused) {
             return;
         }
         const { commits, orderedDatabaseId } = instance;
--- a/src/fleet/electorate.ts
+++ b/src/fleet/electorate.ts
@@ -6,6 +6,8 @@
 export interface ElectorateMember extends RecordedDatabase {
     /** The database reports, does not shut down, and its data centre is not evacuated. */
     readonly isReady: boolean;
+    /** Its data centre is evacuated; undefined if it is not. */
+    readonly isEvacuated?: boolean | undefined;
     /** When the present process last reported; undefined if it has not reported to this leader. */
     readonly lastReportAtMs?: number | undefined;
 }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -366,7 +366,7 @@
         if (this.holdsConfirmedCommits(best, stopped)) {
             const unproved = this.holdsClosedCommits(best) ? [] : this.unprovedSinceClosing(best, stopped);
             if (unproved.length === 0 && this.holdsReached(best)) {
-                return this.chooseOrderedOr(best, stopped, nowMs);
+                return this.choosePreferredOr(best, stopped, nowMs);
             }
             unproved.forEach(database => database.proveAgain());
         }
@@ -425,23 +425,34 @@
     }
 
     /**
-     * The database of an earlier order that may still be executed, if it holds all acknowledged commits, or else `best`.
-     * Commits that only `best` has were not acknowledged if no instance reports them.
+     * The database of an earlier order that may still be executed, or else one outside of evacuated data centres, if it holds
+     * all acknowledged commits, or else `best`. Commits that only `best` has were not acknowledged if no instance reports them.
      */
-    private chooseOrderedOr(
+    private choosePreferredOr(
         best: FencedDatabase,
         stopped: readonly FencedDatabase[],
         nowMs: number,
     ): string | undefined {
         const ordered = stopped.find(({ databaseId }) => databaseId === this.options.preferredDatabaseId);
-        if (ordered === undefined || ordered === best || this.isLost(ordered.databaseId) || ordered.hasLostLog) {
+        const preferred = ordered ?? this.alternativeTo(best, stopped);
+        if (
+            preferred === undefined || preferred === best || this.isLost(preferred.databaseId) || preferred.hasLostLog
+        ) {
             return best.databaseId;
         }
         if (this.awaitedWitnesses().length > 0) {
             const canWait = nowMs - this.options.startedAtMs < 2 * replicaWaitMs;
             return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : best.databaseId;
         }
-        return (this.holdsClosedCommits(ordered) && this.holdsReportedCommits(ordered) ? ordered : best).databaseId;
+        const isComplete = this.holdsClosedCommits(preferred) && this.holdsReportedCommits(preferred);
+        return (isComplete ? preferred : best).databaseId;
+    }
+
+    /** The most advanced database that work can go to, if none can go to `best` because its data centre is evacuated. */
+    private alternativeTo(best: FencedDatabase, stopped: readonly FencedDatabase[]): FencedDatabase | undefined {
+        return best.member.isEvacuated === true
+            ? this.mostAdvanced(stopped.filter(({ member }) => member.isReady))
+            : undefined;
     }
 
     /** In a planned change, whether the primary still has time to step down before the replicas are paused. */
@@ -560,10 +571,14 @@
         return this.options.synchronousReplicas === 0 || stepsDown ? [] : this.survey.close(nowMs);
     }
 
-    /** Asks the instances for their acknowledged commits once commits are blocked. */
+    /**
+     * Asks the instances for their acknowledged commits once commits are blocked; at once if the furthest database may be one
+     * that is preferably not chosen.
+     */
     private askForCommits(nowMs: number): readonly Message[] {
         const hasWaited = nowMs - this.options.startedAtMs >= replicaWaitMs;
-        return hasWaited && this.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
+        const hasEvacuated = [...this.databases.values()].some(({ member }) => member.isEvacuated === true);
+        return (hasWaited || hasEvacuated) && this.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
     }
 
     /** A replica that has caught up with the primary, or the primary itself if none catches up in time. */
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -532,6 +532,7 @@
         return electorateMembers(record().databases, this.reports()).map(member => ({
             ...member,
             isReady: member.isReady && this.isReady(member.databaseId),
+            isEvacuated: this.isEvacuated(member.databaseId),
             lastReportAtMs: member.isLost ? undefined : fleet.databases.get(member.databaseId)?.lastReportAtMs,
         }));
     }
@@ -752,14 +753,19 @@
         return this.reports().map(({ databaseId }) => databaseId).filter(databaseId => databaseId !== primaryId);
     }
 
+    private isEvacuated(databaseId: string): boolean {
+        const { databases, evacuations } = this.options.fleet;
+        const report = databases.get(databaseId)?.report;
+        return report !== undefined && evacuations.covers(report);
+    }
+
     private isSilent(databaseId: string, nowMs: number): boolean {
         const { databases, reportIntervalMs } = this.options.fleet;
         return nowMs - databases.get(databaseId)!.lastReportAtMs > missedReportLimit * reportIntervalMs;
     }
 
     private isReady(databaseId: string): boolean {
-        const { databases, evacuations } = this.options.fleet;
-        const report = databases.get(databaseId)?.report;
-        return report?.state === ReportedState.Ready && !evacuations.covers(report);
+        const report = this.options.fleet.databases.get(databaseId)?.report;
+        return report?.state === ReportedState.Ready && !this.isEvacuated(databaseId);
     }
 }
