--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -44,6 +44,9 @@
 const promoteMs = 600;
 const detachmentMs = 1_500;
 
+/** Time for which instances go on at a primary after its evacuation was ordered. */
+const evacuatedPrimaryMs = 2_000;
+
 interface SimulatedInstance {
     readonly instanceId: string;
     attachmentId: string | undefined;
@@ -93,6 +96,10 @@
     platformRefuses = false;
     /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
     nextRepetitionDelayMs = (): number | undefined => undefined;
+    /** Data centres whose evacuation is in force. */
+    private evacuated: ReadonlySet<string> = new Set();
+    /** Time from which instances send nothing to primaries there. */
+    private readonly refusedFromMs = new Map<string, number>();
     private readonly events = new DeadlineQueue();
     private readonly acknowledged = new Set<number>();
     private readonly links = new Map<string, SimulatedDatabase | undefined>();
@@ -292,20 +299,7 @@
     startControl(): void {
         this.control = new Pipe("fleet", [new FleetDatabaseDirectory(), new Promotions({ reportIntervalMs })]);
         this.deadlines = new DeadlineQueue();
-        const policy = {
-            ...emptyTrafficPolicy,
-            services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
-        };
-        this.push(
-            {
-                kind: FleetKind.PolicyApplied,
-                policy,
-                confirmed: true,
-                promoted: new Map(),
-                ordered: new Map(),
-                completedFences: new Map(),
-            } as Message,
-        );
+        this.applyPolicy();
         this.applyConfiguration();
         this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
         this.instances.filter(({ running }) => running).forEach(instance =>
@@ -314,6 +308,16 @@
         this.databases.forEach(database => this.after(50, () => this.report(database)));
     }
 
+    /** An operator has ordered the evacuation of these data centres, and of no others. */
+    evacuate(...dataCentres: readonly string[]): void {
+        this.evacuated = new Set(dataCentres);
+        [...this.refusedFromMs.keys()].filter(name => !this.evacuated.has(name))
+            .forEach(name => this.refusedFromMs.delete(name));
+        dataCentres.filter(name => !this.refusedFromMs.has(name))
+            .forEach(name => this.refusedFromMs.set(name, this.nowMs + evacuatedPrimaryMs));
+        this.applyPolicy();
+    }
+
     killInstance(instance: SimulatedInstance): void {
         instance.running = false;
         const { attachmentId } = instance;
@@ -342,6 +346,24 @@
         }
     }
 
+    private applyPolicy(): void {
+        const policy = {
+            ...emptyTrafficPolicy,
+            services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
+        };
+        this.push(
+            {
+                kind: FleetKind.PolicyApplied,
+                policy,
+                confirmed: true,
+                promoted: new Map(),
+                ordered: new Map(),
+                completedFences: new Map(),
+                evacuated: this.evacuated,
+            } as Message,
+        );
+    }
+
     private attach(instance: SimulatedInstance): void {
         if (this.control === undefined || instance.cutFromControl || instance.attachmentId !== undefined) {
             return;
@@ -365,7 +387,8 @@
         const serving = this.instances.filter(({ running, writes }) => running && writes);
         const instance = serving[this.nextCommit % Math.max(1, serving.length)];
         const { primary } = this;
-        if (instance === undefined || primary === undefined || primary.dark) {
+        const isRefused = this.nowMs >= (this.refusedFromMs.get(primary?.dataCentre ?? "") ?? Infinity);
+        if (instance === undefined || primary === undefined || primary.dark || isRefused) {
             return;
         }
         const { commits, orderedDatabaseId } = instance;
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -210,6 +210,8 @@
         readonly dataCentre: string;
         /** `host:port` of the sender's gRPC listener. */
         readonly address: string;
+        /** The release of the sender knows evacuations; undefined in the frames of earlier ones. */
+        readonly knowsEvacuations?: boolean | undefined;
     }
     /** The instance is shutting down and accepts no more tasks from other instances. */
     | { readonly kind: "leaving"; }
@@ -324,6 +326,8 @@
     readonly ordered: ReadonlyMap<string, string>;
     /** Fencing token of the last promotion, by service, unless that one is under way. */
     readonly completedFences: ReadonlyMap<string, number>;
+    /** Data centres whose databases get no more work, by order of an operator; undefined if there are none. */
+    readonly evacuated?: ReadonlySet<string>;
 }
 
 export interface ReadinessChanged extends Message {
