feat(session): home regions of routes and workspaces

Home regions were not read: work went to any database of its service. Decoded with the policy, checked for each placement by HomeRule and again in Forwarding; position questions of such work name no workspace; promotions prefer a database at home among equals. Refused at once where no home can serve it.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -168,6 +168,22 @@
         assert.equal(fixture.decide(), "b");
     });
 
+    it("prefers a replica at home among those with the same position, and no other one", () => {
+        const chosen = (offsets: readonly [number, number], overrides: Partial<FencingOptions> = {}) => {
+            const fixture = new FencingFixture({ homeShare: id => id === "b" ? 1 : 0, ...overrides });
+            fixture.loseLink("p", LinkLoss.NoListener);
+            ["a", "b"].forEach((databaseId, index) => {
+                fixture.openLink(databaseId, 3, 9);
+                fixture.answer(databaseId, false, 3, offsets[index]!);
+            });
+            return fixture.decide();
+        };
+        assert.equal(chosen([12, 12]), "b");
+        assert.equal(chosen([12, 12], { homeShare: id => id === "a" ? 0.5 : 0 }), "a");
+        assert.equal(chosen([12, 11]), "a");
+        assert.equal(chosen([12, 12], { preferredDatabaseId: "a" }), "a");
+    });
+
     it("does not take the repeated status of a replica that catches up for the loss of its log", () => {
         // Guards against an order for the primary that shuts down, which takes back the one for its successor.
         const fixture = new FencingFixture({ planned: true });
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -44,6 +44,8 @@
     readonly otherLogAddresses: readonly string[] | undefined;
     /** Database named by an earlier order, which may still be executed; preferred among equals. */
     readonly preferredDatabaseId: string;
+    /** Share of the service's routes that a database could serve as primary, 0 to 1; decides among equals only. */
+    readonly homeShare?: (databaseId: string) => number;
     /**
      * The primary's last order may still be executed: it must keep the lead until another database takes it, because a
      * primary that has stepped down would be made to lead again.
@@ -598,10 +600,14 @@
         return this.waitFor(PromotionWait.DatabasesToStop);
     }
 
-    /** The database with the highest position; among equals, the preferred one, or else one that is not draining. */
+    /**
+     * The database with the highest position; among equals, the preferred one, or else one that is not draining, or else the
+     * one that is at home for the most routes.
+     */
     private mostAdvanced(databases: readonly FencedDatabase[]): FencedDatabase | undefined {
-        const preference = ({ member }: FencedDatabase): number =>
-            Number(member.isReady) + 2 * Number(member.databaseId === this.options.preferredDatabaseId);
+        const { preferredDatabaseId, homeShare } = this.options;
+        const preference = ({ member: { databaseId, isReady } }: FencedDatabase): number =>
+            4 * Number(databaseId === preferredDatabaseId) + 2 * Number(isReady) + (homeShare?.(databaseId) ?? 0);
         return [...databases].sort((left, right) =>
             comparePositions(right.receivedPosition!, left.receivedPosition!) || preference(right) - preference(left)
         )[0];
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -15,11 +15,12 @@
 import { LinkKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
 import { type CommitWitness, promotionOf, type PromotionRecord } from "../model/promotion.ts";
 import { type PromotionDue, PromotionKind, type PromotionOrdered } from "../model/promotionMessages.ts";
-import type { ServicePolicy } from "../model/trafficPolicy.ts";
+import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitWitnesses } from "./commitWitnesses.ts";
+import { homeShare } from "./homePreference.ts";
 import { PromotionRecorder } from "./promotionRecorder.ts";
 import { ServicePromotion } from "./servicePromotion.ts";
 
@@ -67,6 +68,8 @@
 export interface PromotionsOptions {
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
+    /** Region of each data centre; by default none is known. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
 }
 
 export class Promotions implements Filter<PromotionsInput, Message> {
@@ -92,15 +95,17 @@
     private readonly witnesses = new CommitWitnesses();
     private readonly recorder = new PromotionRecorder();
     private readonly services = new Map<string, ServicePromotion>();
-    private policies: ReadonlyMap<string, ServicePolicy> = new Map();
+    private policy: TrafficPolicy = emptyTrafficPolicy;
     private records: readonly PromotionRecord[] = [];
     private leading = false;
     private leadingSinceMs = 0;
     private readonly reportIntervalMs: number;
+    private readonly dataCentreRegions: ReadonlyMap<string, string>;
     private nextLinkNumber = 0;
 
-    constructor({ reportIntervalMs }: PromotionsOptions) {
+    constructor({ reportIntervalMs, dataCentreRegions = new Map() }: PromotionsOptions) {
         this.reportIntervalMs = reportIntervalMs;
+        this.dataCentreRegions = dataCentreRegions;
     }
 
     process(message: PromotionsInput, nowMs: number): readonly Message[] {
@@ -112,7 +117,7 @@
                 return [matched, ...this.applyRecords(promotions, commitWitnesses, nowMs)];
             })
             .with({ kind: FleetKind.PolicyApplied }, matched => {
-                this.policies = matched.policy.services;
+                this.policy = matched.policy;
                 return [matched];
             })
             .with({ kind: FleetKind.DatabaseReportAccepted }, ({ databaseId }) => {
@@ -165,7 +170,7 @@
         }
         const reported = [...this.databases.values()].map(({ report }) => report.service);
         const open = this.records.filter(record => record.open).map(({ service }) => service);
-        const messages = [...new Set([...reported, ...open])].filter(name => this.policies.has(name))
+        const messages = [...new Set([...reported, ...open])].filter(name => this.policy.services.has(name))
             .flatMap(name => this.serviceOf(name).tick(nowMs));
         const active = [...this.services.values()].some(service => service.isActive);
         return [...this.record(nowMs), ...messages, this.timer(nowMs, active ? activeTickMs : steadyTickMs)];
@@ -174,7 +179,7 @@
     private applyReport({ report }: DatabaseChanged, nowMs: number): readonly Message[] {
         this.databases.set(report.databaseId, { report, lastReportAtMs: nowMs });
         this.departedDatabases.delete(report.databaseId);
-        if (!this.leading || !this.policies.has(report.service)) {
+        if (!this.leading || !this.policy.services.has(report.service)) {
             return [];
         }
         // The service is checked at once, because a primary that reports its shutdown is replaced without delay.
@@ -200,7 +205,7 @@
             return [];
         }
         const service = this.databases.get(frame.databaseId)?.report.service;
-        if (service === undefined || !this.policies.has(service)) {
+        if (service === undefined || !this.policy.services.has(service)) {
             return [];
         }
         const promotion = this.serviceOf(service);
@@ -223,7 +228,7 @@
     /** Records databases and instances that joined. */
     private record(nowMs: number): readonly Message[] {
         const reports = [...this.databases.values()].map(({ report }) => report)
-            .filter(({ service }) => this.policies.has(service));
+            .filter(({ service }) => this.policy.services.has(service));
         const replaceable = new Map(
             [...this.services].map(([name, service]) => [name, service.replaceableDatabases] as const),
         );
@@ -259,9 +264,17 @@
             leadingSinceMs: this.leadingSinceMs,
             nextLinkId: () => `m${this.nextLinkNumber++}`,
         };
-        const synchronousReplicas = (): number => this.policies.get(name)?.synchronousReplicas ?? 0;
+        const synchronousReplicas = (): number => this.policy.services.get(name)?.synchronousReplicas ?? 0;
         const record = (): PromotionRecord => promotionOf(this.records, name);
-        const service = new ServicePromotion({ service: name, fleet, synchronousReplicas, record });
+        const atHome = (dataCentre: string): number =>
+            homeShare(this.policy, name, this.dataCentreRegions.get(dataCentre));
+        const service = new ServicePromotion({
+            service: name,
+            fleet,
+            synchronousReplicas,
+            record,
+            homeShare: atHome,
+        });
         this.services.set(name, service);
         return service;
     }
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -91,6 +91,8 @@
     readonly fleet: FleetView;
     synchronousReplicas(): number;
     record(): PromotionRecord;
+    /** Share of the service's routes that a database in this data centre could serve as primary, 0 to 1. */
+    homeShare?(dataCentre: string): number;
 }
 
 export class ServicePromotion {
@@ -482,6 +484,7 @@
             members: () => this.members(),
             primaryId: this.replacedDatabaseId,
             preferredDatabaseId: orderedDatabaseId,
+            homeShare: databaseId => this.homeShareOf(databaseId),
             primaryKeepsLead: orderPending && primaryId === databaseId && synchronousReplicas() > 0,
             planned: this.planned,
             synchronousReplicas: synchronousReplicas(),
@@ -499,6 +502,12 @@
         return [...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
     }
 
+    private homeShareOf(databaseId: string): number {
+        const { fleet, homeShare } = this.options;
+        const dataCentre = fleet.databases.get(databaseId)?.report.dataCentre;
+        return dataCentre === undefined ? 0 : homeShare?.(dataCentre) ?? 0;
+    }
+
     private members(): readonly ElectorateMember[] {
         const { record, fleet } = this.options;
         return electorateMembers(record().databases, this.reports()).map(member => ({
--- a/src/model/trafficPolicy.ts
+++ b/src/model/trafficPolicy.ts
@@ -27,6 +27,8 @@
     readonly priority: number;
     /** Callers need no key. */
     readonly open: boolean;
+    /** Regions in which its work is run; undefined or empty if all are allowed. */
+    readonly homeRegions?: readonly string[];
 }
 
 export interface ServicePolicy {
@@ -44,6 +46,8 @@
     readonly ratePerSecond: number;
     /** Operations that may run at once after an idle time. */
     readonly burst: number;
+    /** Regions in which its work is run; undefined or empty if all are allowed. */
+    readonly homeRegions?: readonly string[];
 }
 
 /** The policy in force. */
@@ -66,3 +70,14 @@
     workspaceByKey: new Map(),
     transactionIdleMs: 0,
 };
+
+/** Returns the regions that two policies allow together; undefined if both allow all, empty if they exclude each other. */
+export function commonHomeRegions(
+    left: readonly string[] = [],
+    right: readonly string[] = [],
+): readonly string[] | undefined {
+    if (left.length === 0) {
+        return right.length === 0 ? undefined : right;
+    }
+    return right.length === 0 ? left : left.filter(region => right.includes(region));
+}
--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -237,3 +237,60 @@
         assert.ok(after.entries.every(({ section }) => section !== undefined));
     });
 });
+
+describe("home regions of a configuration document", () => {
+    const withHomes = (route: unknown, tenant: unknown): string =>
+        JSON.stringify({
+            ...documentBody,
+            routes: [{ ...documentBody.routes[0], home_regions: route }],
+            tenants: [{ ...documentBody.tenants[0], home_regions: tenant }],
+        });
+    const homesIn = (document: ConfigurationDocument, regions?: ReadonlySet<string>) => {
+        const { policy, omittedEntries } = new TrafficPolicyDecoder(regions === undefined ? {} : { regions })
+            .decode(document);
+        return {
+            route: policy.routesByDatabase.get("h")!.homeRegions,
+            tenant: policy.workspaces.get("t")!.homeRegions,
+            reasons: omittedEntries.map(({ entryId, reason }) => `${entryId}: ${reason}`),
+        };
+    };
+
+    it("are decoded, and an empty list is none", () => {
+        const { route, tenant, reasons } = homesIn(decodeDocument(withHomes(["a", "b"], [])));
+        assert.deepEqual([route, tenant, reasons], [["a", "b"], undefined, []]);
+    });
+
+    it("are refused with their place if they are no list of texts", () => {
+        for (
+            const odd of JSON.parse("[null,5,\"a\",{},[1],[null],[[\"a\"]],{\"length\":1,\"0\":\"a\"}]") as unknown[]
+        ) {
+            assert.throws(
+                () => decodeDocument(withHomes(odd, [])),
+                /"routes\.0\.home_regions": must be a list of texts/,
+            );
+            assert.throws(() => decodeDocument(withHomes([], odd)), /"tenants\.0\.home_regions"/);
+        }
+    });
+
+    it("bind work to no database where no region has such a name, with a reason for the log", () => {
+        const document = decodeDocument(withHomes(["atlantis"], ["a", "atlantis"]));
+        const { route, tenant, reasons } = homesIn(document, new Set(["a", "b"]));
+        assert.deepEqual([route, tenant], [["atlantis"], ["a", "atlantis"]]);
+        assert.deepEqual(reasons, [
+            "routes/r: home_regions names an unknown region",
+            "tenants/t: home_regions names an unknown region",
+        ]);
+        assert.deepEqual(homesIn(document).reasons, []);
+    });
+
+    it("that an earlier release stored unread are ignored with a reason if they are no list of texts", () => {
+        const stored = decodeDocument(withHomes([], []));
+        const entries = stored.entries.map(entry => ({ ...entry, body: entry.body.replace("[]", "7") }));
+        const { route, tenant, reasons } = homesIn({ ...stored, entries }, new Set(["a"]));
+        assert.deepEqual([route, tenant], [undefined, undefined]);
+        assert.deepEqual(reasons, [
+            "routes/r: home_regions must be a list of texts: ignored",
+            "tenants/t: home_regions must be a list of texts: ignored",
+        ]);
+    });
+});
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -424,6 +424,19 @@
         assert.deepEqual(withoutContract.rateTolerance, { windowMs: 1_000, share: 0, operations: 0 });
     });
 
+    it("contain the region of each data centre, as far as it can be read", () => {
+        const regionsOf = (fields: object): readonly (readonly [string, string])[] => [
+            ...decodePlatformSettings(JSON.stringify({ ...settingsFile, ...fields }), "f").dataCentreRegions,
+        ];
+        assert.deepEqual(regionsOf({ region: "r", zones: { z: "r", y: "q" } }), [["z", "r"], ["y", "q"]]);
+        assert.deepEqual(regionsOf({ region: "r" }), [["z", "r"]]);
+        assert.deepEqual(regionsOf({ region: 5, zones: { z: 5, y: "q", x: ["q"], w: "" } }), [["y", "q"]]);
+        for (const odd of JSON.parse("[null,5,\"z\",[\"z\"],[{}]]") as unknown[]) {
+            assert.deepEqual(regionsOf({ zones: odd }), []);
+        }
+        assert.deepEqual(regionsOf({}), []);
+    });
+
     it("cause an error that names the file and the field if they are invalid", () => {
         const text = JSON.stringify({ ...settingsFile, seeds: ["nowhere"] });
         assert.throws(() => decodePlatformSettings(text, "local.json"), /local\.json: "seeds\.0"/);
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -28,6 +28,8 @@
     own: RouteConsistency.Session,
 } as const;
 
+const regionsSchema = z.custom<readonly string[]>(isTextList, "must be a list of texts").default([]);
+
 const routeSchema = z.object({
     name: nameSchema,
     host: nameSchema,
@@ -39,6 +41,7 @@
     service: nameSchema,
     max_staleness_ms: z.number().nonnegative().optional(),
     public: z.boolean().default(false),
+    home_regions: regionsSchema,
 });
 
 const serviceSchema = z.object({
@@ -52,8 +55,13 @@
     api_keys: z.custom<readonly string[]>(isTextList, "must be a list of texts").default([]),
     rate_per_s: z.number().nonnegative(),
     burst: z.number().nonnegative().default(0),
+    home_regions: regionsSchema,
 });
 
+/** Earlier releases stored whatever stood in place of the home regions, and did not read it. */
+const storedRouteSchema = routeSchema.extend({ home_regions: regionsSchema.catch([]) });
+const storedTenantSchema = tenantSchema.extend({ home_regions: regionsSchema.catch([]) });
+
 const limitsSchema = z.object({ tx_idle_ms: z.number().nonnegative().optional() });
 
 /** The elements have schemas of their own: a list of thousands that do not match would yield as many issues. */
@@ -76,6 +84,9 @@
 /** Sections whose elements are separate entries, if their value is an array. */
 const listSections = ["routes", "services", "tenants"];
 
+/** Sections whose elements may have home regions. */
+const sectionsWithHomes = ["routes", "tenants"];
+
 /** Rejection of a document; the message is shown to the operator. */
 export class InvalidDocumentError extends Error {}
 
@@ -121,6 +132,12 @@
 /** Decodes the entries of a document into a traffic policy. Parsed entries are cached. */
 export class TrafficPolicyDecoder implements DocumentDecoder {
     private readonly parsedByEntry = new WeakMap<DocumentEntry, unknown>();
+    private readonly regions: ReadonlySet<string>;
+
+    /** @param options `regions` that data centres are in; by default, none is known and all names are taken as they are */
+    constructor({ regions = new Set() }: { readonly regions?: ReadonlySet<string>; } = {}) {
+        this.regions = regions;
+    }
 
     decode(document: ConfigurationDocument): DecodedDocument {
         const entries = entriesBySection(document);
@@ -132,16 +149,20 @@
             isUsable: (body: Body) => boolean,
         ): readonly Item[] =>
             (entries.get(section) ?? []).flatMap(entry => {
-                const body = parseEntry(schema, entry, this.parseJson(entry));
+                const value = this.parseJson(entry);
+                const body = parseEntry(schema, entry, value);
+                if (sectionsWithHomes.includes(section)) {
+                    omittedEntries.push(...describeHomes(entry.entryId, value, this.regions));
+                }
                 if (!isUsable(body)) {
                     omittedEntries.push({ entryId: entry.entryId, reason: `a name ${wordRule}` });
                 }
                 return isUsable(body) ? [decodeItem(body)] : [];
             });
         // Earlier releases stored names that no line can carry. Nobody can ask for such a route or send such a key.
-        const routes = decodeSection("routes", routeSchema, decodeRoute, isUsableRoute);
+        const routes = decodeSection("routes", storedRouteSchema, decodeRoute, isUsableRoute);
         const services = decodeSection("services", serviceSchema, decodeService, ({ name }) => isName(name));
-        const workspaces = decodeSection("tenants", tenantSchema, decodeTenant, ({ name }) => isTenantName(name));
+        const workspaces = decodeSection("tenants", storedTenantSchema, decodeTenant, ({ name }) => isTenantName(name));
         const [transactionIdleMs = 0] = decodeSection("limits", limitsSchema, decodeIdleLimit, () => true);
         const policy = {
             ...emptyTrafficPolicy,
@@ -219,6 +240,7 @@
         targetLatencyMs: body.target_latency_ms ?? body.timeout_ms,
         priority: body.priority,
         open: body.public,
+        ...homesOf(body),
     };
 }
 
@@ -236,9 +258,27 @@
         keys: body.api_keys.map(toWireName).filter(isWireKey),
         ratePerSecond: body.rate_per_s,
         burst: body.burst,
+        ...homesOf(body),
     };
 }
 
+/** Names of regions that no settings know stay: what is bound to them alone has no database that may run it. */
+function homesOf({ home_regions: homeRegions }: { readonly home_regions: readonly string[]; }): {
+    readonly homeRegions?: readonly string[];
+} {
+    return homeRegions.length === 0 ? {} : { homeRegions };
+}
+
+/** Tells what has no effect in the home regions of an entry. */
+function describeHomes(entryId: string, value: unknown, regions: ReadonlySet<string>): readonly OmittedEntry[] {
+    const homes = regionsSchema.safeParse((value as { readonly home_regions?: unknown; }).home_regions);
+    if (!homes.success) {
+        return [{ entryId, reason: `home_regions ${homes.error.issues[0]?.message}: ignored` }];
+    }
+    const unknown = regions.size === 0 ? undefined : homes.data.find(region => !regions.has(region));
+    return unknown === undefined ? [] : [{ entryId, reason: "home_regions names an unknown region" }];
+}
+
 function decodeIdleLimit({ tx_idle_ms: idleMs = 0 }: z.infer<typeof limitsSchema>): number {
     return idleMs;
 }
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -25,6 +25,9 @@
     serves: z.array(z.string()),
     ip: hostSchema,
     zone: z.string().min(1),
+    // Not known to platforms without regions. Where it can't be read, no data centre counts as being at home.
+    region: z.string().optional().catch(undefined),
+    zones: z.record(z.string(), z.unknown()).default({}).catch({}),
     listen: z.object({
         front: addressSchema.optional(),
         ready: addressSchema.optional(),
@@ -55,6 +58,8 @@
     readonly instanceId: string;
     readonly host: string;
     readonly dataCentre: string;
+    /** Region of each data centre. */
+    readonly dataCentreRegions: ReadonlyMap<string, string>;
     /** Listener for callers; undefined on machines that serve none. */
     readonly callerEndpoint: SocketAddress | undefined;
     /** Listener for the readiness checks of the platform. */
@@ -123,6 +128,7 @@
         instanceId: file.node,
         host: file.ip,
         dataCentre: file.zone,
+        dataCentreRegions: decodeRegions(file),
         callerEndpoint: parseEndpoint(file.listen.front),
         readinessEndpoint: parseEndpoint(file.listen.ready),
         controlEndpoint: parseEndpoint(file.listen.control),
@@ -146,6 +152,13 @@
     };
 }
 
+/** Entries that are no names are left out. */
+function decodeRegions({ zone, region, zones }: z.infer<typeof fileSchema>): ReadonlyMap<string, string> {
+    const own = region === undefined ? [] : [[zone, region] as const];
+    const listed = Object.entries(zones).filter((entry): entry is [string, string] => typeof entry[1] === "string");
+    return new Map([...own, ...listed].filter(([, name]) => name !== ""));
+}
+
 // The loss of a zone or region includes at least one member. By default, the loss of a minority is tolerated.
 function decodeFaultTolerance(file: z.infer<typeof fileSchema>): number {
     const toleratedLosses = file.fault_tolerance
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -25,6 +25,7 @@
 import { Admission } from "../admission.ts";
 import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
+import { HomeRule } from "../homeRule.ts";
 import { Links } from "../links.ts";
 import { PassedTasks } from "../passedTasks.ts";
 import { Routing } from "../routing.ts";
@@ -73,8 +74,11 @@
 
     private readonly permits: number;
 
-    /** @param permits granted to each workspace together with a policy */
-    constructor(permits = 100) {
+    /**
+     * @param permits granted to each workspace together with a policy
+     * @param dataCentreRegions region of each data centre
+     */
+    constructor(permits = 100, dataCentreRegions: ReadonlyMap<string, string> = new Map()) {
         this.permits = permits;
         const filters = [
             new FloorExchange({ instanceId: "front1", dataCentre: "dc1" }),
@@ -82,8 +86,8 @@
             this.sessions,
             new Admission({ random: new SeededRandom(20261204) }),
             new PassedTasks(),
-            new Routing({ dataCentre: "dc1" }),
-            new Forwarding({ instanceId: "front1" }),
+            new Routing({ dataCentre: "dc1", rules: [new HomeRule(dataCentreRegions)] }),
+            new Forwarding({ instanceId: "front1", dataCentreRegions }),
             new Links(),
         ];
         this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("session", filters)], sinks: [this] });
@@ -135,12 +139,21 @@
 
     /** Applies a policy with the workspaces "w" (key "k") and "v" (key "kv") and the routes, and grants permits. */
     configure(...routes: readonly RoutePolicy[]): void {
+        this.applyPolicy(routes, []);
+    }
+
+    /** Applies a policy in which the workspace "w" has home regions. */
+    configureWorkspaceHomes(policy: RoutePolicy, homeRegions: readonly string[]): void {
+        this.applyPolicy([policy], homeRegions);
+    }
+
+    private applyPolicy(routes: readonly RoutePolicy[], homeRegions: readonly string[]): void {
         const policy: TrafficPolicy = {
             version: 1,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
             services: new Map([["s", { name: "s", connectionLimit: 22, synchronousReplicas: 1 }]]),
             workspaces: new Map([
-                ["w", { name: "w", keys: ["k"], ratePerSecond: 100, burst: 100 }],
+                ["w", { name: "w", keys: ["k"], ratePerSecond: 100, burst: 100, homeRegions }],
                 ["v", { name: "v", keys: ["kv"], ratePerSecond: 100, burst: 100 }],
             ]),
             workspaceByKey: new Map([["k", "w"], ["kv", "v"]]),
@@ -185,14 +198,19 @@
         );
     }
 
-    reportDatabase(databaseId: string, leads: boolean, dataCentre = "dc1"): void {
+    reportDatabase(
+        databaseId: string,
+        leads: boolean,
+        dataCentre = "dc1",
+        state: ReportedState = ReportedState.Ready,
+    ): void {
         const report: DatabaseReport = {
             databaseId,
             service: "s",
             address: `${databaseId}:1`,
             dataCentre,
             slots: 3,
-            state: ReportedState.Ready,
+            state,
             leads,
             sequence: 1,
             bornUnixMs: 1,
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -6,7 +6,7 @@
     type PolicyApplied,
     ReportedState,
 } from "../../model/fleetMessages.ts";
-import { LinkKind } from "../../model/linkMessages.ts";
+import { LinkKind, type LinkOpen } from "../../model/linkMessages.ts";
 import {
     type PeerAnswer,
     type PeerInstance,
@@ -22,7 +22,12 @@
     type StatementAnswer,
     TaskMode,
 } from "../../model/sessionStatement.ts";
-import { RouteConsistency, type RoutePolicy, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
+import {
+    commonHomeRegions,
+    RouteConsistency,
+    type RoutePolicy,
+    type WorkspacePolicy,
+} from "../../model/trafficPolicy.ts";
 import { type Clock, EventLoop } from "../../pipeline/eventLoop.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
@@ -33,6 +38,7 @@
 import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
 import { HolderRanking } from "../holderRanking.ts";
+import { HomeRule } from "../homeRule.ts";
 import { Links } from "../links.ts";
 import { PassedTasks } from "../passedTasks.ts";
 import { Routing } from "../routing.ts";
@@ -71,6 +77,10 @@
     readonly processorShare?: number;
     /** Pause between two statements of a transaction. */
     readonly transactionPauseMs?: number;
+    /** Region of each data centre; by default none is known. */
+    readonly regions?: ReadonlyMap<string, string>;
+    /** Home regions by the name of the route or of the workspace; by default none has any. */
+    readonly homeRegions?: ReadonlyMap<string, readonly string[]>;
 }
 
 /** Time from SIGTERM to SIGKILL, and the part of it in which new sessions are still accepted. */
@@ -123,6 +133,10 @@
     /** Statements that ran on a database without a commit that they had to see. */
     readonly staleStatementIds: string[] = [];
     readonly checker = new AnswerChecker();
+    /** What was done for sessions and workspaces outside of their home regions. */
+    readonly outsideHome: string[] = [];
+    /** Sessions with the home regions of their route and workspace together. */
+    readonly homesBySession = new Map<string, readonly string[]>();
     /** Time before which all commits must be visible to a statement, by its id. */
     private readonly visibleBeforeMs = new Map<string, number>();
 
@@ -142,7 +156,10 @@
                 random: new SeededRandom((options.seed ?? 1) + index),
                 checker: this.checker,
             });
-            database.onStatement = (statementId, commits) => this.checkRead(database, statementId, commits);
+            database.onStatement = (statementId, commits) => {
+                this.checkRead(database, statementId, commits);
+                this.checkHome(sessionIdOf(statementId), database.report.dataCentre, "run");
+            };
             this.databases.set(database.report.databaseId, database);
         }
         this.databases.forEach(database => this.linkReplicas(database));
@@ -243,6 +260,14 @@
         this.visibleBeforeMs.set(statementId, beforeMs);
     }
 
+    /** Records what is done for a session in a data centre outside of its home regions. */
+    checkHome(sessionId: string, dataCentre: string, action: string): void {
+        const homes = this.homesBySession.get(sessionId);
+        if (homes !== undefined && !homes.includes(this.options.regions?.get(dataCentre) ?? "")) {
+            this.outsideHome.push(`${sessionId} ${action} in ${dataCentre}`);
+        }
+    }
+
     private checkRead(database: StandInDatabase, statementId: string, commits: number): void {
         const beforeMs = this.visibleBeforeMs.get(statementId) ?? -Infinity;
         if ((database.primary?.commits[commits] ?? Infinity) < beforeMs) {
@@ -302,13 +327,14 @@
             keys: [`k-${name}`],
             ratePerSecond: 1e4,
             burst: 1e4,
+            homeRegions: this.options.homeRegions?.get(name) ?? [],
         }));
         const services = Array.from({ length: this.options.services }, (_, index) => `service${index}`);
         const routes = services.flatMap(service => [
             routeOf("orders", service, RouteConsistency.Primary, 0),
             routeOf("lookup", service, RouteConsistency.Bounded, 1_500),
             routeOf("status", service, RouteConsistency.Session, 2_500),
-        ]);
+        ]).map(route => ({ ...route, homeRegions: this.options.homeRegions?.get(route.name) ?? [] }));
         const connectionLimit = this.options.connectionLimit ?? 82;
         return {
             version: 1,
@@ -362,14 +388,15 @@
         this.fleet = fleet;
         this.peer = peer;
         const { instanceId, dataCentre } = peer;
+        const dataCentreRegions = fleet.options.regions ?? new Map<string, string>();
         const filters = [
             new FloorExchange({ instanceId, dataCentre }),
             new SessionAccess(),
             new Sessions(),
             new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
-            new Routing({ dataCentre }),
-            new Forwarding({ instanceId }),
+            new Routing({ dataCentre, rules: [new HomeRule(dataCentreRegions)] }),
+            new Forwarding({ instanceId, dataCentreRegions }),
             new Links(),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
@@ -477,6 +504,7 @@
                 return this.sendAnswer(message as PeerAnswer);
             case LinkKind.Open:
                 this.counters.linksOpened += 1;
+                this.checkLink(message as LinkOpen);
                 return this.sendToDatabase((message as unknown as { databaseId: string; }).databaseId, message);
             case LinkKind.Send:
             case LinkKind.Close:
@@ -487,12 +515,25 @@
         }
     }
 
+    /** A link tells the database the name of the workspace. */
+    private checkLink({ databaseId, workspace }: LinkOpen): void {
+        const { homeRegions, regions } = this.fleet.options;
+        const homes = homeRegions?.get(workspace) ?? [];
+        const { dataCentre } = this.fleet.databases.get(databaseId)!.report;
+        if (homes.length > 0 && !homes.includes(regions?.get(dataCentre) ?? "")) {
+            this.fleet.outsideHome.push(`${workspace} named in ${dataCentre}`);
+        }
+    }
+
     private sendQuestion({ address, question }: PeerSend): void {
         const other = this.fleet.node(address);
         if (other === undefined || other.killed) {
             this.fleet.schedule.after(localDelayMs, () => this.post({ kind: PeerKind.Lost, address } as Message));
             return;
         }
+        if (question.kind === "task") {
+            this.fleet.checkHome(question.sessionId, other.peer.dataCentre, "carried");
+        }
         const bytes = encodeQuestion(question).body.length + framingBytes;
         this.counters.bytesOut += bytes;
         const floorBytes = isProbe(question) ? bytes : 0;
@@ -569,8 +610,13 @@
     }
 
     start(): void {
-        const key = `k-${this.fleet.workspace()}`;
+        const workspace = this.fleet.workspace();
+        const key = `k-${workspace}`;
         const { sessionId } = this;
+        const homes = commonHomeRegions(this.route.homeRegions, this.fleet.options.homeRegions?.get(workspace));
+        if (homes !== undefined) {
+            this.fleet.homesBySession.set(sessionId, homes);
+        }
         this.node.post({ kind: SessionKind.Opened, sessionId, database: this.route.database, key } as Message);
         this.startOperation();
     }
@@ -706,6 +752,10 @@
     }
 }
 
+function sessionIdOf(statementId: string): string {
+    return statementId.slice(0, statementId.lastIndexOf("-"));
+}
+
 function isProbe(question: PeerQuestion): boolean {
     return question.kind === "floor" || question.kind === "task" && question.mode === TaskMode.Probe;
 }
--- a/src/session/authorization.ts
+++ b/src/session/authorization.ts
@@ -1,11 +1,13 @@
 /** Resolves the route and the workspace of a caller according to the current policy. */
 import { StatementFault } from "../model/sessionStatement.ts";
-import type { RoutePolicy, TrafficPolicy } from "../model/trafficPolicy.ts";
+import { commonHomeRegions, type RoutePolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 
 export interface Access {
     readonly route: RoutePolicy;
     /** Empty for callers of open routes without a key. */
     readonly workspace: string;
+    /** Regions that the route and the workspace allow together; undefined if both allow all. */
+    readonly homeRegions: readonly string[] | undefined;
 }
 
 export interface AccessFault {
@@ -23,7 +25,11 @@
     if (workspace === undefined && !route.open) {
         return { fault: StatementFault.NotAuthorized, detail: `the key is unknown or withdrawn in ${source}` };
     }
-    return { route, workspace: workspace ?? "" };
+    const homeRegions = commonHomeRegions(
+        route.homeRegions,
+        workspace === undefined ? undefined : policy.workspaces.get(workspace)?.homeRegions,
+    );
+    return { route, workspace: workspace ?? "", homeRegions };
 }
 
 export function isFault(access: Access | AccessFault): access is AccessFault {
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -25,6 +25,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { HolderRanking } from "./holderRanking.ts";
+import { HomeRule } from "./homeRule.ts";
 import { preparedStatementOf } from "./link.ts";
 import { Responsiveness } from "./responsiveness.ts";
 import {
@@ -106,6 +107,8 @@
 
 export interface ForwardingOptions {
     readonly instanceId: string;
+    /** Region of each data centre; by default none is known. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
 }
 
 export class Forwarding implements Filter<ForwardingInput, Message> {
@@ -124,6 +127,7 @@
         FleetKind.DatabaseSuspected,
     ];
     private readonly instanceId: string;
+    private readonly homes: HomeRule;
     private readonly ranking = new HolderRanking();
     private readonly databases = new Map<string, DatabaseReport>();
     private readonly responsiveness = new Responsiveness({
@@ -143,8 +147,9 @@
     private readonly timedOutReads = new Map<string, PendingAttempt>();
     private nextAttemptNumber = 0;
 
-    constructor({ instanceId }: ForwardingOptions) {
+    constructor({ instanceId, dataCentreRegions = new Map() }: ForwardingOptions) {
         this.instanceId = instanceId;
+        this.homes = new HomeRule(dataCentreRegions);
     }
 
     process(message: ForwardingInput, nowMs: number): readonly Message[] {
@@ -187,7 +192,7 @@
     }
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
-        const { address, isHolder } = this.chooseHolder(placed.databaseId, nowMs);
+        const { address, isHolder } = this.chooseHolder(placed.databaseId, nowMs, placed.task.homeRegions);
         const holderChanged = this.publishHolder(placed.databaseId, isHolder);
         return address === undefined
             ? [...holderChanged, placed]
@@ -210,9 +215,16 @@
             );
     }
 
-    private chooseHolder(databaseId: string, nowMs: number): HolderChoice {
+    /**
+     * A task with home regions passes no other instance elsewhere, also none near this one: the caller may be in another
+     * region than the instance that it has chosen. Holders are in the data centre of their database, so that it is this
+     * instance that uses the database if none of them may carry the task.
+     */
+    private chooseHolder(databaseId: string, nowMs: number, homeRegions?: readonly string[]): HolderChoice {
         const report = this.databases.get(databaseId);
-        const ranked = report === undefined ? [] : this.ranking.rank(databaseId, report.dataCentre);
+        const ranked = report === undefined || !this.homes.isAtHome(report.dataCentre, homeRegions)
+            ? []
+            : this.ranking.rank(databaseId, report.dataCentre);
         const holder = this.firstUsable(databaseId, ranked, nowMs);
         const isSelf = holder !== undefined && this.isThisInstance(holder);
         // A skipped instance that still runs keeps its connections; those of two holders exceed the connection limit.
--- a/src/session/placementRule.ts
+++ b/src/session/placementRule.ts
@@ -30,6 +30,8 @@
     readonly route: RoutePolicy;
     /** Empty for callers of open routes without a key. */
     readonly workspace: string;
+    /** Regions whose databases may run the task; undefined if all may. */
+    readonly homeRegions?: readonly string[];
 }
 
 export interface PlacementRule {
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -3,6 +3,7 @@
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
+    type DatabaseReport,
     type DatabaseSuspected,
     FleetKind,
     type FrameReceived,
@@ -22,7 +23,7 @@
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
 import { FloorSamples, laterFloor } from "./floorSamples.ts";
-import { checkRules, type PassedOver, type PlacementRule } from "./placementRule.ts";
+import { checkRules, type PassedOver, PassOverReason, type PlacementRule } from "./placementRule.ts";
 import {
     endTask,
     type FloorLearned,
@@ -232,13 +233,19 @@
         if (task.deadlineMs - nowMs < minimumAttemptMs) {
             return this.endRouted(endTask(task, routed.lastFault ?? StatementFault.Busy, deadlineText(routed)));
         }
+        if (task.homeRegions?.length === 0) {
+            return this.refusePassedOver(routed, noHome);
+        }
         return task.needsPrimary ? this.placeAtPrimary(routed, nowMs) : this.placeForRead(routed, nowMs);
     }
 
     private placeAtPrimary(routed: RoutedTask, nowMs: number): readonly Message[] {
         const databaseId = this.databases.primary(routed.task.route.service, nowMs);
         if (databaseId === undefined) {
-            return this.waitForRetry(routed, nowMs);
+            const passedOver = this.objectionToAll(routed.task, nowMs);
+            return passedOver === undefined
+                ? this.waitForRetry(routed, nowMs)
+                : this.waitOrRefuse(routed, passedOver, nowMs);
         }
         const passedOver = checkRules(this.rules, this.databases.report(databaseId)!, routed.task, nowMs);
         return passedOver === undefined
@@ -247,26 +254,68 @@
     }
 
     /** Waits if the database may get the task within its latency objective; otherwise refuses it at once. */
-    private waitOrRefuse(routed: RoutedTask, { reason, retryAfterMs }: PassedOver, nowMs: number): readonly Message[] {
+    private waitOrRefuse(routed: RoutedTask, passedOver: PassedOver, nowMs: number): readonly Message[] {
         const { task } = routed;
-        if (nowMs + retryAfterMs < task.receivedMs + task.route.targetLatencyMs) {
-            return this.waitForRetry(routed, nowMs, retryAfterMs);
-        }
+        const { reason, retryAfterMs } = passedOver;
+        const mayChange = reason !== PassOverReason.OutsideHome;
+        return mayChange && nowMs + retryAfterMs < task.receivedMs + task.route.targetLatencyMs
+            ? this.waitForRetry(routed, nowMs, retryAfterMs)
+            : this.refusePassedOver(routed, passedOver);
+    }
+
+    private refusePassedOver({ task }: RoutedTask, { reason, retryAfterMs }: PassedOver): readonly Message[] {
         const text = retryText(`every database that could run it is passed over (${reason})`, retryAfterMs);
         return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
+    /** Returns the objection that ends first if the rules keep a task from all databases of its service. */
+    private objectionToAll(task: Task, nowMs: number): PassedOver | undefined {
+        const objections = this.databases.reportsOf(task.service)
+            .map(report => checkRules(this.rules, report, task, nowMs));
+        return objections.length > 0 && objections.every(objection => objection !== undefined)
+            ? soonest(objections)
+            : undefined;
+    }
+
+    /** Waits for one of the databases, unless those that are at home are all about to leave. */
+    private waitForUsable(
+        routed: RoutedTask,
+        databases: readonly DatabaseReport[],
+        nowMs: number,
+    ): readonly Message[] {
+        const objections = databases.map(({ databaseId }) => this.databases.passOverForRead(databaseId, nowMs));
+        const allLeave = objections.every(objection => objection?.reason === PassOverReason.Draining);
+        return routed.task.homeRegions !== undefined && allLeave
+            ? this.refusePassedOver(routed, soonest(objections))
+            : this.waitForRetry(routed, nowMs);
+    }
+
+    /**
+     * Requests a position and waits for it. After a while the primary runs the read without one, unless a rule keeps it from
+     * there.
+     */
+    private waitForFloor(routed: RoutedTask, nowMs: number): readonly Message[] {
+        const passedOver = this.objectionToAll(routed.task, nowMs);
+        if (passedOver !== undefined) {
+            return this.waitOrRefuse(routed, passedOver, nowMs);
+        }
+        const primaryId = this.databases.primary(routed.task.service, nowMs);
+        const mayUsePrimary = primaryId === undefined
+            || checkRules(this.rules, this.databases.report(primaryId)!, routed.task, nowMs) === undefined;
+        return [
+            ...this.requestFloor(routed.task, nowMs),
+            ...nowMs - routed.admittedMs < floorPatienceMs || !mayUsePrimary
+                ? this.waitForRetry(routed, nowMs)
+                : this.placeAtPrimary(routed, nowMs),
+        ];
+    }
+
     private placeForRead(routed: RoutedTask, nowMs: number): readonly Message[] {
         const { task } = routed;
         const { service, maximumAgeMs } = task.route;
         const floor = this.samples.floorFor(service, task.receivedMs - maximumAgeMs);
         if (floor === undefined) {
-            return [
-                ...this.requestFloor(task, nowMs),
-                ...nowMs - routed.admittedMs < floorPatienceMs
-                    ? this.waitForRetry(routed, nowMs)
-                    : this.placeAtPrimary(routed, nowMs),
-            ];
+            return this.waitForFloor(routed, nowMs);
         }
         const renewal = this.renewFloor(task, nowMs);
         const reports = this.databases.reportsOf(service);
@@ -279,7 +328,7 @@
             .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs) === undefined);
         const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds);
         return databaseId === undefined
-            ? [...renewal, ...this.waitForRetry(routed, nowMs)]
+            ? [...renewal, ...this.waitForUsable(routed, allowed, nowMs)]
             : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
     }
 
@@ -326,8 +375,10 @@
             : this.requestFloor(task, nowMs);
     }
 
-    private requestFloor({ route, workspace }: Task, nowMs: number): readonly Message[] {
+    /** The question of a task with home regions names no workspace, because the primary may be elsewhere. */
+    private requestFloor({ route, workspace: name, homeRegions }: Task, nowMs: number): readonly Message[] {
         const { service, maximumAgeMs } = route;
+        const workspace = homeRegions === undefined ? name : "";
         if (nowMs < (this.floorRequestedUntilMs.get(service) ?? 0)) {
             return [];
         }
@@ -465,6 +516,9 @@
     }
 }
 
+/** The route and the workspace have no home region in common. */
+const noHome: PassedOver = { reason: PassOverReason.OutsideHome, retryAfterMs: 10_000 };
+
 /** @param objections one for each database */
 function soonest(objections: readonly (PassedOver | undefined)[]): PassedOver {
     return objections.map(objection => objection!)
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -326,7 +326,8 @@
             return this.refuseNotRun(session, totalExceededText, totalExceededText);
         }
         session.runningBytes = bytes;
-        const { route, workspace } = transaction?.access ?? (access as Exclude<typeof access, { fault: unknown; }>);
+        const { route, workspace, homeRegions } = transaction?.access
+            ?? (access as Exclude<typeof access, { fault: unknown; }>);
         if (transaction !== undefined) {
             transaction.hasWritten ||= writes;
         }
@@ -349,6 +350,7 @@
             sessionFloor: session.floors.get(route.service),
             receivedMs: nowMs,
             deadlineMs: Math.min(nowMs + route.statementLimitMs, this.drain?.answersUntilMs ?? Infinity),
+            ...homeRegions === undefined ? {} : { homeRegions },
         };
         session.running = task;
         return [{ kind: transaction?.pinned === true ? TaskKind.Continued : TaskKind.Submitted, task } as Message];
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -75,6 +75,8 @@
     readonly context: SessionContext;
     /** Deadline of the statement over all attempts. */
     readonly deadlineMs: number;
+    /** Regions whose databases may run it and whose instances may carry it; undefined if all may. */
+    readonly homeRegions?: readonly string[];
 }
 
 /** A statement that needs a database, with the data from which routing chooses the database. */
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -26,6 +26,7 @@
         instanceId: "core1",
         host: "127.0.0.1",
         dataCentre: "dc1",
+        dataCentreRegions: new Map(),
         callerEndpoint: undefined,
         readinessEndpoint: undefined,
         controlEndpoint: { host: "127.0.0.1", port: await findFreePort() },
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -22,6 +22,7 @@
 import { Admission } from "../session/admission.ts";
 import { FloorExchange } from "../session/floorExchange.ts";
 import { Forwarding } from "../session/forwarding.ts";
+import { HomeRule } from "../session/homeRule.ts";
 import { Links } from "../session/links.ts";
 import { PassedTasks } from "../session/passedTasks.ts";
 import { Routing } from "../session/routing.ts";
@@ -31,16 +32,19 @@
 export interface ProxyPipeOptions {
     readonly instanceId: string;
     readonly dataCentre: string;
+    /** Region of each data centre. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
     /** `host:port` at which other instances reach the gRPC listener. */
     readonly rpcAddress: string;
     readonly seed: number;
 }
 
 /** Builds the pipes of a proxy, which serves callers. */
-export function buildProxyPipes({ instanceId, dataCentre, rpcAddress, seed }: ProxyPipeOptions): readonly Pipe[] {
+export function buildProxyPipes(options: ProxyPipeOptions): readonly Pipe[] {
+    const { instanceId, dataCentre, dataCentreRegions = new Map<string, string>(), rpcAddress, seed } = options;
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
-        new PolicyFilter(new TrafficPolicyDecoder()),
+        new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
         new FleetDatabaseDirectory(),
         new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, followsConfiguration: true }),
         new MemberDiscovery({ address: rpcAddress, isMember: false, random: new SeededRandom(seed + 1) }),
@@ -54,8 +58,8 @@
         new Sessions(),
         new Admission({ random: new SeededRandom(seed) }),
         new PassedTasks(),
-        new Routing({ dataCentre }),
-        new Forwarding({ instanceId }),
+        new Routing({ dataCentre, rules: [new HomeRule(dataCentreRegions)] }),
+        new Forwarding({ instanceId, dataCentreRegions }),
         new Links(),
     ]);
     return [fleet, session];
@@ -65,6 +69,8 @@
     readonly self: Member;
     readonly initialMembers: readonly InitialMember[];
     readonly dataCentre: string;
+    /** Region of each data centre. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
     /** True for the first start of the whole system, in which the members form a new cluster. */
     readonly canFormCluster: boolean;
     /** Number of members whose disks may be lost at the same time without a loss of committed entries. */
@@ -80,6 +86,7 @@
 /** Builds the pipes of a control member. */
 export function buildMemberPipes(options: MemberPipeOptions): readonly Pipe[] {
     const { self, dataCentre, rateTolerance, reportIntervalMs, snapshotEntries } = options;
+    const dataCentreRegions = options.dataCentreRegions ?? new Map<string, string>();
     const control = new Pipe(
         "control",
         controlFilters({
@@ -94,7 +101,7 @@
     );
     const { memberId: instanceId, address } = self;
     const fleet = new Pipe("fleet", [
-        new PolicyFilter(new TrafficPolicyDecoder()),
+        new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
         new FleetDatabaseDirectory(),
         new AttachmentHub({ instanceId }),
         new Attachments({ instanceId, dataCentre, address, serves: false, followsConfiguration: false }),
@@ -102,7 +109,7 @@
         new ConfigurationDocuments(),
         new ConfigurationProofs(),
         new PermitLeader({ tolerance: rateTolerance }),
-        new Promotions({ reportIntervalMs }),
+        new Promotions({ reportIntervalMs, dataCentreRegions }),
     ]);
     return [control, fleet];
 }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -185,9 +185,9 @@
 
 async function buildProxy(context: ProcessContext): Promise<ProcessComponents> {
     const { settings, stopDeadline, post, clientFactory, authentication, seed, loadLog, stack } = context;
-    const { instanceId, dataCentre, callerEndpoint, readinessEndpoint } = settings;
+    const { instanceId, dataCentre, dataCentreRegions, rpcAddress, callerEndpoint, readinessEndpoint } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
-    const pipes = buildProxyPipes({ instanceId, dataCentre, rpcAddress: settings.rpcAddress, seed: seed + 2 });
+    const pipes = buildProxyPipes({ instanceId, dataCentre, dataCentreRegions, rpcAddress, seed: seed + 2 });
     const server = stack.use(new WireServer({ ...callerEndpoint!, post }));
     const readinessServer = stack.use(new ReadinessServer());
     const random = new SeededRandom(seed);
@@ -234,6 +234,7 @@
         promotionOrderAddress,
         instanceId,
         dataCentre,
+        dataCentreRegions,
         reportIntervalMs,
         faultTolerance,
     } = settings;
@@ -252,6 +253,7 @@
         self,
         initialMembers: settings.seeds,
         dataCentre,
+        dataCentreRegions,
         canFormCluster: settings.isBootstrap,
         faultTolerance,
         rateTolerance: settings.rateTolerance,
