feat(fleet): budgets of cold databases, granted by the control leader

Databases that started, come back from an evacuation or say that they are cold got all that instances had for them. ColdRule spares tasks the way.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -99,6 +99,15 @@
         assert.deepEqual(report(directory, known), []);
     });
 
+    it("tells when a database becomes cold or warm, and not how the time shrinks in between", () => {
+        const directory = directoryWith("orders");
+        const changed = [0, 4_000, 3_000, 3_500, 0, undefined, 10].map((coldLeftMs, index) =>
+            kindsOf(report(directory, { ...known, sequence: 10 + index, coldLeftMs }))
+                .includes(FleetKind.DatabaseChanged)
+        );
+        assert.deepEqual(changed, [false, true, false, false, true, false, true]);
+    });
+
     it("passes on no report that arrives late", () => {
         const directory = directoryWith("orders");
         assert.deepEqual(report(directory, { ...known, sequence: 3 }), []);
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -153,5 +153,9 @@
 function hasChanged(report: DatabaseReport, previous: DatabaseReport): boolean {
     return report.address !== previous.address || report.state !== previous.state || report.leads !== previous.leads
         || report.slots !== previous.slots || report.bornUnixMs !== previous.bornUnixMs
-        || report.service !== previous.service;
+        || report.service !== previous.service || isCold(report) !== isCold(previous);
+}
+
+function isCold({ coldLeftMs = 0 }: DatabaseReport): boolean {
+    return coldLeftMs > 0;
 }
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -52,6 +52,11 @@
     RateLeaderSilent: "fleet.rate_leader_silent",
     PermitRequestDue: "fleet.permit_ask_due",
     PermitCheckDue: "fleet.permit_check_due",
+    /** The number of tasks changed that wait for the right to be sent to a cold database. */
+    ColdNeeded: "fleet.cold_needed",
+    /** The control leader allowed some of them. */
+    ColdGranted: "fleet.cold_granted",
+    ColdRequestDue: "fleet.cold_ask_due",
     /** A report that is newer than the previous one of its database arrived, whether or not its content changed. */
     DatabaseReportAccepted: "fleet.database_heard",
     ConfigurationLagCheckDue: "fleet.directory_due",
@@ -86,6 +91,8 @@
     readonly sequence: number;
     /** Start time of the database process in Unix milliseconds; 0 if not reported. */
     readonly bornUnixMs: number;
+    /** Time for which the database stays slow after its start, by its own estimate; undefined if it reported none. */
+    readonly coldLeftMs?: number | undefined;
 }
 
 export interface DatabaseReported extends Message {
@@ -261,6 +268,22 @@
         readonly sequence: number;
         readonly answers: readonly PermitAnswer[];
     }
+    /** Asks the control leader for the right to send tasks to cold databases: database id and number of tasks. */
+    | {
+        readonly kind: "cold_want";
+        /** Increases with each request of a process. */
+        readonly sequence: number;
+        readonly wants: readonly (readonly [databaseId: string, count: number])[];
+    }
+    /** Answer of the control leader to such a request. */
+    | {
+        readonly kind: "cold_grant";
+        /** Sequence of the request. */
+        readonly sequence: number;
+        /** Time from the sending of the request in which the tasks may be sent. */
+        readonly validMs: number;
+        readonly grants: readonly (readonly [databaseId: string, count: number])[];
+    }
     /** Reports to the control leader that a database does not answer. */
     | { readonly kind: "suspect"; readonly databaseId: string; }
     /** Asks an instance how it reaches a suspected primary. */
@@ -324,6 +347,8 @@
     readonly ordered: ReadonlyMap<string, string>;
     /** Fencing token of the last promotion, by service, unless that one is under way. */
     readonly completedFences: ReadonlyMap<string, number>;
+    /** Data centres whose databases get no more work, by order of an operator; undefined if there are none. */
+    readonly evacuated?: ReadonlySet<string>;
 }
 
 export interface ReadinessChanged extends Message {
@@ -364,6 +389,19 @@
     readonly validUntilMs: number;
 }
 
+export interface ColdNeeded extends Message {
+    readonly kind: typeof FleetKind.ColdNeeded;
+    readonly databaseId: string;
+    /** Tasks that wait now. */
+    readonly waiting: number;
+}
+
+export interface ColdGranted extends Message {
+    readonly kind: typeof FleetKind.ColdGranted;
+    readonly grants: readonly { readonly databaseId: string; readonly count: number; }[];
+    readonly validUntilMs: number;
+}
+
 export interface RateLeaderSilent extends Message {
     readonly kind: typeof FleetKind.RateLeaderSilent;
 }
@@ -400,6 +438,7 @@
     readonly kind:
         | typeof FleetKind.PermitRequestDue
         | typeof FleetKind.PermitCheckDue
+        | typeof FleetKind.ColdRequestDue
         | typeof FleetKind.ConfigurationLagCheckDue
         | typeof FleetKind.AnnouncementDue
         | typeof FleetKind.InstancesCheckDue
--- a/src/model/linkMessages.ts
+++ b/src/model/linkMessages.ts
@@ -148,6 +148,8 @@
     readonly fault: StatementFault | undefined;
     /** What was wrong with the message of the database that ended the link, for the log; without its text. */
     readonly defect?: string | undefined;
+    /** The database that the link was opened to; undefined if the source of the message does not tell it. */
+    readonly databaseId?: string;
 }
 
 /** Replication status that a database reports in reply to status, pause, resume and step down. */
--- a/src/model/trafficPolicy.ts
+++ b/src/model/trafficPolicy.ts
@@ -37,6 +37,10 @@
     readonly connectionLimit: number;
     /** Number of replicas that must receive a commit before it is acknowledged. */
     readonly synchronousReplicas: number;
+    /** Time for which a database is slow after its start; by default 0. */
+    readonly coldStartMs?: number;
+    /** Statements per second that a cold database bears; undefined or 0 if there is no limit. */
+    readonly coldPerSecond?: number;
 }
 
 export interface WorkspacePolicy {
--- a/src/platform/__tests__/documentBoundary.spec.ts
+++ b/src/platform/__tests__/documentBoundary.spec.ts
@@ -294,3 +294,36 @@
         ]);
     });
 });
+
+describe("limits of cold databases in a configuration document", () => {
+    const withCold = (fields: object): string =>
+        JSON.stringify({ ...documentBody, services: [{ ...documentBody.services[0], ...fields }] });
+    const serviceIn = (document: ConfigurationDocument) => {
+        const { policy, omittedEntries } = new TrafficPolicyDecoder().decode(document);
+        return { service: policy.services.get("s")!, reasons: omittedEntries.map(({ reason }) => reason) };
+    };
+
+    it("are decoded; 0 and no value are no limit", () => {
+        const { service } = serviceIn(decodeDocument(withCold({ cold_start_s: 2.5, cold_per_s: 30 })));
+        assert.deepEqual([service.coldStartMs, service.coldPerSecond], [2_500, 30]);
+        for (const fields of [{}, { cold_start_s: 3 }, { cold_start_s: 3, cold_per_s: 0 }]) {
+            assert.equal(serviceIn(decodeDocument(withCold(fields))).service.coldPerSecond, undefined);
+        }
+    });
+
+    it("are refused with their place if they are no numbers from 0 on", () => {
+        for (const odd of JSON.parse("[null,\"5\",-1,[],{},true]") as unknown[]) {
+            assert.throws(() => decodeDocument(withCold({ cold_per_s: odd })), /"services\.0\.cold_per_s"/);
+            assert.throws(() => decodeDocument(withCold({ cold_start_s: odd })), /"services\.0\.cold_start_s"/);
+        }
+    });
+
+    it("that an earlier release stored unread are ignored with a reason", () => {
+        const stored = decodeDocument(withCold({ cold_per_s: 77 }));
+        const entries = stored.entries.map(entry => ({ ...entry, body: entry.body.replace("77", "\"much\"") }));
+        const { service, reasons } = serviceIn({ ...stored, entries });
+        assert.equal(service.coldPerSecond, undefined);
+        assert.equal(reasons.length, 1);
+        assert.match(reasons[0]!, /"cold_per_s".*: ignored/);
+    });
+});
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -310,6 +310,18 @@
         assert.equal(decodeDatabaseReport("i", JSON.stringify(heartbeat), nowUnixMs)!.leads, false);
     });
 
+    it("tell for how long the database stays cold, if it says so", () => {
+        const coldLeftIn = (fields: object): number | undefined =>
+            decodeDatabaseReport("i", JSON.stringify({ ...heartbeat, ...fields }), nowUnixMs)!.coldLeftMs;
+        assert.equal(coldLeftIn({}), undefined);
+        assert.equal(coldLeftIn({ cold_left_ms: 0 }), 0);
+        assert.equal(coldLeftIn({ cold_left_ms: 4_000.5 }), 4_000.5);
+        for (const odd of [-1, "5", true, [], {}]) {
+            const text = JSON.stringify({ ...heartbeat, cold_left_ms: odd });
+            assert.equal(decodeDatabaseReport("i", text, nowUnixMs), undefined, text);
+        }
+    });
+
     it("name the process that leaves only by a start time that can be one", () => {
         assert.equal(decodeDepartedStart("{\"born\":12,\"other\":1}", nowUnixMs), 12);
         const others = ["", "{", "null", "[]", "{}", "{\"born\":\"12\"}", "{\"born\":-1}", "{\"born\":9e15}"];
@@ -424,6 +436,15 @@
         assert.deepEqual(withoutContract.rateTolerance, { windowMs: 1_000, share: 0, operations: 0 });
     });
 
+    it("contain the tolerance for cold databases, which is 0 where it cannot be read", () => {
+        const toleranceOf = (bounds: object): object =>
+            decodePlatformSettings(JSON.stringify({ ...settingsFile, bounds: { grace_s: 6, ...bounds } }), "f")
+                .coldTolerance;
+        assert.deepEqual(toleranceOf({ cold_excess: 1.5, cold_slack: 5 }), { excess: 1.5, statements: 5 });
+        assert.deepEqual(toleranceOf({}), { excess: 1, statements: 0 });
+        assert.deepEqual(toleranceOf({ cold_excess: -1, cold_slack: "5" }), { excess: 1, statements: 0 });
+    });
+
     it("contain the region of each data centre, as far as it can be read", () => {
         const regionsOf = (fields: object): readonly (readonly [string, string])[] => [
             ...decodePlatformSettings(JSON.stringify({ ...settingsFile, ...fields }), "f").dataCentreRegions,
--- a/src/platform/databaseReportCodec.ts
+++ b/src/platform/databaseReportCodec.ts
@@ -26,6 +26,7 @@
     db_role: z.enum(["primary", "replica"]),
     seq: z.int().nonnegative(),
     born: z.int().nonnegative().default(0),
+    cold_left_ms: z.number().nonnegative().optional(),
 });
 
 const departureSchema = z.object({ born: z.int().nonnegative() });
@@ -39,7 +40,7 @@
     if (result.data.born > nowUnixMs + maximumClockSkewMs) {
         return undefined;
     }
-    const { service, address, zone, slots, state, db_role: role, seq, born } = result.data;
+    const { service, address, zone, slots, state, db_role: role, seq, born, cold_left_ms: coldLeftMs } = result.data;
     return {
         databaseId: toWireName(databaseId),
         service: toWireName(service),
@@ -50,6 +51,7 @@
         leads: role === "primary",
         sequence: seq,
         bornUnixMs: born,
+        ...coldLeftMs === undefined ? {} : { coldLeftMs },
     };
 }
 
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -48,6 +48,8 @@
     name: nameSchema,
     max_conns: z.number().int().positive().default(16),
     sync_replicas: z.number().int().nonnegative().default(0),
+    cold_start_s: z.number().nonnegative().default(0),
+    cold_per_s: z.number().nonnegative().default(0),
 });
 
 const tenantSchema = z.object({
@@ -58,7 +60,11 @@
     home_regions: regionsSchema,
 });
 
-/** Earlier releases stored whatever stood in place of the home regions, and did not read it. */
+/** Earlier releases stored whatever stood in these fields, and did not read them. */
+const storedServiceSchema = serviceSchema.extend({
+    cold_start_s: serviceSchema.shape.cold_start_s.catch(0),
+    cold_per_s: serviceSchema.shape.cold_per_s.catch(0),
+});
 const storedRouteSchema = routeSchema.extend({ home_regions: regionsSchema.catch([]) });
 const storedTenantSchema = tenantSchema.extend({ home_regions: regionsSchema.catch([]) });
 
@@ -84,9 +90,6 @@
 /** Sections whose elements are separate entries, if their value is an array. */
 const listSections = ["routes", "services", "tenants"];
 
-/** Sections whose elements may have home regions. */
-const sectionsWithHomes = ["routes", "tenants"];
-
 /** Rejection of a document; the message is shown to the operator. */
 export class InvalidDocumentError extends Error {}
 
@@ -151,9 +154,7 @@
             (entries.get(section) ?? []).flatMap(entry => {
                 const value = this.parseJson(entry);
                 const body = parseEntry(schema, entry, value);
-                if (sectionsWithHomes.includes(section)) {
-                    omittedEntries.push(...describeHomes(entry.entryId, value, this.regions));
-                }
+                omittedEntries.push(...describeIgnored(section, entry.entryId, value, this.regions));
                 if (!isUsable(body)) {
                     omittedEntries.push({ entryId: entry.entryId, reason: `a name ${wordRule}` });
                 }
@@ -161,7 +162,7 @@
             });
         // Earlier releases stored names that no line can carry. Nobody can ask for such a route or send such a key.
         const routes = decodeSection("routes", storedRouteSchema, decodeRoute, isUsableRoute);
-        const services = decodeSection("services", serviceSchema, decodeService, ({ name }) => isName(name));
+        const services = decodeSection("services", storedServiceSchema, decodeService, ({ name }) => isName(name));
         const workspaces = decodeSection("tenants", storedTenantSchema, decodeTenant, ({ name }) => isTenantName(name));
         const [transactionIdleMs = 0] = decodeSection("limits", limitsSchema, decodeIdleLimit, () => true);
         const policy = {
@@ -249,6 +250,7 @@
         name: toWireName(body.name),
         connectionLimit: body.max_conns,
         synchronousReplicas: body.sync_replicas,
+        ...body.cold_per_s === 0 ? {} : { coldStartMs: 1_000 * body.cold_start_s, coldPerSecond: body.cold_per_s },
     };
 }
 
@@ -269,7 +271,26 @@
     return homeRegions.length === 0 ? {} : { homeRegions };
 }
 
-/** Tells what has no effect in the home regions of an entry. */
+/** Tells what has no effect in an entry. */
+function describeIgnored(
+    section: string,
+    entryId: string,
+    value: unknown,
+    regions: ReadonlySet<string>,
+): readonly OmittedEntry[] {
+    switch (section) {
+        case "routes":
+        case "tenants":
+            return describeHomes(entryId, value, regions);
+        case "services": {
+            const result = serviceSchema.safeParse(value);
+            return result.success ? [] : [{ entryId, reason: `${describeIssue(result.error, [])}: ignored` }];
+        }
+        default:
+            return [];
+    }
+}
+
 function describeHomes(entryId: string, value: unknown, regions: ReadonlySet<string>): readonly OmittedEntry[] {
     const homes = regionsSchema.safeParse((value as { readonly home_regions?: unknown; }).home_regions);
     if (!homes.success) {
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import { setTimeout as delay } from "node:timers/promises";
 import * as z from "zod";
+import type { ColdTolerance } from "../model/coldLimits.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { SocketAddress } from "../model/socketAddress.ts";
 
@@ -44,6 +45,9 @@
         quota_window_s: z.number().positive().default(1),
         quota_tolerance: z.number().nonnegative().default(0),
         quota_slack: z.number().nonnegative().default(0),
+        // What can't be read tolerates nothing beyond what a cold database bears.
+        cold_excess: z.number().nonnegative().default(1).catch(1),
+        cold_slack: z.number().nonnegative().default(0).catch(0),
     }),
     fault_tolerance: z.object({
         machines: z.number().int().nonnegative().default(0),
@@ -77,6 +81,8 @@
     readonly reportIntervalMs: number;
     /** Tolerance when operations are counted against the rates of workspaces. */
     readonly rateTolerance: RateTolerance;
+    /** Tolerance when statements are counted against what a cold database bears. */
+    readonly coldTolerance: ColdTolerance;
     /** Time between the signal to stop and the kill of the process. */
     readonly terminationGracePeriodMs: number;
     /** Number of control members that may lose their disks simultaneously without loss of acknowledged data. */
@@ -146,6 +152,7 @@
             share: file.bounds.quota_tolerance,
             operations: file.bounds.quota_slack,
         },
+        coldTolerance: { excess: file.bounds.cold_excess, statements: file.bounds.cold_slack },
         terminationGracePeriodMs: file.bounds.grace_s * 1_000,
         faultTolerance: decodeFaultTolerance(file),
         promotionOrderAddress: file.cloud_api?.address,
--- a/src/platform/wireClient.ts
+++ b/src/platform/wireClient.ts
@@ -45,6 +45,7 @@
 }
 
 interface Link {
+    readonly databaseId: string;
     readonly socket: Socket;
     readonly reader: LineReader;
     opened: boolean;
@@ -85,7 +86,9 @@
     private open({ linkId, address, service, workspace, databaseId }: LinkOpen): void {
         const target = parseAddress(address);
         if (target === undefined) {
-            this.post({ kind: LinkKind.Lost, linkId, loss: LinkLoss.NoListener, fault: undefined } as LinkLost);
+            this.post(
+                { kind: LinkKind.Lost, linkId, loss: LinkLoss.NoListener, fault: undefined, databaseId } as LinkLost,
+            );
             return;
         }
         let opening: string;
@@ -99,7 +102,7 @@
         }
         const socket = connect({ ...target });
         socket.setNoDelay(true);
-        const link = { socket, reader: new LineReader(), opened: false, partial: emptyReply() };
+        const link = { databaseId, socket, reader: new LineReader(), opened: false, partial: emptyReply() };
         this.links.set(linkId, link);
         socket.write(opening, wireEncoding);
         socket.on("data", chunk => this.receive(linkId, link, chunk));
@@ -250,7 +253,7 @@
         }
         this.links.delete(linkId);
         link.socket.destroy();
-        this.post({ kind: LinkKind.Lost, linkId, ...reason } as LinkLost);
+        this.post({ kind: LinkKind.Lost, linkId, databaseId: link.databaseId, ...reason } as LinkLost);
     }
 }
 
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -19,8 +19,12 @@
     leads: z.boolean(),
     sequence: count,
     bornUnixMs: z.number().nonnegative(),
+    coldLeftMs: durationMs.optional(),
 });
 
+/** Database ids with numbers of tasks. */
+const taskCounts = z.array(z.tuple([z.string(), count])).max(4_096);
+
 const permitAnswer = z.union([
     z.tuple([z.string(), count]),
     z.tuple([z.string(), count, durationMs]),
@@ -74,6 +78,13 @@
         sequence: count,
         answers: z.array(permitAnswer),
     }),
+    cold_want: z.object({ kind: z.literal("cold_want"), sequence: count, wants: taskCounts }),
+    cold_grant: z.object({
+        kind: z.literal("cold_grant"),
+        sequence: count,
+        validMs: durationMs,
+        grants: taskCounts,
+    }),
     suspect: z.object({ kind: z.literal("suspect"), databaseId: z.string() }),
     assess: z.object({ kind: z.literal("assess"), databaseId: z.string() }),
     assessment: z.object({
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -54,6 +54,8 @@
     LinkDue: "task.link_due",
     IdleDue: "task.idle_due",
     ForwardDue: "task.forward_due",
+    /** Tasks that wait to be sent to a cold database may have waited long enough. */
+    ColdDue: "task.cold_due",
 } as const;
 
 /** The part of a task that links need. */
@@ -204,7 +206,8 @@
         | typeof TaskKind.LinkDue
         | typeof TaskKind.IdleDue
         | typeof TaskKind.ForwardDue
-        | typeof TaskKind.FloorDue;
+        | typeof TaskKind.FloorDue
+        | typeof TaskKind.ColdDue;
     readonly id: string;
 }
 
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -36,6 +36,7 @@
         dataFolder,
         reportIntervalMs: 500,
         rateTolerance: { windowMs: 1_000, share: 0, operations: 0 },
+        coldTolerance: { excess: 1, statements: 0 },
         terminationGracePeriodMs: 6_000,
         faultTolerance: 0,
         promotionOrderAddress: undefined,
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -4,6 +4,8 @@
 import { SubscriptionFilter } from "../control/subscriptionFilter.ts";
 import { AttachmentHub } from "../fleet/attachmentHub.ts";
 import { Attachments } from "../fleet/attachments.ts";
+import { ColdBudgets } from "../fleet/coldBudgets.ts";
+import { ColdRequester } from "../fleet/coldRequester.ts";
 import { ConfigurationDocuments } from "../fleet/configurationDocuments.ts";
 import { ConfigurationProofs } from "../fleet/configurationProofs.ts";
 import { FleetDatabaseDirectory } from "../fleet/fleetDatabaseDirectory.ts";
@@ -14,12 +16,15 @@
 import { PolicyFilter } from "../fleet/policyFilter.ts";
 import { Promotions } from "../fleet/promotions.ts";
 import { Readiness } from "../fleet/readiness.ts";
+import type { ColdTolerance } from "../model/coldLimits.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { Member } from "../model/replicatedLog.ts";
 import { Pipe } from "../pipeline/pipe.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
 import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
 import { Admission } from "../session/admission.ts";
+import { ColdGate } from "../session/coldGate.ts";
+import { ColdRule } from "../session/coldRule.ts";
 import { FloorExchange } from "../session/floorExchange.ts";
 import { Forwarding } from "../session/forwarding.ts";
 import { HomeRule } from "../session/homeRule.ts";
@@ -29,11 +34,15 @@
 import { SessionAccess } from "../session/sessionAccess.ts";
 import { Sessions } from "../session/sessions.ts";
 
+const noColdTolerance: ColdTolerance = { excess: 1, statements: 0 };
+
 export interface ProxyPipeOptions {
     readonly instanceId: string;
     readonly dataCentre: string;
     /** Region of each data centre. */
     readonly dataCentreRegions?: ReadonlyMap<string, string>;
+    /** By default nothing is tolerated beyond what a cold database bears. */
+    readonly coldTolerance?: ColdTolerance;
     /** `host:port` at which other instances reach the gRPC listener. */
     readonly rpcAddress: string;
     readonly seed: number;
@@ -42,6 +51,7 @@
 /** Builds the pipes of a proxy, which serves callers. */
 export function buildProxyPipes(options: ProxyPipeOptions): readonly Pipe[] {
     const { instanceId, dataCentre, dataCentreRegions = new Map<string, string>(), rpcAddress, seed } = options;
+    const coldRule = new ColdRule({ tolerance: options.coldTolerance ?? noColdTolerance });
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
         new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
@@ -50,6 +60,7 @@
         new MemberDiscovery({ address: rpcAddress, isMember: false, random: new SeededRandom(seed + 1) }),
         new PolicyConfirmation(),
         new PermitRequester(),
+        new ColdRequester(),
         new Readiness(),
     ]);
     const session = new Pipe("session", [
@@ -58,8 +69,10 @@
         new Sessions(),
         new Admission({ random: new SeededRandom(seed) }),
         new PassedTasks(),
-        new Routing({ dataCentre, rules: [new HomeRule(dataCentreRegions)] }),
+        coldRule,
+        new Routing({ dataCentre, rules: [new HomeRule(dataCentreRegions), coldRule] }),
         new Forwarding({ instanceId, dataCentreRegions }),
+        new ColdGate(),
         new Links(),
     ]);
     return [fleet, session];
@@ -76,6 +89,8 @@
     /** Number of members whose disks may be lost at the same time without a loss of committed entries. */
     readonly faultTolerance: number;
     readonly rateTolerance: RateTolerance;
+    /** By default nothing is tolerated beyond what a cold database bears. */
+    readonly coldTolerance?: ColdTolerance;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
     readonly seed: number;
@@ -109,6 +124,7 @@
         new ConfigurationDocuments(),
         new ConfigurationProofs(),
         new PermitLeader({ tolerance: rateTolerance }),
+        new ColdBudgets({ tolerance: options.coldTolerance ?? noColdTolerance }),
         new Promotions({ reportIntervalMs, dataCentreRegions }),
     ]);
     return [control, fleet];
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -187,7 +187,15 @@
     const { settings, stopDeadline, post, clientFactory, authentication, seed, loadLog, stack } = context;
     const { instanceId, dataCentre, dataCentreRegions, rpcAddress, callerEndpoint, readinessEndpoint } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
-    const pipes = buildProxyPipes({ instanceId, dataCentre, dataCentreRegions, rpcAddress, seed: seed + 2 });
+    const { coldTolerance } = settings;
+    const pipes = buildProxyPipes({
+        instanceId,
+        dataCentre,
+        dataCentreRegions,
+        coldTolerance,
+        rpcAddress,
+        seed: seed + 2,
+    });
     const server = stack.use(new WireServer({ ...callerEndpoint!, post }));
     const readinessServer = stack.use(new ReadinessServer());
     const random = new SeededRandom(seed);
@@ -257,6 +265,7 @@
         canFormCluster: settings.isBootstrap,
         faultTolerance,
         rateTolerance: settings.rateTolerance,
+        coldTolerance: settings.coldTolerance,
         reportIntervalMs,
         seed,
     });
