--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -1,10 +1,16 @@
 /** The session pipes of many instances in virtual time, with simulated databases, networks and processor costs. */
+import { ColdBudgets } from "../../fleet/coldBudgets.ts";
+import { ColdRequester } from "../../fleet/coldRequester.ts";
+import type { ColdTolerance } from "../../model/coldLimits.ts";
+import { ControlKind, type ControlPropose, ProposalStatus } from "../../model/controlMessages.ts";
 import {
     type DatabaseReport,
+    type FleetFrame,
     FleetKind,
     type PermitsGranted,
     type PolicyApplied,
     ReportedState,
+    type SendFrame,
 } from "../../model/fleetMessages.ts";
 import { LinkKind, type LinkOpen } from "../../model/linkMessages.ts";
 import {
@@ -35,6 +41,8 @@
 import type { Sink } from "../../pipeline/sink.ts";
 import { encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
 import { Admission } from "../admission.ts";
+import { ColdGate } from "../coldGate.ts";
+import { ColdRule } from "../coldRule.ts";
 import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
 import { HolderRanking } from "../holderRanking.ts";
@@ -56,6 +64,8 @@
 /** Overhead of HTTP/2, gRPC and TCP per message between instances. */
 const framingBytes = 90;
 
+const coldTolerance: ColdTolerance = { excess: 1.5, statements: 5 };
+
 /** Matches the ids of probes and floor questions, but not those of callers' tasks. */
 const probeIdPattern = /^[pf]\d/;
 
@@ -81,6 +91,10 @@
     readonly regions?: ReadonlyMap<string, string>;
     /** Home regions by the name of the route or of the workspace; by default none has any. */
     readonly homeRegions?: ReadonlyMap<string, readonly string[]>;
+    /** Statements per second that a cold database bears; by default there is no limit. */
+    readonly coldPerSecond?: number;
+    /** Databases that say that they are cold. */
+    readonly coldDatabaseIds?: readonly string[];
 }
 
 /** Time from SIGTERM to SIGKILL, and the part of it in which new sessions are still accepted. */
@@ -137,6 +151,7 @@
     readonly outsideHome: string[] = [];
     /** Sessions with the home regions of their route and workspace together. */
     readonly homesBySession = new Map<string, readonly string[]>();
+    private readonly coldLeader = new ColdLeader(this);
     /** Time before which all commits must be visible to a statement, by its id. */
     private readonly visibleBeforeMs = new Map<string, number>();
 
@@ -298,6 +313,12 @@
         node.post({ kind: FleetKind.PermitsGranted, grants, validUntilMs: Infinity } as PermitsGranted);
         node.post({ kind: PeerKind.InstancesKnown, instances: peers } as Message);
         this.databases.forEach(({ report }) => node.post({ kind: FleetKind.DatabaseChanged, report } as Message));
+        this.coldLeader.attach(node, this.policy());
+    }
+
+    /** Sends a frame of an instance to the control leader. */
+    sendToLeader(node: FleetNode, { frame }: SendFrame): void {
+        this.schedule.after(crossDataCentreDelayMs, () => this.coldLeader.receive(node, frame));
     }
 
     private linkReplicas(database: StandInDatabase): void {
@@ -317,6 +338,7 @@
             leads: index % 3 === 0,
             sequence: 1,
             bornUnixMs: 1,
+            coldLeftMs: this.options.coldDatabaseIds?.includes(`db${index}`) === true ? 60_000 : 0,
         };
     }
 
@@ -336,10 +358,12 @@
             routeOf("status", service, RouteConsistency.Session, 2_500),
         ]).map(route => ({ ...route, homeRegions: this.options.homeRegions?.get(route.name) ?? [] }));
         const connectionLimit = this.options.connectionLimit ?? 82;
+        const { coldPerSecond } = this.options;
+        const cold = coldPerSecond === undefined ? {} : { coldPerSecond, coldStartMs: 5_000 };
         return {
             version: 1,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
-            services: new Map(services.map(name => [name, { name, connectionLimit, synchronousReplicas: 1 }])),
+            services: new Map(services.map(name => [name, { name, connectionLimit, synchronousReplicas: 1, ...cold }])),
             workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
             workspaceByKey: new Map(names.map(name => [`k-${name}`, name])),
             transactionIdleMs: 3_000,
@@ -362,6 +386,7 @@
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
         FleetKind.PolicyProofNeeded,
+        FleetKind.SendFrame,
         PeerKind.Send,
         PeerKind.Answer,
     ];
@@ -389,20 +414,23 @@
         this.peer = peer;
         const { instanceId, dataCentre } = peer;
         const dataCentreRegions = fleet.options.regions ?? new Map<string, string>();
+        const coldRule = new ColdRule({ tolerance: coldTolerance });
         const filters = [
             new FloorExchange({ instanceId, dataCentre }),
             new SessionAccess(),
             new Sessions(),
             new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
-            new Routing({ dataCentre, rules: [new HomeRule(dataCentreRegions)] }),
+            coldRule,
+            new Routing({ dataCentre, rules: [new HomeRule(dataCentreRegions), coldRule] }),
             new Forwarding({ instanceId, dataCentreRegions }),
+            new ColdGate(),
             new Links(),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
         this.loop = new EventLoop({
             clock: this.clock,
-            pipes: [new Pipe("session", filters)],
+            pipes: [new Pipe("session", filters), new Pipe("fleet", [new ColdRequester()])],
             sinks: [this],
         });
     }
@@ -495,6 +523,8 @@
                 return;
             case FleetKind.Drained:
                 return this.end();
+            case FleetKind.SendFrame:
+                return this.fleet.sendToLeader(this, message as SendFrame);
             case SessionKind.Refuse:
                 this.fleet.recordAnswer(this, "refused");
                 return;
@@ -584,6 +614,48 @@
     }
 }
 
+/** The control leader, as far as it grants the right to send tasks to cold databases. */
+class ColdLeader {
+    private readonly budgets = new ColdBudgets({ tolerance: coldTolerance });
+    private readonly fleet: SessionFleet;
+    private readonly nodes = new Map<string, FleetNode>();
+
+    constructor(fleet: SessionFleet) {
+        this.fleet = fleet;
+    }
+
+    attach(node: FleetNode, policy: PolicyApplied["policy"]): void {
+        if (this.nodes.size === 0) {
+            this.push({ kind: FleetKind.PolicyApplied, policy } as unknown as Message);
+            this.push({ kind: ControlKind.LeaderChanged, leading: true, term: 1 } as Message);
+        }
+        this.nodes.set(node.peer.instanceId, node);
+        const status = { kind: "status", leading: true, term: 1 };
+        node.post({ kind: FleetKind.FrameReceived, attachmentId: "leader", frame: status } as unknown as Message);
+    }
+
+    receive(node: FleetNode, frame: FleetFrame): void {
+        this.fleet.databases.forEach(({ report }) => this.push({ kind: FleetKind.DatabaseChanged, report } as Message));
+        this.push({ kind: FleetKind.FrameReceived, attachmentId: node.peer.instanceId, frame } as Message);
+    }
+
+    private push(message: Message): void {
+        for (const output of this.budgets.process(message as never, this.fleet.schedule.nowMs)) {
+            if (output.kind === FleetKind.SendFrame) {
+                const { attachmentId, frame } = output as SendFrame;
+                const received = { kind: FleetKind.FrameReceived, attachmentId: "leader", frame } as Message;
+                this.fleet.schedule.after(crossDataCentreDelayMs, () => this.nodes.get(attachmentId)!.post(received));
+            }
+            else if (output.kind === ControlKind.Propose) {
+                const { proposalId } = output as ControlPropose;
+                const status = ProposalStatus.Conflict;
+                const ended = { kind: ControlKind.ProposalEnded, proposalId, status } as Message;
+                this.fleet.schedule.after(2 * crossDataCentreDelayMs, () => this.push(ended));
+            }
+        }
+    }
+}
+
 /** One caller's session, which alternates between operations and pauses. */
 class Caller {
     private readonly fleet: SessionFleet;
--- a/src/session/__tests__/standInDatabase.ts
+++ b/src/session/__tests__/standInDatabase.ts
@@ -62,6 +62,8 @@
     busyShare = 0;
     /** Number of transactions begun, including those of probes. */
     transactionCount = 0;
+    /** Times at which statements of callers arrived. */
+    readonly arrivalsMs: number[] = [];
     /** Called for each statement that runs, with the number of commits that the database has applied. */
     onStatement: (statementId: string, commits: number) => void = () => undefined;
     private readonly schedule: Schedule;
@@ -114,7 +116,10 @@
             this.connections.delete(key);
             return;
         }
-        connection.commands.push(...(message as LinkSend).commands);
+        const { commands } = message as LinkSend;
+        connection.commands.push(...commands);
+        commands.filter(({ kind }) => kind === LinkCommandKind.Run)
+            .forEach(() => this.arrivalsMs.push(this.schedule.nowMs));
         this.proceed(connection, linkId, answer);
     }
 
