--- a/src/control/formationFilter.ts
+++ b/src/control/formationFilter.ts
@@ -166,7 +166,8 @@
         if (formationMembers !== undefined) {
             this.formed = true;
             this.listed = true;
-            return [{ kind: MemberKind.FormCluster, members: formationMembers } as Message];
+            // The timer goes on: this member may be removed from the list while it is cut off, and then has to join.
+            return [{ kind: MemberKind.FormCluster, members: formationMembers } as Message, this.timer(nowMs)];
         }
         const { self } = this.options;
         const others = [
--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -402,6 +402,22 @@
         );
     });
 
+    it("count the members in all zones of a region that may be lost, as far as a majority is left", () => {
+        const toleranceIn = (zoneRegions: readonly string[], tolerated: object): number => {
+            const zones = Object.fromEntries(zoneRegions.map((region, index) => [`z${index}`, region]));
+            const text = JSON.stringify({ ...settingsFile, zones, fault_tolerance: tolerated });
+            return decodePlatformSettings(text, "f").faultTolerance;
+        };
+        const threePairs = ["a", "a", "b", "b", "c", "c"];
+        assert.equal(toleranceIn(threePairs, { machines: 2, zones: 1, regions: 1 }), 2);
+        assert.equal(toleranceIn(threePairs, { machines: 1, zones: 1, regions: 1 }), 2);
+        assert.equal(toleranceIn(threePairs, { machines: 1, zones: 1, regions: 0 }), 1);
+        assert.equal(toleranceIn(["a", "b", "c"], { machines: 0, zones: 0, regions: 1 }), 1);
+        assert.equal(toleranceIn(["a", "a", "a", "b", "b", "c", "c"], { regions: 1 }), 3);
+        assert.equal(toleranceIn(["a", "a", "a", "b", "b", "b"], { regions: 1 }), 2);
+        assert.equal(toleranceIn([], { regions: 1 }), 1);
+    });
+
     it("contain the gRPC addresses of the seeds", () => {
         const settings = decodePlatformSettings(JSON.stringify(settingsFile), "f");
         assert.deepEqual(settings.seeds[1], { memberId: "10.2.0.26", address: "10.2.0.26:7560" });
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -166,11 +166,25 @@
     return new Map([...own, ...listed].filter(([, name]) => name !== ""));
 }
 
-// The loss of a zone or region includes at least one member. By default, the loss of a minority is tolerated.
+/**
+ * The loss of a zone includes one member, and that of a region one for each of its zones; the platform does not tell how many
+ * there are. More than a minority of the zones cannot be lost in any case. By default, the loss of a minority is tolerated.
+ */
 function decodeFaultTolerance(file: z.infer<typeof fileSchema>): number {
-    const toleratedLosses = file.fault_tolerance
+    const { machines, zones, regions } = file.fault_tolerance
         ?? { machines: Math.floor((file.seeds.length - 1) / 2), zones: 0, regions: 0 };
-    return Math.max(toleratedLosses.machines, toleratedLosses.zones, toleratedLosses.regions);
+    return Math.max(machines, zones, regions, Math.min(zonesIn(file, regions), Math.floor((zoneCount(file) - 1) / 2)));
+}
+
+function zoneCount(file: z.infer<typeof fileSchema>): number {
+    return decodeRegions(file).size;
+}
+
+/** Number of zones in the given number of regions, the largest ones. */
+function zonesIn(file: z.infer<typeof fileSchema>, regionCount: number): number {
+    const names = [...decodeRegions(file).values()];
+    const sizes = [...new Set(names)].map(region => names.filter(name => name === region).length);
+    return sizes.sort((left, right) => right - left).slice(0, regionCount).reduce((sum, size) => sum + size, 0);
 }
 
 function parseJson(text: string, path: string): unknown {
