--- a/src/session/__tests__/homes.spec.ts
+++ b/src/session/__tests__/homes.spec.ts
@@ -231,7 +231,7 @@
         assert.ok(kindsFor(undefined).includes(PeerKind.Send));
         assert.ok(kindsFor(["r1", "r2"]).includes(PeerKind.Send));
         for (const homes of [["r0"], ["r2"], []]) {
-            assert.ok(!kindsFor(homes).includes(PeerKind.Send), homes.join());
+            assert.deepEqual(kindsFor(homes), [TaskKind.Placed], homes.join());
         }
     });
 
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -192,7 +192,10 @@
     }
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
-        const { address, isHolder } = this.chooseHolder(placed.databaseId, nowMs, placed.task.homeRegions);
+        if (!this.mayPass(placed)) {
+            return [placed];
+        }
+        const { address, isHolder } = this.chooseHolder(placed.databaseId, nowMs);
         const holderChanged = this.publishHolder(placed.databaseId, isHolder);
         return address === undefined
             ? [...holderChanged, placed]
@@ -220,11 +223,14 @@
      * region than the instance that it has chosen. Holders are in the data centre of their database, so that it is this
      * instance that uses the database if none of them may carry the task.
      */
-    private chooseHolder(databaseId: string, nowMs: number, homeRegions?: readonly string[]): HolderChoice {
+    private mayPass({ databaseId, task: { homeRegions } }: TaskPlaced): boolean {
+        const report = this.databases.get(databaseId);
+        return report === undefined || this.homes.isAtHome(report.dataCentre, homeRegions);
+    }
+
+    private chooseHolder(databaseId: string, nowMs: number): HolderChoice {
         const report = this.databases.get(databaseId);
-        const ranked = report === undefined || !this.homes.isAtHome(report.dataCentre, homeRegions)
-            ? []
-            : this.ranking.rank(databaseId, report.dataCentre);
+        const ranked = report === undefined ? [] : this.ranking.rank(databaseId, report.dataCentre);
         const holder = this.firstUsable(databaseId, ranked, nowMs);
         const isSelf = holder !== undefined && this.isThisInstance(holder);
         // A skipped instance that still runs keeps its connections; those of two holders exceed the connection limit.
--- a/src/wiring/__tests__/coldFleet.spec.ts
+++ b/src/wiring/__tests__/coldFleet.spec.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { Pipe } from "../../pipeline/pipe.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { ColdFleet } from "./coldFleet.ts";
 
@@ -105,6 +106,27 @@
         assert.deepEqual([fleet.sentMs.length, fleet.refusedCount], [0, 20]);
     });
 
+    it("are refused without being sent while a member of an earlier release leads, which ignores the requests", () => {
+        const random = new SeededRandom(9);
+        const options = { instances: 2, members: 2, ratePerSecond: 40, maximumDelayMs: 10 };
+        const fleet = new ColdFleet({ ...options, random, lostShare: 0, repeatedShare: 0, drift: 0 });
+        fleet.members[0]!.pipe = new Pipe("fleet", []);
+        fleet.elect(fleet.members[0]!, 0);
+        for (let round = 0; round < 200; round++) {
+            fleet.submit(fleet.instances[round % 2]!, false);
+            fleet.advance(10);
+        }
+        fleet.advance(260);
+        assert.deepEqual([fleet.sentMs.length, fleet.refusedCount], [0, 200]);
+        fleet.elect(fleet.members[1]!, 0);
+        fleet.advance(2_500);
+        for (let round = 0; round < 100; round++) {
+            fleet.submit(fleet.instances[round % 2]!, false);
+            fleet.advance(10);
+        }
+        assert.ok(fleet.sentMs.length > 30, `${fleet.sentMs.length} tasks`);
+    });
+
     it("are not granted twice by a member that does not know yet of the election of another one", () => {
         for (let run = 1; run <= 20; run++) {
             const random = new SeededRandom(run);
