--- a/src/platform/__tests__/platformCodecs.spec.ts
+++ b/src/platform/__tests__/platformCodecs.spec.ts
@@ -310,6 +310,18 @@
         assert.equal(decodeDatabaseReport("i", JSON.stringify(heartbeat), nowUnixMs)!.leads, false);
     });
 
+    it("tell for how long the database stays cold, if it says so", () => {
+        const coldLeftIn = (fields: object): number | undefined =>
+            decodeDatabaseReport("i", JSON.stringify({ ...heartbeat, ...fields }), nowUnixMs)!.coldLeftMs;
+        assert.equal(coldLeftIn({}), undefined);
+        assert.equal(coldLeftIn({ cold_left_ms: 0 }), 0);
+        assert.equal(coldLeftIn({ cold_left_ms: 4_000.5 }), 4_000.5);
+        for (const odd of [-1, "5", true, [], {}]) {
+            const text = JSON.stringify({ ...heartbeat, cold_left_ms: odd });
+            assert.equal(decodeDatabaseReport("i", text, nowUnixMs), undefined, text);
+        }
+    });
+
     it("name the process that leaves only by a start time that can be one", () => {
         assert.equal(decodeDepartedStart("{\"born\":12,\"other\":1}", nowUnixMs), 12);
         const others = ["", "{", "null", "[]", "{}", "{\"born\":\"12\"}", "{\"born\":-1}", "{\"born\":9e15}"];
@@ -390,6 +402,22 @@
         );
     });
 
+    it("count the members in all zones of a region that may be lost, as far as a majority is left", () => {
+        const toleranceIn = (zoneRegions: readonly string[], tolerated: object): number => {
+            const zones = Object.fromEntries(zoneRegions.map((region, index) => [`z${index}`, region]));
+            const text = JSON.stringify({ ...settingsFile, zones, fault_tolerance: tolerated });
+            return decodePlatformSettings(text, "f").faultTolerance;
+        };
+        const threePairs = ["a", "a", "b", "b", "c", "c"];
+        assert.equal(toleranceIn(threePairs, { machines: 2, zones: 1, regions: 1 }), 2);
+        assert.equal(toleranceIn(threePairs, { machines: 1, zones: 1, regions: 1 }), 2);
+        assert.equal(toleranceIn(threePairs, { machines: 1, zones: 1, regions: 0 }), 1);
+        assert.equal(toleranceIn(["a", "b", "c"], { machines: 0, zones: 0, regions: 1 }), 1);
+        assert.equal(toleranceIn(["a", "a", "a", "b", "b", "c", "c"], { regions: 1 }), 3);
+        assert.equal(toleranceIn(["a", "a", "a", "b", "b", "b"], { regions: 1 }), 2);
+        assert.equal(toleranceIn([], { regions: 1 }), 1);
+    });
+
     it("contain the gRPC addresses of the seeds", () => {
         const settings = decodePlatformSettings(JSON.stringify(settingsFile), "f");
         assert.deepEqual(settings.seeds[1], { memberId: "10.2.0.26", address: "10.2.0.26:7560" });
@@ -424,6 +452,28 @@
         assert.deepEqual(withoutContract.rateTolerance, { windowMs: 1_000, share: 0, operations: 0 });
     });
 
+    it("contain the tolerance for cold databases, which is 0 where it cannot be read", () => {
+        const toleranceOf = (bounds: object): object =>
+            decodePlatformSettings(JSON.stringify({ ...settingsFile, bounds: { grace_s: 6, ...bounds } }), "f")
+                .coldTolerance;
+        assert.deepEqual(toleranceOf({ cold_excess: 1.5, cold_slack: 5 }), { excess: 1.5, statements: 5 });
+        assert.deepEqual(toleranceOf({}), { excess: 1, statements: 0 });
+        assert.deepEqual(toleranceOf({ cold_excess: -1, cold_slack: "5" }), { excess: 1, statements: 0 });
+    });
+
+    it("contain the region of each data centre, as far as it can be read", () => {
+        const regionsOf = (fields: object): readonly (readonly [string, string])[] => [
+            ...decodePlatformSettings(JSON.stringify({ ...settingsFile, ...fields }), "f").dataCentreRegions,
+        ];
+        assert.deepEqual(regionsOf({ region: "r", zones: { z: "r", y: "q" } }), [["z", "r"], ["y", "q"]]);
+        assert.deepEqual(regionsOf({ region: "r" }), [["z", "r"]]);
+        assert.deepEqual(regionsOf({ region: 5, zones: { z: 5, y: "q", x: ["q"], w: "" } }), [["y", "q"]]);
+        for (const odd of JSON.parse("[null,5,\"z\",[\"z\"],[{}]]") as unknown[]) {
+            assert.deepEqual(regionsOf({ zones: odd }), []);
+        }
+        assert.deepEqual(regionsOf({}), []);
+    });
+
     it("cause an error that names the file and the field if they are invalid", () => {
         const text = JSON.stringify({ ...settingsFile, seeds: ["nowhere"] });
         assert.throws(() => decodePlatformSettings(text, "local.json"), /local\.json: "seeds\.0"/);
--- a/src/platform/documentCodec.ts
+++ b/src/platform/documentCodec.ts
@@ -28,6 +28,8 @@
     own: RouteConsistency.Session,
 } as const;
 
+const regionsSchema = z.custom<readonly string[]>(isTextList, "must be a list of texts").default([]);
+
 const routeSchema = z.object({
     name: nameSchema,
     host: nameSchema,
@@ -39,12 +41,15 @@
     service: nameSchema,
     max_staleness_ms: z.number().nonnegative().optional(),
     public: z.boolean().default(false),
+    home_regions: regionsSchema,
 });
 
 const serviceSchema = z.object({
     name: nameSchema,
     max_conns: z.number().int().positive().default(16),
     sync_replicas: z.number().int().nonnegative().default(0),
+    cold_start_s: z.number().nonnegative().default(0),
+    cold_per_s: z.number().nonnegative().default(0),
 });
 
 const tenantSchema = z.object({
@@ -52,7 +57,16 @@
     api_keys: z.custom<readonly string[]>(isTextList, "must be a list of texts").default([]),
     rate_per_s: z.number().nonnegative(),
     burst: z.number().nonnegative().default(0),
+    home_regions: regionsSchema,
+});
+
+/** Earlier releases stored whatever stood in these fields, and did not read them. */
+const storedServiceSchema = serviceSchema.extend({
+    cold_start_s: serviceSchema.shape.cold_start_s.catch(0),
+    cold_per_s: serviceSchema.shape.cold_per_s.catch(0),
 });
+const storedRouteSchema = routeSchema.extend({ home_regions: regionsSchema.catch([]) });
+const storedTenantSchema = tenantSchema.extend({ home_regions: regionsSchema.catch([]) });
 
 const limitsSchema = z.object({ tx_idle_ms: z.number().nonnegative().optional() });
 
@@ -121,6 +135,12 @@
 /** Decodes the entries of a document into a traffic policy. Parsed entries are cached. */
 export class TrafficPolicyDecoder implements DocumentDecoder {
     private readonly parsedByEntry = new WeakMap<DocumentEntry, unknown>();
+    private readonly regions: ReadonlySet<string>;
+
+    /** @param options `regions` that data centres are in; by default, none is known and all names are taken as they are */
+    constructor({ regions = new Set() }: { readonly regions?: ReadonlySet<string>; } = {}) {
+        this.regions = regions;
+    }
 
     decode(document: ConfigurationDocument): DecodedDocument {
         const entries = entriesBySection(document);
@@ -132,16 +152,18 @@
             isUsable: (body: Body) => boolean,
         ): readonly Item[] =>
             (entries.get(section) ?? []).flatMap(entry => {
-                const body = parseEntry(schema, entry, this.parseJson(entry));
+                const value = this.parseJson(entry);
+                const body = parseEntry(schema, entry, value);
+                omittedEntries.push(...describeIgnored(section, entry.entryId, value, this.regions));
                 if (!isUsable(body)) {
                     omittedEntries.push({ entryId: entry.entryId, reason: `a name ${wordRule}` });
                 }
                 return isUsable(body) ? [decodeItem(body)] : [];
             });
         // Earlier releases stored names that no line can carry. Nobody can ask for such a route or send such a key.
-        const routes = decodeSection("routes", routeSchema, decodeRoute, isUsableRoute);
-        const services = decodeSection("services", serviceSchema, decodeService, ({ name }) => isName(name));
-        const workspaces = decodeSection("tenants", tenantSchema, decodeTenant, ({ name }) => isTenantName(name));
+        const routes = decodeSection("routes", storedRouteSchema, decodeRoute, isUsableRoute);
+        const services = decodeSection("services", storedServiceSchema, decodeService, ({ name }) => isName(name));
+        const workspaces = decodeSection("tenants", storedTenantSchema, decodeTenant, ({ name }) => isTenantName(name));
         const [transactionIdleMs = 0] = decodeSection("limits", limitsSchema, decodeIdleLimit, () => true);
         const policy = {
             ...emptyTrafficPolicy,
@@ -219,6 +241,7 @@
         targetLatencyMs: body.target_latency_ms ?? body.timeout_ms,
         priority: body.priority,
         open: body.public,
+        ...homesOf(body),
     };
 }
 
@@ -227,6 +250,7 @@
         name: toWireName(body.name),
         connectionLimit: body.max_conns,
         synchronousReplicas: body.sync_replicas,
+        ...body.cold_per_s === 0 ? {} : { coldStartMs: 1_000 * body.cold_start_s, coldPerSecond: body.cold_per_s },
     };
 }
 
@@ -236,9 +260,46 @@
         keys: body.api_keys.map(toWireName).filter(isWireKey),
         ratePerSecond: body.rate_per_s,
         burst: body.burst,
+        ...homesOf(body),
     };
 }
 
+/** Names of regions that no settings know stay: what is bound to them alone has no database that may run it. */
+function homesOf({ home_regions: homeRegions }: { readonly home_regions: readonly string[]; }): {
+    readonly homeRegions?: readonly string[];
+} {
+    return homeRegions.length === 0 ? {} : { homeRegions };
+}
+
+/** Tells what has no effect in an entry. */
+function describeIgnored(
+    section: string,
+    entryId: string,
+    value: unknown,
+    regions: ReadonlySet<string>,
+): readonly OmittedEntry[] {
+    switch (section) {
+        case "routes":
+        case "tenants":
+            return describeHomes(entryId, value, regions);
+        case "services": {
+            const result = serviceSchema.safeParse(value);
+            return result.success ? [] : [{ entryId, reason: `${describeIssue(result.error, [])}: ignored` }];
+        }
+        default:
+            return [];
+    }
+}
+
+function describeHomes(entryId: string, value: unknown, regions: ReadonlySet<string>): readonly OmittedEntry[] {
+    const homes = regionsSchema.safeParse((value as { readonly home_regions?: unknown; }).home_regions);
+    if (!homes.success) {
+        return [{ entryId, reason: `home_regions ${homes.error.issues[0]?.message}: ignored` }];
+    }
+    const unknown = regions.size === 0 ? undefined : homes.data.find(region => !regions.has(region));
+    return unknown === undefined ? [] : [{ entryId, reason: "home_regions names an unknown region" }];
+}
+
 function decodeIdleLimit({ tx_idle_ms: idleMs = 0 }: z.infer<typeof limitsSchema>): number {
     return idleMs;
 }
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import { setTimeout as delay } from "node:timers/promises";
 import * as z from "zod";
+import type { ColdTolerance } from "../model/coldLimits.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { SocketAddress } from "../model/socketAddress.ts";
 
@@ -25,8 +26,9 @@
     serves: z.array(z.string()),
     ip: hostSchema,
     zone: z.string().min(1),
-    // Regions by zone. Earlier platforms do not send them.
-    zones: z.record(z.string(), z.string()).optional(),
+    // Not known to platforms without regions. Where it can't be read, no data centre counts as being at home.
+    region: z.string().optional().catch(undefined),
+    zones: z.record(z.string(), z.unknown()).default({}).catch({}),
     listen: z.object({
         front: addressSchema.optional(),
         ready: addressSchema.optional(),
@@ -44,6 +46,9 @@
         quota_tolerance: z.number().nonnegative().default(0),
         quota_slack: z.number().nonnegative().default(0),
         evacuate_ms: z.number().positive().default(5_000),
+        // What can't be read tolerates nothing beyond what a cold database bears.
+        cold_excess: z.number().nonnegative().default(1).catch(1),
+        cold_slack: z.number().nonnegative().default(0).catch(0),
     }),
     fault_tolerance: z.object({
         machines: z.number().int().nonnegative().default(0),
@@ -60,6 +65,8 @@
     readonly dataCentre: string;
     /** All data centres of the deployment, as far as the file tells; at least the own one. */
     readonly dataCentres: ReadonlySet<string>;
+    /** Region of each data centre. */
+    readonly dataCentreRegions: ReadonlyMap<string, string>;
     /** Listener for callers; undefined on machines that serve none. */
     readonly callerEndpoint: SocketAddress | undefined;
     /** Listener for the readiness checks of the platform. */
@@ -79,6 +86,8 @@
     readonly rateTolerance: RateTolerance;
     /** Time after the acknowledgement of an evacuation from which no statement may reach a database there. */
     readonly evacuationBoundMs: number;
+    /** Tolerance when statements are counted against what a cold database bears. */
+    readonly coldTolerance: ColdTolerance;
     /** Time between the signal to stop and the kill of the process. */
     readonly terminationGracePeriodMs: number;
     /** Number of control members that may lose their disks simultaneously without loss of acknowledged data. */
@@ -130,7 +139,8 @@
         instanceId: file.node,
         host: file.ip,
         dataCentre: file.zone,
-        dataCentres: new Set([file.zone, ...Object.keys(file.zones ?? {})]),
+        dataCentres: new Set([file.zone, ...Object.keys(file.zones)]),
+        dataCentreRegions: decodeRegions(file),
         callerEndpoint: parseEndpoint(file.listen.front),
         readinessEndpoint: parseEndpoint(file.listen.ready),
         controlEndpoint: parseEndpoint(file.listen.control),
@@ -149,17 +159,39 @@
             operations: file.bounds.quota_slack,
         },
         evacuationBoundMs: file.bounds.evacuate_ms,
+        coldTolerance: { excess: file.bounds.cold_excess, statements: file.bounds.cold_slack },
         terminationGracePeriodMs: file.bounds.grace_s * 1_000,
         faultTolerance: decodeFaultTolerance(file),
         promotionOrderAddress: file.cloud_api?.address,
     };
 }
 
-// The loss of a zone or region includes at least one member. By default, the loss of a minority is tolerated.
+/** Entries that are no names are left out. */
+function decodeRegions({ zone, region, zones }: z.infer<typeof fileSchema>): ReadonlyMap<string, string> {
+    const own = region === undefined ? [] : [[zone, region] as const];
+    const listed = Object.entries(zones).filter((entry): entry is [string, string] => typeof entry[1] === "string");
+    return new Map([...own, ...listed].filter(([, name]) => name !== ""));
+}
+
+/**
+ * The loss of a zone includes one member, and that of a region one for each of its zones; the platform does not tell how many
+ * there are. More than a minority of the zones cannot be lost in any case. By default, the loss of a minority is tolerated.
+ */
 function decodeFaultTolerance(file: z.infer<typeof fileSchema>): number {
-    const toleratedLosses = file.fault_tolerance
+    const { machines, zones, regions } = file.fault_tolerance
         ?? { machines: Math.floor((file.seeds.length - 1) / 2), zones: 0, regions: 0 };
-    return Math.max(toleratedLosses.machines, toleratedLosses.zones, toleratedLosses.regions);
+    return Math.max(machines, zones, regions, Math.min(zonesIn(file, regions), Math.floor((zoneCount(file) - 1) / 2)));
+}
+
+function zoneCount(file: z.infer<typeof fileSchema>): number {
+    return decodeRegions(file).size;
+}
+
+/** Number of zones in the given number of regions, the largest ones. */
+function zonesIn(file: z.infer<typeof fileSchema>, regionCount: number): number {
+    const names = [...decodeRegions(file).values()];
+    const sizes = [...new Set(names)].map(region => names.filter(name => name === region).length);
+    return sizes.sort((left, right) => right - left).slice(0, regionCount).reduce((sum, size) => sum + size, 0);
 }
 
 function parseJson(text: string, path: string): unknown {
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -1,10 +1,16 @@
 /** The session pipes of many instances in virtual time, with simulated databases, networks and processor costs. */
+import { ColdBudgets } from "../../fleet/coldBudgets.ts";
+import { ColdRequester } from "../../fleet/coldRequester.ts";
+import type { ColdTolerance } from "../../model/coldLimits.ts";
+import { ControlKind, type ControlPropose, ProposalStatus } from "../../model/controlMessages.ts";
 import {
     type DatabaseReport,
+    type FleetFrame,
     FleetKind,
     type PermitsGranted,
     type PolicyApplied,
     ReportedState,
+    type SendFrame,
 } from "../../model/fleetMessages.ts";
 import { LinkKind, type LinkOpen, type LinkSend } from "../../model/linkMessages.ts";
 import {
@@ -22,7 +28,12 @@
     type StatementAnswer,
     TaskMode,
 } from "../../model/sessionStatement.ts";
-import { RouteConsistency, type RoutePolicy, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
+import {
+    commonHomeRegions,
+    RouteConsistency,
+    type RoutePolicy,
+    type WorkspacePolicy,
+} from "../../model/trafficPolicy.ts";
 import { type Clock, EventLoop } from "../../pipeline/eventLoop.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
@@ -30,11 +41,14 @@
 import type { Sink } from "../../pipeline/sink.ts";
 import { encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
 import { Admission } from "../admission.ts";
+import { ColdGate } from "../coldGate.ts";
+import { ColdRule } from "../coldRule.ts";
 import { EvacuationRule } from "../evacuationRule.ts";
 import { EvacuationStages } from "../evacuationStages.ts";
 import { FloorExchange } from "../floorExchange.ts";
 import { Forwarding } from "../forwarding.ts";
 import { HolderRanking } from "../holderRanking.ts";
+import { HomeRule } from "../homeRule.ts";
 import { Links } from "../links.ts";
 import { PassedTasks } from "../passedTasks.ts";
 import { Routing } from "../routing.ts";
@@ -52,6 +66,8 @@
 /** Overhead of HTTP/2, gRPC and TCP per message between instances. */
 const framingBytes = 90;
 
+const coldTolerance: ColdTolerance = { excess: 1.5, statements: 5 };
+
 /** Matches the ids of probes and floor questions, but not those of callers' tasks. */
 const probeIdPattern = /^[pf]\d/;
 
@@ -76,6 +92,14 @@
     readonly processorShare?: number;
     /** Pause between two statements of a transaction. */
     readonly transactionPauseMs?: number;
+    /** Region of each data centre; by default none is known. */
+    readonly regions?: ReadonlyMap<string, string>;
+    /** Home regions by the name of the route or of the workspace; by default none has any. */
+    readonly homeRegions?: ReadonlyMap<string, readonly string[]>;
+    /** Statements per second that a cold database bears; by default there is no limit. */
+    readonly coldPerSecond?: number;
+    /** Databases that say that they are cold. */
+    readonly coldDatabaseIds?: readonly string[];
 }
 
 /** Time from SIGTERM to SIGKILL, and the part of it in which new sessions are still accepted. */
@@ -130,6 +154,11 @@
     /** Called when an instance opens a link or sends commands on one. */
     onLinkUsed: (node: FleetNode, message: LinkOpen | LinkSend) => void = () => undefined;
     readonly checker = new AnswerChecker();
+    /** What was done for sessions and workspaces outside of their home regions. */
+    readonly outsideHome: string[] = [];
+    /** Sessions with the home regions of their route and workspace together. */
+    readonly homesBySession = new Map<string, readonly string[]>();
+    private readonly coldLeader = new ColdLeader(this);
     /** Time before which all commits must be visible to a statement, by its id. */
     private readonly visibleBeforeMs = new Map<string, number>();
 
@@ -149,7 +178,10 @@
                 random: new SeededRandom((options.seed ?? 1) + index),
                 checker: this.checker,
             });
-            database.onStatement = (statementId, commits) => this.checkRead(database, statementId, commits);
+            database.onStatement = (statementId, commits) => {
+                this.checkRead(database, statementId, commits);
+                this.checkHome(sessionIdOf(statementId), database.report.dataCentre, "run");
+            };
             this.databases.set(database.report.databaseId, database);
         }
         this.databases.forEach(database => this.linkReplicas(database));
@@ -250,6 +282,14 @@
         this.visibleBeforeMs.set(statementId, beforeMs);
     }
 
+    /** Records what is done for a session in a data centre outside of its home regions. */
+    checkHome(sessionId: string, dataCentre: string, action: string): void {
+        const homes = this.homesBySession.get(sessionId);
+        if (homes !== undefined && !homes.includes(this.options.regions?.get(dataCentre) ?? "")) {
+            this.outsideHome.push(`${sessionId} ${action} in ${dataCentre}`);
+        }
+    }
+
     private checkRead(database: StandInDatabase, statementId: string, commits: number): void {
         const beforeMs = this.visibleBeforeMs.get(statementId) ?? -Infinity;
         if ((database.primary?.commits[commits] ?? Infinity) < beforeMs) {
@@ -286,6 +326,12 @@
         node.post({ kind: FleetKind.PermitsGranted, grants, validUntilMs: Infinity } as PermitsGranted);
         node.post({ kind: PeerKind.InstancesKnown, instances: peers } as Message);
         this.databases.forEach(({ report }) => node.post({ kind: FleetKind.DatabaseChanged, report } as Message));
+        this.coldLeader.attach(node, this.policy());
+    }
+
+    /** Sends a frame of an instance to the control leader. */
+    sendToLeader(node: FleetNode, { frame }: SendFrame): void {
+        this.schedule.after(crossDataCentreDelayMs, () => this.coldLeader.receive(node, frame));
     }
 
     private linkReplicas(database: StandInDatabase): void {
@@ -305,6 +351,7 @@
             leads: index % 3 === 0,
             sequence: 1,
             bornUnixMs: 1,
+            coldLeftMs: this.options.coldDatabaseIds?.includes(`db${index}`) === true ? 60_000 : 0,
         };
     }
 
@@ -315,18 +362,21 @@
             keys: [`k-${name}`],
             ratePerSecond: 1e4,
             burst: 1e4,
+            homeRegions: this.options.homeRegions?.get(name) ?? [],
         }));
         const services = Array.from({ length: this.options.services }, (_, index) => `service${index}`);
         const routes = services.flatMap(service => [
             routeOf("orders", service, RouteConsistency.Primary, 0),
             routeOf("lookup", service, RouteConsistency.Bounded, 1_500),
             routeOf("status", service, RouteConsistency.Session, 2_500),
-        ]);
+        ]).map(route => ({ ...route, homeRegions: this.options.homeRegions?.get(route.name) ?? [] }));
         const connectionLimit = this.options.connectionLimit ?? 82;
+        const { coldPerSecond } = this.options;
+        const cold = coldPerSecond === undefined ? {} : { coldPerSecond, coldStartMs: 5_000 };
         return {
             version: 1,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
-            services: new Map(services.map(name => [name, { name, connectionLimit, synchronousReplicas: 1 }])),
+            services: new Map(services.map(name => [name, { name, connectionLimit, synchronousReplicas: 1, ...cold }])),
             workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
             workspaceByKey: new Map(names.map(name => [`k-${name}`, name])),
             transactionIdleMs: 3_000,
@@ -349,6 +399,7 @@
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
         FleetKind.PolicyProofNeeded,
+        FleetKind.SendFrame,
         PeerKind.Send,
         PeerKind.Answer,
     ];
@@ -375,21 +426,28 @@
         this.fleet = fleet;
         this.peer = peer;
         const { instanceId, dataCentre } = peer;
+        const dataCentreRegions = fleet.options.regions ?? new Map<string, string>();
+        const coldRule = new ColdRule({ tolerance: coldTolerance });
         const filters = [
             new FloorExchange({ instanceId, dataCentre }),
             new SessionAccess(),
             new Sessions(),
             new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
-            new Routing({ dataCentre, rules: [new EvacuationRule(evacuationBoundMs)] }),
-            new Forwarding({ instanceId }),
+            coldRule,
+            new Routing({
+                dataCentre,
+                rules: [new EvacuationRule(evacuationBoundMs), new HomeRule(dataCentreRegions), coldRule],
+            }),
+            new Forwarding({ instanceId, dataCentreRegions }),
+            new ColdGate(),
             new EvacuationStages(evacuationBoundMs),
             new Links(),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
         this.loop = new EventLoop({
             clock: this.clock,
-            pipes: [new Pipe("session", filters)],
+            pipes: [new Pipe("session", filters), new Pipe("fleet", [new ColdRequester()])],
             sinks: [this],
         });
     }
@@ -482,6 +540,8 @@
                 return;
             case FleetKind.Drained:
                 return this.end();
+            case FleetKind.SendFrame:
+                return this.fleet.sendToLeader(this, message as SendFrame);
             case SessionKind.Refuse:
                 this.fleet.recordAnswer(this, "refused");
                 return;
@@ -492,6 +552,7 @@
             case LinkKind.Open:
                 this.counters.linksOpened += 1;
                 this.fleet.onLinkUsed(this, message as LinkOpen);
+                this.checkLink(message as LinkOpen);
                 return this.sendToDatabase((message as unknown as { databaseId: string; }).databaseId, message);
             case LinkKind.Send:
             case LinkKind.Close:
@@ -505,12 +566,25 @@
         }
     }
 
+    /** A link tells the database the name of the workspace. */
+    private checkLink({ databaseId, workspace }: LinkOpen): void {
+        const { homeRegions, regions } = this.fleet.options;
+        const homes = homeRegions?.get(workspace) ?? [];
+        const { dataCentre } = this.fleet.databases.get(databaseId)!.report;
+        if (homes.length > 0 && !homes.includes(regions?.get(dataCentre) ?? "")) {
+            this.fleet.outsideHome.push(`${workspace} named in ${dataCentre}`);
+        }
+    }
+
     private sendQuestion({ address, question }: PeerSend): void {
         const other = this.fleet.node(address);
         if (other === undefined || other.killed) {
             this.fleet.schedule.after(localDelayMs, () => this.post({ kind: PeerKind.Lost, address } as Message));
             return;
         }
+        if (question.kind === "task") {
+            this.fleet.checkHome(question.sessionId, other.peer.dataCentre, "carried");
+        }
         const bytes = encodeQuestion(question).body.length + framingBytes;
         this.counters.bytesOut += bytes;
         const floorBytes = isProbe(question) ? bytes : 0;
@@ -561,6 +635,48 @@
     }
 }
 
+/** The control leader, as far as it grants the right to send tasks to cold databases. */
+class ColdLeader {
+    private readonly budgets = new ColdBudgets({ tolerance: coldTolerance });
+    private readonly fleet: SessionFleet;
+    private readonly nodes = new Map<string, FleetNode>();
+
+    constructor(fleet: SessionFleet) {
+        this.fleet = fleet;
+    }
+
+    attach(node: FleetNode, policy: PolicyApplied["policy"]): void {
+        if (this.nodes.size === 0) {
+            this.push({ kind: FleetKind.PolicyApplied, policy } as unknown as Message);
+            this.push({ kind: ControlKind.LeaderChanged, leading: true, term: 1 } as Message);
+        }
+        this.nodes.set(node.peer.instanceId, node);
+        const status = { kind: "status", leading: true, term: 1 };
+        node.post({ kind: FleetKind.FrameReceived, attachmentId: "leader", frame: status } as unknown as Message);
+    }
+
+    receive(node: FleetNode, frame: FleetFrame): void {
+        this.fleet.databases.forEach(({ report }) => this.push({ kind: FleetKind.DatabaseChanged, report } as Message));
+        this.push({ kind: FleetKind.FrameReceived, attachmentId: node.peer.instanceId, frame } as Message);
+    }
+
+    private push(message: Message): void {
+        for (const output of this.budgets.process(message as never, this.fleet.schedule.nowMs)) {
+            if (output.kind === FleetKind.SendFrame) {
+                const { attachmentId, frame } = output as SendFrame;
+                const received = { kind: FleetKind.FrameReceived, attachmentId: "leader", frame } as Message;
+                this.fleet.schedule.after(crossDataCentreDelayMs, () => this.nodes.get(attachmentId)!.post(received));
+            }
+            else if (output.kind === ControlKind.Propose) {
+                const { proposalId } = output as ControlPropose;
+                const status = ProposalStatus.Conflict;
+                const ended = { kind: ControlKind.ProposalEnded, proposalId, status } as Message;
+                this.fleet.schedule.after(2 * crossDataCentreDelayMs, () => this.push(ended));
+            }
+        }
+    }
+}
+
 /** One caller's session, which alternates between operations and pauses. */
 class Caller {
     private readonly fleet: SessionFleet;
@@ -587,8 +703,13 @@
     }
 
     start(): void {
-        const key = `k-${this.fleet.workspace()}`;
+        const workspace = this.fleet.workspace();
+        const key = `k-${workspace}`;
         const { sessionId } = this;
+        const homes = commonHomeRegions(this.route.homeRegions, this.fleet.options.homeRegions?.get(workspace));
+        if (homes !== undefined) {
+            this.fleet.homesBySession.set(sessionId, homes);
+        }
         this.node.post({ kind: SessionKind.Opened, sessionId, database: this.route.database, key } as Message);
         this.startOperation();
     }
@@ -724,6 +845,10 @@
     }
 }
 
+function sessionIdOf(statementId: string): string {
+    return statementId.slice(0, statementId.lastIndexOf("-"));
+}
+
 function isProbe(question: PeerQuestion): boolean {
     return question.kind === "floor" || question.kind === "task" && question.mode === TaskMode.Probe;
 }
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -58,6 +58,8 @@
     LinkDue: "task.link_due",
     IdleDue: "task.idle_due",
     ForwardDue: "task.forward_due",
+    /** Tasks that wait to be sent to a cold database may have waited long enough. */
+    ColdDue: "task.cold_due",
 } as const;
 
 /** The part of a task that links need. */
@@ -79,6 +81,8 @@
     readonly context: SessionContext;
     /** Deadline of the statement over all attempts. */
     readonly deadlineMs: number;
+    /** Regions whose databases may run it and whose instances may carry it; undefined if all may. */
+    readonly homeRegions?: readonly string[];
 }
 
 /** A statement that needs a database, with the data from which routing chooses the database. */
@@ -216,7 +220,8 @@
         | typeof TaskKind.LinkDue
         | typeof TaskKind.IdleDue
         | typeof TaskKind.ForwardDue
-        | typeof TaskKind.FloorDue;
+        | typeof TaskKind.FloorDue
+        | typeof TaskKind.ColdDue;
     readonly id: string;
 }
 
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -4,6 +4,8 @@
 import { SubscriptionFilter } from "../control/subscriptionFilter.ts";
 import { AttachmentHub } from "../fleet/attachmentHub.ts";
 import { Attachments } from "../fleet/attachments.ts";
+import { ColdBudgets } from "../fleet/coldBudgets.ts";
+import { ColdRequester } from "../fleet/coldRequester.ts";
 import { ConfigurationDocuments } from "../fleet/configurationDocuments.ts";
 import { ConfigurationProofs } from "../fleet/configurationProofs.ts";
 import { EvacuationOrders } from "../fleet/evacuationOrders.ts";
@@ -15,16 +17,20 @@
 import { PolicyFilter } from "../fleet/policyFilter.ts";
 import { Promotions } from "../fleet/promotions.ts";
 import { Readiness } from "../fleet/readiness.ts";
+import type { ColdTolerance } from "../model/coldLimits.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { Member } from "../model/replicatedLog.ts";
 import { Pipe } from "../pipeline/pipe.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
 import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
 import { Admission } from "../session/admission.ts";
+import { ColdGate } from "../session/coldGate.ts";
+import { ColdRule } from "../session/coldRule.ts";
 import { EvacuationRule } from "../session/evacuationRule.ts";
 import { EvacuationStages } from "../session/evacuationStages.ts";
 import { FloorExchange } from "../session/floorExchange.ts";
 import { Forwarding } from "../session/forwarding.ts";
+import { HomeRule } from "../session/homeRule.ts";
 import { Links } from "../session/links.ts";
 import { PassedTasks } from "../session/passedTasks.ts";
 import { Routing } from "../session/routing.ts";
@@ -32,10 +38,15 @@
 import { Sessions } from "../session/sessions.ts";
 
 const defaultEvacuationBoundMs = 5_000;
+const noColdTolerance: ColdTolerance = { excess: 1, statements: 0 };
 
 export interface ProxyPipeOptions {
     readonly instanceId: string;
     readonly dataCentre: string;
+    /** Region of each data centre. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
+    /** By default nothing is tolerated beyond what a cold database bears. */
+    readonly coldTolerance?: ColdTolerance;
     /** `host:port` at which other instances reach the gRPC listener. */
     readonly rpcAddress: string;
     /** Time after the acknowledgement of an evacuation from which no statement may reach a database there; 5 s by default. */
@@ -45,15 +56,18 @@
 
 /** Builds the pipes of a proxy, which serves callers. */
 export function buildProxyPipes(options: ProxyPipeOptions): readonly Pipe[] {
-    const { instanceId, dataCentre, rpcAddress, seed, evacuationBoundMs = defaultEvacuationBoundMs } = options;
+    const { instanceId, dataCentre, dataCentreRegions = new Map<string, string>(), rpcAddress, seed } = options;
+    const evacuationBoundMs = options.evacuationBoundMs ?? defaultEvacuationBoundMs;
+    const coldRule = new ColdRule({ tolerance: options.coldTolerance ?? noColdTolerance });
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
-        new PolicyFilter(new TrafficPolicyDecoder()),
+        new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
         new FleetDatabaseDirectory(),
         new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, followsConfiguration: true }),
         new MemberDiscovery({ address: rpcAddress, isMember: false, random: new SeededRandom(seed + 1) }),
         new PolicyConfirmation(),
         new PermitRequester(),
+        new ColdRequester(),
         new Readiness(),
     ]);
     const session = new Pipe("session", [
@@ -62,8 +76,13 @@
         new Sessions(),
         new Admission({ random: new SeededRandom(seed) }),
         new PassedTasks(),
-        new Routing({ dataCentre, rules: [new EvacuationRule(evacuationBoundMs)] }),
-        new Forwarding({ instanceId }),
+        coldRule,
+        new Routing({
+            dataCentre,
+            rules: [new EvacuationRule(evacuationBoundMs), new HomeRule(dataCentreRegions), coldRule],
+        }),
+        new Forwarding({ instanceId, dataCentreRegions }),
+        new ColdGate(),
         new EvacuationStages(evacuationBoundMs),
         new Links(),
     ]);
@@ -76,11 +95,15 @@
     readonly dataCentre: string;
     /** All data centres of the deployment; by default only the own one. */
     readonly dataCentres?: ReadonlySet<string>;
+    /** Region of each data centre. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
     /** True for the first start of the whole system, in which the members form a new cluster. */
     readonly canFormCluster: boolean;
     /** Number of members whose disks may be lost at the same time without a loss of committed entries. */
     readonly faultTolerance: number;
     readonly rateTolerance: RateTolerance;
+    /** By default nothing is tolerated beyond what a cold database bears. */
+    readonly coldTolerance?: ColdTolerance;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
     /** Time after the acknowledgement of an evacuation from which no statement may reach a database there; 5 s by default. */
@@ -94,6 +117,7 @@
 export function buildMemberPipes(options: MemberPipeOptions): readonly Pipe[] {
     const { self, dataCentre, dataCentres = new Set([dataCentre]), rateTolerance, reportIntervalMs, snapshotEntries } =
         options;
+    const dataCentreRegions = options.dataCentreRegions ?? new Map<string, string>();
     const control = new Pipe(
         "control",
         controlFilters({
@@ -108,7 +132,7 @@
     );
     const { memberId: instanceId, address } = self;
     const fleet = new Pipe("fleet", [
-        new PolicyFilter(new TrafficPolicyDecoder()),
+        new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
         new FleetDatabaseDirectory(),
         new AttachmentHub({ instanceId }),
         new Attachments({ instanceId, dataCentre, address, serves: false, followsConfiguration: false }),
@@ -117,7 +141,12 @@
         new ConfigurationProofs(),
         new EvacuationOrders({ dataCentres }),
         new PermitLeader({ tolerance: rateTolerance }),
-        new Promotions({ reportIntervalMs, evacuationBoundMs: options.evacuationBoundMs ?? defaultEvacuationBoundMs }),
+        new ColdBudgets({ tolerance: options.coldTolerance ?? noColdTolerance }),
+        new Promotions({
+            reportIntervalMs,
+            evacuationBoundMs: options.evacuationBoundMs ?? defaultEvacuationBoundMs,
+            dataCentreRegions,
+        }),
     ]);
     return [control, fleet];
 }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -186,9 +186,18 @@
 
 async function buildProxy(context: ProcessContext): Promise<ProcessComponents> {
     const { settings, stopDeadline, post, clientFactory, authentication, seed, loadLog, stack } = context;
-    const { instanceId, dataCentre, callerEndpoint, readinessEndpoint, evacuationBoundMs, rpcAddress } = settings;
+    const { instanceId, dataCentre, dataCentreRegions, rpcAddress, callerEndpoint, readinessEndpoint } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
-    const pipes = buildProxyPipes({ instanceId, dataCentre, rpcAddress, evacuationBoundMs, seed: seed + 2 });
+    const { coldTolerance, evacuationBoundMs } = settings;
+    const pipes = buildProxyPipes({
+        instanceId,
+        dataCentre,
+        dataCentreRegions,
+        coldTolerance,
+        evacuationBoundMs,
+        rpcAddress,
+        seed: seed + 2,
+    });
     const server = stack.use(new WireServer({ ...callerEndpoint!, post }));
     const readinessServer = stack.use(new ReadinessServer());
     const random = new SeededRandom(seed);
@@ -239,6 +248,7 @@
         instanceId,
         dataCentre,
         dataCentres,
+        dataCentreRegions,
         reportIntervalMs,
         faultTolerance,
     } = settings;
@@ -258,9 +268,11 @@
         initialMembers: settings.seeds,
         dataCentre,
         dataCentres,
+        dataCentreRegions,
         canFormCluster: settings.isBootstrap,
         faultTolerance,
         rateTolerance: settings.rateTolerance,
+        coldTolerance: settings.coldTolerance,
         reportIntervalMs,
         evacuationBoundMs: settings.evacuationBoundMs,
         seed,
