--- a/bench/abusiveCallers.ts
+++ b/bench/abusiveCallers.ts
@@ -110,7 +110,7 @@
             new PassedTasks(),
             new Routing({ dataCentre: "dc1" }),
             new Forwarding({ instanceId: "front1" }),
-            new Links(),
+            new Links({ random: new SeededRandom(1) }),
         ]);
         this.loop = new EventLoop({ clock: new SystemClock(), pipes: [session], sinks: [this, this.server] });
     }
--- a/src/holder/execute.ts
+++ b/src/holder/execute.ts
@@ -26,13 +26,13 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { RetryBudget } from "../scheduling/retryBudget.ts";
 import { refusedOutcome, requestKey } from "./answers.ts";
 import type { HolderSettings } from "./holderSettings.ts";
 import { IdempotentCommitScript } from "./idempotentCommitScript.ts";
 import { IdempotentWriteScript } from "./idempotentWriteScript.ts";
 import { LeaseTable } from "./leaseTable.ts";
 import { recordKeyFits } from "./requestRecord.ts";
-import { RetryBudget } from "./retryBudget.ts";
 import { executeStep, type Script, type ScriptStep, ScriptStepKind, SingleStatementScript } from "./script.ts";
 
 export interface ExecuteOptions {
--- a/src/holder/heldDatabase.ts
+++ b/src/holder/heldDatabase.ts
@@ -6,10 +6,10 @@
 import { type Refusal, RefusalCode } from "../model/refusal.ts";
 import { StatementKind } from "../model/statement.ts";
 import type { Message } from "../pipeline/message.ts";
+import { ServiceTimeEstimate } from "../scheduling/serviceTimeEstimate.ts";
 import { acquireStep, checkAdmission, outcomeWithoutLink } from "./admission.ts";
 import { createAnswer, refusedOutcome, sessionKey, sessionKeyOf } from "./answers.ts";
 import { type Link, LinkState } from "./linkSet.ts";
-import { ServiceTimeEstimate } from "./serviceTimeEstimate.ts";
 import { WaitingStatements } from "./waitingStatements.ts";
 import type { WorkLinkPool } from "./workLinkPool.ts";
 
@@ -48,7 +48,10 @@
         if (outcome !== undefined) {
             return [createAnswer(request, outcome)];
         }
-        return [this.waiting.add(request, this.serviceTimes.expectedMs(request)), ...this.dispatch(nowMs)];
+        return [
+            this.waiting.add(request, this.serviceTimes.expectedMs(serviceTimeKey(request))),
+            ...this.dispatch(nowMs),
+        ];
     }
 
     linkOpened(link: Link, nowMs: number): readonly Message[] {
@@ -75,7 +78,7 @@
         if (request === undefined || link.state !== LinkState.Running) {
             return [];
         }
-        this.serviceTimes.recordServiceTime(request, nowMs - link.stateSinceMs);
+        this.serviceTimes.recordServiceTime(serviceTimeKey(request), nowMs - link.stateSinceMs);
         link.inTransaction = message.inTransaction;
         link.sessionState = message.sessionState;
         const keepsState = message.inTransaction || message.sessionState;
@@ -279,3 +282,7 @@
         return [{ kind: HolderPipeKind.WorkEnded, databaseId: this.view.databaseId } as Message];
     }
 }
+
+function serviceTimeKey({ workClass, workspace }: HolderRequest): string {
+    return `${workClass}/${workspace}`;
+}
--- a/src/holder/waitingStatements.ts
+++ b/src/holder/waitingStatements.ts
@@ -4,12 +4,12 @@
 import { StatementKind } from "../model/statement.ts";
 import { type ClearDeadline, clearDeadline, type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import { requestKey, sessionKeyOf } from "./answers.ts";
-import { StatementQueue } from "./statementQueue.ts";
+import { WorkClassQueue } from "./workClassQueue.ts";
 
 export class WaitingStatements {
-    private readonly reads = new StatementQueue();
+    private readonly reads = new WorkClassQueue();
     /** Statements other than reads, which may block on a database lock while they occupy a slot. */
-    private readonly nonReads = new StatementQueue();
+    private readonly nonReads = new WorkClassQueue();
     /** Statements of sessions with a pinned connection. They run first, because only they can use that connection. */
     private readonly pinned: HolderRequest[] = [];
     private readonly byKey = new Map<string, HolderRequest>();
@@ -70,7 +70,7 @@
         return this.byKey.size === 0;
     }
 
-    private queueOf(request: HolderRequest): StatementQueue {
+    private queueOf(request: HolderRequest): WorkClassQueue {
         return request.statementKind === StatementKind.Read ? this.reads : this.nonReads;
     }
 
--- a/src/holder/statementQueue.ts
+++ b/src/holder/workClassQueue.ts
@@ -3,9 +3,9 @@
  * the workspaces of a class.
  */
 import type { HolderRequest } from "../model/holderMessages.ts";
-import { FairQueue } from "./fairQueue.ts";
+import { FairQueue } from "../scheduling/fairQueue.ts";
 
-export class StatementQueue {
+export class WorkClassQueue {
     private readonly classes = new Map<string, FairQueue<HolderRequest>>();
 
     enqueue(request: HolderRequest, costMs: number): void {
--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -107,6 +107,8 @@
     readonly pinned: boolean;
     /** Not sent by releases that do not know it, nor with results that tell nothing about the load. */
     readonly load?: DatabaseLoad;
+    /** Set if the statement could not start in time: time after which it could. Not sent by earlier releases. */
+    readonly retryAfterMs?: number;
 }
 
 export interface FloorResult {
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -119,7 +119,7 @@
         const { questionId, position, proofAgeMs } = result;
         return { body: encodeJson([questionId, encodePosition(position), Math.ceil(proofAgeMs)]) };
     }
-    const { taskId, reply, fault, sent, leads, pinned, load } = result;
+    const { taskId, reply, fault, sent, leads, pinned, load, retryAfterMs } = result;
     const flags = Number(sent) + 2 * Number(leads) + 4 * Number(pinned);
     const encodedReply = reply === undefined ? 0 : [
         reply.rows,
@@ -132,11 +132,12 @@
     return {
         body: encodeJson([taskId, flags, fault ?? 0, encodedReply]),
         ...load === undefined ? {} : { load: encodeLoad(load) },
+        ...retryAfterMs === undefined ? {} : { retryAfterMs: toUnsigned(Math.ceil(retryAfterMs)) },
     };
 }
 
 /** @throws Error that names the field if the body was not made by `encodeResult` */
-export function decodeResult({ body, load: encodedLoad }: TaskFrameMessage): PeerResult {
+export function decodeResult({ body, load: encodedLoad, retryAfterMs }: TaskFrameMessage): PeerResult {
     const fields = requireFields(decodeJson(body), "result", [2, 3, 4]);
     if (fields.length === 2) {
         return {
@@ -165,6 +166,7 @@
         leads: (flags & 2) !== 0,
         pinned: (flags & 4) !== 0,
         ...load === undefined ? {} : { load },
+        ...retryAfterMs === undefined ? {} : { retryAfterMs },
     };
 }
 
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -9,6 +9,7 @@
 import { SessionStatementKind, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { CommitTracker } from "../commitTracker.ts";
 import { Links } from "../links.ts";
 import { TaskKind } from "../taskMessages.ts";
@@ -25,7 +26,7 @@
             followsConfiguration: true,
         }),
     ]);
-    private readonly session = new Pipe("session", [new Links()]);
+    private readonly session = new Pipe("session", [new Links({ random: new SeededRandom(1) })]);
 
     constructor(startedMs: number) {
         this.push({ kind: FleetKind.Attached, attachmentId: "f1", address: "m1:1" } as Message, startedMs);
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -5,6 +5,7 @@
 import { emptySessionContext, SessionStatementKind, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { Links } from "../links.ts";
 import type { LinkTable } from "../linkTable.ts";
 import { TaskKind } from "../taskMessages.ts";
@@ -37,7 +38,7 @@
     visits = 0;
     /** Ids of statements in the order in which they were sent. */
     readonly sentStatementIds: string[] = [];
-    private readonly links = new Links();
+    private readonly links = new Links({ random: new SeededRandom(1) });
     private readonly openingLinkIds: string[] = [];
     private readonly busyLinkIds: string[] = [];
     private nextTaskNumber = 0;
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -3,6 +3,7 @@
 import { type LinkCommand, LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
 import type { Position } from "../../model/position.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
 import {
     type SessionStatement,
@@ -47,6 +48,7 @@
         LinkKind.Send,
         LinkKind.Close,
         LinkKind.ReplyDiscarded,
+        ...Object.values(SchedulingKind),
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
@@ -84,7 +86,7 @@
             new PassedTasks(),
             new Routing({ dataCentre: "dc1" }),
             new Forwarding({ instanceId: "front1" }),
-            new Links(),
+            new Links({ random: new SeededRandom(1) }),
         ];
         this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("session", filters)], sinks: [this] });
     }
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -14,6 +14,7 @@
     type PeerQuestion,
     type PeerSend,
 } from "../../model/peerMessages.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
 import {
     isNotRun,
@@ -332,6 +333,7 @@
         LinkKind.Send,
         LinkKind.Close,
         LinkKind.ReplyDiscarded,
+        ...Object.values(SchedulingKind),
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
@@ -370,7 +372,7 @@
             new PassedTasks(),
             new Routing({ dataCentre }),
             new Forwarding({ instanceId }),
-            new Links(),
+            new Links({ random: new SeededRandom(1) }),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
         this.loop = new EventLoop({
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -302,7 +302,7 @@
         const send: PeerSend = {
             kind: PeerKind.Send,
             address,
-            question: toPassedTask(placed, attemptId, attemptDeadlineMs - nowMs),
+            question: toPassedTask(placed, attemptId, attemptDeadlineMs - nowMs, nowMs),
         };
         const checkMs = Math.min(attemptDeadlineMs, nowMs + this.responsiveness.timeoutMs(address));
         return [send, setDeadline(forwardKey(taskId), checkMs, taskTimer(TaskKind.ForwardDue, taskId))];
@@ -434,7 +434,7 @@
 }
 
 function toAttempted({ task, databaseId, address, sentMs }: PendingAttempt, result: PassedResult): TaskAttempted {
-    const { reply, fault, sent, leads, pinned, load } = result;
+    const { reply, fault, sent, leads, pinned, load, retryAfterMs } = result;
     return {
         kind: TaskKind.Attempted,
         task,
@@ -449,6 +449,7 @@
         leads,
         pinned,
         ...load === undefined ? {} : { load },
+        ...retryAfterMs === undefined ? {} : { retryAfterMs },
     };
 }
 
@@ -460,6 +461,7 @@
     { task, databaseId, floor }: Pick<TaskPlaced, "task" | "databaseId" | "floor">,
     attemptId: string,
     remainingMs: number,
+    nowMs: number,
 ): PassedTask {
     const { sessionId, service, workspace, mode, statement, writes, needsPrimary, context } = task;
     return {
@@ -477,9 +479,21 @@
         databaseId,
         floor,
         remainingMs,
+        ...passedUrgency(task, nowMs),
     };
 }
 
+function passedUrgency({ urgency }: LinkTask, nowMs: number): Pick<PassedTask, "urgency"> {
+    return urgency === undefined
+        ? {}
+        : {
+            urgency: {
+                priority: urgency.priority,
+                objectiveMs: Math.max(0, Math.round(urgency.objectiveAtMs - nowMs)),
+            },
+        };
+}
+
 function taskIdOf(attemptId: string): string {
     return attemptId.slice(0, attemptId.lastIndexOf(attemptSeparator));
 }
--- a/src/session/link.ts
+++ b/src/session/link.ts
@@ -25,7 +25,11 @@
     readonly linkId: string;
     readonly databaseId: string;
     readonly workspace: string;
+    /** Time at which opening began. */
+    readonly openedMs: number;
     state: LinkState = LinkState.Opening;
+    /** No attempt has been made on it. */
+    isUnused = true;
     readonly replies = new ReplyMatcher();
     attempt: LinkAttempt | undefined;
     /** Session whose transaction is open on this link. */
@@ -40,10 +44,18 @@
     private preparedBytes = 0;
     private nextPreparedNumber = 1;
 
-    constructor(parts: { readonly linkId: string; readonly databaseId: string; readonly workspace: string; }) {
+    constructor(
+        parts: {
+            readonly linkId: string;
+            readonly databaseId: string;
+            readonly workspace: string;
+            readonly openedMs?: number;
+        },
+    ) {
         this.linkId = parts.linkId;
         this.databaseId = parts.databaseId;
         this.workspace = parts.workspace;
+        this.openedMs = parts.openedMs ?? 0;
     }
 
     /** Returns whether the link has a variable that the session lacks, or too many prepared statements. */
@@ -117,7 +129,9 @@
 export interface LinkAttempt {
     readonly placed: TaskPlaced;
     readonly gate: Gate;
-    sentMs: number | undefined;
+    sentMs: number;
+    /** Links that were opening or busy when the attempt started, including its own. */
+    readonly inFlightAtStart: number;
     /** Position that the database's log was known to have reached before the statement was sent. */
     readonly knownPosition: Position | undefined;
     /** The statement itself was sent, not only the commands before it. */
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -1,9 +1,13 @@
 /** The connection pool of this instance for one database. */
 import type { DatabaseReport } from "../model/fleetMessages.ts";
-import { laterPosition, type Position } from "../model/position.ts";
+import { hasReached, laterPosition, type Position } from "../model/position.ts";
 import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
+import { type ConcurrencyWindow, GradientWindow, type WindowPhase } from "../scheduling/concurrencyWindow.ts";
+import { ServiceTimeEstimate } from "../scheduling/serviceTimeEstimate.ts";
+import { StatementQueue } from "../scheduling/statementQueue.ts";
 import { type Link, LinkState } from "./link.ts";
-import type { LinkTask, TaskPlaced } from "./taskMessages.ts";
+import type { LinkTask } from "./taskMessages.ts";
+import type { WaitingTask } from "./waitingTask.ts";
 
 /**
  * Share of a database's connection limit that its holder may use. The rest is left to control members and to instances
@@ -14,34 +18,69 @@
 /** Maximum of links on an instance that is not the holder. */
 const nonHolderLinks = 2;
 
+/** Estimate before the first attempt; about the time of a small statement. */
+const initialServiceMs = 15;
+
 export class LinkPool {
     report: DatabaseReport;
     readonly links = new Set<Link>();
-    /** Tasks that wait for a link, in order of arrival. */
-    waitingTasks: TaskPlaced[] = [];
+    /** Tasks that wait for room in the window and for a link. */
+    readonly waitingTasks = new StatementQueue<WaitingTask>();
+    /** Limits the links that are opening or busy; statements of open transactions start beyond it. */
+    readonly window: ConcurrencyWindow;
+    /** Phase of the window as last logged. */
+    loggedPhase: WindowPhase | undefined;
+    /** Times for which attempts occupy a place in the window. */
+    readonly serviceTimes = new ServiceTimeEstimate(initialServiceMs);
     /** No link is opened before this time, because the database has reached its connection limit. */
     openPausedUntilMs = 0;
     lastReplyAtMs: number | undefined;
     /** Highest log position of the database in replies that were proved. */
     latestPosition: Position | undefined;
+    /** Time at which the database told that position. */
+    latestPositionAtMs = 0;
     /** This instance is the holder: other instances pass their tasks for the database to it. */
     isHolder = false;
 
     constructor(report: DatabaseReport) {
         this.report = report;
+        this.window = new GradientWindow(report.slots);
     }
 
-    recordPosition(position: Position | undefined): void {
+    recordPosition(position: Position | undefined, nowMs: number): void {
         if (position !== undefined) {
+            if (this.latestPosition === undefined || hasReached(position, this.latestPosition)) {
+                this.latestPositionAtMs = nowMs;
+            }
             this.latestPosition = laterPosition(this.latestPosition, position);
         }
     }
 
+    /** Counts the links by what they do. */
+    occupancy(): PoolOccupancy {
+        let inFlight = 0;
+        let idle = 0;
+        let oldestStartMs = Infinity;
+        for (const link of this.links) {
+            inFlight += Number(isInFlight(link));
+            idle += Number(link.state === LinkState.Idle);
+            const startMs = link.state === LinkState.Opening ? link.openedMs : link.attempt?.sentMs ?? Infinity;
+            oldestStartMs = Math.min(oldestStartMs, startMs);
+        }
+        return { inFlight, idle, oldestStartMs };
+    }
+
+    private isAwaited({ isUnused, workspace }: Link): boolean {
+        return isUnused && this.waitingTasks.countOf(workspace) > 0;
+    }
+
     /** Collects the idle and the opening links in one pass. */
     summary(): LinkSummary {
         const idle = new IdleLinks(this.links, this.latestPosition);
         const opening = new Map<string, number>();
+        let inFlight = 0;
         for (const link of this.links) {
+            inFlight += Number(isInFlight(link));
             if (link.state === LinkState.Opening) {
                 opening.set(link.workspace, (opening.get(link.workspace) ?? 0) + 1);
             }
@@ -49,12 +88,12 @@
                 idle.add(link);
             }
         }
-        return { idle, opening };
+        return { idle, opening, inFlight };
     }
 
-    /** Returns the least recently used idle link. */
+    /** Returns the least recently used idle link, except those that were opened for a task which still waits. */
     oldestIdle(): Link | undefined {
-        return [...this.links].filter(link => link.state === LinkState.Idle)
+        return [...this.links].filter(link => link.state === LinkState.Idle && !this.isAwaited(link))
             .sort((left, right) => left.idleSinceMs - right.idleSinceMs)[0];
     }
 }
@@ -63,6 +102,20 @@
     readonly idle: IdleLinks;
     /** Number of links being opened, by workspace. */
     readonly opening: Map<string, number>;
+    /** Number of links that occupy a place in the window. */
+    readonly inFlight: number;
+}
+
+export interface PoolOccupancy {
+    /** Number of links that occupy a place in the window. */
+    readonly inFlight: number;
+    readonly idle: number;
+    /** Start of the oldest attempt or opening in progress; Infinity without one. */
+    readonly oldestStartMs: number;
+}
+
+function isInFlight({ state }: Link): boolean {
+    return state === LinkState.Opening || state === LinkState.Busy;
 }
 
 /** Links of a pool that were idle when added; links that have been closed or used since then are not returned. */
--- a/src/session/linkTable.ts
+++ b/src/session/linkTable.ts
@@ -52,10 +52,9 @@
     /** Removes a task from the queue of its pool, and returns it. */
     removeWaiting(taskId: string): TaskPlaced | undefined {
         for (const pool of this.pools.values()) {
-            const placed = pool.waitingTasks.find(({ task }) => task.taskId === taskId);
-            if (placed !== undefined) {
-                pool.waitingTasks = pool.waitingTasks.filter(other => other !== placed);
-                return placed;
+            const waiting = pool.waitingTasks.remove(taskId);
+            if (waiting !== undefined) {
+                return waiting.placed;
             }
         }
         return undefined;
@@ -75,7 +74,7 @@
             closed.push(...this.close(oldest));
         }
         const { databaseId, address, service } = pool.report;
-        const link = new Link({ linkId: `l${this.nextLinkNumber++}`, databaseId, workspace });
+        const link = new Link({ linkId: `l${this.nextLinkNumber++}`, databaseId, workspace, openedMs: nowMs });
         this.links.set(link.linkId, link);
         pool.links.add(link);
         const open: LinkOpen = { kind: LinkKind.Open, linkId: link.linkId, address, service, workspace, databaseId };
@@ -121,7 +120,7 @@
     /** Schedules the next pass over a pool: sooner when tasks wait for a link that could not be opened. */
     setIdleTimer({ report, isHolder, waitingTasks }: LinkPool, nowMs: number): Message {
         const timer = taskTimer(TaskKind.IdleDue, report.databaseId);
-        const afterMs = waitingTasks.length > 0
+        const afterMs = waitingTasks.size > 0
             ? connectionLimitPauseMs
             : isHolder
             ? idleTimeoutMs
@@ -137,7 +136,7 @@
         return clearDeadline(linkKey(link));
     }
 
-    private maximumLinksOf({ report, isHolder }: LinkPool): number {
+    maximumLinksOf({ report, isHolder }: LinkPool): number {
         const connectionLimit = this.services.get(report.service)?.connectionLimit ?? defaultConnectionLimit;
         return maximumLinks(connectionLimit, isHolder);
     }
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -1,6 +1,6 @@
 /**
- * Runs tasks on links, after the routing and forwarding filters have assigned them to a database of which this instance
- * is the holder. Opens links, sets session state on them, reserves them for open transactions, and enforces timeouts.
+ * Schedules tasks on links, after the routing and forwarding filters have assigned them to a database of which this
+ * instance is the holder: from their placement to their end, and through all that happens to links and databases.
  */
 import { match, P } from "ts-pattern";
 import {
@@ -11,35 +11,21 @@
     type FrameReceived,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
-import {
-    DiscardReason,
-    type LinkCommand,
-    LinkCommandKind,
-    LinkKind,
-    LinkLoss,
-    type LinkLost,
-    type LinkOpened,
-    type LinkReplied,
-    type LinkReply,
-    type LinkReplyDiscarded,
-    type LinkSend,
-} from "../model/linkMessages.ts";
-import type { Position } from "../model/position.ts";
-import { StatementFault, TaskMode, TransactionState } from "../model/sessionStatement.ts";
+import { LinkKind, LinkLoss, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
+import { StatementFault } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { CommitTracker } from "./commitTracker.ts";
 import { type Link, LinkState } from "./link.ts";
-import { gateOf, openGate } from "./linkGate.ts";
+import { attemptKey, LinkAttempts, unsentAttempt } from "./linkAttempts.ts";
 import { LinkPool } from "./linkPool.ts";
 import { connectionLimitPauseMs, LinkTable } from "./linkTable.ts";
-import { ReplyRole, ReplyVerdict } from "./replyMatcher.ts";
+import { recordLost, recordOpened } from "./poolLoad.ts";
 import {
     type HolderChanged,
-    isCommit,
     type TaskAbandoned,
-    type TaskAttempted,
     type TaskContinued,
     type TaskEnded,
     type TaskExpired,
@@ -48,9 +34,7 @@
     type TaskTimer,
     taskTimer,
 } from "./taskMessages.ts";
-
-/** Timeout of the reply to a gate or a rollback; above the longest round trip, because neither needs a slot. */
-const gateTimeoutMs = 400;
+import { TaskScheduler } from "./taskScheduler.ts";
 
 type LinksInput =
     | TaskPlaced
@@ -69,6 +53,10 @@
     | TaskEnded
     | HolderChanged;
 
+export interface LinksOptions {
+    readonly random: SeededRandom;
+}
+
 export class Links implements Filter<LinksInput, Message> {
     readonly step = "links";
     readonly accepts = [
@@ -95,6 +83,12 @@
     ];
     private readonly table = new LinkTable();
     private readonly commitTracker = new CommitTracker();
+    private readonly attempts = new LinkAttempts(this.table, this.commitTracker);
+    private readonly scheduler: TaskScheduler;
+
+    constructor({ random }: LinksOptions) {
+        this.scheduler = new TaskScheduler({ table: this.table, attempts: this.attempts, random });
+    }
 
     process(message: LinksInput, nowMs: number): readonly Message[] {
         this.commitTracker.startOnce(nowMs);
@@ -102,7 +96,7 @@
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, input => this.place(input, nowMs))
             .with(
                 { kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) },
-                input => this.continueTransaction(input, nowMs),
+                input => this.attempts.continueTransaction(input, nowMs),
             )
             .with({ kind: P.union(TaskKind.Abandoned, TaskKind.PassedAbandoned) }, input => this.abandon(input, nowMs))
             .with({ kind: TaskKind.Expired }, input => this.handleAttemptTimeout(input.taskId, nowMs))
@@ -143,332 +137,44 @@
         if (pool === undefined) {
             return [unsentAttempt(placed, StatementFault.Misrouted)];
         }
-        pool.waitingTasks.push(placed);
         const timer = taskTimer(TaskKind.AttemptDue, placed.task.taskId);
-        return [setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer), ...this.assignLinks(pool, nowMs)];
-    }
-
-    /** Assigns idle links to waiting tasks in order of arrival, and opens links for tasks that are left without one. */
-    private assignLinks(pool: LinkPool, nowMs: number): readonly Message[] {
-        if (pool.waitingTasks.length === 0) {
-            return [];
-        }
-        const messages: Message[] = [];
-        const { idle, opening } = pool.summary();
-        const unserved: TaskPlaced[] = [];
-        const unservedCount = new Map<string, number>();
-        let mayOpen = true;
-        for (const placed of pool.waitingTasks) {
-            const { workspace } = placed.task;
-            const link = idle.find(placed.task);
-            if (link !== undefined) {
-                messages.push(...this.startAttempt(link, placed, nowMs));
-                continue;
-            }
-            unserved.push(placed);
-            const count = (unservedCount.get(workspace) ?? 0) + 1;
-            unservedCount.set(workspace, count);
-            if (mayOpen && (opening.get(workspace) ?? 0) < count) {
-                const opened = this.table.open(pool, workspace, nowMs);
-                messages.push(...opened);
-                // If no link can be opened for this task, none can be opened for the tasks behind it.
-                mayOpen = opened.length > 0;
-                opening.set(workspace, (opening.get(workspace) ?? 0) + (mayOpen ? 1 : 0));
-            }
-        }
-        pool.waitingTasks = unserved;
-        return messages;
-    }
-
-    private handleOpened({ linkId, position }: LinkOpened, nowMs: number): readonly Message[] {
-        const link = this.table.get(linkId);
-        if (link === undefined) {
-            return [];
-        }
-        const pool = this.table.poolOf(link);
-        pool.lastReplyAtMs = nowMs;
-        pool.recordPosition(position);
-        return [this.table.clearLinkTimer(link), ...this.release(link, nowMs)];
-    }
-
-    /** Starts an attempt on an idle link. */
-    private startAttempt(link: Link, placed: TaskPlaced, nowMs: number): readonly Message[] {
-        const { task, floor } = placed;
-        link.state = LinkState.Busy;
-        const prelude = link.preludeCommands(task.context, task.statement);
-        const { latestPosition } = this.table.poolOf(link);
-        const provesPrelude = prelude.length > 0 && link.replies.canProveBegin(latestPosition);
-        const gate = gateOf(placed, nowMs - link.idleSinceMs, provesPrelude);
-        link.attempt = { placed, gate, sentMs: nowMs, knownPosition: latestPosition, sent: false, leads: false };
-        if (gate.commands.length === 0) {
-            return prelude.length > 0 ? this.send(link, prelude, [], []) : this.sendStatement(link, floor);
-        }
-        const roles = [ReplyRole.Gate, ...gate.commands.slice(1).map(() => ReplyRole.Cleanup)];
-        return [
-            ...this.send(link, prelude, gate.commands, roles),
-            this.table.setLinkTimer(link, nowMs + gateTimeoutMs),
-        ];
-    }
-
-    private sendStatement(link: Link, floor: Position | undefined): readonly Message[] {
-        const attempt = link.attempt!;
-        attempt.sent = true;
-        return this.send(link, [], [link.statementCommand({ task: attempt.placed.task, floor })], [
-            ReplyRole.Statement,
-        ]);
-    }
-
-    private continueTransaction({ task }: TaskContinued, nowMs: number): readonly Message[] {
-        const link = this.table.findPinned(task.sessionId);
-        if (link === undefined) {
-            // The link broke between two statements; the database has rolled back the transaction.
-            return [unsentAttempt({ task, databaseId: "" }, StatementFault.Aborted)];
-        }
-        const placed: TaskPlaced = {
-            kind: TaskKind.Placed,
-            task,
-            databaseId: link.databaseId,
-            floor: undefined,
-            attemptDeadlineMs: task.deadlineMs,
-        };
-        link.state = LinkState.Busy;
-        const knownPosition = this.table.poolOf(link).latestPosition;
-        link.attempt = { placed, gate: openGate, sentMs: nowMs, knownPosition, sent: false, leads: false };
-        const prelude = link.preludeCommands(task.context, task.statement);
-        const timer = taskTimer(TaskKind.AttemptDue, task.taskId);
         return [
             setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer),
-            ...prelude.length > 0 ? this.send(link, prelude, [], []) : this.sendStatement(link, undefined),
+            ...this.scheduler.add(pool, placed, nowMs),
         ];
     }
 
-    private send(
-        link: Link,
-        prelude: readonly LinkCommand[],
-        commands: readonly LinkCommand[],
-        roles: readonly ReplyRole[],
-    ): readonly Message[] {
-        prelude.forEach(command => link.replies.expect(ReplyRole.Prelude, command));
-        commands.forEach((command, index) => link.replies.expect(roles[index]!, command));
-        const message: LinkSend = { kind: LinkKind.Send, linkId: link.linkId, commands: [...prelude, ...commands] };
-        return [message];
-    }
-
-    private handleReplied({ linkId, reply }: LinkReplied, nowMs: number): readonly Message[] {
+    private handleOpened({ linkId, position }: LinkOpened, nowMs: number): readonly Message[] {
         const link = this.table.get(linkId);
         if (link === undefined) {
             return [];
         }
-        const match = link.replies.match(reply);
-        switch (match.verdict) {
-            case ReplyVerdict.Repeated:
-                return link.replies.isOverflowing
-                    ? this.discard(link, reply, DiscardReason.Repeated, nowMs)
-                    : [replyDiscarded(link, reply, DiscardReason.Repeated)];
-            case ReplyVerdict.Unmatched:
-                return this.discard(link, reply, DiscardReason.Unmatched, nowMs);
-        }
         const pool = this.table.poolOf(link);
-        const isProved = match.verdict === ReplyVerdict.Proved;
-        if (isProved) {
-            pool.lastReplyAtMs = nowMs;
-            pool.recordPosition(reply.position);
-        }
-        switch (match.role) {
-            case ReplyRole.Prelude:
-                return this.handlePreludeReply(link, reply, nowMs);
-            case ReplyRole.Gate:
-                return this.handleGateReply(link, reply, isProved, nowMs);
-            case ReplyRole.Statement:
-                return this.handleStatementReply(link, reply, isProved, nowMs);
-            case ReplyRole.Cleanup:
-                return this.handleCleanupReply(link, nowMs);
-        }
-    }
-
-    /** Sends the statement once the commands are answered; behind a refused one it would run without its session state. */
-    private handlePreludeReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
-        if (reply.fault !== undefined) {
-            return this.closeLink(link, nowMs, faultWithoutReply(link));
-        }
-        const { attempt } = link;
-        return link.replies.expectedCount > 0 || attempt === undefined
-            ? []
-            : this.sendStatement(link, attempt.placed.floor);
-    }
-
-    private handleGateReply(link: Link, reply: LinkReply, isProved: boolean, nowMs: number): readonly Message[] {
-        const attempt = link.attempt;
-        if (attempt === undefined) {
-            return [];
-        }
-        const { placed: { task, floor }, gate } = attempt;
-        if (!isProved && reply.fault !== undefined) {
-            // The statement has not been sent, so that it is not run is true in any case.
-            return this.closeAfterReply(link, reply, nowMs);
-        }
-        if (!isProved && gate.needsProof) {
-            return this.discard(link, reply, DiscardReason.Doubtful, nowMs);
-        }
-        attempt.leads = reply.fault === undefined && task.needsPrimary && isProved;
-        if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
-            return [...this.reportAttempt(link, reply, false), ...this.finishGate(link, reply, nowMs)];
-        }
-        if (!gate.containsStatement) {
-            // The statement is sent after the cleanup.
-            return [];
-        }
-        const cleared = this.table.clearLinkTimer(link);
-        if (task.mode !== TaskMode.Single) {
-            return [cleared, ...this.sendStatement(link, undefined)];
-        }
-        attempt.sent = true;
-        const commands = [link.statementCommand({ task, floor }), { kind: LinkCommandKind.Rollback }];
-        return [cleared, ...this.send(link, [], commands, [ReplyRole.Statement, ReplyRole.Cleanup])];
-    }
-
-    /** Frees a link after a gate that failed or that belonged to a probe. */
-    private finishGate(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
-        if (link.replies.expectedCount > 0) {
-            return [];
-        }
-        return reply.transaction === TransactionState.None
-            ? [this.table.clearLinkTimer(link), ...this.release(link, nowMs)]
-            : this.rollBack(link, nowMs);
-    }
-
-    private handleCleanupReply(link: Link, nowMs: number): readonly Message[] {
-        if (link.replies.expectedCount > 0) {
-            return [];
-        }
-        const cleared = this.table.clearLinkTimer(link);
-        const { attempt } = link;
-        if (attempt === undefined) {
-            return [cleared, ...this.release(link, nowMs)];
-        }
-        // The gate has shown that the link is alive and its session state set; the statement can be sent.
-        attempt.leads = false;
-        return [cleared, ...this.sendStatement(link, attempt.placed.floor)];
-    }
-
-    private handleStatementReply(
-        link: Link,
-        reply: LinkReply,
-        isProved: boolean,
-        nowMs: number,
-    ): readonly Message[] {
-        const attempt = link.attempt!;
-        const { task } = attempt.placed;
-        const inTransaction = task.mode !== TaskMode.Single;
-        if (!isProved && reply.fault !== undefined) {
-            // A read may run again, whatever became of this one.
-            return inTransaction || task.writes
-                ? this.discard(link, reply, DiscardReason.Doubtful, nowMs)
-                : this.closeAfterReply(link, reply, nowMs);
-        }
-        if (!inTransaction && !task.writes && task.needsPrimary && reply.fault === undefined) {
-            if (reply.transaction !== TransactionState.Open) {
-                // The gate has not begun a transaction, so nothing proves that the database is the primary.
-                return this.discard(link, reply, DiscardReason.Unmatched, nowMs);
-            }
-            attempt.leads = true;
-        }
-        const pinned = inTransaction && reply.fault === undefined && reply.transaction === TransactionState.Open
-            && !link.isAbandoned;
-        if (isCommit(task) && reply.fault === undefined && reply.position !== undefined) {
-            this.commitTracker.recordCommit(task.service, reply.position, attempt);
-            attempt.leads ||= !inTransaction;
-        }
-        const result = this.reportAttempt(link, reply, pinned);
-        this.table.unpin(link);
-        if (link.replies.expectedCount > 0) {
-            return [...result, this.table.setLinkTimer(link, nowMs + gateTimeoutMs)];
-        }
-        if (pinned) {
-            this.table.pin(link, task.sessionId);
-            return result;
-        }
-        return [
-            ...result,
-            ...reply.transaction === TransactionState.None ? this.release(link, nowMs) : this.rollBack(link, nowMs),
-        ];
-    }
-
-    /** Reports a reply that may belong to an earlier command, and closes its link, on which the answer may follow. */
-    private closeAfterReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
-        return [
-            replyDiscarded(link, reply, DiscardReason.Doubtful),
-            ...this.reportAttempt(link, reply, false),
-            ...this.closeLink(link, nowMs),
-        ];
-    }
-
-    /** Closes a link whose replies can no longer be matched to its commands, and reports its attempt accordingly. */
-    private discard(link: Link, reply: LinkReply, reason: DiscardReason, nowMs: number): readonly Message[] {
-        return [replyDiscarded(link, reply, reason), ...this.closeLink(link, nowMs, faultWithoutReply(link))];
-    }
-
-    /**
-     * Reports the result of the attempt on a link and removes it from the link.
-     * @param fault set if there is no reply, but the database has not failed to reply either
-     */
-    private reportAttempt(
-        link: Link,
-        reply: LinkReply | undefined,
-        pinned: boolean,
-        fault?: StatementFault,
-    ): readonly Message[] {
-        const { attempt } = link;
-        link.attempt = undefined;
-        if (attempt === undefined) {
-            return [];
-        }
-        const { placed, sent, sentMs, leads } = attempt;
-        const { task, databaseId } = placed;
-        const attempted: TaskAttempted = {
-            kind: TaskKind.Attempted,
-            task,
-            databaseId,
-            address: undefined,
-            reply,
-            fault,
-            sent,
-            holderUnavailable: false,
-            sentMs,
-            leads: leads && reply?.fault === undefined,
-            pinned,
-        };
-        return [clearDeadline(attemptKey(placed)), attempted];
-    }
-
-    private rollBack(link: Link, nowMs: number): readonly Message[] {
-        link.state = LinkState.Busy;
+        pool.lastReplyAtMs = nowMs;
+        pool.recordPosition(position, nowMs);
+        recordOpened(pool, link, nowMs);
         return [
-            ...this.send(link, [], [{ kind: LinkCommandKind.Rollback }], [ReplyRole.Cleanup]),
-            this.table.setLinkTimer(link, nowMs + gateTimeoutMs),
+            this.table.clearLinkTimer(link),
+            ...this.attempts.release(link, nowMs),
+            ...this.scheduler.assign(pool, nowMs),
         ];
     }
 
-    /** Makes a link idle and assigns it to the next waiting task. */
-    private release(link: Link, nowMs: number): readonly Message[] {
-        const pool = this.table.poolOf(link);
-        if (link.replies.isExhausted) {
-            return this.closeLink(link, nowMs);
-        }
-        link.state = LinkState.Idle;
-        link.isAbandoned = false;
-        link.idleSinceMs = nowMs;
-        return [
-            ...this.assignLinks(pool, nowMs),
-            ...link.state === LinkState.Idle ? [this.table.setIdleTimer(pool, nowMs)] : [],
-        ];
+    private handleReplied(replied: LinkReplied, nowMs: number): readonly Message[] {
+        const link = this.table.get(replied.linkId);
+        return link === undefined
+            ? []
+            : [
+                ...this.attempts.handleReply(link, replied.reply, nowMs),
+                ...this.scheduler.assign(this.table.poolOf(link), nowMs),
+            ];
     }
 
     private abandon({ sessionId, taskId }: TaskAbandoned, nowMs: number): readonly Message[] {
         const link = this.table.findPinned(sessionId);
         if (link !== undefined && link.attempt === undefined) {
             this.table.unpin(link);
-            return this.rollBack(link, nowMs);
+            return this.attempts.rollBack(link, nowMs);
         }
         if (taskId === undefined) {
             // The link of the transaction was lost; the database has rolled back the transaction.
@@ -505,9 +211,16 @@
     private dropUnresponsive(link: Link, nowMs: number): readonly Message[] {
         const pool = this.table.poolOf(link);
         const idle = [...pool.links].filter(other => other.state === LinkState.Idle);
+        const isOpening = link.state === LinkState.Opening;
+        if (isOpening) {
+            pool.window.recordFailure(link.openedMs, nowMs);
+        }
+        const hasReplied = (pool.lastReplyAtMs ?? -Infinity) >= link.openedMs;
         return [
             ...idle.flatMap(other => this.table.close(other)),
-            ...link.state === LinkState.Opening ? this.failWaitingTask(pool, link, undefined) : [],
+            ...isOpening
+                ? hasReplied ? this.failWaitingTask(pool, link, undefined) : this.failAllWaiting(pool, undefined)
+                : [],
             ...this.closeLink(link, nowMs),
         ];
     }
@@ -523,38 +236,43 @@
             // A database at its connection limit refuses a link with a fault, or resets the connection.
             pool.openPausedUntilMs = nowMs + connectionLimitPauseMs;
         }
+        recordLost(pool, link, loss, nowMs);
         const hasOtherLinks = pool.links.size > 1;
-        const failsTask = opening && (loss !== LinkLoss.Broken || !hasOtherLinks);
-        const failedTask = failsTask
-            ? this.failWaitingTask(pool, link, loss === LinkLoss.Refused ? fault : undefined)
-            : [];
+        const attempted = this.attempts.report(link, undefined, false, nowMs);
         return [
-            ...failedTask,
+            ...loss === LinkLoss.NoListener
+                ? this.failAllWaiting(pool, undefined)
+                : opening && (loss !== LinkLoss.Broken || !hasOtherLinks)
+                ? this.failWaitingTask(pool, link, loss === LinkLoss.Refused ? fault : undefined)
+                : [],
             ...this.table.remove(link),
-            ...this.reportAttempt(link, undefined, false),
-            ...this.assignLinks(pool, nowMs),
-            ...pool.waitingTasks.length > 0 ? [this.table.setIdleTimer(pool, nowMs)] : [],
+            ...attempted,
+            ...this.scheduler.assign(pool, nowMs),
+            ...pool.waitingTasks.size > 0 ? [this.table.setIdleTimer(pool, nowMs)] : [],
         ];
     }
 
     /** Fails the waiting task for which a link could not be opened. */
     private failWaitingTask(pool: LinkPool, link: Link, fault: StatementFault | undefined): readonly Message[] {
-        const placed = pool.waitingTasks.find(({ task }) => task.workspace === link.workspace);
-        if (placed === undefined) {
+        const waiting = pool.waitingTasks.statements.find(({ workspace }) => workspace === link.workspace);
+        if (waiting === undefined) {
             return [];
         }
-        pool.waitingTasks = pool.waitingTasks.filter(other => other !== placed);
-        return [clearDeadline(attemptKey(placed)), unsentAttempt(placed, fault)];
+        pool.waitingTasks.remove(waiting.id);
+        return [clearDeadline(attemptKey(waiting.placed)), unsentAttempt(waiting.placed, fault)];
     }
 
-    /** Closes a link and reports its attempt, if there is one, without a reply. */
-    private closeLink(link: Link, nowMs: number, fault?: StatementFault): readonly Message[] {
+    /** Fails all waiting tasks of a database that cannot be reached, so that none waits for a link of its own. */
+    private failAllWaiting({ waitingTasks }: LinkPool, fault: StatementFault | undefined): readonly Message[] {
+        return waitingTasks.statements.flatMap(({ id, placed }) => {
+            waitingTasks.remove(id);
+            return [clearDeadline(attemptKey(placed)), unsentAttempt(placed, fault)];
+        });
+    }
+
+    private closeLink(link: Link, nowMs: number): readonly Message[] {
         const pool = this.table.poolOf(link);
-        return [
-            ...this.table.close(link),
-            ...this.reportAttempt(link, undefined, false, fault),
-            ...this.assignLinks(pool, nowMs),
-        ];
+        return [...this.attempts.close(link, nowMs), ...this.scheduler.assign(pool, nowMs)];
     }
 
     private applyDatabaseReport(changed: DatabaseChanged, nowMs: number): readonly Message[] {
@@ -566,13 +284,22 @@
         }
         const movedOrRestarted = pool.report.address !== report.address
             || pool.report.bornUnixMs !== report.bornUnixMs;
+        const isPromoted = report.leads && !pool.report.leads;
         if (movedOrRestarted || pool.report.leads !== report.leads) {
             // A change of primary or a restart may take the log back.
             pool.latestPosition = undefined;
         }
         pool.report = report;
+        pool.window.setSlots(report.slots);
+        if (movedOrRestarted || isPromoted) {
+            pool.window.restart(nowMs);
+        }
         const outdated = movedOrRestarted ? [...pool.links] : [];
-        return [changed, ...outdated.flatMap(link => this.closeLink(link, nowMs))];
+        return [
+            changed,
+            ...outdated.flatMap(link => this.attempts.close(link, nowMs)),
+            ...this.scheduler.assign(pool, nowMs),
+        ];
     }
 
     /**
@@ -585,7 +312,7 @@
             return [];
         }
         pool.isHolder = isHolder;
-        return isHolder ? this.assignLinks(pool, nowMs) : this.closeIdleLinks(databaseId, nowMs);
+        return isHolder ? this.scheduler.assign(pool, nowMs) : this.closeIdleLinks(databaseId, nowMs);
     }
 
     private removePool(databaseId: string, nowMs: number): readonly Message[] {
@@ -593,14 +320,9 @@
         if (pool === undefined) {
             return [];
         }
-        const waiting = pool.waitingTasks;
-        pool.waitingTasks = [];
         const messages = [
-            ...waiting.flatMap(
-                placed => [clearDeadline(attemptKey(placed)), unsentAttempt(placed, StatementFault.Misrouted)],
-            ),
-            ...[...pool.links].filter(link => link.attempt === undefined).flatMap(link => this.table.close(link)),
-            ...[...pool.links].flatMap(link => this.closeLink(link, nowMs)),
+            ...this.failAllWaiting(pool, StatementFault.Misrouted),
+            ...[...pool.links].flatMap(link => this.attempts.close(link, nowMs)),
         ];
         this.table.pools.delete(databaseId);
         return messages;
@@ -608,42 +330,8 @@
 
     private closeIdleLinks(databaseId: string, nowMs: number): readonly Message[] {
         const pool = this.table.pools.get(databaseId);
-        return pool === undefined ? [] : [...this.table.closeExpired(pool, nowMs), ...this.assignLinks(pool, nowMs)];
+        return pool === undefined
+            ? []
+            : [...this.table.closeExpired(pool, nowMs), ...this.scheduler.assign(pool, nowMs)];
     }
 }
-
-function unsentAttempt(
-    { task, databaseId }: Pick<TaskPlaced, "task" | "databaseId">,
-    fault: StatementFault | undefined,
-): TaskAttempted {
-    return {
-        kind: TaskKind.Attempted,
-        task,
-        databaseId,
-        address: undefined,
-        reply: undefined,
-        fault,
-        sent: false,
-        holderUnavailable: false,
-        sentMs: undefined,
-        leads: false,
-        pinned: false,
-    };
-}
-
-/** Returns what is known about an attempt whose link is closed although the database answers. */
-function faultWithoutReply({ attempt }: Link): StatementFault {
-    return attempt?.sent === true ? StatementFault.InDoubt : StatementFault.Busy;
-}
-
-function replyDiscarded(
-    { linkId, databaseId }: Link,
-    { fault }: LinkReply,
-    reason: DiscardReason,
-): LinkReplyDiscarded {
-    return { kind: LinkKind.ReplyDiscarded, linkId, databaseId, reason, fault };
-}
-
-function attemptKey({ task }: TaskPlaced): string {
-    return `attempt/${task.taskId}`;
-}
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -112,7 +112,7 @@
             return [attempted];
         }
         this.tasks.get(streamId)?.delete(taskId);
-        const { reply, fault, sent, leads, pinned, load } = attempted;
+        const { reply, fault, sent, leads, pinned, load, retryAfterMs } = attempted;
         this.recordPin(streamId, sessionId, pinned);
         const result = {
             kind: "task" as const,
@@ -123,6 +123,7 @@
             leads,
             pinned,
             ...load === undefined ? {} : { load },
+            ...retryAfterMs === undefined ? {} : { retryAfterMs },
         };
         return [
             { kind: PeerKind.Answer, streamId, result } as PeerAnswer,
@@ -205,7 +206,8 @@
 }
 
 function toTask(streamId: string, passed: PassedTask, nowMs: number): LinkTask {
-    const { service, workspace, mode, statement, writes, needsPrimary, values, prepared, remainingMs } = passed;
+    const { service, workspace, mode, statement, writes, needsPrimary, values, prepared, remainingMs, urgency } =
+        passed;
     return {
         taskId: toLocalId(streamId, passed.taskId),
         sessionId: toLocalId(streamId, passed.sessionId),
@@ -220,6 +222,9 @@
             prepared: prepared === undefined ? new Map() : new Map([[statement!.name, prepared]]),
         },
         deadlineMs: nowMs + remainingMs,
+        ...urgency === undefined
+            ? {}
+            : { urgency: { priority: urgency.priority, objectiveAtMs: nowMs + urgency.objectiveMs } },
     };
 }
 
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -422,6 +422,9 @@
             : nothingExecuted
             ? StatementFault.Busy
             : fault;
+        if (attempt.retryAfterMs !== undefined) {
+            return this.moveOrRefuse(routed, attempt.retryAfterMs, nowMs);
+        }
         if (fault === StatementFault.Lagging && attempt.databaseId === this.databases.primary(task.service, nowMs)) {
             // A floor may cover commits that nobody acknowledged and no database kept. The primary holds all others.
             return this.placeAtPrimary(routed, nowMs);
@@ -431,6 +434,19 @@
             .otherwise(() => this.waitForRetry(routed, nowMs));
     }
 
+    /** Handles a statement that its database cannot start in time: places a read elsewhere, or refuses it at once. */
+    private moveOrRefuse(routed: RoutedTask, retryAfterMs: number, nowMs: number): readonly Message[] {
+        const { task, triedDatabaseIds } = routed;
+        const isUntried = this.databases.reportsOf(task.service).some(({ databaseId }) =>
+            !triedDatabaseIds.has(databaseId) && this.databases.passOverForRead(databaseId, nowMs) === undefined
+        );
+        return !task.needsPrimary && isUntried
+            ? this.place(routed, nowMs)
+            : this.endRouted(
+                endTask(task, StatementFault.Busy, retryText("the databases have too much to do", retryAfterMs)),
+            );
+    }
+
     /** Converts an attempt that is not retried to the result of the task. */
     private toEnded({ task, databaseId, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
         const hasSucceeded = reply !== undefined && reply.fault === undefined;
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -349,6 +349,7 @@
             sessionFloor: session.floors.get(route.service),
             receivedMs: nowMs,
             deadlineMs: Math.min(nowMs + route.statementLimitMs, this.drain?.answersUntilMs ?? Infinity),
+            urgency: { priority: route.priority, objectiveAtMs: nowMs + route.targetLatencyMs },
         };
         session.running = task;
         return [{ kind: transaction?.pinned === true ? TaskKind.Continued : TaskKind.Submitted, task } as Message];
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -75,6 +75,15 @@
     readonly context: SessionContext;
     /** Deadline of the statement over all attempts. */
     readonly deadlineMs: number;
+    /** Unknown if an instance of an earlier release passed the task. */
+    readonly urgency?: TaskUrgency;
+}
+
+export interface TaskUrgency {
+    /** Of the route; 0 is the highest. */
+    readonly priority: number;
+    /** Time at which the latency objective is missed. */
+    readonly objectiveAtMs: number;
 }
 
 /** A statement that needs a database, with the data from which routing chooses the database. */
@@ -154,6 +163,8 @@
     readonly pinned: boolean;
     /** Load of the database after the attempt, as the instance with the link knows it. */
     readonly load?: DatabaseLoad;
+    /** Set if the statement was refused because it could not start in time: time after which it could. */
+    readonly retryAfterMs?: number;
 }
 
 export interface FloorWanted extends Message {
--- a/src/telemetry/loadLog.ts
+++ b/src/telemetry/loadLog.ts
@@ -1,5 +1,6 @@
 /** Periodic log line with the load of a process: messages and bytes exchanged with peers, and event loop time by kind. */
 import { FleetKind, type FrameReceived } from "../model/fleetMessages.ts";
+import { SchedulingKind, type SchedulingRefused } from "../model/schedulingMessages.ts";
 import type { LoopObserver } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Logger } from "./logger.ts";
@@ -33,6 +34,8 @@
     private readonly receivedByKind = new Map<string, Total>();
     private readonly bytesByPeer = new Map<string, Total>();
     private readonly busyMsByKind = new Map<string, Total>();
+    /** Statements refused by the queues of databases, by reason and priority. */
+    private readonly refusalsByReason = new Map<string, Total>();
     /** Processor time of the process at the time of the last line. */
     private loggedProcessorMs = 0;
 
@@ -45,8 +48,11 @@
         // `onProcessed` records the event with its processing time.
     }
 
-    onOutput(): void {
-        // The processing time of an event includes its outputs.
+    onOutput(message: Message): void {
+        if (message.kind === SchedulingKind.Refused) {
+            const { reason, priority } = message as SchedulingRefused;
+            add(this.refusalsByReason, `${reason}/${priority}`, 1);
+        }
     }
 
     onProcessed(message: Message, elapsedMs: number): void {
@@ -82,6 +88,7 @@
                 receivedBytes: formatAndClear(this.receivedByKind),
                 peerBytes: formatAndClear(this.bytesByPeer),
                 busyMs: formatAndClear(this.busyMsByKind),
+                ...(this.refusalsByReason.size === 0 ? {} : { refused: formatAndClear(this.refusalsByReason) }),
             });
             this.loggedProcessorMs = processorMs;
         }
--- a/src/wiring/__tests__/wireWorld.ts
+++ b/src/wiring/__tests__/wireWorld.ts
@@ -8,6 +8,7 @@
 import { FleetKind, ReportedState } from "../../model/fleetMessages.ts";
 import { LinkKind } from "../../model/linkMessages.ts";
 import { type PeerAnswer, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { SessionKind } from "../../model/sessionMessages.ts";
 import { RouteConsistency, type TrafficPolicy } from "../../model/trafficPolicy.ts";
 import { EventLoop } from "../../pipeline/eventLoop.ts";
@@ -215,6 +216,7 @@
         SessionKind.MessageRefused,
         SessionKind.AnswerRefused,
         LinkKind.ReplyDiscarded,
+        ...Object.values(SchedulingKind),
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.SendFrame,
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -43,6 +43,7 @@
     type PromotionOrdered,
     type PromotionProgressed,
 } from "../model/promotionMessages.ts";
+import { type PaceChanged, SchedulingKind } from "../model/schedulingMessages.ts";
 import {
     type SessionAnswer,
     type SessionAnswerRefused,
@@ -143,6 +144,13 @@
         leads: report.leads,
     })),
     line<DatabaseRemoved>(FleetKind.DatabaseRemoved, ({ databaseId }) => ({ database: databaseId })),
+    line<PaceChanged>(SchedulingKind.PaceChanged, ({ databaseId, phase, window, slots, waiting }) => ({
+        database: databaseId,
+        phase,
+        window,
+        slots,
+        waiting,
+    })),
     line<FleetDrainStarted>(FleetKind.DrainStarted, ({ final, transactionsUntilMs }) => ({
         final,
         transactionsUntilMs: Math.round(transactionsUntilMs),
@@ -225,6 +233,7 @@
     FleetKind.DiscoveryProgressed,
     PromotionKind.Progressed,
     PromotionKind.Order,
+    SchedulingKind.PaceChanged,
 ];
 
 function versionsOf(update: ConfigurationUpdate): LogFields {
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -56,7 +56,7 @@
         new PassedTasks(),
         new Routing({ dataCentre }),
         new Forwarding({ instanceId }),
-        new Links(),
+        new Links({ random: new SeededRandom(seed + 2) }),
     ]);
     return [fleet, session];
 }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -4,6 +4,7 @@
 import { FeedKind } from "../model/feedMessages.ts";
 import { FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
+import { SchedulingKind } from "../model/schedulingMessages.ts";
 import { SessionKind } from "../model/sessionMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -342,6 +343,7 @@
             PeerKind.FrameRefused,
             SessionKind.MessageRefused,
             SessionKind.AnswerRefused,
+            ...Object.values(SchedulingKind),
             FeedKind.Opened,
             FeedKind.Lost,
             ControlKind.ProposalEnded,
