--- a/src/scheduling/fairQueue.ts
+++ b/src/scheduling/fairQueue.ts
@@ -115,9 +115,12 @@
         return largest?.entries.at(-1)?.item;
     }
 
-    /** Estimates the service time of all items that would run before a new item of `workspace`. */
-    costAheadMs(workspace: string): number {
-        return this.costBeforeMs(workspace, this.flows.get(workspace)?.totalCostMs ?? 0, 0);
+    /**
+     * Estimates the service time of all items that would run before a new item of `workspace`.
+     * @param costMs expected service time of the new item, if it is known
+     */
+    costAheadMs(workspace: string, costMs = 0): number {
+        return this.costBeforeMs(workspace, this.flows.get(workspace)?.totalCostMs ?? 0, costMs);
     }
 
     /** The same for the newest item of `workspace`, which is queued with `costMs`. */
@@ -138,6 +141,15 @@
         return sumMs;
     }
 
+    /** Service time that a workspace has queued. */
+    costOfMs(workspace: string): number {
+        return this.flows.get(workspace)?.totalCostMs ?? 0;
+    }
+
+    get workspaceCount(): number {
+        return this.rotation.length;
+    }
+
     get totalCostMs(): number {
         return this.sumMs;
     }
--- a/src/scheduling/statementQueue.ts
+++ b/src/scheduling/statementQueue.ts
@@ -2,6 +2,7 @@
  * Statements that wait for one database, in the order in which they start: by priority; within a priority those that can
  * still meet their latency objective before the others; among these a fair share for each workspace.
  */
+import { ArrivalLoad } from "./arrivalLoad.ts";
 import { FairQueue } from "./fairQueue.ts";
 
 export interface QueuedStatement {
@@ -37,10 +38,8 @@
 export interface RefusedStatement<Statement> {
     readonly statement: Statement;
     readonly reason: RefusalReason;
-    /** Time until it would have started. */
-    readonly waitMs: number;
-    /** Part of `waitMs` that is beyond the latest start. */
-    readonly lateMs: number;
+    /** Time in which the statements drain that go before a new one of its priority and workspace. */
+    readonly drainMs: number;
 }
 
 /**
@@ -66,11 +65,23 @@
     passOvers: number;
 }
 
+/** Service time in the lane of a statement that runs before it. */
+interface WorkAhead {
+    readonly workspace: string;
+    /** Of all workspaces, as queued now. */
+    readonly laneMs: number;
+    /** Of its own workspace. */
+    readonly ownMs: number;
+    /** Number of workspaces in the lane. */
+    readonly flowCount: number;
+}
+
 export class StatementQueue<Statement extends QueuedStatement> {
     /** Most urgent first; none is empty. */
     private lanes: Lane<Statement>[] = [];
     private readonly byId = new Map<string, { readonly statement: Statement; lane: Lane<Statement>; }>();
     private readonly counts = new Map<string, number>();
+    private readonly arrivals = new ArrivalLoad();
 
     get size(): number {
         return this.byId.size;
@@ -89,10 +100,20 @@
         return this.counts.get(workspace) ?? 0;
     }
 
-    add(statement: Statement, nowMs: number): void {
-        this.counts.set(statement.workspace, this.countOf(statement.workspace) + 1);
-        const lane = this.enqueue(statement, isLate(statement, nowMs));
-        this.byId.set(statement.id, { statement, lane });
+    /**
+     * Adds a statement. Removes and returns those that cannot start before their deadline because of it: itself, or in
+     * each lane that waits for it the newest ones of the workspace that is furthest above its share.
+     */
+    add(statement: Statement, drain: QueueDrain, nowMs: number): readonly RefusedStatement<Statement>[] {
+        const { id, workspace } = statement;
+        const lane = this.enqueue(statement, isLate(statement, nowMs + this.waitOfNewMs(statement, drain, nowMs)));
+        this.byId.set(id, { statement, lane });
+        this.counts.set(workspace, this.countOf(workspace) + 1);
+        const refused = this.refuseHopeless(statement, lane, drain, nowMs);
+        if (this.byId.has(id)) {
+            this.arrivals.record(lane.rank, workspace, statement.costMs, nowMs);
+        }
+        return refused;
     }
 
     remove(id: string): Statement | undefined {
@@ -126,44 +147,11 @@
         return undefined;
     }
 
-    /**
-     * Removes and returns the statements that cannot start before their deadline since `added` was enqueued: in each lane
-     * that waits for it, the newest ones of the workspace that is furthest above its share.
-     */
-    refuseHopeless(added: Statement, drain: QueueDrain, nowMs: number): readonly RefusedStatement<Statement>[] {
-        const ownLane = this.byId.get(added.id)?.lane;
-        if (ownLane === undefined) {
-            return [];
-        }
-        const refused: RefusedStatement<Statement>[] = [];
-        let aheadMs = 0;
-        for (const lane of [...this.lanes]) {
-            if (lane.rank >= ownLane.rank) {
-                refused.push(...this.refuseFromLargest(lane, added, aheadMs, drain, nowMs));
-            }
-            aheadMs += lane.statements.totalCostMs;
-        }
-        if (this.byId.has(added.id)) {
-            const hopeless = this.hopeless(added, this.costAheadMs(added), drain, added, nowMs);
-            if (hopeless !== undefined) {
-                refused.push(hopeless);
-                this.remove(added.id);
-            }
-        }
-        return refused;
-    }
-
     /** Expected time until a new statement of this priority starts that can meet its objective. */
-    expectedWaitMs(priority: number, { parallelism, residualMs }: QueueDrain): number {
-        const limitRank = laneRank(priority, false);
-        let aheadMs = 0;
-        for (const lane of this.lanes) {
-            if (lane.rank > limitRank) {
-                break;
-            }
-            aheadMs += lane.statements.totalCostMs;
-        }
-        return aheadMs / Math.max(1, parallelism) + residualMs;
+    expectedWaitMs(priority: number, drain: QueueDrain, nowMs: number): number {
+        const rank = laneRank(priority, false);
+        const laneMs = this.lanes.find(lane => lane.rank === rank)?.statements.totalCostMs ?? 0;
+        return this.waitMs(rank, { workspace: "", laneMs, ownMs: 0, flowCount: 1 }, drain, nowMs);
     }
 
     /** Least urgent priority with a waiting statement; 0 if none waits. */
@@ -171,57 +159,101 @@
         return Math.floor((this.lanes.at(-1)?.rank ?? 0) / 2);
     }
 
-    private refuseFromLargest(
-        lane: Lane<Statement>,
+    /** Expected wait of a new statement that can meet its objective. */
+    private waitOfNewMs({ workspace, priority, costMs }: Statement, drain: QueueDrain, nowMs: number): number {
+        const rank = laneRank(priority, false);
+        const statements = this.lanes.find(lane => lane.rank === rank)?.statements;
+        const ahead = {
+            workspace,
+            laneMs: statements?.costAheadMs(workspace, costMs) ?? 0,
+            ownMs: statements?.costOfMs(workspace) ?? 0,
+            flowCount: statements?.workspaceCount ?? 0,
+        };
+        return this.waitMs(rank, ahead, drain, nowMs);
+    }
+
+    private refuseHopeless(
         added: Statement,
-        aheadMs: number,
+        addedTo: Lane<Statement>,
         drain: QueueDrain,
         nowMs: number,
     ): readonly RefusedStatement<Statement>[] {
         const refused: RefusedStatement<Statement>[] = [];
-        for (;;) {
-            const newest = lane.statements.newestOfLargest();
-            const hopeless = newest === undefined
-                ? undefined
-                : this.hopeless(
-                    newest,
-                    aheadMs + lane.statements.costAheadOfNewestMs(newest.workspace, newest.costMs),
-                    drain,
-                    added,
-                    nowMs,
-                );
-            if (hopeless === undefined) {
-                return refused;
+        const refuseNewest = (lane: Lane<Statement>, newest: Statement | undefined): boolean => {
+            if (newest === undefined || !this.isHopeless(newest, lane, drain, nowMs)) {
+                return false;
+            }
+            const reason = newest === added ? RefusalReason.CannotStartInTime : RefusalReason.Displaced;
+            this.remove(newest.id);
+            refused.push({ statement: newest, reason, drainMs: this.waitOfNewMs(newest, drain, nowMs) });
+            return true;
+        };
+        for (const lane of this.lanes.filter(({ rank }) => rank >= addedTo.rank)) {
+            while (refuseNewest(lane, lane.statements.newestOfLargest())) {
+                // The next one may have become hopeless too.
             }
-            refused.push(hopeless);
-            this.remove(hopeless.statement.id);
         }
+        if (this.byId.has(added.id)) {
+            refuseNewest(addedTo, added);
+        }
+        return refused;
+    }
+
+    /** @param newest the newest statement of its workspace in the lane */
+    private isHopeless(
+        newest: Statement,
+        { rank, statements }: Lane<Statement>,
+        drain: QueueDrain,
+        nowMs: number,
+    ): boolean {
+        const { workspace, costMs, deadlineMs } = newest;
+        const waitMs = this.waitMs(
+            rank,
+            {
+                workspace,
+                laneMs: statements.costAheadOfNewestMs(workspace, costMs),
+                ownMs: statements.costOfMs(workspace) - costMs,
+                flowCount: statements.workspaceCount,
+            },
+            drain,
+            nowMs,
+        );
+        // What starts at once is the only way to learn that the expected time is wrong.
+        return waitMs > 0 && nowMs + waitMs + costMs > deadlineMs;
     }
 
-    private hopeless(
-        statement: Statement,
-        aheadMs: number,
+    /**
+     * Expected wait of a statement. What arrives meanwhile in more urgent lanes goes first, and what other workspaces bring
+     * takes its share of the lane.
+     */
+    private waitMs(
+        rank: number,
+        { workspace, laneMs, ownMs, flowCount }: WorkAhead,
         { parallelism, residualMs }: QueueDrain,
-        added: Statement,
         nowMs: number,
-    ): RefusedStatement<Statement> | undefined {
-        const waitMs = aheadMs / Math.max(1, parallelism) + residualMs;
-        const lateMs = nowMs + waitMs + statement.costMs - statement.deadlineMs;
-        if (lateMs <= 0) {
-            return undefined;
+    ): number {
+        const urgentMs = this.costOfLanesBeforeMs(rank);
+        if (urgentMs + laneMs === 0) {
+            return residualMs;
         }
-        const reason = statement === added ? RefusalReason.CannotStartInTime : RefusalReason.Displaced;
-        return { statement, reason, waitMs, lateMs: Math.min(lateMs, waitMs) };
+        const slots = Math.max(1, parallelism);
+        const laneSlots = Math.max(slots / (maximumPassOvers + 1), slots - this.arrivals.before(rank, nowMs));
+        const ownSlots = Math.max(
+            laneSlots / Math.max(1, flowCount),
+            laneSlots - this.arrivals.beside(rank, workspace, nowMs),
+        );
+        return urgentMs / laneSlots + Math.max(laneMs / laneSlots, ownMs / ownSlots) + residualMs;
     }
 
-    /** Service time of all statements that are to start before a queued one. */
-    private costAheadMs(statement: Statement): number {
-        const { lane } = this.byId.get(statement.id)!;
-        return this.lanes.filter(({ rank }) => rank < lane.rank)
-            .reduce(
-                (sumMs, { statements }) => sumMs + statements.totalCostMs,
-                lane.statements.costAheadOfNewestMs(statement.workspace, statement.costMs),
-            );
+    private costOfLanesBeforeMs(rank: number): number {
+        let sumMs = 0;
+        for (const lane of this.lanes) {
+            if (lane.rank >= rank) {
+                break;
+            }
+            sumMs += lane.statements.totalCostMs;
+        }
+        return sumMs;
     }
 
     /** Lanes that were passed over too often, longest first, and then the others by urgency. */
--- a/src/session/poolLoad.ts
+++ b/src/session/poolLoad.ts
@@ -106,7 +106,7 @@
     const drain = queueDrainOf(pool, occupancy, nowMs);
     const priorities = Array.from({ length: waitingTasks.lowestPriority + 1 }, (_, priority) => priority);
     return {
-        expectedWaitsMs: priorities.map(priority => waitingTasks.expectedWaitMs(priority, drain)),
+        expectedWaitsMs: priorities.map(priority => waitingTasks.expectedWaitMs(priority, drain, nowMs)),
         window: window.size,
         inFlight: occupancy.inFlight,
         availableLinks: Math.max(0, maximumLinks - links.size) + occupancy.idle,
--- a/src/session/taskScheduler.ts
+++ b/src/session/taskScheduler.ts
@@ -5,9 +5,10 @@
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { retryAfterMs } from "../scheduling/retryAfter.ts";
+import type { RefusedStatement } from "../scheduling/statementQueue.ts";
 import type { Link } from "./link.ts";
 import { attemptKey, type LinkAttempts, unsentAttempt } from "./linkAttempts.ts";
-import type { LinkPool } from "./linkPool.ts";
+import type { LinkPool, PoolOccupancy } from "./linkPool.ts";
 import type { LinkTable } from "./linkTable.ts";
 import { databaseLoadOf, queueDrainOf } from "./poolLoad.ts";
 import { type TaskAttempted, type TaskPlaced } from "./taskMessages.ts";
@@ -33,11 +34,12 @@
     /** Queues a task, starts it if it is its turn, and refuses the tasks that can no longer start in time. */
     add(pool: LinkPool, placed: TaskPlaced, nowMs: number): readonly Message[] {
         const waiting = toWaitingTask(placed, pool.serviceTimes.expectedMs(workKindOf(placed.task, undefined)));
-        pool.waitingTasks.add(waiting, nowMs);
-        const assigned = this.assign(pool, nowMs);
-        return pool.waitingTasks.has(waiting.id)
-            ? [...assigned, ...this.refuseHopeless(pool, waiting, nowMs)]
-            : assigned;
+        const occupancy = pool.occupancy();
+        const refused = pool.waitingTasks.add(waiting, queueDrainOf(pool, occupancy, nowMs), nowMs);
+        return [
+            ...refused.flatMap(refusal => this.refuse(pool, refusal, occupancy, nowMs)),
+            ...this.assign(pool, nowMs),
+        ];
     }
 
     /**
@@ -81,23 +83,25 @@
         return messages;
     }
 
-    private refuseHopeless(pool: LinkPool, added: WaitingTask, nowMs: number): readonly Message[] {
-        const occupancy = pool.occupancy();
-        const drain = queueDrainOf(pool, occupancy, nowMs);
-        return pool.waitingTasks.refuseHopeless(added, drain, nowMs).flatMap(refused => {
-            const { statement: { placed, priority }, reason } = refused;
-            const { databaseId } = placed;
-            const attempted: TaskAttempted = {
-                ...unsentAttempt(placed, StatementFault.Busy),
-                retryAfterMs: retryAfterMs(refused, this.random),
-                load: databaseLoadOf(pool, occupancy, this.table.maximumLinksOf(pool), nowMs),
-            };
-            return [
-                clearDeadline(attemptKey(placed)),
-                attempted,
-                { kind: SchedulingKind.Refused, databaseId, reason, priority } as SchedulingRefused,
-            ];
-        });
+    private refuse(
+        pool: LinkPool,
+        refused: RefusedStatement<WaitingTask>,
+        occupancy: PoolOccupancy,
+        nowMs: number,
+    ): readonly Message[] {
+        const { statement: { placed, priority }, reason } = refused;
+        const attempted: TaskAttempted = {
+            ...unsentAttempt(placed, StatementFault.Busy),
+            retryAfterMs: retryAfterMs(refused.drainMs, this.random),
+            load: databaseLoadOf(pool, occupancy, this.table.maximumLinksOf(pool), nowMs),
+        };
+        const logged: SchedulingRefused = {
+            kind: SchedulingKind.Refused,
+            databaseId: placed.databaseId,
+            reason,
+            priority,
+        };
+        return [clearDeadline(attemptKey(placed)), attempted, logged];
     }
 
     private logPace(pool: LinkPool): readonly Message[] {
