--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -2,7 +2,7 @@
 import type { DatabaseReport } from "../model/fleetMessages.ts";
 import { hasReached, laterPosition, type Position } from "../model/position.ts";
 import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
-import { type ConcurrencyWindow, GradientWindow, type WindowPhase } from "../scheduling/concurrencyWindow.ts";
+import { type ConcurrencyWindow, GradientWindow, WindowPhase } from "../scheduling/concurrencyWindow.ts";
 import { ServiceTimeEstimate } from "../scheduling/serviceTimeEstimate.ts";
 import { StatementQueue } from "../scheduling/statementQueue.ts";
 import { type Link, LinkState } from "./link.ts";
@@ -29,7 +29,7 @@
     /** Limits the links that are opening or busy; statements of open transactions start beyond it. */
     readonly window: ConcurrencyWindow;
     /** Phase of the window as last logged. */
-    loggedPhase: WindowPhase | undefined;
+    loggedPhase: WindowPhase = WindowPhase.Starting;
     /** Times for which attempts occupy a place in the window. */
     readonly serviceTimes = new ServiceTimeEstimate(initialServiceMs);
     /** No link is opened before this time, because the database has reached its connection limit. */
