--- a/src/rpc/__tests__/taskCodec.spec.ts
+++ b/src/rpc/__tests__/taskCodec.spec.ts
@@ -127,6 +127,8 @@
             positionAgeMs: 8,
         };
         const withoutLoad = { kind: "task", taskId: "t", reply: undefined, ...flags } as const;
+        const refused = { ...withoutLoad, sent: false, fault: StatementFault.Busy, retryAfterMs: 420 };
+        assert.deepEqual(decodeResult(encodeResult(refused)), refused);
         const result = { ...withoutLoad, load };
         const encoded = encodeResult(result);
         assert.deepEqual(decodeResult(encoded), result);
--- a/src/session/__tests__/forwarding.spec.ts
+++ b/src/session/__tests__/forwarding.spec.ts
@@ -1,12 +1,19 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type DatabaseReport, FleetKind, ReportedState } from "../../model/fleetMessages.ts";
+import { type DatabaseChanged, type DatabaseReport, FleetKind, ReportedState } from "../../model/fleetMessages.ts";
 import type { LinkReply } from "../../model/linkMessages.ts";
-import { type PassedTask, type PeerInstance, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
-import { TaskMode } from "../../model/sessionStatement.ts";
+import {
+    type InstancesKnown,
+    type PassedTask,
+    type PeerAnswered,
+    type PeerInstance,
+    PeerKind,
+    type PeerSend,
+} from "../../model/peerMessages.ts";
+import { emptySessionContext, StatementFault, TaskMode } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Forwarding } from "../forwarding.ts";
-import { type HolderChanged, type TaskAttempted, TaskKind } from "../taskMessages.ts";
+import { type HolderChanged, type LinkTask, type TaskAttempted, TaskKind, type TaskPlaced } from "../taskMessages.ts";
 
 const dataCentres = 6;
 
@@ -142,6 +149,53 @@
         assert.deepEqual(attemptTimesIn(fixture.push(470, resultOf(second, secondId))), [450]);
     });
 
+    it("tells the holder the urgency of a task, and passes on the time to come back of a refusal", () => {
+        const filter = new Forwarding({ instanceId: "front-1" });
+        const instances = [{ instanceId: "front-0", address: "front-0:1", dataCentre: "dc0" }];
+        filter.process({ kind: PeerKind.InstancesKnown, instances } as InstancesKnown, 0);
+        filter.process({ kind: FleetKind.DatabaseChanged, report: report(0) } as DatabaseChanged, 0);
+        const task: LinkTask = {
+            taskId: "t",
+            sessionId: "s",
+            service: "s",
+            workspace: "w",
+            mode: TaskMode.Single,
+            statement: undefined,
+            writes: false,
+            needsPrimary: false,
+            context: emptySessionContext,
+            deadlineMs: 3_000,
+            urgency: { priority: 2, objectiveAtMs: 700 },
+        };
+        const placed: TaskPlaced = {
+            kind: TaskKind.Placed,
+            task,
+            databaseId: "db0",
+            floor: undefined,
+            attemptDeadlineMs: 2_000,
+        };
+        const questionAt = (nowMs: number): PassedTask =>
+            filter.process(placed, nowMs).flatMap(message =>
+                message.kind === PeerKind.Send ? [(message as PeerSend).question as PassedTask] : []
+            )[0]!;
+        assert.deepEqual(questionAt(100).urgency, { priority: 2, objectiveMs: 600 });
+        const question = questionAt(800);
+        assert.deepEqual(question.urgency, { priority: 2, objectiveMs: 0 });
+        const result = {
+            kind: "task" as const,
+            taskId: question.taskId,
+            reply: undefined,
+            fault: StatementFault.Busy,
+            sent: false,
+            leads: false,
+            pinned: false,
+            retryAfterMs: 300,
+        };
+        const outputs = filter.process({ kind: PeerKind.Answered, address: "front-0:1", result } as PeerAnswered, 810);
+        const attempted = outputs.find(({ kind }) => kind === TaskKind.Attempted) as TaskAttempted;
+        assert.equal(attempted.retryAfterMs, 300);
+    });
+
     it("leaves a task to its holder while the holders of other databases are silent, too", () => {
         // Guards against second holders with few links in a fleet whose network delays all messages.
         const fixture = new ForwardingFixture(24, 6);
--- a/src/session/__tests__/passedTasks.spec.ts
+++ b/src/session/__tests__/passedTasks.spec.ts
@@ -2,7 +2,13 @@
 import { describe, it } from "node:test";
 import { FleetKind } from "../../model/fleetMessages.ts";
 import { LinkCommandKind } from "../../model/linkMessages.ts";
-import { type PassedResult, type PeerAnswer, PeerKind, type PeerQuestion } from "../../model/peerMessages.ts";
+import {
+    type PassedResult,
+    type PassedTask,
+    type PeerAnswer,
+    PeerKind,
+    type PeerQuestion,
+} from "../../model/peerMessages.ts";
 import { SessionKind } from "../../model/sessionMessages.ts";
 import { SessionStatementKind, StatementFault, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
@@ -16,7 +22,13 @@
         this.reportDatabase("p", true);
     }
 
-    passTask(kind: SessionStatementKind, taskId: string, mode: TaskMode, databaseId = "p"): void {
+    passTask(
+        kind: SessionStatementKind,
+        taskId: string,
+        mode: TaskMode,
+        databaseId = "p",
+        parts: Partial<PassedTask> = {},
+    ): void {
         const question: PeerQuestion = {
             kind: "task",
             taskId,
@@ -32,6 +44,7 @@
             databaseId,
             floor: undefined,
             remainingMs: 10_000,
+            ...parts,
         };
         this.receiveQuestion(question);
     }
@@ -156,3 +169,61 @@
         assert.equal(fixture.isDrained, true);
     });
 });
+
+describe("passed tasks that wait", () => {
+    /** Fills the window of the database, so that further tasks wait. */
+    function fill(fixture: HolderFixture): void {
+        ["f1", "f2"].forEach(taskId => fixture.passTask(SessionStatementKind.Write, taskId, TaskMode.Single));
+    }
+
+    function sentIds(fixture: HolderFixture): readonly string[] {
+        return fixture.sent.flatMap(({ command }) => "statement" in command ? command.statement.id : []);
+    }
+
+    it("start by the urgency that they were passed with, and last without one", () => {
+        // Load: more than the database has room for, of instances of this and of an earlier release.
+        const fixture = new HolderFixture();
+        fill(fixture);
+        const pass = (taskId: string, parts: Partial<PassedTask>): void =>
+            fixture.passTask(SessionStatementKind.Write, taskId, TaskMode.Single, "p", parts);
+        pass("earlier", {});
+        pass("late", { urgency: { priority: 0, objectiveMs: 0 } });
+        pass("less", { urgency: { priority: 1, objectiveMs: 5_000 } });
+        pass("urgent", { urgency: { priority: 0, objectiveMs: 5_000 } });
+        fixture.openLinks();
+        for (let index = 0; index < 20; index++) {
+            fixture.openLinks();
+            [...new Set(fixture.sent.map(({ linkId }) => linkId))]
+                .forEach(linkId => fixture.reply(linkId, { position: position(1, index + 1) }));
+        }
+        assert.deepEqual(sentIds(fixture).filter(id => !id.startsWith("f")), ["urgent", "late", "less", "earlier"]);
+    });
+
+    it("are never sent once the stream of their instance has ended", () => {
+        const fixture = new HolderFixture();
+        fill(fixture);
+        for (let index = 0; index < 100; index++) {
+            fixture.passTask(SessionStatementKind.Write, `t${index}`, TaskMode.Single);
+        }
+        fixture.post({ kind: PeerKind.Gone, streamId: "w0" } as never);
+        fixture.openLinks();
+        assert.deepEqual(sentIds(fixture), []);
+        fixture.passTask(SessionStatementKind.Write, "next", TaskMode.Single);
+        assert.deepEqual(sentIds(fixture), ["next"]);
+    });
+
+    it("are refused with the time to come back if they cannot start in time", () => {
+        const fixture = new HolderFixture();
+        fill(fixture);
+        for (let index = 0; index < 200; index++) {
+            fixture.passTask(SessionStatementKind.Write, `t${index}`, TaskMode.Single, "p", { remainingMs: 300 });
+        }
+        const refused = fixture.otherMessages.filter(({ kind }) => kind === PeerKind.Answer)
+            .map(message => (message as PeerAnswer).result as PassedResult);
+        assert.ok(refused.length > 0);
+        refused.forEach(({ sent, fault, retryAfterMs, load }) => {
+            assert.deepEqual([sent, fault], [false, StatementFault.Busy]);
+            assert.ok(retryAfterMs! > 0 && load!.expectedWaitsMs.length > 0);
+        });
+    });
+});
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { FleetKind, type FrameReceived, type PolicyApplied } from "../../model/fleetMessages.ts";
+import {
+    type DatabaseChanged,
+    FleetKind,
+    type FrameReceived,
+    type PolicyApplied,
+    ReportedState,
+} from "../../model/fleetMessages.ts";
 import type { LinkReply } from "../../model/linkMessages.ts";
 import {
     emptySessionContext,
@@ -9,9 +15,16 @@
     TaskMode,
     TransactionState,
 } from "../../model/sessionStatement.ts";
-import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
+import { emptyTrafficPolicy, RouteConsistency } from "../../model/trafficPolicy.ts";
 import { Routing } from "../routing.ts";
-import { type LinkTask, type TaskAttempted, type TaskEnded, TaskKind } from "../taskMessages.ts";
+import {
+    type LinkTask,
+    type Task,
+    type TaskAttempted,
+    type TaskEnded,
+    TaskKind,
+    type TaskPlaced,
+} from "../taskMessages.ts";
 
 describe("results of commits while the primary is replaced", () => {
     it("are in doubt if they come from another database than the ordered one", () => {
@@ -49,6 +62,90 @@
     });
 });
 
+describe("a statement that its database cannot start in time", () => {
+    const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false, retryAfterMs: 420 };
+
+    /** Replicas and primary of a service; the attempts are refused by their databases. */
+    function refuseAttempts(parts: { readonly needsPrimary: boolean; }): readonly (TaskPlaced | TaskEnded)[] {
+        const routing = new Routing({ dataCentre: "d" });
+        ["p", "r1"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
+        const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
+        routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        const route = {
+            name: "r",
+            database: "r",
+            service: "s",
+            consistency: RouteConsistency.Bounded,
+            maximumAgeMs: 1_000,
+            statementLimitMs: 1_000,
+            targetLatencyMs: 500,
+            priority: 1,
+            open: false,
+        };
+        const task: Task = {
+            ...commit,
+            ...parts,
+            mode: TaskMode.Single,
+            statement: parts.needsPrimary ? write : undefined,
+            writes: parts.needsPrimary,
+            route,
+            sessionFloor: undefined,
+            receivedMs: 0,
+        };
+        const results: (TaskPlaced | TaskEnded)[] = [];
+        let messages = routing.process({ kind: TaskKind.Admitted, task }, 0);
+        for (;;) {
+            const next = messages.find(({ kind }) => kind === TaskKind.Placed || kind === TaskKind.Ended);
+            results.push(next as TaskPlaced | TaskEnded);
+            if (next?.kind !== TaskKind.Placed) {
+                return results;
+            }
+            const { databaseId } = next as TaskPlaced;
+            const attempted = {
+                kind: TaskKind.Attempted,
+                task: (next as TaskPlaced).task,
+                databaseId,
+                address: undefined,
+                holderUnavailable: false,
+                sentMs: undefined,
+                leads: false,
+                pinned: false,
+                ...refusal,
+            } as TaskAttempted;
+            messages = routing.process(attempted, 0);
+        }
+    }
+
+    it("is refused at once with the time to come back if only the primary may run it", () => {
+        const [placed, ended] = refuseAttempts({ needsPrimary: true });
+        assert.equal((placed as TaskPlaced).databaseId, "p");
+        assert.equal((ended as TaskEnded).fault, StatementFault.Busy);
+        assert.match((ended as TaskEnded).detail, /not run, retry after 420 ms/);
+    });
+
+    it("goes to each database that may run it once before it is refused", () => {
+        const results = refuseAttempts({ needsPrimary: false });
+        const databaseIds = results.slice(0, -1).map(placed => (placed as TaskPlaced).databaseId);
+        assert.deepEqual([...databaseIds].sort(), ["p", "r1"]);
+        assert.match((results.at(-1) as TaskEnded).detail, /not run, retry after 420 ms/);
+    });
+});
+
+function databaseReport(databaseId: string, leads: boolean): DatabaseChanged {
+    const report = {
+        databaseId,
+        service: "s",
+        address: `${databaseId}:1`,
+        dataCentre: "d",
+        slots: 4,
+        state: ReportedState.Ready,
+        leads,
+        sequence: 1,
+        bornUnixMs: 1,
+    };
+    return { kind: FleetKind.DatabaseChanged, report };
+}
+
 const write = { kind: SessionStatementKind.Write, text: "WRITE 1 x" } as unknown as LinkTask["statement"];
 
 const commit: LinkTask = {
--- a/src/session/poolLoad.ts
+++ b/src/session/poolLoad.ts
@@ -66,17 +66,18 @@
     });
 }
 
-/** Records that a link was lost on which no attempt is in progress; the loss of an attempt is its outcome. */
+/**
+ * Records that a link was lost on which no attempt is in progress; the loss of an attempt is its outcome. A database that
+ * closes links which it was not asked to use has restarted, or will.
+ */
 export function recordLost(pool: LinkPool, link: Link, loss: LinkLoss, nowMs: number): void {
-    if (loss === LinkLoss.NoListener) {
+    const isOpening = link.state === LinkState.Opening;
+    if (loss === LinkLoss.NoListener || !isOpening && link.attempt === undefined) {
         pool.window.restart(nowMs);
     }
-    else if (link.state === LinkState.Opening) {
+    else if (isOpening) {
         pool.window.recordRejection(link.openedMs, nowMs);
     }
-    else if (link.attempt === undefined) {
-        pool.window.recordFailure(nowMs, nowMs);
-    }
 }
 
 /** How fast the tasks that wait for a database will start. */
