--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -11,6 +11,7 @@
 import { AdmitFilter, AdmitKind } from "../src/request/admit.ts";
 import { type DeltaSlope, type HeartbeatSlope, measureDeltas, measureHeartbeats } from "./controlSlopes.ts";
 import { RateCluster } from "./rateCluster.ts";
+import { measureScheduling, type SchedulingSlope } from "./schedulingDecisions.ts";
 import { openSessions, startPendingStatements, timeHolderPipe, timeRequestPipe } from "./statementSlopes.ts";
 import { measureWire, type WireSlope } from "./wireSlopes.ts";
 
@@ -31,6 +32,7 @@
     readonly heartbeats: readonly HeartbeatSlope[];
     readonly deltas: readonly DeltaSlope[];
     readonly wire: readonly WireSlope[];
+    readonly scheduling: readonly SchedulingSlope[];
 }
 
 export interface MessageSlope {
@@ -63,6 +65,7 @@
         heartbeats: measureHeartbeats(),
         deltas: measureDeltas(),
         wire: measureWire(),
+        scheduling: measureScheduling(),
     };
 }
 
