--- a/bench/describe.ts
+++ b/bench/describe.ts
@@ -185,6 +185,7 @@
         ...formatRows(slopes.deltas),
         "",
         ...formatRows(slopes.wire),
+        ...formatRows(slopes.scheduling),
     ];
 }
 
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -63,10 +63,13 @@
 });
 
 describe("a statement that its database cannot start in time", () => {
-    const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false, retryAfterMs: 420 };
+    const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false };
 
     /** Replicas and primary of a service; the attempts are refused by their databases. */
-    function refuseAttempts(parts: { readonly needsPrimary: boolean; }): readonly (TaskPlaced | TaskEnded)[] {
+    function refuseAttempts(
+        parts: { readonly needsPrimary: boolean; },
+        retryAfterMs = 420,
+    ): readonly (TaskPlaced | TaskEnded)[] {
         const routing = new Routing({ dataCentre: "d" });
         ["p", "r1"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
         const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
@@ -111,6 +114,7 @@
                 leads: false,
                 pinned: false,
                 ...refusal,
+                retryAfterMs,
             } as TaskAttempted;
             messages = routing.process(attempted, 0);
         }
@@ -123,6 +127,11 @@
         assert.match((ended as TaskEnded).detail, /not run, retry after 420 ms/);
     });
 
+    it("is not told a time beyond the limits of the statements that wait, whatever another instance reports", () => {
+        const ended = refuseAttempts({ needsPrimary: true }, 4_294_967_295).at(-1) as TaskEnded;
+        assert.match(ended.detail, /retry after 2000 ms/);
+    });
+
     it("goes to each database that may run it once before it is refused", () => {
         const results = refuseAttempts({ needsPrimary: false });
         const databaseIds = results.slice(0, -1).map(placed => (placed as TaskPlaced).databaseId);
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -440,11 +440,13 @@
         const isUntried = this.databases.reportsOf(task.service).some(({ databaseId }) =>
             !triedDatabaseIds.has(databaseId) && this.databases.passOverForRead(databaseId, nowMs) === undefined
         );
-        return !task.needsPrimary && isUntried
-            ? this.place(routed, nowMs)
-            : this.endRouted(
-                endTask(task, StatementFault.Busy, retryText("the databases have too much to do", retryAfterMs)),
-            );
+        if (!task.needsPrimary && isUntried) {
+            return this.place(routed, nowMs);
+        }
+        // No queue drains for longer, because all that waits in it starts or is refused within its own limit.
+        const afterMs = Math.min(retryAfterMs, 2 * task.route.statementLimitMs);
+        const text = retryText("the databases have too much to do", afterMs);
+        return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
     /** Converts an attempt that is not retried to the result of the task. */
--- a/src/telemetry/__tests__/loadLog.spec.ts
+++ b/src/telemetry/__tests__/loadLog.spec.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FleetKind } from "../../model/fleetMessages.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { LoadLog } from "../loadLog.ts";
 import type { LogFields, Logger } from "../logger.ts";
@@ -56,6 +57,16 @@
         assert.ok(second! < first!, `${second} ms since the line before`);
     });
 
+    it("counts the statements that queues of databases have refused, by reason and priority", async () => {
+        const { logger, lines } = createRecordingLogger();
+        const loadLog = new LoadLog(logger);
+        loadLog.recordSent("want", 1, "m1");
+        const refused = { kind: SchedulingKind.Refused, databaseId: "d", reason: "displaced", priority: 2 };
+        [refused, refused, { ...refused, priority: 1 }].forEach(message => loadLog.onOutput(message as Message));
+        await loadLog[Symbol.asyncDispose]();
+        assert.equal(lines[0]!.fields?.refused, "total=3/3 displaced/2=2/2 displaced/1=1/1");
+    });
+
     it("writes no line if nothing was sent or received", async () => {
         const { logger, lines } = createRecordingLogger();
         await new LoadLog(logger)[Symbol.asyncDispose]();
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -5,6 +5,7 @@
 import { FleetKind } from "../../model/fleetMessages.ts";
 import { LinkCommandKind, LinkKind, LinkLoss } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { SessionKind } from "../../model/sessionMessages.ts";
 import { StorageKind } from "../../model/storageMessages.ts";
 import { linkLogFormatters, loggedEffects, requestLogFormatters, stateLogFormatters } from "../eventLogFormatters.ts";
@@ -29,6 +30,17 @@
         );
     });
 
+    it("log how many statements a database gets at once when that is limited in another way", () => {
+        const changed = { databaseId: "d", phase: "minimum", window: 2, slots: 4, waiting: 17 };
+        assert.deepEqual(
+            stateLogFormatters.get(SchedulingKind.PaceChanged)!(
+                { kind: SchedulingKind.PaceChanged, ...changed } as never,
+            ),
+            { database: "d", phase: "minimum", window: 2, slots: 4, waiting: 17 },
+        );
+        assert.ok(loggedEffects.includes(SchedulingKind.PaceChanged));
+    });
+
     it("log what was wrong with a message, and a prepared statement, without any text of callers", () => {
         const refused = { kind: SessionKind.MessageRefused, sessionId: "s1", defect: "invalid_statement", bytes: 9 };
         assert.deepEqual(
