--- a/src/scheduling/statementQueue.ts
+++ b/src/scheduling/statementQueue.ts
@@ -259,9 +259,11 @@
     /** Lanes that were passed over too often, longest first, and then the others by urgency. */
     private startOrder(): readonly Lane<Statement>[] {
         const overdue = this.lanes.filter(({ passOvers }) => passOvers >= maximumPassOvers);
-        return overdue.length === 0
-            ? this.lanes
-            : [...overdue.sort((left, right) => right.passOvers - left.passOvers), ...this.lanes];
+        if (overdue.length === 0) {
+            return this.lanes;
+        }
+        const others = this.lanes.filter(lane => !overdue.includes(lane));
+        return [...overdue.sort((left, right) => right.passOvers - left.passOvers), ...others];
     }
 
     private demoteLate(nowMs: number): void {
