--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -3,6 +3,7 @@
 import { type LinkCommand, LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
 import type { Position } from "../../model/position.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
 import {
     type SessionStatement,
@@ -48,6 +49,7 @@
         LinkKind.Send,
         LinkKind.Close,
         LinkKind.ReplyDiscarded,
+        ...Object.values(SchedulingKind),
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
@@ -88,7 +90,7 @@
             new PassedTasks(),
             new Routing({ dataCentre: "dc1", rules: [new HomeRule(dataCentreRegions)] }),
             new Forwarding({ instanceId: "front1", dataCentreRegions }),
-            new Links(),
+            new Links({ random: new SeededRandom(1) }),
         ];
         this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("session", filters)], sinks: [this] });
     }
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -20,6 +20,7 @@
     type PeerQuestion,
     type PeerSend,
 } from "../../model/peerMessages.ts";
+import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
 import {
     isNotRun,
@@ -395,6 +396,7 @@
         LinkKind.Send,
         LinkKind.Close,
         LinkKind.ReplyDiscarded,
+        ...Object.values(SchedulingKind),
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.Drained,
@@ -442,7 +444,7 @@
             new Forwarding({ instanceId, dataCentreRegions }),
             new ColdGate(),
             new EvacuationStages(evacuationBoundMs),
-            new Links(),
+            new Links({ random: new SeededRandom(1) }),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
         this.loop = new EventLoop({
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -359,6 +359,7 @@
             sessionFloor: session.floors.get(route.service),
             receivedMs: nowMs,
             deadlineMs: Math.min(nowMs + route.statementLimitMs, this.drain?.answersUntilMs ?? Infinity),
+            urgency: { priority: route.priority, objectiveAtMs: nowMs + route.targetLatencyMs },
             ...homeRegions === undefined ? {} : { homeRegions },
         };
         session.running = task;
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -84,7 +84,7 @@
         new Forwarding({ instanceId, dataCentreRegions }),
         new ColdGate(),
         new EvacuationStages(evacuationBoundMs),
-        new Links(),
+        new Links({ random: new SeededRandom(seed + 2) }),
     ]);
     return [fleet, session];
 }
