feat(rpc): positions of lagging databases between instances; false load costs no stream

Cause: a uint64 beyond 2^53 in a load report threw in the decoder and ended the stream with all its tasks; and no message told other instances that a replica lags. Change: positions in reports are doubles and checked where they are decoded; what is out of range is left out with one line for each peer (peer.load_ignored). Floor questions and answers may tell positions of databases.

--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -25,6 +25,8 @@
     Gone: "peer.gone",
     /** A malformed question or result arrived on a stream, which is closed. */
     FrameRefused: "peer.frame_refused",
+    /** What a message told of the load or the lag of databases is out of range; the rest of the message counts. */
+    LoadIgnored: "peer.load_ignored",
 } as const;
 
 export interface PeerInstance {
@@ -74,6 +76,16 @@
     readonly urgency?: PassedUrgency;
 }
 
+/** A log position that a database has told to some instance. */
+export interface ReplicaPosition {
+    readonly databaseId: string;
+    readonly position: Position;
+    /** Time since the database told it. */
+    readonly ageMs: number;
+    /** The database lagged by at least this much then; 0 if unknown. */
+    readonly lagMs: number;
+}
+
 /** Asks another instance for a recent log position of the primary of a service, to be used as the floor of reads. */
 export interface FloorQuestion {
     readonly kind: "floor";
@@ -83,6 +95,8 @@
     readonly workspace: string;
     /** The answering instance obtains a new position from the primary if the last one is older than this. */
     readonly maximumProofAgeMs: number;
+    /** What the asking instance knows of the databases of the service; not sent by releases that do not know it. */
+    readonly replicas?: readonly ReplicaPosition[];
 }
 
 /** Asks another instance for the control members. */
@@ -111,11 +125,16 @@
 
 export interface FloorResult {
     readonly kind: "floor";
+    /** Empty if the result tells positions that nobody asked for. */
     readonly questionId: string;
+    /** Set if the result tells positions. */
+    readonly service?: string;
     /** Undefined when the primary did not provide one. */
     readonly position: Position | undefined;
     /** Age of the position when the question arrived; 0 when the position was obtained later. */
     readonly proofAgeMs: number;
+    /** What the answering instance knows of the databases of the service; not sent by releases that do not know it. */
+    readonly replicas?: readonly ReplicaPosition[];
 }
 
 export interface MembersResult {
@@ -168,3 +187,9 @@
     readonly peer: string;
     readonly reason: string;
 }
+
+export interface PeerLoadIgnored extends Message {
+    readonly kind: typeof PeerKind.LoadIgnored;
+    /** Address of the other end, or the id of a stream that it opened. */
+    readonly peer: string;
+}
--- a/src/rpc/taskCodec.ts
+++ b/src/rpc/taskCodec.ts
@@ -4,7 +4,7 @@
  */
 import type { DatabaseLoad } from "../model/databaseLoad.ts";
 import type { LinkReply } from "../model/linkMessages.ts";
-import type { PassedUrgency, PeerQuestion, PeerResult } from "../model/peerMessages.ts";
+import type { PassedUrgency, PeerQuestion, PeerResult, ReplicaPosition } from "../model/peerMessages.ts";
 import type { Position } from "../model/position.ts";
 import {
     type PreparedStatement,
@@ -14,7 +14,7 @@
     TaskMode,
     TransactionState,
 } from "../model/sessionStatement.ts";
-import type { DatabaseLoadMessage, TaskFrameMessage, TaskUrgency } from "./generated/tasks.ts";
+import type { DatabaseLoadMessage, ReplicaPositionsMessage, TaskFrameMessage, TaskUrgency } from "./generated/tasks.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
 
 /** Largest value of an unsigned 32-bit field. */
@@ -23,6 +23,9 @@
 /** Maximum of priorities whose expected waits are told apart. */
 const maximumPriorities = 16;
 
+/** Maximum of databases whose positions one message tells. */
+const maximumReplicas = 32;
+
 type EncodedFields = readonly unknown[];
 
 export function encodeQuestion(question: PeerQuestion): TaskFrameMessage {
@@ -33,8 +36,11 @@
         return { body: encodeJson([question.questionId]) };
     }
     if (question.kind === "floor") {
-        const { questionId, service, workspace, maximumProofAgeMs } = question;
-        return { body: encodeJson([questionId, service, workspace, Math.floor(maximumProofAgeMs)]) };
+        const { questionId, service, workspace, maximumProofAgeMs, replicas } = question;
+        return {
+            body: encodeJson([questionId, service, workspace, Math.floor(maximumProofAgeMs)]),
+            ...encodeReplicas(replicas),
+        };
     }
     const { statement, prepared, floor, urgency } = question;
     return {
@@ -58,7 +64,7 @@
 }
 
 /** @throws Error that names the field if the body was not made by `encodeQuestion` */
-export function decodeQuestion({ body, urgency }: TaskFrameMessage): PeerQuestion {
+export function decodeQuestion({ body, urgency, replicas }: TaskFrameMessage): PeerQuestion {
     const fields = requireFields(decodeJson(body), "question", [1, 2, 4, 13]);
     if (fields.length === 1) {
         return { kind: "members", questionId: requireText(fields[0], "questionId") };
@@ -77,6 +83,7 @@
             service: requireText(fields[1], "service"),
             workspace: requireText(fields[2], "workspace"),
             maximumProofAgeMs: requireDuration(fields[3], "maximumProofAgeMs"),
+            ...decodeReplicas(replicas),
         };
     }
     const mode = requireOneOf(TaskMode, fields[4], "mode");
@@ -116,8 +123,11 @@
     }
     if (result.kind === "floor") {
         // Rounded up, because a proof must not seem more recent than it is.
-        const { questionId, position, proofAgeMs } = result;
-        return { body: encodeJson([questionId, encodePosition(position), Math.ceil(proofAgeMs)]) };
+        const { questionId, position, proofAgeMs, service, replicas } = result;
+        return {
+            body: encodeJson([questionId, encodePosition(position), Math.ceil(proofAgeMs)]),
+            ...encodeReplicas(replicas, service),
+        };
     }
     const { taskId, reply, fault, sent, leads, pinned, load } = result;
     const flags = Number(sent) + 2 * Number(leads) + 4 * Number(pinned);
@@ -136,7 +146,7 @@
 }
 
 /** @throws Error that names the field if the body was not made by `encodeResult` */
-export function decodeResult({ body, load: encodedLoad }: TaskFrameMessage): PeerResult {
+export function decodeResult({ body, load: encodedLoad, replicas }: TaskFrameMessage): PeerResult {
     const fields = requireFields(decodeJson(body), "result", [2, 3, 4]);
     if (fields.length === 2) {
         return {
@@ -151,6 +161,8 @@
             questionId: requireText(fields[0], "questionId"),
             position: decodePosition(fields[1]),
             proofAgeMs: requireDuration(fields[2], "proofAgeMs"),
+            ...decodeReplicas(replicas),
+            ...replicas === undefined ? {} : { service: replicas.service },
         };
     }
     const [taskId, encodedFlags, fault, reply] = fields;
@@ -168,6 +180,14 @@
     };
 }
 
+/** Returns whether a decoded message lacks what its frame told of the load or the lag of databases. */
+export function isLoadIgnored({ load, replicas }: TaskFrameMessage, decoded: PeerQuestion | PeerResult): boolean {
+    const decodedLoad = "load" in decoded ? decoded.load : undefined;
+    const decodedReplicas = "replicas" in decoded ? decoded.replicas : undefined;
+    return load !== undefined && decodedLoad === undefined
+        || (replicas?.positions.length ?? 0) > (decodedReplicas?.length ?? 0);
+}
+
 function encodeUrgency({ priority, objectiveMs }: PassedUrgency): TaskUrgency {
     return { priority: toUnsigned(priority), objectiveMs: toUnsigned(objectiveMs) };
 }
@@ -189,7 +209,11 @@
 /** Returns undefined for a load that is out of range: placing does without it, and the result itself still counts. */
 function decodeLoad(encoded: DatabaseLoadMessage): DatabaseLoad | undefined {
     const { expectedWaitsMs, window, inFlight, availableLinks, busyThousandths, positionTerm, positionAgeMs } = encoded;
-    if (expectedWaitsMs.length === 0 || expectedWaitsMs.length > maximumPriorities || busyThousandths > 1_000) {
+    const isPositionValid = positionTerm === undefined || isCount(positionTerm) && isCount(encoded.positionOffset);
+    if (
+        expectedWaitsMs.length === 0 || expectedWaitsMs.length > maximumPriorities || busyThousandths > 1_000
+        || !isPositionValid
+    ) {
         return undefined;
     }
     return {
@@ -205,9 +229,41 @@
     };
 }
 
+function encodeReplicas(
+    replicas: readonly ReplicaPosition[] | undefined,
+    service = "",
+): Pick<TaskFrameMessage, "replicas"> {
+    const positions = (replicas ?? []).map(({ databaseId, position: { term, offset }, ageMs, lagMs }) => ({
+        databaseId,
+        term,
+        offset,
+        ageMs: toUnsigned(Math.ceil(ageMs)),
+        lagMs: toUnsigned(Math.floor(lagMs)),
+    }));
+    return positions.length === 0 ? {} : { replicas: { positions, service } };
+}
+
+/** Leaves out positions that are out of range, and all of them if there are too many. */
+function decodeReplicas(
+    replicas: ReplicaPositionsMessage | undefined,
+): { readonly replicas?: readonly ReplicaPosition[]; } {
+    if (replicas === undefined || replicas.positions.length > maximumReplicas) {
+        return {};
+    }
+    return {
+        replicas: replicas.positions.filter(({ term, offset }) => isCount(term) && isCount(offset))
+            .map(({ databaseId, term, offset, ageMs, lagMs }) => ({
+                databaseId,
+                position: { term, offset },
+                ageMs,
+                lagMs,
+            })),
+    };
+}
+
 /** Converts to the range of an unsigned 32-bit field. */
 function toUnsigned(value: number): number {
-    return Math.min(Math.max(0, Math.round(value)), maximumUnsigned);
+    return Number.isNaN(value) ? 0 : Math.min(Math.max(0, Math.round(value)), maximumUnsigned);
 }
 
 function decodeReply(value: unknown): LinkReply {
@@ -305,10 +361,14 @@
 }
 
 function requireCount(value: unknown, name: string): number {
-    if (!Number.isSafeInteger(value) || (value as number) < 0) {
+    if (!isCount(value)) {
         throw new RangeError(`${name} is not a count`);
     }
-    return value as number;
+    return value;
+}
+
+function isCount(value: unknown): value is number {
+    return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
 function requireOneOf<Value extends string>(
--- a/src/rpc/taskStreams.ts
+++ b/src/rpc/taskStreams.ts
@@ -10,7 +10,10 @@
     type PeerFrameRefused,
     type PeerGone,
     PeerKind,
+    type PeerLoadIgnored,
     type PeerLost,
+    type PeerQuestion,
+    type PeerResult,
     type PeerSend,
 } from "../model/peerMessages.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -18,7 +21,7 @@
 import type { PeerTrafficObserver } from "../telemetry/loadLog.ts";
 import { type TaskFrameMessage, TasksClient, type TasksServer, TasksService } from "./generated/tasks.ts";
 import { ConnectionMode, type PeerClientFactory } from "./peerClientFactory.ts";
-import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "./taskCodec.ts";
+import { decodeQuestion, decodeResult, encodeQuestion, encodeResult, isLoadIgnored } from "./taskCodec.ts";
 
 type IncomingStream = ServerDuplexStream<TaskFrameMessage, TaskFrameMessage>;
 type OutgoingStream = ClientDuplexStream<TaskFrameMessage, TaskFrameMessage>;
@@ -39,6 +42,8 @@
     private readonly options: TaskStreamsOptions;
     private readonly outgoing = new Map<string, Connection>();
     private readonly incoming = new Map<string, IncomingStream>();
+    /** Peers whose reports of load were ignored. */
+    private readonly reportedPeers = new Set<string>();
     private nextStreamNumber = 0;
 
     constructor(options: TaskStreamsOptions) {
@@ -92,6 +97,7 @@
         try {
             const result = decodeResult(message);
             this.options.traffic.recordReceived("result", message.body.length, address);
+            this.reportIgnoredLoad(address, message, result);
             this.options.post({ kind: PeerKind.Answered, address, result } as PeerAnswered);
         }
         catch (error) {
@@ -123,6 +129,7 @@
         try {
             const question = decodeQuestion(message);
             this.options.traffic.recordReceived("question", message.body.length, streamId);
+            this.reportIgnoredLoad(streamId, message, question);
             this.options.post({ kind: PeerKind.Asked, streamId, question } as PeerAsked);
         }
         catch (error) {
@@ -133,12 +140,21 @@
         }
     }
 
+    /** Reports a peer once, because all its messages may have the same fault. */
+    private reportIgnoredLoad(peer: string, message: TaskFrameMessage, decoded: PeerQuestion | PeerResult): void {
+        if (isLoadIgnored(message, decoded) && !this.reportedPeers.has(peer)) {
+            this.reportedPeers.add(peer);
+            this.options.post({ kind: PeerKind.LoadIgnored, peer } as PeerLoadIgnored);
+        }
+    }
+
     private reportRefused(peer: string, error: unknown): void {
         const refused = { kind: PeerKind.FrameRefused, peer, reason: (error as Error).message };
         this.options.post(refused as PeerFrameRefused);
     }
 
     private closeIncoming(streamId: string): void {
+        this.reportedPeers.delete(streamId);
         if (this.incoming.delete(streamId)) {
             this.options.post({ kind: PeerKind.Gone, streamId } as PeerGone);
         }
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -70,6 +70,7 @@
             FleetKind.FrameReceived,
             FleetKind.FrameRefused,
             PeerKind.FrameRefused,
+            PeerKind.LoadIgnored,
             SessionKind.MessageRefused,
             SessionKind.AnswerRefused,
             StorageKind.Suspended,
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -36,7 +36,7 @@
     type LinkReplyDiscarded,
     type LinkSend,
 } from "../model/linkMessages.ts";
-import { type PeerFrameRefused, PeerKind } from "../model/peerMessages.ts";
+import { type PeerFrameRefused, PeerKind, type PeerLoadIgnored } from "../model/peerMessages.ts";
 import {
     PromotionKind,
     type PromotionOrder,
@@ -149,6 +149,7 @@
     })),
     line<FrameRefused>(FleetKind.FrameRefused, ({ attachmentId, reason }) => ({ attachment: attachmentId, reason })),
     line<PeerFrameRefused>(PeerKind.FrameRefused, ({ peer, reason }) => ({ peer, reason })),
+    line<PeerLoadIgnored>(PeerKind.LoadIgnored, ({ peer }) => ({ peer })),
     line<ReadinessChanged>(FleetKind.ReadinessChanged, ({ ready }) => ({ ready })),
     // Control members accept hundreds of attachments, which the other side logs.
     line<Attached>(
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -340,6 +340,7 @@
             ...Object.values(FleetKind),
             PeerKind.InstancesKnown,
             PeerKind.FrameRefused,
+            PeerKind.LoadIgnored,
             SessionKind.MessageRefused,
             SessionKind.AnswerRefused,
             FeedKind.Opened,
