--- a/src/session/__tests__/databaseTable.spec.ts
+++ b/src/session/__tests__/databaseTable.spec.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type DatabaseReport, ReportedState } from "../../model/fleetMessages.ts";
+import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { DatabaseTable } from "../databaseTable.ts";
+import { FloorRequests } from "../floorRequests.ts";
 
 function report(databaseId: string, leads: boolean, sequence: number): DatabaseReport {
     return {
@@ -20,7 +22,7 @@
 describe("the primary of a service", () => {
     it("is no other database while one is ordered to take the lead", () => {
         // Guards against commits at a primary that came back, which are lost when the order is executed.
-        const table = new DatabaseTable("d");
+        const table = new DatabaseTable({ dataCentre: "d", random: new SeededRandom(1), floors: new FloorRequests() });
         table.applyReport(report("old", true, 1));
         table.applyReport(report("new", false, 1));
         assert.equal(table.primary("s", 0), "old");
--- a/src/session/__tests__/floorExchange.spec.ts
+++ b/src/session/__tests__/floorExchange.spec.ts
@@ -56,7 +56,7 @@
     }
 
     reportAttempt(nowMs: number, sentMs: number, parts: Fields = {}): readonly Fields[] {
-        const task = { taskId: "p0", service: "s1", mode: TaskMode.Probe };
+        const task = { taskId: "p0", service: "s1", mode: TaskMode.Probe, needsPrimary: true };
         const reply = { position: position(1, 7) };
         return this.push(nowMs, { kind: TaskKind.Attempted, task, reply, leads: true, sentMs, ...parts });
     }
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -71,7 +71,7 @@
             mode,
             statement: statement(SessionStatementKind.Read, id),
             writes: false,
-            needsPrimary: false,
+            needsPrimary: mode === TaskMode.Probe,
             context: emptySessionContext,
             deadlineMs: 1e6,
         };
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -20,6 +20,7 @@
     type SessionStatement,
     SessionStatementKind,
     type StatementAnswer,
+    StatementFault,
     TaskMode,
 } from "../../model/sessionStatement.ts";
 import { RouteConsistency, type RoutePolicy, type WorkspacePolicy } from "../../model/trafficPolicy.ts";
@@ -116,6 +117,12 @@
     /** Number of answers to operations, by fault; "served" without a fault. */
     readonly answers = new Map<string, number>();
     operationCount = 0;
+    /** Number of operations that were served within the latency objective of their route. */
+    servedInTimeCount = 0;
+    /** Number of passed attempts that were refused because a database lags, by the database or by its holder. */
+    readonly laggingAttempts = new Map<string, number>();
+    /** Database of each passed task, by the ids of its attempt and of the instance that passed it. */
+    readonly passedDatabases = new Map<string, string>();
     /** Delay added to every message between instances. */
     congestionMs = 0;
     /** Sessions that were closed while a request waited for its answer. */
@@ -228,6 +235,9 @@
         this.nodes.forEach(node => node.counters = newCounters());
         this.answers.clear();
         this.operationCount = 0;
+        this.servedInTimeCount = 0;
+        this.laggingAttempts.clear();
+        this.databases.forEach(database => Object.assign(database, { laggingCount: 0, openedCount: 0 }));
     }
 
     /** Counts an answer, except one of a disturbed instance. */
@@ -368,7 +378,7 @@
             new Sessions(),
             new Admission({ random: new SeededRandom(1) }),
             new PassedTasks(),
-            new Routing({ dataCentre }),
+            new Routing({ dataCentre, random: new SeededRandom(fleet.nodes.length + 1) }),
             new Forwarding({ instanceId }),
             new Links(),
         ];
@@ -493,6 +503,9 @@
             this.fleet.schedule.after(localDelayMs, () => this.post({ kind: PeerKind.Lost, address } as Message));
             return;
         }
+        if (question.kind === "task") {
+            this.fleet.passedDatabases.set(question.taskId + this.peer.instanceId, question.databaseId);
+        }
         const bytes = encodeQuestion(question).body.length + framingBytes;
         this.counters.bytesOut += bytes;
         const floorBytes = isProbe(question) ? bytes : 0;
@@ -518,6 +531,14 @@
     private sendAnswer({ streamId, result }: PeerAnswer): void {
         const other = this.fleet.nodes.find(({ peer }) => peer.instanceId === streamId)!;
         const bytes = encodeResult(result).body.length + framingBytes;
+        const fault = result.kind === "task" ? result.fault ?? result.reply?.fault : undefined;
+        const databaseId = result.kind === "task"
+            ? this.fleet.passedDatabases.get(result.taskId + streamId)
+            : undefined;
+        if (fault === StatementFault.Lagging && databaseId !== undefined) {
+            const { laggingAttempts } = this.fleet;
+            laggingAttempts.set(databaseId, (laggingAttempts.get(databaseId) ?? 0) + 1);
+        }
         const floorBytes = probeIdPattern.test(result.kind === "task" ? result.taskId : result.questionId) ? bytes : 0;
         this.counters.bytesOut += bytes;
         this.counters.floorBytes += floorBytes;
@@ -598,6 +619,8 @@
         }
         const open = answer.fault !== undefined && answer.transaction !== "none";
         this.fleet.recordAnswer(this.node, answer.fault ?? "served");
+        const elapsedMs = this.fleet.schedule.nowMs - this.operationStartMs;
+        this.fleet.servedInTimeCount += answer.fault === undefined && elapsedMs <= this.route.targetLatencyMs ? 1 : 0;
         this.remainingKinds = [];
         if (open) {
             this.node.callers.delete(this.sessionId);
--- a/src/session/__tests__/standInDatabase.ts
+++ b/src/session/__tests__/standInDatabase.ts
@@ -20,9 +20,6 @@
 /** Time for which opening a connection occupies a slot. */
 const openMs = 12;
 
-/** Time for which a read, a write or a commit occupies a slot. */
-const workMs = 24;
-
 /** Longest time between a reply and its repetition. */
 const maximumRepeatDelayMs = 400;
 
@@ -37,7 +34,7 @@
 
 export interface StandInDatabaseOptions {
     readonly connectionLimit: number;
-    /** Replication lag: replicas apply a commit this much later than the primary. */
+    /** Initial replication lag. */
     readonly lagMs: number;
     readonly random: SeededRandom;
     readonly checker: AnswerChecker;
@@ -50,6 +47,12 @@
     readonly commits: number[] = [];
     openedCount = 0;
     refusedCount = 0;
+    /** Number of statements and transactions that were refused because the replica lags. */
+    laggingCount = 0;
+    /** Replication lag: replicas apply a commit this much later than the primary. */
+    lagMs: number;
+    /** Time for which a read, a write or a commit occupies a slot. */
+    workMs = 24;
     /** Instances that have opened connections, or tried to. */
     readonly openingInstanceIds = new Set<string>();
     /** Delay added to every answer. */
@@ -69,12 +72,15 @@
     private readonly connections = new Map<string, Connection>();
     private readonly waiting: (() => void)[] = [];
     private busy = 0;
+    /** Number of the primary's commits that this replica has applied. */
+    private appliedCount = 0;
     private nextSignature = 0;
 
     constructor(schedule: Schedule, report: DatabaseReport, options: StandInDatabaseOptions) {
         this.schedule = schedule;
         this.report = report;
         this.options = options;
+        this.lagMs = options.lagMs;
     }
 
     get connectionCount(): number {
@@ -163,7 +169,7 @@
         const needsSlot = command.kind === LinkCommandKind.Run
             && command.statement.kind !== SessionStatementKind.Rollback;
         if (needsSlot) {
-            this.withSlot(workMs, complete);
+            this.withSlot(this.workMs, complete);
         }
         else {
             complete();
@@ -249,6 +255,7 @@
     }
 
     private refuse(connection: Connection, fault: StatementFault): LinkReply {
+        this.laggingCount += fault === StatementFault.Lagging ? 1 : 0;
         if (connection.transaction === TransactionState.Open) {
             connection.transaction = TransactionState.Failed;
         }
@@ -272,11 +279,10 @@
             return { term: 1, offset: this.commits.length };
         }
         const commits = this.primary?.commits ?? [];
-        let offset = commits.length;
-        while (offset > 0 && commits[offset - 1]! > this.schedule.nowMs - this.options.lagMs) {
-            offset -= 1;
+        while ((commits[this.appliedCount] ?? Infinity) <= this.schedule.nowMs - this.lagMs) {
+            this.appliedCount += 1;
         }
-        return { term: 1, offset };
+        return { term: 1, offset: this.appliedCount };
     }
 
     private withSlot(durationMs: number, complete: () => void): void {
--- a/src/session/databaseTable.ts
+++ b/src/session/databaseTable.ts
@@ -1,32 +1,43 @@
-/** The known databases of each service, with their latency, load and failures as seen by this instance. */
+/** The known databases of each service, with their roles, failures, lag and cost as known by this instance. */
+import type { DatabaseLoad } from "../model/databaseLoad.ts";
 import { type DatabaseReport, ReportedState } from "../model/fleetMessages.ts";
+import type { Position } from "../model/position.ts";
+import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { DatabaseCosts, Distance, type ReadCandidate, type ReadDemand } from "../scheduling/databaseCost.ts";
+import { type ObservedPosition, type PassedAt, ReplicaLag, withKnownLag } from "../scheduling/replicaLag.ts";
+import type { FloorRequests } from "./floorRequests.ts";
 import { type PassedOver, PassOverReason } from "./placementRule.ts";
 import { PrimaryTracker } from "./primaryTracker.ts";
 
-/** Weight of the newest sample in the moving average of the latency. */
-const latencySmoothing = 0.2;
-
-/** Latency assumed before the first answer; about the execution time of a small statement. */
-const initialLatencyMs = 25;
+/** Backoff after a failure of a database; doubles with each further failure up to the maximum. */
+const firstPauseMs = 100;
+const maximumPauseMs = 2_000;
 
 /**
- * Added to the cost of a database in another data centre. Weighs the price of traffic between data centres against
- * latency: about this much is acceptable to a caller with a latency target of a few hundred milliseconds.
+ * Pauses between two reads of this instance that find out whether a database still lags. A replica applies within tens of
+ * milliseconds. If it lags by more, the pause is above the interval at which other instances tell its position, so that the
+ * end of the lag is usually learned from them.
  */
-const remotePenaltyMs = 25;
+const minimumLagPauseMs = 60;
+const longLagPauseMs = 2_000;
+const maximumLagPauseMs = 4_000;
 
-/** Backoff after a failure of a database; doubles with each further failure up to the maximum. */
-const firstPauseMs = 100;
-const maximumPauseMs = 2_000;
+/** Spreads the reads by which many instances find out: the pauses last up to half as long again. */
+const lagPauseSpread = 0.5;
 
 interface DatabaseEntry {
     report: DatabaseReport;
-    latencyMs: number;
-    inFlight: number;
     failures: number;
     pausedUntilMs: number;
-    /** The database recently refused a read as lagging and gets no reads before this time. */
-    laggingUntilMs: number;
+}
+
+export interface DatabaseTableOptions {
+    readonly dataCentre: string;
+    /** Region of each data centre; by default none is known. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
+    readonly random: SeededRandom;
+    /** Positions of the primaries. */
+    readonly floors: Pick<FloorRequests, "exceededByMs">;
 }
 
 export class DatabaseTable {
@@ -34,9 +45,22 @@
     private orderedByService: ReadonlyMap<string, string> = new Map();
     private readonly primaryTrackers = new Map<string, PrimaryTracker>();
     private readonly dataCentre: string;
+    private readonly dataCentreRegions: ReadonlyMap<string, string>;
+    private readonly random: SeededRandom;
+    private readonly floors: DatabaseTableOptions["floors"];
+    private readonly costs: DatabaseCosts;
+    private readonly lag = new ReplicaLag({
+        minimumPauseMs: minimumLagPauseMs,
+        maximumPauseMs: maximumLagPauseMs,
+        farBehindPauseMs: longLagPauseMs,
+    });
 
-    constructor(dataCentre: string) {
+    constructor({ dataCentre, dataCentreRegions = new Map(), random, floors }: DatabaseTableOptions) {
         this.dataCentre = dataCentre;
+        this.dataCentreRegions = dataCentreRegions;
+        this.random = random;
+        this.floors = floors;
+        this.costs = new DatabaseCosts(random);
     }
 
     /** Applies a report, which must be newer than the known one of the same database. */
@@ -51,7 +75,9 @@
             tracker.removeClaim(report.databaseId);
         }
         if (existing === undefined || restarted || existing.report.address !== report.address) {
-            this.databases.set(report.databaseId, newEntry(report));
+            this.databases.set(report.databaseId, { report, failures: 0, pausedUntilMs: 0 });
+            this.lag.remove(report.databaseId);
+            this.costs.remove(report.databaseId);
         }
         else {
             existing.report = report;
@@ -63,6 +89,8 @@
         if (entry !== undefined) {
             this.trackerOf(entry.report.service).removeClaim(databaseId);
             this.databases.delete(databaseId);
+            this.lag.remove(databaseId);
+            this.costs.remove(databaseId);
         }
     }
 
@@ -104,47 +132,83 @@
         return [...this.databases.values()].map(({ report }) => report).filter(report => report.service === service);
     }
 
-    /** Returns why a database gets no read now by what is known of its state; undefined if it may. */
-    passOverForRead(databaseId: string, nowMs: number): PassedOver | undefined {
+    /**
+     * Returns why a database gets no read now by what is known of its state; undefined if it may.
+     * @param floor position that the read needs; undefined if any database may run it that answers
+     */
+    passOverForRead(databaseId: string, nowMs: number, floor?: Position): PassedOver | undefined {
         const entry = this.databases.get(databaseId);
         if (entry === undefined || entry.report.state !== ReportedState.Ready) {
             return { reason: PassOverReason.Draining, retryAfterMs: maximumPauseMs };
         }
-        const { pausedUntilMs, laggingUntilMs } = entry;
-        if (pausedUntilMs > nowMs) {
-            return { reason: PassOverReason.Unreachable, retryAfterMs: pausedUntilMs - nowMs };
+        if (entry.pausedUntilMs > nowMs) {
+            return { reason: PassOverReason.Unreachable, retryAfterMs: entry.pausedUntilMs - nowMs };
         }
-        return laggingUntilMs > nowMs
-            ? { reason: PassOverReason.Lagging, retryAfterMs: laggingUntilMs - nowMs }
-            : undefined;
+        const spread = 1 + lagPauseSpread * this.random.nextFloat();
+        const laggingUntilMs = floor === undefined || this.isPrimary(databaseId, nowMs)
+            ? undefined
+            : this.lag.avoidedUntilMs(databaseId, floor, this.passedAtMs(entry.report), nowMs, spread);
+        return laggingUntilMs === undefined
+            ? undefined
+            : { reason: PassOverReason.Lagging, retryAfterMs: laggingUntilMs - nowMs };
     }
 
     /** Sorts databases by cost, cheapest first; those in `tried` are left out unless there are no others. */
-    rankForRead(databaseIds: readonly string[], tried: ReadonlySet<string>): readonly string[] {
+    rankForRead(
+        databaseIds: readonly string[],
+        tried: ReadonlySet<string>,
+        demand: ReadDemand,
+        nowMs: number,
+    ): readonly string[] {
         const untried = databaseIds.filter(databaseId => !tried.has(databaseId));
-        return [...untried.length > 0 ? untried : databaseIds]
-            .map(databaseId => ({ databaseId, cost: this.cost(this.databases.get(databaseId)!) }))
-            .sort((left, right) => left.cost - right.cost)
-            .map(({ databaseId }) => databaseId);
+        const candidates = (untried.length > 0 ? untried : databaseIds).map((databaseId): ReadCandidate => {
+            const { report: { dataCentre, slots } } = this.databases.get(databaseId)!;
+            const isPrimary = this.isPrimary(databaseId, nowMs);
+            return { databaseId, distance: this.distanceTo(dataCentre), isPrimary, slots };
+        });
+        return this.costs.rank(candidates, demand, nowMs);
     }
 
     recordStart(databaseId: string): void {
-        const entry = this.databases.get(databaseId);
-        if (entry !== undefined) {
-            entry.inFlight += 1;
+        if (this.databases.has(databaseId)) {
+            this.costs.recordStart(databaseId);
         }
     }
 
-    /** @param elapsedMs latency of the attempt; undefined when it had no successful answer */
-    recordAnswer(databaseId: string, elapsedMs: number | undefined): void {
+    /** Records that a read with this floor was sent to a database. */
+    recordRead(databaseId: string, floor: Position, nowMs: number): void {
+        this.lag.recordPlaced(databaseId, floor, nowMs);
+    }
+
+    /**
+     * @param elapsedMs latency of the attempt; undefined when it had no successful answer
+     * @param load of the database after the attempt, if its holder has told it
+     */
+    recordAnswer(
+        databaseId: string,
+        elapsedMs: number | undefined,
+        load: DatabaseLoad | undefined,
+        nowMs: number,
+    ): void {
         const entry = this.databases.get(databaseId);
         if (entry === undefined) {
             return;
         }
-        entry.inFlight = Math.max(0, entry.inFlight - 1);
+        this.costs.recordEnd(databaseId);
+        this.lag.recordTrialEnd(databaseId);
+        if (load !== undefined) {
+            this.costs.recordLoad(databaseId, load, nowMs);
+        }
         if (elapsedMs !== undefined) {
             entry.failures = 0;
-            entry.latencyMs += latencySmoothing * (elapsedMs - entry.latencyMs);
+            this.costs.recordLatency(databaseId, elapsedMs, load, nowMs);
+        }
+    }
+
+    recordPosition(databaseId: string, observed: ObservedPosition): void {
+        const entry = this.databases.get(databaseId);
+        if (entry !== undefined) {
+            this.lag.recordPosition(databaseId, withKnownLag(observed, this.passedAtMs(entry.report)));
         }
     }
 
@@ -157,10 +221,10 @@
         }
     }
 
-    recordLagging(databaseId: string, untilMs: number): void {
-        const entry = this.databases.get(databaseId);
-        if (entry !== undefined) {
-            entry.laggingUntilMs = untilMs;
+    /** Records that a database has refused a read because it has not reached its floor. */
+    recordLagging(databaseId: string, floor: Position, nowMs: number): void {
+        if (this.databases.has(databaseId)) {
+            this.lag.recordRefusal(databaseId, floor, nowMs);
         }
     }
 
@@ -178,9 +242,22 @@
         }
     }
 
-    private cost({ report, latencyMs, inFlight }: DatabaseEntry): number {
-        const load = inFlight / Math.max(1, report.slots);
-        return latencyMs * (1 + load) + (report.dataCentre === this.dataCentre ? 0 : remotePenaltyMs);
+    private isPrimary(databaseId: string, nowMs: number): boolean {
+        return this.primary(this.databases.get(databaseId)!.report.service, nowMs) === databaseId;
+    }
+
+    private passedAtMs({ service }: DatabaseReport): PassedAt {
+        return position => this.floors.exceededByMs(service, position);
+    }
+
+    private distanceTo(dataCentre: string): Distance {
+        if (dataCentre === this.dataCentre) {
+            return Distance.SameDataCentre;
+        }
+        const region = this.dataCentreRegions.get(dataCentre);
+        return region !== undefined && region === this.dataCentreRegions.get(this.dataCentre)
+            ? Distance.SameRegion
+            : Distance.OtherRegion;
     }
 
     private trackerOf(service: string): PrimaryTracker {
@@ -193,14 +270,3 @@
         return tracker;
     }
 }
-
-function newEntry(report: DatabaseReport): DatabaseEntry {
-    return {
-        report,
-        latencyMs: initialLatencyMs,
-        inFlight: 0,
-        failures: 0,
-        pausedUntilMs: 0,
-        laggingUntilMs: 0,
-    };
-}
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -21,11 +21,13 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { FloorSample } from "./floorSamples.ts";
+import { LagExchange } from "./lagExchange.ts";
 import { Responsiveness } from "./responsiveness.ts";
 import {
     type FloorLearned,
     type FloorProbeFailed,
     type FloorWanted,
+    type LinkTask,
     type TaskAttempted,
     TaskKind,
     type TaskTimer,
@@ -47,6 +49,9 @@
 /** Instances that are asked before this one probes the primary itself; a fault may affect one of them, seldom two. */
 const maximumAskedInstances = 2;
 
+/** The age of the proof does not matter to a question that only tells of lag, so that the answer needs no probe. */
+const anyProofAgeMs = 60_000;
+
 /** A floor that this instance waits for. */
 interface PendingFloor {
     readonly wanted: FloorWanted;
@@ -114,6 +119,7 @@
     private readonly waitingPeers = new Map<string, readonly WaitingPeer[]>();
     /** The newest position that the primary of each service gave to this instance itself. */
     private readonly proofs = new Map<string, FloorSample>();
+    private readonly lag = new LagExchange();
     /** Time until which a probe of this instance for a service counts as in progress. */
     private readonly probingUntilMs = new Map<string, number>();
     private nextQuestionNumber = 0;
@@ -125,8 +131,8 @@
     process(message: ExchangeInput, nowMs: number): readonly Message[] {
         return match<ExchangeInput, readonly Message[]>(message)
             .with({ kind: TaskKind.FloorWanted }, input => this.handleFloorWanted(input, nowMs))
-            .with({ kind: TaskKind.FloorProbeFailed }, input => this.endProbe(input.service))
-            .with({ kind: TaskKind.Attempted }, input => [...this.recordAttempt(input), input])
+            .with({ kind: TaskKind.FloorProbeFailed }, input => this.endProbe(input.service, nowMs))
+            .with({ kind: TaskKind.Attempted }, input => [...this.recordAttempt(input, nowMs), input])
             .with({ kind: TaskKind.FloorDue }, input => this.handleTimeout(input.id, nowMs))
             .with(
                 { kind: PeerKind.Asked, question: { kind: "floor" } },
@@ -156,7 +162,7 @@
         const { service, maximumProofAgeMs } = wanted;
         const proof = this.proofs.get(service);
         if (proof !== undefined && proof.atMs >= nowMs - maximumProofAgeMs) {
-            return [floorLearned(service, proof)];
+            return [floorLearned(service, proof), ...this.lag.probe(wanted, nowMs)];
         }
         return this.pendingFloors.has(service) ? [] : this.askNextInstance(wanted, [], nowMs);
     }
@@ -175,14 +181,10 @@
             ];
         }
         const { address } = chosen;
-        const questionId = `f${this.nextQuestionNumber++}`;
+        const questionId = this.addQuestion(service, nowMs);
         this.pendingFloors.set(service, { wanted, askedAddresses: [...askedAddresses, address], questionId, address });
-        this.questions.set(questionId, { service, sentMs: nowMs });
-        if (this.questions.size > maximumQuestions) {
-            this.questions.delete(this.questions.keys().next().value!);
-        }
         const timeoutAtMs = nowMs + this.responsiveness.timeoutMs(address);
-        const question: FloorQuestion = { kind: "floor", questionId, service, workspace, maximumProofAgeMs };
+        const question = this.toQuestion({ questionId, service, workspace, maximumProofAgeMs }, nowMs);
         return [
             { kind: PeerKind.Send, address, question } as PeerSend,
             setDeadline(timerKey(service), timeoutAtMs, taskTimer(TaskKind.FloorDue, questionId)),
@@ -218,62 +220,115 @@
         const { service, workspace, maximumProofAgeMs } = question;
         const peer = { streamId, question, arrivedMs: nowMs };
         const proof = this.proofs.get(service);
+        this.lag.addListener(service, streamId, nowMs);
+        const learned = [
+            ...this.lag.learn(service, question.replicas, nowMs),
+            ...this.lag.probe(question, nowMs),
+        ];
         if (isRecentEnough(proof, peer)) {
-            return [toAnswer(peer, proof)];
+            return [...learned, this.toAnswer(peer, proof, nowMs)];
         }
         this.waitingPeers.set(service, [...this.waitingPeers.get(service) ?? [], peer]);
-        return this.probe({ kind: TaskKind.FloorProbeWanted, service, workspace, maximumProofAgeMs }, nowMs);
+        return [
+            ...learned,
+            ...this.probe({ kind: TaskKind.FloorProbeWanted, service, workspace, maximumProofAgeMs }, nowMs),
+        ];
     }
 
-    private recordAttempt({ task, reply, leads, sentMs }: TaskAttempted): readonly Message[] {
-        const { service, mode, taskId } = task;
+    private recordAttempt(attempted: TaskAttempted, nowMs: number): readonly Message[] {
+        const { task: { service, mode, taskId, needsPrimary }, reply, leads, sentMs } = attempted;
         if (leads && reply?.position !== undefined && sentMs !== undefined) {
             const existing = this.proofs.get(service);
             if (existing === undefined || existing.atMs < sentMs) {
                 this.proofs.set(service, { position: reply.position, atMs: sentMs });
+                this.lag.addSample(service, { position: reply.position, atMs: sentMs });
             }
         }
+        const isOwnProbe = mode === TaskMode.Probe && !taskId.includes("/");
+        const lagChanged = this.lag.recordAttempt(attempted, nowMs);
         return [
-            ...this.answerWaitingPeers(service),
-            ...mode === TaskMode.Probe && !taskId.includes("/") ? this.endProbe(service) : [],
+            ...this.answerWaitingPeers(service, nowMs),
+            ...isOwnProbe && needsPrimary ? this.endProbe(service, nowMs) : [],
+            ...isOwnProbe && !needsPrimary
+                ? this.lag.tellListeners(service, nowMs)
+                : lagChanged
+                ? this.tellLag(attempted.task, nowMs)
+                : [],
         ];
     }
 
+    /**
+     * Tells at once that a database began to lag or ceased to: the instance that is asked about the service, which tells
+     * those that ask it.
+     */
+    private tellLag({ service, workspace }: LinkTask, nowMs: number): readonly Message[] {
+        const chosen = this.chooseInstance(service, [], nowMs);
+        if (chosen === undefined) {
+            return this.lag.tellListeners(service, nowMs);
+        }
+        // Not remembered, because its answer is no answer to a pending question for a floor.
+        const questionId = `f${this.nextQuestionNumber++}`;
+        const question = this.toQuestion({ questionId, service, workspace, maximumProofAgeMs: anyProofAgeMs }, nowMs);
+        return [{ kind: PeerKind.Send, address: chosen.address, question } as PeerSend];
+    }
+
+    private toQuestion(question: Omit<FloorQuestion, "kind">, nowMs: number): FloorQuestion {
+        const replicas = this.lag.toTell(question.service, nowMs);
+        return { kind: "floor", ...question, ...replicas.length === 0 ? {} : { replicas } };
+    }
+
+    private addQuestion(service: string, nowMs: number): string {
+        const questionId = `f${this.nextQuestionNumber++}`;
+        this.questions.set(questionId, { service, sentMs: nowMs });
+        if (this.questions.size > maximumQuestions) {
+            this.questions.delete(this.questions.keys().next().value!);
+        }
+        return questionId;
+    }
+
     /** Answers the waiting instances for which the newest position is recent enough. */
-    private answerWaitingPeers(service: string): readonly Message[] {
+    private answerWaitingPeers(service: string, nowMs: number): readonly Message[] {
         const proof = this.proofs.get(service);
         const waitingPeers = this.waitingPeers.get(service) ?? [];
         this.waitingPeers.set(service, waitingPeers.filter(peer => !isRecentEnough(proof, peer)));
-        return waitingPeers.filter(peer => isRecentEnough(proof, peer)).map(peer => toAnswer(peer, proof));
+        return waitingPeers.filter(peer => isRecentEnough(proof, peer))
+            .map(peer => this.toAnswer(peer, proof, nowMs));
     }
 
     /** Ends a probe; instances that it did not help get an empty answer and ask the next one. */
-    private endProbe(service: string): readonly Message[] {
+    private endProbe(service: string, nowMs: number): readonly Message[] {
         this.probingUntilMs.delete(service);
         const waitingPeers = this.waitingPeers.get(service) ?? [];
         this.waitingPeers.delete(service);
-        return waitingPeers.map(peer => toAnswer(peer, undefined));
+        return waitingPeers.map(peer => this.toAnswer(peer, undefined, nowMs));
     }
 
     private handleAnswer(address: string, result: FloorResult, nowMs: number): readonly Message[] {
-        const { questionId, position, proofAgeMs } = result;
+        const { questionId, position, proofAgeMs, replicas } = result;
         const question = this.questions.get(questionId);
         this.questions.delete(questionId);
         this.responsiveness.recordAnswer(address, question?.sentMs, nowMs);
+        const learned = result.service === undefined ? [] : this.lag.learn(result.service, replicas, nowMs);
         if (question === undefined) {
-            return [];
+            return learned;
         }
         const { service, sentMs } = question;
         const pending = this.pendingFloors.get(service);
         if (position === undefined) {
             return pending?.questionId === questionId
-                ? this.askNextInstance(pending.wanted, pending.askedAddresses, nowMs)
-                : [];
+                ? [...learned, ...this.askNextInstance(pending.wanted, pending.askedAddresses, nowMs)]
+                : learned;
         }
         this.pendingFloors.delete(service);
+        const sample = { position, atMs: sentMs - proofAgeMs };
+        this.lag.addSample(service, sample);
         // The age was counted from the arrival of the question, which follows its sending, so the position is at least
         // as recent as the time computed here.
-        return [clearDeadline(timerKey(service)), floorLearned(service, { position, atMs: sentMs - proofAgeMs })];
+        return [
+            clearDeadline(timerKey(service)),
+            ...learned,
+            floorLearned(service, sample),
+        ];
     }
 
     private handleTimeout(questionId: string, nowMs: number): readonly Message[] {
@@ -291,22 +346,28 @@
         return [...this.pendingFloors.values()].filter(pending => pending.address === address)
             .flatMap(({ wanted, askedAddresses }) => this.askNextInstance(wanted, askedAddresses, nowMs));
     }
+
+    private toAnswer(
+        { streamId, question, arrivedMs }: WaitingPeer,
+        proof: FloorSample | undefined,
+        nowMs: number,
+    ): PeerAnswer {
+        const replicas = this.lag.toTell(question.service, nowMs);
+        const result: FloorResult = {
+            kind: "floor",
+            questionId: question.questionId,
+            position: proof?.position,
+            proofAgeMs: proof === undefined ? 0 : Math.max(0, arrivedMs - proof.atMs),
+            ...replicas.length === 0 ? {} : { replicas, service: question.service },
+        };
+        return { kind: PeerKind.Answer, streamId, result };
+    }
 }
 
 function isRecentEnough(proof: FloorSample | undefined, { arrivedMs, question }: WaitingPeer): boolean {
     return proof !== undefined && proof.atMs >= arrivedMs - question.maximumProofAgeMs;
 }
 
-function toAnswer({ streamId, question, arrivedMs }: WaitingPeer, proof: FloorSample | undefined): PeerAnswer {
-    const result: FloorResult = {
-        kind: "floor",
-        questionId: question.questionId,
-        position: proof?.position,
-        proofAgeMs: proof === undefined ? 0 : Math.max(0, arrivedMs - proof.atMs),
-    };
-    return { kind: PeerKind.Answer, streamId, result };
-}
-
 function floorLearned(service: string, sample: FloorSample): FloorLearned {
     return { kind: TaskKind.FloorLearned, service, sample };
 }
--- a/src/session/floorSamples.ts
+++ b/src/session/floorSamples.ts
@@ -37,6 +37,11 @@
             );
     }
 
+    /** Returns the time by which the primary had records beyond a position; undefined if no sample shows any. */
+    exceededByMs(service: string, position: Position): number | undefined {
+        return this.samples.get(service)?.find(sample => comparePositions(sample.position, position) > 0)?.atMs;
+    }
+
     /** Time of the newest sample. */
     newestSampleMs(service: string): number | undefined {
         return this.samples.get(service)?.at(-1)?.atMs;
--- a/src/session/holderRanking.ts
+++ b/src/session/holderRanking.ts
@@ -1,5 +1,6 @@
 /** Ranks instances as holders of databases. */
 import type { PeerInstance } from "../model/peerMessages.ts";
+import { rendezvousHash } from "../scheduling/rendezvousHash.ts";
 
 /**
  * Ranks the instances in the data centre of a database by rendezvous hashing. The first one that is available is the
@@ -43,7 +44,7 @@
             return cached.instances;
         }
         const instances = dataCentreInstances
-            .map(instance => ({ instance, weight: hash(`${databaseId}/${instance.instanceId}`) }))
+            .map(instance => ({ instance, weight: rendezvousHash(`${databaseId}/${instance.instanceId}`) }))
             .sort((left, right) => right.weight - left.weight)
             .map(({ instance }) => instance);
         this.rankings.set(databaseId, { dataCentreInstances, instances });
@@ -71,13 +72,3 @@
     const addresses = new Map(previous.map(({ instanceId, address }) => [instanceId, address]));
     return list.every(({ instanceId, address }) => addresses.get(instanceId) === address) ? previous : undefined;
 }
-
-/** FNV-1a over UTF-16 code units, with a final mix so that names that differ only in the last letter spread well. */
-function hash(text: string): number {
-    let value = 0x811c9dc5;
-    for (let index = 0; index < text.length; index++) {
-        value = Math.imul(value ^ text.charCodeAt(index), 0x01000193);
-    }
-    value = Math.imul(value ^ (value >>> 16), 0x7feb352d);
-    return (value ^ (value >>> 15)) >>> 0;
-}
--- a/src/session/linkGate.ts
+++ b/src/session/linkGate.ts
@@ -21,13 +21,17 @@
 export const openGate: Gate = { commands: [], containsStatement: false, needsProof: false };
 
 const begin: LinkCommand = { kind: LinkCommandKind.Begin };
+const beginUnconditionally: LinkCommand = { kind: LinkCommandKind.BeginRead, floor: undefined };
 const rollback: LinkCommand = { kind: LinkCommandKind.Rollback };
 
 /** @param provesPrelude the gate is to prove that the commands before it, which set session state, have succeeded */
 export function gateOf({ task, floor }: TaskPlaced, idleMs: number, provesPrelude: boolean): Gate {
     switch (task.mode) {
         case TaskMode.Probe:
-            return { commands: [begin, rollback], containsStatement: false, needsProof: true };
+            // Any database tells its position in a read-only transaction; only the primary begins a plain one.
+            return task.needsPrimary
+                ? { commands: [begin, rollback], containsStatement: false, needsProof: true }
+                : { commands: [beginUnconditionally, rollback], containsStatement: false, needsProof: false };
         case TaskMode.Transaction:
             return { commands: [begin], containsStatement: true, needsProof: true };
         case TaskMode.ReadTransaction: {
@@ -45,9 +49,8 @@
                 // The signed answer to the read tells whether it ran in a transaction, which proves the gate.
                 return { commands: [begin], containsStatement: true, needsProof: provesPrelude };
             }
-            const beginRead: LinkCommand = { kind: LinkCommandKind.BeginRead, floor: undefined };
             return provesPrelude
-                ? { commands: [beginRead, rollback], containsStatement: false, needsProof: true }
+                ? { commands: [beginUnconditionally, rollback], containsStatement: false, needsProof: true }
                 : openGate;
         }
     }
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -29,6 +29,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { unsentAttempt } from "./attemptOutcome.ts";
 import { CommitTracker } from "./commitTracker.ts";
 import { type Link, LinkState } from "./link.ts";
 import { gateOf, openGate } from "./linkGate.ts";
@@ -143,6 +144,11 @@
         if (pool === undefined) {
             return [unsentAttempt(placed, StatementFault.Misrouted)];
         }
+        const refusal = pool.refuseLagging(placed, nowMs);
+        if (refusal !== undefined) {
+            return [{ ...unsentAttempt(placed, undefined), reply: refusal } as TaskAttempted];
+        }
+        pool.recordPlaced(placed, nowMs);
         pool.waitingTasks.push(placed);
         const timer = taskTimer(TaskKind.AttemptDue, placed.task.taskId);
         return [setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer), ...this.assignLinks(pool, nowMs)];
@@ -312,7 +318,7 @@
         }
         attempt.leads = reply.fault === undefined && task.needsPrimary && isProved;
         if (task.mode === TaskMode.Probe || reply.fault !== undefined) {
-            return [...this.reportAttempt(link, reply, false), ...this.finishGate(link, reply, nowMs)];
+            return [...this.reportAttempt(link, reply, false, nowMs), ...this.finishGate(link, reply, nowMs)];
         }
         if (!gate.containsStatement) {
             // The statement is sent after the cleanup.
@@ -379,7 +385,7 @@
             this.commitTracker.recordCommit(task.service, reply.position, attempt);
             attempt.leads ||= !inTransaction;
         }
-        const result = this.reportAttempt(link, reply, pinned);
+        const result = this.reportAttempt(link, reply, pinned, nowMs);
         this.table.unpin(link);
         if (link.replies.expectedCount > 0) {
             return [...result, this.table.setLinkTimer(link, nowMs + gateTimeoutMs)];
@@ -398,7 +404,7 @@
     private closeAfterReply(link: Link, reply: LinkReply, nowMs: number): readonly Message[] {
         return [
             replyDiscarded(link, reply, DiscardReason.Doubtful),
-            ...this.reportAttempt(link, reply, false),
+            ...this.reportAttempt(link, reply, false, nowMs),
             ...this.closeLink(link, nowMs),
         ];
     }
@@ -416,6 +422,7 @@
         link: Link,
         reply: LinkReply | undefined,
         pinned: boolean,
+        nowMs: number,
         fault?: StatementFault,
     ): readonly Message[] {
         const { attempt } = link;
@@ -424,6 +431,7 @@
             return [];
         }
         const { placed, sent, sentMs, leads } = attempt;
+        this.table.poolOf(link).recordAttempt(placed, reply, nowMs);
         const { task, databaseId } = placed;
         const attempted: TaskAttempted = {
             kind: TaskKind.Attempted,
@@ -531,7 +539,7 @@
         return [
             ...failedTask,
             ...this.table.remove(link),
-            ...this.reportAttempt(link, undefined, false),
+            ...this.reportAttempt(link, undefined, false, nowMs),
             ...this.assignLinks(pool, nowMs),
             ...pool.waitingTasks.length > 0 ? [this.table.setIdleTimer(pool, nowMs)] : [],
         ];
@@ -552,7 +560,7 @@
         const pool = this.table.poolOf(link);
         return [
             ...this.table.close(link),
-            ...this.reportAttempt(link, undefined, false, fault),
+            ...this.reportAttempt(link, undefined, false, nowMs, fault),
             ...this.assignLinks(pool, nowMs),
         ];
     }
@@ -568,7 +576,7 @@
             || pool.report.bornUnixMs !== report.bornUnixMs;
         if (movedOrRestarted || pool.report.leads !== report.leads) {
             // A change of primary or a restart may take the log back.
-            pool.latestPosition = undefined;
+            pool.forgetPosition();
         }
         pool.report = report;
         const outdated = movedOrRestarted ? [...pool.links] : [];
@@ -612,25 +620,6 @@
     }
 }
 
-function unsentAttempt(
-    { task, databaseId }: Pick<TaskPlaced, "task" | "databaseId">,
-    fault: StatementFault | undefined,
-): TaskAttempted {
-    return {
-        kind: TaskKind.Attempted,
-        task,
-        databaseId,
-        address: undefined,
-        reply: undefined,
-        fault,
-        sent: false,
-        holderUnavailable: false,
-        sentMs: undefined,
-        leads: false,
-        pinned: false,
-    };
-}
-
 /** Returns what is known about an attempt whose link is closed although the database answers. */
 function faultWithoutReply({ attempt }: Link): StatementFault {
     return attempt?.sent === true ? StatementFault.InDoubt : StatementFault.Busy;
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -3,33 +3,28 @@
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
-    type DatabaseSuspected,
     FleetKind,
     type FrameReceived,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
-import {
-    emptySessionContext,
-    isNotRun,
-    SessionStatementKind,
-    StatementFault,
-    TaskMode,
-} from "../model/sessionStatement.ts";
+import { isNotRun, StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { SeededRandom } from "../pipeline/seededRandom.ts";
+import { databaseSuspected, observedPositions, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
-import { FloorSamples, laterFloor } from "./floorSamples.ts";
+import { FloorRequests } from "./floorRequests.ts";
 import { checkRules, type PassedOver, type PlacementRule } from "./placementRule.ts";
 import {
     endTask,
     type FloorLearned,
-    type FloorProbeFailed,
     type FloorWanted,
     isCommit,
-    type LinkTask,
+    type PositionProbeWanted,
+    type PositionsLearned,
     retryText,
     stoppingText,
     type Task,
@@ -47,15 +42,6 @@
 /** Delay before a waiting task is placed again; a few times the latency between data centres. */
 const retryDelayMs = 40;
 
-/**
- * A position older than this share of a route's maximum age is renewed while reads can still use it. With the shortest
- * usual maximum age, 1.5 s, the remaining time is above the timeout of one instance that does not answer.
- */
-const renewalShare = 0.7;
-
-/** Maximum age of a position from another instance, as a share of the route's; spares the primary further probes. */
-const maximumProofAgeShare = 0.4;
-
 /**
  * Time for which a read waits for a position before it goes to the primary, which needs none. Several times the usual
  * answer time of another instance, so that the primary gets such reads only when positions are late.
@@ -65,17 +51,8 @@
 /** Share of the statement limit that one attempt at a read may take before another database is tried. */
 const readAttemptShare = 0.5;
 
-/** Time for which a replica that lags behind a floor gets no reads; replicas apply within tens of milliseconds. */
-const laggingPauseMs = 60;
-
-/** Deadline of a probe. */
-const probeTimeoutMs = 500;
-
-/** Delay before a position is requested again after a failed probe; a promotion takes a few hundred milliseconds. */
-const floorPauseMs = 100;
-
-/** Time after which a position is requested again; above the timeouts of unresponsive instances plus a probe. */
-const floorRequestTimeoutMs = 1_500;
+/** Seed of an instance that is given no source of random numbers. */
+const defaultSeed = 1;
 
 /** Maximum of retries of a statement that ran and failed; a second failure is due to the statement itself. */
 const maximumFailureRetries = 1;
@@ -91,6 +68,8 @@
     | TaskTimer
     | FloorWanted
     | FloorLearned
+    | PositionsLearned
+    | PositionProbeWanted
     | DatabaseChanged
     | DatabaseRemoved
     | FrameReceived
@@ -102,6 +81,8 @@
     readonly triedDatabaseIds: Set<string>;
     /** The task waits for a primary, a replica or a floor; otherwise an attempt is in progress. */
     waiting: boolean;
+    /** Floor of the current or last attempt. */
+    floor: Position | undefined;
     /** The task ends after the current attempt. */
     expired: boolean;
     /** Fault of the last attempt, reported to the caller if the deadline passes. */
@@ -112,6 +93,10 @@
 
 export interface RoutingOptions {
     readonly dataCentre: string;
+    /** Region of each data centre; by default none is known. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
+    /** Instances with different seeds do not all choose the same database. */
+    readonly random?: SeededRandom;
     /** None by default. */
     readonly rules?: readonly PlacementRule[];
 }
@@ -126,6 +111,8 @@
         TaskKind.PlacementDue,
         TaskKind.FloorProbeWanted,
         TaskKind.FloorLearned,
+        TaskKind.PositionsLearned,
+        TaskKind.PositionProbeWanted,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
         FleetKind.FrameReceived,
@@ -134,15 +121,17 @@
     private readonly databases: DatabaseTable;
     private readonly rules: readonly PlacementRule[];
     private readonly commitGate = new CommitGate();
-    private readonly samples = new FloorSamples();
+    private readonly floors = new FloorRequests();
     private readonly tasks = new Map<string, RoutedTask>();
-    /** Time until which no further position of a service is requested, because a request is in progress. */
-    private readonly floorRequestedUntilMs = new Map<string, number>();
     private promotedByService: ReadonlyMap<string, string> = new Map();
-    private nextProbeNumber = 0;
 
-    constructor({ dataCentre, rules = [] }: RoutingOptions) {
-        this.databases = new DatabaseTable(dataCentre);
+    constructor({ dataCentre, dataCentreRegions = new Map(), rules = [], random }: RoutingOptions) {
+        this.databases = new DatabaseTable({
+            dataCentre,
+            dataCentreRegions,
+            random: random ?? new SeededRandom(defaultSeed),
+            floors: this.floors,
+        });
         this.rules = rules;
     }
 
@@ -152,12 +141,16 @@
             .with({ kind: TaskKind.Attempted }, input => this.handleAttempt(input, nowMs))
             .with({ kind: TaskKind.Abandoned }, input => [input, ...this.removeTask(input.taskId)])
             .with({ kind: TaskKind.Expired }, input => this.expire(input))
-            .with({ kind: TaskKind.FloorProbeWanted }, input => this.probe(input, nowMs))
+            .with({ kind: TaskKind.FloorProbeWanted }, input => this.probePrimary(input, nowMs))
+            .with({ kind: TaskKind.PositionProbeWanted }, input => this.probeDatabase(input, nowMs))
             .with({ kind: TaskKind.FloorLearned }, input => {
-                this.samples.add(input.service, input.sample);
-                this.floorRequestedUntilMs.delete(input.service);
+                this.floors.learn(input);
                 return this.placeWaiting(input.service, nowMs);
             })
+            .with({ kind: TaskKind.PositionsLearned }, ({ positions }) => {
+                positions.forEach((observed, databaseId) => this.databases.recordPosition(databaseId, observed));
+                return [];
+            })
             .with({ kind: FleetKind.DatabaseChanged }, input => {
                 this.databases.applyReport(input.report);
                 return [input, ...this.placeWaiting(input.report.service, nowMs)];
@@ -197,6 +190,7 @@
             admittedMs: nowMs,
             triedDatabaseIds: new Set(),
             waiting: true,
+            floor: undefined,
             expired: false,
             lastFault: undefined,
             failureCount: 0,
@@ -258,17 +252,17 @@
 
     private placeForRead(routed: RoutedTask, nowMs: number): readonly Message[] {
         const { task } = routed;
-        const { service, maximumAgeMs } = task.route;
-        const floor = this.samples.floorFor(service, task.receivedMs - maximumAgeMs);
+        const { service, priority } = task.route;
+        const floor = this.floors.floorFor(task);
         if (floor === undefined) {
             return [
-                ...this.requestFloor(task, nowMs),
+                ...this.floors.request(task, nowMs),
                 ...nowMs - routed.admittedMs < floorPatienceMs
                     ? this.waitForRetry(routed, nowMs)
                     : this.placeAtPrimary(routed, nowMs),
             ];
         }
-        const renewal = this.renewFloor(task, nowMs);
+        const renewal = this.floors.renew(task, nowMs);
         const reports = this.databases.reportsOf(service);
         const objections = reports.map(report => checkRules(this.rules, report, task, nowMs));
         const allowed = reports.filter((_, index) => objections[index] === undefined);
@@ -276,11 +270,14 @@
             return [...renewal, ...this.waitOrRefuse(routed, soonest(objections), nowMs)];
         }
         const usable = allowed.map(({ databaseId }) => databaseId)
-            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs) === undefined);
-        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds);
-        return databaseId === undefined
-            ? [...renewal, ...this.waitForRetry(routed, nowMs)]
-            : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
+            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs, floor) === undefined);
+        const demand = { priority, workspace: task.workspace };
+        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds, demand, nowMs);
+        if (databaseId === undefined) {
+            return [...renewal, ...this.waitForRetry(routed, nowMs)];
+        }
+        this.databases.recordRead(databaseId, floor, nowMs);
+        return [...renewal, ...this.send(routed, databaseId, floor, nowMs)];
     }
 
     /** Places a task at a database; without a floor only the primary may run it. */
@@ -292,6 +289,7 @@
     ): readonly Message[] {
         const { task } = routed;
         routed.waiting = false;
+        routed.floor = floor;
         routed.triedDatabaseIds.add(databaseId);
         this.databases.recordStart(databaseId);
         const report = this.databases.report(databaseId)!;
@@ -317,39 +315,6 @@
         return [setDeadline(placementKey(taskId), atMs, taskTimer(TaskKind.PlacementDue, taskId))];
     }
 
-    /** Requests a newer position of the primary in the background. */
-    private renewFloor(task: Task, nowMs: number): readonly Message[] {
-        const { service, maximumAgeMs } = task.route;
-        const newestSampleMs = this.samples.newestSampleMs(service);
-        return newestSampleMs !== undefined && nowMs - newestSampleMs < renewalShare * maximumAgeMs
-            ? []
-            : this.requestFloor(task, nowMs);
-    }
-
-    private requestFloor({ route, workspace }: Task, nowMs: number): readonly Message[] {
-        const { service, maximumAgeMs } = route;
-        if (nowMs < (this.floorRequestedUntilMs.get(service) ?? 0)) {
-            return [];
-        }
-        this.floorRequestedUntilMs.set(service, nowMs + floorRequestTimeoutMs);
-        const maximumProofAgeMs = maximumProofAgeShare * maximumAgeMs;
-        return [{ kind: TaskKind.FloorWanted, service, workspace, maximumProofAgeMs } as FloorWanted];
-    }
-
-    private probe({ service, workspace }: FloorWanted, nowMs: number): readonly Message[] {
-        const databaseId = this.databases.primary(service, nowMs);
-        if (databaseId === undefined) {
-            this.floorRequestedUntilMs.set(service, nowMs + floorPauseMs);
-            return [{ kind: TaskKind.FloorProbeFailed, service } as FloorProbeFailed];
-        }
-        const attemptDeadlineMs = nowMs + probeTimeoutMs;
-        const task = probeTask(`p${this.nextProbeNumber++}`, service, workspace, attemptDeadlineMs);
-        this.databases.recordStart(databaseId);
-        return [
-            { kind: TaskKind.Placed, task, databaseId, floor: undefined, attemptDeadlineMs } as TaskPlaced,
-        ];
-    }
-
     private handleAttempt(attempt: TaskAttempted, nowMs: number): readonly Message[] {
         const { task, reply } = attempt;
         const { service } = task;
@@ -357,11 +322,8 @@
         const isUnanswered = reply === undefined && attempt.fault === undefined && !attempt.holderUnavailable;
         const suspicions = isUnanswered ? [databaseSuspected(attempt)] : [];
         if (task.mode === TaskMode.Probe) {
-            if (reply === undefined) {
-                this.floorRequestedUntilMs.set(service, nowMs + floorPauseMs);
-            }
-            else {
-                this.floorRequestedUntilMs.delete(service);
+            if (task.needsPrimary) {
+                this.floors.recordProbeEnd(service, reply !== undefined, nowMs);
             }
             return [...suspicions, ...this.placeWaiting(service, nowMs)];
         }
@@ -375,14 +337,30 @@
         return [...suspicions, ...this.endOrRetry(routed, attempt, nowMs), ...placedAgain];
     }
 
-    private recordAttempt(
-        { databaseId, reply, fault, leads, sentMs, task, holderUnavailable }: TaskAttempted,
-        nowMs: number,
-    ): void {
+    private probePrimary(wanted: FloorWanted, nowMs: number): readonly Message[] {
+        const databaseId = this.databases.primary(wanted.service, nowMs);
+        if (databaseId !== undefined) {
+            this.databases.recordStart(databaseId);
+        }
+        return this.floors.probePrimary(wanted, databaseId, nowMs);
+    }
+
+    private probeDatabase(wanted: PositionProbeWanted, nowMs: number): readonly Message[] {
+        if (this.databases.passOverForRead(wanted.databaseId, nowMs) !== undefined) {
+            return [];
+        }
+        this.databases.recordStart(wanted.databaseId);
+        return [this.floors.probeDatabase(wanted, nowMs)];
+    }
+
+    private recordAttempt(attempt: TaskAttempted, nowMs: number): void {
+        const { databaseId, reply, fault, leads, sentMs, task, holderUnavailable, load } = attempt;
         const elapsedMs = reply !== undefined && reply.fault === undefined && sentMs !== undefined
+                && task.mode !== TaskMode.Probe
             ? nowMs - sentMs
             : undefined;
-        this.databases.recordAnswer(databaseId, elapsedMs);
+        this.databases.recordAnswer(databaseId, elapsedMs, load, nowMs);
+        observedPositions(reply, load, nowMs).forEach(observed => this.databases.recordPosition(databaseId, observed));
         const finalFault = reply?.fault ?? fault;
         if (reply === undefined && finalFault !== StatementFault.Busy && !holderUnavailable) {
             this.databases.recordFailure(databaseId, nowMs);
@@ -390,13 +368,14 @@
         if (finalFault === StatementFault.ReadOnly) {
             this.databases.recordNotPrimary(databaseId, nowMs);
         }
-        if (finalFault === StatementFault.Lagging) {
-            this.databases.recordLagging(databaseId, nowMs + laggingPauseMs);
+        const floor = this.tasks.get(task.taskId)?.floor;
+        if (finalFault === StatementFault.Lagging && floor !== undefined) {
+            this.databases.recordLagging(databaseId, floor, nowMs);
         }
         if (leads) {
             this.databases.recordPrimary(databaseId);
             if (reply?.position !== undefined && sentMs !== undefined) {
-                this.samples.add(task.service, { position: reply.position, atMs: sentMs });
+                this.floors.recordProof(task.service, reply.position, sentMs);
             }
         }
     }
@@ -432,28 +411,12 @@
     }
 
     /** Converts an attempt that is not retried to the result of the task. */
-    private toEnded({ task, databaseId, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
+    private toEnded(attempt: TaskAttempted): TaskEnded {
+        const { task, databaseId, reply } = attempt;
         const hasSucceeded = reply !== undefined && reply.fault === undefined;
-        if (hasSucceeded && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)) {
-            return endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept");
-        }
-        if (reply !== undefined) {
-            return { kind: TaskKind.Ended, task, reply, fault: reply.fault, detail: reply.detail, pinned };
-        }
-        if (!sent) {
-            return endTask(task, fault ?? StatementFault.Busy, "the database could not be reached; not run");
-        }
-        const reason = fault === StatementFault.InDoubt
-            ? "the database's answer cannot be told from an earlier one"
-            : "the database did not answer in time";
-        if (task.mode === TaskMode.Single) {
-            return task.writes
-                ? endTask(task, StatementFault.InDoubt, `${reason}; the write may have run`)
-                : endTask(task, StatementFault.TimedOut, reason);
-        }
-        return task.statement?.kind === SessionStatementKind.Commit
-            ? endTask(task, StatementFault.InDoubt, `${reason}; the commit may have run`)
-            : endTask(task, StatementFault.Aborted, `${reason}; the transaction is rolled back`);
+        return hasSucceeded && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)
+            ? endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept")
+            : toEnded(attempt);
     }
 
     private endRouted(ended: TaskEnded | Message): readonly Message[] {
@@ -475,25 +438,6 @@
     return `placement/${taskId}`;
 }
 
-function databaseSuspected({ databaseId, address, sent }: TaskAttempted): DatabaseSuspected {
-    return { kind: FleetKind.DatabaseSuspected, databaseId, address, sent };
-}
-
 function deadlineText({ task }: RoutedTask): string {
     return retryText(task.needsPrimary ? "no primary answers" : "no copy is recent enough or free", retryDelayMs);
 }
-
-function probeTask(taskId: string, service: string, workspace: string, untilMs: number): LinkTask {
-    return {
-        taskId,
-        sessionId: "",
-        service,
-        workspace,
-        mode: TaskMode.Probe,
-        statement: undefined,
-        writes: false,
-        needsPrimary: true,
-        context: emptySessionContext,
-        deadlineMs: untilMs,
-    };
-}
--- a/src/session/taskMessages.ts
+++ b/src/session/taskMessages.ts
@@ -14,6 +14,7 @@
 } from "../model/sessionStatement.ts";
 import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { ObservedPosition } from "../scheduling/replicaLag.ts";
 import type { FloorSample } from "./floorSamples.ts";
 
 export const TaskKind = {
@@ -45,6 +46,10 @@
     /** A position that was requested with `FloorWanted` is available. */
     FloorLearned: "task.floor_learned",
     FloorDue: "task.floor_due",
+    /** Other instances have told log positions of databases. */
+    PositionsLearned: "task.positions_learned",
+    /** This instance must ask a database that lags for its log position. */
+    PositionProbeWanted: "task.position_probe_wanted",
     Ended: "task.ended",
     /** This instance became the holder of a database, or is no longer its holder. */
     HolderChanged: "task.holder_changed",
@@ -176,6 +181,21 @@
     readonly sample: FloorSample;
 }
 
+export interface PositionsLearned extends Message {
+    readonly kind: typeof TaskKind.PositionsLearned;
+    readonly service: string;
+    /** By database id. */
+    readonly positions: ReadonlyMap<string, ObservedPosition>;
+}
+
+export interface PositionProbeWanted extends Message {
+    readonly kind: typeof TaskKind.PositionProbeWanted;
+    readonly service: string;
+    /** Sent to the database as the name of the caller if a link has to be opened. */
+    readonly workspace: string;
+    readonly databaseId: string;
+}
+
 export interface HolderChanged extends Message {
     readonly kind: typeof TaskKind.HolderChanged;
     readonly databaseId: string;
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -54,7 +54,7 @@
         new Sessions(),
         new Admission({ random: new SeededRandom(seed) }),
         new PassedTasks(),
-        new Routing({ dataCentre }),
+        new Routing({ dataCentre, random: new SeededRandom(seed + 2) }),
         new Forwarding({ instanceId }),
         new Links(),
     ]);
