feat(scheduling): a database of which nothing is known counts as idle beside slow ones

Cause: the mean towards which old reports move was that of the one slow database if nothing was known of the others, so that reads went on to it. Change: unknown counts as no load.

--- a/src/scheduling/databaseCost.ts
+++ b/src/scheduling/databaseCost.ts
@@ -120,12 +120,10 @@
         const waits = aged(
             known.map(({ load }) => load === undefined ? 0 : loadWaitMs(load, demand.priority)),
             known.map(({ loadAtMs }) => Math.exp((loadAtMs - nowMs) / waitMemoryMs)),
-            0,
         );
         const latencies = aged(
             known.map(({ latencyMs, shortestMs }) => Math.max(0, latencyMs - shortestMs)),
             known.map(({ answeredAtMs }) => Math.exp((answeredAtMs - nowMs) / latencyMemoryMs)),
-            0,
         );
         const preferences = preferenceOrder(candidates, demand.workspace);
         return candidates.map((candidate, index) => {
@@ -157,14 +155,12 @@
 }
 
 /**
- * Moves each value towards the mean of all, the less fresh it is the more.
+ * Moves each value towards the mean of all, the less fresh it is the more. A database of which nothing is known counts in
+ * this mean as one without load.
  * @param freshness 0 to 1, one for each value
- * @param otherwise the mean if nothing is fresh
  */
-function aged(values: readonly number[], freshness: readonly number[], otherwise: number): readonly number[] {
-    const total = freshness.reduce((sum, share) => sum + share, 0);
-    const weighted = values.reduce((sum, value, index) => sum + value * freshness[index]!, 0);
-    const mean = total < 0.01 ? otherwise : weighted / total;
+function aged(values: readonly number[], freshness: readonly number[]): readonly number[] {
+    const mean = values.reduce((sum, value, index) => sum + value * freshness[index]!, 0) / Math.max(1, values.length);
     return values.map((value, index) => freshness[index]! * value + (1 - freshness[index]!) * mean);
 }
 
