feat(session): links are opened and closed by expected time and reuse

Cause: each statement that found no idle link of its workspace opened one at once (12 ms of a slot), and the least recently used idle link was closed for it, also that of a busy workspace; idle links were closed after 6 s although no other workspace needed them. Change: scheduling/linkChoice.ts: wait for a busy link that will be free soon; close the idle link of the workspace with the fewest statements for each of its idle links. LinkTable.mayOpen, LinkPool.leastUsefulIdle, idle timeout of a holder 60 s. What a pool knows of the lag of its database and of the demand for links stands in files of its own.

--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -1,10 +1,10 @@
 /** The connection pool of this instance for one database. */
 import type { DatabaseReport } from "../model/fleetMessages.ts";
-import type { LinkReply } from "../model/linkMessages.ts";
 import { laterPosition, type Position } from "../model/position.ts";
-import { type SessionContext, StatementFault, TaskMode, TransactionState } from "../model/sessionStatement.ts";
-import { ReplicaLag } from "../scheduling/replicaLag.ts";
+import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
 import { type Link, LinkState } from "./link.ts";
+import { LinkDemand } from "./linkDemand.ts";
+import { PoolLag } from "./poolLag.ts";
 import type { LinkTask, TaskPlaced } from "./taskMessages.ts";
 
 /**
@@ -16,10 +16,6 @@
 /** Maximum of links on an instance that is not the holder. */
 const nonHolderLinks = 2;
 
-/** Pauses between two reads that find out whether the database still lags. */
-const minimumLagPauseMs = 30;
-const maximumLagPauseMs = 500;
-
 export class LinkPool {
     report: DatabaseReport;
     readonly links = new Set<Link>();
@@ -32,10 +28,12 @@
     latestPosition: Position | undefined;
     /** This instance is the holder: other instances pass their tasks for the database to it. */
     isHolder = false;
-    private readonly lag = new ReplicaLag({ minimumPauseMs: minimumLagPauseMs, maximumPauseMs: maximumLagPauseMs });
+    readonly lag: PoolLag;
+    readonly demand = new LinkDemand();
 
     constructor(report: DatabaseReport) {
         this.report = report;
+        this.lag = new PoolLag(report.databaseId);
     }
 
     recordPosition(position: Position | undefined): void {
@@ -44,56 +42,6 @@
         }
     }
 
-    /** Forgets the position of the database after a change that may take its log back. */
-    forgetPosition(): void {
-        this.latestPosition = undefined;
-        this.lag.remove(this.report.databaseId);
-    }
-
-    /**
-     * Returns the refusal of a read whose floor the database has not reached, as the database has told before; undefined if
-     * it may have reached it. All reads pass the holder, so that one of them finds out for all that the lag has ended.
-     */
-    refuseLagging({ floor }: TaskPlaced, nowMs: number): LinkReply | undefined {
-        const { databaseId } = this.report;
-        if (
-            floor === undefined
-            || this.lag.avoidedUntilMs(databaseId, floor, () => undefined, nowMs) === undefined
-        ) {
-            return undefined;
-        }
-        return {
-            rows: [],
-            signature: undefined,
-            fault: StatementFault.Lagging,
-            detail: "the database has not reached the required position; not run",
-            transaction: TransactionState.None,
-            position: this.lag.observed(databaseId)?.position,
-            status: undefined,
-        };
-    }
-
-    /** Records that a task is about to use a link. */
-    recordPlaced({ floor }: TaskPlaced, nowMs: number): void {
-        if (floor !== undefined) {
-            this.lag.recordPlaced(this.report.databaseId, floor, nowMs);
-        }
-    }
-
-    /** Records what the end of an attempt tells about the lag of the database. */
-    recordAttempt({ floor }: TaskPlaced, reply: LinkReply | undefined, nowMs: number): void {
-        const { databaseId } = this.report;
-        if (reply?.position !== undefined) {
-            this.lag.recordPosition(databaseId, { position: reply.position, atMs: nowMs, lagMs: 0 });
-        }
-        if (floor !== undefined) {
-            this.lag.recordTrialEnd(databaseId);
-            if (reply?.fault === StatementFault.Lagging) {
-                this.lag.recordRefusal(databaseId, floor, nowMs);
-            }
-        }
-    }
-
     /** Collects the idle and the opening links in one pass. */
     summary(): LinkSummary {
         const idle = new IdleLinks(this.links, this.latestPosition);
@@ -109,10 +57,9 @@
         return { idle, opening };
     }
 
-    /** Returns the least recently used idle link. */
-    oldestIdle(): Link | undefined {
-        return [...this.links].filter(link => link.state === LinkState.Idle)
-            .sort((left, right) => left.idleSinceMs - right.idleSinceMs)[0];
+    /** Returns the idle link that is least likely to be used again soon. */
+    leastUsefulIdle(nowMs: number): Link | undefined {
+        return this.demand.leastUseful([...this.links].filter(link => link.state === LinkState.Idle), nowMs);
     }
 }
 
--- a/src/session/linkTable.ts
+++ b/src/session/linkTable.ts
@@ -3,6 +3,7 @@
 import type { ServicePolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Message } from "../pipeline/message.ts";
+import { isLinkWorthOpening } from "../scheduling/linkChoice.ts";
 import { Link, LinkState } from "./link.ts";
 import { type LinkPool, maximumLinks } from "./linkPool.ts";
 import { TaskKind, type TaskPlaced, taskTimer } from "./taskMessages.ts";
@@ -10,8 +11,11 @@
 /** Timeout for opening a link; the database needs about 12 ms of a slot for it. */
 const openTimeoutMs = 1_000;
 
-/** Idle time after which the holder closes a link; many times the pause between two operations of one workspace. */
-const idleTimeoutMs = 6_000;
+/**
+ * Idle time after which the holder closes a link: many times the pause between two operations of a small workspace. A
+ * link that is needed for another workspace is closed before.
+ */
+const idleTimeoutMs = 60_000;
 
 /** Idle time after which an instance that is not the holder closes a link. */
 const nonHolderIdleTimeoutMs = 150;
@@ -62,17 +66,25 @@
     }
 
     /**
-     * Opens a link. When the pool is full or opening is paused, the least recently used idle link is closed for it;
-     * without one, nothing is opened.
+     * Returns whether a further link is worth opening for a workspace, rather than to wait for one of its busy links.
+     * @param waiting number of its tasks that wait for a link
+     */
+    mayOpen(pool: LinkPool, workspace: string, waiting: number, nowMs: number): boolean {
+        return isLinkWorthOpening(pool.demand.supplyOf(pool.links, workspace, waiting, nowMs));
+    }
+
+    /**
+     * Opens a link. When the pool is full or opening is paused, the idle link that is least likely to be used again is
+     * closed for it; without one, nothing is opened.
      */
     open(pool: LinkPool, workspace: string, nowMs: number): readonly Message[] {
         const closed: Message[] = [];
         if (pool.links.size >= this.maximumLinksOf(pool) || nowMs < pool.openPausedUntilMs) {
-            const oldest = pool.oldestIdle();
-            if (oldest === undefined) {
+            const idle = pool.leastUsefulIdle(nowMs);
+            if (idle === undefined) {
                 return [];
             }
-            closed.push(...this.close(oldest));
+            closed.push(...this.close(idle));
         }
         const { databaseId, address, service } = pool.report;
         const link = new Link({ linkId: `l${this.nextLinkNumber++}`, databaseId, workspace });
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -144,11 +144,10 @@
         if (pool === undefined) {
             return [unsentAttempt(placed, StatementFault.Misrouted)];
         }
-        const refusal = pool.refuseLagging(placed, nowMs);
+        const refusal = pool.lag.refuse(placed, nowMs);
         if (refusal !== undefined) {
             return [{ ...unsentAttempt(placed, undefined), reply: refusal } as TaskAttempted];
         }
-        pool.recordPlaced(placed, nowMs);
         pool.waitingTasks.push(placed);
         const timer = taskTimer(TaskKind.AttemptDue, placed.task.taskId);
         return [setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer), ...this.assignLinks(pool, nowMs)];
@@ -174,7 +173,8 @@
             unserved.push(placed);
             const count = (unservedCount.get(workspace) ?? 0) + 1;
             unservedCount.set(workspace, count);
-            if (mayOpen && (opening.get(workspace) ?? 0) < count) {
+            const mayHaveMore = (opening.get(workspace) ?? 0) < count;
+            if (mayOpen && mayHaveMore && this.table.mayOpen(pool, workspace, count, nowMs)) {
                 const opened = this.table.open(pool, workspace, nowMs);
                 messages.push(...opened);
                 // If no link can be opened for this task, none can be opened for the tasks behind it.
@@ -183,7 +183,8 @@
             }
         }
         pool.waitingTasks = unserved;
-        return messages;
+        // A task that waits for a busy link gets one opened if that link is not free in time.
+        return unserved.length > 0 ? [...messages, this.table.setIdleTimer(pool, nowMs)] : messages;
     }
 
     private handleOpened({ linkId, position }: LinkOpened, nowMs: number): readonly Message[] {
@@ -431,7 +432,9 @@
             return [];
         }
         const { placed, sent, sentMs, leads } = attempt;
-        this.table.poolOf(link).recordAttempt(placed, reply, nowMs);
+        const { lag, demand } = this.table.poolOf(link);
+        lag.recordAttempt(placed, reply, nowMs);
+        demand.recordAttempt(attempt, reply, nowMs);
         const { task, databaseId } = placed;
         const attempted: TaskAttempted = {
             kind: TaskKind.Attempted,
@@ -576,7 +579,8 @@
             || pool.report.bornUnixMs !== report.bornUnixMs;
         if (movedOrRestarted || pool.report.leads !== report.leads) {
             // A change of primary or a restart may take the log back.
-            pool.forgetPosition();
+            pool.latestPosition = undefined;
+            pool.lag.forget();
         }
         pool.report = report;
         const outdated = movedOrRestarted ? [...pool.links] : [];
