--- a/src/scheduling/replicaPositions.ts
+++ b/src/scheduling/replicaPositions.ts
@@ -18,9 +18,13 @@
 /** Interval at which the position of a database that lags is asked for. */
 const probeIntervalMs = 700;
 
-/** Maximum of databases of one service; guards memory against false messages. */
+/** Maximum of services, and of databases of one service; guards memory against false messages. */
+const maximumServices = 1_024;
 const maximumDatabases = 32;
 
+/** Age from which a position gives way to that of another database. */
+const forgottenAfterMs = 60_000;
+
 interface PositionEntry {
     observed: ObservedPosition;
     lags: boolean;
@@ -35,7 +39,10 @@
     record(service: string, databaseId: string, observed: ObservedPosition): PositionChange {
         const entries = this.services.get(service) ?? new Map<string, PositionEntry>();
         const known = entries.get(databaseId);
-        if (known === undefined ? entries.size >= maximumDatabases : known.observed.atMs >= observed.atMs) {
+        const isRefused = known === undefined
+            ? !this.hasRoomFor(service, entries, observed)
+            : known.observed.atMs >= observed.atMs;
+        if (isRefused) {
             return PositionChange.None;
         }
         const lags = isFarBehind(observed);
@@ -68,6 +75,19 @@
         return due.map(([databaseId]) => databaseId);
     }
 
+    /** Makes room by forgetting the databases that have not been observed for long. */
+    private hasRoomFor(
+        service: string,
+        entries: Map<string, PositionEntry>,
+        { atMs }: ObservedPosition,
+    ): boolean {
+        if (entries.size >= maximumDatabases) {
+            [...entries].filter(([, { observed }]) => observed.atMs < atMs - forgottenAfterMs)
+                .forEach(([databaseId]) => entries.delete(databaseId));
+        }
+        return entries.size < maximumDatabases && (this.services.has(service) || this.services.size < maximumServices);
+    }
+
     private recentlyLagging(service: string, nowMs: number): readonly (readonly [string, PositionEntry])[] {
         return [...this.services.get(service) ?? []].filter(([, { laggedAtMs }]) => nowMs - laggedAtMs < toldForMs);
     }
--- a/src/session/__tests__/databaseTable.spec.ts
+++ b/src/session/__tests__/databaseTable.spec.ts
@@ -38,3 +38,34 @@
         assert.equal(table.primary("s", 400), "old");
     });
 });
+
+describe("the databases for a read", () => {
+    const regions = new Map([["a1", "a"], ["a2", "a"], ["b1", "b"], ["c1", "c"]]);
+    const demand = { priority: 0, workspace: "w" };
+
+    function tableWith(...dataCentres: readonly string[]): DatabaseTable {
+        const table = new DatabaseTable({
+            dataCentre: "a1",
+            dataCentreRegions: regions,
+            random: new SeededRandom(1),
+            floors: new FloorRequests(),
+        });
+        dataCentres.forEach(dataCentre => table.applyReport({ ...report(dataCentre, false, 1), dataCentre }));
+        return table;
+    }
+
+    it("are those of the own data centre and region first", () => {
+        const table = tableWith("c1", "b1", "a2", "a1");
+        const ranked = table.rankForRead(["c1", "b1", "a2", "a1"], new Set(), demand, 0);
+        assert.equal(ranked.length, 4);
+        assert.ok(["a1", "a2"].includes(ranked[0]!));
+    });
+
+    it("are not in a second region after one attempt in another, as long as there is one here", () => {
+        const table = tableWith("a1", "b1", "c1");
+        const all = ["a1", "b1", "c1"];
+        assert.deepEqual(table.rankForRead(all, new Set(["b1"]), demand, 0), ["a1"]);
+        assert.deepEqual(table.rankForRead(all, new Set(["a1", "b1"]), demand, 0), ["a1"]);
+        assert.deepEqual(table.rankForRead(["b1", "c1"], new Set(["b1"]), demand, 0), ["c1"]);
+    });
+});
--- a/src/session/databaseTable.ts
+++ b/src/session/databaseTable.ts
@@ -1,13 +1,15 @@
 /** The known databases of each service, with their roles, failures, lag and cost as known by this instance. */
-import type { DatabaseLoad } from "../model/databaseLoad.ts";
 import { type DatabaseReport, ReportedState } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
+import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { DatabaseCosts, Distance, type ReadCandidate, type ReadDemand } from "../scheduling/databaseCost.ts";
 import { type ObservedPosition, type PassedAt, ReplicaLag, withKnownLag } from "../scheduling/replicaLag.ts";
+import { observedPositions } from "./attemptOutcome.ts";
 import type { FloorRequests } from "./floorRequests.ts";
 import { type PassedOver, PassOverReason } from "./placementRule.ts";
 import { PrimaryTracker } from "./primaryTracker.ts";
+import type { TaskAttempted } from "./taskMessages.ts";
 
 /** Backoff after a failure of a database; doubles with each further failure up to the maximum. */
 const firstPauseMs = 100;
@@ -153,15 +155,21 @@
             : { reason: PassOverReason.Lagging, retryAfterMs: laggingUntilMs - nowMs };
     }
 
-    /** Sorts databases by cost, cheapest first; those in `tried` are left out unless there are no others. */
+    /**
+     * Sorts databases by cost, cheapest first; those in `tried` are left out unless there are no others. After an attempt
+     * in another region only this region is left, unless none of its databases may run the read.
+     */
     rankForRead(
         databaseIds: readonly string[],
         tried: ReadonlySet<string>,
         demand: ReadDemand,
         nowMs: number,
     ): readonly string[] {
-        const untried = databaseIds.filter(databaseId => !tried.has(databaseId));
-        const candidates = (untried.length > 0 ? untried : databaseIds).map((databaseId): ReadCandidate => {
+        const hasCrossed = [...tried].some(databaseId => this.isElsewhere(databaseId));
+        const near = hasCrossed ? databaseIds.filter(databaseId => !this.isElsewhere(databaseId)) : [];
+        const allowed = near.length > 0 ? near : databaseIds;
+        const untried = allowed.filter(databaseId => !tried.has(databaseId));
+        const candidates = (untried.length > 0 ? untried : allowed).map((databaseId): ReadCandidate => {
             const { report: { dataCentre, slots } } = this.databases.get(databaseId)!;
             const isPrimary = this.isPrimary(databaseId, nowMs);
             return { databaseId, distance: this.distanceTo(dataCentre), isPrimary, slots };
@@ -181,27 +189,30 @@
     }
 
     /**
-     * @param elapsedMs latency of the attempt; undefined when it had no successful answer
-     * @param load of the database after the attempt, if its holder has told it
+     * Records what an attempt tells about its database.
+     * @param floor of the attempt
      */
-    recordAnswer(
-        databaseId: string,
-        elapsedMs: number | undefined,
-        load: DatabaseLoad | undefined,
-        nowMs: number,
-    ): void {
+    recordAttempt(attempt: TaskAttempted, floor: Position | undefined, nowMs: number): void {
+        const { databaseId, reply, fault, leads, holderUnavailable, load } = attempt;
         const entry = this.databases.get(databaseId);
         if (entry === undefined) {
             return;
         }
-        this.costs.recordEnd(databaseId);
+        this.recordCost(attempt, entry, nowMs);
         this.lag.recordTrialEnd(databaseId);
-        if (load !== undefined) {
-            this.costs.recordLoad(databaseId, load, nowMs);
+        observedPositions(reply, load, nowMs).forEach(observed => this.recordPosition(databaseId, observed));
+        const finalFault = reply?.fault ?? fault;
+        if (reply === undefined && finalFault !== StatementFault.Busy && !holderUnavailable) {
+            this.recordFailure(databaseId, nowMs);
         }
-        if (elapsedMs !== undefined) {
-            entry.failures = 0;
-            this.costs.recordLatency(databaseId, elapsedMs, load, nowMs);
+        if (finalFault === StatementFault.ReadOnly) {
+            this.recordNotPrimary(databaseId, nowMs);
+        }
+        if (finalFault === StatementFault.Lagging && floor !== undefined) {
+            this.lag.recordRefusal(databaseId, floor, nowMs);
+        }
+        if (leads) {
+            this.trackerOf(entry.report.service).recordProof(databaseId);
         }
     }
 
@@ -213,7 +224,7 @@
     }
 
     /** Starts the backoff of a database that could not be reached or did not answer. */
-    recordFailure(databaseId: string, nowMs: number): void {
+    private recordFailure(databaseId: string, nowMs: number): void {
         const entry = this.databases.get(databaseId);
         if (entry !== undefined && entry.pausedUntilMs <= nowMs) {
             entry.pausedUntilMs = nowMs + Math.min(maximumPauseMs, firstPauseMs * 2 ** entry.failures);
@@ -221,13 +232,6 @@
         }
     }
 
-    /** Records that a database has refused a read because it has not reached its floor. */
-    recordLagging(databaseId: string, floor: Position, nowMs: number): void {
-        if (this.databases.has(databaseId)) {
-            this.lag.recordRefusal(databaseId, floor, nowMs);
-        }
-    }
-
     recordNotPrimary(databaseId: string, nowMs: number): void {
         const entry = this.databases.get(databaseId);
         if (entry !== undefined) {
@@ -235,10 +239,21 @@
         }
     }
 
-    recordPrimary(databaseId: string): void {
-        const entry = this.databases.get(databaseId);
-        if (entry !== undefined) {
-            this.trackerOf(entry.report.service).recordProof(databaseId);
+    private recordCost(
+        { databaseId, reply, sentMs, task, load }: TaskAttempted,
+        entry: DatabaseEntry,
+        nowMs: number,
+    ): void {
+        this.costs.recordEnd(databaseId);
+        if (load !== undefined) {
+            this.costs.recordLoad(databaseId, load, nowMs);
+        }
+        if (reply === undefined || reply.fault !== undefined || sentMs === undefined) {
+            return;
+        }
+        entry.failures = 0;
+        if (task.mode !== TaskMode.Probe) {
+            this.costs.recordLatency(databaseId, nowMs - sentMs, load, nowMs);
         }
     }
 
@@ -246,6 +261,11 @@
         return this.primary(this.databases.get(databaseId)!.report.service, nowMs) === databaseId;
     }
 
+    private isElsewhere(databaseId: string): boolean {
+        const entry = this.databases.get(databaseId);
+        return entry !== undefined && this.distanceTo(entry.report.dataCentre) === Distance.OtherRegion;
+    }
+
     private passedAtMs({ service }: DatabaseReport): PassedAt {
         return position => this.floors.exceededByMs(service, position);
     }
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -27,7 +27,6 @@
     type FloorLearned,
     type FloorProbeFailed,
     type FloorWanted,
-    type LinkTask,
     type TaskAttempted,
     TaskKind,
     type TaskTimer,
@@ -252,7 +251,7 @@
             ...isOwnProbe && !needsPrimary
                 ? this.lag.tellListeners(service, nowMs)
                 : lagChanged
-                ? this.tellLag(attempted.task, nowMs)
+                ? this.tellLag(service, nowMs)
                 : [],
         ];
     }
@@ -261,14 +260,17 @@
      * Tells at once that a database began to lag or ceased to: the instance that is asked about the service, which tells
      * those that ask it.
      */
-    private tellLag({ service, workspace }: LinkTask, nowMs: number): readonly Message[] {
+    private tellLag(service: string, nowMs: number): readonly Message[] {
         const chosen = this.chooseInstance(service, [], nowMs);
         if (chosen === undefined) {
             return this.lag.tellListeners(service, nowMs);
         }
         // Not remembered, because its answer is no answer to a pending question for a floor.
         const questionId = `f${this.nextQuestionNumber++}`;
-        const question = this.toQuestion({ questionId, service, workspace, maximumProofAgeMs: anyProofAgeMs }, nowMs);
+        const question = this.toQuestion(
+            { questionId, service, workspace: "", maximumProofAgeMs: anyProofAgeMs },
+            nowMs,
+        );
         return [{ kind: PeerKind.Send, address: chosen.address, question } as PeerSend];
     }
 
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -6,7 +6,6 @@
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
-    type DatabaseReport,
     type DatabaseSuspected,
     FleetKind,
 } from "../model/fleetMessages.ts";
@@ -15,7 +14,6 @@
     type PassedResult,
     type PassedTask,
     type PeerAnswered,
-    type PeerInstance,
     PeerKind,
     type PeerLost,
     type PeerSend,
@@ -24,7 +22,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
-import { HolderRanking } from "./holderRanking.ts";
+import { HolderChoice } from "./holderChoice.ts";
 import { preparedStatementOf } from "./link.ts";
 import { Responsiveness } from "./responsiveness.ts";
 import {
@@ -52,15 +50,6 @@
 /** Interval at which a holder that is silent is compared with other instances. */
 const comparisonIntervalMs = 50;
 
-/** Time for which a holder that cannot reach a database is skipped for it; meanwhile no other one is recorded. */
-const avoidanceMs = 1_500;
-
-/**
- * Maximum of consecutive instances that are skipped for a database because they time out or cannot reach it. With more
- * of them the database is the likelier cause: tasks that hang at an unresponsive database make every holder time out.
- */
-const maximumSkippedHolders = 2;
-
 /** Maximum of timed-out reads that are remembered, because a late answer is still useful. */
 const maximumTimedOutReads = 256;
 
@@ -76,21 +65,6 @@
     readonly sentMs: number;
 }
 
-/** An instance that is skipped for one database because it cannot reach it. */
-interface Avoidance {
-    /** Undefined for this instance itself. */
-    readonly address: string | undefined;
-    readonly untilMs: number;
-}
-
-/** The instance that runs the tasks for a database. */
-interface HolderChoice {
-    /** Undefined when this instance itself uses the database. */
-    readonly address: string | undefined;
-    /** This instance is the holder; without being the holder it uses the database with few links. */
-    readonly isHolder: boolean;
-}
-
 type ForwardingInput =
     | TaskPlaced
     | TaskContinued
@@ -123,20 +97,16 @@
         FleetKind.DatabaseRemoved,
         FleetKind.DatabaseSuspected,
     ];
-    private readonly instanceId: string;
-    private readonly ranking = new HolderRanking();
-    private readonly databases = new Map<string, DatabaseReport>();
     private readonly responsiveness = new Responsiveness({
         minimumTimeoutMs,
         maximumTimeoutMs,
     });
+    private readonly holders: HolderChoice;
     /** Time of the last answer of a holder, by address. */
     private readonly lastAnswerMs = new Map<string, number>();
     private readonly pending = new Map<string, PendingAttempt>();
     /** Whether this instance is the holder of a database, as last published to the links. */
     private readonly publishedIsHolder = new Map<string, boolean>();
-    /** By database id. */
-    private readonly avoidances = new Map<string, Avoidance>();
     /** Address of the holder on whose link a session has an open transaction, by session id. */
     private readonly pinnedHolders = new Map<string, string>();
     /** Timed-out reads whose result may still arrive, by attempt id, oldest first. */
@@ -144,7 +114,7 @@
     private nextAttemptNumber = 0;
 
     constructor({ instanceId }: ForwardingOptions) {
-        this.instanceId = instanceId;
+        this.holders = new HolderChoice({ instanceId, responsiveness: this.responsiveness });
     }
 
     process(message: ForwardingInput, nowMs: number): readonly Message[] {
@@ -167,27 +137,28 @@
                 this.responsiveness.retain(addresses);
                 [...this.lastAnswerMs.keys()].filter(address => !addresses.has(address))
                     .forEach(address => this.lastAnswerMs.delete(address));
-                const changed = this.ranking.setInstances(input.instances);
-                return [...this.databases.values()].filter(({ dataCentre }) => changed.has(dataCentre))
-                    .flatMap(({ databaseId }) => this.refreshHolder(databaseId, nowMs));
+                return this.holders.setInstances(input.instances)
+                    .flatMap(databaseId => this.refreshHolder(databaseId, nowMs));
             })
             .with({ kind: FleetKind.DatabaseChanged }, input => {
-                this.databases.set(input.report.databaseId, input.report);
+                this.holders.addDatabase(input.report);
                 return [input, ...this.refreshHolder(input.report.databaseId, nowMs)];
             })
             .with({ kind: FleetKind.DatabaseRemoved }, input => {
-                this.removeDatabase(input.databaseId);
+                this.holders.removeDatabase(input.databaseId);
+                // The holder is published again if the database returns.
+                this.publishedIsHolder.delete(input.databaseId);
                 return [input];
             })
             .with({ kind: FleetKind.DatabaseSuspected }, input => {
-                this.recordUnreachable(input, nowMs);
+                this.holders.recordUnreachable(input, nowMs);
                 return [input, ...this.refreshHolder(input.databaseId, nowMs)];
             })
             .otherwise(timer => this.checkTimeout((timer as TaskTimer).id, nowMs));
     }
 
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
-        const { address, isHolder } = this.chooseHolder(placed.databaseId, nowMs);
+        const { address, isHolder } = this.holders.choose(placed.databaseId, nowMs);
         const holderChanged = this.publishHolder(placed.databaseId, isHolder);
         return address === undefined
             ? [...holderChanged, placed]
@@ -210,85 +181,18 @@
             );
     }
 
-    private chooseHolder(databaseId: string, nowMs: number): HolderChoice {
-        const report = this.databases.get(databaseId);
-        const ranked = report === undefined ? [] : this.ranking.rank(databaseId, report.dataCentre);
-        const holder = this.firstUsable(databaseId, ranked, nowMs);
-        const isSelf = holder !== undefined && this.isThisInstance(holder);
-        // A skipped instance that still runs keeps its connections; those of two holders exceed the connection limit.
-        const first = ranked.find(instance =>
-            this.isThisInstance(instance) || !this.responsiveness.isDisconnected(instance.address, nowMs)
-        );
-        return { address: isSelf ? undefined : holder?.address, isHolder: isSelf && holder === first };
-    }
-
-    /** Returns the first instance that is not skipped; the first one that runs when too many in a row are skipped. */
-    private firstUsable(
-        databaseId: string,
-        ranked: readonly PeerInstance[],
-        nowMs: number,
-    ): PeerInstance | undefined {
-        let firstRunning: PeerInstance | undefined;
-        let skipped = 0;
-        for (const instance of ranked) {
-            const isSelf = this.isThisInstance(instance);
-            if (!isSelf && this.responsiveness.isDisconnected(instance.address, nowMs)) {
-                continue;
-            }
-            if (!this.isSkipped(databaseId, isSelf ? undefined : instance.address, nowMs)) {
-                return instance;
-            }
-            firstRunning ??= instance;
-            skipped += 1;
-            if (skipped > maximumSkippedHolders) {
-                break;
-            }
-        }
-        return firstRunning;
-    }
-
-    private isThisInstance({ instanceId }: PeerInstance): boolean {
-        return instanceId === this.instanceId;
-    }
-
-    /** @param address of the instance; undefined for this one */
-    private isSkipped(databaseId: string, address: string | undefined, nowMs: number): boolean {
-        const avoidance = this.avoidances.get(databaseId);
-        const cannotReach = avoidance !== undefined && avoidance.untilMs > nowMs && avoidance.address === address;
-        return cannotReach || address !== undefined && this.responsiveness.isAvoided(address, nowMs);
-    }
-
     private refreshHolder(databaseId: string, nowMs: number): readonly Message[] {
-        return this.publishHolder(databaseId, this.chooseHolder(databaseId, nowMs).isHolder);
+        return this.publishHolder(databaseId, this.holders.choose(databaseId, nowMs).isHolder);
     }
 
     private publishHolder(databaseId: string, isHolder: boolean): readonly Message[] {
-        if (!this.databases.has(databaseId) || this.publishedIsHolder.get(databaseId) === isHolder) {
+        if (!this.holders.hasDatabase(databaseId) || this.publishedIsHolder.get(databaseId) === isHolder) {
             return [];
         }
         this.publishedIsHolder.set(databaseId, isHolder);
         return [{ kind: TaskKind.HolderChanged, databaseId, isHolder } as HolderChanged];
     }
 
-    /**
-     * Skips a holder that could not reach the database. A database that was reached and did not answer would be as slow
-     * for another holder.
-     */
-    private recordUnreachable({ databaseId, address, sent }: DatabaseSuspected, nowMs: number): void {
-        if (sent || !this.databases.has(databaseId) || (this.avoidances.get(databaseId)?.untilMs ?? 0) > nowMs) {
-            return;
-        }
-        this.avoidances.set(databaseId, { address, untilMs: nowMs + avoidanceMs });
-    }
-
-    /** Removes a database and all that was published about it, so that the holder is published again if it returns. */
-    private removeDatabase(databaseId: string): void {
-        this.databases.delete(databaseId);
-        this.ranking.remove(databaseId);
-        this.publishedIsHolder.delete(databaseId);
-        this.avoidances.delete(databaseId);
-    }
-
     private forward(
         placed: Pick<TaskPlaced, "task" | "databaseId" | "floor" | "attemptDeadlineMs">,
         address: string,
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -8,16 +8,18 @@
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
-import { isNotRun, StatementFault, TaskMode } from "../model/sessionStatement.ts";
+import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
+import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
-import { databaseSuspected, observedPositions, toEnded } from "./attemptOutcome.ts";
+import { databaseSuspected, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
 import { FloorRequests } from "./floorRequests.ts";
 import { checkRules, type PassedOver, type PlacementRule } from "./placementRule.ts";
+import { RoutedTask } from "./routedTask.ts";
 import {
     endTask,
     type FloorLearned,
@@ -54,9 +56,6 @@
 /** Seed of an instance that is given no source of random numbers. */
 const defaultSeed = 1;
 
-/** Maximum of retries of a statement that ran and failed; a second failure is due to the statement itself. */
-const maximumFailureRetries = 1;
-
 /** Minimum of remaining time for another attempt; below the execution time of the fastest statement. */
 const minimumAttemptMs = 5;
 
@@ -75,22 +74,6 @@
     | FrameReceived
     | PolicyApplied;
 
-interface RoutedTask {
-    readonly task: Task;
-    readonly admittedMs: number;
-    readonly triedDatabaseIds: Set<string>;
-    /** The task waits for a primary, a replica or a floor; otherwise an attempt is in progress. */
-    waiting: boolean;
-    /** Floor of the current or last attempt. */
-    floor: Position | undefined;
-    /** The task ends after the current attempt. */
-    expired: boolean;
-    /** Fault of the last attempt, reported to the caller if the deadline passes. */
-    lastFault: StatementFault | undefined;
-    /** Number of attempts that ran and failed. */
-    failureCount: number;
-}
-
 export interface RoutingOptions {
     readonly dataCentre: string;
     /** Region of each data centre; by default none is known. */
@@ -120,6 +103,7 @@
     ];
     private readonly databases: DatabaseTable;
     private readonly rules: readonly PlacementRule[];
+    private routes: readonly RoutePolicy[] = [];
     private readonly commitGate = new CommitGate();
     private readonly floors = new FloorRequests();
     private readonly tasks = new Map<string, RoutedTask>();
@@ -170,6 +154,7 @@
     private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
         const { promoted, ordered } = policy;
         this.commitGate.applyPolicy(policy);
+        this.routes = [...policy.policy.routesByDatabase.values()];
         const before = this.promotedByService;
         this.promotedByService = promoted;
         const chosen = [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId);
@@ -185,16 +170,7 @@
     }
 
     private admit(task: Task, nowMs: number): readonly Message[] {
-        const routed: RoutedTask = {
-            task,
-            admittedMs: nowMs,
-            triedDatabaseIds: new Set(),
-            waiting: true,
-            floor: undefined,
-            expired: false,
-            lastFault: undefined,
-            failureCount: 0,
-        };
+        const routed = new RoutedTask(task, nowMs);
         this.tasks.set(task.taskId, routed);
         return this.place(routed, nowMs);
     }
@@ -346,7 +322,13 @@
     }
 
     private probeDatabase(wanted: PositionProbeWanted, nowMs: number): readonly Message[] {
-        if (this.databases.passOverForRead(wanted.databaseId, nowMs) !== undefined) {
+        const report = this.databases.report(wanted.databaseId);
+        const route = this.routes.find(({ service }) => service === wanted.service);
+        if (
+            report === undefined || route === undefined
+            || checkRules(this.rules, report, { route, workspace: "" }, nowMs) !== undefined
+            || this.databases.passOverForRead(wanted.databaseId, nowMs) !== undefined
+        ) {
             return [];
         }
         this.databases.recordStart(wanted.databaseId);
@@ -354,29 +336,10 @@
     }
 
     private recordAttempt(attempt: TaskAttempted, nowMs: number): void {
-        const { databaseId, reply, fault, leads, sentMs, task, holderUnavailable, load } = attempt;
-        const elapsedMs = reply !== undefined && reply.fault === undefined && sentMs !== undefined
-                && task.mode !== TaskMode.Probe
-            ? nowMs - sentMs
-            : undefined;
-        this.databases.recordAnswer(databaseId, elapsedMs, load, nowMs);
-        observedPositions(reply, load, nowMs).forEach(observed => this.databases.recordPosition(databaseId, observed));
-        const finalFault = reply?.fault ?? fault;
-        if (reply === undefined && finalFault !== StatementFault.Busy && !holderUnavailable) {
-            this.databases.recordFailure(databaseId, nowMs);
-        }
-        if (finalFault === StatementFault.ReadOnly) {
-            this.databases.recordNotPrimary(databaseId, nowMs);
-        }
-        const floor = this.tasks.get(task.taskId)?.floor;
-        if (finalFault === StatementFault.Lagging && floor !== undefined) {
-            this.databases.recordLagging(databaseId, floor, nowMs);
-        }
-        if (leads) {
-            this.databases.recordPrimary(databaseId);
-            if (reply?.position !== undefined && sentMs !== undefined) {
-                this.floors.recordProof(task.service, reply.position, sentMs);
-            }
+        const { reply, leads, sentMs, task } = attempt;
+        this.databases.recordAttempt(attempt, this.tasks.get(task.taskId)?.floor, nowMs);
+        if (leads && reply?.position !== undefined && sentMs !== undefined) {
+            this.floors.recordProof(task.service, reply.position, sentMs);
         }
     }
 
@@ -386,21 +349,9 @@
         if (attempt.reply !== undefined && fault === undefined) {
             return this.endRouted(this.toEnded(attempt));
         }
-        if (routed.expired) {
-            return this.endRouted(this.toEnded(attempt));
-        }
-        const nothingExecuted = !attempt.sent || (fault !== undefined && isNotRun(fault));
-        // A transaction that may have started on one link must not be started on another one.
-        const mayRetry = nothingExecuted || task.mode === TaskMode.Single && !task.writes;
-        routed.failureCount += fault !== undefined && !isNotRun(fault) ? 1 : 0;
-        if (!mayRetry || attempt.pinned || routed.failureCount > maximumFailureRetries) {
+        if (routed.expired || !routed.recordFailure(attempt)) {
             return this.endRouted(this.toEnded(attempt));
         }
-        routed.lastFault = fault !== undefined && isNotRun(fault)
-            ? fault
-            : nothingExecuted
-            ? StatementFault.Busy
-            : fault;
         if (fault === StatementFault.Lagging && attempt.databaseId === this.databases.primary(task.service, nowMs)) {
             // A floor may cover commits that nobody acknowledged and no database kept. The primary holds all others.
             return this.placeAtPrimary(routed, nowMs);
