--- a/src/session/linkAttempts.ts
+++ b/src/session/linkAttempts.ts
@@ -16,6 +16,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Message } from "../pipeline/message.ts";
 import { EvacuationStage } from "../scheduling/evacuations.ts";
+import { unsentAttempt } from "./attemptOutcome.ts";
 import type { CommitTracker } from "./commitTracker.ts";
 import { type Link, LinkState } from "./link.ts";
 import { gateOf, openGate } from "./linkGate.ts";
@@ -160,6 +161,8 @@
         const freed = { ...occupancy, inFlight: Math.max(0, occupancy.inFlight - 1) };
         link.attempt = undefined;
         const { placed, sent, sentMs, leads } = attempt;
+        pool.lag.recordAttempt(placed, reply, nowMs);
+        pool.demand.recordAttempt(attempt, reply, nowMs);
         const { task, databaseId } = placed;
         const attempted: TaskAttempted = {
             kind: TaskKind.Attempted,
@@ -351,26 +354,6 @@
     }
 }
 
-/** Reports a task that was not sent to its database. */
-export function unsentAttempt(
-    { task, databaseId }: Pick<TaskPlaced, "task" | "databaseId">,
-    fault: StatementFault | undefined,
-): TaskAttempted {
-    return {
-        kind: TaskKind.Attempted,
-        task,
-        databaseId,
-        address: undefined,
-        reply: undefined,
-        fault,
-        sent: false,
-        holderUnavailable: false,
-        sentMs: undefined,
-        leads: false,
-        pinned: false,
-    };
-}
-
 /** Returns what is known about an attempt whose link is closed although the database answers. */
 function faultWithoutReply({ attempt }: Link): StatementFault {
     return attempt?.sent === true ? StatementFault.InDoubt : StatementFault.Busy;
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -7,6 +7,8 @@
 import { ServiceTimeEstimate } from "../scheduling/serviceTimeEstimate.ts";
 import { StatementQueue } from "../scheduling/statementQueue.ts";
 import { type Link, LinkState } from "./link.ts";
+import { LinkDemand } from "./linkDemand.ts";
+import { PoolLag } from "./poolLag.ts";
 import type { LinkTask } from "./taskMessages.ts";
 import type { WaitingTask } from "./waitingTask.ts";
 
@@ -45,8 +47,12 @@
     /** What the evacuation of the data centre leaves of the use of the database. */
     evacuationStage: EvacuationStage = EvacuationStage.Open;
 
+    readonly lag: PoolLag;
+    readonly demand = new LinkDemand();
+
     constructor(report: DatabaseReport) {
         this.report = report;
+        this.lag = new PoolLag(report.databaseId);
         this.window = new GradientWindow(report.slots);
     }
 
@@ -94,10 +100,13 @@
         return { idle, opening, inFlight };
     }
 
-    /** Returns the least recently used idle link, except those that were opened for a task which still waits. */
-    oldestIdle(): Link | undefined {
-        return [...this.links].filter(link => link.state === LinkState.Idle && !this.isAwaited(link))
-            .sort((left, right) => left.idleSinceMs - right.idleSinceMs)[0];
+    /**
+     * Returns the idle link that is least likely to be used again soon, except those that were opened for a task which
+     * still waits.
+     */
+    leastUsefulIdle(nowMs: number): Link | undefined {
+        const idle = [...this.links].filter(link => link.state === LinkState.Idle && !this.isAwaited(link));
+        return this.demand.leastUseful(idle, nowMs);
     }
 }
 
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -18,9 +18,10 @@
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { EvacuationStage } from "../scheduling/evacuations.ts";
+import { unsentAttempt } from "./attemptOutcome.ts";
 import { CommitTracker } from "./commitTracker.ts";
 import { type Link, LinkState } from "./link.ts";
-import { attemptKey, LinkAttempts, unsentAttempt } from "./linkAttempts.ts";
+import { attemptKey, LinkAttempts } from "./linkAttempts.ts";
 import { LinkPool } from "./linkPool.ts";
 import { connectionLimitPauseMs, LinkTable } from "./linkTable.ts";
 import { recordLost, recordOpened } from "./poolLoad.ts";
@@ -28,6 +29,7 @@
     type EvacuationStageChanged,
     type HolderChanged,
     type TaskAbandoned,
+    type TaskAttempted,
     type TaskContinued,
     type TaskEnded,
     type TaskExpired,
@@ -146,6 +148,10 @@
             // The instance that passed the task does not know of the evacuation yet.
             return [unsentAttempt(placed, StatementFault.Busy)];
         }
+        const refusal = pool.lag.refuse(placed, nowMs);
+        if (refusal !== undefined) {
+            return [{ ...unsentAttempt(placed, undefined), reply: refusal } as TaskAttempted];
+        }
         const timer = taskTimer(TaskKind.AttemptDue, placed.task.taskId);
         return [
             setDeadline(attemptKey(placed), placed.attemptDeadlineMs, timer),
@@ -297,6 +303,7 @@
         if (movedOrRestarted || pool.report.leads !== report.leads) {
             // A change of primary or a restart may take the log back.
             pool.latestPosition = undefined;
+            pool.lag.forget();
         }
         pool.report = report;
         pool.window.setSlots(report.slots);
--- a/src/session/placementRule.ts
+++ b/src/session/placementRule.ts
@@ -45,18 +45,48 @@
     recordPlaced(database: DatabaseReport, nowMs: number): void;
 }
 
-/** Returns the first objection of any rule. */
-export function checkRules(
-    rules: readonly PlacementRule[],
-    database: DatabaseReport,
-    demand: PlacementDemand,
-    nowMs: number,
-): PassedOver | undefined {
-    for (const rule of rules) {
-        const passedOver = rule.check(database, demand, nowMs);
-        if (passedOver !== undefined) {
-            return passedOver;
+/** All rules of an instance together. */
+export class PlacementRules {
+    private readonly rules: readonly PlacementRule[];
+
+    constructor(rules: readonly PlacementRule[]) {
+        this.rules = rules;
+    }
+
+    /** Returns the first objection of any rule. */
+    check(database: DatabaseReport, demand: PlacementDemand, nowMs: number): PassedOver | undefined {
+        for (const rule of this.rules) {
+            const passedOver = rule.check(database, demand, nowMs);
+            if (passedOver !== undefined) {
+                return passedOver;
+            }
         }
+        return undefined;
+    }
+
+    /** Returns the objection that ends first if the rules keep a task from all databases; undefined without databases. */
+    checkAll(databases: readonly DatabaseReport[], demand: PlacementDemand, nowMs: number): PassedOver | undefined {
+        const objections = databases.map(database => this.check(database, demand, nowMs));
+        return objections.every(objection => objection !== undefined) ? soonest(objections) : undefined;
+    }
+
+    mayProbe(database: DatabaseReport, nowMs: number): boolean {
+        return this.rules.every(rule => rule.checkProbe?.(database, nowMs) === undefined);
     }
-    return undefined;
+
+    applyPolicy(policy: PolicyApplied, nowMs: number): void {
+        this.rules.forEach(rule => rule.applyPolicy?.(policy, nowMs));
+    }
+
+    recordPlaced(database: DatabaseReport, nowMs: number): void {
+        this.rules.forEach(rule => rule.recordPlaced(database, nowMs));
+    }
+}
+
+/** Returns the objection that ends first. */
+export function soonest(objections: readonly PassedOver[]): PassedOver | undefined {
+    return objections.reduce<PassedOver | undefined>(
+        (left, right) => left === undefined || right.retryAfterMs < left.retryAfterMs ? right : left,
+        undefined,
+    );
 }
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -4,33 +4,29 @@
     type DatabaseChanged,
     type DatabaseRemoved,
     type DatabaseReport,
-    type DatabaseSuspected,
     FleetKind,
     type FrameReceived,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
-import {
-    emptySessionContext,
-    isNotRun,
-    SessionStatementKind,
-    StatementFault,
-    TaskMode,
-} from "../model/sessionStatement.ts";
+import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { SeededRandom } from "../pipeline/seededRandom.ts";
+import { databaseSuspected, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
-import { FloorSamples, laterFloor } from "./floorSamples.ts";
-import { checkRules, type PassedOver, PassOverReason, type PlacementRule } from "./placementRule.ts";
+import { FloorRequests } from "./floorRequests.ts";
+import { type PassedOver, PassOverReason, type PlacementRule, PlacementRules, soonest } from "./placementRule.ts";
+import { RoutedTask } from "./routedTask.ts";
 import {
     endTask,
     type FloorLearned,
-    type FloorProbeFailed,
     type FloorWanted,
     isCommit,
-    type LinkTask,
+    type PositionProbeWanted,
+    type PositionsLearned,
     retryText,
     stoppingText,
     type Task,
@@ -48,15 +44,6 @@
 /** Delay before a waiting task is placed again; a few times the latency between data centres. */
 const retryDelayMs = 40;
 
-/**
- * A position older than this share of a route's maximum age is renewed while reads can still use it. With the shortest
- * usual maximum age, 1.5 s, the remaining time is above the timeout of one instance that does not answer.
- */
-const renewalShare = 0.7;
-
-/** Maximum age of a position from another instance, as a share of the route's; spares the primary further probes. */
-const maximumProofAgeShare = 0.4;
-
 /**
  * Time for which a read waits for a position before it goes to the primary, which needs none. Several times the usual
  * answer time of another instance, so that the primary gets such reads only when positions are late.
@@ -66,20 +53,8 @@
 /** Share of the statement limit that one attempt at a read may take before another database is tried. */
 const readAttemptShare = 0.5;
 
-/** Time for which a replica that lags behind a floor gets no reads; replicas apply within tens of milliseconds. */
-const laggingPauseMs = 60;
-
-/** Deadline of a probe. */
-const probeTimeoutMs = 500;
-
-/** Delay before a position is requested again after a failed probe; a promotion takes a few hundred milliseconds. */
-const floorPauseMs = 100;
-
-/** Time after which a position is requested again; above the timeouts of unresponsive instances plus a probe. */
-const floorRequestTimeoutMs = 1_500;
-
-/** Maximum of retries of a statement that ran and failed; a second failure is due to the statement itself. */
-const maximumFailureRetries = 1;
+/** Seed of an instance that is given no source of random numbers. */
+const defaultSeed = 1;
 
 /** Minimum of remaining time for another attempt; below the execution time of the fastest statement. */
 const minimumAttemptMs = 5;
@@ -92,27 +67,19 @@
     | TaskTimer
     | FloorWanted
     | FloorLearned
+    | PositionsLearned
+    | PositionProbeWanted
     | DatabaseChanged
     | DatabaseRemoved
     | FrameReceived
     | PolicyApplied;
 
-interface RoutedTask {
-    readonly task: Task;
-    readonly admittedMs: number;
-    readonly triedDatabaseIds: Set<string>;
-    /** The task waits for a primary, a replica or a floor; otherwise an attempt is in progress. */
-    waiting: boolean;
-    /** The task ends after the current attempt. */
-    expired: boolean;
-    /** Fault of the last attempt, reported to the caller if the deadline passes. */
-    lastFault: StatementFault | undefined;
-    /** Number of attempts that ran and failed. */
-    failureCount: number;
-}
-
 export interface RoutingOptions {
     readonly dataCentre: string;
+    /** Region of each data centre; by default none is known. */
+    readonly dataCentreRegions?: ReadonlyMap<string, string>;
+    /** Instances with different seeds do not all choose the same database. */
+    readonly random?: SeededRandom;
     /** None by default. */
     readonly rules?: readonly PlacementRule[];
 }
@@ -127,24 +94,28 @@
         TaskKind.PlacementDue,
         TaskKind.FloorProbeWanted,
         TaskKind.FloorLearned,
+        TaskKind.PositionsLearned,
+        TaskKind.PositionProbeWanted,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
         FleetKind.FrameReceived,
         FleetKind.PolicyApplied,
     ];
     private readonly databases: DatabaseTable;
-    private readonly rules: readonly PlacementRule[];
+    private readonly rules: PlacementRules;
     private readonly commitGate = new CommitGate();
-    private readonly samples = new FloorSamples();
+    private readonly floors = new FloorRequests();
     private readonly tasks = new Map<string, RoutedTask>();
-    /** Time until which no further position of a service is requested, because a request is in progress. */
-    private readonly floorRequestedUntilMs = new Map<string, number>();
     private promotedByService: ReadonlyMap<string, string> = new Map();
-    private nextProbeNumber = 0;
 
-    constructor({ dataCentre, rules = [] }: RoutingOptions) {
-        this.databases = new DatabaseTable(dataCentre);
-        this.rules = rules;
+    constructor({ dataCentre, dataCentreRegions = new Map(), rules = [], random }: RoutingOptions) {
+        this.databases = new DatabaseTable({
+            dataCentre,
+            dataCentreRegions,
+            random: random ?? new SeededRandom(defaultSeed),
+            floors: this.floors,
+        });
+        this.rules = new PlacementRules(rules);
     }
 
     process(message: RoutingInput, nowMs: number): readonly Message[] {
@@ -153,12 +124,16 @@
             .with({ kind: TaskKind.Attempted }, input => this.handleAttempt(input, nowMs))
             .with({ kind: TaskKind.Abandoned }, input => [input, ...this.removeTask(input.taskId)])
             .with({ kind: TaskKind.Expired }, input => this.expire(input))
-            .with({ kind: TaskKind.FloorProbeWanted }, input => this.probe(input, nowMs))
+            .with({ kind: TaskKind.FloorProbeWanted }, input => this.probePrimary(input, nowMs))
+            .with({ kind: TaskKind.PositionProbeWanted }, input => this.probeDatabase(input, nowMs))
             .with({ kind: TaskKind.FloorLearned }, input => {
-                this.samples.add(input.service, input.sample);
-                this.floorRequestedUntilMs.delete(input.service);
+                this.floors.learn(input);
                 return this.placeWaiting(input.service, nowMs);
             })
+            .with({ kind: TaskKind.PositionsLearned }, ({ positions }) => {
+                positions.forEach((observed, databaseId) => this.databases.recordPosition(databaseId, observed));
+                return [];
+            })
             .with({ kind: FleetKind.DatabaseChanged }, input => {
                 this.databases.applyReport(input.report);
                 return [input, ...this.placeWaiting(input.report.service, nowMs)];
@@ -178,7 +153,7 @@
     private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
         const { promoted, ordered } = policy;
         this.commitGate.applyPolicy(policy);
-        this.rules.forEach(rule => rule.applyPolicy?.(policy, nowMs));
+        this.rules.applyPolicy(policy, nowMs);
         const before = this.promotedByService;
         this.promotedByService = promoted;
         const chosen = [...promoted].filter(([service, databaseId]) => before.get(service) !== databaseId);
@@ -194,15 +169,7 @@
     }
 
     private admit(task: Task, nowMs: number): readonly Message[] {
-        const routed: RoutedTask = {
-            task,
-            admittedMs: nowMs,
-            triedDatabaseIds: new Set(),
-            waiting: true,
-            expired: false,
-            lastFault: undefined,
-            failureCount: 0,
-        };
+        const routed = new RoutedTask(task, nowMs);
         this.tasks.set(task.taskId, routed);
         return this.place(routed, nowMs);
     }
@@ -248,7 +215,7 @@
                 ? this.waitForRetry(routed, nowMs)
                 : this.waitOrRefuse(routed, passedOver, nowMs);
         }
-        const passedOver = checkRules(this.rules, this.databases.report(databaseId)!, routed.task, nowMs);
+        const passedOver = this.rules.check(this.databases.report(databaseId)!, routed.task, nowMs);
         return passedOver === undefined
             ? this.send(routed, databaseId, undefined, nowMs)
             : this.waitOrRefuse(routed, passedOver, nowMs);
@@ -269,13 +236,8 @@
         return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
-    /** Returns the objection that ends first if the rules keep a task from all databases of its service. */
     private objectionToAll(task: Task, nowMs: number): PassedOver | undefined {
-        const objections = this.databases.reportsOf(task.service)
-            .map(report => checkRules(this.rules, report, task, nowMs));
-        return objections.length > 0 && objections.every(objection => objection !== undefined)
-            ? soonest(objections)
-            : undefined;
+        return this.rules.checkAll(this.databases.reportsOf(task.service), task, nowMs);
     }
 
     /** Waits for one of the databases, unless those that are at home are all about to leave. */
@@ -284,10 +246,11 @@
         databases: readonly DatabaseReport[],
         nowMs: number,
     ): readonly Message[] {
-        const objections = databases.map(({ databaseId }) => this.databases.passOverForRead(databaseId, nowMs));
-        const allLeave = objections.every(objection => objection?.reason === PassOverReason.Draining);
-        return routed.task.homeRegions !== undefined && allLeave
-            ? this.refusePassedOver(routed, soonest(objections))
+        const objections = databases.map(({ databaseId }) => this.databases.passOverForRead(databaseId, nowMs))
+            .filter((objection): objection is PassedOver => objection?.reason === PassOverReason.Draining);
+        const allLeave = objections.length === databases.length;
+        return routed.task.homeRegions !== undefined && allLeave && objections.length > 0
+            ? this.refusePassedOver(routed, soonest(objections)!)
             : this.waitForRetry(routed, nowMs);
     }
 
@@ -302,9 +265,9 @@
         }
         const primaryId = this.databases.primary(routed.task.service, nowMs);
         const mayUsePrimary = primaryId === undefined
-            || checkRules(this.rules, this.databases.report(primaryId)!, routed.task, nowMs) === undefined;
+            || this.rules.check(this.databases.report(primaryId)!, routed.task, nowMs) === undefined;
         return [
-            ...this.requestFloor(routed.task, nowMs),
+            ...this.floors.request(routed.task, nowMs),
             ...nowMs - routed.admittedMs < floorPatienceMs || !mayUsePrimary
                 ? this.waitForRetry(routed, nowMs)
                 : this.placeAtPrimary(routed, nowMs),
@@ -313,24 +276,27 @@
 
     private placeForRead(routed: RoutedTask, nowMs: number): readonly Message[] {
         const { task } = routed;
-        const { service, maximumAgeMs } = task.route;
-        const floor = this.samples.floorFor(service, task.receivedMs - maximumAgeMs);
+        const { service, priority } = task.route;
+        const floor = this.floors.floorFor(task);
         if (floor === undefined) {
             return this.waitForFloor(routed, nowMs);
         }
-        const renewal = this.renewFloor(task, nowMs);
+        const renewal = this.floors.renew(task, nowMs);
         const reports = this.databases.reportsOf(service);
-        const objections = reports.map(report => checkRules(this.rules, report, task, nowMs));
-        const allowed = reports.filter((_, index) => objections[index] === undefined);
-        if (allowed.length === 0 && reports.length > 0) {
-            return [...renewal, ...this.waitOrRefuse(routed, soonest(objections), nowMs)];
+        const passedOver = this.rules.checkAll(reports, task, nowMs);
+        if (passedOver !== undefined) {
+            return [...renewal, ...this.waitOrRefuse(routed, passedOver, nowMs)];
         }
+        const allowed = reports.filter(report => this.rules.check(report, task, nowMs) === undefined);
         const usable = allowed.map(({ databaseId }) => databaseId)
-            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs) === undefined);
-        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds);
-        return databaseId === undefined
-            ? [...renewal, ...this.waitForUsable(routed, allowed, nowMs)]
-            : [...renewal, ...this.send(routed, databaseId, laterFloor(floor, task.sessionFloor), nowMs)];
+            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs, floor) === undefined);
+        const demand = { priority, workspace: task.workspace };
+        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds, demand, nowMs);
+        if (databaseId === undefined) {
+            return [...renewal, ...this.waitForUsable(routed, allowed, nowMs)];
+        }
+        this.databases.recordRead(databaseId, floor, nowMs);
+        return [...renewal, ...this.send(routed, databaseId, floor, nowMs)];
     }
 
     /** Places a task at a database; without a floor only the primary may run it. */
@@ -342,10 +308,11 @@
     ): readonly Message[] {
         const { task } = routed;
         routed.waiting = false;
+        routed.floor = floor;
         routed.triedDatabaseIds.add(databaseId);
         this.databases.recordStart(databaseId);
         const report = this.databases.report(databaseId)!;
-        this.rules.forEach(rule => rule.recordPlaced(report, nowMs));
+        this.rules.recordPlaced(report, nowMs);
         const attemptMs = readAttemptShare * task.route.statementLimitMs;
         const attemptDeadlineMs = task.mode === TaskMode.Single && !task.writes
             ? Math.min(task.deadlineMs, nowMs + attemptMs)
@@ -367,46 +334,6 @@
         return [setDeadline(placementKey(taskId), atMs, taskTimer(TaskKind.PlacementDue, taskId))];
     }
 
-    /** Requests a newer position of the primary in the background. */
-    private renewFloor(task: Task, nowMs: number): readonly Message[] {
-        const { service, maximumAgeMs } = task.route;
-        const newestSampleMs = this.samples.newestSampleMs(service);
-        return newestSampleMs !== undefined && nowMs - newestSampleMs < renewalShare * maximumAgeMs
-            ? []
-            : this.requestFloor(task, nowMs);
-    }
-
-    /** The question of a task with home regions names no workspace, because the primary may be elsewhere. */
-    private requestFloor({ route, workspace: name, homeRegions }: Task, nowMs: number): readonly Message[] {
-        const { service, maximumAgeMs } = route;
-        const workspace = homeRegions === undefined ? name : "";
-        if (nowMs < (this.floorRequestedUntilMs.get(service) ?? 0)) {
-            return [];
-        }
-        this.floorRequestedUntilMs.set(service, nowMs + floorRequestTimeoutMs);
-        const maximumProofAgeMs = maximumProofAgeShare * maximumAgeMs;
-        return [{ kind: TaskKind.FloorWanted, service, workspace, maximumProofAgeMs } as FloorWanted];
-    }
-
-    private probe({ service, workspace }: FloorWanted, nowMs: number): readonly Message[] {
-        const databaseId = this.databases.primary(service, nowMs);
-        if (databaseId === undefined || !this.mayProbe(databaseId, nowMs)) {
-            this.floorRequestedUntilMs.set(service, nowMs + floorPauseMs);
-            return [{ kind: TaskKind.FloorProbeFailed, service } as FloorProbeFailed];
-        }
-        const attemptDeadlineMs = nowMs + probeTimeoutMs;
-        const task = probeTask(`p${this.nextProbeNumber++}`, service, workspace, attemptDeadlineMs);
-        this.databases.recordStart(databaseId);
-        return [
-            { kind: TaskKind.Placed, task, databaseId, floor: undefined, attemptDeadlineMs } as TaskPlaced,
-        ];
-    }
-
-    private mayProbe(databaseId: string, nowMs: number): boolean {
-        const report = this.databases.report(databaseId)!;
-        return this.rules.every(rule => rule.checkProbe?.(report, nowMs) === undefined);
-    }
-
     private handleAttempt(attempt: TaskAttempted, nowMs: number): readonly Message[] {
         const { task, reply } = attempt;
         const { service } = task;
@@ -414,11 +341,8 @@
         const isUnanswered = reply === undefined && attempt.fault === undefined && !attempt.holderUnavailable;
         const suspicions = isUnanswered ? [databaseSuspected(attempt)] : [];
         if (task.mode === TaskMode.Probe) {
-            if (reply === undefined) {
-                this.floorRequestedUntilMs.set(service, nowMs + floorPauseMs);
-            }
-            else {
-                this.floorRequestedUntilMs.delete(service);
+            if (task.needsPrimary) {
+                this.floors.recordProbeEnd(service, reply !== undefined, nowMs);
             }
             return [...suspicions, ...this.placeWaiting(service, nowMs)];
         }
@@ -432,29 +356,32 @@
         return [...suspicions, ...this.endOrRetry(routed, attempt, nowMs), ...placedAgain];
     }
 
-    private recordAttempt(
-        { databaseId, reply, fault, leads, sentMs, task, holderUnavailable }: TaskAttempted,
-        nowMs: number,
-    ): void {
-        const elapsedMs = reply !== undefined && reply.fault === undefined && sentMs !== undefined
-            ? nowMs - sentMs
-            : undefined;
-        this.databases.recordAnswer(databaseId, elapsedMs);
-        const finalFault = reply?.fault ?? fault;
-        if (reply === undefined && finalFault !== StatementFault.Busy && !holderUnavailable) {
-            this.databases.recordFailure(databaseId, nowMs);
+    private probePrimary(wanted: FloorWanted, nowMs: number): readonly Message[] {
+        const primaryId = this.databases.primary(wanted.service, nowMs);
+        const mayProbe = primaryId !== undefined && this.rules.mayProbe(this.databases.report(primaryId)!, nowMs);
+        if (mayProbe) {
+            this.databases.recordStart(primaryId);
         }
-        if (finalFault === StatementFault.ReadOnly) {
-            this.databases.recordNotPrimary(databaseId, nowMs);
-        }
-        if (finalFault === StatementFault.Lagging) {
-            this.databases.recordLagging(databaseId, nowMs + laggingPauseMs);
+        return this.floors.probePrimary(wanted, mayProbe ? primaryId : undefined, nowMs);
+    }
+
+    private probeDatabase(wanted: PositionProbeWanted, nowMs: number): readonly Message[] {
+        const report = this.databases.report(wanted.databaseId);
+        if (
+            report === undefined || !this.rules.mayProbe(report, nowMs)
+            || this.databases.passOverForRead(wanted.databaseId, nowMs) !== undefined
+        ) {
+            return [];
         }
-        if (leads) {
-            this.databases.recordPrimary(databaseId);
-            if (reply?.position !== undefined && sentMs !== undefined) {
-                this.samples.add(task.service, { position: reply.position, atMs: sentMs });
-            }
+        this.databases.recordStart(wanted.databaseId);
+        return [this.floors.probeDatabase(wanted, nowMs)];
+    }
+
+    private recordAttempt(attempt: TaskAttempted, nowMs: number): void {
+        const { reply, leads, sentMs, task } = attempt;
+        this.databases.recordAttempt(attempt, this.tasks.get(task.taskId)?.floor, nowMs);
+        if (leads && reply?.position !== undefined && sentMs !== undefined) {
+            this.floors.recordProof(task.service, reply.position, sentMs);
         }
     }
 
@@ -464,21 +391,9 @@
         if (attempt.reply !== undefined && fault === undefined) {
             return this.endRouted(this.toEnded(attempt));
         }
-        if (routed.expired) {
-            return this.endRouted(this.toEnded(attempt));
-        }
-        const nothingExecuted = !attempt.sent || (fault !== undefined && isNotRun(fault));
-        // A transaction that may have started on one link must not be started on another one.
-        const mayRetry = nothingExecuted || task.mode === TaskMode.Single && !task.writes;
-        routed.failureCount += fault !== undefined && !isNotRun(fault) ? 1 : 0;
-        if (!mayRetry || attempt.pinned || routed.failureCount > maximumFailureRetries) {
+        if (routed.expired || !routed.recordFailure(attempt)) {
             return this.endRouted(this.toEnded(attempt));
         }
-        routed.lastFault = fault !== undefined && isNotRun(fault)
-            ? fault
-            : nothingExecuted
-            ? StatementFault.Busy
-            : fault;
         if (attempt.retryAfterMs !== undefined) {
             return this.moveOrRefuse(routed, attempt.retryAfterMs, nowMs);
         }
@@ -495,7 +410,8 @@
     private moveOrRefuse(routed: RoutedTask, retryAfterMs: number, nowMs: number): readonly Message[] {
         const { task, triedDatabaseIds } = routed;
         const isUntried = this.databases.reportsOf(task.service).some(({ databaseId }) =>
-            !triedDatabaseIds.has(databaseId) && this.databases.passOverForRead(databaseId, nowMs) === undefined
+            !triedDatabaseIds.has(databaseId)
+            && this.databases.passOverForRead(databaseId, nowMs, routed.floor) === undefined
         );
         if (!task.needsPrimary && isUntried) {
             return this.place(routed, nowMs);
@@ -507,28 +423,12 @@
     }
 
     /** Converts an attempt that is not retried to the result of the task. */
-    private toEnded({ task, databaseId, reply, fault, sent, pinned }: TaskAttempted): TaskEnded {
+    private toEnded(attempt: TaskAttempted): TaskEnded {
+        const { task, databaseId, reply } = attempt;
         const hasSucceeded = reply !== undefined && reply.fault === undefined;
-        if (hasSucceeded && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)) {
-            return endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept");
-        }
-        if (reply !== undefined) {
-            return { kind: TaskKind.Ended, task, reply, fault: reply.fault, detail: reply.detail, pinned };
-        }
-        if (!sent) {
-            return endTask(task, fault ?? StatementFault.Busy, "the database could not be reached; not run");
-        }
-        const reason = fault === StatementFault.InDoubt
-            ? "the database's answer cannot be told from an earlier one"
-            : "the database did not answer in time";
-        if (task.mode === TaskMode.Single) {
-            return task.writes
-                ? endTask(task, StatementFault.InDoubt, `${reason}; the write may have run`)
-                : endTask(task, StatementFault.TimedOut, reason);
-        }
-        return task.statement?.kind === SessionStatementKind.Commit
-            ? endTask(task, StatementFault.InDoubt, `${reason}; the commit may have run`)
-            : endTask(task, StatementFault.Aborted, `${reason}; the transaction is rolled back`);
+        return hasSucceeded && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)
+            ? endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept")
+            : toEnded(attempt);
     }
 
     private endRouted(ended: TaskEnded | Message): readonly Message[] {
@@ -543,35 +443,10 @@
 /** The route and the workspace have no home region in common. */
 const noHome: PassedOver = { reason: PassOverReason.OutsideHome, retryAfterMs: 10_000 };
 
-/** @param objections one for each database */
-function soonest(objections: readonly (PassedOver | undefined)[]): PassedOver {
-    return objections.map(objection => objection!)
-        .reduce((left, right) => right.retryAfterMs < left.retryAfterMs ? right : left);
-}
-
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
 
-function databaseSuspected({ databaseId, address, sent }: TaskAttempted): DatabaseSuspected {
-    return { kind: FleetKind.DatabaseSuspected, databaseId, address, sent };
-}
-
 function deadlineText({ task }: RoutedTask): string {
     return retryText(task.needsPrimary ? "no primary answers" : "no copy is recent enough or free", retryDelayMs);
 }
-
-function probeTask(taskId: string, service: string, workspace: string, untilMs: number): LinkTask {
-    return {
-        taskId,
-        sessionId: "",
-        service,
-        workspace,
-        mode: TaskMode.Probe,
-        statement: undefined,
-        writes: false,
-        needsPrimary: true,
-        context: emptySessionContext,
-        deadlineMs: untilMs,
-    };
-}
--- a/src/session/taskScheduler.ts
+++ b/src/session/taskScheduler.ts
@@ -6,8 +6,9 @@
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { retryAfterMs } from "../scheduling/retryAfter.ts";
 import type { RefusedStatement } from "../scheduling/statementQueue.ts";
+import { unsentAttempt } from "./attemptOutcome.ts";
 import type { Link } from "./link.ts";
-import { attemptKey, type LinkAttempts, unsentAttempt } from "./linkAttempts.ts";
+import { attemptKey, type LinkAttempts } from "./linkAttempts.ts";
 import type { LinkPool, PoolOccupancy } from "./linkPool.ts";
 import type { LinkTable } from "./linkTable.ts";
 import { databaseLoadOf, queueDrainOf } from "./poolLoad.ts";
@@ -54,15 +55,19 @@
         const { idle, opening, inFlight: inFlightBefore } = pool.summary();
         let inFlight = inFlightBefore;
         let mayOpen = true;
+        let waitsForBusyLink = false;
         let link: Link | undefined;
         const canStart = ({ placed: { task } }: WaitingTask): boolean => {
             link = inFlight < pool.window.size ? idle.find(task) : undefined;
             const { workspace } = task;
             const openingCount = opening.get(workspace) ?? 0;
-            if (
-                link === undefined && mayOpen && inFlight < pool.window.size
-                && openingCount < pool.waitingTasks.countOf(workspace)
-            ) {
+            const waitingCount = pool.waitingTasks.countOf(workspace);
+            const mayHaveMore = link === undefined && mayOpen && inFlight < pool.window.size
+                && openingCount < waitingCount;
+            if (mayHaveMore && !this.table.mayOpen(pool, workspace, waitingCount, nowMs)) {
+                waitsForBusyLink = true;
+            }
+            else if (mayHaveMore) {
                 const opened = this.table.open(pool, workspace, nowMs);
                 messages.push(...opened);
                 // If no link can be opened for this task, none can be opened for the tasks behind it.
@@ -80,7 +85,8 @@
             inFlight += 1;
             messages.push(...this.attempts.start(link!, waiting.placed, inFlight, nowMs));
         }
-        return messages;
+        // A link is opened after all if the busy one is not free in time.
+        return waitsForBusyLink ? [...messages, this.table.setIdleTimer(pool, nowMs)] : messages;
     }
 
     private refuse(
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -82,6 +82,7 @@
             FleetKind.FrameReceived,
             FleetKind.FrameRefused,
             PeerKind.FrameRefused,
+            PeerKind.LoadIgnored,
             SessionKind.MessageRefused,
             SessionKind.AnswerRefused,
             StorageKind.Suspended,
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -79,12 +79,14 @@
         coldRule,
         new Routing({
             dataCentre,
+            dataCentreRegions,
             rules: [new EvacuationRule(evacuationBoundMs), new HomeRule(dataCentreRegions), coldRule],
+            random: new SeededRandom(seed + 2),
         }),
         new Forwarding({ instanceId, dataCentreRegions }),
         new ColdGate(),
         new EvacuationStages(evacuationBoundMs),
-        new Links({ random: new SeededRandom(seed + 2) }),
+        new Links({ random: new SeededRandom(seed + 3) }),
     ]);
     return [fleet, session];
 }
