fix(fleet): instances are not asked for commits while an evacuated primary steps down

From the question on they withhold acknowledgements; the position of the primary tells what was acknowledged. Guarded by a spec.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -445,6 +445,19 @@
         });
     });
 
+    it("asks no instance for its commits while the primary of an evacuated data centre steps down", () => {
+        // Guards against acknowledgements that are withheld although the position of the primary tells of them.
+        const fixture = new FencingFixture({ planned: true });
+        fixture.members = [{ ...member("p"), isReady: false, isEvacuated: true }, member("a"), member("b")];
+        fixture.openLink("p", 3, 12);
+        fixture.openLink("a", 3, 9);
+        fixture.answer("p", false, 3, 12);
+        fixture.decide(61);
+        fixture.answer("a", false, 3, 12);
+        assert.equal(fixture.decide(), "a");
+        assert.deepEqual([...fixture.questions, ...fixture.closings], []);
+    });
+
     describe("beside a replica in an evacuated data centre that is ahead", () => {
         let fixture: FencingFixture;
 
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -573,12 +573,15 @@
 
     /**
      * Asks the instances for their acknowledged commits once commits are blocked; at once if the furthest database may be one
-     * that is preferably not chosen.
+     * that is preferably not chosen. From the question on, they withhold acknowledgements, also those of a primary that has
+     * stepped down.
      */
     private askForCommits(nowMs: number): readonly Message[] {
         const hasWaited = nowMs - this.options.startedAtMs >= replicaWaitMs;
-        const hasEvacuated = [...this.databases.values()].some(({ member }) => member.isEvacuated === true);
-        return (hasWaited || hasEvacuated) && this.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
+        const hasSteppedDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
+        const asksAtOnce = !hasSteppedDown
+            && [...this.databases.values()].some(({ member }) => member.isEvacuated === true);
+        return (hasWaited || asksAtOnce) && this.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
     }
 
     /** A replica that has caught up with the primary, or the primary itself if none catches up in time. */
