--- a/src/session/floorRequests.ts
+++ b/src/session/floorRequests.ts
@@ -68,8 +68,10 @@
             : this.request(task, nowMs);
     }
 
-    request({ route, workspace }: Task, nowMs: number): readonly Message[] {
+    /** The question of a task with home regions names no workspace, because the primary may be elsewhere. */
+    request({ route, workspace: name, homeRegions }: Task, nowMs: number): readonly Message[] {
         const { service, maximumAgeMs } = route;
+        const workspace = homeRegions === undefined ? name : "";
         if (nowMs < (this.requestedUntilMs.get(service) ?? 0)) {
             return [];
         }
