fix(session): a database whose links broke counts as cold until its reports are known

One that starts again under its id takes connections before its first report has reached the instance with the links, which then sent it all it had. Links that break count for 2.5 s, refused connections for 5 s, where the service has a limit.

--- a/src/session/__tests__/coldGate.spec.ts
+++ b/src/session/__tests__/coldGate.spec.ts
@@ -221,6 +221,25 @@
         assert.equal(fixture.isLimited, true);
     });
 
+    it("takes a database for cold whose links broke, for a shorter time", () => {
+        const fixture = new GateFixture(warm);
+        const lost = { kind: LinkKind.Lost, linkId: "l", fault: undefined, databaseId: "d" };
+        fixture.push({ ...lost, loss: LinkLoss.Refused } as Message);
+        assert.equal(fixture.isLimited, false);
+        fixture.push({ ...lost, loss: LinkLoss.NoListener } as Message);
+        fixture.advance(2_400);
+        fixture.push({ ...lost, loss: LinkLoss.Broken } as Message);
+        fixture.advance(2_499);
+        assert.equal(fixture.isLimited, true);
+        fixture.advance(101);
+        assert.equal(fixture.isLimited, false);
+        fixture.push({ ...lost, loss: LinkLoss.Broken } as Message);
+        fixture.advance(2_499);
+        assert.equal(fixture.isLimited, true);
+        fixture.advance(1);
+        assert.equal(fixture.isLimited, false);
+    });
+
     it("takes a database for cold that refused a connection, until its next reports must be known", () => {
         const fixture = new GateFixture(warm);
         const lost = { kind: LinkKind.Lost, linkId: "l", loss: LinkLoss.NoListener, fault: undefined };
--- a/src/session/coldDatabases.ts
+++ b/src/session/coldDatabases.ts
@@ -1,5 +1,6 @@
 /** Which databases are cold, as far as this instance knows, and what such a database may get. */
 import type { DatabaseReport, PolicyApplied } from "../model/fleetMessages.ts";
+import { LinkLoss } from "../model/linkMessages.ts";
 import type { ServicePolicy } from "../model/trafficPolicy.ts";
 
 /**
@@ -8,6 +9,9 @@
  */
 const unreportedMs = 5_000;
 
+/** The same after a link that broke, which seldom means that the database has ended: about two intervals of its reports. */
+const brokenLinkMs = 2_500;
+
 /** A database that is first heard of this long after others of its service has started meanwhile. */
 const discoveryMs = 3_000;
 
@@ -20,7 +24,7 @@
     private readonly databases = new Map<string, KnownDatabase>();
     /** Time of the first report of each service. */
     private readonly knownSinceMs = new Map<string, number>();
-    /** Databases that refused connections: time until which they may have started again without a report. */
+    /** Databases that refused or ended connections: time until which they may have started again without a report. */
     private readonly unreachableUntilMs = new Map<string, number>();
     private services: ReadonlyMap<string, ServicePolicy> = new Map();
     private evacuated: ReadonlySet<string> = new Set();
@@ -53,10 +57,11 @@
         }
     }
 
-    /** The database refused a connection; it may start again before its first report is known here. */
-    recordUnreachable(databaseId: string, nowMs: number): void {
+    /** The database may have ended, and may start again before its first report is known here. */
+    recordLostLink(databaseId: string, loss: LinkLoss, nowMs: number): void {
         if (this.databases.has(databaseId)) {
-            this.unreachableUntilMs.set(databaseId, nowMs + unreportedMs);
+            const untilMs = nowMs + (loss === LinkLoss.NoListener ? unreportedMs : brokenLinkMs);
+            this.unreachableUntilMs.set(databaseId, Math.max(untilMs, this.unreachableUntilMs.get(databaseId) ?? 0));
         }
     }
 
--- a/src/session/coldGate.ts
+++ b/src/session/coldGate.ts
@@ -123,8 +123,8 @@
                 return [removed, ...this.release(removed.databaseId, nowMs)];
             })
             .with({ kind: LinkKind.Lost }, lost => {
-                if (lost.loss === LinkLoss.NoListener && lost.databaseId !== undefined) {
-                    this.databases.recordUnreachable(lost.databaseId, nowMs);
+                if (lost.loss !== LinkLoss.Refused && lost.databaseId !== undefined) {
+                    this.databases.recordLostLink(lost.databaseId, lost.loss, nowMs);
                 }
                 return [lost];
             })
