feat(fleet): control members remember the databases on their disks

After a loss of power of all machines a database whose reports failed stays silent for up to 4.6 s, because it reports less and less often. The directory was in memory only, so nobody used it meanwhile, and the leader replaced primaries that served. Members write the list a second after a change; proxies ask for what is remembered when they start, and forget after 30 s what has not reported. The leader assesses a remembered primary before it replaces it; no choice of a primary counts on one. Releases without it ignore the two frames.

--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -93,6 +93,8 @@
     platformRefuses = false;
     /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
     nextRepetitionDelayMs = (): number | undefined => undefined;
+    /** Databases that run and do not report. */
+    readonly silentDatabases = new Set<SimulatedDatabase>();
     private readonly events = new DeadlineQueue();
     private readonly acknowledged = new Set<number>();
     private readonly links = new Map<string, SimulatedDatabase | undefined>();
@@ -288,8 +290,8 @@
         });
     }
 
-    /** Starts a control leader that knows the replicated state alone. */
-    startControl(): void {
+    /** Starts a control leader that knows the replicated state, and the databases that its disk lists. */
+    startControl(remembered: readonly SimulatedDatabase[] = []): void {
         this.control = new Pipe("fleet", [new FleetDatabaseDirectory(), new Promotions({ reportIntervalMs })]);
         this.deadlines = new DeadlineQueue();
         const policy = {
@@ -307,6 +309,8 @@
             } as Message,
         );
         this.applyConfiguration();
+        const reports = remembered.map(database => database.report(service));
+        this.push({ kind: FleetKind.DatabasesRemembered, reports } as Message);
         this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
         this.instances.filter(({ running }) => running).forEach(instance =>
             this.after(100, this.ofControl(() => this.attach(instance)))
@@ -332,7 +336,8 @@
     }
 
     report(database: SimulatedDatabase): void {
-        if (database.running && !database.dark && !database.cutFromControl) {
+        const isSilent = this.silentDatabases.has(database);
+        if (database.running && !database.dark && !database.cutFromControl && !isSilent) {
             this.after(
                 latencyMs,
                 this.ofControl(() =>
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -88,6 +88,37 @@
         assert.ok(world.acknowledgedCount > before);
     });
 
+    it("keeps a remembered primary that serves and does not report after a restart of the control members", () => {
+        // Guards against commits in doubt while a primary is replaced whose reports failed during the restart.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.stopControl();
+        world.silentDatabases.add(world.database(0));
+        world.advance(1_000);
+        const remembered = [...world.databases];
+        world.startControl(remembered);
+        const before = world.acknowledgedCount;
+        world.advance(8_000);
+        assert.equal(world.record.fence, 0);
+        assert.ok(world.acknowledgedCount - before >= 360, `${world.acknowledgedCount - before} commits in 8 s`);
+        world.silentDatabases.clear();
+        world.advance(2_000);
+        assert.equal(world.record.fence, 0);
+    });
+
+    it("replaces a remembered primary that is gone after a restart of the control members", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.stopControl();
+        const remembered = [...world.databases];
+        world.crash(world.database(0));
+        world.advance(1_000);
+        world.startControl(remembered);
+        world.advance(5_000);
+        assert.equal(world.promoted.length, 1);
+        assert.deepEqual(world.lost, []);
+    });
+
     it("waits for a database if an instance that saw the last commits is gone", () => {
         // Guards against the loss of commits that only an instance without power has seen acknowledged.
         const world = new PromotionWorld();
--- a/src/fleet/__tests__/servicePromotion.spec.ts
+++ b/src/fleet/__tests__/servicePromotion.spec.ts
@@ -62,6 +62,7 @@
             fleet: {
                 databases: new Map(candidates.map(candidate => [candidate.report.databaseId, candidate])),
                 departedDatabases: new Set(),
+                rememberedDatabases: new Map(),
                 witnesses,
                 reportIntervalMs: 1_000,
                 leadingSinceMs: 0,
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -2,12 +2,14 @@
 import { match, P } from "ts-pattern";
 import {
     type DatabaseLeft,
+    type DatabaseRecalled,
     type DatabaseReport,
     type DatabaseReportAccepted,
     type DatabaseReported,
     FleetKind,
     type FrameReceived,
     type PolicyApplied,
+    type RecallEnded,
 } from "../model/fleetMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -15,19 +17,29 @@
 /** Maximum number of departed databases that are remembered; far above the departures of a fleet in one day. */
 const maximumDeparted = 4_096;
 
-type DirectoryInput = DatabaseReported | DatabaseLeft | FrameReceived | PolicyApplied;
+type DirectoryInput =
+    | DatabaseReported
+    | DatabaseLeft
+    | DatabaseRecalled
+    | RecallEnded
+    | FrameReceived
+    | PolicyApplied;
 
 export class FleetDatabaseDirectory implements Filter<DirectoryInput, Message> {
     readonly step = "directory";
     readonly accepts = [
         FleetKind.DatabaseReported,
         FleetKind.DatabaseLeft,
+        FleetKind.DatabaseRecalled,
+        FleetKind.RecallEnded,
         FleetKind.FrameReceived,
         FleetKind.PolicyApplied,
     ];
     /** Names of the configured services. */
     private services: ReadonlySet<string> = new Set();
     private readonly reports = new Map<string, DatabaseReport>();
+    /** Databases that a control member remembers and that have not reported since. */
+    private readonly recalledIds = new Set<string>();
     /**
      * Start times of departed databases, by id; a report of that process or an earlier one arrived late and is ignored.
      */
@@ -40,6 +52,8 @@
                 return outputs.length === 0 ? [] : [...outputs, matched];
             })
             .with({ kind: FleetKind.DatabaseLeft }, matched => this.leave(matched))
+            .with({ kind: FleetKind.DatabaseRecalled }, matched => this.recall(matched.report))
+            .with({ kind: FleetKind.RecallEnded }, () => this.forgetRecalled())
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "databases" } },
                 matched => [...matched.frame.reports.flatMap(report => this.apply(report)), matched],
@@ -60,10 +74,14 @@
         if (departedStart !== undefined && report.bornUnixMs <= departedStart) {
             return [];
         }
-        if (known !== undefined && !isNewer(report, known)) {
+        const isKnownNewer = known !== undefined && (this.recalledIds.has(databaseId)
+            ? report.bornUnixMs < known.bornUnixMs
+            : !isNewer(report, known));
+        if (isKnownNewer) {
             // Several control members forward the same report.
             return [];
         }
+        this.recalledIds.delete(databaseId);
         this.departedStartUnixMs.delete(databaseId);
         this.reports.set(databaseId, report);
         const accepted: DatabaseReportAccepted = { kind: FleetKind.DatabaseReportAccepted, databaseId };
@@ -75,6 +93,28 @@
         ];
     }
 
+    private recall(report: DatabaseReport): readonly Message[] {
+        const { databaseId, address, bornUnixMs } = report;
+        const hasDeparted = (this.departedStartUnixMs.get(databaseId) ?? -Infinity) >= bornUnixMs;
+        const isReplaced = [...this.reports.values()].some(other =>
+            other.databaseId === databaseId || other.address === address
+        );
+        if (hasDeparted || isReplaced) {
+            return [];
+        }
+        this.reports.set(databaseId, report);
+        this.recalledIds.add(databaseId);
+        return [{ kind: FleetKind.DatabaseChanged, report } as Message];
+    }
+
+    /** Not a departure: a database that reports after all is accepted. */
+    private forgetRecalled(): readonly Message[] {
+        const databaseIds = [...this.recalledIds];
+        this.recalledIds.clear();
+        databaseIds.forEach(databaseId => this.reports.delete(databaseId));
+        return databaseIds.map(databaseId => ({ kind: FleetKind.DatabaseRemoved, databaseId } as Message));
+    }
+
     /** Names the process that left, so that another one under the same id stays, whatever arrives first. */
     private leave(left: DatabaseLeft): readonly Message[] {
         const { databaseId } = left;
@@ -124,6 +164,7 @@
             return [];
         }
         this.reports.delete(databaseId);
+        this.recalledIds.delete(databaseId);
         this.recordDeparture(databaseId, known.bornUnixMs);
         return [{ kind: FleetKind.DatabaseRemoved, databaseId } as Message];
     }
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -7,6 +7,7 @@
     type DatabaseRemoved,
     type DatabaseReport,
     type DatabaseReportAccepted,
+    type DatabasesRemembered,
     type Detached,
     FleetKind,
     type FrameReceived,
@@ -37,6 +38,7 @@
     | DatabaseReportAccepted
     | DatabaseChanged
     | DatabaseRemoved
+    | DatabasesRemembered
     | Detached
     | FrameReceived
     | LinkOpened
@@ -56,6 +58,11 @@
     readonly databases: ReadonlyMap<string, PromotionCandidate>;
     /** Databases that were removed from the directory. */
     readonly departedDatabases: ReadonlySet<string>;
+    /**
+     * Databases that this member remembers from before its start, by id; some may have reported since. They may be gone, so
+     * no choice of a primary takes them into account.
+     */
+    readonly rememberedDatabases: ReadonlyMap<string, DatabaseReport>;
     readonly witnesses: CommitWitnesses;
     /** Interval at which databases report. */
     readonly reportIntervalMs: number;
@@ -79,6 +86,7 @@
         FleetKind.DatabaseReportAccepted,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
+        FleetKind.DatabasesRemembered,
         FleetKind.Detached,
         FleetKind.FrameReceived,
         LinkKind.Opened,
@@ -89,6 +97,7 @@
     ];
     private readonly databases = new Map<string, PromotionCandidate>();
     private readonly departedDatabases = new Set<string>();
+    private rememberedDatabases: ReadonlyMap<string, DatabaseReport> = new Map();
     private readonly witnesses = new CommitWitnesses();
     private readonly recorder = new PromotionRecorder();
     private readonly services = new Map<string, ServicePromotion>();
@@ -128,6 +137,10 @@
                 this.departedDatabases.add(matched.databaseId);
                 return [];
             })
+            .with({ kind: FleetKind.DatabasesRemembered }, ({ reports }) => {
+                this.rememberedDatabases = new Map(reports.map(report => [report.databaseId, report]));
+                return [];
+            })
             .with({ kind: FleetKind.Detached }, matched => {
                 this.witnesses.detach(matched.attachmentId, nowMs);
                 return [matched];
@@ -199,7 +212,8 @@
         if (frame.kind !== "suspect" && frame.kind !== "assessment") {
             return [];
         }
-        const service = this.databases.get(frame.databaseId)?.report.service;
+        const report = this.databases.get(frame.databaseId)?.report ?? this.rememberedDatabases.get(frame.databaseId);
+        const service = report?.service;
         if (service === undefined || !this.policies.has(service)) {
             return [];
         }
@@ -254,6 +268,7 @@
         const fleet: FleetView = {
             databases: this.databases,
             departedDatabases: this.departedDatabases,
+            rememberedDatabases: this.rememberedDatabases,
             witnesses: this.witnesses,
             reportIntervalMs: this.reportIntervalMs,
             leadingSinceMs: this.leadingSinceMs,
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -29,6 +29,7 @@
 import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
 import type { FleetView } from "./promotions.ts";
+import { recallLimitMs } from "./rememberedDatabases.ts";
 
 type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
 
@@ -198,8 +199,8 @@
 
     /** An instance reported that a database does not answer. */
     suspect(databaseId: string, nowMs: number): readonly Message[] {
-        return this.phase === Phase.Steady && databaseId === this.primary() && this.mayAssess(nowMs)
-            ? this.assess(databaseId, nowMs)
+        return this.phase === Phase.Steady && databaseId === this.primary()
+            ? this.assessAgain(this.options.fleet.databases.get(databaseId)!.report, nowMs)
             : [];
     }
 
@@ -299,9 +300,11 @@
         const primaryId = this.primary();
         const primary = primaryId === undefined ? undefined : fleet.databases.get(primaryId);
         if (primary === undefined) {
-            return nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.otherDatabases(undefined).length === 0
-                ? []
-                : this.reserve(record.fence, nowMs);
+            if (nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.otherDatabases(undefined).length === 0) {
+                return [];
+            }
+            const remembered = this.rememberedPrimary(nowMs);
+            return remembered === undefined ? this.reserve(record.fence, nowMs) : this.assessAgain(remembered, nowMs);
         }
         if (this.hasPrimaryLostLog(primary.report)) {
             return this.reserve(record.fence, nowMs);
@@ -313,7 +316,7 @@
         }
         const isSilent = nowMs - primary.lastReportAtMs > missedReportLimit * fleet.reportIntervalMs
             && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
-        return isSilent && this.mayAssess(nowMs) ? this.assess(primaryId!, nowMs) : [];
+        return isSilent ? this.assessAgain(primary.report, nowMs) : [];
     }
 
     /** Whether the primary has started again without its log: it follows, and no database leads. */
@@ -432,15 +435,34 @@
         return (named ?? newest)?.report.databaseId ?? (databases.has(databaseId) ? databaseId : undefined);
     }
 
+    /**
+     * The primary from before the start of this process, which may run although it has not reported since. Replacing it
+     * would end the acknowledgement of commits that instances run there.
+     */
+    private rememberedPrimary(nowMs: number): DatabaseReport | undefined {
+        const { service, fleet } = this.options;
+        const { databaseId } = this.options.record();
+        const claimants = [...fleet.rememberedDatabases.values()].filter(report =>
+            report.service === service && report.leads && !fleet.departedDatabases.has(report.databaseId)
+        );
+        const isRecalled = nowMs - fleet.leadingSinceMs < recallLimitMs;
+        const named = claimants.find(report => report.databaseId === databaseId);
+        return isRecalled ? named ?? (databaseId === "" ? claimants[0] : undefined) : undefined;
+    }
+
+    private assessAgain(report: DatabaseReport, nowMs: number): readonly Message[] {
+        return this.mayAssess(nowMs) ? this.assess(report, nowMs) : [];
+    }
+
     private mayAssess(nowMs: number): boolean {
         return nowMs - this.lastAssessedAtMs >= Assessment.intervalMs;
     }
 
-    private assess(databaseId: string, nowMs: number): readonly Message[] {
+    private assess(report: DatabaseReport, nowMs: number): readonly Message[] {
         const { fleet } = this.options;
         this.lastAssessedAtMs = nowMs;
         this.planned = false;
-        this.assessment = new Assessment(fleet.databases.get(databaseId)!.report, fleet.nextLinkId());
+        this.assessment = new Assessment(report, fleet.nextLinkId());
         return [
             ...this.enter(Phase.Assessing, nowMs),
             ...this.assessment.open([...fleet.witnesses.serving.keys()]),
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -16,6 +16,15 @@
     /** A report differs from the previous one of the database in more than its sequence. */
     DatabaseChanged: "fleet.database_changed",
     DatabaseRemoved: "fleet.database_removed",
+    /** A control member has started; its disk lists databases that reported before. */
+    DatabasesRemembered: "fleet.databases_remembered",
+    /** The databases that a control member must remember over a restart changed. */
+    DatabaseListChanged: "fleet.database_list_changed",
+    DatabaseListDue: "fleet.database_list_due",
+    /** A control member remembers a database that has not reported to anyone since. */
+    DatabaseRecalled: "fleet.database_recalled",
+    /** Recalled databases that have not reported in the meantime are forgotten. */
+    RecallEnded: "fleet.recall_ended",
     /** The list of control members to attach to changed. */
     MembersKnown: "fleet.members_known",
     /** Makes the next step of the search for the control members. */
@@ -93,6 +102,26 @@
     readonly report: DatabaseReport;
 }
 
+export interface DatabasesRemembered extends Message {
+    readonly kind: typeof FleetKind.DatabasesRemembered;
+    /** The last report of each database, with the sequence that it had when the list was written. */
+    readonly reports: readonly DatabaseReport[];
+}
+
+export interface DatabaseListChanged extends Message {
+    readonly kind: typeof FleetKind.DatabaseListChanged;
+    readonly reports: readonly DatabaseReport[];
+}
+
+export interface DatabaseRecalled extends Message {
+    readonly kind: typeof FleetKind.DatabaseRecalled;
+    readonly report: DatabaseReport;
+}
+
+export interface RecallEnded extends Message {
+    readonly kind: typeof FleetKind.RecallEnded;
+}
+
 export interface DatabaseLeft extends Message {
     readonly kind: typeof FleetKind.DatabaseLeft;
     readonly databaseId: string;
@@ -234,6 +263,9 @@
     | { readonly kind: "status_asked"; }
     | { readonly kind: "configuration"; readonly version: number; }
     | { readonly kind: "databases"; readonly reports: readonly DatabaseReport[]; }
+    /** Requests the databases that the member remembers from before its start. A member without any does not answer. */
+    | { readonly kind: "remembered_asked"; }
+    | { readonly kind: "remembered"; readonly reports: readonly DatabaseReport[]; }
     | {
         readonly kind: "database_left";
         readonly databaseId: string;
@@ -406,7 +438,8 @@
         | typeof FleetKind.DiscoveryDue
         | typeof FleetKind.ConfirmationDue
         | typeof FleetKind.PolicyProofDue
-        | typeof FleetKind.ProofBarrierDue;
+        | typeof FleetKind.ProofBarrierDue
+        | typeof FleetKind.DatabaseListDue;
 }
 
 export interface DatabaseSuspected extends Message {
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -1,6 +1,6 @@
 /** Checks of the frames that arrive on attachments. Fields that a later release adds are dropped. */
 import * as z from "zod";
-import { ReportedState } from "../model/fleetMessages.ts";
+import { databaseReportSchema } from "../model/databaseReportSchema.ts";
 
 const count = z.int().nonnegative();
 const durationMs = z.number().nonnegative();
@@ -9,18 +9,6 @@
 /** Instances by data centre: id and address of each. */
 const encodedInstances = z.record(z.string(), z.array(z.tuple([z.string(), z.string()])));
 
-const databaseReport = z.object({
-    databaseId: z.string().min(1),
-    service: z.string(),
-    address: z.string(),
-    dataCentre: z.string(),
-    slots: count,
-    state: z.enum(ReportedState),
-    leads: z.boolean(),
-    sequence: count,
-    bornUnixMs: z.number().nonnegative(),
-});
-
 const permitAnswer = z.union([
     z.tuple([z.string(), count]),
     z.tuple([z.string(), count, durationMs]),
@@ -55,7 +43,9 @@
     }),
     status_asked: z.object({ kind: z.literal("status_asked") }),
     configuration: z.object({ kind: z.literal("configuration"), version: count }),
-    databases: z.object({ kind: z.literal("databases"), reports: z.array(databaseReport) }),
+    databases: z.object({ kind: z.literal("databases"), reports: z.array(databaseReportSchema) }),
+    remembered_asked: z.object({ kind: z.literal("remembered_asked") }),
+    remembered: z.object({ kind: z.literal("remembered"), reports: z.array(databaseReportSchema) }),
     database_left: z.object({
         kind: z.literal("database_left"),
         databaseId: z.string(),
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -6,6 +6,7 @@
 import { Attachments } from "../fleet/attachments.ts";
 import { ConfigurationDocuments } from "../fleet/configurationDocuments.ts";
 import { ConfigurationProofs } from "../fleet/configurationProofs.ts";
+import { DatabaseRecall } from "../fleet/databaseRecall.ts";
 import { FleetDatabaseDirectory } from "../fleet/fleetDatabaseDirectory.ts";
 import { MemberDiscovery } from "../fleet/memberDiscovery.ts";
 import { PermitLeader } from "../fleet/permitLeader.ts";
@@ -14,6 +15,7 @@
 import { PolicyFilter } from "../fleet/policyFilter.ts";
 import { Promotions } from "../fleet/promotions.ts";
 import { Readiness } from "../fleet/readiness.ts";
+import { RememberedDatabases } from "../fleet/rememberedDatabases.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { Member } from "../model/replicatedLog.ts";
 import { Pipe } from "../pipeline/pipe.ts";
@@ -41,6 +43,7 @@
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
         new PolicyFilter(new TrafficPolicyDecoder()),
+        new DatabaseRecall(),
         new FleetDatabaseDirectory(),
         new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, followsConfiguration: true }),
         new MemberDiscovery({ address: rpcAddress, isMember: false, random: new SeededRandom(seed + 1) }),
@@ -96,6 +99,7 @@
     const fleet = new Pipe("fleet", [
         new PolicyFilter(new TrafficPolicyDecoder()),
         new FleetDatabaseDirectory(),
+        new RememberedDatabases(),
         new AttachmentHub({ instanceId }),
         new Attachments({ instanceId, dataCentre, address, serves: false, followsConfiguration: false }),
         new MemberDiscovery({ address, isMember: true, random: new SeededRandom(options.seed + 1) }),
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -2,7 +2,7 @@
 import "disposablestack/auto";
 import { ControlKind } from "../model/controlMessages.ts";
 import { FeedKind } from "../model/feedMessages.ts";
-import { FleetKind } from "../model/fleetMessages.ts";
+import { type DatabasesRemembered, FleetKind } from "../model/fleetMessages.ts";
 import { PeerKind } from "../model/peerMessages.ts";
 import { SessionKind } from "../model/sessionMessages.ts";
 import { EventLoop } from "../pipeline/eventLoop.ts";
@@ -25,6 +25,7 @@
 import { createPeerServer, listen, longestShutdownMs, shutDownServer } from "../rpc/peerChannel.ts";
 import { PeerClientFactory } from "../rpc/peerClientFactory.ts";
 import { TaskStreams } from "../rpc/taskStreams.ts";
+import { DatabaseListFile } from "../storage/databaseListFile.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
 import { EffectLog } from "../telemetry/effectLog.ts";
 import { EventLog } from "../telemetry/eventLog.ts";
@@ -247,6 +248,13 @@
             onOpenDelayed: reason => logger.warn("storage.open_delayed", { reason }),
         }),
     );
+    const databaseList = stack.use(
+        new DatabaseListFile({
+            folder: dataFolder!,
+            onFailure: reason => logger.warn("storage.database_list_failed", { reason }),
+        }),
+    );
+    const rememberedDatabases = await databaseList.read();
     const self = { memberId: host, address: rpcAddress, incarnation: storage.identity.incarnation };
     const pipes = buildMemberPipes({
         self,
@@ -270,6 +278,7 @@
     const leadHandOver = new LeadHandOver(post);
     const sinks: Sink[] = [
         storage,
+        databaseList,
         leadHandOver,
         acceptor,
         logTransport,
@@ -293,6 +302,7 @@
             stack.defer(() => server.forceShutdown());
             await controlServer.listen();
             post(storage.recovered);
+            post({ kind: FleetKind.DatabasesRemembered, reports: rememberedDatabases } as DatabasesRemembered);
             post({ kind: ControlKind.SeedsChanged, seeds: settings.seeds } as Message);
         },
     };
