--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -216,6 +216,47 @@
     });
 });
 
+describe("reports of databases that change nothing", () => {
+    it("go to the leader alone, and to all members while none is known to lead", () => {
+        const network = startedNetwork(2, 6);
+        const received = (): Readonly<Record<string, number>> =>
+            Object.fromEntries(
+                network.memberNames.map(name => [
+                    name,
+                    network.node(name).received.filter(({ kind }) => kind === "databases").length,
+                ]).filter(([, count]) => count !== 0),
+            );
+        network.reportDatabase("core1", "db0");
+        network.advance(100);
+        network.resetCounters();
+        network.lead("core0", 2);
+        for (let sequence = 2; sequence <= 11; sequence++) {
+            network.reportDatabase("core1", "db0", sequence);
+            network.advance(1_200);
+        }
+        assert.deepEqual(received(), { core0: 10 });
+        // The first report to a member counts as a change, as the member cannot tell.
+        network.reportDatabase("core0", "db0", 12);
+        network.advance(100);
+        network.resetCounters();
+        network.reportDatabase("core0", "db0", 13);
+        network.advance(100);
+        assert.deepEqual(received(), {});
+        network.lead("nobody", 3);
+        network.reportDatabase("core1", "db0", 14);
+        network.advance(100);
+        assert.deepEqual(received(), { core0: 1, core2: 1, core3: 1, core4: 1, core5: 1 });
+    });
+
+    it("go to all members once they change something", () => {
+        const network = startedNetwork(2, 3);
+        network.reportDatabase("core1", "db0");
+        network.advance(100);
+        assert.deepEqual([...network.node("core2").databases], ["db0"]);
+        assert.deepEqual([...network.node("front1").databases], ["db0"]);
+    });
+});
+
 describe("the members that an instance attaches to", () => {
     const all = ["core0:9000", "core1:9000", "core2:9000"];
 
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -172,7 +172,15 @@
     /** Makes a member the leader and informs all members. */
     lead(leader: string, term: number): void {
         this.memberNames.filter(name => this.nodes.has(name)).forEach(name =>
-            this.push(name, { kind: ControlKind.LeaderChanged, leading: name === leader, term } as Message)
+            this.push(
+                name,
+                {
+                    kind: ControlKind.LeaderChanged,
+                    leading: name === leader,
+                    term,
+                    leaderId: this.memberNames.includes(leader) ? leader : undefined,
+                } as Message,
+            )
         );
     }
 
@@ -193,7 +201,7 @@
         this.instanceNames.forEach(name => this.push(name, message));
     }
 
-    reportDatabase(member: string, databaseId: string): void {
+    reportDatabase(member: string, databaseId: string, sequence = 1): void {
         const report: DatabaseReport = {
             databaseId,
             service: "order-core",
@@ -202,7 +210,7 @@
             slots: 5,
             state: ReportedState.Ready,
             leads: false,
-            sequence: 1,
+            sequence,
             bornUnixMs: 1,
         };
         this.push(member, { kind: FleetKind.DatabaseReported, report } as Message);
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -62,8 +62,8 @@
     private readonly awaitingHello = new Set<string>();
     /** Attachments of instances that serve callers. */
     private readonly servingAttachments = new Set<string>();
-    /** Attachments of control members. */
-    private readonly memberAttachments = new Set<string>();
+    /** Instance ids of control members, by attachment. */
+    private readonly memberAttachments = new Map<string, string>();
     /** Attachments that are subscribed to the list of instances. */
     private readonly listFollowers = new Set<string>();
     private readonly instances = new ServingInstances();
@@ -72,6 +72,8 @@
     private members: readonly string[] = [];
     private leading = false;
     private term = 0;
+    /** Undefined while no leader is known. */
+    private leaderId: string | undefined;
     private configurationVersion = 0;
     private announcedVersion = 0;
     private lastAnnouncedAtMs = -Infinity;
@@ -113,7 +115,10 @@
             })
             .with(
                 { kind: ControlKind.LeaderChanged },
-                matched => [matched, ...this.setLeader(matched.leading, matched.term)],
+                matched => {
+                    this.leaderId = matched.leading ? this.instanceId : matched.leaderId;
+                    return [matched, ...this.setLeader(matched.leading, matched.term)];
+                },
             )
             .with({ kind: ControlKind.MembersAgreed }, matched => [matched, ...this.setMembers(matched.addresses)])
             .with({ kind: ClusterKind.ConfigurationApplied }, matched => {
@@ -139,7 +144,12 @@
         if (!this.awaitingHello.delete(attachmentId)) {
             return [];
         }
-        (serves ? this.servingAttachments : this.memberAttachments).add(attachmentId);
+        if (serves) {
+            this.servingAttachments.add(attachmentId);
+        }
+        else {
+            this.memberAttachments.set(attachmentId, instanceId);
+        }
         const reports = [...this.reportsByDatabase.values()];
         const initialFrames = [
             sendFrame(attachmentId, this.status()),
@@ -205,8 +215,17 @@
         const changed = previous === undefined
             || JSON.stringify({ ...previous, sequence: 0 }) !== JSON.stringify({ ...report, sequence: 0 });
         const frame: FleetFrame = { kind: "databases", reports: [report] };
-        // Control members track the time of the last report of each database; instances only need changes.
-        return [...send(this.memberAttachments, frame), ...changed ? send(this.servingAttachments, frame) : []];
+        return changed ? this.broadcast(frame) : send(this.attachmentsOfLeader(), frame);
+    }
+
+    /**
+     * Only a leader acts on the time of the last report, so it alone needs those that change nothing. Another member learns
+     * the times after it is elected, before it judges them. All members, if none is known to lead.
+     */
+    private attachmentsOfLeader(): readonly string[] {
+        return [...this.memberAttachments]
+            .filter(([, instanceId]) => this.leaderId === undefined || instanceId === this.leaderId)
+            .map(([attachmentId]) => attachmentId);
     }
 
     private publishDeparture({ databaseId, bornUnixMs }: DatabaseLeft): readonly Message[] {
@@ -225,7 +244,7 @@
     }
 
     private broadcast(frame: FleetFrame): readonly Message[] {
-        return [...send(this.memberAttachments, frame), ...send(this.servingAttachments, frame)];
+        return [...send(this.memberAttachments.keys(), frame), ...send(this.servingAttachments, frame)];
     }
 }
 
