feat(session): callers refused together for a rate are told to come back one after another

Now the order of refusal, in which the most urgent stand first, is the order of return, spaced by the rate of the workspace with jitter, and never before the shortage may end. Single callers are told the same as before.

--- a/src/session/__tests__/admission.spec.ts
+++ b/src/session/__tests__/admission.spec.ts
@@ -138,6 +138,23 @@
         assert.match(fixture.refused[0]!.detail, /not run, retry after 200 ms/);
     });
 
+    it("does not bring back at once those whom it refuses together, and the most urgent first", () => {
+        // Load: 30 callers come back after a loss of power, and the leader has not answered in time for any of them.
+        const fixture = new AdmissionFixture(0);
+        for (let index = 0; index < 30; index++) {
+            fixture.submit(0, `caller${index}`, 2 - index % 2);
+        }
+        fixture.fireTimer(600);
+        assert.equal(fixture.refused.length, 30);
+        const times = fixture.refused.map(({ detail }) => Number(/retry after (\d+) ms/.exec(detail)![1]));
+        assert.ok(new Set(times).size >= 15, `${new Set(times).size} times for 30 callers`);
+        assert.ok(times.every(time => time >= 1_000 && time <= 2_000), times.join());
+        assert.deepEqual(
+            fixture.refused.slice(0, 15).map(({ task }) => (task as Task).route.priority),
+            Array(15).fill(1),
+        );
+    });
+
     it("refuses the operation of the lowest priority when the queue is full", () => {
         const fixture = new AdmissionFixture();
         for (let index = 0; index < 64; index++) {
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -14,6 +14,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { ReturnTimes } from "../scheduling/returnTimes.ts";
 import { LocalPermits } from "./localPermits.ts";
 import {
     endTask,
@@ -73,6 +74,7 @@
     waiting: WaitingOperation[];
     /** Time of the last answer of a leader for this workspace. */
     answeredMs: number;
+    readonly returnTimes: ReturnTimes;
 }
 
 export interface AdmissionOptions {
@@ -130,7 +132,7 @@
         queue.permits.recordDemand(nowMs);
         enqueue(queue, { task, queuedMs: nowMs });
         const surplus = queue.waiting.length > maximumQueued
-            ? [refuse(queue.waiting.pop()!.task, this.retryMs(queue, nowMs))]
+            ? [this.refuse(queue.waiting.pop()!.task, queue, nowMs)]
             : [];
         return [...surplus, ...this.serveQueue(queue, nowMs)];
     }
@@ -152,8 +154,10 @@
         const atMs = this.isFallbackActive ? nowMs : Math.max(nowMs, queue.permits.earliestRequestMs);
         const expired = queue.waiting.filter(operation => atMs >= this.latestStartMs(queue, operation, nowMs));
         queue.waiting = queue.waiting.filter(operation => !expired.includes(operation));
-        const retryMs = this.retryMs(queue, nowMs);
-        messages.push(...expired.map(({ task }) => refuse(task, retryMs)), this.permitsNeeded(queue, nowMs));
+        messages.push(
+            ...expired.map(({ task }) => this.refuse(task, queue, nowMs)),
+            this.permitsNeeded(queue, nowMs),
+        );
         return queue.waiting.length === 0 ? messages : [...messages, this.setTimer(queue, nowMs)];
     }
 
@@ -202,7 +206,13 @@
         if (existing !== undefined) {
             return existing;
         }
-        const queue: WorkspaceQueue = { workspace, permits: new LocalPermits(), waiting: [], answeredMs: -Infinity };
+        const queue: WorkspaceQueue = {
+            workspace,
+            permits: new LocalPermits(),
+            waiting: [],
+            answeredMs: -Infinity,
+            returnTimes: new ReturnTimes(this.random),
+        };
         this.queues.set(workspace, queue);
         if (this.isFallbackActive) {
             this.startQueueFallback(queue, nowMs);
@@ -235,6 +245,15 @@
         };
     }
 
+    private refuse(task: Task, queue: WorkspaceQueue, nowMs: number): Message {
+        // All instances together get permits at the rate of the workspace; this one cannot get them faster.
+        const ratePerSecond = this.policy.workspaces.get(queue.workspace)?.ratePerSecond ?? 0;
+        const intervalMs = 1_000 / Math.max(1, ratePerSecond);
+        const retryMs = queue.returnTimes.nextAfterMs(this.retryMs(queue, nowMs), intervalMs, nowMs);
+        return endTask(task, StatementFault.Busy, retryText("the rate of the workspace is used up", retryMs));
+    }
+
+    /** Time until an operation that is refused now may get a permit. */
     private retryMs({ permits }: WorkspaceQueue, nowMs: number): number {
         const waitMs = permits.waitMs(nowMs);
         if (waitMs > 0) {
@@ -275,7 +294,3 @@
 function admit(task: Task): Message {
     return { kind: TaskKind.Admitted, task } as Message;
 }
-
-function refuse(task: Task, retryMs: number): Message {
-    return endTask(task, StatementFault.Busy, retryText("the rate of the workspace is used up", retryMs));
-}
