--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -71,6 +71,8 @@
     readonly processorShare?: number;
     /** Pause between two statements of a transaction. */
     readonly transactionPauseMs?: number;
+    /** Instances know nothing until the test tells them; by default they know everything from the start. */
+    readonly isStateWithheld?: boolean;
 }
 
 /** Time from SIGTERM to SIGKILL, and the part of it in which new sessions are still accepted. */
@@ -123,6 +125,8 @@
     /** Statements that ran on a database without a commit that they had to see. */
     readonly staleStatementIds: string[] = [];
     readonly checker = new AnswerChecker();
+    /** Called at the end of each operation, with its start and the fault of its last answer. */
+    onOperationEnded: (startMs: number, fault: string | undefined) => void = () => undefined;
     /** Time before which all commits must be visible to a statement, by its id. */
     private readonly visibleBeforeMs = new Map<string, number>();
 
@@ -146,11 +150,16 @@
             this.databases.set(database.report.databaseId, database);
         }
         this.databases.forEach(database => this.linkReplicas(database));
-        this.nodes.forEach(node => this.sendInitialState(node, peers));
+        if (options.isStateWithheld !== true) {
+            this.nodes.forEach(node => this.sendInitialState(node, peers));
+        }
     }
 
-    /** Opens the sessions of callers, each of which then runs one operation after another. */
-    startCallers(nodes: readonly FleetNode[] = this.nodes): void {
+    /**
+     * Opens the sessions of callers, each of which then runs one operation after another.
+     * @param spreadMs time over which the first operations are spread
+     */
+    startCallers(nodes: readonly FleetNode[] = this.nodes, spreadMs = meanPauseMs * 2): void {
         for (let index = 0; index < this.options.sessions; index++) {
             const node = nodes[this.random.nextInteger(nodes.length)]!;
             const routes = [...this.policy().routesByDatabase.values()];
@@ -160,7 +169,7 @@
             );
             const route = kinds[this.random.nextInteger(kinds.length)]!;
             const caller = new Caller(this, node, `s${index}`, route);
-            this.schedule.at(meanPauseMs * 2 * this.random.nextFloat(), () => caller.start());
+            this.schedule.at(spreadMs * this.random.nextFloat(), () => caller.start());
         }
     }
 
@@ -257,6 +266,12 @@
     }
 
     sendInitialState(node: FleetNode, peers: readonly PeerInstance[]): void {
+        this.sendPolicy(node, peers);
+        this.databases.forEach(({ report }) => node.post({ kind: FleetKind.DatabaseChanged, report } as Message));
+    }
+
+    /** Sends all of the state but the databases. */
+    sendPolicy(node: FleetNode, peers: readonly PeerInstance[]): void {
         node.post(
             {
                 kind: FleetKind.PolicyApplied,
@@ -272,7 +287,6 @@
         ));
         node.post({ kind: FleetKind.PermitsGranted, grants, validUntilMs: Infinity } as PermitsGranted);
         node.post({ kind: PeerKind.InstancesKnown, instances: peers } as Message);
-        this.databases.forEach(({ report }) => node.post({ kind: FleetKind.DatabaseChanged, report } as Message));
     }
 
     private linkReplicas(database: StandInDatabase): void {
@@ -598,6 +612,7 @@
         }
         const open = answer.fault !== undefined && answer.transaction !== "none";
         this.fleet.recordAnswer(this.node, answer.fault ?? "served");
+        this.fleet.onOperationEnded(this.operationStartMs, answer.fault);
         this.remainingKinds = [];
         if (open) {
             this.node.callers.delete(this.sessionId);
