perf(fleet): proofs of the configuration share read barriers over 200 ms

A question that follows none in 200 ms is still answered at once; behind another one it waits, below the 400 ms after which an instance asks again.

--- a/src/fleet/configurationProofs.ts
+++ b/src/fleet/configurationProofs.ts
@@ -18,8 +18,11 @@
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 
-/** Minimum interval between two barriers; each is an entry that the disks of the members sync. */
-const barrierIntervalMs = 50;
+/**
+ * Minimum interval between two barriers, each of which is sent to all members and synced by their disks. A question waits
+ * for it only behind another one; together with the barrier it is below the time after which an instance asks again.
+ */
+const barrierIntervalMs = 200;
 
 type ProofsInput =
     | FrameReceived
