perf(rpc): permit requests and answers as protobuf messages between peers that read them

The frames that open an attachment say whether a peer reads the messages; others, of earlier releases, get JSON as before.

--- a/src/rpc/fleetAcceptor.ts
+++ b/src/rpc/fleetAcceptor.ts
@@ -1,8 +1,8 @@
 /** Server side of attachments: a control member accepts the streams that instances open. */
 import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
-import { type Attached, type Detached, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
+import { type Attached, type Detached, type FleetFrame, FleetKind, type SendFrame } from "../model/fleetMessages.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { encodeFrame } from "./fleetCodec.ts";
+import { encodeFrame, frameBytes } from "./fleetCodec.ts";
 import { type FrameReceiverOptions, receiveFrame } from "./frameReceiver.ts";
 import { type FleetFrameMessage, type FleetServer, FleetService } from "./generated/fleet.ts";
 import { memoizeEncoder } from "./memoizeEncoder.ts";
@@ -15,7 +15,10 @@
 export class FleetAcceptor implements Sink<SendFrame>, AsyncDisposable {
     readonly accepts = [FleetKind.SendFrame];
     private readonly options: FrameReceiverOptions;
-    private readonly encode = memoizeEncoder(encodeFrame);
+    /** Encodes each frame once for all peers. */
+    private readonly encode = memoizeEncoder((frame: FleetFrame) => encodeFrame(frame));
+    /** Attachments whose peers read permit messages. */
+    private readonly permitMessageReaders = new Set<string>();
     private readonly streams = new Map<string, Stream>();
     private nextStreamNumber = 0;
 
@@ -38,8 +41,10 @@
             this.closeStream(attachmentId, stream);
             return;
         }
-        const encoded = this.encode(frame);
-        this.options.traffic.recordSent(frame.kind, encoded.body.length, attachmentId);
+        const encoded = frame.kind === "permits"
+            ? encodeFrame(frame, this.permitMessageReaders.has(attachmentId))
+            : this.encode(frame);
+        this.options.traffic.recordSent(frame.kind, frameBytes(encoded), attachmentId);
         stream.write(encoded);
     }
 
@@ -59,6 +64,9 @@
     }
 
     private receive(attachmentId: string, stream: Stream, message: FleetFrameMessage): void {
+        if (message.readsPermitMessages === true) {
+            this.permitMessageReaders.add(attachmentId);
+        }
         if (!receiveFrame(message, attachmentId, attachmentId, this.options)) {
             this.closeStream(attachmentId, stream);
         }
@@ -67,6 +75,7 @@
     private closeStream(attachmentId: string, stream: Stream): void {
         if (this.streams.get(attachmentId) === stream) {
             this.streams.delete(attachmentId);
+            this.permitMessageReaders.delete(attachmentId);
             stream.end();
             this.options.post({ kind: FleetKind.Detached, attachmentId } as Detached);
         }
--- a/src/rpc/fleetCodec.ts
+++ b/src/rpc/fleetCodec.ts
@@ -5,6 +5,7 @@
 import { type CheckedFrame, checkFrame } from "./fleetFrameSchema.ts";
 import type { FleetFrameMessage } from "./generated/fleet.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
+import { decodePermitFrame, encodePermitFrame } from "./permitFrameCodec.ts";
 
 /**
  * Id and address of each instance, grouped by data centre to reduce the size: lists of instances are the largest
@@ -19,20 +20,32 @@
     | { readonly kind: "instances"; readonly instances: EncodedInstances; }
     | { readonly kind: "instances_changed"; readonly joined: EncodedInstances; readonly left: readonly string[]; };
 
-export function encodeFrame(frame: FleetFrame): FleetFrameMessage {
+/** @param peerReadsPermitMessages as its frames told; see `readsPermitMessages` */
+export function encodeFrame(frame: FleetFrame, peerReadsPermitMessages = false): FleetFrameMessage {
+    const permitFrame = peerReadsPermitMessages ? encodePermitFrame(frame) : undefined;
+    if (permitFrame !== undefined) {
+        return permitFrame;
+    }
     const encoded = match<FleetFrame, EncodedFrame>(frame)
         .with({ kind: "instances" }, matched => ({ ...matched, instances: groupByDataCentre(matched.instances) }))
         .with({ kind: "instances_changed" }, matched => ({ ...matched, joined: groupByDataCentre(matched.joined) }))
         .otherwise(other => other as EncodedFrame);
-    return { body: encodeJson(encoded) };
+    // An attachment begins with these frames, in both directions.
+    const opensAttachment = frame.kind === "hello" || frame.kind === "status";
+    return { body: encodeJson(encoded), ...opensAttachment ? { readsPermitMessages: true } : {} };
+}
+
+/** Size of a frame without framing. */
+export function frameBytes({ body, permitRequest, permitAnswers }: FleetFrameMessage): number {
+    return body.length + (permitRequest?.length ?? 0) + (permitAnswers?.length ?? 0);
 }
 
 /**
  * Returns undefined if the kind of the frame is unknown: a peer of a later release sent it.
  * @throws Error that tells what is wrong with a malformed frame
  */
-export function decodeFrame({ body }: FleetFrameMessage): FleetFrame | undefined {
-    const frame = checkFrame(decodeJson(body));
+export function decodeFrame(message: FleetFrameMessage): FleetFrame | undefined {
+    const frame = checkFrame(decodePermitFrame(message) ?? decodeJson(message.body));
     return match<CheckedFrame | undefined, FleetFrame | undefined>(frame)
         .with({ kind: "instances" }, matched => ({ ...matched, instances: flattenGroups(matched.instances) }))
         .with({ kind: "instances_changed" }, matched => ({ ...matched, joined: flattenGroups(matched.joined) }))
--- a/src/rpc/fleetConnector.ts
+++ b/src/rpc/fleetConnector.ts
@@ -3,7 +3,7 @@
 import { type Attached, type Detached, FleetKind, type MembersKnown, type SendFrame } from "../model/fleetMessages.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { encodeFrame } from "./fleetCodec.ts";
+import { encodeFrame, frameBytes } from "./fleetCodec.ts";
 import { type FrameReceiverOptions, receiveFrame } from "./frameReceiver.ts";
 import { FleetClient, type FleetFrameMessage } from "./generated/fleet.ts";
 import { ConnectionMode, type PeerClientFactory } from "./peerClientFactory.ts";
@@ -26,6 +26,8 @@
     /** Closes the attachment if its first frame does not arrive in time. */
     readonly firstFrameTimer: NodeJS.Timeout;
     stableTimer: NodeJS.Timeout | undefined;
+    /** The member reads permit messages. */
+    readsPermitMessages: boolean;
 }
 
 export interface FleetConnectorOptions extends FrameReceiverOptions {
@@ -84,8 +86,8 @@
     private send({ attachmentId, frame }: SendFrame): void {
         const attachment = this.attachments.get(attachmentId);
         if (attachment !== undefined) {
-            const encoded = encodeFrame(frame);
-            this.options.traffic.recordSent(frame.kind, encoded.body.length, attachment.address);
+            const encoded = encodeFrame(frame, attachment.readsPermitMessages);
+            this.options.traffic.recordSent(frame.kind, frameBytes(encoded), attachment.address);
             attachment.stream.write(encoded);
         }
     }
@@ -106,6 +108,7 @@
             stream,
             firstFrameTimer,
             stableTimer: undefined,
+            readsPermitMessages: false,
         };
         this.attachments.set(attachmentId, attachment);
         stream.on("data", (message: FleetFrameMessage) => this.receive(attachment, message));
@@ -116,6 +119,7 @@
 
     private receive(attachment: Attachment, message: FleetFrameMessage): void {
         clearTimeout(attachment.firstFrameTimer);
+        attachment.readsPermitMessages ||= message.readsPermitMessages === true;
         attachment.stableTimer ??= setTimeout(() => this.backoffs.get(attachment.address)?.reset(), stableAfterMs);
         if (!receiveFrame(message, attachment.attachmentId, attachment.address, this.options)) {
             this.closeAttachment(attachment, "malformed frame");
--- a/src/rpc/frameReceiver.ts
+++ b/src/rpc/frameReceiver.ts
@@ -2,7 +2,7 @@
 import { FleetKind, type FrameReceived, type FrameRefused } from "../model/fleetMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { PeerTrafficObserver } from "../telemetry/loadLog.ts";
-import { decodeFrame } from "./fleetCodec.ts";
+import { decodeFrame, frameBytes } from "./fleetCodec.ts";
 import type { FleetFrameMessage } from "./generated/fleet.ts";
 
 export interface FrameReceiverOptions {
@@ -25,7 +25,7 @@
     try {
         const frame = decodeFrame(message);
         if (frame !== undefined) {
-            traffic.recordReceived(frame.kind, message.body.length, peer);
+            traffic.recordReceived(frame.kind, frameBytes(message), peer);
             post({ kind: FleetKind.FrameReceived, attachmentId, frame } as FrameReceived);
         }
         return true;
