--- a/src/fleet/__tests__/rememberedDatabases.spec.ts
+++ b/src/fleet/__tests__/rememberedDatabases.spec.ts
@@ -46,6 +46,10 @@
         this.toMember({ kind: FleetKind.DatabaseReported, report } as Message);
     }
 
+    leave(databaseId: string, bornUnixMs: number): void {
+        this.toMember({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as Message);
+    }
+
     /** Returns the frame that the member answers to a proxy that has just started; undefined if it does not answer. */
     ask(): FleetFrame | undefined {
         const asked = { kind: FleetKind.FrameReceived, attachmentId: "in1", frame: { kind: "remembered_asked" } };
@@ -124,6 +128,13 @@
         assert.equal(expired.ask(), undefined);
     });
 
+    it("are forgotten when they leave, unless it is an earlier process that left", () => {
+        const restart = new Restart([primary, replica]);
+        restart.leave("d1", 1_000);
+        restart.leave("d2", 500);
+        assert.deepEqual(restart.ask(), { kind: "remembered", reports: [replica] });
+    });
+
     it("give way to a database at the same address", () => {
         const restart = new Restart([primary]);
         restart.report({ ...primary, databaseId: "d9", bornUnixMs: 2_000 });
--- a/src/fleet/rememberedDatabases.ts
+++ b/src/fleet/rememberedDatabases.ts
@@ -5,6 +5,7 @@
  */
 import {
     type DatabaseChanged,
+    type DatabaseLeft,
     type DatabaseListChanged,
     type DatabaseRemoved,
     type DatabaseReport,
@@ -28,7 +29,13 @@
 /** Minimum interval between two writes of the list, so that databases that start together cause few of them. */
 const listIntervalMs = 1_000;
 
-type RememberedInput = DatabasesRemembered | DatabaseChanged | DatabaseRemoved | FrameReceived | FleetTimer;
+type RememberedInput =
+    | DatabasesRemembered
+    | DatabaseChanged
+    | DatabaseRemoved
+    | DatabaseLeft
+    | FrameReceived
+    | FleetTimer;
 
 export class RememberedDatabases implements Filter<RememberedInput, Message> {
     readonly step = "remembered_databases";
@@ -36,6 +43,7 @@
         FleetKind.DatabasesRemembered,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
+        FleetKind.DatabaseLeft,
         FleetKind.FrameReceived,
         FleetKind.DatabaseListDue,
     ];
@@ -62,6 +70,14 @@
                 this.remembered.delete(matched.databaseId);
                 return [matched, ...this.writeLater(nowMs)];
             })
+            .with({ kind: FleetKind.DatabaseLeft }, matched => {
+                this.forget(matched.databaseId, matched.bornUnixMs);
+                return [matched];
+            })
+            .with({ kind: FleetKind.FrameReceived, frame: { kind: "database_left" } }, matched => {
+                this.forget(matched.frame.databaseId, matched.frame.bornUnixMs);
+                return [matched];
+            })
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "remembered_asked" } },
                 matched => this.answer(matched.attachmentId, nowMs),
@@ -78,6 +94,14 @@
             .forEach(({ databaseId }) => this.remembered.delete(databaseId));
     }
 
+    /** @param bornUnixMs start of the process that left; undefined if it is unknown */
+    private forget(databaseId: string, bornUnixMs: number | undefined): void {
+        const report = this.remembered.get(databaseId);
+        if (report !== undefined && (bornUnixMs === undefined || bornUnixMs >= report.bornUnixMs)) {
+            this.remembered.delete(databaseId);
+        }
+    }
+
     private answer(attachmentId: string, nowMs: number): readonly Message[] {
         const reports = this.unconfirmed(nowMs);
         return reports.length === 0 ? [] : [sendFrame(attachmentId, { kind: "remembered", reports })];
