--- a/src/backend/mysqlBackend.ts
+++ b/src/backend/mysqlBackend.ts
@@ -1,4 +1,5 @@
 /** Sink for `backend.*` effects: manages the connections to databases and posts their results to the event loop. */
+import { match } from "ts-pattern";
 import {
     type BackendClose,
     type BackendExecute,
@@ -11,7 +12,6 @@
 import { DatabaseRole } from "../model/database.ts";
 import { type Outcome, OutcomeKind } from "../model/outcome.ts";
 import { describeRefusal } from "../model/refusal.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { DatabaseAdapter, DatabaseConnection } from "./databaseAdapter.ts";
--- a/src/control/applyCommand.ts
+++ b/src/control/applyCommand.ts
@@ -1,7 +1,7 @@
 /** Applies committed commands to the control state. Deterministic: equal logs give equal states on every member. */
+import { match } from "ts-pattern";
 import { type Command, CommandKind, ProposalStatus } from "../model/controlMessages.ts";
 import { ObjectList, type OperationResult } from "../model/replicatedLog.ts";
-import { match } from "../pipeline/match.ts";
 import { type CommandOutcome, conflict, invalid, removeVersionedObject } from "./commandOutcome.ts";
 import { type ControlState, rememberOperation } from "./controlState.ts";
 import { putDocument } from "./documentCommands.ts";
--- a/src/control/initialCommandsFilter.ts
+++ b/src/control/initialCommandsFilter.ts
@@ -1,9 +1,9 @@
 /** Creates the initial work classes, workspaces and keys of a new cluster. */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import type { Configuration } from "../model/configuration.ts";
 import { type Command, ControlKind, type ControlLeaderChanged, type ControlPropose } from "../model/controlMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 
 type InitialCommandsInput = ControlLeaderChanged | ConfigurationApplied;
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -2,6 +2,7 @@
  * The accepting side of attachments, on a control member: publishes its status, the reports of databases and the list
  * of instances to the attached instances and control members.
  */
+import { match, P } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged, type ControlMembersAgreed } from "../model/controlMessages.ts";
 import {
@@ -18,7 +19,6 @@
 } from "../model/fleetMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 import { ServingInstances } from "./servingInstances.ts";
--- a/src/fleet/attachments.ts
+++ b/src/fleet/attachments.ts
@@ -2,6 +2,7 @@
  * The attaching side of attachments: tracks the attached control members and their leader, follows one member's list of
  * instances and requests the configuration again when this instance lags behind.
  */
+import { match, P } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { FeedKind, type FeedResubscribe } from "../model/feedMessages.ts";
 import {
@@ -17,7 +18,6 @@
 import { type InstancesKnown, PeerKind } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { KnownInstances } from "./knownInstances.ts";
 
--- a/src/fleet/configurationDocuments.ts
+++ b/src/fleet/configurationDocuments.ts
@@ -1,6 +1,7 @@
 /**
  * Handles operators' configuration documents on the leader: commits one change at a time and serves linearizable reads.
  */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import {
     CommandKind,
@@ -22,7 +23,6 @@
 } from "../model/document.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { diffDocuments } from "./documentDifference.ts";
 
--- a/src/fleet/configurationProofs.ts
+++ b/src/fleet/configurationProofs.ts
@@ -2,6 +2,7 @@
  * Proves to instances, on the leader, that a version of the configuration is the newest one. A read barrier in the log
  * shows that this member still leads; it is shared by all questions that have arrived before it.
  */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import {
     CommandKind,
@@ -14,7 +15,6 @@
 import { type Detached, FleetKind, type FleetTimer, type FrameReceived } from "../model/fleetMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -1,4 +1,5 @@
 /** Directory of the databases that report to this process or to a control member that it is attached to. */
+import { match, P } from "ts-pattern";
 import {
     type DatabaseLeft,
     type DatabaseRecalled,
@@ -11,7 +12,6 @@
     type RecallEnded,
 } from "../model/fleetMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 
 /** Maximum number of departed databases that are remembered; far above the departures of a fleet in one day. */
--- a/src/fleet/memberDiscovery.ts
+++ b/src/fleet/memberDiscovery.ts
@@ -3,6 +3,7 @@
  * as long as the process runs, over all addresses that may belong to a member: the last known list, the lists of members
  * that answer, the seeds of the settings as they are now, and the lists of other instances.
  */
+import { match } from "ts-pattern";
 import {
     ControlKind,
     type ControlLeaderChanged,
@@ -31,7 +32,6 @@
 } from "../model/peerMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 
--- a/src/fleet/permitLeader.ts
+++ b/src/fleet/permitLeader.ts
@@ -1,4 +1,5 @@
 /** Answers the permit requests of all instances on the control leader, from one token bucket per workspace. */
+import { match } from "ts-pattern";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
     type Detached,
@@ -14,7 +15,6 @@
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 import { accrualLimitMs, maximumRetryMs, WorkspacePermits } from "./workspacePermits.ts";
--- a/src/fleet/permitRequester.ts
+++ b/src/fleet/permitRequester.ts
@@ -1,4 +1,5 @@
 /** Requests permits from the control leader for all workspaces of this instance, one request at a time. */
+import { match } from "ts-pattern";
 import {
     type Detached,
     type FleetFrame,
@@ -15,7 +16,6 @@
 import { leaderPermitValidityMs } from "../model/rateLimits.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 
--- a/src/fleet/policyConfirmation.ts
+++ b/src/fleet/policyConfirmation.ts
@@ -2,6 +2,7 @@
  * Withholds the first policy of a process until a control leader confirms that it is up to date, and obtains proofs that
  * the policy in effect is the newest one.
  */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import {
     type Detached,
@@ -16,7 +17,6 @@
 } from "../model/fleetMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -1,4 +1,5 @@
 /** Runs on the control leader: detects that a service needs another primary and drives the change of primary. */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged, type ControlProposalEnded } from "../model/controlMessages.ts";
 import {
@@ -18,7 +19,6 @@
 import type { ServicePolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitWitnesses } from "./commitWitnesses.ts";
 import { PromotionRecorder } from "./promotionRecorder.ts";
--- a/src/fleet/rememberedDatabases.ts
+++ b/src/fleet/rememberedDatabases.ts
@@ -3,6 +3,7 @@
  * again. A database whose reports failed reports less and less often, so after a loss of power of all members it may run
  * for seconds without being known to anyone.
  */
+import { match, P } from "ts-pattern";
 import {
     type DatabaseChanged,
     type DatabaseLeft,
@@ -16,7 +17,6 @@
 } from "../model/fleetMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
 
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -4,6 +4,7 @@
  */
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { match } from "ts-pattern";
 import {
     type CallerAnswer,
     type CallerDisconnect,
@@ -14,7 +15,6 @@
 } from "../model/callerMessages.ts";
 import { OutcomeKind } from "../model/outcome.ts";
 import { describeRefusal, type Refusal, refusalTable } from "../model/refusal.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { serverCapabilities, serverStatus } from "./capabilities.ts";
--- a/src/health/databaseDirectory.ts
+++ b/src/health/databaseDirectory.ts
@@ -1,4 +1,5 @@
 /** The leader's directory of all announced databases, and the changes that each instance has not received yet. */
+import { match } from "ts-pattern";
 import { announcementExpiryMs, type DatabaseAnnouncement } from "../model/database.ts";
 import {
     type DirectoryChanged,
@@ -11,7 +12,6 @@
 } from "../model/healthMessages.ts";
 import { heartbeatIntervalMs } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { comparableContent } from "./announcementContent.ts";
 
--- a/src/health/databaseTable.ts
+++ b/src/health/databaseTable.ts
@@ -1,4 +1,5 @@
 /** The databases that this instance knows, from their own announcements and from the leader's directory. */
+import { match } from "ts-pattern";
 import {
     ClusterKind,
     type ConfigurationApplied,
@@ -13,7 +14,6 @@
 import { type LeaseAssignment, ResourceKind } from "../model/lease.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 
 interface ExpiryDue extends Message {
--- a/src/health/drain.ts
+++ b/src/health/drain.ts
@@ -1,10 +1,10 @@
 /** Detects the end of a graceful shutdown. */
+import { match } from "ts-pattern";
 import { type CallerClosed, type CallerConnected, CallerKind } from "../model/callerMessages.ts";
 import { ClusterKind, type DrainEnded, type DrainStarted, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { HealthKind, type HeartbeatAnswered } from "../model/healthMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 
 const drainDueKind = "health.drain_due";
--- a/src/health/failover.ts
+++ b/src/health/failover.ts
@@ -1,4 +1,5 @@
 /** Decides on the leader about the members and the primaries of all groups. */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import { CommandKind, ControlKind, type ControlProposalEnded, type ControlPropose } from "../model/controlMessages.ts";
@@ -15,7 +16,6 @@
 } from "../model/healthMessages.ts";
 import { ResourceKind } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { groupToPropose, hasMajorityAnnounced } from "./groupFormation.ts";
 import { GroupStateMachine } from "./groupStateMachine.ts";
--- a/src/health/groupStateMachine.ts
+++ b/src/health/groupStateMachine.ts
@@ -1,8 +1,8 @@
 /** State machine of one group; its states are the phases of a change of primary. */
+import { match } from "ts-pattern";
 import type { ControlProposalEnded } from "../model/controlMessages.ts";
 import type { DatabaseGroup } from "../model/database.ts";
 import type { DatabaseOrder, HeldReport, OrderResult, PositionAsk } from "../model/healthMessages.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { EndingLeasePhase } from "./endingLeasePhase.ts";
 import { GroupView, type GroupViewSource } from "./groupView.ts";
--- a/src/health/heartbeatSender.ts
+++ b/src/health/heartbeatSender.ts
@@ -3,6 +3,7 @@
  * heartbeat without changes and its answer take about 220 encoded bytes together every 500 ms, which makes 103 KB/s of
  * encoded bytes at the leader (`__tests__/traffic.spec.ts` computes the figures at full size).
  */
+import { match } from "ts-pattern";
 import {
     ClusterKind,
     type ConfigurationApplied,
@@ -28,7 +29,6 @@
 import { type DemandBody, RateKind, type RatesDemandMeasured } from "../model/rateMessages.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { HeardAnnouncements } from "./heardAnnouncements.ts";
 import { HeartbeatTarget } from "./heartbeatTarget.ts";
--- a/src/health/leadership.ts
+++ b/src/health/leadership.ts
@@ -1,4 +1,5 @@
 /** Decides whether this instance may act as the control leader, and rejects heartbeats while it may not. */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
@@ -12,7 +13,6 @@
 import { heartbeatIntervalMs, reassignAfterMs } from "../model/lease.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 
 export const leaderTickIntervalMs = 100;
--- a/src/health/leaseAssigner.ts
+++ b/src/health/leaseAssigner.ts
@@ -1,4 +1,5 @@
 /** Assigns databases and permit homes to instances; runs on the leader. */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
@@ -21,7 +22,6 @@
 } from "../model/healthMessages.ts";
 import { type LeaseAssignment, permitLeaseDurationMs, ResourceKind } from "../model/lease.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { chooseHolder } from "./holderChoice.ts";
 import { type Instance, InstanceTable } from "./instanceTable.ts";
--- a/src/holder/acquire.ts
+++ b/src/holder/acquire.ts
@@ -1,4 +1,5 @@
 /** Filter that assigns each statement a slot and a connection of its database. */
+import { match, P } from "ts-pattern";
 import {
     type BackendClosed,
     BackendKind,
@@ -31,7 +32,6 @@
 import { RefusalCode } from "../model/refusal.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { acquireStep } from "./admission.ts";
--- a/src/holder/confirm.ts
+++ b/src/holder/confirm.ts
@@ -1,4 +1,5 @@
 /** Filter that answers requests. It acknowledges a write only after a majority of the group has replicated it. */
+import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
 import { HolderHealthKind, type HolderLeaseIdle } from "../model/healthMessages.ts";
@@ -15,7 +16,6 @@
 import { RefusalCode } from "../model/refusal.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { createAnswer, refusedOutcome, requestKey } from "./answers.ts";
 import type { HolderSettings } from "./holderSettings.ts";
--- a/src/holder/execute.ts
+++ b/src/holder/execute.ts
@@ -1,4 +1,5 @@
 /** Filter that sends statements to databases and matches the results to them. */
+import { match } from "ts-pattern";
 import {
     type BackendClosed,
     BackendKind,
@@ -23,7 +24,6 @@
 import { StatementKind } from "../model/statement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { refusedOutcome, requestKey } from "./answers.ts";
--- a/src/holder/floors.ts
+++ b/src/holder/floors.ts
@@ -1,4 +1,5 @@
 /** Filter that tracks and answers the floor of each caller on the held primaries. */
+import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
 import {
@@ -16,7 +17,6 @@
 import { laterPosition, originPosition, type Position } from "../model/position.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { FloorTable } from "./floorTable.ts";
 import type { HolderSettings } from "./holderSettings.ts";
--- a/src/holder/freshness.ts
+++ b/src/holder/freshness.ts
@@ -1,4 +1,5 @@
 /** Filter that delays a read until the database has applied the read's floor. */
+import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type LeasesRenewed } from "../model/clusterMessages.ts";
 import { DatabaseRole } from "../model/database.ts";
 import { HolderKind, type HolderRequest } from "../model/holderMessages.ts";
@@ -12,7 +13,6 @@
 import { RefusalCode } from "../model/refusal.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { createAnswer, refusedOutcome, requestKey } from "./answers.ts";
 import type { HolderSettings } from "./holderSettings.ts";
--- a/src/holder/monitor.ts
+++ b/src/holder/monitor.ts
@@ -1,4 +1,5 @@
 /** Filter that polls the position and health of databases, over one monitoring connection per database. */
+import { match, P } from "ts-pattern";
 import {
     type BackendClosed,
     BackendKind,
@@ -17,7 +18,6 @@
 } from "../model/holderPipeMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { HolderSettings } from "./holderSettings.ts";
 import { LeaseTable } from "./leaseTable.ts";
--- a/src/holder/orders.ts
+++ b/src/holder/orders.ts
@@ -1,4 +1,5 @@
 /** Filter that carries out orders of the health pipe (promote or follow), each on a new connection. */
+import { match, P } from "ts-pattern";
 import {
     type BackendClosed,
     type BackendFollow,
@@ -13,7 +14,6 @@
 import { HolderPipeKind, type HolderTimer } from "../model/holderPipeMessages.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { HolderSettings } from "./holderSettings.ts";
 import { LeaseTable } from "./leaseTable.ts";
--- a/src/rates/divideRate.ts
+++ b/src/rates/divideRate.ts
@@ -1,4 +1,5 @@
 /** Moves shares of workspace rates between data centres according to demand; active on the control leader only. */
+import { match, P } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
@@ -21,7 +22,6 @@
 import type { Workspace } from "../model/workspace.ts";
 import { type ClearDeadline, clearDeadline, type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import { isUndersupplied, planShares } from "./planShares.ts";
 import { zeroShare } from "./shareTable.ts";
 import { ShareTracker } from "./shareTracker.ts";
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -1,4 +1,5 @@
 /** Runs the permit homes of the workspaces whose permit lease this instance holds. */
+import { match } from "ts-pattern";
 import {
     ClusterKind,
     type ConfigurationApplied,
@@ -27,7 +28,6 @@
 } from "../model/rateMessages.ts";
 import { type SetDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import { ClockComparison, maximumComparisonError } from "./clockComparison.ts";
 import { HomeTakeover } from "./homeTakeover.ts";
 import { PermitHome } from "./permitHome.ts";
--- a/src/request/accept.ts
+++ b/src/request/accept.ts
@@ -1,4 +1,5 @@
 /** First step of the request pipe: limits the number of connections and the size of statements. */
+import { match } from "ts-pattern";
 import {
     type CallerClosed,
     type CallerConnected,
@@ -12,7 +13,6 @@
 import { ClusterKind, type DrainStarted } from "../model/clusterMessages.ts";
 import { RefusalCode, refuse } from "../model/refusal.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type RefusedRequest, RequestKind, type SessionEnded } from "./requestMessages.ts";
 
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -3,6 +3,7 @@
  * permit. The permit home, an instance that holds the lease for a workspace in a data centre, grants permits to the
  * entry instances; a statement without a permit waits until shortly before its deadline at most.
  */
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { clockDriftFraction, type LeaseAssignment, ResourceKind } from "../model/lease.ts";
 import {
@@ -17,7 +18,6 @@
 import { StatementKind } from "../model/statement.ts";
 import { clearDeadline, type DeadlineMessage, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { WorkspaceQueue } from "./workspaceQueue.ts";
 
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -1,10 +1,10 @@
 /** Last step of the request pipe: sends one answer for each statement. */
+import { match } from "ts-pattern";
 import { type CallerAnswer, type CallerDisconnect, CallerKind } from "../model/callerMessages.ts";
 import { ClusterKind, type DrainStarted } from "../model/clusterMessages.ts";
 import { OutcomeKind } from "../model/outcome.ts";
 import { RefusalCode, refuse } from "../model/refusal.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AnsweredRequest, type RefusedRequest, RequestKind } from "./requestMessages.ts";
 
--- a/src/request/authenticate.ts
+++ b/src/request/authenticate.ts
@@ -1,4 +1,5 @@
 /** Second step of the request pipe: authenticates callers and checks that their keys are still valid. */
+import { match } from "ts-pattern";
 import {
     type CallerDisconnect,
     CallerKind,
@@ -10,7 +11,6 @@
 import { type Refusal, RefusalCode, refuse } from "../model/refusal.ts";
 import type { CallerKey, OpenRoute, Workspace } from "../model/workspace.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AuthenticatedRequest, type RefusedRequest, RequestKind, type SessionEnded } from "./requestMessages.ts";
 
--- a/src/request/classify.ts
+++ b/src/request/classify.ts
@@ -1,10 +1,10 @@
 /** Third step of the request pipe: determines the kind of each statement and the targets that apply to it. */
+import { match, P } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Refusal, RefusalCode, refuse } from "../model/refusal.ts";
 import { type StatementAttributes, StatementKind } from "../model/statement.ts";
 import { defaultWorkClass, type WorkClass } from "../model/workClass.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { parseLocalStatement } from "./localStatements.ts";
 import {
--- a/src/request/reportStatements.ts
+++ b/src/request/reportStatements.ts
@@ -1,10 +1,10 @@
 /** Reports how each classified statement ended to the burn report, which tracks the use of the error budgets. */
+import { match } from "ts-pattern";
 import { OutcomeKind } from "../model/outcome.ts";
 import { RefusalCode } from "../model/refusal.ts";
 import { ReportKind, type StatementEnded } from "../model/reportMessages.ts";
 import { StatementKind } from "../model/statement.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AnsweredRequest, type RefusedRequest, RequestKind } from "./requestMessages.ts";
 
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -1,4 +1,5 @@
 /** Fifth step of the request pipe: selects the database for each statement and handles failed attempts. */
+import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView } from "../model/clusterMessages.ts";
 import {
     type HolderAnswer,
@@ -12,7 +13,6 @@
 import { StatementKind } from "../model/statement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { DatabaseSelector } from "./databaseSelector.ts";
--- a/src/rpc/fleetCodec.ts
+++ b/src/rpc/fleetCodec.ts
@@ -1,7 +1,7 @@
 /** Encodes and decodes the frames of attachments (the streams between instances and control members) as JSON. */
+import { match } from "ts-pattern";
 import type { FleetFrame } from "../model/fleetMessages.ts";
 import type { PeerInstance } from "../model/peerMessages.ts";
-import { match } from "../pipeline/match.ts";
 import { type CheckedFrame, checkFrame } from "./fleetFrameSchema.ts";
 import type { FleetFrameMessage } from "./generated/fleet.ts";
 import { decodeJson, encodeJson } from "./logCodec.ts";
--- a/src/rpc/holderStreams.ts
+++ b/src/rpc/holderStreams.ts
@@ -1,4 +1,5 @@
 /** Client side of `Holder.Work`: sends statements to the holders of databases and receives their answers. */
+import { match } from "ts-pattern";
 import {
     type HolderAnswer,
     type HolderFloorAnswer,
@@ -11,7 +12,6 @@
 import { type Outcome, OutcomeKind } from "../model/outcome.ts";
 import { originPosition } from "../model/position.ts";
 import { RefusalCode, refuse } from "../model/refusal.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { WorkRequest, WorkResponse } from "./generated/holder.ts";
--- a/src/rpc/logCodec.ts
+++ b/src/rpc/logCodec.ts
@@ -1,8 +1,8 @@
 /** Encodes and decodes the messages of the replicated log that control members exchange. */
+import { match } from "ts-pattern";
 import { LogKind, type PeerMessage } from "../model/logMessages.ts";
 import type { LogEntry, Member } from "../model/replicatedLog.ts";
 import { requireEntryBody, requireSnapshotRecord } from "../model/replicatedLogSchema.ts";
-import { match } from "../pipeline/match.ts";
 import type {
     AppendCall,
     AppendResult,
--- a/src/rpc/operatorService.ts
+++ b/src/rpc/operatorService.ts
@@ -6,6 +6,7 @@
     status,
     type UntypedServiceImplementation,
 } from "@grpc/grpc-js";
+import { match } from "ts-pattern";
 import { ClusterKind, type ConfigurationApplied, type DatabasesChanged } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
 import {
@@ -15,7 +16,6 @@
     ProposalStatus,
 } from "../model/controlMessages.ts";
 import { type ChangePrimary, HealthKind } from "../model/healthMessages.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import {
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -1,4 +1,5 @@
 /** Admits operations to the routing filter within the permits that this instance has for each workspace. */
+import { match } from "ts-pattern";
 import {
     FleetKind,
     type PermitsGranted,
@@ -11,7 +12,6 @@
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { ReturnTimes } from "../scheduling/returnTimes.ts";
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -2,6 +2,7 @@
  * Obtains log positions of primaries, which serve as floors of reads. Per service and data centre one instance asks the
  * primary (a probe), and the others ask this instance.
  */
+import { match, P } from "ts-pattern";
 import { FleetKind, type PolicyApplied } from "../model/fleetMessages.ts";
 import {
     type FloorQuestion,
@@ -18,7 +19,6 @@
 import { TaskMode } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { FloorSample } from "./floorSamples.ts";
 import { Responsiveness } from "./responsiveness.ts";
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -2,6 +2,7 @@
  * Passes tasks to the holder of their database, the instance that keeps its connection pool, and fails the attempt when
  * the holder does not answer. Tasks for databases of which this instance is the holder go on to its own links.
  */
+import { match } from "ts-pattern";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
@@ -22,7 +23,6 @@
 import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { HolderRanking } from "./holderRanking.ts";
 import { preparedStatementOf } from "./link.ts";
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -2,6 +2,7 @@
  * Runs tasks on links, after the routing and forwarding filters have assigned them to a database of which this instance
  * is the holder. Opens links, sets session state on them, reserves them for open transactions, and enforces timeouts.
  */
+import { match, P } from "ts-pattern";
 import {
     type AssessmentRequested,
     type DatabaseChanged,
@@ -27,7 +28,6 @@
 import { StatementFault, TaskMode, TransactionState } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitTracker } from "./commitTracker.ts";
 import { type Link, LinkState } from "./link.ts";
--- a/src/session/passedTasks.ts
+++ b/src/session/passedTasks.ts
@@ -1,4 +1,5 @@
 /** Handles tasks that other instances pass to this one because it is the holder of their database. */
+import { match, P } from "ts-pattern";
 import { type FleetDrainStarted, FleetKind } from "../model/fleetMessages.ts";
 import {
     type FloorQuestion,
@@ -13,7 +14,6 @@
 import { StatementFault } from "../model/sessionStatement.ts";
 import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import {
     type DrainDue,
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -1,4 +1,5 @@
 /** Chooses the database and the floor (the log position it must have reached) for each task, and decides on retries. */
+import { match, P } from "ts-pattern";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
@@ -17,7 +18,6 @@
 } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match, P } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
--- a/src/session/sessionAccess.ts
+++ b/src/session/sessionAccess.ts
@@ -2,6 +2,7 @@
  * Admits new sessions. A session that the policy does not admit waits until the policy is proved to be the newest one,
  * because a key or a database may have been added that this instance does not know of yet. Its requests wait with it.
  */
+import { match } from "ts-pattern";
 import {
     type FleetDrainStarted,
     FleetKind,
@@ -20,7 +21,6 @@
 import { StatementFault } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AccessFault, isFault } from "./authorization.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -2,6 +2,7 @@
  * Tracks the sessions of callers and their transactions. Checks each statement against the policy and the state of its
  * session, answers it directly where no database is needed, and otherwise submits it as a task, one at a time.
  */
+import { match } from "ts-pattern";
 import { type FleetDrainStarted, FleetKind, type PolicyApplied, type PolicyProved } from "../model/fleetMessages.ts";
 import {
     type SessionAnswer,
@@ -21,7 +22,6 @@
 } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
-import { match } from "../pipeline/match.ts";
 import type { Message } from "../pipeline/message.ts";
 import { type AccessFault, isFault } from "./authorization.ts";
 import { PolicyAccess, proofNeeded } from "./policyAccess.ts";
--- a/src/telemetry/stateChangeLog.ts
+++ b/src/telemetry/stateChangeLog.ts
@@ -1,9 +1,9 @@
 /** Log lines for changes of the cluster state. */
+import { match } from "ts-pattern";
 import { ClusterKind, type DatabasesChanged, type DatabaseView, type DrainStarted } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import { FeedKind, type FeedLost, type FeedOpened } from "../model/feedMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
-import { match } from "../pipeline/match.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import type { Logger } from "./logger.ts";
 
