--- a/src/fleet/__tests__/servicePromotion.spec.ts
+++ b/src/fleet/__tests__/servicePromotion.spec.ts
@@ -63,6 +63,7 @@
             fleet: {
                 databases: new Map(candidates.map(candidate => [candidate.report.databaseId, candidate])),
                 departedDatabases: new Set(),
+                rememberedDatabases: new Map(),
                 witnesses,
                 evacuations: new KnownEvacuations(5_000),
                 reportIntervalMs: 1_000,
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -7,6 +7,7 @@
     type DatabaseRemoved,
     type DatabaseReport,
     type DatabaseReportAccepted,
+    type DatabasesRemembered,
     type Detached,
     FleetKind,
     type FrameReceived,
@@ -39,6 +40,7 @@
     | DatabaseReportAccepted
     | DatabaseChanged
     | DatabaseRemoved
+    | DatabasesRemembered
     | Detached
     | FrameReceived
     | LinkOpened
@@ -58,6 +60,11 @@
     readonly databases: ReadonlyMap<string, PromotionCandidate>;
     /** Databases that were removed from the directory. */
     readonly departedDatabases: ReadonlySet<string>;
+    /**
+     * Databases that this member remembers from before its start, by id; some may have reported since. They may be gone, so
+     * no choice of a primary takes them into account.
+     */
+    readonly rememberedDatabases: ReadonlyMap<string, DatabaseReport>;
     readonly witnesses: CommitWitnesses;
     readonly evacuations: KnownEvacuations;
     /** Interval at which databases report. */
@@ -86,6 +93,7 @@
         FleetKind.DatabaseReportAccepted,
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
+        FleetKind.DatabasesRemembered,
         FleetKind.Detached,
         FleetKind.FrameReceived,
         LinkKind.Opened,
@@ -96,6 +104,7 @@
     ];
     private readonly databases = new Map<string, PromotionCandidate>();
     private readonly departedDatabases = new Set<string>();
+    private rememberedDatabases: ReadonlyMap<string, DatabaseReport> = new Map();
     private readonly witnesses = new CommitWitnesses();
     private readonly recorder = new PromotionRecorder();
     private readonly services = new Map<string, ServicePromotion>();
@@ -141,6 +150,10 @@
                 this.departedDatabases.add(matched.databaseId);
                 return [];
             })
+            .with({ kind: FleetKind.DatabasesRemembered }, ({ reports }) => {
+                this.rememberedDatabases = new Map(reports.map(report => [report.databaseId, report]));
+                return [];
+            })
             .with({ kind: FleetKind.Detached }, matched => {
                 this.witnesses.detach(matched.attachmentId, nowMs);
                 return [matched];
@@ -220,7 +233,8 @@
         if (frame.kind !== "suspect" && frame.kind !== "assessment") {
             return [];
         }
-        const service = this.databases.get(frame.databaseId)?.report.service;
+        const report = this.databases.get(frame.databaseId)?.report ?? this.rememberedDatabases.get(frame.databaseId);
+        const service = report?.service;
         if (service === undefined || !this.policy.services.has(service)) {
             return [];
         }
@@ -275,6 +289,7 @@
         const fleet: FleetView = {
             databases: this.databases,
             departedDatabases: this.departedDatabases,
+            rememberedDatabases: this.rememberedDatabases,
             witnesses: this.witnesses,
             evacuations: this.evacuations,
             reportIntervalMs: this.reportIntervalMs,
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -29,6 +29,7 @@
 import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
 import type { FleetView } from "./promotions.ts";
+import { recallLimitMs } from "./rememberedDatabases.ts";
 
 type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
 
@@ -212,8 +213,8 @@
 
     /** An instance reported that a database does not answer. */
     suspect(databaseId: string, nowMs: number): readonly Message[] {
-        return this.phase === Phase.Steady && databaseId === this.primary() && this.mayAssess(nowMs)
-            ? this.assess(databaseId, nowMs)
+        return this.phase === Phase.Steady && databaseId === this.primary()
+            ? this.assessAgain(this.options.fleet.databases.get(databaseId)!.report, nowMs)
             : [];
     }
 
@@ -313,9 +314,11 @@
         const primaryId = this.primary();
         const primary = primaryId === undefined ? undefined : fleet.databases.get(primaryId);
         if (primary === undefined) {
-            return nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.otherDatabases(undefined).length === 0
-                ? []
-                : this.reserve(record.fence, nowMs);
+            if (nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.otherDatabases(undefined).length === 0) {
+                return [];
+            }
+            const remembered = this.rememberedPrimary(nowMs);
+            return remembered === undefined ? this.reserve(record.fence, nowMs) : this.assessAgain(remembered, nowMs);
         }
         if (this.hasPrimaryLostLog(primary.report)) {
             return this.reserve(record.fence, nowMs);
@@ -332,7 +335,7 @@
             return this.reserve(record.fence, nowMs);
         }
         const isSilent = this.isSilent(primaryId!, nowMs) && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
-        return isSilent && this.mayAssess(nowMs) ? this.assess(primaryId!, nowMs) : [];
+        return isSilent ? this.assessAgain(primary.report, nowMs) : [];
     }
 
     /** Whether a primary has to leave an evacuated data centre, and a database elsewhere may take its place. */
@@ -462,15 +465,34 @@
         return (named ?? newest)?.report.databaseId ?? (databases.has(databaseId) ? databaseId : undefined);
     }
 
+    /**
+     * The primary from before the start of this process, which may run although it has not reported since. Replacing it
+     * would end the acknowledgement of commits that instances run there.
+     */
+    private rememberedPrimary(nowMs: number): DatabaseReport | undefined {
+        const { service, fleet } = this.options;
+        const { databaseId } = this.options.record();
+        const claimants = [...fleet.rememberedDatabases.values()].filter(report =>
+            report.service === service && report.leads && !fleet.departedDatabases.has(report.databaseId)
+        );
+        const isRecalled = nowMs - fleet.leadingSinceMs < recallLimitMs;
+        const named = claimants.find(report => report.databaseId === databaseId);
+        return isRecalled ? named ?? (databaseId === "" ? claimants[0] : undefined) : undefined;
+    }
+
+    private assessAgain(report: DatabaseReport, nowMs: number): readonly Message[] {
+        return this.mayAssess(nowMs) ? this.assess(report, nowMs) : [];
+    }
+
     private mayAssess(nowMs: number): boolean {
         return nowMs - this.lastAssessedAtMs >= Assessment.intervalMs;
     }
 
-    private assess(databaseId: string, nowMs: number): readonly Message[] {
+    private assess(report: DatabaseReport, nowMs: number): readonly Message[] {
         const { fleet } = this.options;
         this.lastAssessedAtMs = nowMs;
         this.planned = false;
-        this.assessment = new Assessment(fleet.databases.get(databaseId)!.report, fleet.nextLinkId());
+        this.assessment = new Assessment(report, fleet.nextLinkId());
         return [
             ...this.enter(Phase.Assessing, nowMs),
             ...this.assessment.open([...fleet.witnesses.serving.keys()]),
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -8,6 +8,7 @@
 import { ColdRequester } from "../fleet/coldRequester.ts";
 import { ConfigurationDocuments } from "../fleet/configurationDocuments.ts";
 import { ConfigurationProofs } from "../fleet/configurationProofs.ts";
+import { DatabaseRecall } from "../fleet/databaseRecall.ts";
 import { EvacuationOrders } from "../fleet/evacuationOrders.ts";
 import { FleetDatabaseDirectory } from "../fleet/fleetDatabaseDirectory.ts";
 import { MemberDiscovery } from "../fleet/memberDiscovery.ts";
@@ -17,6 +18,7 @@
 import { PolicyFilter } from "../fleet/policyFilter.ts";
 import { Promotions } from "../fleet/promotions.ts";
 import { Readiness } from "../fleet/readiness.ts";
+import { RememberedDatabases } from "../fleet/rememberedDatabases.ts";
 import type { ColdTolerance } from "../model/coldLimits.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { Member } from "../model/replicatedLog.ts";
@@ -62,6 +64,7 @@
     const fleet = new Pipe("fleet", [
         new SubscriptionFilter(),
         new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
+        new DatabaseRecall(),
         new FleetDatabaseDirectory(),
         new Attachments({ instanceId, dataCentre, address: rpcAddress, serves: true, followsConfiguration: true }),
         new MemberDiscovery({ address: rpcAddress, isMember: false, random: new SeededRandom(seed + 1) }),
@@ -136,6 +139,7 @@
     const fleet = new Pipe("fleet", [
         new PolicyFilter(new TrafficPolicyDecoder({ regions: new Set(dataCentreRegions.values()) })),
         new FleetDatabaseDirectory(),
+        new RememberedDatabases(),
         new AttachmentHub({ instanceId }),
         new Attachments({ instanceId, dataCentre, address, serves: false, followsConfiguration: false }),
         new MemberDiscovery({ address, isMember: true, random: new SeededRandom(options.seed + 1) }),
