fix(session): a read refused by its databases is placed again only at one that has not refused it

Cause: Routing.moveOrRefuse asked whether any database of the service was untried, and place() then chose by other rules. Change: both use the same candidates and the same order; without a position the primary is the only candidate.

--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -14,6 +14,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
+import type { ReadDemand } from "../scheduling/databaseCost.ts";
 import { databaseSuspected, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
@@ -276,7 +277,7 @@
 
     private placeForRead(routed: RoutedTask, nowMs: number): readonly Message[] {
         const { task } = routed;
-        const { service, priority } = task.route;
+        const { service } = task.route;
         const floor = this.floors.floorFor(task);
         if (floor === undefined) {
             return this.waitForFloor(routed, nowMs);
@@ -287,11 +288,9 @@
         if (passedOver !== undefined) {
             return [...renewal, ...this.waitOrRefuse(routed, passedOver, nowMs)];
         }
-        const allowed = reports.filter(report => this.rules.check(report, task, nowMs) === undefined);
-        const usable = allowed.map(({ databaseId }) => databaseId)
-            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs, floor) === undefined);
-        const demand = { priority, workspace: task.workspace };
-        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds, demand, nowMs);
+        const allowed = this.allowedForRead(task, nowMs);
+        const usable = this.usableForRead(allowed, floor, nowMs);
+        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds, readDemand(task), nowMs);
         if (databaseId === undefined) {
             return [...renewal, ...this.waitForUsable(routed, allowed, nowMs)];
         }
@@ -408,12 +407,8 @@
 
     /** Handles a statement that its database cannot start in time: places a read elsewhere, or refuses it at once. */
     private moveOrRefuse(routed: RoutedTask, retryAfterMs: number, nowMs: number): readonly Message[] {
-        const { task, triedDatabaseIds } = routed;
-        const isUntried = this.databases.reportsOf(task.service).some(({ databaseId }) =>
-            !triedDatabaseIds.has(databaseId)
-            && this.databases.passOverForRead(databaseId, nowMs, routed.floor) === undefined
-        );
-        if (!task.needsPrimary && isUntried) {
+        const { task } = routed;
+        if (!task.needsPrimary && this.hasUntried(routed, nowMs)) {
             return this.place(routed, nowMs);
         }
         // No queue drains for longer, because all that waits in it starts or is refused within its own limit.
@@ -422,6 +417,30 @@
         return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
+    /** Whether the database that a read is placed at next, the primary if no position is known, has not refused it before. */
+    private hasUntried({ task, triedDatabaseIds }: RoutedTask, nowMs: number): boolean {
+        const floor = this.floors.floorFor(task);
+        const usable = this.usableForRead(this.allowedForRead(task, nowMs), floor, nowMs);
+        const databaseId = floor === undefined
+            ? this.databases.primary(task.service, nowMs)
+            : this.databases.rankForRead(usable, triedDatabaseIds, readDemand(task), nowMs)[0];
+        return databaseId !== undefined && !triedDatabaseIds.has(databaseId);
+    }
+
+    private allowedForRead(task: Task, nowMs: number): readonly DatabaseReport[] {
+        return this.databases.reportsOf(task.route.service)
+            .filter(report => this.rules.check(report, task, nowMs) === undefined);
+    }
+
+    private usableForRead(
+        databases: readonly DatabaseReport[],
+        floor: Position | undefined,
+        nowMs: number,
+    ): readonly string[] {
+        return databases.map(({ databaseId }) => databaseId)
+            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs, floor) === undefined);
+    }
+
     /** Converts an attempt that is not retried to the result of the task. */
     private toEnded(attempt: TaskAttempted): TaskEnded {
         const { task, databaseId, reply } = attempt;
@@ -443,6 +462,10 @@
 /** The route and the workspace have no home region in common. */
 const noHome: PassedOver = { reason: PassOverReason.OutsideHome, retryAfterMs: 10_000 };
 
+function readDemand({ route, workspace }: Task): ReadDemand {
+    return { priority: route.priority, workspace };
+}
+
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
