feat(settings): the pace of databases is a setting of a process

Cause: the window of statements in flight acted in every deployment, although what is new should work only where settings call for it. Result: taskScheduler.spec.ts: of 30 statements at a database that has just started 30 start without a pace, 2 with it; specs of the scheduler, links and platform process pass.

--- a/bench/abusiveCallers.ts
+++ b/bench/abusiveCallers.ts
@@ -15,6 +15,7 @@
     type LinkOpen,
     type LinkSend,
 } from "../src/model/linkMessages.ts";
+import { Pace } from "../src/model/pace.ts";
 import { PeerKind } from "../src/model/peerMessages.ts";
 import { SessionKind } from "../src/model/sessionMessages.ts";
 import { TransactionState } from "../src/model/sessionStatement.ts";
@@ -110,7 +111,7 @@
             new PassedTasks(),
             new Routing({ dataCentre: "dc1" }),
             new Forwarding({ instanceId: "front1" }),
-            new Links({ random: new SeededRandom(1) }),
+            new Links({ random: new SeededRandom(1), pace: Pace.Adaptive }),
         ]);
         this.loop = new EventLoop({ clock: new SystemClock(), pipes: [session], sinks: [this, this.server] });
     }
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -8,6 +8,7 @@
 import { join } from "node:path";
 import { ctlSettingsTable } from "../src/settings/ctlSettings.ts";
 import { entrySettingsTable } from "../src/settings/entrySettings.ts";
+import { platformSettingsTable } from "../src/settings/platformSettingsTable.ts";
 import { settingsAsMarkdown } from "../src/settings/settingsTable.ts";
 
 const settingsPage = "docs/settings.md";
@@ -60,6 +61,12 @@
         "",
         settingsAsMarkdown(entrySettingsTable),
         "",
+        "## Processes on the users' platform",
+        "",
+        "In the `run` command of `deploy/system.toml`; everything else stands in the settings file of the platform.",
+        "",
+        settingsAsMarkdown(platformSettingsTable),
+        "",
         "## jasmineline ctl",
         "",
         "Every command takes these; `COMMAND --help` lists its own flags too.",
--- a/src/cli/platformMain.ts
+++ b/src/cli/platformMain.ts
@@ -2,6 +2,8 @@
 import { randomBytes } from "node:crypto";
 import { join } from "node:path";
 import { readCompleteSettings, readPlatformSettings, settingsVariable } from "../platform/platformSettings.ts";
+import { platformSettingsTable } from "../settings/platformSettingsTable.ts";
+import { readSettings, SettingsError } from "../settings/settingsTable.ts";
 import { startPlatformProcess } from "../wiring/platformProcess.ts";
 import { SettingsWatcher } from "../wiring/settingsWatcher.ts";
 import { ExitCode } from "./exitCode.ts";
@@ -13,7 +15,7 @@
 
 void runPlatformProcess().then(code => process.exit(code), error => {
     console.error((error as Error).message);
-    process.exit(ExitCode.InternalError);
+    process.exit(error instanceof SettingsError ? ExitCode.Usage : ExitCode.InternalError);
 });
 
 async function runPlatformProcess(): Promise<ExitCode> {
@@ -22,12 +24,14 @@
         console.error(`set ${settingsVariable} to the path of the settings file`);
         return ExitCode.Usage;
     }
+    const { pace } = readSettings(platformSettingsTable, process.argv.slice(2), process.env);
     using signals = new StartupSignals();
     using watcher = new SettingsWatcher(path);
     const settings = await readCompleteSettings(path);
     const platformProcess = await startPlatformProcess({
         settings,
         clusterSecret: readSecretFile("cluster-secret-file", join(import.meta.dirname, secretFileName)),
+        pace,
         seed: randomBytes(4).readUInt32BE() >>> 1,
     });
     const reload = (): void => platformProcess.reload(() => readPlatformSettings(path));
--- a/src/scheduling/concurrencyWindow.ts
+++ b/src/scheduling/concurrencyWindow.ts
@@ -43,7 +43,7 @@
 const minimumSize = 2;
 
 /** Ratio of the window that a start aims at to the slots; a statement needs its slot only for a part of its time. */
-const targetPerSlot = 2;
+export const targetPerSlot = 2;
 
 /** Latency may rise to this multiple of its best before the window shrinks. */
 const latencyTolerance = 1.5;
@@ -192,7 +192,7 @@
 }
 
 /** A report may name any number of slots. */
-function normalizeSlots(slots: number): number {
+export function normalizeSlots(slots: number): number {
     return Number.isFinite(slots) ? Math.min(Math.max(1, Math.floor(slots)), maximumSlots) : 1;
 }
 
--- a/src/session/__tests__/commitTracker.spec.ts
+++ b/src/session/__tests__/commitTracker.spec.ts
@@ -5,6 +5,7 @@
 import { Fencing } from "../../fleet/fencing.ts";
 import { type DatabaseReport, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkKind, LinkLoss, type LinkOpen } from "../../model/linkMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import type { Position } from "../../model/position.ts";
 import { SessionStatementKind, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -26,7 +27,7 @@
             followsConfiguration: true,
         }),
     ]);
-    private readonly session = new Pipe("session", [new Links({ random: new SeededRandom(1) })]);
+    private readonly session = new Pipe("session", [new Links({ random: new SeededRandom(1), pace: Pace.Adaptive })]);
 
     constructor(startedMs: number) {
         this.push({ kind: FleetKind.Attached, attachmentId: "f1", address: "m1:1" } as Message, startedMs);
--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import { emptySessionContext, SessionStatementKind, TaskMode, TransactionState } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -38,7 +39,7 @@
     visits = 0;
     /** Ids of statements in the order in which they were sent. */
     readonly sentStatementIds: string[] = [];
-    private readonly links = new Links({ random: new SeededRandom(1) });
+    private readonly links = new Links({ random: new SeededRandom(1), pace: Pace.Adaptive });
     private readonly openingLinkIds: string[] = [];
     private readonly busyLinkIds: string[] = [];
     private nextTaskNumber = 0;
--- a/src/session/__tests__/linksWorld.ts
+++ b/src/session/__tests__/linksWorld.ts
@@ -1,6 +1,7 @@
 /** Holders of one simulated database in virtual time, which get tasks directly. */
 import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { LinkKind, LinkLoss, type LinkOpen } from "../../model/linkMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { emptySessionContext, SessionStatementKind, TaskMode } from "../../model/sessionStatement.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
@@ -61,14 +62,15 @@
     /** Occupancies after events that have put more in flight than the window allows. */
     readonly startsBeyondWindow: unknown[] = [];
     maximumLinks = 0;
-    private readonly links = new Links({ random: new SeededRandom(1) });
+    private readonly links: Links;
     private readonly world: LinksWorld;
     private readonly name: string;
     private readonly openLinkIds = new Set<string>();
     private readonly timers = new Map<string, SetDeadline>();
     private nextTask = 0;
 
-    constructor(world: LinksWorld, name: string, connectionLimit: number) {
+    constructor(world: LinksWorld, name: string, connectionLimit: number, pace: Pace = Pace.Adaptive) {
+        this.links = new Links({ random: new SeededRandom(1), pace });
         this.world = world;
         this.name = name;
         const services = new Map([["s", { name: "s", connectionLimit, synchronousReplicas: 0 }]]);
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -1,6 +1,7 @@
 /** The session pipe of one instance in virtual time; the test itself replies for the databases. */
 import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { type LinkCommand, LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
 import type { Position } from "../../model/position.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
@@ -90,7 +91,7 @@
             new PassedTasks(),
             new Routing({ dataCentre: "dc1", rules: [new HomeRule(dataCentreRegions)] }),
             new Forwarding({ instanceId: "front1", dataCentreRegions }),
-            new Links({ random: new SeededRandom(1) }),
+            new Links({ random: new SeededRandom(1), pace: Pace.Adaptive }),
         ];
         this.loop = new EventLoop({ clock: this.clock, pipes: [new Pipe("session", filters)], sinks: [this] });
     }
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -13,6 +13,7 @@
     type SendFrame,
 } from "../../model/fleetMessages.ts";
 import { LinkKind, type LinkOpen, type LinkSend } from "../../model/linkMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import {
     type PeerAnswer,
     type PeerInstance,
@@ -470,7 +471,7 @@
             new Forwarding({ instanceId, dataCentreRegions }),
             new ColdGate(),
             new EvacuationStages(evacuationBoundMs),
-            new Links({ random: new SeededRandom(1) }),
+            new Links({ random: new SeededRandom(1), pace: Pace.Adaptive }),
         ];
         this.clock = new NodeClock(fleet.schedule, () => !this.frozen && !this.killed, () => this.busyUntilMs);
         this.loop = new EventLoop({
--- a/src/session/__tests__/taskScheduler.spec.ts
+++ b/src/session/__tests__/taskScheduler.spec.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { LinkLoss } from "../../model/linkMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import { SessionStatementKind, StatementFault, TaskMode } from "../../model/sessionStatement.ts";
 import { Holder, LinksWorld, slots, type TaskParts } from "./linksWorld.ts";
 
@@ -49,6 +50,17 @@
 }
 
 describe("tasks that wait for a database", () => {
+    it("start as its links allow without a pace, and by two probes with one", () => {
+        const startedAtOnce = (pace: Pace): number => {
+            const world = new LinksWorld(connectionLimit);
+            const holder = new Holder(world, "h", connectionLimit, pace);
+            Array.from({ length: 30 }, (_, number) => holder.place({ workspace: `w${number}`, priority: 1 }));
+            return holder.occupancy.inFlight;
+        };
+        assert.equal(startedAtOnce(Pace.Off), 30);
+        assert.equal(startedAtOnce(Pace.Adaptive), 2);
+    });
+
     it("are served by urgency when 76 workspaces rush with the least urgent one, without exceeding the window", () => {
         const world = new LinksWorld(connectionLimit);
         const holder = new Holder(world, "h", connectionLimit);
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -1,11 +1,13 @@
 /** The connection pool of this instance for one database. */
 import type { DatabaseReport } from "../model/fleetMessages.ts";
+import { Pace } from "../model/pace.ts";
 import { hasReached, laterPosition, type Position } from "../model/position.ts";
 import { type SessionContext, TaskMode } from "../model/sessionStatement.ts";
 import { type ConcurrencyWindow, GradientWindow, WindowPhase } from "../scheduling/concurrencyWindow.ts";
 import { EvacuationStage } from "../scheduling/evacuations.ts";
 import { ServiceTimeEstimate } from "../scheduling/serviceTimeEstimate.ts";
 import { StatementQueue } from "../scheduling/statementQueue.ts";
+import { UnlimitedWindow } from "../scheduling/unlimitedWindow.ts";
 import { type Link, LinkState } from "./link.ts";
 import { LinkDemand } from "./linkDemand.ts";
 import { PoolLag } from "./poolLag.ts";
@@ -50,10 +52,10 @@
     readonly lag: PoolLag;
     readonly demand = new LinkDemand();
 
-    constructor(report: DatabaseReport) {
+    constructor(report: DatabaseReport, pace: Pace) {
         this.report = report;
         this.lag = new PoolLag(report.databaseId);
-        this.window = new GradientWindow(report.slots);
+        this.window = pace === Pace.Adaptive ? new GradientWindow(report.slots) : new UnlimitedWindow(report.slots);
     }
 
     recordPosition(position: Position | undefined, nowMs: number): void {
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -12,6 +12,7 @@
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import { LinkKind, LinkLoss, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
+import type { Pace } from "../model/pace.ts";
 import { StatementFault } from "../model/sessionStatement.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -60,6 +61,7 @@
 
 export interface LinksOptions {
     readonly random: SeededRandom;
+    readonly pace: Pace;
 }
 
 export class Links implements Filter<LinksInput, Message> {
@@ -91,8 +93,10 @@
     private readonly commitTracker = new CommitTracker();
     private readonly attempts = new LinkAttempts(this.table, this.commitTracker);
     private readonly scheduler: TaskScheduler;
+    private readonly pace: Pace;
 
-    constructor({ random }: LinksOptions) {
+    constructor({ random, pace }: LinksOptions) {
+        this.pace = pace;
         this.scheduler = new TaskScheduler({ table: this.table, attempts: this.attempts, random });
     }
 
@@ -294,7 +298,7 @@
         const { report } = changed;
         const pool = this.table.pools.get(report.databaseId);
         if (pool === undefined) {
-            this.table.pools.set(report.databaseId, new LinkPool(report));
+            this.table.pools.set(report.databaseId, new LinkPool(report, this.pace));
             return [changed];
         }
         const movedOrRestarted = pool.report.address !== report.address
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -20,6 +20,7 @@
 import { Readiness } from "../fleet/readiness.ts";
 import { RememberedDatabases } from "../fleet/rememberedDatabases.ts";
 import type { ColdTolerance } from "../model/coldLimits.ts";
+import { Pace } from "../model/pace.ts";
 import type { RateTolerance } from "../model/rateLimits.ts";
 import type { Member } from "../model/replicatedLog.ts";
 import { Pipe } from "../pipeline/pipe.ts";
@@ -53,6 +54,8 @@
     readonly rpcAddress: string;
     /** Time after the acknowledgement of an evacuation from which no statement may reach a database there; 5 s by default. */
     readonly evacuationBoundMs?: number;
+    /** Off by default. */
+    readonly pace?: Pace;
     readonly seed: number;
 }
 
@@ -89,7 +92,7 @@
         new Forwarding({ instanceId, dataCentreRegions }),
         new ColdGate(),
         new EvacuationStages(evacuationBoundMs),
-        new Links({ random: new SeededRandom(seed + 3) }),
+        new Links({ random: new SeededRandom(seed + 3), pace: options.pace ?? Pace.Off }),
     ]);
     return [fleet, session];
 }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -3,6 +3,7 @@
 import { ControlKind } from "../model/controlMessages.ts";
 import { FeedKind } from "../model/feedMessages.ts";
 import { type DatabasesRemembered, FleetKind } from "../model/fleetMessages.ts";
+import { Pace } from "../model/pace.ts";
 import { PeerKind } from "../model/peerMessages.ts";
 import { SchedulingKind } from "../model/schedulingMessages.ts";
 import { SessionKind } from "../model/sessionMessages.ts";
@@ -80,6 +81,8 @@
     readonly settings: PlatformSettings;
     readonly clusterSecret: string;
     readonly seed: number;
+    /** Off by default. */
+    readonly pace?: Pace;
 }
 
 interface ProcessContext extends PlatformInputs {
@@ -188,6 +191,7 @@
 
 async function buildProxy(context: ProcessContext): Promise<ProcessComponents> {
     const { settings, stopDeadline, post, clientFactory, authentication, seed, loadLog, stack } = context;
+    const { pace = Pace.Off } = context;
     const { instanceId, dataCentre, dataCentreRegions, rpcAddress, callerEndpoint, readinessEndpoint } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
     const { coldTolerance, evacuationBoundMs } = settings;
@@ -197,6 +201,7 @@
         dataCentreRegions,
         coldTolerance,
         evacuationBoundMs,
+        pace,
         rpcAddress,
         seed: seed + 2,
     });
