fix(fleet): a remembered database that is gone does not come back with the next start

Cause: the list on a member's disk was written a second after a change, while databases that had not reported yet still counted, and not again when their 30 s were over or when one of them left. So each further start of the member named a database that was gone.

Change: the list is written at the end of the 30 s, and a second after a remembered database left.

--- a/src/fleet/__tests__/rememberedDatabases.spec.ts
+++ b/src/fleet/__tests__/rememberedDatabases.spec.ts
@@ -50,6 +50,10 @@
         this.toMember({ kind: FleetKind.DatabaseLeft, databaseId, bornUnixMs } as Message);
     }
 
+    memberHears(frame: FleetFrame): void {
+        this.toMember({ kind: FleetKind.FrameReceived, attachmentId: "in2", frame } as Message);
+    }
+
     /** Returns the frame that the member answers to a proxy that has just started; undefined if it does not answer. */
     ask(): FleetFrame | undefined {
         const asked = { kind: FleetKind.FrameReceived, attachmentId: "in1", frame: { kind: "remembered_asked" } };
@@ -185,4 +189,31 @@
             ["d2", "d3", "d1"],
         ]);
     });
+
+    it("are not written again after the limit, so that a further restart does not bring back one that is gone", () => {
+        const restart = new Restart([primary, replica]);
+        restart.report({ ...replica, sequence: 9 });
+        restart.advance(recallLimitMs);
+        assert.deepEqual(restart.lists.at(-1)!.map(({ databaseId }) => databaseId), ["d2"]);
+        const silent = new Restart([primary]);
+        silent.advance(recallLimitMs);
+        assert.deepEqual(silent.lists, [[]]);
+    });
+
+    it("are not written again once they have left, also without another change", () => {
+        const restart = new Restart([primary, replica]);
+        restart.leave("d1", 1_000);
+        restart.advance(1_000);
+        assert.deepEqual(restart.lists, [[replica]]);
+        restart.memberHears({ kind: "database_left", databaseId: "d2", bornUnixMs: 1_000 });
+        restart.advance(1_000);
+        assert.deepEqual(restart.lists.at(-1), []);
+    });
+
+    it("cause no write when a database leaves of which the list knows nothing", () => {
+        const restart = new Restart([]);
+        restart.leave("d1", 1_000);
+        restart.advance(recallLimitMs);
+        assert.deepEqual(restart.lists, []);
+    });
 });
--- a/src/fleet/rememberedDatabases.ts
+++ b/src/fleet/rememberedDatabases.ts
@@ -59,7 +59,7 @@
             .with({ kind: FleetKind.DatabasesRemembered }, matched => {
                 this.rememberedUntilMs = nowMs + recallLimitMs;
                 matched.reports.forEach(report => this.remembered.set(report.databaseId, report));
-                return [matched];
+                return matched.reports.length === 0 ? [matched] : [matched, this.forgetLater()];
             })
             .with({ kind: FleetKind.DatabaseChanged }, matched => {
                 this.confirm(matched.report);
@@ -71,12 +71,11 @@
                 return [matched, ...this.writeLater(nowMs)];
             })
             .with({ kind: FleetKind.DatabaseLeft }, matched => {
-                this.forget(matched.databaseId, matched.bornUnixMs);
-                return [matched];
+                return [matched, ...this.forget(matched.databaseId, matched.bornUnixMs, nowMs)];
             })
             .with({ kind: FleetKind.FrameReceived, frame: { kind: "database_left" } }, matched => {
-                this.forget(matched.frame.databaseId, matched.frame.bornUnixMs);
-                return [matched];
+                const { databaseId, bornUnixMs } = matched.frame;
+                return [matched, ...this.forget(databaseId, bornUnixMs, nowMs)];
             })
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "remembered_asked" } },
@@ -95,11 +94,13 @@
     }
 
     /** @param bornUnixMs start of the process that left; undefined if it is unknown */
-    private forget(databaseId: string, bornUnixMs: number | undefined): void {
+    private forget(databaseId: string, bornUnixMs: number | undefined, nowMs: number): readonly Message[] {
         const report = this.remembered.get(databaseId);
-        if (report !== undefined && (bornUnixMs === undefined || bornUnixMs >= report.bornUnixMs)) {
-            this.remembered.delete(databaseId);
+        if (report === undefined || bornUnixMs !== undefined && bornUnixMs < report.bornUnixMs) {
+            return [];
         }
+        this.remembered.delete(databaseId);
+        return this.writeLater(nowMs);
     }
 
     private answer(attachmentId: string, nowMs: number): readonly Message[] {
@@ -107,6 +108,12 @@
         return reports.length === 0 ? [] : [sendFrame(attachmentId, { kind: "remembered", reports })];
     }
 
+    /** Without this write, one that is gone would be remembered again after each further start. */
+    private forgetLater(): Message {
+        const due: FleetTimer = { kind: FleetKind.DatabaseListDue };
+        return setDeadline("fleet.remembered", this.rememberedUntilMs, due);
+    }
+
     private writeLater(nowMs: number): readonly Message[] {
         if (this.isListDue) {
             return [];
