fix(fleet): reports of a database that warms up are not sent to the whole fleet

Cause: each report of a cold database has less time left than the one before, so each counted as a change and went to all control members and all instances, every 1.2 s and for each cold database. Instances ask only whether there is time left.

Change: the time left counts as changed when it ends or begins.

--- a/src/fleet/__tests__/attachmentHub.spec.ts
+++ b/src/fleet/__tests__/attachmentHub.spec.ts
@@ -248,6 +248,23 @@
         assert.deepEqual(received(), { core0: 1, core2: 1, core3: 1, core4: 1, core5: 1 });
     });
 
+    it("go to no instance while a cold database warms up, whose time left is another one in each", () => {
+        const network = startedNetwork(2, 3);
+        network.reportDatabase("core1", "db0", 1, 8_000);
+        network.advance(100);
+        network.resetCounters();
+        const received = (name: string): number =>
+            network.node(name).received.filter(({ kind }) => kind === "databases").length;
+        for (let sequence = 2; sequence <= 6; sequence++) {
+            network.reportDatabase("core1", "db0", sequence, 8_000 - 1_200 * sequence);
+            network.advance(1_200);
+        }
+        assert.deepEqual(["core0", "core2", "front0", "front1"].map(received), [5, 0, 0, 0]);
+        network.reportDatabase("core1", "db0", 7, 0);
+        network.advance(100);
+        assert.deepEqual(["core0", "core2", "front0", "front1"].map(received), [6, 1, 1, 1]);
+    });
+
     it("go to all members once they change something", () => {
         const network = startedNetwork(2, 3);
         network.reportDatabase("core1", "db0");
--- a/src/fleet/__tests__/fleetNetwork.ts
+++ b/src/fleet/__tests__/fleetNetwork.ts
@@ -201,7 +201,7 @@
         this.instanceNames.forEach(name => this.push(name, message));
     }
 
-    reportDatabase(member: string, databaseId: string, sequence = 1): void {
+    reportDatabase(member: string, databaseId: string, sequence = 1, coldLeftMs?: number): void {
         const report: DatabaseReport = {
             databaseId,
             service: "order-core",
@@ -212,6 +212,7 @@
             leads: false,
             sequence,
             bornUnixMs: 1,
+            coldLeftMs,
         };
         this.push(member, { kind: FleetKind.DatabaseReported, report } as Message);
     }
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -212,8 +212,7 @@
     private publishReport(report: DatabaseReport): readonly Message[] {
         const previous = this.reportsByDatabase.get(report.databaseId);
         this.reportsByDatabase.set(report.databaseId, report);
-        const changed = previous === undefined
-            || JSON.stringify({ ...previous, sequence: 0 }) !== JSON.stringify({ ...report, sequence: 0 });
+        const changed = previous === undefined || hasChanged(report, previous);
         const frame: FleetFrame = { kind: "databases", reports: [report] };
         return changed ? this.broadcast(frame) : send(this.attachmentsOfLeader(), frame);
     }
@@ -248,6 +247,13 @@
     }
 }
 
+/** Whether a report tells more than that the database still runs, and goes on to warm up if it did. */
+function hasChanged(report: DatabaseReport, previous: DatabaseReport): boolean {
+    const contentOf = ({ coldLeftMs = 0, ...others }: DatabaseReport): string =>
+        JSON.stringify({ ...others, sequence: 0, isCold: coldLeftMs > 0 });
+    return contentOf(report) !== contentOf(previous);
+}
+
 function send(attachmentIds: Iterable<string>, frame: FleetFrame): readonly Message[] {
     return [...attachmentIds].map(attachmentId => sendFrame(attachmentId, frame));
 }
