fix(session): a database whose links broke stays cold for an instance that is out of touch

Cause: 2.5 s after a link broke, 5 s after a refused connection, the gate took the database for warm, because its report must be known by then. An instance without contact to the control members hears of no report, and sent to a database that had started again without any bound.

Change: after that time the database stays limited until the control leader grants tasks in answer to a request sent later. What the leader knew of the database reached the instance before, on the same stream.

Tests: two existing ones expected no limit without any answer of the leader, which is the fault; they now check the limit with grants used up until the time is over, and its end by an answer after that.

--- a/src/fleet/__tests__/coldRequester.spec.ts
+++ b/src/fleet/__tests__/coldRequester.spec.ts
@@ -63,7 +63,7 @@
         assert.deepEqual(fixture.answer("a", 7, 3), []);
         const [granted] = fixture.answer("a", 1, 1e9, 1e9);
         assert.deepEqual(granted?.grants, [{ databaseId: "d", count: 3 }]);
-        assert.equal(granted.validUntilMs, 300);
+        assert.deepEqual([granted.askedMs, granted.validUntilMs], [0, 300]);
         assert.deepEqual(fixture.answer("a", 1, 3), []);
     });
 });
--- a/src/fleet/coldRequester.ts
+++ b/src/fleet/coldRequester.ts
@@ -98,6 +98,7 @@
         const granted: ColdGranted = {
             kind: FleetKind.ColdGranted,
             grants,
+            askedMs: request.sentMs,
             validUntilMs: request.sentMs + Math.min(frame.validMs, coldGrantValidityMs),
         };
         return [...grants.length > 0 ? [granted] : [], ...this.sendOrWait(nowMs)];
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -433,6 +433,8 @@
 export interface ColdGranted extends Message {
     readonly kind: typeof FleetKind.ColdGranted;
     readonly grants: readonly { readonly databaseId: string; readonly count: number; }[];
+    /** Time at which the request was sent. */
+    readonly askedMs: number;
     readonly validUntilMs: number;
 }
 
--- a/src/session/__tests__/coldGate.spec.ts
+++ b/src/session/__tests__/coldGate.spec.ts
@@ -94,7 +94,15 @@
 
     grant(count: number, validMs = 300): void {
         const grants = [{ databaseId: "d", count }];
-        this.push({ kind: FleetKind.ColdGranted, grants, validUntilMs: this.nowMs + validMs } as Message);
+        const validUntilMs = this.nowMs + validMs;
+        this.push({ kind: FleetKind.ColdGranted, grants, askedMs: this.nowMs, validUntilMs } as Message);
+    }
+
+    /** The leader answers, and what it grants is used up. */
+    useGrant(): void {
+        this.grant(1);
+        this.place("granted");
+        this.push({ kind: TaskKind.PassedAbandoned, sessionId: "granted", taskId: "granted" } as Message);
     }
 
     report(report: DatabaseReport): void {
@@ -229,14 +237,18 @@
         fixture.push({ ...lost, loss: LinkLoss.NoListener } as Message);
         fixture.advance(2_400);
         fixture.push({ ...lost, loss: LinkLoss.Broken } as Message);
-        fixture.advance(2_499);
+        fixture.advance(2_599);
+        fixture.useGrant();
         assert.equal(fixture.isLimited, true);
-        fixture.advance(101);
+        fixture.advance(1);
+        fixture.useGrant();
         assert.equal(fixture.isLimited, false);
         fixture.push({ ...lost, loss: LinkLoss.Broken } as Message);
         fixture.advance(2_499);
+        fixture.useGrant();
         assert.equal(fixture.isLimited, true);
         fixture.advance(1);
+        fixture.useGrant();
         assert.equal(fixture.isLimited, false);
     });
 
@@ -245,13 +257,30 @@
         const lost = { kind: LinkKind.Lost, linkId: "l", loss: LinkLoss.NoListener, fault: undefined };
         fixture.push({ ...lost, databaseId: "d" } as Message);
         assert.equal(fixture.isLimited, true);
-        fixture.advance(5_000);
+        fixture.advance(4_999);
+        fixture.useGrant();
+        assert.equal(fixture.isLimited, true);
+        fixture.advance(1);
+        fixture.useGrant();
         assert.equal(fixture.isLimited, false);
         fixture.push(lost as Message);
         fixture.push({ ...lost, databaseId: "unknown" } as Message);
         assert.equal(fixture.isLimited, false);
     });
 
+    it("takes a database for cold whose links broke while the instance is out of touch, until the leader answers", () => {
+        for (const loss of [LinkLoss.Broken, LinkLoss.NoListener]) {
+            const fixture = new GateFixture(warm);
+            fixture.push({ kind: LinkKind.Lost, linkId: "l", loss, fault: undefined, databaseId: "d" } as Message);
+            fixture.advance(60_000);
+            ["a", "b", "c"].forEach(taskId => fixture.place(taskId));
+            assert.deepEqual([fixture.sent, fixture.waiting], [[], 3]);
+            fixture.grant(1);
+            assert.deepEqual([fixture.sent, fixture.waiting], [["a", "b", "c"], 0]);
+            assert.equal(fixture.isLimited, false);
+        }
+    });
+
     it("takes the databases of a data centre for cold whose evacuation has ended", () => {
         const fixture = new GateFixture(warm);
         fixture.push(policyApplied(limited, new Set(["dc", "dc2"])));
--- a/src/session/coldDatabases.ts
+++ b/src/session/coldDatabases.ts
@@ -24,7 +24,10 @@
     private readonly databases = new Map<string, KnownDatabase>();
     /** Time of the first report of each service. */
     private readonly knownSinceMs = new Map<string, number>();
-    /** Databases that refused or ended connections: time until which they may have started again without a report. */
+    /**
+     * Databases that refused or ended connections: time from which the control leader would have told that they have started
+     * again. They count as cold until it has answered a later request, because this instance may be out of touch.
+     */
     private readonly unreachableUntilMs = new Map<string, number>();
     private services: ReadonlyMap<string, ServicePolicy> = new Map();
     private evacuated: ReadonlySet<string> = new Set();
@@ -65,6 +68,13 @@
         }
     }
 
+    /** The control leader answered a request; what it knew of the database then was sent before the answer. */
+    recordAnswer(databaseId: string, askedMs: number): void {
+        if (askedMs >= (this.unreachableUntilMs.get(databaseId) ?? Infinity)) {
+            this.unreachableUntilMs.delete(databaseId);
+        }
+    }
+
     remove(databaseId: string): void {
         this.databases.delete(databaseId);
         this.unreachableUntilMs.delete(databaseId);
@@ -77,7 +87,7 @@
         const isCold = database !== undefined && (
             (database.report.coldLeftMs ?? 0) > 0
             || nowMs < database.coldUntilMs
-            || nowMs < (this.unreachableUntilMs.get(databaseId) ?? -Infinity)
+            || this.unreachableUntilMs.has(databaseId)
         );
         return isCold && (policy?.coldPerSecond ?? 0) > 0 ? policy : undefined;
     }
--- a/src/session/coldGate.ts
+++ b/src/session/coldGate.ts
@@ -193,8 +193,9 @@
         return [setDeadline(coldKey(databaseId), dueMs, taskTimer(TaskKind.ColdDue, databaseId)), needed];
     }
 
-    private applyGrants({ grants, validUntilMs }: ColdGranted, nowMs: number): readonly Message[] {
+    private applyGrants({ grants, askedMs, validUntilMs }: ColdGranted, nowMs: number): readonly Message[] {
         return grants.flatMap(({ databaseId, count }) => {
+            this.databases.recordAnswer(databaseId, askedMs);
             const valid = (this.grants.get(databaseId) ?? []).filter(grant => nowMs < grant.validUntilMs);
             this.grants.set(databaseId, [...valid, { count, validUntilMs }]);
             return this.release(databaseId, nowMs);
