fix(session): tasks that waited for a free link do not reach a database that has started again cold

Cause: tasks pass the gate before cold databases and then may wait for a link. When the report of a new process came, all that waited for the earlier one were sent at once, without the right to.

Change: they go back as not run when a database of a service with a cold limit has started again or moved. Without such a limit nothing changes.

--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -8,7 +8,7 @@
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { Links } from "../links.ts";
 import type { LinkTable } from "../linkTable.ts";
-import { TaskKind } from "../taskMessages.ts";
+import { type TaskAttempted, TaskKind } from "../taskMessages.ts";
 import { statement } from "./sessionFixture.ts";
 
 const report: DatabaseReport = {
@@ -38,14 +38,16 @@
     visits = 0;
     /** Ids of statements in the order in which they were sent. */
     readonly sentStatementIds: string[] = [];
+    /** Ids of tasks that ended as not run. */
+    readonly unsentTaskIds: string[] = [];
     private readonly links = new Links({ random: new SeededRandom(1) });
     private readonly openingLinkIds: string[] = [];
     private readonly busyLinkIds: string[] = [];
     private nextTaskNumber = 0;
     private nextSignature = 0;
 
-    constructor(connectionLimit: number) {
-        const services = new Map([["s", { name: "s", connectionLimit, synchronousReplicas: 1 }]]);
+    constructor(connectionLimit: number, coldPerSecond = 0) {
+        const services = new Map([["s", { name: "s", connectionLimit, synchronousReplicas: 1, coldPerSecond }]]);
         const policy = { ...emptyTrafficPolicy, services };
         this.push(
             {
@@ -81,6 +83,10 @@
         );
     }
 
+    restartDatabase(): void {
+        this.push({ kind: FleetKind.DatabaseChanged, report: { ...report, bornUnixMs: 2 } } as Message);
+    }
+
     openLinks(): void {
         this.openingLinkIds.splice(0).forEach(linkId =>
             this.push({ kind: LinkKind.Opened, linkId, position: undefined } as Message)
@@ -98,6 +104,9 @@
             if (output.kind === LinkKind.Open) {
                 this.openingLinkIds.push((output as LinkOpen).linkId);
             }
+            else if (output.kind === TaskKind.Attempted && !(output as TaskAttempted).sent) {
+                this.unsentTaskIds.push((output as TaskAttempted).task.taskId);
+            }
             else if (output.kind === LinkKind.Send) {
                 const { linkId, commands } = output as LinkSend;
                 this.busyLinkIds.push(linkId);
@@ -162,6 +171,23 @@
         assert.equal(fixture.sentStatementIds.includes("t2"), true);
     });
 
+    it("do not run what waited for the earlier process of a database that bears little after a start", () => {
+        // Guards against waiting tasks that reach a cold database without the right to.
+        for (
+            const { coldPerSecond, unsent } of [{ coldPerSecond: 10, unsent: ["t0", "t1", "t2"] }, {
+                coldPerSecond: 0,
+                unsent: [],
+            }]
+        ) {
+            const fixture = new LinksFixture(2, coldPerSecond);
+            ["a", "a", "a"].forEach(workspace => fixture.place(workspace));
+            fixture.restartDatabase();
+            fixture.openLinks();
+            assert.deepEqual(fixture.unsentTaskIds, unsent);
+            assert.equal(fixture.sentStatementIds.length > 0, unsent.length === 0);
+        }
+    });
+
     it("run a probe on an idle link of any workspace", () => {
         const fixture = new LinksFixture(3);
         fixture.place("a");
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -311,8 +311,11 @@
             pool.window.restart(nowMs);
         }
         const outdated = movedOrRestarted ? [...pool.links] : [];
+        const isCold = movedOrRestarted && (this.table.services.get(report.service)?.coldPerSecond ?? 0) > 0;
         return [
             changed,
+            // They came through the gate before cold databases for the earlier process.
+            ...isCold ? this.failAllWaiting(pool, StatementFault.Busy) : [],
             ...outdated.flatMap(link => this.attempts.close(link, nowMs)),
             ...this.scheduler.assign(pool, nowMs),
         ];
