fix(fleet): the control leader forgets cold databases that have left

Cause: what was granted was kept by database until the leader changed, also for databases that had left, and each process of a database may have another id.

Change: what no longer counts is dropped, oldest first, at each request.

--- a/src/fleet/__tests__/coldBudgets.spec.ts
+++ b/src/fleet/__tests__/coldBudgets.spec.ts
@@ -38,6 +38,11 @@
         this.push({ kind: FleetKind.PolicyApplied, policy } as unknown as Message);
     }
 
+    /** Number of databases of which grants are remembered. */
+    get countedDatabases(): number {
+        return (this.filter as unknown as { readonly issued: ReadonlyMap<string, unknown>; }).issued.size;
+    }
+
     push(message: Message): readonly Message[] {
         const outputs = this.filter.process(message as never, this.nowMs);
         for (const { kind, proposalId, command } of outputs as readonly ControlPropose[]) {
@@ -111,6 +116,20 @@
         assert.equal(fixture.barriers, before);
     });
 
+    it("forget what no longer counts, also of databases that have left", () => {
+        // Guards against memory that grows with each database that starts under another id.
+        const fixture = new BudgetsFixture();
+        fixture.askFor(2_500);
+        for (let index = 0; index < 200; index++) {
+            const databaseId = `d${index}`;
+            fixture.push({ kind: FleetKind.DatabaseChanged, report: { ...report, databaseId } } as Message);
+            assert.ok(fixture.ask(1, databaseId) === 1);
+            fixture.push({ kind: FleetKind.DatabaseRemoved, databaseId } as Message);
+            fixture.nowMs += 200;
+        }
+        assert.ok(fixture.countedDatabases <= accountedMs / 200 + 2, `${fixture.countedDatabases} databases`);
+    });
+
     it("follow the policy; a database that has not reported gets nothing", () => {
         const fixture = new BudgetsFixture();
         fixture.askFor(4_000);
--- a/src/fleet/coldBudgets.ts
+++ b/src/fleet/coldBudgets.ts
@@ -82,7 +82,7 @@
     private readonly tolerance: ColdTolerance;
     private services: ReadonlyMap<string, ServicePolicy> = new Map();
     private readonly serviceByDatabase = new Map<string, string>();
-    /** What was granted and still counts, by database, oldest first. */
+    /** What was granted and still counts, oldest first, by database, the one with the oldest last grant first. */
     private readonly issued = new Map<string, readonly Issue[]>();
     private leading = false;
     private leadingSinceMs = 0;
@@ -152,16 +152,29 @@
             return 0;
         }
         const limit = coldLimit(this.services.get(service), this.tolerance);
+        this.forgetUncounted(nowMs);
         const counted = (this.issued.get(databaseId) ?? []).filter(({ atMs }) => nowMs - atMs <= accountedMs);
         const recent = counted.filter(({ atMs }) => nowMs - atMs <= spreadShare * accountedMs);
         const left = limit === undefined
             ? Infinity
             : Math.min(limit - countOf(counted), Math.ceil(spreadShare * limit) - countOf(recent));
         const count = Math.max(0, Math.min(wanted, left));
-        this.issued.set(databaseId, count > 0 ? [...counted, { atMs: nowMs, count }] : counted);
+        if (count > 0) {
+            this.issued.delete(databaseId);
+            this.issued.set(databaseId, [...counted, { atMs: nowMs, count }]);
+        }
         return count;
     }
 
+    private forgetUncounted(nowMs: number): void {
+        for (const [databaseId, issues] of this.issued) {
+            if (nowMs - issues.at(-1)!.atMs <= accountedMs) {
+                return;
+            }
+            this.issued.delete(databaseId);
+        }
+    }
+
     private renewLease(nowMs: number): readonly Message[] {
         const isPending = this.barrier !== undefined && nowMs - this.barrier.proposedMs < barrierTimeoutMs;
         if (isPending || nowMs - this.lastBarrierMs < renewalAgeMs) {
