fix(request): an evacuation gives no further time to a primary that is heard of later, or again

Cause: the selector for MySQL callers learnt of evacuations from the listed databases. One that an instance heard of after others (as after its start), or that had left the list and came back, counted as evacuated just now, so that its primary got work for two more seconds and transactions for three.

Change: an evacuation begins now only if a database of its data centre was listed before without one.

--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -313,6 +313,18 @@
         assert.equal(fixture.requests.length, sentCount + 2);
     });
 
+    it("sends nothing to an evacuated primary that it hears of after other databases, or again", () => {
+        // Guards against a further part of the bound for an evacuation whose age is unknown.
+        const fixture = new RouteFixture([]);
+        const others = evacuatedDatabases.filter(({ databaseId }) => databaseId === "r1");
+        for (const databases of [others, evacuatedDatabases, others, evacuatedDatabases]) {
+            fixture.postEvent({ kind: ClusterKind.DatabasesChanged, databases });
+        }
+        fixture.sendStatement(StatementKind.Write);
+        assert.equal(fixture.lastOutcome(), RefusalCode.NoPrimary);
+        assert.equal(fixture.requests.length, 0);
+    });
+
     it("lets a transaction in an evacuated data centre go on for some time, and then rolls it back", () => {
         const fixture = new RouteFixture();
         fixture.sendStatement(StatementKind.Begin);
--- a/src/request/databaseSelector.ts
+++ b/src/request/databaseSelector.ts
@@ -37,8 +37,7 @@
     }
 
     update(databases: readonly DatabaseView[], nowMs: number): void {
-        const evacuated = databases.filter(database => database.evacuated === true).map(({ dataCentre }) => dataCentre);
-        this.evacuations.apply({ evacuated: new Set(evacuated) }, nowMs);
+        this.applyEvacuations(databases, nowMs);
         this.databases = new Map(databases.map(database => [database.databaseId, database]));
         this.byService = new Map();
         for (const database of databases) {
@@ -46,6 +45,18 @@
         }
     }
 
+    /** An evacuation has begun now only if a database of the data centre was listed before, without one. */
+    private applyEvacuations(databases: readonly DatabaseView[], nowMs: number): void {
+        const before = [...this.databases.values()].filter(database => database.evacuated !== true);
+        const openBefore = new Set(before.map(({ dataCentre }) => dataCentre));
+        const isInForce = (dataCentre: string): boolean =>
+            this.evacuations.stageOf({ dataCentre, leads: false }, nowMs) !== EvacuationStage.Open;
+        const evacuated = databases.filter(database => database.evacuated === true).map(({ dataCentre }) => dataCentre);
+        const earlier = evacuated.filter(dataCentre => isInForce(dataCentre) || !openBefore.has(dataCentre));
+        this.evacuations.apply({ evacuated: new Set(earlier) }, -Infinity);
+        this.evacuations.apply({ evacuated: new Set(evacuated) }, nowMs);
+    }
+
     get(databaseId: string): DatabaseView | undefined {
         return this.databases.get(databaseId);
     }
