--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -13,7 +13,8 @@
 import type { Message } from "../../pipeline/message.ts";
 import { CommitWitnesses } from "../commitWitnesses.ts";
 import type { ElectorateMember } from "../electorate.ts";
-import { Fencing, type FencingOptions } from "../fencing.ts";
+import { Fencing } from "../fencing.ts";
+import type { FencingOptions } from "../fencingOptions.ts";
 
 class FencingFixture {
     readonly fencing: Fencing;
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -15,9 +15,9 @@
 import type { Message } from "../pipeline/message.ts";
 import { ClosedInstances } from "./closedInstances.ts";
 import { CommitSurvey } from "./commitSurvey.ts";
-import type { CommitWitnesses } from "./commitWitnesses.ts";
-import type { ElectorateMember } from "./electorate.ts";
 import { FencedDatabase, retryDelayMs } from "./fencedDatabase.ts";
+import { FencedLogs } from "./fencedLogs.ts";
+import type { FencingDecision, FencingOptions } from "./fencingOptions.ts";
 
 /** Time to wait for a replica that does not answer before a database is chosen without it. */
 const replicaWaitMs = 1_200;
@@ -28,60 +28,12 @@
 /** Time after which a primary that must keep the lead and answers is not replaced after all. */
 const keptPrimaryWaitMs = 5_000;
 
-export interface FencingOptions {
-    readonly service: string;
-    /** Fencing token of the promotion; unique among the promotions of the service. */
-    readonly fence: number;
-    /** The databases that may hold acknowledged commits; changes while databases join and start again. */
-    members(): readonly ElectorateMember[];
-    readonly primaryId: string | undefined;
-    /**
-     * Address of the primary of the last completed promotion; its log holds every acknowledged commit unless a database that
-     * was ordered since has led. Undefined if unknown.
-     */
-    readonly primaryLogAddress: string | undefined;
-    /** Addresses of the databases that were ordered since; undefined if they are not all known. */
-    readonly otherLogAddresses: readonly string[] | undefined;
-    /** Database named by an earlier order, which may still be executed; preferred among equals. */
-    readonly preferredDatabaseId: string;
-    /** Share of the service's routes that a database could serve as primary, 0 to 1; decides among equals only. */
-    readonly homeShare?: (databaseId: string) => number;
-    /**
-     * The primary's last order may still be executed: it must keep the lead until another database takes it, because a
-     * primary that has stepped down would be made to lead again.
-     */
-    readonly primaryKeepsLead: boolean;
-    /** The primary is reachable and shutting down: it steps down first, then the replicas catch up with it. */
-    readonly planned: boolean;
-    /** Number of replicas that have received a commit before it is acknowledged; 0 if replication is asynchronous. */
-    readonly synchronousReplicas: number;
-    /** Position below which a replica lacks commits that other databases confirmed; undefined if there is none. */
-    readonly basePosition: Position | undefined;
-    /** Instances that may have seen acknowledgements. */
-    readonly witnesses: CommitWitnesses;
-    /** Interval at which databases report. */
-    readonly reportIntervalMs: number;
-    nextLinkId(): string;
-    readonly startedAtMs: number;
-}
-
-export interface FencingDecision {
-    readonly messages: readonly Message[];
-    /** The database to promote; undefined while none can be chosen safely. */
-    readonly chosenDatabaseId: string | undefined;
-    /** The database already leads, because an order was executed; no further order is needed. */
-    readonly alreadyLeads: boolean;
-    /** Why no database is chosen yet. */
-    readonly wait: PromotionWait | undefined;
-}
-
 export class Fencing {
     private readonly options: FencingOptions;
     private readonly databases = new Map<string, FencedDatabase>();
-    /** Address of the primary, which it keeps when it starts again under another id. */
-    private readonly primaryAddress: string | undefined;
     private readonly closedInstances = new ClosedInstances();
     private readonly survey: CommitSurvey;
+    private readonly logs: FencedLogs;
     /** Position of the primary after it stepped down. */
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
@@ -94,7 +46,9 @@
     constructor(options: FencingOptions) {
         this.options = options;
         this.survey = new CommitSurvey({ ...options, closedInstances: this.closedInstances });
-        this.primaryAddress = options.members().find(({ databaseId }) => databaseId === options.primaryId)?.address;
+        const { databases, closedInstances, survey } = this;
+        const primaryAddress = options.members().find(({ databaseId }) => databaseId === options.primaryId)?.address;
+        this.logs = new FencedLogs({ options, databases, closedInstances, survey, primaryAddress });
         this.followMembers(options.startedAtMs);
     }
 
@@ -116,7 +70,7 @@
     linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
         const database = this.databaseOfLink(message.linkId);
         database?.linkReplied(message, nowMs);
-        if (database !== undefined && this.isPrimary(database)) {
+        if (database !== undefined && this.logs.isPrimary(database)) {
             this.followPrimary(database, nowMs);
         }
         return [];
@@ -182,7 +136,7 @@
     mayLead(databaseId: string): boolean {
         const database = this.databases.get(databaseId);
         return database !== undefined && !this.hasLostLogSinceChoice()
-            && (this.holdsClosedCommits(database) || this.isFurthestSinceClosing(database));
+            && (this.logs.holdsClosedCommits(database) || this.logs.isFurthestSinceClosing(database));
     }
 
     /** Whether the chosen database has started again without its log. */
@@ -214,7 +168,7 @@
 
     /** States of the databases for the log, as `id:state@position`. */
     describeDatabases(): string {
-        const lost = this.lostMembers().map(({ databaseId }) => `${databaseId}:lost@-`);
+        const lost = this.logs.lostMembers().map(({ databaseId }) => `${databaseId}:lost@-`);
         const present = [...this.databases.values()].map(database => {
             const { databaseId, stopped, hasNoListener, hasLostLog, receivedPosition } = database;
             const state = stopped ? "stopped" : hasNoListener ? "no_listener" : "awaited";
@@ -241,7 +195,7 @@
         const replaced = [...this.databases.values()].filter(({ databaseId }) => !ids.has(databaseId));
         for (const database of replaced) {
             this.databases.delete(database.databaseId);
-            if (this.isPrimary(database)) {
+            if (this.logs.isPrimary(database)) {
                 // Its successor may lead and acknowledge further commits.
                 this.finalPosition = undefined;
             }
@@ -281,7 +235,7 @@
         if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
             return { kind: LinkCommandKind.Status };
         }
-        if (this.isPrimary(database) || this.leadsBesideOrder(database)) {
+        if (this.logs.isPrimary(database) || this.leadsBesideOrder(database)) {
             return database.stopped ? undefined : { kind: LinkCommandKind.StepDown, term: this.nextTerm() };
         }
         if (this.finalPosition !== undefined && this.orderedDatabaseId === undefined) {
@@ -306,7 +260,7 @@
         const expectedId = this.expectedLeaderId();
         const mayAnotherLead = expectedId !== "" && expectedId !== primary.databaseId;
         const mayReplicasReceive = !mayAnotherLead || this.orderedDatabaseId !== undefined;
-        if (!primary.stopped || !mayReplicasReceive || !this.keepsLog(primary)) {
+        if (!primary.stopped || !mayReplicasReceive || !this.logs.keepsLog(primary)) {
             // While an earlier order for another database may be executed, the replicas must not receive. The position of an
             // empty primary tells nothing of what was acknowledged.
             this.finalPosition = undefined;
@@ -328,14 +282,14 @@
         );
         const expectedId = this.expectedLeaderId();
         return expectedId === ""
-            ? leaders.find(database => !this.isPrimary(database))
+            ? leaders.find(database => !this.logs.isPrimary(database))
             : leaders.find(({ databaseId }) => databaseId === expectedId);
     }
 
     /** The primary that keeps the lead, if it still leads and no other database could be chosen in time. */
     private keptPrimary(nowMs: number): FencedDatabase | undefined {
         const { primaryKeepsLead, startedAtMs } = this.options;
-        const primary = this.primary();
+        const primary = this.logs.primary();
         const leads = primary?.status?.leads === true && primary.status.term === this.nextTerm() - 1;
         const hasWaited = nowMs - startedAtMs >= keptPrimaryWaitMs;
         return primaryKeepsLead && leads && hasWaited && this.orderedDatabaseId === undefined ? primary : undefined;
@@ -354,20 +308,20 @@
     /** The database with the highest position, if no commit beyond that position can have been acknowledged. */
     private chooseFurthestReplica(nowMs: number): string | undefined {
         const { startedAtMs, synchronousReplicas } = this.options;
-        const stopped = this.stoppedDatabases();
+        const stopped = this.logs.stoppedDatabases();
         const best = this.mostAdvanced(stopped);
         if (best === undefined || this.awaitsStepDown(nowMs)) {
             return this.waitFor(PromotionWait.DatabasesToStop);
         }
         if (synchronousReplicas === 0) {
             const hasWaited = nowMs - startedAtMs >= retryDelayMs;
-            return this.missingCount(stopped) <= 1 || hasWaited
+            return this.logs.missingCount(stopped) <= 1 || hasWaited
                 ? best.databaseId
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (this.holdsConfirmedCommits(best, stopped)) {
-            const unproved = this.holdsClosedCommits(best) ? [] : this.unprovedSinceClosing(best, stopped);
-            if (unproved.length === 0 && this.holdsReached(best)) {
+        if (this.logs.holdsConfirmedCommits(best, stopped)) {
+            const unproved = this.logs.holdsClosedCommits(best) ? [] : this.logs.unprovedSinceClosing(best, stopped);
+            if (unproved.length === 0 && this.logs.holdsReached(best)) {
                 return this.choosePreferredOr(best, stopped, nowMs);
             }
             unproved.forEach(database => database.proveAgain());
@@ -375,57 +329,17 @@
         if (nowMs - startedAtMs < replicaWaitMs) {
             return this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (!this.commitsAreBlocked()) {
+        if (!this.logs.commitsAreBlocked()) {
             return this.waitFor(PromotionWait.CommitsToBeBlocked);
         }
         if (this.awaitedWitnesses().length > 0) {
             return this.waitFor(PromotionWait.CommitWitnesses);
         }
-        return this.holdsClosedCommits(best) && this.holdsReportedCommits(best)
+        return this.logs.holdsClosedCommits(best) && this.logs.holdsReportedCommits(best)
             ? best.databaseId
             : this.waitFor(PromotionWait.DatabaseWithLastCommit);
     }
 
-    private stoppedDatabases(): readonly FencedDatabase[] {
-        return [...this.databases.values()].filter(database => database.stopped);
-    }
-
-    /**
-     * Number of databases that may have confirmed commits and have not stopped with them. The processes of one database count
-     * once: no commit was confirmed by two of them.
-     */
-    private missingCount(stopped: readonly FencedDatabase[]): number {
-        const withLog = this.withLog(stopped).map(({ databaseId }) => databaseId);
-        const missing = new Set([...this.databases.keys()].filter(databaseId => !withLog.includes(databaseId)));
-        this.lostMembers().forEach(({ databaseId }) => missing.add(databaseId));
-        return missing.size;
-    }
-
-    private withLog(stopped: readonly FencedDatabase[]): readonly FencedDatabase[] {
-        return this.isServiceEmpty(stopped)
-            ? stopped
-            : stopped.filter(database => hasKeptLog(database) || this.hasNeverReceived(database));
-    }
-
-    /**
-     * Whether an empty database has confirmed no commit. One that has started again just now reports so within the interval;
-     * what its earlier process had counts as lost.
-     */
-    private hasNeverReceived({ emptySinceMs, member, hasLostLog }: FencedDatabase): boolean {
-        const { lastReportAtMs } = member;
-        return !hasLostLog && emptySinceMs !== undefined && lastReportAtMs !== undefined
-            && lastReportAtMs - emptySinceMs >= this.options.reportIntervalMs;
-    }
-
-    /**
-     * Whether `best` holds what replicas had confirmed before they stopped: an acknowledged commit is on the primary and on
-     * `synchronousReplicas` others, so on one of those that stopped.
-     */
-    private holdsConfirmedCommits(best: FencedDatabase, stopped: readonly FencedDatabase[]): boolean {
-        return this.missingCount(stopped) <= this.options.synchronousReplicas && this.holdsBase(best)
-            || stopped.some(database => this.holdsPrimaryLog(database));
-    }
-
     /**
      * The database of an earlier order that may still be executed, or else one outside of evacuated data centres, if it holds
      * all acknowledged commits, or else `best`. Commits that only `best` has were not acknowledged if no instance reports them.
@@ -438,7 +352,8 @@
         const ordered = stopped.find(({ databaseId }) => databaseId === this.options.preferredDatabaseId);
         const preferred = ordered ?? this.alternativeTo(best, stopped);
         if (
-            preferred === undefined || preferred === best || this.isLost(preferred.databaseId) || preferred.hasLostLog
+            preferred === undefined || preferred === best || this.logs.isLost(preferred.databaseId)
+            || preferred.hasLostLog
         ) {
             return best.databaseId;
         }
@@ -446,7 +361,7 @@
             const canWait = nowMs - this.options.startedAtMs < 2 * replicaWaitMs;
             return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : best.databaseId;
         }
-        const isComplete = this.holdsClosedCommits(preferred) && this.holdsReportedCommits(preferred);
+        const isComplete = this.logs.holdsClosedCommits(preferred) && this.logs.holdsReportedCommits(preferred);
         return (isComplete ? preferred : best).databaseId;
     }
 
@@ -464,109 +379,18 @@
             && nowMs - startedAtMs < replicaWaitMs;
     }
 
-    /** Whether nothing speaks for a commit of the service: no replica has one, and no instance has seen one. */
-    private isServiceEmpty(stopped: readonly FencedDatabase[]): boolean {
-        return this.options.basePosition === undefined && this.lostMembers().length === 0
-            && stopped.every(({ hasLostLog, receivedPosition }) => !hasLostLog && receivedPosition!.offset === 0)
-            && this.survey.hasSeenNoCommit();
-    }
-
-    /** Recorded databases that have ended without a successor that has their logs. */
-    private lostMembers(): readonly ElectorateMember[] {
-        return this.options.members().filter(({ isLost }) => isLost);
-    }
-
-    private isLost(databaseId: string): boolean {
-        return this.lostMembers().some(lost => lost.databaseId === databaseId);
-    }
-
-    /**
-     * Whether the database is the primary, or a later process with its log, and no other one has acknowledged commits
-     * since.
-     */
-    private holdsPrimaryLog(database: FencedDatabase): boolean {
-        const { primaryLogAddress, otherLogAddresses } = this.options;
-        return database.member.address === primaryLogAddress && this.keepsLog(database)
-            && otherLogAddresses?.every(address =>
-                    address === primaryLogAddress || this.hasNotCommittedSince(address, database)
-                ) === true;
-    }
-
-    /** Whether the log at an address shows that its database has not led after `primary`, or led without commits. */
-    private hasNotCommittedSince(address: string, primary: FencedDatabase): boolean {
-        return this.stoppedDatabases().some(database =>
-            database.member.address === address && this.keepsLog(database)
-            && database.receivedPosition!.term <= primary.receivedPosition!.term
-        );
-    }
-
-    /** Whether no log was lost at the address of the database, neither in this promotion nor, as recorded, before. */
-    private keepsLog({ member, hasLostLog }: FencedDatabase): boolean {
-        return !hasLostLog && !this.lostMembers().some(({ address }) => address === member.address);
-    }
-
-    /** Whether the database holds what the last promotion kept, of which other databases may have lost their copies. */
-    private holdsBase(database: FencedDatabase): boolean {
-        return holdsUpTo(database, this.options.basePosition);
-    }
-
-    /**
-     * Whether the database holds the commits that instances had acknowledged when they stopped to. What they tell is an upper
-     * bound, beyond which the log of a lost primary may have had commits that nobody acknowledged.
-     */
-    private holdsClosedCommits(database: FencedDatabase): boolean {
-        return holdsUpTo(database, this.closedInstances.highestLogEnd());
-    }
-
-    /** Whether the database holds the commits that were certainly acknowledged, as far as instances have answered. */
-    private holdsReached(database: FencedDatabase): boolean {
-        return holdsUpTo(database, this.closedInstances.highestReached());
-    }
-
-    /**
-     * The databases that were not shown to be still stopped after the last instance had answered that may have acknowledged
-     * commits beyond `best`. If there is none, what was acknowledged had been confirmed by a database that has stopped.
-     */
-    private unprovedSinceClosing(
-        best: FencedDatabase,
-        stopped: readonly FencedDatabase[],
-    ): readonly FencedDatabase[] {
-        const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!);
-        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= answeredMs);
-    }
-
-    private isFurthestSinceClosing(chosen: FencedDatabase): boolean {
-        const stopped = this.stoppedDatabases();
-        return stopped.every(({ receivedPosition }) => hasReached(chosen.receivedPosition!, receivedPosition!))
-            && this.holdsReached(chosen) && this.holdsConfirmedCommits(chosen, stopped)
-            && this.unprovedSinceClosing(chosen, stopped).length === 0;
-    }
-
     private waitFor(wait: PromotionWait): undefined {
         this.wait = wait;
         return undefined;
     }
 
-    /** Whether no commit can be acknowledged: the primary is gone, or every replica has stopped or is gone. */
-    private commitsAreBlocked(): boolean {
-        const databases = [...this.databases.values()];
-        const primary = this.primary();
-        return primary !== undefined && isDown(primary)
-            || databases.filter(database => database !== primary).every(isDown);
-    }
-
     /** Discards the answers of instances once commits can be acknowledged again. */
     private discardOutdatedReports(): void {
-        if (!this.commitsAreBlocked()) {
+        if (!this.logs.commitsAreBlocked()) {
             this.survey.discard();
         }
     }
 
-    /** Whether the database holds all commits that instances have seen acknowledged. */
-    private holdsReportedCommits({ receivedPosition }: FencedDatabase): boolean {
-        return this.survey.isCoveredBy(receivedPosition!);
-    }
-
     /** Unless the primary steps down first, whose last position tells what was acknowledged. */
     private closeInstances(nowMs: number): readonly Message[] {
         const stepsDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
@@ -583,12 +407,12 @@
         const hasSteppedDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
         const asksAtOnce = !hasSteppedDown
             && [...this.databases.values()].some(({ member }) => member.isEvacuated === true);
-        return (hasWaited || asksAtOnce) && this.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
+        return (hasWaited || asksAtOnce) && this.logs.commitsAreBlocked() ? this.survey.ask(nowMs) : [];
     }
 
     /** A replica that has caught up with the primary, or the primary itself if none catches up in time. */
     private chooseCaughtUpReplica(nowMs: number): string | undefined {
-        const others = [...this.databases.values()].filter(database => !this.isPrimary(database));
+        const others = [...this.databases.values()].filter(database => !this.logs.isPrimary(database));
         const ready = this.mostAdvanced(
             others.filter(({ member, receivedPosition }) =>
                 member.isReady && receivedPosition !== undefined && hasReached(receivedPosition, this.finalPosition!)
@@ -607,7 +431,7 @@
         if (!hasWaited) {
             return this.waitFor(PromotionWait.CatchUp);
         }
-        const primary = this.primary();
+        const primary = this.logs.primary();
         if (primary?.stopped === true && !primary.hasLostLog) {
             return this.mayLead(primary.databaseId)
                 ? primary.databaseId
@@ -631,14 +455,6 @@
         )[0];
     }
 
-    private primary(): FencedDatabase | undefined {
-        return [...this.databases.values()].find(database => this.isPrimary(database));
-    }
-
-    private isPrimary({ member }: FencedDatabase): boolean {
-        return member.address === this.primaryAddress;
-    }
-
     private databaseOfLink(linkId: string): FencedDatabase | undefined {
         return [...this.databases.values()].find(database => database.owns(linkId));
     }
@@ -647,18 +463,3 @@
 function positionText(position: Position | undefined): string {
     return position === undefined ? "-" : `${position.term}.${position.offset}`;
 }
-
-/** Whether a database holds what it confirmed, as far as is known. One that is empty may have started again just now. */
-function hasKeptLog({ hasLostLog, receivedPosition }: FencedDatabase): boolean {
-    return !hasLostLog && receivedPosition!.offset > 0;
-}
-
-/** Whether a database has received the log up to a position; true if there is none. */
-function holdsUpTo({ receivedPosition }: FencedDatabase, position: Position | undefined): boolean {
-    return position === undefined || receivedPosition !== undefined && hasReached(receivedPosition, position);
-}
-
-/** Whether a database neither confirms nor acknowledges commits, as far as its machine answers. */
-function isDown({ stopped, hasNoListener }: FencedDatabase): boolean {
-    return stopped || hasNoListener;
-}
