--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -14,7 +14,7 @@
 import { type CommitsSeenFrame, type DatabaseReport, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
-import type { PromotionRecord, RecordedDatabase } from "../model/promotion.ts";
+import type { RecordedDatabase } from "../model/promotion.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -26,10 +26,8 @@
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
-import { type ElectorateMember, electorateMembers } from "./electorate.ts";
 import { Fencing } from "./fencing.ts";
-import type { FleetView } from "./promotions.ts";
-import { recallLimitMs } from "./rememberedDatabases.ts";
+import { ServiceDatabases, type ServicePromotionOptions } from "./serviceDatabases.ts";
 
 type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
 
@@ -48,9 +46,6 @@
 } as const;
 type Phase = typeof Phase[keyof typeof Phase];
 
-/** Number of missed report intervals after which a primary is suspected even if no instance reports a failure. */
-const missedReportLimit = 2.3;
-
 /** Time that a new primary has to take over before it may be suspected. */
 const settleTimeMs = 1_200;
 
@@ -96,17 +91,9 @@
 /** Interval of log lines while a promotion waits. */
 const progressIntervalMs = 1_000;
 
-export interface ServicePromotionOptions {
-    readonly service: string;
-    readonly fleet: FleetView;
-    synchronousReplicas(): number;
-    record(): PromotionRecord;
-    /** Share of the service's routes that a database in this data centre could serve as primary, 0 to 1. */
-    homeShare?(dataCentre: string): number;
-}
-
 export class ServicePromotion {
     private readonly options: ServicePromotionOptions;
+    private readonly databases: ServiceDatabases;
     private phase: Phase = Phase.Steady;
     private phaseSinceMs = 0;
     private assessment: Assessment | undefined;
@@ -159,6 +146,7 @@
 
     constructor(options: ServicePromotionOptions) {
         this.options = options;
+        this.databases = new ServiceDatabases(options);
     }
 
     /** Whether a change of primary or an assessment is in progress. */
@@ -213,7 +201,7 @@
 
     /** An instance reported that a database does not answer. */
     suspect(databaseId: string, nowMs: number): readonly Message[] {
-        return this.phase === Phase.Steady && databaseId === this.primary()
+        return this.phase === Phase.Steady && databaseId === this.databases.primary()
             ? this.assessAgain(this.options.fleet.databases.get(databaseId)!.report, nowMs)
             : [];
     }
@@ -311,20 +299,22 @@
             // A previous leader may have stopped replicas or sent an order.
             return this.reserve(record.fence, nowMs);
         }
-        const primaryId = this.primary();
+        const primaryId = this.databases.primary();
         const primary = primaryId === undefined ? undefined : fleet.databases.get(primaryId);
         if (primary === undefined) {
-            if (nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.otherDatabases(undefined).length === 0) {
+            if (
+                nowMs - fleet.leadingSinceMs < newLeaderGraceMs || this.databases.otherDatabases(undefined).length === 0
+            ) {
                 return [];
             }
-            const remembered = this.rememberedPrimary(nowMs);
+            const remembered = this.databases.rememberedPrimary(nowMs);
             return remembered === undefined ? this.reserve(record.fence, nowMs) : this.assessAgain(remembered, nowMs);
         }
-        if (this.hasPrimaryLostLog(primary.report)) {
+        if (this.databases.hasPrimaryLostLog(primary.report)) {
             return this.reserve(record.fence, nowMs);
         }
         if (primary.report.state === ReportedState.Draining) {
-            const successors = this.otherDatabases(primaryId).filter(id => this.isReady(id));
+            const successors = this.databases.otherDatabases(primaryId).filter(id => this.databases.isReady(id));
             this.planned = true;
             return successors.length === 0 ? [] : this.reserve(record.fence, nowMs);
         }
@@ -334,7 +324,7 @@
             this.lastEvacuatedAtMs = nowMs;
             return this.reserve(record.fence, nowMs);
         }
-        const isSilent = this.isSilent(primaryId!, nowMs) && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
+        const isSilent = this.databases.isSilent(primaryId!, nowMs) && nowMs - fleet.leadingSinceMs > newLeaderGraceMs;
         return isSilent ? this.assessAgain(primary.report, nowMs) : [];
     }
 
@@ -346,15 +336,8 @@
         }
         const spacedMs = this.evacuationAttempts < maximumPromptEvacuations ? 0 : evacuationRetryMs;
         return nowMs - this.lastEvacuatedAtMs >= spacedMs
-            && this.otherDatabases(primary.databaseId).some(id => this.isReady(id) && !this.isSilent(id, nowMs));
-    }
-
-    /** Whether the primary has started again without its log: it follows, and no database leads. */
-    private hasPrimaryLostLog({ databaseId, leads }: DatabaseReport): boolean {
-        const { primaryAddress } = this.options.record();
-        return !leads
-            && this.members().some(member =>
-                member.isLost && member.databaseId === databaseId && member.address === primaryAddress
+            && this.databases.otherDatabases(primary.databaseId).some(id =>
+                this.databases.isReady(id) && !this.databases.isSilent(id, nowMs)
             );
     }
 
@@ -362,9 +345,11 @@
     private checkCatchUp(nowMs: number): readonly Message[] {
         const { record, service, fleet } = this.options;
         const { open, databases } = record();
-        const gone = this.phase !== Phase.Steady || open ? [] : databases.filter(database => this.isGone(database));
-        const primaryId = gone.length === 0 ? undefined : this.primary();
-        const members = primaryId === undefined ? [] : this.members();
+        const gone = this.phase !== Phase.Steady || open
+            ? []
+            : databases.filter(database => this.databases.isGone(database));
+        const primaryId = gone.length === 0 ? undefined : this.databases.primary();
+        const members = primaryId === undefined ? [] : this.databases.members();
         const primary = members.find(({ databaseId, isLost }) => databaseId === primaryId && !isLost);
         if (primary === undefined) {
             this.replaceable = [];
@@ -396,22 +381,16 @@
      */
     private invalidateOrders(nowMs: number): readonly Message[] {
         const isDue = this.phase === Phase.Steady && nowMs - this.lastInvalidationAtMs >= invalidationIntervalMs;
-        if (!isDue || !this.mayInvalidateOrders()) {
+        if (!isDue || !this.databases.mayInvalidateOrders()) {
             return [];
         }
         this.invalidatesOrders = true;
         return this.reserve(this.options.record().fence, nowMs);
     }
 
-    private mayInvalidateOrders(): boolean {
-        const { orderPending, open, databaseId } = this.options.record();
-        return orderPending && !open && this.options.fleet.databases.get(databaseId)?.report.leads === true
-            && !this.members().some(member => member.isLost && member.databaseId === databaseId);
-    }
-
     /** Sends the order that makes earlier ones void, unless the primary has gone meanwhile. */
     private orderPrimary(nowMs: number): readonly Message[] {
-        if (!this.mayInvalidateOrders()) {
+        if (!this.databases.mayInvalidateOrders()) {
             return this.endInvalidation(nowMs);
         }
         this.chosenDatabaseId = this.options.record().databaseId;
@@ -440,46 +419,12 @@
         return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
-    private isGone({ databaseId, isLost }: RecordedDatabase): boolean {
-        return isLost || this.options.fleet.departedDatabases.has(databaseId);
-    }
-
     private closeCatchUpCheck(): readonly Message[] {
         const closed = this.catchUpCheck?.close() ?? [];
         this.catchUpCheck = undefined;
         return closed;
     }
 
-    /**
-     * The database that claims to be the primary; of several, the last promoted one, or else the one that reported
-     * last.
-     */
-    private primary(): string | undefined {
-        const { databaseId } = this.options.record();
-        const { databases } = this.options.fleet;
-        const claimants = [...databases.values()].filter(({ report }) =>
-            report.service === this.options.service && report.leads
-        );
-        const named = claimants.find(({ report }) => report.databaseId === databaseId);
-        const newest = claimants.sort((left, right) => right.lastReportAtMs - left.lastReportAtMs)[0];
-        return (named ?? newest)?.report.databaseId ?? (databases.has(databaseId) ? databaseId : undefined);
-    }
-
-    /**
-     * The primary from before the start of this process, which may run although it has not reported since. Replacing it
-     * would end the acknowledgement of commits that instances run there.
-     */
-    private rememberedPrimary(nowMs: number): DatabaseReport | undefined {
-        const { service, fleet } = this.options;
-        const { databaseId } = this.options.record();
-        const claimants = [...fleet.rememberedDatabases.values()].filter(report =>
-            report.service === service && report.leads && !fleet.departedDatabases.has(report.databaseId)
-        );
-        const isRecalled = nowMs - fleet.leadingSinceMs < recallLimitMs;
-        const named = claimants.find(report => report.databaseId === databaseId);
-        return isRecalled ? named ?? (databaseId === "" ? claimants[0] : undefined) : undefined;
-    }
-
     private assessAgain(report: DatabaseReport, nowMs: number): readonly Message[] {
         return this.mayAssess(nowMs) ? this.assess(report, nowMs) : [];
     }
@@ -522,7 +467,7 @@
         const { fleet, service, synchronousReplicas } = this.options;
         const record = this.options.record();
         const { databaseId, orderedDatabaseId, orderPending, basePosition } = record;
-        const primaryId = this.primary();
+        const primaryId = this.databases.primary();
         // A database that leads because an earlier order was executed is not replaced.
         this.replacedDatabaseId = primaryId === orderedDatabaseId ? undefined : primaryId;
         this.formerPrimaryId = primaryId;
@@ -531,10 +476,10 @@
         this.fencing = new Fencing({
             service,
             fence: this.fence,
-            members: () => this.members(),
+            members: () => this.databases.members(),
             primaryId: this.replacedDatabaseId,
             preferredDatabaseId: orderedDatabaseId,
-            homeShare: databaseId => this.homeShareOf(databaseId),
+            homeShare: databaseId => this.databases.homeShareOf(databaseId),
             primaryKeepsLead: orderPending && primaryId === databaseId && synchronousReplicas() > 0,
             planned: this.planned,
             synchronousReplicas: synchronousReplicas(),
@@ -552,27 +497,6 @@
         return [...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
     }
 
-    private homeShareOf(databaseId: string): number {
-        const { fleet, homeShare } = this.options;
-        const dataCentre = fleet.databases.get(databaseId)?.report.dataCentre;
-        return dataCentre === undefined ? 0 : homeShare?.(dataCentre) ?? 0;
-    }
-
-    private members(): readonly ElectorateMember[] {
-        const { record, fleet } = this.options;
-        return electorateMembers(record().databases, this.reports()).map(member => ({
-            ...member,
-            isReady: member.isReady && this.isReady(member.databaseId),
-            isEvacuated: this.isEvacuated(member.databaseId),
-            lastReportAtMs: member.isLost ? undefined : fleet.databases.get(member.databaseId)?.lastReportAtMs,
-        }));
-    }
-
-    private reports(): readonly DatabaseReport[] {
-        return [...this.options.fleet.databases.values()].map(({ report }) => report)
-            .filter(({ service }) => service === this.options.service);
-    }
-
     /** A link changed, or an instance answered: a decision may be possible before the next tick. */
     private afterLinkEvent(nowMs: number): readonly Message[] {
         switch (this.phase) {
@@ -592,29 +516,20 @@
         }
         this.chosenDatabaseId = chosenDatabaseId;
         const receivedPosition = this.fencing!.receivedPosition(chosenDatabaseId);
-        this.chosenPosition = alreadyLeads ? this.keptPosition(chosenDatabaseId) ?? receivedPosition : receivedPosition;
+        this.chosenPosition = alreadyLeads
+            ? this.databases.keptPosition(chosenDatabaseId) ?? receivedPosition
+            : receivedPosition;
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId, nowMs)];
         }
         return [...messages, ...this.recordOrder(chosenDatabaseId, nowMs)];
     }
 
-    /**
-     * Position of a database that leads when an earlier leader chose it, if it is known; since then it has had commits that
-     * perhaps no other one has received. Undefined if databases are dropped that may have confirmed commits after that.
-     */
-    private keptPosition(databaseId: string): Position | undefined {
-        const { orderedDatabaseId, orderedPosition, databases } = this.options.record();
-        const dropsDatabases = this.members().some(({ isLost }) => isLost)
-            || databases.some(recorded => this.options.fleet.departedDatabases.has(recorded.databaseId));
-        return databaseId === orderedDatabaseId && !dropsDatabases ? orderedPosition : undefined;
-    }
-
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
         const { orderedDatabaseId, orderPending, databaseId: recordedId } = this.options.record();
         this.supersedes = orderedDatabaseId !== "" && orderedDatabaseId !== databaseId
             || orderPending && recordedId !== databaseId;
-        const ordered = this.members().filter(member => member.databaseId === databaseId && !member.isLost);
+        const ordered = this.databases.members().filter(member => member.databaseId === databaseId && !member.isLost);
         this.orderedAddresses = this.orderedAddresses?.concat(ordered.map(({ address }) => address));
         this.chosenDatabaseId = databaseId;
         this.fencing?.orderSent(databaseId);
@@ -634,7 +549,7 @@
      */
     private continueOrdering(nowMs: number): readonly Message[] {
         if (this.invalidatesOrders) {
-            return nowMs < this.orderDueMs && this.mayInvalidateOrders() ? [] : this.endInvalidation(nowMs);
+            return nowMs < this.orderDueMs && this.databases.mayInvalidateOrders() ? [] : this.endInvalidation(nowMs);
         }
         const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
         if (alreadyLeads) {
@@ -643,7 +558,7 @@
         if (this.reportsLead()) {
             return [...messages, ...this.complete(this.chosenDatabaseId, nowMs)];
         }
-        if (!this.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
+        if (!this.databases.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
             // The process that was ordered to lead is gone, and the platform refuses orders for it.
             this.substituteId = undefined;
             return [...messages, ...this.reserve(this.fence, nowMs)];
@@ -661,7 +576,7 @@
      * members may be told of further commits, so that it comes first then.
      */
     private findSubstitute(): string | undefined {
-        const members = this.members();
+        const members = this.databases.members();
         const lostIds = members.filter(({ isLost }) => isLost).map(({ databaseId }) => databaseId);
         const holderIds = this.chosenPosition === undefined ? [] : this.fencing!.holdersOf(this.chosenPosition);
         const formerIds = members.map(({ databaseId }) => databaseId).filter(id => this.isFormerPrimary(id));
@@ -779,24 +694,4 @@
             awaitedInstances: this.fencing?.awaitedWitnesses() ?? [],
         };
     }
-
-    private otherDatabases(primaryId: string | undefined): readonly string[] {
-        return this.reports().map(({ databaseId }) => databaseId).filter(databaseId => databaseId !== primaryId);
-    }
-
-    private isEvacuated(databaseId: string): boolean {
-        const { databases, evacuations } = this.options.fleet;
-        const report = databases.get(databaseId)?.report;
-        return report !== undefined && evacuations.covers(report);
-    }
-
-    private isSilent(databaseId: string, nowMs: number): boolean {
-        const { databases, reportIntervalMs } = this.options.fleet;
-        return nowMs - databases.get(databaseId)!.lastReportAtMs > missedReportLimit * reportIntervalMs;
-    }
-
-    private isReady(databaseId: string): boolean {
-        const report = this.options.fleet.databases.get(databaseId)?.report;
-        return report?.state === ReportedState.Ready && !this.isEvacuated(databaseId);
-    }
 }
