fix(fleet): a remembered primary is not waited for when another process has taken its place

Cause: after a restart of the leader, a primary that its disk listed and that did not report was assessed before a change.

Change: a remembered database counts no more once another one of its service reports from its address.

Tests: PromotionWorld took the reports for the disk at the restart, when a primary that had crashed led no more, so that 'replaces a remembered primary that is gone' never assessed one. They are taken before the crash now. Instances of the world know nothing of a database whose place another one has taken, as in the product.

--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -7,7 +7,7 @@
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import type { Configuration } from "../../model/configuration.ts";
 import { ControlKind, type ControlPropose } from "../../model/controlMessages.ts";
-import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import { type DatabaseReport, type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import {
     type LinkClose,
     type LinkCommand,
@@ -297,14 +297,18 @@
         });
     }
 
+    /** What the disk of a control leader lists now. */
+    listDatabases(): readonly DatabaseReport[] {
+        return this.databases.map(database => database.report(service));
+    }
+
     /** Starts a control leader that knows the replicated state, and the databases that its disk lists. */
-    startControl(remembered: readonly SimulatedDatabase[] = []): void {
+    startControl(remembered: readonly DatabaseReport[] = []): void {
         this.control = new Pipe("fleet", [new FleetDatabaseDirectory(), new Promotions({ reportIntervalMs })]);
         this.deadlines = new DeadlineQueue();
         this.applyPolicy();
         this.applyConfiguration();
-        const reports = remembered.map(database => database.report(service));
-        this.push({ kind: FleetKind.DatabasesRemembered, reports } as Message);
+        this.push({ kind: FleetKind.DatabasesRemembered, reports: remembered } as Message);
         this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
         this.instances.filter(({ running }) => running).forEach(instance =>
             this.after(100, this.ofControl(() => this.attach(instance)))
@@ -622,6 +626,15 @@
         if (frame.kind !== "assess") {
             return undefined;
         }
+        if (!this.databases.some(({ id }) => id === frame.databaseId)) {
+            // Instances have closed their links to a database whose place another one has taken.
+            return {
+                kind: "assessment",
+                databaseId: frame.databaseId,
+                answeredAgeMs: undefined,
+                unansweredAgeMs: undefined,
+            };
+        }
         const sinceMs = this.suspectedAtMs.get(frame.databaseId);
         const unansweredAgeMs = sinceMs === undefined ? undefined : this.nowMs - sinceMs;
         const { databaseId } = frame;
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -95,7 +95,7 @@
         world.stopControl();
         world.silentDatabases.add(world.database(0));
         world.advance(1_000);
-        const remembered = [...world.databases];
+        const remembered = world.listDatabases();
         world.startControl(remembered);
         const before = world.acknowledgedCount;
         world.advance(8_000);
@@ -110,7 +110,7 @@
         const world = new PromotionWorld();
         world.advance(5_000);
         world.stopControl();
-        const remembered = [...world.databases];
+        const remembered = world.listDatabases();
         world.crash(world.database(0));
         world.advance(1_000);
         world.startControl(remembered);
@@ -119,6 +119,22 @@
         assert.deepEqual(world.lost, []);
     });
 
+    it("replaces a remembered primary whose place another process has taken that does not lead", () => {
+        // Guards against a service without a primary for as long as databases are remembered.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.stopControl();
+        const remembered = world.listDatabases();
+        world.crash(world.database(0));
+        const next = world.restart(world.database(0));
+        next.leads = false;
+        world.advance(1_000);
+        world.startControl(remembered);
+        world.advance(5_500);
+        assert.equal(world.promoted.length, 1);
+        assert.deepEqual(world.lost, []);
+    });
+
     it("waits for a database if an instance that saw the last commits is gone", () => {
         // Guards against the loss of commits that only an instance without power has seen acknowledged.
         const world = new PromotionWorld();
--- a/src/fleet/serviceDatabases.ts
+++ b/src/fleet/serviceDatabases.ts
@@ -66,8 +66,11 @@
     rememberedPrimary(nowMs: number): DatabaseReport | undefined {
         const { service, fleet } = this.options;
         const { databaseId } = this.options.record();
+        const reported = new Set(this.reports().map(({ address }) => address));
         const claimants = [...fleet.rememberedDatabases.values()].filter(report =>
             report.service === service && report.leads && !fleet.departedDatabases.has(report.databaseId)
+            // Another process has taken its place.
+            && !reported.has(report.address)
         );
         const isRecalled = nowMs - fleet.leadingSinceMs < recallLimitMs;
         const named = claimants.find(report => report.databaseId === databaseId);
