fix(rpc): a workspace with a huge burst does not make the answers to its permit requests fail

Cause: a configuration may name any burst. The leader's answer then held a share of it that no message can carry: as protobuf the encoder throws in the leader's sink, as JSON the instance refuses the frame and ends the attachment.

Change: the share is limited to what a message carries at the leader, and all numbers of permit messages when they are encoded.

--- a/src/fleet/__tests__/permitLeader.spec.ts
+++ b/src/fleet/__tests__/permitLeader.spec.ts
@@ -12,6 +12,7 @@
 import { fallbackLimitMs, type RateTolerance, toleratedOperations } from "../../model/rateLimits.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { decodeFrame, encodeFrame } from "../../rpc/fleetCodec.ts";
 import { checkIntervalMs, PermitLeader } from "../permitLeader.ts";
 import { fallbackFraction } from "../workspacePermits.ts";
 
@@ -45,9 +46,9 @@
         this.feed({ kind: ControlKind.LeaderChanged, leading: true, term: ++this.term } as Message);
     }
 
-    setRate(ratePerSecond: number | undefined): void {
+    setRate(ratePerSecond: number | undefined, burst = ratePerSecond ?? 0): void {
         const workspaces = new Map(
-            ratePerSecond === undefined ? [] : [["w", { name: "w", keys: [], ratePerSecond, burst: ratePerSecond }]],
+            ratePerSecond === undefined ? [] : [["w", { name: "w", keys: [], ratePerSecond, burst }]],
         );
         const policy = { ...emptyTrafficPolicy, version: 1, workspaces };
         this.feed(
@@ -307,4 +308,27 @@
         assert.equal(share > 0.5 && share <= 1, true, `${share}`);
         assert.equal(burst <= fallbackFraction * toleratedOperations(tolerance, 100, 100), true, `${burst}`);
     });
+
+    it("carry no share of a burst that a message cannot carry", () => {
+        // Guards against attachments that end, and a leader that ends, because of a configuration that is valid.
+        const fixture = new LeaderFixture(["i"]);
+        fixture.setRate(100, 1e302);
+        const shares: (number | undefined)[] = [];
+        for (let round = 0; round < 200; round++) {
+            fixture.advance(100);
+            const answer = fixture.answer("i", ["w", 1, 0, 0, 0]);
+            shares.push(answer?.[4]);
+            assert.doesNotThrow(() => {
+                const permits: FleetFrame = {
+                    kind: "permits",
+                    term: 1,
+                    sequence: 1,
+                    answers: answer === undefined ? [] : [answer],
+                };
+                decodeFrame(encodeFrame(permits));
+                decodeFrame(encodeFrame(permits, true));
+            });
+        }
+        assert.ok(shares.includes(Number.MAX_SAFE_INTEGER), "a share was answered");
+    });
 });
--- a/src/fleet/permitLeader.ts
+++ b/src/fleet/permitLeader.ts
@@ -12,6 +12,7 @@
     type WorkspacePermitRequest,
 } from "../model/fleetMessages.ts";
 import { fallbackLimitMs, leaderPermitValidityMs, type RateTolerance } from "../model/rateLimits.ts";
+import { toSafeInteger } from "../model/safeInteger.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -253,7 +254,7 @@
         }
         instance.shareSentAtMs.set(workspace, nowMs);
         const { share, burst } = permits.fallbackAllowance(instanceId, nowMs);
-        return [workspace, count, retryMs, Math.floor(share * 1e6), Math.floor(burst * 100)];
+        return [workspace, count, retryMs, Math.floor(share * 1e6), toSafeInteger(burst * 100)];
     }
 
     /**
--- a/src/rpc/__tests__/permitFrameCodec.spec.ts
+++ b/src/rpc/__tests__/permitFrameCodec.spec.ts
@@ -87,6 +87,19 @@
         assert.deepEqual(received.answers, [["w", 0, 21]]);
     });
 
+    it("carry the largest values that fit instead of greater ones", () => {
+        // Guards against the end of a control leader by a workspace whose burst no message can carry.
+        const answers: PermitAnswer[] = [["w", 5e9, 5e9, 5e9, 1e302], ["w", 1, 1, 1, -Infinity]];
+        const permits: FleetFrame = { kind: "permits", term: 3, sequence: 1, answers };
+        const received = decodeFrame(transmit(encodeFrame(permits, true))) as typeof permits;
+        const most = Number.MAX_SAFE_INTEGER;
+        assert.deepEqual(received.answers, [["w", 2 ** 32 - 1, 2 ** 32 - 1, 2 ** 32 - 1, most], ["w", 1, 1, 1, -most]]);
+        const wants = [["w", 5e9, 5e9, 5e9, 1e302]] as const;
+        const sent: FleetFrame = { kind: "want", sequence: 1, heard: 1, term: 1, wants };
+        const asked = decodeFrame(transmit(encodeFrame(sent, true))) as typeof sent;
+        assert.deepEqual(asked.wants, [["w", 2 ** 32 - 1, 2 ** 32 - 1, 2 ** 32 - 1, most]]);
+    });
+
     it("are refused if they are malformed", () => {
         const body = Buffer.alloc(0);
         assert.throws(() => decodeFrame({ body, permitRequest: Buffer.from([0x22, 0xff]) }));
--- a/src/rpc/permitFrameCodec.ts
+++ b/src/rpc/permitFrameCodec.ts
@@ -3,6 +3,7 @@
  * a request and an answer, which often cross a region, and JSON takes three times the bytes.
  */
 import type { FleetFrame, PermitAnswer } from "../model/fleetMessages.ts";
+import { toSafeInteger } from "../model/safeInteger.ts";
 import {
     type FleetFrameMessage,
     PermitAnswersMessage,
@@ -42,9 +43,13 @@
 }
 
 function encodeRequest({ sequence, heard, term, wants }: RequestFrame): Buffer {
-    const encoded = wants.map(([workspace, waiting, prefetch, held, fallbackUsed]) => (
-        { workspace, waiting, prefetch, held, fallbackUsed }
-    ));
+    const encoded = wants.map(([workspace, waiting, prefetch, held, fallbackUsed]) => ({
+        workspace,
+        waiting: toUnsigned(waiting),
+        prefetch: toUnsigned(prefetch),
+        held: toUnsigned(held),
+        fallbackUsed: toSafeInteger(fallbackUsed),
+    }));
     return Buffer.from(PermitRequestMessage.encode({ sequence, heard, term, wants: encoded }).finish());
 }
 
@@ -64,15 +69,20 @@
 function encodeAnswers({ term, sequence, answers }: AnswersFrame): Buffer {
     const encoded = answers.map(([workspace, count, retryMs = 0, shareMillionths, burstHundredths = 0]) => ({
         workspace,
-        count,
+        count: toUnsigned(count),
         // Rounded up, so that no instance asks before the leader would grant.
-        retryMs: Math.min(Math.ceil(retryMs), maximumUnsigned),
-        shareMillionths,
-        burstHundredths,
+        retryMs: toUnsigned(Math.ceil(retryMs)),
+        shareMillionths: shareMillionths === undefined ? undefined : toUnsigned(shareMillionths),
+        burstHundredths: toSafeInteger(burstHundredths),
     }));
     return Buffer.from(PermitAnswersMessage.encode({ term, sequence, answers: encoded }).finish());
 }
 
+/** The encoder throws on greater values. */
+function toUnsigned(value: number): number {
+    return Math.min(value, maximumUnsigned);
+}
+
 function decodeAnswers(bytes: Buffer): unknown {
     const { term, sequence, answers } = PermitAnswersMessage.decode(bytes);
     return { kind: "permits", term, sequence, answers: answers.map(decodeAnswer) };
