feat(session): admission, routing, forwarding and links explain where a statement would go

Each step adds what it would decide to the question of `ctl explain`, without a state change: permits and tokens are counted without a refill, the random numbers of the placement are looked at and not drawn, and the links answer before they start to track commits. The gate of cold databases explains itself too.

--- a/src/model/explanation.ts
+++ b/src/model/explanation.ts
@@ -3,6 +3,7 @@
  * each adds what it would decide; nothing is sent, and no state changes.
  */
 import type { Message } from "../pipeline/message.ts";
+import type { Position } from "./position.ts";
 import type { RoutePolicy } from "./trafficPolicy.ts";
 
 export const ExplanationKind = {
@@ -24,6 +25,9 @@
 } as const;
 export type Verdict = typeof Verdict[keyof typeof Verdict];
 
+/** Figures by name; those with a unit carry it as a suffix. */
+export type Facts = Readonly<Record<string, string | number>>;
+
 /** What one step would decide about one subject. */
 export interface Finding {
     /** Step of the filter. */
@@ -32,8 +36,8 @@
     readonly subject: string;
     readonly verdict: Verdict;
     readonly reason: string;
-    /** Figures that the decision rests on, by name with unit. */
-    readonly facts: Readonly<Record<string, string | number>>;
+    /** What the decision rests on. */
+    readonly facts: Facts;
 }
 
 export interface ExplanationRequest {
@@ -44,6 +48,17 @@
     readonly writes: boolean;
 }
 
+/** The database that would get the statement. */
+export interface ExplainedPlacement {
+    readonly databaseId: string;
+    /** Log position that the database must have reached; undefined at the primary, and while none is known. */
+    readonly floor: Position | undefined;
+    /** Time that an attempt may take. */
+    readonly attemptLimitMs: number;
+    /** What this instance knows of the load of the database. */
+    readonly load: Facts;
+}
+
 export interface ExplanationAsked extends Message {
     readonly kind: typeof ExplanationKind.Asked;
     /** Unique in this process. */
@@ -51,8 +66,10 @@
     readonly request: ExplanationRequest;
     /** Undefined until the route is resolved. */
     readonly route: RoutePolicy | undefined;
+    /** Regions whose databases may run the statement; undefined if all may. */
+    readonly homeRegions?: readonly string[];
     /** Undefined until a database is chosen. */
-    readonly databaseId: string | undefined;
+    readonly placement: ExplainedPlacement | undefined;
     readonly findings: readonly Finding[];
 }
 
@@ -66,7 +83,7 @@
 export function withFindings(
     asked: ExplanationAsked,
     findings: readonly Finding[],
-    changes: Partial<Pick<ExplanationAsked, "route" | "databaseId">> = {},
+    changes: Partial<Pick<ExplanationAsked, "route" | "homeRegions" | "placement">> = {},
 ): ExplanationAsked {
     return { ...asked, ...changes, findings: [...asked.findings, ...findings] };
 }
@@ -76,3 +93,8 @@
     const { requestId } = asked;
     return { kind: ExplanationKind.Ended, requestId, findings: [...asked.findings, ...findings] };
 }
+
+/** Rounds a time for people. */
+export function roundMs(timeMs: number): number {
+    return Math.round(10 * timeMs) / 10;
+}
--- a/src/scheduling/databaseCost.ts
+++ b/src/scheduling/databaseCost.ts
@@ -58,6 +58,19 @@
     readonly workspace: string;
 }
 
+/** What a read would cost at a database, and what that consists of. */
+export interface ReadCost {
+    readonly candidate: ReadCandidate;
+    readonly costMs: number;
+    /** Expected wait in front of the database. */
+    readonly waitMs: number;
+    /** Latency beyond the shortest one. */
+    readonly addedLatencyMs: number;
+    readonly shortestMs: number;
+    /** Reads of this instance that run there. */
+    readonly inFlight: number;
+}
+
 interface CostEntry {
     /** Moving average of the latency without the wait that the load told. */
     latencyMs: number;
@@ -114,8 +127,19 @@
         this.entries.delete(databaseId);
     }
 
+    /** Returns the load that was last told of a database. */
+    told(databaseId: string): { readonly load: DatabaseLoad; readonly atMs: number; } | undefined {
+        const entry = this.entries.get(databaseId);
+        return entry?.load === undefined ? undefined : { load: entry.load, atMs: entry.loadAtMs };
+    }
+
     /** Sorts databases by cost, cheapest first. */
     rank(candidates: readonly ReadCandidate[], demand: ReadDemand, nowMs: number): readonly string[] {
+        return this.costsOf(candidates, demand, nowMs).map(({ candidate }) => candidate.databaseId);
+    }
+
+    /** Returns what a read would cost at each database, cheapest first. */
+    costsOf(candidates: readonly ReadCandidate[], demand: ReadDemand, nowMs: number): readonly ReadCost[] {
         const known = candidates.map(({ databaseId }) => this.entries.get(databaseId) ?? newEntry());
         const waits = aged(
             known.map(({ load }) => load === undefined ? 0 : loadWaitMs(load, demand.priority)),
@@ -134,10 +158,16 @@
             const fixedCostMs = shortestMs + distanceCostMs[candidate.distance]
                 + (candidate.isPrimary ? primaryCostMs : 0)
                 + affinityCostMs * preferences.indexOf(candidate.databaseId);
-            return { databaseId: candidate.databaseId, costMs: fixedCostMs + loadCostMs };
+            return {
+                candidate,
+                costMs: fixedCostMs + loadCostMs,
+                waitMs,
+                addedLatencyMs: latencies[index]!,
+                shortestMs,
+                inFlight,
+            };
         })
-            .sort((left, right) => left.costMs - right.costMs)
-            .map(({ databaseId }) => databaseId);
+            .sort((left, right) => left.costMs - right.costMs);
     }
 
     private entryOf(databaseId: string): CostEntry {
--- a/src/scheduling/statementQueue.ts
+++ b/src/scheduling/statementQueue.ts
@@ -34,6 +34,14 @@
 } as const;
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason];
 
+/** What becomes of a statement if it is added. */
+export interface QueuePreview {
+    /** Expected time until it starts. */
+    readonly waitMs: number;
+    /** It would be refused, because it cannot start before its deadline. */
+    readonly isHopeless: boolean;
+}
+
 /** A statement that was removed from the queue because it cannot start before its deadline. */
 export interface RefusedStatement<Statement> {
     readonly statement: Statement;
@@ -147,6 +155,23 @@
         return undefined;
     }
 
+    /** What `add` would expect of a statement, without regard to those that it would displace. */
+    preview(statement: Statement, drain: QueueDrain, nowMs: number): QueuePreview {
+        const { workspace, priority, costMs, deadlineMs } = statement;
+        const isTooLate = isLate(statement, nowMs + this.waitOfNewMs(statement, drain, nowMs));
+        const rank = laneRank(priority, isTooLate);
+        const statements = this.lanes.find(lane => lane.rank === rank)?.statements;
+        const ownMs = statements?.costOfMs(workspace) ?? 0;
+        const ahead = {
+            workspace,
+            laneMs: statements?.costAheadMs(workspace, costMs) ?? 0,
+            ownMs,
+            flowCount: (statements?.workspaceCount ?? 0) + Number(ownMs === 0),
+        };
+        const waitMs = this.waitMs(rank, ahead, drain, nowMs);
+        return { waitMs, isHopeless: waitMs > 0 && nowMs + waitMs + costMs > deadlineMs };
+    }
+
     /** Expected time until a new statement of this priority starts that can meet its objective. */
     expectedWaitMs(priority: number, drain: QueueDrain, nowMs: number): number {
         const rank = laneRank(priority, false);
--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -1,5 +1,6 @@
 /** Admits operations to the routing filter within the permits that this instance has for each workspace. */
 import { match } from "ts-pattern";
+import { type ExplanationAsked, type ExplanationEnded, ExplanationKind } from "../model/explanation.ts";
 import {
     FleetKind,
     type PermitsGranted,
@@ -15,6 +16,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
 import { ReturnTimes } from "../scheduling/returnTimes.ts";
+import { explainRate, explainUnlimited } from "./explainAdmission.ts";
 import { LocalPermits } from "./localPermits.ts";
 import {
     endTask,
@@ -60,13 +62,20 @@
     | TaskTimer
     | PermitsGranted
     | RateLeaderSilent
-    | PolicyApplied;
+    | PolicyApplied
+    | ExplanationAsked;
 
 interface WaitingOperation {
     readonly task: Task;
     readonly queuedMs: number;
 }
 
+/** The part of an operation on which the time depends for which it may wait. */
+interface OperationTimes {
+    readonly task: Pick<Task, "receivedMs" | "deadlineMs" | "route">;
+    readonly queuedMs: number;
+}
+
 interface WorkspaceQueue {
     readonly workspace: string;
     readonly permits: LocalPermits;
@@ -91,6 +100,7 @@
         FleetKind.PermitsGranted,
         FleetKind.RateLeaderSilent,
         FleetKind.PolicyApplied,
+        ExplanationKind.Asked,
     ];
     private readonly random: SeededRandom;
     private readonly queues = new Map<string, WorkspaceQueue>();
@@ -120,6 +130,7 @@
                 this.applyPolicy(input.policy, nowMs);
                 return [input];
             })
+            .with({ kind: ExplanationKind.Asked }, input => [this.explain(input, nowMs)])
             .otherwise(timer => this.serveWorkspace((timer as TaskTimer).id, nowMs));
     }
 
@@ -144,14 +155,14 @@
 
     /** Admits operations with a permit, refuses those that cannot get one in time, and reports the missing permits. */
     private serveQueue(queue: WorkspaceQueue, nowMs: number): readonly Message[] {
-        if (this.isFallbackActive && nowMs - (this.leaderAnsweredMs ?? -Infinity) >= fallbackLimitMs) {
+        if (this.isFallbackOver(nowMs)) {
             queue.permits.endFallback(nowMs);
         }
         const messages: Message[] = [];
         while (queue.waiting.length > 0 && queue.permits.tryAcquire(nowMs)) {
             messages.push(admit(queue.waiting.shift()!.task));
         }
-        const atMs = this.isFallbackActive ? nowMs : Math.max(nowMs, queue.permits.earliestRequestMs);
+        const atMs = this.nextGrantAtMs(queue, nowMs);
         const expired = queue.waiting.filter(operation => atMs >= this.latestStartMs(queue, operation, nowMs));
         queue.waiting = queue.waiting.filter(operation => !expired.includes(operation));
         messages.push(
@@ -201,18 +212,45 @@
         }
     }
 
+    private isFallbackOver(nowMs: number): boolean {
+        return this.isFallbackActive && nowMs - (this.leaderAnsweredMs ?? -Infinity) >= fallbackLimitMs;
+    }
+
+    /** Time from which the leader may grant a permit; now without a leader. */
+    private nextGrantAtMs({ permits }: WorkspaceQueue, nowMs: number): number {
+        return this.isFallbackActive ? nowMs : Math.max(nowMs, permits.earliestRequestMs);
+    }
+
+    private explain(asked: ExplanationAsked, nowMs: number): ExplanationAsked | ExplanationEnded {
+        const { request: { workspace } } = asked;
+        const route = asked.route!;
+        if (workspace === "") {
+            return explainUnlimited(asked);
+        }
+        const queue = this.queues.get(workspace) ?? newQueue(workspace, this.random);
+        const { permits, waiting } = queue;
+        const ahead = waiting.filter(({ task }) => task.route.priority <= route.priority).length;
+        const task = { route, receivedMs: nowMs, deadlineMs: nowMs + route.statementLimitMs };
+        const usesFallback = this.isFallbackActive && !this.isFallbackOver(nowMs);
+        return explainRate(asked, {
+            ratePerSecond: this.policy.workspaces.get(workspace)?.ratePerSecond ?? 0,
+            permits: permits.heldPermits(nowMs),
+            fallbackTokens: this.isFallbackActive ? usesFallback ? permits.fallbackTokens(nowMs) : 0 : undefined,
+            waiting: waiting.length,
+            ahead,
+            isFull: waiting.length >= maximumQueued && ahead === waiting.length,
+            waitLimitMs: this.latestStartMs(queue, { task, queuedMs: nowMs }, nowMs) - nowMs,
+            nextGrantMs: this.nextGrantAtMs(queue, nowMs) - nowMs,
+            retryAfterMs: this.retryMs(queue, nowMs),
+        });
+    }
+
     private queueOf(workspace: string, nowMs: number): WorkspaceQueue {
         const existing = this.queues.get(workspace);
         if (existing !== undefined) {
             return existing;
         }
-        const queue: WorkspaceQueue = {
-            workspace,
-            permits: new LocalPermits(),
-            waiting: [],
-            answeredMs: -Infinity,
-            returnTimes: new ReturnTimes(this.random),
-        };
+        const queue = newQueue(workspace, this.random);
         this.queues.set(workspace, queue);
         if (this.isFallbackActive) {
             this.startQueueFallback(queue, nowMs);
@@ -263,7 +301,7 @@
     }
 
     /** Time at which an operation that still waits for a permit is refused. */
-    private latestStartMs(queue: WorkspaceQueue, { task, queuedMs }: WaitingOperation, nowMs: number): number {
+    private latestStartMs(queue: WorkspaceQueue, { task, queuedMs }: OperationTimes, nowMs: number): number {
         const { receivedMs, deadlineMs, route } = task;
         const isAnswerDue = !this.isFallbackActive && queue.answeredMs < queuedMs
             && queue.permits.earliestRequestMs <= nowMs;
@@ -285,6 +323,16 @@
     }
 }
 
+function newQueue(workspace: string, random: SeededRandom): WorkspaceQueue {
+    return {
+        workspace,
+        permits: new LocalPermits(),
+        waiting: [],
+        answeredMs: -Infinity,
+        returnTimes: new ReturnTimes(random),
+    };
+}
+
 function enqueue(queue: WorkspaceQueue, operation: WaitingOperation): void {
     const { priority } = operation.task.route;
     const index = queue.waiting.findIndex(({ task }) => task.route.priority > priority);
--- a/src/session/coldGate.ts
+++ b/src/session/coldGate.ts
@@ -4,6 +4,15 @@
  * transaction whose next statement can't be sent in time is rolled back.
  */
 import { match, P } from "ts-pattern";
+import {
+    endExplanation,
+    type ExplanationAsked,
+    type ExplanationEnded,
+    ExplanationKind,
+    type Finding,
+    Verdict,
+    withFindings,
+} from "../model/explanation.ts";
 import {
     type ColdGranted,
     type ColdNeeded,
@@ -55,7 +64,8 @@
     | PolicyApplied
     | DatabaseChanged
     | DatabaseRemoved
-    | LinkLost;
+    | LinkLost
+    | ExplanationAsked;
 
 interface HeldTask {
     readonly message: Held;
@@ -83,6 +93,7 @@
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
         LinkKind.Lost,
+        ExplanationKind.Asked,
     ];
     private readonly databases = new ColdDatabases();
     /** Waiting tasks by database: statements of open transactions first, otherwise in order of arrival. */
@@ -128,6 +139,7 @@
                 }
                 return [lost];
             })
+            .with({ kind: ExplanationKind.Asked }, asked => [this.explain(asked, nowMs)])
             .otherwise(other => [other]);
     }
 
@@ -245,9 +257,7 @@
     }
 
     private useGrant(databaseId: string, nowMs: number): boolean {
-        const grant = (this.grants.get(databaseId) ?? []).find(({ count, validUntilMs }) =>
-            count > 0 && nowMs < validUntilMs
-        );
+        const [grant] = this.validGrants(databaseId, nowMs);
         if (grant === undefined) {
             this.grants.delete(databaseId);
             return false;
@@ -255,6 +265,37 @@
         grant.count -= 1;
         return true;
     }
+
+    private validGrants(databaseId: string, nowMs: number): readonly Grant[] {
+        return (this.grants.get(databaseId) ?? []).filter(({ count, validUntilMs }) =>
+            count > 0 && nowMs < validUntilMs
+        );
+    }
+
+    private explain(asked: ExplanationAsked, nowMs: number): ExplanationAsked | ExplanationEnded {
+        const { databaseId } = asked.placement!;
+        if (!this.isLimited(databaseId, nowMs)) {
+            return asked;
+        }
+        const waiting = this.held.get(databaseId)?.length ?? 0;
+        const granted = this.validGrants(databaseId, nowMs).reduce((sum, { count }) => sum + count, 0);
+        const finding = (verdict: Verdict, reason: string): Finding => ({
+            step: this.step,
+            subject: databaseId,
+            verdict,
+            reason,
+            facts: { granted, waiting, hold_limit_ms: holdMs },
+        });
+        if (waiting >= maximumWaiting) {
+            const reason = "too many statements wait for the cold database; a read would be placed again";
+            return endExplanation(asked, [finding(Verdict.Refused, reason)]);
+        }
+        return withFindings(asked, [
+            waiting === 0 && granted > 0
+                ? finding(Verdict.Passes, "the database is cold, and a grant is left")
+                : finding(Verdict.Waits, "the database is cold; waits for a grant of the control leader"),
+        ]);
+    }
 }
 
 /** Ends a task that was not sent. The transaction of a later statement is rolled back. */
--- a/src/session/databaseTable.ts
+++ b/src/session/databaseTable.ts
@@ -3,7 +3,13 @@
 import type { Position } from "../model/position.ts";
 import { StatementFault, TaskMode } from "../model/sessionStatement.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
-import { DatabaseCosts, Distance, type ReadCandidate, type ReadDemand } from "../scheduling/databaseCost.ts";
+import {
+    DatabaseCosts,
+    Distance,
+    type ReadCandidate,
+    type ReadCost,
+    type ReadDemand,
+} from "../scheduling/databaseCost.ts";
 import { type ObservedPosition, type PassedAt, ReplicaLag, withKnownLag } from "../scheduling/replicaLag.ts";
 import { observedPositions } from "./attemptOutcome.ts";
 import type { FloorRequests } from "./floorRequests.ts";
@@ -165,6 +171,16 @@
         demand: ReadDemand,
         nowMs: number,
     ): readonly string[] {
+        return this.costsOfRead(databaseIds, tried, demand, nowMs).map(({ candidate }) => candidate.databaseId);
+    }
+
+    /** Returns the same order with what a read would cost at each database. */
+    costsOfRead(
+        databaseIds: readonly string[],
+        tried: ReadonlySet<string>,
+        demand: ReadDemand,
+        nowMs: number,
+    ): readonly ReadCost[] {
         const hasCrossed = [...tried].some(databaseId => this.isElsewhere(databaseId));
         const near = hasCrossed ? databaseIds.filter(databaseId => !this.isElsewhere(databaseId)) : [];
         const allowed = near.length > 0 ? near : databaseIds;
@@ -174,7 +190,12 @@
             const isPrimary = this.isPrimary(databaseId, nowMs);
             return { databaseId, distance: this.distanceTo(dataCentre), isPrimary, slots };
         });
-        return this.costs.rank(candidates, demand, nowMs);
+        return this.costs.costsOf(candidates, demand, nowMs);
+    }
+
+    /** Returns the load that the holder of a database has last told, with the time at which it did. */
+    toldLoad(databaseId: string): ReturnType<DatabaseCosts["told"]> {
+        return this.costs.told(databaseId);
     }
 
     recordStart(databaseId: string): void {
--- a/src/session/explainAccess.ts
+++ b/src/session/explainAccess.ts
@@ -3,18 +3,19 @@
     endExplanation,
     type ExplanationAsked,
     type ExplanationEnded,
+    type Facts,
     type Finding,
     Verdict,
     withFindings,
 } from "../model/explanation.ts";
-import type { TrafficPolicy } from "../model/trafficPolicy.ts";
+import { commonHomeRegions, type TrafficPolicy } from "../model/trafficPolicy.ts";
 
 const step = "sessions";
 
 export function explainAccess(
     asked: ExplanationAsked,
     policy: TrafficPolicy,
-    isDraining: boolean,
+    isStopping: boolean,
 ): ExplanationAsked | ExplanationEnded {
     const { database, workspace } = asked.request;
     const refuse = (subject: string, reason: string): ExplanationEnded =>
@@ -25,7 +26,7 @@
             reason,
             facts: { version: policy.version },
         }]);
-    if (isDraining) {
+    if (isStopping) {
         return refuse(database, "the instance stops and takes no new work");
     }
     const route = policy.routesByDatabase.get(database);
@@ -38,6 +39,8 @@
             workspace === "" ? "the route needs a key" : "the configuration has no such workspace",
         );
     }
+    const workspaceHomes = policy.workspaces.get(workspace)?.homeRegions;
+    const homeRegions = commonHomeRegions(route.homeRegions, workspaceHomes);
     const finding: Finding = {
         step,
         subject: database,
@@ -50,7 +53,13 @@
             priority: route.priority,
             target_ms: route.targetLatencyMs,
             limit_ms: route.statementLimitMs,
+            ...homesFact("route_homes", route.homeRegions),
+            ...homesFact("workspace_homes", workspaceHomes),
         },
     };
-    return withFindings(asked, [finding], { route });
+    return withFindings(asked, [finding], { route, ...homeRegions === undefined ? {} : { homeRegions } });
+}
+
+function homesFact(name: string, regions: readonly string[] = []): Facts {
+    return regions.length === 0 ? {} : { [name]: regions.join(",") };
 }
--- a/src/session/floorRequests.ts
+++ b/src/session/floorRequests.ts
@@ -1,6 +1,7 @@
 /** Requests log positions of primaries, which serve as floors of reads, before the known ones are too old. */
 import type { Position } from "../model/position.ts";
 import { emptySessionContext, TaskMode } from "../model/sessionStatement.ts";
+import type { RoutePolicy } from "../model/trafficPolicy.ts";
 import type { Message } from "../pipeline/message.ts";
 import { FloorSamples, laterFloor } from "./floorSamples.ts";
 import {
@@ -32,6 +33,11 @@
 /** Time after which a position is requested again; above the timeouts of unresponsive instances plus a probe. */
 const floorRequestTimeoutMs = 1_500;
 
+/** The part of a read on which its floor depends. */
+type FloorDemand = Pick<Task, "receivedMs" | "sessionFloor"> & {
+    readonly route: Pick<RoutePolicy, "service" | "maximumAgeMs">;
+};
+
 export class FloorRequests {
     private readonly samples = new FloorSamples();
     /** Time until which no further position of a service is requested, because a request is in progress. */
@@ -49,7 +55,7 @@
     }
 
     /** Returns the position that a read needs; undefined if no known one is recent enough. */
-    floorFor({ route: { service, maximumAgeMs }, receivedMs, sessionFloor }: Task): Position | undefined {
+    floorFor({ route: { service, maximumAgeMs }, receivedMs, sessionFloor }: FloorDemand): Position | undefined {
         const sampled = this.samples.floorFor(service, receivedMs - maximumAgeMs);
         return sampled === undefined ? undefined : laterFloor(sampled, sessionFloor);
     }
@@ -59,6 +65,11 @@
         return this.samples.exceededByMs(service, position);
     }
 
+    /** Returns the time at which the newest known position of a primary was proved. */
+    newestProofMs(service: string): number | undefined {
+        return this.samples.newestSampleMs(service);
+    }
+
     /** Requests a newer position of the primary in the background. */
     renew(task: Task, nowMs: number): readonly Message[] {
         const { service, maximumAgeMs } = task.route;
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -3,6 +3,7 @@
  * the holder does not answer. Tasks for databases of which this instance is the holder go on to its own links.
  */
 import { match } from "ts-pattern";
+import { type ExplanationAsked, ExplanationKind } from "../model/explanation.ts";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
@@ -22,6 +23,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { explainHolder } from "./explainHolder.ts";
 import { HolderChoice } from "./holderChoice.ts";
 import { HomeRule } from "./homeRule.ts";
 import { preparedStatementOf } from "./link.ts";
@@ -77,7 +79,8 @@
     | InstancesKnown
     | DatabaseChanged
     | DatabaseRemoved
-    | DatabaseSuspected;
+    | DatabaseSuspected
+    | ExplanationAsked;
 
 export interface ForwardingOptions {
     readonly instanceId: string;
@@ -99,7 +102,9 @@
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
         FleetKind.DatabaseSuspected,
+        ExplanationKind.Asked,
     ];
+    private readonly instanceId: string;
     private readonly responsiveness = new Responsiveness({
         minimumTimeoutMs,
         maximumTimeoutMs,
@@ -118,6 +123,7 @@
     private nextAttemptNumber = 0;
 
     constructor({ instanceId, dataCentreRegions = new Map() }: ForwardingOptions) {
+        this.instanceId = instanceId;
         this.homes = new HomeRule(dataCentreRegions);
         this.holders = new HolderChoice({ instanceId, responsiveness: this.responsiveness });
     }
@@ -159,9 +165,15 @@
                 this.holders.recordUnreachable(input, nowMs);
                 return [input, ...this.refreshHolder(input.databaseId, nowMs)];
             })
+            .with({ kind: ExplanationKind.Asked }, input => [this.explain(input, nowMs)])
             .otherwise(timer => this.checkTimeout((timer as TaskTimer).id, nowMs));
     }
 
+    private explain(asked: ExplanationAsked, nowMs: number): Message {
+        const { holders, homes, instanceId } = this;
+        return explainHolder(asked, { holders, homes, instanceId }, nowMs);
+    }
+
     private place(placed: TaskPlaced, nowMs: number): readonly Message[] {
         if (!this.mayPass(placed)) {
             return [placed];
--- a/src/session/holderChoice.ts
+++ b/src/session/holderChoice.ts
@@ -28,6 +28,25 @@
     readonly isHolder: boolean;
 }
 
+/** Why an instance is skipped as the holder of a database. */
+export const SkipReason = {
+    /** Its connection has ended. */
+    Disconnected: "disconnected",
+    /** It does not answer in time. */
+    Silent: "silent",
+    /** It could not reach the database. */
+    CannotReach: "cannot_reach_database",
+} as const;
+export type SkipReason = typeof SkipReason[keyof typeof SkipReason];
+
+/** An instance that may be the holder of a database. */
+export interface HolderCandidate {
+    readonly instance: PeerInstance;
+    readonly isThisInstance: boolean;
+    /** Undefined if it is not skipped. */
+    readonly skipReason: SkipReason | undefined;
+}
+
 export interface HolderChoiceOptions {
     readonly instanceId: string;
     readonly responsiveness: Responsiveness;
@@ -83,6 +102,17 @@
         return { address: isSelf ? undefined : holder?.address, isHolder: isSelf && holder === first };
     }
 
+    /** Returns the instances from which `choose` chooses, highest rank first. */
+    candidates(databaseId: string, nowMs: number): readonly HolderCandidate[] {
+        const report = this.databases.get(databaseId);
+        const ranked = report === undefined ? [] : this.ranking.rank(databaseId, report.dataCentre);
+        return ranked.map(instance => {
+            const isThisInstance = this.isThisInstance(instance);
+            const address = isThisInstance ? undefined : instance.address;
+            return { instance, isThisInstance, skipReason: this.skipReason(databaseId, address, nowMs) };
+        });
+    }
+
     /**
      * Skips a holder that could not reach the database. A database that was reached and did not answer would be as slow
      * for another holder.
@@ -107,7 +137,7 @@
             if (!isSelf && this.responsiveness.isDisconnected(instance.address, nowMs)) {
                 continue;
             }
-            if (!this.isSkipped(databaseId, isSelf ? undefined : instance.address, nowMs)) {
+            if (this.skipReason(databaseId, isSelf ? undefined : instance.address, nowMs) === undefined) {
                 return instance;
             }
             firstRunning ??= instance;
@@ -124,9 +154,12 @@
     }
 
     /** @param address of the instance; undefined for this one */
-    private isSkipped(databaseId: string, address: string | undefined, nowMs: number): boolean {
+    private skipReason(databaseId: string, address: string | undefined, nowMs: number): SkipReason | undefined {
         const avoidance = this.avoidances.get(databaseId);
         const cannotReach = avoidance !== undefined && avoidance.untilMs > nowMs && avoidance.address === address;
-        return cannotReach || address !== undefined && this.responsiveness.isAvoided(address, nowMs);
+        if (address !== undefined && this.responsiveness.isAvoided(address, nowMs)) {
+            return this.responsiveness.isDisconnected(address, nowMs) ? SkipReason.Disconnected : SkipReason.Silent;
+        }
+        return cannotReach ? SkipReason.CannotReach : undefined;
     }
 }
--- a/src/session/linkTable.ts
+++ b/src/session/linkTable.ts
@@ -78,7 +78,7 @@
      */
     open(pool: LinkPool, workspace: string, nowMs: number): readonly Message[] {
         const closed: Message[] = [];
-        if (pool.links.size >= this.maximumLinksOf(pool) || nowMs < pool.openPausedUntilMs) {
+        if (!this.hasRoom(pool, nowMs)) {
             const idle = pool.leastUsefulIdle(nowMs);
             if (idle === undefined) {
                 return [];
@@ -93,6 +93,11 @@
         return [...closed, open, this.setLinkTimer(link, nowMs + openTimeoutMs)];
     }
 
+    /** Returns whether a link may be opened without closing another one. */
+    hasRoom(pool: LinkPool, nowMs: number): boolean {
+        return pool.links.size < this.maximumLinksOf(pool) && nowMs >= pool.openPausedUntilMs;
+    }
+
     close(link: Link): readonly Message[] {
         return [...this.remove(link), { kind: LinkKind.Close, linkId: link.linkId } as Message];
     }
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -3,6 +3,7 @@
  * instance is the holder: from their placement to their end, and through all that happens to links and databases.
  */
 import { match, P } from "ts-pattern";
+import { type ExplanationAsked, ExplanationKind } from "../model/explanation.ts";
 import {
     type AssessmentRequested,
     type DatabaseChanged,
@@ -20,6 +21,7 @@
 import { EvacuationStage } from "../scheduling/evacuations.ts";
 import { unsentAttempt } from "./attemptOutcome.ts";
 import { CommitTracker } from "./commitTracker.ts";
+import { explainLinks } from "./explainLinks.ts";
 import { type Link, LinkState } from "./link.ts";
 import { attemptKey, LinkAttempts } from "./linkAttempts.ts";
 import { LinkPool } from "./linkPool.ts";
@@ -56,7 +58,11 @@
     | FrameReceived
     | TaskEnded
     | HolderChanged
-    | EvacuationStageChanged;
+    | EvacuationStageChanged
+    | ExplanationAsked;
+
+/** What may change the state of the links. */
+type LinksEvent = Exclude<LinksInput, ExplanationAsked>;
 
 export interface LinksOptions {
     readonly random: SeededRandom;
@@ -86,6 +92,7 @@
         TaskKind.Ended,
         TaskKind.HolderChanged,
         TaskKind.EvacuationStageChanged,
+        ExplanationKind.Asked,
     ];
     private readonly table = new LinkTable();
     private readonly commitTracker = new CommitTracker();
@@ -97,8 +104,12 @@
     }
 
     process(message: LinksInput, nowMs: number): readonly Message[] {
+        if (message.kind === ExplanationKind.Asked) {
+            // Changes nothing, so that it does not start the tracking either.
+            return [explainLinks(message, this.table, nowMs)];
+        }
         this.commitTracker.startOnce(nowMs);
-        return match<LinksInput, readonly Message[]>(message)
+        return match<LinksEvent, readonly Message[]>(message)
             .with({ kind: P.union(TaskKind.Placed, TaskKind.PassedPlaced) }, input => this.place(input, nowMs))
             .with(
                 { kind: P.union(TaskKind.Continued, TaskKind.PassedContinued) },
--- a/src/session/localPermits.ts
+++ b/src/session/localPermits.ts
@@ -10,6 +10,11 @@
 /** Time whose demand prefetched permits cover; below the validity of a permit, so that few expire unused. */
 const prefetchMs = 600;
 
+interface Permits {
+    count: number;
+    readonly validUntilMs: number;
+}
+
 /** Limits for the time without a leader, as last granted by one. */
 interface Fallback {
     readonly share: number;
@@ -22,7 +27,7 @@
     earliestRequestMs = -Infinity;
     /** Number of operations admitted at the fallback rate. */
     fallbackUsed = 0;
-    private permits: { count: number; readonly validUntilMs: number; }[] = [];
+    private permits: Permits[] = [];
     private readonly demand = new DecayingCounter(prefetchTimeConstantMs);
     private fallback: Fallback = { share: 0, burst: 0, receivedMs: 0 };
     /** Set while no leader answers. */
@@ -35,8 +40,12 @@
     }
 
     heldPermits(nowMs: number): number {
-        this.permits = this.permits.filter(({ validUntilMs }) => validUntilMs > nowMs);
-        return this.permits.reduce((sum, { count }) => sum + count, 0);
+        return this.validPermits(nowMs).reduce((sum, { count }) => sum + count, 0);
+    }
+
+    /** Number of whole operations that the fallback rate allows now. */
+    fallbackTokens(nowMs: number): number {
+        return Math.floor(this.bucket?.availableTokens(nowMs) ?? 0);
     }
 
     /** Number of permits to request beyond those for waiting operations. */
@@ -47,9 +56,7 @@
     }
 
     addGrant({ count, retryMs, fallback }: PermitGrant, validUntilMs: number, nowMs: number): void {
-        if (count > 0) {
-            this.permits.push({ count, validUntilMs });
-        }
+        this.permits = [...this.validPermits(nowMs), ...count > 0 ? [{ count, validUntilMs }] : []];
         this.earliestRequestMs = retryMs > 0 ? nowMs + retryMs : -Infinity;
         if (fallback !== undefined) {
             this.fallback = { ...fallback, receivedMs: nowMs };
@@ -57,10 +64,10 @@
     }
 
     tryAcquire(nowMs: number): boolean {
-        if (this.heldPermits(nowMs) > 0) {
-            const [oldest] = this.permits;
-            oldest!.count -= 1;
-            this.permits = this.permits.filter(({ count }) => count > 0);
+        this.permits = this.validPermits(nowMs);
+        const [oldest] = this.permits;
+        if (oldest !== undefined) {
+            oldest.count -= 1;
             return true;
         }
         const taken = this.bucket?.tryTake(nowMs) ?? false;
@@ -98,4 +105,8 @@
     waitMs(nowMs: number): number {
         return this.bucket === undefined ? this.earliestRequestMs - nowMs : this.bucket.waitMs(nowMs);
     }
+
+    private validPermits(nowMs: number): Permits[] {
+        return this.permits.filter(({ count, validUntilMs }) => count > 0 && validUntilMs > nowMs);
+    }
 }
--- a/src/session/localTokenBucket.ts
+++ b/src/session/localTokenBucket.ts
@@ -24,17 +24,17 @@
 
     availableTokens(nowMs: number): number {
         const elapsedMs = nowMs - this.refilledMs;
-        this.refilledMs = nowMs;
-        this.tokens = Math.min(this.burst, this.tokens + elapsedMs / 1_000 * this.ratePerSecond);
-        return this.tokens;
+        return Math.min(this.burst, this.tokens + elapsedMs / 1_000 * this.ratePerSecond);
     }
 
     /** Takes one token if one is available. */
     tryTake(nowMs: number): boolean {
-        if (this.availableTokens(nowMs) < 1) {
+        const available = this.availableTokens(nowMs);
+        if (available < 1) {
             return false;
         }
-        this.tokens -= 1;
+        this.tokens = available - 1;
+        this.refilledMs = nowMs;
         return true;
     }
 
--- a/src/session/poolLag.ts
+++ b/src/session/poolLag.ts
@@ -1,5 +1,6 @@
 /** Refuses reads at the holder of a database that has not reached the log position which they need. */
 import type { LinkReply } from "../model/linkMessages.ts";
+import type { Position } from "../model/position.ts";
 import { StatementFault, TransactionState } from "../model/sessionStatement.ts";
 import { ReplicaLag } from "../scheduling/replicaLag.ts";
 import type { TaskPlaced } from "./taskMessages.ts";
@@ -36,7 +37,7 @@
         if (floor === undefined) {
             return undefined;
         }
-        if (this.lag.avoidedUntilMs(this.databaseId, floor, unknownPassing, nowMs) === undefined) {
+        if (this.mayHaveReached(floor, nowMs)) {
             this.lag.recordPlaced(this.databaseId, floor, nowMs);
             return undefined;
         }
@@ -51,6 +52,10 @@
         };
     }
 
+    mayHaveReached(floor: Position, nowMs: number): boolean {
+        return this.lag.avoidedUntilMs(this.databaseId, floor, unknownPassing, nowMs) === undefined;
+    }
+
     /** Records what the end of an attempt tells. */
     recordAttempt({ floor }: TaskPlaced, reply: LinkReply | undefined, nowMs: number): void {
         if (reply?.position !== undefined) {
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -1,5 +1,6 @@
 /** Chooses the database and the floor (the log position it must have reached) for each task, and decides on retries. */
 import { match, P } from "ts-pattern";
+import { type ExplanationAsked, ExplanationKind } from "../model/explanation.ts";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
@@ -18,6 +19,7 @@
 import { databaseSuspected, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
+import { explainPlacement } from "./explainPlacement.ts";
 import { FloorRequests } from "./floorRequests.ts";
 import { type PassedOver, PassOverReason, type PlacementRule, PlacementRules, soonest } from "./placementRule.ts";
 import { RoutedTask } from "./routedTask.ts";
@@ -73,7 +75,8 @@
     | DatabaseChanged
     | DatabaseRemoved
     | FrameReceived
-    | PolicyApplied;
+    | PolicyApplied
+    | ExplanationAsked;
 
 export interface RoutingOptions {
     readonly dataCentre: string;
@@ -101,7 +104,9 @@
         FleetKind.DatabaseRemoved,
         FleetKind.FrameReceived,
         FleetKind.PolicyApplied,
+        ExplanationKind.Asked,
     ];
+    private readonly random: SeededRandom;
     private readonly databases: DatabaseTable;
     private readonly rules: PlacementRules;
     private readonly commitGate = new CommitGate();
@@ -110,10 +115,11 @@
     private promotedByService: ReadonlyMap<string, string> = new Map();
 
     constructor({ dataCentre, dataCentreRegions = new Map(), rules = [], random }: RoutingOptions) {
+        this.random = random ?? new SeededRandom(defaultSeed);
         this.databases = new DatabaseTable({
             dataCentre,
             dataCentreRegions,
-            random: random ?? new SeededRandom(defaultSeed),
+            random: this.random,
             floors: this.floors,
         });
         this.rules = new PlacementRules(rules);
@@ -148,9 +154,15 @@
                 return [input];
             })
             .with({ kind: FleetKind.PolicyApplied }, input => [input, ...this.applyPolicy(input, nowMs)])
+            .with({ kind: ExplanationKind.Asked }, input => [this.explain(input, nowMs)])
             .otherwise(timer => this.retryPlacement((timer as TaskTimer).id, nowMs));
     }
 
+    private explain(asked: ExplanationAsked, nowMs: number): Message {
+        const { databases, rules, floors, commitGate, random } = this;
+        return explainPlacement(asked, { databases, rules, floors, commitGate, random, readAttemptShare }, nowMs);
+    }
+
     private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
         const { promoted, ordered } = policy;
         this.commitGate.applyPolicy(policy);
