--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -1,4 +1,5 @@
 /** The session pipe of one instance in virtual time; the test itself replies for the databases. */
+import { type ExplanationAsked, type ExplanationEnded, ExplanationKind } from "../../model/explanation.ts";
 import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { type LinkCommand, LinkKind, type LinkOpen, type LinkReply, type LinkSend } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
@@ -33,6 +34,7 @@
 import { SessionAccess } from "../sessionAccess.ts";
 import { Sessions } from "../sessions.ts";
 import { TaskKind } from "../taskMessages.ts";
+import { askedFor } from "./explanationQuestions.ts";
 
 export interface SentCommand {
     readonly linkId: string;
@@ -57,6 +59,7 @@
         FleetKind.PolicyProofNeeded,
         PeerKind.Send,
         PeerKind.Answer,
+        ExplanationKind.Ended,
     ];
     readonly clock = new VirtualClock();
     readonly access = new SessionAccess();
@@ -66,6 +69,7 @@
     readonly opened: LinkOpen[] = [];
     readonly closed: string[] = [];
     readonly otherMessages: Message[] = [];
+    readonly explanations: ExplanationEnded[] = [];
     /** Each question for a proof of the policy is answered at once. */
     leaderProves = true;
     proofsNeeded = 0;
@@ -100,6 +104,9 @@
             case SessionKind.Answer:
                 this.answers.push(message as SessionAnswer);
                 return;
+            case ExplanationKind.Ended:
+                this.explanations.push(message as ExplanationEnded);
+                return;
             case FleetKind.PolicyProofNeeded:
                 this.proofsNeeded += 1;
                 if (this.leaderProves) {
@@ -234,6 +241,11 @@
         this.post({ kind: SessionKind.Requested, sessionId, statement } as Message);
     }
 
+    /** Asks where a statement would go; the answer is the last of `explanations`. */
+    ask(request: ExplanationAsked["request"]): void {
+        this.post(askedFor(request));
+    }
+
     /** Confirms all links that are being opened. */
     openLinks(): void {
         for (const { linkId } of this.opened.filter(link => !this.confirmedLinkIds.includes(link.linkId))) {
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -3,6 +3,7 @@
 import { ColdRequester } from "../../fleet/coldRequester.ts";
 import type { ColdTolerance } from "../../model/coldLimits.ts";
 import { ControlKind, type ControlPropose, ProposalStatus } from "../../model/controlMessages.ts";
+import { type ExplanationAsked, type ExplanationEnded, ExplanationKind } from "../../model/explanation.ts";
 import {
     type DatabaseReport,
     type FleetFrame,
@@ -37,6 +38,7 @@
     type WorkspacePolicy,
 } from "../../model/trafficPolicy.ts";
 import { type Clock, EventLoop } from "../../pipeline/eventLoop.ts";
+import type { Filter } from "../../pipeline/filter.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
@@ -56,7 +58,9 @@
 import { Routing } from "../routing.ts";
 import { SessionAccess } from "../sessionAccess.ts";
 import { Sessions } from "../sessions.ts";
+import { TaskKind, type TaskPlaced } from "../taskMessages.ts";
 import { AnswerChecker } from "./answerChecker.ts";
+import { askedFor } from "./explanationQuestions.ts";
 import { Schedule } from "./schedule.ts";
 import { statement } from "./sessionFixture.ts";
 import { StandInDatabase } from "./standInDatabase.ts";
@@ -169,6 +173,12 @@
     /** Sessions with the home regions of their route and workspace together. */
     readonly homesBySession = new Map<string, readonly string[]>();
     private readonly coldLeader = new ColdLeader(this);
+    /** Called for each message that leaves the pipes of an instance, except the answers to questions. */
+    onOutput: (node: FleetNode, message: Message) => void = () => undefined;
+    /** Called when an instance assigns a task to a database. */
+    onPlaced: (node: FleetNode, placed: TaskPlaced) => void = () => undefined;
+    /** Called with the answer to a question where a statement would go. */
+    onExplained: (node: FleetNode, ended: ExplanationEnded) => void = () => undefined;
     /** Called at the end of each operation, with its start and the fault of its last answer. */
     onOperationEnded: (startMs: number, fault: string | undefined) => void = () => undefined;
     /** Time before which all commits must be visible to a statement, by its id. */
@@ -428,6 +438,7 @@
         FleetKind.SendFrame,
         PeerKind.Send,
         PeerKind.Answer,
+        ExplanationKind.Ended,
     ];
     readonly peer: PeerInstance;
     readonly callers = new Map<string, Caller>();
@@ -467,6 +478,7 @@
                 rules: [new EvacuationRule(evacuationBoundMs), new HomeRule(dataCentreRegions), coldRule],
                 random: new SeededRandom(fleet.nodes.length + 1),
             }),
+            new PlacementObserver(placed => fleet.onPlaced(this, placed)),
             new Forwarding({ instanceId, dataCentreRegions }),
             new ColdGate(),
             new EvacuationStages(evacuationBoundMs),
@@ -547,7 +559,17 @@
         other.post({ kind: PeerKind.Gone, streamId: this.peer.instanceId } as Message);
     }
 
+    /** Asks where a statement would go. */
+    ask(request: ExplanationAsked["request"]): void {
+        this.post(askedFor(request));
+    }
+
     deliver(message: Message): void {
+        if (message.kind === ExplanationKind.Ended) {
+            this.fleet.onExplained(this, message as ExplanationEnded);
+            return;
+        }
+        this.fleet.onOutput(this, message);
         const costMs = message.kind.startsWith("peer.")
             ? ProcessorCostMs.peerOut
             : message.kind.startsWith("link.")
@@ -672,6 +694,22 @@
     }
 }
 
+/** Sees the tasks that routing has placed, and passes them on. */
+class PlacementObserver implements Filter<TaskPlaced> {
+    readonly step = "observer";
+    readonly accepts = [TaskKind.Placed];
+    private readonly onPlaced: (placed: TaskPlaced) => void;
+
+    constructor(onPlaced: (placed: TaskPlaced) => void) {
+        this.onPlaced = onPlaced;
+    }
+
+    process(placed: TaskPlaced): readonly TaskPlaced[] {
+        this.onPlaced(placed);
+        return [placed];
+    }
+}
+
 /** The control leader, as far as it grants the right to send tasks to cold databases. */
 class ColdLeader {
     private readonly budgets = new ColdBudgets({ tolerance: coldTolerance });
