--- a/src/session/__tests__/linksWorld.ts
+++ b/src/session/__tests__/linksWorld.ts
@@ -1,4 +1,11 @@
 /** Holders of one simulated database in virtual time, which get tasks directly. */
+import assert from "node:assert/strict";
+import {
+    type ExplanationAsked,
+    type ExplanationEnded,
+    ExplanationKind,
+    type Finding,
+} from "../../model/explanation.ts";
 import { type DatabaseReport, FleetKind, type PolicyApplied, ReportedState } from "../../model/fleetMessages.ts";
 import { LinkKind, LinkLoss, type LinkOpen } from "../../model/linkMessages.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
@@ -58,6 +65,10 @@
     readonly attempts = new Map<string, { readonly attempted: TaskAttempted; readonly atMs: number; }>();
     readonly placedMs = new Map<string, number>();
     readonly phases: string[] = [];
+    /** Tasks of which commands were sent. */
+    readonly startedTaskIds = new Set<string>();
+    /** Called with the messages that the links return for each event. */
+    onOutputs: (outputs: readonly Message[]) => void = () => undefined;
     /** Occupancies after events that have put more in flight than the window allows. */
     readonly startsBeyondWindow: unknown[] = [];
     maximumLinks = 0;
@@ -121,6 +132,14 @@
         return taskId;
     }
 
+    /** Returns what the links say of a statement. */
+    ask(asked: ExplanationAsked): readonly Finding[] {
+        const [ended, ...others] = this.links.process(asked, this.world.schedule.nowMs);
+        assert.equal(ended?.kind, ExplanationKind.Ended);
+        assert.deepEqual(others, []);
+        return (ended as ExplanationEnded).findings;
+    }
+
     abandon(taskId: string): void {
         this.push({ kind: TaskKind.Abandoned, sessionId: taskId, taskId } as Message);
     }
@@ -149,6 +168,8 @@
         const before = this.occupancy;
         const outputs = this.links.process(message as never, schedule.nowMs);
         const after = this.occupancy;
+        this.onOutputs(outputs);
+        this.recordStarts();
         this.maximumLinks = Math.max(this.maximumLinks, after.links);
         // Statements of open transactions run at once.
         if (message.kind !== TaskKind.Continued && after.inFlight > Math.max(before.inFlight, after.window)) {
@@ -157,6 +178,15 @@
         outputs.forEach(output => this.handle(output));
     }
 
+    private recordStarts(): void {
+        const pool = (this.links as unknown as { readonly table: LinkTable; }).table.pools.get("d");
+        pool?.links.forEach(({ attempt }) => {
+            if (attempt !== undefined) {
+                this.startedTaskIds.add(attempt.placed.task.taskId);
+            }
+        });
+    }
+
     private handle(output: Message): void {
         const { schedule, database } = this.world;
         switch (output.kind) {
