--- a/src/session/explainAccess.ts
+++ b/src/session/explainAccess.ts
@@ -31,7 +31,10 @@
     }
     const route = policy.routesByDatabase.get(database);
     if (route === undefined) {
-        return refuse(database, "the configuration has no route of this name");
+        return refuse(
+            database,
+            policy.version === 0 ? "no configuration yet" : "the configuration has no route of this name",
+        );
     }
     if (workspace === "" ? !route.open : !policy.workspaces.has(workspace)) {
         return refuse(
--- a/src/wiring/__tests__/platformProcess.spec.ts
+++ b/src/wiring/__tests__/platformProcess.spec.ts
@@ -8,6 +8,11 @@
 import { describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { decodePlatformSettings, type PlatformSettings } from "../../platform/platformSettings.ts";
+import { ExplanationClient } from "../../rpc/explanationClient.ts";
+import type { ExplainResponse } from "../../rpc/generated/explanations.ts";
+import { UnreachableError } from "../../rpc/operatorClient.ts";
+import { PeerAuthentication } from "../../rpc/peerAuthentication.ts";
+import { PeerClientFactory } from "../../rpc/peerClientFactory.ts";
 import { type PlatformProcess, startPlatformProcess } from "../platformProcess.ts";
 
 /** Returns a port that is free at present. */
@@ -101,6 +106,40 @@
     });
 });
 
+describe("a question where a statement would go", () => {
+    async function askAt({ rpcAddress }: PlatformSettings): Promise<ExplainResponse> {
+        const secret = "0123456789abcdef";
+        const authentication = new PeerAuthentication({ cluster: "jasmineline", instanceId: "operator", secret });
+        const clientFactory = new PeerClientFactory({ authentication });
+        await using client = new ExplanationClient({ server: rpcAddress, clientFactory, timeoutMs: 5_000 });
+        return await client.explain({ database: "orders", workspace: "w", writes: true });
+    }
+
+    it("is answered by a proxy", async () => {
+        const { proxy, settings } = await startProxy();
+        const { instanceId, findings } = await askAt(settings);
+        await proxy[Symbol.asyncDispose]();
+        assert.equal(instanceId, "front1");
+        assert.deepEqual(findings, [{
+            step: "sessions",
+            subject: "orders",
+            verdict: "refused",
+            reason: "no configuration yet",
+            facts: { version: "0" },
+        }]);
+    });
+
+    it("is not for a control member, which serves no callers", async () => {
+        const folder = await mkdtemp(join(tmpdir(), "member-"));
+        const settings = await memberSettings(folder);
+        const member = await startPlatformProcess({ settings, clusterSecret: "0123456789abcdef", seed: 1 });
+        const asked = askAt(settings);
+        await assert.rejects(asked, UnreachableError);
+        await member[Symbol.asyncDispose]();
+        await rm(folder, { recursive: true });
+    });
+});
+
 describe("control member process", () => {
     it("goes on with its settings when the changed ones cannot be read", async () => {
         const folder = await mkdtemp(join(tmpdir(), "member-"));
