--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -231,11 +231,11 @@
         const { permits, waiting } = queue;
         const ahead = waiting.filter(({ task }) => task.route.priority <= route.priority).length;
         const task = { route, receivedMs: nowMs, deadlineMs: nowMs + route.statementLimitMs };
-        const usesFallback = this.isFallbackActive && !this.isFallbackOver(nowMs);
+        const tokens = this.isFallbackOver(nowMs) ? 0 : permits.fallbackTokens(nowMs);
         return explainRate(asked, {
             ratePerSecond: this.policy.workspaces.get(workspace)?.ratePerSecond ?? 0,
             permits: permits.heldPermits(nowMs),
-            fallbackTokens: this.isFallbackActive ? usesFallback ? permits.fallbackTokens(nowMs) : 0 : undefined,
+            fallbackTokens: this.isFallbackActive ? tokens : undefined,
             waiting: waiting.length,
             ahead,
             isFull: waiting.length >= maximumQueued && ahead === waiting.length,
--- a/src/session/explainHolder.ts
+++ b/src/session/explainHolder.ts
@@ -32,7 +32,7 @@
     const { databaseId, load } = asked.placement!;
     const dataCentre = holders.dataCentreOf(databaseId);
     if (dataCentre !== undefined && !homes.isAtHome(dataCentre, asked.homeRegions)) {
-        const reason = "no instance of the home regions is near the database, so this one uses it itself";
+        const reason = "the instances near the database are outside of the home regions, so this one uses it itself";
         return withFindings(asked, [chosenInstance(instanceId, reason, { database: databaseId })]);
     }
     const candidates = holders.candidates(databaseId, nowMs);
@@ -45,7 +45,7 @@
         const reason = "no instance of the data centre can be the holder, so this one uses the database itself";
         return withFindings(asked, [chosenInstance(instanceId, reason, facts)]);
     }
-    const passedOver = candidates.slice(0, chosen).map((candidate, rank) => skipped(candidate, rank));
+    const passedOver = candidates.slice(0, chosen).flatMap((candidate, index) => skipped(candidate, index));
     const { instance, skipReason } = candidates[chosen]!;
     const reason = skipReason === undefined
         ? isHolder || address !== undefined
@@ -61,9 +61,16 @@
         ]);
 }
 
-function skipped({ instance: { instanceId }, skipReason }: HolderCandidate, index: number): Finding {
-    const reason = skipReason === undefined ? "not needed" : skipTexts[skipReason];
-    return { step, subject: instanceId, verdict: Verdict.PassedOver, reason, facts: { rank: index + 1 } };
+function skipped({ instance: { instanceId }, skipReason }: HolderCandidate, index: number): readonly Finding[] {
+    return skipReason === undefined ? [] : [
+        {
+            step,
+            subject: instanceId,
+            verdict: Verdict.PassedOver,
+            reason: skipTexts[skipReason],
+            facts: { rank: index + 1 },
+        },
+    ];
 }
 
 function chosenInstance(instanceId: string, reason: string, facts: Facts): Finding {
