--- a/src/session/__tests__/explainLinks.spec.ts
+++ b/src/session/__tests__/explainLinks.spec.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { ExplanationKind, type Finding, Verdict } from "../../model/explanation.ts";
-import { FleetKind } from "../../model/fleetMessages.ts";
+import { FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import { SessionStatementKind } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
@@ -115,6 +115,18 @@
         );
     });
 
+    it("does not count as the start of their watch over commits", () => {
+        // Guards against a promotion that trusts an instance for a time in which it knew nothing.
+        const links = new Links({ random: new SeededRandom(1) });
+        const placement = { databaseId: "d", floor: undefined, attemptLimitMs: 100, load: {} };
+        const parts = { route: route(RouteConsistency.Primary, "orders"), placement };
+        links.process(askedFor({ database: "orders", workspace: "w", writes: true }, parts), 0);
+        const frame = { kind: "commits_asked", service: "s", questionId: "q" };
+        const received = { kind: FleetKind.FrameReceived, attachmentId: "a", frame };
+        const answer = links.process(received as never, 100).at(-1) as SendFrame;
+        assert.equal((answer.frame as { readonly watchedMs?: number; }).watchedMs, 0);
+    });
+
     it("ends the question also at a database that they do not know, or that must get nothing more", () => {
         const links = new Links({ random: new SeededRandom(1) });
         const placement = { databaseId: "d", floor: position(1, 5), attemptLimitMs: 100, load: {} };
--- a/src/session/__tests__/explanation.spec.ts
+++ b/src/session/__tests__/explanation.spec.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type ExplanationEnded, ExplanationKind, Verdict } from "../../model/explanation.ts";
+import { FleetKind } from "../../model/fleetMessages.ts";
 import { PeerKind, type PeerSend } from "../../model/peerMessages.ts";
 import { SessionKind } from "../../model/sessionMessages.ts";
 import { SessionStatementKind } from "../../model/sessionStatement.ts";
@@ -227,6 +228,20 @@
         assert.equal(findings.at(-2)!.reason, "outside of the home regions");
     });
 
+    it("is a refusal at an instance that stops, but not while it still takes sessions", () => {
+        const fixture = startFixture();
+        const request = { database: "orders", workspace: "w", writes: true };
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 1_000, answersUntilMs: 2_000 };
+        for (const final of [false, true]) {
+            fixture.post({ ...drain, final } as Message);
+            fixture.ask(request);
+        }
+        assert.deepEqual(fixture.explanations.map(({ findings }) => [findings.length, findings[0]!.verdict]), [
+            [6, Verdict.Passes],
+            [1, Verdict.Refused],
+        ]);
+    });
+
     it("is of the sessions alone if the configuration has no such route, or the caller needs a key", () => {
         const fixture = startFixture();
         fixture.ask({ database: "other", workspace: "w", writes: false });
