fix(session): explained statements wait behind those of their workspace, and where their idle link may be closed

That a statement is refused stays an estimate: others that it displaces may leave it room; the spec of the links bounds how often.

--- a/src/scheduling/statementQueue.ts
+++ b/src/scheduling/statementQueue.ts
@@ -40,6 +40,8 @@
     readonly waitMs: number;
     /** It would be refused, because it cannot start before its deadline. */
     readonly isHopeless: boolean;
+    /** Another statement of its workspace has to start before it. */
+    readonly isBehindOwn: boolean;
 }
 
 /** A statement that was removed from the queue because it cannot start before its deadline. */
@@ -169,7 +171,11 @@
             flowCount: (statements?.workspaceCount ?? 0) + Number(ownMs === 0),
         };
         const waitMs = this.waitMs(rank, ahead, drain, nowMs);
-        return { waitMs, isHopeless: waitMs > 0 && nowMs + waitMs + costMs > deadlineMs };
+        return {
+            waitMs,
+            isHopeless: waitMs > 0 && nowMs + waitMs + costMs > deadlineMs,
+            isBehindOwn: ownMs > 0,
+        };
     }
 
     /** Expected time until a new statement of this priority starts that can meet its objective. */
--- a/src/session/explainLinks.ts
+++ b/src/session/explainLinks.ts
@@ -41,12 +41,16 @@
     const placed = placedTask(asked, nowMs);
     const costMs = pool.serviceTimes.expectedMs(workKindOf(placed.task, undefined));
     const drain = queueDrainOf(pool, pool.occupancy(), nowMs);
-    const { waitMs, isHopeless } = pool.waitingTasks.preview(toWaitingTask(placed, costMs), drain, nowMs);
+    const { waitMs, isHopeless, isBehindOwn } = pool.waitingTasks.preview(toWaitingTask(placed, costMs), drain, nowMs);
     const facts = { ...poolFacts(pool, table), service_ms: roundMs(costMs), expected_wait_ms: roundMs(waitMs) };
     if (isHopeless) {
         const reason = "it cannot start within its limit; a read would be placed at another database, if there is one";
         return { verdict: Verdict.Refused, reason, facts };
     }
+    if (isBehindOwn) {
+        const reason = "waits behind other statements of its workspace";
+        return { verdict: Verdict.Waits, reason, facts };
+    }
     return { ...startOf(pool, placed.task, table, nowMs), facts };
 }
 
@@ -61,7 +65,9 @@
         return { verdict: Verdict.Waits, reason: "the window is full; it waits for its turn" };
     }
     if (idle.find(task) !== undefined) {
-        return { verdict: Verdict.Passes, reason: "starts at once on an idle link" };
+        return pool.waitingTasks.size === 0 || table.hasRoom(pool, nowMs)
+            ? { verdict: Verdict.Passes, reason: "starts at once on an idle link" }
+            : { verdict: Verdict.Waits, reason: "its idle link may be closed for a statement that waits" };
     }
     const { workspace } = task;
     if (!table.mayOpen(pool, workspace, pool.waitingTasks.countOf(workspace) + 1, nowMs)) {
