--- a/src/session/explainAccess.ts
+++ b/src/session/explainAccess.ts
@@ -3,18 +3,19 @@
     endExplanation,
     type ExplanationAsked,
     type ExplanationEnded,
+    type Facts,
     type Finding,
     Verdict,
     withFindings,
 } from "../model/explanation.ts";
-import type { TrafficPolicy } from "../model/trafficPolicy.ts";
+import { commonHomeRegions, type TrafficPolicy } from "../model/trafficPolicy.ts";
 
 const step = "sessions";
 
 export function explainAccess(
     asked: ExplanationAsked,
     policy: TrafficPolicy,
-    isDraining: boolean,
+    isStopping: boolean,
 ): ExplanationAsked | ExplanationEnded {
     const { database, workspace } = asked.request;
     const refuse = (subject: string, reason: string): ExplanationEnded =>
@@ -25,12 +26,15 @@
             reason,
             facts: { version: policy.version },
         }]);
-    if (isDraining) {
+    if (isStopping) {
         return refuse(database, "the instance stops and takes no new work");
     }
     const route = policy.routesByDatabase.get(database);
     if (route === undefined) {
-        return refuse(database, "the configuration has no route of this name");
+        return refuse(
+            database,
+            policy.version === 0 ? "no configuration yet" : "the configuration has no route of this name",
+        );
     }
     if (workspace === "" ? !route.open : !policy.workspaces.has(workspace)) {
         return refuse(
@@ -38,6 +42,8 @@
             workspace === "" ? "the route needs a key" : "the configuration has no such workspace",
         );
     }
+    const workspaceHomes = policy.workspaces.get(workspace)?.homeRegions;
+    const homeRegions = commonHomeRegions(route.homeRegions, workspaceHomes);
     const finding: Finding = {
         step,
         subject: database,
@@ -50,7 +56,13 @@
             priority: route.priority,
             target_ms: route.targetLatencyMs,
             limit_ms: route.statementLimitMs,
+            ...homesFact("route_homes", route.homeRegions),
+            ...homesFact("workspace_homes", workspaceHomes),
         },
     };
-    return withFindings(asked, [finding], { route });
+    return withFindings(asked, [finding], { route, ...homeRegions === undefined ? {} : { homeRegions } });
+}
+
+function homesFact(name: string, regions: readonly string[] = []): Facts {
+    return regions.length === 0 ? {} : { [name]: regions.join(",") };
 }
