--- a/src/scheduling/unlimitedWindow.ts
+++ b/src/scheduling/unlimitedWindow.ts
@@ -2,7 +2,7 @@
 import { type ConcurrencyWindow, normalizeSlots, targetPerSlot, WindowPhase } from "./concurrencyWindow.ts";
 
 /** More than the connections that any server accepts. */
-const unlimitedSize = 1_000_000;
+export const unlimitedSize = 1_000_000;
 
 export class UnlimitedWindow implements ConcurrencyWindow {
     readonly size = unlimitedSize;
--- a/src/session/__tests__/explainLinks.spec.ts
+++ b/src/session/__tests__/explainLinks.spec.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { ExplanationKind, type Finding, Verdict } from "../../model/explanation.ts";
 import { FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import { Pace } from "../../model/pace.ts";
 import { SessionStatementKind } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
@@ -118,7 +119,7 @@
 
     it("does not count as the start of their watch over commits", () => {
         // Guards against a promotion that trusts an instance for a time in which it knew nothing.
-        const links = new Links({ random: new SeededRandom(1) });
+        const links = new Links({ random: new SeededRandom(1), pace: Pace.Adaptive });
         const placement = { databaseId: "d", floor: undefined, attemptLimitMs: 100, load: {} };
         const parts = { route: route(RouteConsistency.Primary, "orders"), placement };
         links.process(askedFor({ database: "orders", workspace: "w", writes: true }, parts), 0);
@@ -129,7 +130,7 @@
     });
 
     it("ends the question also at a database that they do not know, or that must get nothing more", () => {
-        const links = new Links({ random: new SeededRandom(1) });
+        const links = new Links({ random: new SeededRandom(1), pace: Pace.Adaptive });
         const placement = { databaseId: "d", floor: position(1, 5), attemptLimitMs: 100, load: {} };
         const parts = { route: route(RouteConsistency.Bounded, "lookup"), placement };
         const asked = askedFor({ database: "lookup", workspace: "w", writes: false }, parts);
--- a/src/session/explainLinks.ts
+++ b/src/session/explainLinks.ts
@@ -9,6 +9,7 @@
 } from "../model/explanation.ts";
 import { emptySessionContext, TaskMode } from "../model/sessionStatement.ts";
 import { EvacuationStage } from "../scheduling/evacuations.ts";
+import { unlimitedSize } from "../scheduling/unlimitedWindow.ts";
 import type { LinkPool } from "./linkPool.ts";
 import type { LinkTable } from "./linkTable.ts";
 import { queueDrainOf } from "./poolLoad.ts";
@@ -85,7 +86,7 @@
         holder: pool.isHolder ? "yes" : "no",
         queue: waitingTasks.size,
         phase: window.phase,
-        window: window.size,
+        window: window.size === unlimitedSize ? "none" : window.size,
         slots,
         in_flight: inFlight,
         idle_links: idle,
