fix(fleet): instances pass acknowledgements on by lease of the control leader

An instance that was cut off from the control members with the primary heard no question, and passed on commits which a replica confirmed that had started again or joined after the choice; the promoted database lacked them.

Instances ask the leader for a lease every 400 ms. It lasts 1.6 s from the request on the clock of the instance. Without it, commits of services with synchronous replicas are not sent ("not run"), and results of those that were sent are in doubt. A choice waits for the leases of instances that have not answered, and then for proof that the databases are still stopped. A new leader counts on those of the former one. Leaders of an earlier release grant none, and instances then go on as before; instances of an earlier release ask for none, and are waited for by nobody.

Without a leader for 5 s, commits end after 1.6 s.

--- /dev/null
+++ b/src/fleet/__tests__/acknowledgementLease.spec.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { emptyControlState } from "../../control/controlState.ts";
+import { ClusterKind } from "../../model/clusterMessages.ts";
+import { ControlKind } from "../../model/controlMessages.ts";
+import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import { promotionOf } from "../../model/promotion.ts";
+import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
+import { CommitWitnesses } from "../commitWitnesses.ts";
+import { Promotions } from "../promotions.ts";
+
+describe("leases on acknowledgements, as a member counts them", () => {
+    it("are granted to attached instances that the replicated state names", () => {
+        // Guards against a lease of which the next leader doesn't know.
+        const witnesses = new CommitWitnesses();
+        witnesses.attach("f1", "i1", 0);
+        assert.equal(witnesses.grantLease("f1", 0), false);
+        witnesses.setRecorded([{ instanceId: "i1" }], 10);
+        assert.deepEqual([witnesses.grantLease("f1", 10), witnesses.grantLease("f2", 10)], [true, false]);
+    });
+
+    it("may end later than on the clock of the instance, also after it has detached", () => {
+        const witnesses = new CommitWitnesses();
+        witnesses.attach("f1", "i1", 0);
+        witnesses.setRecorded([{ instanceId: "i1" }], 0);
+        witnesses.grantLease("f1", 100);
+        witnesses.detach("f1", 200);
+        assert.deepEqual(witnesses.leases(), [{ attachmentId: "f1", untilMs: 100 + 1_616 }]);
+    });
+
+    it("may be those of an earlier leader, which did not know at once that it had lost the lead", () => {
+        // Guards against a new leader that chooses while an instance acknowledges by leave of the former one.
+        const witnesses = new CommitWitnesses();
+        witnesses.attach("f1", "i1", 0);
+        witnesses.setRecorded([{ instanceId: "i1" }, { instanceId: "i2" }], 0);
+        witnesses.grantLease("f1", 100);
+        witnesses.startLeading(1_000);
+        assert.deepEqual(witnesses.leases(), [
+            { attachmentId: "f1", untilMs: 1_000 + 1_000 + 1_616 },
+            { attachmentId: undefined, untilMs: 1_000 + 1_000 + 1_616 },
+        ]);
+    });
+});
+
+describe("leases on acknowledgements, as the control leader grants them", () => {
+    /** Answers of a leader that has not looked after a promotion yet which an earlier one began. */
+    function answersOf(
+        { open, leading = true }: { readonly open: boolean; readonly leading?: boolean; },
+    ): readonly FleetFrame[] {
+        const promotions = new Promotions({ reportIntervalMs: 1_200 });
+        const push = (message: object): readonly SendFrame[] =>
+            promotions.process(message as never, 0).filter((output): output is SendFrame =>
+                output.kind === FleetKind.SendFrame
+            );
+        push({
+            kind: FleetKind.PolicyApplied,
+            policy: {
+                ...emptyTrafficPolicy,
+                services: new Map([["s", { name: "s", connectionLimit: 4, synchronousReplicas: 1 }]]),
+            },
+        });
+        const configuration = {
+            ...emptyControlState.configuration,
+            promotions: [{ ...promotionOf([], "s"), fence: 3, open }],
+            commitWitnesses: [{ instanceId: "i1" }],
+        };
+        push({ kind: ClusterKind.ConfigurationApplied, configuration });
+        push({ kind: ControlKind.LeaderChanged, leading, term: 2 });
+        const hello = { kind: "hello", instanceId: "i1", serves: true };
+        push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: hello });
+        const asked = { kind: "lease_asked", sequence: 5 };
+        return push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: asked }).map(({ frame }) => frame);
+    }
+
+    it("last for the usual duration", () => {
+        assert.deepEqual(answersOf({ open: false }), [{ kind: "lease_granted", sequence: 5, validMs: 1_600 }]);
+    });
+
+    it("are not given by a member that doesn't lead", () => {
+        assert.deepEqual(answersOf({ open: false, leading: false }), []);
+    });
+
+    it("are not given while an order of an earlier leader may be executed", () => {
+        // Guards against acknowledgements by an instance that the new leader has not asked yet.
+        assert.deepEqual(answersOf({ open: true }), []);
+    });
+});
--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -155,6 +155,15 @@
     return witnesses;
 }
 
+/** The primary is gone, and both replicas are paused at the same position. */
+function stopReplicas(fixture: FencingFixture): void {
+    fixture.loseLink("p", LinkLoss.NoListener);
+    ["a", "b"].forEach(databaseId => {
+        fixture.openLink(databaseId, 3, 12);
+        fixture.answer(databaseId, false, 3, 12);
+    });
+}
+
 describe("fencing before a promotion", () => {
     it("chooses the furthest replica after all have stopped receiving", () => {
         const fixture = new FencingFixture();
@@ -168,6 +177,44 @@
         assert.equal(fixture.decide(), "b");
     });
 
+    it("waits for the lease of an instance that does not answer, and for proof since then that all have stopped", () => {
+        // Guards against commits that a replica confirms which has started again, and that the instance passes on.
+        const witnesses = attachedWitnesses({ f1: "i1", f2: "i2" });
+        witnesses.setRecorded([{ instanceId: "i1" }, { instanceId: "i2" }], -60_000);
+        assert.deepEqual([witnesses.grantLease("f1", -1_500), witnesses.grantLease("f2", -100)], [true, true]);
+        const fixture = new FencingFixture({}, witnesses);
+        stopReplicas(fixture);
+        assert.equal(fixture.decide(), undefined);
+        fixture.reportCommits("f2", 8, { questionId: "7/close" });
+        assert.equal(fixture.decide(115), undefined);
+        assert.equal(fixture.decide(5), undefined);
+        fixture.decide(1);
+        ["a", "b"].forEach(databaseId => {
+            fixture.openLink(databaseId, 3, 12);
+            fixture.answer(databaseId, false, 3, 12);
+        });
+        assert.equal(fixture.decide(), "a");
+    });
+
+    it("does not wait for leases of instances that have answered", () => {
+        const witnesses = attachedWitnesses({ f1: "i1" });
+        witnesses.setRecorded([{ instanceId: "i1" }], -60_000);
+        witnesses.grantLease("f1", -100);
+        const fixture = new FencingFixture({}, witnesses);
+        fixture.reportCommits("f1", 8, { questionId: "7/close" });
+        stopReplicas(fixture);
+        assert.equal(fixture.decide(), "a");
+    });
+
+    it("lets instances have leases until a database is ordered, and then those that have answered", () => {
+        const fixture = new FencingFixture();
+        assert.equal(fixture.fencing.mayGrantLease("f1"), true);
+        fixture.fencing.orderSent("a");
+        assert.equal(fixture.fencing.mayGrantLease("f1"), false);
+        fixture.reportCommits("f1", 8, { questionId: "7/close" });
+        assert.equal(fixture.fencing.mayGrantLease("f1"), true);
+    });
+
     it("prefers a replica at home among those with the same position, and no other one", () => {
         const chosen = (offsets: readonly [number, number], overrides: Partial<FencingOptions> = {}) => {
             const fixture = new FencingFixture({ homeShare: id => id === "b" ? 1 : 0, ...overrides });
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -7,7 +7,7 @@
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import type { Configuration } from "../../model/configuration.ts";
 import { ControlKind, type ControlPropose } from "../../model/controlMessages.ts";
-import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
+import { type FleetFrame, FleetKind, type LeaseChanged, type SendFrame } from "../../model/fleetMessages.ts";
 import {
     type LinkClose,
     type LinkCommand,
@@ -26,12 +26,19 @@
     type PromotionProgressed,
 } from "../../model/promotionMessages.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
-import { DeadlineKind, type DeadlineMessage, DeadlineQueue, setDeadline } from "../../pipeline/deadlineQueue.ts";
+import {
+    DeadlineKind,
+    type DeadlineMessage,
+    DeadlineQueue,
+    type SetDeadline,
+    setDeadline,
+} from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
 import { CommitGate } from "../../session/commitGate.ts";
 import { CommitTracker } from "../../session/commitTracker.ts";
 import { FleetDatabaseDirectory } from "../fleetDatabaseDirectory.ts";
+import { LeaseRequester } from "../leaseRequester.ts";
 import { Promotions } from "../promotions.ts";
 import { SimulatedDatabase } from "./simulatedDatabase.ts";
 
@@ -61,6 +68,7 @@
     /** Database of the order that is under way, as the instance knows it; it commits nowhere else. */
     orderedDatabaseId: string;
     gate: CommitGate;
+    leases: LeaseRequester;
 }
 
 interface Timer extends Message {
@@ -141,6 +149,7 @@
                 cutFromControl: false,
                 orderedDatabaseId: "",
                 gate: new CommitGate(),
+                leases: new LeaseRequester(),
             });
         }
         this.startControl();
@@ -272,6 +281,7 @@
         const { attachmentId } = instance;
         this.after(detachmentMs, () => {
             if (instance.cutFromControl && attachmentId !== undefined && instance.attachmentId === attachmentId) {
+                this.pushToLeases(instance, { kind: FleetKind.Detached, attachmentId } as Message);
                 instance.attachmentId = undefined;
                 this.push({ kind: FleetKind.Detached, attachmentId } as Message);
             }
@@ -293,6 +303,10 @@
         this.controlGeneration++;
         this.links.clear();
         this.instances.forEach(instance => {
+            const { attachmentId } = instance;
+            if (attachmentId !== undefined) {
+                this.pushToLeases(instance, { kind: FleetKind.Detached, attachmentId } as Message);
+            }
             instance.attachmentId = undefined;
         });
     }
@@ -336,6 +350,7 @@
         instance.running = true;
         instance.commits = new CommitTracker();
         instance.gate = new CommitGate();
+        instance.leases = new LeaseRequester();
         this.after(100, this.ofControl(() => this.attach(instance)));
     }
 
@@ -378,6 +393,48 @@
         const { instanceId, attachmentId } = instance;
         const hello = { kind: "hello", instanceId, serves: true, leaving: false, dataCentre: "d", address: "" };
         this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: hello } as Message);
+        const status: FleetFrame = {
+            kind: "status",
+            instanceId: "m",
+            leading: true,
+            term: this.controlGeneration,
+            members: [],
+            configurationVersion: 0,
+            instanceCount: 0,
+            grantsLeases: true,
+        };
+        this.answerFrame({ kind: FleetKind.SendFrame, attachmentId, frame: status });
+    }
+
+    /** Passes a message to the filter of an instance that asks for leases. */
+    private pushToLeases(instance: SimulatedInstance, message: Message): void {
+        const { leases, attachmentId } = instance;
+        const outputs = leases.process(message as Parameters<LeaseRequester["process"]>[0], this.nowMs);
+        outputs.filter(output => output !== message).forEach(output => {
+            if (output.kind === FleetKind.LeaseChanged) {
+                instance.gate.applyLease(output as LeaseChanged);
+            }
+            else if (output.kind === FleetKind.SendFrame) {
+                const { frame } = output as SendFrame;
+                this.after(
+                    latencyMs,
+                    this.ofControl(() => {
+                        if (!instance.cutFromControl && instance.attachmentId === attachmentId) {
+                            this.push({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
+                        }
+                    }),
+                );
+            }
+            else if (output.kind === DeadlineKind.Set) {
+                const { atMs, message: timer } = output as SetDeadline;
+                this.after(atMs - this.nowMs, () => {
+                    // Another timer or another process takes the place of one that was set again.
+                    if (instance.leases === leases && instance.attachmentId === attachmentId) {
+                        this.pushToLeases(instance, timer);
+                    }
+                });
+            }
+        });
     }
 
     private writeAgain(): void {
@@ -407,7 +464,8 @@
         const { knownPosition } = instance;
         const acknowledge = (position: Position): void => {
             instance.knownPosition = position;
-            if (!instance.gate.mayAcknowledge(service, primary.id)) {
+            const { gate } = instance;
+            if (!gate.mayAcknowledge(service, primary.id) || !gate.hasLease(this.nowMs)) {
                 return;
             }
             this.acknowledged.add(commit.number);
@@ -604,6 +662,10 @@
         this.after(
             latencyMs,
             this.ofControl(() => {
+                if (instance.attachmentId !== attachmentId) {
+                    return;
+                }
+                this.pushToLeases(instance, { kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
                 const answer = this.answerOf(instance, frame);
                 if (answer !== undefined && instance.attachmentId === attachmentId) {
                     this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: answer } as Message);
--- a/src/fleet/__tests__/promotions.spec.ts
+++ b/src/fleet/__tests__/promotions.spec.ts
@@ -483,6 +483,55 @@
         assertCommits(world);
     });
 
+    it("waits for the lease of an instance that does not answer, and no longer", () => {
+        // Guards against a choice while an instance may acknowledge commits that a replica confirms after it.
+        for (const elapsedMs of [0, 800, 1_700]) {
+            const world = new PromotionWorld();
+            world.advance(5_000);
+            world.killInstance(world.instances[0]!);
+            world.advance(elapsedMs);
+            world.crash(world.database(0));
+            advanceUntilOrdered(world, 1);
+            const orderedMs = world.nowMs - 5_000;
+            const leaseMs = 1_600;
+            const leastMs = Math.max(elapsedMs, leaseMs - 400);
+            const mostMs = Math.max(elapsedMs + 200, leaseMs + 150);
+            assert.ok(orderedMs > leastMs && orderedMs < mostMs, `ordered after ${orderedMs} ms`);
+            assert.equal(world.waits.has(PromotionWait.AcknowledgementLeases), elapsedMs < leaseMs);
+        }
+    });
+
+    it("grants a lease to an instance that returns during a promotion once it acknowledges for the new primary alone", () => {
+        // Guards against acknowledgements by an instance that was not asked before the choice.
+        const world = cutOffPrimary(2_000, world => world.cutInstance(world.instances[0]!));
+        const [returned, other] = world.instances;
+        other!.writes = false;
+        world.joinInstance(returned!);
+        const before = world.acknowledgedCount;
+        const restarted = world.restartEmpty(world.database(2), true);
+        restarted.cutFromControl = true;
+        world.advance(1_000);
+        assert.equal(world.acknowledgedCount, before);
+        world.rejoin(restarted.address);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+        assertCommits(world);
+    });
+
+    it("counts on the leases that an earlier leader granted", () => {
+        // Guards against a new leader that chooses while an instance holds a lease of the former one.
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.cutInstance(world.instances[0]!);
+        world.stopControl();
+        world.startControl(world.databases);
+        world.database(0).cutFromControl = true;
+        advanceUntilOrdered(world, 1);
+        assert.equal(world.instances[0]!.gate.hasLease(world.nowMs), false);
+        world.advance(5_000);
+        assert.deepEqual(world.lost, []);
+    });
+
     it("keeps what an instance without contact to the control members is told after the choice", () => {
         // Guards against the loss of commits that a replica confirms which started again while the order was under way.
         const world = cutOffPrimary(2_000, world => world.cutInstance(world.instances[0]!));
--- a/src/fleet/attachmentHub.ts
+++ b/src/fleet/attachmentHub.ts
@@ -240,7 +240,16 @@
     private status(): FleetFrame {
         const { instanceId, leading, term, members, configurationVersion, instances } = this;
         const instanceCount = instances.count;
-        return { kind: "status", instanceId, leading, term, members, configurationVersion, instanceCount };
+        return {
+            kind: "status",
+            instanceId,
+            leading,
+            term,
+            members,
+            configurationVersion,
+            instanceCount,
+            grantsLeases: true,
+        };
     }
 
     private broadcast(frame: FleetFrame): readonly Message[] {
--- a/src/fleet/commitWitnesses.ts
+++ b/src/fleet/commitWitnesses.ts
@@ -2,6 +2,7 @@
  * The instances that may have passed on the acknowledgement of a commit. An instance stays a witness when its
  * attachment ends, and the replicated state names the witnesses, so that a new leader knows them too.
  */
+import { formerLeaderMs, leaseEndMs } from "../model/acknowledgementLease.ts";
 import type { CommitWitness } from "../model/promotion.ts";
 import { fallbackLimitMs } from "../model/rateLimits.ts";
 
@@ -29,11 +30,22 @@
     readonly mayHaveSentUntilMs: number;
 }
 
+/** A lease that an instance may hold. */
+export interface WitnessLease {
+    /** Attachment of the process that holds it; undefined if the process is not attached. */
+    readonly attachmentId: string | undefined;
+    readonly untilMs: number;
+}
+
 export class CommitWitnesses {
     private readonly byAttachment = new Map<string, ServingInstance>();
     /** Since when instances are known to be without an attachment, by id. */
     private readonly absentSinceMs = new Map<string, number>();
     private recorded: ReadonlySet<string> = new Set();
+    /** The last lease of each instance that this member granted, by id. */
+    private readonly leasesById = new Map<string, WitnessLease>();
+    /** Time until which leases that earlier leaders granted may be in force. */
+    private earlierLeasesUntilMs = -Infinity;
 
     /** Attached instances, by attachment id. */
     get serving(): ReadonlyMap<string, ServingInstance> {
@@ -69,6 +81,30 @@
     /** An absent instance may have been attached to the previous leader until now. */
     startLeading(nowMs: number): void {
         [...this.absentSinceMs.keys()].forEach(instanceId => this.absentSinceMs.set(instanceId, nowMs));
+        this.leasesById.clear();
+        this.earlierLeasesUntilMs = nowMs + formerLeaderMs + leaseEndMs;
+    }
+
+    /** @returns whether the instance may have a lease, which a later leader must know of */
+    grantLease(attachmentId: string, nowMs: number): boolean {
+        const instanceId = this.byAttachment.get(attachmentId)?.instanceId;
+        if (instanceId === undefined || !this.recorded.has(instanceId)) {
+            return false;
+        }
+        this.leasesById.set(instanceId, { attachmentId, untilMs: nowMs + leaseEndMs });
+        return true;
+    }
+
+    /** The leases that instances may hold or have held, of this and of earlier leaders. */
+    leases(): readonly WitnessLease[] {
+        const untilMs = this.earlierLeasesUntilMs;
+        const attached = [...this.byAttachment].map(([attachmentId, { instanceId }]) =>
+            this.leasesById.get(instanceId) ?? { attachmentId, untilMs }
+        );
+        const absent = [...this.absentSinceMs.keys()].map(instanceId =>
+            this.leasesById.get(instanceId) ?? { attachmentId: undefined, untilMs }
+        );
+        return [...attached, ...absent];
     }
 
     /** Instances that are absent, whether or not they are recorded yet. */
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -15,7 +15,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { ClosedInstances } from "./closedInstances.ts";
 import { CommitSurvey } from "./commitSurvey.ts";
-import type { CommitWitnesses } from "./commitWitnesses.ts";
+import type { CommitWitnesses, WitnessLease } from "./commitWitnesses.ts";
 import type { ElectorateMember } from "./electorate.ts";
 import { FencedDatabase, retryDelayMs } from "./fencedDatabase.ts";
 
@@ -133,6 +133,12 @@
         this.survey.record(attachmentId, frame, nowMs);
     }
 
+    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is chosen yet. */
+    mayGrantLease(attachmentId: string): boolean {
+        return this.closedInstances.has(attachmentId) || this.finalPosition !== undefined
+            || this.expectedLeaderId() === "";
+    }
+
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
     orderSent(databaseId: string): void {
         this.orderedDatabaseId = databaseId;
@@ -365,8 +371,13 @@
                 ? best.databaseId
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
+        if (this.openLeases().some(({ untilMs }) => untilMs > nowMs)) {
+            return this.waitFor(PromotionWait.AcknowledgementLeases);
+        }
         if (this.holdsConfirmedCommits(best, stopped)) {
-            const unproved = this.holdsClosedCommits(best) ? [] : this.unprovedSinceClosing(best, stopped);
+            const unproved = this.holdsClosedCommits(best) && this.openLeases().length === 0
+                ? []
+                : this.unprovedSinceClosing(best, stopped);
             if (unproved.length === 0 && this.holdsReached(best)) {
                 return this.choosePreferredOr(best, stopped, nowMs);
             }
@@ -532,7 +543,15 @@
         stopped: readonly FencedDatabase[],
     ): readonly FencedDatabase[] {
         const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!);
-        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= answeredMs);
+        const lapsedMs = Math.max(answeredMs, ...this.openLeases().map(({ untilMs }) => untilMs));
+        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= lapsedMs);
+    }
+
+    /** Leases of instances that have not answered that they acknowledge nothing further. */
+    private openLeases(): readonly WitnessLease[] {
+        return this.options.witnesses.leases().filter(({ attachmentId }) =>
+            attachmentId === undefined || !this.closedInstances.has(attachmentId)
+        );
     }
 
     private isFurthestSinceClosing(chosen: FencedDatabase): boolean {
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -1,5 +1,6 @@
 /** Runs on the control leader: detects that a service needs another primary and drives the change of primary. */
 import { match } from "ts-pattern";
+import { leaseDurationMs } from "../model/acknowledgementLease.ts";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged, type ControlProposalEnded } from "../model/controlMessages.ts";
 import {
@@ -20,6 +21,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
+import { sendFrame } from "./attachments.ts";
 import { CommitWitnesses } from "./commitWitnesses.ts";
 import { homeShare } from "./homePreference.ts";
 import { KnownEvacuations } from "./knownEvacuations.ts";
@@ -224,6 +226,9 @@
         if (!this.leading) {
             return [];
         }
+        if (frame.kind === "lease_asked") {
+            return this.grantLease(attachmentId, frame.sequence, nowMs);
+        }
         if (frame.kind === "commits_seen") {
             const servicePromotion = this.services.get(frame.service);
             return servicePromotion === undefined
@@ -245,6 +250,15 @@
         return this.withTimer(messages, nowMs);
     }
 
+    /** An instance that gets no lease asks again. */
+    private grantLease(attachmentId: string, sequence: number, nowMs: number): readonly Message[] {
+        const open = this.records.filter(record => record.open && this.policy.services.has(record.service));
+        const isSafe = open.every(({ service }) => this.services.get(service)?.mayGrantLease(attachmentId) === true);
+        return isSafe && this.witnesses.grantLease(attachmentId, nowMs)
+            ? [sendFrame(attachmentId, { kind: "lease_granted", sequence, validMs: leaseDurationMs })]
+            : [];
+    }
+
     private applyRecords(
         records: readonly PromotionRecord[],
         commitWitnesses: readonly CommitWitness[],
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -304,6 +304,11 @@
         return [];
     }
 
+    /** Whether an instance that gets a lease during a promotion acknowledges no commit that the promoted database may lack. */
+    mayGrantLease(attachmentId: string): boolean {
+        return this.options.synchronousReplicas() === 0 || this.fencing?.mayGrantLease(attachmentId) === true;
+    }
+
     private checkPrimary(nowMs: number): readonly Message[] {
         const { fleet } = this.options;
         const record = this.options.record();
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -68,6 +68,9 @@
     ColdRequestDue: "fleet.cold_ask_due",
     /** A report that is newer than the previous one of its database arrived, whether or not its content changed. */
     DatabaseReportAccepted: "fleet.database_heard",
+    /** The lease on acknowledgements of this instance was extended, or is needed from now on, or isn't any more. */
+    LeaseChanged: "fleet.lease_changed",
+    LeaseDue: "fleet.lease_due",
     ConfigurationLagCheckDue: "fleet.directory_due",
     /** A control member announces the changes since its last announcement to the attached instances. */
     AnnouncementDue: "fleet.announcement_due",
@@ -267,6 +270,8 @@
         readonly configurationVersion: number;
         /** Instances that serve callers and are attached to the member. */
         readonly instanceCount: number;
+        /** The release of the member grants leases on acknowledgements; undefined in the frames of earlier ones. */
+        readonly grantsLeases?: boolean | undefined;
     }
     /** Requests the current status of a member. */
     | { readonly kind: "status_asked"; }
@@ -318,6 +323,19 @@
         readonly validMs: number;
         readonly grants: readonly (readonly [databaseId: string, count: number])[];
     }
+    /** Asks the control leader for a lease on acknowledgements. */
+    | {
+        readonly kind: "lease_asked";
+        /** Increases with each request of a process. */
+        readonly sequence: number;
+    }
+    | {
+        readonly kind: "lease_granted";
+        /** Sequence of the request. */
+        readonly sequence: number;
+        /** Time from the sending of the request. */
+        readonly validMs: number;
+    }
     /** Reports to the control leader that a database does not answer. */
     | { readonly kind: "suspect"; readonly databaseId: string; }
     /** Asks an instance how it reaches a suspected primary. */
@@ -385,6 +403,12 @@
     readonly evacuated?: ReadonlySet<string>;
 }
 
+export interface LeaseChanged extends Message {
+    readonly kind: typeof FleetKind.LeaseChanged;
+    /** Time until which this instance may pass acknowledgements of commits on; Infinity if it needs no lease. */
+    readonly untilMs: number;
+}
+
 export interface ReadinessChanged extends Message {
     readonly kind: typeof FleetKind.ReadinessChanged;
     readonly ready: boolean;
@@ -473,6 +497,7 @@
         | typeof FleetKind.PermitRequestDue
         | typeof FleetKind.PermitCheckDue
         | typeof FleetKind.ColdRequestDue
+        | typeof FleetKind.LeaseDue
         | typeof FleetKind.ConfigurationLagCheckDue
         | typeof FleetKind.AnnouncementDue
         | typeof FleetKind.InstancesCheckDue
--- a/src/model/promotionMessages.ts
+++ b/src/model/promotionMessages.ts
@@ -42,6 +42,8 @@
     CommitsToBeBlocked: "commits_to_be_blocked",
     /** Instances that may have seen acknowledgements don't answer. */
     CommitWitnesses: "commit_witnesses",
+    /** Instances that don't answer may pass acknowledgements on until their leases end. */
+    AcknowledgementLeases: "acknowledgement_leases",
     /** The databases that stopped lack commits that were acknowledged. */
     DatabaseWithLastCommit: "database_with_last_commit",
     /** A replica must catch up with the primary, which has stepped down. */
--- a/src/rpc/fleetFrameSchema.ts
+++ b/src/rpc/fleetFrameSchema.ts
@@ -44,6 +44,7 @@
         members: z.array(z.string()),
         configurationVersion: count,
         instanceCount: count,
+        grantsLeases: z.boolean().optional(),
     }),
     status_asked: z.object({ kind: z.literal("status_asked") }),
     configuration: z.object({ kind: z.literal("configuration"), version: count }),
@@ -75,6 +76,8 @@
         validMs: durationMs,
         grants: taskCounts,
     }),
+    lease_asked: z.object({ kind: z.literal("lease_asked"), sequence: count }),
+    lease_granted: z.object({ kind: z.literal("lease_granted"), sequence: count, validMs: durationMs }),
     suspect: z.object({ kind: z.literal("suspect"), databaseId: z.string() }),
     assess: z.object({ kind: z.literal("assess"), databaseId: z.string() }),
     assessment: z.object({
--- a/src/session/__tests__/commitGate.spec.ts
+++ b/src/session/__tests__/commitGate.spec.ts
@@ -25,4 +25,11 @@
         gate.close("s", 4);
         assert.equal(gate.mayAcknowledge("s", "p"), true);
     });
+
+    it("knows until when its lease lasts, and needs none by default", () => {
+        const gate = new CommitGate();
+        assert.equal(gate.hasLease(1_000), true);
+        gate.applyLease({ untilMs: 900 });
+        assert.deepEqual([gate.hasLease(899), gate.hasLease(900)], [true, false]);
+    });
 });
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -62,6 +62,56 @@
     });
 });
 
+describe("commits of an instance whose lease on acknowledgements has ended", () => {
+    const synchronous = policy({
+        policy: {
+            ...emptyTrafficPolicy,
+            services: new Map([
+                ["s", { name: "s", connectionLimit: 4, synchronousReplicas: 1 }],
+                ["u", { name: "u", connectionLimit: 4, synchronousReplicas: 0 }],
+            ]),
+        },
+    });
+
+    function withLease(untilMs: number): Routing {
+        const routing = new Routing({ dataCentre: "d" });
+        routing.process(synchronous, 0);
+        routing.process({ kind: FleetKind.LeaseChanged, untilMs }, 0);
+        return routing;
+    }
+
+    it("are in doubt if they were sent before, unless the service acknowledges without a replica", () => {
+        // Guards against acknowledgements that the control leader no longer waits for.
+        assert.equal(resultOf(withLease(1), "p", commit), undefined);
+        assert.equal(resultOf(withLease(0), "p", commit), StatementFault.InDoubt);
+        assert.equal(resultOf(withLease(0), "p", { ...commit, statement: write }), undefined);
+        assert.equal(resultOf(withLease(0), "p", { ...commit, service: "u" }), undefined);
+        assert.equal(resultOf(withLease(Infinity), "p", commit), undefined);
+    });
+
+    it("are not sent, and run once there is a lease again", () => {
+        const routing = withLease(0);
+        routing.process(databaseReport("p", true), 0);
+        const kindsOf = (nowMs: number, message: Parameters<Routing["process"]>[0]): readonly string[] =>
+            routing.process(message, nowMs).map(({ kind }) => kind).filter(kind =>
+                kind === TaskKind.Placed || kind === TaskKind.Ended
+            );
+        assert.deepEqual(kindsOf(0, { kind: TaskKind.Admitted, task: routedCommit }), []);
+        routing.process({ kind: FleetKind.LeaseChanged, untilMs: 500 }, 40);
+        assert.deepEqual(kindsOf(40, { kind: TaskKind.PlacementDue, id: "t" }), [TaskKind.Placed]);
+    });
+
+    it("are refused as not run when their latency objective cannot be met", () => {
+        const routing = withLease(0);
+        routing.process(databaseReport("p", true), 0);
+        routing.process({ kind: TaskKind.Admitted, task: routedCommit }, 0);
+        const ended = routing.process({ kind: TaskKind.PlacementDue, id: "t" }, 480)
+            .find(({ kind }) => kind === TaskKind.Ended) as TaskEnded;
+        assert.equal(ended.fault, StatementFault.Busy);
+        assert.match(ended.detail, /no control leader .* not run, retry after/);
+    });
+});
+
 describe("a statement that its database cannot start in time", () => {
     const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false };
 
@@ -74,17 +124,6 @@
         ["p", "r1"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
         const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
         routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
-        const route = {
-            name: "r",
-            database: "r",
-            service: "s",
-            consistency: RouteConsistency.Bounded,
-            maximumAgeMs: 1_000,
-            statementLimitMs: 1_000,
-            targetLatencyMs: 500,
-            priority: 1,
-            open: false,
-        };
         const task: Task = {
             ...commit,
             ...parts,
@@ -170,6 +209,20 @@
     deadlineMs: 1_000,
 };
 
+const route = {
+    name: "r",
+    database: "r",
+    service: "s",
+    consistency: RouteConsistency.Bounded,
+    maximumAgeMs: 1_000,
+    statementLimitMs: 1_000,
+    targetLatencyMs: 500,
+    priority: 1,
+    open: false,
+};
+
+const routedCommit: Task = { ...commit, route, sessionFloor: undefined, receivedMs: 0 };
+
 function resultOf(routing: Routing, databaseId: string, task: LinkTask): StatementFault | undefined {
     const reply: LinkReply = {
         rows: [],
--- a/src/session/commitGate.ts
+++ b/src/session/commitGate.ts
@@ -2,12 +2,14 @@
  * Withholds acknowledgements of commits while the primary of a service is replaced. A commit that a replaced primary
  * acknowledges may be missing in the new one: a replica that started again after the choice can still confirm it.
  */
-import type { PolicyApplied } from "../model/fleetMessages.ts";
+import type { LeaseChanged, PolicyApplied } from "../model/fleetMessages.ts";
 
 export class CommitGate {
     /** Fencing token of the newest promotion that has asked this instance for its commits, by service. */
     private readonly closedFences = new Map<string, number>();
     private completedFences: PolicyApplied["completedFences"] = new Map();
+    /** End of this instance's lease on acknowledgements; Infinity if it needs none. */
+    private leaseUntilMs = Infinity;
     private ordered: PolicyApplied["ordered"] = new Map();
 
     /** A promotion chooses a primary that holds the commits which this instance has acknowledged so far. */
@@ -20,6 +22,15 @@
         this.completedFences = completedFences;
     }
 
+    applyLease({ untilMs }: Pick<LeaseChanged, "untilMs">): void {
+        this.leaseUntilMs = untilMs;
+    }
+
+    /** Whether the control leader waits for this instance before it chooses a primary that may lack a commit. */
+    hasLease(nowMs: number): boolean {
+        return nowMs < this.leaseUntilMs;
+    }
+
     /** Whether a commit that the database has acknowledged is kept by the promotion that is under way, if there is one. */
     mayAcknowledge(service: string, databaseId: string): boolean {
         const ordered = this.ordered.get(service);
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -1,11 +1,13 @@
 /** Chooses the database and the floor (the log position it must have reached) for each task, and decides on retries. */
 import { match, P } from "ts-pattern";
+import { leaseRenewalMs } from "../model/acknowledgementLease.ts";
 import {
     type DatabaseChanged,
     type DatabaseRemoved,
     type DatabaseReport,
     FleetKind,
     type FrameReceived,
+    type LeaseChanged,
     type PolicyApplied,
 } from "../model/fleetMessages.ts";
 import type { Position } from "../model/position.ts";
@@ -73,6 +75,7 @@
     | DatabaseChanged
     | DatabaseRemoved
     | FrameReceived
+    | LeaseChanged
     | PolicyApplied;
 
 export interface RoutingOptions {
@@ -100,6 +103,7 @@
         FleetKind.DatabaseChanged,
         FleetKind.DatabaseRemoved,
         FleetKind.FrameReceived,
+        FleetKind.LeaseChanged,
         FleetKind.PolicyApplied,
     ];
     private readonly databases: DatabaseTable;
@@ -107,6 +111,7 @@
     private readonly commitGate = new CommitGate();
     private readonly floors = new FloorRequests();
     private readonly tasks = new Map<string, RoutedTask>();
+    private services: PolicyApplied["policy"]["services"] = new Map();
     private promotedByService: ReadonlyMap<string, string> = new Map();
 
     constructor({ dataCentre, dataCentreRegions = new Map(), rules = [], random }: RoutingOptions) {
@@ -147,6 +152,10 @@
                 this.closeCommitGate(input);
                 return [input];
             })
+            .with({ kind: FleetKind.LeaseChanged }, input => {
+                this.commitGate.applyLease(input);
+                return [input];
+            })
             .with({ kind: FleetKind.PolicyApplied }, input => [input, ...this.applyPolicy(input, nowMs)])
             .otherwise(timer => this.retryPlacement((timer as TaskTimer).id, nowMs));
     }
@@ -154,6 +163,7 @@
     private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
         const { promoted, ordered } = policy;
         this.commitGate.applyPolicy(policy);
+        this.services = policy.policy.services;
         this.rules.applyPolicy(policy, nowMs);
         const before = this.promotedByService;
         this.promotedByService = promoted;
@@ -209,6 +219,9 @@
     }
 
     private placeAtPrimary(routed: RoutedTask, nowMs: number): readonly Message[] {
+        if (isCommit(routed.task) && this.lacksLease(routed.task, nowMs)) {
+            return this.waitForLease(routed, nowMs);
+        }
         const databaseId = this.databases.primary(routed.task.route.service, nowMs);
         if (databaseId === undefined) {
             const passedOver = this.objectionToAll(routed.task, nowMs);
@@ -222,6 +235,14 @@
             : this.waitOrRefuse(routed, passedOver, nowMs);
     }
 
+    /** A commit that cannot be acknowledged within its latency objective is not sent. */
+    private waitForLease(routed: RoutedTask, nowMs: number): readonly Message[] {
+        const { task } = routed;
+        return nowMs + retryDelayMs < task.receivedMs + task.route.targetLatencyMs
+            ? this.waitForRetry(routed, nowMs)
+            : this.endRouted(endTask(task, StatementFault.Busy, retryText(noLeaseText, leaseRenewalMs)));
+    }
+
     /** Waits if the database may get the task within its latency objective; otherwise refuses it at once. */
     private waitOrRefuse(routed: RoutedTask, passedOver: PassedOver, nowMs: number): readonly Message[] {
         const { task } = routed;
@@ -350,7 +371,7 @@
         if (routed === undefined) {
             // Only the first statement of a transaction is routed; later ones, and those of closed sessions, end with
             // the result of their only attempt.
-            return [...suspicions, this.toEnded(attempt), ...placedAgain];
+            return [...suspicions, this.toEnded(attempt, nowMs), ...placedAgain];
         }
         return [...suspicions, ...this.endOrRetry(routed, attempt, nowMs), ...placedAgain];
     }
@@ -388,10 +409,10 @@
         const { task } = routed;
         const fault = attempt.reply?.fault ?? attempt.fault;
         if (attempt.reply !== undefined && fault === undefined) {
-            return this.endRouted(this.toEnded(attempt));
+            return this.endRouted(this.toEnded(attempt, nowMs));
         }
         if (routed.expired || !routed.recordFailure(attempt)) {
-            return this.endRouted(this.toEnded(attempt));
+            return this.endRouted(this.toEnded(attempt, nowMs));
         }
         if (attempt.retryAfterMs !== undefined) {
             return this.moveOrRefuse(routed, attempt.retryAfterMs, nowMs);
@@ -442,14 +463,26 @@
     }
 
     /** Converts an attempt that is not retried to the result of the task. */
-    private toEnded(attempt: TaskAttempted): TaskEnded {
+    private toEnded(attempt: TaskAttempted, nowMs: number): TaskEnded {
         const { task, databaseId, reply } = attempt;
         const hasSucceeded = reply !== undefined && reply.fault === undefined;
-        return hasSucceeded && isCommit(task) && !this.commitGate.mayAcknowledge(task.service, databaseId)
-            ? endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept")
+        if (!hasSucceeded || !isCommit(task)) {
+            return toEnded(attempt);
+        }
+        if (!this.commitGate.mayAcknowledge(task.service, databaseId)) {
+            return endTask(task, StatementFault.InDoubt, "the primary is being replaced; the commit may be kept");
+        }
+        return this.lacksLease(task, nowMs)
+            ? endTask(task, StatementFault.InDoubt, `${noLeaseText}; the commit may be kept`)
             : toEnded(attempt);
     }
 
+    /** Whether a primary that lacks a commit of this task could be chosen without asking this instance. */
+    private lacksLease({ service }: Pick<Task, "service">, nowMs: number): boolean {
+        const replicas = this.services.get(service)?.synchronousReplicas ?? 0;
+        return replicas > 0 && !this.commitGate.hasLease(nowMs);
+    }
+
     private endRouted(ended: TaskEnded | Message): readonly Message[] {
         return [...this.removeTask((ended as TaskEnded).task.taskId), ended];
     }
@@ -459,6 +492,8 @@
     }
 }
 
+const noLeaseText = "no control leader has been in contact lately";
+
 /** The route and the workspace have no home region in common. */
 const noHome: PassedOver = { reason: PassOverReason.OutsideHome, retryAfterMs: 10_000 };
 
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -11,6 +11,7 @@
 import { DatabaseRecall } from "../fleet/databaseRecall.ts";
 import { EvacuationOrders } from "../fleet/evacuationOrders.ts";
 import { FleetDatabaseDirectory } from "../fleet/fleetDatabaseDirectory.ts";
+import { LeaseRequester } from "../fleet/leaseRequester.ts";
 import { MemberDiscovery } from "../fleet/memberDiscovery.ts";
 import { PermitLeader } from "../fleet/permitLeader.ts";
 import { PermitRequester } from "../fleet/permitRequester.ts";
@@ -71,6 +72,7 @@
         new PolicyConfirmation(),
         new PermitRequester(),
         new ColdRequester(),
+        new LeaseRequester(),
         new Readiness(),
     ]);
     const session = new Pipe("session", [
