--- a/src/fleet/fencedLogs.ts
+++ b/src/fleet/fencedLogs.ts
@@ -2,6 +2,7 @@
 import { hasReached, type Position } from "../model/position.ts";
 import type { ClosedInstances } from "./closedInstances.ts";
 import type { CommitSurvey } from "./commitSurvey.ts";
+import type { WitnessLease } from "./commitWitnesses.ts";
 import type { ElectorateMember } from "./electorate.ts";
 import type { FencedDatabase } from "./fencedDatabase.ts";
 import type { FencingOptions } from "./fencingOptions.ts";
@@ -90,7 +91,15 @@
         stopped: readonly FencedDatabase[],
     ): readonly FencedDatabase[] {
         const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!);
-        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= answeredMs);
+        const lapsedMs = Math.max(answeredMs, ...this.openLeases().map(({ untilMs }) => untilMs));
+        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= lapsedMs);
+    }
+
+    /** Leases of instances that have not answered that they acknowledge nothing further. */
+    openLeases(): readonly WitnessLease[] {
+        return this.options.witnesses.leases().filter(({ attachmentId }) =>
+            attachmentId === undefined || !this.closedInstances.has(attachmentId)
+        );
     }
 
     isFurthestSinceClosing(chosen: FencedDatabase): boolean {
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -87,6 +87,12 @@
         this.survey.record(attachmentId, frame, nowMs);
     }
 
+    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is chosen yet. */
+    mayGrantLease(attachmentId: string): boolean {
+        return this.closedInstances.has(attachmentId) || this.finalPosition !== undefined
+            || this.expectedLeaderId() === "";
+    }
+
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
     orderSent(databaseId: string): void {
         this.orderedDatabaseId = databaseId;
@@ -319,8 +325,13 @@
                 ? best.databaseId
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
+        if (this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs)) {
+            return this.waitFor(PromotionWait.AcknowledgementLeases);
+        }
         if (this.logs.holdsConfirmedCommits(best, stopped)) {
-            const unproved = this.logs.holdsClosedCommits(best) ? [] : this.logs.unprovedSinceClosing(best, stopped);
+            const unproved = this.logs.holdsClosedCommits(best) && this.logs.openLeases().length === 0
+                ? []
+                : this.logs.unprovedSinceClosing(best, stopped);
             if (unproved.length === 0 && this.logs.holdsReached(best)) {
                 return this.choosePreferredOr(best, stopped, nowMs);
             }
