feat(holder): holders keep to the evacuation of their data centre

Cause: MySQL holders ran what an instance sent that did not know of an evacuation yet, and kept idle connections. Change: AcquireFilter follows the stages of the evacuations in force; HeldDatabase refuses new and waiting statements as not run (a replica as no_fresh_replica, so that the sender goes on at once; a primary as no_primary with the bound as the time to come back), lets open transactions end, closes connections without a running statement, and opens none until End.

--- a/src/holder/acquire.ts
+++ b/src/holder/acquire.ts
@@ -14,6 +14,7 @@
     type DrainStarted,
     type LeasesRenewed,
 } from "../model/clusterMessages.ts";
+import { DatabaseRole } from "../model/database.ts";
 import { HealthKind, type ReleaseLease } from "../model/healthMessages.ts";
 import {
     HolderKind,
@@ -34,6 +35,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
+import { Evacuations, mysqlEvacuationBoundMs } from "../scheduling/evacuations.ts";
 import { acquireStep } from "./admission.ts";
 import { createAnswer, refusedOutcome, sessionKey } from "./answers.ts";
 import { HeldDatabase } from "./heldDatabase.ts";
@@ -53,6 +55,7 @@
     | typeof HolderPipeKind.LinksDue
     | typeof HolderPipeKind.LeaseDue
     | typeof HolderPipeKind.DrainDue
+    | typeof HolderPipeKind.EvacuationDue
 >;
 type AcquireInput =
     | LinkEvent
@@ -80,6 +83,7 @@
         HolderPipeKind.LinksDue,
         HolderPipeKind.LeaseDue,
         HolderPipeKind.DrainDue,
+        HolderPipeKind.EvacuationDue,
         HolderPipeKind.Retry,
         HolderPipeKind.ConfirmationLag,
         HolderKind.Request,
@@ -97,6 +101,7 @@
     private readonly heldDatabases = new Map<string, HeldDatabase>();
     /** Database of each open link; includes databases whose lease ended and whose links have not closed yet. */
     private readonly databaseByLink = new Map<string, HeldDatabase>();
+    private readonly evacuations = new Evacuations(mysqlEvacuationBoundMs);
     private draining = false;
     private nextNumber = 0;
 
@@ -133,6 +138,7 @@
                         HolderPipeKind.LinksDue,
                         HolderPipeKind.LeaseDue,
                         HolderPipeKind.DrainDue,
+                        HolderPipeKind.EvacuationDue,
                     ),
                 },
                 timer => this.handleTimer(timer, nowMs),
@@ -206,6 +212,7 @@
                 HolderPipeKind.DrainDue,
                 () => [...this.heldDatabases.values()].flatMap(database => database.forceDrain(nowMs)),
             )
+            .with(HolderPipeKind.EvacuationDue, () => this.updateEvacuationStages(nowMs))
             .exhaustive();
     }
 
@@ -238,7 +245,24 @@
                 database.updateView(view);
             }
         }
-        return this.holdLeasedDatabases(nowMs);
+        const evacuated = changed.databases.filter(view => view.evacuated === true).map(({ dataCentre }) => dataCentre);
+        this.evacuations.apply({ evacuated: new Set(evacuated) }, nowMs);
+        return [...this.updateEvacuationStages(nowMs), ...this.holdLeasedDatabases(nowMs)];
+    }
+
+    private updateEvacuationStages(nowMs: number): readonly Message[] {
+        const nextMs = this.evacuations.nextChangeMs(nowMs);
+        const due: HolderTimer = { kind: HolderPipeKind.EvacuationDue, subject: "" };
+        const outputs = [...this.heldDatabases.values()].flatMap(database =>
+            this.updateEvacuationStage(database, nowMs)
+        );
+        return nextMs === undefined ? outputs : [...outputs, setDeadline("holder.evacuation", nextMs, due)];
+    }
+
+    private updateEvacuationStage(database: HeldDatabase, nowMs: number): readonly Message[] {
+        const { dataCentre, role } = database.currentView;
+        const stage = this.evacuations.stageOf({ dataCentre, leads: role === DatabaseRole.Primary }, nowMs);
+        return database.updateEvacuationStage(stage, nowMs);
     }
 
     private renewLeases(renewed: LeasesRenewed, nowMs: number): readonly Message[] {
@@ -264,7 +288,11 @@
         const pool = new WorkLinkPool(view, settings, random, prefix => `${prefix}:${this.nextNumber++}`);
         const database = new HeldDatabase(view, pool);
         this.heldDatabases.set(databaseId, database);
-        return [...database.checkLinks(nowMs), ...(this.draining ? database.startDrain() : [])];
+        return [
+            ...this.updateEvacuationStage(database, nowMs),
+            ...database.checkLinks(nowMs),
+            ...(this.draining ? database.startDrain() : []),
+        ];
     }
 
     private stopHoldingExpired(nowMs: number): readonly Message[] {
--- a/src/holder/admission.ts
+++ b/src/holder/admission.ts
@@ -5,6 +5,7 @@
 import { type Outcome, OutcomeKind } from "../model/outcome.ts";
 import { type Refusal, RefusalCode } from "../model/refusal.ts";
 import { StatementKind } from "../model/statement.ts";
+import { EvacuationStage, mysqlEvacuationBoundMs } from "../scheduling/evacuations.ts";
 import { refusedOutcome } from "./answers.ts";
 
 export const acquireStep = "acquire";
@@ -25,6 +26,7 @@
     /** Whether the holder sends no more statements to the database. */
     readonly stopped: boolean;
     readonly isUnreachable: boolean;
+    readonly evacuationStage: EvacuationStage;
     /** Expected time until a slot is free for the statement. */
     readonly expectedWaitMs: number;
     readonly confirmationLag: { readonly lagMs: number; readonly measuredAtMs: number; };
@@ -42,6 +44,9 @@
     if (request.statementKind !== StatementKind.Read && !isPrimary) {
         return reject(RefusalCode.NoPrimary);
     }
+    if (state.evacuationStage !== EvacuationStage.Open) {
+        return reject(...evacuatedRefusal(isPrimary));
+    }
     if (!view.available) {
         return reject(isPrimary ? RefusalCode.NoPrimary : RefusalCode.NoFreshReplica, {
             detail: "departing or silent",
@@ -54,6 +59,14 @@
     return lateMs > 0 ? reject(RefusalCode.Overloaded, { retryAfterMs: lateMs }) : undefined;
 }
 
+/** Refusal of a statement that the sender may run elsewhere: the data centre of the database is evacuated. */
+export function evacuatedRefusal(isPrimary: boolean): [code: RefusalCode, fields: Partial<Refusal>] {
+    const detail = "the data centre of the database is evacuated";
+    return isPrimary
+        ? [RefusalCode.NoPrimary, { detail, retryAfterMs: mysqlEvacuationBoundMs }]
+        : [RefusalCode.NoFreshReplica, { detail }];
+}
+
 /**
  * Returns the outcome of a statement that must not run on a new connection; undefined when it may. Called for sessions
  * that have no pinned connection here.
--- a/src/holder/heldDatabase.ts
+++ b/src/holder/heldDatabase.ts
@@ -6,8 +6,9 @@
 import { type Refusal, RefusalCode } from "../model/refusal.ts";
 import { StatementKind } from "../model/statement.ts";
 import type { Message } from "../pipeline/message.ts";
+import { EvacuationStage } from "../scheduling/evacuations.ts";
 import { ServiceTimeEstimate } from "../scheduling/serviceTimeEstimate.ts";
-import { acquireStep, checkAdmission, outcomeWithoutLink } from "./admission.ts";
+import { acquireStep, checkAdmission, evacuatedRefusal, outcomeWithoutLink } from "./admission.ts";
 import { createAnswer, refusedOutcome, sessionKey, sessionKeyOf } from "./answers.ts";
 import { type Link, LinkState } from "./linkSet.ts";
 import { WaitingStatements } from "./waitingStatements.ts";
@@ -23,6 +24,7 @@
     private confirmationLag = { lagMs: 0, measuredAtMs: 0 };
     private draining = false;
     private stopped = false;
+    private evacuationStage: EvacuationStage = EvacuationStage.Open;
     /** Role that the database itself reported most recently. */
     private reportedRole: DatabaseRole | undefined;
 
@@ -36,6 +38,30 @@
         this.pool.updateView(view);
     }
 
+    get currentView(): DatabaseView {
+        return this.view;
+    }
+
+    /**
+     * Ends the work that the evacuation of the data centre no longer allows: waiting statements are refused as not run,
+     * connections close unless a statement runs on them. Their sessions lose their transactions.
+     */
+    updateEvacuationStage(stage: EvacuationStage, nowMs: number): readonly Message[] {
+        if (stage === this.evacuationStage) {
+            return [];
+        }
+        this.evacuationStage = stage;
+        const refused = stage === EvacuationStage.Open
+            ? []
+            : this.waiting.all.filter(request => this.pool.links.ownedBy(sessionKeyOf(request)) === undefined);
+        const [code, fields] = evacuatedRefusal(this.view.role === DatabaseRole.Primary);
+        return [
+            ...refused.flatMap(request => this.refuseWaiting(request, code, fields)),
+            ...this.pool.links.all.flatMap(link => this.closeEvacuated(link, nowMs)),
+            ...this.dispatch(nowMs),
+        ];
+    }
+
     /** Runs, queues or refuses a statement. */
     submit(request: HolderRequest, nowMs: number): readonly Message[] {
         const session = sessionKeyOf(request);
@@ -56,7 +82,7 @@
 
     linkOpened(link: Link, nowMs: number): readonly Message[] {
         this.pool.linkOpened(link, nowMs);
-        return this.dispatch(nowMs);
+        return [...this.closeEvacuated(link, nowMs), ...this.dispatch(nowMs)];
     }
 
     linkOpenFailed(link: Link, nowMs: number): readonly Message[] {
@@ -89,7 +115,7 @@
         link.sessionEnded = false;
         this.pool.links.setOwner(link, keepsState ? sessionKeyOf(request) : undefined);
         this.pool.links.setState(link, LinkState.Idle, nowMs);
-        return this.dispatch(nowMs);
+        return [...this.closeEvacuated(link, nowMs), ...this.dispatch(nowMs)];
     }
 
     linkClosed(link: Link, nowMs: number): readonly Message[] {
@@ -193,7 +219,16 @@
             }
             outputs.push(...started);
         }
-        return [...outputs, ...this.pool.replenish(nowMs), ...this.reportWorkEndedIfIdle()];
+        const opened = this.evacuationStage === EvacuationStage.Open ? this.pool.replenish(nowMs) : [];
+        return [...outputs, ...opened, ...this.reportWorkEndedIfIdle()];
+    }
+
+    private closeEvacuated(link: Link, nowMs: number): readonly Message[] {
+        const mayStay = this.evacuationStage === EvacuationStage.Open
+            || this.evacuationStage === EvacuationStage.TransactionsOnly && link.owner !== undefined
+            || link.runningRequest !== undefined
+            || link.state === LinkState.Opening;
+        return mayStay ? [] : this.pool.close(link, nowMs);
     }
 
     private startNext(nowMs: number): readonly Message[] {
@@ -245,12 +280,20 @@
     }
 
     private checkAdmission(request: HolderRequest, nowMs: number): ReturnType<typeof checkAdmission> {
-        const { view, draining, confirmationLag } = this;
+        const { view, draining, confirmationLag, evacuationStage } = this;
         // Once no session is pinned, nothing needs this holder any more: the next holder can serve further statements.
         const stopped = this.stopped || (draining && this.pool.links.ownedCount === 0);
         const { isUnreachable } = this.pool;
         const expectedWaitMs = this.waiting.costAheadMs(request) / view.slots;
-        const state = { view, draining, stopped, isUnreachable, expectedWaitMs, confirmationLag };
+        const state = {
+            view,
+            draining,
+            stopped,
+            isUnreachable,
+            evacuationStage,
+            expectedWaitMs,
+            confirmationLag,
+        };
         return checkAdmission(request, state, nowMs);
     }
 
--- a/src/model/holderPipeMessages.ts
+++ b/src/model/holderPipeMessages.ts
@@ -22,6 +22,7 @@
     LinksDue: "holder.links_due",
     LeaseDue: "holder.lease_due",
     DrainDue: "holder.drain_due",
+    EvacuationDue: "holder.evacuation_due",
     StatementDue: "holder.statement_due",
     ConfirmDue: "holder.confirm_due",
 } as const;
@@ -104,6 +105,7 @@
     | typeof HolderPipeKind.LinksDue
     | typeof HolderPipeKind.LeaseDue
     | typeof HolderPipeKind.DrainDue
+    | typeof HolderPipeKind.EvacuationDue
     | typeof HolderPipeKind.StatementDue;
 
 /** A timer that a filter set for itself has expired. */
--- a/src/request/databaseSelector.ts
+++ b/src/request/databaseSelector.ts
@@ -3,7 +3,7 @@
 import { DatabaseRole } from "../model/database.ts";
 import { hasReached, type Position } from "../model/position.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
-import { Evacuations, EvacuationStage } from "../scheduling/evacuations.ts";
+import { Evacuations, EvacuationStage, mysqlEvacuationBoundMs } from "../scheduling/evacuations.ts";
 
 export interface DatabaseSelectorOptions {
     readonly dataCentre: string;
@@ -20,9 +20,6 @@
 // Reads avoid a replica that did not reach a floor in time, so that they do not all wait for it.
 const laggingAvoidanceDurationMs = 250;
 
-/** Time after an evacuation begins from which no statement is sent to the databases of the data centre. */
-const evacuationBoundMs = 5_000;
-
 /** Tracks the databases and the statements that this instance has in flight on each. */
 export class DatabaseSelector {
     private readonly options: DatabaseSelectorOptions;
@@ -30,7 +27,7 @@
     private byService = new Map<string, DatabaseView[]>();
     private readonly inFlightCounts = new Map<string, number>();
     private readonly avoidUntilMs = new Map<string, number>();
-    private readonly evacuations = new Evacuations(evacuationBoundMs);
+    private readonly evacuations = new Evacuations(mysqlEvacuationBoundMs);
 
     constructor(options: DatabaseSelectorOptions) {
         this.options = options;
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -15,7 +15,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
-import { EvacuationStage } from "../scheduling/evacuations.ts";
+import { EvacuationStage, mysqlEvacuationBoundMs } from "../scheduling/evacuations.ts";
 import { DatabaseSelector } from "./databaseSelector.ts";
 import { FloorRequestBatcher, type FloorResult } from "./floorRequestBatcher.ts";
 import { buildHolderRequest, buildHolderRequestBody, buildHolderSessionEnd, isRepeatable } from "./holderRequests.ts";
@@ -54,9 +54,6 @@
 // Exceeds the statement limit of the holder, so that only requests to an unresponsive holder time out here.
 const answerTimeoutMs = 35_000;
 
-/** Time after which callers may come back whose statement only a primary in an evacuated data centre could run. */
-const evacuatedRetryMs = 5_000;
-
 /**
  * Sends statements to the holders of databases and receives their answers. Reads go to a replica that has reached the
  * floor (the log position that the read must observe), other statements to the primary. Sessions with state on a
@@ -385,7 +382,7 @@
         const detail = "the data centre of the primary is evacuated";
         return this.refusePending(
             pending,
-            refuse(RefusalCode.NoPrimary, this.step, { detail, retryAfterMs: evacuatedRetryMs }),
+            refuse(RefusalCode.NoPrimary, this.step, { detail, retryAfterMs: mysqlEvacuationBoundMs }),
         );
     }
 
--- a/src/scheduling/evacuations.ts
+++ b/src/scheduling/evacuations.ts
@@ -22,6 +22,9 @@
 
 const none: ReadonlySet<string> = new Set();
 
+/** Time after the acknowledgement of an evacuation from which MySQL databases get no statement. */
+export const mysqlEvacuationBoundMs = 5_000;
+
 export class Evacuations {
     private readonly boundMs: number;
     private readonly times = new EvacuationTimes();
