feat(control): ctl begins no evacuation while a member of an earlier release answers

Cause: the leader of the users' platform refuses Begin beside members that would apply it as invalid and publish configurations without it; ctl had no such guard. Change: answers to the leader's entries tell that the release knows evacuations (a new field, unset by earlier ones); EvacuationGuardFilter in the control pipe of MySQL instances refuses Begin as invalid and names the members.

--- a/scripts/evacuationTimes.ts
+++ b/scripts/evacuationTimes.ts
@@ -1,10 +1,11 @@
 /**
  * Measures evacuations of the data centre of the primary on real processes:
- * `node --import tsx scripts/evacuationTimes.ts [--seed N] [--seeds COUNT]`.
- * Prints one JSON line a seed and a summary, and ends with 1 if a bound or a rule was broken, with 2 if the arguments are
- * wrong.
+ * `node --import tsx scripts/evacuationTimes.ts [--seed N] [--seeds COUNT] [--logs DIR]`.
+ * Prints one JSON line a seed and a summary of those that ran, and ends with 1 if a bound or a rule was broken or a seed did
+ * not run, with 2 if the arguments are wrong.
  */
 import "disposablestack/auto";
+import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { parseArgs } from "node:util";
 import { SeededRandom } from "../src/pipeline/seededRandom.ts";
@@ -64,8 +65,9 @@
     return worst >= servedShare ? 0 : index < 0 ? undefined : index * stepMs;
 }
 
-async function measure(seed: number): Promise<Measurement> {
-    await using world = await StatementWorld.open({ members: 3, proxies: 3, sessions: 9, seed });
+async function measure(seed: number, logFolder: string | undefined): Promise<Measurement> {
+    const options = { members: 3, proxies: 3, sessions: 9, seed };
+    await using world = await StatementWorld.open(logFolder === undefined ? options : { ...options, logFolder });
     const primary = world.group.leader!;
     world.startClients();
     await delay(maximumPauseMs * (1 + new SeededRandom(seed).nextFloat()));
@@ -103,7 +105,11 @@
 }
 
 const { values } = parseArgs({
-    options: { seed: { type: "string", default: "1" }, seeds: { type: "string", default: "1" } },
+    options: {
+        seed: { type: "string", default: "1" },
+        seeds: { type: "string", default: "1" },
+        logs: { type: "string" },
+    },
 });
 const [firstSeed, count] = [Number(values.seed), Number(values.seeds)];
 if (!(firstSeed >= 0 && count > 0)) {
@@ -113,15 +119,25 @@
 
 const measurements: Measurement[] = [];
 for (let seed = firstSeed; seed < firstSeed + count; seed++) {
-    const measurement = await measure(seed);
-    console.log(JSON.stringify(measurement));
-    measurements.push(measurement);
+    const logFolder = values.logs === undefined ? undefined : join(values.logs, String(seed));
+    try {
+        const measurement = await measure(seed, logFolder);
+        console.log(JSON.stringify(measurement));
+        measurements.push(measurement);
+    }
+    catch (error) {
+        console.log(JSON.stringify({ seed, notRun: (error as Error).message }));
+    }
+}
+if (measurements.length === 0) {
+    process.exit(1);
 }
 console.log(JSON.stringify({
-    seeds: count,
+    seeds: measurements.length,
     acknowledgedMs: summarize(measurements.map(({ acknowledgedMs }) => acknowledgedMs)),
     lastAfterOrderMs: summarize(measurements.map(({ lastAfterOrderMs }) => lastAfterOrderMs)),
     lastAfterAcknowledgementMs: summarize(measurements.map(each => each.lastAfterAcknowledgementMs)),
     recoveredAfterMs: summarize(measurements.map(({ recoveredAfterMs }) => recoveredAfterMs)),
 }));
-process.exit(measurements.some(({ broken }) => broken.length > 0) ? 1 : 0);
+const isWhole = measurements.length === count && measurements.every(({ broken }) => broken.length === 0);
+process.exit(isWhole ? 0 : 1);
--- a/src/control/refuseStaleRequest.ts
+++ b/src/control/refuseStaleRequest.ts
@@ -11,7 +11,15 @@
             return [outgoingMessage({ ...envelope, kind: LogKind.VoteAnswer, preVote, granted: false, requestTerm })];
         }
         case LogKind.AppendRequest:
-            return [outgoingMessage({ ...envelope, kind: LogKind.AppendAnswer, accepted: false, index: 0 })];
+            return [
+                outgoingMessage({
+                    ...envelope,
+                    kind: LogKind.AppendAnswer,
+                    accepted: false,
+                    index: 0,
+                    knowsEvacuations: true,
+                }),
+            ];
         case LogKind.SnapshotRequest: {
             const { lastIndex } = message;
             return [
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -87,6 +87,7 @@
                 kind: LogKind.AppendAnswer,
                 accepted: true,
                 index,
+                knowsEvacuations: true,
             }),
             ...this.currentLeadership!.replicationMessages(this.committedIndex, nowMs),
         ];
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -238,6 +238,7 @@
             kind: LogKind.AppendAnswer,
             accepted,
             index,
+            knowsEvacuations: true,
         };
         return [
             ...write === undefined ? [] : [writeMessage(write)],
--- a/src/model/logMessages.ts
+++ b/src/model/logMessages.ts
@@ -58,6 +58,8 @@
     readonly accepted: boolean;
     /** If accepted, index up to which the log matches the leader's and is synced; otherwise the index to retry from. */
     readonly index: number;
+    /** The release of the sender applies commands that begin and end evacuations. */
+    readonly knowsEvacuations: boolean;
 }
 
 /** One chunk of a snapshot. */
--- a/src/rpc/__tests__/controlRpc.spec.ts
+++ b/src/rpc/__tests__/controlRpc.spec.ts
@@ -107,6 +107,7 @@
                 kind: LogKind.AppendAnswer,
                 accepted: true,
                 index: 8,
+                knowsEvacuations: true,
             }],
             [
                 {
--- a/src/rpc/logCodec.ts
+++ b/src/rpc/logCodec.ts
@@ -52,8 +52,8 @@
     return { ...head, kind: LogKind.AppendRequest, previousIndex, previousTerm, entries, commitIndex };
 }
 
-export function decodeAppendResult({ head, accepted, index }: AppendResult): PeerMessage {
-    return { ...decodeHead(head, ""), kind: LogKind.AppendAnswer, accepted, index };
+export function decodeAppendResult({ head, accepted, index, knowsEvacuations }: AppendResult): PeerMessage {
+    return { ...decodeHead(head, ""), kind: LogKind.AppendAnswer, accepted, index, knowsEvacuations };
 }
 
 export function encodeSnapshotCall(message: MessageOf<typeof LogKind.SnapshotRequest>): SnapshotCall {
@@ -111,7 +111,12 @@
             granted,
             requestTerm,
         }))
-        .with({ kind: LogKind.AppendAnswer }, ({ accepted, index }) => ({ head, accepted, index }))
+        .with({ kind: LogKind.AppendAnswer }, ({ accepted, index, knowsEvacuations }) => ({
+            head,
+            accepted,
+            index,
+            knowsEvacuations,
+        }))
         .with({ kind: LogKind.SnapshotAnswer }, ({ lastIndex, nextOffset, installed }) => ({
             head,
             lastIndex,
--- a/src/wiring/buildPipes.ts
+++ b/src/wiring/buildPipes.ts
@@ -1,5 +1,6 @@
 /** Builds the pipes of an entry instance, for a running process and for a replay. */
 import { controlFilters } from "../control/controlPipe.ts";
+import { EvacuationGuardFilter } from "../control/evacuationGuardFilter.ts";
 import { InitialCommandsFilter } from "../control/initialCommandsFilter.ts";
 import { ProposalRefusalFilter } from "../control/proposalRefusalFilter.ts";
 import { SubscriptionFilter } from "../control/subscriptionFilter.ts";
@@ -90,6 +91,7 @@
     const random = new SeededRandom(seed + 3);
     return new Pipe("control", [
         new InitialCommandsFilter(initialCommands),
+        new EvacuationGuardFilter(),
         ...controlFilters({ self, initialMembers, random }),
     ]);
 }
