test(control): the loss of each region, and of two, on real processes

Change: PlatformCluster takes the regions of its data centres and the losses to bear; six members and three proxies in six data centres of three regions lose one region after the other with its disks, then two regions without them.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -37,6 +37,10 @@
 export interface PlatformClusterOptions {
     readonly members: number;
     readonly proxies: number;
+    /** Region of each data centre; by default three data centres in two regions. */
+    readonly regions?: Readonly<Record<string, string>>;
+    /** Losses at once that the settings say must be borne; by default one machine. */
+    readonly faultTolerance?: { readonly machines: number; readonly zones: number; readonly regions: number; };
     /** Folder for the output of each process; without it, the output is dropped. */
     readonly logFolder?: string;
 }
@@ -48,6 +52,8 @@
     readonly unexpectedEnds: string[] = [];
     private readonly folder = mkdtempSync(join(tmpdir(), "jasmineline-platform-"));
     private readonly group: ProcessGroup;
+    private readonly regions: Readonly<Record<string, string>>;
+    private readonly faultTolerance: NonNullable<PlatformClusterOptions["faultTolerance"]>;
     private readonly processes = new Map<string, ManagedProcess>();
     private readonly orderedEnds = new Set<ManagedProcess>();
     private readonly network = `127.${randomInt(20, 120)}.${randomInt(1, 250)}`;
@@ -65,7 +71,10 @@
     // Also runs on exit, because an interrupted script exits without disposal.
     private readonly removeFolder = () => rmSync(this.folder, { recursive: true, force: true });
 
-    private constructor({ members, proxies, logFolder }: PlatformClusterOptions, ports: readonly number[]) {
+    private constructor(options: PlatformClusterOptions, ports: readonly number[]) {
+        const { members, proxies, logFolder } = options;
+        this.regions = options.regions ?? dataCentres;
+        this.faultTolerance = options.faultTolerance ?? { machines: 1, zones: 0, regions: 0 };
         process.on("exit", this.removeFolder);
         this.group = new ProcessGroup(logFolder);
         const [front, ready, control, rpc, database, platform] = ports;
@@ -103,7 +112,7 @@
      */
     addMachine(isMember: boolean, host = `${this.network}.${this.nextHost}`): Machine {
         const number = this.nextHost - 10;
-        const zones = Object.keys(dataCentres);
+        const zones = Object.keys(this.regions);
         const list = isMember ? this.members : this.proxies;
         const machine: Machine = {
             name: `${isMember ? "core" : "front"}-${number}`,
@@ -165,8 +174,8 @@
             serves: [isMember ? "control" : "front"],
             ip: host,
             zone: dataCentre,
-            region: dataCentres[dataCentre as keyof typeof dataCentres],
-            zones: dataCentres,
+            region: this.regions[dataCentre],
+            zones: this.regions,
             listen: isMember
                 ? { control: `${host}:${control}` }
                 : { front: `${host}:${front}`, ready: `${host}:${ready}` },
@@ -175,7 +184,7 @@
             bootstrap: isFirstStart,
             ...isMember ? { data_dir: dataFolder } : {},
             heartbeat_interval_ms: 1_200,
-            fault_tolerance: { machines: 1, zones: 0, regions: 0 },
+            fault_tolerance: this.faultTolerance,
             bounds: { grace_s: 6, quota_window_s: 5, quota_tolerance: 0.1, quota_slack: 20 },
             cloud_api: { address: `${this.platformHost}:${this.ports.platform}` },
         };
