--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -65,15 +65,21 @@
 describe("a statement that its database cannot start in time", () => {
     const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false };
 
-    /** Replicas and primary of a service; the attempts are refused by their databases. */
+    /**
+     * Replicas and primary of a service; the attempts are refused by their databases.
+     * @param parts `atMs` is the time of the first attempt
+     */
     function refuseAttempts(
-        parts: { readonly needsPrimary: boolean; },
+        parts: { readonly needsPrimary: boolean; readonly knowsPosition?: boolean; readonly atMs?: number; },
         retryAfterMs = 420,
-    ): readonly (TaskPlaced | TaskEnded)[] {
+    ): readonly (TaskPlaced | TaskEnded | undefined)[] {
+        const { needsPrimary, knowsPosition = true, atMs = 0 } = parts;
         const routing = new Routing({ dataCentre: "d" });
         ["p", "r1"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
-        const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
-        routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        if (knowsPosition) {
+            const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
+            routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        }
         const route = {
             name: "r",
             database: "r",
@@ -87,21 +93,25 @@
         };
         const task: Task = {
             ...commit,
-            ...parts,
+            needsPrimary,
             mode: TaskMode.Single,
-            statement: parts.needsPrimary ? write : undefined,
-            writes: parts.needsPrimary,
+            statement: needsPrimary ? write : undefined,
+            writes: needsPrimary,
             route,
             sessionFloor: undefined,
             receivedMs: 0,
         };
-        const results: (TaskPlaced | TaskEnded)[] = [];
+        const results: (TaskPlaced | TaskEnded | undefined)[] = [];
         let messages = routing.process({ kind: TaskKind.Admitted, task }, 0);
-        for (;;) {
+        if (atMs > 0) {
+            messages = routing.process({ kind: TaskKind.PlacementDue, id: task.taskId }, atMs);
+        }
+        // More than an attempt at each of the two databases and the end, so that placements without end are seen.
+        while (results.length < 4) {
             const next = messages.find(({ kind }) => kind === TaskKind.Placed || kind === TaskKind.Ended);
-            results.push(next as TaskPlaced | TaskEnded);
+            results.push(next as TaskPlaced | TaskEnded | undefined);
             if (next?.kind !== TaskKind.Placed) {
-                return results;
+                break;
             }
             const { databaseId } = next as TaskPlaced;
             const attempted = {
@@ -116,8 +126,9 @@
                 ...refusal,
                 retryAfterMs,
             } as TaskAttempted;
-            messages = routing.process(attempted, 0);
+            messages = routing.process(attempted, atMs);
         }
+        return results;
     }
 
     it("is refused at once with the time to come back if only the primary may run it", () => {
@@ -138,6 +149,15 @@
         assert.deepEqual([...databaseIds].sort(), ["p", "r1"]);
         assert.match((results.at(-1) as TaskEnded).detail, /not run, retry after 420 ms/);
     });
+
+    it("is refused if it reads at the primary for want of a position, although a replica has not refused it", () => {
+        // Guards against a placement at the primary again and again within one message, which never ends.
+        const [placed, ended, ...others] = refuseAttempts({ needsPrimary: false, knowsPosition: false, atMs: 100 });
+        assert.deepEqual([placed?.kind, (placed as TaskPlaced).databaseId], [TaskKind.Placed, "p"]);
+        assert.equal(ended?.kind, TaskKind.Ended);
+        assert.match((ended as TaskEnded).detail, /not run, retry after 420 ms/);
+        assert.deepEqual(others, []);
+    });
 });
 
 function databaseReport(databaseId: string, leads: boolean): DatabaseChanged {
