fix(session): a task that arrives alone while no link may be opened is woken when the pause ends

Cause: nothing set a timer when LinkTable.open refused and no link of the pool was busy, so that the task waited until its deadline unless another task or a report came. Change: TaskScheduler sets the timer of the pool whenever a waiting task lacks a link that may be opened later. Result: the new spec in taskScheduler.spec.ts fails before and passes now; links, sessionPipe and passedTasks specs pass.

--- a/src/session/__tests__/taskScheduler.spec.ts
+++ b/src/session/__tests__/taskScheduler.spec.ts
@@ -177,6 +177,22 @@
         });
     });
 
+    it("start soon after a pause in opening connections, also if they are alone in arriving during it", () => {
+        // Guards against a task that waits until its deadline, because no link and no other task wakes it.
+        const world = new LinksWorld(1);
+        const [other, holder] = ["h1", "h2"].map(name => new Holder(world, name, connectionLimit)) as [Holder, Holder];
+        other.place({ workspace: "w", priority: 0 });
+        world.schedule.advanceTo(100);
+        const refused = holder.place({ workspace: "w", priority: 0 });
+        world.schedule.advanceTo(110);
+        assert.equal(holder.faultOf(refused), StatementFault.ConnectionLimit);
+        other.breakLinks();
+        const waiting = holder.place({ workspace: "w", priority: 0 });
+        world.schedule.advanceTo(300);
+        assert.equal(world.runs.get(waiting), 1);
+        assert.equal(holder.faultOf(waiting), undefined);
+    });
+
     it("are refused with the time to come back when the database works on nothing else", () => {
         const world = new LinksWorld(connectionLimit);
         const holder = new Holder(world, "h", connectionLimit);
--- a/src/session/taskScheduler.ts
+++ b/src/session/taskScheduler.ts
@@ -55,7 +55,7 @@
         const { idle, opening, inFlight: inFlightBefore } = pool.summary();
         let inFlight = inFlightBefore;
         let mayOpen = true;
-        let waitsForBusyLink = false;
+        let waitsForTime = false;
         let link: Link | undefined;
         const canStart = ({ placed: { task } }: WaitingTask): boolean => {
             link = inFlight < pool.window.size ? idle.find(task) : undefined;
@@ -65,13 +65,14 @@
             const mayHaveMore = link === undefined && mayOpen && inFlight < pool.window.size
                 && openingCount < waitingCount;
             if (mayHaveMore && !this.table.mayOpen(pool, workspace, waitingCount, nowMs)) {
-                waitsForBusyLink = true;
+                waitsForTime = true;
             }
             else if (mayHaveMore) {
                 const opened = this.table.open(pool, workspace, nowMs);
                 messages.push(...opened);
                 // If no link can be opened for this task, none can be opened for the tasks behind it.
                 mayOpen = opened.length > 0;
+                waitsForTime ||= !mayOpen;
                 inFlight += Number(mayOpen);
                 opening.set(workspace, openingCount + Number(mayOpen));
             }
@@ -85,8 +86,8 @@
             inFlight += 1;
             messages.push(...this.attempts.start(link!, waiting.placed, inFlight, nowMs));
         }
-        // A link is opened after all if the busy one is not free in time.
-        return waitsForBusyLink ? [...messages, this.table.setIdleTimer(pool, nowMs)] : messages;
+        // A link is opened after all if the busy one is not free in time, or once the pause in opening has ended.
+        return waitsForTime ? [...messages, this.table.setIdleTimer(pool, nowMs)] : messages;
     }
 
     private refuse(
