fix(scheduling): a refusal counts more than an earlier observation that the position was reached

Cause: ReplicaLag ignored refusals of positions that the database was believed to have reached. Routing places a lagging read again at once, so that a holder which refuses by itself, and tells no position, was asked without end within one message. Change: a refusal takes back such an observation; the database is left out for the shortest pause. Tests: the property in replicaLag.spec.ts took a refused position for reached if it was observed before; it now counts the newer of both. Result: the new spec fails before and passes now; lagExchange and routing specs pass.

--- a/src/scheduling/__tests__/replicaLag.spec.ts
+++ b/src/scheduling/__tests__/replicaLag.spec.ts
@@ -46,6 +46,15 @@
         assert.equal(lag.avoidedUntilMs("r", position(7), nothingKnown, 60_100), undefined);
     });
 
+    it("is left out after a refusal although it was seen to have reached the position", () => {
+        // Guards against a read that is placed at the same database again within one message, and refused again.
+        const lag = newLag();
+        lag.recordPosition("r", { position: position(7), atMs: 0, lagMs: 0 });
+        lag.recordRefusal("r", position(6), 100);
+        assert.equal(lag.avoidedUntilMs("r", position(6), nothingKnown, 100), 100 + minimumPauseMs);
+        assert.equal(lag.avoidedUntilMs("r", position(5), nothingKnown, 100), undefined);
+    });
+
     it("is tried by one read at a time", () => {
         // Load: reads that arrive every millisecond at a holder whose database has refused one of them.
         const lag = newLag();
@@ -76,6 +85,8 @@
                     nowMs += afterMs;
                     if (isRefusal) {
                         lag.recordRefusal("r", position(offset), nowMs);
+                        // The refusal is the newer word of the database.
+                        reached = Math.min(reached, offset - 1);
                     }
                     else {
                         lag.recordPosition("r", { position: position(offset), atMs: nowMs, lagMs });
--- a/src/scheduling/replicaLag.ts
+++ b/src/scheduling/replicaLag.ts
@@ -81,6 +81,10 @@
     /** Records that a database has refused a read because it has not reached its floor. */
     recordRefusal(databaseId: string, floor: Position, nowMs: number): void {
         const entry = this.entryOf(databaseId);
+        if (hasReachedFloor(entry, floor)) {
+            // The database may have lost records, or an observation was false.
+            entry.observed = undefined;
+        }
         if (entry.refusedFloor === undefined) {
             entry.refusedSinceMs = nowMs;
             entry.refusedFloor = floor;
