fix(session): reads of callers that leave stop counting as work of their database

Cause: only the result of an attempt ended what recordStart had recorded. A task that was abandoned while it waited for a link, or at another holder, has no result, so that its database counted as busier for ever. Results of later statements of transactions and late answers ended what was never recorded. Change: routing ends the record with the attempt or with the task, whichever comes first. Probes need no slot and are no longer counted. Result: 20 such reads in a row went to three databases at random before, all to the preferred one now (new spec); routing, databaseTable, sessionPipe and homes specs pass.

--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -62,6 +62,46 @@
     });
 });
 
+const boundedRoute = {
+    name: "r",
+    database: "r",
+    service: "s",
+    consistency: RouteConsistency.Bounded,
+    maximumAgeMs: 1_000,
+    statementLimitMs: 1_000,
+    targetLatencyMs: 500,
+    priority: 1,
+    open: false,
+};
+
+describe("reads of callers that leave", () => {
+    it("do not count as work of their database for ever", () => {
+        // Guards against a database that gets fewer reads with each caller that does not wait for its answer.
+        const routing = new Routing({ dataCentre: "d" });
+        ["p", "r1", "r2"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
+        const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
+        routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        const databaseIds = Array.from({ length: 20 }, (_, index) => {
+            const task: Task = {
+                ...commit,
+                taskId: `t${index}`,
+                mode: TaskMode.Single,
+                statement: undefined,
+                writes: false,
+                needsPrimary: false,
+                route: boundedRoute,
+                sessionFloor: undefined,
+                receivedMs: 0,
+            };
+            const placed = routing.process({ kind: TaskKind.Admitted, task }, 0)
+                .find(({ kind }) => kind === TaskKind.Placed) as TaskPlaced;
+            routing.process({ kind: TaskKind.Abandoned, sessionId: "c", taskId: task.taskId }, 0);
+            return placed.databaseId;
+        });
+        assert.equal(new Set(databaseIds).size, 1, databaseIds.join());
+    });
+});
+
 describe("a statement that its database cannot start in time", () => {
     const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false };
 
@@ -80,24 +120,13 @@
             const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
             routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
         }
-        const route = {
-            name: "r",
-            database: "r",
-            service: "s",
-            consistency: RouteConsistency.Bounded,
-            maximumAgeMs: 1_000,
-            statementLimitMs: 1_000,
-            targetLatencyMs: 500,
-            priority: 1,
-            open: false,
-        };
         const task: Task = {
             ...commit,
             needsPrimary,
             mode: TaskMode.Single,
             statement: needsPrimary ? write : undefined,
             writes: needsPrimary,
-            route,
+            route: boundedRoute,
             sessionFloor: undefined,
             receivedMs: 0,
         };
--- a/src/session/databaseTable.ts
+++ b/src/session/databaseTable.ts
@@ -183,6 +183,13 @@
         }
     }
 
+    /** Records the end of what `recordStart` has recorded. */
+    recordEnd(databaseId: string): void {
+        if (this.databases.has(databaseId)) {
+            this.costs.recordEnd(databaseId);
+        }
+    }
+
     /** Records that a read with this floor was sent to a database. */
     recordRead(databaseId: string, floor: Position, nowMs: number): void {
         this.lag.recordPlaced(databaseId, floor, nowMs);
@@ -244,7 +251,6 @@
         entry: DatabaseEntry,
         nowMs: number,
     ): void {
-        this.costs.recordEnd(databaseId);
         if (load !== undefined) {
             this.costs.recordLoad(databaseId, load, nowMs);
         }
--- a/src/session/routedTask.ts
+++ b/src/session/routedTask.ts
@@ -12,6 +12,8 @@
     readonly triedDatabaseIds = new Set<string>();
     /** The task waits for a primary, a replica or a floor; otherwise an attempt is in progress. */
     waiting = true;
+    /** Database of the attempt in progress. */
+    placedAt: string | undefined;
     /** Floor of the current or last attempt. */
     floor: Position | undefined;
     /** The task ends after the current attempt. */
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -307,6 +307,7 @@
     ): readonly Message[] {
         const { task } = routed;
         routed.waiting = false;
+        routed.placedAt = databaseId;
         routed.floor = floor;
         routed.triedDatabaseIds.add(databaseId);
         this.databases.recordStart(databaseId);
@@ -358,9 +359,6 @@
     private probePrimary(wanted: FloorWanted, nowMs: number): readonly Message[] {
         const primaryId = this.databases.primary(wanted.service, nowMs);
         const mayProbe = primaryId !== undefined && this.rules.mayProbe(this.databases.report(primaryId)!, nowMs);
-        if (mayProbe) {
-            this.databases.recordStart(primaryId);
-        }
         return this.floors.probePrimary(wanted, mayProbe ? primaryId : undefined, nowMs);
     }
 
@@ -372,18 +370,27 @@
         ) {
             return [];
         }
-        this.databases.recordStart(wanted.databaseId);
         return [this.floors.probeDatabase(wanted, nowMs)];
     }
 
     private recordAttempt(attempt: TaskAttempted, nowMs: number): void {
         const { reply, leads, sentMs, task } = attempt;
-        this.databases.recordAttempt(attempt, this.tasks.get(task.taskId)?.floor, nowMs);
+        const routed = this.tasks.get(task.taskId);
+        this.endAttempt(routed);
+        this.databases.recordAttempt(attempt, routed?.floor, nowMs);
         if (leads && reply?.position !== undefined && sentMs !== undefined) {
             this.floors.recordProof(task.service, reply.position, sentMs);
         }
     }
 
+    /** An attempt whose caller has left may end without a result. */
+    private endAttempt(routed: RoutedTask | undefined): void {
+        if (routed?.placedAt !== undefined) {
+            this.databases.recordEnd(routed.placedAt);
+            routed.placedAt = undefined;
+        }
+    }
+
     private endOrRetry(routed: RoutedTask, attempt: TaskAttempted, nowMs: number): readonly Message[] {
         const { task } = routed;
         const fault = attempt.reply?.fault ?? attempt.fault;
@@ -455,6 +462,7 @@
     }
 
     private removeTask(taskId: string | undefined): readonly Message[] {
+        this.endAttempt(this.tasks.get(taskId ?? ""));
         return taskId !== undefined && this.tasks.delete(taskId) ? [clearDeadline(placementKey(taskId))] : [];
     }
 }
