fix(session): a slow primary does not make its replicas count as lagging

Cause: the lag of a replica was counted from the sending of the statement which the primary answered with a position that the replica had not reached, including the time for which the statement waited at a holder or in the primary. With 200 ms of that, replicas that were up to date were left out for two seconds, and their reads went to the slow primary. Change: the lag is counted from the time at which the instance learned the position. Tests: lagExchange.spec.ts names that time; its expectations are the same.

--- a/src/session/__tests__/lagExchange.spec.ts
+++ b/src/session/__tests__/lagExchange.spec.ts
@@ -16,7 +16,7 @@
 /** An exchange that knows that the primary was at offset 9 at 1,000 ms. */
 function newExchange(): LagExchange {
     const exchange = new LagExchange();
-    exchange.addSample(service, { position: position(1, 9), atMs: 1_000 });
+    exchange.addSample(service, { position: position(1, 9), atMs: 1_000 }, 1_000);
     return exchange;
 }
 
@@ -36,6 +36,14 @@
         assert.deepEqual(exchange.toTell(service, 8_000), []);
     });
 
+    it("takes no database for lagging because the primary took long to answer", () => {
+        // Guards against replicas that all count as lagging while writes wait for the primary or its holder.
+        const exchange = new LagExchange();
+        exchange.addSample(service, { position: position(1, 9), atMs: 1_000 }, 1_450);
+        assert.equal(exchange.recordAttempt(refusal("r", 8), 1_460), false);
+        assert.equal(exchange.recordAttempt(refusal("r", 8), 1_700), true);
+    });
+
     it("passes on what is news to those that asked, and asks databases that lag for their position", () => {
         const exchange = newExchange();
         exchange.addListener(service, "w1", 1_000);
--- a/src/session/floorExchange.ts
+++ b/src/session/floorExchange.ts
@@ -240,7 +240,7 @@
             const existing = this.proofs.get(service);
             if (existing === undefined || existing.atMs < sentMs) {
                 this.proofs.set(service, { position: reply.position, atMs: sentMs });
-                this.lag.addSample(service, { position: reply.position, atMs: sentMs });
+                this.lag.addSample(service, { position: reply.position, atMs: sentMs }, nowMs);
             }
         }
         const isOwnProbe = mode === TaskMode.Probe && !taskId.includes("/");
@@ -323,7 +323,7 @@
         }
         this.pendingFloors.delete(service);
         const sample = { position, atMs: sentMs - proofAgeMs };
-        this.lag.addSample(service, sample);
+        this.lag.addSample(service, sample, nowMs);
         // The age was counted from the arrival of the question, which follows its sending, so the position is at least
         // as recent as the time computed here.
         return [
--- a/src/session/floorRequests.ts
+++ b/src/session/floorRequests.ts
@@ -2,7 +2,7 @@
 import type { Position } from "../model/position.ts";
 import { emptySessionContext, TaskMode } from "../model/sessionStatement.ts";
 import type { Message } from "../pipeline/message.ts";
-import { FloorSamples, laterFloor } from "./floorSamples.ts";
+import { type FloorSample, FloorSamples, laterFloor } from "./floorSamples.ts";
 import {
     type FloorLearned,
     type FloorProbeFailed,
@@ -38,14 +38,14 @@
     private readonly requestedUntilMs = new Map<string, number>();
     private nextProbeNumber = 0;
 
-    learn({ service, sample }: FloorLearned): void {
-        this.samples.add(service, sample);
+    learn({ service, sample }: FloorLearned, nowMs: number): void {
+        this.samples.add(service, sample, nowMs);
         this.requestedUntilMs.delete(service);
     }
 
     /** Records a position that the primary has proved to this instance itself. */
-    recordProof(service: string, position: Position, atMs: number): void {
-        this.samples.add(service, { position, atMs });
+    recordProof(service: string, sample: FloorSample, nowMs: number): void {
+        this.samples.add(service, sample, nowMs);
     }
 
     /** Returns the position that a read needs; undefined if no known one is recent enough. */
--- a/src/session/floorSamples.ts
+++ b/src/session/floorSamples.ts
@@ -11,16 +11,23 @@
     readonly atMs: number;
 }
 
+/** A sample as this instance knows it. */
+interface KnownSample extends FloorSample {
+    /** Time at which this instance learned the position; the primary had it by then. */
+    readonly knownAtMs: number;
+}
+
 /** Maximum of samples per service; several are kept because routes have different maximum ages. */
 const maximumSamples = 32;
 
 export class FloorSamples {
-    private readonly samples = new Map<string, FloorSample[]>();
+    private readonly samples = new Map<string, KnownSample[]>();
 
-    add(service: string, sample: FloorSample): void {
+    add(service: string, { position, atMs: sampleMs }: FloorSample, nowMs: number): void {
         const existing = this.samples.get(service) ?? [];
-        const older = existing.filter(({ atMs }) => atMs < sample.atMs);
-        const newer = existing.filter(({ atMs }) => atMs >= sample.atMs);
+        const older = existing.filter(({ atMs }) => atMs < sampleMs);
+        const newer = existing.filter(({ atMs }) => atMs >= sampleMs);
+        const sample: KnownSample = { position, atMs: sampleMs, knownAtMs: nowMs };
         this.samples.set(service, [...older, sample, ...newer].slice(-maximumSamples));
     }
 
@@ -39,7 +46,11 @@
 
     /** Returns the time by which the primary had records beyond a position; undefined if no sample shows any. */
     exceededByMs(service: string, position: Position): number | undefined {
-        return this.samples.get(service)?.find(sample => comparePositions(sample.position, position) > 0)?.atMs;
+        const times = (this.samples.get(service) ?? []).filter(sample =>
+            comparePositions(sample.position, position) > 0
+        )
+            .map(({ knownAtMs }) => knownAtMs);
+        return times.length === 0 ? undefined : Math.min(...times);
     }
 
     /** Time of the newest sample. */
--- a/src/session/lagExchange.ts
+++ b/src/session/lagExchange.ts
@@ -27,8 +27,8 @@
     /** Streams on which other instances have asked about a service, and when they did last. */
     private readonly listeners = new Map<string, Map<string, number>>();
 
-    addSample(service: string, sample: FloorSample): void {
-        this.samples.add(service, sample);
+    addSample(service: string, sample: FloorSample, nowMs: number): void {
+        this.samples.add(service, sample, nowMs);
     }
 
     /** Records that an instance has asked about a service. */
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -128,7 +128,7 @@
             .with({ kind: TaskKind.FloorProbeWanted }, input => this.probePrimary(input, nowMs))
             .with({ kind: TaskKind.PositionProbeWanted }, input => this.probeDatabase(input, nowMs))
             .with({ kind: TaskKind.FloorLearned }, input => {
-                this.floors.learn(input);
+                this.floors.learn(input, nowMs);
                 return this.placeWaiting(input.service, nowMs);
             })
             .with({ kind: TaskKind.PositionsLearned }, ({ positions }) => {
@@ -379,7 +379,7 @@
         this.endAttempt(routed);
         this.databases.recordAttempt(attempt, routed?.floor, nowMs);
         if (leads && reply?.position !== undefined && sentMs !== undefined) {
-            this.floors.recordProof(task.service, reply.position, sentMs);
+            this.floors.recordProof(task.service, { position: reply.position, atMs: sentMs }, nowMs);
         }
     }
 
