fix(session): a primary that refuses a probe is asked again only after a pause

Cause: any reply to a probe counted as its answer, also a fault, after which waiting reads requested the position again at once: one probe after the other, as fast as a database with too much to do refuses them. Change: only a success, or the refusal of a database that is not the primary, lets the next request follow at once. Result: the new spec fails before and passes now; routing, sessionPipe and homes specs pass.

--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -74,6 +74,66 @@
     open: false,
 };
 
+describe("a read that waits for a position", () => {
+    function probesAfter(fault: StatementFault | undefined): readonly number[] {
+        const routing = new Routing({ dataCentre: "d" });
+        routing.process(databaseReport("p", true), 0);
+        const task: Task = {
+            ...commit,
+            mode: TaskMode.Single,
+            statement: undefined,
+            writes: false,
+            needsPrimary: false,
+            route: boundedRoute,
+            sessionFloor: undefined,
+            receivedMs: 0,
+        };
+        const [wanted] = routing.process({ kind: TaskKind.Admitted, task }, 0);
+        assert.equal(wanted!.kind, TaskKind.FloorWanted);
+        const probe = {
+            kind: TaskKind.FloorProbeWanted,
+            service: "s",
+            workspace: "w",
+            maximumProofAgeMs: 400,
+        } as const;
+        const [placed] = routing.process(probe, 0) as readonly TaskPlaced[];
+        const reply: LinkReply = {
+            rows: [],
+            signature: undefined,
+            fault,
+            detail: "",
+            transaction: TransactionState.None,
+            position: undefined,
+            status: undefined,
+        };
+        const attempted: TaskAttempted = {
+            kind: TaskKind.Attempted,
+            task: placed!.task,
+            databaseId: "p",
+            address: undefined,
+            reply,
+            fault: undefined,
+            sent: false,
+            holderUnavailable: false,
+            sentMs: 0,
+            leads: false,
+            pinned: false,
+        };
+        const second = { kind: TaskKind.Admitted, task: { ...task, taskId: "t2", receivedMs: 120 } } as const;
+        return ([[1, attempted], [40, { kind: TaskKind.PlacementDue, id: "t" }], [120, second]] as const)
+            .filter(([atMs, message]) =>
+                routing.process(message, atMs).some(({ kind }) => kind === TaskKind.FloorWanted)
+            )
+            .map(([atMs]) => atMs);
+    }
+
+    it("asks a primary that has too much to do only after a pause", () => {
+        // Guards against a probe for each refusal of the last one, as fast as the database can refuse.
+        assert.deepEqual(probesAfter(StatementFault.Busy), [120]);
+        assert.deepEqual(probesAfter(StatementFault.ReadOnly), [1]);
+    });
+});
+
 describe("reads of callers that leave", () => {
     it("do not count as work of their database for ever", () => {
         // Guards against a database that gets fewer reads with each caller that does not wait for its answer.
--- a/src/session/floorRequests.ts
+++ b/src/session/floorRequests.ts
@@ -98,8 +98,9 @@
         return this.placedProbe(wanted, false, nowMs);
     }
 
-    recordProbeEnd(service: string, hasAnswer: boolean, nowMs: number): void {
-        if (hasAnswer) {
+    /** @param mayAskAgain a position that is still missing may be requested at once */
+    recordProbeEnd(service: string, mayAskAgain: boolean, nowMs: number): void {
+        if (mayAskAgain) {
             this.requestedUntilMs.delete(service);
         }
         else {
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -342,7 +342,10 @@
         const suspicions = isUnanswered ? [databaseSuspected(attempt)] : [];
         if (task.mode === TaskMode.Probe) {
             if (task.needsPrimary) {
-                this.floors.recordProbeEnd(service, reply !== undefined, nowMs);
+                // After a refusal as read-only, another database may count as the primary.
+                const mayAskAgain = reply !== undefined
+                    && (reply.fault === undefined || reply.fault === StatementFault.ReadOnly);
+                this.floors.recordProbeEnd(service, mayAskAgain, nowMs);
             }
             return [...suspicions, ...this.placeWaiting(service, nowMs)];
         }
