fix(session): a link that a waiting task needs is closed for another workspace only as a last resort

Cause: the link to close was chosen by the use of its workspace alone, also if a task of this workspace waited for room in the window. That task then opened a link itself, for which it closed the next one. Change: links of workspaces without waiting tasks are closed first.

--- a/src/session/__tests__/taskScheduler.spec.ts
+++ b/src/session/__tests__/taskScheduler.spec.ts
@@ -177,6 +177,24 @@
         });
     });
 
+    it("keep the idle link of their workspace when a link is opened for another one", () => {
+        // Guards against one opening that causes the next, 12 ms of a slot each, while workspaces wait for each other.
+        const world = new LinksWorld(connectionLimit);
+        const holder = new Holder(world, "h", connectionLimit);
+        for (let index = 0; index < 52; index++) {
+            world.schedule.at(50 * index, () => holder.place({ workspace: `w${index}`, priority: 0 }));
+        }
+        world.schedule.advanceTo(3_000);
+        assert.equal(world.database.openedCount, 52);
+        Array.from({ length: 20 }, (_, index) => holder.place({ workspace: `w${index}`, priority: 0 }));
+        holder.place({ workspace: "new", priority: 0 });
+        holder.place({ workspace: "w20", priority: 0 });
+        world.schedule.advanceTo(6_000);
+        assertHonest(world, holder);
+        assert.equal(world.runs.size, 52 + 22);
+        assert.equal(world.database.openedCount, 53);
+    });
+
     it("start soon after a pause in opening connections, also if they are alone in arriving during it", () => {
         // Guards against a task that waits until its deadline, because no link and no other task wakes it.
         const world = new LinksWorld(1);
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -79,10 +79,6 @@
         return { inFlight, idle, oldestStartMs };
     }
 
-    private isAwaited({ isUnused, workspace }: Link): boolean {
-        return isUnused && this.waitingTasks.countOf(workspace) > 0;
-    }
-
     /** Collects the idle and the opening links in one pass. */
     summary(): LinkSummary {
         const idle = new IdleLinks(this.links, this.latestPosition);
@@ -101,12 +97,14 @@
     }
 
     /**
-     * Returns the idle link that is least likely to be used again soon, except those that were opened for a task which
-     * still waits.
+     * Returns the idle link that is least likely to be used again soon: first of the workspaces without waiting tasks, then
+     * of the others, except those links that were opened for a task which still waits.
      */
     leastUsefulIdle(nowMs: number): Link | undefined {
-        const idle = [...this.links].filter(link => link.state === LinkState.Idle && !this.isAwaited(link));
-        return this.demand.leastUseful(idle, nowMs);
+        const idle = [...this.links].filter(link => link.state === LinkState.Idle);
+        const isAwaited = ({ workspace }: Link): boolean => this.waitingTasks.countOf(workspace) > 0;
+        return this.demand.leastUseful(idle.filter(link => !isAwaited(link)), nowMs)
+            ?? this.demand.leastUseful(idle.filter(link => !link.isUnused), nowMs);
     }
 }
 
