perf(session): links of a workspace and links by task are found without a search through all links

Cause: LinkDemand.supplyOf looked at all links of the pool for each workspace that waits for a busy one, and findRunning at all links of the instance for each abandoned or late task. Change: the pool keeps its links by workspace, the table the running attempts by task.

--- a/src/session/__tests__/links.spec.ts
+++ b/src/session/__tests__/links.spec.ts
@@ -142,6 +142,24 @@
         assert.equal(visits[1]! <= 2 * visits[0]!, true, `${visits[1]} visits against ${visits[0]}`);
     });
 
+    it("are not all visited again for each workspace that waits for a busy one", () => {
+        const visits = [1, 7].map(waiting => {
+            const fixture = new LinksFixture(82);
+            const workspaces = Array.from({ length: 40 }, (_, index) => `w${index}`);
+            for (const workspace of workspaces) {
+                fixture.place(workspace);
+                fixture.openLinks();
+                fixture.replyToOldest();
+            }
+            workspaces.slice(0, 7).forEach(workspace => fixture.place(workspace));
+            workspaces.slice(0, waiting).forEach(workspace => fixture.place(workspace));
+            fixture.visits = 0;
+            fixture.place("w0");
+            return fixture.visits;
+        });
+        assert.ok(visits[0]! > 0 && visits[1]! <= 1.5 * visits[0]!, `${visits[1]} visits against ${visits[0]}`);
+    });
+
     it("run the tasks of a workspace in order of arrival", () => {
         const fixture = new LinksFixture(3);
         ["a", "a", "a", "a"].forEach(workspace => fixture.place(workspace));
--- a/src/session/linkAttempts.ts
+++ b/src/session/linkAttempts.ts
@@ -57,7 +57,7 @@
         const { latestPosition } = this.table.poolOf(link);
         const provesPrelude = prelude.length > 0 && link.replies.canProveBegin(latestPosition);
         const gate = gateOf(placed, nowMs - link.idleSinceMs, provesPrelude);
-        link.attempt = {
+        this.table.startAttempt(link, {
             placed,
             gate,
             sentMs: nowMs,
@@ -65,7 +65,7 @@
             knownPosition: latestPosition,
             sent: false,
             leads: false,
-        };
+        });
         if (gate.commands.length === 0) {
             return prelude.length > 0 ? this.send(link, prelude, [], []) : this.sendStatement(link, floor);
         }
@@ -95,7 +95,7 @@
         };
         link.state = LinkState.Busy;
         const pool = this.table.poolOf(link);
-        link.attempt = {
+        this.table.startAttempt(link, {
             placed,
             gate: openGate,
             sentMs: nowMs,
@@ -103,7 +103,7 @@
             knownPosition: pool.latestPosition,
             sent: false,
             leads: false,
-        };
+        });
         const prelude = link.preludeCommands(task.context, task.statement);
         const timer = taskTimer(TaskKind.AttemptDue, task.taskId);
         return [
@@ -159,7 +159,7 @@
         const occupancy = pool.occupancy();
         recordOutcome(pool, attempt, { reply, fault, inFlight: occupancy.inFlight }, nowMs);
         const freed = { ...occupancy, inFlight: Math.max(0, occupancy.inFlight - 1) };
-        link.attempt = undefined;
+        this.table.endAttempt(link);
         const { placed, sent, sentMs, leads } = attempt;
         pool.lag.recordAttempt(placed, reply, nowMs);
         pool.demand.recordAttempt(attempt, reply, nowMs);
--- a/src/session/linkDemand.ts
+++ b/src/session/linkDemand.ts
@@ -28,10 +28,13 @@
         return this.use.chooseToClose(idle, nowMs);
     }
 
-    /** @param waiting number of tasks of the workspace that wait for a link */
-    supplyOf(links: Iterable<Link>, workspace: string, waiting: number, nowMs: number): LinkSupply {
+    /**
+     * @param links those of one workspace
+     * @param waiting number of its tasks that wait for a link
+     */
+    supplyOf(links: Iterable<Link>, waiting: number, nowMs: number): LinkSupply {
         const { meanBusyMs } = this;
-        const own = [...links].filter(link => link.workspace === workspace);
+        const own = [...links];
         return {
             busy: own.filter(link => this.willBeFreeSoon(link, nowMs)).length,
             opening: own.filter(({ state }) => state === LinkState.Opening).length,
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -26,7 +26,8 @@
 
 export class LinkPool {
     report: DatabaseReport;
-    readonly links = new Set<Link>();
+    private readonly allLinks = new Set<Link>();
+    private readonly linksByWorkspace = new Map<string, Set<Link>>();
     /** Tasks that wait for room in the window and for a link. */
     readonly waitingTasks = new StatementQueue<WaitingTask>();
     /** Limits the links that are opening or busy; statements of open transactions start beyond it. */
@@ -56,6 +57,30 @@
         this.window = new GradientWindow(report.slots);
     }
 
+    get links(): ReadonlySet<Link> {
+        return this.allLinks;
+    }
+
+    /** Returns the links of one workspace. */
+    linksOf(workspace: string): ReadonlySet<Link> {
+        return this.linksByWorkspace.get(workspace) ?? noLinks;
+    }
+
+    add(link: Link): void {
+        const { workspace } = link;
+        this.allLinks.add(link);
+        this.linksByWorkspace.set(workspace, (this.linksByWorkspace.get(workspace) ?? new Set()).add(link));
+    }
+
+    remove(link: Link): void {
+        this.allLinks.delete(link);
+        const others = this.linksByWorkspace.get(link.workspace);
+        others?.delete(link);
+        if (others?.size === 0) {
+            this.linksByWorkspace.delete(link.workspace);
+        }
+    }
+
     recordPosition(position: Position | undefined, nowMs: number): void {
         if (position !== undefined) {
             if (this.latestPosition === undefined || hasReached(position, this.latestPosition)) {
@@ -108,6 +133,8 @@
     }
 }
 
+const noLinks: ReadonlySet<Link> = new Set();
+
 interface LinkSummary {
     readonly idle: IdleLinks;
     /** Number of links being opened, by workspace. */
--- a/src/session/linkTable.ts
+++ b/src/session/linkTable.ts
@@ -4,7 +4,7 @@
 import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Message } from "../pipeline/message.ts";
 import { isLinkWorthOpening } from "../scheduling/linkChoice.ts";
-import { Link, LinkState } from "./link.ts";
+import { Link, type LinkAttempt, LinkState } from "./link.ts";
 import { type LinkPool, maximumLinks } from "./linkPool.ts";
 import { TaskKind, type TaskPlaced, taskTimer } from "./taskMessages.ts";
 
@@ -31,6 +31,8 @@
     /** By database id. */
     readonly pools = new Map<string, LinkPool>();
     private readonly links = new Map<string, Link>();
+    /** By the id of the task of which an attempt is in progress on the link. */
+    private readonly running = new Map<string, Link>();
     /** By the id of the session that has a transaction on the link. */
     private readonly pinned = new Map<string, Link>();
     private nextLinkNumber = 0;
@@ -50,7 +52,21 @@
 
     /** Returns the link on which an attempt at a task is in progress. */
     findRunning(taskId: string): Link | undefined {
-        return [...this.links.values()].find(({ attempt }) => attempt?.placed.task.taskId === taskId);
+        return this.running.get(taskId);
+    }
+
+    /** Records that an attempt begins on a link. */
+    startAttempt(link: Link, attempt: LinkAttempt): void {
+        link.attempt = attempt;
+        this.running.set(attempt.placed.task.taskId, link);
+    }
+
+    endAttempt(link: Link): void {
+        const taskId = link.attempt?.placed.task.taskId;
+        link.attempt = undefined;
+        if (taskId !== undefined && this.running.get(taskId) === link) {
+            this.running.delete(taskId);
+        }
     }
 
     /** Removes a task from the queue of its pool, and returns it. */
@@ -69,7 +85,7 @@
      * @param waiting number of its tasks that wait for a link
      */
     mayOpen(pool: LinkPool, workspace: string, waiting: number, nowMs: number): boolean {
-        return isLinkWorthOpening(pool.demand.supplyOf(pool.links, workspace, waiting, nowMs));
+        return isLinkWorthOpening(pool.demand.supplyOf(pool.linksOf(workspace), waiting, nowMs));
     }
 
     /**
@@ -88,7 +104,7 @@
         const { databaseId, address, service } = pool.report;
         const link = new Link({ linkId: `l${this.nextLinkNumber++}`, databaseId, workspace, openedMs: nowMs });
         this.links.set(link.linkId, link);
-        pool.links.add(link);
+        pool.add(link);
         const open: LinkOpen = { kind: LinkKind.Open, linkId: link.linkId, address, service, workspace, databaseId };
         return [...closed, open, this.setLinkTimer(link, nowMs + openTimeoutMs)];
     }
@@ -100,7 +116,7 @@
     /** Removes a link that has been closed or lost. */
     remove(link: Link): readonly Message[] {
         this.links.delete(link.linkId);
-        this.poolOf(link).links.delete(link);
+        this.poolOf(link).remove(link);
         this.unpin(link);
         return [this.clearLinkTimer(link)];
     }
