fix(session): streams that have ended are forgotten as listeners also while no database lags

Cause: the streams on which instances asked about a service were forgotten only when a lag was told to them. Change: those that have been silent for a minute are forgotten when a new one asks. Result: the new spec kept 100 streams before, 7 now; lagExchange.spec.ts passes.

--- a/src/session/__tests__/lagExchange.spec.ts
+++ b/src/session/__tests__/lagExchange.spec.ts
@@ -61,6 +61,15 @@
         assert.deepEqual(exchange.probe({ service, workspace: "" }, 2_800), []);
     });
 
+    it("forgets the streams of instances that asked long ago, also while no database lags", () => {
+        const exchange = newExchange();
+        for (let index = 0; index < 100; index++) {
+            exchange.addListener(service, `w${index}`, 1_000 + 10_000 * index);
+        }
+        const { listeners } = exchange as unknown as { readonly listeners: ReadonlyMap<string, Map<string, number>>; };
+        assert.deepEqual([...listeners.get(service)!.keys()], ["w93", "w94", "w95", "w96", "w97", "w98", "w99"]);
+    });
+
     it("believes no report longer than the next observation", () => {
         const exchange = newExchange();
         const far = { databaseId: "r", position: position(99, 2 ** 53 - 1), ageMs: 0, lagMs: 0 };
--- a/src/session/lagExchange.ts
+++ b/src/session/lagExchange.ts
@@ -33,7 +33,11 @@
 
     /** Records that an instance has asked about a service. */
     addListener(service: string, streamId: string, nowMs: number): void {
-        this.listeners.set(service, (this.listeners.get(service) ?? new Map<string, number>()).set(streamId, nowMs));
+        const listeners = this.listeners.get(service) ?? new Map<string, number>();
+        if (!listeners.has(streamId)) {
+            removeSilent(listeners, nowMs);
+        }
+        this.listeners.set(service, listeners.set(streamId, nowMs));
     }
 
     /** @returns whether the database of the attempt began to lag, or ceased to */
@@ -65,8 +69,7 @@
     /** Tells all instances that have asked about a service, without a new question. */
     tellListeners(service: string, nowMs: number): readonly Message[] {
         const listeners = this.listeners.get(service) ?? new Map<string, number>();
-        [...listeners].filter(([, askedAtMs]) => nowMs - askedAtMs > listenerTimeoutMs)
-            .forEach(([streamId]) => listeners.delete(streamId));
+        removeSilent(listeners, nowMs);
         const replicas = this.toTell(service, nowMs);
         if (replicas.length === 0) {
             return [];
@@ -94,3 +97,8 @@
         return databaseId === "" ? PositionChange.None : this.positions.record(service, databaseId, known);
     }
 }
+
+function removeSilent(listeners: Map<string, number>, nowMs: number): void {
+    [...listeners].filter(([, askedAtMs]) => nowMs - askedAtMs > listenerTimeoutMs)
+        .forEach(([streamId]) => listeners.delete(streamId));
+}
