fix(session): idle links are closed in time also in a pool that is always busy

Cause: each release of a link put off the one pass that closes idle links by the whole timeout, 60 s at the holder and 150 ms elsewhere. An instance that was no longer the holder, but was still used, kept all of its connections, which the next holder needs. Change: a pass that is due earlier stays, and the next one is due when the oldest idle link has reached the timeout.

--- a/src/session/__tests__/linksWorld.ts
+++ b/src/session/__tests__/linksWorld.ts
@@ -82,7 +82,11 @@
         };
         this.push(policy);
         this.push({ kind: FleetKind.DatabaseChanged, report: world.database.report } as Message);
-        this.push({ kind: TaskKind.HolderChanged, databaseId: "d", isHolder: true } as Message);
+        this.setHolder(true);
+    }
+
+    setHolder(isHolder: boolean): void {
+        this.push({ kind: TaskKind.HolderChanged, databaseId: "d", isHolder } as Message);
     }
 
     place(parts: TaskParts): string {
--- a/src/session/__tests__/taskScheduler.spec.ts
+++ b/src/session/__tests__/taskScheduler.spec.ts
@@ -195,6 +195,28 @@
         assert.equal(world.database.openedCount, 53);
     });
 
+    it("do not keep the links of other workspaces from being closed when they have been idle for long", () => {
+        // Guards against connections that the next holder of the database needs, and that nothing uses any more.
+        const world = new LinksWorld(connectionLimit);
+        const holder = new Holder(world, "h", connectionLimit);
+        Array.from({ length: 20 }, (_, index) => holder.place({ workspace: `w${index}`, priority: 0 }));
+        for (let atMs = 0; atMs < 70_000; atMs += 50) {
+            world.schedule.at(atMs, () => holder.place({ workspace: "w0", priority: 0 }));
+        }
+        world.schedule.advanceTo(30_000);
+        assert.ok(holder.occupancy.links >= 20);
+        world.schedule.advanceTo(65_000);
+        assert.ok(holder.occupancy.links <= 5, `${holder.occupancy.links} links of the holder`);
+        Array.from({ length: 20 }, (_, index) => holder.place({ workspace: `w${index}`, priority: 0 }));
+        world.schedule.advanceTo(65_400);
+        assert.ok(holder.occupancy.links >= 20);
+        holder.setHolder(false);
+        world.schedule.advanceTo(66_000);
+        assert.ok(holder.occupancy.links <= 2, `${holder.occupancy.links} links of another instance`);
+        world.schedule.advanceTo(72_000);
+        assertHonest(world, holder);
+    });
+
     it("start soon after a pause in opening connections, also if they are alone in arriving during it", () => {
         // Guards against a task that waits until its deadline, because no link and no other task wakes it.
         const world = new LinksWorld(1);
--- a/src/session/linkAttempts.ts
+++ b/src/session/linkAttempts.ts
@@ -202,7 +202,7 @@
         link.state = LinkState.Idle;
         link.isAbandoned = false;
         link.idleSinceMs = nowMs;
-        return [this.table.setIdleTimer(pool, nowMs)];
+        return this.table.setIdleTimer(pool, nowMs);
     }
 
     /** Closes a link and reports its attempt, if there is one, without a reply. */
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -36,6 +36,8 @@
     loggedPhase: WindowPhase = WindowPhase.Starting;
     /** Times for which attempts occupy a place in the window. */
     readonly serviceTimes = new ServiceTimeEstimate(initialServiceMs);
+    /** Time of the next pass over the idle links and the waiting tasks; undefined if none is due. */
+    nextPassAtMs: number | undefined;
     /** No link is opened before this time, because the database has reached its connection limit. */
     openPausedUntilMs = 0;
     lastReplyAtMs: number | undefined;
--- a/src/session/linkTable.ts
+++ b/src/session/linkTable.ts
@@ -124,11 +124,13 @@
     /** Closes links that have reached the idle timeout. */
     closeExpired(pool: LinkPool, nowMs: number): readonly Message[] {
         const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle);
-        const timeoutMs = pool.isHolder ? idleTimeoutMs : nonHolderIdleTimeoutMs;
+        const timeoutMs = idleTimeoutOf(pool);
         const expired = idle.filter(link => nowMs - link.idleSinceMs >= timeoutMs);
+        const remaining = idle.filter(link => nowMs - link.idleSinceMs < timeoutMs);
+        const oldestMs = Math.min(...remaining.map(({ idleSinceMs }) => idleSinceMs));
         return [
             ...expired.flatMap(link => this.close(link)),
-            ...expired.length < idle.length ? [this.setIdleTimer(pool, nowMs)] : [],
+            ...remaining.length > 0 ? this.setIdleTimer(pool, nowMs, oldestMs) : [],
         ];
     }
 
@@ -145,15 +147,19 @@
         }
     }
 
-    /** Schedules the next pass over a pool: sooner when tasks wait for a link that could not be opened. */
-    setIdleTimer({ report, isHolder, waitingTasks }: LinkPool, nowMs: number): Message {
-        const timer = taskTimer(TaskKind.IdleDue, report.databaseId);
-        const afterMs = waitingTasks.size > 0
-            ? connectionLimitPauseMs
-            : isHolder
-            ? idleTimeoutMs
-            : nonHolderIdleTimeoutMs;
-        return setDeadline(`idle/${report.databaseId}`, nowMs + afterMs, timer);
+    /**
+     * Schedules the next pass over a pool: sooner when tasks wait for a link that could not be opened. A pass that is due
+     * before is kept, so that a pool that is always busy gets one too.
+     * @param idleSinceMs of the link that has been idle for longest
+     */
+    setIdleTimer(pool: LinkPool, nowMs: number, idleSinceMs = nowMs): readonly Message[] {
+        const { databaseId } = pool.report;
+        const atMs = pool.waitingTasks.size > 0 ? nowMs + connectionLimitPauseMs : idleSinceMs + idleTimeoutOf(pool);
+        if (pool.nextPassAtMs !== undefined && pool.nextPassAtMs <= atMs) {
+            return [];
+        }
+        pool.nextPassAtMs = atMs;
+        return [setDeadline(`idle/${databaseId}`, atMs, taskTimer(TaskKind.IdleDue, databaseId))];
     }
 
     setLinkTimer(link: Link, atMs: number): Message {
@@ -170,6 +176,10 @@
     }
 }
 
+function idleTimeoutOf({ isHolder }: LinkPool): number {
+    return isHolder ? idleTimeoutMs : nonHolderIdleTimeoutMs;
+}
+
 function linkKey({ linkId }: Link): string {
     return `link/${linkId}`;
 }
--- a/src/session/links.ts
+++ b/src/session/links.ts
@@ -127,7 +127,7 @@
             )
             .with({ kind: FleetKind.FrameReceived }, input => [input, ...this.answerCommitsAsked(input, nowMs)])
             .with({ kind: TaskKind.LinkDue }, input => this.handleLinkTimeout(input.id, nowMs))
-            .with({ kind: TaskKind.IdleDue }, input => this.closeIdleLinks(input.id, nowMs))
+            .with({ kind: TaskKind.IdleDue }, input => this.makePass(input.id, nowMs))
             .otherwise(timer => this.handleAttemptTimeout((timer as TaskTimer).id, nowMs));
     }
 
@@ -263,7 +263,7 @@
             ...this.table.remove(link),
             ...attempted,
             ...this.scheduler.assign(pool, nowMs),
-            ...pool.waitingTasks.size > 0 ? [this.table.setIdleTimer(pool, nowMs)] : [],
+            ...pool.waitingTasks.size > 0 ? this.table.setIdleTimer(pool, nowMs) : [],
         ];
     }
 
@@ -363,6 +363,14 @@
         return messages;
     }
 
+    private makePass(databaseId: string, nowMs: number): readonly Message[] {
+        const pool = this.table.pools.get(databaseId);
+        if (pool !== undefined) {
+            pool.nextPassAtMs = undefined;
+        }
+        return this.closeIdleLinks(databaseId, nowMs);
+    }
+
     private closeIdleLinks(databaseId: string, nowMs: number): readonly Message[] {
         const pool = this.table.pools.get(databaseId);
         return pool === undefined
--- a/src/session/taskScheduler.ts
+++ b/src/session/taskScheduler.ts
@@ -87,7 +87,7 @@
             messages.push(...this.attempts.start(link!, waiting.placed, inFlight, nowMs));
         }
         // A link is opened after all if the busy one is not free in time, or once the pause in opening has ended.
-        return waitsForTime ? [...messages, this.table.setIdleTimer(pool, nowMs)] : messages;
+        return waitsForTime ? [...messages, ...this.table.setIdleTimer(pool, nowMs)] : messages;
     }
 
     private refuse(
