test(session): the limit of floor traffic counts whole frames and answers without a question again

Cause: what is told of load, urgency and lag is outside of the body of a frame, whose length alone was counted, and an answer that tells of lag has no question id, by which floor traffic was recognized. Change: the encoded frame is measured, and answers without an id count as floor traffic. Result: 'keeps the traffic of floor questions within the limit of each instance' passes.

--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -41,6 +41,7 @@
 import { Pipe } from "../../pipeline/pipe.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import type { Sink } from "../../pipeline/sink.ts";
+import { TaskFrameMessage } from "../../rpc/generated/tasks.ts";
 import { encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
 import { Admission } from "../admission.ts";
 import { ColdGate } from "../coldGate.ts";
@@ -70,8 +71,8 @@
 
 const coldTolerance: ColdTolerance = { excess: 1.5, statements: 5 };
 
-/** Matches the ids of probes and floor questions, but not those of callers' tasks. */
-const probeIdPattern = /^[pf]\d/;
+/** Matches the ids of probes and floor questions, and of answers without a question, but not those of callers' tasks. */
+const probeIdPattern = /^([pf]\d|$)/;
 
 /** Mean pause between operations of one session; pauses are uniform up to twice this long. */
 const meanPauseMs = 3_300;
@@ -614,7 +615,7 @@
             this.fleet.checkHome(question.sessionId, other.peer.dataCentre, "carried");
             this.fleet.passedDatabases.set(question.taskId + this.peer.instanceId, question.databaseId);
         }
-        const bytes = encodeQuestion(question).body.length + framingBytes;
+        const bytes = frameBytes(encodeQuestion(question));
         this.counters.bytesOut += bytes;
         const floorBytes = isProbe(question) ? bytes : 0;
         this.counters.floorBytes += floorBytes;
@@ -638,7 +639,7 @@
 
     private sendAnswer({ streamId, result }: PeerAnswer): void {
         const other = this.fleet.nodes.find(({ peer }) => peer.instanceId === streamId)!;
-        const bytes = encodeResult(result).body.length + framingBytes;
+        const bytes = frameBytes(encodeResult(result));
         const fault = result.kind === "task" ? result.fault ?? result.reply?.fault : undefined;
         const databaseId = result.kind === "task"
             ? this.fleet.passedDatabases.get(result.taskId + streamId)
@@ -889,6 +890,10 @@
     return statementId.slice(0, statementId.lastIndexOf("-"));
 }
 
+function frameBytes(frame: TaskFrameMessage): number {
+    return TaskFrameMessage.encode(frame).finish().length + framingBytes;
+}
+
 function isProbe(question: PeerQuestion): boolean {
     return question.kind === "floor" || question.kind === "task" && question.mode === TaskMode.Probe;
 }
