fix(session): the pass over idle links ends when a timeout is reached within rounding of the clock

Cause: sets the next pass to the time at which the oldest link expires, but compared differences; a link that was idle since a fractional time could seem not expired at that very time, so that the pass was set to the same time again, without end in virtual time. homes.spec.ts hung. Change: both use the same sum.

--- a/src/session/linkTable.ts
+++ b/src/session/linkTable.ts
@@ -125,8 +125,8 @@
     closeExpired(pool: LinkPool, nowMs: number): readonly Message[] {
         const idle = [...pool.links].filter(({ state }) => state === LinkState.Idle);
         const timeoutMs = idleTimeoutOf(pool);
-        const expired = idle.filter(link => nowMs - link.idleSinceMs >= timeoutMs);
-        const remaining = idle.filter(link => nowMs - link.idleSinceMs < timeoutMs);
+        const expired = idle.filter(link => nowMs >= link.idleSinceMs + timeoutMs);
+        const remaining = idle.filter(link => nowMs < link.idleSinceMs + timeoutMs);
         const oldestMs = Math.min(...remaining.map(({ idleSinceMs }) => idleSinceMs));
         return [
             ...expired.flatMap(link => this.close(link)),
