--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -14,12 +14,12 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
-import type { ReadDemand } from "../scheduling/databaseCost.ts";
 import { databaseSuspected, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
 import { FloorRequests } from "./floorRequests.ts";
 import { type PassedOver, PassOverReason, type PlacementRule, PlacementRules, soonest } from "./placementRule.ts";
+import { ReadChoice } from "./readChoice.ts";
 import { RoutedTask } from "./routedTask.ts";
 import {
     endTask,
@@ -104,6 +104,7 @@
     ];
     private readonly databases: DatabaseTable;
     private readonly rules: PlacementRules;
+    private readonly reads: ReadChoice;
     private readonly commitGate = new CommitGate();
     private readonly floors = new FloorRequests();
     private readonly tasks = new Map<string, RoutedTask>();
@@ -117,6 +118,8 @@
             floors: this.floors,
         });
         this.rules = new PlacementRules(rules);
+        const { databases, rules: placementRules, floors } = this;
+        this.reads = new ReadChoice({ databases, rules: placementRules, floors });
     }
 
     process(message: RoutingInput, nowMs: number): readonly Message[] {
@@ -288,9 +291,8 @@
         if (passedOver !== undefined) {
             return [...renewal, ...this.waitOrRefuse(routed, passedOver, nowMs)];
         }
-        const allowed = this.allowedForRead(task, nowMs);
-        const usable = this.usableForRead(allowed, floor, nowMs);
-        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds, readDemand(task), nowMs);
+        const allowed = this.reads.allowed(task, nowMs);
+        const databaseId = this.reads.choose(routed, allowed, floor, nowMs);
         if (databaseId === undefined) {
             return [...renewal, ...this.waitForUsable(routed, allowed, nowMs)];
         }
@@ -418,7 +420,7 @@
     /** Handles a statement that its database cannot start in time: places a read elsewhere, or refuses it at once. */
     private moveOrRefuse(routed: RoutedTask, retryAfterMs: number, nowMs: number): readonly Message[] {
         const { task } = routed;
-        if (!task.needsPrimary && this.hasUntried(routed, nowMs)) {
+        if (!task.needsPrimary && this.reads.hasUntried(routed, nowMs)) {
             return this.place(routed, nowMs);
         }
         // No queue drains for longer, because all that waits in it starts or is refused within its own limit.
@@ -427,30 +429,6 @@
         return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
-    /** Whether the database that a read is placed at next, the primary if no position is known, has not refused it before. */
-    private hasUntried({ task, triedDatabaseIds }: RoutedTask, nowMs: number): boolean {
-        const floor = this.floors.floorFor(task);
-        const usable = this.usableForRead(this.allowedForRead(task, nowMs), floor, nowMs);
-        const databaseId = floor === undefined
-            ? this.databases.primary(task.service, nowMs)
-            : this.databases.rankForRead(usable, triedDatabaseIds, readDemand(task), nowMs)[0];
-        return databaseId !== undefined && !triedDatabaseIds.has(databaseId);
-    }
-
-    private allowedForRead(task: Task, nowMs: number): readonly DatabaseReport[] {
-        return this.databases.reportsOf(task.route.service)
-            .filter(report => this.rules.check(report, task, nowMs) === undefined);
-    }
-
-    private usableForRead(
-        databases: readonly DatabaseReport[],
-        floor: Position | undefined,
-        nowMs: number,
-    ): readonly string[] {
-        return databases.map(({ databaseId }) => databaseId)
-            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs, floor) === undefined);
-    }
-
     /** Converts an attempt that is not retried to the result of the task. */
     private toEnded(attempt: TaskAttempted): TaskEnded {
         const { task, databaseId, reply } = attempt;
@@ -473,10 +451,6 @@
 /** The route and the workspace have no home region in common. */
 const noHome: PassedOver = { reason: PassOverReason.OutsideHome, retryAfterMs: 10_000 };
 
-function readDemand({ route, workspace }: Task): ReadDemand {
-    return { priority: route.priority, workspace };
-}
-
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
