--- a/src/session/__tests__/explainPlacement.spec.ts
+++ b/src/session/__tests__/explainPlacement.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { type ExplanationAsked, ExplanationKind, type Finding, Verdict } from "../../model/explanation.ts";
 import { type DatabaseReport, FleetKind, ReportedState } from "../../model/fleetMessages.ts";
-import { RouteConsistency } from "../../model/trafficPolicy.ts";
+import { emptyTrafficPolicy, RouteConsistency } from "../../model/trafficPolicy.ts";
 import { EvacuationRule } from "../evacuationRule.ts";
 import { HomeRule } from "../homeRule.ts";
 import { Routing } from "../routing.ts";
@@ -55,6 +55,7 @@
     routing.process(
         {
             kind: FleetKind.PolicyApplied,
+            policy: emptyTrafficPolicy,
             promoted: new Map(),
             ordered,
             completedFences: new Map(),
@@ -177,6 +178,22 @@
         assert.match(findings[1]!.reason, /being replaced/);
     });
 
+    it("waits at an instance without a lease on acknowledgements, unless the service commits without a replica", () => {
+        for (const synchronousReplicas of [0, 1]) {
+            const routing = routingWith({ databaseId: "p" });
+            const services = new Map([["s", { name: "s", connectionLimit: 4, synchronousReplicas }]]);
+            const policy = { ...emptyTrafficPolicy, services };
+            routing.process(
+                { kind: FleetKind.PolicyApplied, policy, promoted: new Map(), ordered: new Map() } as never,
+                0,
+            );
+            routing.process({ kind: FleetKind.LeaseChanged, untilMs: 0 }, 0);
+            const { passesOn, findings } = ask(routing, 1, { writes: true });
+            assert.equal(passesOn, synchronousReplicas === 0);
+            assert.equal(findings.at(-1)!.verdict, synchronousReplicas === 0 ? Verdict.Chosen : Verdict.Waits);
+        }
+    });
+
     it("waits without a primary that answers", () => {
         const { passesOn, findings } = ask(routingWith({ databaseId: "r" }), 1, { writes: true });
         assert.equal(passesOn, false);
--- a/src/session/__tests__/lagExchange.spec.ts
+++ b/src/session/__tests__/lagExchange.spec.ts
@@ -16,7 +16,7 @@
 /** An exchange that knows that the primary was at offset 9 at 1,000 ms. */
 function newExchange(): LagExchange {
     const exchange = new LagExchange();
-    exchange.addSample(service, { position: position(1, 9), atMs: 1_000 });
+    exchange.addSample(service, { position: position(1, 9), atMs: 1_000 }, 1_000);
     return exchange;
 }
 
@@ -36,6 +36,14 @@
         assert.deepEqual(exchange.toTell(service, 8_000), []);
     });
 
+    it("takes no database for lagging because the primary took long to answer", () => {
+        // Guards against replicas that all count as lagging while writes wait for the primary or its holder.
+        const exchange = new LagExchange();
+        exchange.addSample(service, { position: position(1, 9), atMs: 1_000 }, 1_450);
+        assert.equal(exchange.recordAttempt(refusal("r", 8), 1_460), false);
+        assert.equal(exchange.recordAttempt(refusal("r", 8), 1_700), true);
+    });
+
     it("passes on what is news to those that asked, and asks databases that lag for their position", () => {
         const exchange = newExchange();
         exchange.addListener(service, "w1", 1_000);
@@ -53,6 +61,15 @@
         assert.deepEqual(exchange.probe({ service, workspace: "" }, 2_800), []);
     });
 
+    it("forgets the streams of instances that asked long ago, also while no database lags", () => {
+        const exchange = newExchange();
+        for (let index = 0; index < 100; index++) {
+            exchange.addListener(service, `w${index}`, 1_000 + 10_000 * index);
+        }
+        const { listeners } = exchange as unknown as { readonly listeners: ReadonlyMap<string, Map<string, number>>; };
+        assert.deepEqual([...listeners.get(service)!.keys()], ["w93", "w94", "w95", "w96", "w97", "w98", "w99"]);
+    });
+
     it("believes no report longer than the next observation", () => {
         const exchange = newExchange();
         const far = { databaseId: "r", position: position(99, 2 ** 53 - 1), ageMs: 0, lagMs: 0 };
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -112,35 +112,133 @@
     });
 });
 
+describe("a read that waits for a position", () => {
+    function probesAfter(fault: StatementFault | undefined): readonly number[] {
+        const routing = new Routing({ dataCentre: "d" });
+        routing.process(databaseReport("p", true), 0);
+        const task: Task = {
+            ...commit,
+            mode: TaskMode.Single,
+            statement: undefined,
+            writes: false,
+            needsPrimary: false,
+            route,
+            sessionFloor: undefined,
+            receivedMs: 0,
+        };
+        const [wanted] = routing.process({ kind: TaskKind.Admitted, task }, 0);
+        assert.equal(wanted!.kind, TaskKind.FloorWanted);
+        const probe = {
+            kind: TaskKind.FloorProbeWanted,
+            service: "s",
+            workspace: "w",
+            maximumProofAgeMs: 400,
+        } as const;
+        const [placed] = routing.process(probe, 0) as readonly TaskPlaced[];
+        const reply: LinkReply = {
+            rows: [],
+            signature: undefined,
+            fault,
+            detail: "",
+            transaction: TransactionState.None,
+            position: undefined,
+            status: undefined,
+        };
+        const attempted: TaskAttempted = {
+            kind: TaskKind.Attempted,
+            task: placed!.task,
+            databaseId: "p",
+            address: undefined,
+            reply,
+            fault: undefined,
+            sent: false,
+            holderUnavailable: false,
+            sentMs: 0,
+            leads: false,
+            pinned: false,
+        };
+        const second = { kind: TaskKind.Admitted, task: { ...task, taskId: "t2", receivedMs: 120 } } as const;
+        return ([[1, attempted], [40, { kind: TaskKind.PlacementDue, id: "t" }], [120, second]] as const)
+            .filter(([atMs, message]) =>
+                routing.process(message, atMs).some(({ kind }) => kind === TaskKind.FloorWanted)
+            )
+            .map(([atMs]) => atMs);
+    }
+
+    it("asks a primary that has too much to do only after a pause", () => {
+        // Guards against a probe for each refusal of the last one, as fast as the database can refuse.
+        assert.deepEqual(probesAfter(StatementFault.Busy), [120]);
+        assert.deepEqual(probesAfter(StatementFault.ReadOnly), [1]);
+    });
+});
+
+describe("reads of callers that leave", () => {
+    it("do not count as work of their database for ever", () => {
+        // Guards against a database that gets fewer reads with each caller that does not wait for its answer.
+        const routing = new Routing({ dataCentre: "d" });
+        ["p", "r1", "r2"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
+        const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
+        routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        const databaseIds = Array.from({ length: 20 }, (_, index) => {
+            const task: Task = {
+                ...commit,
+                taskId: `t${index}`,
+                mode: TaskMode.Single,
+                statement: undefined,
+                writes: false,
+                needsPrimary: false,
+                route,
+                sessionFloor: undefined,
+                receivedMs: 0,
+            };
+            const placed = routing.process({ kind: TaskKind.Admitted, task }, 0)
+                .find(({ kind }) => kind === TaskKind.Placed) as TaskPlaced;
+            routing.process({ kind: TaskKind.Abandoned, sessionId: "c", taskId: task.taskId }, 0);
+            return placed.databaseId;
+        });
+        assert.equal(new Set(databaseIds).size, 1, databaseIds.join());
+    });
+});
+
 describe("a statement that its database cannot start in time", () => {
     const refusal = { reply: undefined, fault: StatementFault.Busy, sent: false };
 
-    /** Replicas and primary of a service; the attempts are refused by their databases. */
+    /**
+     * Replicas and primary of a service; the attempts are refused by their databases.
+     * @param parts `atMs` is the time of the first attempt
+     */
     function refuseAttempts(
-        parts: { readonly needsPrimary: boolean; },
+        parts: { readonly needsPrimary: boolean; readonly knowsPosition?: boolean; readonly atMs?: number; },
         retryAfterMs = 420,
-    ): readonly (TaskPlaced | TaskEnded)[] {
+    ): readonly (TaskPlaced | TaskEnded | undefined)[] {
+        const { needsPrimary, knowsPosition = true, atMs = 0 } = parts;
         const routing = new Routing({ dataCentre: "d" });
         ["p", "r1"].forEach(databaseId => routing.process(databaseReport(databaseId, databaseId === "p"), 0));
-        const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
-        routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        if (knowsPosition) {
+            const sample = { position: { term: 1, offset: 1 }, atMs: 0 };
+            routing.process({ kind: TaskKind.FloorLearned, service: "s", sample }, 0);
+        }
         const task: Task = {
             ...commit,
-            ...parts,
+            needsPrimary,
             mode: TaskMode.Single,
-            statement: parts.needsPrimary ? write : undefined,
-            writes: parts.needsPrimary,
+            statement: needsPrimary ? write : undefined,
+            writes: needsPrimary,
             route,
             sessionFloor: undefined,
             receivedMs: 0,
         };
-        const results: (TaskPlaced | TaskEnded)[] = [];
+        const results: (TaskPlaced | TaskEnded | undefined)[] = [];
         let messages = routing.process({ kind: TaskKind.Admitted, task }, 0);
-        for (;;) {
+        if (atMs > 0) {
+            messages = routing.process({ kind: TaskKind.PlacementDue, id: task.taskId }, atMs);
+        }
+        // More than an attempt at each of the two databases and the end, so that placements without end are seen.
+        while (results.length < 4) {
             const next = messages.find(({ kind }) => kind === TaskKind.Placed || kind === TaskKind.Ended);
-            results.push(next as TaskPlaced | TaskEnded);
+            results.push(next as TaskPlaced | TaskEnded | undefined);
             if (next?.kind !== TaskKind.Placed) {
-                return results;
+                break;
             }
             const { databaseId } = next as TaskPlaced;
             const attempted = {
@@ -155,8 +253,9 @@
                 ...refusal,
                 retryAfterMs,
             } as TaskAttempted;
-            messages = routing.process(attempted, 0);
+            messages = routing.process(attempted, atMs);
         }
+        return results;
     }
 
     it("is refused at once with the time to come back if only the primary may run it", () => {
@@ -177,6 +276,15 @@
         assert.deepEqual([...databaseIds].sort(), ["p", "r1"]);
         assert.match((results.at(-1) as TaskEnded).detail, /not run, retry after 420 ms/);
     });
+
+    it("is refused if it reads at the primary for want of a position, although a replica has not refused it", () => {
+        // Guards against a placement at the primary again and again within one message, which never ends.
+        const [placed, ended, ...others] = refuseAttempts({ needsPrimary: false, knowsPosition: false, atMs: 100 });
+        assert.deepEqual([placed?.kind, (placed as TaskPlaced).databaseId], [TaskKind.Placed, "p"]);
+        assert.equal(ended?.kind, TaskKind.Ended);
+        assert.match((ended as TaskEnded).detail, /not run, retry after 420 ms/);
+        assert.deepEqual(others, []);
+    });
 });
 
 function databaseReport(databaseId: string, leads: boolean): DatabaseChanged {
--- a/src/session/__tests__/taskScheduler.spec.ts
+++ b/src/session/__tests__/taskScheduler.spec.ts
@@ -189,6 +189,62 @@
         });
     });
 
+    it("keep the idle link of their workspace when a link is opened for another one", () => {
+        // Guards against one opening that causes the next, 12 ms of a slot each, while workspaces wait for each other.
+        const world = new LinksWorld(connectionLimit);
+        const holder = new Holder(world, "h", connectionLimit);
+        for (let index = 0; index < 52; index++) {
+            world.schedule.at(50 * index, () => holder.place({ workspace: `w${index}`, priority: 0 }));
+        }
+        world.schedule.advanceTo(3_000);
+        assert.equal(world.database.openedCount, 52);
+        Array.from({ length: 20 }, (_, index) => holder.place({ workspace: `w${index}`, priority: 0 }));
+        holder.place({ workspace: "new", priority: 0 });
+        holder.place({ workspace: "w20", priority: 0 });
+        world.schedule.advanceTo(6_000);
+        assertHonest(world, holder);
+        assert.equal(world.runs.size, 52 + 22);
+        assert.equal(world.database.openedCount, 53);
+    });
+
+    it("do not keep the links of other workspaces from being closed when they have been idle for long", () => {
+        // Guards against connections that the next holder of the database needs, and that nothing uses any more.
+        const world = new LinksWorld(connectionLimit);
+        const holder = new Holder(world, "h", connectionLimit);
+        Array.from({ length: 20 }, (_, index) => holder.place({ workspace: `w${index}`, priority: 0 }));
+        for (let atMs = 0; atMs < 70_000; atMs += 50) {
+            world.schedule.at(atMs, () => holder.place({ workspace: "w0", priority: 0 }));
+        }
+        world.schedule.advanceTo(30_000);
+        assert.ok(holder.occupancy.links >= 20);
+        world.schedule.advanceTo(65_000);
+        assert.ok(holder.occupancy.links <= 5, `${holder.occupancy.links} links of the holder`);
+        Array.from({ length: 20 }, (_, index) => holder.place({ workspace: `w${index}`, priority: 0 }));
+        world.schedule.advanceTo(65_400);
+        assert.ok(holder.occupancy.links >= 20);
+        holder.setHolder(false);
+        world.schedule.advanceTo(66_000);
+        assert.ok(holder.occupancy.links <= 2, `${holder.occupancy.links} links of another instance`);
+        world.schedule.advanceTo(72_000);
+        assertHonest(world, holder);
+    });
+
+    it("start soon after a pause in opening connections, also if they are alone in arriving during it", () => {
+        // Guards against a task that waits until its deadline, because no link and no other task wakes it.
+        const world = new LinksWorld(1);
+        const [other, holder] = ["h1", "h2"].map(name => new Holder(world, name, connectionLimit)) as [Holder, Holder];
+        other.place({ workspace: "w", priority: 0 });
+        world.schedule.advanceTo(100);
+        const refused = holder.place({ workspace: "w", priority: 0 });
+        world.schedule.advanceTo(110);
+        assert.equal(holder.faultOf(refused), StatementFault.ConnectionLimit);
+        other.breakLinks();
+        const waiting = holder.place({ workspace: "w", priority: 0 });
+        world.schedule.advanceTo(300);
+        assert.equal(world.runs.get(waiting), 1);
+        assert.equal(holder.faultOf(waiting), undefined);
+    });
+
     it("are refused with the time to come back when the database works on nothing else", () => {
         const world = new LinksWorld(connectionLimit);
         const holder = new Holder(world, "h", connectionLimit);
--- a/src/session/explainPlacement.ts
+++ b/src/session/explainPlacement.ts
@@ -32,6 +32,8 @@
     readonly rules: PlacementRules;
     readonly floors: FloorRequests;
     readonly commitGate: CommitGate;
+    /** Whether commits of the service wait for a lease on acknowledgements. */
+    readonly lacksLease: boolean;
     readonly random: SeededRandom;
     /** Share of the statement limit that one attempt at a read may take. */
     readonly readAttemptShare: number;
@@ -96,6 +98,9 @@
         const objection = primary === undefined
             ? rules.checkAll(reports, this.demand, this.nowMs)
             : this.objection(primary);
+        if (this.asked.request.writes && this.state.lacksLease) {
+            return this.waitFor("a write waits until a control leader has been in contact", others);
+        }
         if (primary !== undefined && objection === undefined) {
             const reason = this.asked.request.writes ? "the primary" : "the primary, which the route reads";
             const chosen = this.onDatabase(primary, Verdict.Chosen, reason, {});
--- a/src/session/linkPool.ts
+++ b/src/session/linkPool.ts
@@ -28,7 +28,8 @@
 
 export class LinkPool {
     report: DatabaseReport;
-    readonly links = new Set<Link>();
+    private readonly allLinks = new Set<Link>();
+    private readonly linksByWorkspace = new Map<string, Set<Link>>();
     /** Tasks that wait for room in the window and for a link. */
     readonly waitingTasks = new StatementQueue<WaitingTask>();
     /** Limits the links that are opening or busy; statements of open transactions start beyond it. */
@@ -37,6 +38,8 @@
     loggedPhase: WindowPhase = WindowPhase.Starting;
     /** Times for which attempts occupy a place in the window. */
     readonly serviceTimes = new ServiceTimeEstimate(initialServiceMs);
+    /** Time of the next pass over the idle links and the waiting tasks; undefined if none is due. */
+    nextPassAtMs: number | undefined;
     /** No link is opened before this time, because the database has reached its connection limit. */
     openPausedUntilMs = 0;
     lastReplyAtMs: number | undefined;
@@ -58,6 +61,30 @@
         this.window = pace === Pace.Adaptive ? new GradientWindow(report.slots) : new UnlimitedWindow(report.slots);
     }
 
+    get links(): ReadonlySet<Link> {
+        return this.allLinks;
+    }
+
+    /** Returns the links of one workspace. */
+    linksOf(workspace: string): ReadonlySet<Link> {
+        return this.linksByWorkspace.get(workspace) ?? noLinks;
+    }
+
+    add(link: Link): void {
+        const { workspace } = link;
+        this.allLinks.add(link);
+        this.linksByWorkspace.set(workspace, (this.linksByWorkspace.get(workspace) ?? new Set()).add(link));
+    }
+
+    remove(link: Link): void {
+        this.allLinks.delete(link);
+        const others = this.linksByWorkspace.get(link.workspace);
+        others?.delete(link);
+        if (others?.size === 0) {
+            this.linksByWorkspace.delete(link.workspace);
+        }
+    }
+
     recordPosition(position: Position | undefined, nowMs: number): void {
         if (position !== undefined) {
             if (this.latestPosition === undefined || hasReached(position, this.latestPosition)) {
@@ -81,10 +108,6 @@
         return { inFlight, idle, oldestStartMs };
     }
 
-    private isAwaited({ isUnused, workspace }: Link): boolean {
-        return isUnused && this.waitingTasks.countOf(workspace) > 0;
-    }
-
     /** Collects the idle and the opening links in one pass. */
     summary(): LinkSummary {
         const idle = new IdleLinks(this.links, this.latestPosition);
@@ -103,15 +126,19 @@
     }
 
     /**
-     * Returns the idle link that is least likely to be used again soon, except those that were opened for a task which
-     * still waits.
+     * Returns the idle link that is least likely to be used again soon: first of the workspaces without waiting tasks, then
+     * of the others, except those links that were opened for a task which still waits.
      */
     leastUsefulIdle(nowMs: number): Link | undefined {
-        const idle = [...this.links].filter(link => link.state === LinkState.Idle && !this.isAwaited(link));
-        return this.demand.leastUseful(idle, nowMs);
+        const idle = [...this.links].filter(link => link.state === LinkState.Idle);
+        const isAwaited = ({ workspace }: Link): boolean => this.waitingTasks.countOf(workspace) > 0;
+        return this.demand.leastUseful(idle.filter(link => !isAwaited(link)), nowMs)
+            ?? this.demand.leastUseful(idle.filter(link => !link.isUnused), nowMs);
     }
 }
 
+const noLinks: ReadonlySet<Link> = new Set();
+
 interface LinkSummary {
     readonly idle: IdleLinks;
     /** Number of links being opened, by workspace. */
--- a/src/session/routing.ts
+++ b/src/session/routing.ts
@@ -17,13 +17,13 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
-import type { ReadDemand } from "../scheduling/databaseCost.ts";
 import { databaseSuspected, toEnded } from "./attemptOutcome.ts";
 import { CommitGate } from "./commitGate.ts";
 import { DatabaseTable } from "./databaseTable.ts";
 import { explainPlacement } from "./explainPlacement.ts";
 import { FloorRequests } from "./floorRequests.ts";
 import { type PassedOver, PassOverReason, type PlacementRule, PlacementRules, soonest } from "./placementRule.ts";
+import { ReadChoice } from "./readChoice.ts";
 import { RoutedTask } from "./routedTask.ts";
 import {
     endTask,
@@ -113,6 +113,7 @@
     private readonly random: SeededRandom;
     private readonly databases: DatabaseTable;
     private readonly rules: PlacementRules;
+    private readonly reads: ReadChoice;
     private readonly commitGate = new CommitGate();
     private readonly floors = new FloorRequests();
     private readonly tasks = new Map<string, RoutedTask>();
@@ -128,6 +129,8 @@
             floors: this.floors,
         });
         this.rules = new PlacementRules(rules);
+        const { databases, rules: placementRules, floors } = this;
+        this.reads = new ReadChoice({ databases, rules: placementRules, floors });
     }
 
     process(message: RoutingInput, nowMs: number): readonly Message[] {
@@ -139,7 +142,7 @@
             .with({ kind: TaskKind.FloorProbeWanted }, input => this.probePrimary(input, nowMs))
             .with({ kind: TaskKind.PositionProbeWanted }, input => this.probeDatabase(input, nowMs))
             .with({ kind: TaskKind.FloorLearned }, input => {
-                this.floors.learn(input);
+                this.floors.learn(input, nowMs);
                 return this.placeWaiting(input.service, nowMs);
             })
             .with({ kind: TaskKind.PositionsLearned }, ({ positions }) => {
@@ -169,7 +172,9 @@
 
     private explain(asked: ExplanationAsked, nowMs: number): Message {
         const { databases, rules, floors, commitGate, random } = this;
-        return explainPlacement(asked, { databases, rules, floors, commitGate, random, readAttemptShare }, nowMs);
+        const lacksLease = this.lacksLease(asked.route!, nowMs);
+        const state = { databases, rules, floors, commitGate, lacksLease, random, readAttemptShare };
+        return explainPlacement(asked, state, nowMs);
     }
 
     private applyPolicy(policy: PolicyApplied, nowMs: number): readonly Message[] {
@@ -321,9 +326,8 @@
         if (passedOver !== undefined) {
             return [...renewal, ...this.waitOrRefuse(routed, passedOver, nowMs)];
         }
-        const allowed = this.allowedForRead(task, nowMs);
-        const usable = this.usableForRead(allowed, floor, nowMs);
-        const [databaseId] = this.databases.rankForRead(usable, routed.triedDatabaseIds, readDemand(task), nowMs);
+        const allowed = this.reads.allowed(task, nowMs);
+        const databaseId = this.reads.choose(routed, allowed, floor, nowMs);
         if (databaseId === undefined) {
             return [...renewal, ...this.waitForUsable(routed, allowed, nowMs)];
         }
@@ -340,6 +344,7 @@
     ): readonly Message[] {
         const { task } = routed;
         routed.waiting = false;
+        routed.placedAt = databaseId;
         routed.floor = floor;
         routed.triedDatabaseIds.add(databaseId);
         this.databases.recordStart(databaseId);
@@ -374,7 +379,10 @@
         const suspicions = isUnanswered ? [databaseSuspected(attempt)] : [];
         if (task.mode === TaskMode.Probe) {
             if (task.needsPrimary) {
-                this.floors.recordProbeEnd(service, reply !== undefined, nowMs);
+                // After a refusal as read-only, another database may count as the primary.
+                const mayAskAgain = reply !== undefined
+                    && (reply.fault === undefined || reply.fault === StatementFault.ReadOnly);
+                this.floors.recordProbeEnd(service, mayAskAgain, nowMs);
             }
             return [...suspicions, ...this.placeWaiting(service, nowMs)];
         }
@@ -391,9 +399,6 @@
     private probePrimary(wanted: FloorWanted, nowMs: number): readonly Message[] {
         const primaryId = this.databases.primary(wanted.service, nowMs);
         const mayProbe = primaryId !== undefined && this.rules.mayProbe(this.databases.report(primaryId)!, nowMs);
-        if (mayProbe) {
-            this.databases.recordStart(primaryId);
-        }
         return this.floors.probePrimary(wanted, mayProbe ? primaryId : undefined, nowMs);
     }
 
@@ -405,15 +410,24 @@
         ) {
             return [];
         }
-        this.databases.recordStart(wanted.databaseId);
         return [this.floors.probeDatabase(wanted, nowMs)];
     }
 
     private recordAttempt(attempt: TaskAttempted, nowMs: number): void {
         const { reply, leads, sentMs, task } = attempt;
-        this.databases.recordAttempt(attempt, this.tasks.get(task.taskId)?.floor, nowMs);
+        const routed = this.tasks.get(task.taskId);
+        this.endAttempt(routed);
+        this.databases.recordAttempt(attempt, routed?.floor, nowMs);
         if (leads && reply?.position !== undefined && sentMs !== undefined) {
-            this.floors.recordProof(task.service, reply.position, sentMs);
+            this.floors.recordProof(task.service, { position: reply.position, atMs: sentMs }, nowMs);
+        }
+    }
+
+    /** An attempt whose caller has left may end without a result. */
+    private endAttempt(routed: RoutedTask | undefined): void {
+        if (routed?.placedAt !== undefined) {
+            this.databases.recordEnd(routed.placedAt);
+            routed.placedAt = undefined;
         }
     }
 
@@ -441,7 +455,7 @@
     /** Handles a statement that its database cannot start in time: places a read elsewhere, or refuses it at once. */
     private moveOrRefuse(routed: RoutedTask, retryAfterMs: number, nowMs: number): readonly Message[] {
         const { task } = routed;
-        if (!task.needsPrimary && this.hasUntried(routed, nowMs)) {
+        if (!task.needsPrimary && this.reads.hasUntried(routed, nowMs)) {
             return this.place(routed, nowMs);
         }
         // No queue drains for longer, because all that waits in it starts or is refused within its own limit.
@@ -450,30 +464,6 @@
         return this.endRouted(endTask(task, StatementFault.Busy, text));
     }
 
-    /** Whether the database that a read is placed at next, the primary if no position is known, has not refused it before. */
-    private hasUntried({ task, triedDatabaseIds }: RoutedTask, nowMs: number): boolean {
-        const floor = this.floors.floorFor(task);
-        const usable = this.usableForRead(this.allowedForRead(task, nowMs), floor, nowMs);
-        const databaseId = floor === undefined
-            ? this.databases.primary(task.service, nowMs)
-            : this.databases.rankForRead(usable, triedDatabaseIds, readDemand(task), nowMs)[0];
-        return databaseId !== undefined && !triedDatabaseIds.has(databaseId);
-    }
-
-    private allowedForRead(task: Task, nowMs: number): readonly DatabaseReport[] {
-        return this.databases.reportsOf(task.route.service)
-            .filter(report => this.rules.check(report, task, nowMs) === undefined);
-    }
-
-    private usableForRead(
-        databases: readonly DatabaseReport[],
-        floor: Position | undefined,
-        nowMs: number,
-    ): readonly string[] {
-        return databases.map(({ databaseId }) => databaseId)
-            .filter(databaseId => this.databases.passOverForRead(databaseId, nowMs, floor) === undefined);
-    }
-
     /** Converts an attempt that is not retried to the result of the task. */
     private toEnded(attempt: TaskAttempted, nowMs: number): TaskEnded {
         const { task, databaseId, reply } = attempt;
@@ -500,6 +490,7 @@
     }
 
     private removeTask(taskId: string | undefined): readonly Message[] {
+        this.endAttempt(this.tasks.get(taskId ?? ""));
         return taskId !== undefined && this.tasks.delete(taskId) ? [clearDeadline(placementKey(taskId))] : [];
     }
 }
@@ -509,10 +500,6 @@
 /** The route and the workspace have no home region in common. */
 const noHome: PassedOver = { reason: PassOverReason.OutsideHome, retryAfterMs: 10_000 };
 
-function readDemand({ route, workspace }: Task): ReadDemand {
-    return { priority: route.priority, workspace };
-}
-
 function placementKey(taskId: string): string {
     return `placement/${taskId}`;
 }
