feat(session): lines for the last phases of a stop, beside the limit of request lines

Nothing told what a stopping proxy still held when it closed its sessions, nor that a request came too late for its session: the lines of that moment are dropped by the limit of request lines, and a request of an unknown session left none. `session.stop_progressed` has the counts at the last step, at the deadline for answers and at the end, `stopped_accepting` the bytes that arrived on connections that were ended.

No behaviour changes. Session pipe, wire and formatter specs pass.

--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -18,6 +18,8 @@
     LimitDue: "session.limit_due",
     /** The wait of a new session for its admission has ended. */
     AccessDue: "session.access_due",
+    /** The sessions of a stopping instance have reached the next phase; for the log. */
+    StopProgressed: "session.stop_progressed",
 } as const;
 
 /** A caller connected and selected a database. */
@@ -111,3 +113,24 @@
     readonly kind: typeof SessionKind.LimitDue;
     readonly sessionId: string;
 }
+
+export const StopPhase = {
+    /** Sessions end as soon as they are idle. */
+    LastStep: "last_step",
+    /** The time for answers is over. */
+    Deadline: "deadline",
+    /** No session is left. */
+    Ended: "ended",
+} as const;
+export type StopPhase = typeof StopPhase[keyof typeof StopPhase];
+
+export interface SessionStopProgressed extends Message {
+    readonly kind: typeof SessionKind.StopProgressed;
+    readonly phase: StopPhase;
+    /** Counts before the phase takes effect. */
+    readonly sessions: number;
+    readonly running: number;
+    readonly transactions: number;
+    /** Requests that were received after the end of their session had been decided, since the start of the stop. */
+    readonly crossed: number;
+}
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -60,6 +60,7 @@
     /** Sockets that were ended and that the caller has not closed, the oldest one first. */
     private readonly endingSockets = new Set<Socket>();
     private incompleteBytes = 0;
+    private receivedAfterEndBytes = 0;
     private nextSessionNumber = 0;
     /** Resolves when the listener and all connections are closed; undefined while callers may connect. */
     private closed: Promise<void> | undefined;
@@ -74,6 +75,11 @@
         return this.connections.size;
     }
 
+    /** Bytes that were received on connections that this process had ended. */
+    get discardedBytes(): number {
+        return this.receivedAfterEndBytes;
+    }
+
     get port(): number {
         return (this.server.address() as AddressInfo).port;
     }
@@ -207,6 +213,7 @@
 
     private receive(sessionId: string, connection: Connection, chunk: Buffer): void {
         if (this.connections.get(sessionId) !== connection) {
+            this.receivedAfterEndBytes += chunk.length;
             return;
         }
         let lines: readonly string[];
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -428,6 +428,7 @@
         SessionKind.Refuse,
         SessionKind.Answer,
         SessionKind.Close,
+        SessionKind.StopProgressed,
         LinkKind.Open,
         LinkKind.Send,
         LinkKind.Close,
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -3,7 +3,13 @@
 import { type CommitsSeenFrame, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkCommandKind, LinkKind, LinkLoss } from "../../model/linkMessages.ts";
 import { PeerKind, type PeerSend } from "../../model/peerMessages.ts";
-import { type SessionAccept, SessionKind, type SessionRefuse } from "../../model/sessionMessages.ts";
+import {
+    type SessionAccept,
+    SessionKind,
+    type SessionRefuse,
+    type SessionStopProgressed,
+    StopPhase,
+} from "../../model/sessionMessages.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -448,6 +454,25 @@
         assert.ok(fixture.otherMessages.some(({ kind }) => kind === FleetKind.Drained));
     });
 
+    it("tells what is left of its sessions at each phase of a stop, and how many requests came too late", () => {
+        const fixture = primaryFixture();
+        fixture.connect("s2", "orders");
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400, final: true };
+        fixture.post(drain as never);
+        fixture.request("s2", statement(SessionStatementKind.Read, "r1"));
+        fixture.openLinks();
+        fixture.reply("l0", { position: position(1, 1) });
+        fixture.advance(5_400);
+        const left = fixture.otherMessages.filter(({ kind }) => kind === SessionKind.StopProgressed);
+        assert.deepEqual(
+            (left as SessionStopProgressed[]).map((
+                { phase, sessions, running, crossed },
+            ) => [phase, sessions, running, crossed]),
+            [[StopPhase.LastStep, 2, 1, 0], [StopPhase.Ended, 0, 0, 1]],
+        );
+    });
+
     it("closes a session after its transaction was ended by the drain", () => {
         // Guards against a session that stays open because its last answer came from the proxy itself, and is aborted
         // later during a request.
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -12,6 +12,8 @@
     type SessionLimitDue,
     type SessionOpened,
     type SessionRequested,
+    type SessionStopProgressed,
+    StopPhase,
 } from "../model/sessionMessages.ts";
 import {
     type SessionStatement,
@@ -80,6 +82,9 @@
     private drain: FleetDrainStarted | undefined;
     /** The drain deadline for answers has passed; no statement is started any more. */
     private answerDeadlinePassed = false;
+    private crossedRequests = 0;
+    /** Last phase of the stop that was reported. */
+    private stopPhase: StopPhase | undefined;
     private nextTaskNumber = 0;
     private readonly limits: SessionLimits;
     private readonly memory: SessionMemory;
@@ -141,6 +146,7 @@
     private handleRequest({ sessionId, statement }: SessionRequested, nowMs: number): readonly Message[] {
         const session = this.sessions.get(sessionId);
         if (session === undefined) {
+            this.crossedRequests += Number(this.drain?.final === true);
             return [];
         }
         if (session.running === undefined) {
@@ -488,6 +494,7 @@
         this.drain = drain;
         const openSessions = [...this.sessions.values()];
         return [
+            ...drain.final ? this.reportStop(StopPhase.LastStep) : [],
             drain,
             setDeadline("drain", drain.answersUntilMs, { kind: TaskKind.DrainDue }),
             ...openSessions.filter(session => this.canClose(session)).flatMap(session => this.closeOnDrain(session)),
@@ -505,6 +512,7 @@
         this.answerDeadlinePassed = true;
         const openSessions = [...this.sessions.values()];
         return [
+            ...this.reportStop(StopPhase.Deadline),
             due,
             ...openSessions.flatMap(({ running }) => running === undefined ? [] : [expireTask(running.taskId)]),
             ...openSessions.filter(({ running }) => running === undefined).flatMap(session =>
@@ -541,10 +549,27 @@
 
     private sessionsEndedIfEmpty(): readonly Message[] {
         return this.drain !== undefined && this.drain.final && this.sessions.size === 0
-            ? [{ kind: TaskKind.SessionsEnded } as DrainStep]
+            ? [...this.reportStop(StopPhase.Ended), { kind: TaskKind.SessionsEnded } as DrainStep]
             : [];
     }
 
+    /** Reports each phase once, and nothing after the last one. */
+    private reportStop(phase: StopPhase): readonly SessionStopProgressed[] {
+        if (this.stopPhase === phase || this.stopPhase === StopPhase.Ended) {
+            return [];
+        }
+        this.stopPhase = phase;
+        const sessions = [...this.sessions.values()];
+        return [{
+            kind: SessionKind.StopProgressed,
+            phase,
+            sessions: sessions.length,
+            running: sessions.filter(({ running }) => running !== undefined).length,
+            transactions: sessions.filter(({ transaction }) => transaction !== undefined).length,
+            crossed: this.crossedRequests,
+        }];
+    }
+
     private transactionDeadlineMs(session: Session): number {
         const { transactionIdleMs } = this.access.policy;
         const idleMs = transactionIdleMs > 0 ? transactionIdleMs : Infinity;
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -6,9 +6,15 @@
 import { LinkCommandKind, LinkKind, LinkLoss } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
-import { SessionKind } from "../../model/sessionMessages.ts";
+import { SessionKind, StopPhase } from "../../model/sessionMessages.ts";
 import { StorageKind } from "../../model/storageMessages.ts";
-import { linkLogFormatters, loggedEffects, requestLogFormatters, stateLogFormatters } from "../eventLogFormatters.ts";
+import {
+    linkLogFormatters,
+    loggedEffects,
+    requestLogFormatters,
+    stateLogFormatters,
+    stopLogFormatters,
+} from "../eventLogFormatters.ts";
 import { buildMemberPipes, buildProxyPipes } from "../platformPipes.ts";
 
 function logFieldsOf(update: ConfigurationUpdate): unknown {
@@ -61,6 +67,13 @@
         assert.equal(linkLogFormatters.get(LinkKind.Send)!(other), undefined);
     });
 
+    it("log what is left of a stopping instance, apart from the lines of its load", () => {
+        const counts = { phase: StopPhase.LastStep, sessions: 40, running: 3, transactions: 1, crossed: 2 };
+        const progressed = { kind: SessionKind.StopProgressed, ...counts };
+        assert.deepEqual(stopLogFormatters.get(progressed.kind)!(progressed), counts);
+        assert.deepEqual([...stopLogFormatters.keys()], [SessionKind.StopProgressed]);
+    });
+
     it("log each kind, whether a pipe, an adapter or nobody receives it", () => {
         // Guards against refusals, orders and readiness without a line: observers see no message that only a sink accepts.
         const pipes = [
@@ -88,7 +101,7 @@
             StorageKind.Suspended,
             StorageKind.Resumed,
         ];
-        const formatters = [requestLogFormatters, stateLogFormatters, linkLogFormatters];
+        const formatters = [requestLogFormatters, stateLogFormatters, linkLogFormatters, stopLogFormatters];
         const silent = formatters.flatMap(byKind => [...byKind.keys()]).filter(kind =>
             !pipes.some(pipe => pipe.accepts.has(kind)) && !postedByAdapters.includes(kind)
             && !loggedEffects.includes(kind)
--- a/src/wiring/__tests__/wireWorld.ts
+++ b/src/wiring/__tests__/wireWorld.ts
@@ -215,12 +215,14 @@
     readonly accepts: readonly string[] = [
         SessionKind.MessageRefused,
         SessionKind.AnswerRefused,
+        SessionKind.StopProgressed,
         LinkKind.ReplyDiscarded,
         ...Object.values(SchedulingKind),
         FleetKind.PermitsNeeded,
         FleetKind.DatabaseSuspected,
         FleetKind.SendFrame,
         FleetKind.PolicyProofNeeded,
+        FleetKind.Drained,
         PeerKind.Send,
         PeerKind.Answer,
     ];
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -51,6 +51,7 @@
     SessionKind,
     type SessionMessageRefused,
     type SessionRefuse,
+    type SessionStopProgressed,
 } from "../model/sessionMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
 import type { Message } from "../pipeline/message.ts";
@@ -233,10 +234,19 @@
     })),
 ]);
 
+/** Formatters by message kind for the end of a stop, whose lines must not be displaced by the load of that moment. */
+export const stopLogFormatters: ReadonlyMap<string, LineFormatter> = new Map([
+    line<SessionStopProgressed>(
+        SessionKind.StopProgressed,
+        ({ phase, sessions, running, transactions, crossed }) => ({ phase, sessions, running, transactions, crossed }),
+    ),
+]);
+
 /** Kinds that leave the pipes for good; the event loop shows observers only messages that a pipe accepts. */
 export const loggedEffects: readonly string[] = [
     SessionKind.Refuse,
     SessionKind.Answer,
+    SessionKind.StopProgressed,
     LinkKind.ReplyDiscarded,
     LinkKind.Send,
     FleetKind.ReadinessChanged,
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -36,7 +36,13 @@
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { PolicyIncompleteLog } from "../telemetry/policyIncompleteLog.ts";
 import { afterPendingInput } from "./afterPendingInput.ts";
-import { linkLogFormatters, loggedEffects, requestLogFormatters, stateLogFormatters } from "./eventLogFormatters.ts";
+import {
+    linkLogFormatters,
+    loggedEffects,
+    requestLogFormatters,
+    stateLogFormatters,
+    stopLogFormatters,
+} from "./eventLogFormatters.ts";
 import { LeadHandOver } from "./leadHandOver.ts";
 import { buildMemberPipes, buildProxyPipes } from "./platformPipes.ts";
 import { ProcessTermination } from "./processTermination.ts";
@@ -129,6 +135,7 @@
         { formatters: requestLogFormatters },
         { formatters: stateLogFormatters },
         { formatters: linkLogFormatters, linesPerSecond: linkLinesPerSecond },
+        { formatters: stopLogFormatters },
     ].map(options =>
         new EffectLog({ logger, accepts: loggedEffects.filter(kind => options.formatters.has(kind)), ...options })
     );
@@ -190,7 +197,7 @@
 }
 
 async function buildProxy(context: ProcessContext): Promise<ProcessComponents> {
-    const { settings, stopDeadline, post, clientFactory, authentication, seed, loadLog, stack } = context;
+    const { settings, stopDeadline, post, clientFactory, authentication, seed, logger, loadLog, stack } = context;
     const { pace = Pace.Off } = context;
     const { instanceId, dataCentre, dataCentreRegions, rpcAddress, callerEndpoint, readinessEndpoint } = settings;
     const seeds = settings.seeds.map(({ address }) => address);
@@ -231,7 +238,11 @@
     return {
         pipes,
         sinks,
-        refuseLastCallers: () => server.stopAccepting(stopDeadline.limitMs(longestRefusalMs, shutdownMarginMs)),
+        refuseLastCallers: async () => {
+            await server.stopAccepting(stopDeadline.limitMs(longestRefusalMs, shutdownMarginMs));
+            const { connectionCount, discardedBytes } = server;
+            logger.info("stopped_accepting", { connections: connectionCount, discardedBytes });
+        },
         start: async () => {
             await listen(peerServer, rpcAddress);
             await server.listen();
