--- a/src/session/__tests__/stops.spec.ts
+++ b/src/session/__tests__/stops.spec.ts
@@ -11,6 +11,9 @@
 import { position, route, SessionFixture, statement } from "./sessionFixture.ts";
 
 const scheduleCount = 150;
+
+/** Longest time that a request, or the close of a connection, is on its way: a link that is full. */
+const longestTransitMs = 700;
 const callerCount = 6;
 const stopAtMs = 600;
 const stop = {
@@ -52,6 +55,9 @@
     private readonly commands = new Map<string, LinkCommand[]>();
     private readonly states = new Map<string, TransactionState>();
     private questions: PeerSend[] = [];
+    /** Messages of callers that have not arrived, in the order of their arrival. */
+    private inTransit: { readonly arrivesAtMs: number; readonly message: Message; }[] = [];
+    private readonly transitMs: number;
     private nextNumber = 0;
 
     constructor(seed: number) {
@@ -75,6 +81,7 @@
         this.reportDatabase("r", false);
         ["w", "v"].forEach(workspace => this.grantPermits(workspace, this.random.nextInteger(60)));
         this.silence = this.random.nextFloat() ** 3;
+        this.transitMs = this.happens(0.5) ? 1 : longestTransitMs;
     }
 
     override deliver(message: Message): void {
@@ -122,6 +129,7 @@
             for (let caller = 0; caller < callerCount; caller++) {
                 this.actAsCaller(caller);
             }
+            this.arrive();
             this.actAsDatabases();
             this.actAsPeers();
             this.actAsOperator();
@@ -153,11 +161,24 @@
         const waitingCount = this.waiting.get(sessionId)!;
         if (this.happens(0.01)) {
             this.waiting.delete(sessionId);
-            this.post({ kind: SessionKind.Closed, sessionId } as Message);
+            this.send({ kind: SessionKind.Closed, sessionId } as Message);
         }
         else if (this.happens(waitingCount === 0 ? 0.5 : 0.02)) {
             this.waiting.set(sessionId, waitingCount + 1);
-            this.request(sessionId, statement(this.pick(statementKinds), `q${this.nextNumber++}`));
+            const asked = statement(this.pick(statementKinds), `q${this.nextNumber++}`);
+            this.send({ kind: SessionKind.Requested, sessionId, statement: asked } as Message);
+        }
+    }
+
+    /** Messages of all callers share one link, so they arrive in the order in which they were sent. */
+    private send(message: Message): void {
+        const arrivesAtMs = this.clock.nowMs() + this.transitMs * this.random.nextFloat();
+        this.inTransit.push({ arrivesAtMs: Math.max(arrivesAtMs, this.inTransit.at(-1)?.arrivesAtMs ?? 0), message });
+    }
+
+    private arrive(): void {
+        while (this.inTransit.length > 0 && this.inTransit[0]!.arrivesAtMs <= this.clock.nowMs()) {
+            this.post(this.inTransit.shift()!.message);
         }
     }
 
