fix(session): a stop leaves the end of idle sessions to their callers

Callers saw requests end without an answer or a refusal when a proxy was stopped: two requests were sent 0.67 s before the last step of the stop, and their connections ended 16 ms after it.

Cause: the last step closed each session that was idle by the state of the proxy. A request that was on a full link, in the buffers of the system, or in the queue of the event loop behind the step was read and dropped.

An idle session is now told its end by an unasked ERROR with a promise that nothing was run, and stays open until the caller closes it. A request that crosses this ERROR takes it as its answer, which the proxy completes with READY when it reads the request; it runs nothing. So no timing decides whether a request is answered, at whatever delay. Sessions whose callers do not close end with the process, 0.2 s after the deadline for answers.

--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -9,6 +9,8 @@
     Accept: "session.accept",
     Refuse: "session.refuse",
     Answer: "session.answer",
+    /** The caller is told that its idle session ends. */
+    Ending: "session.ending",
     Close: "session.close",
     /** A message of a caller was refused as malformed, or its connection was closed because of it. */
     MessageRefused: "session.message_refused",
@@ -65,6 +67,18 @@
     readonly answer: StatementAnswer;
 }
 
+/**
+ * Tells the caller of an idle session that the session ends: the fault is the answer to a request that is already on its
+ * way. The connection stays open until the caller closes it, and what the caller has sent meanwhile is refused.
+ */
+export interface SessionEnding extends Message {
+    readonly kind: typeof SessionKind.Ending;
+    readonly sessionId: string;
+    /** Promises that nothing was run. */
+    readonly fault: StatementFault;
+    readonly detail: string;
+}
+
 export interface SessionClose extends Message {
     readonly kind: typeof SessionKind.Close;
     readonly sessionId: string;
--- a/src/platform/wireCodec.ts
+++ b/src/platform/wireCodec.ts
@@ -118,7 +118,12 @@
     const { rows, signature, fault, detail, transaction, position } = answer;
     const outcome = fault === undefined ? encodeLine(`COMPLETE ${signature ?? proxyId}`) : encodeError(fault, detail);
     const encodedRows = rows.map(row => encodeLine(`ROW ${row}`)).join("");
-    return `${encodedRows}${outcome}READY ${encodeState(transaction)} ${encodePosition(position)}${lineTerminator}`;
+    return `${encodedRows}${outcome}${encodeReady(transaction, position)}`;
+}
+
+/** The last message of an answer. */
+export function encodeReady(transaction: TransactionState, position: Position | undefined): string {
+    return `READY ${encodeState(transaction)} ${encodePosition(position)}${lineTerminator}`;
 }
 
 /** Maximum length of a position that precedes a statement, and of the name of a prepared statement on a link. */
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -8,6 +8,7 @@
     type SessionAnswerRefused,
     type SessionClose,
     type SessionClosed,
+    type SessionEnding,
     SessionKind,
     type SessionMessageRefused,
     type SessionOpened,
@@ -17,7 +18,7 @@
 import { StatementFault } from "../model/sessionStatement.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
-import { decodeStatement, encodeAnswer, encodeError, proxyId } from "./wireCodec.ts";
+import { decodeStatement, encodeAnswer, encodeError, encodeReady, proxyId } from "./wireCodec.ts";
 import { LineReader, splitWords, wireEncoding } from "./wireLines.ts";
 import { maximumNameBytes } from "./wireNames.ts";
 import { defaultWireServerLimits, type WireServerLimits } from "./wireServerLimits.ts";
@@ -28,7 +29,7 @@
 /** Time for the last answers to reach callers at shutdown; part of the margin reserved before the process is killed. */
 const closingTimeoutMs = 150;
 
-type Input = SessionAccept | SessionRefuse | SessionAnswer | SessionClose;
+type Input = SessionAccept | SessionRefuse | SessionAnswer | SessionEnding | SessionClose;
 
 export interface WireServerOptions {
     readonly host: string;
@@ -41,6 +42,8 @@
     readonly socket: Socket;
     readonly reader: LineReader;
     opened: boolean;
+    /** ERROR with which the caller was told that its session ends. */
+    endingError: string | undefined;
     /** Incomplete message in the account of the server. */
     incompleteBytes: number;
     /** Ends the connection unless CONNECT or the message that has begun is complete in time. */
@@ -48,7 +51,13 @@
 }
 
 export class WireServer implements Sink<Input>, AsyncDisposable {
-    readonly accepts = [SessionKind.Accept, SessionKind.Refuse, SessionKind.Answer, SessionKind.Close];
+    readonly accepts = [
+        SessionKind.Accept,
+        SessionKind.Refuse,
+        SessionKind.Answer,
+        SessionKind.Ending,
+        SessionKind.Close,
+    ];
     private readonly options: WireServerOptions;
     private readonly limits: WireServerLimits;
     private readonly server: Server;
@@ -105,6 +114,9 @@
             case SessionKind.Refuse:
                 this.removeConnection(message.sessionId);
                 return this.endSocket(connection.socket, encodeError(message.fault, message.detail));
+            case SessionKind.Ending:
+                connection.endingError = encodeError(message.fault, message.detail);
+                return this.write(connection, connection.endingError);
             case SessionKind.Close:
                 this.removeConnection(message.sessionId);
                 return this.endSocket(connection.socket, "");
@@ -153,6 +165,7 @@
             socket,
             reader: new LineReader(),
             opened: false,
+            endingError: undefined,
             incompleteBytes: 0,
             timer: undefined,
         };
@@ -300,6 +313,11 @@
     }
 
     private answer(connection: Connection, { sessionId, answer }: SessionAnswer): void {
+        if (connection.endingError !== undefined) {
+            // Callers take the ERROR for the answer to a request that crossed it; the next ERROR tells them the end again.
+            const ready = encodeReady(answer.transaction, answer.position);
+            return this.write(connection, `${ready}${connection.endingError}`);
+        }
         let text: string;
         try {
             text = encodeAnswer(answer);
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -6,7 +6,7 @@
 import { PeerKind } from "../../model/peerMessages.ts";
 import type { Position } from "../../model/position.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
-import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
+import { type SessionAnswer, type SessionEnding, SessionKind } from "../../model/sessionMessages.ts";
 import {
     type SessionStatement,
     SessionStatementKind,
@@ -73,6 +73,8 @@
     readonly explanations: ExplanationEnded[] = [];
     /** Each question for a proof of the policy is answered at once. */
     leaderProves = true;
+    /** Callers close their connection when they are told that their session ends. */
+    callersLeave = true;
     proofsNeeded = 0;
     private readonly loop: EventLoop;
     /** Commands without a reply, by link. */
@@ -105,6 +107,13 @@
             case SessionKind.Answer:
                 this.answers.push(message as SessionAnswer);
                 return;
+            case SessionKind.Ending:
+                this.otherMessages.push(message);
+                if (this.callersLeave) {
+                    const { sessionId } = message as SessionEnding;
+                    this.loop.post({ kind: SessionKind.Closed, sessionId } as Message);
+                }
+                return;
             case ExplanationKind.Ended:
                 this.explanations.push(message as ExplanationEnded);
                 return;
--- a/src/session/__tests__/sessionFleet.ts
+++ b/src/session/__tests__/sessionFleet.ts
@@ -23,7 +23,7 @@
     type PeerSend,
 } from "../../model/peerMessages.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
-import { type SessionAnswer, SessionKind } from "../../model/sessionMessages.ts";
+import { type SessionAnswer, type SessionEnding, SessionKind } from "../../model/sessionMessages.ts";
 import {
     isNotRun,
     type SessionStatement,
@@ -427,6 +427,7 @@
         SessionKind.Accept,
         SessionKind.Refuse,
         SessionKind.Answer,
+        SessionKind.Ending,
         SessionKind.Close,
         SessionKind.StopProgressed,
         LinkKind.Open,
@@ -588,6 +589,9 @@
             case SessionKind.Answer:
                 this.callers.get((message as SessionAnswer).sessionId)?.answered(message as SessionAnswer);
                 return;
+            case SessionKind.Ending:
+                this.callers.get((message as SessionEnding).sessionId)?.toldEnd();
+                return;
             case SessionKind.Close:
                 this.callers.get((message as SessionAnswer).sessionId)?.closed();
                 return;
@@ -762,6 +766,7 @@
     readonly sessionId: string;
     /** A request waits for its answer. */
     awaitsAnswer = false;
+    private isEnding = false;
     private isClosed = false;
     private readonly route: RoutePolicy;
     private remainingKinds: SessionStatementKind[] = [];
@@ -800,6 +805,15 @@
         }
     }
 
+    /** A request that is on its way is refused, and the caller told once more. */
+    toldEnd(): void {
+        this.isEnding = true;
+        if (!this.awaitsAnswer) {
+            this.closed();
+            this.node.post({ kind: SessionKind.Closed, sessionId: this.sessionId } as Message);
+        }
+    }
+
     answered({ answer }: SessionAnswer): void {
         this.awaitsAnswer = false;
         this.check(answer);
@@ -819,6 +833,9 @@
         const elapsedMs = this.fleet.schedule.nowMs - this.operationStartMs;
         this.fleet.servedInTimeCount += answer.fault === undefined && elapsedMs <= this.route.targetLatencyMs ? 1 : 0;
         this.remainingKinds = [];
+        if (this.isEnding) {
+            return this.toldEnd();
+        }
         if (open) {
             this.node.callers.delete(this.sessionId);
             this.node.post({ kind: SessionKind.Closed, sessionId: this.sessionId } as Message);
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -56,6 +56,8 @@
      */
     readonly floors = new Map<string, Position>();
     lastActiveMs = 0;
+    /** The caller was told that the session ends; nothing is run for it any more. */
+    ending = false;
 
     constructor({ sessionId, database, key }: SessionOpened) {
         this.sessionId = sessionId;
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -8,6 +8,7 @@
 import {
     type SessionAnswer,
     type SessionClosed,
+    type SessionEnding,
     SessionKind,
     type SessionLimitDue,
     type SessionOpened,
@@ -146,13 +147,16 @@
     private handleRequest({ sessionId, statement }: SessionRequested, nowMs: number): readonly Message[] {
         const session = this.sessions.get(sessionId);
         if (session === undefined) {
-            this.crossedRequests += Number(this.drain?.final === true);
             return [];
         }
+        if (session.ending) {
+            this.crossedRequests += 1;
+            return this.refuse(session, StatementFault.Busy, stoppingText);
+        }
         if (session.running === undefined) {
             const messages = this.startStatement(session, { statement, bytes: 0, refusal: undefined }, nowMs);
-            // A draining instance may have waited only for this answer before it closes the session.
-            return session.running === undefined ? [...messages, ...this.runNextOrClose(session, nowMs)] : messages;
+            // A draining instance may have waited only for this answer before it ends the session.
+            return session.running === undefined ? [...messages, ...this.runNextOrEnd(session, nowMs)] : messages;
         }
         session.queuedStatements.push(this.queue(session, statement));
         return session.queuedStatements.length > this.limits.queuedStatements ? this.disconnect(session) : [];
@@ -389,7 +393,7 @@
         return [
             { kind: SessionKind.Answer, sessionId: session.sessionId, answer } as SessionAnswer,
             ...session.transaction === undefined ? [] : [this.setTransactionTimer(session, nowMs)],
-            ...this.runNextOrClose(session, nowMs),
+            ...this.runNextOrEnd(session, nowMs),
         ];
     }
 
@@ -422,15 +426,15 @@
         };
     }
 
-    private runNextOrClose(session: Session, nowMs: number): readonly Message[] {
+    private runNextOrEnd(session: Session, nowMs: number): readonly Message[] {
         if (session.queuedStatements.length > 0 && session.running === undefined) {
             const next = session.queuedStatements.shift()!;
             session.queuedBytes -= next.bytes;
             this.memory.add(session.sessionId, -next.bytes);
             const messages = this.startStatement(session, next, nowMs);
-            return session.running === undefined ? [...messages, ...this.runNextOrClose(session, nowMs)] : messages;
+            return session.running === undefined ? [...messages, ...this.runNextOrEnd(session, nowMs)] : messages;
         }
-        return this.canClose(session) ? this.closeOnDrain(session) : [];
+        return this.canEnd(session) ? this.endSession(session) : [];
     }
 
     private closeSession(sessionId: string): readonly Message[] {
@@ -497,7 +501,7 @@
             ...drain.final ? this.reportStop(StopPhase.LastStep) : [],
             drain,
             setDeadline("drain", drain.answersUntilMs, { kind: TaskKind.DrainDue }),
-            ...openSessions.filter(session => this.canClose(session)).flatMap(session => this.closeOnDrain(session)),
+            ...openSessions.filter(session => this.canEnd(session)).flatMap(session => this.endSession(session)),
             ...openSessions.filter(({ transaction }) => transaction !== undefined)
                 .map(session => this.setLimitTimer(session.sessionId, this.transactionDeadlineMs(session))),
             ...this.sessionsEndedIfEmpty(),
@@ -516,7 +520,7 @@
             due,
             ...openSessions.flatMap(({ running }) => running === undefined ? [] : [expireTask(running.taskId)]),
             ...openSessions.filter(({ running }) => running === undefined).flatMap(session =>
-                this.runNextOrClose(session, nowMs)
+                this.runNextOrEnd(session, nowMs)
             ),
         ];
     }
@@ -532,19 +536,23 @@
             : [this.abandonTask(session), ...this.failTransaction(session, failureReason)];
     }
 
-    private canClose(session: Session): boolean {
-        return this.drain?.final === true && session.running === undefined
+    private canEnd(session: Session): boolean {
+        return this.drain?.final === true && session.running === undefined && !session.ending
             && (this.answerDeadlinePassed || session.transaction === undefined);
     }
 
-    private closeOnDrain(session: Session): readonly Message[] {
-        this.sessions.delete(session.sessionId);
-        this.memory.releaseSession(session.sessionId);
-        return [
-            { kind: SessionKind.Close, sessionId: session.sessionId } as Message,
-            clearDeadline(limitKey(session.sessionId)),
-            ...this.sessionsEndedIfEmpty(),
-        ];
+    /** Leaves it to the caller to close the connection, because a request that is on its way would find it closed. */
+    private endSession(session: Session): readonly Message[] {
+        const { sessionId } = session;
+        session.ending = true;
+        this.memory.releaseSession(sessionId);
+        const ending: SessionEnding = {
+            kind: SessionKind.Ending,
+            sessionId,
+            fault: StatementFault.Busy,
+            detail: stoppingText,
+        };
+        return [ending, clearDeadline(limitKey(sessionId))];
     }
 
     private sessionsEndedIfEmpty(): readonly Message[] {
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -69,8 +69,8 @@
 /** Time that is left for the connections of callers, and for the exit, after the streams of other instances ended. */
 const callersClosingMs = 300;
 
-/** Longest time for callers that connect at the end of a stop to be refused. */
-const longestRefusalMs = 150;
+/** Longest time for callers that connect at the end of a stop to be refused; links that are full hold up a CONNECT. */
+const longestRefusalMs = 1_000;
 
 /** Time for the last answers to reach callers and other instances; on slow links, this takes a tenth of a second. */
 const lastAnswersTransferMs = 200;
