fix(rpc): an instance returns to a member that has just failed

While an attempt at the next member was pending, the subscriber took that member for the unresponsive one and chose another one that is up to date: the one whose attempt had just failed. Lag checks come every 300 ms and pauses between attempts grow to more than that, so it could go on without end. The choice now leaves out the member of the last attempt. The new test failed before, with five attempts at an address that refuses, and passes.

--- a/src/rpc/__tests__/configurationFeed.spec.ts
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -10,7 +10,13 @@
 import { Attachments } from "../../fleet/attachments.ts";
 import { ClusterKind, type ConfigurationApplied } from "../../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../../model/configuration.ts";
-import { FeedKind, type FeedResubscribe, type FeedSend } from "../../model/feedMessages.ts";
+import {
+    FeedKind,
+    type FeedLost,
+    type FeedReceived,
+    type FeedResubscribe,
+    type FeedSend,
+} from "../../model/feedMessages.ts";
 import { type FleetFrame, FleetKind } from "../../model/fleetMessages.ts";
 import { DeadlineKind, type DeadlineMessage } from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -129,19 +135,13 @@
     private readonly addresses: readonly string[];
     private timer: NodeJS.Timeout | undefined;
 
-    /** @param firstSeed start of the search for a seed with which the subscriber selects the first address */
     constructor(addresses: readonly string[], firstSeed = seedStep) {
         this.addresses = addresses;
-        let seed = firstSeed;
-        while (new SeededRandom(seed).nextInteger(addresses.length) !== 0) {
-            seed += seedStep;
-        }
-        this.subscriber = new ConfigurationSubscriber({
-            clientFactory: new PeerClientFactory({ authentication: authenticationOf("i") }),
+        this.subscriber = createSubscriber(
             addresses,
-            random: new SeededRandom(seed),
-            post: message => this.subscription.process(message, 0).forEach(output => this.handleOutput(output)),
-        });
+            firstSeed,
+            message => this.subscription.process(message, 0).forEach(output => this.handleOutput(output)),
+        );
         this.subscriber.start();
         cleanups.push(() => {
             clearTimeout(this.timer);
@@ -230,6 +230,28 @@
         assert.equal(instance.version, 5);
     });
 
+    it("does not attempt an unresponsive member again instead of the pending attempt at another one", async () => {
+        const member = new Member();
+        member.publish(configurationOf(5, 1, 5));
+        const addresses = [await findRefusingAddress(), `127.0.0.1:${await member.serve("m")}`];
+        const failedAddresses: string[] = [];
+        const received = new Promise<FeedReceived>(resolve => {
+            const subscriber = createSubscriber(addresses, seedStep, message => {
+                if (message.kind === FeedKind.Received) {
+                    resolve(message as FeedReceived);
+                }
+                else if (message.kind === FeedKind.Lost && failedAddresses.length < 5) {
+                    failedAddresses.push((message as FeedLost).address);
+                    setImmediate(() => subscriber.deliver({ kind: FeedKind.Resubscribe, version: 0, addresses }));
+                }
+            });
+            subscriber.start();
+            cleanups.push(() => void subscriber[Symbol.asyncDispose]());
+        });
+        assert.equal((await received).address, addresses[1]);
+        assert.deepEqual(failedAddresses, [addresses[0]]);
+    });
+
     it("switches from a member whose stream is stuck in the middle of a configuration", async () => {
         let isStuck = false;
         const { members, instance } = await start(2, memberIndex => memberIndex !== 0 || !isStuck);
@@ -307,6 +329,34 @@
     return { members, addresses, instance };
 }
 
+/** @param firstSeed start of the search for a seed with which the subscriber selects the first address */
+function createSubscriber(
+    addresses: readonly string[],
+    firstSeed: number,
+    post: (message: Message) => void,
+): ConfigurationSubscriber {
+    let seed = firstSeed;
+    while (new SeededRandom(seed).nextInteger(addresses.length) !== 0) {
+        seed += seedStep;
+    }
+    return new ConfigurationSubscriber({
+        clientFactory: new PeerClientFactory({ authentication: authenticationOf("i") }),
+        addresses,
+        random: new SeededRandom(seed),
+        post,
+    });
+}
+
+/** Returns an address at which nothing listens. */
+async function findRefusingAddress(): Promise<string> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return `127.0.0.1:${port}`;
+}
+
 /** @param changed value that is part of the first 50 routes, so that these differ between versions */
 function configurationOf(version: number, routes: number, changed: number): Configuration {
     const documentEntries = Array.from({ length: routes }, (_, index) => routeOf(index, index < 50 ? changed : 0));
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -46,7 +46,7 @@
     private version = 0;
     private client: ControlClient | undefined;
     private stream: ClientReadableStream<ConfigurationPart> | undefined;
-    /** Address of the member at the other end of the stream. */
+    /** Address of the member at the other end of the stream, or of the last one while there is none. */
     private streamAddress = "";
     private readonly backoff: RetryBackoff;
     private retryTimer: NodeJS.Timeout | undefined;
@@ -99,11 +99,10 @@
 
     /**
      * Selects one of the members that have the missing version, at random so that instances are spread over them. The
-     * current member, which is unresponsive, is selected only if it is the only one.
+     * member of the last attempt, which is unresponsive, is selected only if it is the only one.
      */
     private selectMember(upToDateAddresses: readonly string[]): void {
-        const currentAddress = this.addresses[this.addressIndex % this.addresses.length];
-        const others = upToDateAddresses.filter(address => address !== currentAddress);
+        const others = upToDateAddresses.filter(address => address !== this.streamAddress);
         const candidates = others.length > 0 ? others : upToDateAddresses;
         const address = candidates[this.options.random.nextInteger(candidates.length)]!;
         this.addresses = [...this.addresses.filter(other => other !== address), address];
