fix(rpc): a lagging member keeps an instance from one that is up to date and answers late

An attempt at a member that is up to date was given up after 350 ms. The subscriber then went on to the next member; where that one lagged and answered at once, it reset the backoff, so that each further attempt had 350 ms again, and an instance whose up-to-date member answered later than that never got the configuration. An attempt now has at least the time after which the subscriber would leave a silent stream, which grows until an update is complete. The new test, with answers 450 ms late, failed before: version 0 after 4 s.

--- a/src/rpc/__tests__/configurationFeed.spec.ts
+++ b/src/rpc/__tests__/configurationFeed.spec.ts
@@ -32,6 +32,9 @@
 const linkBytesPerSecond = 250_000;
 const linkTickMs = 20;
 
+/** Longer than the first timeout of an attempt. */
+const lateAnswerMs = 450;
+
 /** `config_apply_ms` of the users: time in which a new configuration must be applied. */
 const applyTimeoutMs = 4_000;
 
@@ -62,13 +65,18 @@
 
     /**
      * @param isForwarding while it returns false, bytes to the instance are lost
+     * @param delayMs time by which bytes to the instance are late
      * @returns address of a proxy to the port, which sends its traffic to the instance over this link
      */
-    async createProxyTo(port: number, isForwarding: () => boolean = () => true): Promise<string> {
+    async createProxyTo(port: number, isForwarding: () => boolean = () => true, delayMs = 0): Promise<string> {
         const server: SocketServer = createServer(near => {
             const far = connect(port, "127.0.0.1");
             near.on("data", bytes => far.write(bytes));
-            far.on("data", bytes => void this.queue.push({ bytes, target: near, isForwarding }));
+            far.on("data", bytes => {
+                const chunk: Chunk = { bytes, target: near, isForwarding };
+                const timer = setTimeout(() => this.queue.push(chunk), delayMs);
+                cleanups.push(() => clearTimeout(timer));
+            });
             for (const socket of [near, far]) {
                 socket.on("error", () => undefined);
                 socket.on("close", () => [near, far].forEach(other => other.destroy()));
@@ -230,6 +238,14 @@
         assert.equal(instance.version, 5);
     });
 
+    it("gives an up-to-date member that answers late more time, although a lagging member answers at once", async () => {
+        const { members, instance } = await start(2, () => true, memberIndex => memberIndex === 1 ? lateAnswerMs : 0);
+        members[1]!.publish(configurationOf(5, 100, 5));
+        instance.announce(1, 5);
+        await instance.waitForVersion(5, applyTimeoutMs);
+        assert.equal(instance.version, 5);
+    });
+
     it("does not attempt an unresponsive member again instead of the pending attempt at another one", async () => {
         const member = new Member();
         member.publish(configurationOf(5, 1, 5));
@@ -308,7 +324,11 @@
     });
 });
 
-async function start(count: number, isForwarding: (memberIndex: number) => boolean = () => true) {
+async function start(
+    count: number,
+    isForwarding: (memberIndex: number) => boolean = () => true,
+    delayMsOf: (memberIndex: number) => number = () => 0,
+) {
     const link = new SlowLink();
     // An instance whose first attempt times out on a busy machine returns to the first member.
     let isStarted = false;
@@ -317,7 +337,11 @@
     for (const [memberIndex, member] of members.entries()) {
         const port = await member.serve(`m${memberIndex}`);
         addresses.push(
-            await link.createProxyTo(port, () => (memberIndex === 0 || isStarted) && isForwarding(memberIndex)),
+            await link.createProxyTo(
+                port,
+                () => (memberIndex === 0 || isStarted) && isForwarding(memberIndex),
+                delayMsOf(memberIndex),
+            ),
         );
     }
     const instance = new Instance(addresses);
--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -18,7 +18,7 @@
 import { RetryBackoff } from "./retryBackoff.ts";
 
 /**
- * Time without data after which the subscriber switches to a member that has a later version. The timeout grows by the
+ * Time without data or answer after which the subscriber switches to a member that has a later version. It grows by the
  * factor with each switch until an update is complete, because on a link that is congested by other traffic the first
  * part may take longer than the initial timeout.
  */
@@ -132,7 +132,9 @@
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
         this.lastActivityAtMs = performance.now();
-        this.openTimer = setTimeout(() => this.switchMember(stream, "no answer"), this.backoff.attemptTimeoutMs());
+        // A lagging member that answers resets the backoff between two attempts at a slower one that is up to date.
+        const timeoutMs = Math.max(this.idleTimeoutMs, this.backoff.attemptTimeoutMs());
+        this.openTimer = setTimeout(() => this.switchMember(stream, "no answer"), timeoutMs);
         stream.on("metadata", () => this.confirmStream(stream));
         stream.on("data", (part: ConfigurationPart) => this.receivePart(stream, part));
         stream.on("error", error => this.switchMember(stream, error.message));
