fix(fleet): an answer that arrives after the next question proves nothing

An instance asks again for a proof of its policy after 400 ms, and dropped the answer to the earlier question from then on. While callers need proofs all the time and a leader takes longer than that to answer, which a sync of a slow disk is enough for, each question was replaced before its answer, and callers with an unknown key or database were told BUSY without end. An answer now holds for the time of its own question, for as long as sessions would use such a proof. An answer of an earlier question never takes the place of a later proof.

--- a/src/fleet/__tests__/policyConfirmation.spec.ts
+++ b/src/fleet/__tests__/policyConfirmation.spec.ts
@@ -188,6 +188,33 @@
         assert.deepEqual(fixture.proofs, [9_000]);
     });
 
+    it("comes from an answer that is later than the next question", () => {
+        // Guards against callers that are never refused for good while a leader answers, but slowly.
+        const fixture = confirmedFixture();
+        [1_000, 1_500].forEach(atMs => {
+            fixture.nowMs = atMs;
+            fixture.needProof();
+        });
+        const [earlier, later] = fixture.questions;
+        fixture.nowMs = 1_600;
+        fixture.receiveProof(earlier!, 9);
+        assert.deepEqual(fixture.proofs, [1_000]);
+        fixture.receiveProof(later!, 9);
+        fixture.receiveProof(earlier!, 9);
+        assert.deepEqual(fixture.proofs, [1_000, 1_500]);
+    });
+
+    it("is not replaced by that of an earlier question, which is answered later", () => {
+        const fixture = confirmedFixture();
+        fixture.needProof();
+        fixture.nowMs = 1_500;
+        fixture.needProof();
+        const [earlier, later] = fixture.questions;
+        fixture.receiveProof(later!, 9);
+        fixture.receiveProof(earlier!, 9);
+        assert.deepEqual(fixture.proofs, [1_500]);
+    });
+
     it("is asked for once while many callers need it, and again when nobody answers", () => {
         const fixture = confirmedFixture();
         [1, 2, 3].forEach(() => fixture.needProof());
--- a/src/fleet/policyConfirmation.ts
+++ b/src/fleet/policyConfirmation.ts
@@ -32,6 +32,9 @@
 /** Time after which an unanswered question for a proof is sent again: several round trips and a sync of a slow disk. */
 const proofTimeoutMs = 400;
 
+/** Time for which an answer to a question is of use: sessions use a proof up to this age (`policyAccess.ts`). */
+const questionLifetimeMs = 1_000;
+
 type ConfirmationInput =
     | ConfigurationApplied
     | FrameReceived
@@ -87,7 +90,8 @@
     private isOutdated = false;
     private confirmed = false;
     private waitEnded = false;
-    private question: ProofQuestion | undefined;
+    /** Questions whose answers are of use, oldest first. */
+    private questions: readonly ProofQuestion[] = [];
     private proof: Proof | undefined;
     private nextQuestion = 0;
 
@@ -103,12 +107,12 @@
                     matched,
                     ...this.confirm(),
                     ...this.receiveProof(matched.frame, nowMs),
-                    ...this.abandonQuestion(),
+                    ...this.abandonQuestions(),
                 ];
             })
             .with({ kind: FleetKind.Detached }, matched => {
                 this.leaders.delete(matched.attachmentId);
-                return [matched, ...this.abandonQuestion()];
+                return [matched, ...this.abandonQuestions()];
             })
             .with({ kind: FleetKind.PolicyApplied }, matched => this.apply(matched, nowMs))
             .with({ kind: FleetKind.PolicyProofNeeded }, () => this.askForProof(nowMs))
@@ -173,31 +177,37 @@
         if (this.leaders.size === 0 || this.isOutdated) {
             return [proofUnavailable];
         }
-        if (this.question !== undefined && nowMs - this.question.askedAtMs < proofTimeoutMs) {
+        this.questions = this.questions.filter(({ askedAtMs }) => nowMs - askedAtMs < questionLifetimeMs);
+        const latest = this.questions.at(-1);
+        if (latest !== undefined && nowMs - latest.askedAtMs < proofTimeoutMs) {
             return [];
         }
         const questionId = `p${this.nextQuestion++}`;
-        this.question = { questionId, askedAtMs: nowMs };
+        this.questions = [...this.questions, { questionId, askedAtMs: nowMs }];
         return [...this.leaders.keys()].map(attachmentId =>
             sendFrame(attachmentId, { kind: "proof_asked", questionId })
         );
     }
 
-    /** Without a leader, nobody answers the question any more. */
-    private abandonQuestion(): readonly Message[] {
-        if (this.question === undefined || this.leaders.size > 0) {
+    /** Without a leader, nobody answers the questions any more. */
+    private abandonQuestions(): readonly Message[] {
+        if (this.questions.length === 0 || this.leaders.size > 0) {
             return [];
         }
-        this.question = undefined;
+        this.questions = [];
         return [proofUnavailable];
     }
 
     private receiveProof(frame: FleetFrame, nowMs: number): readonly Message[] {
-        if (frame.kind !== "proof" || frame.questionId !== this.question?.questionId) {
+        if (frame.kind !== "proof") {
+            return [];
+        }
+        const answered = this.questions.find(({ questionId }) => questionId === frame.questionId);
+        if (answered === undefined) {
             return [];
         }
-        const { askedAtMs } = this.question;
-        this.question = undefined;
+        const { askedAtMs } = answered;
+        this.questions = this.questions.filter(question => question.askedAtMs > askedAtMs);
         this.proof = { askedAtMs, configurationVersion: frame.configurationVersion };
         return this.publishProofLater(nowMs);
     }
