fix(fleet): questions for a proof wait for the barrier of an earlier question

The leader had one barrier under way and gave later questions the next one, after its end. On disks that take half a second for a sync a question took a second that way, and an instance uses no proof that is older: while some instances ask, others had none and told callers with an unknown key or database BUSY. Barriers now follow each other at their interval of 200 ms as before, and up to 5 may be under way. The new test of the second question failed before (no second barrier), and passes, as does the test of the bound.

--- a/src/fleet/__tests__/configurationProofs.spec.ts
+++ b/src/fleet/__tests__/configurationProofs.spec.ts
@@ -55,8 +55,9 @@
         this.push({ kind: FleetKind.FrameReceived, attachmentId: `a-${questionId}`, frame } as Message);
     }
 
-    endBarrier(status: ProposalStatus = ProposalStatus.Conflict): void {
-        this.push({ kind: ControlKind.ProposalEnded, proposalId: this.proposals.at(-1)!, status } as Message);
+    /** Ends the last barrier, or the one at this index. */
+    endBarrier(status: ProposalStatus = ProposalStatus.Conflict, index = -1): void {
+        this.push({ kind: ControlKind.ProposalEnded, proposalId: this.proposals.at(index)!, status } as Message);
     }
 }
 
@@ -103,6 +104,35 @@
         assert.equal(fixture.proofs.length, 200);
     });
 
+    it("do not wait for the barrier of an earlier question, which takes long on slow disks", () => {
+        // Guards against proofs that are too old when they arrive, while a leader commits.
+        const fixture = new ProofsFixture();
+        fixture.ask("q1");
+        fixture.advance(50);
+        fixture.ask("q2");
+        fixture.advance(150);
+        assert.equal(fixture.proposals.length, 2);
+        fixture.advance(400);
+        fixture.endBarrier(ProposalStatus.Conflict, 0);
+        assert.deepEqual(fixture.proofs, ["q1=7"]);
+        fixture.advance(200);
+        fixture.endBarrier(ProposalStatus.Conflict, 1);
+        assert.deepEqual(fixture.proofs, ["q1=7", "q2=7"]);
+    });
+
+    it("have a bounded number of barriers under way while the disks stand still", () => {
+        const fixture = new ProofsFixture();
+        for (let question = 0; question < 100; question++) {
+            fixture.ask(`q${question}`);
+            fixture.advance(100);
+        }
+        assert.equal(fixture.proposals.length, 5);
+        fixture.endBarrier(ProposalStatus.Conflict, 0);
+        assert.equal(fixture.proposals.length, 6);
+        [1, 2, 3, 4, 5].forEach(index => fixture.endBarrier(ProposalStatus.Conflict, index));
+        assert.equal(fixture.proofs.length, 100);
+    });
+
     it("are not delayed for a question that follows no other one", () => {
         const fixture = new ProofsFixture();
         fixture.ask("q1");
--- a/src/fleet/configurationProofs.ts
+++ b/src/fleet/configurationProofs.ts
@@ -24,6 +24,9 @@
  */
 const barrierIntervalMs = 200;
 
+/** Barriers under way at most; an instance no longer uses an answer that takes longer than these. */
+const maximumBarriers = 5;
+
 type ProofsInput =
     | FrameReceived
     | Detached
@@ -56,7 +59,8 @@
     private version = 0;
     /** Questions that arrived since the last barrier was proposed. */
     private waiting: readonly Question[] = [];
-    private barrier: Barrier | undefined;
+    /** Barriers under way; on slow disks a question would wait for two if it waited for the end of an earlier one. */
+    private barriers: readonly Barrier[] = [];
     private lastBarrierAtMs = -Infinity;
     private nextProposal = 0;
 
@@ -71,14 +75,14 @@
                 return [matched];
             })
             .with({ kind: FleetKind.ProofBarrierDue }, () => this.proposeBarrier(nowMs))
-            .with({ kind: ControlKind.ProposalEnded }, matched =>
-                matched.proposalId === this.barrier?.proposalId
-                    ? this.endBarrier(this.barrier, matched, nowMs)
-                    : [matched])
+            .with({ kind: ControlKind.ProposalEnded }, matched => {
+                const barrier = this.barriers.find(({ proposalId }) => proposalId === matched.proposalId);
+                return barrier === undefined ? [matched] : this.endBarrier(barrier, matched, nowMs);
+            })
             .with({ kind: ControlKind.LeaderChanged }, matched => {
                 this.leading = matched.leading;
                 this.waiting = [];
-                this.barrier = undefined;
+                this.barriers = [];
                 return [matched];
             })
             .with({ kind: ClusterKind.ConfigurationApplied }, matched => {
@@ -98,7 +102,7 @@
     }
 
     private proposeBarrier(nowMs: number): readonly Message[] {
-        if (this.barrier !== undefined || this.waiting.length === 0) {
+        if (this.barriers.length >= maximumBarriers || this.waiting.length === 0) {
             return [];
         }
         const dueMs = this.lastBarrierAtMs + barrierIntervalMs;
@@ -106,7 +110,7 @@
             return [setDeadline("fleet.proof_barrier", dueMs, { kind: FleetKind.ProofBarrierDue })];
         }
         const proposalId = `proof/${this.nextProposal++}`;
-        this.barrier = { proposalId, questions: this.waiting };
+        this.barriers = [...this.barriers, { proposalId, questions: this.waiting }];
         this.waiting = [];
         this.lastBarrierAtMs = nowMs;
         const command = { kind: CommandKind.ReadBarrier };
@@ -115,13 +119,13 @@
 
     /** The configuration that this member had applied before the barrier includes every earlier change. */
     private endBarrier(
-        { questions }: Barrier,
+        barrier: Barrier,
         { status }: ControlProposalEnded,
         nowMs: number,
     ): readonly Message[] {
-        this.barrier = undefined;
+        this.barriers = this.barriers.filter(other => other !== barrier);
         const isProved = status === ProposalStatus.Applied || status === ProposalStatus.Conflict;
-        const proofs = questions.map(({ attachmentId, questionId }) =>
+        const proofs = barrier.questions.map(({ attachmentId, questionId }) =>
             sendFrame(attachmentId, { kind: "proof", questionId, configurationVersion: this.version })
         );
         return [...isProved ? proofs : [], ...this.proposeBarrier(nowMs)];
