fix(storage): a vote in a new term waits for two writes of the term file

A voter that learns of a new term stored the term, and then the vote in it, each with a sync of the file and one of the folder. On slow disks an election took twice as long for it, and longer than the time after which the next member stands. The storage takes the vote up before it starts to write the term, and both share one write. Entries share segments as before. The new test failed before (two writes reported), and passes.

--- a/src/storage/__tests__/memberStorage.spec.ts
+++ b/src/storage/__tests__/memberStorage.spec.ts
@@ -93,6 +93,17 @@
         assert.equal(second.identity.incarnation, incarnation);
     });
 
+    it("syncs the vote in a new term together with the term, so that a slow disk delays an election once", async () => {
+        const syncedIds = await executeWrites(
+            { kind: WriteKind.Term, term: 7, votedFor: undefined },
+            { kind: WriteKind.Term, term: 7, votedFor: "m/2" },
+            createEntriesWrite(1, createEntry(1, 7)),
+        );
+        assert.deepEqual(syncedIds, [2, 3]);
+        const { term, votedFor } = await recover();
+        assert.deepEqual({ term, votedFor }, { term: 7, votedFor: "m/2" });
+    });
+
     it("removes segments that a snapshot covers, and the whole log if it does not continue the snapshot", async () => {
         const writes = Array.from({ length: 40 }, (_, index) => createEntriesWrite(index + 1, createEntry(index + 1)));
         await executeWrites(...writes);
--- a/src/storage/memberStorage.ts
+++ b/src/storage/memberStorage.ts
@@ -187,6 +187,10 @@
     private async processQueue(): Promise<void> {
         try {
             while (this.queue.length > 0 && !(this.stopped && this.suspended)) {
+                if (this.queue[0]!.write.kind === WriteKind.Term) {
+                    // A vote in a new term is delivered right after the term, and shares its sync.
+                    await Promise.resolve();
+                }
                 const batch = this.dequeueBatch();
                 await this.writeUntilAccepted(batch.map(({ write }) => write));
                 this.resume();
