fix(control): a leader hands over to a member whose disk is as slow as its own

A leader whose disk does not answer for 500 ms asks a member that syncs promptly to stand. A member counted as prompt when it had nothing to sync at that moment, so that disks that are slow at all members still ended terms, and the next leader needed the same disks. A member's last sync now counts too.

--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -27,6 +27,8 @@
     lastAnswerAtMs: number;
     /** Time since which the peer has not synced a batch that it was sent; undefined if there is none. */
     unsyncedSinceMs: number | undefined;
+    /** Time that the peer took to sync what it synced last; 0 before the first time. */
+    lastSyncMs: number;
     /** Time at which the unanswered batch was sent; undefined if there is none. */
     batchSentAtMs: number | undefined;
     snapshotSentAtMs: number | undefined;
@@ -86,6 +88,7 @@
                     matchIndex: 0,
                     lastAnswerAtMs: nowMs,
                     unsyncedSinceMs: undefined,
+                    lastSyncMs: 0,
                     batchSentAtMs: undefined,
                     snapshotSentAtMs: undefined,
                     firstCommitSent: false,
@@ -165,6 +168,7 @@
             peer.unsyncedSinceMs = undefined;
         }
         else if (answer.index > peer.matchIndex) {
+            peer.lastSyncMs = nowMs - (peer.unsyncedSinceMs ?? nowMs);
             this.advancePeer(peer, answer.index);
         }
     }
@@ -202,7 +206,7 @@
         const silent = new Set(this.silentMembers(nowMs).map(({ member }) => memberKey(member)));
         const candidates = this.log.members
             .filter(member => memberKey(member) !== memberKey(this.self) && !silent.has(memberKey(member)))
-            .filter(member => nowMs - (this.peers.get(memberKey(member))?.unsyncedSinceMs ?? nowMs) <= maximumSyncMs)
+            .filter(member => this.syncTimeOf(member, nowMs) <= maximumSyncMs)
             .sort((left, right) => this.matchIndexOf(right) - this.matchIndexOf(left));
         if (candidates.every(member => this.askedSuccessors.has(memberKey(member)))) {
             this.askedSuccessors.clear();
@@ -230,6 +234,12 @@
         return matches[commitQuorum(this.log.members, this.faultTolerance) - 1] ?? 0;
     }
 
+    /** Time that a peer took for its last sync or takes for the present one, whichever is longer. */
+    private syncTimeOf(member: Member, nowMs: number): number {
+        const { unsyncedSinceMs = nowMs, lastSyncMs = 0 } = this.peers.get(memberKey(member)) ?? {};
+        return Math.max(lastSyncMs, nowMs - unsyncedSinceMs);
+    }
+
     private advancePeer(peer: PeerProgress, matchIndex: number): void {
         peer.matchIndex = matchIndex;
         peer.nextIndex = Math.max(peer.nextIndex, matchIndex + 1);
