--- a/src/rpc/configurationSubscriber.ts
+++ b/src/rpc/configurationSubscriber.ts
@@ -18,7 +18,7 @@
 import { RetryBackoff } from "./retryBackoff.ts";
 
 /**
- * Time without data after which the subscriber switches to a member that has a later version. The timeout grows by the
+ * Time without data or answer after which the subscriber switches to a member that has a later version. It grows by the
  * factor with each switch until an update is complete, because on a link that is congested by other traffic the first
  * part may take longer than the initial timeout.
  */
@@ -46,7 +46,7 @@
     private version = 0;
     private client: ControlClient | undefined;
     private stream: ClientReadableStream<ConfigurationPart> | undefined;
-    /** Address of the member at the other end of the stream. */
+    /** Address of the member at the other end of the stream, or of the last one while there is none. */
     private streamAddress = "";
     private readonly backoff: RetryBackoff;
     private retryTimer: NodeJS.Timeout | undefined;
@@ -99,11 +99,10 @@
 
     /**
      * Selects one of the members that have the missing version, at random so that instances are spread over them. The
-     * current member, which is unresponsive, is selected only if it is the only one.
+     * member of the last attempt, which is unresponsive, is selected only if it is the only one.
      */
     private selectMember(upToDateAddresses: readonly string[]): void {
-        const currentAddress = this.addresses[this.addressIndex % this.addresses.length];
-        const others = upToDateAddresses.filter(address => address !== currentAddress);
+        const others = upToDateAddresses.filter(address => address !== this.streamAddress);
         const candidates = others.length > 0 ? others : upToDateAddresses;
         const address = candidates[this.options.random.nextInteger(candidates.length)]!;
         this.addresses = [...this.addresses.filter(other => other !== address), address];
@@ -133,7 +132,9 @@
         const stream = this.client.subscribe({ version: this.version });
         this.stream = stream;
         this.lastActivityAtMs = performance.now();
-        this.openTimer = setTimeout(() => this.switchMember(stream, "no answer"), this.backoff.attemptTimeoutMs());
+        // A lagging member that answers resets the backoff between two attempts at a slower one that is up to date.
+        const timeoutMs = Math.max(this.idleTimeoutMs, this.backoff.attemptTimeoutMs());
+        this.openTimer = setTimeout(() => this.switchMember(stream, "no answer"), timeoutMs);
         stream.on("metadata", () => this.confirmStream(stream));
         stream.on("data", (part: ConfigurationPart) => this.receivePart(stream, part));
         stream.on("error", error => this.switchMember(stream, error.message));
