fix(frontend): answer what crosses with the end of a MySQL connection in a stop

Cause: a stop ended idle connections, and each connection after its last answer, with a FIN alone. A statement that was on its way was read and dropped and the socket reset; its caller saw a lost connection and could not know that nothing had run. Connections between greeting and login were closed in the same way. Change: such a connection gets an unasked error 1053 "not run" with sequence number 0, as MySQL sends it, before the FIN; what arrives later is discarded without a reset. A login on its way is answered with the refusal; one that doesn't come ends after 1 s.

--- a/src/frontend/__tests__/mysqlFrontend.spec.ts
+++ b/src/frontend/__tests__/mysqlFrontend.spec.ts
@@ -2,8 +2,10 @@
 import mariadb, { type SqlError } from "mariadb";
 import mysql from "mysql2/promise";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
+import { setTimeout } from "node:timers/promises";
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
@@ -11,6 +13,7 @@
 import { StatementKind } from "../../model/statement.ts";
 import { EventLoop } from "../../pipeline/eventLoop.ts";
 import type { Filter } from "../../pipeline/filter.ts";
+import type { Message } from "../../pipeline/message.ts";
 import { Pipe } from "../../pipeline/pipe.ts";
 import { AcceptFilter } from "../../request/accept.ts";
 import { AnswerFilter } from "../../request/answer.ts";
@@ -28,6 +31,7 @@
 class FakeDatabase implements Filter<ClassifiedRequest, AnsweredRequest> {
     readonly step = "fake";
     readonly accepts = [RequestKind.Classified];
+    readonly received: string[] = [];
     private inTransaction = false;
 
     process(request: ClassifiedRequest): readonly AnsweredRequest[] {
@@ -35,6 +39,7 @@
             this.inTransaction = request.statementKind === StatementKind.Begin;
         }
         const { connectionId, sequence } = request;
+        this.received.push(request.text);
         const { inTransaction } = this;
         const outcome = this.createOutcome(request);
         return [{
@@ -68,13 +73,16 @@
     }
 }
 
-async function withFrontend(runTest: (port: number) => Promise<void>): Promise<void> {
+async function withFrontend(
+    runTest: (port: number, post: (message: Message) => void, database: FakeDatabase) => Promise<void>,
+): Promise<void> {
+    const database = new FakeDatabase();
     const verifier = new NativePasswordVerifier();
     const filters = [
         new AcceptFilter({ maximumConnections: 100, maximumStatementBytes: 10_000 }),
         new AuthenticateFilter(verifier),
         new ClassifyFilter(),
-        new FakeDatabase(),
+        database,
         new AnswerFilter(),
     ];
     const frontend = new MysqlFrontend({
@@ -100,9 +108,30 @@
     stack.use(loop);
     stack.use(frontend);
     await frontend.listen();
-    await runTest(frontend.port);
+    await runTest(frontend.port, message => loop.post(message), database);
 }
 
+const drainStarted = { kind: ClusterKind.DrainStarted, deadlineMs: 1e9 } as Message;
+
+interface ErrorLike {
+    readonly errno: number;
+    readonly message: string;
+}
+
+function isNotRun({ errno, message }: ErrorLike): boolean {
+    return errno === 1_053 && /not run/.test(message);
+}
+
+interface Caller {
+    query(text: string): Promise<unknown>;
+    on(event: "error", listener: (error: ErrorLike) => void): unknown;
+}
+
+const clientLibraries: Readonly<Record<string, (port: number) => Promise<Caller>>> = {
+    mysql2: port => mysql.createConnection({ host: "127.0.0.1", port, user: keyId, password: secret }),
+    mariadb: port => mariadb.createConnection({ host: "127.0.0.1", port, user: keyId, password: secret }),
+};
+
 describe("MySQL front end", () => {
     it("serves rows, errors and an accurate transaction status to a client library other than mysql2", async () => {
         await withFrontend(async port => {
@@ -191,6 +220,74 @@
     });
 });
 
+describe("MySQL front end in a stop", () => {
+    for (const [library, connectCaller] of Object.entries(clientLibraries)) {
+        it(`answers a statement that crosses with the end of its idle connection as not run (${library})`, async t => {
+            // Guards against statements that are read and dropped, so that their caller sees a lost connection only.
+            t.mock.method(console, "error", () => undefined);
+            await withFrontend(async (port, post, database) => {
+                const caller = await connectCaller(port);
+                caller.on("error", () => undefined);
+                await caller.query("SELECT 1");
+                post(drainStarted);
+                await assert.rejects(caller.query("SELECT 2"), isNotRun);
+                assert.deepEqual(database.received, ["SELECT 1"]);
+            });
+        });
+
+        it(`answers every statement of a caller that sends the next one at once (${library})`, async t => {
+            // Guards against statements that cross with the close after the last answer.
+            t.mock.method(console, "error", () => undefined);
+            await withFrontend(async (port, post, database) => {
+                const caller = await connectCaller(port);
+                caller.on("error", () => undefined);
+                await caller.query("BEGIN");
+                post(drainStarted);
+                await caller.query("SELECT 1");
+                await caller.query("COMMIT");
+                // The library may have read the end of the connection with the answer, and then sends nothing.
+                await assert.rejects(
+                    caller.query("SELECT 2"),
+                    (error: ErrorLike) =>
+                        isNotRun(error) || /^(Can't add new command|Cannot execute new commands)/.test(error.message),
+                );
+                assert.deepEqual(database.received, ["BEGIN", "SELECT 1", "COMMIT"]);
+            });
+        });
+
+        it(`tells an idle caller why its connection ends (${library})`, async () => {
+            await withFrontend(async (port, post) => {
+                const caller = await connectCaller(port);
+                const ended = new Promise<ErrorLike>(resolve => caller.on("error", resolve));
+                post(drainStarted);
+                assert.match((await ended).message, /not run: this instance is shutting down; reconnect/);
+                await assert.rejects(caller.query("SELECT 1"));
+            });
+        });
+
+        it(`answers a login that is on its way (${library})`, async () => {
+            // Guards against connections that are closed between the greeting and the login.
+            await withFrontend(async (port, post) => {
+                const connecting = connectCaller(port);
+                const refused = assert.rejects(connecting, isNotRun);
+                await setTimeout(0);
+                post(drainStarted);
+                await refused;
+            });
+        });
+    }
+
+    it("ends a connection whose caller does not log in", { timeout: 10_000 }, async () => {
+        await withFrontend(async (port, post) => {
+            const socket = connect(port, "127.0.0.1");
+            await once(socket, "data");
+            post(drainStarted);
+            socket.resume();
+            await once(socket, "close");
+        });
+    });
+});
+
 function sendBytes(port: number, bytes: Buffer): Promise<void> {
     return new Promise(resolve => {
         const socket = connect(port, "127.0.0.1", () => socket.end(bytes));
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -26,6 +26,7 @@
     type ServerError,
     toServerConnection,
 } from "./serverConnection.ts";
+import { encodeUnaskedError } from "./unaskedError.ts";
 import { rowEncoding, toWireText } from "./wireText.ts";
 import { writeOutcome } from "./writeOutcome.ts";
 
@@ -46,13 +47,17 @@
     readonly connection: ServerConnection;
     readonly packetSizes: PacketSizeGuard;
     /** Ends the connection if the caller does not log in. */
-    readonly loginTimer: NodeJS.Timeout;
+    loginTimer: NodeJS.Timeout;
     loginCallback: AuthenticationCallback | undefined;
     /** Sequence number of the statement that has no answer yet. */
     inFlightSequence: number | undefined;
     nextSequence: number;
     /** Transaction state after the last answer; the response to a ping reports it. */
     inTransaction: boolean;
+    /** Only then may an error be sent that is no answer. */
+    loggedIn: boolean;
+    /** Why the connection ends after the answer to the statement in flight. */
+    endRefusal: Refusal | undefined;
     closing: boolean;
 }
 
@@ -61,6 +66,9 @@
 const resetConnectionCommand = 31;
 const defaultLoginLimitMs = 10_000;
 
+/** Time for a login that is on its way when the instance begins to stop. */
+const lastLoginMs = 1_000;
+
 /** Largest packet of a caller that has not logged in; client libraries send some hundred bytes. */
 const maximumLoginPacketBytes = 65_536;
 
@@ -98,7 +106,7 @@
 
     deliver(message: FrontendMessage): void {
         if (message.kind === CallerKind.DisconnectIdle) {
-            this.disconnectIdle();
+            this.disconnectIdle(message);
             return;
         }
         const caller = this.callers.get(message.connectionId);
@@ -146,6 +154,8 @@
             inFlightSequence: undefined,
             nextSequence: 0,
             inTransaction: false,
+            loggedIn: false,
+            endRefusal: undefined,
             closing: false,
         };
         this.callers.set(connectionId, caller);
@@ -236,6 +246,7 @@
         caller.connection.serverConfig.encoding = rowEncoding;
         if (refusal === undefined) {
             clearTimeout(caller.loginTimer);
+            caller.loggedIn = true;
             caller.packetSizes.limitBytes = maximumPacketBytes;
         }
         else {
@@ -244,7 +255,7 @@
     }
 
     private receiveStatement(connectionId: number, caller: CallerConnection, text: string): void {
-        if (caller.inFlightSequence !== undefined || caller.closing) {
+        if (caller.inFlightSequence !== undefined) {
             // The protocol allows one statement in flight per connection; a second one cannot be answered in order.
             caller.connection.stream.destroy();
             return;
@@ -267,25 +278,54 @@
             writeOutcome(caller.connection, outcome, inTransaction);
             caller.connection.sequenceId = 0;
         }
+        if (caller.endRefusal !== undefined) {
+            this.end(caller, caller.endRefusal);
+        }
     }
 
-    /** Closes a connection. A statement in flight gets no answer, since the front end does not know whether it ran. */
+    /** Ends a connection; a statement in flight is answered first. */
     private disconnect(caller: CallerConnection, { refusal }: CallerDisconnect): void {
-        caller.closing = true;
-        if (caller.loginCallback !== undefined) {
-            caller.loginCallback(undefined, toServerError(refusal));
-            caller.loginCallback = undefined;
+        if (caller.inFlightSequence === undefined) {
+            this.end(caller, refusal);
+        }
+        else {
+            caller.endRefusal = refusal;
         }
-        caller.connection.stream.end();
     }
 
-    private disconnectIdle(): void {
+    private disconnectIdle({ refusal }: CallerDisconnectIdle): void {
         for (const caller of this.callers.values()) {
-            if (caller.inFlightSequence === undefined && !caller.inTransaction && caller.loginCallback === undefined) {
-                caller.closing = true;
-                caller.connection.stream.end();
+            if (!caller.loggedIn) {
+                // The login is answered with a refusal.
+                clearTimeout(caller.loginTimer);
+                caller.loginTimer = setTimeout(() => caller.connection.stream.destroy(), lastLoginMs);
             }
+            else if (caller.inFlightSequence === undefined && !caller.inTransaction) {
+                this.end(caller, refusal);
+            }
+        }
+    }
+
+    /**
+     * Ends a connection with an error that the caller has not asked for. A statement that crosses with it is never run,
+     * and its caller reads the error as the answer. The socket is not destroyed, because a reset may discard the error.
+     */
+    private end(caller: CallerConnection, refusal: Refusal): void {
+        if (caller.closing) {
+            return;
+        }
+        caller.closing = true;
+        const { stream } = caller.connection;
+        if (caller.loginCallback !== undefined) {
+            caller.loginCallback(undefined, toServerError(refusal));
+            caller.loginCallback = undefined;
+        }
+        else if (caller.loggedIn) {
+            stream.write(encodeUnaskedError(toServerError(refusal)));
         }
+        stream.end();
+        stream.removeAllListeners("data");
+        stream.resume();
     }
 
     private handleClose(connectionId: number): void {
--- a/src/model/callerMessages.ts
+++ b/src/model/callerMessages.ts
@@ -66,14 +66,17 @@
     readonly inTransaction: boolean;
 }
 
-/** Closes a caller's connection, for example after its key was withdrawn. */
+/** Closes a caller's connection, for example after its key was withdrawn. A statement in flight is answered first. */
 export interface CallerDisconnect extends Message {
     readonly kind: typeof CallerKind.Disconnect;
     readonly connectionId: number;
+    /** Also the answer to a statement that is on its way. */
     readonly refusal: Refusal;
 }
 
 /** Closes every connection that has no statement in flight and no open transaction. */
 export interface CallerDisconnectIdle extends Message {
     readonly kind: typeof CallerKind.DisconnectIdle;
+    /** The answer to a statement that is on its way. */
+    readonly refusal: Refusal;
 }
--- a/src/request/accept.ts
+++ b/src/request/accept.ts
@@ -106,7 +106,8 @@
 
     private startDrain(drain: DrainStarted): readonly Message[] {
         this.draining = true;
-        const disconnectIdle: CallerDisconnectIdle = { kind: CallerKind.DisconnectIdle };
+        const refusal = refuse(RefusalCode.ShuttingDown, this.step);
+        const disconnectIdle: CallerDisconnectIdle = { kind: CallerKind.DisconnectIdle, refusal };
         return [disconnectIdle, drain];
     }
 }
