fix(frontend): answer the statements in flight at the end of the process

Cause: at the drain limit, and at a second signal, the disposal of the front end destroyed the sockets of callers whose statement was in flight or waiting; they saw a lost connection. Change: the disposal answers them with 9041 "outcome unknown", tells the others error 1053, and gives the answers 250 ms to reach the callers.

--- a/src/frontend/__tests__/mysqlFrontend.spec.ts
+++ b/src/frontend/__tests__/mysqlFrontend.spec.ts
@@ -6,6 +6,7 @@
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout } from "node:timers/promises";
+import { CallerKind, type CallerLogin } from "../../model/callerMessages.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
@@ -265,6 +266,31 @@
             });
         });
 
+        it(`answers a statement in flight when the process ends (${library})`, async () => {
+            // Guards against statements that are cut at the drain limit, or by a second signal.
+            const frontend = new MysqlFrontend({
+                host: "127.0.0.1",
+                port: 0,
+                serverVersion: "8.0.0-test",
+                post: message => {
+                    if (message.kind === CallerKind.Login) {
+                        const { connectionId } = message as CallerLogin;
+                        frontend.deliver({ kind: CallerKind.LoginResult, connectionId, refusal: undefined });
+                    }
+                    else if (message.kind === CallerKind.Statement) {
+                        void frontend[Symbol.asyncDispose]();
+                    }
+                },
+            });
+            await frontend.listen();
+            const caller = await connectCaller(frontend.port);
+            caller.on("error", () => undefined);
+            await assert.rejects(
+                caller.query("SELECT 1"),
+                (error: ErrorLike) => error.errno === 9_041 && /outcome unknown/.test(error.message),
+            );
+        });
+
         it(`answers a login that is on its way (${library})`, async () => {
             // Guards against connections that are closed between the greeting and the login.
             await withFrontend(async (port, post) => {
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -4,6 +4,7 @@
  */
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { match } from "ts-pattern";
 import {
     type CallerAnswer,
@@ -14,7 +15,7 @@
     type CallerLoginResult,
 } from "../model/callerMessages.ts";
 import { OutcomeKind } from "../model/outcome.ts";
-import { describeRefusal, type Refusal, refusalTable } from "../model/refusal.ts";
+import { describeRefusal, type Refusal, RefusalCode, refusalTable, refuse } from "../model/refusal.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { serverCapabilities, serverStatus } from "./capabilities.ts";
@@ -69,6 +70,9 @@
 /** Time for a login that is on its way when the instance begins to stop. */
 const lastLoginMs = 1_000;
 
+/** Time for the last answers to reach callers. */
+const lastAnswersMs = 250;
+
 /** Largest packet of a caller that has not logged in; client libraries send some hundred bytes. */
 const maximumLoginPacketBytes = 65_536;
 
@@ -126,15 +130,35 @@
         this.server = undefined;
     }
 
+    /** Answers the statements in flight, of which nobody here learns whether they ran, and closes all connections. */
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopListening();
-        this.callers.forEach(({ connection, loginTimer }) => {
+        const callers = [...this.callers.values()];
+        const closed = callers.map(({ connection }) =>
+            new Promise(resolve => connection.stream.once("close", resolve))
+        );
+        callers.forEach(caller => this.endAtDisposal(caller));
+        const limit = new AbortController();
+        await Promise.race([
+            Promise.all(closed),
+            setTimeoutPromise(lastAnswersMs, undefined, { signal: limit.signal }),
+        ]);
+        limit.abort();
+        callers.forEach(({ connection, loginTimer }) => {
             clearTimeout(loginTimer);
             connection.stream.destroy();
         });
         this.callers.clear();
     }
 
+    private endAtDisposal(caller: CallerConnection): void {
+        if (caller.inFlightSequence !== undefined) {
+            caller.inFlightSequence = undefined;
+            this.writeRefusal(caller, refuse(RefusalCode.ConnectionLost, "frontend"));
+        }
+        this.end(caller, refuse(RefusalCode.ShuttingDown, "frontend"));
+    }
+
     private accept(socket: Socket): void {
         const packetSizes = new PacketSizeGuard(maximumLoginPacketBytes);
         // Registered before mysql2 listens, which collects a packet until it is complete.
