fix(request): answer the statement in flight when its key or route is withdrawn

Cause: the end of a session whose key was withdrawn, or whose route is no longer open, removed its statement from the pipe and ended the connection first; a statement that waited for a permit, a primary or its holder got no answer. Change: the end of the session carries its refusal and passes the filters before the connection ends (hence the other order in authenticate.spec.ts): what was not sent to a holder is refused as not run, the rest is answered as in doubt.

--- a/src/frontend/__tests__/mysqlFrontend.spec.ts
+++ b/src/frontend/__tests__/mysqlFrontend.spec.ts
@@ -6,7 +6,7 @@
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout } from "node:timers/promises";
-import { CallerKind, type CallerLogin } from "../../model/callerMessages.ts";
+import { CallerKind, type CallerLogin, type CallerStatement } from "../../model/callerMessages.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
@@ -114,6 +114,25 @@
 
 const drainStarted = { kind: ClusterKind.DrainStarted, deadlineMs: 1e9 } as Message;
 
+/** Accepts every login. */
+function createFrontend(onStatement: (statement: CallerStatement) => void): MysqlFrontend {
+    const frontend: MysqlFrontend = new MysqlFrontend({
+        host: "127.0.0.1",
+        port: 0,
+        serverVersion: "8.0.0-test",
+        post: message => {
+            if (message.kind === CallerKind.Login) {
+                const { connectionId } = message as CallerLogin;
+                frontend.deliver({ kind: CallerKind.LoginResult, connectionId, refusal: undefined });
+            }
+            else if (message.kind === CallerKind.Statement) {
+                onStatement(message as CallerStatement);
+            }
+        },
+    });
+    return frontend;
+}
+
 interface ErrorLike {
     readonly errno: number;
     readonly message: string;
@@ -268,20 +287,7 @@
 
         it(`answers a statement in flight when the process ends (${library})`, async () => {
             // Guards against statements that are cut at the drain limit, or by a second signal.
-            const frontend = new MysqlFrontend({
-                host: "127.0.0.1",
-                port: 0,
-                serverVersion: "8.0.0-test",
-                post: message => {
-                    if (message.kind === CallerKind.Login) {
-                        const { connectionId } = message as CallerLogin;
-                        frontend.deliver({ kind: CallerKind.LoginResult, connectionId, refusal: undefined });
-                    }
-                    else if (message.kind === CallerKind.Statement) {
-                        void frontend[Symbol.asyncDispose]();
-                    }
-                },
-            });
+            const frontend = createFrontend(() => void frontend[Symbol.asyncDispose]());
             await frontend.listen();
             const caller = await connectCaller(frontend.port);
             caller.on("error", () => undefined);
@@ -291,6 +297,21 @@
             );
         });
 
+        it(`answers a statement in flight before it closes its connection (${library})`, async () => {
+            // Guards against statements that are read before their key is withdrawn and get no answer.
+            await using frontend = createFrontend(({ connectionId, sequence }) => {
+                const refusal = refuse(RefusalCode.KeyWithdrawn, "authenticate");
+                frontend.deliver({ kind: CallerKind.Disconnect, connectionId, refusal });
+                const outcome = { kind: OutcomeKind.Done, affectedRows: 5, insertId: 0 } as const;
+                frontend.deliver({ kind: CallerKind.Answer, connectionId, sequence, outcome, inTransaction: false });
+            });
+            await frontend.listen();
+            const caller = await connectCaller(frontend.port);
+            const ended = new Promise<ErrorLike>(resolve => caller.on("error", resolve));
+            await caller.query("INSERT INTO boards VALUES (1)");
+            assert.match((await ended).message, /not run: the key was withdrawn/);
+        });
+
         it(`answers a login that is on its way (${library})`, async () => {
             // Guards against connections that are closed between the greeting and the login.
             await withFrontend(async (port, post) => {
--- a/src/request/__tests__/authenticate.spec.ts
+++ b/src/request/__tests__/authenticate.spec.ts
@@ -90,7 +90,7 @@
         }, 1);
         assert.deepEqual(
             messages.map(message => message.kind),
-            [CallerKind.Disconnect, RequestKind.SessionEnded, ClusterKind.ConfigurationApplied],
+            [RequestKind.SessionEnded, CallerKind.Disconnect, ClusterKind.ConfigurationApplied],
         );
         assert.equal(sendStatement(filter, 2), RefusalCode.AccessDenied);
     });
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -59,6 +59,8 @@
 export interface SessionEnded extends Message {
     readonly kind: typeof AdmitKind.SessionEnded;
     readonly connectionId: number;
+    /** Answer to a statement that waits. */
+    readonly refusal?: Refusal;
 }
 
 interface DeadlinePassed extends Message {
@@ -128,7 +130,7 @@
             .with({ kind: PermitKind.Granted }, granted => this.receivePermits(granted, nowMs))
             .with({ kind: AdmitKind.PermitRequestDue }, due => this.admitWaiting(due.workspace, nowMs))
             .with({ kind: AdmitKind.DeadlinePassed }, passed => this.refuseExpired(passed))
-            .with({ kind: AdmitKind.SessionEnded }, ended => [ended, ...this.removeWaiting(ended.connectionId)])
+            .with({ kind: AdmitKind.SessionEnded }, ended => [ended, ...this.endSession(ended)])
             .with({ kind: ClusterKind.ConfigurationApplied }, applied => this.applyConfiguration(applied, nowMs))
             .exhaustive();
     }
@@ -247,6 +249,18 @@
         return [refused];
     }
 
+    private endSession({ connectionId, refusal }: SessionEnded): readonly Message[] {
+        const workspace = this.workspaceByConnection.get(connectionId);
+        const request = workspace === undefined ? undefined : this.queues.get(workspace)?.get(connectionId);
+        const removed = this.removeWaiting(connectionId);
+        if (request === undefined || refusal === undefined) {
+            return removed;
+        }
+        const { sequence } = request;
+        const refused: RefusedStatement = { kind: AdmitKind.Refused, connectionId, sequence, refusal, request };
+        return [...removed, refused];
+    }
+
     private removeWaiting(connectionId: number): readonly DeadlineMessage[] {
         const workspace = this.workspaceByConnection.get(connectionId);
         if (workspace === undefined) {
--- a/src/request/authenticate.ts
+++ b/src/request/authenticate.ts
@@ -157,13 +157,10 @@
 
     private disconnect(connectionId: number): readonly Message[] {
         this.sessions.delete(connectionId);
-        const disconnect: CallerDisconnect = {
-            kind: CallerKind.Disconnect,
-            connectionId,
-            refusal: refuse(RefusalCode.KeyWithdrawn, this.step),
-        };
-        const ended: SessionEnded = { kind: RequestKind.SessionEnded, connectionId };
-        return [disconnect, ended];
+        const refusal = refuse(RefusalCode.KeyWithdrawn, this.step);
+        const ended: SessionEnded = { kind: RequestKind.SessionEnded, connectionId, refusal };
+        const disconnect: CallerDisconnect = { kind: CallerKind.Disconnect, connectionId, refusal };
+        return [ended, disconnect];
     }
 
     /**
--- a/src/request/requestMessages.ts
+++ b/src/request/requestMessages.ts
@@ -84,10 +84,12 @@
     readonly startedAtMs: number | undefined;
 }
 
-/** A caller's connection ended; every filter deletes its state for the connection. */
+/** A caller's session ended; every filter deletes its state for the connection. */
 export interface SessionEnded extends Message {
     readonly kind: typeof RequestKind.SessionEnded;
     readonly connectionId: number;
+    /** Answer to a statement that waits; undefined if the caller closed the connection and gets none. */
+    readonly refusal?: Refusal;
 }
 
 /** Timer of a pending request: the end of a retry backoff, the waiting deadline or the answer timeout. */
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -420,14 +420,13 @@
      * transaction and close its connection.
      */
     private endSession(ended: SessionEnded): readonly Message[] {
-        const session = this.sessions.remove(ended.connectionId);
         const pending = this.pendingRequests.getByConnection(ended.connectionId);
-        const messages: Message[] = [];
-        if (pending !== undefined) {
-            this.pendingRequests.remove(pending);
-            messages.push(clearDeadline(deadlineKey(pending)));
-        }
-        const databaseIds = [session?.pinnedDatabaseId, pending?.databaseId];
+        const databaseIds = [
+            this.sessions.get(ended.connectionId)?.pinnedDatabaseId,
+            pending?.databaseId,
+        ];
+        const messages = pending === undefined ? [] : [...this.endPending(pending, ended)];
+        this.sessions.remove(ended.connectionId);
         for (const databaseId of new Set(databaseIds)) {
             const holder = databaseId === undefined ? undefined : this.databaseSelector.get(databaseId)?.holder;
             if (databaseId !== undefined && holder !== undefined) {
@@ -437,6 +436,16 @@
         }
         return messages;
     }
+
+    private endPending(pending: PendingRequest, { refusal }: SessionEnded): readonly Message[] {
+        if (refusal === undefined) {
+            this.pendingRequests.remove(pending);
+            return [clearDeadline(deadlineKey(pending))];
+        }
+        return pending.stage === PendingStage.Sent
+            ? this.refusePending(pending, this.resetSessionAfterLoss(pending))
+            : this.refusePending(pending, refusal);
+    }
 }
 
 function deadlineKey(pending: PendingRequest): string {
--- a/src/request/sessionTable.ts
+++ b/src/request/sessionTable.ts
@@ -23,11 +23,13 @@
         return session;
     }
 
-    /** Removes a session; returns undefined if its connection never sent a statement. */
-    remove(connectionId: number): SessionState | undefined {
-        const session = this.sessions.get(connectionId);
+    /** Returns undefined if the connection never sent a statement. */
+    get(connectionId: number): SessionState | undefined {
+        return this.sessions.get(connectionId);
+    }
+
+    remove(connectionId: number): void {
         this.sessions.delete(connectionId);
-        return session;
     }
 
     /** Returns the id that identifies the session to holders. */
