fix(request): count a statement no longer as in flight when its session ends

Cause: a session that ended before the answer left its statement in the load of the replica for good, so that the choice between two replicas avoided it. Change: the end of the session ends the count, as an answer does. Result: the new test failed before (no read of 20 went to the replica again) and passes now.

--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -188,6 +188,21 @@
         assert.deepEqual(fixture.requests[1]!.floor, { term: 1, offset: 8 });
     });
 
+    it("sends reads to a replica again whose last caller closed its connection before the answer", () => {
+        // Guards against replicas that get fewer and fewer reads, because statements without an end count as in flight.
+        const fixture = new RouteFixture();
+        fixture.sendStatement(StatementKind.Read);
+        fixture.answerFloor(0);
+        const { databaseId } = fixture.requests[0]!;
+        fixture.postEvent({ kind: RequestKind.SessionEnded, connectionId: 1 });
+        for (let connectionId = 2; connectionId < 22; connectionId++) {
+            fixture.sendStatement(StatementKind.Read, { connectionId });
+            fixture.answerFloor(0);
+            fixture.answer(fixture.requests.at(-1)!);
+        }
+        assert.ok(fixture.requests.slice(1).some(request => request.databaseId === databaseId));
+    });
+
     it("raises the floor of a session that carries a token, and rejects another caller's token", () => {
         const fixture = new RouteFixture();
         const attributes = { workClass: undefined, requestId: undefined, maximumAgeMs: undefined };
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -438,6 +438,9 @@
     }
 
     private endPending(pending: PendingRequest, { refusal }: SessionEnded): readonly Message[] {
+        if (pending.stage === PendingStage.Sent) {
+            this.databaseSelector.recordEnd(pending.databaseId!);
+        }
         if (refusal === undefined) {
             this.pendingRequests.remove(pending);
             return [clearDeadline(deadlineKey(pending))];
