fix(rpc): tell that a drained holder never runs what crosses with the end of its streams

Cause: a question that a stopping holder had not read when it ended its streams, or that it read after its event loop had closed, failed at the passing instance like one of a holder that had died: writes were in doubt. Change: a holder that is drained has answered all that it began and refuses the rest; it ends its streams with a trailer that says so, and the passing instance takes unanswered tasks as not run (the statement of a transaction as aborted). Without the trailer, as from earlier releases, a lost connection or at the kill, they stay in doubt.

--- a/src/model/peerMessages.ts
+++ b/src/model/peerMessages.ts
@@ -176,6 +176,8 @@
 export interface PeerLost extends Message {
     readonly kind: typeof PeerKind.Lost;
     readonly address: string;
+    /** The instance was drained and ran nothing that it did not answer; not told by releases that do not know it. */
+    readonly unansweredNotRun?: boolean;
 }
 
 export interface PeerGone extends Message {
--- a/src/rpc/taskStreams.ts
+++ b/src/rpc/taskStreams.ts
@@ -2,7 +2,14 @@
  * Bidirectional streams on which instances send each other questions (see `PeerQuestion`). The instance that opened a
  * stream sends questions on it, and the other instance sends the results back.
  */
-import type { ClientDuplexStream, Server, ServerDuplexStream } from "@grpc/grpc-js";
+import {
+    type ClientDuplexStream,
+    Metadata,
+    type Server,
+    type ServerDuplexStream,
+    type StatusObject,
+} from "@grpc/grpc-js";
+import { type FleetDrained, FleetKind } from "../model/fleetMessages.ts";
 import {
     type PeerAnswer,
     type PeerAnswered,
@@ -29,22 +36,28 @@
 interface Connection {
     readonly client: TasksClient;
     readonly stream: OutgoingStream;
+    unansweredNotRun: boolean;
 }
 
+/** Trailer of a stream that a drained instance ends: it never runs the questions that it has not answered. */
+const unansweredKey = "jasmineline-unanswered";
+const unansweredNotRun = "not-run";
+
 export interface TaskStreamsOptions {
     readonly clientFactory: PeerClientFactory;
     readonly post: (message: Message) => void;
     readonly traffic: PeerTrafficObserver;
 }
 
-export class TaskStreams implements Sink<PeerSend | PeerAnswer>, AsyncDisposable {
-    readonly accepts = [PeerKind.Send, PeerKind.Answer];
+export class TaskStreams implements Sink<PeerSend | PeerAnswer | FleetDrained>, AsyncDisposable {
+    readonly accepts = [PeerKind.Send, PeerKind.Answer, FleetKind.Drained];
     private readonly options: TaskStreamsOptions;
     private readonly outgoing = new Map<string, Connection>();
     private readonly incoming = new Map<string, IncomingStream>();
     /** Peers whose reports of load were ignored. */
     private readonly reportedPeers = new Set<string>();
     private nextStreamNumber = 0;
+    private drained = false;
 
     constructor(options: TaskStreamsOptions) {
         this.options = options;
@@ -56,7 +69,11 @@
         server.addService(TasksService, service);
     }
 
-    deliver(message: PeerSend | PeerAnswer): void {
+    deliver(message: PeerSend | PeerAnswer | FleetDrained): void {
+        if (message.kind === FleetKind.Drained) {
+            this.drained = true;
+            return;
+        }
         if (message.kind === PeerKind.Send) {
             const { stream } = this.outgoing.get(message.address) ?? this.openOutgoing(message.address);
             const encoded = encodeQuestion(message.question);
@@ -78,16 +95,23 @@
             client.close();
         });
         this.outgoing.clear();
-        this.incoming.forEach(stream => stream.end());
+        const trailer = new Metadata();
+        if (this.drained) {
+            trailer.set(unansweredKey, unansweredNotRun);
+        }
+        this.incoming.forEach(stream => stream.end(trailer));
         this.incoming.clear();
     }
 
     private openOutgoing(address: string): Connection {
         const client = this.options.clientFactory.createClient(TasksClient, address, ConnectionMode.Dedicated);
         const stream = client.pass();
-        const connection = { client, stream };
+        const connection: Connection = { client, stream, unansweredNotRun: false };
         this.outgoing.set(address, connection);
         stream.on("data", (message: TaskFrameMessage) => this.handleResult(address, connection, message));
+        stream.on("status", ({ metadata }: StatusObject) => {
+            connection.unansweredNotRun = metadata.get(unansweredKey).includes(unansweredNotRun);
+        });
         stream.on("error", () => this.closeOutgoing(address, connection));
         stream.on("end", () => this.closeOutgoing(address, connection));
         return connection;
@@ -112,7 +136,8 @@
             this.outgoing.delete(address);
             connection.stream.cancel();
             connection.client.close();
-            this.options.post({ kind: PeerKind.Lost, address } as PeerLost);
+            const { unansweredNotRun } = connection;
+            this.options.post({ kind: PeerKind.Lost, address, unansweredNotRun } as PeerLost);
         }
     }
 
--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from "node:test";
 import { type CommitsSeenFrame, FleetKind, type FrameReceived, type SendFrame } from "../../model/fleetMessages.ts";
 import { LinkCommandKind, LinkKind, LinkLoss } from "../../model/linkMessages.ts";
-import { PeerKind, type PeerSend } from "../../model/peerMessages.ts";
+import { type PassedResult, type PassedTask, PeerKind, type PeerSend } from "../../model/peerMessages.ts";
 import { type SessionAccept, SessionKind, type SessionRefuse } from "../../model/sessionMessages.ts";
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
@@ -406,6 +406,51 @@
         assert.equal(fixture.sent.length, 0);
     });
 
+    it("refuses a write as not run, or tries it elsewhere, when a drained holder ends without an answer", () => {
+        // Guards against writes in doubt that crossed with the end of a planned stop, and were never read.
+        const fixture = primaryFixture();
+        const instances = [{ instanceId: "front2", address: "f2:1", dataCentre: "dc1" }];
+        fixture.post({ kind: PeerKind.InstancesKnown, instances } as never);
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        fixture.post({ kind: PeerKind.Lost, address: "f2:1", unansweredNotRun: true } as never);
+        fixture.advance(200);
+        fixture.openLinks();
+        fixture.reply("l0", { position: position(1, 1) });
+        assert.deepEqual(fixture.answers.map(({ answer }) => answer.fault), [undefined]);
+        assert.equal(fixture.sent.filter(({ command }) => command.kind === LinkCommandKind.Run).length, 1);
+    });
+
+    it("aborts a transaction whose statement crosses with the end of its drained holder", () => {
+        const fixture = primaryFixture();
+        const instances = [{ instanceId: "front2", address: "f2:1", dataCentre: "dc1" }];
+        fixture.post({ kind: PeerKind.InstancesKnown, instances } as never);
+        fixture.request("s1", statement(SessionStatementKind.Begin, "b"));
+        fixture.request("s1", statement(SessionStatementKind.Write, "w1"));
+        const [send] = fixture.otherMessages.filter(({ kind }) => kind === PeerKind.Send) as PeerSend[];
+        const { taskId } = send!.question as PassedTask;
+        const result: PassedResult = {
+            kind: "task",
+            taskId,
+            reply: {
+                rows: [],
+                signature: "x",
+                fault: undefined,
+                detail: "",
+                transaction: TransactionState.Open,
+                position: undefined,
+                status: undefined,
+            },
+            fault: undefined,
+            sent: true,
+            leads: true,
+            pinned: true,
+        };
+        fixture.post({ kind: PeerKind.Answered, address: "f2:1", result } as never);
+        fixture.request("s1", statement(SessionStatementKind.Commit, "c"));
+        fixture.post({ kind: PeerKind.Lost, address: "f2:1", unansweredNotRun: true } as never);
+        assert.equal(fixture.lastFault(), StatementFault.Aborted);
+    });
+
     it("retries a read that its holder does not answer", () => {
         const fixture = new SessionFixture();
         fixture.configure(route(RouteConsistency.Session, "status", 2_500));
--- a/src/session/forwarding.ts
+++ b/src/session/forwarding.ts
@@ -142,7 +142,7 @@
                 ({ address, result }) => this.handleResult(address, result, nowMs),
             )
             .with({ kind: PeerKind.Answered }, input => [input])
-            .with({ kind: PeerKind.Lost }, input => this.handleDisconnect(input.address, nowMs))
+            .with({ kind: PeerKind.Lost }, input => this.handleDisconnect(input, nowMs))
             .with({ kind: PeerKind.InstancesKnown }, input => {
                 const addresses = new Set(input.instances.map(({ address }) => address));
                 this.responsiveness.retain(addresses);
@@ -190,7 +190,7 @@
         const address = this.pinnedHolders.get(task.sessionId);
         if (address === lostHolderAddress) {
             this.pinnedHolders.delete(task.sessionId);
-            return [this.failedAttempt({ task, databaseId: "", address, sentMs: nowMs })];
+            return [this.failedAttempt({ task, databaseId: "", address, sentMs: nowMs }, true)];
         }
         return address === undefined
             ? [continued]
@@ -297,31 +297,35 @@
         return [...this.failPending(pending), abandonRequest(pending)];
     }
 
-    private handleDisconnect(address: string, nowMs: number): readonly Message[] {
+    private handleDisconnect({ address, unansweredNotRun = false }: PeerLost, nowMs: number): readonly Message[] {
         this.responsiveness.recordDisconnect(address, nowMs);
         [...this.pinnedHolders].filter(([, holder]) => holder === address)
             .forEach(([sessionId]) => this.pinnedHolders.set(sessionId, lostHolderAddress));
         return [...this.pending.values()].filter(pending => pending.address === address)
-            .flatMap(pending => this.failPending(pending));
+            .flatMap(pending => this.failPending(pending, unansweredNotRun));
     }
 
-    private failPending(pending: PendingAttempt): readonly Message[] {
+    private failPending(pending: PendingAttempt, isNotRun = false): readonly Message[] {
         const { taskId, sessionId } = pending.task;
         this.pending.delete(taskId);
         this.pin(sessionId, undefined);
-        return [clearDeadline(forwardKey(taskId)), this.failedAttempt(pending)];
+        return [clearDeadline(forwardKey(taskId)), this.failedAttempt(pending, isNotRun)];
     }
 
-    private failedAttempt({ task, databaseId, sentMs, address }: Omit<PendingAttempt, "attemptId">): TaskAttempted {
-        const transactionLost = address === lostHolderAddress;
+    private failedAttempt(
+        { task, databaseId, sentMs, address }: Omit<PendingAttempt, "attemptId">,
+        isNotRun: boolean,
+    ): TaskAttempted {
+        // A drained holder has rolled back the transactions of other instances.
+        const transactionLost = address === lostHolderAddress || isNotRun && databaseId === "";
         return {
             kind: TaskKind.Attempted,
             task,
             databaseId,
             address,
             reply: undefined,
-            fault: transactionLost ? StatementFault.Aborted : undefined,
-            sent: !transactionLost,
+            fault: transactionLost ? StatementFault.Aborted : isNotRun ? StatementFault.Busy : undefined,
+            sent: !isNotRun && !transactionLost,
             holderUnavailable: true,
             sentMs,
             leads: false,
