fix(platform): answer calls to a control member that cross with its stop

Cause: the stop closed the listener and every idle keep-alive connection at once; a call on its way on one got a reset and no answer. The refusal of a stopping member left the body unread, which resets the connection too. Change: connections and the listener stay open until the disposal, at least 500 ms, and each call is refused with 503 and "Connection: close" once it is read; the last answers have 250 ms.

--- a/src/platform/__tests__/controlServer.spec.ts
+++ b/src/platform/__tests__/controlServer.spec.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout } from "node:timers/promises";
 import { DocumentKind, type DocumentPut, DocumentResult } from "../../model/document.ts";
 import {
     type EvacuationAnswered,
@@ -66,7 +67,7 @@
         while (!posted.some(({ kind }) => kind === EvacuationKind.Ordered)) {
             const ended = await Promise.race([
                 answering.then(() => true),
-                new Promise(resolve => setTimeout(resolve, 5)),
+                setTimeout(5),
             ]);
             if (ended === true) {
                 return [await answering, undefined];
@@ -172,6 +173,62 @@
         assert.deepEqual(posted, []);
     });
 
+    /** @returns the text that arrives for a request */
+    async function exchange(socket: Socket, path: string, body: string): Promise<string> {
+        const head = `POST ${path} HTTP/1.1\r\nHost: x\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n`;
+        socket.write(head + body);
+        const [answer] = await once(socket, "data") as [Buffer];
+        return answer.toString();
+    }
+
+    const asciiHeartbeat = heartbeat.replace("s\xe9", "s");
+
+    it("answers a request that crosses with its stop on an idle connection, and ends the connection", async () => {
+        // Guards against heartbeats and configurations without an answer, because idle connections were closed at once.
+        const socket = connect(server.port, "127.0.0.1");
+        assert.match(await exchange(socket, "/-/Instances.Heartbeat/i-1", asciiHeartbeat), /^HTTP\/1\.1 200 /);
+        await server.stop();
+        const answer = await exchange(socket, "/-/Config.Put", documentText.replace("\xe9", "x".repeat(1_000_000)));
+        assert.match(answer, /^HTTP\/1\.1 503 [^]*Connection: close/);
+        assert.match(answer, /send the call to another one/);
+        socket.resume();
+        await once(socket, "close");
+        assert.equal(posted.length, 1);
+    });
+
+    it("answers a caller that connects in its stop", async () => {
+        await server.stop();
+        assert.equal((await send("/-/Config.Put", documentText))[0], 503);
+        assert.deepEqual(posted, []);
+    });
+
+    it("closes idle connections late, also if the process ends at once after its stop", async () => {
+        const socket = connect(server.port, "127.0.0.1");
+        assert.match(await exchange(socket, "/-/Instances.Heartbeat/i-1", asciiHeartbeat), /^HTTP\/1\.1 200 /);
+        await server.stop();
+        const disposed = server[Symbol.asyncDispose]();
+        await setTimeout(100);
+        assert.match(await exchange(socket, "/-/Config.Put", documentText), /^HTTP\/1\.1 503 /);
+        const idle = connect(server.port, "127.0.0.1");
+        await Promise.all([disposed, once(idle, "close")]);
+    });
+
+    it("waits in its stop for the requests in flight, and answers them", async () => {
+        const answering = send("/-/Evacuations.End/a", "");
+        while (posted.length === 0) {
+            await setTimeout(5);
+        }
+        const order = posted[0] as EvacuationOrdered;
+        let stopped = false;
+        const stopping = server.stop().then(() => stopped = true);
+        await setTimeout(50);
+        assert.equal(stopped, false);
+        const answer = { result: EvacuationResult.Accepted, detail: "", leaderAddress: undefined };
+        server.deliver({ ...order, kind: EvacuationKind.Answered, ...answer });
+        assert.equal((await answering)[0], 200);
+        await stopping;
+    });
+
     it("ends requests whose body does not end", { timeout: 10_000 }, async () => {
         const socket = connect(server.port, "127.0.0.1");
         socket.write("POST /-/Config.Put HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{");
--- a/src/platform/controlServer.ts
+++ b/src/platform/controlServer.ts
@@ -1,6 +1,7 @@
 /** HTTP API of a control member for operators and databases. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
 import {
     type ConfigurationDocument,
@@ -36,6 +37,12 @@
 /** Time for in-flight requests at shutdown; longer than a configuration write or read takes without a majority. */
 const stopTimeoutMs = 2_000;
 
+/** Shortest time from the stop to the close of idle connections, on which a request may be on its way. */
+const idleCloseDelayMs = 500;
+
+/** Time for the last answers to reach their callers. */
+const lastAnswersMs = 250;
+
 /**
  * Time without a leader after which heartbeats are answered with 503, so that a database calls another member. This
  * member may have been removed or cut off, and then nobody learns from its reports. Longer than an election, because
@@ -43,6 +50,8 @@
  */
 const leaderlessHeartbeatsMs = 3_000;
 
+const stoppingBody = "{\"error\":\"this member stops; send the call to another one\"}";
+
 const heartbeatPath = "/-/Instances.Heartbeat/";
 const leavePath = "/-/Instances.Leave/";
 const evacuationPaths: readonly (readonly [path: string, action: EvacuationAction])[] = [
@@ -73,6 +82,7 @@
     /** Responses of in-flight requests, including those whose body has not been received completely. */
     private readonly openResponses = new Set<ServerResponse>();
     private stopping: Promise<void> | undefined;
+    private idleCloseAtMs = -Infinity;
     /** Time since which no leader is known; undefined while there is one. */
     private leaderlessSinceMs: number | undefined = performance.now();
     private nextRequestNumber = 0;
@@ -162,34 +172,39 @@
         respond(response, 307, "{}");
     }
 
-    /** Rejects new requests. Resolves when all in-flight requests are answered or after `stopTimeoutMs`. */
+    /**
+     * Rejects new requests. Resolves when all in-flight requests are answered or after `stopTimeoutMs`. Connections stay
+     * open until the disposal, so that a request on its way is answered.
+     */
     stop(): Promise<void> {
-        this.stopping ??= this.closeServer();
+        this.stopping ??= this.finishRequests();
         return this.stopping;
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
+        if (this.stopping !== undefined) {
+            await delay(Math.max(0, this.idleCloseAtMs - performance.now()));
+            const closed = new Promise(resolve => this.server.close(resolve));
+            await withinLimit(closed, lastAnswersMs);
+        }
         this.server.close();
         this.server.closeAllConnections();
     }
 
-    private closeServer(): Promise<void> {
-        // A keep-alive connection would delay the close of the server after its last response.
-        this.openResponses.forEach(response => response.shouldKeepAlive = false);
-        return new Promise(resolve => {
-            const timer = setTimeout(resolve, stopTimeoutMs);
-            this.server.close(() => {
-                clearTimeout(timer);
-                resolve();
-            });
-        });
+    private async finishRequests(): Promise<void> {
+        this.idleCloseAtMs = performance.now() + idleCloseDelayMs;
+        const responses = [...this.openResponses];
+        responses.forEach(response => response.shouldKeepAlive = false);
+        const closed = responses.map(response => new Promise(resolve => response.once("close", resolve)));
+        await withinLimit(Promise.all(closed), stopTimeoutMs);
     }
 
     private route(request: IncomingMessage, response: ServerResponse): void {
         const { method = "", url = "" } = request;
         if (this.stopping !== undefined) {
             response.shouldKeepAlive = false;
-            respond(response, 503, "{\"error\":\"this member stops; send the call to another one\"}");
+            // A body that is not read would reset the connection, and the caller might not get the answer.
+            request.once("end", () => respond(response, 503, stoppingBody)).resume();
             return;
         }
         if (!isAscii(url)) {
@@ -303,6 +318,12 @@
     }
 }
 
+async function withinLimit(promise: Promise<unknown>, limitMs: number): Promise<void> {
+    const limit = new AbortController();
+    await Promise.race([promise, delay(limitMs, undefined, { signal: limit.signal })]);
+    limit.abort();
+}
+
 function isAscii(text: string): boolean {
     return Buffer.byteLength(text) === text.length;
 }
