fix(frontend): answer the login of a caller above the limit of connections

Cause: the connection was ended between the greeting and the login, so that the caller saw a lost connection instead of the refusal. Change: the refusal answers the login; a caller that doesn't log in within 1 s is closed. Result: the new test, with mysql2 and mariadb as clients, failed before and passes now.

--- a/src/frontend/__tests__/mysqlFrontend.spec.ts
+++ b/src/frontend/__tests__/mysqlFrontend.spec.ts
@@ -6,7 +6,12 @@
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout } from "node:timers/promises";
-import { CallerKind, type CallerLogin, type CallerStatement } from "../../model/callerMessages.ts";
+import {
+    type CallerConnected,
+    CallerKind,
+    type CallerLogin,
+    type CallerStatement,
+} from "../../model/callerMessages.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
 import { emptyConfiguration } from "../../model/configuration.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
@@ -114,14 +119,22 @@
 
 const drainStarted = { kind: ClusterKind.DrainStarted, deadlineMs: 1e9 } as Message;
 
-/** Accepts every login. */
-function createFrontend(onStatement: (statement: CallerStatement) => void): MysqlFrontend {
+/** Accepts every login, or ends each connection at once with `refusalCode`. */
+function createFrontend(
+    onStatement: (statement: CallerStatement) => void,
+    refusalCode?: RefusalCode,
+): MysqlFrontend {
     const frontend: MysqlFrontend = new MysqlFrontend({
         host: "127.0.0.1",
         port: 0,
         serverVersion: "8.0.0-test",
         post: message => {
-            if (message.kind === CallerKind.Login) {
+            if (message.kind === CallerKind.Connected && refusalCode !== undefined) {
+                const { connectionId } = message as CallerConnected;
+                const refusal = refuse(refusalCode, "accept");
+                queueMicrotask(() => frontend.deliver({ kind: CallerKind.Disconnect, connectionId, refusal }));
+            }
+            else if (message.kind === CallerKind.Login) {
                 const { connectionId } = message as CallerLogin;
                 frontend.deliver({ kind: CallerKind.LoginResult, connectionId, refusal: undefined });
             }
@@ -324,6 +337,18 @@
         });
     }
 
+    for (const [library, connectCaller] of Object.entries(clientLibraries)) {
+        it(`answers the login of a caller above the limit of connections (${library})`, async () => {
+            // Guards against connections that are closed between the greeting and the login.
+            await using frontend = createFrontend(() => undefined, RefusalCode.Overloaded);
+            await frontend.listen();
+            await assert.rejects(
+                connectCaller(frontend.port),
+                (error: ErrorLike) => error.errno === 9_011 && /not run/.test(error.message),
+            );
+        });
+    }
+
     it("ends a connection whose caller does not log in", { timeout: 10_000 }, async () => {
         await withFrontend(async (port, post) => {
             const socket = connect(port, "127.0.0.1");
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -57,7 +57,7 @@
     inTransaction: boolean;
     /** Only then may an error be sent that is no answer. */
     loggedIn: boolean;
-    /** Why the connection ends after the answer to the statement in flight. */
+    /** Why the connection ends after the answer to the statement in flight, or with that to the login. */
     endRefusal: Refusal | undefined;
     closing: boolean;
 }
@@ -67,7 +67,7 @@
 const resetConnectionCommand = 31;
 const defaultLoginLimitMs = 10_000;
 
-/** Time for a login that is on its way when the instance begins to stop. */
+/** Time for a login that is on its way when it is decided that the connection ends. */
 const lastLoginMs = 1_000;
 
 /** Time for the last answers to reach callers. */
@@ -246,6 +246,10 @@
         done: AuthenticationCallback,
     ): void {
         caller.loginCallback = done;
+        if (caller.endRefusal !== undefined) {
+            this.end(caller, caller.endRefusal);
+            return;
+        }
         const challenge = Buffer.concat([parameters.authPluginData1, parameters.authPluginData2]);
         const login: CallerLogin = {
             kind: CallerKind.Login,
@@ -307,22 +311,29 @@
         }
     }
 
-    /** Ends a connection; a statement in flight is answered first. */
+    /** Ends a connection; a statement in flight, and a login on its way, are answered first. */
     private disconnect(caller: CallerConnection, { refusal }: CallerDisconnect): void {
-        if (caller.inFlightSequence === undefined) {
+        const awaitsLogin = !caller.loggedIn && caller.loginCallback === undefined;
+        if (caller.inFlightSequence === undefined && !awaitsLogin) {
             this.end(caller, refusal);
+            return;
         }
-        else {
-            caller.endRefusal = refusal;
+        caller.endRefusal = refusal;
+        if (awaitsLogin) {
+            this.limitLogin(caller);
         }
     }
 
+    private limitLogin(caller: CallerConnection): void {
+        clearTimeout(caller.loginTimer);
+        caller.loginTimer = setTimeout(() => caller.connection.stream.destroy(), lastLoginMs);
+    }
+
     private disconnectIdle({ refusal }: CallerDisconnectIdle): void {
         for (const caller of this.callers.values()) {
             if (!caller.loggedIn) {
                 // The login is answered with a refusal.
-                clearTimeout(caller.loginTimer);
-                caller.loginTimer = setTimeout(() => caller.connection.stream.destroy(), lastLoginMs);
+                this.limitLogin(caller);
             }
             else if (caller.inFlightSequence === undefined && !caller.inTransaction) {
                 this.end(caller, refusal);
