--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -4,6 +4,7 @@
  */
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { match } from "ts-pattern";
 import {
     type CallerAnswer,
@@ -14,7 +15,7 @@
     type CallerLoginResult,
 } from "../model/callerMessages.ts";
 import { OutcomeKind } from "../model/outcome.ts";
-import { describeRefusal, type Refusal, refusalTable } from "../model/refusal.ts";
+import { describeRefusal, type Refusal, RefusalCode, refusalTable, refuse } from "../model/refusal.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { serverCapabilities, serverStatus } from "./capabilities.ts";
@@ -26,6 +27,7 @@
     type ServerError,
     toServerConnection,
 } from "./serverConnection.ts";
+import { encodeUnaskedError } from "./unaskedError.ts";
 import { rowEncoding, toWireText } from "./wireText.ts";
 import { writeOutcome } from "./writeOutcome.ts";
 
@@ -46,13 +48,17 @@
     readonly connection: ServerConnection;
     readonly packetSizes: PacketSizeGuard;
     /** Ends the connection if the caller does not log in. */
-    readonly loginTimer: NodeJS.Timeout;
+    loginTimer: NodeJS.Timeout;
     loginCallback: AuthenticationCallback | undefined;
     /** Sequence number of the statement that has no answer yet. */
     inFlightSequence: number | undefined;
     nextSequence: number;
     /** Transaction state after the last answer; the response to a ping reports it. */
     inTransaction: boolean;
+    /** Only then may an error be sent that is no answer. */
+    loggedIn: boolean;
+    /** Why the connection ends after the answer to the statement in flight, or with that to the login. */
+    endRefusal: Refusal | undefined;
     closing: boolean;
 }
 
@@ -61,6 +67,12 @@
 const resetConnectionCommand = 31;
 const defaultLoginLimitMs = 10_000;
 
+/** Time for a login that is on its way when it is decided that the connection ends. */
+const lastLoginMs = 1_000;
+
+/** Time for the last answers to reach callers. */
+const lastAnswersMs = 250;
+
 /** Largest packet of a caller that has not logged in; client libraries send some hundred bytes. */
 const maximumLoginPacketBytes = 65_536;
 
@@ -98,7 +110,7 @@
 
     deliver(message: FrontendMessage): void {
         if (message.kind === CallerKind.DisconnectIdle) {
-            this.disconnectIdle();
+            this.disconnectIdle(message);
             return;
         }
         const caller = this.callers.get(message.connectionId);
@@ -118,15 +130,35 @@
         this.server = undefined;
     }
 
+    /** Answers the statements in flight, of which nobody here learns whether they ran, and closes all connections. */
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopListening();
-        this.callers.forEach(({ connection, loginTimer }) => {
+        const callers = [...this.callers.values()];
+        const closed = callers.map(({ connection }) =>
+            new Promise(resolve => connection.stream.once("close", resolve))
+        );
+        callers.forEach(caller => this.endAtDisposal(caller));
+        const limit = new AbortController();
+        await Promise.race([
+            Promise.all(closed),
+            setTimeoutPromise(lastAnswersMs, undefined, { signal: limit.signal }),
+        ]);
+        limit.abort();
+        callers.forEach(({ connection, loginTimer }) => {
             clearTimeout(loginTimer);
             connection.stream.destroy();
         });
         this.callers.clear();
     }
 
+    private endAtDisposal(caller: CallerConnection): void {
+        if (caller.inFlightSequence !== undefined) {
+            caller.inFlightSequence = undefined;
+            this.writeRefusal(caller, refuse(RefusalCode.ConnectionLost, "frontend"));
+        }
+        this.end(caller, refuse(RefusalCode.ShuttingDown, "frontend"));
+    }
+
     private accept(socket: Socket): void {
         const packetSizes = new PacketSizeGuard(maximumLoginPacketBytes);
         // Registered before mysql2 listens, which collects a packet until it is complete.
@@ -146,6 +178,8 @@
             inFlightSequence: undefined,
             nextSequence: 0,
             inTransaction: false,
+            loggedIn: false,
+            endRefusal: undefined,
             closing: false,
         };
         this.callers.set(connectionId, caller);
@@ -212,6 +246,10 @@
         done: AuthenticationCallback,
     ): void {
         caller.loginCallback = done;
+        if (caller.endRefusal !== undefined) {
+            this.end(caller, caller.endRefusal);
+            return;
+        }
         const challenge = Buffer.concat([parameters.authPluginData1, parameters.authPluginData2]);
         const login: CallerLogin = {
             kind: CallerKind.Login,
@@ -236,6 +274,7 @@
         caller.connection.serverConfig.encoding = rowEncoding;
         if (refusal === undefined) {
             clearTimeout(caller.loginTimer);
+            caller.loggedIn = true;
             caller.packetSizes.limitBytes = maximumPacketBytes;
         }
         else {
@@ -244,7 +283,7 @@
     }
 
     private receiveStatement(connectionId: number, caller: CallerConnection, text: string): void {
-        if (caller.inFlightSequence !== undefined || caller.closing) {
+        if (caller.inFlightSequence !== undefined) {
             // The protocol allows one statement in flight per connection; a second one cannot be answered in order.
             caller.connection.stream.destroy();
             return;
@@ -267,27 +306,63 @@
             writeOutcome(caller.connection, outcome, inTransaction);
             caller.connection.sequenceId = 0;
         }
+        if (caller.endRefusal !== undefined) {
+            this.end(caller, caller.endRefusal);
+        }
     }
 
-    /** Closes a connection. A statement in flight gets no answer, since the front end does not know whether it ran. */
+    /** Ends a connection; a statement in flight, and a login on its way, are answered first. */
     private disconnect(caller: CallerConnection, { refusal }: CallerDisconnect): void {
-        caller.closing = true;
-        if (caller.loginCallback !== undefined) {
-            caller.loginCallback(undefined, toServerError(refusal));
-            caller.loginCallback = undefined;
+        const awaitsLogin = !caller.loggedIn && caller.loginCallback === undefined;
+        if (caller.inFlightSequence === undefined && !awaitsLogin) {
+            this.end(caller, refusal);
+            return;
         }
-        caller.connection.stream.end();
+        caller.endRefusal = refusal;
+        if (awaitsLogin) {
+            this.limitLogin(caller);
+        }
+    }
+
+    private limitLogin(caller: CallerConnection): void {
+        clearTimeout(caller.loginTimer);
+        caller.loginTimer = setTimeout(() => caller.connection.stream.destroy(), lastLoginMs);
     }
 
-    private disconnectIdle(): void {
+    private disconnectIdle({ refusal }: CallerDisconnectIdle): void {
         for (const caller of this.callers.values()) {
-            if (caller.inFlightSequence === undefined && !caller.inTransaction && caller.loginCallback === undefined) {
-                caller.closing = true;
-                caller.connection.stream.end();
+            if (!caller.loggedIn) {
+                // The login is answered with a refusal.
+                this.limitLogin(caller);
+            }
+            else if (caller.inFlightSequence === undefined && !caller.inTransaction) {
+                this.end(caller, refusal);
             }
         }
     }
 
+    /**
+     * Ends a connection with an error that the caller has not asked for. A statement that crosses with it is never run,
+     * and its caller reads the error as the answer. The socket is not destroyed, because a reset may discard the error.
+     */
+    private end(caller: CallerConnection, refusal: Refusal): void {
+        if (caller.closing) {
+            return;
+        }
+        caller.closing = true;
+        const { stream } = caller.connection;
+        if (caller.loginCallback !== undefined) {
+            caller.loginCallback(undefined, toServerError(refusal));
+            caller.loginCallback = undefined;
+        }
+        else if (caller.loggedIn) {
+            stream.write(encodeUnaskedError(toServerError(refusal)));
+        }
+        stream.end();
+        stream.removeAllListeners("data");
+        stream.resume();
+    }
+
     private handleClose(connectionId: number): void {
         clearTimeout(this.callers.get(connectionId)?.loginTimer);
         this.callers.delete(connectionId);
