fix(report): an unreadable burn report ends no instance

The schema of burn.json asked for an instance id only, and its reader went through the series, their buckets and their histograms. The file is now checked for all that the reader needs; one that cannot be read counts as missing, with a line, and the next save replaces it, as with the list of databases.

--- a/src/storage/burnReportFile.ts
+++ b/src/storage/burnReportFile.ts
@@ -1,9 +1,13 @@
-/** Persists the data of the burn report across restarts. */
-import { readFile, rename, writeFile } from "node:fs/promises";
+/**
+ * Persists the data of the burn report across restarts. Nothing depends on it: with a file that cannot be read, the report
+ * starts anew, and the next save replaces the file.
+ */
+import { rename, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import * as z from "zod";
+import { NodeFileSystem, readIfExists } from "./fileSystem.ts";
 
-const savedSnapshotSchema = z.object({ savedAt: z.number(), snapshot: z.looseObject({ instanceId: z.string() }) });
+const savedSnapshotSchema = z.object({ savedAt: z.number(), snapshot: z.unknown() });
 
 const saveIntervalMs = 10_000;
 
@@ -13,26 +17,41 @@
     readonly elapsedMs: number;
 }
 
+export interface BurnReportFileOptions<Snapshot> {
+    /** Must exist. */
+    readonly folder: string;
+    /** Called for each save. */
+    readonly createSnapshot: () => Snapshot;
+    /** Throws if the snapshot that was read cannot be restored. */
+    readonly parseSnapshot: (value: unknown) => Snapshot;
+    /** Called with the reason when the file cannot be read. */
+    readonly onFailure: (reason: string) => void;
+}
+
 /** Saves a snapshot every 10 s and on disposal. The report has no durability guarantee, so the file is not synced. */
-export class BurnReportFile<Snapshot extends { readonly instanceId: string; }> implements AsyncDisposable {
+export class BurnReportFile<Snapshot> implements AsyncDisposable {
+    private readonly options: BurnReportFileOptions<Snapshot>;
     private readonly path: string;
-    private readonly createSnapshot: () => Snapshot;
     private timer: NodeJS.Timeout | undefined;
     private lastSave: Promise<void> = Promise.resolve();
 
-    /** @param createSnapshot called for each save */
-    constructor(folder: string, createSnapshot: () => Snapshot) {
-        this.path = join(folder, "burn.json");
-        this.createSnapshot = createSnapshot;
+    constructor(options: BurnReportFileOptions<Snapshot>) {
+        this.options = options;
+        this.path = join(options.folder, "burn.json");
     }
 
     /** Reads the saved snapshot. Returns undefined if the file is missing or invalid. */
     async read(): Promise<SavedSnapshot<Snapshot> | undefined> {
         try {
-            const { savedAt, snapshot } = savedSnapshotSchema.parse(JSON.parse(await readFile(this.path, "utf8")));
-            return { snapshot: snapshot as unknown as Snapshot, elapsedMs: Math.max(0, Date.now() - savedAt) };
+            const data = await readIfExists(new NodeFileSystem(), this.path);
+            if (data === undefined) {
+                return undefined;
+            }
+            const { savedAt, snapshot } = savedSnapshotSchema.parse(JSON.parse(data.toString("utf8")));
+            return { snapshot: this.options.parseSnapshot(snapshot), elapsedMs: Math.max(0, Date.now() - savedAt) };
         }
-        catch {
+        catch (error) {
+            this.options.onFailure(`the burn report cannot be read and starts anew: ${String(error)}`);
             return undefined;
         }
     }
@@ -48,7 +67,7 @@
     }
 
     private save(): void {
-        const text = JSON.stringify({ savedAt: Date.now(), snapshot: this.createSnapshot() });
+        const text = JSON.stringify({ savedAt: Date.now(), snapshot: this.options.createSnapshot() });
         this.lastSave = this.lastSave.then(() => this.write(text)).catch(() => undefined);
     }
 
--- a/src/wiring/entryProcess.ts
+++ b/src/wiring/entryProcess.ts
@@ -15,6 +15,7 @@
 import { SeededRandom } from "../pipeline/seededRandom.ts";
 import type { Sink } from "../pipeline/sink.ts";
 import { TraceRecorder } from "../pipeline/trace.ts";
+import { instanceSnapshotSchema } from "../report/instanceSnapshotSchema.ts";
 import { RecordOutcomesFilter } from "../report/recordOutcomes.ts";
 import { AnnouncementRpcServer } from "../rpc/announcementRpcServer.ts";
 import { ConfigurationFeed } from "../rpc/configurationFeed.ts";
@@ -66,6 +67,7 @@
     readonly inputs: EntryInputs;
     readonly options: PipeOptions;
     readonly clock: SystemClock;
+    readonly logger: Logger;
     readonly post: Post;
     readonly clientFactory: PeerClientFactory;
     readonly stack: AsyncDisposableStack;
@@ -89,7 +91,7 @@
         secret: inputs.clusterSecret,
     });
     const clientFactory = new PeerClientFactory({ authentication, translatedAddresses: settings["peer-addresses"] });
-    const context = { settings, inputs, options, clock, post, clientFactory, stack };
+    const context = { settings, inputs, options, clock, logger, post, clientFactory, stack };
     const counters = stack.use(
         new StatsdCounters({ agent: settings.statsd, instanceId: settings["instance-id"] }),
     );
@@ -250,11 +252,16 @@
 }
 
 /** With a data folder, the figures of the burn report survive a restart, except for the last few seconds. */
-async function openRecorder({ settings, options, clock, stack }: EntryContext): Promise<RecordOutcomesFilter> {
+async function openRecorder({ settings, options, clock, logger, stack }: EntryContext): Promise<RecordOutcomesFilter> {
     const recorder = new RecordOutcomesFilter();
     const folder = settings["data-folder"];
     if (folder !== undefined) {
-        const file = new BurnReportFile(folder, () => recorder.snapshot(options.instanceId, clock.nowMs()));
+        const file = new BurnReportFile({
+            folder,
+            createSnapshot: () => recorder.snapshot(options.instanceId, clock.nowMs()),
+            parseSnapshot: value => instanceSnapshotSchema.parse(value),
+            onFailure: reason => logger.warn("storage_burn_report_failed", { reason }),
+        });
         const saved = await file.read();
         if (saved !== undefined) {
             recorder.restore(saved.snapshot, saved.elapsedMs, clock.nowMs());
