fix(fleet): a restarted member keeps the last configuration it can decode

When that one could not be decoded, its policy stayed empty, and as leader it granted no permits. The message now carries the last four documents that were replaced in between, and the policy is that of the newest one that can be decoded.

The test of the permits failed before: 0 of 5 granted after a restart of all members; now 5, with one and three such documents.

--- a/src/control/applyFilter.ts
+++ b/src/control/applyFilter.ts
@@ -1,5 +1,6 @@
 /** Applies committed log entries to the control state and takes snapshots of the state. */
 import { ProposalStatus } from "../model/controlMessages.ts";
+import type { ConfigurationDocument } from "../model/document.ts";
 import { EntryKind, type LogEntry, type OperationResult, type Snapshot } from "../model/replicatedLog.ts";
 import { StorageKind, type StorageRecovered } from "../model/storageMessages.ts";
 import type { Filter } from "../pipeline/filter.ts";
@@ -11,6 +12,12 @@
 /** Entries between two snapshots: half a day of changes, which a start replays quickly. */
 export const defaultSnapshotEntries = 1_024;
 
+/**
+ * Replaced documents that are passed on with the newest one, which a process may be unable to decode. A member that starts
+ * again applies all entries since its snapshot at once.
+ */
+const passedDocuments = 4;
+
 export interface ApplyFilterOptions {
     readonly snapshotEntries: number;
 }
@@ -46,14 +53,21 @@
     }
 
     private applyEntries(entries: readonly LogEntry[]): readonly Message[] {
-        const version = this.state.configuration.version;
+        const { version, documentHeads: publishedHeads } = this.state.configuration;
+        let replacedDocuments: readonly ConfigurationDocument[] = [];
         const results = entries.map(entry => {
             const { index, term } = entry;
-            return { kind: MemberKind.EntryApplied, index, term, result: this.applyEntry(entry) } as Message;
+            const { documentHeads, documentEntries } = this.state.configuration;
+            const result = this.applyEntry(entry);
+            if (documentHeads !== publishedHeads && documentHeads !== this.state.configuration.documentHeads) {
+                const replaced = { ...documentHeads[0]!, entries: documentEntries };
+                replacedDocuments = [replaced, ...replacedDocuments].slice(0, passedDocuments);
+            }
+            return { kind: MemberKind.EntryApplied, index, term, result } as Message;
         });
         this.entriesSinceSnapshot += entries.length;
         return [
-            ...this.state.configuration.version > version ? [this.configurationChanged()] : [],
+            ...this.state.configuration.version > version ? [this.configurationChanged(replacedDocuments)] : [],
             ...results,
             ...this.entriesSinceSnapshot >= this.options.snapshotEntries ? [this.takeSnapshot(entries.at(-1)!)] : [],
         ];
@@ -76,7 +90,12 @@
         return { ...head, version, records: toSnapshotRecords(this.state) } as Message;
     }
 
-    private configurationChanged(): ConfigurationChanged {
-        return { kind: MemberKind.ConfigurationChanged, configuration: this.state.configuration };
+    private configurationChanged(replacedDocuments: readonly ConfigurationDocument[] = []): ConfigurationChanged {
+        const { configuration } = this.state;
+        return {
+            kind: MemberKind.ConfigurationChanged,
+            configuration,
+            ...replacedDocuments.length === 0 ? {} : { replacedDocuments },
+        };
     }
 }
--- a/src/control/memberMessages.ts
+++ b/src/control/memberMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between the filters of the control pipe. */
 import type { Configuration } from "../model/configuration.ts";
+import type { ConfigurationDocument } from "../model/document.ts";
 import type { JoinRequest, SnapshotRequest, VoteRequest } from "../model/logMessages.ts";
 import {
     EntryKind,
@@ -204,6 +205,8 @@
 export interface ConfigurationChanged extends Message {
     readonly kind: typeof MemberKind.ConfigurationChanged;
     readonly configuration: Configuration;
+    /** The last documents that were replaced since the message before, the newest first. */
+    readonly replacedDocuments?: readonly ConfigurationDocument[];
 }
 
 /** A new snapshot of the control state; the replication filter adds the list of members. */
--- a/src/control/publicationFilter.ts
+++ b/src/control/publicationFilter.ts
@@ -45,7 +45,7 @@
                 this.streamVersions.delete(message.streamId);
                 return [];
             case MemberKind.ConfigurationChanged:
-                return this.publish(message.configuration);
+                return this.publish(message);
         }
     }
 
@@ -55,14 +55,18 @@
         return version < this.current.version ? [this.sendUpdate(streamId, version)] : [];
     }
 
-    private publish(configuration: Configuration): readonly Message[] {
+    private publish({ configuration, replacedDocuments }: ConfigurationChanged): readonly Message[] {
         if (configuration.version <= this.current.version) {
             return [];
         }
         this.previousConfigurations = [...this.previousConfigurations, this.current].slice(-retainedVersions);
         this.deltasByVersion.clear();
         this.current = configuration;
-        const applied: ConfigurationApplied = { kind: ClusterKind.ConfigurationApplied, configuration };
+        const applied: ConfigurationApplied = {
+            kind: ClusterKind.ConfigurationApplied,
+            configuration,
+            ...replacedDocuments === undefined ? {} : { replacedDocuments },
+        };
         return [applied, ...this.sendUpdates()];
     }
 
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -1,15 +1,21 @@
 /** Derives the traffic policy of this instance from the replicated configuration. */
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { type Configuration, emptyConfiguration } from "../model/configuration.ts";
-import { type DocumentDecoder, emptyDocument, type OmittedEntry, UndecodableEntryError } from "../model/document.ts";
+import {
+    type ConfigurationDocument,
+    type DocumentDecoder,
+    emptyDocument,
+    type OmittedEntry,
+    UndecodableEntryError,
+} from "../model/document.ts";
 import { FleetKind, type PolicyApplied, type PolicyIncomplete } from "../model/fleetMessages.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 
 /**
- * A document that cannot be decoded changes nothing: the last one that could be stays in force, until a later one replaces
- * both. Other releases, and faults, can store what this process does not understand.
+ * A document that cannot be decoded changes nothing: the last one that could be stays in force, also if it comes as one
+ * that was replaced, until a later one replaces both. Other releases, and faults, can store what this process does not understand.
  */
 export class PolicyFilter implements Filter<ConfigurationApplied, Message> {
     readonly step = "policy";
@@ -25,11 +31,11 @@
 
     process(message: ConfigurationApplied): readonly Message[] {
         const before = this.configuration;
-        const { configuration } = message;
+        const { configuration, replacedDocuments } = message;
         this.configuration = configuration;
         let omittedEntries: readonly OmittedEntry[] = [];
         if (configuration.documentHeads !== before.documentHeads) {
-            omittedEntries = this.decode(configuration);
+            omittedEntries = this.decode(configuration, replacedDocuments);
         }
         else if (!hasEvacuationsChanged(configuration, before) && !havePromotionsChanged(configuration, before)) {
             return [message];
@@ -50,7 +56,10 @@
     }
 
     /** Returns the entries that the policy in force does not contain. */
-    private decode({ documentHeads, documentEntries }: Configuration): readonly OmittedEntry[] {
+    private decode(
+        { documentHeads, documentEntries }: Configuration,
+        replacedDocuments: readonly ConfigurationDocument[] = [],
+    ): readonly OmittedEntry[] {
         try {
             const document = { ...documentHeads[0] ?? emptyDocument, entries: documentEntries };
             const { policy, omittedEntries } = this.decoder.decode(document);
@@ -60,11 +69,25 @@
         }
         catch (error) {
             this.isOutdated = true;
+            this.policy = this.decodeFirst(replacedDocuments) ?? this.policy;
             const entryId = error instanceof UndecodableEntryError ? error.entryId : "";
             return [{ entryId, reason: error instanceof Error ? error.message : String(error) }];
         }
     }
 
+    /** Returns the policy of the first document that can be decoded. The newest one is the one to report. */
+    private decodeFirst(documents: readonly ConfigurationDocument[]): TrafficPolicy | undefined {
+        for (const document of documents) {
+            try {
+                return this.decoder.decode(document).policy;
+            }
+            catch {
+                continue;
+            }
+        }
+        return undefined;
+    }
+
     private describeOmissions(omittedEntries: readonly OmittedEntry[]): readonly PolicyIncomplete[] {
         const documentVersion = this.configuration.documentHeads[0]?.documentVersion ?? 0;
         const versionInForce = this.policy.version;
--- a/src/model/clusterMessages.ts
+++ b/src/model/clusterMessages.ts
@@ -2,6 +2,7 @@
 import type { Message } from "../pipeline/message.ts";
 import type { Configuration } from "./configuration.ts";
 import type { DatabaseAnnouncement, DatabaseRole } from "./database.ts";
+import type { ConfigurationDocument } from "./document.ts";
 import type { LeaseAssignment } from "./lease.ts";
 import type { Position } from "./position.ts";
 
@@ -53,6 +54,8 @@
 export interface ConfigurationApplied extends Message {
     readonly kind: typeof ClusterKind.ConfigurationApplied;
     readonly configuration: Configuration;
+    /** The last documents that were replaced since the message before, the newest first; on control members only. */
+    readonly replacedDocuments?: readonly ConfigurationDocument[];
 }
 
 /** The control leader confirmed that `version` was the latest one at `provedAtMs`, in local monotonic time. */
--- a/src/wiring/__tests__/configurationFleet.ts
+++ b/src/wiring/__tests__/configurationFleet.ts
@@ -13,7 +13,13 @@
     DocumentResult,
 } from "../../model/document.ts";
 import { FeedKind, type FeedResubscribe, type FeedSend, UpdateKind } from "../../model/feedMessages.ts";
-import { type FleetFrame, FleetKind, type PolicyIncomplete, type SendFrame } from "../../model/fleetMessages.ts";
+import {
+    type FleetFrame,
+    FleetKind,
+    type PermitAnswer,
+    type PolicyIncomplete,
+    type SendFrame,
+} from "../../model/fleetMessages.ts";
 import { LinkKind } from "../../model/linkMessages.ts";
 import { PeerKind } from "../../model/peerMessages.ts";
 import { PromotionKind } from "../../model/promotionMessages.ts";
@@ -106,6 +112,8 @@
     private readonly answers = new Map<string, DocumentAnswered>();
     /** What the processes reported about documents that they could not decode. */
     readonly incompletePolicies: PolicyIncomplete[] = [];
+    /** Permits that the members granted. */
+    readonly permitAnswers: PermitAnswer[] = [];
     private scheduledEvents: { readonly atMs: number; readonly run: () => void; }[] = [];
     private readonly lastArrivalMs = new Map<string, number>();
     private readonly keys: string[] = [];
@@ -312,6 +320,7 @@
         }
         else if (message.kind === FleetKind.SendFrame) {
             const { attachmentId, frame } = message as SendFrame;
+            this.permitAnswers.push(...frame.kind === "permits" ? frame.answers : []);
             this.deliverFrame(attachmentId, frame, attachment => this.proxies.get(attachment.proxyId)?.loop);
         }
         else if (message.kind === FeedKind.Send) {
--- a/src/wiring/__tests__/undecodableDocument.spec.ts
+++ b/src/wiring/__tests__/undecodableDocument.spec.ts
@@ -1,18 +1,22 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { type FleetFrame, FleetKind } from "../../model/fleetMessages.ts";
 import { StatementFault } from "../../model/sessionStatement.ts";
+import type { Message } from "../../pipeline/message.ts";
 import { ConfigurationFleet } from "./configurationFleet.ts";
 
 const unknownKey = "unknown";
 const unservedMs = 5_000;
 
-function fleetWithUndecodableDocument(snapshotEntries: number): ConfigurationFleet {
+function fleetWithUndecodableDocument(snapshotEntries: number, documents = 1): ConfigurationFleet {
     const fleet = new ConfigurationFleet({ members: 3, tolerance: 1, proxies: 2, seed: 7, snapshotEntries });
     fleet.runUntil("a first session", () => isServed(fleet, fleet.proxyIds[0]!, "key1"));
-    fleet.putUnchecked(document => ({
-        ...document,
-        entries: [...document.entries, { entryId: "routes/x", section: "routes", body: "5", place: 9 }],
-    }));
+    for (let index = 0; index < documents; index++) {
+        fleet.putUnchecked(document => ({
+            ...document,
+            entries: [...document.entries, { entryId: "routes/x", section: "routes", body: "5", place: 9 + index }],
+        }));
+    }
     fleet.run(1_000);
     return fleet;
 }
@@ -32,6 +36,22 @@
     fleet.run(3_000);
 }
 
+/** Permits that the leader grants to an instance that asks for 5. */
+function requestPermits(fleet: ConfigurationFleet): number | undefined {
+    const instance = { instanceId: "i", serves: true, leaving: false, dataCentre: "dc", address: "i:1" };
+    const frames: readonly FleetFrame[] = [
+        { kind: "hello", ...instance },
+        { kind: "want", sequence: 1, heard: 0, term: 0, wants: [["t", 5, 0, 0, 0]] },
+    ];
+    fleet.permitAnswers.splice(0);
+    const { memberId } = fleet.cluster.leader()!;
+    frames.forEach(frame =>
+        fleet.cluster.post(memberId, { kind: FleetKind.FrameReceived, attachmentId: "i", frame } as Message)
+    );
+    fleet.run(100);
+    return fleet.permitAnswers[0]?.[1];
+}
+
 describe("a stored document that no process can decode", () => {
     it("leaves the last one in force, and refuses nobody for good", () => {
         const fleet = fleetWithUndecodableDocument(1_024);
@@ -50,6 +70,14 @@
         );
     });
 
+    for (const documents of [1, 3]) {
+        it(`leaves the last one in force at members that restart, so that the leader grants permits (${documents})`, () => {
+            const fleet = fleetWithUndecodableDocument(1_024, documents);
+            restartAll(fleet);
+            assert.equal(requestPermits(fleet), 5);
+        });
+    }
+
     for (const snapshotEntries of [4, 1_024]) {
         it(`ends no process at a restart, and the next document heals it (snapshots of ${snapshotEntries})`, () => {
             const fleet = fleetWithUndecodableDocument(snapshotEntries);
