feat(ctl): explain says that a newer configuration cannot be decoded

An operator learned from the log alone that a process goes on by an earlier configuration. `ctl explain`, the operators' path to a proxy of the users' platform, now names it beside the version. Control members there serve no ctl.

The test failed before: the fact was missing.

--- a/src/session/__tests__/explanation.spec.ts
+++ b/src/session/__tests__/explanation.spec.ts
@@ -242,6 +242,20 @@
         ]);
     });
 
+    it("says that a newer configuration cannot be decoded, which an operator would otherwise only read in the log", () => {
+        const fixture = startFixture();
+        for (const outdated of [true, false]) {
+            const applied = { kind: FleetKind.PolicyApplied, policy: fixture.policy, outdated, confirmed: true };
+            const promotions = { promoted: new Map(), ordered: new Map(), completedFences: new Map() };
+            fixture.post({ ...applied, ...promotions } as Message);
+            for (const database of ["orders", "other"]) {
+                fixture.ask({ database, workspace: "w", writes: false });
+            }
+        }
+        const newer = fixture.explanations.map(({ findings }) => findings[0]!.facts["newer_configuration"]);
+        assert.deepEqual(newer, ["cannot_be_decoded", "cannot_be_decoded", undefined, undefined]);
+    });
+
     it("is of the sessions alone if the configuration has no such route, or the caller needs a key", () => {
         const fixture = startFixture();
         fixture.ask({ database: "other", workspace: "w", writes: false });
--- a/src/session/__tests__/sessionFixture.ts
+++ b/src/session/__tests__/sessionFixture.ts
@@ -71,6 +71,8 @@
     readonly closed: string[] = [];
     readonly otherMessages: Message[] = [];
     readonly explanations: ExplanationEnded[] = [];
+    /** The policy of the last call of `configure`. */
+    policy: TrafficPolicy = emptyTrafficPolicy;
     /** Each question for a proof of the policy is answered at once. */
     leaderProves = true;
     proofsNeeded = 0;
@@ -158,7 +160,7 @@
     }
 
     private applyPolicy(routes: readonly RoutePolicy[], homeRegions: readonly string[]): void {
-        const policy: TrafficPolicy = {
+        this.policy = {
             version: 1,
             routesByDatabase: new Map(routes.map(route => [route.database, route])),
             services: new Map([["s", { name: "s", connectionLimit: 22, synchronousReplicas: 1 }]]),
@@ -172,7 +174,7 @@
         this.post(
             {
                 kind: FleetKind.PolicyApplied,
-                policy,
+                policy: this.policy,
                 confirmed: true,
                 promoted: new Map(),
                 ordered: new Map(),
--- a/src/session/explainAccess.ts
+++ b/src/session/explainAccess.ts
@@ -8,15 +8,20 @@
     Verdict,
     withFindings,
 } from "../model/explanation.ts";
-import { commonHomeRegions, type TrafficPolicy } from "../model/trafficPolicy.ts";
+import { commonHomeRegions } from "../model/trafficPolicy.ts";
+import type { PolicyAccess } from "./policyAccess.ts";
 
 const step = "sessions";
 
 export function explainAccess(
     asked: ExplanationAsked,
-    policy: TrafficPolicy,
+    { policy, isOutdated }: Pick<PolicyAccess, "policy" | "isOutdated">,
     isStopping: boolean,
 ): ExplanationAsked | ExplanationEnded {
+    const versionFacts: Facts = {
+        version: policy.version,
+        ...isOutdated ? { newer_configuration: "cannot_be_decoded" } : {},
+    };
     const { database, workspace } = asked.request;
     const refuse = (subject: string, reason: string): ExplanationEnded =>
         endExplanation(asked, [{
@@ -24,7 +29,7 @@
             subject,
             verdict: Verdict.Refused,
             reason,
-            facts: { version: policy.version },
+            facts: versionFacts,
         }]);
     if (isStopping) {
         return refuse(database, "the instance stops and takes no new work");
@@ -50,7 +55,7 @@
         verdict: Verdict.Passes,
         reason: `route "${route.name}" to service "${route.service}"`,
         facts: {
-            version: policy.version,
+            ...versionFacts,
             consistency: route.consistency,
             maximum_age_ms: route.maximumAgeMs,
             priority: route.priority,
--- a/src/session/policyAccess.ts
+++ b/src/session/policyAccess.ts
@@ -16,6 +16,7 @@
 
 export class PolicyAccess {
     private current: TrafficPolicy = emptyTrafficPolicy;
+    private newerIsUndecodable = false;
     /** Time at which the policy in effect was the newest one. */
     private provedAtMs = -Infinity;
 
@@ -23,6 +24,11 @@
         return this.current;
     }
 
+    /** Whether the policy is that of an earlier configuration because the newest one cannot be decoded. */
+    get isOutdated(): boolean {
+        return this.newerIsUndecodable;
+    }
+
     get hasPolicy(): boolean {
         return this.current.version > 0;
     }
@@ -30,6 +36,7 @@
     apply(message: PolicyApplied | PolicyProved): void {
         if (message.kind === FleetKind.PolicyApplied) {
             this.current = message.policy;
+            this.newerIsUndecodable = message.outdated === true;
         }
         else {
             this.provedAtMs = message.provedAtMs;
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -112,7 +112,7 @@
     }
 
     private explain(asked: ExplanationAsked): ExplanationAsked | ExplanationEnded {
-        return explainAccess(asked, this.access.policy, this.drain?.final === true);
+        return explainAccess(asked, this.access, this.drain?.final === true);
     }
 
     /** Opens a session that the policy admits. */
