fix(rates): a request to retire for an epoch that nobody has doesn't end a home for good

Permits.Retire keeps homes of lower epochs from starting again, whatever the epoch is. One call with a wrong one left the workspace without permits in the data centre for as long as the process ran, and each resource id stayed in memory. Who asks has seen the epoch assigned, so a configuration that was the newest one after the request and has a lower epoch shows that the request was unfounded; its entry is dropped then.

--- a/src/rates/__tests__/homeTakeover.spec.ts
+++ b/src/rates/__tests__/homeTakeover.spec.ts
@@ -66,6 +66,26 @@
         assert.deepEqual(new HomeTakeover().retire(resourceId, 6, 24_000), { known: false, waitMs: 0 });
     });
 
+    it("starts again after a request to retire for an epoch that was never assigned, once that is proved", () => {
+        const takeover = takeoverAfterReassignment(0);
+        const startMs = 20_000;
+        assert.equal(takeover.tryStart(leaseOf("b", 5), startMs).mayStart, true);
+        takeover.retire(resourceId, Number.MAX_SAFE_INTEGER, startMs);
+        takeover.retire(resourceId, 5, startMs);
+        takeover.releaseUnfounded(startMs);
+        assert.equal(takeover.tryStart(leaseOf("b", 5), startMs).mayStart, false, "proved before the request");
+        takeover.releaseUnfounded(startMs + 1);
+        assert.equal(takeover.tryStart(leaseOf("b", 5), startMs + 1).mayStart, true);
+    });
+
+    it("keeps a home retired whose successor a proved configuration assigns", () => {
+        const takeover = takeoverAfterReassignment(0);
+        takeover.retire(resourceId, 6, 20_000);
+        takeover.updateAssignments([leaseOf("c", 6)], 20_010);
+        takeover.releaseUnfounded(20_020);
+        assert.equal(takeover.tryStart(leaseOf("b", 5), 20_020).mayStart, false);
+    });
+
     it("waits for the lease duration if it has not seen the previous epoch", () => {
         const takeover = new HomeTakeover();
         takeover.updateAssignments([leaseOf("b", 5)], 1_000);
--- a/src/rates/grantPermits.ts
+++ b/src/rates/grantPermits.ts
@@ -154,7 +154,10 @@
     // After a restart the first configuration may come from a lagging control member; the share in it may have been
     // reduced since and allocated to another data centre.
     private recordConfigurationProof(message: ConfigurationProved, nowMs: number): readonly Output[] {
-        this.isConfigurationProved ||= message.version <= this.shareTable.version;
+        if (message.version <= this.shareTable.version) {
+            this.isConfigurationProved = true;
+            this.takeover.releaseUnfounded(message.provedAtMs);
+        }
         return [message, ...this.updateHomes(nowMs)];
     }
 
--- a/src/rates/homeTakeover.ts
+++ b/src/rates/homeTakeover.ts
@@ -35,6 +35,12 @@
     readonly former: ObservedHolder | undefined;
 }
 
+/** Lowest epoch whose home may start or continue in this process. */
+interface MinimumEpoch {
+    readonly epoch: number;
+    readonly requestedAtMs: number;
+}
+
 interface PendingStart {
     readonly epoch: number;
     /** All earlier homes have ended by then. */
@@ -53,7 +59,7 @@
     /** Epoch of the last home that started in this process, by resource id. */
     private readonly startedEpochs = new Map<string, number>();
     /** By resource id; homes of lower epochs were requested to retire and never start again. */
-    private readonly minimumEpochs = new Map<string, number>();
+    private readonly minimumEpochs = new Map<string, MinimumEpoch>();
 
     /** Records the holders of new epochs from the assignments of the applied configuration. */
     updateAssignments(leases: readonly LeaseAssignment[], nowMs: number): void {
@@ -118,7 +124,9 @@
 
     /** Cancels pending starts of homes before `epoch`; homes of these epochs never start again. */
     retire(resourceId: string, epoch: number, nowMs: number): Retirement {
-        this.minimumEpochs.set(resourceId, Math.max(epoch, this.minimumEpoch(resourceId)));
+        if (epoch > this.minimumEpoch(resourceId)) {
+            this.minimumEpochs.set(resourceId, { epoch, requestedAtMs: nowMs });
+        }
         const pendingStart = this.pendingStarts.get(resourceId);
         if (pendingStart !== undefined && pendingStart.epoch < epoch) {
             this.pendingStarts.delete(resourceId);
@@ -129,9 +137,21 @@
         return { known: this.startedEpochs.get(resourceId) === epoch - 1, waitMs: 0 };
     }
 
-    /** Lowest epoch whose home may start or continue in this process. */
     minimumEpoch(resourceId: string): number {
-        return this.minimumEpochs.get(resourceId) ?? 0;
+        return this.minimumEpochs.get(resourceId)?.epoch ?? 0;
+    }
+
+    /**
+     * Releases the homes that requests retired for an epoch which nobody has: who sends one has seen the epoch assigned.
+     * @param provedAtMs time at which the applied assignments were the newest ones
+     */
+    releaseUnfounded(provedAtMs: number): void {
+        for (const [resourceId, { epoch, requestedAtMs }] of this.minimumEpochs) {
+            const assignedEpoch = this.successions.get(resourceId)?.current.epoch ?? 0;
+            if (requestedAtMs < provedAtMs && epoch > assignedEpoch) {
+                this.minimumEpochs.delete(resourceId);
+            }
+        }
     }
 
     private pendingStartOf(lease: LeaseAssignment, nowMs: number): PendingStart {
