--- a/src/backend/__tests__/fakeMysqlServer.ts
+++ b/src/backend/__tests__/fakeMysqlServer.ts
@@ -35,7 +35,7 @@
     /** If set, the answer to a statement comes after a repetition of what the connection sent last. */
     repeatsBeforeAnswer = false;
     /** Values that a new connection reports for the variables that the adapter reads, in its order. */
-    sessionSettings = ["STRICT_TRANS_TABLES", "utf8mb4", "utf8mb4", "utf8mb4"];
+    sessionSettings = ["STRICT_TRANS_TABLES", "utf8mb4", "utf8mb4", "utf8mb4", "1", "NO_CHAIN"];
     /** If set, SET succeeds without effect. */
     keepsSettings = false;
     private readonly server: ListeningServer;
@@ -127,15 +127,21 @@
         if (mode !== undefined) {
             settings[0] = mode;
         }
+        else if (text === "SET SESSION autocommit = 1") {
+            settings[4] = "1";
+        }
+        else if (text === "SET SESSION completion_type = 'NO_CHAIN'") {
+            settings[5] = "NO_CHAIN";
+        }
         else if (text === "SET NAMES utf8mb4") {
-            settings.fill("utf8mb4", 1);
+            settings.fill("utf8mb4", 1, 4);
         }
     }
 
     private answer(connection: ServerConnection, text: string, settings: readonly string[]): void {
         this.statements.push(text);
         if (text.startsWith("SELECT @@SESSION.")) {
-            writeRows(connection, [45, 45, 45, 45], [settings], idleStatusFlags);
+            writeRows(connection, settings.map(() => 45), [settings], idleStatusFlags);
         }
         else if (text === "BEGIN") {
             connection.writeOk({ affectedRows: 0, serverStatus: transactionStatusFlags });
--- a/src/backend/__tests__/sessionSettings.spec.ts
+++ b/src/backend/__tests__/sessionSettings.spec.ts
@@ -14,11 +14,11 @@
 
 const lockingReadInLiteral = "SELECT 'a\\' FOR UPDATE -- '";
 
-async function openReplica(sqlMode: string): Promise<DatabaseProcess> {
+async function openDatabase(...parts: readonly string[]): Promise<DatabaseProcess> {
     const flags = "--database-id d2 --group-id g1 --service orders --data-centre flanders --listen 127.0.0.1:0 "
-        + "--lag-ms 0 --connect-delay-ms 0 --service-ms 0 --role replica --primary 127.0.0.1:1";
+        + "--lag-ms 0 --connect-delay-ms 0 --service-ms 0";
     return DatabaseProcess.open(
-        { ...readDatabaseSettings(flags.split(" ")), sqlMode, password: "p" },
+        { ...readDatabaseSettings([...flags.split(" "), ...parts]), password: "p" },
         new ClusterPeerCredentials({ cluster: "test", databaseId: "d2", clusterSecret: "a secret of the tests" }),
     );
 }
@@ -30,7 +30,8 @@
 describe("settings of connections to databases", () => {
     for (const sqlMode of ["", "NO_BACKSLASH_ESCAPES", "ANSI_QUOTES,NO_BACKSLASH_ESCAPES", "ANSI"]) {
         it(`reads a literal as the proxy does when the default sql_mode is "${sqlMode}"`, async () => {
-            await using database = await openReplica(sqlMode);
+            const replica = ["--role", "replica", "--primary", "127.0.0.1:1", "--sql-mode", sqlMode];
+            await using database = await openDatabase(...replica);
             const connection = await open(formatAddress(database.listener.address), "p");
             const kind = classifyStatement(tokenizeSql(lockingReadInLiteral).tokens);
             assert.equal(kind, StatementKind.Read);
@@ -43,25 +44,73 @@
         });
     }
 
+    for (const completionType of ["CHAIN", "NO_CHAIN"]) {
+        for (const autocommit of ["0", "1"]) {
+            it(`commits what it acknowledges, no more and no less: autocommit=${autocommit}, ${completionType}`, async () => {
+                const defaults = ["--autocommit", autocommit, "--completion-type", completionType];
+                await using database = await openDatabase(...defaults);
+                const address = formatAddress(database.listener.address);
+                const first = await open(address, "p");
+                for (
+                    const text of [
+                        "CREATE TABLE t (a INTEGER)",
+                        "INSERT INTO t VALUES (1)",
+                        "BEGIN",
+                        "INSERT INTO t VALUES (2)",
+                        "COMMIT",
+                        "INSERT INTO t VALUES (3)",
+                        "BEGIN",
+                        "INSERT INTO t VALUES (4)",
+                        "ROLLBACK",
+                        "INSERT INTO t VALUES (5)",
+                    ]
+                ) {
+                    const outcome = await first.execute(text);
+                    assert.equal(outcome.kind, OutcomeKind.Done, `${text}: ${JSON.stringify(outcome)}`);
+                }
+                assert.equal(first.inTransaction, false);
+                first.destroy();
+                const second = await open(address, "p");
+                const read = await second.execute("SELECT a FROM t ORDER BY a");
+                assert.deepEqual(read.kind === OutcomeKind.Rows && read.rows.flat(), ["1", "2", "3", "5"]);
+                assert.equal(second.inTransaction, false);
+                second.destroy();
+            });
+        }
+    }
+
     it("removes only the modes that move the end of a literal, and sets the character set", async () => {
         await using server = await new FakeMysqlServer().start();
-        server.sessionSettings = ["ANSI_QUOTES,STRICT_TRANS_TABLES,ANSI,NO_ZERO_DATE", "gbk", "gbk", "utf8mb4"];
+        server.sessionSettings = [
+            "ANSI_QUOTES,STRICT_TRANS_TABLES,ANSI,NO_ZERO_DATE",
+            "gbk",
+            "gbk",
+            "utf8mb4",
+            "0",
+            "CHAIN",
+        ];
         const connection = await open(server.address);
         const corrections = server.statements.filter(text => text.startsWith("SET"));
         assert.deepEqual(corrections, [
             "SET SESSION sql_mode = 'STRICT_TRANS_TABLES,NO_ZERO_DATE'",
             "SET NAMES utf8mb4",
+            "SET SESSION autocommit = 1",
+            "SET SESSION completion_type = 'NO_CHAIN'",
         ]);
         connection.destroy();
     });
 
-    it("opens no connection to a database that keeps a mode or a character set in which it reads other text", async () => {
+    it("opens no connection to a database that keeps a setting under which it reads other text or commits otherwise", async () => {
         await using server = await new FakeMysqlServer().start();
         server.keepsSettings = true;
-        server.sessionSettings = ["NO_BACKSLASH_ESCAPES", "utf8mb4", "utf8mb4", "utf8mb4"];
+        server.sessionSettings = ["NO_BACKSLASH_ESCAPES", "utf8mb4", "utf8mb4", "utf8mb4", "1", "NO_CHAIN"];
         await assert.rejects(open(server.address), /keeps sql_mode "NO_BACKSLASH_ESCAPES"/);
-        server.sessionSettings = ["", "sjis", "utf8mb4", "utf8mb4"];
+        server.sessionSettings = ["", "sjis", "utf8mb4", "utf8mb4", "1", "NO_CHAIN"];
         await assert.rejects(open(server.address), /character sets sjis/);
+        server.sessionSettings = ["", "utf8mb4", "utf8mb4", "utf8mb4", "0", "NO_CHAIN"];
+        await assert.rejects(open(server.address), /autocommit "0"/);
+        server.sessionSettings = ["", "utf8mb4", "utf8mb4", "utf8mb4", "1", "RELEASE"];
+        await assert.rejects(open(server.address), /completion_type "RELEASE"/);
     });
 
     it("asks only once when the settings are right", async () => {
--- a/standins/database/databaseProcess.ts
+++ b/standins/database/databaseProcess.ts
@@ -50,7 +50,7 @@
             faults,
             slots: new Semaphore(settings.slots),
             counters: { reads: 0, writes: 0 },
-            sqlMode: settings.sqlMode,
+            sessionDefaults: settings.sessionDefaults,
         };
         const listener = startupResources.use(
             await MysqlListener.open({ ...settings, ...session, address: settings.listen }),
--- a/standins/database/session.ts
+++ b/standins/database/session.ts
@@ -6,7 +6,7 @@
 import { classifyStatement, parseFollow, parsePromote, StatementClass, translateStatement } from "./dialect.ts";
 import type { Faults } from "./faults.ts";
 import type { Semaphore } from "./locks.ts";
-import { parseVariableNames, SessionVariables } from "./sqlMode.ts";
+import { defaultSessionDefaults, parseVariableNames, type SessionDefaults, SessionVariables } from "./sqlMode.ts";
 import { emptyResult, type StatementResult } from "./sqlStore.ts";
 
 /** Statements that a database ran; the load tool computes the share of replica reads from these counters. */
@@ -20,8 +20,7 @@
     readonly slots: Semaphore;
     readonly faults: Faults;
     readonly counters: StatementCounters;
-    /** sql_mode of a new session. */
-    readonly sqlMode?: string;
+    readonly sessionDefaults?: SessionDefaults;
 }
 
 interface Transaction {
@@ -43,7 +42,7 @@
     constructor(options: SessionOptions) {
         this.options = options;
         this.node = options.node;
-        this.variables = new SessionVariables(options.sqlMode ?? "");
+        this.variables = new SessionVariables(options.sessionDefaults ?? defaultSessionDefaults);
     }
 
     get inTransaction(): boolean {
@@ -89,6 +88,9 @@
         if (control !== undefined) {
             return control;
         }
+        if (!this.variables.autocommit && isData(statementClass)) {
+            this.transaction ??= this.newTransaction();
+        }
         if (needsWriteLock(statementClass)) {
             await this.acquireWriteLock();
         }
@@ -173,13 +175,15 @@
             case StatementClass.Begin:
                 // As in MySQL, BEGIN commits an open transaction.
                 this.commit();
-                this.transaction = { roleChangeCount: this.node.roleChangeCount, holdsWriteLock: false };
+                this.transaction = this.newTransaction();
                 return emptyResult;
             case StatementClass.Commit:
                 this.commit();
+                this.chainTransaction();
                 return emptyResult;
             case StatementClass.Rollback:
                 this.rollback();
+                this.chainTransaction();
                 return emptyResult;
             case StatementClass.Read:
             case StatementClass.LockingRead:
@@ -224,6 +228,16 @@
         this.node.writeLock.release(this);
     }
 
+    private newTransaction(): Transaction {
+        return { roleChangeCount: this.node.roleChangeCount, holdsWriteLock: false };
+    }
+
+    private chainTransaction(): void {
+        if (this.variables.chainsTransactions) {
+            this.transaction = this.newTransaction();
+        }
+    }
+
     private endImplicitTransaction(): void {
         const implicitTransaction = this.implicitTransaction;
         if (implicitTransaction === undefined) {
@@ -241,6 +255,10 @@
     return statementClass === StatementClass.Write || statementClass === StatementClass.LockingRead;
 }
 
+function isData(statementClass: StatementClass): boolean {
+    return statementClass === StatementClass.Read || needsWriteLock(statementClass);
+}
+
 function requireParsed<Value>(value: Value | undefined): Value {
     if (value === undefined) {
         throw new DatabaseError(ErrorNumber.Syntax, "malformed JASMINE statement");
--- a/standins/database/settings.ts
+++ b/standins/database/settings.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from "node:util";
 import { DatabaseRole } from "../../src/model/database.ts";
 import { type Address, parseAddress } from "./address.ts";
+import { defaultSessionDefaults, type SessionDefaults } from "./sqlMode.ts";
 
 export interface DatabaseSettings {
     readonly databaseId: string;
@@ -28,8 +29,7 @@
     readonly adminPort: number;
     /** Path of the log file; undefined keeps log and role in memory only. */
     readonly disk: string | undefined;
-    /** sql_mode of new sessions, as modes separated by commas. */
-    readonly sqlMode: string;
+    readonly sessionDefaults: SessionDefaults;
 }
 
 const text = { type: "string" } as const;
@@ -59,6 +59,8 @@
             "admin-port": { ...text, default: "0" },
             disk: text,
             "sql-mode": { ...text, default: "STRICT_TRANS_TABLES" },
+            autocommit: { ...text, default: "1" },
+            "completion-type": { ...text, default: defaultSessionDefaults.completionType },
         },
     });
     return {
@@ -82,7 +84,11 @@
         password: readSecret(values["password-file"]),
         adminPort: readNumber("admin-port", values["admin-port"]),
         disk: values.disk,
-        sqlMode: values["sql-mode"],
+        sessionDefaults: {
+            sqlMode: values["sql-mode"],
+            autocommit: values.autocommit !== "0",
+            completionType: values["completion-type"],
+        },
     };
 }
 
--- a/standins/database/sqlMode.ts
+++ b/standins/database/sqlMode.ts
@@ -1,4 +1,4 @@
-/** Variables of a session that a client reads and sets: those that change how the text of a statement is read. */
+/** Variables of a session that a client reads and sets: those that change how a statement is read, or what it commits. */
 import { DatabaseError, ErrorNumber } from "./databaseError.ts";
 
 /** Where literals end, according to the sql_mode of a session. */
@@ -25,13 +25,27 @@
     return list?.split(",").map(each => each.trim().slice("@@SESSION.".length).toLowerCase());
 }
 
+/** Values of a new session. */
+export interface SessionDefaults {
+    /** Modes separated by commas. */
+    readonly sqlMode: string;
+    /** Without it, the first statement begins a transaction. */
+    readonly autocommit: boolean;
+    /** `CHAIN` begins a transaction with the end of the one before; every other value does not. */
+    readonly completionType: string;
+}
+
+export const defaultSessionDefaults: SessionDefaults = { sqlMode: "", autocommit: true, completionType: "NO_CHAIN" };
+
 /** The session variables of one connection. */
 export class SessionVariables {
     private readonly values: Map<string, string>;
 
-    constructor(sqlMode: string) {
+    constructor({ sqlMode, autocommit, completionType }: SessionDefaults) {
         this.values = new Map([
             ["sql_mode", sqlMode],
+            ["autocommit", autocommit ? "1" : "0"],
+            ["completion_type", completionType],
             ["character_set_client", "utf8mb4"],
             ["character_set_connection", "utf8mb4"],
             ["character_set_results", "utf8mb4"],
@@ -42,6 +56,14 @@
         return literalSyntaxOf(this.values.get("sql_mode")!);
     }
 
+    get autocommit(): boolean {
+        return this.values.get("autocommit") !== "0";
+    }
+
+    get chainsTransactions(): boolean {
+        return this.values.get("completion_type") === "CHAIN";
+    }
+
     get(name: string): string {
         const value = this.values.get(name);
         if (value === undefined) {
@@ -50,11 +72,13 @@
         return value;
     }
 
-    /** Applies `SET SESSION sql_mode = '...'`; every other SET succeeds without effect. */
+    /** Applies SET of one of these variables; every other SET succeeds without effect. */
     applySet(sql: string): void {
-        const sqlMode = /^SET\s+(?:SESSION\s+)?sql_mode\s*=\s*'([\w,]*)'\s*;?$/i.exec(sql)?.[1];
-        if (sqlMode !== undefined) {
-            this.values.set("sql_mode", sqlMode);
+        const [, name, text, digit] =
+            /^SET\s+(?:SESSION\s+)?(sql_mode|autocommit|completion_type)\s*=\s*(?:'([\w,]*)'|([01]))\s*;?$/i.exec(sql)
+                ?? [];
+        if (name !== undefined) {
+            this.values.set(name.toLowerCase(), (text ?? digit)!);
         }
     }
 }
