--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -9,6 +9,8 @@
     Accept: "session.accept",
     Refuse: "session.refuse",
     Answer: "session.answer",
+    /** The caller is told that its idle session ends. */
+    Ending: "session.ending",
     Close: "session.close",
     /** A message of a caller was refused as malformed, or its connection was closed because of it. */
     MessageRefused: "session.message_refused",
@@ -18,6 +20,8 @@
     LimitDue: "session.limit_due",
     /** The wait of a new session for its admission has ended. */
     AccessDue: "session.access_due",
+    /** The sessions of a stopping instance have reached the next phase; for the log. */
+    StopProgressed: "session.stop_progressed",
 } as const;
 
 /** A caller connected and selected a database. */
@@ -63,6 +67,18 @@
     readonly answer: StatementAnswer;
 }
 
+/**
+ * Tells the caller of an idle session that the session ends: the fault is the answer to a request that is already on its
+ * way. The connection stays open until the caller closes it, and what the caller has sent meanwhile is refused.
+ */
+export interface SessionEnding extends Message {
+    readonly kind: typeof SessionKind.Ending;
+    readonly sessionId: string;
+    /** Promises that nothing was run. */
+    readonly fault: StatementFault;
+    readonly detail: string;
+}
+
 export interface SessionClose extends Message {
     readonly kind: typeof SessionKind.Close;
     readonly sessionId: string;
@@ -111,3 +127,24 @@
     readonly kind: typeof SessionKind.LimitDue;
     readonly sessionId: string;
 }
+
+export const StopPhase = {
+    /** Sessions end as soon as they are idle. */
+    LastStep: "last_step",
+    /** The time for answers is over. */
+    Deadline: "deadline",
+    /** No session is left. */
+    Ended: "ended",
+} as const;
+export type StopPhase = typeof StopPhase[keyof typeof StopPhase];
+
+export interface SessionStopProgressed extends Message {
+    readonly kind: typeof SessionKind.StopProgressed;
+    readonly phase: StopPhase;
+    /** Counts before the phase takes effect. */
+    readonly sessions: number;
+    readonly running: number;
+    readonly transactions: number;
+    /** Requests that were received after the end of their session had been decided, since the start of the stop. */
+    readonly crossed: number;
+}
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -8,10 +8,13 @@
 import {
     type SessionAnswer,
     type SessionClosed,
+    type SessionEnding,
     SessionKind,
     type SessionLimitDue,
     type SessionOpened,
     type SessionRequested,
+    type SessionStopProgressed,
+    StopPhase,
 } from "../model/sessionMessages.ts";
 import {
     type SessionStatement,
@@ -80,6 +83,9 @@
     private drain: FleetDrainStarted | undefined;
     /** The drain deadline for answers has passed; no statement is started any more. */
     private answerDeadlinePassed = false;
+    private crossedRequests = 0;
+    /** Last phase of the stop that was reported. */
+    private stopPhase: StopPhase | undefined;
     private nextTaskNumber = 0;
     private readonly limits: SessionLimits;
     private readonly memory: SessionMemory;
@@ -143,10 +149,14 @@
         if (session === undefined) {
             return [];
         }
+        if (session.ending) {
+            this.crossedRequests += 1;
+            return this.refuse(session, StatementFault.Busy, stoppingText);
+        }
         if (session.running === undefined) {
             const messages = this.startStatement(session, { statement, bytes: 0, refusal: undefined }, nowMs);
-            // A draining instance may have waited only for this answer before it closes the session.
-            return session.running === undefined ? [...messages, ...this.runNextOrClose(session, nowMs)] : messages;
+            // A draining instance may have waited only for this answer before it ends the session.
+            return session.running === undefined ? [...messages, ...this.runNextOrEnd(session, nowMs)] : messages;
         }
         session.queuedStatements.push(this.queue(session, statement));
         return session.queuedStatements.length > this.limits.queuedStatements ? this.disconnect(session) : [];
@@ -383,7 +393,7 @@
         return [
             { kind: SessionKind.Answer, sessionId: session.sessionId, answer } as SessionAnswer,
             ...session.transaction === undefined ? [] : [this.setTransactionTimer(session, nowMs)],
-            ...this.runNextOrClose(session, nowMs),
+            ...this.runNextOrEnd(session, nowMs),
         ];
     }
 
@@ -416,15 +426,15 @@
         };
     }
 
-    private runNextOrClose(session: Session, nowMs: number): readonly Message[] {
+    private runNextOrEnd(session: Session, nowMs: number): readonly Message[] {
         if (session.queuedStatements.length > 0 && session.running === undefined) {
             const next = session.queuedStatements.shift()!;
             session.queuedBytes -= next.bytes;
             this.memory.add(session.sessionId, -next.bytes);
             const messages = this.startStatement(session, next, nowMs);
-            return session.running === undefined ? [...messages, ...this.runNextOrClose(session, nowMs)] : messages;
+            return session.running === undefined ? [...messages, ...this.runNextOrEnd(session, nowMs)] : messages;
         }
-        return this.canClose(session) ? this.closeOnDrain(session) : [];
+        return this.canEnd(session) ? this.endSession(session) : [];
     }
 
     private closeSession(sessionId: string): readonly Message[] {
@@ -488,9 +498,10 @@
         this.drain = drain;
         const openSessions = [...this.sessions.values()];
         return [
+            ...drain.final ? this.reportStop(StopPhase.LastStep) : [],
             drain,
             setDeadline("drain", drain.answersUntilMs, { kind: TaskKind.DrainDue }),
-            ...openSessions.filter(session => this.canClose(session)).flatMap(session => this.closeOnDrain(session)),
+            ...openSessions.filter(session => this.canEnd(session)).flatMap(session => this.endSession(session)),
             ...openSessions.filter(({ transaction }) => transaction !== undefined)
                 .map(session => this.setLimitTimer(session.sessionId, this.transactionDeadlineMs(session))),
             ...this.sessionsEndedIfEmpty(),
@@ -505,10 +516,11 @@
         this.answerDeadlinePassed = true;
         const openSessions = [...this.sessions.values()];
         return [
+            ...this.reportStop(StopPhase.Deadline),
             due,
             ...openSessions.flatMap(({ running }) => running === undefined ? [] : [expireTask(running.taskId)]),
             ...openSessions.filter(({ running }) => running === undefined).flatMap(session =>
-                this.runNextOrClose(session, nowMs)
+                this.runNextOrEnd(session, nowMs)
             ),
         ];
     }
@@ -524,27 +536,48 @@
             : [this.abandonTask(session), ...this.failTransaction(session, failureReason)];
     }
 
-    private canClose(session: Session): boolean {
-        return this.drain?.final === true && session.running === undefined
+    private canEnd(session: Session): boolean {
+        return this.drain?.final === true && session.running === undefined && !session.ending
             && (this.answerDeadlinePassed || session.transaction === undefined);
     }
 
-    private closeOnDrain(session: Session): readonly Message[] {
-        this.sessions.delete(session.sessionId);
-        this.memory.releaseSession(session.sessionId);
-        return [
-            { kind: SessionKind.Close, sessionId: session.sessionId } as Message,
-            clearDeadline(limitKey(session.sessionId)),
-            ...this.sessionsEndedIfEmpty(),
-        ];
+    /** Leaves it to the caller to close the connection, because a request that is on its way would find it closed. */
+    private endSession(session: Session): readonly Message[] {
+        const { sessionId } = session;
+        session.ending = true;
+        this.memory.releaseSession(sessionId);
+        const ending: SessionEnding = {
+            kind: SessionKind.Ending,
+            sessionId,
+            fault: StatementFault.Busy,
+            detail: stoppingText,
+        };
+        return [ending, clearDeadline(limitKey(sessionId))];
     }
 
     private sessionsEndedIfEmpty(): readonly Message[] {
         return this.drain !== undefined && this.drain.final && this.sessions.size === 0
-            ? [{ kind: TaskKind.SessionsEnded } as DrainStep]
+            ? [...this.reportStop(StopPhase.Ended), { kind: TaskKind.SessionsEnded } as DrainStep]
             : [];
     }
 
+    /** Reports each phase once, and nothing after the last one. */
+    private reportStop(phase: StopPhase): readonly SessionStopProgressed[] {
+        if (this.stopPhase === phase || this.stopPhase === StopPhase.Ended) {
+            return [];
+        }
+        this.stopPhase = phase;
+        const sessions = [...this.sessions.values()];
+        return [{
+            kind: SessionKind.StopProgressed,
+            phase,
+            sessions: sessions.length,
+            running: sessions.filter(({ running }) => running !== undefined).length,
+            transactions: sessions.filter(({ transaction }) => transaction !== undefined).length,
+            crossed: this.crossedRequests,
+        }];
+    }
+
     private transactionDeadlineMs(session: Session): number {
         const { transactionIdleMs } = this.access.policy;
         const idleMs = transactionIdleMs > 0 ? transactionIdleMs : Infinity;
