feat(telemetry): a line for times in which a process stood still

Cause: an election because the leader was not run for more than a second left no line that told so. loop_stalled names long events only. Change: process_stood_still with the time and the processor time used meanwhile. The new test fails without the line.

--- a/src/telemetry/__tests__/loadLog.spec.ts
+++ b/src/telemetry/__tests__/loadLog.spec.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { FleetKind } from "../../model/fleetMessages.ts";
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
@@ -67,6 +68,18 @@
         assert.equal(lines[0]!.fields?.refused, "total=3/3 displaced/2=2/2 displaced/1=1/1");
     });
 
+    it("reports that the process stood still, with the processor time that it used meanwhile", async () => {
+        // Guards against an election whose cause, a machine that does not run the leader, no line tells.
+        const { logger, lines } = createRecordingLogger();
+        await using loadLog = new LoadLog(logger);
+        void loadLog;
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 900);
+        await delay(10);
+        assert.deepEqual(lines.map(({ event }) => event), ["process_stood_still"]);
+        const { stoodStillMs, processorMs } = lines[0]!.fields!;
+        assert.ok(Number(stoodStillMs) >= 600 && Number(processorMs) < 300, JSON.stringify(lines[0]));
+    });
+
     it("writes no line if nothing was sent or received", async () => {
         const { logger, lines } = createRecordingLogger();
         await new LoadLog(logger)[Symbol.asyncDispose]();
--- a/src/telemetry/loadLog.ts
+++ b/src/telemetry/loadLog.ts
@@ -1,4 +1,7 @@
-/** Periodic log line with the load of a process: messages and bytes exchanged with peers, and event loop time by kind. */
+/**
+ * Periodic log line with the load of a process: messages and bytes exchanged with peers, and event loop time by kind. Lines
+ * of their own for events that took long, and for times in which the process did not run.
+ */
 import { FleetKind, type FrameReceived } from "../model/fleetMessages.ts";
 import { SchedulingKind, type SchedulingRefused } from "../model/schedulingMessages.ts";
 import type { LoopObserver } from "../pipeline/eventLoop.ts";
@@ -11,6 +14,12 @@
 /** Longer events are logged individually. Election timeouts and timeouts of peers start at a few times this value. */
 const stallThresholdMs = 100;
 
+/** Interval at which the process checks that it runs. */
+const checkIntervalMs = 250;
+
+/** Time beyond that interval from which the process stood still; half the time without contact that ends a lead. */
+const standstillThresholdMs = 500;
+
 /** Number of kinds or peers in each field, largest first. */
 const maximumEntries = 6;
 
@@ -30,6 +39,9 @@
 export class LoadLog implements LoopObserver, PeerTrafficObserver, AsyncDisposable {
     private readonly logger: Logger;
     private readonly timer: NodeJS.Timeout;
+    private readonly standstillTimer: NodeJS.Timeout;
+    private checkedAtMs = performance.now();
+    private checkedProcessorMs = processorTimeMs();
     private readonly sentByKind = new Map<string, Total>();
     private readonly receivedByKind = new Map<string, Total>();
     private readonly bytesByPeer = new Map<string, Total>();
@@ -42,6 +54,7 @@
     constructor(logger: Logger) {
         this.logger = logger;
         this.timer = setInterval(() => this.write(), intervalMs).unref();
+        this.standstillTimer = setInterval(() => this.reportStandstill(), checkIntervalMs).unref();
     }
 
     onEvent(): void {
@@ -75,12 +88,28 @@
 
     async [Symbol.asyncDispose](): Promise<void> {
         clearInterval(this.timer);
+        clearInterval(this.standstillTimer);
         this.write();
     }
 
+    /** Little processor time tells that the machine did not run the process, or that it waited for the machine. */
+    private reportStandstill(): void {
+        const nowMs = performance.now();
+        const processorMs = processorTimeMs();
+        const stoodStillMs = nowMs - this.checkedAtMs - checkIntervalMs;
+        if (stoodStillMs >= standstillThresholdMs) {
+            this.logger.warn("process_stood_still", {
+                stoodStillMs: Math.round(stoodStillMs),
+                processorMs: Math.round(processorMs - this.checkedProcessorMs),
+            });
+        }
+        this.checkedAtMs = nowMs;
+        this.checkedProcessorMs = processorMs;
+    }
+
     private write(): void {
         if (this.sentByKind.size + this.receivedByKind.size > 0) {
-            const processorMs = this.processorTimeMs();
+            const processorMs = processorTimeMs();
             this.logger.info("load", {
                 intervalMs,
                 processorMs: Math.round(processorMs - this.loggedProcessorMs),
@@ -93,12 +122,12 @@
             this.loggedProcessorMs = processorMs;
         }
     }
+}
 
-    /** What the event loop does not account for is spent on streams, garbage collection and the start. */
-    private processorTimeMs(): number {
-        const { user, system } = process.cpuUsage();
-        return (user + system) / 1_000;
-    }
+/** What the event loop does not account for is spent on streams, garbage collection and the start. */
+function processorTimeMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1_000;
 }
 
 /** Kind of a message, for frames with the kind of the frame, because the costs of frames differ widely. */
