fix(control): a leader reads what waits in its sockets before it steps down

Cause: after a time in which its process was not run, the timers of a leader come first, and the answers that its members had sent meanwhile count for nothing. A leader that stood still for 0.75 s stepped down, which the others, who wait for it for 1 s, would not have asked for; up to 1.3 s without a leader followed. Change: without a majority for 1 to 1.2 s it sends heartbeats and checks again 50 ms later. The lead still ends within 1.25 s of the last answer.

--- a/src/control/__tests__/cluster.spec.ts
+++ b/src/control/__tests__/cluster.spec.ts
@@ -79,6 +79,36 @@
         assert.deepEqual(failures, []);
     });
 
+    it("keeps its leader after that one stood still for up to 0.9 s, which is less than the members wait for it", () => {
+        // Guards against a leader that steps down on waking, while the answers that it lacks wait in its sockets.
+        const changed: string[] = [];
+        for (let clusterSeed = 1; clusterSeed <= 40; clusterSeed++) {
+            const cluster = formedCluster(3, clusterSeed);
+            cluster.run(1_000 + 10 * clusterSeed);
+            const { memberId, leaderView } = cluster.leader()!;
+            cluster.setFrozen(memberId, true);
+            cluster.run(700 + 5 * clusterSeed);
+            cluster.setFrozen(memberId, false);
+            cluster.run(3_000);
+            const term = cluster.leader()?.leaderView?.term;
+            changed.push(...term === leaderView?.term ? [] : [`seed ${clusterSeed}: term ${term}`]);
+        }
+        assert.deepEqual(changed, []);
+    });
+
+    it("leaves the lead to the member that was elected while the leader stood still", () => {
+        const cluster = formedCluster(3);
+        const old = cluster.leader()!.memberId;
+        cluster.setFrozen(old, true);
+        cluster.runUntil("a new leader", () => cluster.leader()!.memberId !== old);
+        const { memberId, leaderView } = cluster.leader()!;
+        cluster.setFrozen(old, false);
+        cluster.run(5_000);
+        const { memberId: later, leaderView: laterView } = cluster.leader()!;
+        assert.deepEqual([later, laterView?.term], [memberId, leaderView?.term]);
+        assert.equal(cluster.nodes.get(old)!.leaderView?.leading, false);
+    });
+
     it("never acknowledges a change on an isolated leader, which steps down", () => {
         const cluster = formedCluster(3);
         const old = cluster.leader()!;
--- a/src/control/__tests__/fakeCluster.ts
+++ b/src/control/__tests__/fakeCluster.ts
@@ -41,6 +41,11 @@
     unsynced: { readonly writeId: number; readonly write: StorageWrite; readonly atMs: number; }[];
 }
 
+interface SentMessage {
+    readonly atMs: number;
+    readonly body: PeerMessage;
+}
+
 interface Node {
     readonly memberId: string;
     address: string;
@@ -90,7 +95,8 @@
     private readonly isolated = new Set<string>();
     private readonly inboundBlocked = new Set<string>();
     private readonly brokenLinks = new Set<string>();
-    private network: { readonly atMs: number; readonly body: PeerMessage; }[] = [];
+    private readonly frozen = new Set<string>();
+    private network: SentMessage[] = [];
     private nextId = 0;
     private readonly options: FakeClusterOptions;
 
@@ -217,6 +223,17 @@
         }
     }
 
+    /** Stops a process or lets it go on. Its timers come first then, as in Node.js, and what waits in its sockets later. */
+    setFrozen(memberId: string, frozen: boolean): void {
+        if (frozen) {
+            this.frozen.add(memberId);
+        }
+        else {
+            this.frozen.delete(memberId);
+            this.nodes.get(memberId)!.clock.jumpTo(this.nowMs);
+        }
+    }
+
     /** Breaks the link between two members in both directions. */
     breakLink(left: string, right: string): void {
         this.brokenLinks.add(`${left}-${right}`).add(`${right}-${left}`);
@@ -250,8 +267,9 @@
         for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
             this.nowMs += stepMs;
             this.deliverNetwork();
-            this.nodes.forEach(node => this.syncDisk(node));
-            this.nodes.forEach(node => node.loop !== undefined && node.clock.advanceTo(this.nowMs));
+            const running = [...this.nodes.values()].filter(({ memberId }) => !this.frozen.has(memberId));
+            running.forEach(node => this.syncDisk(node));
+            running.forEach(node => node.loop !== undefined && node.clock.advanceTo(this.nowMs));
         }
     }
 
@@ -268,6 +286,7 @@
         this.isolated.clear();
         this.inboundBlocked.clear();
         this.brokenLinks.clear();
+        [...this.frozen].forEach(memberId => this.setFrozen(memberId, false));
         this.nodes.forEach(node => node.disk.stalled = false);
         this.nodes.forEach(node => this.start(node.memberId));
     }
@@ -360,8 +379,10 @@
     }
 
     private deliverNetwork(): void {
-        const due = this.network.filter(({ atMs }) => atMs <= this.nowMs);
-        this.network = this.network.filter(({ atMs }) => atMs > this.nowMs);
+        const isDue = ({ atMs, body: { to } }: SentMessage): boolean =>
+            atMs <= this.nowMs && !this.frozen.has(to.memberId);
+        const due = this.network.filter(isDue);
+        this.network = this.network.filter(message => !isDue(message));
         for (const { body } of due) {
             if (this.isConnected(body)) {
                 const callId = body.callId === "" ? `call${this.nextId++}` : body.callId;
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -214,10 +214,11 @@
         return successor;
     }
 
-    hasQuorum(nowMs: number): boolean {
+    /** Whether a majority, this member included, has answered within `timeoutMs`. */
+    hasQuorum(nowMs: number, timeoutMs: number = quorumTimeoutMs): boolean {
         const responsive = [...this.log.members].filter(member =>
             memberKey(member) === memberKey(this.self)
-            || nowMs - (this.peers.get(memberKey(member))?.lastAnswerAtMs ?? this.startedAtMs) < quorumTimeoutMs
+            || nowMs - (this.peers.get(memberKey(member))?.lastAnswerAtMs ?? this.startedAtMs) < timeoutMs
         );
         return responsive.length >= majoritySize(this.log.members);
     }
--- a/src/control/replicationFilter.ts
+++ b/src/control/replicationFilter.ts
@@ -26,6 +26,7 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { acceptEntries } from "./acceptEntries.ts";
+import { quorumTimeoutMs } from "./leadership.ts";
 import {
     type AppendMembers,
     type FormCluster,
@@ -47,6 +48,18 @@
 /** A quarter of the shortest election timeout, so that three lost heartbeats in a row do not start an election. */
 export const heartbeatIntervalMs = 250;
 
+/**
+ * Delay after which a leader without a recent majority checks again. Enough for what waits in its sockets: after a time in
+ * which the process stood still, its timers come first.
+ */
+const quorumRecheckMs = 50;
+
+/**
+ * Time without a majority after which there is no further check, so that the lead ends as early as with a last check just
+ * before the end of the timeout.
+ */
+const maximumQuorumGapMs = quorumTimeoutMs + heartbeatIntervalMs - quorumRecheckMs;
+
 /** Time within which a member must have synced what it was sent, for a leader whose own disk stands still to ask it. */
 const promptSyncMs = heartbeatIntervalMs;
 
@@ -214,7 +227,11 @@
             this.replica.stopLeading(change.term);
             return [change, clearDeadline(heartbeatTimerKey)];
         }
-        return [change, ...this.replica.becomeLeader(change.term, nowMs), this.heartbeatTimer(nowMs)];
+        return [
+            change,
+            ...this.replica.becomeLeader(change.term, nowMs),
+            this.heartbeatTimer(nowMs + heartbeatIntervalMs),
+        ];
     }
 
     private propose({ operationId, command, proposalId }: ControlPropose, nowMs: number): readonly Message[] {
@@ -253,17 +270,21 @@
     }
 
     private sendHeartbeats(nowMs: number): readonly Message[] {
-        if (this.replica.leadership === undefined) {
+        const { leadership, commitIndex, term } = this.replica;
+        if (leadership === undefined) {
             return [];
         }
-        return this.replica.leadership.hasQuorum(nowMs)
-            ? [
-                ...this.replica.leadership.heartbeatMessages(this.replica.commitIndex, nowMs),
-                this.heartbeatTimer(nowMs),
+        if (leadership.hasQuorum(nowMs)) {
+            return [
+                ...leadership.heartbeatMessages(commitIndex, nowMs),
+                this.heartbeatTimer(nowMs + heartbeatIntervalMs),
                 ...this.reportSilentMembers(nowMs),
                 ...this.handOverLead(nowMs),
-            ]
-            : [termEvent(MemberKind.QuorumLost, this.replica.term)];
+            ];
+        }
+        return leadership.hasQuorum(nowMs, maximumQuorumGapMs)
+            ? [...leadership.heartbeatMessages(commitIndex, nowMs), this.heartbeatTimer(nowMs + quorumRecheckMs)]
+            : [termEvent(MemberKind.QuorumLost, term)];
     }
 
     /**
@@ -353,12 +374,8 @@
         ];
     }
 
-    private heartbeatTimer(nowMs: number): Message {
-        return setDeadline(
-            heartbeatTimerKey,
-            nowMs + heartbeatIntervalMs,
-            termEvent(MemberKind.HeartbeatDue, this.replica.term),
-        );
+    private heartbeatTimer(atMs: number): Message {
+        return setDeadline(heartbeatTimerKey, atMs, termEvent(MemberKind.HeartbeatDue, this.replica.term));
     }
 }
 
--- a/src/pipeline/virtualClock.ts
+++ b/src/pipeline/virtualClock.ts
@@ -35,6 +35,12 @@
         this.timeMs = Math.max(this.timeMs, untilMs);
     }
 
+    /** Sets the time and only then runs what is due, as in a process that was stopped until then. */
+    jumpTo(untilMs: number): void {
+        this.timeMs = Math.max(this.timeMs, untilMs);
+        this.advanceTo(untilMs);
+    }
+
     private runDeferredCallbacks(): void {
         while (this.deferredCallbacks.length > 0) {
             const batch = this.deferredCallbacks;
