fix(control): a leader that lost its majority stands again at once

Cause: a leader that stepped down because its process had not been run waited 1 to 2 s before it stood, as if it had just heard another leader, while members that had heard none for 1 s would elect it. Change: it asks for pre-votes after 60 ms. Members that heard it or a later leader refuse as before.

--- a/src/control/__tests__/cluster.spec.ts
+++ b/src/control/__tests__/cluster.spec.ts
@@ -96,6 +96,25 @@
         assert.deepEqual(changed, []);
     });
 
+    it("has a leader within 300 ms after its leader stood still for longer than the members wait for it", () => {
+        // Guards against up to a second more without answers: the leader waited as if it had just heard another one.
+        const slow: string[] = [];
+        for (let clusterSeed = 1; clusterSeed <= 40; clusterSeed++) {
+            const cluster = formedCluster(3, clusterSeed);
+            cluster.run(1_000 + 10 * clusterSeed);
+            const { memberId } = cluster.leader()!;
+            cluster.setFrozen(memberId, true);
+            cluster.run(1_250 + 5 * clusterSeed);
+            cluster.setFrozen(memberId, false);
+            const wokenMs = cluster.nowMs;
+            cluster.runUntil("a leader", () => cluster.leader() !== undefined);
+            const leaderlessMs = cluster.nowMs - wokenMs;
+            slow.push(...leaderlessMs > 300 ? [`seed ${clusterSeed}: ${leaderlessMs} ms`] : []);
+            converge(cluster);
+        }
+        assert.deepEqual(slow, []);
+    });
+
     it("leaves the lead to the member that was elected while the leader stood still", () => {
         const cluster = formedCluster(3);
         const old = cluster.leader()!.memberId;
--- a/src/control/voteFilter.ts
+++ b/src/control/voteFilter.ts
@@ -57,6 +57,12 @@
  */
 const candidateRetryDelayMs = 300;
 
+/**
+ * Delay of the election of a leader that has lost its majority within its term. If that is because its process stood still,
+ * the others have heard nothing either and would elect it; those that have heard it or a later leader refuse.
+ */
+const quorumLostElectionDelayMs = 60;
+
 /** Elections with the initial delay; there are several, because members that start together may split their votes. */
 const maximumInitialElections = 4;
 
@@ -163,6 +169,7 @@
     }
 
     private changeTerm(change: TermChanged, nowMs: number): readonly Message[] {
+        const isQuorumLost = this.role === MemberRole.Leader && change.term === this.term;
         if (change.term !== this.term) {
             this.term = change.term;
             this.votedFor = undefined;
@@ -175,7 +182,11 @@
             this.electionAtMs = Infinity;
             return [clearDeadline(electionTimerKey)];
         }
-        return [this.resetElectionTimer(nowMs)];
+        return [
+            isQuorumLost
+                ? this.scheduleElection(nowMs + quorumLostElectionDelayMs)
+                : this.resetElectionTimer(nowMs),
+        ];
     }
 
     private startPreVote(ready: ElectionReady, nowMs: number): readonly Message[] {
