fix(storage): a disk does not count as stalled because the process stood still

Cause: the limit of 500 ms for a write was one timer. After a time in which the process was not run, that timer came before the result of the disk, and a leader was told that its disk stands still, on which it asks another member to stand. Change: the limit passes in five parts, each of which counts once. The report of a disk that does answer late had no test, and has one now.

--- a/src/storage/__tests__/memberStorage.spec.ts
+++ b/src/storage/__tests__/memberStorage.spec.ts
@@ -4,9 +4,11 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { EntryKind, type LogEntry, RecordKind, type Snapshot } from "../../model/replicatedLog.ts";
 import { type StorageAppend, StorageKind, type StorageWrite, WriteKind } from "../../model/storageMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { NodeFileSystem } from "../fileSystem.ts";
 import { MemberStorage } from "../memberStorage.ts";
 import { StorageError, StorageErrorCode } from "../storageError.ts";
 
@@ -71,6 +73,32 @@
 }
 
 describe("member storage", () => {
+    it("does not report the disk as stalled because the process stood still", async () => {
+        // Guards against a leader that is asked to hand its lead over, though its disk had answered.
+        const kinds: string[] = [];
+        await using storage = await openStorage(({ kind }) => kinds.push(kind));
+        storage.deliver({ kind: StorageKind.Append, writeId: 1, write: createEntriesWrite(1, createEntry(1)) });
+        const stopped = new Int32Array(new SharedArrayBuffer(4));
+        await new Promise(resolve => setImmediate(() => resolve(Atomics.wait(stopped, 0, 0, 900))));
+        await storage[Symbol.asyncDispose]();
+        assert.deepEqual(kinds, [StorageKind.AppendDone]);
+    });
+
+    it("reports a disk that does not answer for as long as its limit, and that it answers again", async () => {
+        // Guards against a leader that goes on leading beside a disk that stands still.
+        const kinds: string[] = [];
+        const slowFileSystem = new NodeFileSystem();
+        const openFile = slowFileSystem.open.bind(slowFileSystem);
+        slowFileSystem.open = async (path, flags) =>
+            Object.assign(await openFile(path, flags), { datasync: () => delay(400) });
+        const post = ({ kind }: Message): unknown => kinds.push(kind);
+        const options = { folder, cluster: "c", memberId: "m", post, fileSystem: slowFileSystem, stallTimeoutMs: 100 };
+        await using storage = await MemberStorage.open(options);
+        storage.deliver({ kind: StorageKind.Append, writeId: 1, write: createEntriesWrite(1, createEntry(1)) });
+        await storage[Symbol.asyncDispose]();
+        assert.deepEqual(kinds, [StorageKind.Suspended, StorageKind.Resumed, StorageKind.AppendDone]);
+    });
+
     it("returns term, vote, log and incarnation after a restart", async () => {
         const syncedIds = await executeWrites(
             { kind: WriteKind.Term, term: 1, votedFor: undefined },
--- a/src/storage/memberStorage.ts
+++ b/src/storage/memberStorage.ts
@@ -32,6 +32,12 @@
 /** Time after which a write without a result counts as stalled; a disk that is only slow answers earlier. */
 const defaultStallTimeoutMs = 500;
 
+/**
+ * Parts of that time, of which each counts once however late its timer is: while the process stands still, the disk may
+ * have answered, and on waking its timers come before the results of the disk.
+ */
+const stallTimeoutParts = 5;
+
 export interface MemberStorageOptions {
     readonly folder: string;
     readonly cluster: string;
@@ -226,13 +232,19 @@
 
     private async writeWithStallReport(writes: readonly StorageWrite[]): Promise<void> {
         const timeoutMs = this.options.stallTimeoutMs ?? defaultStallTimeoutMs;
-        const timer = setTimeout(() => this.suspend(`the disk has not answered for ${timeoutMs} ms`), timeoutMs);
+        let passedParts = 0;
+        const timer = setInterval(() => {
+            passedParts += 1;
+            if (passedParts === stallTimeoutParts) {
+                this.suspend(`the disk has not answered for ${timeoutMs} ms`);
+            }
+        }, timeoutMs / stallTimeoutParts);
         timer.unref();
         try {
             await this.writeBatch(writes);
         }
         finally {
-            clearTimeout(timer);
+            clearInterval(timer);
         }
     }
 
