feat(session): the last connections of a listener are for keys with few sessions

A peer with one key that opened 2,500 sessions took the whole listener of a proxy. The last tenth is now refused (BUSY) to keys that have as many sessions as any other. The filter counts what the front end opened, and takes refusals and ends by the process as events; a refusal is thus logged as an event, and no longer as an effect.

--- a/src/wiring/__tests__/wireBoundary.spec.ts
+++ b/src/wiring/__tests__/wireBoundary.spec.ts
@@ -3,12 +3,12 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
 import { describe, it } from "node:test";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout } from "node:timers/promises";
 import { LinkKind } from "../../model/linkMessages.ts";
 import { SessionKind } from "../../model/sessionMessages.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { WireClient } from "../../platform/wireClient.ts";
-import { type BoundaryCaller, WireWorld } from "./wireWorld.ts";
+import { BoundaryCaller, WireWorld } from "./wireWorld.ts";
 
 const seed = 20261207;
 
@@ -159,6 +159,20 @@
         caller!.socket.destroy();
     });
 
+    it("leaves connections to the callers of others, however many sessions one key opens, and counts none twice", async () => {
+        await using world = await WireWorld.start(20);
+        const { port } = world.proxies[0]!.server;
+        for (let round = 0; round < 3; round++) {
+            const many = Array.from({ length: 40 }, () => new BoundaryCaller(port));
+            const answers = await Promise.all(many.map(caller => caller.ask("CONNECT orders k")));
+            assert.equal(answers.filter(({ isClosed }) => !isClosed).length, 18);
+            const other = new BoundaryCaller(port);
+            assert.equal((await other.ask("CONNECT orders kv")).isClosed, false);
+            [...many, other].forEach(({ socket }) => socket.destroy());
+            await setTimeout(50);
+        }
+    });
+
     it("closes the connection of a caller whose message does not end", async () => {
         await using world = await WireWorld.start();
         const [caller, other] = await world.openCallers();
--- a/src/wiring/__tests__/wireWorld.ts
+++ b/src/wiring/__tests__/wireWorld.ts
@@ -16,6 +16,7 @@
 import type { Sink } from "../../pipeline/sink.ts";
 import { WireClient } from "../../platform/wireClient.ts";
 import { WireServer } from "../../platform/wireServer.ts";
+import { defaultWireServerLimits } from "../../platform/wireServerLimits.ts";
 import { decodeQuestion, decodeResult, encodeQuestion, encodeResult } from "../../rpc/taskCodec.ts";
 import { buildProxyPipes } from "../platformPipes.ts";
 import { SystemClock } from "../systemClock.ts";
@@ -205,8 +206,11 @@
         open: false,
     }]]),
     services: new Map([["s", { name: "s", connectionLimit: 22, synchronousReplicas: 1 }]]),
-    workspaces: new Map([["w", { name: "w", keys: ["k"], ratePerSecond: 1e6, burst: 1e6 }]]),
-    workspaceByKey: new Map([["k", "w"]]),
+    workspaces: new Map([
+        ["w", { name: "w", keys: ["k"], ratePerSecond: 1e6, burst: 1e6 }],
+        ["v", { name: "v", keys: ["kv"], ratePerSecond: 1e6, burst: 1e6 }],
+    ]),
+    workspaceByKey: new Map([["k", "w"], ["kv", "v"]]),
     transactionIdleMs: 3_000,
 };
 
@@ -231,14 +235,20 @@
     private readonly client: WireClient;
     private readonly loop: EventLoop;
 
-    constructor(readonly instanceId: string, private readonly deliverToPeer: (message: Message) => void) {
+    constructor(
+        readonly instanceId: string,
+        private readonly deliverToPeer: (message: Message) => void,
+        maximumConnections = defaultWireServerLimits.maximumConnections,
+    ) {
         const post = (message: Message): void => {
             this.posted.push(message);
             this.post(message);
         };
-        this.server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        const limits = { ...defaultWireServerLimits, maximumConnections };
+        this.server = new WireServer({ host: "127.0.0.1", port: 0, post, limits });
         this.client = new WireClient({ post: message => this.post(message) });
-        const [, session] = buildProxyPipes({ instanceId, dataCentre: "dc1", rpcAddress: instanceId, seed: 1 });
+        const options = { instanceId, dataCentre: "dc1", rpcAddress: instanceId, seed: 1, maximumConnections };
+        const [, session] = buildProxyPipes(options);
         const sinks: readonly Sink[] = [this, this.server, this.client];
         this.loop = new EventLoop({ clock: new SystemClock(), pipes: [session!], sinks });
     }
@@ -270,14 +280,15 @@
     /** Statements that one proxy passed to the other. */
     passedTasks = 0;
 
-    private constructor() {
+    private constructor(maximumConnections?: number) {
         this.proxies = ["front1", "front2"].map(instanceId =>
-            new BoundaryProxy(instanceId, message => this.pass(instanceId, message))
+            new BoundaryProxy(instanceId, message => this.pass(instanceId, message), maximumConnections)
         );
     }
 
-    static async start(): Promise<WireWorld> {
-        const world = new WireWorld();
+    /** @param maximumConnections of the listener of each proxy */
+    static async start(maximumConnections?: number): Promise<WireWorld> {
+        const world = new WireWorld(maximumConnections);
         const address = await world.database.listen();
         const report = {
             databaseId: "d",
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -244,7 +244,6 @@
 
 /** Kinds that leave the pipes for good; the event loop shows observers only messages that a pipe accepts. */
 export const loggedEffects: readonly string[] = [
-    SessionKind.Refuse,
     SessionKind.Answer,
     SessionKind.StopProgressed,
     LinkKind.ReplyDiscarded,
--- a/src/wiring/platformPipes.ts
+++ b/src/wiring/platformPipes.ts
@@ -27,6 +27,7 @@
 import { Pipe } from "../pipeline/pipe.ts";
 import { SeededRandom } from "../pipeline/seededRandom.ts";
 import { TrafficPolicyDecoder } from "../platform/documentCodec.ts";
+import { defaultWireServerLimits } from "../platform/wireServerLimits.ts";
 import { Admission } from "../session/admission.ts";
 import { ColdGate } from "../session/coldGate.ts";
 import { ColdRule } from "../session/coldRule.ts";
@@ -40,6 +41,7 @@
 import { Routing } from "../session/routing.ts";
 import { SessionAccess } from "../session/sessionAccess.ts";
 import { Sessions } from "../session/sessions.ts";
+import { SessionShares } from "../session/sessionShares.ts";
 
 const defaultEvacuationBoundMs = 5_000;
 const noColdTolerance: ColdTolerance = { excess: 1, statements: 0 };
@@ -57,6 +59,8 @@
     readonly evacuationBoundMs?: number;
     /** Off by default. */
     readonly pace?: Pace;
+    /** Connections that the listener for callers takes; by default its own default. */
+    readonly maximumConnections?: number;
     readonly seed: number;
 }
 
@@ -80,6 +84,9 @@
     ]);
     const session = new Pipe("session", [
         new FloorExchange({ instanceId, dataCentre }),
+        new SessionShares({
+            maximumConnections: options.maximumConnections ?? defaultWireServerLimits.maximumConnections,
+        }),
         new SessionAccess(),
         new Sessions(),
         new Admission({ random: new SeededRandom(seed) }),
