feat(telemetry): refusals of the queue before a database are logged with its window

A line for each, within the limit of the request log, tells window, statements in flight, slots, the queue and the time in which it drains.

--- a/src/model/schedulingMessages.ts
+++ b/src/model/schedulingMessages.ts
@@ -24,4 +24,12 @@
     /** A `RefusalReason`. */
     readonly reason: string;
     readonly priority: number;
+    /** Number of statements that may be in flight at the database, and that are. */
+    readonly window: number;
+    readonly inFlight: number;
+    readonly slots: number;
+    /** Number of statements that still wait. */
+    readonly waiting: number;
+    /** Time in which the statements drain that go before a new one of its priority and workspace. */
+    readonly drainMs: number;
 }
--- a/src/session/taskScheduler.ts
+++ b/src/session/taskScheduler.ts
@@ -107,6 +107,11 @@
             databaseId: placed.databaseId,
             reason,
             priority,
+            window: pool.window.size,
+            inFlight: occupancy.inFlight,
+            slots: pool.report.slots,
+            waiting: pool.waitingTasks.size,
+            drainMs: refused.drainMs,
         };
         return [clearDeadline(attemptKey(placed)), attempted, logged];
     }
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -41,6 +41,33 @@
         assert.ok(loggedEffects.includes(SchedulingKind.PaceChanged));
     });
 
+    it("log with a refusal what the queue and the window of the database were", () => {
+        const refused = {
+            databaseId: "d",
+            reason: "displaced",
+            priority: 2,
+            window: 8,
+            inFlight: 7,
+            slots: 4,
+            waiting: 17,
+            drainMs: 340.4,
+        };
+        assert.deepEqual(
+            requestLogFormatters.get(SchedulingKind.Refused)!({ kind: SchedulingKind.Refused, ...refused } as never),
+            {
+                database: "d",
+                reason: "displaced",
+                priority: 2,
+                window: 8,
+                inFlight: 7,
+                slots: 4,
+                waiting: 17,
+                drainMs: 340,
+            },
+        );
+        assert.ok(loggedEffects.includes(SchedulingKind.Refused));
+    });
+
     it("log what was wrong with a message, and a prepared statement, without any text of callers", () => {
         const refused = { kind: SessionKind.MessageRefused, sessionId: "s1", defect: "invalid_statement", bytes: 9 };
         assert.deepEqual(
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -44,7 +44,7 @@
     type PromotionOrdered,
     type PromotionProgressed,
 } from "../model/promotionMessages.ts";
-import { type PaceChanged, SchedulingKind } from "../model/schedulingMessages.ts";
+import { type PaceChanged, SchedulingKind, type SchedulingRefused } from "../model/schedulingMessages.ts";
 import {
     type SessionAnswer,
     type SessionAnswerRefused,
@@ -95,6 +95,16 @@
                 sent,
             },
     ),
+    line<SchedulingRefused>(SchedulingKind.Refused, refused => ({
+        database: refused.databaseId,
+        reason: refused.reason,
+        priority: refused.priority,
+        window: refused.window,
+        inFlight: refused.inFlight,
+        slots: refused.slots,
+        waiting: refused.waiting,
+        drainMs: Math.round(refused.drainMs),
+    })),
     line<SessionRefuse>(SessionKind.Refuse, ({ sessionId, fault, detail, proofAgeMs }) => ({
         session: sessionId,
         fault,
@@ -246,6 +256,7 @@
     PromotionKind.Order,
     EvacuationKind.Answered,
     SchedulingKind.PaceChanged,
+    SchedulingKind.Refused,
 ];
 
 function versionsOf(update: ConfigurationUpdate): LogFields {
