test(platform): a large answer whose session ends in a stop right after it

Cause: the ERROR that tells the end goes through the limit of unsent bytes of the front end, which destroys the connection. A close by the proxy sent the rest of the answer.

The test fails.

--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -209,6 +209,28 @@
         socket.destroy();
     });
 
+    it("get all of a large answer when their session ends in a stop right after it", async () => {
+        // Guards against answers that are cut because the ERROR that tells the end exceeds the limit of unsent bytes.
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        await server.listen();
+        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        const large = createLargeAnswer(sessionId);
+        const rows = Array.from({ length: 6 }, () => large.answer.rows).flat();
+        server.deliver({ ...large, answer: { ...large.answer, rows } });
+        server.deliver({ kind: SessionKind.Ending, sessionId, fault: StatementFault.Busy, detail: "not run" });
+        let received = "";
+        socket.setEncoding("latin1").on("data", (chunk: string) => {
+            received += chunk;
+            if (received.endsWith("ERROR BUSY not run\r\n")) {
+                socket.end();
+            }
+        });
+        await once(socket, "close");
+        assert.ok(received.endsWith("READY I -\r\nERROR BUSY not run\r\n"));
+    });
+
     it("are refused in full when they connect just before the listener closes", async () => {
         // Guards against a CONNECT that is read while the process ends, and never answered.
         const postedMessages = new EventEmitter();
