test(platform): a request that crosses the end of its session while the process ends

Cause: the event loop is disposed first and the front end last. A request that is read in between is posted to a closed loop, which drops it, although its caller has taken the ERROR for the first part of its answer.

The test fails: the caller gets the ERROR and no READY.

--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -231,6 +231,22 @@
         assert.ok(received.endsWith("READY I -\r\nERROR BUSY not run\r\n"));
     });
 
+    it("get the rest of the answer to a request that crosses with the end of the process", async () => {
+        // Guards against requests that are read after the event loop has closed and whose caller has the ERROR only.
+        const postedMessages = new EventEmitter();
+        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
+        const server = new WireServer({ host: "127.0.0.1", port: 0, post });
+        await server.listen();
+        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        const received = text(socket);
+        server.deliver({ kind: SessionKind.Ending, sessionId, fault: StatementFault.Busy, detail: "not run" });
+        const requested = once(postedMessages, SessionKind.Requested);
+        socket.write("QUERY q1 READ a\r\n");
+        await requested;
+        await server[Symbol.asyncDispose]();
+        assert.match(await received, /^ERROR BUSY not run\r\nREADY I -\r\n/);
+    });
+
     it("are refused in full when they connect just before the listener closes", async () => {
         // Guards against a CONNECT that is read while the process ends, and never answered.
         const postedMessages = new EventEmitter();
