test(rpc): a stream that opens while a drained holder ends

Cause: only streams that are open at the disposal get the trailer; the server accepts others until it is shut down.

The test fails: the question counts as one that may have run.

--- a/src/rpc/__tests__/taskStreams.spec.ts
+++ b/src/rpc/__tests__/taskStreams.spec.ts
@@ -100,6 +100,28 @@
         });
     }
 
+    it("tell that a question is not run whose stream opens while a drained holder ends", async () => {
+        // Guards against writes in doubt that are the first of their instance to a holder whose server still accepts.
+        const holder = createStreams("front1");
+        const client = createStreams("front2");
+        const server = createPeerServer(
+            new PeerAuthentication({ cluster: "c", instanceId: "front1", secret: "0123456789abcdef" }),
+        );
+        holder.streams.register(server);
+        const address = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
+        holder.streams.deliver({ kind: FleetKind.Drained });
+        await holder.streams[Symbol.asyncDispose]();
+        const asked = once(holder.posted, PeerKind.Asked);
+        const lost = once(client.posted, PeerKind.Lost);
+        const question = { kind: "abandon", sessionId: "s1", taskId: undefined } as const;
+        client.streams.deliver({ kind: PeerKind.Send, address, question });
+        await Promise.race([asked, lost]);
+        await shutDownServer(server);
+        const [{ unansweredNotRun }] = await lost as [PeerLost];
+        assert.equal(unansweredNotRun, true);
+        await client.streams[Symbol.asyncDispose]();
+    });
+
     it("tell that a question may run whose holder has died after the answers of its drain", async () => {
         const holder = createStreams("front1");
         const client = createStreams("front2");
