fix(session): what crosses the end of a stopping process is answered in full

Cause: the ERROR that tells the end went through the limit of unsent bytes, which destroyed the connection of a caller with more than 4 MiB of unread answers; requests that crossed were answered by the event loop, which closes before the connections do; a caller that does not close kept the process from being drained until it was ended by time; a stream of another instance that opened after the others had ended got no trailer.

The front end refuses what crosses by itself, until the connections are destroyed. After the deadline for answers, sessions that were told the end no longer count. Sessions that end release their values and prepared statements.

The model lets the front end answer what arrives for ending sessions.

--- a/src/model/sessionMessages.ts
+++ b/src/model/sessionMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between the session pipe and the front end, which owns the connections of callers. */
 import type { Message } from "../pipeline/message.ts";
-import type { SessionStatement, StatementAnswer, StatementFault } from "./sessionStatement.ts";
+import type { SessionStatement, StatementAnswer, StatementFault, TransactionState } from "./sessionStatement.ts";
 
 export const SessionKind = {
     Opened: "session.opened",
@@ -69,7 +69,7 @@
 
 /**
  * Tells the caller of an idle session that the session ends: the fault is the answer to a request that is already on its
- * way. The connection stays open until the caller closes it, and what the caller has sent meanwhile is refused.
+ * way. The connection stays open until the caller closes it, and the front end refuses what it reads there.
  */
 export interface SessionEnding extends Message {
     readonly kind: typeof SessionKind.Ending;
@@ -77,6 +77,8 @@
     /** Promises that nothing was run. */
     readonly fault: StatementFault;
     readonly detail: string;
+    /** State in which the session ends. */
+    readonly transaction: TransactionState;
 }
 
 export interface SessionClose extends Message {
@@ -133,7 +135,7 @@
     LastStep: "last_step",
     /** The time for answers is over. */
     Deadline: "deadline",
-    /** No session is left. */
+    /** No session is left but those whose callers have been told the end and have not closed by the deadline. */
     Ended: "ended",
 } as const;
 export type StopPhase = typeof StopPhase[keyof typeof StopPhase];
@@ -145,6 +147,6 @@
     readonly sessions: number;
     readonly running: number;
     readonly transactions: number;
-    /** Requests that were received after the end of their session had been decided, since the start of the stop. */
+    /** Requests that stood in the queue of the event loop behind the end of their session, since the start of the stop. */
     readonly crossed: number;
 }
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -42,8 +42,11 @@
     readonly socket: Socket;
     readonly reader: LineReader;
     opened: boolean;
-    /** ERROR with which the caller was told that its session ends. */
-    endingError: string | undefined;
+    /**
+     * Answer to each request that crosses the ERROR with which the caller was told the end: it takes the ERROR before for
+     * the outcome, and the one in this answer tells it the end again. Undefined while the session goes on.
+     */
+    crossingAnswer: string | undefined;
     /** Incomplete message in the account of the server. */
     incompleteBytes: number;
     /** Ends the connection unless CONNECT or the message that has begun is complete in time. */
@@ -70,6 +73,7 @@
     private readonly endingSockets = new Set<Socket>();
     private incompleteBytes = 0;
     private receivedAfterEndBytes = 0;
+    private crossedRequests = 0;
     private nextSessionNumber = 0;
     /** Resolves when the listener and all connections are closed; undefined while callers may connect. */
     private closed: Promise<void> | undefined;
@@ -84,6 +88,11 @@
         return this.connections.size;
     }
 
+    /** Requests that were refused because they crossed the end of their session. */
+    get crossedCount(): number {
+        return this.crossedRequests;
+    }
+
     /** Bytes that were received on connections that this process had ended. */
     get discardedBytes(): number {
         return this.receivedAfterEndBytes;
@@ -115,8 +124,7 @@
                 this.removeConnection(message.sessionId);
                 return this.endSocket(connection.socket, encodeError(message.fault, message.detail));
             case SessionKind.Ending:
-                connection.endingError = encodeError(message.fault, message.detail);
-                return this.write(connection, connection.endingError);
+                return this.tellEnd(connection, message);
             case SessionKind.Close:
                 this.removeConnection(message.sessionId);
                 return this.endSocket(connection.socket, "");
@@ -134,10 +142,13 @@
 
     async [Symbol.asyncDispose](): Promise<void> {
         const closed = this.closeListener();
-        for (const [sessionId, { socket }] of this.connections) {
-            this.removeConnection(sessionId);
-            socket.end();
+        for (const [sessionId, { socket, crossingAnswer }] of this.connections) {
+            if (crossingAnswer === undefined) {
+                this.removeConnection(sessionId);
+                socket.end();
+            }
         }
+        // Callers that were told the end close their connections; what they have sent is answered until then.
         const timer = setTimeout(() => this.sockets.forEach(socket => socket.destroy()), closingTimeoutMs);
         await closed;
         clearTimeout(timer);
@@ -165,7 +176,7 @@
             socket,
             reader: new LineReader(),
             opened: false,
-            endingError: undefined,
+            crossingAnswer: undefined,
             incompleteBytes: 0,
             timer: undefined,
         };
@@ -279,6 +290,10 @@
         if (keyword === "QUIT") {
             this.endConnection(sessionId);
         }
+        else if (connection.crossingAnswer !== undefined) {
+            // Needs no decision, and the event loop may have closed.
+            this.refuseCrossing(connection, connection.crossingAnswer);
+        }
         else if (keyword === "CONNECT" && !connection.opened) {
             this.openSession(sessionId, connection, line);
         }
@@ -313,10 +328,8 @@
     }
 
     private answer(connection: Connection, { sessionId, answer }: SessionAnswer): void {
-        if (connection.endingError !== undefined) {
-            // Callers take the ERROR for the answer to a request that crossed it; the next ERROR tells them the end again.
-            const ready = encodeReady(answer.transaction, answer.position);
-            return this.write(connection, `${ready}${connection.endingError}`);
+        if (connection.crossingAnswer !== undefined) {
+            return this.refuseCrossing(connection, connection.crossingAnswer);
         }
         let text: string;
         try {
@@ -332,6 +345,18 @@
         this.write(connection, text);
     }
 
+    /** Is not subject to the limit of unsent bytes, which a large last answer may exceed. */
+    private tellEnd(connection: Connection, { fault, detail, transaction }: SessionEnding): void {
+        const error = encodeError(fault, detail);
+        connection.crossingAnswer = `${encodeReady(transaction, undefined)}${error}`;
+        connection.socket.write(error, wireEncoding);
+    }
+
+    private refuseCrossing({ socket }: Connection, answer: string): void {
+        this.crossedRequests += 1;
+        socket.write(answer, wireEncoding);
+    }
+
     private reportRefused(sessionId: string, defect: MessageDefect, bytes: number): void {
         const refused: SessionMessageRefused = { kind: SessionKind.MessageRefused, sessionId, defect, bytes };
         this.options.post(refused);
--- a/src/rpc/taskStreams.ts
+++ b/src/rpc/taskStreams.ts
@@ -58,6 +58,7 @@
     private readonly reportedPeers = new Set<string>();
     private nextStreamNumber = 0;
     private drained = false;
+    private disposed = false;
 
     constructor(options: TaskStreamsOptions) {
         this.options = options;
@@ -95,12 +96,17 @@
             client.close();
         });
         this.outgoing.clear();
+        this.disposed = true;
+        this.incoming.forEach(stream => this.endIncoming(stream));
+        this.incoming.clear();
+    }
+
+    private endIncoming(stream: IncomingStream): void {
         const trailer = new Metadata();
         if (this.drained) {
             trailer.set(unansweredKey, unansweredNotRun);
         }
-        this.incoming.forEach(stream => stream.end(trailer));
-        this.incoming.clear();
+        stream.end(trailer);
     }
 
     private openOutgoing(address: string): Connection {
@@ -142,6 +148,11 @@
     }
 
     private acceptIncoming(stream: IncomingStream): void {
+        if (this.disposed) {
+            // The server accepts until it is shut down.
+            stream.on("error", () => undefined);
+            return this.endIncoming(stream);
+        }
         const streamId = `w${this.nextStreamNumber++}`;
         this.incoming.set(streamId, stream);
         stream.on("data", (message: TaskFrameMessage) => this.handleQuestion(streamId, stream, message));
--- a/src/session/__tests__/stops.spec.ts
+++ b/src/session/__tests__/stops.spec.ts
@@ -220,6 +220,12 @@
         while (this.inTransit.length > 0 && this.inTransit[0]!.arrivesAtMs <= this.clock.nowMs()) {
             const { message } = this.inTransit.shift()!;
             const { sessionId } = message as Message & { readonly sessionId: string; };
+            if (message.kind === SessionKind.Requested && this.ending.has(sessionId)) {
+                // The front end refuses it without a decision.
+                this.halfAnswered.delete(sessionId);
+                this.tellEnd(sessionId);
+                continue;
+            }
             if (message.kind === SessionKind.Requested) {
                 this.unansweredCounts.set(sessionId, (this.unansweredCounts.get(sessionId) ?? 0) + 1);
             }
--- a/src/session/session.ts
+++ b/src/session/session.ts
@@ -56,7 +56,7 @@
      */
     readonly floors = new Map<string, Position>();
     lastActiveMs = 0;
-    /** The caller was told that the session ends; nothing is run for it any more. */
+    /** The caller was told that the session ends. */
     ending = false;
 
     constructor({ sessionId, database, key }: SessionOpened) {
@@ -104,6 +104,13 @@
         return bytes;
     }
 
+    /** Forgets what the session keeps for its statements; nothing is run for it any more. */
+    end(): void {
+        this.ending = true;
+        this.context = emptySessionContext;
+        this.floors.clear();
+    }
+
     recordCommit(service: string, position: Position): void {
         const existing = this.floors.get(service);
         this.floors.set(service, laterPosition(existing, position));
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -522,6 +522,7 @@
             ...openSessions.filter(({ running }) => running === undefined).flatMap(session =>
                 this.runNextOrEnd(session, nowMs)
             ),
+            ...this.sessionsEndedIfEmpty(),
         ];
     }
 
@@ -544,19 +545,24 @@
     /** Leaves it to the caller to close the connection, because a request that is on its way would find it closed. */
     private endSession(session: Session): readonly Message[] {
         const { sessionId } = session;
-        session.ending = true;
+        session.end();
         this.memory.releaseSession(sessionId);
         const ending: SessionEnding = {
             kind: SessionKind.Ending,
             sessionId,
             fault: StatementFault.Busy,
             detail: stoppingText,
+            transaction: transactionStateOf(session),
         };
-        return [ending, clearDeadline(limitKey(sessionId))];
+        return [ending, clearDeadline(limitKey(sessionId)), ...this.sessionsEndedIfEmpty()];
     }
 
+    /** Callers that have been told the end may close their connections until the deadline for answers. */
     private sessionsEndedIfEmpty(): readonly Message[] {
-        return this.drain !== undefined && this.drain.final && this.sessions.size === 0
+        const isEmpty = this.answerDeadlinePassed
+            ? [...this.sessions.values()].every(({ ending }) => ending)
+            : this.sessions.size === 0;
+        return this.drain?.final === true && isEmpty
             ? [...this.reportStop(StopPhase.Ended), { kind: TaskKind.SessionsEnded } as DrainStep]
             : [];
     }
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -240,8 +240,8 @@
         sinks,
         refuseLastCallers: async () => {
             await server.stopAccepting(stopDeadline.limitMs(longestRefusalMs, shutdownMarginMs));
-            const { connectionCount, discardedBytes } = server;
-            logger.info("stopped_accepting", { connections: connectionCount, discardedBytes });
+            const { connectionCount, crossedCount, discardedBytes } = server;
+            logger.info("stopped_accepting", { connections: connectionCount, crossed: crossedCount, discardedBytes });
         },
         start: async () => {
             await listen(peerServer, rpcAddress);
