--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -115,8 +115,6 @@
     private isFallbackActive = false;
     /** Time at which the leader was last found to be silent. */
     private silentSinceMs = -Infinity;
-    /** Time at which a leader answered again after that. */
-    private fallbackEndedMs = -Infinity;
 
     constructor({ random, absence = new FailoverAbsence() }: AdmissionOptions) {
         this.random = random;
@@ -186,7 +184,6 @@
         this.leaderAnsweredMs = nowMs;
         if (this.isFallbackActive) {
             this.isFallbackActive = false;
-            this.fallbackEndedMs = nowMs;
             this.queues.forEach(({ permits }) => permits.endFallback(nowMs));
         }
         return grants.filter(({ workspace }) => this.queues.has(workspace) || this.policy.workspaces.has(workspace))
@@ -316,12 +313,10 @@
     private latestStartMs(queue: WorkspaceQueue, { task, queuedMs }: OperationTimes, nowMs: number): number {
         const { receivedMs, deadlineMs, route } = task;
         const patientUntilMs = Math.min(deadlineMs, receivedMs + maximumWaitShareBeforeAnswer * route.targetLatencyMs);
-        const isAnswerDue = !this.isFallbackActive && queue.answeredMs < queuedMs
-            && queue.permits.earliestRequestMs <= nowMs;
-        // The first answer of the next leader may not suffice for all that waited for it.
-        const isLeaderDue = (this.isFallbackActive || queuedMs < this.fallbackEndedMs)
-            && this.leaderExpectedMs(queuedMs) < patientUntilMs;
-        return isAnswerDue || isLeaderDue || this.leaderAnsweredMs === undefined
+        const isAnswerDue = this.isFallbackActive
+            ? this.leaderExpectedMs(queuedMs) < patientUntilMs
+            : queue.answeredMs < queuedMs && queue.permits.earliestRequestMs <= nowMs;
+        return isAnswerDue || this.leaderAnsweredMs === undefined
             ? patientUntilMs
             : Math.min(deadlineMs, receivedMs + maximumWaitShare * route.targetLatencyMs);
     }
