--- a/src/session/admission.ts
+++ b/src/session/admission.ts
@@ -15,7 +15,6 @@
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { SeededRandom } from "../pipeline/seededRandom.ts";
-import { FailoverAbsence, type LeaderAbsence } from "../scheduling/leaderAbsence.ts";
 import { ReturnTimes } from "../scheduling/returnTimes.ts";
 import { explainRate, explainUnlimited } from "./explainAdmission.ts";
 import { LocalPermits } from "./localPermits.ts";
@@ -39,9 +38,8 @@
 const maximumWaitShare = 0.25;
 
 /**
- * The same until the leader has answered for the workspace since the operation arrived, or if the next leader is expected
- * to answer within it. After a start, or when the leader is busy, the answer takes a few hundred milliseconds, and a
- * refused caller would retry later.
+ * The same until the leader has answered for the workspace since the operation arrived, unless it is silent. After a
+ * start, or when the leader is busy, the answer takes a few hundred milliseconds, and a refused caller would retry later.
  */
 const maximumWaitShareBeforeAnswer = 0.6;
 
@@ -90,8 +88,6 @@
 
 export interface AdmissionOptions {
     readonly random: SeededRandom;
-    /** By default the time in which a failed leader is replaced. */
-    readonly absence?: LeaderAbsence;
 }
 
 export class Admission implements Filter<AdmissionInput, Message> {
@@ -107,18 +103,14 @@
         ExplanationKind.Asked,
     ];
     private readonly random: SeededRandom;
-    private readonly absence: LeaderAbsence;
     private readonly queues = new Map<string, WorkspaceQueue>();
     private policy: TrafficPolicy = emptyTrafficPolicy;
     /** Time of the last answer of a leader; undefined before the first one. */
     private leaderAnsweredMs: number | undefined;
     private isFallbackActive = false;
-    /** Time at which the leader was last found to be silent. */
-    private silentSinceMs = -Infinity;
 
-    constructor({ random, absence = new FailoverAbsence() }: AdmissionOptions) {
+    constructor({ random }: AdmissionOptions) {
         this.random = random;
-        this.absence = absence;
     }
 
     process(message: AdmissionInput, nowMs: number): readonly Message[] {
@@ -197,7 +189,6 @@
 
     private startFallback(nowMs: number): readonly Message[] {
         this.isFallbackActive = true;
-        this.silentSinceMs = nowMs;
         this.queues.forEach(queue => this.startQueueFallback(queue, nowMs));
         return [...this.queues.values()].filter(({ waiting }) => waiting.length > 0)
             .flatMap(queue => this.serveQueue(queue, nowMs));
@@ -297,7 +288,7 @@
         const ratePerSecond = this.policy.workspaces.get(queue.workspace)?.ratePerSecond ?? 0;
         const intervalMs = 1_000 / Math.max(1, ratePerSecond);
         const retryMs = queue.returnTimes.nextAfterMs(this.retryMs(queue, nowMs), intervalMs, nowMs);
-        return endTask(task, StatementFault.Busy, retryText(this.isFallbackActive ? partText : rateText, retryMs));
+        return endTask(task, StatementFault.Busy, retryText("the rate of the workspace is used up", retryMs));
     }
 
     /** Time until an operation that is refused now may get a permit. */
@@ -312,19 +303,12 @@
     /** Time at which an operation that still waits for a permit is refused. */
     private latestStartMs(queue: WorkspaceQueue, { task, queuedMs }: OperationTimes, nowMs: number): number {
         const { receivedMs, deadlineMs, route } = task;
-        const patientUntilMs = Math.min(deadlineMs, receivedMs + maximumWaitShareBeforeAnswer * route.targetLatencyMs);
-        const isAnswerDue = this.isFallbackActive
-            ? this.leaderExpectedMs(queuedMs) < patientUntilMs
-            : queue.answeredMs < queuedMs && queue.permits.earliestRequestMs <= nowMs;
-        return isAnswerDue || this.leaderAnsweredMs === undefined
-            ? patientUntilMs
-            : Math.min(deadlineMs, receivedMs + maximumWaitShare * route.targetLatencyMs);
-    }
-
-    /** Time at which the next leader answers, as far as that could be known at a time without a leader. */
-    private leaderExpectedMs(atMs: number): number {
-        const silentForMs = Math.max(0, atMs - this.silentSinceMs);
-        return Math.max(atMs, this.silentSinceMs) + this.absence.expectedMs(silentForMs);
+        const isAnswerDue = !this.isFallbackActive && queue.answeredMs < queuedMs
+            && queue.permits.earliestRequestMs <= nowMs;
+        const share = isAnswerDue || this.leaderAnsweredMs === undefined
+            ? maximumWaitShareBeforeAnswer
+            : maximumWaitShare;
+        return Math.min(deadlineMs, receivedMs + share * route.targetLatencyMs);
     }
 
     private setTimer(queue: WorkspaceQueue, nowMs: number): Message {
@@ -339,9 +323,6 @@
     }
 }
 
-const rateText = "the rate of the workspace is used up";
-const partText = "no control leader answers, and this instance's part of the rate is used up";
-
 function newQueue(workspace: string, random: SeededRandom): WorkspaceQueue {
     return {
         workspace,
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -12,7 +12,6 @@
 import { Pipe } from "../../pipeline/pipe.ts";
 import { SeededRandom } from "../../pipeline/seededRandom.ts";
 import { encodeFrame } from "../../rpc/fleetCodec.ts";
-import { FailoverAbsence, type LeaderAbsence } from "../../scheduling/leaderAbsence.ts";
 import { route } from "../../session/__tests__/sessionFixture.ts";
 import { Admission } from "../../session/admission.ts";
 import { type Task, type TaskEnded, TaskKind } from "../../session/taskMessages.ts";
@@ -32,21 +31,6 @@
     /** Operations per second of all workspaces together. */
     readonly demandPerSecond: number;
     readonly seed: number;
-    /** How often a refused caller comes back, at the time that it is told; never by default. */
-    readonly callerRetries?: number;
-    /** What the instances expect of an absent leader. */
-    readonly absence?: LeaderAbsence;
-}
-
-/** An operation of a caller with all of its attempts. */
-export interface FleetCall {
-    readonly priority: number;
-    readonly atMs: number;
-    readonly targetLatencyMs: number;
-    admittedMs: number | undefined;
-    refusals: number;
-    /** Longest time until an attempt was refused. */
-    refusalMs: number;
 }
 
 /** Limit on the operations in one window, as the platform counts them. */
@@ -81,10 +65,6 @@
     readonly instances: readonly Node[];
     readonly members = new Map<string, Node>();
     readonly traffic = new Map<string, Traffic>();
-    readonly calls: FleetCall[] = [];
-    private readonly callsByTask = new Map<string, FleetCall>();
-    private readonly callerRetries: number;
-    private readonly absence: LeaderAbsence;
     private readonly random: SeededRandom;
     private readonly deadlines = new DeadlineQueue();
     private readonly nodes = new Map<string, Node>();
@@ -95,10 +75,8 @@
     private nextEventNumber = 0;
     private term = 0;
 
-    constructor({ instances, workspaces, demandPerSecond, seed, callerRetries = 0, absence }: FleetSize) {
+    constructor({ instances, workspaces, demandPerSecond, seed }: FleetSize) {
         this.random = new SeededRandom(seed);
-        this.callerRetries = callerRetries;
-        this.absence = absence ?? new FailoverAbsence();
         const weights = Array.from({ length: workspaces }, (_, index) => (index + 1) ** -0.7);
         const total = weights.reduce((sum, weight) => sum + weight, 0);
         weights.forEach((weight, index) => {
@@ -249,12 +227,7 @@
             id,
             pipes: [
                 new Pipe("fleet", [new Attachments(options), new PermitRequester()]),
-                new Pipe("session", [
-                    new Admission({
-                        random: new SeededRandom(this.random.nextInteger(2 ** 31)),
-                        absence: this.absence,
-                    }),
-                ]),
+                new Pipe("session", [new Admission({ random: new SeededRandom(this.random.nextInteger(2 ** 31)) })]),
             ],
             clockOffsetMs: 0,
             bytes: 0,
@@ -323,34 +296,16 @@
         const instance = this.instances[this.random.nextInteger(this.instances.length)]!;
         const urgent = this.random.nextFloat() < 0.15;
         const taskId = `t${this.nextEventNumber++}`;
-        const call: FleetCall = {
-            priority: urgent ? 1 : 2,
-            atMs: this.nowMs,
-            targetLatencyMs: urgent ? 500 : 1_000,
-            admittedMs: undefined,
-            refusals: 0,
-            refusalMs: 0,
-        };
-        this.calls.push(call);
-        traffic.requestedCount += 1;
-        const { ratePerSecond, burst } = traffic.workspace;
-        traffic.tokens = Math.min(burst, traffic.tokens + (this.nowMs - traffic.refilledAtMs) / 1_000 * ratePerSecond);
-        traffic.refilledAtMs = this.nowMs;
-        if (traffic.tokens >= 1) {
-            traffic.tokens -= 1;
-            this.admissibleTaskIds.add(taskId);
-        }
-        this.submitAttempt(call, traffic.workspace.name, taskId, instance);
-    }
-
-    private submitAttempt(call: FleetCall, workspace: string, taskId: string, instance: Node): void {
-        const { priority, targetLatencyMs } = call;
         const task: Task = {
             taskId,
             sessionId: taskId,
-            route: { ...route(RouteConsistency.Primary, "orders"), priority, targetLatencyMs },
+            route: {
+                ...route(RouteConsistency.Primary, "orders"),
+                priority: urgent ? 1 : 2,
+                targetLatencyMs: urgent ? 500 : 1_000,
+            },
             service: "s",
-            workspace,
+            workspace: traffic.workspace.name,
             mode: TaskMode.Single,
             statement: undefined,
             writes: false,
@@ -360,24 +315,15 @@
             receivedMs: this.nowMs,
             deadlineMs: this.nowMs + 5_000,
         };
-        this.callsByTask.set(taskId, call);
-        this.run(instance, { kind: TaskKind.Submitted, task } as Message);
-    }
-
-    /** A refused caller comes back at another instance. */
-    private comeBack(call: FleetCall, { task, detail }: TaskEnded): void {
-        call.refusals += 1;
-        call.refusalMs = Math.max(call.refusalMs, this.nowMs - (task as Task).receivedMs);
-        const afterMs = Number(/retry after (\d+) ms/.exec(detail)?.[1]);
-        if (call.refusals <= this.callerRetries) {
-            const instance = this.instances[this.random.nextInteger(this.instances.length)]!;
-            const taskId = `t${this.nextEventNumber++}`;
-            this.schedule(
-                `retry/${taskId}`,
-                this.nowMs + afterMs,
-                () => this.submitAttempt(call, task.workspace, taskId, instance),
-            );
+        traffic.requestedCount += 1;
+        const { ratePerSecond, burst } = traffic.workspace;
+        traffic.tokens = Math.min(burst, traffic.tokens + (this.nowMs - traffic.refilledAtMs) / 1_000 * ratePerSecond);
+        traffic.refilledAtMs = this.nowMs;
+        if (traffic.tokens >= 1) {
+            traffic.tokens -= 1;
+            this.admissibleTaskIds.add(taskId);
         }
+        this.run(instance, { kind: TaskKind.Submitted, task } as Message);
     }
 
     private run(node: Node, first: Message): void {
@@ -417,18 +363,13 @@
                 const { task } = output as unknown as { readonly task: Task; };
                 this.admissibleTaskIds.delete(task.taskId);
                 this.traffic.get(task.workspace)!.admittedMs.push(this.nowMs);
-                this.callsByTask.get(task.taskId)!.admittedMs = this.nowMs;
-                this.callsByTask.delete(task.taskId);
                 return;
             }
             case TaskKind.Ended: {
-                const ended = output as TaskEnded;
-                const { task } = ended;
+                const { task } = output as TaskEnded;
                 this.traffic.get(task.workspace)!.refusedBelowRateCount += this.admissibleTaskIds.delete(task.taskId)
                     ? 1
                     : 0;
-                this.comeBack(this.callsByTask.get(task.taskId)!, ended);
-                this.callsByTask.delete(task.taskId);
                 return;
             }
             default:
