--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -70,7 +70,7 @@
         // Guards against the reset of closed sessions, whose answers are still buffered, in a stop of many at once.
         const postedMessages = new EventEmitter();
         const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        const limits = { ...defaultWireServerLimits, maximumEnding: 0 };
+        const limits = { ...defaultWireServerLimits, maximumEnded: 0 };
         await using server = new WireServer({ host: "127.0.0.1", port: 0, post, limits });
         await server.listen();
         const { socket, sessionId } = await connectCaller(server.port, postedMessages);
--- a/src/platform/__tests__/wireServerLimits.spec.ts
+++ b/src/platform/__tests__/wireServerLimits.spec.ts
@@ -153,7 +153,7 @@
     });
 
     it("cannot keep connections that were ended", async () => {
-        await using listener = new Listener({ maximumConnections: 0, maximumEnding: 1 });
+        await using listener = new Listener({ maximumConnections: 0, maximumEnded: 1 });
         await listener.listen();
         const socket = await listener.connect("", true);
         socket.resume();
--- a/src/platform/wireServer.ts
+++ b/src/platform/wireServer.ts
@@ -70,7 +70,7 @@
     /** Connections that have not sent CONNECT, the oldest one first. */
     private readonly unopenedIds = new Set<string>();
     /** Sockets that were ended and that the caller has not closed, the oldest one first. */
-    private readonly endingSockets = new Set<Socket>();
+    private readonly endedSockets = new Set<Socket>();
     private incompleteBytes = 0;
     private receivedAfterEndBytes = 0;
     private crossedRequests = 0;
@@ -164,7 +164,7 @@
         socket.on("error", () => this.endConnection(sessionId));
         socket.once("close", () => {
             this.sockets.delete(socket);
-            this.endingSockets.delete(socket);
+            this.endedSockets.delete(socket);
             this.endConnection(sessionId);
         });
         if (this.connections.size >= this.limits.maximumConnections) {
@@ -201,17 +201,17 @@
     private endSocket(socket: Socket, text: string): void {
         socket.end(text, wireEncoding);
         socket.resume();
-        this.endingSockets.add(socket);
-        if (this.endingSockets.size > this.limits.maximumEnding) {
-            this.resetOldestEnding();
+        this.endedSockets.add(socket);
+        if (this.endedSockets.size > this.limits.maximumEnded) {
+            this.resetOldestEnded();
         }
     }
 
     /** Spares sockets whose last answer has not been handed to the system. */
-    private resetOldestEnding(): void {
-        for (const socket of this.endingSockets) {
+    private resetOldestEnded(): void {
+        for (const socket of this.endedSockets) {
             if (socket.writableLength === 0) {
-                this.endingSockets.delete(socket);
+                this.endedSockets.delete(socket);
                 socket.destroy();
                 return;
             }
--- a/src/platform/wireServerLimits.ts
+++ b/src/platform/wireServerLimits.ts
@@ -10,7 +10,7 @@
     /** All connections that have not been ended; a further one is refused. */
     readonly maximumConnections: number;
     /** Connections that were ended and that the caller has not closed; beyond it, the oldest one that has sent all is reset. */
-    readonly maximumEnding: number;
+    readonly maximumEnded: number;
     /** Incomplete messages of all connections; the connection with the largest one is ended first. */
     readonly incompleteBytes: number;
 }
@@ -23,7 +23,7 @@
     maximumUnopened: 1_024,
     // A process has 4,200 descriptors; files need 200 and databases, other instances and ended connections the rest.
     maximumConnections: 2_500,
-    maximumEnding: 500,
+    maximumEnded: 500,
     // 16 messages of the maximum size.
     incompleteBytes: 16 * 1_048_576,
 };
