feat(fleet): warnings tell why a database was made the primary

Cause: an operator's record of warnings held no line on a choice. `promotion.progressed`, `promotion.order` and `promotion.ordered` were written at `info`, share a limit with other changes of state, and none of them names the rule.

Change: `promotion.decided` for the stages begun, chosen, completed and given up, with the rule, the former primary, state, position, start, proof and report of each database, the answers of the instances, the leases of those that have not answered, and what the record drops; `promotion.database_dropped` when a new record outside of a promotion no longer counts on a process. These lines, the calls to the platform and its answers (with the time since the call) have level `warn` and a limit of their own. A substitute is told with the evidence of the promotion that it follows: its own fencing has just begun. No decision changes: `holdsConfirmedCommits` is whether `confirmationRule` names one of its two former conditions.

--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -25,6 +25,7 @@
 } from "../../model/linkMessages.ts";
 import type { Position } from "../../model/position.ts";
 import { promotionOf, type PromotionRecord } from "../../model/promotion.ts";
+import type { PromotionDatabaseDropped, PromotionDecided } from "../../model/promotionDecision.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -97,6 +98,8 @@
     readonly orders: string[] = [];
     /** Why the choice of a new primary waits. */
     readonly waits = new Set<string>();
+    readonly decisions: PromotionDecided[] = [];
+    readonly dropped: PromotionDatabaseDropped[] = [];
     /** The last line of the log about a promotion. */
     progress: PromotionProgressed | undefined;
     acknowledgedCount = 0;
@@ -568,6 +571,14 @@
                 this.waits.add(this.progress.wait ?? "");
                 return;
             }
+            case PromotionKind.Decided: {
+                this.decisions.push(message as PromotionDecided);
+                return;
+            }
+            case PromotionKind.DatabaseDropped: {
+                this.dropped.push(message as PromotionDatabaseDropped);
+                return;
+            }
         }
     }
 
--- a/src/fleet/closedInstances.ts
+++ b/src/fleet/closedInstances.ts
@@ -2,7 +2,7 @@
 import type { CommitsSeenFrame } from "../model/fleetMessages.ts";
 import { comparePositions, hasReached, type Position } from "../model/position.ts";
 
-interface ClosingAnswer {
+export interface ClosingAnswer {
     /**
      * End of the primary's log when it answered the last acknowledged commit; the commit itself may lie before that.
      * Undefined if the instance has seen no commit.
@@ -16,6 +16,11 @@
 export class ClosedInstances {
     private readonly answers = new Map<string, ClosingAnswer>();
 
+    /** The answers by attachment id. */
+    get byAttachment(): ReadonlyMap<string, ClosingAnswer> {
+        return this.answers;
+    }
+
     has(attachmentId: string): boolean {
         return this.answers.has(attachmentId);
     }
--- a/src/fleet/commitSurvey.ts
+++ b/src/fleet/commitSurvey.ts
@@ -43,6 +43,11 @@
         this.options = options;
     }
 
+    /** Attachments that were asked to acknowledge no further commits. */
+    get closingAsked(): readonly string[] {
+        return [...this.closingAskedAtMs.keys()];
+    }
+
     /**
      * Asks the instances to acknowledge no further commits until the promotion is complete. Their answers don't depend on
      * what the databases do meanwhile.
--- a/src/fleet/fencedLogs.ts
+++ b/src/fleet/fencedLogs.ts
@@ -1,5 +1,6 @@
 /** What the logs of the databases that take part in a promotion hold, as far as is known while they are being fenced. */
 import { hasReached, type Position } from "../model/position.ts";
+import { PromotionRule } from "../model/promotionDecision.ts";
 import type { ClosedInstances } from "./closedInstances.ts";
 import type { CommitSurvey } from "./commitSurvey.ts";
 import type { WitnessLease } from "./commitWitnesses.ts";
@@ -51,8 +52,15 @@
      * `synchronousReplicas` others, so on one of those that stopped.
      */
     holdsConfirmedCommits(best: FencedDatabase, stopped: readonly FencedDatabase[]): boolean {
-        return this.missingCount(stopped) <= this.options.synchronousReplicas && this.holdsBase(best)
-            || stopped.some(database => this.holdsPrimaryLog(database));
+        return this.confirmationRule(best, stopped) !== undefined;
+    }
+
+    /** Why `best` holds what replicas had confirmed; undefined if that is not known. */
+    confirmationRule(best: FencedDatabase, stopped: readonly FencedDatabase[]): PromotionRule | undefined {
+        if (this.missingCount(stopped) <= this.options.synchronousReplicas && this.holdsBase(best)) {
+            return PromotionRule.ConfirmationsStopped;
+        }
+        return stopped.some(database => this.holdsPrimaryLog(database)) ? PromotionRule.FormerPrimaryLog : undefined;
     }
 
     /** Recorded databases that have ended without a successor that has their logs. */
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -11,6 +11,7 @@
     type LinkReplied,
 } from "../model/linkMessages.ts";
 import { comparePositions, hasReached, type Position } from "../model/position.ts";
+import { PromotionRule } from "../model/promotionDecision.ts";
 import { PromotionWait } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { ClosedInstances } from "./closedInstances.ts";
@@ -18,6 +19,7 @@
 import { FencedDatabase, retryDelayMs } from "./fencedDatabase.ts";
 import { FencedLogs } from "./fencedLogs.ts";
 import type { FencingDecision, FencingOptions } from "./fencingOptions.ts";
+import type { FencingEvidence } from "./promotionDecision.ts";
 
 /** Time to wait for a replica that does not answer before a database is chosen without it. */
 const replicaWaitMs = 1_200;
@@ -42,6 +44,7 @@
     /** A database leads: the others receive again. */
     private released = false;
     private wait: PromotionWait | undefined;
+    private rule: PromotionRule | undefined;
 
     constructor(options: FencingOptions) {
         this.options = options;
@@ -109,15 +112,18 @@
         const messages = [...closed, ...this.advance(nowMs)];
         const leader = this.newLeader();
         if (leader !== undefined) {
+            this.rule = PromotionRule.AlreadyLeads;
             return { messages, chosenDatabaseId: leader.databaseId, alreadyLeads: true, wait: undefined };
         }
         const questions = [...this.closeInstances(nowMs), ...this.askForCommits(nowMs)];
         this.wait = undefined;
+        this.rule = undefined;
         const chosenDatabaseId = this.finalPosition === undefined
             ? this.chooseFurthestReplica(nowMs)
             : this.chooseCaughtUpReplica(nowMs);
         const kept = chosenDatabaseId === undefined ? this.keptPrimary(nowMs) : undefined;
         if (kept !== undefined) {
+            this.rule = PromotionRule.PrimaryKeepsLead;
             return { messages, chosenDatabaseId: kept.databaseId, alreadyLeads: true, wait: undefined };
         }
         return {
@@ -128,6 +134,20 @@
         };
     }
 
+    /** What allowed the last decision; undefined if there was none. */
+    get decidingRule(): PromotionRule | undefined {
+        return this.rule;
+    }
+
+    evidence(): FencingEvidence {
+        return {
+            databases: this.databases,
+            askedAttachments: this.survey.closingAsked,
+            answers: this.closedInstances.byAttachment,
+            openLeases: this.logs.openLeases(),
+        };
+    }
+
     /** Lets the replicas receive again; `keepReleasing` repeats that for those that don't answer. */
     release(nowMs: number): readonly Message[] {
         this.released = true;
@@ -322,7 +342,7 @@
         if (synchronousReplicas === 0) {
             const hasWaited = nowMs - startedAtMs >= retryDelayMs;
             return this.logs.missingCount(stopped) <= 1 || hasWaited
-                ? best.databaseId
+                ? this.chooseBy(PromotionRule.AsynchronousReplication, best)
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
         if (this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs)) {
@@ -347,7 +367,7 @@
             return this.waitFor(PromotionWait.CommitWitnesses);
         }
         return this.logs.holdsClosedCommits(best) && this.logs.holdsReportedCommits(best)
-            ? best.databaseId
+            ? this.chooseBy(PromotionRule.InstanceAnswers, best)
             : this.waitFor(PromotionWait.DatabaseWithLastCommit);
     }
 
@@ -366,14 +386,16 @@
             preferred === undefined || preferred === best || this.logs.isLost(preferred.databaseId)
             || preferred.hasLostLog
         ) {
-            return best.databaseId;
+            return this.chooseConfirmed(best, stopped);
         }
         if (this.awaitedWitnesses().length > 0) {
             const canWait = nowMs - this.options.startedAtMs < 2 * replicaWaitMs;
-            return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : best.databaseId;
+            return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : this.chooseConfirmed(best, stopped);
         }
         const isComplete = this.logs.holdsClosedCommits(preferred) && this.logs.holdsReportedCommits(preferred);
-        return (isComplete ? preferred : best).databaseId;
+        return isComplete
+            ? this.chooseBy(PromotionRule.PreferredByAnswers, preferred)
+            : this.chooseConfirmed(best, stopped);
     }
 
     /** The most advanced database that work can go to, if none can go to `best` because its data centre is evacuated. */
@@ -390,6 +412,15 @@
             && nowMs - startedAtMs < replicaWaitMs;
     }
 
+    private chooseConfirmed(best: FencedDatabase, stopped: readonly FencedDatabase[]): string {
+        return this.chooseBy(this.logs.confirmationRule(best, stopped), best);
+    }
+
+    private chooseBy(rule: PromotionRule | undefined, { databaseId }: FencedDatabase): string {
+        this.rule = rule;
+        return databaseId;
+    }
+
     private waitFor(wait: PromotionWait): undefined {
         this.wait = wait;
         return undefined;
@@ -436,7 +467,7 @@
         if (ready !== undefined && (isPreferred || hasWaited)) {
             // A primary that came back without its newest commits has stepped down below what was acknowledged.
             return this.mayLead(ready.databaseId)
-                ? ready.databaseId
+                ? this.chooseBy(PromotionRule.CaughtUp, ready)
                 : this.waitFor(PromotionWait.DatabaseWithLastCommit);
         }
         if (!hasWaited) {
@@ -445,7 +476,7 @@
         const primary = this.logs.primary();
         if (primary?.stopped === true && !primary.hasLostLog) {
             return this.mayLead(primary.databaseId)
-                ? primary.databaseId
+                ? this.chooseBy(PromotionRule.NoneCaughtUp, primary)
                 : this.waitFor(PromotionWait.DatabaseWithLastCommit);
         }
         // The primary was lost before a replica had caught up: the replicas stop, as without a planned change.
--- a/src/fleet/promotionRecorder.ts
+++ b/src/fleet/promotionRecorder.ts
@@ -11,7 +11,9 @@
 } from "../model/controlMessages.ts";
 import type { DatabaseReport } from "../model/fleetMessages.ts";
 import { promotionOf, type PromotionRecord, type RecordedDatabase } from "../model/promotion.ts";
+import type { Message } from "../pipeline/message.ts";
 import type { CommitWitnesses } from "./commitWitnesses.ts";
+import { droppedDatabases } from "./droppedDatabases.ts";
 import { isSameElectorate, updateElectorate } from "./electorate.ts";
 
 /** Time after which a proposal that was refused, or has no result, is repeated. */
@@ -50,7 +52,7 @@
         /** Recorded databases that are gone, and that no choice depends on any more, by service. */
         replaceable: ReadonlyMap<string, readonly RecordedDatabase[]>,
         nowMs: number,
-    ): readonly ControlPropose[] {
+    ): readonly Message[] {
         const reportsByService = new Map<string, DatabaseReport[]>();
         for (const report of reports) {
             const known = reportsByService.get(report.service);
@@ -65,13 +67,14 @@
             const recorded = promotionOf(records, service).databases;
             const dropped = replaceable.get(service) ?? [];
             const databases = updateElectorate(recorded.filter(database => !dropped.includes(database)), ownReports);
-            return isSameElectorate(recorded, databases)
+            if (isSameElectorate(recorded, databases)) {
+                return [];
+            }
+            const command = { kind: CommandKind.RecordDatabases, service, databases };
+            const proposed = this.propose(`databases/${service}`, command, nowMs);
+            return proposed.length === 0
                 ? []
-                : this.propose(
-                    `databases/${service}`,
-                    { kind: CommandKind.RecordDatabases, service, databases },
-                    nowMs,
-                );
+                : [...proposed, ...droppedDatabases(service, recorded, dropped, databases)];
         });
     }
 
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -190,7 +190,7 @@
         this.leadingSinceMs = nowMs;
         this.recorder.reset();
         this.witnesses.startLeading(nowMs);
-        const closed = [...this.services.values()].flatMap(service => service.dispose());
+        const closed = [...this.services.values()].flatMap(service => service.dispose(nowMs));
         this.services.clear();
         return leading ? [...closed, this.timer(nowMs, steadyTickMs)] : [...closed, clearDeadline("promotion")];
     }
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -15,6 +15,7 @@
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
 import type { RecordedDatabase } from "../model/promotion.ts";
+import { LeadEvidence, type PromotionDecided, PromotionRule } from "../model/promotionDecision.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -27,6 +28,7 @@
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
 import { Fencing } from "./fencing.ts";
+import { PromotionDecisions } from "./promotionDecision.ts";
 import { ServiceDatabases, type ServicePromotionOptions } from "./serviceDatabases.ts";
 
 type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
@@ -94,6 +96,7 @@
 export class ServicePromotion {
     private readonly options: ServicePromotionOptions;
     private readonly databases: ServiceDatabases;
+    private readonly decisions: PromotionDecisions;
     private phase: Phase = Phase.Steady;
     private phaseSinceMs = 0;
     private assessment: Assessment | undefined;
@@ -147,6 +150,7 @@
     constructor(options: ServicePromotionOptions) {
         this.options = options;
         this.databases = new ServiceDatabases(options);
+        this.decisions = new PromotionDecisions(options, this.databases);
     }
 
     /** Whether a change of primary or an assessment is in progress. */
@@ -164,14 +168,13 @@
     }
 
     /** Closes all links when this member stops being the leader. */
-    dispose(): readonly Message[] {
+    dispose(nowMs: number): readonly Message[] {
         const messages = [
             ...this.assessment?.close() ?? [],
-            ...this.fencing?.close() ?? [],
+            ...this.closeFencing(nowMs),
             ...this.closeCatchUpCheck(),
         ];
         this.assessment = undefined;
-        this.fencing = undefined;
         this.invalidatesOrders = false;
         this.phase = Phase.Steady;
         return messages;
@@ -193,7 +196,7 @@
             case Phase.Settling:
                 return elapsedMs < settleTimeMs
                     ? this.fencing?.keepReleasing(nowMs) ?? []
-                    : [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
+                    : [...this.closeFencing(nowMs), ...this.enter(Phase.Steady, nowMs)];
             default:
                 return this.continueProposing(nowMs);
         }
@@ -251,7 +254,7 @@
         if (status !== ProposalStatus.Applied) {
             this.substituteId = undefined;
             this.invalidatesOrders = false;
-            return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
+            return [...this.closeFencing(nowMs), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
             if (this.substituteId === undefined && !this.fencing!.mayLead(this.chosenDatabaseId)) {
@@ -267,9 +270,14 @@
             return this.orderPrimary(nowMs);
         }
         const { substituteId } = this;
+        const begun = this.startFencing(nowMs);
         return substituteId === undefined
-            ? this.startFencing(nowMs)
-            : [...this.startFencing(nowMs), ...this.recordOrder(substituteId, nowMs)];
+            ? begun
+            : [
+                ...begun,
+                this.tellChoice(substituteId, PromotionRule.Substitute, nowMs),
+                ...this.recordOrder(substituteId, nowMs),
+            ];
     }
 
     promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
@@ -400,7 +408,8 @@
         }
         this.chosenDatabaseId = this.options.record().databaseId;
         this.supersedes = false;
-        return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+        const decided = this.decisions.invalidateOrders(this.fence, this.chosenDatabaseId, nowMs);
+        return [decided, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
     }
 
     private endInvalidation(nowMs: number): readonly Message[] {
@@ -465,7 +474,7 @@
         const { service } = this.options;
         const keepsPrimary = this.invalidatesOrders;
         const command = { kind: CommandKind.ReservePromotion, service, expectedFence, keepsPrimary };
-        return [...this.closeFencing(), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
+        return [...this.closeFencing(nowMs), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
     }
 
     private startFencing(nowMs: number): readonly Message[] {
@@ -499,7 +508,8 @@
         this.planned = false;
         this.sentOrders = 0;
         this.answeredOrders = 0;
-        return [...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
+        const begun = this.decisions.begin(this.fence, this.formerPrimaryId, nowMs);
+        return [begun, ...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
     }
 
     /** A link changed, or an instance answered: a decision may be possible before the next tick. */
@@ -524,10 +534,15 @@
         this.chosenPosition = alreadyLeads
             ? this.databases.keptPosition(chosenDatabaseId) ?? receivedPosition
             : receivedPosition;
+        const decided = this.tellChoice(chosenDatabaseId, this.fencing!.decidingRule!, nowMs);
         if (alreadyLeads) {
-            return [...messages, ...this.complete(chosenDatabaseId, nowMs)];
+            return [...messages, decided, ...this.complete(chosenDatabaseId, nowMs)];
         }
-        return [...messages, ...this.recordOrder(chosenDatabaseId, nowMs)];
+        return [...messages, decided, ...this.recordOrder(chosenDatabaseId, nowMs)];
+    }
+
+    private tellChoice(databaseId: string, rule: PromotionRule, nowMs: number): PromotionDecided {
+        return this.decisions.choose(databaseId, rule, this.fencing!.evidence(), nowMs);
     }
 
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
@@ -621,6 +636,10 @@
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
         this.substituteId = undefined;
+        const leads = this.fencing!.decidingRule === PromotionRule.AlreadyLeads
+            || this.fencing!.decidingRule === PromotionRule.PrimaryKeepsLead;
+        const evidence = leads ? LeadEvidence.Status : LeadEvidence.Report;
+        const decided = this.decisions.complete(databaseId, evidence, this.fencing!.evidence(), nowMs);
         const released = this.fencing?.release(nowMs) ?? [];
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
@@ -634,7 +653,7 @@
             basePosition: this.chosenPosition,
             departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
-        return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
+        return [decided, ...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
     /** Whether the platform may still execute an order for the database that leads now. */
@@ -661,10 +680,13 @@
         return [...kept, ...this.enter(this.phase, nowMs), this.propose(this.proposedCommand!)];
     }
 
-    private closeFencing(): readonly Message[] {
-        const closed = this.fencing?.close() ?? [];
+    private closeFencing(nowMs: number): readonly Message[] {
+        if (this.fencing === undefined) {
+            return [];
+        }
+        const messages = [...this.decisions.giveUp(this.fencing.evidence(), nowMs), ...this.fencing.close()];
         this.fencing = undefined;
-        return closed;
+        return messages;
     }
 
     private enter(phase: Phase, nowMs: number): readonly Message[] {
--- a/src/model/promotionMessages.ts
+++ b/src/model/promotionMessages.ts
@@ -7,6 +7,10 @@
     Due: "promotion.due",
     /** A promotion entered another phase, or still waits. */
     Progressed: "promotion.progressed",
+    /** A decision about a promotion, with what it was based on. */
+    Decided: "promotion.decided",
+    /** A database is taken off the record of those that may hold acknowledged commits, outside of a decision. */
+    DatabaseDropped: "promotion.database_dropped",
 } as const;
 
 /** Asks the platform to make a database the primary of its service. */
@@ -32,6 +36,8 @@
     readonly databaseId: string;
     readonly fence: number;
     readonly result: OrderResult;
+    /** Time since the order was sent; undefined if it is not known. */
+    readonly elapsedMs?: number | undefined;
 }
 
 /** What the choice of a new primary waits for. */
--- a/src/platform/promotionOrderClient.ts
+++ b/src/platform/promotionOrderClient.ts
@@ -27,11 +27,15 @@
     deliver({ service, databaseId, fence }: PromotionOrder): void {
         const { address, holder, post } = this.options;
         const body = JSON.stringify({ service: fromWireName(service), id: fromWireName(databaseId) });
+        const sentAtMs = performance.now();
         let answered = false;
         const complete = (result: OrderResult): void => {
             if (!answered) {
                 answered = true;
-                post({ kind: PromotionKind.Ordered, service, databaseId, fence, result } as PromotionOrdered);
+                const elapsedMs = performance.now() - sentAtMs;
+                post(
+                    { kind: PromotionKind.Ordered, service, databaseId, fence, result, elapsedMs } as PromotionOrdered,
+                );
             }
         };
         const call = request(`http://${address}/promotion`, {
--- a/src/telemetry/__tests__/effectLog.spec.ts
+++ b/src/telemetry/__tests__/effectLog.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { Message } from "../../pipeline/message.ts";
 import { EffectLog } from "../effectLog.ts";
+import { EventLog } from "../eventLog.ts";
 import type { LogFields, Logger } from "../logger.ts";
 
 describe("the log of effects", () => {
@@ -22,4 +23,30 @@
             "order {\"atMs\":2100,\"id\":4}",
         ]);
     });
+
+    it("keeps warnings of its own among 1,000 other lines in the same second", () => {
+        // Guards against a record of warnings that does not tell why a database was chosen.
+        const warnings: string[] = [];
+        const logger = {
+            info: () => undefined,
+            warn: (event: string) => warnings.push(event),
+        } as unknown as Logger;
+        const fields = (): LogFields => ({});
+        const loads = new EventLog({ logger, formatters: new Map([["load", fields]]) });
+        const decisions = {
+            logger,
+            formatters: new Map([["decision", fields], ["answer", fields]]),
+            level: "warn",
+        } as const;
+        const effects = new EffectLog({ ...decisions, accepts: ["decision"] });
+        const events = new EventLog(decisions);
+        for (let index = 0; index < 1_000; index++) {
+            [loads, events].forEach(log => log.onEvent({ kind: "load" }, 1_000 + index / 2));
+            if (index % 100 === 99) {
+                effects.deliver({ kind: "decision" }, 1_000 + index / 2);
+                events.onEvent({ kind: "answer" }, 1_000 + index / 2);
+            }
+        }
+        assert.deepEqual(warnings, Array.from({ length: 10 }, () => ["decision", "answer"]).flat());
+    });
 });
--- a/src/telemetry/eventLog.ts
+++ b/src/telemetry/eventLog.ts
@@ -14,6 +14,8 @@
     /** Formatters by message kind; other kinds are not logged. */
     readonly formatters: ReadonlyMap<string, LineFormatter>;
     readonly linesPerSecond?: number;
+    /** Level of the lines; `info` by default. */
+    readonly level?: "info" | "warn";
 }
 
 export class EventLog implements LoopObserver {
@@ -37,7 +39,7 @@
     private write(message: Message, nowMs: number): void {
         const fields = this.options.formatters.get(message.kind)?.(message);
         if (fields !== undefined && this.tryConsumeLineBudget(nowMs)) {
-            this.options.logger.info(message.kind, { atMs: Math.round(nowMs), ...fields });
+            this.options.logger[this.options.level ?? "info"](message.kind, { atMs: Math.round(nowMs), ...fields });
         }
     }
 
--- a/src/wiring/__tests__/eventLogFormatters.spec.ts
+++ b/src/wiring/__tests__/eventLogFormatters.spec.ts
@@ -8,6 +8,7 @@
 import { SchedulingKind } from "../../model/schedulingMessages.ts";
 import { SessionKind, StopPhase } from "../../model/sessionMessages.ts";
 import { StorageKind } from "../../model/storageMessages.ts";
+import { decisionLogFormatters } from "../decisionLogFormatters.ts";
 import {
     linkLogFormatters,
     loggedEffects,
@@ -128,7 +129,13 @@
             StorageKind.Suspended,
             StorageKind.Resumed,
         ];
-        const formatters = [requestLogFormatters, stateLogFormatters, linkLogFormatters, stopLogFormatters];
+        const formatters = [
+            requestLogFormatters,
+            stateLogFormatters,
+            linkLogFormatters,
+            stopLogFormatters,
+            decisionLogFormatters,
+        ];
         const silent = formatters.flatMap(byKind => [...byKind.keys()]).filter(kind =>
             !pipes.some(pipe => pipe.accepts.has(kind)) && !postedByAdapters.includes(kind)
             && !loggedEffects.includes(kind)
--- a/src/wiring/eventLogFormatters.ts
+++ b/src/wiring/eventLogFormatters.ts
@@ -38,12 +38,7 @@
     type LinkSend,
 } from "../model/linkMessages.ts";
 import { type PeerFrameRefused, PeerKind, type PeerLoadIgnored } from "../model/peerMessages.ts";
-import {
-    PromotionKind,
-    type PromotionOrder,
-    type PromotionOrdered,
-    type PromotionProgressed,
-} from "../model/promotionMessages.ts";
+import { PromotionKind, type PromotionProgressed } from "../model/promotionMessages.ts";
 import { type PaceChanged, SchedulingKind, type SchedulingRefused } from "../model/schedulingMessages.ts";
 import {
     type SessionAnswer,
@@ -54,21 +49,14 @@
     type SessionStopProgressed,
 } from "../model/sessionMessages.ts";
 import { StorageKind, type StorageResumed, type StorageSuspended } from "../model/storageMessages.ts";
-import type { Message } from "../pipeline/message.ts";
 import { type TaskAttempted, type TaskEnded, TaskKind } from "../session/taskMessages.ts";
 import type { LineFormatter } from "../telemetry/eventLog.ts";
 import type { LogFields } from "../telemetry/logger.ts";
+import { logLine as line } from "./logLine.ts";
 
 /** Longest name in a line; an operator may send one of any length. */
 const maximumNameLength = 128;
 
-function line<Kind extends Message>(kind: Kind["kind"], write: (message: Kind) => LogFields | undefined): readonly [
-    string,
-    LineFormatter,
-] {
-    return [kind, write as LineFormatter];
-}
-
 /**
  * Formatters by message kind for what happens to single requests, which the load can multiply. No line contains a key of a
  * caller, a value or the text of a statement.
@@ -226,12 +214,6 @@
     line<ControlMembersAgreed>(ControlKind.MembersAgreed, ({ addresses }) => ({ members: addresses.join(",") })),
     line<StorageSuspended>(StorageKind.Suspended, ({ reason }) => ({ reason })),
     line<StorageResumed>(StorageKind.Resumed, () => ({})),
-    line<PromotionOrder>(PromotionKind.Order, ({ service, databaseId, fence }) => ({
-        service,
-        database: databaseId,
-        fence,
-    })),
-    line<PromotionOrdered>(PromotionKind.Ordered, ({ service, fence, result }) => ({ service, fence, result })),
     line<PromotionProgressed>(PromotionKind.Progressed, progress => ({
         service: progress.service,
         phase: progress.phase,
@@ -262,6 +244,8 @@
     FleetKind.MembersKnown,
     FleetKind.DiscoveryProgressed,
     PromotionKind.Progressed,
+    PromotionKind.Decided,
+    PromotionKind.DatabaseDropped,
     PromotionKind.Order,
     EvacuationKind.Answered,
     SchedulingKind.PaceChanged,
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -36,6 +36,7 @@
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { PolicyIncompleteLog } from "../telemetry/policyIncompleteLog.ts";
 import { afterPendingInput } from "./afterPendingInput.ts";
+import { decisionLog } from "./decisionLogFormatters.ts";
 import {
     linkLogFormatters,
     loggedEffects,
@@ -136,6 +137,7 @@
         { formatters: stateLogFormatters },
         { formatters: linkLogFormatters, linesPerSecond: linkLinesPerSecond },
         { formatters: stopLogFormatters },
+        decisionLog,
     ].map(options =>
         new EffectLog({ logger, accepts: loggedEffects.filter(kind => options.formatters.has(kind)), ...options })
     );
@@ -148,6 +150,7 @@
             observers: [
                 new EventLog({ logger, formatters: requestLogFormatters }),
                 new EventLog({ logger, formatters: stateLogFormatters, linesPerSecond: stateLinesPerSecond }),
+                new EventLog({ logger, ...decisionLog }),
                 loadLog,
             ],
         }),
