feat(telemetry): promotions and calls to the platform are counted

Cause: processes on the users' platform sent no metrics; how often a rule decides or a call stays without an answer could only be counted from lines.

Change: `PromotionCounters` counts `promotion.begun`, `promotion.chosen`, `promotion.completed` and `promotion.given_up` by rule, `promotion.order`, and `promotion.ordered` by result, through the counters that entry instances use. The flag `--statsd` of the platform's processes names the agent; without it the totals are kept and nothing is sent.

--- a/src/cli/platformMain.ts
+++ b/src/cli/platformMain.ts
@@ -24,7 +24,7 @@
         console.error(`set ${settingsVariable} to the path of the settings file`);
         return ExitCode.Usage;
     }
-    const { pace } = readSettings(platformSettingsTable, process.argv.slice(2), process.env);
+    const { pace, statsd } = readSettings(platformSettingsTable, process.argv.slice(2), process.env);
     using signals = new StartupSignals();
     using watcher = new SettingsWatcher(path);
     const settings = await readCompleteSettings(path);
@@ -32,6 +32,7 @@
         settings,
         clusterSecret: readSecretFile("cluster-secret-file", join(import.meta.dirname, secretFileName)),
         pace,
+        statsd,
         seed: randomBytes(4).readUInt32BE() >>> 1,
     });
     const reload = (): void => platformProcess.reload(() => readPlatformSettings(path));
--- a/src/wiring/platformProcess.ts
+++ b/src/wiring/platformProcess.ts
@@ -30,11 +30,13 @@
 import { TaskStreams } from "../rpc/taskStreams.ts";
 import { DatabaseListFile } from "../storage/databaseListFile.ts";
 import { MemberStorage } from "../storage/memberStorage.ts";
+import { StatsdCounters, type StatsdCountersOptions } from "../telemetry/counters.ts";
 import { EffectLog } from "../telemetry/effectLog.ts";
 import { EventLog } from "../telemetry/eventLog.ts";
 import { LoadLog } from "../telemetry/loadLog.ts";
 import { createLogger, type Logger } from "../telemetry/logger.ts";
 import { PolicyIncompleteLog } from "../telemetry/policyIncompleteLog.ts";
+import { PromotionCounters } from "../telemetry/promotionCounters.ts";
 import { afterPendingInput } from "./afterPendingInput.ts";
 import { decisionLog } from "./decisionLogFormatters.ts";
 import {
@@ -90,6 +92,8 @@
     readonly seed: number;
     /** Off by default. */
     readonly pace?: Pace;
+    /** Address of the metrics agent; none by default. */
+    readonly statsd?: StatsdCountersOptions["agent"];
 }
 
 interface ProcessContext extends PlatformInputs {
@@ -114,6 +118,7 @@
     const clientFactory = new PeerClientFactory({ authentication });
     const logger = createLogger({ format: "json", level: "info", instanceId: settings.instanceId });
     const loadLog = stack.use(new LoadLog(logger));
+    const counters = stack.use(new StatsdCounters({ agent: inputs.statsd, instanceId: settings.instanceId }));
     const clock = new SuspendAwareClock();
     const stopDeadline = new StopDeadline(clock);
     const post = (message: Message): void => loop.post(message);
@@ -151,6 +156,7 @@
                 new EventLog({ logger, formatters: requestLogFormatters }),
                 new EventLog({ logger, formatters: stateLogFormatters, linesPerSecond: stateLinesPerSecond }),
                 new EventLog({ logger, ...decisionLog }),
+                new PromotionCounters(counters),
                 loadLog,
             ],
         }),
