fix(fleet): a promotion ends with the database's own answer that it leads, not with a report

Callers saw: writes that had been acknowledged were missing after a change of primary. Cause: an order counted as executed if the last report of the chosen database said that it leads. A report tells no term and no time: a database that was replaced while it could not reach the control members is known by the report of its earlier lead until it reports again, and a report that was delayed may arrive at any time. The promotion was complete at the next tick, the replicas received again, the instances acknowledged commits of the old primary, and a second later the platform executed the order. Change: a promotion ends when the database answers on a link of the control leader that it leads the newest term. Reports after the order are no proof either, because one of the earlier lead may be delayed.

--- a/src/fleet/__tests__/promotionDecision.spec.ts
+++ b/src/fleet/__tests__/promotionDecision.spec.ts
@@ -52,7 +52,7 @@
             ),
         );
         assert.deepEqual([leases, dropped], [[], []]);
-        assert.notEqual(world.decisions.at(-1)!.evidence, undefined);
+        assert.equal(world.decisions.at(-1)!.stage, DecisionStage.Completed);
     });
 
     it("tell that the instances' answers allowed the choice while two databases are gone", () => {
--- a/src/fleet/promotionDecision.ts
+++ b/src/fleet/promotionDecision.ts
@@ -6,7 +6,6 @@
     type DroppedDatabase,
     DropReason,
     type InstanceEvidence,
-    type LeadEvidence,
     type LeaseEvidence,
     type PromotionDecided,
     PromotionRule,
@@ -73,10 +72,10 @@
         return this.choose(databaseId, PromotionRule.OrderInvalidation, noFencing, nowMs);
     }
 
-    complete(databaseId: string, evidence: LeadEvidence, fencing: FencingEvidence, nowMs: number): PromotionDecided {
+    complete(databaseId: string, fencing: FencingEvidence, nowMs: number): PromotionDecided {
         this.open = false;
         this.chosenDatabaseId = databaseId;
-        return { ...this.message(DecisionStage.Completed, this.basis(fencing, nowMs)), evidence };
+        return this.message(DecisionStage.Completed, this.basis(fencing, nowMs));
     }
 
     /** To be called whenever a fencing ends; tells nothing if the promotion is complete. */
@@ -98,7 +97,6 @@
             stage,
             databaseId: chosenDatabaseId,
             rule,
-            evidence: undefined,
             formerPrimaryId,
             ...basis,
             dropped: this.dropped(),
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -15,7 +15,7 @@
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
 import type { RecordedDatabase } from "../model/promotion.ts";
-import { LeadEvidence, type PromotionDecided, PromotionRule } from "../model/promotionDecision.ts";
+import { type PromotionDecided, PromotionRule } from "../model/promotionDecision.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -575,9 +575,6 @@
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
         }
-        if (this.reportsLead()) {
-            return [...messages, ...this.complete(this.chosenDatabaseId, nowMs)];
-        }
         if (!this.databases.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
             // The process that was ordered to lead is gone, and the platform refuses orders for it.
             this.substituteId = undefined;
@@ -609,11 +606,6 @@
         return databaseId === this.options.record().databaseId || databaseId === this.formerPrimaryId;
     }
 
-    private reportsLead(): boolean {
-        return this.chosenDatabaseId !== this.replacedDatabaseId
-            && this.options.fleet.databases.get(this.chosenDatabaseId)?.report.leads === true;
-    }
-
     private order(nowMs: number): readonly Message[] {
         const spacedMs = this.refusedOrders < maximumPromptRefusals ? 0 : orderRetryMs;
         if (nowMs < this.lastOrderAtMs + spacedMs) {
@@ -636,10 +628,7 @@
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
         this.substituteId = undefined;
-        const leads = this.fencing!.decidingRule === PromotionRule.AlreadyLeads
-            || this.fencing!.decidingRule === PromotionRule.PrimaryKeepsLead;
-        const evidence = leads ? LeadEvidence.Status : LeadEvidence.Report;
-        const decided = this.decisions.complete(databaseId, evidence, this.fencing!.evidence(), nowMs);
+        const decided = this.decisions.complete(databaseId, this.fencing!.evidence(), nowMs);
         const released = this.fencing?.release(nowMs) ?? [];
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
--- a/src/model/promotionDecision.ts
+++ b/src/model/promotionDecision.ts
@@ -7,7 +7,7 @@
     /** A fence was reserved, and the fencing of the databases begins. */
     Begun: "begun",
     Chosen: "chosen",
-    /** The database was seen to lead. */
+    /** The database has answered that it leads. */
     Completed: "completed",
     /** Ended without a database that was seen to lead; another promotion may follow. */
     GivenUp: "given_up",
@@ -39,14 +39,6 @@
 } as const;
 export type PromotionRule = typeof PromotionRule[keyof typeof PromotionRule];
 
-/** What showed that a database leads. */
-export const LeadEvidence = {
-    /** Its answer to the control leader. */
-    Status: "status",
-    Report: "report",
-} as const;
-export type LeadEvidence = typeof LeadEvidence[keyof typeof LeadEvidence];
-
 export const DatabaseEvidenceState = {
     /** Neither confirms nor acknowledges commits. */
     Stopped: "stopped",
@@ -120,8 +112,6 @@
     readonly databaseId: string;
     /** Rule of the last choice; undefined before it. */
     readonly rule: PromotionRule | undefined;
-    /** Undefined unless the promotion is complete. */
-    readonly evidence: LeadEvidence | undefined;
     /** Undefined if unknown. */
     readonly formerPrimaryId: string | undefined;
     readonly databases: readonly DatabaseEvidence[];
--- a/src/wiring/__tests__/decisionLogFormatters.spec.ts
+++ b/src/wiring/__tests__/decisionLogFormatters.spec.ts
@@ -22,7 +22,6 @@
     stage: DecisionStage.Chosen,
     databaseId: "a",
     rule: PromotionRule.InstanceAnswers,
-    evidence: undefined,
     formerPrimaryId: "p",
     databases: [
         {
@@ -64,7 +63,6 @@
             stage: "chosen",
             database: "a",
             rule: "instance_answers",
-            evidence: undefined,
             formerPrimary: "p",
             databases: "p:lost@- born=1 stopProofAgeMs=- reportAgeMs=- reportsLead=-, "
                 + "a:stopped+restarted@3.12 born=- stopProofAgeMs=40 reportAgeMs=900 reportsLead=false",
--- a/src/wiring/decisionLogFormatters.ts
+++ b/src/wiring/decisionLogFormatters.ts
@@ -20,7 +20,6 @@
         stage: decided.stage,
         database: decided.databaseId,
         rule: decided.rule,
-        evidence: decided.evidence,
         formerPrimary: decided.formerPrimaryId,
         databases: decided.databases.map(databaseText).join(", "),
         instances: [...decided.instances].sort(byWeight).map(instanceText).join(", "),
