fix(fleet): the recorded primary is the primary, whatever another database reported earlier

Callers saw: changes of primary without need, in which the replica that had led before counted as the primary that had stepped down. Cause: the primary was the database whose last report claims the lead, if the recorded one has not reported its lead yet. A former primary that is cut off or gone goes on claiming it. Evidence: 'does not take the former primary for the present one ...' failed: a promotion began within 2 s of the one before. Change: once a promotion is recorded, its database or the successor at its address is the primary. No other one can lead without a recorded order.

--- a/src/fleet/serviceDatabases.ts
+++ b/src/fleet/serviceDatabases.ts
@@ -45,18 +45,19 @@
     }
 
     /**
-     * The database that claims to be the primary; of several, the last promoted one, or else the one that reported
-     * last.
+     * The recorded primary or its successor at its address; before the first promotion, the database that claims the lead.
+     * The claim of any other one is outdated, because no database leads without a recorded order.
      */
     primary(): string | undefined {
-        const { databaseId } = this.options.record();
         const { databases } = this.options.fleet;
-        const claimants = [...databases.values()].filter(({ report }) =>
-            report.service === this.options.service && report.leads
-        );
-        const named = claimants.find(({ report }) => report.databaseId === databaseId);
-        const newest = claimants.sort((left, right) => right.lastReportAtMs - left.lastReportAtMs)[0];
-        return (named ?? newest)?.report.databaseId ?? (databases.has(databaseId) ? databaseId : undefined);
+        const { databaseId, primaryAddress } = this.options.record();
+        if (databases.has(databaseId)) {
+            return databaseId;
+        }
+        const candidates = [...databases.values()].filter(({ report }) => report.service === this.options.service)
+            .filter(({ report }) => primaryAddress === "" ? report.leads : report.address === primaryAddress)
+            .sort((left, right) => right.lastReportAtMs - left.lastReportAtMs);
+        return candidates[0]?.report.databaseId;
     }
 
     /**
