test(fleet): changes of primary beside several control members and outdated knowledge

Cause: the model of a service had one control leader, which heard each report within 3 ms and started with an empty directory, so that it could show no choice by what was true before.

Change: three control members with a directory, a hub and promotions of their own; reports go to one of them, get lost, late or rare, and are passed on; members stand still, are cut off or end, and another one is elected, which goes by what it knows; databases are out of reach of some members; replicas lag; records reach instances late; proposals of a former leader are kept or not; two databases and the leader are lost at once; a primary goes on or comes back beside a planned change.

--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -40,13 +40,12 @@
     setDeadline,
 } from "../../pipeline/deadlineQueue.ts";
 import type { Message } from "../../pipeline/message.ts";
-import { Pipe } from "../../pipeline/pipe.ts";
 import { CommitGate } from "../../session/commitGate.ts";
 import { CommitTracker } from "../../session/commitTracker.ts";
-import { FleetDatabaseDirectory } from "../fleetDatabaseDirectory.ts";
 import { LeaseRequester } from "../leaseRequester.ts";
-import { Promotions } from "../promotions.ts";
 import { SimulatedDatabase } from "./simulatedDatabase.ts";
+import type { SimulatedInstance } from "./simulatedInstance.ts";
+import { SimulatedMember } from "./simulatedMember.ts";
 
 const service = "s";
 const latencyMs = 3;
@@ -55,32 +54,23 @@
 const reportIntervalMs = 1_200;
 const platformTimeoutMs = 1_000;
 const promoteMs = 600;
+
+/** Longest interval of a database whose reports fail. */
+const maximumReportIntervalMs = 8_000;
 const detachmentMs = 1_500;
 
 /** Time for which instances go on at a primary after its evacuation was ordered. */
 const evacuatedPrimaryMs = 2_000;
 
-interface SimulatedInstance {
-    readonly instanceId: string;
-    attachmentId: string | undefined;
-    commits: CommitTracker;
-    /** Position of the last answer of a primary. */
-    knownPosition: Position | undefined;
-    running: boolean;
-    /** Callers commit by way of this instance. */
-    writes: boolean;
-    /** Nothing passes between the instance and the control members. */
-    cutFromControl: boolean;
-    /** Database of the order that is under way, as the instance knows it; it commits nowhere else. */
-    orderedDatabaseId: string;
-    gate: CommitGate;
-    leases: LeaseRequester;
-}
-
 interface Timer extends Message {
     run(): void;
 }
 
+interface PublishedConfiguration {
+    readonly configuration: Configuration;
+    readonly logIndex: number;
+}
+
 export class PromotionWorld {
     nowMs = 0;
     readonly databases: SimulatedDatabase[] = [];
@@ -110,6 +100,12 @@
     platformRefuses = false;
     /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
     nextRepetitionDelayMs = (): number | undefined => undefined;
+    /** Delay of a report; undefined if it is lost. */
+    nextReportDelayMs = (): number | undefined => 0;
+    /** Whether an elected member has what the former leader proposed last. */
+    nextProposalIsKept = (): boolean => true;
+    /** The platform was called. */
+    orderSent: (databaseId: string) => void = () => undefined;
     /** Data centres whose evacuation is in force. */
     private evacuated: ReadonlySet<string> = new Set();
     /** Time from which instances send nothing to primaries there. */
@@ -118,18 +114,23 @@
     readonly silentDatabases = new Set<SimulatedDatabase>();
     private readonly events = new DeadlineQueue();
     private readonly acknowledged = new Set<number>();
-    private readonly links = new Map<string, SimulatedDatabase | undefined>();
     private readonly fences: number[] = [];
     private readonly suspectedAtMs = new Map<string, number>();
-    private deadlines = new DeadlineQueue();
-    private control: Pipe | undefined;
+    /** The control members that run. */
+    members: readonly SimulatedMember[] = [];
+    /** The one that was elected last; undefined while none is. */
+    leader: SimulatedMember | undefined;
+    private readonly memberCount: number;
     private controlGeneration = 0;
+    private controlTerm = 0;
+    /** Proposals of the leader that have not been applied. */
+    private readonly proposals = new Set<ControlPropose>();
     private state: ControlState = emptyControlState;
     private logIndex = 0;
     /** Commits that a promotion has dropped. */
     private readonly rolledBack = new Set<number>();
     /** Configuration that instances in contact with the control members have applied. */
-    private published: Configuration | undefined;
+    private published: PublishedConfiguration | undefined;
     /** Term that a database led last, also if its log is gone. */
     private newestLedTerm = 1;
     private nextEvent = 0;
@@ -137,7 +138,8 @@
     private nextAttachment = 0;
     private nextDatabase: number;
 
-    constructor(databaseCount = 3, instanceCount = 2) {
+    constructor(databaseCount = 3, instanceCount = 2, memberCount = 1) {
+        this.memberCount = memberCount;
         this.nextDatabase = databaseCount;
         for (let index = 0; index < databaseCount; index++) {
             const database = new SimulatedDatabase(`d${index}`, `host${index}:1`, 0);
@@ -146,9 +148,12 @@
             this.scheduleReports(database);
         }
         for (let index = 0; index < instanceCount; index++) {
-            const instance = { instanceId: `i${index}`, attachmentId: undefined, commits: new CommitTracker() };
             this.instances.push({
-                ...instance,
+                instanceId: `i${index}`,
+                commits: new CommitTracker(),
+                leaseTimer: 0,
+                feedDelayMs: 0,
+                appliedIndex: 0,
                 knownPosition: undefined,
                 running: true,
                 writes: true,
@@ -178,7 +183,7 @@
     }
 
     get hasControl(): boolean {
-        return this.control !== undefined;
+        return this.leader !== undefined;
     }
 
     database(index: number): SimulatedDatabase {
@@ -189,7 +194,8 @@
         const untilMs = this.nowMs + elapsedMs;
         for (;;) {
             const eventAtMs = this.events.earliestAtMs() ?? Infinity;
-            const deadlineAtMs = this.control === undefined ? Infinity : this.deadlines.earliestAtMs() ?? Infinity;
+            const member = this.nextDueMember();
+            const deadlineAtMs = member?.deadlines.earliestAtMs() ?? Infinity;
             const nextAtMs = Math.min(eventAtMs, deadlineAtMs);
             if (nextAtMs > untilMs) {
                 break;
@@ -199,7 +205,7 @@
                 (this.events.popDue(this.nowMs) as Timer).run();
             }
             else {
-                this.push(this.deadlines.popDue(this.nowMs)!);
+                this.push(member, member!.deadlines.popDue(this.nowMs)!);
             }
         }
         this.nowMs = untilMs;
@@ -209,7 +215,10 @@
     crash(database: SimulatedDatabase): void {
         database.running = false;
         database.leads = false;
-        [...this.links].filter(([, linked]) => linked === database).forEach(([linkId]) => this.loseLink(linkId));
+        this.members.forEach(member =>
+            [...member.links].filter(([, linked]) => linked === database)
+                .forEach(([linkId]) => this.loseLink(member, linkId))
+        );
     }
 
     /** Starts a database again at its address under another id, with its log; as the primary if none was promoted since. */
@@ -266,7 +275,9 @@
         if (!database.cutFromControl) {
             this.after(
                 latencyMs,
-                this.ofControl(() => this.push({ kind: FleetKind.DatabaseLeft, databaseId: database.id } as Message)),
+                this.ofControl(member =>
+                    this.push(member, { kind: FleetKind.DatabaseLeft, databaseId: database.id } as Message)
+                ),
             );
         }
     }
@@ -276,7 +287,11 @@
         this.databases.filter(database => database.address === address).forEach(database => {
             database.cutFromControl = false;
             database.cutFrom.clear();
-            this.report(database);
+            database.cutFromMembers.clear();
+            if (this.memberCount === 1) {
+                this.report(database);
+            }
+            this.releaseReports(database);
         });
         this.databases.forEach(database => this.catchUp(database));
     }
@@ -284,13 +299,13 @@
     /** Cuts an instance from the control members; they notice after a while that its stream has ended. */
     cutInstance(instance: SimulatedInstance): void {
         instance.cutFromControl = true;
-        const { attachmentId } = instance;
+        const attachments = this.members.map(member => [member, member.attachments.get(instance)] as const);
         this.after(detachmentMs, () => {
-            if (instance.cutFromControl && attachmentId !== undefined && instance.attachmentId === attachmentId) {
-                this.pushToLeases(instance, { kind: FleetKind.Detached, attachmentId } as Message);
-                instance.attachmentId = undefined;
-                this.push({ kind: FleetKind.Detached, attachmentId } as Message);
-            }
+            attachments.forEach(([member, attachmentId]) => {
+                if (instance.cutFromControl && attachmentId !== undefined) {
+                    this.detach(member, instance, attachmentId);
+                }
+            });
         });
     }
 
@@ -299,22 +314,17 @@
         if (this.published !== undefined) {
             this.publish(instance, this.published);
         }
-        if (instance.running && instance.attachmentId === undefined) {
-            this.after(100, this.ofControl(() => this.attach(instance)));
+        if (instance.running) {
+            this.attachLater(instance);
         }
     }
 
     stopControl(): void {
-        this.control = undefined;
+        this.members.forEach(member => this.stopMember(member));
+        this.members = [];
+        this.leader = undefined;
+        this.proposals.clear();
         this.controlGeneration++;
-        this.links.clear();
-        this.instances.forEach(instance => {
-            const { attachmentId } = instance;
-            if (attachmentId !== undefined) {
-                this.pushToLeases(instance, { kind: FleetKind.Detached, attachmentId } as Message);
-            }
-            instance.attachmentId = undefined;
-        });
     }
 
     /** What the disk of a control leader lists now. */
@@ -322,20 +332,104 @@
         return this.databases.map(database => database.report(service));
     }
 
-    /** Starts a control leader that knows the replicated state, and the databases that its disk lists. */
+    /** Starts control members that know the replicated state, and the databases that their disks list. */
     startControl(remembered: readonly DatabaseReport[] = []): void {
-        this.control = new Pipe("fleet", [new FleetDatabaseDirectory(), new Promotions({ reportIntervalMs })]);
-        this.deadlines = new DeadlineQueue();
-        this.applyPolicy();
-        this.applyConfiguration();
-        this.push({ kind: FleetKind.DatabasesRemembered, reports: remembered } as Message);
-        this.push({ kind: ControlKind.LeaderChanged, leading: true, term: this.controlGeneration } as Message);
-        this.instances.filter(({ running }) => running).forEach(instance =>
-            this.after(100, this.ofControl(() => this.attach(instance)))
-        );
+        const memberIds = Array.from({ length: this.memberCount }, (_, index) => `c${index}`);
+        memberIds.forEach(memberId => this.startMember(memberId, remembered));
+        this.lead(this.members[0]!);
+        this.publishLater();
         this.databases.forEach(database => this.after(50, () => this.report(database)));
     }
 
+    /** Starts a control member, which attaches to those that run. */
+    startMember(memberId: string, remembered: readonly DatabaseReport[] = []): SimulatedMember {
+        const member = new SimulatedMember(memberId, reportIntervalMs, this.memberCount > 1);
+        const others = this.members;
+        this.members = [...others, member];
+        this.push(member, this.policy());
+        this.pushConfiguration(member);
+        this.push(member, { kind: FleetKind.DatabasesRemembered, reports: remembered } as Message);
+        others.forEach(other => this.attachMembers(member, other));
+        this.instances.filter(({ running }) => running).forEach(instance => this.attachLater(instance, member));
+        return member;
+    }
+
+    /** Starts a control member again, unless all were started again meanwhile. */
+    restartMember(memberId: string, remembered: readonly DatabaseReport[]): void {
+        const isStarted = this.members.some(member => member.memberId === memberId);
+        if (this.members.length > 0 && !isStarted) {
+            this.announceLeader(this.startMember(memberId, remembered));
+        }
+    }
+
+    /** Ends the process of a control member. */
+    stopMember(member: SimulatedMember): void {
+        member.running = false;
+        member.links.clear();
+        [...member.attachments].forEach(([instance, attachmentId]) => this.detach(member, instance, attachmentId));
+        this.members = this.members.filter(other => other !== member);
+        this.members.forEach(other => this.pushDetached(other, attachmentOf(member)));
+        if (this.leader === member) {
+            this.leader = undefined;
+        }
+    }
+
+    /** A process that stood still goes on; its timers are due at once, and then it takes up what has arrived. */
+    wake(member: SimulatedMember): void {
+        const arrived = member.wake();
+        for (const { deadlines } = member; (deadlines.earliestAtMs() ?? Infinity) <= this.nowMs;) {
+            this.push(member, deadlines.popDue(this.nowMs)!);
+        }
+        arrived.forEach(action => member.arrive(action));
+    }
+
+    /** Ends the cut between a control member and the others, whose streams are opened again. */
+    rejoinMember(member: SimulatedMember): void {
+        member.cutFromMembers = false;
+        if (!member.running) {
+            return;
+        }
+        if (member !== this.leader) {
+            member.arrive(() => this.pushConfiguration(member));
+            member.arrive(() => this.announceLeader(member));
+        }
+        this.members.filter(other => other !== member && !other.cutFromMembers).forEach(other => {
+            this.pushDetached(member, attachmentOf(other));
+            this.pushDetached(other, attachmentOf(member));
+            this.attachMembers(member, other);
+        });
+    }
+
+    /**
+     * Another member is elected.
+     * @param leadsOnMs time for which the former leader believes that it still leads
+     */
+    changeLeader(next: SimulatedMember, leadsOnMs = 0): void {
+        const { leader: former } = this;
+        this.leader = undefined;
+        if (former !== undefined) {
+            this.after(
+                leadsOnMs,
+                this.ofMember(former, () => {
+                    if (this.leader !== former) {
+                        this.announceLeader(former);
+                    }
+                }),
+            );
+        }
+        // The elected member commits what the former one has replicated, before it leads.
+        this.proposals.forEach(proposal => {
+            if (this.nextProposalIsKept()) {
+                this.applyProposal(proposal);
+            }
+        });
+        this.proposals.clear();
+        this.lead(next);
+        this.members.filter(member => member !== next && member !== former).forEach(member =>
+            this.after(latencyMs, this.ofMember(member, () => this.announceLeader(member)))
+        );
+    }
+
     /** An operator has ordered the evacuation of these data centres, and of no others. */
     evacuate(...dataCentres: readonly string[]): void {
         this.evacuated = new Set(dataCentres);
@@ -343,16 +437,18 @@
             .forEach(name => this.refusedFromMs.delete(name));
         dataCentres.filter(name => !this.refusedFromMs.has(name))
             .forEach(name => this.refusedFromMs.set(name, this.nowMs + evacuatedPrimaryMs));
-        this.applyPolicy();
+        this.members.forEach(member => this.tell(member, this.policy()));
     }
 
     killInstance(instance: SimulatedInstance): void {
         instance.running = false;
-        const { attachmentId } = instance;
-        instance.attachmentId = undefined;
-        if (attachmentId !== undefined) {
-            this.push({ kind: FleetKind.Detached, attachmentId } as Message);
-        }
+        this.members.forEach(member => {
+            const attachmentId = member.attachments.get(instance);
+            if (attachmentId !== undefined) {
+                member.attachments.delete(instance);
+                this.pushDetached(member, attachmentId);
+            }
+        });
     }
 
     /** Starts an instance again; its new process knows no commit of the earlier one. */
@@ -361,85 +457,185 @@
         instance.commits = new CommitTracker();
         instance.gate = new CommitGate();
         instance.leases = new LeaseRequester();
-        this.after(100, this.ofControl(() => this.attach(instance)));
+        this.attachLater(instance);
     }
 
     report(database: SimulatedDatabase): void {
+        if (this.memberCount > 1) {
+            this.reportToMember(database);
+            return;
+        }
         const isSilent = this.silentDatabases.has(database);
         if (database.running && !database.dark && !database.cutFromControl && !isSilent) {
             this.after(
                 latencyMs,
-                this.ofControl(() =>
-                    this.push({ kind: FleetKind.DatabaseReported, report: database.report(service) } as Message)
+                this.ofControl(member =>
+                    this.push(member, { kind: FleetKind.DatabaseReported, report: database.report(service) } as Message)
                 ),
             );
         }
     }
 
-    private applyPolicy(): void {
+    /** @returns whether a control member has taken the report up */
+    private reportToMember(database: SimulatedDatabase): boolean {
+        if (!database.running || database.dark || this.silentDatabases.has(database)) {
+            return false;
+        }
+        const report = database.report(service);
+        const contact = this.members[database.contact % Math.max(1, this.members.length)];
+        const isCut = contact === undefined || database.isCutFromMember(contact.memberId);
+        const delayMs = this.nextReportDelayMs();
+        if (isCut || delayMs === undefined) {
+            // The next attempt goes to another member, and a cut may delay the report.
+            database.contact++;
+            database.heldReports.push(...isCut && delayMs !== undefined ? [report] : []);
+            return false;
+        }
+        this.deliverReport(contact, report, delayMs);
+        database.contact += contact.standsStill ? 1 : 0;
+        return !contact.standsStill;
+    }
+
+    private deliverReport(member: SimulatedMember, report: DatabaseReport, delayMs: number): void {
+        const message = { kind: FleetKind.DatabaseReported, report } as Message;
+        this.after(latencyMs + delayMs, this.ofMember(member, () => this.push(member, message)));
+    }
+
+    /** Reports that were delayed by a cut arrive after it. */
+    private releaseReports(database: SimulatedDatabase): void {
+        const { heldReports } = database;
+        database.heldReports = [];
+        heldReports.forEach(report => {
+            const contact = this.members[report.sequence % Math.max(1, this.members.length)];
+            if (contact !== undefined) {
+                this.deliverReport(contact, report, 0);
+            }
+        });
+    }
+
+    private policy(): Message {
         const policy = {
             ...emptyTrafficPolicy,
             services: new Map([[service, { name: service, connectionLimit: 50, synchronousReplicas: 1 }]]),
         };
-        this.push(
-            {
-                kind: FleetKind.PolicyApplied,
-                policy,
-                confirmed: true,
-                promoted: new Map(),
-                ordered: new Map(),
-                completedFences: new Map(),
-                evacuated: this.evacuated,
-            } as Message,
+        return {
+            kind: FleetKind.PolicyApplied,
+            policy,
+            confirmed: true,
+            promoted: new Map(),
+            ordered: new Map(),
+            completedFences: new Map(),
+            evacuated: this.evacuated,
+        } as Message;
+    }
+
+    /** The member leads, and knows all that is committed. */
+    private lead(member: SimulatedMember): void {
+        this.leader = member;
+        this.controlTerm++;
+        this.pushConfiguration(member);
+        this.announceLeader(member);
+    }
+
+    /** A member learns who leads, and tells the instances that are attached to it. */
+    private announceLeader(member: SimulatedMember): void {
+        const leading = member === this.leader;
+        member.leads = leading;
+        const leaderId = this.leader?.memberId;
+        const term = this.controlTerm;
+        this.push(member, { kind: ControlKind.LeaderChanged, leading, term, leaderId } as Message);
+        member.attachments.forEach(attachmentId => this.sendStatus(member, attachmentId));
+    }
+
+    /** Two members attach to each other. */
+    private attachMembers(left: SimulatedMember, right: SimulatedMember): void {
+        [[left, right] as const, [right, left] as const].forEach(([member, other]) => {
+            const attachmentId = attachmentOf(other);
+            const hello = { kind: "hello", instanceId: other.memberId, serves: false, leaving: false };
+            this.tell(member, { kind: FleetKind.Attached, attachmentId, address: undefined } as Message);
+            this.tell(member, { kind: FleetKind.FrameReceived, attachmentId, frame: hello } as Message);
+        });
+    }
+
+    private attachLater(instance: SimulatedInstance, only?: SimulatedMember): void {
+        const generation = this.controlGeneration;
+        this.after(
+            100,
+            () =>
+                this.members.filter(member =>
+                    generation === this.controlGeneration && (only === undefined || member === only)
+                ).forEach(member => member.arrive(() => this.attach(member, instance))),
         );
     }
 
-    private attach(instance: SimulatedInstance): void {
-        if (this.control === undefined || instance.cutFromControl || instance.attachmentId !== undefined) {
+    private attach(member: SimulatedMember, instance: SimulatedInstance): void {
+        const isGone = this.memberCount > 1 && !instance.running;
+        if (isGone || instance.cutFromControl || member.attachments.has(instance)) {
             return;
         }
         instance.commits.startOnce(this.nowMs);
-        instance.attachmentId = `f${this.nextAttachment++}`;
-        const { instanceId, attachmentId } = instance;
+        const attachmentId = `f${this.nextAttachment++}`;
+        member.attachments.set(instance, attachmentId);
+        const { instanceId } = instance;
         const hello = { kind: "hello", instanceId, serves: true, leaving: false, dataCentre: "d", address: "" };
-        this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: hello } as Message);
+        this.push(member, { kind: FleetKind.Attached, attachmentId, address: undefined } as Message);
+        this.push(member, { kind: FleetKind.FrameReceived, attachmentId, frame: hello } as Message);
+        this.sendStatus(member, attachmentId);
+    }
+
+    private sendStatus(member: SimulatedMember, attachmentId: string): void {
         const status: FleetFrame = {
             kind: "status",
-            instanceId: "m",
-            leading: true,
-            term: this.controlGeneration,
+            instanceId: member.memberId,
+            leading: member.leads,
+            term: this.controlTerm,
             members: [],
             configurationVersion: 0,
             instanceCount: 0,
             grantsLeases: true,
         };
-        this.answerFrame({ kind: FleetKind.SendFrame, attachmentId, frame: status });
+        this.answerFrame(member, { kind: FleetKind.SendFrame, attachmentId, frame: status });
+    }
+
+    /** The stream between an instance and a member ends at both ends. */
+    private detach(member: SimulatedMember, instance: SimulatedInstance, attachmentId: string): void {
+        if (member.attachments.get(instance) === attachmentId) {
+            this.pushToLeases(instance, { kind: FleetKind.Detached, attachmentId } as Message);
+            member.attachments.delete(instance);
+            this.pushDetached(member, attachmentId);
+        }
+    }
+
+    private pushDetached(member: SimulatedMember, attachmentId: string): void {
+        this.tell(member, { kind: FleetKind.Detached, attachmentId } as Message);
+    }
+
+    /** A message arrives at a member. */
+    private tell(member: SimulatedMember, message: Message): void {
+        member.arrive(() => this.push(member, message));
     }
 
     /** Passes a message to the filter of an instance that asks for leases. */
     private pushToLeases(instance: SimulatedInstance, message: Message): void {
-        const { leases, attachmentId } = instance;
+        const { leases } = instance;
         const outputs = leases.process(message as Parameters<LeaseRequester["process"]>[0], this.nowMs);
         outputs.filter(output => output !== message).forEach(output => {
             if (output.kind === FleetKind.LeaseChanged) {
                 instance.gate.applyLease(output as LeaseChanged);
             }
             else if (output.kind === FleetKind.SendFrame) {
-                const { frame } = output as SendFrame;
-                this.after(
-                    latencyMs,
-                    this.ofControl(() => {
-                        if (!instance.cutFromControl && instance.attachmentId === attachmentId) {
-                            this.push({ kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
-                        }
-                    }),
-                );
+                const { attachmentId, frame } = output as SendFrame;
+                const member = this.members.find(({ attachments }) => attachments.get(instance) === attachmentId);
+                if (member !== undefined) {
+                    this.after(latencyMs, () => this.sendToMember(member, instance, attachmentId, frame));
+                }
             }
             else if (output.kind === DeadlineKind.Set) {
                 const { atMs, message: timer } = output as SetDeadline;
+                const timerNumber = ++instance.leaseTimer;
                 this.after(atMs - this.nowMs, () => {
                     // Another timer or another process takes the place of one that was set again.
-                    if (instance.leases === leases && instance.attachmentId === attachmentId) {
+                    if (instance.leases === leases && instance.leaseTimer === timerNumber) {
                         this.pushToLeases(instance, timer);
                     }
                 });
@@ -447,6 +643,18 @@
         });
     }
 
+    private sendToMember(
+        member: SimulatedMember,
+        instance: SimulatedInstance,
+        attachmentId: string,
+        frame: FleetFrame,
+    ): void {
+        if (instance.cutFromControl || member.attachments.get(instance) !== attachmentId) {
+            return;
+        }
+        this.tell(member, { kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
+    }
+
     private writeAgain(): void {
         this.after(this.writeIntervalMs, () => {
             this.write();
@@ -496,7 +704,7 @@
         };
         primary.unconfirmed = [...primary.unconfirmed, { offset, confirm }];
         this.databases.filter(database => database !== primary).forEach(replica =>
-            this.after(latencyMs, () => this.replicate(primary, replica, offset))
+            this.after(latencyMs + replica.lagMs, () => this.replicate(primary, replica, offset))
         );
     }
 
@@ -527,42 +735,44 @@
             return;
         }
         this.suspectedAtMs.set(suspected.id, this.suspectedAtMs.get(suspected.id) ?? this.nowMs);
-        const attached = this.instances.filter(({ attachmentId, cutFromControl }) =>
-            attachmentId !== undefined && !cutFromControl
-        );
-        attached.forEach(({ attachmentId }) =>
-            this.push({
-                kind: FleetKind.FrameReceived,
-                attachmentId,
-                frame: { kind: "suspect", databaseId: suspected.id },
-            } as Message)
-        );
+        const { leader } = this;
+        if (leader === undefined) {
+            return;
+        }
+        const frame = { kind: "suspect", databaseId: suspected.id };
+        this.instances.filter(({ cutFromControl }) => !cutFromControl)
+            .flatMap(instance => leader.attachments.get(instance) ?? [])
+            .forEach(attachmentId =>
+                this.tell(leader, { kind: FleetKind.FrameReceived, attachmentId, frame } as Message)
+            );
     }
 
-    private push(message: Message): void {
-        const { control } = this;
-        const outputs = control?.process(message, this.nowMs) ?? [];
-        outputs.filter(output => output !== message).forEach(output => this.handle(output));
+    private push(member: SimulatedMember | undefined, message: Message): void {
+        if (member === undefined || !member.running) {
+            return;
+        }
+        const outputs = member.pipe.process(message, this.nowMs);
+        outputs.filter(output => output !== message).forEach(output => this.handle(member, output));
     }
 
-    private handle(message: Message): void {
+    private handle(member: SimulatedMember, message: Message): void {
         switch (message.kind) {
             case DeadlineKind.Set:
             case DeadlineKind.Clear:
-                return this.deadlines.apply(message as DeadlineMessage);
+                return member.deadlines.apply(message as DeadlineMessage);
             case ControlKind.Propose:
-                return this.propose(message as ControlPropose);
+                return this.propose(member, message as ControlPropose);
             case LinkKind.Open:
-                return this.openLink(message as LinkOpen);
+                return this.openLink(member, message as LinkOpen);
             case LinkKind.Send:
-                return this.sendCommands(message as LinkSend);
+                return this.sendCommands(member, message as LinkSend);
             case LinkKind.Close:
-                this.links.delete((message as LinkClose).linkId);
+                member.links.delete((message as LinkClose).linkId);
                 return;
             case FleetKind.SendFrame:
-                return this.answerFrame(message as SendFrame);
+                return this.answerFrame(member, message as SendFrame);
             case PromotionKind.Order:
-                return this.callPlatform(message as PromotionOrder);
+                return this.callPlatform(member, message as PromotionOrder);
             case PromotionKind.Progressed: {
                 this.progress = message as PromotionProgressed;
                 this.waits.add(this.progress.wait ?? "");
@@ -571,31 +781,67 @@
         }
     }
 
-    private propose({ proposalId, operationId, command }: ControlPropose): void {
+    private propose(member: SimulatedMember, proposal: ControlPropose): void {
+        if (member !== this.leader || member.cutFromMembers) {
+            // It has no result without the other members.
+            return;
+        }
+        this.proposals.add(proposal);
         this.after(
             proposalMs,
-            this.ofControl(() => {
-                const { state, result } = applyCommand(this.state, ++this.logIndex, operationId, command);
-                this.state = state;
-                this.applyConfiguration();
-                const { status, version } = result;
-                this.push({ kind: ControlKind.ProposalEnded, proposalId, status, version } as Message);
+            this.ofMember(member, () => {
+                if (!this.proposals.delete(proposal) || member !== this.leader) {
+                    return;
+                }
+                const { status, version } = this.applyProposal(proposal);
+                const { proposalId } = proposal;
+                this.push(member, { kind: ControlKind.ProposalEnded, proposalId, status, version } as Message);
             }),
         );
     }
 
-    private applyConfiguration(): void {
-        const { configuration } = this.state;
-        this.push({ kind: ClusterKind.ConfigurationApplied, configuration } as Message);
+    private applyProposal({ operationId, command }: ControlPropose): ReturnType<typeof applyCommand>["result"] {
+        const { state, result } = applyCommand(this.state, ++this.logIndex, operationId, command);
+        this.state = state;
+        this.members.filter(({ cutFromMembers }) => !cutFromMembers).forEach(member => {
+            if (member === this.leader) {
+                this.pushConfiguration(member);
+            }
+            else {
+                this.after(latencyMs, this.ofMember(member, () => this.pushConfiguration(member)));
+            }
+        });
+        this.publishLater();
+        return result;
+    }
+
+    private publishLater(): void {
+        const published = { configuration: this.state.configuration, logIndex: this.logIndex };
         this.after(publicationMs, () => {
-            this.published = configuration;
-            this.instances.filter(({ cutFromControl }) => !cutFromControl)
-                .forEach(instance => this.publish(instance, configuration));
+            this.published = published;
+            this.instances.forEach(instance => {
+                if (instance.feedDelayMs === 0) {
+                    this.publish(instance, published);
+                }
+                else {
+                    this.after(instance.feedDelayMs, () => this.publish(instance, published));
+                }
+            });
         });
     }
 
-    private publish(instance: SimulatedInstance, { promotions }: Configuration): void {
-        const promotion = promotions[0];
+    /** The member applies what is committed. */
+    private pushConfiguration(member: SimulatedMember): void {
+        const { configuration } = this.state;
+        this.push(member, { kind: ClusterKind.ConfigurationApplied, configuration } as Message);
+    }
+
+    private publish(instance: SimulatedInstance, { configuration, logIndex }: PublishedConfiguration): void {
+        if (instance.cutFromControl || logIndex < instance.appliedIndex) {
+            return;
+        }
+        instance.appliedIndex = logIndex;
+        const promotion = configuration.promotions[0];
         const orderedDatabaseId = promotion?.orderedDatabaseId ?? "";
         instance.orderedDatabaseId = orderedDatabaseId;
         instance.gate.applyPolicy({
@@ -604,42 +850,49 @@
         });
     }
 
-    private openLink({ linkId, address, databaseId }: LinkOpen): void {
-        this.links.set(linkId, undefined);
+    private openLink(member: SimulatedMember, { linkId, address, databaseId }: LinkOpen): void {
+        member.links.set(linkId, undefined);
         this.after(
             latencyMs,
-            this.ofControl(() => {
+            this.ofMember(member, () => {
                 const database = this.databases.find(candidate => candidate.address === address);
-                if (!this.links.has(linkId) || database?.dark === true || database?.cutFromControl === true) {
+                const isCut = database?.isCutFromMember(member.memberId) === true;
+                if (!member.links.has(linkId) || database?.dark === true || isCut) {
                     return;
                 }
                 if (database?.running !== true) {
-                    this.loseLink(linkId);
+                    this.loseLink(member, linkId);
                 }
                 else if (database.id !== databaseId) {
-                    this.loseLink(linkId, LinkLoss.Refused);
+                    this.loseLink(member, linkId, LinkLoss.Refused);
                 }
                 else {
-                    this.links.set(linkId, database);
-                    this.push({ kind: LinkKind.Opened, linkId, position: database.position } as Message);
+                    member.links.set(linkId, database);
+                    this.push(member, { kind: LinkKind.Opened, linkId, position: database.position } as Message);
                 }
             }),
         );
     }
 
-    private loseLink(linkId: string, loss: LinkLoss = LinkLoss.NoListener): void {
-        if (this.links.delete(linkId)) {
-            this.push({ kind: LinkKind.Lost, linkId, loss, fault: undefined } as Message);
+    private loseLink(member: SimulatedMember, linkId: string, loss: LinkLoss = LinkLoss.NoListener): void {
+        if (member.links.delete(linkId)) {
+            this.tell(member, { kind: LinkKind.Lost, linkId, loss, fault: undefined } as Message);
         }
     }
 
-    private sendCommands({ linkId, commands }: LinkSend): void {
-        const database = this.links.get(linkId);
-        this.after(latencyMs, () => commands.forEach(command => this.execute(database, linkId, command)));
+    private sendCommands(member: SimulatedMember, { linkId, commands }: LinkSend): void {
+        const database = member.links.get(linkId);
+        this.after(latencyMs, () => commands.forEach(command => this.execute(member, database, linkId, command)));
     }
 
-    private execute(database: SimulatedDatabase | undefined, linkId: string, command: LinkCommand): void {
-        if (database === undefined || !database.running || database.dark || database.cutFromControl) {
+    private execute(
+        member: SimulatedMember,
+        database: SimulatedDatabase | undefined,
+        linkId: string,
+        command: LinkCommand,
+    ): void {
+        const isCut = database?.isCutFromMember(member.memberId) === true;
+        if (database === undefined || !database.running || database.dark || isCut) {
             return;
         }
         const newestTerm = Math.max(...this.databases.map(({ term }) => term));
@@ -655,32 +908,49 @@
         [0, ...repeatedAfterMs === undefined ? [] : [repeatedAfterMs]].forEach(delayMs =>
             this.after(
                 latencyMs + delayMs,
-                this.ofControl(() => {
-                    if (this.links.get(linkId) === database && !database.cutFromControl) {
-                        this.push({ kind: LinkKind.Replied, linkId, reply: { fault: undefined, status } } as Message);
+                this.ofMember(member, () => {
+                    if (member.links.get(linkId) === database && !database.isCutFromMember(member.memberId)) {
+                        const reply = { fault: undefined, status };
+                        this.push(member, { kind: LinkKind.Replied, linkId, reply } as Message);
                     }
                 }),
             )
         );
     }
 
-    private answerFrame({ attachmentId, frame }: SendFrame): void {
-        const instance = this.instances.find(candidate => candidate.attachmentId === attachmentId);
+    private answerFrame(member: SimulatedMember, { attachmentId, frame }: SendFrame): void {
+        const other = this.members.find(candidate => attachmentOf(candidate) === attachmentId);
+        if (other !== undefined) {
+            this.sendBetweenMembers(member, other, frame);
+        }
+        const instance = [...member.attachments].find(([, attached]) => attached === attachmentId)?.[0];
+        // The hub's own status is sent when the member learns who leads.
         if (instance === undefined || instance.cutFromControl) {
             return;
         }
+        this.after(latencyMs, () => {
+            if (!member.running || member.attachments.get(instance) !== attachmentId) {
+                return;
+            }
+            this.pushToLeases(instance, { kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
+            const answer = this.answerOf(instance, frame);
+            if (answer !== undefined && member.attachments.get(instance) === attachmentId) {
+                this.tell(member, { kind: FleetKind.FrameReceived, attachmentId, frame: answer } as Message);
+            }
+        });
+    }
+
+    private sendBetweenMembers(member: SimulatedMember, other: SimulatedMember, frame: FleetFrame): void {
+        if (member.cutFromMembers || other.cutFromMembers) {
+            return;
+        }
+        const attachmentId = `to_${member.memberId}`;
         this.after(
             latencyMs,
-            this.ofControl(() => {
-                if (instance.attachmentId !== attachmentId) {
-                    return;
-                }
-                this.pushToLeases(instance, { kind: FleetKind.FrameReceived, attachmentId, frame } as Message);
-                const answer = this.answerOf(instance, frame);
-                if (answer !== undefined && instance.attachmentId === attachmentId) {
-                    this.push({ kind: FleetKind.FrameReceived, attachmentId, frame: answer } as Message);
-                }
-            }),
+            this.ofMember(
+                other,
+                () => this.push(other, { kind: FleetKind.FrameReceived, attachmentId, frame } as Message),
+            ),
         );
     }
 
@@ -709,10 +979,11 @@
         return { kind: "assessment", databaseId, answeredAgeMs: unansweredAgeMs ?? 10, unansweredAgeMs };
     }
 
-    private callPlatform({ databaseId, fence }: PromotionOrder): void {
+    private callPlatform(member: SimulatedMember, { databaseId, fence }: PromotionOrder): void {
         this.orders.push(`${databaseId}/${fence}`);
         const answer = (result: OrderResult): void =>
-            this.push({ kind: PromotionKind.Ordered, service, databaseId, fence, result } as Message);
+            this.push(member, { kind: PromotionKind.Ordered, service, databaseId, fence, result } as Message);
+        this.orderSent(databaseId);
         const platformDelayMs = this.nextPlatformDelayMs();
         this.after(platformDelayMs, () => {
             const chosen = this.databases.find(({ id, running }) => id === databaseId && running);
@@ -721,7 +992,7 @@
             if (platformDelayMs < platformTimeoutMs) {
                 this.after(
                     latencyMs,
-                    this.ofControl(() => answer(refused ? OrderResult.Refused : OrderResult.Accepted)),
+                    this.ofMember(member, () => answer(refused ? OrderResult.Refused : OrderResult.Accepted)),
                 );
             }
             if (!refused && !chosen.leads) {
@@ -735,7 +1006,7 @@
             }
         });
         if (platformDelayMs >= platformTimeoutMs) {
-            this.after(platformTimeoutMs, this.ofControl(() => answer(OrderResult.Unknown)));
+            this.after(platformTimeoutMs, this.ofMember(member, () => answer(OrderResult.Unknown)));
         }
     }
 
@@ -752,13 +1023,16 @@
             .forEach(({ number }) => this.rolledBack.add(number));
         dropped.forEach(number => this.rolledBack.add(number));
         const term = Math.max(...this.databases.map(database => database.term)) + 1;
+        const former = this.databases.filter(({ leads }) => leads);
         this.databases.forEach(database => database.follow(kept));
         Object.assign(chosen, { leads: true, term, ledTerm: term });
         this.newestLedTerm = term;
         this.promoted.push(databaseId);
         this.databases.forEach(database => {
             this.catchUp(database);
-            this.report(database);
+            if (this.memberCount === 1 || database === chosen || former.includes(database)) {
+                this.report(database);
+            }
         });
     }
 
@@ -767,7 +1041,7 @@
         if (source === undefined || source === database || source.isCutFrom(database)) {
             return;
         }
-        this.after(2 * latencyMs, () => {
+        this.after(2 * latencyMs + database.lagMs, () => {
             if (source.leads) {
                 this.replicate(source, database, source.log.length);
             }
@@ -778,20 +1052,48 @@
     }
 
     private scheduleReports(database: SimulatedDatabase): void {
+        if (this.memberCount > 1) {
+            this.after(1, () => this.reportAgain(database, reportIntervalMs));
+            return;
+        }
         this.every(reportIntervalMs, () => this.report(database));
         this.after(1, () => this.report(database));
     }
 
-    /** Runs an action unless the control leader was replaced meanwhile. */
-    private ofControl(action: () => void): () => void {
+    /** A database whose reports fail reports less and less often. */
+    private reportAgain(database: SimulatedDatabase, intervalMs: number): void {
+        if (!database.running) {
+            return;
+        }
+        const nextMs = this.reportToMember(database)
+            ? reportIntervalMs
+            : Math.min(maximumReportIntervalMs, 2 * intervalMs);
+        this.after(nextMs, () => this.reportAgain(database, nextMs));
+    }
+
+    /** The member whose timer is due first, of those that go on. */
+    private nextDueMember(): SimulatedMember | undefined {
+        const dueMs = ({ deadlines }: SimulatedMember): number => deadlines.earliestAtMs() ?? Infinity;
+        const going = this.members.filter(({ standsStill }) => !standsStill);
+        return going.length < 2 ? going[0] : going.sort((left, right) => dueMs(left) - dueMs(right))[0];
+    }
+
+    /** Runs an action of the control members unless they were replaced meanwhile. */
+    private ofControl(action: (leader: SimulatedMember) => void): () => void {
         const generation = this.controlGeneration;
         return () => {
-            if (generation === this.controlGeneration) {
-                action();
+            const { leader } = this;
+            if (generation === this.controlGeneration && leader !== undefined) {
+                leader.arrive(() => action(leader));
             }
         };
     }
 
+    /** Runs an action of a control member when its process goes on. */
+    private ofMember(member: SimulatedMember, action: () => void): () => void {
+        return () => member.arrive(action);
+    }
+
     private every(intervalMs: number, action: () => void): void {
         this.after(intervalMs, () => {
             action();
@@ -799,7 +1101,8 @@
         });
     }
 
-    private after(delayMs: number, action: () => void): void {
+    /** Runs an action after a delay. */
+    after(delayMs: number, action: () => void): void {
         const timer: Timer = { kind: "timer", run: action };
         this.events.apply(setDeadline(`e${this.nextEvent++}`, this.nowMs + delayMs, timer));
     }
@@ -808,5 +1111,12 @@
 /** A process that starts on the machine of another one is cut off as that one was. */
 function takeOverCuts(database: SimulatedDatabase, next: SimulatedDatabase): void {
     next.cutFromControl = database.cutFromControl;
+    next.heldReports = database.heldReports;
     database.cutFrom.forEach(address => next.cutFrom.add(address));
+    database.cutFromMembers.forEach(memberId => next.cutFromMembers.add(memberId));
+}
+
+/** Id of the stream that a control member has opened to another one. */
+function attachmentOf({ memberId }: SimulatedMember): string {
+    return `member_${memberId}`;
 }
--- a/src/fleet/__tests__/simulatedDatabase.ts
+++ b/src/fleet/__tests__/simulatedDatabase.ts
@@ -30,6 +30,14 @@
     cutFromControl = false;
     /** Machines with which no commits and confirmations are exchanged, by address. */
     readonly cutFrom = new Set<string>();
+    /** Control members that neither reports nor links of this database reach. */
+    readonly cutFromMembers = new Set<string>();
+    /** Number of the control member that the next report goes to. */
+    contact = 0;
+    /** Reports that a cut has delayed. */
+    heldReports: DatabaseReport[] = [];
+    /** Added to the time after which a replica receives a commit. */
+    lagMs = 0;
     draining = false;
     leads = false;
     term = 1;
@@ -86,6 +94,10 @@
         confirmed.forEach(commit => commit.confirm());
     }
 
+    isCutFromMember(memberId: string): boolean {
+        return this.cutFromControl || this.cutFromMembers.has(memberId);
+    }
+
     isCutFrom({ address, cutFrom }: SimulatedDatabase): boolean {
         return this.cutFrom.has(address) || cutFrom.has(this.address);
     }
