--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -108,6 +108,12 @@
         assert.deepEqual(changed, [false, true, false, false, true, false, true]);
     });
 
+    it("ignores a late report of a process that it never knew and that another one has replaced at its address", () => {
+        const directory = directoryWith("orders");
+        const late = { ...known, databaseId: "i-0", sequence: 9, bornUnixMs: known.bornUnixMs - 500 };
+        assert.deepEqual(report(directory, late), []);
+    });
+
     it("passes on no report that arrives late", () => {
         const directory = directoryWith("orders");
         assert.deepEqual(report(directory, { ...known, sequence: 3 }), []);
