fix(fleet): an order after a step down waits until instances acknowledge no other commits

Callers saw: writes that had been acknowledged were missing after a planned change of primary. Cause: after a step down the instances were not asked to stop, because the last position of the primary tells what was acknowledged. A primary that starts again before the platform executes the order leads and commits further, and an instance that does not know the order yet acknowledges that. Leases were granted to such instances meanwhile. Change: with the order, instances are asked to stop in a planned change, too. It is sent once each has answered or its lease has ended; until then it can be withdrawn. From the order on only those that have answered get a lease.

--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -90,10 +90,16 @@
         this.survey.record(attachmentId, frame, nowMs);
     }
 
-    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is chosen yet. */
+    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is ordered yet. */
     mayGrantLease(attachmentId: string): boolean {
-        return this.closedInstances.has(attachmentId) || this.finalPosition !== undefined
-            || this.expectedLeaderId() === "";
+        const mayBeOrdered = this.finalPosition === undefined && this.expectedLeaderId() !== "";
+        return this.closedInstances.has(attachmentId) || this.orderedDatabaseId === undefined && !mayBeOrdered;
+    }
+
+    /** Whether an instance that has not answered the question to stop may still acknowledge commits. */
+    hasOpenLeases(nowMs: number): boolean {
+        return this.options.synchronousReplicas > 0
+            && this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs);
     }
 
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
@@ -345,7 +351,7 @@
                 ? this.chooseBy(PromotionRule.AsynchronousReplication, best)
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs)) {
+        if (this.hasOpenLeases(nowMs)) {
             return this.waitFor(PromotionWait.AcknowledgementLeases);
         }
         if (this.logs.holdsConfirmedCommits(best, stopped)) {
@@ -433,9 +439,13 @@
         }
     }
 
-    /** Unless the primary steps down first, whose last position tells what was acknowledged. */
+    /**
+     * Unless the primary steps down first, whose last position tells what was acknowledged. Once a database is ordered, a
+     * primary that starts again may acknowledge commits beyond that.
+     */
     private closeInstances(nowMs: number): readonly Message[] {
-        const stepsDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
+        const stepsDown = this.orderedDatabaseId === undefined
+            && (this.awaitsStepDown(nowMs) || this.finalPosition !== undefined);
         return this.options.synchronousReplicas === 0 || stepsDown ? [] : this.survey.close(nowMs);
     }
 
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -22,7 +22,7 @@
     type PromotionOrder,
     type PromotionOrdered,
     type PromotionProgressed,
-    type PromotionWait,
+    PromotionWait,
 } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
@@ -40,6 +40,8 @@
     Fencing: "fencing",
     /** The order is being recorded, so that a new leader knows of it. */
     Recording: "recording",
+    /** The order is recorded, and sent once no instance acknowledges commits of another database any more. */
+    Closing: "closing",
     /** The order was sent, and no database has been seen to lead since. */
     Ordering: "ordering",
     Completing: "completing",
@@ -191,6 +193,8 @@
                 return this.concludeAssessment(nowMs);
             case Phase.Fencing:
                 return this.continueFencing(nowMs);
+            case Phase.Closing:
+                return this.continueClosing(nowMs);
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             case Phase.Settling:
@@ -257,13 +261,9 @@
             return [...this.closeFencing(nowMs), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
-            if (this.substituteId === undefined && !this.fencing!.mayLead(this.chosenDatabaseId)) {
-                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was
-                // sent, the choice goes on, with the same fence and all that is known.
-                this.fencing!.withdrawOrder();
-                return [...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
-            }
-            return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+            return this.substituteId === undefined
+                ? [...this.enter(Phase.Closing, nowMs), ...this.continueClosing(nowMs)]
+                : [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
         this.fence = version;
         if (this.invalidatesOrders) {
@@ -517,6 +517,8 @@
         switch (this.phase) {
             case Phase.Fencing:
                 return this.continueFencing(nowMs);
+            case Phase.Closing:
+                return this.continueClosing(nowMs);
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             default:
@@ -563,6 +565,22 @@
         return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
 
+    private continueClosing(nowMs: number): readonly Message[] {
+        const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
+        if (alreadyLeads) {
+            return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
+        }
+        if (!this.fencing!.mayLead(this.chosenDatabaseId)) {
+            // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent,
+            // the choice goes on, with the same fence and all that is known.
+            this.fencing!.withdrawOrder();
+            return [...messages, ...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
+        }
+        return this.fencing!.hasOpenLeases(nowMs)
+            ? [...messages, ...this.reportWait(PromotionWait.AcknowledgementLeases, nowMs)]
+            : [...messages, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+    }
+
     /**
      * Waits until a database leads. The same order is repeated while that isn't seen: another database must not be
      * ordered to lead while this order may still be executed.
