fix(fleet): a late report of a process that another one has replaced adds no database

Operators saw: nothing but a promotion that waits without end, since a database that is gone counts as missing for good. Cause: only processes that a member had known and removed were refused. A report that a cut delayed reached a member that had never heard of the process, after its successor at the address had registered, and the process joined the electorate of its service. Evidence: 'ignores a late report of a process that it never knew ...' and 'replaces a dark primary beside a late report of a process that has ended' failed; the latter's two processes start at different times now, as two processes at one address do. Change: a report of an unknown process is ignored while a process that started later reports the address. After 10 s of silence of that one it is accepted, as a clock may have stepped back.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -36,17 +36,18 @@
             ordered: new Map(),
             completedFences: new Map(),
         } as PolicyApplied,
+        0,
     );
     report(directory, known);
     return directory;
 }
 
-function report(directory: FleetDatabaseDirectory, reported: DatabaseReport): readonly Message[] {
-    return directory.process({ kind: FleetKind.DatabaseReported, report: reported });
+function report(directory: FleetDatabaseDirectory, reported: DatabaseReport, nowMs = 0): readonly Message[] {
+    return directory.process({ kind: FleetKind.DatabaseReported, report: reported }, nowMs);
 }
 
 function leave(directory: FleetDatabaseDirectory, bornUnixMs: number | undefined): readonly Message[] {
-    return directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId, bornUnixMs });
+    return directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId, bornUnixMs }, 0);
 }
 
 function kindsOf(messages: readonly Message[]): readonly string[] {
@@ -78,6 +79,7 @@
         const frame = { kind: "database_left", databaseId: known.databaseId, bornUnixMs: 1_000 } as const;
         const received = directory.process(
             { kind: FleetKind.FrameReceived, attachmentId: "a", frame } as FrameReceived,
+            0,
         );
         assert.deepEqual(removed(received), []);
         const heard = report(directory, { ...known, sequence: 2, bornUnixMs: 2_000 });
@@ -114,6 +116,14 @@
         assert.deepEqual(report(directory, late), []);
     });
 
+    it("accepts a process whose clock stepped back once the earlier one at its address has long been silent", () => {
+        const directory = directoryWith("orders");
+        const next = { ...known, databaseId: "i-2", sequence: 9, bornUnixMs: known.bornUnixMs - 500 };
+        assert.deepEqual(report(directory, next, 9_000), []);
+        const heard = report(directory, { ...next, sequence: 10 }, 10_000);
+        assert.ok(kindsOf(heard).includes(FleetKind.DatabaseChanged));
+    });
+
     it("passes on no report that arrives late", () => {
         const directory = directoryWith("orders");
         assert.deepEqual(report(directory, { ...known, sequence: 3 }), []);
--- a/src/fleet/__tests__/outdatedKnowledge.spec.ts
+++ b/src/fleet/__tests__/outdatedKnowledge.spec.ts
@@ -85,6 +85,7 @@
         world.stopControl();
         const ended = world.restart(world.database(1));
         ended.heldReports.push(ended.report("s"));
+        world.advance(1);
         world.restart(ended);
         world.startControl();
         world.advance(3_000);
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -17,6 +17,12 @@
 /** Maximum number of departed databases that are remembered; far above the departures of a fleet in one day. */
 const maximumDeparted = 4_096;
 
+/**
+ * Silence of a database after which another process may report its address although it has started earlier, by a clock that
+ * stepped back; above the longest pause between two reports after a failure.
+ */
+const successorSilenceMs = 10_000;
+
 type DirectoryInput =
     | DatabaseReported
     | DatabaseLeft
@@ -38,6 +44,8 @@
     /** Names of the configured services. */
     private services: ReadonlySet<string> = new Set();
     private readonly reports = new Map<string, DatabaseReport>();
+    /** When the last report of each database arrived. */
+    private readonly reportedMs = new Map<string, number>();
     /** Databases that a control member remembers and that have not reported since. */
     private readonly recalledIds = new Set<string>();
     /**
@@ -45,10 +53,10 @@
      */
     private readonly departedStartUnixMs = new Map<string, number>();
 
-    process(message: DirectoryInput): readonly Message[] {
+    process(message: DirectoryInput, nowMs: number): readonly Message[] {
         return match<DirectoryInput, readonly Message[]>(message)
             .with({ kind: FleetKind.DatabaseReported }, matched => {
-                const outputs = this.apply(matched.report);
+                const outputs = this.apply(matched.report, nowMs);
                 return outputs.length === 0 ? [] : [...outputs, matched];
             })
             .with({ kind: FleetKind.DatabaseLeft }, matched => this.leave(matched))
@@ -56,7 +64,7 @@
             .with({ kind: FleetKind.RecallEnded }, () => this.forgetRecalled())
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "databases" } },
-                matched => [...matched.frame.reports.flatMap(report => this.apply(report)), matched],
+                matched => [...matched.frame.reports.flatMap(report => this.apply(report, nowMs)), matched],
             )
             .with(
                 { kind: FleetKind.FrameReceived, frame: { kind: "database_left" } },
@@ -67,7 +75,7 @@
             .exhaustive();
     }
 
-    private apply(report: DatabaseReport): readonly Message[] {
+    private apply(report: DatabaseReport, nowMs: number): readonly Message[] {
         const { databaseId } = report;
         const known = this.reports.get(databaseId);
         const departedStart = this.departedStartUnixMs.get(databaseId);
@@ -77,13 +85,14 @@
         const isKnownNewer = known !== undefined && (this.recalledIds.has(databaseId)
             ? report.bornUnixMs < known.bornUnixMs
             : !isNewer(report, known));
-        if (isKnownNewer) {
-            // Several control members forward the same report.
+        if (isKnownNewer || known === undefined && this.hasSuccessor(report, nowMs)) {
+            // Several control members forward the same report, and one of a process that has ended may be late.
             return [];
         }
         this.recalledIds.delete(databaseId);
         this.departedStartUnixMs.delete(databaseId);
         this.reports.set(databaseId, report);
+        this.reportedMs.set(databaseId, nowMs);
         const accepted: DatabaseReportAccepted = { kind: FleetKind.DatabaseReportAccepted, databaseId };
         const changed = known === undefined || hasChanged(report, known);
         return [
@@ -158,12 +167,22 @@
         return predecessor === undefined ? [] : this.remove(predecessor.databaseId);
     }
 
+    /** Whether a process that started later reports the address. */
+    private hasSuccessor({ databaseId, address, bornUnixMs }: DatabaseReport, nowMs: number): boolean {
+        return [...this.reports.values()].some(other =>
+            other.address === address && other.databaseId !== databaseId && other.bornUnixMs > bornUnixMs
+            && this.services.has(other.service)
+            && nowMs - (this.reportedMs.get(other.databaseId) ?? -Infinity) < successorSilenceMs
+        );
+    }
+
     private remove(databaseId: string): readonly Message[] {
         const known = this.reports.get(databaseId);
         if (known === undefined) {
             return [];
         }
         this.reports.delete(databaseId);
+        this.reportedMs.delete(databaseId);
         this.recalledIds.delete(databaseId);
         this.recordDeparture(databaseId, known.bornUnixMs);
         return [{ kind: FleetKind.DatabaseRemoved, databaseId } as Message];
