fix(session): an order of an earlier promotion lets no commit pass after a later one has asked

Cause: instances told an order that is under way from its database alone. One whose configuration was late, because its feed was lost or behind, answered the question of the next promotion that it acknowledges nothing further, and went on to acknowledge commits of the database that the promotion before had ordered, which by then was the primary being replaced. A reservation keeps the order that it finds in the record, so with a present configuration the same held until the next order was known.

The record tells the fencing token of its order, and the gate compares it with that of the last question. Of members of an earlier release, which record none, the token of the reservation counts as before. The cost: while the database of an earlier order leads and a new leader asks again, commits are in doubt until its promotion is complete. Two tests of the gate name the token of their order, as the policy now does.

--- a/src/control/promotionCommands.ts
+++ b/src/control/promotionCommands.ts
@@ -30,8 +30,13 @@
 }
 
 export function recordPromotionOrder(state: ControlState, command: RecordPromotionOrder): CommandOutcome {
-    const { databaseId: orderedDatabaseId, position: orderedPosition } = command;
-    return changePromotion(state, command, current => ({ ...current, orderedDatabaseId, orderedPosition }));
+    const { databaseId: orderedDatabaseId, fence: orderedFence, position: orderedPosition } = command;
+    return changePromotion(state, command, current => ({
+        ...current,
+        orderedDatabaseId,
+        orderedFence,
+        orderedPosition,
+    }));
 }
 
 export function completePromotion(state: ControlState, command: CompletePromotion): CommandOutcome {
@@ -47,6 +52,7 @@
             databaseId,
             primaryAddress: current.databases.find(database => database.databaseId === databaseId)?.address ?? "",
             orderedDatabaseId: "",
+            orderedFence: undefined,
             orderedPosition: undefined,
             orderPending,
             // The new primary holds all commits that lost and departed databases confirmed.
--- a/src/fleet/__tests__/policyFilter.spec.ts
+++ b/src/fleet/__tests__/policyFilter.spec.ts
@@ -55,4 +55,23 @@
         assert.deepEqual(published(put(14, undecodableVersion)), [14, "b"]);
         assert.deepEqual(published({ kind: CommandKind.EndEvacuation, dataCentre: "b" }), [14]);
     });
+
+    it("names the promotion of each order, also when the same database is ordered again", () => {
+        // Guards against an instance that withholds the commits of a database because it knows an earlier order for it alone.
+        const filter = new PolicyFilter(decoder);
+        let state = emptyControlState;
+        let index = 0;
+        const published = (command: Command): number | undefined => {
+            state = applyCommand(state, ++index, "", command).state;
+            const { configuration } = state;
+            const applied: ConfigurationApplied = { kind: ClusterKind.ConfigurationApplied, configuration };
+            const policy = filter.process(applied).find(({ kind }) => kind === FleetKind.PolicyApplied);
+            return (policy as PolicyApplied | undefined)?.orderedFences?.get("s");
+        };
+        const order = { kind: CommandKind.RecordPromotionOrder, service: "s", databaseId: "d" };
+        published({ kind: CommandKind.ReservePromotion, service: "s", expectedFence: 0 });
+        assert.equal(published({ ...order, fence: 1 }), 1);
+        assert.equal(published({ kind: CommandKind.ReservePromotion, service: "s", expectedFence: 1 }), undefined);
+        assert.equal(published({ ...order, fence: 2 }), 2);
+    });
 });
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -71,6 +71,8 @@
     writes: boolean;
     /** Nothing passes between the instance and the control members. */
     cutFromControl: boolean;
+    /** The instance gets no further configuration; nothing else is cut. */
+    feedLost: boolean;
     /** Database of the order that is under way, as the instance knows it; it commits nowhere else. */
     orderedDatabaseId: string;
     gate: CommitGate;
@@ -153,6 +155,7 @@
                 running: true,
                 writes: true,
                 cutFromControl: false,
+                feedLost: false,
                 orderedDatabaseId: "",
                 gate: new CommitGate(),
                 leases: new LeaseRequester(),
@@ -589,7 +592,7 @@
         this.push({ kind: ClusterKind.ConfigurationApplied, configuration } as Message);
         this.after(publicationMs, () => {
             this.published = configuration;
-            this.instances.filter(({ cutFromControl }) => !cutFromControl)
+            this.instances.filter(({ cutFromControl, feedLost }) => !cutFromControl && !feedLost)
                 .forEach(instance => this.publish(instance, configuration));
         });
     }
@@ -600,6 +603,7 @@
         instance.orderedDatabaseId = orderedDatabaseId;
         instance.gate.applyPolicy({
             ordered: new Map(orderedDatabaseId === "" ? [] : [[service, orderedDatabaseId]]),
+            orderedFences: new Map(orderedDatabaseId === "" ? [] : [[service, promotion!.orderedFence ?? 0]]),
             completedFences: new Map(promotion?.open === false ? [[service, promotion.fence]] : []),
         });
     }
--- a/src/fleet/policyFilter.ts
+++ b/src/fleet/policyFilter.ts
@@ -49,6 +49,7 @@
             confirmed: false,
             promoted,
             ordered: orderedDatabases(configuration),
+            orderedFences: orderedFences(configuration),
             completedFences: completedFences(configuration),
             evacuated: new Set(configuration.evacuations.map(({ dataCentre }) => dataCentre)),
         };
@@ -106,6 +107,7 @@
     return configuration.promotions !== before.promotions
         && !(isEqual(promotedDatabases(configuration), promotedDatabases(before))
             && isEqual(orderedDatabases(configuration), orderedDatabases(before))
+            && isEqual(orderedFences(configuration), orderedFences(before))
             && isEqual(completedFences(configuration), completedFences(before)));
 }
 
@@ -125,6 +127,14 @@
     );
 }
 
+/** The fencing tokens of these orders. Members of an earlier release record none: the latest reservation counts there. */
+function orderedFences({ promotions }: Configuration): ReadonlyMap<string, number> {
+    return new Map(
+        promotions.filter(({ open, orderedDatabaseId }) => open && orderedDatabaseId !== "")
+            .map(({ service, orderedFence, fence }) => [service, orderedFence ?? fence]),
+    );
+}
+
 /** The fencing tokens of the promotions that are not under way. */
 function completedFences({ promotions }: Configuration): ReadonlyMap<string, number> {
     return new Map(promotions.filter(({ open }) => !open).map(({ service, fence }) => [service, fence]));
--- a/src/model/fleetMessages.ts
+++ b/src/model/fleetMessages.ts
@@ -397,6 +397,8 @@
      * acknowledges meanwhile are lost when it does.
      */
     readonly ordered: ReadonlyMap<string, string>;
+    /** Fencing token of each of these orders, by service; undefined if there are none. */
+    readonly orderedFences?: ReadonlyMap<string, number>;
     /** Fencing token of the last promotion, by service, unless that one is under way. */
     readonly completedFences: ReadonlyMap<string, number>;
     /** Data centres whose databases get no more work, by order of an operator; undefined if there are none. */
--- a/src/model/promotion.ts
+++ b/src/model/promotion.ts
@@ -30,6 +30,8 @@
     readonly primaryAddress: string;
     /** Database named by the last order of the open promotion, which may still be executed; empty if there is none. */
     readonly orderedDatabaseId: string;
+    /** Fencing token of that order, below `fence` after a later reservation; undefined if there is none or it is unknown. */
+    readonly orderedFence: number | undefined;
     /** Position that this database had reached when it was chosen; undefined if unknown. */
     readonly orderedPosition: Position | undefined;
     /** An order for `databaseId` had no answer, so that the platform may still execute it and make it lead again. */
@@ -58,6 +60,7 @@
         databaseId: "",
         primaryAddress: "",
         orderedDatabaseId: "",
+        orderedFence: undefined,
         orderedPosition: undefined,
         orderPending: false,
         databases: [],
--- a/src/model/replicatedLogSchema.ts
+++ b/src/model/replicatedLogSchema.ts
@@ -76,6 +76,7 @@
         databaseId: z.string().optional(),
         primaryAddress: z.string().optional(),
         orderedDatabaseId: z.string().optional(),
+        orderedFence: count.optional(),
         orderedPosition: z.looseObject({}).optional(),
         orderPending: z.boolean().optional(),
         databases: z.array(z.looseObject({
--- a/src/session/__tests__/commitGate.spec.ts
+++ b/src/session/__tests__/commitGate.spec.ts
@@ -13,12 +13,35 @@
         gate.applyPolicy({ ordered: new Map(), completedFences: new Map([["s", 3]]) });
         gate.close("s", 4);
         assert.deepEqual([gate.mayAcknowledge("s", "p"), gate.mayAcknowledge("t", "q")], [false, true]);
-        gate.applyPolicy({ ordered: new Map([["s", "a"]]), completedFences: new Map() });
+        gate.applyPolicy({
+            ordered: new Map([["s", "a"]]),
+            orderedFences: new Map([["s", 4]]),
+            completedFences: new Map(),
+        });
         assert.deepEqual([gate.mayAcknowledge("s", "p"), gate.mayAcknowledge("s", "a")], [false, true]);
         gate.applyPolicy({ ordered: new Map(), completedFences: new Map([["s", 4]]) });
         assert.equal(gate.mayAcknowledge("s", "a"), true);
     });
 
+    it("withholds commits of the database of an earlier order after a question of a later promotion", () => {
+        // Guards against commits that are acknowledged after the choice by an instance whose configuration is late.
+        const gate = new CommitGate();
+        gate.close("s", 4);
+        gate.applyPolicy({
+            ordered: new Map([["s", "a"]]),
+            orderedFences: new Map([["s", 4]]),
+            completedFences: new Map(),
+        });
+        gate.close("s", 5);
+        assert.equal(gate.mayAcknowledge("s", "a"), false);
+        gate.applyPolicy({
+            ordered: new Map([["s", "a"]]),
+            orderedFences: new Map([["s", 5]]),
+            completedFences: new Map(),
+        });
+        assert.equal(gate.mayAcknowledge("s", "a"), true);
+    });
+
     it("stays open after a question of a promotion that is complete", () => {
         const gate = new CommitGate();
         gate.applyPolicy({ ordered: new Map(), completedFences: new Map([["s", 4]]) });
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -39,7 +39,7 @@
         );
         assert.equal(resultOf(routing, "p", { ...commit, mode: TaskMode.ReadTransaction }), undefined);
         assert.equal(resultOf(routing, "p", { ...commit, statement: write }), undefined);
-        routing.process(policy({ ordered: new Map([["s", "a"]]) }), 0);
+        routing.process(policy({ ordered: new Map([["s", "a"]]), orderedFences: new Map([["s", 4]]) }), 0);
         assert.equal(resultOf(routing, "p", commit), StatementFault.InDoubt);
         assert.equal(resultOf(routing, "a", commit), undefined);
         routing.process(policy({ completedFences: new Map([["s", 4]]) }), 0);
--- a/src/session/commitGate.ts
+++ b/src/session/commitGate.ts
@@ -11,14 +11,21 @@
     /** End of this instance's lease on acknowledgements; Infinity if it needs none. */
     private leaseUntilMs = Infinity;
     private ordered: PolicyApplied["ordered"] = new Map();
+    private orderedFences: NonNullable<PolicyApplied["orderedFences"]> = new Map();
 
     /** A promotion chooses a primary that holds the commits which this instance has acknowledged so far. */
     close(service: string, fence: number): void {
         this.closedFences.set(service, Math.max(fence, this.closedFences.get(service) ?? 0));
     }
 
-    applyPolicy({ ordered, completedFences }: Pick<PolicyApplied, "ordered" | "completedFences">): void {
+    applyPolicy(
+        { ordered, orderedFences = new Map(), completedFences }: Pick<
+            PolicyApplied,
+            "ordered" | "orderedFences" | "completedFences"
+        >,
+    ): void {
         this.ordered = ordered;
+        this.orderedFences = orderedFences;
         this.completedFences = completedFences;
     }
 
@@ -33,11 +40,12 @@
 
     /** Whether a commit that the database has acknowledged is kept by the promotion that is under way, if there is one. */
     mayAcknowledge(service: string, databaseId: string): boolean {
+        const closed = this.closedFences.get(service) ?? 0;
         const ordered = this.ordered.get(service);
         if (ordered !== undefined) {
-            return ordered === databaseId;
+            // The promotion that asked last may choose another database than an earlier order.
+            return ordered === databaseId && (this.orderedFences.get(service) ?? 0) >= closed;
         }
-        const closed = this.closedFences.get(service);
-        return closed === undefined || (this.completedFences.get(service) ?? 0) >= closed;
+        return closed === 0 || (this.completedFences.get(service) ?? 0) >= closed;
     }
 }
