fix(session): a process that starts without contact to a leader has no lease on acknowledgements

Cause: until a leader says that it grants leases, an instance needs none. A process that starts in a part that is cut off from the leader serves after 2 s with the configuration of another member, and so acknowledged commits without a lease. The leader waits for the lease of its earlier process alone.

A policy that no leader has confirmed gives no lease. One that is confirmed has been told so by a leader, which says at the same time whether it grants leases. Until then commits of services with synchronous replicas wait and are refused as not run, like those of processes whose lease has ended. The calls in the tests of the gate name whether the policy is confirmed.

--- a/src/fleet/__tests__/lateFeeds.spec.ts
+++ b/src/fleet/__tests__/lateFeeds.spec.ts
@@ -18,21 +18,26 @@
     return world;
 }
 
+/** The primary is cut off from the control members, and a replica that does not stop any more confirms what it commits. */
+function replacePrimaryThatGoesOn(world: PromotionWorld): void {
+    const former = world.primary!;
+    const orderCount = world.orders.length;
+    former.cutFromControl = true;
+    while (world.orders.length === orderCount) {
+        world.advance(5);
+    }
+    const ordered = world.orders.at(-1)!.split("/")[0];
+    const replica = world.databases.find(database => database !== former && database.id !== ordered)!;
+    replica.cutFromControl = true;
+    world.crash(replica);
+    world.restart(replica);
+    world.advance(3_000);
+}
+
 describe("promotions beside an instance whose configuration is late", () => {
     it("keep what it acknowledges that knows the former order as the present one", () => {
         const world = worldWithLateFeed();
-        const former = world.primary!;
-        const orderCount = world.orders.length;
-        former.cutFromControl = true;
-        while (world.orders.length === orderCount) {
-            world.advance(5);
-        }
-        const ordered = world.orders.at(-1)!.split("/")[0];
-        const replica = world.databases.find(database => database !== former && database.id !== ordered)!;
-        replica.cutFromControl = true;
-        world.crash(replica);
-        world.restart(replica);
-        world.advance(3_000);
+        replacePrimaryThatGoesOn(world);
         assert.deepEqual(world.lost, []);
     });
 
@@ -68,3 +73,17 @@
         assert.deepEqual(world.lost, []);
     });
 });
+
+describe("promotions beside an instance that has started without contact to the control leader", () => {
+    it("keep what it acknowledges with a configuration that no leader has confirmed", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        const [instance] = world.instances;
+        world.cutInstance(instance!);
+        world.killInstance(instance!);
+        world.startInstance(instance!);
+        world.advance(2_000);
+        replacePrimaryThatGoesOn(world);
+        assert.deepEqual(world.lost, []);
+    });
+});
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -358,12 +358,18 @@
         }
     }
 
-    /** Starts an instance again; its new process knows no commit of the earlier one. */
+    /**
+     * Starts an instance again; its new process knows no commit of the earlier one. Without contact to a leader it serves with
+     * the configuration of another member, which nobody has confirmed.
+     */
     startInstance(instance: SimulatedInstance): void {
         instance.running = true;
         instance.commits = new CommitTracker();
         instance.gate = new CommitGate();
         instance.leases = new LeaseRequester();
+        if (instance.cutFromControl && this.published !== undefined) {
+            this.publish(instance, this.published, false);
+        }
         this.after(100, this.ofControl(() => this.attach(instance)));
     }
 
@@ -597,11 +603,12 @@
         });
     }
 
-    private publish(instance: SimulatedInstance, { promotions }: Configuration): void {
+    private publish(instance: SimulatedInstance, { promotions }: Configuration, confirmed = true): void {
         const promotion = promotions[0];
         const orderedDatabaseId = promotion?.orderedDatabaseId ?? "";
         instance.orderedDatabaseId = orderedDatabaseId;
         instance.gate.applyPolicy({
+            confirmed,
             ordered: new Map(orderedDatabaseId === "" ? [] : [[service, orderedDatabaseId]]),
             orderedFences: new Map(orderedDatabaseId === "" ? [] : [[service, promotion!.orderedFence ?? 0]]),
             completedFences: new Map(promotion?.open === false ? [[service, promotion.fence]] : []),
--- a/src/session/__tests__/routing.spec.ts
+++ b/src/session/__tests__/routing.spec.ts
@@ -89,6 +89,16 @@
         assert.equal(resultOf(withLease(Infinity), "p", commit), undefined);
     });
 
+    it("are in doubt under a policy that no leader has confirmed", () => {
+        // Guards against acknowledgements by a process that has started beside a cut, for which no choice waits.
+        const routing = new Routing({ dataCentre: "d" });
+        routing.process({ ...synchronous, confirmed: false }, 0);
+        assert.equal(resultOf(routing, "p", commit), StatementFault.InDoubt);
+        assert.equal(resultOf(routing, "p", { ...commit, service: "u" }), undefined);
+        routing.process({ ...synchronous, confirmed: true }, 0);
+        assert.equal(resultOf(routing, "p", commit), undefined);
+    });
+
     it("are not sent, and run once there is a lease again", () => {
         const routing = withLease(0);
         routing.process(databaseReport("p", true), 0);
--- a/src/session/commitGate.ts
+++ b/src/session/commitGate.ts
@@ -10,6 +10,8 @@
     private completedFences: PolicyApplied["completedFences"] = new Map();
     /** End of this instance's lease on acknowledgements; Infinity if it needs none. */
     private leaseUntilMs = Infinity;
+    /** No leader has confirmed the policy in effect, so that none has told whether it grants leases. */
+    private isUnconfirmed = false;
     private ordered: PolicyApplied["ordered"] = new Map();
     private orderedFences: NonNullable<PolicyApplied["orderedFences"]> = new Map();
 
@@ -19,11 +21,12 @@
     }
 
     applyPolicy(
-        { ordered, orderedFences = new Map(), completedFences }: Pick<
+        { confirmed, ordered, orderedFences = new Map(), completedFences }: Pick<
             PolicyApplied,
-            "ordered" | "orderedFences" | "completedFences"
+            "confirmed" | "ordered" | "orderedFences" | "completedFences"
         >,
     ): void {
+        this.isUnconfirmed = !confirmed;
         this.ordered = ordered;
         this.orderedFences = orderedFences;
         this.completedFences = completedFences;
@@ -35,7 +38,7 @@
 
     /** Whether the control leader waits for this instance before it chooses a primary that may lack a commit. */
     hasLease(nowMs: number): boolean {
-        return nowMs < this.leaseUntilMs;
+        return this.leaseUntilMs === Infinity ? !this.isUnconfirmed : nowMs < this.leaseUntilMs;
     }
 
     /** Whether a commit that the database has acknowledged is kept by the promotion that is under way, if there is one. */
