fix(fleet): a leader that stood still grants no lease on acknowledgements before it knows that it leads

Cause: a new leader waits for the leases of the former one and for 1 s more, in which that one may not have noticed its loss. A process that stood still for longer took itself for the leader when it went on: it granted leases to instances whose requests waited in its sockets, before or while it checked its majority. Answers of other members that were sent before the pause count from their arrival, so the check may come a second later. No choice waits for such a lease.

Evidence: the new test of `acknowledgementLease.spec.ts` without the change: leases at 5.4, 5.8, 6.2 and 6.6 s of a process that stood still from 0.4 to 5.4 s. Real processes were not run.

After a pause of more than 1 s no lease is granted for 1.25 s, in which a leader without a majority steps down (`control/replicationFilter.ts`). Pauses up to 1 s lie within what a new leader waits for: it is elected 1 s after the last contact at the earliest. The cost: a leader that stalls for more than 1 s and stays the leader leaves instances without leases for that time.

--- a/src/fleet/__tests__/acknowledgementLease.spec.ts
+++ b/src/fleet/__tests__/acknowledgementLease.spec.ts
@@ -43,13 +43,20 @@
 });
 
 describe("leases on acknowledgements, as the control leader grants them", () => {
-    /** Answers of a leader that has not looked after a promotion yet which an earlier one began. */
+    /**
+     * Answers of a leader that has not looked after a promotion yet which an earlier one began.
+     * @param askedAtMs times of the events of this process, at each of which it is asked
+     */
     function answersOf(
-        { open, leading = true }: { readonly open: boolean; readonly leading?: boolean; },
+        { open, leading = true, askedAtMs = [0] }: {
+            readonly open: boolean;
+            readonly leading?: boolean;
+            readonly askedAtMs?: readonly number[];
+        },
     ): readonly FleetFrame[] {
         const promotions = new Promotions({ reportIntervalMs: 1_200 });
-        const push = (message: object): readonly SendFrame[] =>
-            promotions.process(message as never, 0).filter((output): output is SendFrame =>
+        const push = (message: object, nowMs = 0): readonly SendFrame[] =>
+            promotions.process(message as never, nowMs).filter((output): output is SendFrame =>
                 output.kind === FleetKind.SendFrame
             );
         push({
@@ -68,8 +75,10 @@
         push({ kind: ControlKind.LeaderChanged, leading, term: 2 });
         const hello = { kind: "hello", instanceId: "i1", serves: true };
         push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: hello });
-        const asked = { kind: "lease_asked", sequence: 5 };
-        return push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: asked }).map(({ frame }) => frame);
+        return askedAtMs.flatMap((nowMs, index) => {
+            const asked = { kind: "lease_asked", sequence: 5 + index };
+            return push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: asked }, nowMs);
+        }).map(({ frame }) => frame);
     }
 
     it("last for the usual duration", () => {
@@ -84,4 +93,12 @@
         // Guards against acknowledgements by an instance that the new leader has not asked yet.
         assert.deepEqual(answersOf({ open: true }), []);
     });
+
+    it("are not given by a process that stood still, before it knows whether it leads still", () => {
+        // Guards against a lease of which a leader doesn't know that was elected meanwhile.
+        const sequencesAt = (askedAtMs: readonly number[]): readonly number[] =>
+            answersOf({ open: false, askedAtMs }).map(frame => frame.kind === "lease_granted" ? frame.sequence : 0);
+        assert.deepEqual(sequencesAt([400, 1_400, 2_400]), [5, 6, 7]);
+        assert.deepEqual(sequencesAt([400, 5_400, 5_800, 6_200, 6_600, 6_700]), [5, 10]);
+    });
 });
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -1,6 +1,6 @@
 /** Runs on the control leader: detects that a service needs another primary and drives the change of primary. */
 import { match } from "ts-pattern";
-import { leaseDurationMs } from "../model/acknowledgementLease.ts";
+import { formerLeaderMs, leaseDurationMs } from "../model/acknowledgementLease.ts";
 import { ClusterKind, type ConfigurationApplied } from "../model/clusterMessages.ts";
 import { ControlKind, type ControlLeaderChanged, type ControlProposalEnded } from "../model/controlMessages.ts";
 import {
@@ -34,6 +34,12 @@
 /** Interval at which services are checked while a change of primary is in progress. */
 const activeTickMs = 50;
 
+/**
+ * Time after a pause of this process from which it knows whether it leads still: a leader without a majority steps down
+ * within it (`control/replicationFilter.ts`).
+ */
+const leadCheckMs = 1_250;
+
 type PromotionsInput =
     | ControlLeaderChanged
     | ControlProposalEnded
@@ -114,6 +120,10 @@
     private records: readonly PromotionRecord[] = [];
     private leading = false;
     private leadingSinceMs = 0;
+    /** Time of the last call of `process`. */
+    private lastCallAtMs = 0;
+    /** Time until which another member may lead without being known here. */
+    private uncertainUntilMs = -Infinity;
     private readonly reportIntervalMs: number;
     private readonly evacuations: KnownEvacuations;
     private readonly dataCentreRegions: ReadonlyMap<string, string>;
@@ -128,6 +138,7 @@
     }
 
     process(message: PromotionsInput, nowMs: number): readonly Message[] {
+        this.noticePause(nowMs);
         return match<PromotionsInput, readonly Message[]>(message)
             .with({ kind: ControlKind.LeaderChanged }, matched => [matched, ...this.changeLeader(matched, nowMs)])
             .with({ kind: ControlKind.ProposalEnded }, matched => this.endProposal(matched, nowMs))
@@ -177,6 +188,14 @@
             .otherwise(() => this.tick(nowMs));
     }
 
+    /** A new leader counts on it that a former one grants nothing for longer than `formerLeaderMs` after its election. */
+    private noticePause(nowMs: number): void {
+        if (nowMs - this.lastCallAtMs > formerLeaderMs) {
+            this.uncertainUntilMs = nowMs + leadCheckMs;
+        }
+        this.lastCallAtMs = nowMs;
+    }
+
     /** Sets a timer for the change of the primaries in a data centre. */
     private applyEvacuations(policy: PolicyApplied, nowMs: number): readonly Message[] {
         const hasBegun = this.evacuations.apply(policy, nowMs);
@@ -188,6 +207,7 @@
     private changeLeader({ leading }: ControlLeaderChanged, nowMs: number): readonly Message[] {
         this.leading = leading;
         this.leadingSinceMs = nowMs;
+        this.uncertainUntilMs = -Infinity;
         this.recorder.reset();
         this.witnesses.startLeading(nowMs);
         const closed = [...this.services.values()].flatMap(service => service.dispose());
@@ -254,7 +274,7 @@
     private grantLease(attachmentId: string, sequence: number, nowMs: number): readonly Message[] {
         const open = this.records.filter(record => record.open && this.policy.services.has(record.service));
         const isSafe = open.every(({ service }) => this.services.get(service)?.mayGrantLease(attachmentId) === true);
-        return isSafe && this.witnesses.grantLease(attachmentId, nowMs)
+        return isSafe && nowMs >= this.uncertainUntilMs && this.witnesses.grantLease(attachmentId, nowMs)
             ? [sendFrame(attachmentId, { kind: "lease_granted", sequence, validMs: leaseDurationMs })]
             : [];
     }
