--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -161,6 +161,7 @@
                 running: true,
                 writes: true,
                 cutFromControl: false,
+                feedLost: false,
                 orderedDatabaseId: "",
                 gate: new CommitGate(),
                 leases: new LeaseRequester(),
@@ -454,12 +455,18 @@
         });
     }
 
-    /** Starts an instance again; its new process knows no commit of the earlier one. */
+    /**
+     * Starts an instance again; its new process knows no commit of the earlier one. Without contact to a leader it serves with
+     * the configuration of another member, which nobody has confirmed.
+     */
     startInstance(instance: SimulatedInstance): void {
         instance.running = true;
         instance.commits = new CommitTracker();
         instance.gate = new CommitGate();
         instance.leases = new LeaseRequester();
+        if (instance.cutFromControl && this.published !== undefined) {
+            this.publish(instance, this.published, false);
+        }
         this.attachLater(instance);
     }
 
@@ -830,7 +837,7 @@
         const published = { configuration: this.state.configuration, logIndex: this.logIndex };
         this.after(publicationMs, () => {
             this.published = published;
-            this.instances.forEach(instance => {
+            this.instances.filter(({ feedLost }) => !feedLost).forEach(instance => {
                 if (instance.feedDelayMs === 0) {
                     this.publish(instance, published);
                 }
@@ -847,8 +854,12 @@
         this.push(member, { kind: ClusterKind.ConfigurationApplied, configuration } as Message);
     }
 
-    private publish(instance: SimulatedInstance, { configuration, logIndex }: PublishedConfiguration): void {
-        if (instance.cutFromControl || logIndex < instance.appliedIndex) {
+    private publish(
+        instance: SimulatedInstance,
+        { configuration, logIndex }: PublishedConfiguration,
+        confirmed = true,
+    ): void {
+        if (confirmed && instance.cutFromControl || logIndex < instance.appliedIndex) {
             return;
         }
         instance.appliedIndex = logIndex;
@@ -856,7 +867,9 @@
         const orderedDatabaseId = promotion?.orderedDatabaseId ?? "";
         instance.orderedDatabaseId = orderedDatabaseId;
         instance.gate.applyPolicy({
+            confirmed,
             ordered: new Map(orderedDatabaseId === "" ? [] : [[service, orderedDatabaseId]]),
+            orderedFences: new Map(orderedDatabaseId === "" ? [] : [[service, promotion!.orderedFence ?? 0]]),
             completedFences: new Map(promotion?.open === false ? [[service, promotion.fence]] : []),
         });
     }
