fix(fleet): a choice does not wait for what no log has any more

Callers saw: no primary for the rest of the run, although all databases ran again with their logs. Cause: a choice must cover the position that the last promotion kept. An order that was executed while its database was out of the leader's reach had rolled the other logs back below that, and its promotion had not been completed. No database is missing then and none reaches the position, so that the choice waited without end once an instance had started again without its memory. Change: the position need not be covered if no database is missing. What is on none of the logs is on no other one either.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -570,6 +570,16 @@
         assert.equal(fixture.decide(), undefined);
     });
 
+    it("does not wait for what the last promotion kept once no database is missing", () => {
+        // Guards against a wait without end for commits that an order rolled back which was executed without being seen.
+        const fixture = new FencingFixture({ basePosition: { term: 2, offset: 11 }, preferredDatabaseId: "x" });
+        ["p", "a", "b"].forEach(databaseId => fixture.openLink(databaseId, 2, 9));
+        ["a", "b"].forEach(databaseId => fixture.answer(databaseId, false, 3, 9, 2));
+        assert.equal(fixture.decide(), undefined);
+        fixture.answer("p", false, 3, 9, 2);
+        assert.notEqual(fixture.decide(), undefined);
+    });
+
     it("waits if the primary has stepped down below what was acknowledged", () => {
         // Guards against a choice that is recorded and withdrawn again in each round trip, without an end.
         const fixture = new FencingFixture();
--- a/src/fleet/fencedLogs.ts
+++ b/src/fleet/fencedLogs.ts
@@ -57,7 +57,10 @@
 
     /** Why `best` holds what replicas had confirmed; undefined if that is not known. */
     confirmationRule(best: FencedDatabase, stopped: readonly FencedDatabase[]): PromotionRule | undefined {
-        if (this.missingCount(stopped) <= this.options.synchronousReplicas && this.holdsBase(best)) {
+        const missingCount = this.missingCount(stopped);
+        // What no log has any more, an order may have rolled back that was executed without being seen; nothing else can hold it.
+        const holdsMost = missingCount === 0 || this.holdsBase(best);
+        if (missingCount <= this.options.synchronousReplicas && holdsMost) {
             return PromotionRule.ConfirmationsStopped;
         }
         return stopped.some(database => this.holdsPrimaryLog(database)) ? PromotionRule.FormerPrimaryLog : undefined;
