fix(fleet): a former primary is paused while a database of an earlier order may lead

Callers saw: writes that had been acknowledged were missing after two changes of primary in a row. Cause: a database at the address of the primary counted as stopped as soon as it answered a step down that it does not lead. If the order of an earlier leader has been executed meanwhile, it is a replica of the database that leads, and goes on confirming its commits. That database is then the only one missing, and a replica that lacks these commits is chosen. Change: such a database must be paused, after it has stepped down if it still leads.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -616,6 +616,27 @@
         assert.equal(fixture.lastCommand("a"), LinkCommandKind.Pause);
     });
 
+    it("pauses the former primary while a database of an earlier order may lead", () => {
+        // Guards against commits of that database which the former primary confirms after it was taken for stopped.
+        const fixture = new FencingFixture({ preferredDatabaseId: "b" });
+        fixture.loseLink("b", LinkLoss.Broken);
+        fixture.openLink("a", 3, 20);
+        fixture.answer("a", false, 4, 20, 3);
+        fixture.openLink("p", 3, 20);
+        assert.equal(fixture.lastCommand("p"), LinkCommandKind.Pause);
+        fixture.answer("p", true, 3, 20);
+        fixture.decide(60);
+        fixture.openLink("p", 3, 20);
+        assert.equal(fixture.lastCommand("p"), LinkCommandKind.StepDown);
+        fixture.answer("p", false, 3, 20, 3, 0);
+        assert.equal(fixture.decide(), undefined);
+        fixture.decide(60);
+        fixture.openLink("p", 3, 20);
+        assert.equal(fixture.lastCommand("p"), LinkCommandKind.Pause);
+        fixture.answer("p", false, 3, 20);
+        assert.notEqual(fixture.decide(), undefined);
+    });
+
     it("recognises that an earlier order was executed late", () => {
         const fixture = new FencingFixture();
         fixture.openLink("a", 3, 10);
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -72,8 +72,14 @@
 
     linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
         const database = this.databaseOfLink(message.linkId);
-        database?.linkReplied(message, nowMs);
-        if (database !== undefined && this.logs.isPrimary(database)) {
+        if (database === undefined) {
+            return [];
+        }
+        database.linkReplied(message, nowMs);
+        if (this.mayReceive(database)) {
+            database.stopped = false;
+        }
+        if (this.logs.isPrimary(database)) {
             this.followPrimary(database, nowMs);
         }
         return [];
@@ -267,7 +273,8 @@
         if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
             return { kind: LinkCommandKind.Status };
         }
-        if (this.logs.isPrimary(database) || this.leadsBesideOrder(database)) {
+        const stepsDown = this.logs.isPrimary(database) && !this.mayFollowAnother(database);
+        if (stepsDown || this.leadsBesideOrder(database)) {
             return database.stopped ? undefined : { kind: LinkCommandKind.StepDown, term: this.nextTerm() };
         }
         if (this.finalPosition !== undefined && this.orderedDatabaseId === undefined) {
@@ -332,6 +339,17 @@
         return this.expectedLeaderId() !== "" && status?.leads === true;
     }
 
+    /** Whether an order of an earlier leader may have made another database lead, from which this one receives. */
+    private mayFollowAnother({ databaseId }: FencedDatabase): boolean {
+        const { preferredDatabaseId } = this.options;
+        return this.orderedDatabaseId === undefined && preferredDatabaseId !== "" && preferredDatabaseId !== databaseId;
+    }
+
+    /** A database that does not lead receives, and confirms, what another one sends, unless it is paused. */
+    private mayReceive(database: FencedDatabase): boolean {
+        return !database.isHeld && this.mayFollowAnother(database);
+    }
+
     /** The database of the last order, of this member or of an earlier leader; empty if there is none. */
     private expectedLeaderId(): string {
         return this.orderedDatabaseId ?? this.options.preferredDatabaseId;
