fix(fleet): a late report of a process whose address a newer one has taken is ignored

Cause: a new database removes the one before it at its address, but a report of that one which arrived after it was taken for a new database by each process that had not known the earlier one, so after a restart of the control members. A delayed report may say that its sender leads. If the record names that sender, as it does after a primary came back at its address under another id, it counted as the primary for ever: the shutdown of the present one was not seen, suspicions of it were ignored, and it counted as missing in a choice.

Two reports of an earlier process pass in `fleetDatabaseDirectory.spec.ts`.

A report of an unknown database is ignored if a database of a configured service is known at its address that started later. As with a process that starts again under its id, a clock that was set back hides the next process at that address.

--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -114,4 +114,21 @@
         leave(directory, known.bornUnixMs);
         assert.deepEqual(report(directory, { ...known, sequence: 5 }), []);
     });
+
+    it("passes on no late report of a database whose address a newer one has taken", () => {
+        // Guards against a process that has ended and counts as the primary of its service.
+        const directory = directoryWith("orders");
+        const earlier = { ...known, databaseId: "i-0", sequence: 90, bornUnixMs: 500 };
+        assert.deepEqual(report(directory, earlier), []);
+        leave(directory, known.bornUnixMs);
+        assert.deepEqual(report(directory, { ...earlier, sequence: 91 }), []);
+        const later = { ...earlier, sequence: 1, bornUnixMs: 2_000 };
+        assert.ok(kindsOf(report(directory, later)).includes(FleetKind.DatabaseChanged));
+    });
+
+    it("keeps a database when a newer one of an unknown service names its address first", () => {
+        const directory = new FleetDatabaseDirectory();
+        report(directory, { ...known, databaseId: "odd", service: "unknown", sequence: 1, bornUnixMs: 2_000 });
+        assert.ok(kindsOf(report(directory, known)).includes(FleetKind.DatabaseChanged));
+    });
 });
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -81,6 +81,10 @@
             // Several control members forward the same report.
             return [];
         }
+        if (known === undefined && this.hasSuccessor(report)) {
+            this.recordDeparture(databaseId, report.bornUnixMs);
+            return [];
+        }
         this.recalledIds.delete(databaseId);
         this.departedStartUnixMs.delete(databaseId);
         this.reports.set(databaseId, report);
@@ -158,6 +162,14 @@
         return predecessor === undefined ? [] : this.remove(predecessor.databaseId);
     }
 
+    /** Whether a newer database has taken the place of one at its address; with the same limits as `removePredecessor`. */
+    private hasSuccessor({ databaseId, address, bornUnixMs }: DatabaseReport): boolean {
+        return [...this.reports.values()].some(other =>
+            other.address === address && other.databaseId !== databaseId && other.bornUnixMs > bornUnixMs
+            && this.services.has(other.service)
+        );
+    }
+
     private remove(databaseId: string): readonly Message[] {
         const known = this.reports.get(databaseId);
         if (known === undefined) {
