fix(fleet): the chosen database answers once more before it is ordered

Callers saw: all acknowledged writes were missing after a change of primary beside a replica that started again without its log. Cause: the choice goes by what a database answered last, up to 300 ms before, or 600 ms if a question is unanswered. A process that starts again under its id meanwhile, without a reset of its connections, has nothing, and the platform makes it lead. Change: with the proposal of the order, the chosen database is asked on a new connection whether it is still stopped. The order is sent with that answer, and withdrawn if the database is not known to be stopped any more. What is lost after that a later order must revoke, as before.

--- a/src/fleet/__tests__/emptyDatabases.spec.ts
+++ b/src/fleet/__tests__/emptyDatabases.spec.ts
@@ -43,3 +43,24 @@
         assertCommits(world);
     });
 });
+
+describe("a replica that starts again without its log while a primary is replaced", () => {
+    it("is not ordered by what it answered before", () => {
+        // Guards against an empty primary that is chosen by a position which is up to 300 ms old.
+        for (let elapsedMs = 400; elapsedMs < 800; elapsedMs += 5) {
+            const world = new PromotionWorld();
+            world.advance(5_000);
+            const [primary, replica, other] = world.databases;
+            world.crash(primary!);
+            other!.cutFromControl = true;
+            world.advance(300);
+            other!.cutFromControl = false;
+            world.advance(elapsedMs - 300);
+            const hasOrdered = world.orders.length > 0;
+            world.silentDatabases.add(world.restartEmpty(replica!, true));
+            world.advance(2_000);
+            const text = `${world.lost.length} lost, restart ${elapsedMs} ms after the crash`;
+            assert.ok(hasOrdered || world.lost.length === 0, text);
+        }
+    });
+});
--- a/src/fleet/fencedDatabase.ts
+++ b/src/fleet/fencedDatabase.ts
@@ -188,6 +188,13 @@
         this.stoppedAtMs = -Infinity;
     }
 
+    /** Asks a database that has stopped, at once, whether it still is. */
+    proveNow(nowMs: number): readonly Message[] {
+        this.proveAgain();
+        this.retryAtMs = nowMs;
+        return this.isUsed ? this.reconnect(nowMs) : this.advance(undefined, nowMs);
+    }
+
     close(): readonly Message[] {
         return this.linkId === undefined ? [] : [{ kind: LinkKind.Close, linkId: this.linkId } as Message];
     }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -40,6 +40,8 @@
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
     private orderedDatabaseId: string | undefined;
+    private orderedAtMs = -Infinity;
+    private hadStoppedBeforeOrder = false;
     private logLossesBeforeOrder = 0;
     /** A database leads: the others receive again. */
     private released = false;
@@ -108,10 +110,25 @@
             && this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs);
     }
 
-    /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
-    orderSent(databaseId: string): void {
+    /** The database is ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
+    orderSent(databaseId: string, nowMs: number): readonly Message[] {
         this.orderedDatabaseId = databaseId;
-        this.logLossesBeforeOrder = this.databases.get(databaseId)?.logLosses ?? 0;
+        this.orderedAtMs = nowMs;
+        const database = this.databases.get(databaseId);
+        this.logLossesBeforeOrder = database?.logLosses ?? 0;
+        this.hadStoppedBeforeOrder = database?.stopped === true;
+        return this.hadStoppedBeforeOrder ? database!.proveNow(nowMs) : [];
+    }
+
+    /** Whether the chosen database has answered since it was chosen, if it had stopped; its last answer before may be old. */
+    isChoiceProved(): boolean {
+        return !this.hadStoppedBeforeOrder
+            || (this.orderedDatabase()?.provedStoppedMs ?? -Infinity) >= this.orderedAtMs;
+    }
+
+    /** Whether the chosen database had stopped and is not known to be so any more. */
+    hasChoiceChanged(): boolean {
+        return this.hadStoppedBeforeOrder && this.orderedDatabase()?.stopped !== true;
     }
 
     /** The order was not sent after all: the choice goes on, with all that is known of the databases. */
@@ -179,7 +196,7 @@
 
     /** Whether the chosen database has started again without its log. */
     hasLostLogSinceChoice(): boolean {
-        return (this.databases.get(this.orderedDatabaseId ?? "")?.logLosses ?? 0) > this.logLossesBeforeOrder;
+        return (this.orderedDatabase()?.logLosses ?? 0) > this.logLossesBeforeOrder;
     }
 
     receivedPosition(databaseId: string): Position | undefined {
@@ -268,7 +285,7 @@
             return database.isHeld && database.status?.leads !== true ? { kind: LinkCommandKind.Resume } : undefined;
         }
         if (database.databaseId === this.orderedDatabaseId) {
-            return { kind: LinkCommandKind.Status };
+            return this.isChoiceProved() ? { kind: LinkCommandKind.Status } : undefined;
         }
         if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
             return { kind: LinkCommandKind.Status };
@@ -325,6 +342,10 @@
             : leaders.find(({ databaseId }) => databaseId === expectedId);
     }
 
+    private orderedDatabase(): FencedDatabase | undefined {
+        return this.databases.get(this.orderedDatabaseId ?? "");
+    }
+
     /** The primary that keeps the lead, if it still leads and no other database could be chosen in time. */
     private keptPrimary(nowMs: number): FencedDatabase | undefined {
         const { primaryKeepsLead, startedAtMs } = this.options;
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -554,7 +554,7 @@
         const ordered = this.databases.members().filter(member => member.databaseId === databaseId && !member.isLost);
         this.orderedAddresses = this.orderedAddresses?.concat(ordered.map(({ address }) => address));
         this.chosenDatabaseId = databaseId;
-        this.fencing?.orderSent(databaseId);
+        const asked = this.fencing?.orderSent(databaseId, nowMs) ?? [];
         const command = {
             kind: CommandKind.RecordPromotionOrder,
             service: this.options.service,
@@ -562,7 +562,7 @@
             databaseId,
             position: this.substituteId === undefined ? this.chosenPosition : undefined,
         };
-        return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
+        return [...asked, ...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
 
     private continueClosing(nowMs: number): readonly Message[] {
@@ -570,15 +570,20 @@
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
         }
-        if (!this.fencing!.mayLead(this.chosenDatabaseId)) {
+        if (this.fencing!.hasChoiceChanged() || !this.fencing!.mayLead(this.chosenDatabaseId)) {
             // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent,
             // the choice goes on, with the same fence and all that is known.
             this.fencing!.withdrawOrder();
             return [...messages, ...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
         }
-        return this.fencing!.hasOpenLeases(nowMs)
-            ? [...messages, ...this.reportWait(PromotionWait.AcknowledgementLeases, nowMs)]
-            : [...messages, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+        const wait = this.fencing!.hasOpenLeases(nowMs)
+            ? PromotionWait.AcknowledgementLeases
+            : this.fencing!.isChoiceProved()
+            ? undefined
+            : PromotionWait.DatabasesToStop;
+        return wait === undefined
+            ? [...messages, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)]
+            : [...messages, ...this.reportWait(wait, nowMs)];
     }
 
     /**
