--- a/src/fleet/__tests__/outdatedKnowledge.spec.ts
+++ b/src/fleet/__tests__/outdatedKnowledge.spec.ts
@@ -83,8 +83,11 @@
         const world = new PromotionWorld();
         world.advance(5_000);
         world.stopControl();
+        world.crash(world.database(1));
         const ended = world.restart(world.database(1));
         ended.heldReports.push(ended.report("s"));
+        world.advance(100);
+        world.crash(ended);
         world.restart(ended);
         world.startControl();
         world.advance(3_000);
