--- a/src/fleet/__tests__/outdatedFaults.ts
+++ b/src/fleet/__tests__/outdatedFaults.ts
@@ -38,7 +38,7 @@
     protected override start(): void {
         const { world } = this;
         const database = this.pick(world.databases);
-        switch (this.random.nextInteger(10)) {
+        switch (this.random.nextInteger(11)) {
             case 0:
             case 1:
                 return super.start();
@@ -58,6 +58,8 @@
                 return this.loseDatabasesAndLeader();
             case 9:
                 return this.beginPlannedChange();
+            case 10:
+                return this.cutInstance();
         }
     }
 
--- a/src/fleet/__tests__/outdatedKnowledge.spec.ts
+++ b/src/fleet/__tests__/outdatedKnowledge.spec.ts
@@ -97,4 +97,47 @@
         world.advance(10_000);
         assert.deepEqual(world.promoted.length, 1);
     });
+
+    it("lets replicas receive again that a leader has paused which is lost as it completes the change", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.crash(world.database(0));
+        advanceToOrder(world, 1);
+        world.stopControl();
+        world.advance(2_000);
+        assert.equal(world.promoted.length, 1);
+        world.startControl();
+        for (let step = 0; step < 3_000 && world.record.open; step++) {
+            world.advance(1);
+        }
+        assert.equal(world.record.open, false);
+        world.stopControl();
+        world.advance(500);
+        world.startControl();
+        world.advance(10_000);
+        const { acknowledgedCount } = world;
+        world.advance(2_000);
+        assert.ok(world.acknowledgedCount - acknowledgedCount >= 80);
+    });
+
+    it("lets a replica receive again that was cut from the leader while the change was completed", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.crash(world.database(0));
+        advanceToOrder(world, 1);
+        world.stopControl();
+        world.advance(2_000);
+        world.startControl();
+        for (let step = 0; step < 3_000 && world.record.open; step++) {
+            world.advance(1);
+        }
+        const replica = world.databases.find(({ leads, running }) => running && !leads)!;
+        replica.cutFromControl = true;
+        world.advance(2_000);
+        world.rejoin(replica.address);
+        world.advance(10_000);
+        const { acknowledgedCount } = world;
+        world.advance(2_000);
+        assert.ok(world.acknowledgedCount - acknowledgedCount >= 80);
+    });
 });
--- a/src/fleet/__tests__/promotionFaults.ts
+++ b/src/fleet/__tests__/promotionFaults.ts
@@ -117,6 +117,15 @@
         }
     }
 
+    protected cutInstance(): void {
+        const instance = this.pick(this.world.instances);
+        if (!instance.cutFromControl) {
+            this.note(`cut ${instance.instanceId} from control`);
+            this.world.cutInstance(instance);
+            this.later(() => this.world.joinInstance(instance));
+        }
+    }
+
     protected canTakeDown(database: SimulatedDatabase): boolean {
         const down = this.world.databases.filter(({ running, dark }) => !running || dark).length;
         return database.running && !database.dark && down < 2;
@@ -245,13 +254,4 @@
             }
         });
     }
-
-    private cutInstance(): void {
-        const instance = this.pick(this.world.instances);
-        if (!instance.cutFromControl) {
-            this.note(`cut ${instance.instanceId} from control`);
-            this.world.cutInstance(instance);
-            this.later(() => this.world.joinInstance(instance));
-        }
-    }
 }
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -317,6 +317,15 @@
         if (instance.running) {
             this.attachLater(instance);
         }
+        if (this.memberCount > 1) {
+            // What was sent on a stream that the cut has not ended arrives after it.
+            this.members.forEach(member => {
+                const attachmentId = member.attachments.get(instance);
+                if (attachmentId !== undefined) {
+                    this.sendStatus(member, attachmentId);
+                }
+            });
+        }
     }
 
     stopControl(): void {
