test(fleet): a primary that has started again empty before earlier orders are made void

Cause: the order for the present primary, which voids earlier ones, is sent by the primary's last report alone. A process that has started again under its id without its log is made to lead by it, and the databases with the log roll back.

The earlier calls had been taken up before the process started again.

--- a/src/fleet/__tests__/outdatedKnowledge.spec.ts
+++ b/src/fleet/__tests__/outdatedKnowledge.spec.ts
@@ -140,4 +140,22 @@
         world.advance(2_000);
         assert.ok(world.acknowledgedCount - acknowledgedCount >= 80);
     });
+
+    it("keeps all commits when a primary has started again empty before earlier orders are made void", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.platformDelayMs = 1_200;
+        world.crash(world.database(0));
+        while (world.promoted.length === 0) {
+            world.advance(2);
+        }
+        world.restart(world.database(0));
+        world.advance(700);
+        assert.equal(world.record.orderPending, true);
+        // The calls of before have had their effect.
+        world.platformDelayMs = 0;
+        world.silentDatabases.add(world.restartEmpty(world.primary!, false));
+        world.advance(2_000);
+        assert.deepEqual(world.lost, []);
+    });
 });
