--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -25,6 +25,7 @@
 } from "../../model/linkMessages.ts";
 import type { Position } from "../../model/position.ts";
 import { promotionOf, type PromotionRecord } from "../../model/promotion.ts";
+import type { PromotionDatabaseDropped, PromotionDecided } from "../../model/promotionDecision.ts";
 import {
     OrderResult,
     PromotionKind,
@@ -87,6 +88,8 @@
     readonly orders: string[] = [];
     /** Why the choice of a new primary waits. */
     readonly waits = new Set<string>();
+    readonly decisions: PromotionDecided[] = [];
+    readonly dropped: PromotionDatabaseDropped[] = [];
     /** The last line of the log about a promotion. */
     progress: PromotionProgressed | undefined;
     acknowledgedCount = 0;
@@ -158,6 +161,7 @@
                 running: true,
                 writes: true,
                 cutFromControl: false,
+                feedLost: false,
                 orderedDatabaseId: "",
                 gate: new CommitGate(),
                 leases: new LeaseRequester(),
@@ -460,12 +464,18 @@
         });
     }
 
-    /** Starts an instance again; its new process knows no commit of the earlier one. */
+    /**
+     * Starts an instance again; its new process knows no commit of the earlier one. Without contact to a leader it serves with
+     * the configuration of another member, which nobody has confirmed.
+     */
     startInstance(instance: SimulatedInstance): void {
         instance.running = true;
         instance.commits = new CommitTracker();
         instance.gate = new CommitGate();
         instance.leases = new LeaseRequester();
+        if (instance.cutFromControl && this.published !== undefined) {
+            this.publish(instance, this.published, false);
+        }
         this.attachLater(instance);
     }
 
@@ -787,6 +797,14 @@
                 this.waits.add(this.progress.wait ?? "");
                 return;
             }
+            case PromotionKind.Decided: {
+                this.decisions.push(message as PromotionDecided);
+                return;
+            }
+            case PromotionKind.DatabaseDropped: {
+                this.dropped.push(message as PromotionDatabaseDropped);
+                return;
+            }
         }
     }
 
@@ -828,7 +846,7 @@
         const published = { configuration: this.state.configuration, logIndex: this.logIndex };
         this.after(publicationMs, () => {
             this.published = published;
-            this.instances.forEach(instance => {
+            this.instances.filter(({ feedLost }) => !feedLost).forEach(instance => {
                 if (instance.feedDelayMs === 0) {
                     this.publish(instance, published);
                 }
@@ -845,8 +863,12 @@
         this.push(member, { kind: ClusterKind.ConfigurationApplied, configuration } as Message);
     }
 
-    private publish(instance: SimulatedInstance, { configuration, logIndex }: PublishedConfiguration): void {
-        if (instance.cutFromControl || logIndex < instance.appliedIndex) {
+    private publish(
+        instance: SimulatedInstance,
+        { configuration, logIndex }: PublishedConfiguration,
+        confirmed = true,
+    ): void {
+        if (confirmed && instance.cutFromControl || logIndex < instance.appliedIndex) {
             return;
         }
         instance.appliedIndex = logIndex;
@@ -854,7 +876,9 @@
         const orderedDatabaseId = promotion?.orderedDatabaseId ?? "";
         instance.orderedDatabaseId = orderedDatabaseId;
         instance.gate.applyPolicy({
+            confirmed,
             ordered: new Map(orderedDatabaseId === "" ? [] : [[service, orderedDatabaseId]]),
+            orderedFences: new Map(orderedDatabaseId === "" ? [] : [[service, promotion!.orderedFence ?? 0]]),
             completedFences: new Map(promotion?.open === false ? [[service, promotion.fence]] : []),
         });
     }
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -11,6 +11,7 @@
     type LinkReplied,
 } from "../model/linkMessages.ts";
 import { comparePositions, hasReached, type Position } from "../model/position.ts";
+import { PromotionRule } from "../model/promotionDecision.ts";
 import { PromotionWait } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { ClosedInstances } from "./closedInstances.ts";
@@ -18,6 +19,7 @@
 import { FencedDatabase, retryDelayMs } from "./fencedDatabase.ts";
 import { FencedLogs } from "./fencedLogs.ts";
 import type { FencingDecision, FencingOptions } from "./fencingOptions.ts";
+import type { FencingEvidence } from "./promotionDecision.ts";
 
 /** Time to wait for a replica that does not answer before a database is chosen without it. */
 const replicaWaitMs = 1_200;
@@ -42,6 +44,7 @@
     /** A database leads: the others receive again. */
     private released = false;
     private wait: PromotionWait | undefined;
+    private rule: PromotionRule | undefined;
 
     constructor(options: FencingOptions) {
         this.options = options;
@@ -69,8 +72,14 @@
 
     linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
         const database = this.databaseOfLink(message.linkId);
-        database?.linkReplied(message, nowMs);
-        if (database !== undefined && this.logs.isPrimary(database)) {
+        if (database === undefined) {
+            return [];
+        }
+        database.linkReplied(message, nowMs);
+        if (this.mayReceive(database)) {
+            database.stopped = false;
+        }
+        if (this.logs.isPrimary(database)) {
             this.followPrimary(database, nowMs);
         }
         return [];
@@ -87,10 +96,16 @@
         this.survey.record(attachmentId, frame, nowMs);
     }
 
-    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is chosen yet. */
+    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is ordered yet. */
     mayGrantLease(attachmentId: string): boolean {
-        return this.closedInstances.has(attachmentId) || this.finalPosition !== undefined
-            || this.expectedLeaderId() === "";
+        const mayBeOrdered = this.finalPosition === undefined && this.expectedLeaderId() !== "";
+        return this.closedInstances.has(attachmentId) || this.orderedDatabaseId === undefined && !mayBeOrdered;
+    }
+
+    /** Whether an instance that has not answered the question to stop may still acknowledge commits. */
+    hasOpenLeases(nowMs: number): boolean {
+        return this.options.synchronousReplicas > 0
+            && this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs);
     }
 
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
@@ -109,15 +124,18 @@
         const messages = [...closed, ...this.advance(nowMs)];
         const leader = this.newLeader();
         if (leader !== undefined) {
+            this.rule = PromotionRule.AlreadyLeads;
             return { messages, chosenDatabaseId: leader.databaseId, alreadyLeads: true, wait: undefined };
         }
         const questions = [...this.closeInstances(nowMs), ...this.askForCommits(nowMs)];
         this.wait = undefined;
+        this.rule = undefined;
         const chosenDatabaseId = this.finalPosition === undefined
             ? this.chooseFurthestReplica(nowMs)
             : this.chooseCaughtUpReplica(nowMs);
         const kept = chosenDatabaseId === undefined ? this.keptPrimary(nowMs) : undefined;
         if (kept !== undefined) {
+            this.rule = PromotionRule.PrimaryKeepsLead;
             return { messages, chosenDatabaseId: kept.databaseId, alreadyLeads: true, wait: undefined };
         }
         return {
@@ -128,6 +146,20 @@
         };
     }
 
+    /** What allowed the last decision; undefined if there was none. */
+    get decidingRule(): PromotionRule | undefined {
+        return this.rule;
+    }
+
+    evidence(): FencingEvidence {
+        return {
+            databases: this.databases,
+            askedAttachments: this.survey.closingAsked,
+            answers: this.closedInstances.byAttachment,
+            openLeases: this.logs.openLeases(),
+        };
+    }
+
     /** Lets the replicas receive again; `keepReleasing` repeats that for those that don't answer. */
     release(nowMs: number): readonly Message[] {
         this.released = true;
@@ -241,7 +273,8 @@
         if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
             return { kind: LinkCommandKind.Status };
         }
-        if (this.logs.isPrimary(database) || this.leadsBesideOrder(database)) {
+        const stepsDown = this.logs.isPrimary(database) && !this.mayFollowAnother(database);
+        if (stepsDown || this.leadsBesideOrder(database)) {
             return database.stopped ? undefined : { kind: LinkCommandKind.StepDown, term: this.nextTerm() };
         }
         if (this.finalPosition !== undefined && this.orderedDatabaseId === undefined) {
@@ -306,6 +339,17 @@
         return this.expectedLeaderId() !== "" && status?.leads === true;
     }
 
+    /** Whether an order of an earlier leader may have made another database lead, from which this one receives. */
+    private mayFollowAnother({ databaseId }: FencedDatabase): boolean {
+        const { preferredDatabaseId } = this.options;
+        return this.orderedDatabaseId === undefined && preferredDatabaseId !== "" && preferredDatabaseId !== databaseId;
+    }
+
+    /** A database that does not lead receives, and confirms, what another one sends, unless it is paused. */
+    private mayReceive(database: FencedDatabase): boolean {
+        return !database.isHeld && this.mayFollowAnother(database);
+    }
+
     /** The database of the last order, of this member or of an earlier leader; empty if there is none. */
     private expectedLeaderId(): string {
         return this.orderedDatabaseId ?? this.options.preferredDatabaseId;
@@ -322,10 +366,10 @@
         if (synchronousReplicas === 0) {
             const hasWaited = nowMs - startedAtMs >= retryDelayMs;
             return this.logs.missingCount(stopped) <= 1 || hasWaited
-                ? best.databaseId
+                ? this.chooseBy(PromotionRule.AsynchronousReplication, best)
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs)) {
+        if (this.hasOpenLeases(nowMs)) {
             return this.waitFor(PromotionWait.AcknowledgementLeases);
         }
         if (this.logs.holdsConfirmedCommits(best, stopped)) {
@@ -347,7 +391,7 @@
             return this.waitFor(PromotionWait.CommitWitnesses);
         }
         return this.logs.holdsClosedCommits(best) && this.logs.holdsReportedCommits(best)
-            ? best.databaseId
+            ? this.chooseBy(PromotionRule.InstanceAnswers, best)
             : this.waitFor(PromotionWait.DatabaseWithLastCommit);
     }
 
@@ -366,14 +410,16 @@
             preferred === undefined || preferred === best || this.logs.isLost(preferred.databaseId)
             || preferred.hasLostLog
         ) {
-            return best.databaseId;
+            return this.chooseConfirmed(best, stopped);
         }
         if (this.awaitedWitnesses().length > 0) {
             const canWait = nowMs - this.options.startedAtMs < 2 * replicaWaitMs;
-            return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : best.databaseId;
+            return canWait ? this.waitFor(PromotionWait.CommitWitnesses) : this.chooseConfirmed(best, stopped);
         }
         const isComplete = this.logs.holdsClosedCommits(preferred) && this.logs.holdsReportedCommits(preferred);
-        return (isComplete ? preferred : best).databaseId;
+        return isComplete
+            ? this.chooseBy(PromotionRule.PreferredByAnswers, preferred)
+            : this.chooseConfirmed(best, stopped);
     }
 
     /** The most advanced database that work can go to, if none can go to `best` because its data centre is evacuated. */
@@ -390,6 +436,15 @@
             && nowMs - startedAtMs < replicaWaitMs;
     }
 
+    private chooseConfirmed(best: FencedDatabase, stopped: readonly FencedDatabase[]): string {
+        return this.chooseBy(this.logs.confirmationRule(best, stopped), best);
+    }
+
+    private chooseBy(rule: PromotionRule | undefined, { databaseId }: FencedDatabase): string {
+        this.rule = rule;
+        return databaseId;
+    }
+
     private waitFor(wait: PromotionWait): undefined {
         this.wait = wait;
         return undefined;
@@ -402,9 +457,13 @@
         }
     }
 
-    /** Unless the primary steps down first, whose last position tells what was acknowledged. */
+    /**
+     * Unless the primary steps down first, whose last position tells what was acknowledged. Once a database is ordered, a
+     * primary that starts again may acknowledge commits beyond that.
+     */
     private closeInstances(nowMs: number): readonly Message[] {
-        const stepsDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
+        const stepsDown = this.orderedDatabaseId === undefined
+            && (this.awaitsStepDown(nowMs) || this.finalPosition !== undefined);
         return this.options.synchronousReplicas === 0 || stepsDown ? [] : this.survey.close(nowMs);
     }
 
@@ -436,7 +495,7 @@
         if (ready !== undefined && (isPreferred || hasWaited)) {
             // A primary that came back without its newest commits has stepped down below what was acknowledged.
             return this.mayLead(ready.databaseId)
-                ? ready.databaseId
+                ? this.chooseBy(PromotionRule.CaughtUp, ready)
                 : this.waitFor(PromotionWait.DatabaseWithLastCommit);
         }
         if (!hasWaited) {
@@ -445,7 +504,7 @@
         const primary = this.logs.primary();
         if (primary?.stopped === true && !primary.hasLostLog) {
             return this.mayLead(primary.databaseId)
-                ? primary.databaseId
+                ? this.chooseBy(PromotionRule.NoneCaughtUp, primary)
                 : this.waitFor(PromotionWait.DatabaseWithLastCommit);
         }
         // The primary was lost before a replica had caught up: the replicas stop, as without a planned change.
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -15,18 +15,20 @@
 import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
 import type { RecordedDatabase } from "../model/promotion.ts";
+import { type PromotionDecided, PromotionRule } from "../model/promotionDecision.ts";
 import {
     OrderResult,
     PromotionKind,
     type PromotionOrder,
     type PromotionOrdered,
     type PromotionProgressed,
-    type PromotionWait,
+    PromotionWait,
 } from "../model/promotionMessages.ts";
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
 import { Fencing } from "./fencing.ts";
+import { PromotionDecisions } from "./promotionDecision.ts";
 import { ServiceDatabases, type ServicePromotionOptions } from "./serviceDatabases.ts";
 
 type AssessmentFrame = Extract<FleetFrame, { readonly kind: "assessment"; }>;
@@ -38,6 +40,8 @@
     Fencing: "fencing",
     /** The order is being recorded, so that a new leader knows of it. */
     Recording: "recording",
+    /** The order is recorded, and sent once no instance acknowledges commits of another database any more. */
+    Closing: "closing",
     /** The order was sent, and no database has been seen to lead since. */
     Ordering: "ordering",
     Completing: "completing",
@@ -94,6 +98,7 @@
 export class ServicePromotion {
     private readonly options: ServicePromotionOptions;
     private readonly databases: ServiceDatabases;
+    private readonly decisions: PromotionDecisions;
     private phase: Phase = Phase.Steady;
     private phaseSinceMs = 0;
     private assessment: Assessment | undefined;
@@ -147,6 +152,7 @@
     constructor(options: ServicePromotionOptions) {
         this.options = options;
         this.databases = new ServiceDatabases(options);
+        this.decisions = new PromotionDecisions(options, this.databases);
     }
 
     /** Whether a change of primary or an assessment is in progress. */
@@ -164,14 +170,13 @@
     }
 
     /** Closes all links when this member stops being the leader. */
-    dispose(): readonly Message[] {
+    dispose(nowMs: number): readonly Message[] {
         const messages = [
             ...this.assessment?.close() ?? [],
-            ...this.fencing?.close() ?? [],
+            ...this.closeFencing(nowMs),
             ...this.closeCatchUpCheck(),
         ];
         this.assessment = undefined;
-        this.fencing = undefined;
         this.invalidatesOrders = false;
         this.phase = Phase.Steady;
         return messages;
@@ -188,12 +193,14 @@
                 return this.concludeAssessment(nowMs);
             case Phase.Fencing:
                 return this.continueFencing(nowMs);
+            case Phase.Closing:
+                return this.continueClosing(nowMs);
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             case Phase.Settling:
                 return elapsedMs < settleTimeMs
                     ? this.fencing?.keepReleasing(nowMs) ?? []
-                    : [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
+                    : [...this.closeFencing(nowMs), ...this.enter(Phase.Steady, nowMs)];
             default:
                 return this.continueProposing(nowMs);
         }
@@ -251,25 +258,26 @@
         if (status !== ProposalStatus.Applied) {
             this.substituteId = undefined;
             this.invalidatesOrders = false;
-            return [...this.closeFencing(), ...this.enter(Phase.Steady, nowMs)];
+            return [...this.closeFencing(nowMs), ...this.enter(Phase.Steady, nowMs)];
         }
         if (this.phase === Phase.Recording) {
-            if (this.substituteId === undefined && !this.fencing!.mayLead(this.chosenDatabaseId)) {
-                // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was
-                // sent, the choice goes on, with the same fence and all that is known.
-                this.fencing!.withdrawOrder();
-                return [...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
-            }
-            return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+            return this.substituteId === undefined
+                ? [...this.enter(Phase.Closing, nowMs), ...this.continueClosing(nowMs)]
+                : [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
         }
         this.fence = version;
         if (this.invalidatesOrders) {
             return this.orderPrimary(nowMs);
         }
         const { substituteId } = this;
+        const begun = this.startFencing(nowMs);
         return substituteId === undefined
-            ? this.startFencing(nowMs)
-            : [...this.startFencing(nowMs), ...this.recordOrder(substituteId, nowMs)];
+            ? begun
+            : [
+                ...begun,
+                this.tellChoice(substituteId, PromotionRule.Substitute, nowMs),
+                ...this.recordOrder(substituteId, nowMs),
+            ];
     }
 
     promotionOrdered({ fence, result }: PromotionOrdered, nowMs: number): readonly Message[] {
@@ -400,7 +408,8 @@
         }
         this.chosenDatabaseId = this.options.record().databaseId;
         this.supersedes = false;
-        return [...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+        const decided = this.decisions.invalidateOrders(this.fence, this.chosenDatabaseId, nowMs);
+        return [decided, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
     }
 
     private endInvalidation(nowMs: number): readonly Message[] {
@@ -465,7 +474,7 @@
         const { service } = this.options;
         const keepsPrimary = this.invalidatesOrders;
         const command = { kind: CommandKind.ReservePromotion, service, expectedFence, keepsPrimary };
-        return [...this.closeFencing(), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
+        return [...this.closeFencing(nowMs), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
     }
 
     private startFencing(nowMs: number): readonly Message[] {
@@ -499,7 +508,8 @@
         this.planned = false;
         this.sentOrders = 0;
         this.answeredOrders = 0;
-        return [...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
+        const begun = this.decisions.begin(this.fence, this.formerPrimaryId, nowMs);
+        return [begun, ...this.enter(Phase.Fencing, nowMs), ...this.fencing.open()];
     }
 
     /** A link changed, or an instance answered: a decision may be possible before the next tick. */
@@ -507,6 +517,8 @@
         switch (this.phase) {
             case Phase.Fencing:
                 return this.continueFencing(nowMs);
+            case Phase.Closing:
+                return this.continueClosing(nowMs);
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             default:
@@ -524,10 +536,15 @@
         this.chosenPosition = alreadyLeads
             ? this.databases.keptPosition(chosenDatabaseId) ?? receivedPosition
             : receivedPosition;
+        const decided = this.tellChoice(chosenDatabaseId, this.fencing!.decidingRule!, nowMs);
         if (alreadyLeads) {
-            return [...messages, ...this.complete(chosenDatabaseId, nowMs)];
+            return [...messages, decided, ...this.complete(chosenDatabaseId, nowMs)];
         }
-        return [...messages, ...this.recordOrder(chosenDatabaseId, nowMs)];
+        return [...messages, decided, ...this.recordOrder(chosenDatabaseId, nowMs)];
+    }
+
+    private tellChoice(databaseId: string, rule: PromotionRule, nowMs: number): PromotionDecided {
+        return this.decisions.choose(databaseId, rule, this.fencing!.evidence(), nowMs);
     }
 
     private recordOrder(databaseId: string, nowMs: number): readonly Message[] {
@@ -548,6 +565,22 @@
         return [...this.enter(Phase.Recording, nowMs), this.propose(command)];
     }
 
+    private continueClosing(nowMs: number): readonly Message[] {
+        const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
+        if (alreadyLeads) {
+            return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
+        }
+        if (!this.fencing!.mayLead(this.chosenDatabaseId)) {
+            // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent,
+            // the choice goes on, with the same fence and all that is known.
+            this.fencing!.withdrawOrder();
+            return [...messages, ...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
+        }
+        return this.fencing!.hasOpenLeases(nowMs)
+            ? [...messages, ...this.reportWait(PromotionWait.AcknowledgementLeases, nowMs)]
+            : [...messages, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
+    }
+
     /**
      * Waits until a database leads. The same order is repeated while that isn't seen: another database must not be
      * ordered to lead while this order may still be executed.
@@ -560,9 +593,6 @@
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
         }
-        if (this.reportsLead()) {
-            return [...messages, ...this.complete(this.chosenDatabaseId, nowMs)];
-        }
         if (!this.databases.members().some(({ databaseId }) => databaseId === this.chosenDatabaseId)) {
             // The process that was ordered to lead is gone, and the platform refuses orders for it.
             this.substituteId = undefined;
@@ -594,11 +624,6 @@
         return databaseId === this.options.record().databaseId || databaseId === this.formerPrimaryId;
     }
 
-    private reportsLead(): boolean {
-        return this.chosenDatabaseId !== this.replacedDatabaseId
-            && this.options.fleet.databases.get(this.chosenDatabaseId)?.report.leads === true;
-    }
-
     private order(nowMs: number): readonly Message[] {
         const spacedMs = this.refusedOrders < maximumPromptRefusals ? 0 : orderRetryMs;
         if (nowMs < this.lastOrderAtMs + spacedMs) {
@@ -621,6 +646,7 @@
 
     private complete(databaseId: string, nowMs: number): readonly Message[] {
         this.substituteId = undefined;
+        const decided = this.decisions.complete(databaseId, this.fencing!.evidence(), nowMs);
         const released = this.fencing?.release(nowMs) ?? [];
         this.chosenDatabaseId = databaseId;
         const { service, fleet, record } = this.options;
@@ -634,7 +660,7 @@
             basePosition: this.chosenPosition,
             departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
-        return [...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
+        return [decided, ...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
     /** Whether the platform may still execute an order for the database that leads now. */
@@ -661,10 +687,13 @@
         return [...kept, ...this.enter(this.phase, nowMs), this.propose(this.proposedCommand!)];
     }
 
-    private closeFencing(): readonly Message[] {
-        const closed = this.fencing?.close() ?? [];
+    private closeFencing(nowMs: number): readonly Message[] {
+        if (this.fencing === undefined) {
+            return [];
+        }
+        const messages = [...this.decisions.giveUp(this.fencing.evidence(), nowMs), ...this.fencing.close()];
         this.fencing = undefined;
-        return closed;
+        return messages;
     }
 
     private enter(phase: Phase, nowMs: number): readonly Message[] {
