--- a/src/fleet/__tests__/outdatedKnowledge.spec.ts
+++ b/src/fleet/__tests__/outdatedKnowledge.spec.ts
@@ -83,9 +83,11 @@
         const world = new PromotionWorld();
         world.advance(5_000);
         world.stopControl();
+        world.crash(world.database(1));
         const ended = world.restart(world.database(1));
         ended.heldReports.push(ended.report("s"));
-        world.advance(1);
+        world.advance(100);
+        world.crash(ended);
         world.restart(ended);
         world.startControl();
         world.advance(3_000);
@@ -95,4 +97,65 @@
         world.advance(10_000);
         assert.deepEqual(world.promoted.length, 1);
     });
+
+    it("lets replicas receive again that a leader has paused which is lost as it completes the change", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.crash(world.database(0));
+        advanceToOrder(world, 1);
+        world.stopControl();
+        world.advance(2_000);
+        assert.equal(world.promoted.length, 1);
+        world.startControl();
+        for (let step = 0; step < 3_000 && world.record.open; step++) {
+            world.advance(1);
+        }
+        assert.equal(world.record.open, false);
+        world.stopControl();
+        world.advance(500);
+        world.startControl();
+        world.advance(10_000);
+        const { acknowledgedCount } = world;
+        world.advance(2_000);
+        assert.ok(world.acknowledgedCount - acknowledgedCount >= 80);
+    });
+
+    it("lets a replica receive again that was cut from the leader while the change was completed", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.crash(world.database(0));
+        advanceToOrder(world, 1);
+        world.stopControl();
+        world.advance(2_000);
+        world.startControl();
+        for (let step = 0; step < 3_000 && world.record.open; step++) {
+            world.advance(1);
+        }
+        const replica = world.databases.find(({ leads, running }) => running && !leads)!;
+        replica.cutFromControl = true;
+        world.advance(2_000);
+        world.rejoin(replica.address);
+        world.advance(10_000);
+        const { acknowledgedCount } = world;
+        world.advance(2_000);
+        assert.ok(world.acknowledgedCount - acknowledgedCount >= 80);
+    });
+
+    it("keeps all commits when a primary has started again empty before earlier orders are made void", () => {
+        const world = new PromotionWorld();
+        world.advance(5_000);
+        world.platformDelayMs = 1_200;
+        world.crash(world.database(0));
+        while (world.promoted.length === 0) {
+            world.advance(2);
+        }
+        world.restart(world.database(0));
+        world.advance(700);
+        assert.equal(world.record.orderPending, true);
+        // The calls of before have had their effect.
+        world.platformDelayMs = 0;
+        world.silentDatabases.add(world.restartEmpty(world.primary!, false));
+        world.advance(2_000);
+        assert.deepEqual(world.lost, []);
+    });
 });
