fix(fleet): the order that makes earlier ones void waits for the primary's answer that it leads

Callers saw: all acknowledged writes were missing, seconds after a change of primary. Cause: while an order without an answer may be executed, the leader orders the present primary once more. It went by the last report of the primary. One that has started again under its id without its log, and has not reported that, was made to lead, and all logs were rolled back. Change: the primary is asked on a new link, and the order is sent with its answer that it leads. Without one earlier orders stay pending.

--- a/src/fleet/fencedDatabase.ts
+++ b/src/fleet/fencedDatabase.ts
@@ -46,7 +46,7 @@
     /** A command was sent on this connection; a repetition of its answer may arrive at any time. */
     private isUsed = false;
     /** The connection has brought an answer. */
-    private isAnswered = false;
+    private hasAnswered = false;
     /** A command that was sent and is not answered yet. */
     private pending: LinkCommand | undefined;
     /** Time at which the connection was requested or the pending command sent. */
@@ -72,6 +72,11 @@
         return this.status?.receivedPosition;
     }
 
+    /** Whether the present connection has brought an answer. */
+    get isAnswered(): boolean {
+        return this.hasAnswered;
+    }
+
     /** Added to the term of a pause, which must be above the newest term that the database knows. */
     get termMargin(): number {
         return this.refusedPauses;
@@ -107,8 +112,8 @@
         this.pending = undefined;
         this.retryAtMs = nowMs + retryDelayMs;
         const { status } = reply;
-        const isFirst = !this.isAnswered;
-        this.isAnswered = true;
+        const isFirst = !this.hasAnswered;
+        this.hasAnswered = true;
         if (reply.fault !== undefined || status === undefined) {
             return;
         }
@@ -239,7 +244,7 @@
         const { databaseId, address } = this.member;
         this.linkId = this.options.nextLinkId();
         this.isUsed = false;
-        this.isAnswered = false;
+        this.hasAnswered = false;
         this.requestedAtMs = nowMs;
         const { service } = this.options;
         return [{ kind: LinkKind.Open, linkId: this.linkId, address, service, workspace: "", databaseId } as Message];
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -12,7 +12,7 @@
     ProposalStatus,
 } from "../model/controlMessages.ts";
 import { type CommitsSeenFrame, type DatabaseReport, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
-import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
+import { LinkCommandKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
 import type { RecordedDatabase } from "../model/promotion.ts";
 import { type PromotionDecided, PromotionRule } from "../model/promotionDecision.ts";
@@ -27,6 +27,7 @@
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
+import { FencedDatabase, type FencedDatabaseOptions } from "./fencedDatabase.ts";
 import { Fencing } from "./fencing.ts";
 import { PromotionDecisions } from "./promotionDecision.ts";
 import { ServiceDatabases, type ServicePromotionOptions } from "./serviceDatabases.ts";
@@ -42,6 +43,8 @@
     Recording: "recording",
     /** The order is recorded, and sent once no instance acknowledges commits of another database any more. */
     Closing: "closing",
+    /** The present primary is asked whether it leads, before it is ordered to make earlier orders void. */
+    Proving: "proving",
     /** The order was sent, and no database has been seen to lead since. */
     Ordering: "ordering",
     Completing: "completing",
@@ -104,6 +107,8 @@
     private assessment: Assessment | undefined;
     private fencing: Fencing | undefined;
     private catchUpCheck: CatchUpCheck | undefined;
+    /** Asks the present primary whether it leads, before the order that makes earlier ones void. */
+    private leadCheck: FencedDatabase | undefined;
     /** The databases that the check is about. */
     private checkedDatabases: readonly RecordedDatabase[] = [];
     private replaceable: readonly RecordedDatabase[] = [];
@@ -175,6 +180,7 @@
             ...this.assessment?.close() ?? [],
             ...this.closeFencing(nowMs),
             ...this.closeCatchUpCheck(),
+            ...this.closeLeadCheck(),
         ];
         this.assessment = undefined;
         this.invalidatesOrders = false;
@@ -187,7 +193,11 @@
         switch (this.phase) {
             case Phase.Steady: {
                 const checked = this.checkPrimary(nowMs);
-                return [...checked, ...this.checkCatchUp(nowMs), ...this.invalidateOrders(nowMs)];
+                return [
+                    ...checked,
+                    ...this.checkCatchUp(nowMs),
+                    ...this.invalidateOrders(nowMs),
+                ];
             }
             case Phase.Assessing:
                 return this.concludeAssessment(nowMs);
@@ -195,6 +205,8 @@
                 return this.continueFencing(nowMs);
             case Phase.Closing:
                 return this.continueClosing(nowMs);
+            case Phase.Proving:
+                return this.continueProving(nowMs);
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             case Phase.Settling:
@@ -229,6 +241,7 @@
             ...this.assessment?.linkOpened(message) ?? [],
             ...this.fencing?.linkOpened(message, nowMs) ?? [],
             ...this.catchUpCheck?.linkOpened(message, nowMs) ?? [],
+            ...this.leadCheckOpened(message, nowMs),
         ];
     }
 
@@ -238,11 +251,17 @@
             ...this.fencing?.linkReplied(message, nowMs) ?? [],
         ];
         this.catchUpCheck?.linkReplied(message, nowMs);
+        if (this.leadCheck?.owns(message.linkId) === true) {
+            this.leadCheck.linkReplied(message, nowMs);
+        }
         return [...sent, ...this.afterLinkEvent(nowMs)];
     }
 
     linkLost(message: LinkLost, nowMs: number): readonly Message[] {
         this.catchUpCheck?.linkLost(message, nowMs);
+        if (this.leadCheck?.owns(message.linkId) === true) {
+            this.leadCheck.linkLost(message, nowMs);
+        }
         this.assessment?.linkLost(message);
         return [...this.fencing?.linkLost(message, nowMs) ?? [], ...this.afterLinkEvent(nowMs)];
     }
@@ -267,7 +286,7 @@
         }
         this.fence = version;
         if (this.invalidatesOrders) {
-            return this.orderPrimary(nowMs);
+            return this.provePrimary(nowMs);
         }
         const { substituteId } = this;
         const begun = this.startFencing(nowMs);
@@ -401,13 +420,45 @@
         return this.reserve(this.options.record().fence, nowMs);
     }
 
-    /** Sends the order that makes earlier ones void, unless the primary has gone meanwhile. */
-    private orderPrimary(nowMs: number): readonly Message[] {
-        if (!this.databases.mayInvalidateOrders()) {
+    /** Sends the order that makes earlier ones void, unless the primary has gone or does not answer that it leads. */
+    private provePrimary(nowMs: number): readonly Message[] {
+        const { databaseId } = this.options.record();
+        const primary = this.databases.members().find(member => member.databaseId === databaseId && !member.isLost);
+        if (!this.databases.mayInvalidateOrders() || primary === undefined) {
             return this.endInvalidation(nowMs);
         }
-        this.chosenDatabaseId = this.options.record().databaseId;
+        this.chosenDatabaseId = databaseId;
         this.supersedes = false;
+        this.leadCheck = new FencedDatabase(primary, this.linkOptions());
+        return [...this.enter(Phase.Proving, nowMs), ...this.continueProving(nowMs)];
+    }
+
+    private continueProving(nowMs: number): readonly Message[] {
+        const primary = this.leadCheck!;
+        if (primary.status?.leads === true) {
+            return [...this.closeLeadCheck(), ...this.orderPrimary(nowMs)];
+        }
+        const hasWaited = nowMs - this.phaseSinceMs >= invalidationIntervalMs;
+        return primary.isAnswered || hasWaited || !this.databases.mayInvalidateOrders()
+            ? [...this.closeLeadCheck(), ...this.endInvalidation(nowMs)]
+            : primary.advance({ kind: LinkCommandKind.Status }, nowMs);
+    }
+
+    private leadCheckOpened(message: LinkOpened, nowMs: number): readonly Message[] {
+        if (this.leadCheck?.owns(message.linkId) !== true) {
+            return [];
+        }
+        this.leadCheck.linkOpened(message);
+        return this.continueProving(nowMs);
+    }
+
+    private closeLeadCheck(): readonly Message[] {
+        const closed = this.leadCheck?.close() ?? [];
+        this.leadCheck = undefined;
+        return closed;
+    }
+
+    private orderPrimary(nowMs: number): readonly Message[] {
         const decided = this.decisions.invalidateOrders(this.fence, this.chosenDatabaseId, nowMs);
         return [decided, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
     }
@@ -433,6 +484,11 @@
         return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
+    private linkOptions(): FencedDatabaseOptions {
+        const { service, fleet } = this.options;
+        return { service, nextLinkId: () => fleet.nextLinkId() };
+    }
+
     private closeCatchUpCheck(): readonly Message[] {
         const closed = this.catchUpCheck?.close() ?? [];
         this.catchUpCheck = undefined;
@@ -519,6 +575,8 @@
                 return this.continueFencing(nowMs);
             case Phase.Closing:
                 return this.continueClosing(nowMs);
+            case Phase.Proving:
+                return this.continueProving(nowMs);
             case Phase.Ordering:
                 return this.continueOrdering(nowMs);
             default:
