fix(fleet): replicas that a change of primary has left paused receive again

Callers saw: no commit was acknowledged any more after a change of primary, although all databases ran; reads went stale. Cause: replicas were told to receive again by the member that completed the change alone, for 1.2 s. A leader that was lost as it completed the change, or a replica that could not be reached in that time, left replicas paused, with no promotion open that anyone would go on with. Change: while no change is open, a new leader, and each one after a change, asks the replicas on a link and tells those that hold a pause to receive, until each has answered without one or its process has ended.

--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -29,6 +29,7 @@
 import { CatchUpCheck } from "./catchUpCheck.ts";
 import { FencedDatabase, type FencedDatabaseOptions } from "./fencedDatabase.ts";
 import { Fencing } from "./fencing.ts";
+import { HeldReplicas } from "./heldReplicas.ts";
 import { PromotionDecisions } from "./promotionDecision.ts";
 import { ServiceDatabases, type ServicePromotionOptions } from "./serviceDatabases.ts";
 
@@ -107,6 +108,7 @@
     private assessment: Assessment | undefined;
     private fencing: Fencing | undefined;
     private catchUpCheck: CatchUpCheck | undefined;
+    private heldReplicas: HeldReplicas;
     /** Asks the present primary whether it leads, before the order that makes earlier ones void. */
     private leadCheck: FencedDatabase | undefined;
     /** The databases that the check is about. */
@@ -157,6 +159,7 @@
     constructor(options: ServicePromotionOptions) {
         this.options = options;
         this.databases = new ServiceDatabases(options);
+        this.heldReplicas = new HeldReplicas(this.linkOptions());
         this.decisions = new PromotionDecisions(options, this.databases);
     }
 
@@ -181,6 +184,7 @@
             ...this.closeFencing(nowMs),
             ...this.closeCatchUpCheck(),
             ...this.closeLeadCheck(),
+            ...this.heldReplicas.close(),
         ];
         this.assessment = undefined;
         this.invalidatesOrders = false;
@@ -196,6 +200,7 @@
                 return [
                     ...checked,
                     ...this.checkCatchUp(nowMs),
+                    ...this.releaseReplicas(nowMs),
                     ...this.invalidateOrders(nowMs),
                 ];
             }
@@ -241,6 +246,7 @@
             ...this.assessment?.linkOpened(message) ?? [],
             ...this.fencing?.linkOpened(message, nowMs) ?? [],
             ...this.catchUpCheck?.linkOpened(message, nowMs) ?? [],
+            ...this.heldReplicas.linkOpened(message, nowMs),
             ...this.leadCheckOpened(message, nowMs),
         ];
     }
@@ -251,14 +257,16 @@
             ...this.fencing?.linkReplied(message, nowMs) ?? [],
         ];
         this.catchUpCheck?.linkReplied(message, nowMs);
+        const released = this.heldReplicas.linkReplied(message, nowMs);
         if (this.leadCheck?.owns(message.linkId) === true) {
             this.leadCheck.linkReplied(message, nowMs);
         }
-        return [...sent, ...this.afterLinkEvent(nowMs)];
+        return [...sent, ...released, ...this.afterLinkEvent(nowMs)];
     }
 
     linkLost(message: LinkLost, nowMs: number): readonly Message[] {
         this.catchUpCheck?.linkLost(message, nowMs);
+        this.heldReplicas.linkLost(message, nowMs);
         if (this.leadCheck?.owns(message.linkId) === true) {
             this.leadCheck.linkLost(message, nowMs);
         }
@@ -484,6 +492,18 @@
         return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
+    private releaseReplicas(nowMs: number): readonly Message[] {
+        const { open, fence } = this.options.record();
+        if (this.phase !== Phase.Steady || open || fence === 0) {
+            return [];
+        }
+        const primaryId = this.databases.primary();
+        const replicas = this.databases.members().filter(({ databaseId, isLost }) =>
+            !isLost && databaseId !== primaryId
+        );
+        return this.heldReplicas.advance(replicas, nowMs);
+    }
+
     private linkOptions(): FencedDatabaseOptions {
         const { service, fleet } = this.options;
         return { service, nextLinkId: () => fleet.nextLinkId() };
@@ -530,7 +550,11 @@
         const { service } = this.options;
         const keepsPrimary = this.invalidatesOrders;
         const command = { kind: CommandKind.ReservePromotion, service, expectedFence, keepsPrimary };
-        return [...this.closeFencing(nowMs), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
+        const messages = [...this.closeFencing(nowMs), ...this.enter(Phase.Reserving, nowMs), this.propose(command)];
+        if (!keepsPrimary) {
+            this.heldReplicas = new HeldReplicas(this.linkOptions());
+        }
+        return messages;
     }
 
     private startFencing(nowMs: number): readonly Message[] {
@@ -763,7 +787,7 @@
         this.phase = phase;
         this.phaseSinceMs = nowMs;
         this.lastWait = undefined;
-        const closed = phase === Phase.Steady ? [] : this.closeCatchUpCheck();
+        const closed = phase === Phase.Steady ? [] : [...this.closeCatchUpCheck(), ...this.heldReplicas.close()];
         const isRoutine = phase === Phase.Steady || phase === Phase.Assessing || phase === Phase.Settling;
         return isRoutine ? closed : [...closed, this.progress(undefined, nowMs)];
     }
