test(fleet): commands and answers on links of control members come late and twice in the third part of the soak

Cause: links of the model answered within 6 ms, so that no status was older than the choice that it led to.

Change: a tenth of the commands and of the answers is late by up to 0.9 s, and a tenth of the answers comes again.

--- a/src/fleet/__tests__/outdatedFaults.ts
+++ b/src/fleet/__tests__/outdatedFaults.ts
@@ -23,6 +23,8 @@
             const draw = this.random.nextInteger(5);
             return draw === 0 ? undefined : draw === 1 ? this.between(0, 3_000) : 0;
         };
+        world.nextLinkDelayMs = () => this.random.nextInteger(10) > 0 ? 0 : this.between(10, 900);
+        world.nextRepetitionDelayMs = () => this.random.nextInteger(10) > 0 ? undefined : this.between(1, 1_000);
         world.nextProposalIsKept = () => this.random.nextInteger(2) === 0;
         world.orderSent = databaseId => this.orderSent(databaseId);
     }
@@ -32,6 +34,8 @@
         const { world } = this;
         world.nextPlatformDelayMs = () => 0;
         world.nextReportDelayMs = () => 0;
+        world.nextLinkDelayMs = () => 0;
+        world.nextRepetitionDelayMs = () => undefined;
         world.orderSent = () => undefined;
     }
 
--- a/src/fleet/__tests__/promotionWorld.ts
+++ b/src/fleet/__tests__/promotionWorld.ts
@@ -103,6 +103,8 @@
     platformRefuses = false;
     /** Delay of a second, identical answer on a link of the control leader; undefined if there is none. */
     nextRepetitionDelayMs = (): number | undefined => undefined;
+    /** Delay of a command on a link, and of the answer to it. */
+    nextLinkDelayMs = (): number => 0;
     /** Delay of a report; undefined if it is lost. */
     nextReportDelayMs = (): number | undefined => 0;
     /** Whether an elected member has what the former leader proposed last. */
@@ -915,7 +917,10 @@
 
     private sendCommands(member: SimulatedMember, { linkId, commands }: LinkSend): void {
         const database = member.links.get(linkId);
-        this.after(latencyMs, () => commands.forEach(command => this.execute(member, database, linkId, command)));
+        this.after(
+            latencyMs + this.nextLinkDelayMs(),
+            () => commands.forEach(command => this.execute(member, database, linkId, command)),
+        );
     }
 
     private execute(
@@ -937,10 +942,11 @@
         if (led !== database.leads) {
             this.report(database);
         }
+        const answeredAfterMs = latencyMs + this.nextLinkDelayMs();
         const repeatedAfterMs = this.nextRepetitionDelayMs();
         [0, ...repeatedAfterMs === undefined ? [] : [repeatedAfterMs]].forEach(delayMs =>
             this.after(
-                latencyMs + delayMs,
+                answeredAfterMs + delayMs,
                 this.ofMember(member, () => {
                     if (member.links.get(linkId) === database && !database.isCutFromMember(member.memberId)) {
                         const reply = { fault: undefined, status };
