test(platform): databases cut off from control members alone, late replicas, reports that a cut delays

Cause: the stand-in databases were cut off from everybody or from their clients only, and their reports either failed or told the present.

Change: a database can be cut off from the control members, from single databases, or with its reports alone; a replica can receive late. Failed reports come less and less often, and the first report during a cut arrives after it, as it was.

--- a/standins/platform/__tests__/database.spec.ts
+++ b/standins/platform/__tests__/database.spec.ts
@@ -46,8 +46,12 @@
         return database;
     }
 
-    async function connect({ options, id }: Database): Promise<ClientSession> {
-        const address = { host: options.host, port: options.port, database: "ledger", key: `tenant ${id}` };
+    async function connect(database: Database): Promise<ClientSession> {
+        return openAs(database, "tenant");
+    }
+
+    async function openAs({ options, id }: Database, caller: string): Promise<ClientSession> {
+        const address = { host: options.host, port: options.port, database: "ledger", key: `${caller} ${id}` };
         const session = await ClientSession.open(address, { onViolation: text => violations.push(text) });
         sessions.push(session!);
         return session!;
@@ -112,6 +116,30 @@
         await reconnected;
     });
 
+    it("answer control members nothing while they are cut off from these, and receive and serve meanwhile", async () => {
+        primary.cutOff({ statements: false, answers: false }, false, { control: true });
+        assert.equal((await ask(primary, "WRITE 1 x"))[0]!.error, undefined);
+        const opening = openAs(primary, "-");
+        assert.equal(await Promise.race([opening, delay(settleMs)]), undefined);
+        primary.reconnect();
+        assert.ok(await opening);
+    });
+
+    it("confirm no commit if the primary is cut off from the only replica", async () => {
+        primary.cutOff({ statements: false, answers: false }, false, { databases: [replica] });
+        const written = ask(primary, "WRITE 1 x");
+        assert.equal(await Promise.race([written, delay(settleMs)]), undefined);
+        primary.reconnect();
+        assert.equal((await written)[0]!.error, undefined);
+    });
+
+    it("receive late", async () => {
+        replica.lateMs = 3 * settleMs;
+        const written = ask(primary, "WRITE 1 x");
+        assert.equal(await Promise.race([written, delay(settleMs)]), undefined);
+        assert.equal((await written)[0]!.error, undefined);
+    });
+
     it("send an answer twice", async () => {
         faults.rates = { ...noAnswerFaults, repeatedShare: 1, maximumRepeatDelayMs: 1 };
         const session = await connect(primary);
--- a/standins/platform/database.ts
+++ b/standins/platform/database.ts
@@ -56,6 +56,16 @@
 
 const unsigned: DatabaseAnswer = { rows: [], signature: "-" };
 
+/** What else of the network of a database is cut; by default nothing. */
+export interface NetworkCut {
+    /** Control members cannot be reached, and their connections pass nothing. */
+    readonly control?: boolean;
+    /** Reports alone reach no control member. */
+    readonly reports?: boolean;
+    /** These databases cannot be reached. */
+    readonly databases?: readonly Database[];
+}
+
 interface WaitingCommit {
     readonly commit: Commit;
     readonly resolve: (error: string | undefined) => void;
@@ -72,12 +82,15 @@
     lastWorkAtMs = 0;
     /** Upper limit of the time that a statement takes. */
     maximumWorkMs = usualWorkMs;
+    /** Time by which what other databases send arrives later than usual. */
+    lateMs = 0;
     state: "ready" | "draining" = "ready";
     /** Term of the promotion for which this replica does not receive; 0 if it receives. */
     private pausedTerm = 0;
     private waitingCommits: WaitingCommit[] = [];
     private signatureCount = 0;
     private connectionCut: ConnectionCut = { statements: false, answers: false };
+    private networkCut: NetworkCut = {};
     private isCutFromPeers = false;
     private cutAtMs = 0;
     private readonly connections = new Set<DatabaseConnection>();
@@ -106,7 +119,7 @@
         this.server = createServer(socket => {
             const connection = new DatabaseConnection(socket, this, options.faults, options.texts);
             this.connections.add(connection);
-            connection.cut(this.connectionCut);
+            connection.cut(this.cutOf(false));
             socket.on("close", () => this.connections.delete(connection));
         });
         group.add(this, predecessor);
@@ -158,27 +171,42 @@
     }
 
     /**
-     * Cuts the network of the database.
-     * @param fromPeers no other database and no control member can be reached
+     * Cuts the network of the database in the place of an earlier cut; what waited in directions that are not cut any more is
+     * passed on, unless the connections were dark for too long.
+     * @param fromPeers no other database and no report can get through
      */
-    cutOff(connections: ConnectionCut, fromPeers: boolean): void {
-        this.record("cut off", { ...connections, fromPeers });
-        this.cutAtMs = performance.now();
+    cutOff(connections: ConnectionCut, fromPeers: boolean, network: NetworkCut = {}): void {
+        const { control = false, reports = false, databases = [] } = network;
+        const isDropped = performance.now() - this.cutAtMs > darkLimitMs;
+        const wereDark = new Map([...this.connections].map(open => [open, this.cutOf(open.isControl).statements]));
+        const ids = databases.map(({ id }) => id).join();
+        this.record("cut off", { ...connections, fromPeers, control, reports, databases: ids });
         this.connectionCut = connections;
-        this.connections.forEach(connection => connection.cut(connections));
+        this.networkCut = network;
+        wereDark.forEach((wasDark, connection) => {
+            const cut = this.cutOf(connection.isControl);
+            if (wasDark && !cut.statements && isDropped) {
+                connection.close();
+            }
+            else {
+                connection.cut(cut);
+            }
+        });
+        this.cutAtMs = performance.now();
         this.isCutFromPeers = fromPeers;
-        this.reporter.isCutOff = fromPeers;
+        this.reporter.isCutOff = fromPeers || control || reports;
+        this.options.group.members.forEach(member => member.catchUp());
     }
 
-    /** Ends the cut; what waited is passed on, unless it was dark for too long. */
+    /** Ends the cut. */
     reconnect(): void {
-        const isDropped = this.connectionCut.statements && performance.now() - this.cutAtMs > darkLimitMs;
-        this.record("connected", { isDropped });
-        this.connectionCut = { statements: false, answers: false };
-        this.connections.forEach(connection => isDropped ? connection.close() : connection.heal());
-        this.isCutFromPeers = false;
-        this.reporter.isCutOff = false;
-        this.options.group.members.forEach(member => member.catchUp());
+        this.cutOff({ statements: false, answers: false }, false);
+    }
+
+    cutOf(isControl: boolean): ConnectionCut {
+        return isControl && this.networkCut.control === true
+            ? { statements: true, answers: true }
+            : this.connectionCut;
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -340,7 +368,7 @@
         this.options.checker.committed(commit);
         const confirmed = new Promise<string | undefined>(resolve => this.waitingCommits.push({ commit, resolve }));
         this.options.group.members.filter(other => other !== this).forEach(replica =>
-            setTimeout(() => replica.receive(this, commit.number), this.networkDelayMs()).unref()
+            setTimeout(() => replica.receive(this, commit.number), this.networkDelayMs() + replica.lateMs).unref()
         );
         const error = await confirmed;
         return error === undefined ? this.sign(id) : { error };
@@ -350,14 +378,19 @@
     private receive(source: Database, upTo: number): void {
         const { group, faults } = this.options;
         const receives = this.isRunning && this.role === DatabaseRole.Replica && this.pausedTerm === 0;
-        const isConnected = source.isRunning && !source.isCutFromPeers && !this.isCutFromPeers;
-        if (!receives || !isConnected || source !== group.leader) {
+        if (!receives || !source.isRunning || !this.reaches(source) || source !== group.leader) {
             return;
         }
         this.log.follow(source.log, upTo);
         this.term = Math.max(this.term, source.term);
         setTimeout(() => this.log.apply(upTo), faults.nextDelayMs(maximumApplyDelayMs)).unref();
-        setTimeout(() => source.isCutFromPeers || source.confirm(upTo), this.networkDelayMs()).unref();
+        setTimeout(() => this.reaches(source) && source.confirm(upTo), this.networkDelayMs()).unref();
+    }
+
+    private reaches(other: Database): boolean {
+        return ![[this, other], [other, this]].some(([from, to]) =>
+            from!.isCutFromPeers || from!.networkCut.databases?.some(({ options }) => options.host === to!.options.host)
+        );
     }
 
     private confirm(upTo: number): void {
@@ -374,7 +407,7 @@
     private catchUp(): void {
         const source = this.options.group.leader;
         if (source !== undefined && source !== this) {
-            setTimeout(() => this.receive(source, source.log.received), this.networkDelayMs()).unref();
+            setTimeout(() => this.receive(source, source.log.received), this.networkDelayMs() + this.lateMs).unref();
         }
     }
 
--- a/standins/platform/databaseConnection.ts
+++ b/standins/platform/databaseConnection.ts
@@ -6,6 +6,9 @@
 import { parseReceived, type ReceivedStatement } from "./statementText.ts";
 import { encodeMessage, MessageKind, MessageReader, show, type WireMessage } from "./wireMessages.ts";
 
+/** Who connects without a tenant. */
+const controlCaller = "-";
+
 /** `I` without a transaction, `T` in one, `E` in one that failed. */
 export type ConnectionState = "I" | "T" | "E";
 
@@ -31,6 +34,8 @@
 
 export interface StatementHandler {
     readonly id: string;
+    /** What is cut of a connection of the control members, or of a proxy. */
+    cutOf(isControl: boolean): ConnectionCut;
     /** Returns the code of the error that refuses the connection, or undefined. */
     accept(service: string, expectedId: string | undefined): string | undefined;
     run(connection: DatabaseConnection, statement: ReceivedStatement): Promise<DatabaseAnswer>;
@@ -45,6 +50,8 @@
     readonly shapes = new Map<string, string>();
     state: ConnectionState = "I";
     transaction: OpenTransaction | undefined;
+    /** A control member has opened it; known once it has said who it is. */
+    isControl = false;
     private readonly socket: Socket;
     private readonly handler: StatementHandler;
     private readonly faults: AnswerFaults;
@@ -89,19 +96,16 @@
         this.socket.destroy();
     }
 
+    /** Passes nothing in the directions that are cut, and in the others also what waited. */
     cut({ statements, answers }: ConnectionCut): void {
         this.holdsAnswers = answers;
         if (statements) {
             this.socket.pause();
         }
-    }
-
-    /** Passes everything again, also what waited. */
-    heal(): void {
-        this.holdsAnswers = false;
-        this.socket.resume();
-        const held = this.heldAnswers;
-        this.heldAnswers = [];
+        else {
+            this.socket.resume();
+        }
+        const held = answers ? [] : this.heldAnswers.splice(0);
         held.forEach(answer => this.write(answer));
     }
 
@@ -147,7 +151,9 @@
         }
     }
 
-    private accept(kind: MessageKind, [service, , expectedId]: readonly string[]): void {
+    private accept(kind: MessageKind, [service, caller, expectedId]: readonly string[]): void {
+        this.isControl = caller === controlCaller;
+        this.cut(this.handler.cutOf(this.isControl));
         if (kind !== MessageKind.Connect || service === undefined) {
             this.handler.violated(`${kind} before CONNECT`);
         }
--- a/standins/platform/databaseReporter.ts
+++ b/standins/platform/databaseReporter.ts
@@ -3,6 +3,12 @@
 
 const reportIntervalMs = 1_200;
 
+/** After failures the interval doubles up to this many times the usual one. */
+const maximumBackoff = 4;
+
+/** Time from the end of a cut until the report arrives that it has delayed. */
+const delayedReportMs = 400;
+
 export interface DatabaseReport {
     readonly service: string;
     /** HOST:PORT at which the database accepts connections. */
@@ -13,8 +19,6 @@
 }
 
 export class DatabaseReporter {
-    /** No member can be reached. */
-    isCutOff = false;
     private readonly id: string;
     private readonly controls: () => readonly string[];
     private readonly read: () => DatabaseReport;
@@ -22,6 +26,10 @@
     private timer: NodeJS.Timeout | undefined;
     private sequence = 0;
     private nextControl = 0;
+    private failures = 0;
+    private isCut = false;
+    /** The first call that the present cut has delayed. */
+    private delayed: (() => Promise<boolean>) | undefined;
 
     /**
      * @param controls HOST:PORT of the present control members
@@ -33,13 +41,22 @@
         this.read = read;
     }
 
+    /** No member can be reached. The first report meanwhile arrives after the cut, as it was, even if its sender has ended. */
+    set isCutOff(isCut: boolean) {
+        const { delayed } = this;
+        this.isCut = isCut;
+        if (!isCut && delayed !== undefined) {
+            this.delayed = undefined;
+            setTimeout(() => void delayed(), delayedReportMs).unref();
+        }
+    }
+
     start(): void {
-        this.timer = setInterval(() => void this.report(), reportIntervalMs);
-        void this.report();
+        this.timer = setTimeout(() => void this.reportRegularly());
     }
 
     stop(): void {
-        clearInterval(this.timer);
+        clearTimeout(this.timer);
         this.timer = undefined;
     }
 
@@ -47,7 +64,13 @@
     async report(): Promise<boolean> {
         const constants = { version: "v1", slots: 5, cold_left_ms: 0, born: this.bornAtMs };
         this.sequence += 1;
-        return this.call("Instances.Heartbeat", { ...this.read(), ...constants, seq: this.sequence });
+        const body = { ...this.read(), ...constants, seq: this.sequence };
+        if (this.isCut) {
+            this.delayed ??= () => this.call("Instances.Heartbeat", body);
+        }
+        const isHeard = await this.call("Instances.Heartbeat", body);
+        this.failures = isHeard ? 0 : this.failures + 1;
+        return isHeard;
     }
 
     /** Reports that the database ends for good. */
@@ -56,9 +79,17 @@
         return this.call("Instances.Leave", {});
     }
 
+    private async reportRegularly(): Promise<void> {
+        await this.report();
+        if (this.timer !== undefined) {
+            const intervalMs = reportIntervalMs * Math.min(2 ** this.failures, maximumBackoff);
+            this.timer = setTimeout(() => void this.reportRegularly(), intervalMs);
+        }
+    }
+
     private async call(name: string, body: unknown): Promise<boolean> {
         const controls = this.controls();
-        for (let attempt = 0; attempt < controls.length && !this.isCutOff; attempt++) {
+        for (let attempt = 0; attempt < controls.length && !this.isCut; attempt++) {
             if (await postJson(controls[this.nextControl % controls.length]!, `/-/${name}/${this.id}`, body) === 200) {
                 return true;
             }
--- a/standins/platform/promotionServer.ts
+++ b/standins/platform/promotionServer.ts
@@ -15,6 +15,8 @@
 export class PromotionServer implements AsyncDisposable {
     /** Number of promotions that took effect. */
     promotionCount = 0;
+    /** Ids of the databases in the calls so far. */
+    readonly orderedIds: string[] = [];
     /** Returns the time until an order takes effect without an answer; undefined if orders are answered. */
     nextDelayMs: () => number | undefined = () => undefined;
     private readonly group: DatabaseGroup;
@@ -50,6 +52,7 @@
         const fence = Number(request.headers["jasmineline-fence-token"]);
         const { id } = orderSchema.parse(JSON.parse(await text(request)));
         this.checker.ordered(fence, String(request.headers["jasmineline-duty-holder"]));
+        this.orderedIds.push(id);
         const lateMs = this.nextDelayMs();
         this.group.events.write("ordered", { database: id, fence, lateMs: lateMs ?? 0 });
         if (lateMs === undefined) {
