test(soak): faults in which the parts know different things of who leads

Change: nine kinds of faults. Two databases and the control leader end within 100 ms; orders whose answer is lost and whose effect comes 1 to 4 s late; a database cut off from the control members alone, a primary also from one replica; several of these in a row; a replica that receives a second late; a primary that drains and is back under another id before the order; a leader that stands still, and a member that goes on then. More faults a run, so that the other kinds stay as frequent.

--- a/scripts/platformCluster.ts
+++ b/scripts/platformCluster.ts
@@ -68,6 +68,7 @@
         readonly platform: number;
     };
     private nextHost = 11;
+    private leaderName = "";
     // Also runs on exit, because an interrupted script exits without disposal.
     private readonly removeFolder = () => rmSync(this.folder, { recursive: true, force: true });
 
@@ -130,6 +131,11 @@
         return this.members.map(({ host }) => `${host}:${this.ports.control}`);
     }
 
+    /** The member that has become the leader last; it may be gone. */
+    get leader(): Machine | undefined {
+        return this.members.find(({ name }) => name === this.leaderName);
+    }
+
     /** Address at which the members call the platform. */
     get platformHost(): string {
         return `${this.network}.2`;
@@ -153,6 +159,11 @@
             environment: { [settingsVariable]: this.settingsFile(machine) },
         });
         this.processes.set(machine.name, started);
+        started.onLine(line => {
+            if (line.includes("\"event\":\"control.leader_changed\"") && line.includes("\"leading\":true")) {
+                this.leaderName = machine.name;
+            }
+        });
         void started.ended.then(reason => {
             const endedBeforeProgramRan = reason === "SIGHUP" && !started.hasWrittenOutput;
             if (!this.orderedEnds.has(started) && !endedBeforeProgramRan) {
--- a/scripts/processGroup.ts
+++ b/scripts/processGroup.ts
@@ -113,6 +113,10 @@
         });
     }
 
+    onLine(listener: (line: string) => void): void {
+        this.listeners.add(listener);
+    }
+
     /** Stops the process with SIGTERM, or with SIGKILL if it does not end within `stopTimeoutMs`. */
     async stop(): Promise<void> {
         this.signal("SIGCONT");
--- a/scripts/soakDatabaseFaults.ts
+++ b/scripts/soakDatabaseFaults.ts
@@ -4,6 +4,7 @@
 import { SeededRandom } from "../src/pipeline/seededRandom.ts";
 import { noAnswerFaults } from "../standins/platform/answerFaults.ts";
 import { type Database, usualWorkMs } from "../standins/platform/database.ts";
+import { PrimaryFaults } from "./soakPrimaryFaults.ts";
 import { type Fault, FaultKind } from "./soakSchedule.ts";
 import type { StatementWorld } from "./statementWorld.ts";
 
@@ -25,15 +26,19 @@
     private readonly world: StatementWorld;
     private readonly random: SeededRandom;
     private readonly disturbed = new Set<Database>();
+    private readonly primaryFaults: PrimaryFaults;
     private leavingCount = 0;
 
-    constructor(world: StatementWorld, seed: number) {
+    /** @param endLeader ends the control leader, unless another member is gone, and starts it again after a time */
+    constructor(world: StatementWorld, seed: number, endLeader: (forMs: number) => Promise<void>) {
         this.world = world;
         this.random = new SeededRandom(seed);
+        const { disturbed } = this;
+        this.primaryFaults = new PrimaryFaults({ world, seed: seed + 1, disturbed, endLeader });
     }
 
     /** Returns false if no database is there that the fault could befall. */
-    async apply({ kind, target, forMs }: Fault): Promise<boolean> {
+    async apply({ atMs, kind, target, forMs }: Fault): Promise<boolean> {
         switch (kind) {
             case FaultKind.RepeatAnswers:
                 return this.changeAnswers({ repeatedShare: 0.03 }, forMs);
@@ -42,7 +47,8 @@
             case FaultKind.CrashDatabase:
                 return this.disturb(target, database => this.crash(database, forMs, true));
             case FaultKind.EmptyDatabase:
-                return this.disturb(target, database => this.crash(database, forMs / 4, false));
+                return !this.primaryFaults.isCrashed
+                    && this.disturb(target, database => this.crash(database, forMs / 4, false));
             case FaultKind.JoinDatabase:
                 return this.join();
             case FaultKind.DrainDatabase:
@@ -65,7 +71,7 @@
             case FaultKind.SlowPlatform:
                 return this.slowPlatform(forMs);
             default:
-                throw new Error(`${kind} is no fault of databases`);
+                return this.primaryFaults.apply({ atMs, kind, target, forMs });
         }
     }
 
--- a/scripts/soakRun.ts
+++ b/scripts/soakRun.ts
@@ -19,6 +19,10 @@
 /** Time within which a session is accepted or refused for good when no fault is active. */
 const decisionLimitMs = 4_000;
 
+/** Longest time for which a member is gone, and time for which the leader stands still. */
+const maximumStandstillMs = 4_000;
+const leaderStandstillMs = 3_000;
+
 /** Interval between two changes of the configuration, and between two sessions at a proxy. */
 const changeIntervalMs = 600;
 const askIntervalMs = 250;
@@ -100,7 +104,7 @@
         const { cluster } = world;
         this.world = world;
         this.cluster = cluster;
-        this.databaseFaults = new DatabaseFaults(world, seed + 2);
+        this.databaseFaults = new DatabaseFaults(world, seed + 2, forMs => this.endLeader(forMs));
         this.seed = seed;
         this.random = new SeededRandom(seed + 1);
         this.formerMembers = [...cluster.members];
@@ -154,16 +158,12 @@
         switch (kind) {
             case FaultKind.FreezeProxy:
             case FaultKind.FreezeMember:
-                return this.disturb(kind === FaultKind.FreezeProxy, target, async machine => {
-                    cluster.signal(machine, "SIGSTOP");
-                    await delay(forMs);
-                    cluster.signal(machine, "SIGCONT");
-                });
+                return this.disturb(kind === FaultKind.FreezeProxy, target, machine => this.freeze(machine, forMs));
             case FaultKind.KillProxy:
             case FaultKind.KillMember:
                 return this.disturb(kind === FaultKind.KillProxy, target, async machine => {
                     await cluster.kill(machine);
-                    await delay(Math.min(forMs, 4_000));
+                    await delay(Math.min(forMs, maximumStandstillMs));
                     this.startAgain(machine);
                 });
             case FaultKind.StopProxy:
@@ -207,6 +207,15 @@
                 return this.restartAll(target, forMs, kind === FaultKind.RestartAllWithLostDisk);
             case FaultKind.SignalSeries:
                 return this.disturb(target % 3 > 0, target, machine => this.signalInSeries(machine, target));
+            case FaultKind.FreezeLeader:
+                return this.disturbMachine(cluster.leader, leader => this.freeze(leader, forMs));
+            case FaultKind.WakeForLeader:
+                return this.disturbMachine(this.memberBesideLeader(target), async member => {
+                    await this.freeze(member, Math.min(forMs, maximumStandstillMs));
+                    if (cluster.leader !== undefined && cluster.leader !== member) {
+                        await this.freeze(cluster.leader, leaderStandstillMs);
+                    }
+                });
             default:
                 return this.databaseFaults.apply(fault);
         }
@@ -219,8 +228,15 @@
     ): Promise<boolean> {
         const machines = (isProxy ? this.cluster.proxies : this.cluster.members)
             .filter(({ name }) => !this.disturbed.has(name));
-        const machine = machines[target % Math.max(1, machines.length)];
-        if (machine === undefined || !isProxy && this.membersInWork) {
+        return this.disturbMachine(machines[target % Math.max(1, machines.length)], act);
+    }
+
+    private async disturbMachine(
+        machine: Machine | undefined,
+        act: (machine: Machine) => Promise<void>,
+    ): Promise<boolean> {
+        const isProxy = machine?.isMember === false;
+        if (machine === undefined || this.disturbed.has(machine.name) || !isProxy && this.membersInWork) {
             return false;
         }
         this.disturbed.add(machine.name);
@@ -231,6 +247,25 @@
         return true;
     }
 
+    private async freeze(machine: Machine, forMs: number): Promise<void> {
+        this.cluster.signal(machine, "SIGSTOP");
+        await delay(forMs);
+        this.cluster.signal(machine, "SIGCONT");
+    }
+
+    private memberBesideLeader(target: number): Machine | undefined {
+        const others = this.cluster.members.filter(member => member !== this.cluster.leader);
+        return others[target % Math.max(1, others.length)];
+    }
+
+    private async endLeader(forMs: number): Promise<void> {
+        await this.disturbMachine(this.cluster.leader, async leader => {
+            await this.cluster.kill(leader);
+            await delay(Math.min(forMs, maximumStandstillMs));
+            this.startAgain(leader);
+        });
+    }
+
     /** Sends signals with short pauses; the last one ends the process, which then starts again. */
     private async signalInSeries(machine: Machine, target: number): Promise<void> {
         const random = new SeededRandom(target);
--- a/scripts/soakSchedule.ts
+++ b/scripts/soakSchedule.ts
@@ -36,6 +36,23 @@
     SlowDatabase: "slow_database",
     /** The platform answers no order, and carries each out seconds later. */
     SlowPlatform: "slow_platform",
+    /** Two databases and the control leader end within 100 ms, and come back with what they had. */
+    CrashTwoDatabases: "crash_two_databases",
+    /** The platform loses some answers, and carries these orders out 1 to 4 s late. */
+    LatePlatform: "late_platform",
+    /** A database reaches no control member, and serves on. */
+    CutFromControl: "cut_from_control",
+    /** A database receives a second late. */
+    LateReplica: "late_replica",
+    /** The primary is dark until another one is ordered; then it lacks the control members and one replica. */
+    CutPrimary: "cut_primary",
+    /** The primary drains, and is back under another id before an order for another one takes effect. */
+    ReplacePrimary: "replace_primary",
+    /** Several primaries in a row are cut off, so that a former one is ordered whose reports are old. */
+    PromotionSeries: "promotion_series",
+    FreezeLeader: "freeze_leader",
+    /** A member that stood still goes on as the leader stands still. */
+    WakeForLeader: "wake_for_leader",
     RestartAll: "restart_all",
     RestartAllWithLostDisk: "restart_all_with_lost_disk",
 } as const;
@@ -59,9 +76,9 @@
 
 /** One size is named on the command line. */
 export const scales: Readonly<Record<string, Scale>> = {
-    small: { members: 3, proxies: 3, sessions: 18, faults: 26, durationMs: 18_000 },
-    usual: { members: 3, proxies: 9, sessions: 36, faults: 56, durationMs: 40_000 },
-    large: { members: 5, proxies: 60, sessions: 120, faults: 120, durationMs: 60_000 },
+    small: { members: 3, proxies: 3, sessions: 18, faults: 32, durationMs: 18_000 },
+    usual: { members: 3, proxies: 9, sessions: 36, faults: 70, durationMs: 40_000 },
+    large: { members: 5, proxies: 60, sessions: 120, faults: 150, durationMs: 60_000 },
 };
 
 /**
