--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -210,7 +210,7 @@
     it("lets instances have leases until a database is ordered, and then those that have answered", () => {
         const fixture = new FencingFixture();
         assert.equal(fixture.fencing.mayGrantLease("f1"), true);
-        fixture.fencing.orderSent("a");
+        fixture.fencing.orderSent("a", fixture.nowMs);
         assert.equal(fixture.fencing.mayGrantLease("f1"), false);
         fixture.reportCommits("f1", 8, { questionId: "7/close" });
         assert.equal(fixture.fencing.mayGrantLease("f1"), true);
@@ -243,7 +243,7 @@
         fixture.decide(61);
         fixture.answer("a", false, 3, 12);
         assert.equal(fixture.decide(), "a");
-        fixture.fencing.orderSent("a");
+        fixture.fencing.orderSent("a", fixture.nowMs);
         fixture.decide(61);
         fixture.answer("a", false, 3, 10);
         assert.equal(fixture.fencing.hasLostLogSinceChoice(), false);
@@ -479,7 +479,7 @@
             assert.equal(fixture.decide(), undefined);
             answerAgain();
             assert.equal(fixture.decide(), "a");
-            fixture.fencing.orderSent("a");
+            fixture.fencing.orderSent("a", fixture.nowMs);
             assert.ok(fixture.fencing.mayLead("a"));
         });
 
@@ -503,7 +503,7 @@
         it("orders none if an instance answers so after the choice", () => {
             stopReplicas();
             assert.equal(fixture.decide(), "a");
-            fixture.fencing.orderSent("a");
+            fixture.fencing.orderSent("a", fixture.nowMs);
             fixture.reportCommits("f1", 13, { questionId: "7/close" });
             assert.ok(!fixture.fencing.mayLead("a"));
         });
@@ -543,7 +543,7 @@
             assert.ok(fixture.questions.includes("f1 7/0"), "the instances are asked at once");
             fixture.reportCommits("f1", 10);
             assert.equal(fixture.decide(), "b");
-            fixture.fencing.orderSent("b");
+            fixture.fencing.orderSent("b", fixture.nowMs);
             assert.ok(fixture.fencing.mayLead("b"));
         });
 
@@ -570,6 +570,16 @@
         assert.equal(fixture.decide(), undefined);
     });
 
+    it("does not wait for what the last promotion kept once no database is missing", () => {
+        // Guards against a wait without end for commits that an order rolled back which was executed without being seen.
+        const fixture = new FencingFixture({ basePosition: { term: 2, offset: 11 }, preferredDatabaseId: "x" });
+        ["p", "a", "b"].forEach(databaseId => fixture.openLink(databaseId, 2, 9));
+        ["a", "b"].forEach(databaseId => fixture.answer(databaseId, false, 3, 9, 2));
+        assert.equal(fixture.decide(), undefined);
+        fixture.answer("p", false, 3, 9, 2);
+        assert.notEqual(fixture.decide(), undefined);
+    });
+
     it("waits if the primary has stepped down below what was acknowledged", () => {
         // Guards against a choice that is recorded and withdrawn again in each round trip, without an end.
         const fixture = new FencingFixture();
@@ -606,6 +616,27 @@
         assert.equal(fixture.lastCommand("a"), LinkCommandKind.Pause);
     });
 
+    it("pauses the former primary while a database of an earlier order may lead", () => {
+        // Guards against commits of that database which the former primary confirms after it was taken for stopped.
+        const fixture = new FencingFixture({ preferredDatabaseId: "b" });
+        fixture.loseLink("b", LinkLoss.Broken);
+        fixture.openLink("a", 3, 20);
+        fixture.answer("a", false, 4, 20, 3);
+        fixture.openLink("p", 3, 20);
+        assert.equal(fixture.lastCommand("p"), LinkCommandKind.Pause);
+        fixture.answer("p", true, 3, 20);
+        fixture.decide(60);
+        fixture.openLink("p", 3, 20);
+        assert.equal(fixture.lastCommand("p"), LinkCommandKind.StepDown);
+        fixture.answer("p", false, 3, 20, 3, 0);
+        assert.equal(fixture.decide(), undefined);
+        fixture.decide(60);
+        fixture.openLink("p", 3, 20);
+        assert.equal(fixture.lastCommand("p"), LinkCommandKind.Pause);
+        fixture.answer("p", false, 3, 20);
+        assert.notEqual(fixture.decide(), undefined);
+    });
+
     it("recognises that an earlier order was executed late", () => {
         const fixture = new FencingFixture();
         fixture.openLink("a", 3, 10);
--- a/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
+++ b/src/fleet/__tests__/fleetDatabaseDirectory.spec.ts
@@ -36,17 +36,18 @@
             ordered: new Map(),
             completedFences: new Map(),
         } as PolicyApplied,
+        0,
     );
     report(directory, known);
     return directory;
 }
 
-function report(directory: FleetDatabaseDirectory, reported: DatabaseReport): readonly Message[] {
-    return directory.process({ kind: FleetKind.DatabaseReported, report: reported });
+function report(directory: FleetDatabaseDirectory, reported: DatabaseReport, nowMs = 0): readonly Message[] {
+    return directory.process({ kind: FleetKind.DatabaseReported, report: reported }, nowMs);
 }
 
 function leave(directory: FleetDatabaseDirectory, bornUnixMs: number | undefined): readonly Message[] {
-    return directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId, bornUnixMs });
+    return directory.process({ kind: FleetKind.DatabaseLeft, databaseId: known.databaseId, bornUnixMs }, 0);
 }
 
 function kindsOf(messages: readonly Message[]): readonly string[] {
@@ -78,6 +79,7 @@
         const frame = { kind: "database_left", databaseId: known.databaseId, bornUnixMs: 1_000 } as const;
         const received = directory.process(
             { kind: FleetKind.FrameReceived, attachmentId: "a", frame } as FrameReceived,
+            0,
         );
         assert.deepEqual(removed(received), []);
         const heard = report(directory, { ...known, sequence: 2, bornUnixMs: 2_000 });
@@ -114,10 +116,34 @@
         assert.deepEqual(report(directory, late), []);
     });
 
+    it("accepts a process whose clock stepped back once the earlier one at its address has long been silent", () => {
+        const directory = directoryWith("orders");
+        const next = { ...known, databaseId: "i-2", sequence: 9, bornUnixMs: known.bornUnixMs - 500 };
+        assert.deepEqual(report(directory, next, 9_000), []);
+        const heard = report(directory, { ...next, sequence: 10 }, 10_000);
+        assert.ok(kindsOf(heard).includes(FleetKind.DatabaseChanged));
+    });
+
     it("passes on no report that arrives late", () => {
         const directory = directoryWith("orders");
         assert.deepEqual(report(directory, { ...known, sequence: 3 }), []);
         leave(directory, known.bornUnixMs);
         assert.deepEqual(report(directory, { ...known, sequence: 5 }), []);
     });
+
+    it("passes on no late report of a database whose address a newer one has taken", () => {
+        // Guards against a process that has ended and counts as the primary of its service.
+        const directory = directoryWith("orders");
+        const earlier = { ...known, databaseId: "i-0", sequence: 90, bornUnixMs: 500 };
+        assert.deepEqual(report(directory, earlier), []);
+        assert.deepEqual(report(directory, { ...earlier, sequence: 91 }), []);
+        const later = { ...earlier, sequence: 1, bornUnixMs: 2_000 };
+        assert.ok(kindsOf(report(directory, later)).includes(FleetKind.DatabaseChanged));
+    });
+
+    it("keeps a database when a newer one of an unknown service names its address first", () => {
+        const directory = new FleetDatabaseDirectory();
+        report(directory, { ...known, databaseId: "odd", service: "unknown", sequence: 1, bornUnixMs: 2_000 });
+        assert.ok(kindsOf(report(directory, known)).includes(FleetKind.DatabaseChanged));
+    });
 });
--- a/src/fleet/__tests__/simulatedInstance.ts
+++ b/src/fleet/__tests__/simulatedInstance.ts
@@ -16,6 +16,8 @@
     cutFromControl: boolean;
     /** Added to the time after which the instance applies a record, while it goes on to get leases. */
     feedDelayMs: number;
+    /** The instance gets no further configuration; nothing else is cut. */
+    feedLost: boolean;
     /** Index of the newest command whose effect it has applied. */
     appliedIndex: number;
     /** Database of the order that is under way, as the instance knows it; it commits nowhere else. */
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -40,6 +40,8 @@
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
     private orderedDatabaseId: string | undefined;
+    private orderedAtMs = -Infinity;
+    private hadStoppedBeforeOrder = false;
     private logLossesBeforeOrder = 0;
     /** A database leads: the others receive again. */
     private released = false;
@@ -72,8 +74,14 @@
 
     linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
         const database = this.databaseOfLink(message.linkId);
-        database?.linkReplied(message, nowMs);
-        if (database !== undefined && this.logs.isPrimary(database)) {
+        if (database === undefined) {
+            return [];
+        }
+        database.linkReplied(message, nowMs);
+        if (this.mayReceive(database)) {
+            database.stopped = false;
+        }
+        if (this.logs.isPrimary(database)) {
             this.followPrimary(database, nowMs);
         }
         return [];
@@ -90,16 +98,37 @@
         this.survey.record(attachmentId, frame, nowMs);
     }
 
-    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is chosen yet. */
+    /** Whether an instance may get a lease: it acknowledges only what the promotion keeps, or nothing is ordered yet. */
     mayGrantLease(attachmentId: string): boolean {
-        return this.closedInstances.has(attachmentId) || this.finalPosition !== undefined
-            || this.expectedLeaderId() === "";
+        const mayBeOrdered = this.finalPosition === undefined && this.expectedLeaderId() !== "";
+        return this.closedInstances.has(attachmentId) || this.orderedDatabaseId === undefined && !mayBeOrdered;
+    }
+
+    /** Whether an instance that has not answered the question to stop may still acknowledge commits. */
+    hasOpenLeases(nowMs: number): boolean {
+        return this.options.synchronousReplicas > 0
+            && this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs);
     }
 
-    /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
-    orderSent(databaseId: string): void {
+    /** The database is ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
+    orderSent(databaseId: string, nowMs: number): readonly Message[] {
         this.orderedDatabaseId = databaseId;
-        this.logLossesBeforeOrder = this.databases.get(databaseId)?.logLosses ?? 0;
+        this.orderedAtMs = nowMs;
+        const database = this.databases.get(databaseId);
+        this.logLossesBeforeOrder = database?.logLosses ?? 0;
+        this.hadStoppedBeforeOrder = database?.stopped === true;
+        return this.hadStoppedBeforeOrder ? database!.proveNow(nowMs) : [];
+    }
+
+    /** Whether the chosen database has answered since it was chosen, if it had stopped; its last answer before may be old. */
+    isChoiceProved(): boolean {
+        return !this.hadStoppedBeforeOrder
+            || (this.orderedDatabase()?.provedStoppedMs ?? -Infinity) >= this.orderedAtMs;
+    }
+
+    /** Whether the chosen database had stopped and is not known to be so any more. */
+    hasChoiceChanged(): boolean {
+        return this.hadStoppedBeforeOrder && this.orderedDatabase()?.stopped !== true;
     }
 
     /** The order was not sent after all: the choice goes on, with all that is known of the databases. */
@@ -167,7 +196,7 @@
 
     /** Whether the chosen database has started again without its log. */
     hasLostLogSinceChoice(): boolean {
-        return (this.databases.get(this.orderedDatabaseId ?? "")?.logLosses ?? 0) > this.logLossesBeforeOrder;
+        return (this.orderedDatabase()?.logLosses ?? 0) > this.logLossesBeforeOrder;
     }
 
     receivedPosition(databaseId: string): Position | undefined {
@@ -256,12 +285,13 @@
             return database.isHeld && database.status?.leads !== true ? { kind: LinkCommandKind.Resume } : undefined;
         }
         if (database.databaseId === this.orderedDatabaseId) {
-            return { kind: LinkCommandKind.Status };
+            return this.isChoiceProved() ? { kind: LinkCommandKind.Status } : undefined;
         }
         if (this.options.primaryKeepsLead && database.databaseId === this.options.primaryId) {
             return { kind: LinkCommandKind.Status };
         }
-        if (this.logs.isPrimary(database) || this.leadsBesideOrder(database)) {
+        const stepsDown = this.logs.isPrimary(database) && !this.mayFollowAnother(database);
+        if (stepsDown || this.leadsBesideOrder(database)) {
             return database.stopped ? undefined : { kind: LinkCommandKind.StepDown, term: this.nextTerm() };
         }
         if (this.finalPosition !== undefined && this.orderedDatabaseId === undefined) {
@@ -312,6 +342,10 @@
             : leaders.find(({ databaseId }) => databaseId === expectedId);
     }
 
+    private orderedDatabase(): FencedDatabase | undefined {
+        return this.databases.get(this.orderedDatabaseId ?? "");
+    }
+
     /** The primary that keeps the lead, if it still leads and no other database could be chosen in time. */
     private keptPrimary(nowMs: number): FencedDatabase | undefined {
         const { primaryKeepsLead, startedAtMs } = this.options;
@@ -326,6 +360,17 @@
         return this.expectedLeaderId() !== "" && status?.leads === true;
     }
 
+    /** Whether an order of an earlier leader may have made another database lead, from which this one receives. */
+    private mayFollowAnother({ databaseId }: FencedDatabase): boolean {
+        const { preferredDatabaseId } = this.options;
+        return this.orderedDatabaseId === undefined && preferredDatabaseId !== "" && preferredDatabaseId !== databaseId;
+    }
+
+    /** A database that does not lead receives, and confirms, what another one sends, unless it is paused. */
+    private mayReceive(database: FencedDatabase): boolean {
+        return !database.isHeld && this.mayFollowAnother(database);
+    }
+
     /** The database of the last order, of this member or of an earlier leader; empty if there is none. */
     private expectedLeaderId(): string {
         return this.orderedDatabaseId ?? this.options.preferredDatabaseId;
@@ -345,7 +390,7 @@
                 ? this.chooseBy(PromotionRule.AsynchronousReplication, best)
                 : this.waitFor(PromotionWait.DatabasesToStop);
         }
-        if (this.logs.openLeases().some(({ untilMs }) => untilMs > nowMs)) {
+        if (this.hasOpenLeases(nowMs)) {
             return this.waitFor(PromotionWait.AcknowledgementLeases);
         }
         if (this.logs.holdsConfirmedCommits(best, stopped)) {
@@ -433,9 +478,13 @@
         }
     }
 
-    /** Unless the primary steps down first, whose last position tells what was acknowledged. */
+    /**
+     * Unless the primary steps down first, whose last position tells what was acknowledged. Once a database is ordered, a
+     * primary that starts again may acknowledge commits beyond that.
+     */
     private closeInstances(nowMs: number): readonly Message[] {
-        const stepsDown = this.awaitsStepDown(nowMs) || this.finalPosition !== undefined;
+        const stepsDown = this.orderedDatabaseId === undefined
+            && (this.awaitsStepDown(nowMs) || this.finalPosition !== undefined);
         return this.options.synchronousReplicas === 0 || stepsDown ? [] : this.survey.close(nowMs);
     }
 
