perf(session): the end of a stop counts its sessions instead of looking at all of them for each

Cause: from the deadline for answers on, each session that ends and each caller that leaves made the sessions filter look at all sessions to tell whether the last one had ended, and told it again for each one after the last.

Change: the filter counts the sessions whose callers were told the end, and tells their end once.

The new test fails on the code before: the end is told for each of the two callers that leave.

--- a/src/session/__tests__/sessionPipe.spec.ts
+++ b/src/session/__tests__/sessionPipe.spec.ts
@@ -13,6 +13,8 @@
 import { SessionStatementKind, StatementFault, TransactionState } from "../../model/sessionStatement.ts";
 import { RouteConsistency } from "../../model/trafficPolicy.ts";
 import type { Message } from "../../pipeline/message.ts";
+import { Sessions } from "../sessions.ts";
+import { TaskKind } from "../taskMessages.ts";
 import { position, route, SessionFixture, statement } from "./sessionFixture.ts";
 
 function primaryFixture(permits?: number): SessionFixture {
@@ -529,6 +531,22 @@
         );
     });
 
+    it("tells once that its sessions have ended, though their callers leave after the deadline for answers", () => {
+        // Guards against a stop whose last steps look at all sessions for each session that ends.
+        const sessions = new Sessions();
+        const drain = { kind: FleetKind.DrainStarted, transactionsUntilMs: 3_000, answersUntilMs: 5_400, final: true };
+        const outputs = [
+            { kind: SessionKind.Opened, sessionId: "s1", database: "orders", key: "k" },
+            { kind: SessionKind.Opened, sessionId: "s2", database: "orders", key: "k" },
+            drain,
+            { kind: TaskKind.DrainDue },
+            { kind: SessionKind.Closed, sessionId: "s1" },
+            { kind: SessionKind.Closed, sessionId: "s2" },
+        ].map(message => sessions.process(message as never, 5_400));
+        const told = outputs.map(messages => messages.filter(({ kind }) => kind === TaskKind.SessionsEnded).length);
+        assert.deepEqual(told, [0, 0, 0, 1, 0, 0]);
+    });
+
     it("ends a session after its transaction was ended by the drain", () => {
         // Guards against a session that stays open because its last answer came from the proxy itself, and is aborted
         // later during a request.
--- a/src/session/sessions.ts
+++ b/src/session/sessions.ts
@@ -80,6 +80,8 @@
     ];
     private readonly access = new PolicyAccess();
     private readonly sessions = new Map<string, Session>();
+    /** Number of open sessions whose callers were told that they end. */
+    private endingSessions = 0;
     private drain: FleetDrainStarted | undefined;
     /** The drain deadline for answers has passed; no statement is started any more. */
     private answerDeadlinePassed = false;
@@ -443,6 +445,7 @@
             return [];
         }
         this.sessions.delete(sessionId);
+        this.endingSessions -= session.ending ? 1 : 0;
         this.memory.releaseSession(sessionId);
         const usesDatabase = session.running !== undefined || session.transaction?.pinned === true;
         return [
@@ -546,6 +549,7 @@
     private endSession(session: Session): readonly Message[] {
         const { sessionId } = session;
         session.end();
+        this.endingSessions += 1;
         this.memory.releaseSession(sessionId);
         const ending: SessionEnding = {
             kind: SessionKind.Ending,
@@ -559,10 +563,8 @@
 
     /** Callers that have been told the end may close their connections until the deadline for answers. */
     private sessionsEndedIfEmpty(): readonly Message[] {
-        const isEmpty = this.answerDeadlinePassed
-            ? [...this.sessions.values()].every(({ ending }) => ending)
-            : this.sessions.size === 0;
-        return this.drain?.final === true && isEmpty
+        const isEmpty = this.sessions.size === (this.answerDeadlinePassed ? this.endingSessions : 0);
+        return this.drain?.final === true && isEmpty && this.stopPhase !== StopPhase.Ended
             ? [...this.reportStop(StopPhase.Ended), { kind: TaskKind.SessionsEnded } as DrainStep]
             : [];
     }
