fix(storage): a burn report that cannot be saved is told in the log

Cause: the errors of a save were dropped, so that a folder that takes no writes showed only in a report that starts from an old state after a restart.

Measured: the new test, with a folder in the place of the temporary file, fails on the code before (no reason is given) and passes now; the spec has 8 of 8.

--- a/src/storage/__tests__/burnReportFile.spec.ts
+++ b/src/storage/__tests__/burnReportFile.spec.ts
@@ -1,6 +1,6 @@
 import { assert as check, constantFrom, jsonValue, oneof, property } from "fast-check";
 import assert from "node:assert/strict";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdir, mkdtemp, rm, rmdir, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, beforeEach, describe, it } from "node:test";
@@ -74,6 +74,19 @@
         assert.deepEqual(failures, []);
     });
 
+    it("tells why it cannot be saved, and is saved once it can be", async () => {
+        // Guards against a report that is lost at each restart because no save succeeds, of which no line tells.
+        const temporary = join(folder, "burn.json.new");
+        await mkdir(temporary);
+        await open()[Symbol.asyncDispose]();
+        assert.equal(failures.length, 1);
+        assert.match(failures[0]!, /^the burn report cannot be saved: .*EISDIR/);
+        await rmdir(temporary);
+        await open()[Symbol.asyncDispose]();
+        assert.equal(failures.length, 1);
+        assert.deepEqual((await open().read())?.snapshot, saved());
+    });
+
     for (const text of ["", "{}", "5", JSON.stringify({ savedAt: "x", snapshot: saved() }), "{\"savedAt\":1}"]) {
         it(`counts as missing, with a reason, when it holds ${text.slice(0, 20) || "nothing"}`, async () => {
             await writeFile(join(folder, "burn.json"), text);
--- a/src/storage/burnReportFile.ts
+++ b/src/storage/burnReportFile.ts
@@ -24,7 +24,7 @@
     readonly createSnapshot: () => Snapshot;
     /** Throws if the snapshot that was read cannot be restored. */
     readonly parseSnapshot: (value: unknown) => Snapshot;
-    /** Called with the reason when the file cannot be read. */
+    /** Called with the reason when the file cannot be read, and for each save that fails. */
     readonly onFailure: (reason: string) => void;
 }
 
@@ -68,7 +68,9 @@
 
     private save(): void {
         const text = JSON.stringify({ savedAt: Date.now(), snapshot: this.options.createSnapshot() });
-        this.lastSave = this.lastSave.then(() => this.write(text)).catch(() => undefined);
+        this.lastSave = this.lastSave.then(() => this.write(text)).catch((error: unknown) =>
+            this.options.onFailure(`the burn report cannot be saved: ${String(error)}`)
+        );
     }
 
     private async write(text: string): Promise<void> {
