test(rpc): one fixture starts the holder, client and server of the task streams' tests

Cause: five tests started the same two instances and their server, asked the first question and read its stream id in the same lines.

Change: `StreamsFixture` does it. The assertions are the same ones; the spec has 144 lines before and 141 after.

--- a/src/rpc/__tests__/taskStreams.spec.ts
+++ b/src/rpc/__tests__/taskStreams.spec.ts
@@ -30,115 +30,112 @@
     return { kind: "task", taskId, reply: undefined, fault: undefined, sent: false, leads: false, pinned: false };
 }
 
-describe("task streams", () => {
-    it("deliver the last results of an instance before its end", async () => {
-        // Guards against commits with an unknown outcome, because the holder ended before the answer was sent.
-        const holder = createStreams("front1");
-        const client = createStreams("front2");
-        const server = createPeerServer(
-            new PeerAuthentication({ cluster: "c", instanceId: "front1", secret: "0123456789abcdef" }),
-        );
-        holder.streams.register(server);
-        const address = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
-        const asked = once(holder.posted, PeerKind.Asked);
-        client.streams.deliver({
-            kind: PeerKind.Send,
-            address,
-            question: { kind: "abandon", sessionId: "s1", taskId: undefined },
-        });
+/** A holder with its server, and another instance that asks it. */
+class StreamsFixture implements AsyncDisposable {
+    readonly holder = createStreams("front1");
+    readonly client = createStreams("front2");
+    readonly server = createPeerServer(
+        new PeerAuthentication({ cluster: "c", instanceId: "front1", secret: "0123456789abcdef" }),
+    );
+    private address = "";
+
+    static async start(): Promise<StreamsFixture> {
+        const fixture = new StreamsFixture();
+        fixture.holder.streams.register(fixture.server);
+        fixture.address = `127.0.0.1:${await listen(fixture.server, "127.0.0.1:0")}`;
+        return fixture;
+    }
+
+    ask(sessionId: string): void {
+        const question = { kind: "abandon", sessionId, taskId: undefined } as const;
+        this.client.streams.deliver({ kind: PeerKind.Send, address: this.address, question });
+    }
+
+    /** Asks, and returns the id of the stream on which the holder has received the question. */
+    async openStream(): Promise<string> {
+        const asked = once(this.holder.posted, PeerKind.Asked);
+        this.ask("s1");
         const [{ streamId }] = await asked as [PeerAsked];
-        const received: string[] = [];
-        client.posted.on(
+        return streamId;
+    }
+
+    /** Task ids of the answers that the client receives from now on. */
+    recordAnswers(): readonly string[] {
+        const taskIds: string[] = [];
+        this.client.posted.on(
             PeerKind.Answered,
-            ({ result }: PeerAnswered) => received.push((result as PassedResult).taskId),
+            ({ result }: PeerAnswered) => taskIds.push((result as PassedResult).taskId),
         );
+        return taskIds;
+    }
+
+    async endHolder(): Promise<void> {
+        await this.holder.streams[Symbol.asyncDispose]();
+        await shutDownServer(this.server);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.client.streams[Symbol.asyncDispose]();
+    }
+}
+
+describe("task streams", () => {
+    it("deliver the last results of an instance before its end", async () => {
+        // Guards against commits with an unknown outcome, because the holder ended before the answer was sent.
+        await using fixture = await StreamsFixture.start();
+        const { holder, client } = fixture;
+        const streamId = await fixture.openStream();
+        const received = fixture.recordAnswers();
         const lost = once(client.posted, PeerKind.Lost);
         const sent = Array.from({ length: resultCount }, (_, index) => `t${index}`);
         sent.forEach(taskId => holder.streams.deliver({ kind: PeerKind.Answer, streamId, result: resultOf(taskId) }));
-        await holder.streams[Symbol.asyncDispose]();
-        await shutDownServer(server);
+        await fixture.endHolder();
         await lost;
         assert.deepEqual(received, sent);
-        await client.streams[Symbol.asyncDispose]();
     });
 
     for (const drained of [true, false]) {
         it(`tell whether a question that crosses with the end of ${drained ? "a" : "no"} drained holder may run`, async () => {
             // Guards against writes in doubt that a stopping holder has never read.
-            const holder = createStreams("front1");
-            const client = createStreams("front2");
-            const server = createPeerServer(
-                new PeerAuthentication({ cluster: "c", instanceId: "front1", secret: "0123456789abcdef" }),
-            );
-            holder.streams.register(server);
-            const address = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
-            const ask = (sessionId: string): void =>
-                client.streams.deliver({
-                    kind: PeerKind.Send,
-                    address,
-                    question: { kind: "abandon", sessionId, taskId: undefined },
-                });
-            const asked = once(holder.posted, PeerKind.Asked);
-            ask("s1");
-            const [{ streamId }] = await asked as [PeerAsked];
-            const events: unknown[] = [];
-            client.posted.on(
-                PeerKind.Answered,
-                ({ result }: PeerAnswered) => events.push((result as PassedResult).taskId),
-            );
+            await using fixture = await StreamsFixture.start();
+            const { holder, client } = fixture;
+            const streamId = await fixture.openStream();
+            const events = fixture.recordAnswers();
             const lost = once(client.posted, PeerKind.Lost);
             if (drained) {
                 holder.streams.deliver({ kind: FleetKind.Drained });
             }
             holder.streams.deliver({ kind: PeerKind.Answer, streamId, result: resultOf("t1") });
-            ask("s2");
-            await holder.streams[Symbol.asyncDispose]();
-            await shutDownServer(server);
+            fixture.ask("s2");
+            await fixture.endHolder();
             const [{ unansweredNotRun }] = await lost as [PeerLost];
             assert.deepEqual([events, unansweredNotRun], [["t1"], drained]);
-            await client.streams[Symbol.asyncDispose]();
         });
     }
 
     it("tell that a question is not run whose stream opens while a drained holder ends", async () => {
         // Guards against writes in doubt that are the first of their instance to a holder whose server still accepts.
-        const holder = createStreams("front1");
-        const client = createStreams("front2");
-        const server = createPeerServer(
-            new PeerAuthentication({ cluster: "c", instanceId: "front1", secret: "0123456789abcdef" }),
-        );
-        holder.streams.register(server);
-        const address = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
+        await using fixture = await StreamsFixture.start();
+        const { holder, client, server } = fixture;
         holder.streams.deliver({ kind: FleetKind.Drained });
         await holder.streams[Symbol.asyncDispose]();
         const asked = once(holder.posted, PeerKind.Asked);
         const lost = once(client.posted, PeerKind.Lost);
-        const question = { kind: "abandon", sessionId: "s1", taskId: undefined } as const;
-        client.streams.deliver({ kind: PeerKind.Send, address, question });
+        fixture.ask("s1");
         await Promise.race([asked, lost]);
         await shutDownServer(server);
         const [{ unansweredNotRun }] = await lost as [PeerLost];
         assert.equal(unansweredNotRun, true);
-        await client.streams[Symbol.asyncDispose]();
     });
 
     it("tell that a question may run whose holder has died after the answers of its drain", async () => {
-        const holder = createStreams("front1");
-        const client = createStreams("front2");
-        const server = createPeerServer(
-            new PeerAuthentication({ cluster: "c", instanceId: "front1", secret: "0123456789abcdef" }),
-        );
-        holder.streams.register(server);
-        const address = `127.0.0.1:${await listen(server, "127.0.0.1:0")}`;
-        const asked = once(holder.posted, PeerKind.Asked);
-        const question = { kind: "abandon", sessionId: "s1", taskId: undefined } as const;
-        client.streams.deliver({ kind: PeerKind.Send, address, question });
-        await asked;
+        await using fixture = await StreamsFixture.start();
+        const { holder, client, server } = fixture;
+        await fixture.openStream();
         holder.streams.deliver({ kind: FleetKind.Drained });
         const lost = once(client.posted, PeerKind.Lost);
         server.forceShutdown();
         const [{ unansweredNotRun }] = await lost as [PeerLost];
         assert.equal(unansweredNotRun, false);
-        await client.streams[Symbol.asyncDispose]();
     });
 });
