test(platform): one fixture starts the wire server of its tests

Cause: each of the tests made an emitter or a list of what is posted, a server and its listener in the same lines.

Change: `ServerFixture` does it, and ends the server also in the tests that end it themselves, so a failing one leaves no listener.

--- a/src/platform/__tests__/wireServer.spec.ts
+++ b/src/platform/__tests__/wireServer.spec.ts
@@ -15,7 +15,7 @@
 import { maximumLineBytes } from "../wireLines.ts";
 import { maximumNameBytes, toWireName } from "../wireNames.ts";
 import { WireServer } from "../wireServer.ts";
-import { defaultWireServerLimits } from "../wireServerLimits.ts";
+import { defaultWireServerLimits, type WireServerLimits } from "../wireServerLimits.ts";
 
 /** Rows of the maximum size of a message; together larger than the socket buffers of the system. */
 const rowBytes = maximumLineBytes - "ROW ".length;
@@ -33,27 +33,52 @@
     return { kind: SessionKind.Answer, sessionId, answer };
 }
 
-/** Connects a caller that does not read yet. */
-async function connectCaller(
-    port: number,
-    postedMessages: EventEmitter,
-): Promise<{ socket: Socket; sessionId: string; }> {
-    const socket = connect({ host: "127.0.0.1", port });
-    const opened = once(postedMessages, SessionKind.Opened);
-    socket.write("CONNECT orders k\r\n");
-    const [message] = await opened as [{ readonly sessionId: string; }];
-    return { socket, sessionId: message.sessionId };
+/** A server that accepts connections, and what it posts. */
+class ServerFixture implements AsyncDisposable {
+    readonly posted: Message[] = [];
+    readonly postedMessages = new EventEmitter();
+    readonly server: WireServer;
+
+    private constructor(limits: WireServerLimits) {
+        this.server = new WireServer({ host: "127.0.0.1", port: 0, post: message => this.post(message), limits });
+    }
+
+    static async start(limits = defaultWireServerLimits): Promise<ServerFixture> {
+        const fixture = new ServerFixture(limits);
+        await fixture.server.listen();
+        return fixture;
+    }
+
+    connect(): Socket {
+        return connect({ host: "127.0.0.1", port: this.server.port });
+    }
+
+    /** Connects a caller that does not read yet. */
+    async openSession(): Promise<{ socket: Socket; sessionId: string; }> {
+        const socket = this.connect();
+        const opened = once(this.postedMessages, SessionKind.Opened);
+        socket.write("CONNECT orders k\r\n");
+        const [message] = await opened as [{ readonly sessionId: string; }];
+        return { socket, sessionId: message.sessionId };
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.server[Symbol.asyncDispose]();
+    }
+
+    private post(message: Message): void {
+        this.posted.push(message);
+        this.postedMessages.emit(message.kind, message);
+    }
 }
 
 describe("connections of callers", () => {
     for (const isClosed of [true, false]) {
         it(`deliver the last answer before shutdown if the session is ${isClosed ? "closed" : "open"}`, async () => {
             // Guards against the loss of answers that are still buffered for a slow connection when the process stops.
-            const postedMessages = new EventEmitter();
-            const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-            const server = new WireServer({ host: "127.0.0.1", port: 0, post });
-            await server.listen();
-            const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+            await using fixture = await ServerFixture.start();
+            const { server } = fixture;
+            const { socket, sessionId } = await fixture.openSession();
             server.deliver(createLargeAnswer(sessionId));
             if (isClosed) {
                 server.deliver({ kind: SessionKind.Close, sessionId });
@@ -68,12 +93,10 @@
 
     it("get all of their last answer when more of them end than the listener keeps", async () => {
         // Guards against the reset of closed sessions, whose answers are still buffered, in a stop of many at once.
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
         const limits = { ...defaultWireServerLimits, maximumEnded: 0 };
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post, limits });
-        await server.listen();
-        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        await using fixture = await ServerFixture.start(limits);
+        const { server } = fixture;
+        const { socket, sessionId } = await fixture.openSession();
         const answers = Array.from({ length: 3 }, () => createLargeAnswer(sessionId));
         answers.forEach(answer => server.deliver(answer));
         server.deliver({ kind: SessionKind.Close, sessionId });
@@ -81,11 +104,10 @@
     });
 
     it("keep no more of a key than the longest one of a configuration has, and one byte", async () => {
-        const posted: Message[] = [];
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post: message => posted.push(message) });
-        await server.listen();
+        await using fixture = await ServerFixture.start();
+        const { posted } = fixture;
         const key = "k".repeat(1_000_000);
-        const socket = connect({ host: "127.0.0.1", port: server.port });
+        const socket = fixture.connect();
         socket.write(`CONNECT orders ${key}\r\n`);
         while (posted.length === 0) {
             await setImmediate();
@@ -100,16 +122,15 @@
     });
 
     it("leave a trace of each message that is refused, without its text", async () => {
-        const posted: Message[] = [];
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post: message => posted.push(message) });
-        await server.listen();
+        await using fixture = await ServerFixture.start();
+        const { posted } = fixture;
         const streams = [
             "QUERY 1 READ x\r\n",
             "CONNECT orders k\r\nHELLO x\r\nQUERY 1 READ\r\n",
             `CONNECT orders k\r\n${"x".repeat(maximumLineBytes + 1)}`,
         ];
         for (const sent of streams) {
-            const socket = connect({ host: "127.0.0.1", port: server.port });
+            const socket = fixture.connect();
             socket.end(sent);
             socket.resume();
             await once(socket, "close");
@@ -128,11 +149,9 @@
 
     it("get an answer of many rows of maximum size, if they read it", async () => {
         // Guards against the end of a session whose answer alone is larger than the backlog that is allowed.
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
+        const { socket, sessionId } = await fixture.openSession();
         const { answer } = createLargeAnswer(sessionId);
         const rows = [...answer.rows, ...answer.rows];
         server.deliver({ kind: SessionKind.Answer, sessionId, answer: { ...answer, rows } } as SessionAnswer);
@@ -144,14 +163,12 @@
     });
 
     it("end without an answer that holds a message of its own", async () => {
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
         for (const parts of [{ rows: ["x\r\nCOMPLETE forged"] }, { signature: "a\r\nb" }, { rows: ["\u010d\u010a"] }]) {
-            const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+            const { socket, sessionId } = await fixture.openSession();
             const { answer } = createLargeAnswer(sessionId);
-            const refused = once(postedMessages, SessionKind.AnswerRefused);
+            const refused = once(fixture.postedMessages, SessionKind.AnswerRefused);
             server.deliver({ kind: SessionKind.Answer, sessionId, answer: { ...answer, ...parts } } as SessionAnswer);
             assert.equal(await text(socket), "");
             await refused;
@@ -160,11 +177,9 @@
 
     it("get error texts of others as one message", async () => {
         // Guards against the name of a route or a text of a database that ends the message in which it is told.
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
+        const { socket, sessionId } = await fixture.openSession();
         const { answer } = createLargeAnswer(sessionId);
         for (const detail of ["a\r\nREADY I -", "\u010d\u010a", "x".repeat(maximumLineBytes)]) {
             const fault = StatementFault.Failed;
@@ -184,12 +199,9 @@
     });
 
     it("name their database and key by their bytes, as the configuration does", async () => {
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const socket = connect({ host: "127.0.0.1", port: server.port });
-        const opened = once(postedMessages, SessionKind.Opened);
+        await using fixture = await ServerFixture.start();
+        const socket = fixture.connect();
+        const opened = once(fixture.postedMessages, SessionKind.Opened);
         socket.write("CONNECT b\u00e9 k\u010d 1\r\n");
         const [message] = await opened as [{ readonly database: string; readonly key: string; }];
         assert.deepEqual([message.database, message.key], [toWireName("b\u00e9"), toWireName("k\u010d 1")]);
@@ -197,11 +209,9 @@
     });
 
     it("do not delay the shutdown if callers neither read nor close", async () => {
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        const server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
+        const { socket, sessionId } = await fixture.openSession();
         server.deliver(createLargeAnswer(sessionId));
         const timeoutSignal = AbortSignal.timeout(400);
         await server[Symbol.asyncDispose]();
@@ -211,11 +221,9 @@
 
     it("get all of a large answer when their session ends in a stop right after it", async () => {
         // Guards against answers that are cut because the ERROR that tells the end exceeds the limit of unsent bytes.
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        await using server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
+        const { socket, sessionId } = await fixture.openSession();
         const large = createLargeAnswer(sessionId);
         const rows = Array.from({ length: 6 }, () => large.answer.rows).flat();
         server.deliver({ ...large, answer: { ...large.answer, rows } });
@@ -239,11 +247,9 @@
 
     it("get the rest of the answer to a request that crosses with the end of the process", async () => {
         // Guards against requests that are read after the event loop has closed and whose callers have the ERROR only.
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        const server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const { socket, sessionId } = await connectCaller(server.port, postedMessages);
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
+        const { socket, sessionId } = await fixture.openSession();
         const received = text(socket);
         server.deliver({
             kind: SessionKind.Ending,
@@ -260,17 +266,15 @@
 
     it("are refused in full when they connect just before the listener closes", async () => {
         // Guards against a CONNECT that is read while the process ends, and never answered.
-        const postedMessages = new EventEmitter();
-        const post = (message: Message): void => void postedMessages.emit(message.kind, message);
-        const server = new WireServer({ host: "127.0.0.1", port: 0, post });
-        await server.listen();
-        const socket = connect({ host: "127.0.0.1", port: server.port });
+        await using fixture = await ServerFixture.start();
+        const { server } = fixture;
+        const socket = fixture.connect();
         const answer = text(socket);
         await once(socket, "connect");
         // The server accepts the connection in one turn of its loop.
         await setImmediate();
         const stopped = server.stopAccepting(5_000);
-        const opened = once(postedMessages, SessionKind.Opened);
+        const opened = once(fixture.postedMessages, SessionKind.Opened);
         socket.write("CONNECT orders k\r\n");
         const [{ sessionId }] = await opened as [{ readonly sessionId: string; }];
         server.deliver({ kind: SessionKind.Refuse, sessionId, fault: StatementFault.Busy, detail: "not run" });
