test(request): tests of the request pipe share one configuration and one database

Cause: the tests of withdrawn keys repeated the configuration of `authenticate.spec.ts` and the database of `route.spec.ts`.

Change: `shopFixture.ts` holds both. No assertion is changed.

--- a/src/request/__tests__/authenticate.spec.ts
+++ b/src/request/__tests__/authenticate.spec.ts
@@ -2,25 +2,18 @@
 import { describe, it } from "node:test";
 import { CallerKind, type CallerLoginResult } from "../../model/callerMessages.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
-import { type Configuration, emptyConfiguration } from "../../model/configuration.ts";
+import type { Configuration } from "../../model/configuration.ts";
 import { RefusalCode } from "../../model/refusal.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { AuthenticateFilter } from "../authenticate.ts";
 import { RequestKind } from "../requestMessages.ts";
+import { shopConfiguration } from "./shopFixture.ts";
 
-const configuration: Configuration = {
-    ...emptyConfiguration,
-    version: 5,
-    workspaces: [{ name: "shop", ratePerSecond: 10, burst: 10, keyValidityMs: 10_000, version: 1 }],
-    keys: [{ id: "key-1", workspace: "shop", doubleSha1Hex: "good", version: 1 }],
-    openRoutes: [{ service: "catalogue", workspace: "shop", version: 1 }],
-};
-
-const configurationWithoutKey: Configuration = { ...configuration, version: 6, keys: [] };
+const configurationWithoutKey: Configuration = { ...shopConfiguration, version: 6, keys: [] };
 
 function createFilter(): AuthenticateFilter {
     const filter = new AuthenticateFilter({ verify: (_, proofHex, digest) => proofHex === digest });
-    filter.process({ kind: ClusterKind.ConfigurationApplied, configuration }, 0);
+    filter.process({ kind: ClusterKind.ConfigurationApplied, configuration: shopConfiguration }, 0);
     filter.process({ kind: ClusterKind.ConfigurationProved, version: 5, provedAtMs: 0 }, 0);
     return filter;
 }
@@ -98,7 +91,7 @@
     it("never reverts to an older configuration in which a key was still valid", () => {
         const filter = createFilter();
         filter.process({ kind: ClusterKind.ConfigurationApplied, configuration: configurationWithoutKey }, 1);
-        filter.process({ kind: ClusterKind.ConfigurationApplied, configuration }, 2);
+        filter.process({ kind: ClusterKind.ConfigurationApplied, configuration: shopConfiguration }, 2);
         assert.equal(login(filter, "key-1", "good"), RefusalCode.AccessDenied);
     });
 
@@ -111,7 +104,7 @@
         filter.process({ kind: ClusterKind.ConfigurationProved, version: 6, provedAtMs: 10_000 }, 10_002);
         assert.equal(sendStatement(filter, 10_003), RefusalCode.ConfigurationStale);
         filter.process(
-            { kind: ClusterKind.ConfigurationApplied, configuration: { ...configuration, version: 6 } },
+            { kind: ClusterKind.ConfigurationApplied, configuration: { ...shopConfiguration, version: 6 } },
             10_004,
         );
         assert.equal(sendStatement(filter, 10_005), "shop");
--- a/src/request/__tests__/route.spec.ts
+++ b/src/request/__tests__/route.spec.ts
@@ -10,7 +10,6 @@
     type HolderRequest,
     type HolderSessionEnd,
 } from "../../model/holderMessages.ts";
-import { ResourceKind } from "../../model/lease.ts";
 import { type Outcome, OutcomeKind } from "../../model/outcome.ts";
 import { RefusalCode, refuse } from "../../model/refusal.ts";
 import { StatementKind } from "../../model/statement.ts";
@@ -22,33 +21,11 @@
 import { VirtualClock } from "../../pipeline/virtualClock.ts";
 import { type AdmittedRequest, type AnsweredRequest, LocalAction, RequestKind } from "../requestMessages.ts";
 import { RouteFilter } from "../route.ts";
+import { createDatabase } from "./shopFixture.ts";
 
 const doneOutcome: Outcome = { kind: OutcomeKind.Done, affectedRows: 1, insertId: 0 };
 const seed = 20_261_204;
 
-function createDatabase(databaseId: string, role: DatabaseRole, epoch = 1): DatabaseView {
-    return {
-        databaseId,
-        groupId: "g",
-        service: "boards",
-        dataCentre: "a",
-        address: "",
-        slots: 3,
-        connectionLimit: 20,
-        role,
-        position: { term: 1, offset: 0 },
-        groupSize: 3,
-        available: true,
-        holder: {
-            resource: ResourceKind.Database,
-            resourceId: databaseId,
-            instanceId: "e1",
-            instanceAddress: "",
-            epoch,
-        },
-    };
-}
-
 const defaultDatabases = [
     createDatabase("p", DatabaseRole.Primary),
     createDatabase("r1", DatabaseRole.Replica),
--- a/src/request/__tests__/withdrawnKey.spec.ts
+++ b/src/request/__tests__/withdrawnKey.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { type CallerAnswer, type CallerDisconnect, CallerKind } from "../../model/callerMessages.ts";
 import { ClusterKind } from "../../model/clusterMessages.ts";
-import { type Configuration, emptyConfiguration } from "../../model/configuration.ts";
+import type { Configuration } from "../../model/configuration.ts";
 import { DatabaseRole } from "../../model/database.ts";
 import { HolderKind, type HolderRequest } from "../../model/holderMessages.ts";
 import { ResourceKind } from "../../model/lease.ts";
@@ -19,15 +19,12 @@
 import { AuthenticateFilter } from "../authenticate.ts";
 import { ClassifyFilter } from "../classify.ts";
 import { RouteFilter } from "../route.ts";
+import { createDatabase, shopConfiguration } from "./shopFixture.ts";
 
 const instance = { instanceId: "e1", incarnation: "i", dataCentre: "a" };
 
 const configuration: Configuration = {
-    ...emptyConfiguration,
-    version: 1,
-    workspaces: [{ name: "shop", ratePerSecond: 10, burst: 10, keyValidityMs: 10_000, version: 1 }],
-    keys: [{ id: "key-1", workspace: "shop", doubleSha1Hex: "good", version: 1 }],
-    openRoutes: [{ service: "catalogue", workspace: "shop", version: 1 }],
+    ...shopConfiguration,
     leases: [{
         resource: ResourceKind.Permits,
         resourceId: "shop@a",
@@ -37,19 +34,7 @@
     }],
 };
 
-const primary = {
-    databaseId: "p",
-    groupId: "g",
-    service: "boards",
-    dataCentre: "a",
-    address: "",
-    slots: 3,
-    connectionLimit: 20,
-    role: DatabaseRole.Primary,
-    position: { term: 1, offset: 0 },
-    groupSize: 3,
-    holder: { resource: ResourceKind.Database, resourceId: "p", instanceId: "e1", instanceAddress: "", epoch: 1 },
-};
+const primary = createDatabase("p", DatabaseRole.Primary);
 
 /** The request pipe with one caller. */
 class RequestFixture {
@@ -69,7 +54,7 @@
 
     constructor({ available = true, keyId = "key-1", service = "boards" } = {}) {
         this.process({ kind: ClusterKind.ConfigurationApplied, configuration });
-        this.process({ kind: ClusterKind.ConfigurationProved, version: 1, provedAtMs: 0 });
+        this.process({ kind: ClusterKind.ConfigurationProved, version: configuration.version, provedAtMs: 0 });
         this.process({ kind: ClusterKind.DatabasesChanged, databases: [{ ...primary, service, available }] });
         this.process({ kind: CallerKind.Connected, connectionId: 1, remoteAddress: "" });
         this.process({ kind: CallerKind.Login, connectionId: 1, keyId, service, challengeHex: "", proofHex: "good" });
@@ -92,7 +77,7 @@
     withdraw(): void {
         this.process({
             kind: ClusterKind.ConfigurationApplied,
-            configuration: { ...configuration, version: 2, keys: [], openRoutes: [] },
+            configuration: { ...configuration, version: configuration.version + 1, keys: [], openRoutes: [] },
         });
     }
 
