fix(frontend): statements of MySQL callers are passed on as UTF-8, or refused

Cause: mysql2 decodes statements by the character set of the login, and replaces what it cannot decode. Writes were acknowledged that stored other letters than the caller had sent: emoji of callers with utf8mb3 and invalid bytes became U+FFFD; bytes above 0x7f of callers with ascii lost their high bit, so that 0xa7 became a quote; UTF-8 after SET NAMES utf8mb4 was still decoded as the character set of the login. Rows always went back in UTF-8.

Change: statements come from mysql2 as one character per byte. The front end reads them as UTF-8 once the caller has agreed on it, by its login or by a SET NAMES or SET CHARACTER SET that succeeded, and as ASCII before; anything else is refused with 1235, not run.

Callers that send letters of another character set than UTF-8 are refused from now on.

--- a/src/frontend/__tests__/callerPackets.spec.ts
+++ b/src/frontend/__tests__/callerPackets.spec.ts
@@ -7,12 +7,16 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { CallerKind, type CallerLogin, type CallerStatement } from "../../model/callerMessages.ts";
 import { OutcomeKind } from "../../model/outcome.ts";
+import { RefusalCode, refuse } from "../../model/refusal.ts";
 import type { Message } from "../../pipeline/message.ts";
 import { MysqlFrontend } from "../mysqlFrontend.ts";
 import { PacketSizeGuard } from "../packetSizeGuard.ts";
 
-/** Accepts each login and answers each statement. */
-async function openFrontend(loginLimitMs = 10_000): Promise<MysqlFrontend> {
+/**
+ * Accepts each login and answers each statement.
+ * @param texts filled with the texts of the statements
+ */
+async function openFrontend(loginLimitMs = 10_000, texts: string[] = []): Promise<MysqlFrontend> {
     const post = (message: Message): void => {
         if (message.kind === CallerKind.Login) {
             const { connectionId } = message as CallerLogin;
@@ -21,7 +25,8 @@
             );
         }
         if (message.kind === CallerKind.Statement) {
-            const { connectionId, sequence } = message as CallerStatement;
+            const { connectionId, sequence, text } = message as CallerStatement;
+            texts.push(text);
             const outcome = { kind: OutcomeKind.Done, affectedRows: 0, insertId: 0 };
             setImmediate(() =>
                 frontend.deliver(
@@ -58,13 +63,22 @@
     return socket;
 }
 
-async function logIn(frontend: MysqlFrontend): Promise<Socket> {
+async function logIn(frontend: MysqlFrontend, characterSet?: number): Promise<Socket> {
     const socket = await openSocket(frontend);
-    socket.write(loginPacket());
+    socket.write(loginPacket(characterSet));
     await once(socket, "data");
     return socket;
 }
 
+/** Returns the error number of the answer; 0 for one that is no error. */
+async function sendStatement(socket: Socket, text: Buffer): Promise<number> {
+    socket.write(packet(0, Buffer.concat([Buffer.from([3]), text])));
+    const [answer] = await once(socket, "data") as [Buffer];
+    return answer[4] === 0xff ? answer.readUInt16LE(5) : 0;
+}
+
+const characterSets = { latin1: 8, ascii: 11, sjis: 13, gbk: 28, utf8mb3: 33, utf8mb4: 45, binary: 63 } as const;
+
 describe("packets of callers", () => {
     it("answers EXECUTE as text, so that no caller waits indefinitely", async () => {
         await using frontend = await openFrontend();
@@ -148,4 +162,83 @@
         assert.equal(answer[4], 0);
         socket.destroy();
     });
+
+    it("passes the bytes of a statement on as they are, or refuses it as not run", async () => {
+        // Guards against acknowledged writes of another text than the caller has sent.
+        const texts: string[] = [];
+        await using frontend = await openFrontend(undefined, texts);
+        const anyText = fc.oneof(
+            fc.uint8Array({ maxLength: 12 }).map(bytes => Buffer.from(bytes)),
+            fc.string({ unit: "grapheme", maxLength: 12 }).map(text => Buffer.from(text)),
+        );
+        await fc.assert(
+            fc.asyncProperty(fc.constantFrom(...Object.values(characterSets)), anyText, async (characterSet, part) => {
+                texts.length = 0;
+                const bytes = Buffer.concat([Buffer.from("INSERT "), part]);
+                const socket = await logIn(frontend, characterSet);
+                const errno = await sendStatement(socket, bytes);
+                socket.destroy();
+                assert.deepEqual(
+                    [errno, texts.map(text => Buffer.from(text).toString("hex"))],
+                    errno === 0
+                        ? [0, [bytes.toString("hex")]]
+                        : [1_235, []],
+                );
+            }),
+            { seed: 20261207, numRuns: 300 },
+        );
+    });
+
+    for (const [name, characterSet] of Object.entries(characterSets)) {
+        const isUtf8 = name.startsWith("utf8");
+        it(`reads letters as UTF-8 ${isUtf8 ? "" : "only after SET NAMES "}from a caller with ${name}`, async () => {
+            const texts: string[] = [];
+            await using frontend = await openFrontend(undefined, texts);
+            const socket = await logIn(frontend, characterSet);
+            const letters = "INSERT 'größe 🌿'";
+            assert.equal(await sendStatement(socket, Buffer.from("INSERT 'size'")), 0);
+            assert.equal(await sendStatement(socket, Buffer.from(letters)), isUtf8 ? 0 : 1_235);
+            assert.equal(await sendStatement(socket, Buffer.from("SET NAMES utf8mb4")), 0);
+            assert.equal(await sendStatement(socket, Buffer.from(letters)), 0);
+            assert.deepEqual(texts.filter(text => text !== "SET NAMES utf8mb4"), [
+                "INSERT 'size'",
+                ...isUtf8 ? [letters] : [],
+                letters,
+            ]);
+            socket.destroy();
+        });
+    }
+
+    it("keeps another character set after a SET NAMES that is refused", async () => {
+        await using frontend = new MysqlFrontend({
+            host: "127.0.0.1",
+            port: 0,
+            serverVersion: "8.0.0",
+            post: message => {
+                if (message.kind === CallerKind.Login) {
+                    const { connectionId } = message as CallerLogin;
+                    frontend.deliver({ kind: CallerKind.LoginResult, connectionId, refusal: undefined });
+                }
+                else if (message.kind === CallerKind.Statement) {
+                    const { connectionId, sequence } = message as CallerStatement;
+                    const refusal = refuse(RefusalCode.StatementUnsupported, "classify");
+                    const outcome = { kind: OutcomeKind.Refused, refusal } as const;
+                    frontend.deliver({
+                        kind: CallerKind.Answer,
+                        connectionId,
+                        sequence,
+                        outcome,
+                        inTransaction: false,
+                    });
+                }
+            },
+        });
+        await frontend.listen();
+        const socket = await logIn(frontend, characterSets.latin1);
+        assert.equal(await sendStatement(socket, Buffer.from("SET NAMES gbk")), 1_235);
+        socket.write(packet(0, Buffer.from("\x03INSERT 'größe'")));
+        const [answer] = await once(socket, "data") as [Buffer];
+        assert.match(answer.toString("latin1"), /not run: .*step=frontend/);
+        socket.destroy();
+    });
 });
--- a/src/frontend/mysqlFrontend.ts
+++ b/src/frontend/mysqlFrontend.ts
@@ -18,6 +18,7 @@
 import { describeRefusal, type Refusal, RefusalCode, refusalTable, refuse } from "../model/refusal.ts";
 import type { Message } from "../pipeline/message.ts";
 import type { Sink } from "../pipeline/sink.ts";
+import { CallerText, statementEncoding } from "./callerText.ts";
 import { serverCapabilities, serverStatus } from "./capabilities.ts";
 import { PacketSizeGuard } from "./packetSizeGuard.ts";
 import {
@@ -50,6 +51,8 @@
     /** Ends the connection if the caller does not log in. */
     loginTimer: NodeJS.Timeout;
     loginCallback: AuthenticationCallback | undefined;
+    /** Defined from the login on. */
+    text: CallerText | undefined;
     /** Sequence number of the statement that has no answer yet. */
     inFlightSequence: number | undefined;
     nextSequence: number;
@@ -175,6 +178,7 @@
             packetSizes,
             loginTimer: setTimeout(() => connection.stream.destroy(), loginLimitMs),
             loginCallback: undefined,
+            text: undefined,
             inFlightSequence: undefined,
             nextSequence: 0,
             inTransaction: false,
@@ -246,6 +250,10 @@
         done: AuthenticationCallback,
     ): void {
         caller.loginCallback = done;
+        const { clientHelloReply } = caller.connection;
+        caller.text = new CallerText(clientHelloReply.encoding);
+        // Statements of a caller that does not wait for the result of its login are read in the same way.
+        clientHelloReply.encoding = statementEncoding;
         if (caller.endRefusal !== undefined) {
             this.end(caller, caller.endRefusal);
             return;
@@ -282,12 +290,17 @@
         }
     }
 
-    private receiveStatement(connectionId: number, caller: CallerConnection, text: string): void {
+    private receiveStatement(connectionId: number, caller: CallerConnection, encodedText: string): void {
         if (caller.inFlightSequence !== undefined) {
             // The protocol allows one statement in flight per connection; a second one cannot be answered in order.
             caller.connection.stream.destroy();
             return;
         }
+        const text = caller.text?.decode(encodedText);
+        if (text === undefined) {
+            this.writeRefusal(caller, undecodableRefusal);
+            return;
+        }
         const sequence = caller.nextSequence++;
         caller.inFlightSequence = sequence;
         this.options.post({ kind: CallerKind.Statement, connectionId, sequence, text } as Message);
@@ -303,6 +316,7 @@
             this.writeRefusal(caller, outcome.refusal);
         }
         else {
+            caller.text?.recordDone();
             writeOutcome(caller.connection, outcome, inTransaction);
             caller.connection.sequenceId = 0;
         }
@@ -394,6 +408,10 @@
     databaseErrno: undefined,
 };
 
+const undecodableRefusal = refuse(RefusalCode.StatementUnsupported, "frontend", {
+    detail: "its bytes are not UTF-8, or another character set was agreed; send SET NAMES utf8mb4, and bytes as X'..'",
+});
+
 function unsupportedRefusal(detail: string): Refusal {
     return { ...preparedStatementRefusal, code: "statement_unsupported", detail };
 }
--- a/src/frontend/serverConnection.ts
+++ b/src/frontend/serverConnection.ts
@@ -39,6 +39,8 @@
     sequenceId: number;
     /** Defined once the handshake has started; `encoding` is the encoding of written cells. */
     readonly serverConfig: { encoding: string; };
+    /** Defined once the caller has answered the handshake; `encoding` is the encoding of its statements. */
+    readonly clientHelloReply: { encoding: string | undefined; };
     readonly stream: Socket;
     serverHandshake(options: {
         readonly protocolVersion: number;
