test(frontend): planted faults of the bytes of MySQL statements

Cause: no planted fault covered the new boundary of MySQL callers' statements.

Change: one fault lets any bytes pass, one takes any character set for UTF-8.

--- a/scripts/plantedFaultList.ts
+++ b/scripts/plantedFaultList.ts
@@ -19,6 +19,7 @@
 ];
 const taskSpecs = ["src/rpc/__tests__/taskCodec.spec.ts"];
 const sqlSpecs = ["src/request/__tests__/sqlText.spec.ts"];
+const callerTextSpecs = ["src/frontend/__tests__/callerPackets.spec.ts"];
 const databaseSettingsSpecs = ["src/backend/__tests__/sessionSettings.spec.ts"];
 const storageSpecs = ["src/storage/__tests__/unreadableRecords.spec.ts"];
 const callSpecs = ["src/rpc/__tests__/malformedLogCalls.spec.ts"];
@@ -130,6 +131,20 @@
         replacement: "if (character === \"\\0\") {",
         specs: sqlSpecs,
     },
+    {
+        name: "statements of MySQL callers may have any bytes",
+        file: "src/frontend/callerText.ts",
+        original: "!(this.isUtf8Agreed && isUtf8(bytes))",
+        replacement: "false",
+        specs: callerTextSpecs,
+    },
+    {
+        name: "another character set than UTF-8 counts as agreed",
+        file: "src/frontend/callerText.ts",
+        original: "this.isUtf8Agreed && isUtf8(bytes)",
+        replacement: "isUtf8(bytes)",
+        specs: callerTextSpecs,
+    },
     {
         name: "databases keep ANSI_QUOTES",
         file: "src/backend/sessionSettings.ts",
