fix(fleet): a leader that stood still grants no permits before it has shown that it leads

Cause: a process that stood still while another member was elected answered the requests that waited in its sockets from the full token buckets of before, until it noticed its loss. Instances attached to it that don't reach the new leader used these permits beside what that one had granted meanwhile. Grants for cold databases were safe: they need a read barrier.

Evidence: the new tests of `rates.spec.ts` without the change: a workspace 13 operations above the limit of a window, half of the fleet attached to a leader that stood still for 12.5 s. Real processes were not run.

After a pause of more than 1 s requests wait for a read barrier, and are answered once it is committed. A leader that leads still answers them some tens of milliseconds later. A silence of fixed length in its place failed the existing test that almost nothing is refused while the clock of the leader steps. The model of the fleet commits entries of the latest leader.

After the change all of `rates.spec.ts` passes (26 tests), `permitLeader.spec.ts`, `permitRequester.spec.ts`, `coldFleet.spec.ts`, `platformPipes.spec.ts` and `platformProcess.spec.ts` as well.

--- a/src/fleet/permitLeader.ts
+++ b/src/fleet/permitLeader.ts
@@ -1,6 +1,14 @@
 /** Answers the permit requests of all instances on the control leader, from one token bucket per workspace. */
 import { match } from "ts-pattern";
-import { ControlKind, type ControlLeaderChanged } from "../model/controlMessages.ts";
+import { formerLeaderMs } from "../model/acknowledgementLease.ts";
+import {
+    CommandKind,
+    ControlKind,
+    type ControlLeaderChanged,
+    type ControlProposalEnded,
+    type ControlPropose,
+    ProposalStatus,
+} from "../model/controlMessages.ts";
 import {
     type Detached,
     type FleetFrame,
@@ -44,10 +52,13 @@
 /** Interval at which an instance is sent its share of a workspace. Shares follow the demand over tens of seconds. */
 const shareIntervalMs = 1_000;
 
+/** Time after which a read barrier is proposed again that has not ended. */
+const barrierTimeoutMs = 1_000;
+
 const checkKey = "fleet.permit_check";
 
 type PermitRequestFrame = Extract<FleetFrame, { readonly kind: "want"; }>;
-type LeaderInput = ControlLeaderChanged | FrameReceived | Detached | PolicyApplied | FleetTimer;
+type LeaderInput = ControlLeaderChanged | ControlProposalEnded | FrameReceived | Detached | PolicyApplied | FleetTimer;
 
 interface InstanceState {
     readonly instanceId: string;
@@ -78,6 +89,7 @@
     readonly step = "permit_leader";
     readonly accepts = [
         ControlKind.LeaderChanged,
+        ControlKind.ProposalEnded,
         FleetKind.FrameReceived,
         FleetKind.Detached,
         FleetKind.PolicyApplied,
@@ -96,6 +108,13 @@
     private leadingSinceMs = 0;
     /** Time of the last call of `process`. */
     private lastCallAtMs = 0;
+    /** This process stood still, and another member may lead and grant the same operations without being known here. */
+    private isLeadUncertain = false;
+    /** Read barrier that shows whether this member leads still; undefined if none is under way. */
+    private barrier: { readonly proposalId: string; readonly proposedAtMs: number; } | undefined;
+    /** Last requests meanwhile, by attachment. */
+    private readonly waitingRequests = new Map<string, FrameReceived>();
+    private nextProposal = 0;
 
     constructor({ tolerance }: PermitLeaderOptions) {
         this.tolerance = tolerance;
@@ -105,6 +124,7 @@
         this.discountTimeJump(nowMs);
         return match<LeaderInput, readonly Message[]>(message)
             .with({ kind: ControlKind.LeaderChanged }, matched => [matched, ...this.changeLeader(matched, nowMs)])
+            .with({ kind: ControlKind.ProposalEnded }, matched => this.endBarrier(matched, nowMs))
             .with({ kind: FleetKind.FrameReceived }, matched => [matched, ...this.receive(matched, nowMs)])
             .with({ kind: FleetKind.Detached }, matched => {
                 this.detach(matched.attachmentId, nowMs);
@@ -121,6 +141,7 @@
     /** Does not count a clock step or a pause of this process as silence of the instances. */
     private discountTimeJump(nowMs: number): void {
         const jumpMs = nowMs - this.lastCallAtMs - accrualLimitMs;
+        this.isLeadUncertain ||= nowMs - this.lastCallAtMs > formerLeaderMs;
         this.lastCallAtMs = nowMs;
         if (jumpMs <= 0) {
             return;
@@ -136,6 +157,9 @@
     private changeLeader({ leading, term }: ControlLeaderChanged, nowMs: number): readonly Message[] {
         this.term = leading ? term : undefined;
         this.leadingSinceMs = nowMs;
+        this.isLeadUncertain = false;
+        this.barrier = undefined;
+        this.waitingRequests.clear();
         this.instances.clear();
         this.workspaces.clear();
         this.removedAtMs.clear();
@@ -193,6 +217,10 @@
         if (frame.kind !== "want" || this.term === undefined || instanceId === undefined) {
             return [];
         }
+        if (this.isLeadUncertain) {
+            this.waitingRequests.set(attachmentId, { kind: FleetKind.FrameReceived, attachmentId, frame });
+            return this.proposeBarrier(nowMs);
+        }
         const instance = this.instanceStateOf(instanceId, nowMs);
         this.recordUsage(instance, frame, nowMs);
         const answers = frame.wants.filter(([, waiting, prefetch]) => waiting + prefetch > 0)
@@ -200,6 +228,30 @@
         return [sendFrame(attachmentId, { kind: "permits", term: this.term, sequence: frame.sequence, answers })];
     }
 
+    private proposeBarrier(nowMs: number): readonly Message[] {
+        if (this.barrier !== undefined && nowMs - this.barrier.proposedAtMs < barrierTimeoutMs) {
+            return [];
+        }
+        const proposalId = `permits/${this.nextProposal++}`;
+        this.barrier = { proposalId, proposedAtMs: nowMs };
+        const command = { kind: CommandKind.ReadBarrier };
+        return [{ kind: ControlKind.Propose, proposalId, operationId: "", command } as ControlPropose];
+    }
+
+    private endBarrier(ended: ControlProposalEnded, nowMs: number): readonly Message[] {
+        if (ended.proposalId !== this.barrier?.proposalId) {
+            return [ended];
+        }
+        this.barrier = undefined;
+        if (ended.status !== ProposalStatus.Applied && ended.status !== ProposalStatus.Conflict) {
+            return [];
+        }
+        this.isLeadUncertain = false;
+        const requests = [...this.waitingRequests.values()];
+        this.waitingRequests.clear();
+        return requests.flatMap(request => this.receive(request, nowMs));
+    }
+
     /** Records the permits and fallback operations that the instance has used. */
     private recordUsage(instance: InstanceState, frame: PermitRequestFrame, nowMs: number): void {
         instance.lastRequestAtMs = nowMs;
@@ -320,6 +372,7 @@
     private detach(attachmentId: string, nowMs: number): void {
         const instanceId = this.instanceIdByAttachment.get(attachmentId);
         this.instanceIdByAttachment.delete(attachmentId);
+        this.waitingRequests.delete(attachmentId);
         if (instanceId !== undefined && ![...this.instanceIdByAttachment.values()].includes(instanceId)) {
             this.detachedAtMs.set(instanceId, nowMs);
         }
--- a/src/wiring/__tests__/rateFleet.ts
+++ b/src/wiring/__tests__/rateFleet.ts
@@ -2,7 +2,7 @@
 import { Attachments } from "../../fleet/attachments.ts";
 import { PermitLeader } from "../../fleet/permitLeader.ts";
 import { PermitRequester } from "../../fleet/permitRequester.ts";
-import { ControlKind } from "../../model/controlMessages.ts";
+import { ControlKind, type ControlPropose, ProposalStatus } from "../../model/controlMessages.ts";
 import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import type { RateTolerance } from "../../model/rateLimits.ts";
 import { emptySessionContext, TaskMode } from "../../model/sessionStatement.ts";
@@ -22,6 +22,9 @@
 /** Delay of timers, which fire slightly late. */
 const timerDelayMs = 0.1;
 
+/** Time in which an entry of the log is committed: a round trip between regions and the syncs of two disks. */
+const commitMs = 40;
+
 /** Ratio of the rate of a workspace to its ordinary demand. */
 const rateToDemandRatio = 1.6;
 
@@ -71,9 +74,12 @@
     private readonly lastArrivalMs = new Map<string, number>();
     private readonly admissibleTaskIds = new Set<string>();
     private readonly heldFrames: { readonly from: Node; readonly to: Node; readonly frame: FleetFrame; }[] = [];
+    private readonly waitingByFrozen = new Map<string, Message[]>();
     private isPartitioned: (from: string, to: string) => boolean = () => false;
     private nextEventNumber = 0;
     private term = 0;
+    /** The leader of the latest term, which alone can commit entries. */
+    private leaderId = "";
 
     constructor({ instances, workspaces, demandPerSecond, seed }: FleetSize) {
         this.random = new SeededRandom(seed);
@@ -100,6 +106,7 @@
     /** Makes a control member the leader; the instances receive its announcement after a delay. */
     startLeading(memberId: string): void {
         this.term += 1;
+        this.leaderId = memberId;
         const member = this.members.get(memberId)!;
         this.run(member, { kind: ControlKind.LeaderChanged, leading: true, term: this.term } as Message);
         this.announceLeadership(member, true);
@@ -121,6 +128,17 @@
         }
     }
 
+    /** Makes the process of a control member stand still; what arrives meanwhile waits. */
+    freeze(memberId: string): void {
+        this.waitingByFrozen.set(memberId, []);
+    }
+
+    thaw(memberId: string): void {
+        const waiting = this.waitingByFrozen.get(memberId) ?? [];
+        this.waitingByFrozen.delete(memberId);
+        waiting.forEach(message => this.run(this.nodes.get(memberId)!, message));
+    }
+
     /** Partitions the network between these nodes; their frames are held back until `heal`. */
     isolate(left: readonly string[], right: readonly string[]): void {
         this.isPartitioned = (from, to) =>
@@ -327,6 +345,11 @@
     }
 
     private run(node: Node, first: Message): void {
+        const waiting = this.waitingByFrozen.get(node.id);
+        if (waiting !== undefined) {
+            waiting.push(first);
+            return;
+        }
         const queue: Message[] = [first];
         const nowMs = this.nowMs + node.clockOffsetMs;
         const startUs = this.members.has(node.id) ? process.cpuUsage() : undefined;
@@ -359,6 +382,14 @@
                 }
                 return;
             }
+            case ControlKind.Propose: {
+                const { proposalId } = output as ControlPropose;
+                if (node.id === this.leaderId) {
+                    const ended = { kind: ControlKind.ProposalEnded, proposalId, status: ProposalStatus.Applied };
+                    this.schedule(`entry/${node.id}/${proposalId}`, this.nowMs + commitMs, () => this.run(node, ended));
+                }
+                return;
+            }
             case TaskKind.Admitted: {
                 const { task } = output as unknown as { readonly task: Task; };
                 this.admissibleTaskIds.delete(task.taskId);
--- a/src/wiring/__tests__/rates.spec.ts
+++ b/src/wiring/__tests__/rates.spec.ts
@@ -223,6 +223,31 @@
         });
     }
 
+    for (const part of [1 / 2, 2 / 3]) {
+        it(`enforces the rates when a former leader goes on that stood still, with ${Math.round(100 * part)}% of the fleet`, () => {
+            for (const [frozenMs, burstSeconds] of [[4_000, 1], [12_500, 1], [16_000, 3]] as const) {
+                const fleet = startFleet(small);
+                fleet.setBursts(burstSeconds);
+                fleet.advance(12_000);
+                const ids = fleet.instances.map(({ id }) => id);
+                fleet.freeze("c0");
+                fleet.isolate(ids.slice(0, ids.length * part), ["c1"]);
+                fleet.advance(1_500);
+                fleet.startLeading("c1");
+                fleet.advance(frozenMs - 1_500);
+                ["workspace0", "workspace4"].forEach(name => fleet.flood(name, 10));
+                fleet.advance(300);
+                fleet.thaw("c0");
+                fleet.advance(leaderOverlapMs);
+                fleet.stepDown("c0");
+                fleet.advance(4_000);
+                fleet.heal();
+                fleet.advance(4_000);
+                assert.deepEqual(findExcesses(fleet), [], `after ${frozenMs} ms, burst of ${burstSeconds} s`);
+            }
+        });
+    }
+
     for (const stepMs of [300, 2_000, 5_000, 20_000]) {
         it(`enforces the rates while the wall clock of the leader steps forward by ${stepMs} ms`, () => {
             const { fleet } = startIdleFleet(1);
