fix(fleet): an order after a step down waits for a proof of it if an instance has not answered

Callers saw: writes that had been acknowledged were missing after a planned change of primary beside a cut between two parts. Cause: after a step down the order waits until each instance has answered that it stops, or its lease has ended. What an instance without an answer acknowledged before its lease ended was not looked for: the last position of the primary was taken for the end of its log, although the primary could start again meanwhile in the part of that instance and of another replica, and lead. Change: if a lease ended without an answer, the order is sent once the primary has answered after that end that it does not lead. If that process can't be shown to be still stopped, the order is withdrawn, its position no longer counts, and the choice goes on as without a planned change: replicas stop and prove it after the end of the lease. An order for the stepped down primary itself needs no proof, since it holds its commits.

--- a/src/fleet/fencedLogs.ts
+++ b/src/fleet/fencedLogs.ts
@@ -102,8 +102,13 @@
         stopped: readonly FencedDatabase[],
     ): readonly FencedDatabase[] {
         const answeredMs = this.closedInstances.lastAnswerBeyond(best.receivedPosition!);
-        const lapsedMs = Math.max(answeredMs, ...this.openLeases().map(({ untilMs }) => untilMs));
-        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= lapsedMs);
+        const endedMs = Math.max(answeredMs, this.lastLeaseEnd());
+        return this.withLog(stopped).filter(({ provedStoppedMs }) => provedStoppedMs <= endedMs);
+    }
+
+    /** End of the last lease of an instance that has not answered; -Infinity if there is none. */
+    lastLeaseEnd(): number {
+        return Math.max(...this.openLeases().map(({ untilMs }) => untilMs));
     }
 
     /** Leases of instances that have not answered that they acknowledge nothing further. */
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -40,6 +40,8 @@
     private finalPosition: Position | undefined;
     private steppedDownAtMs = 0;
     private orderedDatabaseId: string | undefined;
+    /** The primary whose last position decided on the order for another database; undefined if it did not. */
+    private steppedDownPrimary: FencedDatabase | undefined;
     private logLossesBeforeOrder = 0;
     /** A database leads: the others receive again. */
     private released = false;
@@ -111,12 +113,35 @@
     /** The database was ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
     orderSent(databaseId: string): void {
         this.orderedDatabaseId = databaseId;
+        const steppedDown = this.finalPosition === undefined ? undefined : this.logs.primary();
+        this.steppedDownPrimary = steppedDown?.databaseId === databaseId ? undefined : steppedDown;
         this.logLossesBeforeOrder = this.databases.get(databaseId)?.logLosses ?? 0;
     }
 
     /** The order was not sent after all: the choice goes on, with all that is known of the databases. */
     withdrawOrder(): void {
         this.orderedDatabaseId = undefined;
+        this.finalPosition = undefined;
+    }
+
+    /**
+     * Whether the step down that decided on the order may have ended: a primary that led again may have had commits that an
+     * instance acknowledged whose lease has ended without an answer.
+     */
+    hasLostStepDown(): boolean {
+        const primary = this.steppedDownPrimary;
+        return this.reliesOnStepDown()
+            && !(primary!.stopped && this.logs.primary() === primary && this.logs.keepsLog(primary!));
+    }
+
+    /** Whether the primary whose step down decided on the order has to show that it still had not led after the last lease. */
+    awaitsStepDownProof(): boolean {
+        const isAwaited = this.reliesOnStepDown()
+            && this.steppedDownPrimary!.provedStoppedMs <= this.logs.lastLeaseEnd();
+        if (isAwaited) {
+            this.steppedDownPrimary!.proveAgain();
+        }
+        return isAwaited;
     }
 
     decide(nowMs: number): FencingDecision {
@@ -310,6 +335,12 @@
         }
     }
 
+    /** Whether the step down decided on the order, and an instance may have acknowledged commits without having answered since. */
+    private reliesOnStepDown(): boolean {
+        return this.options.synchronousReplicas > 0 && this.steppedDownPrimary !== undefined
+            && this.logs.openLeases().length > 0;
+    }
+
     /**
      * A database other than the former primary that already leads. While an order may still be executed, only the ordered
      * database counts: another one that leads is about to lose the lead.
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -566,18 +566,23 @@
     }
 
     private continueClosing(nowMs: number): readonly Message[] {
-        const { messages, chosenDatabaseId, alreadyLeads } = this.fencing!.decide(nowMs);
+        const fencing = this.fencing!;
+        const { messages, chosenDatabaseId, alreadyLeads } = fencing.decide(nowMs);
         if (alreadyLeads) {
             return [...messages, ...this.complete(chosenDatabaseId!, nowMs)];
         }
-        if (!this.fencing!.mayLead(this.chosenDatabaseId)) {
+        const mayLead = fencing.mayLead(this.chosenDatabaseId);
+        if (mayLead && fencing.hasOpenLeases(nowMs)) {
+            return [...messages, ...this.reportWait(PromotionWait.AcknowledgementLeases, nowMs)];
+        }
+        if (!mayLead || fencing.hasLostStepDown()) {
             // It started again meanwhile, or an instance may have acknowledged a commit that it lacks. As no order was sent,
             // the choice goes on, with the same fence and all that is known.
-            this.fencing!.withdrawOrder();
+            fencing.withdrawOrder();
             return [...messages, ...this.enter(Phase.Fencing, nowMs), ...this.continueFencing(nowMs)];
         }
-        return this.fencing!.hasOpenLeases(nowMs)
-            ? [...messages, ...this.reportWait(PromotionWait.AcknowledgementLeases, nowMs)]
+        return fencing.awaitsStepDownProof()
+            ? [...messages, ...this.reportWait(PromotionWait.DatabasesToStop, nowMs)]
             : [...messages, ...this.enter(Phase.Ordering, nowMs), ...this.order(nowMs)];
     }
 
