fix(fleet): a member that stood still before it took the lead grants no lease before it knows that it leads

Cause: the time in which a process that stood still grants no lease ended with the news that it leads. That news comes from answers of other members, which may have been sent before the pause: the first entry of the new leader was on its way when it stopped. Another leader that was elected meanwhile does not wait for the leases that were then granted. Beside that, a pause could not be told from a time without events, since a member that does not lead had no timer. Evidence: the new test of `acknowledgementLease.spec.ts` without the change: a lease at 5.4 s of a process that stood still from 0.4 s and learnt at 5.4 s that it leads. Real processes were not made to stand still. Change: the news does not end that time, and the timer of 400 ms goes on while another member leads, so that a new leader that went on before grants leases at once; a test shows it.

--- a/src/fleet/__tests__/acknowledgementLease.spec.ts
+++ b/src/fleet/__tests__/acknowledgementLease.spec.ts
@@ -5,6 +5,7 @@
 import { ControlKind } from "../../model/controlMessages.ts";
 import { type FleetFrame, FleetKind, type SendFrame } from "../../model/fleetMessages.ts";
 import { promotionOf } from "../../model/promotion.ts";
+import { PromotionKind } from "../../model/promotionMessages.ts";
 import { emptyTrafficPolicy } from "../../model/trafficPolicy.ts";
 import { CommitWitnesses } from "../commitWitnesses.ts";
 import { Promotions } from "../promotions.ts";
@@ -48,9 +49,12 @@
      * @param askedAtMs times of the events of this process, at each of which it is asked
      */
     function answersOf(
-        { open, leading = true, askedAtMs = [0] }: {
+        { open, leading = true, ledFromMs = 0, ticksAtMs = [], askedAtMs = [0] }: {
             readonly open: boolean;
             readonly leading?: boolean;
+            readonly ledFromMs?: number;
+            /** Times of its timer before that. */
+            readonly ticksAtMs?: readonly number[];
             readonly askedAtMs?: readonly number[];
         },
     ): readonly FleetFrame[] {
@@ -72,9 +76,10 @@
             commitWitnesses: [{ instanceId: "i1" }],
         };
         push({ kind: ClusterKind.ConfigurationApplied, configuration });
-        push({ kind: ControlKind.LeaderChanged, leading, term: 2 });
+        ticksAtMs.forEach(nowMs => push({ kind: PromotionKind.Due }, nowMs));
+        push({ kind: ControlKind.LeaderChanged, leading, term: 2 }, ledFromMs);
         const hello = { kind: "hello", instanceId: "i1", serves: true };
-        push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: hello });
+        push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: hello }, ledFromMs);
         return askedAtMs.flatMap((nowMs, index) => {
             const asked = { kind: "lease_asked", sequence: 5 + index };
             return push({ kind: FleetKind.FrameReceived, attachmentId: "f1", frame: asked }, nowMs);
@@ -101,4 +106,18 @@
         assert.deepEqual(sequencesAt([400, 1_400, 2_400]), [5, 6, 7]);
         assert.deepEqual(sequencesAt([400, 5_400, 5_800, 6_200, 6_600, 6_700]), [5, 10]);
     });
+
+    it("are not given by a process that stood still before it took the lead, before it knows whether it leads still", () => {
+        // Guards against a lease of a member whose election was confirmed by answers from before its pause.
+        const ledFromMs = 5_400;
+        const askedAtMs = [5_400, 6_200, 6_700];
+        const sequences = answersOf({ open: false, ledFromMs, ticksAtMs: [400], askedAtMs })
+            .map(frame => frame.kind === "lease_granted" ? frame.sequence : 0);
+        assert.deepEqual(sequences, [7]);
+    });
+
+    it("are given at once by a new leader that went on before", () => {
+        const ticksAtMs = [400, 800, 1_200, 1_600, 2_000];
+        assert.equal(answersOf({ open: false, ledFromMs: 2_300, ticksAtMs, askedAtMs: [2_300] }).length, 1);
+    });
 });
--- a/src/fleet/promotions.ts
+++ b/src/fleet/promotions.ts
@@ -18,7 +18,7 @@
 import { type CommitWitness, promotionOf, type PromotionRecord } from "../model/promotion.ts";
 import { type PromotionDue, PromotionKind, type PromotionOrdered } from "../model/promotionMessages.ts";
 import { emptyTrafficPolicy, type TrafficPolicy } from "../model/trafficPolicy.ts";
-import { clearDeadline, setDeadline } from "../pipeline/deadlineQueue.ts";
+import { setDeadline } from "../pipeline/deadlineQueue.ts";
 import type { Filter } from "../pipeline/filter.ts";
 import type { Message } from "../pipeline/message.ts";
 import { sendFrame } from "./attachments.ts";
@@ -120,8 +120,8 @@
     private records: readonly PromotionRecord[] = [];
     private leading = false;
     private leadingSinceMs = 0;
-    /** Time of the last call of `process`. */
-    private lastCallAtMs = 0;
+    /** Time of the last call of `process`; there is one at each tick, also while another member leads. */
+    private lastCallAtMs = Infinity;
     /** Time until which another member may lead without being known here. */
     private uncertainUntilMs = -Infinity;
     private readonly reportIntervalMs: number;
@@ -207,17 +207,16 @@
     private changeLeader({ leading }: ControlLeaderChanged, nowMs: number): readonly Message[] {
         this.leading = leading;
         this.leadingSinceMs = nowMs;
-        this.uncertainUntilMs = -Infinity;
         this.recorder.reset();
         this.witnesses.startLeading(nowMs);
         const closed = [...this.services.values()].flatMap(service => service.dispose(nowMs));
         this.services.clear();
-        return leading ? [...closed, this.timer(nowMs, steadyTickMs)] : [...closed, clearDeadline("promotion")];
+        return [...closed, this.timer(nowMs, steadyTickMs)];
     }
 
     private tick(nowMs: number): readonly Message[] {
         if (!this.leading) {
-            return [];
+            return [this.timer(nowMs, steadyTickMs)];
         }
         const reported = [...this.databases.values()].map(({ report }) => report.service);
         const open = this.records.filter(record => record.open).map(({ service }) => service);
