--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -42,6 +42,8 @@
     private orderedDatabaseId: string | undefined;
     private orderedAtMs = -Infinity;
     private hadStoppedBeforeOrder = false;
+    /** The primary whose last position decided on the order for another database; undefined if it did not. */
+    private steppedDownPrimary: FencedDatabase | undefined;
     private logLossesBeforeOrder = 0;
     /** A database leads: the others receive again. */
     private released = false;
@@ -114,6 +116,8 @@
     orderSent(databaseId: string, nowMs: number): readonly Message[] {
         this.orderedDatabaseId = databaseId;
         this.orderedAtMs = nowMs;
+        const steppedDown = this.finalPosition === undefined ? undefined : this.logs.primary();
+        this.steppedDownPrimary = steppedDown?.databaseId === databaseId ? undefined : steppedDown;
         const database = this.databases.get(databaseId);
         this.logLossesBeforeOrder = database?.logLosses ?? 0;
         this.hadStoppedBeforeOrder = database?.stopped === true;
@@ -134,6 +138,27 @@
     /** The order was not sent after all: the choice goes on, with all that is known of the databases. */
     withdrawOrder(): void {
         this.orderedDatabaseId = undefined;
+        this.finalPosition = undefined;
+    }
+
+    /**
+     * Whether the step down that decided on the order may have ended: a primary that led again may have had commits that an
+     * instance acknowledged whose lease has ended without an answer.
+     */
+    hasLostStepDown(): boolean {
+        const primary = this.steppedDownPrimary;
+        return this.reliesOnStepDown()
+            && !(primary!.stopped && this.logs.primary() === primary && this.logs.keepsLog(primary!));
+    }
+
+    /** Whether the primary whose step down decided on the order has to show that it still had not led after the last lease. */
+    awaitsStepDownProof(): boolean {
+        const isAwaited = this.reliesOnStepDown()
+            && this.steppedDownPrimary!.provedStoppedMs <= this.logs.lastLeaseEnd();
+        if (isAwaited) {
+            this.steppedDownPrimary!.proveAgain();
+        }
+        return isAwaited;
     }
 
     decide(nowMs: number): FencingDecision {
@@ -327,6 +352,12 @@
         }
     }
 
+    /** Whether the step down decided on the order, and an instance may have acknowledged commits without having answered since. */
+    private reliesOnStepDown(): boolean {
+        return this.options.synchronousReplicas > 0 && this.steppedDownPrimary !== undefined
+            && this.logs.openLeases().length > 0;
+    }
+
     /**
      * A database other than the former primary that already leads. While an order may still be executed, only the ordered
      * database counts: another one that leads is about to lose the lead.
