fix(fleet): a promotion that drops lost databases keeps the position that its primary has by then

Callers saw: writes that had been acknowledged were missing after a second change of primary, beside a replica that lost its log during the first. Cause: the end of a promotion takes lost and departed databases off the record, and records the position of the choice as the one that replicas must have. Commits that a dropped one alone had confirmed to the new primary lie beyond it, and no replica was known to lack them. Change: if databases are dropped, the position is that of the new primary when it is seen to lead.

--- a/src/fleet/serviceDatabases.ts
+++ b/src/fleet/serviceDatabases.ts
@@ -99,10 +99,16 @@
      * perhaps no other one has received. Undefined if databases are dropped that may have confirmed commits after that.
      */
     keptPosition(databaseId: string): Position | undefined {
-        const { orderedDatabaseId, orderedPosition, databases } = this.options.record();
-        const dropsDatabases = this.members().some(({ isLost }) => isLost)
-            || databases.some(recorded => this.options.fleet.departedDatabases.has(recorded.databaseId));
-        return databaseId === orderedDatabaseId && !dropsDatabases ? orderedPosition : undefined;
+        const { orderedDatabaseId, orderedPosition } = this.options.record();
+        return databaseId === orderedDatabaseId && !this.dropsDatabases() ? orderedPosition : undefined;
+    }
+
+    /** Whether the end of a promotion takes databases off the record that may have confirmed commits after the choice. */
+    dropsDatabases(): boolean {
+        return this.members().some(({ isLost }) => isLost)
+            || this.options.record().databases.some(recorded =>
+                this.options.fleet.departedDatabases.has(recorded.databaseId)
+            );
     }
 
     otherDatabases(primaryId: string | undefined): readonly string[] {
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -745,7 +745,9 @@
             fence: this.fence,
             databaseId,
             orderPending: this.mayOrderBeExecuted(),
-            basePosition: this.chosenPosition,
+            basePosition: this.databases.dropsDatabases()
+                ? this.fencing?.receivedPosition(databaseId) ?? this.chosenPosition
+                : this.chosenPosition,
             departed: recordedIds.filter(recordedId => fleet.departedDatabases.has(recordedId)),
         };
         return [decided, ...released, ...this.enter(Phase.Completing, nowMs), this.propose(command)];
