refactor(fleet): what the leader asks on links of its own shares one interface

Cause: the promotion of a service passed each event of a link to three checks in three ways; the directory wrote the relation of a process to the one before it at its address twice. Change: DatabaseCheck, with CatchUpCheck, HeldReplicas and the new LeadCheck; takesPlaceOf. No behaviour changes.

--- a/src/fleet/catchUpCheck.ts
+++ b/src/fleet/catchUpCheck.ts
@@ -5,6 +5,7 @@
 import { LinkCommandKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
 import { hasReached, type Position } from "../model/position.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { DatabaseCheck } from "./databaseCheck.ts";
 import type { ElectorateMember } from "./electorate.ts";
 import { FencedDatabase, type FencedDatabaseOptions } from "./fencedDatabase.ts";
 
@@ -15,7 +16,7 @@
     readonly replicas: readonly ElectorateMember[];
 }
 
-export class CatchUpCheck {
+export class CatchUpCheck implements DatabaseCheck {
     private readonly primary: FencedDatabase;
     private readonly replicas: readonly FencedDatabase[];
     /** Position of the primary after the databases were gone; they confirmed nothing beyond it. */
@@ -45,12 +46,13 @@
         return this.advance(nowMs);
     }
 
-    linkReplied(message: LinkReplied, nowMs: number): void {
+    linkReplied(message: LinkReplied, nowMs: number): readonly Message[] {
         this.databaseOfLink(message.linkId)?.linkReplied(message, nowMs);
         const { status } = this.primary;
         if (this.target === undefined && status?.leads === true) {
             this.target = status.receivedPosition;
         }
+        return [];
     }
 
     linkLost(message: LinkLost, nowMs: number): void {
--- a/src/fleet/fleetDatabaseDirectory.ts
+++ b/src/fleet/fleetDatabaseDirectory.ts
@@ -157,21 +157,18 @@
      * Removes a database whose address a newer database with another id reports. A report for an unknown service
      * removes nothing, because it may come from a different program.
      */
-    private removePredecessor({ databaseId, service, address, bornUnixMs }: DatabaseReport): readonly Message[] {
-        if (!this.services.has(service)) {
+    private removePredecessor(report: DatabaseReport): readonly Message[] {
+        if (!this.services.has(report.service)) {
             return [];
         }
-        const predecessor = [...this.reports.values()].find(other =>
-            other.address === address && other.databaseId !== databaseId && other.bornUnixMs < bornUnixMs
-        );
+        const predecessor = [...this.reports.values()].find(other => takesPlaceOf(report, other));
         return predecessor === undefined ? [] : this.remove(predecessor.databaseId);
     }
 
     /** Whether a process that started later reports the address. */
-    private hasSuccessor({ databaseId, address, bornUnixMs }: DatabaseReport, nowMs: number): boolean {
+    private hasSuccessor(report: DatabaseReport, nowMs: number): boolean {
         return [...this.reports.values()].some(other =>
-            other.address === address && other.databaseId !== databaseId && other.bornUnixMs > bornUnixMs
-            && this.services.has(other.service)
+            takesPlaceOf(other, report) && this.services.has(other.service)
             && nowMs - (this.reportedMs.get(other.databaseId) ?? -Infinity) < successorSilenceMs
         );
     }
@@ -197,6 +194,12 @@
     }
 }
 
+/** Whether a process started at the address of another one after that one. */
+function takesPlaceOf(later: DatabaseReport, earlier: DatabaseReport): boolean {
+    return later.address === earlier.address && later.databaseId !== earlier.databaseId
+        && later.bornUnixMs > earlier.bornUnixMs;
+}
+
 /** Whether a departure is that of an earlier process than the known one. */
 function isOutdated(departedStartUnixMs: number | undefined, knownStartUnixMs: number | undefined): boolean {
     return departedStartUnixMs !== undefined && knownStartUnixMs !== undefined
--- a/src/fleet/heldReplicas.ts
+++ b/src/fleet/heldReplicas.ts
@@ -4,10 +4,11 @@
  */
 import { LinkCommandKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
 import type { Message } from "../pipeline/message.ts";
+import type { DatabaseCheck } from "./databaseCheck.ts";
 import type { ElectorateMember } from "./electorate.ts";
 import { FencedDatabase, type FencedDatabaseOptions } from "./fencedDatabase.ts";
 
-export class HeldReplicas {
+export class HeldReplicas implements DatabaseCheck {
     private readonly options: FencedDatabaseOptions;
     private readonly asked = new Map<string, FencedDatabase>();
     /** Ids of those that hold no pause, as they have answered, or that have ended. */
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -12,7 +12,7 @@
     ProposalStatus,
 } from "../model/controlMessages.ts";
 import { type CommitsSeenFrame, type DatabaseReport, type FleetFrame, ReportedState } from "../model/fleetMessages.ts";
-import { LinkCommandKind, type LinkLost, type LinkOpened, type LinkReplied } from "../model/linkMessages.ts";
+import type { LinkLost, LinkOpened, LinkReplied } from "../model/linkMessages.ts";
 import type { Position } from "../model/position.ts";
 import type { RecordedDatabase } from "../model/promotion.ts";
 import { type PromotionDecided, PromotionRule } from "../model/promotionDecision.ts";
@@ -27,9 +27,11 @@
 import type { Message } from "../pipeline/message.ts";
 import { Assessment } from "./assessment.ts";
 import { CatchUpCheck } from "./catchUpCheck.ts";
-import { FencedDatabase, type FencedDatabaseOptions } from "./fencedDatabase.ts";
+import type { DatabaseCheck } from "./databaseCheck.ts";
+import type { FencedDatabaseOptions } from "./fencedDatabase.ts";
 import { Fencing } from "./fencing.ts";
 import { HeldReplicas } from "./heldReplicas.ts";
+import { LeadCheck } from "./leadCheck.ts";
 import { PromotionDecisions } from "./promotionDecision.ts";
 import { ServiceDatabases, type ServicePromotionOptions } from "./serviceDatabases.ts";
 
@@ -110,7 +112,7 @@
     private catchUpCheck: CatchUpCheck | undefined;
     private heldReplicas: HeldReplicas;
     /** Asks the present primary whether it leads, before the order that makes earlier ones void. */
-    private leadCheck: FencedDatabase | undefined;
+    private leadCheck: LeadCheck | undefined;
     /** The databases that the check is about. */
     private checkedDatabases: readonly RecordedDatabase[] = [];
     private replaceable: readonly RecordedDatabase[] = [];
@@ -245,9 +247,7 @@
         return [
             ...this.assessment?.linkOpened(message) ?? [],
             ...this.fencing?.linkOpened(message, nowMs) ?? [],
-            ...this.catchUpCheck?.linkOpened(message, nowMs) ?? [],
-            ...this.heldReplicas.linkOpened(message, nowMs),
-            ...this.leadCheckOpened(message, nowMs),
+            ...this.checks().flatMap(check => check.linkOpened(message, nowMs)),
         ];
     }
 
@@ -256,20 +256,12 @@
             ...this.assessment?.linkReplied(message) ?? [],
             ...this.fencing?.linkReplied(message, nowMs) ?? [],
         ];
-        this.catchUpCheck?.linkReplied(message, nowMs);
-        const released = this.heldReplicas.linkReplied(message, nowMs);
-        if (this.leadCheck?.owns(message.linkId) === true) {
-            this.leadCheck.linkReplied(message, nowMs);
-        }
-        return [...sent, ...released, ...this.afterLinkEvent(nowMs)];
+        const asked = this.checks().flatMap(check => check.linkReplied(message, nowMs));
+        return [...sent, ...asked, ...this.afterLinkEvent(nowMs)];
     }
 
     linkLost(message: LinkLost, nowMs: number): readonly Message[] {
-        this.catchUpCheck?.linkLost(message, nowMs);
-        this.heldReplicas.linkLost(message, nowMs);
-        if (this.leadCheck?.owns(message.linkId) === true) {
-            this.leadCheck.linkLost(message, nowMs);
-        }
+        this.checks().forEach(check => check.linkLost(message, nowMs));
         this.assessment?.linkLost(message);
         return [...this.fencing?.linkLost(message, nowMs) ?? [], ...this.afterLinkEvent(nowMs)];
     }
@@ -383,7 +375,7 @@
 
     /** Clears the way for a choice without databases that are gone, as soon as a replica has what they confirmed. */
     private checkCatchUp(nowMs: number): readonly Message[] {
-        const { record, service, fleet } = this.options;
+        const { record } = this.options;
         const { open, databases } = record();
         const gone = this.phase !== Phase.Steady || open
             ? []
@@ -407,10 +399,9 @@
         const closed = this.closeCatchUpCheck();
         this.checkedDatabases = gone;
         this.catchUpCheck = new CatchUpCheck({
-            service,
+            ...this.linkOptions(),
             primary,
             replicas: members.filter(({ databaseId, isReady }) => isReady && databaseId !== primary.databaseId),
-            nextLinkId: () => fleet.nextLinkId(),
         });
         return [...closed, ...this.catchUpCheck.advance(nowMs)];
     }
@@ -437,27 +428,19 @@
         }
         this.chosenDatabaseId = databaseId;
         this.supersedes = false;
-        this.leadCheck = new FencedDatabase(primary, this.linkOptions());
+        this.leadCheck = new LeadCheck(primary, this.linkOptions());
         return [...this.enter(Phase.Proving, nowMs), ...this.continueProving(nowMs)];
     }
 
     private continueProving(nowMs: number): readonly Message[] {
-        const primary = this.leadCheck!;
-        if (primary.status?.leads === true) {
+        const { leads } = this.leadCheck!;
+        if (leads === true) {
             return [...this.closeLeadCheck(), ...this.orderPrimary(nowMs)];
         }
         const hasWaited = nowMs - this.phaseSinceMs >= invalidationIntervalMs;
-        return primary.isAnswered || hasWaited || !this.databases.mayInvalidateOrders()
+        return leads === false || hasWaited || !this.databases.mayInvalidateOrders()
             ? [...this.closeLeadCheck(), ...this.endInvalidation(nowMs)]
-            : primary.advance({ kind: LinkCommandKind.Status }, nowMs);
-    }
-
-    private leadCheckOpened(message: LinkOpened, nowMs: number): readonly Message[] {
-        if (this.leadCheck?.owns(message.linkId) !== true) {
-            return [];
-        }
-        this.leadCheck.linkOpened(message);
-        return this.continueProving(nowMs);
+            : this.leadCheck!.advance(nowMs);
     }
 
     private closeLeadCheck(): readonly Message[] {
@@ -492,6 +475,10 @@
         return [...this.enter(Phase.Completing, nowMs), this.propose(command)];
     }
 
+    private checks(): readonly DatabaseCheck[] {
+        return [this.catchUpCheck, this.heldReplicas, this.leadCheck].filter(check => check !== undefined);
+    }
+
     private releaseReplicas(nowMs: number): readonly Message[] {
         const { open, fence } = this.options.record();
         if (this.phase !== Phase.Steady || open || fence === 0) {
