refactor(fleet): the fencing begins an order before it is sent

Cause: orderSent was called when the order is recorded, which is before it is sent. Change: the method is called beginOrder. No behaviour changes.

--- a/src/fleet/__tests__/fencing.spec.ts
+++ b/src/fleet/__tests__/fencing.spec.ts
@@ -210,7 +210,7 @@
     it("lets instances have leases until a database is ordered, and then those that have answered", () => {
         const fixture = new FencingFixture();
         assert.equal(fixture.fencing.mayGrantLease("f1"), true);
-        fixture.fencing.orderSent("a", fixture.nowMs);
+        fixture.fencing.beginOrder("a", fixture.nowMs);
         assert.equal(fixture.fencing.mayGrantLease("f1"), false);
         fixture.reportCommits("f1", 8, { questionId: "7/close" });
         assert.equal(fixture.fencing.mayGrantLease("f1"), true);
@@ -243,7 +243,7 @@
         fixture.decide(61);
         fixture.answer("a", false, 3, 12);
         assert.equal(fixture.decide(), "a");
-        fixture.fencing.orderSent("a", fixture.nowMs);
+        fixture.fencing.beginOrder("a", fixture.nowMs);
         fixture.decide(61);
         fixture.answer("a", false, 3, 10);
         assert.equal(fixture.fencing.hasLostLogSinceChoice(), false);
@@ -479,7 +479,7 @@
             assert.equal(fixture.decide(), undefined);
             answerAgain();
             assert.equal(fixture.decide(), "a");
-            fixture.fencing.orderSent("a", fixture.nowMs);
+            fixture.fencing.beginOrder("a", fixture.nowMs);
             assert.ok(fixture.fencing.mayLead("a"));
         });
 
@@ -503,7 +503,7 @@
         it("orders none if an instance answers so after the choice", () => {
             stopReplicas();
             assert.equal(fixture.decide(), "a");
-            fixture.fencing.orderSent("a", fixture.nowMs);
+            fixture.fencing.beginOrder("a", fixture.nowMs);
             fixture.reportCommits("f1", 13, { questionId: "7/close" });
             assert.ok(!fixture.fencing.mayLead("a"));
         });
@@ -543,7 +543,7 @@
             assert.ok(fixture.questions.includes("f1 7/0"), "the instances are asked at once");
             fixture.reportCommits("f1", 10);
             assert.equal(fixture.decide(), "b");
-            fixture.fencing.orderSent("b", fixture.nowMs);
+            fixture.fencing.beginOrder("b", fixture.nowMs);
             assert.ok(fixture.fencing.mayLead("b"));
         });
 
--- a/src/fleet/fencing.ts
+++ b/src/fleet/fencing.ts
@@ -113,7 +113,7 @@
     }
 
     /** The database is ordered to lead: from now on it is checked whether it does, and the others stay stopped. */
-    orderSent(databaseId: string, nowMs: number): readonly Message[] {
+    beginOrder(databaseId: string, nowMs: number): readonly Message[] {
         this.orderedDatabaseId = databaseId;
         this.orderedAtMs = nowMs;
         const steppedDown = this.finalPosition === undefined ? undefined : this.logs.primary();
--- a/src/fleet/servicePromotion.ts
+++ b/src/fleet/servicePromotion.ts
@@ -623,7 +623,7 @@
         const ordered = this.databases.members().filter(member => member.databaseId === databaseId && !member.isLost);
         this.orderedAddresses = this.orderedAddresses?.concat(ordered.map(({ address }) => address));
         this.chosenDatabaseId = databaseId;
-        const asked = this.fencing?.orderSent(databaseId, nowMs) ?? [];
+        const asked = this.fencing?.beginOrder(databaseId, nowMs) ?? [];
         const command = {
             kind: CommandKind.RecordPromotionOrder,
             service: this.options.service,
