test(platform): a replica that is to receive late has received what it asked for at its start

Cause: a replica asks for the log at its start, and takes all that is there when that arrives, up to some milliseconds later. Change: the test waits for that before it makes the replica late; its assertions are as before.

--- a/standins/platform/__tests__/database.spec.ts
+++ b/standins/platform/__tests__/database.spec.ts
@@ -134,6 +134,8 @@
     });
 
     it("receive late", async () => {
+        // What the replica asked for at its start arrives without the delay, with all that is there by then.
+        await delay(settleMs);
         replica.lateMs = 3 * settleMs;
         const written = ask(primary, "WRITE 1 x");
         assert.equal(await Promise.race([written, delay(settleMs)]), undefined);
